--- /dev/null
+++ b/ashpath/__init__.py
@@ -0,0 +1,1 @@
+"""ashpath: a relay that hands envelopes on to destinations that nobody here controls."""
--- /dev/null
+++ b/ashpath/decide.py
@@ -0,0 +1,639 @@
+"""All decisions of ashpath, and every tuned value; nothing else in the project decides anything.
+
+How to call it: make one `Sender(terms, answers)` per instance. For each batch of news call
+`open_turn(now)`, then one method per piece of news (`listed`, `take`, `returned`, `probed`, `gone`,
+`woken`), then `close_turn()`, which sends what may go. The interface, both what is handed in and the
+`Answers` that come back, is in `ashpath/door.py`. The design, and where and why it departs from
+ADR 0122, is in `docs/design.md`.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from enum import Enum
+
+from ashpath.door import Answers, Ending, Listing, Presence, Repeat, Terms, TrackTerms
+
+SECOND = 1_000_000
+
+HOLD = (
+    5 * SECOND
+)  # a timed-out call keeps its slot so long: longer spares the destination, shorter uses it sooner
+COOLDOWN = 1 * SECOND  # first pause of an open breaker; doubles with each probe that fails
+COOLDOWN_MAX = 15 * SECOND  # and no further: a longer one finds the destination's return later
+TURN = SECOND // 10  # senders take turns, so far apart, at a destination that has just come back
+GAIN = 0.1  # weight of a new measurement: more follows a change sooner, less is steadier
+STRETCH = 4  # deviations over the mean that a shot is given; less frees slots sooner and loses slow answers
+IGNORANT = 5  # completions before a destination's times are trusted
+LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
+RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
+RUN_OF_FAILURES = 3  # so many failures in a row are taken for an outage, whatever the breaker did
+CAUTION = 0.7  # share used of what the rule on returning destinations allows
+COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
+
+
+class State(Enum):
+    """Where an envelope stands."""
+
+    HELD = "held"  # waits for its destination, or behind an earlier one of its key
+    OUT = "out"  # one shot is out
+    LEFT = "left"  # nobody wants it any more, its shot is still out
+    OVER = "over"  # has its final answer, and nothing is out
+
+
+MOVES = {
+    State.HELD: (State.OUT, State.OVER),
+    State.OUT: (State.HELD, State.LEFT, State.OVER),
+    State.LEFT: (State.OVER,),
+    State.OVER: (),
+}
+
+PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
+LOAD_SIGNS = (Ending.ERROR, Ending.FULL, Ending.TIMED_OUT, Ending.NO_CONNECTION, Ending.RESET)
+MAY_RUN_ON = (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN)
+
+
+class Track:
+    """A row a track: what differs between tracks."""
+
+    def __init__(self, index: int, terms: TrackTerms, decays: bool) -> None:
+        self.index = index
+        self.payoff = terms.payoff
+        self.promised = terms.promised
+        self.cutoff = terms.cutoff
+        self.repeat = terms.repeat
+        self.window = terms.window
+        self.whole_group = terms.whole_group
+        self.late_share = terms.late_share
+        self.ordered = terms.ordered
+        self.decays = decays
+        # An early time-out loses most where a repeat is not free: such a shot may take until the cut-off.
+        self.patience = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 1000}[terms.repeat]
+
+    def payoff_at(self, age: int) -> float:
+        """What an envelope of this age earns if it is completed now."""
+        late = age - self.promised
+        if late <= 0:
+            return self.payoff
+        if age >= self.cutoff:
+            return 0.0
+        if self.decays:
+            return float(self.payoff * max(self.late_share, 0.5 ** (late / self.promised)))
+        return self.payoff * (1 - (1 - self.late_share) * late / (self.cutoff - self.promised))
+
+
+class Line:
+    """Envelopes of one key, in the order taken. Dropped when it is empty and its rest is over."""
+
+    def __init__(self, key: int) -> None:
+        self.key = key
+        self.envelopes: deque[Envelope] = deque()
+        self.rest_until = 0
+
+
+class Shot:
+    """One call out, with the envelopes that travel in it."""
+
+    def __init__(self, endpoint: Endpoint, gate: Gate, now: int, timeout: int) -> None:
+        self.endpoint = endpoint
+        self.gate = gate
+        self.started = now
+        self.timeout = timeout
+        self.unheard = 0  # envelopes without an outcome; the slot is free at none
+        self.judged = False  # the gate has had the call's one outcome
+        self.probe = False
+
+
+class Envelope:
+    """One envelope that this sender owes a final answer."""
+
+    def __init__(self, id_: int, destination: Destination, track: Track, now: int, left: int) -> None:
+        self.id = id_
+        self.destination = destination
+        self.track = track
+        self.cutoff_at = now + left
+        self.promise_at = self.cutoff_at - track.cutoff + track.promised
+        self.state = State.HELD
+        self.queue: OrderedDict[Envelope, None] | None = None
+        self.line: Line | None = None
+        self.shots = 0
+        self.shot: Shot | None = None
+        self.ran_since: int | None = None  # start of the first shot that may have run
+        self.ran_zone = 0
+
+    def age(self, now: int) -> int:
+        return now - self.cutoff_at + self.track.cutoff
+
+
+class Times:
+    """What a track's calls take at one destination, from its completions."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.mean = 0.0
+        self.deviation = 0.0
+
+    def learn(self, took: int) -> None:
+        self.count += 1
+        gain = max(GAIN, 1 / self.count)
+        error = took - self.mean
+        self.mean += gain * error
+        self.deviation += gain * (abs(error) - self.deviation)
+
+
+class Endpoint:
+    """One endpoint of a destination. Dropped with its last shot after the directory dropped it."""
+
+    def __init__(self, row: Listing, gate: Gate) -> None:
+        self.id = row.endpoint
+        self.zone = row.zone
+        self.gate = gate
+        self.presence = row.presence
+        self.in_flight = 0
+        self.pace = 0.0  # mean time of its completions
+        self.failing = 0.0  # share of its late calls that failed
+
+
+class Breaker(Enum):
+    """The breaker of a gate."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    PROBING = "probing"
+
+
+class Gate:
+    """The ADR 0122 gate: limit, fast count, holds, latest decrease and breaker, of a destination or route."""
+
+    def __init__(self, sender: Sender, name: str) -> None:
+        self.sender = sender
+        self.name = name
+        self.cap = max(1, sender.terms.slots * 3 // 4)
+        self.limit = 1
+        self.fast = 0
+        self.unfailed = True  # grows by one with each fast success until the first failure
+        self.in_flight = 0
+        self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
+        self.decreased_at = -1
+        self.breaker = Breaker.CLOSED
+        self.reopened = 0
+        self.open_until = 0
+        self.wait_until = 0
+        # The guard of a returning destination: see `allowance`.
+        self.failures = 0  # in a row
+        self.ailing = False
+        self.warm_from = 0
+        self.budget = 1.0
+        self.budget_at = 0
+        self.completed = 0
+        self.rate = 0.0  # completions a second while well
+
+    def opens_at(self, now: int) -> int | None:
+        """None if a call may go now, else the time to look again (0: an outcome will tell)."""
+        while self.holds and self.holds[0] <= now:
+            self.holds.popleft()
+        if now < self.wait_until:
+            return self.wait_until
+        if self.breaker is Breaker.PROBING:
+            return 0
+        if self.breaker is Breaker.OPEN:
+            due = max(self.open_until, self.holds[-1] if self.holds else 0)
+            if now < due:
+                return due
+        elif self.in_flight + len(self.holds) >= self.limit:
+            return self.holds[0] if self.holds else 0
+        return self.budget_due(now)
+
+    def allowance(self, now: int) -> float:
+        """Calls a second that a destination just back, or about to be, may get from this sender."""
+        terms = self.sender.terms
+        warm = (
+            min(1.0, (now - self.warm_from) / terms.ramp_time) if not self.ailing and terms.ramp_time else 0.0
+        )
+        present = terms.cold_share + (1 - terms.cold_share) * warm
+        return CAUTION * terms.fall_multiple * present * max(self.rate, 1.0)
+
+    def budget_due(self, now: int) -> int | None:
+        """Guards against pushing over a destination that returns cold: calls at most at the allowance."""
+        if not self.ailing and now >= self.warm_from + self.sender.terms.ramp_time:
+            return None
+        allowance = self.allowance(now)
+        self.budget = min(1.0, self.budget + (now - self.budget_at) * allowance / SECOND)
+        self.budget_at = now
+        return None if self.budget >= 1 else now + int((1 - self.budget) * SECOND / allowance) + 1
+
+    def sent(self, shot: Shot) -> None:
+        self.in_flight += 1
+        self.budget = max(0.0, self.budget - 1)
+        if self.breaker is Breaker.OPEN:
+            self.breaker = Breaker.PROBING
+            shot.probe = True
+
+    def freed(self, shot: Shot, ending: Ending) -> None:
+        self.in_flight -= 1
+        if ending is Ending.TIMED_OUT:
+            self.holds.append(self.sender.now + HOLD)
+
+    def judge(self, shot: Shot, ending: Ending, took: int) -> None:
+        """The outcome table of the paper, and its probe table."""
+        now = self.sender.now
+        if ending in LOAD_SIGNS:
+            self.failures += 1
+            if shot.probe:
+                self.reopened += 1
+                self.open(ending)
+            elif self.breaker is Breaker.CLOSED and shot.started > self.decreased_at:
+                self.unfailed = False
+                self.limit //= 2
+                self.fast = 0
+                self.decreased_at = now
+                if not self.limit:
+                    self.open(ending)
+            if not self.ailing and (self.failures >= RUN_OF_FAILURES or self.breaker is Breaker.OPEN):
+                self.ailing = True
+                self.sender.log(f"{self.name} ailing: {self.failures} failures, last {ending.value}")
+        elif ending is Ending.COMPLETED:
+            self.failures = 0
+            self.completed += 1
+            if self.ailing:
+                self.ailing = False
+                self.warm_from = now
+                self.sender.log(f"{self.name} back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
+            if shot.probe:
+                self.close()
+            elif took * 2 < shot.timeout and self.breaker is Breaker.CLOSED:
+                self.fast += 1
+                if (self.unfailed or self.fast >= self.limit) and self.limit < self.cap:
+                    self.limit += 1
+                    self.fast = 0
+        elif shot.probe:  # dropped: the period is over already, and the next waiter probes
+            self.breaker = Breaker.OPEN
+
+    def open(self, ending: Ending) -> None:
+        self.breaker = Breaker.OPEN
+        self.limit = 0
+        pause = min(COOLDOWN_MAX, COOLDOWN << min(self.reopened, 10))
+        self.open_until = self.sender.now + pause + self.sender.terms.number * TURN
+        self.sender.log(
+            f"{self.name} breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}"
+        )
+
+    def close(self) -> None:
+        self.breaker = Breaker.CLOSED
+        self.limit = 1
+        self.fast = 0
+        self.reopened = 0
+        self.sender.log(f"{self.name} breaker closed")
+
+    def measure(self, span: int) -> None:
+        if not self.ailing and self.sender.now >= self.warm_from + self.sender.terms.ramp_time:
+            self.rate += GAIN * (self.completed * SECOND / span - self.rate)
+        self.completed = 0
+
+
+class Destination:
+    """One destination. Dropped when it has neither endpoints nor envelopes."""
+
+    def __init__(self, sender: Sender, number: int) -> None:
+        self.sender = sender
+        self.number = number
+        self.endpoints: list[Endpoint] = []  # in ranked order
+        self.gate = Gate(sender, f"destination {number}")
+        self.apart = False
+        self.per_call = 1
+        self.times = [Times() for _ in sender.tracks]
+        # Envelopes held, by track, in order of arrival: within the promised time, and past it.
+        self.fresh: list[OrderedDict[Envelope, None]] = [OrderedDict() for _ in sender.tracks]
+        self.late: list[OrderedDict[Envelope, None]] = [OrderedDict() for _ in sender.tracks]
+        self.look_at = 0
+
+    def expected(self, track: Track) -> int:
+        return int(self.times[track.index].mean)
+
+    def timeout(self, envelope: Envelope) -> int:
+        times, track = self.times[envelope.track.index], envelope.track
+        left = envelope.cutoff_at - self.sender.now
+        if times.count < IGNORANT:
+            return min(left, track.cutoff // 2 * track.patience)
+        wanted = int(times.mean + STRETCH * times.deviation) * track.patience
+        return min(left, max(wanted, LEAST_TIMEOUT * track.patience))
+
+    def gates(self) -> list[Gate]:
+        return [endpoint.gate for endpoint in self.endpoints] if self.apart else [self.gate]
+
+    def listed(self, row: Listing) -> None:
+        kind = self.sender.terms.kinds[row.kind]
+        self.apart, self.per_call = kind.apart, kind.per_call
+        endpoint = self.sender.endpoints.get(row.endpoint)
+        if endpoint is None:
+            gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
+            endpoint = self.sender.endpoints[row.endpoint] = Endpoint(row, gate)
+        endpoint.presence = row.presence
+        if row.presence is Presence.LISTED:
+            if endpoint not in self.endpoints:
+                self.endpoints.append(endpoint)
+        elif endpoint in self.endpoints:
+            self.endpoints.remove(endpoint)
+
+    def rank(self) -> None:
+        """Well and quick first; the ids decide between equals, so that equal news gives equal answers."""
+        self.endpoints.sort(key=lambda e: (round(e.failing, 1), e.pace, e.id))
+
+    def pick(self, gate: Gate) -> Endpoint | None:
+        """Fills the ranked endpoints from the top, each up to its part of the gate's limit."""
+        usable = [e for e in self.endpoints if e.gate is gate]
+        if not usable:
+            return None
+        most = -(-max(1, gate.limit) // len(usable))
+        for endpoint in usable:
+            if endpoint.in_flight < most:
+                return endpoint
+        return min(usable, key=lambda e: e.in_flight)
+
+    def next(self, endpoint: Endpoint) -> Envelope | None:
+        """The waiter with the most payoff still to be had; between equals, the one promised first."""
+        now, best, best_rank = self.sender.now, None, (0.0, 0)
+        for queue in (*self.fresh, *self.late):
+            for envelope in queue:
+                bound = envelope.ran_since is not None and not envelope.track.whole_group
+                if bound and envelope.ran_zone != endpoint.zone:
+                    continue
+                age = envelope.age(now) + self.expected(envelope.track)
+                rank = (envelope.track.payoff_at(age), -envelope.promise_at)
+                if best is None or rank > best_rank:
+                    best, best_rank = envelope, rank
+                break
+        return best
+
+    def pump(self) -> None:
+        """Sends while a gate admits and somebody waits."""
+        sender = self.sender
+        look_at = 0
+        for gate in self.gates():
+            while any(self.fresh) or any(self.late):
+                if sender.out >= sender.terms.slots:
+                    sender.dirty[self] = None
+                    return
+                opens_at = gate.opens_at(sender.now)
+                if opens_at is not None:
+                    look_at = min(look_at or opens_at, opens_at or look_at)
+                    break
+                endpoint = self.pick(gate)
+                envelope = endpoint and self.next(endpoint)
+                if not endpoint or not envelope:
+                    break
+                shot = Shot(endpoint, gate, sender.now, self.timeout(envelope))
+                while envelope and shot.unheard < self.per_call:
+                    sender.shoot(envelope, shot)
+                    envelope = self.next(endpoint)
+                gate.sent(shot)
+                endpoint.in_flight += 1
+                sender.out += 1
+        if look_at:
+            self.look(look_at)
+
+    def look(self, at: int) -> None:
+        """One wake to look again is kept, the earliest."""
+        if not self.sender.now < self.look_at <= at:
+            self.look_at = at
+            self.sender.answers.wake(at, f"d{self.number}")
+
+    def come_back(self) -> int:
+        """When a bounced envelope may find room: after what keeps the gate shut."""
+        now, terms = self.sender.now, self.sender.terms
+        if not terms.heeds_wait:
+            return 0
+        shut = (
+            max(self.gate.wait_until, self.gate.open_until if self.gate.breaker is Breaker.OPEN else 0) - now
+        )
+        return min(terms.longest_wait or COME_BACK, max(COME_BACK, shut))
+
+
+class Sender:
+    """One instance: knows only what it was told since it started."""
+
+    def __init__(self, terms: Terms, answers: Answers) -> None:
+        self.terms = terms
+        self.answers = answers
+        self.chance = random.Random(terms.seed)
+        self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
+        self.now = 0
+        self.out = 0  # calls out
+        self.endpoints: dict[str, Endpoint] = {}  # emptied as the directory drops them
+        self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
+        self.envelopes: dict[int, Envelope] = {}  # emptied as they are over
+        self.lines: dict[int, Line] = {}  # emptied as they run out
+        self.dirty: dict[Destination, None] = {}  # to be pumped; emptied each turn while slots last
+        self.ranked_at = -1
+
+    def open_turn(self, now: int) -> None:
+        self.now = now
+        if self.ranked_at < 0:
+            self.ranked_at = now
+            self.answers.wake(now + RERANK_EVERY, "rank")
+
+    def close_turn(self) -> None:
+        dirty, self.dirty = self.dirty, {}
+        for destination in dirty:
+            destination.pump()
+
+    def log(self, text: str) -> None:
+        self.answers.log(text)
+
+    # News
+
+    def listed(self, rows: Iterable[Listing], whole: bool) -> None:
+        rows = list(rows)
+        if whole:
+            named = {row.endpoint for row in rows}
+            for endpoint in self.endpoints.values():
+                if endpoint.id not in named:
+                    endpoint.presence = Presence.GONE
+            for destination in self.destinations.values():
+                destination.endpoints = [e for e in destination.endpoints if e.id in named]
+        for row in rows:
+            destination = self.destination(row.destination)
+            destination.listed(row)
+            destination.rank()
+            self.dirty[destination] = None
+
+    def destination(self, number: int) -> Destination:
+        destination = self.destinations.get(number)
+        if destination is None:
+            destination = self.destinations[number] = Destination(self, number)
+        return destination
+
+    def take(self, id_: int, number: int, track: int, key: int | None, left: int, again: bool) -> None:
+        row = self.tracks[track]
+        destination = self.destination(number)
+        envelope = Envelope(id_, destination, row, self.now, left)
+        self.envelopes[id_] = envelope
+        if row.ordered and key is not None:
+            line = envelope.line = self.lines.setdefault(key, Line(key))
+            line.envelopes.append(envelope)
+            if len(line.envelopes) > 1 or line.rest_until > self.now:
+                return self.remind(envelope)
+        self.queue(envelope)
+
+    def returned(
+        self, id_: int, ending: Ending, wait: int, closed: bool, left: float | None, rate: float | None
+    ) -> None:
+        """The outcome of the one shot that the envelope has out."""
+        envelope = self.envelopes.get(id_)
+        if envelope is None or envelope.shot is None:
+            return
+        shot, destination, track = envelope.shot, envelope.destination, envelope.track
+        envelope.shot = None
+        took = self.now - shot.started
+        self.hear(shot, destination, ending, wait, took)
+        if ending is Ending.COMPLETED:
+            destination.times[track.index].learn(took)
+        if envelope.line and ending in MAY_RUN_ON:
+            envelope.line.rest_until = self.now + self.terms.key_rest
+        if ending not in PROVES_UNRUN and envelope.ran_since is None:
+            envelope.ran_since, envelope.ran_zone = shot.started, shot.endpoint.zone
+        if closed or ending is Ending.COMPLETED or envelope.state is State.LEFT:
+            self.move(envelope, State.OVER)
+        elif self.may_repeat(envelope):
+            self.move(envelope, State.HELD)
+            self.queue(envelope, first=True)
+        else:
+            self.give_up(envelope)
+
+    def hear(self, shot: Shot, destination: Destination, ending: Ending, wait: int, took: int) -> None:
+        """A call has one outcome for its gate, however many envelopes travel in it."""
+        shot.unheard -= 1
+        gate, endpoint = shot.gate, shot.endpoint
+        if not shot.judged:
+            shot.judged = True
+            gate.judge(shot, ending, took)
+            if ending is Ending.COMPLETED:
+                endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
+            if ending in LOAD_SIGNS or ending is Ending.COMPLETED:
+                endpoint.failing += GAIN * ((ending is not Ending.COMPLETED) - endpoint.failing)
+        if wait and self.now + wait > gate.wait_until:
+            gate.wait_until = self.now + wait
+        if not shot.unheard:
+            gate.freed(shot, ending)
+            endpoint.in_flight -= 1
+            self.out -= 1
+        self.dirty[destination] = None
+
+    def may_repeat(self, envelope: Envelope) -> bool:
+        """A further shot: harmless for the track, and with time left to succeed."""
+        expected = envelope.destination.expected(envelope.track)
+        if envelope.cutoff_at - self.now <= expected or envelope.shots >= self.terms.most_shots > 0:
+            return False
+        if envelope.ran_since is None or envelope.track.repeat is Repeat.REPEATABLE:
+            return True
+        return envelope.track.repeat is Repeat.TAGGED and self.now < self.window_end(envelope)
+
+    def window_end(self, envelope: Envelope) -> int:
+        """The last moment to send a tagged envelope again; a connection may have to be made on the way."""
+        return (envelope.ran_since or 0) + envelope.track.window - self.terms.connect_time
+
+    def probed(self, endpoint: str, ending: Ending, left: float | None, rate: float | None) -> None:
+        """No probe is sent at present: the gate probes with a waiter."""
+
+    def gone(self, id_: int) -> None:
+        envelope = self.envelopes.get(id_)
+        if envelope is not None and envelope.state is not State.LEFT:
+            self.move(envelope, State.LEFT if envelope.state is State.OUT else State.OVER)
+
+    def woken(self, token: str) -> None:
+        if token == "rank":
+            for destination in self.destinations.values():
+                destination.rank()
+                for gate in destination.gates():
+                    gate.measure(self.now - self.ranked_at)
+            self.ranked_at = self.now
+            self.answers.wake(self.now + RERANK_EVERY, "rank")
+        elif token[0] == "d":
+            known = self.destinations.get(int(token[1:]))
+            if known is not None:
+                self.dirty[known] = None
+        elif token[0] == "k":
+            line = self.lines.get(int(token[1:]))
+            if line is not None and line.rest_until <= self.now:
+                self.advance(line)
+        elif (envelope := self.envelopes.get(int(token[1:]))) is not None and envelope.state is State.HELD:
+            self.review(envelope)
+
+    # Envelopes
+
+    def move(self, envelope: Envelope, state: State) -> None:
+        """Every change of an envelope's state."""
+        assert state in MOVES[envelope.state], f"{envelope.state} to {state}"
+        envelope.state = state
+        if envelope.queue is not None:
+            del envelope.queue[envelope]
+            envelope.queue = None
+        if state is State.OVER:
+            del self.envelopes[envelope.id]
+            if envelope.line is not None:
+                self.leave(envelope, envelope.line)
+
+    def queue(self, envelope: Envelope, first: bool = False) -> None:
+        """To the queue of its track: fresh while it can still make its promised time."""
+        destination, index = envelope.destination, envelope.track.index
+        fresh = self.now + destination.expected(envelope.track) < envelope.promise_at
+        envelope.queue = (destination.fresh if fresh else destination.late)[index]
+        envelope.queue[envelope] = None
+        if first:
+            envelope.queue.move_to_end(envelope, last=False)
+        self.dirty[destination] = None
+        self.remind(envelope)
+
+    def remind(self, envelope: Envelope) -> None:
+        """Wakes at its promised time, then its cut-off or its window's end, less what a call takes."""
+        expected, at = envelope.destination.expected(envelope.track), envelope.promise_at
+        if at - expected <= self.now:
+            at = envelope.cutoff_at
+            if envelope.ran_since is not None and envelope.track.repeat is Repeat.TAGGED:
+                at = min(at, self.window_end(envelope) + expected)
+        self.answers.wake(max(self.now, at - expected), f"e{envelope.id}")
+
+    def review(self, envelope: Envelope) -> None:
+        if not self.may_repeat(envelope):
+            self.give_up(envelope)
+        elif envelope.queue is not None:
+            del envelope.queue[envelope]
+            self.queue(envelope)
+        else:
+            self.remind(envelope)
+
+    def shoot(self, envelope: Envelope, shot: Shot) -> None:
+        self.move(envelope, State.OUT)
+        envelope.shot = shot
+        envelope.shots += 1
+        shot.unheard += 1
+        self.answers.shoot(envelope.id, shot.endpoint.id, envelope.destination.timeout(envelope))
+
+    def give_up(self, envelope: Envelope) -> None:
+        """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
+        come_back = envelope.destination.come_back()
+        harmless = envelope.ran_since is None or envelope.track.repeat is Repeat.REPEATABLE
+        self.move(envelope, State.OVER)
+        if harmless:
+            self.answers.bounce(envelope.id, come_back)
+        else:
+            self.answers.abort(envelope.id)
+
+    # Order per key
+
+    def leave(self, envelope: Envelope, line: Line) -> None:
+        head = line.envelopes[0] is envelope
+        line.envelopes.remove(envelope)
+        if line.rest_until > self.now:
+            self.answers.wake(line.rest_until, f"k{line.key}")
+        elif head:
+            self.advance(line)
+
+    def advance(self, line: Line) -> None:
+        """The next of a key has its turn."""
+        if not line.envelopes:
+            del self.lines[line.key]
+        elif line.envelopes[0].state is State.HELD and line.envelopes[0].queue is None:
+            self.queue(line.envelopes[0])
--- /dev/null
+++ b/ashpath/door.py
@@ -0,0 +1,125 @@
+"""The door of the decision module: what a front hands in, and the answers it has to carry out.
+
+Nothing here knows a wire. Times are whole microseconds; ids are opaque and come back unchanged.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+
+class Repeat(Enum):
+    """What a second run of an envelope of a track would do."""
+
+    REPEATABLE = "free to run again"
+    TAGGED = "a repeat is recognised for a while"
+    ONCE_ONLY = "must never run twice"
+
+
+class Presence(Enum):
+    """What the directory says of an endpoint; it says nothing of health."""
+
+    LISTED = "listed"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Listed(Enum):
+    """What the rate in a line of the directory is worth."""
+
+    NOTHING = "no rates are listed"
+    ROUGH = "up to half too high or too low"
+    EXACT = "what the destination takes from all senders together"
+
+
+class Ending(Enum):
+    """How a shot ended."""
+
+    COMPLETED = "completed"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    NO_CONNECTION = "no connection"
+    RESET = "reset"
+    WITHDRAWN = "withdrawn"
+    UNSENT = "unsent"
+
+
+@dataclass(frozen=True, slots=True)
+class TrackTerms:
+    """One track of envelopes, as its operator wants it."""
+
+    payoff: float
+    promised: int
+    cutoff: int
+    repeat: Repeat
+    window: int  # TAGGED: how long a repeat is recognised, from sending the first shot that may have run
+    whole_group: bool  # TAGGED: every endpoint of the destination recognises a repeat, not only one zone's
+    late_share: float  # the share of the payoff that is left at the cut-off
+    ordered: bool  # its envelopes with the same key go one at a time
+
+
+@dataclass(frozen=True, slots=True)
+class KindTerms:
+    """One kind of destination."""
+
+    apart: bool  # its endpoints are separate routes
+    per_call: int  # envelopes that may travel as one call
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What a sender is handed at its start."""
+
+    seed: int
+    number: int  # this sender's own number, from 0
+    senders: int
+    slots: int  # calls out at once
+    room: int  # envelopes held at once, sent or not
+    most_shots: int
+    may_probe: bool
+    heeds_wait: bool  # clients are told when to come back
+    longest_wait: int  # the longest that a client heeds
+    connect_time: int  # a connection not up by then fails
+    tracks: tuple[TrackTerms, ...]
+    kinds: tuple[KindTerms, ...]
+    decays: bool  # payoff halves with each further promised time; else it falls evenly to the cut-off
+    listed: Listed
+    drain_grace: int
+    cold_share: float  # a destination has this share of its capacity or more after an outage
+    ramp_time: int  # and all of it after this
+    fall_multiple: float
+    fall_time: int
+    key_rest: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One line of the directory."""
+
+    endpoint: str
+    destination: int
+    kind: int
+    zone: int
+    presence: Presence
+    rate: float
+
+
+class Answers(Protocol):
+    """What a front carries out for a sender, in the order of the calls."""
+
+    def shoot(self, envelope: int, endpoint: str, timeout: int) -> None: ...
+
+    def bounce(self, envelope: int, come_back: int) -> None: ...
+
+    def abort(self, envelope: int) -> None: ...
+
+    def withdraw(self, envelope: int, shot: int) -> None: ...
+
+    def probe(self, endpoint: str) -> None: ...
+
+    def wake(self, at: int, token: str) -> None: ...
+
+    def log(self, text: str) -> None: ...
