A pace beside the limit, where a destination tells its rate

A refusal that the told rate explains now cuts the pace, once per burst, and leaves the limit alone; refusals without a success for 1.5 s still count as load. May hurt where the told rate is badly off.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -12,6 +12,7 @@
 import random
 from collections import OrderedDict, deque
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 from enum import Enum
 
 from ashpath.door import Answers, Ending, Listing, Presence, Repeat, Terms, TrackTerms
@@ -30,6 +31,13 @@
 LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 3  # so many failures in a row are taken for an outage, whatever the breaker did
+PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
+PACE_GROWTH = 0.05  # share of the told limit that a second of successes adds to the pace
+PACE_BURST = (
+    0.3  # seconds of the pace that may go at once; more fills a span sooner, and overruns a plain rate
+)
+LITTLE_LEFT = 0.2  # a share of the limit under which a refusal is the limit's doing
+SHUT_AFTER = 3 * SECOND // 2  # refused so long without a success: not the limit, the destination is shut
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
 
@@ -60,80 +68,78 @@
 
     def __init__(self, index: int, terms: TrackTerms, decays: bool) -> None:
         self.index = index
-        self.payoff = terms.payoff
-        self.promised = terms.promised
-        self.cutoff = terms.cutoff
-        self.repeat = terms.repeat
-        self.window = terms.window
-        self.whole_group = terms.whole_group
-        self.late_share = terms.late_share
-        self.ordered = terms.ordered
+        self.terms = terms
         self.decays = decays
         # An early time-out loses most where a repeat is not free: such a shot may take until the cut-off.
         self.patience = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 1000}[terms.repeat]
 
     def payoff_at(self, age: int) -> float:
         """What an envelope of this age earns if it is completed now."""
-        late = age - self.promised
+        late = age - self.terms.promised
         if late <= 0:
-            return self.payoff
-        if age >= self.cutoff:
+            return self.terms.payoff
+        if age >= self.terms.cutoff:
             return 0.0
         if self.decays:
-            return float(self.payoff * max(self.late_share, 0.5 ** (late / self.promised)))
-        return self.payoff * (1 - (1 - self.late_share) * late / (self.cutoff - self.promised))
+            return float(self.terms.payoff * max(self.terms.late_share, 0.5 ** (late / self.terms.promised)))
+        return self.terms.payoff * (
+            1 - (1 - self.terms.late_share) * late / (self.terms.cutoff - self.terms.promised)
+        )
 
 
+@dataclass(eq=False)
 class Line:
     """Envelopes of one key, in the order taken. Dropped when it is empty and its rest is over."""
 
-    def __init__(self, key: int) -> None:
-        self.key = key
-        self.envelopes: deque[Envelope] = deque()
-        self.rest_until = 0
+    key: int
+    envelopes: deque[Envelope] = field(default_factory=deque)
+    rest_until: int = 0
 
 
+@dataclass(eq=False)
 class Shot:
     """One call out, with the envelopes that travel in it."""
 
-    def __init__(self, endpoint: Endpoint, gate: Gate, now: int, timeout: int) -> None:
-        self.endpoint = endpoint
-        self.gate = gate
-        self.started = now
-        self.timeout = timeout
-        self.unheard = 0  # envelopes without an outcome; the slot is free at none
-        self.judged = False  # the gate has had the call's one outcome
-        self.probe = False
+    endpoint: Endpoint
+    gate: Gate
+    started: int
+    timeout: int
+    unheard: int = 0  # envelopes without an outcome; the slot is free at none
+    judged: bool = False  # the gate has had the call's one outcome
+    probe: bool = False
 
 
+@dataclass(eq=False)
 class Envelope:
     """One envelope that this sender owes a final answer."""
 
-    def __init__(self, id_: int, destination: Destination, track: Track, now: int, left: int) -> None:
-        self.id = id_
-        self.destination = destination
-        self.track = track
-        self.cutoff_at = now + left
-        self.promise_at = self.cutoff_at - track.cutoff + track.promised
-        self.state = State.HELD
-        self.queue: OrderedDict[Envelope, None] | None = None
-        self.line: Line | None = None
-        self.shots = 0
-        self.shot: Shot | None = None
-        self.ran_since: int | None = None  # start of the first shot that may have run
-        self.ran_zone = 0
+    id: int
+    destination: Destination
+    track: Track
+    cutoff_at: int
+    state: State = State.HELD
+    queue: OrderedDict[Envelope, None] | None = None
+    line: Line | None = None
+    shots: int = 0
+    shot: Shot | None = None
+    ran_since: int | None = None  # start of the first shot that may have run
+    ran_zone: int = 0
 
     def age(self, now: int) -> int:
-        return now - self.cutoff_at + self.track.cutoff
+        return now - self.cutoff_at + self.track.terms.cutoff
 
+    @property
+    def promise_at(self) -> int:
+        return self.cutoff_at - self.track.terms.cutoff + self.track.terms.promised
 
+
+@dataclass(eq=False)
 class Times:
     """What a track's calls take at one destination, from its completions."""
 
-    def __init__(self) -> None:
-        self.count = 0
-        self.mean = 0.0
-        self.deviation = 0.0
+    count: int = 0
+    mean: float = 0.0
+    deviation: float = 0.0
 
     def learn(self, took: int) -> None:
         self.count += 1
@@ -143,17 +149,16 @@
         self.deviation += gain * (abs(error) - self.deviation)
 
 
+@dataclass(eq=False)
 class Endpoint:
     """One endpoint of a destination. Dropped with its last shot after the directory dropped it."""
 
-    def __init__(self, row: Listing, gate: Gate) -> None:
-        self.id = row.endpoint
-        self.zone = row.zone
-        self.gate = gate
-        self.presence = row.presence
-        self.in_flight = 0
-        self.pace = 0.0  # mean time of its completions
-        self.failing = 0.0  # share of its late calls that failed
+    id: str
+    zone: int
+    gate: Gate
+    in_flight: int = 0
+    pace: float = 0.0  # mean time of its completions
+    failing: float = 0.0  # share of its late calls that failed
 
 
 class Breaker(Enum):
@@ -171,24 +176,22 @@
         self.sender = sender
         self.name = name
         self.cap = max(1, sender.terms.slots * 3 // 4)
-        self.limit = 1
-        self.fast = 0
+        self.limit, self.fast = 1, 0
         self.unfailed = True  # grows by one with each fast success until the first failure
         self.in_flight = 0
         self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
         self.decreased_at = -1
         self.breaker = Breaker.CLOSED
-        self.reopened = 0
-        self.open_until = 0
-        self.wait_until = 0
+        self.reopened = self.open_until = self.wait_until = 0
+        # The pace beside the limit, where the destination tells a rate: see `judge_refusal`.
+        self.told, self.share = 0.0, 1.0  # calls a second that it takes from all senders, and what is left
+        self.pace, self.tokens = 0.0, 1.0  # calls a second that this sender allows itself
+        self.paced_at, self.pace_cut_at, self.succeeded_at = 0, -1, sender.now
         # The guard of a returning destination: see `allowance`.
         self.failures = 0  # in a row
-        self.ailing = False
-        self.warm_from = 0
-        self.budget = 1.0
-        self.budget_at = 0
-        self.completed = 0
-        self.rate = 0.0  # completions a second while well
+        self.ailing, self.warm_from = False, 0
+        self.budget, self.budget_at = 1.0, 0
+        self.completed, self.rate = 0, 0.0  # completions, and a second of them while well
 
     def opens_at(self, now: int) -> int | None:
         """None if a call may go now, else the time to look again (0: an outcome will tell)."""
@@ -204,7 +207,35 @@
                 return due
         elif self.in_flight + len(self.holds) >= self.limit:
             return self.holds[0] if self.holds else 0
-        return self.budget_due(now)
+        return self.budget_due(now) or self.pace_due(now)
+
+    def pace_due(self, now: int) -> int | None:
+        """A limit of calls at once cannot hold a rate: calls at most at the pace."""
+        if not self.pace:
+            return None
+        self.tokens = min(
+            max(1.0, self.pace * PACE_BURST), self.tokens + (now - self.paced_at) * self.pace / SECOND
+        )
+        self.paced_at = now
+        return None if self.tokens >= 1 else now + int((1 - self.tokens) * SECOND / self.pace) + 1
+
+    def tell(self, left: float | None, rate: float | None) -> None:
+        """What an answer told of the limit: noisy, and a little old."""
+        if left is not None and rate:
+            self.share = left
+            self.told += GAIN * (rate - self.told) if self.told else rate
+            self.pace = min(self.pace or self.told, self.told)
+
+    def judge_refusal(self, shot: Shot, wait: int) -> bool:
+        """True if the told rate explains a refusal: it cuts the pace, once per burst, and the limit stays."""
+        now = self.sender.now
+        if not self.told or not (wait or self.share < LITTLE_LEFT) or now - self.succeeded_at > SHUT_AFTER:
+            return False
+        self.tokens = 0.0
+        if shot.started > self.pace_cut_at:
+            self.pace = max(self.told / self.sender.terms.slots, self.pace * PACE_CUT)
+            self.pace_cut_at = now
+        return True
 
     def allowance(self, now: int) -> float:
         """Calls a second that a destination just back, or about to be, may get from this sender."""
@@ -213,7 +244,8 @@
             min(1.0, (now - self.warm_from) / terms.ramp_time) if not self.ailing and terms.ramp_time else 0.0
         )
         present = terms.cold_share + (1 - terms.cold_share) * warm
-        return CAUTION * terms.fall_multiple * present * max(self.rate, 1.0)
+        known = max(self.rate, self.told / terms.senders, 1.0)
+        return CAUTION * terms.fall_multiple * present * known
 
     def budget_due(self, now: int) -> int | None:
         """Guards against pushing over a destination that returns cold: calls at most at the allowance."""
@@ -227,6 +259,7 @@
     def sent(self, shot: Shot) -> None:
         self.in_flight += 1
         self.budget = max(0.0, self.budget - 1)
+        self.tokens -= 1
         if self.breaker is Breaker.OPEN:
             self.breaker = Breaker.PROBING
             shot.probe = True
@@ -236,9 +269,11 @@
         if ending is Ending.TIMED_OUT:
             self.holds.append(self.sender.now + HOLD)
 
-    def judge(self, shot: Shot, ending: Ending, took: int) -> None:
+    def judge(self, shot: Shot, ending: Ending, took: int, wait: int) -> None:
         """The outcome table of the paper, and its probe table."""
         now = self.sender.now
+        if ending is Ending.FULL and not shot.probe and self.judge_refusal(shot, wait):
+            return
         if ending in LOAD_SIGNS:
             self.failures += 1
             if shot.probe:
@@ -257,6 +292,9 @@
         elif ending is Ending.COMPLETED:
             self.failures = 0
             self.completed += 1
+            self.succeeded_at = now
+            if self.told and self.share > LITTLE_LEFT:
+                self.pace = min(self.told, self.pace + PACE_GROWTH * self.told / self.pace)
             if self.ailing:
                 self.ailing = False
                 self.warm_from = now
@@ -316,7 +354,7 @@
         times, track = self.times[envelope.track.index], envelope.track
         left = envelope.cutoff_at - self.sender.now
         if times.count < IGNORANT:
-            return min(left, track.cutoff // 2 * track.patience)
+            return min(left, track.terms.cutoff // 2 * track.patience)
         wanted = int(times.mean + STRETCH * times.deviation) * track.patience
         return min(left, max(wanted, LEAST_TIMEOUT * track.patience))
 
@@ -329,8 +367,7 @@
         endpoint = self.sender.endpoints.get(row.endpoint)
         if endpoint is None:
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
-            endpoint = self.sender.endpoints[row.endpoint] = Endpoint(row, gate)
-        endpoint.presence = row.presence
+            endpoint = self.sender.endpoints[row.endpoint] = Endpoint(row.endpoint, row.zone, gate)
         if row.presence is Presence.LISTED:
             if endpoint not in self.endpoints:
                 self.endpoints.append(endpoint)
@@ -357,7 +394,7 @@
         now, best, best_rank = self.sender.now, None, (0.0, 0)
         for queue in (*self.fresh, *self.late):
             for envelope in queue:
-                bound = envelope.ran_since is not None and not envelope.track.whole_group
+                bound = envelope.ran_since is not None and not envelope.track.terms.whole_group
                 if bound and envelope.ran_zone != endpoint.zone:
                     continue
                 age = envelope.age(now) + self.expected(envelope.track)
@@ -448,9 +485,6 @@
         rows = list(rows)
         if whole:
             named = {row.endpoint for row in rows}
-            for endpoint in self.endpoints.values():
-                if endpoint.id not in named:
-                    endpoint.presence = Presence.GONE
             for destination in self.destinations.values():
                 destination.endpoints = [e for e in destination.endpoints if e.id in named]
         for row in rows:
@@ -468,9 +502,9 @@
     def take(self, id_: int, number: int, track: int, key: int | None, left: int, again: bool) -> None:
         row = self.tracks[track]
         destination = self.destination(number)
-        envelope = Envelope(id_, destination, row, self.now, left)
+        envelope = Envelope(id_, destination, row, self.now + left)
         self.envelopes[id_] = envelope
-        if row.ordered and key is not None:
+        if row.terms.ordered and key is not None:
             line = envelope.line = self.lines.setdefault(key, Line(key))
             line.envelopes.append(envelope)
             if len(line.envelopes) > 1 or line.rest_until > self.now:
@@ -487,6 +521,7 @@
         shot, destination, track = envelope.shot, envelope.destination, envelope.track
         envelope.shot = None
         took = self.now - shot.started
+        shot.gate.tell(left, rate)
         self.hear(shot, destination, ending, wait, took)
         if ending is Ending.COMPLETED:
             destination.times[track.index].learn(took)
@@ -508,7 +543,7 @@
         gate, endpoint = shot.gate, shot.endpoint
         if not shot.judged:
             shot.judged = True
-            gate.judge(shot, ending, took)
+            gate.judge(shot, ending, took, wait)
             if ending is Ending.COMPLETED:
                 endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
             if ending in LOAD_SIGNS or ending is Ending.COMPLETED:
@@ -526,13 +561,13 @@
         expected = envelope.destination.expected(envelope.track)
         if envelope.cutoff_at - self.now <= expected or envelope.shots >= self.terms.most_shots > 0:
             return False
-        if envelope.ran_since is None or envelope.track.repeat is Repeat.REPEATABLE:
+        if envelope.ran_since is None or envelope.track.terms.repeat is Repeat.REPEATABLE:
             return True
-        return envelope.track.repeat is Repeat.TAGGED and self.now < self.window_end(envelope)
+        return envelope.track.terms.repeat is Repeat.TAGGED and self.now < self.window_end(envelope)
 
     def window_end(self, envelope: Envelope) -> int:
         """The last moment to send a tagged envelope again; a connection may have to be made on the way."""
-        return (envelope.ran_since or 0) + envelope.track.window - self.terms.connect_time
+        return (envelope.ran_since or 0) + envelope.track.terms.window - self.terms.connect_time
 
     def probed(self, endpoint: str, ending: Ending, left: float | None, rate: float | None) -> None:
         """No probe is sent at present: the gate probes with a waiter."""
@@ -591,7 +626,7 @@
         expected, at = envelope.destination.expected(envelope.track), envelope.promise_at
         if at - expected <= self.now:
             at = envelope.cutoff_at
-            if envelope.ran_since is not None and envelope.track.repeat is Repeat.TAGGED:
+            if envelope.ran_since is not None and envelope.track.terms.repeat is Repeat.TAGGED:
                 at = min(at, self.window_end(envelope) + expected)
         self.answers.wake(max(self.now, at - expected), f"e{envelope.id}")
 
@@ -614,7 +649,7 @@
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
         come_back = envelope.destination.come_back()
-        harmless = envelope.ran_since is None or envelope.track.repeat is Repeat.REPEATABLE
+        harmless = envelope.ran_since is None or envelope.track.terms.repeat is Repeat.REPEATABLE
         self.move(envelope, State.OVER)
         if harmless:
             self.answers.bounce(envelope.id, come_back)
--- a/ashpath/drill/adapter.py
+++ b/ashpath/drill/adapter.py
@@ -55,9 +55,7 @@
         if name == "JobIn":
             key = body.get("key")
             again = bool(body.get("again") or body.get("again-by-client"))
-            sender.take(
-                body["rid"], body["addressee-no"], body["priority"], key, micros(body["ttl"]), again
-            )
+            sender.take(body["rid"], body["addressee-no"], body["priority"], key, micros(body["ttl"]), again)
         elif name == "Returned":
             wait = micros(body.get("remark-ms")) if body["outcome"] == "QueueFull" else 0
             sender.returned(
