An outage takes a run of failures and 1.5 s without a success

Cause: three refusals in a row, or a breaker opened by one random error, were taken for an outage, and the guard of returning destinations then held healthy ones to a trickle for the whole ramp. Now both a run and silence are asked for, and capacity is judged by the best own rate, the told and the listed one.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -9,13 +9,12 @@
 
 from __future__ import annotations
 
-import random
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ashpath.door import Answers, Ending, Listing, Presence, Repeat, Terms, TrackTerms
+from ashpath.door import Answers, Ending, Listed, Listing, Presence, Repeat, Terms, TrackTerms
 
 SECOND = 1_000_000
 
@@ -30,14 +29,14 @@
 IGNORANT = 5  # completions before a destination's times are trusted
 LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
-RUN_OF_FAILURES = 3  # so many failures in a row are taken for an outage, whatever the breaker did
+RUN_OF_FAILURES = 3  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
 PACE_GROWTH = 0.05  # share of the told limit that a second of successes adds to the pace
 PACE_BURST = (
     0.3  # seconds of the pace that may go at once; more fills a span sooner, and overruns a plain rate
 )
 LITTLE_LEFT = 0.2  # a share of the limit under which a refusal is the limit's doing
-SHUT_AFTER = 3 * SECOND // 2  # refused so long without a success: not the limit, the destination is shut
+SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
 
@@ -60,6 +59,7 @@
 
 PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
 LOAD_SIGNS = (Ending.ERROR, Ending.FULL, Ending.TIMED_OUT, Ending.NO_CONNECTION, Ending.RESET)
+LISTED_WORTH = {Listed.NOTHING: 0.0, Listed.ROUGH: 0.67, Listed.EXACT: 1.0}  # what can be relied on
 MAY_RUN_ON = (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN)
 
 
@@ -191,7 +191,8 @@
         self.failures = 0  # in a row
         self.ailing, self.warm_from = False, 0
         self.budget, self.budget_at = 1.0, 0
-        self.completed, self.rate = 0, 0.0  # completions, and a second of them while well
+        self.completed, self.rate = 0, 0.0  # completions, and the most of them a second while well
+        self.listed = 0.0  # what the directory says the destination takes from all senders
 
     def opens_at(self, now: int) -> int | None:
         """None if a call may go now, else the time to look again (0: an outcome will tell)."""
@@ -244,7 +245,7 @@
             min(1.0, (now - self.warm_from) / terms.ramp_time) if not self.ailing and terms.ramp_time else 0.0
         )
         present = terms.cold_share + (1 - terms.cold_share) * warm
-        known = max(self.rate, self.told / terms.senders, 1.0)
+        known = max(self.rate, max(self.told, self.listed) / terms.senders, 1.0)
         return CAUTION * terms.fall_multiple * present * known
 
     def budget_due(self, now: int) -> int | None:
@@ -286,9 +287,10 @@
                 self.decreased_at = now
                 if not self.limit:
                     self.open(ending)
-            if not self.ailing and (self.failures >= RUN_OF_FAILURES or self.breaker is Breaker.OPEN):
+            silent = now - self.succeeded_at > SHUT_AFTER
+            if not self.ailing and silent and self.failures >= RUN_OF_FAILURES:
                 self.ailing = True
-                self.sender.log(f"{self.name} ailing: {self.failures} failures, last {ending.value}")
+                self.sender.answers.log(f"{self.name} ailing: {self.failures} failures, last {ending.value}")
         elif ending is Ending.COMPLETED:
             self.failures = 0
             self.completed += 1
@@ -298,7 +300,9 @@
             if self.ailing:
                 self.ailing = False
                 self.warm_from = now
-                self.sender.log(f"{self.name} back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
+                self.sender.answers.log(
+                    f"{self.name} back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s"
+                )
             if shot.probe:
                 self.close()
             elif took * 2 < shot.timeout and self.breaker is Breaker.CLOSED:
@@ -314,7 +318,7 @@
         self.limit = 0
         pause = min(COOLDOWN_MAX, COOLDOWN << min(self.reopened, 10))
         self.open_until = self.sender.now + pause + self.sender.terms.number * TURN
-        self.sender.log(
+        self.sender.answers.log(
             f"{self.name} breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}"
         )
 
@@ -323,11 +327,11 @@
         self.limit = 1
         self.fast = 0
         self.reopened = 0
-        self.sender.log(f"{self.name} breaker closed")
+        self.sender.answers.log(f"{self.name} breaker closed")
 
     def measure(self, span: int) -> None:
         if not self.ailing and self.sender.now >= self.warm_from + self.sender.terms.ramp_time:
-            self.rate += GAIN * (self.completed * SECOND / span - self.rate)
+            self.rate = max(0.99 * self.rate, self.rate + 0.3 * (self.completed * SECOND / span - self.rate))
         self.completed = 0
 
 
@@ -368,6 +372,7 @@
         if endpoint is None:
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
             endpoint = self.sender.endpoints[row.endpoint] = Endpoint(row.endpoint, row.zone, gate)
+        endpoint.gate.listed = row.rate * LISTED_WORTH[self.sender.terms.listed]
         if row.presence is Presence.LISTED:
             if endpoint not in self.endpoints:
                 self.endpoints.append(endpoint)
@@ -454,7 +459,6 @@
     def __init__(self, terms: Terms, answers: Answers) -> None:
         self.terms = terms
         self.answers = answers
-        self.chance = random.Random(terms.seed)
         self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
         self.now = 0
         self.out = 0  # calls out
@@ -476,9 +480,6 @@
         for destination in dirty:
             destination.pump()
 
-    def log(self, text: str) -> None:
-        self.answers.log(text)
-
     # News
 
     def listed(self, rows: Iterable[Listing], whole: bool) -> None:
