Where a rate is told every refusal cuts the pace, until a run of failures

Cause: at rates of a few calls a second the reported share left is stale, so refusals went to the breaker.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -29,13 +29,13 @@
 IGNORANT = 5  # completions before a destination's times are trusted
 LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
-RUN_OF_FAILURES = 3  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
+RUN_OF_FAILURES = 4  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
 PACE_GROWTH = 0.05  # share of the told limit that a second of successes adds to the pace
 PACE_BURST = (
     0.3  # seconds of the pace that may go at once; more fills a span sooner, and overruns a plain rate
 )
-LITTLE_LEFT = 0.2  # a share of the limit under which a refusal is the limit's doing
+LITTLE_LEFT = 0.2  # with no more left of the limit than this, successes do not raise the pace
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
@@ -227,10 +227,10 @@
             self.told += GAIN * (rate - self.told) if self.told else rate
             self.pace = min(self.pace or self.told, self.told)
 
-    def judge_refusal(self, shot: Shot, wait: int) -> bool:
+    def judge_refusal(self, shot: Shot) -> bool:
         """True if the told rate explains a refusal: it cuts the pace, once per burst, and the limit stays."""
         now = self.sender.now
-        if not self.told or not (wait or self.share < LITTLE_LEFT) or now - self.succeeded_at > SHUT_AFTER:
+        if not self.told or self.failing():
             return False
         self.tokens = 0.0
         if shot.started > self.pace_cut_at:
@@ -270,13 +270,17 @@
         if ending is Ending.TIMED_OUT:
             self.holds.append(self.sender.now + HOLD)
 
-    def judge(self, shot: Shot, ending: Ending, took: int, wait: int) -> None:
+    def failing(self) -> bool:
+        return self.failures >= RUN_OF_FAILURES and self.sender.now - self.succeeded_at > SHUT_AFTER
+
+    def judge(self, shot: Shot, ending: Ending, took: int) -> None:
         """The outcome table of the paper, and its probe table."""
         now = self.sender.now
-        if ending is Ending.FULL and not shot.probe and self.judge_refusal(shot, wait):
-            return
         if ending in LOAD_SIGNS:
             self.failures += 1
+        if ending is Ending.FULL and not shot.probe and self.judge_refusal(shot):
+            return
+        if ending in LOAD_SIGNS:
             if shot.probe:
                 self.reopened += 1
                 self.open(ending)
@@ -287,8 +291,7 @@
                 self.decreased_at = now
                 if not self.limit:
                     self.open(ending)
-            silent = now - self.succeeded_at > SHUT_AFTER
-            if not self.ailing and silent and self.failures >= RUN_OF_FAILURES:
+            if not self.ailing and self.failing():
                 self.ailing = True
                 self.sender.answers.log(f"{self.name} ailing: {self.failures} failures, last {ending.value}")
         elif ending is Ending.COMPLETED:
@@ -544,7 +547,7 @@
         gate, endpoint = shot.gate, shot.endpoint
         if not shot.judged:
             shot.judged = True
-            gate.judge(shot, ending, took, wait)
+            gate.judge(shot, ending, took)
             if ending is Ending.COMPLETED:
                 endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
             if ending in LOAD_SIGNS or ending is Ending.COMPLETED:
