--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -31,11 +31,8 @@
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
-PACE_GROWTH = 0.05  # share of the told limit that a second of successes adds to the pace
-PACE_BURST = (
-    0.3  # seconds of the pace that may go at once; more fills a span sooner, and overruns a plain rate
-)
-LITTLE_LEFT = 0.2  # with no more left of the limit than this, successes do not raise the pace
+PACE_GROWTH = 0.4  # calls a second that a success adds to the pace, when all of the limit is left
+PACE_BURST = 0.3  # seconds of the limit, as far as it is left, that may go at once; more overruns it
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
@@ -214,9 +211,8 @@
         """A limit of calls at once cannot hold a rate: calls at most at the pace."""
         if not self.pace:
             return None
-        self.tokens = min(
-            max(1.0, self.pace * PACE_BURST), self.tokens + (now - self.paced_at) * self.pace / SECOND
-        )
+        most = max(1.0, PACE_BURST * self.told * self.share)
+        self.tokens = min(most, self.tokens + (now - self.paced_at) * self.pace / SECOND)
         self.paced_at = now
         return None if self.tokens >= 1 else now + int((1 - self.tokens) * SECOND / self.pace) + 1
 
@@ -234,7 +230,7 @@
             return False
         self.tokens = 0.0
         if shot.started > self.pace_cut_at:
-            self.pace = max(self.told / self.sender.terms.slots, self.pace * PACE_CUT)
+            self.pace = max(self.told / self.sender.terms.senders, self.pace * PACE_CUT)
             self.pace_cut_at = now
         return True
 
@@ -298,8 +294,8 @@
             self.failures = 0
             self.completed += 1
             self.succeeded_at = now
-            if self.told and self.share > LITTLE_LEFT:
-                self.pace = min(self.told, self.pace + PACE_GROWTH * self.told / self.pace)
+            if self.told:
+                self.pace = min(self.told, self.pace + PACE_GROWTH * self.share)
             if self.ailing:
                 self.ailing = False
                 self.warm_from = now
