--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -32,6 +32,8 @@
 RUN_OF_FAILURES = 4  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
 PACE_GROWTH = 0.4  # calls a second that a success adds to the pace, when all of the limit is left
+KEPT_BACK = 0.25  # the share of the limit that successes steer to; more wastes it, less draws refusals
+LEAST_PACE = 0.5  # of an even split: no lower, as the others cannot take it all for long
 PACE_BURST = 0.3  # seconds of the limit, as far as it is left, that may go at once; more overruns it
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
@@ -221,7 +223,10 @@
         if left is not None and rate:
             self.share = left
             self.told += GAIN * (rate - self.told) if self.told else rate
-            self.pace = min(self.pace or self.told, self.told)
+            self.set_pace(self.pace or self.told / self.sender.terms.senders)
+
+    def set_pace(self, pace: float) -> None:
+        self.pace = min(self.told, max(pace, LEAST_PACE * self.told / self.sender.terms.senders))
 
     def judge_refusal(self, shot: Shot) -> bool:
         """True if the told rate explains a refusal: it cuts the pace, once per burst, and the limit stays."""
@@ -230,7 +235,7 @@
             return False
         self.tokens = 0.0
         if shot.started > self.pace_cut_at:
-            self.pace = max(self.told / self.sender.terms.senders, self.pace * PACE_CUT)
+            self.set_pace(self.pace * PACE_CUT)
             self.pace_cut_at = now
         return True
 
@@ -295,7 +300,7 @@
             self.completed += 1
             self.succeeded_at = now
             if self.told:
-                self.pace = min(self.told, self.pace + PACE_GROWTH * self.share)
+                self.set_pace(self.pace + PACE_GROWTH * (self.share - KEPT_BACK))
             if self.ailing:
                 self.ailing = False
                 self.warm_from = now
