--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -102,7 +102,7 @@
     endpoint: Endpoint
     gate: Gate
     started: int
-    timeout: int
+    timeout: int = 0  # one for all, so that the call has one outcome
     unheard: int = 0  # envelopes without an outcome; the slot is free at none
     judged: bool = False  # the gate has had the call's one outcome
     probe: bool = False
@@ -281,6 +281,8 @@
             self.failures += 1
         if ending is Ending.FULL and not shot.probe and self.judge_refusal(shot):
             return
+        if ending is Ending.TIMED_OUT and took < shot.timeout and not shot.probe:
+            return  # the envelope's own end came first: that says nothing of load
         if ending in LOAD_SIGNS:
             if shot.probe:
                 self.reopened += 1
@@ -358,13 +360,11 @@
     def expected(self, track: Track) -> int:
         return int(self.times[track.index].mean)
 
-    def timeout(self, envelope: Envelope) -> int:
-        times, track = self.times[envelope.track.index], envelope.track
-        left = envelope.cutoff_at - self.sender.now
+    def timeout(self, track: Track) -> int:
+        times = self.times[track.index]
         if times.count < IGNORANT:
-            return min(left, track.terms.cutoff // 2 * track.patience)
-        wanted = int(times.mean + STRETCH * times.deviation) * track.patience
-        return min(left, max(wanted, LEAST_TIMEOUT * track.patience))
+            return track.terms.cutoff // 2 * track.patience
+        return max(LEAST_TIMEOUT, int(times.mean + STRETCH * times.deviation)) * track.patience
 
     def gates(self) -> list[Gate]:
         return [endpoint.gate for endpoint in self.endpoints] if self.apart else [self.gate]
@@ -430,10 +430,15 @@
                 envelope = endpoint and self.next(endpoint)
                 if not endpoint or not envelope:
                     break
-                shot = Shot(endpoint, gate, sender.now, self.timeout(envelope))
-                while envelope and shot.unheard < self.per_call:
-                    sender.shoot(envelope, shot)
+                shot = Shot(endpoint, gate, sender.now)
+                together: list[Envelope] = []
+                while envelope and len(together) < self.per_call:
+                    sender.move(envelope, State.OUT)
+                    together.append(envelope)
                     envelope = self.next(endpoint)
+                shot.timeout = max(self.timeout(row) for row in {e.track: None for e in together})
+                for envelope in together:
+                    sender.shoot(envelope, shot)
                 gate.sent(shot)
                 endpoint.in_flight += 1
                 sender.out += 1
@@ -546,7 +551,7 @@
         """A call has one outcome for its gate, however many envelopes travel in it."""
         shot.unheard -= 1
         gate, endpoint = shot.gate, shot.endpoint
-        if not shot.judged:
+        if not shot.judged and (ending is not Ending.TIMED_OUT or not shot.unheard):
             shot.judged = True
             gate.judge(shot, ending, took)
             if ending is Ending.COMPLETED:
@@ -645,11 +650,11 @@
             self.remind(envelope)
 
     def shoot(self, envelope: Envelope, shot: Shot) -> None:
-        self.move(envelope, State.OUT)
         envelope.shot = shot
         envelope.shots += 1
         shot.unheard += 1
-        self.answers.shoot(envelope.id, shot.endpoint.id, envelope.destination.timeout(envelope))
+        timeout = min(shot.timeout, envelope.cutoff_at - self.now)
+        self.answers.shoot(envelope.id, shot.endpoint.id, timeout)
 
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
