--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -53,9 +53,7 @@
     State.HELD: (State.OUT, State.OVER),
     State.OUT: (State.HELD, State.LEFT, State.OVER),
     State.LEFT: (State.OVER,),
-    State.OVER: (),
 }
-
 PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
 LOAD_SIGNS = (Ending.ERROR, Ending.FULL, Ending.TIMED_OUT, Ending.NO_CONNECTION, Ending.RESET)
 LISTED_WORTH = {Listed.NOTHING: 0.0, Listed.ROUGH: 0.67, Listed.EXACT: 1.0}  # what can be relied on
@@ -160,6 +158,20 @@
     failing: float = 0.0  # share of its late calls that failed
 
 
+@dataclass(eq=False)
+class Bucket:
+    """Lets calls pass at a rate."""
+
+    at: int = 0
+    tokens: float = 1.0
+
+    def due(self, now: int, rate: float, most: float) -> int | None:
+        """None if a call may go now, else when it may."""
+        self.tokens = min(most, self.tokens + (now - self.at) * rate / SECOND)
+        self.at = now
+        return None if self.tokens >= 1 else now + int((1 - self.tokens) * SECOND / rate) + 1
+
+
 class Breaker(Enum):
     """The breaker of a gate."""
 
@@ -184,12 +196,11 @@
         self.reopened = self.open_until = self.wait_until = 0
         # The pace beside the limit, where the destination tells a rate: see `judge_refusal`.
         self.told, self.share = 0.0, 1.0  # calls a second that it takes from all senders, and what is left
-        self.pace, self.tokens = 0.0, 1.0  # calls a second that this sender allows itself
-        self.paced_at, self.pace_cut_at, self.succeeded_at = 0, -1, sender.now
+        self.pace, self.paced = 0.0, Bucket()  # calls a second that this sender allows itself
+        self.pace_cut_at, self.succeeded_at = -1, sender.now
         # The guard of a returning destination: see `allowance`.
         self.failures = 0  # in a row
-        self.ailing, self.warm_from = False, 0
-        self.budget, self.budget_at = 1.0, 0
+        self.ailing, self.warm_from, self.guard = False, -sender.terms.ramp_time, Bucket()
         self.completed, self.rate = 0, 0.0  # completions, and the most of them a second while well
         self.listed = 0.0  # what the directory says the destination takes from all senders
 
@@ -207,16 +218,12 @@
                 return due
         elif self.in_flight + len(self.holds) >= self.limit:
             return self.holds[0] if self.holds else 0
-        return self.budget_due(now) or self.pace_due(now)
-
-    def pace_due(self, now: int) -> int | None:
-        """A limit of calls at once cannot hold a rate: calls at most at the pace."""
-        if not self.pace:
-            return None
+        if self.recovering(now):
+            guarded = self.guard.due(now, self.allowance(now), 1.0)
+            if guarded:
+                return guarded
         most = max(1.0, PACE_BURST * self.told * self.share)
-        self.tokens = min(most, self.tokens + (now - self.paced_at) * self.pace / SECOND)
-        self.paced_at = now
-        return None if self.tokens >= 1 else now + int((1 - self.tokens) * SECOND / self.pace) + 1
+        return self.paced.due(now, self.pace, most) if self.pace else None
 
     def tell(self, left: float | None, rate: float | None) -> None:
         """What an answer told of the limit: noisy, and a little old."""
@@ -233,7 +240,7 @@
         now = self.sender.now
         if not self.told or self.failing():
             return False
-        self.tokens = 0.0
+        self.paced.tokens = 0.0
         if shot.started > self.pace_cut_at:
             self.set_pace(self.pace * PACE_CUT)
             self.pace_cut_at = now
@@ -242,26 +249,19 @@
     def allowance(self, now: int) -> float:
         """Calls a second that a destination just back, or about to be, may get from this sender."""
         terms = self.sender.terms
-        warm = (
-            min(1.0, (now - self.warm_from) / terms.ramp_time) if not self.ailing and terms.ramp_time else 0.0
-        )
+        warm = 0.0 if self.ailing else min(1.0, (now - self.warm_from) / max(1, terms.ramp_time))
         present = terms.cold_share + (1 - terms.cold_share) * warm
         known = max(self.rate, max(self.told, self.listed) / terms.senders, 1.0)
         return CAUTION * terms.fall_multiple * present * known
 
-    def budget_due(self, now: int) -> int | None:
+    def recovering(self, now: int) -> bool:
         """Guards against pushing over a destination that returns cold: calls at most at the allowance."""
-        if not self.ailing and now >= self.warm_from + self.sender.terms.ramp_time:
-            return None
-        allowance = self.allowance(now)
-        self.budget = min(1.0, self.budget + (now - self.budget_at) * allowance / SECOND)
-        self.budget_at = now
-        return None if self.budget >= 1 else now + int((1 - self.budget) * SECOND / allowance) + 1
+        return self.ailing or now < self.warm_from + self.sender.terms.ramp_time
 
     def sent(self, shot: Shot) -> None:
         self.in_flight += 1
-        self.budget = max(0.0, self.budget - 1)
-        self.tokens -= 1
+        self.guard.tokens = max(0.0, self.guard.tokens - 1)
+        self.paced.tokens -= 1
         if self.breaker is Breaker.OPEN:
             self.breaker = Breaker.PROBING
             shot.probe = True
@@ -296,7 +296,7 @@
                     self.open(ending)
             if not self.ailing and self.failing():
                 self.ailing = True
-                self.sender.answers.log(f"{self.name} ailing: {self.failures} failures, last {ending.value}")
+                self.log(f"ailing: {self.failures} failures, last {ending.value}")
         elif ending is Ending.COMPLETED:
             self.failures = 0
             self.completed += 1
@@ -306,9 +306,7 @@
             if self.ailing:
                 self.ailing = False
                 self.warm_from = now
-                self.sender.answers.log(
-                    f"{self.name} back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s"
-                )
+                self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
             if shot.probe:
                 self.close()
             elif took * 2 < shot.timeout and self.breaker is Breaker.CLOSED:
@@ -324,19 +322,20 @@
         self.limit = 0
         pause = min(COOLDOWN_MAX, COOLDOWN << min(self.reopened, 10))
         self.open_until = self.sender.now + pause + self.sender.terms.number * TURN
-        self.sender.answers.log(
-            f"{self.name} breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}"
-        )
+        self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
 
     def close(self) -> None:
         self.breaker = Breaker.CLOSED
         self.limit = 1
         self.fast = 0
         self.reopened = 0
-        self.sender.answers.log(f"{self.name} breaker closed")
+        self.log("breaker closed")
+
+    def log(self, text: str) -> None:
+        self.sender.answers.log(f"{self.name} {text}")
 
     def measure(self, span: int) -> None:
-        if not self.ailing and self.sender.now >= self.warm_from + self.sender.terms.ramp_time:
+        if not self.recovering(self.sender.now):
             self.rate = max(0.99 * self.rate, self.rate + 0.3 * (self.completed * SECOND / span - self.rate))
         self.completed = 0
 
@@ -489,8 +488,6 @@
         for destination in dirty:
             destination.pump()
 
-    # News
-
     def listed(self, rows: Iterable[Listing], whole: bool) -> None:
         rows = list(rows)
         if whole:
@@ -606,8 +603,6 @@
         elif (envelope := self.envelopes.get(int(token[1:]))) is not None and envelope.state is State.HELD:
             self.review(envelope)
 
-    # Envelopes
-
     def move(self, envelope: Envelope, state: State) -> None:
         """Every change of an envelope's state."""
         assert state in MOVES[envelope.state], f"{envelope.state} to {state}"
@@ -666,8 +661,6 @@
         else:
             self.answers.abort(envelope.id)
 
-    # Order per key
-
     def leave(self, envelope: Envelope, line: Line) -> None:
         head = line.envelopes[0] is envelope
         line.envelopes.remove(envelope)
