Errors and resets halve the limit only once they are half of the answers

Covers partial outages; may hurt a destination that sheds load by errors on under half of its calls.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -36,6 +36,8 @@
 LEAST_PACE = 0.5  # of an even split: no lower, as the others cannot take it all for long
 PACE_BURST = 0.3  # seconds of the limit, as far as it is left, that may go at once; more overruns it
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
+BAD_GAIN = 0.2  # weight of one more answer in the share of bad ones
+MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
 
@@ -54,6 +56,7 @@
     State.OUT: (State.HELD, State.LEFT, State.OVER),
     State.LEFT: (State.OVER,),
 }
+ANSWERED_BADLY = (Ending.ERROR, Ending.RESET)
 PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
 LOAD_SIGNS = (Ending.ERROR, Ending.FULL, Ending.TIMED_OUT, Ending.NO_CONNECTION, Ending.RESET)
 LISTED_WORTH = {Listed.NOTHING: 0.0, Listed.ROUGH: 0.67, Listed.EXACT: 1.0}  # what can be relied on
@@ -198,6 +201,7 @@
         self.told, self.share = 0.0, 1.0  # calls a second that it takes from all senders, and what is left
         self.pace, self.paced = 0.0, Bucket()  # calls a second that this sender allows itself
         self.pace_cut_at, self.succeeded_at = -1, sender.now
+        self.bad = 0.0  # share of late answers that were errors or resets
         # The guard of a returning destination: see `allowance`.
         self.failures = 0  # in a row
         self.ailing, self.warm_from, self.guard = False, -sender.terms.ramp_time, Bucket()
@@ -283,6 +287,10 @@
             return
         if ending is Ending.TIMED_OUT and took < shot.timeout and not shot.probe:
             return  # the envelope's own end came first: that says nothing of load
+        if ending in ANSWERED_BADLY or ending is Ending.COMPLETED:
+            self.bad += BAD_GAIN * ((ending is not Ending.COMPLETED) - self.bad)
+        if ending in ANSWERED_BADLY and self.bad < MOSTLY_BAD and not shot.probe:
+            return  # one failure among successes is no load: halving at each ends near one call at a time
         if ending in LOAD_SIGNS:
             if shot.probe:
                 self.reopened += 1
