A silent destination gets one call at a time

Without an answer for a second, or three mean times, the limit counts as one. Covers vanished machines and lost networks; may hurt a destination that answers in bursts more than a second apart.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -38,6 +38,8 @@
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 BAD_GAIN = 0.2  # weight of one more answer in the share of bad ones
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
+SILENCE = 1 * SECOND  # so long without any answer, or so many mean times, and a destination may hang
+SILENCE_TIMES = 3
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
 
@@ -193,6 +195,7 @@
         self.limit, self.fast = 1, 0
         self.unfailed = True  # grows by one with each fast success until the first failure
         self.in_flight = 0
+        self.heard_at, self.pulse = 0, 0.0  # the latest answer, and what completions take in the mean
         self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
         self.decreased_at = -1
         self.breaker = Breaker.CLOSED
@@ -220,7 +223,7 @@
             due = max(self.open_until, self.holds[-1] if self.holds else 0)
             if now < due:
                 return due
-        elif self.in_flight + len(self.holds) >= self.limit:
+        elif self.in_flight + len(self.holds) >= (1 if self.silent(now) else self.limit):
             return self.holds[0] if self.holds else 0
         if self.recovering(now):
             guarded = self.guard.due(now, self.allowance(now), 1.0)
@@ -229,6 +232,10 @@
         most = max(1.0, PACE_BURST * self.told * self.share)
         return self.paced.due(now, self.pace, most) if self.pace else None
 
+    def silent(self, now: int) -> bool:
+        """Guards the slots where a destination hangs or slows: no answer for long, then one at a time."""
+        return self.in_flight > 0 and now - self.heard_at > max(SILENCE, SILENCE_TIMES * self.pulse)
+
     def tell(self, left: float | None, rate: float | None) -> None:
         """What an answer told of the limit: noisy, and a little old."""
         if left is not None and rate:
@@ -263,6 +270,8 @@
         return self.ailing or now < self.warm_from + self.sender.terms.ramp_time
 
     def sent(self, shot: Shot) -> None:
+        if not self.in_flight:
+            self.heard_at = self.sender.now
         self.in_flight += 1
         self.guard.tokens = max(0.0, self.guard.tokens - 1)
         self.paced.tokens -= 1
@@ -281,6 +290,8 @@
     def judge(self, shot: Shot, ending: Ending, took: int) -> None:
         """The outcome table of the paper, and its probe table."""
         now = self.sender.now
+        if ending is not Ending.TIMED_OUT:
+            self.heard_at = now
         if ending in LOAD_SIGNS:
             self.failures += 1
         if ending is Ending.FULL and not shot.probe and self.judge_refusal(shot):
@@ -307,6 +318,7 @@
                 self.log(f"ailing: {self.failures} failures, last {ending.value}")
         elif ending is Ending.COMPLETED:
             self.failures = 0
+            self.pulse += GAIN * (took - self.pulse) if self.pulse else took
             self.completed += 1
             self.succeeded_at = now
             if self.told:
