Refusals with little of the limit left are no sign of an outage

Told apart by the share left: near 0 at the limit, near 1 at a shut destination. May hurt where the share is not told while shut.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -35,6 +35,7 @@
 KEPT_BACK = 0.25  # the share of the limit that successes steer to; more wastes it, less draws refusals
 LEAST_PACE = 0.5  # of an even split: no lower, as the others cannot take it all for long
 PACE_BURST = 0.3  # seconds of the limit, as far as it is left, that may go at once; more overruns it
+MUCH_LEFT = 0.5  # refused with so much of the limit left: a shut destination, not the limit
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 BAD_GAIN = 0.2  # weight of one more answer in the share of bad ones
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
@@ -292,7 +293,8 @@
         now = self.sender.now
         if ending is not Ending.TIMED_OUT:
             self.heard_at = now
-        if ending in LOAD_SIGNS:
+        limited = ending is Ending.FULL and self.told and self.share < MUCH_LEFT
+        if ending in LOAD_SIGNS and not limited:
             self.failures += 1
         if ending is Ending.FULL and not shot.probe and self.judge_refusal(shot):
             return
