--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -420,22 +420,16 @@
         return min(usable, key=lambda e: e.in_flight)
 
     def next(self, endpoint: Endpoint) -> Envelope | None:
-        """The waiter with the most payoff still to be had; between equals, the one promised first.
-
-        Those that can still make their promised time go before those that cannot: these lose little by waiting.
-        """
-        now, best, best_rank = self.sender.now, None, (False, 0.0, 0)
-        for queue in (*self.fresh, *self.late):
+        """The waiter that loses most by waiting its promised time more; then that of most payoff."""
+        now, best, best_rank = self.sender.now, None, (0.0, 0.0)
+        for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
                 bound = envelope.ran_since is not None and not envelope.track.terms.whole_group
                 if bound and envelope.ran_zone != endpoint.zone:
                     continue
                 age = envelope.age(now) + self.expected(envelope.track)
-                rank = (
-                    age <= envelope.track.terms.promised,
-                    envelope.track.payoff_at(age),
-                    -envelope.promise_at,
-                )
+                payoff = envelope.track.payoff_at(age)
+                rank = (payoff - envelope.track.payoff_at(age + envelope.track.terms.promised), payoff)
                 if best is None or rank > best_rank:
                     best, best_rank = envelope, rank
                 break
