--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -421,7 +421,7 @@
 
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that loses most by waiting its promised time more; then that of most payoff."""
-        now, best, best_rank = self.sender.now, None, (0.0, 0.0)
+        now, best, best_rank = self.sender.now, None, (False, 0.0, 0.0)
         for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
                 bound = envelope.ran_since is not None and not envelope.track.terms.whole_group
@@ -429,7 +429,8 @@
                     continue
                 age = envelope.age(now) + self.expected(envelope.track)
                 payoff = envelope.track.payoff_at(age)
-                rank = (payoff - envelope.track.payoff_at(age + envelope.track.terms.promised), payoff)
+                promised = envelope.track.terms.promised
+                rank = (age <= promised, payoff - envelope.track.payoff_at(age + promised), payoff)
                 if best is None or rank > best_rank:
                     best, best_rank = envelope, rank
                 break
