--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -420,8 +420,10 @@
         return min(usable, key=lambda e: e.in_flight)
 
     def next(self, endpoint: Endpoint) -> Envelope | None:
-        """The waiter that loses most by waiting its promised time more; then that of most payoff."""
-        now, best, best_rank = self.sender.now, None, (False, 0.0, 0.0)
+        """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
+        now, best, best_rank = self.sender.now, None, (0.0, 0.0)
+        waiting = sum(map(len, self.fresh)) + sum(map(len, self.late))
+        drained = int(SECOND * max(1.0, waiting / max(1.0, self.gate.rate)))
         for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
                 bound = envelope.ran_since is not None and not envelope.track.terms.whole_group
@@ -429,8 +431,7 @@
                     continue
                 age = envelope.age(now) + self.expected(envelope.track)
                 payoff = envelope.track.payoff_at(age)
-                promised = envelope.track.terms.promised
-                rank = (age <= promised, payoff - envelope.track.payoff_at(age + promised), payoff)
+                rank = (payoff - envelope.track.payoff_at(age + drained), payoff)
                 if best is None or rank > best_rank:
                     best, best_rank = envelope, rank
                 break
