In time before late, and among each the greatest loss over the time that those in time need

Cause: what an envelope loses by waiting depends on how long the queue in front of it is: in a short clump the nearest promise should go first, under a lasting overload the highest payoff. The horizon is the number waiting in time over the best rate seen. Late ones go newest first.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -421,8 +421,8 @@
 
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
-        now, best, best_rank = self.sender.now, None, (0.0, 0.0)
-        waiting = sum(map(len, self.fresh)) + sum(map(len, self.late))
+        now, best, best_rank = self.sender.now, None, (False, 0.0, 0.0)
+        waiting = sum(map(len, self.fresh))
         drained = int(SECOND * max(1.0, waiting / max(1.0, self.gate.rate)))
         for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
@@ -431,7 +431,8 @@
                     continue
                 age = envelope.age(now) + self.expected(envelope.track)
                 payoff = envelope.track.payoff_at(age)
-                rank = (payoff - envelope.track.payoff_at(age + drained), payoff)
+                loss = payoff - envelope.track.payoff_at(age + drained)
+                rank = (age <= envelope.track.terms.promised, loss, payoff)
                 if best is None or rank > best_rank:
                     best, best_rank = envelope, rank
                 break
