Scenarios with a runner that checks the six rules on everything that passes the door

A scenario showed that calls sent in the turn of a decrease were taken for the burst before it; now they count.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -253,7 +253,7 @@
         if not self.told or self.failing():
             return False
         self.paced.tokens = 0.0
-        if shot.started > self.pace_cut_at:
+        if shot.started >= self.pace_cut_at:
             self.set_pace(self.pace * PACE_CUT)
             self.pace_cut_at = now
         return True
@@ -308,7 +308,7 @@
             if shot.probe:
                 self.reopened += 1
                 self.open(ending)
-            elif self.breaker is Breaker.CLOSED and shot.started > self.decreased_at:
+            elif self.breaker is Breaker.CLOSED and shot.started >= self.decreased_at:
                 self.unfailed = False
                 self.limit //= 2
                 self.fast = 0
--- /dev/null
+++ b/tests/scenario.py
@@ -0,0 +1,292 @@
+"""Plays scenarios against a sender and checks the six rules on everything that passes the door.
+
+A scenario is a text file. `#` starts a comment. The head says what the sender is handed:
+
+    terms slots=8 senders=2 ramp=10s          any of the names in `Scene.terms`
+    track orders once-only payoff=4 promise=2s cutoff=20s [window=5s] [ordered]
+    kind plain | kind apart | kind calls=10
+    at x1 x2 : 7 [kind=0] [rate=5]            endpoints x1 and x2 are destination 7's
+
+Then each line is a moment and what happens, or what is expected since the last `expect`:
+
+    0s     take a b orders 7 [key=3] [left=4s]  envelopes are handed in, in one turn
+    +10ms  done a | error a | full a [wait=400ms] [left=0.2 of=5] | timeout a | reset a | noconn a | unsent a
+    +1s    gone a | drain x1 | leave x1 | list x1 | pass (nothing happens but wakes)
+    expect shot a | shot a at x1 | bounced a | aborted a | held a | quiet | log some words
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+from ashpath.door import Answers, Ending, KindTerms, Listed, Listing, Presence, Repeat, Terms, TrackTerms
+
+UNITS = {"ms": 1_000, "s": 1_000_000}
+REPEATS = {r.name.lower().replace("_", "-"): r for r in Repeat}
+ENDINGS = {
+    "done": Ending.COMPLETED,
+    "error": Ending.ERROR,
+    "full": Ending.FULL,
+    "timeout": Ending.TIMED_OUT,
+    "reset": Ending.RESET,
+    "noconn": Ending.NO_CONNECTION,
+    "unsent": Ending.UNSENT,
+    "withdrawn": Ending.WITHDRAWN,
+}
+UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
+SLACK = 20_000
+
+
+def span(text: str) -> int:
+    """Whole microseconds.
+
+    >>> span("1.5s"), span("20ms")
+    (1500000, 20000)
+    """
+    unit = "ms" if text.endswith("ms") else "s"
+    return round(float(text.removesuffix(unit)) * UNITS[unit])
+
+
+class Held:
+    """What the checker knows of one envelope."""
+
+    def __init__(self, track: TrackTerms, destination: int, key: int | None, end: int, order: int) -> None:
+        self.track, self.destination, self.key, self.end, self.order = track, destination, key, end, order
+        self.out: str | None = None
+        self.shots = 0
+        self.sent_at = self.due = 0
+        self.risk_from: int | None = None
+        self.over = False
+
+
+class Scene:
+    """The front of one sender: carries out its answers, and checks every one of them."""
+
+    def __init__(self, make: Callable[[Terms, Answers], object]) -> None:
+        self.make = make
+        self.sender: object = None
+        self.now = 0
+        self.tracks: list[TrackTerms] = []
+        self.names: list[str] = []
+        self.kinds: list[KindTerms] = []
+        self.rows: dict[str, Listing] = {}
+        self.dropped_at: dict[str, int] = {}
+        self.ids: dict[str, int] = {}
+        self.held: dict[int, Held] = {}
+        self.waits: dict[object, int] = {}
+        self.rests: dict[int, int] = {}
+        self.wakes: list[tuple[int, int, str]] = []
+        self.seen: list[str] = []
+        self.terms = Terms(
+            seed=1, number=0, senders=1, slots=8, room=100, most_shots=0, may_probe=False, heeds_wait=True,
+            longest_wait=3_000_000, connect_time=500_000, tracks=(), kinds=(), decays=True,
+            listed=Listed.EXACT, drain_grace=500_000, cold_share=0.2, ramp_time=10_000_000,
+            fall_multiple=2.0, fall_time=2_000_000, key_rest=0,
+        )  # fmt: skip
+
+    # The answers, each checked against the rules
+
+    def shoot(self, envelope: int, endpoint: str, timeout: int) -> None:
+        one, row = self.held[envelope], self.rows[endpoint]
+        name = self.name(envelope)
+        assert not one.over, f"{name} is sent after its end"
+        assert one.out is None, f"{name} has two shots out"
+        assert row.destination == one.destination, f"{name} goes to another destination"
+        assert 0 < timeout <= one.end - self.now, f"{name}: time-out {timeout}"
+        grace = self.dropped_at.get(endpoint, self.now) + self.terms.drain_grace
+        assert self.now <= grace, f"{name} goes to {endpoint} after its grace"
+        assert self.now >= self.waits.get(self.route(endpoint), 0), f"{name} is sent within a wait"
+        if one.risk_from is not None:
+            assert one.track.repeat is not Repeat.ONCE_ONLY, f"{name} may run twice"
+            tagged = one.track.repeat is Repeat.TAGGED
+            assert not tagged or self.now < one.risk_from + one.track.window, f"{name} out of its window"
+        if one.track.ordered and one.key is not None:
+            earlier = (e for e in self.held.values() if e.track.ordered and e.key == one.key)
+            for other in (e for e in earlier if e.order < one.order):
+                assert other.over and other.out is None, f"{name} out of turn"
+            assert self.now >= self.rests.get(one.key, 0), f"{name} within its key's rest"
+        one.out, one.shots = endpoint, one.shots + 1
+        one.sent_at, one.due = self.now, self.now + timeout
+        self.seen.append(f"shot {name} at {endpoint}")
+
+    def bounce(self, envelope: int, come_back: int) -> None:
+        one = self.final(envelope, "bounced")
+        harmless = one.risk_from is None or one.track.repeat is Repeat.REPEATABLE
+        tagged = one.track.repeat is Repeat.TAGGED and one.track.whole_group
+        assert one.out is None and (harmless or tagged), f"{self.name(envelope)}: no harmless bounce"
+
+    def abort(self, envelope: int) -> None:
+        self.final(envelope, "aborted")
+
+    def final(self, envelope: int, answer: str) -> Held:
+        one = self.held[envelope]
+        assert not one.over, f"{self.name(envelope)} is answered twice"
+        assert self.now <= one.end + SLACK, f"{self.name(envelope)} is answered late"
+        one.over = True
+        self.seen.append(f"{answer} {self.name(envelope)}")
+        return one
+
+    def withdraw(self, envelope: int, shot: int) -> None:
+        assert shot < self.held[envelope].shots
+
+    def probe(self, endpoint: str) -> None:
+        assert self.terms.may_probe and self.now >= self.waits.get(self.route(endpoint), 0)
+
+    def wake(self, at: int, token: str) -> None:
+        self.wakes.append((max(at, self.now + 1), len(self.wakes), token))
+
+    def log(self, text: str) -> None:
+        self.seen.append(f"log {text}")
+
+    def name(self, envelope: int) -> str:
+        return next(name for name, id_ in self.ids.items() if id_ == envelope)
+
+    def route(self, endpoint: str) -> object:
+        row = self.rows[endpoint]
+        return endpoint if self.kinds[row.kind].apart else row.destination
+
+    # The play
+
+    def turn(self, *news: tuple[object, ...]) -> None:
+        sender = self.sender
+        sender.open_turn(self.now)  # type: ignore[attr-defined]
+        for name, *arguments in news:
+            getattr(sender, str(name))(*arguments)
+        sender.close_turn()  # type: ignore[attr-defined]
+
+    def run_to(self, moment: int) -> None:
+        """Time passes: wakes and time-outs fall due, nothing may be left without an end."""
+        while True:
+            wake = min((w for w in self.wakes if w[0] <= moment), default=None)
+            shots = [(e.due, i) for i, e in self.held.items() if e.out is not None and e.due <= moment]
+            shot = min(shots, default=None)
+            if shot is not None and (wake is None or shot[0] <= wake[0]):
+                self.now = max(self.now, shot[0])
+                self.outcome([shot[1]], Ending.TIMED_OUT)
+            elif wake is not None:
+                self.wakes.remove(wake)
+                self.now = max(self.now, wake[0])
+                self.turn(("woken", wake[2]))
+            else:
+                break
+        self.now = moment
+        for id_, one in self.held.items():
+            assert one.over or self.now <= one.end + SLACK, f"{self.name(id_)} got no answer in time"
+
+    def outcome(
+        self, ids: list[int], ending: Ending, wait: int = 0, told: tuple[float, float] | None = None
+    ) -> None:
+        """The outcomes of a turn."""
+        news, routes = [], []
+        for id_ in ids:
+            one = self.held[id_]
+            assert one.out is not None, f"{self.name(id_)} has no shot out"
+            routes.append(self.route(one.out))
+            one.out = None
+            if ending not in UNRUN and one.risk_from is None:
+                one.risk_from = one.sent_at
+            if ending in (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN) and one.key is not None:
+                self.rests[one.key] = self.now + self.terms.key_rest
+            if ending is Ending.COMPLETED and not one.over:
+                one.over = True
+                self.seen.append(f"completed {self.name(id_)}")
+            news.append(("returned", id_, ending, wait, one.over, *(told or (None, None))))
+        self.turn(*news)
+        for route in routes:
+            self.waits[route] = max(self.waits.get(route, 0), self.now + wait)
+
+    def play(self, text: str) -> None:
+        for number, line in enumerate(text.splitlines(), 1):
+            words = line.split("#")[0].split()
+            try:
+                if words:
+                    self.step(words)
+            except AssertionError as error:
+                raise AssertionError(f"line {number}, {line.strip()!r}: {error}") from None
+        self.run_to(max([self.now, *(one.end for one in self.held.values())]) + SLACK + 1)
+
+    def step(self, words: list[str]) -> None:
+        verb, plain = words[0], [w for w in words[1:] if "=" not in w]
+        named = dict(w.split("=") for w in words[1:] if "=" in w)
+        if verb == "terms":
+            spans = {"ramp": "ramp_time", "grace": "drain_grace", "rest": "key_rest", "fall": "fall_time"}
+            for key, value in named.items():
+                new = {spans[key]: span(value)} if key in spans else {key: int(value)}
+                self.terms = replace(self.terms, **new)  # type: ignore[arg-type]
+        elif verb == "track":
+            self.names.append(plain[0])
+            self.tracks.append(
+                TrackTerms(
+                    payoff=float(named.get("payoff", 1)), promised=span(named.get("promise", "2s")),
+                    cutoff=span(named.get("cutoff", "10s")), repeat=REPEATS[plain[1]],
+                    window=span(named.get("window", "0s")), whole_group=True, late_share=0.3,
+                    ordered="ordered" in plain,
+                )
+            )  # fmt: skip
+        elif verb == "kind":
+            self.kinds.append(KindTerms(apart="apart" in plain, per_call=int(named.get("calls", 1))))
+        elif verb == "at":
+            for name in plain[: plain.index(":")]:
+                rate, kind = float(named.get("rate", 0)), int(named.get("kind", 0))
+                self.rows[name] = Listing(name, int(plain[-1]), kind, 0, Presence.LISTED, rate)
+        elif verb == "expect":
+            self.expect(" ".join(words[1:]))
+        else:
+            if self.sender is None:
+                self.terms = replace(self.terms, tracks=tuple(self.tracks), kinds=tuple(self.kinds))
+                self.sender = self.make(self.terms, self)
+                self.turn(("listed", list(self.rows.values()), True))
+            self.run_to(self.now + span(verb[1:]) if verb.startswith("+") else span(verb))
+            self.happen(plain[0], plain[1:], named)
+
+    def happen(self, what: str, names: list[str], named: dict[str, str]) -> None:
+        if what == "take":
+            *names, track, destination = names
+            row, index = self.tracks[self.names.index(track)], self.names.index(track)
+            left = span(named["left"]) if "left" in named else row.cutoff
+            key = int(named["key"]) if "key" in named else None
+            for name in names:
+                id_ = self.ids[name] = len(self.ids)
+                self.held[id_] = Held(row, int(destination), key, self.now + left, id_)
+            self.turn(*(("take", self.ids[n], int(destination), index, key, left, False) for n in names))
+        elif what in ("drain", "leave", "list"):
+            presence = {"drain": Presence.DRAINING, "leave": Presence.GONE, "list": Presence.LISTED}[what]
+            for name in names:
+                self.rows[name] = replace(self.rows[name], presence=presence)
+                self.dropped_at.pop(name, None)
+                if what != "list":
+                    self.dropped_at[name] = self.now
+            self.turn(("listed", [self.rows[name] for name in names], False))
+        elif what == "gone":
+            for name in names:
+                self.held[self.ids[name]].over = True
+                self.turn(("gone", self.ids[name]))
+        elif what in ENDINGS:
+            told = (float(named["left"]), float(named["of"])) if "of" in named else None
+            wait = span(named.get("wait", "0s"))
+            self.outcome([self.ids[name] for name in names], ENDINGS[what], wait, told)
+        else:
+            assert what == "pass", f"unknown: {what}"
+
+    def expect(self, words: str) -> None:
+        if words == "quiet":
+            shots = [s for s in self.seen if s.startswith("shot")]
+            assert not shots, f"seen: {shots}"
+        elif words.startswith("held"):
+            for name in words.split()[1:]:
+                one = self.held[self.ids[name]]
+                assert not one.over and one.out is None, f"{name} is not held"
+        elif words.startswith("log"):
+            assert any(s.startswith("log") and words[4:] in s for s in self.seen), f"seen: {self.seen}"
+        else:
+            found = next((s for s in self.seen if s == words or s.startswith(words + " ")), None)
+            assert found, f"seen: {self.seen}"
+            self.seen.remove(found)
+            return
+        self.seen.clear()
+
+
+def scenarios() -> list[Path]:
+    return sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
--- a/tests/test_convert.py
+++ /dev/null
@@ -1,9 +0,0 @@
-"""The units at the bench's door."""
-
-import doctest
-
-from ashpath.drill import convert
-
-
-def test_examples() -> None:
-    assert doctest.testmod(convert).failed == 0
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,129 @@
+"""Every scenario keeps the six rules; and the checker can fail."""
+
+from __future__ import annotations
+
+import doctest
+import json
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+import scenario
+
+from ashpath.decide import Sender
+from ashpath.door import Answers, Terms
+from ashpath.drill import convert
+
+
+@pytest.mark.parametrize("path", scenario.scenarios(), ids=lambda path: path.stem)
+def test_scenario(path: Path) -> None:
+    scenario.Scene(Sender).play(path.read_text())
+
+
+def test_examples() -> None:
+    assert doctest.testmod(convert).failed == 0
+    assert doctest.testmod(scenario).failed == 0
+
+
+class Reckless:
+    """Breaks rules: answers nothing, or shoots whatever was taken, again and again."""
+
+    def __init__(self, answers: Answers, shoots: bool) -> None:
+        self.answers, self.shoots = answers, shoots
+
+    def open_turn(self, now: int) -> None: ...
+    def close_turn(self) -> None: ...
+    def listed(self, rows: object, whole: bool) -> None: ...
+    def woken(self, token: str) -> None: ...
+    def gone(self, id_: int) -> None: ...
+
+    def take(self, id_: int, *_: object) -> None:
+        if self.shoots:
+            self.answers.shoot(id_, "x1", 5_000_000)
+
+    def returned(self, id_: int, *_: object) -> None:
+        self.take(id_)
+
+
+HEAD = "terms senders=1\ntrack t once-only\ntrack k tagged window=1s ordered\nkind plain\nat x1 : 7\n"
+BROKEN = {
+    "got no answer in time": (False, "0s take a t 7"),
+    "may run twice": (True, "0s take a t 7\n+1s error a"),
+    "within a wait": (True, "0s take a t 7\n+1s full a wait=400ms\n+1ms take b t 7"),
+    "out of turn": (True, "0s take a k 7 key=3\n+1ms take b k 7 key=3"),
+    "out of its window": (True, "0s take a k 7\n+2s timeout a"),
+    "after its grace": (True, "0s drain x1\n+1s take a t 7"),
+    "after its end": (True, "0s take a t 7\n+1s done a"),
+}
+
+
+@pytest.mark.parametrize("words", BROKEN)
+def test_the_checker_can_fail(words: str) -> None:
+    shoots, play = BROKEN[words]
+    make: Callable[[Terms, Answers], object] = lambda terms, answers: Reckless(answers, shoots)  # noqa: E731
+    with pytest.raises(AssertionError, match=words):
+        scenario.Scene(make).play(HEAD + play)
+
+
+FACTS = {
+    "classes": [{"deadline": 9000.0, "importance": 1.0, "repeat": "retryable", "slo": 2000.0}],
+    "specifics": {"slots": 4, "kind-apart": [False], "per-call": None},
+    "limits": {"max-open": 50},
+    "something-new": {"x": 1},
+}
+ROWS = [{"endpoint": f"e{i}:1", "cell": i % 2, "hw": 0, "availability": "IN", "heft": 1} for i in range(4)]
+
+
+def batches(numbers: list[int]) -> list[bytes]:
+    def batch(clock: float, *items: dict[str, object]) -> bytes:
+        groups = [{"sender-id": n, "items": list(items)} for n in numbers]
+        return json.dumps({"wall": clock, "senders": groups}).encode() + b"\n"
+
+    hello = {"Hello": {"init-seed": 5, "facts": FACTS}}
+    listed = {"BackendsChanged": {"sheet": 0, "index": 1, "kind": "cached"}}
+    job = {"priority": 0, "key": None, "ttl": 9000.0}
+    jobs = [{"JobIn": {**job, "rid": i, "addressee-no": i % 2}} for i in range(6)]
+    end = {"go": 0, "outcome": "Ok", "remark-ms": None, "delay-seen": 7.25, "complete": True, "stats": None}
+    done = [{"Returned": {**end, "rid": i, "endpoint": f"e{i}:1"}} for i in range(2)]
+    return [
+        batch(1.5, hello, {"Register": {"sheet": 0, "rows-in": ROWS}}, listed, *jobs),
+        batch(8.75, *done, {"Gone": {"rid": 77}}, {"Wake": {"ref": "rank"}}),
+        batch(
+            9.0, {"PowerOff": {}}, hello, {"Register": {"sheet": 0, "rows-in": ROWS[:2]}}, listed, *jobs[:1]
+        ),
+    ]
+
+
+def piped(lines: list[bytes], seed: str = "0") -> tuple[int, list[dict[str, object]], str]:
+    command = [sys.executable, "-m", "ashpath.drill"]
+    root = Path(__file__).parent.parent
+    run = subprocess.run(
+        command, input=b"".join(lines), capture_output=True, cwd=root, env={"PYTHONHASHSEED": seed}
+    )
+    return run.returncode, [json.loads(line) for line in run.stdout.splitlines()], run.stderr.decode()
+
+
+def test_piped_runs_agree() -> None:
+    """The same answers again, under another hash seed, and with the instances in two processes."""
+    code, replies, _ = piped(batches([1, 2]))
+    assert code == 0 and len(replies) == 3 and "CallOut" in str(replies[0]) and "BailOut" not in str(replies)
+    assert piped(batches([1, 2]), "77")[1] == replies
+    apart = [piped(batches([n]))[1] for n in (1, 2)]
+    for reply, one, two in zip(replies, *apart, strict=True):
+        assert reply["senders"] == [*one["senders"], *two["senders"]]  # type: ignore[misc]
+
+
+@pytest.mark.parametrize(
+    ("line", "words"),
+    [
+        (b"{nonsense\n", "not JSON"),
+        (b'{"senders":[]}\n', "no clock"),
+        (b'{"wall":1,"senders":[{"sender-id":3,"items":[{"Wake":{"ref":"x"}}]}]}\n', "never started"),
+        (batches([1])[0][:-5] + b',{"Odd":{}}]}]}\n', "unknown name"),
+    ],
+)
+def test_bad_input_is_named(line: bytes, words: str) -> None:
+    code, _, errors = piped([line])
+    assert code != 0 and words in errors and len(errors.splitlines()) == 1
