--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -18,15 +18,15 @@
 
 SECOND = 1_000_000
 
-HOLD = (
-    5 * SECOND
-)  # a timed-out call keeps its slot so long: longer spares the destination, shorter uses it sooner
+HOLD = 5 * SECOND  # a timed-out call keeps its slot: longer spares the destination, shorter uses it sooner
 COOLDOWN = 1 * SECOND  # first pause of an open breaker; doubles with each probe that fails
 COOLDOWN_MAX = 15 * SECOND  # and no further: a longer one finds the destination's return later
 TURN = SECOND // 10  # senders take turns, so far apart, at a destination that has just come back
 GAIN = 0.1  # weight of a new measurement: more follows a change sooner, less is steadier
 STRETCH = 8  # deviations over the mean that a shot is given; less frees slots sooner and loses slow answers
 IGNORANT = 5  # completions before a destination's times are trusted
+# An early time-out loses most where a repeat is not free: such a shot may take longer, or until the cut-off.
+PATIENCE = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 1000}
 LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
@@ -66,28 +66,21 @@
 MAY_RUN_ON = (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN)
 
 
+@dataclass(frozen=True)
 class Track:
     """A row a track: what differs between tracks."""
 
-    def __init__(self, index: int, terms: TrackTerms, decays: bool) -> None:
-        self.index = index
-        self.terms = terms
-        self.decays = decays
-        # An early time-out loses most where a repeat is not free: such a shot may take until the cut-off.
-        self.patience = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 1000}[terms.repeat]
+    index: int
+    terms: TrackTerms
+    decays: bool
 
     def payoff_at(self, age: int) -> float:
         """What an envelope of this age earns if it is completed now."""
-        late = age - self.terms.promised
-        if late <= 0:
-            return self.terms.payoff
-        if age >= self.terms.cutoff:
-            return 0.0
-        if self.decays:
-            return float(self.terms.payoff * max(self.terms.late_share, 0.5 ** (late / self.terms.promised)))
-        return self.terms.payoff * (
-            1 - (1 - self.terms.late_share) * late / (self.terms.cutoff - self.terms.promised)
-        )
+        terms, late = self.terms, age - self.terms.promised
+        if late <= 0 or age >= terms.cutoff:
+            return terms.payoff if late <= 0 else 0.0
+        line = 1 - (1 - terms.late_share) * late / (terms.cutoff - terms.promised)
+        return terms.payoff * max(terms.late_share, 0.5 ** (late / terms.promised) if self.decays else line)
 
 
 @dataclass(eq=False)
@@ -154,7 +147,7 @@
 
 @dataclass(eq=False)
 class Endpoint:
-    """One endpoint of a destination. Dropped with its last shot after the directory dropped it."""
+    """One endpoint of a destination."""
 
     id: str
     zone: int
@@ -293,19 +286,14 @@
         now = self.sender.now
         if ending is not Ending.TIMED_OUT:
             self.heard_at = now
-        limited = ending is Ending.FULL and self.told and self.share < MUCH_LEFT
-        if ending in LOAD_SIGNS and not limited:
-            self.failures += 1
-        if ending is Ending.FULL and not shot.probe and self.judge_refusal(shot):
-            return
-        if ending is Ending.TIMED_OUT and took < shot.timeout and not shot.probe:
-            return  # the envelope's own end came first: that says nothing of load
-        if ending in ANSWERED_BADLY or ending is Ending.COMPLETED:
-            self.bad += BAD_GAIN * ((ending is not Ending.COMPLETED) - self.bad)
-        if ending in ANSWERED_BADLY and self.bad < MOSTLY_BAD and not shot.probe:
-            return  # one failure among successes is no load: halving at each ends near one call at a time
-        if ending in LOAD_SIGNS:
+        if ending is Ending.COMPLETED:
+            self.succeed(shot, took)
+        elif ending not in LOAD_SIGNS:
+            if shot.probe:  # dropped: the period is over already, and the next waiter probes
+                self.breaker = Breaker.OPEN
+        elif shot.probe or not self.excused(shot, ending, took):
             if shot.probe:
+                self.failures += 1
                 self.reopened += 1
                 self.open(ending)
             elif self.breaker is Breaker.CLOSED and shot.started >= self.decreased_at:
@@ -318,41 +306,46 @@
             if not self.ailing and self.failing():
                 self.ailing = True
                 self.log(f"ailing: {self.failures} failures, last {ending.value}")
-        elif ending is Ending.COMPLETED:
-            self.failures = 0
-            self.pulse += GAIN * (took - self.pulse) if self.pulse else took
-            self.completed += 1
-            self.succeeded_at = now
-            if self.told:
-                self.set_pace(self.pace + PACE_GROWTH * (self.share - KEPT_BACK))
-            if self.ailing:
-                self.ailing = False
-                self.warm_from = now
-                self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
-            if shot.probe:
-                self.close()
-            elif took * 2 < shot.timeout and self.breaker is Breaker.CLOSED:
-                self.fast += 1
-                if (self.unfailed or self.fast >= self.limit) and self.limit < self.cap:
-                    self.limit += 1
-                    self.fast = 0
-        elif shot.probe:  # dropped: the period is over already, and the next waiter probes
-            self.breaker = Breaker.OPEN
+
+    def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
+        """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
+        if ending is Ending.FULL and self.told and self.share < MUCH_LEFT:
+            return self.judge_refusal(shot)
+        self.failures += 1
+        if ending is Ending.FULL:
+            return self.judge_refusal(shot)
+        if ending is Ending.TIMED_OUT:
+            return took < shot.timeout  # the envelope's own end came first
+        if ending in ANSWERED_BADLY:  # one failure among successes: halving at each ends near one at a time
+            self.bad += BAD_GAIN * (1 - self.bad)
+            return self.bad < MOSTLY_BAD
+        return False
+
+    def succeed(self, shot: Shot, took: int) -> None:
+        now = self.succeeded_at = self.sender.now
+        self.failures = 0
+        self.completed += 1
+        self.pulse += GAIN * (took - self.pulse) if self.pulse else took
+        self.bad -= BAD_GAIN * self.bad
+        if self.told:
+            self.set_pace(self.pace + PACE_GROWTH * (self.share - KEPT_BACK))
+        if self.ailing:
+            self.ailing, self.warm_from = False, now
+            self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
+        if shot.probe:
+            self.breaker, self.limit, self.fast, self.reopened = Breaker.CLOSED, 1, 0, 0
+            self.log("breaker closed")
+        elif took * 2 < shot.timeout and self.breaker is Breaker.CLOSED:
+            self.fast += 1
+            if (self.unfailed or self.fast >= self.limit) and self.limit < self.cap:
+                self.limit, self.fast = self.limit + 1, 0
 
     def open(self, ending: Ending) -> None:
-        self.breaker = Breaker.OPEN
-        self.limit = 0
+        self.breaker, self.limit = Breaker.OPEN, 0
         pause = min(COOLDOWN_MAX, COOLDOWN << min(self.reopened, 10))
         self.open_until = self.sender.now + pause + self.sender.terms.number * TURN
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
 
-    def close(self) -> None:
-        self.breaker = Breaker.CLOSED
-        self.limit = 1
-        self.fast = 0
-        self.reopened = 0
-        self.log("breaker closed")
-
     def log(self, text: str) -> None:
         self.sender.answers.log(f"{self.name} {text}")
 
@@ -368,7 +361,9 @@
     def __init__(self, sender: Sender, number: int) -> None:
         self.sender = sender
         self.number = number
-        self.endpoints: list[Endpoint] = []  # in ranked order
+        self.known: dict[str, Endpoint] = {}  # every endpoint ever listed; goes with the destination
+        self.endpoints: list[Endpoint] = []  # those listed, in ranked order
+        self.owed = 0  # envelopes
         self.gate = Gate(sender, f"destination {number}")
         self.apart = False
         self.per_call = 1
@@ -384,8 +379,8 @@
     def timeout(self, track: Track) -> int:
         times = self.times[track.index]
         if times.count < IGNORANT:
-            return track.terms.cutoff // 2 * track.patience
-        return max(LEAST_TIMEOUT, int(times.mean + STRETCH * times.deviation)) * track.patience
+            return track.terms.cutoff // 2 * PATIENCE[track.terms.repeat]
+        return max(LEAST_TIMEOUT, int(times.mean + STRETCH * times.deviation)) * PATIENCE[track.terms.repeat]
 
     def gates(self) -> list[Gate]:
         return [endpoint.gate for endpoint in self.endpoints] if self.apart else [self.gate]
@@ -393,10 +388,10 @@
     def listed(self, row: Listing) -> None:
         kind = self.sender.terms.kinds[row.kind]
         self.apart, self.per_call = kind.apart, kind.per_call
-        endpoint = self.sender.endpoints.get(row.endpoint)
+        endpoint = self.known.get(row.endpoint)
         if endpoint is None:
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
-            endpoint = self.sender.endpoints[row.endpoint] = Endpoint(row.endpoint, row.zone, gate)
+            endpoint = self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate)
         endpoint.gate.listed = row.rate * LISTED_WORTH[self.sender.terms.listed]
         if row.presence is Presence.LISTED:
             if endpoint not in self.endpoints:
@@ -481,9 +476,8 @@
         now, terms = self.sender.now, self.sender.terms
         if not terms.heeds_wait:
             return 0
-        shut = (
-            max(self.gate.wait_until, self.gate.open_until if self.gate.breaker is Breaker.OPEN else 0) - now
-        )
+        opens_at = self.gate.open_until if self.gate.breaker is Breaker.OPEN else 0
+        shut = max(self.gate.wait_until, opens_at) - now
         return min(terms.longest_wait or COME_BACK, max(COME_BACK, shut))
 
 
@@ -496,7 +490,6 @@
         self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
         self.now = 0
         self.out = 0  # calls out
-        self.endpoints: dict[str, Endpoint] = {}  # emptied as the directory drops them
         self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
         self.envelopes: dict[int, Envelope] = {}  # emptied as they are over
         self.lines: dict[int, Line] = {}  # emptied as they run out
@@ -537,6 +530,7 @@
         destination = self.destination(number)
         envelope = Envelope(id_, destination, row, self.now + left)
         self.envelopes[id_] = envelope
+        destination.owed += 1
         if row.terms.ordered and key is not None:
             line = envelope.line = self.lines.setdefault(key, Line(key))
             line.envelopes.append(envelope)
@@ -612,6 +606,7 @@
 
     def woken(self, token: str) -> None:
         if token == "rank":
+            self.destinations = {n: d for n, d in self.destinations.items() if d.endpoints or d.owed}
             for destination in self.destinations.values():
                 destination.rank()
                 for gate in destination.gates():
@@ -638,6 +633,7 @@
             envelope.queue = None
         if state is State.OVER:
             del self.envelopes[envelope.id]
+            envelope.destination.owed -= 1
             if envelope.line is not None:
                 self.leave(envelope, envelope.line)
 
