--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -1,10 +1,9 @@
 """All decisions of ashpath, and every tuned value; nothing else in the project decides anything.
 
 How to call it: make one `Sender(terms, answers)` per instance. For each batch of news call
-`open_turn(now)`, then one method per piece of news (`listed`, `take`, `returned`, `probed`, `gone`,
-`woken`), then `close_turn()`, which sends what may go. The interface, both what is handed in and the
-`Answers` that come back, is in `ashpath/door.py`. The design, and where and why it departs from
-ADR 0122, is in `docs/design.md`.
+`open_turn(now)`, then one method per piece of news (`listed`, `take`, `returned`, `gone`, `woken`), then
+`close_turn()`, which sends what may go. The interface, both what is handed in and the `Answers` that come
+back, is in `ashpath/door.py`. The design, and where it departs from ADR 0122, is in `docs/design.md`.
 """
 
 from __future__ import annotations
@@ -194,7 +193,7 @@
         self.decreased_at = -1
         self.breaker = Breaker.CLOSED
         self.reopened = self.open_until = self.wait_until = 0
-        # The pace beside the limit, where the destination tells a rate: see `judge_refusal`.
+        # The pace beside the limit, where the destination tells a rate: see `excused`.
         self.told, self.share = 0.0, 1.0  # calls a second that it takes from all senders, and what is left
         self.pace, self.paced = 0.0, Bucket()  # calls a second that this sender allows itself
         self.pace_cut_at, self.succeeded_at = -1, sender.now
@@ -240,17 +239,6 @@
     def set_pace(self, pace: float) -> None:
         self.pace = min(self.told, max(pace, LEAST_PACE * self.told / self.sender.terms.senders))
 
-    def judge_refusal(self, shot: Shot) -> bool:
-        """True if the told rate explains a refusal: it cuts the pace, once per burst, and the limit stays."""
-        now = self.sender.now
-        if not self.told or self.failing():
-            return False
-        self.paced.tokens = 0.0
-        if shot.started >= self.pace_cut_at:
-            self.set_pace(self.pace * PACE_CUT)
-            self.pace_cut_at = now
-        return True
-
     def allowance(self, now: int) -> float:
         """Calls a second that a destination just back, or about to be, may get from this sender."""
         terms = self.sender.terms
@@ -309,17 +297,19 @@
 
     def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
         """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
-        if ending is Ending.FULL and self.told and self.share < MUCH_LEFT:
-            return self.judge_refusal(shot)
-        self.failures += 1
-        if ending is Ending.FULL:
-            return self.judge_refusal(shot)
-        if ending is Ending.TIMED_OUT:
-            return took < shot.timeout  # the envelope's own end came first
+        limited = ending is Ending.FULL and self.told > 0
+        if not limited or self.share >= MUCH_LEFT:
+            self.failures += 1
+        if limited and not self.failing():  # the rate explains it: it cuts the pace, once per burst
+            self.paced.tokens = 0.0
+            if shot.started >= self.pace_cut_at:
+                self.set_pace(self.pace * PACE_CUT)
+                self.pace_cut_at = self.sender.now
+            return True
         if ending in ANSWERED_BADLY:  # one failure among successes: halving at each ends near one at a time
             self.bad += BAD_GAIN * (1 - self.bad)
             return self.bad < MOSTLY_BAD
-        return False
+        return ending is Ending.TIMED_OUT and took < shot.timeout  # the envelope's own end came first
 
     def succeed(self, shot: Shot, took: int) -> None:
         now = self.succeeded_at = self.sender.now
@@ -525,7 +515,7 @@
             destination = self.destinations[number] = Destination(self, number)
         return destination
 
-    def take(self, id_: int, number: int, track: int, key: int | None, left: int, again: bool) -> None:
+    def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
         row = self.tracks[track]
         destination = self.destination(number)
         envelope = Envelope(id_, destination, row, self.now + left)
@@ -534,8 +524,8 @@
         if row.terms.ordered and key is not None:
             line = envelope.line = self.lines.setdefault(key, Line(key))
             line.envelopes.append(envelope)
-            if len(line.envelopes) > 1 or line.rest_until > self.now:
-                return self.remind(envelope)
+            self.remind(envelope)
+            return self.advance(line)
         self.queue(envelope)
 
     def returned(
@@ -596,9 +586,6 @@
         """The last moment to send a tagged envelope again; a connection may have to be made on the way."""
         return (envelope.ran_since or 0) + envelope.track.terms.window - self.terms.connect_time
 
-    def probed(self, endpoint: str, ending: Ending, left: float | None, rate: float | None) -> None:
-        """No probe is sent at present: the gate probes with a waiter."""
-
     def gone(self, id_: int) -> None:
         envelope = self.envelopes.get(id_)
         if envelope is not None and envelope.state is not State.LEFT:
@@ -614,13 +601,11 @@
             self.ranked_at = self.now
             self.answers.wake(self.now + RERANK_EVERY, "rank")
         elif token[0] == "d":
-            known = self.destinations.get(int(token[1:]))
-            if known is not None:
-                self.dirty[known] = None
+            if int(token[1:]) in self.destinations:
+                self.dirty[self.destinations[int(token[1:])]] = None
         elif token[0] == "k":
-            line = self.lines.get(int(token[1:]))
-            if line is not None and line.rest_until <= self.now:
-                self.advance(line)
+            if int(token[1:]) in self.lines:
+                self.advance(self.lines[int(token[1:])])
         elif (envelope := self.envelopes.get(int(token[1:]))) is not None and envelope.state is State.HELD:
             self.review(envelope)
 
@@ -635,7 +620,8 @@
             del self.envelopes[envelope.id]
             envelope.destination.owed -= 1
             if envelope.line is not None:
-                self.leave(envelope, envelope.line)
+                envelope.line.envelopes.remove(envelope)
+                self.advance(envelope.line)
 
     def queue(self, envelope: Envelope, first: bool = False) -> None:
         """To the queue of its track: fresh while it can still make its promised time."""
@@ -659,12 +645,11 @@
 
     def review(self, envelope: Envelope) -> None:
         if not self.may_repeat(envelope):
-            self.give_up(envelope)
-        elif envelope.queue is not None:
-            del envelope.queue[envelope]
-            self.queue(envelope)
-        else:
-            self.remind(envelope)
+            return self.give_up(envelope)
+        if envelope.queue is None:
+            return self.remind(envelope)
+        del envelope.queue[envelope]
+        self.queue(envelope)
 
     def shoot(self, envelope: Envelope, shot: Shot) -> None:
         envelope.shot = shot
@@ -683,17 +668,11 @@
         else:
             self.answers.abort(envelope.id)
 
-    def leave(self, envelope: Envelope, line: Line) -> None:
-        head = line.envelopes[0] is envelope
-        line.envelopes.remove(envelope)
+    def advance(self, line: Line) -> None:
+        """The next of a key has its turn, once the key has rested."""
         if line.rest_until > self.now:
             self.answers.wake(line.rest_until, f"k{line.key}")
-        elif head:
-            self.advance(line)
-
-    def advance(self, line: Line) -> None:
-        """The next of a key has its turn."""
-        if not line.envelopes:
-            del self.lines[line.key]
+        elif not line.envelopes:
+            self.lines.pop(line.key, None)
         elif line.envelopes[0].state is State.HELD and line.envelopes[0].queue is None:
             self.queue(line.envelopes[0])
--- a/ashpath/drill/adapter.py
+++ b/ashpath/drill/adapter.py
@@ -24,6 +24,8 @@
     def __init__(self, seed: int, facts: Row) -> None:
         self.output: list[Row] = []
         self.broken = False
+        fields = (facts.get("load-info") or {}).get("fields") or []
+        self.told = (fields.index("x0"), fields.index("x1")) if {"x0", "x1"} <= set(fields) else None
         self.sender = Sender(terms(seed, facts), self)
 
     def shoot(self, envelope: int, endpoint: str, timeout: int) -> None:
@@ -50,27 +52,25 @@
 
     def hear(self, name: str, body: Row, sheets: dict[int, list[Listing]]) -> None:
         sender = self.sender
-        stats: list[float] = body.get("stats") or []
-        left, rate = (stats[0], stats[1]) if len(stats) > 1 and stats[1] else (None, None)
         if name == "JobIn":
-            key = body.get("key")
-            again = bool(body.get("again") or body.get("again-by-client"))
-            sender.take(body["rid"], body["addressee-no"], body["priority"], key, micros(body["ttl"]), again)
+            key, left = body.get("key"), micros(body["ttl"])
+            sender.take(body["rid"], body["addressee-no"], body["priority"], key, left)
         elif name == "Returned":
             wait = micros(body.get("remark-ms")) if body["outcome"] == "QueueFull" else 0
+            stats, share, rate = body.get("stats"), None, None
+            if stats and self.told and stats[self.told[1]]:  # a rate of 0 stands for no limit
+                share, rate = (stats[i] for i in self.told)
             sender.returned(
-                body["rid"], ENDINGS[body["outcome"]], wait, bool(body.get("complete")), left, rate
+                body["rid"], ENDINGS[body["outcome"]], wait, bool(body.get("complete")), share, rate
             )
         elif name == "Wake":
             sender.woken(body["ref"])
         elif name == "Gone":
             sender.gone(body["rid"])
-        elif name == "Sampled":
-            sender.probed(body["endpoint"], ENDINGS[body["outcome"]], left, rate)
         elif name == "BackendsChanged":
             if body["kind"] != "failed":
                 sender.listed(sheets[body["sheet"]], whole=body["kind"] != "delta")
-        elif name not in ("Established", "Memo"):
+        elif name not in ("Established", "Memo", "Sampled"):
             raise BadInput(f"event of unknown name {name!r}")
 
 
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -250,7 +250,7 @@
             for name in names:
                 id_ = self.ids[name] = len(self.ids)
                 self.held[id_] = Held(row, int(destination), key, self.now + left, id_)
-            self.turn(*(("take", self.ids[n], int(destination), index, key, left, False) for n in names))
+            self.turn(*(("take", self.ids[n], int(destination), index, key, left) for n in names))
         elif what in ("drain", "leave", "list"):
             presence = {"drain": Presence.DRAINING, "leave": Presence.GONE, "list": Presence.LISTED}[what]
             for name in names:
