--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ashpath.door import Answers, Ending, Listed, Listing, Presence, Repeat, Terms, TrackTerms
+from ashpath.door import Answers, Ending, Listed, Listing, Presence, Repeat, Terms, Told, TrackTerms
 
 SECOND = 1_000_000
 
@@ -229,11 +229,11 @@
         """Guards the slots where a destination hangs or slows: no answer for long, then one at a time."""
         return self.in_flight > 0 and now - self.heard_at > max(SILENCE, SILENCE_TIMES * self.pulse)
 
-    def tell(self, left: float | None, rate: float | None) -> None:
+    def tell(self, told: Told | None) -> None:
         """What an answer told of the limit: noisy, and a little old."""
-        if left is not None and rate:
-            self.share = left
-            self.told += GAIN * (rate - self.told) if self.told else rate
+        if told:
+            self.share = told.left
+            self.told += GAIN * (told.rate - self.told) if self.told else told.rate
             self.set_pace(self.pace or self.told / self.sender.terms.senders)
 
     def set_pace(self, pace: float) -> None:
@@ -255,6 +255,8 @@
         if not self.in_flight:
             self.heard_at = self.sender.now
         self.in_flight += 1
+        shot.endpoint.in_flight += 1
+        self.sender.out += 1
         self.guard.tokens = max(0.0, self.guard.tokens - 1)
         self.paced.tokens -= 1
         if self.breaker is Breaker.OPEN:
@@ -263,6 +265,8 @@
 
     def freed(self, shot: Shot, ending: Ending) -> None:
         self.in_flight -= 1
+        shot.endpoint.in_flight -= 1
+        self.sender.out -= 1
         if ending is Ending.TIMED_OUT:
             self.holds.append(self.sender.now + HOLD)
 
@@ -396,13 +400,9 @@
     def pick(self, gate: Gate) -> Endpoint | None:
         """Fills the ranked endpoints from the top, each up to its part of the gate's limit."""
         usable = [e for e in self.endpoints if e.gate is gate]
-        if not usable:
-            return None
-        most = -(-max(1, gate.limit) // len(usable))
-        for endpoint in usable:
-            if endpoint.in_flight < most:
-                return endpoint
-        return min(usable, key=lambda e: e.in_flight)
+        most = -(-max(1, gate.limit) // max(1, len(usable)))
+        free = [e for e in usable if e.in_flight < most]
+        return next(iter(free or usable), None)
 
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
@@ -426,19 +426,17 @@
     def pump(self) -> None:
         """Sends while a gate admits and somebody waits."""
         sender = self.sender
-        look_at = 0
         for gate in self.gates():
             while any(self.fresh) or any(self.late):
                 if sender.out >= sender.terms.slots:
                     sender.dirty[self] = None
                     return
                 opens_at = gate.opens_at(sender.now)
-                if opens_at is not None:
-                    look_at = min(look_at or opens_at, opens_at or look_at)
-                    break
-                endpoint = self.pick(gate)
-                envelope = endpoint and self.next(endpoint)
+                endpoint = self.pick(gate) if opens_at is None else None
+                envelope = self.next(endpoint) if endpoint else None
                 if not endpoint or not envelope:
+                    if opens_at:
+                        self.look(opens_at)
                     break
                 shot = Shot(endpoint, gate, sender.now)
                 together: list[Envelope] = []
@@ -446,14 +444,10 @@
                     sender.move(envelope, State.OUT)
                     together.append(envelope)
                     envelope = self.next(endpoint)
-                shot.timeout = max(self.timeout(row) for row in {e.track: None for e in together})
+                shot.timeout = max(self.timeout(envelope.track) for envelope in together)
                 for envelope in together:
                     sender.shoot(envelope, shot)
                 gate.sent(shot)
-                endpoint.in_flight += 1
-                sender.out += 1
-        if look_at:
-            self.look(look_at)
 
     def look(self, at: int) -> None:
         """One wake to look again is kept, the earliest."""
@@ -463,12 +457,9 @@
 
     def come_back(self) -> int:
         """When a bounced envelope may find room: after what keeps the gate shut."""
-        now, terms = self.sender.now, self.sender.terms
-        if not terms.heeds_wait:
-            return 0
         opens_at = self.gate.open_until if self.gate.breaker is Breaker.OPEN else 0
-        shut = max(self.gate.wait_until, opens_at) - now
-        return min(terms.longest_wait or COME_BACK, max(COME_BACK, shut))
+        shut = max(self.gate.wait_until, opens_at) - self.sender.now
+        return min(self.sender.terms.longest_wait, max(COME_BACK, shut))
 
 
 class Sender:
@@ -528,9 +519,7 @@
             return self.advance(line)
         self.queue(envelope)
 
-    def returned(
-        self, id_: int, ending: Ending, wait: int, closed: bool, left: float | None, rate: float | None
-    ) -> None:
+    def returned(self, id_: int, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
         """The outcome of the one shot that the envelope has out."""
         envelope = self.envelopes.get(id_)
         if envelope is None or envelope.shot is None:
@@ -538,7 +527,7 @@
         shot, destination, track = envelope.shot, envelope.destination, envelope.track
         envelope.shot = None
         took = self.now - shot.started
-        shot.gate.tell(left, rate)
+        shot.gate.tell(told)
         self.hear(shot, destination, ending, wait, took)
         if ending is Ending.COMPLETED:
             destination.times[track.index].learn(took)
@@ -569,8 +558,6 @@
             gate.wait_until = self.now + wait
         if not shot.unheard:
             gate.freed(shot, ending)
-            endpoint.in_flight -= 1
-            self.out -= 1
         self.dirty[destination] = None
 
     def may_repeat(self, envelope: Envelope) -> bool:
@@ -660,11 +647,10 @@
 
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
-        come_back = envelope.destination.come_back()
         harmless = envelope.ran_since is None or envelope.track.terms.repeat is Repeat.REPEATABLE
         self.move(envelope, State.OVER)
         if harmless:
-            self.answers.bounce(envelope.id, come_back)
+            self.answers.bounce(envelope.id, envelope.destination.come_back())
         else:
             self.answers.abort(envelope.id)
 
--- a/ashpath/door.py
+++ b/ashpath/door.py
@@ -80,8 +80,7 @@
     room: int  # envelopes held at once, sent or not
     most_shots: int
     may_probe: bool
-    heeds_wait: bool  # clients are told when to come back
-    longest_wait: int  # the longest that a client heeds
+    longest_wait: int  # the longest that a client heeds when told to come back later; 0: it is not told
     connect_time: int  # a connection not up by then fails
     tracks: tuple[TrackTerms, ...]
     kinds: tuple[KindTerms, ...]
@@ -107,6 +106,14 @@
     rate: float
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What an answer told of a destination's limit: noisy, and a little old."""
+
+    left: float  # share of the limit that is left
+    rate: float  # calls a second that the limit allows to all senders together
+
+
 class Answers(Protocol):
     """What a front carries out for a sender, in the order of the calls."""
 
--- a/ashpath/drill/adapter.py
+++ b/ashpath/drill/adapter.py
@@ -8,7 +8,7 @@
 import orjson
 
 from ashpath.decide import Sender
-from ashpath.door import Listing
+from ashpath.door import Listing, Told
 from ashpath.drill.convert import ENDINGS, listing, micros, millis, terms
 
 Row = dict[str, Any]
@@ -57,12 +57,10 @@
             sender.take(body["rid"], body["addressee-no"], body["priority"], key, left)
         elif name == "Returned":
             wait = micros(body.get("remark-ms")) if body["outcome"] == "QueueFull" else 0
-            stats, share, rate = body.get("stats"), None, None
+            stats, told = body.get("stats"), None
             if stats and self.told and stats[self.told[1]]:  # a rate of 0 stands for no limit
-                share, rate = (stats[i] for i in self.told)
-            sender.returned(
-                body["rid"], ENDINGS[body["outcome"]], wait, bool(body.get("complete")), share, rate
-            )
+                told = Told(*(stats[i] for i in self.told))
+            sender.returned(body["rid"], ENDINGS[body["outcome"]], wait, bool(body.get("complete")), told)
         elif name == "Wake":
             sender.woken(body["ref"])
         elif name == "Gone":
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -21,7 +21,18 @@
 from dataclasses import replace
 from pathlib import Path
 
-from ashpath.door import Answers, Ending, KindTerms, Listed, Listing, Presence, Repeat, Terms, TrackTerms
+from ashpath.door import (
+    Answers,
+    Ending,
+    KindTerms,
+    Listed,
+    Listing,
+    Presence,
+    Repeat,
+    Terms,
+    Told,
+    TrackTerms,
+)
 
 UNITS = {"ms": 1_000, "s": 1_000_000}
 REPEATS = {r.name.lower().replace("_", "-"): r for r in Repeat}
@@ -80,7 +91,7 @@
         self.wakes: list[tuple[int, int, str]] = []
         self.seen: list[str] = []
         self.terms = Terms(
-            seed=1, number=0, senders=1, slots=8, room=100, most_shots=0, may_probe=False, heeds_wait=True,
+            seed=1, number=0, senders=1, slots=8, room=100, most_shots=0, may_probe=False,
             longest_wait=3_000_000, connect_time=500_000, tracks=(), kinds=(), decays=True,
             listed=Listed.EXACT, drain_grace=500_000, cold_share=0.2, ramp_time=10_000_000,
             fall_multiple=2.0, fall_time=2_000_000, key_rest=0,
@@ -175,9 +186,7 @@
         for id_, one in self.held.items():
             assert one.over or self.now <= one.end + SLACK, f"{self.name(id_)} got no answer in time"
 
-    def outcome(
-        self, ids: list[int], ending: Ending, wait: int = 0, told: tuple[float, float] | None = None
-    ) -> None:
+    def outcome(self, ids: list[int], ending: Ending, wait: int = 0, told: Told | None = None) -> None:
         """The outcomes of a turn."""
         news, routes = [], []
         for id_ in ids:
@@ -192,7 +201,7 @@
             if ending is Ending.COMPLETED and not one.over:
                 one.over = True
                 self.seen.append(f"completed {self.name(id_)}")
-            news.append(("returned", id_, ending, wait, one.over, *(told or (None, None))))
+            news.append(("returned", id_, ending, wait, one.over, told))
         self.turn(*news)
         for route in routes:
             self.waits[route] = max(self.waits.get(route, 0), self.now + wait)
@@ -264,7 +273,7 @@
                 self.held[self.ids[name]].over = True
                 self.turn(("gone", self.ids[name]))
         elif what in ENDINGS:
-            told = (float(named["left"]), float(named["of"])) if "of" in named else None
+            told = Told(float(named["left"]), float(named["of"])) if "of" in named else None
             wait = span(named.get("wait", "0s"))
             self.outcome([self.ids[name] for name in names], ENDINGS[what], wait, told)
         else:
