--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -24,8 +24,9 @@
 GAIN = 0.1  # weight of a new measurement: more follows a change sooner, less is steadier
 STRETCH = 8  # deviations over the mean that a shot is given; less frees slots sooner and loses slow answers
 IGNORANT = 5  # completions before a destination's times are trusted
-# An early time-out loses most where a repeat is not free: such a shot may take longer, or until the cut-off.
-PATIENCE = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 1000}
+# An early time-out loses most where a repeat is not free: such a shot may take longer. None may wait for its
+# cut-off, as answers that never come would then fill the slots.
+PATIENCE = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 4}
 LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
@@ -373,7 +374,7 @@
     def timeout(self, track: Track) -> int:
         times = self.times[track.index]
         if times.count < IGNORANT:
-            return track.terms.cutoff // 2 * PATIENCE[track.terms.repeat]
+            return track.terms.promised * PATIENCE[track.terms.repeat]
         return max(LEAST_TIMEOUT, int(times.mean + STRETCH * times.deviation)) * PATIENCE[track.terms.repeat]
 
     def gates(self) -> list[Gate]:
