--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -27,7 +27,7 @@
 # An early time-out loses most where a repeat is not free: such a shot may take longer. None may wait for its
 # cut-off, as answers that never come would then fill the slots.
 PATIENCE = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 4}
-LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
+LEAST_TIMEOUT = 1 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
@@ -372,9 +372,12 @@
         return int(self.times[track.index].mean)
 
     def timeout(self, track: Track) -> int:
-        times = self.times[track.index]
+        times, everywhere = self.times[track.index], self.sender.times
         if times.count < IGNORANT:
-            return track.terms.promised * PATIENCE[track.terms.repeat]
+            wide = int(everywhere.mean + STRETCH * everywhere.deviation) * 2
+            return (wide if everywhere.count >= IGNORANT else track.terms.promised) * PATIENCE[
+                track.terms.repeat
+            ]
         return max(LEAST_TIMEOUT, int(times.mean + STRETCH * times.deviation)) * PATIENCE[track.terms.repeat]
 
     def gates(self) -> list[Gate]:
@@ -470,6 +473,7 @@
         self.terms = terms
         self.answers = answers
         self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
+        self.times = Times()  # over all destinations, where one is not yet known
         self.now = 0
         self.out = 0  # calls out
         self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
@@ -532,6 +536,7 @@
         self.hear(shot, destination, ending, wait, took)
         if ending is Ending.COMPLETED:
             destination.times[track.index].learn(took)
+            self.times.learn(took)
         if envelope.line and ending in MAY_RUN_ON:
             envelope.line.rest_until = self.now + self.terms.key_rest
         if ending not in PROVES_UNRUN and envelope.ran_since is None:
