--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -27,7 +27,7 @@
 # An early time-out loses most where a repeat is not free: such a shot may take longer. None may wait for its
 # cut-off, as answers that never come would then fill the slots.
 PATIENCE = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 4}
-LEAST_TIMEOUT = 1 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
+LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many failures in a row, and none else for SHUT_AFTER, are taken for an outage
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
