--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -102,7 +102,10 @@
     timeout: int = 0  # one for all, so that the call has one outcome
     unheard: int = 0  # envelopes without an outcome; the slot is free at none
     judged: bool = False  # the gate has had the call's one outcome
+    usual: int = 0  # past this it is overdue
+    envelopes: list[Envelope] = field(default_factory=list)
     probe: bool = False
+    called_off: bool = False
 
 
 @dataclass(eq=False)
@@ -257,7 +260,7 @@
             self.heard_at = self.sender.now
         self.in_flight += 1
         shot.endpoint.in_flight += 1
-        self.sender.out += 1
+        self.sender.out[shot] = None
         self.guard.tokens = max(0.0, self.guard.tokens - 1)
         self.paced.tokens -= 1
         if self.breaker is Breaker.OPEN:
@@ -267,7 +270,7 @@
     def freed(self, shot: Shot, ending: Ending) -> None:
         self.in_flight -= 1
         shot.endpoint.in_flight -= 1
-        self.sender.out -= 1
+        del self.sender.out[shot]
         if ending is Ending.TIMED_OUT:
             self.holds.append(self.sender.now + HOLD)
 
@@ -371,14 +374,15 @@
     def expected(self, track: Track) -> int:
         return int(self.times[track.index].mean)
 
+    def usual(self, track: Track) -> int:
+        """What nearly all calls of the track take here, by its own times or else by those of all."""
+        for times, wide in ((self.times[track.index], 1), (self.sender.times, 2)):
+            if times.count >= IGNORANT:
+                return int(times.mean + STRETCH * times.deviation) * wide
+        return track.terms.promised
+
     def timeout(self, track: Track) -> int:
-        times, everywhere = self.times[track.index], self.sender.times
-        if times.count < IGNORANT:
-            wide = int(everywhere.mean + STRETCH * everywhere.deviation) * 2
-            return (wide if everywhere.count >= IGNORANT else track.terms.promised) * PATIENCE[
-                track.terms.repeat
-            ]
-        return max(LEAST_TIMEOUT, int(times.mean + STRETCH * times.deviation)) * PATIENCE[track.terms.repeat]
+        return max(LEAST_TIMEOUT, self.usual(track)) * PATIENCE[track.terms.repeat]
 
     def gates(self) -> list[Gate]:
         return [endpoint.gate for endpoint in self.endpoints] if self.apart else [self.gate]
@@ -432,9 +436,9 @@
         sender = self.sender
         for gate in self.gates():
             while any(self.fresh) or any(self.late):
-                if sender.out >= sender.terms.slots:
+                if len(sender.out) >= sender.terms.slots:
                     sender.dirty[self] = None
-                    return
+                    return sender.relieve()
                 opens_at = gate.opens_at(sender.now)
                 endpoint = self.pick(gate) if opens_at is None else None
                 envelope = self.next(endpoint) if endpoint else None
@@ -443,13 +447,13 @@
                         self.look(opens_at)
                     break
                 shot = Shot(endpoint, gate, sender.now)
-                together: list[Envelope] = []
-                while envelope and len(together) < self.per_call:
+                while envelope and len(shot.envelopes) < self.per_call:
                     sender.move(envelope, State.OUT)
-                    together.append(envelope)
+                    shot.envelopes.append(envelope)
                     envelope = self.next(endpoint)
-                shot.timeout = max(self.timeout(envelope.track) for envelope in together)
-                for envelope in together:
+                shot.usual = max(self.usual(envelope.track) for envelope in shot.envelopes)
+                shot.timeout = max(self.timeout(envelope.track) for envelope in shot.envelopes)
+                for envelope in shot.envelopes:
                     sender.shoot(envelope, shot)
                 gate.sent(shot)
 
@@ -475,7 +479,7 @@
         self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
         self.times = Times()  # over all destinations, where one is not yet known
         self.now = 0
-        self.out = 0  # calls out
+        self.out: dict[Shot, None] = {}  # calls out, oldest first
         self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
         self.envelopes: dict[int, Envelope] = {}  # emptied as they are over
         self.lines: dict[int, Line] = {}  # emptied as they run out
@@ -531,6 +535,8 @@
             return
         shot, destination, track = envelope.shot, envelope.destination, envelope.track
         envelope.shot = None
+        if shot.called_off and ending is Ending.WITHDRAWN:
+            ending = Ending.TIMED_OUT
         took = self.now - shot.started
         shot.gate.tell(told)
         self.hear(shot, destination, ending, wait, took)
@@ -651,6 +657,16 @@
         timeout = min(shot.timeout, envelope.cutoff_at - self.now)
         self.answers.shoot(envelope.id, shot.endpoint.id, timeout)
 
+    def relieve(self) -> None:
+        """Guards the slots against answers that never come: with none free, an overdue call is called off."""
+        for shot in self.out:
+            if self.terms.may_withdraw and shot.usual < self.now - shot.started and not shot.called_off:
+                shot.called_off = True
+                for envelope in shot.envelopes:
+                    if envelope.shot is shot:
+                        self.answers.withdraw(envelope.id, envelope.shots - 1)
+                return
+
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
         harmless = envelope.ran_since is None or envelope.track.terms.repeat is Repeat.REPEATABLE
--- a/ashpath/door.py
+++ b/ashpath/door.py
@@ -80,6 +80,7 @@
     room: int  # envelopes held at once, sent or not
     most_shots: int
     may_probe: bool
+    may_withdraw: bool
     longest_wait: int  # the longest that a client heeds when told to come back later; 0: it is not told
     connect_time: int  # a connection not up by then fails
     tracks: tuple[TrackTerms, ...]
--- a/ashpath/drill/convert.py
+++ b/ashpath/drill/convert.py
@@ -68,6 +68,7 @@
         room=int(limits.get("max-open") or 0),
         most_shots=int(limits.get("max-attempts") or 0),
         may_probe=bool(limits.get("may-probe")),
+        may_withdraw=bool(limits.get("cancelling")),
         longest_wait=micros(limits.get("max-retry-after")) if limits.get("retry-after") else 0,
         connect_time=micros(limits.get("connect-timeout")),
         tracks=tuple(track_terms(row) for row in facts["classes"]),
