--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -193,6 +193,7 @@
         self.unfailed = True  # grows by one with each fast success until the first failure
         self.in_flight = 0
         self.heard_at, self.pulse = 0, 0.0  # the latest answer, and what completions take in the mean
+        self.newest = 0  # the latest start of a call that was completed
         self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
         self.decreased_at = -1
         self.breaker = Breaker.CLOSED
@@ -321,6 +322,7 @@
 
     def succeed(self, shot: Shot, took: int) -> None:
         now = self.succeeded_at = self.sender.now
+        self.newest = max(self.newest, shot.started)
         self.failures = 0
         self.completed += 1
         self.pulse += GAIN * (took - self.pulse) if self.pulse else took
@@ -658,9 +660,11 @@
         self.answers.shoot(envelope.id, shot.endpoint.id, timeout)
 
     def relieve(self) -> None:
-        """Guards the slots against answers that never come: with none free, an overdue call is called off."""
+        """Guards the slots against answers that never come: with no slot free, a call is called off that one
+        sent long after it overtook. A slowed destination's calls are not: they come on in their order."""
         for shot in self.out:
-            if self.terms.may_withdraw and 2 * shot.usual < self.now - shot.started and not shot.called_off:
+            overtaken = shot.gate.newest > shot.started + shot.usual
+            if overtaken and self.terms.may_withdraw and not shot.called_off:
                 shot.called_off = True
                 for envelope in shot.envelopes:
                     if envelope.shot is shot:
