--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -192,8 +192,7 @@
         self.limit, self.fast = 1, 0
         self.unfailed = True  # grows by one with each fast success until the first failure
         self.in_flight = 0
-        self.heard_at = self.sent_at = 0  # the latest answer and call
-        self.pulse = 0.0  # what completions take in the mean
+        self.heard_at, self.pulse = 0, 0.0  # the latest answer, and what completions take in the mean
         self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
         self.decreased_at = -1
         self.breaker = Breaker.CLOSED
@@ -221,12 +220,8 @@
             due = max(self.open_until, self.holds[-1] if self.holds else 0)
             if now < due:
                 return due
-        elif self.in_flight + len(self.holds) >= self.limit:
+        elif self.in_flight + len(self.holds) >= (1 if self.silent(now) else self.limit):
             return self.holds[0] if self.holds else 0
-        quiet = int(max(SILENCE, SILENCE_TIMES * self.pulse))
-        if self.in_flight and max(self.heard_at, self.sent_at) + quiet > now > self.heard_at + quiet:
-            # Guards the slots where a destination hangs or slows: without an answer, one call after another.
-            return self.sent_at + quiet
         if self.recovering(now):
             guarded = self.guard.due(now, self.allowance(now), 1.0)
             if guarded:
@@ -234,6 +229,10 @@
         most = max(1.0, PACE_BURST * self.told * self.share)
         return self.paced.due(now, self.pace, most) if self.pace else None
 
+    def silent(self, now: int) -> bool:
+        """Guards the slots where a destination hangs or slows: no answer for long, then one at a time."""
+        return self.in_flight > 0 and now - self.heard_at > max(SILENCE, SILENCE_TIMES * self.pulse)
+
     def tell(self, told: Told | None) -> None:
         """What an answer told of the limit: noisy, and a little old."""
         if told:
@@ -259,7 +258,6 @@
     def sent(self, shot: Shot) -> None:
         if not self.in_flight:
             self.heard_at = self.sender.now
-        self.sent_at = self.sender.now
         self.in_flight += 1
         shot.endpoint.in_flight += 1
         self.sender.out[shot] = None
