--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -436,7 +436,8 @@
         sender = self.sender
         for gate in self.gates():
             while any(self.fresh) or any(self.late):
-                if len(sender.out) >= sender.terms.slots:
+                # The cap is three quarters of what others leave: slow destinations leave room for the rest.
+                if gate.in_flight >= 3 * (sender.terms.slots - len(sender.out)):
                     sender.dirty[self] = None
                     return sender.relieve()
                 opens_at = gate.opens_at(sender.now)
