--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -660,7 +660,7 @@
 
     def relieve(self) -> None:
         """Guards the slots against answers that never come: with none free, an overdue call is called off."""
-        for shot in self.out if len(self.out) >= self.terms.slots else ():
+        for shot in self.out:
             if self.terms.may_withdraw and shot.usual < self.now - shot.started and not shot.called_off:
                 shot.called_off = True
                 for envelope in shot.envelopes:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -141,6 +141,7 @@
 
     def withdraw(self, envelope: int, shot: int) -> None:
         assert shot < self.held[envelope].shots
+        self.seen.append(f"withdrawn {self.name(envelope)}")
 
     def probe(self, endpoint: str) -> None:
         assert self.terms.may_probe and self.now >= self.waits.get(self.route(endpoint), 0)
