--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -39,8 +39,6 @@
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 BAD_GAIN = 0.2  # weight of one more answer in the share of bad ones
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
-SILENCE = 1 * SECOND  # so long without any answer, or so many mean times, and a destination may hang
-SILENCE_TIMES = 3
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
 
@@ -192,7 +190,6 @@
         self.limit, self.fast = 1, 0
         self.unfailed = True  # grows by one with each fast success until the first failure
         self.in_flight = 0
-        self.heard_at, self.pulse = 0, 0.0  # the latest answer, and what completions take in the mean
         self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
         self.decreased_at = -1
         self.breaker = Breaker.CLOSED
@@ -220,7 +217,7 @@
             due = max(self.open_until, self.holds[-1] if self.holds else 0)
             if now < due:
                 return due
-        elif self.in_flight + len(self.holds) >= (1 if self.silent(now) else self.limit):
+        elif self.in_flight + len(self.holds) >= self.limit:
             return self.holds[0] if self.holds else 0
         if self.recovering(now):
             guarded = self.guard.due(now, self.allowance(now), 1.0)
@@ -229,10 +226,6 @@
         most = max(1.0, PACE_BURST * self.told * self.share)
         return self.paced.due(now, self.pace, most) if self.pace else None
 
-    def silent(self, now: int) -> bool:
-        """Guards the slots where a destination hangs or slows: no answer for long, then one at a time."""
-        return self.in_flight > 0 and now - self.heard_at > max(SILENCE, SILENCE_TIMES * self.pulse)
-
     def tell(self, told: Told | None) -> None:
         """What an answer told of the limit: noisy, and a little old."""
         if told:
@@ -256,8 +249,6 @@
         return self.ailing or now < self.warm_from + self.sender.terms.ramp_time
 
     def sent(self, shot: Shot) -> None:
-        if not self.in_flight:
-            self.heard_at = self.sender.now
         self.in_flight += 1
         shot.endpoint.in_flight += 1
         self.sender.out[shot] = None
@@ -280,8 +271,6 @@
     def judge(self, shot: Shot, ending: Ending, took: int) -> None:
         """The outcome table of the paper, and its probe table."""
         now = self.sender.now
-        if ending is not Ending.TIMED_OUT:
-            self.heard_at = now
         if ending is Ending.COMPLETED:
             self.succeed(shot, took)
         elif ending not in LOAD_SIGNS:
@@ -323,7 +312,6 @@
         now = self.succeeded_at = self.sender.now
         self.failures = 0
         self.completed += 1
-        self.pulse += GAIN * (took - self.pulse) if self.pulse else took
         self.bad -= BAD_GAIN * self.bad
         if self.told:
             self.set_pace(self.pace + PACE_GROWTH * (self.share - KEPT_BACK))
