--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -38,7 +38,6 @@
 MUCH_LEFT = 0.5  # refused with so much of the limit left: a shut destination, not the limit
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 BAD_GAIN = 0.2  # weight of one more answer in the share of bad ones
-RISKY = 0.25  # at this share of bad answers once-only envelopes wait; less costs time, more costs envelopes
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
 CAUTION = 0.7  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
@@ -405,7 +404,6 @@
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
         now, best, best_rank = self.sender.now, None, (False, 0.0, 0.0)
-        risky = endpoint.gate.bad >= RISKY
         waiting = sum(map(len, self.fresh))
         drained = int(SECOND * max(1.0, waiting / max(1.0, self.gate.rate)))
         for queue in (*self.fresh, *map(reversed, self.late)):
@@ -413,8 +411,6 @@
                 bound = envelope.ran_since is not None and not envelope.track.terms.whole_group
                 if bound and envelope.ran_zone != endpoint.zone:
                     continue
-                if risky and envelope.track.terms.repeat is Repeat.ONCE_ONLY:
-                    break  # an error would end it: others try first, and the share of bad answers fades
                 age = envelope.age(now) + self.expected(envelope.track)
                 payoff = envelope.track.payoff_at(age)
                 loss = payoff - envelope.track.payoff_at(age + drained)
