--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -39,7 +39,7 @@
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 BAD_GAIN = 0.2  # weight of one more answer in the share of bad ones
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
-CAUTION = 0.7  # share used of what the rule on returning destinations allows
+CAUTION = 0.9  # share used of what the rule on returning destinations allows
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
 
 
