--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -173,8 +172,6 @@
 
 
 class Breaker(Enum):
-    """The breaker of a gate."""
-
     CLOSED = "closed"
     OPEN = "open"
     PROBING = "probing"
@@ -219,12 +216,10 @@
                 return due
         elif self.in_flight + len(self.holds) >= self.limit:
             return self.holds[0] if self.holds else 0
-        if self.recovering(now):
-            guarded = self.guard.due(now, self.allowance(now), 1.0)
-            if guarded:
-                return guarded
-        most = max(1.0, PACE_BURST * self.told * self.share)
-        return self.paced.due(now, self.pace, most) if self.pace else None
+        guarded = self.guard.due(now, self.allowance(now), 1.0) if self.recovering(now) else None
+        if guarded or not self.pace:
+            return guarded
+        return self.paced.due(now, self.pace, max(1.0, PACE_BURST * self.told * self.share))
 
     def tell(self, told: Told | None) -> None:
         """What an answer told of the limit: noisy, and a little old."""
@@ -270,22 +265,17 @@
 
     def judge(self, shot: Shot, ending: Ending, took: int) -> None:
         """The outcome table of the paper, and its probe table."""
-        now = self.sender.now
         if ending is Ending.COMPLETED:
             self.succeed(shot, took)
-        elif ending not in LOAD_SIGNS:
-            if shot.probe:  # dropped: the period is over already, and the next waiter probes
-                self.breaker = Breaker.OPEN
+        elif ending not in LOAD_SIGNS:  # a dropped probe: the period is over already, the next waiter probes
+            self.breaker = Breaker.OPEN if shot.probe else self.breaker
         elif shot.probe or not self.excused(shot, ending, took):
             if shot.probe:
-                self.failures += 1
-                self.reopened += 1
+                self.failures, self.reopened = self.failures + 1, self.reopened + 1
                 self.open(ending)
             elif self.breaker is Breaker.CLOSED and shot.started >= self.decreased_at:
-                self.unfailed = False
-                self.limit //= 2
-                self.fast = 0
-                self.decreased_at = now
+                self.limit, self.fast, self.unfailed = self.limit // 2, 0, False
+                self.decreased_at = self.sender.now
                 if not self.limit:
                     self.open(ending)
             if not self.ailing and self.failing():
@@ -373,6 +363,10 @@
     def timeout(self, track: Track) -> int:
         return max(LEAST_TIMEOUT, self.usual(track)) * PATIENCE[track.terms.repeat]
 
+    def needed(self) -> bool:
+        waits = max((endpoint.gate.wait_until for endpoint in self.known.values()), default=0)
+        return bool(self.endpoints or self.owed or self.sender.now < waits)
+
     def gates(self) -> list[Gate]:
         return [endpoint.gate for endpoint in self.endpoints] if self.apart else [self.gate]
 
@@ -384,11 +378,9 @@
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
             endpoint = self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate)
         endpoint.gate.listed = row.rate * LISTED_WORTH[self.sender.terms.listed]
-        if row.presence is Presence.LISTED:
-            if endpoint not in self.endpoints:
-                self.endpoints.append(endpoint)
-        elif endpoint in self.endpoints:
-            self.endpoints.remove(endpoint)
+        others = [e for e in self.endpoints if e is not endpoint]
+        self.endpoints = [endpoint, *others] if row.presence is Presence.LISTED else others
+        self.rank()
 
     def rank(self) -> None:
         """Well and quick first; the ids decide between equals, so that equal news gives equal answers."""
@@ -480,15 +472,14 @@
         self.now = now
         if self.ranked_at < 0:
             self.ranked_at = now
-            self.answers.wake(now + RERANK_EVERY, "rank")
+            self.rank()
 
     def close_turn(self) -> None:
         dirty, self.dirty = self.dirty, {}
         for destination in dirty:
             destination.pump()
 
-    def listed(self, rows: Iterable[Listing], whole: bool) -> None:
-        rows = list(rows)
+    def listed(self, rows: list[Listing], whole: bool) -> None:
         if whole:
             named = {row.endpoint for row in rows}
             for destination in self.destinations.values():
@@ -496,7 +487,6 @@
         for row in rows:
             destination = self.destination(row.destination)
             destination.listed(row)
-            destination.rank()
             self.dirty[destination] = None
 
     def destination(self, number: int) -> Destination:
@@ -582,21 +572,24 @@
 
     def woken(self, token: str) -> None:
         if token == "rank":
-            self.destinations = {n: d for n, d in self.destinations.items() if d.endpoints or d.owed}
-            for destination in self.destinations.values():
-                destination.rank()
-                for gate in destination.gates():
-                    gate.measure(self.now - self.ranked_at)
-            self.ranked_at = self.now
-            self.answers.wake(self.now + RERANK_EVERY, "rank")
-        elif token[0] == "d":
-            if int(token[1:]) in self.destinations:
-                self.dirty[self.destinations[int(token[1:])]] = None
-        elif token[0] == "k":
-            if int(token[1:]) in self.lines:
-                self.advance(self.lines[int(token[1:])])
-        elif (envelope := self.envelopes.get(int(token[1:]))) is not None and envelope.state is State.HELD:
-            self.review(envelope)
+            return self.rank()
+        kind, number = token[0], int(token[1:])
+        if kind == "d" and number in self.destinations:
+            self.dirty[self.destinations[number]] = None
+        elif kind == "k" and number in self.lines:
+            self.advance(self.lines[number])
+        elif kind == "e" and number in self.envelopes and self.envelopes[number].state is State.HELD:
+            self.review(self.envelopes[number])
+
+    def rank(self) -> None:
+        """Ranks the endpoints anew, measures the gates, and drops what is done with."""
+        self.destinations = {n: d for n, d in self.destinations.items() if d.needed()}
+        for destination in self.destinations.values():
+            destination.rank()
+            for gate in destination.gates():
+                gate.measure(self.now - self.ranked_at)
+        self.ranked_at = self.now
+        self.answers.wake(self.now + RERANK_EVERY, "rank")
 
     def move(self, envelope: Envelope, state: State) -> None:
         """Every change of an envelope's state."""
