--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -354,11 +354,10 @@
         return int(self.times[track.index].mean)
 
     def usual(self, track: Track) -> int:
-        """What nearly all calls of the track take here, by its own times or else by those of all."""
-        for times, wide in ((self.times[track.index], 1), (self.sender.times, 2)):
-            if times.count >= IGNORANT:
-                return int(times.mean + STRETCH * times.deviation) * wide
-        return track.terms.promised
+        """What nearly all calls of the track take here, or its promised time while that is not known."""
+        times = self.times[track.index]
+        known = times.count >= IGNORANT
+        return int(times.mean + STRETCH * times.deviation) if known else track.terms.promised
 
     def timeout(self, track: Track) -> int:
         return max(LEAST_TIMEOUT, self.usual(track)) * PATIENCE[track.terms.repeat]
@@ -459,7 +458,6 @@
         self.terms = terms
         self.answers = answers
         self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
-        self.times = Times()  # over all destinations, where one is not yet known
         self.now = 0
         self.out: dict[Shot, None] = {}  # calls out, oldest first
         self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
@@ -522,7 +520,6 @@
         self.hear(shot, destination, ending, wait, took)
         if ending is Ending.COMPLETED:
             destination.times[track.index].learn(took)
-            self.times.learn(took)
         if envelope.line and ending in MAY_RUN_ON:
             envelope.line.rest_until = self.now + self.terms.key_rest
         if ending not in PROVES_UNRUN and envelope.ran_since is None:
