--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -56,11 +56,9 @@
     State.OUT: (State.HELD, State.LEFT, State.OVER),
     State.LEFT: (State.OVER,),
 }
-ANSWERED_BADLY = (Ending.ERROR, Ending.RESET)
 PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
 LOAD_SIGNS = (Ending.ERROR, Ending.FULL, Ending.TIMED_OUT, Ending.NO_CONNECTION, Ending.RESET)
 LISTED_WORTH = {Listed.NOTHING: 0.0, Listed.ROUGH: 0.67, Listed.EXACT: 1.0}  # what can be relied on
-MAY_RUN_ON = (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN)
 
 
 @dataclass(frozen=True)
@@ -71,14 +69,6 @@
     terms: TrackTerms
     decays: bool
 
-    def payoff_at(self, age: int) -> float:
-        """What an envelope of this age earns if it is completed now."""
-        terms, late = self.terms, age - self.terms.promised
-        if late <= 0 or age >= terms.cutoff:
-            return terms.payoff if late <= 0 else 0.0
-        line = 1 - (1 - terms.late_share) * late / (terms.cutoff - terms.promised)
-        return terms.payoff * max(terms.late_share, 0.5 ** (late / terms.promised) if self.decays else line)
-
 
 @dataclass(eq=False)
 class Line:
@@ -121,13 +111,19 @@
     ran_since: int | None = None  # start of the first shot that may have run
     ran_zone: int = 0
 
-    def age(self, now: int) -> int:
-        return now - self.cutoff_at + self.track.terms.cutoff
-
     @property
     def promise_at(self) -> int:
         return self.cutoff_at - self.track.terms.cutoff + self.track.terms.promised
 
+    def payoff_at(self, when: int) -> float:
+        """What it earns if it is completed then."""
+        terms, late = self.track.terms, when - self.promise_at
+        if late <= 0 or when >= self.cutoff_at:
+            return terms.payoff if late <= 0 else 0.0
+        line = 1 - (1 - terms.late_share) * late / (terms.cutoff - terms.promised)
+        halves = 0.5 ** (late / terms.promised)
+        return terms.payoff * max(terms.late_share, halves if self.track.decays else line)
+
 
 @dataclass(eq=False)
 class Times:
@@ -166,8 +162,7 @@
 
     def due(self, now: int, rate: float, most: float) -> int | None:
         """None if a call may go now, else when it may."""
-        self.tokens = min(most, self.tokens + (now - self.at) * rate / SECOND)
-        self.at = now
+        self.tokens, self.at = min(most, self.tokens + (now - self.at) * rate / SECOND), now
         return None if self.tokens >= 1 else now + int((1 - self.tokens) * SECOND / rate) + 1
 
 
@@ -181,8 +176,7 @@
     """The ADR 0122 gate: limit, fast count, holds, latest decrease and breaker, of a destination or route."""
 
     def __init__(self, sender: Sender, name: str) -> None:
-        self.sender = sender
-        self.name = name
+        self.sender, self.name = sender, name
         self.cap = max(1, sender.terms.slots * 3 // 4)
         self.limit, self.fast = 1, 0
         self.unfailed = True  # grows by one with each fast success until the first failure
@@ -250,8 +244,7 @@
         self.guard.tokens = max(0.0, self.guard.tokens - 1)
         self.paced.tokens -= 1
         if self.breaker is Breaker.OPEN:
-            self.breaker = Breaker.PROBING
-            shot.probe = True
+            self.breaker, shot.probe = Breaker.PROBING, True
 
     def freed(self, shot: Shot, ending: Ending) -> None:
         self.in_flight -= 1
@@ -293,15 +286,17 @@
                 self.set_pace(self.pace * PACE_CUT)
                 self.pace_cut_at = self.sender.now
             return True
-        if ending in ANSWERED_BADLY:  # one failure among successes: halving at each ends near one at a time
+        if ending in (
+            Ending.ERROR,
+            Ending.RESET,
+        ):  # one failure among successes: halving at each ends near one at a time
             self.bad += BAD_GAIN * (1 - self.bad)
             return self.bad < MOSTLY_BAD
         return ending is Ending.TIMED_OUT and took < shot.timeout  # the envelope's own end came first
 
     def succeed(self, shot: Shot, took: int) -> None:
         now = self.succeeded_at = self.sender.now
-        self.failures = 0
-        self.completed += 1
+        self.failures, self.completed = 0, self.completed + 1
         self.bad -= BAD_GAIN * self.bad
         if self.told:
             self.set_pace(self.pace + PACE_GROWTH * (self.share - KEPT_BACK))
@@ -336,14 +331,12 @@
     """One destination. Dropped when it has neither endpoints nor envelopes."""
 
     def __init__(self, sender: Sender, number: int) -> None:
-        self.sender = sender
-        self.number = number
+        self.sender, self.number = sender, number
         self.known: dict[str, Endpoint] = {}  # every endpoint ever listed; goes with the destination
         self.endpoints: list[Endpoint] = []  # those listed, in ranked order
         self.owed = 0  # envelopes
         self.gate = Gate(sender, f"destination {number}")
-        self.apart = False
-        self.per_call = 1
+        self.apart, self.per_call = False, 1
         self.times = [Times() for _ in sender.tracks]
         # Envelopes held, by track, in order of arrival: within the promised time, and past it.
         self.fresh: list[OrderedDict[Envelope, None]] = [OrderedDict() for _ in sender.tracks]
@@ -354,10 +347,11 @@
         return int(self.times[track.index].mean)
 
     def usual(self, track: Track) -> int:
-        """What nearly all calls of the track take here, or its promised time while that is not known."""
-        times = self.times[track.index]
-        known = times.count >= IGNORANT
-        return int(times.mean + STRETCH * times.deviation) if known else track.terms.promised
+        """What nearly all calls of the track take here, by its own times or else by those of all."""
+        for times, wide in ((self.times[track.index], 1), (self.sender.times, 2)):
+            if times.count >= IGNORANT:
+                return int(times.mean + STRETCH * times.deviation) * wide
+        return track.terms.promised
 
     def timeout(self, track: Track) -> int:
         return max(LEAST_TIMEOUT, self.usual(track)) * PATIENCE[track.terms.repeat]
@@ -372,10 +366,10 @@
     def listed(self, row: Listing) -> None:
         kind = self.sender.terms.kinds[row.kind]
         self.apart, self.per_call = kind.apart, kind.per_call
-        endpoint = self.known.get(row.endpoint)
-        if endpoint is None:
+        if row.endpoint not in self.known:
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
-            endpoint = self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate)
+            self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate)
+        endpoint = self.known[row.endpoint]
         endpoint.gate.listed = row.rate * LISTED_WORTH[self.sender.terms.listed]
         others = [e for e in self.endpoints if e is not endpoint]
         self.endpoints = [endpoint, *others] if row.presence is Presence.LISTED else others
@@ -395,17 +389,15 @@
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
         now, best, best_rank = self.sender.now, None, (False, 0.0, 0.0)
-        waiting = sum(map(len, self.fresh))
-        drained = int(SECOND * max(1.0, waiting / max(1.0, self.gate.rate)))
+        drained = int(SECOND * max(1.0, sum(map(len, self.fresh)) / max(1.0, self.gate.rate)))
         for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
                 bound = envelope.ran_since is not None and not envelope.track.terms.whole_group
                 if bound and envelope.ran_zone != endpoint.zone:
                     continue
-                age = envelope.age(now) + self.expected(envelope.track)
-                payoff = envelope.track.payoff_at(age)
-                loss = payoff - envelope.track.payoff_at(age + drained)
-                rank = (age <= envelope.track.terms.promised, loss, payoff)
+                then = now + self.expected(envelope.track)
+                payoff = envelope.payoff_at(then)
+                rank = (then <= envelope.promise_at, payoff - envelope.payoff_at(then + drained), payoff)
                 if best is None or rank > best_rank:
                     best, best_rank = envelope, rank
                 break
@@ -446,18 +438,17 @@
 
     def come_back(self) -> int:
         """When a bounced envelope may find room: after what keeps the gate shut."""
-        opens_at = self.gate.open_until if self.gate.breaker is Breaker.OPEN else 0
-        shut = max(self.gate.wait_until, opens_at) - self.sender.now
-        return min(self.sender.terms.longest_wait, max(COME_BACK, shut))
+        opens_at = max(self.gate.wait_until, self.gate.open_until)
+        return min(self.sender.terms.longest_wait, max(COME_BACK, opens_at - self.sender.now))
 
 
 class Sender:
     """One instance: knows only what it was told since it started."""
 
     def __init__(self, terms: Terms, answers: Answers) -> None:
-        self.terms = terms
-        self.answers = answers
+        self.terms, self.answers = terms, answers
         self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
+        self.times = Times()  # over all destinations, where one is not yet known
         self.now = 0
         self.out: dict[Shot, None] = {}  # calls out, oldest first
         self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
@@ -488,10 +479,9 @@
             self.dirty[destination] = None
 
     def destination(self, number: int) -> Destination:
-        destination = self.destinations.get(number)
-        if destination is None:
-            destination = self.destinations[number] = Destination(self, number)
-        return destination
+        if number not in self.destinations:
+            self.destinations[number] = Destination(self, number)
+        return self.destinations[number]
 
     def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
         row = self.tracks[track]
@@ -513,14 +503,14 @@
             return
         shot, destination, track = envelope.shot, envelope.destination, envelope.track
         envelope.shot = None
-        if shot.called_off and ending is Ending.WITHDRAWN:
-            ending = Ending.TIMED_OUT
+        ending = Ending.TIMED_OUT if shot.called_off and ending is Ending.WITHDRAWN else ending
         took = self.now - shot.started
         shot.gate.tell(told)
         self.hear(shot, destination, ending, wait, took)
         if ending is Ending.COMPLETED:
             destination.times[track.index].learn(took)
-        if envelope.line and ending in MAY_RUN_ON:
+            self.times.learn(took)
+        if envelope.line and ending in (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN):
             envelope.line.rest_until = self.now + self.terms.key_rest
         if ending not in PROVES_UNRUN and envelope.ran_since is None:
             envelope.ran_since, envelope.ran_zone = shot.started, shot.endpoint.zone
@@ -543,20 +533,18 @@
                 endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
             if ending in LOAD_SIGNS or ending is Ending.COMPLETED:
                 endpoint.failing += GAIN * ((ending is not Ending.COMPLETED) - endpoint.failing)
-        if wait and self.now + wait > gate.wait_until:
-            gate.wait_until = self.now + wait
+        gate.wait_until = max(gate.wait_until, self.now + wait)
         if not shot.unheard:
             gate.freed(shot, ending)
         self.dirty[destination] = None
 
     def may_repeat(self, envelope: Envelope) -> bool:
         """A further shot: harmless for the track, and with time left to succeed."""
-        expected = envelope.destination.expected(envelope.track)
+        expected, repeat = envelope.destination.expected(envelope.track), envelope.track.terms.repeat
         if envelope.cutoff_at - self.now <= expected or envelope.shots >= self.terms.most_shots > 0:
             return False
-        if envelope.ran_since is None or envelope.track.terms.repeat is Repeat.REPEATABLE:
-            return True
-        return envelope.track.terms.repeat is Repeat.TAGGED and self.now < self.window_end(envelope)
+        in_window = repeat is Repeat.TAGGED and self.now < self.window_end(envelope)
+        return envelope.ran_since is None or repeat is Repeat.REPEATABLE or in_window
 
     def window_end(self, envelope: Envelope) -> int:
         """The last moment to send a tagged envelope again; a connection may have to be made on the way."""
@@ -649,9 +637,8 @@
 
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
-        harmless = envelope.ran_since is None or envelope.track.terms.repeat is Repeat.REPEATABLE
         self.move(envelope, State.OVER)
-        if harmless:
+        if envelope.ran_since is None or envelope.track.terms.repeat is Repeat.REPEATABLE:
             self.answers.bounce(envelope.id, envelope.destination.come_back())
         else:
             self.answers.abort(envelope.id)
