--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -39,6 +39,7 @@
 BAD_GAIN = 0.2  # weight of one more answer in the share of bad ones
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
 CAUTION = 0.9  # share used of what the rule on returning destinations allows
+ROOM_USED = 0.9  # past this part of the room late envelopes give way; less gives up more, more turns away new
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
 
 
@@ -488,6 +489,8 @@
         destination = self.destination(number)
         envelope = Envelope(id_, destination, row, self.now + left)
         self.envelopes[id_] = envelope
+        if len(self.envelopes) > ROOM_USED * self.terms.room > 0:
+            self.make_room()
         destination.owed += 1
         if row.terms.ordered and key is not None:
             line = envelope.line = self.lines.setdefault(key, Line(key))
@@ -635,6 +638,13 @@
                         self.answers.withdraw(envelope.id, envelope.shots - 1)
                 return
 
+    def make_room(self) -> None:
+        """Guards the others against a destination whose queue fills the room: its least late one gives way."""
+        longest = max(self.destinations.values(), key=lambda d: sum(map(len, d.late)))
+        oldest = [next(iter(queue)) for queue in longest.late if queue]
+        if oldest:
+            self.give_up(min(oldest, key=lambda envelope: envelope.payoff_at(self.now)))
+
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
         self.move(envelope, State.OVER)
