--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ashpath.door import Answers, Ending, Listed, Listing, Presence, Repeat, Terms, Told, TrackTerms
+from ashpath.door import Answers, Ending, Listing, Presence, Repeat, Terms, Told, TrackTerms
 
 SECOND = 1_000_000
 
@@ -59,7 +59,6 @@
 }
 PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
 LOAD_SIGNS = (Ending.ERROR, Ending.FULL, Ending.TIMED_OUT, Ending.NO_CONNECTION, Ending.RESET)
-LISTED_WORTH = {Listed.NOTHING: 0.0, Listed.ROUGH: 0.67, Listed.EXACT: 1.0}  # what can be relied on
 
 
 @dataclass(frozen=True)
@@ -195,7 +194,6 @@
         self.failures = 0  # in a row
         self.ailing, self.warm_from, self.guard = False, -sender.terms.ramp_time, Bucket()
         self.completed, self.rate = 0, 0.0  # completions, and the most of them a second while well
-        self.listed = 0.0  # what the directory says the destination takes from all senders
 
     def opens_at(self, now: int) -> int | None:
         """None if a call may go now, else the time to look again (0: an outcome will tell)."""
@@ -231,7 +229,7 @@
         terms = self.sender.terms
         warm = 0.0 if self.ailing else min(1.0, (now - self.warm_from) / max(1, terms.ramp_time))
         present = terms.cold_share + (1 - terms.cold_share) * warm
-        known = max(self.rate, max(self.told, self.listed) / terms.senders, 1.0)
+        known = max(self.rate, self.told / terms.senders, 1.0)
         return CAUTION * terms.fall_multiple * present * known
 
     def recovering(self, now: int) -> bool:
@@ -371,7 +369,6 @@
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
             self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate)
         endpoint = self.known[row.endpoint]
-        endpoint.gate.listed = row.rate * LISTED_WORTH[self.sender.terms.listed]
         others = [e for e in self.endpoints if e is not endpoint]
         self.endpoints = [endpoint, *others] if row.presence is Presence.LISTED else others
         self.rank()
