--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -103,17 +103,13 @@
     destination: Destination
     track: Track
     cutoff_at: int
+    promise_at: int
     state: State = State.HELD
     queue: OrderedDict[Envelope, None] | None = None
     line: Line | None = None
     shots: int = 0
     shot: Shot | None = None
-    ran_since: int | None = None  # start of the first shot that may have run
-    ran_zone: int = 0
-
-    @property
-    def promise_at(self) -> int:
-        return self.cutoff_at - self.track.terms.cutoff + self.track.terms.promised
+    ran: Shot | None = None  # the first shot that may have run
 
     def payoff_at(self, when: int) -> float:
         """What it earns if it is completed then."""
@@ -252,43 +248,39 @@
         if ending is Ending.TIMED_OUT:
             self.holds.append(self.sender.now + HOLD)
 
-    def failing(self) -> bool:
-        return self.failures >= RUN_OF_FAILURES and self.sender.now - self.succeeded_at > SHUT_AFTER
-
     def judge(self, shot: Shot, ending: Ending, took: int) -> None:
         """The outcome table of the paper, and its probe table."""
         if ending is Ending.COMPLETED:
-            self.succeed(shot, took)
-        elif ending not in LOAD_SIGNS:  # a dropped probe: the period is over already, the next waiter probes
+            return self.succeed(shot, took)
+        if ending not in LOAD_SIGNS:  # a dropped probe: the period is over already, the next waiter probes
             self.breaker = Breaker.OPEN if shot.probe else self.breaker
-        elif shot.probe or not self.excused(shot, ending, took):
-            if shot.probe:
-                self.failures, self.reopened = self.failures + 1, self.reopened + 1
+            return
+        excused = self.excused(shot, ending, took)
+        if shot.probe:
+            self.reopened += 1
+            self.open(ending)
+        elif self.breaker is Breaker.CLOSED and shot.started >= self.decreased_at and not excused:
+            self.limit, self.fast, self.unfailed = self.limit // 2, 0, False
+            self.decreased_at = self.sender.now
+            if not self.limit:
                 self.open(ending)
-            elif self.breaker is Breaker.CLOSED and shot.started >= self.decreased_at:
-                self.limit, self.fast, self.unfailed = self.limit // 2, 0, False
-                self.decreased_at = self.sender.now
-                if not self.limit:
-                    self.open(ending)
-            if not self.ailing and self.failing():
-                self.ailing = True
-                self.log(f"ailing: {self.failures} failures, last {ending.value}")
 
     def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
         """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
         limited = ending is Ending.FULL and self.told > 0
         if not limited or self.share >= MUCH_LEFT:
             self.failures += 1
-        if limited and not self.failing():  # the rate explains it: it cuts the pace, once per burst
+        run = self.failures >= RUN_OF_FAILURES and self.sender.now - self.succeeded_at > SHUT_AFTER
+        if run and not self.ailing:
+            self.ailing = True
+            self.log(f"ailing: {self.failures} failures, last {ending.value}")
+        if limited and not run:  # the rate explains it: it cuts the pace, once per burst
             self.paced.tokens = 0.0
             if shot.started >= self.pace_cut_at:
                 self.set_pace(self.pace * PACE_CUT)
                 self.pace_cut_at = self.sender.now
             return True
-        if ending in (
-            Ending.ERROR,
-            Ending.RESET,
-        ):  # one failure among successes: halving at each ends near one at a time
+        if ending in (Ending.ERROR, Ending.RESET):  # one failure among successes is no load
             self.bad += BAD_GAIN * (1 - self.bad)
             return self.bad < MOSTLY_BAD
         return ending is Ending.TIMED_OUT and took < shot.timeout  # the envelope's own end came first
@@ -390,9 +382,9 @@
         drained = int(SECOND * max(1.0, sum(map(len, self.fresh)) / max(1.0, self.gate.rate)))
         for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
-                bound = envelope.ran_since is not None and not envelope.track.terms.whole_group
-                if bound and envelope.ran_zone != endpoint.zone:
-                    continue
+                ran, anywhere = envelope.ran, envelope.track.terms.whole_group
+                if ran and not anywhere and ran.endpoint.zone != endpoint.zone:
+                    continue  # a repeat would not be recognised there
                 then = now + self.expected(envelope.track)
                 payoff = envelope.payoff_at(then)
                 rank = (then <= envelope.promise_at, payoff - envelope.payoff_at(then + drained), payoff)
@@ -456,9 +448,8 @@
         self.ranked_at = -1
 
     def open_turn(self, now: int) -> None:
-        self.now = now
-        if self.ranked_at < 0:
-            self.ranked_at = now
+        first, self.now = self.ranked_at < 0, now
+        if first:
             self.rank()
 
     def close_turn(self) -> None:
@@ -484,7 +475,8 @@
     def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
         row = self.tracks[track]
         destination = self.destination(number)
-        envelope = Envelope(id_, destination, row, self.now + left)
+        born = self.now + left - row.terms.cutoff
+        envelope = Envelope(id_, destination, row, self.now + left, born + row.terms.promised)
         self.envelopes[id_] = envelope
         if len(self.envelopes) > ROOM_USED * self.terms.room > 0:
             self.make_room()
@@ -512,8 +504,7 @@
             self.times.learn(took)
         if envelope.line and ending in (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN):
             envelope.line.rest_until = self.now + self.terms.key_rest
-        if ending not in PROVES_UNRUN and envelope.ran_since is None:
-            envelope.ran_since, envelope.ran_zone = shot.started, shot.endpoint.zone
+        envelope.ran = envelope.ran or (None if ending in PROVES_UNRUN else shot)
         if closed or ending is Ending.COMPLETED or envelope.state is State.LEFT:
             self.move(envelope, State.OVER)
         elif self.may_repeat(envelope):
@@ -544,11 +535,12 @@
         if envelope.cutoff_at - self.now <= expected or envelope.shots >= self.terms.most_shots > 0:
             return False
         in_window = repeat is Repeat.TAGGED and self.now < self.window_end(envelope)
-        return envelope.ran_since is None or repeat is Repeat.REPEATABLE or in_window
+        return envelope.ran is None or repeat is Repeat.REPEATABLE or in_window
 
     def window_end(self, envelope: Envelope) -> int:
         """The last moment to send a tagged envelope again; a connection may have to be made on the way."""
-        return (envelope.ran_since or 0) + envelope.track.terms.window - self.terms.connect_time
+        started = envelope.ran.started if envelope.ran else self.now
+        return started + envelope.track.terms.window - self.terms.connect_time
 
     def gone(self, id_: int) -> None:
         envelope = self.envelopes.get(id_)
@@ -606,7 +598,7 @@
         expected, at = envelope.destination.expected(envelope.track), envelope.promise_at
         if at - expected <= self.now:
             at = envelope.cutoff_at
-            if envelope.ran_since is not None and envelope.track.terms.repeat is Repeat.TAGGED:
+            if envelope.ran and envelope.track.terms.repeat is Repeat.TAGGED:
                 at = min(at, self.window_end(envelope) + expected)
         self.answers.wake(max(self.now, at - expected), f"e{envelope.id}")
 
@@ -619,8 +611,7 @@
         self.queue(envelope)
 
     def shoot(self, envelope: Envelope, shot: Shot) -> None:
-        envelope.shot = shot
-        envelope.shots += 1
+        envelope.shot, envelope.shots = shot, envelope.shots + 1
         shot.unheard += 1
         timeout = min(shot.timeout, envelope.cutoff_at - self.now)
         self.answers.shoot(envelope.id, shot.endpoint.id, timeout)
@@ -636,7 +627,7 @@
                 return
 
     def make_room(self) -> None:
-        """Guards the others against a destination whose queue fills the room: its least late one gives way."""
+        """Guards the rest against a destination whose queue fills the room: its least late one gives way."""
         longest = max(self.destinations.values(), key=lambda d: sum(map(len, d.late)))
         oldest = [next(iter(queue)) for queue in longest.late if queue]
         if oldest:
@@ -645,7 +636,7 @@
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
         self.move(envelope, State.OVER)
-        if envelope.ran_since is None or envelope.track.terms.repeat is Repeat.REPEATABLE:
+        if envelope.ran is None or envelope.track.terms.repeat is Repeat.REPEATABLE:
             self.answers.bounce(envelope.id, envelope.destination.come_back())
         else:
             self.answers.abort(envelope.id)
--- a/ashpath/door.py
+++ b/ashpath/door.py
@@ -26,14 +26,6 @@
     GONE = "gone"
 
 
-class Listed(Enum):
-    """What the rate in a line of the directory is worth."""
-
-    NOTHING = "no rates are listed"
-    ROUGH = "up to half too high or too low"
-    EXACT = "what the destination takes from all senders together"
-
-
 class Ending(Enum):
     """How a shot ended."""
 
@@ -86,7 +78,6 @@
     tracks: tuple[TrackTerms, ...]
     kinds: tuple[KindTerms, ...]
     decays: bool  # payoff halves with each further promised time; else it falls evenly to the cut-off
-    listed: Listed
     drain_grace: int
     cold_share: float  # a destination has this share of its capacity or more after an outage
     ramp_time: int  # and all of it after this
@@ -104,7 +95,6 @@
     kind: int
     zone: int
     presence: Presence
-    rate: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/ashpath/drill/convert.py
+++ b/ashpath/drill/convert.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from ashpath.door import Ending, KindTerms, Listed, Listing, Presence, Repeat, Terms, TrackTerms
+from ashpath.door import Ending, KindTerms, Listing, Presence, Repeat, Terms, TrackTerms
 
 ENDINGS = {
     "Ok": Ending.COMPLETED,
@@ -18,7 +18,6 @@
 }
 PRESENCES = {"IN": Presence.LISTED, "LAME": Presence.DRAINING, "OUT": Presence.GONE}
 REPEATS = {"retryable": Repeat.REPEATABLE, "dedup": Repeat.TAGGED, "fragile": Repeat.ONCE_ONLY}
-LISTED = {"nominal": Listed.EXACT, "rough": Listed.ROUGH}
 
 
 def micros(milliseconds: float | None) -> int:
@@ -47,7 +46,6 @@
         kind=row.get("hw") or 0,
         zone=row.get("locality") or 0,
         presence=PRESENCES[row.get("availability") or "IN"],
-        rate=row.get("heft") or 0.0,
     )
 
 
@@ -80,7 +78,6 @@
             for i in range(kinds)
         ),
         decays=own.get("loses-worth") == "halves",
-        listed=LISTED.get(facts.get("weight-source") or "", Listed.NOTHING),
         drain_grace=micros(rules.get("drain-grace")),
         cold_share=rules.get("cold-from") or 0.0,
         ramp_time=micros(rules.get("ramp-time")),
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -5,7 +5,7 @@
     terms slots=8 senders=2 ramp=10s          any of the names in `Scene.terms`
     track orders once-only payoff=4 promise=2s cutoff=20s [window=5s] [ordered]
     kind plain | kind apart | kind calls=10
-    at x1 x2 : 7 [kind=0] [rate=5]            endpoints x1 and x2 are destination 7's
+    at x1 x2 : 7 [kind=0]            endpoints x1 and x2 are destination 7's
 
 Then each line is a moment and what happens, or what is expected since the last `expect`:
 
@@ -25,7 +25,6 @@
     Answers,
     Ending,
     KindTerms,
-    Listed,
     Listing,
     Presence,
     Repeat,
@@ -93,7 +92,7 @@
         self.terms = Terms(
             seed=1, number=0, senders=1, slots=8, room=100, most_shots=0, may_probe=False, may_withdraw=True,
             longest_wait=3_000_000, connect_time=500_000, tracks=(), kinds=(), decays=True,
-            listed=Listed.EXACT, drain_grace=500_000, cold_share=0.2, ramp_time=10_000_000,
+            drain_grace=500_000, cold_share=0.2, ramp_time=10_000_000,
             fall_multiple=2.0, fall_time=2_000_000, key_rest=0,
         )  # fmt: skip
 
@@ -239,8 +238,8 @@
             self.kinds.append(KindTerms(apart="apart" in plain, per_call=int(named.get("calls", 1))))
         elif verb == "at":
             for name in plain[: plain.index(":")]:
-                rate, kind = float(named.get("rate", 0)), int(named.get("kind", 0))
-                self.rows[name] = Listing(name, int(plain[-1]), kind, 0, Presence.LISTED, rate)
+                kind = int(named.get("kind", 0))
+                self.rows[name] = Listing(name, int(plain[-1]), kind, 0, Presence.LISTED)
         elif verb == "expect":
             self.expect(" ".join(words[1:]))
         else:
