--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -280,7 +280,7 @@
                 self.set_pace(self.pace * PACE_CUT)
                 self.pace_cut_at = self.sender.now
             return True
-        if ending in (Ending.ERROR, Ending.RESET, Ending.NO_CONNECTION):  # one among successes is no load
+        if ending in (Ending.ERROR, Ending.RESET):  # one failure among successes is no load
             self.bad += BAD_GAIN * (1 - self.bad)
             return self.bad < MOSTLY_BAD
         return ending is Ending.TIMED_OUT and took < shot.timeout  # the envelope's own end came first
