--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -290,7 +290,7 @@
         self.failures, self.completed = 0, self.completed + 1
         self.bad -= BAD_GAIN * self.bad
         if self.told:
-            self.set_pace(self.pace + PACE_GROWTH * (self.share - KEPT_BACK))
+            self.set_pace(self.pace + min(PACE_GROWTH, self.pace / 2) * (self.share - KEPT_BACK))
         if self.ailing:
             self.ailing, self.warm_from = False, now
             self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
