--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -16,7 +16,7 @@
 
 SECOND = 1_000_000
 
-HOLD = 2 * SECOND  # a timed-out call keeps its slot: longer spares the destination, shorter uses it sooner
+HOLD = 5 * SECOND  # a timed-out call keeps its slot: longer spares the destination, shorter uses it sooner
 COOLDOWN = 1 * SECOND  # first pause of an open breaker; doubles with each probe that fails
 COOLDOWN_MAX = 2 * SECOND  # and no further: a longer one finds the return later, a shorter one probes more
 TURN = SECOND // 10  # senders take turns, so far apart, at a destination that has just come back
@@ -495,7 +495,6 @@
             return
         shot, destination, track = envelope.shot, envelope.destination, envelope.track
         envelope.shot = None
-        ending = Ending.TIMED_OUT if shot.called_off and ending is Ending.WITHDRAWN else ending
         took = self.now - shot.started
         shot.gate.tell(told)
         self.hear(shot, destination, ending, wait, took)
