--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -367,7 +367,7 @@
 
     def rank(self) -> None:
         """Well and quick first; the ids decide between equals, so that equal news gives equal answers."""
-        self.endpoints.sort(key=lambda e: (round(e.failing, 1), e.pace, e.id))
+        self.endpoints.sort(key=lambda e: (round(e.failing * 5), e.pace, e.id))
 
     def pick(self, gate: Gate) -> Endpoint | None:
         """Fills the ranked endpoints from the top, each up to its part of the gate's limit."""
@@ -524,8 +524,6 @@
                 endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
             if ending in LOAD_SIGNS or ending is Ending.COMPLETED:
                 endpoint.failing += GAIN * ((ending is not Ending.COMPLETED) - endpoint.failing)
-            if ending in (Ending.NO_CONNECTION, Ending.TIMED_OUT):
-                destination.rank()  # the next call tries another endpoint
         gate.wait_until = max(gate.wait_until, self.now + wait)
         if not shot.unheard:
             gate.freed(shot, ending)
