--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -367,7 +367,7 @@
 
     def rank(self) -> None:
         """Well and quick first; the ids decide between equals, so that equal news gives equal answers."""
-        self.endpoints.sort(key=lambda e: (round(e.failing * 5), e.pace, e.id))
+        self.endpoints.sort(key=lambda e: (round(e.failing, 1), e.pace, e.id))
 
     def pick(self, gate: Gate) -> Endpoint | None:
         """Fills the ranked endpoints from the top, each up to its part of the gate's limit."""
