--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -21,7 +21,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from pathlib import Path
 
 from ashpath.door import (
     Answers,
@@ -42,15 +41,12 @@
 
 
 def span(text: str) -> int:
-    """Whole microseconds of 1.5s or 20ms."""
     unit = "ms" if text.endswith("ms") else "s"
     return round(float(text.removesuffix(unit)) * {"ms": 1_000, "s": 1_000_000}[unit])
 
 
 @dataclass
 class Held:
-    """What the checker knows of one envelope."""
-
     track: TrackTerms
     destination: int
     key: int | None
@@ -287,7 +283,3 @@
                 self.seen.remove(found)
             return
         self.seen.clear()
-
-
-def scenarios() -> list[Path]:
-    return sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -16,8 +16,10 @@
 from ashpath.door import Answers, Terms
 from ashpath.drill import convert
 
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 
-@pytest.mark.parametrize("path", scenario.scenarios(), ids=lambda path: path.stem)
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
 def test_scenario(path: Path) -> None:
     scenario.Scene(Sender).play(path.read_text())
 
@@ -27,8 +29,6 @@
 
 
 class Reckless:
-    """Breaks rules: answers nothing, or shoots whatever was taken, again and again."""
-
     def __init__(self, answers: Answers, shoots: bool) -> None:
         self.answers, self.shoots = answers, shoots
 
@@ -98,7 +98,6 @@
 
 
 def test_piped_runs_agree() -> None:
-    """The same answers again, under another hash seed, and with the instances in two processes."""
     code, replies, _ = piped(batches([1, 2]))
     assert code == 0 and len(replies) == 3 and "CallOut" in str(replies[0]) and "BailOut" not in str(replies)
     assert piped(batches([1, 2]), "77")[1] == replies
