--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -22,17 +22,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from ashpath.door import (
-    Answers,
-    Ending,
-    KindTerms,
-    Listing,
-    Presence,
-    Repeat,
-    Terms,
-    Told,
-    TrackTerms,
-)
+from ashpath.door import Answers, Ending, KindTerms, Listing, Presence, Repeat, Terms, Told, TrackTerms
 
 REPEATS = {r.name.lower().replace("_", "-"): r for r in Repeat}
 ENDINGS = {e.name.lower().replace("_", ""): e for e in Ending}
@@ -41,6 +31,11 @@
 
 
 def span(text: str) -> int:
+    """Whole microseconds.
+
+    >>> span("1.5s"), span("20ms")
+    (1500000, 20000)
+    """
     unit = "ms" if text.endswith("ms") else "s"
     return round(float(text.removesuffix(unit)) * {"ms": 1_000, "s": 1_000_000}[unit])
 
@@ -52,6 +47,7 @@
     key: int | None
     end: int
     out: str | None = None
+    shots: int = 0
     sent_at: int = 0
     due: int = 0
     risk_from: int | None = None
@@ -102,7 +98,8 @@
             for other in (e for e in earlier if e.key == one.key):
                 assert other.over and other.out is None, f"{name} out of turn"
             assert self.now >= self.rests.get(one.key, 0), f"{name} within its key's rest"
-        one.out, one.sent_at, one.due = endpoint, self.now, self.now + timeout
+        one.out, one.shots = endpoint, one.shots + 1
+        one.sent_at, one.due = self.now, self.now + timeout
         self.seen.append(f"shot {name} at {endpoint}")
 
     def bounce(self, envelope: int, come_back: int) -> None:
@@ -123,6 +120,7 @@
         return one
 
     def withdraw(self, envelope: int, shot: int) -> None:
+        assert shot < self.held[envelope].shots, f"{self.name(envelope)}: shot {shot} was never made"
         self.seen.append(f"withdrawn {self.name(envelope)}")
 
     def probe(self, endpoint: str) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -26,6 +26,7 @@
 
 def test_examples() -> None:
     assert doctest.testmod(convert).failed == 0
+    assert doctest.testmod(scenario).failed == 0
 
 
 class Reckless:
@@ -79,12 +80,11 @@
     jobs = [{"JobIn": {**job, "rid": i, "addressee-no": i % 2}} for i in range(6)]
     end = {"go": 0, "outcome": "Ok", "remark-ms": None, "delay-seen": 7.25, "complete": True, "stats": None}
     done = [{"Returned": {**end, "rid": i, "endpoint": f"e{i}:1"}} for i in range(2)]
+    sheet, shorter = ({"Register": {"sheet": 0, "rows-in": rows}} for rows in (ROWS, ROWS[:2]))
     return [
-        batch(1.5, hello, {"Register": {"sheet": 0, "rows-in": ROWS}}, listed, *jobs),
+        batch(1.5, hello, sheet, listed, *jobs),
         batch(8.75, *done, {"Gone": {"rid": 77}}, {"Wake": {"ref": "rank"}}),
-        batch(
-            9.0, {"PowerOff": {}}, hello, {"Register": {"sheet": 0, "rows-in": ROWS[:2]}}, listed, *jobs[:1]
-        ),
+        batch(9.0, {"PowerOff": {}}, hello, shorter, listed, *jobs[:1]),
     ]
 
 
