--- a/ashpath/drill/adapter.py
+++ b/ashpath/drill/adapter.py
@@ -108,7 +108,7 @@
                 continue
             if name == "Hello":
                 instance = self.instances[number] = Instance(body["init-seed"], body.get("facts") or {})
-                instance.sender.open_turn(now)
+                self.guarded(instance, instance.sender.open_turn, now)
                 continue
             if instance is None:
                 instance = self.instances.get(number)
