--- /dev/null
+++ b/ashpath/__main__.py
@@ -0,0 +1,7 @@
+"""Starts the sender on sockets."""
+
+import sys
+
+from ashpath.node.start import main
+
+sys.exit(main())
--- a/ashpath/door.py
+++ b/ashpath/door.py
@@ -71,7 +71,6 @@
     slots: int  # calls out at once
     room: int  # envelopes held at once, sent or not
     most_shots: int
-    may_probe: bool
     may_withdraw: bool
     longest_wait: int  # the longest that a client heeds when told to come back later; 0: it is not told
     connect_time: int  # a connection not up by then fails
@@ -117,8 +116,6 @@
 
     def withdraw(self, envelope: int, shot: int) -> None: ...
 
-    def probe(self, endpoint: str) -> None: ...
-
     def release(self, endpoint: str) -> None: ...
 
     def wake(self, at: int, token: str) -> None: ...
--- /dev/null
+++ b/ashpath/node/admit.py
@@ -0,0 +1,80 @@
+"""The stage that turns a request into an envelope, or says why not, and takes it on."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from ashpath.door import Terms
+from ashpath.node import names
+from ashpath.node.book import Book
+from ashpath.node.codec import Malformed, Message, write_head
+from ashpath.node.host import Host
+from ashpath.node.ledger import Entry, Ledger
+from ashpath.node.timers import wall
+
+PLAIN = {
+    200: b"HTTP/1.1 200 OK",
+    202: b"HTTP/1.1 202 Accepted",
+    400: b"HTTP/1.1 400 Bad Request",
+    404: b"HTTP/1.1 404 Not Found",
+    405: b"HTTP/1.1 405 Method Not Allowed",
+    408: b"HTTP/1.1 408 Request Timeout",
+    413: b"HTTP/1.1 413 Content Too Large",
+    431: b"HTTP/1.1 431 Request Header Fields Too Large",
+    500: b"HTTP/1.1 500 Internal Server Error",
+    503: b"HTTP/1.1 503 Service Unavailable",
+}
+
+
+def answer(status: int, keep: bool = True, come_back: int = 0) -> bytes:
+    headers = [] if keep else [(b"Connection", b"close")]
+    if come_back > 0:
+        headers.append((b"Retry-After", b"%.3f" % (come_back / 1e6)))
+    return write_head(PLAIN[status], headers, b"")
+
+
+class Admit:
+    def __init__(self, terms: Terms, tracks: list[str], host: Host, ledger: Ledger, book: Book) -> None:
+        self.terms, self.tracks, self.host, self.ledger, self.book = terms, tracks, host, ledger, book
+        self.refusing = False  # after SIGTERM
+
+    def envelope(self, request: Message) -> Entry:
+        """An envelope of a request; what is missing or no number is said."""
+        headers = request.headers
+        try:
+            track = self.tracks.index(headers[names.TRACK].decode())
+            left = int(headers[names.EXPIRES])
+            fields = (part.strip().partition(b"=") for part in headers[names.ROUTE].split(b";"))
+            destination = int(next(value for name, _, value in fields if name == b"dest"))
+            tag = headers[names.TAG].decode("ascii") if names.TAG in headers else None
+            trace = headers[names.TRACE].decode("ascii")
+        except (KeyError, ValueError, StopIteration) as error:
+            raise Malformed(400, f"not an envelope: {error}") from None
+        if not trace or left > 1 << 40:
+            raise Malformed(400, "not an envelope")
+        cutoff = wall() + min(left * 1000, self.terms.tracks[track].cutoff)
+        order = self.order(headers.get(names.COOKIE, b""))
+        return Entry(0, trace, track, destination, order, tag, cutoff, request.body)
+
+    @staticmethod
+    def order(cookies: bytes) -> int | None:
+        """The key of the order, as a number that is the same in every life."""
+        for pair in cookies.split(b";"):
+            name, _, value = pair.strip().partition(b"=")
+            if name == names.ORDER and value:
+                return int.from_bytes(blake2b(value, digest_size=6).digest(), "big")
+        return None
+
+    def take_on(self, entry: Entry) -> tuple[int, int]:
+        """The status to answer, and when to come back: in a turn of its own, the ledger first."""
+        if len(self.host.entries) >= self.terms.room > 0:
+            return 503, 0  # as the platform turns away what is more than an instance may hold
+        entry.number = self.ledger.last + 1
+        if not self.ledger.taken(entry):
+            return 503, 0
+        self.book.handing_in, self.book.answer = entry, None
+        self.host.take(entry)
+        self.book.handing_in = None
+        if self.book.answer is None:
+            return 202, 0
+        return (500, 0) if self.book.answer < 0 else (503, self.book.answer)
--- /dev/null
+++ b/ashpath/node/calls.py
@@ -0,0 +1,41 @@
+"""Short calls to the platform's agent: the directory's watch and the notices."""
+
+from __future__ import annotations
+
+from gevent import Timeout, socket
+
+from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
+from ashpath.node.limits import Limits
+from ashpath.node.pool import Address
+
+
+class Line:
+    """One kept connection. A call that fails closes it; the caller tries again."""
+
+    def __init__(self, address: Address, limits: Limits) -> None:
+        self.address, self.limits = address, limits
+        self.wire: Wire | None = None
+
+    def call(self, first: bytes, body: bytes, patience: float) -> Message | None:
+        """The answer, or None if none came in time."""
+        try:
+            with Timeout(patience):
+                if self.wire is None or not self.wire.quiet():
+                    self.drop()
+                    self.wire = Wire(socket.create_connection(self.address), self.limits)
+                host = b"%s:%d" % (self.address[0].encode(), self.address[1])
+                self.wire.write(write_head(first, [(b"host", host)], body))
+                answer = self.wire.read_answer()
+                if not self.wire.spoilt:
+                    self.wire.finish_answer()
+        except (OSError, Closed, Malformed, Timeout):
+            self.drop()
+            return None
+        if not answer.keep:
+            self.drop()
+        return answer
+
+    def drop(self) -> None:
+        if self.wire is not None:
+            self.wire.close()
+            self.wire = None
--- /dev/null
+++ b/ashpath/node/codec.py
@@ -0,0 +1,211 @@
+"""HTTP/1.1 on one connection: httptools parses, this frames, so that not a byte beyond a message is taken."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import httptools
+from gevent import socket
+
+from ashpath.node.buffer import Buffer
+from ashpath.node.limits import Limits
+
+END_OF_HEAD = b"\r\n\r\n"
+
+
+class Malformed(Exception):
+    """What came in is not HTTP as this side takes it; the status says what to answer."""
+
+    def __init__(self, status: int, words: str) -> None:
+        super().__init__(words)
+        self.status = status
+
+
+class Closed(Exception):
+    """The far end closed before a first byte."""
+
+
+class Message:
+    """One request or answer, filled in by the parser."""
+
+    def __init__(self) -> None:
+        self.url = b""
+        self.headers: dict[bytes, bytes] = {}
+        self.pieces: list[bytes] = []
+        self.head_done = self.done = False
+        self.method, self.status, self.keep = b"", 0, False
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.lower()] = value.strip()
+
+    def on_headers_complete(self) -> None:
+        self.head_done = True
+
+    def on_body(self, piece: bytes) -> None:
+        self.pieces.append(piece)
+
+    def on_message_complete(self) -> None:
+        self.done = True
+
+    @property
+    def path(self) -> bytes:
+        return self.url.split(b"?", 1)[0]
+
+    @property
+    def body(self) -> bytes:
+        return b"".join(self.pieces)
+
+
+class Wire:
+    """A connected socket, its buffer, and the message that is being read."""
+
+    def __init__(self, sock: socket.socket, limits: Limits) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock, self.limits, self.buffer = sock, limits, Buffer(limits.buffer)
+        self.written = False  # the last byte of what was last written is with the kernel
+        self.spoilt = False  # cannot carry a further message
+
+    def close(self) -> None:
+        self.spoilt = True
+        self.sock.close()
+
+    def write(self, data: bytes) -> None:
+        self.written = False
+        self.sock.sendall(data)
+        self.written = True
+
+    def more(self) -> bool:
+        """Waits for bytes; False once the far end has closed."""
+        space = self.buffer.space()
+        try:
+            count = self.sock.recv_into(space)
+        finally:
+            space.release()
+        self.buffer.added(count)
+        return count > 0
+
+    def quiet(self) -> bool:
+        """Nothing unread, nothing closed: fit to carry a call. Does not wait."""
+        return not self.spoilt and not len(self.buffer) and self.waiting() is None
+
+    def ended(self) -> bool:
+        """The far end has closed its side, as far as is known without waiting."""
+        return self.waiting() == b""
+
+    def waiting(self) -> bytes | None:
+        """A first byte that waits to be read; none: an end or a failure."""
+        self.sock.settimeout(0)
+        try:
+            return self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+        finally:
+            self.sock.settimeout(None)
+
+    def read_request(self) -> Message:
+        message = Message()
+        parser = httptools.HttpRequestParser(message)
+        self.read_head(message, parser, "request")
+        message.method, message.keep = parser.get_method(), parser.should_keep_alive()
+        length = self.length(message)
+        if length is not None and length > self.limits.body:
+            raise Malformed(413, "body too long")
+        if message.headers.get(b"expect", b"").lower() == b"100-continue":
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.read_body(message, parser, length, self.limits.body)
+        return message
+
+    def read_answer(self) -> Message:
+        """Up to the end of the head: nothing more is needed to know how a call ended."""
+        message = Message()
+        parser = httptools.HttpResponseParser(message)
+        try:
+            self.read_head(message, parser, "answer")
+        except (OSError, Closed, Malformed):
+            message.status, self.spoilt = parser.get_status_code(), True
+            if not message.status or self.buffer.find(b"\r\n") < 0:
+                raise
+            return message  # its first line is whole, which is what counts
+        message.status = parser.get_status_code()
+        length = 0 if message.done else self.length(message)
+        message.keep = parser.should_keep_alive() and length is not None and length <= self.limits.answer_body
+        self.rest = (message, parser, length)
+        return message
+
+    def body_here(self) -> bool:
+        message, _, length = self.rest
+        return message.done or (length is not None and len(self.buffer) >= length)
+
+    def finish_answer(self) -> Message:
+        message, parser, length = self.rest
+        self.read_body(message, parser, length, self.limits.answer_body)
+        return message
+
+    def read_head(self, message: Message, parser: Any, what: str) -> None:
+        fed = 0
+        while not message.head_done:
+            have = len(self.buffer)
+            if have > fed:
+                end = self.buffer.find(END_OF_HEAD, fed - len(END_OF_HEAD) + 1)
+                stop = have if end < 0 else end + len(END_OF_HEAD)
+                self.feed(parser, self.buffer.peek(fed, stop))
+                fed = stop
+                if end >= 0:
+                    break
+                if fed > self.limits.head:
+                    raise Malformed(431, f"{what} with a head too long")
+            if not self.more():
+                if fed:
+                    raise ConnectionResetError(f"ended within the head of the {what}")
+                raise Closed
+        if not message.head_done or fed > self.limits.head:
+            raise Malformed(400, f"{what} without a proper head")
+        self.buffer.take(fed)
+
+    def read_body(self, message: Message, parser: Any, length: int | None, most: int) -> None:
+        """A body of known length is fed in one piece; one in chunks or up to the end as it comes."""
+        size = 0
+        while not message.done:
+            have = len(self.buffer)
+            if have and (length is None or have >= length):
+                count = have if length is None else length
+                self.feed(parser, self.buffer.take(count))
+                size += count
+                if size > 2 * most + self.limits.head or len(message.body) > most:
+                    raise Malformed(413, "body too long")
+            elif not self.more():
+                raise ConnectionResetError("ended within a body")
+
+    def feed(self, parser: Any, data: bytes) -> None:
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise Malformed(400, "no upgrades here") from None
+        except httptools.HttpParserError as error:
+            raise Malformed(400, str(error)) from None
+
+    def length(self, message: Message) -> int | None:
+        if b"transfer-encoding" in message.headers:
+            self.spoilt = True  # where it ends is the parser's to say, so nothing may follow
+            return None
+        text = message.headers.get(b"content-length")
+        if text is None:
+            return 0 if message.method or message.done else None
+        if not text.isdigit():
+            raise Malformed(400, "a length that is no number")
+        return int(text)
+
+
+def write_head(first: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
+    """A whole message.
+
+    >>> write_head(b"POST /hook HTTP/1.1", [(b"host", b"x")], b"ab")
+    b'POST /hook HTTP/1.1\\r\\nhost: x\\r\\ncontent-length: 2\\r\\n\\r\\nab'
+    """
+    lines = [first, *(name + b": " + value for name, value in headers), b"content-length: %d" % len(body)]
+    return b"\r\n".join(lines) + END_OF_HEAD + body
--- /dev/null
+++ b/ashpath/node/directory.py
@@ -0,0 +1,41 @@
+"""Follows the directory: a watch that is asked for anew at once, and outlasts silence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import orjson
+
+from ashpath.node import names
+from ashpath.node.calls import Line
+from ashpath.node.limits import Limits
+from ashpath.node.pool import Address
+
+Hear = Callable[[list[dict[str, Any]], bool], None]
+
+
+class Directory:
+    def __init__(self, address: Address, limits: Limits, revision: int, hear: Hear) -> None:
+        self.line, self.limits, self.revision, self.hear = Line(address, limits), limits, revision, hear
+
+    def run(self) -> None:
+        wait = int(self.limits.watch * 1000)
+        while True:
+            first = b"GET %s?index=%d&wait=%d HTTP/1.1" % (names.MEMBERS, self.revision, wait)
+            answer = self.line.call(first, b"", self.limits.watch + self.limits.silence)
+            if answer is None or answer.status != 200 or not self.learn(answer.body):
+                gevent.sleep(self.limits.retry)
+
+    def learn(self, body: bytes) -> bool:
+        """Takes the list or its changes; False where that cannot be read."""
+        try:
+            told = orjson.loads(body)
+            rows, whole, revision = told["members"], bool(told["complete"]), int(told["revision"])
+            if rows or whole:
+                self.hear(rows, whole)
+        except (ValueError, KeyError, TypeError):
+            return False
+        self.revision = revision
+        return True
--- /dev/null
+++ b/ashpath/node/host.py
@@ -0,0 +1,104 @@
+"""Owns the sender and its turns. No greenlet switches within a turn: the answers only queue work."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ashpath.decide import Sender
+from ashpath.door import Ending, Listing, Terms, Told
+from ashpath.node.book import Book
+from ashpath.node.ledger import Entry, Ledger
+from ashpath.node.send import Flight, Send
+from ashpath.node.timers import Timers, now, wall
+
+
+class Host:
+    """What the module asks for goes from here to the stages, in the order of its answers."""
+
+    def __init__(self, terms: Terms, ledger: Ledger, book: Book, send: Send, log: Any) -> None:
+        self.terms, self.ledger, self.book, self.send, self.logger = terms, ledger, book, send, log
+        self.entries: dict[int, Entry] = {}  # what the sender owes an end; emptied as they have it
+        self.flights: dict[int, Flight] = {}  # calls out, by envelope; emptied by their outcomes
+        self.queue: list[tuple[Callable[..., None], tuple[Any, ...]]] = []  # emptied after each turn
+        self.timers = Timers(self.woken)
+        self.ending = False  # no shot is begun any more: what is held is the next life's
+        self.sender = Sender(terms, self)
+
+    def turn(self, *news: tuple[Callable[..., None], tuple[Any, ...]]) -> None:
+        self.sender.open_turn(now())
+        for call, arguments in news:
+            call(*arguments)
+        self.sender.close_turn()
+        while self.queue:
+            work, self.queue = self.queue, []
+            for act, arguments in work:
+                act(*arguments)
+
+    # News of the stages.
+
+    def restore(self, rows: list[Listing]) -> None:
+        """The directory as last held, then what an earlier life left."""
+        news: list[tuple[Callable[..., None], tuple[Any, ...]]] = [(self.sender.listed, (rows, True))]
+        self.turn(*news)
+
+    def listed(self, rows: list[Listing], whole: bool) -> None:
+        self.turn((self.sender.listed, (rows, whole)))
+
+    def take(self, entry: Entry) -> None:
+        self.entries[entry.number] = entry
+        left = entry.cutoff - wall()
+        self.turn((self.sender.take, (entry.number, entry.destination, entry.track, entry.order, left)))
+
+    def returned(self, flight: Flight, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
+        number = flight.entry.number
+        self.flights.pop(number, None)
+        if closed or ending is Ending.COMPLETED:
+            self.entries.pop(number, None)
+        self.turn((self.sender.returned, (number, ending, wait, closed, told)))
+
+    def gone(self, entry: Entry) -> None:
+        if self.entries.pop(entry.number, None):
+            self.ledger.ended(entry)
+            self.turn((self.sender.gone, (entry.number,)))
+
+    def woken(self, tokens: list[str]) -> None:
+        self.turn(*((self.sender.woken, (token,)) for token in tokens))
+
+    # Answers of the module.
+
+    def shoot(self, envelope: int, endpoint: str, timeout: int) -> None:
+        self.queue.append((self.begin, (self.entries[envelope], endpoint, timeout)))
+
+    def bounce(self, envelope: int, come_back: int) -> None:
+        self.queue.append((self.book.bounced, (self.entries.pop(envelope), come_back)))
+
+    def abort(self, envelope: int) -> None:
+        self.queue.append((self.book.aborted, (self.entries.pop(envelope),)))
+
+    def withdraw(self, envelope: int, shot: int) -> None:
+        flight = self.flights.get(envelope)
+        if flight is not None:
+            self.queue.append((flight.withdraw, ()))
+
+    def release(self, endpoint: str) -> None:
+        self.queue.append((self.send.release, (endpoint,)))
+
+    def wake(self, at: int, token: str) -> None:
+        self.timers.add(at, token)
+
+    def log(self, text: str) -> None:
+        self.logger.info(text)
+
+    def begin(self, entry: Entry, endpoint: str, timeout: int) -> None:
+        if self.ending:
+            return
+        flight = Flight(entry, endpoint, now() + timeout, timeout)
+        self.flights[entry.number] = flight
+        try:
+            self.ledger.shot(entry, wall(), endpoint)
+        except OSError as error:  # unrecorded, it could run twice after a restart
+            self.logger.error("shot not recorded", error=str(error))
+            self.returned(flight, Ending.UNSENT, 0, False, None)
+            return
+        self.send.begin(flight)
--- /dev/null
+++ b/ashpath/node/ledger.py
@@ -0,0 +1,163 @@
+"""The journal of what was taken on, in the folder that outlives the process.
+
+A record is its length, its checksum and a line of JSON, with the body behind the first. Every change of an
+entry goes through `Ledger.apply`, as it happens and when it is read again. Nothing is synced: what the kernel
+has survives a kill.
+"""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, BinaryIO
+from zlib import crc32
+
+import orjson
+
+SPARE = 512  # bytes that an entry's later records, and a notice, may take when the journal is written anew
+BLOCK = 4096  # what rounding up to whole blocks may add, both files together
+
+
+@dataclass(eq=False, slots=True)
+class Entry:
+    """An envelope as the sockets know it: what came in, and what a further life has to know."""
+
+    number: int  # its id at the door
+    trace: str
+    track: int
+    destination: int
+    order: int | None  # the key whose envelopes go in turn
+    tag: str | None
+    cutoff: int  # on the wall's clock
+    body: bytes
+    shots: int = 0
+    ran_at: int | None = None  # when the first shot that may have run began, and where it went
+    ran_to: str = ""
+    out_at: int | None = None  # the same of the shot that is out
+    out_to: str = ""
+    notice: str | None = None  # the line that ends it, until the platform has it
+    over: bool = False
+
+    def facts(self) -> list[Any]:
+        return [
+            self.number, self.trace, self.track, self.destination, self.order, self.tag, self.cutoff,
+            self.shots, self.ran_at, self.ran_to, self.out_at, self.out_to, self.notice, self.over,
+        ]  # fmt: skip
+
+
+def record(fields: list[Any], body: bytes = b"") -> bytes:
+    payload = orjson.dumps(fields) + b"\n" + body
+    return len(payload).to_bytes(4, "big") + crc32(payload).to_bytes(4, "big") + payload
+
+
+def records(file: BinaryIO) -> list[tuple[list[Any], bytes]]:
+    """All whole records; from the first that is torn or false nothing counts."""
+    found = []
+    while len(head := file.read(8)) == 8:
+        payload = file.read(int.from_bytes(head[:4], "big"))
+        if crc32(payload) != int.from_bytes(head[4:], "big") or b"\n" not in payload:
+            break
+        line, body = payload.split(b"\n", 1)
+        found.append((orjson.loads(line), body))
+    return found
+
+
+class Ledger:
+    """`live` is emptied as envelopes have their end, and the platform its notice."""
+
+    def __init__(self, folder: Path, most: int) -> None:
+        self.path, self.fresh, self.most = folder / "journal", folder / "journal.new", most
+        self.live: dict[int, Entry] = {}
+        self.reserved = 0  # what the live ones would take, written anew
+        self.last = 0  # the highest number given
+        self.file, self.written = -1, 0  # the journal's descriptor, and the bytes in it
+        self.fresh.unlink(missing_ok=True)
+        if self.path.exists():
+            with self.path.open("rb") as file:
+                for (what, number, *fields), body in records(file):
+                    self.apply(what, number, fields, body)
+        self.rewrite()
+
+    def apply(self, what: str, number: int, fields: list[Any], body: bytes = b"") -> None:
+        """What a record does, in this life and the next."""
+        if what == "taken":
+            self.add(Entry(*[number, *fields[:6], body, *fields[6:]]))
+        elif number in self.live:
+            entry = self.live[number]
+            if what == "shot":
+                entry.shots += 1
+                entry.out_at, entry.out_to = fields
+            elif what == "outcome":
+                if fields[0] and entry.ran_at is None:
+                    entry.ran_at, entry.ran_to = entry.out_at, entry.out_to
+                entry.out_at, entry.out_to = None, ""
+            else:
+                entry.over, entry.notice = True, fields[0]
+                if entry.notice is None:
+                    del self.live[number]
+                    self.reserved -= self.size(entry)
+
+    def add(self, entry: Entry) -> None:
+        self.live[entry.number] = entry
+        self.reserved += self.size(entry)
+        self.last = max(self.last, entry.number)
+
+    def size(self, entry: Entry) -> int:
+        return len(entry.body) + len(entry.trace) + len(entry.tag or "") + SPARE
+
+    def has_room(self, entry: Entry) -> bool:
+        """A third: the old and the new file fit beside each other, and a third is left to append to."""
+        return 3 * (self.reserved + self.size(entry)) <= self.most - BLOCK
+
+    def taken(self, entry: Entry) -> bool:
+        """False: there is no space for it, and nothing was written."""
+        if not self.has_room(entry):
+            return False
+        try:
+            self.write(record(["taken", *entry.facts()], entry.body))
+        except OSError:
+            return False
+        self.add(entry)
+        return True
+
+    def shot(self, entry: Entry, at: int, endpoint: str) -> None:
+        self.note("shot", entry, at, endpoint)
+
+    def outcome(self, entry: Entry, may_have_run: bool) -> None:
+        self.note("outcome", entry, may_have_run)
+
+    def ended(self, entry: Entry, notice: str | None = None) -> None:
+        """Over; with a notice it stays until `ended` comes without one, as the platform must have it."""
+        self.note("ended", entry, notice)
+
+    def note(self, what: str, entry: Entry, *fields: Any) -> None:
+        if entry.number in self.live:
+            self.write(record([what, entry.number, *fields]))
+            self.apply(what, entry.number, list(fields))
+
+    def write(self, data: bytes) -> None:
+        if self.written + len(data) + self.reserved + BLOCK > self.most:
+            self.rewrite()
+        try:
+            count = os.write(self.file, data)
+            if count < len(data):
+                raise OSError(f"only {count} of {len(data)} bytes written")
+        except OSError:
+            os.ftruncate(self.file, self.written)  # a torn record would hide all that follow it
+            raise
+        self.written += len(data)
+
+    def rewrite(self) -> None:
+        """Only what is live, beside the old file, then over it: at any moment one of them is whole."""
+        with self.fresh.open("wb") as file:
+            for entry in self.live.values():
+                file.write(record(["taken", *entry.facts()], entry.body))
+        os.replace(self.fresh, self.path)
+        if self.file >= 0:
+            os.close(self.file)
+        self.file = os.open(self.path, os.O_WRONLY | os.O_APPEND)
+        self.written = os.fstat(self.file).st_size
+
+    def close(self) -> None:
+        os.close(self.file)
--- /dev/null
+++ b/ashpath/node/limits.py
@@ -0,0 +1,51 @@
+"""Every size, count and time of the sockets, in one type, filled at the start and handed down."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from ashpath.door import Terms
+
+SPARE = 48  # descriptors for the listener, the ledger, the directory, notices, logs and the event loop
+MEGABYTE = 1 << 20
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Counts, bytes, and seconds."""
+
+    clients: int  # connections of clients
+    outward: int  # connections to endpoints, idle ones counted
+    disk: int  # bytes of the ledger, old and new file together
+    idle_life: float  # an own idle connection to an endpoint is closed after this: before the far end does
+    connect: float  # a connection not up by then has failed
+    head: int = 16 << 10  # of a message, in bytes
+    body: int = 64 << 10
+    answer_body: int = MEGABYTE  # a longer answer ends its connection
+    buffer: int = 4 << 10  # a connection's buffer to begin with, and again once it is empty
+    request: float = 5.0  # from a request's first byte to its last
+    peer: float = 2.0  # for a client to take its answer
+    watch: float = 5.0  # a watch of the directory waits so long
+    silence: float = 1.0  # and is given up so much later
+    retry: float = 0.1  # between tries at the directory and at notices that failed
+    ask: float = 2.0  # for the answer to a notice
+    notices: int = 200  # lines of one call
+    sweep: float = 0.25  # how often idle connections are looked at
+    accept_after_term: float = 0.4  # connections still come for so long after SIGTERM
+    shots_after_term: float = 3.0  # no shot is begun later than this after SIGTERM
+    end_after_term: float = 3.5  # all is over by then
+
+    @classmethod
+    def of(cls, given: dict[str, Any], terms: Terms) -> Limits:
+        """From the deployment's `limits` and the terms; a limit that is not told is taken for small."""
+        free = max(64, int(given.get("sockets") or 1024)) - SPARE
+        outward = min(max(64, 2 * terms.slots), free * 3 // 4)
+        idle = (terms.idle_time or 5_000_000) / 1e6
+        return cls(
+            clients=free - outward,
+            outward=outward,
+            disk=int(float(given.get("disk_mb") or 1) * MEGABYTE),
+            idle_life=max(idle * 0.9 - 0.2, idle / 2),
+            connect=(terms.connect_time or 1_000_000) / 1e6,
+        )
--- /dev/null
+++ b/ashpath/node/send.py
@@ -0,0 +1,93 @@
+"""The stage that carries one shot: a connection, the call, and what came back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent import Greenlet, Timeout
+
+from ashpath.node import names
+from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
+from ashpath.node.ledger import Entry
+from ashpath.node.pool import Address, Pool
+from ashpath.node.route import Route
+from ashpath.node.timers import now
+
+
+class Withdrawn(Exception):
+    """The module called the shot off."""
+
+
+@dataclass(eq=False)
+class Flight:
+    """One shot on its way. `written`: its last byte is out, so that it may have run."""
+
+    entry: Entry
+    endpoint: str
+    due: int
+    timeout: int
+    written: bool = False
+    answer: Message | None = None
+    failure: BaseException | None = None
+    greenlet: Greenlet[..., None] | None = None
+
+    def withdraw(self) -> None:
+        if self.greenlet is not None and self.answer is None and self.failure is None:
+            self.greenlet.kill(Withdrawn, block=False)
+
+
+class Send:
+    """Each flight ends in one call of `relay`, whatever happens on the way."""
+
+    def __init__(self, pool: Pool, route: Route, relay: Callable[[Flight], None]) -> None:
+        self.pool, self.route, self.relay = pool, route, relay
+
+    def begin(self, flight: Flight) -> None:
+        flight.greenlet = gevent.spawn(self.fly, flight, self.route.addresses.get(flight.endpoint))
+
+    def release(self, endpoint: str) -> None:
+        where = self.route.addresses.get(endpoint)
+        if where is not None:
+            self.pool.release(where)
+
+    def fly(self, flight: Flight, where: Address | None) -> None:
+        wire = None
+        try:
+            with Timeout(max(0.0, (flight.due - now()) / 1e6)):
+                if where is None:
+                    raise ConnectionRefusedError("not in the directory any more")
+                wire = self.pool.take(where) or self.pool.connect(where)
+                wire.write(self.call(flight, where))
+                flight.written = True
+                flight.answer = wire.read_answer()
+        except (OSError, Closed, Malformed, Timeout, Withdrawn) as failure:
+            flight.failure = failure
+        if wire is None or where is None:
+            return self.relay(flight)
+        if flight.answer is None or not flight.answer.keep:
+            self.pool.close(wire)  # giving up closes: an answer that came later would be taken for the next
+            return self.relay(flight)
+        if wire.body_here():  # before the turn, whose shots may then use this connection
+            self.settle(where, wire)
+            return self.relay(flight)
+        self.relay(flight)
+        return self.settle(where, wire)
+
+    def settle(self, where: Address, wire: Wire) -> None:
+        """The rest of an answer, then the connection is free."""
+        try:
+            with Timeout(self.pool.limits.peer):
+                wire.finish_answer()
+        except (OSError, Closed, Malformed, Timeout):
+            wire.spoilt = True
+        self.pool.give_back(where, wire)
+
+    def call(self, flight: Flight, where: Address) -> bytes:
+        entry = flight.entry
+        headers = [(b"Host", b"%s:%d" % (where[0].encode(), where[1])), (b"X-Trace-Id", entry.trace.encode())]
+        if entry.tag is not None:
+            headers.append((b"Idempotency-Key", entry.tag.encode()))
+        headers.append((b"X-Expires-In-Ms", b"%d" % max(1, flight.timeout // 1000)))
+        return write_head(b"POST %s HTTP/1.1" % names.HOOK, headers, entry.body)
--- /dev/null
+++ b/ashpath/node/start.py
@@ -0,0 +1,131 @@
+"""Puts the sender together, starts it, and ends it in order."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import gevent
+import orjson
+import structlog
+from gevent.event import Event
+
+from ashpath.node.admit import Admit
+from ashpath.node.book import Book
+from ashpath.node.directory import Directory
+from ashpath.node.host import Host
+from ashpath.node.ledger import Ledger
+from ashpath.node.limits import Limits
+from ashpath.node.notices import Notices
+from ashpath.node.pool import Pool
+from ashpath.node.relay import Relay
+from ashpath.node.route import Route, address
+from ashpath.node.send import Send
+from ashpath.node.take_in import TakeIn
+from ashpath.terms import node_terms, told_fields
+
+
+class BadStart(Exception):
+    """What the sender was told at its start cannot be used."""
+
+
+def logger(name: str) -> Any:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "sender", "event"]),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+    )
+    return structlog.get_logger().bind(sender=name)
+
+
+class Node:
+    """One sender on sockets: who owns what is decided here, once."""
+
+    def __init__(self, given: dict[str, Any], listen: str, discovery: str, state: Path, log: Any) -> None:
+        self.log = log
+        settings = given["settings"]
+        terms = node_terms(int(given["seed"], 16), settings)
+        self.limits = limits = Limits.of(given.get("limits") or {}, terms)
+        platform = address(discovery)
+        self.ledger = Ledger(state, limits.disk)
+        self.notices = Notices(platform, limits, self.ledger, log)
+        self.pool = Pool(limits)
+        self.route = Route(list(settings.get("kinds") or []), list(settings.get("zones") or []))
+        book = Book(self.ledger, self.notices, log)
+        relay = Relay(book, told_fields(settings) is not None)
+        self.host = Host(terms, self.ledger, book, Send(self.pool, self.route, relay), log)
+        self.route.told, relay.returned = self.host.listed, self.host.returned
+        tracks = [row["name"] for row in settings["classes"]]
+        self.admit = Admit(terms, tracks, self.host, self.ledger, book)
+        self.take_in = TakeIn(address(listen), limits, self.admit, log)
+        known = given.get("known") or {"members": [], "revision": 0}
+        self.directory = Directory(platform, limits, int(known.get("revision") or 0), self.route.hear)
+        self.known = self.route.learn(known["members"], whole=True)
+        self.ended = Event()
+
+    def run(self) -> None:
+        gevent.signal_handler(signal.SIGTERM, gevent.spawn, self.end)
+        self.host.restore(self.known)
+        self.take_in.listen()
+        for part in (self.directory, self.notices, self.host.timers, self.pool, self.take_in):
+            gevent.spawn(part.run)
+        gc.collect()
+        gc.freeze()
+        self.log.info("ready", held=len(self.host.entries), endpoints=len(self.route.addresses))
+        self.ended.wait()
+        self.ledger.close()
+
+    def end(self) -> None:
+        """After SIGTERM: what can be finished is, the rest is in the ledger for the next life."""
+        began, limits = monotonic(), self.limits
+        self.log.info("ending", held=len(self.host.entries), out=len(self.host.flights))
+        self.take_in.closing = True
+        gevent.sleep(limits.accept_after_term)
+        self.admit.refusing = True
+        self.take_in.stop_accepting()
+        while monotonic() < began + limits.shots_after_term and self.busy():
+            gevent.sleep(0.02)
+        self.host.ending = True
+        while monotonic() < began + limits.end_after_term and (self.host.flights or self.notices.waiting):
+            gevent.sleep(0.02)
+        self.log.info("ended", held=len(self.host.entries), out=len(self.host.flights))
+        self.ended.set()
+
+    def busy(self) -> bool:
+        return bool(self.host.entries or self.host.flights or self.notices.waiting or self.take_in.clients)
+
+
+def told(name: str) -> str:
+    if not os.environ.get(name):
+        raise BadStart(f"{name} is not set")
+    return os.environ[name]
+
+
+def node() -> Node:
+    name, listen, discovery = told("RELAY_NAME"), told("RELAY_LISTEN"), told("RELAY_DISCOVERY")
+    state, path = Path(told("RELAY_STATE")), Path(told("RELAY_CONFIG"))
+    try:
+        given = orjson.loads(path.read_bytes())
+        return Node(given, listen, discovery, state, logger(name))
+    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        raise BadStart(f"cannot start from {path}: {type(error).__name__} {error}") from None
+
+
+def main() -> int:
+    try:
+        sender = node()
+    except BadStart as error:
+        print(f"ashpath: {error}", file=sys.stderr)
+        return 2
+    sender.run()
+    return 0
--- /dev/null
+++ b/ashpath/node/take_in.py
@@ -0,0 +1,139 @@
+"""The stage that clients meet: their connections, what they ask, and the answer each request gets."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Any
+
+import gevent
+from gevent import Timeout, socket
+from gevent.event import Event
+
+from ashpath.node import names
+from ashpath.node.admit import Admit, answer
+from ashpath.node.codec import Closed, Malformed, Message, Wire
+from ashpath.node.limits import Limits
+from ashpath.node.pool import Address
+
+
+class TakeIn:
+    """`idle` and `reading` hold connections, longest in it first; each leaves them as it closes."""
+
+    def __init__(self, where: Address, limits: Limits, admit: Admit, log: Any) -> None:
+        self.where, self.limits, self.admit, self.log = where, limits, admit, log
+        self.idle: OrderedDict[Wire, None] = OrderedDict()  # between requests
+        self.reading: OrderedDict[Wire, None] = OrderedDict()  # within one
+        self.clients = 0
+        self.freed = Event()
+        self.closing = False  # every answer ends its connection
+
+    def listen(self) -> None:
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(self.where)
+        self.listener.listen(1024)
+
+    def run(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                if self.listener.fileno() < 0:
+                    return
+                gevent.sleep(0.01)  # out of descriptors, or a client that left again
+                continue
+            self.clients += 1
+            gevent.spawn(self.serve, Wire(sock, self.limits))
+            while self.clients >= self.limits.clients:
+                self.freed.clear()
+                if not self.make_room():
+                    self.freed.wait(0.05)
+
+    def make_room(self) -> bool:
+        """Closes the client that is idle longest, else the one that has stalled longest within a request."""
+        for wires in (self.idle, self.reading):
+            if wires:
+                wire, _ = wires.popitem(last=False)
+                wire.close()
+                gevent.sleep(0)
+                return True
+        return False
+
+    def serve(self, wire: Wire) -> None:
+        try:
+            while not wire.spoilt and self.exchange(wire):
+                pass
+        except (OSError, Closed):
+            pass
+        finally:
+            self.idle.pop(wire, None)
+            self.reading.pop(wire, None)
+            wire.close()
+            self.clients -= 1
+            self.freed.set()
+
+    def exchange(self, wire: Wire) -> bool:
+        """One request and its answer; whether the connection goes on."""
+        self.idle[wire] = None
+        if not len(wire.buffer) and not wire.more():
+            return False
+        del self.idle[wire]
+        self.reading[wire] = None
+        try:
+            with Timeout(self.limits.request):
+                request = wire.read_request()
+        except (Malformed, Timeout) as error:
+            self.refuse(wire, error.status if isinstance(error, Malformed) else 408)
+            return False
+        finally:
+            self.reading.pop(wire, None)
+        keep = request.keep and not wire.spoilt and not self.closing
+        self.reply(wire, request, keep)
+        return keep
+
+    def refuse(self, wire: Wire, status: int) -> None:
+        """An answer, then the rest is read: closing on unread bytes would take the answer back."""
+        if not self.tell(wire, answer(status, keep=False)):
+            return
+        try:
+            with Timeout(self.limits.peer):
+                wire.sock.shutdown(socket.SHUT_WR)
+                while wire.more():
+                    wire.buffer.take(len(wire.buffer))
+        except Timeout:
+            wire.spoilt = True
+
+    def reply(self, wire: Wire, request: Message, keep: bool) -> None:
+        if request.path != names.HAND_IN:
+            self.tell(wire, answer(200 if request.path == names.READY else 404, keep))
+            return
+        if request.method != b"POST":
+            self.tell(wire, answer(405, keep))
+            return
+        try:
+            entry = self.admit.envelope(request)
+        except Malformed as error:
+            self.tell(wire, answer(error.status, keep))
+            return
+        if self.admit.refusing or wire.ended():  # who has left will hand it in again
+            self.tell(wire, answer(503, keep))
+            return
+        status, come_back = self.admit.take_on(entry)
+        if not self.tell(wire, answer(status, keep, come_back)) and status == 202:
+            self.admit.host.gone(entry)
+
+    def tell(self, wire: Wire, data: bytes) -> bool:
+        """False: the client had left, or did not take its answer."""
+        try:
+            with Timeout(self.limits.peer):
+                wire.write(data)
+        except (OSError, Timeout):
+            wire.spoilt = True
+            return False
+        return True
+
+    def stop_accepting(self) -> None:
+        """The end of the time in which connections come: those between requests are closed."""
+        self.listener.close()
+        for wire in list(self.idle):
+            wire.close()
