What was taken on is restored after a restart; drains checked before a first byte

The door gains one call, restored, with what an earlier life did for an envelope; the module decides from it as after a shot that may have run.

A connection may take a second to come up, in which its endpoint may drain: the sender now looks again before the first byte, and gives up the shot as not sent.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -1,8 +1,8 @@
 """All decisions of ashpath, and every tuned value; nothing else in the project decides anything.
 
 How to call it: make one `Sender(terms, answers)` per instance. For each batch of news call `open_turn(now)`,
-then one method per piece of news (`listed`, `take`, `returned`, `gone`, `woken`), then `close_turn()`. The
-interface is in `ashpath/door.py`; the design, and where it departs from ADR 0122, in `docs/design.md`.
+then a method per piece of news (`listed`, `take`, `restored`, `returned`, `gone`, `woken`), and last
+`close_turn()`. The interface is `ashpath/door.py`; the design, and where it departs, `docs/design.md`.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from math import exp
 from random import Random
 
-from ashpath.door import Answers, Ending, Listing, Presence, Repeat, Terms, Told, TrackTerms
+from ashpath.door import Answers, Ending, Listing, Past, Presence, Repeat, Terms, Told, TrackTerms
 
 SECOND = 1_000_000
 
@@ -222,13 +222,6 @@
         if self.breaker is Breaker.OPEN:
             self.breaker, shot.probe = Breaker.PROBING, True
 
-    def freed(self, shot: Shot, ending: Ending) -> None:
-        self.in_flight -= 1
-        shot.endpoint.in_flight -= 1
-        del self.sender.out[shot]
-        if ending is Ending.TIMED_OUT:
-            self.holds.append(self.sender.now + HOLD)
-
     def judge(self, shot: Shot, ending: Ending, took: int) -> None:
         """The outcome table of the paper, and its probe table."""
         if ending is Ending.COMPLETED:
@@ -335,10 +328,6 @@
                 return int(times.mean + STRETCH * times.deviation) * wide
         return track.terms.promised
 
-    def needed(self) -> bool:
-        waits = max((endpoint.gate.wait_until for endpoint in self.known.values()), default=0)
-        return bool(self.endpoints or self.owed or self.sender.now < waits)
-
     def opens_in(self) -> int:
         now = self.sender.now  # the time until the first gate may open, as far as it is known
         return min((max(0, (gate.opens_at(now) or 0) - now) for gate in self.gates()), default=0)
@@ -396,8 +385,9 @@
                 endpoint = self.pick(gate) if opens_at is None else None
                 envelope = self.next(endpoint) if endpoint else None
                 if not endpoint or not envelope:
-                    if opens_at:
-                        self.look(opens_at)
+                    if opens_at and not sender.now < self.look_at <= opens_at:
+                        self.look_at = opens_at
+                        sender.answers.wake(opens_at, f"d{self.number}")
                     break
                 shot = Shot(endpoint, sender.now)
                 while envelope and len(shot.envelopes) < self.per_call:
@@ -407,15 +397,13 @@
                 shot.usual = max(self.usual(envelope.track) for envelope in shot.envelopes)
                 patience = max(PATIENCE[envelope.track.terms.repeat] for envelope in shot.envelopes)
                 shot.timeout = patience * max(LEAST_TIMEOUT, shot.usual)
+                shot.unheard = len(shot.envelopes)
                 for envelope in shot.envelopes:
-                    sender.shoot(envelope, shot)
+                    envelope.shot, envelope.shots = shot, envelope.shots + 1
+                    timeout = min(shot.timeout, envelope.cutoff_at - sender.now)
+                    sender.answers.shoot(envelope.id, endpoint.id, timeout)
                 gate.sent(shot)
 
-    def look(self, at: int) -> None:
-        if not self.sender.now < self.look_at <= at:
-            self.look_at = at
-            self.sender.answers.wake(at, f"d{self.number}")
-
 
 class Sender:
     def __init__(self, terms: Terms, answers: Answers) -> None:
@@ -450,10 +438,9 @@
         self.lonely.clear()
 
     def listed(self, rows: list[Listing], whole: bool) -> None:
-        if whole:
-            for destination in self.destinations.values():
-                destination.endpoints = []
-                self.stirred[destination] = None
+        for destination in self.destinations.values() if whole else ():
+            destination.endpoints = []
+            self.stirred[destination] = None
         for row in rows:
             destination = self.destination(row.destination)
             destination.listed(row)
@@ -468,8 +455,9 @@
         row, destination, end = self.tracks[track], self.destination(number), self.now + left
         envelope = Envelope(id_, destination, row, end, end - row.terms.cutoff + row.terms.promised)
         self.envelopes[id_] = envelope
-        if len(self.envelopes) > ROOM_USED * self.terms.room > 0:
-            self.make_room()
+        if self.late and len(self.envelopes) > ROOM_USED * self.terms.room > 0:
+            # Guards the rest against queues that fill the room: of those longest late, the least gives way.
+            self.give_up(min(islice(self.late, 8), key=lambda envelope: envelope.payoff_at(self.now)))
         destination.owed += 1
         if row.terms.ordered and key is not None:
             line = envelope.line = self.lines.setdefault(key, Line(key))
@@ -478,6 +466,18 @@
             return self.advance(line)
         self.queue(envelope)
 
+    def restored(self, id_: int, number: int, track: int, key: int | None, left: int, past: Past) -> None:
+        """Owed from an earlier life. What may have run still counts; waits and measurements are gone."""
+        self.take(id_, number, track, key, left)
+        envelope, destination = self.envelopes[id_], self.destinations[number]
+        envelope.shots = past.shots
+        if past.ran_at is not None:
+            endpoint = destination.known.get(past.ran_to) or Endpoint("", -1, destination.gate, 0.0)
+            envelope.ran = Shot(endpoint, past.ran_at)
+        if envelope.line and past.unheard:
+            envelope.line.rest_until = self.now + self.terms.key_rest
+        self.review(envelope)
+
     def returned(self, id_: int, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
         envelope = self.envelopes.get(id_)
         if envelope is None or envelope.shot is None:
@@ -513,7 +513,10 @@
             if ending in LOAD_SIGNS or ending is Ending.COMPLETED:
                 endpoint.failing += GAIN * ((ending is not Ending.COMPLETED) - endpoint.failing)
         if not shot.unheard:
-            gate.freed(shot, ending)
+            gate.in_flight, endpoint.in_flight = gate.in_flight - 1, endpoint.in_flight - 1
+            del self.out[shot]
+            if ending is Ending.TIMED_OUT:
+                gate.holds.append(self.now + HOLD)
             kind = destination.kind
             self.crowding[kind] += GAIN / 2 * (gate.crowded(ending, took) - self.crowding[kind])
             if 2 * endpoint.gap > self.terms.idle_time or self.crowding[kind] > CROWDED:
@@ -554,7 +557,8 @@
     def rank(self) -> None:
         stirred, self.stirred = self.stirred, {}
         for destination in stirred:
-            if not destination.needed():
+            waits = max((endpoint.gate.wait_until for endpoint in destination.known.values()), default=0)
+            if not (destination.endpoints or destination.owed or self.now < waits):
                 del self.destinations[destination.number]
             elif destination.endpoints:
                 destination.rank()
@@ -566,10 +570,7 @@
         """Every change of an envelope's state."""
         assert state in MOVES[envelope.state], f"{envelope.state} to {state}"
         envelope.state = state
-        if envelope.queue is not None:
-            del envelope.queue[envelope]
-            envelope.queue = None
-            self.late.pop(envelope, None)
+        self.unqueue(envelope)
         if state is State.OVER:
             del self.envelopes[envelope.id]
             envelope.destination.owed -= 1
@@ -577,17 +578,22 @@
                 envelope.line.envelopes.remove(envelope)
                 self.advance(envelope.line)
 
+    def unqueue(self, envelope: Envelope) -> None:
+        self.late.pop(envelope, None)
+        if envelope.queue is not None:
+            del envelope.queue[envelope]
+            envelope.queue = None
+
     def queue(self, envelope: Envelope, first: bool = False) -> None:
         """To the queue of its track: fresh while it can still make its promised time."""
         destination, index = envelope.destination, envelope.track.index
-        if envelope.queue is not None:
-            del envelope.queue[envelope]
+        self.unqueue(envelope)
         fresh = self.now + destination.expected(envelope.track) < envelope.promise_at
         envelope.queue = (destination.fresh if fresh else destination.late)[index]
         envelope.queue[envelope] = None
-        self.late.update({} if fresh else {envelope: None})
-        if first:
-            envelope.queue.move_to_end(envelope, last=False)
+        if not fresh:
+            self.late[envelope] = None
+        envelope.queue.move_to_end(envelope, last=not first)
         self.dirty[destination] = None
         self.remind(envelope)
 
@@ -605,11 +611,6 @@
             return self.give_up(envelope)
         return self.remind(envelope) if envelope.queue is None else self.queue(envelope)
 
-    def shoot(self, envelope: Envelope, shot: Shot) -> None:
-        envelope.shot, envelope.shots = shot, envelope.shots + 1
-        shot.unheard += 1
-        self.answers.shoot(envelope.id, shot.endpoint.id, min(shot.timeout, envelope.cutoff_at - self.now))
-
     def relieve(self) -> None:
         """Guards the slots against answers that never come: with none free, an overdue call is called off."""
         for shot in self.out:
@@ -620,11 +621,6 @@
                         self.answers.withdraw(envelope.id, envelope.shots - 1)
                 return
 
-    def make_room(self) -> None:
-        """Guards the rest against queues that fill the room: of those longest late, the least gives way."""
-        if self.late:
-            self.give_up(min(islice(self.late, 8), key=lambda envelope: envelope.payoff_at(self.now)))
-
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
         self.move(envelope, State.OVER)
--- a/ashpath/door.py
+++ b/ashpath/door.py
@@ -105,6 +105,16 @@
     rate: float  # calls a second that the limit allows to all senders together
 
 
+@dataclass(frozen=True, slots=True)
+class Past:
+    """What an earlier life of this sender did for an envelope that it still owes its end."""
+
+    shots: int
+    ran_at: int | None  # when the first shot that may have run began, on this life's clock
+    ran_to: str  # the endpoint that it went to
+    unheard: bool  # a shot was out as that life ended: one that may have run
+
+
 class Answers(Protocol):
     """What a front carries out for a sender, in the order of the calls."""
 
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -6,12 +6,14 @@
 from typing import Any
 
 from ashpath.decide import Sender
-from ashpath.door import Ending, Listing, Terms, Told
+from ashpath.door import Ending, Listing, Past, Terms, Told
 from ashpath.node.book import Book
 from ashpath.node.ledger import Entry, Ledger
 from ashpath.node.send import Flight, Send
 from ashpath.node.timers import Timers, now, wall
 
+News = tuple[Callable[..., None], tuple[Any, ...]]
+
 
 class Host:
     """What the module asks for goes from here to the stages, in the order of its answers."""
@@ -20,12 +22,12 @@
         self.terms, self.ledger, self.book, self.send, self.logger = terms, ledger, book, send, log
         self.entries: dict[int, Entry] = {}  # what the sender owes an end; emptied as they have it
         self.flights: dict[int, Flight] = {}  # calls out, by envelope; emptied by their outcomes
-        self.queue: list[tuple[Callable[..., None], tuple[Any, ...]]] = []  # emptied after each turn
+        self.queue: list[News] = []  # emptied after each turn
         self.timers = Timers(self.woken)
         self.ending = False  # no shot is begun any more: what is held is the next life's
         self.sender = Sender(terms, self)
 
-    def turn(self, *news: tuple[Callable[..., None], tuple[Any, ...]]) -> None:
+    def turn(self, *news: News) -> None:
         self.sender.open_turn(now())
         for call, arguments in news:
             call(*arguments)
@@ -38,8 +40,21 @@
     # News of the stages.
 
     def restore(self, rows: list[Listing]) -> None:
-        """The directory as last held, then what an earlier life left."""
-        news: list[tuple[Callable[..., None], tuple[Any, ...]]] = [(self.sender.listed, (rows, True))]
+        """The directory as last held, then what an earlier life left, in the order taken."""
+        news: list[News] = [(self.sender.listed, (rows, True))]
+        for entry in list(self.ledger.live.values()):
+            if entry.over:
+                self.book.notices.add(entry)
+                continue
+            unheard = entry.out_at is not None
+            if unheard:
+                self.ledger.outcome(entry, may_have_run=True)
+            self.entries[entry.number] = entry
+            ran_at = None if entry.ran_at is None else now() - (wall() - entry.ran_at)
+            past = Past(entry.shots, ran_at, entry.ran_to, unheard)
+            left = entry.cutoff - wall()
+            facts = (entry.number, entry.destination, entry.track, entry.order, left, past)
+            news.append((self.sender.restored, facts))
         self.turn(*news)
 
     def listed(self, rows: list[Listing], whole: bool) -> None:
--- a/ashpath/node/ledger.py
+++ b/ashpath/node/ledger.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, BinaryIO
@@ -122,7 +123,9 @@
         return True
 
     def shot(self, entry: Entry, at: int, endpoint: str) -> None:
-        self.note("shot", entry, at, endpoint)
+        """Raises where it cannot be written: an unrecorded shot could run twice."""
+        self.write(record(["shot", entry.number, at, endpoint]))
+        self.apply("shot", entry.number, [at, endpoint])
 
     def outcome(self, entry: Entry, may_have_run: bool) -> None:
         self.note("outcome", entry, may_have_run)
@@ -132,8 +135,10 @@
         self.note("ended", entry, notice)
 
     def note(self, what: str, entry: Entry, *fields: Any) -> None:
+        """One that cannot be written counts in this life; to the next, the shot may have run."""
         if entry.number in self.live:
-            self.write(record([what, entry.number, *fields]))
+            with suppress(OSError):
+                self.write(record([what, entry.number, *fields]))
             self.apply(what, entry.number, list(fields))
 
     def write(self, data: bytes) -> None:
--- a/ashpath/node/route.py
+++ b/ashpath/node/route.py
@@ -7,7 +7,7 @@
 
 from ashpath.door import Listing, Presence
 from ashpath.node import names
-from ashpath.node.pool import Address
+from ashpath.node.pool import Address, Pool
 
 
 def address(text: str) -> Address:
@@ -23,10 +23,10 @@
 
 
 class Route:
-    """`addresses` loses an endpoint as the directory removes it, or as a whole list lacks it."""
+    """`addresses` has the listed endpoints: one leaves as it drains, is removed, or a whole list lacks it."""
 
-    def __init__(self, kinds: list[str], zones: list[str]) -> None:
-        self.kinds, self.zones = kinds, zones
+    def __init__(self, kinds: list[str], zones: list[str], pool: Pool) -> None:
+        self.kinds, self.zones, self.pool = kinds, zones, pool
         self.addresses: dict[str, Address] = {}
         self.told: Callable[[list[Listing], bool], None] = lambda rows, whole: None
 
@@ -35,13 +35,15 @@
 
     def learn(self, members: list[dict[str, Any]], whole: bool) -> list[Listing]:
         found = [(self.listing(member), address(member["host_port"])) for member in members]
+        before = dict(self.addresses)
         if whole:
             self.addresses = {}
         for row, where in found:
-            if row.presence is Presence.GONE:
-                self.addresses.pop(row.endpoint, None)
-            else:
+            self.addresses.pop(row.endpoint, None)
+            if row.presence is Presence.LISTED:
                 self.addresses[row.endpoint] = where
+        for gone in set(before.values()) - set(self.addresses.values()):
+            self.pool.release(gone)
         return [row for row, _ in found]
 
     def listing(self, member: dict[str, Any]) -> Listing:
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -20,6 +20,10 @@
     """The module called the shot off."""
 
 
+class Unlisted(Exception):
+    """The endpoint was listed when the module chose it, and no longer is."""
+
+
 @dataclass(eq=False)
 class Flight:
     """One shot on its way. `written`: its last byte is out, so that it may have run."""
@@ -56,13 +60,15 @@
         wire = None
         try:
             with Timeout(max(0.0, (flight.due - now()) / 1e6)):
-                if where is None:
-                    raise ConnectionRefusedError("not in the directory any more")
-                wire = self.pool.take(where) or self.pool.connect(where)
+                if where is not None:
+                    wire = self.pool.take(where) or self.pool.connect(where)
+                # Guards drains: the connection may have come up long after the directory changed.
+                if where is None or wire is None or self.route.addresses.get(flight.endpoint) != where:
+                    raise Unlisted
                 wire.write(self.call(flight, where))
                 flight.written = True
                 flight.answer = wire.read_answer()
-        except (OSError, Closed, Malformed, Timeout, Withdrawn) as failure:
+        except (OSError, Closed, Malformed, Timeout, Withdrawn, Unlisted) as failure:
             flight.failure = failure
         if wire is None or where is None:
             return self.relay(flight)
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from time import monotonic
 from typing import Any
@@ -60,7 +61,7 @@
         self.ledger = Ledger(state, limits.disk)
         self.notices = Notices(platform, limits, self.ledger, log)
         self.pool = Pool(limits)
-        self.route = Route(list(settings.get("kinds") or []), list(settings.get("zones") or []))
+        self.route = Route(list(settings.get("kinds") or []), list(settings.get("zones") or []), self.pool)
         book = Book(self.ledger, self.notices, log)
         relay = Relay(book, told_fields(settings) is not None)
         self.host = Host(terms, self.ledger, book, Send(self.pool, self.route, relay), log)
@@ -78,13 +79,22 @@
         self.host.restore(self.known)
         self.take_in.listen()
         for part in (self.directory, self.notices, self.host.timers, self.pool, self.take_in):
-            gevent.spawn(part.run)
+            gevent.spawn(self.keep, part.run)
         gc.collect()
         gc.freeze()
         self.log.info("ready", held=len(self.host.entries), endpoints=len(self.route.addresses))
         self.ended.wait()
         self.ledger.close()
 
+    def keep(self, run: Callable[[], None]) -> None:
+        """Guards the sender against a fault that would end one of its parts for good."""
+        while True:
+            try:
+                return run()
+            except Exception:
+                self.log.exception("fault")
+                gevent.sleep(self.limits.retry)
+
     def end(self) -> None:
         """After SIGTERM: what can be finished is, the rest is in the ledger for the next life."""
         began, limits = monotonic(), self.limits
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -65,6 +65,9 @@
                 pass
         except (OSError, Closed):
             pass
+        except Exception:
+            self.log.exception("fault")
+            self.tell(wire, answer(500, keep=False))
         finally:
             self.idle.pop(wire, None)
             self.reading.pop(wire, None)
