--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -46,6 +46,6 @@
             clients=free - outward,
             outward=outward,
             disk=int(float(given.get("disk_mb") or 1) * MEGABYTE),
-            idle_life=max(idle * 0.9 - 0.2, idle / 2),
+            idle_life=max(idle - 0.2, idle / 2),
             connect=(terms.connect_time or 1_000_000) / 1e6,
         )
--- a/ashpath/node/pool.py
+++ b/ashpath/node/pool.py
@@ -69,7 +69,7 @@
 
     def sweep(self) -> None:
         """Closes what has been idle for long or was closed or written to by the far end."""
-        oldest = monotonic() - self.limits.idle_life
+        oldest = monotonic() - self.limits.idle_life + self.limits.sweep  # the next sweep would be too late
         for address in list(self.idle):
             keep = deque[tuple[float, Wire]]()
             for since, wire in self.idle.pop(address):
