Tests of the sender between stand-ins: outcomes, kills, SIGTERM, clients, ledger

On the way: connections are dialled without a resolver, the listener stays open to the end after SIGTERM (one that closes at 0.4 s could reset what stands in its queue), a withdrawal that meets the answer no longer leaves a connection open, watches wait 2 s, buffers double only up to 64 KiB, the ledger's bound leaves a tenth to append to instead of a third.

--- a/ashpath/node/buffer.py
+++ b/ashpath/node/buffer.py
@@ -6,20 +6,20 @@
 class Buffer:
     """Bytes that came in and are not taken yet.
 
-    >>> buffer = Buffer(4)
+    >>> buffer = Buffer(4, 16)
     >>> for part in (b"abc", b"defgh"):
     ...     space = buffer.space(len(part))
     ...     space[:len(part)] = part
     ...     space.release()
     ...     buffer.added(len(part))
     >>> buffer.take(2), buffer.find(b"gh"), len(buffer), len(buffer.data)
-    (b'ab', 4, 6, 16)
+    (b'ab', 4, 6, 8)
     >>> buffer.take(6), len(buffer.data)
     (b'cdefgh', 4)
     """
 
-    def __init__(self, start: int) -> None:
-        self.start = start
+    def __init__(self, start: int, most: int) -> None:
+        self.start, self.most = start, most  # doubled from one up to the other, and past that as it must
         self.data = bytearray(start)
         self.begin = self.end = 0
 
@@ -32,7 +32,7 @@
             self.data[: len(self)] = self.data[self.begin : self.end]
             self.begin, self.end = 0, len(self)
         while len(self.data) - self.end < least:
-            self.data.extend(bytes(max(len(self.data), self.start)))
+            self.data.extend(bytes(max(self.start, min(len(self.data), self.most - len(self.data)))))
         return memoryview(self.data)[self.end :]
 
     def added(self, count: int) -> None:
--- a/ashpath/node/calls.py
+++ b/ashpath/node/calls.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from gevent import Timeout, socket
+from gevent import Timeout
 
-from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
+from ashpath.node.codec import Closed, Malformed, Message, Wire, dial, write_head
 from ashpath.node.limits import Limits
 from ashpath.node.pool import Address
 
@@ -22,7 +22,7 @@
             with Timeout(patience):
                 if self.wire is None or not self.wire.quiet():
                     self.drop()
-                    self.wire = Wire(socket.create_connection(self.address), self.limits)
+                    self.wire = dial(self.address, self.limits)
                 host = b"%s:%d" % (self.address[0].encode(), self.address[1])
                 self.wire.write(write_head(first, [(b"host", host)], body))
                 answer = self.wire.read_answer()
--- a/ashpath/node/codec.py
+++ b/ashpath/node/codec.py
@@ -59,13 +59,25 @@
         return b"".join(self.pieces)
 
 
+def dial(address: tuple[str, int], limits: Limits) -> Wire:
+    """A new connection; a failure or a time-out on the way leaves nothing open."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(limits.connect)
+        sock.connect(address)
+        sock.settimeout(None)
+    except BaseException:
+        sock.close()
+        raise
+    return Wire(sock, limits)
+
+
 class Wire:
     """A connected socket, its buffer, and the message that is being read."""
 
     def __init__(self, sock: socket.socket, limits: Limits) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock, self.limits, self.buffer = sock, limits, Buffer(limits.buffer)
-        self.written = False  # the last byte of what was last written is with the kernel
+        self.sock, self.limits, self.buffer = sock, limits, Buffer(limits.buffer, limits.body)
         self.spoilt = False  # cannot carry a further message
 
     def close(self) -> None:
@@ -73,9 +85,7 @@
         self.sock.close()
 
     def write(self, data: bytes) -> None:
-        self.written = False
         self.sock.sendall(data)
-        self.written = True
 
     def more(self) -> bool:
         """Waits for bytes; False once the far end has closed."""
@@ -117,7 +127,7 @@
             raise Malformed(413, "body too long")
         if message.headers.get(b"expect", b"").lower() == b"100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        self.read_body(message, parser, length, self.limits.body)
+        self.read_body(message, parser, length)
         return message
 
     def read_answer(self) -> Message:
@@ -132,8 +142,10 @@
                 raise
             return message  # its first line is whole, which is what counts
         message.status = parser.get_status_code()
+        if 100 <= message.status < 200:  # an interim answer: the one that counts follows
+            return self.read_answer()
         length = 0 if message.done else self.length(message)
-        message.keep = parser.should_keep_alive() and length is not None and length <= self.limits.answer_body
+        message.keep = parser.should_keep_alive() and length is not None and length <= self.limits.body
         self.rest = (message, parser, length)
         return message
 
@@ -143,7 +155,7 @@
 
     def finish_answer(self) -> Message:
         message, parser, length = self.rest
-        self.read_body(message, parser, length, self.limits.answer_body)
+        self.read_body(message, parser, length)
         return message
 
     def read_head(self, message: Message, parser: Any, what: str) -> None:
@@ -167,7 +179,7 @@
             raise Malformed(400, f"{what} without a proper head")
         self.buffer.take(fed)
 
-    def read_body(self, message: Message, parser: Any, length: int | None, most: int) -> None:
+    def read_body(self, message: Message, parser: Any, length: int | None) -> None:
         """A body of known length is fed in one piece; one in chunks or up to the end as it comes."""
         size = 0
         while not message.done:
@@ -176,7 +188,7 @@
                 count = have if length is None else length
                 self.feed(parser, self.buffer.take(count))
                 size += count
-                if size > 2 * most + self.limits.head or len(message.body) > most:
+                if size > 2 * self.limits.body or len(message.body) > self.limits.body:
                     raise Malformed(413, "body too long")
             elif not self.more():
                 raise ConnectionResetError("ended within a body")
@@ -196,7 +208,7 @@
         text = message.headers.get(b"content-length")
         if text is None:
             return 0 if message.method or message.done else None
-        if not text.isdigit():
+        if not text.isdigit() or len(text) > 15:
             raise Malformed(400, "a length that is no number")
         return int(text)
 
--- a/ashpath/node/ledger.py
+++ b/ashpath/node/ledger.py
@@ -108,8 +108,8 @@
         return len(entry.body) + len(entry.trace) + len(entry.tag or "") + SPARE
 
     def has_room(self, entry: Entry) -> bool:
-        """A third: the old and the new file fit beside each other, and a third is left to append to."""
-        return 3 * (self.reserved + self.size(entry)) <= self.most - BLOCK
+        """The old and the new file fit beside each other, and a tenth is left to append to."""
+        return 2.2 * (self.reserved + self.size(entry)) <= self.most - BLOCK
 
     def taken(self, entry: Entry) -> bool:
         """False: there is no space for it, and nothing was written."""
--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -21,15 +21,14 @@
     idle_life: float  # an own idle connection to an endpoint is closed after this: before the far end does
     connect: float  # a connection not up by then has failed
     head: int = 16 << 10  # of a message, in bytes
-    body: int = 64 << 10
-    answer_body: int = MEGABYTE  # a longer answer ends its connection
+    body: int = 64 << 10  # a longer answer ends its connection
     buffer: int = 4 << 10  # a connection's buffer to begin with, and again once it is empty
     request: float = 5.0  # from a request's first byte to its last
     peer: float = 2.0  # for a client to take its answer
-    watch: float = 5.0  # a watch of the directory waits so long
+    watch: float = 2.0  # a watch of the directory waits so long
     silence: float = 1.0  # and is given up so much later
     retry: float = 0.1  # between tries at the directory and at notices that failed
-    ask: float = 2.0  # for the answer to a notice
+    ask: float = 0.5  # for the answer to a notice
     notices: int = 200  # lines of one call
     sweep: float = 0.25  # how often idle connections are looked at
     accept_after_term: float = 0.4  # connections still come for so long after SIGTERM
--- a/ashpath/node/pool.py
+++ b/ashpath/node/pool.py
@@ -6,9 +6,8 @@
 from time import monotonic
 
 import gevent
-from gevent import socket
 
-from ashpath.node.codec import Wire
+from ashpath.node.codec import Wire, dial
 from ashpath.node.limits import Limits
 
 Address = tuple[str, int]
@@ -39,12 +38,10 @@
             self.close_longest_idle()
         self.open += 1
         try:
-            sock = socket.create_connection(address, timeout=self.limits.connect)
+            return dial(address, self.limits)
         except BaseException:
             self.open -= 1
             raise
-        sock.settimeout(None)
-        return Wire(sock, self.limits)
 
     def give_back(self, address: Address, wire: Wire) -> None:
         if wire.spoilt or len(wire.buffer):
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -86,7 +86,7 @@
         try:
             with Timeout(self.pool.limits.peer):
                 wire.finish_answer()
-        except (OSError, Closed, Malformed, Timeout):
+        except (OSError, Closed, Malformed, Timeout, Withdrawn):  # called off as the answer came
             wire.spoilt = True
         self.pool.give_back(where, wire)
 
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -55,7 +55,7 @@
     def __init__(self, given: dict[str, Any], listen: str, discovery: str, state: Path, log: Any) -> None:
         self.log = log
         settings = given["settings"]
-        terms = node_terms(int(given["seed"], 16), settings)
+        terms = node_terms(int(str(given["seed"]), 16), settings)
         self.limits = limits = Limits.of(given.get("limits") or {}, terms)
         platform = address(discovery)
         self.ledger = Ledger(state, limits.disk)
@@ -102,7 +102,7 @@
         self.take_in.closing = True
         gevent.sleep(limits.accept_after_term)
         self.admit.refusing = True
-        self.take_in.stop_accepting()
+        self.take_in.close_idle()  # those that still come are accepted to the end, and get an answer
         while monotonic() < began + limits.shots_after_term and self.busy():
             gevent.sleep(0.02)
         self.host.ending = True
@@ -137,5 +137,9 @@
     except BadStart as error:
         print(f"ashpath: {error}", file=sys.stderr)
         return 2
-    sender.run()
+    try:
+        sender.run()
+    except OSError as error:
+        print(f"ashpath: {error}", file=sys.stderr)
+        return 1
     return 0
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -108,7 +108,8 @@
 
     def reply(self, wire: Wire, request: Message, keep: bool) -> None:
         if request.path != names.HAND_IN:
-            self.tell(wire, answer(200 if request.path == names.READY else 404, keep))
+            ready = 503 if self.closing else 200
+            self.tell(wire, answer(ready if request.path == names.READY else 404, keep))
             return
         if request.method != b"POST":
             self.tell(wire, answer(405, keep))
@@ -135,8 +136,7 @@
             return False
         return True
 
-    def stop_accepting(self) -> None:
-        """The end of the time in which connections come: those between requests are closed."""
-        self.listener.close()
+    def close_idle(self) -> None:
+        """Between requests a connection may be closed: its client goes to another sender."""
         for wire in list(self.idle):
             wire.close()
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,551 @@
+"""The sender on sockets, between stand-ins: clients, endpoints that do as a body says, a platform."""
+
+from __future__ import annotations
+
+import doctest
+import importlib
+import json
+import os
+import pkgutil
+import signal
+import struct
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import gevent
+import pytest
+from gevent import Timeout, socket
+from gevent.server import StreamServer
+
+import ashpath.node
+from ashpath.door import Ending
+from ashpath.node.admit import Admit
+from ashpath.node.book import Book
+from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
+from ashpath.node.directory import Directory
+from ashpath.node.ledger import BLOCK, Entry, Ledger
+from ashpath.node.limits import Limits
+from ashpath.node.notices import Notices
+from ashpath.node.pool import Pool
+from ashpath.node.relay import Relay
+from ashpath.node.route import Route
+from ashpath.node.send import Flight, Send
+from ashpath.node.take_in import TakeIn
+from ashpath.node.timers import now, wall
+from ashpath.terms import node_terms
+
+ROOT = Path(__file__).parent.parent
+TRACKS = {"free": "retryable", "tag": "dedup", "once": "fragile"}
+SETTINGS = {
+    "classes": [{"name": n, "deadline": 30000.0, "slo": 2000.0, "repeat": r, "window": 20000.0,
+                 "importance": 1.0, "one-at-a-time": n == "tag"} for n, r in TRACKS.items()],
+    "kinds": ["plain"], "zones": ["here"], "group-size": 1, "rank": 0,
+    "limits": {"max-open": 40, "max-attempts": 9, "retry-after": True, "max-retry-after": 3000.0,
+               "conn-idle": 2000.0, "connect-timeout": 300.0, "cancelling": True},
+    "load-info": {"how": "answers", "fields": ["x0", "x1"]}, "specifics": {"slots": 32},
+    "contract": {"drain-grace": 250.0, "order-settle": 200.0},
+}  # fmt: skip
+
+
+def until(true: Callable[[], object]) -> None:
+    """Waits as long as it takes, within reason."""
+    with Timeout(20):
+        while not true():
+            gevent.sleep(0.01)
+
+
+def abandon(sock: socket.socket) -> None:
+    """Ends a connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class World:
+    """All that a sender meets. The words of a body say what its calls meet, one after the other."""
+
+    def __init__(self, folder: Path, known: int = 40) -> None:
+        self.folder, self.calls, self.notices = folder, {}, []
+        self.deaf = 0  # notices to be answered 503 first
+        self.process: subprocess.Popen[bytes] | None = None
+        self.servers = [StreamServer(("127.0.0.1", 0), serve) for serve in (self.endpoint, self.platform)]
+        for server in self.servers:
+            server.start()
+        port = self.servers[0].server_port
+        same = {"host_port": f"127.0.0.1:{port}", "locality": "here", "flavor": "plain", "phase": "up"}
+        self.members = [{"id": f"e{i}", "cell": i, "size": 1.0, **same} for i in range(known)]
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            self.where = probe.getsockname()
+        (folder / "state").mkdir()
+        known_list = {"revision": 1, "complete": True, "members": self.members}
+        limits = {"sockets": 256, "disk_mb": 1}
+        self.config = {"seed": "8c1f", "settings": SETTINGS, "limits": limits, "known": known_list}
+        self.configure()
+
+    def configure(self) -> None:
+        (self.folder / "config.json").write_text(json.dumps(self.config))
+
+    def environment(self) -> dict[str, str]:
+        return {
+            "PYTHONPATH": str(ROOT),
+            "RELAY_NAME": "n0",
+            "RELAY_LISTEN": f"127.0.0.1:{self.where[1]}",
+            "RELAY_DISCOVERY": f"127.0.0.1:{self.servers[1].server_port}",
+            "RELAY_STATE": str(self.folder / "state"),
+            "RELAY_CONFIG": str(self.folder / "config.json"),
+        }
+
+    def start(self) -> None:
+        command = [sys.executable, "-m", "ashpath"]
+        with (self.folder / "log").open("ab") as log:
+            self.process = subprocess.Popen(command, env=self.environment(), stdout=log, stderr=log)
+        until(lambda: self.ask(write_head(b"GET /health/ready HTTP/1.1", [], b"")) == 200)
+
+    def kill(self, how: int = signal.SIGKILL) -> int:
+        assert self.process is not None
+        self.process.send_signal(how)
+        until(lambda: self.process is None or self.process.poll() is not None)
+        code, self.process = self.process.returncode, None
+        return code
+
+    def stop(self) -> None:
+        if self.process is not None:
+            self.kill()
+        for server in self.servers:
+            server.stop(timeout=0)
+
+    def connect(self) -> Wire | None:
+        try:
+            return Wire(socket.create_connection(self.where), LIMITS)
+        except OSError:
+            return None
+
+    def ask(self, data: bytes) -> int:
+        """The status of the answer; 0 if there is none."""
+        wire = self.connect()
+        if wire is None:
+            return 0
+        try:
+            wire.write(data)
+            return wire.read_answer().status
+        except (OSError, Closed):
+            return 0
+        finally:
+            wire.close()
+
+    def hand_in(self, trace: str, track: str, body: str, to: int, left: int = 30000, key: str = "") -> int:
+        return self.ask(request(trace, track, body, to, left, key))
+
+    def endpoint(self, sock: socket.socket, _: object) -> None:
+        wire = Wire(sock, LIMITS)
+        try:
+            while self.answer(wire, wire.read_request()):
+                pass
+        except (OSError, Closed, Malformed):
+            pass
+        wire.close()
+
+    def answer(self, wire: Wire, call: Message) -> bool:
+        calls = self.calls.setdefault(call.headers[b"x-trace-id"].decode(), [])
+        calls.append(call)
+        words = call.body.decode().split()
+        word = words[min(len(calls), len(words)) - 1]
+        if word == "hang":
+            wire.more()
+        elif word == "reset":
+            abandon(wire.sock)
+        elif word == "line":
+            wire.write(b"HTTP/1.1 200 OK\r\n")
+        else:
+            gevent.sleep(0.5 if word == "slow" else 0)
+            status = {"slow": b"200", "stray": b"200", "egress": b"503"}.get(word, word.encode())
+            extra = {"429": [(b"Retry-After", b"0.05")], "egress": [(b"X-Egress-Full", b"1")]}.get(word, [])
+            wire.write(write_head(b"HTTP/1.1 %s X" % status, extra, b"ok") + b"?" * (word == "stray"))
+            return True
+        return False
+
+    def platform(self, sock: socket.socket, _: object) -> None:
+        wire = Wire(sock, LIMITS)
+        try:
+            while call := wire.read_request():
+                if call.method == b"POST" and self.deaf:
+                    self.deaf -= 1
+                    wire.write(write_head(b"HTTP/1.1 503 X", [], b""))
+                elif call.method == b"POST":
+                    self.notices += [json.loads(line) for line in call.body.splitlines()]
+                    wire.write(b"HTTP/1.1 204 X\r\n\r\n")
+                else:
+                    gevent.sleep(0.2)
+                    wire.write(write_head(b"HTTP/1.1 200 X", [], json.dumps(self.config["known"]).encode()))
+        except (OSError, Closed):
+            wire.close()
+
+    def told(self, trace: str) -> list[str]:
+        return [line["status"] for line in self.notices if line["id"] == trace]
+
+    def count(self, trace: str) -> int:
+        return len(self.calls.get(trace, ()))
+
+
+def request(trace: str, track: str, body: str, to: int, left: int = 30000, key: str = "") -> bytes:
+    names = (b"X-Trace-Id", b"X-Qos", b"X-Expires-In-Ms", b"X-Route-To", b"Idempotency-Key", b"Cookie")
+    values = (trace, track, str(left), f"dest={to}", f"tag-{trace}", f"about={key}")
+    headers = [(name, value.encode()) for name, value in zip(names, values, strict=True)]
+    return write_head(b"POST /api HTTP/1.1", headers if key else headers[:-1], body.encode())
+
+
+TERMS = node_terms(1, SETTINGS)
+LIMITS = Limits.of({"sockets": 256, "disk_mb": 1}, TERMS)
+
+
+@pytest.fixture
+def world(tmp_path: Path) -> Iterator[World]:
+    made = World(tmp_path)
+    yield made
+    made.stop()
+
+
+def test_examples() -> None:
+    for module in pkgutil.iter_modules(ashpath.node.__path__):
+        assert doctest.testmod(importlib.import_module(f"ashpath.node.{module.name}")).failed == 0
+
+
+# What a call meets, the track, how many calls there are then, and the notice that ends the envelope.
+OUTCOMES = """
+    200       once 1
+    stray     once 1
+    line      once 1
+    slow      once 1
+    500+200   free 2
+    500+200   tag  2
+    500       once 1 undeliverable
+    418       once 1 undeliverable
+    429+200   once 2
+    503+200   once 2
+    egress+200 once 2
+    504+200   once 2
+    410       once 1
+    reset+200 free 2
+    reset+200 tag  2
+    reset     once 1 undeliverable
+    hang      once 1 undeliverable
+    refused   free 0 deferred
+    refused   once 0 deferred
+    hang      free 1 deferred
+    hang      tag  1 undeliverable
+"""
+
+
+def test_what_comes_back(world: World) -> None:
+    rows = [line.split() for line in OUTCOMES.split("\n") if line.strip()]
+    for number, (words, *_) in enumerate(rows):
+        if words == "refused":
+            world.members[number]["host_port"] = "127.0.0.1:1"
+    world.configure()
+    world.start()
+    for number, (words, track, *_) in enumerate(rows):
+        left = 30000 if "200" in words or words == "slow" else 1500
+        assert world.hand_in(f"r{number}", track, words.replace("+", " "), number, left) == 202
+    for number, (words, track, calls, *end) in enumerate(rows):
+        until(lambda n=number, c=int(calls): world.count(f"r{n}") >= c)
+        if end:
+            until(lambda n=number, end=end: world.told(f"r{n}") == end)
+        assert world.count(f"r{number}") == int(calls), (words, track)
+        for call in world.calls.get(f"r{number}", ()):
+            assert call.headers[b"idempotency-key"] == b"tag-r%d" % number
+            assert call.path == b"/hook" and 0 < int(call.headers[b"x-expires-in-ms"]) <= 30000
+    until(lambda: not live(world))
+    assert len(world.notices) == sum(len(row) > 3 for row in rows)
+
+
+def live(world: World) -> dict[int, Entry]:
+    """What the sender's ledger holds, read from a copy."""
+    copy = world.folder / f"copy{len(list(world.folder.iterdir()))}"
+    copy.mkdir()
+    (copy / "journal").write_bytes((world.folder / "state" / "journal").read_bytes())
+    ledger = Ledger(copy, LIMITS.disk)
+    ledger.close()
+    return ledger.live
+
+
+def test_over_a_kill(world: World) -> None:
+    """Each kind of track with a shot out, one that was never sent, and two of one key."""
+    world.start()
+    for number, track in enumerate(("free", "tag", "once")):
+        world.hand_in(f"k{number}", track, "hang 200", number)
+        until(lambda n=number: world.count(f"k{n}") == 1)
+    world.hand_in("late", "tag", "hang", 5, left=100)
+    world.members[6]["host_port"] = "127.0.0.1:1"
+    world.hand_in("first", "tag", "hang slow", 7, key="a")
+    until(lambda: world.count("first") == 1)
+    assert world.hand_in("second", "tag", "200", 7, key="a") == 202
+    until(lambda: world.told("late"))
+    assert world.kill() == -signal.SIGKILL
+    world.start()
+    until(lambda: world.told("k2"))
+    assert world.told("k2") == ["undeliverable"] and world.count("k2") == 1
+    until(lambda: world.count("k0") == world.count("k1") == 2 and world.count("second") == 1)
+    assert world.calls["k1"][0].body == world.calls["k1"][1].body
+    assert list(world.calls).index("second") > list(world.calls).index("first") and world.count("first") == 2
+    until(lambda: not live(world))
+    assert [line["id"] for line in world.notices] == ["late", "k2"]
+
+
+def test_overdue_after_a_kill(world: World) -> None:
+    """The window of a tagged envelope, the cut-off, and a notice that the platform had not heard."""
+    ledger = Ledger(world.folder / "state", LIMITS.disk)
+    old = wall() - 20_000_000
+    past = [(1, 5_000_000, True), (0, -10, False), (1, -10, True), (0, 9, False)]
+    for number, (track, left, ran) in enumerate(past):
+        entry = Entry(number + 1, f"o{number}", track, 1, None, None, wall() + left, b"200")
+        assert ledger.taken(entry)
+        if ran:
+            ledger.shot(entry, old, "e1")
+    ledger.ended(entry, '{"id":"o3","status":"deferred","again_ms":5}')
+    ledger.close()
+    world.deaf = 2
+    world.start()
+    until(lambda: len(world.notices) == 4)
+    ends = {line["id"]: line["status"] for line in world.notices}
+    assert ends == {"o0": "undeliverable", "o1": "deferred", "o2": "undeliverable", "o3": "deferred"}
+    assert not world.calls
+
+
+def test_sigterm(world: World) -> None:
+    world.start()
+    kept, idle = world.connect(), world.connect()
+    assert kept is not None and idle is not None and world.process is not None
+    kept.write(request("t0", "once", "slow", 0))
+    assert kept.read_answer().status == 202
+    kept.finish_answer()
+    world.hand_in("t1", "tag", "hang 200", 1)
+    until(lambda: world.count("t0") and world.count("t1"))
+    world.process.send_signal(signal.SIGTERM)
+    until(lambda: world.ask(write_head(b"GET /health/ready HTTP/1.1", [], b"")) == 503)
+    kept.write(request("t2", "free", "200", 2))  # in the time in which connections still come
+    answer = kept.read_answer()
+    assert answer.status == 202 and not answer.keep and answer.headers[b"connection"] == b"close"
+    assert not idle.more()  # closed as that time is over
+    assert world.hand_in("t3", "free", "200", 3) == 503
+    until(lambda: world.process is None or world.process.poll() is not None)
+    assert world.process.returncode == 0 and world.count("t2") == 1 and not world.count("t3")
+    assert [entry.trace for entry in live(world).values()] == ["t1"]
+    world.start()
+    until(lambda: world.count("t1") == 2)
+    until(lambda: not live(world))
+    assert world.count("t0") == 1 and not world.notices
+
+
+CHUNKED = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n"
+ASKED = {
+    b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n": 400,
+    request("x", "unknown", "200", 1): 400,
+    request("x", "free", "200", 1).replace(b"dest=1", b"dest=one"): 400,
+    request("x", "free", "200", 1).replace(b"30000", b"soon"): 400,
+    b"\x00\x01nonsense\r\n\r\n": 400,
+    b"POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n": 400,
+    b"GET /health/ready HTTP/1.1\r\nX: " + b"a" * 20_000: 431,
+    b"GET /elsewhere HTTP/1.1\r\n\r\n": 404,
+    b"GET /api HTTP/1.1\r\n\r\n": 405,
+    request("x", "free", "x" * 65_537, 1): 413,
+    CHUNKED % b"" + b"10000\r\n" + b"x" * 65_536 + b"\r\n1\r\nx\r\n0\r\n\r\n": 413,
+    CHUNKED % b"" + b"zz\r\n": 400,
+    CHUNKED % request("c", "free", "", 5).split(b"\r\n", 1)[1][:-21] + b"3\r\n200\r\n0\r\n\r\n": 202,
+    request("big", "free", "200 " + "x" * 65_532, 1): 202,
+}
+
+
+def test_clients(world: World) -> None:
+    world.start()
+    stalled = [world.connect() for _ in range(LIMITS.clients + 20)]  # more than it has descriptors for
+    for wire in stalled:
+        assert wire is not None
+        wire.write(b"POST /api HTTP/1.1\r\n")
+    for data, status in ASKED.items():
+        assert world.ask(data) == status, data[:60]
+    wire = world.connect()
+    assert wire is not None
+    wire.write(request("p1", "free", "200", 3) + request("p2", "free", "200", 4))  # one behind the other
+    for _ in range(2):
+        assert wire.read_answer().status == 202
+        wire.finish_answer()
+    until(lambda: world.count("p1") == world.count("p2") == world.count("big") == 1)
+    assert world.process is not None and world.process.poll() is None
+    for wire in stalled:
+        assert wire is not None
+        wire.close()
+
+
+class Still:
+    """In place of the host: takes all, and remembers."""
+
+    def __init__(self) -> None:
+        self.entries, self.seen, self.flights = {}, [], {}
+
+    def take(self, entry: Entry) -> None:
+        self.seen.append(f"take {entry.trace}")
+
+    def gone(self, entry: Entry) -> None:
+        self.seen.append(f"gone {entry.trace}")
+
+
+def desk(folder: Path, disk: int = 1 << 20) -> tuple[TakeIn, Still, Ledger]:
+    ledger, host = Ledger(folder, disk), Still()
+    book = Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None), None)
+    admit = Admit(TERMS, list(TRACKS), host, ledger, book)
+    return TakeIn(("127.0.0.1", 1), LIMITS, admit, None), host, ledger
+
+
+def test_clients_that_leave(tmp_path: Path) -> None:
+    """Before it is read: never taken. Before the answer is out: gone."""
+    take_in, host, ledger = desk(tmp_path)
+    near, far = socket.socketpair()
+    far.sendall(request("g0", "free", "200", 1))
+    far.close()
+    take_in.serve(Pair(near))
+    assert host.seen == [] and not ledger.live
+    near, far = socket.socketpair()
+    take, host.take = host.take, lambda entry: (take(entry), far.close())
+    far.sendall(request("g1", "free", "200", 1))
+    take_in.serve(Pair(near))
+    assert host.seen == ["take g1", "gone g1"]
+
+
+class Pair(Wire):
+    """A wire over a pair of local sockets, which have no TCP to set."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(socket.socket, "setsockopt", lambda *_: None)
+            super().__init__(sock, LIMITS)
+
+
+def test_ledger_torn(tmp_path: Path) -> None:
+    """Whatever byte the file ends at, what is whole before it counts, and records go on behind it."""
+    ledger = Ledger(tmp_path, 1 << 20)
+    one, two = (Entry(n, f"t{n}", 0, 1, 5, "tag", 7, b"a\nb\x00", ) for n in (1, 2))  # fmt: skip
+    assert ledger.taken(one) and ledger.taken(two)
+    before = ledger.written
+    ledger.shot(two, 77, "e1")
+    ledger.outcome(two, may_have_run=True)
+    ledger.close()
+    whole = (tmp_path / "journal").read_bytes()
+    for end in range(before, len(whole)):
+        (tmp_path / "journal").write_bytes(whole[:end] + b"\x00" * (end % 3))
+        (tmp_path / "journal.new").write_bytes(b"left by a kill")
+        again = Ledger(tmp_path, 1 << 20)
+        assert [e.trace for e in again.live.values()] == ["t1", "t2"] and again.live[1].body == b"a\nb\x00"
+        assert again.live[2].ran_at is None and not (tmp_path / "journal.new").exists()
+        again.ended(again.live[1])
+        again.close()
+        third = Ledger(tmp_path, 1 << 20)
+        assert list(third.live) == [2] and third.last == 2
+        third.close()
+    (tmp_path / "journal").write_bytes(whole)
+    last = Ledger(tmp_path, 1 << 20).live[2]
+    assert (last.ran_at, last.ran_to, last.out_at, last.shots) == (77, "e1", None, 1)
+
+
+def test_ledger_full(tmp_path: Path) -> None:
+    """Never more than the disk holds, old and new file together; a 503 where there is no room, none lost."""
+    most = 8 * BLOCK
+    take_in, _, ledger = desk(tmp_path, most)
+    statuses, sizes, replace = [], [], os.replace
+
+    def replacing(new: Path, old: Path) -> None:
+        sizes.append(sum(file.stat().st_size + 512 for file in tmp_path.iterdir()))
+        replace(new, old)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("ashpath.node.ledger.os.replace", replacing)
+        for number in range(60):
+            entry = take_in.admit.envelope(parsed(request(f"f{number}", "free", "200" * 100, 1)))
+            statuses.append(take_in.admit.take_on(entry)[0])
+            if statuses[-1] == 202:
+                ledger.shot(entry, 1, "e1")
+                ledger.outcome(entry, may_have_run=True)
+                ledger.shot(entry, 2, "e1")
+        assert statuses.count(503) > 20 and statuses.count(202) == len(ledger.live) > 5
+        for _ in range(300):
+            ledger.outcome(entry := next(iter(ledger.live.values())), may_have_run=True)
+            ledger.shot(entry, 3, "e1")
+    assert sizes and max(sizes) <= most
+    ledger.close()
+    again = Ledger(tmp_path, most)
+    assert again.live.keys() == ledger.live.keys() and next(iter(again.live.values())).shots == 302
+    for entry in list(again.live.values()):
+        again.ended(entry)
+    assert not again.live and again.reserved == 0
+
+
+def parsed(data: bytes) -> Message:
+    near, far = socket.socketpair()
+    far.sendall(data)
+    return Pair(near).read_request()
+
+
+def test_room(tmp_path: Path) -> None:
+    take_in, host, ledger = desk(tmp_path)
+    host.entries = dict.fromkeys(range(TERMS.room))
+    entry = take_in.admit.envelope(parsed(request("r", "free", "200", 1)))
+    assert take_in.admit.take_on(entry) == (503, 0) and not ledger.live
+
+
+def test_drained_before_the_first_byte(world: World) -> None:
+    """The directory drops an endpoint while the connection comes up: the shot is not sent."""
+    pool = Pool(LIMITS)
+    route, endings = Route(["plain"], ["here"], pool), []
+    route.learn(world.members, whole=True)
+    relay = Relay(Book(Ledger(world.folder, 1 << 20), None, None), reports=True)
+    relay.returned = lambda flight, ending, *_: endings.append(ending)
+    send = Send(pool, route, relay)
+    for changes in ([], [{**world.members[1], "phase": "draining"}]):
+        flight = Flight(Entry(1, "d", 0, 1, None, None, 0, b"200"), "e1", now() + 5_000_000, 5_000_000)
+        send.begin(flight)
+        assert [row.presence.name for row in route.learn(changes, whole=False)] == ["DRAINING"] * len(changes)
+        flight.greenlet.join()
+    assert endings == [Ending.COMPLETED, Ending.UNSENT] and world.count("d") == 1 and not pool.idle
+
+
+def test_pool(world: World) -> None:
+    """Closed, spoilt and long idle connections carry no call."""
+    pool, where = Pool(LIMITS), world.servers[0].address
+    good, ended, stray, old = (pool.connect(where) for _ in range(4))
+    for wire in (ended, stray, good, old):
+        pool.give_back(where, wire)
+    ended.write(b"nonsense\r\n\r\n")  # upon which the far end closes
+    stray.write(request("s", "free", "200", 1))  # an answer that nobody waits for
+    until(lambda: not ended.quiet() and not stray.quiet())
+    assert pool.take(where) is good and pool.open == 2
+    pool.idle[where][0] = (pool.idle[where][0][0] - LIMITS.idle_life, old)
+    pool.give_back(where, good)
+    pool.sweep()
+    assert [wire for _, wire in pool.idle[where]] == [good] and pool.open == 1
+    pool.release(where)
+    assert not pool.idle and pool.open == 0
+
+
+def test_directory(world: World) -> None:
+    """Changes and whole lists are told apart; what cannot be read changes nothing."""
+    heard = []
+    directory = Directory(("127.0.0.1", 1), LIMITS, 1, lambda rows, whole: heard.append((len(rows), whole)))
+    for body in (b"", b"[]", b'{"revision":2}', b'{"revision":null,"complete":true,"members":[]}'):
+        assert not directory.learn(body) and directory.revision == 1
+    assert directory.learn(b'{"revision":2,"complete":false,"members":[]}') and directory.revision == 2
+    assert directory.learn(b'{"revision":3,"complete":true,"members":[{}]}') and heard == [(1, True)]
+
+
+def test_bad_starts(world: World) -> None:
+    told = [("RELAY_STATE", ""), ("RELAY_CONFIG", ""), ("RELAY_CONFIG", "/nowhere"), ("RELAY_LISTEN", "x")]
+    for name, value in [*told, ("", "{"), ("", "[]"), ("", '{"seed": "x"}')]:
+        environment = world.environment()
+        environment.pop(name, None)
+        if name and value:
+            environment[name] = value
+        elif value:
+            (world.folder / "config.json").write_text(value)
+        run = subprocess.run([sys.executable, "-m", "ashpath"], env=environment, capture_output=True)
+        errors = run.stderr.decode()
+        assert run.returncode != 0 and len(errors.splitlines()) == 1 and errors[:9] == "ashpath: ", errors
