A shot that no descriptor is left for counts as not sent, not as the endpoint's failure

Guards small socket limits: with fewer descriptors than slots the pool would have gone past its share.

--- a/ashpath/node/pool.py
+++ b/ashpath/node/pool.py
@@ -34,8 +34,6 @@
         return None
 
     def connect(self, address: Address) -> Wire:
-        if self.open >= self.limits.outward:
-            self.close_longest_idle()
         self.open += 1
         try:
             return dial(address, self.limits)
@@ -57,12 +55,14 @@
         for _, wire in self.idle.pop(address, ()):
             self.close(wire)
 
-    def close_longest_idle(self) -> None:
-        if self.idle:
+    def has_room(self) -> bool:
+        """For one more connection, if need be in place of the one that is idle longest."""
+        if self.open >= self.limits.outward and self.idle:
             address = min(self.idle, key=lambda address: self.idle[address][0][0])
             self.close(self.idle[address].popleft()[1])
             if not self.idle[address]:
                 del self.idle[address]
+        return self.open < self.limits.outward
 
     def sweep(self) -> None:
         """Closes what has been idle for long or was closed or written to by the far end."""
--- a/ashpath/node/relay.py
+++ b/ashpath/node/relay.py
@@ -10,7 +10,7 @@
 from ashpath.node import names
 from ashpath.node.book import Book
 from ashpath.node.codec import Message
-from ashpath.node.send import Flight, Unlisted, Withdrawn
+from ashpath.node.send import Flight, Unsent, Withdrawn
 
 UNRUN = (Ending.FULL, Ending.UNSENT, Ending.NO_CONNECTION)
 # A status that the protocol does not name says nothing of whether the call ran: an error.
@@ -52,7 +52,7 @@
         if answer is None:
             if isinstance(failure, Withdrawn):
                 return Ending.WITHDRAWN, 0, False, None
-            if isinstance(failure, Unlisted):
+            if isinstance(failure, Unsent):
                 return Ending.UNSENT, 0, False, None
             if not flight.written:
                 return Ending.NO_CONNECTION, 0, False, None
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -20,8 +20,8 @@
     """The module called the shot off."""
 
 
-class Unlisted(Exception):
-    """The endpoint was listed when the module chose it, and no longer is."""
+class Unsent(Exception):
+    """Nothing went out, and the endpoint is not to blame: it is no longer listed, or descriptors are out."""
 
 
 @dataclass(eq=False)
@@ -60,15 +60,15 @@
         wire = None
         try:
             with Timeout(max(0.0, (flight.due - now()) / 1e6)):
-                if where is not None:
-                    wire = self.pool.take(where) or self.pool.connect(where)
+                if where is not None and (wire := self.pool.take(where)) is None and self.pool.has_room():
+                    wire = self.pool.connect(where)
                 # Guards drains: the connection may have come up long after the directory changed.
                 if where is None or wire is None or self.route.addresses.get(flight.endpoint) != where:
-                    raise Unlisted
+                    raise Unsent
                 wire.write(self.call(flight, where))
                 flight.written = True
                 flight.answer = wire.read_answer()
-        except (OSError, Closed, Malformed, Timeout, Withdrawn, Unlisted) as failure:
+        except (OSError, Closed, Malformed, Timeout, Withdrawn, Unsent) as failure:
             flight.failure = failure
         if wire is None or where is None:
             return self.relay(flight)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -523,8 +523,13 @@
     pool.give_back(where, good)
     pool.sweep()
     assert [wire for _, wire in pool.idle[where]] == [good] and pool.open == 1
+    spare = [pool.connect(where) for _ in range(LIMITS.outward - 1)]
+    assert pool.has_room() and not pool.idle  # the idle one has made room
+    spare.append(pool.connect(where))
+    assert not pool.has_room()
+    pool.give_back(where, spare[0])
     pool.release(where)
-    assert not pool.idle and pool.open == 0
+    assert not pool.idle and pool.open == LIMITS.outward - 1
 
 
 def test_directory(world: World) -> None:
