Shots called off before they begin, bad directory lines, room from clients that left

Read through for what could hang or hide: a shot withdrawn before its greenlet ran would have had no outcome; one unreadable line of the directory would have hidden all others for good; under a flood of connections a client might have lost one whose request was whole but unread. Each mended, the first two with their lines in Flight.withdraw and Route.learn; a test calls shots off before, during and after.

--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -24,6 +24,7 @@
     body: int = 64 << 10  # a longer answer ends its connection
     buffer: int = 4 << 10  # a connection's buffer to begin with, and again once it is empty
     request: float = 5.0  # from a request's first byte to its last
+    stall: float = 0.5  # a client this long within a request has left: its connection may make room
     peer: float = 2.0  # for a client to take its answer
     watch: float = 2.0  # a watch of the directory waits so long
     silence: float = 1.0  # and is given up so much later
--- a/ashpath/node/route.py
+++ b/ashpath/node/route.py
@@ -25,8 +25,8 @@
 class Route:
     """`addresses` has the listed endpoints: one leaves as it drains, is removed, or a whole list lacks it."""
 
-    def __init__(self, kinds: list[str], zones: list[str], pool: Pool) -> None:
-        self.kinds, self.zones, self.pool = kinds, zones, pool
+    def __init__(self, kinds: list[str], zones: list[str], pool: Pool, log: Any) -> None:
+        self.kinds, self.zones, self.pool, self.log = kinds, zones, pool, log
         self.addresses: dict[str, Address] = {}
         self.told: Callable[[list[Listing], bool], None] = lambda rows, whole: None
 
@@ -34,7 +34,12 @@
         self.told(self.learn(members, whole), whole)
 
     def learn(self, members: list[dict[str, Any]], whole: bool) -> list[Listing]:
-        found = [(self.listing(member), address(member["host_port"])) for member in members]
+        found = []
+        for member in members:
+            try:
+                found.append((self.listing(member), address(member["host_port"])))
+            except (KeyError, TypeError, ValueError) as error:  # one bad line must not hide the others
+                self.log.error("line of the directory not read", line=str(member), error=repr(error))
         before = dict(self.addresses)
         if whole:
             self.addresses = {}
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 import gevent
-from gevent import Greenlet, Timeout
+from gevent import Timeout
 
 from ashpath.node import names
 from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
@@ -35,10 +36,12 @@
     written: bool = False
     answer: Message | None = None
     failure: BaseException | None = None
-    greenlet: Greenlet[..., None] | None = None
+    greenlet: Any = None  # that carries it, once it has begun
 
     def withdraw(self) -> None:
-        if self.greenlet is not None and self.answer is None and self.failure is None:
+        if self.greenlet is None:
+            self.failure = Withdrawn()
+        elif self.answer is None and self.failure is None:
             self.greenlet.kill(Withdrawn, block=False)
 
 
@@ -49,7 +52,7 @@
         self.pool, self.route, self.relay = pool, route, relay
 
     def begin(self, flight: Flight) -> None:
-        flight.greenlet = gevent.spawn(self.fly, flight, self.route.addresses.get(flight.endpoint))
+        gevent.spawn(self.fly, flight, self.route.addresses.get(flight.endpoint))
 
     def release(self, endpoint: str) -> None:
         where = self.route.addresses.get(endpoint)
@@ -57,7 +60,9 @@
             self.pool.release(where)
 
     def fly(self, flight: Flight, where: Address | None) -> None:
-        wire = None
+        if flight.failure is not None:  # called off before it began
+            return self.relay(flight)
+        wire, flight.greenlet = None, gevent.getcurrent()
         try:
             with Timeout(max(0.0, (flight.due - now()) / 1e6)):
                 if where is not None and (wire := self.pool.take(where)) is None and self.pool.has_room():
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from time import monotonic
 from typing import Any
 
 import gevent
@@ -22,7 +23,7 @@
     def __init__(self, where: Address, limits: Limits, admit: Admit, log: Any) -> None:
         self.where, self.limits, self.admit, self.log = where, limits, admit, log
         self.idle: OrderedDict[Wire, None] = OrderedDict()  # between requests
-        self.reading: OrderedDict[Wire, None] = OrderedDict()  # within one
+        self.reading: OrderedDict[Wire, float] = OrderedDict()  # within one, since when
         self.clients = 0
         self.freed = Event()
         self.closing = False  # every answer ends its connection
@@ -51,13 +52,14 @@
 
     def make_room(self) -> bool:
         """Closes the client that is idle longest, else the one that has stalled longest within a request."""
-        for wires in (self.idle, self.reading):
-            if wires:
-                wire, _ = wires.popitem(last=False)
-                wire.close()
-                gevent.sleep(0)
-                return True
-        return False
+        wire = next(iter(self.idle), None)
+        if wire is None:
+            wire, since = next(iter(self.reading.items()), (None, 0.0))
+            if wire is None or monotonic() - since < self.limits.stall:
+                return False
+        wire.close()
+        gevent.sleep(0)
+        return True
 
     def serve(self, wire: Wire) -> None:
         try:
@@ -81,7 +83,7 @@
         if not len(wire.buffer) and not wire.more():
             return False
         del self.idle[wire]
-        self.reading[wire] = None
+        self.reading[wire] = monotonic()
         try:
             with Timeout(self.limits.request):
                 request = wire.read_request()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -493,20 +493,49 @@
     assert take_in.admit.take_on(entry) == (503, 0) and not ledger.live
 
 
+class Outward:
+    """The stages from the route to the relay, and the endings that would reach the module."""
+
+    def __init__(self, world: World) -> None:
+        self.pool, self.endings, ledger = Pool(LIMITS), [], Ledger(world.folder, LIMITS.disk)
+        self.route = Route(["plain"], ["here"], self.pool, None)
+        self.route.learn(world.members, whole=True)
+        relay = Relay(Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None), None), reports=True)
+        relay.returned = lambda flight, ending, *_: self.endings.append(ending)
+        self.send = Send(self.pool, self.route, relay)
+
+    def begin(self, trace: str, body: bytes) -> Flight:
+        entry = Entry(1, trace, 0, 1, None, None, 0, body)
+        flight = Flight(entry, "e1", now() + 5_000_000, 5_000_000)
+        self.send.begin(flight)
+        return flight
+
+
 def test_drained_before_the_first_byte(world: World) -> None:
     """The directory drops an endpoint while the connection comes up: the shot is not sent."""
-    pool = Pool(LIMITS)
-    route, endings = Route(["plain"], ["here"], pool), []
-    route.learn(world.members, whole=True)
-    relay = Relay(Book(Ledger(world.folder, 1 << 20), None, None), reports=True)
-    relay.returned = lambda flight, ending, *_: endings.append(ending)
-    send = Send(pool, route, relay)
-    for changes in ([], [{**world.members[1], "phase": "draining"}]):
-        flight = Flight(Entry(1, "d", 0, 1, None, None, 0, b"200"), "e1", now() + 5_000_000, 5_000_000)
-        send.begin(flight)
-        assert [row.presence.name for row in route.learn(changes, whole=False)] == ["DRAINING"] * len(changes)
-        flight.greenlet.join()
-    assert endings == [Ending.COMPLETED, Ending.UNSENT] and world.count("d") == 1 and not pool.idle
+    outward = Outward(world)
+    outward.begin("a", b"200")
+    until(lambda: outward.endings == [Ending.COMPLETED])
+    outward.begin("b", b"200")
+    outward.route.learn([{**world.members[1], "phase": "draining"}], whole=False)
+    until(lambda: outward.endings == [Ending.COMPLETED, Ending.UNSENT])
+    assert not world.count("b") and not outward.pool.idle
+
+
+def test_called_off(world: World) -> None:
+    """Whenever a shot is called off, it has one outcome, and its connection carries no other."""
+    outward = Outward(world)
+    outward.begin("a", b"hang").withdraw()
+    until(lambda: outward.endings == [Ending.WITHDRAWN])
+    flight = outward.begin("b", b"hang")
+    until(lambda: world.count("b"))
+    flight.withdraw()
+    until(lambda: outward.endings == [Ending.WITHDRAWN] * 2)
+    assert not world.count("a") and outward.pool.open == 0
+    flight = outward.begin("c", b"200")
+    until(lambda: outward.endings[2:] == [Ending.COMPLETED])
+    flight.withdraw()
+    assert outward.pool.open == 1
 
 
 def test_pool(world: World) -> None:
