All names from one place; a client reset while it is accepted no longer counts for ever

Read through again: a reset between accept and the socket's options would have left the count of clients one too high each time (TakeIn.run); a deferred notice said again_ms 0 where no wait is to be told.

--- a/ashpath/node/admit.py
+++ b/ashpath/node/admit.py
@@ -27,9 +27,9 @@
 
 
 def answer(status: int, keep: bool = True, come_back: int = 0) -> bytes:
-    headers = [] if keep else [(b"Connection", b"close")]
+    headers = [] if keep else [(b"connection", b"close")]
     if come_back > 0:
-        headers.append((b"Retry-After", b"%.3f" % (come_back / 1e6)))
+        headers.append((names.WAIT, b"%.3f" % (come_back / 1e6)))
     return write_head(PLAIN[status], headers, b"")
 
 
--- a/ashpath/node/book.py
+++ b/ashpath/node/book.py
@@ -36,6 +36,5 @@
             self.end(entry, notice(entry, names.UNDELIVERABLE))
 
     def end(self, entry: Entry, line: str) -> None:
-        entry.notice = line
         self.ledger.ended(entry, line)
         self.notices.add(entry)
--- a/ashpath/node/notices.py
+++ b/ashpath/node/notices.py
@@ -17,14 +17,14 @@
 from ashpath.node.pool import Address
 
 
-def notice(entry: Entry, status: str, again_ms: int | None = None) -> str:
+def notice(entry: Entry, status: str, again_ms: int = 0) -> str:
     """One line.
 
     >>> notice(Entry(1, "9b1f", 0, 0, None, None, 0, b""), "deferred", 500)
     '{"id":"9b1f","status":"deferred","again_ms":500}'
     """
     told = {"id": entry.trace, "status": status}
-    return orjson.dumps(told if again_ms is None else told | {"again_ms": again_ms}).decode()
+    return orjson.dumps(told | {"again_ms": again_ms} if again_ms else told).decode()
 
 
 class Notices:
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -97,8 +97,8 @@
 
     def call(self, flight: Flight, where: Address) -> bytes:
         entry = flight.entry
-        headers = [(b"Host", b"%s:%d" % (where[0].encode(), where[1])), (b"X-Trace-Id", entry.trace.encode())]
+        headers = [(names.HOST, b"%s:%d" % (where[0].encode(), where[1])), (names.TRACE, entry.trace.encode())]
         if entry.tag is not None:
-            headers.append((b"Idempotency-Key", entry.tag.encode()))
-        headers.append((b"X-Expires-In-Ms", b"%d" % max(1, flight.timeout // 1000)))
+            headers.append((names.TAG, entry.tag.encode()))
+        headers.append((names.EXPIRES, b"%d" % max(1, flight.timeout // 1000)))
         return write_head(b"POST %s HTTP/1.1" % names.HOOK, headers, entry.body)
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -37,14 +37,12 @@
     def run(self) -> None:
         while True:
             try:
-                sock, _ = self.listener.accept()
+                wire = Wire(self.listener.accept()[0], self.limits)
             except OSError:
-                if self.listener.fileno() < 0:
-                    return
                 gevent.sleep(0.01)  # out of descriptors, or a client that left again
                 continue
             self.clients += 1
-            gevent.spawn(self.serve, Wire(sock, self.limits))
+            gevent.spawn(self.serve, wire)
             while self.clients >= self.limits.clients:
                 self.freed.clear()
                 if not self.make_room():
