--- a/ashpath/node/calls.py
+++ b/ashpath/node/calls.py
@@ -4,8 +4,7 @@
 
 from gevent import Timeout
 
-from ashpath.node import names
-from ashpath.node.codec import Closed, Malformed, Message, Wire, dial, write_head
+from ashpath.node.codec import Closed, Malformed, Message, Wire, dial, host, write_head
 from ashpath.node.limits import Limits
 from ashpath.node.pool import Address
 
@@ -24,8 +23,7 @@
                 if self.wire is None or not self.wire.quiet():
                     self.drop()
                     self.wire = dial(self.address, self.limits)
-                host = b"%s:%d" % (self.address[0].encode(), self.address[1])
-                self.wire.write(write_head(first, [(names.HOST, host)], body))
+                self.wire.write(write_head(first, [host(self.address)], body))
                 answer = self.wire.read_answer()
                 if not self.wire.spoilt:
                     self.wire.finish_answer()
--- a/ashpath/node/codec.py
+++ b/ashpath/node/codec.py
@@ -213,6 +213,15 @@
         return int(text)
 
 
+def host(address: tuple[str, int]) -> tuple[bytes, bytes]:
+    """The header that names the far end.
+
+    >>> host(("10.1.0.18", 7070))
+    (b'host', b'10.1.0.18:7070')
+    """
+    return b"host", b"%s:%d" % (address[0].encode(), address[1])
+
+
 def write_head(first: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
     """A whole message.
 
--- a/ashpath/node/names.py
+++ b/ashpath/node/names.py
@@ -1,7 +1,6 @@
 """The protocol's names, and nothing else of it."""
 
 # Headers, in lower case as the codec hands them over, and as they are sent.
-HOST = b"host"
 TRACE = b"x-trace-id"
 TRACK = b"x-qos"
 EXPIRES = b"x-expires-in-ms"
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -10,7 +10,7 @@
 from gevent import Timeout
 
 from ashpath.node import names
-from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
+from ashpath.node.codec import Closed, Malformed, Message, Wire, host, write_head
 from ashpath.node.ledger import Entry
 from ashpath.node.pool import Address, Pool
 from ashpath.node.route import Route
@@ -97,7 +97,7 @@
 
     def call(self, flight: Flight, where: Address) -> bytes:
         entry = flight.entry
-        headers = [(names.HOST, b"%s:%d" % (where[0].encode(), where[1])), (names.TRACE, entry.trace.encode())]
+        headers = [host(where), (names.TRACE, entry.trace.encode())]
         if entry.tag is not None:
             headers.append((names.TAG, entry.tag.encode()))
         headers.append((names.EXPIRES, b"%d" % max(1, flight.timeout // 1000)))
