A shot asks the module once more before its first byte: no wait told since, still listed

Wrong lines: Send.fly looked only at the directory, and did so by itself; now Sender.stands decides both, and the shot comes back as not sent.

Could hurt where waits are told all the time and dials are slow: such shots are spent one by one against the most allowed.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -2,7 +2,7 @@
 
 How to call it: make one `Sender(terms, answers)` per instance. For each batch of news call `open_turn(now)`,
 then a method per piece of news (`listed`, `take`, `restored`, `returned`, `gone`, `woken`), and last
-`close_turn()`. The interface is `ashpath/door.py`; the design, and where it departs, `docs/design.md`.
+`close_turn()`; `stands` any time. The interface is `ashpath/door.py`; the design, `docs/design.md`.
 """
 
 from __future__ import annotations
@@ -161,9 +161,8 @@
         self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
         self.decreased_at, self.breaker = -1, Breaker.CLOSED
         self.reopened = self.open_until = self.wait_until = 0
-        # The pace beside the limit, where a rate is told: see `excused`.
         self.told, self.share = 0.0, 1.0  # what answers told: calls a second, share left: noisy, old
-        self.pace, self.paced = 0.0, Bucket()  # calls a second that this sender allows itself
+        self.pace, self.paced = 0.0, Bucket()  # calls a second allowed beside the limit: see `excused`
         self.pace_cut_at, self.succeeded_at = sender.now, sender.now
         self.bad, self.bad_at = 0.0, sender.now  # share of late answers that were errors or resets
         self.failures = 0.0  # in a row; those that may have other causes count half
@@ -478,6 +477,11 @@
             envelope.line.rest_until = self.now + self.terms.key_rest
         self.review(envelope)
 
+    def stands(self, id_: int, now: int) -> bool:
+        """Whether a shot may still go once its connection is up: still listed, and no wait told meanwhile."""
+        shot, listed = self.envelopes[id_].shot, self.envelopes[id_].destination.endpoints
+        return bool(shot and shot.endpoint in listed and now >= shot.endpoint.gate.wait_until)
+
     def returned(self, id_: int, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
         envelope = self.envelopes.get(id_)
         if envelope is None or envelope.shot is None:
@@ -487,9 +491,8 @@
         took = self.now - shot.started
         shot.endpoint.gate.tell(told)
         self.hear(shot, destination, ending, wait, took)
-        if ending is Ending.COMPLETED:
-            destination.times[track.index].learn(took)
-            self.times.learn(took)
+        for times in (destination.times[track.index], self.times) if ending is Ending.COMPLETED else ():
+            times.learn(took)
         if envelope.line and ending in (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN):
             envelope.line.rest_until = self.now + self.terms.key_rest
         envelope.ran = envelope.ran or (None if ending in PROVES_UNRUN else shot)
@@ -616,9 +619,8 @@
         for shot in self.out:
             if self.terms.may_withdraw and shot.usual < self.now - shot.started and not shot.called_off:
                 shot.called_off = True
-                for envelope in shot.envelopes:
-                    if envelope.shot is shot:
-                        self.answers.withdraw(envelope.id, envelope.shots - 1)
+                for envelope in (e for e in shot.envelopes if e.shot is shot):
+                    self.answers.withdraw(envelope.id, envelope.shots - 1)
                 return
 
     def give_up(self, envelope: Envelope) -> None:
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -26,6 +26,7 @@
         self.timers = Timers(self.woken)
         self.ending = False  # no shot is begun any more: what is held is the next life's
         self.sender = Sender(terms, self)
+        send.stands = lambda entry: self.sender.stands(entry.number, now())
 
     def turn(self, *news: News) -> None:
         self.sender.open_turn(now())
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -22,7 +22,7 @@
 
 
 class Unsent(Exception):
-    """Nothing went out, and the endpoint is not to blame: it is no longer listed, or descriptors are out."""
+    """Nothing went out, and the endpoint is not to blame: the shot stands no more, or descriptors are out."""
 
 
 @dataclass(eq=False)
@@ -50,6 +50,7 @@
 
     def __init__(self, pool: Pool, route: Route, relay: Callable[[Flight], None]) -> None:
         self.pool, self.route, self.relay = pool, route, relay
+        self.stands: Callable[[Entry], bool] = lambda entry: True  # the module's word on it
 
     def begin(self, flight: Flight) -> None:
         gevent.spawn(self.fly, flight, self.route.addresses.get(flight.endpoint))
@@ -67,8 +68,8 @@
             with Timeout(max(0.0, (flight.due - now()) / 1e6)):
                 if where is not None and (wire := self.pool.take(where)) is None and self.pool.has_room():
                     wire = self.pool.connect(where)
-                # Guards drains: the connection may have come up long after the directory changed.
-                if where is None or wire is None or self.route.addresses.get(flight.endpoint) != where:
+                # Guards drains and waits: the connection may have come up long after either was told.
+                if where is None or wire is None or not self.stands(flight.entry):
                     raise Unsent
                 wire.write(self.call(flight, where))
                 flight.written = True
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -14,6 +14,7 @@
     +1s    restart                              killed, and back with what it had taken on
     +1s    gone a | drain x1 | leave x1 | list x1 | pass (nothing happens but wakes)
     expect shot a b | shot a at x1 | bounced a | aborted a | held a | quiet | log some words
+    expect stands a | halted a                  whether a shot that has not left yet may still go
 
 Default: kind `plain`, endpoint x1 of destination 7, track `s`, repeatable, cut off at 30s.
 """
@@ -277,6 +278,11 @@
             for name in words.split()[1:]:
                 one = self.held[self.ids[name]]
                 assert not one.over and one.out is None, f"{name} is not held"
+        elif words.startswith(("stands", "halted")):
+            verb, *names = words.split()
+            for name in names:
+                stands = self.sender.stands(self.ids[name], self.now)
+                assert stands == (verb == "stands"), f"{name} stands: {stands}"
         elif words.startswith("log"):
             assert any(s.startswith("log") and words[4:] in s for s in self.seen), f"seen: {self.seen}"
         else:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -511,15 +511,21 @@
         return flight
 
 
-def test_drained_before_the_first_byte(world: World) -> None:
-    """The directory drops an endpoint while the connection comes up: the shot is not sent."""
+def test_halted_before_the_first_byte(world: World) -> None:
+    """What stands no more once its connection is up is not sent; a drain closes idle connections."""
     outward = Outward(world)
     outward.begin("a", b"200")
     until(lambda: outward.endings == [Ending.COMPLETED])
+    outward.send.stands = lambda entry: entry.trace != "b"
     outward.begin("b", b"200")
-    outward.route.learn([{**world.members[1], "phase": "draining"}], whole=False)
     until(lambda: outward.endings == [Ending.COMPLETED, Ending.UNSENT])
-    assert not world.count("b") and not outward.pool.idle
+    outward.begin("c", b"200")
+    until(lambda: outward.endings[2:] == [Ending.COMPLETED])
+    assert not world.count("b") and outward.pool.idle
+    outward.route.learn([{**row, "phase": "draining"} for row in world.members], whole=False)
+    assert not outward.pool.idle and outward.pool.open == 0
+    outward.begin("d", b"200")
+    until(lambda: outward.endings[3:] == [Ending.UNSENT])
 
 
 def test_called_off(world: World) -> None:
