The ledger reserves what an entry may need, and logs when it is full

Suspected: the ledger turned envelopes away, as each reserved 512 bytes beyond its body. Now the reserve is the record written plus what it may grow by (240 bytes and its id), the bound 2.91 MB in millions of bytes.

--- a/ashpath/node/admit.py
+++ b/ashpath/node/admit.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from hashlib import blake2b
+from typing import Any
 
 from ashpath.door import Terms
 from ashpath.node import names
 from ashpath.node.book import Book
 from ashpath.node.codec import Malformed, Message, write_head
 from ashpath.node.host import Host
-from ashpath.node.ledger import Entry, Ledger
+from ashpath.node.ledger import Entry
 from ashpath.node.timers import wall
 
 PLAIN = {
@@ -34,8 +35,9 @@
 
 
 class Admit:
-    def __init__(self, terms: Terms, tracks: list[str], host: Host, ledger: Ledger, book: Book) -> None:
-        self.terms, self.tracks, self.host, self.ledger, self.book = terms, tracks, host, ledger, book
+    def __init__(self, terms: Terms, tracks: list[str], host: Host, book: Book, log: Any) -> None:
+        self.terms, self.tracks, self.host, self.book, self.log = terms, tracks, host, book, log
+        self.ledger, self.full = book.ledger, False
         self.refusing = False  # after SIGTERM
 
     def envelope(self, request: Message) -> Entry:
@@ -70,7 +72,12 @@
         if len(self.host.entries) >= self.terms.room > 0:
             return 503, 0  # as the platform turns away what is more than an instance may hold
         entry.number = self.ledger.last + 1
-        if not self.ledger.taken(entry):
+        taken = self.ledger.taken(entry)
+        if taken == self.full:
+            self.full = not taken
+            words, ledger = "ledger full" if self.full else "ledger has room", self.ledger
+            self.log.info(words, held=len(ledger.live), reserved=ledger.reserved, most=ledger.most)
+        if not taken:
             return 503, 0
         self.book.handing_in, self.book.answer = entry, None
         self.host.take(entry)
--- a/ashpath/node/ledger.py
+++ b/ashpath/node/ledger.py
@@ -16,7 +16,7 @@
 
 import orjson
 
-SPARE = 512  # bytes that an entry's later records, and a notice, may take when the journal is written anew
+SPARE = 240  # bytes an entry may grow by until it is over: two moments, two endpoints, a notice less its id
 BLOCK = 4096  # what rounding up to whole blocks may add, both files together
 
 
@@ -39,6 +39,7 @@
     out_to: str = ""
     notice: str | None = None  # the line that ends it, until the platform has it
     over: bool = False
+    size: int = 0  # what it may take in a journal written anew
 
     def facts(self) -> list[Any]:
         return [
@@ -83,7 +84,8 @@
     def apply(self, what: str, number: int, fields: list[Any], body: bytes = b"") -> None:
         """What a record does, in this life and the next."""
         if what == "taken":
-            self.add(Entry(*[number, *fields[:6], body, *fields[6:]]))
+            entry = Entry(*[number, *fields[:6], body, *fields[6:]])
+            self.add(entry, len(record(["taken", *entry.facts()], body)))
         elif number in self.live:
             entry = self.live[number]
             if what == "shot":
@@ -97,29 +99,25 @@
                 entry.over, entry.notice = True, fields[0]
                 if entry.notice is None:
                     del self.live[number]
-                    self.reserved -= self.size(entry)
+                    self.reserved -= entry.size
 
-    def add(self, entry: Entry) -> None:
+    def add(self, entry: Entry, record_size: int) -> None:
+        entry.size = record_size + len(entry.trace) + SPARE
         self.live[entry.number] = entry
-        self.reserved += self.size(entry)
+        self.reserved += entry.size
         self.last = max(self.last, entry.number)
 
-    def size(self, entry: Entry) -> int:
-        return len(entry.body) + len(entry.trace) + len(entry.tag or "") + SPARE
-
-    def has_room(self, entry: Entry) -> bool:
-        """The old and the new file fit beside each other, and a tenth is left to append to."""
-        return 2.2 * (self.reserved + self.size(entry)) <= self.most - BLOCK
-
     def taken(self, entry: Entry) -> bool:
         """False: there is no space for it, and nothing was written."""
-        if not self.has_room(entry):
+        data = record(["taken", *entry.facts()], entry.body)
+        # The old and the new file fit beside each other, and a twentieth is left to append to.
+        if 2.1 * (self.reserved + len(data) + len(entry.trace) + SPARE) > self.most - BLOCK:
             return False
         try:
-            self.write(record(["taken", *entry.facts()], entry.body))
+            self.write(data)
         except OSError:
             return False
-        self.add(entry)
+        self.add(entry, len(data))
         return True
 
     def shot(self, entry: Entry, at: int, endpoint: str) -> None:
--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -44,8 +44,7 @@
         return cls(
             clients=free - outward,
             outward=outward,
-            # A megabyte may be meant as a million bytes, and a tenth is left spare.
-            disk=int(float(given.get("disk_mb") or 1) * 900_000),
+            disk=int(float(given.get("disk_mb") or 1) * 970_000),  # a megabyte may be a million bytes
             idle_life=max(idle - 0.2, idle / 2),
             connect=(terms.connect_time or 1_000_000) / 1e6,
         )
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -68,7 +68,7 @@
         self.host = Host(terms, self.ledger, book, Send(self.pool, self.route, relay), log)
         self.route.told, relay.returned = self.host.listed, self.host.returned
         tracks = [row["name"] for row in settings["classes"]]
-        self.admit = Admit(terms, tracks, self.host, self.ledger, book)
+        self.admit = Admit(terms, tracks, self.host, book, log)
         self.take_in = TakeIn(address(listen), limits, self.admit, log)
         known = given.get("known") or {"members": [], "revision": 0}
         self.directory = Directory(platform, limits, int(known.get("revision") or 0), self.route.hear)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,6 +16,7 @@
 
 import gevent
 import pytest
+import structlog
 from gevent import Timeout, socket
 from gevent.server import StreamServer
 
@@ -394,7 +395,7 @@
 def desk(folder: Path, disk: int = 1 << 20) -> tuple[TakeIn, Still, Ledger]:
     ledger, host = Ledger(folder, disk), Still()
     book = Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None), None)
-    admit = Admit(TERMS, list(TRACKS), host, ledger, book)
+    admit = Admit(TERMS, list(TRACKS), host, book, structlog.get_logger())
     return TakeIn(("127.0.0.1", 1), LIMITS, admit, None), host, ledger
 
 
