A fault of the module is no longer taken for an unreadable list; two more tests

Read through: Directory.learn called the module inside the try that judges the list, so an exception there would have been retried for ever as a bad list.

--- a/ashpath/node/directory.py
+++ b/ashpath/node/directory.py
@@ -32,10 +32,9 @@
         """Takes the list or its changes; False where that cannot be read."""
         try:
             told = orjson.loads(body)
-            rows, whole, revision = told["members"], bool(told["complete"]), int(told["revision"])
-            if rows or whole:
-                self.hear(rows, whole)
+            rows, whole, self.revision = list(told["members"]), bool(told["complete"]), int(told["revision"])
         except (ValueError, KeyError, TypeError):
             return False
-        self.revision = revision
+        if rows or whole:
+            self.hear(rows, whole)
         return True
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -24,6 +24,7 @@
 from ashpath.door import Ending
 from ashpath.node.admit import Admit
 from ashpath.node.book import Book
+from ashpath.node.calls import Line
 from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
 from ashpath.node.directory import Directory
 from ashpath.node.ledger import BLOCK, Entry, Ledger
@@ -33,6 +34,7 @@
 from ashpath.node.relay import Relay
 from ashpath.node.route import Route
 from ashpath.node.send import Flight, Send
+from ashpath.node.start import BadStart, node
 from ashpath.node.take_in import TakeIn
 from ashpath.node.timers import now, wall
 from ashpath.terms import node_terms
@@ -578,6 +580,33 @@
     assert directory.learn(b'{"revision":3,"complete":true,"members":[{}]}') and heard == [(1, True)]
 
 
+def test_silence(world: World) -> None:
+    """A platform that says nothing is given up, and asked anew on another connection."""
+    line, ask = Line(world.servers[1].address, LIMITS), b"GET /registry/instances HTTP/1.1"
+    world.servers[1].set_handle(lambda *_: gevent.sleep(9))
+    assert line.call(ask, b"", 0.05) is None and line.wire is None
+    world.servers[1].set_handle(world.platform)
+    answer = line.call(ask, b"", 9)
+    assert answer is not None and answer.status == 200 and line.wire is not None
+
+
+def test_fault_of_a_part(world: World) -> None:
+    """A part that fails is begun anew."""
+    told = [BadStart("x"), None]
+    with pytest.MonkeyPatch.context() as patch:
+        for name, value in world.environment().items():
+            patch.setenv(name, value)
+        sender = node()
+    sender.log = structlog.get_logger()
+
+    def run() -> None:
+        if (fault := told.pop(0)) is not None:
+            raise fault
+
+    sender.keep(run)
+    assert not told
+
+
 def test_bad_starts(world: World) -> None:
     told = [("RELAY_STATE", ""), ("RELAY_CONFIG", ""), ("RELAY_CONFIG", "/nowhere"), ("RELAY_LISTEN", "x")]
     for name, value in [*told, ("", "{"), ("", "[]"), ("", '{"seed": "x"}')]:
