--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -296,6 +296,26 @@
     assert [line["id"] for line in world.notices] == ["late", "k2"]
 
 
+def test_kills_amid_many(world: World) -> None:
+    """Killed twice with many in all stages: each has its one end, and none runs twice that must not."""
+    world.start()
+    taken = {}
+    for number in range(36):
+        track = ("free", "tag", "once")[number % 3]
+        if world.hand_in(f"m{number}", track, "slow 200" if number % 4 else "200", number) == 202:
+            taken[f"m{number}"] = track
+        if number in (14, 29):
+            world.kill()
+            world.start()
+    assert len(taken) == 36
+    until(lambda: not live(world))
+    for trace, track in taken.items():
+        ends = world.told(trace)
+        assert ends == (["undeliverable"] if track == "once" and ends else []), (trace, ends)
+        assert world.count(trace) <= (1 if track == "once" else 3) and (world.count(trace) or ends)
+    assert any(world.told(trace) for trace in taken) and any(world.count(trace) > 1 for trace in taken)
+
+
 def test_overdue_after_a_kill(world: World) -> None:
     """The window of a tagged envelope, the cut-off, and a notice that the platform had not heard."""
     ledger = Ledger(world.folder / "state", LIMITS.disk)
