--- a/ashpath/node/admit.py
+++ b/ashpath/node/admit.py
@@ -80,8 +80,10 @@
         if not taken:
             return 503, 0
         self.book.handing_in, self.book.answer = entry, None
-        self.host.take(entry)
-        self.book.handing_in = None
+        try:
+            self.host.take(entry)
+        finally:
+            self.book.handing_in = None
         if self.book.answer is None:
             return 202, 0
         return (500, 0) if self.book.answer < 0 else (503, self.book.answer)
