--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -19,14 +19,13 @@
     """What the module asks for goes from here to the stages, in the order of its answers."""
 
     def __init__(self, terms: Terms, ledger: Ledger, book: Book, send: Send, log: Any) -> None:
-        self.terms, self.ledger, self.book, self.send, self.logger = terms, ledger, book, send, log
+        self.ledger, self.book, self.send, self.logger = ledger, book, send, log
         self.entries: dict[int, Entry] = {}  # what the sender owes an end; emptied as they have it
         self.flights: dict[int, Flight] = {}  # calls out, by envelope; emptied by their outcomes
         self.queue: list[News] = []  # emptied after each turn
         self.timers = Timers(self.woken)
         self.ending = False  # no shot is begun any more: what is held is the next life's
         self.sender = Sender(terms, self)
-        send.stands = lambda entry: self.sender.stands(entry.number, now())
 
     def turn(self, *news: News) -> None:
         self.sender.open_turn(now())
@@ -69,7 +68,7 @@
     def returned(self, flight: Flight, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
         number = flight.entry.number
         self.flights.pop(number, None)
-        if closed or ending is Ending.COMPLETED:
+        if closed:
             self.entries.pop(number, None)
         self.turn((self.sender.returned, (number, ending, wait, closed, told)))
 
@@ -81,6 +80,9 @@
     def woken(self, tokens: list[str]) -> None:
         self.turn(*((self.sender.woken, (token,)) for token in tokens))
 
+    def stands(self, entry: Entry) -> bool:
+        return self.sender.stands(entry.number, now())
+
     # Answers of the module.
 
     def shoot(self, envelope: int, endpoint: str, timeout: int) -> None:
--- a/ashpath/node/ledger.py
+++ b/ashpath/node/ledger.py
@@ -47,21 +47,25 @@
             self.shots, self.ran_at, self.ran_to, self.out_at, self.out_to, self.notice, self.over,
         ]  # fmt: skip
 
+    def record(self) -> bytes:
+        """All of it, as it stands."""
+        return record(["taken", *self.facts()], self.body)
+
 
 def record(fields: list[Any], body: bytes = b"") -> bytes:
     payload = orjson.dumps(fields) + b"\n" + body
     return len(payload).to_bytes(4, "big") + crc32(payload).to_bytes(4, "big") + payload
 
 
-def records(file: BinaryIO) -> list[tuple[list[Any], bytes]]:
-    """All whole records; from the first that is torn or false nothing counts."""
+def records(file: BinaryIO) -> list[tuple[list[Any], bytes, int]]:
+    """All whole records with their bodies and sizes; from the first torn or false one nothing counts."""
     found = []
     while len(head := file.read(8)) == 8:
         payload = file.read(int.from_bytes(head[:4], "big"))
         if crc32(payload) != int.from_bytes(head[4:], "big") or b"\n" not in payload:
             break
         line, body = payload.split(b"\n", 1)
-        found.append((orjson.loads(line), body))
+        found.append((orjson.loads(line), body, len(head) + len(payload)))
     return found
 
 
@@ -77,15 +81,14 @@
         self.fresh.unlink(missing_ok=True)
         if self.path.exists():
             with self.path.open("rb") as file:
-                for (what, number, *fields), body in records(file):
-                    self.apply(what, number, fields, body)
+                for (what, number, *fields), body, size in records(file):
+                    self.apply(what, number, fields, body, size)
         self.rewrite()
 
-    def apply(self, what: str, number: int, fields: list[Any], body: bytes = b"") -> None:
+    def apply(self, what: str, number: int, fields: list[Any], body: bytes = b"", size: int = 0) -> None:
         """What a record does, in this life and the next."""
         if what == "taken":
-            entry = Entry(*[number, *fields[:6], body, *fields[6:]])
-            self.add(entry, len(record(["taken", *entry.facts()], body)))
+            self.add(Entry(*[number, *fields[:6], body, *fields[6:]]), size)
         elif number in self.live:
             entry = self.live[number]
             if what == "shot":
@@ -101,17 +104,22 @@
                     del self.live[number]
                     self.reserved -= entry.size
 
-    def add(self, entry: Entry, record_size: int) -> None:
-        entry.size = record_size + len(entry.trace) + SPARE
+    def add(self, entry: Entry, size: int) -> None:
+        entry.size = self.grown(entry, size)
         self.live[entry.number] = entry
         self.reserved += entry.size
         self.last = max(self.last, entry.number)
 
+    @staticmethod
+    def grown(entry: Entry, size: int) -> int:
+        """What a record of this size may come to, written anew: a notice repeats the trace."""
+        return size + len(entry.trace) + SPARE
+
     def taken(self, entry: Entry) -> bool:
         """False: there is no space for it, and nothing was written."""
-        data = record(["taken", *entry.facts()], entry.body)
+        data = entry.record()
         # The old and the new file fit beside each other, and a twentieth is left to append to.
-        if 2.1 * (self.reserved + len(data) + len(entry.trace) + SPARE) > self.most - BLOCK:
+        if 2.1 * (self.reserved + self.grown(entry, len(data))) > self.most - BLOCK:
             return False
         try:
             self.write(data)
@@ -155,7 +163,7 @@
         """Only what is live, beside the old file, then over it: at any moment one of them is whole."""
         with self.fresh.open("wb") as file:
             for entry in self.live.values():
-                file.write(record(["taken", *entry.facts()], entry.body))
+                file.write(entry.record())
         os.replace(self.fresh, self.path)
         if self.file >= 0:
             os.close(self.file)
--- a/ashpath/node/names.py
+++ b/ashpath/node/names.py
@@ -1,5 +1,7 @@
 """The protocol's names, and nothing else of it."""
 
+from ashpath.door import Presence
+
 # Headers, in lower case as the codec hands them over, and as they are sent.
 TRACE = b"x-trace-id"
 TRACK = b"x-qos"
@@ -21,4 +23,4 @@
 UNDELIVERABLE = "undeliverable"
 DEFERRED = "deferred"
 
-PRESENCES = {"up": "LISTED", "draining": "DRAINING", "removed": "GONE"}
+PRESENCES = {"up": Presence.LISTED, "draining": Presence.DRAINING, "removed": Presence.GONE}
--- a/ashpath/node/relay.py
+++ b/ashpath/node/relay.py
@@ -6,13 +6,13 @@
 
 from gevent import Timeout
 
+from ashpath.decide import PROVES_UNRUN
 from ashpath.door import Ending, Told
 from ashpath.node import names
 from ashpath.node.book import Book
 from ashpath.node.codec import Message
 from ashpath.node.send import Flight, Unsent, Withdrawn
 
-UNRUN = (Ending.FULL, Ending.UNSENT, Ending.NO_CONNECTION)
 # A status that the protocol does not name says nothing of whether the call ran: an error.
 ENDINGS = {
     200: Ending.COMPLETED,
@@ -43,7 +43,7 @@
 
     def __call__(self, flight: Flight) -> None:
         ending, wait, closed, told = self.outcome(flight)
-        self.book.outcome(flight.entry, ending not in UNRUN, closed or ending is Ending.COMPLETED)
+        self.book.outcome(flight.entry, ending not in PROVES_UNRUN, closed)
         self.returned(flight, ending, wait, closed, told)
 
     def outcome(self, flight: Flight) -> tuple[Ending, int, bool, Told | None]:
--- a/ashpath/node/route.py
+++ b/ashpath/node/route.py
@@ -57,7 +57,7 @@
             destination=int(member["cell"]),
             kind=self.index(self.kinds, member.get("flavor")),
             zone=self.index(self.zones, member.get("locality")),
-            presence=Presence[names.PRESENCES[member["phase"]]],
+            presence=names.PRESENCES[member["phase"]],
         )
 
     @staticmethod
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -63,10 +63,12 @@
         self.pool = Pool(limits)
         kinds, zones = (list(settings.get(name) or []) for name in ("kinds", "zones"))
         self.route = Route(kinds, zones, self.pool, log)
-        book = Book(self.ledger, self.notices, log)
+        book = Book(self.ledger, self.notices)
         relay = Relay(book, told_fields(settings) is not None)
-        self.host = Host(terms, self.ledger, book, Send(self.pool, self.route, relay), log)
+        send = Send(self.pool, self.route, relay)
+        self.host = Host(terms, self.ledger, book, send, log)
         self.route.told, relay.returned = self.host.listed, self.host.returned
+        send.stands = self.host.stands
         tracks = [row["name"] for row in settings["classes"]]
         self.admit = Admit(terms, tracks, self.host, book, log)
         self.take_in = TakeIn(address(listen), limits, self.admit, log)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -416,7 +416,7 @@
 
 def desk(folder: Path, disk: int = 1 << 20) -> tuple[TakeIn, Still, Ledger]:
     ledger, host = Ledger(folder, disk), Still()
-    book = Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None), None)
+    book = Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None))
     admit = Admit(TERMS, list(TRACKS), host, book, structlog.get_logger())
     return TakeIn(("127.0.0.1", 1), LIMITS, admit, None), host, ledger
 
@@ -523,7 +523,7 @@
         self.pool, self.endings, ledger = Pool(LIMITS), [], Ledger(world.folder, LIMITS.disk)
         self.route = Route(["plain"], ["here"], self.pool, None)
         self.route.learn(world.members, whole=True)
-        relay = Relay(Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None), None), reports=True)
+        relay = Relay(Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None)), reports=True)
         relay.returned = lambda flight, ending, *_: self.endings.append(ending)
         self.send = Send(self.pool, self.route, relay)
 
