An answer of the platform in chunks is read to its end

Found in reading once more: Line.call took a connection that can carry no further call for an answer that broke off, so a list sent in chunks came out empty and the directory would have asked for it for ever. The test failed before (empty body) and passes now.

--- a/ashpath/node/calls.py
+++ b/ashpath/node/calls.py
@@ -25,7 +25,7 @@
                     self.wire = dial(self.address, self.limits)
                 self.wire.write(write_head(first, [host(self.address)], body))
                 answer = self.wire.read_answer()
-                if not self.wire.spoilt:
+                if answer.head_done:
                     self.wire.finish_answer()
         except (OSError, Closed, Malformed, Timeout):
             self.drop()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -608,6 +608,11 @@
     world.servers[1].set_handle(world.platform)
     answer = line.call(ask, b"", 9)
     assert answer is not None and answer.status == 200 and line.wire is not None
+    line.drop()
+    chunked = b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+    world.servers[1].set_handle(lambda sock, _: sock.sendall(chunked))
+    answer = line.call(ask, b"", 9)
+    assert answer is not None and answer.body == b"abc" and line.wire is None
 
 
 def test_fault_of_a_part(world: World) -> None:
