SIGHUP is heeded: watch and notices move to the agent that the file names now

Tested: signal(SIGHUP) had no handler anywhere in start.py (Node.run set SIGTERM only), and Line kept the address of its start. A probe that logged both addresses at each start: after a reload the environment and the file name the same new address, so either serves at a restart; the file is preferred, as a keeper of processes may keep an old environment. Ruled out: a revision counted anew; the whole list is asked for all the same. Test: test_sighup (unreadable files, a move, a restart with the old environment).

--- a/ashpath/node/calls.py
+++ b/ashpath/node/calls.py
@@ -15,15 +15,23 @@
     def __init__(self, address: Address, limits: Limits) -> None:
         self.address, self.limits = address, limits
         self.wire: Wire | None = None
+        self.reached = address  # where the wire leads
+
+    def move(self, address: Address) -> None:
+        """From now on the agent is here: a call that is out fails, and its caller tries again."""
+        self.address = address
+        if self.wire is not None:
+            self.wire.close()
 
     def call(self, first: bytes, body: bytes, patience: float) -> Message | None:
         """The answer, or None if none came in time."""
         try:
             with Timeout(patience):
-                if self.wire is None or not self.wire.quiet():
+                if self.wire is None or self.reached != self.address or not self.wire.quiet():
                     self.drop()
-                    self.wire = dial(self.address, self.limits)
-                self.wire.write(write_head(first, [host(self.address)], body))
+                    self.reached = self.address  # guards a dial to the old address while `move` comes
+                    self.wire = dial(self.reached, self.limits)
+                self.wire.write(write_head(first, [host(self.reached)], body))
                 answer = self.wire.read_answer()
                 if answer.head_done:
                     self.wire.finish_answer()
--- a/ashpath/node/directory.py
+++ b/ashpath/node/directory.py
@@ -18,12 +18,19 @@
 
 class Directory:
     def __init__(self, address: Address, limits: Limits, revision: int, hear: Hear) -> None:
-        self.line, self.limits, self.revision, self.hear = Line(address, limits), limits, revision, hear
+        self.line, self.limits, self.hear = Line(address, limits), limits, hear
+        self.revision: int | None = revision  # none: the whole list is asked for
+
+    def move(self, address: Address) -> None:
+        """Another agent may count its revisions anew, and have missed or told what the old one had not."""
+        self.revision = None
+        self.line.move(address)
 
     def run(self) -> None:
         wait = int(self.limits.watch * 1000)
         while True:
-            first = b"GET %s?index=%d&wait=%d HTTP/1.1" % (names.MEMBERS, self.revision, wait)
+            watch = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, wait)
+            first = b"GET %s%s HTTP/1.1" % (names.MEMBERS, watch)
             answer = self.line.call(first, b"", self.limits.watch + self.limits.silence)
             if answer is None or answer.status != 200 or not self.learn(answer.body):
                 gevent.sleep(self.limits.retry)
--- a/ashpath/node/notices.py
+++ b/ashpath/node/notices.py
@@ -35,6 +35,9 @@
         self.waiting: OrderedDict[Entry, None] = OrderedDict()
         self.any = Event()
 
+    def move(self, address: Address) -> None:
+        self.line.move(address)
+
     def add(self, entry: Entry) -> None:
         self.waiting[entry] = None
         self.any.set()
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -31,6 +31,8 @@
 from ashpath.node.take_in import TakeIn
 from ashpath.terms import node_terms, told_fields
 
+UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
+
 
 class BadStart(Exception):
     """What the sender was told at its start cannot be used."""
@@ -49,15 +51,28 @@
     return structlog.get_logger().bind(sender=name)
 
 
+class Given:
+    """What the file of RELAY_CONFIG tells."""
+
+    def __init__(self, path: Path, discovery: str) -> None:
+        told = orjson.loads(path.read_bytes())
+        self.settings: dict[str, Any] = told["settings"]
+        self.terms = node_terms(int(str(told["seed"]), 16), self.settings)
+        self.limits = Limits.of(told.get("limits") or {}, self.terms)
+        self.known: dict[str, Any] = told.get("known") or {"members": [], "revision": 0}
+        # A restart has the same environment, but the file may have changed since.
+        self.discovery = told.get("discovery") or discovery
+        self.platform = address(self.discovery)
+
+
 class Node:
     """One sender on sockets: who owns what is decided here, once."""
 
-    def __init__(self, given: dict[str, Any], listen: str, discovery: str, state: Path, log: Any) -> None:
-        self.log = log
-        settings = given["settings"]
-        terms = node_terms(int(str(given["seed"]), 16), settings)
-        self.limits = limits = Limits.of(given.get("limits") or {}, terms)
-        platform = address(discovery)
+    def __init__(self, path: Path, listen: str, discovery: str, state: Path, log: Any) -> None:
+        self.path, self.discovery, self.log = path, discovery, log
+        self.given = given = Given(path, discovery)
+        settings, terms, platform = given.settings, given.terms, given.platform
+        self.limits = limits = given.limits
         self.ledger = Ledger(state, limits.disk)
         self.notices = Notices(platform, limits, self.ledger, log)
         self.pool = Pool(limits)
@@ -72,23 +87,40 @@
         tracks = [row["name"] for row in settings["classes"]]
         self.admit = Admit(terms, tracks, self.host, book, log)
         self.take_in = TakeIn(address(listen), limits, self.admit, log)
-        known = given.get("known") or {"members": [], "revision": 0}
-        self.directory = Directory(platform, limits, int(known.get("revision") or 0), self.route.hear)
-        self.known = self.route.learn(known["members"], whole=True)
-        self.ended = Event()
+        revision = int(given.known.get("revision") or 0)
+        self.directory = Directory(platform, limits, revision, self.route.hear)
+        self.known = self.route.learn(given.known["members"], whole=True)
+        self.changed, self.ended = Event(), Event()
 
     def run(self) -> None:
+        gevent.signal_handler(signal.SIGHUP, self.changed.set)
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, self.end)
         self.host.restore(self.known)
         self.take_in.listen()
-        for part in (self.directory, self.notices, self.host.timers, self.pool, self.take_in):
-            gevent.spawn(self.keep, part.run)
+        parts = (self.directory, self.notices, self.host.timers, self.pool, self.take_in)
+        for run in (self.follow, *(part.run for part in parts)):
+            gevent.spawn(self.keep, run)
         gc.collect()
         gc.freeze()
         self.log.info("ready", held=len(self.host.entries), endpoints=len(self.route.addresses))
         self.ended.wait()
         self.ledger.close()
 
+    def follow(self) -> None:
+        """After SIGHUP: the platform's agent may have moved. What else is told waits for the next start."""
+        while True:
+            self.changed.wait()
+            self.changed.clear()
+            try:
+                given = Given(self.path, self.discovery)
+            except UNUSABLE as error:  # half written, say: the old one still serves
+                self.log.error("configuration not read", error=f"{type(error).__name__} {error}")
+                continue
+            later = (given.settings, given.limits) != (self.given.settings, self.given.limits)
+            self.log.info("configuration read", discovery=given.discovery, rest_at_next_start=later)
+            for part in (self.directory, self.notices):
+                part.move(given.platform)
+
     def keep(self, run: Callable[[], None]) -> None:
         """Guards the sender against a fault that would end one of its parts for good."""
         while True:
@@ -128,9 +160,8 @@
     name, listen, discovery = told("RELAY_NAME"), told("RELAY_LISTEN"), told("RELAY_DISCOVERY")
     state, path = Path(told("RELAY_STATE")), Path(told("RELAY_CONFIG"))
     try:
-        given = orjson.loads(path.read_bytes())
-        return Node(given, listen, discovery, state, logger(name))
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
+        return Node(path, listen, discovery, state, logger(name))
+    except UNUSABLE as error:
         raise BadStart(f"cannot start from {path}: {type(error).__name__} {error}") from None
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -70,9 +70,11 @@
 
     def __init__(self, folder: Path, known: int = 40) -> None:
         self.folder, self.calls, self.notices = folder, {}, []
+        self.watches: dict[int, int] = {}  # asked for at each port
         self.deaf = 0  # notices to be answered 503 first
         self.process: subprocess.Popen[bytes] | None = None
-        self.servers = [StreamServer(("127.0.0.1", 0), serve) for serve in (self.endpoint, self.platform)]
+        serving = (self.endpoint, self.platform, self.platform)
+        self.servers = [StreamServer(("127.0.0.1", 0), serve) for serve in serving]
         for server in self.servers:
             server.start()
         port = self.servers[0].server_port
@@ -180,6 +182,8 @@
                     self.notices += [json.loads(line) for line in call.body.splitlines()]
                     wire.write(b"HTTP/1.1 204 X\r\n\r\n")
                 else:
+                    port = sock.getsockname()[1]
+                    self.watches[port] = self.watches.get(port, 0) + 1
                     gevent.sleep(0.2)
                     wire.write(write_head(b"HTTP/1.1 200 X", [], json.dumps(self.config["known"]).encode()))
         except (OSError, Closed):
@@ -361,6 +365,33 @@
     assert world.count("t0") == 1 and not world.notices
 
 
+def test_sighup(world: World) -> None:
+    """The agent moves under load: watch and notices follow. What cannot be read changes nothing."""
+    world.start()
+    assert world.process is not None
+    log = world.folder / "log"
+    for text in ("{", "", '{"discovery": "nowhere"}'):
+        before = log.read_text().count("configuration not read")
+        (world.folder / "config.json").write_text(text)
+        world.process.send_signal(signal.SIGHUP)
+        until(lambda before=before: log.read_text().count("configuration not read") > before)
+    old, new = world.servers[1], world.servers[2]
+    world.config["discovery"] = f"127.0.0.1:{new.server_port}"
+    world.members[7]["host_port"] = "127.0.0.1:1"  # told by the new agent only, under a revision of the old
+    world.configure()
+    world.process.send_signal(signal.SIGHUP)
+    until(lambda: log.read_text().count("configuration read") == 1)
+    old.stop(timeout=0)
+    until(lambda: world.watches.get(new.server_port, 0) > 1)  # so the first list has been read
+    assert world.hand_in("h0", "once", "200", 7, 1500) == 202 and world.hand_in("h1", "free", "200", 1) == 202
+    until(lambda: world.told("h0") and world.count("h1"))
+    assert world.process.poll() is None and not world.count("h0")
+    world.kill()
+    world.start()  # the environment still names the old address
+    assert world.hand_in("h2", "once", "200", 7, 1500) == 202
+    until(lambda: world.told("h2"))
+
+
 CHUNKED = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n"
 ASKED = {
     b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n": 400,
