A spoilt answer may have run, unless its first line reads 200; empty answers keep their connection

Probe of all answers other than a sound 200: noise, '2x0', 'OK 200', 'ICY 200 OK', heads without end, a length of 3 GB, broken chunks, lengths that do not fit; reports '?', '{', '%%%', '=,='. Faulty: read_answer took any status whose line was whole for the answer, so a spoilt 429 or 503 proved that nothing ran; a bad length behind a 200 raised after the head and lost the 200; 1xx recursed without end; told() made a share of 0 of a report that cannot be read. Also seen there: every answer of no length closed its connection, as httptools' should_keep_alive() speaks of the next message once one is complete (False after a 429 with Content-Length: 0): it is now read from the headers. Now: the first line is read on its own; a 200 counts whatever follows, timed out or called off too; any other answer has to be sound to its end within Limits.rest, else it is a reset. Tests: test_spoilt_answers, test_reports.

--- a/ashpath/node/calls.py
+++ b/ashpath/node/calls.py
@@ -33,8 +33,9 @@
                     self.wire = dial(self.reached, self.limits)
                 self.wire.write(write_head(first, [host(self.reached)], body))
                 answer = self.wire.read_answer()
-                if answer.head_done:
-                    self.wire.finish_answer()
+                if not answer.sound:
+                    raise Malformed(400, "an answer that cannot be read")
+                self.wire.finish_answer()
         except (OSError, Closed, Malformed, Timeout):
             self.drop()
             return None
--- a/ashpath/node/codec.py
+++ b/ashpath/node/codec.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import gevent
 import httptools
-from gevent import socket
+from gevent import Timeout, socket
 
 from ashpath.node.buffer import Buffer
 from ashpath.node.limits import Limits
 
 END_OF_HEAD = b"\r\n\r\n"
+STATUS = re.compile(rb"HTTP/1\.[01] ([1-5][0-9][0-9])( [^\r\n]*)?\r?\n")
 LENGTHS = {b"content-length", b"transfer-encoding"}
 
 
@@ -37,6 +39,7 @@
         self.pieces: list[bytes] = []
         self.head_done = self.done = False
         self.method, self.status, self.keep = b"", 0, False
+        self.sound = False  # an answer: all that was read of it is as it should be
 
     # What follows the message in the same bytes, and headers behind a body, must not pass for its own.
 
@@ -70,6 +73,12 @@
         return b"".join(self.pieces)
 
 
+def stays(message: Message, parser: Any) -> bool:
+    """Whether the connection goes on. The parser's own word on it is another once a message is complete."""
+    told = message.headers.get(b"connection", b"").lower().replace(b" ", b"").split(b",")
+    return b"close" not in told and (parser.get_http_version() == "1.1" or b"keep-alive" in told)
+
+
 def dial(address: tuple[str, int], limits: Limits) -> Wire:
     """A new connection; a failure or a time-out on the way leaves nothing open."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -135,7 +144,7 @@
         message = Message()
         parser = httptools.HttpRequestParser(message)
         self.read_head(message, parser, "request")
-        message.method, message.keep = parser.get_method(), parser.should_keep_alive()
+        message.method, message.keep = parser.get_method(), stays(message, parser)
         length = self.length(message)
         if length is None and message.headers[b"transfer-encoding"].lower() != b"chunked":
             raise Malformed(400, "an end that is not known")
@@ -147,23 +156,48 @@
         return message
 
     def read_answer(self) -> Message:
-        """Up to the end of the head: nothing more is needed to know how a call ended."""
-        message = Message()
-        parser = httptools.HttpResponseParser(message)
-        try:
-            self.read_head(message, parser, "answer")
-        except (OSError, Closed, Malformed):
-            message.status, self.spoilt = parser.get_status_code(), True
-            if not message.status or self.buffer.find(b"\r\n") < 0:
-                raise
-            return message  # its first line is whole, which is what counts
-        message.status = parser.get_status_code()
-        if 100 <= message.status < 200:  # an interim answer: the one that counts follows
-            return self.read_answer()
-        length = 0 if message.done else self.length(message)
-        message.keep = parser.should_keep_alive() and length is not None and length <= self.limits.body
-        self.rest = (message, parser, length)
-        return message
+        """Of a 200 the head, as its first line tells how a call ended, whatever follows; of others the whole,
+        as only one that is sound from end to end proves anything. One that is not raises Malformed."""
+        for _ in range(self.limits.interim):
+            message, self.spoilt = Message(), True  # until it is known where the answer ends
+            parser = httptools.HttpResponseParser(message)
+            message.status = self.read_status()
+            try:
+                # Guards the shot's slot against a far end that holds back, or never ends, what it has begun.
+                with Timeout(self.limits.rest, Malformed(408, "an answer without an end")):
+                    self.read_head(message, parser, "answer")
+                    if 100 <= message.status < 200:  # an interim answer: the one that counts follows
+                        continue
+                    self.rest = (message, parser, 0 if message.done else self.length(message))
+                    if message.status != 200:
+                        self.finish_answer()
+            except (Exception, Timeout):  # called off or out of time, too: a 200 that is here counts
+                if message.status != 200:
+                    raise
+                return message
+            message.sound, message.keep = True, self.ends(message, parser)
+            self.spoilt = not message.keep
+            return message
+        raise Malformed(400, "interim answers without end")
+
+    def read_status(self) -> int:
+        """Of a first line that reads as one of HTTP; nothing is taken."""
+        fed = 0
+        while (end := self.buffer.find(b"\n", fed)) < 0:
+            fed = len(self.buffer)
+            if fed > self.limits.head:
+                raise Malformed(431, "a first line without end")
+            if not self.more():
+                raise ConnectionResetError("ended within the first line") if fed else Closed
+        found = STATUS.fullmatch(self.buffer.peek(0, end + 1))
+        if found is None:
+            raise Malformed(400, "no status line")
+        return int(found[1])
+
+    def ends(self, message: Message, parser: Any) -> bool:
+        """Whether the far end said where the answer ends, within bounds, so that another may follow."""
+        length = self.rest[2]
+        return stays(message, parser) and length is not None and length <= self.limits.body
 
     def body_here(self) -> bool:
         message, _, length = self.rest
@@ -171,6 +205,8 @@
 
     def finish_answer(self) -> Message:
         message, parser, length = self.rest
+        if length is not None and length > self.limits.body:
+            raise Malformed(413, "an answer too long")
         self.read_body(message, parser, length)
         return message
 
@@ -207,7 +243,9 @@
                 if size > 2 * self.limits.body or len(message.body) > self.limits.body:
                     raise Malformed(413, "body too long")
             elif not self.more():
-                raise ConnectionResetError("ended within a body")
+                if length is not None or b"transfer-encoding" in message.headers:
+                    raise ConnectionResetError("ended within a body")
+                message.done = True  # an answer that told no length ends with its connection
 
     def feed(self, parser: Any, data: bytes) -> None:
         try:
--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -21,6 +21,8 @@
     connect: float  # a connection not up by then has failed
     head: int = 16 << 10  # of a message, in bytes
     body: int = 64 << 10  # a longer answer ends its connection
+    interim: int = 20  # 1xx answers before one that counts
+    rest: float = 0.5  # from an answer's first line to its end, where that end matters
     buffer: int = 4 << 10  # a connection's buffer to begin with, and again once it is empty
     request: float = 2.4  # from a request's first byte to its last, from connecting for the first one
     quiet: float = 3.0  # a client's connection without a request for so long is closed
--- a/ashpath/node/relay.py
+++ b/ashpath/node/relay.py
@@ -23,17 +23,17 @@
 }
 
 
-def number(text: bytes | None) -> float:
-    """A number of a header, 0 where there is none.
+def number(text: bytes | None) -> float | None:
+    """A number of a header or a report; none where there is none, or one that cannot be meant.
 
-    >>> number(b"0.25"), number(b"soon"), number(None), number(b"nan")
-    (0.25, 0.0, 0.0, 0.0)
+    >>> number(b"0.25"), number(b"soon"), number(None), number(b"nan"), number(b"-1")
+    (0.25, None, None, None, None)
     """
     try:
-        value = float(text or 0)
+        value = float(text or b"")
     except ValueError:
-        return 0.0
-    return value if 0 <= value < 1e9 else 0.0
+        return None
+    return value if 0 <= value < 1e6 else None
 
 
 class Relay:
@@ -61,7 +61,7 @@
         ending = ENDINGS.get(status, Ending.ERROR)
         if status == 503 and headers.get(names.FULL, b"") == b"1":
             ending = Ending.UNSENT
-        wait = round(number(headers.get(names.WAIT)) * 1e6) if ending is Ending.FULL else 0
+        wait = round((number(headers.get(names.WAIT)) or 0.0) * 1e6) if ending is Ending.FULL else 0
         return ending, wait, status in (200, 410), self.told(answer)
 
     def told(self, answer: Message) -> Told | None:
@@ -71,5 +71,7 @@
             return None
         pairs = (word.strip(b", ").partition(b"=") for word in report.replace(b",", b" ").split())
         values = {name: number(value) for name, _, value in pairs}
-        rate = values.get(b"x1", 0.0)
-        return Told(values.get(b"x0", 0.0), rate) if rate else None
+        left, rate = values.get(b"x0"), values.get(b"x1")
+        if left is None or not rate:
+            return None  # half a report tells nothing: a share of 0 would stop all calls
+        return Told(min(left, 1.0), rate)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,7 +23,7 @@
 from gevent.server import StreamServer
 
 import ashpath.node
-from ashpath.door import Ending
+from ashpath.door import Ending, Told
 from ashpath.node.admit import Admit
 from ashpath.node.book import Book
 from ashpath.node.calls import Line
@@ -523,6 +523,66 @@
     assert route.serves(2) and not route.serves(1)
 
 
+OK, FULL = b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 429 Full\r\nContent-Length: 2\r\n"
+# What an endpoint writes, how the shot ended, and whether its connection may carry another.
+ANSWERS = {
+    OK + b"Content-Length: 2\r\n\r\nok": (Ending.COMPLETED, True),
+    OK + b"Content-Length: 2\r\n\r\nok" + FULL + b"\r\nno": (Ending.COMPLETED, False),
+    b"HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 100\r\n\r\n" + OK + b"Content-Length: 0\r\n\r\n":
+        (Ending.COMPLETED, True),
+    OK + b"Endpoint-Load-Metrics: TEXT ?\r\nContent-Length: 0\r\n\r\n": (Ending.COMPLETED, True),
+    OK: (Ending.COMPLETED, False),
+    OK + b"no colon\r\n\r\n": (Ending.COMPLETED, False),
+    OK + b"Content-Length: -3\r\n\r\n": (Ending.COMPLETED, False),
+    OK + b"Content-Length: three\r\n\r\n": (Ending.COMPLETED, False),
+    OK + b"Content-Length: 3000000000\r\n\r\nabc": (Ending.COMPLETED, False),
+    OK + b"X: " + b"p" * 20_000: (Ending.COMPLETED, False),
+    b"HTTP/1.1 103 Hints\r\n\r\n" * 50: (Ending.RESET, False),
+    FULL + b"\r\nno": (Ending.FULL, True),
+    FULL + b"\r\nno" + FULL: (Ending.FULL, False),
+    FULL + b"\r\nn": (Ending.RESET, False),
+    FULL + b"no colon\r\n\r\nno": (Ending.RESET, False),
+    FULL + b"Content-Length: 3\r\n\r\nno": (Ending.RESET, False),
+    FULL: (Ending.RESET, False),
+    b"HTTP/1.1 503 X\r\nContent-Length: 3000000000\r\n\r\nabc": (Ending.RESET, False),
+    b"HTTP/1.1 504 X\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n": (Ending.RESET, False),
+    b"HTTP/1.1 410 X\r\nContent-Length: -1\r\n\r\n": (Ending.RESET, False),
+    b"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n": (Ending.RESET, False),
+    b"HTTP/1.1 OK 200\r\nContent-Length: 0\r\n\r\n": (Ending.RESET, False),
+    b"\x10\x98\x80\r\n\r\n": (Ending.RESET, False),
+    b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n": (Ending.ERROR, True),
+}  # fmt: skip
+
+
+def test_spoilt_answers(world: World) -> None:
+    """What is not sound may have run, whatever its status, and its connection carries no other call."""
+
+    def serve(sock: socket.socket, _: object) -> None:
+        wire = Wire(sock, LIMITS)
+        wire.read_request()
+        wire.write(data)
+        wire.more()  # it stays open, until the far end has enough
+
+    world.servers[0].set_handle(serve)
+    outward, limits = Outward(world), replace(LIMITS, rest=0.05)
+    outward.pool.limits = limits
+    for data, (ending, kept) in ANSWERS.items():
+        before = len(outward.endings)
+        outward.begin("s", b"")
+        until(lambda before=before: len(outward.endings) > before)
+        assert outward.endings[-1] is ending, data
+        until(lambda kept=kept: outward.pool.open == kept)
+        outward.pool.release(world.servers[0].address)
+
+
+def test_reports() -> None:
+    """A report that cannot be read tells nothing, not that nothing is left."""
+    relay, answer = Relay(Book(None, None), reports=True), Message()
+    for text, told in ((b"TEXT x0=0.5, x1=20", Told(0.5, 20.0)), (b"TEXT x0=?, x1=20", None), (b"%%", None)):
+        answer.headers = {b"endpoint-load-metrics": text}
+        assert relay.told(answer) == told
+
+
 class Pair(Wire):
     """A wire over a pair of local sockets, which have no TCP to set."""
 
