A tagged envelope wakes at its window's end, also when that is before its promised time

Shown by a scenario: before, the envelope was sent 3.0 s after its first shot; now it is aborted as its window ends. Test: scenarios/window_before_promise.txt.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -601,12 +601,12 @@
         self.remind(envelope)
 
     def remind(self, envelope: Envelope) -> None:
-        """Wakes at its promised time, then its cut-off or its window's end, less what a call takes."""
+        """Wakes at its promised time, then its cut-off, or as its window ends, less what a call takes."""
         expected, at = envelope.destination.expected(envelope.track), envelope.promise_at
         if at - expected <= self.now:
             at = envelope.cutoff_at
-            if envelope.ran and envelope.track.terms.repeat is Repeat.TAGGED:
-                at = min(at, self.window_end(envelope) + expected)
+        if envelope.ran and envelope.track.terms.repeat is Repeat.TAGGED:
+            at = min(at, self.window_end(envelope) + expected)
         self.answers.wake(max(self.now, at - expected), f"e{envelope.id}")
 
     def review(self, envelope: Envelope) -> None:
