Connections belong to an endpoint's id, not to its address

Shown by a test: with a removed endpoint and its successor in one change the old connections stayed (test_successor_at_an_address). Now keyed by id, released when the id leaves or moves, and closed behind an answer whose endpoint has gone. Ruled out: that the module mixes them up; it knows ids only.

--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -100,7 +100,7 @@
             self.queue.append((flight.withdraw, ()))
 
     def release(self, endpoint: str) -> None:
-        self.queue.append((self.send.release, (endpoint,)))
+        self.queue.append((self.send.pool.release, (endpoint,)))
 
     def wake(self, at: int, token: str) -> None:
         self.timers.add(at, token)
--- a/ashpath/node/route.py
+++ b/ashpath/node/route.py
@@ -55,8 +55,9 @@
         # Some time, as an endpoint's successor may be listed only after the endpoint has gone.
         now, still = monotonic(), dict.fromkeys(self.listed.values(), monotonic())
         self.served = {d: at for d, at in self.served.items() if now - at < self.pool.limits.forget} | still
-        for gone in set(before.values()) - set(self.addresses.values()):
-            self.pool.release(gone)
+        for endpoint, where in before.items():
+            if self.addresses.get(endpoint) != where:
+                self.pool.release(endpoint)
         return [row for row, _ in found]
 
     def serves(self, destination: int) -> bool:
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -55,19 +55,16 @@
     def begin(self, flight: Flight) -> None:
         gevent.spawn(self.fly, flight, self.route.addresses.get(flight.endpoint))
 
-    def release(self, endpoint: str) -> None:
-        where = self.route.addresses.get(endpoint)
-        if where is not None:
-            self.pool.release(where)
-
     def fly(self, flight: Flight, where: Address | None) -> None:
         if flight.failure is not None:  # called off before it began
             return self.relay(flight)
         wire, flight.greenlet = None, gevent.getcurrent()
         try:
             with Timeout(max(0.0, (flight.due - now()) / 1e6)):
-                if where is not None and (wire := self.pool.take(where)) is None and self.pool.has_room():
-                    wire = self.pool.connect(where)
+                if where is not None:
+                    wire = self.pool.take(flight.endpoint)
+                    if wire is None and self.pool.has_room():
+                        wire = self.pool.connect(where)
                 # Guards drains and waits: the connection may have come up long after either was told.
                 if where is None or wire is None or not self.stands(flight.entry):
                     raise Unsent
@@ -82,19 +79,21 @@
             self.pool.close(wire)  # giving up closes: an answer that came later would be taken for the next
             return self.relay(flight)
         if wire.body_here():  # before the turn, whose shots may then use this connection
-            self.settle(where, wire)
+            self.settle(flight.endpoint, where, wire)
             return self.relay(flight)
         self.relay(flight)
-        return self.settle(where, wire)
+        return self.settle(flight.endpoint, where, wire)
 
-    def settle(self, where: Address, wire: Wire) -> None:
+    def settle(self, endpoint: str, where: Address, wire: Wire) -> None:
         """The rest of an answer, then the connection is free."""
         try:
             with Timeout(self.pool.limits.peer):
                 wire.finish_answer()
         except (OSError, Closed, Malformed, Timeout, Withdrawn):  # called off as the answer came
             wire.spoilt = True
-        self.pool.give_back(where, wire)
+        if self.route.addresses.get(endpoint) != where:  # gone, or moved, while it answered
+            wire.spoilt = True
+        self.pool.give_back(endpoint, wire)
 
     def call(self, flight: Flight, where: Address) -> bytes:
         entry = flight.entry
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -572,7 +572,7 @@
         until(lambda before=before: len(outward.endings) > before)
         assert outward.endings[-1] is ending, data
         until(lambda kept=kept: outward.pool.open == kept)
-        outward.pool.release(world.servers[0].address)
+        outward.pool.release("e1")
 
 
 def test_reports() -> None:
@@ -674,9 +674,9 @@
         relay.returned = lambda flight, ending, *_: self.endings.append(ending)
         self.send = Send(self.pool, self.route, relay)
 
-    def begin(self, trace: str, body: bytes) -> Flight:
+    def begin(self, trace: str, body: bytes, endpoint: str = "e1") -> Flight:
         entry = Entry(1, trace, 0, 1, None, None, 0, body)
-        flight = Flight(entry, "e1", now() + 5_000_000, 5_000_000)
+        flight = Flight(entry, endpoint, now() + 5_000_000, 5_000_000)
         self.send.begin(flight)
         return flight
 
@@ -719,24 +719,39 @@
     pool, where = Pool(LIMITS), world.servers[0].address
     good, ended, stray, old = (pool.connect(where) for _ in range(4))
     for wire in (ended, stray, good, old):
-        pool.give_back(where, wire)
+        pool.give_back("e1", wire)
     ended.write(b"nonsense\r\n\r\n")  # upon which the far end closes
     stray.write(request("s", "free", "200", 1))  # an answer that nobody waits for
     until(lambda: not ended.quiet() and not stray.quiet())
-    assert pool.take(where) is good and pool.open == 2
-    pool.idle[where][0] = (pool.idle[where][0][0] - LIMITS.idle_life, old)
-    pool.give_back(where, good)
+    assert pool.take("e1") is good and pool.open == 2
+    pool.idle["e1"][0] = (pool.idle["e1"][0][0] - LIMITS.idle_life, old)
+    pool.give_back("e1", good)
     pool.sweep()
-    assert [wire for _, wire in pool.idle[where]] == [good] and pool.open == 1
+    assert [wire for _, wire in pool.idle["e1"]] == [good] and pool.open == 1
     spare = [pool.connect(where) for _ in range(LIMITS.outward - 1)]
     assert pool.has_room() and not pool.idle  # the idle one has made room
     spare.append(pool.connect(where))
     assert not pool.has_room()
-    pool.give_back(where, spare[0])
-    pool.release(where)
+    pool.give_back("e1", spare[0])
+    pool.release("e1")
     assert not pool.idle and pool.open == LIMITS.outward - 1
 
 
+def test_successor_at_an_address(world: World) -> None:
+    """Connections of an endpoint that is gone carry no call for the one that took its address."""
+    outward = Outward(world)
+    outward.begin("a", b"200")
+    slow = outward.begin("b", b"slow")
+    until(lambda: outward.endings == [Ending.COMPLETED] and slow.written and outward.pool.idle)
+    old = outward.pool.idle["e1"][0][1]
+    outward.route.learn([{**world.members[1], "phase": "removed"}, {**world.members[1], "id": "new"}], False)
+    assert old.spoilt and not outward.pool.idle
+    until(lambda: len(outward.endings) == 2 and not outward.pool.open)  # nor the one that was out
+    outward.begin("c", b"200", "new")
+    until(lambda: outward.endings[2:] == [Ending.COMPLETED])
+    assert list(outward.pool.idle) == ["new"]
+
+
 def test_directory(world: World) -> None:
     """Changes and whole lists are told apart; what cannot be read changes nothing."""
     heard = []
