The module forgets endpoints that are gone once their last news is old

A first try compared the gate's last outcome instead of a wait still running: wait_until is set to now by each outcome, so nothing was forgotten; the test found it. Test: test_replaced_endpoints_are_forgotten.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -56,8 +56,7 @@
     OVER = "over"  # has its final answer, and nothing is out
 
 
-MOVES = {State.HELD: (State.OUT, State.OVER), State.LEFT: (State.OVER,)}
-MOVES[State.OUT] = (State.HELD, State.LEFT, State.OVER)
+MOVES = {State.HELD: {State.OUT, State.OVER}, State.OUT: set(State) - {State.OUT}, State.LEFT: {State.OVER}}
 PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
 LOAD_SIGNS = (Ending.ERROR, Ending.FULL, Ending.TIMED_OUT, Ending.NO_CONNECTION, Ending.RESET)
 
@@ -306,7 +305,7 @@
 
     def __init__(self, sender: Sender, number: int) -> None:
         self.sender, self.number = sender, number
-        self.known: dict[str, Endpoint] = {}  # every endpoint ever listed; goes with the destination
+        self.known: dict[str, Endpoint] = {}  # listed ones, and gone ones until their news is old
         self.endpoints: list[Endpoint] = []  # those listed, in ranked order
         self.gate = Gate(sender, f"destination {number}")
         self.apart, self.per_call, self.kind = False, 1, 0
@@ -345,6 +344,11 @@
         self.endpoints = [endpoint, *others] if row.presence is Presence.LISTED else others
         self.rank()
 
+    def forget(self) -> None:  # guards against endpoints that are replaced under new ids all day
+        now, listed, known = self.sender.now, self.endpoints, self.known.values()
+        kept = (e for e in known if e in listed or max(e.shot_at + RATED_OVER, e.gate.wait_until) > now)
+        self.known = {endpoint.id: endpoint for endpoint in kept}
+
     def rank(self) -> None:
         """Well and quick first; between equals a lot, or all senders would begin at the same one."""
         self.endpoints.sort(key=lambda e: (round(e.failing, 1), e.pace, e.lot))
@@ -431,9 +435,8 @@
                 break
             self.dirty.popitem(last=False)[0].pump()
         # Guards endpoints that take few connections against idle ones. Costs a new connection a call.
-        for endpoint in self.lonely:
-            if not endpoint.in_flight:
-                self.answers.release(endpoint.id)
+        for endpoint in (one for one in self.lonely if not one.in_flight):
+            self.answers.release(endpoint.id)
         self.lonely.clear()
 
     def listed(self, rows: list[Listing], whole: bool) -> None:
@@ -446,9 +449,8 @@
             self.dirty[destination] = self.stirred[destination] = None
 
     def destination(self, number: int) -> Destination:
-        if number not in self.destinations:
-            self.destinations[number] = Destination(self, number)
-        return self.destinations[number]
+        found = self.destinations.get(number)
+        return found or self.destinations.setdefault(number, Destination(self, number))
 
     def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
         row, destination, end = self.tracks[track], self.destination(number), self.now + left
@@ -560,8 +562,8 @@
     def rank(self) -> None:
         stirred, self.stirred = self.stirred, {}
         for destination in stirred:
-            waits = max((endpoint.gate.wait_until for endpoint in destination.known.values()), default=0)
-            if not (destination.endpoints or destination.owed or self.now < waits):
+            destination.forget()
+            if not (destination.known or destination.owed):
                 del self.destinations[destination.number]
             elif destination.endpoints:
                 destination.rank()
@@ -602,9 +604,8 @@
 
     def remind(self, envelope: Envelope) -> None:
         """Wakes at its promised time, then its cut-off, or as its window ends, less what a call takes."""
-        expected, at = envelope.destination.expected(envelope.track), envelope.promise_at
-        if at - expected <= self.now:
-            at = envelope.cutoff_at
+        expected = envelope.destination.expected(envelope.track)
+        at = envelope.promise_at if envelope.promise_at - expected > self.now else envelope.cutoff_at
         if envelope.ran and envelope.track.terms.repeat is Repeat.TAGGED:
             at = min(at, self.window_end(envelope) + expected)
         self.answers.wake(max(self.now, at - expected), f"e{envelope.id}")
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -117,3 +118,16 @@
 def test_bad_input_is_named(words: str) -> None:
     code, _, errors = piped([BAD[words]])
     assert code != 0 and words in errors and len(errors.splitlines()) == 1
+
+
+def test_replaced_endpoints_are_forgotten() -> None:
+    """Successors under new ids all day: only those listed, and those gone of late, are known."""
+    scene = scenario.Scene(Sender)
+    for line in ("at x0 : 7", "0s take a s 7", "+1s completed a"):
+        scene.step(line.split())
+    for number in range(1, 40):
+        scene.rows[f"x{number}"] = replace(scene.rows["x0"], endpoint=f"x{number}")
+        for line in (f"+1s list x{number}", f"+0s leave x{number - 1}", f"+0s take b{number} s 7"):
+            scene.step(line.split())
+        scene.step(f"+1s completed b{number}".split())
+    assert len(scene.sender.destinations[7].known) < 15
