A time-out that fast later calls have overtaken neither halves the limit nor holds a slot

A probe wrote down each second what the sender believed of each destination: limits fell to 4 to 9 with 2 to 8 of them held, so that none or a few calls went to destinations that served all others within 50 ms, with 50 to 300 envelopes waiting there; no breaker had opened, no refusals, nothing ailing. Faulty: Gate.excused halved for any whole time-out, Sender.hear held its slot for 5 s, though an endpoint that answers calls made later fast has not got this one or will not answer it. Ruled out: slots of the sender (23 of 117 used), paces (far above the calls), descriptors. Now: two or more fast successes (the source's sense of fast) of calls begun later at the same endpoint excuse it. Test: scenarios/dead_connection.txt.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -1,8 +1,7 @@
 """All decisions of ashpath, and every tuned value; nothing else in the project decides anything.
 
-How to call it: make one `Sender(terms, answers)` per instance. For each batch of news call `open_turn(now)`,
-then a method per piece of news (`listed`, `take`, `restored`, `returned`, `gone`, `woken`), and last
-`close_turn()`; `stands` any time. The interface is `ashpath/door.py`; the design, `docs/design.md`.
+Make one `Sender(terms, answers)` an instance. Per batch of news: `open_turn(now)`; then `listed`, `take`,
+`restored`, `returned`, `gone`, `woken`; last `close_turn()`. `stands` any time. See `door.py`, docs/design.md.
 """
 
 from __future__ import annotations
@@ -30,8 +29,7 @@
 CROWDED = 0.02  # above this share connections are not kept; less spends new ones, more leaves others none
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many in a row, fewer below a call a second, and none else for SHUT_AFTER: an outage
-# One pace to start with at any destination, calls a second: first, least, most, and what a refusal and a
-# success make of it: the two settle where an eighth of the calls is refused. More wastes limits.
+# Calls a second to start with anywhere: first, least, most; cut by a refusal, grown by a success..
 START, LEAST_START, MOST_START, START_CUT, START_GROWTH = 0.4, 0.01, 1.0, 0.6, 1.08
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
 PACE_CUT_AGAIN = 0.5  # and the next one without a success: an overrun limit may let none through
@@ -83,6 +81,7 @@
     unheard: int = 0  # envelopes without an outcome; the slot is free at none
     judged: bool = False  # the gate has had the call's one outcome
     usual: int = 0  # past this it is overdue
+    mark: int = 0  # fast successes of its endpoint by the time that all then out are in
     envelopes: list[Envelope] = field(default_factory=list)
     probe: bool = False
     called_off: bool = False
@@ -103,12 +102,11 @@
     ran: Shot | None = None  # the first shot that may have run
 
     def payoff_at(self, when: int) -> float:
-        terms, late = self.track.terms, when - self.promise_at
+        terms, late, decays = self.track.terms, when - self.promise_at, self.track.decays
         if late <= 0 or when >= self.cutoff_at:
             return terms.payoff if late <= 0 else 0.0
         line = 1 - (1 - terms.late_share) * late / (terms.cutoff - terms.promised)
-        halves = 0.5 ** (late / terms.promised)
-        return terms.payoff * max(terms.late_share, halves if self.track.decays else line)
+        return terms.payoff * max(terms.late_share, 0.5 ** (late / terms.promised) if decays else line)
 
 
 @dataclass(eq=False)
@@ -135,6 +133,7 @@
     gap: int = 0  # between the latest two
     pace: float = 0.0  # mean time of its completions
     failing: float = 0.0  # share of its late calls that failed
+    quick: int = 0  # its fast successes
 
 
 @dataclass(eq=False)
@@ -212,7 +211,7 @@
     def sent(self, shot: Shot) -> None:
         self.in_flight += 1
         endpoint, now = shot.endpoint, self.sender.now
-        endpoint.in_flight += 1
+        shot.mark, endpoint.in_flight = endpoint.quick + endpoint.in_flight, endpoint.in_flight + 1
         endpoint.gap, endpoint.shot_at = now - endpoint.shot_at, now
         self.sender.out[shot] = None
         self.guard.tokens = max(0.0, self.guard.tokens - 1)
@@ -227,6 +226,7 @@
         if ending not in LOAD_SIGNS:  # a dropped probe: the period is over already, the next waiter probes
             self.breaker = Breaker.OPEN if shot.probe else self.breaker
             return
+        shot.endpoint.failing += GAIN * (1 - shot.endpoint.failing)
         excused = self.excused(shot, ending, took)
         if shot.probe:
             self.reopened += 1
@@ -263,14 +263,19 @@
             self.bad *= (1 - GAIN / 2) ** ((self.sender.now - self.bad_at) / SECOND)
             self.bad, self.bad_at = self.bad + GAIN * (1 - self.bad), self.sender.now
             return self.bad < MOSTLY_BAD
-        return ending is Ending.TIMED_OUT and took < shot.timeout  # the envelope's own end came first
+        return ending is Ending.TIMED_OUT and (took < shot.timeout or self.overtaken(shot))
 
-    def crowded(self, ending: Ending, took: int) -> bool:
-        """Turned away at once: no room for one more connection, or down and saying so."""
+    def crowded(self, ending: Ending, took: int) -> bool:  # turned away at once: full of connections, or down
         return ending is Ending.NO_CONNECTION and 2 * took < self.sender.terms.connect_time
 
+    def overtaken(self, shot: Shot) -> bool:  # its connection may be dead: the endpoint works on nothing
+        return shot.endpoint.quick > shot.mark + 1
+
     def succeed(self, shot: Shot, took: int) -> None:
-        since, now = self.succeeded_at, self.sender.now
+        since, now, endpoint = self.succeeded_at, self.sender.now, shot.endpoint
+        fast = 2 * took < shot.timeout
+        endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
+        endpoint.failing, endpoint.quick = (1 - GAIN) * endpoint.failing, endpoint.quick + fast
         self.failures, self.succeeded_at = 0, now
         if not self.recovering(now):
             self.rate = self.rate * exp((since - now) / RATED_OVER) + SECOND / RATED_OVER
@@ -284,7 +289,7 @@
         if shot.probe:
             self.breaker, self.limit, self.fast, self.reopened = Breaker.CLOSED, 1, 0, 0
             self.log("breaker closed")
-        elif took * 2 < shot.timeout and self.breaker is Breaker.CLOSED:
+        elif fast and self.breaker is Breaker.CLOSED:
             self.fast += 1
             if (self.unfailed or self.fast >= self.limit) and self.limit < self.cap:
                 self.limit, self.fast = self.limit + 1, 0
@@ -513,14 +518,10 @@
         if not shot.judged and (ending is not Ending.TIMED_OUT or not shot.unheard):
             shot.judged = True
             gate.judge(shot, ending, took)
-            if ending is Ending.COMPLETED:
-                endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
-            if ending in LOAD_SIGNS or ending is Ending.COMPLETED:
-                endpoint.failing += GAIN * ((ending is not Ending.COMPLETED) - endpoint.failing)
         if not shot.unheard:
             gate.in_flight, endpoint.in_flight = gate.in_flight - 1, endpoint.in_flight - 1
             del self.out[shot]
-            if ending is Ending.TIMED_OUT:
+            if ending is Ending.TIMED_OUT and not gate.overtaken(shot):
                 gate.holds.append(self.now + HOLD)
             kind = destination.kind
             self.crowding[kind] += GAIN / 2 * (gate.crowded(ending, took) - self.crowding[kind])
