--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -1,7 +1,7 @@
 """All decisions of ashpath, and every tuned value; nothing else in the project decides anything.
 
 Make one `Sender(terms, answers)` an instance. Per batch of news: `open_turn(now)`; then `listed`, `take`,
-`restored`, `returned`, `gone`, `woken`; last `close_turn()`. `stands` any time. See `door.py`, docs/design.md.
+`restored`, `returned`, `gone`, `woken`; last `close_turn()`. `stands` any time; `door.py`, `docs/design.md`.
 """
 
 from __future__ import annotations
@@ -269,7 +269,7 @@
         return ending is Ending.NO_CONNECTION and 2 * took < self.sender.terms.connect_time
 
     def overtaken(self, shot: Shot) -> bool:  # its connection may be dead: the endpoint works on nothing
-        return shot.endpoint.quick > shot.mark + 1
+        return shot.endpoint.quick > shot.mark + 3
 
     def succeed(self, shot: Shot, took: int) -> None:
         since, now, endpoint = self.succeeded_at, self.sender.now, shot.endpoint
