--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -473,10 +473,10 @@
         self.queue(envelope)
 
     def restored(self, id_: int, number: int, track: int, key: int | None, left: int, past: Past) -> None:
-        """Owed from an earlier life. What may have run counts, and half of each for the rate; waits are gone."""
+        """Owed from an earlier life. What may have run still counts; waits and measurements are gone."""
         self.take(id_, number, track, key, left)
         envelope, destination = self.envelopes[id_], self.destinations[number]
-        envelope.shots, destination.gate.rate = past.shots, destination.gate.rate + SECOND / RATED_OVER / 2
+        envelope.shots = past.shots
         if past.ran_at is not None:
             endpoint = destination.known.get(past.ran_to) or Endpoint("", -1, destination.gate, 0.0)
             envelope.ran = Shot(endpoint, past.ran_at)
