Clients' idle connections are kept to a sixth of the descriptors, those idle longest go first

Seen by a probe of counts and answers each second: exactly 128 idle of 384, 43 new ones a second, no refusal of ours. Faulty: TakeIn closed idle connections only after 3 s or once its own bound of 272 was reached. Ruled out: destinations, silent connections, the processor, the sender's own bounds. Test: test_clients_that_ask_once_and_stay.

--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -15,6 +15,7 @@
     """Counts, bytes, and seconds."""
 
     clients: int  # connections of clients
+    idle: int  # of them without a request: half of what clients may hold, or they could open no other
     outward: int  # connections to endpoints, idle ones counted
     disk: int  # bytes of the ledger, old and new file together
     idle_life: float  # an own idle connection to an endpoint is closed after this: before the far end does
@@ -27,7 +28,7 @@
     rest: float = 0.5  # from an answer's first line to its end, where that end matters
     buffer: int = 4 << 10  # a connection's buffer to begin with, and again once it is empty
     request: float = 2.4  # from a request's first byte to its last, from connecting for the first one
-    quiet: float = 3.0  # a client's connection without a request for so long is closed
+    quiet: float = 2.2  # a client's connection without a request for so long is closed
     hush: float = 0.3  # one that has not said a word for so long may make room
     stall: float = 0.5  # a client this long within a request has left: its connection may make room
     peer: float = 2.0  # for a client to take its answer
@@ -46,11 +47,13 @@
     @classmethod
     def of(cls, given: dict[str, Any], terms: Terms) -> Limits:
         """From the deployment's `limits` and the terms; a limit that is not told is taken for small."""
-        free = max(64, int(given.get("sockets") or 1024)) - SPARE
+        sockets = max(64, int(given.get("sockets") or 1024))
+        free = sockets - SPARE
         outward = min(max(64, 2 * terms.slots), free * 3 // 4)
         idle = (terms.idle_time or 5_000_000) / 1e6
         return cls(
             clients=free - outward,
+            idle=sockets // 6,
             outward=outward,
             disk=int(float(given.get("disk_mb") or 1) * 970_000),  # a megabyte may be a million bytes
             idle_life=max(idle - 0.2, idle / 2),
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -54,13 +54,20 @@
     def make_room(self) -> bool:
         """Closes who has said nothing, else who is idle longest, else who has stalled within a request."""
         limits = self.limits
-        for held, least in ((self.silent, limits.hush), (self.idle, 0.0), (self.reading, limits.stall)):
-            wire, since = next(iter(held.items()), (None, 0.0))
-            if wire is not None and monotonic() - since >= least and (held is self.reading or wire.quiet()):
-                wire.close()
-                gevent.sleep(0)
-                return True
-        return False
+        orders = ((self.silent, limits.hush), (self.idle, 0.0), (self.reading, limits.stall))
+        made = any(self.shut(held, least) for held, least in orders)
+        if made:
+            gevent.sleep(0)
+        return made
+
+    def shut(self, held: OrderedDict[Wire, float], least: float = 0.0) -> bool:
+        """Closes the one longest in it, if it has been there so long and no request has just come."""
+        wire, since = next(iter(held.items()), (None, 0.0))
+        if wire is None or monotonic() - since < least or not (held is self.reading or wire.quiet()):
+            return False
+        del held[wire]
+        wire.close()
+        return True
 
     def serve(self, wire: Wire) -> None:
         try:
@@ -83,9 +90,12 @@
         """One request and its answer; whether the connection goes on."""
         waiting = self.silent if first else self.idle
         began = waiting[wire] = monotonic()
+        # Guards clients against each other: those that ask once and stay would leave the rest no connection.
+        while len(self.idle) > self.limits.idle and self.shut(self.idle):
+            pass
         with suppress(Timeout), Timeout(self.limits.request if first else self.limits.quiet):
             wire.more()
-        del waiting[wire]
+        waiting.pop(wire, None)
         if not len(wire.buffer):
             return False  # closed, or silent for too long
         self.reading[wire] = monotonic()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -500,6 +500,23 @@
     assert host.seen == ["take q"]
 
 
+def test_clients_that_ask_once_and_stay(tmp_path: Path) -> None:
+    """Those idle longest are closed, so that others find a connection; whose request has just come is not."""
+    take_in, host, _ = desk(tmp_path)
+    take_in.limits = replace(LIMITS, idle=2, quiet=60.0)
+    ends = []
+    for number in range(5):
+        near, far = socket.socketpair()
+        far.sendall(request(f"s{number}", "free", "200", 1))
+        gevent.spawn(take_in.serve, Pair(near))
+        ends.append(Pair(far))
+        until(lambda number=number: len(host.seen) > number)
+    until(lambda: [end.ended() for end in ends if end.read_answer()] == [True] * 3 + [False] * 2)
+    ends[3].write(request("s5", "free", "200", 1))
+    assert not take_in.shut(take_in.idle)  # the longest idle one, whose request is not read yet
+    until(lambda: len(host.seen) == 6)
+
+
 def test_id_held_already(tmp_path: Path) -> None:
     """The same id from another client meets no second entry, until the first has its end."""
     take_in, host, ledger = desk(tmp_path)
