--- a/ashpath/node/pool.py
+++ b/ashpath/node/pool.py
@@ -25,10 +25,11 @@
         self.lives: dict[str, tuple[float, float]] = {}
 
     def take(self, endpoint: str) -> Wire | None:
-        """An idle connection fit for a call: the one used last, which the far end is least likely to drop."""
+        """An idle connection fit for a call: the longest idle one, as it would be the next to be closed; the
+        one used last where the far end drops them early."""
         waiting = self.idle.get(endpoint)
         while waiting:
-            since, wire = waiting.pop()
+            since, wire = waiting.pop() if endpoint in self.lives else waiting.popleft()
             if not waiting:
                 del self.idle[endpoint]
             wire.idled = monotonic() - since
