The count of later calls that excuse a time-out has its name among the tuned values

Found on reading the whole change again: the 3 stood bare in Gate.overtaken, and a comment had lost its end.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -22,14 +22,14 @@
 COOLDOWN_MAX = 2 * SECOND  # and no further: a longer one finds the return later, a shorter one probes more
 GAIN = 0.1  # weight of a new measurement: more follows a change sooner, less is steadier
 STRETCH = 8  # deviations over the mean that a shot is given; less frees slots sooner, loses slow answers
-IGNORANT = 5  # completions before a destination's times are trusted
+IGNORANT, OVERTAKEN = 5, 3  # completions: before times are trusted; fast later ones that excuse a time-out
 # An early time-out loses most where a repeat is not free; waiting for the cut-off would fill the slots.
 PATIENCE = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 4}
 LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 CROWDED = 0.02  # above this share connections are not kept; less spends new ones, more leaves others none
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many in a row, fewer below a call a second, and none else for SHUT_AFTER: an outage
-# Calls a second to start with anywhere: first, least, most; cut by a refusal, grown by a success..
+# Calls a second to start with: first, least, most, cut by a refusal, grown by a success. More wastes limits.
 START, LEAST_START, MOST_START, START_CUT, START_GROWTH = 0.4, 0.01, 1.0, 0.6, 1.08
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
 PACE_CUT_AGAIN = 0.5  # and the next one without a success: an overrun limit may let none through
@@ -269,7 +269,7 @@
         return ending is Ending.NO_CONNECTION and 2 * took < self.sender.terms.connect_time
 
     def overtaken(self, shot: Shot) -> bool:  # its connection may be dead: the endpoint works on nothing
-        return shot.endpoint.quick > shot.mark + 3
+        return shot.endpoint.quick > shot.mark + OVERTAKEN
 
     def succeed(self, shot: Shot, took: int) -> None:
         since, now, endpoint = self.succeeded_at, self.sender.now, shot.endpoint
