The sender's start takes what it was given; ends, folder, log and inquiry as parts of their own

Change: Given is made of a document, not of a path; Node.read rereads it; Book takes any teller and keeper of ends; the ledger's reader says at which byte it stopped and never takes another version's records for its own; log lines wait for a reader that does not read instead of holding up the turn.

--- a/ashpath/node/admit.py
+++ b/ashpath/node/admit.py
@@ -31,11 +31,11 @@
 }
 
 
-def answer(status: int, keep: bool = True, come_back: int = 0) -> bytes:
+def answer(status: int, keep: bool = True, come_back: int = 0, body: bytes = b"") -> bytes:
     headers = [] if keep else [(b"connection", b"close")]
     if come_back > 0:
         headers.append((names.WAIT, b"%.3f" % (come_back / 1e6)))
-    return write_head(PLAIN[status], headers, b"")
+    return write_head(PLAIN[status], headers, body)
 
 
 def whole(text: bytes) -> int:
@@ -61,7 +61,7 @@
 
 class Admit:
     def __init__(
-        self, terms: Terms, tracks: list[str], route: Route, host: Host, book: Book, log: Any
+        self, terms: Terms, tracks: dict[str, int], route: Route, host: Host, book: Book, log: Any
     ) -> None:
         self.terms, self.tracks, self.route, self.log = terms, tracks, route, log
         self.host, self.book, self.ledger, self.full = host, book, book.ledger, False
@@ -73,7 +73,7 @@
         if request.doubled & ONCE:
             raise Malformed(400, "not an envelope: told twice")
         try:
-            track = self.tracks.index(headers[names.TRACK].decode())
+            track = self.tracks[headers[names.TRACK].decode()]
             left = whole(headers[names.EXPIRES])
             fields = (part.strip().partition(b"=") for part in headers[names.ROUTE].split(b";"))
             destination = whole(next(value for name, _, value in fields if name == b"dest"))
--- a/ashpath/node/calls.py
+++ b/ashpath/node/calls.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from gevent import Timeout
 
 from ashpath.node.codec import Closed, Malformed, Message, Wire, dial, host, write_head
 from ashpath.node.limits import Limits
 from ashpath.node.pool import Address
 
+Headers = Sequence[tuple[bytes, bytes]]
+
 
 class Line:
     """One kept connection. A call that fails closes it; the caller tries again."""
@@ -23,7 +27,9 @@
         if self.wire is not None:
             self.wire.close()
 
-    def call(self, first: bytes, body: bytes, patience: float) -> Message | None:
+    def call(
+        self, first: bytes, body: bytes, patience: float, headers: Headers = ()
+    ) -> Message | None:
         """The answer, or None if none came in time."""
         try:
             with Timeout(patience):
@@ -31,7 +37,7 @@
                     self.drop()
                     self.reached = self.address  # guards a dial to the old address while `move` comes
                     self.wire = dial(self.reached, self.limits)
-                self.wire.write(write_head(first, [host(self.reached)], body))
+                self.wire.write(write_head(first, [host(self.reached), *headers], body))
                 answer = self.wire.read_answer()
                 if not answer.sound:
                     raise Malformed(400, "an answer that cannot be read")
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -7,6 +7,7 @@
 
 from ashpath.decide import Sender
 from ashpath.door import Ending, Listing, Past, Terms, Told
+from ashpath.node import names
 from ashpath.node.book import Book
 from ashpath.node.ledger import Entry, Ledger
 from ashpath.node.send import Flight, Send
@@ -74,6 +75,7 @@
 
     def gone(self, entry: Entry) -> None:
         if self.entries.pop(entry.number, None):
+            self.book.keep(entry, names.WITHDRAWN)
             self.ledger.ended(entry)
             self.turn((self.sender.gone, (entry.number,)))
 
@@ -106,7 +108,7 @@
         self.timers.add(at, token)
 
     def log(self, text: str) -> None:
-        self.logger.info(text)
+        self.logger.info("mode", what=text)
 
     def begin(self, entry: Entry, endpoint: str, timeout: int) -> None:
         if self.ending:
--- a/ashpath/node/ledger.py
+++ b/ashpath/node/ledger.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Iterator
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,6 +18,8 @@
 import orjson
 
 SPARE = 240  # bytes an entry may grow by until it is over: two moments, two endpoints, a notice less its id
+LENGTHS = {"taken": 15, "shot": 4, "outcome": 3, "ended": 3}  # fields of each kind of record
+LONGEST = 16 << 20  # bytes of a record
 BLOCK = 4096  # what rounding up to whole blocks may add, both files together
 
 
@@ -57,34 +60,57 @@
     return len(payload).to_bytes(4, "big") + crc32(payload).to_bytes(4, "big") + payload
 
 
-def records(file: BinaryIO) -> list[tuple[list[Any], bytes, int]]:
-    """All whole records with their bodies and sizes; from the first torn or false one nothing counts."""
-    found = []
-    while len(head := file.read(8)) == 8:
-        payload = file.read(int.from_bytes(head[:4], "big"))
-        if crc32(payload) != int.from_bytes(head[4:], "big") or b"\n" not in payload:
-            break
-        line, body = payload.split(b"\n", 1)
-        found.append((orjson.loads(line), body, len(head) + len(payload)))
-    return found
+class Foreign(ValueError):
+    """A record whose checksum is right and whose words are not ours: another version wrote it."""
+
+
+class Reader:
+    """All whole records of a journal with their bodies and sizes, in order; from the first torn or false one
+    nothing counts. Afterwards `at` is the byte where the whole ones end, and `fault` says what stands there:
+    nothing, if the journal is sound."""
+
+    def __init__(self, file: BinaryIO) -> None:
+        self.file, self.at, self.fault = file, 0, ""
+
+    def __iter__(self) -> Iterator[tuple[list[Any], bytes, int]]:
+        while head := self.file.read(8):
+            size = int.from_bytes(head[:4], "big")
+            if len(head) == 8 and size > LONGEST:  # guards memory against a length that was never written
+                self.fault = f"false: a record of {size} bytes"
+                return
+            payload = self.file.read(size) if len(head) == 8 else b""
+            if len(head) < 8 or len(payload) < size:
+                whole = 8 + size if len(head) == 8 else 8
+                self.fault = f"torn: {len(head) + len(payload)} of {whole} bytes"
+                return
+            if crc32(payload) != int.from_bytes(head[4:], "big") or b"\n" not in payload:
+                self.fault = "false: its checksum is not that of its bytes"
+                return
+            line, body = payload.split(b"\n", 1)
+            yield self.fields(line), body, 8 + size
+            self.at += 8 + size
+
+    def fields(self, line: bytes) -> list[Any]:
+        """Guards what another version wrote: it is not read as ours, and so not written anew without it."""
+        try:
+            fields = orjson.loads(line)
+            if isinstance(fields, list) and len(fields) == LENGTHS[fields[0]] and isinstance(fields[1], int):
+                return fields
+        except (ValueError, LookupError, TypeError):
+            pass
+        self.fault = "foreign: not a record of this version"
+        raise Foreign(f"byte {self.at}: {self.fault}")
 
 
-class Ledger:
-    """`live` and `traces` are emptied as envelopes have their end, and the platform its notice."""
+class Held:
+    """What the records leave: `live` and `traces` are emptied as envelopes have their end, and whoever is
+    owed a notice has it. Every change of an entry, as it happens and as it is read again, is made here."""
 
-    def __init__(self, folder: Path, most: int) -> None:
-        self.path, self.fresh, self.most = folder / "journal", folder / "journal.new", most
+    def __init__(self) -> None:
         self.live: dict[int, Entry] = {}
-        self.traces: set[str] = set()  # of the live ones
+        self.traces: dict[str, Entry] = {}  # the live ones by their ids outside
         self.reserved = 0  # what the live ones would take, written anew
         self.last = 0  # the highest number given
-        self.file, self.written = -1, 0  # the journal's descriptor, and the bytes in it
-        self.fresh.unlink(missing_ok=True)
-        if self.path.exists():
-            with self.path.open("rb") as file:
-                for (what, number, *fields), body, size in records(file):
-                    self.apply(what, number, fields, body, size)
-        self.rewrite()
 
     def apply(self, what: str, number: int, fields: list[Any], body: bytes = b"", size: int = 0) -> None:
         """What a record does, in this life and the next."""
@@ -103,13 +129,13 @@
                 entry.over, entry.notice = True, fields[0]
                 if entry.notice is None:
                     del self.live[number]
-                    self.traces.discard(entry.trace)
+                    self.traces.pop(entry.trace, None)
                     self.reserved -= entry.size
 
     def add(self, entry: Entry, size: int) -> None:
         entry.size = self.grown(entry, size)
         self.live[entry.number] = entry
-        self.traces.add(entry.trace)
+        self.traces[entry.trace] = entry
         self.reserved += entry.size
         self.last = max(self.last, entry.number)
 
@@ -118,6 +144,21 @@
         """What a record of this size may come to, written anew: a notice repeats the trace."""
         return size + len(entry.trace) + SPARE
 
+
+class Ledger(Held):
+    """The journal of one sender, and what is live in it."""
+
+    def __init__(self, folder: Path, most: int) -> None:
+        super().__init__()
+        self.path, self.fresh, self.most = folder / "journal", folder / "journal.new", most
+        self.file, self.written = -1, 0  # the journal's descriptor, and the bytes in it
+        if self.path.exists():
+            with self.path.open("rb") as file:
+                for (what, number, *fields), body, size in Reader(file):
+                    self.apply(what, number, fields, body, size)
+        self.fresh.unlink(missing_ok=True)
+        self.rewrite()
+
     def taken(self, entry: Entry) -> bool:
         """False: there is no space for it, and nothing was written."""
         data = entry.record()
--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from ashpath.door import Terms
@@ -43,6 +43,10 @@
     accept_after_term: float = 0.4  # connections still come for so long after SIGTERM
     shots_after_term: float = 3.0  # no shot is begun later than this after SIGTERM
     end_after_term: float = 3.5  # all is over by then
+    ends: int = 0  # bytes of ends kept for clients that ask, on disk, and as much memory
+    ends_life: float = 0.0  # and for how long
+    notice_file: int = 0  # bytes of one file of notices
+    notice_files: int = 0  # older ones kept beside it
 
     @classmethod
     def of(cls, given: dict[str, Any], terms: Terms) -> Limits:
@@ -51,7 +55,7 @@
         free = sockets - SPARE
         outward = min(max(64, 2 * terms.slots), free * 3 // 4)
         idle = (terms.idle_time or 5_000_000) / 1e6
-        return cls(
+        told = cls(
             clients=free - outward,
             idle=sockets // 6,
             outward=outward,
@@ -59,3 +63,4 @@
             idle_life=max(idle - 0.2, idle / 2),
             connect=(terms.connect_time or 1_000_000) / 1e6,
         )
+        return replace(told, **(given.get("own") or {}))
--- a/ashpath/node/names.py
+++ b/ashpath/node/names.py
@@ -13,6 +13,7 @@
 FULL = b"x-egress-full"
 REPORT = b"endpoint-load-metrics"
 WAIT = b"retry-after"
+PASS = b"authorization"
 
 HAND_IN = b"/api"
 READY = b"/health/ready"
@@ -20,7 +21,15 @@
 MEMBERS = b"/registry/instances"
 NOTICES = b"/v1/notices"
 
+# What a sender without a platform answers besides.
+HELD = b"/envelopes"
+ONE = b"/envelopes/"
+DESTINATIONS = b"/destinations"
+
 UNDELIVERABLE = "undeliverable"
 DEFERRED = "deferred"
 
+COMPLETED = "completed"
+WITHDRAWN = "withdrawn"
+
 PRESENCES = {"up": Presence.LISTED, "draining": Presence.DRAINING, "removed": Presence.GONE}
--- /dev/null
+++ b/ashpath/node/notice_file.py
@@ -0,0 +1,108 @@
+"""Notices for senders without a platform: to a file with a line of JSON for each, or to nobody."""
+
+from __future__ import annotations
+
+import os
+from collections import OrderedDict
+from contextlib import suppress
+from itertools import islice
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from ashpath.node.ledger import Entry, Ledger
+from ashpath.node.limits import Limits
+
+
+class LineFile:
+    """Lines behind one another; a full file becomes `.1`, that one `.2`, and the last one is dropped.
+    The standard library's rotating handler keeps what it could not write in a buffer and writes it twice."""
+
+    def __init__(self, path: Path, most: int, kept: int) -> None:
+        self.path, self.most, self.kept = path, most, kept
+        self.open()
+
+    def open(self) -> None:
+        self.file = os.open(self.path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o640)
+        self.written = os.fstat(self.file).st_size
+
+    def aged(self, number: int) -> Path:
+        return self.path.with_name(f"{self.path.name}.{number}") if number else self.path
+
+    def age(self) -> None:
+        if not self.path.exists():  # guards the older ones where no new file could be made the last time
+            return
+        for number in range(self.kept, 0, -1):
+            with suppress(FileNotFoundError):
+                os.replace(self.aged(number - 1), self.aged(number))
+        if not self.kept:
+            self.path.unlink()
+
+    def write(self, data: bytes) -> None:
+        """Raises OSError, and then nothing of it is in the file."""
+        if self.written and self.written + len(data) > self.most:
+            self.age()
+            full = self.file
+            self.open()
+            os.close(full)
+        try:
+            count = os.write(self.file, data)
+            if count < len(data):
+                raise OSError(f"only {count} of {len(data)} bytes written")
+        except OSError:
+            os.ftruncate(self.file, self.written)
+            raise
+        self.written += len(data)
+
+
+class FileNotices:
+    """`waiting` is emptied as the file takes the lines. A kill between a line and the ledger's record of it
+    repeats the line: the same id, the same status."""
+
+    def __init__(self, file: LineFile, limits: Limits, ledger: Ledger, log: Any) -> None:
+        self.file, self.limits, self.ledger, self.log = file, limits, ledger, log
+        self.waiting: OrderedDict[Entry, None] = OrderedDict()
+        self.any = Event()
+
+    def add(self, entry: Entry) -> None:
+        self.waiting[entry] = None
+        self.any.set()
+
+    def run(self) -> None:
+        failing = False
+        while True:
+            self.any.wait()
+            batch = list(islice(self.waiting, self.limits.notices))
+            if not batch:
+                self.any.clear()
+                continue
+            try:
+                self.file.write("".join(f"{entry.notice}\n" for entry in batch).encode())
+            except OSError as error:
+                if not failing:
+                    self.log.error("notices not written", error=str(error), waiting=len(self.waiting))
+                failing = True
+                gevent.sleep(self.limits.retry)
+                continue
+            if failing:
+                self.log.info("notices written again", waiting=len(self.waiting))
+            failing = False
+            for entry in batch:
+                del self.waiting[entry]
+                self.ledger.ended(entry)
+
+
+class NoNotices:
+    """Nobody is told: who asks for an envelope's end hears it."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+        self.waiting: dict[Entry, None] = {}
+
+    def add(self, entry: Entry) -> None:
+        self.ledger.ended(entry)
+
+    def run(self) -> None:
+        Event().wait()
--- a/ashpath/node/notices.py
+++ b/ashpath/node/notices.py
@@ -16,6 +16,8 @@
 from ashpath.node.limits import Limits
 from ashpath.node.pool import Address
 
+TAKEN = (204, 200)  # the platform answers the first; other receivers may answer the second
+
 
 def notice(entry: Entry, status: str, again_ms: int = 0) -> str:
     """One line.
@@ -31,6 +33,7 @@
     """`waiting` is emptied as the platform answers."""
 
     def __init__(self, address: Address, limits: Limits, ledger: Ledger, log: Any) -> None:
+        self.path, self.headers = names.NOTICES, list[tuple[bytes, bytes]]()
         self.line, self.limits, self.ledger, self.log = Line(address, limits), limits, ledger, log
         self.waiting: OrderedDict[Entry, None] = OrderedDict()
         self.any = Event()
@@ -51,10 +54,10 @@
                 self.any.clear()
                 continue
             body = "".join(f"{entry.notice}\n" for entry in batch).encode()
-            answer = self.line.call(b"POST %s HTTP/1.1" % names.NOTICES, body, self.limits.ask)
+            answer = self.line.call(b"POST %s HTTP/1.1" % self.path, body, self.limits.ask, self.headers)
             # One line that cannot be read must not hold up the rest: then each goes alone.
             unread = answer is not None and answer.status == 400
-            if (answer is not None and answer.status == 204) or (unread and len(batch) == 1):
+            if (answer is not None and answer.status in TAKEN) or (unread and len(batch) == 1):
                 if unread:
                     self.log.error("notice not read", line=batch[0].notice)
                 for entry in batch:
--- a/ashpath/node/relay.py
+++ b/ashpath/node/relay.py
@@ -43,7 +43,8 @@
 
     def __call__(self, flight: Flight) -> None:
         ending, wait, closed, told = self.outcome(flight)
-        self.book.outcome(flight.entry, ending not in PROVES_UNRUN, closed)
+        completed = ending is Ending.COMPLETED
+        self.book.outcome(flight.entry, ending not in PROVES_UNRUN, closed, completed)
         self.returned(flight, ending, wait, closed, told)
 
     def outcome(self, flight: Flight) -> tuple[Ending, int, bool, Told | None]:
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -50,6 +50,7 @@
 
     def __init__(self, pool: Pool, route: Route, relay: Callable[[Flight], None]) -> None:
         self.pool, self.route, self.relay = pool, route, relay
+        self.passes: dict[int, bytes] = {}  # what shows a destination that it is us, where it asks for that
         self.stands: Callable[[Entry], bool] = lambda entry: True  # the module's word on it
 
     def begin(self, flight: Flight) -> None:
@@ -102,5 +103,7 @@
         headers = [host(where), (names.TRACE, entry.trace.encode())]
         if entry.tag is not None:
             headers.append((names.TAG, entry.tag.encode()))
+        if entry.destination in self.passes:
+            headers.append((names.PASS, self.passes[entry.destination]))
         headers.append((names.EXPIRES, b"%d" % max(1, flight.timeout // 1000)))
         return write_head(b"POST %s HTTP/1.1" % names.HOOK, headers, entry.body)
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import gc
-import logging
 import os
 import signal
 import sys
@@ -14,7 +13,6 @@
 
 import gevent
 import orjson
-import structlog
 from gevent.event import Event
 
 from ashpath.node.admit import Admit
@@ -23,6 +21,7 @@
 from ashpath.node.host import Host
 from ashpath.node.ledger import Ledger
 from ashpath.node.limits import Limits
+from ashpath.node.log import Form, Lines, logger
 from ashpath.node.notices import Notices
 from ashpath.node.pool import Pool
 from ashpath.node.relay import Relay
@@ -34,71 +33,67 @@
 UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
 
 
-class BadStart(Exception):
+class BadStart(ValueError):
     """What the sender was told at its start cannot be used."""
 
 
-def logger(name: str) -> Any:
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "sender", "event"]),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-    )
-    return structlog.get_logger().bind(sender=name)
-
-
 class Given:
-    """What the file of RELAY_CONFIG tells."""
+    """What a sender is told at its start and at each SIGHUP: the platform's file, or one of the same form."""
 
-    def __init__(self, path: Path, discovery: str) -> None:
-        told = orjson.loads(path.read_bytes())
+    def __init__(self, told: dict[str, Any], discovery: str = "") -> None:
         self.settings: dict[str, Any] = told["settings"]
         self.terms = node_terms(int(str(told["seed"]), 16), self.settings)
         self.limits = Limits.of(told.get("limits") or {}, self.terms)
         self.known: dict[str, Any] = told.get("known") or {"members": [], "revision": 0}
+        self.kinds, self.zones = (list(self.settings.get(name) or []) for name in ("kinds", "zones"))
+        self.tracks = {row["name"]: number for number, row in enumerate(self.settings["classes"])}
         # A restart has the same environment, but the file may have changed since.
-        self.discovery = told.get("discovery") or discovery
-        self.platform = address(self.discovery)
+        self.discovery: str = told.get("discovery") or discovery
+        self.platform = address(self.discovery) if self.discovery else None
 
 
 class Node:
-    """One sender on sockets: who owns what is decided here, once."""
+    """One sender on sockets: who owns what is decided here, once. `read` reads anew what it was given."""
 
-    def __init__(self, path: Path, listen: str, discovery: str, state: Path, log: Any) -> None:
-        self.path, self.discovery, self.log = path, discovery, log
-        self.given = given = Given(path, discovery)
-        settings, terms, platform = given.settings, given.terms, given.platform
-        self.limits = limits = given.limits
+    def __init__(self, given: Given, listen: str, state: Path, log: Any, read: Callable[[], Given]) -> None:
+        self.given, self.read, self.log = given, read, log
+        terms, self.limits = given.terms, given.limits
+        limits = self.limits
         self.ledger = Ledger(state, limits.disk)
-        self.notices = Notices(platform, limits, self.ledger, log)
+        self.notices, ends = self.tellers(state)
         self.pool = Pool(limits)
-        kinds, zones = (list(settings.get(name) or []) for name in ("kinds", "zones"))
-        self.route = Route(kinds, zones, self.pool, log)
-        book = Book(self.ledger, self.notices)
-        relay = Relay(book, told_fields(settings) is not None)
-        send = Send(self.pool, self.route, relay)
-        self.host = Host(terms, self.ledger, book, send, log)
+        self.route = Route(given.kinds, given.zones, self.pool, log)
+        book = Book(self.ledger, self.notices, ends)
+        relay = Relay(book, told_fields(given.settings) is not None)
+        self.send = Send(self.pool, self.route, relay)
+        self.host = Host(terms, self.ledger, book, self.send, log)
         self.route.told, relay.returned = self.host.listed, self.host.returned
-        send.stands = self.host.stands
-        tracks = [row["name"] for row in settings["classes"]]
-        self.admit = Admit(terms, tracks, self.route, self.host, book, log)
+        self.send.stands = self.host.stands
+        self.admit = Admit(terms, given.tracks, self.route, self.host, book, log)
         self.take_in = TakeIn(address(listen), limits, self.admit, log)
         revision = int(given.known.get("revision") or 0)
-        self.directory = Directory(platform, limits, revision, self.route.hear)
+        self.directory = given.platform and Directory(given.platform, limits, revision, self.route.hear)
         self.known = self.route.learn(given.known["members"], whole=True)
         self.changed, self.ended = Event(), Event()
 
+    def tellers(self, state: Path) -> tuple[Any, Any]:
+        """Who is told of ends after the 202, and who keeps them for clients that ask."""
+        assert self.given.platform is not None
+        return Notices(self.given.platform, self.limits, self.ledger, self.log), None
+
+    def parts(self) -> list[Callable[[], None]]:
+        """What runs beside one another until the end."""
+        directory = [self.directory.run] if self.directory else []
+        return [
+            self.follow, *directory, self.notices.run, self.host.timers.run, self.pool.run, self.take_in.run
+        ]  # fmt: skip
+
     def run(self) -> None:
         gevent.signal_handler(signal.SIGHUP, self.changed.set)
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, self.end)
         self.host.restore(self.known)
         self.take_in.listen()
-        parts = (self.directory, self.notices, self.host.timers, self.pool, self.take_in)
-        for run in (self.follow, *(part.run for part in parts)):
+        for run in self.parts():
             gevent.spawn(self.keep, run)
         gc.collect()
         gc.freeze()
@@ -107,19 +102,24 @@
         self.ledger.close()
 
     def follow(self) -> None:
-        """After SIGHUP: the platform's agent may have moved. What else is told waits for the next start."""
         while True:
             self.changed.wait()
             self.changed.clear()
             try:
-                given = Given(self.path, self.discovery)
+                given = self.read()
             except UNUSABLE as error:  # half written, say: the old one still serves
-                self.log.error("configuration not read", error=f"{type(error).__name__} {error}")
+                words = str(error) if isinstance(error, BadStart) else f"{type(error).__name__} {error}"
+                self.log.error("configuration not read", error=words)
                 continue
-            later = (given.settings, given.limits) != (self.given.settings, self.given.limits)
-            self.log.info("configuration read", discovery=given.discovery, rest_at_next_start=later)
-            for part in (self.directory, self.notices):
-                part.move(given.platform)
+            self.move(given)
+
+    def move(self, given: Given) -> None:
+        """The platform's agent may be elsewhere. What else is told waits for the next start."""
+        later = (given.settings, given.limits) != (self.given.settings, self.given.limits)
+        self.log.info("configuration read", discovery=given.discovery, rest_at_next_start=later)
+        if self.directory is not None and given.platform is not None:
+            self.directory.move(given.platform)
+            self.notices.move(given.platform)
 
     def keep(self, run: Callable[[], None]) -> None:
         """Guards the sender against a fault that would end one of its parts for good."""
@@ -156,21 +156,27 @@
     return os.environ[name]
 
 
-def node() -> Node:
+def node() -> tuple[Node, Lines]:
     name, listen, discovery = told("RELAY_NAME"), told("RELAY_LISTEN"), told("RELAY_DISCOVERY")
     state, path = Path(told("RELAY_STATE")), Path(told("RELAY_CONFIG"))
+
+    def read() -> Given:
+        return Given(orjson.loads(path.read_bytes()), discovery)
+
+    log, lines = logger(name, Form())
     try:
-        return Node(path, listen, discovery, state, logger(name))
+        return Node(read(), listen, state, log, read), lines
     except UNUSABLE as error:
         raise BadStart(f"cannot start from {path}: {type(error).__name__} {error}") from None
 
 
 def main() -> int:
     try:
-        sender = node()
+        sender, lines = node()
     except BadStart as error:
         print(f"ashpath: {error}", file=sys.stderr)
         return 2
+    gevent.spawn(lines.run, sender.log)
     try:
         sender.run()
     except OSError as error:
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from contextlib import suppress
 from time import monotonic
 from typing import Any
@@ -29,6 +30,7 @@
         self.clients = 0
         self.freed = Event()
         self.closing = False  # every answer ends its connection
+        self.inquiry: Callable[[Message], tuple[int, bytes] | None] = lambda request: None
 
     def listen(self) -> None:
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -132,7 +134,9 @@
     def reply(self, wire: Wire, request: Message, keep: bool) -> None:
         if request.path != names.HAND_IN:
             ready = 503 if self.closing else 200
-            self.tell(wire, answer(ready if request.path == names.READY else 404, keep))
+            told = (ready, b"") if request.path == names.READY else self.inquiry(request)
+            status, body = told or (404, b"")
+            self.tell(wire, answer(status, keep, body=body))
             return
         if request.method != b"POST":
             self.tell(wire, answer(405, keep))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -462,7 +462,7 @@
     book = Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None))
     route = Route(["plain"], ["here"], Pool(LIMITS), None)
     route.learn([{"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}], whole=True)
-    admit = Admit(TERMS, list(TRACKS), route, host, book, structlog.get_logger())
+    admit = Admit(TERMS, {name: i for i, name in enumerate(TRACKS)}, route, host, book, structlog.get_logger())
     return TakeIn(("127.0.0.1", 1), LIMITS, admit, None), host, ledger
 
 
@@ -831,7 +831,7 @@
     with pytest.MonkeyPatch.context() as patch:
         for name, value in world.environment().items():
             patch.setenv(name, value)
-        sender = node()
+        sender, _ = node()
     sender.log = structlog.get_logger()
 
     def run() -> None:
