--- a/ashpath/command/check.py
+++ b/ashpath/command/check.py
@@ -7,7 +7,7 @@
 
 import click
 
-from ashpath.command import BAD_INPUT, OK
+from ashpath.command.group import BAD_INPUT, OK
 from ashpath.plan.read import Unusable, read, secrets
 
 
--- a/ashpath/command/client.py
+++ b/ashpath/command/client.py
@@ -9,7 +9,7 @@
 import click
 import orjson
 
-from ashpath.command import BAD_INPUT, Failure
+from ashpath.command.group import BAD_INPUT, Failure
 from ashpath.node.names import DESTINATIONS, HAND_IN, HELD, ONE
 
 PATIENCE = 5.0  # seconds for an answer
--- a/ashpath/command/demo.py
+++ b/ashpath/command/demo.py
@@ -11,7 +11,7 @@
 
 import click
 
-from ashpath.command import FAILED, OK, Failure
+from ashpath.command.group import FAILED, OK, Failure
 from ashpath.command.rows import text
 
 
@@ -70,11 +70,13 @@
     if not sys.stdout.isatty():
         yield plain
         return
+    from rich.box import SIMPLE_HEAD
     from rich.live import Live
     from rich.table import Table
 
     def shown(passed: float, rows: list[dict[str, Any]]) -> None:
-        table = Table(*rows[0], title=f"ashpath demo, {passed:.0f} s")
+        title = f"ashpath demo, {passed:.0f} s"
+        table = Table(*rows[0], title=title, box=SIMPLE_HEAD, pad_edge=False, collapse_padding=True)
         for row in rows:
             table.add_row(*(text(value) for value in row.values()))
         live.update(table, refresh=True)
--- a/ashpath/command/destinations.py
+++ b/ashpath/command/destinations.py
@@ -4,8 +4,8 @@
 
 import click
 
-from ashpath.command import OK
 from ashpath.command.client import Client
+from ashpath.command.group import OK
 from ashpath.command.rows import show
 
 
--- a/ashpath/command/explain.py
+++ b/ashpath/command/explain.py
@@ -6,7 +6,7 @@
 
 import click
 
-from ashpath.command import BAD_INPUT, OK, Failure
+from ashpath.command.group import BAD_INPUT, OK, Failure
 from ashpath.plan.reference import markdown, paths, plain
 
 
--- a/ashpath/command/hand_in.py
+++ b/ashpath/command/hand_in.py
@@ -11,8 +11,8 @@
 import click
 import orjson
 
-from ashpath.command import ABORTED, BOUNCED, FAILED, OK, Failure
 from ashpath.command.client import Client, Unreachable
+from ashpath.command.group import ABORTED, BOUNCED, FAILED, OK, Failure
 from ashpath.plan.amounts import TIMES, amount, word
 
 LOOK = 0.05  # seconds to the first look at how it stands; doubled up to
--- a/ashpath/command/ledger.py
+++ b/ashpath/command/ledger.py
@@ -15,7 +15,7 @@
 import click
 import orjson
 
-from ashpath.command import BAD_INPUT, FAILED, OK, Failure
+from ashpath.command.group import BAD_INPUT, FAILED, OK, Failure
 from ashpath.command.rows import show
 from ashpath.node.ledger import Entry, Foreign, Held, Reader
 
--- a/ashpath/command/sender.py
+++ b/ashpath/command/sender.py
@@ -135,8 +135,17 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
 
+def serve(file: str) -> int:
+    """Runs a sender to its end; the exit code. What cannot be used is said in one line."""
+    try:
+        return start(Path(file))
+    except (Unusable, NotOurs) as error:
+        print(f"ashpath: {error}", file=sys.stderr)
+        return 2
+
+
 def start(path: Path) -> int:
-    """Runs a sender to its end; the exit code. Raises Unusable and NotOurs before anything was taken on."""
+    """Raises Unusable and NotOurs before anything was taken on."""
     given = FromFile(path)
     plan = given.plan
     keep_descriptors(path, plan.limits.descriptors)
--- a/ashpath/partners/show.py
+++ b/ashpath/partners/show.py
@@ -3,7 +3,6 @@
 
 from __future__ import annotations
 
-import subprocess
 import sys
 from collections import Counter
 from dataclasses import dataclass, field
@@ -14,7 +13,7 @@
 
 import gevent
 import orjson
-from gevent import socket
+from gevent import socket, subprocess
 from gevent.server import StreamServer
 
 from ashpath.door import Terms
@@ -283,7 +282,7 @@
         return [
             {
                 "destination": row.name,
-                "partner": "silent" if row.partner.silent(now) else f"{row.partner.workers(now)} workers",
+                "workers": "silent" if row.partner.silent(now) else row.partner.workers(now),
                 "held": (told := seen.get(row.number, {})).get("held"),
                 "out": told.get("out"),
                 "limit": told.get("limit"),
--- a/ashpath/plan/check.py
+++ b/ashpath/plan/check.py
@@ -7,7 +7,6 @@
 
 import re
 from dataclasses import dataclass
-from difflib import get_close_matches
 from functools import cache
 from types import UnionType
 from typing import Annotated, Any, Literal, Union, get_args, get_origin, get_type_hints
@@ -134,6 +133,8 @@
         rows, told = keys(shape), {}
         for name in value:
             if name not in rows:
+                from difflib import get_close_matches  # only where there is a fault
+
                 near = get_close_matches(name, rows, 1, 0.5)
                 hint = f"{near[0]!r}" if near else "one of " + ", ".join(rows)
                 self.fault((*path, name), "an unknown key", hint)
--- a/ashpath/plan/places.py
+++ b/ashpath/plan/places.py
@@ -18,7 +18,8 @@
         parser = tree_sitter.Parser(tree_sitter.Language(tree_sitter_toml.language()))
         self.lines: dict[Path, int] = {}
         for path, line in keys(parser.parse(data).root_node):
-            self.lines.setdefault(path, line)
+            for depth in range(len(path), 0, -1):  # a table without a head stands where its first part does
+                self.lines.setdefault(path[:depth], line)
 
     def line(self, path: Path) -> int:
         """The line of the key, or of the nearest table that should have it, from 1; 1 where none does."""
--- a/ashpath/plan/read.py
+++ b/ashpath/plan/read.py
@@ -45,8 +45,6 @@
 
 def document(path: Path, data: bytes) -> dict[str, Any]:
     """The tables of the file, whatever they are."""
-    from ashpath.plan.places import suspect
-
     try:
         text = data.decode("utf-8")
     except UnicodeDecodeError as error:
@@ -60,6 +58,8 @@
         words = re.sub(r" \(at [^)]*\)$", "", str(error))
         raise Unusable([f"{path}:{line}: not TOML: {check.shorten(ascii(words)[1:-1])}"]) from None
     except (ValueError, RecursionError, OverflowError) as error:
+        from ashpath.plan.places import suspect
+
         words = "tables or lists too deep" if isinstance(error, RecursionError) else str(error)
         raise Unusable([f"{path}:{suspect(text)}: not TOML: {check.shorten(words)}"]) from None
 
--- a/ashpath/plan/told.py
+++ b/ashpath/plan/told.py
@@ -97,6 +97,8 @@
         "notice_file": int(plan.notices.file_size),
         "notice_files": plan.notices.files,
     }
+    if plan.platform is None:
+        told["forget"] = 0.0  # what the file lacks is not listed: no directory is late with a successor
     return told | ({"idle": limits.idle_clients} if limits.idle_clients else {})
 
 
--- /dev/null
+++ b/tests/command/test_sender.py
@@ -0,0 +1,429 @@
+"""A sender from its own file: its answers, its folder, a file that changes under it, and its log."""
+
+from __future__ import annotations
+
+import ast
+import fcntl
+import os
+import re
+import resource
+import shutil
+import signal
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import gevent
+import orjson
+import pytest
+from rigs.standalone import RULES, TRACKS, Alone
+from rigs.world import LIMITS, ROOT, until
+
+from ashpath.node.ends import Ends
+from ashpath.node.folder import Folder, NotOurs
+from ashpath.node.ledger import Entry, Foreign, Ledger, Reader, record
+from ashpath.node.log import KEPT, Form, Lines
+from ashpath.node.notice_file import LineFile
+from ashpath.node.timers import wall
+
+
+@pytest.fixture
+def alone(tmp_path: Path) -> Iterator[Alone]:
+    made = Alone(tmp_path)
+    yield made
+    made.stop()
+
+
+def test_ends_that_clients_ask_for(alone: Alone) -> None:
+    """Each state, over a kill too; what was never seen is not known."""
+    alone.rest += '[notices]\nfile = "notices.jsonl"\n'
+    alone.destinations[6] = 'endpoints = ["127.0.0.1:1"]'
+    alone.write()
+    alone.start()
+    for trace, track, body, to in (("done", "once", "200", 0), ("hangs", "tag", "hang 200", 1),
+                                   ("lost", "once", "500", 2), ("gone", "once", "410", 3)):  # fmt: skip
+        assert alone.hand_in(trace, track, body, to) == 202
+    assert alone.hand_in("late", "free", "200", 6, left=400) == 202
+    for trace, state in (("done", "completed"), ("hangs", "out"), ("lost", "undeliverable"),
+                         ("gone", "withdrawn"), ("late", "deferred")):  # fmt: skip
+        until(alone.ends(trace, state))
+    assert alone.get("/envelopes/late")["again_ms"] >= 1000
+    assert alone.get("/envelopes/never") == 404 and alone.hand_in("hangs", "tag", "200", 1) == 409
+    held = alone.get("/envelopes")["envelopes"]
+    assert [(row["id"], row["state"], row["track"]) for row in held] == [("hangs", "out", "tag")]
+    alone.kill()
+    alone.start()
+    until(alone.ends("hangs", "completed"))
+    states = {"done": "completed", "lost": "undeliverable", "late": "deferred"}
+    assert {trace: alone.state(trace) for trace in states} == states
+    told = [orjson.loads(line) for line in (alone.folder / "notices.jsonl").read_bytes().splitlines()]
+    states.pop("done")
+    assert {line["id"]: line["status"] for line in told} == states and len(told) == 2
+    for path, status in (("/envelopes?after=x", 400), ("/destinations?after=99", {"destinations": []}),
+                         ("/envelopes/" + "%00" * 9, 404), ("/nowhere", 404)):  # fmt: skip
+        assert alone.get(path) == status
+
+
+def test_a_file_that_changes_under_held_ones(alone: Alone) -> None:
+    """200 held: endpoints replaced, a destination removed with calls out, a track removed that is in use."""
+    alone.destinations[5] = 'endpoints = ["127.0.0.1:1"]'  # nothing there: what is for it waits
+    alone.write()
+    alone.start()
+    for number in range(198):
+        assert alone.hand_in(f"w{number}", ("free", "tag", "once")[number % 3], "200", 5) == 202
+    assert alone.hand_in("out", "once", "slow", 1) == alone.hand_in("out2", "free", "slow", 1) == 202
+    until(lambda: alone.count("out") and alone.count("out2"))
+    before = alone.file.read_text()
+    alone.file.write_text(before[:200])  # half written
+    assert "configuration not read" in alone.reread() and "sender.toml:" in alone.reread()
+    del alone.destinations[1]
+    alone.destinations[5] = f'endpoints = ["{alone.endpoint_at}"]'
+    alone.tracks = TRACKS.replace("[tracks.free]", "[tracks.other]")
+    alone.rest = RULES.replace('"8MiB"', '"9MiB"')
+    alone.write()
+    line = alone.reread()
+    taken, later = line.split("rest_at_next_start=")
+    assert "destinations.5.endpoints" in taken and "destinations.1.endpoints" in taken
+    assert "limits.disk" in later and "tracks.free.repeat" in later and "tracks" not in taken
+    assert alone.hand_in("too late", "free", "200", 1) == 503  # not listed any more
+    assert alone.hand_in("new", "free", "200", 2) == 202  # the track goes until the next start
+    until(lambda: all(alone.count(f"w{number}") == 1 for number in range(198)))
+    until(alone.ends("out", "completed"))
+    until(alone.ends("out2", "completed"))
+    assert alone.count("out") == alone.count("out2") == 1 and not alone.get("/envelopes")["envelopes"]
+
+
+def test_a_track_that_is_gone_at_the_next_start(alone: Alone) -> None:
+    """Held ones keep the terms they were taken on under, whatever became of their track since."""
+    alone.destinations[5] = 'endpoints = ["127.0.0.1:1"]'
+    alone.write()
+    alone.start()
+    for to, (trace, track) in enumerate((("f", "free"), ("t", "tag"), ("o", "once"))):
+        alone.hand_in(trace, track, "hang 200", to, key="k" if track == "tag" else "")
+        alone.hand_in(f"{trace}-waits", track, "200", 5)
+    until(lambda: all(alone.count(trace) for trace in "fto"))
+    alone.kill()
+    rest = TRACKS.split("[tracks.tag]")[1]
+    alone.tracks = "[tracks.tag]" + rest.replace('"once-only"', '"repeatable"')  # free gone, once changed
+    alone.destinations[5] = f'endpoints = ["{alone.endpoint_at}"]'
+    alone.write()
+    alone.start()
+    until(alone.ends("f", "completed"))
+    until(alone.ends("t", "completed"))
+    until(alone.ends("o", "undeliverable"))  # as it was once-only when it was taken on
+    until(lambda: all(alone.state(f"{trace}-waits") == "completed" for trace in "fto"))
+    assert alone.count("o") == 1 and alone.hand_in("x", "free", "200", 1) == 400
+    assert alone.hand_in("y", "once", "500 200", 1) == 202
+    until(alone.ends("y", "completed"))
+    alone.kill(signal.SIGTERM)
+    alone.start()
+    names = [row["name"] for row in orjson.loads((alone.folder / "state" / "imprint").read_bytes())["tracks"]]
+    assert names == ["tag", "once"], "numbers begin anew once nothing is held"
+
+
+def test_folders_of_others(alone: Alone, tmp_path: Path) -> None:
+    """Each is one line and exit code 2, and nothing in the folder changes."""
+    alone.start()
+    alone.destinations[0] = "endpoints = []"
+    alone.write()
+    before = contents(tmp_path / "state")
+    run = alone.run("serve", str(alone.file))
+    assert run.returncode == 2 and run.stderr.count("\n") == 1, run.stderr
+    assert f"in use by another sender, process {alone.process and alone.process.pid}" in run.stderr
+    assert contents(tmp_path / "state") == before
+    alone.kill()
+    state, imprint = tmp_path / "state", tmp_path / "state" / "imprint"
+    good = imprint.read_bytes()
+    spoilt = {b'"version":1': b'"version":2', b'"n0"': b'"n1"', b"{": b""}
+    for old, new in spoilt.items():
+        imprint.write_bytes(good.replace(old, new, 1))
+        refused(alone, "imprint")
+    imprint.write_bytes(good)
+    entry = Entry(1, "a", 0, 1, None, None, wall() + 10**9, b"")
+    (state / "journal").write_bytes(record(["renamed", 1]))
+    refused(alone, "not a record of this version")
+    imprint.unlink()
+    (state / "journal").write_bytes(entry.record())
+    refused(alone, "no imprint")
+    (tmp_path / "file").write_text("")
+    for place in ("file", "file/below", "/proc/nowhere"):
+        alone.file.write_text(alone.file.read_text().replace('state = "state"', f'state = "{place}"'))
+        assert alone.run("serve", str(alone.file)).returncode == 2
+        alone.write()
+
+
+def contents(folder: Path) -> dict[str, bytes]:
+    return {path.name: path.read_bytes() for path in folder.iterdir()}
+
+
+def refused(alone: Alone, words: str) -> None:
+    before = contents(alone.folder / "state")
+    run = alone.run("serve", str(alone.file))
+    assert run.returncode == 2 and run.stderr.count("\n") == 1 and words in run.stderr, run.stderr
+    assert contents(alone.folder / "state") == before
+
+
+def test_full_disk_and_no_rights(alone: Alone, tmp_path: Path) -> None:
+    """At the start: one line, and what is held stays. Later: no shot unrecorded, and nothing new taken on."""
+    alone.start()
+    assert alone.hand_in("kept", "once", "hang", 1) == 202
+    until(lambda: alone.count("kept"))
+    alone.kill()
+    held = Folder(tmp_path / "state", "n0")
+    assert held.held() == 1
+    held.close()
+
+    def full() -> None:
+        resource.setrlimit(resource.RLIMIT_FSIZE, (1, 1))
+
+    run = alone.run("serve", str(alone.file), preexec_fn=full)
+    assert run.returncode == 2 and run.stderr.count("\n") == 1 and "state" in run.stderr, run.stderr
+    was, state = os.geteuid(), tmp_path / "state"
+    state.chmod(0)
+    try:
+        os.seteuid(was or 65534)  # as a user whom the rights bind
+        with pytest.raises(NotOurs, match="Permission denied"):
+            Folder(state, "n0")
+    finally:
+        os.seteuid(was)
+        state.chmod(0o700)
+    alone.start()
+    until(alone.ends("kept", "undeliverable"))
+
+
+def test_a_crash_at_each_write_of_a_start(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A counter says at which change of the folder the start ends; what is held is there after each."""
+    rows, first = [{"name": "a"}, {"name": "b"}], tmp_path / "0"
+    folder = Folder(first, "n0")
+    folder.write(rows[:1])
+    ledger = Ledger(first, 1 << 20)
+    assert ledger.taken(Entry(1, "x", 0, 1, None, None, wall() + 10**9, b"body"))
+    ledger.close()
+    folder.close()
+    calls = {f"os.{call.__name__}": call for call in (os.replace, os.pwrite, os.truncate)}
+    calls["pathlib.Path.write_bytes"] = Path.write_bytes
+    crashed = 0
+    for at in range(1, 9):
+        count, place = 0, tmp_path / str(at)
+        shutil.copytree(first, place)
+
+        def spoil(name: str, at: int = at) -> object:
+            def call(*arguments: object) -> object:
+                nonlocal count
+                count += 1
+                if count == at:
+                    raise KeyboardInterrupt
+                return calls[name](*arguments)  # type: ignore[operator]
+
+            return call
+
+        with monkeypatch.context() as patch:
+            for name in calls:
+                patch.setattr(name, spoil(name))
+            try:
+                once = Folder(place, "n0")
+                once.write(rows)
+                Ledger(place, 1 << 20).close()
+            except KeyboardInterrupt:
+                crashed += 1
+            finally:
+                once.close()
+        again = Folder(place, "n0")
+        assert again.held() == 1 and [row["name"] for row in again.told] in (["a"], ["a", "b"])
+        again.close()
+    assert crashed == 5
+
+
+def test_a_reader_that_does_not_read(alone: Alone) -> None:
+    """Standard output is full, then closed: service goes on, and the lines that were lost are counted."""
+    out, into = os.pipe()
+    fcntl.fcntl(into, fcntl.F_SETPIPE_SZ, 4096)
+    os.write(into, b"x" * 4096)
+    alone.start(stdout=into)
+    for number in range(60):
+        assert alone.hand_in(f"b{number}", "once", "200", 1) == 202
+    until(lambda: all(alone.count(f"b{number}") == 1 for number in range(60)))
+    read = b""
+    while b"event=ready" not in read:
+        read += os.read(out, 4096)
+    os.close(out)
+    assert alone.process is not None
+    alone.process.send_signal(signal.SIGHUP)  # a line that nobody can read any more
+    assert alone.hand_in("after", "once", "200", 1) == 202
+    until(alone.ends("after", "completed"))
+    os.close(into)
+    assert alone.process.poll() is None
+
+
+def test_closed_streams(alone: Alone) -> None:
+    """Started with standard output closed: no file of the sender's may get its number."""
+    alone.start(stdout=None, preexec_fn=lambda: os.closerange(0, 3))
+    assert alone.hand_in("c", "once", "200", 1) == 202
+    until(alone.ends("c", "completed"))
+    assert alone.process is not None
+    assert os.readlink(f"/proc/{alone.process.pid}/fd/1") == "/dev/null"
+    with (alone.folder / "state" / "journal").open("rb") as file:
+        reader = Reader(file)
+        assert list(reader) and not reader.fault
+
+
+def test_lines_wait_and_are_counted() -> None:
+    out, into = os.pipe()
+    lines = Lines(into)
+    for _ in range(2 * KEPT // 1000):
+        lines.msg("y" * 999)
+    assert lines.dropped and lines.size <= KEPT
+    told: list[int] = []
+
+    class Log:
+        def warning(self, _: str, count: int) -> None:
+            told.append(count)
+
+    writer, dropped = gevent.spawn(lines.run, Log()), lines.dropped
+    while not told:
+        os.set_blocking(out, False)
+        with pytest.MonkeyPatch.context():
+            try:
+                os.read(out, 1 << 20)
+            except BlockingIOError:
+                gevent.sleep(0.01)
+    assert told == [dropped] and not lines.waiting
+    writer.kill()
+    os.close(out)
+    lines.msg("nobody")
+    assert lines.descriptor is None and not lines.waiting
+    os.close(into)
+    Lines(None).msg("nowhere")
+
+
+def test_secrets_stay_out_of_lines(alone: Alone) -> None:
+    """A secret goes with calls and notices, never into a line; one that is missing is named, not shown."""
+    alone.destinations[1] += '\nauthorization = { env = "ASHPATH_TEST_PASS" }'
+    receiver = f"http://127.0.0.1:{alone.servers[1].server_port}/v1/notices"
+    alone.rest += f'[notices]\naddress = "{receiver}"\nauthorization = {{ file = "pass" }}\n'
+    alone.rest += '[logging]\nlevel = "debug"\nform = "json"\n'
+    alone.write()
+    (alone.folder / "pass").write_text("Bearer of-notices\n")
+    run = alone.run("check", str(alone.file))
+    assert run.returncode == 2 and "destinations.1.authorization" in run.stderr
+    assert run.stderr.count("\n") == 1
+    environment = os.environ | {"ASHPATH_TEST_PASS": "Bearer of-calls"}
+    alone.start(env=environment)
+    assert alone.hand_in("s", "once", "500 secret-body", 1) == 202
+    until(lambda: alone.told("s") == ["undeliverable"])
+    assert alone.calls["s"][0].headers[b"authorization"] == b"Bearer of-calls"
+    log = (alone.folder / "log").read_text()
+    assert "of-calls" not in log and "of-notices" not in log and "secret-body" not in log
+    assert all(orjson.loads(line)["event"] for line in log.splitlines())
+
+
+def test_log_lines_page() -> None:
+    """Every event of the code is on the page with its fields, and no other is."""
+    page = (ROOT / "docs" / "log-lines.md").read_text()
+    table = {
+        name: set(re.findall(r"`(\w+)`", fields))
+        for name, _, fields in re.findall(r"^\| `([^`]+)` \| (\w+) \| ([^|]*) \|", page, re.M)
+    }
+    found: dict[str, set[str]] = {}
+    for path in [*(ROOT / "ashpath" / "node").glob("*.py"), *(ROOT / "ashpath" / "command").glob("*.py")]:
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+                continue
+            if node.func.attr not in ("debug", "info", "warning", "error", "exception") or not node.args:
+                continue
+            owner = ast.unparse(node.func.value)
+            if not owner.endswith(("log", "logger")):
+                continue
+            words = [node.args[0].value] if isinstance(node.args[0], ast.Constant) else NAMED[path.name]
+            fields = {keyword.arg or "" for keyword in node.keywords}
+            fields |= {"exception"} if node.func.attr == "exception" else set()
+            for word in words:
+                assert isinstance(word, str)
+                found[word] = found.get(word, set()) | fields
+    assert found == table
+
+
+NAMED = {"admit.py": ["ledger full", "ledger has room"]}  # an event that is chosen as it is logged
+
+
+def test_ends_are_bounded_and_outlive_faults(tmp_path: Path) -> None:
+    said: list[str] = []
+
+    class Log:
+        def error(self, event: str, **_: object) -> None:
+            said.append(event)
+
+        info = error
+
+    ends = Ends(tmp_path, 4096, 10**12, Log())
+    for number in range(500):
+        ends.add(f"e{number}", "completed")
+        assert ends.size <= 4096 and sum(path.stat().st_size for path in tmp_path.iterdir()) <= 4096
+    assert ends.of("e499") and not ends.of("e0")
+    with (tmp_path / "ends").open("ab") as file:
+        file.write(b'["torn","comp')
+    ends.close()
+    ends = Ends(tmp_path, 4096, 10**12, Log())
+    ends.add("next", "deferred", 500)
+    ends.close()
+    ends = Ends(tmp_path, 4096, 10**12, Log())
+    assert ends.of("next") and ends.of("e499") and not ends.of("torn")
+    os.close(ends.file)
+    real, ends.file = ends.file, os.open("/dev/full", os.O_WRONLY)
+    ends.add("unwritten", "completed")
+    ends.add("unwritten2", "completed")
+    assert ends.of("unwritten") and said == ["ends not written"] and real
+    ends.life = -1
+    assert not ends.of("next")
+
+
+def test_notice_files_turn(tmp_path: Path) -> None:
+    file = LineFile(tmp_path / "n", 100, 2)
+    for number in range(30):
+        file.write(b"%030d\n" % number)
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["n", "n.1", "n.2"]
+    assert (tmp_path / "n").read_bytes().endswith(b"29\n") and (tmp_path / "n.2").stat().st_size <= 100
+    assert LineFile(tmp_path / "n", 100, 2).written == file.written
+
+
+def test_ledger_says_where_it_is_torn(tmp_path: Path) -> None:
+    """Cut at each of many bytes: the whole records count, and the first torn one's byte is named."""
+    sizes, data = [0], b""
+    for number in range(40):
+        data += Entry(number, f"t{number}", 0, 1, None, None, 1, b"x" * (number % 7)).record()
+        sizes.append(len(data))
+    for cut in range(len(data)):
+        (tmp_path / "journal").write_bytes(data[:cut])
+        with (tmp_path / "journal").open("rb") as file:
+            reader = Reader(file)
+            count = len(list(reader))
+        whole = max(at for at in sizes if at <= cut)
+        assert reader.at == whole and count == sizes.index(whole) and bool(reader.fault) == (cut != whole)
+    for at, byte in ((3, b"\xff"), (6, b"\x00"), (12, b"~")):
+        spoilt = data[: sizes[9] + at] + byte + data[sizes[9] + at + 1 :]
+        (tmp_path / "journal").write_bytes(spoilt)
+        with (tmp_path / "journal").open("rb") as file:
+            reader = Reader(file)
+            assert len(list(reader)) == 9 and reader.at == sizes[9] and reader.fault
+    (tmp_path / "journal").write_bytes(data + record(["of another version", 1, 2]))
+    with pytest.raises(Foreign):
+        Ledger(tmp_path, 1 << 20)
+    assert (tmp_path / "journal").read_bytes().startswith(data)
+
+
+def test_forms_never_fail() -> None:
+    for form in ("logfmt", "json", "console"):
+        shaped = Form("info", form)
+        for value in ("plain", b"\xff", object(), "two\nlines", "\ud800", {"a b": 1}):
+            assert shaped(None, "info", {"event": "e", "level": "info", "what": value})
+        assert shaped(None, "info", {"event": "e", "a b": 1})
+
+
+def test_two_senders_at_once(tmp_path: Path) -> None:
+    first = Folder(tmp_path, "n0")
+    first.write([])
+    with pytest.raises(NotOurs, match=f"process {os.getpid()}"):
+        Folder(tmp_path, "n0")
+    first.close()
+    Folder(tmp_path, "n0").close()
+    assert LIMITS.disk and sys.executable
--- a/tests/rigs/world.py
+++ b/tests/rigs/world.py
@@ -5,13 +5,12 @@
 import json
 import signal
 import struct
-import subprocess
 import sys
 from collections.abc import Callable
 from pathlib import Path
 
 import gevent
-from gevent import Timeout, socket
+from gevent import Timeout, socket, subprocess
 from gevent.server import StreamServer
 
 from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,7 +7,6 @@
 import os
 import pkgutil
 import signal
-import subprocess
 import sys
 from collections.abc import Iterator
 from contextlib import suppress
@@ -17,7 +16,7 @@
 import gevent
 import pytest
 import structlog
-from gevent import Timeout, socket
+from gevent import Timeout, socket, subprocess
 from rigs.world import LIMITS, TERMS, TRACKS, World, abandon, request, until
 
 import ashpath.node
