--- a/ashpath/node/inquiry.py
+++ b/ashpath/node/inquiry.py
@@ -94,7 +94,7 @@
             "rate": round(sum(gate.rate for gate in gates), 2),
             "breaker": self.worst(gates),
             "ailing": any(gate.ailing for gate in gates),
-            "wait_ms": max((round(millis(gate.wait_until - now)) for gate in gates), default=0),
+            "wait_ms": max([0, *(round(millis(gate.wait_until - now)) for gate in gates)]),
         }
 
     @staticmethod
--- a/ashpath/node/log.py
+++ b/ashpath/node/log.py
@@ -12,9 +12,15 @@
 from typing import Any
 
 import gevent
-import structlog
 from gevent.event import Event
 
+# Where rich is installed structlog loads it, for tracebacks not drawn here: 50 ms and 3 MB of a start.
+hidden = sys.modules.setdefault("rich", None)  # type: ignore[arg-type]
+import structlog  # noqa: E402
+
+if hidden is None:
+    del sys.modules["rich"]
+
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 PIECE = 4096  # what a pipe that polls as writable takes without blocking
 KEPT = 256 << 10  # bytes of lines that wait for a reader; further ones are dropped and counted
--- a/ashpath/plan/shape.py
+++ b/ashpath/plan/shape.py
@@ -1,8 +1,6 @@
 """The shape of the sender's file: every key with its type, default, bounds, what it is for, and whether
 SIGHUP takes it. The checks, the reference page and the reread all go by these rows."""
 
-from __future__ import annotations
-
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
--- a/tests/command/test_sender.py
+++ b/tests/command/test_sender.py
@@ -16,6 +16,7 @@
 import gevent
 import orjson
 import pytest
+from gevent import subprocess
 from rigs.standalone import RULES, TRACKS, Alone
 from rigs.world import LIMITS, ROOT, until
 
@@ -411,6 +412,16 @@
     assert (tmp_path / "journal").read_bytes().startswith(data)
 
 
+def test_a_sender_imports_what_it_needs() -> None:
+    """Guards the platform's small machines: what a sender does not switch on it does not load."""
+    forbidden = "{'click', 'rich', 'msgspec', 'tomllib', 'tree_sitter', 'ashpath.plan', 'ashpath.node.ends'}"
+    own = "{'msgspec', 'tomllib', 'ashpath.plan', 'ashpath.node.ends'}"
+    for module, allowed in (("ashpath.node.start", "set()"), ("ashpath.command.sender", own)):
+        code = f"import sys, {module}; sys.exit(str(({forbidden} - {allowed}) & set(sys.modules) or ''))"
+        run = subprocess.run([sys.executable, "-c", code], stderr=subprocess.PIPE, cwd=ROOT)
+        assert run.stderr.strip() == b"", run.stderr
+
+
 def test_forms_never_fail() -> None:
     for form in ("logfmt", "json", "console"):
         shaped = Form("info", form)
