--- /dev/null
+++ b/ashpath/partners/day.py
@@ -0,0 +1,278 @@
+"""A day as a file tells it: partners, fleet, clients, network, and a script of troubles. `ashpath check`
+knows these files; days of the library stand in `partners/days`."""
+
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from msgspec import Struct, field
+
+from ashpath.door import Terms
+from ashpath.partners.model import Nature
+from ashpath.plan.amounts import Duration, Word
+from ashpath.plan.check import Fault
+from ashpath.plan.decide import times
+from ashpath.plan.read import read_as
+from ashpath.plan.shape import (
+    MIN,
+    MS,
+    D,
+    H,
+    Key,
+    Kind,
+    Limits,
+    Plan,
+    Rules,
+    S,
+    Sender,
+    Track,
+)
+from ashpath.plan.told import told
+from ashpath.terms import terms
+
+TROUBLES = ("silent", "hung", "down", "shut", "slow", "errors", "errors-after", "lost", "resets", "limit",
+            "replace", "directory", "kill", "network", "split", "clock", "traffic")  # fmt: skip
+OF_PARTNERS = TROUBLES[:11]
+
+
+class About(Struct):
+    """What the day is, and what it teaches."""
+
+    lesson: Annotated[str, Key("one line on what it teaches", 1, 200)]
+    incident: Annotated[str, Key("the page of docs/incidents that it rebuilds", 0, 100)] = ""
+
+
+class Fleet(Struct):
+    """The senders."""
+
+    senders: Annotated[int, Key("how many", 1, 1000)] = 3
+    room: Annotated[int, Key("envelopes that each holds at once; 0: any number", 0, 1_000_000)] = 400
+    front: Annotated[
+        Duration, Key("so long after a sender died its clients are still sent to it", 0, MIN)
+    ] = Duration(1 * S)
+
+
+class Partners(Struct):
+    """Destinations of one kind."""
+
+    count: Annotated[int, Key("how many destinations", 1, 100_000)]
+    share: Annotated[
+        float, Key("the part of the traffic that goes to all of them, beside other kinds", 0, 1e6)
+    ]
+    endpoints: Annotated[int, Key("of each destination", 1, 100)] = 1
+    busiest: Annotated[float, Key("their traffic falls by rank to this power; 0: all the same", 0, 3)] = 0.0
+    apart: Annotated[bool, Key("endpoints are separate routes")] = False
+    workers: Annotated[int, Key("calls at work at once, of each endpoint or of all", 1, 10_000)] = 4
+    shared: Annotated[bool, Key("endpoints share the workers")] = False
+    service: Annotated[
+        list[Duration], Key("median time of a call, by track; the last for the rest", 1, 16)
+    ] = field(default_factory=lambda: [Duration(50 * MS)])
+    spread: Annotated[float, Key("sigma of its logarithm", 0, 3)] = 0.3
+    tail: Annotated[float, Key("share of calls that take much longer", 0, 1)] = 0.0
+    tail_factor: Annotated[float, Key("how many times as long", 1, 1000)] = 10.0
+    samples: Annotated[
+        str, Key("a file with a duration on each line: times are drawn from these", 0, 400)
+    ] = ""
+    queue: Annotated[int, Key("calls that wait at an endpoint", 0, 100_000)] = 8
+    rate: Annotated[float, Key("calls a second that its limit allows; 0: none", 0, 1e6)] = 0.0
+    span: Annotated[Duration, Key("the limit counts in spans of this; 0s: tokens that flow", 0, H)] = (
+        Duration(0)
+    )
+    sliding: Annotated[bool, Key("the span is always the latest one")] = False
+    refused_count: Annotated[bool, Key("refused calls use the limit up")] = False
+    wait: Annotated[Duration, Key("told with an answer above the limit; 0s: none", 0, MIN)] = Duration(0)
+    reports: Annotated[bool, Key("answers tell of the limit")] = False
+    noise: Annotated[float, Key("sigma of what they tell", 0, 1)] = 0.0
+    late: Annotated[Duration, Key("what they tell is so old", 0, MIN)] = Duration(0)
+    connections: Annotated[int, Key("that an endpoint holds; 0: any number", 0, 1_000_000)] = 0
+    connect_work: Annotated[Duration, Key("that a new connection adds to its first call", 0, MIN)] = Duration(
+        0
+    )
+    cold_share: Annotated[float, Key("of its speed after an outage", 0.01, 1)] = 0.2
+    ramp: Annotated[Duration, Key("until it has all of it", 0, H)] = Duration(10 * S)
+    fall_multiple: Annotated[float, Key("more than so many times what it can handle", 1, 1000)] = 2.0
+    fall_time: Annotated[Duration, Key("for so long pushes it over", MS, H)] = Duration(3 * S)
+    fall_down: Annotated[Duration, Key("and it stays silent for this", 0, D)] = Duration(15 * S)
+    pause_every: Annotated[Duration, Key("it stands still so often; 0s: never", 0, D)] = Duration(0)
+    pause_for: Annotated[Duration, Key("for this long", 0, H)] = Duration(0)
+    window: Annotated[Duration, Key("a key is remembered so long", 0, D)] = Duration(5 * S)
+    runs_on: Annotated[bool, Key("it works on calls whose caller has gone")] = True
+    errors: Annotated[float, Key("share of calls that fail before an effect", 0, 1)] = 0.0
+    errors_after: Annotated[float, Key("and after it", 0, 1)] = 0.0
+
+
+class Span(Struct):
+    """A stretch of the day. A quiet one may be thinned: played for less than it lasts, and weighed more."""
+
+    lasts: Annotated[Duration, Key("how long it is", MS, 400 * D)]
+    rate: Annotated[float, Key("envelopes a second as it begins, over the whole fleet", 0, 1e6)]
+    to: Annotated[float, Key("and as it ends; below 0: the same", -1, 1e6)] = -1.0
+    played: Annotated[Duration, Key("how much of it is played; 0s: all", 0, 400 * D)] = Duration(0)
+    name: Annotated[str, Key("for the table, `tue 17h` say", 0, 40)] = ""
+
+
+class Clients(Struct):
+    """Who hands in."""
+
+    mix: Annotated[dict[Word, float], Key("share of each track", 1, 64)]
+    clump: Annotated[int, Key("envelopes that come at once, for one destination", 1, 10_000)] = 1
+    retries: Annotated[int, Key("times an envelope is handed in anew after a bounce", 0, 100)] = 1
+    backoff: Annotated[Duration, Key("before that, where nothing is told; doubled each time", MS, H)] = (
+        Duration(800 * MS)
+    )
+    heeds: Annotated[float, Key("share of clients that wait as long as they are told", 0, 1)] = 0.7
+    keys: Annotated[int, Key("order keys in use; 0: a new one each time", 0, 10_000_000)] = 0
+
+
+class Network(Struct):
+    """Between senders and partners."""
+
+    latency: Annotated[Duration, Key("one way", 0, MIN)] = Duration(8 * MS)
+    jitter: Annotated[float, Key("sigma of its logarithm", 0, 2)] = 0.2
+
+
+class Directory(Struct):
+    """How late changes of endpoints are told."""
+
+    delay: Annotated[Duration, Key("to the first sender", 0, H)] = Duration(1 * S)
+    spread: Annotated[Duration, Key("and so much later to the last", 0, H)] = Duration(2 * S)
+
+
+class Trouble(Struct):
+    """One trouble of the script."""
+
+    kind: Annotated[Literal[TROUBLES], Key("what happens")]  # type: ignore[valid-type]
+    at: Annotated[Duration | None, Key("when, of the time that is played", 0, 400 * D)] = None
+    when: Annotated[
+        str, Key("or as soon as a condition holds, `completed > 500` say; see the page", 0, 80)
+    ] = ""
+    lasts: Annotated[
+        Duration, Key("for how long; 0s: to the end, or at once where there is no while", 0, 400 * D)
+    ] = Duration(0)
+    to: Annotated[
+        list[str], Key("kinds, `kind/RANK` for one of them, or `sender/N`; empty: all", 0, 1000)
+    ] = field(default_factory=list)
+    share: Annotated[float, Key("of those named, drawn by lot", 0, 1)] = 1.0
+    amount: Annotated[float, Key("how much: a factor, a share, milliseconds; see the page", -1e9, 1e9)] = 1.0
+    endpoints: Annotated[int, Key("replace: how many of each destination; 0: all", 0, 100)] = 0
+
+
+class Day(Struct):
+    """The whole file."""
+
+    day: About
+    tracks: Annotated[dict[Word, Track], Key("as in a sender's file", 1, 64)]
+    partners: Annotated[dict[Word, Partners], Key("kinds of destinations", 1, 64)]
+    clients: Clients
+    spans: Annotated[list[Span], Key("the day from its beginning to its end", 1, 10_000)]
+    fleet: Fleet = field(default_factory=Fleet)
+    rules: Rules = field(default_factory=Rules)
+    network: Network = field(default_factory=Network)
+    directory: Directory = field(default_factory=Directory)
+    troubles: Annotated[list[Trouble], Key("the script", 0, 10_000)] = field(default_factory=list)
+
+
+SIGNALS = ("handed_in", "completed", "bounced", "aborted", "held", "out")
+
+
+def condition(text: str) -> tuple[str, bool, float] | None:
+    """The signal, whether it must be above, and the figure; None where the text is none.
+
+    >>> condition("completed > 500"), condition("held<20"), condition("held = 3")
+    (('completed', True, 500.0), ('held', False, 20.0), None)
+    """
+    for sign in "><":
+        name, found, figure = text.partition(sign)
+        if found and name.strip() in SIGNALS:
+            try:
+                return name.strip(), sign == ">", float(figure)
+            except ValueError:
+                return None
+    return None
+
+
+def unfit(day: Day) -> list[Fault]:
+    """What each key alone allows and together cannot be."""
+    found = list(times(as_plan(day)))
+    known = set(day.partners) | {
+        f"{kind}/{n}" for kind, row in day.partners.items() for n in range(row.count)
+    }
+    for name in day.clients.mix:
+        if name not in day.tracks:
+            found.append(Fault(("clients", "mix", name), "a track", "one of " + ", ".join(day.tracks)))
+    if sum(day.clients.mix.values()) <= 0 or min(day.clients.mix.values()) < 0:
+        found.append(Fault(("clients", "mix"), "shares", "none below 0, and one above it"))
+    if sum(row.share for row in day.partners.values()) <= 0:
+        found.append(Fault(("partners",), "no share above 0", "one kind with a share of the traffic"))
+    for at, trouble in enumerate(day.troubles):
+        where = ("troubles", at)
+        if (trouble.at is None) == (not trouble.when):
+            found.append(Fault((*where, "at"), "both or neither of at and when", "one of them"))
+        if trouble.when and condition(trouble.when) is None:
+            signals = ", ".join(SIGNALS)
+            found.append(
+                Fault((*where, "when"), repr(trouble.when), f"SIGNAL > N or < N; signals: {signals}")
+            )
+        senders = {f"sender/{n}" for n in range(day.fleet.senders)}
+        allowed = known if trouble.kind in OF_PARTNERS else senders | known
+        for name in trouble.to:
+            if name not in allowed:
+                found.append(Fault((*where, "to"), repr(name), "a kind, kind/RANK below count, or sender/N"))
+    for at, span in enumerate(day.spans):
+        if span.played > span.lasts:
+            found.append(Fault(("spans", at, "played"), "more than lasts", "at most lasts"))
+    return found
+
+
+def read_day(path: Path) -> Day:
+    """The day of a file; raises plan.read.Unusable."""
+    found: Day = read_as(path, Day, unfit)
+    return found
+
+
+def as_plan(day: Day) -> Plan:
+    """What the senders of the day would be started with, less their destinations."""
+    kinds = {Word(name): Kind(apart=row.apart) for name, row in day.partners.items()}
+    limits = Limits(envelopes=day.fleet.room or 10_000_000)
+    rules = day.rules
+    return Plan(Sender(Word("day")), day.tracks, kinds=kinds, rules=rules, limits=limits)
+
+
+def day_terms(day: Day, seed: int, number: int) -> Terms:
+    """What one sender of the day is handed."""
+    plan = as_plan(day)
+    plan.sender.number, plan.sender.senders = number, day.fleet.senders
+    return terms(seed, told(plan, "0")["settings"])
+
+
+def nature(row: Partners, folder: Path) -> Nature:
+    """The model's nature of a kind of partner. ValueError or OSError: its samples cannot be read."""
+    from ashpath.plan.amounts import TIMES, amount
+
+    samples: tuple[int, ...] = ()
+    if row.samples:
+        lines = (folder / row.samples).read_text().split()
+        samples = tuple(amount(line, TIMES) for line in lines)
+    names = Nature.__dataclass_fields__
+    same = {name: getattr(row, name) for name in names if hasattr(row, name)}
+    told_: dict[str, Any] = {n: int(v) if isinstance(v, Duration) else v for n, v in same.items()}
+    return Nature(**told_ | {"service": tuple(int(one) for one in row.service), "samples": samples})
+
+
+def played(span: Span) -> int:
+    """Microseconds that are played of it."""
+    return int(span.played or span.lasts)
+
+
+def weight(span: Span) -> float:
+    """What each envelope of it counts."""
+    return span.lasts / played(span)
+
+
+def length(day: Day) -> int:
+    """Microseconds of the day, as played."""
+    return sum(played(span) for span in day.spans)
+
+
+def summary(day: Day) -> dict[str, Any]:
+    count = sum(row.count for row in day.partners.values())
+    return {"senders": day.fleet.senders, "destinations": count, "seconds": length(day) / 1e6}
--- a/ashpath/partners/show.py
+++ b/ashpath/partners/show.py
@@ -20,8 +20,8 @@
 from ashpath.node import names
 from ashpath.node.codec import Closed, Malformed, Wire, dial, host, write_head
 from ashpath.node.limits import Limits
-from ashpath.partners.model import Nature, Partner, Silence
-from ashpath.partners.sockets import Stand
+from ashpath.partners.model import Nature, Partner, Trouble
+from ashpath.partners.sockets import Stand, at
 from ashpath.terms import terms
 
 SECOND = 1_000_000
@@ -82,13 +82,10 @@
 
 def natures(seconds: float) -> list[tuple[str, float, int, Nature]]:
     """Name, share of the traffic, endpoints, nature. Figures made up so that each shows its trouble."""
-    whole = round(seconds * SECOND)
-    silence = Silence(whole * 3 // 10, whole * 11 // 20)
-    return [
-        ("bank", 0.45, 2, Nature(workers=16, service=60_000, rate=14.0)),
-        ("letting-office", 0.25, 1, Nature(workers=5, service=400_000, spread=0.5)),
-        ("landlord-app", 0.3, 1, Nature(4, 80_000, ramp=whole // 4, silences=(silence,))),
-    ]
+    limited = Nature(workers=16, shared=True, service=(60_000,), rate=14.0, wait=SECOND // 5, reports=True)
+    slow = Nature(workers=5, service=(400_000,), spread=0.5)
+    cold = Nature(workers=4, service=(80_000,), ramp=round(seconds * SECOND / 4))
+    return [("bank", 0.45, 2, limited), ("letting-office", 0.25, 1, slow), ("landlord-app", 0.3, 1, cold)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,16 +133,27 @@
         return Limits.of({"sockets": 4096, "own": {"quiet": 60.0, "request": 60.0}}, own)
 
     def row(self, number: int, name: str, share: float, endpoints: int, nature: Nature) -> Row:
-        partner = Partner(nature, Random(self.chance.getrandbits(32)))
+        ids = [f"{name}-{at}" for at in range(endpoints)]
+        partner = Partner(nature, Random(self.chance.getrandbits(32)), ids)
         row = Row(number, name, share, partner)
-        row.stands = [Stand(partner, self.limits, self.began) for _ in range(endpoints)]
+        row.stands = [Stand(partner, id_, self.limits, self.began) for id_ in ids]
         return row
 
+    def script(self) -> None:
+        """The landlord app goes silent for a quarter of the day, and comes back cold."""
+        partner, whole = self.rows[-1].partner, round(self.seconds * SECOND)
+        now = monotonic_ns() // 1000 - self.began
+        at(self.began, now + whole * 3 // 10, partner.put, Trouble.SILENT, 1.0)
+        back = now + whole * 11 // 20
+        at(self.began, back, partner.take_off, Trouble.SILENT, 1.0, back)
+
     def write(self, seed: int) -> None:
         """The sender's file, as a user would write it."""
         text = PLAN.format(
             ramp=round(self.seconds * 250),
-            listen=f"127.0.0.1:{self.where[1]}", seed=seed, notices=f"127.0.0.1:{self.receiver.server_port}"
+            listen=f"127.0.0.1:{self.where[1]}",
+            seed=seed,
+            notices=f"127.0.0.1:{self.receiver.server_port}",
         )
         for row in self.rows:
             listed = ", ".join(f'"{stand.address}"' for stand in row.stands)
@@ -224,7 +232,8 @@
             (b"X-Route-To", b"dest=%d" % row.number),
             (b"Idempotency-Key", b"key-" + trace.encode()),
         )
-        status, _ = self.ask(b"POST %s HTTP/1.1" % names.HAND_IN, headers, b"stage 3")
+        body = b"%d stage 3" % TRACKS.index(track)
+        status, _ = self.ask(b"POST %s HTTP/1.1" % names.HAND_IN, headers, body)
         if status in (200, 202):
             self.taken.add(trace)
         elif status in (429, 503):
@@ -282,7 +291,7 @@
         return [
             {
                 "destination": row.name,
-                "workers": "silent" if row.partner.silent(now) else row.partner.workers(now),
+                "speed": "silent" if row.partner.dumb(now) else f"{row.partner.speed(now):.0%}",
                 "held": (told := seen.get(row.number, {})).get("held"),
                 "out": told.get("out"),
                 "limit": told.get("limit"),
@@ -298,6 +307,7 @@
     def run(self, shown: Any, every: float = 0.5) -> Summary:
         """Plays the day; `shown` is called with the seconds that passed and the table."""
         self.start()
+        self.script()
         load, began, killed = gevent.spawn(self.load), monotonic(), False
         until = began + self.seconds + TAIL
         while (not load.dead or self.open) and monotonic() < until:
--- a/ashpath/partners/sockets.py
+++ b/ashpath/partners/sockets.py
@@ -1,33 +1,55 @@
-"""Plays a partner's model over HTTP/1.1 on loopback, as the sender's calls have it."""
+"""Plays a partner's model over HTTP/1.1 on loopback, as the sender's calls have it, with failures as sockets
+have them: connections that are reset, and open ones that say nothing."""
 
 from __future__ import annotations
 
+import struct
+from collections.abc import Callable
 from contextlib import suppress
 from time import monotonic_ns
 from typing import Any
 
+import gevent
 from gevent import Timeout, socket
 from gevent.server import StreamServer
 
 from ashpath.node import names
 from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
 from ashpath.node.limits import Limits
-from ashpath.partners.model import Meets, Partner
+from ashpath.partners.model import NEVER, Call, Meets, Partner
 
 LINES = {
-    200: b"200 OK",
-    429: b"429 Too Many Requests",
-    503: b"503 Service Unavailable",
-    404: b"404 Not Found",
+    Meets.OK: b"HTTP/1.1 200 OK",
+    Meets.ERROR: b"HTTP/1.1 500 Internal Server Error",
+    Meets.FULL: b"HTTP/1.1 503 Service Unavailable",
 }
+NOT_FOUND = b"HTTP/1.1 404 Not Found"
+TOLD = b"HTTP/1.1 429 Too Many Requests"
+
+
+def reset(sock: socket.socket) -> None:
+    """Ends a connection as a process that died does."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
 
 
 class Stand:
-    """One endpoint of a partner. `began` is the moment from which the model's times count."""
+    """One endpoint of a partner. `began` is the moment from which the model's times count; `seen` is told of
+    each call as it comes in, with what it meets."""
 
-    def __init__(self, partner: Partner, limits: Limits, began: int) -> None:
-        self.partner, self.limits, self.began = partner, limits, began
-        self.server = StreamServer(("127.0.0.1", 0), self.serve)
+    def __init__(
+        self,
+        partner: Partner,
+        endpoint: str,
+        limits: Limits,
+        began: int,
+        seen: Callable[[int, str, str, Call], None] | None = None,
+    ) -> None:
+        self.partner, self.endpoint, self.limits = partner, endpoint, limits
+        self.began, self.seen = began, seen
+        self.open: dict[Wire, None] = {}  # emptied as connections close
+        self.server = StreamServer(("127.0.0.1", 0), self.serve, backlog=512)
         self.server.start()
         self.address = f"127.0.0.1:{self.server.server_port}"
 
@@ -35,46 +57,73 @@
         return monotonic_ns() // 1000 - self.began
 
     def serve(self, sock: socket.socket, _: Any) -> None:
+        most = self.partner.nature.connections
+        if self.partner.down or (most and len(self.open) >= most):
+            return reset(sock)
         wire = Wire(sock, self.limits)
+        self.open[wire] = None
         try:
-            while self.call(wire, wire.read_request()):
-                pass
+            fresh = True
+            while self.call(wire, wire.read_request(), fresh):
+                fresh = False
         except (OSError, Closed, Malformed):
             pass
         finally:
+            self.open.pop(wire, None)
             wire.close()
 
-    def call(self, wire: Wire, request: Message) -> bool:
+    def call(self, wire: Wire, request: Message, fresh: bool) -> bool:
         """One call and its answer; whether the connection goes on."""
         if request.path != names.HOOK:
-            wire.write(write_head(b"HTTP/1.1 " + LINES[404], [], b""))
+            wire.write(write_head(NOT_FOUND, [], b""))
             return request.keep
         envelope = request.headers.get(names.TRACE, b"").decode("latin-1")
-        key = request.headers.get(names.TAG)
-        met = self.partner.arrive(self.now(), envelope, None if key is None else key.decode("latin-1"))
+        key, track = request.headers.get(names.TAG), request.body[:2].strip()
+        number = int(track) if track.isdigit() else 0  # bodies of ours begin with the track's number
+        known = None if key is None else key.decode("latin-1")
+        call = self.partner.arrive(self.now(), self.endpoint, envelope, number, known, fresh)
+        if self.seen is not None:
+            self.seen(self.now(), self.endpoint, envelope, call)
         try:
-            gone = self.leaves(wire, met.after)
+            gone = self.leaves(wire, call.after)
         finally:
-            self.partner.left(envelope)
+            self.partner.ended(self.now(), call, envelope)
         if gone:
             return False
-        wire.write(self.answer(met))
+        if call.meets in (Meets.RESET, Meets.REFUSED) or self.partner.down:
+            reset(wire.sock)
+            return False
+        if self.partner.dumb(self.now()):
+            return not self.leaves(wire, NEVER)
+        wire.write(self.answer(call))
         return request.keep
 
     @staticmethod
-    def leaves(wire: Wire, after: int | None) -> bool:
+    def leaves(wire: Wire, after: int) -> bool:
         """Waits for the moment of the answer; True if the caller goes before it."""
-        with suppress(Timeout), Timeout(None if after is None else after / 1e6):
+        with suppress(Timeout), Timeout(None if after >= NEVER else after / 1e6):
             wire.more()
             return True
         return False
 
     @staticmethod
-    def answer(met: Meets) -> bytes:
-        headers = [(names.WAIT, b"%.3f" % (met.wait / 1e6))] if met.wait else []
-        if met.report:
-            headers.append((names.REPORT, met.report.encode()))
-        return write_head(b"HTTP/1.1 " + LINES[met.status], headers, b"")
+    def answer(call: Call) -> bytes:
+        headers = [(names.WAIT, b"%.3f" % (call.wait / 1e6))] if call.wait else []
+        if call.left >= 0:
+            headers.append((names.REPORT, f"TEXT x0={call.left:.3f}, x1={call.rate:g}".encode()))
+        return write_head(TOLD if call.wait else LINES[call.meets], headers, b"")
+
+    def cut(self) -> None:
+        """Resets what is open, as a machine that goes down and is seen to."""
+        for wire in list(self.open):
+            reset(wire.sock)
 
     def stop(self) -> None:
         self.server.stop(timeout=0)
+        for wire in list(self.open):
+            wire.close()
+
+
+def at(began: int, moment: int, call: Callable[..., None], *arguments: Any) -> None:
+    """Calls it at a moment of the model's clock."""
+    gevent.spawn_later(max(0.0, (began + moment - monotonic_ns() // 1000) / 1e6), call, *arguments)
--- a/ashpath/plan/check.py
+++ b/ashpath/plan/check.py
@@ -214,8 +214,13 @@
         return found
 
 
-def plan(told: Any) -> tuple[Plan | None, list[Fault]]:
-    """The plan, or all that keeps it from being one."""
+def make(shape: type, told: Any) -> tuple[Any, list[Fault]]:
+    """What the tables make, or all that keeps them from being it."""
     check = Check()
-    made = check.table(Plan, told, ())
+    made = check.table(shape, told, ())
     return (None if check.faults else made), check.faults
+
+
+def plan(told: Any) -> tuple[Plan | None, list[Fault]]:
+    """The plan, or all that keeps it from being one."""
+    return make(Plan, told)
--- a/ashpath/plan/read.py
+++ b/ashpath/plan/read.py
@@ -5,6 +5,7 @@
 import os
 import re
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -27,6 +28,11 @@
 
 def read(path: Path) -> Plan:
     """The plan of a file; raises Unusable."""
+    found: Plan = read_as(path, Plan, unfit)
+    return found
+
+
+def content(path: Path) -> bytes:
     try:
         with path.open("rb") as file:
             data = file.read(LARGEST + 1)
@@ -34,13 +40,18 @@
         raise Unusable([f"{path}: {getattr(error, 'strerror', None) or error}"]) from None
     if len(data) > LARGEST:
         raise Unusable([f"{path}: longer than {LARGEST >> 20} MiB"])
-    plan, faults = check.plan(document(path, data))
-    if plan is not None:
-        faults = unfit(plan)
+    return data
+
+
+def read_as(path: Path, shape: type, unfit: Callable[[Any], list[Fault]]) -> Any:
+    """What a file of some shape says; `unfit` names what does not go together. Raises Unusable."""
+    data = content(path)
+    made, faults = check.make(shape, document(path, data))
+    if not faults:
+        faults = unfit(made)
     if faults:
         raise Unusable(lines(path, data, faults))
-    assert plan is not None
-    return plan
+    return made
 
 
 def document(path: Path, data: bytes) -> dict[str, Any]:
