--- a/ashpath/command/check.py
+++ b/ashpath/command/check.py
@@ -8,14 +8,28 @@
 import click
 
 from ashpath.command.group import BAD_INPUT, OK
-from ashpath.plan.read import Unusable, read, secrets
+from ashpath.plan.read import Unusable, content, document, read, secrets
+
+
+def is_day(file: Path) -> bool:
+    """Whether it is a day for `ashpath rehearse`, which has its lesson, and not a sender's file."""
+    return "day" in document(file, content(file))
 
 
 @click.command()
 @click.argument("file", type=click.Path(path_type=Path))
 def command(file: Path) -> int:
-    """Say all that is wrong with FILE, a line each with file, line and key. Exit code 0, or 2."""
+    """Say all that is wrong with FILE, a sender's file or a day to rehearse, a line each with file, line and
+    key. Exit code 0, or 2."""
     try:
+        if is_day(file):
+            from ashpath.partners.day import read_day, summary
+
+            told = summary(read_day(file))
+            print(
+                f"{file}: sound: a day of " + ", ".join(f"{value:g} {name}" for name, value in told.items())
+            )
+            return OK
         plan = read(file)
         secrets(file, plan)
     except Unusable as error:
--- a/ashpath/command/group.py
+++ b/ashpath/command/group.py
@@ -17,6 +17,7 @@
     "held": "list what a standalone sender holds",
     "destinations": "list a standalone sender's destinations",
     "ledger": "read a ledger offline",
+    "rehearse": "play a day of partners and troubles in virtual time",
     "demo": "watch a sender among stand-in partners",
     "completion": "print the shell's completion script",
 }
--- a/ashpath/partners/baselines.py
+++ b/ashpath/partners/baselines.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from itertools import islice
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -55,14 +56,15 @@
         self.quiet_until = 0  # the policy's own: a backoff, an open breaker
         self.failures = 0
         self.limit = 1.0
-        self.long, self.least = 0.0, 0.0  # gradient: the usual time, the shortest
+        self.long = 0.0  # gradient: the usual time
+        self.look_at = 0  # the oracle's next look
 
 
 class Baseline:
     """Sends in order of arrival as long as `lets` allows; `heard` is told how calls end."""
 
     def __init__(self, terms: Terms, answers: Answers, world: World) -> None:
-        self.terms, self.answers, self.world = terms, answers, world
+        self.terms, self.answers, self.world, self.number = terms, answers, world, terms.number
         self.chance = Random(terms.seed)
         self.now = 0
         self.places: dict[int, Place] = {}
@@ -81,6 +83,10 @@
     def heard(self, place: Place, ending: Ending, took: int) -> None:
         """What an outcome changes."""
 
+    def next(self, place: Place) -> Item:
+        """Who goes next: the first that came."""
+        return next(iter(place.queue))
+
     # The skeleton.
 
     def open_turn(self, now: int) -> None:
@@ -158,7 +164,7 @@
                 return
             if not self.lets(place):
                 return
-            item = next(iter(place.queue))
+            item = self.next(place)
             del place.queue[item]
             if not self.may_repeat(item):
                 self.give_up(item)
@@ -166,7 +172,9 @@
             self.send(place, item)
 
     def dirty_later(self, place: Place, wait: int) -> None:
-        self.answers.wake(self.now + wait, f"p{place.number}")
+        if place.look_at <= self.now:  # one look ahead is enough
+            place.look_at = self.now + wait
+            self.answers.wake(place.look_at, f"p{place.number}")
 
     def send(self, place: Place, item: Item) -> None:
         place.turn += 1
@@ -303,25 +311,43 @@
     """Sees each partner as it truly is, and what all senders have out: nearly what could be reached."""
 
     def lets(self, place: Place) -> bool:
-        partner = self.world.partners[place.number]
-        now, nature = self.now, partner.nature
-        if partner.out() or partner.dumb(now):
-            self.dirty_later(place, SECOND // 20)
+        world, partner, now = self.world, self.world.partners[place.number], self.now
+        mine = self.this_turn.get(place.number, 0)  # not yet on their way: answers are worked off after it
+        on_the_way = world.on_the_way[place.number] + mine
+        nature = partner.nature
+        if partner.out() or partner.dumb(now) or (self.number, place.number) in world.split:
+            self.dirty_later(place, SECOND // 10)
             return False
-        places = self.world.shared_places(place.number, self)
-        out = sum(one.out for one in places)
         speed = partner.speed(now)
         sites = 1 if nature.shared else max(1, len(partner.sites))
-        most = max(1.0, nature.workers * sites * (1.0 if speed >= 1 else nature.fall_multiple * speed / 2))
-        free = out < most + 1
-        if free and nature.rate and not nature.span:
-            rate = nature.rate * partner.limited
-            tokens = partner.tokens + (now - partner.refilled) * rate / SECOND
-            free = tokens - self.world.on_the_way.get(place.number, 0) >= 1
+        most = max(1.0, nature.workers * sites * min(1.0, 1.5 * speed)) + sites
+        free = world.out_to(place.number) + mine < most
+        if free and speed < 1:
+            allowed = nature.fall_multiple * partner.capacity * speed * nature.fall_time / SECOND
+            recent = len(world.loads.get(place.number, ())) + on_the_way
+            free = recent < 0.8 * allowed
+        free = free and partner.room(now) - on_the_way >= 1
         if not free:
-            self.dirty_later(place, SECOND // 50)
+            self.dirty_later(place, SECOND // 40)
         return bool(free)
 
+    def open_turn(self, now: int) -> None:
+        super().open_turn(now)
+        self.this_turn: dict[int, int] = {}
+
+    def send(self, place: Place, item: Item) -> None:
+        self.this_turn[place.number] = self.this_turn.get(place.number, 0) + 1
+        super().send(place, item)
+
+    def next(self, place: Place) -> Item:
+        """Of the first that came, the one that is worth most while it is in time."""
+        return max(islice(place.queue, 30), key=self.worth)
+
+    def worth(self, item: Item) -> float:
+        terms = self.terms.tracks[item.track]
+        late = self.now - (item.cutoff - terms.cutoff + terms.promised)
+        return terms.payoff if late < 0 else terms.payoff * 0.5 ** (1 + late / terms.promised)
+
 
 def module(terms: Terms, answers: Any, world: World) -> Any:
     """The decision module itself."""
--- a/ashpath/partners/day.py
+++ b/ashpath/partners/day.py
@@ -234,7 +234,8 @@
     kinds = {Word(name): Kind(apart=row.apart) for name, row in day.partners.items()}
     limits = Limits(envelopes=day.fleet.room or 10_000_000)
     rules = day.rules
-    return Plan(Sender(Word("day")), day.tracks, kinds=kinds, rules=rules, limits=limits)
+    tracks: dict[Word, Track] = {Word(name): track for name, track in day.tracks.items()}
+    return Plan(Sender(Word("day")), tracks, kinds=kinds, rules=rules, limits=limits)
 
 
 def day_terms(day: Day, seed: int, number: int) -> Terms:
--- a/ashpath/partners/model.py
+++ b/ashpath/partners/model.py
@@ -317,6 +317,18 @@
         self.told_left(now, max(0.0, 1 - len(self.recent) / most))
         return let
 
+    def room(self, now: int) -> float:
+        """Calls that its limit would let in just now; for those who may see it as it is."""
+        nature, rate = self.nature, self.nature.rate * self.limited
+        if not nature.rate:
+            return float("inf")
+        if not nature.span:
+            return min(max(1.0, nature.burst * rate), self.tokens + (now - self.refilled) * rate / SECOND)
+        most = max(1.0, rate * nature.span / SECOND)
+        if nature.sliding:
+            return most - sum(1 for at in self.recent if at > now - nature.span)
+        return most - (0 if now >= self.span_from + nature.span else len(self.recent))
+
     def told_left(self, now: int, left: float) -> None:
         """Keeps what a late report will tell."""
         if self.nature.reports:
--- a/ashpath/partners/virtual.py
+++ b/ashpath/partners/virtual.py
@@ -92,13 +92,13 @@
 class Flight:
     """One shot on its way. `dead`: its outcome is known, whatever else still comes."""
 
-    __slots__ = ("began", "call", "dead", "due", "endpoint", "entry", "host", "timeout", "wired")
+    __slots__ = ("arrived", "began", "call", "dead", "due", "endpoint", "entry", "host", "timeout", "wired")
 
     def __init__(self, host: Host, entry: Entry, endpoint: str, began: int, timeout: int) -> None:
         self.host, self.entry, self.endpoint = host, entry, endpoint
         self.began, self.timeout, self.due = began, timeout, began + timeout
         self.call: Call | None = None
-        self.dead = self.wired = False
+        self.dead = self.wired = self.arrived = False
 
 
 class Site:
@@ -215,6 +215,7 @@
             return
         world, entry = self.world, flight.entry
         flight.dead, entry.flight = True, None
+        world.landed(flight)
         if flight.call is not None:
             world.sites[flight.endpoint].partner.ended(world.now, flight.call, entry.work.id)
         entry.work.why = ending.value
@@ -270,6 +271,7 @@
             flight = entry.flight
             if flight is not None:
                 flight.dead, entry.flight = True, None
+                world.landed(flight)
                 if flight.call is not None:
                     world.sites[flight.endpoint].partner.ended(world.now, flight.call, entry.work.id)
                 if flight.wired:
@@ -325,6 +327,7 @@
         self.kinds: dict[str, list[int]] = {}  # destinations by kind, busiest first
         self.sites: dict[str, Site] = {}
         self.apart: list[bool] = []
+        self.flying: Counter[int] = Counter()  # calls out, by destination
         self.on_the_way: Counter[int] = Counter()  # calls that are not yet at their destination
         self.loads: dict[int, deque[tuple[int, int]]] = {}  # calls at cold destinations, by whom
         shares: list[float] = []
@@ -491,6 +494,8 @@
     def fly(self, flight: Flight) -> None:
         """A connection first: an idle one, or a new one, which takes a way there and back."""
         host, endpoint = flight.host, flight.endpoint
+        self.flying[flight.entry.work.destination] += 1
+        self.on_the_way[flight.entry.work.destination] += 1
         if host.connected(endpoint):
             return self.write(flight, False)
         site = self.sites.get(endpoint)
@@ -537,16 +542,16 @@
         self.account.shot(self.now)
         route = self.route(flight.endpoint)
         self.witness.shot(self.now, host.number, flight.entry.number, flight.endpoint, route)
-        self.on_the_way[self.sites[flight.endpoint].destination] += 1
         self.at(self.now + self.one_way(), self.reach, flight, fresh)
 
     def reach(self, flight: Flight, fresh: bool) -> None:
         """Its last byte is at the partner, or on its way to nowhere."""
         host = flight.host
         destination = self.sites[flight.endpoint].destination
-        self.on_the_way[destination] -= 1
         if flight.dead:
             return
+        flight.arrived = True
+        self.on_the_way[destination] -= 1
         partner, where = self.sites[flight.endpoint].partner, self.where(flight.endpoint)
         if (host.number, destination) in self.split:
             return self.at(flight.due, self.lost, flight, Ending.TIMED_OUT)
@@ -614,10 +619,15 @@
 
     # What an oracle sees.
 
-    def shared_places(self, number: int, policy: Any) -> list[Any]:
-        """What every sender of that policy has out to a destination."""
-        found = (getattr(host.policy, "places", {}).get(number) for host in self.hosts)
-        return [place for place in found if place is not None]
+    def landed(self, flight: Flight) -> None:
+        destination = flight.entry.work.destination
+        self.flying[destination] -= 1
+        if not flight.arrived:
+            self.on_the_way[destination] -= 1
+
+    def out_to(self, number: int) -> int:
+        """Calls that all senders have out to a destination."""
+        return self.flying[number]
 
     # The script.
 
--- a/ashpath/partners/witness.py
+++ b/ashpath/partners/witness.py
@@ -56,10 +56,11 @@
 
 @dataclass(eq=False, slots=True)
 class Queue:
-    """The envelopes of one key at one sender, in the order taken on; gone with the last one, and its rest."""
+    """The envelopes of one key at one sender, in the order taken on; gone with the last, unless it rests."""
 
     waiting: deque[Seen] = field(default_factory=deque)
     rests_until: int = 0
+    rests_for: Seen | None = None  # whose call may run on: it alone may be sent again meanwhile
 
 
 class Witness:
@@ -76,6 +77,7 @@
         self.waits: dict[tuple[int, str], int] = {}  # until when, by sender and route
         self.outages: dict[int, int] = {}  # destinations that are out, or were and are still cold: since when
         self.knew: dict[int, set[int]] = {}  # senders that saw a call fail there since then
+        self.now = 0
         self.stories: list[tuple[int, str]] = []  # of the one that is watched
 
     def break_(self, rule: str, at: int, what: str, one: Seen | None = None) -> None:
@@ -157,11 +159,12 @@
         queue = self.queues[sender, one.key]
         if queue.waiting and queue.waiting[0] is not one:
             self.break_("order", at, f"before {queue.waiting[0].id} of its key, which is not done", one)
-        elif at < queue.rests_until and not one.out:
+        elif at < queue.rests_until and queue.rests_for is not one:
             self.break_("order", at, f"{queue.rests_until - at} us before its key has rested", one)
 
     def outcome(self, at: int, sender: int, number: int, ending: str, began: int) -> None:
         """A shot that began then has come to an end, as its sender saw it."""
+        self.now = at
         one = self.seen.get((sender, number))
         if one is None:
             return
@@ -170,7 +173,8 @@
         if ending not in UNRUN and one.may_have_run is None:
             one.may_have_run = began
         if one.key is not None and one.terms.ordered and ending in UNHEARD:
-            self.queues[sender, one.key].rests_until = at + self.rest
+            queue = self.queues[sender, one.key]
+            queue.rests_until, queue.rests_for = at + self.rest, one
         if ending in FAILED and one.destination in self.outages:
             self.knew.setdefault(one.destination, set()).add(sender)
         if ending == "completed" and not one.final:
@@ -179,6 +183,7 @@
 
     def final(self, at: int, sender: int, number: int, how: str) -> None:
         """The one answer that the envelope's client, or whoever is told in its place, has to have."""
+        self.now = at
         one = self.seen.get((sender, number))
         if one is None:
             return self.break_("lost", at, f"sender {sender} answers {how} for what is over")
@@ -208,7 +213,7 @@
         queue = self.queues.get((sender, one.key)) if one.terms.ordered and one.key is not None else None
         if queue is not None and one.key is not None:
             queue.waiting.remove(one)
-            if not queue.waiting and not queue.rests_until:
+            if not queue.waiting and queue.rests_until <= self.now:
                 del self.queues[sender, one.key]
 
     def outage(self, at: int, destination: int) -> None:
