--- a/ashpath/partners/account.py
+++ b/ashpath/partners/account.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from ashpath.door import Ending
+from ashpath.door import Ending, TrackTerms
 from ashpath.partners.witness import Witness
 
 if TYPE_CHECKING:
@@ -49,6 +49,18 @@
 ENDINGS = tuple(ending.value for ending in Ending if ending is not Ending.COMPLETED)
 
 
+def payoff(terms: TrackTerms, decays: bool, work: Work, when: int) -> float:
+    """What a delivery then is worth, by its track's terms."""
+    late = when - work.born - terms.promised
+    if late <= 0:
+        return float(terms.payoff)
+    if when >= work.cutoff_at:
+        return 0.0
+    if decays:
+        return float(terms.payoff * max(terms.late_share, 0.5 ** (late / terms.promised)))
+    return float(terms.payoff * (1 - (1 - terms.late_share) * late / (terms.cutoff - terms.promised)))
+
+
 def share(part: float, whole: float) -> float:
     """To four places: the same text on every machine."""
     return round(part / whole, 4) if whole else 0.0
--- /dev/null
+++ b/ashpath/partners/clients.py
@@ -0,0 +1,145 @@
+"""The clients of a day on sockets, in a process of their own: `python -m ashpath.partners.clients JOB`.
+
+JOB is a JSON file. Each envelope is handed in at its time, however the others fare; what becomes of it is a
+line of JSON on standard output: [microseconds of the shared clock, what, id, sender]. Notices come to a port
+of ours.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+from random import Random
+from time import monotonic_ns
+from typing import Any
+
+import gevent
+import orjson
+from gevent import socket
+from gevent.server import StreamServer
+
+from ashpath.node import names
+from ashpath.node.codec import Closed, Malformed, Wire, dial, host, write_head
+from ashpath.node.limits import Limits
+from ashpath.terms import terms
+
+PATIENCE = 2.0  # seconds for an answer
+AGAIN = 0.1  # a client whose sender does not answer tries another after this
+
+
+def quiet() -> Limits:
+    """Limits of stand-ins: they wait as long as it takes."""
+    own = terms(0, {"classes": [], "limits": {"conn-idle": 60_000.0}})
+    return Limits.of({"sockets": 8192, "own": {"quiet": 600.0, "request": 600.0}}, own)
+
+
+class Clients:
+    """`open` has the envelopes that may still be handed in again, and is emptied as they end."""
+
+    def __init__(self, job: dict[str, Any]) -> None:
+        self.job, self.began = job, int(job["began"])
+        self.senders = [(row[0], int(row[1])) for row in job["senders"]]
+        self.chance, self.limits = Random(f"{job['seed']} clients' choices"), quiet()
+        self.idle: dict[int, list[Wire]] = {number: [] for number in range(len(self.senders))}
+        self.open: dict[str, tuple[list[Any], int]] = {}  # by the id handed in: its row, and the try
+        self.receiver = StreamServer(("127.0.0.1", int(job["notices"])), self.receive)
+        self.receiver.start()
+
+    def now(self) -> int:
+        return monotonic_ns() // 1000 - self.began
+
+    def say(self, at: int, what: str, id_: str, sender: int = -1) -> None:
+        os.write(1, orjson.dumps([at, what, id_, sender]) + b"\n")
+
+    def run(self) -> None:
+        for row in self.job["rows"]:
+            gevent.sleep(max(0.0, (row[0] - self.now()) / 1e6))
+            self.say(row[0], "asked", row[1])
+            gevent.spawn(self.hand_in, row, 0)
+        gevent.sleep(1e9)  # until it is told to end
+
+    def hand_in(self, row: list[Any], tried: int) -> None:
+        at, id_, track, _, destination, order, cutoff = row
+        trace = f"{id_}.{tried}" if tried else id_
+        self.open[trace] = (row, tried)
+        while True:
+            left = at + cutoff - self.now()
+            if left <= 1000:
+                self.open.pop(trace, None)
+                return self.say(self.now(), "lost", id_)
+            sender = self.chance.randrange(len(self.senders))
+            headers = [
+                (b"X-Trace-Id", trace.encode()),
+                (b"X-Qos", track.encode()),
+                (b"X-Expires-In-Ms", b"%d" % (left // 1000)),
+                (b"X-Route-To", b"dest=%d" % destination),
+                (b"Idempotency-Key", b"k" + id_.encode()),
+            ]
+            if order is not None:
+                headers.append((b"Cookie", b"about=%d" % order))
+            sent = self.now()
+            status, wait = self.ask(sender, headers, b"%d " % row[3])
+            if status:
+                break
+            gevent.sleep(AGAIN)
+        self.say(sent, "taken", trace, sender)
+        if status not in (200, 202):
+            self.ended(trace, "bounced" if status in (429, 503) else "aborted", wait, sender)
+
+    def ask(self, sender: int, headers: list[tuple[bytes, bytes]], body: bytes) -> tuple[int, float]:
+        """Status, 0 if none came, and the seconds to come back after, 0 if not told."""
+        idle, wire = self.idle[sender], None
+        try:
+            with gevent.Timeout(PATIENCE):
+                while idle and wire is None:
+                    wire = idle.pop()
+                    if not wire.quiet():
+                        wire.close()
+                        wire = None
+                wire = wire or dial(self.senders[sender], self.limits)
+                first = b"POST %s HTTP/1.1" % names.HAND_IN
+                wire.write(write_head(first, [host(self.senders[sender]), *headers], body))
+                answer = wire.read_answer()
+                if answer.status == 200:
+                    wire.finish_answer()
+        except (OSError, Closed, Malformed, gevent.Timeout):
+            if wire is not None:
+                wire.close()
+            return 0, 0.0
+        if answer.keep and not wire.spoilt:
+            idle.append(wire)
+        else:
+            wire.close()
+        return answer.status, float(answer.headers.get(names.WAIT, b"0"))
+
+    def ended(self, trace: str, how: str, wait: float, sender: int = -1) -> None:
+        """Bounced or aborted; bounced, it may be handed in again."""
+        found = self.open.pop(trace, None)
+        if found is None:
+            return
+        row, tried = found
+        self.say(self.now(), how, trace, sender)
+        backoff = self.job["backoff"] * 2**tried / 1e6
+        if wait and self.chance.random() < self.job["heeds"]:
+            backoff = wait
+        backoff *= self.chance.uniform(0.8, 1.2)
+        if how == "aborted" or tried >= self.job["retries"] or self.now() + backoff * 1e6 > row[0] + row[6]:
+            return self.say(self.now(), "lost", row[1])
+        gevent.spawn_later(backoff, self.hand_in, row, tried + 1)
+
+    def receive(self, sock: socket.socket, _: Any) -> None:
+        wire = Wire(sock, self.limits)
+        try:
+            while True:
+                for line in wire.read_request().body.splitlines():
+                    told = orjson.loads(line)
+                    how = "bounced" if told["status"] == names.DEFERRED else "aborted"
+                    self.ended(told["id"], how, told.get("again_ms", 0) / 1000)
+                wire.write(b"HTTP/1.1 204 No Content\r\n\r\n")
+        except (OSError, Closed, Malformed, ValueError):
+            wire.close()
+
+
+if __name__ == "__main__":
+    Clients(orjson.loads(Path(sys.argv[1]).read_bytes())).run()
--- a/ashpath/partners/rehearse.py
+++ b/ashpath/partners/rehearse.py
@@ -58,6 +58,19 @@
     return Run(seed, policy, account.result(), world.witness.broken, world.witness.stories, account.modes)
 
 
+def play_on_sockets(
+    path: Path, seed: int, folder: Path, watched: str = "", shown: Callable[[float], None] | None = None
+) -> Run:
+    """One run on sockets, with `ashpath serve` processes; files and logs of the run go to the folder."""
+    from ashpath.partners.loopback import Loopback
+
+    day = read_day(path)
+    account = Account(list(day.tracks))
+    run = Loopback(day, path.parent, folder, seed, account, watched)
+    run.run(shown)
+    return Run(seed, "module on sockets", account.result(), run.witness.broken, run.witness.stories, [])
+
+
 def play_all(path: Path, seeds: list[int], policies: list[str], jobs: int) -> Iterator[Run]:
     """Every seed under every policy, in that order, whoever is done first."""
     rows = [(path, seed, policy) for policy in policies for seed in seeds]
--- a/ashpath/partners/sockets.py
+++ b/ashpath/partners/sockets.py
@@ -36,7 +36,8 @@
 
 class Stand:
     """One endpoint of a partner. `began` is the moment from which the model's times count; `seen` is told of
-    each call as it comes in, with what it meets."""
+    each call as it comes in, with what it meets, `over` of its end, and whether its caller heard of it. `way`
+    is how long a message is on the way, each way."""
 
     def __init__(
         self,
@@ -45,9 +46,11 @@
         limits: Limits,
         began: int,
         seen: Callable[[int, str, str, Call], None] | None = None,
+        over: Callable[[int, str, str, Call, int, bool], None] | None = None,
+        way: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.partner, self.endpoint, self.limits = partner, endpoint, limits
-        self.began, self.seen = began, seen
+        self.began, self.seen, self.over, self.way = began, seen, over, way
         self.open: dict[Wire, None] = {}  # emptied as connections close
         self.server = StreamServer(("127.0.0.1", 0), self.serve, backlog=512)
         self.server.start()
@@ -81,22 +84,32 @@
         key, track = request.headers.get(names.TAG), request.body[:2].strip()
         number = int(track) if track.isdigit() else 0  # bodies of ours begin with the track's number
         known = None if key is None else key.decode("latin-1")
+        gevent.sleep(self.way() / 1e6)
+        arrived = self.now()
         call = self.partner.arrive(self.now(), self.endpoint, envelope, number, known, fresh)
         if self.seen is not None:
             self.seen(self.now(), self.endpoint, envelope, call)
+        heard = False
         try:
-            gone = self.leaves(wire, call.after)
+            if not self.leaves(wire, call.after):
+                heard = self.tell(wire, call)
         finally:
             self.partner.ended(self.now(), call, envelope)
-        if gone:
-            return False
+            if self.over is not None:
+                self.over(self.now(), self.endpoint, envelope, call, arrived, heard)
+        return heard and request.keep and not wire.spoilt
+
+    def tell(self, wire: Wire, call: Call) -> bool:
+        """The answer, if this end still answers; whether its caller can hear of it."""
         if call.meets in (Meets.RESET, Meets.REFUSED) or self.partner.down:
+            wire.spoilt = True
             reset(wire.sock)
-            return False
+            return True
         if self.partner.dumb(self.now()):
             return not self.leaves(wire, NEVER)
+        gevent.sleep(self.way() / 1e6)
         wire.write(self.answer(call))
-        return request.keep
+        return True
 
     @staticmethod
     def leaves(wire: Wire, after: int) -> bool:
--- a/ashpath/partners/virtual.py
+++ b/ashpath/partners/virtual.py
@@ -9,29 +9,25 @@
 from __future__ import annotations
 
 import gc
-from bisect import bisect
 from collections import Counter, deque
 from collections.abc import Callable
 from heapq import heappop, heappush
-from itertools import accumulate
 from pathlib import Path
 from random import Random
 from typing import Any, Protocol
 
 from ashpath.door import Ending, Listing, Past, Presence, Repeat, Terms, Told
-from ashpath.partners.account import Account
+from ashpath.partners.account import Account, payoff
 from ashpath.partners.day import (
     OF_PARTNERS,
     Day,
-    Span,
     condition,
     day_terms,
     length,
-    nature,
-    played,
     weight,
 )  # fmt: skip
 from ashpath.partners.day import Trouble as Scripted
+from ashpath.partners.layout import Arrivals, Layout
 from ashpath.partners.model import NEVER, OUTAGES, SECOND, Call, Meets, Partner, Trouble
 from ashpath.partners.witness import Witness
 
@@ -317,7 +313,7 @@
         self.now, self.count = 0, 0
         self.heap: list[tuple[Any, ...]] = []
         self.chance = Random(f"{seed} world")
-        self.arrivals = Random(f"{seed} clients")
+        self.clients = Random(f"{seed} clients' choices")
         self.net = Random(f"{seed} network")
         terms = day_terms(day, 0, 0)
         self.tracks = terms.tracks
@@ -328,33 +324,16 @@
         self.held_back = 0  # what a troubled network adds
         self.split: set[tuple[int, int]] = set()  # senders and destinations that do not reach each other
         self.late = 0  # what a troubled directory adds
-        self.factor = 1.0  # of the traffic
-        self.partners: list[Partner] = []
-        self.kinds: dict[str, list[int]] = {}  # destinations by kind, busiest first
-        self.sites: dict[str, Site] = {}
-        self.apart: list[bool] = []
+        self.layout = layout = Layout(day, folder, seed)
+        self.partners, self.apart = layout.partners, layout.apart
+        self.sites = {
+            row.endpoint: Site(row.destination, self.partners[row.destination], row)
+            for row in layout.listings
+        }
+        self.coming = Arrivals(day, layout.shares, seed)
         self.flying: Counter[int] = Counter()  # calls out, by destination
         self.on_the_way: Counter[int] = Counter()  # calls that are not yet at their destination
         self.loads: dict[int, deque[tuple[int, int]]] = {}  # calls at cold destinations, by whom
-        shares: list[float] = []
-        for index, (kind, row) in enumerate(day.partners.items()):
-            self.kinds[kind] = []
-            made, ranks = nature(row, folder), [(rank + 1) ** -row.busiest for rank in range(row.count)]
-            for rank in range(row.count):
-                number = len(self.partners)
-                names = [f"{kind}-{rank}-{at}" for at in range(row.endpoints)]
-                partner = Partner(made, Random(f"{seed} partner {number}"), names)
-                for name in names:
-                    listing = Listing(name, number, index, 0, Presence.LISTED)
-                    self.sites[name] = Site(number, partner, listing)
-                self.partners.append(partner)
-                self.kinds[kind].append(number)
-                self.apart.append(row.apart)
-                shares.append(row.share * ranks[rank] / sum(ranks))
-        self.shares = list(accumulate(shares))
-        mix = day.clients.mix
-        self.track_of = [list(day.tracks).index(name) for name in mix]
-        self.mix = list(accumulate(mix.values()))
         self.hosts: list[Host] = []
         for number in range(day.fleet.senders):
             self.hosts.append(Host(self, number))
@@ -365,7 +344,6 @@
         self.front = list(range(day.fleet.senders))  # senders that clients are sent to
         self.made = 0
         self.ends = length(day)
-        self.spans = self.boundaries()
         for scripted in day.troubles:
             self.plan(scripted)
 
@@ -410,45 +388,26 @@
 
     # Clients.
 
-    def boundaries(self) -> list[tuple[int, int, Span]]:
-        found, at = [], 0
-        for span in self.day.spans:
-            found.append((at, at + played(span), span))
-            at += played(span)
-        return found
-
-    def rate(self) -> tuple[int, float]:
-        """Which span it is, and envelopes a second now."""
-        number = min(bisect(self.spans, self.now, key=lambda row: row[0]) - 1, len(self.spans) - 1)
-        begins, ends, span = self.spans[number]
-        to = span.rate if span.to < 0 else span.to
-        return number, (span.rate + (to - span.rate) * (self.now - begins) / (ends - begins)) * self.factor
-
     def arrive(self) -> None:
         """One clump of envelopes, and the time of the next."""
         if self.now >= self.ends:
             return
-        number, rate = self.rate()
-        clients, chance = self.day.clients, self.arrivals
-        if rate <= 0:
+        gap = self.coming.gap(self.now)
+        if gap is None:
             return self.at(self.now + SECOND // 10, self.arrive)
-        gap = chance.expovariate(rate / clients.clump)
-        self.at(self.now + max(1, int(gap * SECOND)), self.arrive)
-        destination = bisect(self.shares, chance.random() * self.shares[-1])
-        for _ in range(clients.clump):
-            track = self.track_of[bisect(self.mix, chance.random() * self.mix[-1])]
-            order = chance.randrange(clients.keys) if clients.keys else None
+        self.at(self.now + gap, self.arrive)
+        span = self.coming.span(self.now)
+        for track, destination, order in self.coming.clump():
             self.made += 1
-            work = Work(
-                f"{track}-{self.made}", track, destination, order, self.now, self.tracks[track].cutoff, number
-            )
+            cutoff = self.tracks[track].cutoff
+            work = Work(f"{track}-{self.made}", track, destination, order, self.now, cutoff, span)
             self.account.asked(work, self.worth(work, self.now))
             self.hand_in(work)
 
     def hand_in(self, work: Work) -> None:
         if self.now >= work.cutoff_at:
             return self.give_up(work, "out of time")
-        number = self.front[self.arrivals.randrange(len(self.front))] if self.front else -1
+        number = self.front[self.clients.randrange(len(self.front))] if self.front else -1
         host = self.hosts[number] if number >= 0 else None
         if host is None or not host.alive:
             self.at(self.now + AGAIN, self.hand_in, work)  # nothing was taken on: another one is tried
@@ -465,9 +424,9 @@
         work.tries += 1
         self.account.bounced(self.now)
         wait = int(clients.backoff) << (work.tries - 1)
-        if come_back and self.arrivals.random() < clients.heeds:
+        if come_back and self.clients.random() < clients.heeds:
             wait = come_back
-        wait = int(wait * self.arrivals.uniform(0.8, 1.2))
+        wait = int(wait * self.clients.uniform(0.8, 1.2))
         if self.now + wait >= work.cutoff_at:
             return self.give_up(work, how)
         # Handed in again it is another envelope, as it has another id: what is taken on has its own end.
@@ -481,17 +440,7 @@
 
     def worth(self, work: Work, when: int) -> float:
         """The payoff of a delivery then, by its terms; thinned spans count more."""
-        terms = self.tracks[work.track]
-        late = when - work.born - terms.promised
-        share = 1.0
-        if late > 0:
-            if when >= work.cutoff_at:
-                share = 0.0
-            elif self.decays:
-                share = max(terms.late_share, 0.5 ** (late / terms.promised))
-            else:
-                share = 1 - (1 - terms.late_share) * late / (terms.cutoff - terms.promised)
-        return float(terms.payoff * share * weight(self.day.spans[work.span]))
+        return payoff(self.tracks[work.track], self.decays, work, when) * weight(self.day.spans[work.span])
 
     # Calls.
 
@@ -666,29 +615,15 @@
         if self.now < self.ends:
             self.at(self.now + LOOK, self.look, scripted, wanted)
 
-    def named(self, scripted: Scripted, senders: bool) -> list[int]:
-        """The destinations, or the senders, that it is for, as drawn."""
-        found: list[int] = []
-        for name in scripted.to:
-            kind, _, rank = name.partition("/")
-            if (kind == "sender") is senders:
-                rows = list(range(len(self.hosts))) if senders else self.kinds[kind]
-                found += [rows[int(rank)]] if rank else rows
-        if not any(name.startswith("sender/") is senders for name in scripted.to):
-            found = list(range(len(self.hosts) if senders else len(self.partners)))
-        if scripted.share < 1:
-            found = sorted(self.chance.sample(found, max(1, round(scripted.share * len(found)))))
-        return found
-
     def begin(self, scripted: Scripted) -> None:
         """Puts a trouble on, and takes it off when it is over."""
         undo: Callable[[], None] | None = None
         self.account.trouble(self.now, scripted.kind)
         if scripted.kind == "replace":
-            for number in self.named(scripted, False):
+            for number in self.layout.named(scripted, 0, self.chance):
                 self.replace(number, scripted.endpoints)
         elif scripted.kind in OF_PARTNERS:
-            trouble, rows = Trouble(scripted.kind), self.named(scripted, False)
+            trouble, rows = Trouble(scripted.kind), self.layout.named(scripted, 0, self.chance)
             for number in rows:
                 self.put(number, trouble, scripted.amount)
 
@@ -702,8 +637,9 @@
 
     def of_the_world(self, scripted: Scripted) -> Callable[[], None] | None:
         amount = scripted.amount
+        senders = self.layout.named(scripted, len(self.hosts), self.chance)
         if scripted.kind == "kill":
-            hosts = [self.hosts[number] for number in self.named(scripted, True)]
+            hosts = [self.hosts[number] for number in senders]
             for host in hosts:
                 self.kill(host)
 
@@ -713,17 +649,18 @@
 
             return revive
         if scripted.kind == "split":
-            pairs = {(s, d) for s in self.named(scripted, True) for d in self.named(scripted, False)}
+            partners = self.layout.named(scripted, 0, self.chance)
+            pairs = {(sender, partner) for sender in senders for partner in partners}
             pairs -= self.split
             self.split |= pairs
             return lambda: self.split.difference_update(pairs)
         if scripted.kind == "clock":
-            for number in self.named(scripted, True):
+            for number in senders:
                 self.hosts[number].wall += int(amount * 1000)
             return None
         if scripted.kind == "traffic":
-            self.factor *= amount
-            return lambda: setattr(self, "factor", self.factor / amount)
+            self.coming.factor *= amount
+            return lambda: setattr(self.coming, "factor", self.coming.factor / amount)
         name = "late" if scripted.kind == "directory" else "held_back"
         added = int(amount * 1000)
         setattr(self, name, getattr(self, name) + added)
--- a/ashpath/partners/witness.py
+++ b/ashpath/partners/witness.py
@@ -67,14 +67,15 @@
     """`seen` is emptied as envelopes are over, `queues` with them; `off`, `waits` and `knew` have an entry
     for each endpoint or destination that a sender was told of, and go with the day."""
 
-    def __init__(self, grace: int, rest: int, watched: str = "") -> None:
+    def __init__(self, grace: int, rest: int, watched: str = "", slack: int = 0) -> None:
         self.grace, self.rest, self.watched = grace, rest, watched
+        self.slack = slack  # calls so soon behind a wait were on their way as it was told
         self.broken: list[Broken] = []
         self.counts: Counter[str] = Counter()
         self.seen: dict[tuple[int, int], Seen] = {}  # by sender and its own number for the envelope
         self.queues: dict[tuple[int, int], Queue] = {}
         self.off: dict[tuple[int, str], int] = {}  # when a sender was told that an endpoint is off the list
-        self.waits: dict[tuple[int, str], int] = {}  # until when, by sender and route
+        self.waits: dict[tuple[int, str], tuple[int, int]] = {}  # from and until when, by sender and route
         self.outages: dict[int, int] = {}  # destinations that are out, or were and are still cold: since when
         self.knew: dict[int, set[int]] = {}  # senders that saw a call fail there since then
         self.now = 0
@@ -124,7 +125,9 @@
             self.off.setdefault((sender, endpoint), at)
 
     def told_to_wait(self, at: int, sender: int, route: str, wait: int) -> None:
-        self.waits[sender, route] = max(at + wait, self.waits.get((sender, route), 0))
+        since, until = self.waits.get((sender, route), (0, 0))
+        if at + wait > until:
+            self.waits[sender, route] = (since if at < until else at + self.slack, at + wait)
 
     def shot(self, at: int, sender: int, number: int, endpoint: str, route: str) -> None:
         """The first byte of a call goes out."""
@@ -147,8 +150,8 @@
         off = self.off.get((sender, endpoint))
         if off is not None and at > off + self.grace:
             self.break_("drain", at, f"to {endpoint}, {at - off} us after it was told off the list", one)
-        until = self.waits.get((sender, route), 0)
-        if at < until:
+        since, until = self.waits.get((sender, route), (0, 0))
+        if since <= at < until:
             self.break_("wait", at, f"to {route}, {until - at} us before its wait is over", one)
         if one.terms.ordered and one.key is not None:
             self.in_turn(at, sender, one)
--- a/ashpath/plan/told.py
+++ b/ashpath/plan/told.py
@@ -5,7 +5,10 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from ashpath.door import Repeat
+from ashpath.plan.amounts import SIZES, TIMES, Duration, Size, written
 from ashpath.plan.decide import listed, named, receiver
 from ashpath.plan.shape import Limits, Plan, Rules, Track
 from ashpath.terms import REPEATS, millis
@@ -132,6 +135,25 @@
     return (plan.platform.directory, "/v1/notices") if plan.platform and not plan.notices.file else None
 
 
+def document(plan: Plan) -> dict[str, Any]:
+    """The plan as a file has it, defaults included, for whoever writes one."""
+    found: dict[str, Any] = written_out(plan)
+    return found
+
+
+def written_out(value: Any) -> Any:
+    if isinstance(value, msgspec.Struct):
+        rows = {name: getattr(value, name) for name in value.__struct_fields__}
+        return {name: written_out(row) for name, row in rows.items() if row is not None}
+    if isinstance(value, dict):
+        return {str(name): written_out(row) for name, row in value.items()}
+    if isinstance(value, list):
+        return [written_out(row) for row in value]
+    if isinstance(value, Duration):
+        return written(value, TIMES)
+    return written(value, SIZES) if isinstance(value, Size) else value
+
+
 def below(base: Path, path: str) -> Path:
     """A path of the file, counted from the file's folder."""
     return (base / path).absolute()
--- /dev/null
+++ b/tests/partners/test_loopback.py
@@ -0,0 +1,40 @@
+"""Two short days on sockets: senders in processes of their own, the same witness, nearly the same outcome."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ashpath.partners.rehearse import find, play, play_on_sockets
+from ashpath.plan.read import read
+from ashpath.plan.told import document
+
+# The day, what is replaced in it so that it takes some seconds, and how far G may be from virtual time's.
+DAYS = [
+    ("silent-bank", {'at = "12s"': 'at = "2s"', 'lasts = "12s"': 'lasts = "2s"'}, 0.08),
+    ("kills", {'at = "12s"': 'at = "2s"', 'at = "20s"': 'at = "3500ms"', 'at = "28s"': 'at = "5s"'}, 0.05),
+]
+
+
+@pytest.mark.parametrize(("name", "changes", "near"), DAYS)
+def test_short_day(tmp_path: Path, name: str, changes: dict[str, str], near: float) -> None:
+    text = find(name).read_text().replace('lasts = "50s"\nrate = 80', 'lasts = "8s"\nrate = 60')
+    for old, new in changes.items():
+        assert old in text
+        text = text.replace(old, new)
+    path = tmp_path / "day.toml"
+    path.write_text(text)
+    ours, virtual = play_on_sockets(path, 1, tmp_path), play(path, 1, "module")
+    assert not ours.result["rules"] and not virtual.result["rules"], ours.broken
+    assert ours.result["handed_in"] == virtual.result["handed_in"]
+    assert sum(ours.result["ends"].values()) == ours.result["handed_in"]
+    assert abs(ours.result["g"] - virtual.result["g"]) <= near, (ours.result["g"], virtual.result["g"])
+    written = read(tmp_path / "sender-0" / "sender.toml")
+    assert document(written)["tracks"]["check-result"]["window"] == "5s"
+
+
+def test_what_sockets_cannot_play(tmp_path: Path) -> None:
+    for name, words in (("split", "split"), ("pile", "held > 150"), ("clocks", "clock")):
+        with pytest.raises(ValueError, match=words):
+            play_on_sockets(find(name), 1, tmp_path)
