--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -1,7 +1,8 @@
 """All decisions of ashpath, and every tuned value; nothing else in the project decides anything.
 
 Make one `Sender(terms, answers)` an instance. Per batch of news: `open_turn(now)`; then `listed`, `take`,
-`restored`, `returned`, `gone`, `woken`; last `close_turn()`. `stands` any time; `door.py`, `docs/design.md`.
+`restored`, `returned`, `gone`, `woken`, `hold`; last `close_turn()`. `stands` any time; `door.py`,
+`docs/design.md`.
 """
 
 from __future__ import annotations
@@ -346,7 +347,8 @@
             self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate, self.sender.chance.random())
         endpoint = self.known[row.endpoint]
         others = [e for e in self.endpoints if e is not endpoint]
-        self.endpoints = [endpoint, *others] if row.presence is Presence.LISTED else others
+        serves = row.presence is Presence.LISTED and row.endpoint not in self.sender.held
+        self.endpoints = [endpoint, *others] if serves else others
         self.rank()
 
     def forget(self) -> None:  # guards against endpoints that are replaced under new ids all day
@@ -428,6 +430,7 @@
         self.dirty: OrderedDict[Destination, None] = OrderedDict()  # to be pumped each turn while slots last
         self.stirred: dict[Destination, None] = {}  # had news since the last ranking, which empties it
         self.late: OrderedDict[Envelope, None] = OrderedDict()  # those waiting in late queues
+        self.held: set[str] = set()  # endpoints an operator took out: draining here, whatever is listed
         answers.wake(0, "r")
 
     def open_turn(self, now: int) -> None:
@@ -549,6 +552,21 @@
         if envelope is not None and envelope.state is not State.LEFT:
             self.move(envelope, State.LEFT if envelope.state is State.OUT else State.OVER)
 
+    def hold(self, endpoint: str, out: bool, row: Listing | None = None) -> None:
+        """An operator's hold: out, the endpoint drains for this sender until put back, whatever the listing
+        says; back, `row` is its listing as last told, and its return is cold, so its gate starts it low."""
+        (self.held.add if out else self.held.discard)(endpoint)
+        if not out and row is not None:
+            self.listed([row], False)
+        for destination in self.destinations.values():
+            if endpoint in destination.known:
+                gate = destination.known[endpoint].gate
+                if out:
+                    destination.endpoints = [e for e in destination.endpoints if e.id != endpoint]
+                else:  # guards a restarted endpoint against the sum of all senders at once
+                    gate.ailing, gate.warm_from, gate.guard.at = False, self.now, self.now
+                self.dirty[destination] = self.stirred[destination] = None
+
     def woken(self, token: str) -> None:
         kind, number = token[0], int(token[1:] or 0)
         if kind == "r":
--- /dev/null
+++ b/ashpath/node/holds.py
@@ -0,0 +1,44 @@
+"""The operators' holds on endpoints, kept in the state folder so that they outlive a hot upgrade and a kill.
+
+One file, `held-endpoints`: JSON, `{"version": 1, "held": [ids]}`. Written whole beside itself under a name
+of this process (`held-endpoints.PID`) and renamed over: a reader sees the old file or the new, never a torn
+one, and two processes never write the same file. What cannot be read is taken for no holds, with one line
+in the log. The decision of what a hold does is the module's (`Sender.hold`); this only keeps the ids.
+"""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+NAME = "held-endpoints"
+VERSION = 1
+MOST = 4096  # ids kept; a further hold is refused
+
+
+def read(folder: Path, log: Any) -> set[str]:
+    """The ids held when the file was last written; an empty set where there is none or it is unreadable."""
+    path = folder / NAME
+    try:
+        told = orjson.loads(path.read_bytes())
+        if told["version"] != VERSION or not all(isinstance(one, str) for one in told["held"]):
+            raise ValueError("not a file of holds of this version")
+        return set(told["held"][:MOST])
+    except FileNotFoundError:
+        return set()
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        log.error("holds on endpoints not read, none are held", file=str(path), error=str(error))
+        return set()
+
+
+def write(folder: Path, held: set[str]) -> None:
+    """Raises OSError where it cannot be written: the caller answers ERR, and the hold is not made."""
+    fresh = folder / f"{NAME}.{os.getpid()}"
+    try:
+        fresh.write_bytes(orjson.dumps({"version": VERSION, "held": sorted(held)}))
+        os.replace(fresh, folder / NAME)
+    finally:
+        fresh.unlink(missing_ok=True)
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -40,10 +40,19 @@
 
     # News of the stages.
 
-    def restore(self, rows: list[Listing]) -> None:
-        """The directory as last held, then what an earlier life left, in the order taken."""
-        news: list[News] = [(self.sender.listed, (rows, True))]
-        for entry in list(self.ledger.live.values()):
+    def restore(self, rows: list[Listing], held: list[str] | None = None) -> None:
+        """The operators' holds, the directory as last held, then what an earlier life left, in the order
+        taken."""
+        news: list[News] = [(self.sender.hold, (endpoint, True)) for endpoint in held or []]
+        self.adopt(list(self.ledger.live.values()), [*news, (self.sender.listed, (rows, True))])
+
+    def hold(self, endpoint: str, out: bool, row: Listing | None) -> None:
+        self.turn((self.sender.hold, (endpoint, out, row)))
+
+    def adopt(self, entries: list[Entry], news: list[News] | None = None) -> None:
+        """What an earlier life or a process gone in a hot upgrade left, in the order taken, in one turn."""
+        news = news or []
+        for entry in entries:
             if entry.over:
                 self.book.notices.add(entry)
                 continue
--- a/ashpath/node/ledger.py
+++ b/ashpath/node/ledger.py
@@ -3,11 +3,19 @@
 A record is its length, its checksum and a line of JSON, with the body behind the first. Every change of an
 entry goes through `Ledger.apply`, as it happens and when it is read again. Nothing is synced: what the kernel
 has survives a kill.
+
+During a hot upgrade two processes share the folder. Each journal has a lock file beside it, held by the
+process that writes it for as long as that process lives: a process takes `journal` when its lock is free,
+else `journal-PID`. A journal whose lock is free is an orphan: its live entries are adopted (renumbered, the
+same trace once only), written into the adopter's own journal, and only then is the orphan emptied. No process
+writes a file of another that lives.
 """
 
 from __future__ import annotations
 
+import fcntl
 import os
+import re
 from collections.abc import Iterator
 from contextlib import suppress
 from dataclasses import dataclass
@@ -21,6 +29,8 @@
 LENGTHS = {"taken": 15, "shot": 4, "outcome": 3, "ended": 3}  # fields of each kind of record
 LONGEST = 16 << 20  # bytes of a record
 BLOCK = 4096  # what rounding up to whole blocks may add, both files together
+FIRST = "journal"  # the journal of a process that found no other alive
+NAMES = re.compile(r"journal(-[0-9]+)?")  # the journals of a folder, its own and those of other processes
 
 
 @dataclass(eq=False, slots=True)
@@ -146,11 +156,13 @@
 
 
 class Ledger(Held):
-    """The journal of one sender, and what is live in it."""
+    """The journal of one process, and what is live in it: its own, and what it adopted from orphans."""
 
     def __init__(self, folder: Path, most: int) -> None:
         super().__init__()
-        self.path, self.fresh, self.most = folder / "journal", folder / "journal.new", most
+        self.folder, self.most = folder, most
+        self.lock, name = claim(folder)
+        self.path, self.fresh = folder / name, folder / f"{name}.new"
         self.file, self.written = -1, 0  # the journal's descriptor, and the bytes in it
         if self.path.exists():
             with self.path.open("rb") as file:
@@ -158,6 +170,30 @@
                     self.apply(what, number, fields, body, size)
         self.fresh.unlink(missing_ok=True)
         self.rewrite()
+        self.adopt()
+
+    def adopt(self) -> list[Entry]:
+        """The live entries of journals whose process is gone, now this one's; their files emptied after.
+        A journal that cannot be read is left as it is, for `ashpath ledger` to show."""
+        adopted: list[Entry] = []
+        for orphan, lock in orphans(self.folder, self.path.name):
+            try:
+                held = Held()
+                with orphan.open("rb") as file:
+                    for (what, number, *fields), body, _ in Reader(file):
+                        held.apply(what, number, fields, body)
+            except (OSError, Foreign):
+                os.close(lock)
+                continue
+            for entry in held.live.values():
+                if entry.trace not in self.traces:  # guards against a kill between the two writes below
+                    entry.number = self.last + 1
+                    self.add(entry, len(entry.record()))
+                    adopted.append(entry)
+            self.rewrite()
+            empty(orphan)
+            os.close(lock)
+        return adopted
 
     def taken(self, entry: Entry) -> bool:
         """False: there is no space for it, and nothing was written."""
@@ -216,3 +252,45 @@
 
     def close(self) -> None:
         os.close(self.file)
+        os.close(self.lock)
+
+
+def locked(path: Path) -> int | None:
+    """The descriptor of the lock file, held; None where a living process holds it."""
+    lock = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(lock)
+        return None
+    return lock
+
+
+def claim(folder: Path) -> tuple[int, str]:
+    """The lock and the name of this process's journal: the first one if no living process holds it."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for name in (FIRST, f"{FIRST}-{os.getpid()}"):
+        lock = locked(folder / f"{name}.lock")
+        if lock is not None:
+            return lock, name
+    raise OSError(f"{folder}: the journal of process {os.getpid()} is locked by another")
+
+
+def orphans(folder: Path, own: str) -> Iterator[tuple[Path, int]]:
+    """Journals of other processes that are gone, each with its lock held until the caller closes it."""
+    for path in sorted(folder.iterdir()):
+        if path.name != own and NAMES.fullmatch(path.name):
+            lock = locked(folder / f"{path.name}.lock")
+            if lock is not None:
+                yield path, lock
+
+
+def empty(path: Path) -> None:
+    """An adopted journal: the first name stays, for the next process to take; the others go."""
+    if path.name == FIRST:
+        path.with_name(f"{FIRST}.new").write_bytes(b"")
+        os.replace(path.with_name(f"{FIRST}.new"), path)
+        return
+    path.unlink(missing_ok=True)
+    path.with_name(f"{path.name}.new").unlink(missing_ok=True)
+    path.with_name(f"{path.name}.lock").unlink(missing_ok=True)
--- a/ashpath/node/route.py
+++ b/ashpath/node/route.py
@@ -32,6 +32,7 @@
         self.addresses: dict[str, Address] = {}
         self.listed: dict[str, int] = {}  # the destination of each of them
         self.served: dict[int, float] = {}
+        self.rows: dict[str, Listing] = {}  # every endpoint of the listing as last told, any presence
         self.told: Callable[[list[Listing], bool], None] = lambda rows, whole: None
 
     def hear(self, members: list[dict[str, Any]], whole: bool) -> None:
@@ -46,8 +47,9 @@
                 self.log.error("line of the directory not read", line=str(member), error=repr(error))
         before = dict(self.addresses)
         if whole:
-            self.addresses, self.listed = {}, {}
+            self.addresses, self.listed, self.rows = {}, {}, {}
         for row, where in found:
+            self.rows[row.endpoint] = row
             self.addresses.pop(row.endpoint, None)
             self.listed.pop(row.endpoint, None)
             if row.presence is Presence.LISTED:
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -15,8 +15,11 @@
 import orjson
 from gevent.event import Event
 
+from ashpath.node import holds
 from ashpath.node.admit import Admit
 from ashpath.node.book import Book
+from ashpath.node.control import Control
+from ashpath.node.control_line import Call
 from ashpath.node.directory import Directory
 from ashpath.node.host import Host
 from ashpath.node.ledger import Ledger
@@ -49,14 +52,17 @@
         self.tracks = {row["name"]: number for number, row in enumerate(self.settings["classes"])}
         # A restart has the same environment, but the file may have changed since.
         self.discovery: str = told.get("discovery") or discovery
+        self.control: str = str(told.get("control") or "")  # the operators' address; older days have none
         self.platform = address(self.discovery) if self.discovery else None
 
 
 class Node:
     """One sender on sockets: who owns what is decided here, once. `read` reads anew what it was given."""
 
-    def __init__(self, given: Given, listen: str, state: Path, log: Any, read: Callable[[], Given]) -> None:
-        self.given, self.read, self.log = given, read, log
+    def __init__(
+        self, given: Given, listen: str, state: Path, log: Any, read: Callable[[], Given], control: str = ""
+    ) -> None:
+        self.given, self.read, self.log, self.state = given, read, log, state
         terms, self.limits = given.terms, given.limits
         limits = self.limits
         self.ledger = Ledger(state, limits.disk)
@@ -75,6 +81,10 @@
         self.directory = given.platform and Directory(given.platform, limits, revision, self.route.hear)
         self.known = self.route.learn(given.known["members"], whole=True)
         self.changed, self.ended = Event(), Event()
+        self.ready = False
+        control = control or given.control
+        self.control = control and Control(address(control), limits, self.order, log)
+        self.inherited: int | None = None  # the platform's listening socket, handed down
 
     def tellers(self, state: Path) -> tuple[Any, Any]:
         """Who is told of ends after the 202, and who keeps them for clients that ask."""
@@ -84,20 +94,29 @@
     def parts(self) -> list[Callable[[], None]]:
         """What runs beside one another until the end."""
         directory = [self.directory.run] if self.directory else []
+        control = [self.control.run] if self.control else []
         return [
-            self.follow, *directory, self.notices.run, self.host.timers.run, self.pool.run, self.take_in.run
+            self.follow, *directory, self.notices.run, self.host.timers.run, self.pool.run, self.take_in.run,
+            self.hand_over, *control,
         ]  # fmt: skip
 
     def run(self) -> None:
         gevent.signal_handler(signal.SIGHUP, self.changed.set)
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, self.end)
-        self.host.restore(self.known)
-        self.take_in.listen()
+        held = holds.read(self.state, self.log)
+        self.host.restore(self.known, sorted(held))
+        self.take_in.listen(self.inherited)
+        if self.control:
+            self.control.listen()
         for run in self.parts():
             gevent.spawn(self.keep, run)
         gc.collect()
         gc.freeze()
-        self.log.info("ready", held=len(self.host.entries), endpoints=len(self.route.addresses))
+        self.ready = True
+        self.log.info(
+            "ready", held=len(self.host.entries), endpoints=len(self.route.addresses),
+            endpoints_held=len(held), inherited=self.inherited is not None,
+        )  # fmt: skip
         self.ended.wait()
         self.ledger.close()
 
@@ -121,6 +140,37 @@
             self.directory.move(given.platform)
             self.notices.move(given.platform)
 
+    def hand_over(self) -> None:
+        """What a process gone in a hot upgrade left in its journal is this one's to end."""
+        while True:
+            gevent.sleep(self.limits.hand_over)
+            adopted = self.ledger.adopt()
+            if adopted:
+                self.log.info("journal adopted", envelopes=len(adopted))
+                self.host.adopt(adopted)
+
+    def order(self, call: Call) -> tuple[bool, str]:
+        """An operator's call at the control address: whether it was done, and the words of the answer."""
+        held = self.host.sender.held
+        if call.name == "PING":
+            return (True, "") if self.ready else (False, "not ready")
+        if call.name == "LAMEDUCK":
+            self.take_in.lameduck(True)
+            return True, "lame duck: not ready, clients sent away"
+        if call.name == "REJOIN":
+            self.take_in.lameduck(False)
+            return True, "ready" if self.ready and not self.take_in.closing else "ending"
+        endpoint, out = str(call.argument), call.name == "DETACH"
+        if endpoint not in self.route.rows and endpoint not in held:
+            return False, f"unknown endpoint {endpoint}"
+        if out != (endpoint in held):
+            try:
+                holds.write(self.state, held | {endpoint} if out else held - {endpoint})
+            except OSError as error:
+                return False, f"hold not kept: {error.strerror or error}"
+            self.host.hold(endpoint, out, self.route.rows.get(endpoint))
+        return True, f"{endpoint} {'draining' if out else 'back, cold'}"
+
     def keep(self, run: Callable[[], None]) -> None:
         """Guards the sender against a fault that would end one of its parts for good."""
         while True:
@@ -135,9 +185,13 @@
         began, limits = monotonic(), self.limits
         self.log.info("ending", held=len(self.host.entries), out=len(self.host.flights))
         self.take_in.closing = True
-        gevent.sleep(limits.accept_after_term)
-        self.admit.refusing = True
-        self.take_in.close_idle()  # those that still come are accepted to the end, and get an answer
+        if self.take_in.inherited:  # the process beside this one accepts; what is held here it adopts after
+            self.take_in.stop()
+            self.take_in.close_idle()
+        else:
+            gevent.sleep(limits.accept_after_term)
+            self.admit.refusing = True
+            self.take_in.close_idle()  # those that still come are accepted to the end, and get an answer
         while monotonic() < began + limits.shots_after_term and self.busy():
             gevent.sleep(0.02)
         self.host.ending = True
@@ -159,13 +213,18 @@
 def node() -> tuple[Node, Lines]:
     name, listen, discovery = told("RELAY_NAME"), told("RELAY_LISTEN"), told("RELAY_DISCOVERY")
     state, path = Path(told("RELAY_STATE")), Path(told("RELAY_CONFIG"))
+    inherited = os.environ.get("RELAY_ACCEPT_FD") or None
+    if inherited is not None and not inherited.isdigit():
+        raise BadStart(f"RELAY_ACCEPT_FD is no descriptor: {inherited!r}")
 
     def read() -> Given:
         return Given(orjson.loads(path.read_bytes()), discovery)
 
     log, lines = logger(name, Form())
     try:
-        return Node(read(), listen, state, log, read), lines
+        sender = Node(read(), listen, state, log, read, os.environ.get("RELAY_CONTROL", ""))
+        sender.inherited = None if inherited is None else int(inherited)
+        return sender, lines
     except UNUSABLE as error:
         raise BadStart(f"cannot start from {path}: {type(error).__name__} {error}") from None
 
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -30,16 +30,36 @@
         self.clients = 0
         self.freed = Event()
         self.closing = False  # every answer ends its connection
+        self.lame = False  # a lame duck: not ready, every answer ends its connection, and nobody is refused
+        self.inherited = False  # the listening socket is the platform's: another process may accept on it
         self.inquiry: Callable[[Message], tuple[int, bytes] | None] = lambda request: None
 
-    def listen(self) -> None:
+    def listen(self, inherited: int | None = None) -> None:
+        """On the descriptor that the platform hands down when given: it is never bound a second time."""
+        if inherited is not None:
+            self.listener = socket.socket(fileno=inherited)
+            self.inherited = True
+            return
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(self.where)
         self.listener.listen(1024)
 
+    def stop(self) -> None:
+        """Takes no more connections: those still queued are for the process that shares the socket."""
+        self.accepting = False
+        with suppress(OSError):
+            self.listener.close()
+
+    def lameduck(self, lame: bool) -> None:
+        """Clients are sent away, or back: those between requests at once, the rest at their answer."""
+        self.lame = lame
+        if lame:
+            self.close_idle()
+
     def run(self) -> None:
-        while True:
+        self.accepting = True
+        while self.accepting:
             try:
                 wire = Wire(self.listener.accept()[0], self.limits)
             except OSError:
@@ -113,7 +133,7 @@
             return False
         finally:
             self.reading.pop(wire, None)
-        keep = request.keep and not wire.spoilt and not self.closing
+        keep = request.keep and not wire.spoilt and not self.closing and not self.lame
         self.reply(wire, request, keep)
         return keep
 
@@ -133,7 +153,7 @@
 
     def reply(self, wire: Wire, request: Message, keep: bool) -> None:
         if request.path != names.HAND_IN:
-            ready = 503 if self.closing else 200
+            ready = 503 if self.closing or self.lame else 200
             told = (ready, b"") if request.path == names.READY else self.inquiry(request)
             status, body = told or (404, b"")
             self.tell(wire, answer(status, keep, body=body))
