Waits told to one process of a hot upgrade bind the other: kept in waits-PID, read by both

Cause: the shot came from the process started beside the old one (n0.log holds both: "new 7" at 4.32 s, with a Sender of its own whose gates knew no wait).

Change: node/waits.py keeps each process's waits in a file of its own (waits-PID, written beside itself and renamed over) and reads the others' files at start and every 0.1 s when their size or time changed; a file whose waits are all over is removed. Sender.waited puts one on the endpoint's gate (the destination's if it is not apart). The decision stays in the module; the file is bookkeeping. Not taken: the old process telling the new one over a socket: a listener more, and nothing for a wait told after the old one exits.

Tests: scenarios `waited` (fails without the line that sets the wait, checked) and `held`; the runner knows hold, unhold and waited.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -1,7 +1,7 @@
 """All decisions of ashpath, and every tuned value; nothing else in the project decides anything.
 
 Make one `Sender(terms, answers)` an instance. Per batch of news: `open_turn(now)`; then `listed`, `take`,
-`restored`, `returned`, `gone`, `woken`, `hold`; last `close_turn()`. `stands` any time; `door.py`,
+`restored`, `returned`, `gone`, `woken`, `hold`, `waited`; last `close_turn()`. `stands` any time; `door.py`,
 `docs/design.md`.
 """
 
@@ -567,6 +567,14 @@
                     gate.ailing, gate.warm_from, gate.guard.at = False, self.now, self.now
                 self.dirty[destination] = self.stirred[destination] = None
 
+    def waited(self, number: int, endpoint: str, until: int) -> None:
+        """A wait told to another process of this sender (a hot upgrade): it binds here too."""
+        destination = self.destination(number)
+        known = destination.known.get(endpoint)
+        gate = known.gate if known is not None else destination.gate
+        gate.wait_until = max(gate.wait_until, until)
+        self.dirty[destination] = self.stirred[destination] = None
+
     def woken(self, token: str) -> None:
         kind, number = token[0], int(token[1:] or 0)
         if kind == "r":
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -12,6 +12,8 @@
 from ashpath.node.ledger import Entry, Ledger
 from ashpath.node.send import Flight, Send
 from ashpath.node.timers import Timers, now, wall
+from ashpath.node.waits import Told as Waited
+from ashpath.node.waits import Waits
 
 News = tuple[Callable[..., None], tuple[Any, ...]]
 
@@ -27,6 +29,7 @@
         self.timers = Timers(self.woken)
         self.ending = False  # no shot is begun any more: what is held is the next life's
         self.sender = Sender(terms, self)
+        self.waits: Waits | None = None  # kept for the other process of a hot upgrade, where there is one
 
     def turn(self, *news: News) -> None:
         self.sender.open_turn(now())
@@ -46,6 +49,13 @@
         news: list[News] = [(self.sender.hold, (endpoint, True)) for endpoint in held or []]
         self.adopt(list(self.ledger.live.values()), [*news, (self.sender.listed, (rows, True))])
 
+    def waited(self, told: list[Waited]) -> None:
+        """Waits told to another process of this sender, on the wall's clock."""
+        if told:
+            moment, clock = now(), wall()
+            news = [(self.sender.waited, (n, endpoint, moment + end - clock)) for n, endpoint, end in told]
+            self.turn(*news)
+
     def hold(self, endpoint: str, out: bool, row: Listing | None) -> None:
         self.turn((self.sender.hold, (endpoint, out, row)))
 
@@ -78,6 +88,8 @@
     def returned(self, flight: Flight, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
         number = flight.entry.number
         self.flights.pop(number, None)
+        if wait and self.waits is not None:
+            self.waits.told(flight.entry.destination, flight.endpoint, wall() + wait, wall())
         if closed:
             self.entries.pop(number, None)
         self.turn((self.sender.returned, (number, ending, wait, closed, told)))
--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -44,6 +44,7 @@
     shots_after_term: float = 3.0  # no shot is begun later than this after SIGTERM
     end_after_term: float = 3.5  # all is over by then
     hand_over: float = 0.5  # how often journals of processes gone in a hot upgrade are looked for
+    waits_every: float = 0.1  # how often waits told to another process of this sender are looked for
     control_patience: float = 5.0  # a caller of the control address has so long to send its line
     control_callers: int = 16  # callers of the control address at once; a further one is told it is busy
     ends: int = 0  # bytes of ends kept for clients that ask, on disk, and as much memory
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -31,6 +31,8 @@
 from ashpath.node.route import Route, address
 from ashpath.node.send import Send
 from ashpath.node.take_in import TakeIn
+from ashpath.node.timers import wall
+from ashpath.node.waits import Waits
 from ashpath.terms import node_terms, told_fields
 
 UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
@@ -85,6 +87,7 @@
         control = control or given.control
         self.control = control and Control(address(control), limits, self.order, log)
         self.inherited: int | None = None  # the platform's listening socket, handed down
+        self.host.waits = Waits(state)
 
     def tellers(self, state: Path) -> tuple[Any, Any]:
         """Who is told of ends after the 202, and who keeps them for clients that ask."""
@@ -97,7 +100,7 @@
         control = [self.control.run] if self.control else []
         return [
             self.follow, *directory, self.notices.run, self.host.timers.run, self.pool.run, self.take_in.run,
-            self.hand_over, *control,
+            self.hand_over, self.share_waits, *control,
         ]  # fmt: skip
 
     def run(self) -> None:
@@ -105,6 +108,7 @@
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, self.end)
         held = holds.read(self.state, self.log)
         self.host.restore(self.known, sorted(held))
+        self.host.waited(self.host.waits.others(wall()) if self.host.waits else [])
         self.take_in.listen(self.inherited)
         if self.control:
             self.control.listen()
@@ -149,6 +153,12 @@
                 self.log.info("journal adopted", envelopes=len(adopted))
                 self.host.adopt(adopted)
 
+    def share_waits(self) -> None:
+        """Waits told to the other process of a hot upgrade bind this one from the next look."""
+        while self.host.waits is not None:
+            gevent.sleep(self.limits.waits_every)
+            self.host.waited(self.host.waits.others(wall()))
+
     def order(self, call: Call) -> tuple[bool, str]:
         """An operator's call at the control address: whether it was done, and the words of the answer."""
         held = self.host.sender.held
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -13,6 +13,8 @@
     +10ms  completed a | full a [wait=400ms] [left=0.2 of=5] | error a, or any other ending of shots
     +1s    restart                              killed, and back with what it had taken on
     +1s    gone a | drain x1 | leave x1 | list x1 | pass (nothing happens but wakes)
+    +1s    hold x1 | unhold x1                  an operator takes an endpoint out, and puts it back
+    +1s    waited x1 wait=2s                    a wait told to the other process of a hot upgrade
     expect shot a b | shot a at x1 | bounced a | aborted a | held a | quiet | log some words
     expect stands a | halted a                  whether a shot that has not left yet may still go
 
@@ -241,6 +243,19 @@
                 if what != "list":
                     self.dropped_at[name] = self.now
             self.turn(("listed", [self.rows[name] for name in names], False))
+        elif what == "hold":  # held as draining, whatever is listed: the same grace, then nothing
+            for name in names:
+                self.dropped_at.setdefault(name, self.now)
+                self.turn(("hold", name, True))
+        elif what == "unhold":
+            for name in names:
+                self.dropped_at.pop(name, None)
+                self.turn(("hold", name, False, self.rows[name]))
+        elif what == "waited":
+            for name in names:
+                until = self.now + span(named["wait"])
+                self.waits[self.route(name)] = max(self.waits.get(self.route(name), 0), until)
+                self.turn(("waited", self.rows[name].destination, name, until))
         elif what == "gone":
             for name in names:
                 self.held[self.ids[name]].over = True
