Calls for lists and notices back off by a seeded lot when turned away, heeding Retry-After

Seen in the code (directory.py run, notices.py run): after any failed call the watch and the notices try again after a fixed 0.1 s.

Not taken: a fixed longer pause (in step still, and slower after an outage) or jitter without growth (the directory gets as many calls while it is down).

Test: test_the_directory_backs_off_by_lot_when_turned_away fails on the fixed pause (checked), passes now.

--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -36,7 +36,9 @@
     forget: float = 60.0  # a destination without endpoints for so long is unknown
     watch: float = 2.0  # a watch of the directory waits so long
     silence: float = 1.0  # and is given up so much later
-    retry: float = 0.1  # between tries at the directory and at notices that failed
+    retry: float = 0.1  # between tries at the directory and at notices that failed, the first time
+    lists_backoff: float = 1.0  # the longest pause between tries at the directory, failures in a row
+    notices_backoff: float = 0.3  # and at notices
     ask: float = 0.5  # for the answer to a notice
     notices: int = 200  # lines of one call
     sweep: float = 0.25  # how often idle connections are looked at
--- a/ashpath/node/notices.py
+++ b/ashpath/node/notices.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 from itertools import islice
+from random import Random
 from typing import Any
 
 import gevent
@@ -11,6 +12,7 @@
 from gevent.event import Event
 
 from ashpath.node import names
+from ashpath.node.backoff import Backoff
 from ashpath.node.calls import Line
 from ashpath.node.ledger import Entry, Ledger
 from ashpath.node.limits import Limits
@@ -37,6 +39,7 @@
         self.line, self.limits, self.ledger, self.log = Line(address, limits), limits, ledger, log
         self.waiting: OrderedDict[Entry, None] = OrderedDict()
         self.any = Event()
+        self.pause = Backoff(Random(0), limits.retry, limits.notices_backoff)  # the start seeds its own
 
     def move(self, address: Address) -> None:
         self.line.move(address)
@@ -64,7 +67,8 @@
                     del self.waiting[entry]
                     self.ledger.ended(entry)
                 most = self.limits.notices
+                self.pause.succeeded()
             elif unread:
                 most = 1
-            else:
-                gevent.sleep(self.limits.retry)
+            else:  # short: a notice owed is due within its time
+                gevent.sleep(self.pause.failed())
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -8,6 +8,7 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from random import Random
 from time import monotonic
 from typing import Any
 
@@ -17,6 +18,7 @@
 
 from ashpath.node import holds
 from ashpath.node.admit import Admit
+from ashpath.node.backoff import Backoff
 from ashpath.node.book import Book
 from ashpath.node.control import Control
 from ashpath.node.control_line import Call
@@ -88,6 +90,10 @@
         self.control = control and Control(address(control), limits, self.order, log)
         self.inherited: int | None = None  # the platform's listening socket, handed down
         self.host.waits = Waits(state)
+        seed = f"{given.terms.seed}/{listen}"  # senders of one fleet differ by their address
+        if self.directory:
+            self.directory.pause = Backoff(Random(seed + "/d"), limits.retry, limits.lists_backoff)
+        self.notices.pause = Backoff(Random(seed + "/n"), limits.retry, limits.notices_backoff)
 
     def tellers(self, state: Path) -> tuple[Any, Any]:
         """Who is told of ends after the 202, and who keeps them for clients that ask."""
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -10,7 +10,7 @@
 
 import pytest
 from gevent import socket, subprocess
-from rigs.world import World, until
+from rigs.world import LIMITS, World, until
 
 from ashpath.node import holds
 from ashpath.node.codec import write_head
@@ -256,3 +256,42 @@
     old.own.touch()
     new.others(7_000_000)  # all over: the file is removed, and read by nobody again
     assert not old.own.exists() and not list(tmp_path.glob("waits-*.new"))
+
+
+def test_the_directory_backs_off_by_lot_when_turned_away(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the directory against a fleet killed together that comes back together every 0.1 s."""
+    from random import Random
+
+    from ashpath.node import directory as module
+    from ashpath.node.backoff import Backoff
+    from ashpath.node.codec import Message
+
+    pauses: list[float] = []
+
+    class Enough(Exception):
+        pass
+
+    def sleep(seconds: float) -> None:
+        pauses.append(seconds)
+        if len(pauses) == 6:
+            raise Enough
+
+    def turned_away(told: bytes | None) -> Message:
+        answer = Message()
+        answer.status, answer.headers = 503, {b"retry-after": told} if told else {}
+        return answer
+
+    monkeypatch.setattr(module.gevent, "sleep", sleep)
+    fleet = []
+    for name, told in (("a", None), ("b", None), ("c", b"0.7")):
+        pauses.clear()
+        watch = module.Directory(("127.0.0.1", 9), LIMITS, 0, lambda rows, whole: None)
+        watch.pause = Backoff(Random(name), LIMITS.retry, LIMITS.lists_backoff)
+        watch.line.call = lambda *_, told=told: turned_away(told)  # type: ignore[method-assign]
+        with pytest.raises(Enough):
+            watch.run()
+        fleet.append(list(pauses))
+    first, second, waited = fleet
+    assert first[0] < first[-1] and first[-1] > LIMITS.lists_backoff / 2  # grown towards the longest pause
+    assert first != second  # two senders do not come back in step
+    assert all(pause >= 0.7 for pause in waited)  # the wait that it was told
