During a hot upgrade each ledger counts the other living journals against the one disk

Not taken: halving the disk for a process started beside another, which would stay halved after the old one is gone.

Test: test_two_processes_share_the_disk: two ledgers filled in turn take together no more than the disk at their most (records and fresh copy); fails without the change (59 KB counted for the other, 64 KB disk: checked), and the adopter has the whole disk again once the other is gone.

--- a/ashpath/node/ledger.py
+++ b/ashpath/node/ledger.py
@@ -164,6 +164,7 @@
         self.lock, name = claim(folder)
         self.path, self.fresh = folder / name, folder / f"{name}.new"
         self.file, self.written = -1, 0  # the journal's descriptor, and the bytes in it
+        self.others = 0  # bytes of journals of living processes beside this one: the disk is shared
         if self.path.exists():
             with self.path.open("rb") as file:
                 for (what, number, *fields), body, size in Reader(file):
@@ -193,13 +194,14 @@
             self.rewrite()
             empty(orphan)
             os.close(lock)
+        self.others = beside(self.folder, self.path.name)
         return adopted
 
     def taken(self, entry: Entry) -> bool:
         """False: there is no space for it, and nothing was written."""
         data = entry.record()
         # The old and the new file fit beside each other, and a twentieth is left to append to.
-        if 2.1 * (self.reserved + self.grown(entry, len(data))) > self.most - BLOCK:
+        if 2.1 * (self.reserved + self.grown(entry, len(data))) > self.most - BLOCK - self.others:
             return False
         try:
             self.write(data)
@@ -276,6 +278,18 @@
     raise OSError(f"{folder}: the journal of process {os.getpid()} is locked by another")
 
 
+def beside(folder: Path, own: str) -> int:
+    """Bytes that other journals may take: of a living process, or not yet adopted. Each may be written anew
+    beside itself, and what is live in it is more than its records (SPARE): 2.2 times, and a block."""
+    total = count = 0
+    for path in folder.iterdir():
+        if path.name != own and NAMES.fullmatch(path.name.removesuffix(".new")):
+            with suppress(OSError):
+                size = path.stat().st_size
+                total, count = total + size, count + (size > 0)
+    return int(2.2 * total) + BLOCK * count
+
+
 def orphans(folder: Path, own: str) -> Iterator[tuple[Path, int]]:
     """Journals of other processes that are gone, each with its lock held until the caller closes it."""
     for path in sorted(folder.iterdir()):
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -295,3 +295,26 @@
     assert first[0] < first[-1] and first[-1] > LIMITS.lists_backoff / 2  # grown towards the longest pause
     assert first != second  # two senders do not come back in step
     assert all(pause >= 0.7 for pause in waited)  # the wait that it was told
+
+
+def test_two_processes_share_the_disk(tmp_path: Path) -> None:
+    """Guards the disk limit during an upgrade: each journal alone would take all of it."""
+    most = 64 << 10
+    old = Ledger(tmp_path, most)
+    number = 0
+    while True:
+        taken = Entry(0, f"o{number}", 0, 3, None, None, 2**40, b"x" * 2000)
+        taken.number, number = old.last + 1, number + 1
+        if not old.taken(taken):
+            break
+    new = Ledger(tmp_path, most)
+    while True:
+        taken = Entry(0, f"n{number}", 0, 3, None, None, 2**40, b"x" * 2000)
+        taken.number, number = new.last + 1, number + 1
+        if not new.taken(taken):
+            break
+    # At its most a journal takes its records and a fresh copy of what is live beside them.
+    assert old.written + old.reserved + new.written + new.reserved <= most
+    old.close()
+    assert new.adopt() and new.others == 0  # gone: its envelopes are this one's, and so is the disk
+    new.close()
