Bad RELAY_ACCEPT_FD and RELAY_CONTROL: one line naming the variable, exit code 2

Tried by hand against a sender on loopback: RELAY_ACCEPT_FD=99 (not open) ended with exit code 1 and "[Errno 9] Bad file descriptor", naming nothing; RELAY_CONTROL=nonsense was blamed on the config file ("cannot start from .../config.json: ValueError ..."). start.node now checks both before anything starts: the descriptor must be an open socket (fstat), the control address must have a port.

--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -5,6 +5,7 @@
 import gc
 import os
 import signal
+import stat
 import sys
 from collections.abc import Callable
 from pathlib import Path
@@ -220,6 +221,14 @@
         return bool(self.host.entries or self.host.flights or self.notices.waiting or self.take_in.clients)
 
 
+def mode(descriptor: int) -> int:
+    """The kind of an inherited descriptor; 0 where it is not open."""
+    try:
+        return os.fstat(descriptor).st_mode
+    except OSError:
+        return 0
+
+
 def told(name: str) -> str:
     if not os.environ.get(name):
         raise BadStart(f"{name} is not set")
@@ -230,15 +239,20 @@
     name, listen, discovery = told("RELAY_NAME"), told("RELAY_LISTEN"), told("RELAY_DISCOVERY")
     state, path = Path(told("RELAY_STATE")), Path(told("RELAY_CONFIG"))
     inherited = os.environ.get("RELAY_ACCEPT_FD") or None
-    if inherited is not None and not inherited.isdigit():
-        raise BadStart(f"RELAY_ACCEPT_FD is no descriptor: {inherited!r}")
+    if inherited is not None and not (inherited.isdigit() and stat.S_ISSOCK(mode(int(inherited)))):
+        raise BadStart(f"RELAY_ACCEPT_FD is no open socket: {inherited!r}")
+    control = os.environ.get("RELAY_CONTROL", "")
+    try:
+        control and address(control)
+    except ValueError as error:
+        raise BadStart(f"RELAY_CONTROL: {error}") from None
 
     def read() -> Given:
         return Given(orjson.loads(path.read_bytes()), discovery)
 
     log, lines = logger(name, Form())
     try:
-        sender = Node(read(), listen, state, log, read, os.environ.get("RELAY_CONTROL", ""))
+        sender = Node(read(), listen, state, log, read, control)
         sender.inherited = None if inherited is None else int(inherited)
         return sender, lines
     except UNUSABLE as error:
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -318,3 +318,26 @@
     old.close()
     assert new.adopt() and new.others == 0  # gone: its envelopes are this one's, and so is the disk
     new.close()
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "words"),
+    [
+        ("RELAY_ACCEPT_FD", "seven", "RELAY_ACCEPT_FD is no open socket"),
+        ("RELAY_ACCEPT_FD", "250", "RELAY_ACCEPT_FD is no open socket"),  # not open
+        ("RELAY_CONTROL", "nowhere", "RELAY_CONTROL: 'nowhere' is no address with a port"),
+    ],
+)
+def test_bad_variables_are_one_line_and_exit_2(tmp_path: Path, name: str, value: str, words: str) -> None:
+    world = World(tmp_path)
+    try:
+        told = {**world.environment(), name: value}
+        done = subprocess.run(
+            [sys.executable, "-m", "ashpath"], env=told, capture_output=True, timeout=60, check=False
+        )
+    finally:
+        world.stop()
+    assert done.returncode == 2
+    assert done.stderr.decode().splitlines() == [
+        f"ashpath: {words}" + ("" if name == "RELAY_CONTROL" else f": {value!r}")
+    ]
