The hand-over test ends both senders whatever happens in it

Seen: three senders of earlier failed runs of test_hand_over_on_an_inherited_socket still running (their RELAY_STATE in the test's folders); the test killed the new process only on success.

--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -216,27 +216,31 @@
     listener.listen(64)
     os.set_inheritable(listener.fileno(), True)
     old = Controlled(tmp_path, listener)
-    old.start()
-    live = old.connect()  # a client with its connection open across the upgrade
-    assert live is not None
-    assert old.hand_in("u1", "free", "hang", 3, left=6000) == 202  # still out when the old one ends
     new = Controlled.__new__(Controlled)
-    new.__dict__.update(old.__dict__)
-    new.control, new.process = ("127.0.0.1", free_port()), None
-    new.start()  # no second bind: both take from one queue
-    assert old.process is not None
-    old.process.send_signal(signal.SIGTERM)
-    until(lambda: old.process is not None and old.process.poll() is not None)
-    assert old.process.returncode == 0
-    assert new.hand_in("u2", "free", "200", 4) == 202
-    until(lambda: new.count("u2") == 1)
-    assert live.more() is False or not len(live.buffer)  # the old one closed it: its client moves on
-    assert new.told("u1") == ["deferred"]  # one end, told once, by whichever process had it
-    new.process.kill()
-    new.process.wait()
-    old.process = None
-    old.stop()
-    listener.close()
+    try:
+        old.start()
+        live = old.connect()  # a client with its connection open across the upgrade
+        assert live is not None
+        assert old.hand_in("u1", "free", "hang", 3, left=6000) == 202  # still out when the old one ends
+        new.__dict__.update(old.__dict__)
+        new.control, new.process = ("127.0.0.1", free_port()), None
+        new.start()  # no second bind: both take from one queue
+        assert old.process is not None
+        old.process.send_signal(signal.SIGTERM)
+        until(lambda: old.process is not None and old.process.poll() is not None)
+        assert old.process.returncode == 0
+        assert new.hand_in("u2", "free", "200", 4) == 202
+        until(lambda: new.count("u2") == 1)
+        assert live.more() is False or not len(live.buffer)  # the old one closed it: its client moves on
+        assert new.told("u1") == ["deferred"]  # one end, told once, by whichever process had it
+    finally:  # guards the machine against a sender left running by a failed run
+        for process in (getattr(new, "process", None), old.process):
+            if process is not None and process.poll() is None:
+                process.kill()
+                process.wait()
+        old.process = None
+        old.stop()
+        listener.close()
 
 
 def test_waits_of_one_process_are_read_by_the_other_once(tmp_path: Path) -> None:
