--- a/tests/rigs/world.py
+++ b/tests/rigs/world.py
@@ -37,6 +37,13 @@
             gevent.sleep(0.01)
 
 
+def free() -> tuple[str, int]:
+    """An address on loopback that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()  # type: ignore[no-any-return]
+
+
 def abandon(sock: socket.socket) -> None:
     """Ends a connection with a reset."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -46,8 +53,8 @@
 class World:
     """All that a sender meets. The words of a body say what its calls meet, one after the other."""
 
-    def __init__(self, folder: Path, known: int = 40) -> None:
-        self.folder, self.calls, self.notices = folder, {}, []
+    def __init__(self, folder: Path, known: int = 40, inherited: socket.socket | None = None) -> None:
+        self.folder, self.calls, self.notices, self.inherited = folder, {}, [], inherited
         self.watches: dict[int, int] = {}  # asked for at each port
         self.deaf = 0  # notices to be answered 503 first
         self.process: subprocess.Popen[bytes] | None = None
@@ -58,9 +65,8 @@
         port = self.servers[0].server_port
         same = {"host_port": f"127.0.0.1:{port}", "locality": "here", "flavor": "plain", "phase": "up"}
         self.members = [{"id": f"e{i}", "cell": i, "size": 1.0, **same} for i in range(known)]
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            self.where = probe.getsockname()
+        self.where = inherited.getsockname() if inherited else free()
+        self.control = free()
         (folder / "state").mkdir()
         known_list = {"revision": 1, "complete": True, "members": self.members}
         limits = {"sockets": 256, "disk_mb": 1}
@@ -78,13 +84,25 @@
             "RELAY_DISCOVERY": f"127.0.0.1:{self.servers[1].server_port}",
             "RELAY_STATE": str(self.folder / "state"),
             "RELAY_CONFIG": str(self.folder / "config.json"),
-        }
+            "RELAY_CONTROL": f"127.0.0.1:{self.control[1]}",
+        } | ({"RELAY_ACCEPT_FD": str(self.inherited.fileno())} if self.inherited else {})
 
     def start(self) -> None:
         command = [sys.executable, "-m", "ashpath"]
+        fds = (self.inherited.fileno(),) if self.inherited else ()
         with (self.folder / "log").open("ab") as log:
-            self.process = subprocess.Popen(command, env=self.environment(), stdout=log, stderr=log)
-        until(lambda: self.ask(write_head(b"GET /health/ready HTTP/1.1", [], b"")) == 200)
+            told = self.environment()
+            self.process = subprocess.Popen(command, env=told, stdout=log, stderr=log, pass_fds=fds)
+        until(lambda: self.call(b"PING\n") == b"OK\n")  # this process, not another on the same socket
+
+    def call(self, line: bytes) -> bytes:
+        """The answer's line at the control address; b"" if there is none."""
+        try:
+            with socket.create_connection(self.control, timeout=3) as sock:
+                sock.sendall(line)
+                return sock.makefile("rb").readline()
+        except OSError:
+            return b""
 
     def kill(self, how: int = signal.SIGKILL) -> int:
         assert self.process is not None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,6 @@
 import pkgutil
 import signal
 import sys
-from collections.abc import Iterator
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
@@ -37,13 +36,6 @@
 from ashpath.node.timers import now, wall
 
 
-@pytest.fixture
-def world(tmp_path: Path) -> Iterator[World]:
-    made = World(tmp_path)
-    yield made
-    made.stop()
-
-
 def test_examples() -> None:
     for module in pkgutil.iter_modules(ashpath.node.__path__):
         assert doctest.testmod(importlib.import_module(f"ashpath.node.{module.name}")).failed == 0
