--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -21,7 +21,7 @@
 class Host:
     """What the module asks for goes from here to the stages, in the order of its answers."""
 
-    def __init__(self, terms: Terms, ledger: Ledger, book: Book, send: Send, log: Any) -> None:
+    def __init__(self, terms: Terms, ledger: Ledger, book: Book, send: Send, log: Any, waits: Waits) -> None:
         self.ledger, self.book, self.send, self.logger = ledger, book, send, log
         self.entries: dict[int, Entry] = {}  # what the sender owes an end; emptied as they have it
         self.flights: dict[int, Flight] = {}  # calls out, by envelope; emptied by their outcomes
@@ -29,7 +29,7 @@
         self.timers = Timers(self.woken)
         self.ending = False  # no shot is begun any more: what is held is the next life's
         self.sender = Sender(terms, self)
-        self.waits: Waits | None = None  # kept for the other process of a hot upgrade, where there is one
+        self.waits = waits  # kept for the other process of a hot upgrade
 
     def turn(self, *news: News) -> None:
         self.sender.open_turn(now())
@@ -88,7 +88,7 @@
     def returned(self, flight: Flight, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
         number = flight.entry.number
         self.flights.pop(number, None)
-        if wait and self.waits is not None:
+        if wait:
             self.waits.told(flight.entry.destination, flight.endpoint, wall() + wait, wall())
         if closed:
             self.entries.pop(number, None)
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -77,7 +77,7 @@
         book = Book(self.ledger, self.notices, ends)
         relay = Relay(book, told_fields(given.settings) is not None)
         self.send = Send(self.pool, self.route, relay)
-        self.host = Host(terms, self.ledger, book, self.send, log)
+        self.host = Host(terms, self.ledger, book, self.send, log, Waits(state))
         self.route.told, relay.returned = self.host.listed, self.host.returned
         self.send.stands = self.host.stands
         self.admit = Admit(terms, given.tracks, self.route, self.host, book, log)
@@ -86,11 +86,9 @@
         self.directory = given.platform and Directory(given.platform, limits, revision, self.route.hear)
         self.known = self.route.learn(given.known["members"], whole=True)
         self.changed, self.ended = Event(), Event()
-        self.ready = False
         control = control or given.control
         self.control = control and Control(address(control), limits, self.order, log)
         self.inherited: int | None = None  # the platform's listening socket, handed down
-        self.host.waits = Waits(state)
         seed = f"{given.terms.seed}/{listen}"  # senders of one fleet differ by their address
         if self.directory:
             self.directory.pause = Backoff(Random(seed + "/d"), limits.retry, limits.lists_backoff)
@@ -115,7 +113,7 @@
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, self.end)
         held = holds.read(self.state, self.log)
         self.host.restore(self.known, sorted(held))
-        self.host.waited(self.host.waits.others(wall()) if self.host.waits else [])
+        self.host.waited(self.host.waits.others(wall()))
         self.take_in.listen(self.inherited)
         if self.control:
             self.control.listen()
@@ -123,7 +121,6 @@
             gevent.spawn(self.keep, run)
         gc.collect()
         gc.freeze()
-        self.ready = True
         self.log.info(
             "ready", held=len(self.host.entries), endpoints=len(self.route.addresses),
             endpoints_held=len(held), inherited=self.inherited is not None,
@@ -161,22 +158,24 @@
                 self.host.adopt(adopted)
 
     def share_waits(self) -> None:
-        """Waits told to the other process of a hot upgrade bind this one from the next look."""
-        while self.host.waits is not None:
+        """Waits told to the other process of a hot upgrade bind this one from the next look; this one's are
+        written for it at most once a look, not in the turn that heard them."""
+        while True:
             gevent.sleep(self.limits.waits_every)
+            self.host.waits.write(wall())
             self.host.waited(self.host.waits.others(wall()))
 
     def order(self, call: Call) -> tuple[bool, str]:
         """An operator's call at the control address: whether it was done, and the words of the answer."""
         held = self.host.sender.held
-        if call.name == "PING":
-            return (True, "") if self.ready else (False, "not ready")
+        if call.name == "PING":  # the control address listens once the ledger is restored
+            return True, ""
         if call.name == "LAMEDUCK":
             self.take_in.lameduck(True)
             return True, "lame duck: not ready, clients sent away"
         if call.name == "REJOIN":
             self.take_in.lameduck(False)
-            return True, "ready" if self.ready and not self.take_in.closing else "ending"
+            return True, "ending" if self.take_in.closing else "ready"
         endpoint, out = str(call.argument), call.name == "DETACH"
         if endpoint not in self.route.rows and endpoint not in held:
             return False, f"unknown endpoint {endpoint}"
--- a/ashpath/node/waits.py
+++ b/ashpath/node/waits.py
@@ -24,15 +24,25 @@
     def __init__(self, folder: Path) -> None:
         self.folder, self.own = folder, folder / f"{PREFIX}{os.getpid()}"
         self.mine: dict[str, int] = {}
+        self.changed = False  # since the file was last written
         self.seen: dict[str, tuple[int, int]] = {}  # others' files: size and time as last read
 
     def told(self, destination: int, endpoint: str, end: int, now: int) -> None:
-        """A wait told to this process. A file that cannot be written leaves the module's wait as it is."""
-        self.mine = {key: until for key, until in self.mine.items() if until > now}
+        """A wait told to this process; it is in the file from the next `write`."""
         key = f"{destination} {endpoint}"
-        self.mine[key] = max(end, self.mine.get(key, 0))
+        if end > self.mine.get(key, 0):
+            self.mine[key], self.changed = end, True
         if len(self.mine) > MOST:
+            self.mine = {key: until for key, until in self.mine.items() if until > now}
             self.mine = dict(sorted(self.mine.items(), key=lambda item: -item[1])[:MOST])
+
+    def write(self, now: int) -> None:
+        """What changed since the last write, less the waits that are over (`now`: wall-clock microseconds).
+        A file that cannot be written leaves the module's waits as they are; tried again at the next wait."""
+        if not self.changed:
+            return
+        self.changed = False
+        self.mine = {key: until for key, until in self.mine.items() if until > now}
         fresh = self.own.with_name(f"{self.own.name}.new")
         try:
             fresh.write_bytes(orjson.dumps(self.mine))
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -169,9 +169,11 @@
     old, new = Waits(tmp_path), Waits(tmp_path)
     old.own = tmp_path / "waits-1"  # two processes in one: the files differ by their pid
     old.told(7, "x1", end=5_000_000, now=1_000_000)
+    old.write(1_000_000)
     assert new.others(2_000_000) == [(7, "x1", 5_000_000)] and new.others(2_000_000) == []
     (tmp_path / "waits-2").write_bytes(b'{"7 x1": 9')  # torn: binds nobody
     old.told(8, "x2", end=6_000_000, now=1_000_000)
+    old.write(1_000_000)
     assert (8, "x2", 6_000_000) in new.others(5_000_000) and (7, "x1", 9) not in new.others(5_000_000)
     old.own.touch()
     new.others(7_000_000)  # all over: the file is removed, and read by nobody again
