Control address: of 16 callers the one longest without a word gives way to the next

Seen: 64 callers that say nothing or half a line, and 25 of 25 PING answered `ERR busy`. Cause: `Control.run` counted callers and turned the next one away at `control_callers`, while each silent one kept its place for 5 s (`control_patience`); and a queue of 64 lets the 65th connect come again a second late. Ruled out: the calls themselves, which never wait.

Design: callers stand in an ordered table, longest without a word first; the next one makes that one give way, unless its words wait to be read. Road not taken: more callers at once, which takes descriptors from clients and only moves the number. A patience of under a second for silent ones: 500 of them would still fill any table.

--- a/ashpath/node/control.py
+++ b/ashpath/node/control.py
@@ -1,12 +1,15 @@
 """The stage that operators meet: the control address, one line a connection, answered within a second.
 
 Each caller has a greenlet of its own and a time of its own (`Limits.control_patience`): one that says
-nothing, or half a line, and stays holds only its own connection. Callers beyond `Limits.control_callers`
-are told `ERR busy` at once. What a call does is `calls`' business (`Node.order`); it never waits.
+nothing, or half a line, and stays holds only its own connection. Of `Limits.control_callers` at once the one
+longest without a word gives way to the next, unless it has just spoken: so callers that say nothing keep
+nobody out, and take no more descriptors than that. What a call does is `calls`' business (`Node.order`); it
+never waits.
 """
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
@@ -22,13 +25,13 @@
 class Control:
     def __init__(self, where: Address, limits: Limits, calls: Callable[[Call], tuple[bool, str]], log: Any):
         self.where, self.limits, self.calls, self.log = where, limits, calls, log
-        self.callers = 0
+        self.callers: OrderedDict[Any, None] = OrderedDict()  # longest without a word first; left as they end
 
     def listen(self) -> None:
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(self.where)
-        self.listener.listen(64)
+        self.listener.listen(1024)  # a caller that finds the queue full comes again a second late
 
     def run(self) -> None:
         while True:
@@ -37,11 +40,24 @@
             except OSError:
                 gevent.sleep(0.01)  # out of descriptors, or a caller that left again
                 continue
-            if self.callers >= self.limits.control_callers:
-                self.say(caller, answer(False, "busy"))
-                continue
-            self.callers += 1
+            while len(self.callers) >= self.limits.control_callers:
+                if not self.give_way():
+                    gevent.sleep(0)  # all have just spoken, and are answered now
+            self.callers[caller] = None
             gevent.spawn(self.serve, caller)
+            gevent.sleep(0)
+
+    def give_way(self) -> bool:
+        """Ends the caller longest without a word; False where words of all of them wait to be read."""
+        for caller in self.callers:
+            if not spoken(caller):
+                del self.callers[caller]
+                with suppress(OSError):
+                    caller.settimeout(0)
+                    caller.send(answer(False, "busy: said nothing for the longest"))
+                caller.close()
+                return True
+        return False
 
     def serve(self, caller: Any) -> None:
         data = b""
@@ -53,6 +69,7 @@
                     if not piece:
                         return  # left before its line was whole
                     data += piece
+                    self.callers.move_to_end(caller)
                     call = read(data)
             ok, words = self.calls(call)
             self.log.info("control call", call=call.name, argument=call.argument, ok=ok, words=words)
@@ -64,13 +81,24 @@
         except OSError:
             pass
         finally:
-            self.callers -= 1
+            self.callers.pop(caller, None)
             with suppress(OSError):
                 caller.close()
 
     def say(self, caller: Any, data: bytes) -> None:
         with suppress(OSError, Timeout), Timeout(self.limits.peer):
             caller.sendall(data)
-        if data.startswith(b"ERR busy"):
-            with suppress(OSError):
-                caller.close()
+
+
+def spoken(caller: Any) -> bool:
+    """Whether bytes of it, or its end, wait to be read. Does not wait."""
+    caller.settimeout(0)
+    try:
+        caller.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        caller.settimeout(None)
+    return True
