Clients sent away: no connection is closed whose request is on its way

Seen: 8 hot upgrades under 16 clients on kept connections that look before they send: 86 messages met a closed connection. Cause: `TakeIn.close_idle` closed at SIGTERM at once, also connections in `silent`, whose first request is on its way, and never asked whether bytes wait; LAMEDUCK did the same.

Change: with an inherited socket and in lame duck, kept connections may ask once more for `retire` (1.5 s), each answer ending its connection; a first request has its patience; a connection is closed only when nothing waits on it, also where its own patience ends. A request that is not whole 3.2 s after SIGTERM is answered 503, and the process waits for those answers within its 3.5 s. A plain restart still closes idle ones after 0.4 s, as a longer end there is a longer outage, but none with bytes waiting. Road not taken: half-closing the connection, since an answer could no longer be written to a request that crosses it.

--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -200,10 +200,10 @@
         """After SIGTERM: what can be finished is, the rest is in the ledger for the next life."""
         began, limits = monotonic(), self.limits
         self.log.info("ending", held=len(self.host.entries), out=len(self.host.flights))
-        self.take_in.closing = True
+        self.take_in.closing, self.take_in.answered_by = True, began + limits.answered_after_term
         if self.take_in.inherited:  # the process beside this one accepts; what is held here it adopts after
             self.take_in.stop()
-            self.take_in.close_idle()
+            gevent.spawn(self.take_in.send_away, limits.retire)
         else:
             gevent.sleep(limits.accept_after_term)
             self.admit.refusing = True
@@ -211,13 +211,17 @@
         while monotonic() < began + limits.shots_after_term and self.busy():
             gevent.sleep(0.02)
         self.host.ending = True
-        while monotonic() < began + limits.end_after_term and (self.host.flights or self.notices.waiting):
+        while monotonic() < began + limits.end_after_term and self.unfinished():
             gevent.sleep(0.02)
         self.log.info("ended", held=len(self.host.entries), out=len(self.host.flights))
         self.ended.set()
 
     def busy(self) -> bool:
-        return bool(self.host.entries or self.host.flights or self.notices.waiting or self.take_in.clients)
+        return bool(self.host.entries or self.take_in.clients) or self.unfinished()
+
+    def unfinished(self) -> bool:
+        """What no other process can finish: shots out, notices on their way, clients within a request."""
+        return bool(self.host.flights or self.notices.waiting or self.take_in.reading)
 
 
 def mode(descriptor: int) -> int:
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -30,6 +30,7 @@
         self.clients = 0
         self.freed = Event()
         self.closing = False  # every answer ends its connection
+        self.answered_by = float("inf")  # when whoever is still within a request is told 503
         self.lame = False  # a lame duck: not ready, every answer ends its connection, and nobody is refused
         self.inherited = False  # the listening socket is the platform's: another process may accept on it
         self.inquiry: Callable[[Message], tuple[int, bytes] | None] = lambda request: None
@@ -52,10 +53,10 @@
             self.listener.close()
 
     def lameduck(self, lame: bool) -> None:
-        """Clients are sent away, or back: those between requests at once, the rest at their answer."""
+        """Clients are sent away, or back: each with its next answer, or where none is asked for, soon."""
         self.lame = lame
         if lame:
-            self.close_idle()
+            gevent.spawn(self.send_away, self.limits.retire)
 
     def run(self) -> None:
         self.accepting = True
@@ -117,19 +118,23 @@
             pass
         with suppress(Timeout), Timeout(self.limits.request if first else self.limits.quiet):
             wire.more()
+        if not len(wire.buffer) and wire.waiting():
+            wire.more()  # it came as the patience ended: closing on it would leave it unread
         waiting.pop(wire, None)
         if not len(wire.buffer):
             return False  # closed, or silent for too long
         self.reading[wire] = monotonic()
         # A first request counts from the connection's start: guards against bytes that drip.
         patience = self.limits.request - (monotonic() - began if first else 0.0)
+        patience = min(patience, self.answered_by - monotonic())
         try:
             with Timeout(max(0.0, patience)):
                 request = wire.read_request()
                 if len(wire.buffer) or wire.waiting():
                     raise Malformed(400, "more than a request: its length is wrong, or no answer awaited")
         except (Malformed, Timeout) as error:
-            self.refuse(wire, error.status if isinstance(error, Malformed) else 408)
+            late = 503 if monotonic() >= self.answered_by else 408  # 503: its client goes to another process
+            self.refuse(wire, error.status if isinstance(error, Malformed) else late)
             return False
         finally:
             self.reading.pop(wire, None)
@@ -183,7 +188,16 @@
             return False
         return True
 
-    def close_idle(self) -> None:
-        """Between requests a connection may be closed: its client goes to another sender."""
-        for wire in (*self.silent, *self.idle):
-            wire.close()
+    def send_away(self, grace: float) -> None:
+        """Whoever asks within the grace (seconds) has an answer that ends its connection; idle ones are
+        closed after it. One before its first request is not idle: it has its patience."""
+        gevent.sleep(grace)
+        if self.lame or self.closing:
+            self.close_idle(self.idle)
+
+    def close_idle(self, *held: OrderedDict[Wire, float]) -> None:
+        """Between requests a connection may be closed: its client goes to another sender. Not one whose
+        request has come and waits to be read."""
+        for wire in [wire for wires in held or (self.silent, self.idle) for wire in wires]:
+            if wire.quiet():
+                wire.close()
