Waits and holds told to one process bind the other from its next shot: a mapped board

Read in the code: `share_waits` wrote a wait up to 0.1 s after it was told and the other read it up to 0.1 s later, while the rule allows 100 ms; `Node.run` ended without a last write; and a hold told to one process was read by the other only at its start.

Design: each process maps a board of its own to write and the others' to read (node/board.py). What is stored outlives SIGTERM and SIGKILL, as the kernel has it. Holds are changed under a lock and read anew by the other when its counter moves. Room is taken as the file is made (posix_fallocate), as a store into a hole on a full disk would end the process.

After: test_the_board_binds..., test_what_one_process_is_told_binds_the_other (fails when the host does not look).

--- a/ashpath/node/holds.py
+++ b/ashpath/node/holds.py
@@ -8,7 +8,10 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
+import time
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -16,7 +19,8 @@
 
 NAME = "held-endpoints"
 VERSION = 1
-MOST = 4096  # ids kept; a further hold is refused
+MOST = 4096  # ids kept
+TRIES = 50  # at the lock, a millisecond apart
 
 
 def read(folder: Path, log: Any) -> set[str]:
@@ -34,8 +38,26 @@
         return set()
 
 
+def change(folder: Path, endpoint: str, out: bool, log: Any) -> None:
+    """One more hold, or one fewer, in what the file says by now: the other process of a hot upgrade may have
+    written it. Raises OSError where it cannot be: the caller answers ERR, and the hold is not made."""
+    lock = os.open(folder / f"{NAME}.lock", os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        for tried in range(TRIES):
+            with suppress(BlockingIOError):
+                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+                held = read(folder, log)
+                if out and len(held) >= MOST:
+                    raise OSError(f"{MOST} endpoints are held already")
+                return write(folder, held | {endpoint} if out else held - {endpoint})
+            time.sleep(0.001 * (tried < TRIES - 1))  # the other has it for one small write
+        raise OSError("another process is writing it")
+    finally:
+        os.close(lock)
+
+
 def write(folder: Path, held: set[str]) -> None:
-    """Raises OSError where it cannot be written: the caller answers ERR, and the hold is not made."""
+    """Raises OSError."""
     fresh = folder / f"{NAME}.{os.getpid()}"
     try:
         fresh.write_bytes(orjson.dumps({"version": VERSION, "held": sorted(held)}))
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -8,12 +8,11 @@
 from ashpath.decide import Sender
 from ashpath.door import Ending, Listing, Past, Terms, Told
 from ashpath.node import names
+from ashpath.node.board import Board
 from ashpath.node.book import Book
 from ashpath.node.ledger import Entry, Ledger
 from ashpath.node.send import Flight, Send
 from ashpath.node.timers import Timers, now, wall
-from ashpath.node.waits import Told as Waited
-from ashpath.node.waits import Waits
 
 News = tuple[Callable[..., None], tuple[Any, ...]]
 
@@ -21,7 +20,7 @@
 class Host:
     """What the module asks for goes from here to the stages, in the order of its answers."""
 
-    def __init__(self, terms: Terms, ledger: Ledger, book: Book, send: Send, log: Any, waits: Waits) -> None:
+    def __init__(self, terms: Terms, ledger: Ledger, book: Book, send: Send, log: Any, board: Board) -> None:
         self.ledger, self.book, self.send, self.logger = ledger, book, send, log
         self.entries: dict[int, Entry] = {}  # what the sender owes an end; emptied as they have it
         self.flights: dict[int, Flight] = {}  # calls out, by envelope; emptied by their outcomes
@@ -29,11 +28,12 @@
         self.timers = Timers(self.woken)
         self.ending = False  # no shot is begun any more: what is held is the next life's
         self.sender = Sender(terms, self)
-        self.waits = waits  # kept for the other process of a hot upgrade
+        self.board = board  # what binds the other process of a hot upgrade at once, and the other way
+        self.holds: Callable[[], list[News]] = list  # what the file of holds says that is not done here yet
 
     def turn(self, *news: News) -> None:
         self.sender.open_turn(now())
-        for call, arguments in news:
+        for call, arguments in (*news, *self.shared()):
             call(*arguments)
         self.sender.close_turn()
         while self.queue:
@@ -41,6 +41,16 @@
             for act, arguments in work:
                 act(*arguments)
 
+    def shared(self) -> list[News]:
+        """What another process of this sender was told since the last look. It comes after a turn's own news,
+        which may list the endpoints, and before its close, which sends."""
+        if not self.board.changed():
+            return []
+        moment, clock = now(), wall()
+        told, holds = self.board.news(clock)
+        news: list[News] = [(self.sender.waited, (n, id_, moment + end - clock)) for n, id_, end in told]
+        return news + (self.holds() if holds else [])
+
     # News of the stages.
 
     def restore(self, rows: list[Listing], held: list[str] | None = None) -> None:
@@ -49,13 +59,6 @@
         news: list[News] = [(self.sender.hold, (endpoint, True)) for endpoint in held or []]
         self.adopt(list(self.ledger.live.values()), [*news, (self.sender.listed, (rows, True))])
 
-    def waited(self, told: list[Waited]) -> None:
-        """Waits told to another process of this sender, on the wall's clock."""
-        if told:
-            moment, clock = now(), wall()
-            news = [(self.sender.waited, (n, endpoint, moment + end - clock)) for n, endpoint, end in told]
-            self.turn(*news)
-
     def hold(self, endpoint: str, out: bool, row: Listing | None) -> None:
         self.turn((self.sender.hold, (endpoint, out, row)))
 
@@ -89,7 +92,7 @@
         number = flight.entry.number
         self.flights.pop(number, None)
         if wait:
-            self.waits.told(flight.entry.destination, flight.endpoint, wall() + wait, wall())
+            self.board.told(flight.entry.destination, flight.endpoint, wall() + wait)
         if closed:
             self.entries.pop(number, None)
         self.turn((self.sender.returned, (number, ending, wait, closed, told)))
@@ -104,6 +107,8 @@
         self.turn(*((self.sender.woken, (token,)) for token in tokens))
 
     def stands(self, entry: Entry) -> bool:
+        if self.board.changed():  # guards waits and holds told to the other process a moment ago
+            self.turn()
         return self.sender.stands(entry.number, now())
 
     # Answers of the module.
--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -48,7 +48,6 @@
     end_after_term: float = 3.5  # all is over by then
     retire: float = 1.5  # clients sent away may ask once more on an idle connection for so long
     hand_over: float = 0.5  # how often journals of processes gone in a hot upgrade are looked for
-    waits_every: float = 0.1  # how often waits told to another process of this sender are looked for
     control_patience: float = 5.0  # a caller of the control address has so long to send its line
     control_callers: int = 16  # callers of the control address at once; for a further one another gives way
     ends: int = 0  # bytes of ends kept for clients that ask, on disk, and as much memory
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -20,11 +20,12 @@
 from ashpath.node import holds
 from ashpath.node.admit import Admit
 from ashpath.node.backoff import Backoff
+from ashpath.node.board import PLACES, SIZE, Board
 from ashpath.node.book import Book
 from ashpath.node.control import Control
 from ashpath.node.control_line import Call
 from ashpath.node.directory import Directory
-from ashpath.node.host import Host
+from ashpath.node.host import Host, News
 from ashpath.node.ledger import Ledger
 from ashpath.node.limits import Limits
 from ashpath.node.log import Form, Lines, logger
@@ -34,8 +35,6 @@
 from ashpath.node.route import Route, address
 from ashpath.node.send import Send
 from ashpath.node.take_in import TakeIn
-from ashpath.node.timers import wall
-from ashpath.node.waits import Waits
 from ashpath.terms import node_terms, told_fields
 
 UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
@@ -65,19 +64,25 @@
     """One sender on sockets: who owns what is decided here, once. `read` reads anew what it was given."""
 
     def __init__(
-        self, given: Given, listen: str, state: Path, log: Any, read: Callable[[], Given], control: str = ""
+        self, given: Given, listen: str, state: Path, log: Any, read: Callable[[], Given], control: str = "",
+        inherited: int | None = None,
     ) -> None:
         self.given, self.read, self.log, self.state = given, read, log, state
         terms, self.limits = given.terms, given.limits
         limits = self.limits
-        self.ledger = Ledger(state, limits.disk)
+        places = 1 if inherited is None else PLACES  # who binds the address is alone
+        self.ledger = Ledger(state, limits.disk - places * SIZE)
+        board = Board(state, places)
+        if board.own is None:
+            log.error("no place on the board: waits and holds told to this process bind no other")
         self.notices, ends = self.tellers(state)
         self.pool = Pool(limits)
         self.route = Route(given.kinds, given.zones, self.pool, log)
         book = Book(self.ledger, self.notices, ends)
         relay = Relay(book, told_fields(given.settings) is not None)
         self.send = Send(self.pool, self.route, relay)
-        self.host = Host(terms, self.ledger, book, self.send, log, Waits(state))
+        self.host = Host(terms, self.ledger, book, self.send, log, board)
+        self.host.holds = self.not_done
         self.route.told, relay.returned = self.host.listed, self.host.returned
         self.send.stands = self.host.stands
         self.admit = Admit(terms, given.tracks, self.route, self.host, book, log)
@@ -88,7 +93,7 @@
         self.changed, self.ended = Event(), Event()
         control = control or given.control
         self.control = control and Control(address(control), limits, self.order, log)
-        self.inherited: int | None = None  # the platform's listening socket, handed down
+        self.inherited = inherited  # the platform's listening socket, handed down
         seed = f"{given.terms.seed}/{listen}"  # senders of one fleet differ by their address
         if self.directory:
             self.directory.pause = Backoff(Random(seed + "/d"), limits.retry, limits.lists_backoff)
@@ -105,7 +110,7 @@
         control = [self.control.run] if self.control else []
         return [
             self.follow, *directory, self.notices.run, self.host.timers.run, self.pool.run, self.take_in.run,
-            self.hand_over, self.share_waits, *control,
+            self.hand_over, *control,
         ]  # fmt: skip
 
     def run(self) -> None:
@@ -113,7 +118,6 @@
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, self.end)
         held = holds.read(self.state, self.log)
         self.host.restore(self.known, sorted(held))
-        self.host.waited(self.host.waits.others(wall()))
         self.take_in.listen(self.inherited)
         if self.control:
             self.control.listen()
@@ -157,13 +161,11 @@
                 self.log.info("journal adopted", envelopes=len(adopted))
                 self.host.adopt(adopted)
 
-    def share_waits(self) -> None:
-        """Waits told to the other process of a hot upgrade bind this one from the next look; this one's are
-        written for it at most once a look, not in the turn that heard them."""
-        while True:
-            gevent.sleep(self.limits.waits_every)
-            self.host.waits.write(wall())
-            self.host.waited(self.host.waits.others(wall()))
+    def not_done(self) -> list[News]:
+        """Holds that the other process of a hot upgrade was told."""
+        held, here = holds.read(self.state, self.log), self.host.sender.held
+        changed = [(endpoint, endpoint in held) for endpoint in sorted(held ^ here)]
+        return [(self.host.sender.hold, (id_, out, self.route.rows.get(id_))) for id_, out in changed]
 
     def order(self, call: Call) -> tuple[bool, str]:
         """An operator's call at the control address: whether it was done, and the words of the answer."""
@@ -181,9 +183,10 @@
             return False, f"unknown endpoint {endpoint}"
         if out != (endpoint in held):
             try:
-                holds.write(self.state, held | {endpoint} if out else held - {endpoint})
+                holds.change(self.state, endpoint, out, self.log)
             except OSError as error:
                 return False, f"hold not kept: {error.strerror or error}"
+            self.host.board.held()
             self.host.hold(endpoint, out, self.route.rows.get(endpoint))
         return True, f"{endpoint} {'draining' if out else 'back, cold'}"
 
@@ -255,9 +258,8 @@
 
     log, lines = logger(name, Form())
     try:
-        sender = Node(read(), listen, state, log, read, control)
-        sender.inherited = None if inherited is None else int(inherited)
-        return sender, lines
+        descriptor = None if inherited is None else int(inherited)
+        return Node(read(), listen, state, log, read, control, descriptor), lines
     except UNUSABLE as error:
         raise BadStart(f"cannot start from {path}: {type(error).__name__} {error}") from None
 
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -5,19 +5,21 @@
 import os
 import signal
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 from random import Random
 
+import gevent
 import pytest
 from gevent import socket, subprocess
-from rigs.world import LIMITS, World, free, until
+from rigs.world import LIMITS, World, free, request, until
 
 from ashpath.node import directory, holds
 from ashpath.node.backoff import Backoff
-from ashpath.node.codec import Message, write_head
+from ashpath.node.board import HEAD, WAITS, Board
+from ashpath.node.codec import Message, Wire, write_head
 from ashpath.node.control_line import LONGEST, Call, Unreadable, answer, read
 from ashpath.node.ledger import Entry, Ledger
-from ashpath.node.waits import Waits
 
 READY = write_head(b"GET /health/ready HTTP/1.1", [], b"")
 LINES = [  # what a caller sent so far: the call, None while the line is not whole, or the reason of the ERR
@@ -111,7 +113,15 @@
     until(lambda: world.count("l1") == 1)
     assert world.call(b"REJOIN\n").startswith(b"OK")
     until(lambda: world.ask(READY) == 200)
-    assert half.recv(100).startswith(b"ERR no whole line")  # after its own patience, alone
+    crowd = [socket.create_connection(world.control) for _ in range(300)]
+    crowd[0].sendall(b"PI")
+    for _ in range(10):  # callers that say nothing keep nobody out: those longest silent give way
+        assert world.call(b"PING\n") == b"OK\n"
+        crowd += [socket.create_connection(world.control) for _ in range(20)]
+    assert world.ask(READY) == 200
+    for caller in crowd:
+        caller.close()
+    assert half.recv(100).startswith(b"ERR ")  # after its own patience, alone
     half.close()
     silent.close()
 
@@ -132,31 +142,22 @@
     assert world.call(b"ATTACH e5\n").startswith(b"OK")
 
 
-def test_hand_over_on_an_inherited_socket(tmp_path: Path) -> None:
+@pytest.fixture
+def pair(tmp_path: Path) -> Iterator[tuple[World, World]]:
+    """Two processes of one sender on one listening socket; the second is not started yet."""
     listener = socket.socket()
     listener.bind(("127.0.0.1", 0))
     listener.listen(64)
     os.set_inheritable(listener.fileno(), True)
     old = World(tmp_path, inherited=listener)
     new = World.__new__(World)
+    new.__dict__.update(old.__dict__)
+    new.control, new.process = free(), None
     try:
         old.start()
-        live = old.connect()  # a client with its connection open across the upgrade
-        assert live is not None
-        assert old.hand_in("u1", "free", "hang", 3, left=6000) == 202  # still out when the old one ends
-        new.__dict__.update(old.__dict__)
-        new.control, new.process = free(), None
-        new.start()  # no second bind: both take from one queue
-        assert old.process is not None
-        old.process.send_signal(signal.SIGTERM)
-        until(lambda: old.process is not None and old.process.poll() is not None)
-        assert old.process.returncode == 0
-        assert new.hand_in("u2", "free", "200", 4) == 202
-        until(lambda: new.count("u2") == 1)
-        assert live.more() is False or not len(live.buffer)  # the old one closed it: its client moves on
-        assert new.told("u1") == ["deferred"]  # one end, told once, by whichever process had it
+        yield old, new
     finally:  # guards the machine against a sender left running by a failed run
-        for process in (getattr(new, "process", None), old.process):
+        for process in (new.process, old.process):
             if process is not None and process.poll() is None:
                 process.kill()
                 process.wait()
@@ -165,19 +166,113 @@
         listener.close()
 
 
-def test_waits_of_one_process_are_read_by_the_other_once(tmp_path: Path) -> None:
-    old, new = Waits(tmp_path), Waits(tmp_path)
-    old.own = tmp_path / "waits-1"  # two processes in one: the files differ by their pid
-    old.told(7, "x1", end=5_000_000, now=1_000_000)
-    old.write(1_000_000)
-    assert new.others(2_000_000) == [(7, "x1", 5_000_000)] and new.others(2_000_000) == []
-    (tmp_path / "waits-2").write_bytes(b'{"7 x1": 9')  # torn: binds nobody
-    old.told(8, "x2", end=6_000_000, now=1_000_000)
-    old.write(1_000_000)
-    assert (8, "x2", 6_000_000) in new.others(5_000_000) and (7, "x1", 9) not in new.others(5_000_000)
-    old.own.touch()
-    new.others(7_000_000)  # all over: the file is removed, and read by nobody again
-    assert not old.own.exists() and not list(tmp_path.glob("waits-*.new"))
+def gone(one: World) -> None:
+    assert one.process is not None
+    one.process.send_signal(signal.SIGTERM)
+    until(lambda: one.process is not None and one.process.poll() is not None)
+    assert one.process.returncode == 0
+
+
+def test_hand_over_on_an_inherited_socket(pair: tuple[World, World]) -> None:
+    old, new = pair
+    live = old.connect()  # a client with its connection open across the upgrade
+    assert live is not None
+    assert old.hand_in("u1", "free", "hang", 3, left=6000) == 202  # still out when the old one ends
+    new.start()  # no second bind: both take from one queue
+    gone(old)
+    assert new.hand_in("u2", "free", "200", 4) == 202
+    until(lambda: new.count("u2") == 1)
+    assert live.more() is False or not len(live.buffer)  # the old one closed it: its client moves on
+    assert new.told("u1") == ["deferred"]  # one end, told once, by whichever process had it
+
+
+def accepted(old: World, silent: bytes = b"") -> Wire:
+    """A connection that the old process has, its first request perhaps begun."""
+    wire = old.connect()
+    assert wire is not None
+    wire.write(silent)
+    return wire
+
+
+def test_no_client_is_left_at_the_door_of_an_upgrade(pair: tuple[World, World]) -> None:
+    """Guards requests on their way as a process is told to end: kept connections that ask once more, first
+    requests not yet begun, and ones that come in pieces. Each has its answer, which ends its connection."""
+    old, new = pair
+    kept = [accepted(old, READY) for _ in range(4)]
+    assert [wire.read_answer().status for wire in kept] == [200] * 4
+    for wire in kept:
+        wire.finish_answer()
+    slow = accepted(old, request("d-slow", "free", "200", 3)[:40])
+    silent = accepted(old)
+    gevent.sleep(0.3)  # the old one has them all
+    new.start()
+    assert old.process is not None
+    old.process.send_signal(signal.SIGTERM)
+    asked = []
+    for number, wire in enumerate((*kept[:3], silent)):
+        gevent.sleep(0.2)
+        assert wire.quiet(), f"connection {number} was closed before it could ask"
+        wire.write(request(f"d{number}", "free", "200", 4))
+        asked.append(wire.read_answer())
+    slow.write(request("d-slow", "free", "200", 3)[40:])
+    asked.append(slow.read_answer())
+    assert [(answer.status, answer.keep) for answer in asked] == [(202, False)] * 5
+    assert kept[3].more() is False  # idle all along: closed in time
+    until(lambda: old.process is not None and old.process.poll() is not None)
+    until(lambda: all(new.count(trace) == 1 for trace in ("d0", "d1", "d2", "d3", "d-slow")))
+    assert not any(new.told(trace) for trace in ("d0", "d1", "d2", "d3", "d-slow"))
+
+
+def test_what_one_process_is_told_binds_the_other(pair: tuple[World, World]) -> None:
+    """Guards the rules on waits and drains in an overlap: to them both processes are one sender."""
+    old, new = pair
+    new.start()
+    assert new.call(b"DETACH e5\n").startswith(b"OK") and old.call(b"DETACH e6\n").startswith(b"OK")
+    gone(old)
+    assert holds.read(old.folder / "state", None) == {"e5", "e6"}
+    assert new.hand_in("b5", "free", "200", 5, left=2500) == 202
+    assert new.hand_in("b6", "free", "200", 6, left=2500) == 202
+    until(lambda: new.told("b5") and new.told("b6"))
+    assert new.count("b5") == new.count("b6") == 0
+
+
+def test_the_board_binds_the_other_process_from_its_next_look(tmp_path: Path) -> None:
+    """Guards waits heard by one process of a hot upgrade: the other is bound at once, whoever ends how."""
+    old, new, late = Board(tmp_path), Board(tmp_path), Board(tmp_path)
+    assert not new.changed() and new.own is not None and new.own is not old.own
+    old.told(7, "x1", 5_000_000)
+    assert new.changed() and new.news(1_000_000) == ([(7, "x1", 5_000_000)], False)
+    assert not new.changed() and not old.changed()
+    old.told(7, "x1", 4_000_000)  # shorter than the one told: nothing new
+    assert not new.changed()
+    old.told(8, "e" * 200, 6_000_000)  # an id too long for a record: its whole destination waits
+    assert (8, "", 6_000_000) in new.news(5_500_000)[0] and late.news(5_500_000)[0] == [(8, "", 6_000_000)]
+    old.held()
+    assert new.news(0)[1] and not new.news(0)[1]
+    for number in range(WAITS + 5):  # a full board: those that end first have given way
+        old.told(number, "y", 10_000_000 + number)
+    told = new.news(0)[0]
+    assert len(told) == WAITS and {end - 10_000_000 for _, _, end in told} == set(range(5, WAITS + 5))
+    assert old.own is not None
+    old.own[HEAD.size + 8] ^= 1  # torn: binds nobody
+    old.count()
+    old.held()
+    assert len(new.news(0)[0]) == WAITS - 1
+    old.close()  # as a SIGKILL would: nothing is written at the end
+    again = Board(tmp_path)  # takes the place over, and with it what stood there
+    assert len(again.news(0)[0]) == WAITS - 1 and len(late.news(0)[0]) == WAITS - 1
+    again.told(1, "z", 20_000_000)
+    assert (1, "z", 20_000_000) in new.news(0)[0]
+    for board in (new, late, again):
+        board.close()
+    (tmp_path / "board-0").write_bytes(b"foreign" * 5000)
+    assert Board(tmp_path, 1).news(0) == ([], False)
+    with pytest.MonkeyPatch.context() as patch:  # a full disk: no place, no crash, and it still looks
+        patch.setattr(os, "posix_fallocate", lambda *_: (_ for _ in ()).throw(OSError(28, "no space")))
+        (tmp_path / "fresh").mkdir()
+        none = Board(tmp_path / "fresh")
+        none.told(1, "a", 9)
+        assert none.own is None and none.news(0) == ([], False)
 
 
 def test_the_directory_backs_off_by_lot_when_turned_away(monkeypatch: pytest.MonkeyPatch) -> None:
