--- a/ashpath/node/codec.py
+++ b/ashpath/node/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from contextlib import suppress
 from typing import Any
 
 import gevent
@@ -15,6 +16,8 @@
 END_OF_HEAD = b"\r\n\r\n"
 STATUS = re.compile(rb"HTTP/1\.[01] ([1-5][0-9][0-9])( [^\r\n]*)?\r?\n")
 LENGTHS = {b"content-length", b"transfer-encoding"}
+CHUNK = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(;[^\x00-\x08\x0a-\x1f]*)?")
+CHUNK_LINE = 1024  # bytes of a chunk's size with what is said beside it, or of a line behind the last one
 
 
 class Malformed(Exception):
@@ -73,6 +76,50 @@
         return b"".join(self.pieces)
 
 
+class Chunked:
+    """Finds where a body in chunks ends, as it comes; nothing is taken, so not a byte beyond it is either.
+
+    >>> buffer, body = Buffer(64, 64), Chunked(64)
+    >>> def came(data):
+    ...     buffer.space(len(data))[:len(data)] = data
+    ...     buffer.added(len(data))
+    ...     return body.end(buffer)
+    >>> came(b"3;x=1\\r\\nab"), came(b"c\\r"), came(b"\\n0\\r\\nt: 1\\r\\n"), came(b"\\r\\nHTTP")
+    (None, None, None, 23)
+    """
+
+    def __init__(self, most: int) -> None:
+        self.most, self.at, self.last = most, 0, False
+
+    def end(self, buffer: Buffer) -> int | None:
+        """The bytes up to its end; none while that is not here. Raises Malformed."""
+        while (end := buffer.find(b"\r\n", self.at)) >= 0:
+            line, after = buffer.peek(self.at, end), end + 2
+            if self.last and not line:
+                return after
+            if not self.last:
+                found = CHUNK.fullmatch(line)
+                if found is None:
+                    raise Malformed(400, "a chunk without a proper size")
+                size = int(found[1], 16)
+                if self.at + size > 2 * self.most:
+                    raise Malformed(413, "body too long")
+                if size and len(buffer) < after + size + 2:
+                    return None
+                if size and buffer.peek(after + size, after + size + 2) != b"\r\n":
+                    raise Malformed(400, "a chunk longer than its size")
+                after, self.last = after + size + 2 * (size > 0), not size
+            if len(line) > CHUNK_LINE or after > 2 * self.most:
+                raise Malformed(413, "chunks with too much beside them")
+            self.at = after
+        if len(buffer) - self.at > CHUNK_LINE:
+            raise Malformed(400, "a line of chunks without end")
+        return None
+
+
+Frame = int | Chunked | None  # a length, chunks, or all up to the end of the connection
+
+
 def stays(message: Message, parser: Any) -> bool:
     """Whether the connection goes on. The parser's own word on it is another once a message is complete."""
     told = message.headers.get(b"connection", b"").lower().replace(b" ", b"").split(b",")
@@ -147,9 +194,9 @@
         self.read_head(message, parser, "request")
         message.method, message.keep = parser.get_method(), stays(message, parser)
         length = self.length(message)
-        if length is None and message.headers[b"transfer-encoding"].lower() != b"chunked":
+        if length is None:
             raise Malformed(400, "an end that is not known")
-        if length is not None and length > self.limits.body:
+        if isinstance(length, int) and length > self.limits.body:
             raise Malformed(413, "body too long")
         if message.headers.get(b"expect", b"").lower() == b"100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -198,15 +245,23 @@
     def ends(self, message: Message, parser: Any) -> bool:
         """Whether the far end said where the answer ends, within bounds, so that another may follow."""
         length = self.rest[2]
-        return stays(message, parser) and length is not None and length <= self.limits.body
+        bounded = length <= self.limits.body if isinstance(length, int) else length is not None
+        return bounded and stays(message, parser)
 
     def body_here(self) -> bool:
         message, _, length = self.rest
-        return message.done or (length is not None and len(self.buffer) >= length)
+        with suppress(Malformed):  # said where it is read
+            end = self.known_end(length)
+            return message.done or (end is not None and len(self.buffer) >= end)
+        return False
+
+    def known_end(self, length: Frame) -> int | None:
+        """The bytes that a body has, as far as that is known by now."""
+        return length.end(self.buffer) if isinstance(length, Chunked) else length
 
     def finish_answer(self) -> Message:
         message, parser, length = self.rest
-        if length is not None and length > self.limits.body:
+        if isinstance(length, int) and length > self.limits.body:
             raise Malformed(413, "an answer too long")
         self.read_body(message, parser, length)
         return message
@@ -232,15 +287,17 @@
             raise Malformed(400, f"{what} without a proper head")
         self.buffer.take(fed)
 
-    def read_body(self, message: Message, parser: Any, length: int | None) -> None:
-        """A body of known length is fed in one piece; one in chunks or up to the end as it comes."""
+    def read_body(self, message: Message, parser: Any, length: Frame) -> None:
+        """A body whose end is known is fed in one piece, one up to the end of the connection as it comes."""
         size = 0
         while not message.done:
             have = len(self.buffer)
-            if have and (length is None or have >= length):
-                count = have if length is None else length
-                self.feed(parser, self.buffer.take(count))
-                size += count
+            end = have if length is None else self.known_end(length)
+            if have and end is not None and have >= end:
+                self.feed(parser, self.buffer.take(end))
+                size += end
+                if length is not None and not message.done:
+                    raise Malformed(400, "a body that does not end where it should")
                 if size > 2 * self.limits.body or len(message.body) > self.limits.body:
                     raise Malformed(413, "body too long")
             elif not self.more():
@@ -256,11 +313,14 @@
         except httptools.HttpParserError as error:
             raise Malformed(400, str(error)) from None
 
-    def length(self, message: Message) -> int | None:
+    def length(self, message: Message) -> Frame:
         if message.doubled & LENGTHS or message.headers.keys() >= LENGTHS:
             raise Malformed(400, "two lengths: who believes the other finds another message in the body")
-        if b"transfer-encoding" in message.headers:
-            self.spoilt = True  # where it ends is the parser's to say, so nothing may follow
+        coding = message.headers.get(b"transfer-encoding")
+        if coding is not None:
+            if coding.lower() == b"chunked":
+                return Chunked(self.limits.body)
+            self.spoilt = True  # where it ends is not known, so nothing may follow
             return None
         text = message.headers.get(b"content-length")
         if text is None:
