What a destination is used to: an unbiased rate, and half of what is asked for it

`Gate.rate` is counted over ten seconds and started at 0, so 2 s into a life it was a fifth of the truth, and after an upgrade it was 0 and the floor (`LEAST_KNOWN`, 0.2/s) held: one call in 14 s to find the return, and one in 14 s at first after it. Ruled out: told waits (0 at both), slots (2 of 34 out), the pace (no limit told there).

Lines at fault: `Gate.succeed` (a mean over ten seconds from a life of two) and `Gate.allowance` (nothing but own completions).

Change, the smallest: `Flow` counts by an unbiased mean (divided by the part of its ten seconds that has been), its clock stands while a destination recovers; and the guard takes half of what is handed in for a destination where that is more than was completed. Half, as a client may ask again after a bounce; the sum over a fleet of what is asked is the destination's own load, so that half of it times the guard's share stays under the rule's multiple. Restored envelopes do not count: they come all at once.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -43,6 +43,7 @@
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
 RATED_OVER = 10 * SECOND  # the time over which completions are counted; longer is steadier, later to follow
 LEAST_KNOWN = 0.2  # calls a second taken for usual where less is known; more probes more
+ASKED_AGAIN = 0.5  # of the envelopes handed in while it is out, so many are not there again after a bounce
 CAUTION = 0.9  # share used of what the rule on returning destinations allows
 ROOM_USED = 0.9  # past this part of the room late envelopes give way; less gives up more, more turns away new
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
@@ -147,6 +148,25 @@
         return None if self.tokens >= 1 else now + int((1 - self.tokens) * SECOND / rate) + 1
 
 
+@dataclass(eq=False)
+class Flow:
+    """How many a second, over RATED_OVER, or since `began` where that is shorter."""
+
+    began: int
+    at: int = 0
+    sum: float = 0.0
+
+    def count(self, now: int, part: float = 1.0) -> None:
+        self.sum, self.at = self.sum * exp((self.at - now) / RATED_OVER) + part, now
+
+    def skip(self, now: int) -> None:  # the time since the last one does not count
+        self.began, self.at = self.began + now - self.at, now
+
+    def rate(self) -> float:
+        age = max(SECOND, self.at - self.began)
+        return self.sum * SECOND / RATED_OVER / (1 - exp(-age / RATED_OVER))
+
+
 Breaker = Enum("Breaker", "CLOSED OPEN PROBING")
 
 
@@ -166,7 +186,8 @@
         self.bad, self.bad_at = 0.0, sender.now  # share of late answers that were errors or resets
         self.failures = 0.0  # in a row; those that may have other causes count half
         self.ailing, self.warm_from, self.guard = False, -sender.terms.ramp_time, Bucket()
-        self.rate = 0.0  # own completions a second, over RATED_OVER, while well
+        self.done = Flow(sender.now, sender.now)  # own completions, while well
+        self.asked = Flow(sender.now, sender.now)  # envelopes handed in for it, some of them again
 
     def opens_at(self, now: int) -> int | None:
         """None if a call may go now, else the time to look again (0: an outcome will tell)."""
@@ -187,6 +208,10 @@
             return guarded
         return self.paced.due(now, self.pace, max(1.0, PACE_BURST * self.told * self.share))
 
+    @property
+    def rate(self) -> float:
+        return self.done.rate()
+
     def tell(self, told: Told | None) -> None:
         if told:
             self.share = told.left
@@ -204,7 +229,8 @@
         terms = self.sender.terms
         warm = 0.0 if self.ailing else min(1.0, (now - self.warm_from) / max(1, terms.ramp_time))
         present = terms.cold_share + (1 - terms.cold_share) * warm
-        return CAUTION * terms.fall_multiple * present * max(self.rate, self.split(), LEAST_KNOWN)
+        usual = max(self.rate, ASKED_AGAIN * self.asked.rate(), self.split(), LEAST_KNOWN)
+        return CAUTION * terms.fall_multiple * present * usual
 
     def recovering(self, now: int) -> bool:  # guards against pushing over a destination that returns cold
         return self.ailing or now < self.warm_from + self.sender.terms.ramp_time
@@ -273,13 +299,12 @@
         return shot.endpoint.quick > shot.mark + OVERTAKEN
 
     def succeed(self, shot: Shot, took: int) -> None:
-        since, now, endpoint = self.succeeded_at, self.sender.now, shot.endpoint
+        now, endpoint = self.sender.now, shot.endpoint
         fast = 2 * took < shot.timeout
         endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
         endpoint.failing, endpoint.quick = (1 - GAIN) * endpoint.failing, endpoint.quick + fast
         self.failures, self.succeeded_at = 0, now
-        if not self.recovering(now):
-            self.rate = self.rate * exp((since - now) / RATED_OVER) + SECOND / RATED_OVER
+        (self.done.skip if self.recovering(now) else self.done.count)(now)
         self.bad -= GAIN * self.bad
         if self.told:
             self.sender.start = min(MOST_START, self.sender.start * START_GROWTH ** (2 * self.share))
@@ -460,8 +485,11 @@
         found = self.destinations.get(number)
         return found or self.destinations.setdefault(number, Destination(self, number))
 
-    def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
+    def take(self, id_: int, number: int, track: int, key: int | None, left: int, new: bool = True) -> None:
         row, destination, end = self.tracks[track], self.destination(number), self.now + left
+        gates = destination.gates() if new else []
+        for gate in gates:
+            gate.asked.count(self.now, 1 / len(gates))
         envelope = Envelope(id_, destination, row, end, end - row.terms.cutoff + row.terms.promised)
         self.envelopes[id_] = envelope
         if self.late and len(self.envelopes) > ROOM_USED * self.terms.room > 0:
@@ -477,7 +505,7 @@
 
     def restored(self, id_: int, number: int, track: int, key: int | None, left: int, past: Past) -> None:
         """Owed from an earlier life. What may have run still counts; waits and measurements are gone."""
-        self.take(id_, number, track, key, left)
+        self.take(id_, number, track, key, left, new=False)
         envelope, destination = self.envelopes[id_], self.destinations[number]
         envelope.shots = past.shots
         if past.ran_at is not None:
