--- a/ashpath/node/relay.py
+++ b/ashpath/node/relay.py
@@ -62,6 +62,10 @@
         ending = ENDINGS.get(status, Ending.ERROR)
         if status == 503 and headers.get(names.FULL, b"") == b"1":
             ending = Ending.UNSENT
+        elif status == 503 and flight.fresh and not answer.keep:
+            # Guards against a full table of connections taken for a limit or a shut destination: the first
+            # call on a connection is turned away with it.
+            ending = Ending.NO_CONNECTION
         wait = round((number(headers.get(names.WAIT)) or 0.0) * 1e6) if ending is Ending.FULL else 0
         return ending, wait, status in (200, 410), self.told(answer)
 
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -34,6 +34,7 @@
     due: int
     timeout: int
     written: bool = False
+    fresh: bool = False  # the first call on its connection
     answer: Message | None = None
     failure: BaseException | None = None
     greenlet: Any = None  # that carries it, once it has begun
@@ -69,6 +70,7 @@
                 # Guards drains and waits: the connection may have come up long after either was told.
                 if where is None or wire is None or not self.stands(flight.entry):
                     raise Unsent
+                flight.fresh = not wire.idled
                 wire.write(self.call(flight, where))
                 flight.written = True
                 flight.answer = wire.read_answer()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -432,6 +432,21 @@
         assert relay.told(answer) == told
 
 
+@pytest.mark.parametrize("fresh", [True, False])
+@pytest.mark.parametrize("closes", [True, False])
+@pytest.mark.parametrize("status", [503, 429, 500])
+def test_a_full_table_of_connections_is_no_limit(fresh: bool, closes: bool, status: int) -> None:
+    """Guards a fleet whose idle connections fill the tables of endpoints: they answer the first call of a new
+    connection 503 and close it. Taken for a limit, paces fell and gates opened, and nobody gave one back."""
+    relay, answer = Relay(Book(None, None), reports=True), Message()
+    answer.status, answer.keep = status, not closes
+    entry = Entry(1, "t", 0, 1, None, None, 0, b"")
+    flight = Flight(entry, "e1", 0, 0, written=True, fresh=fresh, answer=answer)
+    full_table = fresh and closes and status == 503
+    told = Ending.NO_CONNECTION if full_table else {500: Ending.ERROR}.get(status, Ending.FULL)
+    assert relay.outcome(flight)[0] is told
+
+
 class Pair(Wire):
     """A wire over a pair of local sockets, which have no TCP to set."""
 
