--- a/ashpath/partners/day.py
+++ b/ashpath/partners/day.py
@@ -45,6 +45,7 @@
     """The senders."""
 
     senders: Annotated[int, Key("how many", 1, 1000)] = 3
+    busiest: Annotated[float, Key("their traffic falls by rank to this power; 0: all the same", 0, 3)] = 0.0
     room: Annotated[int, Key("envelopes that each holds at once; 0: any number", 0, 1_000_000)] = 400
     front: Annotated[
         Duration, Key("so long after a sender died its clients are still sent to it", 0, MIN)
@@ -80,6 +81,8 @@
     sliding: Annotated[bool, Key("the span is always the latest one")] = False
     refused_count: Annotated[bool, Key("refused calls use the limit up")] = False
     wait: Annotated[Duration, Key("told with an answer above the limit; 0s: none", 0, MIN)] = Duration(0)
+    to_room: Annotated[bool, Key("told instead: until the limit of a span has room again")] = False
+    tells: Annotated[float, Key("share of answers above the limit that tell a wait", 0, 1)] = 1.0
     reports: Annotated[bool, Key("answers tell of the limit")] = False
     noise: Annotated[float, Key("sigma of what they tell", 0, 1)] = 0.0
     late: Annotated[Duration, Key("what they tell is so old", 0, MIN)] = Duration(0)
--- a/ashpath/partners/model.py
+++ b/ashpath/partners/model.py
@@ -37,6 +37,8 @@
     refused_count: bool = False  # refused calls use the limit up
     burst: float = 0.5  # tokens: seconds of the rate that may come at once
     wait: int = 0  # told with an answer above the limit; 0: it says only that it is full
+    to_room: bool = False  # told instead: until the limit of a span has room again
+    tells: float = 1.0  # the share of such answers that tell a wait at all
     reports: bool = False  # answers tell what is left of the limit, and the limit
     noise: float = 0.0  # sigma of what is told
     late: int = 0  # what is told is as old as this
@@ -236,7 +238,7 @@
             return call
         if self.shut or (nature.rate and not self.allowed(now)):
             call.meets, call.after = Meets.FULL, 0
-            call.wait = 0 if self.shut else nature.wait
+            call.wait = 0 if self.shut else self.wait(now)
             return self.report(now, call)
         begins = site.begins
         while begins and begins[0] <= now:
@@ -329,6 +331,15 @@
             return most - sum(1 for at in self.recent if at > now - nature.span)
         return most - (0 if now >= self.span_from + nature.span else len(self.recent))
 
+    def wait(self, now: int) -> int:
+        """What an answer above the limit tells: microseconds, or 0."""
+        nature = self.nature
+        if nature.tells < 1 and self.chance.random() >= nature.tells:
+            return 0
+        if not (nature.to_room and nature.span and self.recent):
+            return nature.wait
+        return max(0, (self.recent[0] if nature.sliding else self.span_from) + nature.span - now)
+
     def told_left(self, now: int, left: float) -> None:
         """Keeps what a late report will tell."""
         if self.nature.reports:
--- a/ashpath/partners/virtual.py
+++ b/ashpath/partners/virtual.py
@@ -9,9 +9,11 @@
 from __future__ import annotations
 
 import gc
+from bisect import bisect
 from collections import Counter, deque
 from collections.abc import Callable
 from heapq import heappop, heappush
+from itertools import accumulate
 from pathlib import Path
 from random import Random
 from typing import Any, Protocol
@@ -295,6 +297,7 @@
         self.make()
         for entry in list(self.entries.values()):
             work = entry.work
+            world.witness.restored(world.now, self.number, entry.number)
             unheard, entry.shots = bool(entry.shots >> 40), entry.shots & ((1 << 40) - 1)
             past = Past(entry.shots, entry.ran_at if entry.ran_at >= 0 else None, entry.ran_to, unheard)
             left = work.cutoff_at - world.now - self.wall
@@ -342,6 +345,7 @@
             host.known = {row.endpoint: row for row in rows}
             host.turn(host.policy.listed, rows, True)
         self.front = list(range(day.fleet.senders))  # senders that clients are sent to
+        self.weights: list[float] = []  # of those, added up; made anew as the front changes
         self.made = 0
         self.ends = length(day)
         for scripted in day.troubles:
@@ -407,7 +411,7 @@
     def hand_in(self, work: Work) -> None:
         if self.now >= work.cutoff_at:
             return self.give_up(work, "out of time")
-        number = self.front[self.clients.randrange(len(self.front))] if self.front else -1
+        number = self.pick()
         host = self.hosts[number] if number >= 0 else None
         if host is None or not host.alive:
             self.at(self.now + AGAIN, self.hand_in, work)  # nothing was taken on: another one is tried
@@ -416,6 +420,15 @@
         if answer is not None:
             self.ended(work, *answer)
 
+    def pick(self) -> int:
+        """The sender that a client is sent to; below 0: there is none."""
+        power = self.day.fleet.busiest
+        if not self.front or not power:
+            return self.front[self.clients.randrange(len(self.front))] if self.front else -1
+        if len(self.weights) != len(self.front):  # the front has changed since
+            self.weights = list(accumulate((number + 1) ** -power for number in self.front))
+        return self.front[bisect(self.weights, self.clients.random() * self.weights[-1])]
+
     def ended(self, work: Work, how: str, come_back: int) -> None:
         """Bounced or aborted; its client may hand it in again."""
         clients = self.day.clients
--- a/ashpath/partners/witness.py
+++ b/ashpath/partners/witness.py
@@ -17,6 +17,7 @@
 from ashpath.door import Repeat, TrackTerms
 
 LATE = 50_000  # a final answer so much later than the cut-off is in time: clocks of onlookers differ
+STARTING = 1_500_000  # after a start: what fell due meanwhile has its end by then
 BLAME = 2 / 3  # the part of the load that those who knew must have sent, for a fall to be theirs
 MOST = 100  # broken rules whose stories are kept; the rest is counted
 UNRUN = frozenset({"full", "no connection", "unsent"})  # outcomes that prove that a call has not run
@@ -108,7 +109,7 @@
         """A sender took an envelope on; with an id that an earlier life of it had, it goes on."""
         one = self.seen.get((sender, number))
         if one is not None:
-            return self.tell(one, at, "taken on again by the next life")
+            return self.restored(at, sender, number)
         one = self.seen[sender, number] = Seen(id_, sender, destination, terms, key, cutoff_at)
         self.tell(one, at, f"taken on for destination {destination}, cut-off at {cutoff_at}")
         if terms.ordered and key is not None:
@@ -117,6 +118,13 @@
                 queue = self.queues[sender, key] = Queue()
             queue.waiting.append(one)
 
+    def restored(self, at: int, sender: int, number: int) -> None:
+        """The next life of a sender has it. No end is overdue until shortly after a start."""
+        one = self.seen.get((sender, number))
+        if one is not None:
+            self.tell(one, at, "taken on again by the next life")
+            one.cutoff_at = max(one.cutoff_at, at + STARTING - LATE)
+
     def listed(self, at: int, sender: int, endpoint: str, on: bool) -> None:
         """A sender was told that an endpoint is on the list, or off it."""
         if on:
