--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -270,7 +270,8 @@
         vague = ending in (Ending.FULL, Ending.TIMED_OUT) or self.crowded(ending, took)
         self.failures += 0.25 * (self.share >= MUCH_LEFT) if limited else 0.5 if vague else 1
         # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
-        least, rate = (0.5, self.done.sum * SECOND / RATED_OVER) if vague else (1.0, self.rate)
+        least = 0.5 if vague and max(self.sender.crowding) <= CROWDED else 1.0  # else tables may be full
+        rate = self.done.sum * SECOND / RATED_OVER if vague else self.rate
         enough = min(RUN_OF_FAILURES, max(least, RUN_OF_FAILURES * rate))
         run = self.failures >= enough and self.sender.now - self.succeeded_at > SHUT_AFTER
         # So long a wait with much of the limit left is no limit's: it is shut, and all are told the same end.
