--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -37,6 +37,7 @@
 PACE_GROWTH = 0.4  # calls a second that a success adds to the pace, when all of the limit is left
 KEPT_BACK = 0.25  # the share of the limit that successes steer to; more wastes it, less draws refusals
 LEAST_PACE = 0.5  # of an even split: no lower, as the others cannot take it all for long
+TOLD_OVER = 2 * SECOND  # how long a told limit holds against the next; longer is steadier, later to follow
 PACE_BURST = 0.3  # seconds of the limit, as far as it is left, that may go at once; more overruns it
 MUCH_LEFT = 0.5  # refused with so much of the limit left: a shut destination, not the limit
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
@@ -181,6 +182,7 @@
         self.decreased_at, self.breaker = -1, Breaker.CLOSED
         self.reopened = self.open_until = self.wait_until = 0
         self.told, self.share = 0.0, 1.0  # what answers told: calls a second, share left: noisy, old
+        self.told_at = 0  # when they did
         self.pace, self.paced = 0.0, Bucket()  # calls a second allowed beside the limit: see `excused`
         self.pace_cut_at, self.succeeded_at = sender.now, sender.now
         self.bad, self.bad_at = 0.0, sender.now  # share of late answers that were errors or resets
@@ -206,7 +208,8 @@
         guarded = self.guard.due(now, self.allowance(now), 1.0) if self.recovering(now) else None
         if guarded or not self.pace:
             return guarded
-        return self.paced.due(now, self.pace, max(1.0, PACE_BURST * self.told * self.share))
+        burst = PACE_BURST * self.told * self.share / self.sender.terms.senders**0.5  # others have theirs
+        return self.paced.due(now, self.pace, max(1.0, burst))
 
     @property
     def rate(self) -> float:
@@ -214,9 +217,11 @@
 
     def tell(self, told: Told | None) -> None:
         if told:
-            self.share = told.left
-            self.told += GAIN * (told.rate - self.told) if self.told else told.rate
-            self.set_pace(self.pace or max(self.sender.start, self.split()))
+            was, since, self.share, self.told_at = self.told, self.told_at, told.left, self.sender.now
+            gain = max(GAIN, 1 - exp((since - self.told_at) / TOLD_OVER)) if was else 1.0
+            self.told += gain * (told.rate - was)
+            # A pace is a part of the limit: who calls seldom hears of a lower one once, and follows at once.
+            self.set_pace(self.pace * self.told / was if self.pace else max(self.sender.start, self.split()))
 
     def split(self) -> float:
         return self.told / self.sender.terms.senders
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -108,9 +108,10 @@
         """What runs beside one another until the end."""
         directory = [self.directory.run] if self.directory else []
         control = [self.control.run] if self.control else []
+        beside = [] if self.inherited is None else [self.hand_over]  # who binds the address is alone
         return [
             self.follow, *directory, self.notices.run, self.host.timers.run, self.pool.run, self.take_in.run,
-            self.hand_over, *control,
+            *beside, *control,
         ]  # fmt: skip
 
     def run(self) -> None:
