A wait told for an endpoint not known here binds all routes of its destination

Seen by reading the change once more: an id longer than a record of the board is told without it, and `Sender.waited` then set the destination's own gate, which no shot asks where endpoints are separate routes: the wait bound nobody. Line at fault: the `else destination.gate` there. Change: all of the destination's gates, which is that one gate where routes are not separate. Too wide for the rest of such a wait, and within the rule. The new test fails without it.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -603,11 +603,12 @@
                 self.dirty[destination] = self.stirred[destination] = None
 
     def waited(self, number: int, endpoint: str, until: int) -> None:
-        """A wait told to another process of this sender (a hot upgrade): it binds here too."""
+        """A wait told to another process of this sender (a hot upgrade): it binds here too, and all routes
+        of the destination where the endpoint is not known here."""
         destination = self.destination(number)
         known = destination.known.get(endpoint)
-        gate = known.gate if known is not None else destination.gate
-        gate.wait_until = max(gate.wait_until, until)
+        for gate in destination.gates() if known is None else [known.gate]:
+            gate.wait_until = max(gate.wait_until, until)
         self.dirty[destination] = self.stirred[destination] = None
 
     def woken(self, token: str) -> None:
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -29,6 +29,18 @@
     assert doctest.testmod(settings).failed == doctest.testmod(scenario).failed == 0
 
 
+def test_a_wait_at_an_endpoint_not_known_here_binds_all_routes() -> None:
+    """Guards separate routes in a hot upgrade: an id too long for the board is told without it."""
+    scene = scenario.Scene(Sender)
+    for line in ("kind apart", "at x1 x2 : 7", "0s pass"):
+        scene.step(line.split())
+    scene.turn(("waited", 7, "", 500_000))
+    scene.step(["1ms", "take", "a", "s", "7"])
+    scene.expect("held a")
+    scene.run_to(600_000)
+    scene.expect("shot a")
+
+
 class Reckless:
     def __init__(self, answers: Answers, shoots: bool) -> None:
         self.answers, self.shoots = answers, shoots
