--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -113,7 +113,7 @@
     until(lambda: world.count("l1") == 1)
     assert world.call(b"REJOIN\n").startswith(b"OK")
     until(lambda: world.ask(READY) == 200)
-    crowd = [socket.create_connection(world.control) for _ in range(300)]
+    crowd = [socket.create_connection(world.control) for _ in range(500)]
     crowd[0].sendall(b"PI")
     for _ in range(10):  # callers that say nothing keep nobody out: those longest silent give way
         assert world.call(b"PING\n") == b"OK\n"
