Calls that an overbooked directory turns away pause by lot up to 16 s, first calls by turn

A probe logged each shot and each call for lists: 28 of 40 senders never had a list after the kill at 12.9 s (n0: 26 calls, 26 times 503), 16 of 40 before it. Of the 503s some came 2 s after the call and some at once: 50 to 79 in two seconds from 24 senders, with 7 to 16 answers of watches that ran. So those that were let in waited 2 s and were given up, those above that were turned away, and the tries kept the directory full of calls that nobody would hear the answer of.

Lines at fault: Backoff(retry 0.1 s, lists_backoff 1 s) in node/directory.py for answers too: with 40 senders a call each 25 ms for good. And all senders' first calls at once.

Change: silence keeps its short pauses (an outage's end is to be seen soon); a call turned away pauses by a lot over 0 to 2 s, doubled to 16 s, as a directory takes one call of each sender within some seconds at any size. The first call comes by the sender's number, 50 ms apart, all within one watch; not in a hot upgrade, where a sender starts alone. Road not taken: the list in the state folder, which is lost with the machine.

The test fails without it.

--- a/ashpath/node/backoff.py
+++ b/ashpath/node/backoff.py
@@ -2,8 +2,8 @@
 
 In a fleet that was killed together every sender fails at the same moment; with one fixed pause they would
 all come back together, again and again, and the directory turns them away as one. So a pause doubles with
-each failure in a row, from `least` to `most`, and is a seeded lot between half and all of that. A wait that
-the far end told (`Retry-After`) is heeded up to `most_told`.
+each failure in a row, from `least` to `most`, and is a seeded lot over the last part, `spread`, of that. A
+wait that the far end told (`Retry-After`) is heeded up to `most_told`.
 
 >>> from random import Random
 >>> pause = Backoff(Random(1), least=0.1, most=0.8)
@@ -19,15 +19,18 @@
 
 
 class Backoff:
-    def __init__(self, chance: Random, least: float, most: float, most_told: float = 5.0) -> None:
+    def __init__(
+        self, chance: Random, least: float, most: float, most_told: float = 5.0, spread: float = 0.5
+    ) -> None:
         self.chance, self.least, self.most, self.most_told = chance, least, most, most_told
+        self.spread = spread  # the part of a pause that is drawn
         self.row = 0  # failures in a row
 
     def failed(self, told: float | None = None) -> float:
         """Seconds to pause before the next try."""
         self.row = min(self.row + 1, 32)
         span = min(self.most, self.least * 2.0 ** (self.row - 1))
-        return max(span * (0.5 + 0.5 * self.chance.random()), min(told or 0.0, self.most_told))
+        return max(span * (1 - self.spread * (1 - self.chance.random())), min(told or 0.0, self.most_told))
 
     def succeeded(self) -> None:
         self.row = 0
--- a/ashpath/node/directory.py
+++ b/ashpath/node/directory.py
@@ -20,10 +20,17 @@
 
 
 class Directory:
-    def __init__(self, address: Address, limits: Limits, revision: int, hear: Hear) -> None:
-        self.line, self.limits, self.hear = Line(address, limits), limits, hear
+    """`first`: seconds to wait with the first call, while the list as last held serves."""
+
+    def __init__(
+        self, address: Address, limits: Limits, revision: int, hear: Hear, chance: Random, first: float = 0.0
+    ) -> None:
+        self.line, self.limits, self.hear, self.first = Line(address, limits), limits, hear, first
         self.revision: int | None = revision  # none: the whole list is asked for
-        self.pause = Backoff(Random(revision), limits.retry, limits.lists_backoff)  # the start seeds its own
+        # Silence and refused connections are an outage, whose end is to be seen soon. A call turned away is
+        # more than the directory can answer: a try sooner than it takes to give up on one is the next such.
+        self.silent = Backoff(chance, limits.retry, limits.lists_backoff)
+        self.away = Backoff(chance, limits.watch, limits.lists_away, spread=1.0)
 
     def move(self, address: Address) -> None:
         """Another agent may count its revisions anew, and have missed or told what the old one had not."""
@@ -32,16 +39,20 @@
 
     def run(self) -> None:
         wait = int(self.limits.watch * 1000)
+        gevent.sleep(self.first)
         while True:
             watch = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, wait)
             first = b"GET %s%s HTTP/1.1" % (names.MEMBERS, watch)
             answer = self.line.call(first, b"", self.limits.watch + self.limits.silence)
             if answer is not None and answer.status == 200 and self.learn(answer.body):
-                self.pause.succeeded()
+                self.silent.succeeded()
+                self.away.succeeded()
                 continue
             # Guards the directory against a fleet that failed together and would come back together.
-            told = answer is not None and answer.status in (429, 503) and answer.headers.get(names.WAIT)
-            gevent.sleep(self.pause.failed(number(told or None)))
+            if answer is not None and answer.status in (429, 503):
+                gevent.sleep(self.away.failed(number(answer.headers.get(names.WAIT))))
+            else:
+                gevent.sleep(self.silent.failed())
 
     def learn(self, body: bytes) -> bool:
         """Takes the list or its changes; False where that cannot be read."""
--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -37,7 +37,9 @@
     watch: float = 2.0  # a watch of the directory waits so long
     silence: float = 1.0  # and is given up so much later
     retry: float = 0.1  # between tries at the directory and at notices that failed, the first time
-    lists_backoff: float = 1.0  # the longest pause between tries at the directory, failures in a row
+    lists_backoff: float = 1.0  # the longest pause between tries at a directory that is silent
+    lists_away: float = 16.0  # and at one that turns calls away, when the shortest is as long as a watch
+    first_list: float = 0.05  # senders of a fleet ask first so far apart, by number, but all within a watch
     notices_backoff: float = 0.3  # and at notices
     ask: float = 0.5  # for the answer to a notice
     notices: int = 200  # lines of one call
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -88,15 +88,18 @@
         self.admit = Admit(terms, given.tracks, self.route, self.host, book, log)
         self.take_in = TakeIn(address(listen), limits, self.admit, log)
         revision = int(given.known.get("revision") or 0)
-        self.directory = given.platform and Directory(given.platform, limits, revision, self.route.hear)
         self.known = self.route.learn(given.known["members"], whole=True)
         self.changed, self.ended = Event(), Event()
         control = control or given.control
         self.control = control and Control(address(control), limits, self.order, log)
         self.inherited = inherited  # the platform's listening socket, handed down
         seed = f"{given.terms.seed}/{listen}"  # senders of one fleet differ by their address
-        if self.directory:
-            self.directory.pause = Backoff(Random(seed + "/d"), limits.retry, limits.lists_backoff)
+        # Guards the directory against a fleet that starts at once. In a hot upgrade a sender starts alone.
+        turn = terms.number * min(limits.first_list, limits.watch / terms.senders)
+        self.directory = given.platform and Directory(
+            given.platform, limits, revision, self.route.hear, Random(seed + "/d"),
+            turn if inherited is None else 0.0,
+        )  # fmt: skip
         self.notices.pause = Backoff(Random(seed + "/n"), limits.retry, limits.notices_backoff)
 
     def tellers(self, state: Path) -> tuple[Any, Any]:
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -15,7 +15,6 @@
 from rigs.world import LIMITS, World, free, request, until
 
 from ashpath.node import directory, holds
-from ashpath.node.backoff import Backoff
 from ashpath.node.board import HEAD, WAITS, Board
 from ashpath.node.codec import Message, Wire, write_head
 from ashpath.node.control_line import LONGEST, Call, Unreadable, answer, read
@@ -275,30 +274,34 @@
         assert none.own is None and none.news(0) == ([], False)
 
 
-def test_the_directory_backs_off_by_lot_when_turned_away(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Guards the directory against a fleet killed together that comes back together every 0.1 s."""
+def test_the_directory_backs_off_by_lot(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards the directory against a fleet killed together that comes back together. One that turns calls
+    away is overbooked: tries sooner than it takes to turn one away keep it so, and no sender is told."""
     pauses: list[float] = []
 
     def sleep(seconds: float) -> None:
         pauses.append(seconds)
-        if len(pauses) == 6:
+        if len(pauses) == 8:
             raise StopIteration
 
     monkeypatch.setattr(directory.gevent, "sleep", sleep)
     fleet = []
-    for name, told in (("a", {}), ("b", {}), ("c", {b"retry-after": b"0.7"})):
+    wait = {b"retry-after": b"3"}
+    for name, status, told in (("a", 503, {}), ("b", 429, {}), ("c", 503, wait), ("d", 0, {})):
         pauses.clear()
-        watch = directory.Directory(("127.0.0.1", 9), LIMITS, 0, lambda rows, whole: None)
-        watch.pause = Backoff(Random(name), LIMITS.retry, LIMITS.lists_backoff)
-        turned_away = Message()
-        turned_away.status, turned_away.headers = 503, told
-        watch.line.call = lambda *_, away=turned_away: away  # type: ignore[method-assign]
+        chance = Random(name)
+        watch = directory.Directory(("127.0.0.1", 9), LIMITS, 0, lambda rows, whole: None, chance, 0.7)
+        answer = Message()
+        answer.status, answer.headers = status, told
+        watch.line.call = lambda *_, one=answer: one if one.status else None  # type: ignore[method-assign]
         with pytest.raises(StopIteration):
             watch.run()
-        fleet.append(list(pauses))
-    first, second, waited = fleet
-    assert first[0] < first[-1] and first[-1] > LIMITS.lists_backoff / 2  # grown towards the longest pause
-    assert first != second and all(pause >= 0.7 for pause in waited)  # not in step; the told wait heeded
+        assert pauses[0] == 0.7  # the first call at its turn
+        fleet.append(pauses[1:])
+    first, second, waited, silent = fleet
+    assert first != second and all(pause >= 3 for pause in waited)  # not in step; the told wait heeded
+    assert max(silent) <= LIMITS.lists_backoff < 4 * LIMITS.watch  # an outage's end is seen soon
+    assert max(first) <= LIMITS.lists_away and sum(first) > 4 * sum(silent)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
+from random import Random
 
 import gevent
 import pytest
@@ -650,7 +651,8 @@
 def test_directory(world: World) -> None:
     """Changes and whole lists are told apart; what cannot be read changes nothing."""
     heard = []
-    directory = Directory(("127.0.0.1", 1), LIMITS, 1, lambda rows, whole: heard.append((len(rows), whole)))
+    hear = lambda rows, whole: heard.append((len(rows), whole))  # noqa: E731
+    directory = Directory(("127.0.0.1", 1), LIMITS, 1, hear, Random(1))
     for body in (b"", b"[]", b'{"revision":2}', b'{"revision":null,"complete":true,"members":[]}'):
         assert not directory.learn(body) and directory.revision == 1
     assert directory.learn(b'{"revision":2,"complete":false,"members":[]}') and directory.revision == 2
