A full table of connections is told from an outage; past an even split paces grow by little

Ruled out: gaps over half the idle time (12% of the calls), waits, slots (2 to 3 of 6 out).

Lines at fault: Gate.crowded takes each quick no-connection for a full table, as the simulator's wire cannot tell; on sockets node/relay.py knows. Gate.succeed adds PACE_GROWTH, whatever the split.

Change: Ending.CROWDED and Terms.tables_told. Where a full table is told, a refused dial is an outage: it gives back no connection, counts whole, and is tried again each second, as it costs the far side nothing; the guard still bounds the sum. Past an even split a success adds a fifth of the split at most.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -35,6 +35,7 @@
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
 PACE_CUT_AGAIN = 0.5  # and the next one without a success: an overrun limit may let none through
 PACE_GROWTH = 0.4  # calls a second that a success adds to the pace, when all of the limit is left
+PACE_STEP = 0.2  # past an even split, the part of it that a success adds; more overruns it as all do it
 KEPT_BACK = 0.25  # the share of the limit that successes steer to; more wastes it, less draws refusals
 LEAST_PACE = 0.5  # of an even split: no lower, as the others cannot take it all for long
 TOLD_OVER = 2 * SECOND  # how long a told limit holds against the next; longer is steadier, later to follow
@@ -58,8 +59,8 @@
 
 
 MOVES = {State.HELD: {State.OUT, State.OVER}, State.OUT: set(State) - {State.OUT}, State.LEFT: {State.OVER}}
-PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
-LOAD_SIGNS = (Ending.ERROR, Ending.FULL, Ending.TIMED_OUT, Ending.NO_CONNECTION, Ending.RESET)
+PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.CROWDED, Ending.UNSENT)
+LOAD_SIGNS = (*PROVES_UNRUN[:3], Ending.ERROR, Ending.TIMED_OUT, Ending.RESET)
 
 
 @dataclass(frozen=True)
@@ -299,8 +300,10 @@
             return self.bad < MOSTLY_BAD
         return ending is Ending.TIMED_OUT and (took < shot.timeout or self.overtaken(shot))
 
-    def crowded(self, ending: Ending, took: int) -> bool:  # turned away at once: full of connections, or down
-        return ending is Ending.NO_CONNECTION and 2 * took < self.sender.terms.connect_time
+    def crowded(self, ending: Ending, took: int) -> bool:  # full of connections, or down where none can tell
+        terms = self.sender.terms
+        unclear = ending is Ending.NO_CONNECTION and not terms.tables_told
+        return ending is Ending.CROWDED or (unclear and 2 * took < terms.connect_time)
 
     def overtaken(self, shot: Shot) -> bool:  # its connection may be dead: the endpoint works on nothing
         return shot.endpoint.quick > shot.mark + OVERTAKEN
@@ -315,7 +318,8 @@
         self.bad -= GAIN * self.bad
         if self.told:
             self.sender.start = min(MOST_START, self.sender.start * START_GROWTH ** (2 * self.share))
-            self.set_pace(self.pace + min(PACE_GROWTH, self.pace) * (self.share - KEPT_BACK))
+            step = min(PACE_GROWTH, self.pace if self.pace < self.split() else PACE_STEP * self.split())
+            self.set_pace(self.pace + step * (self.share - KEPT_BACK))
         if self.ailing:
             self.ailing, self.warm_from, self.guard.at = False, now, now
             self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
@@ -330,6 +334,8 @@
     def open(self, ending: Ending) -> None:
         self.breaker, self.limit = Breaker.OPEN, 0
         pause, terms = min(COOLDOWN_MAX, COOLDOWN << min(self.reopened, 10)), self.sender.terms
+        if ending is Ending.NO_CONNECTION and terms.tables_told:
+            pause = COOLDOWN  # a dial refused costs nothing there, and a return is found sooner
         # Senders take turns by number at a destination just back, all within one more pause.
         self.open_until = self.sender.now + pause + pause * terms.number // terms.senders
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
--- a/ashpath/door.py
+++ b/ashpath/door.py
@@ -34,6 +34,7 @@
     FULL = "full"
     TIMED_OUT = "timed out"
     NO_CONNECTION = "no connection"
+    CROWDED = "crowded"  # turned away with its new connection: the endpoint's table of connections is full
     RESET = "reset"
     WITHDRAWN = "withdrawn"
     UNSENT = "unsent"
@@ -75,6 +76,7 @@
     longest_wait: int  # the longest that a client heeds when told to come back later; 0: it is not told
     connect_time: int  # a connection not up by then fails
     idle_time: int  # a connection idle for so long is closed; 0: not told
+    tables_told: bool  # a full table of connections ends as CROWDED, so that no connection means one is down
     tracks: tuple[TrackTerms, ...]
     kinds: tuple[KindTerms, ...]
     decays: bool  # payoff halves with each further promised time; else it falls evenly to the cut-off
--- a/ashpath/node/relay.py
+++ b/ashpath/node/relay.py
@@ -65,7 +65,7 @@
         elif status == 503 and flight.fresh and not answer.keep:
             # Guards against a full table of connections taken for a limit or a shut destination: the first
             # call on a connection is turned away with it.
-            ending = Ending.NO_CONNECTION
+            ending = Ending.CROWDED
         wait = round((number(headers.get(names.WAIT)) or 0.0) * 1e6) if ending is Ending.FULL else 0
         return ending, wait, status in (200, 410), self.told(answer)
 
--- a/ashpath/partners/baselines.py
+++ b/ashpath/partners/baselines.py
@@ -23,7 +23,7 @@
 FIXED = 8  # calls in flight to a destination
 BACKOFF, BACKOFF_MOST = SECOND // 10, 5 * SECOND
 FAILURES, COOLDOWN = 5, 5 * SECOND  # in a row, until a breaker opens, and for how long
-UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
+UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.CROWDED, Ending.UNSENT)
 
 
 class Item:
--- a/ashpath/partners/day.py
+++ b/ashpath/partners/day.py
@@ -1,6 +1,7 @@
 """A day as a file tells it: partners, fleet, clients, network, and a script of troubles. `ashpath check`
 knows these files; days of the library stand in `partners/days`."""
 
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -245,7 +246,7 @@
     """What one sender of the day is handed."""
     plan = as_plan(day)
     plan.sender.number, plan.sender.senders = number, day.fleet.senders
-    return terms(seed, told(plan, "0")["settings"])
+    return replace(terms(seed, told(plan, "0")["settings"]), tables_told=True)  # as on sockets
 
 
 def nature(row: Partners, folder: Path) -> Nature:
--- a/ashpath/partners/virtual.py
+++ b/ashpath/partners/virtual.py
@@ -20,6 +20,7 @@
 
 from ashpath.door import Ending, Listing, Past, Presence, Repeat, Terms, Told
 from ashpath.partners.account import Account, payoff
+from ashpath.partners.baselines import UNRUN
 from ashpath.partners.day import (
     OF_PARTNERS,
     Day,
@@ -228,7 +229,7 @@
             world.witness.outcome(world.now, self.number, entry.number, ending.value, flight.began)
         if wait:
             world.witness.told_to_wait(world.now, self.number, world.route(flight.endpoint), wait)
-        if ending not in (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT) and entry.ran_at < 0:
+        if ending not in UNRUN and entry.ran_at < 0:
             entry.ran_at, entry.ran_to = flight.began, flight.endpoint
         if ending is Ending.COMPLETED:
             self.entries.pop(entry.number, None)
@@ -482,8 +483,10 @@
         took = 2 * self.one_way()
         where = self.where(endpoint)
         most = partner.nature.connections
-        if where is None or partner.down or (most and partner.sites[where].connections >= most):
+        if where is None or partner.down:
             return self.at(self.now + took, self.lost, flight, Ending.NO_CONNECTION)
+        if most and partner.sites[where].connections >= most:
+            return self.at(self.now + took, self.lost, flight, Ending.CROWDED)
         if took >= self.connect_time:
             return self.at(self.now + self.connect_time, self.lost, flight, Ending.NO_CONNECTION)
         partner.sites[where].connections += 1
--- a/ashpath/terms.py
+++ b/ashpath/terms.py
@@ -58,6 +58,7 @@
         longest_wait=micros(limits.get("max-retry-after")) if limits.get("retry-after") else 0,
         connect_time=micros(limits.get("connect-timeout")),
         idle_time=micros(limits.get("conn-idle")),
+        tables_told=False,
         tracks=tuple(track_terms(row) for row in facts["classes"]),
         kinds=tuple(
             KindTerms(
@@ -92,6 +93,6 @@
 
 
 def node_terms(seed: int, facts: dict[str, Any]) -> Terms:
-    """The same on sockets, where a call carries one envelope."""
+    """The same on sockets, where a call carries one envelope and an answer tells of a full table."""
     told = terms(seed, facts)
-    return replace(told, kinds=tuple(replace(kind, per_call=1) for kind in told.kinds))
+    return replace(told, tables_told=True, kinds=tuple(replace(kind, per_call=1) for kind in told.kinds))
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -17,6 +17,7 @@
     +1s    waited x1 wait=2s                    a wait told to the other process of a hot upgrade
     expect shot a b | shot a at x1 | bounced a | aborted a | held a | quiet | log some words
     expect stands a | halted a                  whether a shot that has not left yet may still go
+    expect kept x1                              its idle connections were not given back
 
 Default: kind `plain`, endpoint x1 of destination 7, track `s`, repeatable, cut off at 30s.
 """
@@ -30,7 +31,7 @@
 
 REPEATS = {r.name.lower().replace("_", "-"): r for r in Repeat}
 ENDINGS = {e.name.lower().replace("_", ""): e for e in Ending}
-UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.UNSENT)
+UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.CROWDED, Ending.UNSENT)
 SLACK = 20_000
 
 
@@ -70,7 +71,7 @@
         self.terms = Terms(
             seed=1, number=0, senders=1, slots=8, room=100, most_shots=0, may_withdraw=True,
             longest_wait=3_000_000, connect_time=500_000, idle_time=0, tracks=(), kinds=(), decays=True,
-            key_rest=0, drain_grace=500_000, cold_share=0.2, ramp_time=10_000_000,
+            tables_told=False, key_rest=0, drain_grace=500_000, cold_share=0.2, ramp_time=10_000_000,
             fall_time=0, fall_multiple=2,
         )  # fmt: skip
 
@@ -289,6 +290,8 @@
         if words == "quiet":
             shots = [s for s in self.seen if s.startswith("shot")]
             assert not shots, f"seen: {shots}"
+        elif words.startswith("kept"):
+            assert not any(f"released {id_}" in self.seen for id_ in words.split()[1:]), f"seen: {self.seen}"
         elif words.startswith("held"):
             for name in words.split()[1:]:
                 one = self.held[self.ids[name]]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -444,7 +444,7 @@
     entry = Entry(1, "t", 0, 1, None, None, 0, b"")
     flight = Flight(entry, "e1", 0, 0, written=True, fresh=fresh, answer=answer)
     full_table = fresh and closes and status == 503
-    told = Ending.NO_CONNECTION if full_table else {500: Ending.ERROR}.get(status, Ending.FULL)
+    told = Ending.CROWDED if full_table else {500: Ending.ERROR}.get(status, Ending.FULL)
     assert relay.outcome(flight)[0] is told
 
 
