--- a/ashpath/node/directory.py
+++ b/ashpath/node/directory.py
@@ -12,6 +12,7 @@
 from ashpath.node import names
 from ashpath.node.backoff import Backoff
 from ashpath.node.calls import Line
+from ashpath.node.codec import Message
 from ashpath.node.limits import Limits
 from ashpath.node.pool import Address
 from ashpath.node.relay import number
@@ -20,11 +21,14 @@
 
 
 class Directory:
-    """`first`: seconds to wait with the first call, while the list as last held serves."""
+    """`first`: seconds to wait with the first call, while the list as last held serves. A change between
+    answers, calls turned away, silence, and lists that cannot be read is logged once."""
 
     def __init__(
-        self, address: Address, limits: Limits, revision: int, hear: Hear, chance: Random, first: float = 0.0
+        self, address: Address, limits: Limits, revision: int, hear: Hear, chance: Random, log: Any,
+        first: float = 0.0,
     ) -> None:
+        self.log, self.state, self.tries = log, "answers", 0  # since the last change of state
         self.line, self.limits, self.hear, self.first = Line(address, limits), limits, hear, first
         self.revision: int | None = revision  # none: the whole list is asked for
         # Silence and refused connections are an outage, whose end is to be seen soon. A call turned away is
@@ -47,20 +51,33 @@
             if answer is not None and answer.status == 200 and self.learn(answer.body):
                 self.silent.succeeded()
                 self.away.succeeded()
+                self.stands("answers", answer)
                 continue
             # Guards the directory against a fleet that failed together and would come back together.
             if answer is not None and answer.status in (429, 503):
+                self.stands("turns calls away", answer)
                 gevent.sleep(self.away.failed(number(answer.headers.get(names.WAIT))))
             else:
+                self.stands("silent" if answer is None else "not read", answer)
                 gevent.sleep(self.silent.failed())
 
+    def stands(self, state: str, answer: Message | None) -> None:
+        self.tries += 1
+        if state != self.state:
+            status = answer.status if answer is not None else 0
+            self.log.info(f"directory {state}", status=status, tries=self.tries, revision=self.revision or 0)
+            self.state, self.tries = state, 0
+
     def learn(self, body: bytes) -> bool:
-        """Takes the list or its changes; False where that cannot be read."""
+        """Takes the list or its changes; False where that cannot be read. Guards against a directory that
+        has lost its list: one without any endpoint is not believed, and what was last told serves on."""
         try:
             told = orjson.loads(body)
-            rows, whole, self.revision = list(told["members"]), bool(told["complete"]), int(told["revision"])
+            rows, whole, revision = list(told["members"]), bool(told["complete"]), int(told["revision"])
         except (ValueError, KeyError, TypeError):
             return False
-        if rows or whole:
+        if rows or not whole:
+            self.revision = revision
+        if rows:
             self.hear(rows, whole)
-        return True
+        return bool(rows) or not whole
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -97,7 +97,7 @@
         # Guards the directory against a fleet that starts at once. In a hot upgrade a sender starts alone.
         turn = terms.number * min(limits.first_list, limits.watch / terms.senders)
         self.directory = given.platform and Directory(
-            given.platform, limits, revision, self.route.hear, Random(seed + "/d"),
+            given.platform, limits, revision, self.route.hear, Random(seed + "/d"), log,
             turn if inherited is None else 0.0,
         )  # fmt: skip
         self.notices.pause = Backoff(Random(seed + "/n"), limits.retry, limits.notices_backoff)
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -285,18 +285,23 @@
             raise StopIteration
 
     monkeypatch.setattr(directory.gevent, "sleep", sleep)
-    fleet = []
+    fleet: list[list[float]] = []
+    lines: list[str] = []
+    log = type("Log", (), {"info": lambda self, event, **_: lines.append(event)})()
     wait = {b"retry-after": b"3"}
     for name, status, told in (("a", 503, {}), ("b", 429, {}), ("c", 503, wait), ("d", 0, {})):
         pauses.clear()
         chance = Random(name)
-        watch = directory.Directory(("127.0.0.1", 9), LIMITS, 0, lambda rows, whole: None, chance, 0.7)
+        lines.clear()
+        hear = lambda rows, whole: None  # noqa: E731
+        watch = directory.Directory(("127.0.0.1", 9), LIMITS, 0, hear, chance, log, 0.7)
         answer = Message()
         answer.status, answer.headers = status, told
         watch.line.call = lambda *_, one=answer: one if one.status else None  # type: ignore[method-assign]
         with pytest.raises(StopIteration):
             watch.run()
         assert pauses[0] == 0.7  # the first call at its turn
+        assert lines == ["directory turns calls away" if status else "directory silent"]  # once
         fleet.append(pauses[1:])
     first, second, waited, silent = fleet
     assert first != second and all(pause >= 3 for pause in waited)  # not in step; the told wait heeded
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -652,11 +652,14 @@
     """Changes and whole lists are told apart; what cannot be read changes nothing."""
     heard = []
     hear = lambda rows, whole: heard.append((len(rows), whole))  # noqa: E731
-    directory = Directory(("127.0.0.1", 1), LIMITS, 1, hear, Random(1))
+    directory = Directory(("127.0.0.1", 1), LIMITS, 1, hear, Random(1), None)
     for body in (b"", b"[]", b'{"revision":2}', b'{"revision":null,"complete":true,"members":[]}'):
         assert not directory.learn(body) and directory.revision == 1
     assert directory.learn(b'{"revision":2,"complete":false,"members":[]}') and directory.revision == 2
     assert directory.learn(b'{"revision":3,"complete":true,"members":[{}]}') and heard == [(1, True)]
+    # Guards all that is served against a directory that has lost its list: an empty one is asked for again.
+    assert not directory.learn(b'{"revision":9,"complete":true,"members":[]}') and directory.revision == 3
+    assert heard == [(1, True)]
 
 
 def test_silence(world: World) -> None:
