--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -686,15 +686,12 @@
 
     def relieve(self) -> None:
         """Guards the slots against answers that never come: with none free, an overdue call is called off."""
-        if not self.terms.may_withdraw:
-            return
-        overdue = (s for s in self.out if s.usual < self.now - s.started and not s.called_off)
-        # The oldest of those that may go again at will, else the oldest: what is tagged may lose its window.
-        shot = min(overdue, key=lambda s: s.timeout // max(LEAST_TIMEOUT, s.usual), default=None)
-        if shot is not None:
-            shot.called_off = True
-            for envelope in (e for e in shot.envelopes if e.shot is shot):
-                self.answers.withdraw(envelope.id, envelope.shots - 1)
+        for shot in self.out:
+            if self.terms.may_withdraw and shot.usual < self.now - shot.started and not shot.called_off:
+                shot.called_off = True
+                for envelope in (e for e in shot.envelopes if e.shot is shot):
+                    self.answers.withdraw(envelope.id, envelope.shots - 1)
+                return
 
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
