--- a/ashpath/node/directory.py
+++ b/ashpath/node/directory.py
@@ -65,7 +65,8 @@
         self.tries += 1
         if state != self.state:
             status = answer.status if answer is not None else 0
-            self.log.info(f"directory {state}", status=status, tries=self.tries, revision=self.revision or 0)
+            revision = self.revision or 0
+            self.log.info("directory", now=state, status=status, tries=self.tries, revision=revision)
             self.state, self.tries = state, 0
 
     def learn(self, body: bytes) -> bool:
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -287,7 +287,7 @@
     monkeypatch.setattr(directory.gevent, "sleep", sleep)
     fleet: list[list[float]] = []
     lines: list[str] = []
-    log = type("Log", (), {"info": lambda self, event, **_: lines.append(event)})()
+    log = type("Log", (), {"info": lambda self, event, now, **_: lines.append(now)})()
     wait = {b"retry-after": b"3"}
     for name, status, told in (("a", 503, {}), ("b", 429, {}), ("c", 503, wait), ("d", 0, {})):
         pauses.clear()
@@ -301,7 +301,7 @@
         with pytest.raises(StopIteration):
             watch.run()
         assert pauses[0] == 0.7  # the first call at its turn
-        assert lines == ["directory turns calls away" if status else "directory silent"]  # once
+        assert lines == ["turns calls away" if status else "silent"]  # once
         fleet.append(pauses[1:])
     first, second, waited, silent = fleet
     assert first != second and all(pause >= 3 for pause in waited)  # not in step; the told wait heeded
