--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -520,9 +520,6 @@
         """Owed from an earlier life. What may have run still counts; waits and measurements are gone."""
         self.take(id_, number, track, key, left, new=False)
         envelope, destination = self.envelopes[id_], self.destinations[number]
-        for gate in destination.gates() if envelope.queue is not None and not past.shots else ():
-            # It had waited since it came. Guards a destination that was out against senders that forgot so.
-            gate.warm_from, gate.guard.at = self.now, self.now
         envelope.shots = past.shots
         if past.ran_at is not None:
             endpoint = destination.known.get(past.ran_to) or Endpoint("", -1, destination.gate, 0.0)
