--- a/ashpath/command/sender.py
+++ b/ashpath/command/sender.py
@@ -20,7 +20,7 @@
 from ashpath.node.notices import Notices
 from ashpath.node.route import address
 from ashpath.node.start import Given, Node
-from ashpath.plan.decide import changes, numbered
+from ashpath.plan.decide import changes
 from ashpath.plan.read import Unusable, read
 from ashpath.plan.read import secrets as passes
 from ashpath.plan.shape import Plan
@@ -38,21 +38,12 @@
         self.form = told(self.plan, self.plan.sender.seed or secrets.token_hex(8))
         super().__init__(self.form)
 
-    def number(self, folder: Folder) -> None:
-        """Numbers the tracks as the ledger has them: see `plan.decide.numbered`."""
-        held = folder.held()
-        rows, closed = numbered(self.settings["classes"], folder.told, held)
-        folder.write(rows)
-        self.form["settings"]["classes"] = rows
-        super().__init__(self.form)
-        self.tracks = {name: number for name, number in self.tracks.items() if number not in closed}
-
 
 class Standalone(Node):
     """A sender without a platform, or with one that its file names."""
 
-    def __init__(self, path: Path, given: FromFile, form: Form, log: Any) -> None:
-        self.path, self.form = path, form
+    def __init__(self, path: Path, given: FromFile, form: Form, log: Any, folder: Folder) -> None:
+        self.path, self.form, self.folder = path, form, folder
         self.started = self.latest = given.plan
         self.file = given
         state = below(path.parent, given.plan.sender.state)
@@ -60,7 +51,7 @@
         self.send.passes = given.passes
         names = [row["name"] for row in given.settings["classes"]]
         self.titles = titles(given.plan)
-        self.take_in.inquiry = Inquiry(self.host, self.ends, names, self.titles)
+        self.inquiry = self.take_in.inquiry = Inquiry(self.host, self.ends, names, self.titles)
 
     def tellers(self, state: Path) -> tuple[Any, Any]:
         limits, plan = self.limits, self.file.plan
@@ -83,6 +74,15 @@
     def direct(notices: Notices, receiver: tuple[str, str], secret: bytes) -> None:
         notices.path, notices.headers = receiver[1].encode(), [(PASS, secret)] if secret else []
 
+    def number(self, given: Given, held: bool) -> None:
+        """Done before the ledger was opened, by the folder's imprint."""
+
+    def keep_numbers(self, given: Given) -> None:
+        try:
+            self.folder.write(given.settings["classes"])
+        except NotOurs as error:
+            raise OSError(str(error)) from None
+
     def reread(self) -> Given:
         return FromFile(self.path)
 
@@ -94,6 +94,8 @@
         self.latest = given.plan
         self.form.use(given.plan.logging.level, given.plan.logging.form)
         self.log.info("configuration read", taken=short(taken), rest_at_next_start=short(later))
+        self.switch(given)
+        self.inquiry.tracks = [row["name"] for row in self.given.settings["classes"]]
         self.send.passes = given.passes
         self.titles.clear()
         self.titles.update(titles(given.plan))
@@ -150,11 +152,13 @@
     plan = given.plan
     keep_descriptors(path, plan.limits.descriptors)
     folder = Folder(below(path.parent, plan.sender.state), plan.sender.name)
-    given.number(folder)
+    held = folder.held()
+    given.number(folder.told, held)
+    folder.write(given.settings["classes"])
     form = Form(plan.logging.level, plan.logging.form)
     log, lines = logger(plan.sender.name, form)
     try:
-        sender = Standalone(path, given, form, log)
+        sender = Standalone(path, given, form, log, folder)
     except (OSError, ValueError) as error:
         raise NotOurs(f"state folder {folder.path}: {error}") from None
     gevent.spawn(lines.run, log)
--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -177,7 +177,7 @@
 
     def __init__(self, sender: Sender, name: str) -> None:
         self.sender, self.name = sender, name
-        self.cap, self.limit, self.in_flight = max(1, sender.terms.slots * 3 // 4), 1, 0
+        self.limit, self.in_flight = 1, 0
         self.fast, self.unfailed = 0, True  # grows by one with each fast success until the first failure
         self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
         self.decreased_at, self.breaker = -1, Breaker.CLOSED
@@ -204,7 +204,7 @@
             due = max(self.open_until, self.holds[-1] if self.holds else 0)
             if now < due:
                 return due
-        elif self.in_flight + len(self.holds) >= self.limit:
+        elif self.in_flight + len(self.holds) >= min(self.limit, self.cap):
             return self.holds[0] if self.holds else 0
         guarded = self.guard.due(now, self.allowance(now), 1.0) if self.recovering(now) else None
         if guarded or not self.pace:
@@ -212,6 +212,10 @@
         burst = PACE_BURST * self.told * self.share / self.sender.terms.senders**0.5  # others have theirs
         return self.paced.due(now, self.pace, max(1.0, burst))
 
+    @property
+    def cap(self) -> int:
+        return max(1, self.sender.terms.slots * 3 // 4)
+
     @property
     def rate(self) -> float:
         return self.done.rate()
@@ -286,6 +290,7 @@
             self.ailing = True  # by lot, as many senders that all start at one call each would push it over
             self.guard = Bucket(max(self.sender.now, self.wait_until), self.sender.chance.random())
             self.log(f"ailing: {self.failures:.1f} failures, last {ending.value}")
+            self.spread("out", shot)
         if limited and not run and not shut:  # the rate explains it: it cuts the pace, once per burst
             self.paced.tokens, self.paced.at = 0.0, self.sender.now
             self.sender.start = max(LEAST_START, self.sender.start * START_CUT)
@@ -323,6 +328,7 @@
         if self.ailing:
             self.ailing, self.warm_from, self.guard.at = False, now, now
             self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
+            self.spread("back", shot)
         if shot.probe:
             self.breaker, self.limit, self.fast, self.reopened = Breaker.CLOSED, 1, 0, 0
             self.log("breaker closed")
@@ -340,6 +346,28 @@
         self.open_until = self.sender.now + pause + pause * terms.number // terms.senders
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
 
+    def spread(self, word: str, shot: Shot) -> None:
+        if self.sender.terms.notes:
+            number = shot.envelopes[0].destination.number
+            self.sender.answers.tell(f"{word} {number} {shot.endpoint.id}".encode())
+
+    def heard(self, back: bool) -> None:
+        """Another sender's word of an outage, or of its end: what all find out one by one, at a call each."""
+        now = self.sender.now
+        if back and self.ailing:
+            self.ailing, self.warm_from, self.guard.at, self.failures = False, now, now, 0.0
+            if self.breaker is Breaker.OPEN:
+                self.breaker, self.limit, self.fast, self.reopened = Breaker.CLOSED, 1, 0, 0
+        elif not (back or self.ailing) and now - self.succeeded_at > SHUT_AFTER:
+            self.ailing, self.guard = True, Bucket(now, self.sender.chance.random())
+            if self.breaker is Breaker.CLOSED:
+                self.open(Ending.UNSENT)
+
+    def follow(self, other: Gate) -> None:
+        """What was told to the gate in whose place this one comes binds here too."""
+        self.wait_until = max(self.wait_until, other.wait_until)
+        self.ailing, self.warm_from = self.ailing or other.ailing, max(self.warm_from, other.warm_from)
+
     def log(self, text: str) -> None:
         self.sender.answers.log(f"{self.name} {text}")
 
@@ -380,9 +408,12 @@
     def listed(self, row: Listing) -> None:
         kind = self.sender.terms.kinds[row.kind]
         self.apart, self.per_call, self.kind = kind.apart, kind.per_call, row.kind
-        if row.endpoint not in self.known:
+        before = self.known.get(row.endpoint)
+        if before is None or (before.gate is self.gate) == self.apart:  # new, or its kind was switched
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
             self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate, self.sender.chance.random())
+            if before is not None:
+                gate.follow(before.gate)
         endpoint = self.known[row.endpoint]
         others = [e for e in self.endpoints if e is not endpoint]
         serves = row.presence is Presence.LISTED and row.endpoint not in self.sender.held
@@ -456,11 +487,11 @@
 class Sender:
     def __init__(self, terms: Terms, answers: Answers) -> None:
         self.terms, self.answers, self.chance = terms, answers, Random(terms.seed)
-        self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
         self.times = Times()  # over all destinations, where one is not yet known
         self.now, self.start = 0, START
-        self.crowding = [0.0] * len(terms.kinds)  # share of calls that found no connection free, by kind
+        self.crowding: list[float] = []  # share of calls that found no connection free, by kind
         self.out: dict[Shot, None] = {}  # calls out, oldest first
+        self.asking = False  # for the list, where it is not pushed
         self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
         self.envelopes: dict[int, Envelope] = {}  # emptied as they are over
         self.lines: dict[int, Line] = {}  # emptied as they run out
@@ -469,7 +500,23 @@
         self.stirred: dict[Destination, None] = {}  # had news since the last ranking, which empties it
         self.late: OrderedDict[Envelope, None] = OrderedDict()  # those waiting in late queues
         self.held: set[str] = set()  # endpoints an operator took out: draining here, whatever is listed
+        self.unanswered = 0  # calls for the list that failed in a row
         answers.wake(0, "r")
+        self.switch(terms)
+
+    def switch(self, terms: Terms) -> None:
+        """New settings while it runs. Tracks, kinds and zones keep their numbers, new ones come behind them;
+        envelopes keep the terms under which they were taken on."""
+        self.terms, count = terms, len(terms.tracks)
+        self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
+        self.crowding += [0.0] * (len(terms.kinds) - len(self.crowding))
+        for one in self.destinations.values():
+            one.times += [Times() for _ in range(count - len(one.times))]
+            for queues in (one.fresh, one.late):
+                queues += [OrderedDict() for _ in range(count - len(queues))]
+        if terms.ask_within and not self.asking:
+            self.answers.wake(self.now, "l0")
+        self.asking = terms.ask_within > 0
 
     def open_turn(self, now: int) -> None:
         self.now = now
@@ -485,7 +532,14 @@
             self.answers.release(endpoint.id)
         self.lonely.clear()
 
+    def unlisted(self) -> None:
+        """A call for the list failed, or its changes no longer come: asked again by lot, ever later."""
+        self.unanswered += 1
+        pause = min(self.terms.ask_within, SECOND << min(self.unanswered, 10))
+        self.answers.wake(self.now + int(pause * self.chance.uniform(0.5, 1)), "l1")
+
     def listed(self, rows: list[Listing], whole: bool) -> None:
+        self.unanswered = 0
         for destination in self.destinations.values() if whole else ():
             destination.endpoints = []
             self.stirred[destination] = None
@@ -494,6 +548,15 @@
             destination.listed(row)
             self.dirty[destination] = self.stirred[destination] = None
 
+    def heard(self, note: bytes) -> None:
+        """A note of another sender; it may be late, or of a place not known here, or no note at all."""
+        word, _, place = note.decode("utf-8", "replace").partition(" ")
+        number, _, id_ = place.partition(" ")
+        destination = self.destinations.get(int(number) if number.isdecimal() else -1)
+        if destination and id_ in destination.known and word in ("out", "back"):
+            destination.known[id_].gate.heard(word == "back")
+            self.dirty[destination] = None
+
     def destination(self, number: int) -> Destination:
         found = self.destinations.get(number)
         return found or self.destinations.setdefault(number, Destination(self, number))
@@ -621,6 +684,11 @@
         kind, number = token[0], int(token[1:] or 0)
         if kind == "r":
             self.rank()
+        elif kind == "l" and number and self.asking:
+            self.answers.ask()
+        elif kind == "l" and not number:  # by turn: senders that start at once would ask for too much
+            turn = self.terms.ask_within * self.terms.number // (2 * self.terms.senders)
+            self.answers.wake(self.now + turn, "l1")
         elif kind == "d" and number in self.destinations:
             self.dirty[self.destinations[number]] = None
         elif kind == "k" and number in self.lines:
--- a/ashpath/door.py
+++ b/ashpath/door.py
@@ -86,6 +86,10 @@
     fall_multiple: float
     fall_time: int
     key_rest: int
+    ask_within: int  # the list comes only when asked for, at least so often; 0: it comes by itself
+    rated: bool  # the list has rates, roughly
+    notes: bool  # senders may send each other notes, which may be lost
+    fees: tuple[float, ...]  # by zone, for an envelope that a route apart there takes on
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +101,7 @@
     kind: int
     zone: int
     presence: Presence
+    weight: float = 0.0  # where `Terms.rated`: calls a second that it takes from all senders; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,4 +137,12 @@
 
     def wake(self, at: int, token: str) -> None: ...
 
+    def ask(self) -> None:
+        """For the list and its changes; `listed` or `unlisted` answers."""
+        ...
+
+    def tell(self, note: bytes) -> None:
+        """To all other senders, which hear it as `heard`, or not at all."""
+        ...
+
     def log(self, text: str) -> None: ...
--- a/ashpath/drill/convert.py
+++ b/ashpath/drill/convert.py
@@ -27,4 +27,5 @@
         kind=row.get("hw") or 0,
         zone=row.get("locality") or 0,
         presence=PRESENCES[row.get("availability") or "IN"],
+        weight=float(row.get("heft") or 0),
     )
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -29,6 +29,7 @@
         self.ending = False  # no shot is begun any more: what is held is the next life's
         self.sender = Sender(terms, self)
         self.board = board  # what binds the other process of a hot upgrade at once, and the other way
+        self.peers: Callable[[bytes], None] = lambda note: None  # carries notes to other senders
         self.holds: Callable[[], list[News]] = list  # what the file of holds says that is not done here yet
 
     def turn(self, *news: News) -> None:
@@ -83,6 +84,13 @@
     def listed(self, rows: list[Listing], whole: bool) -> None:
         self.turn((self.sender.listed, (rows, whole)))
 
+    def switch(self, terms: Terms, rows: list[Listing]) -> None:
+        """The list again, as kinds may have other routes now."""
+        self.turn((self.sender.switch, (terms,)), (self.sender.listed, (rows, True)))
+
+    def heard(self, note: bytes) -> None:
+        self.turn((self.sender.heard, (note,)))
+
     def take(self, entry: Entry) -> None:
         self.entries[entry.number] = entry
         left = entry.cutoff - wall()
@@ -130,6 +138,12 @@
     def release(self, endpoint: str) -> None:
         self.queue.append((self.send.pool.release, (endpoint,)))
 
+    def ask(self) -> None:
+        """The directory's stage asks by itself."""
+
+    def tell(self, note: bytes) -> None:
+        self.queue.append((self.peers, (note,)))
+
     def wake(self, at: int, token: str) -> None:
         self.timers.add(at, token)
 
--- /dev/null
+++ b/ashpath/node/peers.py
@@ -0,0 +1,70 @@
+"""The stage that carries notes between senders: datagrams, which may be lost. Imported only where the
+configuration names other senders.
+
+A note counts only if it comes from the address of a sender that the configuration names: others are dropped
+and counted. Nothing is sent twice, and nothing waits: a note that cannot leave at once is lost.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent import socket
+
+from ashpath.node.pool import Address
+
+LONGEST = 256  # bytes of a note
+
+
+class Peers:
+    """`move` takes a new address and other senders while it runs; no address: nothing is heard or told."""
+
+    def __init__(self, hear: Callable[[bytes], None], log: Any) -> None:
+        self.hear, self.log, self.strangers = hear, log, 0
+        self.socket: Any = None
+        self.reader: Any = None
+        self.listen: Address | None = None
+        self.others: frozenset[Address] = frozenset()
+
+    def move(self, listen: Address | None, others: frozenset[Address]) -> None:
+        """Raises OSError where the address cannot be had; what was there before then serves on."""
+        if listen != self.listen:
+            fresh = None
+            if listen is not None:
+                fresh = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                try:
+                    fresh.bind(listen)
+                except OSError:
+                    fresh.close()
+                    raise
+            old, self.socket, self.listen = self.socket, fresh, listen
+            if old is not None:
+                self.reader.kill()  # first: a socket that is waited on holds its address past its close
+                old.close()
+            if fresh is not None:
+                self.reader = gevent.spawn(self.run, fresh)
+        self.others = others - ({listen} if listen else set())
+
+    def tell(self, note: bytes) -> None:
+        for other in self.others if self.socket is not None and len(note) <= LONGEST else ():
+            try:
+                self.socket.sendto(note, other)
+            except OSError:
+                continue  # as good as lost on its way
+
+    def run(self, own: Any) -> None:
+        while own is self.socket:
+            try:
+                note, sender = own.recvfrom(LONGEST + 1)
+            except OSError:
+                if own is self.socket:
+                    gevent.sleep(0.01)  # a refusal of an earlier datagram comes back here
+                continue
+            if sender in self.others and 0 < len(note) <= LONGEST:
+                self.hear(note)
+                continue
+            self.strangers += 1
+            if self.strangers & (self.strangers - 1) == 0:  # the 1st, 2nd, 4th: strangers cannot fill the log
+                self.log.info("note dropped", sender=f"{sender[0]}:{sender[1]}", dropped=self.strangers)
--- a/ashpath/node/route.py
+++ b/ashpath/node/route.py
@@ -72,6 +72,7 @@
             kind=self.index(self.kinds, member.get("flavor")),
             zone=self.index(self.zones, member.get("locality")),
             presence=names.PRESENCES[member["phase"]],
+            weight=max(0.0, float(member.get("size") or 0)),
         )
 
     @staticmethod
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -7,17 +7,18 @@
 import signal
 import stat
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 from time import monotonic
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import gevent
 import orjson
 from gevent.event import Event
 
-from ashpath.node import holds
+from ashpath.node import holds, numbers
 from ashpath.node.admit import Admit
 from ashpath.node.backoff import Backoff
 from ashpath.node.board import PLACES, SIZE, Board
@@ -35,7 +36,10 @@
 from ashpath.node.route import Route, address
 from ashpath.node.send import Send
 from ashpath.node.take_in import TakeIn
-from ashpath.terms import node_terms, told_fields
+from ashpath.terms import aligned, node_terms, numbered, told_fields
+
+if TYPE_CHECKING:
+    from ashpath.node.peers import Peers
 
 UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
 
@@ -48,16 +52,37 @@
     """What a sender is told at its start and at each SIGHUP: the platform's file, or one of the same form."""
 
     def __init__(self, told: dict[str, Any], discovery: str = "") -> None:
-        self.settings: dict[str, Any] = told["settings"]
-        self.terms = node_terms(int(str(told["seed"]), 16), self.settings)
+        self.seed = int(str(told["seed"]), 16)
+        self.read: dict[str, Any] = told["settings"]  # as read: what is used has the numbers of this life
+        self.use(self.read)
         self.limits = Limits.of(told.get("limits") or {}, self.terms)
         self.known: dict[str, Any] = told.get("known") or {"members": [], "revision": 0}
-        self.kinds, self.zones = (list(self.settings.get(name) or []) for name in ("kinds", "zones"))
-        self.tracks = {row["name"]: number for number, row in enumerate(self.settings["classes"])}
         # A restart has the same environment, but the file may have changed since.
         self.discovery: str = told.get("discovery") or discovery
         self.control: str = str(told.get("control") or "")  # the operators' address; older days have none
         self.platform = address(self.discovery) if self.discovery else None
+        peers = told.get("peers") or {}  # other senders: where this one hears their notes, and where they do
+        self.hears = address(str(peers["listen"])) if peers else None
+        self.others = frozenset(address(str(other)) for other in (peers.get("senders") or ()))
+
+    def use(self, settings: dict[str, Any], closed: Sequence[int] = ()) -> None:
+        """`closed`: numbers of tracks that take nothing new."""
+        self.settings = settings
+        self.terms = node_terms(self.seed, settings)
+        self.kinds, self.zones = (list(settings.get(name) or []) for name in ("kinds", "zones"))
+        rows = enumerate(settings["classes"])
+        self.tracks = {row["name"]: number for number, row in rows if number not in closed}
+
+    def number(self, known: list[dict[str, Any]], held: int) -> None:
+        """Numbers the tracks as the ledger has them: see `terms.numbered`."""
+        rows, closed = numbered(self.settings["classes"], known, held)
+        self.use({**self.settings, "classes": rows}, closed)
+
+    def follow(self, before: Given) -> None:
+        """Settings for a sender that runs by `before`: tracks, kinds and zones keep their numbers."""
+        known = before.settings["classes"]
+        self.settings = aligned(self.settings, before.settings)
+        self.number(known, held=1)  # what is behind them is measured, held or on its way: no number is reused
 
 
 class Node:
@@ -68,10 +93,12 @@
         inherited: int | None = None,
     ) -> None:
         self.given, self.read, self.log, self.state = given, read, log, state
-        terms, self.limits = given.terms, given.limits
-        limits = self.limits
+        self.peers: Peers | None = None  # where the configuration names other senders
+        self.limits = limits = given.limits
         places = 1 if inherited is None else PLACES  # who binds the address is alone
         self.ledger = Ledger(state, limits.disk - places * SIZE)
+        self.number(given, bool(self.ledger.live) or inherited is not None)
+        terms = given.terms
         board = Board(state, places)
         if board.own is None:
             log.error("no place on the board: waits and holds told to this process bind no other")
@@ -125,6 +152,7 @@
         self.take_in.listen(self.inherited)
         if self.control:
             self.control.listen()
+        self.talk(self.given)
         for run in self.parts():
             gevent.spawn(self.keep, run)
         gc.collect()
@@ -146,16 +174,69 @@
                 words = str(error) if isinstance(error, BadStart) else f"{type(error).__name__} {error}"
                 self.log.error("configuration not read", error=words)
                 continue
-            self.move(given)
+            try:
+                self.move(given)
+            except OSError as error:
+                self.log.error("configuration not taken", error=str(error))
 
     def move(self, given: Given) -> None:
-        """The platform's agent may be elsewhere. What else is told waits for the next start."""
-        later = (given.settings, given.limits) != (self.given.settings, self.given.limits)
+        """The platform's agent may be elsewhere, and settings may be new. Limits of the process wait for the
+        next start."""
+        later = given.limits != self.given.limits
         self.log.info("configuration read", discovery=given.discovery, rest_at_next_start=later)
+        self.switch(given)
         if self.directory is not None and given.platform is not None:
             self.directory.move(given.platform)
             self.notices.move(given.platform)
 
+    def switch(self, given: Given) -> None:
+        """New settings for what is taken on from now on, in one turn; the way back is the same step. What is
+        held keeps the terms it was taken on under, and what is out comes back to the gate it went through."""
+        before = self.given
+        if given.read != before.read:
+            given.follow(before)
+            self.keep_numbers(given)
+            self.given = given
+            # Descriptors are shared out at the start: no more calls than connections until the next one.
+            terms = replace(given.terms, slots=min(given.terms.slots, self.limits.outward))
+            self.pool.limits = replace(
+                self.limits, connect=given.limits.connect, idle_life=given.limits.idle_life
+            )
+            self.route.kinds, self.route.zones = given.kinds, given.zones
+            self.admit.terms, self.admit.tracks = terms, given.tracks
+            self.host.switch(terms, list(self.route.rows.values()))
+            self.log.info(
+                "settings switched", tracks=len(given.tracks), slots=terms.slots, room=terms.room,
+                senders=terms.senders, held=len(self.host.entries), out=len(self.host.flights),
+            )  # fmt: skip
+        if (given.hears, given.others) != (before.hears, before.others):
+            self.talk(given)
+            self.given.hears, self.given.others = given.hears, given.others
+
+    def number(self, given: Given, held: bool) -> None:
+        """What was switched in an earlier life goes on for what it left."""
+        known = numbers.read(self.state)
+        given.number(known, held and bool(known))
+        if known and not held:
+            numbers.forget(self.state)
+
+    def keep_numbers(self, given: Given) -> None:
+        """For the next life, as the ledger has numbers only. Raises OSError: nothing was switched then."""
+        numbers.write(self.state, given.settings["classes"])
+
+    def talk(self, given: Given) -> None:
+        """Notes between senders, where the configuration names others."""
+        if self.peers is None and given.hears is not None:
+            from ashpath.node.peers import Peers
+
+            self.peers = Peers(self.host.heard, self.log)
+            self.host.peers = self.peers.tell
+        if self.peers is not None:
+            try:
+                self.peers.move(given.hears, given.others)
+            except OSError as error:
+                self.log.error("notes of other senders not heard", error=str(error))
+
     def hand_over(self) -> None:
         """What a process gone in a hot upgrade left in its journal is this one's to end."""
         while True:
--- a/ashpath/plan/decide.py
+++ b/ashpath/plan/decide.py
@@ -16,7 +16,7 @@
 
 def unfit(plan: Plan) -> list[Fault]:
     """What each key alone allows and together cannot be."""
-    return [*sources(plan), *times(plan), *endpoints(plan), *told_to(plan)]
+    return [*sources(plan), *times(plan), *endpoints(plan), *told_to(plan), *heard_of(plan)]
 
 
 def sources(plan: Plan) -> Iterator[Fault]:
@@ -64,6 +64,15 @@
             seen[id_] = number
 
 
+def heard_of(plan: Plan) -> Iterator[Fault]:
+    if plan.peers is not None and set(plan.peers.senders) <= {plan.peers.listen}:
+        yield Fault(("peers", "senders"), "no other sender", "the address of one at least beside its own")
+    if plan.rules.rates and plan.platform is None and not any(
+        one.rate or any(endpoint.rate for endpoint in listed(one)) for one in plan.destinations.values()
+    ):
+        yield Fault(("rules", "rates"), "true, and no destination has a rate", "a rate, or false")
+
+
 def told_to(plan: Plan) -> Iterator[Fault]:
     notices = plan.notices
     if notices.address and notices.file:
@@ -137,21 +146,6 @@
     return [path for path in differ if taken(path)], [path for path in differ if not taken(path)]
 
 
-def numbered(
-    listed: list[dict[str, Any]], imprinted: list[dict[str, Any]], held: int
-) -> tuple[list[dict[str, Any]], list[int]]:
-    """The tracks in the order of their numbers, and the numbers that take nothing new.
-
-    The ledger knows tracks by number. While it holds envelopes, a number keeps the terms under which they
-    were taken on: a track that the file changed or lacks keeps its row, and a changed one gets one behind.
-    Guards envelopes against a track that is removed, put in another order, or made once-only, under them.
-    """
-    if not held:
-        return listed, []
-    rows = [*imprinted, *(row for row in listed if row not in imprinted)]
-    return rows, [number for number, row in enumerate(rows) if row not in listed]
-
-
 def display(value: Any) -> str:
     """A value as a file has it."""
     if isinstance(value, Duration):
--- a/ashpath/plan/reference.py
+++ b/ashpath/plan/reference.py
@@ -51,7 +51,8 @@
             found.append(row(path, hint, key, defaults[name], now))
             if get_origin(inner) is list:
                 table = alternatives(get_args(inner)[0])[-1]
-                deeper.append((table, f"{path}[]", now or key.now))
+                if issubclass(table, msgspec.Struct):
+                    deeper.append((table, f"{path}[]", now or key.now))
     if found:
         yield above, shape.__doc__ or "", found
     for inner, path, taken in deeper:
--- a/ashpath/plan/shape.py
+++ b/ashpath/plan/shape.py
@@ -40,8 +40,8 @@
     seed: Annotated[
         str, Key("hexadecimal digits that chance starts from; empty: drawn anew at each start", 0, 16)
     ] = ""
-    number: Annotated[int, Key("its own number among senders of one installation", 0, 9999)] = 0
-    senders: Annotated[int, Key("how many senders share the destinations' limits", 1, 10_000)] = 1
+    number: Annotated[int, Key("its own number among senders of one installation", 0, 9999, now=True)] = 0
+    senders: Annotated[int, Key("how many senders share the destinations' limits", 1, 10_000, now=True)] = 1
 
 
 class Platform(Struct):
@@ -79,12 +79,32 @@
     apart: Annotated[bool, Key("each endpoint has a gate of its own, as separate routes do")] = False
 
 
+class Zone(Struct):
+    """One zone that endpoints stand in."""
+
+    fee: Annotated[
+        float, Key("what a call to a route apart there costs; the cheaper goes first", 0, 1000, now=True)
+    ] = 0.0
+
+
+class Peers(Struct):
+    """Other senders of the installation: they tell each other of outages, in datagrams that may be lost."""
+
+    listen: Annotated[Address, Key("address and port for notes of others", now=True)]
+    senders: Annotated[
+        list[Address], Key("where the others listen; its own may be among them", 1, 10_000, now=True)
+    ]
+
+
 class Endpoint(Struct):
     """One endpoint, where an address alone does not say all."""
 
     address: Annotated[Address, Key("where it is", now=True)]
     id: Annotated[str, Key("its id; empty: made of the destination and the address", now=True)] = ""
     zone: Annotated[str, Key("the zone it stands in", now=True)] = ""
+    rate: Annotated[
+        float, Key("calls a second of a route apart, roughly; 0: as the destination's", 0, 1e6, now=True)
+    ] = 0.0
     draining: Annotated[bool, Key("it completes what it has, and gets nothing new", now=True)] = False
 
 
@@ -96,6 +116,9 @@
     ]
     name: Annotated[str, Key("what people call it", 0, 128, now=True)] = ""
     kind: Annotated[str, Key("its kind, of those under `kinds`; empty: the first one", now=True)] = ""
+    rate: Annotated[
+        float, Key("calls a second, roughly, that it takes of all senders; 0: not known", 0, 1e6, now=True)
+    ] = 0.0
     authorization: Annotated[
         Secret | None, Key("sent as the header Authorization with each call", now=True)
     ] = None
@@ -117,6 +140,9 @@
     reports: Annotated[
         bool, Key("answers tell of the destination's limit: `Endpoint-Load-Metrics: TEXT x0=LEFT, x1=RATE`")
     ] = False
+    rates: Annotated[
+        bool, Key("the list has rates, roughly: `rate` in this file, `size` in a directory's")
+    ] = False
     decay: Annotated[
         Literal["evenly", "halves"],
         Key("how payoff falls past the promised time: evenly to the cut-off, or by half each such time"),
@@ -183,15 +209,17 @@
     """The whole file."""
 
     sender: Sender
-    tracks: Annotated[dict[Word, Track], Key("tracks by the name that `X-Qos` has", 1, 64)]
+    tracks: Annotated[dict[Word, Track], Key("tracks by the name that `X-Qos` has", 1, 64, now=True)]
     platform: Platform | None = None
+    peers: Annotated[Peers | None, Key("other senders", now=True)] = None
     destinations: Annotated[dict[int, Destination], Key("destinations by number", 0, 1_000_000, now=True)] = (
         field(default_factory=dict)
     )
-    kinds: Annotated[dict[Word, Kind], Key("kinds of destinations by name", 1, 64)] = field(
+    kinds: Annotated[dict[Word, Kind], Key("kinds of destinations by name", 1, 64, now=True)] = field(
         default_factory=lambda: {Word("plain"): Kind()}
     )
-    rules: Rules = field(default_factory=Rules)
+    zones: Annotated[dict[Word, Zone], Key("zones by name", 0, 64, now=True)] = field(default_factory=dict)
+    rules: Annotated[Rules, Key("what destinations bear", now=True)] = field(default_factory=Rules)
     limits: Limits = field(default_factory=Limits)
     notices: Notices = field(default_factory=Notices)
     ends: Ends = field(default_factory=Ends)
--- a/ashpath/plan/told.py
+++ b/ashpath/plan/told.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,7 @@
 def told(plan: Plan, seed: str) -> dict[str, Any]:
     """What RELAY_CONFIG would hold, and beside it what only the sender's own file has (`own` limits)."""
     names, zones = list(plan.kinds), zones_of(plan)
+    fees: dict[str, float] = {name: zone.fee for name, zone in plan.zones.items() if zone.fee}
     settings = {
         "rank": plan.sender.number,
         "group-size": plan.sender.senders,
@@ -33,7 +35,9 @@
             "slots": plan.rules.slots,
             "kind-apart": [kind.apart for kind in plan.kinds.values()],
             "loses-worth": plan.rules.decay,
+            "carriage": [fees.get(name, 0.0) for name in zones] if fees else [],
         },
+        "weight-source": "rough" if plan.rules.rates else "none",
     }
     if plan.rules.reports:
         settings["load-info"] = {"how": "answers", "fields": ["x0", "x1"]}
@@ -47,6 +51,7 @@
         },
         "known": {"revision": 0, "complete": True, "members": members(plan)},
         "discovery": plan.platform.directory if plan.platform else "",
+        "peers": written_out(plan.peers) if plan.peers else {},
     }
 
 
@@ -74,6 +79,7 @@
         "max-retry-after": millis(rules.longest_wait),
         "connect-timeout": millis(rules.connect_time),
         "conn-idle": millis(rules.idle_time),
+        "may-tell": plan.peers is not None,
     }
 
 
@@ -106,9 +112,9 @@
 
 
 def zones_of(plan: Plan) -> list[str]:
-    """Every zone that an endpoint names, each once, in the order of the file."""
-    found = (one.zone for destination in plan.destinations.values() for one in listed(destination))
-    return list(dict.fromkeys(found)) or [""]
+    """Every zone that the file names, each once, in its order."""
+    endpoints = chain.from_iterable(listed(one) for one in plan.destinations.values())
+    return list(dict.fromkeys([*map(str, plan.zones), *(one.zone for one in endpoints)])) or [""]
 
 
 def members(plan: Plan) -> list[dict[str, Any]]:
@@ -122,6 +128,7 @@
             "flavor": destination.kind or first,
             "cell": number,
             "phase": "draining" if endpoint.draining else "up",
+            "size": endpoint.rate or destination.rate,
         }
         for number, destination in plan.destinations.items()
         for endpoint in listed(destination)
--- a/ashpath/terms.py
+++ b/ashpath/terms.py
@@ -74,6 +74,10 @@
         fall_multiple=rules.get("fall-multiple") or 0.0,
         fall_time=micros(rules.get("fall")),
         key_rest=micros(rules.get("order-settle")),
+        ask_within=micros(rules.get("ask-every")) if facts.get("membership-mode") == "ask" else 0,
+        rated=facts.get("weight-source") in ("rough", "nominal"),
+        notes=bool(limits.get("may-tell")),
+        fees=tuple(float(fee or 0) for fee in own.get("carriage") or ()),
     )
 
 
@@ -92,7 +96,49 @@
     )
 
 
+def numbered(
+    listed: list[dict[str, Any]], known: list[dict[str, Any]], held: int
+) -> tuple[list[dict[str, Any]], list[int]]:
+    """The tracks in the order of their numbers, and the numbers that take nothing new.
+
+    The ledger knows tracks by number. While it holds envelopes, a number keeps the terms under which they
+    were taken on: a track that the settings changed or lack keeps its row, and a changed one gets one behind.
+    Guards envelopes against a track that is removed, put in another order, or made once-only, under them.
+    """
+    if not held:
+        return listed, []
+    rows = [*known, *(row for row in listed if row not in known)]
+    return rows, [number for number, row in enumerate(rows) if row not in listed]
+
+
+# What the settings list by name, and what stands under `specifics` in the same order.
+COLUMNS = {"kinds": ("kind-apart", "per-call"), "zones": ("carriage",)}
+
+
+def aligned(facts: dict[str, Any], before: dict[str, Any]) -> dict[str, Any]:
+    """The settings with kinds and zones in the order in which a running sender knows them, new ones behind.
+
+    >>> old = {"kinds": ["a", "b"], "zones": ["x"]}
+    >>> new = {"kinds": ["b", "c"], "zones": ["x"], "specifics": {"kind-apart": [True, False]}}
+    >>> found = aligned(new, old)
+    >>> found["kinds"], found["specifics"]["kind-apart"]
+    (['a', 'b', 'c'], [None, True, False])
+    """
+    specifics = dict(facts.get("specifics") or {})
+    found = {**facts, "specifics": specifics}
+    for name, columns in COLUMNS.items():
+        now, known = list(facts.get(name) or []), list(before.get(name) or [])
+        found[name] = known + [one for one in now if one not in known]
+        for column in columns:
+            told = dict(zip(now, specifics.get(column) or [], strict=False))
+            if told:
+                specifics[column] = [told.get(one) for one in found[name]]
+    return found
+
+
 def node_terms(seed: int, facts: dict[str, Any]) -> Terms:
-    """The same on sockets, where a call carries one envelope and an answer tells of a full table."""
+    """The same on sockets, where a call carries one envelope, an answer tells of a full table, and the
+    directory's own stage asks for the list."""
     told = terms(seed, facts)
-    return replace(told, tables_told=True, kinds=tuple(replace(kind, per_call=1) for kind in told.kinds))
+    kinds = tuple(replace(kind, per_call=1) for kind in told.kinds)
+    return replace(told, tables_told=True, ask_within=0, kinds=kinds)
