--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -184,6 +184,7 @@
         self.reopened = self.open_until = self.wait_until = 0
         self.told, self.share = 0.0, 1.0  # what answers told: calls a second, share left: noisy, old
         self.told_at = 0  # when they did
+        self.refused_at = -(10**9)
         self.pace, self.paced = 0.0, Bucket()  # calls a second allowed beside the limit: see `excused`
         self.pace_cut_at, self.succeeded_at = sender.now, sender.now
         self.bad, self.bad_at = 0.0, sender.now  # share of late answers that were errors or resets
@@ -277,6 +278,8 @@
     def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
         """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
         limited = ending is Ending.FULL and self.told > 0
+        if limited and not self.told_at:
+            self.share, self.refused_at = 0.0, self.sender.now
         vague = ending in (Ending.FULL, Ending.TIMED_OUT) or self.crowded(ending, took)
         self.failures += 0.25 * (self.share >= MUCH_LEFT) if limited else 0.5 if vague else 1
         # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
@@ -321,7 +324,11 @@
         self.failures, self.succeeded_at = 0, now
         (self.done.skip if self.recovering(now) else self.done.count)(now)
         self.bad -= GAIN * self.bad
+        if not self.told_at:  # no answer tells: as much is left as time has passed since the last refusal
+            self.share = 1 - exp((self.refused_at - now) / TOLD_OVER)
         if self.told:
+            if not self.pace:
+                self.set_pace(max(self.sender.start, self.split()))
             self.sender.start = min(MOST_START, self.sender.start * START_GROWTH ** (2 * self.share))
             step = min(PACE_GROWTH, self.pace if self.pace < self.split() else PACE_STEP * self.split())
             self.set_pace(self.pace + step * (self.share - KEPT_BACK))
@@ -347,7 +354,7 @@
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
 
     def spread(self, word: str, shot: Shot) -> None:
-        if self.sender.terms.notes:
+        if False and self.sender.terms.notes:
             number = shot.envelopes[0].destination.number
             self.sender.answers.tell(f"{word} {number} {shot.endpoint.id}".encode())
 
@@ -412,6 +419,8 @@
         if before is None or (before.gate is self.gate) == self.apart:  # new, or its kind was switched
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
             self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate, self.sender.chance.random())
+            if self.sender.terms.rated and not gate.told_at:
+                gate.told = row.weight
             if before is not None:
                 gate.follow(before.gate)
         endpoint = self.known[row.endpoint]
