--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -277,18 +277,21 @@
 
     def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
         """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
-        limited = ending is Ending.FULL and self.told > 0
+        limited = ending is Ending.FULL
         if limited and not self.told_at:
             self.share, self.refused_at = 0.0, self.sender.now
+            if not self.told:
+                self.told = max(self.rate, self.sender.start) * self.sender.terms.senders
         vague = ending in (Ending.FULL, Ending.TIMED_OUT) or self.crowded(ending, took)
-        self.failures += 0.25 * (self.share >= MUCH_LEFT) if limited else 0.5 if vague else 1
+        some = self.share >= MUCH_LEFT or not self.told_at
+        self.failures += 0.25 * some if limited else 0.5 if vague else 1
         # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
         least = 0.5 if vague and max(self.sender.crowding) <= CROWDED else 1.0  # else tables may be full
         rate = self.done.sum * SECOND / RATED_OVER if vague else self.rate
         enough = min(RUN_OF_FAILURES, max(least, RUN_OF_FAILURES * rate))
         run = self.failures >= enough and self.sender.now - self.succeeded_at > SHUT_AFTER
         # So long a wait with much of the limit left is no limit's: it is shut, and all are told the same end.
-        shut = self.share >= MUCH_LEFT and self.wait_until - self.sender.now > SHUT_AFTER
+        shut = some and self.wait_until - self.sender.now > SHUT_AFTER
         if shut or (run and not self.ailing):
             self.ailing = True  # by lot, as many senders that all start at one call each would push it over
             self.guard = Bucket(max(self.sender.now, self.wait_until), self.sender.chance.random())
