--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -296,7 +296,6 @@
             self.ailing = True  # by lot, as many senders that all start at one call each would push it over
             self.guard = Bucket(max(self.sender.now, self.wait_until), self.sender.chance.random())
             self.log(f"ailing: {self.failures:.1f} failures, last {ending.value}")
-            self.spread("out", shot)
         if limited and not run and not shut:  # the rate explains it: it cuts the pace, once per burst
             self.paced.tokens, self.paced.at = 0.0, self.sender.now
             self.sender.start = max(LEAST_START, self.sender.start * START_CUT)
@@ -357,7 +356,7 @@
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
 
     def spread(self, word: str, shot: Shot) -> None:
-        if False and self.sender.terms.notes:
+        if self.sender.terms.notes:
             number = shot.envelopes[0].destination.number
             self.sender.answers.tell(f"{word} {number} {shot.endpoint.id}".encode())
 
