--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -307,7 +307,7 @@
         if ending in (Ending.ERROR, Ending.RESET):  # one failure among successes is no load
             self.bad *= (1 - GAIN / 2) ** ((self.sender.now - self.bad_at) / SECOND)
             self.bad, self.bad_at = self.bad + GAIN * (1 - self.bad), self.sender.now
-            return self.bad < MOSTLY_BAD
+            return self.bad < MOSTLY_BAD and not run
         return ending is Ending.TIMED_OUT and (took < shot.timeout or self.overtaken(shot))
 
     def crowded(self, ending: Ending, took: int) -> bool:  # full of connections, or down where none can tell
@@ -643,7 +643,7 @@
                 gate.holds.append(self.now + HOLD)
             kind = destination.kind
             self.crowding[kind] += GAIN / 2 * (gate.crowded(ending, took) - self.crowding[kind])
-            if 2 * endpoint.gap > self.terms.idle_time or self.crowding[kind] > CROWDED:
+            if self.crowding[kind] > CROWDED:
                 self.lonely.append(endpoint)
         self.dirty[destination] = self.stirred[destination] = None
 
