--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -440,11 +440,16 @@
         """Well and quick first; between equals a lot, or all senders would begin at the same one."""
         self.endpoints.sort(key=lambda e: (round(e.failing, 1), e.pace, e.lot))
 
-    def pick(self, gate: Gate) -> Endpoint | None:
-        """Fills the ranked endpoints from the top, each up to its part of the gate's limit."""
+    def pick(self, gate: Gate) -> tuple[Endpoint | None, Envelope | None]:
+        """Fills the ranked endpoints from the top, each up to its part of the gate's limit. One for which
+        nobody waits is passed over: a repeat may be bound to a zone."""
         usable = [e for e in self.endpoints if e.gate is gate]
         most = -(-max(1, gate.limit) // max(1, len(usable)))
-        return next((e for e in usable if e.in_flight < most), usable[0] if usable else None)
+        for endpoint in sorted(usable, key=lambda e: e.in_flight >= most):
+            envelope = self.next(endpoint)
+            if envelope:
+                return endpoint, envelope
+        return None, None
 
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
@@ -472,8 +477,7 @@
                     sender.dirty[self] = None
                     return sender.relieve()
                 opens_at = gate.opens_at(sender.now)
-                endpoint = self.pick(gate) if opens_at is None else None
-                envelope = self.next(endpoint) if endpoint else None
+                endpoint, envelope = self.pick(gate) if opens_at is None else (None, None)
                 if not endpoint or not envelope:
                     if opens_at and not sender.now < self.look_at <= opens_at:
                         self.look_at = opens_at
@@ -643,7 +647,7 @@
                 gate.holds.append(self.now + HOLD)
             kind = destination.kind
             self.crowding[kind] += GAIN / 2 * (gate.crowded(ending, took) - self.crowding[kind])
-            if self.crowding[kind] > CROWDED:
+            if 2 * endpoint.gap > self.terms.idle_time or self.crowding[kind] > CROWDED:
                 self.lonely.append(endpoint)
         self.dirty[destination] = self.stirred[destination] = None
 
