--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -437,8 +437,11 @@
         self.known = {endpoint.id: endpoint for endpoint in kept}
 
     def rank(self) -> None:
-        """Well and quick first; between equals a lot, or all senders would begin at the same one."""
-        self.endpoints.sort(key=lambda e: (round(e.failing, 1), e.pace, e.lot))
+        """Well first; of routes apart the cheaper, else the quicker; between equals a lot, or all senders
+        would begin at the same one."""
+        fees = self.sender.terms.fees if self.apart else ()
+        fee = {e: fees[e.zone] if e.zone < len(fees) else 0.0 for e in self.endpoints}
+        self.endpoints.sort(key=lambda e: (round(e.failing, 1), fee[e], e.pace, e.lot))
 
     def pick(self, gate: Gate) -> tuple[Endpoint | None, Envelope | None]:
         """Fills the ranked endpoints from the top, each up to its part of the gate's limit. One for which
