--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -213,6 +213,10 @@
         burst = PACE_BURST * self.told * self.share / self.sender.terms.senders**0.5  # others have theirs
         return self.paced.due(now, self.pace, max(1.0, burst))
 
+    @property
+    def blind(self) -> bool:  # no answer tells of a limit
+        return not self.sender.terms.reports
+
     @property
     def cap(self) -> int:
         return max(1, self.sender.terms.slots * 3 // 4)
@@ -277,13 +281,12 @@
 
     def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
         """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
-        limited = ending is Ending.FULL
-        if limited and not self.told_at:
+        if ending is Ending.FULL and self.blind:  # without a listed rate, the own one is taken for an even split
             self.share, self.refused_at = 0.0, self.sender.now
-            if not self.told:
-                self.told = max(self.rate, self.sender.start) * self.sender.terms.senders
+            self.told = self.told or max(self.rate, self.sender.start) * self.sender.terms.senders
+        limited = ending is Ending.FULL and self.told > 0
         vague = ending in (Ending.FULL, Ending.TIMED_OUT) or self.crowded(ending, took)
-        some = self.share >= MUCH_LEFT or not self.told_at
+        some = self.share >= MUCH_LEFT or self.blind
         self.failures += 0.25 * some if limited else 0.5 if vague else 1
         # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
         least = 0.5 if vague and max(self.sender.crowding) <= CROWDED else 1.0  # else tables may be full
@@ -326,7 +329,7 @@
         self.failures, self.succeeded_at = 0, now
         (self.done.skip if self.recovering(now) else self.done.count)(now)
         self.bad -= GAIN * self.bad
-        if not self.told_at:  # no answer tells: as much is left as time has passed since the last refusal
+        if self.blind:  # as much is left as time has passed since the last refusal
             self.share = 1 - exp((self.refused_at - now) / TOLD_OVER)
         if self.told:
             if not self.pace:
@@ -421,7 +424,7 @@
         if before is None or (before.gate is self.gate) == self.apart:  # new, or its kind was switched
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
             self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate, self.sender.chance.random())
-            if self.sender.terms.rated and not gate.told_at:
+            if gate.blind and self.sender.terms.rated:
                 gate.told = row.weight
             if before is not None:
                 gate.follow(before.gate)
--- a/ashpath/door.py
+++ b/ashpath/door.py
@@ -87,6 +87,7 @@
     fall_time: int
     key_rest: int
     ask_within: int  # the list comes only when asked for, at least so often; 0: it comes by itself
+    reports: bool  # answers tell of a limit, where there is one
     rated: bool  # the list has rates, roughly
     notes: bool  # senders may send each other notes, which may be lost
     fees: tuple[float, ...]  # by zone, for an envelope that a route apart there takes on
--- a/ashpath/terms.py
+++ b/ashpath/terms.py
@@ -75,6 +75,7 @@
         fall_time=micros(rules.get("fall")),
         key_rest=micros(rules.get("order-settle")),
         ask_within=micros(rules.get("ask-every")) if facts.get("membership-mode") == "ask" else 0,
+        reports=told_fields(facts) is not None,
         rated=facts.get("weight-source") in ("rough", "nominal"),
         notes=bool(limits.get("may-tell")),
         fees=tuple(float(fee or 0) for fee in own.get("carriage") or ()),
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -74,7 +74,7 @@
             seed=1, number=0, senders=1, slots=8, room=100, most_shots=0, may_withdraw=True,
             longest_wait=3_000_000, connect_time=500_000, idle_time=0, tracks=(), kinds=(), decays=True,
             tables_told=False, key_rest=0, drain_grace=500_000, cold_share=0.2, ramp_time=10_000_000,
-            fall_time=0, fall_multiple=2, ask_within=0, rated=False, notes=False, fees=(),
+            fall_time=0, fall_multiple=2, ask_within=0, reports=True, rated=False, notes=False, fees=(),
         )  # fmt: skip
 
     def shoot(self, envelope: int, endpoint: str, timeout: int) -> None:
