--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -3,7 +3,7 @@
 A scenario is a text file. `#` starts a comment. The head says what the sender is handed:
 
     terms slots=8 senders=2 ramp=10s          any of the names in `Scene.terms`
-    track orders once-only payoff=4 promise=2s cutoff=20s [window=5s] [ordered]
+    track orders once-only payoff=4 promise=2s cutoff=20s [window=5s] [ordered] [zone]
     kind plain | kind apart | kind calls=10
     at x1 x2 : 7 [kind=0] [zone=0] [weight=0]    endpoints x1 and x2 are destination 7's
 
@@ -90,6 +90,8 @@
         if one.risk_from is not None:
             assert one.track.repeat is not Repeat.ONCE_ONLY, f"{name} may run twice"
             tagged = one.track.repeat is Repeat.TAGGED
+            zones = self.rows[endpoint].zone, self.rows[one.risk_at].zone
+            assert one.track.whole_group or not tagged or zones[0] == zones[1], f"{name} in another zone"
             assert not tagged or self.now < one.risk_from + one.track.window, f"{name} out of its window"
         if one.track.ordered and one.key is not None:
             earlier = (e for i, e in self.held.items() if e.track.ordered and i < envelope)
@@ -206,15 +208,16 @@
             spans = {"ramp": "ramp_time", "grace": "drain_grace", "rest": "key_rest", "idle": "idle_time"}
             spans["ask"] = "ask_within"
             for key, value in named.items():
-                new: dict[str, object] = {spans[key]: span(value)} if key in spans else {key: int(value)}
+                read: Callable[[str], object] = span if key in spans else int
                 if key == "fees":
-                    new = {key: tuple(map(float, value.split("/")))}
+                    read = lambda text: tuple(map(float, text.split("/")))  # noqa: E731
+                new = {spans.get(key, key): read(value)}
                 self.terms = replace(self.terms, **new)
         elif verb == "track":
             self.names.append(plain[0])
             promise, cutoff = span(named.get("promise", "2s")), span(named.get("cutoff", "10s"))
             window, payoff = span(named.get("window", "0s")), float(named.get("payoff", 1))
-            terms = (payoff, promise, cutoff, REPEATS[plain[1]], window, True, 0.3, "ordered" in plain)
+            terms = (payoff, promise, cutoff, REPEATS[plain[1]], window, "zone" not in plain, 0.3, "ordered" in plain)
             self.tracks.append(TrackTerms(*terms))
         elif verb == "kind":
             self.kinds.append(KindTerms(apart="apart" in plain, per_call=int(named.get("calls", 1))))
