--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -41,6 +41,7 @@
 TOLD_OVER = 2 * SECOND  # how long a told limit holds against the next; longer is steadier, later to follow
 PACE_BURST = 0.3  # seconds of the limit, as far as it is left, that may go at once; more overruns it
 MUCH_LEFT = 0.5  # refused with so much of the limit left: a shut destination, not the limit
+GATHER = 0.25  # of the promised time that a call waits to be fuller; more saves calls and slots, less time
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
 RATED_OVER = 10 * SECOND  # the time over which completions are counted; longer is steadier, later to follow
@@ -474,8 +475,18 @@
                 break
         return best
 
+    def gathers(self) -> int | None:
+        """Until when a call that takes several may wait to be fuller: a part of the promised time."""
+        waiting = [next(iter(queue)) for queue in self.fresh if queue]
+        if self.per_call == 1 or any(self.late) or sum(map(len, self.fresh)) >= self.per_call or not waiting:
+            return None
+        at = min(e.promise_at - int((1 - GATHER) * e.track.terms.promised) for e in waiting)
+        return at if at > self.sender.now else None
+
     def pump(self) -> None:
         sender = self.sender
+        if ripe := self.gathers():
+            return sender.answers.wake(ripe, f"d{self.number}")
         for gate in self.gates():
             while any(self.fresh) or any(self.late):
                 # The cap is three quarters of what others leave: slow destinations leave room for the rest.
