--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -238,7 +238,8 @@
         return self.told / self.sender.terms.senders
 
     def set_pace(self, pace: float) -> None:
-        self.pace = min(self.told, max(pace, LEAST_PACE * self.split()))
+        most = pace if self.blind else self.told  # what stands in for a told limit is no bound
+        self.pace = max(min(pace, most), LEAST_PACE * self.split())
 
     def allowance(self, now: int) -> float:
         """Calls a second that a destination just back, or about to be, may get from this sender."""
@@ -282,7 +283,7 @@
 
     def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
         """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
-        if ending is Ending.FULL and self.blind:  # without a listed rate, the own one is taken for an even split
+        if ending is Ending.FULL and self.blind:  # the listed rate, or the own one as an even split, stands in
             self.share, self.refused_at = 0.0, self.sender.now
             self.told = self.told or max(self.rate, self.sender.start) * self.sender.terms.senders
         limited = ending is Ending.FULL and self.told > 0
@@ -341,10 +342,11 @@
         if self.ailing:
             self.ailing, self.warm_from, self.guard.at = False, now, now
             self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
-            self.spread("back", shot)
+            if self.sender.terms.notes:
+                note = f"back {shot.envelopes[0].destination.number} {endpoint.id}"
+                self.sender.answers.tell(note.encode())
         if shot.probe:
-            self.breaker, self.limit, self.fast, self.reopened = Breaker.CLOSED, 1, 0, 0
-            self.log("breaker closed")
+            self.close()
         elif fast and self.breaker is Breaker.CLOSED:
             self.fast += 1
             if (self.unfailed or self.fast >= self.limit) and self.limit < self.cap:
@@ -359,22 +361,16 @@
         self.open_until = self.sender.now + pause + pause * terms.number // terms.senders
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
 
-    def spread(self, word: str, shot: Shot) -> None:
-        if self.sender.terms.notes:
-            number = shot.envelopes[0].destination.number
-            self.sender.answers.tell(f"{word} {number} {shot.endpoint.id}".encode())
-
-    def heard(self, back: bool) -> None:
-        """Another sender's word of an outage, or of its end: what all find out one by one, at a call each."""
-        now = self.sender.now
-        if back and self.ailing:
-            self.ailing, self.warm_from, self.guard.at, self.failures = False, now, now, 0.0
+    def heard_back(self) -> None:
+        """Another sender's word of a return: what all find out one by one, at a call and a pause each."""
+        if self.ailing:
+            self.ailing, self.warm_from, self.guard.at = False, self.sender.now, self.sender.now
             if self.breaker is Breaker.OPEN:
-                self.breaker, self.limit, self.fast, self.reopened = Breaker.CLOSED, 1, 0, 0
-        elif not (back or self.ailing) and now - self.succeeded_at > SHUT_AFTER:
-            self.ailing, self.guard = True, Bucket(now, self.sender.chance.random())
-            if self.breaker is Breaker.CLOSED:
-                self.open(Ending.UNSENT)
+                self.close()
+
+    def close(self) -> None:
+        self.breaker, self.limit, self.fast, self.reopened = Breaker.CLOSED, 1, 0, 0
+        self.log("breaker closed")
 
     def follow(self, other: Gate) -> None:
         """What was told to the gate in whose place this one comes binds here too."""
@@ -461,7 +457,8 @@
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
         now, best, best_rank = self.sender.now, None, (False, 0.0, 0.0)
-        drained = int(SECOND * max(1.0, sum(map(len, self.fresh)) / max(1.0, self.gate.rate)))
+        rate = sum(gate.rate for gate in self.gates())
+        drained = int(SECOND * max(1.0, sum(map(len, self.fresh)) / max(1.0, rate)))
         for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
                 ran, anywhere = envelope.ran, envelope.track.terms.whole_group
@@ -582,11 +579,10 @@
 
     def heard(self, note: bytes) -> None:
         """A note of another sender; it may be late, or of a place not known here, or no note at all."""
-        word, _, place = note.decode("utf-8", "replace").partition(" ")
-        number, _, id_ = place.partition(" ")
+        word, number, id_ = (*note.decode("utf-8", "replace").split(" ", 2), "", "")[:3]
         destination = self.destinations.get(int(number) if number.isdecimal() else -1)
-        if destination and id_ in destination.known and word in ("out", "back"):
-            destination.known[id_].gate.heard(word == "back")
+        if destination and id_ in destination.known and word == "back":
+            destination.known[id_].gate.heard_back()
             self.dirty[destination] = None
 
     def destination(self, number: int) -> Destination:
