--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -302,7 +302,7 @@
             self.guard = Bucket(max(self.sender.now, self.wait_until), self.sender.chance.random())
             self.log(f"ailing: {self.failures:.1f} failures, last {ending.value}")
         if limited and not run and not shut:  # the rate explains it: it cuts the pace, once per burst
-            self.paced.tokens, self.paced.at = self.sender.chance.random() * self.blind, self.sender.now
+            self.paced.tokens, self.paced.at = self.blind * (self.sender.chance.random() - 0.5), self.sender.now
             self.sender.start = max(LEAST_START, self.sender.start * START_CUT)
             if shot.started >= self.pace_cut_at:
                 cut = PACE_CUT if self.succeeded_at >= self.pace_cut_at else PACE_CUT_AGAIN
