--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -184,8 +184,7 @@
         self.decreased_at, self.breaker = -1, Breaker.CLOSED
         self.reopened = self.open_until = self.wait_until = 0
         self.told, self.share = 0.0, 1.0  # what answers told: calls a second, share left: noisy, old
-        self.told_at = 0  # when they did
-        self.refused_at = -(10**9)
+        self.told_at, self.refused_at = 0, -(10**9)  # when they did, and a refusal came where none tells
         self.pace, self.paced = 0.0, Bucket()  # calls a second allowed beside the limit: see `excused`
         self.pace_cut_at, self.succeeded_at = sender.now, sender.now
         self.bad, self.bad_at = 0.0, sender.now  # share of late answers that were errors or resets
@@ -206,7 +205,7 @@
             due = max(self.open_until, self.holds[-1] if self.holds else 0)
             if now < due:
                 return due
-        elif self.in_flight + len(self.holds) >= min(self.limit, self.cap):
+        elif self.in_flight + len(self.holds) >= min(self.limit, self.sender.cap):
             return self.holds[0] if self.holds else 0
         guarded = self.guard.due(now, self.allowance(now), 1.0) if self.recovering(now) else None
         if guarded or not self.pace:
@@ -214,14 +213,6 @@
         burst = PACE_BURST * self.told * self.share / self.sender.terms.senders**0.5  # others have theirs
         return self.paced.due(now, self.pace, max(1.0, burst))
 
-    @property
-    def blind(self) -> bool:  # no answer tells of a limit
-        return not self.sender.terms.reports
-
-    @property
-    def cap(self) -> int:
-        return max(1, self.sender.terms.slots * 3 // 4)
-
     @property
     def rate(self) -> float:
         return self.done.rate()
@@ -238,7 +229,7 @@
         return self.told / self.sender.terms.senders
 
     def set_pace(self, pace: float) -> None:
-        most = pace if self.blind else self.told  # what stands in for a told limit is no bound
+        most = pace if self.sender.blind else self.told  # what stands in for a told limit is no bound
         self.pace = max(min(pace, most), LEAST_PACE * self.split())
 
     def allowance(self, now: int) -> float:
@@ -283,35 +274,36 @@
 
     def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
         """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
-        if ending is Ending.FULL and self.blind:  # the listed rate, or the own one as an even split, stands in
-            self.share, self.refused_at = 0.0, self.sender.now
-            self.told = self.told or max(self.rate, self.sender.start) * self.sender.terms.senders
+        sender, now = self.sender, self.sender.now
+        if ending is Ending.FULL and sender.blind:  # the listed rate stands in, or else the own one
+            self.share, self.refused_at = 0.0, now
+            self.told = self.told or max(self.rate, sender.start) * sender.terms.senders  # for an even split
         limited = ending is Ending.FULL and self.told > 0
         vague = ending in (Ending.FULL, Ending.TIMED_OUT) or self.crowded(ending, took)
-        some = self.share >= MUCH_LEFT or self.blind
+        some = self.share >= MUCH_LEFT or sender.blind
         self.failures += 0.25 * some if limited else 0.5 if vague else 1
         # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
-        least = 0.5 if vague and max(self.sender.crowding) <= CROWDED else 1.0  # else tables may be full
+        least = 0.5 if vague and max(sender.crowding) <= CROWDED else 1.0  # else tables may be full
         rate = self.done.sum * SECOND / RATED_OVER if vague else self.rate
         enough = min(RUN_OF_FAILURES, max(least, RUN_OF_FAILURES * rate))
-        run = self.failures >= enough and self.sender.now - self.succeeded_at > SHUT_AFTER
+        run = self.failures >= enough and now - self.succeeded_at > SHUT_AFTER
         # So long a wait with much of the limit left is no limit's: it is shut, and all are told the same end.
-        shut = some and self.wait_until - self.sender.now > SHUT_AFTER
+        shut = some and self.wait_until - now > SHUT_AFTER
         if shut or (run and not self.ailing):
             self.ailing = True  # by lot, as many senders that all start at one call each would push it over
-            self.guard = Bucket(max(self.sender.now, self.wait_until), self.sender.chance.random())
+            self.guard = Bucket(max(now, self.wait_until), sender.chance.random())
             self.log(f"ailing: {self.failures:.1f} failures, last {ending.value}")
         if limited and not run and not shut:  # the rate explains it: it cuts the pace, once per burst
-            self.paced.tokens, self.paced.at = self.blind * (self.sender.chance.random() - 0.5), self.sender.now
-            self.sender.start = max(LEAST_START, self.sender.start * START_CUT)
+            self.paced.tokens, self.paced.at = sender.blind * (sender.chance.random() - 0.5), now
+            sender.start = max(LEAST_START, sender.start * START_CUT)
             if shot.started >= self.pace_cut_at:
                 cut = PACE_CUT if self.succeeded_at >= self.pace_cut_at else PACE_CUT_AGAIN
-                self.set_pace(min(self.pace * cut, max(self.sender.start, self.split())))
-                self.pace_cut_at = self.sender.now
+                self.set_pace(min(self.pace * cut, max(sender.start, self.split())))
+                self.pace_cut_at = now
             return True
         if ending in (Ending.ERROR, Ending.RESET):  # one failure among successes is no load
-            self.bad *= (1 - GAIN / 2) ** ((self.sender.now - self.bad_at) / SECOND)
-            self.bad, self.bad_at = self.bad + GAIN * (1 - self.bad), self.sender.now
+            self.bad *= (1 - GAIN / 2) ** ((now - self.bad_at) / SECOND)
+            self.bad, self.bad_at = self.bad + GAIN * (1 - self.bad), now
             return self.bad < MOSTLY_BAD and not run
         return ending is Ending.TIMED_OUT and (took < shot.timeout or self.overtaken(shot))
 
@@ -331,7 +323,7 @@
         self.failures, self.succeeded_at = 0, now
         (self.done.skip if self.recovering(now) else self.done.count)(now)
         self.bad -= GAIN * self.bad
-        if self.blind:  # as much is left as time has passed since the last refusal
+        if self.sender.blind:  # as much is left as time has passed since the last refusal
             self.share = 1 - exp((self.refused_at - now) / TOLD_OVER)
         if self.told:
             if not self.pace:
@@ -349,7 +341,7 @@
             self.close()
         elif fast and self.breaker is Breaker.CLOSED:
             self.fast += 1
-            if (self.unfailed or self.fast >= self.limit) and self.limit < self.cap:
+            if (self.unfailed or self.fast >= self.limit) and self.limit < self.sender.cap:
                 self.limit, self.fast = self.limit + 1, 0
 
     def open(self, ending: Ending) -> None:
@@ -421,12 +413,12 @@
         if before is None or (before.gate is self.gate) == self.apart:  # new, or its kind was switched
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
             self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate, self.sender.chance.random())
-            if gate.blind and self.sender.terms.rated:
+            if gate.sender.blind and self.sender.terms.rated:
                 gate.told = row.weight
             if before is not None:
                 gate.follow(before.gate)
         endpoint = self.known[row.endpoint]
-        others = [e for e in self.endpoints if e is not endpoint]
+        others = [e for e in self.endpoints if e.id != row.endpoint]
         serves = row.presence is Presence.LISTED and row.endpoint not in self.sender.held
         self.endpoints = [endpoint, *others] if serves else others
         self.rank()
@@ -444,15 +436,11 @@
         self.endpoints.sort(key=lambda e: (round(e.failing, 1), fee[e], e.pace, e.lot))
 
     def pick(self, gate: Gate) -> tuple[Endpoint | None, Envelope | None]:
-        """Fills the ranked endpoints from the top, each up to its part of the gate's limit. One for which
-        nobody waits is passed over: a repeat may be bound to a zone."""
+        """Fills the ranked endpoints from the top to their part of the limit, but where nobody may go."""
         usable = [e for e in self.endpoints if e.gate is gate]
         most = -(-max(1, gate.limit) // max(1, len(usable)))
-        for endpoint in sorted(usable, key=lambda e: e.in_flight >= most):
-            envelope = self.next(endpoint)
-            if envelope:
-                return endpoint, envelope
-        return None, None
+        found = ((e, self.next(e)) for e in sorted(usable, key=lambda e: e.in_flight >= most))
+        return next((one for one in found if one[1]), (None, None))
 
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
@@ -474,11 +462,9 @@
 
     def gathers(self) -> int | None:
         """Until when a call that takes several may wait to be fuller: a part of the promised time."""
-        waiting = [next(iter(queue)) for queue in self.fresh if queue]
-        if self.per_call == 1 or any(self.late) or sum(map(len, self.fresh)) >= self.per_call or not waiting:
-            return None
-        at = min(e.promise_at - int((1 - GATHER) * e.track.terms.promised) for e in waiting)
-        return at if at > self.sender.now else None
+        oldest, enough = [next(iter(q)) for q in self.fresh if q], sum(map(len, self.fresh)) >= self.per_call
+        at = min((e.promise_at - int((1 - GATHER) * e.track.terms.promised) for e in oldest), default=0)
+        return None if enough or any(self.late) or at <= self.sender.now else at
 
     def pump(self) -> None:
         sender = self.sender
@@ -534,18 +520,15 @@
         self.switch(terms)
 
     def switch(self, terms: Terms) -> None:
-        """New settings while it runs. Tracks, kinds and zones keep their numbers, new ones come behind them;
-        envelopes keep the terms under which they were taken on."""
-        self.terms, count = terms, len(terms.tracks)
+        """New settings while it runs; numbers of tracks, kinds and zones stay, envelopes keep their terms."""
+        self.terms, count, self.cap = terms, len(terms.tracks), max(1, terms.slots * 3 // 4)
+        self.blind = not terms.reports  # no answer tells of a limit: what stands in is in `Gate.excused`
         self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
         self.crowding += [0.0] * (len(terms.kinds) - len(self.crowding))
         for one in self.destinations.values():
             one.times += [Times() for _ in range(count - len(one.times))]
             for queues in (one.fresh, one.late):
                 queues += [OrderedDict() for _ in range(count - len(queues))]
-        if terms.ask_within and not self.asking:
-            self.answers.wake(self.now, "l0")
-        self.asking = terms.ask_within > 0
 
     def open_turn(self, now: int) -> None:
         self.now = now
@@ -565,7 +548,7 @@
         """A call for the list failed, or its changes no longer come: asked again by lot, ever later."""
         self.unanswered += 1
         pause = min(self.terms.ask_within, SECOND << min(self.unanswered, 10))
-        self.answers.wake(self.now + int(pause * self.chance.uniform(0.5, 1)), "l1")
+        self.answers.wake(self.now + int(pause * self.chance.uniform(0.5, 1)), "l")
 
     def listed(self, rows: list[Listing], whole: bool) -> None:
         self.unanswered = 0
@@ -685,8 +668,7 @@
             self.move(envelope, State.LEFT if envelope.state is State.OUT else State.OVER)
 
     def hold(self, endpoint: str, out: bool, row: Listing | None = None) -> None:
-        """An operator's hold: out, the endpoint drains for this sender until put back, whatever the listing
-        says; back, `row` is its listing as last told, and its return is cold, so its gate starts it low."""
+        """An operator's hold: out, the endpoint drains here until put back, then cold, listed as in `row`."""
         (self.held.add if out else self.held.discard)(endpoint)
         if not out and row is not None:
             self.listed([row], False)
@@ -700,8 +682,7 @@
                 self.dirty[destination] = self.stirred[destination] = None
 
     def waited(self, number: int, endpoint: str, until: int) -> None:
-        """A wait told to another process of this sender (a hot upgrade): it binds here too, and all routes
-        of the destination where the endpoint is not known here."""
+        """A wait told to another process of this sender; it binds all routes if the endpoint is not known."""
         destination = self.destination(number)
         known = destination.known.get(endpoint)
         for gate in destination.gates() if known is None else [known.gate]:
@@ -712,11 +693,8 @@
         kind, number = token[0], int(token[1:] or 0)
         if kind == "r":
             self.rank()
-        elif kind == "l" and number and self.asking:
+        elif kind == "l" and self.asking:
             self.answers.ask()
-        elif kind == "l" and not number:  # by turn: senders that start at once would ask for too much
-            turn = self.terms.ask_within * self.terms.number // (2 * self.terms.senders)
-            self.answers.wake(self.now + turn, "l1")
         elif kind == "d" and number in self.destinations:
             self.dirty[self.destinations[number]] = None
         elif kind == "k" and number in self.lines:
@@ -734,6 +712,10 @@
                 destination.rank()
             else:
                 self.stirred[destination] = None
+        if self.terms.ask_within and not self.asking:  # by turn, as all may have started at once
+            turn = self.terms.ask_within * self.terms.number // (2 * self.terms.senders)
+            self.answers.wake(self.now + turn, "l")
+        self.asking = self.terms.ask_within > 0
         self.answers.wake(self.now + RERANK_EVERY, "r")
 
     def move(self, envelope: Envelope, state: State) -> None:
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -217,8 +217,8 @@
             self.names.append(plain[0])
             promise, cutoff = span(named.get("promise", "2s")), span(named.get("cutoff", "10s"))
             window, payoff = span(named.get("window", "0s")), float(named.get("payoff", 1))
-            terms = (payoff, promise, cutoff, REPEATS[plain[1]], window, "zone" not in plain, 0.3, "ordered" in plain)
-            self.tracks.append(TrackTerms(*terms))
+            told = (payoff, promise, cutoff, REPEATS[plain[1]], window, "zone" not in plain, 0.3)
+            self.tracks.append(TrackTerms(*told, "ordered" in plain))
         elif verb == "kind":
             self.kinds.append(KindTerms(apart="apart" in plain, per_call=int(named.get("calls", 1))))
         elif verb == "at":
