--- a/tests/plan/test_plan.py
+++ b/tests/plan/test_plan.py
@@ -77,6 +77,7 @@
     "contract": {"drain-grace": 1000, "cold-from": 0.2, "ramp-time": 10000, "fall-multiple": 2, "fall": 3000,
                  "order-settle": 200},
     "specifics": {"slots": 8, "kind-apart": [False, True], "loses-worth": "halves"},
+    "load-info": {"how": "answers", "fields": ["x0", "x1"]},
 }  # fmt: skip
 
 
