The guard starts by lot after word of a return; its floor is the own mean, or the listed rate

Cause: the guard's buckets filled while the place was out, so word of its return let every sender send one call at once; and 0.2 calls a second taken for usual by each of 36 to 192 senders sum up to several times a small limit. Lines: Gate.heard_back, Gate.allowance. Now the bucket starts by lot again, the floor is no more than the sender's mean over its destinations, and a listed rate, less a third, goes before all guesses.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -45,8 +45,9 @@
 SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 MOSTLY_BAD = 0.5  # errors and resets below this share of the answers leave the limit alone
 RATED_OVER = 10 * SECOND  # the time over which completions are counted; longer is steadier, later to follow
-LEAST_KNOWN = 0.2  # calls a second taken for usual where less is known; more probes more
+LEAST_KNOWN = 0.2  # calls a second, or the mean of all if less, usual where less is known; more probes more
 ASKED_AGAIN = 0.5  # of the envelopes handed in while it is out, so many are not there again after a bounce
+ROUGH = 2 / 3  # of a listed rate, which may be half too high; more pushes over, less is slower back
 CAUTION = 0.9  # share used of what the rule on returning destinations allows
 ROOM_USED = 0.9  # past this part of the room late envelopes give way; less gives up more, more turns away new
 COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
@@ -152,9 +153,7 @@
 
 
 @dataclass(eq=False)
-class Flow:
-    """How many a second, over RATED_OVER, or since `began` where that is shorter."""
-
+class Flow:  # how many a second, over RATED_OVER, or since `began` where that is shorter
     began: int
     at: int = 0
     sum: float = 0.0
@@ -237,7 +236,10 @@
         terms = self.sender.terms
         warm = 0.0 if self.ailing else min(1.0, (now - self.warm_from) / max(1, terms.ramp_time))
         present = terms.cold_share + (1 - terms.cold_share) * warm
-        usual = max(self.rate, ASKED_AGAIN * self.asked.rate(), self.split(), LEAST_KNOWN)
+        mean = self.sender.asked.rate() / max(1, len(self.sender.destinations))
+        told = self.split() * (terms.reports or ROUGH * terms.rated)  # what only stands in says nothing here
+        usual = max(self.rate, ASKED_AGAIN * self.asked.rate(), min(LEAST_KNOWN, mean), told)
+        usual = told if terms.rated and not terms.reports else usual  # all guesses would sum up to too much
         return CAUTION * terms.fall_multiple * present * usual
 
     def recovering(self, now: int) -> bool:  # guards against pushing over a destination that returns cold
@@ -353,10 +355,10 @@
         self.open_until = self.sender.now + pause + pause * terms.number // terms.senders
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
 
-    def heard_back(self) -> None:
-        """Another sender's word of a return: what all find out one by one, at a call and a pause each."""
-        if self.ailing:
-            self.ailing, self.warm_from, self.guard.at = False, self.sender.now, self.sender.now
+    def heard_back(self) -> None:  # a return that all find one by one, at a call and a pause each
+        if self.ailing:  # by lot again: buckets that filled meanwhile would push it over together
+            self.ailing, self.warm_from = False, self.sender.now
+            self.guard = Bucket(self.sender.now, self.sender.chance.random())
             if self.breaker is Breaker.OPEN:
                 self.close()
 
@@ -364,8 +366,7 @@
         self.breaker, self.limit, self.fast, self.reopened = Breaker.CLOSED, 1, 0, 0
         self.log("breaker closed")
 
-    def follow(self, other: Gate) -> None:
-        """What was told to the gate in whose place this one comes binds here too."""
+    def follow(self, other: Gate) -> None:  # what was told to the gate in whose place this one comes
         self.wait_until = max(self.wait_until, other.wait_until)
         self.ailing, self.warm_from = self.ailing or other.ailing, max(self.warm_from, other.warm_from)
 
@@ -373,9 +374,7 @@
         self.sender.answers.log(f"{self.name} {text}")
 
 
-class Destination:
-    """One destination. Dropped when it has neither endpoints nor envelopes."""
-
+class Destination:  # dropped when it has neither endpoints nor envelopes
     def __init__(self, sender: Sender, number: int) -> None:
         self.sender, self.number = sender, number
         self.known: dict[str, Endpoint] = {}  # listed ones, and gone ones until their news is old
@@ -504,9 +503,9 @@
         self.terms, self.answers, self.chance = terms, answers, Random(terms.seed)
         self.times = Times()  # over all destinations, where one is not yet known
         self.now, self.start = 0, START
+        self.asked = Flow(0)  # envelopes handed in, over all destinations
         self.crowding: list[float] = []  # share of calls that found no connection free, by kind
         self.out: dict[Shot, None] = {}  # calls out, oldest first
-        self.asking = False  # for the list, where it is not pushed
         self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
         self.envelopes: dict[int, Envelope] = {}  # emptied as they are over
         self.lines: dict[int, Line] = {}  # emptied as they run out
@@ -515,7 +514,7 @@
         self.stirred: dict[Destination, None] = {}  # had news since the last ranking, which empties it
         self.late: OrderedDict[Envelope, None] = OrderedDict()  # those waiting in late queues
         self.held: set[str] = set()  # endpoints an operator took out: draining here, whatever is listed
-        self.unanswered = 0  # calls for the list that failed in a row
+        self.asking, self.unanswered = False, 0  # for the list that is not pushed; calls failed in a row
         answers.wake(0, "r")
         self.switch(terms)
 
@@ -544,8 +543,7 @@
             self.answers.release(endpoint.id)
         self.lonely.clear()
 
-    def unlisted(self) -> None:
-        """A call for the list failed, or its changes no longer come: asked again by lot, ever later."""
+    def unlisted(self) -> None:  # the list could not be had: asked for again by lot, ever later
         self.unanswered += 1
         pause = min(self.terms.ask_within, SECOND << min(self.unanswered, 10))
         self.answers.wake(self.now + int(pause * self.chance.uniform(0.5, 1)), "l")
@@ -575,6 +573,7 @@
     def take(self, id_: int, number: int, track: int, key: int | None, left: int, new: bool = True) -> None:
         row, destination, end = self.tracks[track], self.destination(number), self.now + left
         gates = destination.gates() if new else []
+        self.asked.count(self.now)
         for gate in gates:
             gate.asked.count(self.now, 1 / len(gates))
         envelope = Envelope(id_, destination, row, end, end - row.terms.cutoff + row.terms.promised)
@@ -718,8 +717,7 @@
         self.asking = self.terms.ask_within > 0
         self.answers.wake(self.now + RERANK_EVERY, "r")
 
-    def move(self, envelope: Envelope, state: State) -> None:
-        """Every change of an envelope's state."""
+    def move(self, envelope: Envelope, state: State) -> None:  # every change of an envelope's state
         assert state in MOVES[envelope.state], f"{envelope.state} to {state}"
         envelope.state = state
         self.unqueue(envelope)
