--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -231,16 +231,16 @@
         most = pace if self.sender.blind else self.told  # what stands in for a told limit is no bound
         self.pace = max(min(pace, most), LEAST_PACE * self.split())
 
-    def allowance(self, now: int) -> float:
-        """Calls a second that a destination just back, or about to be, may get from this sender."""
+    def allowance(self, now: int) -> float:  # calls a second for a place just back, or about to be
         terms = self.sender.terms
         warm = 0.0 if self.ailing else min(1.0, (now - self.warm_from) / max(1, terms.ramp_time))
-        present = terms.cold_share + (1 - terms.cold_share) * warm
+        present = max(GAIN / 2, terms.cold_share + (1 - terms.cold_share) * warm)  # 0 would find no return
         mean = self.sender.asked.rate() / max(1, len(self.sender.destinations))
+        least = LEAST_KNOWN if terms.reports else min(LEAST_KNOWN, max(LEAST_START, mean))
         told = self.split() * (terms.reports or ROUGH * terms.rated)  # what only stands in says nothing here
-        usual = max(self.rate, ASKED_AGAIN * self.asked.rate(), min(LEAST_KNOWN, mean), told)
-        usual = told if terms.rated and not terms.reports else usual  # all guesses would sum up to too much
-        return CAUTION * terms.fall_multiple * present * usual
+        usual = max(self.rate, ASKED_AGAIN * self.asked.rate(), least, told)
+        usual = told if told and self.sender.blind else usual  # all guesses would sum up to too much
+        return CAUTION * (terms.fall_multiple or SECOND) * present * usual  # without the rule, no bound
 
     def recovering(self, now: int) -> bool:  # guards against pushing over a destination that returns cold
         return self.ailing or now < self.warm_from + self.sender.terms.ramp_time
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -68,6 +68,16 @@
         assert 0 < gate.allowance(scene.now) <= most * present * multiple
 
 
+@pytest.mark.parametrize("unset", ["cold_share", "fall_multiple"])
+def test_settings_without_a_figure_of_the_returning_rule(unset: str) -> None:
+    """Guards a turn against a division by nothing where the settings tell no share or no multiple."""
+    scene = scenario.Scene(Sender)
+    scene.terms = replace(scene.terms, **{unset: 0.0}, reports=False, rated=True)
+    for line in ("2s take a s 7", "+10ms noconnection a", "+20s pass"):
+        scene.step(line.split())
+    assert scene.seen.count("shot a at x1") > 1
+
+
 class Reckless:
     def __init__(self, answers: Answers, shoots: bool) -> None:
         self.answers, self.shoots = answers, shoots
