A switch forgets what stood in before it; listed rates are followed; one look ahead a place

(2) Each pump of a place that waits to be fuller set a timer; now one look, as for a closed gate, and calls of one do not ask. (4) A full disk at a switch kept the directory from moving, and a file's log line told of keys that were not taken. (5) Reports that only probes tell counted as told by answers. (6) Zones were added twice.

--- a/ashpath/command/sender.py
+++ b/ashpath/command/sender.py
@@ -89,23 +89,21 @@
     def move(self, given: Given) -> None:
         """What a running sender can take: see `plan.decide.changes`. The rest waits, and is named."""
         assert isinstance(given, FromFile)
+        self.switch(given)  # first: it may not be possible, and then nothing else is taken
         taken, _ = changes(self.latest, given.plan)
         _, later = changes(self.started, given.plan)
         self.latest = given.plan
         self.form.use(given.plan.logging.level, given.plan.logging.form)
         self.log.info("configuration read", taken=short(taken), rest_at_next_start=short(later))
-        self.switch(given)
         self.inquiry.tracks = [row["name"] for row in self.given.settings["classes"]]
         self.send.passes = given.passes
         self.titles.clear()
         self.titles.update(titles(given.plan))
         if self.directory is not None and given.platform is not None:
             self.directory.move(given.platform)
-        elif self.directory is None and given.platform is None:
-            # A zone that is new is a zone of its own: counted as another, a repeat could run twice there.
-            self.route.zones += [zone for zone in given.zones if zone not in self.route.zones]
-            if any(path.startswith("destinations") for path in taken):
-                self.route.hear(given.known["members"], True)
+        moved = any(path.startswith("destinations") for path in taken)
+        if moved and self.directory is None and given.platform is None:
+            self.route.hear(given.known["members"], True)
         receiver = notice_address(given.plan)
         if isinstance(self.notices, Notices) and receiver is not None:
             self.direct(self.notices, receiver, given.notice_pass)
--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -412,11 +412,11 @@
         if before is None or (before.gate is self.gate) == self.apart:  # new, or its kind was switched
             gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
             self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate, self.sender.chance.random())
-            if gate.sender.blind and self.sender.terms.rated:
-                gate.told = row.weight
             if before is not None:
                 gate.follow(before.gate)
         endpoint = self.known[row.endpoint]
+        if self.sender.blind and self.sender.terms.rated:
+            endpoint.gate.told = row.weight or endpoint.gate.told
         others = [e for e in self.endpoints if e.id != row.endpoint]
         serves = row.presence is Presence.LISTED and row.endpoint not in self.sender.held
         self.endpoints = [endpoint, *others] if serves else others
@@ -428,8 +428,7 @@
         self.known = {endpoint.id: endpoint for endpoint in kept}
 
     def rank(self) -> None:
-        """Well first; of routes apart the cheaper, else the quicker; between equals a lot, or all senders
-        would begin at the same one."""
+        """Well first, then cheap if apart, then quick; between equals a lot, or all would begin at one."""
         fees = self.sender.terms.fees if self.apart else ()
         fee = {e: fees[e.zone] if e.zone < len(fees) else 0.0 for e in self.endpoints}
         self.endpoints.sort(key=lambda e: (round(e.failing, 1), fee[e], e.pace, e.lot))
@@ -459,16 +458,20 @@
                 break
         return best
 
-    def gathers(self) -> int | None:
-        """Until when a call that takes several may wait to be fuller: a part of the promised time."""
+    def look(self, at: int) -> None:
+        if not self.sender.now < self.look_at <= at:
+            self.look_at = at
+            self.sender.answers.wake(at, f"d{self.number}")
+
+    def gathers(self) -> int | None:  # until when a call may wait to be fuller, a part of the promised time
         oldest, enough = [next(iter(q)) for q in self.fresh if q], sum(map(len, self.fresh)) >= self.per_call
         at = min((e.promise_at - int((1 - GATHER) * e.track.terms.promised) for e in oldest), default=0)
         return None if enough or any(self.late) or at <= self.sender.now else at
 
     def pump(self) -> None:
         sender = self.sender
-        if ripe := self.gathers():
-            return sender.answers.wake(ripe, f"d{self.number}")
+        if self.per_call > 1 and (ripe := self.gathers()):
+            return self.look(ripe)
         for gate in self.gates():
             while any(self.fresh) or any(self.late):
                 # The cap is three quarters of what others leave: slow destinations leave room for the rest.
@@ -478,9 +481,8 @@
                 opens_at = gate.opens_at(sender.now)
                 endpoint, envelope = self.pick(gate) if opens_at is None else (None, None)
                 if not endpoint or not envelope:
-                    if opens_at and not sender.now < self.look_at <= opens_at:
-                        self.look_at = opens_at
-                        sender.answers.wake(opens_at, f"d{self.number}")
+                    if opens_at:
+                        self.look(opens_at)
                     break
                 shot = Shot(endpoint, sender.now)
                 while envelope and len(shot.envelopes) < self.per_call:
@@ -515,19 +517,21 @@
         self.late: OrderedDict[Envelope, None] = OrderedDict()  # those waiting in late queues
         self.held: set[str] = set()  # endpoints an operator took out: draining here, whatever is listed
         self.asking, self.unanswered = False, 0  # for the list that is not pushed; calls failed in a row
+        self.blind = False  # no answer tells of a limit: what stands in is in `Gate.excused`
         answers.wake(0, "r")
         self.switch(terms)
 
-    def switch(self, terms: Terms) -> None:
-        """New settings while it runs; numbers of tracks, kinds and zones stay, envelopes keep their terms."""
+    def switch(self, terms: Terms) -> None:  # all numbers stay, and envelopes keep their terms
         self.terms, count, self.cap = terms, len(terms.tracks), max(1, terms.slots * 3 // 4)
-        self.blind = not terms.reports  # no answer tells of a limit: what stands in is in `Gate.excused`
+        other, self.blind = self.blind == terms.reports, not terms.reports
         self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
         self.crowding += [0.0] * (len(terms.kinds) - len(self.crowding))
         for one in self.destinations.values():
             one.times += [Times() for _ in range(count - len(one.times))]
             for queues in (one.fresh, one.late):
                 queues += [OrderedDict() for _ in range(count - len(queues))]
+            for gate in [one.gate, *(e.gate for e in one.known.values())] if other else ():
+                gate.told, gate.told_at, gate.pace, gate.share = 0.0, 0, 0.0, 1.0  # in another way from now
 
     def open_turn(self, now: int) -> None:
         self.now = now
@@ -558,8 +562,7 @@
             destination.listed(row)
             self.dirty[destination] = self.stirred[destination] = None
 
-    def heard(self, note: bytes) -> None:
-        """A note of another sender; it may be late, or of a place not known here, or no note at all."""
+    def heard(self, note: bytes) -> None:  # it may be late, or of a place not known here, or no note at all
         word, number, id_ = (*note.decode("utf-8", "replace").split(" ", 2), "", "")[:3]
         destination = self.destinations.get(int(number) if number.isdecimal() else -1)
         if destination and id_ in destination.known and word == "back":
@@ -573,7 +576,7 @@
     def take(self, id_: int, number: int, track: int, key: int | None, left: int, new: bool = True) -> None:
         row, destination, end = self.tracks[track], self.destination(number), self.now + left
         gates = destination.gates() if new else []
-        self.asked.count(self.now)
+        self.asked.count(self.now, float(new))
         for gate in gates:
             gate.asked.count(self.now, 1 / len(gates))
         envelope = Envelope(id_, destination, row, end, end - row.terms.cutoff + row.terms.promised)
@@ -646,8 +649,7 @@
                 self.lonely.append(endpoint)
         self.dirty[destination] = self.stirred[destination] = None
 
-    def may_repeat(self, envelope: Envelope) -> bool:
-        """A further shot: harmless for the track, with time left to succeed once a gate may open."""
+    def may_repeat(self, envelope: Envelope) -> bool:  # harmless, with time to succeed once a gate opens
         destination, repeat = envelope.destination, envelope.track.terms.repeat
         sent_at = self.now + destination.opens_in()
         late = envelope.cutoff_at - sent_at <= destination.expected(envelope.track)
@@ -680,8 +682,7 @@
                     gate.ailing, gate.warm_from, gate.guard.at = False, self.now, self.now
                 self.dirty[destination] = self.stirred[destination] = None
 
-    def waited(self, number: int, endpoint: str, until: int) -> None:
-        """A wait told to another process of this sender; it binds all routes if the endpoint is not known."""
+    def waited(self, number: int, endpoint: str, until: int) -> None:  # told to our other process
         destination = self.destination(number)
         known = destination.known.get(endpoint)
         for gate in destination.gates() if known is None else [known.gate]:
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -182,19 +182,18 @@
     def move(self, given: Given) -> None:
         """The platform's agent may be elsewhere, and settings may be new. Limits of the process wait for the
         next start."""
-        later = given.limits != self.given.limits
+        later = given.limits != self.limits
         self.log.info("configuration read", discovery=given.discovery, rest_at_next_start=later)
-        self.switch(given)
         if self.directory is not None and given.platform is not None:
             self.directory.move(given.platform)
             self.notices.move(given.platform)
+        self.switch(given)
 
     def switch(self, given: Given) -> None:
         """New settings for what is taken on from now on, in one turn; the way back is the same step. What is
         held keeps the terms it was taken on under, and what is out comes back to the gate it went through."""
-        before = self.given
-        if given.read != before.read:
-            given.follow(before)
+        if given.read != self.given.read:
+            given.follow(self.given)
             self.keep_numbers(given)
             self.given = given
             # Descriptors are shared out at the start: no more calls than connections until the next one.
@@ -209,9 +208,7 @@
                 "settings switched", tracks=len(given.tracks), slots=terms.slots, room=terms.room,
                 senders=terms.senders, held=len(self.host.entries), out=len(self.host.flights),
             )  # fmt: skip
-        if (given.hears, given.others) != (before.hears, before.others):
-            self.talk(given)
-            self.given.hears, self.given.others = given.hears, given.others
+        self.talk(given)  # also where nothing changed: an address that could not be had may be free by now
 
     def number(self, given: Given, held: bool) -> None:
         """What was switched in an earlier life goes on for what it left."""
--- a/ashpath/terms.py
+++ b/ashpath/terms.py
@@ -29,13 +29,16 @@
 
 
 def told_fields(facts: dict[str, Any]) -> tuple[int, int] | None:
-    """Where a report has the share of the limit that is left, and the limit; None if it tells neither.
+    """Where an answer's report has the share of the limit that is left, and the limit; None if none tells.
 
     >>> told_fields({"load-info": {"fields": ["qps", "x1", "x0"]}})
     (2, 1)
+    >>> told_fields({"load-info": {"how": "probe", "fields": ["x0", "x1"]}})
     """
-    fields = (facts.get("load-info") or {}).get("fields") or []
-    return (fields.index("x0"), fields.index("x1")) if {"x0", "x1"} <= set(fields) else None
+    info = facts.get("load-info") or {}
+    fields = info.get("fields") or []
+    answered = info.get("how") != "probe" and {"x0", "x1"} <= set(fields)
+    return (fields.index("x0"), fields.index("x1")) if answered else None
 
 
 def terms(seed: int, facts: dict[str, Any]) -> Terms:
@@ -118,12 +121,18 @@
 
 def aligned(facts: dict[str, Any], before: dict[str, Any]) -> dict[str, Any]:
     """The settings with kinds and zones in the order in which a running sender knows them, new ones behind.
+    Guards fees and routes against a list in another order: endpoints are known by the numbers.
 
-    >>> old = {"kinds": ["a", "b"], "zones": ["x"]}
-    >>> new = {"kinds": ["b", "c"], "zones": ["x"], "specifics": {"kind-apart": [True, False]}}
+    >>> old = {"kinds": ["a", "b"], "zones": ["x"], "classes": []}
+    >>> own = {"kind-apart": [True, False], "carriage": [0.01, 0.04]}
+    >>> new = {"kinds": ["b", "c"], "zones": ["y", "x"], "classes": [], "specifics": own}
     >>> found = aligned(new, old)
-    >>> found["kinds"], found["specifics"]["kind-apart"]
-    (['a', 'b', 'c'], [None, True, False])
+    >>> found["kinds"], [kind.apart for kind in node_terms(1, found).kinds]
+    (['a', 'b', 'c'], [False, True, False])
+    >>> found["zones"], node_terms(1, found).fees
+    (['x', 'y'], (0.04, 0.01))
+    >>> aligned(old, old)["kinds"], node_terms(1, old).fees, node_terms(1, old).notes
+    (['a', 'b'], (), False)
     """
     specifics = dict(facts.get("specifics") or {})
     found = {**facts, "specifics": specifics}
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -15,6 +15,7 @@
     +1s    gone a | drain x1 | leave x1 | list x1 | pass (nothing happens but wakes)
     +1s    hold x1 | unhold x1                  an operator takes an endpoint out, and puts it back
     +1s    waited x1 wait=2s                    a wait told to the other process of a hot upgrade
+    +1s    switch [apart] reports=0             new settings, any of the head's `terms`, and the list again
     +1s    unlisted | heard NOTE                a call for the list failed; a note of another sender came
     expect asked | told NOTE                    the list was asked for; a note went to all other senders
     expect shot a b | shot a at x1 | bounced a | aborted a | held a | quiet | log some words
@@ -275,6 +276,11 @@
             for name in names:
                 self.held[self.ids[name]].over = True
                 self.turn(("gone", self.ids[name]))
+        elif what == "switch":
+            self.kinds = [KindTerms(apart="apart" in names, per_call=1)]
+            self.step(["terms", *(f"{key}={value}" for key, value in named.items())])
+            self.terms = replace(self.terms, kinds=tuple(self.kinds))
+            self.turn(("switch", self.terms), ("listed", list(self.rows.values()), True))
         elif what == "unlisted":
             self.turn(("unlisted",))
         elif what == "heard":
