--- a/benchmarks/tap.py
+++ b/benchmarks/tap.py
@@ -34,6 +34,29 @@
 
 
 class Tap:
+    """
+    >>> tap, kinds = Tap(), {"endpoint": "x", "hw": 0}
+    >>> facts = {"specifics": {"per-call": [5]}, "limits": {"conn-idle": 9000.0}}
+    >>> ended = {"endpoint": "x", "outcome": "Ok", "delay-seen": 3000.0}
+    >>> tap.take(0.0, 1, "Hello", {"facts": facts}), tap.take(0.0, 1, "Register", {"rows-in": [kinds]})
+    (None, None)
+    >>> for at, name, body in [
+    ...     (None, "CallOut", {"rid": 1, "endpoint": "x"}), (None, "CallOut", {"rid": 2, "endpoint": "x"}),
+    ...     (3000.0, "Returned", ended | {"rid": 1}), (3000.0, "Returned", ended | {"rid": 2}),
+    ...     (None, "CallOut", {"rid": 3, "endpoint": "x"}), (None, "Release", {"endpoint": "x"}),
+    ...     (4000.0, "Returned", ended | {"rid": 3, "outcome": "Canceled", "delay-seen": 1000.0}),
+    ...     (None, "Fail", {"rid": 3}), (None, "CallOut", {"rid": 4, "endpoint": "x"}),
+    ... ]:
+    ...     tap.take(at, 1, name, body)
+    >>> print("\\n".join(tap.report()))
+    kind 0: 3 calls, 1.33 envelopes a call
+      shots {'Ok': 2, 'Canceled': 1}
+      connections {'first': 1, 'kept': 1, 'given back': 1}
+       0.0 s  slots 1.0, called off 0.0  {}
+       2.5 s  slots 0.6, called off 0.4  {'aborted': 1}
+    aborted 1: 1 shots, first Canceled: 1
+    """
+
     def __init__(self) -> None:
         self.kinds: dict[str, int] = {}
         self.per_call: list[int] = []
