--- a/tests/command/test_sender.py
+++ b/tests/command/test_sender.py
@@ -68,6 +68,7 @@
 def test_a_file_that_changes_under_held_ones(alone: Alone) -> None:
     """200 held: endpoints replaced, a destination removed with calls out, a track removed that is in use."""
     alone.destinations[5] = 'endpoints = ["127.0.0.1:1"]'  # nothing there: what is for it waits
+    alone.destinations[4] = 'endpoints = ["127.0.0.1:1", "127.0.0.1:2"]'
     alone.write()
     alone.start()
     for number in range(198):
@@ -93,6 +94,10 @@
     until(alone.ends("out", "completed"))
     until(alone.ends("out2", "completed"))
     assert alone.count("out") == alone.count("out2") == 1 and not alone.get("/envelopes")["envelopes"]
+    alone.rest += "[kinds.plain]\napart = true\n"
+    alone.write()
+    assert "kinds.plain.apart" in alone.reread()  # two gates at once, though no list comes anew
+    assert {row["number"]: row["limit"] for row in alone.get("/destinations")["destinations"]}[4] == 2
 
 
 def test_a_track_that_is_gone_at_the_next_start(alone: Alone) -> None:
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -26,8 +26,7 @@
     "specifics": {"slots": 500, "kind-apart": [True, True], "carriage": [0.01, 0.04], "loses-worth": "line"},
     "contract": {"drain-grace": 500.0, "ask-every": 10000.0, "cold-from": 0.2, "ramp-time": 9000.0},
 }  # fmt: skip
-# What is handed in before a switch: its state then, the words of its body, to whom, its calls in the end.
-STATES = ("held", "200", 6, 1), ("out", "slow", 8, 1), ("again", "503 200", 20, 2)
+STATES = ("held", "200", 6, 1), ("out", "slow", 8, 1), ("again", "503 200", 20, 2)  # body, to whom, calls
 
 
 def reread(world: World, said: str, **more: object) -> None:
@@ -39,8 +38,7 @@
     until(lambda: log.read_text().count(said) > before)
 
 
-def listed_anew(world: World, endpoint: int) -> None:
-    """An endpoint that was nowhere is there now, as another agent tells."""
+def listed_anew(world: World, endpoint: int) -> None:  # it was nowhere, and is there, as another agent tells
     world.members[endpoint]["host_port"] = world.members[5]["host_port"]
     reread(world, "configuration read", discovery=f"127.0.0.1:{world.servers[2].server_port}")
 
@@ -68,8 +66,7 @@
 
 
 def test_a_kill_behind_a_switch(world: World) -> None:
-    """The ledger has numbers of tracks only: the next life reads them as the switched one gave them. Where
-    they cannot be written, nothing is switched."""
+    """The next life reads numbers of tracks as the switched one gave them; unwritten, nothing is switched."""
     world.start()
     assert world.hand_in("f", "free", "hang 200", 1) == world.hand_in("o", "once", "hang", 2) == 202
     until(lambda: world.count("f") and world.count("o"))
@@ -112,8 +109,7 @@
         ours.move(two, frozenset())
     theirs.tell(b"still heard")
     until(lambda: heard == [b"first", b"still heard"])
-    ours.move(None, frozenset())
-    theirs.move(None, frozenset())
+    assert all(one.move(None, frozenset()) is None for one in (ours, theirs))
 
 
 def test_the_file_says_who_else_hears(world: World) -> None:
@@ -132,4 +128,3 @@
     listed_anew(world, 3)
     other.settimeout(15)
     assert other.recvfrom(300)[0] == b"back 3 e3" and world.count("a") == 1
-    other.close()
