--- a/ashpath/partners/clients.py
+++ b/ashpath/partners/clients.py
@@ -25,6 +25,7 @@
 from ashpath.terms import terms
 
 PATIENCE = 2.0  # seconds for an answer
+UNANSWERED = -1  # in place of a status: the request went out, and whether it was read nobody knows
 AGAIN = 0.1  # a client whose sender does not answer tries another after this
 
 
@@ -80,16 +81,18 @@
                 headers.append((b"Cookie", b"about=%d" % order))
             sent = self.now()
             status, wait = self.ask(sender, headers, b"%d " % row[3])
-            if status:
+            if status > 0:
                 break
+            if status == UNANSWERED:
+                self.say(sent, "unanswered", trace, sender)
             gevent.sleep(AGAIN)
         self.say(sent, "taken", trace, sender)
         if status not in (200, 202):
             self.ended(trace, "bounced" if status in (429, 503) else "aborted", wait, sender)
 
     def ask(self, sender: int, headers: list[tuple[bytes, bytes]], body: bytes) -> tuple[int, float]:
-        """Status, 0 if none came, and the seconds to come back after, 0 if not told."""
-        idle, wire = self.idle[sender], None
+        """Status, 0 if it was not asked, and the seconds to come back after, 0 if not told."""
+        idle, wire, status = self.idle[sender], None, 0
         try:
             with gevent.Timeout(PATIENCE):
                 while idle and wire is None:
@@ -98,6 +101,7 @@
                         wire.close()
                         wire = None
                 wire = wire or dial(self.senders[sender], self.limits)
+                status = UNANSWERED
                 first = b"POST %s HTTP/1.1" % names.HAND_IN
                 wire.write(write_head(first, [host(self.senders[sender]), *headers], body))
                 answer = wire.read_answer()
@@ -106,7 +110,7 @@
         except (OSError, Closed, Malformed, gevent.Timeout):
             if wire is not None:
                 wire.close()
-            return 0, 0.0
+            return status, 0.0
         if answer.keep and not wire.spoilt:
             idle.append(wire)
         else:
--- a/ashpath/partners/loopback.py
+++ b/ashpath/partners/loopback.py
@@ -24,7 +24,7 @@
 from ashpath.node import names
 from ashpath.node.codec import Closed, Malformed, Wire, dial, host, write_head
 from ashpath.partners.account import Account, payoff
-from ashpath.partners.clients import quiet
+from ashpath.partners.clients import PATIENCE, quiet
 from ashpath.partners.day import OF_PARTNERS, Day, as_plan, day_terms, length, weight
 from ashpath.partners.day import Trouble as Scripted
 from ashpath.partners.layout import Arrivals, Layout
@@ -325,7 +325,8 @@
     def replay(self) -> None:
         self.numbers: dict[str, tuple[int, int]] = {}  # of each id handed in: its sender, and a number
         self.done: set[str] = set()
-        self.killed: dict[int, int] = {}
+        self.unanswered: dict[str, list[tuple[int, int]]] = {}  # hand-ins: when, and at which sender
+        self.kills: dict[int, list[int]] = {}  # by sender
         self.completed: dict[str, int] = {}  # when each had its 200 written
         for at, _, call, arguments in sorted(self.seen, key=lambda row: row[:2]):
             call(at, *arguments)
@@ -340,7 +341,9 @@
     def of_clients(self, at: int, what: str, id_: str, sender: int) -> None:
         work = self.works[id_.partition(".")[0]]
         terms = self.tracks[work.track]
-        if what == "asked":
+        if what == "unanswered":
+            self.unanswered.setdefault(id_, []).append((at, sender))
+        elif what == "asked":
             self.account.asked(work, self.worth(work, work.born))
         elif what == "taken":
             self.numbers[id_] = (sender, len(self.numbers))
@@ -352,21 +355,28 @@
                 self.account.lost(at, work, "bounced" if work.why != "aborted" else "aborted")
         elif id_ in self.numbers:
             work.why = "aborted" if what == "aborted" else work.why
-            self.witness.final(at, *self.numbers[id_], what)
+            if self.unread(id_):
+                self.witness.left(at, *self.numbers[id_])
+            else:
+                self.witness.final(at, *self.numbers[id_], what)
 
     def witness_listed(self, at: int, sender: int, endpoint: str, on: bool) -> None:
         self.witness.listed(at, sender, endpoint, on)
 
     def witness_kill(self, at: int, sender: int) -> None:
-        self.killed[sender] = at
+        self.kills.setdefault(sender, []).append(at)
 
     def unread(self, envelope: str) -> bool:
-        """Its 200 was on the way as its sender was killed: the next life may send what may be repeated."""
+        """A sender was killed as its 202 or a partner's 200 was on the way: its next life may go on with what
+        may be repeated, though the client has handed it in elsewhere, or it is completed."""
         work, (sender, _) = self.works[envelope.partition(".")[0]], self.numbers[envelope]
-        if envelope not in self.completed or sender not in self.killed:
+        if self.tracks[work.track].repeat is Repeat.ONCE_ONLY:
             return False
-        between = self.killed[sender] - self.completed[envelope]
-        return -SLACK < between < SLACK and self.tracks[work.track].repeat is not Repeat.ONCE_ONLY
+        done, kills = self.completed.get(envelope), self.kills
+        gaps = [kill - at for at, to in self.unanswered.get(envelope, ()) for kill in kills.get(to, ())]
+        if done is not None and any(-SLACK < kill - done < SLACK for kill in kills.get(sender, ())):
+            return True
+        return any(-SLACK < gap < PATIENCE * SECOND for gap in gaps)
 
     def witness_shot(self, at: int, envelope: str, endpoint: str) -> None:
         if envelope in self.numbers and not self.unread(envelope):
@@ -381,9 +391,13 @@
         work, (sender, number) = self.works[envelope.partition(".")[0]], self.numbers[envelope]
         self.account.outcome(at, ending)
         work.why = ending.value
+        unread = self.unread(envelope)  # then which of the two lives sends it cannot be told apart
         if ending is Ending.COMPLETED:
             self.completed.setdefault(envelope, at)
-        self.witness.outcome(at, sender, number, ending.value, began)
+        if not unread:
+            self.witness.outcome(at, sender, number, ending.value, began)
+        elif ending is Ending.COMPLETED:
+            self.witness.left(at, sender, number)
         if wait:
             self.witness.told_to_wait(at, sender, self.route(endpoint), wait)
         if ending is Ending.COMPLETED and work.id not in self.done:
