A watch that falls silent as an endpoint drains is begun anew in time: shown

The watch is given up after 3 s and asked again by lot within 0.1 s (Directory.run, Limits.silence): read in the code, now played by a stand-in that says nothing while an endpoint drains.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,6 +13,7 @@
 from dataclasses import replace
 from pathlib import Path
 from random import Random
+from time import monotonic
 
 import gevent
 import pytest
@@ -666,6 +667,28 @@
     assert heard == [(1, True)]
 
 
+def test_a_watch_falls_silent_as_an_endpoint_drains(world: World) -> None:
+    """Guards drains against a watch that never ends: what it missed counts as told 6 s after it fell silent,
+    or 2 s after the wait that the call may take."""
+    heard: list[tuple[float, list[str]]] = []
+    hear = lambda rows, whole: heard.append((monotonic(), [row["phase"] for row in rows]))  # noqa: E731
+    directory = Directory(world.servers[1].address, LIMITS, 1, hear, Random(1), structlog.get_logger())
+    silent = [True]
+
+    def platform(sock: socket.socket, address: object) -> None:
+        if silent and silent.pop():
+            Wire(sock, LIMITS).read_request()
+            world.config["known"] = {"revision": 2, "complete": False, "members": [{"phase": "draining"}]}
+            gevent.sleep(30)
+        world.platform(sock, address)
+
+    world.servers[1].set_handle(platform)
+    began, watch = monotonic(), gevent.spawn(directory.run)
+    until(lambda: heard)
+    watch.kill()
+    assert heard[0][1] == ["draining"] and heard[0][0] - began < min(6.0, LIMITS.watch + 2.0)
+
+
 def test_silence(world: World) -> None:
     """A platform that says nothing is given up, and asked anew on another connection."""
     line, ask = Line(world.servers[1].address, LIMITS), b"GET /registry/instances HTTP/1.1"
