Counts and gauges for Prometheus, by prometheus-client at an address of their own; off unless configured

[metrics] listen in the sender's file, metrics.listen in the platform's JSON; taken at SIGHUP, the old address serves on where the new one cannot be had; a bad or taken address at the start is one line and exit 2. In a hot upgrade the new process takes it once the old one ends. Readers: four at once, two seconds each, on gevent's WSGI server; destinations with rows of their own are at most a hundred, walked by steps.

--- a/ashpath/command/sender.py
+++ b/ashpath/command/sender.py
@@ -19,7 +19,7 @@
 from ashpath.node.notice_file import FileNotices, LineFile, NoNotices
 from ashpath.node.notices import Notices
 from ashpath.node.route import address
-from ashpath.node.start import Given, Node
+from ashpath.node.start import BadStart, Given, Node
 from ashpath.plan.decide import changes
 from ashpath.plan.read import Unusable, read
 from ashpath.plan.read import secrets as passes
@@ -157,6 +157,8 @@
     log, lines = logger(plan.sender.name, form)
     try:
         sender = Standalone(path, given, form, log, folder)
+    except BadStart as error:
+        raise NotOurs(f"{path}: {error}") from None
     except (OSError, ValueError) as error:
         raise NotOurs(f"state folder {folder.path}: {error}") from None
     gevent.spawn(lines.run, log)
--- a/ashpath/node/directory.py
+++ b/ashpath/node/directory.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
+from time import monotonic
 from typing import Any
 
 import gevent
@@ -30,6 +31,7 @@
     ) -> None:
         self.log, self.state, self.tries = log, "answers", 0  # since the last change of state
         self.line, self.limits, self.hear, self.first = Line(address, limits), limits, hear, first
+        self.answered = monotonic()  # or begun
         self.revision: int | None = revision  # none: the whole list is asked for
         # Silence and refused connections are an outage, whose end is to be seen soon. A call turned away is
         # more than the directory can answer: a try sooner than it takes to give up on one is the next such.
@@ -49,6 +51,7 @@
             first = b"GET %s%s HTTP/1.1" % (names.MEMBERS, watch)
             answer = self.line.call(first, b"", self.limits.watch + self.limits.silence)
             if answer is not None and answer.status == 200 and self.learn(answer.body):
+                self.answered = monotonic()
                 self.silent.succeeded()
                 self.away.succeeded()
                 self.stands("answers", answer)
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -94,11 +94,15 @@
     def take(self, entry: Entry) -> None:
         self.entries[entry.number] = entry
         left = entry.cutoff - wall()
+        if self.book.meter is not None:
+            self.book.meter.taken(entry.track)
         self.turn((self.sender.take, (entry.number, entry.destination, entry.track, entry.order, left)))
 
     def returned(self, flight: Flight, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
         number = flight.entry.number
         self.flights.pop(number, None)
+        if self.book.meter is not None:
+            self.book.meter.shot(ending, now() - flight.due + flight.timeout)
         if wait:
             self.board.told(flight.entry.destination, flight.endpoint, wall() + wait)
         if closed:
--- /dev/null
+++ b/ashpath/node/metrics.py
@@ -0,0 +1,168 @@
+"""The stage that counts, for Prometheus: what the sender did, and how it stands. Imported only where the
+configuration names an address for it.
+
+What happens is counted as it happens (`Meter` in `book`); how things stand is read off the parts when
+somebody asks. Readers have a server of their own (gevent's WSGI server over prometheus-client), READERS at
+once and each with PATIENCE seconds: one that says nothing, or does not read, costs its own greenlet and no
+turn. Of destinations only MOST have rows of their own, those with the most envelopes waiting or out first, so
+that the text is bounded however many there are.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
+from heapq import nlargest
+from time import monotonic
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from gevent import Timeout, socket
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client.exposition import make_wsgi_app
+from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+from ashpath.door import Ending
+from ashpath.node.pool import Address
+
+if TYPE_CHECKING:
+    from ashpath.node.start import Node
+
+READERS = 4  # at once; further ones wait in the listening queue
+PATIENCE = 2.0  # seconds for a reader, from its connection to its end
+MOST = 100  # destinations, or routes, with rows of their own
+STEP = 500  # destinations looked at between two looks at the rest of the sender
+SECONDS = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
+
+
+class Handler(WSGIHandler):
+    def handle(self) -> None:
+        with suppress(Timeout), Timeout(PATIENCE):
+            super().handle()
+
+
+class Metrics:
+    """`move` takes a new address while it runs, or none: nobody is answered then, and counting goes on."""
+
+    def __init__(self, node: Node) -> None:
+        self.node, self.registry = node, CollectorRegistry()
+        self.server: WSGIServer | None = None
+        self.listen: Address | None = None
+        self.taken_on = self.counter("envelopes_taken", "Envelopes taken on.", "track")
+        self.ends = self.counter("envelopes_ended", "Envelopes that had their one end.", "track", "end")
+        self.shots = self.counter("shots", "Shots by how they ended.", "ending")
+        self.took = Histogram("ashpath_shot_seconds", "Time of a shot, to its ending.", ("ending",),
+                              buckets=SECONDS, registry=self.registry)  # fmt: skip
+        for ending in Ending:
+            self.shots.labels(ending.value)
+        self.registry.register(self)
+
+    def counter(self, name: str, words: str, *labels: str) -> Counter:
+        return Counter(f"ashpath_{name}", words, labels, registry=self.registry)
+
+    def move(self, listen: Address | None) -> None:
+        """Raises OSError where the address cannot be had; what was there before then serves on."""
+        if listen == self.listen:
+            return
+        fresh = None
+        if listen is not None:
+            own = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                own.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                own.bind(listen)
+                own.listen(16)
+            except OSError:
+                own.close()
+                raise
+            app, pool = make_wsgi_app(self.registry), Pool(READERS)
+            fresh = WSGIServer(own, app, log=None, error_log=None, spawn=pool, handler_class=Handler)
+            fresh.start()
+        old, self.server, self.listen = self.server, fresh, listen
+        if old is not None:
+            old.stop(timeout=0)
+
+    # What happens.
+
+    def taken(self, track: int) -> None:
+        self.taken_on.labels(self.title(track)).inc()
+
+    def ended(self, track: int, state: str) -> None:
+        self.ends.labels(self.title(track), state).inc()
+
+    def shot(self, ending: Ending, took: int) -> None:
+        self.shots.labels(ending.value).inc()
+        self.took.labels(ending.value).observe(took / 1e6)
+
+    def title(self, track: int) -> str:
+        rows = self.node.given.settings["classes"]
+        return str(rows[track]["name"]) if track < len(rows) else ""
+
+    # How things stand.
+
+    def describe(self) -> Iterable[Metric]:
+        """Nothing is collected to find names: there may be no sender yet."""
+        return ()
+
+    def collect(self) -> Iterator[Metric]:
+        node, host, ledger = self.node, self.node.host, self.node.ledger
+        terms = host.sender.terms
+        rows: list[tuple[str, str, float]] = [
+            ("envelopes_held", "Envelopes that are owed their end, waiting or out.", len(host.entries)),
+            ("envelopes_room", "Envelopes that may be held at once; 0: no bound.", terms.room),
+            ("shots_out", "Shots without an outcome.", len(host.flights)),
+            ("slots", "Calls that may be out at once.", terms.slots),
+            ("ledger_bytes", "Bytes that the ledger may need for what it holds.", ledger.reserved),
+            ("ledger_most_bytes", "Bytes that the ledger may have.", ledger.most),
+            ("destinations", "Destinations that are known.", len(host.sender.destinations)),
+            ("client_connections", "Connections of clients.", node.take_in.clients),
+        ]
+        if node.directory:
+            age = monotonic() - node.directory.answered
+            rows.append(("list_age_seconds", "Since the directory last answered a call for the list.", age))
+        for name, words, value in rows:
+            yield GaugeMetricFamily(f"ashpath_{name}", words, value=value)
+        if node.peers is not None:
+            notes = CounterMetricFamily("ashpath_notes", "Notes between senders.", labels=["what"])
+            for what in ("told", "heard", "dropped"):
+                notes.add_metric([what], getattr(node.peers, what))
+            yield notes
+        yield from self.destinations()
+
+    def destinations(self) -> Iterator[Metric]:
+        labels = ["destination", "route"]
+        words: dict[str, tuple[str, Callable[[Any], float]]] = {
+            "limit": ("Calls that its gate allows at once; 0: its breaker is not closed.", lambda g: g.limit),
+            "in_flight": ("Calls out.", lambda g: g.in_flight),
+            "breaker": ("0 closed, 1 open, 2 probing.", lambda g: g.breaker.value - 1),
+            "pace": ("Calls a second that its gate allows; 0: no pace.", lambda g: g.pace),
+            "ailing": ("1 from a run of failures to the first success.", lambda g: g.ailing),
+        }
+        found = {key: GaugeMetricFamily(f"ashpath_destination_{key}", text, labels=labels)
+                 for key, (text, _) in words.items()}  # fmt: skip
+        held = GaugeMetricFamily("ashpath_destination_held", "Envelopes, waiting or out.", labels=labels[:1])
+        for one in self.busiest():
+            held.add_metric([str(one.number)], one.owed)
+            for gate in one.gates():
+                route = gate.name.removeprefix("route ") if one.apart else ""
+                for key, (_, value) in words.items():
+                    found[key].add_metric([str(one.number), route], value(gate))
+        yield from (held, *found.values())
+
+    def busiest(self) -> list[Any]:
+        """Guards turns against a walk over all destinations: it goes by steps, and others run in between."""
+        best: list[Any] = []
+        everyone = list(self.node.host.sender.destinations.values())
+        for begin in range(0, len(everyone), STEP):
+            step = everyone[begin : begin + STEP]
+            best = nlargest(MOST, [*best, *step], key=lambda one: (one.owed, -one.number))
+            gevent.sleep(0)
+        kept: list[Any] = []
+        gates = 0
+        for one in best:
+            gates += max(1, len(one.gates()))
+            if kept and gates > MOST:
+                break
+            kept.append(one)
+        return kept
--- a/ashpath/node/peers.py
+++ b/ashpath/node/peers.py
@@ -22,7 +22,8 @@
     """`move` takes a new address and other senders while it runs; no address: nothing is heard or told."""
 
     def __init__(self, hear: Callable[[bytes], None], log: Any) -> None:
-        self.hear, self.log, self.strangers = hear, log, 0
+        self.hear, self.log = hear, log
+        self.told = self.heard = self.dropped = 0  # notes
         self.socket: Any = None
         self.reader: Any = None
         self.listen: Address | None = None
@@ -51,6 +52,7 @@
         for other in self.others if self.socket is not None and len(note) <= LONGEST else ():
             try:
                 self.socket.sendto(note, other)
+                self.told += 1
             except OSError:
                 continue  # as good as lost on its way
 
@@ -63,8 +65,9 @@
                     gevent.sleep(0.01)  # a refusal of an earlier datagram comes back here
                 continue
             if sender in self.others and 0 < len(note) <= LONGEST:
+                self.heard += 1
                 self.hear(note)
                 continue
-            self.strangers += 1
-            if self.strangers & (self.strangers - 1) == 0:  # the 1st, 2nd, 4th: strangers cannot fill the log
-                self.log.info("note dropped", sender=f"{sender[0]}:{sender[1]}", dropped=self.strangers)
+            self.dropped += 1
+            if self.dropped & (self.dropped - 1) == 0:  # the 1st, 2nd, 4th: strangers cannot fill the log
+                self.log.info("note dropped", sender=f"{sender[0]}:{sender[1]}", dropped=self.dropped)
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -8,6 +8,7 @@
 import stat
 import sys
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -31,7 +32,7 @@
 from ashpath.node.limits import Limits
 from ashpath.node.log import Form, Lines, logger
 from ashpath.node.notices import Notices
-from ashpath.node.pool import Pool
+from ashpath.node.pool import Address, Pool
 from ashpath.node.relay import Relay
 from ashpath.node.route import Route, address
 from ashpath.node.send import Send
@@ -39,6 +40,7 @@
 from ashpath.terms import aligned, node_terms, numbered, told_fields
 
 if TYPE_CHECKING:
+    from ashpath.node.metrics import Metrics
     from ashpath.node.peers import Peers
 
 UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
@@ -48,6 +50,18 @@
     """What the sender was told at its start cannot be used."""
 
 
+def words(error: BaseException) -> str:
+    return str(error) if isinstance(error, BadStart) else f"{type(error).__name__} {error}"
+
+
+def listens(told: dict[str, Any], name: str) -> Address | None:
+    """The address under `NAME.listen`; none where nothing stands under NAME."""
+    try:
+        return address(str(told[name]["listen"])) if told.get(name) else None
+    except (ValueError, KeyError, TypeError):
+        raise BadStart(f"{name}.listen: found {told[name]!r:.60}, expected an address with a port") from None
+
+
 class Given:
     """What a sender is told at its start and at each SIGHUP: the platform's file, or one of the same form."""
 
@@ -62,7 +76,8 @@
         self.control: str = str(told.get("control") or "")  # the operators' address; older days have none
         self.platform = address(self.discovery) if self.discovery else None
         peers = told.get("peers") or {}  # other senders: where this one hears their notes, and where they do
-        self.hears = address(str(peers["listen"])) if peers else None
+        self.hears = listens(told, "peers")
+        self.metrics = listens(told, "metrics")  # where counts are read
         self.others = frozenset(address(str(other)) for other in (peers.get("senders") or ()))
 
     def use(self, settings: dict[str, Any], closed: Sequence[int] = ()) -> None:
@@ -93,6 +108,7 @@
         inherited: int | None = None,
     ) -> None:
         self.given, self.read, self.log, self.state = given, read, log, state
+        self.metrics: Metrics | None = None  # where the configuration names an address for it
         self.peers: Peers | None = None  # where the configuration names other senders
         self.limits = limits = given.limits
         places = 1 if inherited is None else PLACES  # who binds the address is alone
@@ -128,6 +144,13 @@
             turn if inherited is None else 0.0,
         )  # fmt: skip
         self.notices.pause = Backoff(Random(seed + "/n"), limits.retry, limits.notices_backoff)
+        try:
+            self.measure(given)
+        except OSError as error:
+            if inherited is None:
+                where = ":".join(map(str, given.metrics or ()))
+                raise BadStart(f"metrics.listen: {where}: {error.strerror or error}") from None
+            gevent.spawn(self.measure_later)  # the process beside this one has it until it ends
 
     def tellers(self, state: Path) -> tuple[Any, Any]:
         """Who is told of ends after the 202, and who keeps them for clients that ask."""
@@ -171,8 +194,7 @@
             try:
                 given = self.read()
             except UNUSABLE as error:  # half written, say: the old one still serves
-                words = str(error) if isinstance(error, BadStart) else f"{type(error).__name__} {error}"
-                self.log.error("configuration not read", error=words)
+                self.log.error("configuration not read", error=words(error))
                 continue
             try:
                 self.move(given)
@@ -208,6 +230,10 @@
                 "settings switched", tracks=len(given.tracks), slots=terms.slots, room=terms.room,
                 senders=terms.senders, held=len(self.host.entries), out=len(self.host.flights),
             )  # fmt: skip
+        try:
+            self.measure(given)
+        except OSError as error:  # the one before serves on
+            self.log.error("metrics not moved", error=str(error.strerror or error))
         self.talk(given)  # also where nothing changed: an address that could not be had may be free by now
 
     def number(self, given: Given, held: bool) -> None:
@@ -234,6 +260,23 @@
             except OSError as error:
                 self.log.error("notes of other senders not heard", error=str(error))
 
+    def measure(self, given: Given) -> None:
+        """Counts and gauges, where the configuration names an address. Raises OSError."""
+        if self.metrics is None and given.metrics is not None:
+            from ashpath.node.metrics import Metrics
+
+            self.metrics = Metrics(self)
+        if self.metrics is not None:
+            self.metrics.move(given.metrics)
+            self.host.book.meter = self.metrics if given.metrics else None
+
+    def measure_later(self) -> None:
+        """Tries until the address is free, or the configuration names another."""
+        while self.metrics is not None and self.metrics.listen is None and self.given.metrics is not None:
+            with suppress(OSError):
+                return self.measure(self.given)
+            gevent.sleep(self.limits.hand_over)
+
     def hand_over(self) -> None:
         """What a process gone in a hot upgrade left in its journal is this one's to end."""
         while True:
@@ -343,7 +386,7 @@
         descriptor = None if inherited is None else int(inherited)
         return Node(read(), listen, state, log, read, control, descriptor), lines
     except UNUSABLE as error:
-        raise BadStart(f"cannot start from {path}: {type(error).__name__} {error}") from None
+        raise BadStart(f"cannot start from {path}: {words(error)}") from None
 
 
 def main() -> int:
--- a/ashpath/plan/shape.py
+++ b/ashpath/plan/shape.py
@@ -96,6 +96,12 @@
     ]
 
 
+class Metrics(Struct):
+    """Counts and gauges of the sender, as Prometheus reads them; without this table nothing is counted."""
+
+    listen: Annotated[Address, Key("address and port where they are read, `/metrics`", now=True)]
+
+
 class Endpoint(Struct):
     """One endpoint, where an address alone does not say all."""
 
@@ -212,6 +218,7 @@
     tracks: Annotated[dict[Word, Track], Key("tracks by the name that `X-Qos` has", 1, 64, now=True)]
     platform: Platform | None = None
     peers: Annotated[Peers | None, Key("other senders", now=True)] = None
+    metrics: Annotated[Metrics | None, Key("counts and gauges", now=True)] = None
     destinations: Annotated[dict[int, Destination], Key("destinations by number", 0, 1_000_000, now=True)] = (
         field(default_factory=dict)
     )
--- a/ashpath/plan/told.py
+++ b/ashpath/plan/told.py
@@ -51,6 +51,7 @@
         },
         "known": {"revision": 0, "complete": True, "members": members(plan)},
         "discovery": plan.platform.directory if plan.platform else "",
+        "metrics": written_out(plan.metrics) if plan.metrics else {},
         "peers": written_out(plan.peers) if plan.peers else {},
     }
 
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -100,7 +100,7 @@
     theirs.tell(b"x" * 300)
     stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     assert [stranger.sendto(b"back 7 x1", one) for _ in range(5)] == [9] * 5
-    until(lambda: ours.strangers == 5)
+    until(lambda: ours.dropped == 5)
     assert heard == [b"first"] and log.info.call_count == 3  # the first, second and fourth
     ours.move(None, frozenset())
     theirs.tell(b"lost")  # and no fault
