--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -285,7 +285,7 @@
         some = self.share >= MUCH_LEFT or sender.blind
         self.failures += 0.25 * some if limited else 0.5 if vague else 1
         # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
-        least = 0.5 if vague and max(sender.crowding) <= CROWDED else 1.0  # else tables may be full
+        least = 0.5 if vague and (ending is Ending.NO_CONNECTION or max(sender.crowding) <= CROWDED) else 1.0
         rate = self.done.sum * SECOND / RATED_OVER if vague else self.rate
         enough = min(RUN_OF_FAILURES, max(least, RUN_OF_FAILURES * rate))
         run = self.failures >= enough and now - self.succeeded_at > SHUT_AFTER
