--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+from pathlib import Path
 from time import monotonic
 from typing import Any
 
@@ -11,6 +12,7 @@
 import pytest
 from gevent import socket
 from prometheus_client.parser import text_string_to_metric_families
+from rigs.standalone import Alone
 from rigs.world import LIMITS, SETTINGS, World, free, until
 from test_switch import reread
 
@@ -91,6 +93,29 @@
     assert world.process is not None and world.process.poll() is None
 
 
+def test_the_own_file(tmp_path: Path) -> None:
+    """Taken at SIGHUP, both ways; an address in use at the start is one line that names file and key."""
+    alone, where = Alone(tmp_path), free()
+    alone.start()
+    alone.rest += f'[metrics]\nlisten = "127.0.0.1:{where[1]}"\n'
+    alone.write()
+    assert "metrics.listen" in alone.reread()
+    assert alone.hand_in("a", "free", "200", 0) == 202
+    until(lambda: scrape(where).get(("ashpath_envelopes_ended_total", "completed", "free")) == 1)
+    (tmp_path / "second").mkdir()
+    second = Alone(tmp_path / "second", rest=alone.rest)
+    done = second.run("serve", str(second.file))
+    said = f"ashpath: {second.file}: metrics.listen: 127.0.0.1:{where[1]}: Address already in use\n"
+    assert (done.returncode, done.stderr) == (2, said)
+    alone.rest = alone.rest.partition("[metrics]")[0]
+    alone.write()
+    alone.reread()
+    with pytest.raises(OSError):
+        scrape(where)
+    alone.stop()
+    second.stop()
+
+
 def test_readers_that_say_nothing(world: World) -> None:
     """Guards turns, and other readers, against those that connect and stay, or do not read."""
     where = free()
