--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -300,7 +300,7 @@
             sender.start = max(LEAST_START, sender.start * START_CUT)
             if shot.started >= self.pace_cut_at:
                 cut = PACE_CUT if self.succeeded_at >= self.pace_cut_at else PACE_CUT_AGAIN
-                self.set_pace(min(self.pace * cut, max(sender.start, self.split())))
+                self.set_pace(min(self.pace * cut or MOST_START, max(sender.start, self.split())))
                 self.pace_cut_at = now
             return True
         if ending in (Ending.ERROR, Ending.RESET):  # one failure among successes is no load
