--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -332,7 +332,7 @@
                 self.set_pace(max(self.sender.start, self.split()))
             self.sender.start = min(MOST_START, self.sender.start * START_GROWTH ** (2 * self.share))
             step = min(PACE_GROWTH, self.pace if self.pace < self.split() else PACE_STEP * self.split())
-            self.set_pace(self.pace + step * (self.share - KEPT_BACK))
+            self.set_pace(max(self.pace + step * (self.share - KEPT_BACK), self.sender.start * self.sender.blind))
         if self.ailing:
             self.ailing, self.warm_from, self.guard.at = False, now, now
             self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
