--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -31,7 +31,7 @@
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many in a row, fewer below a call a second, and none else for SHUT_AFTER: an outage
 # Calls a second to start with: first, least, most, cut by a refusal, grown by a success. More wastes limits.
-START, LEAST_START, MOST_START, START_CUT, START_GROWTH = 0.4, 0.01, 1.0, 0.6, 1.08
+START, LEAST_START, MOST_START, START_CUT, START_GROWTH = 0.4, 0.01, 2.0, 0.6, 1.08
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
 PACE_CUT_AGAIN = 0.5  # and the next one without a success: an overrun limit may let none through
 PACE_GROWTH = 0.4  # calls a second that a success adds to the pace, when all of the limit is left
@@ -332,7 +332,7 @@
                 self.set_pace(max(self.sender.start, self.split()))
             self.sender.start = min(MOST_START, self.sender.start * START_GROWTH ** (2 * self.share))
             step = min(PACE_GROWTH, self.pace if self.pace < self.split() else PACE_STEP * self.split())
-            self.set_pace(self.pace + step * (self.share - KEPT_BACK))
+            self.set_pace(max(self.pace + step * (self.share - KEPT_BACK), self.sender.start * self.sender.blind))
         if self.ailing:
             self.ailing, self.warm_from, self.guard.at = False, now, now
             self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
