--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -318,32 +318,32 @@
         return shot.endpoint.quick > shot.mark + OVERTAKEN
 
     def succeed(self, shot: Shot, took: int) -> None:
-        now, endpoint = self.sender.now, shot.endpoint
+        sender, endpoint, now = self.sender, shot.endpoint, self.sender.now
         fast = 2 * took < shot.timeout
         endpoint.pace += GAIN * (took - endpoint.pace) if endpoint.pace else took
         endpoint.failing, endpoint.quick = (1 - GAIN) * endpoint.failing, endpoint.quick + fast
         self.failures, self.succeeded_at = 0, now
         (self.done.skip if self.recovering(now) else self.done.count)(now)
         self.bad -= GAIN * self.bad
-        if self.sender.blind:  # as much is left as time has passed since the last refusal
+        if sender.blind:  # as much is left as time has passed since the last refusal
             self.share = 1 - exp((self.refused_at - now) / TOLD_OVER)
         if self.told:
             if not self.pace:
-                self.set_pace(max(self.sender.start, self.split()))
-            self.sender.start = min(MOST_START, self.sender.start * START_GROWTH ** (2 * self.share))
+                self.set_pace(max(sender.start, self.split()))
+            sender.start = min(MOST_START, sender.start * START_GROWTH ** (2 * self.share))
             step = min(PACE_GROWTH, self.pace if self.pace < self.split() else PACE_STEP * self.split())
-            self.set_pace(max(self.pace + step * (self.share - KEPT_BACK), self.sender.start * self.sender.blind))
+            self.set_pace(max(self.pace + step * (self.share - KEPT_BACK), sender.start * sender.blind))
         if self.ailing:
             self.ailing, self.warm_from, self.guard.at = False, now, now
             self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
-            if self.sender.terms.notes:
+            if sender.terms.notes:
                 note = f"back {shot.envelopes[0].destination.number} {endpoint.id}"
-                self.sender.answers.tell(note.encode())
+                sender.answers.tell(note.encode())
         if shot.probe:
             self.close()
         elif fast and self.breaker is Breaker.CLOSED:
             self.fast += 1
-            if (self.unfailed or self.fast >= self.limit) and self.limit < self.sender.cap:
+            if (self.unfailed or self.fast >= self.limit) and self.limit < sender.cap:
                 self.limit, self.fast = self.limit + 1, 0
 
     def open(self, ending: Ending) -> None:
