--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -31,7 +31,7 @@
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
 RUN_OF_FAILURES = 4  # so many in a row, fewer below a call a second, and none else for SHUT_AFTER: an outage
 # Calls a second to start with: first, least, most, cut by a refusal, grown by a success. More wastes limits.
-START, LEAST_START, MOST_START, START_CUT, START_GROWTH = 0.4, 0.01, 2.0, 0.6, 1.08
+START, LEAST_START, MOST_START, START_CUT, START_GROWTH = 0.4, 0.01, 1.0, 0.6, 1.08
 PACE_CUT = 0.8  # what a burst of refusals leaves of the pace; lower wastes more of the limit
 PACE_CUT_AGAIN = 0.5  # and the next one without a success: an overrun limit may let none through
 PACE_GROWTH = 0.4  # calls a second that a success adds to the pace, when all of the limit is left
@@ -328,9 +328,9 @@
         if sender.blind:  # as much is left as time has passed since the last refusal
             self.share = 1 - exp((self.refused_at - now) / TOLD_OVER)
         if self.told:
-            if not self.pace:
-                self.set_pace(max(sender.start, self.split()))
-            sender.start = min(MOST_START, sender.start * START_GROWTH ** (2 * self.share))
+            self.pace = self.pace or max(sender.start, self.split())
+            most = MOST_START * (1 + sender.blind)  # twice where nothing is told
+            sender.start = min(most, sender.start * START_GROWTH ** (2 * self.share))
             step = min(PACE_GROWTH, self.pace if self.pace < self.split() else PACE_STEP * self.split())
             self.set_pace(max(self.pace + step * (self.share - KEPT_BACK), sender.start * sender.blind))
         if self.ailing:
