--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -210,7 +210,7 @@
         if guarded or not self.pace:
             return guarded
         burst = PACE_BURST * self.told * self.share / self.sender.terms.senders**0.5  # others have theirs
-        return self.paced.due(now, self.pace, max(2.0, burst))
+        return self.paced.due(now, self.pace, max(1.0, burst))
 
     @property
     def rate(self) -> float:
