--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -210,7 +210,7 @@
         if guarded or not self.pace:
             return guarded
         burst = PACE_BURST * self.told * self.share / self.sender.terms.senders**0.5  # others have theirs
-        return self.paced.due(now, self.pace, max(2.0, burst))
+        return self.paced.due(now, self.pace, max(1.0, burst))
 
     @property
     def rate(self) -> float:
@@ -329,8 +329,7 @@
             self.share = 1 - exp((self.refused_at - now) / TOLD_OVER)
         if self.told:
             self.pace = self.pace or max(sender.start, self.split())
-            most = MOST_START * (1 + sender.blind)  # twice where nothing is told
-            sender.start = min(most, sender.start * START_GROWTH ** (2 * self.share))
+            sender.start = min(MOST_START, sender.start * START_GROWTH ** (2 * self.share))
             step = min(PACE_GROWTH, self.pace if self.pace < self.split() else PACE_STEP * self.split())
             self.set_pace(max(self.pace + step * (self.share - KEPT_BACK), sender.start * sender.blind))
         if self.ailing:
