--- a/benchmarks/tap.py
+++ b/benchmarks/tap.py
@@ -166,8 +166,10 @@
     >>> lines = [(9.0, 3, "Register", {"rows-in": rows}), (None, 3, "CallOut", {"endpoint": "x"}),
     ...          (2009.0, 3, "Returned", {"endpoint": "x", "outcome": "QueueFull", "remark-ms": 5}),
     ...          (None, 3, "WriteLog", {"what": "route x ailing"}), (None, 3, "CallOut", {"endpoint": "y"})]
-    >>> list(story(lines, 7))
-    ['0.000 s sender 3 CallOut x', '2.000 s sender 3 QueueFull x, told 5 ms', '2.000 s sender 3 route x ailing']
+    >>> print(*story(lines, 7), sep=chr(10))
+    0.000 s sender 3 CallOut x
+    2.000 s sender 3 QueueFull x, told 5 ms
+    2.000 s sender 3 route x ailing
     """
     first, clock, there = None, 0.0, set[str]()
     for wall, sender, name, body in told:
