--- a/benchmarks/tap.py
+++ b/benchmarks/tap.py
@@ -1,12 +1,13 @@
 """What the calls of a day in the simulator came to, from what `lbsim replay S DAY --tap FILE` writes.
 
-    .venv/bin/python -m benchmarks.tap FILE
+    .venv/bin/python -m benchmarks.tap FILE [DESTINATION]
 
 By kind of destination: calls by how they ended, envelopes a call, and how each call came by its connection:
 kept, or new because there was none yet, because it had been given back, or because it had idled too long.
 By 2.5 s: how many slots calls held in the mean, those of calls called off beside it, and how envelopes that
 were given up ended. Last, aborted envelopes by their number of shots and how the first one ended. A call is
 what one sender sent to one endpoint in one round, as the wire has it. All figures are of simulated servers.
+With the number of a destination: all that was sent there, by whom, how it ended, and what was logged of it.
 """
 
 from __future__ import annotations
@@ -159,9 +160,37 @@
         return [*lines, f"aborted {self.aborted.total()}: " + "; ".join(rows)]
 
 
+def story(told: Iterable[tuple[float | None, int, str, dict[str, Any]]], destination: int) -> Iterator[str]:
+    """
+    >>> rows = [{"endpoint": "x", "cell": 7}]
+    >>> lines = [(9.0, 3, "Register", {"rows-in": rows}), (None, 3, "CallOut", {"endpoint": "x"}),
+    ...          (2009.0, 3, "Returned", {"endpoint": "x", "outcome": "QueueFull", "remark-ms": 5}),
+    ...          (None, 3, "WriteLog", {"what": "route x ailing"}), (None, 3, "CallOut", {"endpoint": "y"})]
+    >>> list(story(lines, 7))
+    ['0.000 s sender 3 CallOut x', '2.000 s sender 3 QueueFull x, told 5 ms', '2.000 s sender 3 route x ailing']
+    """
+    first, clock, there = None, 0.0, set[str]()
+    for wall, sender, name, body in told:
+        clock = clock if wall is None else wall
+        first = clock if first is None else first
+        for row in body.get("rows-in") or ():
+            if row["cell"] == destination:
+                there.add(row["endpoint"])
+        words, endpoint = str(body.get("what") or ""), str(body.get("endpoint") or "")
+        if name in ("CallOut", "Returned") and endpoint in there:
+            wait = f", told {body['remark-ms']} ms" if body.get("remark-ms") else ""
+            words = f"{body.get('outcome', name)} {endpoint}{wait}"
+        elif words.split(" ")[1:2] != [str(destination)] and not there & set(words.split(" ")):
+            continue
+        if words:
+            yield f"{(clock - first) / 1000:.3f} s sender {sender} {words}"
+
+
 def main() -> None:
-    tap = Tap()
     with open(sys.argv[1], "rb") as file:
+        if len(sys.argv) > 2:
+            return print("\n".join(story(rounds(file), int(sys.argv[2]))))
+        tap = Tap()
         for told in rounds(file):
             tap.take(*told)
     print("\n".join(tap.report()))
