Discovery: acted on within 6 s after every failed call; what an answer left out is asked again

Now 4.5 s at most, the last two thirds by lot; a told wait is heeded to two thirds of that, the rest by lot, as the far end may have told a whole fleet the same. - Directory.learn set the revision before it read the lines: a spoilt line among changes was skipped for good, and one whose id was no text ended the part, which began anew behind it. Changes with a spoilt line, or counted from an earlier revision than ours (an agent that began anew), are followed by a call for the whole list; so is a call without an answer. - Route.learn wanted an address of an endpoint that drains: a drain with a spoilt address was not heard. - An address with a port over 65535 was listed, and its dial raised what Send did not catch: the attempt never ended. - `at_start`: what the agent has counts as told from a process's first moment, but senders asked first by turn, up to 2 s late. Ruled out: a watch that falls silent (3 s and a pause of 1 s at most; a test had shown it).

--- a/ashpath/node/directory.py
+++ b/ashpath/node/directory.py
@@ -18,12 +18,15 @@
 from ashpath.node.pool import Address
 from ashpath.node.relay import number
 
-Hear = Callable[[list[dict[str, Any]], bool], None]
+Hear = Callable[[list[dict[str, Any]], bool], bool]
 
 
 class Directory:
     """`first`: seconds to wait with the first call, while the list as last held serves. A change between
-    answers, calls turned away, silence, and lists that cannot be read is logged once."""
+    answers, calls turned away, silence, and lists that cannot be read is logged once.
+
+    Whatever became of a call, the next one is on its way before 6 s are over: a change counts as told by
+    then, once the directory had it and could be reached."""
 
     def __init__(
         self, address: Address, limits: Limits, revision: int, hear: Hear, chance: Random, log: Any,
@@ -36,26 +39,39 @@
         # Silence and refused connections are an outage, whose end is to be seen soon. A call turned away is
         # more than the directory can answer: a try sooner than it takes to give up on one is the next such.
         self.silent = Backoff(chance, limits.retry, limits.lists_backoff)
-        self.away = Backoff(chance, limits.watch, limits.lists_away, spread=1.0)
+        self.away = Backoff(chance, limits.watch, limits.lists_away, limits.lists_away, limits.lists_spread)
 
     def move(self, address: Address) -> None:
         """Another agent may count its revisions anew, and have missed or told what the old one had not."""
         self.revision = None
         self.line.move(address)
 
-    def run(self) -> None:
+    def ask(self, patience: float) -> Message | None:
+        """One call, and whether its answer was a list that could be read is said by `self.revision`."""
         wait = int(self.limits.watch * 1000)
+        watch = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, wait)
+        return self.line.call(b"GET %s%s HTTP/1.1" % (names.MEMBERS, watch), b"", patience)
+
+    def at_start(self) -> None:
+        """Before anything is sent: what the platform's agent has by now counts as told from the first moment
+        of the process, and `known` may be old. Where it does not answer at once, `known` serves."""
+        self.revision = None
+        answer = self.ask(self.limits.at_start)
+        if answer is not None and answer.status == 200 and self.learn(answer.body):
+            self.first = 0.0
+
+    def run(self) -> None:
         gevent.sleep(self.first)
         while True:
-            watch = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, wait)
-            first = b"GET %s%s HTTP/1.1" % (names.MEMBERS, watch)
-            answer = self.line.call(first, b"", self.limits.watch + self.limits.silence)
+            answer = self.ask(self.limits.watch + self.limits.silence)
             if answer is not None and answer.status == 200 and self.learn(answer.body):
                 self.answered = monotonic()
                 self.silent.succeeded()
                 self.away.succeeded()
                 self.stands("answers", answer)
                 continue
+            if answer is None:
+                self.revision = None  # who answers next may have begun anew, and count its revisions anew
             # Guards the directory against a fleet that failed together and would come back together.
             if answer is not None and answer.status in (429, 503):
                 self.stands("turns calls away", answer)
@@ -74,14 +90,21 @@
 
     def learn(self, body: bytes) -> bool:
         """Takes the list or its changes; False where that cannot be read. Guards against a directory that
-        has lost its list: one without any endpoint is not believed, and what was last told serves on."""
+        has lost its list: one without any endpoint is not believed, and what was last told serves on.
+
+        Changes of which a line was spoilt, and changes counted from an earlier revision than ours, say less
+        than was changed: the whole list is asked for next."""
         try:
             told = orjson.loads(body)
-            rows, whole, revision = list(told["members"]), bool(told["complete"]), int(told["revision"])
-        except (ValueError, KeyError, TypeError):
+            rows, whole, revision = told["members"], told["complete"], int(told["revision"])
+            if not isinstance(rows, list) or not isinstance(whole, bool):
+                return False
+        except (ValueError, KeyError, TypeError, OverflowError):
+            return False
+        if whole and not rows:
             return False
-        if rows or not whole:
+        before, self.revision = self.revision, None
+        sound = self.hear(rows, whole) if rows else True
+        if whole or (sound and (before is None or revision >= before)):
             self.revision = revision
-        if rows:
-            self.hear(rows, whole)
-        return bool(rows) or not whole
+        return True
--- a/ashpath/node/limits.py
+++ b/ashpath/node/limits.py
@@ -30,6 +30,7 @@
     request: float = 2.4  # from a request's first byte to its last, from connecting for the first one
     quiet: float = 2.2  # a client's connection without a request for so long is closed
     hush: float = 0.3  # one that has not said a word for so long may make room
+    looked_at: int = 16  # connections looked at for one that makes room: the first may just have a request
     stall: float = 0.5  # a client this long within a request has left: its connection may make room
     peer: float = 2.0  # for a client to take its answer
     linger: int = 256 << 10  # bytes read on behind a refusal, so that it can be read before the close
@@ -38,8 +39,11 @@
     silence: float = 1.0  # and is given up so much later
     retry: float = 0.1  # between tries at the directory and at notices that failed, the first time
     lists_backoff: float = 1.0  # the longest pause between tries at a directory that is silent
-    lists_away: float = 16.0  # and at one that turns calls away, when the shortest is as long as a watch
+    # At one that turns calls away: with the call itself under the 6 s in which a change counts as told.
+    lists_away: float = 4.5
+    lists_spread: float = 2 / 3  # the part of such a pause that is drawn
     first_list: float = 0.05  # senders of a fleet ask first so far apart, by number, but all within a watch
+    at_start: float = 0.25  # for the directory's answer before anything is sent, where lists are pushed
     notices_backoff: float = 0.3  # and at notices
     ask: float = 0.5  # for the answer to a notice
     notices: int = 200  # lines of one call
--- a/ashpath/node/route.py
+++ b/ashpath/node/route.py
@@ -18,7 +18,7 @@
     ('10.1.0.18', 7070)
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not (port.isascii() and port.isdigit()) or len(port) > 5 or int(port) > 65535:
         raise ValueError(f"{text!r} is no address with a port")
     return host, int(port)
 
@@ -35,14 +35,20 @@
         self.rows: dict[str, Listing] = {}  # every endpoint of the listing as last told, any presence
         self.told: Callable[[list[Listing], bool], None] = lambda rows, whole: None
 
-    def hear(self, members: list[dict[str, Any]], whole: bool) -> None:
-        self.told(self.learn(members, whole), whole)
+    def hear(self, members: list[dict[str, Any]], whole: bool) -> bool:
+        """Whether every line could be read."""
+        rows = self.learn(members, whole)
+        self.told(rows, whole)
+        return len(rows) == len(members)
 
     def learn(self, members: list[dict[str, Any]], whole: bool) -> list[Listing]:
         found = []
         for member in members:
             try:
-                found.append((self.listing(member), address(member["host_port"])))
+                row = self.listing(member)
+                # Of one that goes the address is no matter: the drain counts however its line is spoilt.
+                where = address(member["host_port"]) if row.presence is Presence.LISTED else ("", 0)
+                found.append((row, where))
             except (KeyError, TypeError, ValueError) as error:  # one bad line must not hide the others
                 self.log.error("line of the directory not read", line=str(member), error=repr(error))
         before = dict(self.addresses)
@@ -66,6 +72,8 @@
         return destination in self.served
 
     def listing(self, member: dict[str, Any]) -> Listing:
+        if not isinstance(member["id"], str):
+            raise TypeError(f"an id that is no text: {member['id']!r:.60}")
         return Listing(
             endpoint=member["id"],
             destination=int(member["cell"]),
