Clients: a connection that this side ends is half closed, drained, and then closed

Seen by review; a probe on loopback showed ConnectionResetError behind a 202 where bytes had come before the close, on the tree as it was. - TakeIn.serve, exchange, close_idle and the exit closed at once: bytes unread reset the connection and take the last answer back. Now each ends by `part`: nothing is written any more, what still comes is read and dropped, and no request of it is taken on. - TakeIn.shut took the connection longest within a request although its last bytes had just come. - A request cut within by a client that could still read had no answer: 400. - A connection sent away that stays makes room first, so that it holds nobody out. Ruled out: TCP_NODELAY (set on every connection), the refusal of a request that is too long (drained already).

--- a/ashpath/node/codec.py
+++ b/ashpath/node/codec.py
@@ -146,6 +146,8 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.limits, self.buffer = sock, limits, Buffer(limits.buffer, limits.body)
         self.spoilt = False  # cannot carry a further message
+        self.answered = False  # the first line of the answer that is read has been
+        self.left = False  # the far end has closed its side
         self.idled = 0.0  # seconds that it was idle before its present call; 0 if it is new
 
     def close(self) -> None:
@@ -164,10 +166,25 @@
         finally:
             space.release()
         self.buffer.added(count)
+        self.left = not count
         if count == room:
             gevent.sleep(0)  # guards the rest against a far end that sends without end
         return count > 0
 
+    def half_close(self) -> None:
+        """Nothing is written any more, and what still comes is for nobody: see `drain`."""
+        self.spoilt = True
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
+    def drain(self, most: int) -> None:
+        """Reads on and drops it, up to the end of the far side or so many bytes: closing on unread bytes
+        resets a connection, and takes back what was written last."""
+        read = 0
+        while read < most and not self.left and self.more():
+            read += len(self.buffer)
+            self.buffer.take(len(self.buffer))
+
     def quiet(self) -> bool:
         """Nothing unread, nothing closed: fit to carry a call. Does not wait."""
         return not self.spoilt and not len(self.buffer) and self.waiting() is None
@@ -208,8 +225,9 @@
         as only one that is sound from end to end proves anything. One that is not raises Malformed."""
         for _ in range(self.limits.interim):
             message, self.spoilt = Message(), True  # until it is known where the answer ends
-            parser = httptools.HttpResponseParser(message)
+            self.answered, parser = False, httptools.HttpResponseParser(message)
             message.status = self.read_status()
+            self.answered = True
             try:
                 # Guards the shot's slot against a far end that holds back, or never ends, what it has begun.
                 with Timeout(self.limits.rest, Malformed(408, "an answer without an end")):
@@ -228,6 +246,15 @@
             return message
         raise Malformed(400, "interim answers without end")
 
+    def last_word(self) -> Message | None:
+        """Of an answer that is given up on: a 200, if its first line is here by now. Does not wait, and does
+        not look for one in the body of another answer."""
+        message, self.spoilt = Message(), True
+        with suppress(OSError, Closed, Malformed):
+            self.sock.settimeout(0)
+            message.status = 0 if self.answered else self.read_status()
+        return message if message.status == 200 else None
+
     def read_status(self) -> int:
         """Of a first line that reads as one of HTTP; nothing is taken."""
         fed = 0
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from contextlib import suppress
+from itertools import islice
 from time import monotonic
 from typing import Any
 
@@ -20,13 +21,17 @@
 
 
 class TakeIn:
-    """`silent`, `idle` and `reading` hold connections, longest in it first; each leaves them as it closes."""
+    """`silent`, `idle`, `reading`, `replying` and `parting` hold connections, longest in it first; each
+    leaves them as it closes. A connection that this side ends is half closed first: whoever still writes can
+    read what was answered, and what comes after that is read by nobody (`part`)."""
 
     def __init__(self, where: Address, limits: Limits, admit: Admit, log: Any) -> None:
         self.where, self.limits, self.admit, self.log = where, limits, admit, log
         self.silent: OrderedDict[Wire, float] = OrderedDict()  # before a first request, since when
         self.idle: OrderedDict[Wire, float] = OrderedDict()  # between requests
         self.reading: OrderedDict[Wire, float] = OrderedDict()  # within one
+        self.replying: OrderedDict[Wire, float] = OrderedDict()  # its answer is not out yet
+        self.parting: OrderedDict[Wire, float] = OrderedDict()  # half closed, until the client closes too
         self.clients = 0
         self.freed = Event()
         self.closing = False  # every answer ends its connection
@@ -75,22 +80,29 @@
                     self.freed.wait(0.05)
 
     def make_room(self) -> bool:
-        """Closes who has said nothing, else who is idle longest, else who has stalled within a request."""
+        """Closes who is sent away and stays, else who has said nothing, else who is idle longest, else who
+        has stalled within a request."""
         limits = self.limits
-        orders = ((self.silent, limits.hush), (self.idle, 0.0), (self.reading, limits.stall))
+        orders = (
+            (self.parting, limits.hush), (self.silent, limits.hush), (self.idle, 0.0),
+            (self.reading, limits.stall),
+        )  # fmt: skip
         made = any(self.shut(held, least) for held, least in orders)
         if made:
             gevent.sleep(0)
         return made
 
     def shut(self, held: OrderedDict[Wire, float], least: float = 0.0) -> bool:
-        """Closes the one longest in it, if it has been there so long and no request has just come."""
-        wire, since = next(iter(held.items()), (None, 0.0))
-        if wire is None or monotonic() - since < least or not (held is self.reading or wire.quiet()):
-            return False
-        del held[wire]
-        wire.close()
-        return True
+        """Closes the one longest in it, if it has been there so long and no request has just come. Within a
+        request the first of which no bytes wait: one that still sends has not stalled."""
+        for wire, since in islice(held.items(), self.limits.looked_at if held is self.reading else 1):
+            if monotonic() - since < least:
+                break
+            if not wire.waiting() if held is self.reading else held is self.parting or wire.quiet():
+                del held[wire]
+                wire.close()
+                return True
+        return False
 
     def serve(self, wire: Wire) -> None:
         try:
@@ -101,14 +113,26 @@
             pass
         except Exception:
             self.log.exception("fault")
-            self.tell(wire, answer(500, keep=False))
+            self.refuse(wire, 500)
+        else:
+            self.part(wire)
         finally:
-            for held in (self.silent, self.idle, self.reading):
+            for held in (self.silent, self.idle, self.reading, self.replying, self.parting):
                 held.pop(wire, None)
             wire.close()
             self.clients -= 1
             self.freed.set()
 
+    def part(self, wire: Wire) -> None:
+        """Ends a connection from this side. Guards an answer just written, and a request that crosses the
+        end: its client finds no answer to it, on a connection that ended in order, and asks elsewhere."""
+        if wire.left or wire in self.parting:
+            return
+        wire.half_close()
+        self.parting[wire] = monotonic()
+        with suppress(OSError, Timeout), Timeout(self.limits.peer):
+            wire.drain(self.limits.linger)
+
     def exchange(self, wire: Wire, first: bool) -> bool:
         """One request and its answer; whether the connection goes on."""
         waiting = self.silent if first else self.idle
@@ -121,8 +145,8 @@
         if not len(wire.buffer) and wire.waiting():
             wire.more()  # it came as the patience ended: closing on it would leave it unread
         waiting.pop(wire, None)
-        if not len(wire.buffer):
-            return False  # closed, or silent for too long
+        if not len(wire.buffer) or wire.spoilt:
+            return False  # closed, or silent for too long, or sent away: what came after that is not read
         self.reading[wire] = monotonic()
         # A first request counts from the connection's start: guards against bytes that drip.
         patience = self.limits.request - (monotonic() - began if first else 0.0)
@@ -132,6 +156,10 @@
                 request = wire.read_request()
                 if len(wire.buffer) or wire.waiting():
                     raise Malformed(400, "more than a request: its length is wrong, or no answer awaited")
+        except ConnectionResetError:
+            if wire.left:  # cut within a request, by a client that may still read
+                self.tell(wire, answer(400, keep=False))
+            return False
         except (Malformed, Timeout) as error:
             late = 503 if monotonic() >= self.answered_by else 408  # 503: its client goes to another process
             self.refuse(wire, error.status if isinstance(error, Malformed) else late)
@@ -139,22 +167,18 @@
         finally:
             self.reading.pop(wire, None)
         keep = request.keep and not wire.spoilt and not self.closing and not self.lame
-        self.reply(wire, request, keep)
+        self.replying[wire] = monotonic()
+        try:
+            self.reply(wire, request, keep)
+        finally:
+            self.replying.pop(wire, None)
         return keep
 
     def refuse(self, wire: Wire, status: int) -> None:
         """An answer, then the rest is read: closing on unread bytes would take the answer back."""
-        if not self.tell(wire, answer(status, keep=False)):
-            return
-        read = 0
-        try:
-            with Timeout(self.limits.peer):
-                wire.sock.shutdown(socket.SHUT_WR)
-                while read < self.limits.linger and wire.more():
-                    read += len(wire.buffer)
-                    wire.buffer.take(len(wire.buffer))
-        except Timeout:
-            wire.spoilt = True
+        self.reading.pop(wire, None)
+        if self.tell(wire, answer(status, keep=False)):
+            self.part(wire)
 
     def reply(self, wire: Wire, request: Message, keep: bool) -> None:
         if request.path != names.HAND_IN:
@@ -200,4 +224,16 @@
         request has come and waits to be read."""
         for wire in [wire for wires in held or (self.silent, self.idle) for wire in wires]:
             if wire.quiet():
-                wire.close()
+                self.silent.pop(wire, None)
+                self.idle.pop(wire, None)
+                self.parting[wire] = monotonic()
+                wire.half_close()
+
+    def leave(self) -> None:
+        """The process ends: nobody who is still connected is reset for bytes that have come by now."""
+        for wires in (self.silent, self.idle, self.parting):
+            for wire in list(wires):
+                wire.half_close()
+                with suppress(OSError):
+                    wire.sock.settimeout(0)
+                    wire.drain(self.limits.linger)
