Endings: last answers count, moved endpoints are not called, a key waits for notices, signals at start

A call of an ordered class waits for the notices of its key, at most half of its time. Descriptors that ran out were taken for a failing endpoint. - A client that left before its 202 with the call out: the same message was taken on again beside it, and a restart knew nothing of it. - SIGHUP while the sender is put together ended the process. A second SIGTERM put off the 503 that the first one owes. - A call that asks the platform's agent comes before what a restart finds is sent.

--- a/ashpath/__main__.py
+++ b/ashpath/__main__.py
@@ -1,7 +1,12 @@
-"""Starts the sender on sockets."""
+"""Starts the sender on sockets. SIGHUP is noted from the first line on: by default it would end a process
+whose parts are still loaded, and one that comes after the file was read must not be forgotten."""
 
+import signal
 import sys
 
-from ashpath.node.start import main
+hangups: list[int] = []
+signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
 
-sys.exit(main())
+from ashpath.node.start import main  # noqa: E402
+
+sys.exit(main(hangups))
--- a/ashpath/command/sender.py
+++ b/ashpath/command/sender.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import secrets
+import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -146,6 +147,8 @@
 
 def start(path: Path) -> int:
     """Raises Unusable and NotOurs before anything was taken on."""
+    hangups: list[int] = []  # that come before the sender runs: by default they would end the process
+    signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
     given = FromFile(path)
     plan = given.plan
     keep_descriptors(path, plan.limits.descriptors)
@@ -163,7 +166,7 @@
         raise NotOurs(f"state folder {folder.path}: {error}") from None
     gevent.spawn(lines.run, log)
     try:
-        sender.run()
+        sender.run(hangups)
     except OSError as error:
         print(f"ashpath: {path}: listen on {plan.sender.listen}: {error.strerror or error}", file=sys.stderr)
         return 1
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -24,6 +24,7 @@
         self.ledger, self.book, self.send, self.logger = ledger, book, send, log
         self.entries: dict[int, Entry] = {}  # what the sender owes an end; emptied as they have it
         self.flights: dict[int, Flight] = {}  # calls out, by envelope; emptied by their outcomes
+        self.leaving: set[int] = set()  # their clients left with a call out; emptied by its outcome
         self.queue: list[News] = []  # emptied after each turn
         self.timers = Timers(self.woken)
         self.ending = False  # no shot is begun any more: what is held is the next life's
@@ -107,12 +108,20 @@
             self.board.told(flight.entry.destination, flight.endpoint, wall() + wait)
         if closed:
             self.entries.pop(number, None)
+        elif number in self.leaving:
+            self.ledger.ended(flight.entry)
+        self.leaving.discard(number)
         self.turn((self.sender.returned, (number, ending, wait, closed, told)))
 
     def gone(self, entry: Entry) -> None:
         if self.entries.pop(entry.number, None):
             self.book.keep(entry, names.WITHDRAWN)
-            self.ledger.ended(entry)
+            if entry.number in self.flights:
+                # The call may run yet: while it is out, the same message is not taken on beside it, and a
+                # further life knows of it, for the order of its key.
+                self.leaving.add(entry.number)
+            else:
+                self.ledger.ended(entry)
             self.turn((self.sender.gone, (entry.number,)))
 
     def woken(self, tokens: list[str]) -> None:
@@ -157,7 +166,8 @@
     def begin(self, entry: Entry, endpoint: str, timeout: int) -> None:
         if self.ending:
             return
-        flight = Flight(entry, endpoint, now() + timeout, timeout)
+        ordered = entry.order is not None and self.sender.tracks[entry.track].terms.ordered
+        flight = Flight(entry, endpoint, now() + timeout, timeout, ordered=ordered)
         self.flights[entry.number] = flight
         try:
             self.ledger.shot(entry, wall(), endpoint)
--- a/ashpath/node/notice_file.py
+++ b/ashpath/node/notice_file.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-from collections import OrderedDict
 from contextlib import suppress
 from itertools import islice
 from pathlib import Path
@@ -14,6 +13,7 @@
 
 from ashpath.node.ledger import Entry, Ledger
 from ashpath.node.limits import Limits
+from ashpath.node.notices import Waiting
 
 
 class LineFile:
@@ -57,18 +57,13 @@
         self.written += len(data)
 
 
-class FileNotices:
+class FileNotices(Waiting):
     """`waiting` is emptied as the file takes the lines. A kill between a line and the ledger's record of it
     repeats the line: the same id, the same status."""
 
     def __init__(self, file: LineFile, limits: Limits, ledger: Ledger, log: Any) -> None:
+        super().__init__()
         self.file, self.limits, self.ledger, self.log = file, limits, ledger, log
-        self.waiting: OrderedDict[Entry, None] = OrderedDict()
-        self.any = Event()
-
-    def add(self, entry: Entry) -> None:
-        self.waiting[entry] = None
-        self.any.set()
 
     def run(self) -> None:
         failing = False
@@ -89,9 +84,7 @@
             if failing:
                 self.log.info("notices written again", waiting=len(self.waiting))
             failing = False
-            for entry in batch:
-                del self.waiting[entry]
-                self.ledger.ended(entry)
+            self.told(batch, self.ledger)
 
 
 class NoNotices:
@@ -104,5 +97,8 @@
     def add(self, entry: Entry) -> None:
         self.ledger.ended(entry)
 
+    def untold(self, entry: Entry) -> None:
+        """Nothing is ever waited for."""
+
     def run(self) -> None:
         Event().wait()
--- a/ashpath/node/notices.py
+++ b/ashpath/node/notices.py
@@ -31,23 +31,41 @@
     return orjson.dumps(told | {"again_ms": again_ms} if again_ms else told).decode()
 
 
-class Notices:
-    """`waiting` is emptied as the platform answers."""
+class Waiting:
+    """Ends that are not told yet: `waiting` is emptied as they have been."""
 
+    def __init__(self) -> None:
+        self.waiting: OrderedDict[Entry, None] = OrderedDict()
+        self.any, self.heard = Event(), Event()  # the second is set as it is waited for, by the next one told
+
+    def add(self, entry: Entry) -> None:
+        self.waiting[entry] = None
+        self.any.set()
+
+    def told(self, batch: list[Entry], ledger: Ledger) -> None:
+        for entry in batch:
+            del self.waiting[entry]
+            ledger.ended(entry)
+        self.heard.set()
+
+    def untold(self, entry: Entry) -> Event | None:
+        """What tells of the next end heard, if one of the same key is still to be."""
+        if any(entry.order == other.order for other in self.waiting):
+            self.heard.clear()
+            return self.heard
+        return None
+
+
+class Notices(Waiting):
     def __init__(self, address: Address, limits: Limits, ledger: Ledger, log: Any) -> None:
+        super().__init__()
         self.path, self.headers = names.NOTICES, list[tuple[bytes, bytes]]()
         self.line, self.limits, self.ledger, self.log = Line(address, limits), limits, ledger, log
-        self.waiting: OrderedDict[Entry, None] = OrderedDict()
-        self.any = Event()
         self.pause = Backoff(Random(0), limits.retry, limits.notices_backoff)  # the start seeds its own
 
     def move(self, address: Address) -> None:
         self.line.move(address)
 
-    def add(self, entry: Entry) -> None:
-        self.waiting[entry] = None
-        self.any.set()
-
     def run(self) -> None:
         most = self.limits.notices
         while True:
@@ -63,9 +81,7 @@
             if (answer is not None and answer.status in TAKEN) or (unread and len(batch) == 1):
                 if unread:
                     self.log.error("notice not read", line=batch[0].notice)
-                for entry in batch:
-                    del self.waiting[entry]
-                    self.ledger.ended(entry)
+                self.told(batch, self.ledger)
                 most = self.limits.notices
                 self.pause.succeeded()
             elif unread:
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -85,6 +85,7 @@
         self.settings = settings
         self.terms = node_terms(self.seed, settings)
         self.kinds, self.zones = (list(settings.get(name) or []) for name in ("kinds", "zones"))
+        self.pushed = settings.get("membership-mode") != "ask"  # what the platform's agent has counts as told
         rows = enumerate(settings["classes"])
         self.tracks = {row["name"]: number for number, row in rows if number not in closed}
 
@@ -127,11 +128,11 @@
         self.host = Host(terms, self.ledger, book, self.send, log, board)
         self.host.holds = self.not_done
         self.route.told, relay.returned = self.host.listed, self.host.returned
-        self.send.stands = self.host.stands
+        self.send.stands, self.send.untold = self.host.stands, self.notices.untold
         self.admit = Admit(terms, given.tracks, self.route, self.host, book, log)
         self.take_in = TakeIn(address(listen), limits, self.admit, log)
         revision = int(given.known.get("revision") or 0)
-        self.known = self.route.learn(given.known["members"], whole=True)
+        self.route.learn(given.known["members"], whole=True)
         self.changed, self.ended = Event(), Event()
         control = control or given.control
         self.control = control and Control(address(control), limits, self.order, log)
@@ -167,11 +168,16 @@
             *beside, *control,
         ]  # fmt: skip
 
-    def run(self) -> None:
+    def run(self, hangups: Sequence[int] = ()) -> None:
+        """`hangups`: SIGHUPs that came while the parts were put together."""
         gevent.signal_handler(signal.SIGHUP, self.changed.set)
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, self.end)
+        if hangups:
+            self.changed.set()  # the file may be another than the one that was read
         held = holds.read(self.state, self.log)
-        self.host.restore(self.known, sorted(held))
+        if self.directory is not None and self.given.pushed:
+            self.directory.at_start()
+        self.host.restore(list(self.route.rows.values()), sorted(held))
         self.take_in.listen(self.inherited)
         if self.control:
             self.control.listen()
@@ -327,6 +333,8 @@
 
     def end(self) -> None:
         """After SIGTERM: what can be finished is, the rest is in the ledger for the next life."""
+        if self.take_in.closing:
+            return  # a second SIGTERM: it would put off the answers that the first one still owes
         began, limits = monotonic(), self.limits
         self.log.info("ending", held=len(self.host.entries), out=len(self.host.flights))
         self.take_in.closing, self.take_in.answered_by = True, began + limits.answered_after_term
@@ -340,8 +348,11 @@
         while monotonic() < began + limits.shots_after_term and self.busy():
             gevent.sleep(0.02)
         self.host.ending = True
+        self.take_in.close_idle()
         while monotonic() < began + limits.end_after_term and self.unfinished():
             gevent.sleep(0.02)
+        self.take_in.stop()  # who comes now is refused at once, in place of a reset once the process is gone
+        self.take_in.leave()
         self.log.info("ended", held=len(self.host.entries), out=len(self.host.flights))
         self.ended.set()
 
@@ -350,7 +361,8 @@
 
     def unfinished(self) -> bool:
         """What no other process can finish: shots out, notices on their way, clients within a request."""
-        return bool(self.host.flights or self.notices.waiting or self.take_in.reading)
+        clients = self.take_in
+        return bool(self.host.flights or self.notices.waiting or clients.reading or clients.replying)
 
 
 def mode(descriptor: int) -> int:
@@ -390,7 +402,7 @@
         raise BadStart(f"cannot start from {path}: {words(error)}") from None
 
 
-def main() -> int:
+def main(hung_up: Sequence[int] = ()) -> int:
     try:
         sender, lines = node()
     except BadStart as error:
@@ -398,7 +410,7 @@
         return 2
     gevent.spawn(lines.run, sender.log)
     try:
-        sender.run()
+        sender.run(hung_up)
     except OSError as error:
         print(f"ashpath: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,471 @@
+"""Whatever ends something, in the instant in which something is still owed (docs/endings.md).
+
+Each test forces its crossing: a stand-in writes, closes or lists in the very turn in which the sender is
+about to give up, close or send, or the two calls are made one behind the other with no switch between.
+"""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+import signal
+import socket as plain
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from time import monotonic
+from typing import Any
+
+import gevent
+import pytest
+import structlog
+from gevent import Timeout, socket, subprocess
+from gevent.server import StreamServer
+from rigs.stages import Outward, desk, parsed
+from rigs.world import LIMITS, World, abandon, request, until
+
+from ashpath.door import Ending
+from ashpath.node.backoff import Backoff
+from ashpath.node.codec import Closed, Message, Wire, write_head
+from ashpath.node.directory import Directory
+from ashpath.node.ledger import Entry, Ledger
+from ashpath.node.send import Withdrawn
+from ashpath.node.start import node
+from ashpath.node.take_in import TakeIn
+from ashpath.node.timers import wall
+
+LOG = structlog.get_logger()
+OK = b"HTTP/1.1 200 OK\r\n"
+
+
+def joined() -> tuple[socket.socket, socket.socket]:
+    """Two ends of a TCP connection over loopback: what a reset takes back shows on these alone."""
+    with plain.create_server(("127.0.0.1", 0)) as server:
+        far = socket.create_connection(server.getsockname())
+        accepted = server.accept()[0]
+        return socket.socket(fileno=accepted.detach()), far
+
+
+def to_the_end(far: socket.socket) -> bytes:
+    """All bytes up to an end in order; raises ConnectionResetError where it was none."""
+    data = b""
+    with Timeout(20):
+        while piece := far.recv(65536):
+            data += piece
+    return data
+
+
+# Connections to endpoints.
+
+GIVEN_UP = {Withdrawn: Ending.WITHDRAWN, Timeout: Ending.TIMED_OUT}
+# What is in the socket as the call is given up, and whether it was delivered.
+LAST_BYTES = {
+    b"": False,
+    b"HTTP/1.1 20": False,
+    OK: True,
+    OK + b"Content-Length: 2\r\n\r\nok": True,
+    b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n": False,
+    b"HTTP/1.1 503 X\r\nContent-Length: 99\r\n\r\n" + OK + OK: False,  # a first line within a body is none
+    b"x" * 40_000: False,
+}
+
+
+@pytest.mark.parametrize("how", GIVEN_UP, ids=lambda how: how.__name__)
+@pytest.mark.parametrize("data", LAST_BYTES, ids=lambda data: str(data[:40]))
+def test_an_answer_in_the_moment_of_giving_up(
+    world: World, how: type[BaseException], data: bytes
+) -> None:
+    """Guards what was delivered against a repeat and a false end: a 200 whose first line was here counts."""
+    outward, wires = Outward(world), []
+    dial = outward.pool.connect
+    outward.pool.connect = lambda where: wires.append(dial(where)) or wires[0]  # type: ignore[func-returns-value]
+
+    def serve(sock: socket.socket, _: object) -> None:
+        wire = Wire(sock, LIMITS)
+        wire.read_request()
+        if b"99" in data:  # its head is read before
+            wire.write(data[: -2 * len(OK)])
+            until(lambda: wires[0].answered)
+            sock.send(data[-2 * len(OK) :])
+        else:
+            sock.send(data)
+        flight.greenlet.kill(how(), block=False)  # thrown before anything is read
+        gevent.sleep(0.05)
+
+    world.servers[0].set_handle(serve)
+    flight = outward.begin("a", b"")
+    until(lambda: outward.endings)
+    assert outward.endings == [Ending.COMPLETED if LAST_BYTES[data] else GIVEN_UP[how]]
+    assert outward.pool.open == 0
+
+
+def test_an_endpoint_moves_while_its_connection_comes_up(world: World) -> None:
+    """Guards other destinations: the address that was dialled may be another endpoint's by the first byte."""
+    outward, dial = Outward(world), Outward(world).pool.connect
+    there = {**world.members[1], "host_port": "127.0.0.1:1"}
+
+    def slowly(where: Any) -> Wire:
+        wire = dial(where)
+        outward.route.learn([there, {**world.members[1], "id": "new", "cell": 9}], whole=False)
+        return wire
+
+    outward.pool.connect = slowly  # type: ignore[method-assign]
+    outward.begin("a", b"200")
+    until(lambda: outward.endings)
+    assert outward.endings == [Ending.UNSENT] and not world.count("a")
+
+
+# What a dial may meet, and how the call ends: what is the sender's own says nothing of the endpoint.
+DIALS = {
+    OSError(errno.EMFILE, "out of descriptors"): Ending.UNSENT,
+    OSError(errno.ENFILE, "out of descriptors"): Ending.UNSENT,
+    OSError(errno.ECONNREFUSED, "refused"): Ending.NO_CONNECTION,
+    OverflowError("port must be 0-65535"): Ending.NO_CONNECTION,
+    ValueError("embedded null character"): Ending.NO_CONNECTION,
+}
+
+
+@pytest.mark.parametrize("fault", DIALS, ids=repr)
+def test_dials_that_fail(world: World, fault: Exception) -> None:
+    """Guards slots and endpoints: whatever a dial raises, the call has one end, and the right one."""
+    outward = Outward(world)
+    outward.route.log = LOG
+
+    def connect(_: object) -> Wire:
+        raise fault
+
+    outward.pool.connect = connect  # type: ignore[method-assign]
+    outward.begin("a", b"200")
+    until(lambda: outward.endings)
+    assert outward.endings == [DIALS[fault]]
+
+
+# Connections of clients.
+
+
+def serve(take_in: TakeIn, near: socket.socket) -> gevent.Greenlet:
+    return gevent.spawn(take_in.serve, Wire(near, LIMITS))
+
+
+def test_more_bytes_as_the_last_answer_goes_out(tmp_path: Path) -> None:
+    """Guards the last answer on a connection: a close over unread bytes would reset it and take it back."""
+    take_in, host, _ = desk(tmp_path)
+    take_in.closing = True  # as after SIGTERM
+    near, far = joined()
+    take, host.take = host.take, lambda entry: (take(entry), far.sendall(request("b", "free", "200", 1)))
+    far.sendall(request("a", "free", "200", 1))
+    serve(take_in, near)
+    data = to_the_end(far)
+    assert data.startswith(b"HTTP/1.1 202 ") and data.count(b"HTTP/1.1") == 1
+    assert host.seen == ["take a"]
+    far.close()
+    until(lambda: not take_in.parting)
+
+
+@pytest.mark.parametrize("first", [True, False], ids=["first", "resting"])
+def test_a_request_as_its_connection_is_sent_away(tmp_path: Path, first: bool) -> None:
+    """Guards a request that comes in the instant of the shutdown: it is not sent on, as nobody could be
+    answered; its client sees an end in order and asks elsewhere."""
+    take_in, host, _ = desk(tmp_path)
+    near, far = joined()
+    served = serve(take_in, near)
+    if not first:
+        far.sendall(request("a", "free", "200", 1))
+        until(lambda: take_in.idle)
+        assert far.recv(999).startswith(b"HTTP/1.1 202 ")
+    else:
+        until(lambda: take_in.silent)
+    take_in.close_idle()
+    far.sendall(request("b", "free", "200", 1))  # no switch between the two
+    assert to_the_end(far) == b"" and host.seen == ["take a"] * (not first)
+    far.close()
+    served.join(20)
+    assert served.dead and not (take_in.parting or take_in.idle or take_in.silent)
+
+
+def test_a_client_that_rests_until_it_is_ended(tmp_path: Path) -> None:
+    """One that was sent away and stays makes room at once, before anybody who still asks."""
+    take_in, _, _ = desk(tmp_path)
+    take_in.limits = replace(LIMITS, hush=0.0, stall=0.0)
+    (near, far), (other, asks) = joined(), joined()
+    staying = serve(take_in, near)
+    until(lambda: take_in.silent)
+    take_in.close_idle()
+    asking = serve(take_in, other)
+    asks.sendall(b"POST /api HTTP/1.1\r\n")
+    until(lambda: take_in.reading)
+    assert take_in.parting and take_in.make_room()
+    until(lambda: staying.dead)
+    assert not asking.dead and take_in.reading and not take_in.parting
+    for end in (far, asks):
+        end.close()
+    until(lambda: asking.dead)
+
+
+def test_a_stalled_request_whose_rest_has_just_come(tmp_path: Path) -> None:
+    """Guards a request whose last byte is in: its connection makes no room, the next stalled one does."""
+    take_in, host, _ = desk(tmp_path)
+    take_in.limits = replace(LIMITS, stall=0.0)
+    (near, far), (other, stalled) = joined(), joined()
+    data = request("a", "free", "200", 1)
+    for end in (far, stalled):
+        end.sendall(data[:40])
+    served, gone = serve(take_in, near), serve(take_in, other)
+    until(lambda: len(take_in.reading) == 2)
+    far.sendall(data[40:])
+    assert take_in.shut(take_in.reading)
+    assert far.recv(999).startswith(b"HTTP/1.1 202 ") and host.seen == ["take a"]
+    until(lambda: gone.dead)
+    far.close()
+    until(lambda: served.dead)
+
+
+def test_a_request_cut_within(tmp_path: Path) -> None:
+    """A client that ends its side within a request can read what was wrong; nothing is taken on."""
+    take_in, host, _ = desk(tmp_path)
+    data = request("a", "free", "200 " + "x" * 300, 1)
+    for cut in (1, 30, data.index(b"\r\n\r\n"), len(data) - 1):
+        near, far = joined()
+        far.sendall(data[:cut])
+        far.shutdown(socket.SHUT_WR)
+        serve(take_in, near)
+        assert to_the_end(far).startswith(b"HTTP/1.1 400 ")
+    assert not host.seen
+
+
+def test_a_client_that_floods_and_leaves(tmp_path: Path) -> None:
+    """Its place is free again, and nothing of it was taken on."""
+    take_in, host, _ = desk(tmp_path)
+    near, far = joined()
+    take_in.clients = 1
+    served = serve(take_in, near)
+    far.sendall(request("a", "free", "200", 1) * 400)
+    abandon(far)
+    served.join(20)
+    assert served.dead and host.seen == [] and take_in.clients == 0
+
+
+def test_bytes_that_wait_as_the_process_ends(tmp_path: Path) -> None:
+    """Guards clients against the exit, which closes what is open: half a request unread would reset it."""
+    take_in, host, _ = desk(tmp_path)
+    near, far = joined()
+    served = serve(take_in, near)
+    until(lambda: take_in.silent)
+    far.sendall(b"POST /api HT")
+    wire = next(iter(take_in.silent))
+    take_in.leave()
+    wire.sock.close()  # as the exit does, with no greenlet run in between
+    assert to_the_end(far) == b"" and not host.seen
+    served.join(20)
+
+
+def test_the_same_message_again_with_its_call_out(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its client left before the 202 was out, and submits it again: no second call beside the first, over a
+    kill neither, as the ledger knows of the call until it has its outcome."""
+    for name, value in world.environment().items():
+        monkeypatch.setenv(name, value)
+    sender, _ = node()
+    sender.host.restore(list(sender.route.rows.values()))
+    data = request("a", "once", "slow 200", 1)
+    entry = sender.admit.envelope(parsed(data))
+    assert sender.admit.take_on(entry) == (202, 0)
+    until(lambda: world.count("a") == 1)
+    sender.host.gone(entry)
+    assert sender.admit.take_on(sender.admit.envelope(parsed(data))) == (409, 0)
+    assert sender.ledger.live[entry.number].out_at is not None and not sender.host.entries
+    until(lambda: not sender.host.flights)
+    assert not sender.ledger.live and not sender.host.leaving
+    assert sender.admit.take_on(sender.admit.envelope(parsed(data))) == (202, 0)
+    until(lambda: world.count("a") == 2 and not sender.host.flights)
+
+
+def test_the_next_of_a_key_waits_for_the_notice_of_the_one_before(world: World) -> None:
+    """Guards the order of a key: a message given up is over once the platform has heard, and no sooner, also
+    where a restart finds its notice owed."""
+    seen: list[tuple[str, bool]] = []
+    answer = world.answer
+
+    def note(wire: Wire, call: Message) -> bool:
+        seen.append((call.headers[b"x-trace-id"].decode(), bool(world.told("one"))))
+        return answer(wire, call)
+
+    world.answer = note  # type: ignore[method-assign]
+    world.deaf = 10**6
+    world.start()
+    assert world.hand_in("one", "tag", "hang", 1, left=700, key="k") == 202
+    assert world.hand_in("two", "tag", "200", 1, key="k") == 202
+    assert world.hand_in("other", "tag", "200", 2, key="j") == 202
+    until(lambda: world.deaf < 10**6 - 2)  # its notice is owed, and was turned away
+    until(lambda: world.count("other"))
+    world.kill()
+    world.start()
+    until(lambda: world.deaf < 10**6 - 6)
+    assert not world.count("two")
+    world.deaf = 0
+    until(lambda: world.count("two"))
+    assert ("two", True) in seen and ("two", False) not in seen
+
+
+# Discovery.
+
+
+class Answerer:
+    """A directory that answers each call as told, and notes what was asked."""
+
+    def __init__(self, world: World, answers: list[Any]) -> None:
+        self.asked: list[bytes] = []
+        self.answers = answers
+        self.server = world.servers[1]
+        self.server.set_handle(self.serve)
+
+    def serve(self, sock: socket.socket, _: object) -> None:
+        wire = Wire(sock, LIMITS)
+        try:
+            while call := wire.read_request():
+                self.asked.append(call.url.partition(b"?")[2].partition(b"&")[0])
+                told = self.answers.pop(0) if self.answers else None
+                if told is None:
+                    return abandon(sock)
+                if told == "hold":
+                    gevent.sleep(60)
+                wire.write(told if isinstance(told, bytes) else listed(**told))
+        except (OSError, Closed):
+            wire.close()
+
+
+def listed(revision: object = 1, complete: object = True, members: object = (), **more: object) -> bytes:
+    told = {"revision": revision, "complete": complete, "members": members}
+    body = json.dumps(told, indent=4 if more else None).encode()
+    return write_head(b"HTTP/1.1 200 OK", [], body)
+
+
+ROW = {"id": "e1", "host_port": "127.0.0.1:1", "cell": 1, "phase": "up"}
+# What the directory answers, and what is asked for next. Nothing named: the whole list.
+ASKED_NEXT = {
+    "changes": ([{"revision": 9, "complete": False, "members": [ROW]}], b"index=9"),
+    "an indented list": ([{"revision": 9, "members": [ROW], "indent": 1}], b"index=9"),
+    "a new count of revisions": ([{"revision": 2, "complete": False, "members": [ROW]}], b""),
+    "a spoilt line among changes": ([{"revision": 9, "complete": False, "members": [{"id": []}]}], b""),
+    "a spoilt line in the whole list": ([{"revision": 9, "members": [{"id": []}, ROW]}], b"index=9"),
+    "a reset": ([None], b""),
+    "no list": ([write_head(b"HTTP/1.1 200 OK", [], b'{"members":')], b"index=5"),
+    "rows of a wrong type": ([{"members": {"a": 1}}], b"index=5"),
+    "a flag of a wrong type": ([{"complete": "no", "members": [ROW]}], b"index=5"),
+    "an empty whole list": ([{"revision": 9}], b"index=5"),
+    "turned away": ([write_head(b"HTTP/1.1 429 X", [], b"")], b"index=5"),
+}
+
+
+@pytest.mark.parametrize("name", ASKED_NEXT)
+def test_what_is_asked_of_a_directory_next(world: World, name: str) -> None:
+    """Guards changes against being skipped: what an answer did not say is asked for again."""
+    answers, then = ASKED_NEXT[name]
+    answerer = Answerer(world, [*answers, "hold"])
+    route = Outward(world).route
+    route.log = LOG
+    limits = replace(LIMITS, watch=0.01, retry=0.01, lists_away=0.01)
+    directory = Directory(answerer.server.address, limits, 5, route.hear, Random(1), LOG)
+    watch = gevent.spawn(directory.run)
+    until(lambda: len(answerer.asked) == 2)
+    assert answerer.asked == [b"index=5", then]
+    watch.kill()
+
+
+def test_a_drain_whose_line_is_spoilt(world: World) -> None:
+    """The address of an endpoint that goes is no matter: nothing more is sent there."""
+    route = Outward(world).route
+    route.log = LOG
+    assert route.hear([{"id": "e1", "cell": 1, "phase": "draining", "host_port": None}], False)
+    assert "e1" not in route.addresses and not route.hear([{**ROW, "host_port": "127.0.0.1:70000"}], False)
+
+
+# How a call to the directory may fail, and how long it lasts then, at the most.
+FAILURES: dict[str, Callable[[Directory], tuple[Backoff, float | None, float]]] = {
+    "silent": lambda one: (one.silent, None, LIMITS.watch + LIMITS.silence),
+    "turned away": lambda one: (one.away, None, 0.5),
+    "told to come back": lambda one: (one.away, 1.0, 0.5),
+    "told to stay away": lambda one: (one.away, 600.0, 0.5),
+}
+
+
+@pytest.mark.parametrize("kind", FAILURES)
+def test_every_failed_call_is_followed_by_one_within_six_seconds(kind: str) -> None:
+    """Guards drains: a change counts as told 6 s after the directory had it and could be reached, however
+    often and however it failed before. The fleet's calls stay spread all the same."""
+    fleet, pauses = 200, []
+    for seed in range(fleet):
+        one = Directory(("127.0.0.1", 1), LIMITS, 1, lambda *_: True, Random(seed), LOG)
+        pause, told, lasts = FAILURES[kind](one)
+        row = [pause.failed(told) for _ in range(8)]
+        assert max(row) + lasts < 5.5
+        pauses.append(row[3])
+    if kind == "silent":
+        return
+    crowd = max(sum(at <= other < at + 0.1 for other in pauses) for at in pauses)
+    assert crowd < fleet / 6, "all would come back at once"
+
+
+def test_what_the_agent_has_counts_from_the_first_moment(world: World) -> None:
+    """Guards drains over a restart: the list as last held may be old, and what the agent was told meanwhile
+    counts before the first call. What was taken on goes to the successor."""
+    ledger = Ledger(world.folder / "state", LIMITS.disk)
+    assert ledger.taken(Entry(1, "a", 0, 1, None, None, wall() + 20_000_000, b"200"))
+    ledger.close()
+    called: list[object] = []
+    gone = StreamServer(("127.0.0.1", 0), lambda sock, _: called.append(sock))
+    gone.start()
+    old = {**world.members[1], "id": "old", "host_port": f"127.0.0.1:{gone.server_port}"}
+    now_listed = [*world.members, {**old, "phase": "draining"}]
+    Answerer(world, [{"revision": 3, "members": now_listed}, "hold"])
+    world.config["known"] = {"revision": 1, "complete": True, "members": [old]}
+    world.configure()
+    world.start()
+    until(lambda: world.count("a") == 1)
+    assert not called
+    gone.stop()
+
+
+# The process.
+
+
+def test_a_hangup_before_the_sender_runs(world: World) -> None:
+    """Guards a start: SIGHUP would end a process that is put together, and the file may be new behind it."""
+    path = world.folder / "config.json"
+    text = path.read_text()
+    path.unlink()
+    os.mkfifo(path)
+    with (world.folder / "log").open("ab") as log:
+        world.process = subprocess.Popen(
+            [sys.executable, "-m", "ashpath"], env=world.environment(), stdout=log, stderr=log
+        )
+    file = os.open(path, os.O_WRONLY)  # opened once it reads: it is being put together
+    world.process.send_signal(signal.SIGHUP)
+    os.write(file, text.encode())
+    os.close(file)
+    until(lambda: "event=ready" in (world.folder / "log").read_text())  # or both texts may be read as one
+    again = gevent.get_hub().threadpool.spawn(lambda: path.write_text(text))
+    until(lambda: "configuration read" in (world.folder / "log").read_text())
+    again.get()
+    assert world.process.poll() is None
+
+
+def test_a_second_sigterm(world: World) -> None:
+    """It puts nothing off: whoever is within a request has the answer that the first one owes."""
+    world.start()
+    assert world.process is not None
+    hold = request("out", "once", "hang", 1)
+    assert world.ask(hold) == 202
+    until(lambda: world.count("out"))
+    began = monotonic()
+    world.process.send_signal(signal.SIGTERM)
+    gevent.sleep(1.2)
+    world.process.send_signal(signal.SIGTERM)
+    wire = world.connect()
+    assert wire is not None
+    wire.write(b"POST /api HTTP/1.1\r\n")
+    assert wire.read_answer().status == 503 and monotonic() - began < 3.45
+    until(lambda: world.process is None or world.process.poll() is not None)
+    assert world.process.returncode == 0 and monotonic() - began < 3.7
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,24 +19,22 @@
 import pytest
 import structlog
 from gevent import Timeout, socket, subprocess
-from rigs.world import LIMITS, TERMS, TRACKS, World, abandon, request, until
+from rigs.stages import Outward, Pair, desk, parsed
+from rigs.world import LIMITS, TERMS, World, abandon, request, until
 
 import ashpath.node
 from ashpath.door import Ending, Told
-from ashpath.node.admit import Admit
 from ashpath.node.book import Book
 from ashpath.node.calls import Line
 from ashpath.node.codec import Closed, Message, Wire, write_head
 from ashpath.node.directory import Directory
 from ashpath.node.ledger import BLOCK, Entry, Ledger
-from ashpath.node.notices import Notices
 from ashpath.node.pool import Pool
 from ashpath.node.relay import Relay
 from ashpath.node.route import Route
-from ashpath.node.send import Flight, Send
+from ashpath.node.send import Flight
 from ashpath.node.start import BadStart, node
-from ashpath.node.take_in import TakeIn
-from ashpath.node.timers import now, wall
+from ashpath.node.timers import wall
 
 
 def test_examples() -> None:
@@ -271,29 +269,6 @@
         wire.close()
 
 
-class Still:
-    """In place of the host: takes all, and remembers."""
-
-    def __init__(self) -> None:
-        self.entries, self.seen, self.flights = {}, [], {}
-
-    def take(self, entry: Entry) -> None:
-        self.seen.append(f"take {entry.trace}")
-
-    def gone(self, entry: Entry) -> None:
-        self.seen.append(f"gone {entry.trace}")
-
-
-def desk(folder: Path, disk: int = 1 << 20) -> tuple[TakeIn, Still, Ledger]:
-    ledger, host = Ledger(folder, disk), Still()
-    book = Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None))
-    route = Route(["plain"], ["here"], Pool(LIMITS), None)
-    route.learn([{"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}], whole=True)
-    tracks = {name: number for number, name in enumerate(TRACKS)}
-    admit = Admit(TERMS, tracks, route, host, book, structlog.get_logger())
-    return TakeIn(("127.0.0.1", 1), LIMITS, admit, None), host, ledger
-
-
 def test_clients_that_leave(tmp_path: Path) -> None:
     """Before it is read: never taken. Before the answer is out: gone."""
     take_in, host, ledger = desk(tmp_path)
@@ -454,15 +429,6 @@
     assert relay.outcome(flight)[0] is told
 
 
-class Pair(Wire):
-    """A wire over a pair of local sockets, which have no TCP to set."""
-
-    def __init__(self, sock: socket.socket) -> None:
-        with pytest.MonkeyPatch.context() as patch:
-            patch.setattr(socket.socket, "setsockopt", lambda *_: None)
-            super().__init__(sock, LIMITS)
-
-
 def test_ledger_torn(tmp_path: Path) -> None:
     """Whatever byte the file ends at, what is whole before it counts, and records go on behind it."""
     ledger = Ledger(tmp_path, 1 << 20)
@@ -521,12 +487,6 @@
     assert not again.live and again.reserved == 0
 
 
-def parsed(data: bytes) -> Message:
-    near, far = socket.socketpair()
-    far.sendall(data)
-    return Pair(near).read_request()
-
-
 def test_room(tmp_path: Path) -> None:
     take_in, host, ledger = desk(tmp_path)
     host.entries = dict.fromkeys(range(TERMS.room))
@@ -534,24 +494,6 @@
     assert take_in.admit.take_on(entry) == (503, 0) and not ledger.live
 
 
-class Outward:
-    """The stages from the route to the relay, and the endings that would reach the module."""
-
-    def __init__(self, world: World) -> None:
-        self.pool, self.endings, ledger = Pool(LIMITS), [], Ledger(world.folder, LIMITS.disk)
-        self.route = Route(["plain"], ["here"], self.pool, None)
-        self.route.learn(world.members, whole=True)
-        relay = Relay(Book(ledger, Notices(("127.0.0.1", 1), LIMITS, ledger, None)), reports=True)
-        relay.returned = lambda flight, ending, *_: self.endings.append(ending)
-        self.send = Send(self.pool, self.route, relay)
-
-    def begin(self, trace: str, body: bytes, endpoint: str = "e1") -> Flight:
-        entry = Entry(1, trace, 0, 1, None, None, 0, body)
-        flight = Flight(entry, endpoint, now() + 5_000_000, 5_000_000)
-        self.send.begin(flight)
-        return flight
-
-
 def test_halted_before_the_first_byte(world: World) -> None:
     """What stands no more once its connection is up is not sent; a drain closes idle connections."""
     outward = Outward(world)
