An outage outlives a restart; what a restart finds untried is tried

Checked and ruled out as cause: the largest of several guesses in Gate.allowance, the least figure, the tokens by lot (their sum stayed under the budget). - Now `Answers.mode` (before: `log`) says of each change of mode whether the place is out and the rate there, node/outages.py keeps it in the state folder, and `Sender.outage` tells a further life: guarded by lot, at that rate, until warm. What a restart finds untried stays while it has time, unless a told wait lasts beyond it; it no longer gives way to others.

--- a/ashpath/decide.py
+++ b/ashpath/decide.py
@@ -1,9 +1,6 @@
 """All decisions of ashpath, and every tuned value; nothing else in the project decides anything.
 
-Make one `Sender(terms, answers)` an instance. Per batch of news: `open_turn(now)`; then `listed`, `take`,
-`restored`, `returned`, `gone`, `woken`, `hold`, `waited`; last `close_turn()`. `stands` any time; `door.py`,
-`docs/design.md`.
-"""
+One `Sender(terms, answers)` an instance; per batch `open_turn`, the news, `close_turn`; docs/design.md."""
 
 from __future__ import annotations
 
@@ -19,8 +16,7 @@
 SECOND = 1_000_000
 
 HOLD = 5 * SECOND  # a timed-out call keeps its slot: longer spares the destination, shorter uses it sooner
-COOLDOWN = 1 * SECOND  # first pause of an open breaker; doubles with each probe that fails
-COOLDOWN_MAX = 2 * SECOND  # and no further: a longer one finds the return later, a shorter one probes more
+COOLDOWN = 1 * SECOND  # first pause of an open breaker, then twice that: longer finds a return later
 GAIN = 0.1  # weight of a new measurement: more follows a change sooner, less is steadier
 STRETCH = 8  # deviations over the mean that a shot is given; less frees slots sooner, loses slow answers
 IGNORANT, OVERTAKEN = 5, 3  # completions: before times are trusted; fast later ones that excuse a time-out
@@ -106,6 +102,7 @@
     shots: int = 0
     shot: Shot | None = None
     ran: Shot | None = None  # the first shot that may have run
+    kept: bool = False  # a restart found it with no shot made: tried while it has time, whatever is expected
 
     def payoff_at(self, when: int) -> float:
         terms, late, decays = self.track.terms, when - self.promise_at, self.track.decays
@@ -175,8 +172,8 @@
 class Gate:
     """The ADR 0122 gate: limit, fast count, holds, latest decrease and breaker, of a destination or route."""
 
-    def __init__(self, sender: Sender, name: str) -> None:
-        self.sender, self.name = sender, name
+    def __init__(self, sender: Sender, number: int, route: str = "") -> None:
+        self.sender, self.number, self.route = sender, number, route
         self.limit, self.in_flight = 1, 0
         self.fast, self.unfailed = 0, True  # grows by one with each fast success until the first failure
         self.holds: deque[int] = deque()  # ends of holds; emptied as they pass
@@ -212,10 +209,6 @@
         burst = PACE_BURST * self.told * self.share / self.sender.terms.senders**0.5  # others have theirs
         return self.paced.due(now, self.pace, max(1.0, burst))
 
-    @property
-    def rate(self) -> float:
-        return self.done.rate()
-
     def tell(self, told: Told | None) -> None:
         if told:
             was, since, self.share, self.told_at = self.told, self.told_at, told.left, self.sender.now
@@ -238,7 +231,7 @@
         mean = self.sender.asked.rate() / max(1, len(self.sender.destinations))
         least = LEAST_KNOWN if terms.reports else min(LEAST_KNOWN, max(LEAST_START, mean))
         told = self.split() * (terms.reports or ROUGH * terms.rated)  # what only stands in says nothing here
-        usual = max(self.rate, ASKED_AGAIN * self.asked.rate(), least, told)
+        usual = max(self.done.rate(), ASKED_AGAIN * self.asked.rate(), least, told)
         usual = told if told and self.sender.blind else usual  # all guesses would sum up to too much
         return CAUTION * (terms.fall_multiple or SECOND) * present * usual  # without the rule, no bound
 
@@ -279,14 +272,14 @@
         sender, now = self.sender, self.sender.now
         if ending is Ending.FULL and sender.blind:  # the listed rate stands in, or else the own one
             self.share, self.refused_at = 0.0, now
-            self.told = self.told or max(self.rate, sender.start) * sender.terms.senders  # for an even split
+            self.told = self.told or max(self.done.rate(), sender.start) * sender.terms.senders  # split
         limited = ending is Ending.FULL and self.told > 0
         vague = ending in (Ending.FULL, Ending.TIMED_OUT) or self.crowded(ending, took)
         some = self.share >= MUCH_LEFT or sender.blind
         self.failures += 0.25 * some if limited else 0.5 if vague else 1
         # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
         least = 0.5 if vague and (ending is Ending.NO_CONNECTION or max(sender.crowding) <= CROWDED) else 1.0
-        rate = self.done.sum * SECOND / RATED_OVER if vague else self.rate
+        rate = self.done.sum * SECOND / RATED_OVER if vague else self.done.rate()
         enough = min(RUN_OF_FAILURES, max(least, RUN_OF_FAILURES * rate))
         run = self.failures >= enough and now - self.succeeded_at > SHUT_AFTER
         # So long a wait with much of the limit left is no limit's: it is shut, and all are told the same end.
@@ -334,7 +327,7 @@
             self.set_pace(max(self.pace + step * (self.share - KEPT_BACK), sender.start * sender.blind))
         if self.ailing:
             self.ailing, self.warm_from, self.guard.at = False, now, now
-            self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.rate:.1f}/s")
+            self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.done.rate():.1f}/s")
             if sender.terms.notes:
                 note = f"back {shot.envelopes[0].destination.number} {endpoint.id}"
                 sender.answers.tell(note.encode())
@@ -347,9 +340,8 @@
 
     def open(self, ending: Ending) -> None:
         self.breaker, self.limit = Breaker.OPEN, 0
-        pause, terms = min(COOLDOWN_MAX, COOLDOWN << min(self.reopened, 10)), self.sender.terms
-        if ending is Ending.NO_CONNECTION and terms.tables_told:
-            pause = COOLDOWN  # a dial refused costs nothing there, and a return is found sooner
+        terms = self.sender.terms  # a dial refused costs nothing where tables are told, and finds a return
+        pause = COOLDOWN << (self.reopened > 0 and not (terms.tables_told and ending is Ending.NO_CONNECTION))
         # Senders take turns by number at a destination just back, all within one more pause.
         self.open_until = self.sender.now + pause + pause * terms.number // terms.senders
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
@@ -370,7 +362,8 @@
         self.ailing, self.warm_from = self.ailing or other.ailing, max(self.warm_from, other.warm_from)
 
     def log(self, text: str) -> None:
-        self.sender.answers.log(f"{self.name} {text}")
+        text = f"route {self.route} {text}" if self.route else f"destination {self.number} {text}"
+        self.sender.answers.mode(text, self.number, self.route, self.ailing, self.done.rate())
 
 
 class Destination:  # dropped when it has neither endpoints nor envelopes
@@ -378,7 +371,7 @@
         self.sender, self.number = sender, number
         self.known: dict[str, Endpoint] = {}  # listed ones, and gone ones until their news is old
         self.endpoints: list[Endpoint] = []  # those listed, in ranked order
-        self.gate = Gate(sender, f"destination {number}")
+        self.gate = Gate(sender, number)
         self.apart, self.per_call, self.kind = False, 1, 0
         self.times = [Times() for _ in sender.tracks]
         # Envelopes held, by track, in order of arrival: within the promised time, and past it.
@@ -397,9 +390,10 @@
                 return int(times.mean + STRETCH * times.deviation) * wide
         return track.terms.promised
 
-    def opens_in(self) -> int:
-        now = self.sender.now  # the time until the first gate may open, as far as it is known
-        return min((max(0, (gate.opens_at(now) or 0) - now) for gate in self.gates()), default=0)
+    def opens_in(self, told: bool = False) -> int:
+        now = self.sender.now  # the time until the first gate may open, as far as it is known, or was told
+        opens = (gate.wait_until if told else gate.opens_at(now) or 0 for gate in self.gates())
+        return min((max(0, at - now) for at in opens), default=0)
 
     def gates(self) -> list[Gate]:
         return [endpoint.gate for endpoint in self.endpoints] if self.apart else [self.gate]
@@ -409,7 +403,7 @@
         self.apart, self.per_call, self.kind = kind.apart, kind.per_call, row.kind
         before = self.known.get(row.endpoint)
         if before is None or (before.gate is self.gate) == self.apart:  # new, or its kind was switched
-            gate = Gate(self.sender, f"route {row.endpoint}") if self.apart else self.gate
+            gate = Gate(self.sender, self.number, row.endpoint) if self.apart else self.gate
             self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate, self.sender.chance.random())
             if before is not None:
                 gate.follow(before.gate)
@@ -423,8 +417,9 @@
 
     def forget(self) -> None:  # guards against endpoints that are replaced under new ids all day
         now, listed, known = self.sender.now, self.endpoints, self.known.values()
-        kept = (e for e in known if e in listed or max(e.shot_at + RATED_OVER, e.gate.wait_until) > now)
-        self.known = {endpoint.id: endpoint for endpoint in kept}
+        old = (e for e in known if max(e.shot_at + RATED_OVER, e.gate.wait_until) <= now and not e.in_flight)
+        for endpoint in [e for e in old if e not in listed]:
+            del self.known[endpoint.id]
 
     def rank(self) -> None:
         """Well first, then cheap if apart, then quick; between equals a lot, or all would begin at one."""
@@ -442,7 +437,7 @@
     def next(self, endpoint: Endpoint) -> Envelope | None:
         """The waiter that would lose most by waiting until all others are sent; then that of most payoff."""
         now, best, best_rank = self.sender.now, None, (False, 0.0, 0.0)
-        rate = sum(gate.rate for gate in self.gates())
+        rate = sum(gate.done.rate() for gate in self.gates())
         drained = int(SECOND * max(1.0, sum(map(len, self.fresh)) / max(1.0, rate)))
         for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
@@ -574,13 +569,12 @@
 
     def take(self, id_: int, number: int, track: int, key: int | None, left: int, new: bool = True) -> None:
         row, destination, end = self.tracks[track], self.destination(number), self.now + left
-        gates = destination.gates() if new else []
         self.asked.count(self.now, float(new))
-        for gate in gates:
-            gate.asked.count(self.now, 1 / len(gates))
+        for gate in destination.gates() if new else ():
+            gate.asked.count(self.now, 1 / len(destination.gates()))
         envelope = Envelope(id_, destination, row, end, end - row.terms.cutoff + row.terms.promised)
         self.envelopes[id_] = envelope
-        if self.late and len(self.envelopes) > ROOM_USED * self.terms.room > 0:
+        if new and self.late and len(self.envelopes) > ROOM_USED * self.terms.room > 0:
             # Guards the rest against queues that fill the room: of those longest late, the least gives way.
             self.give_up(min(islice(self.late, 8), key=lambda envelope: envelope.payoff_at(self.now)))
         destination.owed += 1
@@ -595,7 +589,7 @@
         """Owed from an earlier life. What may have run still counts; waits and measurements are gone."""
         self.take(id_, number, track, key, left, new=False)
         envelope, destination = self.envelopes[id_], self.destinations[number]
-        envelope.shots = past.shots
+        envelope.shots, envelope.kept = past.shots, not past.shots
         if past.ran_at is not None:
             endpoint = destination.known.get(past.ran_to) or Endpoint("", -1, destination.gate, 0.0)
             envelope.ran = Shot(endpoint, past.ran_at)
@@ -650,12 +644,11 @@
 
     def may_repeat(self, envelope: Envelope) -> bool:  # harmless, with time to succeed once a gate opens
         destination, repeat = envelope.destination, envelope.track.terms.repeat
-        sent_at = self.now + destination.opens_in()
+        sent_at = self.now + destination.opens_in(envelope.kept and not envelope.shots)
         late = envelope.cutoff_at - sent_at <= destination.expected(envelope.track)
-        if late or envelope.shots >= self.terms.most_shots > 0:
-            return False
         in_window = repeat is Repeat.TAGGED and sent_at < self.window_end(envelope)
-        return envelope.ran is None or repeat is Repeat.REPEATABLE or in_window
+        harmless = envelope.ran is None or repeat is Repeat.REPEATABLE or in_window
+        return harmless and not late and not envelope.shots >= self.terms.most_shots > 0
 
     def window_end(self, envelope: Envelope) -> int:
         """The last moment to send a tagged envelope again; a connection may have to be made on the way."""
@@ -682,11 +675,19 @@
                 self.dirty[destination] = self.stirred[destination] = None
 
     def waited(self, number: int, endpoint: str, until: int) -> None:  # told to our other process
-        destination = self.destination(number)
-        known = destination.known.get(endpoint)
-        for gate in destination.gates() if known is None else [known.gate]:
+        for gate in self.gates(number, endpoint):
             gate.wait_until = max(gate.wait_until, until)
+
+    def outage(self, number: int, endpoint: str, rate: float) -> None:  # an earlier life had been told of it
+        for gate in self.gates(number, endpoint):  # by lot again: all may have restarted at once
+            gate.ailing, gate.guard = True, Bucket(self.now, self.chance.random())
+            gate.done = Flow(-(10**9), self.now, rate * RATED_OVER / SECOND)
+
+    def gates(self, number: int, endpoint: str) -> list[Gate]:  # all routes where the endpoint is not known
+        destination = self.destination(number)
         self.dirty[destination] = self.stirred[destination] = None
+        known = destination.known.get(endpoint)
+        return destination.gates() if known is None else [known.gate]
 
     def woken(self, token: str) -> None:
         kind, number = token[0], int(token[1:] or 0)
--- a/ashpath/drill/adapter.py
+++ b/ashpath/drill/adapter.py
@@ -53,7 +53,7 @@
     def tell(self, note: bytes) -> None:
         self.output.append({"Notify": {"neighbour-id": -1, "contents": note.hex()}})
 
-    def log(self, text: str) -> None:
+    def mode(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
         self.output.append({"WriteLog": {"what": text}})
 
     def hear(self, name: str, body: Row, sheets: dict[int, list[Listing]]) -> None:
--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -11,6 +11,7 @@
 from ashpath.node.board import Board
 from ashpath.node.book import Book
 from ashpath.node.ledger import Entry, Ledger
+from ashpath.node.outages import Outages
 from ashpath.node.send import Flight, Send
 from ashpath.node.timers import Timers, now, wall
 
@@ -20,7 +21,9 @@
 class Host:
     """What the module asks for goes from here to the stages, in the order of its answers."""
 
-    def __init__(self, terms: Terms, ledger: Ledger, book: Book, send: Send, log: Any, board: Board) -> None:
+    def __init__(
+        self, terms: Terms, ledger: Ledger, book: Book, send: Send, log: Any, board: Board, outages: Outages
+    ) -> None:
         self.ledger, self.book, self.send, self.logger = ledger, book, send, log
         self.entries: dict[int, Entry] = {}  # what the sender owes an end; emptied as they have it
         self.flights: dict[int, Flight] = {}  # calls out, by envelope; emptied by their outcomes
@@ -29,6 +32,7 @@
         self.timers = Timers(self.woken)
         self.ending = False  # no shot is begun any more: what is held is the next life's
         self.sender = Sender(terms, self)
+        self.outages = outages  # what a further life has to know of destinations that are out
         self.board = board  # what binds the other process of a hot upgrade at once, and the other way
         self.peers: Callable[[bytes], None] = lambda note: None  # carries notes to other senders
         self.holds: Callable[[], list[News]] = list  # what the file of holds says that is not done here yet
@@ -56,10 +60,12 @@
     # News of the stages.
 
     def restore(self, rows: list[Listing], held: list[str] | None = None) -> None:
-        """The operators' holds, the directory as last held, then what an earlier life left, in the order
-        taken."""
+        """The operators' holds, the directory as last held, the outages that an earlier life was told of,
+        then what it left, in the order taken."""
         news: list[News] = [(self.sender.hold, (endpoint, True)) for endpoint in held or []]
-        self.adopt(list(self.ledger.live.values()), [*news, (self.sender.listed, (rows, True))])
+        news.append((self.sender.listed, (rows, True)))
+        news += [(self.sender.outage, told) for told in self.outages.running()]
+        self.adopt(list(self.ledger.live.values()), news)
 
     def hold(self, endpoint: str, out: bool, row: Listing | None) -> None:
         self.turn((self.sender.hold, (endpoint, out, row)))
@@ -160,8 +166,10 @@
     def wake(self, at: int, token: str) -> None:
         self.timers.add(at, token)
 
-    def log(self, text: str) -> None:
+    def mode(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
         self.logger.info("mode", what=text)
+        ramp = self.sender.terms.ramp_time
+        self.queue.append((self.outages.note, (destination, endpoint, out, rate, ramp)))
 
     def begin(self, entry: Entry, endpoint: str, timeout: int) -> None:
         if self.ending:
--- a/ashpath/node/inquiry.py
+++ b/ashpath/node/inquiry.py
@@ -91,7 +91,7 @@
             "out": sum(gate.in_flight for gate in gates),
             "limit": sum(gate.limit for gate in gates),
             "pace": round(sum(gate.pace for gate in gates), 2),
-            "rate": round(sum(gate.rate for gate in gates), 2),
+            "rate": round(sum(gate.done.rate() for gate in gates), 2),
             "breaker": self.worst(gates),
             "ailing": any(gate.ailing for gate in gates),
             "wait_ms": max([0, *(round(millis(gate.wait_until - now)) for gate in gates)]),
--- a/ashpath/node/start.py
+++ b/ashpath/node/start.py
@@ -19,7 +19,7 @@
 import orjson
 from gevent.event import Event
 
-from ashpath.node import holds, numbers
+from ashpath.node import holds, numbers, outages
 from ashpath.node.admit import Admit
 from ashpath.node.backoff import Backoff
 from ashpath.node.board import PLACES, SIZE, Board
@@ -113,7 +113,7 @@
         self.peers: Peers | None = None  # where the configuration names other senders
         self.limits = limits = given.limits
         places = 1 if inherited is None else PLACES  # who binds the address is alone
-        self.ledger = Ledger(state, limits.disk - places * SIZE)
+        self.ledger = Ledger(state, limits.disk - places * SIZE - outages.SPACE)
         self.number(given, bool(self.ledger.live) or inherited is not None)
         terms = given.terms
         board = Board(state, places)
@@ -125,7 +125,7 @@
         book = Book(self.ledger, self.notices, ends)
         relay = Relay(book, told_fields(given.settings) is not None)
         self.send = Send(self.pool, self.route, relay)
-        self.host = Host(terms, self.ledger, book, self.send, log, board)
+        self.host = Host(terms, self.ledger, book, self.send, log, board, outages.Outages(state, log))
         self.host.holds = self.not_done
         self.route.told, relay.returned = self.host.listed, self.host.returned
         self.send.stands, self.send.untold = self.host.stands, self.notices.untold
--- a/ashpath/partners/baselines.py
+++ b/ashpath/partners/baselines.py
@@ -127,6 +127,9 @@
                 return
         self.queue(item)
 
+    def outage(self, number: int, endpoint: str, rate: float) -> None:
+        """A plain policy knows of none."""
+
     def restored(self, id_: int, number: int, track: int, key: int | None, left: int, past: Past) -> None:
         self.take(id_, number, track, key, left)
         item = self.items[id_]
--- a/ashpath/partners/virtual.py
+++ b/ashpath/partners/virtual.py
@@ -59,6 +59,7 @@
     def listed(self, rows: list[Listing], whole: bool) -> None: ...
     def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None: ...
     def restored(self, id_: int, number: int, track: int, key: int | None, left: int, past: Past) -> None: ...
+    def outage(self, number: int, endpoint: str, rate: float) -> None: ...
     def stands(self, id_: int, now: int) -> bool: ...
     def returned(self, id_: int, ending: Ending, wait: int, closed: bool, told: Told | None) -> None: ...
     def gone(self, id_: int) -> None: ...
@@ -126,6 +127,8 @@
         self.last = 0
         self.entries: dict[int, Entry] = {}
         self.idle: dict[str, deque[int]] = {}
+        # By place, what a further life is told of outages: the rate before, and until when it is cold.
+        self.outages: dict[tuple[int, str], tuple[float, int | None]] = {}
         self.known: dict[str, Listing] = {}  # as the directory last told
         self.queue: list[tuple[Any, ...]] = []
         self.delay = world.directory_delay(number)
@@ -172,7 +175,11 @@
     def wake(self, at: int, token: str) -> None:
         self.world.at(at, self.woken, token, self.life)
 
-    def log(self, text: str) -> None:
+    def mode(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
+        place = (destination, endpoint)
+        if out or self.outages.get(place, (0.0, 0))[1] is None:
+            ramp = self.terms.ramp_time
+            self.outages[place] = (rate, None if out else self.world.now + ramp)
         self.world.account.mode(self.world.now, self.number, text)
 
     # What is carried out.
@@ -296,6 +303,9 @@
         for key in [key for key in world.witness.waits if key[0] == self.number]:
             del world.witness.waits[key]
         self.make()
+        for place, (rate, end) in self.outages.items():
+            if end is None or end > world.now:
+                self.turn(self.policy.outage, *place, rate)
         for entry in list(self.entries.values()):
             work = entry.work
             world.witness.restored(world.now, self.number, entry.number)
--- a/tests/scenario.py
+++ b/tests/scenario.py
@@ -72,6 +72,7 @@
         self.tracks, self.names, self.kinds, self.rows = [], [], [], {}
         self.dropped_at, self.ids, self.held = {}, {}, {}
         self.waits, self.rests, self.wakes, self.seen = {}, {}, [], []  # waits by route, rests by key
+        self.out = {}  # by place, the rate it had, and until when it is cold: what a restart is told
         self.terms = Terms(
             seed=1, number=0, senders=1, slots=8, room=100, most_shots=0, may_withdraw=True,
             longest_wait=3_000_000, connect_time=500_000, idle_time=0, tracks=(), kinds=(), decays=True,
@@ -139,8 +140,11 @@
     def wake(self, at: int, token: str) -> None:
         self.wakes.append((max(at, self.now + 1), len(self.wakes), token))
 
-    def log(self, text: str) -> None:
+    def mode(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
         self.seen.append(f"log {text}")
+        place = (destination, endpoint)
+        if out or self.out.get(place, (0.0, 0))[1] is None:
+            self.out[place] = (rate, None if out else self.now + self.terms.ramp_time)
 
     def name(self, envelope: int) -> str:
         return next(name for name, id_ in self.ids.items() if id_ == envelope)
@@ -308,7 +312,9 @@
             if not one.over:
                 news.append(("restored", id_, *facts))
         self.sender = self.make(self.terms, self)
-        self.turn(("listed", list(self.rows.values()), True), *news)
+        lasting = ((place, rate) for place, (rate, end) in self.out.items() if end is None or end > self.now)
+        out = [("outage", *place, rate) for place, rate in lasting]
+        self.turn(("listed", list(self.rows.values()), True), *out, *news)
 
     def expect(self, words: str) -> None:
         if words == "quiet":
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -25,13 +25,15 @@
 from gevent import Timeout, socket, subprocess
 from gevent.server import StreamServer
 from rigs.stages import Outward, desk, parsed
-from rigs.world import LIMITS, World, abandon, request, until
+from rigs.world import LIMITS, World, abandon, free, request, until
 
 from ashpath.door import Ending
+from ashpath.node import outages
 from ashpath.node.backoff import Backoff
 from ashpath.node.codec import Closed, Message, Wire, write_head
 from ashpath.node.directory import Directory
 from ashpath.node.ledger import Entry, Ledger
+from ashpath.node.outages import Outages
 from ashpath.node.send import Withdrawn
 from ashpath.node.start import node
 from ashpath.node.take_in import TakeIn
@@ -469,3 +471,76 @@
     assert wire.read_answer().status == 503 and monotonic() - began < 3.45
     until(lambda: world.process is None or world.process.poll() is not None)
     assert world.process.returncode == 0 and monotonic() - began < 3.7
+
+
+class Lines:
+    """In place of the log: the events."""
+
+    def __init__(self) -> None:
+        self.seen: list[str] = []
+
+    def error(self, event: str, **_: object) -> None:
+        self.seen.append(event)
+
+
+def test_outages_outlive_the_process(tmp_path: Path) -> None:
+    """Kept at each change of mode: while it is out, then until it is warm; the rate it had goes with it."""
+    log = Lines()
+    one = Outages(tmp_path, log)
+    one.note(7, "", True, 1.5, 60_000_000)
+    one.note(7, "", True, 9.0, 60_000_000)  # its breaker opened again: no change
+    one.note(8, "e8", True, 0.5, 60_000_000)
+    one.note(9, "", False, 0.5, 60_000_000)  # never out
+    assert Outages(tmp_path, log).running() == [(7, "", 1.5), (8, "e8", 0.5)]
+    one.note(7, "", False, 1.5, 60_000_000)
+    one.note(8, "e8", False, 0.5, -1)  # warm at once
+    assert Outages(tmp_path, log).running() == [(7, "", 1.5)] and not log.seen
+
+
+def test_outages_that_cannot_be_kept(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A torn or foreign file is none, and said; a full disk is said once; no file grows with destinations."""
+    log = Lines()
+    for text in (b"", b'{"version": 1, "out": [[7]]}', b'{"version": 2, "out": []}', b"[]", b'{"version":1}'):
+        (tmp_path / "outages").write_bytes(text)
+        assert Outages(tmp_path, log).running() == []
+    assert log.seen == ["outages not read, none are known"] * 5
+    one = Outages(tmp_path, log)
+    for number in range(500):
+        one.note(number, "e" * outages.LONGEST, True, 1.0, 1)
+    one.note(999, "e" * 4096, True, 1.0, 1)
+    assert 2 * (tmp_path / "outages").stat().st_size < outages.SPACE
+    assert len(one.running()) == outages.MOST and one.running()[-1][0] == 499
+    log.seen.clear()
+
+    def full(*_: object) -> None:
+        raise OSError(errno.ENOSPC, "no space")
+
+    monkeypatch.setattr(outages.os, "replace", full)
+    for number in (600, 601):
+        one.note(number, "", True, 1.0, 1)
+    assert log.seen == ["outages not written"] and [path.name for path in tmp_path.iterdir()] == ["outages"]
+
+
+def test_a_destination_that_was_out_as_the_process_was_killed(world: World) -> None:
+    """Guards a return against all who restarted within the outage: what they held goes by the guard."""
+    where = free()  # nobody listens there yet
+    world.members[3]["host_port"] = f"127.0.0.1:{where[1]}"
+    rule = {"cold-from": 0.9, "ramp-time": 10000.0, "fall-multiple": 2.0, "fall": 3000.0}
+    settings = world.config["settings"]
+    world.config["settings"] = settings | {"contract": settings["contract"] | rule}
+    world.configure()
+    world.start()
+    assert world.hand_in("well", "free", "200", 2) == 202
+    until(lambda: world.count("well"))
+    gevent.sleep(1.6)  # an outage is one where nothing has succeeded for so long
+    for number in range(5):
+        assert world.hand_in(f"h{number}", "free", "200", 3) == 202
+    until(lambda: "destination 3 ailing" in (world.folder / "log").read_text())
+    world.kill()
+    back = StreamServer(where, world.endpoint)
+    back.start()
+    world.start()
+    until(lambda: any(world.count(f"h{number}") for number in range(5)))
+    gevent.sleep(0.2)
+    assert sum(world.count(f"h{number}") for number in range(5)) == 1  # of five that were held
+    back.stop()
