--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -86,3 +86,24 @@
         +990ms pass
         expect bounced b
     """)
+
+
+def test_an_endpoint_with_a_call_out_is_not_forgotten() -> None:
+    """Guards waits where endpoints are routes: unlisted for long and listed again, its gate is the one that
+    the outcome of the call that is still out tells."""
+    made = scene("""
+        track s repeatable promise=20s cutoff=60s
+        kind apart
+        at x1 : 7
+        0s take a s 7
+        expect shot a
+        +10ms leave x1
+    """)
+    gate = made.sender.destinations[7].known["x1"].gate
+    made.held[made.ids["a"]].due = 60 * SECOND  # its time-out is long
+    made.run_to(15 * SECOND)
+    made.step(["+0s", "list", "x1"])
+    assert made.sender.destinations[7].known["x1"].gate is gate
+    made.step(["+0s", "full", "a", "wait=3s"])
+    made.step(["+10ms", "take", "b", "s", "7"])
+    made.expect("held b")
