--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -40,12 +40,15 @@
         "load-info": {"how": tier["report"]["how"], "fields": tier["report"]["fields"]},
         "limits": {
             "max-open": own["least_open"], "max-attempts": allow["max_attempts"],
-            "cancelling": allow["cancel"], "retry-after": allow["retry_after"], "max-retry-after": site["clients"]["max_retry_after_ms"],
-            "connect-timeout": tier["conn"]["connect_timeout_ms"], "conn-idle": 1000 * tier["conn"]["idle_s"],
+            "cancelling": allow["cancel"], "retry-after": allow["retry_after"],
+            "max-retry-after": site["clients"]["max_retry_after_ms"],
+            "connect-timeout": tier["conn"]["connect_timeout_ms"],
+            "conn-idle": 1000 * tier["conn"]["idle_s"],
         },
         "contract": {
             "drain-grace": rules["drain_grace_ms"], "fall-multiple": rules["fall_multiple"],
-            "fall": rules["fall_ms"], "order-settle": rules.get("order_settle_ms"), "cold-from": middle(tier["kind"][0]["cold_from"]),
+            "fall": rules["fall_ms"], "order-settle": rules.get("order_settle_ms"),
+            "cold-from": middle(tier["kind"][0]["cold_from"]),
             "ramp-time": 1000 * middle(tier["kind"][0]["cold_s"]),
         },
         "specifics": {"slots": 12, "loses-worth": own["late"]}, "membership-mode": site["discovery"]["mode"],
@@ -101,7 +104,8 @@
     words: set[str] = set()
     for name in NAMES:
         site = read(name)
-        words |= {name, *site["net"]["zones"], *(row["name"] for row in site["class"] + site["tier"][0]["kind"])}
+        words |= {name, *site["net"]["zones"]}
+        words |= {row["name"] for row in site["class"] + site["tier"][0]["kind"]}
     files = [*Path(ROOT / "ashpath").rglob("*.py"), ROOT / "deploy" / "balancer.toml"]
     for path in files:
         text = path.read_text()
