A call that cannot be recorded comes back a moment later, not in the same turn

Seen by review, forced by a test: with the ledger refusing three times in a row the message was returned within the same turn, sent again, and so on, until it had no try left (without a limit of tries, without end). Line at fault: Host.begin. Now it comes back after the first pause of the sockets.

--- a/ashpath/node/host.py
+++ b/ashpath/node/host.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import gevent
+
 from ashpath.decide import Sender
 from ashpath.door import Ending, Listing, Past, Terms, Told
 from ashpath.node import names
@@ -181,6 +183,8 @@
             self.ledger.shot(entry, wall(), endpoint)
         except OSError as error:  # unrecorded, it could run twice after a restart
             self.logger.error("shot not recorded", error=str(error))
-            self.returned(flight, Ending.UNSENT, 0, False, None)
+            # Not in this turn: the module would send it again at once, until it had no try left.
+            pause = self.send.pool.limits.retry
+            gevent.spawn_later(pause, self.returned, flight, Ending.UNSENT, 0, False, None)
             return
         self.send.begin(flight)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -720,3 +720,24 @@
         one.dropped_at["x1"] = one.now
     elif name == "withdrawn":
         one.held[one.ids["b"]].over = True
+
+
+def test_a_disk_that_is_full_for_a_moment(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards what was taken on: no call is made unrecorded, and no try is spent within the same turn."""
+    for name, value in world.environment().items():
+        monkeypatch.setenv(name, value)
+    sender, _ = node()
+    sender.host.restore(list(sender.route.rows.values()))
+    record, refused = sender.ledger.shot, []
+
+    def shot(entry: Entry, at: int, endpoint: str) -> None:
+        if len(refused) < 3:
+            refused.append(monotonic())
+            raise OSError(errno.ENOSPC, "no space")
+        record(entry, at, endpoint)
+
+    monkeypatch.setattr(sender.ledger, "shot", shot)
+    entry = sender.admit.envelope(parsed(request("a", "once", "200", 1)))
+    assert sender.admit.take_on(entry) == (202, 0) and len(refused) == 1
+    until(lambda: world.count("a") == 1 and not sender.ledger.live)
+    assert len(refused) == 3 and refused[2] - refused[0] > 1.5 * LIMITS.retry
