--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -26,6 +26,7 @@
 import scenario
 import structlog
 from gevent import Timeout, socket, subprocess
+from gevent.event import Event
 from gevent.server import StreamServer
 from rigs.stages import Outward, desk, parsed
 from rigs.world import LIMITS, SETTINGS, World, abandon, free, request, until
@@ -636,7 +637,14 @@
     """What is held as SIGTERM comes goes out still, and not to an endpoint that drains meanwhile; a notice
     that the platform does not take is the next life's to tell."""
     drained: list[object] = []
-    old = StreamServer(("127.0.0.1", 0), lambda sock, _: drained.append(Wire(sock, LIMITS).read_request()))
+    told = Event()
+
+    def hang(sock: socket.socket, _: object) -> None:
+        drained.append(Wire(sock, LIMITS).read_request())
+        told.wait()
+        abandon(sock)
+
+    old = StreamServer(("127.0.0.1", 0), hang)
     old.start()
     world.members[1]["host_port"] = f"127.0.0.1:{old.server_port}"
     world.members[1]["id"] = "old"
@@ -653,8 +661,9 @@
     successor = {**world.members[1], "id": "e1", "host_port": world.members[2]["host_port"]}
     rows = [*world.members, {**world.members[1], "phase": "draining"}, successor]
     world.config["known"] = {"revision": 9, "complete": True, "members": rows}
-    old.stop(timeout=0)
-    abandon(drained[0].sock) if hasattr(drained[0], "sock") else None
+    before = sum(world.watches.values())
+    until(lambda: sum(world.watches.values()) > before + 1)  # so the drain is known
+    told.set()  # its call ends, and may be made again
     until(lambda: world.process is None or world.process.poll() is not None)
     assert len(drained) == 1
     world.deaf = 0
@@ -662,6 +671,7 @@
     world.start()
     until(lambda: world.count("second") == 1 and world.told("given-up"))
     assert len(drained) == 1
+    old.stop(timeout=0)
 
 
 WAIT, GRACE = 2 * SECOND, SECOND // 2
