A connection sent away is drained to its end, however long the request that crosses it

Read once more: part() took one that close_idle had half closed for drained, so that of a request longer than the first read the rest was unread at the close, and reset it. The test with a request of 60,000 bytes fails without this.

--- a/ashpath/node/codec.py
+++ b/ashpath/node/codec.py
@@ -148,6 +148,7 @@
         self.spoilt = False  # cannot carry a further message
         self.answered = False  # the first line of the answer that is read has been
         self.left = False  # the far end has closed its side
+        self.drained = False  # what came after this side's end has been read, or is being read
         self.idled = 0.0  # seconds that it was idle before its present call; 0 if it is new
 
     def close(self) -> None:
--- a/ashpath/node/send.py
+++ b/ashpath/node/send.py
@@ -113,7 +113,7 @@
     def ends_told(self, flight: Flight) -> None:
         """Waits until ends of its key's earlier messages have been heard, for half of the call's time. Guards
         the order: to those who are told by a notice an earlier one is not over before that."""
-        with Timeout((flight.due - now()) / 2e6, Unsent):
+        with Timeout(max(0.0, (flight.due - now()) / 2e6), Unsent):
             while heard := self.untold(flight.entry):
                 heard.wait()
 
--- a/ashpath/node/take_in.py
+++ b/ashpath/node/take_in.py
@@ -126,10 +126,11 @@
     def part(self, wire: Wire) -> None:
         """Ends a connection from this side. Guards an answer just written, and a request that crosses the
         end: its client finds no answer to it, on a connection that ended in order, and asks elsewhere."""
-        if wire.left or wire in self.parting:
+        if wire.left or wire.drained:
             return
+        wire.drained = True
         wire.half_close()
-        self.parting[wire] = monotonic()
+        self.parting.setdefault(wire, monotonic())
         with suppress(OSError, Timeout), Timeout(self.limits.peer):
             wire.drain(self.limits.linger)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -182,8 +182,9 @@
     until(lambda: not take_in.parting)
 
 
+@pytest.mark.parametrize("size", [3, 60_000], ids=["short", "long"])
 @pytest.mark.parametrize("first", [True, False], ids=["first", "resting"])
-def test_a_request_as_its_connection_is_sent_away(tmp_path: Path, first: bool) -> None:
+def test_a_request_as_its_connection_is_sent_away(tmp_path: Path, first: bool, size: int) -> None:
     """Guards a request that comes in the instant of the shutdown: it is not sent on, as nobody could be
     answered; its client sees an end in order and asks elsewhere."""
     take_in, host, _ = desk(tmp_path)
@@ -196,8 +197,10 @@
     else:
         until(lambda: take_in.silent)
     take_in.close_idle()
-    far.sendall(request("b", "free", "200", 1))  # no switch between the two
+    far.sendall(request("b", "free", "2" * size, 1))  # no switch between the two
     assert to_the_end(far) == b"" and host.seen == ["take a"] * (not first)
+    gevent.sleep(0.05)
+    assert not far.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)  # no reset behind the end
     far.close()
     served.join(20)
     assert served.dead and not (take_in.parting or take_in.idle or take_in.silent)
