--- a/ashpath/__main__.py
+++ b/ashpath/__main__.py
@@ -7,6 +7,6 @@
 hangups: list[int] = []
 signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
 
-from ashpath.node.start import main  # noqa: E402
+from ashpath.server.runtime import main  # noqa: E402
 
 sys.exit(main(hangups))
--- a/ashpath/drill/__main__.py
+++ b/ashpath/bench_adapter/__main__.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from ashpath.drill.adapter import run
+from ashpath.bench_adapter.adapter import run
 
 sys.exit(run(sys.stdin.buffer, sys.stdout.buffer))
--- a/ashpath/drill/adapter.py
+++ b/ashpath/bench_adapter/adapter.py
@@ -7,10 +7,10 @@
 
 import orjson
 
-from ashpath.decide import Sender
-from ashpath.door import Listing, Told
-from ashpath.drill.convert import ENDINGS, listing
-from ashpath.terms import micros, millis, terms, told_fields
+from ashpath.bench_adapter.wire_names import OUTCOMES, endpoint_record
+from ashpath.core.interface import EndpointRecord, LoadReport
+from ashpath.core.platform_settings import load_report_fields, microseconds, milliseconds, policy_settings
+from ashpath.policy.engine import DeliveryPolicy
 
 Row = dict[str, Any]
 
@@ -19,75 +19,79 @@
     """What came in is not the wire's."""
 
 
-class Instance:
+class PolicyInstance:
     """One instance: its sender, and the answers the sender gave in this batch."""
 
     def __init__(self, seed: int, facts: Row) -> None:
         self.output: list[Row] = []
         self.broken = False
-        self.told = told_fields(facts)
-        self.sender = Sender(terms(seed, facts), self)
+        self.report_fields = load_report_fields(facts)
+        self.policy = DeliveryPolicy(policy_settings(seed, facts), self)
 
-    def shoot(self, envelope: int, endpoint: str, timeout: int) -> None:
-        shot = {"rid": envelope, "endpoint": endpoint, "allow-for": millis(timeout)}
+    def start_attempt(self, envelope: int, endpoint: str, timeout: int) -> None:
+        shot = {"rid": envelope, "endpoint": endpoint, "allow-for": milliseconds(timeout)}
         self.output.append({"CallOut": shot})
 
-    def bounce(self, envelope: int, come_back: int) -> None:
-        self.output.append({"TurnAway": {"rid": envelope, "retry-in": millis(come_back)}})
+    def reject(self, envelope: int, come_back: int) -> None:
+        self.output.append({"TurnAway": {"rid": envelope, "retry-in": milliseconds(come_back)}})
 
-    def abort(self, envelope: int) -> None:
+    def fail(self, envelope: int) -> None:
         self.output.append({"Fail": {"rid": envelope}})
 
-    def withdraw(self, envelope: int, shot: int) -> None:
+    def cancel_attempt(self, envelope: int, shot: int) -> None:
         self.output.append({"Withdraw": {"rid": envelope, "go": shot}})
 
-    def release(self, endpoint: str) -> None:
+    def close_idle_connections(self, endpoint: str) -> None:
         self.output.append({"Release": {"endpoint": endpoint}})
 
-    def wake(self, at: int, token: str) -> None:
-        self.output.append({"Timer": {"due-at": millis(at), "ref": token}})
+    def schedule_timer(self, at: int, token: str) -> None:
+        self.output.append({"Timer": {"due-at": milliseconds(at), "ref": token}})
 
-    def ask(self) -> None:
+    def poll_endpoints(self) -> None:
         self.output.append({"Observe": {"active": True}})
 
-    def tell(self, note: bytes) -> None:
+    def publish(self, note: bytes) -> None:
         self.output.append({"Notify": {"neighbour-id": -1, "contents": note.hex()}})
 
-    def mode(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
+    def mode_changed(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
         self.output.append({"WriteLog": {"what": text}})
 
-    def hear(self, name: str, body: Row, sheets: dict[int, list[Listing]]) -> None:
-        sender = self.sender
+    def dispatch(self, name: str, body: Row, sheets: dict[int, list[EndpointRecord]]) -> None:
+        sender = self.policy
         if name == "JobIn":
-            key, left = body.get("key"), micros(body["ttl"])
-            sender.take(body["rid"], body["addressee-no"], body["priority"], key, left)
+            key, left = body.get("key"), microseconds(body["ttl"])
+            sender.submit(body["rid"], body["addressee-no"], body["priority"], key, left)
         elif name == "Returned":
-            wait = micros(body.get("remark-ms")) if body["outcome"] == "QueueFull" else 0
+            wait = microseconds(body.get("remark-ms")) if body["outcome"] == "QueueFull" else 0
             stats, told = body.get("stats"), None
-            if stats and self.told and stats[self.told[1]]:  # a rate of 0 stands for no limit
-                told = Told(*(stats[i] for i in self.told))
-            sender.returned(body["rid"], ENDINGS[body["outcome"]], wait, bool(body.get("complete")), told)
+            if (
+                stats and self.report_fields and stats[self.report_fields[1]]
+            ):  # a rate of 0 stands for no limit
+                told = LoadReport(*(stats[i] for i in self.report_fields))
+            sender.attempt_finished(
+                body["rid"], OUTCOMES[body["outcome"]], wait, bool(body.get("complete")), told
+            )
         elif name == "Wake":
-            sender.woken(body["ref"])
+            sender.timer_fired(body["ref"])
         elif name == "Gone":
-            sender.gone(body["rid"])
+            sender.client_disconnected(body["rid"])
         elif name == "BackendsChanged":
             if body["kind"] == "failed":
-                sender.unlisted()
+                sender.endpoint_poll_failed()
             else:
-                sender.listed(sheets[body["sheet"]], whole=body["kind"] != "delta")
+                sender.update_endpoints(sheets[body["sheet"]], whole=body["kind"] != "delta")
         elif name == "Memo":
-            sender.heard(bytes.fromhex(body["contents"]))
+            sender.receive_gossip(bytes.fromhex(body["contents"]))
         elif name not in ("Established", "Sampled"):
             raise BadInput(f"event of unknown name {name!r}")
 
 
-class Host:
+class BenchAdapter:
     """All instances of one process; they share nothing but the numbered lists that the wire hands to all."""
 
     def __init__(self) -> None:
-        self.instances: dict[int, Instance] = {}
-        self.sheets: dict[int, list[Listing]] = {}
+        self.instances: dict[int, PolicyInstance] = {}
+        self.sheets: dict[int, list[EndpointRecord]] = {}
 
     def reply(self, line: bytes) -> bytes:
         try:
@@ -96,7 +100,7 @@
             raise BadInput(f"a line is not JSON: {error}") from None
         if not isinstance(batch, dict) or not isinstance(batch.get("wall"), int | float):
             raise BadInput("a batch has no clock ('wall')")
-        now = micros(batch["wall"])
+        now = microseconds(batch["wall"])
         replies = []
         for group in batch.get("senders") or ():
             number = group["sender-id"]
@@ -110,29 +114,29 @@
         for item in items:
             ((name, body),) = item.items()
             if name == "Register":
-                self.sheets[body["sheet"]] = [listing(row) for row in body["rows-in"]]
+                self.sheets[body["sheet"]] = [endpoint_record(row) for row in body["rows-in"]]
                 continue
             if name == "PowerOff":
                 self.instances.pop(number, None)
                 instance = None
                 continue
             if name == "Hello":
-                instance = self.instances[number] = Instance(body["init-seed"], body.get("facts") or {})
-                self.guarded(instance, instance.sender.open_turn, now)
+                instance = self.instances[number] = PolicyInstance(body["init-seed"], body.get("facts") or {})
+                self.guarded(instance, instance.policy.begin_batch, now)
                 continue
             if instance is None:
                 instance = self.instances.get(number)
                 if instance is None:
                     raise BadInput(f"instance {number} got {name!r} but was never started")
                 instance.output = []
-                self.guarded(instance, instance.sender.open_turn, now)
-            self.guarded(instance, instance.hear, name, body, self.sheets)
+                self.guarded(instance, instance.policy.begin_batch, now)
+            self.guarded(instance, instance.dispatch, name, body, self.sheets)
         if instance is None:
             return []
-        self.guarded(instance, instance.sender.close_turn)
+        self.guarded(instance, instance.policy.end_batch)
         return instance.output
 
-    def guarded(self, instance: Instance, call: Any, *arguments: Any) -> None:
+    def guarded(self, instance: PolicyInstance, call: Any, *arguments: Any) -> None:
         """An exception inside the module is the wire's fault action; what is not the wire's is bad input."""
         if instance.broken:
             return
@@ -153,17 +157,17 @@
 
 def run(source: BinaryIO, sink: BinaryIO) -> int:
     """Serves batches until the input ends."""
-    host = Host()
+    host = BenchAdapter()
     for line in source:
         if not line.strip():
             continue
         try:
             sink.write(host.reply(line))
         except BadInput as error:
-            print(f"ashpath.drill: {error}", file=sys.stderr)
+            print(f"ashpath.bench_adapter: {error}", file=sys.stderr)
             return 2
         except (KeyError, TypeError, ValueError, AttributeError) as error:
-            print(f"ashpath.drill: malformed batch: {type(error).__name__} {error}", file=sys.stderr)
+            print(f"ashpath.bench_adapter: malformed batch: {type(error).__name__} {error}", file=sys.stderr)
             return 2
         sink.flush()
     return 0
--- a/ashpath/command/__init__.py
+++ b/ashpath/cli/__init__.py
@@ -13,9 +13,9 @@
     """Runs the command of the arguments; its exit code. Plain `serve FILE` goes past the command library: a
     sender that runs for weeks has no use for it."""
     if sys.argv[1:2] == ["serve"] and len(sys.argv) == 3 and not sys.argv[2].startswith("-"):
-        from ashpath.command.sender import serve
+        from ashpath.cli.standalone import serve
 
         return serve(sys.argv[2])
-    from ashpath.command.group import run
+    from ashpath.cli.group import run
 
     return run()
--- a/ashpath/command/check.py
+++ b/ashpath/cli/check.py
@@ -7,8 +7,8 @@
 
 import click
 
-from ashpath.command.group import BAD_INPUT, OK
-from ashpath.plan.read import Unusable, content, document, read, secrets
+from ashpath.cli.group import BAD_INPUT, OK
+from ashpath.config.loading import InvalidConfigurationError, content, document, read, secrets
 
 
 def is_day(file: Path) -> bool:
@@ -23,16 +23,16 @@
     key. Exit code 0, or 2."""
     try:
         if is_day(file):
-            from ashpath.partners.day import read_day, summary
+            from ashpath.emulator.scenario import read_scenario, summary
 
-            told = summary(read_day(file))
+            told = summary(read_scenario(file))
             print(
                 f"{file}: sound: a day of " + ", ".join(f"{value:g} {name}" for name, value in told.items())
             )
             return OK
         plan = read(file)
         secrets(file, plan)
-    except Unusable as error:
+    except InvalidConfigurationError as error:
         for line in error.lines:
             print(line, file=sys.stderr)
         return BAD_INPUT
--- a/ashpath/command/completion.py
+++ b/ashpath/cli/completion.py
@@ -5,7 +5,7 @@
 import click
 from click.shell_completion import get_completion_class
 
-from ashpath.command.group import OK, ashpath
+from ashpath.cli.group import OK, ashpath
 
 
 @click.command()
--- a/ashpath/command/demo.py
+++ b/ashpath/cli/demo.py
@@ -11,8 +11,8 @@
 
 import click
 
-from ashpath.command.group import FAILED, OK, Failure
-from ashpath.command.rows import text
+from ashpath.cli.group import FAILED, OK, Failure
+from ashpath.cli.rows import text
 
 
 @click.command()
@@ -28,7 +28,7 @@
     """Watch a sender among stand-in partners: a bank with a limit, a slow letting office, and a landlord app
     that goes silent and comes back cold. Ends with an account of every envelope; exit code 1 if one has no
     end or was doubled. All on loopback."""
-    from ashpath.partners.show import Show
+    from ashpath.emulator.demo import Show
 
     with tempfile.TemporaryDirectory(prefix="ashpath-demo-") as made:
         folder = keep or Path(made)
--- a/ashpath/command/destinations.py
+++ b/ashpath/cli/destinations.py
@@ -4,9 +4,9 @@
 
 import click
 
-from ashpath.command.client import Client
-from ashpath.command.group import OK
-from ashpath.command.rows import show
+from ashpath.cli.group import OK
+from ashpath.cli.rows import show
+from ashpath.cli.status_client import Client
 
 
 @click.command()
--- a/ashpath/command/explain.py
+++ b/ashpath/cli/explain.py
@@ -6,8 +6,8 @@
 
 import click
 
-from ashpath.command.group import BAD_INPUT, OK, Failure
-from ashpath.plan.reference import markdown, paths, plain
+from ashpath.cli.group import BAD_INPUT, OK, Failure
+from ashpath.config.reference import markdown, paths, plain
 
 
 @click.command()
--- a/ashpath/command/group.py
+++ b/ashpath/cli/group.py
@@ -13,15 +13,17 @@
     "serve": "start a sender from a file",
     "check": "say all that is wrong with a file",
     "explain": "the reference of the file's keys",
-    "hand-in": "hand in an envelope, and follow it to its end",
+    "submit": "hand in an envelope, and follow it to its end",
     "held": "list what a standalone sender holds",
     "destinations": "list a standalone sender's destinations",
     "ledger": "read a ledger offline",
-    "rehearse": "play a day of partners and troubles in virtual time",
+    "simulate": "play a day of partners and troubles in virtual time",
     "demo": "watch a sender among stand-in partners",
     "completion": "print the shell's completion script",
 }
 
+OLDER_NAMES = {"hand-in": "submit", "rehearse": "simulate"}  # still understood, no longer listed
+
 
 class Failure(click.ClickException):
     """One line on standard error, and the exit code."""
@@ -38,14 +40,15 @@
         return list(COMMANDS)
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        cmd_name = OLDER_NAMES.get(cmd_name, cmd_name)
         if cmd_name not in COMMANDS:
             return None
-        module = importlib.import_module(f"ashpath.command.{cmd_name.replace('-', '_')}")
+        module = importlib.import_module(f"ashpath.cli.{cmd_name}")
         command: click.Command = module.command
         return command
 
     def resolve_command(self, ctx: click.Context, args: list[str]) -> Any:
-        if args and args[0] not in COMMANDS:
+        if args and args[0] not in COMMANDS and args[0] not in OLDER_NAMES:
             raise click.UsageError(f"no such command {args[0]!r}; there are {', '.join(COMMANDS)}")
         return super().resolve_command(ctx, args)
 
--- a/ashpath/command/ledger.py
+++ b/ashpath/cli/ledger.py
@@ -15,9 +15,14 @@
 import click
 import orjson
 
-from ashpath.command.group import BAD_INPUT, FAILED, OK, Failure
-from ashpath.command.rows import show
-from ashpath.node.ledger import Entry, Foreign, Held, Reader
+from ashpath.cli.group import BAD_INPUT, FAILED, OK, Failure
+from ashpath.cli.rows import show
+from ashpath.server.storage.write_ahead_log import (
+    ForeignRecordError,
+    LiveMessages,
+    RecordReader,
+    StoredMessage,
+)
 
 
 @dataclass
@@ -27,7 +32,7 @@
     path: Path
     tracks: list[str]
     size: int
-    held: Held = field(default_factory=Held)
+    held: LiveMessages = field(default_factory=LiveMessages)
     records: Counter[str] = field(default_factory=Counter)
     sound: int = 0  # bytes up to which it is
     fault: str = ""
@@ -45,8 +50,8 @@
     with file:
         found = Account(path, names(path.parent), file.seek(0, 2))
         file.seek(0)
-        reader = Reader(file)
-        with suppress(Foreign):
+        reader = RecordReader(file)
+        with suppress(ForeignRecordError):
             for (what, number, *fields), body, size in reader:
                 found.records[what] += 1
                 found.held.apply(what, number, fields, body, size)
@@ -71,18 +76,18 @@
         return str(at)
 
 
-def row(found: Account, entry: Entry) -> dict[str, Any]:
+def row(found: Account, entry: StoredMessage) -> dict[str, Any]:
     return {
-        "number": entry.number,
-        "id": entry.trace,
-        "state": "told" if entry.over else "out" if entry.out_at is not None else "held",
-        "track": found.track(entry.track),
+        "number": entry.message_id,
+        "id": entry.trace_id,
+        "state": "told" if entry.finished else "out" if entry.in_flight_since is not None else "held",
+        "track": found.track(entry.traffic_class),
         "destination": entry.destination,
-        "cutoff": moment(entry.cutoff),
-        "shots": entry.shots,
-        "ran_from": moment(entry.ran_at),
-        "ran_to": entry.ran_to or None,
-        "out_to": entry.out_to or None,
+        "cutoff": moment(entry.deadline),
+        "shots": entry.attempts,
+        "ran_from": moment(entry.first_run_at),
+        "ran_to": entry.first_run_endpoint or None,
+        "out_to": entry.in_flight_endpoint or None,
         "bytes": len(entry.body),
         "notice": entry.notice,
     }
@@ -152,11 +157,11 @@
         "records": dict(found.records),
         "live": len(live),
         "live_bytes": found.held.reserved,
-        "last_number": found.held.last,
-        "out": sum(entry.out_at is not None for entry in live),
-        "may_have_run": sum(entry.ran_at is not None for entry in live),
-        "awaiting_notice": sum(entry.over for entry in live),
-        "by_track": dict(Counter(found.track(entry.track) for entry in live).most_common()),
+        "last_number": found.held.last_id,
+        "out": sum(entry.in_flight_since is not None for entry in live),
+        "may_have_run": sum(entry.first_run_at is not None for entry in live),
+        "awaiting_notice": sum(entry.finished for entry in live),
+        "by_track": dict(Counter(found.track(entry.traffic_class) for entry in live).most_common()),
         "by_destination": {str(n): c for n, c in Counter(e.destination for e in live).most_common(20)},
     }
     if as_json:
--- a/ashpath/command/serve.py
+++ b/ashpath/cli/serve.py
@@ -4,7 +4,7 @@
 
 import click
 
-from ashpath.command.sender import serve
+from ashpath.cli.standalone import serve
 
 
 @click.command()
--- a/ashpath/command/rehearse.py
+++ b/ashpath/cli/simulate.py
@@ -9,9 +9,9 @@
 
 import click
 
-from ashpath.command.group import BAD_INPUT, FAILED, OK, Failure
-from ashpath.command.rows import show
-from ashpath.plan.read import Unusable
+from ashpath.cli.group import BAD_INPUT, FAILED, OK, Failure
+from ashpath.cli.rows import show
+from ashpath.config.loading import InvalidConfigurationError
 
 MOST_SEEDS = 1000
 
@@ -44,14 +44,23 @@
 @click.option("--windows/--no-windows", default=True, help="The table of ten seconds each, of one run.")
 @click.option("--modes", is_flag=True, help="Print the module's mode lines of one run.")
 def command(
-    day: str, seed: int | None, seeds: list[int] | None, policies: tuple[str, ...], jobs: int,
-    file: Path | None, sockets: bool, keep: Path | None, story: str | None, windows: bool, modes: bool,
-) -> int:  # fmt: skip
+    day: str,
+    seed: int | None,
+    seeds: list[int] | None,
+    policies: tuple[str, ...],
+    jobs: int,
+    file: Path | None,
+    sockets: bool,
+    keep: Path | None,
+    story: str | None,
+    windows: bool,
+    modes: bool,
+) -> int:
     """Play DAY, a file or the name of one of the library, in virtual time. Exit code 1 if the decision module
     breaks a rule. All figures are simulated."""
-    from ashpath.partners.baselines import POLICIES
-    from ashpath.partners.day import read_day
-    from ashpath.partners.rehearse import DAYS, Run, find, outcome, play, play_all, table
+    from ashpath.emulator.baselines import POLICIES
+    from ashpath.emulator.scenario import read_scenario
+    from ashpath.emulator.simulate import DAYS, Run, find, outcome, play, play_all, table
 
     path = find(day)
     if not path.exists() and not day.endswith(".toml"):
@@ -67,7 +76,7 @@
         raise Failure("--seed and --seeds: found both, expected one of them", BAD_INPUT)
     wanted = seeds or [1 if seed is None else seed]
     try:
-        told = read_day(path)
+        told = read_scenario(path)
         runs: list[Run] = []
         with progress(f"{path.stem}", len(wanted) * len(chosen)) as advance:
             if sockets:
@@ -79,7 +88,7 @@
                 for run in play_all(path, wanted, chosen, jobs):
                     runs.append(run)
                     advance(len(runs))
-    except Unusable as error:
+    except InvalidConfigurationError as error:
         for line in error.lines:
             print(f"ashpath: {line}", file=sys.stderr)
         return BAD_INPUT
@@ -122,7 +131,7 @@
     """One run, in a folder that is kept where one is named."""
     import tempfile
 
-    from ashpath.partners.rehearse import play_on_sockets
+    from ashpath.emulator.simulate import play_on_sockets
 
     with tempfile.TemporaryDirectory(prefix="ashpath-rehearse-") as made:
         folder = Path(made)
--- a/ashpath/command/sender.py
+++ b/ashpath/cli/standalone.py
@@ -12,25 +12,25 @@
 
 import gevent
 
-from ashpath.node.ends import Ends
-from ashpath.node.folder import Folder, NotOurs
-from ashpath.node.inquiry import Inquiry
-from ashpath.node.log import Form, logger
-from ashpath.node.names import PASS
-from ashpath.node.notice_file import FileNotices, LineFile, NoNotices
-from ashpath.node.notices import Notices
-from ashpath.node.route import address
-from ashpath.node.start import BadStart, Given, Node
-from ashpath.plan.decide import changes
-from ashpath.plan.read import Unusable, read
-from ashpath.plan.read import secrets as passes
-from ashpath.plan.shape import Plan
-from ashpath.plan.told import below, notice_address, told
+from ashpath.config.loading import InvalidConfigurationError, read
+from ashpath.config.loading import secrets as passes
+from ashpath.config.platform_form import below, notice_address, told
+from ashpath.config.rules import changes
+from ashpath.config.schema import Configuration
+from ashpath.server.delivery.endpoint_registry import parse_address
+from ashpath.server.delivery.notification_file import FileNotifier, NullNotifier, RotatingFile
+from ashpath.server.delivery.notifier import HttpNotifier
+from ashpath.server.http.status_api import StatusApi
+from ashpath.server.logs import LogFormat, create_logger
+from ashpath.server.runtime import SenderConfiguration, SenderProcess, StartupError
+from ashpath.server.storage.outcome_store import OutcomeStore
+from ashpath.server.storage.state_directory import StateDirectory, StateDirectoryError
+from ashpath.server.wire_names import PASS
 
 NAMED = 20  # keys that one log line names
 
 
-class FromFile(Given):
+class FileConfiguration(SenderConfiguration):
     """What the sender's own file tells, in the platform's form, and beside it what only this file has."""
 
     def __init__(self, path: Path) -> None:
@@ -40,78 +40,82 @@
         super().__init__(self.form)
 
 
-class Standalone(Node):
+class StandaloneSender(SenderProcess):
     """A sender without a platform, or with one that its file names."""
 
-    def __init__(self, path: Path, given: FromFile, form: Form, log: Any, folder: Folder) -> None:
+    def __init__(
+        self, path: Path, given: FileConfiguration, form: LogFormat, log: Any, folder: StateDirectory
+    ) -> None:
         self.path, self.form, self.folder = path, form, folder
         self.started = self.latest = given.plan
         self.file = given
         state = below(path.parent, given.plan.sender.state)
         super().__init__(given, given.plan.sender.listen, state, log, self.reread)
-        self.send.passes = given.passes
+        self.attempt_runner.credentials = given.passes
         names = [row["name"] for row in given.settings["classes"]]
         self.titles = titles(given.plan)
-        self.inquiry = self.take_in.inquiry = Inquiry(self.host, self.ends, names, self.titles)
+        self.inquiry = self.listener.status_api = StatusApi(self.policy_runner, self.ends, names, self.titles)
 
-    def tellers(self, state: Path) -> tuple[Any, Any]:
+    def create_notifier(self, state: Path) -> tuple[Any, Any]:
         limits, plan = self.limits, self.file.plan
-        self.ends = Ends(state, limits.ends, round(limits.ends_life * 1e6), self.log)
+        self.ends = OutcomeStore(
+            state, limits.outcome_store_bytes, round(limits.outcome_retention_s * 1e6), self.log
+        )
         receiver = notice_address(plan)
         if receiver is not None:
-            notices = Notices(address(receiver[0]), limits, self.ledger, self.log)
+            notices = HttpNotifier(parse_address(receiver[0]), limits, self.write_ahead_log, self.log)
             self.direct(notices, receiver, self.file.notice_pass)
             return notices, self.ends
         if plan.notices.file:
             file = below(self.path.parent, plan.notices.file)
             try:
-                lines = LineFile(file, limits.notice_file, limits.notice_files)
+                lines = RotatingFile(file, limits.notification_file_bytes, limits.notification_files)
             except OSError as error:
-                raise NotOurs(f"{self.path}: notices.file: {file}: {error.strerror}") from None
-            return FileNotices(lines, limits, self.ledger, self.log), self.ends
-        return NoNotices(self.ledger), self.ends
+                raise StateDirectoryError(f"{self.path}: notices.file: {file}: {error.strerror}") from None
+            return FileNotifier(lines, limits, self.write_ahead_log, self.log), self.ends
+        return NullNotifier(self.write_ahead_log), self.ends
 
     @staticmethod
-    def direct(notices: Notices, receiver: tuple[str, str], secret: bytes) -> None:
+    def direct(notices: HttpNotifier, receiver: tuple[str, str], secret: bytes) -> None:
         notices.path, notices.headers = receiver[1].encode(), [(PASS, secret)] if secret else []
 
-    def number(self, given: Given, held: bool) -> None:
+    def number_traffic_classes(self, given: SenderConfiguration, held: bool) -> None:
         """Done before the ledger was opened, by the folder's imprint."""
 
-    def keep_numbers(self, given: Given) -> None:
+    def store_traffic_class_ids(self, given: SenderConfiguration) -> None:
         try:
             self.folder.write(given.settings["classes"])
-        except NotOurs as error:
+        except StateDirectoryError as error:
             raise OSError(str(error)) from None
 
-    def reread(self) -> Given:
-        return FromFile(self.path)
+    def reread(self) -> SenderConfiguration:
+        return FileConfiguration(self.path)
 
-    def move(self, given: Given) -> None:
+    def reload(self, given: SenderConfiguration) -> None:
         """What a running sender can take: see `plan.decide.changes`. The rest waits, and is named."""
-        assert isinstance(given, FromFile)
-        self.switch(given)  # first: it may not be possible, and then nothing else is taken
+        assert isinstance(given, FileConfiguration)
+        self.apply_settings(given)  # first: it may not be possible, and then nothing else is taken
         taken, _ = changes(self.latest, given.plan)
         _, later = changes(self.started, given.plan)
         self.latest = given.plan
         self.form.use(given.plan.logging.level, given.plan.logging.form)
         self.log.info("configuration read", taken=short(taken), rest_at_next_start=short(later))
-        self.inquiry.tracks = [row["name"] for row in self.given.settings["classes"]]
-        self.send.passes = given.passes
+        self.inquiry.traffic_classes = [row["name"] for row in self.configuration.settings["classes"]]
+        self.attempt_runner.credentials = given.passes
         self.titles.clear()
         self.titles.update(titles(given.plan))
-        if self.directory is not None and given.platform is not None:
-            self.directory.move(given.platform)
+        if self.discovery is not None and given.platform_address is not None:
+            self.discovery.move(given.platform_address)
         moved = any(path.startswith("destinations") for path in taken)
-        if moved and self.directory is None and given.platform is None:
-            self.route.hear(given.known["members"], True)
+        if moved and self.discovery is None and given.platform_address is None:
+            self.registry.receive_members(given.known_endpoints["members"], True)
         receiver = notice_address(given.plan)
-        if isinstance(self.notices, Notices) and receiver is not None:
-            self.direct(self.notices, receiver, given.notice_pass)
-            self.notices.move(address(receiver[0]))
+        if isinstance(self.notifier, HttpNotifier) and receiver is not None:
+            self.direct(self.notifier, receiver, given.notice_pass)
+            self.notifier.move(parse_address(receiver[0]))
 
 
-def titles(plan: Plan) -> dict[int, str]:
+def titles(plan: Configuration) -> dict[int, str]:
     return {number: one.name for number, one in plan.destinations.items() if one.name}
 
 
@@ -131,7 +135,7 @@
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     if hard != resource.RLIM_INFINITY and wanted > hard:
         words = f"found {wanted}, expected at most {hard}, which this process may have"
-        raise Unusable([f"{path}: limits.descriptors: {words}"])
+        raise InvalidConfigurationError([f"{path}: limits.descriptors: {words}"])
     if soft != resource.RLIM_INFINITY and wanted > soft:
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
@@ -140,7 +144,7 @@
     """Runs a sender to its end; the exit code. What cannot be used is said in one line."""
     try:
         return start(Path(file))
-    except (Unusable, NotOurs) as error:
+    except (InvalidConfigurationError, StateDirectoryError) as error:
         print(f"ashpath: {error}", file=sys.stderr)
         return 2
 
@@ -149,21 +153,21 @@
     """Raises Unusable and NotOurs before anything was taken on."""
     hangups: list[int] = []  # that come before the sender runs: by default they would end the process
     signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
-    given = FromFile(path)
+    given = FileConfiguration(path)
     plan = given.plan
     keep_descriptors(path, plan.limits.descriptors)
-    folder = Folder(below(path.parent, plan.sender.state), plan.sender.name)
-    held = folder.held()
-    given.number(folder.told, held)
+    folder = StateDirectory(below(path.parent, plan.sender.state), plan.sender.name)
+    held = folder.live_messages()
+    given.number_traffic_classes(folder.traffic_classes, held)
     folder.write(given.settings["classes"])
-    form = Form(plan.logging.level, plan.logging.form)
-    log, lines = logger(plan.sender.name, form)
+    form = LogFormat(plan.logging.level, plan.logging.form)
+    log, lines = create_logger(plan.sender.name, form)
     try:
-        sender = Standalone(path, given, form, log, folder)
-    except BadStart as error:
-        raise NotOurs(f"{path}: {error}") from None
+        sender = StandaloneSender(path, given, form, log, folder)
+    except StartupError as error:
+        raise StateDirectoryError(f"{path}: {error}") from None
     except (OSError, ValueError) as error:
-        raise NotOurs(f"state folder {folder.path}: {error}") from None
+        raise StateDirectoryError(f"state folder {folder.path}: {error}") from None
     gevent.spawn(lines.run, log)
     try:
         sender.run(hangups)
--- a/ashpath/command/client.py
+++ b/ashpath/cli/status_client.py
@@ -9,8 +9,8 @@
 import click
 import orjson
 
-from ashpath.command.group import BAD_INPUT, Failure
-from ashpath.node.names import DESTINATIONS, HAND_IN, HELD, ONE
+from ashpath.cli.group import BAD_INPUT, Failure
+from ashpath.server.wire_names import DESTINATIONS, HAND_IN, HELD, ONE
 
 PATIENCE = 5.0  # seconds for an answer
 url = click.option("--url", default="http://127.0.0.1:7070", envvar="ASHPATH_URL", show_default=True)
--- a/ashpath/command/hand_in.py
+++ b/ashpath/cli/submit.py
@@ -11,9 +11,9 @@
 import click
 import orjson
 
-from ashpath.command.client import Client, Unreachable
-from ashpath.command.group import ABORTED, BOUNCED, FAILED, OK, Failure
-from ashpath.plan.amounts import TIMES, amount, word
+from ashpath.cli.group import ABORTED, BOUNCED, FAILED, OK, Failure
+from ashpath.cli.status_client import Client, Unreachable
+from ashpath.config.units import TIMES, amount, word
 
 LOOK = 0.05  # seconds to the first look at how it stands; doubled up to
 LOOK_MOST = 0.5
--- a/ashpath/plan/told.py
+++ b/ashpath/config/platform_form.py
@@ -8,18 +8,22 @@
 
 import msgspec
 
-from ashpath.door import Repeat
-from ashpath.plan.amounts import SIZES, TIMES, Duration, Size, written
-from ashpath.plan.decide import listed, named, receiver
-from ashpath.plan.shape import Limits, Plan, Rules, Track
-from ashpath.terms import REPEATS, millis
-
-WIRE = {Repeat.REPEATABLE: "repeatable", Repeat.TAGGED: "tagged", Repeat.ONCE_ONLY: "once-only"}
-REPEAT = {ours: theirs for theirs, repeat in REPEATS.items() for ours in [WIRE[repeat]]}
+from ashpath.config.rules import listed, named, receiver
+from ashpath.config.schema import Configuration, Limits, Rules, Track
+from ashpath.config.units import SIZES, TIMES, Duration, Size, written
+from ashpath.core.interface import RetrySafety
+from ashpath.core.platform_settings import RETRY_SAFETY, milliseconds
+
+WIRE = {
+    RetrySafety.IDEMPOTENT: "repeatable",
+    RetrySafety.DEDUPLICATED: "tagged",
+    RetrySafety.AT_MOST_ONCE: "once-only",
+}
+REPEAT = {ours: theirs for theirs, repeat in RETRY_SAFETY.items() for ours in [WIRE[repeat]]}
 SECOND = 1_000_000
 
 
-def told(plan: Plan, seed: str) -> dict[str, Any]:
+def told(plan: Configuration, seed: str) -> dict[str, Any]:
     """What RELAY_CONFIG would hold, and beside it what only the sender's own file has (`own` limits)."""
     names, zones = list(plan.kinds), zones_of(plan)
     fees: dict[str, float] = {name: zone.fee for name, zone in plan.zones.items() if zone.fee}
@@ -59,10 +63,10 @@
 def track_row(name: str, track: Track) -> dict[str, Any]:
     return {
         "name": name,
-        "deadline": millis(track.cutoff),
-        "slo": None if track.promised is None else millis(track.promised),
+        "deadline": milliseconds(track.cutoff),
+        "slo": None if track.promised is None else milliseconds(track.promised),
         "repeat": REPEAT[track.repeat],
-        "window": millis(track.window),
+        "window": milliseconds(track.window),
         "importance": track.payoff,
         "late-worth": track.late_share,
         "group": "all" if track.whole_group else "zone",
@@ -70,55 +74,57 @@
     }
 
 
-def allowed(plan: Plan) -> dict[str, Any]:
+def allowed(plan: Configuration) -> dict[str, Any]:
     rules = plan.rules
     return {
         "max-open": plan.limits.envelopes,
         "max-attempts": rules.most_shots,
         "cancelling": rules.may_withdraw,
         "retry-after": rules.longest_wait > 0,
-        "max-retry-after": millis(rules.longest_wait),
-        "connect-timeout": millis(rules.connect_time),
-        "conn-idle": millis(rules.idle_time),
+        "max-retry-after": milliseconds(rules.longest_wait),
+        "connect-timeout": milliseconds(rules.connect_time),
+        "conn-idle": milliseconds(rules.idle_time),
         "may-tell": plan.peers is not None,
     }
 
 
 def contract(rules: Rules) -> dict[str, Any]:
     return {
-        "drain-grace": millis(rules.drain_grace),
+        "drain-grace": milliseconds(rules.drain_grace),
         "cold-from": rules.cold_share,
-        "ramp-time": millis(rules.ramp_time),
+        "ramp-time": milliseconds(rules.ramp_time),
         "fall-multiple": rules.fall_multiple,
-        "fall": millis(rules.fall_time),
-        "order-settle": millis(rules.key_rest),
+        "fall": milliseconds(rules.fall_time),
+        "order-settle": milliseconds(rules.key_rest),
     }
 
 
-def own(plan: Plan, limits: Limits) -> dict[str, Any]:
+def own(plan: Configuration, limits: Limits) -> dict[str, Any]:
     """Limits of the process that the platform's form has no name for."""
     told = {
-        "body": int(limits.body),
-        "head": int(limits.head),
-        "request": limits.request / SECOND,
-        "quiet": limits.quiet / SECOND,
-        "ends": int(plan.ends.bytes),
-        "ends_life": plan.ends.kept_for / SECOND,
-        "notice_file": int(plan.notices.file_size),
-        "notice_files": plan.notices.files,
+        "body_bytes": int(limits.body),
+        "head_bytes": int(limits.head),
+        "request_s": limits.request / SECOND,
+        "client_idle_s": limits.quiet / SECOND,
+        "outcome_store_bytes": int(plan.ends.bytes),
+        "outcome_retention_s": plan.ends.kept_for / SECOND,
+        "notification_file_bytes": int(plan.notices.file_size),
+        "notification_files": plan.notices.files,
     }
     if plan.platform is None:
-        told["forget"] = 0.0  # what the file lacks is not listed: no directory is late with a successor
-    return told | ({"idle": limits.idle_clients} if limits.idle_clients else {})
+        told["forget_destination_s"] = (
+            0.0  # what the file lacks is not listed: no directory is late with a successor
+        )
+    return told | ({"idle_client_connections": limits.idle_clients} if limits.idle_clients else {})
 
 
-def zones_of(plan: Plan) -> list[str]:
+def zones_of(plan: Configuration) -> list[str]:
     """Every zone that the file names, each once, in its order."""
     endpoints = chain.from_iterable(listed(one) for one in plan.destinations.values())
     return list(dict.fromkeys([*map(str, plan.zones), *(one.zone for one in endpoints)])) or [""]
 
 
-def members(plan: Plan) -> list[dict[str, Any]]:
+def members(plan: Configuration) -> list[dict[str, Any]]:
     """The directory's lines of what the file lists."""
     first = next(iter(plan.kinds))
     return [
@@ -136,14 +142,14 @@
     ]
 
 
-def notice_address(plan: Plan) -> tuple[str, str] | None:
+def notice_address(plan: Configuration) -> tuple[str, str] | None:
     """Address and path of whoever takes notices by HTTP; None where it is a file or nobody."""
     if plan.notices.address:
         return receiver(plan.notices.address)
     return (plan.platform.directory, "/v1/notices") if plan.platform and not plan.notices.file else None
 
 
-def document(plan: Plan) -> dict[str, Any]:
+def document(plan: Configuration) -> dict[str, Any]:
     """The plan as a file has it, defaults included, for whoever writes one."""
     found: dict[str, Any] = written_out(plan)
     return found
--- a/ashpath/plan/places.py
+++ b/ashpath/config/positions.py
@@ -5,7 +5,7 @@
 import re
 from typing import Any
 
-from ashpath.plan.check import Path
+from ashpath.config.validation import Path
 
 
 class Places:
--- a/ashpath/plan/reference.py
+++ b/ashpath/config/reference.py
@@ -8,13 +8,13 @@
 
 import msgspec
 
-from ashpath.plan.check import alternatives, expected, keys
-from ashpath.plan.decide import display
-from ashpath.plan.shape import Key, Plan, Secret
+from ashpath.config.rules import display
+from ashpath.config.schema import Configuration, Key, Secret
+from ashpath.config.validation import alternatives, expected, keys
 
 HEAD = """# The sender's file
 
-Made by `ashpath explain --markdown` of `ashpath/plan/shape.py`; a test fails where this page is stale.
+Made by `ashpath explain --markdown` of `ashpath/config/schema.py`; a test fails where this page is stale.
 
 The file is TOML. `ashpath check FILE` says all that is wrong with it at once, each with its line, and
 `ashpath serve FILE` starts a sender from it. Durations are written `250ms`, `4s`, `1.5h`, sizes `64KiB`,
@@ -35,7 +35,9 @@
     doc: str
 
 
-def rows(shape: type = Plan, above: str = "", now: bool = False) -> Iterator[tuple[str, str, list[Row]]]:
+def rows(
+    shape: type = Configuration, above: str = "", now: bool = False
+) -> Iterator[tuple[str, str, list[Row]]]:
     """Each table: its path, what it is for, and its keys."""
     found, deeper = [], []
     defaults = {row.name: row for row in msgspec.structs.fields(shape)}
--- a/ashpath/plan/decide.py
+++ b/ashpath/config/rules.py
@@ -9,78 +9,98 @@
 
 import msgspec
 
-from ashpath.plan.amounts import SIZES, TIMES, Duration, Size, address, written
-from ashpath.plan.check import Fault, keys
-from ashpath.plan.shape import Destination, Endpoint, Key, Plan, Secret
+from ashpath.config.schema import Configuration, Destination, Endpoint, Key, Secret
+from ashpath.config.units import SIZES, TIMES, Duration, Size, address, written
+from ashpath.config.validation import ConfigurationFault, keys
 
 
-def unfit(plan: Plan) -> list[Fault]:
+def unfit(plan: Configuration) -> list[ConfigurationFault]:
     """What each key alone allows and together cannot be."""
     return [*sources(plan), *times(plan), *endpoints(plan), *told_to(plan), *heard_of(plan)]
 
 
-def sources(plan: Plan) -> Iterator[Fault]:
+def sources(plan: Configuration) -> Iterator[ConfigurationFault]:
     if plan.platform is not None and plan.destinations:
-        yield Fault(("destinations",), "a list beside a platform", "one of them: the directory has the list")
+        yield ConfigurationFault(
+            ("destinations",), "a list beside a platform", "one of them: the directory has the list"
+        )
     if plan.sender.number >= plan.sender.senders:
-        yield Fault(
+        yield ConfigurationFault(
             ("sender", "number"), str(plan.sender.number), f"below sender.senders, {plan.sender.senders}"
         )
     seed = plan.sender.seed
     if seed and not set(seed) <= set("0123456789abcdefABCDEF"):
-        yield Fault(("sender", "seed"), repr(seed), "hexadecimal digits")
+        yield ConfigurationFault(("sender", "seed"), repr(seed), "hexadecimal digits")
     if not plan.sender.state or "\0" in plan.sender.state:
-        yield Fault(("sender", "state"), repr(plan.sender.state), "the path of a folder")
+        yield ConfigurationFault(("sender", "state"), repr(plan.sender.state), "the path of a folder")
 
 
-def times(plan: Plan) -> Iterator[Fault]:
+def times(plan: Configuration) -> Iterator[ConfigurationFault]:
     connect = plan.rules.connect_time
     for name, track in plan.tracks.items():
         where, window = ("tracks", name), written(track.window, TIMES)
         if track.promised is not None and track.promised > track.cutoff:
             cutoff = f"at most cutoff, {written(track.cutoff, TIMES)}"
-            yield Fault((*where, "promised"), written(track.promised, TIMES), cutoff)
+            yield ConfigurationFault((*where, "promised"), written(track.promised, TIMES), cutoff)
         if track.repeat == "tagged" and track.window <= connect:
             # The last moment to send again is the window's end less the time that a connection may take.
-            yield Fault((*where, "window"), window, f"over rules.connect_time, {written(connect, TIMES)}")
+            yield ConfigurationFault(
+                (*where, "window"), window, f"over rules.connect_time, {written(connect, TIMES)}"
+            )
         if track.repeat != "tagged" and track.window:
-            yield Fault((*where, "window"), window, "none: the track is not tagged")
+            yield ConfigurationFault((*where, "window"), window, "none: the track is not tagged")
     if plan.limits.disk < 4 * plan.limits.body:
-        yield Fault(("limits", "disk"), written(plan.limits.disk, SIZES), "four of limits.body or more")
+        yield ConfigurationFault(
+            ("limits", "disk"), written(plan.limits.disk, SIZES), "four of limits.body or more"
+        )
 
 
-def endpoints(plan: Plan) -> Iterator[Fault]:
+def endpoints(plan: Configuration) -> Iterator[ConfigurationFault]:
     seen: dict[str, int] = {}
     for number, destination in plan.destinations.items():
         where = ("destinations", str(number))
         if destination.kind and destination.kind not in plan.kinds:
-            yield Fault((*where, "kind"), repr(destination.kind), "one of " + ", ".join(plan.kinds))
+            yield ConfigurationFault(
+                (*where, "kind"), repr(destination.kind), "one of " + ", ".join(plan.kinds)
+            )
         for at, endpoint in enumerate(listed(destination)):
             id_ = named(number, endpoint)
             if id_ in seen:
-                yield Fault((*where, "endpoints", at), f"{id_!r}, under {seen[id_]} too", "each id once")
+                yield ConfigurationFault(
+                    (*where, "endpoints", at), f"{id_!r}, under {seen[id_]} too", "each id once"
+                )
             if not id_.isprintable() or len(id_) > 200:
-                yield Fault((*where, "endpoints", at, "id"), ascii(id_)[:48], "200 printable characters")
+                yield ConfigurationFault(
+                    (*where, "endpoints", at, "id"), ascii(id_)[:48], "200 printable characters"
+                )
             seen[id_] = number
 
 
-def heard_of(plan: Plan) -> Iterator[Fault]:
+def heard_of(plan: Configuration) -> Iterator[ConfigurationFault]:
     if plan.peers is not None and set(plan.peers.senders) <= {plan.peers.listen}:
-        yield Fault(("peers", "senders"), "no other sender", "the address of one at least beside its own")
-    if plan.rules.rates and plan.platform is None and not any(
-        one.rate or any(endpoint.rate for endpoint in listed(one)) for one in plan.destinations.values()
+        yield ConfigurationFault(
+            ("peers", "senders"), "no other sender", "the address of one at least beside its own"
+        )
+    if (
+        plan.rules.rates
+        and plan.platform is None
+        and not any(
+            one.rate or any(endpoint.rate for endpoint in listed(one)) for one in plan.destinations.values()
+        )
     ):
-        yield Fault(("rules", "rates"), "true, and no destination has a rate", "a rate, or false")
+        yield ConfigurationFault(
+            ("rules", "rates"), "true, and no destination has a rate", "a rate, or false"
+        )
 
 
-def told_to(plan: Plan) -> Iterator[Fault]:
+def told_to(plan: Configuration) -> Iterator[ConfigurationFault]:
     notices = plan.notices
     if notices.address and notices.file:
-        yield Fault(("notices", "file"), repr(notices.file), "no file beside notices.address")
+        yield ConfigurationFault(("notices", "file"), repr(notices.file), "no file beside notices.address")
     if "\0" in notices.file:
-        yield Fault(("notices", "file"), ascii(notices.file), "the path of a file")
+        yield ConfigurationFault(("notices", "file"), ascii(notices.file), "the path of a file")
     if notices.address and receiver(notices.address) is None:
-        yield Fault(("notices", "address"), ascii(notices.address)[:48], "http://HOST:PORT/PATH")
+        yield ConfigurationFault(("notices", "address"), ascii(notices.address)[:48], "http://HOST:PORT/PATH")
 
 
 def receiver(url: str) -> tuple[str, str] | None:
@@ -109,7 +129,7 @@
     return endpoint.id or f"{number}@{endpoint.address}"
 
 
-def flat(plan: Plan) -> dict[str, tuple[Any, bool]]:
+def flat(plan: Configuration) -> dict[str, tuple[Any, bool]]:
     """Every key that is told or has a default, by its path, with its value and whether SIGHUP takes it."""
     return dict(below(plan, "", False))
 
@@ -126,7 +146,7 @@
         yield path, (value, now)
 
 
-def changes(old: Plan, new: Plan) -> tuple[list[str], list[str]]:
+def changes(old: Configuration, new: Configuration) -> tuple[list[str], list[str]]:
     """The paths that differ: those that the running sender takes, and those that wait for its next start.
 
     A list of destinations cannot take the place of a platform while the sender runs, nor the other way round,
--- a/ashpath/plan/shape.py
+++ b/ashpath/config/schema.py
@@ -6,7 +6,7 @@
 
 from msgspec import Struct, field
 
-from ashpath.plan.amounts import Address, Duration, Size, Word
+from ashpath.config.units import Address, Duration, Size, Word
 
 US, MS, S, MIN, H, D = 1, 1000, 10**6, 60 * 10**6, 3600 * 10**6, 86400 * 10**6
 KIB, MIB, GIB = 1 << 10, 1 << 20, 1 << 30
@@ -211,7 +211,7 @@
     form: Annotated[Literal["logfmt", "json", "console"], Key("how a line looks", now=True)] = "logfmt"
 
 
-class Plan(Struct):
+class Configuration(Struct):
     """The whole file."""
 
     sender: Sender
--- a/ashpath/plan/check.py
+++ b/ashpath/config/validation.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-from ashpath.plan.amounts import READERS, SIZES, TIMES, Address, Duration, Size, Word, written
-from ashpath.plan.shape import Key, Plan, Secret
+from ashpath.config.schema import Configuration, Key, Secret
+from ashpath.config.units import READERS, SIZES, TIMES, Address, Duration, Size, Word, written
 
 Path = tuple[str | int, ...]
 NUMBER = re.compile(r"0|[1-9][0-9]{0,11}", re.ASCII)
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class ConfigurationFault:
     """One thing that is wrong: where, what stands there, and what should."""
 
     path: Path
@@ -122,10 +122,10 @@
     """One walk over one file."""
 
     def __init__(self) -> None:
-        self.faults: list[Fault] = []
+        self.faults: list[ConfigurationFault] = []
 
     def fault(self, path: Path, found: str, wanted: str) -> None:
-        self.faults.append(Fault(path, found, wanted))
+        self.faults.append(ConfigurationFault(path, found, wanted))
 
     def table(self, shape: type, value: Any, path: Path) -> Any:
         if not isinstance(value, dict):
@@ -214,13 +214,13 @@
         return found
 
 
-def make(shape: type, told: Any) -> tuple[Any, list[Fault]]:
+def make(shape: type, told: Any) -> tuple[Any, list[ConfigurationFault]]:
     """What the tables make, or all that keeps them from being it."""
     check = Check()
     made = check.table(shape, told, ())
     return (None if check.faults else made), check.faults
 
 
-def plan(told: Any) -> tuple[Plan | None, list[Fault]]:
+def plan(told: Any) -> tuple[Configuration | None, list[ConfigurationFault]]:
     """The plan, or all that keeps it from being one."""
-    return make(Plan, told)
+    return make(Configuration, told)
--- a/ashpath/terms.py
+++ b/ashpath/core/platform_settings.py
@@ -7,37 +7,41 @@
 
 from msgspec import Struct, ValidationError, convert
 
-from ashpath.door import KindTerms, Repeat, Terms, TrackTerms
+from ashpath.core.interface import DestinationKindSettings, PolicySettings, RetrySafety, TrafficClassSettings
 
-REPEATS = {"retryable": Repeat.REPEATABLE, "dedup": Repeat.TAGGED, "fragile": Repeat.ONCE_ONLY}
+RETRY_SAFETY = {
+    "retryable": RetrySafety.IDEMPOTENT,
+    "dedup": RetrySafety.DEDUPLICATED,
+    "fragile": RetrySafety.AT_MOST_ONCE,
+}
 
 
-def micros(milliseconds: float | None) -> int:
+def microseconds(milliseconds: float | None) -> int:
     """Whole microseconds; an absent value counts as none.
 
-    >>> micros(8412.25), micros(0.0005), micros(None)
+    >>> microseconds(8412.25), microseconds(0.0005), microseconds(None)
     (8412250, 0, 0)
     """
     return round(milliseconds * 1000) if milliseconds else 0
 
 
-def millis(microseconds: int) -> float:
+def milliseconds(microseconds: int) -> float:
     """Milliseconds as the outside wants them.
 
-    >>> millis(8412250)
+    >>> milliseconds(8412250)
     8412.25
     """
     return microseconds / 1000
 
 
-class Unfit(ValueError):
+class InvalidSettingError(ValueError):
     """A setting that cannot be used; its words name the key."""
 
 
 Number = int | float | None  # null and a missing key are one
 
 
-class Row(Struct, rename="kebab"):
+class TrafficClassRow(Struct, rename="kebab"):
     """One track, as the settings have it."""
 
     deadline: int | float
@@ -51,7 +55,7 @@
     one_at_a_time: bool | None = None
 
 
-class Allowed(Struct, rename="kebab"):
+class PlatformLimits(Struct, rename="kebab"):
     max_open: Number = None
     max_attempts: Number = None
     cancelling: bool | None = None
@@ -62,7 +66,7 @@
     may_tell: bool | None = None
 
 
-class Contract(Struct, rename="kebab"):
+class DestinationContract(Struct, rename="kebab"):
     drain_grace: Number = None
     cold_from: Number = None
     ramp_time: Number = None
@@ -85,111 +89,111 @@
     fields: list[str] | None = None
 
 
-class Facts(Struct, rename="kebab"):
+class PlatformSettings(Struct, rename="kebab"):
     """The settings that are read; what else they have is skipped."""
 
-    classes: list[Row]
+    classes: list[TrafficClassRow]
     rank: Number = None
     group_size: Number = None
     kinds: list[str] | None = None
     zones: list[str] | None = None
-    limits: Allowed | None = None
-    contract: Contract | None = None
+    limits: PlatformLimits | None = None
+    contract: DestinationContract | None = None
     specifics: Specifics | None = None
     load_info: LoadInfo | None = None
     membership_mode: str | None = None
     weight_source: str | None = None
 
 
-def read(facts: dict[str, Any]) -> Facts:
+def parse_settings(facts: dict[str, Any]) -> PlatformSettings:
     """Raises Unfit, which names the key, where a setting has a wrong type.
 
-    >>> read({"classes": [], "limits": {"max-open": None, "later": "x"}}).limits.max_open
-    >>> read({"classes": [], "limits": {"max-open": []}})
+    >>> parse_settings({"classes": [], "limits": {"max-open": None, "later": "x"}}).limits.max_open
+    >>> parse_settings({"classes": [], "limits": {"max-open": []}})  # doctest: +ELLIPSIS
     Traceback (most recent call last):
-    ashpath.terms.Unfit: settings.limits.max-open: expected `int | float | null`, got `array`
+    ashpath...InvalidSettingError: settings.limits.max-open: expected `int | float | null`, got `array`
     """
     try:
-        return convert(facts, Facts)
+        return convert(facts, PlatformSettings)
     except ValidationError as error:
         wanted, _, place = str(error).partition(" - at ")
         key = place.strip("`").replace("$", "settings", 1) or "settings"
-        raise Unfit(f"{key}: {wanted[:1].lower()}{wanted[1:]}") from None
+        raise InvalidSettingError(f"{key}: {wanted[:1].lower()}{wanted[1:]}") from None
 
 
-def told_fields(facts: dict[str, Any]) -> tuple[int, int] | None:
+def load_report_fields(facts: dict[str, Any]) -> tuple[int, int] | None:
     """Where an answer's report has the share of the limit that is left, and the limit; None if none tells.
 
-    >>> told_fields({"load-info": {"fields": ["qps", "x1", "x0"]}, "classes": []})
+    >>> load_report_fields({"load-info": {"fields": ["qps", "x1", "x0"]}, "classes": []})
     (2, 1)
-    >>> told_fields({"load-info": {"how": "probe", "fields": ["x0", "x1"]}, "classes": []})
+    >>> load_report_fields({"load-info": {"how": "probe", "fields": ["x0", "x1"]}, "classes": []})
     """
-    return fields_told(read(facts).load_info or LoadInfo())
+    return report_fields(parse_settings(facts).load_info or LoadInfo())
 
 
-def fields_told(info: LoadInfo) -> tuple[int, int] | None:
+def report_fields(info: LoadInfo) -> tuple[int, int] | None:
     fields = info.fields or []
     answered = info.how != "probe" and {"x0", "x1"} <= set(fields)
     return (fields.index("x0"), fields.index("x1")) if answered else None
 
 
-def terms(seed: int, facts: dict[str, Any]) -> Terms:
+def policy_settings(seed: int, facts: dict[str, Any]) -> PolicySettings:
     """The settings; whatever is missing or null counts as not asked for, what is unknown is skipped."""
-    told = read(facts)
-    limits, rules = told.limits or Allowed(), told.contract or Contract()
+    told = parse_settings(facts)
+    limits, rules = told.limits or PlatformLimits(), told.contract or DestinationContract()
     own = told.specifics or Specifics()
     apart, per_call = own.kind_apart or [], own.per_call or []
     kinds = max(len(told.kinds or []), len(apart), len(per_call), 1)
-    return Terms(
+    return PolicySettings(
         seed=seed,
-        number=int(told.rank or 0),
-        senders=max(1, int(told.group_size or 1)),
-        slots=max(1, int(own.slots or 0)),
-        room=int(limits.max_open or 0),
-        most_shots=int(limits.max_attempts or 0),
-        may_withdraw=bool(limits.cancelling),
-        longest_wait=micros(limits.max_retry_after) if limits.retry_after else 0,
-        connect_time=micros(limits.connect_timeout),
-        idle_time=micros(limits.conn_idle),
-        tables_told=False,
-        tracks=tuple(track_terms(row) for row in told.classes),
-        kinds=tuple(
-            KindTerms(
-                apart=bool(apart[i]) if i < len(apart) else False,
-                per_call=max(1, int(per_call[i] or 1)) if i < len(per_call) else 1,
+        sender_index=int(told.rank or 0),
+        sender_count=max(1, int(told.group_size or 1)),
+        max_in_flight=max(1, int(own.slots or 0)),
+        queue_capacity=int(limits.max_open or 0),
+        max_attempts=int(limits.max_attempts or 0),
+        may_cancel=bool(limits.cancelling),
+        max_retry_after=microseconds(limits.max_retry_after) if limits.retry_after else 0,
+        connect_timeout=microseconds(limits.connect_timeout),
+        idle_timeout=microseconds(limits.conn_idle),
+        reports_full_connection_table=False,
+        traffic_classes=tuple(traffic_class_settings(row) for row in told.classes),
+        destination_kinds=tuple(
+            DestinationKindSettings(
+                limit_per_endpoint=bool(apart[i]) if i < len(apart) else False,
+                max_batch_size=max(1, int(per_call[i] or 1)) if i < len(per_call) else 1,
             )
             for i in range(kinds)
         ),
-        decays=own.loses_worth == "halves",
-        drain_grace=micros(rules.drain_grace),
-        cold_share=rules.cold_from or 0.0,
-        ramp_time=micros(rules.ramp_time),
-        fall_multiple=rules.fall_multiple or 0.0,
-        fall_time=micros(rules.fall),
-        key_rest=micros(rules.order_settle),
-        ask_within=micros(rules.ask_every) if told.membership_mode == "ask" else 0,
-        reports=fields_told(told.load_info or LoadInfo()) is not None,
-        rated=told.weight_source in ("rough", "nominal"),
-        notes=bool(limits.may_tell),
-        fees=tuple(float(fee or 0) for fee in own.carriage or ()),
+        value_halves=own.loses_worth == "halves",
+        drain_grace=microseconds(rules.drain_grace),
+        initial_capacity_share=rules.cold_from or 0.0,
+        warm_up_time=microseconds(rules.ramp_time),
+        overload_multiple=rules.fall_multiple or 0.0,
+        overload_duration=microseconds(rules.fall),
+        settle_time=microseconds(rules.order_settle),
+        poll_interval=microseconds(rules.ask_every) if told.membership_mode == "ask" else 0,
+        has_load_reports=report_fields(told.load_info or LoadInfo()) is not None,
+        has_listed_rates=told.weight_source in ("rough", "nominal"),
+        gossip_enabled=bool(limits.may_tell),
+        zone_costs=tuple(float(fee or 0) for fee in own.carriage or ()),
     )
 
 
-def track_terms(row: Row) -> TrackTerms:
+def traffic_class_settings(row: TrafficClassRow) -> TrafficClassSettings:
     """One track."""
-    return TrackTerms(
-        payoff=1.0 if row.importance is None else float(row.importance),
-        promised=micros(row.slo or row.deadline),
-        cutoff=micros(row.deadline),
-        repeat=REPEATS[row.repeat],
-        window=micros(row.window),
-        whole_group=(row.group or "all") == "all",
-        late_share=row.late_worth or 0.0,
+    return TrafficClassSettings(
+        value=1.0 if row.importance is None else float(row.importance),
+        latency_objective=microseconds(row.slo or row.deadline),
+        deadline=microseconds(row.deadline),
+        retry_safety=RETRY_SAFETY[row.repeat],
+        deduplication_window=microseconds(row.window),
+        deduplicates_across_zones=(row.group or "all") == "all",
+        late_value_share=row.late_worth or 0.0,
         ordered=bool(row.one_at_a_time),
     )
 
 
-def numbered(
+def number_traffic_classes(
     listed: list[dict[str, Any]], known: list[dict[str, Any]], held: int
 ) -> tuple[list[dict[str, Any]], list[int]]:
     """The tracks in the order of their numbers, and the numbers that take nothing new.
@@ -208,19 +212,20 @@
 COLUMNS = {"kinds": ("kind-apart", "per-call"), "zones": ("carriage",)}
 
 
-def aligned(facts: dict[str, Any], before: dict[str, Any]) -> dict[str, Any]:
+def align_order(facts: dict[str, Any], before: dict[str, Any]) -> dict[str, Any]:
     """The settings with kinds and zones in the order in which a running sender knows them, new ones behind.
     Guards fees and routes against a list in another order: endpoints are known by the numbers.
 
     >>> old = {"kinds": ["a", "b"], "zones": ["x"], "classes": []}
     >>> own = {"kind-apart": [True, False], "carriage": [0.01, 0.04]}
     >>> new = {"kinds": ["b", "c"], "zones": ["y", "x"], "classes": [], "specifics": own}
-    >>> found = aligned(new, old)
-    >>> found["kinds"], [kind.apart for kind in node_terms(1, found).kinds]
+    >>> found = align_order(new, old)
+    >>> found["kinds"], [kind.limit_per_endpoint for kind in sender_settings(1, found).destination_kinds]
     (['a', 'b', 'c'], [False, True, False])
-    >>> found["zones"], node_terms(1, found).fees
+    >>> found["zones"], sender_settings(1, found).zone_costs
     (['x', 'y'], (0.04, 0.01))
-    >>> aligned(old, old)["kinds"], node_terms(1, old).fees, node_terms(1, old).notes
+    >>> unchanged = sender_settings(1, old)
+    >>> align_order(old, old)["kinds"], unchanged.zone_costs, unchanged.gossip_enabled
     (['a', 'b'], (), False)
     """
     specifics = dict(facts.get("specifics") or {})
@@ -235,9 +240,9 @@
     return found
 
 
-def node_terms(seed: int, facts: dict[str, Any]) -> Terms:
+def sender_settings(seed: int, facts: dict[str, Any]) -> PolicySettings:
     """The same on sockets, where a call carries one envelope, an answer tells of a full table, and the
     directory's own stage asks for the list."""
-    told = terms(seed, facts)
-    kinds = tuple(replace(kind, per_call=1) for kind in told.kinds)
-    return replace(told, tables_told=True, ask_within=0, kinds=kinds)
+    told = policy_settings(seed, facts)
+    kinds = tuple(replace(kind, max_batch_size=1) for kind in told.destination_kinds)
+    return replace(told, reports_full_connection_table=True, poll_interval=0, destination_kinds=kinds)
--- a/ashpath/partners/baselines.py
+++ b/ashpath/emulator/baselines.py
@@ -13,17 +13,31 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from ashpath.door import Answers, Ending, Listing, Past, Presence, Repeat, Terms, Told
+from ashpath.core.interface import (
+    AttemptOutcome,
+    EndpointRecord,
+    EndpointStatus,
+    LoadReport,
+    PolicyActions,
+    PolicySettings,
+    PreviousAttempts,
+    RetrySafety,
+)
 
 if TYPE_CHECKING:
-    from ashpath.partners.virtual import World
+    from ashpath.emulator.simulation import Simulation
 
 SECOND = 1_000_000
 TIMEOUT = 4 * SECOND  # of a call
 FIXED = 8  # calls in flight to a destination
 BACKOFF, BACKOFF_MOST = SECOND // 10, 5 * SECOND
 FAILURES, COOLDOWN = 5, 5 * SECOND  # in a row, until a breaker opens, and for how long
-UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.CROWDED, Ending.UNSENT)
+UNRUN = (
+    AttemptOutcome.OVERLOADED,
+    AttemptOutcome.CONNECT_FAILED,
+    AttemptOutcome.CONNECTION_TABLE_FULL,
+    AttemptOutcome.NOT_SENT,
+)
 
 
 class Item:
@@ -63,9 +77,9 @@
 class Baseline:
     """Sends in order of arrival as long as `lets` allows; `heard` is told how calls end."""
 
-    def __init__(self, terms: Terms, answers: Answers, world: World) -> None:
-        self.terms, self.answers, self.world, self.number = terms, answers, world, terms.number
-        self.chance = Random(terms.seed)
+    def __init__(self, terms: PolicySettings, answers: PolicyActions, world: Simulation) -> None:
+        self.settings, self.actions, self.world, self.number = terms, answers, world, terms.sender_index
+        self.random = Random(terms.seed)
         self.now = 0
         self.places: dict[int, Place] = {}
         self.items: dict[int, Item] = {}  # emptied as they end
@@ -80,7 +94,7 @@
         """Whether one more call may go out now."""
         return place.out < FIXED
 
-    def heard(self, place: Place, ending: Ending, took: int) -> None:
+    def receive_gossip(self, place: Place, ending: AttemptOutcome, took: int) -> None:
         """What an outcome changes."""
 
     def next(self, place: Place) -> Item:
@@ -89,10 +103,10 @@
 
     # The skeleton.
 
-    def open_turn(self, now: int) -> None:
+    def begin_batch(self, now: int) -> None:
         self.now = now
 
-    def close_turn(self) -> None:
+    def end_batch(self) -> None:
         while self.dirty:
             place = next(iter(self.dirty))
             del self.dirty[place]
@@ -104,22 +118,22 @@
             found = self.places[number] = Place(number)
         return found
 
-    def listed(self, rows: list[Listing], whole: bool) -> None:
+    def update_endpoints(self, rows: list[EndpointRecord], whole: bool) -> None:
         if whole:
             for place in self.places.values():
                 place.endpoints = []
         for row in rows:
             place = self.place(row.destination)
-            place.endpoints = [name for name in place.endpoints if name != row.endpoint]
-            if row.presence is Presence.LISTED:
-                place.endpoints.append(row.endpoint)
+            place.endpoints = [name for name in place.endpoints if name != row.endpoint_id]
+            if row.status is EndpointStatus.ACTIVE:
+                place.endpoints.append(row.endpoint_id)
             self.dirty[place] = None
 
-    def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
-        ordered = self.terms.tracks[track].ordered
+    def submit(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
+        ordered = self.settings.traffic_classes[track].ordered
         item = Item(id_, self.place(number), track, key if ordered else None, self.now + left)
         self.items[id_] = item
-        self.answers.wake(item.cutoff - SECOND // 20, f"e{id_}")
+        self.actions.schedule_timer(item.cutoff - SECOND // 20, f"e{id_}")
         if item.key is not None:
             line = self.lines.setdefault(item.key, deque())
             line.append(item)
@@ -127,17 +141,19 @@
                 return
         self.queue(item)
 
-    def outage(self, number: int, endpoint: str, rate: float) -> None:
+    def restore_outage(self, number: int, endpoint: str, rate: float) -> None:
         """A plain policy knows of none."""
 
-    def restored(self, id_: int, number: int, track: int, key: int | None, left: int, past: Past) -> None:
-        self.take(id_, number, track, key, left)
+    def restore(
+        self, id_: int, number: int, track: int, key: int | None, left: int, past: PreviousAttempts
+    ) -> None:
+        self.submit(id_, number, track, key, left)
         item = self.items[id_]
-        item.shots, item.ran = past.shots, -1 if past.ran_at is None else past.ran_at
-        if item.key is not None and past.unheard:
-            self.rests[item.key] = self.now + self.terms.key_rest
+        item.shots, item.ran = past.attempts, -1 if past.first_run_at is None else past.first_run_at
+        if item.key is not None and past.unresolved:
+            self.rests[item.key] = self.now + self.settings.settle_time
             item.destination.queue.pop(item, None)
-            self.answers.wake(self.rests[item.key], f"k{item.key}")
+            self.actions.schedule_timer(self.rests[item.key], f"k{item.key}")
         elif not self.may_repeat(item):
             self.give_up(item)
 
@@ -148,22 +164,24 @@
         self.dirty[place] = None
 
     def may_repeat(self, item: Item) -> bool:
-        if item.cutoff - self.now < SECOND // 10 or item.shots >= (self.terms.most_shots or 1 << 30):
+        if item.cutoff - self.now < SECOND // 10 or item.shots >= (self.settings.max_attempts or 1 << 30):
             return False
-        repeat = self.terms.tracks[item.track].repeat
-        if item.ran < 0 or repeat is Repeat.REPEATABLE:
+        repeat = self.settings.traffic_classes[item.track].retry_safety
+        if item.ran < 0 or repeat is RetrySafety.IDEMPOTENT:
             return True
-        window = self.terms.tracks[item.track].window - self.terms.connect_time
-        return repeat is Repeat.TAGGED and self.now < item.ran + window
+        window = (
+            self.settings.traffic_classes[item.track].deduplication_window - self.settings.connect_timeout
+        )
+        return repeat is RetrySafety.DEDUPLICATED and self.now < item.ran + window
 
     def pump(self, place: Place) -> None:
         while place.queue and place.endpoints:
-            if len(self.shots) >= self.terms.slots:
+            if len(self.shots) >= self.settings.max_in_flight:
                 self.dirty_later(place, SECOND // 50)
                 return
             wait = max(place.wait_until, place.quiet_until)
             if wait > self.now:
-                self.answers.wake(wait, f"p{place.number}")
+                self.actions.schedule_timer(wait, f"p{place.number}")
                 return
             if not self.lets(place):
                 return
@@ -177,7 +195,7 @@
     def dirty_later(self, place: Place, wait: int) -> None:
         if place.look_at <= self.now:  # one look ahead is enough
             place.look_at = self.now + wait
-            self.answers.wake(place.look_at, f"p{place.number}")
+            self.actions.schedule_timer(place.look_at, f"p{place.number}")
 
     def send(self, place: Place, item: Item) -> None:
         place.turn += 1
@@ -186,29 +204,35 @@
         item.shots += 1
         self.shots[item.id] = Shot(place, item, endpoint, self.now)
         timeout = max(1000, min(TIMEOUT, item.cutoff - self.now - SECOND // 20))
-        self.answers.shoot(item.id, endpoint, timeout)
+        self.actions.start_attempt(item.id, endpoint, timeout)
 
-    def stands(self, id_: int, now: int) -> bool:
+    def still_valid(self, id_: int, now: int) -> bool:
         shot = self.shots.get(id_)
         return shot is not None and shot.endpoint in shot.place.endpoints and now >= shot.place.wait_until
 
-    def returned(self, id_: int, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
+    def attempt_finished(
+        self, id_: int, ending: AttemptOutcome, wait: int, closed: bool, told: LoadReport | None
+    ) -> None:
         shot = self.shots.pop(id_, None)
         if shot is None:
             return
         place, item = shot.place, shot.item
         place.out -= 1
         place.wait_until = max(place.wait_until, self.now + wait)
-        if ending is not Ending.UNSENT:
-            self.heard(place, ending, self.now - shot.began)
+        if ending is not AttemptOutcome.NOT_SENT:
+            self.receive_gossip(place, ending, self.now - shot.began)
         self.dirty[place] = None
         if ending not in UNRUN and item.ran < 0:
             item.ran = shot.began
-        unheard = ending in (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN)
+        unheard = ending in (
+            AttemptOutcome.TIMED_OUT,
+            AttemptOutcome.CONNECTION_RESET,
+            AttemptOutcome.CANCELLED,
+        )
         if item.key is not None and unheard:
-            self.rests[item.key] = self.now + self.terms.key_rest
-            self.answers.wake(self.rests[item.key], f"k{item.key}")
-        if closed or ending is Ending.COMPLETED:
+            self.rests[item.key] = self.now + self.settings.settle_time
+            self.actions.schedule_timer(self.rests[item.key], f"k{item.key}")
+        if closed or ending is AttemptOutcome.DELIVERED:
             self.over(item)
         elif not self.may_repeat(item):
             self.give_up(item)
@@ -216,12 +240,12 @@
             self.queue(item, first=True)
 
     def give_up(self, item: Item) -> None:
-        repeat = self.terms.tracks[item.track].repeat
+        repeat = self.settings.traffic_classes[item.track].retry_safety
         self.over(item)
-        if item.ran < 0 or repeat is Repeat.REPEATABLE:
-            self.answers.bounce(item.id, min(self.terms.longest_wait, SECOND))
+        if item.ran < 0 or repeat is RetrySafety.IDEMPOTENT:
+            self.actions.reject(item.id, min(self.settings.max_retry_after, SECOND))
         else:
-            self.answers.abort(item.id)
+            self.actions.fail(item.id)
 
     def over(self, item: Item) -> None:
         del self.items[item.id]
@@ -242,12 +266,12 @@
             if line[0].id not in self.shots:
                 self.queue(line[0])
 
-    def gone(self, id_: int) -> None:
+    def client_disconnected(self, id_: int) -> None:
         item = self.items.get(id_)
         if item is not None and id_ not in self.shots:
             self.over(item)
 
-    def woken(self, token: str) -> None:
+    def timer_fired(self, token: str) -> None:
         kind, number = token[0], int(token[1:])
         if kind == "p" and number in self.places:
             self.dirty[self.places[number]] = None
@@ -267,13 +291,13 @@
     def lets(self, place: Place) -> bool:
         return True
 
-    def heard(self, place: Place, ending: Ending, took: int) -> None:
-        if ending is Ending.COMPLETED:
+    def receive_gossip(self, place: Place, ending: AttemptOutcome, took: int) -> None:
+        if ending is AttemptOutcome.DELIVERED:
             place.failures = 0
             return
         most = min(BACKOFF_MOST, BACKOFF << min(place.failures, 10))
         place.failures += 1
-        place.quiet_until = max(place.quiet_until, self.now + int(self.chance.random() * most))
+        place.quiet_until = max(place.quiet_until, self.now + int(self.random.random() * most))
 
 
 class BreakerAlone(Baseline):
@@ -282,8 +306,8 @@
     def lets(self, place: Place) -> bool:
         return place.failures < FAILURES or place.out == 0
 
-    def heard(self, place: Place, ending: Ending, took: int) -> None:
-        if ending is Ending.COMPLETED:
+    def receive_gossip(self, place: Place, ending: AttemptOutcome, took: int) -> None:
+        if ending is AttemptOutcome.DELIVERED:
             place.failures = 0
             return
         place.failures += 1
@@ -298,8 +322,8 @@
     def lets(self, place: Place) -> bool:
         return place.out < max(1, int(place.limit))
 
-    def heard(self, place: Place, ending: Ending, took: int) -> None:
-        if ending is not Ending.COMPLETED:
+    def receive_gossip(self, place: Place, ending: AttemptOutcome, took: int) -> None:
+        if ending is not AttemptOutcome.DELIVERED:
             place.limit = max(1.0, 0.9 * place.limit)
             return
         place.long = took if not place.long else place.long + 0.02 * (took - place.long)
@@ -307,7 +331,7 @@
             return  # the limit was not what held it
         gradient = max(0.5, min(1.0, 1.5 * place.long / max(1, took)))
         wanted = place.limit * gradient + max(1.0, place.limit**0.5)
-        place.limit = min(3 * self.terms.slots / 4, 0.8 * place.limit + 0.2 * wanted)
+        place.limit = min(3 * self.settings.max_in_flight / 4, 0.8 * place.limit + 0.2 * wanted)
 
 
 class Oracle(Baseline):
@@ -334,8 +358,8 @@
             self.dirty_later(place, SECOND // 40)
         return bool(free)
 
-    def open_turn(self, now: int) -> None:
-        super().open_turn(now)
+    def begin_batch(self, now: int) -> None:
+        super().begin_batch(now)
         self.this_turn: dict[int, int] = {}
 
     def send(self, place: Place, item: Item) -> None:
@@ -347,19 +371,19 @@
         return max(islice(place.queue, 30), key=self.worth)
 
     def worth(self, item: Item) -> float:
-        terms = self.terms.tracks[item.track]
-        late = self.now - (item.cutoff - terms.cutoff + terms.promised)
-        return terms.payoff if late < 0 else terms.payoff * 0.5 ** (1 + late / terms.promised)
+        terms = self.settings.traffic_classes[item.track]
+        late = self.now - (item.cutoff - terms.deadline + terms.latency_objective)
+        return terms.value if late < 0 else terms.value * 0.5 ** (1 + late / terms.latency_objective)
 
 
-def module(terms: Terms, answers: Any, world: World) -> Any:
+def module(terms: PolicySettings, answers: Any, world: Simulation) -> Any:
     """The decision module itself."""
-    from ashpath.decide import Sender
+    from ashpath.policy.engine import DeliveryPolicy
 
-    return Sender(terms, answers)
+    return DeliveryPolicy(terms, answers)
 
 
-POLICIES: dict[str, Callable[[Terms, Any, World], Any]] = {
+POLICIES: dict[str, Callable[[PolicySettings, Any, Simulation], Any]] = {
     "module": module,
     "fixed": Fixed,
     "retries": Retries,
--- a/ashpath/partners/clients.py
+++ b/ashpath/emulator/clients.py
@@ -1,4 +1,4 @@
-"""The clients of a day on sockets, in a process of their own: `python -m ashpath.partners.clients JOB`.
+"""The clients of a day on sockets, in a process of their own: `python -m ashpath.emulator.clients JOB`.
 
 JOB is a JSON file. Each envelope is handed in at its time, however the others fare; what becomes of it is a
 line of JSON on standard output: [microseconds of the shared clock, what, id, sender]. Notices come to a port
@@ -19,20 +19,27 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from ashpath.node import names
-from ashpath.node.codec import Closed, Malformed, Wire, dial, host, write_head
-from ashpath.node.limits import Limits
-from ashpath.terms import terms
+from ashpath.core.platform_settings import policy_settings
+from ashpath.server import wire_names as names
+from ashpath.server.http.codec import (
+    ConnectionClosedError,
+    HttpConnection,
+    ProtocolError,
+    dial,
+    encode_message,
+    host_header,
+)
+from ashpath.server.limits import ServerLimits
 
 PATIENCE = 2.0  # seconds for an answer
 UNANSWERED = -1  # in place of a status: the request went out, and whether it was read nobody knows
 AGAIN = 0.1  # a client whose sender does not answer tries another after this
 
 
-def quiet() -> Limits:
+def quiet() -> ServerLimits:
     """Limits of stand-ins: they wait as long as it takes."""
-    own = terms(0, {"classes": [], "limits": {"conn-idle": 60_000.0}})
-    return Limits.of({"sockets": 8192, "own": {"quiet": 600.0, "request": 600.0}}, own)
+    own = policy_settings(0, {"classes": [], "limits": {"conn-idle": 60_000.0}})
+    return ServerLimits.of({"sockets": 8192, "own": {"client_idle_s": 600.0, "request_s": 600.0}}, own)
 
 
 class Clients:
@@ -42,7 +49,7 @@
         self.job, self.began = job, int(job["began"])
         self.senders = [(row[0], int(row[1])) for row in job["senders"]]
         self.chance, self.limits = Random(f"{job['seed']} clients' choices"), quiet()
-        self.idle: dict[int, list[Wire]] = {number: [] for number in range(len(self.senders))}
+        self.idle: dict[int, list[HttpConnection]] = {number: [] for number in range(len(self.senders))}
         self.open: dict[str, tuple[list[Any], int]] = {}  # by the id handed in: its row, and the try
         self.receiver = StreamServer(("127.0.0.1", int(job["notices"])), self.receive)
         self.receiver.start()
@@ -97,21 +104,21 @@
             with gevent.Timeout(PATIENCE):
                 while idle and wire is None:
                     wire = idle.pop()
-                    if not wire.quiet():
+                    if not wire.is_quiet():
                         wire.close()
                         wire = None
                 wire = wire or dial(self.senders[sender], self.limits)
                 status = UNANSWERED
                 first = b"POST %s HTTP/1.1" % names.HAND_IN
-                wire.write(write_head(first, [host(self.senders[sender]), *headers], body))
+                wire.write(encode_message(first, [host_header(self.senders[sender]), *headers], body))
                 answer = wire.read_answer()
                 if answer.status == 200:
                     wire.finish_answer()
-        except (OSError, Closed, Malformed, gevent.Timeout):
+        except (OSError, ConnectionClosedError, ProtocolError, gevent.Timeout):
             if wire is not None:
                 wire.close()
             return status, 0.0
-        if answer.keep and not wire.spoilt:
+        if answer.keep and not wire.unusable:
             idle.append(wire)
         else:
             wire.close()
@@ -133,7 +140,7 @@
         gevent.spawn_later(backoff, self.hand_in, row, tried + 1)
 
     def receive(self, sock: socket.socket, _: Any) -> None:
-        wire = Wire(sock, self.limits)
+        wire = HttpConnection(sock, self.limits)
         try:
             while True:
                 for line in wire.read_request().body.splitlines():
@@ -141,7 +148,7 @@
                     how = "bounced" if told["status"] == names.DEFERRED else "aborted"
                     self.ended(told["id"], how, told.get("again_ms", 0) / 1000)
                 wire.write(b"HTTP/1.1 204 No Content\r\n\r\n")
-        except (OSError, Closed, Malformed, ValueError):
+        except (OSError, ConnectionClosedError, ProtocolError, ValueError):
             wire.close()
 
 
--- a/ashpath/partners/show.py
+++ b/ashpath/emulator/demo.py
@@ -16,13 +16,20 @@
 from gevent import socket, subprocess
 from gevent.server import StreamServer
 
-from ashpath.door import Terms
-from ashpath.node import names
-from ashpath.node.codec import Closed, Malformed, Wire, dial, host, write_head
-from ashpath.node.limits import Limits
-from ashpath.partners.model import Nature, Partner, Trouble
-from ashpath.partners.sockets import Stand, at
-from ashpath.terms import terms
+from ashpath.core.interface import PolicySettings
+from ashpath.core.platform_settings import policy_settings
+from ashpath.emulator.destination_model import DestinationModel, Nature, Trouble
+from ashpath.emulator.destination_server import Stand, at
+from ashpath.server import wire_names as names
+from ashpath.server.http.codec import (
+    ConnectionClosedError,
+    HttpConnection,
+    ProtocolError,
+    dial,
+    encode_message,
+    host_header,
+)
+from ashpath.server.limits import ServerLimits
 
 SECOND = 1_000_000
 RATE = 40.0  # envelopes a second
@@ -75,7 +82,7 @@
     number: int
     name: str
     share: float  # of the envelopes
-    partner: Partner
+    partner: DestinationModel
     stands: list[Stand] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)  # ends of its envelopes
 
@@ -112,7 +119,7 @@
         self.folder, self.seconds, self.rate, self.kill = folder, seconds, rate, kill
         self.chance = Random(seed)
         self.began = monotonic_ns() // 1000
-        own = terms(seed, {"classes": [], "limits": {"conn-idle": 60_000.0}})
+        own = policy_settings(seed, {"classes": [], "limits": {"conn-idle": 60_000.0}})
         self.limits = self.quiet(own)
         self.rows = [self.row(number + 1, *facts) for number, facts in enumerate(natures(seconds))]
         self.receiver = StreamServer(("127.0.0.1", 0), self.receive)
@@ -123,18 +130,18 @@
         self.tagged: set[str] = set()  # those whose second effect would be a double one
         self.handed_in = 0
         self.told: Counter[str] = Counter()  # notices by id
-        self.idle: list[Wire] = []  # connections of clients
+        self.idle: list[HttpConnection] = []  # connections of clients
         self.restarts = 0
         self.process: subprocess.Popen[bytes] | None = None
         self.write(seed)
 
     @staticmethod
-    def quiet(own: Terms) -> Limits:
-        return Limits.of({"sockets": 4096, "own": {"quiet": 60.0, "request": 60.0}}, own)
+    def quiet(own: PolicySettings) -> ServerLimits:
+        return ServerLimits.of({"sockets": 4096, "own": {"client_idle_s": 60.0, "request_s": 60.0}}, own)
 
     def row(self, number: int, name: str, share: float, endpoints: int, nature: Nature) -> Row:
         ids = [f"{name}-{at}" for at in range(endpoints)]
-        partner = Partner(nature, Random(self.chance.getrandbits(32)), ids)
+        partner = DestinationModel(nature, Random(self.chance.getrandbits(32)), ids)
         row = Row(number, name, share, partner)
         row.stands = [Stand(partner, id_, self.limits, self.began) for id_ in ids]
         return row
@@ -164,7 +171,7 @@
     # The sender's process.
 
     def start(self) -> None:
-        command = [sys.executable, "-m", "ashpath.command", "serve", str(self.file)]
+        command = [sys.executable, "-m", "ashpath.cli", "serve", str(self.file)]
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         until = monotonic() + 15.0
@@ -201,18 +208,18 @@
             with gevent.Timeout(PATIENCE):
                 while self.idle and wire is None:
                     wire = self.idle.pop()
-                    if not wire.quiet():
+                    if not wire.is_quiet():
                         wire.close()
                         wire = None
                 wire = wire or dial(self.where, self.limits)
-                wire.write(write_head(first, [host(self.where), *headers], body))
+                wire.write(encode_message(first, [host_header(self.where), *headers], body))
                 answer = wire.read_answer()
                 answer = wire.finish_answer() if answer.status == 200 else answer
-        except (OSError, Closed, Malformed, gevent.Timeout):
+        except (OSError, ConnectionClosedError, ProtocolError, gevent.Timeout):
             if wire is not None:
                 wire.close()
             return 0, b""
-        if answer.keep and not wire.spoilt and len(self.idle) < CLIENTS:
+        if answer.keep and not wire.unusable and len(self.idle) < CLIENTS:
             self.idle.append(wire)
         else:
             wire.close()
@@ -260,7 +267,7 @@
 
     def receive(self, sock: socket.socket, _: Any) -> None:
         """Takes notices."""
-        wire = Wire(sock, self.limits)
+        wire = HttpConnection(sock, self.limits)
         try:
             while True:
                 for line in wire.read_request().body.splitlines():
@@ -268,7 +275,7 @@
                     self.told[told["id"]] += 1
                     self.end(told["id"], "bounced" if told["status"] == names.DEFERRED else "aborted")
                 wire.write(b"HTTP/1.1 204 No Content\r\n\r\n")
-        except (OSError, Closed, Malformed, ValueError):
+        except (OSError, ConnectionClosedError, ProtocolError, ValueError):
             wire.close()
 
     def follow(self) -> None:
--- a/ashpath/partners/model.py
+++ b/ashpath/emulator/destination_model.py
@@ -123,7 +123,7 @@
     connections: int = 0
 
 
-class Partner:
+class DestinationModel:
     """`keys` is emptied as windows pass, `recent` as calls leave the span they are counted over; `tallies`
     grows with a day's work, as its account needs them, unless `keeps` is off: then with its calls out."""
 
--- a/ashpath/partners/sockets.py
+++ b/ashpath/emulator/destination_server.py
@@ -13,10 +13,16 @@
 from gevent import Timeout, socket
 from gevent.server import StreamServer
 
-from ashpath.node import names
-from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
-from ashpath.node.limits import Limits
-from ashpath.partners.model import NEVER, Call, Meets, Partner
+from ashpath.emulator.destination_model import NEVER, Call, DestinationModel, Meets
+from ashpath.server import wire_names as names
+from ashpath.server.http.codec import (
+    ConnectionClosedError,
+    HttpConnection,
+    HttpMessage,
+    ProtocolError,
+    encode_message,
+)
+from ashpath.server.limits import ServerLimits
 
 LINES = {
     Meets.OK: b"HTTP/1.1 200 OK",
@@ -41,9 +47,9 @@
 
     def __init__(
         self,
-        partner: Partner,
+        partner: DestinationModel,
         endpoint: str,
-        limits: Limits,
+        limits: ServerLimits,
         began: int,
         seen: Callable[[int, str, str, Call], None] | None = None,
         over: Callable[[int, str, str, Call, int, bool], None] | None = None,
@@ -51,7 +57,7 @@
     ) -> None:
         self.partner, self.endpoint, self.limits = partner, endpoint, limits
         self.began, self.seen, self.over, self.way = began, seen, over, way
-        self.open: dict[Wire, None] = {}  # emptied as connections close
+        self.open: dict[HttpConnection, None] = {}  # emptied as connections close
         self.server = StreamServer(("127.0.0.1", 0), self.serve, backlog=512)
         self.server.start()
         self.address = f"127.0.0.1:{self.server.server_port}"
@@ -63,22 +69,22 @@
         most = self.partner.nature.connections
         if self.partner.down or (most and len(self.open) >= most):
             return reset(sock)
-        wire = Wire(sock, self.limits)
+        wire = HttpConnection(sock, self.limits)
         self.open[wire] = None
         try:
             fresh = True
             while self.call(wire, wire.read_request(), fresh):
                 fresh = False
-        except (OSError, Closed, Malformed):
+        except (OSError, ConnectionClosedError, ProtocolError):
             pass
         finally:
             self.open.pop(wire, None)
             wire.close()
 
-    def call(self, wire: Wire, request: Message, fresh: bool) -> bool:
+    def call(self, wire: HttpConnection, request: HttpMessage, fresh: bool) -> bool:
         """One call and its answer; whether the connection goes on."""
         if request.path != names.HOOK:
-            wire.write(write_head(NOT_FOUND, [], b""))
+            wire.write(encode_message(NOT_FOUND, [], b""))
             return request.keep
         envelope = request.headers.get(names.TRACE, b"").decode("latin-1")
         key, track = request.headers.get(names.TAG), request.body[:2].strip()
@@ -97,12 +103,12 @@
             self.partner.ended(self.now(), call, envelope)
             if self.over is not None:
                 self.over(self.now(), self.endpoint, envelope, call, arrived, heard)
-        return heard and request.keep and not wire.spoilt
+        return heard and request.keep and not wire.unusable
 
-    def tell(self, wire: Wire, call: Call) -> bool:
+    def tell(self, wire: HttpConnection, call: Call) -> bool:
         """The answer, if this end still answers; whether its caller can hear of it."""
         if call.meets in (Meets.RESET, Meets.REFUSED) or self.partner.down:
-            wire.spoilt = True
+            wire.unusable = True
             reset(wire.sock)
             return True
         if self.partner.dumb(self.now()):
@@ -112,10 +118,10 @@
         return True
 
     @staticmethod
-    def leaves(wire: Wire, after: int) -> bool:
+    def leaves(wire: HttpConnection, after: int) -> bool:
         """Waits for the moment of the answer; True if the caller goes before it."""
         with suppress(Timeout), Timeout(None if after >= NEVER else after / 1e6):
-            wire.more()
+            wire.receive()
             return True
         return False
 
@@ -124,7 +130,7 @@
         headers = [(names.WAIT, b"%.3f" % (call.wait / 1e6))] if call.wait else []
         if call.left >= 0:
             headers.append((names.REPORT, f"TEXT x0={call.left:.3f}, x1={call.rate:g}".encode()))
-        return write_head(TOLD if call.wait else LINES[call.meets], headers, b"")
+        return encode_message(TOLD if call.wait else LINES[call.meets], headers, b"")
 
     def cut(self) -> None:
         """Resets what is open, as a machine that goes down and is seen to."""
--- a/ashpath/partners/witness.py
+++ b/ashpath/emulator/invariant_checker.py
@@ -14,7 +14,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass, field
 
-from ashpath.door import Repeat, TrackTerms
+from ashpath.core.interface import RetrySafety, TrafficClassSettings
 
 LATE = 50_000  # a final answer so much later than the cut-off is in time: clocks of onlookers differ
 STARTING = 1_500_000  # after a start: what fell due meanwhile has its end by then
@@ -43,7 +43,7 @@
     id: str
     sender: int
     destination: int
-    terms: TrackTerms
+    terms: TrafficClassSettings
     key: int | None
     cutoff_at: int
     out: int = 0  # shots without an outcome
@@ -64,7 +64,7 @@
     rests_for: Seen | None = None  # whose call may run on: it alone may be sent again meanwhile
 
 
-class Witness:
+class InvariantChecker:
     """`seen` is emptied as envelopes are over, `queues` with them; `off`, `waits` and `knew` have an entry
     for each endpoint or destination that a sender was told of, and go with the day."""
 
@@ -102,7 +102,7 @@
         number: int,
         id_: str,
         destination: int,
-        terms: TrackTerms,
+        terms: TrafficClassSettings,
         key: int | None,
         cutoff_at: int,
     ) -> None:
@@ -148,9 +148,12 @@
         if one.out:
             self.break_("doubled", at, "a second shot beside one that is out", one)
         if one.may_have_run is not None:
-            if one.terms.repeat is Repeat.ONCE_ONLY:
+            if one.terms.retry_safety is RetrySafety.AT_MOST_ONCE:
                 self.break_("doubled", at, "a once-only envelope that may have run is sent again", one)
-            elif one.terms.repeat is Repeat.TAGGED and at > one.may_have_run + one.terms.window:
+            elif (
+                one.terms.retry_safety is RetrySafety.DEDUPLICATED
+                and at > one.may_have_run + one.terms.deduplication_window
+            ):
                 since = at - one.may_have_run
                 self.break_(
                     "doubled", at, f"a tagged envelope is sent again {since} us after it may have run", one
@@ -204,7 +207,7 @@
         elif at > one.cutoff_at + LATE:
             self.break_("lost", at, f"{how} {at - one.cutoff_at} us after its cut-off", one)
         ran = one.may_have_run is not None or one.out
-        if how == "bounced" and ran and one.terms.repeat is Repeat.ONCE_ONLY:
+        if how == "bounced" and ran and one.terms.retry_safety is RetrySafety.AT_MOST_ONCE:
             self.break_("doubled", at, "a once-only envelope that may have run is bounced", one)
         one.final = one.final or how
         self.let_go(sender, number, one)
@@ -246,9 +249,9 @@
                 "returning", at, f"destination {destination} fell: {theirs} of {whole} calls from who knew"
             )
 
-    def effects(self, at: int, work: str, effects: int, repeat: Repeat) -> None:
+    def effects(self, at: int, work: str, effects: int, repeat: RetrySafety) -> None:
         """How often one piece of work ran in the end, over all envelopes that carried it."""
-        if effects > 1 and repeat is not Repeat.REPEATABLE:
+        if effects > 1 and repeat is not RetrySafety.IDEMPOTENT:
             self.counts["doubled"] += 1
             if len(self.broken) < MOST:
                 self.broken.append(Broken("doubled", at, f"{work} ran {effects} times", work, ()))
--- a/ashpath/partners/loopback.py
+++ b/ashpath/emulator/loopback.py
@@ -20,32 +20,43 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from ashpath.door import Ending, Listing, Presence, Repeat
-from ashpath.node import names
-from ashpath.node.codec import Closed, Malformed, Wire, dial, host, write_head
-from ashpath.partners.account import Account, payoff
-from ashpath.partners.clients import PATIENCE, quiet
-from ashpath.partners.day import OF_PARTNERS, Day, as_plan, day_terms, length, weight
-from ashpath.partners.day import Trouble as Scripted
-from ashpath.partners.layout import Arrivals, Layout
-from ashpath.partners.model import OUTAGES, SECOND, Call, Meets, Trouble
-from ashpath.partners.show import free_port
-from ashpath.partners.sockets import Stand
-from ashpath.partners.virtual import Work
-from ashpath.partners.witness import Witness
-from ashpath.plan.told import document
+from ashpath.config.platform_form import document
+from ashpath.core.interface import AttemptOutcome, EndpointRecord, EndpointStatus, RetrySafety
+from ashpath.emulator.clients import PATIENCE, quiet
+from ashpath.emulator.demo import free_port
+from ashpath.emulator.destination_model import OUTAGES, SECOND, Call, Meets, Trouble
+from ashpath.emulator.destination_server import Stand
+from ashpath.emulator.invariant_checker import InvariantChecker
+from ashpath.emulator.scenario import OF_PARTNERS, Scenario, as_plan, day_terms, length, weight
+from ashpath.emulator.scenario import Trouble as Scripted
+from ashpath.emulator.scoreboard import Scoreboard, payoff
+from ashpath.emulator.simulation import Work
+from ashpath.emulator.topology import Arrivals, Topology
+from ashpath.server import wire_names as names
+from ashpath.server.http.codec import (
+    ConnectionClosedError,
+    HttpConnection,
+    ProtocolError,
+    dial,
+    encode_message,
+    host_header,
+)
 
 SLACK = 50_000  # by which the witness is milder on sockets: clocks and the way of a call
 NOT_HERE = ("network", "split", "clock", "directory")
 TAIL = 5.0  # seconds past the last cut-off until a run ends whatever is open
-ENDED = {Meets.OK: Ending.COMPLETED, Meets.ERROR: Ending.ERROR, Meets.FULL: Ending.FULL}
+ENDED = {
+    Meets.OK: AttemptOutcome.DELIVERED,
+    Meets.ERROR: AttemptOutcome.ERROR,
+    Meets.FULL: AttemptOutcome.OVERLOADED,
+}
 
 
 class DirectoryStand:
     """The directory's agent of one sender: what it told, and when."""
 
-    def __init__(self, told: Callable[[list[Listing]], None]) -> None:
-        self.rows: list[Listing] = []
+    def __init__(self, told: Callable[[list[EndpointRecord]], None]) -> None:
+        self.rows: list[EndpointRecord] = []
         self.revision, self.changed, self.told = 1, Event(), told
         self.limits = quiet()
         self.where: dict[str, str] = {}
@@ -53,13 +64,13 @@
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
 
-    def change(self, rows: list[Listing]) -> None:
+    def change(self, rows: list[EndpointRecord]) -> None:
         self.rows, self.revision = rows, self.revision + 1
         self.changed.set()
         self.changed = Event()
 
     def serve(self, sock: socket.socket, _: Any) -> None:
-        wire = Wire(sock, self.limits)
+        wire = HttpConnection(sock, self.limits)
         try:
             while True:
                 url = wire.read_request().url
@@ -68,22 +79,28 @@
                 same = b"index=%d&" % self.revision in url
                 members = [] if same else [self.member(row) for row in self.rows]
                 body = {"revision": self.revision, "complete": not same, "members": members}
-                wire.write(write_head(b"HTTP/1.1 200 OK", [], orjson.dumps(body)))
+                wire.write(encode_message(b"HTTP/1.1 200 OK", [], orjson.dumps(body)))
                 if not same:
                     self.told(self.rows)
-        except (OSError, Closed, Malformed):
+        except (OSError, ConnectionClosedError, ProtocolError):
             wire.close()
 
-    def member(self, row: Listing) -> dict[str, Any]:
-        return {"id": row.endpoint, "host_port": self.where[row.endpoint], "cell": row.destination,
-                "flavor": self.kinds[row.kind], "locality": "", "phase": "up"}  # fmt: skip
+    def member(self, row: EndpointRecord) -> dict[str, Any]:
+        return {
+            "id": row.endpoint_id,
+            "host_port": self.where[row.endpoint_id],
+            "cell": row.destination,
+            "flavor": self.kinds[row.kind],
+            "locality": "",
+            "phase": "up",
+        }
 
 
 class Loopback:
     """One run. `seen` has a row for each thing seen, in any order: time, then what to tell the witness."""
 
     def __init__(
-        self, day: Day, source: Path, folder: Path, seed: int, account: Account, watched: str = ""
+        self, day: Scenario, source: Path, folder: Path, seed: int, account: Scoreboard, watched: str = ""
     ) -> None:
         for scripted in day.troubles:
             if scripted.kind in NOT_HERE or scripted.when:
@@ -91,14 +108,16 @@
         self.day, self.folder, self.seed, self.account = day, folder, seed, account
         self.began = monotonic_ns() // 1000
         terms = day_terms(day, 0, 0)
-        self.tracks, self.decays = terms.tracks, terms.decays
-        self.witness = Witness(terms.drain_grace + SLACK, terms.key_rest - SLACK, watched, 2 * SLACK)
+        self.tracks, self.decays = terms.traffic_classes, terms.value_halves
+        self.witness = InvariantChecker(
+            terms.drain_grace + SLACK, terms.settle_time - SLACK, watched, 2 * SLACK
+        )
         self.chance = Random(f"{seed} world")
-        self.layout = Layout(day, source, seed)
+        self.layout = Topology(day, source, seed)
         self.seen: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.limits = quiet()
-        self.stands = {row.endpoint: self.stand(row) for row in self.layout.listings}
-        self.listings = {row.endpoint: row for row in self.layout.listings}
+        self.stands = {row.endpoint_id: self.stand(row) for row in self.layout.listings}
+        self.listings = {row.endpoint_id: row for row in self.layout.listings}
         self.senders = day.fleet.senders
         self.directories = [DirectoryStand(self.teller(number)) for number in range(self.senders)]
         self.delays = [self.delay() for _ in range(self.senders)]
@@ -122,20 +141,27 @@
         spread = int(self.day.directory.spread)
         return int(self.day.directory.delay) + (self.chance.randrange(spread) if spread else 0)
 
-    def stand(self, row: Listing) -> Stand:
+    def stand(self, row: EndpointRecord) -> Stand:
         partner = self.layout.partners[row.destination]
-        one_way = Random(f"{self.seed} way {row.endpoint}")
+        one_way = Random(f"{self.seed} way {row.endpoint_id}")
         latency, jitter = int(self.day.network.latency), self.day.network.jitter
-        return Stand(partner, row.endpoint, self.limits, self.began, self.arrived, self.left,
-                     lambda: latency * one_way.lognormvariate(0, jitter) if jitter else latency)  # fmt: skip
+        return Stand(
+            partner,
+            row.endpoint_id,
+            self.limits,
+            self.began,
+            self.arrived,
+            self.left,
+            lambda: latency * one_way.lognormvariate(0, jitter) if jitter else latency,
+        )
 
     # What partners and directories see.
 
-    def teller(self, number: int) -> Callable[[list[Listing]], None]:
+    def teller(self, number: int) -> Callable[[list[EndpointRecord]], None]:
         before: set[str] = set()  # what this sender was told last
 
-        def told(rows: list[Listing]) -> None:
-            at, on = self.now(), {row.endpoint for row in rows}
+        def told(rows: list[EndpointRecord]) -> None:
+            at, on = self.now(), {row.endpoint_id for row in rows}
             for name in before | on:
                 self.see(at, self.witness_listed, number, name, name in on)
             before.clear()
@@ -147,8 +173,8 @@
         self.see(at, self.witness_shot, envelope, endpoint)
 
     def left(self, at: int, endpoint: str, envelope: str, call: Call, began: int, heard: bool) -> None:
-        ending = ENDED.get(call.meets, Ending.RESET) if heard else Ending.TIMED_OUT
-        if ending is Ending.COMPLETED:
+        ending = ENDED.get(call.meets, AttemptOutcome.CONNECTION_RESET) if heard else AttemptOutcome.TIMED_OUT
+        if ending is AttemptOutcome.DELIVERED:
             self.open.discard(envelope.partition(".")[0])
         self.see(at, self.witness_outcome, envelope, endpoint, ending, began, call.wait if heard else 0)
 
@@ -165,7 +191,7 @@
         told["platform"] = {"directory": f"127.0.0.1:{self.directories[number].server.server_port}"}
         told["notices"] = {"address": f"http://127.0.0.1:{self.notices}/v1/notices"}
         (place / "sender.toml").write_text(toml(told))
-        words = [sys.executable, "-m", "ashpath.command", "serve", str(place / "sender.toml")]
+        words = [sys.executable, "-m", "ashpath.cli", "serve", str(place / "sender.toml")]
         with (place / "log").open("ab") as log:
             self.processes[number] = subprocess.Popen(words, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
 
@@ -174,11 +200,11 @@
             with gevent.Timeout(1.0):
                 wire = dial(self.addresses[number], self.limits)
                 first = b"GET %s HTTP/1.1" % names.READY
-                wire.write(write_head(first, [host(self.addresses[number])], b""))
+                wire.write(encode_message(first, [host_header(self.addresses[number])], b""))
                 found = wire.read_answer().status == 200
                 wire.close()
                 return found
-        except (OSError, Closed, Malformed, gevent.Timeout):
+        except (OSError, ConnectionClosedError, ProtocolError, gevent.Timeout):
             return False
 
     def rows(self) -> list[list[Any]]:
@@ -195,7 +221,7 @@
             gap = coming.gap(now)
             for track, destination, order in coming.clump() if gap is not None else ():
                 made += 1
-                id_, cutoff = f"{track}-{made}", self.tracks[track].cutoff
+                id_, cutoff = f"{track}-{made}", self.tracks[track].deadline
                 self.works[id_] = Work(id_, track, destination, order, now, cutoff, coming.span(now))
                 found.append([now, id_, track_names[track], track, destination, order, cutoff])
             now += SECOND // 10 if gap is None else gap
@@ -228,11 +254,18 @@
     def play(self, shown: Callable[[float], None] | None) -> None:
         rows, clients = self.rows(), self.day.clients
         self.open = {row[1] for row in rows}
-        job = {"began": self.began, "seed": self.seed, "senders": self.addresses, "notices": self.notices,
-               "rows": rows, "retries": clients.retries, "backoff": int(clients.backoff),
-               "heeds": clients.heeds}  # fmt: skip
+        job = {
+            "began": self.began,
+            "seed": self.seed,
+            "senders": self.addresses,
+            "notices": self.notices,
+            "rows": rows,
+            "retries": clients.retries,
+            "backoff": int(clients.backoff),
+            "heeds": clients.heeds,
+        }
         (self.folder / "job.json").write_bytes(orjson.dumps(job))
-        words = [sys.executable, "-m", "ashpath.partners.clients", str(self.folder / "job.json")]
+        words = [sys.executable, "-m", "ashpath.emulator.clients", str(self.folder / "job.json")]
         with (self.folder / "clients.log").open("wb") as log:
             pipe, nothing = subprocess.PIPE, subprocess.DEVNULL
             self.clients = subprocess.Popen(words, stdout=pipe, stderr=log, stdin=nothing)
@@ -241,7 +274,7 @@
             if scripted.kind != "traffic":
                 gevent.spawn_later((int(scripted.at or 0) - self.now()) / 1e6, self.begin, scripted)
         ends = length(self.day)
-        last = ends + max(track.cutoff for track in self.tracks) + TAIL * SECOND
+        last = ends + max(track.deadline for track in self.tracks) + TAIL * SECOND
         while self.now() < last and (self.now() < ends or self.open) and not reader.dead:
             gevent.sleep(0.1)
             if shown is not None:
@@ -309,7 +342,7 @@
             old, new = self.listings.pop(name), f"{name}+"
             partner.remove(name)
             partner.add(new)
-            self.listings[new] = Listing(new, number, old.kind, old.zone, Presence.LISTED)
+            self.listings[new] = EndpointRecord(new, number, old.kind, old.zone, EndpointStatus.ACTIVE)
             stand = self.stands.pop(name)
             stand.cut()
             stand.endpoint = new
@@ -333,8 +366,8 @@
         self.witness.end(max((row[0] for row in self.seen), default=0) + 60 * SECOND)
         for partner in self.layout.partners:
             for envelope, tally in partner.tallies.items():
-                repeat = self.tracks[int(envelope.split("-")[0])].repeat
-                if tally.effects > 1 and repeat is not Repeat.REPEATABLE:
+                repeat = self.tracks[int(envelope.split("-")[0])].retry_safety
+                if tally.effects > 1 and repeat is not RetrySafety.IDEMPOTENT:
                     self.witness.effects(self.now(), envelope, tally.effects, repeat)
         self.account.close(self.witness)
 
@@ -370,7 +403,7 @@
         """A sender was killed as its 202 or a partner's 200 was on the way: its next life may go on with what
         may be repeated, though the client has handed it in elsewhere, or it is completed."""
         work, (sender, _) = self.works[envelope.partition(".")[0]], self.numbers[envelope]
-        if self.tracks[work.track].repeat is Repeat.ONCE_ONLY:
+        if self.tracks[work.track].retry_safety is RetrySafety.AT_MOST_ONCE:
             return False
         done, kills = self.completed.get(envelope), self.kills
         gaps = [kill - at for at, to in self.unanswered.get(envelope, ()) for kill in kills.get(to, ())]
@@ -384,7 +417,7 @@
             self.witness.shot(at, *self.numbers[envelope], endpoint, self.route(endpoint))
 
     def witness_outcome(
-        self, at: int, envelope: str, endpoint: str, ending: Ending, began: int, wait: int
+        self, at: int, envelope: str, endpoint: str, ending: AttemptOutcome, began: int, wait: int
     ) -> None:
         if envelope not in self.numbers:
             return
@@ -392,15 +425,15 @@
         self.account.outcome(at, ending)
         work.why = ending.value
         unread = self.unread(envelope)  # then which of the two lives sends it cannot be told apart
-        if ending is Ending.COMPLETED:
+        if ending is AttemptOutcome.DELIVERED:
             self.completed.setdefault(envelope, at)
         if not unread:
             self.witness.outcome(at, sender, number, ending.value, began)
-        elif ending is Ending.COMPLETED:
+        elif ending is AttemptOutcome.DELIVERED:
             self.witness.left(at, sender, number)
         if wait:
             self.witness.told_to_wait(at, sender, self.route(endpoint), wait)
-        if ending is Ending.COMPLETED and work.id not in self.done:
+        if ending is AttemptOutcome.DELIVERED and work.id not in self.done:
             self.done.add(work.id)
             self.account.delivered(at, work, self.worth(work, at))
 
--- a/ashpath/partners/day.py
+++ b/ashpath/emulator/scenario.py
@@ -7,31 +7,48 @@
 
 from msgspec import Struct, field
 
-from ashpath.door import Terms
-from ashpath.partners.model import Nature
-from ashpath.plan.amounts import Duration, Word
-from ashpath.plan.check import Fault
-from ashpath.plan.decide import times
-from ashpath.plan.read import read_as
-from ashpath.plan.shape import (
+from ashpath.config.loading import read_as
+from ashpath.config.platform_form import told
+from ashpath.config.rules import times
+from ashpath.config.schema import (
     MIN,
     MS,
+    Configuration,
     D,
     H,
     Key,
     Kind,
     Limits,
-    Plan,
     Rules,
     S,
     Sender,
     Track,
 )
-from ashpath.plan.told import told
-from ashpath.terms import terms
-
-TROUBLES = ("silent", "hung", "down", "shut", "slow", "errors", "errors-after", "lost", "resets", "limit",
-            "replace", "directory", "kill", "network", "split", "clock", "traffic")  # fmt: skip
+from ashpath.config.units import Duration, Word
+from ashpath.config.validation import ConfigurationFault
+from ashpath.core.interface import PolicySettings
+from ashpath.core.platform_settings import policy_settings
+from ashpath.emulator.destination_model import Nature
+
+TROUBLES = (
+    "silent",
+    "hung",
+    "down",
+    "shut",
+    "slow",
+    "errors",
+    "errors-after",
+    "lost",
+    "resets",
+    "limit",
+    "replace",
+    "directory",
+    "kill",
+    "network",
+    "split",
+    "clock",
+    "traffic",
+)
 OF_PARTNERS = TROUBLES[:11]
 
 
@@ -160,7 +177,7 @@
     endpoints: Annotated[int, Key("replace: how many of each destination; 0: all", 0, 100)] = 0
 
 
-class Day(Struct):
+class Scenario(Struct):
     """The whole file."""
 
     day: About
@@ -194,7 +211,7 @@
     return None
 
 
-def unfit(day: Day) -> list[Fault]:
+def unfit(day: Scenario) -> list[ConfigurationFault]:
     """What each key alone allows and together cannot be."""
     found = list(times(as_plan(day)))
     known = set(day.partners) | {
@@ -202,56 +219,68 @@
     }
     for track in day.clients.mix:
         if track not in day.tracks:
-            found.append(Fault(("clients", "mix", track), "a track", "one of " + ", ".join(day.tracks)))
+            found.append(
+                ConfigurationFault(("clients", "mix", track), "a track", "one of " + ", ".join(day.tracks))
+            )
     if sum(day.clients.mix.values()) <= 0 or min(day.clients.mix.values()) < 0:
-        found.append(Fault(("clients", "mix"), "shares", "none below 0, and one above it"))
+        found.append(ConfigurationFault(("clients", "mix"), "shares", "none below 0, and one above it"))
     if sum(row.share for row in day.partners.values()) <= 0:
-        found.append(Fault(("partners",), "no share above 0", "one kind with a share of the traffic"))
+        found.append(
+            ConfigurationFault(("partners",), "no share above 0", "one kind with a share of the traffic")
+        )
     for at, trouble in enumerate(day.troubles):
         where = ("troubles", at)
         if (trouble.at is None) == (not trouble.when):
-            found.append(Fault((*where, "at"), "both or neither of at and when", "one of them"))
+            found.append(ConfigurationFault((*where, "at"), "both or neither of at and when", "one of them"))
         if trouble.when and condition(trouble.when) is None:
             signals = ", ".join(SIGNALS)
             found.append(
-                Fault((*where, "when"), repr(trouble.when), f"SIGNAL > N or < N; signals: {signals}")
+                ConfigurationFault(
+                    (*where, "when"), repr(trouble.when), f"SIGNAL > N or < N; signals: {signals}"
+                )
             )
         senders = {f"sender/{n}" for n in range(day.fleet.senders)}
         allowed = known if trouble.kind in OF_PARTNERS else senders | known
         for name in trouble.to:
             if name not in allowed:
-                found.append(Fault((*where, "to"), repr(name), "a kind, kind/RANK below count, or sender/N"))
+                found.append(
+                    ConfigurationFault(
+                        (*where, "to"), repr(name), "a kind, kind/RANK below count, or sender/N"
+                    )
+                )
     for at, span in enumerate(day.spans):
         if span.played > span.lasts:
-            found.append(Fault(("spans", at, "played"), "more than lasts", "at most lasts"))
+            found.append(ConfigurationFault(("spans", at, "played"), "more than lasts", "at most lasts"))
     return found
 
 
-def read_day(path: Path) -> Day:
+def read_scenario(path: Path) -> Scenario:
     """The day of a file; raises plan.read.Unusable."""
-    found: Day = read_as(path, Day, unfit)
+    found: Scenario = read_as(path, Scenario, unfit)
     return found
 
 
-def as_plan(day: Day) -> Plan:
+def as_plan(day: Scenario) -> Configuration:
     """What the senders of the day would be started with, less their destinations."""
     kinds = {Word(name): Kind(apart=row.apart) for name, row in day.partners.items()}
     limits = Limits(envelopes=day.fleet.room or 10_000_000)
     rules = day.rules
     tracks: dict[Word, Track] = {Word(name): track for name, track in day.tracks.items()}
-    return Plan(Sender(Word("day")), tracks, kinds=kinds, rules=rules, limits=limits)
+    return Configuration(Sender(Word("day")), tracks, kinds=kinds, rules=rules, limits=limits)
 
 
-def day_terms(day: Day, seed: int, number: int) -> Terms:
+def day_terms(day: Scenario, seed: int, number: int) -> PolicySettings:
     """What one sender of the day is handed."""
     plan = as_plan(day)
     plan.sender.number, plan.sender.senders = number, day.fleet.senders
-    return replace(terms(seed, told(plan, "0")["settings"]), tables_told=True)  # as on sockets
+    return replace(
+        policy_settings(seed, told(plan, "0")["settings"]), reports_full_connection_table=True
+    )  # as on sockets
 
 
 def nature(row: Partners, folder: Path) -> Nature:
     """The model's nature of a kind of partner. ValueError or OSError: its samples cannot be read."""
-    from ashpath.plan.amounts import TIMES, amount
+    from ashpath.config.units import TIMES, amount
 
     samples: tuple[int, ...] = ()
     if row.samples:
@@ -273,11 +302,11 @@
     return span.lasts / played(span)
 
 
-def length(day: Day) -> int:
+def length(day: Scenario) -> int:
     """Microseconds of the day, as played."""
     return sum(played(span) for span in day.spans)
 
 
-def summary(day: Day) -> dict[str, Any]:
+def summary(day: Scenario) -> dict[str, Any]:
     count = sum(row.count for row in day.partners.values())
     return {"senders": day.fleet.senders, "destinations": count, "seconds": length(day) / 1e6}
--- a/ashpath/partners/account.py
+++ b/ashpath/emulator/scoreboard.py
@@ -9,11 +9,11 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from ashpath.door import Ending, TrackTerms
-from ashpath.partners.witness import Witness
+from ashpath.core.interface import AttemptOutcome, TrafficClassSettings
+from ashpath.emulator.invariant_checker import InvariantChecker
 
 if TYPE_CHECKING:
-    from ashpath.partners.virtual import Work
+    from ashpath.emulator.simulation import Work
 
 WINDOW = 10_000_000
 KEPT = 400  # mode lines that are kept; the rest is counted
@@ -23,8 +23,18 @@
 class Window:
     """Ten seconds. Payoff stands where it was asked for, counts where they happened."""
 
-    __slots__ = ("aborted", "asked", "bounced", "breakers", "completed", "delivered", "endings", "handed_in",
-                 "lost", "shots")  # fmt: skip
+    __slots__ = (
+        "aborted",
+        "asked",
+        "bounced",
+        "breakers",
+        "completed",
+        "delivered",
+        "endings",
+        "handed_in",
+        "lost",
+        "shots",
+    )
 
     def __init__(self) -> None:
         self.asked = self.delivered = 0.0
@@ -46,19 +56,21 @@
         }
 
 
-ENDINGS = tuple(ending.value for ending in Ending if ending is not Ending.COMPLETED)
+ENDINGS = tuple(ending.value for ending in AttemptOutcome if ending is not AttemptOutcome.DELIVERED)
 
 
-def payoff(terms: TrackTerms, decays: bool, work: Work, when: int) -> float:
+def payoff(terms: TrafficClassSettings, decays: bool, work: Work, when: int) -> float:
     """What a delivery then is worth, by its track's terms."""
-    late = when - work.born - terms.promised
+    late = when - work.born - terms.latency_objective
     if late <= 0:
-        return float(terms.payoff)
+        return float(terms.value)
     if when >= work.cutoff_at:
         return 0.0
     if decays:
-        return float(terms.payoff * max(terms.late_share, 0.5 ** (late / terms.promised)))
-    return float(terms.payoff * (1 - (1 - terms.late_share) * late / (terms.cutoff - terms.promised)))
+        return float(terms.value * max(terms.late_value_share, 0.5 ** (late / terms.latency_objective)))
+    return float(
+        terms.value * (1 - (1 - terms.late_value_share) * late / (terms.deadline - terms.latency_objective))
+    )
 
 
 def share(part: float, whole: float) -> float:
@@ -66,7 +78,7 @@
     return round(part / whole, 4) if whole else 0.0
 
 
-class Account:
+class Scoreboard:
     """`open` counts what has no end yet; all else grows with the length of the day, not its envelopes."""
 
     def __init__(self, tracks: list[str], keeps_modes: bool = False) -> None:
@@ -122,8 +134,8 @@
     def shot(self, at: int) -> None:
         self.window(at).shots += 1
 
-    def outcome(self, at: int, ending: Ending) -> None:
-        if ending is not Ending.COMPLETED:
+    def outcome(self, at: int, ending: AttemptOutcome) -> None:
+        if ending is not AttemptOutcome.DELIVERED:
             self.window(at).endings[ending.value] += 1
 
     def mode(self, at: int, sender: int, text: str) -> None:
@@ -147,7 +159,7 @@
             return float(sum(entry.flight is not None for host in hosts for entry in host.entries.values()))
         return float(self.handed_in if name == "handed_in" else self.ends[name])
 
-    def close(self, witness: Witness) -> None:
+    def close(self, witness: InvariantChecker) -> None:
         self.rules = Counter(witness.counts)
         if self.open:
             self.causes["no end"] += self.open
--- a/ashpath/partners/rehearse.py
+++ b/ashpath/emulator/simulate.py
@@ -13,13 +13,13 @@
 
 import orjson
 
-from ashpath.partners.account import Account
-from ashpath.partners.baselines import POLICIES
-from ashpath.partners.day import Day, read_day
-from ashpath.partners.virtual import World
-from ashpath.partners.witness import Broken
+from ashpath.emulator.baselines import POLICIES
+from ashpath.emulator.invariant_checker import Broken
+from ashpath.emulator.scenario import Scenario, read_scenario
+from ashpath.emulator.scoreboard import Scoreboard
+from ashpath.emulator.simulation import Simulation
 
-DAYS = Path(__file__).parent / "days"
+DAYS = Path(__file__).parent / "scenarios"
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,9 +51,9 @@
     path: Path, seed: int, policy: str, watched: str = "", shown: Callable[[float], None] | None = None
 ) -> Run:
     """One run in virtual time."""
-    day = read_day(path)
-    account = Account(list(day.tracks), keeps_modes=True)
-    world = World(day, path.parent, seed, POLICIES[policy], account, watched)
+    day = read_scenario(path)
+    account = Scoreboard(list(day.tracks), keeps_modes=True)
+    world = Simulation(day, path.parent, seed, POLICIES[policy], account, watched)
     world.run(shown)
     return Run(seed, policy, account.result(), world.witness.broken, world.witness.stories, account.modes)
 
@@ -62,10 +62,10 @@
     path: Path, seed: int, folder: Path, watched: str = "", shown: Callable[[float], None] | None = None
 ) -> Run:
     """One run on sockets, with `ashpath serve` processes; files and logs of the run go to the folder."""
-    from ashpath.partners.loopback import Loopback
+    from ashpath.emulator.loopback import Loopback
 
-    day = read_day(path)
-    account = Account(list(day.tracks))
+    day = read_scenario(path)
+    account = Scoreboard(list(day.tracks))
     run = Loopback(day, path.parent, folder, seed, account, watched)
     run.run(shown)
     return Run(seed, "module on sockets", account.result(), run.witness.broken, run.witness.stories, [])
@@ -82,7 +82,7 @@
         yield from pool.map(play, *zip(*rows, strict=True))
 
 
-def outcome(day: Day, name: str, runs: list[Run]) -> bytes:
+def outcome(day: Scenario, name: str, runs: list[Run]) -> bytes:
     """The outcome file: a line for the day, and one for each run, the same to the byte each time."""
     head = {"day": name, "lesson": day.day.lesson, "runs": len(runs)}
     lines = [head, *(run.told() for run in runs)]
--- a/ashpath/partners/virtual.py
+++ b/ashpath/emulator/simulation.py
@@ -18,32 +18,40 @@
 from random import Random
 from typing import Any, Protocol
 
-from ashpath.door import Ending, Listing, Past, Presence, Repeat, Terms, Told
-from ashpath.partners.account import Account, payoff
-from ashpath.partners.baselines import UNRUN
-from ashpath.partners.day import (
+from ashpath.core.interface import (
+    AttemptOutcome,
+    EndpointRecord,
+    EndpointStatus,
+    LoadReport,
+    PolicySettings,
+    PreviousAttempts,
+    RetrySafety,
+)
+from ashpath.emulator.baselines import UNRUN
+from ashpath.emulator.destination_model import NEVER, OUTAGES, SECOND, Call, DestinationModel, Meets, Trouble
+from ashpath.emulator.invariant_checker import InvariantChecker
+from ashpath.emulator.scenario import (
     OF_PARTNERS,
-    Day,
+    Scenario,
     condition,
     day_terms,
     length,
     weight,
-)  # fmt: skip
-from ashpath.partners.day import Trouble as Scripted
-from ashpath.partners.layout import Arrivals, Layout
-from ashpath.partners.model import NEVER, OUTAGES, SECOND, Call, Meets, Partner, Trouble
-from ashpath.partners.witness import Witness
+)
+from ashpath.emulator.scenario import Trouble as Scripted
+from ashpath.emulator.scoreboard import Scoreboard, payoff
+from ashpath.emulator.topology import Arrivals, Topology
 
 LOOK = SECOND // 10  # how often conditions are looked at
 AGAIN = SECOND // 10  # a client whose sender is gone tries another after this
 STILL = 500_000  # events of one moment
 HELD_MOST = 10 * SECOND  # past the last cut-off, until which the world runs on
 ENDINGS = {
-    Meets.OK: Ending.COMPLETED,
-    Meets.ERROR: Ending.ERROR,
-    Meets.FULL: Ending.FULL,
-    Meets.RESET: Ending.RESET,
-    Meets.REFUSED: Ending.NO_CONNECTION,
+    Meets.OK: AttemptOutcome.DELIVERED,
+    Meets.ERROR: AttemptOutcome.ERROR,
+    Meets.FULL: AttemptOutcome.OVERLOADED,
+    Meets.RESET: AttemptOutcome.CONNECTION_RESET,
+    Meets.REFUSED: AttemptOutcome.CONNECT_FAILED,
 }
 
 
@@ -54,19 +62,23 @@
 class Policy(Protocol):
     """What the door asks of a decision module; `decide.Sender` and the baselines have it."""
 
-    def open_turn(self, now: int) -> None: ...
-    def close_turn(self) -> None: ...
-    def listed(self, rows: list[Listing], whole: bool) -> None: ...
-    def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None: ...
-    def restored(self, id_: int, number: int, track: int, key: int | None, left: int, past: Past) -> None: ...
-    def outage(self, number: int, endpoint: str, rate: float) -> None: ...
-    def stands(self, id_: int, now: int) -> bool: ...
-    def returned(self, id_: int, ending: Ending, wait: int, closed: bool, told: Told | None) -> None: ...
-    def gone(self, id_: int) -> None: ...
-    def woken(self, token: str) -> None: ...
+    def begin_batch(self, now: int) -> None: ...
+    def end_batch(self) -> None: ...
+    def update_endpoints(self, rows: list[EndpointRecord], whole: bool) -> None: ...
+    def submit(self, id_: int, number: int, track: int, key: int | None, left: int) -> None: ...
+    def restore(
+        self, id_: int, number: int, track: int, key: int | None, left: int, past: PreviousAttempts
+    ) -> None: ...
+    def restore_outage(self, number: int, endpoint: str, rate: float) -> None: ...
+    def still_valid(self, id_: int, now: int) -> bool: ...
+    def attempt_finished(
+        self, id_: int, ending: AttemptOutcome, wait: int, closed: bool, told: LoadReport | None
+    ) -> None: ...
+    def client_disconnected(self, id_: int) -> None: ...
+    def timer_fired(self, token: str) -> None: ...
 
 
-Maker = Callable[[Terms, Any, "World"], Policy]
+Maker = Callable[[PolicySettings, Any, "Simulation"], Policy]
 
 
 class Work:
@@ -112,7 +124,7 @@
 
     __slots__ = ("destination", "listing", "partner", "successor")
 
-    def __init__(self, destination: int, partner: Partner, listing: Listing) -> None:
+    def __init__(self, destination: int, partner: DestinationModel, listing: EndpointRecord) -> None:
         self.destination, self.partner, self.listing = destination, partner, listing
         self.successor: str | None = None  # who has its address now
 
@@ -120,7 +132,7 @@
 class Host:
     """One sender. `entries` is emptied as envelopes end, `idle` as connections are closed."""
 
-    def __init__(self, world: World, number: int) -> None:
+    def __init__(self, world: Simulation, number: int) -> None:
         self.world, self.number = world, number
         self.seeds = Random(f"{world.seed} sender {number}")
         self.alive, self.life = True, 0
@@ -129,7 +141,7 @@
         self.idle: dict[str, deque[int]] = {}
         # By place, what a further life is told of outages: the rate before, and until when it is cold.
         self.outages: dict[tuple[int, str], tuple[float, int | None]] = {}
-        self.known: dict[str, Listing] = {}  # as the directory last told
+        self.known: dict[str, EndpointRecord] = {}  # as the directory last told
         self.queue: list[tuple[Any, ...]] = []
         self.delay = world.directory_delay(number)
         self.wall = 0  # what its clock on the wall is ahead
@@ -141,13 +153,13 @@
         world = self.world
         self.terms = day_terms(world.day, self.seeds.getrandbits(48), self.number)
         self.policy: Policy = world.maker(self.terms, self, world)
-        self.turn(self.policy.listed, list(self.known.values()), True)
+        self.turn(self.policy.update_endpoints, list(self.known.values()), True)
 
     def turn(self, call: Callable[..., None], *arguments: Any) -> None:
         policy = self.policy
-        policy.open_turn(self.world.now)
+        policy.begin_batch(self.world.now)
         call(*arguments)
-        policy.close_turn()
+        policy.end_batch()
         while self.queue:
             work, self.queue = self.queue, []
             for act, *rest in work:
@@ -155,30 +167,30 @@
 
     # Answers of the policy.
 
-    def shoot(self, envelope: int, endpoint: str, timeout: int) -> None:
+    def start_attempt(self, envelope: int, endpoint: str, timeout: int) -> None:
         self.queue.append((self.begin, self.entries[envelope], endpoint, timeout))
 
-    def bounce(self, envelope: int, come_back: int) -> None:
+    def reject(self, envelope: int, come_back: int) -> None:
         self.queue.append((self.end, self.entries[envelope], "bounced", come_back))
 
-    def abort(self, envelope: int) -> None:
+    def fail(self, envelope: int) -> None:
         self.queue.append((self.end, self.entries[envelope], "aborted", 0))
 
-    def withdraw(self, envelope: int, shot: int) -> None:
+    def cancel_attempt(self, envelope: int, shot: int) -> None:
         entry = self.entries.get(envelope)
         if entry is not None and entry.flight is not None:
             self.queue.append((self.world.call_off, entry.flight))
 
-    def release(self, endpoint: str) -> None:
+    def close_idle_connections(self, endpoint: str) -> None:
         self.queue.append((self.drop_idle, endpoint))
 
-    def wake(self, at: int, token: str) -> None:
+    def schedule_timer(self, at: int, token: str) -> None:
         self.world.at(at, self.woken, token, self.life)
 
-    def mode(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
+    def mode_changed(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
         place = (destination, endpoint)
         if out or self.outages.get(place, (0.0, 0))[1] is None:
-            ramp = self.terms.ramp_time
+            ramp = self.terms.warm_up_time
             self.outages[place] = (rate, None if out else self.world.now + ramp)
         self.world.account.mode(self.world.now, self.number, text)
 
@@ -186,23 +198,23 @@
 
     def woken(self, token: str, life: int) -> None:
         if self.alive and life == self.life:
-            self.turn(self.policy.woken, token)
+            self.turn(self.policy.timer_fired, token)
 
     def take(self, work: Work) -> tuple[str, int] | None:
         """None: taken on. Else the answer, and when to come back."""
         world = self.world
-        if 0 < self.terms.room <= len(self.entries):
+        if 0 < self.terms.queue_capacity <= len(self.entries):
             return "bounced", 0
         self.last += 1
         entry = Entry(self.last, work)
         self.entries[self.last] = entry
-        track = self.terms.tracks[work.track]
+        track = self.terms.traffic_classes[work.track]
         world.witness.taken(
             world.now, self.number, self.last, work.id, work.destination, track, work.order, work.cutoff_at
         )
         self.handing_in, self.answer = entry, None
         left = work.cutoff_at - world.now
-        self.turn(self.policy.take, self.last, work.destination, work.track, work.order, left)
+        self.turn(self.policy.submit, self.last, work.destination, work.track, work.order, left)
         self.handing_in = None
         return self.answer
 
@@ -221,7 +233,9 @@
         flight = entry.flight = Flight(self, entry, endpoint, self.world.now, timeout)
         self.world.fly(flight)
 
-    def returned(self, flight: Flight, ending: Ending, wait: int = 0, told: Told | None = None) -> None:
+    def returned(
+        self, flight: Flight, ending: AttemptOutcome, wait: int = 0, told: LoadReport | None = None
+    ) -> None:
         """The one outcome of a flight."""
         if flight.dead:
             return
@@ -238,10 +252,12 @@
             world.witness.told_to_wait(world.now, self.number, world.route(flight.endpoint), wait)
         if ending not in UNRUN and entry.ran_at < 0:
             entry.ran_at, entry.ran_to = flight.began, flight.endpoint
-        if ending is Ending.COMPLETED:
+        if ending is AttemptOutcome.DELIVERED:
             self.entries.pop(entry.number, None)
             world.delivered(entry.work)
-        self.turn(self.policy.returned, entry.number, ending, wait, ending is Ending.COMPLETED, told)
+        self.turn(
+            self.policy.attempt_finished, entry.number, ending, wait, ending is AttemptOutcome.DELIVERED, told
+        )
 
     def drop_idle(self, endpoint: str) -> None:
         count = len(self.idle.pop(endpoint, ()))
@@ -260,19 +276,19 @@
             world.closed(endpoint, 1)
         return False
 
-    def told(self, rows: list[Listing], life: int) -> None:
+    def told(self, rows: list[EndpointRecord], life: int) -> None:
         """The directory's news."""
         world = self.world
         for row in rows:
-            on = row.presence is Presence.LISTED
-            if row.presence is Presence.GONE:
-                self.known.pop(row.endpoint, None)
+            on = row.status is EndpointStatus.ACTIVE
+            if row.status is EndpointStatus.REMOVED:
+                self.known.pop(row.endpoint_id, None)
             else:
-                self.known[row.endpoint] = row
+                self.known[row.endpoint_id] = row
             if self.alive:
-                world.witness.listed(world.now, self.number, row.endpoint, on)
+                world.witness.listed(world.now, self.number, row.endpoint_id, on)
         if self.alive and life == self.life:
-            self.turn(self.policy.listed, rows, False)
+            self.turn(self.policy.update_endpoints, rows, False)
 
     def kill(self) -> None:
         """Its connections are reset; what it holds is in its ledger."""
@@ -288,7 +304,7 @@
                     world.sites[flight.endpoint].partner.ended(world.now, flight.call, entry.work.id)
                 if flight.wired:
                     world.closed(flight.endpoint, 1)
-                    ending = Ending.RESET.value
+                    ending = AttemptOutcome.CONNECTION_RESET.value
                     world.witness.outcome(world.now, self.number, entry.number, ending, flight.began)
                 if entry.ran_at < 0:
                     entry.ran_at, entry.ran_to = flight.began, flight.endpoint
@@ -305,23 +321,23 @@
         self.make()
         for place, (rate, end) in self.outages.items():
             if end is None or end > world.now:
-                self.turn(self.policy.outage, *place, rate)
+                self.turn(self.policy.restore_outage, *place, rate)
         for entry in list(self.entries.values()):
             work = entry.work
             world.witness.restored(world.now, self.number, entry.number)
             unheard, entry.shots = bool(entry.shots >> 40), entry.shots & ((1 << 40) - 1)
-            past = Past(entry.shots, entry.ran_at if entry.ran_at >= 0 else None, entry.ran_to, unheard)
-            left = work.cutoff_at - world.now - self.wall
-            self.turn(
-                self.policy.restored, entry.number, work.destination, work.track, work.order, left, past
+            past = PreviousAttempts(
+                entry.shots, entry.ran_at if entry.ran_at >= 0 else None, entry.ran_to, unheard
             )
+            left = work.cutoff_at - world.now - self.wall
+            self.turn(self.policy.restore, entry.number, work.destination, work.track, work.order, left, past)
 
 
-class World:
+class Simulation:
     """One run of one day."""
 
     def __init__(
-        self, day: Day, folder: Path, seed: int, maker: Maker, account: Account, watched: str = ""
+        self, day: Scenario, folder: Path, seed: int, maker: Maker, account: Scoreboard, watched: str = ""
     ) -> None:
         self.day, self.folder, self.seed, self.maker, self.account = day, folder, seed, maker, account
         self.now, self.count = 0, 0
@@ -330,18 +346,18 @@
         self.clients = Random(f"{seed} clients' choices")
         self.net = Random(f"{seed} network")
         terms = day_terms(day, 0, 0)
-        self.tracks = terms.tracks
-        self.decays = terms.decays
-        self.connect_time, self.idle_life = terms.connect_time, terms.idle_time - SECOND // 5
-        self.witness = Witness(terms.drain_grace, terms.key_rest, watched)
+        self.tracks = terms.traffic_classes
+        self.decays = terms.value_halves
+        self.connect_time, self.idle_life = terms.connect_timeout, terms.idle_timeout - SECOND // 5
+        self.witness = InvariantChecker(terms.drain_grace, terms.settle_time, watched)
         self.latency, self.jitter = int(day.network.latency), day.network.jitter
         self.held_back = 0  # what a troubled network adds
         self.split: set[tuple[int, int]] = set()  # senders and destinations that do not reach each other
         self.late = 0  # what a troubled directory adds
-        self.layout = layout = Layout(day, folder, seed)
+        self.layout = layout = Topology(day, folder, seed)
         self.partners, self.apart = layout.partners, layout.apart
         self.sites = {
-            row.endpoint: Site(row.destination, self.partners[row.destination], row)
+            row.endpoint_id: Site(row.destination, self.partners[row.destination], row)
             for row in layout.listings
         }
         self.coming = Arrivals(day, layout.shares, seed)
@@ -353,8 +369,8 @@
             self.hosts.append(Host(self, number))
         rows = [site.listing for site in self.sites.values()]
         for host in self.hosts:
-            host.known = {row.endpoint: row for row in rows}
-            host.turn(host.policy.listed, rows, True)
+            host.known = {row.endpoint_id: row for row in rows}
+            host.turn(host.policy.update_endpoints, rows, True)
         self.front = list(range(day.fleet.senders))  # senders that clients are sent to
         self.weights: list[float] = []  # of those, added up; made anew as the front changes
         self.made = 0
@@ -375,7 +391,7 @@
         gc.collect()
         gc.freeze()
         self.at(0, self.arrive)
-        most = max(track.cutoff for track in self.tracks)
+        most = max(track.deadline for track in self.tracks)
         last, shown, still = self.ends + most + HELD_MOST, 0, 0
         while heap:
             when, _, call, arguments = heappop(heap)
@@ -394,7 +410,7 @@
     def finish(self) -> None:
         gc.unfreeze()
         self.witness.end(self.now)
-        repeats = {f"{n}": track.repeat for n, track in enumerate(self.tracks)}
+        repeats = {f"{n}": track.retry_safety for n, track in enumerate(self.tracks)}
         for partner in self.partners:
             for work, tally in partner.tallies.items():
                 if tally.effects > 1:
@@ -414,7 +430,7 @@
         span = self.coming.span(self.now)
         for track, destination, order in self.coming.clump():
             self.made += 1
-            cutoff = self.tracks[track].cutoff
+            cutoff = self.tracks[track].deadline
             work = Work(f"{track}-{self.made}", track, destination, order, self.now, cutoff, span)
             self.account.asked(work, self.worth(work, self.now))
             self.hand_in(work)
@@ -489,16 +505,16 @@
         partner = None if site is None else site.partner
         if cut or partner is None or partner.dumb(self.now):  # nobody answers: the connection never comes up
             at = min(self.now + self.connect_time, flight.due)
-            return self.at(at, self.lost, flight, Ending.NO_CONNECTION)
+            return self.at(at, self.lost, flight, AttemptOutcome.CONNECT_FAILED)
         took = 2 * self.one_way()
         where = self.where(endpoint)
         most = partner.nature.connections
         if where is None or partner.down:
-            return self.at(self.now + took, self.lost, flight, Ending.NO_CONNECTION)
+            return self.at(self.now + took, self.lost, flight, AttemptOutcome.CONNECT_FAILED)
         if most and partner.sites[where].connections >= most:
-            return self.at(self.now + took, self.lost, flight, Ending.CROWDED)
+            return self.at(self.now + took, self.lost, flight, AttemptOutcome.CONNECTION_TABLE_FULL)
         if took >= self.connect_time:
-            return self.at(self.now + self.connect_time, self.lost, flight, Ending.NO_CONNECTION)
+            return self.at(self.now + self.connect_time, self.lost, flight, AttemptOutcome.CONNECT_FAILED)
         partner.sites[where].connections += 1
         self.at(self.now + took, self.write, flight, True)
 
@@ -522,9 +538,9 @@
         if flight.dead:
             self.closed(flight.endpoint, 1)
             return
-        if fresh and not host.policy.stands(flight.entry.number, self.now):
+        if fresh and not host.policy.still_valid(flight.entry.number, self.now):
             host.idle.setdefault(flight.endpoint, deque()).append(self.now)
-            return host.returned(flight, Ending.UNSENT)
+            return host.returned(flight, AttemptOutcome.NOT_SENT)
         flight.wired = True
         flight.began = self.now
         self.account.shot(self.now)
@@ -542,22 +558,22 @@
         self.on_the_way[destination] -= 1
         partner, where = self.sites[flight.endpoint].partner, self.where(flight.endpoint)
         if (host.number, destination) in self.split:
-            return self.at(flight.due, self.lost, flight, Ending.TIMED_OUT)
+            return self.at(flight.due, self.lost, flight, AttemptOutcome.TIMED_OUT)
         work = flight.entry.work
         if where is None or partner.down:
-            return self.at(self.now + self.one_way(), self.lost, flight, Ending.RESET)
+            return self.at(self.now + self.one_way(), self.lost, flight, AttemptOutcome.CONNECTION_RESET)
         if destination in self.witness.outages:
             self.load(destination, host.number)
         falls = partner.falls
-        key = work.key if self.tracks[work.track].repeat is Repeat.TAGGED else None
+        key = work.key if self.tracks[work.track].retry_safety is RetrySafety.DEDUPLICATED else None
         call = flight.call = partner.arrive(self.now, where, work.id, work.track, key, fresh)
         if partner.falls > falls:
             self.fell(destination)
         if call.after >= NEVER:
-            return self.at(flight.due, self.lost, flight, Ending.TIMED_OUT)
+            return self.at(flight.due, self.lost, flight, AttemptOutcome.TIMED_OUT)
         back = self.now + call.after + self.one_way()
         if back >= flight.due:
-            self.at(flight.due, self.lost, flight, Ending.TIMED_OUT)
+            self.at(flight.due, self.lost, flight, AttemptOutcome.TIMED_OUT)
         else:
             self.at(back, self.come, flight, call)
 
@@ -567,14 +583,14 @@
             return
         site, host = self.sites[flight.endpoint], flight.host
         if (host.number, site.destination) in self.split or site.partner.dumb(self.now):
-            return self.at(flight.due, self.lost, flight, Ending.TIMED_OUT)
+            return self.at(flight.due, self.lost, flight, AttemptOutcome.TIMED_OUT)
         if call.meets is Meets.RESET or site.partner.down:
-            return self.lost(flight, Ending.RESET)
+            return self.lost(flight, AttemptOutcome.CONNECTION_RESET)
         host.idle.setdefault(flight.endpoint, deque()).append(self.now)
-        told = Told(call.left, call.rate) if call.left >= 0 else None
+        told = LoadReport(call.left, call.rate) if call.left >= 0 else None
         host.returned(flight, ENDINGS[call.meets], call.wait, told)
 
-    def lost(self, flight: Flight, ending: Ending) -> None:
+    def lost(self, flight: Flight, ending: AttemptOutcome) -> None:
         """Its connection is of no further use."""
         if not flight.dead:
             if flight.wired:
@@ -582,7 +598,7 @@
             flight.host.returned(flight, ending)
 
     def call_off(self, flight: Flight) -> None:
-        self.lost(flight, Ending.WITHDRAWN)
+        self.lost(flight, AttemptOutcome.CANCELLED)
 
     # Outages.
 
@@ -719,17 +735,17 @@
             new = f"{name}+"
             partner.remove(name)
             partner.add(new)
-            fresh = Listing(new, number, listing.kind, listing.zone, Presence.LISTED)
+            fresh = EndpointRecord(new, number, listing.kind, listing.zone, EndpointStatus.ACTIVE)
             self.sites[name].successor = new
             self.sites[new] = Site(number, partner, fresh)
-            gone = Listing(name, number, listing.kind, listing.zone, Presence.GONE)
+            gone = EndpointRecord(name, number, listing.kind, listing.zone, EndpointStatus.REMOVED)
             rows += [gone, fresh]
             for host in self.hosts:
                 host.idle.pop(name, None)
         for host in self.hosts:
             self.at(self.now + host.delay + self.late, self.tell, host, rows)
 
-    def tell(self, host: Host, rows: list[Listing]) -> None:
+    def tell(self, host: Host, rows: list[EndpointRecord]) -> None:
         host.told(rows, host.life)
 
     def kill(self, host: Host) -> None:
--- a/ashpath/partners/layout.py
+++ b/ashpath/emulator/topology.py
@@ -7,19 +7,19 @@
 from pathlib import Path
 from random import Random
 
-from ashpath.door import Listing, Presence
-from ashpath.partners.day import Day, Span, Trouble, nature, played
-from ashpath.partners.model import SECOND, Partner
+from ashpath.core.interface import EndpointRecord, EndpointStatus
+from ashpath.emulator.destination_model import SECOND, DestinationModel
+from ashpath.emulator.scenario import Scenario, Span, Trouble, nature, played
 
 
-class Layout:
+class Topology:
     """The partners of a day, by destination number, kinds in the order of the file, the busiest first."""
 
-    def __init__(self, day: Day, folder: Path, seed: int) -> None:
-        self.partners: list[Partner] = []
+    def __init__(self, day: Scenario, folder: Path, seed: int) -> None:
+        self.partners: list[DestinationModel] = []
         self.kinds: dict[str, list[int]] = {}
         self.apart: list[bool] = []
-        self.listings: list[Listing] = []
+        self.listings: list[EndpointRecord] = []
         shares: list[float] = []
         for index, (kind, row) in enumerate(day.partners.items()):
             self.kinds[kind] = []
@@ -27,8 +27,10 @@
             for rank in range(row.count):
                 number = len(self.partners)
                 names = [f"{kind}-{rank}-{at}" for at in range(row.endpoints)]
-                self.partners.append(Partner(made, Random(f"{seed} partner {number}"), names))
-                self.listings += [Listing(name, number, index, 0, Presence.LISTED) for name in names]
+                self.partners.append(DestinationModel(made, Random(f"{seed} partner {number}"), names))
+                self.listings += [
+                    EndpointRecord(name, number, index, 0, EndpointStatus.ACTIVE) for name in names
+                ]
                 self.kinds[kind].append(number)
                 self.apart.append(row.apart)
                 shares.append(row.share * ranks[rank] / sum(ranks))
@@ -52,7 +54,7 @@
 class Arrivals:
     """Who hands in what and when: a Poisson process of clumps, by spans, with a chance of its own."""
 
-    def __init__(self, day: Day, shares: list[float], seed: int) -> None:
+    def __init__(self, day: Scenario, shares: list[float], seed: int) -> None:
         self.day, self.shares, self.chance = day, shares, Random(f"{seed} clients")
         self.factor = 1.0  # of the traffic
         self.spans: list[tuple[int, int, Span]] = []
--- a/ashpath/decide.py
+++ b/ashpath/policy/engine.py
@@ -11,7 +11,17 @@
 from math import exp
 from random import Random
 
-from ashpath.door import Answers, Ending, Listing, Past, Presence, Repeat, Terms, Told, TrackTerms
+from ashpath.core.interface import (
+    AttemptOutcome,
+    EndpointRecord,
+    EndpointStatus,
+    LoadReport,
+    PolicyActions,
+    PolicySettings,
+    PreviousAttempts,
+    RetrySafety,
+    TrafficClassSettings,
+)
 
 SECOND = 1_000_000
 
@@ -21,7 +31,7 @@
 STRETCH = 8  # deviations over the mean that a shot is given; less frees slots sooner, loses slow answers
 IGNORANT, OVERTAKEN = 5, 3  # completions: before times are trusted; fast later ones that excuse a time-out
 # An early time-out loses most where a repeat is not free; waiting for the cut-off would fill the slots.
-PATIENCE = {Repeat.REPEATABLE: 1, Repeat.TAGGED: 2, Repeat.ONCE_ONLY: 4}
+PATIENCE = {RetrySafety.IDEMPOTENT: 1, RetrySafety.DEDUPLICATED: 2, RetrySafety.AT_MOST_ONCE: 4}
 LEAST_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 CROWDED = 0.02  # above this share connections are not kept; less spends new ones, more leaves others none
 RERANK_EVERY = 1 * SECOND  # how often endpoints are ranked anew
@@ -46,7 +56,7 @@
 ROUGH = 2 / 3  # of a listed rate, which may be half too high; more pushes over, less is slower back
 CAUTION = 0.9  # share used of what the rule on returning destinations allows
 ROOM_USED = 0.9  # past this part of the room late envelopes give way; less gives up more, more turns away new
-COME_BACK = 1 * SECOND  # told with a bounce where nothing better is known
+DEFAULT_RETRY_AFTER = 1 * SECOND  # told with a bounce where nothing better is known
 
 
 class State(Enum):
@@ -57,14 +67,19 @@
 
 
 MOVES = {State.HELD: {State.OUT, State.OVER}, State.OUT: set(State) - {State.OUT}, State.LEFT: {State.OVER}}
-PROVES_UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.CROWDED, Ending.UNSENT)
-LOAD_SIGNS = (*PROVES_UNRUN[:3], Ending.ERROR, Ending.TIMED_OUT, Ending.RESET)
+NEVER_RAN = (
+    AttemptOutcome.OVERLOADED,
+    AttemptOutcome.CONNECT_FAILED,
+    AttemptOutcome.CONNECTION_TABLE_FULL,
+    AttemptOutcome.NOT_SENT,
+)
+LOAD_SIGNS = (*NEVER_RAN[:3], AttemptOutcome.ERROR, AttemptOutcome.TIMED_OUT, AttemptOutcome.CONNECTION_RESET)
 
 
 @dataclass(frozen=True)
 class Track:
     index: int
-    terms: TrackTerms
+    terms: TrafficClassSettings
     decays: bool
 
 
@@ -107,9 +122,11 @@
     def payoff_at(self, when: int) -> float:
         terms, late, decays = self.track.terms, when - self.promise_at, self.track.decays
         if late <= 0 or when >= self.cutoff_at:
-            return terms.payoff if late <= 0 else 0.0
-        line = 1 - (1 - terms.late_share) * late / (terms.cutoff - terms.promised)
-        return terms.payoff * max(terms.late_share, 0.5 ** (late / terms.promised) if decays else line)
+            return terms.value if late <= 0 else 0.0
+        line = 1 - (1 - terms.late_value_share) * late / (terms.deadline - terms.latency_objective)
+        return terms.value * max(
+            terms.late_value_share, 0.5 ** (late / terms.latency_objective) if decays else line
+        )
 
 
 @dataclass(eq=False)
@@ -172,7 +189,7 @@
 class Gate:
     """The ADR 0122 gate: limit, fast count, holds, latest decrease and breaker, of a destination or route."""
 
-    def __init__(self, sender: Sender, number: int, route: str = "") -> None:
+    def __init__(self, sender: DeliveryPolicy, number: int, route: str = "") -> None:
         self.sender, self.number, self.route = sender, number, route
         self.limit, self.in_flight = 1, 0
         self.fast, self.unfailed = 0, True  # grows by one with each fast success until the first failure
@@ -185,7 +202,7 @@
         self.pace_cut_at, self.succeeded_at = sender.now, sender.now
         self.bad, self.bad_at = 0.0, sender.now  # share of late answers that were errors or resets
         self.failures = 0.0  # in a row; those that may have other causes count half
-        self.ailing, self.warm_from, self.guard = False, -sender.terms.ramp_time, Bucket()
+        self.ailing, self.warm_from, self.guard = False, -sender.settings.warm_up_time, Bucket()
         self.done = Flow(sender.now, sender.now)  # own completions, while well
         self.asked = Flow(sender.now, sender.now)  # envelopes handed in for it, some of them again
 
@@ -206,52 +223,63 @@
         guarded = self.guard.due(now, self.allowance(now), 1.0) if self.recovering(now) else None
         if guarded or not self.pace:
             return guarded
-        burst = PACE_BURST * self.told * self.share / self.sender.terms.senders**0.5  # others have theirs
+        burst = (
+            PACE_BURST * self.told * self.share / self.sender.settings.sender_count**0.5
+        )  # others have theirs
         return self.paced.due(now, self.pace, max(1.0, burst))
 
-    def tell(self, told: Told | None) -> None:
+    def tell(self, told: LoadReport | None) -> None:
         if told:
-            was, since, self.share, self.told_at = self.told, self.told_at, told.left, self.sender.now
+            was, since, self.share, self.told_at = (
+                self.told,
+                self.told_at,
+                told.remaining_quota,
+                self.sender.now,
+            )
             gain = max(GAIN, 1 - exp((since - self.told_at) / TOLD_OVER)) if was else 1.0
-            self.told += gain * (told.rate - was)
+            self.told += gain * (told.rate_limit - was)
             # A pace is a part of the limit: who calls seldom hears of a lower one once, and follows at once.
             self.set_pace(self.pace * self.told / was if self.pace else max(self.sender.start, self.split()))
 
     def split(self) -> float:
-        return self.told / self.sender.terms.senders
+        return self.told / self.sender.settings.sender_count
 
     def set_pace(self, pace: float) -> None:
         most = pace if self.sender.blind else self.told  # what stands in for a told limit is no bound
         self.pace = max(min(pace, most), LEAST_PACE * self.split())
 
     def allowance(self, now: int) -> float:  # calls a second for a place just back, or about to be
-        terms = self.sender.terms
-        warm = 0.0 if self.ailing else min(1.0, (now - self.warm_from) / max(1, terms.ramp_time))
-        present = max(GAIN / 2, terms.cold_share + (1 - terms.cold_share) * warm)  # 0 would find no return
+        terms = self.sender.settings
+        warm = 0.0 if self.ailing else min(1.0, (now - self.warm_from) / max(1, terms.warm_up_time))
+        present = max(
+            GAIN / 2, terms.initial_capacity_share + (1 - terms.initial_capacity_share) * warm
+        )  # 0 would find no return
         mean = self.sender.asked.rate() / max(1, len(self.sender.destinations))
-        least = LEAST_KNOWN if terms.reports else min(LEAST_KNOWN, max(LEAST_START, mean))
-        told = self.split() * (terms.reports or ROUGH * terms.rated)  # what only stands in says nothing here
+        least = LEAST_KNOWN if terms.has_load_reports else min(LEAST_KNOWN, max(LEAST_START, mean))
+        told = self.split() * (
+            terms.has_load_reports or ROUGH * terms.has_listed_rates
+        )  # what only stands in says nothing here
         usual = max(self.done.rate(), ASKED_AGAIN * self.asked.rate(), least, told)
         usual = told if told and self.sender.blind else usual  # all guesses would sum up to too much
-        return CAUTION * (terms.fall_multiple or SECOND) * present * usual  # without the rule, no bound
+        return CAUTION * (terms.overload_multiple or SECOND) * present * usual  # without the rule, no bound
 
     def recovering(self, now: int) -> bool:  # guards against pushing over a destination that returns cold
-        return self.ailing or now < self.warm_from + self.sender.terms.ramp_time
+        return self.ailing or now < self.warm_from + self.sender.settings.warm_up_time
 
     def sent(self, shot: Shot) -> None:
         self.in_flight += 1
         endpoint, now = shot.endpoint, self.sender.now
         shot.mark, endpoint.in_flight = endpoint.quick + endpoint.in_flight, endpoint.in_flight + 1
         endpoint.gap, endpoint.shot_at = now - endpoint.shot_at, now
-        self.sender.out[shot] = None
+        self.sender.attempts_in_flight[shot] = None
         self.guard.tokens = max(0.0, self.guard.tokens - 1)
         self.paced.tokens -= 1
         if self.breaker is Breaker.OPEN:
             self.breaker, shot.probe = Breaker.PROBING, True
 
-    def judge(self, shot: Shot, ending: Ending, took: int) -> None:
+    def judge(self, shot: Shot, ending: AttemptOutcome, took: int) -> None:
         """The outcome table of the paper, and its probe table."""
-        if ending is Ending.COMPLETED:
+        if ending is AttemptOutcome.DELIVERED:
             return self.succeed(shot, took)
         if ending not in LOAD_SIGNS:  # a dropped probe: the period is over already, the next waiter probes
             self.breaker = Breaker.OPEN if shot.probe else self.breaker
@@ -267,18 +295,26 @@
             if not self.limit:
                 self.open(ending)
 
-    def excused(self, shot: Shot, ending: Ending, took: int) -> bool:
+    def excused(self, shot: Shot, ending: AttemptOutcome, took: int) -> bool:
         """A failure that says nothing of load, though the paper's table takes it for a sign of load."""
         sender, now = self.sender, self.sender.now
-        if ending is Ending.FULL and sender.blind:  # the listed rate stands in, or else the own one
+        if (
+            ending is AttemptOutcome.OVERLOADED and sender.blind
+        ):  # the listed rate stands in, or else the own one
             self.share, self.refused_at = 0.0, now
-            self.told = self.told or max(self.done.rate(), sender.start) * sender.terms.senders  # split
-        limited = ending is Ending.FULL and self.told > 0
-        vague = ending in (Ending.FULL, Ending.TIMED_OUT) or self.crowded(ending, took)
+            self.told = (
+                self.told or max(self.done.rate(), sender.start) * sender.settings.sender_count
+            )  # split
+        limited = ending is AttemptOutcome.OVERLOADED and self.told > 0
+        vague = ending in (AttemptOutcome.OVERLOADED, AttemptOutcome.TIMED_OUT) or self.crowded(ending, took)
         some = self.share >= MUCH_LEFT or sender.blind
         self.failures += 0.25 * some if limited else 0.5 if vague else 1
         # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
-        least = 0.5 if vague and (ending is Ending.NO_CONNECTION or max(sender.crowding) <= CROWDED) else 1.0
+        least = (
+            0.5
+            if vague and (ending is AttemptOutcome.CONNECT_FAILED or max(sender.crowding) <= CROWDED)
+            else 1.0
+        )
         rate = self.done.sum * SECOND / RATED_OVER if vague else self.done.rate()
         enough = min(RUN_OF_FAILURES, max(least, RUN_OF_FAILURES * rate))
         run = self.failures >= enough and now - self.succeeded_at > SHUT_AFTER
@@ -286,26 +322,33 @@
         shut = some and self.wait_until - now > SHUT_AFTER
         if shut or (run and not self.ailing):
             self.ailing = True  # by lot, as many senders that all start at one call each would push it over
-            self.guard = Bucket(max(now, self.wait_until), sender.chance.random())
+            self.guard = Bucket(max(now, self.wait_until), sender.random.random())
             self.log(f"ailing: {self.failures:.1f} failures, last {ending.value}")
         if limited and not run and not shut:  # the rate explains it: it cuts the pace, once per burst
-            self.paced.tokens, self.paced.at = sender.blind * (sender.chance.random() - 0.5), now
+            self.paced.tokens, self.paced.at = sender.blind * (sender.random.random() - 0.5), now
             sender.start = max(LEAST_START, sender.start * START_CUT)
             if shot.started >= self.pace_cut_at:
                 cut = PACE_CUT if self.succeeded_at >= self.pace_cut_at else PACE_CUT_AGAIN
                 self.set_pace(min(self.pace * cut or MOST_START, max(sender.start, self.split())))
                 self.pace_cut_at = now
             return True
-        if ending in (Ending.ERROR, Ending.RESET):  # one failure among successes is no load
+        if ending in (
+            AttemptOutcome.ERROR,
+            AttemptOutcome.CONNECTION_RESET,
+        ):  # one failure among successes is no load
             self.bad *= (1 - GAIN / 2) ** ((now - self.bad_at) / SECOND)
             self.bad, self.bad_at = self.bad + GAIN * (1 - self.bad), now
             return self.bad < MOSTLY_BAD and not run
-        return ending is Ending.TIMED_OUT and (took < shot.timeout or self.overtaken(shot))
+        return ending is AttemptOutcome.TIMED_OUT and (took < shot.timeout or self.overtaken(shot))
 
-    def crowded(self, ending: Ending, took: int) -> bool:  # full of connections, or down where none can tell
-        terms = self.sender.terms
-        unclear = ending is Ending.NO_CONNECTION and not terms.tables_told
-        return ending is Ending.CROWDED or (unclear and 2 * took < terms.connect_time)
+    def crowded(
+        self, ending: AttemptOutcome, took: int
+    ) -> bool:  # full of connections, or down where none can tell
+        terms = self.sender.settings
+        unclear = ending is AttemptOutcome.CONNECT_FAILED and not terms.reports_full_connection_table
+        return ending is AttemptOutcome.CONNECTION_TABLE_FULL or (
+            unclear and 2 * took < terms.connect_timeout
+        )
 
     def overtaken(self, shot: Shot) -> bool:  # its connection may be dead: the endpoint works on nothing
         return shot.endpoint.quick > shot.mark + OVERTAKEN
@@ -328,9 +371,9 @@
         if self.ailing:
             self.ailing, self.warm_from, self.guard.at = False, now, now
             self.log(f"back: allowed {self.allowance(now):.1f}/s of {self.done.rate():.1f}/s")
-            if sender.terms.notes:
+            if sender.settings.gossip_enabled:
                 note = f"back {shot.envelopes[0].destination.number} {endpoint.id}"
-                sender.answers.tell(note.encode())
+                sender.actions.publish(note.encode())
         if shot.probe:
             self.close()
         elif fast and self.breaker is Breaker.CLOSED:
@@ -338,18 +381,21 @@
             if (self.unfailed or self.fast >= self.limit) and self.limit < sender.cap:
                 self.limit, self.fast = self.limit + 1, 0
 
-    def open(self, ending: Ending) -> None:
+    def open(self, ending: AttemptOutcome) -> None:
         self.breaker, self.limit = Breaker.OPEN, 0
-        terms = self.sender.terms  # a dial refused costs nothing where tables are told, and finds a return
-        pause = COOLDOWN << (self.reopened > 0 and not (terms.tables_told and ending is Ending.NO_CONNECTION))
+        terms = self.sender.settings  # a dial refused costs nothing where tables are told, and finds a return
+        pause = COOLDOWN << (
+            self.reopened > 0
+            and not (terms.reports_full_connection_table and ending is AttemptOutcome.CONNECT_FAILED)
+        )
         # Senders take turns by number at a destination just back, all within one more pause.
-        self.open_until = self.sender.now + pause + pause * terms.number // terms.senders
+        self.open_until = self.sender.now + pause + pause * terms.sender_index // terms.sender_count
         self.log(f"breaker open {pause // 1000} ms: {ending.value}, reopened {self.reopened}")
 
     def heard_back(self) -> None:  # a return that all find one by one, at a call and a pause each
         if self.ailing:  # by lot again: buckets that filled meanwhile would push it over together
             self.ailing, self.warm_from = False, self.sender.now
-            self.guard = Bucket(self.sender.now, self.sender.chance.random())
+            self.guard = Bucket(self.sender.now, self.sender.random.random())
             if self.breaker is Breaker.OPEN:
                 self.close()
 
@@ -363,20 +409,20 @@
 
     def log(self, text: str) -> None:
         text = f"route {self.route} {text}" if self.route else f"destination {self.number} {text}"
-        self.sender.answers.mode(text, self.number, self.route, self.ailing, self.done.rate())
+        self.sender.actions.mode_changed(text, self.number, self.route, self.ailing, self.done.rate())
 
 
 class Destination:  # dropped when it has neither endpoints nor envelopes
-    def __init__(self, sender: Sender, number: int) -> None:
+    def __init__(self, sender: DeliveryPolicy, number: int) -> None:
         self.sender, self.number = sender, number
         self.known: dict[str, Endpoint] = {}  # listed ones, and gone ones until their news is old
         self.endpoints: list[Endpoint] = []  # those listed, in ranked order
         self.gate = Gate(sender, number)
         self.apart, self.per_call, self.kind = False, 1, 0
-        self.times = [Times() for _ in sender.tracks]
+        self.times = [Times() for _ in sender.traffic_classes]
         # Envelopes held, by track, in order of arrival: within the promised time, and past it.
-        self.fresh: list[OrderedDict[Envelope, None]] = [OrderedDict() for _ in sender.tracks]
-        self.late: list[OrderedDict[Envelope, None]] = [OrderedDict() for _ in sender.tracks]
+        self.fresh: list[OrderedDict[Envelope, None]] = [OrderedDict() for _ in sender.traffic_classes]
+        self.late: list[OrderedDict[Envelope, None]] = [OrderedDict() for _ in sender.traffic_classes]
         self.owed = self.look_at = 0  # envelopes, and when to look at the gate again
         sender.stirred[self] = None
 
@@ -388,7 +434,7 @@
         for times, wide in ((self.times[track.index], 1), (self.sender.times, 2)):
             if times.count >= IGNORANT:
                 return int(times.mean + STRETCH * times.deviation) * wide
-        return track.terms.promised
+        return track.terms.latency_objective
 
     def opens_in(self, told: bool = False) -> int:
         now = self.sender.now  # the time until the first gate may open, as far as it is known, or was told
@@ -398,20 +444,22 @@
     def gates(self) -> list[Gate]:
         return [endpoint.gate for endpoint in self.endpoints] if self.apart else [self.gate]
 
-    def listed(self, row: Listing) -> None:
-        kind = self.sender.terms.kinds[row.kind]
-        self.apart, self.per_call, self.kind = kind.apart, kind.per_call, row.kind
-        before = self.known.get(row.endpoint)
+    def listed(self, row: EndpointRecord) -> None:
+        kind = self.sender.settings.destination_kinds[row.kind]
+        self.apart, self.per_call, self.kind = kind.limit_per_endpoint, kind.max_batch_size, row.kind
+        before = self.known.get(row.endpoint_id)
         if before is None or (before.gate is self.gate) == self.apart:  # new, or its kind was switched
-            gate = Gate(self.sender, self.number, row.endpoint) if self.apart else self.gate
-            self.known[row.endpoint] = Endpoint(row.endpoint, row.zone, gate, self.sender.chance.random())
+            gate = Gate(self.sender, self.number, row.endpoint_id) if self.apart else self.gate
+            self.known[row.endpoint_id] = Endpoint(
+                row.endpoint_id, row.zone, gate, self.sender.random.random()
+            )
             if before is not None:
                 gate.follow(before.gate)
-        endpoint = self.known[row.endpoint]
-        if self.sender.blind and self.sender.terms.rated:
-            endpoint.gate.told = row.weight or endpoint.gate.told
-        others = [e for e in self.endpoints if e.id != row.endpoint]
-        serves = row.presence is Presence.LISTED and row.endpoint not in self.sender.held
+        endpoint = self.known[row.endpoint_id]
+        if self.sender.blind and self.sender.settings.has_listed_rates:
+            endpoint.gate.told = row.listed_rate or endpoint.gate.told
+        others = [e for e in self.endpoints if e.id != row.endpoint_id]
+        serves = row.status is EndpointStatus.ACTIVE and row.endpoint_id not in self.sender.detached
         self.endpoints = [endpoint, *others] if serves else others
         self.rank()
 
@@ -423,7 +471,7 @@
 
     def rank(self) -> None:
         """Well first, then cheap if apart, then quick; between equals a lot, or all would begin at one."""
-        fees = self.sender.terms.fees if self.apart else ()
+        fees = self.sender.settings.zone_costs if self.apart else ()
         fee = {e: fees[e.zone] if e.zone < len(fees) else 0.0 for e in self.endpoints}
         self.endpoints.sort(key=lambda e: (round(e.failing, 1), fee[e], e.pace, e.lot))
 
@@ -441,7 +489,7 @@
         drained = int(SECOND * max(1.0, sum(map(len, self.fresh)) / max(1.0, rate)))
         for queue in (*self.fresh, *map(reversed, self.late)):
             for envelope in queue:
-                ran, anywhere = envelope.ran, envelope.track.terms.whole_group
+                ran, anywhere = envelope.ran, envelope.track.terms.deduplicates_across_zones
                 if envelope.cutoff_at <= now or (ran and not anywhere and ran.endpoint.zone != endpoint.zone):
                     continue  # its wake is to come yet, or a repeat would not be recognised there
                 then = now + self.expected(envelope.track)
@@ -455,11 +503,13 @@
     def look(self, at: int) -> None:
         if not self.sender.now < self.look_at <= at:
             self.look_at = at
-            self.sender.answers.wake(at, f"d{self.number}")
+            self.sender.actions.schedule_timer(at, f"d{self.number}")
 
     def gathers(self) -> int | None:  # until when a call may wait to be fuller, a part of the promised time
         oldest, enough = [next(iter(q)) for q in self.fresh if q], sum(map(len, self.fresh)) >= self.per_call
-        at = min((e.promise_at - int((1 - GATHER) * e.track.terms.promised) for e in oldest), default=0)
+        at = min(
+            (e.promise_at - int((1 - GATHER) * e.track.terms.latency_objective) for e in oldest), default=0
+        )
         return None if enough or any(self.late) or at <= self.sender.now else at
 
     def pump(self) -> None:
@@ -469,7 +519,7 @@
         for gate in self.gates():
             while any(self.fresh) or any(self.late):
                 # The cap is three quarters of what others leave: slow destinations leave room for the rest.
-                if gate.in_flight >= 3 * (sender.terms.slots - len(sender.out)):
+                if gate.in_flight >= 3 * (sender.settings.max_in_flight - len(sender.attempts_in_flight)):
                     sender.dirty[self] = None
                     return sender.relieve()
                 opens_at = gate.opens_at(sender.now)
@@ -484,42 +534,50 @@
                     shot.envelopes.append(envelope)
                     envelope = self.next(endpoint)
                 shot.usual = max(self.usual(envelope.track) for envelope in shot.envelopes)
-                patience = max(PATIENCE[envelope.track.terms.repeat] for envelope in shot.envelopes)
+                patience = max(PATIENCE[envelope.track.terms.retry_safety] for envelope in shot.envelopes)
                 shot.timeout = patience * max(LEAST_TIMEOUT, shot.usual)
                 shot.unheard = len(shot.envelopes)
                 for envelope in shot.envelopes:
                     envelope.shot, envelope.shots = shot, envelope.shots + 1
                     timeout = min(shot.timeout, envelope.cutoff_at - sender.now)
-                    sender.answers.shoot(envelope.id, endpoint.id, timeout)
+                    sender.actions.start_attempt(envelope.id, endpoint.id, timeout)
                 gate.sent(shot)
 
 
-class Sender:
-    def __init__(self, terms: Terms, answers: Answers) -> None:
-        self.terms, self.answers, self.chance = terms, answers, Random(terms.seed)
+class DeliveryPolicy:
+    def __init__(self, terms: PolicySettings, answers: PolicyActions) -> None:
+        self.settings, self.actions, self.random = terms, answers, Random(terms.seed)
         self.times = Times()  # over all destinations, where one is not yet known
         self.now, self.start = 0, START
         self.asked = Flow(0)  # envelopes handed in, over all destinations
         self.crowding: list[float] = []  # share of calls that found no connection free, by kind
-        self.out: dict[Shot, None] = {}  # calls out, oldest first
+        self.attempts_in_flight: dict[Shot, None] = {}  # calls out, oldest first
         self.destinations: dict[int, Destination] = {}  # emptied as they lose endpoints and envelopes
-        self.envelopes: dict[int, Envelope] = {}  # emptied as they are over
+        self.messages: dict[int, Envelope] = {}  # emptied as they are over
         self.lines: dict[int, Line] = {}  # emptied as they run out
         self.lonely: list[Endpoint] = []  # whose connections may be closed; emptied each turn
         self.dirty: OrderedDict[Destination, None] = OrderedDict()  # to be pumped each turn while slots last
         self.stirred: dict[Destination, None] = {}  # had news since the last ranking, which empties it
         self.late: OrderedDict[Envelope, None] = OrderedDict()  # those waiting in late queues
-        self.held: set[str] = set()  # endpoints an operator took out: draining here, whatever is listed
+        self.detached: set[str] = set()  # endpoints an operator took out: draining here, whatever is listed
         self.asking, self.unanswered = False, 0  # for the list that is not pushed; calls failed in a row
         self.blind = False  # no answer tells of a limit: what stands in is in `Gate.excused`
-        answers.wake(0, "r")
-        self.switch(terms)
-
-    def switch(self, terms: Terms) -> None:  # all numbers stay, and envelopes keep their terms
-        self.terms, count, self.cap = terms, len(terms.tracks), max(1, terms.slots * 3 // 4)
-        other, self.blind = self.blind == terms.reports, not terms.reports
-        self.tracks = [Track(i, row, terms.decays) for i, row in enumerate(terms.tracks)]
-        self.crowding += [0.0] * (len(terms.kinds) - len(self.crowding))
+        answers.schedule_timer(0, "r")
+        self.apply_settings(terms)
+
+    def apply_settings(
+        self, terms: PolicySettings
+    ) -> None:  # all numbers stay, and envelopes keep their terms
+        self.settings, count, self.cap = (
+            terms,
+            len(terms.traffic_classes),
+            max(1, terms.max_in_flight * 3 // 4),
+        )
+        other, self.blind = self.blind == terms.has_load_reports, not terms.has_load_reports
+        self.traffic_classes = [
+            Track(i, row, terms.value_halves) for i, row in enumerate(terms.traffic_classes)
+        ]
+        self.crowding += [0.0] * (len(terms.destination_kinds) - len(self.crowding))
         for one in self.destinations.values():
             one.times += [Times() for _ in range(count - len(one.times))]
             for queues in (one.fresh, one.late):
@@ -527,26 +585,26 @@
             for gate in [one.gate, *(e.gate for e in one.known.values())] if other else ():
                 gate.told, gate.told_at, gate.pace, gate.share = 0.0, 0, 0.0, 1.0  # in another way from now
 
-    def open_turn(self, now: int) -> None:
+    def begin_batch(self, now: int) -> None:
         self.now = now
 
-    def close_turn(self) -> None:
+    def end_batch(self) -> None:
         for _ in range(len(self.dirty)):  # each at most once, and none once the slots are out
-            if len(self.out) >= self.terms.slots:
+            if len(self.attempts_in_flight) >= self.settings.max_in_flight:
                 self.relieve()
                 break
             self.dirty.popitem(last=False)[0].pump()
         # Guards endpoints that take few connections against idle ones. Costs a new connection a call.
         for endpoint in (one for one in self.lonely if not one.in_flight):
-            self.answers.release(endpoint.id)
+            self.actions.close_idle_connections(endpoint.id)
         self.lonely.clear()
 
-    def unlisted(self) -> None:  # the list could not be had: asked for again by lot, ever later
+    def endpoint_poll_failed(self) -> None:  # the list could not be had: asked for again by lot, ever later
         self.unanswered += 1
-        pause = min(self.terms.ask_within, SECOND << min(self.unanswered, 10))
-        self.answers.wake(self.now + int(pause * self.chance.uniform(0.5, 1)), "l")
+        pause = min(self.settings.poll_interval, SECOND << min(self.unanswered, 10))
+        self.actions.schedule_timer(self.now + int(pause * self.random.uniform(0.5, 1)), "l")
 
-    def listed(self, rows: list[Listing], whole: bool) -> None:
+    def update_endpoints(self, rows: list[EndpointRecord], whole: bool) -> None:
         self.unanswered = 0
         for destination in self.destinations.values() if whole else ():
             destination.endpoints = []
@@ -556,7 +614,9 @@
             destination.listed(row)
             self.dirty[destination] = self.stirred[destination] = None
 
-    def heard(self, note: bytes) -> None:  # it may be late, or of a place not known here, or no note at all
+    def receive_gossip(
+        self, note: bytes
+    ) -> None:  # it may be late, or of a place not known here, or no note at all
         word, number, id_ = (*note.decode("utf-8", "replace").split(" ", 2), "", "")[:3]
         destination = self.destinations.get(int(number) if number.isdecimal() else -1)
         if destination and id_ in destination.known and word == "back":
@@ -567,14 +627,16 @@
         found = self.destinations.get(number)
         return found or self.destinations.setdefault(number, Destination(self, number))
 
-    def take(self, id_: int, number: int, track: int, key: int | None, left: int, new: bool = True) -> None:
-        row, destination, end = self.tracks[track], self.destination(number), self.now + left
+    def submit(self, id_: int, number: int, track: int, key: int | None, left: int, new: bool = True) -> None:
+        row, destination, end = self.traffic_classes[track], self.destination(number), self.now + left
         self.asked.count(self.now, float(new))
         for gate in destination.gates() if new else ():
             gate.asked.count(self.now, 1 / len(destination.gates()))
-        envelope = Envelope(id_, destination, row, end, end - row.terms.cutoff + row.terms.promised)
-        self.envelopes[id_] = envelope
-        if new and self.late and len(self.envelopes) > ROOM_USED * self.terms.room > 0:
+        envelope = Envelope(
+            id_, destination, row, end, end - row.terms.deadline + row.terms.latency_objective
+        )
+        self.messages[id_] = envelope
+        if new and self.late and len(self.messages) > ROOM_USED * self.settings.queue_capacity > 0:
             # Guards the rest against queues that fill the room: of those longest late, the least gives way.
             self.give_up(min(islice(self.late, 8), key=lambda envelope: envelope.payoff_at(self.now)))
         destination.owed += 1
@@ -585,38 +647,52 @@
             return self.advance(line)
         self.queue(envelope)
 
-    def restored(self, id_: int, number: int, track: int, key: int | None, left: int, past: Past) -> None:
+    def restore(
+        self, id_: int, number: int, track: int, key: int | None, left: int, past: PreviousAttempts
+    ) -> None:
         """Owed from an earlier life. What may have run still counts; waits and measurements are gone."""
-        self.take(id_, number, track, key, left, new=False)
-        envelope, destination = self.envelopes[id_], self.destinations[number]
-        envelope.shots, envelope.kept = past.shots, not past.shots
-        if past.ran_at is not None:
-            endpoint = destination.known.get(past.ran_to) or Endpoint("", -1, destination.gate, 0.0)
-            envelope.ran = Shot(endpoint, past.ran_at)
-        if envelope.line and past.unheard:
-            envelope.line.rest_until = self.now + self.terms.key_rest
+        self.submit(id_, number, track, key, left, new=False)
+        envelope, destination = self.messages[id_], self.destinations[number]
+        envelope.shots, envelope.kept = past.attempts, not past.attempts
+        if past.first_run_at is not None:
+            endpoint = destination.known.get(past.first_run_endpoint) or Endpoint(
+                "", -1, destination.gate, 0.0
+            )
+            envelope.ran = Shot(endpoint, past.first_run_at)
+        if envelope.line and past.unresolved:
+            envelope.line.rest_until = self.now + self.settings.settle_time
         self.review(envelope)
 
-    def stands(self, id_: int, now: int) -> bool:
+    def still_valid(self, id_: int, now: int) -> bool:
         """Whether a shot may still go once its connection is up: still listed, and no wait told meanwhile."""
-        shot, listed = self.envelopes[id_].shot, self.envelopes[id_].destination.endpoints
+        shot, listed = self.messages[id_].shot, self.messages[id_].destination.endpoints
         return bool(shot and shot.endpoint in listed and now >= shot.endpoint.gate.wait_until)
 
-    def returned(self, id_: int, ending: Ending, wait: int, closed: bool, told: Told | None) -> None:
-        envelope = self.envelopes.get(id_)
+    def attempt_finished(
+        self, id_: int, ending: AttemptOutcome, wait: int, closed: bool, told: LoadReport | None
+    ) -> None:
+        envelope = self.messages.get(id_)
         if envelope is None or envelope.shot is None:
             return
         shot, destination, track, envelope.shot = envelope.shot, envelope.destination, envelope.track, None
-        ending = Ending.TIMED_OUT if shot.called_off and ending is Ending.WITHDRAWN else ending
+        ending = (
+            AttemptOutcome.TIMED_OUT if shot.called_off and ending is AttemptOutcome.CANCELLED else ending
+        )
         took = self.now - shot.started
         shot.endpoint.gate.tell(told)
         self.hear(shot, destination, ending, wait, took)
-        for times in (destination.times[track.index], self.times) if ending is Ending.COMPLETED else ():
+        for times in (
+            (destination.times[track.index], self.times) if ending is AttemptOutcome.DELIVERED else ()
+        ):
             times.learn(took)
-        if envelope.line and ending in (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN):
-            envelope.line.rest_until = self.now + self.terms.key_rest
-        envelope.ran = envelope.ran or (None if ending in PROVES_UNRUN else shot)
-        if closed or ending is Ending.COMPLETED or envelope.state is State.LEFT:
+        if envelope.line and ending in (
+            AttemptOutcome.TIMED_OUT,
+            AttemptOutcome.CONNECTION_RESET,
+            AttemptOutcome.CANCELLED,
+        ):
+            envelope.line.rest_until = self.now + self.settings.settle_time
+        envelope.ran = envelope.ran or (None if ending in NEVER_RAN else shot)
+        if closed or ending is AttemptOutcome.DELIVERED or envelope.state is State.LEFT:
             self.move(envelope, State.OVER)
         elif self.may_repeat(envelope):
             self.move(envelope, State.HELD)
@@ -624,47 +700,49 @@
         else:
             self.give_up(envelope)
 
-    def hear(self, shot: Shot, destination: Destination, ending: Ending, wait: int, took: int) -> None:
+    def hear(
+        self, shot: Shot, destination: Destination, ending: AttemptOutcome, wait: int, took: int
+    ) -> None:
         """A call has one outcome for its gate, however many envelopes travel in it."""
         endpoint, gate, shot.unheard = shot.endpoint, shot.endpoint.gate, shot.unheard - 1
         gate.wait_until = max(gate.wait_until, self.now + wait)
-        if not shot.judged and (ending is not Ending.TIMED_OUT or not shot.unheard):
+        if not shot.judged and (ending is not AttemptOutcome.TIMED_OUT or not shot.unheard):
             shot.judged = True
             gate.judge(shot, ending, took)
         if not shot.unheard:
             gate.in_flight, endpoint.in_flight = gate.in_flight - 1, endpoint.in_flight - 1
-            del self.out[shot]
-            if ending is Ending.TIMED_OUT and not gate.overtaken(shot):
+            del self.attempts_in_flight[shot]
+            if ending is AttemptOutcome.TIMED_OUT and not gate.overtaken(shot):
                 gate.holds.append(self.now + HOLD)
             kind = destination.kind
             self.crowding[kind] += GAIN / 2 * (gate.crowded(ending, took) - self.crowding[kind])
-            if 2 * endpoint.gap > self.terms.idle_time or self.crowding[kind] > CROWDED:
+            if 2 * endpoint.gap > self.settings.idle_timeout or self.crowding[kind] > CROWDED:
                 self.lonely.append(endpoint)
         self.dirty[destination] = self.stirred[destination] = None
 
     def may_repeat(self, envelope: Envelope) -> bool:  # harmless, with time to succeed once a gate opens
-        destination, repeat = envelope.destination, envelope.track.terms.repeat
+        destination, repeat = envelope.destination, envelope.track.terms.retry_safety
         sent_at = self.now + destination.opens_in(envelope.kept and not envelope.shots)
         late = envelope.cutoff_at - sent_at <= destination.expected(envelope.track)
-        in_window = repeat is Repeat.TAGGED and sent_at < self.window_end(envelope)
-        harmless = envelope.ran is None or repeat is Repeat.REPEATABLE or in_window
-        return harmless and not late and not envelope.shots >= self.terms.most_shots > 0
+        in_window = repeat is RetrySafety.DEDUPLICATED and sent_at < self.window_end(envelope)
+        harmless = envelope.ran is None or repeat is RetrySafety.IDEMPOTENT or in_window
+        return harmless and not late and not envelope.shots >= self.settings.max_attempts > 0
 
     def window_end(self, envelope: Envelope) -> int:
         """The last moment to send a tagged envelope again; a connection may have to be made on the way."""
         started = envelope.ran.started if envelope.ran else self.now
-        return started + envelope.track.terms.window - self.terms.connect_time
+        return started + envelope.track.terms.deduplication_window - self.settings.connect_timeout
 
-    def gone(self, id_: int) -> None:
-        envelope = self.envelopes.get(id_)
+    def client_disconnected(self, id_: int) -> None:
+        envelope = self.messages.get(id_)
         if envelope is not None and envelope.state is not State.LEFT:
             self.move(envelope, State.LEFT if envelope.state is State.OUT else State.OVER)
 
-    def hold(self, endpoint: str, out: bool, row: Listing | None = None) -> None:
+    def set_detached(self, endpoint: str, out: bool, row: EndpointRecord | None = None) -> None:
         """An operator's hold: out, the endpoint drains here until put back, then cold, listed as in `row`."""
-        (self.held.add if out else self.held.discard)(endpoint)
+        (self.detached.add if out else self.detached.discard)(endpoint)
         if not out and row is not None:
-            self.listed([row], False)
+            self.update_endpoints([row], False)
         for destination in self.destinations.values():
             if endpoint in destination.known:
                 gate = destination.known[endpoint].gate
@@ -674,13 +752,17 @@
                     gate.ailing, gate.warm_from, gate.guard.at = False, self.now, self.now
                 self.dirty[destination] = self.stirred[destination] = None
 
-    def waited(self, number: int, endpoint: str, until: int) -> None:  # told to our other process
+    def retry_after_received(
+        self, number: int, endpoint: str, until: int
+    ) -> None:  # told to our other process
         for gate in self.gates(number, endpoint):
             gate.wait_until = max(gate.wait_until, until)
 
-    def outage(self, number: int, endpoint: str, rate: float) -> None:  # an earlier life had been told of it
+    def restore_outage(
+        self, number: int, endpoint: str, rate: float
+    ) -> None:  # an earlier life had been told of it
         for gate in self.gates(number, endpoint):  # by lot again: all may have restarted at once
-            gate.ailing, gate.guard = True, Bucket(self.now, self.chance.random())
+            gate.ailing, gate.guard = True, Bucket(self.now, self.random.random())
             gate.done = Flow(-(10**9), self.now, rate * RATED_OVER / SECOND)
 
     def gates(self, number: int, endpoint: str) -> list[Gate]:  # all routes where the endpoint is not known
@@ -689,18 +771,18 @@
         known = destination.known.get(endpoint)
         return destination.gates() if known is None else [known.gate]
 
-    def woken(self, token: str) -> None:
+    def timer_fired(self, token: str) -> None:
         kind, number = token[0], int(token[1:] or 0)
         if kind == "r":
             self.rank()
         elif kind == "l" and self.asking:
-            self.answers.ask()
+            self.actions.poll_endpoints()
         elif kind == "d" and number in self.destinations:
             self.dirty[self.destinations[number]] = None
         elif kind == "k" and number in self.lines:
             self.advance(self.lines[number])
-        elif kind == "e" and number in self.envelopes and self.envelopes[number].state is State.HELD:
-            self.review(self.envelopes[number])
+        elif kind == "e" and number in self.messages and self.messages[number].state is State.HELD:
+            self.review(self.messages[number])
 
     def rank(self) -> None:
         stirred, self.stirred = self.stirred, {}
@@ -712,18 +794,20 @@
                 destination.rank()
             else:
                 self.stirred[destination] = None
-        if self.terms.ask_within and not self.asking:  # by turn, as all may have started at once
-            turn = self.terms.ask_within * self.terms.number // (2 * self.terms.senders)
-            self.answers.wake(self.now + turn, "l")
-        self.asking = self.terms.ask_within > 0
-        self.answers.wake(self.now + RERANK_EVERY, "r")
+        if self.settings.poll_interval and not self.asking:  # by turn, as all may have started at once
+            turn = (
+                self.settings.poll_interval * self.settings.sender_index // (2 * self.settings.sender_count)
+            )
+            self.actions.schedule_timer(self.now + turn, "l")
+        self.asking = self.settings.poll_interval > 0
+        self.actions.schedule_timer(self.now + RERANK_EVERY, "r")
 
     def move(self, envelope: Envelope, state: State) -> None:  # every change of an envelope's state
         assert state in MOVES[envelope.state], f"{envelope.state} to {state}"
         envelope.state = state
         self.unqueue(envelope)
         if state is State.OVER:
-            del self.envelopes[envelope.id]
+            del self.messages[envelope.id]
             envelope.destination.owed -= 1
             if envelope.line is not None:
                 envelope.line.envelopes.remove(envelope)
@@ -752,9 +836,9 @@
         """Wakes at its promised time, then its cut-off, or as its window ends, less what a call takes."""
         expected = envelope.destination.expected(envelope.track)
         at = envelope.promise_at if envelope.promise_at - expected > self.now else envelope.cutoff_at
-        if envelope.ran and envelope.track.terms.repeat is Repeat.TAGGED:
+        if envelope.ran and envelope.track.terms.retry_safety is RetrySafety.DEDUPLICATED:
             at = min(at, self.window_end(envelope) + expected)
-        self.answers.wake(max(self.now, at - expected), f"e{envelope.id}")
+        self.actions.schedule_timer(max(self.now, at - expected), f"e{envelope.id}")
 
     def review(self, envelope: Envelope) -> None:
         if not self.may_repeat(envelope):
@@ -763,25 +847,25 @@
 
     def relieve(self) -> None:
         """Guards the slots against answers that never come: with none free, an overdue call is called off."""
-        for shot in self.out:
-            if self.terms.may_withdraw and shot.usual < self.now - shot.started and not shot.called_off:
+        for shot in self.attempts_in_flight:
+            if self.settings.may_cancel and shot.usual < self.now - shot.started and not shot.called_off:
                 shot.called_off = True
                 for envelope in (e for e in shot.envelopes if e.shot is shot):
-                    self.answers.withdraw(envelope.id, envelope.shots - 1)
+                    self.actions.cancel_attempt(envelope.id, envelope.shots - 1)
                 return
 
     def give_up(self, envelope: Envelope) -> None:
         """The final answer, at once. A bounce where it is harmless to come again, else an abort."""
         self.move(envelope, State.OVER)
-        if envelope.ran is None or envelope.track.terms.repeat is Repeat.REPEATABLE:
-            shut = max(COME_BACK, envelope.destination.opens_in())
-            self.answers.bounce(envelope.id, min(self.terms.longest_wait, shut))
+        if envelope.ran is None or envelope.track.terms.retry_safety is RetrySafety.IDEMPOTENT:
+            shut = max(DEFAULT_RETRY_AFTER, envelope.destination.opens_in())
+            self.actions.reject(envelope.id, min(self.settings.max_retry_after, shut))
         else:
-            self.answers.abort(envelope.id)
+            self.actions.fail(envelope.id)
 
     def advance(self, line: Line) -> None:
         if line.rest_until > self.now:
-            self.answers.wake(line.rest_until, f"k{line.key}")
+            self.actions.schedule_timer(line.rest_until, f"k{line.key}")
         elif not line.envelopes:
             self.lines.pop(line.key, None)
         elif line.envelopes[0].state is State.HELD and line.envelopes[0].queue is None:
--- a/ashpath/node/backoff.py
+++ b/ashpath/server/backoff.py
@@ -8,9 +8,9 @@
 
 >>> from random import Random
 >>> pause = Backoff(Random(1), least=0.1, most=0.8)
->>> [round(pause.failed(), 3) for _ in range(5)]
+>>> [round(pause.next_pause(), 3) for _ in range(5)]
 [0.057, 0.185, 0.353, 0.502, 0.598]
->>> pause.succeeded(); [round(pause.failed(told), 3) for told in (2.0, 2.0, 60.0)]
+>>> pause.reset(); [round(pause.next_pause(told), 3) for told in (2.0, 2.0, 60.0)]
 [3.629, 2.235, 4.254]
 """
 
@@ -23,19 +23,19 @@
     def __init__(
         self, chance: Random, least: float, most: float, most_told: float = 4.5, spread: float = 0.5
     ) -> None:
-        self.chance, self.least, self.most, self.most_told = chance, least, most, most_told
-        self.spread = spread  # the part of a pause that is drawn
-        self.row = 0  # failures in a row
+        self.random, self.min_s, self.max_s, self.max_retry_after_s = chance, least, most, most_told
+        self.jitter = spread  # the part of a pause that is drawn
+        self.failures = 0  # failures in a row
 
-    def failed(self, told: float | None = None) -> float:
+    def next_pause(self, told: float | None = None) -> float:
         """Seconds to pause before the next try."""
-        self.row = min(self.row + 1, 32)
-        span = min(self.most, self.least * 2.0 ** (self.row - 1))
-        pause = span * (1 - self.spread * (1 - self.chance.random()))
+        self.failures = min(self.failures + 1, 32)
+        span = min(self.max_s, self.min_s * 2.0 ** (self.failures - 1))
+        pause = span * (1 - self.jitter * (1 - self.random.random()))
         if told:
-            least = min(told, self.most_told * 2 / 3)
-            pause = max(pause, least + (self.most_told - least) * self.chance.random())
+            least = min(told, self.max_retry_after_s * 2 / 3)
+            pause = max(pause, least + (self.max_retry_after_s - least) * self.random.random())
         return pause
 
-    def succeeded(self) -> None:
-        self.row = 0
+    def reset(self) -> None:
+        self.failures = 0
