--- a/ashpath/node/control.py
+++ b/ashpath/server/control/listener.py
@@ -17,13 +17,19 @@
 import gevent
 from gevent import Timeout, socket
 
-from ashpath.node.control_line import Call, Unreadable, answer, read
-from ashpath.node.limits import Limits
-from ashpath.node.pool import Address
+from ashpath.server.control.protocol import InvalidCommandError, OperatorCommand, answer, read
+from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.limits import ServerLimits
 
 
-class Control:
-    def __init__(self, where: Address, limits: Limits, calls: Callable[[Call], tuple[bool, str]], log: Any):
+class ControlListener:
+    def __init__(
+        self,
+        where: Address,
+        limits: ServerLimits,
+        calls: Callable[[OperatorCommand], tuple[bool, str]],
+        log: Any,
+    ):
         self.where, self.limits, self.calls, self.log = where, limits, calls, log
         self.callers: OrderedDict[Any, None] = OrderedDict()  # longest without a word first; left as they end
 
@@ -40,7 +46,7 @@
             except OSError:
                 gevent.sleep(0.01)  # out of descriptors, or a caller that left again
                 continue
-            while len(self.callers) >= self.limits.control_callers:
+            while len(self.callers) >= self.limits.control_connections:
                 if not self.give_way():
                     gevent.sleep(0)  # all have just spoken, and are answered now
             self.callers[caller] = None
@@ -62,7 +68,7 @@
     def serve(self, caller: Any) -> None:
         data = b""
         try:
-            with Timeout(self.limits.control_patience):
+            with Timeout(self.limits.control_timeout_s):
                 call = None
                 while call is None:
                     piece = caller.recv(512)
@@ -74,10 +80,10 @@
             ok, words = self.calls(call)
             self.log.info("control call", call=call.name, argument=call.argument, ok=ok, words=words)
             self.say(caller, answer(ok, words))
-        except Unreadable as error:
+        except InvalidCommandError as error:
             self.say(caller, answer(False, str(error)))
         except Timeout:
-            self.say(caller, answer(False, f"no whole line in {self.limits.control_patience:g} s"))
+            self.say(caller, answer(False, f"no whole line in {self.limits.control_timeout_s:g} s"))
         except OSError:
             pass
         finally:
@@ -86,7 +92,7 @@
                 caller.close()
 
     def say(self, caller: Any, data: bytes) -> None:
-        with suppress(OSError, Timeout), Timeout(self.limits.peer):
+        with suppress(OSError, Timeout), Timeout(self.limits.response_write_s):
             caller.sendall(data)
 
 
--- a/ashpath/node/control_line.py
+++ b/ashpath/server/control/protocol.py
@@ -4,7 +4,7 @@
 answer is one line that begins with `OK` or `ERR`, and a reason after `ERR`.
 
 >>> read(b"DETACH ep-7\\r\\n")
-Call(name='DETACH', argument='ep-7')
+OperatorCommand(name='DETACH', argument='ep-7')
 >>> read(b"PIN") is None
 True
 """
@@ -18,42 +18,44 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Call:
+class OperatorCommand:
     name: str
     argument: str | None = None
 
 
-class Unreadable(ValueError):
+class InvalidCommandError(ValueError):
     """The line is no call; its words are the reason that the answer gives."""
 
 
-def read(data: bytes) -> Call | None:
+def read(data: bytes) -> OperatorCommand | None:
     """The call in what a caller sent so far; None while the line is not whole.
 
     Raises Unreadable: a line too long, not ASCII, an unknown call, or one with a wrong count of arguments."""
     end = data.find(b"\n")
     if end < 0:
         if len(data) >= LONGEST:
-            raise Unreadable(f"line longer than {LONGEST} bytes")
+            raise InvalidCommandError(f"line longer than {LONGEST} bytes")
         return None
     if end >= LONGEST:
-        raise Unreadable(f"line longer than {LONGEST} bytes")
+        raise InvalidCommandError(f"line longer than {LONGEST} bytes")
     line = data[:end].removesuffix(b"\r")
     try:
         text = line.decode("ascii")
     except UnicodeDecodeError:
-        raise Unreadable("line is not ASCII") from None
+        raise InvalidCommandError("line is not ASCII") from None
     if not text.isprintable():
-        raise Unreadable("line holds control characters")
+        raise InvalidCommandError("line holds control characters")
     words = text.split()
     if not words:
-        raise Unreadable("empty line")
+        raise InvalidCommandError("empty line")
     name, arguments = words[0].upper(), words[1:]
     if name not in TAKES:
-        raise Unreadable(f"unknown call {words[0][:32]!r}")
+        raise InvalidCommandError(f"unknown call {words[0][:32]!r}")
     if len(arguments) != TAKES[name]:
-        raise Unreadable(f"{name} takes {'one argument, an endpoint id' if TAKES[name] else 'no argument'}")
-    return Call(name, arguments[0] if arguments else None)
+        raise InvalidCommandError(
+            f"{name} takes {'one argument, an endpoint id' if TAKES[name] else 'no argument'}"
+        )
+    return OperatorCommand(name, arguments[0] if arguments else None)
 
 
 def answer(ok: bool, words: str = "") -> bytes:
--- a/ashpath/node/notice_file.py
+++ b/ashpath/server/delivery/notification_file.py
@@ -11,12 +11,12 @@
 import gevent
 from gevent.event import Event
 
-from ashpath.node.ledger import Entry, Ledger
-from ashpath.node.limits import Limits
-from ashpath.node.notices import Waiting
+from ashpath.server.delivery.notifier import PendingNotifications
+from ashpath.server.limits import ServerLimits
+from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 
 
-class LineFile:
+class RotatingFile:
     """Lines behind one another; a full file becomes `.1`, that one `.2`, and the last one is dropped.
     The standard library's rotating handler keeps what it could not write in a buffer and writes it twice."""
 
@@ -57,47 +57,47 @@
         self.written += len(data)
 
 
-class FileNotices(Waiting):
+class FileNotifier(PendingNotifications):
     """`waiting` is emptied as the file takes the lines. A kill between a line and the ledger's record of it
     repeats the line: the same id, the same status."""
 
-    def __init__(self, file: LineFile, limits: Limits, ledger: Ledger, log: Any) -> None:
+    def __init__(self, file: RotatingFile, limits: ServerLimits, ledger: WriteAheadLog, log: Any) -> None:
         super().__init__()
-        self.file, self.limits, self.ledger, self.log = file, limits, ledger, log
+        self.file, self.limits, self.write_ahead_log, self.log = file, limits, ledger, log
 
     def run(self) -> None:
         failing = False
         while True:
-            self.any.wait()
-            batch = list(islice(self.waiting, self.limits.notices))
+            self.has_pending.wait()
+            batch = list(islice(self.pending, self.limits.notification_batch))
             if not batch:
-                self.any.clear()
+                self.has_pending.clear()
                 continue
             try:
                 self.file.write("".join(f"{entry.notice}\n" for entry in batch).encode())
             except OSError as error:
                 if not failing:
-                    self.log.error("notices not written", error=str(error), waiting=len(self.waiting))
+                    self.log.error("notices not written", error=str(error), waiting=len(self.pending))
                 failing = True
-                gevent.sleep(self.limits.retry)
+                gevent.sleep(self.limits.retry_s)
                 continue
             if failing:
-                self.log.info("notices written again", waiting=len(self.waiting))
+                self.log.info("notices written again", waiting=len(self.pending))
             failing = False
-            self.told(batch, self.ledger)
+            self.acknowledged(batch, self.write_ahead_log)
 
 
-class NoNotices:
+class NullNotifier:
     """Nobody is told: who asks for an envelope's end hears it."""
 
-    def __init__(self, ledger: Ledger) -> None:
-        self.ledger = ledger
-        self.waiting: dict[Entry, None] = {}
+    def __init__(self, ledger: WriteAheadLog) -> None:
+        self.write_ahead_log = ledger
+        self.pending: dict[StoredMessage, None] = {}
 
-    def add(self, entry: Entry) -> None:
-        self.ledger.ended(entry)
+    def add(self, entry: StoredMessage) -> None:
+        self.write_ahead_log.record_finished(entry)
 
-    def untold(self, entry: Entry) -> None:
+    def pending_for(self, entry: StoredMessage) -> None:
         """Nothing is ever waited for."""
 
     def run(self) -> None:
--- /dev/null
+++ b/ashpath/server/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""The discovery client: which endpoints there are, by snapshots and watches."""
--- a/ashpath/node/directory.py
+++ b/ashpath/server/discovery/client.py
@@ -11,13 +11,13 @@
 import gevent
 import orjson
 
-from ashpath.node import names
-from ashpath.node.backoff import Backoff
-from ashpath.node.calls import Line
-from ashpath.node.codec import Message
-from ashpath.node.limits import Limits
-from ashpath.node.pool import Address
-from ashpath.node.relay import number
+from ashpath.server import wire_names as names
+from ashpath.server.agent_client import AgentConnection
+from ashpath.server.backoff import Backoff
+from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.delivery.response_classifier import number
+from ashpath.server.http.codec import HttpMessage
+from ashpath.server.limits import ServerLimits
 
 Hear = Callable[[list[dict[str, Any]], bool], bool]
 
@@ -26,7 +26,7 @@
     """The directory is elsewhere from now on."""
 
 
-class Directory:
+class DiscoveryClient:
     """`first`: seconds to wait with the first call, while the list as last held serves. A change between
     answers, calls turned away, silence, and lists that cannot be read is logged once.
 
@@ -34,29 +34,46 @@
     then, once the directory had it and could be reached."""
 
     def __init__(
-        self, address: Address, limits: Limits, revision: int, hear: Hear, chance: Random, log: Any,
+        self,
+        address: Address,
+        limits: ServerLimits,
+        revision: int,
+        hear: Hear,
+        chance: Random,
+        log: Any,
         first: float = 0.0,
     ) -> None:
-        self.log, self.state, self.tries = log, "answers", 0  # since the last change of state
-        self.line, self.limits, self.hear, self.first = Line(address, limits), limits, hear, first
-        self.answered = monotonic()  # or begun
+        self.log, self.state, self.calls_in_state = log, "answers", 0  # since the last change of state
+        self.connection, self.limits, self.on_members, self.first_poll_delay = (
+            AgentConnection(address, limits),
+            limits,
+            hear,
+            first,
+        )
+        self.last_response_at = monotonic()  # or begun
         self.pausing: Any = None  # the greenlet that sits out a pause
         self.revision: int | None = revision  # none: the whole list is asked for
         # Silence and refused connections are an outage, whose end is to be seen soon. A call turned away is
         # more than the directory can answer: a try sooner than it takes to give up on one is the next such.
-        self.silent = Backoff(chance, limits.retry, limits.lists_backoff)
-        self.away = Backoff(chance, limits.watch, limits.lists_away, limits.lists_away, limits.lists_spread)
+        self.silent_backoff = Backoff(chance, limits.retry_s, limits.discovery_backoff_s)
+        self.rejected_backoff = Backoff(
+            chance,
+            limits.watch_s,
+            limits.discovery_rejected_backoff_s,
+            limits.discovery_rejected_backoff_s,
+            limits.discovery_jitter,
+        )
 
     def move(self, address: Address) -> None:
         """Another agent may count its revisions anew, and have missed or told what the old one had not. What
         the old one still answers is not read, and no pause that it caused is sat out."""
         self.revision = None
-        if address != self.line.address:
-            self.silent.succeeded()
-            self.away.succeeded()
+        if address != self.connection.address:
+            self.silent_backoff.reset()
+            self.rejected_backoff.reset()
             if self.pausing is not None:
                 gevent.kill(self.pausing, Moved)  # at its next switch
-        self.line.move(address)
+        self.connection.move(address)
 
     def pause(self, seconds: float) -> None:
         self.pausing = gevent.getcurrent()
@@ -64,52 +81,52 @@
             gevent.sleep(seconds)
         self.pausing = None
 
-    def ask(self, patience: float) -> Message | None:
+    def poll(self, patience: float) -> HttpMessage | None:
         """One call, and whether its answer was a list that could be read is said by `self.revision`."""
-        wait = int(self.limits.watch * 1000)
+        wait = int(self.limits.watch_s * 1000)
         watch = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, wait)
-        return self.line.call(b"GET %s%s HTTP/1.1" % (names.MEMBERS, watch), b"", patience)
+        return self.connection.call(b"GET %s%s HTTP/1.1" % (names.MEMBERS, watch), b"", patience)
 
-    def at_start(self) -> None:
+    def initial_snapshot(self) -> None:
         """Before anything is sent: what the platform's agent has by now counts as told from the first moment
         of the process, and `known` may be old. Where it does not answer at once, `known` serves."""
         self.revision = None
-        answer = self.ask(self.limits.at_start)
-        if answer is not None and answer.status == 200 and self.learn(answer.body):
-            self.first = 0.0
+        answer = self.poll(self.limits.initial_snapshot_s)
+        if answer is not None and answer.status == 200 and self.apply_response(answer.body):
+            self.first_poll_delay = 0.0
 
     def run(self) -> None:
-        gevent.sleep(self.first)
+        gevent.sleep(self.first_poll_delay)
         while True:
-            asked = self.line.address
-            answer = self.ask(self.limits.watch + self.limits.silence)
-            if asked != self.line.address:
+            asked = self.connection.address
+            answer = self.poll(self.limits.watch_s + self.limits.watch_grace_s)
+            if asked != self.connection.address:
                 continue
-            if answer is not None and answer.status == 200 and self.learn(answer.body):
-                self.answered = monotonic()
-                self.silent.succeeded()
-                self.away.succeeded()
-                self.stands("answers", answer)
+            if answer is not None and answer.status == 200 and self.apply_response(answer.body):
+                self.last_response_at = monotonic()
+                self.silent_backoff.reset()
+                self.rejected_backoff.reset()
+                self.log_state("answers", answer)
                 continue
             if answer is None:
                 self.revision = None  # who answers next may have begun anew, and count its revisions anew
             # Guards the directory against a fleet that failed together and would come back together.
             if answer is not None and answer.status in (429, 503):
-                self.stands("turns calls away", answer)
-                self.pause(self.away.failed(number(answer.headers.get(names.WAIT))))
+                self.log_state("turns calls away", answer)
+                self.pause(self.rejected_backoff.next_pause(number(answer.headers.get(names.WAIT))))
             else:
-                self.stands("silent" if answer is None else "not read", answer)
-                self.pause(self.silent.failed())
+                self.log_state("silent" if answer is None else "not read", answer)
+                self.pause(self.silent_backoff.next_pause())
 
-    def stands(self, state: str, answer: Message | None) -> None:
-        self.tries += 1
+    def log_state(self, state: str, answer: HttpMessage | None) -> None:
+        self.calls_in_state += 1
         if state != self.state:
             status = answer.status if answer is not None else 0
             revision = self.revision or 0
-            self.log.info("directory", now=state, status=status, tries=self.tries, revision=revision)
-            self.state, self.tries = state, 0
+            self.log.info("directory", now=state, status=status, tries=self.calls_in_state, revision=revision)
+            self.state, self.calls_in_state = state, 0
 
-    def learn(self, body: bytes) -> bool:
+    def apply_response(self, body: bytes) -> bool:
         """Takes the list or its changes; False where that cannot be read. Guards against a directory that
         has lost its list: one without any endpoint is not believed, and what was last told serves on.
 
@@ -125,7 +142,7 @@
         if whole and not rows:
             return False
         before, self.revision = self.revision, None
-        sound = self.hear(rows, whole) if rows else True
+        sound = self.on_members(rows, whole) if rows else True
         if whole or (sound and (before is None or revision >= before)):
             self.revision = revision
         return True
--- a/ashpath/node/peers.py
+++ b/ashpath/server/gossip.py
@@ -13,21 +13,21 @@
 import gevent
 from gevent import socket
 
-from ashpath.node.pool import Address
+from ashpath.server.delivery.connection_pool import Address
 
 LONGEST = 256  # bytes of a note
 
 
-class Peers:
+class Gossip:
     """`move` takes a new address and other senders while it runs; no address: nothing is heard or told."""
 
     def __init__(self, hear: Callable[[bytes], None], log: Any) -> None:
-        self.hear, self.log = hear, log
-        self.told = self.heard = self.dropped = 0  # notes
+        self.on_message, self.log = hear, log
+        self.sent = self.received = self.dropped = 0  # notes
         self.socket: Any = None
         self.reader: Any = None
         self.listen: Address | None = None
-        self.others: frozenset[Address] = frozenset()
+        self.peers: frozenset[Address] = frozenset()
 
     def move(self, listen: Address | None, others: frozenset[Address]) -> None:
         """Raises OSError where the address cannot be had; what was there before then serves on."""
@@ -46,13 +46,13 @@
                 old.close()
             if fresh is not None:
                 self.reader = gevent.spawn(self.run, fresh)
-        self.others = others - ({listen} if listen else set())
+        self.peers = others - ({listen} if listen else set())
 
-    def tell(self, note: bytes) -> None:
-        for other in self.others if self.socket is not None and len(note) <= LONGEST else ():
+    def publish(self, note: bytes) -> None:
+        for other in self.peers if self.socket is not None and len(note) <= LONGEST else ():
             try:
                 self.socket.sendto(note, other)
-                self.told += 1
+                self.sent += 1
             except OSError:
                 continue  # as good as lost on its way
 
@@ -64,9 +64,9 @@
                 if own is self.socket:
                     gevent.sleep(0.01)  # a refusal of an earlier datagram comes back here
                 continue
-            if sender in self.others and 0 < len(note) <= LONGEST:
-                self.heard += 1
-                self.hear(note)
+            if sender in self.peers and 0 < len(note) <= LONGEST:
+                self.received += 1
+                self.on_message(note)
                 continue
             self.dropped += 1
             if self.dropped & (self.dropped - 1) == 0:  # the 1st, 2nd, 4th: strangers cannot fill the log
--- a/ashpath/node/admit.py
+++ b/ashpath/server/http/admission.py
@@ -5,15 +5,15 @@
 from hashlib import blake2b
 from typing import Any
 
-from ashpath.decide import COME_BACK
-from ashpath.door import Repeat, Terms
-from ashpath.node import names
-from ashpath.node.book import Book
-from ashpath.node.codec import Malformed, Message, write_head
-from ashpath.node.host import Host
-from ashpath.node.ledger import Entry
-from ashpath.node.route import Route
-from ashpath.node.timers import wall
+from ashpath.core.interface import PolicySettings, RetrySafety
+from ashpath.policy.engine import DEFAULT_RETRY_AFTER
+from ashpath.server import wire_names as names
+from ashpath.server.delivery.endpoint_registry import EndpointRegistry
+from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.http.codec import HttpMessage, ProtocolError, encode_message
+from ashpath.server.policy_runner import PolicyRunner
+from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.timers import wall
 
 ONCE = {names.TRACE, names.TRACK, names.EXPIRES, names.ROUTE, names.TAG}
 PLAIN = {
@@ -31,11 +31,11 @@
 }
 
 
-def answer(status: int, keep: bool = True, come_back: int = 0, body: bytes = b"") -> bytes:
+def encode_response(status: int, keep: bool = True, come_back: int = 0, body: bytes = b"") -> bytes:
     headers = [] if keep else [(b"connection", b"close")]
     if come_back > 0:
         headers.append((names.WAIT, b"%.3f" % (come_back / 1e6)))
-    return write_head(PLAIN[status], headers, body)
+    return encode_message(PLAIN[status], headers, body)
 
 
 def whole(text: bytes) -> int:
@@ -59,32 +59,43 @@
     return text.decode("ascii")
 
 
-class Admit:
+class Admission:
     def __init__(
-        self, terms: Terms, tracks: dict[str, int], route: Route, host: Host, book: Book, log: Any
+        self,
+        terms: PolicySettings,
+        tracks: dict[str, int],
+        route: EndpointRegistry,
+        host: PolicyRunner,
+        book: OutcomeRecorder,
+        log: Any,
     ) -> None:
-        self.terms, self.tracks, self.route, self.log = terms, tracks, route, log
-        self.host, self.book, self.ledger, self.full = host, book, book.ledger, False
+        self.settings, self.traffic_class_ids, self.registry, self.log = terms, tracks, route, log
+        self.policy_runner, self.recorder, self.write_ahead_log, self.full = (
+            host,
+            book,
+            book.write_ahead_log,
+            False,
+        )
         self.refusing = False  # after SIGTERM
 
-    def envelope(self, request: Message) -> Entry:
+    def parse_request(self, request: HttpMessage) -> StoredMessage:
         """An envelope of a request; what is missing, told twice or no number is said."""
         headers = request.headers
         if request.doubled & ONCE:
-            raise Malformed(400, "not an envelope: told twice")
+            raise ProtocolError(400, "not an envelope: told twice")
         try:
-            track = self.tracks[headers[names.TRACK].decode()]
+            track = self.traffic_class_ids[headers[names.TRACK].decode()]
             left = whole(headers[names.EXPIRES])
             fields = (part.strip().partition(b"=") for part in headers[names.ROUTE].split(b";"))
             destination = whole(next(value for name, _, value in fields if name == b"dest"))
             trace = word(headers[names.TRACE])
-            tagged = self.terms.tracks[track].repeat is Repeat.TAGGED
+            tagged = self.settings.traffic_classes[track].retry_safety is RetrySafety.DEDUPLICATED
             tag = word(headers[names.TAG]) if tagged or names.TAG in headers else None
         except (KeyError, ValueError, StopIteration) as error:
-            raise Malformed(400, f"not an envelope: {error}") from None
-        cutoff = wall() + min(left * 1000, self.terms.tracks[track].cutoff)
+            raise ProtocolError(400, f"not an envelope: {error}") from None
+        cutoff = wall() + min(left * 1000, self.settings.traffic_classes[track].deadline)
         order = self.order(headers.get(names.COOKIE, b""))
-        return Entry(0, trace, track, destination, order, tag, cutoff, request.body)
+        return StoredMessage(0, trace, track, destination, order, tag, cutoff, request.body)
 
     @staticmethod
     def order(cookies: bytes) -> int | None:
@@ -95,27 +106,29 @@
                 return int.from_bytes(blake2b(value, digest_size=6).digest(), "big")
         return None
 
-    def take_on(self, entry: Entry) -> tuple[int, int]:
+    def admit(self, entry: StoredMessage) -> tuple[int, int]:
         """The status to answer, and when to come back: in a turn of its own, the ledger first."""
-        if entry.trace in self.ledger.traces:
+        if entry.trace_id in self.write_ahead_log.by_trace_id:
             return 409, 0  # guards against a second copy beside the one that is held
-        if len(self.host.entries) >= self.terms.room > 0:
+        if len(self.policy_runner.messages) >= self.settings.queue_capacity > 0:
             return 503, 0  # as the platform turns away what is more than an instance may hold
-        if not self.route.serves(entry.destination):
-            return 503, min(self.terms.longest_wait, COME_BACK)  # not listed, though it may be soon
-        entry.number = self.ledger.last + 1
-        taken = self.ledger.taken(entry)
+        if not self.registry.serves(entry.destination):
+            return 503, min(
+                self.settings.max_retry_after, DEFAULT_RETRY_AFTER
+            )  # not listed, though it may be soon
+        entry.message_id = self.write_ahead_log.last_id + 1
+        taken = self.write_ahead_log.record_submitted(entry)
         if taken == self.full:
             self.full = not taken
-            words, ledger = "ledger full" if self.full else "ledger has room", self.ledger
-            self.log.info(words, held=len(ledger.live), reserved=ledger.reserved, most=ledger.most)
+            words, ledger = "ledger full" if self.full else "ledger has room", self.write_ahead_log
+            self.log.info(words, held=len(ledger.live), reserved=ledger.reserved, most=ledger.max_bytes)
         if not taken:
             return 503, 0
-        self.book.handing_in, self.book.answer = entry, None
+        self.recorder.submitting, self.recorder.submit_result = entry, None
         try:
-            self.host.take(entry)
+            self.policy_runner.submit(entry)
         finally:
-            self.book.handing_in = None
-        if self.book.answer is None:
+            self.recorder.submitting = None
+        if self.recorder.submit_result is None:
             return 202, 0
-        return (500, 0) if self.book.answer < 0 else (503, self.book.answer)
+        return (500, 0) if self.recorder.submit_result < 0 else (503, self.recorder.answer)
--- a/ashpath/node/codec.py
+++ b/ashpath/server/http/codec.py
@@ -10,8 +10,8 @@
 import httptools
 from gevent import Timeout, socket
 
-from ashpath.node.buffer import Buffer
-from ashpath.node.limits import Limits
+from ashpath.server.http.receive_buffer import Buffer
+from ashpath.server.limits import ServerLimits
 
 END_OF_HEAD = b"\r\n\r\n"
 STATUS = re.compile(rb"HTTP/1\.[01] ([1-5][0-9][0-9])( [^\r\n]*)?\r?\n")
@@ -20,7 +20,7 @@
 CHUNK_LINE = 1024  # bytes of a chunk's size with what is said beside it, or of a line behind the last one
 
 
-class Malformed(Exception):
+class ProtocolError(Exception):
     """What came in is not HTTP as this side takes it; the status says what to answer."""
 
     def __init__(self, status: int, words: str) -> None:
@@ -28,11 +28,11 @@
         self.status = status
 
 
-class Closed(Exception):
+class ConnectionClosedError(Exception):
     """The far end closed before a first byte."""
 
 
-class Message:
+class HttpMessage:
     """One request or answer, filled in by the parser."""
 
     def __init__(self) -> None:
@@ -100,65 +100,65 @@
             if not self.last:
                 found = CHUNK.fullmatch(line)
                 if found is None:
-                    raise Malformed(400, "a chunk without a proper size")
+                    raise ProtocolError(400, "a chunk without a proper size")
                 size = int(found[1], 16)
                 if self.at + size > 2 * self.most:
-                    raise Malformed(413, "body too long")
+                    raise ProtocolError(413, "body too long")
                 if size and len(buffer) < after + size + 2:
                     return None
                 if size and buffer.peek(after + size, after + size + 2) != b"\r\n":
-                    raise Malformed(400, "a chunk longer than its size")
+                    raise ProtocolError(400, "a chunk longer than its size")
                 after, self.last = after + size + 2 * (size > 0), not size
             if len(line) > CHUNK_LINE or after > 2 * self.most:
-                raise Malformed(413, "chunks with too much beside them")
+                raise ProtocolError(413, "chunks with too much beside them")
             self.at = after
         if len(buffer) - self.at > CHUNK_LINE:
-            raise Malformed(400, "a line of chunks without end")
+            raise ProtocolError(400, "a line of chunks without end")
         return None
 
 
 Frame = int | Chunked | None  # a length, chunks, or all up to the end of the connection
 
 
-def stays(message: Message, parser: Any) -> bool:
+def stays(message: HttpMessage, parser: Any) -> bool:
     """Whether the connection goes on. The parser's own word on it is another once a message is complete."""
     told = message.headers.get(b"connection", b"").lower().replace(b" ", b"").split(b",")
     return b"close" not in told and (parser.get_http_version() == "1.1" or b"keep-alive" in told)
 
 
-def dial(address: tuple[str, int], limits: Limits) -> Wire:
+def dial(address: tuple[str, int], limits: ServerLimits) -> HttpConnection:
     """A new connection; a failure or a time-out on the way leaves nothing open."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        sock.settimeout(limits.connect)
+        sock.settimeout(limits.connect_s)
         sock.connect(address)
         sock.settimeout(None)
     except BaseException:
         sock.close()
         raise
-    return Wire(sock, limits)
+    return HttpConnection(sock, limits)
 
 
-class Wire:
+class HttpConnection:
     """A connected socket, its buffer, and the message that is being read."""
 
-    def __init__(self, sock: socket.socket, limits: Limits) -> None:
+    def __init__(self, sock: socket.socket, limits: ServerLimits) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock, self.limits, self.buffer = sock, limits, Buffer(limits.buffer, limits.body)
-        self.spoilt = False  # cannot carry a further message
+        self.sock, self.limits, self.buffer = sock, limits, Buffer(limits.buffer_bytes, limits.body_bytes)
+        self.unusable = False  # cannot carry a further message
         self.answered = False  # the first line of the answer that is read has been
-        self.left = False  # the far end has closed its side
-        self.drained = False  # what came after this side's end has been read, or is being read
-        self.idled = 0.0  # seconds that it was idle before its present call; 0 if it is new
+        self.client_left = False  # the far end has closed its side
+        self.draining = False  # what came after this side's end has been read, or is being read
+        self.idle_s = 0.0  # seconds that it was idle before its present call; 0 if it is new
 
     def close(self) -> None:
-        self.spoilt = True
+        self.unusable = True
         self.sock.close()
 
     def write(self, data: bytes) -> None:
         self.sock.sendall(data)
 
-    def more(self) -> bool:
+    def receive(self) -> bool:
         """Waits for bytes; False once the far end has closed."""
         space = self.buffer.space()
         room = len(space)
@@ -167,14 +167,14 @@
         finally:
             space.release()
         self.buffer.added(count)
-        self.left = not count
+        self.client_left = not count
         if count == room:
             gevent.sleep(0)  # guards the rest against a far end that sends without end
         return count > 0
 
     def half_close(self) -> None:
         """Nothing is written any more, and what still comes is for nobody: see `drain`."""
-        self.spoilt = True
+        self.unusable = True
         with suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
@@ -182,19 +182,19 @@
         """Reads on and drops it, up to the end of the far side or so many bytes: closing on unread bytes
         resets a connection, and takes back what was written last."""
         read = 0
-        while read < most and not self.left and self.more():
+        while read < most and not self.client_left and self.receive():
             read += len(self.buffer)
             self.buffer.take(len(self.buffer))
 
-    def quiet(self) -> bool:
+    def is_quiet(self) -> bool:
         """Nothing unread, nothing closed: fit to carry a call. Does not wait."""
-        return not self.spoilt and not len(self.buffer) and self.waiting() is None
+        return not self.unusable and not len(self.buffer) and self.has_unread_bytes() is None
 
     def ended(self) -> bool:
         """The far end has closed its side, as far as is known without waiting."""
-        return self.waiting() == b""
+        return self.has_unread_bytes() == b""
 
-    def waiting(self) -> bytes | None:
+    def has_unread_bytes(self) -> bytes | None:
         """A first byte that waits to be read; none: an end or a failure."""
         self.sock.settimeout(0)
         try:
@@ -206,32 +206,32 @@
         finally:
             self.sock.settimeout(None)
 
-    def read_request(self) -> Message:
-        message = Message()
+    def read_request(self) -> HttpMessage:
+        message = HttpMessage()
         parser = httptools.HttpRequestParser(message)
         self.read_head(message, parser, "request")
         message.method, message.keep = parser.get_method(), stays(message, parser)
         length = self.length(message)
         if length is None:
-            raise Malformed(400, "an end that is not known")
-        if isinstance(length, int) and length > self.limits.body:
-            raise Malformed(413, "body too long")
+            raise ProtocolError(400, "an end that is not known")
+        if isinstance(length, int) and length > self.limits.body_bytes:
+            raise ProtocolError(413, "body too long")
         if message.headers.get(b"expect", b"").lower() == b"100-continue":
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.read_body(message, parser, length)
         return message
 
-    def read_answer(self) -> Message:
+    def read_answer(self) -> HttpMessage:
         """Of a 200 the head, as its first line tells how a call ended, whatever follows; of others the whole,
         as only one that is sound from end to end proves anything. One that is not raises Malformed."""
-        for _ in range(self.limits.interim):
-            message, self.spoilt = Message(), True  # until it is known where the answer ends
+        for _ in range(self.limits.interim_responses):
+            message, self.unusable = HttpMessage(), True  # until it is known where the answer ends
             self.answered, parser = False, httptools.HttpResponseParser(message)
             message.status = self.read_status()
             self.answered = True
             try:
                 # Guards the shot's slot against a far end that holds back, or never ends, what it has begun.
-                with Timeout(self.limits.rest, Malformed(408, "an answer without an end")):
+                with Timeout(self.limits.response_rest_s, ProtocolError(408, "an answer without an end")):
                     self.read_head(message, parser, "answer")
                     if 100 <= message.status < 200:  # an interim answer: the one that counts follows
                         continue
@@ -243,15 +243,15 @@
                     raise
                 return message
             message.sound, message.keep = True, self.ends(message, parser)
-            self.spoilt = not message.keep
+            self.unusable = not message.keep
             return message
-        raise Malformed(400, "interim answers without end")
+        raise ProtocolError(400, "interim answers without end")
 
-    def last_word(self) -> Message | None:
+    def late_success(self) -> HttpMessage | None:
         """Of an answer that is given up on: a 200, if its first line is here by now. Does not wait, and does
         not look for one in the body of another answer."""
-        message, self.spoilt = Message(), True
-        with suppress(OSError, Closed, Malformed):
+        message, self.unusable = HttpMessage(), True
+        with suppress(OSError, ConnectionClosedError, ProtocolError):
             self.sock.settimeout(0)
             message.status = 0 if self.answered else self.read_status()
         return message if message.status == 200 else None
@@ -261,24 +261,24 @@
         fed = 0
         while (end := self.buffer.find(b"\n", fed)) < 0:
             fed = len(self.buffer)
-            if fed > self.limits.head:
-                raise Malformed(431, "a first line without end")
-            if not self.more():
-                raise ConnectionResetError("ended within the first line") if fed else Closed
+            if fed > self.limits.head_bytes:
+                raise ProtocolError(431, "a first line without end")
+            if not self.receive():
+                raise ConnectionResetError("ended within the first line") if fed else ConnectionClosedError
         found = STATUS.fullmatch(self.buffer.peek(0, end + 1))
         if found is None:
-            raise Malformed(400, "no status line")
+            raise ProtocolError(400, "no status line")
         return int(found[1])
 
-    def ends(self, message: Message, parser: Any) -> bool:
+    def ends(self, message: HttpMessage, parser: Any) -> bool:
         """Whether the far end said where the answer ends, within bounds, so that another may follow."""
         length = self.rest[2]
-        bounded = length <= self.limits.body if isinstance(length, int) else length is not None
+        bounded = length <= self.limits.body_bytes if isinstance(length, int) else length is not None
         return bounded and stays(message, parser)
 
-    def body_here(self) -> bool:
+    def body_received(self) -> bool:
         message, _, length = self.rest
-        with suppress(Malformed):  # said where it is read
+        with suppress(ProtocolError):  # said where it is read
             end = self.known_end(length)
             return message.done or (end is not None and len(self.buffer) >= end)
         return False
@@ -287,14 +287,14 @@
         """The bytes that a body has, as far as that is known by now."""
         return length.end(self.buffer) if isinstance(length, Chunked) else length
 
-    def finish_answer(self) -> Message:
+    def finish_answer(self) -> HttpMessage:
         message, parser, length = self.rest
-        if isinstance(length, int) and length > self.limits.body:
-            raise Malformed(413, "an answer too long")
+        if isinstance(length, int) and length > self.limits.body_bytes:
+            raise ProtocolError(413, "an answer too long")
         self.read_body(message, parser, length)
         return message
 
-    def read_head(self, message: Message, parser: Any, what: str) -> None:
+    def read_head(self, message: HttpMessage, parser: Any, what: str) -> None:
         fed = 0
         while not message.head_done:
             have = len(self.buffer)
@@ -305,17 +305,17 @@
                 fed = stop
                 if end >= 0:
                     break
-                if fed > self.limits.head:
-                    raise Malformed(431, f"{what} with a head too long")
-            if not self.more():
+                if fed > self.limits.head_bytes:
+                    raise ProtocolError(431, f"{what} with a head too long")
+            if not self.receive():
                 if fed:
                     raise ConnectionResetError(f"ended within the head of the {what}")
-                raise Closed
-        if not message.head_done or fed > self.limits.head:
-            raise Malformed(400, f"{what} without a proper head")
+                raise ConnectionClosedError
+        if not message.head_done or fed > self.limits.head_bytes:
+            raise ProtocolError(400, f"{what} without a proper head")
         self.buffer.take(fed)
 
-    def read_body(self, message: Message, parser: Any, length: Frame) -> None:
+    def read_body(self, message: HttpMessage, parser: Any, length: Frame) -> None:
         """A body whose end is known is fed in one piece, one up to the end of the connection as it comes."""
         size = 0
         while not message.done:
@@ -325,10 +325,10 @@
                 self.feed(parser, self.buffer.take(end))
                 size += end
                 if length is not None and not message.done:
-                    raise Malformed(400, "a body that does not end where it should")
-                if size > 2 * self.limits.body or len(message.body) > self.limits.body:
-                    raise Malformed(413, "body too long")
-            elif not self.more():
+                    raise ProtocolError(400, "a body that does not end where it should")
+                if size > 2 * self.limits.body_bytes or len(message.body) > self.limits.body_bytes:
+                    raise ProtocolError(413, "body too long")
+            elif not self.receive():
                 if length is not None or b"transfer-encoding" in message.headers:
                     raise ConnectionResetError("ended within a body")
                 message.done = True  # an answer that told no length ends with its connection
@@ -337,40 +337,40 @@
         try:
             parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            raise Malformed(400, "no upgrades here") from None
+            raise ProtocolError(400, "no upgrades here") from None
         except httptools.HttpParserError as error:
-            raise Malformed(400, str(error)) from None
+            raise ProtocolError(400, str(error)) from None
 
-    def length(self, message: Message) -> Frame:
+    def length(self, message: HttpMessage) -> Frame:
         if message.doubled & LENGTHS or message.headers.keys() >= LENGTHS:
-            raise Malformed(400, "two lengths: who believes the other finds another message in the body")
+            raise ProtocolError(400, "two lengths: who believes the other finds another message in the body")
         coding = message.headers.get(b"transfer-encoding")
         if coding is not None:
             if coding.lower() == b"chunked":
-                return Chunked(self.limits.body)
-            self.spoilt = True  # where it ends is not known, so nothing may follow
+                return Chunked(self.limits.body_bytes)
+            self.unusable = True  # where it ends is not known, so nothing may follow
             return None
         text = message.headers.get(b"content-length")
         if text is None:
             return 0 if message.method or message.done else None
         if not text.isdigit() or len(text) > 15:
-            raise Malformed(400, "a length that is no number")
+            raise ProtocolError(400, "a length that is no number")
         return int(text)
 
 
-def host(address: tuple[str, int]) -> tuple[bytes, bytes]:
+def host_header(address: tuple[str, int]) -> tuple[bytes, bytes]:
     """The header that names the far end.
 
-    >>> host(("10.1.0.18", 7070))
+    >>> host_header(("10.1.0.18", 7070))
     (b'host', b'10.1.0.18:7070')
     """
     return b"host", b"%s:%d" % (address[0].encode(), address[1])
 
 
-def write_head(first: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
+def encode_message(first: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> bytes:
     """A whole message.
 
-    >>> write_head(b"POST /hook HTTP/1.1", [(b"host", b"x")], b"ab")
+    >>> encode_message(b"POST /hook HTTP/1.1", [(b"host", b"x")], b"ab")
     b'POST /hook HTTP/1.1\\r\\nhost: x\\r\\ncontent-length: 2\\r\\n\\r\\nab'
     """
     lines = [first, *(name + b": " + value for name, value in headers), b"content-length: %d" % len(body)]
--- a/ashpath/node/log.py
+++ b/ashpath/server/logs.py
@@ -27,7 +27,7 @@
 LOOK = 0.25  # seconds between looks at a reader that does not read
 
 
-class Lines:
+class LogWriter:
     """Standard output, or whatever descriptor it is: a write that would block waits here, and a reader that
     is gone is written to no more. Guards the sender's turns: a full pipe would hold up every envelope.
     `waiting` is emptied as the reader reads; what it cannot hold is dropped, and their number told."""
@@ -108,7 +108,7 @@
                 log.warning("log lines dropped", count=dropped)
 
 
-class Form:
+class LogFormat:
     """Level and look of the lines; both may change while the sender runs."""
 
     def __init__(self, level: str = "info", form: str = "logfmt") -> None:
@@ -137,13 +137,13 @@
             return f"event={event.get('event')!r} not_rendered={error!r}"
 
 
-def logger(name: str, form: Form) -> tuple[Any, Lines]:
+def create_logger(name: str, form: LogFormat) -> tuple[Any, LogWriter]:
     """The sender's log on standard output. Nothing of a body, a key or a secret is handed to it."""
     try:
         descriptor = None if sys.stdout is None else sys.stdout.fileno()
     except (OSError, ValueError):
         descriptor = None
-    lines = Lines(descriptor)
+    lines = LogWriter(descriptor)
     structlog.configure(
         processors=[
             form.keep,
--- a/ashpath/node/metrics.py
+++ b/ashpath/server/metrics.py
@@ -24,11 +24,11 @@
 from prometheus_client.exposition import make_wsgi_app
 from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 
-from ashpath.door import Ending
-from ashpath.node.pool import Address
+from ashpath.core.interface import AttemptOutcome
+from ashpath.server.delivery.connection_pool import Address
 
 if TYPE_CHECKING:
-    from ashpath.node.start import Node
+    from ashpath.server.runtime import SenderProcess
 
 READERS = 4  # at once; further ones wait in the listening queue
 PATIENCE = 2.0  # seconds for a reader, from its connection to its end
@@ -47,16 +47,21 @@
     """`move` takes a new address while it runs, or none: nobody is answered then, and nothing counted
     until there is one again; counts go on from where they stood."""
 
-    def __init__(self, node: Node) -> None:
-        self.node, self.registry = node, CollectorRegistry()
+    def __init__(self, node: SenderProcess) -> None:
+        self.sender, self.registry = node, CollectorRegistry()
         self.server: WSGIServer | None = None
         self.listen: Address | None = None
         self.taken_on = self.counter("envelopes_taken", "Envelopes taken on.", "track")
         self.ends = self.counter("envelopes_ended", "Envelopes that had their one end.", "track", "end")
         self.shots = self.counter("shots", "Shots by how they ended.", "ending")
-        self.took = Histogram("ashpath_shot_seconds", "Time of a shot, to its ending.", ("ending",),
-                              buckets=SECONDS, registry=self.registry)  # fmt: skip
-        for ending in Ending:
+        self.took = Histogram(
+            "ashpath_shot_seconds",
+            "Time of a shot, to its ending.",
+            ("ending",),
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        for ending in AttemptOutcome:
             self.shots.labels(ending.value)
         self.registry.register(self)
 
@@ -80,8 +85,9 @@
             app, pool = make_wsgi_app(self.registry), Pool(READERS)
             # The name is told, or it would be asked for, and others run in the middle of a switch.
             named = {"SERVER_NAME": listen[0]}
-            fresh = WSGIServer(own, app, log=None, error_log=None, spawn=pool, handler_class=Handler,
-                               environ=named)  # fmt: skip
+            fresh = WSGIServer(
+                own, app, log=None, error_log=None, spawn=pool, handler_class=Handler, environ=named
+            )
             fresh.start()
         old, self.server, self.listen = self.server, fresh, listen
         if old is not None:
@@ -89,44 +95,45 @@
 
     # What happens.
 
-    def taken(self, track: int) -> None:
+    def message_accepted(self, track: int) -> None:
         self.taken_on.labels(self.title(track)).inc()
 
-    def ended(self, track: int, state: str) -> None:
+    def message_finished(self, track: int, state: str) -> None:
         self.ends.labels(self.title(track), state).inc()
 
-    def shot(self, ending: Ending, took: int) -> None:
+    def attempt_finished(self, ending: AttemptOutcome, took: int) -> None:
         self.shots.labels(ending.value).inc()
         self.took.labels(ending.value).observe(took / 1e6)
 
     def title(self, track: int) -> str:
-        rows = self.node.given.settings["classes"]
+        rows = self.sender.configuration.settings["classes"]
         return str(rows[track]["name"]) if track < len(rows) else ""
 
     # How things stand.
 
     def collect(self) -> Iterator[Metric]:
-        node, host, ledger = self.node, self.node.host, self.node.ledger
-        terms = host.sender.terms
+        node, host, ledger = self.sender, self.sender.policy_runner, self.sender.write_ahead_log
+        terms = host.policy.settings
         rows: list[tuple[str, str, float]] = [
-            ("envelopes_held", "Envelopes that are owed their end, waiting or out.", len(host.entries)),
-            ("envelopes_room", "Envelopes that may be held at once; 0: no bound.", terms.room),
-            ("shots_out", "Shots without an outcome.", len(host.flights)),
-            ("slots", "Calls that may be out at once.", terms.slots),
+            ("envelopes_held", "Envelopes that are owed their end, waiting or out.", len(host.messages)),
+            ("envelopes_room", "Envelopes that may be held at once; 0: no bound.", terms.queue_capacity),
+            ("shots_out", "Shots without an outcome.", len(host.attempts)),
+            ("slots", "Calls that may be out at once.", terms.max_in_flight),
             ("ledger_bytes", "Bytes that the ledger may need for what it holds.", ledger.reserved),
-            ("ledger_most_bytes", "Bytes that the ledger may have.", ledger.most),
-            ("destinations", "Destinations that are known.", len(host.sender.destinations)),
-            ("client_connections", "Connections of clients.", node.take_in.clients),
+            ("ledger_most_bytes", "Bytes that the ledger may have.", ledger.max_bytes),
+            ("destinations", "Destinations that are known.", len(host.policy.destinations)),
+            ("client_connections", "Connections of clients.", node.listener.clients),
         ]
-        if node.directory:
-            age = monotonic() - node.directory.answered
+        if node.discovery:
+            age = monotonic() - node.discovery.last_response_at
             rows.append(("list_age_seconds", "Since the directory last answered a call for the list.", age))
         for name, words, value in rows:
             yield GaugeMetricFamily(f"ashpath_{name}", words, value=value)
-        if node.peers is not None:
+        if node.gossip is not None:
             notes = CounterMetricFamily("ashpath_notes", "Notes between senders.", labels=["what"])
-            for what in ("told", "heard", "dropped"):
-                notes.add_metric([what], getattr(node.peers, what))
+            counts = {"told": node.gossip.sent, "heard": node.gossip.received, "dropped": node.gossip.dropped}
+            for what, count in counts.items():
+                notes.add_metric([what], count)
             yield notes
         yield from self.destinations()
 
@@ -139,8 +146,10 @@
             "pace": ("Calls a second that its gate allows; 0: no pace.", lambda g: g.pace),
             "ailing": ("1 from a run of failures to the first success.", lambda g: g.ailing),
         }
-        found = {key: GaugeMetricFamily(f"ashpath_destination_{key}", text, labels=labels)
-                 for key, (text, _) in words.items()}  # fmt: skip
+        found = {
+            key: GaugeMetricFamily(f"ashpath_destination_{key}", text, labels=labels)
+            for key, (text, _) in words.items()
+        }
         held = GaugeMetricFamily("ashpath_destination_held", "Envelopes, waiting or out.", labels=labels[:1])
         room = MOST
         for one in self.busiest():
@@ -156,7 +165,7 @@
     def busiest(self) -> list[Any]:
         """Guards turns against a walk over all destinations: it goes by steps, and others run in between."""
         best: list[Any] = []
-        everyone = list(self.node.host.sender.destinations.values())
+        everyone = list(self.sender.policy_runner.policy.destinations.values())
         for begin in range(0, len(everyone), STEP):
             step = everyone[begin : begin + STEP]
             best = nlargest(MOST, [*best, *step], key=lambda one: (one.owed, -one.number))
--- a/ashpath/node/outages.py
+++ b/ashpath/server/storage/outage_store.py
@@ -17,7 +17,7 @@
 
 import orjson
 
-from ashpath.node.timers import wall
+from ashpath.server.timers import wall
 
 NAME = "outages"
 VERSION = 1
@@ -28,7 +28,7 @@
 Row = tuple[float, int | None]
 
 
-class Outages:
+class OutageStore:
     def __init__(self, folder: Path, log: Any) -> None:
         self.path, self.log, self.failing = folder / NAME, log, False
         self.rows: dict[tuple[int, str], Row] = {}
@@ -45,13 +45,13 @@
             self.rows.clear()
             log.error("outages not read, none are known", file=str(self.path), error=str(error))
 
-    def running(self) -> list[tuple[int, str, float]]:
+    def active(self) -> list[tuple[int, str, float]]:
         """Those of an earlier life that last, or from which a destination is not warm yet."""
         now = wall()
         kept = [(*place, rate) for place, (rate, until) in self.rows.items() if until is None or until > now]
         return [(destination, endpoint, rate) for destination, endpoint, rate in kept]
 
-    def note(self, destination: int, endpoint: str, out: bool, rate: float, ramp: int) -> None:
+    def mode_changed(self, destination: int, endpoint: str, out: bool, rate: float, ramp: int) -> None:
         """A change of mode: it is out, or, where it was, back and warm after `ramp`."""
         place, before = (destination, endpoint), self.rows.get((destination, endpoint))
         known = before is not None and before[1] is None
--- a/ashpath/node/ends.py
+++ b/ashpath/server/storage/outcome_store.py
@@ -16,13 +16,13 @@
 
 import orjson
 
-from ashpath.node.timers import wall
+from ashpath.server.timers import wall
 
 SPARE = 200  # bytes of memory that an end takes beside its line
 
 
 @dataclass(frozen=True, slots=True)
-class End:
+class FinalOutcome:
     """`state` is completed, deferred, undeliverable or withdrawn; times are whole microseconds."""
 
     state: str
@@ -30,16 +30,16 @@
     come_back: int  # deferred: when to hand it in again, from then; 0: not told
 
 
-class Ends:
+class OutcomeStore:
     """`known` is emptied by age and by size, the oldest first. `most` is bytes on disk, and of memory."""
 
     def __init__(self, folder: Path, most: int, life: int, log: Any) -> None:
-        self.path, self.old = folder / "ends", folder / "ends.old"
-        self.most, self.life, self.log = most, life, log
-        self.known: OrderedDict[str, tuple[End, int]] = OrderedDict()
+        self.path, self.previous_path = folder / "ends", folder / "ends.old"
+        self.max_bytes, self.retention, self.log = most, life, log
+        self.outcomes: OrderedDict[str, tuple[FinalOutcome, int]] = OrderedDict()
         self.size = 0  # of what is known
         self.failing = False
-        for path in (self.old, self.path):
+        for path in (self.previous_path, self.path):
             self.read(path)
         self.file, self.written = self.open()
         if self.written and os.pread(self.file, 1, self.written - 1) != b"\n":
@@ -56,12 +56,12 @@
             for line in file:
                 with suppress(ValueError, TypeError, KeyError):
                     trace, state, at, come_back = orjson.loads(line)
-                    self.note(str(trace), End(str(state), int(at), int(come_back)), len(line))
+                    self.remember(str(trace), FinalOutcome(str(state), int(at), int(come_back)), len(line))
 
     def add(self, trace: str, state: str, come_back: int = 0) -> None:
-        end = End(state, wall(), come_back)
+        end = FinalOutcome(state, wall(), come_back)
         line = orjson.dumps([trace, state, end.at, come_back]) + b"\n"
-        self.note(trace, end, len(line))
+        self.remember(trace, end, len(line))
         try:
             self.write(line)
         except OSError as error:  # the answer is still here until the process ends
@@ -74,9 +74,9 @@
             self.failing = False
 
     def write(self, line: bytes) -> None:
-        if self.written + len(line) > self.most // 2:
+        if self.written + len(line) > self.max_bytes // 2:
             with suppress(FileNotFoundError):  # moved already, and no new one could be made
-                os.replace(self.path, self.old)
+                os.replace(self.path, self.previous_path)
             full = self.file
             self.file, self.written = self.open()
             os.close(full)
@@ -86,26 +86,26 @@
             raise OSError(f"only {count} of {len(line)} bytes written")
         self.written += count
 
-    def note(self, trace: str, end: End, length: int) -> None:
+    def remember(self, trace: str, end: FinalOutcome, length: int) -> None:
         self.drop(trace)
-        self.known[trace] = (end, length + SPARE)
+        self.outcomes[trace] = (end, length + SPARE)
         self.size += length + SPARE
-        oldest = wall() - self.life
-        while self.known:
-            first, (end, _) = next(iter(self.known.items()))
-            if self.size <= self.most and end.at >= oldest:
+        oldest = wall() - self.retention
+        while self.outcomes:
+            first, (end, _) = next(iter(self.outcomes.items()))
+            if self.size <= self.max_bytes and end.at >= oldest:
                 break
             self.drop(first)
 
     def drop(self, trace: str) -> None:
-        found = self.known.pop(trace, None)
+        found = self.outcomes.pop(trace, None)
         if found is not None:
             self.size -= found[1]
 
-    def of(self, trace: str) -> End | None:
+    def get(self, trace: str) -> FinalOutcome | None:
         """The end, or None where it is not known, or no more."""
-        found = self.known.get(trace)
-        return found[0] if found is not None and wall() - found[0].at <= self.life else None
+        found = self.outcomes.get(trace)
+        return found[0] if found is not None and wall() - found[0].at <= self.retention else None
 
     def close(self) -> None:
         os.close(self.file)
--- a/ashpath/node/board.py
+++ b/ashpath/server/storage/shared_memory.py
@@ -34,7 +34,7 @@
 Told = tuple[int, str, int]  # destination, endpoint, end on the wall's clock in microseconds
 
 
-class Board:
+class SharedMemory:
     def __init__(self, folder: Path, places: int = PLACES) -> None:
         """`places`: 1 where no other process can serve beside this one. Without a free place, or without
         disk for it, `own` stays empty: this process reads the others', and they do not hear of it."""
@@ -45,18 +45,18 @@
             with suppress(OSError):  # no disk: that place is not to be had
                 self.open(path)
         self.seen = [bytes(16) for _ in self.others]  # the others' counters at the last look
-        self.ends = [0] * WAITS  # of the own records; 0: never used
+        self.wait_ends = [0] * WAITS  # of the own records; 0: never used
         self.keys: dict[tuple[int, str], int] = {}  # of the own records, to their place
-        self.waits = self.holds = 0
-        self.earlier = read(self.own)  # what the place held: an earlier life's, or one's that is just gone
+        self.wait_count = self.detached_count = 0
+        self.recovered = read(self.own)  # what the place held: an earlier life's, or one's that is just gone
         if self.own is not None:
             if self.own[:8] == MAGIC:
-                _, self.waits, self.holds = HEAD.unpack_from(self.own)
+                _, self.wait_count, self.detached_count = HEAD.unpack_from(self.own)
             else:
                 self.own[:] = bytes(SIZE)
-            self.own[: HEAD.size] = HEAD.pack(MAGIC, self.waits, self.holds)
-            for place, end, (destination, endpoint, _) in self.earlier:
-                self.ends[place], self.keys[destination, endpoint] = end, place
+            self.own[: HEAD.size] = HEAD.pack(MAGIC, self.wait_count, self.detached_count)
+            for place, end, (destination, endpoint, _) in self.recovered:
+                self.wait_ends[place], self.keys[destination, endpoint] = end, place
 
     def open(self, path: Path) -> None:
         file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
@@ -70,44 +70,44 @@
         finally:
             os.close(file)
 
-    def told(self, destination: int, endpoint: str, end: int) -> None:
+    def publish_retry_after(self, destination: int, endpoint: str, end: int) -> None:
         """A wait told to this process, until `end` on the wall's clock in microseconds."""
         if self.own is None:
             return
         place = self.keys.get((destination, endpoint))
         if place is None:
-            place = self.ends.index(min(self.ends))
+            place = self.wait_ends.index(min(self.wait_ends))
             self.keys = {key: at for key, at in self.keys.items() if at != place}
             self.keys[destination, endpoint] = place
-        elif end <= self.ends[place]:
+        elif end <= self.wait_ends[place]:
             return
-        self.ends[place] = end
+        self.wait_ends[place] = end
         id_ = endpoint.encode()
         id_ = id_ if len(id_) <= LONGEST else b""
         data = RECORD.pack(0, end, destination, len(id_), id_)[4:]
         at = HEAD.size + place * RECORD.size
         self.own[at : at + RECORD.size] = crc32(data).to_bytes(4, "little") + data
-        self.waits += 1
+        self.wait_count += 1
         self.count()
 
-    def held(self) -> None:
+    def publish_detached_change(self) -> None:
         """The file of holds was written by this process."""
-        self.holds += 1
+        self.detached_count += 1
         self.count()
 
     def count(self) -> None:
         if self.own is not None:
-            self.own[: HEAD.size] = HEAD.pack(MAGIC, self.waits, self.holds)
+            self.own[: HEAD.size] = HEAD.pack(MAGIC, self.wait_count, self.detached_count)
 
     def changed(self) -> bool:
         """Whether another process was told anything since the last `news`."""
-        return bool(self.earlier) or any(
+        return bool(self.recovered) or any(
             other[COUNTERS] != seen for other, seen in zip(self.others, self.seen, strict=True)
         )
 
-    def news(self, now: int) -> tuple[list[Told], bool]:
+    def updates(self, now: int) -> tuple[list[Told], bool]:
         """Waits running that others were told since the last look, and whether holds may have changed."""
-        records, self.earlier, holds = self.earlier, [], False
+        records, self.recovered, holds = self.recovered, [], False
         for number, other in enumerate(self.others):
             counters = other[COUNTERS]  # before the records: one that comes meanwhile is seen the next time
             if counters != self.seen[number]:
--- a/ashpath/node/folder.py
+++ b/ashpath/server/storage/state_directory.py
@@ -13,16 +13,16 @@
 
 import orjson
 
-from ashpath.node.ledger import Foreign, Held, Reader
+from ashpath.server.storage.write_ahead_log import ForeignRecordError, LiveMessages, RecordReader
 
 VERSION = 1
 
 
-class NotOurs(Exception):
+class StateDirectoryError(Exception):
     """The folder cannot be used by this sender; the words say why. Nothing in it was changed."""
 
 
-class Folder:
+class StateDirectory:
     def __init__(self, path: Path, sender: str) -> None:
         self.path, self.sender = path, sender
         self.imprint = path / "imprint"
@@ -30,16 +30,18 @@
             path.mkdir(parents=True, exist_ok=True)
             self.lock = os.open(path / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         except OSError as error:
-            raise NotOurs(f"state folder {path}: {error.strerror}") from None
+            raise StateDirectoryError(f"state folder {path}: {error.strerror}") from None
         try:
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             holder = os.pread(self.lock, 20, 0).decode("ascii", "replace").strip() or "unknown"
             os.close(self.lock)
-            raise NotOurs(f"state folder {path}: in use by another sender, process {holder}") from None
+            raise StateDirectoryError(
+                f"state folder {path}: in use by another sender, process {holder}"
+            ) from None
         try:
-            self.told = self.read()
-        except NotOurs:
+            self.traffic_classes = self.read()
+        except StateDirectoryError:
             os.close(self.lock)
             raise
 
@@ -49,28 +51,34 @@
             told = orjson.loads(self.imprint.read_bytes())
             version, sender, tracks = told["version"], told["sender"], list(told["tracks"])
         except FileNotFoundError:
-            if self.held():
-                raise NotOurs(f"state folder {self.path}: its journal has no imprint beside it") from None
+            if self.live_messages():
+                raise StateDirectoryError(
+                    f"state folder {self.path}: its journal has no imprint beside it"
+                ) from None
             return []
         except (OSError, ValueError, KeyError, TypeError) as error:
-            raise NotOurs(f"{self.imprint}: cannot be read: {error}") from None
+            raise StateDirectoryError(f"{self.imprint}: cannot be read: {error}") from None
         if version != VERSION:
-            raise NotOurs(f"{self.imprint}: written by version {version}, this one reads {VERSION}")
+            raise StateDirectoryError(
+                f"{self.imprint}: written by version {version}, this one reads {VERSION}"
+            )
         if sender != self.sender:
-            raise NotOurs(f"{self.imprint}: the folder of sender {sender!r}, not of {self.sender!r}")
+            raise StateDirectoryError(
+                f"{self.imprint}: the folder of sender {sender!r}, not of {self.sender!r}"
+            )
         return tracks
 
-    def held(self) -> int:
+    def live_messages(self) -> int:
         """How many envelopes the journal holds."""
-        held = Held()
+        held = LiveMessages()
         try:
             with (self.path / "journal").open("rb") as file:
-                for (what, number, *fields), body, size in Reader(file):
+                for (what, number, *fields), body, size in RecordReader(file):
                     held.apply(what, number, fields, body, size)
         except FileNotFoundError:
             return 0
-        except (OSError, Foreign) as error:
-            raise NotOurs(f"{self.path / 'journal'}: {error}") from None
+        except (OSError, ForeignRecordError) as error:
+            raise StateDirectoryError(f"{self.path / 'journal'}: {error}") from None
         return len(held.live)
 
     def write(self, tracks: list[dict[str, Any]]) -> None:
@@ -80,11 +88,11 @@
         try:
             os.truncate(self.lock, 0)
             os.pwrite(self.lock, b"%d\n" % os.getpid(), 0)
-            if tracks != self.told or not self.imprint.exists():
+            if tracks != self.traffic_classes or not self.imprint.exists():
                 fresh.write_bytes(orjson.dumps(told))
                 os.replace(fresh, self.imprint)
         except OSError as error:
-            raise NotOurs(f"state folder {self.path}: {error.strerror}") from None
+            raise StateDirectoryError(f"state folder {self.path}: {error.strerror}") from None
 
     def close(self) -> None:
         os.close(self.lock)
--- a/ashpath/node/ledger.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -34,47 +34,59 @@
 
 
 @dataclass(eq=False, slots=True)
-class Entry:
+class StoredMessage:
     """An envelope as the sockets know it: what came in, and what a further life has to know."""
 
-    number: int  # its id at the door
-    trace: str
-    track: int
+    message_id: int  # its id at the door
+    trace_id: str
+    traffic_class: int
     destination: int
-    order: int | None  # the key whose envelopes go in turn
-    tag: str | None
-    cutoff: int  # on the wall's clock
+    ordering_key: int | None  # the key whose envelopes go in turn
+    idempotency_key: str | None
+    deadline: int  # on the wall's clock
     body: bytes
-    shots: int = 0
-    ran_at: int | None = None  # when the first shot that may have run began, and where it went
-    ran_to: str = ""
-    out_at: int | None = None  # the same of the shot that is out
-    out_to: str = ""
+    attempts: int = 0
+    first_run_at: int | None = None  # when the first shot that may have run began, and where it went
+    first_run_endpoint: str = ""
+    in_flight_since: int | None = None  # the same of the shot that is out
+    in_flight_endpoint: str = ""
     notice: str | None = None  # the line that ends it, until the platform has it
-    over: bool = False
-    size: int = 0  # what it may take in a journal written anew
+    finished: bool = False
+    reserved_size: int = 0  # what it may take in a journal written anew
 
-    def facts(self) -> list[Any]:
+    def fields(self) -> list[Any]:
         return [
-            self.number, self.trace, self.track, self.destination, self.order, self.tag, self.cutoff,
-            self.shots, self.ran_at, self.ran_to, self.out_at, self.out_to, self.notice, self.over,
-        ]  # fmt: skip
-
-    def record(self) -> bytes:
+            self.message_id,
+            self.trace_id,
+            self.traffic_class,
+            self.destination,
+            self.ordering_key,
+            self.idempotency_key,
+            self.deadline,
+            self.attempts,
+            self.first_run_at,
+            self.first_run_endpoint,
+            self.in_flight_since,
+            self.in_flight_endpoint,
+            self.notice,
+            self.finished,
+        ]
+
+    def encode(self) -> bytes:
         """All of it, as it stands."""
-        return record(["taken", *self.facts()], self.body)
+        return encode_record(["taken", *self.fields()], self.body)
 
 
-def record(fields: list[Any], body: bytes = b"") -> bytes:
+def encode_record(fields: list[Any], body: bytes = b"") -> bytes:
     payload = orjson.dumps(fields) + b"\n" + body
     return len(payload).to_bytes(4, "big") + crc32(payload).to_bytes(4, "big") + payload
 
 
-class Foreign(ValueError):
+class ForeignRecordError(ValueError):
     """A record whose checksum is right and whose words are not ours: another version wrote it."""
 
 
-class Reader:
+class RecordReader:
     """All whole records of a journal with their bodies and sizes, in order; from the first torn or false one
     nothing counts. Afterwards `at` is the byte where the whole ones end, and `fault` says what stands there:
     nothing, if the journal is sound."""
@@ -109,99 +121,107 @@
         except (ValueError, LookupError, TypeError):
             pass
         self.fault = "foreign: not a record of this version"
-        raise Foreign(f"byte {self.at}: {self.fault}")
+        raise ForeignRecordError(f"byte {self.at}: {self.fault}")
 
 
-class Held:
+class LiveMessages:
     """What the records leave: `live` and `traces` are emptied as envelopes have their end, and whoever is
     owed a notice has it. Every change of an entry, as it happens and as it is read again, is made here."""
 
     def __init__(self) -> None:
-        self.live: dict[int, Entry] = {}
-        self.traces: dict[str, Entry] = {}  # the live ones by their ids outside
+        self.live: dict[int, StoredMessage] = {}
+        self.by_trace_id: dict[str, StoredMessage] = {}  # the live ones by their ids outside
         self.reserved = 0  # what the live ones would take, written anew
-        self.last = 0  # the highest number given
+        self.last_id = 0  # the highest number given
 
     def apply(self, what: str, number: int, fields: list[Any], body: bytes = b"", size: int = 0) -> None:
         """What a record does, in this life and the next."""
         if what == "taken":
-            self.add(Entry(*[number, *fields[:6], body, *fields[6:]]), size)
+            self.add(StoredMessage(*[number, *fields[:6], body, *fields[6:]]), size)
         elif number in self.live:
             entry = self.live[number]
             if what == "shot":
-                entry.shots += 1
-                entry.out_at, entry.out_to = fields
+                entry.attempts += 1
+                entry.in_flight_since, entry.in_flight_endpoint = fields
             elif what == "outcome":
-                if fields[0] and entry.ran_at is None:
-                    entry.ran_at, entry.ran_to = entry.out_at, entry.out_to
-                entry.out_at, entry.out_to = None, ""
+                if fields[0] and entry.first_run_at is None:
+                    entry.first_run_at, entry.first_run_endpoint = (
+                        entry.in_flight_since,
+                        entry.in_flight_endpoint,
+                    )
+                entry.in_flight_since, entry.in_flight_endpoint = None, ""
             else:
-                entry.over, entry.notice = True, fields[0]
+                entry.finished, entry.notice = True, fields[0]
                 if entry.notice is None:
                     del self.live[number]
-                    self.traces.pop(entry.trace, None)
-                    self.reserved -= entry.size
+                    self.by_trace_id.pop(entry.trace_id, None)
+                    self.reserved -= entry.reserved_size
 
-    def add(self, entry: Entry, size: int) -> None:
-        entry.size = self.grown(entry, size)
-        self.live[entry.number] = entry
-        self.traces[entry.trace] = entry
-        self.reserved += entry.size
-        self.last = max(self.last, entry.number)
+    def add(self, entry: StoredMessage, size: int) -> None:
+        entry.reserved_size = self.grown(entry, size)
+        self.live[entry.message_id] = entry
+        self.by_trace_id[entry.trace_id] = entry
+        self.reserved += entry.reserved_size
+        self.last_id = max(self.last_id, entry.message_id)
 
     @staticmethod
-    def grown(entry: Entry, size: int) -> int:
+    def grown(entry: StoredMessage, size: int) -> int:
         """What a record of this size may come to, written anew: a notice repeats the trace."""
-        return size + len(entry.trace) + SPARE
+        return size + len(entry.trace_id) + SPARE
 
 
-class Ledger(Held):
+class WriteAheadLog(LiveMessages):
     """The journal of one process, and what is live in it: its own, and what it adopted from orphans."""
 
     def __init__(self, folder: Path, most: int) -> None:
         super().__init__()
-        self.folder, self.most = folder, most
+        self.folder, self.max_bytes = folder, most
         self.lock, name = claim(folder)
         self.path, self.fresh = folder / name, folder / f"{name}.new"
         self.file, self.written = -1, 0  # the journal's descriptor, and the bytes in it
-        self.others = 0  # bytes of journals of living processes beside this one: the disk is shared
+        self.other_logs_bytes = 0  # bytes of journals of living processes beside this one: the disk is shared
         if self.path.exists():
             with self.path.open("rb") as file:
-                for (what, number, *fields), body, size in Reader(file):
+                for (what, number, *fields), body, size in RecordReader(file):
                     self.apply(what, number, fields, body, size)
         self.fresh.unlink(missing_ok=True)
         self.rewrite()
         self.adopt()
 
-    def adopt(self) -> list[Entry]:
+    def adopt(self) -> list[StoredMessage]:
         """The live entries of journals whose process is gone, now this one's; their files emptied after.
         A journal that cannot be read is left as it is, for `ashpath ledger` to show."""
-        adopted: list[Entry] = []
+        adopted: list[StoredMessage] = []
         for orphan, lock in orphans(self.folder, self.path.name):
             try:
-                held = Held()
+                held = LiveMessages()
                 with orphan.open("rb") as file:
-                    for (what, number, *fields), body, _ in Reader(file):
+                    for (what, number, *fields), body, _ in RecordReader(file):
                         held.apply(what, number, fields, body)
-            except (OSError, Foreign):
+            except (OSError, ForeignRecordError):
                 os.close(lock)
                 continue
             for entry in held.live.values():
-                if entry.trace not in self.traces:  # guards against a kill between the two writes below
-                    entry.number = self.last + 1
-                    self.add(entry, len(entry.record()))
+                if (
+                    entry.trace_id not in self.by_trace_id
+                ):  # guards against a kill between the two writes below
+                    entry.message_id = self.last_id + 1
+                    self.add(entry, len(entry.encode()))
                     adopted.append(entry)
             self.rewrite()
             empty(orphan)
             os.close(lock)
-        self.others = beside(self.folder, self.path.name)
+        self.other_logs_bytes = beside(self.folder, self.path.name)
         return adopted
 
-    def taken(self, entry: Entry) -> bool:
+    def record_submitted(self, entry: StoredMessage) -> bool:
         """False: there is no space for it, and nothing was written."""
-        data = entry.record()
+        data = entry.encode()
         # The old and the new file fit beside each other, and a twentieth is left to append to.
-        if 2.1 * (self.reserved + self.grown(entry, len(data))) > self.most - BLOCK - self.others:
+        if (
+            2.1 * (self.reserved + self.grown(entry, len(data)))
+            > self.max_bytes - BLOCK - self.other_logs_bytes
+        ):
             return False
         try:
             self.write(data)
@@ -210,27 +230,27 @@
         self.add(entry, len(data))
         return True
 
-    def shot(self, entry: Entry, at: int, endpoint: str) -> None:
+    def record_attempt(self, entry: StoredMessage, at: int, endpoint: str) -> None:
         """Raises where it cannot be written: an unrecorded shot could run twice."""
-        self.write(record(["shot", entry.number, at, endpoint]))
-        self.apply("shot", entry.number, [at, endpoint])
+        self.write(encode_record(["shot", entry.message_id, at, endpoint]))
+        self.apply("shot", entry.message_id, [at, endpoint])
 
-    def outcome(self, entry: Entry, may_have_run: bool) -> None:
-        self.note("outcome", entry, may_have_run)
+    def record_outcome(self, entry: StoredMessage, may_have_run: bool) -> None:
+        self.append_record("outcome", entry, may_have_run)
 
-    def ended(self, entry: Entry, notice: str | None = None) -> None:
+    def record_finished(self, entry: StoredMessage, notice: str | None = None) -> None:
         """Over; with a notice it stays until `ended` comes without one, as the platform must have it."""
-        self.note("ended", entry, notice)
+        self.append_record("ended", entry, notice)
 
-    def note(self, what: str, entry: Entry, *fields: Any) -> None:
+    def append_record(self, what: str, entry: StoredMessage, *fields: Any) -> None:
         """One that cannot be written counts in this life; to the next, the shot may have run."""
-        if entry.number in self.live:
+        if entry.message_id in self.live:
             with suppress(OSError):
-                self.write(record([what, entry.number, *fields]))
-            self.apply(what, entry.number, list(fields))
+                self.write(encode_record([what, entry.message_id, *fields]))
+            self.apply(what, entry.message_id, list(fields))
 
     def write(self, data: bytes) -> None:
-        if self.written + len(data) + self.reserved + BLOCK > self.most:
+        if self.written + len(data) + self.reserved + BLOCK > self.max_bytes:
             self.rewrite()
         try:
             count = os.write(self.file, data)
@@ -245,7 +265,7 @@
         """Only what is live, beside the old file, then over it: at any moment one of them is whole."""
         with self.fresh.open("wb") as file:
             for entry in self.live.values():
-                file.write(entry.record())
+                file.write(entry.encode())
         os.replace(self.fresh, self.path)
         if self.file >= 0:
             os.close(self.file)
--- a/ashpath/node/names.py
+++ b/ashpath/server/wire_names.py
@@ -1,6 +1,6 @@
 """The protocol's names, and nothing else of it."""
 
-from ashpath.door import Presence
+from ashpath.core.interface import EndpointStatus
 
 # Headers, in lower case as the codec hands them over, and as they are sent.
 TRACE = b"x-trace-id"
@@ -32,4 +32,8 @@
 COMPLETED = "completed"
 WITHDRAWN = "withdrawn"
 
-PRESENCES = {"up": Presence.LISTED, "draining": Presence.DRAINING, "removed": Presence.GONE}
+PRESENCES = {
+    "up": EndpointStatus.ACTIVE,
+    "draining": EndpointStatus.DRAINING,
+    "removed": EndpointStatus.REMOVED,
+}
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -1,6 +1,6 @@
 """Whether `ashpath ledger verify` names the right byte, over a ledger of many records cut anywhere.
 
-    .venv/bin/python -m benchmarks.ledger [RECORDS] [CUTS]
+.venv/bin/python -m benchmarks.ledger [RECORDS] [CUTS]
 """
 
 from __future__ import annotations
@@ -13,8 +13,8 @@
 from random import Random
 from statistics import median
 
-from ashpath.command.ledger import account
-from ashpath.node.ledger import Entry, record
+from ashpath.cli.ledger import account
+from ashpath.server.storage.write_ahead_log import StoredMessage, encode_record
 from benchmarks.kept import keep
 
 
@@ -24,9 +24,9 @@
     chance, ends, parts, size = Random(1), [0], [], 0
     for number in range(records // 4):
         body = chance.randbytes(number % 90)
-        entry = Entry(number, f"t{number:x}", 0, number % 50, None, None, 10**18, body)
+        entry = StoredMessage(number, f"t{number:x}", 0, number % 50, None, None, 10**18, body)
         later = (["shot", number, 10**15, "e1"], ["outcome", number, True], ["ended", number, None])
-        for part in (entry.record(), *map(record, later)):
+        for part in (entry.encode(), *map(encode_record, later)):
             parts.append(part)
             size += len(part)
             ends.append(size)
--- a/benchmarks/rehearse.py
+++ b/benchmarks/rehearse.py
@@ -18,25 +18,25 @@
 from statistics import mean
 from typing import Any
 
-from ashpath.partners.account import Account
-from ashpath.partners.baselines import POLICIES
-from ashpath.partners.day import read_day
-from ashpath.partners.rehearse import DAYS, find, play_all
-from ashpath.partners.virtual import World
-from ashpath.plan.amounts import Duration
+from ashpath.config.units import Duration
+from ashpath.emulator.baselines import POLICIES
+from ashpath.emulator.scenario import read_scenario
+from ashpath.emulator.scoreboard import Scoreboard
+from ashpath.emulator.simulate import DAYS, find, play_all
+from ashpath.emulator.simulation import Simulation
 from benchmarks.kept import keep
 
 RATE = 4.5  # envelopes a second and sender, as on the day itself
 
 
-def world(senders: int) -> World:
+def world(senders: int) -> Simulation:
     """The day for so many senders: as many partners and as much traffic for each as for two hundred."""
-    day = read_day(find("wide-calm"))
+    day = read_scenario(find("wide-calm"))
     day.fleet.senders = senders
     day.spans[0].rate, day.spans[0].lasts = RATE * senders, Duration(max(10, 6000 // senders) * 1_000_000)
     for row in day.partners.values():
         row.count = max(1, row.count * senders // 200)
-    return World(day, DAYS, 1, POLICIES["module"], Account(list(day.tracks)))
+    return Simulation(day, DAYS, 1, POLICIES["module"], Scoreboard(list(day.tracks)))
 
 
 def speed() -> None:
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
-from rigs.fleet import CUSTOMERS, SECOND, Fleet
+from support.fleet import CUSTOMERS, SECOND, Fleet
 
 CAPACITIES = (3.0, 6.0, 12.0)
 AT = (45.0, 48.0, 49.3, 49.7)  # seconds; it comes back at 50
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -21,8 +21,8 @@
 import orjson
 import psutil
 
-from ashpath.plan.read import read
-from ashpath.plan.told import told
+from ashpath.config.loading import read
+from ashpath.config.platform_form import told
 from benchmarks.kept import ROOT, keep
 
 TEXT = """[sender]
@@ -88,7 +88,7 @@
             text += f'[destinations.{destination}]\nendpoints = ["127.0.0.1:{9000 + destination}"]\n'
         (place / "sender.toml").write_text(text)
         if name == "serve":
-            words = [sys.executable, "-m", "ashpath.command", "serve", str(place / "sender.toml")]
+            words = [sys.executable, "-m", "ashpath.cli", "serve", str(place / "sender.toml")]
             found[name] = once(words, ROOT, number, {})
             continue
         form = told(read(place / "sender.toml"), "8c1f") | {"discovery": "127.0.0.1:1"}
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -30,9 +30,9 @@
 from gevent import socket, subprocess
 from gevent.server import StreamServer
 
-from ashpath.node.codec import Closed, Malformed, Wire, write_head
-from ashpath.node.limits import Limits
-from ashpath.terms import node_terms
+from ashpath.core.platform_settings import sender_settings
+from ashpath.server.http.codec import ConnectionClosedError, HttpConnection, ProtocolError, encode_message
+from ashpath.server.limits import ServerLimits
 from benchmarks.kept import ROOT, keep
 
 CELLS = 6
@@ -41,14 +41,32 @@
 SETTLE = 4.0  # between one upgrade and the next
 SETTINGS: dict[str, Any] = {
     "classes": [
-        {"name": name, "deadline": 12000.0, "slo": 3000.0, "repeat": repeat, "window": WINDOW * 1000,
-         "importance": 1.0} for name, repeat in (("status", "retryable"), ("result", "dedup"))
+        {
+            "name": name,
+            "deadline": 12000.0,
+            "slo": 3000.0,
+            "repeat": repeat,
+            "window": WINDOW * 1000,
+            "importance": 1.0,
+        }
+        for name, repeat in (("status", "retryable"), ("result", "dedup"))
     ],
-    "kinds": ["plain"], "zones": ["here"], "group-size": 1, "rank": 0,
-    "limits": {"max-open": 400, "max-attempts": 12, "retry-after": True, "max-retry-after": 3000.0,
-               "conn-idle": 5000.0, "connect-timeout": 1000.0, "cancelling": True},
-    "specifics": {"slots": 64}, "contract": {"drain-grace": 1000.0},
-}  # fmt: skip
+    "kinds": ["plain"],
+    "zones": ["here"],
+    "group-size": 1,
+    "rank": 0,
+    "limits": {
+        "max-open": 400,
+        "max-attempts": 12,
+        "retry-after": True,
+        "max-retry-after": 3000.0,
+        "conn-idle": 5000.0,
+        "connect-timeout": 1000.0,
+        "cancelling": True,
+    },
+    "specifics": {"slots": 64},
+    "contract": {"drain-grace": 1000.0},
+}
 
 
 class Surroundings:
@@ -56,7 +74,7 @@
 
     def __init__(self, folder: Path, clients: int) -> None:
         self.folder, self.chance = folder, Random(7)
-        self.limits = Limits.of({"sockets": 512, "disk_mb": 3}, node_terms(1, SETTINGS))
+        self.limits = ServerLimits.of({"sockets": 512, "disk_mb": 3}, sender_settings(1, SETTINGS))
         self.taken: dict[str, str] = {}  # ids that were answered 202, to their track
         self.ran: dict[str, float] = {}  # ids, and when each first ran
         self.noticed: set[str] = set()
@@ -69,10 +87,17 @@
         for server in (*self.endpoints, self.agent):
             server.start()
         rows = [
-            {"id": f"e{cell}", "host_port": f"127.0.0.1:{server.server_port}", "locality": "here",
-             "flavor": "plain", "cell": cell, "phase": "up", "size": 1.0}
+            {
+                "id": f"e{cell}",
+                "host_port": f"127.0.0.1:{server.server_port}",
+                "locality": "here",
+                "flavor": "plain",
+                "cell": cell,
+                "phase": "up",
+                "size": 1.0,
+            }
             for cell, server in enumerate(self.endpoints)
-        ]  # fmt: skip
+        ]
         self.rows = {"revision": 1, "complete": True, "members": rows}
         limits = {"sockets": 512, "disk_mb": 3}
         told = {"seed": "7", "settings": SETTINGS, "limits": limits, "known": self.rows}
@@ -90,17 +115,23 @@
             probe.bind(("127.0.0.1", 0))
             control = probe.getsockname()
         environment = {
-            "PYTHONPATH": str(ROOT), "RELAY_NAME": "n0", "RELAY_STATE": str(self.folder / "state"),
+            "PYTHONPATH": str(ROOT),
+            "RELAY_NAME": "n0",
+            "RELAY_STATE": str(self.folder / "state"),
             "RELAY_LISTEN": f"127.0.0.1:{self.listener.getsockname()[1]}",
             "RELAY_DISCOVERY": f"127.0.0.1:{self.agent.server_port}",
-            "RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_CONTROL": f"127.0.0.1:{control[1]}",
+            "RELAY_CONFIG": str(self.folder / "config.json"),
+            "RELAY_CONTROL": f"127.0.0.1:{control[1]}",
             "RELAY_ACCEPT_FD": str(self.listener.fileno()),
-        }  # fmt: skip
+        }
         with (self.folder / "log").open("ab") as log:
             process = subprocess.Popen(
-                [sys.executable, "-m", "ashpath"], env=environment, stdout=log, stderr=log,
+                [sys.executable, "-m", "ashpath"],
+                env=environment,
+                stdout=log,
+                stderr=log,
                 pass_fds=(self.listener.fileno(),),
-            )  # fmt: skip
+            )
         until = time.monotonic() + 20
         while time.monotonic() < until:
             try:
@@ -116,7 +147,7 @@
 
     def endpoint(self, cell: int) -> Any:
         def serve(sock: socket.socket, _: object) -> None:
-            wire = Wire(sock, self.limits)
+            wire = HttpConnection(sock, self.limits)
             try:
                 while True:
                     call = wire.read_request()
@@ -126,23 +157,23 @@
                         self.seen["waits broken"] += 1
                     if now >= until and self.chance.random() < 0.03:
                         self.waits[cell] = (time.monotonic(), time.monotonic() + 0.5)
-                        wire.write(write_head(b"HTTP/1.1 429 Full", [(b"Retry-After", b"0.5")], b""))
+                        wire.write(encode_message(b"HTTP/1.1 429 Full", [(b"Retry-After", b"0.5")], b""))
                         continue
                     if now < until:
-                        wire.write(write_head(b"HTTP/1.1 503 Full", [], b""))
+                        wire.write(encode_message(b"HTTP/1.1 503 Full", [], b""))
                         continue
                     gevent.sleep(self.chance.uniform(0.01, 0.12))
                     trace, ran = call.headers[b"x-trace-id"].decode(), time.monotonic()
                     if ran > self.ran.setdefault(trace, ran) + WINDOW and self.taken.get(trace) == "result":
                         self.seen["doubled"] += 1
-                    wire.write(write_head(b"HTTP/1.1 200 OK", [], b"ok"))
-            except (OSError, Closed, Malformed):
+                    wire.write(encode_message(b"HTTP/1.1 200 OK", [], b"ok"))
+            except (OSError, ConnectionClosedError, ProtocolError):
                 wire.close()
 
         return serve
 
     def platform(self, sock: socket.socket, _: object) -> None:
-        wire = Wire(sock, self.limits)
+        wire = HttpConnection(sock, self.limits)
         try:
             while call := wire.read_request():
                 if call.method == b"POST":
@@ -150,28 +181,32 @@
                     wire.write(b"HTTP/1.1 204 X\r\n\r\n")
                 else:
                     gevent.sleep(1.0)
-                    wire.write(write_head(b"HTTP/1.1 200 X", [], orjson.dumps(self.rows)))
-        except (OSError, Closed, Malformed):
+                    wire.write(encode_message(b"HTTP/1.1 200 X", [], orjson.dumps(self.rows)))
+        except (OSError, ConnectionClosedError, ProtocolError):
             wire.close()
 
     # Clients.
 
     def client(self, number: int) -> None:
-        wire: Wire | None = None
+        wire: HttpConnection | None = None
         while True:
             gevent.sleep(PAUSE * self.chance.uniform(0.5, 1.5))
             slow = number % 4 == 0
             self.last += 1
             trace, track = f"t{self.last}", "status" if self.last % 2 else "result"
-            headers = [(b"X-Trace-Id", trace.encode()), (b"X-Qos", track.encode()),
-                       (b"X-Expires-In-Ms", b"12000"), (b"Idempotency-Key", trace.encode()),
-                       (b"X-Route-To", b"dest=%d" % self.chance.randrange(CELLS))]  # fmt: skip
-            data = write_head(b"POST /api HTTP/1.1", headers, b"x" * 200)
+            headers = [
+                (b"X-Trace-Id", trace.encode()),
+                (b"X-Qos", track.encode()),
+                (b"X-Expires-In-Ms", b"12000"),
+                (b"Idempotency-Key", trace.encode()),
+                (b"X-Route-To", b"dest=%d" % self.chance.randrange(CELLS)),
+            ]
+            data = encode_message(b"POST /api HTTP/1.1", headers, b"x" * 200)
             try:
-                if wire is None or slow or not wire.quiet():
+                if wire is None or slow or not wire.is_quiet():
                     if wire is not None:
                         wire.close()
-                    wire = Wire(socket.create_connection(self.listener.getsockname()), self.limits)
+                    wire = HttpConnection(socket.create_connection(self.listener.getsockname()), self.limits)
                 if slow:
                     gevent.sleep(self.chance.uniform(0, 0.8))
                     wire.write(data[:60])
@@ -181,7 +216,7 @@
                     wire.write(data)
                 answer = wire.read_answer()
                 wire.finish_answer()
-            except (OSError, Closed, Malformed):
+            except (OSError, ConnectionClosedError, ProtocolError):
                 self.seen[f"at the door, {self.by}"] += 1
                 wire = None
                 continue
@@ -220,14 +255,24 @@
             lost = around.taken.keys() - around.ran.keys() - around.noticed
         process.kill()
         process.wait()
-    keep("upgrade", " ".join(["python -m benchmarks.upgrade", *sys.argv[1:]]), {
-        "upgrades": upgrades, "clients": clients, "handed_in": around.last, "taken_on": len(around.taken),
-        "lost": len(lost), "doubled": around.seen["doubled"], "waits_broken": around.seen["waits broken"],
-        "at_the_door_by_SIGTERM": around.seen["at the door, SIGTERM"],
-        "at_the_door_by_SIGKILL": around.seen["at the door, SIGKILL"],
-        "longest_gap_s": round(around.gap, 3), "longest_exit_s": round(max(exits, default=0.0), 2),
-        "answers": {name: count for name, count in sorted(around.seen.items()) if name.startswith("ans")},
-    })  # fmt: skip
+    keep(
+        "upgrade",
+        " ".join(["python -m benchmarks.upgrade", *sys.argv[1:]]),
+        {
+            "upgrades": upgrades,
+            "clients": clients,
+            "handed_in": around.last,
+            "taken_on": len(around.taken),
+            "lost": len(lost),
+            "doubled": around.seen["doubled"],
+            "waits_broken": around.seen["waits broken"],
+            "at_the_door_by_SIGTERM": around.seen["at the door, SIGTERM"],
+            "at_the_door_by_SIGKILL": around.seen["at the door, SIGKILL"],
+            "longest_gap_s": round(around.gap, 3),
+            "longest_exit_s": round(max(exits, default=0.0), 2),
+            "answers": {name: count for name, count in sorted(around.seen.items()) if name.startswith("ans")},
+        },
+    )
 
 
 if __name__ == "__main__":
--- a/tests/command/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -7,10 +7,10 @@
 
 import orjson
 import pytest
-from rigs.standalone import Alone
-from rigs.world import until
+from support.standalone import Alone
+from support.world import until
 
-from ashpath.node.ledger import Entry, record
+from ashpath.server.storage.write_ahead_log import StoredMessage, encode_record
 
 
 @pytest.fixture
@@ -26,12 +26,28 @@
     alone.start()
     url = f"http://127.0.0.1:{alone.where[1]}"
     body = alone.folder / "body"
-    ends = [("200", "once", "1", 0, "completed"), ("500", "once", "2", 4, "undeliverable"),
-            ("200", "free", "6", 3, "deferred")]  # fmt: skip
+    ends = [
+        ("200", "once", "1", 0, "completed"),
+        ("500", "once", "2", 4, "undeliverable"),
+        ("200", "free", "6", 3, "deferred"),
+    ]
     for words, track, to, code, state in ends:
         body.write_text(words)
-        run = alone.run("hand-in", "--url", url, "--to", to, "--track", track, "--body", str(body), "--wait",
-                        "--expires", "2s", "--json")  # fmt: skip
+        run = alone.run(
+            "hand-in",
+            "--url",
+            url,
+            "--to",
+            to,
+            "--track",
+            track,
+            "--body",
+            str(body),
+            "--wait",
+            "--expires",
+            "2s",
+            "--json",
+        )
         assert run.returncode == code and orjson.loads(run.stdout)["state"] == state, run
     words = ["--to", "1", "--track", "tag", "--body", "-", "--id", "h"]
     run = alone.run("hand-in", "--url", url, *words, input="hang")
@@ -81,11 +97,11 @@
 
 def test_plain_commands(alone: Alone, tmp_path: Path) -> None:
     assert alone.run("--version").stdout.startswith("ashpath ")
-    assert "hand-in" in alone.run("-h").stdout and "--kill" in alone.run("demo", "-h").stdout
+    assert "submit" in alone.run("-h").stdout and "--kill" in alone.run("demo", "-h").stdout
     assert "_ASHPATH_COMPLETE" in alone.run("completion", "bash").stdout
     journal = tmp_path / "journal"
-    data = b"".join(Entry(n, f"j{n}", 0, n, None, None, 10**18, b"").record() for n in range(5))
-    journal.write_bytes(data + record(["ended", 1, None])[:-3])
+    data = b"".join(StoredMessage(n, f"j{n}", 0, n, None, None, 10**18, b"").encode() for n in range(5))
+    journal.write_bytes(data + encode_record(["ended", 1, None])[:-3])
     run = alone.run("ledger", "verify", str(journal), "--json")
     assert run.returncode == 1 and orjson.loads(run.stdout)["byte"] == len(data)
     assert f"byte {len(data)}: torn" in alone.run("ledger", "verify", str(tmp_path)).stdout
--- a/tests/command/test_sender.py
+++ b/tests/cli/test_sender.py
@@ -17,15 +17,21 @@
 import orjson
 import pytest
 from gevent import subprocess
-from rigs.standalone import RULES, TRACKS, Alone
-from rigs.world import LIMITS, ROOT, until
-
-from ashpath.node.ends import Ends
-from ashpath.node.folder import Folder, NotOurs
-from ashpath.node.ledger import Entry, Foreign, Ledger, Reader, record
-from ashpath.node.log import KEPT, Form, Lines
-from ashpath.node.notice_file import LineFile
-from ashpath.node.timers import wall
+from support.standalone import RULES, TRACKS, Alone
+from support.world import LIMITS, ROOT, until
+
+from ashpath.server.delivery.notification_file import RotatingFile
+from ashpath.server.logs import KEPT, LogFormat, LogWriter
+from ashpath.server.storage.outcome_store import OutcomeStore
+from ashpath.server.storage.state_directory import StateDirectory, StateDirectoryError
+from ashpath.server.storage.write_ahead_log import (
+    ForeignRecordError,
+    RecordReader,
+    StoredMessage,
+    WriteAheadLog,
+    encode_record,
+)
+from ashpath.server.timers import wall
 
 
 @pytest.fixture
@@ -41,12 +47,21 @@
     alone.destinations[6] = 'endpoints = ["127.0.0.1:1"]'
     alone.write()
     alone.start()
-    for trace, track, body, to in (("done", "once", "200", 0), ("hangs", "tag", "hang 200", 1),
-                                   ("lost", "once", "500", 2), ("gone", "once", "410", 3)):  # fmt: skip
+    for trace, track, body, to in (
+        ("done", "once", "200", 0),
+        ("hangs", "tag", "hang 200", 1),
+        ("lost", "once", "500", 2),
+        ("gone", "once", "410", 3),
+    ):
         assert alone.hand_in(trace, track, body, to) == 202
     assert alone.hand_in("late", "free", "200", 6, left=400) == 202
-    for trace, state in (("done", "completed"), ("hangs", "out"), ("lost", "undeliverable"),
-                         ("gone", "withdrawn"), ("late", "deferred")):  # fmt: skip
+    for trace, state in (
+        ("done", "completed"),
+        ("hangs", "out"),
+        ("lost", "undeliverable"),
+        ("gone", "withdrawn"),
+        ("late", "deferred"),
+    ):
         until(alone.ends(trace, state))
     assert alone.get("/envelopes/late")["again_ms"] >= 1000
     assert alone.get("/envelopes/never") == 404 and alone.hand_in("hangs", "tag", "200", 1) == 409
@@ -60,8 +75,12 @@
     told = [orjson.loads(line) for line in (alone.folder / "notices.jsonl").read_bytes().splitlines()]
     states.pop("done")
     assert {line["id"]: line["status"] for line in told} == states and len(told) == 2
-    for path, status in (("/envelopes?after=x", 400), ("/destinations?after=99", {"destinations": []}),
-                         ("/envelopes/" + "%00" * 9, 404), ("/nowhere", 404)):  # fmt: skip
+    for path, status in (
+        ("/envelopes?after=x", 400),
+        ("/destinations?after=99", {"destinations": []}),
+        ("/envelopes/" + "%00" * 9, 404),
+        ("/nowhere", 404),
+    ):
         assert alone.get(path) == status
 
 
@@ -146,11 +165,11 @@
         imprint.write_bytes(good.replace(old, new, 1))
         refused(alone, "imprint")
     imprint.write_bytes(good)
-    entry = Entry(1, "a", 0, 1, None, None, wall() + 10**9, b"")
-    (state / "journal").write_bytes(record(["renamed", 1]))
+    entry = StoredMessage(1, "a", 0, 1, None, None, wall() + 10**9, b"")
+    (state / "journal").write_bytes(encode_record(["renamed", 1]))
     refused(alone, "not a record of this version")
     imprint.unlink()
-    (state / "journal").write_bytes(entry.record())
+    (state / "journal").write_bytes(entry.encode())
     refused(alone, "no imprint")
     (tmp_path / "file").write_text("")
     for place in ("file", "file/below", "/proc/nowhere"):
@@ -176,8 +195,8 @@
     assert alone.hand_in("kept", "once", "hang", 1) == 202
     until(lambda: alone.count("kept"))
     alone.kill()
-    held = Folder(tmp_path / "state", "n0")
-    assert held.held() == 1
+    held = StateDirectory(tmp_path / "state", "n0")
+    assert held.live_messages() == 1
     held.close()
 
     def full() -> None:
@@ -189,8 +208,8 @@
     state.chmod(0)
     try:
         os.seteuid(was or 65534)  # as a user whom the rights bind
-        with pytest.raises(NotOurs, match="Permission denied"):
-            Folder(state, "n0")
+        with pytest.raises(StateDirectoryError, match="Permission denied"):
+            StateDirectory(state, "n0")
     finally:
         os.seteuid(was)
         state.chmod(0o700)
@@ -201,10 +220,10 @@
 def test_a_crash_at_each_write_of_a_start(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """A counter says at which change of the folder the start ends; what is held is there after each."""
     rows, first = [{"name": "a"}, {"name": "b"}], tmp_path / "0"
-    folder = Folder(first, "n0")
+    folder = StateDirectory(first, "n0")
     folder.write(rows[:1])
-    ledger = Ledger(first, 1 << 20)
-    assert ledger.taken(Entry(1, "x", 0, 1, None, None, wall() + 10**9, b"body"))
+    ledger = WriteAheadLog(first, 1 << 20)
+    assert ledger.record_submitted(StoredMessage(1, "x", 0, 1, None, None, wall() + 10**9, b"body"))
     ledger.close()
     folder.close()
     calls = {f"os.{call.__name__}": call for call in (os.replace, os.pwrite, os.truncate)}
@@ -228,15 +247,18 @@
             for name in calls:
                 patch.setattr(name, spoil(name))
             try:
-                once = Folder(place, "n0")
+                once = StateDirectory(place, "n0")
                 once.write(rows)
-                Ledger(place, 1 << 20).close()
+                WriteAheadLog(place, 1 << 20).close()
             except KeyboardInterrupt:
                 crashed += 1
             finally:
                 once.close()
-        again = Folder(place, "n0")
-        assert again.held() == 1 and [row["name"] for row in again.told] in (["a"], ["a", "b"])
+        again = StateDirectory(place, "n0")
+        assert again.live_messages() == 1 and [row["name"] for row in again.traffic_classes] in (
+            ["a"],
+            ["a", "b"],
+        )
         again.close()
     assert crashed == 5
 
@@ -270,13 +292,13 @@
     assert alone.process is not None
     assert os.readlink(f"/proc/{alone.process.pid}/fd/1") == "/dev/null"
     with (alone.folder / "state" / "journal").open("rb") as file:
-        reader = Reader(file)
+        reader = RecordReader(file)
         assert list(reader) and not reader.fault
 
 
 def test_lines_wait_and_are_counted() -> None:
     out, into = os.pipe()
-    lines = Lines(into)
+    lines = LogWriter(into)
     for _ in range(2 * KEPT // 1000):
         lines.msg("y" * 999)
     assert lines.dropped and lines.size <= KEPT
@@ -300,7 +322,7 @@
     lines.msg("nobody")
     assert lines.descriptor is None and not lines.waiting
     os.close(into)
-    Lines(None).msg("nowhere")
+    LogWriter(None).msg("nowhere")
 
 
 def test_secrets_stay_out_of_lines(alone: Alone) -> None:
@@ -332,7 +354,7 @@
         for name, _, fields in re.findall(r"^\| `([^`]+)` \| (\w+) \| ([^|]*) \|", page, re.M)
     }
     found: dict[str, set[str]] = {}
-    for path in [*(ROOT / "ashpath" / "node").glob("*.py"), *(ROOT / "ashpath" / "command").glob("*.py")]:
+    for path in [*(ROOT / "ashpath" / "server").rglob("*.py"), *(ROOT / "ashpath" / "cli").rglob("*.py")]:
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
                 continue
@@ -350,7 +372,7 @@
     assert found == table
 
 
-NAMED = {"admit.py": ["ledger full", "ledger has room"]}  # an event that is chosen as it is logged
+NAMED = {"admission.py": ["ledger full", "ledger has room"]}  # an event that is chosen as it is logged
 
 
 def test_ends_are_bounded_and_outlive_faults(tmp_path: Path) -> None:
@@ -362,47 +384,47 @@
 
         info = error
 
-    ends = Ends(tmp_path, 4096, 10**12, Log())
+    ends = OutcomeStore(tmp_path, 4096, 10**12, Log())
     for number in range(500):
         ends.add(f"e{number}", "completed")
         assert ends.size <= 4096 and sum(path.stat().st_size for path in tmp_path.iterdir()) <= 4096
-    assert ends.of("e499") and not ends.of("e0")
+    assert ends.get("e499") and not ends.get("e0")
     with (tmp_path / "ends").open("ab") as file:
         file.write(b'["torn","comp')
     ends.close()
-    ends = Ends(tmp_path, 4096, 10**12, Log())
+    ends = OutcomeStore(tmp_path, 4096, 10**12, Log())
     ends.add("next", "deferred", 500)
     ends.close()
-    ends = Ends(tmp_path, 4096, 10**12, Log())
-    assert ends.of("next") and ends.of("e499") and not ends.of("torn")
+    ends = OutcomeStore(tmp_path, 4096, 10**12, Log())
+    assert ends.get("next") and ends.get("e499") and not ends.get("torn")
     os.close(ends.file)
     real, ends.file = ends.file, os.open("/dev/full", os.O_WRONLY)
     ends.add("unwritten", "completed")
     ends.add("unwritten2", "completed")
-    assert ends.of("unwritten") and said == ["ends not written"] and real
-    ends.life = -1
-    assert not ends.of("next")
+    assert ends.get("unwritten") and said == ["ends not written"] and real
+    ends.retention = -1
+    assert not ends.get("next")
 
 
 def test_notice_files_turn(tmp_path: Path) -> None:
-    file = LineFile(tmp_path / "n", 100, 2)
+    file = RotatingFile(tmp_path / "n", 100, 2)
     for number in range(30):
         file.write(b"%030d\n" % number)
     assert sorted(path.name for path in tmp_path.iterdir()) == ["n", "n.1", "n.2"]
     assert (tmp_path / "n").read_bytes().endswith(b"29\n") and (tmp_path / "n.2").stat().st_size <= 100
-    assert LineFile(tmp_path / "n", 100, 2).written == file.written
+    assert RotatingFile(tmp_path / "n", 100, 2).written == file.written
 
 
 def test_ledger_says_where_it_is_torn(tmp_path: Path) -> None:
     """Cut at each of many bytes: the whole records count, and the first torn one's byte is named."""
     sizes, data = [0], b""
     for number in range(40):
-        data += Entry(number, f"t{number}", 0, 1, None, None, 1, b"x" * (number % 7)).record()
+        data += StoredMessage(number, f"t{number}", 0, 1, None, None, 1, b"x" * (number % 7)).encode()
         sizes.append(len(data))
     for cut in range(len(data)):
         (tmp_path / "journal").write_bytes(data[:cut])
         with (tmp_path / "journal").open("rb") as file:
-            reader = Reader(file)
+            reader = RecordReader(file)
             count = len(list(reader))
         whole = max(at for at in sizes if at <= cut)
         assert reader.at == whole and count == sizes.index(whole) and bool(reader.fault) == (cut != whole)
@@ -410,20 +432,20 @@
         spoilt = data[: sizes[9] + at] + byte + data[sizes[9] + at + 1 :]
         (tmp_path / "journal").write_bytes(spoilt)
         with (tmp_path / "journal").open("rb") as file:
-            reader = Reader(file)
+            reader = RecordReader(file)
             assert len(list(reader)) == 9 and reader.at == sizes[9] and reader.fault
-    (tmp_path / "journal").write_bytes(data + record(["of another version", 1, 2]))
-    with pytest.raises(Foreign):
-        Ledger(tmp_path, 1 << 20)
+    (tmp_path / "journal").write_bytes(data + encode_record(["of another version", 1, 2]))
+    with pytest.raises(ForeignRecordError):
+        WriteAheadLog(tmp_path, 1 << 20)
     assert (tmp_path / "journal").read_bytes().startswith(data)
 
 
 def test_a_sender_imports_what_it_needs() -> None:
     """Guards the platform's small machines: what a sender does not switch on it does not load."""
     off = "'click', 'rich', 'tree_sitter', 'prometheus_client', 'gevent.pywsgi'"
-    forbidden = f"{{{off}, 'tomllib', 'ashpath.plan', 'ashpath.node.ends'}}"
-    own = "{'tomllib', 'ashpath.plan', 'ashpath.node.ends'}"
-    for module, allowed in (("ashpath.node.start", "set()"), ("ashpath.command.sender", own)):
+    forbidden = f"{{{off}, 'tomllib', 'ashpath.config', 'ashpath.server.storage.outcome_store'}}"
+    own = "{'tomllib', 'ashpath.config', 'ashpath.server.storage.outcome_store'}"
+    for module, allowed in (("ashpath.server.runtime", "set()"), ("ashpath.cli.standalone", own)):
         code = f"import sys, {module}; sys.exit(str(({forbidden} - {allowed}) & set(sys.modules) or ''))"
         run = subprocess.run([sys.executable, "-c", code], stderr=subprocess.PIPE, cwd=ROOT)
         assert run.stderr.strip() == b"", run.stderr
@@ -431,17 +453,17 @@
 
 def test_forms_never_fail() -> None:
     for form in ("logfmt", "json", "console"):
-        shaped = Form("info", form)
+        shaped = LogFormat("info", form)
         for value in ("plain", b"\xff", object(), "two\nlines", "\ud800", {"a b": 1}):
             assert shaped(None, "info", {"event": "e", "level": "info", "what": value})
         assert shaped(None, "info", {"event": "e", "a b": 1})
 
 
 def test_two_senders_at_once(tmp_path: Path) -> None:
-    first = Folder(tmp_path, "n0")
+    first = StateDirectory(tmp_path, "n0")
     first.write([])
-    with pytest.raises(NotOurs, match=f"process {os.getpid()}"):
-        Folder(tmp_path, "n0")
+    with pytest.raises(StateDirectoryError, match=f"process {os.getpid()}"):
+        StateDirectory(tmp_path, "n0")
     first.close()
-    Folder(tmp_path, "n0").close()
-    assert LIMITS.disk and sys.executable
+    StateDirectory(tmp_path, "n0").close()
+    assert LIMITS.disk_bytes and sys.executable
--- a/tests/plan/test_plan.py
+++ b/tests/config/test_plan.py
@@ -12,19 +12,19 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from rigs.world import ROOT
-
-import ashpath.command
-import ashpath.partners
-import ashpath.plan
-from ashpath.command.check import command as check
-from ashpath.node.limits import Limits
-from ashpath.plan.check import plan
-from ashpath.plan.decide import changes
-from ashpath.plan.read import Unusable, read
-from ashpath.plan.reference import markdown, plain
-from ashpath.plan.told import told
-from ashpath.terms import node_terms, numbered
+from support.world import ROOT
+
+import ashpath.cli
+import ashpath.config
+import ashpath.emulator
+from ashpath.cli.check import command as check
+from ashpath.config.loading import InvalidConfigurationError, read
+from ashpath.config.platform_form import told
+from ashpath.config.reference import markdown, plain
+from ashpath.config.rules import changes
+from ashpath.config.validation import plan
+from ashpath.core.platform_settings import number_traffic_classes, sender_settings
+from ashpath.server.limits import ServerLimits
 
 EXAMPLE = ROOT / "deploy" / "sender.toml"
 TEXT = """[sender]
@@ -68,17 +68,42 @@
 SAME = {
     "classes": [
         {"name": "check-status", "deadline": 16000, "slo": 4000, "repeat": "retryable", "importance": 3},
-        {"name": "check-result", "deadline": 20000, "slo": 4000, "repeat": "dedup", "window": 5000,
-         "group": "z", "importance": 1, "late-worth": 0.25, "one-at-a-time": True},
+        {
+            "name": "check-result",
+            "deadline": 20000,
+            "slo": 4000,
+            "repeat": "dedup",
+            "window": 5000,
+            "group": "z",
+            "importance": 1,
+            "late-worth": 0.25,
+            "one-at-a-time": True,
+        },
     ],
-    "rank": 1, "group-size": 3, "kinds": ["bank", "app"], "zones": ["", "b"],
-    "limits": {"max-open": 10000, "max-attempts": 12, "cancelling": True, "retry-after": True,
-               "max-retry-after": 3000, "connect-timeout": 1000, "conn-idle": 5000},
-    "contract": {"drain-grace": 1000, "cold-from": 0.2, "ramp-time": 10000, "fall-multiple": 2, "fall": 3000,
-                 "order-settle": 200},
+    "rank": 1,
+    "group-size": 3,
+    "kinds": ["bank", "app"],
+    "zones": ["", "b"],
+    "limits": {
+        "max-open": 10000,
+        "max-attempts": 12,
+        "cancelling": True,
+        "retry-after": True,
+        "max-retry-after": 3000,
+        "connect-timeout": 1000,
+        "conn-idle": 5000,
+    },
+    "contract": {
+        "drain-grace": 1000,
+        "cold-from": 0.2,
+        "ramp-time": 10000,
+        "fall-multiple": 2,
+        "fall": 3000,
+        "order-settle": 200,
+    },
     "specifics": {"slots": 8, "kind-apart": [False, True], "loses-worth": "halves"},
     "load-info": {"how": "answers", "fields": ["x0", "x1"]},
-}  # fmt: skip
+}
 
 
 def written(folder: Path, text: str | bytes) -> Path:
@@ -90,13 +115,13 @@
 def faults(folder: Path, text: str | bytes) -> list[str]:
     try:
         read(written(folder, text))
-    except Unusable as error:
+    except InvalidConfigurationError as error:
         return [line.removeprefix(f"{folder}/sender.toml") for line in error.lines]
     return []
 
 
 def test_examples() -> None:
-    for package in (ashpath.plan, ashpath.command, ashpath.partners):
+    for package in (ashpath.config, ashpath.cli, ashpath.emulator):
         for module in pkgutil.iter_modules(package.__path__):
             if module.name != "__main__":
                 found = importlib.import_module(f"{package.__name__}.{module.name}")
@@ -106,13 +131,23 @@
 def test_same_terms_as_the_platform(tmp_path: Path) -> None:
     """One place for each rule: the file gives what the platform's JSON of the same meaning gives."""
     form = told(read(written(tmp_path, TEXT)), "8c1f")
-    terms = node_terms(0x8C1F, SAME)
-    assert node_terms(int(form["seed"], 16), form["settings"]) == terms
-    plain_limits = Limits.of({"sockets": 1024, "disk_mb": 3.0}, terms)
-    ours = Limits.of(form["limits"], terms)
-    assert (ours.clients, ours.outward, ours.disk, ours.connect, ours.idle_life) == (
-        plain_limits.clients, plain_limits.outward, plain_limits.disk, plain_limits.connect,
-        plain_limits.idle_life)  # fmt: skip
+    terms = sender_settings(0x8C1F, SAME)
+    assert sender_settings(int(form["seed"], 16), form["settings"]) == terms
+    plain_limits = ServerLimits.of({"sockets": 1024, "disk_mb": 3.0}, terms)
+    ours = ServerLimits.of(form["limits"], terms)
+    assert (
+        ours.client_connections,
+        ours.endpoint_connections,
+        ours.disk_bytes,
+        ours.connect_s,
+        ours.endpoint_idle_s,
+    ) == (
+        plain_limits.client_connections,
+        plain_limits.endpoint_connections,
+        plain_limits.disk_bytes,
+        plain_limits.connect_s,
+        plain_limits.endpoint_idle_s,
+    )
     assert [row["id"] for row in form["known"]["members"]] == ["7@10.1.0.18:7070", "second"]
     assert [row["phase"] for row in form["known"]["members"]] == ["up", "draining"]
 
@@ -135,10 +170,20 @@
     assert len(faults(tmp_path, many)) == 201 and faults(tmp_path, many)[-1].endswith(" more")
 
 
-HOSTILE = [b"", b"\xff\xfe", b"a = " + b"9" * 5000, b"a = " + b"[" * 50_000, b"\0", b'a = "', b"sender = 1",
-           b"[tracks]", b"[[sender]]\n[[sender]]",
-           TEXT.encode().replace(b"[sender]", b"\xef\xbb\xbf[sender]"),
-           TEXT.encode() + b'[destinations."7"]\n', TEXT.encode() * 2]  # fmt: skip
+HOSTILE = [
+    b"",
+    b"\xff\xfe",
+    b"a = " + b"9" * 5000,
+    b"a = " + b"[" * 50_000,
+    b"\0",
+    b'a = "',
+    b"sender = 1",
+    b"[tracks]",
+    b"[[sender]]\n[[sender]]",
+    TEXT.encode().replace(b"[sender]", b"\xef\xbb\xbf[sender]"),
+    TEXT.encode() + b'[destinations."7"]\n',
+    TEXT.encode() * 2,
+]
 
 
 def test_hostile_files(tmp_path: Path) -> None:
@@ -147,13 +192,35 @@
         assert said and all(re.match(r":[0-9]+: ", line) for line in said), (data[:40], said)
     assert faults(tmp_path, TEXT.replace("8", "9" * 300, 1))[0].count("9") < 60
     for path in (tmp_path, tmp_path / "none", Path("/dev/null/x")):
-        with pytest.raises(Unusable):
+        with pytest.raises(InvalidConfigurationError):
             read(path)
 
 
-PIECES = st.sampled_from([b"=", b"[", b"]", b"{", b"}", b'"', b"\n", b"#", b"'", b",", b".", b"-1", b"1e999",
-                          b"nan", b"true", b"\xc3", b"\x00", b"1979-05-27", b'"4s"', b"[[sender]]",
-                          b"x = 1"])  # fmt: skip
+PIECES = st.sampled_from(
+    [
+        b"=",
+        b"[",
+        b"]",
+        b"{",
+        b"}",
+        b'"',
+        b"\n",
+        b"#",
+        b"'",
+        b",",
+        b".",
+        b"-1",
+        b"1e999",
+        b"nan",
+        b"true",
+        b"\xc3",
+        b"\x00",
+        b"1979-05-27",
+        b'"4s"',
+        b"[[sender]]",
+        b"x = 1",
+    ]
+)
 CHANGES = st.lists(
     st.tuples(st.sampled_from(["cut", "put", "double", "drop"]), st.integers(0, 10_000), PIECES),
     min_size=1,
@@ -177,19 +244,24 @@
     return data
 
 
-@settings(max_examples=2000, derandomize=True, deadline=None, database=None,
-          suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.too_slow])  # fmt: skip
+@settings(
+    max_examples=2000,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.too_slow],
+)
 @given(CHANGES)
 def test_mutated_files(tmp_path: Path, steps: list[tuple[str, int, bytes]]) -> None:
     """Whatever becomes of a file: it is sound, or each line names the file and a line of it. No traceback."""
     path = written(tmp_path, mutated(EXAMPLE.read_bytes(), steps))
     try:
         made = read(path)
-    except Unusable as error:
+    except InvalidConfigurationError as error:
         for line in error.lines:
             assert re.match(rf"{re.escape(str(path))}:[1-9][0-9]*: .", line) and "\n" not in line, line
     else:
-        node_terms(1, told(made, "1")["settings"])  # what is sound makes a sender's terms
+        sender_settings(1, told(made, "1")["settings"])  # what is sound makes a sender's terms
 
 
 def test_check_exits(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
@@ -226,11 +298,11 @@
 def test_numbered() -> None:
     """While envelopes are held, a number keeps the terms they were taken on under."""
     a, b, changed, c = ({"name": n, "deadline": d} for n, d in (("a", 1), ("b", 1), ("a", 2), ("c", 1)))
-    assert numbered([b, a], [a, b], 0) == ([b, a], [])
-    assert numbered([b, a], [a, b], 1) == ([a, b], [])
-    assert numbered([b], [a, b], 1) == ([a, b], [0])
-    assert numbered([changed, b, c], [a, b], 1) == ([a, b, changed, c], [0])
-    assert numbered([a, b], [a, b, changed, c], 1) == ([a, b, changed, c], [2, 3])
+    assert number_traffic_classes([b, a], [a, b], 0) == ([b, a], [])
+    assert number_traffic_classes([b, a], [a, b], 1) == ([a, b], [])
+    assert number_traffic_classes([b], [a, b], 1) == ([a, b], [0])
+    assert number_traffic_classes([changed, b, c], [a, b], 1) == ([a, b, changed, c], [0])
+    assert number_traffic_classes([a, b], [a, b, changed, c], 1) == ([a, b, changed, c], [2, 3])
 
 
 def test_reference_is_fresh() -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import pytest
-from rigs.world import World
+from support.world import World
 
 
 @pytest.fixture
--- a/tests/partners/test_loopback.py
+++ b/tests/emulator/test_loopback.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from ashpath.door import Ending
-from ashpath.partners.account import Account
-from ashpath.partners.day import read_day
-from ashpath.partners.loopback import Loopback
-from ashpath.partners.rehearse import find, play, play_on_sockets
-from ashpath.partners.virtual import Work
-from ashpath.plan.read import read
-from ashpath.plan.told import document
+from ashpath.config.loading import read
+from ashpath.config.platform_form import document
+from ashpath.core.interface import AttemptOutcome
+from ashpath.emulator.loopback import Loopback
+from ashpath.emulator.scenario import read_scenario
+from ashpath.emulator.scoreboard import Scoreboard
+from ashpath.emulator.simulate import find, play, play_on_sockets
+from ashpath.emulator.simulation import Work
 
 # The day, what is replaced in it so that it takes some seconds, and how far G may be from virtual time's.
 DAYS = [
@@ -52,14 +52,17 @@
 def test_kills_between_word_and_answer(tmp_path: Path, case: str) -> None:
     id_, rows, lost = case.split(": ")
     path, tracks = find("kills"), ["check-status", "check-result"]
-    run = Loopback(read_day(path), path.parent, tmp_path, 1, Account(tracks))
-    run.works[id_] = Work(id_, int(id_[0]), 0, None, 900_000, run.tracks[int(id_[0])].cutoff, 0)
+    run = Loopback(read_scenario(path), path.parent, tmp_path, 1, Scoreboard(tracks))
+    run.works[id_] = Work(id_, int(id_[0]), 0, None, 900_000, run.tracks[int(id_[0])].deadline, 0)
     run.see(900_000, run.of_clients, "asked", id_, -1)
     where = (id_, next(iter(run.stands)))
     for row in rows.split(", "):
         at, what, sender = int(row.split()[0]) * 1000, row.split()[1], int((row + " 0").split()[2])
-        seen = {"kill": (run.witness_kill, sender), "shot": (run.witness_shot, *where),
-                "completed": (run.witness_outcome, *where, Ending.COMPLETED, at - 100_000, 0)}  # fmt: skip
+        seen = {
+            "kill": (run.witness_kill, sender),
+            "shot": (run.witness_shot, *where),
+            "completed": (run.witness_outcome, *where, AttemptOutcome.DELIVERED, at - 100_000, 0),
+        }
         run.see(at, *seen.get(what, (run.of_clients, what, id_, sender)))
     run.stop()
     run.replay()
--- a/tests/partners/test_rehearsal.py
+++ b/tests/emulator/test_rehearsal.py
@@ -10,27 +10,39 @@
 from typing import Any
 
 import pytest
-from rigs.standalone import Alone
-
-from ashpath.command.check import command as check
-from ashpath.decide import Destination, Gate, Sender
-from ashpath.door import Ending, Repeat, TrackTerms
-from ashpath.partners.account import Account
-from ashpath.partners.baselines import POLICIES
-from ashpath.partners.day import Day, condition, read_day
-from ashpath.partners.model import NEVER, SECOND, Meets, Nature, Partner, Trouble
-from ashpath.partners.rehearse import DAYS, find, outcome, play, play_all, table
-from ashpath.partners.virtual import StoodStill, World
-from ashpath.partners.witness import Witness
-from ashpath.plan.read import Unusable
-
-SHORT = ["calm", "burst", "silent-bank", "shut", "fast-errors", "lost-answers", "resets", "replaced", "kills",
-         "in-turn", "split", "pile"]  # fmt: skip
-
-
-def run(day: Day, maker: Any, seed: int = 1, folder: Path = DAYS) -> tuple[dict[str, Any], World]:
-    account = Account(list(day.tracks), keeps_modes=True)
-    world = World(day, folder, seed, maker, account)
+from support.standalone import Alone
+
+from ashpath.cli.check import command as check
+from ashpath.config.loading import InvalidConfigurationError
+from ashpath.core.interface import AttemptOutcome, RetrySafety, TrafficClassSettings
+from ashpath.emulator.baselines import POLICIES
+from ashpath.emulator.destination_model import NEVER, SECOND, DestinationModel, Meets, Nature, Trouble
+from ashpath.emulator.invariant_checker import InvariantChecker
+from ashpath.emulator.scenario import Scenario, condition, read_scenario
+from ashpath.emulator.scoreboard import Scoreboard
+from ashpath.emulator.simulate import DAYS, find, outcome, play, play_all, table
+from ashpath.emulator.simulation import Simulation, StoodStill
+from ashpath.policy.engine import DeliveryPolicy, Destination, Gate
+
+SHORT = [
+    "calm",
+    "burst",
+    "silent-bank",
+    "shut",
+    "fast-errors",
+    "lost-answers",
+    "resets",
+    "replaced",
+    "kills",
+    "in-turn",
+    "split",
+    "pile",
+]
+
+
+def run(day: Scenario, maker: Any, seed: int = 1, folder: Path = DAYS) -> tuple[dict[str, Any], Simulation]:
+    account = Scoreboard(list(day.tracks), keeps_modes=True)
+    world = Simulation(day, folder, seed, maker, account)
     world.run()
     return account.result(), world
 
@@ -45,19 +57,23 @@
 
 def test_days_of_the_library(capsys: pytest.CaptureFixture[str]) -> None:
     found = sorted(DAYS.glob("*.toml"))
-    wide = [path for path in found if (day := read_day(path)).fleet.senders >= 200
-            and sum(row.count * row.endpoints for row in day.partners.values()) >= 200]  # fmt: skip
+    wide = [
+        path
+        for path in found
+        if (day := read_scenario(path)).fleet.senders >= 200
+        and sum(row.count * row.endpoints for row in day.partners.values()) >= 200
+    ]
     assert len(found) >= 15 and len(wide) >= 3
     assert all(check.main([str(path)], standalone_mode=False) == 0 for path in found)
     assert "sound: a day of 3 senders" in capsys.readouterr().out
     for path in found:
-        incident = read_day(path).day.incident
+        incident = read_scenario(path).day.incident
         assert not incident or (DAYS.parents[2] / "docs" / "incidents" / incident).exists()
 
 
 def test_same_day_same_seed_same_bytes() -> None:
     path = find("pile")
-    day = read_day(path)
+    day = read_scenario(path)
     played = [list(play_all(path, [1, 2, 3], ["module", "retries"], jobs)) for jobs in (1, 1, 3)]
     first, again, spread = (outcome(day, "pile", runs) for runs in played)
     assert first == again == spread
@@ -69,7 +85,7 @@
 # Modules that are crippled, each in one place, and the rule that the witness must see broken on a day.
 
 
-class Forgetful(Sender):
+class Forgetful(DeliveryPolicy):
     """Gives no answer for what it gives up."""
 
     def give_up(self, envelope: Any) -> None:
@@ -77,34 +93,37 @@
 
     @staticmethod
     def over() -> Any:
-        from ashpath.decide import State
+        from ashpath.policy.engine import State
 
         return State.OVER
 
 
-class Repeating(Sender):
+class Repeating(DeliveryPolicy):
     """Takes a repeat for recognised for four times as long as it is."""
 
     def __init__(self, terms: Any, answers: Any) -> None:
-        tracks = tuple(replace(track, window=4 * track.window) for track in terms.tracks)
-        super().__init__(replace(terms, tracks=tracks), answers)
+        tracks = tuple(
+            replace(track, deduplication_window=4 * track.deduplication_window)
+            for track in terms.traffic_classes
+        )
+        super().__init__(replace(terms, traffic_classes=tracks), answers)
 
 
-class Lingering(Sender):
+class Lingering(DeliveryPolicy):
     """Does not hear of endpoints that go."""
 
-    def listed(self, rows: Any, whole: bool) -> None:
-        super().listed([row for row in rows if row.presence.value == "listed"], whole)
+    def update_endpoints(self, rows: Any, whole: bool) -> None:
+        super().update_endpoints([row for row in rows if row.status.value == "listed"], whole)
         for row in rows:
-            if row.presence.value == "gone" and row.destination in self.destinations:
+            if row.status.value == "gone" and row.destination in self.destinations:
                 one = self.destinations[row.destination]
-                one.endpoints = [one.known.get(row.endpoint) or one.endpoints[0]]
+                one.endpoints = [one.known.get(row.endpoint_id) or one.endpoints[0]]
 
-    def stands(self, id_: int, now: int) -> bool:
+    def still_valid(self, id_: int, now: int) -> bool:
         return True
 
 
-class Pushy(Sender):
+class Pushy(DeliveryPolicy):
     """Knows no cold destinations, no failures, no limit."""
 
     def destination(self, number: int) -> Destination:
@@ -118,46 +137,53 @@
         return self.wait_until if now < self.wait_until else None
 
 
-class Disorderly(Sender):
+class Disorderly(DeliveryPolicy):
     """Takes ordered envelopes for any others."""
 
-    def take(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
-        super().take(id_, number, track, None, left)
+    def submit(self, id_: int, number: int, track: int, key: int | None, left: int) -> None:
+        super().submit(id_, number, track, None, left)
 
 
-class Impatient(Sender):
+class Impatient(DeliveryPolicy):
     """Does not hear waits."""
 
-    def returned(self, id_: int, ending: Ending, wait: int, closed: bool, told: Any) -> None:
-        super().returned(id_, ending, 0, closed, None)
+    def attempt_finished(self, id_: int, ending: AttemptOutcome, wait: int, closed: bool, told: Any) -> None:
+        super().attempt_finished(id_, ending, 0, closed, None)
 
 
-CRIPPLED = [(Forgetful, "large-silent", "lost"), (Repeating, "errors-behind", "doubled"),
-            (Lingering, "replaced", "drain"), (Pushy, "silent-bank", "returning"),
-            (Disorderly, "in-turn", "order"), (Impatient, "limit-cut", "wait")]  # fmt: skip
+CRIPPLED = [
+    (Forgetful, "large-silent", "lost"),
+    (Repeating, "errors-behind", "doubled"),
+    (Lingering, "replaced", "drain"),
+    (Pushy, "silent-bank", "returning"),
+    (Disorderly, "in-turn", "order"),
+    (Impatient, "limit-cut", "wait"),
+]
 
 
 @pytest.mark.parametrize(("crippled", "name", "rule"), CRIPPLED)
-def test_the_witness_sees_each_rule_broken(crippled: type[Sender], name: str, rule: str) -> None:
-    _, world = run(read_day(find(name)), lambda terms, answers, world: crippled(terms, answers))
+def test_the_witness_sees_each_rule_broken(crippled: type[DeliveryPolicy], name: str, rule: str) -> None:
+    _, world = run(read_scenario(find(name)), lambda terms, answers, world: crippled(terms, answers))
     assert world.witness.counts[rule], world.witness.counts
     assert any(one.rule == rule for one in world.witness.broken)
     if rule not in ("returning", "lost"):
         assert next(one for one in world.witness.broken if one.rule == rule).story
 
 
-class Restless(Sender):
-    def woken(self, token: str) -> None:
-        self.answers.wake(self.now, token)
+class Restless(DeliveryPolicy):
+    def timer_fired(self, token: str) -> None:
+        self.actions.schedule_timer(self.now, token)
 
 
 def test_a_policy_that_stands_still() -> None:
     with pytest.raises(StoodStill):
-        run(read_day(find("calm")), lambda terms, answers, world: Restless(terms, answers))
+        run(read_scenario(find("calm")), lambda terms, answers, world: Restless(terms, answers))
 
 
-TAGGED = TrackTerms(1.0, 4 * SECOND, 20 * SECOND, Repeat.TAGGED, 5 * SECOND, True, 0.0, True)
-ONCE = TrackTerms(1.0, 4 * SECOND, 20 * SECOND, Repeat.ONCE_ONLY, 0, True, 0.0, False)
+TAGGED = TrafficClassSettings(
+    1.0, 4 * SECOND, 20 * SECOND, RetrySafety.DEDUPLICATED, 5 * SECOND, True, 0.0, True
+)
+ONCE = TrafficClassSettings(1.0, 4 * SECOND, 20 * SECOND, RetrySafety.AT_MOST_ONCE, 0, True, 0.0, False)
 # What an onlooker sees of one sender, and the rules that are broken by it: T taken, S shot, E ending,
 # F final, W wait told, O off the list; times in milliseconds.
 SEEN = """
@@ -184,7 +210,7 @@
 def test_what_the_witness_makes_of_it() -> None:
     for row in SEEN.strip().splitlines():
         words, _, broken = row.partition("~")
-        witness, terms = Witness(SECOND, SECOND // 5), ONCE if words.split()[0] == "o" else TAGGED
+        witness, terms = InvariantChecker(SECOND, SECOND // 5), ONCE if words.split()[0] == "o" else TAGGED
         began = 0
         for word in words.split():
             found = re.fullmatch(r"([TSEFWO])([0-9]+)(?::(.*))?", word)
@@ -210,12 +236,12 @@
 
 
 def test_order_and_falls_seen() -> None:
-    witness = Witness(SECOND, SECOND // 5)
+    witness = InvariantChecker(SECOND, SECOND // 5)
     for number in (1, 2):
         witness.taken(0, 0, number, f"e{number}", 7, TAGGED, 3, 20 * SECOND)
     witness.shot(1, 0, 2, "e", "7")
     assert witness.counts == Counter(order=1), "the second before the first"
-    witness = Witness(SECOND, SECOND // 5)
+    witness = InvariantChecker(SECOND, SECOND // 5)
     for number in (1, 2):
         witness.taken(0, 0, number, f"e{number}", 7, TAGGED, 3, 20 * SECOND)
     witness.shot(1, 0, 1, "e", "7")
@@ -234,14 +260,14 @@
     assert witness.counts["returning"] == 1
 
 
-def arrive(partner: Partner, now: int, work: str, key: str | None = None, end: str = "e") -> Any:
+def arrive(partner: DestinationModel, now: int, work: str, key: str | None = None, end: str = "e") -> Any:
     return partner.arrive(now, end, work, 0, key, False)
 
 
 def test_model_of_a_partner() -> None:
     """Queue, keys, silence and hang, cold start and fall, pauses, in virtual time."""
     plain = Nature(workers=2, service=(SECOND,), spread=0, queue=1, ramp=10 * SECOND)
-    partner = Partner(plain, Random(1), ["e"])
+    partner = DestinationModel(plain, Random(1), ["e"])
     met = [arrive(partner, 0, f"w{n}", "key") for n in range(4)]
     assert [one.after for one in met] == [SECOND, SECOND, 2 * SECOND, 0] and met[3].meets is Meets.FULL
     assert [partner.tallies[f"w{n}"].effects for n in range(3)] == [1, 0, 0], "a repeat within the window"
@@ -256,13 +282,15 @@
     assert not any(arrive(partner, 9 * SECOND, f"few{n}").meets is Meets.NOTHING for n in range(3))
     late = [arrive(partner, 11_500_000 + n, f"many{n}") for n in range(9)]
     assert partner.falls == 1 and late[-1].meets is Meets.NOTHING and partner.dumb(12 * SECOND)
-    dropped = Partner(Nature(workers=1, service=(SECOND,), spread=0, runs_on=False), Random(1), ["e"])
+    dropped = DestinationModel(
+        Nature(workers=1, service=(SECOND,), spread=0, runs_on=False), Random(1), ["e"]
+    )
     arrive(dropped, 0, "a")
     call = arrive(dropped, 0, "b")
     dropped.ended(SECOND // 2, call, "b")
     assert dropped.tallies["b"].effects == 0, "left the queue before it began"
     pausing = Nature(service=(1000,), spread=0, pause_every=SECOND, pause_for=SECOND // 5)
-    pauses = Partner(pausing, Random(1), ["e"])
+    pauses = DestinationModel(pausing, Random(1), ["e"])
     assert arrive(pauses, 5 * SECOND + 100, "p").after == SECOND // 5 - 100 + 1000
 
 
@@ -283,7 +311,9 @@
         for word in words.split():
             name, _, value = word.partition("=")
             told[name] = float(value) if name == "rate" else int(value)
-        partner = Partner(Nature(workers=50, service=(1000,), reports=True, wait=7, **told), Random(1), ["e"])
+        partner = DestinationModel(
+            Nature(workers=50, service=(1000,), reports=True, wait=7, **told), Random(1), ["e"]
+        )
         met = [arrive(partner, n * SECOND // 20, f"w{n}") for n in range(40)]
         least, most = (int(bound) for bound in bounds.split())
         let = sum(one.meets is Meets.OK for one in met)
@@ -312,8 +342,8 @@
     for row in BAD_DAYS.strip().splitlines():
         old, new, said = (part.strip() for part in row.split("~"))
         path.write_text(text.replace(old, new.replace("|", "\n"), 1))
-        with pytest.raises(Unusable) as caught:
-            read_day(path)
+        with pytest.raises(InvalidConfigurationError) as caught:
+            read_scenario(path)
         assert any(said in line for line in caught.value.lines), (row, caught.value.lines)
     assert condition("held > 1e9") == ("held", True, 1e9)
 
@@ -328,9 +358,13 @@
         assert "calm: nothing is wrong" in ran.stdout and "(simulated)" in ran.stdout
         story = alone.run("rehearse", "calm", "--story", "0-1")
         assert "taken on for destination" in story.stdout and "shot ended: completed" in story.stdout
-        for row, said in (("no-such", "the library has"), ("calm --policy x", "expected all"),
-                          ("calm --seeds 9..1", "--seeds"), ("calm --seed 1 --seeds 1", "both"),
-                          ("none.toml", "No such file")):  # fmt: skip
+        for row, said in (
+            ("no-such", "the library has"),
+            ("calm --policy x", "expected all"),
+            ("calm --seeds 9..1", "--seeds"),
+            ("calm --seed 1 --seeds 1", "both"),
+            ("none.toml", "No such file"),
+        ):
             ran = alone.run("rehearse", *row.split())
             assert ran.returncode == 2 and said in ran.stderr and ran.stderr.count("\n") == 1, ran
     finally:
--- a/tests/rigs/fleet.py
+++ b/tests/support/fleet.py
@@ -13,8 +13,18 @@
 from random import Random
 from typing import Any
 
-from ashpath.decide import Sender
-from ashpath.door import Ending, KindTerms, Listing, Past, Presence, Repeat, Terms, Told, TrackTerms
+from ashpath.core.interface import (
+    AttemptOutcome,
+    DestinationKindSettings,
+    EndpointRecord,
+    EndpointStatus,
+    LoadReport,
+    PolicySettings,
+    PreviousAttempts,
+    RetrySafety,
+    TrafficClassSettings,
+)
+from ashpath.policy.engine import DeliveryPolicy
 
 SECOND = 1_000_000
 TOOK = 200_000  # microseconds from a call to its answer
@@ -26,7 +36,7 @@
     """`capacity`: calls a second that the destination can do when warm. `offered`: of that, what is asked of
     it by all senders together, and of each of the `others` - 1 beside it, which stay well."""
 
-    terms: Terms
+    terms: PolicySettings
     senders: int
     capacity: float
     offered: float = 0.7
@@ -74,31 +84,31 @@
         self.at(self.gap(rate), self.asks, front, destination, rate)
         front.take(destination)
 
-    def answers(self, destination: int) -> tuple[Ending, int] | None:
+    def answers(self, destination: int) -> tuple[AttemptOutcome, int] | None:
         """What a call that arrives now ends as, and when; None: silence."""
         out, back = self.out
         if destination != NUMBER or self.now < out:
-            return Ending.COMPLETED, TOOK
+            return AttemptOutcome.DELIVERED, TOOK
         if self.now >= back:
             self.calls.append(self.now)
-            return Ending.COMPLETED, TOOK
+            return AttemptOutcome.DELIVERED, TOOK
         self.during += 1
-        return None if self.silent else (Ending.NO_CONNECTION, 1000)
+        return None if self.silent else (AttemptOutcome.CONNECT_FAILED, 1000)
 
     def allowed(self, when: int) -> float:
         terms = self.terms
-        warm = min(1.0, (when - self.out[1]) / terms.ramp_time)
-        able = self.capacity * (terms.cold_share + (1 - terms.cold_share) * warm)
-        return terms.fall_multiple * able * terms.fall_time / SECOND
+        warm = min(1.0, (when - self.out[1]) / terms.warm_up_time)
+        able = self.capacity * (terms.initial_capacity_share + (1 - terms.initial_capacity_share) * warm)
+        return terms.overload_multiple * able * terms.overload_duration / SECOND
 
     def worst(self) -> tuple[float, float]:
         """The window that comes nearest to a fall, or goes furthest past it: calls in it, and what it may
         have with chance. The destination can do as much as at the window's end."""
         found = (0.0, 1.0)
         for last, when in enumerate(self.calls):
-            if when > self.out[1] + self.terms.ramp_time:
+            if when > self.out[1] + self.terms.warm_up_time:
                 break
-            count = sum(at > when - self.terms.fall_time for at in self.calls[: last + 1])
+            count = sum(at > when - self.terms.overload_duration for at in self.calls[: last + 1])
             budget = self.allowed(when)
             most = budget + 2 * sqrt(budget) + 2
             if count / most > found[0] / found[1]:
@@ -119,101 +129,129 @@
         fleet = self.fleet
         self.life, self.alive = self.life + 1, True
         seed = f"{fleet.seed}/{self.number}/{self.life}"
-        terms: Any = replace(fleet.terms, number=self.number, senders=fleet.senders, seed=seed)
-        self.sender = Sender(terms, self)
+        terms: Any = replace(fleet.terms, sender_index=self.number, sender_count=fleet.senders, seed=seed)
+        self.sender = DeliveryPolicy(terms, self)
         rows = [
-            Listing(f"x{n}", n, 0, 0, Presence.LISTED, fleet.capacity)
+            EndpointRecord(f"x{n}", n, 0, 0, EndpointStatus.ACTIVE, fleet.capacity)
             for n in range(NUMBER, NUMBER + fleet.others)
         ]
         restored: list[tuple[Any, ...]] = [
-            ("outage", destination, "", rate)
+            ("restore_outage", destination, "", rate)
             for destination, (rate, until) in self.outages.items()
             if until is None or until > fleet.now
         ]
         for id_ in kept:
             destination, end, attempts, out_at = self.owed[id_]
-            past = Past(attempts, out_at, f"x{destination}" if out_at is not None else "", out_at is not None)
-            restored.append(("restored", id_, destination, 0, None, end - fleet.now, past))
+            past = PreviousAttempts(
+                attempts, out_at, f"x{destination}" if out_at is not None else "", out_at is not None
+            )
+            restored.append(("restore", id_, destination, 0, None, end - fleet.now, past))
             self.owed[id_][3] = None
-        self.turn(("listed", rows, True), *restored)
+        self.turn(("update_endpoints", rows, True), *restored)
 
     def kill(self) -> None:
         self.alive, self.life = False, self.life + 1
         self.fleet.at(self.fleet.now + 600_000, lambda: self.start(tuple(self.owed)))
 
     def turn(self, *news: tuple[Any, ...]) -> None:
-        self.sender.open_turn(self.fleet.now)
+        self.sender.begin_batch(self.fleet.now)
         for name, *told in news:
             getattr(self.sender, name)(*told)
-        self.sender.close_turn()
+        self.sender.end_batch()
 
     def take(self, destination: int) -> None:
         if not self.alive:
             return
         self.last += 1
         self.owed[self.last] = [destination, self.fleet.now + 20 * SECOND, 0, None]
-        self.turn(("take", self.last, destination, 0, None, 20 * SECOND))
+        self.turn(("submit", self.last, destination, 0, None, 20 * SECOND))
 
-    def shoot(self, message: int, endpoint: str, timeout: int) -> None:
+    def start_attempt(self, message: int, endpoint: str, timeout: int) -> None:
         one, life = self.owed[message], self.life
         one[2], one[3] = one[2] + 1, self.fleet.now
         self.fleet.at(self.fleet.now, self.arrive, life, message, timeout)
 
     def arrive(self, life: int, message: int, timeout: int) -> None:
         if life == self.life:
-            ending, took = self.fleet.answers(self.owed[message][0]) or (Ending.TIMED_OUT, timeout)
+            ending, took = self.fleet.answers(self.owed[message][0]) or (AttemptOutcome.TIMED_OUT, timeout)
             self.fleet.at(self.fleet.now + min(took, timeout), self.back, life, message, ending)
 
-    def back(self, life: int, message: int, ending: Ending) -> None:
+    def back(self, life: int, message: int, ending: AttemptOutcome) -> None:
         if life != self.life:
             return
-        done = ending is Ending.COMPLETED
+        done = ending is AttemptOutcome.DELIVERED
         if message in self.owed:
             self.owed[message][3] = None
             if done:
                 del self.owed[message]
         self.fleet.delivered += done
-        told = Told(0.7, self.fleet.capacity) if done and self.fleet.terms.reports else None
-        self.turn(("returned", message, ending, 0, done, told))
+        told = LoadReport(0.7, self.fleet.capacity) if done and self.fleet.terms.has_load_reports else None
+        self.turn(("attempt_finished", message, ending, 0, done, told))
 
-    def bounce(self, message: int, come_back: int) -> None:
+    def reject(self, message: int, come_back: int) -> None:
         del self.owed[message]
 
-    def abort(self, message: int) -> None:
+    def fail(self, message: int) -> None:
         del self.owed[message]
 
-    def wake(self, at: int, token: str) -> None:
+    def schedule_timer(self, at: int, token: str) -> None:
         self.fleet.at(max(at, self.fleet.now + 1), self.woken, self.life, token)
 
     def woken(self, life: int, token: str) -> None:
         if life == self.life and self.alive:
-            self.turn(("woken", token))
+            self.turn(("timer_fired", token))
 
-    def withdraw(self, message: int, attempt: int) -> None: ...
+    def cancel_attempt(self, message: int, attempt: int) -> None: ...
 
-    def release(self, endpoint: str) -> None: ...
+    def close_idle_connections(self, endpoint: str) -> None: ...
 
-    def ask(self) -> None: ...
+    def poll_endpoints(self) -> None: ...
 
-    def tell(self, note: bytes) -> None: ...
+    def publish(self, note: bytes) -> None: ...
 
-    def mode(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
+    def mode_changed(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
         if out:
             self.outages[destination] = (rate, None)
         elif destination in self.outages and self.outages[destination][1] is None:
-            self.outages[destination] = (rate, self.fleet.now + self.fleet.terms.ramp_time)
-
-
-TRACK = TrackTerms(1.0, 3 * SECOND, 20 * SECOND, Repeat.REPEATABLE, 0, True, 0.3, False)
-PLAIN = Terms(
-    seed=1, number=0, senders=1, slots=16, room=200, most_shots=12, may_withdraw=True,
-    longest_wait=3 * SECOND, connect_time=SECOND, idle_time=5 * SECOND, tables_told=True, tracks=(TRACK,),
-    kinds=(KindTerms(False, 1),), decays=True, drain_grace=SECOND, cold_share=0.2, ramp_time=10 * SECOND,
-    fall_multiple=2.0, fall_time=3 * SECOND, key_rest=0, ask_within=0, reports=True, rated=True, notes=False,
-    fees=(),
-)  # fmt: skip
+            self.outages[destination] = (rate, self.fleet.now + self.fleet.terms.warm_up_time)
+
+
+TRACK = TrafficClassSettings(1.0, 3 * SECOND, 20 * SECOND, RetrySafety.IDEMPOTENT, 0, True, 0.3, False)
+PLAIN = PolicySettings(
+    seed=1,
+    sender_index=0,
+    sender_count=1,
+    max_in_flight=16,
+    queue_capacity=200,
+    max_attempts=12,
+    may_cancel=True,
+    max_retry_after=3 * SECOND,
+    connect_timeout=SECOND,
+    idle_timeout=5 * SECOND,
+    reports_full_connection_table=True,
+    traffic_classes=(TRACK,),
+    destination_kinds=(DestinationKindSettings(False, 1),),
+    value_halves=True,
+    drain_grace=SECOND,
+    initial_capacity_share=0.2,
+    warm_up_time=10 * SECOND,
+    overload_multiple=2.0,
+    overload_duration=3 * SECOND,
+    settle_time=0,
+    poll_interval=0,
+    has_load_reports=True,
+    has_listed_rates=True,
+    gossip_enabled=False,
+    zone_costs=(),
+)
 # Two customers: one whose answers tell of limits, and one where nothing does and the rates listed are rough.
 CUSTOMERS = {
     "told": PLAIN,
-    "blind": replace(PLAIN, reports=False, cold_share=0.18, ramp_time=12 * SECOND, fall_time=3 * SECOND // 2),
+    "blind": replace(
+        PLAIN,
+        has_load_reports=False,
+        initial_capacity_share=0.18,
+        warm_up_time=12 * SECOND,
+        overload_duration=3 * SECOND // 2,
+    ),
 }
--- a/tests/scenario.py
+++ b/tests/support/scenario.py
@@ -31,11 +31,41 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from ashpath.door import Answers, Ending, KindTerms, Listing, Past, Presence, Repeat, Terms, Told, TrackTerms
-
-REPEATS = {r.name.lower().replace("_", "-"): r for r in Repeat}
-ENDINGS = {e.name.lower().replace("_", ""): e for e in Ending}
-UNRUN = (Ending.FULL, Ending.NO_CONNECTION, Ending.CROWDED, Ending.UNSENT)
+from ashpath.core.interface import (
+    AttemptOutcome,
+    DestinationKindSettings,
+    EndpointRecord,
+    EndpointStatus,
+    LoadReport,
+    PolicyActions,
+    PolicySettings,
+    PreviousAttempts,
+    RetrySafety,
+    TrafficClassSettings,
+)
+
+REPEATS = {
+    "repeatable": RetrySafety.IDEMPOTENT,
+    "tagged": RetrySafety.DEDUPLICATED,
+    "once-only": RetrySafety.AT_MOST_ONCE,
+}
+ENDINGS = {
+    "completed": AttemptOutcome.DELIVERED,
+    "error": AttemptOutcome.ERROR,
+    "full": AttemptOutcome.OVERLOADED,
+    "timedout": AttemptOutcome.TIMED_OUT,
+    "noconnection": AttemptOutcome.CONNECT_FAILED,
+    "crowded": AttemptOutcome.CONNECTION_TABLE_FULL,
+    "reset": AttemptOutcome.CONNECTION_RESET,
+    "withdrawn": AttemptOutcome.CANCELLED,
+    "unsent": AttemptOutcome.NOT_SENT,
+}
+UNRUN = (
+    AttemptOutcome.OVERLOADED,
+    AttemptOutcome.CONNECT_FAILED,
+    AttemptOutcome.CONNECTION_TABLE_FULL,
+    AttemptOutcome.NOT_SENT,
+)
 SLACK = 20_000
 
 
@@ -51,7 +81,7 @@
 
 @dataclass
 class Held:
-    track: TrackTerms
+    track: TrafficClassSettings
     destination: int
     key: int | None
     end: int
@@ -67,20 +97,41 @@
 class Scene:
     """The front of one sender: carries out its answers, and checks every one of them."""
 
-    def __init__(self, make: Callable[[Terms, Answers], object]) -> None:
+    def __init__(self, make: Callable[[PolicySettings, PolicyActions], object]) -> None:
         self.make, self.sender, self.now = make, None, 0
         self.tracks, self.names, self.kinds, self.rows = [], [], [], {}
         self.dropped_at, self.ids, self.held = {}, {}, {}
         self.waits, self.rests, self.wakes, self.seen = {}, {}, [], []  # waits by route, rests by key
         self.out = {}  # by place, the rate it had, and until when it is cold: what a restart is told
-        self.terms = Terms(
-            seed=1, number=0, senders=1, slots=8, room=100, most_shots=0, may_withdraw=True,
-            longest_wait=3_000_000, connect_time=500_000, idle_time=0, tracks=(), kinds=(), decays=True,
-            tables_told=False, key_rest=0, drain_grace=500_000, cold_share=0.2, ramp_time=10_000_000,
-            fall_time=0, fall_multiple=2, ask_within=0, reports=True, rated=False, notes=False, fees=(),
-        )  # fmt: skip
-
-    def shoot(self, envelope: int, endpoint: str, timeout: int) -> None:
+        self.terms = PolicySettings(
+            seed=1,
+            sender_index=0,
+            sender_count=1,
+            max_in_flight=8,
+            queue_capacity=100,
+            max_attempts=0,
+            may_cancel=True,
+            max_retry_after=3_000_000,
+            connect_timeout=500_000,
+            idle_timeout=0,
+            traffic_classes=(),
+            destination_kinds=(),
+            value_halves=True,
+            reports_full_connection_table=False,
+            settle_time=0,
+            drain_grace=500_000,
+            initial_capacity_share=0.2,
+            warm_up_time=10_000_000,
+            overload_duration=0,
+            overload_multiple=2,
+            poll_interval=0,
+            has_load_reports=True,
+            has_listed_rates=False,
+            gossip_enabled=False,
+            zone_costs=(),
+        )
+
+    def start_attempt(self, envelope: int, endpoint: str, timeout: int) -> None:
         one, row = self.held[envelope], self.rows[endpoint]
         name = self.name(envelope)
         assert not one.over, f"{name} is sent after its end"
@@ -91,11 +142,13 @@
         assert self.now <= grace, f"{name} goes to {endpoint} after its grace"
         assert self.now >= self.waits.get(self.route(endpoint), 0), f"{name} is sent within a wait"
         if one.risk_from is not None:
-            assert one.track.repeat is not Repeat.ONCE_ONLY, f"{name} may run twice"
-            tagged = one.track.repeat is Repeat.TAGGED
+            assert one.track.retry_safety is not RetrySafety.AT_MOST_ONCE, f"{name} may run twice"
+            tagged = one.track.retry_safety is RetrySafety.DEDUPLICATED
+            anywhere = one.track.deduplicates_across_zones
+            window = one.track.deduplication_window
             zones = self.rows[endpoint].zone, self.rows[one.risk_at].zone
-            assert one.track.whole_group or not tagged or zones[0] == zones[1], f"{name} in another zone"
-            assert not tagged or self.now < one.risk_from + one.track.window, f"{name} out of its window"
+            assert anywhere or not tagged or zones[0] == zones[1], f"{name} in another zone"
+            assert not tagged or self.now < one.risk_from + window, f"{name} out of its window"
         if one.track.ordered and one.key is not None:
             earlier = (e for i, e in self.held.items() if e.track.ordered and i < envelope)
             for other in (e for e in earlier if e.key == one.key):
@@ -106,13 +159,13 @@
         one.sent_at, one.due = self.now, self.now + timeout
         self.seen.append(f"shot {name} at {endpoint}")
 
-    def bounce(self, envelope: int, come_back: int) -> None:
+    def reject(self, envelope: int, come_back: int) -> None:
         one = self.final(envelope, "bounced")
-        harmless = one.risk_from is None or one.track.repeat is Repeat.REPEATABLE
-        tagged = one.track.repeat is Repeat.TAGGED and one.track.whole_group
+        harmless = one.risk_from is None or one.track.retry_safety is RetrySafety.IDEMPOTENT
+        tagged = one.track.retry_safety is RetrySafety.DEDUPLICATED and one.track.deduplicates_across_zones
         assert one.out is None and (harmless or tagged), f"{self.name(envelope)}: no harmless bounce"
 
-    def abort(self, envelope: int) -> None:
+    def fail(self, envelope: int) -> None:
         self.final(envelope, "aborted")
 
     def final(self, envelope: int, answer: str) -> Held:
@@ -123,41 +176,41 @@
         self.seen.append(f"{answer} {self.name(envelope)}")
         return one
 
-    def withdraw(self, envelope: int, shot: int) -> None:
+    def cancel_attempt(self, envelope: int, shot: int) -> None:
         assert shot < self.held[envelope].shots, f"{self.name(envelope)}: shot {shot} was never made"
         self.seen.append(f"withdrawn {self.name(envelope)}")
 
-    def release(self, endpoint: str) -> None:
+    def close_idle_connections(self, endpoint: str) -> None:
         assert not any(e.out == endpoint for e in self.held.values()), f"{endpoint} is in use"
         self.seen.append(f"released {endpoint}")
 
-    def ask(self) -> None:
+    def poll_endpoints(self) -> None:
         self.seen.append("asked")
 
-    def tell(self, note: bytes) -> None:
+    def publish(self, note: bytes) -> None:
         self.seen.append(f"told {note.decode('ascii', 'backslashreplace')}")
 
-    def wake(self, at: int, token: str) -> None:
+    def schedule_timer(self, at: int, token: str) -> None:
         self.wakes.append((max(at, self.now + 1), len(self.wakes), token))
 
-    def mode(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
+    def mode_changed(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
         self.seen.append(f"log {text}")
         place = (destination, endpoint)
         if out or self.out.get(place, (0.0, 0))[1] is None:
-            self.out[place] = (rate, None if out else self.now + self.terms.ramp_time)
+            self.out[place] = (rate, None if out else self.now + self.terms.warm_up_time)
 
     def name(self, envelope: int) -> str:
         return next(name for name, id_ in self.ids.items() if id_ == envelope)
 
     def route(self, endpoint: str) -> object:
         row = self.rows[endpoint]
-        return endpoint if self.kinds[row.kind].apart else row.destination
+        return endpoint if self.kinds[row.kind].limit_per_endpoint else row.destination
 
     def turn(self, *news: tuple[object, ...]) -> None:
-        self.sender.open_turn(self.now)
+        self.sender.begin_batch(self.now)
         for name, *arguments in news:
             getattr(self.sender, str(name))(*arguments)
-        self.sender.close_turn()
+        self.sender.end_batch()
 
     def run_to(self, moment: int) -> None:
         """Time passes: wakes and time-outs fall due, nothing may be left without an end."""
@@ -170,14 +223,16 @@
             self.now = max(self.now, at)
             if is_wake:
                 self.wakes.remove(what)
-                self.turn(("woken", what[2]))
+                self.turn(("timer_fired", what[2]))
             else:
-                self.outcome([what], Ending.TIMED_OUT)
+                self.outcome([what], AttemptOutcome.TIMED_OUT)
         self.now = moment
         for id_, one in self.held.items():
             assert one.over or self.now <= one.end + SLACK, f"{self.name(id_)} got no answer in time"
 
-    def outcome(self, ids: list[int], ending: Ending, wait: int = 0, told: Told | None = None) -> None:
+    def outcome(
+        self, ids: list[int], ending: AttemptOutcome, wait: int = 0, told: LoadReport | None = None
+    ) -> None:
         """The outcomes of a turn."""
         news, routes = [], []
         for id_ in ids:
@@ -187,12 +242,16 @@
             out, one.out = one.out, None
             if ending not in UNRUN and one.risk_from is None:
                 one.risk_from, one.risk_at = one.sent_at, out
-            if ending in (Ending.TIMED_OUT, Ending.RESET, Ending.WITHDRAWN) and one.key is not None:
-                self.rests[one.key] = (self.now + self.terms.key_rest, id_)
-            if ending is Ending.COMPLETED and not one.over:
+            if (
+                ending
+                in (AttemptOutcome.TIMED_OUT, AttemptOutcome.CONNECTION_RESET, AttemptOutcome.CANCELLED)
+                and one.key is not None
+            ):
+                self.rests[one.key] = (self.now + self.terms.settle_time, id_)
+            if ending is AttemptOutcome.DELIVERED and not one.over:
                 one.over = True
                 self.seen.append(f"completed {self.name(id_)}")
-            news.append(("returned", id_, ending, wait, one.over, told))
+            news.append(("attempt_finished", id_, ending, wait, one.over, told))
         self.turn(*news)
         for route in routes:
             self.waits[route] = max(self.waits.get(route, 0), self.now + wait)
@@ -211,25 +270,49 @@
         verb, plain = words[0], [w for w in words[1:] if "=" not in w]
         named = dict(w.split("=") for w in words[1:] if "=" in w)
         if verb == "terms":
-            spans = {"ramp": "ramp_time", "grace": "drain_grace", "rest": "key_rest", "idle": "idle_time",
-                     "ask": "ask_within"}  # fmt: skip
+            spans = {
+                "ramp": "warm_up_time",
+                "grace": "drain_grace",
+                "rest": "settle_time",
+                "idle": "idle_timeout",
+                "ask": "poll_interval",
+            }
+            fields = spans | {
+                "cold_share": "initial_capacity_share",
+                "fall_multiple": "overload_multiple",
+                "fees": "zone_costs",
+                "notes": "gossip_enabled",
+                "number": "sender_index",
+                "rated": "has_listed_rates",
+                "reports": "has_load_reports",
+                "room": "queue_capacity",
+                "senders": "sender_count",
+                "slots": "max_in_flight",
+                "tables_told": "reports_full_connection_table",
+            }
             for key, value in named.items():
                 many = "/" in value
                 told = [span(v) if key in spans else float(v) if many else int(v) for v in value.split("/")]
-                new = {spans.get(key, key): tuple(told) if many else told[0]}
+                new = {fields.get(key, key): tuple(told) if many else told[0]}
                 self.terms = replace(self.terms, **new)
         elif verb == "track":
             self.names.append(plain[0])
             promise, cutoff = span(named.get("promise", "2s")), span(named.get("cutoff", "10s"))
             window, payoff = span(named.get("window", "0s")), float(named.get("payoff", 1))
             told = (payoff, promise, cutoff, REPEATS[plain[1]], window, "zone" not in plain, 0.3)
-            self.tracks.append(TrackTerms(*told, "ordered" in plain))
+            self.tracks.append(TrafficClassSettings(*told, "ordered" in plain))
         elif verb == "kind":
-            self.kinds.append(KindTerms(apart="apart" in plain, per_call=int(named.get("calls", 1))))
+            self.kinds.append(
+                DestinationKindSettings(
+                    limit_per_endpoint="apart" in plain, max_batch_size=int(named.get("calls", 1))
+                )
+            )
         elif verb == "at":
             for name in plain[: plain.index(":")]:
                 kind, zone, weight = (float(named.get(w, 0)) for w in ("kind", "zone", "weight"))
-                self.rows[name] = Listing(name, int(plain[-1]), int(kind), int(zone), Presence.LISTED, weight)
+                self.rows[name] = EndpointRecord(
+                    name, int(plain[-1]), int(kind), int(zone), EndpointStatus.ACTIVE, weight
+                )
         elif verb == "expect":
             self.expect(" ".join(words[1:]))
         else:
@@ -238,10 +321,14 @@
                     self.step(["track", "s", "repeatable", "cutoff=30s"])
                 if not self.rows:
                     self.step(["at", "x1", ":", "7"])
-                self.kinds = self.kinds or [KindTerms(apart=False, per_call=1)]
-                self.terms = replace(self.terms, tracks=tuple(self.tracks), kinds=tuple(self.kinds))
+                self.kinds = self.kinds or [
+                    DestinationKindSettings(limit_per_endpoint=False, max_batch_size=1)
+                ]
+                self.terms = replace(
+                    self.terms, traffic_classes=tuple(self.tracks), destination_kinds=tuple(self.kinds)
+                )
                 self.sender = self.make(self.terms, self)
-                self.turn(("listed", list(self.rows.values()), True))
+                self.turn(("update_endpoints", list(self.rows.values()), True))
             self.run_to(self.now + span(verb[1:]) if verb.startswith("+") else span(verb))
             self.happen(plain[0], plain[1:], named)
 
@@ -249,50 +336,54 @@
         if what == "take":
             *names, track, destination = names
             row, index = self.tracks[self.names.index(track)], self.names.index(track)
-            left = span(named["left"]) if "left" in named else row.cutoff
+            left = span(named["left"]) if "left" in named else row.deadline
             key = int(named["key"]) if "key" in named else None
             for name in names:
                 id_ = self.ids[name] = len(self.ids)
                 self.held[id_] = Held(row, int(destination), key, self.now + left)
-            self.turn(*(("take", self.ids[n], int(destination), index, key, left) for n in names))
+            self.turn(*(("submit", self.ids[n], int(destination), index, key, left) for n in names))
         elif what in ("drain", "leave", "list"):
-            presence = {"drain": Presence.DRAINING, "leave": Presence.GONE, "list": Presence.LISTED}[what]
+            presence = {
+                "drain": EndpointStatus.DRAINING,
+                "leave": EndpointStatus.REMOVED,
+                "list": EndpointStatus.ACTIVE,
+            }[what]
             for name in names:
-                self.rows[name] = replace(self.rows[name], presence=presence)
+                self.rows[name] = replace(self.rows[name], status=presence)
                 self.dropped_at.pop(name, None)
                 if what != "list":
                     self.dropped_at[name] = self.now
-            self.turn(("listed", [self.rows[name] for name in names], False))
+            self.turn(("update_endpoints", [self.rows[name] for name in names], False))
         elif what == "hold":  # held as draining, whatever is listed: the same grace, then nothing
             for name in names:
                 self.dropped_at.setdefault(name, self.now)
-                self.turn(("hold", name, True))
+                self.turn(("set_detached", name, True))
         elif what == "unhold":
             for name in names:
                 self.dropped_at.pop(name, None)
-                self.turn(("hold", name, False, self.rows[name]))
+                self.turn(("set_detached", name, False, self.rows[name]))
         elif what == "waited":
             for name in names:
                 until = self.now + span(named["wait"])
                 self.waits[self.route(name)] = max(self.waits.get(self.route(name), 0), until)
-                self.turn(("waited", self.rows[name].destination, name, until))
+                self.turn(("retry_after_received", self.rows[name].destination, name, until))
         elif what == "gone":
             for name in names:
                 self.held[self.ids[name]].over = True
-                self.turn(("gone", self.ids[name]))
+                self.turn(("client_disconnected", self.ids[name]))
         elif what == "switch":
-            self.kinds = [KindTerms(apart="apart" in names, per_call=1)]
+            self.kinds = [DestinationKindSettings(limit_per_endpoint="apart" in names, max_batch_size=1)]
             self.step(["terms", *(f"{key}={value}" for key, value in named.items())])
-            self.terms = replace(self.terms, kinds=tuple(self.kinds))
-            self.turn(("switch", self.terms), ("listed", list(self.rows.values()), True))
+            self.terms = replace(self.terms, destination_kinds=tuple(self.kinds))
+            self.turn(("apply_settings", self.terms), ("update_endpoints", list(self.rows.values()), True))
         elif what == "unlisted":
-            self.turn(("unlisted",))
+            self.turn(("endpoint_poll_failed",))
         elif what == "heard":
-            self.turn(("heard", " ".join(names).encode()))
+            self.turn(("receive_gossip", " ".join(names).encode()))
         elif what == "restart":
             self.restart()
         elif what in ENDINGS:
-            told = Told(float(named["left"]), float(named["of"])) if "of" in named else None
+            told = LoadReport(float(named["left"]), float(named["of"])) if "of" in named else None
             wait = span(named.get("wait", "0s"))
             self.outcome([self.ids[name] for name in names], ENDINGS[what], wait, told)
         else:
@@ -306,15 +397,15 @@
             if unheard and one.risk_from is None:
                 one.risk_from, one.risk_at = one.sent_at, unheard
             if unheard and one.key is not None:
-                self.rests[one.key] = (self.now + self.terms.key_rest, id_)
-            past = Past(one.shots, one.risk_from, one.risk_at, unheard is not None)
+                self.rests[one.key] = (self.now + self.terms.settle_time, id_)
+            past = PreviousAttempts(one.shots, one.risk_from, one.risk_at, unheard is not None)
             facts = (one.destination, self.tracks.index(one.track), one.key, one.end - self.now, past)
             if not one.over:
-                news.append(("restored", id_, *facts))
+                news.append(("restore", id_, *facts))
         self.sender = self.make(self.terms, self)
         lasting = ((place, rate) for place, (rate, end) in self.out.items() if end is None or end > self.now)
-        out = [("outage", *place, rate) for place, rate in lasting]
-        self.turn(("listed", list(self.rows.values()), True), *out, *news)
+        out = [("restore_outage", *place, rate) for place, rate in lasting]
+        self.turn(("update_endpoints", list(self.rows.values()), True), *out, *news)
 
     def expect(self, words: str) -> None:
         if words == "quiet":
@@ -329,7 +420,7 @@
         elif words.startswith(("stands", "halted")):
             verb, *names = words.split()
             for name in names:
-                stands = self.sender.stands(self.ids[name], self.now)
+                stands = self.sender.still_valid(self.ids[name], self.now)
                 assert stands == (verb == "stands"), f"{name} stands: {stands}"
         elif words.startswith("told"):
             assert words in self.seen, f"seen: {self.seen}"
--- a/tests/rigs/standalone.py
+++ b/tests/support/standalone.py
@@ -12,8 +12,8 @@
 
 from gevent import subprocess
 
-from ashpath.node.codec import write_head
-from rigs.world import ROOT, World, until
+from ashpath.server.http.codec import encode_message
+from support.world import ROOT, World, until
 
 TRACKS = """
 [tracks.free]
@@ -61,13 +61,13 @@
         self.file.write_text(head + self.tracks + self.rest + listed)
 
     def command(self, *words: str) -> list[str]:
-        return [sys.executable, "-m", "ashpath.command", *words]
+        return [sys.executable, "-m", "ashpath.cli", *words]
 
     def start(self, **more: Any) -> None:
         with (self.folder / "log").open("ab") as log:
             given = {"stdout": log, "stderr": log, "stdin": subprocess.DEVNULL, "cwd": ROOT} | more
             self.process = subprocess.Popen(self.command("serve", str(self.file)), **given)
-        until(lambda: self.ask(write_head(b"GET /health/ready HTTP/1.1", [], b"")) == 200)
+        until(lambda: self.ask(encode_message(b"GET /health/ready HTTP/1.1", [], b"")) == 200)
 
     def run(self, *words: str, **more: Any) -> subprocess.CompletedProcess[str]:
         """To its end, while the stand-ins go on."""
@@ -88,7 +88,7 @@
     def get(self, path: str) -> Any:
         wire = self.connect()
         assert wire is not None
-        wire.write(write_head(b"GET %s HTTP/1.1" % path.encode(), [], b""))
+        wire.write(encode_message(b"GET %s HTTP/1.1" % path.encode(), [], b""))
         answer = wire.read_answer()
         body = wire.finish_answer().body if answer.status == 200 else answer.body
         wire.close()
--- a/tests/rigs/world.py
+++ b/tests/support/world.py
@@ -13,21 +13,48 @@
 from gevent import Timeout, socket, subprocess
 from gevent.server import StreamServer
 
-from ashpath.node.codec import Closed, Malformed, Message, Wire, write_head
-from ashpath.node.limits import Limits
-from ashpath.terms import node_terms
+from ashpath.core.platform_settings import sender_settings
+from ashpath.server.http.codec import (
+    ConnectionClosedError,
+    HttpConnection,
+    HttpMessage,
+    ProtocolError,
+    encode_message,
+)
+from ashpath.server.limits import ServerLimits
 
 ROOT = Path(__file__).parent.parent.parent
 TRACKS = {"free": "retryable", "tag": "dedup", "once": "fragile"}
 SETTINGS = {
-    "classes": [{"name": n, "deadline": 30000.0, "slo": 2000.0, "repeat": r, "window": 20000.0,
-                 "importance": 1.0, "one-at-a-time": n == "tag"} for n, r in TRACKS.items()],
-    "kinds": ["plain"], "zones": ["here"], "group-size": 1, "rank": 0,
-    "limits": {"max-open": 40, "max-attempts": 9, "retry-after": True, "max-retry-after": 3000.0,
-               "conn-idle": 2000.0, "connect-timeout": 300.0, "cancelling": True},
-    "load-info": {"how": "answers", "fields": ["x0", "x1"]}, "specifics": {"slots": 32},
+    "classes": [
+        {
+            "name": n,
+            "deadline": 30000.0,
+            "slo": 2000.0,
+            "repeat": r,
+            "window": 20000.0,
+            "importance": 1.0,
+            "one-at-a-time": n == "tag",
+        }
+        for n, r in TRACKS.items()
+    ],
+    "kinds": ["plain"],
+    "zones": ["here"],
+    "group-size": 1,
+    "rank": 0,
+    "limits": {
+        "max-open": 40,
+        "max-attempts": 9,
+        "retry-after": True,
+        "max-retry-after": 3000.0,
+        "conn-idle": 2000.0,
+        "connect-timeout": 300.0,
+        "cancelling": True,
+    },
+    "load-info": {"how": "answers", "fields": ["x0", "x1"]},
+    "specifics": {"slots": 32},
     "contract": {"drain-grace": 250.0, "order-settle": 200.0},
-}  # fmt: skip
+}
 
 
 def until(true: Callable[[], object]) -> None:
@@ -117,9 +144,9 @@
         for server in self.servers:
             server.stop(timeout=0)
 
-    def connect(self) -> Wire | None:
+    def connect(self) -> HttpConnection | None:
         try:
-            return Wire(socket.create_connection(self.where), LIMITS)
+            return HttpConnection(socket.create_connection(self.where), LIMITS)
         except OSError:
             return None
 
@@ -131,7 +158,7 @@
         try:
             wire.write(data)
             return wire.read_answer().status
-        except (OSError, Closed):
+        except (OSError, ConnectionClosedError):
             return 0
         finally:
             wire.close()
@@ -140,21 +167,21 @@
         return self.ask(request(trace, track, body, to, left, key))
 
     def endpoint(self, sock: socket.socket, _: object) -> None:
-        wire = Wire(sock, LIMITS)
+        wire = HttpConnection(sock, LIMITS)
         try:
             while self.answer(wire, wire.read_request()):
                 pass
-        except (OSError, Closed, Malformed):
+        except (OSError, ConnectionClosedError, ProtocolError):
             pass
         wire.close()
 
-    def answer(self, wire: Wire, call: Message) -> bool:
+    def answer(self, wire: HttpConnection, call: HttpMessage) -> bool:
         calls = self.calls.setdefault(call.headers[b"x-trace-id"].decode(), [])
         calls.append(call)
         words = call.body.decode().split()
         word = words[min(len(calls), len(words)) - 1]
         if word == "hang":
-            wire.more()
+            wire.receive()
         elif word == "reset":
             abandon(wire.sock)
         elif word == "line":
@@ -163,17 +190,17 @@
             gevent.sleep(0.5 if word == "slow" else 0)
             status = {"slow": b"200", "stray": b"200", "egress": b"503"}.get(word, word.encode())
             extra = {"429": [(b"Retry-After", b"0.05")], "egress": [(b"X-Egress-Full", b"1")]}.get(word, [])
-            wire.write(write_head(b"HTTP/1.1 %s X" % status, extra, b"ok") + b"?" * (word == "stray"))
+            wire.write(encode_message(b"HTTP/1.1 %s X" % status, extra, b"ok") + b"?" * (word == "stray"))
             return True
         return False
 
     def platform(self, sock: socket.socket, _: object) -> None:
-        wire = Wire(sock, LIMITS)
+        wire = HttpConnection(sock, LIMITS)
         try:
             while call := wire.read_request():
                 if call.method == b"POST" and self.deaf:
                     self.deaf -= 1
-                    wire.write(write_head(b"HTTP/1.1 503 X", [], b""))
+                    wire.write(encode_message(b"HTTP/1.1 503 X", [], b""))
                 elif call.method == b"POST":
                     self.notices += [json.loads(line) for line in call.body.splitlines()]
                     wire.write(b"HTTP/1.1 204 X\r\n\r\n")
@@ -181,8 +208,10 @@
                     port = sock.getsockname()[1]
                     self.watches[port] = self.watches.get(port, 0) + 1
                     gevent.sleep(0.2)
-                    wire.write(write_head(b"HTTP/1.1 200 X", [], json.dumps(self.config["known"]).encode()))
-        except (OSError, Closed):
+                    wire.write(
+                        encode_message(b"HTTP/1.1 200 X", [], json.dumps(self.config["known"]).encode())
+                    )
+        except (OSError, ConnectionClosedError):
             wire.close()
 
     def told(self, trace: str) -> list[str]:
@@ -196,8 +225,8 @@
     names = (b"X-Trace-Id", b"X-Qos", b"X-Expires-In-Ms", b"X-Route-To", b"Idempotency-Key", b"Cookie")
     values = (trace, track, str(left), f"dest={to}", f"tag-{trace}", f"about={key}")
     headers = [(name, value.encode()) for name, value in zip(names, values, strict=True)]
-    return write_head(b"POST /api HTTP/1.1", headers if key else headers[:-1], body.encode())
+    return encode_message(b"POST /api HTTP/1.1", headers if key else headers[:-1], body.encode())
 
 
-TERMS = node_terms(1, SETTINGS)
-LIMITS = Limits.of({"sockets": 256, "disk_mb": 1}, TERMS)
+TERMS = sender_settings(1, SETTINGS)
+LIMITS = ServerLimits.of({"sockets": 256, "disk_mb": 1}, TERMS)
--- a/tests/test_daily.py
+++ b/tests/test_daily.py
@@ -12,32 +12,46 @@
 import gevent
 import pytest
 from gevent import socket, subprocess
-from rigs.world import LIMITS, World, free, request, until
+from support.world import LIMITS, World, free, request, until
 
-from ashpath.node import directory, holds
-from ashpath.node.board import HEAD, WAITS, Board
-from ashpath.node.codec import Message, Wire, write_head
-from ashpath.node.control_line import LONGEST, Call, Unreadable, answer, read
-from ashpath.node.ledger import Entry, Ledger
+from ashpath.server.control.protocol import LONGEST, InvalidCommandError, OperatorCommand, answer, read
+from ashpath.server.discovery import client as directory
+from ashpath.server.http.codec import HttpConnection, HttpMessage, encode_message
+from ashpath.server.storage import detached_endpoints as holds
+from ashpath.server.storage.shared_memory import HEAD, WAITS, SharedMemory
+from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 
-READY = write_head(b"GET /health/ready HTTP/1.1", [], b"")
+READY = encode_message(b"GET /health/ready HTTP/1.1", [], b"")
 LINES = [  # what a caller sent so far: the call, None while the line is not whole, or the reason of the ERR
-    (b"PING\n", Call("PING")), (b"ping\r\n", Call("PING")), (b"DETACH ep-3\n", Call("DETACH", "ep-3")),
-    (b"ATTACH ep-3\r\nrest", Call("ATTACH", "ep-3")), (b"LAMEDUCK", None), (b"", None),
-    (b"x" * LONGEST, "longer"), (b"DETACH " + b"e" * LONGEST + b"\n", "longer"), (b"DETACH \xff\n", "ASCII"),
-    (b"PING\x00\n", "control characters"), (b"\n", "empty"), (b"REBOOT\n", "unknown call"),
-    (b"DETACH\n", "one argument"), (b"DETACH a b\n", "one argument"), (b"PING now\n", "no argument"),
-]  # fmt: skip
+    (b"PING\n", OperatorCommand("PING")),
+    (b"ping\r\n", OperatorCommand("PING")),
+    (b"DETACH ep-3\n", OperatorCommand("DETACH", "ep-3")),
+    (b"ATTACH ep-3\r\nrest", OperatorCommand("ATTACH", "ep-3")),
+    (b"LAMEDUCK", None),
+    (b"", None),
+    (b"x" * LONGEST, "longer"),
+    (b"DETACH " + b"e" * LONGEST + b"\n", "longer"),
+    (b"DETACH \xff\n", "ASCII"),
+    (b"PING\x00\n", "control characters"),
+    (b"\n", "empty"),
+    (b"REBOOT\n", "unknown call"),
+    (b"DETACH\n", "one argument"),
+    (b"DETACH a b\n", "one argument"),
+    (b"PING now\n", "no argument"),
+]
 CALLS = [  # on sockets: a line and the start of its answer
-    (b"PING\n", b"OK\n"), (b"DETACH nobody\n", b"ERR unknown endpoint"), (b"FLY\n", b"ERR unknown call"),
-    (b"PING \xff\n", b"ERR line is not ASCII"), (b"p" * 400, b"ERR line longer"),
-]  # fmt: skip
+    (b"PING\n", b"OK\n"),
+    (b"DETACH nobody\n", b"ERR unknown endpoint"),
+    (b"FLY\n", b"ERR unknown call"),
+    (b"PING \xff\n", b"ERR line is not ASCII"),
+    (b"p" * 400, b"ERR line longer"),
+]
 
 
 @pytest.mark.parametrize(("data", "told"), LINES)
-def test_codec(data: bytes, told: Call | str | None) -> None:
+def test_codec(data: bytes, told: OperatorCommand | str | None) -> None:
     if isinstance(told, str):
-        with pytest.raises(Unreadable, match=told):
+        with pytest.raises(InvalidCommandError, match=told):
             read(data)
     else:
         assert read(data) == told
@@ -58,41 +72,41 @@
     assert holds.read(tmp_path, log) == set() and lines == ["holds on endpoints not read, none are held"]
 
 
-def fill(ledger: Ledger, prefix: str, count: int = 10**6) -> None:
+def fill(ledger: WriteAheadLog, prefix: str, count: int = 10**6) -> None:
     for number in range(count):
-        taken = Entry(ledger.last + 1, f"{prefix}{number}", 0, 3, None, None, 2**40, b"x" * 2000)
-        if not ledger.taken(taken):
+        taken = StoredMessage(ledger.last_id + 1, f"{prefix}{number}", 0, 3, None, None, 2**40, b"x" * 2000)
+        if not ledger.record_submitted(taken):
             return
 
 
 def test_a_journal_is_adopted_once_its_process_is_gone(tmp_path: Path) -> None:
-    old = Ledger(tmp_path, 1 << 20)
+    old = WriteAheadLog(tmp_path, 1 << 20)
     fill(old, "a", 2)
-    new = Ledger(tmp_path, 1 << 20)  # beside a living one: a journal of its own, and nothing adopted
+    new = WriteAheadLog(tmp_path, 1 << 20)  # beside a living one: a journal of its own, and nothing adopted
     assert new.path.name == f"journal-{os.getpid()}" and not new.live and new.adopt() == []
-    old.ended(old.live[1])
+    old.record_finished(old.live[1])
     old.close()  # gone: what it held is the new one's, once
-    assert [one.trace for one in new.adopt()] == ["a1"] and new.adopt() == []
+    assert [one.trace_id for one in new.adopt()] == ["a1"] and new.adopt() == []
     assert (tmp_path / "journal").read_bytes() == b""
     (tmp_path / "journal-1").write_bytes(new.path.read_bytes())  # a kill between adopting and emptying
     assert new.adopt() == [] and len(new.live) == 1
     new.close()
-    again = Ledger(tmp_path, 1 << 20)  # the next start takes the first name and adopts the other
-    assert again.path.name == "journal" and [one.trace for one in again.live.values()] == ["a1"]
+    again = WriteAheadLog(tmp_path, 1 << 20)  # the next start takes the first name and adopts the other
+    assert again.path.name == "journal" and [one.trace_id for one in again.live.values()] == ["a1"]
     assert not (tmp_path / f"journal-{os.getpid()}").exists()
 
 
 def test_two_processes_share_the_disk(tmp_path: Path) -> None:
     """Guards the disk limit during an upgrade: each journal alone would take all of it."""
     most = 64 << 10
-    old, new = Ledger(tmp_path, most), None
+    old, new = WriteAheadLog(tmp_path, most), None
     fill(old, "o")
-    new = Ledger(tmp_path, most)
+    new = WriteAheadLog(tmp_path, most)
     fill(new, "n")
     # At its most a journal takes its records and a fresh copy of what is live beside them.
     assert old.written + old.reserved + new.written + new.reserved <= most
     old.close()
-    assert new.adopt() and new.others == 0  # gone: its envelopes are this one's, and so is the disk
+    assert new.adopt() and new.other_logs_bytes == 0  # gone: its envelopes are this one's, and so is the disk
 
 
 def test_control_calls_and_lame_duck(world: World) -> None:
@@ -107,7 +121,7 @@
     assert idle is not None
     assert world.call(b"LAMEDUCK\n").startswith(b"OK")
     until(lambda: world.ask(READY) == 503)
-    assert idle.more() is False or not len(idle.buffer)  # closed by the sender, not left idle
+    assert idle.receive() is False or not len(idle.buffer)  # closed by the sender, not left idle
     assert world.hand_in("l1", "free", "200", 4) == 202  # it still serves what comes
     until(lambda: world.count("l1") == 1)
     assert world.call(b"REJOIN\n").startswith(b"OK")
@@ -181,11 +195,11 @@
     gone(old)
     assert new.hand_in("u2", "free", "200", 4) == 202
     until(lambda: new.count("u2") == 1)
-    assert live.more() is False or not len(live.buffer)  # the old one closed it: its client moves on
+    assert live.receive() is False or not len(live.buffer)  # the old one closed it: its client moves on
     assert new.told("u1") == ["deferred"]  # one end, told once, by whichever process had it
 
 
-def accepted(old: World, silent: bytes = b"") -> Wire:
+def accepted(old: World, silent: bytes = b"") -> HttpConnection:
     """A connection that the old process has, its first request perhaps begun."""
     wire = old.connect()
     assert wire is not None
@@ -210,13 +224,13 @@
     asked = []
     for number, wire in enumerate((*kept[:3], silent)):
         gevent.sleep(0.2)
-        assert wire.quiet(), f"connection {number} was closed before it could ask"
+        assert wire.is_quiet(), f"connection {number} was closed before it could ask"
         wire.write(request(f"d{number}", "free", "200", 4))
         asked.append(wire.read_answer())
     slow.write(request("d-slow", "free", "200", 3)[40:])
     asked.append(slow.read_answer())
     assert [(answer.status, answer.keep) for answer in asked] == [(202, False)] * 5
-    assert kept[3].more() is False  # idle all along: closed in time
+    assert kept[3].receive() is False  # idle all along: closed in time
     until(lambda: old.process is not None and old.process.poll() is not None)
     until(lambda: all(new.count(trace) == 1 for trace in ("d0", "d1", "d2", "d3", "d-slow")))
     assert not any(new.told(trace) for trace in ("d0", "d1", "d2", "d3", "d-slow"))
@@ -237,41 +251,45 @@
 
 def test_the_board_binds_the_other_process_from_its_next_look(tmp_path: Path) -> None:
     """Guards waits heard by one process of a hot upgrade: the other is bound at once, whoever ends how."""
-    old, new, late = Board(tmp_path), Board(tmp_path), Board(tmp_path)
+    old, new, late = SharedMemory(tmp_path), SharedMemory(tmp_path), SharedMemory(tmp_path)
     assert not new.changed() and new.own is not None and new.own is not old.own
-    old.told(7, "x1", 5_000_000)
-    assert new.changed() and new.news(1_000_000) == ([(7, "x1", 5_000_000)], False)
+    old.publish_retry_after(7, "x1", 5_000_000)
+    assert new.changed() and new.updates(1_000_000) == ([(7, "x1", 5_000_000)], False)
     assert not new.changed() and not old.changed()
-    old.told(7, "x1", 4_000_000)  # shorter than the one told: nothing new
+    old.publish_retry_after(7, "x1", 4_000_000)  # shorter than the one told: nothing new
     assert not new.changed()
-    old.told(8, "e" * 200, 6_000_000)  # an id too long for a record: its whole destination waits
-    assert (8, "", 6_000_000) in new.news(5_500_000)[0] and late.news(5_500_000)[0] == [(8, "", 6_000_000)]
-    old.held()
-    assert new.news(0)[1] and not new.news(0)[1]
+    old.publish_retry_after(
+        8, "e" * 200, 6_000_000
+    )  # an id too long for a record: its whole destination waits
+    assert (8, "", 6_000_000) in new.updates(5_500_000)[0] and late.updates(5_500_000)[0] == [
+        (8, "", 6_000_000)
+    ]
+    old.publish_detached_change()
+    assert new.updates(0)[1] and not new.updates(0)[1]
     for number in range(WAITS + 5):  # a full board: those that end first have given way
-        old.told(number, "y", 10_000_000 + number)
-    told = new.news(0)[0]
+        old.publish_retry_after(number, "y", 10_000_000 + number)
+    told = new.updates(0)[0]
     assert len(told) == WAITS and {end - 10_000_000 for _, _, end in told} == set(range(5, WAITS + 5))
     assert old.own is not None
     old.own[HEAD.size + 8] ^= 1  # torn: binds nobody
     old.count()
-    old.held()
-    assert len(new.news(0)[0]) == WAITS - 1
+    old.publish_detached_change()
+    assert len(new.updates(0)[0]) == WAITS - 1
     old.close()  # as a SIGKILL would: nothing is written at the end
-    again = Board(tmp_path)  # takes the place over, and with it what stood there
-    assert len(again.news(0)[0]) == WAITS - 1 and len(late.news(0)[0]) == WAITS - 1
-    again.told(1, "z", 20_000_000)
-    assert (1, "z", 20_000_000) in new.news(0)[0]
+    again = SharedMemory(tmp_path)  # takes the place over, and with it what stood there
+    assert len(again.updates(0)[0]) == WAITS - 1 and len(late.updates(0)[0]) == WAITS - 1
+    again.publish_retry_after(1, "z", 20_000_000)
+    assert (1, "z", 20_000_000) in new.updates(0)[0]
     for board in (new, late, again):
         board.close()
     (tmp_path / "board-0").write_bytes(b"foreign" * 5000)
-    assert Board(tmp_path, 1).news(0) == ([], False)
+    assert SharedMemory(tmp_path, 1).updates(0) == ([], False)
     with pytest.MonkeyPatch.context() as patch:  # a full disk: no place, no crash, and it still looks
         patch.setattr(os, "posix_fallocate", lambda *_: (_ for _ in ()).throw(OSError(28, "no space")))
         (tmp_path / "fresh").mkdir()
-        none = Board(tmp_path / "fresh")
-        none.told(1, "a", 9)
-        assert none.own is None and none.news(0) == ([], False)
+        none = SharedMemory(tmp_path / "fresh")
+        none.publish_retry_after(1, "a", 9)
+        assert none.own is None and none.updates(0) == ([], False)
 
 
 def test_the_directory_backs_off_by_lot(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -294,10 +312,10 @@
         chance = Random(name)
         lines.clear()
         hear = lambda rows, whole: None  # noqa: E731
-        watch = directory.Directory(("127.0.0.1", 9), LIMITS, 0, hear, chance, log, 0.7)
-        answer = Message()
+        watch = directory.DiscoveryClient(("127.0.0.1", 9), LIMITS, 0, hear, chance, log, 0.7)
+        answer = HttpMessage()
         answer.status, answer.headers = status, told
-        watch.line.call = lambda *_, one=answer: one if one.status else None  # type: ignore[method-assign]
+        watch.connection.call = lambda *_, one=answer: one if one.status else None  # type: ignore[method-assign]
         with pytest.raises(StopIteration):
             watch.run()
         assert pauses[0] == 0.7  # the first call at its turn
@@ -305,8 +323,8 @@
         fleet.append(pauses[1:])
     first, second, waited, silent = fleet
     assert first != second and all(pause >= 3 for pause in waited)  # not in step; the told wait heeded
-    assert max(silent) <= LIMITS.lists_backoff < 4 * LIMITS.watch  # an outage's end is seen soon
-    assert max(first) <= LIMITS.lists_away and sum(first) > 4 * sum(silent)
+    assert max(silent) <= LIMITS.discovery_backoff_s < 4 * LIMITS.watch_s  # an outage's end is seen soon
+    assert max(first) <= LIMITS.discovery_rejected_backoff_s and sum(first) > 4 * sum(silent)
 
 
 @pytest.mark.parametrize(
