--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -23,26 +23,27 @@
 
 import gevent
 import pytest
-import scenario
 import structlog
 from gevent import Timeout, socket, subprocess
 from gevent.event import Event
 from gevent.server import StreamServer
-from rigs.stages import Outward, desk, parsed
-from rigs.world import LIMITS, SETTINGS, World, abandon, free, request, until
-
-from ashpath.decide import SECOND, Sender
-from ashpath.door import Ending, Presence
-from ashpath.node import calls, outages
-from ashpath.node.backoff import Backoff
-from ashpath.node.codec import Closed, Message, Wire, write_head
-from ashpath.node.directory import Directory
-from ashpath.node.ledger import Entry, Ledger
-from ashpath.node.outages import Outages
-from ashpath.node.send import Withdrawn
-from ashpath.node.start import node
-from ashpath.node.take_in import TakeIn
-from ashpath.node.timers import wall
+from support import scenario
+from support.stages import Outward, desk, parsed
+from support.world import LIMITS, SETTINGS, World, abandon, free, request, until
+
+from ashpath.core.interface import AttemptOutcome, EndpointStatus
+from ashpath.policy.engine import SECOND, DeliveryPolicy
+from ashpath.server import agent_client as calls
+from ashpath.server.backoff import Backoff
+from ashpath.server.delivery.attempts import AttemptCancelledError
+from ashpath.server.discovery.client import DiscoveryClient
+from ashpath.server.http.client_listener import ClientListener
+from ashpath.server.http.codec import ConnectionClosedError, HttpConnection, HttpMessage, encode_message
+from ashpath.server.runtime import create_sender
+from ashpath.server.storage import outage_store as outages
+from ashpath.server.storage.outage_store import OutageStore
+from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.timers import wall
 
 LOG = structlog.get_logger()
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -67,7 +68,7 @@
 
 # Connections to endpoints.
 
-GIVEN_UP = {Withdrawn: Ending.WITHDRAWN, Timeout: Ending.TIMED_OUT}
+GIVEN_UP = {AttemptCancelledError: AttemptOutcome.CANCELLED, Timeout: AttemptOutcome.TIMED_OUT}
 # What is in the socket as the call is given up, and whether it was delivered.
 LAST_BYTES = {
     b"": False,
@@ -82,16 +83,14 @@
 
 @pytest.mark.parametrize("how", GIVEN_UP, ids=lambda how: how.__name__)
 @pytest.mark.parametrize("data", LAST_BYTES, ids=lambda data: str(data[:40]))
-def test_an_answer_in_the_moment_of_giving_up(
-    world: World, how: type[BaseException], data: bytes
-) -> None:
+def test_an_answer_in_the_moment_of_giving_up(world: World, how: type[BaseException], data: bytes) -> None:
     """Guards what was delivered against a repeat and a false end: a 200 whose first line was here counts."""
     outward, wires = Outward(world), []
     dial = outward.pool.connect
     outward.pool.connect = lambda where: wires.append(dial(where)) or wires[0]  # type: ignore[func-returns-value]
 
     def serve(sock: socket.socket, _: object) -> None:
-        wire = Wire(sock, LIMITS)
+        wire = HttpConnection(sock, LIMITS)
         wire.read_request()
         if b"99" in data:  # its head is read before
             wire.write(data[: -2 * len(OK)])
@@ -105,7 +104,7 @@
     world.servers[0].set_handle(serve)
     flight = outward.begin("a", b"")
     until(lambda: outward.endings)
-    assert outward.endings == [Ending.COMPLETED if LAST_BYTES[data] else GIVEN_UP[how]]
+    assert outward.endings == [AttemptOutcome.DELIVERED if LAST_BYTES[data] else GIVEN_UP[how]]
     assert outward.pool.open == 0
 
 
@@ -114,24 +113,24 @@
     outward, dial = Outward(world), Outward(world).pool.connect
     there = {**world.members[1], "host_port": "127.0.0.1:1"}
 
-    def slowly(where: Any) -> Wire:
+    def slowly(where: Any) -> HttpConnection:
         wire = dial(where)
-        outward.route.learn([there, {**world.members[1], "id": "new", "cell": 9}], whole=False)
+        outward.route.apply_members([there, {**world.members[1], "id": "new", "cell": 9}], whole=False)
         return wire
 
     outward.pool.connect = slowly  # type: ignore[method-assign]
     outward.begin("a", b"200")
     until(lambda: outward.endings)
-    assert outward.endings == [Ending.UNSENT] and not world.count("a")
+    assert outward.endings == [AttemptOutcome.NOT_SENT] and not world.count("a")
 
 
 # What a dial may meet, and how the call ends: what is the sender's own says nothing of the endpoint.
 DIALS = {
-    OSError(errno.EMFILE, "out of descriptors"): Ending.UNSENT,
-    OSError(errno.ENFILE, "out of descriptors"): Ending.UNSENT,
-    OSError(errno.ECONNREFUSED, "refused"): Ending.NO_CONNECTION,
-    OverflowError("port must be 0-65535"): Ending.NO_CONNECTION,
-    ValueError("embedded null character"): Ending.NO_CONNECTION,
+    OSError(errno.EMFILE, "out of descriptors"): AttemptOutcome.NOT_SENT,
+    OSError(errno.ENFILE, "out of descriptors"): AttemptOutcome.NOT_SENT,
+    OSError(errno.ECONNREFUSED, "refused"): AttemptOutcome.CONNECT_FAILED,
+    OverflowError("port must be 0-65535"): AttemptOutcome.CONNECT_FAILED,
+    ValueError("embedded null character"): AttemptOutcome.CONNECT_FAILED,
 }
 
 
@@ -141,7 +140,7 @@
     outward = Outward(world)
     outward.route.log = LOG
 
-    def connect(_: object) -> Wire:
+    def connect(_: object) -> HttpConnection:
         raise fault
 
     outward.pool.connect = connect  # type: ignore[method-assign]
@@ -157,14 +156,14 @@
     outward.pool.connect = lambda _: gevent.sleep(9)  # type: ignore[method-assign,assign,return-value]
     outward.begin("a", b"200", time=30_000)
     until(lambda: outward.endings)
-    assert outward.endings == [Ending.UNSENT]
+    assert outward.endings == [AttemptOutcome.NOT_SENT]
 
 
 # Connections of clients.
 
 
-def serve(take_in: TakeIn, near: socket.socket) -> gevent.Greenlet:
-    return gevent.spawn(take_in.serve, Wire(near, LIMITS))
+def serve(take_in: ClientListener, near: socket.socket) -> gevent.Greenlet:
+    return gevent.spawn(take_in.serve, HttpConnection(near, LIMITS))
 
 
 def test_more_bytes_as_the_last_answer_goes_out(tmp_path: Path) -> None:
@@ -172,14 +171,14 @@
     take_in, host, _ = desk(tmp_path)
     take_in.closing = True  # as after SIGTERM
     near, far = joined()
-    take, host.take = host.take, lambda entry: (take(entry), far.sendall(request("b", "free", "200", 1)))
+    take, host.submit = host.submit, lambda entry: (take(entry), far.sendall(request("b", "free", "200", 1)))
     far.sendall(request("a", "free", "200", 1))
     serve(take_in, near)
     data = to_the_end(far)
     assert data.startswith(b"HTTP/1.1 202 ") and data.count(b"HTTP/1.1") == 1
     assert host.seen == ["take a"]
     far.close()
-    until(lambda: not take_in.parting)
+    until(lambda: not take_in.half_closed)
 
 
 @pytest.mark.parametrize("size", [3, 60_000], ids=["short", "long"])
@@ -203,13 +202,13 @@
     assert not far.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)  # no reset behind the end
     far.close()
     served.join(20)
-    assert served.dead and not (take_in.parting or take_in.idle or take_in.silent)
+    assert served.dead and not (take_in.half_closed or take_in.idle or take_in.silent)
 
 
 def test_a_client_that_rests_until_it_is_ended(tmp_path: Path) -> None:
     """One that was sent away and stays makes room at once, before anybody who still asks."""
     take_in, _, _ = desk(tmp_path)
-    take_in.limits = replace(LIMITS, hush=0.0, stall=0.0)
+    take_in.limits = replace(LIMITS, silent_eviction_s=0.0, stalled_request_s=0.0)
     (near, far), (other, asks) = joined(), joined()
     staying = serve(take_in, near)
     until(lambda: take_in.silent)
@@ -217,9 +216,9 @@
     asking = serve(take_in, other)
     asks.sendall(b"POST /api HTTP/1.1\r\n")
     until(lambda: take_in.reading)
-    assert take_in.parting and take_in.make_room()
+    assert take_in.half_closed and take_in.evict_one()
     until(lambda: staying.dead)
-    assert not asking.dead and take_in.reading and not take_in.parting
+    assert not asking.dead and take_in.reading and not take_in.half_closed
     for end in (far, asks):
         end.close()
     until(lambda: asking.dead)
@@ -228,7 +227,7 @@
 def test_a_stalled_request_whose_rest_has_just_come(tmp_path: Path) -> None:
     """Guards a request whose last byte is in: its connection makes no room, the next stalled one does."""
     take_in, host, _ = desk(tmp_path)
-    take_in.limits = replace(LIMITS, stall=0.0)
+    take_in.limits = replace(LIMITS, stalled_request_s=0.0)
     (near, far), (other, stalled) = joined(), joined()
     data = request("a", "free", "200", 1)
     for end in (far, stalled):
@@ -276,7 +275,7 @@
     until(lambda: take_in.silent)
     far.sendall(b"POST /api HT")
     wire = next(iter(take_in.silent))
-    take_in.leave()
+    take_in.close_all()
     wire.sock.close()  # as the exit does, with no greenlet run in between
     assert to_the_end(far) == b"" and not host.seen
     served.join(20)
@@ -287,19 +286,22 @@
     kill neither, as the ledger knows of the call until it has its outcome."""
     for name, value in world.environment().items():
         monkeypatch.setenv(name, value)
-    sender, _ = node()
-    sender.host.restore(list(sender.route.rows.values()))
+    sender, _ = create_sender()
+    sender.policy_runner.restore(list(sender.registry.records.values()))
     data = request("a", "once", "slow 200", 1)
-    entry = sender.admit.envelope(parsed(data))
-    assert sender.admit.take_on(entry) == (202, 0)
+    entry = sender.admission.parse_request(parsed(data))
+    assert sender.admission.admit(entry) == (202, 0)
     until(lambda: world.count("a") == 1)
-    sender.host.gone(entry)
-    assert sender.admit.take_on(sender.admit.envelope(parsed(data))) == (409, 0)
-    assert sender.ledger.live[entry.number].out_at is not None and not sender.host.entries
-    until(lambda: not sender.host.flights)
-    assert not sender.ledger.live and not sender.host.leaving
-    assert sender.admit.take_on(sender.admit.envelope(parsed(data))) == (202, 0)
-    until(lambda: world.count("a") == 2 and not sender.host.flights)
+    sender.policy_runner.client_disconnected(entry)
+    assert sender.admission.admit(sender.admission.parse_request(parsed(data))) == (409, 0)
+    assert (
+        sender.write_ahead_log.live[entry.message_id].in_flight_since is not None
+        and not sender.policy_runner.messages
+    )
+    until(lambda: not sender.policy_runner.attempts)
+    assert not sender.write_ahead_log.live and not sender.policy_runner.abandoned
+    assert sender.admission.admit(sender.admission.parse_request(parsed(data))) == (202, 0)
+    until(lambda: world.count("a") == 2 and not sender.policy_runner.attempts)
 
 
 def test_the_next_of_a_key_waits_for_the_notice_of_the_one_before(world: World) -> None:
@@ -308,7 +310,7 @@
     seen: list[tuple[str, bool]] = []
     answer = world.answer
 
-    def note(wire: Wire, call: Message) -> bool:
+    def note(wire: HttpConnection, call: HttpMessage) -> bool:
         seen.append((call.headers[b"x-trace-id"].decode(), bool(world.told("one"))))
         return answer(wire, call)
 
@@ -342,7 +344,7 @@
         self.server.set_handle(self.serve)
 
     def serve(self, sock: socket.socket, _: object) -> None:
-        wire = Wire(sock, LIMITS)
+        wire = HttpConnection(sock, LIMITS)
         try:
             while call := wire.read_request():
                 self.asked.append(call.url.partition(b"?")[2].partition(b"&")[0])
@@ -352,14 +354,14 @@
                 if told == "hold":
                     gevent.sleep(60)
                 wire.write(told if isinstance(told, bytes) else listed(**told))
-        except (OSError, Closed):
+        except (OSError, ConnectionClosedError):
             wire.close()
 
 
 def listed(revision: object = 1, complete: object = True, members: object = (), **more: object) -> bytes:
     told = {"revision": revision, "complete": complete, "members": members}
     body = json.dumps(told, indent=4 if more else None).encode()
-    return write_head(b"HTTP/1.1 200 OK", [], body)
+    return encode_message(b"HTTP/1.1 200 OK", [], body)
 
 
 ROW = {"id": "e1", "host_port": "127.0.0.1:1", "cell": 1, "phase": "up"}
@@ -371,11 +373,11 @@
     "a spoilt line among changes": ([{"revision": 9, "complete": False, "members": [{"id": []}]}], b""),
     "a spoilt line in the whole list": ([{"revision": 9, "members": [{"id": []}, ROW]}], b"index=9"),
     "a reset": ([None], b""),
-    "no list": ([write_head(b"HTTP/1.1 200 OK", [], b'{"members":')], b"index=5"),
+    "no list": ([encode_message(b"HTTP/1.1 200 OK", [], b'{"members":')], b"index=5"),
     "rows of a wrong type": ([{"members": {"a": 1}}], b"index=5"),
     "a flag of a wrong type": ([{"complete": "no", "members": [ROW]}], b"index=5"),
     "an empty whole list": ([{"revision": 9}], b"index=5"),
-    "turned away": ([write_head(b"HTTP/1.1 429 X", [], b"")], b"index=5"),
+    "turned away": ([encode_message(b"HTTP/1.1 429 X", [], b"")], b"index=5"),
 }
 
 
@@ -386,8 +388,8 @@
     answerer = Answerer(world, [*answers, "hold"])
     route = Outward(world).route
     route.log = LOG
-    limits = replace(LIMITS, watch=0.01, retry=0.01, lists_away=0.01)
-    directory = Directory(answerer.server.address, limits, 5, route.hear, Random(1), LOG)
+    limits = replace(LIMITS, watch_s=0.01, retry_s=0.01, discovery_rejected_backoff_s=0.01)
+    directory = DiscoveryClient(answerer.server.address, limits, 5, route.receive_members, Random(1), LOG)
     watch = gevent.spawn(directory.run)
     until(lambda: len(answerer.asked) == 2)
     assert answerer.asked == [b"index=5", then]
@@ -398,8 +400,10 @@
     """The address of an endpoint that goes is no matter: nothing more is sent there."""
     route = Outward(world).route
     route.log = LOG
-    assert route.hear([{"id": "e1", "cell": 1, "phase": "draining", "host_port": None}], False)
-    assert "e1" not in route.addresses and not route.hear([{**ROW, "host_port": "127.0.0.1:70000"}], False)
+    assert route.receive_members([{"id": "e1", "cell": 1, "phase": "draining", "host_port": None}], False)
+    assert "e1" not in route.addresses and not route.receive_members(
+        [{**ROW, "host_port": "127.0.0.1:70000"}], False
+    )
 
 
 def test_a_directory_that_moves_while_it_is_dialled(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -408,10 +412,10 @@
     new = Answerer(world, [{"revision": 7, "members": [ROW]}, "hold"], server=2)
     heard: list[Any] = []
     hear = lambda rows, whole: heard.extend(rows) or True  # noqa: E731
-    directory = Directory(old.server.address, LIMITS, 5, hear, Random(1), LOG)
+    directory = DiscoveryClient(old.server.address, LIMITS, 5, hear, Random(1), LOG)
     dial = calls.dial
 
-    def dialled(where: Any, limits: Any) -> Wire:
+    def dialled(where: Any, limits: Any) -> HttpConnection:
         wire = dial(where, limits)
         directory.move(new.server.address)
         return wire
@@ -426,10 +430,10 @@
 @pytest.mark.parametrize("told", [b"60", b""], ids=["told to wait", "turned away"])
 def test_a_directory_that_moves_within_a_pause(world: World, told: bytes) -> None:
     """Guards drains after SIGHUP, which count 4 s later: a pause that the old agent caused is not sat out."""
-    away = write_head(b"HTTP/1.1 429 X", [(b"Retry-After", told)] if told else [], b"")
+    away = encode_message(b"HTTP/1.1 429 X", [(b"Retry-After", told)] if told else [], b"")
     old = Answerer(world, [away, "hold"])
     new = Answerer(world, [{"revision": 7, "members": [ROW]}, "hold"], server=2)
-    directory = Directory(old.server.address, LIMITS, 5, lambda *_: True, Random(1), LOG)
+    directory = DiscoveryClient(old.server.address, LIMITS, 5, lambda *_: True, Random(1), LOG)
     watch = gevent.spawn(directory.run)
     until(lambda: directory.pausing)
     began = monotonic()
@@ -440,11 +444,11 @@
 
 
 # How a call to the directory may fail, and how long it lasts then, at the most.
-FAILURES: dict[str, Callable[[Directory], tuple[Backoff, float | None, float]]] = {
-    "silent": lambda one: (one.silent, None, LIMITS.watch + LIMITS.silence),
-    "turned away": lambda one: (one.away, None, 0.5),
-    "told to come back": lambda one: (one.away, 1.0, 0.5),
-    "told to stay away": lambda one: (one.away, 600.0, 0.5),
+FAILURES: dict[str, Callable[[DiscoveryClient], tuple[Backoff, float | None, float]]] = {
+    "silent": lambda one: (one.silent_backoff, None, LIMITS.watch_s + LIMITS.watch_grace_s),
+    "turned away": lambda one: (one.rejected_backoff, None, 0.5),
+    "told to come back": lambda one: (one.rejected_backoff, 1.0, 0.5),
+    "told to stay away": lambda one: (one.rejected_backoff, 600.0, 0.5),
 }
 
 
@@ -454,9 +458,9 @@
     often and however it failed before. The fleet's calls stay spread all the same."""
     fleet, pauses = 200, []
     for seed in range(fleet):
-        one = Directory(("127.0.0.1", 1), LIMITS, 1, lambda *_: True, Random(seed), LOG)
+        one = DiscoveryClient(("127.0.0.1", 1), LIMITS, 1, lambda *_: True, Random(seed), LOG)
         pause, told, lasts = FAILURES[kind](one)
-        row = [pause.failed(told) for _ in range(8)]
+        row = [pause.next_pause(told) for _ in range(8)]
         assert max(row) + lasts < 5.5
         pauses.append(row[3])
     if kind == "silent":
@@ -468,8 +472,8 @@
 def test_what_the_agent_has_counts_from_the_first_moment(world: World) -> None:
     """Guards drains over a restart: the list as last held may be old, and what the agent was told meanwhile
     counts before the first call. What was taken on goes to the successor."""
-    ledger = Ledger(world.folder / "state", LIMITS.disk)
-    assert ledger.taken(Entry(1, "a", 0, 1, None, None, wall() + 20_000_000, b"200"))
+    ledger = WriteAheadLog(world.folder / "state", LIMITS.disk_bytes)
+    assert ledger.record_submitted(StoredMessage(1, "a", 0, 1, None, None, wall() + 20_000_000, b"200"))
     ledger.close()
     called: list[object] = []
     gone = StreamServer(("127.0.0.1", 0), lambda sock, _: called.append(sock))
@@ -541,15 +545,15 @@
 def test_outages_outlive_the_process(tmp_path: Path) -> None:
     """Kept at each change of mode: while it is out, then until it is warm; the rate it had goes with it."""
     log = Lines()
-    one = Outages(tmp_path, log)
-    one.note(7, "", True, 1.5, 60_000_000)
-    one.note(7, "", True, 9.0, 60_000_000)  # its breaker opened again: no change
-    one.note(8, "e8", True, 0.5, 60_000_000)
-    one.note(9, "", False, 0.5, 60_000_000)  # never out
-    assert Outages(tmp_path, log).running() == [(7, "", 1.5), (8, "e8", 0.5)]
-    one.note(7, "", False, 1.5, 60_000_000)
-    one.note(8, "e8", False, 0.5, -1)  # warm at once
-    assert Outages(tmp_path, log).running() == [(7, "", 1.5)] and not log.seen
+    one = OutageStore(tmp_path, log)
+    one.mode_changed(7, "", True, 1.5, 60_000_000)
+    one.mode_changed(7, "", True, 9.0, 60_000_000)  # its breaker opened again: no change
+    one.mode_changed(8, "e8", True, 0.5, 60_000_000)
+    one.mode_changed(9, "", False, 0.5, 60_000_000)  # never out
+    assert OutageStore(tmp_path, log).active() == [(7, "", 1.5), (8, "e8", 0.5)]
+    one.mode_changed(7, "", False, 1.5, 60_000_000)
+    one.mode_changed(8, "e8", False, 0.5, -1)  # warm at once
+    assert OutageStore(tmp_path, log).active() == [(7, "", 1.5)] and not log.seen
 
 
 def test_outages_that_cannot_be_kept(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -557,14 +561,14 @@
     log = Lines()
     for text in (b"", b'{"version": 1, "out": [[7]]}', b'{"version": 2, "out": []}', b"[]", b'{"version":1}'):
         (tmp_path / "outages").write_bytes(text)
-        assert Outages(tmp_path, log).running() == []
+        assert OutageStore(tmp_path, log).active() == []
     assert log.seen == ["outages not read, none are known"] * 5
-    one = Outages(tmp_path, log)
+    one = OutageStore(tmp_path, log)
     for number in range(500):
-        one.note(number, "e" * outages.LONGEST, True, 1.0, 1)
-    one.note(999, "e" * 4096, True, 1.0, 1)
+        one.mode_changed(number, "e" * outages.LONGEST, True, 1.0, 1)
+    one.mode_changed(999, "e" * 4096, True, 1.0, 1)
     assert 2 * (tmp_path / "outages").stat().st_size < outages.SPACE
-    assert len(one.running()) == outages.MOST and one.running()[-1][0] == 499
+    assert len(one.active()) == outages.MOST and one.active()[-1][0] == 499
     log.seen.clear()
 
     def full(*_: object) -> None:
@@ -572,7 +576,7 @@
 
     monkeypatch.setattr(outages.os, "replace", full)
     for number in (600, 601):
-        one.note(number, "", True, 1.0, 1)
+        one.mode_changed(number, "", True, 1.0, 1)
     assert log.seen == ["outages not written"] and [path.name for path in tmp_path.iterdir()] == ["outages"]
 
 
@@ -612,7 +616,7 @@
     platform.stop(timeout=0)
     for sock in held:
         abandon(sock)
-    clients = [world.connect() for _ in range(LIMITS.clients + 40)]
+    clients = [world.connect() for _ in range(LIMITS.client_connections + 40)]
     for wire in clients[::2]:
         assert wire is not None
         wire.sock.sendall(b"GET /health/ready HTTP/1.1\r\n\r\n")
@@ -643,7 +647,7 @@
     told = Event()
 
     def hang(sock: socket.socket, _: object) -> None:
-        drained.append(Wire(sock, LIMITS).read_request())
+        drained.append(HttpConnection(sock, LIMITS).read_request())
         told.wait()
         abandon(sock)
 
@@ -680,16 +684,20 @@
 WAIT, GRACE = 2 * SECOND, SECOND // 2
 # News that fall into one turn, by name; `a` is out at x1 and its wait, deadline or grace ends just then.
 NEWS: dict[str, Callable[[scenario.Scene], tuple[Any, ...]]] = {
-    "outcome": lambda one: ("returned", one.ids["a"], Ending.TIMED_OUT, 0, False, None),
-    "refused": lambda one: ("returned", one.ids["a"], Ending.FULL, WAIT, False, None),
-    "wake": lambda one: ("woken", f"e{one.ids['b']}"),
-    "look": lambda one: ("woken", "d7"),
-    "drain": lambda one: ("listed", [replace(one.rows["x1"], presence=Presence.DRAINING)], False),
-    "gone": lambda one: ("listed", [one.rows["x2"]], True),
-    "back": lambda one: ("listed", list(one.rows.values()), True),
-    "held": lambda one: ("hold", "x1", True),
-    "wait": lambda one: ("waited", 7, "x1", one.now + WAIT),
-    "withdrawn": lambda one: ("gone", one.ids["b"]),
+    "outcome": lambda one: ("attempt_finished", one.ids["a"], AttemptOutcome.TIMED_OUT, 0, False, None),
+    "refused": lambda one: ("attempt_finished", one.ids["a"], AttemptOutcome.OVERLOADED, WAIT, False, None),
+    "wake": lambda one: ("timer_fired", f"e{one.ids['b']}"),
+    "look": lambda one: ("timer_fired", "d7"),
+    "drain": lambda one: (
+        "update_endpoints",
+        [replace(one.rows["x1"], status=EndpointStatus.DRAINING)],
+        False,
+    ),
+    "gone": lambda one: ("update_endpoints", [one.rows["x2"]], True),
+    "back": lambda one: ("update_endpoints", list(one.rows.values()), True),
+    "held": lambda one: ("set_detached", "x1", True),
+    "wait": lambda one: ("retry_after_received", 7, "x1", one.now + WAIT),
+    "withdrawn": lambda one: ("client_disconnected", one.ids["b"]),
 }
 
 
@@ -700,14 +708,19 @@
     for names in permutations(NEWS, 3):
         if {"outcome", "refused"} <= set(names):
             continue  # a call has one outcome
-        one = scenario.Scene(Sender)
-        for line in (f"track s {track} promise=1s cutoff=4s", f"kind {kind}", "at x1 x2 : 7",
-                     "0s take a b c d s 7 key=1", "+1s pass"):  # fmt: skip
+        one = scenario.Scene(DeliveryPolicy)
+        for line in (
+            f"track s {track} promise=1s cutoff=4s",
+            f"kind {kind}",
+            "at x1 x2 : 7",
+            "0s take a b c d s 7 key=1",
+            "+1s pass",
+        ):
             one.step(line.split())
         a = one.held[one.ids["a"]]
         if a.out is None:
             continue
-        one.sender.open_turn(one.now)
+        one.sender.begin_batch(one.now)
         for at, name in enumerate(names):
             if name == "withdrawn" and one.held[one.ids["b"]].over:
                 continue  # it has its end by now: its client cannot leave any more
@@ -716,7 +729,7 @@
                 one.dropped_at.pop("x1", None)
             what, *told = NEWS[name](one)
             getattr(one.sender, what)(*told)
-        one.sender.close_turn()
+        one.sender.end_batch()
         if {"refused", "wait"} & set(names):
             one.waits[one.route("x1")] = one.now + WAIT
         one.run_to(one.now + 6 * SECOND)
@@ -727,7 +740,7 @@
     if name in ("outcome", "refused"):
         if name == "outcome" and a.risk_from is None:
             a.risk_from, a.risk_at = a.sent_at, str(a.out)
-            one.rests[1] = (one.now + one.terms.key_rest, one.ids["a"])
+            one.rests[1] = (one.now + one.terms.settle_time, one.ids["a"])
         a.out = None
     elif name in ("drain", "gone", "held"):
         one.dropped_at["x1"] = one.now
@@ -739,19 +752,19 @@
     """Guards what was taken on: no call is made unrecorded, and no try is spent within the same turn."""
     for name, value in world.environment().items():
         monkeypatch.setenv(name, value)
-    sender, _ = node()
-    sender.host.restore(list(sender.route.rows.values()))
-    record, refused = sender.ledger.shot, []
+    sender, _ = create_sender()
+    sender.policy_runner.restore(list(sender.registry.records.values()))
+    record, refused = sender.write_ahead_log.record_attempt, []
 
-    def shot(entry: Entry, at: int, endpoint: str) -> None:
+    def shot(entry: StoredMessage, at: int, endpoint: str) -> None:
         if len(refused) < 3:
             refused.append(monotonic())
             raise OSError(errno.ENOSPC, "no space")
         record(entry, at, endpoint)
 
-    monkeypatch.setattr(sender.ledger, "shot", shot)
-    entry = sender.admit.envelope(parsed(request("a", "once", "200", 1)))
+    monkeypatch.setattr(sender.write_ahead_log, "record_attempt", shot)
+    entry = sender.admission.parse_request(parsed(request("a", "once", "200", 1)))
     gevent.get_hub().loop.update_now()  # the start took a while, and its timers count from before
-    assert sender.admit.take_on(entry) == (202, 0) and len(refused) == 1
-    until(lambda: world.count("a") == 1 and not sender.ledger.live)
-    assert len(refused) == 3 and refused[2] - refused[0] > 1.5 * LIMITS.retry
+    assert sender.admission.admit(entry) == (202, 0) and len(refused) == 1
+    until(lambda: world.count("a") == 1 and not sender.write_ahead_log.live)
+    assert len(refused) == 3 and refused[2] - refused[0] > 1.5 * LIMITS.retry_s
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,10 +5,10 @@
 from dataclasses import replace
 
 import pytest
-import scenario
-from rigs.fleet import CUSTOMERS, SECOND, Fleet
+from support import scenario
+from support.fleet import CUSTOMERS, SECOND, Fleet
 
-from ashpath.decide import Sender
+from ashpath.policy.engine import DeliveryPolicy
 
 RESTARTS = {"none": (), "amid": (40 * SECOND,), "before": (48 * SECOND,), "across": (49_700_000,)}
 
@@ -40,16 +40,16 @@
 
 def test_the_measure_can_fail() -> None:
     """With no guard at all the same fleet pushes it over."""
-    terms = replace(CUSTOMERS["told"], ramp_time=10 * SECOND, fall_multiple=100.0)
+    terms = replace(CUSTOMERS["told"], warm_up_time=10 * SECOND, overload_multiple=100.0)
     fleet = Fleet(terms, 20, 6.0)
     fleet.play()
-    fleet.terms = replace(terms, fall_multiple=2.0)
+    fleet.terms = replace(terms, overload_multiple=2.0)
     calls, most = fleet.worst()
     assert calls > most
 
 
 def scene(text: str) -> scenario.Scene:
-    made = scenario.Scene(Sender)
+    made = scenario.Scene(DeliveryPolicy)
     for line in text.splitlines():
         if words := line.split():
             made.step(words)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -11,14 +11,14 @@
 import pytest
 from gevent import socket
 from prometheus_client.parser import text_string_to_metric_families
-from rigs.standalone import Alone
-from rigs.world import LIMITS, SETTINGS, World, free, until
+from support.standalone import Alone
+from support.world import LIMITS, SETTINGS, World, free, until
 from test_daily import pair  # noqa: F401
 from test_switch import reread
 
-from ashpath.decide import Breaker
-from ashpath.node.codec import dial, host, write_head
-from ashpath.node.metrics import MOST, PATIENCE, READERS, Metrics
+from ashpath.policy.engine import Breaker
+from ashpath.server.http.codec import dial, encode_message, host_header
+from ashpath.server.metrics import MOST, PATIENCE, READERS, Metrics
 
 Where = tuple[str, int]
 COMPLETED = ("envelopes_ended_total", "completed", "free")
@@ -27,7 +27,7 @@
 def scrape(where: Where) -> dict[tuple[str, ...], float]:
     """Each sample by its name and the values of its labels, in the order of their names."""
     wire = dial(where, LIMITS)
-    wire.write(write_head(b"GET /metrics HTTP/1.1", [host(where), (b"Connection", b"close")], b""))
+    wire.write(encode_message(b"GET /metrics HTTP/1.1", [host_header(where), (b"Connection", b"close")], b""))
     answer = wire.read_answer()
     families = text_string_to_metric_families(wire.finish_answer().body.decode())
     wire.close()
@@ -56,12 +56,19 @@
     until(lambda: world.told("c") and world.told("f") and scrape(where).get(COMPLETED) == 2)
     found = scrape(where)
     wanted = {
-        ("envelopes_taken_total", "free"): 4, ("envelopes_ended_total", "undeliverable", "once"): 1,
-        ("envelopes_ended_total", "deferred", "free"): 1, ("shots_total", "completed"): 2,
-        ("shot_seconds_count", "completed"): 2, ("shots_total", "error"): 2, ("envelopes_held",): 2,
-        ("shots_out",): 1, ("slots",): SETTINGS["specifics"]["slots"], ("destination_held", "6"): 1,
-        ("destination_in_flight", "3", ""): 1, ("destination_limit", "6", ""): 0,
-    }  # fmt: skip
+        ("envelopes_taken_total", "free"): 4,
+        ("envelopes_ended_total", "undeliverable", "once"): 1,
+        ("envelopes_ended_total", "deferred", "free"): 1,
+        ("shots_total", "completed"): 2,
+        ("shot_seconds_count", "completed"): 2,
+        ("shots_total", "error"): 2,
+        ("envelopes_held",): 2,
+        ("shots_out",): 1,
+        ("slots",): SETTINGS["specifics"]["slots"],
+        ("destination_held", "6"): 1,
+        ("destination_in_flight", "3", ""): 1,
+        ("destination_limit", "6", ""): 0,
+    }
     assert {key: found[key] for key in wanted} == wanted
     assert found["shots_total", "no connection"] >= 1 and found["list_age_seconds",] < 10
     assert 0 < found["ledger_bytes",] < found["ledger_most_bytes",]
@@ -81,7 +88,7 @@
         gate = Mock(limit=1, in_flight=0, breaker=Breaker.OPEN, pace=0.0, ailing=False)
         one = SimpleNamespace(number=7, owed=1, apart=True, gates=lambda n=routes, g=gate: [g] * n)
         sender = SimpleNamespace(destinations=dict.fromkeys(range(many), one))
-        read = Metrics(Mock(host=SimpleNamespace(sender=sender)))
+        read = Metrics(Mock(policy_runner=SimpleNamespace(policy=sender)))
         assert {len(family.samples) for family in read.destinations()} <= {min(many, MOST), MOST}
 
 
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -11,11 +11,11 @@
 from pathlib import Path
 
 import pytest
-import scenario
+from support import scenario
 
-from ashpath import terms as settings
-from ashpath.decide import Sender
-from ashpath.door import Answers, Terms
+from ashpath.core import platform_settings as settings
+from ashpath.core.interface import PolicyActions, PolicySettings
+from ashpath.policy.engine import DeliveryPolicy
 from benchmarks import tap
 
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
@@ -23,7 +23,7 @@
 
 @pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
 def test_scenario(path: Path) -> None:
-    scenario.Scene(Sender).play(path.read_text())
+    scenario.Scene(DeliveryPolicy).play(path.read_text())
 
 
 def test_examples() -> None:
@@ -32,10 +32,10 @@
 
 def test_a_wait_at_an_endpoint_not_known_here_binds_all_routes() -> None:
     """Guards separate routes in a hot upgrade: an id too long for the board is told without it."""
-    scene = scenario.Scene(Sender)
+    scene = scenario.Scene(DeliveryPolicy)
     for line in ("kind apart", "at x1 x2 : 7", "0s pass"):
         scene.step(line.split())
-    scene.turn(("waited", 7, "", 500_000))
+    scene.turn(("retry_after_received", 7, "", 500_000))
     scene.step(["1ms", "take", "a", "s", "7"])
     scene.expect("held a")
     scene.run_to(600_000)
@@ -44,30 +44,30 @@
 
 def test_word_of_a_return_starts_the_guard_by_lot() -> None:
     """Guards a returning place against all that hear of it at once, each with a bucket filled meanwhile."""
-    scene = scenario.Scene(Sender)
+    scene = scenario.Scene(DeliveryPolicy)
     for line in ("terms notes=1 senders=40", "2s take a s 7", "+10ms noconnection a"):
         scene.step(line.split())
     gate = scene.sender.destinations[7].gate
     assert gate.ailing
     gate.guard.tokens = 1.0
-    scene.turn(("heard", b"back 7 x1"))
+    scene.turn(("receive_gossip", b"back 7 x1"))
     assert not gate.ailing and gate.guard.tokens < 1.0
     scene.expect("held a")
 
 
 class Reckless:
-    def __init__(self, answers: Answers, shoots: bool) -> None:
+    def __init__(self, answers: PolicyActions, shoots: bool) -> None:
         self.answers, self.shoots = answers, shoots
 
     def __getattr__(self, news: str) -> Callable[..., None]:
         return lambda *_, **__: None
 
-    def take(self, id_: int, *_: object) -> None:
+    def submit(self, id_: int, *_: object) -> None:
         if self.shoots:
-            self.answers.shoot(id_, "x1", 5_000_000)
+            self.answers.start_attempt(id_, "x1", 5_000_000)
 
-    def returned(self, id_: int, *_: object) -> None:
-        self.take(id_)
+    def attempt_finished(self, id_: int, *_: object) -> None:
+        self.submit(id_)
 
 
 HEAD = "terms senders=1\ntrack t once-only\ntrack k tagged window=1s ordered\nkind plain\nat x1 : 7\n"
@@ -85,7 +85,7 @@
 @pytest.mark.parametrize("words", BROKEN)
 def test_the_checker_can_fail(words: str) -> None:
     shoots, play = BROKEN[words]
-    make: Callable[[Terms, Answers], object] = lambda terms, answers: Reckless(answers, shoots)  # noqa: E731
+    make: Callable[[PolicySettings, PolicyActions], object] = lambda terms, answers: Reckless(answers, shoots)  # noqa: E731
     with pytest.raises(AssertionError, match=words):
         scenario.Scene(make).play(HEAD + play)
 
@@ -115,7 +115,7 @@
 
 
 def piped(lines: list[bytes], seed: str = "0") -> tuple[int, list[dict[str, object]], str]:
-    command = [sys.executable, "-m", "ashpath.drill"]
+    command = [sys.executable, "-m", "ashpath.bench_adapter"]
     root = Path(__file__).parent.parent
     run = subprocess.run(
         command, input=b"".join(lines), capture_output=True, cwd=root, env={"PYTHONHASHSEED": seed}
@@ -148,11 +148,11 @@
 
 def test_replaced_endpoints_are_forgotten() -> None:
     """Successors under new ids all day: only those listed, and those gone of late, are known."""
-    scene = scenario.Scene(Sender)
+    scene = scenario.Scene(DeliveryPolicy)
     for line in ("at x0 : 7", "0s take a s 7", "+1s completed a"):
         scene.step(line.split())
     for number in range(1, 40):
-        scene.rows[f"x{number}"] = replace(scene.rows["x0"], endpoint=f"x{number}")
+        scene.rows[f"x{number}"] = replace(scene.rows["x0"], endpoint_id=f"x{number}")
         for line in (f"+1s list x{number}", f"+0s leave x{number - 1}", f"+0s take b{number} s 7"):
             scene.step(line.split())
         scene.step(f"+1s completed b{number}".split())
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -8,10 +8,10 @@
 from typing import Any
 
 import pytest
-from rigs.world import ROOT, World, until
+from support.world import ROOT, World, until
 
-from ashpath.door import Repeat
-from ashpath.terms import node_terms
+from ashpath.core.interface import RetrySafety
+from ashpath.core.platform_settings import sender_settings
 
 SITES = ROOT / "deploy" / "sites"
 NAMES = ("harbour-dispatch", "orchard-events")
@@ -28,31 +28,43 @@
     return {
         "classes": [
             {
-                "name": row["name"], "deadline": row["deadline_ms"], "slo": row["aim_ms"],
-                "importance": row["worth"], "repeat": WORDS[row["effect"]], "window": row.get("window_ms"),
-                "group": row.get("group"), "late-worth": row["late_worth"],
+                "name": row["name"],
+                "deadline": row["deadline_ms"],
+                "slo": row["aim_ms"],
+                "importance": row["worth"],
+                "repeat": WORDS[row["effect"]],
+                "window": row.get("window_ms"),
+                "group": row.get("group"),
+                "late-worth": row["late_worth"],
                 "one-at-a-time": row.get("in_order", False),
             }
             for row in site["class"]
         ],
-        "kinds": [kind["name"] for kind in tier["kind"]], "zones": site["net"]["zones"],
-        "group-size": 3, "rank": 1,
+        "kinds": [kind["name"] for kind in tier["kind"]],
+        "zones": site["net"]["zones"],
+        "group-size": 3,
+        "rank": 1,
         "load-info": {"how": tier["report"]["how"], "fields": tier["report"]["fields"]},
         "limits": {
-            "max-open": own["least_open"], "max-attempts": allow["max_attempts"],
-            "cancelling": allow["cancel"], "retry-after": allow["retry_after"],
+            "max-open": own["least_open"],
+            "max-attempts": allow["max_attempts"],
+            "cancelling": allow["cancel"],
+            "retry-after": allow["retry_after"],
             "max-retry-after": site["clients"]["max_retry_after_ms"],
             "connect-timeout": tier["conn"]["connect_timeout_ms"],
             "conn-idle": 1000 * tier["conn"]["idle_s"],
         },
         "contract": {
-            "drain-grace": rules["drain_grace_ms"], "fall-multiple": rules["fall_multiple"],
-            "fall": rules["fall_ms"], "order-settle": rules.get("order_settle_ms"),
+            "drain-grace": rules["drain_grace_ms"],
+            "fall-multiple": rules["fall_multiple"],
+            "fall": rules["fall_ms"],
+            "order-settle": rules.get("order_settle_ms"),
             "cold-from": middle(tier["kind"][0]["cold_from"]),
             "ramp-time": 1000 * middle(tier["kind"][0]["cold_s"]),
         },
-        "specifics": {"slots": 12, "loses-worth": own["late"]}, "membership-mode": site["discovery"]["mode"],
-    }  # fmt: skip
+        "specifics": {"slots": 12, "loses-worth": own["late"]},
+        "membership-mode": site["discovery"]["mode"],
+    }
 
 
 def read(name: str) -> dict[str, Any]:
@@ -61,16 +73,30 @@
 
 def test_they_are_unlike() -> None:
     """One has a window of a second and short deadlines, the other order by key and no reports."""
-    harbour, orchard = (node_terms(1, settings(read(name))) for name in NAMES)
-    assert {track.repeat for track in harbour.tracks} == set(Repeat)
-    assert min(track.window for track in harbour.tracks if track.window) == 1_000_000
-    assert min(track.cutoff for track in harbour.tracks) == 6_000_000 and harbour.reports
-    assert any(track.ordered for track in orchard.tracks) and orchard.key_rest and not orchard.reports
-    assert not any(track.ordered for track in harbour.tracks)
+    harbour, orchard = (sender_settings(1, settings(read(name))) for name in NAMES)
+    assert {track.retry_safety for track in harbour.traffic_classes} == set(RetrySafety)
+    assert (
+        min(track.deduplication_window for track in harbour.traffic_classes if track.deduplication_window)
+        == 1_000_000
+    )
+    assert min(track.deadline for track in harbour.traffic_classes) == 6_000_000 and harbour.has_load_reports
+    assert (
+        any(track.ordered for track in orchard.traffic_classes)
+        and orchard.settle_time
+        and not orchard.has_load_reports
+    )
+    assert not any(track.ordered for track in harbour.traffic_classes)
     facts = [read(name) for name in NAMES]
     assert [len(one["net"]["zones"]) for one in facts] == [2, 3]
     assert [len(one["class"]) for one in facts] == [3, 2]
-    for key in ("drain_grace", "connect_time", "idle_time", "fall_multiple", "fall_time", "most_shots"):
+    for key in (
+        "drain_grace",
+        "connect_timeout",
+        "idle_timeout",
+        "overload_multiple",
+        "overload_duration",
+        "max_attempts",
+    ):
         assert getattr(harbour, key) != getattr(orchard, key), key
     names = [{row["name"] for row in one["class"] + one["tier"][0]["kind"]} for one in facts]
     assert not names[0] & names[1]
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -9,24 +9,32 @@
 
 import pytest
 from gevent import socket, subprocess
-from rigs.world import SETTINGS, World, free, until
+from support.world import SETTINGS, World, free, until
 from test_node import live
 
-from ashpath.node import numbers
-from ashpath.node.peers import Peers
+from ashpath.server.gossip import Gossip
+from ashpath.server.storage import traffic_class_ids as numbers
 
 # A platform that is moved to: other tracks, routes apart with fees, rates listed, notes, no reports.
 TRACK = {"deadline": 20000.0, "slo": 1000.0, "importance": 3.0, "window": 12000.0}
 LIMITS = {**SETTINGS["limits"], "max-open": 90, "may-tell": True}  # type: ignore[dict-item]
 MOVED = {
-    **SETTINGS, "limits": LIMITS, "group-size": 3, "rank": 1,
-    "classes": [{"name": "label", "repeat": "dedup", "group": "all", **TRACK},
-                {"name": "once", "repeat": "fragile", **TRACK}],
-    "kinds": ["carrier", "plain"], "zones": ["there", "here"], "membership-mode": "ask",
-    "load-info": {"how": "none", "fields": []}, "weight-source": "rough",
+    **SETTINGS,
+    "limits": LIMITS,
+    "group-size": 3,
+    "rank": 1,
+    "classes": [
+        {"name": "label", "repeat": "dedup", "group": "all", **TRACK},
+        {"name": "once", "repeat": "fragile", **TRACK},
+    ],
+    "kinds": ["carrier", "plain"],
+    "zones": ["there", "here"],
+    "membership-mode": "ask",
+    "load-info": {"how": "none", "fields": []},
+    "weight-source": "rough",
     "specifics": {"slots": 500, "kind-apart": [True, True], "carriage": [0.01, 0.04], "loses-worth": "line"},
     "contract": {"drain-grace": 500.0, "ask-every": 10000.0, "cold-from": 0.2, "ramp-time": 9000.0},
-}  # fmt: skip
+}
 STATES = ("held", "200", 6, 1), ("out", "slow", 8, 1), ("again", "503 200", 20, 2)  # body, to whom, calls
 
 
@@ -93,22 +101,22 @@
 def test_notes_between_senders() -> None:
     """From those named only; garbage and strangers are dropped; a switch off and on again goes on."""
     one, two, heard, log = free(), free(), [], Mock()
-    ours, theirs = Peers(heard.append, log), Peers(heard.append, log)
+    ours, theirs = Gossip(heard.append, log), Gossip(heard.append, log)
     ours.move(one, frozenset({one, two}))
     theirs.move(two, frozenset({one}))
-    theirs.tell(b"first")
+    theirs.publish(b"first")
     until(lambda: heard == [b"first"])
-    theirs.tell(b"x" * 300)
+    theirs.publish(b"x" * 300)
     stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     assert [stranger.sendto(b"back 7 x1", one) for _ in range(5)] == [9] * 5
     until(lambda: ours.dropped == 5)
     assert heard == [b"first"] and log.info.call_count == 3  # the first, second and fourth
     ours.move(None, frozenset())
-    theirs.tell(b"lost")  # and no fault
+    theirs.publish(b"lost")  # and no fault
     ours.move(one, frozenset({two}))
     with pytest.raises(OSError):
         ours.move(two, frozenset())
-    theirs.tell(b"still heard")
+    theirs.publish(b"still heard")
     until(lambda: heard == [b"first", b"still heard"])
     assert all(one.move(None, frozenset()) is None for one in (ours, theirs))
 
