--- /dev/null
+++ b/benchmarks/simulation_figures.py
@@ -0,0 +1,106 @@
+"""Plays the scenarios whose outcome is stored, and compares it, or writes it.
+
+    .venv/bin/python -m benchmarks.simulation_figures [--write]
+
+Each is played in virtual time with the decision module: the same code gives the same figures. A change that
+is not meant to change a decision leaves all of them as they are. All figures are simulated.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from hashlib import sha256
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from ashpath.partners.account import Account
+from ashpath.partners.baselines import POLICIES
+from ashpath.partners.day import read_day
+from ashpath.partners.rehearse import find
+from ashpath.partners.virtual import World
+
+STORED = Path(__file__).parent.parent / "tests" / "fixtures" / "simulation_figures.json"
+SCENARIOS = ("silent-bank", "burst", "kills", "in-turn", "fast-errors", "fleet-calm")
+SEEDS = (1, 2)
+PLACES = 6  # of a sum of payoffs: its last bits depend on the machine's library of functions
+
+Figures = dict[str, Any]
+
+
+def names() -> list[str]:
+    """Every scenario with every seed, as they are named in the file."""
+    return [f"{scenario} seed {seed}" for scenario in SCENARIOS for seed in SEEDS]
+
+
+def play(name: str) -> Figures:
+    """The outcome of one scenario: what the emulator writes, and figures that it rounds or leaves out."""
+    scenario, _, seed = name.partition(" seed ")
+    path = find(scenario)
+    day = read_day(path)
+    account = Account(list(day.tracks), keeps_modes=True)
+    world = World(day, path.parent, int(seed), POLICIES["module"], account)
+    world.run()
+    return {
+        **account.result(),
+        "payoff_asked_for": [round(payoff, PLACES) for payoff in account.asked_by],
+        "payoff_delivered": [round(payoff, PLACES) for payoff in account.delivered_by],
+        "changes_of_mode": moments(account),
+    }
+
+
+def moments(account: Account) -> Figures:
+    """Which sender changed its mode at which microsecond, as a digest; not the words that say so."""
+    changes = [[at, sender] for at, sender, _ in account.modes]
+    return {"count": len(changes), "sha256": sha256(orjson.dumps(changes)).hexdigest()}
+
+
+def stored() -> dict[str, Figures]:
+    return dict(orjson.loads(STORED.read_bytes()))
+
+
+def as_stored(figures: Figures) -> Figures:
+    """As they are once written and read."""
+    return dict(orjson.loads(orjson.dumps(figures)))
+
+
+def differences(expected: Figures, found: Figures) -> list[str]:
+    """A line for each figure that is not as expected."""
+    return [
+        f"{key}: expected {expected.get(key)}, found {found.get(key)}"
+        for key in sorted(expected.keys() | found.keys())
+        if expected.get(key) != found.get(key)
+    ]
+
+
+def write() -> int:
+    figures = {name: play(name) for name in names()}
+    STORED.write_bytes(orjson.dumps(figures, option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE))
+    print(f"{len(figures)} outcomes written to {STORED.name}")
+    return 0
+
+
+def compare() -> int:
+    """The exit code: 1 if a figure differs."""
+    expected = stored()
+    changed = 0
+    for name in names():
+        lines = differences(expected[name], as_stored(play(name)))
+        changed += bool(lines)
+        print(f"{name}: {'CHANGED' if lines else 'as stored'}", flush=True)
+        for line in lines:
+            print(f"    {line}")
+    print(f"{changed} of {len(names())} outcomes changed")
+    return 1 if changed else 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="simulation_figures")
+    parser.add_argument("--write", action="store_true", help="store what is played now")
+    return write() if parser.parse_args().write else compare()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
