The tests of stored data and of the emulator's figures in the new names

Cause: the fixtures were written and first read by the tree before the renames; the tests follow the names.

--- a/benchmarks/simulation_figures.py
+++ b/benchmarks/simulation_figures.py
@@ -16,11 +16,11 @@
 
 import orjson
 
-from ashpath.partners.account import Account
-from ashpath.partners.baselines import POLICIES
-from ashpath.partners.day import read_day
-from ashpath.partners.rehearse import find
-from ashpath.partners.virtual import World
+from ashpath.emulator.baselines import POLICIES
+from ashpath.emulator.scenario import read_scenario
+from ashpath.emulator.scoreboard import Scoreboard
+from ashpath.emulator.simulate import find
+from ashpath.emulator.simulation import Simulation
 
 STORED = Path(__file__).parent.parent / "tests" / "fixtures" / "simulation_figures.json"
 SCENARIOS = ("silent-bank", "burst", "kills", "in-turn", "fast-errors", "fleet-calm")
@@ -39,9 +39,9 @@
     """The outcome of one scenario: what the emulator writes, and figures that it rounds or leaves out."""
     scenario, _, seed = name.partition(" seed ")
     path = find(scenario)
-    day = read_day(path)
-    account = Account(list(day.tracks), keeps_modes=True)
-    world = World(day, path.parent, int(seed), POLICIES["module"], account)
+    day = read_scenario(path)
+    account = Scoreboard(list(day.tracks), keeps_modes=True)
+    world = Simulation(day, path.parent, int(seed), POLICIES["module"], account)
     world.run()
     return {
         **account.result(),
@@ -51,7 +51,7 @@
     }
 
 
-def moments(account: Account) -> Figures:
+def moments(account: Scoreboard) -> Figures:
     """Which sender changed its mode at which microsecond, as a digest; not the words that say so."""
     changes = [[at, sender] for at, sender, _ in account.modes]
     return {"count": len(changes), "sha256": sha256(orjson.dumps(changes)).hexdigest()}
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -14,13 +14,14 @@
 
 import pytest
 
-from ashpath.command.sender import FromFile
-from ashpath.node import holds, numbers
-from ashpath.node.board import PLACES, Board
-from ashpath.node.ends import End, Ends
-from ashpath.node.folder import Folder, NotOurs
-from ashpath.node.ledger import Entry, Ledger, Reader
-from ashpath.node.outages import Outages
+from ashpath.cli.standalone import FileConfiguration
+from ashpath.server.storage import detached_endpoints as holds
+from ashpath.server.storage import traffic_class_ids as numbers
+from ashpath.server.storage.outage_store import OutageStore
+from ashpath.server.storage.outcome_store import FinalOutcome, OutcomeStore
+from ashpath.server.storage.shared_memory import PLACES, SharedMemory
+from ashpath.server.storage.state_directory import StateDirectory, StateDirectoryError
+from ashpath.server.storage.write_ahead_log import RecordReader, StoredMessage, WriteAheadLog
 
 STORED = Path(__file__).parent / "fixtures" / "stored_data"
 DISK = 1 << 20  # bytes that a journal may take
@@ -43,19 +44,19 @@
     return copied
 
 
-def journal_of(name: str, folder: Path) -> list[Entry]:
+def journal_of(name: str, folder: Path) -> list[StoredMessage]:
     """The live entries, in their order, as a process finds them at its start."""
-    ledger = Ledger(copy_of(name, folder), DISK)
+    ledger = WriteAheadLog(copy_of(name, folder), DISK)
     ledger.close()
     return list(ledger.live.values())
 
 
-def fields(entry: Entry) -> tuple[Any, ...]:
+def fields(entry: StoredMessage) -> tuple[Any, ...]:
     return (
-        (entry.number, entry.trace, entry.track, entry.destination, entry.order, entry.tag),
-        (entry.cutoff, entry.body, entry.shots),
-        (entry.ran_at, entry.ran_to, entry.out_at, entry.out_to),
-        (entry.notice, entry.over),
+        (entry.message_id, entry.trace_id, entry.traffic_class, entry.destination, entry.ordering_key, entry.idempotency_key),
+        (entry.deadline, entry.body, entry.attempts),
+        (entry.first_run_at, entry.first_run_endpoint, entry.in_flight_since, entry.in_flight_endpoint),
+        (entry.notice, entry.finished),
     )
 
 
@@ -91,7 +92,7 @@
         ((2, "t-2", 0, 2, None, None), (FAR, b"body 2", 1), (None, "", THEN, "e2"), LIVE),
         ((3, "t-3", 0, 3, None, None), (FAR, b"body 3", 0), NEVER, LIVE),
     ],
-}  # fmt: skip
+}
 PLACES_OF_MESSAGES = [(name, place) for name, messages in MESSAGES.items() for place in range(len(messages))]
 
 
@@ -103,13 +104,13 @@
 @pytest.mark.parametrize("name", MESSAGES)
 def test_messages_in_the_order_they_were_accepted(tmp_path: Path, name: str) -> None:
     """Those that were delivered, and the second copy of one held twice, are not among them."""
-    assert [entry.trace for entry in journal_of(name, tmp_path)] == [row[0][1] for row in MESSAGES[name]]
+    assert [entry.trace_id for entry in journal_of(name, tmp_path)] == [row[0][1] for row in MESSAGES[name]]
 
 
 @pytest.mark.parametrize("name", MESSAGES)
 def test_the_same_messages_from_the_journal_written_anew(tmp_path: Path, name: str) -> None:
     before = journal_of(name, tmp_path)
-    again = Ledger(tmp_path / name, DISK)
+    again = WriteAheadLog(tmp_path / name, DISK)
     again.close()
     assert [fields(entry) for entry in again.live.values()] == [fields(entry) for entry in before]
 
@@ -117,7 +118,7 @@
 def test_an_adopted_journal_is_removed(tmp_path: Path) -> None:
     folder = copy_of("platform", tmp_path)
     assert len(list(folder.glob("journal-*"))) == 2  # the journal of the process that is gone, and its lock
-    Ledger(folder, DISK).close()
+    WriteAheadLog(folder, DISK).close()
     assert sorted(path.name for path in folder.glob("journal*")) == ["journal", "journal.lock"]
 
 
@@ -132,19 +133,19 @@
 @pytest.mark.parametrize("name", RECORDS)
 def test_kinds_of_records_and_what_is_torn(name: str) -> None:
     with (STORED / name / "journal").open("rb") as file:
-        reader = Reader(file)
+        reader = RecordReader(file)
         kinds = [record[0] for record, _, _ in reader]
     assert (kinds, reader.fault) == RECORDS[name]
 
 
 def test_outages_that_last(tmp_path: Path) -> None:
     """The one that ended, with its destination warm again, is not among them."""
-    outages = Outages(copy_of("platform", tmp_path), NoErrors())
-    assert outages.running() == [(20, "", 12.5), (21, "e21-é", 0.1)]
+    outages = OutageStore(copy_of("platform", tmp_path), NoErrors())
+    assert outages.active() == [(20, "", 12.5), (21, "e21-é", 0.1)]
 
 
 def test_ends_of_outages(tmp_path: Path) -> None:
-    outages = Outages(copy_of("platform", tmp_path), NoErrors())
+    outages = OutageStore(copy_of("platform", tmp_path), NoErrors())
     assert [until for _, until in outages.rows.values()] == [None, FAR, THEN + 1]
 
 
@@ -171,53 +172,55 @@
 
 
 def test_waits_on_the_board(tmp_path: Path) -> None:
-    board = Board(copy_of("platform", tmp_path), PLACES)
-    told, _ = board.news(THEN + 1)
+    board = SharedMemory(copy_of("platform", tmp_path), PLACES)
+    told, _ = board.updates(THEN + 1)
     board.close()
     assert told == WAITS
 
 
 def test_counters_of_the_board(tmp_path: Path) -> None:
     """Six waits were told to the process that had the first place, and one hold was made."""
-    board = Board(copy_of("platform", tmp_path), 1)
+    board = SharedMemory(copy_of("platform", tmp_path), 1)
     board.close()
-    assert (board.waits, board.holds) == (6, 1)
+    assert (board.wait_count, board.detached_count) == (6, 1)
 
 
 def test_the_imprint_is_accepted(tmp_path: Path) -> None:
     """The tracks that it names are those of the sender's file: no number changes its meaning."""
-    folder = Folder(copy_of("standalone", tmp_path), "relay-1")
+    folder = StateDirectory(copy_of("standalone", tmp_path), "relay-1")
     folder.close()
-    assert folder.told == FromFile(STORED / "sender.toml").settings["classes"]
-    assert [(row["name"], row["repeat"], row["deadline"]) for row in folder.told] == [
-        ("free", "retryable", 30000.0), ("tag", "dedup", 30000.0), ("once", "fragile", 45000.0),
-    ]  # fmt: skip
+    assert folder.traffic_classes == FileConfiguration(STORED / "sender.toml").settings["classes"]
+    assert [(row["name"], row["repeat"], row["deadline"]) for row in folder.traffic_classes] == [
+        ("free", "retryable", 30000.0),
+        ("tag", "dedup", 30000.0),
+        ("once", "fragile", 45000.0),
+    ]
 
 
 def test_messages_held_beside_the_imprint(tmp_path: Path) -> None:
-    folder = Folder(copy_of("standalone", tmp_path), "relay-1")
+    folder = StateDirectory(copy_of("standalone", tmp_path), "relay-1")
     folder.close()
-    assert folder.held() == len(MESSAGES["standalone"])
+    assert folder.live_messages() == len(MESSAGES["standalone"])
 
 
 def test_the_imprint_of_another_sender_is_refused(tmp_path: Path) -> None:
-    with pytest.raises(NotOurs, match="the folder of sender 'relay-1', not of 'relay-2'"):
-        Folder(copy_of("standalone", tmp_path), "relay-2")
+    with pytest.raises(StateDirectoryError, match="the folder of sender 'relay-1', not of 'relay-2'"):
+        StateDirectory(copy_of("standalone", tmp_path), "relay-2")
 
 
 ENDS = {
-    "s-first": End("completed", FAR, 0),
-    "s-second": End("undeliverable", FAR + 2, 0),  # stands behind a line that was cut off
-    "s-third": End("withdrawn", FAR + 3, 0),
-    "s-fourth": End("deferred", FAR + 4, FAR + 900_000),
-    "s-fifth": End("completed", FAR + 5, 0),
-    "s-again": End("completed", FAR + 6, 0),  # deferred in the older file, then handed in again
-    "s-sixth": End("undeliverable", FAR + 7, 0),
+    "s-first": FinalOutcome("completed", FAR, 0),
+    "s-second": FinalOutcome("undeliverable", FAR + 2, 0),  # stands behind a line that was cut off
+    "s-third": FinalOutcome("withdrawn", FAR + 3, 0),
+    "s-fourth": FinalOutcome("deferred", FAR + 4, FAR + 900_000),
+    "s-fifth": FinalOutcome("completed", FAR + 5, 0),
+    "s-again": FinalOutcome("completed", FAR + 6, 0),  # deferred in the older file, then handed in again
+    "s-sixth": FinalOutcome("undeliverable", FAR + 7, 0),
 }
 
 
 def test_ends_of_messages(tmp_path: Path) -> None:
-    ends = Ends(copy_of("standalone", tmp_path), DISK, 60_000_000, NoErrors())
+    ends = OutcomeStore(copy_of("standalone", tmp_path), DISK, 60_000_000, NoErrors())
     ends.close()
-    assert {trace: ends.of(trace) for trace in ends.known} == ENDS
-    assert list(ends.known) == list(ENDS)
+    assert {trace: ends.get(trace) for trace in ends.outcomes} == ENDS
+    assert list(ends.outcomes) == list(ENDS)
--- a/tests/test_stored_data_at_start.py
+++ b/tests/test_stored_data_at_start.py
@@ -5,10 +5,10 @@
 import shutil
 from pathlib import Path
 
-from rigs.standalone import Alone
-from rigs.world import World, until
+from support.standalone import Alone
+from support.world import World, until
 
-from ashpath.node.ledger import Entry, Ledger
+from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 
 STORED = Path(__file__).parent / "fixtures" / "stored_data"
 ENDS = {
@@ -32,15 +32,15 @@
     assert told == {**lost, "p-deferred": ("deferred", 500)}
     assert set(world.calls) == {"p-waiting", "p-ran", "p-ran-and-out"}
     waiting = ["p-bytes", "p-empty", "p-orphan-waiting"]  # for the endpoint that an operator holds
-    until(lambda: [entry.trace for entry in live_entries(world)] == waiting)
+    until(lambda: [entry.trace_id for entry in live_entries(world)] == waiting)
 
 
-def live_entries(world: World) -> list[Entry]:
+def live_entries(world: World) -> list[StoredMessage]:
     """What the running sender's journal holds, read from a copy."""
     copied = world.folder / f"copy-{len(list(world.folder.iterdir()))}"
     copied.mkdir()
     shutil.copy(world.folder / "state" / "journal", copied)
-    ledger = Ledger(copied, 1 << 20)
+    ledger = WriteAheadLog(copied, 1 << 20)
     ledger.close()
     return list(ledger.live.values())
 
