--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	touch $@
 
 lint: dev
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/mypy
 
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -53,7 +53,14 @@
 
 def fields(entry: StoredMessage) -> tuple[Any, ...]:
     return (
-        (entry.message_id, entry.trace_id, entry.traffic_class, entry.destination, entry.ordering_key, entry.idempotency_key),
+        (
+            entry.message_id,
+            entry.trace_id,
+            entry.traffic_class,
+            entry.destination,
+            entry.ordering_key,
+            entry.idempotency_key,
+        ),
         (entry.deadline, entry.body, entry.attempts),
         (entry.first_run_at, entry.first_run_endpoint, entry.in_flight_since, entry.in_flight_endpoint),
         (entry.notice, entry.finished),
