--- a/ashpath/server/logs.py
+++ b/ashpath/server/logs.py
@@ -21,6 +21,8 @@
 if hidden is None:
     del sys.modules["rich"]
 
+Logger = structlog.typing.FilteringBoundLogger  # the type of every logger that is handed to a part
+
 LEVELS = {"debug": logging.DEBUG, "info": logging.INFO, "warning": logging.WARNING, "error": logging.ERROR}
 PIECE = 4096  # what a pipe that polls as writable takes without blocking
 KEPT = 256 << 10  # bytes of lines that wait for a reader; further ones are dropped and counted
