A typed CommandHandler and CommandResult at the operators' address

Cause: the listener took a Callable that returned tuple[bool, str], so neither a reader nor an editor could follow a command to what carries it out.

Change: control/commands.py has the Protocol and the result; SenderProcess implements it as handle(). Texts of the answers and the log line are unchanged.

--- a/ashpath/server/control/listener.py
+++ b/ashpath/server/control/listener.py
@@ -3,21 +3,21 @@
 Each caller has a greenlet of its own and a time of its own (`Limits.control_patience`): one that says
 nothing, or half a line, and stays holds only its own connection. Of `Limits.control_callers` at once the one
 longest without a word gives way to the next, unless it has just spoken: so callers that say nothing keep
-nobody out, and take no more descriptors than that. What a call does is `calls`' business (`Node.order`); it
+nobody out, and take no more descriptors than that. What a call does is its `CommandHandler`'s business; it
 never waits.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
 import gevent
 from gevent import Timeout, socket
 
-from ashpath.server.control.protocol import InvalidCommandError, OperatorCommand, answer, read
+from ashpath.server.control.commands import CommandHandler
+from ashpath.server.control.protocol import InvalidCommandError, answer, read
 from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.limits import ServerLimits
 
@@ -27,10 +27,10 @@
         self,
         where: Address,
         limits: ServerLimits,
-        calls: Callable[[OperatorCommand], tuple[bool, str]],
+        handler: CommandHandler,
         log: Any,
     ):
-        self.where, self.limits, self.calls, self.log = where, limits, calls, log
+        self.where, self.limits, self.handler, self.log = where, limits, handler, log
         self.callers: OrderedDict[Any, None] = OrderedDict()  # longest without a word first; left as they end
 
     def listen(self) -> None:
@@ -77,7 +77,8 @@
                     data += piece
                     self.callers.move_to_end(caller)
                     call = read(data)
-            ok, words = self.calls(call)
+            result = self.handler.handle(call)
+            ok, words = result.succeeded, result.message
             self.log.info("control call", call=call.name, argument=call.argument, ok=ok, words=words)
             self.say(caller, answer(ok, words))
         except InvalidCommandError as error:
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -27,6 +27,7 @@
     sender_settings,
 )
 from ashpath.server.backoff import Backoff
+from ashpath.server.control.commands import CommandResult
 from ashpath.server.control.listener import ControlListener
 from ashpath.server.control.protocol import OperatorCommand
 from ashpath.server.delivery.attempts import AttemptRunner
@@ -177,7 +178,7 @@
         self.registry.apply_members(given.known_endpoints["members"], whole=True)
         self.changed, self.ended = Event(), Event()
         control = control or given.control
-        self.control = control and ControlListener(parse_address(control), limits, self.operator_command, log)
+        self.control = control and ControlListener(parse_address(control), limits, self, log)
         self.inherited = inherited  # the platform's listening socket, handed down
         seed = f"{given.policy_settings.seed}/{listen}"  # senders of one fleet differ by their address
         # Guards the directory against a fleet that starts at once. In a hot upgrade a sender starts alone.
@@ -370,28 +371,29 @@
             for id_, out in changed
         ]
 
-    def operator_command(self, call: OperatorCommand) -> tuple[bool, str]:
-        """An operator's call at the control address: whether it was done, and the words of the answer."""
-        held = self.policy_runner.policy.detached
-        if call.name == "PING":  # the control address listens once the ledger is restored
-            return True, ""
-        if call.name == "LAMEDUCK":
+    def handle(self, command: OperatorCommand) -> CommandResult:
+        """Carries out an operator's command at the control address."""
+        detached = self.policy_runner.policy.detached
+        if command.name == "PING":  # the control address listens once the ledger is restored
+            return CommandResult(succeeded=True)
+        if command.name == "LAMEDUCK":
             self.listener.set_lame_duck(True)
-            return True, "lame duck: not ready, clients sent away"
-        if call.name == "REJOIN":
+            return CommandResult(succeeded=True, message="lame duck: not ready, clients sent away")
+        if command.name == "REJOIN":
             self.listener.set_lame_duck(False)
-            return True, "ending" if self.listener.closing else "ready"
-        endpoint, out = str(call.argument), call.name == "DETACH"
-        if endpoint not in self.registry.records and endpoint not in held:
-            return False, f"unknown endpoint {endpoint}"
-        if out != (endpoint in held):
+            return CommandResult(succeeded=True, message="ending" if self.listener.closing else "ready")
+        endpoint, out = str(command.argument), command.name == "DETACH"
+        if endpoint not in self.registry.records and endpoint not in detached:
+            return CommandResult(succeeded=False, message=f"unknown endpoint {endpoint}")
+        if out != (endpoint in detached):
             try:
                 holds.change(self.state, endpoint, out, self.log)
             except OSError as error:
-                return False, f"hold not kept: {error.strerror or error}"
+                reason = f"hold not kept: {error.strerror or error}"
+                return CommandResult(succeeded=False, message=reason)
             self.policy_runner.shared_memory.publish_detached_change()
             self.policy_runner.set_detached(endpoint, out, self.registry.records.get(endpoint))
-        return True, f"{endpoint} {'draining' if out else 'back, cold'}"
+        return CommandResult(succeeded=True, message=f"{endpoint} {'draining' if out else 'back, cold'}")
 
     def supervise(self, run: Callable[[], None]) -> None:
         """Guards the sender against a fault that would end one of its parts for good."""
