Wire names by what they are, and a rejection at submission answers its Retry-After again

The values are as before. The renames of left one reader of the recorder's old attribute (recorder.answer, now submit_result) in Admission.admit: a message rejected in the batch of its submission raised AttributeError. mypy did not see it, as it takes the attribute for None after the assignment two lines above. The attribute is named as it is.

--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -25,7 +25,7 @@
 from ashpath.server.runtime import SenderConfiguration, SenderProcess, StartupError
 from ashpath.server.storage.outcome_store import OutcomeStore
 from ashpath.server.storage.state_directory import StateDirectory, StateDirectoryError
-from ashpath.server.wire_names import PASS
+from ashpath.server.wire_names import CREDENTIAL_HEADER
 
 NAMED = 20  # keys that one log line names
 
@@ -77,7 +77,7 @@
 
     @staticmethod
     def direct(notices: HttpNotifier, receiver: tuple[str, str], secret: bytes) -> None:
-        notices.path, notices.headers = receiver[1].encode(), [(PASS, secret)] if secret else []
+        notices.path, notices.headers = receiver[1].encode(), [(CREDENTIAL_HEADER, secret)] if secret else []
 
     def number_traffic_classes(self, given: SenderConfiguration, held: bool) -> None:
         """Done before the ledger was opened, by the folder's imprint."""
--- a/ashpath/cli/status_client.py
+++ b/ashpath/cli/status_client.py
@@ -10,7 +10,7 @@
 import orjson
 
 from ashpath.cli.group import BAD_INPUT, Failure
-from ashpath.server.wire_names import DESTINATIONS, HAND_IN, HELD, ONE
+from ashpath.server.wire_names import DESTINATIONS_PATH, MESSAGE_PATH_PREFIX, MESSAGES_PATH, SUBMIT_PATH
 
 PATIENCE = 5.0  # seconds for an answer
 url = click.option("--url", default="http://127.0.0.1:7070", envvar="ASHPATH_URL", show_default=True)
@@ -49,7 +49,7 @@
 
     def hand_in(self, headers: dict[str, str], body: bytes) -> tuple[int, float | None]:
         """The status, and after how many seconds to come back, if that is told."""
-        status, told, _ = self.ask("POST", HAND_IN.decode(), body, headers)
+        status, told, _ = self.ask("POST", SUBMIT_PATH.decode(), body, headers)
         try:
             return status, float(told["retry-after"])
         except (KeyError, ValueError):
@@ -57,7 +57,7 @@
 
     def envelope(self, id_: str) -> dict[str, Any] | None:
         """How it stands; None where the sender does not know it."""
-        status, _, body = self.ask("GET", ONE.decode() + quote(id_, safe=""))
+        status, _, body = self.ask("GET", MESSAGE_PATH_PREFIX.decode() + quote(id_, safe=""))
         return self.read(status, body, (200, 404)) if status == 200 else None
 
     def pages(self, path: bytes, rows: str) -> list[dict[str, Any]]:
@@ -73,10 +73,10 @@
             after = told["next"]
 
     def held(self) -> list[dict[str, Any]]:
-        return self.pages(HELD, "envelopes")
+        return self.pages(MESSAGES_PATH, "envelopes")
 
     def destinations(self) -> list[dict[str, Any]]:
-        return self.pages(DESTINATIONS, "destinations")
+        return self.pages(DESTINATIONS_PATH, "destinations")
 
     def read(self, status: int, body: bytes, good: tuple[int, ...]) -> dict[str, Any]:
         if status == 404 and 404 not in good:
--- a/ashpath/emulator/clients.py
+++ b/ashpath/emulator/clients.py
@@ -20,7 +20,7 @@
 from gevent.server import StreamServer
 
 from ashpath.core.platform_settings import policy_settings
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.http.codec import (
     ConnectionClosedError,
     HttpConnection,
@@ -109,7 +109,7 @@
                         wire = None
                 wire = wire or dial(self.senders[sender], self.limits)
                 status = UNANSWERED
-                first = b"POST %s HTTP/1.1" % names.HAND_IN
+                first = b"POST %s HTTP/1.1" % wire_names.SUBMIT_PATH
                 wire.write(encode_message(first, [host_header(self.senders[sender]), *headers], body))
                 answer = wire.read_answer()
                 if answer.status == 200:
@@ -122,7 +122,7 @@
             idle.append(wire)
         else:
             wire.close()
-        return answer.status, float(answer.headers.get(names.WAIT, b"0"))
+        return answer.status, float(answer.headers.get(wire_names.RETRY_AFTER_HEADER, b"0"))
 
     def ended(self, trace: str, how: str, wait: float, sender: int = -1) -> None:
         """Bounced or aborted; bounced, it may be handed in again."""
@@ -145,7 +145,7 @@
             while True:
                 for line in wire.read_request().body.splitlines():
                     told = orjson.loads(line)
-                    how = "bounced" if told["status"] == names.DEFERRED else "aborted"
+                    how = "bounced" if told["status"] == wire_names.REJECTED_STATUS else "aborted"
                     self.ended(told["id"], how, told.get("again_ms", 0) / 1000)
                 wire.write(b"HTTP/1.1 204 No Content\r\n\r\n")
         except (OSError, ConnectionClosedError, ProtocolError, ValueError):
--- a/ashpath/emulator/demo.py
+++ b/ashpath/emulator/demo.py
@@ -20,7 +20,7 @@
 from ashpath.core.platform_settings import policy_settings
 from ashpath.emulator.destination_model import DestinationModel, Nature, Trouble
 from ashpath.emulator.destination_server import Stand, at
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.http.codec import (
     ConnectionClosedError,
     HttpConnection,
@@ -175,7 +175,7 @@
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         until = monotonic() + 15.0
-        while self.ask(b"GET %s HTTP/1.1" % names.READY)[0] != 200:
+        while self.ask(b"GET %s HTTP/1.1" % wire_names.READINESS_PATH)[0] != 200:
             if monotonic() > until or self.process.poll() is not None:
                 raise RuntimeError(f"the sender did not start; see {self.folder / 'log'}")
             gevent.sleep(0.05)
@@ -240,7 +240,7 @@
             (b"Idempotency-Key", b"key-" + trace.encode()),
         )
         body = b"%d stage 3" % TRACKS.index(track)
-        status, _ = self.ask(b"POST %s HTTP/1.1" % names.HAND_IN, headers, body)
+        status, _ = self.ask(b"POST %s HTTP/1.1" % wire_names.SUBMIT_PATH, headers, body)
         if status in (200, 202):
             self.taken.add(trace)
         elif status in (429, 503):
@@ -273,7 +273,9 @@
                 for line in wire.read_request().body.splitlines():
                     told = orjson.loads(line)
                     self.told[told["id"]] += 1
-                    self.end(told["id"], "bounced" if told["status"] == names.DEFERRED else "aborted")
+                    self.end(
+                        told["id"], "bounced" if told["status"] == wire_names.REJECTED_STATUS else "aborted"
+                    )
                 wire.write(b"HTTP/1.1 204 No Content\r\n\r\n")
         except (OSError, ConnectionClosedError, ProtocolError, ValueError):
             wire.close()
@@ -281,7 +283,7 @@
     def follow(self) -> None:
         """Asks how those stand that have no end yet."""
         for trace in list(self.open):
-            status, body = self.ask(b"GET %s%s HTTP/1.1" % (names.ONE, trace.encode()))
+            status, body = self.ask(b"GET %s%s HTTP/1.1" % (wire_names.MESSAGE_PATH_PREFIX, trace.encode()))
             if status == 404 and trace not in self.taken:
                 self.end(trace, "bounced")  # no answer came, and it was not taken on
             elif status == 200 and orjson.loads(body)["state"] in ("completed", "withdrawn"):
@@ -289,7 +291,7 @@
 
     def look(self) -> dict[int, dict[str, Any]]:
         """The sender's own view of each destination; none while it does not answer."""
-        status, body = self.ask(b"GET %s HTTP/1.1" % names.DESTINATIONS)
+        status, body = self.ask(b"GET %s HTTP/1.1" % wire_names.DESTINATIONS_PATH)
         return {row["number"]: row for row in orjson.loads(body)["destinations"]} if status == 200 else {}
 
     def table(self) -> list[dict[str, Any]]:
--- a/ashpath/emulator/destination_server.py
+++ b/ashpath/emulator/destination_server.py
@@ -14,7 +14,7 @@
 from gevent.server import StreamServer
 
 from ashpath.emulator.destination_model import NEVER, Call, DestinationModel, Meets
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.http.codec import (
     ConnectionClosedError,
     HttpConnection,
@@ -83,11 +83,11 @@
 
     def call(self, wire: HttpConnection, request: HttpMessage, fresh: bool) -> bool:
         """One call and its answer; whether the connection goes on."""
-        if request.path != names.HOOK:
+        if request.path != wire_names.DELIVERY_PATH:
             wire.write(encode_message(NOT_FOUND, [], b""))
             return request.keep
-        envelope = request.headers.get(names.TRACE, b"").decode("latin-1")
-        key, track = request.headers.get(names.TAG), request.body[:2].strip()
+        envelope = request.headers.get(wire_names.TRACE_ID_HEADER, b"").decode("latin-1")
+        key, track = request.headers.get(wire_names.IDEMPOTENCY_KEY_HEADER), request.body[:2].strip()
         number = int(track) if track.isdigit() else 0  # bodies of ours begin with the track's number
         known = None if key is None else key.decode("latin-1")
         gevent.sleep(self.way() / 1e6)
@@ -127,9 +127,11 @@
 
     @staticmethod
     def answer(call: Call) -> bytes:
-        headers = [(names.WAIT, b"%.3f" % (call.wait / 1e6))] if call.wait else []
+        headers = [(wire_names.RETRY_AFTER_HEADER, b"%.3f" % (call.wait / 1e6))] if call.wait else []
         if call.left >= 0:
-            headers.append((names.REPORT, f"TEXT x0={call.left:.3f}, x1={call.rate:g}".encode()))
+            headers.append(
+                (wire_names.LOAD_REPORT_HEADER, f"TEXT x0={call.left:.3f}, x1={call.rate:g}".encode())
+            )
         return encode_message(TOLD if call.wait else LINES[call.meets], headers, b"")
 
     def cut(self) -> None:
--- a/ashpath/emulator/loopback.py
+++ b/ashpath/emulator/loopback.py
@@ -32,7 +32,7 @@
 from ashpath.emulator.scoreboard import Scoreboard, payoff
 from ashpath.emulator.simulation import Work
 from ashpath.emulator.topology import Arrivals, Topology
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.http.codec import (
     ConnectionClosedError,
     HttpConnection,
@@ -199,7 +199,7 @@
         try:
             with gevent.Timeout(1.0):
                 wire = dial(self.addresses[number], self.limits)
-                first = b"GET %s HTTP/1.1" % names.READY
+                first = b"GET %s HTTP/1.1" % wire_names.READINESS_PATH
                 wire.write(encode_message(first, [host_header(self.addresses[number])], b""))
                 found = wire.read_answer().status == 200
                 wire.close()
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -11,7 +11,7 @@
 from gevent import Timeout
 from gevent.event import Event
 
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.delivery.connection_pool import Address, ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.http.codec import (
@@ -151,10 +151,10 @@
 
     def encode_request(self, flight: Attempt, where: Address) -> bytes:
         entry = flight.message
-        headers = [host_header(where), (names.TRACE, entry.trace_id.encode())]
+        headers = [host_header(where), (wire_names.TRACE_ID_HEADER, entry.trace_id.encode())]
         if entry.idempotency_key is not None:
-            headers.append((names.TAG, entry.idempotency_key.encode()))
+            headers.append((wire_names.IDEMPOTENCY_KEY_HEADER, entry.idempotency_key.encode()))
         if entry.destination in self.credentials:
-            headers.append((names.PASS, self.credentials[entry.destination]))
-        headers.append((names.EXPIRES, b"%d" % max(1, flight.timeout // 1000)))
-        return encode_message(b"POST %s HTTP/1.1" % names.HOOK, headers, entry.body)
+            headers.append((wire_names.CREDENTIAL_HEADER, self.credentials[entry.destination]))
+        headers.append((wire_names.TIME_LEFT_HEADER, b"%d" % max(1, flight.timeout // 1000)))
+        return encode_message(b"POST %s HTTP/1.1" % wire_names.DELIVERY_PATH, headers, entry.body)
--- a/ashpath/server/delivery/endpoint_registry.py
+++ b/ashpath/server/delivery/endpoint_registry.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ashpath.core.interface import EndpointRecord, EndpointStatus
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.delivery.connection_pool import Address, ConnectionPool
 
 
@@ -85,7 +85,7 @@
             destination=int(member["cell"]),
             kind=self.index(self.kinds, member.get("flavor")),
             zone=self.index(self.zones, member.get("locality")),
-            status=names.PRESENCES[member["phase"]],
+            status=wire_names.ENDPOINT_STATUSES[member["phase"]],
             listed_rate=max(0.0, float(member.get("size") or 0)),
         )
 
--- a/ashpath/server/delivery/notifier.py
+++ b/ashpath/server/delivery/notifier.py
@@ -11,7 +11,7 @@
 import orjson
 from gevent.event import Event
 
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.agent_client import AgentConnection
 from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.connection_pool import Address
@@ -62,7 +62,7 @@
 class HttpNotifier(PendingNotifications):
     def __init__(self, address: Address, limits: ServerLimits, ledger: WriteAheadLog, log: Any) -> None:
         super().__init__()
-        self.path, self.headers = names.NOTICES, list[tuple[bytes, bytes]]()
+        self.path, self.headers = wire_names.NOTIFICATION_PATH, list[tuple[bytes, bytes]]()
         self.connection, self.limits, self.write_ahead_log, self.log = (
             AgentConnection(address, limits),
             limits,
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from ashpath.core.interface import AttemptOutcome
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.delivery.notifier import notice
 from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 
@@ -43,16 +43,16 @@
         self, entry: StoredMessage, may_have_run: bool, over: bool, completed: bool = False
     ) -> None:
         if over:
-            self.store(entry, names.COMPLETED if completed else names.WITHDRAWN)
+            self.store(entry, wire_names.DELIVERED_STATE if completed else wire_names.CANCELLED_STATE)
             self.write_ahead_log.record_finished(entry)
         else:
             self.write_ahead_log.record_outcome(entry, may_have_run)
 
     def rejected(self, entry: StoredMessage, come_back: int) -> None:
-        self.finish(entry, come_back, notice(entry, names.DEFERRED, come_back // 1000))
+        self.finish(entry, come_back, notice(entry, wire_names.REJECTED_STATUS, come_back // 1000))
 
     def failed(self, entry: StoredMessage) -> None:
-        self.finish(entry, -1, notice(entry, names.UNDELIVERABLE))
+        self.finish(entry, -1, notice(entry, wire_names.FAILED_STATUS))
 
     def store(self, entry: StoredMessage, state: str, come_back: int = 0) -> None:
         """Before the ledger lets go of it: a kill in between leaves both."""
@@ -67,10 +67,13 @@
             self.submit_result = answer
             if self.metrics is not None:
                 self.metrics.message_finished(
-                    entry.traffic_class, names.UNDELIVERABLE if answer < 0 else names.DEFERRED
+                    entry.traffic_class,
+                    wire_names.FAILED_STATUS if answer < 0 else wire_names.REJECTED_STATUS,
                 )
             self.write_ahead_log.record_finished(entry)
         else:
-            self.store(entry, names.UNDELIVERABLE if answer < 0 else names.DEFERRED, max(0, answer))
+            self.store(
+                entry, wire_names.FAILED_STATUS if answer < 0 else wire_names.REJECTED_STATUS, max(0, answer)
+            )
             self.write_ahead_log.record_finished(entry, line)
             self.notifier.add(entry)
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -8,7 +8,7 @@
 
 from ashpath.core.interface import AttemptOutcome, LoadReport
 from ashpath.policy.engine import NEVER_RAN
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.delivery.attempts import Attempt, AttemptCancelledError, NotSentError
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.http.codec import HttpMessage
@@ -67,14 +67,14 @@
             )
         status, headers = answer.status, answer.headers
         ending = ENDINGS.get(status, AttemptOutcome.ERROR)
-        if status == 503 and headers.get(names.FULL, b"") == b"1":
+        if status == 503 and headers.get(wire_names.EGRESS_FULL_HEADER, b"") == b"1":
             ending = AttemptOutcome.NOT_SENT
         elif status == 503 and flight.new_connection and not answer.keep:
             # Guards against a full table of connections taken for a limit or a shut destination: the first
             # call on a connection is turned away with it.
             ending = AttemptOutcome.CONNECTION_TABLE_FULL
         wait = (
-            round((number(headers.get(names.WAIT)) or 0.0) * 1e6)
+            round((number(headers.get(wire_names.RETRY_AFTER_HEADER)) or 0.0) * 1e6)
             if ending is AttemptOutcome.OVERLOADED
             else 0
         )
@@ -82,7 +82,7 @@
 
     def load_report(self, answer: HttpMessage) -> LoadReport | None:
         """What `TEXT x0=0.4, x1=25` tells of the limit; a rate of 0 stands for none."""
-        report = answer.headers.get(names.REPORT)
+        report = answer.headers.get(wire_names.LOAD_REPORT_HEADER)
         if not self.has_load_reports or report is None:
             return None
         pairs = (word.strip(b", ").partition(b"=") for word in report.replace(b",", b" ").split())
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -11,7 +11,7 @@
 import gevent
 import orjson
 
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.agent_client import AgentConnection
 from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.connection_pool import Address
@@ -85,7 +85,9 @@
         """One call, and whether its answer was a list that could be read is said by `self.revision`."""
         wait = int(self.limits.watch_s * 1000)
         watch = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, wait)
-        return self.connection.call(b"GET %s%s HTTP/1.1" % (names.MEMBERS, watch), b"", patience)
+        return self.connection.call(
+            b"GET %s%s HTTP/1.1" % (wire_names.ENDPOINT_LIST_PATH, watch), b"", patience
+        )
 
     def initial_snapshot(self) -> None:
         """Before anything is sent: what the platform's agent has by now counts as told from the first moment
@@ -113,7 +115,11 @@
             # Guards the directory against a fleet that failed together and would come back together.
             if answer is not None and answer.status in (429, 503):
                 self.log_state("turns calls away", answer)
-                self.pause(self.rejected_backoff.next_pause(number(answer.headers.get(names.WAIT))))
+                self.pause(
+                    self.rejected_backoff.next_pause(
+                        number(answer.headers.get(wire_names.RETRY_AFTER_HEADER))
+                    )
+                )
             else:
                 self.log_state("silent" if answer is None else "not read", answer)
                 self.pause(self.silent_backoff.next_pause())
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -7,7 +7,7 @@
 
 from ashpath.core.interface import PolicySettings, RetrySafety
 from ashpath.policy.engine import DEFAULT_RETRY_AFTER
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.http.codec import HttpMessage, ProtocolError, encode_message
@@ -15,7 +15,13 @@
 from ashpath.server.storage.write_ahead_log import StoredMessage
 from ashpath.server.timers import wall
 
-ONCE = {names.TRACE, names.TRACK, names.EXPIRES, names.ROUTE, names.TAG}
+ONCE = {
+    wire_names.TRACE_ID_HEADER,
+    wire_names.TRAFFIC_CLASS_HEADER,
+    wire_names.TIME_LEFT_HEADER,
+    wire_names.DESTINATION_HEADER,
+    wire_names.IDEMPOTENCY_KEY_HEADER,
+}
 PLAIN = {
     200: b"HTTP/1.1 200 OK",
     202: b"HTTP/1.1 202 Accepted",
@@ -34,7 +40,7 @@
 def encode_response(status: int, keep: bool = True, come_back: int = 0, body: bytes = b"") -> bytes:
     headers = [] if keep else [(b"connection", b"close")]
     if come_back > 0:
-        headers.append((names.WAIT, b"%.3f" % (come_back / 1e6)))
+        headers.append((wire_names.RETRY_AFTER_HEADER, b"%.3f" % (come_back / 1e6)))
     return encode_message(PLAIN[status], headers, body)
 
 
@@ -84,17 +90,23 @@
         if request.doubled & ONCE:
             raise ProtocolError(400, "not an envelope: told twice")
         try:
-            track = self.traffic_class_ids[headers[names.TRACK].decode()]
-            left = whole(headers[names.EXPIRES])
-            fields = (part.strip().partition(b"=") for part in headers[names.ROUTE].split(b";"))
+            track = self.traffic_class_ids[headers[wire_names.TRAFFIC_CLASS_HEADER].decode()]
+            left = whole(headers[wire_names.TIME_LEFT_HEADER])
+            fields = (
+                part.strip().partition(b"=") for part in headers[wire_names.DESTINATION_HEADER].split(b";")
+            )
             destination = whole(next(value for name, _, value in fields if name == b"dest"))
-            trace = word(headers[names.TRACE])
+            trace = word(headers[wire_names.TRACE_ID_HEADER])
             tagged = self.settings.traffic_classes[track].retry_safety is RetrySafety.DEDUPLICATED
-            tag = word(headers[names.TAG]) if tagged or names.TAG in headers else None
+            tag = (
+                word(headers[wire_names.IDEMPOTENCY_KEY_HEADER])
+                if tagged or wire_names.IDEMPOTENCY_KEY_HEADER in headers
+                else None
+            )
         except (KeyError, ValueError, StopIteration) as error:
             raise ProtocolError(400, f"not an envelope: {error}") from None
         cutoff = wall() + min(left * 1000, self.settings.traffic_classes[track].deadline)
-        order = self.order(headers.get(names.COOKIE, b""))
+        order = self.order(headers.get(wire_names.COOKIE_HEADER, b""))
         return StoredMessage(0, trace, track, destination, order, tag, cutoff, request.body)
 
     @staticmethod
@@ -102,7 +114,7 @@
         """The key of the order, as a number that is the same in every life."""
         for pair in cookies.split(b";"):
             name, _, value = pair.strip().partition(b"=")
-            if name == names.ORDER and value:
+            if name == wire_names.ORDERING_KEY_COOKIE and value:
                 return int.from_bytes(blake2b(value, digest_size=6).digest(), "big")
         return None
 
@@ -131,4 +143,4 @@
             self.recorder.submitting = None
         if self.recorder.submit_result is None:
             return 202, 0
-        return (500, 0) if self.recorder.submit_result < 0 else (503, self.recorder.answer)
+        return (500, 0) if self.recorder.submit_result < 0 else (503, self.recorder.submit_result)
--- a/ashpath/server/http/client_listener.py
+++ b/ashpath/server/http/client_listener.py
@@ -13,7 +13,7 @@
 from gevent import Timeout, socket
 from gevent.event import Event
 
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.http.admission import Admission, encode_response
 from ashpath.server.http.codec import ConnectionClosedError, HttpConnection, HttpMessage, ProtocolError
@@ -194,9 +194,9 @@
             self.half_close(wire)
 
     def reply(self, wire: HttpConnection, request: HttpMessage, keep: bool) -> None:
-        if request.path != names.HAND_IN:
+        if request.path != wire_names.SUBMIT_PATH:
             ready = 503 if self.closing or self.lame_duck else 200
-            told = (ready, b"") if request.path == names.READY else self.status_api(request)
+            told = (ready, b"") if request.path == wire_names.READINESS_PATH else self.status_api(request)
             status, body = told or (404, b"")
             self.write_response(wire, encode_response(status, keep, body=body))
             return
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -11,7 +11,7 @@
 
 from ashpath.core.platform_settings import milliseconds
 from ashpath.policy.engine import Destination, Gate
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.http.codec import HttpMessage
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.outcome_store import OutcomeStore
@@ -37,18 +37,20 @@
     def __call__(self, request: HttpMessage) -> tuple[int, bytes] | None:
         """Status and body; None where the path is not one of these."""
         path, _, query = request.url.partition(b"?")
-        if path not in (names.HELD, names.DESTINATIONS) and not path.startswith(names.ONE):
+        if path not in (wire_names.MESSAGES_PATH, wire_names.DESTINATIONS_PATH) and not path.startswith(
+            wire_names.MESSAGE_PATH_PREFIX
+        ):
             return None
         if request.method != b"GET":
             return 405, b""
-        if path.startswith(names.ONE):
-            return self.message_status(unquote(path[len(names.ONE) :].decode("latin-1")))
+        if path.startswith(wire_names.MESSAGE_PATH_PREFIX):
+            return self.message_status(unquote(path[len(wire_names.MESSAGE_PATH_PREFIX) :].decode("latin-1")))
         asked = dict(parse_qsl(query.decode("latin-1")))
         try:
             after, most = int(asked.get("after", -1)), int(asked.get("limit", PAGE))
         except ValueError:
             return 400, orjson.dumps({"error": "after and limit are whole numbers"})
-        rows = self.messages if path == names.HELD else self.destinations
+        rows = self.messages if path == wire_names.MESSAGES_PATH else self.destinations
         return 200, orjson.dumps(rows(after, max(1, min(most, PAGE))))
 
     def message_status(self, trace: str) -> tuple[int, bytes]:
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -15,7 +15,7 @@
     PreviousAttempts,
 )
 from ashpath.policy.engine import DeliveryPolicy
-from ashpath.server import wire_names as names
+from ashpath.server import wire_names
 from ashpath.server.delivery.attempts import Attempt, AttemptRunner
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.storage.outage_store import OutageStore
@@ -147,7 +147,7 @@
 
     def client_disconnected(self, entry: StoredMessage) -> None:
         if self.messages.pop(entry.message_id, None):
-            self.recorder.store(entry, names.WITHDRAWN)
+            self.recorder.store(entry, wire_names.CANCELLED_STATE)
             if entry.message_id in self.attempts:
                 # The call may run yet: while it is out, the same message is not taken on beside it, and a
                 # further life knows of it, for the order of its key.
