Tests of the sender split by module; events of the log in the standard terms

The change: tests/test_node.py, test_endings.py and test_daily.py are split into tests/server and tests/policy, each test unchanged; what several share is in tests/support/server.py and conftest.py.

--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -99,7 +99,7 @@
         _, later = changes(self.started, given.plan)
         self.latest = given.plan
         self.form.use(given.plan.logging.level, given.plan.logging.form)
-        self.log.info("configuration read", taken=short(taken), rest_at_next_start=short(later))
+        self.log.info("configuration read", taken=short(taken), needs_restart=short(later))
         self.inquiry.traffic_classes = [row["name"] for row in self.configuration.settings["classes"]]
         self.attempt_runner.credentials = given.passes
         self.titles.clear()
--- a/ashpath/server/control/listener.py
+++ b/ashpath/server/control/listener.py
@@ -79,7 +79,7 @@
                     call = read(data)
             result = self.handler.handle(call)
             ok, words = result.succeeded, result.message
-            self.log.info("control call", call=call.name, argument=call.argument, ok=ok, words=words)
+            self.log.info("operator command", command=call.name, argument=call.argument, ok=ok, reason=words)
             self.say(caller, answer(ok, words))
         except InvalidCommandError as error:
             self.say(caller, answer(False, str(error)))
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -110,7 +110,7 @@
         except (ConnectionClosedError, ProtocolError, NotSentError) as failure:
             flight.failure = failure
         except Exception as failure:  # an address that no dial takes, say: the slot must come back
-            self.registry.log.exception("fault")
+            self.registry.log.exception("unexpected error")
             flight.failure = failure
         if wire is None or where is None:
             return self.classifier(flight)
--- a/ashpath/server/delivery/endpoint_registry.py
+++ b/ashpath/server/delivery/endpoint_registry.py
@@ -52,7 +52,7 @@
                 where = parse_address(member["host_port"]) if row.status is EndpointStatus.ACTIVE else ("", 0)
                 found.append((row, where))
             except (KeyError, TypeError, ValueError) as error:  # one bad line must not hide the others
-                self.log.error("line of the directory not read", line=str(member), error=repr(error))
+                self.log.error("endpoint record not read", line=str(member), error=repr(error))
         before = dict(self.addresses)
         if whole:
             self.addresses, self.listed, self.records = {}, {}, {}
--- a/ashpath/server/delivery/notification_file.py
+++ b/ashpath/server/delivery/notification_file.py
@@ -77,12 +77,12 @@
                 self.file.write("".join(f"{entry.notice}\n" for entry in batch).encode())
             except OSError as error:
                 if not failing:
-                    self.log.error("notices not written", error=str(error), waiting=len(self.pending))
+                    self.log.error("notifications not written", error=str(error), pending=len(self.pending))
                 failing = True
                 gevent.sleep(self.limits.retry_s)
                 continue
             if failing:
-                self.log.info("notices written again", waiting=len(self.pending))
+                self.log.info("notifications written again", pending=len(self.pending))
             failing = False
             self.acknowledged(batch, self.write_ahead_log)
 
--- a/ashpath/server/delivery/notifier.py
+++ b/ashpath/server/delivery/notifier.py
@@ -92,7 +92,7 @@
             unread = answer is not None and answer.status == 400
             if (answer is not None and answer.status in TAKEN) or (unread and len(batch) == 1):
                 if unread:
-                    self.log.error("notice not read", line=batch[0].notice)
+                    self.log.error("notification not accepted", line=batch[0].notice)
                 self.acknowledged(batch, self.write_ahead_log)
                 most = self.limits.notification_batch
                 self.backoff.reset()
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -129,7 +129,7 @@
         if state != self.state:
             status = answer.status if answer is not None else 0
             revision = self.revision or 0
-            self.log.info("directory", now=state, status=status, tries=self.calls_in_state, revision=revision)
+            self.log.info("discovery", now=state, status=status, tries=self.calls_in_state, revision=revision)
             self.state, self.calls_in_state = state, 0
 
     def apply_response(self, body: bytes) -> bool:
--- a/ashpath/server/http/client_listener.py
+++ b/ashpath/server/http/client_listener.py
@@ -124,7 +124,7 @@
         except (OSError, ConnectionClosedError):
             pass
         except Exception:
-            self.log.exception("fault")
+            self.log.exception("unexpected error")
             self.refuse(wire, 500)
         else:
             self.half_close(wire)
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -193,7 +193,7 @@
         self.timers.add(at, token)
 
     def mode_changed(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
-        self.logger.info("mode", what=text)
+        self.logger.info("mode changed", change=text)
         ramp = self.policy.settings.warm_up_time
         self.queue.append((self.outage_store.mode_changed, (destination, endpoint, out, rate, ramp)))
 
@@ -208,7 +208,7 @@
         try:
             self.write_ahead_log.record_attempt(entry, wall(), endpoint)
         except OSError as error:  # unrecorded, it could run twice after a restart
-            self.logger.error("shot not recorded", error=str(error))
+            self.logger.error("attempt not recorded", error=str(error))
             # Not in this turn: the module would send it again at once, until it had no try left.
             pause = self.attempt_runner.pool.limits.retry_s
             gevent.spawn_later(pause, self.attempt_finished, flight, AttemptOutcome.NOT_SENT, 0, False, None)
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -145,7 +145,7 @@
         terms = given.policy_settings
         board = SharedMemory(state, places)
         if board.own is None:
-            log.error("no place on the board: waits and holds told to this process bind no other")
+            log.error("no shared memory: Retry-After and detached endpoints of this process bind no other")
         self.notifier, ends = self.create_notifier(state)
         self.pool = ConnectionPool(limits)
         self.registry = EndpointRegistry(given.kinds, given.zones, self.pool, log)
@@ -244,9 +244,9 @@
         gc.freeze()
         self.log.info(
             "ready",
-            held=len(self.policy_runner.messages),
+            messages=len(self.policy_runner.messages),
             endpoints=len(self.registry.addresses),
-            endpoints_held=len(held),
+            detached=len(held),
             inherited=self.inherited is not None,
         )
         self.ended.wait()
@@ -264,13 +264,13 @@
             try:
                 self.reload(given)
             except OSError as error:
-                self.log.error("configuration not taken", error=str(error))
+                self.log.error("configuration not applied", error=str(error))
 
     def reload(self, given: SenderConfiguration) -> None:
         """The platform's agent may be elsewhere, and settings may be new. Limits of the process wait for the
         next start."""
         later = given.limits != self.limits
-        self.log.info("configuration read", discovery=given.discovery, rest_at_next_start=later)
+        self.log.info("configuration read", discovery=given.discovery, needs_restart=later)
         if self.discovery is not None and given.platform_address is not None:
             self.discovery.move(given.platform_address)
             self.notifier.move(given.platform_address)
@@ -295,18 +295,18 @@
             self.admission.settings, self.admission.traffic_class_ids = terms, given.traffic_class_ids
             self.policy_runner.apply_settings(terms, list(self.registry.records.values()))
             self.log.info(
-                "settings switched",
-                tracks=len(given.traffic_class_ids),
-                slots=terms.max_in_flight,
-                room=terms.queue_capacity,
+                "settings applied",
+                traffic_classes=len(given.traffic_class_ids),
+                max_in_flight=terms.max_in_flight,
+                queue_capacity=terms.queue_capacity,
                 senders=terms.sender_count,
-                held=len(self.policy_runner.messages),
-                out=len(self.policy_runner.attempts),
+                messages=len(self.policy_runner.messages),
+                in_flight=len(self.policy_runner.attempts),
             )
         try:
             self.configure_metrics(given.metrics_listen)
         except OSError as error:  # the one before serves on
-            self.log.error("metrics not moved", error=str(error.strerror or error))
+            self.log.error("metrics address not changed", error=str(error.strerror or error))
         self.configure_gossip(
             given
         )  # also where nothing changed: an address that could not be had may be free by now
@@ -333,7 +333,7 @@
             try:
                 self.gossip.move(given.gossip_listen, given.gossip_peers)
             except OSError as error:
-                self.log.error("notes of other senders not heard", error=str(error))
+                self.log.error("gossip not received", error=str(error))
 
     def configure_metrics(self, where: Address | None) -> None:
         """Counts and gauges, where the configuration names an address. Raises OSError."""
@@ -359,7 +359,7 @@
             gevent.sleep(self.limits.adoption_interval_s)
             adopted = self.write_ahead_log.adopt()
             if adopted:
-                self.log.info("journal adopted", envelopes=len(adopted))
+                self.log.info("write-ahead log adopted", messages=len(adopted))
                 self.policy_runner.adopt(adopted)
 
     def unapplied_detachments(self) -> list[News]:
@@ -401,7 +401,7 @@
             try:
                 return run()
             except Exception:
-                self.log.exception("fault")
+                self.log.exception("unexpected error")
                 gevent.sleep(self.limits.retry_s)
 
     def shut_down(self) -> None:
@@ -409,7 +409,7 @@
         if self.listener.closing:
             return  # a second SIGTERM: it would put off the answers that the first one still owes
         began, limits = monotonic(), self.limits
-        self.log.info("ending", held=len(self.policy_runner.messages), out=len(self.policy_runner.attempts))
+        self.log.info("shutdown started", messages=len(self.policy_runner.messages), in_flight=len(self.policy_runner.attempts))
         self.listener.closing, self.listener.answered_by = True, began + limits.requests_after_term_s
         if self.listener.inherited:  # the process beside this one accepts; what is held here it adopts after
             self.listener.stop()
@@ -426,7 +426,7 @@
             gevent.sleep(0.02)
         self.listener.stop()  # who comes now is refused at once, in place of a reset once the process is gone
         self.listener.close_all()
-        self.log.info("ended", held=len(self.policy_runner.messages), out=len(self.policy_runner.attempts))
+        self.log.info("shutdown finished", messages=len(self.policy_runner.messages), in_flight=len(self.policy_runner.attempts))
         self.ended.set()
 
     def has_work(self) -> bool:
--- a/ashpath/server/storage/detached_endpoints.py
+++ b/ashpath/server/storage/detached_endpoints.py
@@ -34,7 +34,7 @@
     except FileNotFoundError:
         return set()
     except (OSError, ValueError, KeyError, TypeError) as error:
-        log.error("holds on endpoints not read, none are held", file=str(path), error=str(error))
+        log.error("detached endpoints not read, none are detached", file=str(path), error=str(error))
         return set()
 
 
--- a/ashpath/server/storage/outcome_store.py
+++ b/ashpath/server/storage/outcome_store.py
@@ -66,11 +66,11 @@
             self.write(line)
         except OSError as error:  # the answer is still here until the process ends
             if not self.failing:
-                self.log.error("ends not written", error=str(error))
+                self.log.error("outcomes not written", error=str(error))
             self.failing = True
         else:
             if self.failing:
-                self.log.info("ends written again")
+                self.log.info("outcomes written again")
             self.failing = False
 
     def write(self, line: bytes) -> None:
--- a/tests/cli/test_sender.py
+++ b/tests/cli/test_sender.py
@@ -103,7 +103,7 @@
     alone.rest = RULES.replace('"8MiB"', '"9MiB"')
     alone.write()
     line = alone.reread()
-    taken, later = line.split("rest_at_next_start=")
+    taken, later = line.split("needs_restart=")
     assert "destinations.5.endpoints" in taken and "destinations.1.endpoints" in taken
     assert "limits.disk" in later and "tracks.free.repeat" in taken and "tracks" not in later
     assert alone.hand_in("too late", "other", "200", 1) == 503  # not listed any more
@@ -372,7 +372,8 @@
     assert found == table
 
 
-NAMED = {"admission.py": ["ledger full", "ledger has room"]}  # an event that is chosen as it is logged
+# Events that are chosen as they are logged.
+NAMED = {"admission.py": ["write-ahead log full", "write-ahead log has space"]}
 
 
 def test_ends_are_bounded_and_outlive_faults(tmp_path: Path) -> None:
@@ -401,7 +402,7 @@
     real, ends.file = ends.file, os.open("/dev/full", os.O_WRONLY)
     ends.add("unwritten", "completed")
     ends.add("unwritten2", "completed")
-    assert ends.get("unwritten") and said == ["ends not written"] and real
+    assert ends.get("unwritten") and said == ["outcomes not written"] and real
     ends.retention = -1
     assert not ends.get("next")
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,12 @@
 """Fixtures shared by the tests of the sender on sockets."""
 
+import os
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
-from support.world import World
+from gevent import socket
+from support.world import World, free
 
 
 @pytest.fixture
@@ -12,3 +14,27 @@
     made = World(tmp_path)
     yield made
     made.stop()
+
+
+@pytest.fixture
+def pair(tmp_path: Path) -> Iterator[tuple[World, World]]:
+    """Two processes of one sender on one listening socket; the second is not started yet."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(64)
+    os.set_inheritable(listener.fileno(), True)
+    old = World(tmp_path, inherited=listener)
+    new = World.__new__(World)
+    new.__dict__.update(old.__dict__)
+    new.control, new.process = free(), None
+    try:
+        old.start()
+        yield old, new
+    finally:  # guards the machine against a sender left running by a failed run
+        for process in (new.process, old.process):
+            if process is not None and process.poll() is None:
+                process.kill()
+                process.wait()
+        old.process = None
+        old.stop()
+        listener.close()
--- /dev/null
+++ b/tests/server/http/test_requests.py
@@ -0,0 +1,59 @@
+"""Requests of clients, sound and malformed, and the response each gets."""
+
+from __future__ import annotations
+
+from support.world import LIMITS, World, request, until
+
+CHUNKED = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n"
+
+
+ASKED = {
+    b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n": 400,
+    request("x", "unknown", "200", 1): 400,
+    request("x", "free", "200", 1).replace(b"dest=1", b"dest=one"): 400,
+    request("x", "free", "200", 1).replace(b"30000", b"soon"): 400,
+    request("x", "free", "200", 1).replace(b"30000", b"30_000"): 400,
+    request("x", "free", "200", 1).replace(b"30000", b"-1"): 400,
+    request("x", "free", "200", 1).replace(b"dest=1", b"dest=+1"): 400,
+    request("x", "free", "200", 1).replace(b"X-Qos", b"X-Trace-Id: y\r\nX-Qos"): 400,
+    request("\t", "free", "200", 1): 400,
+    request("x", "tag", "200", 1).replace(b"Idempotency-Key", b"Key"): 400,
+    request("x", "free", "200", 99): 503,  # a destination that is not listed
+    request("x", "free", "200", 1) + b"more": 400,
+    request("x", "free", "200", 1) + request("hidden", "free", "200", 2): 400,
+    request("x", "free", "0\r\n\r\n" + request("hidden", "free", "200", 2).decode(), 1).replace(
+        b"X-Qos", b"Transfer-Encoding: chunked\r\nX-Qos"
+    ): 400,
+    request("x", "free", "200", 1).replace(b"X-Qos", b"Content-Length: 3\r\nX-Qos"): 400,
+    CHUNKED.replace(b"chunked", b"gzip, chunked") % b"" + b"0\r\n\r\n": 400,
+    b"POST /api HTTP/1.1\r\nContent-Length: -5\r\n\r\n": 400,
+    b"POST /api HTTP/1.1\r\nContent-Length: 62914560\r\n\r\n" + b"x" * 1_000_000: 413,
+    b"\x00\x01nonsense\r\n\r\n": 400,
+    b"POST /api HTTP/1.1\r\nContent-Length: x\r\n\r\n": 400,
+    b"GET /health/ready HTTP/1.1\r\nX: " + b"a" * 20_000: 431,
+    b"GET /elsewhere HTTP/1.1\r\n\r\n": 404,
+    b"GET /api HTTP/1.1\r\n\r\n": 405,
+    request("x", "free", "x" * 65_537, 1): 413,
+    CHUNKED % b"" + b"10000\r\n" + b"x" * 65_536 + b"\r\n1\r\nx\r\n0\r\n\r\n": 413,
+    CHUNKED % b"" + b"zz\r\n": 400,
+    CHUNKED % request("c", "free", "", 5).split(b"\r\n", 1)[1][:-21] + b"3\r\n200\r\n0\r\n\r\n": 202,
+    request("big", "free", "200 " + "x" * 65_532, 1): 202,
+}
+
+
+def test_clients(world: World) -> None:
+    world.start()
+    stalled = [
+        world.connect() for _ in range(LIMITS.client_connections + 20)
+    ]  # more than it has descriptors for
+    for wire in stalled:
+        assert wire is not None
+        wire.write(b"POST /api HTTP/1.1\r\n")
+    for data, status in ASKED.items():
+        assert world.ask(data) == status, data[:60]
+    until(lambda: world.count("big") == 1)
+    assert not world.count("x") and not world.count("hidden")
+    assert world.process is not None and world.process.poll() is None
+    for wire in stalled:
+        assert wire is not None
+        wire.close()
--- /dev/null
+++ b/tests/server/test_hot_upgrade.py
@@ -0,0 +1,75 @@
+"""Two processes of one sender during a hot upgrade."""
+
+from __future__ import annotations
+
+import signal
+
+import gevent
+from support.server import READY, gone
+from support.world import World, request, until
+
+from ashpath.server.http.codec import HttpConnection
+from ashpath.server.storage import detached_endpoints as holds
+
+
+def test_hand_over_on_an_inherited_socket(pair: tuple[World, World]) -> None:
+    old, new = pair
+    live = old.connect()  # a client with its connection open across the upgrade
+    assert live is not None
+    assert old.hand_in("u1", "free", "hang", 3, left=6000) == 202  # still out when the old one ends
+    new.start()  # no second bind: both take from one queue
+    gone(old)
+    assert new.hand_in("u2", "free", "200", 4) == 202
+    until(lambda: new.count("u2") == 1)
+    assert live.receive() is False or not len(live.buffer)  # the old one closed it: its client moves on
+    assert new.told("u1") == ["deferred"]  # one end, told once, by whichever process had it
+
+
+def accepted(old: World, silent: bytes = b"") -> HttpConnection:
+    """A connection that the old process has, its first request perhaps begun."""
+    wire = old.connect()
+    assert wire is not None
+    wire.write(silent)
+    return wire
+
+
+def test_no_client_is_left_at_the_door_of_an_upgrade(pair: tuple[World, World]) -> None:
+    """Guards requests on their way as a process is told to end: kept connections that ask once more, first
+    requests not yet begun, and ones that come in pieces. Each has its answer, which ends its connection."""
+    old, new = pair
+    kept = [accepted(old, READY) for _ in range(4)]
+    assert [wire.read_answer().status for wire in kept] == [200] * 4
+    for wire in kept:
+        wire.finish_answer()
+    slow = accepted(old, request("d-slow", "free", "200", 3)[:40])
+    silent = accepted(old)
+    gevent.sleep(0.3)  # the old one has them all
+    new.start()
+    assert old.process is not None
+    old.process.send_signal(signal.SIGTERM)
+    asked = []
+    for number, wire in enumerate((*kept[:3], silent)):
+        gevent.sleep(0.2)
+        assert wire.is_quiet(), f"connection {number} was closed before it could ask"
+        wire.write(request(f"d{number}", "free", "200", 4))
+        asked.append(wire.read_answer())
+    slow.write(request("d-slow", "free", "200", 3)[40:])
+    asked.append(slow.read_answer())
+    assert [(answer.status, answer.keep) for answer in asked] == [(202, False)] * 5
+    assert kept[3].receive() is False  # idle all along: closed in time
+    until(lambda: old.process is not None and old.process.poll() is not None)
+    until(lambda: all(new.count(trace) == 1 for trace in ("d0", "d1", "d2", "d3", "d-slow")))
+    assert not any(new.told(trace) for trace in ("d0", "d1", "d2", "d3", "d-slow"))
+
+
+def test_what_one_process_is_told_binds_the_other(pair: tuple[World, World]) -> None:
+    """Guards the rules on waits and drains in an overlap: to them both processes are one sender."""
+    old, new = pair
+    new.start()
+    assert new.call(b"DETACH e5\n").startswith(b"OK") and old.call(b"DETACH e6\n").startswith(b"OK")
+    gone(old)
+    assert holds.read(old.folder / "state", None) == {"e5", "e6"}
+    assert new.hand_in("b5", "free", "200", 5, left=2500) == 202
+    assert new.hand_in("b6", "free", "200", 6, left=2500) == 202
+    until(lambda: new.told("b5") and new.told("b6"))
+    assert new.count("b5") == new.count("b6") == 0
--- /dev/null
+++ b/tests/server/test_reload.py
@@ -0,0 +1,66 @@
+"""SIGHUP: the file is read again."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+
+import gevent
+from gevent import subprocess
+from support.world import World, until
+
+
+def test_sighup(world: World) -> None:
+    """The agent moves under load: watch and notices follow. What cannot be read changes nothing."""
+    world.start()
+    assert world.process is not None
+    log = world.folder / "log"
+    tracks = ({}, {"classes": [{"name": "x"}]}, {"classes": [{"name": "x", "deadline": 9, "repeat": "y"}]})
+    bad = [json.dumps(world.config | {"settings": settings}) for settings in tracks]
+    for text in ("{", "", '{"discovery": "nowhere"}', *bad):
+        before = log.read_text().count("configuration not read")
+        (world.folder / "config.json").write_text(text)
+        world.process.send_signal(signal.SIGHUP)
+        until(lambda before=before: log.read_text().count("configuration not read") > before)
+    old, new = world.servers[1], world.servers[2]
+    world.config["discovery"] = f"127.0.0.1:{new.server_port}"
+    world.members[7]["host_port"] = "127.0.0.1:1"  # told by the new agent only, under a revision of the old
+    world.configure()
+    world.process.send_signal(signal.SIGHUP)
+    until(lambda: log.read_text().count("configuration read") == 1)
+    assert "settings applied" not in log.read_text()
+    old.stop(timeout=0)
+    until(lambda: world.watches.get(new.server_port, 0) > 1)  # so the first list has been read
+    assert world.hand_in("h0", "once", "200", 7, 1500) == 202 and world.hand_in("h1", "free", "200", 1) == 202
+    until(lambda: world.told("h0") and world.count("h1"))
+    assert world.process.poll() is None and not world.count("h0")
+    world.kill()
+    world.start()  # the environment still names the old address
+    assert world.hand_in("h2", "once", "200", 7, 1500) == 202
+    until(lambda: world.told("h2"))
+
+
+# The process.
+
+
+def test_a_hangup_before_the_sender_runs(world: World) -> None:
+    """Guards a start: SIGHUP would end a process that is put together, and the file may be new behind it."""
+    path = world.folder / "config.json"
+    text = path.read_text()
+    path.unlink()
+    os.mkfifo(path)
+    with (world.folder / "log").open("ab") as log:
+        world.process = subprocess.Popen(
+            [sys.executable, "-m", "ashpath"], env=world.environment(), stdout=log, stderr=log
+        )
+    file = os.open(path, os.O_WRONLY)  # opened once it reads: it is being put together
+    world.process.send_signal(signal.SIGHUP)
+    os.write(file, text.encode())
+    os.close(file)
+    until(lambda: "event=ready" in (world.folder / "log").read_text())  # or both texts may be read as one
+    again = gevent.get_hub().threadpool.spawn(lambda: path.write_text(text))
+    until(lambda: "configuration read" in (world.folder / "log").read_text())
+    again.get()
+    assert world.process.poll() is None
--- /dev/null
+++ b/tests/server/test_shutdown.py
@@ -0,0 +1,100 @@
+"""SIGTERM: what is finished, what is refused, and when the process ends."""
+
+from __future__ import annotations
+
+import signal
+from time import monotonic
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+from support.server import live
+from support.world import LIMITS, SETTINGS, World, abandon, request, until
+
+from ashpath.server.http.codec import HttpConnection, encode_message
+
+
+def test_sigterm(world: World) -> None:
+    world.start()
+    kept, idle = world.connect(), world.connect()
+    assert kept is not None and idle is not None and world.process is not None
+    kept.write(request("t0", "once", "slow", 0))
+    assert kept.read_answer().status == 202
+    kept.finish_answer()
+    world.hand_in("t1", "tag", "hang 200", 1)
+    until(lambda: world.count("t0") and world.count("t1"))
+    world.process.send_signal(signal.SIGTERM)
+    until(lambda: world.ask(encode_message(b"GET /health/ready HTTP/1.1", [], b"")) == 503)
+    kept.write(request("t2", "free", "200", 2))  # in the time in which connections still come
+    answer = kept.read_answer()
+    assert answer.status == 202 and not answer.keep and answer.headers[b"connection"] == b"close"
+    assert not idle.receive()  # closed as that time is over
+    assert world.hand_in("t3", "free", "200", 3) == 503
+    until(lambda: world.process is None or world.process.poll() is not None)
+    assert world.process.returncode == 0 and world.count("t2") == 1 and not world.count("t3")
+    assert [entry.trace_id for entry in live(world).values()] == ["t1"]
+    world.start()
+    until(lambda: world.count("t1") == 2)
+    until(lambda: not live(world))
+    assert world.count("t0") == 1 and not world.notices
+
+
+def test_a_second_sigterm(world: World) -> None:
+    """It puts nothing off: whoever is within a request has the answer that the first one owes."""
+    world.start()
+    assert world.process is not None
+    hold = request("out", "once", "hang", 1)
+    assert world.ask(hold) == 202
+    until(lambda: world.count("out"))
+    began = monotonic()
+    world.process.send_signal(signal.SIGTERM)
+    gevent.sleep(1.2)
+    world.process.send_signal(signal.SIGTERM)
+    wire = world.connect()
+    assert wire is not None
+    wire.write(b"POST /api HTTP/1.1\r\n")
+    assert wire.read_answer().status == 503 and monotonic() - began < 3.45
+    until(lambda: world.process is None or world.process.poll() is not None)
+    assert world.process.returncode == 0 and monotonic() - began < 3.7
+
+
+def test_an_endpoint_drains_within_the_shutdown(world: World) -> None:
+    """What is held as SIGTERM comes goes out still, and not to an endpoint that drains meanwhile; a notice
+    that the platform does not take is the next life's to tell."""
+    drained: list[object] = []
+    told = Event()
+
+    def hang(sock: socket.socket, _: object) -> None:
+        drained.append(HttpConnection(sock, LIMITS).read_request())
+        told.wait()
+        abandon(sock)
+
+    old = StreamServer(("127.0.0.1", 0), hang)
+    old.start()
+    world.members[1]["host_port"] = f"127.0.0.1:{old.server_port}"
+    world.members[1]["id"] = "old"
+    world.config["settings"] = {**SETTINGS, "contract": {"drain-grace": 0.0, "order-settle": 200.0}}
+    world.configure()
+    world.start()
+    assert world.process is not None
+    for trace in ("first", "second"):
+        assert world.hand_in(trace, "tag", "200", 1, key="k") == 202
+    until(lambda: drained)  # the first hangs there; the second waits behind it
+    world.deaf = 10**6
+    assert world.hand_in("given-up", "once", "hang", 2, left=300) == 202
+    world.process.send_signal(signal.SIGTERM)
+    successor = {**world.members[1], "id": "e1", "host_port": world.members[2]["host_port"]}
+    rows = [*world.members, {**world.members[1], "phase": "draining"}, successor]
+    world.config["known"] = {"revision": 9, "complete": True, "members": rows}
+    before = sum(world.watches.values())
+    until(lambda: sum(world.watches.values()) > before + 1)  # so the drain is known
+    told.set()  # its call ends, and may be made again
+    until(lambda: world.process is None or world.process.poll() is not None)
+    assert len(drained) == 1
+    world.deaf = 0
+    world.configure()
+    world.start()
+    until(lambda: world.count("second") == 1 and world.told("given-up"))
+    assert len(drained) == 1
+    old.stop(timeout=0)
--- /dev/null
+++ b/tests/support/server.py
@@ -0,0 +1,44 @@
+"""What tests of the sender on sockets share."""
+
+from __future__ import annotations
+
+import signal
+
+import gevent
+import structlog
+from gevent import socket
+
+from ashpath.server.http.client_listener import ClientListener
+from ashpath.server.http.codec import HttpConnection, encode_message
+from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from support.world import LIMITS, World, until
+
+
+def live(world: World) -> dict[int, StoredMessage]:
+    """What the sender's ledger holds, read from a copy."""
+    copy = world.folder / f"copy{len(list(world.folder.iterdir()))}"
+    copy.mkdir()
+    (copy / "journal").write_bytes((world.folder / "state" / "journal").read_bytes())
+    ledger = WriteAheadLog(copy, LIMITS.disk_bytes)
+    ledger.close()
+    return ledger.live
+
+
+LOG = structlog.get_logger()
+
+
+# Connections of clients.
+
+
+def serve(take_in: ClientListener, near: socket.socket) -> gevent.Greenlet:
+    return gevent.spawn(take_in.serve, HttpConnection(near, LIMITS))
+
+
+READY = encode_message(b"GET /health/ready HTTP/1.1", [], b"")
+
+
+def gone(one: World) -> None:
+    assert one.process is not None
+    one.process.send_signal(signal.SIGTERM)
+    until(lambda: one.process is not None and one.process.poll() is not None)
+    assert one.process.returncode == 0
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -13,7 +13,6 @@
 from prometheus_client.parser import text_string_to_metric_families
 from support.standalone import Alone
 from support.world import LIMITS, SETTINGS, World, free, until
-from test_daily import pair  # noqa: F401
 from test_switch import reread
 
 from ashpath.policy.engine import Breaker
@@ -92,7 +91,7 @@
         assert {len(family.samples) for family in read.destinations()} <= {min(many, MOST), MOST}
 
 
-def test_an_address_that_moves(pair: tuple[World, World]) -> None:  # noqa: F811
+def test_an_address_that_moves(pair: tuple[World, World]) -> None:
     """To one in use: one line, and the old one serves on. To none: nobody is answered. Counts are kept. In a
     hot upgrade the new process starts beside the one that has it, and takes it once that ends."""
     old, new = pair
@@ -102,7 +101,7 @@
     moved(old, "configuration read", first)
     assert old.hand_in("a", "free", "200", 0) == 202
     until(lambda: scrape(first).get(COMPLETED) == 1)
-    moved(old, "metrics not moved", taken.getsockname())
+    moved(old, "metrics address not changed", taken.getsockname())
     assert scrape(first)[COMPLETED] == 1
     for before, after in ((first, second), (second, None)):
         moved(old, "configuration read", after)
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -9,8 +9,8 @@
 
 import pytest
 from gevent import socket, subprocess
+from support.server import live
 from support.world import SETTINGS, World, free, until
-from test_node import live
 
 from ashpath.server.gossip import Gossip
 from ashpath.server.storage import traffic_class_ids as numbers
@@ -64,7 +64,7 @@
             assert world.hand_in(f"{way}{state}{track}", track, body, to + n * (state != "held")) == 202
             calls[f"{way}{state}{track}"] = count
         until(lambda out=[name for name in calls if "out" in name]: all(map(world.count, out)))
-        reread(world, "settings switched", settings=settings)
+        reread(world, "settings applied", settings=settings)
         assert world.hand_in(f"{way}new", new, "200", 1) == 202
         assert world.hand_in("old", before.split()[0], "200", 1) == 400
         calls[f"{way}new"] = 1
@@ -81,10 +81,10 @@
     until(lambda: world.count("f") and world.count("o"))
     state = world.folder / "state"
     (state / "track-numbers.new").mkdir()
-    reread(world, "configuration not taken", settings=MOVED)
+    reread(world, "configuration not applied", settings=MOVED)
     assert world.hand_in("l", "label", "200", 3) == 400
     (state / "track-numbers.new").rmdir()
-    reread(world, "settings switched")
+    reread(world, "settings applied")
     assert world.hand_in("l", "label", "hang 200", 3) == 202
     until(lambda: world.count("l"))
     world.kill()
