--- a/ashpath/server/gossip.py
+++ b/ashpath/server/gossip.py
@@ -70,4 +70,6 @@
                 continue
             self.dropped += 1
             if self.dropped & (self.dropped - 1) == 0:  # the 1st, 2nd, 4th: strangers cannot fill the log
-                self.log.info("gossip message dropped", sender=f"{sender[0]}:{sender[1]}", dropped=self.dropped)
+                self.log.info(
+                    "gossip message dropped", sender=f"{sender[0]}:{sender[1]}", dropped=self.dropped
+                )
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -132,8 +132,13 @@
         taken = self.write_ahead_log.record_submitted(entry)
         if taken == self.full:
             self.full = not taken
-            words, ledger = "write-ahead log full" if self.full else "write-ahead log has space", self.write_ahead_log
-            self.log.info(words, messages=len(ledger.live), reserved=ledger.reserved, max_bytes=ledger.max_bytes)
+            words, ledger = (
+                "write-ahead log full" if self.full else "write-ahead log has space",
+                self.write_ahead_log,
+            )
+            self.log.info(
+                words, messages=len(ledger.live), reserved=ledger.reserved, max_bytes=ledger.max_bytes
+            )
         if not taken:
             return 503, 0
         self.recorder.submitting, self.recorder.submit_result = entry, None
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -409,7 +409,11 @@
         if self.listener.closing:
             return  # a second SIGTERM: it would put off the answers that the first one still owes
         began, limits = monotonic(), self.limits
-        self.log.info("shutdown started", messages=len(self.policy_runner.messages), in_flight=len(self.policy_runner.attempts))
+        self.log.info(
+            "shutdown started",
+            messages=len(self.policy_runner.messages),
+            in_flight=len(self.policy_runner.attempts),
+        )
         self.listener.closing, self.listener.answered_by = True, began + limits.requests_after_term_s
         if self.listener.inherited:  # the process beside this one accepts; what is held here it adopts after
             self.listener.stop()
@@ -426,7 +430,11 @@
             gevent.sleep(0.02)
         self.listener.stop()  # who comes now is refused at once, in place of a reset once the process is gone
         self.listener.close_all()
-        self.log.info("shutdown finished", messages=len(self.policy_runner.messages), in_flight=len(self.policy_runner.attempts))
+        self.log.info(
+            "shutdown finished",
+            messages=len(self.policy_runner.messages),
+            in_flight=len(self.policy_runner.attempts),
+        )
         self.ended.set()
 
     def has_work(self) -> bool:
