Operators' settings: parsing, conversion, ids and alignment in a module each

Cause: core/platform_settings.py parsed the JSON settings, converted them, numbered traffic classes, aligned lists and held the time units; its fields had the names of the JSON and not the standard terms.

Change: platform_settings.py has the shape, all JSON names and the parser; policy_settings.py the conversion; traffic_class_ids.py, settings_alignment.py, time_units.py and errors.py the rest. Positions of load report fields and numbered classes are named tuples.

Ruled out: fields of the JSON by rename alone, as most names differ from the standard term.

--- a/ashpath/bench_adapter/adapter.py
+++ b/ashpath/bench_adapter/adapter.py
@@ -9,7 +9,9 @@
 
 from ashpath.bench_adapter.wire_names import OUTCOMES, endpoint_record
 from ashpath.core.interface import EndpointRecord, LoadReport
-from ashpath.core.platform_settings import load_report_fields, microseconds, milliseconds, policy_settings
+from ashpath.core.platform_settings import load_report_fields
+from ashpath.core.policy_settings import policy_settings
+from ashpath.core.time_units import microseconds, milliseconds
 from ashpath.policy.engine import DeliveryPolicy
 
 Row = dict[str, Any]
--- a/ashpath/config/platform_form.py
+++ b/ashpath/config/platform_form.py
@@ -12,7 +12,8 @@
 from ashpath.config.schema import Configuration, Limits, Rules, Track
 from ashpath.config.units import SIZES, TIMES, Duration, Size, written
 from ashpath.core.interface import RetrySafety
-from ashpath.core.platform_settings import RETRY_SAFETY, milliseconds
+from ashpath.core.platform_settings import RETRY_SAFETY
+from ashpath.core.time_units import milliseconds
 
 WIRE = {
     RetrySafety.IDEMPOTENT: "repeatable",
--- a/ashpath/core/platform_settings.py
+++ b/ashpath/core/platform_settings.py
@@ -1,248 +1,152 @@
-"""The operators' settings as `Terms`: one place for the bench's front and for the sender on sockets."""
+"""The operators' JSON settings: their shape, their names, and the parser.
+
+Every JSON name stands here and nowhere else; a field whose name inside differs from its JSON name says so by
+`field(name=...)`, all others differ by hyphens alone. Times are milliseconds. A key that is null and one that
+is missing mean the same; unknown keys are skipped. `policy_settings.py` converts what is parsed here, and
+`config/platform_form.py` writes the same shape from the sender's own file.
+"""
 
 from __future__ import annotations
 
-from dataclasses import replace
-from typing import Any, Literal
+from typing import Any, Literal, NamedTuple
+
+from msgspec import Struct, ValidationError, convert, field
 
-from msgspec import Struct, ValidationError, convert
+from ashpath.core.errors import InvalidSettingError
+from ashpath.core.interface import RetrySafety
 
-from ashpath.core.interface import DestinationKindSettings, PolicySettings, RetrySafety, TrafficClassSettings
+JsonObject = dict[str, Any]
+Number = int | float | None
 
 RETRY_SAFETY = {
     "retryable": RetrySafety.IDEMPOTENT,
     "dedup": RetrySafety.DEDUPLICATED,
     "fragile": RetrySafety.AT_MOST_ONCE,
 }
+WHOLE_DESTINATION = "all"  # the deduplication scope that spans zones
+HALVING_DECAY = "halves"
+POLLED_DISCOVERY = "ask"
+APPROXIMATE_RATE_SOURCES = ("rough", "nominal")
 
+# The names of load report fields, and the transport that does not bring them with responses.
+REMAINING_QUOTA_FIELD = "x0"
+RATE_LIMIT_FIELD = "x1"
+PROBE_TRANSPORT = "probe"
 
-def microseconds(milliseconds: float | None) -> int:
-    """Whole microseconds; an absent value counts as none.
-
-    >>> microseconds(8412.25), microseconds(0.0005), microseconds(None)
-    (8412250, 0, 0)
-    """
-    return round(milliseconds * 1000) if milliseconds else 0
-
-
-def milliseconds(microseconds: int) -> float:
-    """Milliseconds as the outside wants them.
-
-    >>> milliseconds(8412250)
-    8412.25
-    """
-    return microseconds / 1000
-
-
-class InvalidSettingError(ValueError):
-    """A setting that cannot be used; its words name the key."""
-
-
-Number = int | float | None  # null and a missing key are one
+# Lists of names whose positions are ids, and the columns under `specifics` that stand in the same order.
+COLUMNS = {"kinds": ("kind-apart", "per-call"), "zones": ("carriage",)}
 
 
-class TrafficClassRow(Struct, rename="kebab"):
-    """One track, as the settings have it."""
+class TrafficClassRow(Struct, kw_only=True, rename="kebab"):
+    """One traffic class. A standalone sender stores its encoding, so every key is written, in this order."""
 
-    deadline: int | float
-    repeat: Literal["retryable", "dedup", "fragile"]
     name: str | None = None
-    slo: Number = None
-    importance: Number = None
-    window: Number = None
-    group: str | None = None
-    late_worth: Number = None
-    one_at_a_time: bool | None = None
+    deadline: int | float
+    latency_objective: Number = field(default=None, name="slo")
+    retry_safety: Literal["retryable", "dedup", "fragile"] = field(name="repeat")
+    deduplication_window: Number = field(default=None, name="window")
+    value: Number = field(default=None, name="importance")
+    late_value_share: Number = field(default=None, name="late-worth")
+    deduplication_scope: str | None = field(default=None, name="group")
+    ordered: bool | None = field(default=None, name="one-at-a-time")
+
 
+class PlatformLimits(Struct, rename="kebab", omit_defaults=True):
+    """What the sender may do."""
 
-class PlatformLimits(Struct, rename="kebab"):
-    max_open: Number = None
+    queue_capacity: Number = field(default=None, name="max-open")
     max_attempts: Number = None
-    cancelling: bool | None = None
-    retry_after: bool | None = None
+    may_cancel: bool | None = field(default=None, name="cancelling")
+    clients_heed_retry_after: bool | None = field(default=None, name="retry-after")
     max_retry_after: Number = None
     connect_timeout: Number = None
-    conn_idle: Number = None
-    may_tell: bool | None = None
+    idle_timeout: Number = field(default=None, name="conn-idle")
+    gossip_enabled: bool | None = field(default=None, name="may-tell")
 
 
-class DestinationContract(Struct, rename="kebab"):
+class DestinationContract(Struct, rename="kebab", omit_defaults=True):
+    """What destinations promise, and how much of a load they bear after an outage."""
+
     drain_grace: Number = None
-    cold_from: Number = None
-    ramp_time: Number = None
-    fall_multiple: Number = None
-    fall: Number = None
-    order_settle: Number = None
-    ask_every: Number = None
+    initial_capacity_share: Number = field(default=None, name="cold-from")
+    warm_up_time: Number = field(default=None, name="ramp-time")
+    overload_multiple: Number = field(default=None, name="fall-multiple")
+    overload_duration: Number = field(default=None, name="fall")
+    settle_time: Number = field(default=None, name="order-settle")
+    poll_interval: Number = field(default=None, name="ask-every")
+
 
+class Specifics(Struct, rename="kebab", omit_defaults=True):
+    """What this installation has of its own; columns stand in the order of `kinds` or `zones`."""
 
-class Specifics(Struct, rename="kebab"):
-    slots: Number = None
-    kind_apart: list[bool | None] | None = None
-    per_call: list[Number] | None = None
-    loses_worth: str | None = None
-    carriage: list[Number] | None = None
+    max_in_flight: Number = field(default=None, name="slots")
+    limit_per_endpoint: list[bool | None] | None = field(default=None, name="kind-apart")
+    max_batch_size: list[Number] | None = field(default=None, name="per-call")
+    value_decay: str | None = field(default=None, name="loses-worth")
+    zone_costs: list[Number] | None = field(default=None, name="carriage")
 
 
-class LoadInfo(Struct, rename="kebab"):
-    how: str | None = None
+class LoadInfo(Struct, rename="kebab", omit_defaults=True):
+    """How load reports arrive, and the names of their fields in order."""
+
+    transport: str | None = field(default=None, name="how")
     fields: list[str] | None = None
 
 
-class PlatformSettings(Struct, rename="kebab"):
-    """The settings that are read; what else they have is skipped."""
+class PlatformSettings(Struct, rename="kebab", omit_defaults=True):
+    """The settings that are read."""
 
-    classes: list[TrafficClassRow]
-    rank: Number = None
-    group_size: Number = None
-    kinds: list[str] | None = None
+    traffic_classes: list[TrafficClassRow] = field(name="classes")
+    sender_index: Number = field(default=None, name="rank")
+    sender_count: Number = field(default=None, name="group-size")
+    destination_kinds: list[str] | None = field(default=None, name="kinds")
     zones: list[str] | None = None
     limits: PlatformLimits | None = None
     contract: DestinationContract | None = None
     specifics: Specifics | None = None
     load_info: LoadInfo | None = None
-    membership_mode: str | None = None
-    weight_source: str | None = None
+    discovery_mode: str | None = field(default=None, name="membership-mode")
+    rate_source: str | None = field(default=None, name="weight-source")
+
+
+class LoadReportFields(NamedTuple):
+    """The positions of two values in a response's load report."""
 
+    remaining_quota: int
+    rate_limit: int
 
-def parse_settings(facts: dict[str, Any]) -> PlatformSettings:
-    """Raises Unfit, which names the key, where a setting has a wrong type.
 
-    >>> parse_settings({"classes": [], "limits": {"max-open": None, "later": "x"}}).limits.max_open
+def parse_settings(settings: JsonObject) -> PlatformSettings:
+    """Raises InvalidSettingError, which names the key, where a setting has a wrong type.
+
+    >>> parse_settings({"classes": [], "limits": {"max-open": None, "later": "x"}}).limits.queue_capacity
     >>> parse_settings({"classes": [], "limits": {"max-open": []}})  # doctest: +ELLIPSIS
     Traceback (most recent call last):
     ashpath...InvalidSettingError: settings.limits.max-open: expected `int | float | null`, got `array`
     """
     try:
-        return convert(facts, PlatformSettings)
+        return convert(settings, PlatformSettings)
     except ValidationError as error:
-        wanted, _, place = str(error).partition(" - at ")
-        key = place.strip("`").replace("$", "settings", 1) or "settings"
-        raise InvalidSettingError(f"{key}: {wanted[:1].lower()}{wanted[1:]}") from None
+        problem, _, path = str(error).partition(" - at ")
+        key = path.strip("`").replace("$", "settings", 1) or "settings"
+        raise InvalidSettingError(key, problem[:1].lower() + problem[1:]) from error
 
 
-def load_report_fields(facts: dict[str, Any]) -> tuple[int, int] | None:
-    """Where an answer's report has the share of the limit that is left, and the limit; None if none tells.
+def load_report_fields(settings: JsonObject) -> LoadReportFields | None:
+    """Where a response's load report has the remaining quota and the rate limit; None if none has them.
 
     >>> load_report_fields({"load-info": {"fields": ["qps", "x1", "x0"]}, "classes": []})
-    (2, 1)
+    LoadReportFields(remaining_quota=2, rate_limit=1)
     >>> load_report_fields({"load-info": {"how": "probe", "fields": ["x0", "x1"]}, "classes": []})
     """
-    return report_fields(parse_settings(facts).load_info or LoadInfo())
-
-
-def report_fields(info: LoadInfo) -> tuple[int, int] | None:
-    fields = info.fields or []
-    answered = info.how != "probe" and {"x0", "x1"} <= set(fields)
-    return (fields.index("x0"), fields.index("x1")) if answered else None
-
-
-def policy_settings(seed: int, facts: dict[str, Any]) -> PolicySettings:
-    """The settings; whatever is missing or null counts as not asked for, what is unknown is skipped."""
-    told = parse_settings(facts)
-    limits, rules = told.limits or PlatformLimits(), told.contract or DestinationContract()
-    own = told.specifics or Specifics()
-    apart, per_call = own.kind_apart or [], own.per_call or []
-    kinds = max(len(told.kinds or []), len(apart), len(per_call), 1)
-    return PolicySettings(
-        seed=seed,
-        sender_index=int(told.rank or 0),
-        sender_count=max(1, int(told.group_size or 1)),
-        max_in_flight=max(1, int(own.slots or 0)),
-        queue_capacity=int(limits.max_open or 0),
-        max_attempts=int(limits.max_attempts or 0),
-        may_cancel=bool(limits.cancelling),
-        max_retry_after=microseconds(limits.max_retry_after) if limits.retry_after else 0,
-        connect_timeout=microseconds(limits.connect_timeout),
-        idle_timeout=microseconds(limits.conn_idle),
-        reports_full_connection_table=False,
-        traffic_classes=tuple(traffic_class_settings(row) for row in told.classes),
-        destination_kinds=tuple(
-            DestinationKindSettings(
-                limit_per_endpoint=bool(apart[i]) if i < len(apart) else False,
-                max_batch_size=max(1, int(per_call[i] or 1)) if i < len(per_call) else 1,
-            )
-            for i in range(kinds)
-        ),
-        value_halves=own.loses_worth == "halves",
-        drain_grace=microseconds(rules.drain_grace),
-        initial_capacity_share=rules.cold_from or 0.0,
-        warm_up_time=microseconds(rules.ramp_time),
-        overload_multiple=rules.fall_multiple or 0.0,
-        overload_duration=microseconds(rules.fall),
-        settle_time=microseconds(rules.order_settle),
-        poll_interval=microseconds(rules.ask_every) if told.membership_mode == "ask" else 0,
-        has_load_reports=report_fields(told.load_info or LoadInfo()) is not None,
-        has_listed_rates=told.weight_source in ("rough", "nominal"),
-        gossip_enabled=bool(limits.may_tell),
-        zone_costs=tuple(float(fee or 0) for fee in own.carriage or ()),
-    )
-
-
-def traffic_class_settings(row: TrafficClassRow) -> TrafficClassSettings:
-    """One track."""
-    return TrafficClassSettings(
-        value=1.0 if row.importance is None else float(row.importance),
-        latency_objective=microseconds(row.slo or row.deadline),
-        deadline=microseconds(row.deadline),
-        retry_safety=RETRY_SAFETY[row.repeat],
-        deduplication_window=microseconds(row.window),
-        deduplicates_across_zones=(row.group or "all") == "all",
-        late_value_share=row.late_worth or 0.0,
-        ordered=bool(row.one_at_a_time),
-    )
-
-
-def number_traffic_classes(
-    listed: list[dict[str, Any]], known: list[dict[str, Any]], held: int
-) -> tuple[list[dict[str, Any]], list[int]]:
-    """The tracks in the order of their numbers, and the numbers that take nothing new.
-
-    The ledger knows tracks by number. While it holds envelopes, a number keeps the terms under which they
-    were taken on: a track that the settings changed or lack keeps its row, and a changed one gets one behind.
-    Guards envelopes against a track that is removed, put in another order, or made once-only, under them.
-    """
-    if not held:
-        return listed, []
-    rows = [*known, *(row for row in listed if row not in known)]
-    return rows, [number for number, row in enumerate(rows) if row not in listed]
-
-
-# What the settings list by name, and what stands under `specifics` in the same order.
-COLUMNS = {"kinds": ("kind-apart", "per-call"), "zones": ("carriage",)}
+    return find_load_report_fields(parse_settings(settings).load_info)
 
 
-def align_order(facts: dict[str, Any], before: dict[str, Any]) -> dict[str, Any]:
-    """The settings with kinds and zones in the order in which a running sender knows them, new ones behind.
-    Guards fees and routes against a list in another order: endpoints are known by the numbers.
-
-    >>> old = {"kinds": ["a", "b"], "zones": ["x"], "classes": []}
-    >>> own = {"kind-apart": [True, False], "carriage": [0.01, 0.04]}
-    >>> new = {"kinds": ["b", "c"], "zones": ["y", "x"], "classes": [], "specifics": own}
-    >>> found = align_order(new, old)
-    >>> found["kinds"], [kind.limit_per_endpoint for kind in sender_settings(1, found).destination_kinds]
-    (['a', 'b', 'c'], [False, True, False])
-    >>> found["zones"], sender_settings(1, found).zone_costs
-    (['x', 'y'], (0.04, 0.01))
-    >>> unchanged = sender_settings(1, old)
-    >>> align_order(old, old)["kinds"], unchanged.zone_costs, unchanged.gossip_enabled
-    (['a', 'b'], (), False)
-    """
-    specifics = dict(facts.get("specifics") or {})
-    found = {**facts, "specifics": specifics}
-    for name, columns in COLUMNS.items():
-        now, known = list(facts.get(name) or []), list(before.get(name) or [])
-        found[name] = known + [one for one in now if one not in known]
-        for column in columns:
-            told = dict(zip(now, specifics.get(column) or [], strict=False))
-            if told:
-                specifics[column] = [told.get(one) for one in found[name]]
-    return found
-
-
-def sender_settings(seed: int, facts: dict[str, Any]) -> PolicySettings:
-    """The same on sockets, where a call carries one envelope, an answer tells of a full table, and the
-    directory's own stage asks for the list."""
-    told = policy_settings(seed, facts)
-    kinds = tuple(replace(kind, max_batch_size=1) for kind in told.destination_kinds)
-    return replace(told, reports_full_connection_table=True, poll_interval=0, destination_kinds=kinds)
+def find_load_report_fields(load_info: LoadInfo | None) -> LoadReportFields | None:
+    """The same of settings that are parsed."""
+    if load_info is None or load_info.transport == PROBE_TRANSPORT:
+        return None
+    fields = load_info.fields or []
+    if REMAINING_QUOTA_FIELD not in fields or RATE_LIMIT_FIELD not in fields:
+        return None
+    return LoadReportFields(fields.index(REMAINING_QUOTA_FIELD), fields.index(RATE_LIMIT_FIELD))
--- a/ashpath/emulator/clients.py
+++ b/ashpath/emulator/clients.py
@@ -19,7 +19,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from ashpath.core.platform_settings import policy_settings
+from ashpath.core.policy_settings import policy_settings
 from ashpath.server import wire_names
 from ashpath.server.http.codec import (
     ConnectionClosedError,
--- a/ashpath/emulator/demo.py
+++ b/ashpath/emulator/demo.py
@@ -17,7 +17,7 @@
 from gevent.server import StreamServer
 
 from ashpath.core.interface import PolicySettings
-from ashpath.core.platform_settings import policy_settings
+from ashpath.core.policy_settings import policy_settings
 from ashpath.emulator.destination_model import DestinationModel, Nature, Trouble
 from ashpath.emulator.destination_server import Stand, at
 from ashpath.server import wire_names
--- a/ashpath/emulator/scenario.py
+++ b/ashpath/emulator/scenario.py
@@ -27,7 +27,7 @@
 from ashpath.config.units import Duration, Word
 from ashpath.config.validation import ConfigurationFault
 from ashpath.core.interface import PolicySettings
-from ashpath.core.platform_settings import policy_settings
+from ashpath.core.policy_settings import policy_settings
 from ashpath.emulator.destination_model import Nature
 
 TROUBLES = (
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from ashpath.core.platform_settings import milliseconds
+from ashpath.core.time_units import milliseconds
 from ashpath.policy.engine import Destination, Gate
 from ashpath.server import wire_names
 from ashpath.server.http.codec import HttpMessage
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -19,13 +19,11 @@
 import orjson
 from gevent.event import Event
 
-from ashpath.core.platform_settings import (
-    InvalidSettingError,
-    align_order,
-    load_report_fields,
-    number_traffic_classes,
-    sender_settings,
-)
+from ashpath.core.errors import InvalidSettingError
+from ashpath.core.platform_settings import load_report_fields
+from ashpath.core.policy_settings import sender_settings
+from ashpath.core.settings_alignment import align_order
+from ashpath.core.traffic_class_ids import number_traffic_classes
 from ashpath.server.backoff import Backoff
 from ashpath.server.control.commands import CommandResult
 from ashpath.server.control.listener import ControlListener
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -30,7 +30,7 @@
 from gevent import socket, subprocess
 from gevent.server import StreamServer
 
-from ashpath.core.platform_settings import sender_settings
+from ashpath.core.policy_settings import sender_settings
 from ashpath.server.http.codec import ConnectionClosedError, HttpConnection, ProtocolError, encode_message
 from ashpath.server.limits import ServerLimits
 from benchmarks.kept import ROOT, keep
--- a/tests/config/test_plan.py
+++ b/tests/config/test_plan.py
@@ -23,7 +23,7 @@
 from ashpath.config.reference import markdown, plain
 from ashpath.config.rules import changes
 from ashpath.config.validation import plan
-from ashpath.core.platform_settings import number_traffic_classes, sender_settings
+from ashpath.core.policy_settings import sender_settings
 from ashpath.server.limits import ServerLimits
 
 EXAMPLE = ROOT / "deploy" / "sender.toml"
@@ -295,16 +295,6 @@
         assert changes(new, new) == ([], [])
 
 
-def test_numbered() -> None:
-    """While envelopes are held, a number keeps the terms they were taken on under."""
-    a, b, changed, c = ({"name": n, "deadline": d} for n, d in (("a", 1), ("b", 1), ("a", 2), ("c", 1)))
-    assert number_traffic_classes([b, a], [a, b], 0) == ([b, a], [])
-    assert number_traffic_classes([b, a], [a, b], 1) == ([a, b], [])
-    assert number_traffic_classes([b], [a, b], 1) == ([a, b], [0])
-    assert number_traffic_classes([changed, b, c], [a, b], 1) == ([a, b, changed, c], [0])
-    assert number_traffic_classes([a, b], [a, b, changed, c], 1) == ([a, b, changed, c], [2, 3])
-
-
 def test_reference_is_fresh() -> None:
     assert (ROOT / "docs" / "configuration.md").read_text() == markdown(), "run: ashpath explain --markdown"
     assert len(plain("rules.slots")) == 1 and len(plain("rules")) > 10 and not plain("rules.slot")
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -13,7 +13,7 @@
 from gevent import Timeout, socket, subprocess
 from gevent.server import StreamServer
 
-from ashpath.core.platform_settings import sender_settings
+from ashpath.core.policy_settings import sender_settings
 from ashpath.server.http.codec import (
     ConnectionClosedError,
     HttpConnection,
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -11,7 +11,7 @@
 from support.world import ROOT, World, until
 
 from ashpath.core.interface import RetrySafety
-from ashpath.core.platform_settings import sender_settings
+from ashpath.core.policy_settings import sender_settings
 
 SITES = ROOT / "deploy" / "sites"
 NAMES = ("harbour-dispatch", "orchard-events")
