HTTP codec as modules of one job, its errors by cause

Cause: codec.py held the messages, the framing of bodies, the connection and the encoding in one file, one class for requests and responses, and one error type with a status and a text at each place that raised it.

Change: http/errors.py (a type for each cause, with its status and today's text), messages.py (HttpRequest, HttpResponse), framing.py, transport.py (BufferedSocket), connection.py (HttpConnection, its state table first), encoding.py (encode_message, host_header, encode_response); receive_buffer.py in the standard terms. Names: dial -> open_connection, read_answer -> read_response, finish_answer -> finish_response, keep -> keep_alive, sound -> well_formed, doubled -> repeated_headers, answered -> status_line_read, idle_s -> idle_before_use_s, client_left -> eof_received, ended() -> closed_by_peer(), has_unread_bytes() -> peek_byte(). The end of a connection within a message is a TruncatedMessageError, which is a ConnectionResetError as before.

--- a/ashpath/emulator/clients.py
+++ b/ashpath/emulator/clients.py
@@ -21,14 +21,9 @@
 
 from ashpath.core.policy_settings import policy_settings
 from ashpath.server import wire_names
-from ashpath.server.http.codec import (
-    ConnectionClosedError,
-    HttpConnection,
-    ProtocolError,
-    dial,
-    encode_message,
-    host_header,
-)
+from ashpath.server.http.connection import HttpConnection, open_connection
+from ashpath.server.http.encoding import encode_message, host_header
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
 from ashpath.server.limits import ServerLimits
 
 PATIENCE = 2.0  # seconds for an answer
@@ -107,18 +102,18 @@
                     if not wire.is_quiet():
                         wire.close()
                         wire = None
-                wire = wire or dial(self.senders[sender], self.limits)
+                wire = wire or open_connection(self.senders[sender], self.limits)
                 status = UNANSWERED
                 first = b"POST %s HTTP/1.1" % wire_names.SUBMIT_PATH
                 wire.write(encode_message(first, [host_header(self.senders[sender]), *headers], body))
-                answer = wire.read_answer()
+                answer = wire.read_response()
                 if answer.status == 200:
-                    wire.finish_answer()
+                    wire.finish_response()
         except (OSError, ConnectionClosedError, ProtocolError, gevent.Timeout):
             if wire is not None:
                 wire.close()
             return status, 0.0
-        if answer.keep and not wire.unusable:
+        if answer.keep_alive and not wire.unusable:
             idle.append(wire)
         else:
             wire.close()
--- a/ashpath/emulator/demo.py
+++ b/ashpath/emulator/demo.py
@@ -21,14 +21,9 @@
 from ashpath.emulator.destination_model import DestinationModel, Nature, Trouble
 from ashpath.emulator.destination_server import Stand, at
 from ashpath.server import wire_names
-from ashpath.server.http.codec import (
-    ConnectionClosedError,
-    HttpConnection,
-    ProtocolError,
-    dial,
-    encode_message,
-    host_header,
-)
+from ashpath.server.http.connection import HttpConnection, open_connection
+from ashpath.server.http.encoding import encode_message, host_header
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
 from ashpath.server.limits import ServerLimits
 
 SECOND = 1_000_000
@@ -211,15 +206,15 @@
                     if not wire.is_quiet():
                         wire.close()
                         wire = None
-                wire = wire or dial(self.where, self.limits)
+                wire = wire or open_connection(self.where, self.limits)
                 wire.write(encode_message(first, [host_header(self.where), *headers], body))
-                answer = wire.read_answer()
-                answer = wire.finish_answer() if answer.status == 200 else answer
+                answer = wire.read_response()
+                answer = wire.finish_response() if answer.status == 200 else answer
         except (OSError, ConnectionClosedError, ProtocolError, gevent.Timeout):
             if wire is not None:
                 wire.close()
             return 0, b""
-        if answer.keep and not wire.unusable and len(self.idle) < CLIENTS:
+        if answer.keep_alive and not wire.unusable and len(self.idle) < CLIENTS:
             self.idle.append(wire)
         else:
             wire.close()
--- a/ashpath/emulator/destination_server.py
+++ b/ashpath/emulator/destination_server.py
@@ -15,13 +15,10 @@
 
 from ashpath.emulator.destination_model import NEVER, Call, DestinationModel, Meets
 from ashpath.server import wire_names
-from ashpath.server.http.codec import (
-    ConnectionClosedError,
-    HttpConnection,
-    HttpMessage,
-    ProtocolError,
-    encode_message,
-)
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.http.messages import HttpRequest
 from ashpath.server.limits import ServerLimits
 
 LINES = {
@@ -81,11 +78,11 @@
             self.open.pop(wire, None)
             wire.close()
 
-    def call(self, wire: HttpConnection, request: HttpMessage, fresh: bool) -> bool:
+    def call(self, wire: HttpConnection, request: HttpRequest, fresh: bool) -> bool:
         """One call and its answer; whether the connection goes on."""
         if request.path != wire_names.DELIVERY_PATH:
             wire.write(encode_message(NOT_FOUND, [], b""))
-            return request.keep
+            return request.keep_alive
         envelope = request.headers.get(wire_names.TRACE_ID_HEADER, b"").decode("latin-1")
         key, track = request.headers.get(wire_names.IDEMPOTENCY_KEY_HEADER), request.body[:2].strip()
         number = int(track) if track.isdigit() else 0  # bodies of ours begin with the track's number
@@ -103,7 +100,7 @@
             self.partner.ended(self.now(), call, envelope)
             if self.over is not None:
                 self.over(self.now(), self.endpoint, envelope, call, arrived, heard)
-        return heard and request.keep and not wire.unusable
+        return heard and request.keep_alive and not wire.unusable
 
     def tell(self, wire: HttpConnection, call: Call) -> bool:
         """The answer, if this end still answers; whether its caller can hear of it."""
--- a/ashpath/emulator/loopback.py
+++ b/ashpath/emulator/loopback.py
@@ -33,14 +33,9 @@
 from ashpath.emulator.simulation import Work
 from ashpath.emulator.topology import Arrivals, Topology
 from ashpath.server import wire_names
-from ashpath.server.http.codec import (
-    ConnectionClosedError,
-    HttpConnection,
-    ProtocolError,
-    dial,
-    encode_message,
-    host_header,
-)
+from ashpath.server.http.connection import HttpConnection, open_connection
+from ashpath.server.http.encoding import encode_message, host_header
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
 
 SLACK = 50_000  # by which the witness is milder on sockets: clocks and the way of a call
 NOT_HERE = ("network", "split", "clock", "directory")
@@ -198,10 +193,10 @@
     def ready(self, number: int) -> bool:
         try:
             with gevent.Timeout(1.0):
-                wire = dial(self.addresses[number], self.limits)
+                wire = open_connection(self.addresses[number], self.limits)
                 first = b"GET %s HTTP/1.1" % wire_names.READINESS_PATH
                 wire.write(encode_message(first, [host_header(self.addresses[number])], b""))
-                found = wire.read_answer().status == 200
+                found = wire.read_response().status == 200
                 wire.close()
                 return found
         except (OSError, ConnectionClosedError, ProtocolError, gevent.Timeout):
--- a/ashpath/server/agent_client.py
+++ b/ashpath/server/agent_client.py
@@ -7,15 +7,10 @@
 from gevent import Timeout
 
 from ashpath.server.delivery.connection_pool import Address
-from ashpath.server.http.codec import (
-    ConnectionClosedError,
-    HttpConnection,
-    HttpMessage,
-    ProtocolError,
-    dial,
-    encode_message,
-    host_header,
-)
+from ashpath.server.http.connection import HttpConnection, open_connection
+from ashpath.server.http.encoding import encode_message, host_header
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError, UnreadableResponseError
+from ashpath.server.http.messages import HttpResponse
 from ashpath.server.limits import ServerLimits
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -35,7 +30,7 @@
         if self.connection is not None:
             self.connection.close()
 
-    def call(self, first: bytes, body: bytes, patience: float, headers: Headers = ()) -> HttpMessage | None:
+    def call(self, first: bytes, body: bytes, patience: float, headers: Headers = ()) -> HttpResponse | None:
         """The answer, or None if none came in time."""
         try:
             with Timeout(patience):
@@ -48,18 +43,18 @@
                     self.connected_address = (
                         self.address
                     )  # guards a dial to the old address while `move` comes
-                    self.connection = dial(self.connected_address, self.limits)
+                    self.connection = open_connection(self.connected_address, self.limits)
                 self.connection.write(
                     encode_message(first, [host_header(self.connected_address), *headers], body)
                 )
-                answer = self.connection.read_answer()
-                if not answer.sound:
-                    raise ProtocolError(400, "an answer that cannot be read")
-                self.connection.finish_answer()
+                answer = self.connection.read_response()
+                if not answer.well_formed:
+                    raise UnreadableResponseError
+                self.connection.finish_response()
         except (OSError, ConnectionClosedError, ProtocolError, Timeout):
             self.close()
             return None
-        if not answer.keep:
+        if not answer.keep_alive:
             self.close()
         return answer
 
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -14,14 +14,10 @@
 from ashpath.server import wire_names
 from ashpath.server.delivery.connection_pool import Address, ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
-from ashpath.server.http.codec import (
-    ConnectionClosedError,
-    HttpConnection,
-    HttpMessage,
-    ProtocolError,
-    encode_message,
-    host_header,
-)
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message, host_header
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.http.messages import HttpResponse
 from ashpath.server.storage.write_ahead_log import StoredMessage
 from ashpath.server.timers import now
 
@@ -47,7 +43,7 @@
     written: bool = False
     new_connection: bool = False  # the first call on its connection
     ordered: bool = False  # its message goes one at a time with others of its key
-    response: HttpMessage | None = None
+    response: HttpResponse | None = None
     failure: BaseException | None = None
     greenlet: Any = None  # that carries it, once it has begun
 
@@ -93,10 +89,10 @@
                 moved = self.registry.addresses.get(flight.endpoint_id) != where
                 if where is None or wire is None or moved or not self.still_valid(flight.message):
                     raise NotSentError
-                flight.new_connection = not wire.idle_s
+                flight.new_connection = not wire.idle_before_use_s
                 wire.write(self.encode_request(flight, where))
                 flight.written = True
-                flight.response = wire.read_answer()
+                flight.response = wire.read_response()
         except (Timeout, AttemptCancelledError) as failure:
             flight.failure = failure
             if wire is None and isinstance(failure, Timeout):
@@ -116,7 +112,7 @@
             return self.classifier(flight)
         if isinstance(flight.failure, (OSError, ConnectionClosedError)) and not len(wire.buffer):
             self.pool.connection_dropped(flight.endpoint_id, wire)
-        if flight.response is None or not flight.response.keep:
+        if flight.response is None or not flight.response.keep_alive:
             self.pool.close(wire)  # giving up closes: an answer that came later would be taken for the next
             return self.classifier(flight)
         if wire.body_received():  # before the turn, whose shots may then use this connection
@@ -136,7 +132,7 @@
         """The rest of an answer, then the connection is free."""
         try:
             with Timeout(self.pool.limits.response_write_s):
-                wire.finish_answer()
+                wire.finish_response()
         except (
             OSError,
             ConnectionClosedError,
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from ashpath.server.http.codec import HttpConnection, dial
+from ashpath.server.http.connection import HttpConnection, open_connection
 from ashpath.server.limits import ServerLimits
 
 Address = tuple[str, int]
@@ -32,8 +32,8 @@
             since, wire = waiting.pop() if endpoint in self.idle_limits else waiting.popleft()
             if not waiting:
                 del self.idle[endpoint]
-            wire.idle_s = monotonic() - since
-            if wire.idle_s < self.idle_limit(endpoint) and wire.is_quiet():
+            wire.idle_before_use_s = monotonic() - since
+            if wire.idle_before_use_s < self.idle_limit(endpoint) and wire.is_quiet():
                 return wire
             self.close(wire)
         return None
@@ -44,14 +44,16 @@
     def connection_dropped(self, endpoint: str, wire: HttpConnection) -> None:
         """Reset without a byte of an answer. Guards against far ends that drop idle connections sooner than
         they were said to, and say nothing: as long a silence is not trusted again for a while."""
-        if wire.idle_s > self.limits.min_endpoint_idle_s:
-            life = max(self.limits.min_endpoint_idle_s, min(self.idle_limit(endpoint), 0.8 * wire.idle_s))
+        if wire.idle_before_use_s > self.limits.min_endpoint_idle_s:
+            life = max(
+                self.limits.min_endpoint_idle_s, min(self.idle_limit(endpoint), 0.8 * wire.idle_before_use_s)
+            )
             self.idle_limits[endpoint] = (life, monotonic() + self.limits.idle_distrust_s)
 
     def connect(self, address: Address) -> HttpConnection:
         self.open += 1
         try:
-            return dial(address, self.limits)
+            return open_connection(address, self.limits)
         except BaseException:
             self.open -= 1
             raise
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -11,7 +11,7 @@
 from ashpath.server import wire_names
 from ashpath.server.delivery.attempts import Attempt, AttemptCancelledError, NotSentError
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
-from ashpath.server.http.codec import HttpMessage
+from ashpath.server.http.messages import HttpResponse
 
 # A status that the protocol does not name says nothing of whether the call ran: an error.
 ENDINGS = {
@@ -69,7 +69,7 @@
         ending = ENDINGS.get(status, AttemptOutcome.ERROR)
         if status == 503 and headers.get(wire_names.EGRESS_FULL_HEADER, b"") == b"1":
             ending = AttemptOutcome.NOT_SENT
-        elif status == 503 and flight.new_connection and not answer.keep:
+        elif status == 503 and flight.new_connection and not answer.keep_alive:
             # Guards against a full table of connections taken for a limit or a shut destination: the first
             # call on a connection is turned away with it.
             ending = AttemptOutcome.CONNECTION_TABLE_FULL
@@ -80,7 +80,7 @@
         )
         return ending, wait, status in (200, 410), self.load_report(answer)
 
-    def load_report(self, answer: HttpMessage) -> LoadReport | None:
+    def load_report(self, answer: HttpResponse) -> LoadReport | None:
         """What `TEXT x0=0.4, x1=25` tells of the limit; a rate of 0 stands for none."""
         report = answer.headers.get(wire_names.LOAD_REPORT_HEADER)
         if not self.has_load_reports or report is None:
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -16,7 +16,7 @@
 from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.delivery.response_classifier import number
-from ashpath.server.http.codec import HttpMessage
+from ashpath.server.http.messages import HttpResponse
 from ashpath.server.limits import ServerLimits
 
 Hear = Callable[[list[dict[str, Any]], bool], bool]
@@ -81,7 +81,7 @@
             gevent.sleep(seconds)
         self.pausing = None
 
-    def poll(self, patience: float) -> HttpMessage | None:
+    def poll(self, patience: float) -> HttpResponse | None:
         """One call, and whether its answer was a list that could be read is said by `self.revision`."""
         wait = int(self.limits.watch_s * 1000)
         watch = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, wait)
@@ -124,7 +124,7 @@
                 self.log_state("silent" if answer is None else "not read", answer)
                 self.pause(self.silent_backoff.next_pause())
 
-    def log_state(self, state: str, answer: HttpMessage | None) -> None:
+    def log_state(self, state: str, answer: HttpResponse | None) -> None:
         self.calls_in_state += 1
         if state != self.state:
             status = answer.status if answer is not None else 0
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -10,7 +10,8 @@
 from ashpath.server import wire_names
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
-from ashpath.server.http.codec import HttpMessage, ProtocolError, encode_message
+from ashpath.server.http.errors import InvalidRequestError
+from ashpath.server.http.messages import HttpRequest
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.write_ahead_log import StoredMessage
 from ashpath.server.timers import wall
@@ -22,26 +23,6 @@
     wire_names.DESTINATION_HEADER,
     wire_names.IDEMPOTENCY_KEY_HEADER,
 }
-PLAIN = {
-    200: b"HTTP/1.1 200 OK",
-    202: b"HTTP/1.1 202 Accepted",
-    400: b"HTTP/1.1 400 Bad Request",
-    404: b"HTTP/1.1 404 Not Found",
-    405: b"HTTP/1.1 405 Method Not Allowed",
-    408: b"HTTP/1.1 408 Request Timeout",
-    409: b"HTTP/1.1 409 Conflict",
-    413: b"HTTP/1.1 413 Content Too Large",
-    431: b"HTTP/1.1 431 Request Header Fields Too Large",
-    500: b"HTTP/1.1 500 Internal Server Error",
-    503: b"HTTP/1.1 503 Service Unavailable",
-}
-
-
-def encode_response(status: int, keep: bool = True, come_back: int = 0, body: bytes = b"") -> bytes:
-    headers = [] if keep else [(b"connection", b"close")]
-    if come_back > 0:
-        headers.append((wire_names.RETRY_AFTER_HEADER, b"%.3f" % (come_back / 1e6)))
-    return encode_message(PLAIN[status], headers, body)
 
 
 def whole(text: bytes) -> int:
@@ -84,11 +65,11 @@
         )
         self.refusing = False  # after SIGTERM
 
-    def parse_request(self, request: HttpMessage) -> StoredMessage:
+    def parse_request(self, request: HttpRequest) -> StoredMessage:
         """An envelope of a request; what is missing, told twice or no number is said."""
         headers = request.headers
-        if request.doubled & ONCE:
-            raise ProtocolError(400, "not an envelope: told twice")
+        if request.repeated_headers & ONCE:
+            raise InvalidRequestError("told twice")
         try:
             track = self.traffic_class_ids[headers[wire_names.TRAFFIC_CLASS_HEADER].decode()]
             left = whole(headers[wire_names.TIME_LEFT_HEADER])
@@ -104,7 +85,7 @@
                 else None
             )
         except (KeyError, ValueError, StopIteration) as error:
-            raise ProtocolError(400, f"not an envelope: {error}") from None
+            raise InvalidRequestError(str(error)) from error
         cutoff = wall() + min(left * 1000, self.settings.traffic_classes[track].deadline)
         order = self.order(headers.get(wire_names.COOKIE_HEADER, b""))
         return StoredMessage(0, trace, track, destination, order, tag, cutoff, request.body)
--- a/ashpath/server/http/client_listener.py
+++ b/ashpath/server/http/client_listener.py
@@ -15,8 +15,11 @@
 
 from ashpath.server import wire_names
 from ashpath.server.delivery.connection_pool import Address
-from ashpath.server.http.admission import Admission, encode_response
-from ashpath.server.http.codec import ConnectionClosedError, HttpConnection, HttpMessage, ProtocolError
+from ashpath.server.http.admission import Admission
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_response
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError, TrailingBytesError
+from ashpath.server.http.messages import HttpRequest
 from ashpath.server.limits import ServerLimits
 
 
@@ -42,7 +45,7 @@
             False  # a lame duck: not ready, every answer ends its connection, and nobody is refused
         )
         self.inherited = False  # the listening socket is the platform's: another process may accept on it
-        self.status_api: Callable[[HttpMessage], tuple[int, bytes] | None] = lambda request: None
+        self.status_api: Callable[[HttpRequest], tuple[int, bytes] | None] = lambda request: None
 
     def listen(self, inherited: int | None = None) -> None:
         """On the descriptor that the platform hands down when given: it is never bound a second time."""
@@ -106,11 +109,7 @@
         ):
             if monotonic() - since < least:
                 break
-            if (
-                not wire.has_unread_bytes()
-                if held is self.reading
-                else held is self.half_closed or wire.is_quiet()
-            ):
+            if not wire.peek_byte() if held is self.reading else held is self.half_closed or wire.is_quiet():
                 del held[wire]
                 wire.close()
                 return True
@@ -138,9 +137,9 @@
     def half_close(self, wire: HttpConnection) -> None:
         """Ends a connection from this side. Guards an answer just written, and a request that crosses the
         end: its client finds no answer to it, on a connection that ended in order, and asks elsewhere."""
-        if wire.client_left or wire.draining:
+        if wire.eof_received or wire.drain_started:
             return
-        wire.draining = True
+        wire.drain_started = True
         wire.half_close()
         self.half_closed.setdefault(wire, monotonic())
         with suppress(OSError, Timeout), Timeout(self.limits.response_write_s):
@@ -155,7 +154,7 @@
             pass
         with suppress(Timeout), Timeout(self.limits.request_s if first else self.limits.client_idle_s):
             wire.receive()
-        if not len(wire.buffer) and wire.has_unread_bytes():
+        if not len(wire.buffer) and wire.peek_byte():
             wire.receive()  # it came as the patience ended: closing on it would leave it unread
         waiting.pop(wire, None)
         if not len(wire.buffer) or wire.unusable:
@@ -167,11 +166,11 @@
         try:
             with Timeout(max(0.0, patience)):
                 request = wire.read_request()
-                if len(wire.buffer) or wire.has_unread_bytes():
-                    raise ProtocolError(400, "more than a request: its length is wrong, or no answer awaited")
+                if len(wire.buffer) or wire.peek_byte():
+                    raise TrailingBytesError
         except ConnectionResetError:
-            if wire.client_left:  # cut within a request, by a client that may still read
-                self.write_response(wire, encode_response(400, keep=False))
+            if wire.eof_received:  # cut within a request, by a client that may still read
+                self.write_response(wire, encode_response(400, keep_alive=False))
             return False
         except (ProtocolError, Timeout) as error:
             late = 503 if monotonic() >= self.answered_by else 408  # 503: its client goes to another process
@@ -179,7 +178,7 @@
             return False
         finally:
             self.reading.pop(wire, None)
-        keep = request.keep and not wire.unusable and not self.closing and not self.lame_duck
+        keep = request.keep_alive and not wire.unusable and not self.closing and not self.lame_duck
         self.replying[wire] = monotonic()
         try:
             self.reply(wire, request, keep)
@@ -190,29 +189,32 @@
     def refuse(self, wire: HttpConnection, status: int) -> None:
         """An answer, then the rest is read: closing on unread bytes would take the answer back."""
         self.reading.pop(wire, None)
-        if self.write_response(wire, encode_response(status, keep=False)):
+        if self.write_response(wire, encode_response(status, keep_alive=False)):
             self.half_close(wire)
 
-    def reply(self, wire: HttpConnection, request: HttpMessage, keep: bool) -> None:
+    def reply(self, wire: HttpConnection, request: HttpRequest, keep: bool) -> None:
         if request.path != wire_names.SUBMIT_PATH:
             ready = 503 if self.closing or self.lame_duck else 200
             told = (ready, b"") if request.path == wire_names.READINESS_PATH else self.status_api(request)
             status, body = told or (404, b"")
-            self.write_response(wire, encode_response(status, keep, body=body))
+            self.write_response(wire, encode_response(status, keep_alive=keep, body=body))
             return
         if request.method != b"POST":
-            self.write_response(wire, encode_response(405, keep))
+            self.write_response(wire, encode_response(405, keep_alive=keep))
             return
         try:
             entry = self.admission.parse_request(request)
         except ProtocolError as error:
-            self.write_response(wire, encode_response(error.status, keep))
+            self.write_response(wire, encode_response(error.status, keep_alive=keep))
             return
-        if self.admission.refusing or wire.ended():  # who has left will hand it in again
-            self.write_response(wire, encode_response(503, keep))
+        if self.admission.refusing or wire.closed_by_peer():  # who has left will hand it in again
+            self.write_response(wire, encode_response(503, keep_alive=keep))
             return
         status, come_back = self.admission.admit(entry)
-        if not self.write_response(wire, encode_response(status, keep, come_back)) and status == 202:
+        if (
+            not self.write_response(wire, encode_response(status, keep_alive=keep, retry_after=come_back))
+            and status == 202
+        ):
             self.admission.policy_runner.client_disconnected(entry)
 
     def write_response(self, wire: HttpConnection, data: bytes) -> bool:
--- /dev/null
+++ b/ashpath/server/http/framing.py
@@ -0,0 +1,106 @@
+"""Where the body of a message ends (RFC 9112, 6 and 7.1).
+
+The parser is fed a body only once its end is in the buffer, so that not a byte beyond a message is consumed.
+"""
+
+from __future__ import annotations
+
+import re
+
+from ashpath.server.http.errors import (
+    AmbiguousLengthError,
+    BodyTooLongError,
+    ChunkEndError,
+    ChunkLineError,
+    ChunkOverheadError,
+    ChunkSizeError,
+    InvalidLengthError,
+)
+from ashpath.server.http.messages import HttpMessage, HttpRequest
+from ashpath.server.http.receive_buffer import ReceiveBuffer
+
+LENGTH_HEADERS = {b"content-length", b"transfer-encoding"}
+CONTENT_LENGTH_DIGITS = 15
+CHUNK_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(;[^\x00-\x08\x0a-\x1f]*)?")
+MAX_CHUNK_LINE_BYTES = 1024  # a chunk's size with its extensions, or a line behind the last chunk
+LINE_END = b"\r\n"
+
+
+class ChunkedFraming:
+    """Finds where a chunked body ends as it comes; nothing is consumed, so not a byte beyond it is either.
+
+    A body with its framing may be twice as long as a body without.
+
+    >>> buffer, framing = ReceiveBuffer(64, 64), ChunkedFraming(64)
+    >>> def received(data):
+    ...     buffer.free_space(len(data))[:len(data)] = data
+    ...     buffer.commit(len(data))
+    ...     return framing.end(buffer)
+    >>> parts = b"3;x=1\\r\\nab", b"c\\r", b"\\n0\\r\\nt: 1\\r\\n", b"\\r\\nHTTP"
+    >>> [received(part) for part in parts]
+    [None, None, None, 23]
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self.max_bytes = 2 * max_body_bytes
+        self.position = 0  # of the first line that is not read yet
+        self.in_trailer = False  # the last chunk has been read
+
+    def end(self, buffer: ReceiveBuffer) -> int | None:
+        """The bytes up to its end; none while that is not in the buffer. Raises ProtocolError."""
+        while (line_end := buffer.find(LINE_END, self.position)) >= 0:
+            line = buffer.peek(self.position, line_end)
+            next_line = line_end + len(LINE_END)
+            if self.in_trailer and not line:
+                return next_line
+            if not self.in_trailer:
+                size = self.chunk_size(line)
+                if size and len(buffer) < next_line + size + len(LINE_END):
+                    return None
+                if size:
+                    next_line += size
+                    if buffer.peek(next_line, next_line + len(LINE_END)) != LINE_END:
+                        raise ChunkEndError
+                    next_line += len(LINE_END)
+                self.in_trailer = not size
+            if len(line) > MAX_CHUNK_LINE_BYTES or next_line > self.max_bytes:
+                raise ChunkOverheadError
+            self.position = next_line
+        if len(buffer) - self.position > MAX_CHUNK_LINE_BYTES:
+            raise ChunkLineError
+        return None
+
+    def chunk_size(self, line: bytes) -> int:
+        """Bytes of the chunk behind this line. Raises ProtocolError."""
+        match = CHUNK_SIZE_LINE.fullmatch(line)
+        if match is None:
+            raise ChunkSizeError
+        size = int(match[1], 16)
+        if self.position + size > self.max_bytes:
+            raise BodyTooLongError
+        return size
+
+
+BodyFraming = int | ChunkedFraming | None
+"""A length in bytes, chunks, or all up to the end of the connection."""
+
+
+def body_framing(message: HttpMessage, max_body_bytes: int) -> BodyFraming:
+    """How the body of a message whose head is read is framed. Raises ProtocolError."""
+    headers = message.headers
+    if message.repeated_headers & LENGTH_HEADERS or headers.keys() >= LENGTH_HEADERS:
+        raise AmbiguousLengthError
+    coding = headers.get(b"transfer-encoding")
+    if coding is not None:
+        return ChunkedFraming(max_body_bytes) if coding.lower() == b"chunked" else None
+    length = headers.get(b"content-length")
+    if length is None:
+        return 0 if isinstance(message, HttpRequest) or message.complete else None
+    if not length.isdigit() or len(length) > CONTENT_LENGTH_DIGITS:
+        raise InvalidLengthError
+    return int(length)
+
+
+def known_end(framing: BodyFraming, buffer: ReceiveBuffer) -> int | None:
+    """The bytes that a body at the begin of the buffer has, as far as that is known by now."""
+    return framing.end(buffer) if isinstance(framing, ChunkedFraming) else framing
--- a/ashpath/server/http/receive_buffer.py
+++ b/ashpath/server/http/receive_buffer.py
@@ -1,54 +1,65 @@
-"""The one buffer of a connection: grown as needed, compacted in place."""
+"""The one receive buffer of a connection: grown as needed, compacted in place."""
 
 from __future__ import annotations
 
 
-class Buffer:
-    """Bytes that came in and are not taken yet.
+class ReceiveBuffer:
+    """Bytes that were received and are not consumed yet.
 
-    >>> buffer = Buffer(4, 16)
+    It doubles from `initial_size` up to `usual_size`, and grows in steps of `initial_size` past that; once it
+    is empty it is cut back to `initial_size`. Positions count from the first byte that is not consumed.
+
+    >>> buffer = ReceiveBuffer(4, 16)
     >>> for part in (b"abc", b"defgh"):
-    ...     space = buffer.space(len(part))
+    ...     space = buffer.free_space(len(part))
     ...     space[:len(part)] = part
     ...     space.release()
-    ...     buffer.added(len(part))
-    >>> buffer.take(2), buffer.find(b"gh"), len(buffer), len(buffer.data)
+    ...     buffer.commit(len(part))
+    >>> buffer.consume(2), buffer.find(b"gh"), len(buffer), len(buffer.data)
     (b'ab', 4, 6, 8)
-    >>> buffer.take(6), len(buffer.data)
+    >>> buffer.consume(6), len(buffer.data)
     (b'cdefgh', 4)
     """
 
-    def __init__(self, start: int, most: int) -> None:
-        self.start, self.most = start, most  # doubled from one up to the other, and past that as it must
-        self.data = bytearray(start)
-        self.begin = self.end = 0
+    def __init__(self, initial_size: int, usual_size: int) -> None:
+        self.initial_size = initial_size
+        self.usual_size = usual_size
+        self.data = bytearray(initial_size)
+        self.begin = 0  # of what is not consumed, within `data`
+        self.end = 0
 
     def __len__(self) -> int:
         return self.end - self.begin
 
-    def space(self, least: int = 1) -> memoryview:
+    def free_space(self, at_least: int = 1) -> memoryview:
         """Free space at the end, for a read; to be released before anything else is done here."""
-        if len(self.data) - self.end < least and self.begin:
+        if len(self.data) - self.end < at_least and self.begin:
             self.data[: len(self)] = self.data[self.begin : self.end]
-            self.begin, self.end = 0, len(self)
-        while len(self.data) - self.end < least:
-            self.data.extend(bytes(max(self.start, min(len(self.data), self.most - len(self.data)))))
+            self.end = len(self)
+            self.begin = 0
+        while len(self.data) - self.end < at_least:
+            doubled = min(len(self.data), self.usual_size - len(self.data))
+            self.data.extend(bytes(max(self.initial_size, doubled)))
         return memoryview(self.data)[self.end :]
 
-    def added(self, count: int) -> None:
+    def commit(self, count: int) -> None:
+        """So many bytes have been written to the free space."""
         self.end += count
 
-    def find(self, mark: bytes, start: int = 0) -> int:
-        """Where the mark begins, counted from the first byte not taken; below 0 if it is not there."""
-        return self.data.find(mark, self.begin + max(0, start), self.end) - self.begin
+    def find(self, pattern: bytes, start: int = 0) -> int:
+        """Where the pattern begins; below 0 if it is not there."""
+        return self.data.find(pattern, self.begin + max(0, start), self.end) - self.begin
 
     def peek(self, start: int, stop: int) -> bytes:
+        """A copy of these bytes, which stay here."""
         return bytes(memoryview(self.data)[self.begin + start : self.begin + stop])
 
-    def take(self, count: int) -> bytes:
-        taken = self.peek(0, count)
+    def consume(self, count: int) -> bytes:
+        """The first bytes, which leave the buffer."""
+        consumed = self.peek(0, count)
         self.begin += count
         if self.begin == self.end:
-            self.begin = self.end = 0
-            del self.data[self.start :]  # guards memory against connections that once carried much
-        return taken
+            self.begin = 0
+            self.end = 0
+            del self.data[self.initial_size :]  # guards memory against connections that once carried much
+        return consumed
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -12,7 +12,7 @@
 from ashpath.core.time_units import milliseconds
 from ashpath.policy.engine import Destination, Gate
 from ashpath.server import wire_names
-from ashpath.server.http.codec import HttpMessage
+from ashpath.server.http.messages import HttpRequest
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.outcome_store import OutcomeStore
 from ashpath.server.storage.write_ahead_log import StoredMessage
@@ -34,7 +34,7 @@
             titles,
         )
 
-    def __call__(self, request: HttpMessage) -> tuple[int, bytes] | None:
+    def __call__(self, request: HttpRequest) -> tuple[int, bytes] | None:
         """Status and body; None where the path is not one of these."""
         path, _, query = request.url.partition(b"?")
         if path not in (wire_names.MESSAGES_PATH, wire_names.DESTINATIONS_PATH) and not path.startswith(
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -31,7 +31,9 @@
 from gevent.server import StreamServer
 
 from ashpath.core.policy_settings import sender_settings
-from ashpath.server.http.codec import ConnectionClosedError, HttpConnection, ProtocolError, encode_message
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
 from ashpath.server.limits import ServerLimits
 from benchmarks.kept import ROOT, keep
 
@@ -214,8 +216,8 @@
                     wire.write(data[60:])
                 else:
                     wire.write(data)
-                answer = wire.read_answer()
-                wire.finish_answer()
+                answer = wire.read_response()
+                wire.finish_response()
             except (OSError, ConnectionClosedError, ProtocolError):
                 self.seen[f"at the door, {self.by}"] += 1
                 wire = None
@@ -225,7 +227,7 @@
             self.seen[f"answered {answer.status}"] += 1
             if answer.status == 202:
                 self.taken[trace] = track
-            if not answer.keep:
+            if not answer.keep_alive:
                 wire.close()
                 wire = None
 
--- a/tests/server/delivery/test_attempts.py
+++ b/tests/server/delivery/test_attempts.py
@@ -15,7 +15,7 @@
 
 from ashpath.core.interface import AttemptOutcome
 from ashpath.server.delivery.attempts import AttemptCancelledError
-from ashpath.server.http.codec import HttpConnection
+from ashpath.server.http.connection import HttpConnection
 
 OK, FULL = b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 429 Full\r\nContent-Length: 2\r\n"
 
@@ -152,7 +152,7 @@
         wire.read_request()
         if b"99" in data:  # its head is read before
             wire.write(data[: -2 * len(OK)])
-            until(lambda: wires[0].answered)
+            until(lambda: wires[0].status_line_read)
             sock.send(data[-2 * len(OK) :])
         else:
             sock.send(data)
--- a/tests/server/delivery/test_connection_pool.py
+++ b/tests/server/delivery/test_connection_pool.py
@@ -7,7 +7,7 @@
 
 from ashpath.core.interface import AttemptOutcome
 from ashpath.server.delivery.connection_pool import ConnectionPool
-from ashpath.server.http.codec import HttpConnection
+from ashpath.server.http.connection import HttpConnection
 
 
 def test_pool(world: World) -> None:
--- a/tests/server/delivery/test_response_classifier.py
+++ b/tests/server/delivery/test_response_classifier.py
@@ -10,7 +10,7 @@
 from ashpath.server.delivery.attempts import Attempt
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_classifier import ResponseClassifier
-from ashpath.server.http.codec import HttpMessage
+from ashpath.server.http.messages import HttpResponse
 from ashpath.server.storage.write_ahead_log import StoredMessage
 
 # What a call meets, the track, how many calls there are then, and the notice that ends the envelope.
@@ -63,7 +63,7 @@
 
 def test_reports() -> None:
     """A report that cannot be read tells nothing, not that nothing is left."""
-    relay, answer = ResponseClassifier(OutcomeRecorder(None, None), reports=True), HttpMessage()
+    relay, answer = ResponseClassifier(OutcomeRecorder(None, None), reports=True), HttpResponse()
     for text, told in (
         (b"TEXT x0=0.5, x1=20", LoadReport(0.5, 20.0)),
         (b"TEXT x0=?, x1=20", None),
@@ -79,8 +79,8 @@
 def test_a_full_table_of_connections_is_no_limit(fresh: bool, closes: bool, status: int) -> None:
     """Guards a fleet whose idle connections fill the tables of endpoints: they answer the first call of a new
     connection 503 and close it. Taken for a limit, paces fell and gates opened, and nobody gave one back."""
-    relay, answer = ResponseClassifier(OutcomeRecorder(None, None), reports=True), HttpMessage()
-    answer.status, answer.keep = status, not closes
+    relay, answer = ResponseClassifier(OutcomeRecorder(None, None), reports=True), HttpResponse()
+    answer.status, answer.keep_alive = status, not closes
     entry = StoredMessage(1, "t", 0, 1, None, None, 0, b"")
     flight = Attempt(entry, "e1", 0, 0, written=True, new_connection=fresh, response=answer)
     full_table = fresh and closes and status == 503
--- a/tests/server/discovery/test_discovery_client.py
+++ b/tests/server/discovery/test_discovery_client.py
@@ -22,7 +22,10 @@
 from ashpath.server.backoff import Backoff
 from ashpath.server.discovery import client as directory
 from ashpath.server.discovery.client import DiscoveryClient
-from ashpath.server.http.codec import ConnectionClosedError, HttpConnection, HttpMessage, encode_message
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError
+from ashpath.server.http.messages import HttpResponse
 from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 from ashpath.server.timers import wall
 
@@ -149,14 +152,14 @@
     heard: list[Any] = []
     hear = lambda rows, whole: heard.extend(rows) or True  # noqa: E731
     directory = DiscoveryClient(old.server.address, LIMITS, 5, hear, Random(1), LOG)
-    dial = calls.dial
+    dial = calls.open_connection
 
     def dialled(where: Any, limits: Any) -> HttpConnection:
         wire = dial(where, limits)
         directory.move(new.server.address)
         return wire
 
-    monkeypatch.setattr(calls, "dial", dialled)
+    monkeypatch.setattr(calls, "open_connection", dialled)
     watch = gevent.spawn(directory.run)
     until(lambda: len(new.asked) == 2)
     assert new.asked == [b"", b"index=7"] and [row["id"] for row in heard] == ["e1"]
@@ -246,7 +249,7 @@
         lines.clear()
         hear = lambda rows, whole: None  # noqa: E731
         watch = directory.DiscoveryClient(("127.0.0.1", 9), LIMITS, 0, hear, chance, log, 0.7)
-        answer = HttpMessage()
+        answer = HttpResponse()
         answer.status, answer.headers = status, told
         watch.connection.call = lambda *_, one=answer: one if one.status else None  # type: ignore[method-assign]
         with pytest.raises(StopIteration):
--- a/tests/server/http/test_client_listener.py
+++ b/tests/server/http/test_client_listener.py
@@ -18,7 +18,7 @@
 from support.stages import Pair, desk
 from support.world import LIMITS, World, abandon, request, until
 
-from ashpath.server.http.codec import ConnectionClosedError
+from ashpath.server.http.errors import ConnectionClosedError
 
 
 def test_clients_that_leave(tmp_path: Path) -> None:
@@ -47,8 +47,8 @@
         end, seen = Pair(far), []
         with Timeout(20), suppress(ConnectionClosedError):
             while True:
-                seen.append(end.read_answer().status)
-                end.finish_answer()
+                seen.append(end.read_response().status)
+                end.finish_response()
         assert seen == statuses
         end.close()
         until(lambda: not (take_in.silent or take_in.idle or take_in.reading))
@@ -66,7 +66,7 @@
         gevent.spawn(take_in.serve, Pair(near))
         ends.append(Pair(far))
         until(lambda number=number: len(host.seen) > number)
-    until(lambda: [end.ended() for end in ends if end.read_answer()] == [True] * 3 + [False] * 2)
+    until(lambda: [end.closed_by_peer() for end in ends if end.read_response()] == [True] * 3 + [False] * 2)
     ends[3].write(request("s5", "free", "200", 1))
     assert not take_in.shut(take_in.idle)  # the longest idle one, whose request is not read yet
     until(lambda: len(host.seen) == 6)
--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -8,7 +8,7 @@
 from support.server import READY, gone
 from support.world import World, request, until
 
-from ashpath.server.http.codec import HttpConnection
+from ashpath.server.http.connection import HttpConnection
 from ashpath.server.storage import detached_endpoints as holds
 
 
@@ -38,9 +38,9 @@
     requests not yet begun, and ones that come in pieces. Each has its answer, which ends its connection."""
     old, new = pair
     kept = [accepted(old, READY) for _ in range(4)]
-    assert [wire.read_answer().status for wire in kept] == [200] * 4
+    assert [wire.read_response().status for wire in kept] == [200] * 4
     for wire in kept:
-        wire.finish_answer()
+        wire.finish_response()
     slow = accepted(old, request("d-slow", "free", "200", 3)[:40])
     silent = accepted(old)
     gevent.sleep(0.3)  # the old one has them all
@@ -52,10 +52,10 @@
         gevent.sleep(0.2)
         assert wire.is_quiet(), f"connection {number} was closed before it could ask"
         wire.write(request(f"d{number}", "free", "200", 4))
-        asked.append(wire.read_answer())
+        asked.append(wire.read_response())
     slow.write(request("d-slow", "free", "200", 3)[40:])
-    asked.append(slow.read_answer())
-    assert [(answer.status, answer.keep) for answer in asked] == [(202, False)] * 5
+    asked.append(slow.read_response())
+    assert [(answer.status, answer.keep_alive) for answer in asked] == [(202, False)] * 5
     assert kept[3].receive() is False  # idle all along: closed in time
     until(lambda: old.process is not None and old.process.poll() is not None)
     until(lambda: all(new.count(trace) == 1 for trace in ("d0", "d1", "d2", "d3", "d-slow")))
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -10,7 +10,8 @@
 from support.stages import parsed
 from support.world import LIMITS, World, request, until
 
-from ashpath.server.http.codec import HttpConnection, HttpMessage
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.messages import HttpRequest
 from ashpath.server.runtime import create_sender
 from ashpath.server.storage.write_ahead_log import StoredMessage
 
@@ -44,7 +45,7 @@
     seen: list[tuple[str, bool]] = []
     answer = world.answer
 
-    def note(wire: HttpConnection, call: HttpMessage) -> bool:
+    def note(wire: HttpConnection, call: HttpRequest) -> bool:
         seen.append((call.headers[b"x-trace-id"].decode(), bool(world.told("one"))))
         return answer(wire, call)
 
--- a/tests/server/test_shutdown.py
+++ b/tests/server/test_shutdown.py
@@ -12,7 +12,8 @@
 from support.server import live
 from support.world import LIMITS, SETTINGS, World, abandon, request, until
 
-from ashpath.server.http.codec import HttpConnection, encode_message
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
 
 
 def test_sigterm(world: World) -> None:
@@ -20,15 +21,15 @@
     kept, idle = world.connect(), world.connect()
     assert kept is not None and idle is not None and world.process is not None
     kept.write(request("t0", "once", "slow", 0))
-    assert kept.read_answer().status == 202
-    kept.finish_answer()
+    assert kept.read_response().status == 202
+    kept.finish_response()
     world.hand_in("t1", "tag", "hang 200", 1)
     until(lambda: world.count("t0") and world.count("t1"))
     world.process.send_signal(signal.SIGTERM)
     until(lambda: world.ask(encode_message(b"GET /health/ready HTTP/1.1", [], b"")) == 503)
     kept.write(request("t2", "free", "200", 2))  # in the time in which connections still come
-    answer = kept.read_answer()
-    assert answer.status == 202 and not answer.keep and answer.headers[b"connection"] == b"close"
+    answer = kept.read_response()
+    assert answer.status == 202 and not answer.keep_alive and answer.headers[b"connection"] == b"close"
     assert not idle.receive()  # closed as that time is over
     assert world.hand_in("t3", "free", "200", 3) == 503
     until(lambda: world.process is None or world.process.poll() is not None)
@@ -54,7 +55,7 @@
     wire = world.connect()
     assert wire is not None
     wire.write(b"POST /api HTTP/1.1\r\n")
-    assert wire.read_answer().status == 503 and monotonic() - began < 3.45
+    assert wire.read_response().status == 503 and monotonic() - began < 3.45
     until(lambda: world.process is None or world.process.poll() is not None)
     assert world.process.returncode == 0 and monotonic() - began < 3.7
 
--- a/tests/support/server.py
+++ b/tests/support/server.py
@@ -9,7 +9,8 @@
 from gevent import socket
 
 from ashpath.server.http.client_listener import ClientListener
-from ashpath.server.http.codec import HttpConnection, encode_message
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
 from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 from support.world import LIMITS, World, until
 
--- a/tests/support/stages.py
+++ b/tests/support/stages.py
@@ -16,7 +16,8 @@
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.client_listener import ClientListener
-from ashpath.server.http.codec import HttpConnection, HttpMessage
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.messages import HttpRequest
 from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 from ashpath.server.timers import now
 from support.world import LIMITS, TERMS, TRACKS, World
@@ -54,7 +55,7 @@
             super().__init__(sock, LIMITS)
 
 
-def parsed(data: bytes) -> HttpMessage:
+def parsed(data: bytes) -> HttpRequest:
     near, far = socket.socketpair()
     far.sendall(data)
     return Pair(near).read_request()
--- a/tests/support/standalone.py
+++ b/tests/support/standalone.py
@@ -12,7 +12,7 @@
 
 from gevent import subprocess
 
-from ashpath.server.http.codec import encode_message
+from ashpath.server.http.encoding import encode_message
 from support.world import ROOT, World, until
 
 TRACKS = """
@@ -89,8 +89,8 @@
         wire = self.connect()
         assert wire is not None
         wire.write(encode_message(b"GET %s HTTP/1.1" % path.encode(), [], b""))
-        answer = wire.read_answer()
-        body = wire.finish_answer().body if answer.status == 200 else answer.body
+        answer = wire.read_response()
+        body = wire.finish_response().body if answer.status == 200 else answer.body
         wire.close()
         return json.loads(body) if answer.status == 200 else answer.status
 
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -14,13 +14,10 @@
 from gevent.server import StreamServer
 
 from ashpath.core.policy_settings import sender_settings
-from ashpath.server.http.codec import (
-    ConnectionClosedError,
-    HttpConnection,
-    HttpMessage,
-    ProtocolError,
-    encode_message,
-)
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.http.messages import HttpRequest
 from ashpath.server.limits import ServerLimits
 
 ROOT = Path(__file__).parent.parent.parent
@@ -157,7 +154,7 @@
             return 0
         try:
             wire.write(data)
-            return wire.read_answer().status
+            return wire.read_response().status
         except (OSError, ConnectionClosedError):
             return 0
         finally:
@@ -175,7 +172,7 @@
             pass
         wire.close()
 
-    def answer(self, wire: HttpConnection, call: HttpMessage) -> bool:
+    def answer(self, wire: HttpConnection, call: HttpRequest) -> bool:
         calls = self.calls.setdefault(call.headers[b"x-trace-id"].decode(), [])
         calls.append(call)
         words = call.body.decode().split()
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -16,7 +16,8 @@
 from test_switch import reread
 
 from ashpath.policy.engine import Breaker
-from ashpath.server.http.codec import dial, encode_message, host_header
+from ashpath.server.http.connection import open_connection
+from ashpath.server.http.encoding import encode_message, host_header
 from ashpath.server.metrics import MOST, PATIENCE, READERS, Metrics
 
 Where = tuple[str, int]
@@ -25,10 +26,10 @@
 
 def scrape(where: Where) -> dict[tuple[str, ...], float]:
     """Each sample by its name and the values of its labels, in the order of their names."""
-    wire = dial(where, LIMITS)
+    wire = open_connection(where, LIMITS)
     wire.write(encode_message(b"GET /metrics HTTP/1.1", [host_header(where), (b"Connection", b"close")], b""))
-    answer = wire.read_answer()
-    families = text_string_to_metric_families(wire.finish_answer().body.decode())
+    answer = wire.read_response()
+    families = text_string_to_metric_families(wire.finish_response().body.decode())
     wire.close()
     assert answer.status == 200
     samples = (one for family in families for one in family.samples)
