--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -68,7 +68,7 @@
         assert world.hand_in(f"{way}new", new, "200", 1) == 202
         assert world.hand_in("old", before.split()[0], "200", 1) == 400
         calls[f"{way}new"] = 1
-    assert "slots=64 " in (world.folder / "log").read_text(), "as many as there are connections"
+    assert "max_in_flight=64 " in (world.folder / "log").read_text(), "as many as there are connections"
     listed_anew(world, 6)
     until(lambda: all(world.count(name) for name in calls) and not live(world))
     assert not world.notices and {name: world.count(name) for name in calls} == calls
@@ -132,7 +132,7 @@
     world.configure()
     world.start()
     assert world.hand_in("a", "free", "200", 3) == 202
-    until(lambda: all(said in (world.folder / "log").read_text() for said in ("ailing", "not heard")))
+    until(lambda: all(said in (world.folder / "log").read_text() for said in ("ailing", "gossip not received")))
     taken.close()
     listed_anew(world, 3)
     other.settimeout(15)
