--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -132,7 +132,9 @@
     world.configure()
     world.start()
     assert world.hand_in("a", "free", "200", 3) == 202
-    until(lambda: all(said in (world.folder / "log").read_text() for said in ("ailing", "gossip not received")))
+    until(
+        lambda: all(said in (world.folder / "log").read_text() for said in ("ailing", "gossip not received"))
+    )
     taken.close()
     listed_anew(world, 3)
     other.settimeout(15)
