--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -17,9 +17,12 @@
 from ashpath.config.platform_form import below, notice_address, told
 from ashpath.config.rules import changes
 from ashpath.config.schema import Configuration
+from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.endpoint_registry import parse_address
-from ashpath.server.delivery.notification_file import FileNotifier, NullNotifier, RotatingFile
-from ashpath.server.delivery.notifier import HttpNotifier
+from ashpath.server.delivery.file_notifier import FileNotifier
+from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
+from ashpath.server.delivery.notifier import Notifier, NullNotifier
+from ashpath.server.delivery.rotating_file import RotatingFile
 from ashpath.server.http.status_api import StatusApi
 from ashpath.server.logs import LogFormat, create_logger
 from ashpath.server.runtime import SenderConfiguration, SenderProcess, StartupError
@@ -56,16 +59,15 @@
         self.titles = titles(given.plan)
         self.inquiry = self.listener.status_api = StatusApi(self.policy_runner, self.ends, names, self.titles)
 
-    def create_notifier(self, state: Path) -> tuple[Any, Any]:
+    def create_notifier(self, state: Path, backoff: Backoff) -> tuple[Notifier, Any]:
         limits, plan = self.limits, self.file.plan
         self.ends = OutcomeStore(
             state, limits.outcome_store_bytes, round(limits.outcome_retention_s * 1e6), self.log
         )
         receiver = notice_address(plan)
         if receiver is not None:
-            notices = HttpNotifier(parse_address(receiver[0]), limits, self.write_ahead_log, self.log)
-            self.direct(notices, receiver, self.file.notice_pass)
-            return notices, self.ends
+            target = notification_receiver(receiver, self.file.notice_pass)
+            return HttpNotifier(target, limits, self.write_ahead_log, self.log, backoff), self.ends
         if plan.notices.file:
             file = below(self.path.parent, plan.notices.file)
             try:
@@ -75,10 +77,6 @@
             return FileNotifier(lines, limits, self.write_ahead_log, self.log), self.ends
         return NullNotifier(self.write_ahead_log), self.ends
 
-    @staticmethod
-    def direct(notices: HttpNotifier, receiver: tuple[str, str], secret: bytes) -> None:
-        notices.path, notices.headers = receiver[1].encode(), [(CREDENTIAL_HEADER, secret)] if secret else []
-
     def number_traffic_classes(self, given: SenderConfiguration, held: bool) -> None:
         """Done before the ledger was opened, by the folder's imprint."""
 
@@ -111,8 +109,13 @@
             self.registry.receive_members(given.known_endpoints["members"], True)
         receiver = notice_address(given.plan)
         if isinstance(self.notifier, HttpNotifier) and receiver is not None:
-            self.direct(self.notifier, receiver, given.notice_pass)
-            self.notifier.move(parse_address(receiver[0]))
+            self.notifier.move(notification_receiver(receiver, given.notice_pass))
+
+
+def notification_receiver(receiver: tuple[str, str], credential: bytes) -> NotificationReceiver:
+    """`receiver`: an address and a path, as the file has them. `credential`: empty where it needs none."""
+    headers = [(CREDENTIAL_HEADER, credential)] if credential else []
+    return NotificationReceiver(parse_address(receiver[0]), receiver[1].encode(), headers)
 
 
 def titles(plan: Configuration) -> dict[int, str]:
--- a/ashpath/server/agent_client.py
+++ b/ashpath/server/agent_client.py
@@ -1,4 +1,8 @@
-"""Short calls to the platform's agent: the directory's watch and the notices."""
+"""Short calls to the platform's agent over one kept connection: polls of discovery, and notifications.
+
+A call that fails closes the connection, and its caller decides when to try again; nothing is tried again
+here.
+"""
 
 from __future__ import annotations
 
@@ -17,48 +21,57 @@
 
 
 class AgentConnection:
-    """One kept connection. A call that fails closes it; the caller tries again."""
+    """One kept connection, for one call at a time."""
 
     def __init__(self, address: Address, limits: ServerLimits) -> None:
-        self.address, self.limits = address, limits
+        self.address = address
+        self.limits = limits
         self.connection: HttpConnection | None = None
-        self.connected_address = address  # where the wire leads
+        self.connected_address = address  # where the connection leads, or is being dialled to
 
     def move(self, address: Address) -> None:
-        """From now on the agent is here: a call that is out fails, and its caller tries again."""
+        """The agent is at `address` from now on: a call that is in flight fails."""
         self.address = address
         if self.connection is not None:
             self.connection.close()
 
-    def call(self, first: bytes, body: bytes, patience: float, headers: Headers = ()) -> HttpResponse | None:
-        """The answer, or None if none came in time."""
+    def call(
+        self, request_line: bytes, body: bytes, timeout_s: float, headers: Headers = ()
+    ) -> HttpResponse | None:
+        """The response, or None where none that can be read came within `timeout_s`."""
         try:
-            with Timeout(patience):
-                if (
-                    self.connection is None
-                    or self.connected_address != self.address
-                    or not self.connection.is_quiet()
-                ):
-                    self.close()
-                    self.connected_address = (
-                        self.address
-                    )  # guards a dial to the old address while `move` comes
-                    self.connection = open_connection(self.connected_address, self.limits)
-                self.connection.write(
-                    encode_message(first, [host_header(self.connected_address), *headers], body)
-                )
-                answer = self.connection.read_response()
-                if not answer.well_formed:
-                    raise UnreadableResponseError
-                self.connection.finish_response()
+            with Timeout(timeout_s):
+                response = self.exchange(request_line, body, headers)
         except (OSError, ConnectionClosedError, ProtocolError, Timeout):
             self.close()
             return None
-        if not answer.keep_alive:
+        if not response.keep_alive:
             self.close()
-        return answer
+        return response
+
+    def exchange(self, request_line: bytes, body: bytes, headers: Headers) -> HttpResponse:
+        """Raises OSError, ConnectionClosedError and ProtocolError."""
+        connection = self.connect()
+        all_headers = [host_header(self.connected_address), *headers]
+        connection.write(encode_message(request_line, all_headers, body))
+        response = connection.read_response()
+        if not response.well_formed:
+            raise UnreadableResponseError
+        connection.finish_response()
+        return response
+
+    def connect(self) -> HttpConnection:
+        """The kept connection where it can still be used, else a new one. Raises OSError."""
+        kept = self.connection
+        if kept is not None and self.connected_address == self.address and kept.is_quiet():
+            return kept
+        self.close()
+        self.connected_address = self.address  # before the dial, as `move` may come while it waits
+        self.connection = open_connection(self.connected_address, self.limits)
+        return self.connection
 
     def close(self) -> None:
+        """Closes the kept connection, if there is one."""
         if self.connection is not None:
             self.connection.close()
             self.connection = None
--- a/ashpath/server/backoff.py
+++ b/ashpath/server/backoff.py
@@ -1,16 +1,18 @@
-"""Pauses between tries at the directory and at notices, free of I/O: chance comes in, seconds go out.
+"""How long to pause before a failed call is tried again, free of I/O: randomness comes in, seconds go out.
 
-In a fleet that was killed together every sender fails at the same moment; with one fixed pause they would
-all come back together, again and again, and the directory turns them away as one. So a pause doubles with
-each failure in a row, from `least` to `most`, and is a seeded lot over the last part, `spread`, of that. A
-wait that the far end told (`Retry-After`) is heeded up to two thirds of `most_told`, and the pause is
-then a lot from there up to `most_told`: the far end may have told all of them the same.
+Discovery and notifications share it. In a fleet that was killed together every sender's calls fail at the
+same moment; with one fixed pause they would all come back together, again and again, and be rejected as one.
+So a pause doubles with each failure in a row, from `min_s` to `max_s`, and its last part, `jitter`, is drawn.
+
+A Retry-After is heeded up to two thirds of `max_retry_after_s`, and the pause is then drawn from there up to
+`max_retry_after_s`: all senders may have been sent the same one.
 
 >>> from random import Random
->>> pause = Backoff(Random(1), least=0.1, most=0.8)
->>> [round(pause.next_pause(), 3) for _ in range(5)]
+>>> backoff = Backoff(Random(1), min_s=0.1, max_s=0.8)
+>>> [round(backoff.next_pause(), 3) for _ in range(5)]
 [0.057, 0.185, 0.353, 0.502, 0.598]
->>> pause.reset(); [round(pause.next_pause(told), 3) for told in (2.0, 2.0, 60.0)]
+>>> backoff.reset()
+>>> [round(backoff.next_pause(retry_after_s), 3) for retry_after_s in (2.0, 2.0, 60.0)]
 [3.629, 2.235, 4.254]
 """
 
@@ -18,24 +20,41 @@
 
 from random import Random
 
+DEFAULT_JITTER = 0.5  # the part of a pause that is drawn
+DEFAULT_MAX_RETRY_AFTER_S = 4.5
+MAX_COUNTED_FAILURES = 32  # keeps the doubling in the range of a float
+
 
 class Backoff:
+    """The pauses of one caller. `jitter` is the part of each that is drawn."""
+
     def __init__(
-        self, chance: Random, least: float, most: float, most_told: float = 4.5, spread: float = 0.5
+        self,
+        random: Random,
+        min_s: float,
+        max_s: float,
+        max_retry_after_s: float = DEFAULT_MAX_RETRY_AFTER_S,
+        jitter: float = DEFAULT_JITTER,
     ) -> None:
-        self.random, self.min_s, self.max_s, self.max_retry_after_s = chance, least, most, most_told
-        self.jitter = spread  # the part of a pause that is drawn
-        self.failures = 0  # failures in a row
-
-    def next_pause(self, told: float | None = None) -> float:
-        """Seconds to pause before the next try."""
-        self.failures = min(self.failures + 1, 32)
-        span = min(self.max_s, self.min_s * 2.0 ** (self.failures - 1))
-        pause = span * (1 - self.jitter * (1 - self.random.random()))
-        if told:
-            least = min(told, self.max_retry_after_s * 2 / 3)
-            pause = max(pause, least + (self.max_retry_after_s - least) * self.random.random())
+        self.random = random
+        self.min_s = min_s
+        self.max_s = max_s
+        self.max_retry_after_s = max_retry_after_s
+        self.max_heeded_s = max_retry_after_s * 2 / 3  # of a Retry-After
+        self.jitter = jitter
+        self.failures = 0  # in a row
+
+    def next_pause(self, retry_after_s: float | None = None) -> float:
+        """Counts one more failure; seconds to pause before the next try."""
+        self.failures = min(self.failures + 1, MAX_COUNTED_FAILURES)
+        longest = min(self.max_s, self.min_s * 2.0 ** (self.failures - 1))
+        pause = longest * (1 - self.jitter * (1 - self.random.random()))
+        if retry_after_s:
+            shortest = min(retry_after_s, self.max_heeded_s)
+            drawn = shortest + (self.max_retry_after_s - shortest) * self.random.random()
+            pause = max(pause, drawn)
         return pause
 
     def reset(self) -> None:
+        """The last try succeeded."""
         self.failures = 0
--- a/ashpath/server/control/commands.py
+++ b/ashpath/server/control/commands.py
@@ -3,9 +3,35 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
-from ashpath.server.control.protocol import OperatorCommand
+
+class Verb(Enum):
+    """The first word of a command, as on the wire."""
+
+    PING = "PING"  # does the sender serve?
+    DETACH = "DETACH"  # take an endpoint out of service for this sender, whatever the endpoint list says
+    ATTACH = "ATTACH"  # undo DETACH
+    LAMEDUCK = "LAMEDUCK"  # report not ready and drain clients, but go on serving
+    REJOIN = "REJOIN"  # undo LAMEDUCK
+
+
+ENDPOINT_VERBS = frozenset({Verb.DETACH, Verb.ATTACH})  # take an endpoint id as their one argument
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorCommand:
+    """A command; one that names an endpoint is an `EndpointCommand`."""
+
+    verb: Verb
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointCommand(OperatorCommand):
+    """A command on one endpoint: its verb is one of `ENDPOINT_VERBS`."""
+
+    endpoint_id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,5 +46,5 @@
     """Carries out operators' commands."""
 
     def handle(self, command: OperatorCommand) -> CommandResult:
-        """Carries out one command. It must not wait: the caller's greenlet is within its time limit."""
+        """Carries out one command. It must not wait: no time limit covers it."""
         ...
--- a/ashpath/server/control/protocol.py
+++ b/ashpath/server/control/protocol.py
@@ -1,68 +1,92 @@
-"""The control address's line protocol, free of I/O: bytes in, a call or a reason out; an answer to bytes.
+"""The line protocol of the control address, free of I/O: bytes to a command, a result to bytes.
 
-One line a connection: a call, a space and an argument where it takes one, ended by LF (CR LF too). The
-answer is one line that begins with `OK` or `ERR`, and a reason after `ERR`.
+An operator sends one line and reads one line; then the connection ends.
 
->>> read(b"DETACH ep-7\\r\\n")
-OperatorCommand(name='DETACH', argument='ep-7')
->>> read(b"PIN") is None
+    request = verb [ SP endpoint-id ] [ CR ] LF     at most 256 bytes, printable ASCII, the verb in any case
+    answer  = ( "OK" / "ERR" ) [ SP text ] LF       at most 256 bytes
+
+What stands behind the first LF is not read. docs/on-call.md has the commands for operators.
+
+>>> parse_command(b"DETACH ep-7\\r\\n")
+EndpointCommand(verb=<Verb.DETACH: 'DETACH'>, endpoint_id='ep-7')
+>>> parse_command(b"PIN") is None
 True
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from ashpath.server.control.commands import (
+    ENDPOINT_VERBS,
+    CommandResult,
+    EndpointCommand,
+    OperatorCommand,
+    Verb,
+)
+from ashpath.server.control.errors import (
+    ArgumentCountError,
+    ControlCharacterError,
+    EmptyLineError,
+    LineTooLongError,
+    NotAsciiError,
+    UnknownVerbError,
+)
 
-LONGEST = 256  # bytes of a line, its end included
-TAKES = {"PING": False, "DETACH": True, "ATTACH": True, "LAMEDUCK": False, "REJOIN": False}  # an argument?
+MAX_LINE_BYTES = 256  # of a request or an answer, its end included
+MAX_TEXT_BYTES = MAX_LINE_BYTES - 8  # of an answer, behind its first word and before its end
 
 
-@dataclass(frozen=True, slots=True)
-class OperatorCommand:
-    name: str
-    argument: str | None = None
+def parse_command(received: bytes) -> OperatorCommand | None:
+    """The command in all that an operator has sent so far; None while its line is not whole.
 
+    Raises InvalidCommandError: its types say what is wrong."""
+    line = complete_line(received)
+    if line is None:
+        return None
+    words = decode_line(line).split()
+    if not words:
+        raise EmptyLineError
+    return build_command(words[0], words[1:])
 
-class InvalidCommandError(ValueError):
-    """The line is no call; its words are the reason that the answer gives."""
 
+def complete_line(received: bytes) -> bytes | None:
+    """The first line without its end; None while it is not whole. Raises LineTooLongError."""
+    end = received.find(b"\n")
+    length = len(received) if end < 0 else end
+    if length >= MAX_LINE_BYTES:
+        raise LineTooLongError(MAX_LINE_BYTES)
+    return None if end < 0 else received[:end].removesuffix(b"\r")
 
-def read(data: bytes) -> OperatorCommand | None:
-    """The call in what a caller sent so far; None while the line is not whole.
 
-    Raises Unreadable: a line too long, not ASCII, an unknown call, or one with a wrong count of arguments."""
-    end = data.find(b"\n")
-    if end < 0:
-        if len(data) >= LONGEST:
-            raise InvalidCommandError(f"line longer than {LONGEST} bytes")
-        return None
-    if end >= LONGEST:
-        raise InvalidCommandError(f"line longer than {LONGEST} bytes")
-    line = data[:end].removesuffix(b"\r")
+def decode_line(line: bytes) -> str:
+    """Raises NotAsciiError and ControlCharacterError."""
     try:
         text = line.decode("ascii")
-    except UnicodeDecodeError:
-        raise InvalidCommandError("line is not ASCII") from None
+    except UnicodeDecodeError as error:
+        raise NotAsciiError from error
     if not text.isprintable():
-        raise InvalidCommandError("line holds control characters")
-    words = text.split()
-    if not words:
-        raise InvalidCommandError("empty line")
-    name, arguments = words[0].upper(), words[1:]
-    if name not in TAKES:
-        raise InvalidCommandError(f"unknown call {words[0][:32]!r}")
-    if len(arguments) != TAKES[name]:
-        raise InvalidCommandError(
-            f"{name} takes {'one argument, an endpoint id' if TAKES[name] else 'no argument'}"
-        )
-    return OperatorCommand(name, arguments[0] if arguments else None)
+        raise ControlCharacterError
+    return text
+
+
+def build_command(name: str, arguments: list[str]) -> OperatorCommand:
+    """Raises UnknownVerbError and ArgumentCountError."""
+    try:
+        verb = Verb(name.upper())
+    except ValueError as error:
+        raise UnknownVerbError(name) from error
+    takes_endpoint = verb in ENDPOINT_VERBS
+    if len(arguments) != int(takes_endpoint):
+        raise ArgumentCountError(verb.value, takes_endpoint=takes_endpoint)
+    return EndpointCommand(verb, arguments[0]) if takes_endpoint else OperatorCommand(verb)
 
 
-def answer(ok: bool, words: str = "") -> bytes:
-    """One line. `words` is cut to what fits and loses what would break the line.
+def encode_result(result: CommandResult) -> bytes:
+    """The line that answers a command. Its message is cut to what fits and loses what would break the line.
 
-    >>> answer(False, "unknown endpoint ep-9")
+    >>> encode_result(CommandResult(succeeded=False, message="unknown endpoint ep-9"))
     b'ERR unknown endpoint ep-9\\n'
     """
-    text = " ".join(words.encode("ascii", "replace").decode("ascii").split())[: LONGEST - 8]
-    return (b"OK" if ok else b"ERR") + (b" " + text.encode("ascii") if text else b"") + b"\n"
+    ascii_message = result.message.encode("ascii", "replace").decode("ascii")
+    text = " ".join(ascii_message.split())[:MAX_TEXT_BYTES]
+    status = "OK" if result.succeeded else "ERR"
+    return f"{status} {text}\n".encode() if text else f"{status}\n".encode()
--- /dev/null
+++ b/ashpath/server/delivery/file_notifier.py
@@ -0,0 +1,54 @@
+"""Writes notifications to a file, a line of JSON each, for senders without a platform.
+
+A batch that cannot be written stays pending, and is tried again. A kill between a line and the write-ahead
+log's record of it repeats the line: the same id, the same status.
+"""
+
+from __future__ import annotations
+
+import gevent
+
+from ashpath.server.delivery.notifier import PendingNotifications, encode_batch
+from ashpath.server.delivery.rotating_file import RotatingFile
+from ashpath.server.limits import ServerLimits
+from ashpath.server.logs import Logger
+from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+
+
+class FileNotifier(PendingNotifications):
+    """A `Notifier` whose receiver is a file."""
+
+    def __init__(
+        self, file: RotatingFile, limits: ServerLimits, write_ahead_log: WriteAheadLog, logger: Logger
+    ) -> None:
+        super().__init__(write_ahead_log)
+        self.file = file
+        self.limits = limits
+        self.logger = logger
+        self.failing = False  # the last write failed, and that was logged
+
+    def run(self) -> None:
+        """Writes until the process ends."""
+        self.failing = False
+        while True:
+            batch = self.wait_for_batch(self.limits.notification_batch)
+            try:
+                self.file.append(encode_batch(batch))
+            except OSError as error:
+                self.write_failed(error)
+                gevent.sleep(self.limits.retry_s)
+            else:
+                self.write_succeeded(batch)
+
+    def write_failed(self, error: OSError) -> None:
+        """Logs the first failure in a row."""
+        if not self.failing:
+            self.logger.error("notifications not written", error=str(error), pending=len(self.pending))
+        self.failing = True
+
+    def write_succeeded(self, batch: list[StoredMessage]) -> None:
+        """Logs the end of a failure, and lets go of the batch."""
+        if self.failing:
+            self.logger.info("notifications written again", pending=len(self.pending))
+        self.failing = False
+        self.acknowledge(batch)
--- a/ashpath/server/delivery/notifier.py
+++ b/ashpath/server/delivery/notifier.py
@@ -1,102 +1,123 @@
-"""Tells the platform of envelopes that were taken on and will not be delivered, until it has heard."""
+"""Who is notified of a message that was accepted and will not be delivered: the interface, and what is
+pending.
+
+A message that ends after its 202, rejected or failed, is owed a notification. It stays in the write-ahead log
+until its receiver has the notification, so that a kill repeats it and never loses it. Three notifiers differ
+in the receiver: `http_notifier` (the platform's agent, or an address), `file_notifier` (a file), and
+`NullNotifier` (nobody). Where there is one, messages of the same ordering key wait for it: see
+`next_acknowledgement`.
+"""
 
 from __future__ import annotations
 
 from collections import OrderedDict
 from itertools import islice
-from random import Random
-from typing import Any
+from typing import Protocol
 
-import gevent
 import orjson
 from gevent.event import Event
 
-from ashpath.server import wire_names
-from ashpath.server.agent_client import AgentConnection
-from ashpath.server.backoff import Backoff
-from ashpath.server.delivery.connection_pool import Address
-from ashpath.server.limits import ServerLimits
 from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 
-TAKEN = (204, 200)  # the platform answers the first; other receivers may answer the second
-
 
-def notice(entry: StoredMessage, status: str, again_ms: int = 0) -> str:
-    """One line.
+def encode_notification(message: StoredMessage, status: str, retry_after_ms: int = 0) -> str:
+    """The line of JSON that notifies of a message's end; its names are those of the protocol.
 
-    >>> notice(StoredMessage(1, "9b1f", 0, 0, None, None, 0, b""), "deferred", 500)
+    >>> encode_notification(StoredMessage(1, "9b1f", 0, 0, None, None, 0, b""), "deferred", 500)
     '{"id":"9b1f","status":"deferred","again_ms":500}'
     """
-    told = {"id": entry.trace_id, "status": status}
-    return orjson.dumps(told | {"again_ms": again_ms} if again_ms else told).decode()
+    fields: dict[str, str | int] = {"id": message.trace_id, "status": status}
+    if retry_after_ms:
+        fields["again_ms"] = retry_after_ms
+    return orjson.dumps(fields).decode()
+
+
+class Notifier(Protocol):
+    """Notifies of messages that ended after their 202, and then lets the write-ahead log forget them."""
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether a notification is still to be sent, or to be acknowledged."""
+        ...
+
+    def add(self, message: StoredMessage) -> None:
+        """Takes on a message that has ended; its `notice` is the line to send."""
+        ...
+
+    def next_acknowledgement(self, message: StoredMessage) -> Event | None:
+        """What the next acknowledgement sets, where a notification of `message`'s ordering key is pending."""
+        ...
+
+    def run(self) -> None:
+        """Sends until the process ends."""
+        ...
 
 
 class PendingNotifications:
-    """Ends that are not told yet: `waiting` is emptied as they have been."""
+    """What is not acknowledged yet, oldest first: a message leaves as its notification is acknowledged.
+
+    What the notifiers with a receiver have in common: each adds `run`."""
 
-    def __init__(self) -> None:
+    def __init__(self, write_ahead_log: WriteAheadLog) -> None:
+        self.write_ahead_log = write_ahead_log
         self.pending: OrderedDict[StoredMessage, None] = OrderedDict()
-        self.has_pending, self.delivered = (
-            Event(),
-            Event(),
-        )  # the second is set as it is waited for, by the next one told
-
-    def add(self, entry: StoredMessage) -> None:
-        self.pending[entry] = None
-        self.has_pending.set()
-
-    def acknowledged(self, batch: list[StoredMessage], ledger: WriteAheadLog) -> None:
-        for entry in batch:
-            del self.pending[entry]
-            ledger.record_finished(entry)
-        self.delivered.set()
-
-    def pending_for(self, entry: StoredMessage) -> Event | None:
-        """What tells of the next end heard, if one of the same key is still to be."""
-        if any(entry.ordering_key == other.ordering_key for other in self.pending):
-            self.delivered.clear()
-            return self.delivered
+        self.not_empty = Event()
+        self.acknowledged = Event()  # cleared by who begins to wait for it
+
+    @property
+    def has_pending(self) -> bool:
+        """Whether one is not acknowledged yet."""
+        return bool(self.pending)
+
+    def add(self, message: StoredMessage) -> None:
+        """One more; the call does not wait."""
+        self.pending[message] = None
+        self.not_empty.set()
+
+    def wait_for_batch(self, max_messages: int) -> list[StoredMessage]:
+        """The oldest ones, at least one and at most `max_messages`. They stay pending."""
+        while True:
+            self.not_empty.wait()
+            batch = list(islice(self.pending, max_messages))
+            if batch:
+                return batch
+            self.not_empty.clear()
+
+    def acknowledge(self, batch: list[StoredMessage]) -> None:
+        """The receiver has them."""
+        for message in batch:
+            del self.pending[message]
+            self.write_ahead_log.record_finished(message)
+        self.acknowledged.set()
+
+    def next_acknowledgement(self, message: StoredMessage) -> Event | None:
+        """What the next acknowledgement sets, where a notification of `message`'s ordering key is pending."""
+        if any(message.ordering_key == other.ordering_key for other in self.pending):
+            self.acknowledged.clear()
+            return self.acknowledged
         return None
 
 
-class HttpNotifier(PendingNotifications):
-    def __init__(self, address: Address, limits: ServerLimits, ledger: WriteAheadLog, log: Any) -> None:
-        super().__init__()
-        self.path, self.headers = wire_names.NOTIFICATION_PATH, list[tuple[bytes, bytes]]()
-        self.connection, self.limits, self.write_ahead_log, self.log = (
-            AgentConnection(address, limits),
-            limits,
-            ledger,
-            log,
-        )
-        self.backoff = Backoff(
-            Random(0), limits.retry_s, limits.notification_backoff_s
-        )  # the start seeds its own
+def encode_batch(batch: list[StoredMessage]) -> bytes:
+    """A line for each."""
+    return "".join(f"{message.notice}\n" for message in batch).encode()
+
 
-    def move(self, address: Address) -> None:
-        self.connection.move(address)
+class NullNotifier:
+    """Nobody is notified: the status API answers who asks for a message's end."""
+
+    has_pending = False
+
+    def __init__(self, write_ahead_log: WriteAheadLog) -> None:
+        self.write_ahead_log = write_ahead_log
+
+    def add(self, message: StoredMessage) -> None:
+        """Lets the write-ahead log forget it at once."""
+        self.write_ahead_log.record_finished(message)
+
+    def next_acknowledgement(self, message: StoredMessage) -> None:
+        """Nothing is ever waited for."""
 
     def run(self) -> None:
-        most = self.limits.notification_batch
-        while True:
-            self.has_pending.wait()
-            batch = list(islice(self.pending, most))
-            if not batch:
-                self.has_pending.clear()
-                continue
-            body = "".join(f"{entry.notice}\n" for entry in batch).encode()
-            answer = self.connection.call(
-                b"POST %s HTTP/1.1" % self.path, body, self.limits.notification_s, self.headers
-            )
-            # One line that cannot be read must not hold up the rest: then each goes alone.
-            unread = answer is not None and answer.status == 400
-            if (answer is not None and answer.status in TAKEN) or (unread and len(batch) == 1):
-                if unread:
-                    self.log.error("notification not accepted", line=batch[0].notice)
-                self.acknowledged(batch, self.write_ahead_log)
-                most = self.limits.notification_batch
-                self.backoff.reset()
-            elif unread:
-                most = 1
-            else:  # short: a notice owed is due within its time
-                gevent.sleep(self.backoff.next_pause())
+        """Nothing is ever sent."""
+        Event().wait()
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -6,7 +6,7 @@
 
 from ashpath.core.interface import AttemptOutcome
 from ashpath.server import wire_names
-from ashpath.server.delivery.notifier import notice
+from ashpath.server.delivery.notifier import encode_notification
 from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 
 
@@ -49,10 +49,12 @@
             self.write_ahead_log.record_outcome(entry, may_have_run)
 
     def rejected(self, entry: StoredMessage, come_back: int) -> None:
-        self.finish(entry, come_back, notice(entry, wire_names.REJECTED_STATUS, come_back // 1000))
+        self.finish(
+            entry, come_back, encode_notification(entry, wire_names.REJECTED_STATUS, come_back // 1000)
+        )
 
     def failed(self, entry: StoredMessage) -> None:
-        self.finish(entry, -1, notice(entry, wire_names.FAILED_STATUS))
+        self.finish(entry, -1, encode_notification(entry, wire_names.FAILED_STATUS))
 
     def store(self, entry: StoredMessage, state: str, come_back: int = 0) -> None:
         """Before the ledger lets go of it: a kill in between leaves both."""
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -1,63 +1,68 @@
-"""Follows the directory: a watch that is asked for anew at once, and outlasts silence."""
+"""Follows the endpoint list of the platform's agent: one poll at a time, renewed at once, through any
+failure.
+
+A poll with a revision is a watch: the agent answers as soon as its list is another, or after `watch_s`. A
+poll without one is answered at once by a snapshot. What a poll comes to, and when the next one follows, is
+the table of `state`. Whatever became of a poll, the next is on its way before 6 s are over: a change counts
+as received by then, once the agent had it and could be reached (see docs/architecture.md, "Lists").
+
+Two backoffs, as two kinds of failure have opposite needs. Silence and refused connections are an outage,
+whose end is to be seen soon: short pauses. An agent that rejects has more polls than it can answer: a try
+sooner than it takes to reject one is the next such poll, so pauses are long. Both guard it against a fleet
+that failed together and would come back together.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from contextlib import suppress
 from random import Random
 from time import monotonic
-from typing import Any
 
 import gevent
-import orjson
 
 from ashpath.server import wire_names
 from ashpath.server.agent_client import AgentConnection
 from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.delivery.response_classifier import number
+from ashpath.server.discovery.errors import DiscoveryError
+from ashpath.server.discovery.pause import InterruptiblePause
+from ashpath.server.discovery.snapshot import MembershipListener, parse_response
+from ashpath.server.discovery.state import DiscoveryState, DiscoveryStateLog
 from ashpath.server.http.messages import HttpResponse
 from ashpath.server.limits import ServerLimits
+from ashpath.server.logs import Logger
 
-Hear = Callable[[list[dict[str, Any]], bool], bool]
-
-
-class Moved(Exception):
-    """The directory is elsewhere from now on."""
+OK_STATUS = 200
+REJECTING_STATUSES = frozenset({429, 503})
 
 
 class DiscoveryClient:
-    """`first`: seconds to wait with the first call, while the list as last held serves. A change between
-    answers, calls turned away, silence, and lists that cannot be read is logged once.
+    """Polls one agent and reports to `listener`.
 
-    Whatever became of a call, the next one is on its way before 6 s are over: a change counts as told by
-    then, once the directory had it and could be reached."""
+    `revision`: of the list that the configuration brought. `first_poll_delay_s`: seconds to wait with the
+    first poll, while that list serves."""
 
     def __init__(
         self,
         address: Address,
         limits: ServerLimits,
         revision: int,
-        hear: Hear,
-        chance: Random,
-        log: Any,
-        first: float = 0.0,
+        listener: MembershipListener,
+        random: Random,
+        logger: Logger,
+        first_poll_delay_s: float = 0.0,
     ) -> None:
-        self.log, self.state, self.calls_in_state = log, "answers", 0  # since the last change of state
-        self.connection, self.limits, self.on_members, self.first_poll_delay = (
-            AgentConnection(address, limits),
-            limits,
-            hear,
-            first,
-        )
-        self.last_response_at = monotonic()  # or begun
-        self.pausing: Any = None  # the greenlet that sits out a pause
-        self.revision: int | None = revision  # none: the whole list is asked for
-        # Silence and refused connections are an outage, whose end is to be seen soon. A call turned away is
-        # more than the directory can answer: a try sooner than it takes to give up on one is the next such.
-        self.silent_backoff = Backoff(chance, limits.retry_s, limits.discovery_backoff_s)
+        self.connection = AgentConnection(address, limits)
+        self.limits = limits
+        self.revision: int | None = revision  # polled for next; None: a snapshot
+        self.listener = listener
+        self.first_poll_delay_s = first_poll_delay_s
+        self.last_response_at = monotonic()  # when a list was last read; before that, the start
+        self.pause = InterruptiblePause()
+        self.state_log = DiscoveryStateLog(logger)
+        self.silent_backoff = Backoff(random, limits.retry_s, limits.discovery_backoff_s)
         self.rejected_backoff = Backoff(
-            chance,
+            random,
             limits.watch_s,
             limits.discovery_rejected_backoff_s,
             limits.discovery_rejected_backoff_s,
@@ -65,90 +70,96 @@
         )
 
     def move(self, address: Address) -> None:
-        """Another agent may count its revisions anew, and have missed or told what the old one had not. What
-        the old one still answers is not read, and no pause that it caused is sat out."""
+        """The agent is at `address` from now on.
+
+        It may count revisions anew, and have missed or reported what the old one had not: a snapshot is
+        polled for. What the old one still answers is not read, and no pause that it caused is sat out."""
         self.revision = None
         if address != self.connection.address:
             self.silent_backoff.reset()
             self.rejected_backoff.reset()
-            if self.pausing is not None:
-                gevent.kill(self.pausing, Moved)  # at its next switch
+            self.pause.interrupt()
         self.connection.move(address)
 
-    def pause(self, seconds: float) -> None:
-        self.pausing = gevent.getcurrent()
-        with suppress(Moved):
-            gevent.sleep(seconds)
-        self.pausing = None
-
-    def poll(self, patience: float) -> HttpResponse | None:
-        """One call, and whether its answer was a list that could be read is said by `self.revision`."""
-        wait = int(self.limits.watch_s * 1000)
-        watch = b"" if self.revision is None else b"?index=%d&wait=%d" % (self.revision, wait)
-        return self.connection.call(
-            b"GET %s%s HTTP/1.1" % (wire_names.ENDPOINT_LIST_PATH, watch), b"", patience
-        )
-
     def initial_snapshot(self) -> None:
-        """Before anything is sent: what the platform's agent has by now counts as told from the first moment
-        of the process, and `known` may be old. Where it does not answer at once, `known` serves."""
+        """Polls once, before anything is sent: what the agent has by now counts as received from the first
+        moment of the process, and the configuration's list may be old. Where no answer comes at once, that
+        list serves."""
         self.revision = None
-        answer = self.poll(self.limits.initial_snapshot_s)
-        if answer is not None and answer.status == 200 and self.apply_response(answer.body):
-            self.first_poll_delay = 0.0
+        response = self.poll(self.limits.initial_snapshot_s)
+        if self.apply_if_list(response):
+            self.first_poll_delay_s = 0.0
 
     def run(self) -> None:
-        gevent.sleep(self.first_poll_delay)
+        """Polls until the process ends."""
+        gevent.sleep(self.first_poll_delay_s)
         while True:
-            asked = self.connection.address
-            answer = self.poll(self.limits.watch_s + self.limits.watch_grace_s)
-            if asked != self.connection.address:
-                continue
-            if answer is not None and answer.status == 200 and self.apply_response(answer.body):
-                self.last_response_at = monotonic()
-                self.silent_backoff.reset()
-                self.rejected_backoff.reset()
-                self.log_state("answers", answer)
-                continue
-            if answer is None:
-                self.revision = None  # who answers next may have begun anew, and count its revisions anew
-            # Guards the directory against a fleet that failed together and would come back together.
-            if answer is not None and answer.status in (429, 503):
-                self.log_state("turns calls away", answer)
-                self.pause(
-                    self.rejected_backoff.next_pause(
-                        number(answer.headers.get(wire_names.RETRY_AFTER_HEADER))
-                    )
-                )
-            else:
-                self.log_state("silent" if answer is None else "not read", answer)
-                self.pause(self.silent_backoff.next_pause())
-
-    def log_state(self, state: str, answer: HttpResponse | None) -> None:
-        self.calls_in_state += 1
-        if state != self.state:
-            status = answer.status if answer is not None else 0
-            revision = self.revision or 0
-            self.log.info("discovery", now=state, status=status, tries=self.calls_in_state, revision=revision)
-            self.state, self.calls_in_state = state, 0
+            self.poll_and_pause()
+
+    def poll_and_pause(self) -> None:
+        """One poll, its state, and the pause behind it."""
+        polled_address = self.connection.address
+        response = self.poll(self.limits.watch_s + self.limits.watch_grace_s)
+        if polled_address != self.connection.address:
+            return  # moved meanwhile
+        state = self.next_state(response)
+        if state is DiscoveryState.ANSWERING:
+            self.last_response_at = monotonic()
+            self.silent_backoff.reset()
+            self.rejected_backoff.reset()
+        elif state is DiscoveryState.SILENT:
+            self.revision = None  # whoever answers next may have begun anew, and count its revisions anew
+        status = 0 if response is None else response.status
+        self.state_log.poll_ended(state, status, self.revision or 0)
+        if state is not DiscoveryState.ANSWERING:
+            self.pause.sleep(self.pause_length(state, response))
+
+    def poll(self, timeout_s: float) -> HttpResponse | None:
+        """The response, or None where none came in time."""
+        query = b""
+        if self.revision is not None:
+            query = b"?index=%d&wait=%d" % (self.revision, int(self.limits.watch_s * 1000))
+        request_line = b"GET %s%s HTTP/1.1" % (wire_names.ENDPOINT_LIST_PATH, query)
+        return self.connection.call(request_line, b"", timeout_s)
+
+    def next_state(self, response: HttpResponse | None) -> DiscoveryState:
+        """What a poll came to; a list that can be read has been applied then."""
+        if response is None:
+            return DiscoveryState.SILENT
+        if self.apply_if_list(response):
+            return DiscoveryState.ANSWERING
+        if response.status in REJECTING_STATUSES:
+            return DiscoveryState.REJECTING
+        return DiscoveryState.UNREADABLE
+
+    def pause_length(self, state: DiscoveryState, response: HttpResponse | None) -> float:
+        """Seconds to the next poll."""
+        if state is DiscoveryState.REJECTING and response is not None:
+            retry_after_s = number(response.headers.get(wire_names.RETRY_AFTER_HEADER))
+            return self.rejected_backoff.next_pause(retry_after_s)
+        return self.silent_backoff.next_pause()
+
+    def apply_if_list(self, response: HttpResponse | None) -> bool:
+        """Whether the response was a list that could be read; it has been applied then."""
+        if response is None or response.status != OK_STATUS:
+            return False
+        return self.apply_response(response.body)
 
     def apply_response(self, body: bytes) -> bool:
-        """Takes the list or its changes; False where that cannot be read. Guards against a directory that
-        has lost its list: one without any endpoint is not believed, and what was last told serves on.
+        """Reports a snapshot or an update to the listener; False where it cannot be read or believed.
 
-        Changes of which a line was spoilt, and changes counted from an earlier revision than ours, say less
-        than was changed: the whole list is asked for next."""
+        An update with a row that could not be read, and one counted from an earlier revision than ours, say
+        less than was changed: a snapshot is polled for next."""
         try:
-            told = orjson.loads(body)
-            rows, whole, revision = told["members"], told["complete"], int(told["revision"])
-            if not isinstance(rows, list) or not isinstance(whole, bool):
-                return False
-        except (ValueError, KeyError, TypeError, OverflowError):
-            return False
-        if whole and not rows:
+            response = parse_response(body)
+        except DiscoveryError:
             return False
-        before, self.revision = self.revision, None
-        sound = self.on_members(rows, whole) if rows else True
-        if whole or (sound and (before is None or revision >= before)):
-            self.revision = revision
+        previous_revision = self.revision
+        self.revision = None  # also where the listener fails
+        every_row_read = True
+        if response.rows:
+            every_row_read = self.listener.receive_members(response.rows, whole=response.complete)
+        in_sequence = previous_revision is None or response.revision >= previous_revision
+        if response.complete or (every_row_read and in_sequence):
+            self.revision = response.revision
         return True
--- /dev/null
+++ b/ashpath/server/discovery/state.py
@@ -0,0 +1,46 @@
+"""How polls for the endpoint list end, and one log line for each change between the four.
+
+| a poll ended with                   | state      | next poll is for   | and begins                  |
+| ----------------------------------- | ---------- | ------------------ | --------------------------- |
+| a list that could be read           | ANSWERING  | changes since it   | at once: it is the watch    |
+| 429 or 503                          | REJECTING  | the same as before | after the long backoff      |
+| another status, or no readable list | UNREADABLE | the same as before | after the short backoff     |
+| no connection, or nothing in time   | SILENT     | a snapshot         | after the short backoff     |
+| the agent moved meanwhile           | as before  | a snapshot         | at once, at the new address |
+
+A list whose rows could not all be read, or that skips changes, is followed by a poll for a snapshot as well.
+Each state is reached from each.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from ashpath.server.logs import Logger
+
+
+class DiscoveryState(Enum):
+    """How the last poll ended; the value stands in the log line."""
+
+    ANSWERING = "answers"
+    REJECTING = "turns calls away"
+    UNREADABLE = "not read"
+    SILENT = "silent"
+
+
+class DiscoveryStateLog:
+    """Logs a change of state once, with the number of polls since the change before it."""
+
+    def __init__(self, logger: Logger) -> None:
+        self.logger = logger
+        self.state = DiscoveryState.ANSWERING
+        self.polls = 0  # since the last change of state
+
+    def poll_ended(self, state: DiscoveryState, status: int, revision: int) -> None:
+        """`status`: of the response, 0 where none came. `revision`: polled for next, 0 for a snapshot."""
+        self.polls += 1
+        if state is self.state:
+            return
+        self.logger.info("discovery", now=state.value, status=status, tries=self.polls, revision=revision)
+        self.state = state
+        self.polls = 0
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -25,13 +25,13 @@
 from ashpath.core.settings_alignment import align_order
 from ashpath.core.traffic_class_ids import number_traffic_classes
 from ashpath.server.backoff import Backoff
-from ashpath.server.control.commands import CommandResult
+from ashpath.server.control.commands import CommandResult, EndpointCommand, OperatorCommand, Verb
 from ashpath.server.control.listener import ControlListener
-from ashpath.server.control.protocol import OperatorCommand
 from ashpath.server.delivery.attempts import AttemptRunner
 from ashpath.server.delivery.connection_pool import Address, ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry, parse_address
-from ashpath.server.delivery.notifier import HttpNotifier
+from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
+from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.discovery.client import DiscoveryClient
@@ -144,7 +144,9 @@
         board = SharedMemory(state, places)
         if board.own is None:
             log.error("no shared memory: Retry-After and detached endpoints of this process bind no other")
-        self.notifier, ends = self.create_notifier(state)
+        seed = f"{given.policy_settings.seed}/{listen}"  # senders of one fleet differ by their address
+        backoff = Backoff(Random(seed + "/n"), limits.retry_s, limits.notification_backoff_s)
+        self.notifier, ends = self.create_notifier(state, backoff)
         self.pool = ConnectionPool(limits)
         self.registry = EndpointRegistry(given.kinds, given.zones, self.pool, log)
         book = OutcomeRecorder(self.write_ahead_log, self.notifier, ends)
@@ -166,7 +168,7 @@
         )
         self.attempt_runner.still_valid, self.attempt_runner.pending_notification = (
             self.policy_runner.still_valid,
-            self.notifier.pending_for,
+            self.notifier.next_acknowledgement,
         )
         self.admission = Admission(
             terms, given.traffic_class_ids, self.registry, self.policy_runner, book, log
@@ -178,19 +180,17 @@
         control = control or given.control
         self.control = control and ControlListener(parse_address(control), limits, self, log)
         self.inherited = inherited  # the platform's listening socket, handed down
-        seed = f"{given.policy_settings.seed}/{listen}"  # senders of one fleet differ by their address
         # Guards the directory against a fleet that starts at once. In a hot upgrade a sender starts alone.
         turn = terms.sender_index * min(limits.first_poll_spacing_s, limits.watch_s / terms.sender_count)
         self.discovery = given.platform_address and DiscoveryClient(
             given.platform_address,
             limits,
             revision,
-            self.registry.receive_members,
+            self.registry,
             Random(seed + "/d"),
             log,
             turn if inherited is None else 0.0,
         )
-        self.notifier.backoff = Backoff(Random(seed + "/n"), limits.retry_s, limits.notification_backoff_s)
         try:
             self.configure_metrics(given.metrics_listen)
         except OSError as error:
@@ -199,12 +199,11 @@
                 raise StartupError(f"metrics.listen: {where}: {error.strerror or error}") from None
             gevent.spawn(self.retry_metrics)  # the process beside this one has it until it ends
 
-    def create_notifier(self, state: Path) -> tuple[Any, Any]:
+    def create_notifier(self, state: Path, backoff: Backoff) -> tuple[Notifier, Any]:
         """Who is told of ends after the 202, and who keeps them for clients that ask."""
         assert self.configuration.platform_address is not None
-        return HttpNotifier(
-            self.configuration.platform_address, self.limits, self.write_ahead_log, self.log
-        ), None
+        receiver = NotificationReceiver(self.configuration.platform_address)
+        return HttpNotifier(receiver, self.limits, self.write_ahead_log, self.log, backoff), None
 
     def services(self) -> list[Callable[[], None]]:
         """What runs beside one another until the end."""
@@ -271,7 +270,8 @@
         self.log.info("configuration read", discovery=given.discovery, needs_restart=later)
         if self.discovery is not None and given.platform_address is not None:
             self.discovery.move(given.platform_address)
-            self.notifier.move(given.platform_address)
+            if isinstance(self.notifier, HttpNotifier):
+                self.notifier.move(NotificationReceiver(given.platform_address))
         self.apply_settings(given)
 
     def apply_settings(self, given: SenderConfiguration) -> None:
@@ -371,27 +371,32 @@
 
     def handle(self, command: OperatorCommand) -> CommandResult:
         """Carries out an operator's command at the control address."""
-        detached = self.policy_runner.policy.detached
-        if command.name == "PING":  # the control address listens once the ledger is restored
-            return CommandResult(succeeded=True)
-        if command.name == "LAMEDUCK":
+        if isinstance(command, EndpointCommand):
+            return self.set_detached(command.endpoint_id, detached=command.verb is Verb.DETACH)
+        if command.verb is Verb.LAMEDUCK:
             self.listener.set_lame_duck(True)
             return CommandResult(succeeded=True, message="lame duck: not ready, clients sent away")
-        if command.name == "REJOIN":
+        if command.verb is Verb.REJOIN:
             self.listener.set_lame_duck(False)
             return CommandResult(succeeded=True, message="ending" if self.listener.closing else "ready")
-        endpoint, out = str(command.argument), command.name == "DETACH"
-        if endpoint not in self.registry.records and endpoint not in detached:
-            return CommandResult(succeeded=False, message=f"unknown endpoint {endpoint}")
-        if out != (endpoint in detached):
+        return CommandResult(succeeded=True)  # PING: the control address listens once all is restored
+
+    def set_detached(self, endpoint_id: str, *, detached: bool) -> CommandResult:
+        """Carries out DETACH and ATTACH."""
+        detached_now = self.policy_runner.policy.detached
+        if endpoint_id not in self.registry.records and endpoint_id not in detached_now:
+            return CommandResult(succeeded=False, message=f"unknown endpoint {endpoint_id}")
+        if detached != (endpoint_id in detached_now):
             try:
-                holds.change(self.state, endpoint, out, self.log)
+                holds.change(self.state, endpoint_id, detached, self.log)
             except OSError as error:
                 reason = f"hold not kept: {error.strerror or error}"
                 return CommandResult(succeeded=False, message=reason)
             self.policy_runner.shared_memory.publish_detached_change()
-            self.policy_runner.set_detached(endpoint, out, self.registry.records.get(endpoint))
-        return CommandResult(succeeded=True, message=f"{endpoint} {'draining' if out else 'back, cold'}")
+            self.policy_runner.set_detached(endpoint_id, detached, self.registry.records.get(endpoint_id))
+        return CommandResult(
+            succeeded=True, message=f"{endpoint_id} {'draining' if detached else 'back, cold'}"
+        )
 
     def supervise(self, run: Callable[[], None]) -> None:
         """Guards the sender against a fault that would end one of its parts for good."""
@@ -442,7 +447,7 @@
         """What no other process can finish: shots out, notices on their way, clients within a request."""
         clients = self.listener
         return bool(
-            self.policy_runner.attempts or self.notifier.pending or clients.reading or clients.replying
+            self.policy_runner.attempts or self.notifier.has_pending or clients.reading or clients.replying
         )
 
 
--- a/tests/cli/test_sender.py
+++ b/tests/cli/test_sender.py
@@ -20,7 +20,6 @@
 from support.standalone import RULES, TRACKS, Alone
 from support.world import LIMITS, ROOT, until
 
-from ashpath.server.delivery.notification_file import RotatingFile
 from ashpath.server.logs import KEPT, LogFormat, LogWriter
 from ashpath.server.storage.outcome_store import OutcomeStore
 from ashpath.server.storage.state_directory import StateDirectory, StateDirectoryError
@@ -407,15 +406,6 @@
     assert not ends.get("next")
 
 
-def test_notice_files_turn(tmp_path: Path) -> None:
-    file = RotatingFile(tmp_path / "n", 100, 2)
-    for number in range(30):
-        file.write(b"%030d\n" % number)
-    assert sorted(path.name for path in tmp_path.iterdir()) == ["n", "n.1", "n.2"]
-    assert (tmp_path / "n").read_bytes().endswith(b"29\n") and (tmp_path / "n.2").stat().st_size <= 100
-    assert RotatingFile(tmp_path / "n", 100, 2).written == file.written
-
-
 def test_ledger_says_where_it_is_torn(tmp_path: Path) -> None:
     """Cut at each of many bytes: the whole records count, and the first torn one's byte is named."""
     sizes, data = [0], b""
--- a/tests/server/control/test_protocol.py
+++ b/tests/server/control/test_protocol.py
@@ -4,33 +4,62 @@
 
 import pytest
 
-from ashpath.server.control.protocol import LONGEST, InvalidCommandError, OperatorCommand, answer, read
-
-LINES = [  # what a caller sent so far: the call, None while the line is not whole, or the reason of the ERR
-    (b"PING\n", OperatorCommand("PING")),
-    (b"ping\r\n", OperatorCommand("PING")),
-    (b"DETACH ep-3\n", OperatorCommand("DETACH", "ep-3")),
-    (b"ATTACH ep-3\r\nrest", OperatorCommand("ATTACH", "ep-3")),
-    (b"LAMEDUCK", None),
-    (b"", None),
-    (b"x" * LONGEST, "longer"),
-    (b"DETACH " + b"e" * LONGEST + b"\n", "longer"),
-    (b"DETACH \xff\n", "ASCII"),
-    (b"PING\x00\n", "control characters"),
-    (b"\n", "empty"),
-    (b"REBOOT\n", "unknown call"),
-    (b"DETACH\n", "one argument"),
-    (b"DETACH a b\n", "one argument"),
-    (b"PING now\n", "no argument"),
+from ashpath.server.control.commands import CommandResult, EndpointCommand, OperatorCommand, Verb
+from ashpath.server.control.errors import InvalidCommandError
+from ashpath.server.control.protocol import MAX_LINE_BYTES, encode_result, parse_command
+
+COMMANDS = [
+    (b"PING\n", OperatorCommand(Verb.PING)),
+    (b"ping\r\n", OperatorCommand(Verb.PING)),
+    (b"LAMEDUCK\n", OperatorCommand(Verb.LAMEDUCK)),
+    (b"REJOIN\n", OperatorCommand(Verb.REJOIN)),
+    (b"DETACH ep-3\n", EndpointCommand(Verb.DETACH, "ep-3")),
+    (b"ATTACH ep-3\r\nrest", EndpointCommand(Verb.ATTACH, "ep-3")),
+]
+INVALID = [  # and the start of the reason that the answer gives
+    (b"x" * MAX_LINE_BYTES, "line longer than 256 bytes"),
+    (b"DETACH " + b"e" * MAX_LINE_BYTES + b"\n", "line longer than 256 bytes"),
+    (b"DETACH \xff\n", "line is not ASCII"),
+    (b"PING\x00\n", "line holds control characters"),
+    (b"\n", "empty line"),
+    (b"REBOOT\n", "unknown call 'REBOOT'"),
+    (b"DETACH\n", "DETACH takes one argument, an endpoint id"),
+    (b"DETACH a b\n", "DETACH takes one argument, an endpoint id"),
+    (b"PING now\n", "PING takes no argument"),
 ]
 
 
-@pytest.mark.parametrize(("data", "told"), LINES)
-def test_codec(data: bytes, told: OperatorCommand | str | None) -> None:
-    if isinstance(told, str):
-        with pytest.raises(InvalidCommandError, match=told):
-            read(data)
-    else:
-        assert read(data) == told
-    assert answer(True) == b"OK\n" and answer(False, "bad\nline\r") == b"ERR bad line\n"
-    assert len(answer(False, "x" * 1000)) <= LONGEST
+@pytest.mark.parametrize(("received", "command"), COMMANDS)
+def test_a_whole_line_is_a_command(received: bytes, command: OperatorCommand) -> None:
+    assert parse_command(received) == command
+
+
+@pytest.mark.parametrize("received", [b"", b"LAMEDUCK", b"DETACH ep-3\r"])
+def test_a_line_that_is_not_whole_is_no_command_yet(received: bytes) -> None:
+    assert parse_command(received) is None
+
+
+@pytest.mark.parametrize(("received", "reason"), INVALID)
+def test_an_invalid_line_has_a_reason(received: bytes, reason: str) -> None:
+    with pytest.raises(InvalidCommandError) as raised:
+        parse_command(received)
+    assert str(raised.value) == reason
+
+
+@pytest.mark.parametrize(
+    ("result", "line"),
+    [
+        (CommandResult(succeeded=True), b"OK\n"),
+        (CommandResult(succeeded=True, message="ready"), b"OK ready\n"),
+        (CommandResult(succeeded=False, message="bad\nline\r"), b"ERR bad line\n"),
+        (CommandResult(succeeded=False, message="caf\xe9"), b"ERR caf?\n"),
+    ],
+)
+def test_an_answer_is_one_line(result: CommandResult, line: bytes) -> None:
+    assert encode_result(result) == line
+
+
+def test_an_answer_is_cut_to_what_a_line_may_have() -> None:
+    line = encode_result(CommandResult(succeeded=False, message="x" * 1000))
+    assert len(line) <= MAX_LINE_BYTES
+    assert line.endswith(b"x\n")
--- /dev/null
+++ b/tests/server/delivery/test_rotating_file.py
@@ -0,0 +1,37 @@
+"""A file of lines that is set aside when it is full."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import pytest
+
+from ashpath.server.delivery.errors import PartialWriteError
+from ashpath.server.delivery.rotating_file import RotatingFile
+
+
+def test_a_full_file_is_set_aside_and_the_last_one_dropped(tmp_path: Path) -> None:
+    file = RotatingFile(tmp_path / "n", 100, 2)
+    for number in range(30):
+        file.append(b"%030d\n" % number)
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["n", "n.1", "n.2"]
+    assert (tmp_path / "n").read_bytes().endswith(b"29\n")
+    assert (tmp_path / "n.2").stat().st_size <= 100
+
+
+def test_a_file_is_continued_behind_what_is_in_it(tmp_path: Path) -> None:
+    file = RotatingFile(tmp_path / "n", 100, 2)
+    for number in range(30):
+        file.append(b"%030d\n" % number)
+    assert RotatingFile(tmp_path / "n", 100, 2).size == file.size == (tmp_path / "n").stat().st_size
+
+
+def test_a_write_that_is_cut_short_leaves_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    file = RotatingFile(tmp_path / "n", 100, 2)
+    file.append(b"whole\n")
+    write = os.write
+    monkeypatch.setattr(os, "write", lambda descriptor, data: write(descriptor, data[:3]))
+    with pytest.raises(PartialWriteError, match="only 3 of 5 bytes written"):
+        file.append(b"torn\n")
+    assert (tmp_path / "n").read_bytes() == b"whole\n"
--- a/tests/server/test_agent_client.py
+++ b/tests/server/test_agent_client.py
@@ -3,22 +3,42 @@
 from __future__ import annotations
 
 import gevent
+import pytest
+from support.server import address_of
 from support.world import LIMITS, World
 
 from ashpath.server.agent_client import AgentConnection
+from ashpath.server.delivery.connection_pool import Address
 
+POLL = b"GET /registry/instances HTTP/1.1"
+CHUNKED = b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
 
-def test_silence(world: World) -> None:
-    """A platform that says nothing is given up, and asked anew on another connection."""
-    line, ask = AgentConnection(world.servers[1].address, LIMITS), b"GET /registry/instances HTTP/1.1"
+
+@pytest.fixture
+def address(world: World) -> Address:
+    return address_of(world.servers[1])
+
+
+def test_an_agent_that_says_nothing_is_called_anew_on_another_connection(
+    world: World, address: Address
+) -> None:
+    agent = AgentConnection(address, LIMITS)
     world.servers[1].set_handle(lambda *_: gevent.sleep(9))
-    assert line.call(ask, b"", 0.05) is None and line.connection is None
+    assert agent.call(POLL, b"", 0.05) is None
+    assert agent.connection is None
     world.servers[1].set_handle(world.platform)
-    answer = line.call(ask, b"", 9)
-    assert answer is not None and answer.status == 200 and line.connection is not None
-    line.close()
-    chunked = b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
-    world.servers[1].set_handle(lambda sock, _: sock.sendall(chunked))
-    answer = line.call(ask, b"", 9)
-    assert answer is not None and answer.body == b"abc" and line.connection is not None  # it is kept
-    line.close()
+    response = agent.call(POLL, b"", 9)
+    assert response is not None
+    assert response.status == 200
+    assert agent.connection is not None
+    agent.close()
+
+
+def test_a_connection_is_kept_behind_a_body_in_chunks(world: World, address: Address) -> None:
+    agent = AgentConnection(address, LIMITS)
+    world.servers[1].set_handle(lambda sock, _: sock.sendall(CHUNKED))
+    response = agent.call(POLL, b"", 9)
+    assert response is not None
+    assert response.body == b"abc"
+    assert agent.connection is not None
+    agent.close()
--- a/tests/support/server.py
+++ b/tests/support/server.py
@@ -7,7 +7,9 @@
 import gevent
 import structlog
 from gevent import socket
+from gevent.server import StreamServer
 
+from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.http.client_listener import ClientListener
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message
@@ -28,6 +30,12 @@
 LOG = structlog.get_logger()
 
 
+def address_of(server: StreamServer) -> Address:
+    """Where a server of a test's world listens."""
+    assert server.server_port is not None
+    return "127.0.0.1", server.server_port
+
+
 # Connections of clients.
 
 
--- a/tests/support/stages.py
+++ b/tests/support/stages.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 from pathlib import Path
+from random import Random
 
 import pytest
 import structlog
 from gevent import socket
 
+from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.attempts import Attempt, AttemptRunner
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
-from ashpath.server.delivery.notifier import HttpNotifier
+from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.http.admission import Admission
@@ -23,6 +25,13 @@
 from support.world import LIMITS, TERMS, TRACKS, World
 
 
+def unreachable_notifier(write_ahead_log: WriteAheadLog) -> HttpNotifier:
+    """One that nothing runs: what it is given stays pending."""
+    receiver = NotificationReceiver(("127.0.0.1", 1))
+    backoff = Backoff(Random(0), LIMITS.retry_s, LIMITS.notification_backoff_s)
+    return HttpNotifier(receiver, LIMITS, write_ahead_log, structlog.get_logger(), backoff)
+
+
 class Still:
     """In place of the host: takes all, and remembers."""
 
@@ -38,7 +47,7 @@
 
 def desk(folder: Path, disk: int = 1 << 20) -> tuple[ClientListener, Still, WriteAheadLog]:
     ledger, host = WriteAheadLog(folder, disk), Still()
-    book = OutcomeRecorder(ledger, HttpNotifier(("127.0.0.1", 1), LIMITS, ledger, None))
+    book = OutcomeRecorder(ledger, unreachable_notifier(ledger))
     route = EndpointRegistry(["plain"], ["here"], ConnectionPool(LIMITS), None)
     route.apply_members([{"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}], whole=True)
     tracks = {name: number for number, name in enumerate(TRACKS)}
@@ -72,9 +81,7 @@
         )
         self.route = EndpointRegistry(["plain"], ["here"], self.pool, None)
         self.route.apply_members(world.members, whole=True)
-        relay = ResponseClassifier(
-            OutcomeRecorder(ledger, HttpNotifier(("127.0.0.1", 1), LIMITS, ledger, None)), reports=True
-        )
+        relay = ResponseClassifier(OutcomeRecorder(ledger, unreachable_notifier(ledger)), reports=True)
         relay.on_outcome = lambda flight, ending, *_: self.endings.append(ending)
         self.send = AttemptRunner(self.pool, self.route, relay)
 
