--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -55,9 +55,12 @@
         state = below(path.parent, given.plan.sender.state)
         super().__init__(given, given.plan.sender.listen, state, log, self.reread)
         self.attempt_runner.credentials = given.passes
-        names = [row["name"] for row in given.settings["classes"]]
-        self.titles = titles(given.plan)
-        self.inquiry = self.listener.status_api = StatusApi(self.policy_runner, self.ends, names, self.titles)
+
+    def create_status_api(self) -> StatusApi:
+        names = [row["name"] for row in self.file.settings["classes"]]
+        self.titles = titles(self.file.plan)
+        self.inquiry = StatusApi(self.policy_runner, self.ends, names, self.titles)
+        return self.inquiry
 
     def create_notifier(self, state: Path, backoff: Backoff) -> tuple[Notifier, Any]:
         limits, plan = self.limits, self.file.plan
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -1,132 +1,119 @@
-"""The stage that turns a request into an envelope, or says why not, and takes it on."""
+"""Admission of a message: accepted and in the write-ahead log, or rejected, and what its client is told."""
 
 from __future__ import annotations
 
-from hashlib import blake2b
-from typing import Any
+from collections.abc import Sized
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Protocol
 
-from ashpath.core.interface import PolicySettings, RetrySafety
+from ashpath.core.interface import PolicySettings
 from ashpath.policy.engine import DEFAULT_RETRY_AFTER
-from ashpath.server import wire_names
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
-from ashpath.server.http.errors import InvalidRequestError
-from ashpath.server.http.messages import HttpRequest
-from ashpath.server.policy_runner import PolicyRunner
+from ashpath.server.http.request_parser import RequestParser
+from ashpath.server.logs import Logger
 from ashpath.server.storage.write_ahead_log import StoredMessage
-from ashpath.server.timers import wall
 
-ONCE = {
-    wire_names.TRACE_ID_HEADER,
-    wire_names.TRAFFIC_CLASS_HEADER,
-    wire_names.TIME_LEFT_HEADER,
-    wire_names.DESTINATION_HEADER,
-    wire_names.IDEMPOTENCY_KEY_HEADER,
-}
 
+class MessageReceiver(Protocol):
+    """Who owns a message once it is accepted."""
 
-def whole(text: bytes) -> int:
-    """A whole number in plain digits, of a size that can be meant.
+    @property
+    def messages(self) -> Sized:
+        """What is accepted and not over."""
 
-    >>> whole(b"1200")
-    1200
-    >>> whole(b"1_200")
-    Traceback (most recent call last):
-    ValueError: b'1_200' is no whole number
-    """
-    if not text.isdigit() or len(text) > 12:
-        raise ValueError(f"{text!r} is no whole number")
-    return int(text)
+    def submit(self, message: StoredMessage, /) -> None:
+        """Accepts a message, in a batch of its own."""
 
+    def client_disconnected(self, message: StoredMessage, /) -> None:
+        """The client of a message left before its response was out."""
 
-def word(text: bytes) -> str:
-    """What is passed on as it is: printable, and short enough to be held by the thousand."""
-    if not 0 < len(text) <= 256 or not text.isascii() or not text.decode("ascii").isprintable():
-        raise ValueError("not a printable word")
-    return text.decode("ascii")
+
+@dataclass(frozen=True, slots=True)
+class AdmissionResult:
+    """What became of a message, as its client is told."""
+
+    status: HTTPStatus
+    retry_after: int = 0
+    """Microseconds after which it may be submitted again; 0: not said."""
+
+
+ACCEPTED = AdmissionResult(HTTPStatus.ACCEPTED)
+DUPLICATE = AdmissionResult(HTTPStatus.CONFLICT)
+OVER_CAPACITY = AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE)
+FAILED = AdmissionResult(HTTPStatus.INTERNAL_SERVER_ERROR)
 
 
 class Admission:
+    """Decides on each message that comes, and hands those it accepts on."""
+
     def __init__(
         self,
-        terms: PolicySettings,
-        tracks: dict[str, int],
-        route: EndpointRegistry,
-        host: PolicyRunner,
-        book: OutcomeRecorder,
-        log: Any,
+        settings: PolicySettings,
+        traffic_class_ids: dict[str, int],
+        registry: EndpointRegistry,
+        receiver: MessageReceiver,
+        recorder: OutcomeRecorder,
+        logger: Logger,
     ) -> None:
-        self.settings, self.traffic_class_ids, self.registry, self.log = terms, tracks, route, log
-        self.policy_runner, self.recorder, self.write_ahead_log, self.full = (
-            host,
-            book,
-            book.write_ahead_log,
-            False,
-        )
-        self.refusing = False  # after SIGTERM
+        self.settings = settings
+        self.parser = RequestParser(settings, traffic_class_ids)
+        self.registry = registry
+        self.receiver = receiver
+        self.recorder = recorder
+        self.write_ahead_log = recorder.write_ahead_log
+        self.logger = logger
+        self.log_full = False  # the last message found no space in the write-ahead log
+        self.refusing = False  # after SIGTERM, for good: nothing is accepted any more
 
-    def parse_request(self, request: HttpRequest) -> StoredMessage:
-        """An envelope of a request; what is missing, told twice or no number is said."""
-        headers = request.headers
-        if request.repeated_headers & ONCE:
-            raise InvalidRequestError("told twice")
-        try:
-            track = self.traffic_class_ids[headers[wire_names.TRAFFIC_CLASS_HEADER].decode()]
-            left = whole(headers[wire_names.TIME_LEFT_HEADER])
-            fields = (
-                part.strip().partition(b"=") for part in headers[wire_names.DESTINATION_HEADER].split(b";")
-            )
-            destination = whole(next(value for name, _, value in fields if name == b"dest"))
-            trace = word(headers[wire_names.TRACE_ID_HEADER])
-            tagged = self.settings.traffic_classes[track].retry_safety is RetrySafety.DEDUPLICATED
-            tag = (
-                word(headers[wire_names.IDEMPOTENCY_KEY_HEADER])
-                if tagged or wire_names.IDEMPOTENCY_KEY_HEADER in headers
-                else None
-            )
-        except (KeyError, ValueError, StopIteration) as error:
-            raise InvalidRequestError(str(error)) from error
-        cutoff = wall() + min(left * 1000, self.settings.traffic_classes[track].deadline)
-        order = self.order(headers.get(wire_names.COOKIE_HEADER, b""))
-        return StoredMessage(0, trace, track, destination, order, tag, cutoff, request.body)
-
-    @staticmethod
-    def order(cookies: bytes) -> int | None:
-        """The key of the order, as a number that is the same in every life."""
-        for pair in cookies.split(b";"):
-            name, _, value = pair.strip().partition(b"=")
-            if name == wire_names.ORDERING_KEY_COOKIE and value:
-                return int.from_bytes(blake2b(value, digest_size=6).digest(), "big")
-        return None
+    def apply_settings(self, settings: PolicySettings, traffic_class_ids: dict[str, int]) -> None:
+        """For messages from now on."""
+        self.settings = settings
+        self.parser.apply_settings(settings, traffic_class_ids)
 
-    def admit(self, entry: StoredMessage) -> tuple[int, int]:
-        """The status to answer, and when to come back: in a turn of its own, the ledger first."""
-        if entry.trace_id in self.write_ahead_log.by_trace_id:
-            return 409, 0  # guards against a second copy beside the one that is held
-        if len(self.policy_runner.messages) >= self.settings.queue_capacity > 0:
-            return 503, 0  # as the platform turns away what is more than an instance may hold
-        if not self.registry.serves(entry.destination):
-            return 503, min(
-                self.settings.max_retry_after, DEFAULT_RETRY_AFTER
-            )  # not listed, though it may be soon
-        entry.message_id = self.write_ahead_log.last_id + 1
-        taken = self.write_ahead_log.record_submitted(entry)
-        if taken == self.full:
-            self.full = not taken
-            words, ledger = (
-                "write-ahead log full" if self.full else "write-ahead log has space",
-                self.write_ahead_log,
-            )
-            self.log.info(
-                words, messages=len(ledger.live), reserved=ledger.reserved, max_bytes=ledger.max_bytes
-            )
-        if not taken:
-            return 503, 0
-        self.recorder.submitting, self.recorder.submit_result = entry, None
+    def admit(self, message: StoredMessage) -> AdmissionResult:
+        """Accepts a message, or rejects it: in a batch of its own, the write-ahead log first. Does not
+        wait."""
+        rejection = self.rejection(message)
+        if rejection is not None:
+            return rejection
+        message.message_id = self.write_ahead_log.last_id + 1
+        recorded = self.write_ahead_log.record_submitted(message)
+        self.note_log_space(recorded)
+        if not recorded:
+            return OVER_CAPACITY
+        self.recorder.submitting = message
+        self.recorder.submit_result = None
         try:
-            self.policy_runner.submit(entry)
+            self.receiver.submit(message)
         finally:
             self.recorder.submitting = None
-        if self.recorder.submit_result is None:
-            return 202, 0
-        return (500, 0) if self.recorder.submit_result < 0 else (503, self.recorder.submit_result)
+        retry_after = self.recorder.submit_result
+        if retry_after is None:
+            return ACCEPTED
+        return FAILED if retry_after < 0 else AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE, retry_after)
+
+    def rejection(self, message: StoredMessage) -> AdmissionResult | None:
+        """Why a message is rejected before anything is recorded; none where it is not."""
+        if message.trace_id in self.write_ahead_log.by_trace_id:
+            return DUPLICATE  # guards against a second copy beside the one that is not over
+        if len(self.receiver.messages) >= self.settings.queue_capacity > 0:
+            return OVER_CAPACITY  # as the platform rejects what is more than a sender may have
+        if not self.registry.serves(message.destination):  # not listed, though it may be soon
+            retry_after = min(self.settings.max_retry_after, DEFAULT_RETRY_AFTER)
+            return AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE, retry_after)
+        return None
+
+    def note_log_space(self, recorded: bool) -> None:
+        """Logs when the write-ahead log fills up, and when it has space again."""
+        if recorded != self.log_full:
+            return
+        self.log_full = not recorded
+        log = self.write_ahead_log
+        self.logger.info(
+            "write-ahead log full" if self.log_full else "write-ahead log has space",
+            messages=len(log.live),
+            reserved=log.reserved,
+            max_bytes=log.max_bytes,
+        )
--- /dev/null
+++ b/ashpath/server/http/client_connection.py
@@ -0,0 +1,145 @@
+"""One client's connection: requests read one after the other, each with its response, and the end in order.
+
+`connection_table.py` has its states and their transitions first.
+"""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from time import monotonic
+
+from gevent import Timeout
+
+from ashpath.server.http.availability import Availability
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.connection_table import ConnectionState, ConnectionTable
+from ashpath.server.http.encoding import encode_response
+from ashpath.server.http.errors import (
+    ConnectionClosedError,
+    LateRequestError,
+    ProtocolError,
+    RequestTimeoutError,
+    TrailingBytesError,
+)
+from ashpath.server.http.messages import HttpRequest
+from ashpath.server.http.request_handler import RequestHandler
+from ashpath.server.limits import ServerLimits
+from ashpath.server.logs import Logger
+
+
+class ClientConnection:
+    """Serves a connection until either side ends it."""
+
+    def __init__(
+        self,
+        connection: HttpConnection,
+        table: ConnectionTable,
+        handler: RequestHandler,
+        availability: Availability,
+        limits: ServerLimits,
+        logger: Logger,
+    ) -> None:
+        self.connection = connection
+        self.table = table
+        self.handler = handler
+        self.availability = availability
+        self.limits = limits
+        self.logger = logger
+        self.first = True  # no request has been read yet
+        self.draining = False  # what came after this side's end has been read, or is being read
+
+    def serve(self) -> None:
+        """Runs to the end of the connection, whose owner closes it."""
+        try:
+            while not self.connection.unusable and self.exchange():
+                self.first = False
+        except (OSError, ConnectionClosedError):
+            pass
+        except Exception:
+            self.logger.exception("unexpected error")
+            self.reject(500)
+        else:
+            self.end()
+
+    def exchange(self) -> bool:
+        """One request and its response; whether the connection goes on."""
+        waiting_since = self.await_bytes()
+        if not len(self.connection.buffer) or self.connection.unusable:
+            return False  # closed, or silent for too long, or drained: what came after that is not read
+        self.table.enter(self.connection, ConnectionState.READING)
+        try:
+            request = self.read_request(waiting_since)
+        except ConnectionResetError:
+            if self.connection.eof_received:  # within a request, by a client that may still read
+                self.write(encode_response(400, keep_alive=False))
+            return False
+        except ProtocolError as error:
+            self.reject(error.status)
+            return False
+        return self.respond(request)
+
+    def await_bytes(self) -> float:
+        """Waits for a request to begin, for so long as a client may be silent; when the wait began."""
+        connection = self.connection
+        state = ConnectionState.AWAITING_FIRST_REQUEST if self.first else ConnectionState.IDLE
+        since = self.table.enter(connection, state)
+        self.table.limit_idle()
+        with suppress(Timeout), Timeout(self.limits.request_s if self.first else self.limits.client_idle_s):
+            connection.receive()
+        if not len(connection.buffer) and connection.peek_byte():
+            connection.receive()  # it came as the time ended: closing on it would leave it unread
+        return since
+
+    def read_request(self, waiting_since: float) -> HttpRequest:
+        """The request, whole and in time. Raises ProtocolError, ConnectionClosedError, OSError."""
+        # A first request counts from the connection's start: guards against bytes that drip.
+        time_left = self.limits.request_s - (monotonic() - waiting_since if self.first else 0.0)
+        time_left = min(time_left, self.availability.respond_by - monotonic())
+        try:
+            with Timeout(max(0.0, time_left)):
+                request = self.connection.read_request()
+                if len(self.connection.buffer) or self.connection.peek_byte():
+                    raise TrailingBytesError
+        except Timeout as timeout:
+            if monotonic() >= self.availability.respond_by:  # its client goes to another process
+                raise LateRequestError from timeout
+            raise RequestTimeoutError from timeout
+        return request
+
+    def respond(self, request: HttpRequest) -> bool:
+        """Handles a request and writes its response; whether the connection goes on."""
+        keep_alive = request.keep_alive and not self.connection.unusable and self.availability.ready
+        self.table.enter(self.connection, ConnectionState.RESPONDING)
+        reply = self.handler.handle(request, self.connection)
+        data = encode_response(
+            reply.status, keep_alive=keep_alive, retry_after=reply.retry_after, body=reply.body
+        )
+        if not self.write(data):
+            self.handler.response_lost(reply)
+        return keep_alive
+
+    def reject(self, status: int) -> None:
+        """A response, then the rest is read: closing on unread bytes would take the response back."""
+        self.table.enter(self.connection, ConnectionState.REJECTING)
+        if self.write(encode_response(status, keep_alive=False)):
+            self.end()
+
+    def write(self, data: bytes) -> bool:
+        """False: the client had left, or did not take its response in time."""
+        try:
+            with Timeout(self.limits.response_write_s):
+                self.connection.write(data)
+        except (OSError, Timeout):
+            self.connection.unusable = True
+            return False
+        return True
+
+    def end(self) -> None:
+        """Ends a connection from this side. Guards a response just written, and a request that crosses the
+        end: its client finds no response to it, on a connection that ended in order, and asks elsewhere."""
+        if self.connection.eof_received or self.draining:
+            return
+        self.draining = True
+        self.table.half_close(self.connection)
+        with suppress(OSError, Timeout), Timeout(self.limits.response_write_s):
+            self.connection.drain(self.limits.drain_bytes)
--- a/ashpath/server/http/errors.py
+++ b/ashpath/server/http/errors.py
@@ -99,6 +99,20 @@
         super().__init__(f"not an envelope: {reason}")
 
 
+class InvalidNumberError(ValueError):
+    """A field that is no whole number in plain digits."""
+
+    def __init__(self, text: bytes) -> None:
+        super().__init__(f"{text!r} is no whole number")
+
+
+class InvalidTokenError(ValueError):
+    """A field that is empty, too long, or not printable."""
+
+    def __init__(self) -> None:
+        super().__init__("not a printable word")
+
+
 class TooManyInterimResponsesError(ProtocolError):
     """Only responses with a status below 200 came."""
 
@@ -112,14 +126,23 @@
 
 
 class RequestTimeoutError(ProtocolError):
-    """A message was not whole in time."""
+    """A request was not whole in time."""
 
     status = HTTPStatus.REQUEST_TIMEOUT
+    message = "a request without an end"
+
+
+class LateRequestError(ProtocolError):
+    """A request was not whole as the shutdown stopped waiting for it."""
 
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    message = "a request that was not whole before the end"
 
-class IncompleteResponseError(RequestTimeoutError):
+
+class IncompleteResponseError(ProtocolError):
     """A response did not end in time after its first line."""
 
+    status = HTTPStatus.REQUEST_TIMEOUT
     message = "an answer without an end"
 
 
--- /dev/null
+++ b/ashpath/server/http/request_handler.py
@@ -0,0 +1,72 @@
+"""What each request of a client gets: by its path readiness, the status API, or the delivery of a message."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Protocol
+
+from ashpath.server import wire_names
+from ashpath.server.http.admission import ACCEPTED, Admission
+from ashpath.server.http.availability import Availability
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.errors import InvalidRequestError
+from ashpath.server.http.messages import HttpRequest
+from ashpath.server.storage.write_ahead_log import StoredMessage
+
+
+@dataclass(slots=True)
+class Reply:
+    """A response, not encoded yet."""
+
+    status: int
+    retry_after: int = 0  # microseconds; 0: not said
+    body: bytes = b""
+    accepted: StoredMessage | None = None  # the message that a 202 is for
+
+
+class RequestResponder(Protocol):
+    """Serves paths besides those of every sender."""
+
+    def respond(self, request: HttpRequest) -> Reply | None:
+        """The response; none where the path is not served."""
+
+
+class RequestHandler:
+    """Handles the requests of all clients."""
+
+    def __init__(
+        self, admission: Admission, availability: Availability, status_api: RequestResponder | None
+    ) -> None:
+        self.admission = admission
+        self.availability = availability
+        self.status_api = status_api
+
+    def handle(self, request: HttpRequest, connection: HttpConnection) -> Reply:
+        """The response to a request. Does not wait."""
+        if request.path == wire_names.SUBMIT_PATH:
+            return self.submit(request, connection)
+        if request.path == wire_names.READINESS_PATH:
+            ready = self.availability.ready
+            return Reply(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
+        reply = None if self.status_api is None else self.status_api.respond(request)
+        return reply or Reply(HTTPStatus.NOT_FOUND)
+
+    def submit(self, request: HttpRequest, connection: HttpConnection) -> Reply:
+        """Submits the message of a request."""
+        if request.method != b"POST":
+            return Reply(HTTPStatus.METHOD_NOT_ALLOWED)
+        try:
+            message = self.admission.parser.parse(request)
+        except InvalidRequestError as error:
+            return Reply(error.status)
+        if self.admission.refusing or connection.closed_by_peer():  # who has left will submit it again
+            return Reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        result = self.admission.admit(message)
+        accepted = message if result is ACCEPTED else None
+        return Reply(result.status, result.retry_after, accepted=accepted)
+
+    def response_lost(self, reply: Reply) -> None:
+        """A client did not take its response: nobody knows that its message was accepted."""
+        if reply.accepted is not None:
+            self.admission.receiver.client_disconnected(reply.accepted)
--- /dev/null
+++ b/ashpath/server/http/request_parser.py
@@ -0,0 +1,125 @@
+"""A request to deliver, parsed to the message that it carries."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from ashpath.core.interface import PolicySettings, RetrySafety
+from ashpath.server import wire_names
+from ashpath.server.http.errors import InvalidNumberError, InvalidRequestError, InvalidTokenError
+from ashpath.server.http.messages import HttpRequest
+from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.timers import wall
+
+UNREPEATABLE_HEADERS = {
+    wire_names.TRACE_ID_HEADER,
+    wire_names.TRAFFIC_CLASS_HEADER,
+    wire_names.TIME_LEFT_HEADER,
+    wire_names.DESTINATION_HEADER,
+    wire_names.IDEMPOTENCY_KEY_HEADER,
+}
+DESTINATION_FIELD = b"dest"
+MAX_DIGITS = 12
+MAX_TOKEN_BYTES = 256
+ORDERING_KEY_HASH_BYTES = 6
+UNNUMBERED = 0  # until it is admitted
+
+
+def parse_number(text: bytes) -> int:
+    """A whole number in plain digits, of a size that can be meant. Raises InvalidNumberError.
+
+    >>> parse_number(b"1200")
+    1200
+    >>> parse_number(b"1_200")
+    Traceback (most recent call last):
+    ashpath.server.http.errors.InvalidNumberError: b'1_200' is no whole number
+    """
+    if not text.isdigit() or len(text) > MAX_DIGITS:
+        raise InvalidNumberError(text)
+    return int(text)
+
+
+def parse_token(text: bytes) -> str:
+    """What is passed on as it is: printable, and short enough to be kept by the thousand. Raises
+    InvalidTokenError.
+
+    >>> parse_token(b"order-7")
+    'order-7'
+    """
+    if not 0 < len(text) <= MAX_TOKEN_BYTES or not text.isascii() or not text.decode("ascii").isprintable():
+        raise InvalidTokenError
+    return text.decode("ascii")
+
+
+def parse_destination(text: bytes) -> int:
+    """The number of a destination, one field among others that nobody reads here. Raises InvalidNumberError,
+    StopIteration where there is none.
+
+    >>> parse_destination(b"zone=2; dest=17")
+    17
+    """
+    fields = (part.strip().partition(b"=") for part in text.split(b";"))
+    return parse_number(next(value for name, _, value in fields if name == DESTINATION_FIELD))
+
+
+def ordering_key(cookies: bytes) -> int | None:
+    """The ordering key that a cookie carries, as a number; none where there is none.
+
+    The number is the key's BLAKE2b hash of 48 bits. Unlike `hash` it is the same in every incarnation, as
+    messages outlive the process that accepted them. Two keys with one number would share an ordered queue,
+    which costs time and nothing else.
+
+    >>> ordering_key(b"a=1; about=order-7") == ordering_key(b"about=order-7"), ordering_key(b"a=1")
+    (True, None)
+    """
+    for pair in cookies.split(b";"):
+        name, _, value = pair.strip().partition(b"=")
+        if name == wire_names.ORDERING_KEY_COOKIE and value:
+            return int.from_bytes(blake2b(value, digest_size=ORDERING_KEY_HASH_BYTES).digest(), "big")
+    return None
+
+
+class RequestParser:
+    """Parses requests under the settings of now, which `apply_settings` replaces."""
+
+    def __init__(self, settings: PolicySettings, traffic_class_ids: dict[str, int]) -> None:
+        self.settings = settings
+        self.traffic_class_ids = traffic_class_ids  # by name, of the classes that accept messages
+
+    def apply_settings(self, settings: PolicySettings, traffic_class_ids: dict[str, int]) -> None:
+        """For requests from now on."""
+        self.settings = settings
+        self.traffic_class_ids = traffic_class_ids
+
+    def parse(self, request: HttpRequest) -> StoredMessage:
+        """Its message, not numbered yet. Raises InvalidRequestError where a header is missing, repeated or
+        not as it should be."""
+        headers = request.headers
+        if request.repeated_headers & UNREPEATABLE_HEADERS:
+            raise InvalidRequestError("told twice")
+        try:
+            traffic_class = self.traffic_class_ids[headers[wire_names.TRAFFIC_CLASS_HEADER].decode()]
+            time_left_ms = parse_number(headers[wire_names.TIME_LEFT_HEADER])
+            destination = parse_destination(headers[wire_names.DESTINATION_HEADER])
+            trace_id = parse_token(headers[wire_names.TRACE_ID_HEADER])
+            idempotency_key = self.idempotency_key(headers, traffic_class)
+        except (KeyError, ValueError, StopIteration) as error:
+            raise InvalidRequestError(str(error)) from error
+        return StoredMessage(
+            message_id=UNNUMBERED,
+            trace_id=trace_id,
+            traffic_class=traffic_class,
+            destination=destination,
+            ordering_key=ordering_key(headers.get(wire_names.COOKIE_HEADER, b"")),
+            idempotency_key=idempotency_key,
+            deadline=wall() + min(time_left_ms * 1000, self.settings.traffic_classes[traffic_class].deadline),
+            body=request.body,
+        )
+
+    def idempotency_key(self, headers: dict[bytes, bytes], traffic_class: int) -> str | None:
+        """The key, which a traffic class that is deduplicated by it must have. Raises KeyError,
+        InvalidTokenError."""
+        retry_safety = self.settings.traffic_classes[traffic_class].retry_safety
+        if retry_safety is RetrySafety.DEDUPLICATED or wire_names.IDEMPOTENCY_KEY_HEADER in headers:
+            return parse_token(headers[wire_names.IDEMPOTENCY_KEY_HEADER])
+        return None
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -1,10 +1,16 @@
-"""What a client may ask of a sender without a platform: how an envelope stands, what is held, and how
-destinations do. It reads, and changes nothing."""
+"""What a client may ask of a sender without a platform: how a message stands, what is accepted and not over,
+and how destinations do. It reads, and changes nothing.
+
+Paths, fields and states are of the wire: their names stand here and in `wire_names`, once.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
 from itertools import islice
-from typing import Any
+from typing import NotRequired, TypedDict
 from urllib.parse import parse_qsl, unquote
 
 import orjson
@@ -13,100 +19,204 @@
 from ashpath.policy.engine import Destination, Gate
 from ashpath.server import wire_names
 from ashpath.server.http.messages import HttpRequest
+from ashpath.server.http.request_handler import Reply
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.outcome_store import OutcomeStore
 from ashpath.server.storage.write_ahead_log import StoredMessage
 from ashpath.server.timers import wall
 
-PAGE = 500  # rows of one answer, unless fewer are asked for
+MAX_PAGE_ROWS = 500
+BEFORE_THE_FIRST = -1
+CLOSED_BREAKER = "CLOSED"
+
+
+class MessageRow(TypedDict):
+    """A message that is not over."""
+
+    id: str
+    number: int
+    state: str
+    track: str
+    destination: int
+    shots: int
+    may_have_run: bool
+    left_ms: int
+    bytes: int
+
+
+class OutcomeRow(TypedDict):
+    """A message that is over."""
+
+    id: str
+    state: str
+    at: float
+    again_ms: NotRequired[float]
+
+
+class MessagePage(TypedDict):
+    """Messages in the order in which they were accepted."""
+
+    held: int
+    envelopes: list[MessageRow]
+    next: NotRequired[int]
+
+
+class DestinationRow(TypedDict):
+    """A destination, over all of its routes."""
+
+    number: int
+    name: str
+    endpoints: int
+    held: int
+    out: int
+    limit: int
+    pace: float
+    rate: float
+    breaker: str
+    ailing: bool
+    wait_ms: int
+
+
+class DestinationPage(TypedDict):
+    """Destinations in the order of their numbers."""
+
+    destinations: list[DestinationRow]
+    next: NotRequired[int]
+
+
+@dataclass(frozen=True, slots=True)
+class PageRequest:
+    """Which rows of a list a client asks for."""
+
+    after: int = BEFORE_THE_FIRST
+    """The number behind which they begin."""
+    limit: int = MAX_PAGE_ROWS
+
+    @classmethod
+    def parse(cls, query: bytes) -> PageRequest:
+        """Of a query's `after` and `limit`. Raises ValueError.
+
+        >>> PageRequest.parse(b"after=7&limit=9000")
+        PageRequest(after=7, limit=500)
+        """
+        fields = dict(parse_qsl(query.decode("latin-1")))
+        after = int(fields.get("after", BEFORE_THE_FIRST))
+        limit = int(fields.get("limit", MAX_PAGE_ROWS))
+        return cls(after, max(1, min(limit, MAX_PAGE_ROWS)))
 
 
 class StatusApi:
-    """`tracks` has the names by number, `titles` those of destinations that have one."""
+    """Serves the status of messages and destinations.
+
+    Both names may change while the sender runs, as the operators' file does: `traffic_classes` has those of
+    traffic classes by number, `destination_names` those of destinations that have one.
+    """
 
     def __init__(
-        self, host: PolicyRunner, ends: OutcomeStore, tracks: list[str], titles: dict[int, str]
+        self,
+        policy_runner: PolicyRunner,
+        outcome_store: OutcomeStore,
+        traffic_classes: Sequence[str],
+        destination_names: dict[int, str],
     ) -> None:
-        self.policy_runner, self.outcome_store, self.traffic_classes, self.destination_names = (
-            host,
-            ends,
-            tracks,
-            titles,
-        )
-
-    def __call__(self, request: HttpRequest) -> tuple[int, bytes] | None:
-        """Status and body; None where the path is not one of these."""
+        self.policy_runner = policy_runner
+        self.outcome_store = outcome_store
+        self.traffic_classes = traffic_classes
+        self.destination_names = destination_names
+
+    def respond(self, request: HttpRequest) -> Reply | None:
+        """The response; None where the path is not one of these."""
         path, _, query = request.url.partition(b"?")
-        if path not in (wire_names.MESSAGES_PATH, wire_names.DESTINATIONS_PATH) and not path.startswith(
-            wire_names.MESSAGE_PATH_PREFIX
-        ):
+        is_message = path.startswith(wire_names.MESSAGE_PATH_PREFIX)
+        if not is_message and path not in (wire_names.MESSAGES_PATH, wire_names.DESTINATIONS_PATH):
             return None
         if request.method != b"GET":
-            return 405, b""
-        if path.startswith(wire_names.MESSAGE_PATH_PREFIX):
-            return self.message_status(unquote(path[len(wire_names.MESSAGE_PATH_PREFIX) :].decode("latin-1")))
-        asked = dict(parse_qsl(query.decode("latin-1")))
+            return Reply(HTTPStatus.METHOD_NOT_ALLOWED)
+        if is_message:
+            trace_id = unquote(path[len(wire_names.MESSAGE_PATH_PREFIX) :].decode("latin-1"))
+            return self.message_status(trace_id)
         try:
-            after, most = int(asked.get("after", -1)), int(asked.get("limit", PAGE))
+            page = PageRequest.parse(query)
         except ValueError:
-            return 400, orjson.dumps({"error": "after and limit are whole numbers"})
-        rows = self.messages if path == wire_names.MESSAGES_PATH else self.destinations
-        return 200, orjson.dumps(rows(after, max(1, min(most, PAGE))))
-
-    def message_status(self, trace: str) -> tuple[int, bytes]:
-        entry = self.policy_runner.write_ahead_log.by_trace_id.get(trace)
-        if entry is not None and not entry.finished:
-            return 200, orjson.dumps(self.row(entry))
-        end = self.outcome_store.get(trace)
-        if end is None:
-            return 404, orjson.dumps({"error": "never seen, or forgotten"})
-        told = {"id": trace, "state": end.state, "at": end.at / 1e6}
-        return 200, orjson.dumps(told | ({"again_ms": milliseconds(end.come_back)} if end.come_back else {}))
-
-    def row(self, entry: StoredMessage) -> dict[str, Any]:
+            return json_reply(HTTPStatus.BAD_REQUEST, {"error": "after and limit are whole numbers"})
+        if path == wire_names.MESSAGES_PATH:
+            return json_reply(HTTPStatus.OK, self.messages(page))
+        return json_reply(HTTPStatus.OK, self.destinations(page))
+
+    def message_status(self, trace_id: str) -> Reply:
+        """How one message stands, or ended."""
+        message = self.policy_runner.write_ahead_log.by_trace_id.get(trace_id)
+        if message is not None and not message.finished:
+            return json_reply(HTTPStatus.OK, self.message_row(message))
+        outcome = self.outcome_store.get(trace_id)
+        if outcome is None:
+            return json_reply(HTTPStatus.NOT_FOUND, {"error": "never seen, or forgotten"})
+        row: OutcomeRow = {"id": trace_id, "state": outcome.state, "at": outcome.at / 1e6}
+        if outcome.come_back:
+            row["again_ms"] = milliseconds(outcome.come_back)
+        return json_reply(HTTPStatus.OK, row)
+
+    def message_row(self, message: StoredMessage) -> MessageRow:
+        """One message that is not over."""
+        in_flight = message.in_flight_since is not None
         return {
-            "id": entry.trace_id,
-            "number": entry.message_id,
-            "state": "out" if entry.in_flight_since is not None else "held",
-            "track": self.traffic_classes[entry.traffic_class],
-            "destination": entry.destination,
-            "shots": entry.attempts,
-            "may_have_run": entry.first_run_at is not None or entry.in_flight_since is not None,
-            "left_ms": round(milliseconds(entry.deadline - wall())),
-            "bytes": len(entry.body),
+            "id": message.trace_id,
+            "number": message.message_id,
+            "state": "out" if in_flight else "held",
+            "track": self.traffic_classes[message.traffic_class],
+            "destination": message.destination,
+            "shots": message.attempts,
+            "may_have_run": message.first_run_at is not None or in_flight,
+            "left_ms": round(milliseconds(message.deadline - wall())),
+            "bytes": len(message.body),
         }
 
-    def messages(self, after: int, most: int) -> dict[str, Any]:
-        """Those with a higher number, in the order taken on: `ledger.live` is in that order."""
+    def messages(self, page: PageRequest) -> MessagePage:
+        """Those with a higher number, in the order accepted: `write_ahead_log.live` is in that order."""
         live = self.policy_runner.write_ahead_log.live.values()
-        found = list(islice((e for e in live if not e.finished and e.message_id > after), most + 1))
-        rows = [self.row(entry) for entry in found[:most]]
-        told: dict[str, Any] = {"held": len(self.policy_runner.messages), "envelopes": rows}
-        return told | ({"next": found[most - 1].message_id} if len(found) > most else {})
-
-    def destinations(self, after: int, most: int) -> dict[str, Any]:
-        numbers = sorted(number for number in self.policy_runner.policy.destinations if number > after)
-        rows = [self.destination(self.policy_runner.policy.destinations[number]) for number in numbers[:most]]
-        told: dict[str, Any] = {"destinations": rows}
-        return told | ({"next": numbers[most - 1]} if len(numbers) > most else {})
-
-    def destination(self, one: Destination) -> dict[str, Any]:
-        gates, now = one.gates(), self.policy_runner.policy.now
+        unfinished = (one for one in live if not one.finished and one.message_id > page.after)
+        found = list(islice(unfinished, page.limit + 1))
+        rows = [self.message_row(message) for message in found[: page.limit]]
+        listing: MessagePage = {"held": len(self.policy_runner.messages), "envelopes": rows}
+        if len(found) > page.limit:
+            listing["next"] = found[page.limit - 1].message_id
+        return listing
+
+    def destinations(self, page: PageRequest) -> DestinationPage:
+        """Those with a higher number."""
+        destinations = self.policy_runner.policy.destinations
+        numbers = sorted(number for number in destinations if number > page.after)
+        rows = [self.destination_row(destinations[number]) for number in numbers[: page.limit]]
+        listing: DestinationPage = {"destinations": rows}
+        if len(numbers) > page.limit:
+            listing["next"] = numbers[page.limit - 1]
+        return listing
+
+    def destination_row(self, destination: Destination) -> DestinationRow:
+        """One destination, summed over its gates."""
+        gates = destination.gates()
+        now = self.policy_runner.policy.now
         return {
-            "number": one.number,
-            "name": self.destination_names.get(one.number, ""),
-            "endpoints": len(one.endpoints),
-            "held": one.owed,
+            "number": destination.number,
+            "name": self.destination_names.get(destination.number, ""),
+            "endpoints": len(destination.endpoints),
+            "held": destination.owed,
             "out": sum(gate.in_flight for gate in gates),
             "limit": sum(gate.limit for gate in gates),
             "pace": round(sum(gate.pace for gate in gates), 2),
             "rate": round(sum(gate.done.rate() for gate in gates), 2),
-            "breaker": self.worst(gates),
+            "breaker": breaker_state(gates),
             "ailing": any(gate.ailing for gate in gates),
             "wait_ms": max([0, *(round(milliseconds(gate.wait_until - now)) for gate in gates)]),
         }
 
-    @staticmethod
-    def worst(gates: list[Gate]) -> str:
-        """The state of a breaker that is not closed, if one is not."""
-        return next((g.breaker.name.lower() for g in gates if g.breaker.name != "CLOSED"), "closed")
+
+def json_reply(status: HTTPStatus, fields: object) -> Reply:
+    """A response with a body of JSON."""
+    return Reply(status, body=orjson.dumps(fields))
+
+
+def breaker_state(gates: list[Gate]) -> str:
+    """The state of a circuit breaker that is not closed, if one is not."""
+    states = (gate.breaker.name for gate in gates)
+    return next((state for state in states if state != CLOSED_BREAKER), CLOSED_BREAKER).lower()
--- a/ashpath/server/http/transport.py
+++ b/ashpath/server/http/transport.py
@@ -19,7 +19,6 @@
         self.buffer = buffer
         self.unusable = False  # cannot carry a further message; stays so
         self.eof_received = False  # the far end has closed its side
-        self.drain_started = False  # what came after this side's end has been read, or is being read
 
     def close(self) -> None:
         """Closes the socket, which resets it over bytes that were not read."""
--- a/ashpath/server/metrics.py
+++ b/ashpath/server/metrics.py
@@ -122,7 +122,7 @@
             ("ledger_bytes", "Bytes that the ledger may need for what it holds.", ledger.reserved),
             ("ledger_most_bytes", "Bytes that the ledger may have.", ledger.max_bytes),
             ("destinations", "Destinations that are known.", len(host.policy.destinations)),
-            ("client_connections", "Connections of clients.", node.listener.clients),
+            ("client_connections", "Connections of clients.", node.listener.connection_count),
         ]
         if node.discovery:
             age = monotonic() - node.discovery.last_response_at
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -36,7 +36,8 @@
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.http.admission import Admission
-from ashpath.server.http.client_listener import ClientListener
+from ashpath.server.http.listener import ClientListener
+from ashpath.server.http.request_handler import RequestResponder
 from ashpath.server.limits import ServerLimits
 from ashpath.server.logs import LogFormat, LogWriter, create_logger
 from ashpath.server.policy_runner import News, PolicyRunner
@@ -173,7 +174,9 @@
         self.admission = Admission(
             terms, given.traffic_class_ids, self.registry, self.policy_runner, book, log
         )
-        self.listener = ClientListener(parse_address(listen), limits, self.admission, log)
+        self.listener = ClientListener(
+            parse_address(listen), limits, self.admission, log, self.create_status_api()
+        )
         revision = int(given.known_endpoints.get("revision") or 0)
         self.registry.apply_members(given.known_endpoints["members"], whole=True)
         self.changed, self.ended = Event(), Event()
@@ -205,6 +208,10 @@
         receiver = NotificationReceiver(self.configuration.platform_address)
         return HttpNotifier(receiver, self.limits, self.write_ahead_log, self.log, backoff), None
 
+    def create_status_api(self) -> RequestResponder | None:
+        """What clients may ask besides; none on a platform."""
+        return None
+
     def services(self) -> list[Callable[[], None]]:
         """What runs beside one another until the end."""
         directory = [self.discovery.run] if self.discovery else []
@@ -290,7 +297,7 @@
                 self.limits, connect_s=given.limits.connect_s, endpoint_idle_s=given.limits.endpoint_idle_s
             )
             self.registry.kinds, self.registry.zones = given.kinds, given.zones
-            self.admission.settings, self.admission.traffic_class_ids = terms, given.traffic_class_ids
+            self.admission.apply_settings(terms, given.traffic_class_ids)
             self.policy_runner.apply_settings(terms, list(self.registry.records.values()))
             self.log.info(
                 "settings applied",
@@ -374,10 +381,10 @@
         if isinstance(command, EndpointCommand):
             return self.set_detached(command.endpoint_id, detached=command.verb is Verb.DETACH)
         if command.verb is Verb.LAMEDUCK:
-            self.listener.set_lame_duck(True)
+            self.listener.set_lame_duck(enabled=True)
             return CommandResult(succeeded=True, message="lame duck: not ready, clients sent away")
         if command.verb is Verb.REJOIN:
-            self.listener.set_lame_duck(False)
+            self.listener.set_lame_duck(enabled=False)
             return CommandResult(succeeded=True, message="ending" if self.listener.closing else "ready")
         return CommandResult(succeeded=True)  # PING: the control address listens once all is restored
 
@@ -417,7 +424,7 @@
             messages=len(self.policy_runner.messages),
             in_flight=len(self.policy_runner.attempts),
         )
-        self.listener.closing, self.listener.answered_by = True, began + limits.requests_after_term_s
+        self.listener.begin_shutdown(began + limits.requests_after_term_s)
         if self.listener.inherited:  # the process beside this one accepts; what is held here it adopts after
             self.listener.stop()
             gevent.spawn(self.listener.drain_clients, limits.drain_clients_s)
@@ -441,13 +448,15 @@
         self.ended.set()
 
     def has_work(self) -> bool:
-        return bool(self.policy_runner.messages or self.listener.clients) or self.has_unfinishable_work()
+        return (
+            bool(self.policy_runner.messages or self.listener.has_connections())
+            or self.has_unfinishable_work()
+        )
 
     def has_unfinishable_work(self) -> bool:
         """What no other process can finish: shots out, notices on their way, clients within a request."""
-        clients = self.listener
         return bool(
-            self.policy_runner.attempts or self.notifier.has_pending or clients.reading or clients.replying
+            self.policy_runner.attempts or self.notifier.has_pending or self.listener.has_open_requests()
         )
 
 
--- a/tests/server/http/test_admission.py
+++ b/tests/server/http/test_admission.py
@@ -4,26 +4,37 @@
 
 import os
 from dataclasses import replace
+from http import HTTPStatus
 from pathlib import Path
 
 import pytest
-from support.stages import desk, parsed
+from support.stages import client_listener, read_request
 from support.world import LIMITS, TERMS, request
 
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
+from ashpath.server.http.admission import Admission, AdmissionResult
 from ashpath.server.storage.write_ahead_log import BLOCK, WriteAheadLog
 
+SAME_ID = (request("i", "free", "200", 1), request("i", "once", "500", 1))
 
-def test_id_held_already(tmp_path: Path) -> None:
-    """The same id from another client meets no second entry, until the first has its end."""
-    take_in, host, ledger = desk(tmp_path)
-    admit, first = take_in.admission, parsed(request("i", "free", "200", 1))
-    assert admit.admit(admit.parse_request(first)) == (202, 0)
-    assert admit.admit(admit.parse_request(parsed(request("i", "once", "500", 1)))) == (409, 0)
-    assert len(ledger.live) == 1 and host.seen == ["take i"]
-    ledger.record_finished(next(iter(ledger.live.values())))
-    assert not ledger.by_trace_id
+
+def admission_and_log(folder: Path, max_bytes: int = 1 << 20) -> tuple[Admission, WriteAheadLog]:
+    """An admission behind a listener of its own."""
+    listener, _, write_ahead_log = client_listener(folder, max_bytes)
+    return listener.handler.admission, write_ahead_log
+
+
+def test_a_trace_id_that_is_in_use(tmp_path: Path) -> None:
+    """The same id from another client meets no second message, until the first is over."""
+    listener, receiver, write_ahead_log = client_listener(tmp_path)
+    admission = listener.handler.admission
+    first, second = (read_request(data) for data in SAME_ID)
+    assert admission.admit(admission.parser.parse(first)) == AdmissionResult(HTTPStatus.ACCEPTED)
+    assert admission.admit(admission.parser.parse(second)) == AdmissionResult(HTTPStatus.CONFLICT)
+    assert len(write_ahead_log.live) == 1 and receiver.events == ["submitted i"]
+    write_ahead_log.record_finished(next(iter(write_ahead_log.live.values())))
+    assert not write_ahead_log.by_trace_id
 
 
 def test_destinations_served(tmp_path: Path) -> None:
@@ -41,8 +52,10 @@
 def test_ledger_full(tmp_path: Path) -> None:
     """Never more than the disk holds, old and new file together; a 503 where there is no room, none lost."""
     most = 8 * BLOCK
-    take_in, _, ledger = desk(tmp_path, most)
-    statuses, sizes, put = [], [], os.replace
+    admission, ledger = admission_and_log(tmp_path, most)
+    statuses: list[int] = []
+    sizes: list[int] = []
+    put = os.replace
 
     def replacing(new: Path, old: Path) -> None:
         sizes.append(sum(file.stat().st_size + 512 for file in tmp_path.iterdir()))
@@ -51,8 +64,9 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr("ashpath.server.storage.write_ahead_log.os.replace", replacing)
         for number in range(60):
-            entry = take_in.admission.parse_request(parsed(request(f"f{number}", "free", "200" * 100, 1)))
-            statuses.append(take_in.admission.admit(entry)[0])
+            data = request(f"f{number}", "free", "200" * 100, 1)
+            entry = admission.parser.parse(read_request(data))
+            statuses.append(admission.admit(entry).status)
             if statuses[-1] == 202:
                 ledger.record_attempt(entry, 1, "e1")
                 ledger.record_outcome(entry, may_have_run=True)
@@ -70,8 +84,10 @@
     assert not again.live and again.reserved == 0
 
 
-def test_room(tmp_path: Path) -> None:
-    take_in, host, ledger = desk(tmp_path)
-    host.messages = dict.fromkeys(range(TERMS.queue_capacity))
-    entry = take_in.admission.parse_request(parsed(request("r", "free", "200", 1)))
-    assert take_in.admission.admit(entry) == (503, 0) and not ledger.live
+def test_queue_capacity(tmp_path: Path) -> None:
+    listener, receiver, write_ahead_log = client_listener(tmp_path)
+    admission = listener.handler.admission
+    receiver.messages = dict.fromkeys(range(TERMS.queue_capacity))
+    message = admission.parser.parse(read_request(request("r", "free", "200", 1)))
+    assert admission.admit(message) == AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE)
+    assert not write_ahead_log.live
--- /dev/null
+++ b/tests/server/http/test_client_connection.py
@@ -0,0 +1,120 @@
+"""One client's connection: requests that are late, cut or too many, and ends that take nothing back."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from pathlib import Path
+
+import gevent
+import pytest
+from gevent import Timeout, socket
+from support.server import receive_all, serve, tcp_pair
+from support.stages import SocketPairConnection, client_listener
+from support.world import abandon, request, until
+
+from ashpath.server.http.connection_table import ConnectionState
+from ashpath.server.http.errors import ConnectionClosedError
+
+
+def test_clients_that_leave(tmp_path: Path) -> None:
+    """Before the request is read: it is not submitted. Before the response is out: disconnected."""
+    listener, receiver, write_ahead_log = client_listener(tmp_path)
+    near, far = socket.socketpair()
+    far.sendall(request("g0", "free", "200", 1))
+    far.close()
+    listener.serve(SocketPairConnection(near))
+    assert receiver.events == [] and not write_ahead_log.live
+    near, far = socket.socketpair()
+    receiver.on_submit = far.close
+    far.sendall(request("g1", "free", "200", 1))
+    listener.serve(SocketPairConnection(near))
+    assert receiver.events == ["submitted g1", "disconnected g1"]
+
+
+def test_clients_that_stall(tmp_path: Path) -> None:
+    """Silent, dripping or idle for too long: each connection ends, and nothing of it is kept."""
+    listener, receiver, _ = client_listener(tmp_path, request_s=0.05, client_idle_s=0.05)
+    for data, statuses in ((b"", []), (b"POST /api", [408]), (request("q", "free", "200", 1), [202])):
+        near, far = socket.socketpair()
+        far.sendall(data)
+        gevent.spawn(listener.serve, SocketPairConnection(near))
+        client = SocketPairConnection(far)
+        seen: list[int] = []
+        with Timeout(20), suppress(ConnectionClosedError):
+            while True:
+                seen.append(client.read_response().status)
+                client.finish_response()
+        assert seen == statuses
+        client.close()
+        until(
+            lambda: (
+                not listener.table.count(
+                    ConnectionState.AWAITING_FIRST_REQUEST, ConnectionState.IDLE, ConnectionState.READING
+                )
+            )
+        )
+    assert receiver.events == ["submitted q"]
+
+
+def test_more_bytes_as_the_last_response_goes_out(tmp_path: Path) -> None:
+    """Guards the last response on a connection: a close over unread bytes would reset it and take it back."""
+    listener, receiver, _ = client_listener(tmp_path)
+    listener.begin_shutdown(respond_by=float("inf"))
+    near, far = tcp_pair()
+    receiver.on_submit = lambda: far.sendall(request("b", "free", "200", 1))
+    far.sendall(request("a", "free", "200", 1))
+    serve(listener, near)
+    data = receive_all(far)
+    assert data.startswith(b"HTTP/1.1 202 ") and data.count(b"HTTP/1.1") == 1
+    assert receiver.events == ["submitted a"]
+    far.close()
+    until(lambda: not listener.table.count(ConnectionState.HALF_CLOSED))
+
+
+@pytest.mark.parametrize("size", [3, 60_000], ids=["short", "long"])
+@pytest.mark.parametrize("first", [True, False], ids=["first", "idle"])
+def test_a_request_as_its_connection_is_drained(tmp_path: Path, first: bool, size: int) -> None:
+    """Guards a request that comes in the instant of the shutdown: it is not submitted, as nobody could be
+    answered; its client sees an end in order and asks elsewhere."""
+    listener, receiver, _ = client_listener(tmp_path)
+    near, far = tcp_pair()
+    served = serve(listener, near)
+    if not first:
+        far.sendall(request("a", "free", "200", 1))
+        until(lambda: listener.table.count(ConnectionState.IDLE))
+        assert far.recv(999).startswith(b"HTTP/1.1 202 ")
+    else:
+        until(lambda: listener.table.count(ConnectionState.AWAITING_FIRST_REQUEST))
+    listener.close_idle()
+    far.sendall(request("b", "free", "2" * size, 1))  # no switch between the two
+    assert receive_all(far) == b"" and receiver.events == ["submitted a"] * (not first)
+    gevent.sleep(0.05)
+    assert not far.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)  # no reset behind the end
+    far.close()
+    served.join(20)
+    assert served.dead and not listener.table.count(*ConnectionState)
+
+
+def test_a_request_cut_within(tmp_path: Path) -> None:
+    """A client that ends its side within a request can read what was wrong; nothing is submitted."""
+    listener, receiver, _ = client_listener(tmp_path)
+    data = request("a", "free", "200 " + "x" * 300, 1)
+    for cut in (1, 30, data.index(b"\r\n\r\n"), len(data) - 1):
+        near, far = tcp_pair()
+        far.sendall(data[:cut])
+        far.shutdown(socket.SHUT_WR)
+        serve(listener, near)
+        assert receive_all(far).startswith(b"HTTP/1.1 400 ")
+    assert not receiver.events
+
+
+def test_a_client_that_floods_and_leaves(tmp_path: Path) -> None:
+    """Its place is free again, and nothing of it was submitted."""
+    listener, receiver, _ = client_listener(tmp_path)
+    near, far = tcp_pair()
+    listener.connection_count = 1
+    served = serve(listener, near)
+    far.sendall(request("a", "free", "200", 1) * 400)
+    abandon(far)
+    served.join(20)
+    assert served.dead and receiver.events == [] and listener.connection_count == 0
--- /dev/null
+++ b/tests/server/http/test_connection_table.py
@@ -0,0 +1,80 @@
+"""Which connections of clients are closed, to make room or at the end, and which are not."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import gevent
+from gevent import socket
+from support.server import receive_all, serve, tcp_pair
+from support.stages import SocketPairConnection, client_listener
+from support.world import request, until
+
+from ashpath.server.http.connection_table import ConnectionState
+
+
+def test_clients_that_ask_once_and_stay(tmp_path: Path) -> None:
+    """Those idle longest are closed, so that others find a connection; whose request has just come is not."""
+    listener, receiver, _ = client_listener(tmp_path, idle_client_connections=2, client_idle_s=60.0)
+    clients = []
+    for number in range(5):
+        near, far = socket.socketpair()
+        far.sendall(request(f"s{number}", "free", "200", 1))
+        gevent.spawn(listener.serve, SocketPairConnection(near))
+        clients.append(SocketPairConnection(far))
+        until(lambda number=number: len(receiver.events) > number)  # type: ignore[misc]  # bound in the loop
+    closed = [True] * 3 + [False] * 2
+    until(lambda: [client.closed_by_peer() for client in clients if client.read_response()] == closed)
+    clients[3].write(request("s5", "free", "200", 1))
+    assert not listener.table.evict(ConnectionState.IDLE)  # the longest idle one: its request is not read yet
+    until(lambda: len(receiver.events) == 6)
+
+
+def test_a_client_that_stays_after_its_end(tmp_path: Path) -> None:
+    """One that was drained and stays makes room at once, before anybody who still asks."""
+    listener, _, _ = client_listener(tmp_path, silent_eviction_s=0.0, stalled_request_s=0.0)
+    (near, far), (other, asks) = tcp_pair(), tcp_pair()
+    staying = serve(listener, near)
+    until(lambda: listener.table.count(ConnectionState.AWAITING_FIRST_REQUEST))
+    listener.close_idle()
+    asking = serve(listener, other)
+    asks.sendall(b"POST /api HTTP/1.1\r\n")
+    until(lambda: listener.table.count(ConnectionState.READING))
+    assert listener.table.count(ConnectionState.HALF_CLOSED) and listener.table.make_room()
+    until(lambda: staying.dead)
+    assert not asking.dead and listener.table.count(ConnectionState.READING)
+    assert not listener.table.count(ConnectionState.HALF_CLOSED)
+    for end in (far, asks):
+        end.close()
+    until(lambda: asking.dead)
+
+
+def test_a_stalled_request_whose_rest_has_just_come(tmp_path: Path) -> None:
+    """Guards a request whose last byte is in: its connection makes no room, the next stalled one does."""
+    listener, receiver, _ = client_listener(tmp_path, stalled_request_s=0.0)
+    (near, far), (other, stalled) = tcp_pair(), tcp_pair()
+    data = request("a", "free", "200", 1)
+    for end in (far, stalled):
+        end.sendall(data[:40])
+    served, evicted = serve(listener, near), serve(listener, other)
+    until(lambda: listener.table.count(ConnectionState.READING) == 2)
+    far.sendall(data[40:])
+    assert listener.table.evict(ConnectionState.READING)
+    assert far.recv(999).startswith(b"HTTP/1.1 202 ") and receiver.events == ["submitted a"]
+    until(lambda: evicted.dead)
+    far.close()
+    until(lambda: served.dead)
+
+
+def test_bytes_that_wait_as_the_process_ends(tmp_path: Path) -> None:
+    """Guards clients against the exit, which closes what is open: half a request unread would reset it."""
+    listener, receiver, _ = client_listener(tmp_path)
+    near, far = tcp_pair()
+    served = serve(listener, near)
+    until(lambda: listener.table.count(ConnectionState.AWAITING_FIRST_REQUEST))
+    far.sendall(b"POST /api HT")
+    connection = listener.table.connections(ConnectionState.AWAITING_FIRST_REQUEST)[0]
+    listener.close_all()
+    connection.sock.close()  # as the exit does, with no greenlet run in between
+    assert receive_all(far) == b"" and not receiver.events
+    served.join(20)
--- a/tests/server/http/test_requests.py
+++ b/tests/server/http/test_listener.py
@@ -1,8 +1,15 @@
-"""Requests of clients, sound and malformed, and the response each gets."""
+"""The address of clients under load: what each request gets, and clients that stay."""
 
 from __future__ import annotations
 
-from support.world import LIMITS, World, request, until
+import os
+import resource
+from time import monotonic
+
+from gevent import socket
+from gevent.server import StreamServer
+from support.server import address_of
+from support.world import LIMITS, World, abandon, request, until
 
 CHUNKED = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n"
 
@@ -57,3 +64,44 @@
     for wire in stalled:
         assert wire is not None
         wire.close()
+
+
+def test_idle_clients_fill_the_descriptors_while_discovery_is_down(world: World) -> None:
+    """Guards discovery, notices and the control address: each is dialled anew within what clients leave."""
+    held: list[socket.socket] = []
+
+    def hold(sock: socket.socket, address: object) -> None:
+        held.append(sock)
+        world.platform(sock, address)
+
+    world.servers[1].set_handle(hold)
+    world.start()
+    assert world.process is not None
+    resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (256, 256))
+    platform = world.servers[1]
+    _, port = address_of(platform)
+    platform.stop(timeout=0)
+    for sock in held:
+        abandon(sock)
+    clients = [world.connect() for _ in range(LIMITS.client_connections + 40)]
+    for wire in clients[::2]:
+        assert wire is not None
+        wire.sock.sendall(b"GET /health/ready HTTP/1.1\r\n\r\n")
+    assert world.hand_in("owed", "once", "hang", 1, left=300) == 202  # its notice has nowhere to go yet
+    assert world.call(b"PING\n") == b"OK\n"
+    until(lambda: "event=discovery now=silent" in (world.folder / "log").read_text())
+    descriptors = len(os.listdir(f"/proc/{world.process.pid}/fd"))
+    assert descriptors <= 256
+    before = world.watches.get(port, 0)
+    world.servers[1] = StreamServer(("127.0.0.1", port), world.platform)
+    world.servers[1].start()
+    began = monotonic()
+    until(lambda: world.watches.get(port, 0) > before and world.told("owed"))
+    assert monotonic() - began < 6
+    assert world.call(b"PING\n") == b"OK\n" and world.hand_in("new", "free", "200", 2) == 202
+    until(lambda: world.count("new"))
+    log = (world.folder / "log").read_text()
+    assert "unexpected error" not in log and "Too many open files" not in log and world.process.poll() is None
+    for wire in clients:
+        assert wire is not None
+        wire.close()
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import errno
+from http import HTTPStatus
 from time import monotonic
 
 import gevent
 import pytest
-from support.stages import parsed
+from support.stages import read_request
 from support.world import LIMITS, World, request, until
 
+from ashpath.server.http.admission import AdmissionResult
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.messages import HttpRequest
 from ashpath.server.runtime import create_sender
@@ -24,18 +26,22 @@
     sender, _ = create_sender()
     sender.policy_runner.restore(list(sender.registry.records.values()))
     data = request("a", "once", "slow 200", 1)
-    entry = sender.admission.parse_request(parsed(data))
-    assert sender.admission.admit(entry) == (202, 0)
+    entry = sender.admission.parser.parse(read_request(data))
+    assert sender.admission.admit(entry) == AdmissionResult(HTTPStatus.ACCEPTED)
     until(lambda: world.count("a") == 1)
     sender.policy_runner.client_disconnected(entry)
-    assert sender.admission.admit(sender.admission.parse_request(parsed(data))) == (409, 0)
+    assert sender.admission.admit(sender.admission.parser.parse(read_request(data))) == AdmissionResult(
+        HTTPStatus.CONFLICT
+    )
     assert (
         sender.write_ahead_log.live[entry.message_id].in_flight_since is not None
         and not sender.policy_runner.messages
     )
     until(lambda: not sender.policy_runner.attempts)
     assert not sender.write_ahead_log.live and not sender.policy_runner.abandoned
-    assert sender.admission.admit(sender.admission.parse_request(parsed(data))) == (202, 0)
+    assert sender.admission.admit(sender.admission.parser.parse(read_request(data))) == AdmissionResult(
+        HTTPStatus.ACCEPTED
+    )
     until(lambda: world.count("a") == 2 and not sender.policy_runner.attempts)
 
 
@@ -81,8 +87,8 @@
         record(entry, at, endpoint)
 
     monkeypatch.setattr(sender.write_ahead_log, "record_attempt", shot)
-    entry = sender.admission.parse_request(parsed(request("a", "once", "200", 1)))
+    entry = sender.admission.parser.parse(read_request(request("a", "once", "200", 1)))
     gevent.get_hub().loop.update_now()  # the start took a while, and its timers count from before
-    assert sender.admission.admit(entry) == (202, 0) and len(refused) == 1
+    assert sender.admission.admit(entry) == AdmissionResult(HTTPStatus.ACCEPTED) and len(refused) == 1
     until(lambda: world.count("a") == 1 and not sender.write_ahead_log.live)
     assert len(refused) == 3 and refused[2] - refused[0] > 1.5 * LIMITS.retry_s
--- a/tests/support/server.py
+++ b/tests/support/server.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import signal
+import socket as standard_socket
 
 import gevent
 import structlog
-from gevent import socket
+from gevent import Timeout, socket
 from gevent.server import StreamServer
 
 from ashpath.server.delivery.connection_pool import Address
-from ashpath.server.http.client_listener import ClientListener
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.listener import ClientListener
 from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 from support.world import LIMITS, World, until
 
@@ -36,11 +37,26 @@
     return "127.0.0.1", server.server_port
 
 
-# Connections of clients.
+def tcp_pair() -> tuple[socket.socket, socket.socket]:
+    """Two ends of a TCP connection over loopback: what a reset takes back shows on these alone."""
+    with standard_socket.create_server(("127.0.0.1", 0)) as server:
+        far = socket.create_connection(server.getsockname())
+        accepted = server.accept()[0]
+        return socket.socket(fileno=accepted.detach()), far
 
 
-def serve(take_in: ClientListener, near: socket.socket) -> gevent.Greenlet:
-    return gevent.spawn(take_in.serve, HttpConnection(near, LIMITS))
+def receive_all(far: socket.socket) -> bytes:
+    """All bytes up to an end in order; raises ConnectionResetError where it was none."""
+    data = b""
+    with Timeout(20):
+        while piece := far.recv(65536):
+            data += piece
+    return data
+
+
+def serve(listener: ClientListener, near: socket.socket) -> gevent.Greenlet:
+    """Serves one connection in a greenlet of its own."""
+    return gevent.spawn(listener.serve, HttpConnection(near, LIMITS))
 
 
 READY = encode_message(b"GET /health/ready HTTP/1.1", [], b"")
--- a/tests/support/stages.py
+++ b/tests/support/stages.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from random import Random
+from typing import NamedTuple
 
 import pytest
 import structlog
@@ -17,8 +20,8 @@
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.http.admission import Admission
-from ashpath.server.http.client_listener import ClientListener
 from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.listener import ClientListener
 from ashpath.server.http.messages import HttpRequest
 from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
 from ashpath.server.timers import now
@@ -32,31 +35,47 @@
     return HttpNotifier(receiver, LIMITS, write_ahead_log, structlog.get_logger(), backoff)
 
 
-class Still:
-    """In place of the host: takes all, and remembers."""
+class RecordingReceiver:
+    """In place of the policy runner: accepts all, and records what it was told."""
 
     def __init__(self) -> None:
-        self.messages, self.seen, self.attempts = {}, [], {}
+        self.messages: dict[int, StoredMessage | None] = {}
+        self.events: list[str] = []
+        self.on_submit: Callable[[], None] | None = None  # called within a submission
 
-    def submit(self, entry: StoredMessage) -> None:
-        self.seen.append(f"take {entry.trace_id}")
+    def submit(self, message: StoredMessage) -> None:
+        self.events.append(f"submitted {message.trace_id}")
+        if self.on_submit is not None:
+            self.on_submit()
 
-    def client_disconnected(self, entry: StoredMessage) -> None:
-        self.seen.append(f"gone {entry.trace_id}")
+    def client_disconnected(self, message: StoredMessage) -> None:
+        self.events.append(f"disconnected {message.trace_id}")
 
 
-def desk(folder: Path, disk: int = 1 << 20) -> tuple[ClientListener, Still, WriteAheadLog]:
-    ledger, host = WriteAheadLog(folder, disk), Still()
-    book = OutcomeRecorder(ledger, unreachable_notifier(ledger))
-    route = EndpointRegistry(["plain"], ["here"], ConnectionPool(LIMITS), None)
-    route.apply_members([{"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}], whole=True)
-    tracks = {name: number for number, name in enumerate(TRACKS)}
-    admit = Admission(TERMS, tracks, route, host, book, structlog.get_logger())
-    return ClientListener(("127.0.0.1", 1), LIMITS, admit, None), host, ledger
+class ListenerStages(NamedTuple):
+    """A client listener, and what stands behind it."""
 
+    listener: ClientListener
+    receiver: RecordingReceiver
+    write_ahead_log: WriteAheadLog
 
-class Pair(HttpConnection):
-    """A wire over a pair of local sockets, which have no TCP to set."""
+
+def client_listener(folder: Path, max_bytes: int = 1 << 20, **limits: float) -> ListenerStages:
+    """A listener that serves destination 1 and does not listen; `limits` in place of the usual ones."""
+    used = replace(LIMITS, **limits)  # type: ignore[arg-type]  # each by its own name
+    log = WriteAheadLog(folder, max_bytes)
+    receiver = RecordingReceiver()
+    logger = structlog.get_logger()
+    recorder = OutcomeRecorder(log, unreachable_notifier(log))
+    registry = EndpointRegistry(["plain"], ["here"], ConnectionPool(used), logger)
+    registry.apply_members([{"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}], whole=True)
+    class_ids = {name: number for number, name in enumerate(TRACKS)}
+    admission = Admission(TERMS, class_ids, registry, receiver, recorder, logger)
+    return ListenerStages(ClientListener(("127.0.0.1", 1), used, admission, logger), receiver, log)
+
+
+class SocketPairConnection(HttpConnection):
+    """A connection over a pair of local sockets, which have no TCP to set."""
 
     def __init__(self, sock: socket.socket) -> None:
         with pytest.MonkeyPatch.context() as patch:
@@ -64,10 +83,11 @@
             super().__init__(sock, LIMITS)
 
 
-def parsed(data: bytes) -> HttpRequest:
+def read_request(data: bytes) -> HttpRequest:
+    """The request that stands in these bytes."""
     near, far = socket.socketpair()
     far.sendall(data)
-    return Pair(near).read_request()
+    return SocketPairConnection(near).read_request()
 
 
 class Outward:
