Write-ahead log: typed records, live table, file, locks and adoption in a module each

Change: record_codec has MessageSubmitted, AttemptStarted, AttemptFinished and MessageFinished and alone knows their names on disk; live_messages has one table of what a record does; log_file appends and rewrites; log_directory claims and finds orphans; file_lock and atomic_file are shared with the state directory; errors.py has typed errors, raised from their cause. The line of a failed start names the same kinds of error as before (`reported_as`). StoredMessage moves to stored_message.py, `reserved` is now `reserved_bytes`.

--- a/ashpath/cli/ledger.py
+++ b/ashpath/cli/ledger.py
@@ -17,12 +17,10 @@
 
 from ashpath.cli.group import BAD_INPUT, FAILED, OK, Failure
 from ashpath.cli.rows import show
-from ashpath.server.storage.write_ahead_log import (
-    ForeignRecordError,
-    LiveMessages,
-    RecordReader,
-    StoredMessage,
-)
+from ashpath.server.storage.errors import ForeignRecordError
+from ashpath.server.storage.live_messages import LiveMessages
+from ashpath.server.storage.record_codec import RecordReader
+from ashpath.server.storage.stored_message import StoredMessage
 
 
 @dataclass
@@ -52,10 +50,10 @@
         file.seek(0)
         reader = RecordReader(file)
         with suppress(ForeignRecordError):
-            for (what, number, *fields), body, size in reader:
-                found.records[what] += 1
-                found.held.apply(what, number, fields, body, size)
-        found.sound, found.fault = reader.at, reader.fault
+            for record, size in reader:
+                found.records[record.disk_name] += 1
+                found.held.apply(record, size)
+        found.sound, found.fault = reader.sound_bytes, reader.fault
     return found
 
 
@@ -156,7 +154,7 @@
         "bytes": found.size,
         "records": dict(found.records),
         "live": len(live),
-        "live_bytes": found.held.reserved,
+        "live_bytes": found.held.reserved_bytes,
         "last_number": found.held.last_id,
         "out": sum(entry.in_flight_since is not None for entry in live),
         "may_have_run": sum(entry.first_run_at is not None for entry in live),
--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -26,8 +26,9 @@
 from ashpath.server.http.status_api import StatusApi
 from ashpath.server.logs import LogFormat, create_logger
 from ashpath.server.runtime import SenderConfiguration, SenderProcess, StartupError
+from ashpath.server.storage.errors import StateDirectoryError
 from ashpath.server.storage.outcome_store import OutcomeStore
-from ashpath.server.storage.state_directory import StateDirectory, StateDirectoryError
+from ashpath.server.storage.state_directory import StateDirectory
 from ashpath.server.wire_names import CREDENTIAL_HEADER
 
 NAMED = 20  # keys that one log line names
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -18,7 +18,7 @@
 from ashpath.server.http.encoding import encode_message, host_header
 from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
 from ashpath.server.http.messages import HttpResponse
-from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.timers import now
 
 OUT_OF_DESCRIPTORS = (EMFILE, ENFILE)
--- a/ashpath/server/delivery/file_notifier.py
+++ b/ashpath/server/delivery/file_notifier.py
@@ -12,7 +12,8 @@
 from ashpath.server.delivery.rotating_file import RotatingFile
 from ashpath.server.limits import ServerLimits
 from ashpath.server.logs import Logger
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
 class FileNotifier(PendingNotifications):
--- a/ashpath/server/delivery/http_notifier.py
+++ b/ashpath/server/delivery/http_notifier.py
@@ -26,7 +26,8 @@
 from ashpath.server.http.messages import HttpResponse
 from ashpath.server.limits import ServerLimits
 from ashpath.server.logs import Logger
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 ACKNOWLEDGED_STATUSES = frozenset({204, 200})  # the platform answers 204; other receivers may answer 200
 UNREADABLE_STATUS = 400
--- a/ashpath/server/delivery/notifier.py
+++ b/ashpath/server/delivery/notifier.py
@@ -17,7 +17,8 @@
 import orjson
 from gevent.event import Event
 
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
 def encode_notification(message: StoredMessage, status: str, retry_after_ms: int = 0) -> str:
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -7,7 +7,8 @@
 from ashpath.core.interface import AttemptOutcome
 from ashpath.server import wire_names
 from ashpath.server.delivery.notifier import encode_notification
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
 class Teller(Protocol):
@@ -46,7 +47,7 @@
             self.store(entry, wire_names.DELIVERED_STATE if completed else wire_names.CANCELLED_STATE)
             self.write_ahead_log.record_finished(entry)
         else:
-            self.write_ahead_log.record_outcome(entry, may_have_run)
+            self.write_ahead_log.record_outcome(entry, may_have_run=may_have_run)
 
     def rejected(self, entry: StoredMessage, come_back: int) -> None:
         self.finish(
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -13,7 +13,7 @@
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.http.request_parser import RequestParser
 from ashpath.server.logs import Logger
-from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage
 
 
 class MessageReceiver(Protocol):
@@ -114,6 +114,6 @@
         self.logger.info(
             "write-ahead log full" if self.log_full else "write-ahead log has space",
             messages=len(log.live),
-            reserved=log.reserved,
+            reserved=log.reserved_bytes,
             max_bytes=log.max_bytes,
         )
--- a/ashpath/server/http/request_handler.py
+++ b/ashpath/server/http/request_handler.py
@@ -12,7 +12,7 @@
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.errors import InvalidRequestError
 from ashpath.server.http.messages import HttpRequest
-from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage
 
 
 @dataclass(slots=True)
--- a/ashpath/server/http/request_parser.py
+++ b/ashpath/server/http/request_parser.py
@@ -8,7 +8,7 @@
 from ashpath.server import wire_names
 from ashpath.server.http.errors import InvalidNumberError, InvalidRequestError, InvalidTokenError
 from ashpath.server.http.messages import HttpRequest
-from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.timers import wall
 
 UNREPEATABLE_HEADERS = {
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -22,7 +22,7 @@
 from ashpath.server.http.request_handler import Reply
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.outcome_store import OutcomeStore
-from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.timers import wall
 
 MAX_PAGE_ROWS = 500
--- a/ashpath/server/metrics.py
+++ b/ashpath/server/metrics.py
@@ -119,7 +119,7 @@
             ("envelopes_room", "Envelopes that may be held at once; 0: no bound.", terms.queue_capacity),
             ("shots_out", "Shots without an outcome.", len(host.attempts)),
             ("slots", "Calls that may be out at once.", terms.max_in_flight),
-            ("ledger_bytes", "Bytes that the ledger may need for what it holds.", ledger.reserved),
+            ("ledger_bytes", "Bytes that the ledger may need for what it holds.", ledger.reserved_bytes),
             ("ledger_most_bytes", "Bytes that the ledger may have.", ledger.max_bytes),
             ("destinations", "Destinations that are known.", len(host.policy.destinations)),
             ("client_connections", "Connections of clients.", node.listener.connection_count),
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -20,7 +20,8 @@
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.storage.outage_store import OutageStore
 from ashpath.server.storage.shared_memory import SharedMemory
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import Timers, now, wall
 
 News = tuple[Callable[..., None], tuple[Any, ...]]
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -44,6 +44,7 @@
 from ashpath.server.storage import detached_endpoints as holds
 from ashpath.server.storage import outage_store as outages
 from ashpath.server.storage import traffic_class_ids as numbers
+from ashpath.server.storage.errors import StorageError
 from ashpath.server.storage.shared_memory import PLACES, SIZE, SharedMemory
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
@@ -59,11 +60,10 @@
 
 
 def error_text(error: BaseException) -> str:
-    return (
-        str(error)
-        if isinstance(error, StartupError | InvalidSettingError)
-        else f"{type(error).__name__} {error}"
-    )
+    if isinstance(error, StartupError | InvalidSettingError):
+        return str(error)
+    kind = error.reported_as if isinstance(error, StorageError) else type(error).__name__
+    return f"{kind} {error}"
 
 
 def listens(told: dict[str, Any], name: str) -> Address | None:
--- /dev/null
+++ b/ashpath/server/storage/errors.py
@@ -0,0 +1,71 @@
+"""Errors of stored data: what was on disk before one is raised is there after it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import ClassVar
+
+
+class StorageError(Exception):
+    """`reported_as` is the kind of error in the line that a failed start prints: operators know that line."""
+
+    reported_as: ClassVar[str]
+
+
+class StateDirectoryError(Exception):
+    """The state directory cannot be used by this sender; the message says why."""
+
+    @classmethod
+    def of_directory(cls, path: Path, reason: str | None) -> StateDirectoryError:
+        """The directory as a whole."""
+        return cls(f"state folder {path}: {reason}")
+
+    @classmethod
+    def of_file(cls, path: Path, reason: object) -> StateDirectoryError:
+        """One file in it."""
+        return cls(f"{path}: {reason}")
+
+
+class ForeignRecordError(StorageError, ValueError):
+    """A record of a log whose checksum is right and whose fields are not ours: another version wrote it."""
+
+    reported_as = "ForeignRecordError"
+
+    def __init__(self, offset: int, fault: str) -> None:
+        super().__init__(f"byte {offset}: {fault}")
+
+
+class LogLockedError(StorageError, OSError):
+    """A living process holds the lock of the log that is named after this process."""
+
+    reported_as = "OSError"
+
+    def __init__(self, directory: Path, process_id: int) -> None:
+        super().__init__(f"{directory}: the journal of process {process_id} is locked by another")
+
+
+class TrafficClassIdsError(StorageError, ValueError):
+    """The file of traffic class ids cannot be read."""
+
+    reported_as = "ValueError"
+
+    def __init__(self, path: Path, reason: Exception) -> None:
+        super().__init__(f"{path}: {reason}")
+
+
+class ForeignFileError(ValueError):
+    """A file of the state directory that is whole and not of the version that this code reads."""
+
+    def __init__(self, contents: str) -> None:
+        super().__init__(f"not a file of {contents} of this version")
+
+
+class ShortWriteError(OSError):
+    """Only a part of the data was written; the file was cut back to what it held before."""
+
+    def __init__(self, written: int, wanted: int) -> None:
+        super().__init__(f"only {written} of {wanted} bytes written")
+
+
+class DetachedEndpointsError(OSError):
+    """A change of the detached endpoints cannot be stored."""
--- a/ashpath/server/storage/state_directory.py
+++ b/ashpath/server/storage/state_directory.py
@@ -1,98 +1,101 @@
-"""The state folder of a standalone sender: whose it is, which version's, and what its tracks' numbers mean.
+"""The state directory of a standalone sender: whose it is, which version's, and its traffic class ids.
 
-`lock` is held as long as the process lives. `imprint` names the version, the sender and the tracks in the
-order of their numbers, as the ledger's records have numbers only.
+`lock` is held as long as the process lives, and has its process id for whoever is refused. `imprint` is
+JSON, `{"version": 1, "sender": name, "tracks": [rows]}`: the rows of the traffic classes stand in the order
+of their ids, since the records of the write-ahead log have ids only. A directory of another sender, of
+another version, or with a log whose ids nobody can name any more, is refused and left as it is.
 """
 
 from __future__ import annotations
 
-import fcntl
 import os
 from pathlib import Path
 from typing import Any
 
 import orjson
 
-from ashpath.server.storage.write_ahead_log import ForeignRecordError, LiveMessages, RecordReader
+from ashpath.server.storage.atomic_file import replace_file
+from ashpath.server.storage.errors import ForeignRecordError, StateDirectoryError
+from ashpath.server.storage.file_lock import FileLock
+from ashpath.server.storage.live_messages import LiveMessages
+from ashpath.server.storage.record_codec import RecordReader
 
 VERSION = 1
-
-
-class StateDirectoryError(Exception):
-    """The folder cannot be used by this sender; the words say why. Nothing in it was changed."""
+MAX_PROCESS_ID_BYTES = 20
 
 
 class StateDirectory:
+    """Locked from its making until `close`. Raises StateDirectoryError where this sender cannot have it."""
+
     def __init__(self, path: Path, sender: str) -> None:
-        self.path, self.sender = path, sender
+        """`sender`: the name that the imprint must have."""
+        self.path = path
+        self.sender = sender
         self.imprint = path / "imprint"
         try:
             path.mkdir(parents=True, exist_ok=True)
-            self.lock = os.open(path / "lock", os.O_RDWR | os.O_CREAT, 0o600)
+            self._lock = FileLock(path / "lock")
         except OSError as error:
-            raise StateDirectoryError(f"state folder {path}: {error.strerror}") from None
+            raise StateDirectoryError.of_directory(path, error.strerror) from error
         try:
-            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            holder = os.pread(self.lock, 20, 0).decode("ascii", "replace").strip() or "unknown"
-            os.close(self.lock)
-            raise StateDirectoryError(
-                f"state folder {path}: in use by another sender, process {holder}"
-            ) from None
-        try:
-            self.traffic_classes = self.read()
+            self._acquire()
+            self.traffic_classes = self._read_imprint()
         except StateDirectoryError:
-            os.close(self.lock)
+            self._lock.release()
             raise
 
-    def read(self) -> list[dict[str, Any]]:
-        """The tracks that the ledger's numbers stand for; none where nothing was written yet."""
+    def _acquire(self) -> None:
+        if not self._lock.acquire():
+            content = os.pread(self._lock.descriptor, MAX_PROCESS_ID_BYTES, 0)
+            holder = content.decode("ascii", "replace").strip() or "unknown"
+            raise StateDirectoryError.of_directory(self.path, f"in use by another sender, process {holder}")
+
+    def _read_imprint(self) -> list[dict[str, Any]]:
+        """The traffic classes by id, as the platform's settings write them; none where none were stored."""
         try:
-            told = orjson.loads(self.imprint.read_bytes())
-            version, sender, tracks = told["version"], told["sender"], list(told["tracks"])
-        except FileNotFoundError:
+            content = orjson.loads(self.imprint.read_bytes())
+            version = content["version"]
+            sender = content["sender"]
+            traffic_classes = list(content["tracks"])
+        except FileNotFoundError as error:
             if self.live_messages():
-                raise StateDirectoryError(
-                    f"state folder {self.path}: its journal has no imprint beside it"
-                ) from None
+                reason = "its journal has no imprint beside it"
+                raise StateDirectoryError.of_directory(self.path, reason) from error
             return []
         except (OSError, ValueError, KeyError, TypeError) as error:
-            raise StateDirectoryError(f"{self.imprint}: cannot be read: {error}") from None
+            raise StateDirectoryError.of_file(self.imprint, f"cannot be read: {error}") from error
         if version != VERSION:
-            raise StateDirectoryError(
-                f"{self.imprint}: written by version {version}, this one reads {VERSION}"
-            )
+            reason = f"written by version {version}, this one reads {VERSION}"
+            raise StateDirectoryError.of_file(self.imprint, reason)
         if sender != self.sender:
-            raise StateDirectoryError(
-                f"{self.imprint}: the folder of sender {sender!r}, not of {self.sender!r}"
-            )
-        return tracks
+            reason = f"the folder of sender {sender!r}, not of {self.sender!r}"
+            raise StateDirectoryError.of_file(self.imprint, reason)
+        return traffic_classes
 
     def live_messages(self) -> int:
-        """How many envelopes the journal holds."""
-        held = LiveMessages()
+        """How many messages the log holds. Raises StateDirectoryError."""
+        log = self.path / "journal"
+        messages = LiveMessages()
         try:
-            with (self.path / "journal").open("rb") as file:
-                for (what, number, *fields), body, size in RecordReader(file):
-                    held.apply(what, number, fields, body, size)
+            with log.open("rb") as file:
+                messages.read(RecordReader(file))
         except FileNotFoundError:
             return 0
         except (OSError, ForeignRecordError) as error:
-            raise StateDirectoryError(f"{self.path / 'journal'}: {error}") from None
-        return len(held.live)
+            raise StateDirectoryError.of_file(log, error) from error
+        return len(messages.live)
 
-    def write(self, tracks: list[dict[str, Any]]) -> None:
-        """Before the ledger is opened; as a whole or not at all."""
-        told = {"version": VERSION, "sender": self.sender, "tracks": tracks}
-        fresh = self.path / "imprint.new"
+    def write(self, traffic_classes: list[dict[str, Any]]) -> None:
+        """Before a message is accepted under them; as a whole or not at all. Raises StateDirectoryError."""
+        content = {"version": VERSION, "sender": self.sender, "tracks": traffic_classes}
         try:
-            os.truncate(self.lock, 0)
-            os.pwrite(self.lock, b"%d\n" % os.getpid(), 0)
-            if tracks != self.traffic_classes or not self.imprint.exists():
-                fresh.write_bytes(orjson.dumps(told))
-                os.replace(fresh, self.imprint)
+            os.truncate(self._lock.descriptor, 0)
+            os.pwrite(self._lock.descriptor, b"%d\n" % os.getpid(), 0)
+            if traffic_classes != self.traffic_classes or not self.imprint.exists():
+                replace_file(self.imprint, orjson.dumps(content), self.imprint.with_name("imprint.new"))
         except OSError as error:
-            raise StateDirectoryError(f"state folder {self.path}: {error.strerror}") from None
+            raise StateDirectoryError.of_directory(self.path, error.strerror) from error
 
     def close(self) -> None:
-        os.close(self.lock)
+        """Another sender may take the directory."""
+        self._lock.release()
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -14,7 +14,14 @@
 from statistics import median
 
 from ashpath.cli.ledger import account
-from ashpath.server.storage.write_ahead_log import StoredMessage, encode_record
+from ashpath.server.storage.record_codec import (
+    AttemptFinished,
+    AttemptStarted,
+    MessageFinished,
+    MessageSubmitted,
+    Record,
+)
+from ashpath.server.storage.stored_message import StoredMessage
 from benchmarks.kept import keep
 
 
@@ -25,8 +32,13 @@
     for number in range(records // 4):
         body = chance.randbytes(number % 90)
         entry = StoredMessage(number, f"t{number:x}", 0, number % 50, None, None, 10**18, body)
-        later = (["shot", number, 10**15, "e1"], ["outcome", number, True], ["ended", number, None])
-        for part in (entry.encode(), *map(encode_record, later)):
+        later: tuple[Record, ...] = (
+            MessageSubmitted(entry),
+            AttemptStarted(number, 10**15, "e1"),
+            AttemptFinished(number, may_have_run=True),
+            MessageFinished(number, None),
+        )
+        for part in (record.encode() for record in later):
             parts.append(part)
             size += len(part)
             ends.append(size)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -10,7 +10,8 @@
 from support.standalone import Alone
 from support.world import until
 
-from ashpath.server.storage.write_ahead_log import StoredMessage, encode_record
+from ashpath.server.storage.record_codec import MessageFinished, MessageSubmitted
+from ashpath.server.storage.stored_message import StoredMessage
 
 
 @pytest.fixture
@@ -100,8 +101,10 @@
     assert "submit" in alone.run("-h").stdout and "--kill" in alone.run("demo", "-h").stdout
     assert "_ASHPATH_COMPLETE" in alone.run("completion", "bash").stdout
     journal = tmp_path / "journal"
-    data = b"".join(StoredMessage(n, f"j{n}", 0, n, None, None, 10**18, b"").encode() for n in range(5))
-    journal.write_bytes(data + encode_record(["ended", 1, None])[:-3])
+    data = b"".join(
+        MessageSubmitted(StoredMessage(n, f"j{n}", 0, n, None, None, 10**18, b"")).encode() for n in range(5)
+    )
+    journal.write_bytes(data + MessageFinished(1, None).encode()[:-3])
     run = alone.run("ledger", "verify", str(journal), "--json")
     assert run.returncode == 1 and orjson.loads(run.stdout)["byte"] == len(data)
     assert f"byte {len(data)}: torn" in alone.run("ledger", "verify", str(tmp_path)).stdout
--- a/tests/cli/test_sender.py
+++ b/tests/cli/test_sender.py
@@ -21,15 +21,12 @@
 from support.world import LIMITS, ROOT, until
 
 from ashpath.server.logs import KEPT, LogFormat, LogWriter
+from ashpath.server.storage.errors import ForeignRecordError, StateDirectoryError
 from ashpath.server.storage.outcome_store import OutcomeStore
-from ashpath.server.storage.state_directory import StateDirectory, StateDirectoryError
-from ashpath.server.storage.write_ahead_log import (
-    ForeignRecordError,
-    RecordReader,
-    StoredMessage,
-    WriteAheadLog,
-    encode_record,
-)
+from ashpath.server.storage.record_codec import MessageSubmitted, RecordReader, encode_fields
+from ashpath.server.storage.state_directory import StateDirectory
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import wall
 
 
@@ -165,10 +162,10 @@
         refused(alone, "imprint")
     imprint.write_bytes(good)
     entry = StoredMessage(1, "a", 0, 1, None, None, wall() + 10**9, b"")
-    (state / "journal").write_bytes(encode_record(["renamed", 1]))
+    (state / "journal").write_bytes(encode_fields(["renamed", 1]))
     refused(alone, "not a record of this version")
     imprint.unlink()
-    (state / "journal").write_bytes(entry.encode())
+    (state / "journal").write_bytes(MessageSubmitted(entry).encode())
     refused(alone, "no imprint")
     (tmp_path / "file").write_text("")
     for place in ("file", "file/below", "/proc/nowhere"):
@@ -410,7 +407,9 @@
     """Cut at each of many bytes: the whole records count, and the first torn one's byte is named."""
     sizes, data = [0], b""
     for number in range(40):
-        data += StoredMessage(number, f"t{number}", 0, 1, None, None, 1, b"x" * (number % 7)).encode()
+        data += MessageSubmitted(
+            StoredMessage(number, f"t{number}", 0, 1, None, None, 1, b"x" * (number % 7))
+        ).encode()
         sizes.append(len(data))
     for cut in range(len(data)):
         (tmp_path / "journal").write_bytes(data[:cut])
@@ -418,14 +417,18 @@
             reader = RecordReader(file)
             count = len(list(reader))
         whole = max(at for at in sizes if at <= cut)
-        assert reader.at == whole and count == sizes.index(whole) and bool(reader.fault) == (cut != whole)
+        assert (
+            reader.sound_bytes == whole
+            and count == sizes.index(whole)
+            and bool(reader.fault) == (cut != whole)
+        )
     for at, byte in ((3, b"\xff"), (6, b"\x00"), (12, b"~")):
         spoilt = data[: sizes[9] + at] + byte + data[sizes[9] + at + 1 :]
         (tmp_path / "journal").write_bytes(spoilt)
         with (tmp_path / "journal").open("rb") as file:
             reader = RecordReader(file)
-            assert len(list(reader)) == 9 and reader.at == sizes[9] and reader.fault
-    (tmp_path / "journal").write_bytes(data + encode_record(["of another version", 1, 2]))
+            assert len(list(reader)) == 9 and reader.sound_bytes == sizes[9] and reader.fault
+    (tmp_path / "journal").write_bytes(data + encode_fields(["of another version", 1, 2]))
     with pytest.raises(ForeignRecordError):
         WriteAheadLog(tmp_path, 1 << 20)
     assert (tmp_path / "journal").read_bytes().startswith(data)
--- a/tests/server/delivery/test_response_classifier.py
+++ b/tests/server/delivery/test_response_classifier.py
@@ -11,7 +11,7 @@
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.http.messages import HttpResponse
-from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage
 
 # What a call meets, the track, how many calls there are then, and the notice that ends the envelope.
 OUTCOMES = """
--- a/tests/server/http/test_admission.py
+++ b/tests/server/http/test_admission.py
@@ -14,7 +14,8 @@
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.http.admission import Admission, AdmissionResult
-from ashpath.server.storage.write_ahead_log import BLOCK, WriteAheadLog
+from ashpath.server.storage.log_directory import BLOCK_BYTES
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 SAME_ID = (request("i", "free", "200", 1), request("i", "once", "500", 1))
 
@@ -51,7 +52,7 @@
 
 def test_ledger_full(tmp_path: Path) -> None:
     """Never more than the disk holds, old and new file together; a 503 where there is no room, none lost."""
-    most = 8 * BLOCK
+    most = 8 * BLOCK_BYTES
     admission, ledger = admission_and_log(tmp_path, most)
     statuses: list[int] = []
     sizes: list[int] = []
@@ -62,7 +63,7 @@
         put(new, old)
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr("ashpath.server.storage.write_ahead_log.os.replace", replacing)
+        patch.setattr("ashpath.server.storage.log_file.os.replace", replacing)
         for number in range(60):
             data = request(f"f{number}", "free", "200" * 100, 1)
             entry = admission.parser.parse(read_request(data))
@@ -81,7 +82,7 @@
     assert again.live.keys() == ledger.live.keys() and next(iter(again.live.values())).attempts == 302
     for entry in list(again.live.values()):
         again.record_finished(entry)
-    assert not again.live and again.reserved == 0
+    assert not again.live and again.reserved_bytes == 0
 
 
 def test_queue_capacity(tmp_path: Path) -> None:
--- a/tests/server/storage/test_write_ahead_log.py
+++ b/tests/server/storage/test_write_ahead_log.py
@@ -5,7 +5,8 @@
 import os
 from pathlib import Path
 
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
 def test_ledger_torn(tmp_path: Path) -> None:
@@ -25,7 +26,7 @@
         for n in (1, 2)
     )
     assert ledger.record_submitted(one) and ledger.record_submitted(two)
-    before = ledger.written
+    before = ledger.file.written
     ledger.record_attempt(two, 77, "e1")
     ledger.record_outcome(two, may_have_run=True)
     ledger.close()
@@ -62,16 +63,16 @@
     old = WriteAheadLog(tmp_path, 1 << 20)
     fill(old, "a", 2)
     new = WriteAheadLog(tmp_path, 1 << 20)  # beside a living one: a journal of its own, and nothing adopted
-    assert new.path.name == f"journal-{os.getpid()}" and not new.live and new.adopt() == []
+    assert new.file.path.name == f"journal-{os.getpid()}" and not new.live and new.adopt() == []
     old.record_finished(old.live[1])
     old.close()  # gone: what it held is the new one's, once
     assert [one.trace_id for one in new.adopt()] == ["a1"] and new.adopt() == []
     assert (tmp_path / "journal").read_bytes() == b""
-    (tmp_path / "journal-1").write_bytes(new.path.read_bytes())  # a kill between adopting and emptying
+    (tmp_path / "journal-1").write_bytes(new.file.path.read_bytes())  # a kill between adopting and emptying
     assert new.adopt() == [] and len(new.live) == 1
     new.close()
     again = WriteAheadLog(tmp_path, 1 << 20)  # the next start takes the first name and adopts the other
-    assert again.path.name == "journal" and [one.trace_id for one in again.live.values()] == ["a1"]
+    assert again.file.path.name == "journal" and [one.trace_id for one in again.live.values()] == ["a1"]
     assert not (tmp_path / f"journal-{os.getpid()}").exists()
 
 
@@ -83,6 +84,6 @@
     new = WriteAheadLog(tmp_path, most)
     fill(new, "n")
     # At its most a journal takes its records and a fresh copy of what is live beside them.
-    assert old.written + old.reserved + new.written + new.reserved <= most
+    assert old.file.written + old.reserved_bytes + new.file.written + new.reserved_bytes <= most
     old.close()
     assert new.adopt() and new.other_logs_bytes == 0  # gone: its envelopes are this one's, and so is the disk
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -15,7 +15,7 @@
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.messages import HttpRequest
 from ashpath.server.runtime import create_sender
-from ashpath.server.storage.write_ahead_log import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage
 
 
 def test_the_same_message_again_with_its_call_out(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/server/test_restart.py
+++ b/tests/server/test_restart.py
@@ -9,7 +9,8 @@
 from support.server import live
 from support.world import LIMITS, World, free, until
 
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import wall
 
 
--- a/tests/support/server.py
+++ b/tests/support/server.py
@@ -14,7 +14,8 @@
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message
 from ashpath.server.http.listener import ClientListener
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from support.world import LIMITS, World, until
 
 
--- a/tests/support/stages.py
+++ b/tests/support/stages.py
@@ -23,7 +23,8 @@
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.http.messages import HttpRequest
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import now
 from support.world import LIMITS, TERMS, TRACKS, World
 
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -17,11 +17,14 @@
 from ashpath.cli.standalone import FileConfiguration
 from ashpath.server.storage import detached_endpoints as holds
 from ashpath.server.storage import traffic_class_ids as numbers
+from ashpath.server.storage.errors import StateDirectoryError
 from ashpath.server.storage.outage_store import OutageStore
 from ashpath.server.storage.outcome_store import FinalOutcome, OutcomeStore
+from ashpath.server.storage.record_codec import RecordReader
 from ashpath.server.storage.shared_memory import PLACES, SharedMemory
-from ashpath.server.storage.state_directory import StateDirectory, StateDirectoryError
-from ashpath.server.storage.write_ahead_log import RecordReader, StoredMessage, WriteAheadLog
+from ashpath.server.storage.state_directory import StateDirectory
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 STORED = Path(__file__).parent / "fixtures" / "stored_data"
 DISK = 1 << 20  # bytes that a journal may take
@@ -141,7 +144,7 @@
 def test_kinds_of_records_and_what_is_torn(name: str) -> None:
     with (STORED / name / "journal").open("rb") as file:
         reader = RecordReader(file)
-        kinds = [record[0] for record, _, _ in reader]
+        kinds = [record.disk_name for record, _ in reader]
     assert (kinds, reader.fault) == RECORDS[name]
 
 
--- a/tests/test_stored_data_at_start.py
+++ b/tests/test_stored_data_at_start.py
@@ -8,7 +8,8 @@
 from support.standalone import Alone
 from support.world import World, until
 
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 STORED = Path(__file__).parent / "fixtures" / "stored_data"
 ENDS = {
--- a/tests/test_stored_data_written.py
+++ b/tests/test_stored_data_written.py
@@ -19,7 +19,8 @@
 from ashpath.server.storage import traffic_class_ids as numbers
 from ashpath.server.storage.shared_memory import SharedMemory
 from ashpath.server.storage.state_directory import StateDirectory
-from ashpath.server.storage.write_ahead_log import StoredMessage, WriteAheadLog
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 PLATFORM, STANDALONE = STORED / "platform", STORED / "standalone"
 
