--- a/ashpath/bench_adapter/adapter.py
+++ b/ashpath/bench_adapter/adapter.py
@@ -12,7 +12,7 @@
 from ashpath.core.platform_settings import load_report_fields
 from ashpath.core.policy_settings import policy_settings
 from ashpath.core.time_units import microseconds, milliseconds
-from ashpath.policy.engine import DeliveryPolicy
+from ashpath.policy.delivery_policy import DeliveryPolicy
 
 Row = dict[str, Any]
 
--- /dev/null
+++ b/ashpath/core/destination_state.py
@@ -0,0 +1,103 @@
+"""The state of a destination and its bookkeeping; the policy's `Destination` decides on it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+from ashpath.core.gate_state import GateState
+from ashpath.core.interface import EndpointRecord, EndpointStatus
+from ashpath.core.messages import Endpoint
+from ashpath.core.sender_state import SenderState
+from ashpath.core.snapshots import DestinationSnapshot
+from ashpath.core.timers import destination_timer
+from ashpath.core.waiting_queues import WaitingQueues
+
+
+class DestinationState(ABC):
+    """Dropped when it has neither endpoints nor messages."""
+
+    def __init__(self, state: SenderState, number: int, queues: WaitingQueues) -> None:
+        self.state = state
+        self.number = number
+        self.queues = queues
+        self.gate = self.new_gate("")
+        self.known: dict[str, Endpoint] = {}
+        """Those listed, and removed ones until they are forgotten."""
+        self.endpoints: list[Endpoint] = []
+        """Those listed, in ranked order."""
+        self.kind = 0
+        self.limit_per_endpoint = False
+        """Endpoints are separate routes, each with a gate of its own."""
+        self.max_batch_size = 1
+        self.unfinished_messages = 0
+        self.check_at = 0
+        """When the latest timer to dispatch is due."""
+        state.needs_ranking[self] = None
+
+    @abstractmethod
+    def new_gate(self, route: str) -> GateState:
+        """A gate for all of the destination, or for one route."""
+
+    @abstractmethod
+    def rank(self) -> None:
+        """Puts `endpoints` in order."""
+
+    @abstractmethod
+    def dispatch(self) -> None:
+        """Starts attempts, as long as gates are open and messages wait."""
+
+    def gates(self) -> list[GateState]:
+        """One of each route, where endpoints are separate routes."""
+        return [endpoint.gate for endpoint in self.endpoints] if self.limit_per_endpoint else [self.gate]
+
+    def opens_in(self, *, only_reported: bool = False) -> int:
+        """The time until the first gate may open, as far as it is known, or as destinations asked for."""
+        now = self.state.now
+        opens = (g.retry_after_until if only_reported else g.opens_at(now) or 0 for g in self.gates())
+        return min((max(0, at - now) for at in opens), default=0)
+
+    def delivery_rate(self) -> float:
+        """Deliveries a second, over all gates."""
+        return sum(gate.outage.completions.rate() for gate in self.gates())
+
+    def update_endpoint(self, row: EndpointRecord) -> None:
+        """A row of the endpoint list, or a change of one."""
+        state = self.state
+        kind = state.settings.destination_kinds[row.kind]
+        self.kind = row.kind
+        self.limit_per_endpoint = kind.limit_per_endpoint
+        self.max_batch_size = kind.max_batch_size
+        before = self.known.get(row.endpoint_id)
+        if before is None or (before.gate is self.gate) == self.limit_per_endpoint:  # new, or kinds changed
+            self.known[row.endpoint_id] = self._new_endpoint(row, before)
+        endpoint = self.known[row.endpoint_id]
+        endpoint.gate.rate_listed(row.listed_rate)
+        others = [e for e in self.endpoints if e.endpoint_id != row.endpoint_id]
+        serves = row.status is EndpointStatus.ACTIVE and row.endpoint_id not in state.detached
+        self.endpoints = [endpoint, *others] if serves else others
+        self.rank()
+
+    def _new_endpoint(self, row: EndpointRecord, before: Endpoint | None) -> Endpoint:
+        gate = self.new_gate(row.endpoint_id) if self.limit_per_endpoint else self.gate
+        if before is not None:
+            gate.follow(before.gate)
+        draw = self.state.random.random()
+        return Endpoint(endpoint_id=row.endpoint_id, zone=row.zone, gate=gate, tie_break=draw)
+
+    def forget_endpoints(self, unused_us: int) -> None:
+        """Guards against endpoints that are replaced under new ids all day: those unused for so long."""
+        now = self.state.now
+        unused = (e for e in self.known.values() if not e.in_flight and e.last_call_at + unused_us <= now)
+        for endpoint in [e for e in unused if e.gate.retry_after_until <= now and e not in self.endpoints]:
+            del self.known[endpoint.endpoint_id]
+
+    def schedule_check(self, at: int) -> None:
+        """Dispatches again at that time, if not before."""
+        if not self.state.now < self.check_at <= at:
+            self.check_at = at
+            self.state.actions.schedule_timer(at, destination_timer(self.number))
+
+    def snapshot(self, max_gates: int | None = None) -> DestinationSnapshot:
+        """How it stands; a destination may have thousands of routes."""
+        gates = tuple(gate.snapshot() for gate in self.gates()[:max_gates])
+        return DestinationSnapshot(self.number, len(self.endpoints), self.unfinished_messages, gates)
--- a/ashpath/core/errors.py
+++ b/ashpath/core/errors.py
@@ -11,3 +11,10 @@
 
     def __str__(self) -> str:
         return f"{self.key}: {self.problem}"
+
+
+class InvalidTransitionError(Exception):
+    """A message was to change to a state that does not follow its present one: a fault of the program."""
+
+    def __init__(self, before: object, after: object) -> None:
+        super().__init__(f"{before} to {after}")
--- /dev/null
+++ b/ashpath/core/policy_engine.py
@@ -0,0 +1,233 @@
+"""Takes events in and keeps the books: which message waits where, which endpoint is listed, what is due.
+
+It decides nothing. `DeliveryPolicy` fills in what is abstract here, and adds the outcome of attempts. A batch
+is `begin_batch`, events, `end_batch`; all events of a batch happen at one time, in microseconds.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+from ashpath.core.destination_state import DestinationState
+from ashpath.core.gate_state import GateState
+from ashpath.core.gossip_messages import EndpointRecovered
+from ashpath.core.interface import EndpointRecord, PreviousAttempts
+from ashpath.core.lifecycle import MessageState, transition
+from ashpath.core.messages import FirstRun, Message, OrderedQueue
+from ashpath.core.sender_state import SenderState
+from ashpath.core.timers import Timer, TimerKind, message_timer, ordered_queue_timer
+
+
+class PolicyEngine(SenderState, ABC):
+    """The books of one sender, and its events but for the outcomes of attempts."""
+
+    @abstractmethod
+    def new_destination(self, number: int) -> DestinationState:
+        """A destination that was not known before."""
+
+    @abstractmethod
+    def make_room(self) -> None:
+        """A message was submitted: another may have to give way."""
+
+    @abstractmethod
+    def re_evaluate(self, message: Message) -> None:
+        """Whether it still waits for a call, and how."""
+
+    @abstractmethod
+    def check_time(self, message: Message) -> int:
+        """When to re-evaluate a message that waits."""
+
+    @abstractmethod
+    def rank(self) -> None:
+        """The ranking is due."""
+
+    @abstractmethod
+    def poll(self) -> None:
+        """The endpoint list may have to be polled."""
+
+    # Messages.
+
+    def submit(self, message_id: int, number: int, traffic_class: int, key: int | None, left: int) -> None:
+        """A message that has `left` microseconds to its deadline; `key` is its ordering key."""
+        destination = self.destination(number)
+        self.submissions.add(self.now)
+        gates = destination.gates()
+        for gate in gates:
+            gate.outage.submissions.add(self.now, 1 / len(gates))
+        message = self._new_message(message_id, destination, traffic_class, left)
+        self.make_room()
+        self._enqueue_new(message, key)
+
+    def restore(
+        self, id_: int, number: int, traffic_class: int, key: int | None, left: int, past: PreviousAttempts
+    ) -> None:
+        """A message of the previous incarnation. What may have run counts; waits and statistics are gone."""
+        destination = self.destination(number)
+        self.submissions.add(self.now, 0.0)
+        message = self._new_message(id_, destination, traffic_class, left)
+        self._enqueue_new(message, key)
+        message.attempts = past.attempts
+        message.restored_untried = not past.attempts
+        if past.first_run_at is not None:
+            endpoint = destination.known.get(past.first_run_endpoint)
+            message.first_run = FirstRun(past.first_run_at, endpoint.zone if endpoint else -1)
+        if message.ordered_queue and past.unresolved:
+            message.ordered_queue.settles_at = self.now + self.settings.settle_time
+        self.re_evaluate(message)
+
+    def client_disconnected(self, message_id: int) -> None:
+        """Nobody wants the message any more."""
+        message = self.messages.get(message_id)
+        if message is None:
+            return
+        if message.state is MessageState.IN_FLIGHT:
+            transition(message, MessageState.ABANDONED)
+        elif message.state is MessageState.QUEUED:
+            self.finish(message)
+
+    def _new_message(
+        self, message_id: int, destination: DestinationState, traffic_class: int, left: int
+    ) -> Message:
+        row = self.traffic_classes[traffic_class]
+        deadline_at = self.now + left
+        message = Message(
+            message_id=message_id,
+            destination=destination,
+            traffic_class=row,
+            deadline_at=deadline_at,
+            objective_at=deadline_at - row.settings.deadline + row.settings.latency_objective,
+        )
+        self.messages[message_id] = message
+        return message
+
+    def _enqueue_new(self, message: Message, key: int | None) -> None:
+        message.destination.unfinished_messages += 1
+        if message.traffic_class.settings.ordered and key is not None:
+            ordered_queue = self.ordered_queues.setdefault(key, OrderedQueue(key))
+            message.ordered_queue = ordered_queue
+            ordered_queue.messages.append(message)
+            self.schedule_check(message)
+            self.advance(ordered_queue)
+        else:
+            self.enqueue(message)
+
+    def enqueue(self, message: Message, *, first: bool = False) -> None:
+        """It waits for a call of its destination."""
+        message.destination.queues.add(message, first=first)
+        self.needs_dispatch[message.destination] = None
+        self.schedule_check(message)
+
+    def schedule_check(self, message: Message) -> None:
+        """Re-evaluates a message when the policy says."""
+        self.actions.schedule_timer(self.check_time(message), message_timer(message.message_id))
+
+    def finish(self, message: Message) -> None:
+        """Its books are closed."""
+        transition(message, MessageState.FINISHED)
+        message.destination.queues.remove(message)
+        del self.messages[message.message_id]
+        message.destination.unfinished_messages -= 1
+        if message.ordered_queue is not None:
+            message.ordered_queue.messages.remove(message)
+            self.advance(message.ordered_queue)
+
+    def advance(self, ordered_queue: OrderedQueue) -> None:
+        """The first message of an ordering key waits for a call, once the key has settled."""
+        if ordered_queue.settles_at > self.now:
+            self.actions.schedule_timer(ordered_queue.settles_at, ordered_queue_timer(ordered_queue.key))
+        elif not ordered_queue.messages:
+            self.ordered_queues.pop(ordered_queue.key, None)
+        else:
+            head = ordered_queue.messages[0]
+            if head.state is MessageState.QUEUED and head.queue is None:
+                self.enqueue(head)
+
+    # Destinations.
+
+    def destination(self, number: int) -> DestinationState:
+        """The destination of that number, known from now on."""
+        found = self.destinations.get(number)
+        if found is None:
+            found = self.destinations[number] = self.new_destination(number)
+        return found
+
+    def destination_changed(self, destination: DestinationState) -> None:
+        """It may have to send, and its endpoints another order."""
+        self.needs_dispatch[destination] = None
+        self.needs_ranking[destination] = None
+
+    def update_endpoints(self, rows: list[EndpointRecord], whole: bool) -> None:
+        """The whole endpoint list, or changes of it."""
+        for destination in self.destinations.values() if whole else ():
+            destination.endpoints = []
+            self.needs_ranking[destination] = None
+        for row in rows:
+            destination = self.destination(row.destination)
+            destination.update_endpoint(row)
+            self.destination_changed(destination)
+
+    def set_detached(self, endpoint_id: str, detached: bool, row: EndpointRecord | None = None) -> None:
+        """An operator takes an endpoint out: it drains until put back, then warms up, listed as in `row`."""
+        (self.detached.add if detached else self.detached.discard)(endpoint_id)
+        if not detached and row is not None:
+            self.update_endpoints([row], whole=False)
+        for destination in self.destinations.values():
+            if endpoint_id not in destination.known:
+                continue
+            if detached:
+                destination.endpoints = [e for e in destination.endpoints if e.endpoint_id != endpoint_id]
+            else:  # guards a restarted endpoint against the sum of all senders at once
+                destination.known[endpoint_id].gate.outage.recover()
+            self.destination_changed(destination)
+
+    def receive_gossip(self, message: bytes) -> None:
+        """It may be late, of an endpoint not known here, or no message at all."""
+        recovered = EndpointRecovered.decode(message)
+        destination = self.destinations.get(recovered.destination) if recovered else None
+        if recovered and destination and recovered.endpoint_id in destination.known:
+            destination.known[recovered.endpoint_id].gate.return_reported()
+            self.needs_dispatch[destination] = None
+
+    def retry_after_received(self, number: int, endpoint_id: str, until: int) -> None:
+        """The other process of this sender was told a Retry-After."""
+        for gate in self._gates(number, endpoint_id):
+            gate.retry_after_until = max(gate.retry_after_until, until)
+
+    def restore_outage(self, number: int, endpoint_id: str, rate: float) -> None:
+        """The previous incarnation knew of an outage, and of that rate before it."""
+        for gate in self._gates(number, endpoint_id):
+            gate.restore_outage(rate)
+
+    def _gates(self, number: int, endpoint_id: str) -> list[GateState]:
+        # All routes where the endpoint is not known.
+        destination = self.destination(number)
+        self.destination_changed(destination)
+        known = destination.known.get(endpoint_id)
+        return destination.gates() if known is None else [known.gate]
+
+    # Time.
+
+    def begin_batch(self, now: int) -> None:
+        """The time of all events until `end_batch`."""
+        self.now = now
+
+    def timer_fired(self, token: str) -> None:
+        """A timer is due that `schedule_timer` asked for."""
+        timer = Timer.decode(token)
+        if timer is None:
+            return
+        kind, number = timer
+        if kind is TimerKind.MESSAGE:
+            message = self.messages.get(number)
+            if message is not None and message.state is MessageState.QUEUED:
+                self.re_evaluate(message)
+        elif kind is TimerKind.DESTINATION:
+            if number in self.destinations:
+                self.needs_dispatch[self.destinations[number]] = None
+        elif kind is TimerKind.ORDERED_QUEUE:
+            if number in self.ordered_queues:
+                self.advance(self.ordered_queues[number])
+        elif kind is TimerKind.POLL:
+            self.poll()
+        else:
+            self.rank()
--- /dev/null
+++ b/ashpath/core/rate_limit_state.py
@@ -0,0 +1,46 @@
+"""What is known of a rate limit."""
+
+from __future__ import annotations
+
+from ashpath.core.messages import LONG_AGO
+from ashpath.core.sender_state import SenderState
+from ashpath.core.token_bucket import TokenBucket
+
+
+class RateLimitState:
+    """The rate limit of one gate, in calls a second, and what responses reported of the destination's."""
+
+    __slots__ = (
+        "bucket",
+        "cut_at",
+        "rate",
+        "refused_at",
+        "remaining_quota",
+        "reported",
+        "reported_at",
+        "state",
+    )
+
+    def __init__(self, state: SenderState) -> None:
+        self.state = state
+        self.bucket = TokenBucket()
+        self.cut_at = state.now
+        self.refused_at = LONG_AGO
+        """The latest refusal where responses report no limit."""
+        self.rate = 0.0
+        """0: not paced."""
+        self.reported = 0.0
+        """Of all senders together: noisy, old; or what stands in for it."""
+        self.reported_at = 0
+        self.remaining_quota = 1.0
+
+    def reset(self) -> None:
+        """Forgets what was reported: from now on it comes in another way."""
+        self.rate = 0.0
+        self.reported = 0.0
+        self.reported_at = 0
+        self.remaining_quota = 1.0
+
+    def even_split(self) -> float:
+        """This sender's part of the reported limit, if all senders had the same."""
+        return self.reported / self.state.settings.sender_count
--- /dev/null
+++ b/ashpath/core/statistics.py
@@ -0,0 +1,60 @@
+"""Running figures of a stream of measurements. Their constants are handed in by the policy."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import exp
+
+SECOND = 1_000_000
+
+
+@dataclass(eq=False, slots=True)
+class RunningStatistics:
+    """Mean and mean absolute deviation, by exponential smoothing after a plain mean of the first values."""
+
+    min_gain: float
+    """The least weight of a new value; the first ones weigh one part in as many as there were."""
+    count: int = 0
+    mean: float = 0.0
+    deviation: float = 0.0
+
+    def add(self, value: float) -> None:
+        """Takes in one measurement."""
+        self.count += 1
+        gain = max(self.min_gain, 1 / self.count)
+        error = value - self.mean
+        self.mean += gain * error
+        self.deviation += gain * (abs(error) - self.deviation)
+
+
+@dataclass(eq=False, slots=True)
+class EventRate:
+    """Events a second, over about `window_us`, or since `started_at` where that is shorter.
+
+    Each event counts less the older it is, by exp(-age / window). Dividing by the part of the window that has
+    been makes the mean unbiased from the first event on. Times are microseconds.
+    """
+
+    window_us: int
+    started_at: int
+    updated_at: int = 0
+    total: float = 0.0
+
+    def add(self, now: int, weight: float = 1.0) -> None:
+        """Counts one event, or a part of one."""
+        self.total = self.total * exp((self.updated_at - now) / self.window_us) + weight
+        self.updated_at = now
+
+    def skip(self, now: int) -> None:
+        """The time since the latest event does not count: the clock stands still meanwhile."""
+        self.started_at += now - self.updated_at
+        self.updated_at = now
+
+    def rate(self) -> float:
+        """Events a second, as of the latest one."""
+        age = max(SECOND, self.updated_at - self.started_at)
+        return self.total * SECOND / self.window_us / (1 - exp(-age / self.window_us))
+
+    def cautious_rate(self) -> float:
+        """The same without the correction for a short life: too low at first."""
+        return self.total * SECOND / self.window_us
--- /dev/null
+++ b/ashpath/core/timers.py
@@ -0,0 +1,62 @@
+"""The timers that the policy asks for: typed inside, short strings for the adapters, which pass them on."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class TimerKind(Enum):
+    """What is due; the value is the first character of the string."""
+
+    RANKING = "r"
+    """Rank the endpoints of all destinations that had events."""
+    POLL = "l"
+    """Poll the endpoint list."""
+    DESTINATION = "d"
+    """Dispatch to the destination of that number."""
+    ORDERED_QUEUE = "k"
+    """Advance the ordered queue of that key."""
+    MESSAGE = "e"
+    """Re-evaluate the message of that number."""
+
+
+class Timer(NamedTuple):
+    """One timer, and what it is for."""
+
+    kind: TimerKind
+    number: int
+
+    @staticmethod
+    def decode(token: str) -> Timer | None:
+        """What a string stands for; None if it is of no kind known here.
+
+        >>> Timer.decode("d7")
+        Timer(kind=<TimerKind.DESTINATION: 'd'>, number=7)
+        >>> Timer.decode("r").number, Timer.decode("x1")
+        (0, None)
+        """
+        kind = KINDS.get(token[0])
+        number = int(token[1:] or 0)
+        return None if kind is None else Timer(kind, number)
+
+
+KINDS = {kind.value: kind for kind in TimerKind}
+
+RANKING_TIMER = TimerKind.RANKING.value
+POLL_TIMER = TimerKind.POLL.value
+
+
+def destination_timer(number: int) -> str:
+    """Dispatch to a destination."""
+    return f"d{number}"
+
+
+def ordered_queue_timer(key: int) -> str:
+    """Advance an ordered queue."""
+    return f"k{key}"
+
+
+def message_timer(message_id: int) -> str:
+    """Re-evaluate a message."""
+    return f"e{message_id}"
--- a/ashpath/emulator/baselines.py
+++ b/ashpath/emulator/baselines.py
@@ -378,7 +378,7 @@
 
 def module(terms: PolicySettings, answers: Any, world: Simulation) -> Any:
     """The decision module itself."""
-    from ashpath.policy.engine import DeliveryPolicy
+    from ashpath.policy.delivery_policy import DeliveryPolicy
 
     return DeliveryPolicy(terms, answers)
 
--- /dev/null
+++ b/ashpath/policy/delivery_policy.py
@@ -0,0 +1,184 @@
+"""The policy's entry point: events in, `PolicyActions` out; `PolicyEngine` keeps the books."""
+
+from __future__ import annotations
+
+from itertools import islice
+
+from ashpath.core.interface import AttemptOutcome, EndpointRecord, LoadReport, PolicyActions, PolicySettings
+from ashpath.core.lifecycle import MessageState, transition
+from ashpath.core.messages import Attempt, Endpoint, FirstRun, Message, TrafficClass
+from ashpath.core.policy_engine import PolicyEngine
+from ashpath.core.statistics import SECOND, EventRate, RunningStatistics
+from ashpath.core.timers import POLL_TIMER, RANKING_TIMER
+from ashpath.policy import retries, tuning
+from ashpath.policy.destination import Destination, cancel_overdue
+from ashpath.policy.judgement import is_table_full, was_overtaken
+
+
+class DeliveryPolicy(PolicyEngine):
+    """All decisions of one sender. Times are microseconds of one clock that only goes forward."""
+
+    def __init__(self, settings: PolicySettings, actions: PolicyActions) -> None:
+        super().__init__(
+            settings,
+            actions,
+            initial_rate=tuning.INITIAL_RATE,
+            durations=RunningStatistics(tuning.GAIN),
+            submissions=EventRate(tuning.RATE_WINDOW, started_at=0),
+        )
+        self.idle_endpoints: list[Endpoint] = []  # whose connections may be closed; emptied each batch
+        self.polling = False  # the endpoint list is not pushed
+        self.failed_polls = 0  # in a row
+        actions.schedule_timer(0, RANKING_TIMER)
+        self.apply_settings(settings)
+
+    def apply_settings(self, settings: PolicySettings) -> None:
+        """Takes other settings; traffic classes keep their numbers, and messages their class as it was."""
+        other_reports = self.settings.has_load_reports != settings.has_load_reports
+        self.settings = settings
+        self.limit_cap = max(1, settings.max_in_flight * tuning.CAP_PARTS // (tuning.CAP_PARTS + 1))
+        classes = enumerate(settings.traffic_classes)
+        self.traffic_classes = [TrafficClass(i, row, settings.value_halves) for i, row in classes]
+        self.full_table_shares += [0.0] * (len(settings.destination_kinds) - len(self.full_table_shares))
+        for destination in self.destinations.values():
+            destination.queues.add_classes()
+            if other_reports:
+                for gate in (destination.gate, *(e.gate for e in destination.known.values())):
+                    gate.rate_limit.reset()
+
+    def new_destination(self, number: int) -> Destination:
+        """A destination that was not known before."""
+        return Destination(self, number)
+
+    def end_batch(self) -> None:
+        """Sends what may go after the batch's events."""
+        for _ in range(len(self.needs_dispatch)):  # each at most once, and none once too many are in flight
+            if len(self.attempts_in_flight) >= self.settings.max_in_flight:
+                cancel_overdue(self)
+                break
+            self.needs_dispatch.popitem(last=False)[0].dispatch()
+        # Guards endpoints that take few connections against idle ones. Costs a new connection a call.
+        for endpoint in (e for e in self.idle_endpoints if not e.in_flight):
+            self.actions.close_idle_connections(endpoint.endpoint_id)
+        self.idle_endpoints.clear()
+
+    def make_room(self) -> None:
+        """Guards the rest against queues that fill up: of those longest late, the least gives way."""
+        if self.late_messages and len(self.messages) > tuning.FULL_QUEUE * self.settings.queue_capacity > 0:
+            longest_late = islice(self.late_messages, tuning.LATE_CONSIDERED)
+            self.finish_undelivered(min(longest_late, key=lambda late: late.value_at(self.now)))
+
+    def still_valid(self, message_id: int, now: int) -> bool:
+        """Whether an attempt may still go once its connection is up: listed, and no Retry-After meanwhile."""
+        message = self.messages[message_id]
+        endpoint = message.attempt.endpoint if message.attempt else None
+        listed = endpoint is not None and endpoint in message.destination.endpoints
+        return endpoint is not None and listed and now >= endpoint.gate.retry_after_until
+
+    def attempt_finished(
+        self, id_: int, outcome: AttemptOutcome, wait: int, closed: bool, report: LoadReport | None
+    ) -> None:
+        """An attempt's outcome; `wait`: its Retry-After; `closed`: the message needs nothing more."""
+        message = self.messages.get(id_)
+        if message is None or message.attempt is None:
+            return
+        attempt = message.attempt
+        message.attempt = None
+        if attempt.cancelled and outcome is AttemptOutcome.CANCELLED:
+            outcome = AttemptOutcome.TIMED_OUT
+        if report:
+            attempt.endpoint.gate.report_received(report)
+        self._record_outcome(message, attempt, outcome, wait)
+        if message.ordered_queue and outcome in tuning.MAY_STILL_RUN:
+            message.ordered_queue.settles_at = self.now + self.settings.settle_time
+        if message.first_run is None and outcome not in tuning.NEVER_RAN:
+            message.first_run = FirstRun(attempt.started_at, attempt.endpoint.zone)
+        delivered = outcome is AttemptOutcome.DELIVERED
+        if closed or delivered or message.state is MessageState.ABANDONED:
+            self.finish(message)
+        elif retries.may_be_sent(self, message):
+            transition(message, MessageState.QUEUED)
+            self.enqueue(message, first=True)
+        else:
+            self.finish_undelivered(message)
+
+    def _record_outcome(self, message: Message, attempt: Attempt, outcome: AttemptOutcome, wait: int) -> None:
+        # A call has one outcome for its gate, however many messages travel in it.
+        gate = attempt.endpoint.gate
+        destination = message.destination
+        duration = self.now - attempt.started_at
+        attempt.unresolved -= 1
+        gate.retry_after_until = max(gate.retry_after_until, self.now + wait)
+        if not attempt.judged and (outcome is not AttemptOutcome.TIMED_OUT or not attempt.unresolved):
+            attempt.judged = True
+            gate.judge(attempt, outcome, duration)
+        if not attempt.unresolved:
+            gate.attempt_over(attempt)
+            if outcome is AttemptOutcome.TIMED_OUT and not was_overtaken(attempt):
+                gate.reservations.append(self.now + tuning.RESERVATION)
+            table_full = is_table_full(self.settings, outcome, duration)
+            self._use_connections(attempt.endpoint, destination.kind, table_full=table_full)
+        self.destination_changed(destination)
+        if outcome is AttemptOutcome.DELIVERED:
+            destination.queues.durations[message.traffic_class.index].add(duration)
+            self.durations.add(duration)
+
+    def _use_connections(self, endpoint: Endpoint, kind: int, *, table_full: bool) -> None:
+        share = self.full_table_shares[kind]
+        share += tuning.GAIN / 2 * (table_full - share)
+        self.full_table_shares[kind] = share
+        if 2 * endpoint.call_interval > self.settings.idle_timeout or share > tuning.CROWDED:
+            self.idle_endpoints.append(endpoint)
+
+    def finish_undelivered(self, message: Message) -> None:
+        """The final answer, at once."""
+        self.finish(message)
+        retries.answer_undelivered(self, message)
+
+    def check_time(self, message: Message) -> int:
+        """When to re-evaluate a message that waits."""
+        return retries.check_time(self, message)
+
+    def re_evaluate(self, message: Message) -> None:
+        """Answers a message for which it is too late, or queues it by what it can still make."""
+        if not retries.may_be_sent(self, message):
+            self.finish_undelivered(message)
+        elif message.queue is None:
+            self.schedule_check(message)
+        else:
+            self.enqueue(message)
+
+    def update_endpoints(self, rows: list[EndpointRecord], whole: bool) -> None:
+        """The whole endpoint list, or changes of it."""
+        self.failed_polls = 0
+        super().update_endpoints(rows, whole)
+
+    def endpoint_poll_failed(self) -> None:
+        """Polls again at a random time, ever later."""
+        self.failed_polls += 1
+        pause = min(self.settings.poll_interval, SECOND << min(self.failed_polls, 10))
+        self.actions.schedule_timer(self.now + int(pause * self.random.uniform(0.5, 1)), POLL_TIMER)
+
+    def poll(self) -> None:
+        """Polls the endpoint list, if it is not pushed."""
+        if self.polling:
+            self.actions.poll_endpoints()
+
+    def rank(self) -> None:
+        """Ranks endpoints where there were events; drops destinations that nothing is known of any more."""
+        changed = self.needs_ranking
+        self.needs_ranking = {}
+        for destination in changed:
+            destination.forget_endpoints(tuning.RATE_WINDOW)
+            if not (destination.known or destination.unfinished_messages):
+                del self.destinations[destination.number]
+            elif destination.endpoints:
+                destination.rank()
+            else:
+                self.needs_ranking[destination] = None
+        settings = self.settings
+        if settings.poll_interval and not self.polling:  # by number, as all may have started at once
+            delay = settings.poll_interval * settings.sender_index // (2 * settings.sender_count)
+            self.actions.schedule_timer(self.now + delay, POLL_TIMER)
+        self.polling = settings.poll_interval > 0
+        self.actions.schedule_timer(self.now + tuning.RANKING_INTERVAL, RANKING_TIMER)
--- /dev/null
+++ b/ashpath/policy/destination.py
@@ -0,0 +1,106 @@
+"""One destination: the order of its endpoints, and dispatch to them."""
+
+from __future__ import annotations
+
+from ashpath.core.destination_state import DestinationState
+from ashpath.core.gate_state import GateState
+from ashpath.core.lifecycle import MessageState, transition
+from ashpath.core.messages import Attempt, Endpoint, Message
+from ashpath.core.sender_state import SenderState
+from ashpath.policy import tuning
+from ashpath.policy.gate import Gate
+from ashpath.policy.queues import RankedQueues
+
+
+class Destination(DestinationState):
+    """Sends the messages of one destination as its gates allow."""
+
+    queues: RankedQueues
+    gate: Gate
+
+    def __init__(self, state: SenderState, number: int) -> None:
+        super().__init__(state, number, RankedQueues(state, tuning.GAIN))
+
+    def new_gate(self, route: str) -> Gate:
+        """A gate for all of the destination, or for one route."""
+        return Gate(self.state, self.number, route)
+
+    def rank(self) -> None:
+        """Well first, then cheap if routes, then quick; between equals at random, or all begin at one."""
+        costs = self.state.settings.zone_costs if self.limit_per_endpoint else ()
+        cost = {e: costs[e.zone] if e.zone < len(costs) else 0.0 for e in self.endpoints}
+        self.endpoints.sort(key=lambda e: (round(e.failure_share, 1), cost[e], e.mean_duration, e.tie_break))
+
+    def dispatch(self) -> None:
+        """Starts attempts, as long as gates are open and messages wait."""
+        if self.max_batch_size > 1:
+            deadline = self.queues.batching_deadline(self.max_batch_size)
+            if deadline:
+                self.schedule_check(deadline)
+                return
+        for gate in self.gates():
+            if not self._dispatch_through(gate):
+                return
+
+    def _dispatch_through(self, gate: GateState) -> bool:
+        # False if nothing more may be in flight here.
+        state = self.state
+        while self.queues:
+            # The cap is a part of what others leave: slow destinations leave room for the rest.
+            left = state.settings.max_in_flight - len(state.attempts_in_flight)
+            if gate.in_flight >= tuning.CAP_PARTS * left:
+                state.needs_dispatch[self] = None
+                cancel_overdue(state)
+                return False
+            opens_at = gate.opens_at(state.now)
+            picked = self._pick(gate) if opens_at is None else None
+            if picked is None:
+                if opens_at:
+                    self.schedule_check(opens_at)
+                break
+            self._start_attempt(*picked)
+        return True
+
+    def _next_message(self, endpoint: Endpoint) -> Message | None:
+        return self.queues.next_for(endpoint, self.delivery_rate())
+
+    def _pick(self, gate: GateState) -> tuple[Endpoint, Message] | None:
+        # Fills the ranked endpoints from the top to their part of the limit, but where nobody may go.
+        usable = [e for e in self.endpoints if e.gate is gate]
+        most = -(-max(1, gate.limit) // max(1, len(usable)))
+        for endpoint in sorted(usable, key=lambda e: e.in_flight >= most):
+            message = self._next_message(endpoint)
+            if message:
+                return endpoint, message
+        return None
+
+    def _start_attempt(self, endpoint: Endpoint, first: Message) -> None:
+        now = self.state.now
+        attempt = Attempt(endpoint=endpoint, started_at=now)
+        message: Message | None = first
+        while message and len(attempt.messages) < self.max_batch_size:
+            transition(message, MessageState.IN_FLIGHT)
+            self.queues.remove(message)
+            attempt.messages.append(message)
+            message = self._next_message(endpoint)
+        classes = [m.traffic_class for m in attempt.messages]
+        attempt.upper_bound = max(map(self.queues.upper_bound, classes))
+        patience = max(tuning.PATIENCE[c.settings.retry_safety] for c in classes)
+        attempt.timeout = patience * max(tuning.MIN_TIMEOUT, attempt.upper_bound)
+        attempt.unresolved = len(attempt.messages)
+        for message in attempt.messages:
+            message.attempt = attempt
+            message.attempts += 1
+            timeout = min(attempt.timeout, message.deadline_at - now)
+            self.state.actions.start_attempt(message.message_id, endpoint.endpoint_id, timeout)
+        endpoint.gate.attempt_started(attempt)
+
+
+def cancel_overdue(state: SenderState) -> None:
+    """Guards what may be in flight against answers that never come: cancels the first overdue call."""
+    for attempt in state.attempts_in_flight if state.settings.may_cancel else ():
+        if attempt.upper_bound < state.now - attempt.started_at and not attempt.cancelled:
+            attempt.cancelled = True
+            for message in (m for m in attempt.messages if m.attempt is attempt):
+                state.actions.cancel_attempt(message.message_id, message.attempts - 1)
+            return
--- /dev/null
+++ b/ashpath/policy/gate.py
@@ -0,0 +1,154 @@
+"""The gate of ADR 0122, for a destination or for one route: concurrency limit, reservations, circuit breaker.
+
+| breaker | event | next | effect |
+| --- | --- | --- | --- |
+| CLOSED | fast success | CLOSED | limit grows: by one until the first failure, then per as many as it is |
+| CLOSED | sign of load | CLOSED | limit halves, once per burst, rounded down |
+| CLOSED | sign of load, limit at zero | OPEN | first cooldown |
+| OPEN | cooldown and reservations over, a call | HALF_OPEN | that call is the trial request |
+| HALF_OPEN | trial delivered | CLOSED | limit is one |
+| HALF_OPEN | sign of load | OPEN | longer cooldown |
+| HALF_OPEN | neither | OPEN | no cooldown: the next waiter is the trial |
+| OPEN | word of a return, while down | CLOSED | limit is one |
+"""
+
+from __future__ import annotations
+
+from ashpath.core.gate_state import GateState
+from ashpath.core.gossip_messages import EndpointRecovered
+from ashpath.core.interface import AttemptOutcome, LoadReport
+from ashpath.core.messages import Attempt
+from ashpath.core.sender_state import SenderState
+from ashpath.core.snapshots import BreakerState
+from ashpath.core.statistics import SECOND
+from ashpath.policy import tuning
+from ashpath.policy.judgement import is_excused
+from ashpath.policy.outage import Outage
+from ashpath.policy.rate_pacing import RateLimit
+
+
+class Gate(GateState):
+    """Decides when a call may go, and learns from each call's one outcome."""
+
+    rate_limit: RateLimit
+    outage: Outage
+
+    def __init__(self, state: SenderState, destination: int, route: str = "") -> None:
+        outage = Outage(state, tuning.RATE_WINDOW)
+        super().__init__(state, destination, route, RateLimit(state), outage)
+
+    def opens_at(self, now: int) -> int | None:
+        """None if a call may go now, else the time to check again (0: an outcome will tell)."""
+        self.drop_reservations(now)
+        if now < self.retry_after_until:
+            return self.retry_after_until
+        if self.breaker is BreakerState.HALF_OPEN:
+            return 0
+        if self.breaker is BreakerState.OPEN:
+            due = max(self.open_until, self.reservations[-1] if self.reservations else 0)
+            if now < due:
+                return due
+        elif self.in_flight + len(self.reservations) >= min(self.limit, self.state.limit_cap):
+            return self.reservations[0] if self.reservations else 0
+        if self.outage.is_recovering(now):
+            recovers_at = self.outage.recovery_bucket.available_at(now, self.allowance(now), 1.0)
+            if recovers_at:
+                return recovers_at
+        return self.rate_limit.available_at(now)
+
+    def allowance(self, now: int) -> float:
+        """Calls a second if it is down or recovering."""
+        return self.outage.allowance(now, self.rate_limit.even_split())
+
+    def judge(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
+        """The outcome table of ADR 0122, and its table of trial requests."""
+        if outcome is AttemptOutcome.DELIVERED:
+            self._delivered(attempt, duration)
+        elif outcome in tuning.LOAD_SIGNS:
+            self._failed(attempt, outcome, duration)
+        elif attempt.is_trial:
+            self.breaker = BreakerState.OPEN
+
+    def _failed(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
+        attempt.endpoint.failure_share += tuning.GAIN * (1 - attempt.endpoint.failure_share)
+        excused = is_excused(self, attempt, outcome, duration)
+        in_burst = attempt.started_at < self.decreased_at
+        if attempt.is_trial:
+            self.reopened += 1
+            self._open(outcome)
+        elif self.breaker is BreakerState.CLOSED and not in_burst and not excused:
+            self.limit //= 2
+            self.fast_successes = 0
+            self.never_failed = False
+            self.decreased_at = self.state.now
+            if not self.limit:
+                self._open(outcome)
+
+    def _delivered(self, attempt: Attempt, duration: int) -> None:
+        endpoint = attempt.endpoint
+        fast = 2 * duration < attempt.timeout
+        mean = endpoint.mean_duration
+        endpoint.mean_duration += tuning.GAIN * (duration - mean) if mean else duration
+        endpoint.failure_share = (1 - tuning.GAIN) * endpoint.failure_share
+        endpoint.fast_successes += fast
+        self.outage.succeeded()
+        self.error_share -= tuning.GAIN * self.error_share
+        self.rate_limit.grow()
+        if self.outage.down:
+            self._recovered(endpoint.endpoint_id)
+        if attempt.is_trial:
+            self.close_breaker()
+        elif fast and self.breaker is BreakerState.CLOSED:
+            self.fast_successes += 1
+            grows = self.never_failed or self.fast_successes >= self.limit
+            if grows and self.limit < self.state.limit_cap:
+                self.limit += 1
+                self.fast_successes = 0
+
+    def _recovered(self, endpoint_id: str) -> None:
+        self.outage.recover()
+        allowed = self.allowance(self.state.now)
+        self.log(f"back: allowed {allowed:.1f}/s of {self.outage.completions.rate():.1f}/s")
+        if self.state.settings.gossip_enabled:
+            self.state.actions.publish(EndpointRecovered(self.destination, endpoint_id).encode())
+
+    def _open(self, outcome: AttemptOutcome) -> None:
+        settings = self.state.settings
+        self.breaker = BreakerState.OPEN
+        self.limit = 0
+        # A refused connection costs nothing where a full table is reported, and finds a return.
+        free = settings.reports_full_connection_table and outcome is AttemptOutcome.CONNECT_FAILED
+        pause = tuning.COOLDOWN << (self.reopened > 0 and not free)
+        # Senders take turns by number at a destination just back, all within one more pause.
+        self.open_until = self.state.now + pause + pause * settings.sender_index // settings.sender_count
+        self.log(f"breaker open {pause // 1000} ms: {outcome.value}, reopened {self.reopened}")
+
+    def count_error(self) -> float:
+        """Counts an error or reset; returns the share of these in late answers."""
+        elapsed = self.state.now - self.error_at
+        share = self.error_share * (1 - tuning.GAIN / 2) ** (elapsed / SECOND)
+        self.error_share = share + tuning.GAIN * (1 - share)
+        self.error_at = self.state.now
+        return self.error_share
+
+    def report_received(self, report: LoadReport) -> None:
+        """A response reported the rate limit."""
+        self.rate_limit.update(report)
+
+    def rate_listed(self, rate: float) -> None:
+        """The listed rate stands in where responses report none."""
+        settings = self.state.settings
+        if settings.has_listed_rates and not settings.has_load_reports:
+            self.rate_limit.reported = rate or self.rate_limit.reported
+
+    def return_reported(self) -> None:
+        """Another sender delivered after an outage: else each finds it at a call and a pause."""
+        if self.outage.down:  # at random again: buckets that filled meanwhile would overload it together
+            self.outage.begin(self.state.now)
+            self.outage.recover()
+            if self.breaker is BreakerState.OPEN:
+                self.close_breaker()
+
+    def restore_outage(self, rate: float) -> None:
+        """The previous incarnation knew of an outage, and of that rate before it."""
+        self.outage.restore(rate)
--- /dev/null
+++ b/ashpath/policy/judgement.py
@@ -0,0 +1,57 @@
+"""What an outcome says of load, where it differs from ADR 0122's table: docs/design.md has each case."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ashpath.core.interface import AttemptOutcome, PolicySettings
+from ashpath.core.messages import Attempt
+from ashpath.policy import tuning
+
+if TYPE_CHECKING:
+    from ashpath.policy.gate import Gate
+
+
+def is_table_full(settings: PolicySettings, outcome: AttemptOutcome, duration: int) -> bool:
+    """Full of connections, or down where a full table is not reported."""
+    unclear = outcome is AttemptOutcome.CONNECT_FAILED and not settings.reports_full_connection_table
+    return outcome is AttemptOutcome.CONNECTION_TABLE_FULL or (
+        unclear and 2 * duration < settings.connect_timeout
+    )
+
+
+def was_overtaken(attempt: Attempt) -> bool:
+    """Its connection may be dead: the endpoint works on nothing."""
+    return attempt.endpoint.fast_successes > attempt.successes_mark + tuning.OVERTAKEN
+
+
+def is_excused(gate: Gate, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> bool:
+    """Whether a failure says nothing of load, though the table takes it for a sign; notices outages, too."""
+    settings = gate.state.settings
+    outage = gate.outage
+    if outcome is AttemptOutcome.OVERLOADED and not settings.has_load_reports:
+        gate.rate_limit.refused_without_report(outage.completions.rate())
+    limited = outcome is AttemptOutcome.OVERLOADED and gate.rate_limit.reported > 0
+    ambiguous = outcome in (AttemptOutcome.OVERLOADED, AttemptOutcome.TIMED_OUT) or is_table_full(
+        settings, outcome, duration
+    )
+    ample = gate.rate_limit.remaining_quota >= tuning.AMPLE_QUOTA or not settings.has_load_reports
+    outage.failures += 0.25 * ample if limited else 0.5 if ambiguous else 1
+    run = outage.is_failure_run(ambiguous=ambiguous, least=_least_run(gate, outcome) if ambiguous else 1.0)
+    # So long a wait with much of the limit left is no limit's: it is shut, and all are told the same end.
+    shut = ample and gate.retry_after_until - gate.state.now > tuning.SHUT_AFTER
+    if shut or (run and not outage.down):
+        outage.begin(max(gate.state.now, gate.retry_after_until))
+        gate.log(f"ailing: {outage.failures:.1f} failures, last {outcome.value}")
+    if limited and not run and not shut:  # the rate explains it
+        gate.rate_limit.cut(attempt.started_at, outage.succeeded_at)
+        return True
+    if outcome in (AttemptOutcome.ERROR, AttemptOutcome.CONNECTION_RESET):
+        return gate.count_error() < tuning.MOSTLY_ERRORS and not run  # one among successes is no load
+    return outcome is AttemptOutcome.TIMED_OUT and (duration < attempt.timeout or was_overtaken(attempt))
+
+
+def _least_run(gate: Gate, outcome: AttemptOutcome) -> float:
+    # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
+    crowded = max(gate.state.full_table_shares) > tuning.CROWDED
+    return 0.5 if outcome is AttemptOutcome.CONNECT_FAILED or not crowded else 1.0
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -7,7 +7,7 @@
 from gevent import Timeout
 
 from ashpath.core.interface import AttemptOutcome, LoadReport
-from ashpath.policy.engine import NEVER_RAN
+from ashpath.policy.tuning import NEVER_RAN
 from ashpath.server import wire_names
 from ashpath.server.delivery.attempts import Attempt, AttemptCancelledError, NotSentError
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from ashpath.core.interface import PolicySettings
-from ashpath.policy.engine import DEFAULT_RETRY_AFTER
+from ashpath.policy.tuning import DEFAULT_RETRY_AFTER
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.http.request_parser import RequestParser
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -15,8 +15,8 @@
 
 import orjson
 
+from ashpath.core.snapshots import BreakerState, DestinationSnapshot, GateSnapshot
 from ashpath.core.time_units import milliseconds
-from ashpath.policy.engine import Destination, Gate
 from ashpath.server import wire_names
 from ashpath.server.http.messages import HttpRequest
 from ashpath.server.http.request_handler import Reply
@@ -27,7 +27,6 @@
 
 MAX_PAGE_ROWS = 500
 BEFORE_THE_FIRST = -1
-CLOSED_BREAKER = "CLOSED"
 
 
 class MessageRow(TypedDict):
@@ -186,28 +185,28 @@
         """Those with a higher number."""
         destinations = self.policy_runner.policy.destinations
         numbers = sorted(number for number in destinations if number > page.after)
-        rows = [self.destination_row(destinations[number]) for number in numbers[: page.limit]]
+        rows = [self.destination_row(destinations[number].snapshot()) for number in numbers[: page.limit]]
         listing: DestinationPage = {"destinations": rows}
         if len(numbers) > page.limit:
             listing["next"] = numbers[page.limit - 1]
         return listing
 
-    def destination_row(self, destination: Destination) -> DestinationRow:
+    def destination_row(self, destination: DestinationSnapshot) -> DestinationRow:
         """One destination, summed over its gates."""
-        gates = destination.gates()
+        gates = destination.gates
         now = self.policy_runner.policy.now
         return {
             "number": destination.number,
             "name": self.destination_names.get(destination.number, ""),
-            "endpoints": len(destination.endpoints),
-            "held": destination.owed,
+            "endpoints": destination.endpoints,
+            "held": destination.unfinished_messages,
             "out": sum(gate.in_flight for gate in gates),
-            "limit": sum(gate.limit for gate in gates),
-            "pace": round(sum(gate.pace for gate in gates), 2),
-            "rate": round(sum(gate.done.rate() for gate in gates), 2),
+            "limit": sum(gate.concurrency_limit for gate in gates),
+            "pace": round(sum(gate.rate_limit for gate in gates), 2),
+            "rate": round(sum(gate.delivery_rate for gate in gates), 2),
             "breaker": breaker_state(gates),
-            "ailing": any(gate.ailing for gate in gates),
-            "wait_ms": max([0, *(round(milliseconds(gate.wait_until - now)) for gate in gates)]),
+            "ailing": any(gate.down for gate in gates),
+            "wait_ms": max([0, *(round(milliseconds(gate.retry_after_until - now)) for gate in gates)]),
         }
 
 
@@ -216,7 +215,7 @@
     return Reply(status, body=orjson.dumps(fields))
 
 
-def breaker_state(gates: list[Gate]) -> str:
+def breaker_state(gates: tuple[GateSnapshot, ...]) -> str:
     """The state of a circuit breaker that is not closed, if one is not."""
-    states = (gate.breaker.name for gate in gates)
-    return next((state for state in states if state != CLOSED_BREAKER), CLOSED_BREAKER).lower()
+    not_closed = (gate.breaker for gate in gates if gate.breaker is not BreakerState.CLOSED)
+    return wire_names.BREAKER_STATES[next(not_closed, BreakerState.CLOSED)]
--- a/ashpath/server/metrics.py
+++ b/ashpath/server/metrics.py
@@ -14,7 +14,7 @@
 from contextlib import suppress
 from heapq import nlargest
 from time import monotonic
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import gevent
 from gevent import Timeout, socket
@@ -24,7 +24,9 @@
 from prometheus_client.exposition import make_wsgi_app
 from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 
+from ashpath.core.destination_state import DestinationState
 from ashpath.core.interface import AttemptOutcome
+from ashpath.core.snapshots import GateSnapshot
 from ashpath.server.delivery.connection_pool import Address
 
 if TYPE_CHECKING:
@@ -139,12 +141,15 @@
 
     def destinations(self) -> Iterator[Metric]:
         labels = ["destination", "route"]
-        words: dict[str, tuple[str, Callable[[Any], float]]] = {
-            "limit": ("Calls that its gate allows at once; 0: its breaker is not closed.", lambda g: g.limit),
+        words: dict[str, tuple[str, Callable[[GateSnapshot], float]]] = {
+            "limit": (
+                "Calls that its gate allows at once; 0: its breaker is not closed.",
+                lambda g: g.concurrency_limit,
+            ),
             "in_flight": ("Calls out.", lambda g: g.in_flight),
-            "breaker": ("0 closed, 1 open, 2 probing.", lambda g: g.breaker.value - 1),
-            "pace": ("Calls a second that its gate allows; 0: no pace.", lambda g: g.pace),
-            "ailing": ("1 from a run of failures to the first success.", lambda g: g.ailing),
+            "breaker": ("0 closed, 1 open, 2 probing.", lambda g: g.breaker.value),
+            "pace": ("Calls a second that its gate allows; 0: no pace.", lambda g: g.rate_limit),
+            "ailing": ("1 from a run of failures to the first success.", lambda g: g.down),
         }
         found = {
             key: GaugeMetricFamily(f"ashpath_destination_{key}", text, labels=labels)
@@ -153,21 +158,20 @@
         held = GaugeMetricFamily("ashpath_destination_held", "Envelopes, waiting or out.", labels=labels[:1])
         room = MOST
         for one in self.busiest():
-            held.add_metric([str(one.number)], one.owed)
-            gates = one.gates()[:room]  # a destination may have thousands of routes
-            room -= len(gates)
-            for gate in gates:
-                route = gate.name.removeprefix("route ") if one.apart else ""
+            snapshot = one.snapshot(max_gates=room)  # a destination may have thousands of routes
+            held.add_metric([str(snapshot.number)], snapshot.unfinished_messages)
+            room -= len(snapshot.gates)
+            for gate in snapshot.gates:
                 for key, (_, value) in words.items():
-                    found[key].add_metric([str(one.number), route], value(gate))
+                    found[key].add_metric([str(snapshot.number), gate.route], value(gate))
         yield from (held, *found.values())
 
-    def busiest(self) -> list[Any]:
+    def busiest(self) -> list[DestinationState]:
         """Guards turns against a walk over all destinations: it goes by steps, and others run in between."""
-        best: list[Any] = []
+        best: list[DestinationState] = []
         everyone = list(self.sender.policy_runner.policy.destinations.values())
         for begin in range(0, len(everyone), STEP):
             step = everyone[begin : begin + STEP]
-            best = nlargest(MOST, [*best, *step], key=lambda one: (one.owed, -one.number))
+            best = nlargest(MOST, [*best, *step], key=lambda one: (one.unfinished_messages, -one.number))
             gevent.sleep(0)
         return best
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -14,7 +14,7 @@
     PolicySettings,
     PreviousAttempts,
 )
-from ashpath.policy.engine import DeliveryPolicy
+from ashpath.policy.delivery_policy import DeliveryPolicy
 from ashpath.server import wire_names
 from ashpath.server.delivery.attempts import Attempt, AttemptRunner
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
@@ -202,7 +202,8 @@
         if self.ending:
             return
         ordered = (
-            entry.ordering_key is not None and self.policy.traffic_classes[entry.traffic_class].terms.ordered
+            entry.ordering_key is not None
+            and self.policy.traffic_classes[entry.traffic_class].settings.ordered
         )
         flight = Attempt(entry, endpoint, now() + timeout, timeout, ordered=ordered)
         self.attempts[entry.message_id] = flight
--- a/ashpath/server/wire_names.py
+++ b/ashpath/server/wire_names.py
@@ -7,6 +7,7 @@
 """
 
 from ashpath.core.interface import EndpointStatus
+from ashpath.core.snapshots import BreakerState
 
 # Headers, in lower case: the codec hands them over so, and they are sent so.
 TRACE_ID_HEADER = b"x-trace-id"
@@ -45,3 +46,10 @@
     "draining": EndpointStatus.DRAINING,
     "removed": EndpointStatus.REMOVED,
 }
+
+# Of a destination, in the status API.
+BREAKER_STATES = {
+    BreakerState.CLOSED: "closed",
+    BreakerState.OPEN: "open",
+    BreakerState.HALF_OPEN: "probing",
+}
--- a/tests/emulator/test_rehearsal.py
+++ b/tests/emulator/test_rehearsal.py
@@ -15,6 +15,7 @@
 from ashpath.cli.check import command as check
 from ashpath.config.loading import InvalidConfigurationError
 from ashpath.core.interface import AttemptOutcome, RetrySafety, TrafficClassSettings
+from ashpath.core.messages import Message
 from ashpath.emulator.baselines import POLICIES
 from ashpath.emulator.destination_model import NEVER, SECOND, DestinationModel, Meets, Nature, Trouble
 from ashpath.emulator.invariant_checker import InvariantChecker
@@ -22,7 +23,9 @@
 from ashpath.emulator.scoreboard import Scoreboard
 from ashpath.emulator.simulate import DAYS, find, outcome, play, play_all, table
 from ashpath.emulator.simulation import Simulation, StoodStill
-from ashpath.policy.engine import DeliveryPolicy, Destination, Gate
+from ashpath.policy.delivery_policy import DeliveryPolicy
+from ashpath.policy.destination import Destination
+from ashpath.policy.gate import Gate
 
 SHORT = [
     "calm",
@@ -88,14 +91,8 @@
 class Forgetful(DeliveryPolicy):
     """Gives no answer for what it gives up."""
 
-    def give_up(self, envelope: Any) -> None:
-        self.move(envelope, self.over())
-
-    @staticmethod
-    def over() -> Any:
-        from ashpath.policy.engine import State
-
-        return State.OVER
+    def finish_undelivered(self, message: Message) -> None:
+        self.finish(message)
 
 
 class Repeating(DeliveryPolicy):
@@ -126,15 +123,15 @@
 class Pushy(DeliveryPolicy):
     """Knows no cold destinations, no failures, no limit."""
 
-    def destination(self, number: int) -> Destination:
-        found = super().destination(number)
+    def new_destination(self, number: int) -> Destination:
+        found = super().new_destination(number)
         found.gate.__class__ = Open
         return found
 
 
 class Open(Gate):
     def opens_at(self, now: int) -> int | None:
-        return self.wait_until if now < self.wait_until else None
+        return self.retry_after_until if now < self.retry_after_until else None
 
 
 class Disorderly(DeliveryPolicy):
--- a/tests/policy/test_order_of_events.py
+++ b/tests/policy/test_order_of_events.py
@@ -11,7 +11,8 @@
 from support import scenario
 
 from ashpath.core.interface import AttemptOutcome, EndpointStatus
-from ashpath.policy.engine import SECOND, DeliveryPolicy
+from ashpath.core.statistics import SECOND
+from ashpath.policy.delivery_policy import DeliveryPolicy
 
 WAIT, GRACE = 2 * SECOND, SECOND // 2
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -24,7 +24,7 @@
     RetrySafety,
     TrafficClassSettings,
 )
-from ashpath.policy.engine import DeliveryPolicy
+from ashpath.policy.delivery_policy import DeliveryPolicy
 
 SECOND = 1_000_000
 TOOK = 200_000  # microseconds from a call to its answer
--- a/tests/support/scenario.py
+++ b/tests/support/scenario.py
@@ -426,7 +426,7 @@
             assert words in self.seen, f"seen: {self.seen}"
         elif words.startswith("allowed"):  # were it out now
             gate = self.sender.destinations[int(words.split()[1])].gate
-            gate.ailing = True
+            gate.outage.down = True
             assert 0 < gate.allowance(self.now) <= float(words.split()[2])
         elif words.startswith("log"):
             assert any(s.startswith("log") and words[4:] in s for s in self.seen), f"seen: {self.seen}"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,7 +8,7 @@
 from support import scenario
 from support.fleet import CUSTOMERS, SECOND, Fleet
 
-from ashpath.policy.engine import DeliveryPolicy
+from ashpath.policy.delivery_policy import DeliveryPolicy
 
 RESTARTS = {"none": (), "amid": (40 * SECOND,), "before": (48 * SECOND,), "across": (49_700_000,)}
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -15,7 +15,8 @@
 from support.world import LIMITS, SETTINGS, World, free, until
 from test_switch import reread
 
-from ashpath.policy.engine import Breaker
+from ashpath.core.destination_state import DestinationState
+from ashpath.core.snapshots import BreakerState, GateSnapshot
 from ashpath.server.http.connection import open_connection
 from ashpath.server.http.encoding import encode_message, host_header
 from ashpath.server.metrics import MOST, PATIENCE, READERS, Metrics
@@ -85,8 +86,9 @@
 def test_rows_are_bounded() -> None:
     """Guards the reader, and turns, against a hundred thousand destinations, or one with as many routes."""
     for many, routes in ((5000, 1), (1, 5000)):
-        gate = Mock(limit=1, in_flight=0, breaker=Breaker.OPEN, pace=0.0, ailing=False)
-        one = SimpleNamespace(number=7, owed=1, apart=True, gates=lambda n=routes, g=gate: [g] * n)
+        gate = Mock(snapshot=lambda: GateSnapshot("x1", 1, 0, BreakerState.OPEN, 0.0, 0.0, False, 0))
+        one = Mock(number=7, unfinished_messages=1, endpoints=[], gates=lambda n=routes, g=gate: [g] * n)
+        one.snapshot = lambda max_gates, one=one: DestinationState.snapshot(one, max_gates)
         sender = SimpleNamespace(destinations=dict.fromkeys(range(many), one))
         read = Metrics(Mock(policy_runner=SimpleNamespace(policy=sender)))
         assert {len(family.samples) for family in read.destinations()} <= {min(many, MOST), MOST}
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,9 +13,10 @@
 import pytest
 from support import scenario
 
+from ashpath.core import gossip_messages, timers
 from ashpath.core import platform_settings as settings
 from ashpath.core.interface import PolicyActions, PolicySettings
-from ashpath.policy.engine import DeliveryPolicy
+from ashpath.policy.delivery_policy import DeliveryPolicy
 from benchmarks import tap
 
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
@@ -27,7 +28,9 @@
 
 
 def test_examples() -> None:
-    assert all(doctest.testmod(module).failed == 0 for module in (settings, scenario, tap))
+    assert all(
+        doctest.testmod(module).failed == 0 for module in (settings, timers, gossip_messages, scenario, tap)
+    )
 
 
 def test_a_wait_at_an_endpoint_not_known_here_binds_all_routes() -> None:
@@ -48,10 +51,10 @@
     for line in ("terms notes=1 senders=40", "2s take a s 7", "+10ms noconnection a"):
         scene.step(line.split())
     gate = scene.sender.destinations[7].gate
-    assert gate.ailing
-    gate.guard.tokens = 1.0
+    assert gate.outage.down
+    gate.outage.recovery_bucket.tokens = 1.0
     scene.turn(("receive_gossip", b"back 7 x1"))
-    assert not gate.ailing and gate.guard.tokens < 1.0
+    assert not gate.outage.down and gate.outage.recovery_bucket.tokens < 1.0
     scene.expect("held a")
 
 
