--- a/ashpath/cli/check.py
+++ b/ashpath/cli/check.py
@@ -8,12 +8,13 @@
 import click
 
 from ashpath.cli.group import BAD_INPUT, OK
-from ashpath.config.loading import InvalidConfigurationError, content, document, read, secrets
+from ashpath.config.errors import InvalidConfigurationError
+from ashpath.config.loading import read_configuration, read_credentials, read_document
 
 
 def is_day(file: Path) -> bool:
     """Whether it is a day for `ashpath rehearse`, which has its lesson, and not a sender's file."""
-    return "day" in document(file, content(file))
+    return "day" in read_document(file)
 
 
 @click.command()
@@ -30,13 +31,15 @@
                 f"{file}: sound: a day of " + ", ".join(f"{value:g} {name}" for name, value in told.items())
             )
             return OK
-        plan = read(file)
-        secrets(file, plan)
+        plan = read_configuration(file)
+        read_credentials(file, plan)
     except InvalidConfigurationError as error:
         for line in error.lines:
             print(line, file=sys.stderr)
         return BAD_INPUT
     endpoints = sum(len(one.endpoints) for one in plan.destinations.values())
     source = f"directory {plan.platform.directory}" if plan.platform else f"{endpoints} endpoints"
-    print(f"{file}: sound: {len(plan.tracks)} tracks, {len(plan.destinations)} destinations, {source}")
+    print(
+        f"{file}: sound: {len(plan.traffic_classes)} tracks, {len(plan.destinations)} destinations, {source}"
+    )
     return OK
--- a/ashpath/cli/explain.py
+++ b/ashpath/cli/explain.py
@@ -7,7 +7,7 @@
 import click
 
 from ashpath.cli.group import BAD_INPUT, OK, Failure
-from ashpath.config.reference import markdown, paths, plain
+from ashpath.config.reference import key_paths, markdown_page, terminal_lines
 
 
 @click.command()
@@ -16,11 +16,11 @@
 def command(key: str | None, page: bool) -> int:
     """The reference of every key of the file, of KEY, or of all below it."""
     if page:
-        print(markdown(), end="")
+        print(markdown_page(), end="")
         return OK
-    lines = plain(key)
+    lines = terminal_lines(key)
     if not lines:
-        near = get_close_matches(key or "", paths(), 1, 0.4)
+        near = get_close_matches(key or "", key_paths(), 1, 0.4)
         raise Failure(f"no key {key!r}" + (f"; is it {near[0]!r}?" if near else ""), BAD_INPUT)
     print("\n".join(lines))
     return OK
--- a/ashpath/cli/simulate.py
+++ b/ashpath/cli/simulate.py
@@ -11,7 +11,7 @@
 
 from ashpath.cli.group import BAD_INPUT, FAILED, OK, Failure
 from ashpath.cli.rows import show
-from ashpath.config.loading import InvalidConfigurationError
+from ashpath.config.errors import InvalidConfigurationError
 
 MOST_SEEDS = 1000
 
--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -12,11 +12,12 @@
 
 import gevent
 
-from ashpath.config.loading import InvalidConfigurationError, read
-from ashpath.config.loading import secrets as passes
-from ashpath.config.platform_form import below, notice_address, told
-from ashpath.config.rules import changes
+from ashpath.config.changes import find_changes
+from ashpath.config.errors import InvalidConfigurationError
+from ashpath.config.loading import read_configuration, read_credentials
+from ashpath.config.platform_form import notification_target, platform_form, resolve
 from ashpath.config.schema import Configuration
+from ashpath.config.units import HttpTarget
 from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.endpoint_registry import parse_address
 from ashpath.server.delivery.file_notifier import FileNotifier
@@ -38,9 +39,11 @@
     """What the sender's own file tells, in the platform's form, and beside it what only this file has."""
 
     def __init__(self, path: Path) -> None:
-        self.plan = read(path)
-        self.notice_pass, self.passes = passes(path, self.plan)
-        self.form = told(self.plan, self.plan.sender.seed or secrets.token_hex(8))
+        self.plan = read_configuration(path)
+        credentials = read_credentials(path, self.plan)
+        self.notice_pass = credentials.notifications
+        self.passes = credentials.destinations
+        self.form = platform_form(self.plan, self.plan.sender.seed or secrets.token_hex(8))
         super().__init__(self.form)
 
 
@@ -53,7 +56,7 @@
         self.path, self.form, self.folder = path, form, folder
         self.started = self.latest = given.plan
         self.file = given
-        state = below(path.parent, given.plan.sender.state)
+        state = resolve(path.parent, given.plan.sender.state_directory)
         super().__init__(given, given.plan.sender.listen, state, log, self.reread)
         self.attempt_runner.credentials = given.passes
 
@@ -68,12 +71,12 @@
         self.ends = OutcomeStore(
             state, limits.outcome_store_bytes, round(limits.outcome_retention_s * 1e6), self.log
         )
-        receiver = notice_address(plan)
+        receiver = notification_target(plan)
         if receiver is not None:
             target = notification_receiver(receiver, self.file.notice_pass)
             return HttpNotifier(target, limits, self.write_ahead_log, self.log, backoff), self.ends
-        if plan.notices.file:
-            file = below(self.path.parent, plan.notices.file)
+        if plan.notifications.file:
+            file = resolve(self.path.parent, plan.notifications.file)
             try:
                 lines = RotatingFile(file, limits.notification_file_bytes, limits.notification_files)
             except OSError as error:
@@ -94,11 +97,11 @@
         return FileConfiguration(self.path)
 
     def reload(self, given: SenderConfiguration) -> None:
-        """What a running sender can take: see `plan.decide.changes`. The rest waits, and is named."""
+        """What a running sender can take: see `config.changes`. The rest waits, and is named."""
         assert isinstance(given, FileConfiguration)
         self.apply_settings(given)  # first: it may not be possible, and then nothing else is taken
-        taken, _ = changes(self.latest, given.plan)
-        _, later = changes(self.started, given.plan)
+        taken = find_changes(self.latest, given.plan).applied
+        later = find_changes(self.started, given.plan).at_next_start
         self.latest = given.plan
         self.form.use(given.plan.logging.level, given.plan.logging.form)
         self.log.info("configuration read", taken=short(taken), needs_restart=short(later))
@@ -111,15 +114,15 @@
         moved = any(path.startswith("destinations") for path in taken)
         if moved and self.discovery is None and given.platform_address is None:
             self.registry.receive_members(given.known_endpoints["members"], True)
-        receiver = notice_address(given.plan)
+        receiver = notification_target(given.plan)
         if isinstance(self.notifier, HttpNotifier) and receiver is not None:
             self.notifier.move(notification_receiver(receiver, given.notice_pass))
 
 
-def notification_receiver(receiver: tuple[str, str], credential: bytes) -> NotificationReceiver:
-    """`receiver`: an address and a path, as the file has them. `credential`: empty where it needs none."""
+def notification_receiver(receiver: HttpTarget, credential: bytes) -> NotificationReceiver:
+    """`credential`: empty where it needs none."""
     headers = [(CREDENTIAL_HEADER, credential)] if credential else []
-    return NotificationReceiver(parse_address(receiver[0]), receiver[1].encode(), headers)
+    return NotificationReceiver(parse_address(receiver.address), receiver.path.encode(), headers)
 
 
 def titles(plan: Configuration) -> dict[int, str]:
@@ -163,7 +166,7 @@
     given = FileConfiguration(path)
     plan = given.plan
     keep_descriptors(path, plan.limits.descriptors)
-    folder = StateDirectory(below(path.parent, plan.sender.state), plan.sender.name)
+    folder = StateDirectory(resolve(path.parent, plan.sender.state_directory), plan.sender.name)
     held = folder.live_messages()
     given.number_traffic_classes(folder.traffic_classes, held)
     folder.write(given.settings["classes"])
--- a/ashpath/cli/submit.py
+++ b/ashpath/cli/submit.py
@@ -13,7 +13,7 @@
 
 from ashpath.cli.group import ABORTED, BOUNCED, FAILED, OK, Failure
 from ashpath.cli.status_client import Client, Unreachable
-from ashpath.config.units import TIMES, amount, word
+from ashpath.config.units import TIMES, parse_amount, parse_name
 
 LOOK = 0.05  # seconds to the first look at how it stands; doubled up to
 LOOK_MOST = 0.5
@@ -25,7 +25,7 @@
 
     def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> int:
         try:
-            return value if isinstance(value, int) else amount(value, TIMES)
+            return value if isinstance(value, int) else parse_amount(value, TIMES)
         except ValueError:
             self.fail(f'found {value!r}, expected a duration such as "16s"', param, ctx)
 
@@ -58,7 +58,7 @@
     for name, value in (("--id", id_), ("--track", track), ("--key", key), ("--order", order)):
         if value is not None:
             try:
-                word(value)
+                parse_name(value)
             except ValueError:
                 words = f"{name}: found {value!a}, expected 1 to 64 printable characters"
                 raise click.UsageError(words) from None
--- a/ashpath/config/__init__.py
+++ b/ashpath/config/__init__.py
@@ -1,5 +1,7 @@
-"""The sender's own file: its shape, its checks, its reference page, and what a change of it means.
+"""The sender's own TOML file: its shape, parsing, validation, reference page, and what a changed file means.
 
-`command` reads a file here and hands the sender the platform's form of it, so that each rule has one place.
-Nothing here opens a socket, and only `read` opens a file. A sender under RELAY_* never imports this room.
+Called by `cli`, which starts a standalone sender or answers a user from it, and by the emulator, whose
+scenario files go through the same validation. It hands the sender the platform's form of the file, so that
+each setting is interpreted in one place. It never opens a socket, only `loading` opens a file, and a sender
+that a platform starts never imports it.
 """
--- a/ashpath/config/loading.py
+++ b/ashpath/config/loading.py
@@ -1,129 +1,161 @@
-"""Reads the sender's file and the secrets that it points to. All that is wrong is said at once."""
+"""Reads the sender's file, and the secrets that it points to. All that is wrong is said at once."""
 
 from __future__ import annotations
 
 import os
 import re
 import tomllib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
-from ashpath.config import validation as check
-from ashpath.config.rules import unfit
+import msgspec
+
+from ashpath.config.constraints import find_conflicts
+from ashpath.config.errors import InvalidConfigurationError, InvalidDocumentError
+from ashpath.config.faults import ConfigurationFault, format_path, shorten
 from ashpath.config.schema import Configuration, Secret
-from ashpath.config.validation import MOST, ConfigurationFault, named
+from ashpath.config.validation import validate
+
+MAX_FILE_BYTES = 64 << 20
+MAX_SECRET_LENGTH = 4096  # characters
+MAX_FAULTS = 200  # that are shown; the rest is counted
+NOT_A_SECRET = "found something else, expected printable ASCII"
+TOML_POSITION = re.compile(r" \(at line ([0-9]+), column [0-9]+\)$")
+
+Shape = TypeVar("Shape", bound=msgspec.Struct)
 
-LARGEST = 64 << 20  # bytes of a file
-LONGEST_SECRET = 4096  # characters
 
+@dataclass(frozen=True, slots=True)
+class Credentials:
+    """The secrets themselves, as the header Authorization has them."""
 
-class InvalidConfigurationError(ValueError):
-    """A file that cannot be used; `lines` say what is wrong, each with file, line and key."""
+    notifications: bytes
+    """Empty where none is named."""
+    destinations: dict[int, bytes]
+    """By the number of the destination."""
 
-    def __init__(self, lines: list[str]) -> None:
-        super().__init__(lines[0] + (f" (and {len(lines) - 1} more)" if len(lines) > 1 else ""))
-        self.lines = lines
 
+def read_configuration(path: Path) -> Configuration:
+    """The configuration of a sender's file. Raises InvalidConfigurationError."""
+    return read_as(path, Configuration, find_conflicts)
 
-def read(path: Path) -> Configuration:
-    """The plan of a file; raises Unusable."""
-    found: Configuration = read_as(path, Configuration, unfit)
+
+def read_as(
+    path: Path, shape: type[Shape], conflicts: Callable[[Shape], Sequence[ConfigurationFault]]
+) -> Shape:
+    """What a file of some shape says; `conflicts` finds what does not go together.
+
+    Raises InvalidConfigurationError.
+    """
+    data = read_bytes(path)
+    document = parse_toml(path, data)
+    try:
+        found = validate(shape, document)
+    except InvalidDocumentError as error:
+        raise InvalidConfigurationError(fault_lines(path, data, error.faults)) from error
+    faults = conflicts(found)
+    if faults:
+        raise InvalidConfigurationError(fault_lines(path, data, faults))
     return found
 
 
-def content(path: Path) -> bytes:
+def read_document(path: Path) -> dict[str, Any]:
+    """The tables of a file, whatever they are. Raises InvalidConfigurationError."""
+    return parse_toml(path, read_bytes(path))
+
+
+def read_bytes(path: Path) -> bytes:
+    """The file, if it is not too long. Raises InvalidConfigurationError."""
     try:
         with path.open("rb") as file:
-            data = file.read(LARGEST + 1)
+            data = file.read(MAX_FILE_BYTES + 1)
     except (OSError, ValueError) as error:
-        raise InvalidConfigurationError([f"{path}: {getattr(error, 'strerror', None) or error}"]) from None
-    if len(data) > LARGEST:
-        raise InvalidConfigurationError([f"{path}: longer than {LARGEST >> 20} MiB"])
+        raise InvalidConfigurationError([f"{path}: {reason(error)}"]) from error
+    if len(data) > MAX_FILE_BYTES:
+        raise InvalidConfigurationError([f"{path}: longer than {MAX_FILE_BYTES >> 20} MiB"])
     return data
 
 
-def read_as(path: Path, shape: type, unfit: Callable[[Any], list[ConfigurationFault]]) -> Any:
-    """What a file of some shape says; `unfit` names what does not go together. Raises Unusable."""
-    data = content(path)
-    made, faults = check.make(shape, document(path, data))
-    if not faults:
-        faults = unfit(made)
-    if faults:
-        raise InvalidConfigurationError(lines(path, data, faults))
-    return made
-
-
-def document(path: Path, data: bytes) -> dict[str, Any]:
-    """The tables of the file, whatever they are."""
+def parse_toml(path: Path, data: bytes) -> dict[str, Any]:
+    """The tables of a file's text. Raises InvalidConfigurationError."""
     try:
         text = data.decode("utf-8")
     except UnicodeDecodeError as error:
         line = data.count(b"\n", 0, error.start) + 1
-        raise InvalidConfigurationError(
-            [f"{path}:{line}: byte {error.start} is not UTF-8, which TOML is"]
-        ) from None
+        fault = f"{path}:{line}: byte {error.start} is not UTF-8, which TOML is"
+        raise InvalidConfigurationError([fault]) from error
     try:
         return tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        place = re.search(r" \(at line ([0-9]+), column ([0-9]+)\)$", str(error))
-        line = int(place[1]) if place else text.rstrip("\n").count("\n") + 1
-        words = re.sub(r" \(at [^)]*\)$", "", str(error))
-        raise InvalidConfigurationError(
-            [f"{path}:{line}: not TOML: {check.shorten(ascii(words)[1:-1])}"]
-        ) from None
+        position = TOML_POSITION.search(str(error))
+        line = int(position[1]) if position else text.rstrip("\n").count("\n") + 1
+        problem = ascii(re.sub(r" \(at [^)]*\)$", "", str(error)))[1:-1]
+        raise InvalidConfigurationError([f"{path}:{line}: not TOML: {shorten(problem)}"]) from error
     except (ValueError, RecursionError, OverflowError) as error:
-        from ashpath.config.positions import suspect
+        from ashpath.config.positions import longest_line
 
-        words = "tables or lists too deep" if isinstance(error, RecursionError) else str(error)
-        raise InvalidConfigurationError(
-            [f"{path}:{suspect(text)}: not TOML: {check.shorten(words)}"]
-        ) from None
+        problem = "tables or lists too deep" if isinstance(error, RecursionError) else str(error)
+        fault = f"{path}:{longest_line(text)}: not TOML: {shorten(problem)}"
+        raise InvalidConfigurationError([fault]) from error
 
 
-def lines(path: Path, data: bytes, faults: list[ConfigurationFault]) -> list[str]:
-    from ashpath.config.positions import Places
+def fault_lines(path: Path, data: bytes, faults: Sequence[ConfigurationFault]) -> list[str]:
+    """A line for each fault, with the line of the file that it stands at."""
+    from ashpath.config.positions import KeyPositions
 
-    places = Places(data)
-    rows = [
-        f"{path}:{places.line(fault.path)}: {named(fault.path) or 'the file'}: "
+    positions = KeyPositions(data)
+    lines = [
+        f"{path}:{positions.line(fault.path)}: {format_path(fault.path) or 'the file'}: "
         f"found {fault.found}, expected {fault.expected}"
-        for fault in faults[:MOST]
+        for fault in faults[:MAX_FAULTS]
     ]
-    return rows + ([f"{path}: {len(faults) - MOST} more"] if len(faults) > MOST else [])
+    if len(faults) > MAX_FAULTS:
+        lines.append(f"{path}: {len(faults) - MAX_FAULTS} more")
+    return lines
+
+
+def read_credentials(path: Path, configuration: Configuration) -> Credentials:
+    """The secrets that a file names. Raises InvalidConfigurationError."""
+    notifications = configuration.notifications.authorization
+    destinations = {
+        number: read_secret(path, f"destinations.{number}.authorization", destination.authorization)
+        for number, destination in configuration.destinations.items()
+        if destination.authorization is not None
+    }
+    return Credentials(
+        read_secret(path, "notices.authorization", notifications) if notifications else b"", destinations
+    )
 
 
-def secret(path: Path, key: str, where: Secret) -> bytes:
-    """The secret itself; raises Unusable, without a word of what was read."""
+def read_secret(path: Path, key: str, secret: Secret) -> bytes:
+    """The secret itself; raises InvalidConfigurationError, without a word of what was read.
+
+    For the same reason the error has no cause: that of a decoder holds the bytes.
+    """
     try:
-        if where.env:
-            text = os.environ[where.env]
-        else:
-            text = (path.parent / where.file).read_text("ascii").rstrip("\r\n")
+        text = secret_text(path, secret)
     except KeyError:
-        raise InvalidConfigurationError(
-            [f"{path}: {key}: the environment has no {check.shorten(where.env)}"]
-        ) from None
+        problem = f"the environment has no {shorten(secret.env)}"
+        raise InvalidConfigurationError([f"{path}: {key}: {problem}"]) from None
     except UnicodeDecodeError:
-        raise InvalidConfigurationError(
-            [f"{path}: {key}: found something else, expected printable ASCII"]
-        ) from None
+        raise InvalidConfigurationError([f"{path}: {key}: {NOT_A_SECRET}"]) from None
     except (OSError, ValueError) as error:
-        name = check.shorten(where.file)
-        raise InvalidConfigurationError(
-            [f"{path}: {key}: {name}: {getattr(error, 'strerror', None) or error}"]
-        ) from None
-    if not 0 < len(text) <= LONGEST_SECRET or not text.isascii() or not text.isprintable():
-        raise InvalidConfigurationError([f"{path}: {key}: found something else, expected printable ASCII"])
+        problem = f"{shorten(secret.file)}: {reason(error)}"
+        raise InvalidConfigurationError([f"{path}: {key}: {problem}"]) from None
+    if not 0 < len(text) <= MAX_SECRET_LENGTH or not text.isascii() or not text.isprintable():
+        raise InvalidConfigurationError([f"{path}: {key}: {NOT_A_SECRET}"])
     return text.encode()
 
 
-def secrets(path: Path, plan: Configuration) -> tuple[bytes, dict[int, bytes]]:
-    """What notices and calls are sent with; empty where none is named."""
-    notices = plan.notices.authorization
-    calls = {
-        number: secret(path, f"destinations.{number}.authorization", destination.authorization)
-        for number, destination in plan.destinations.items()
-        if destination.authorization is not None
-    }
-    return secret(path, "notices.authorization", notices) if notices else b"", calls
+def secret_text(path: Path, secret: Secret) -> str:
+    """The text in the variable or file that is named; KeyError where the variable is not there."""
+    if secret.env:
+        return os.environ[secret.env]
+    return (path.parent / secret.file).read_text("ascii").rstrip("\r\n")
+
+
+def reason(error: Exception) -> str:
+    """Why a file cannot be read, without its name."""
+    return getattr(error, "strerror", None) or str(error)
--- a/ashpath/config/platform_form.py
+++ b/ashpath/config/platform_form.py
@@ -1,174 +1,208 @@
-"""A plan in the platform's form, so that `terms`, `limits` and the sender have one place for each rule."""
+"""Writes the sender's own file in the platform's form, so that each setting is interpreted in one place.
+
+The settings are built as the same structs that `core/platform_settings.py` parses; their JSON names stand
+there. The rest of the form is what a platform's file has around the settings.
+"""
 
 from __future__ import annotations
 
 from itertools import chain
 from pathlib import Path
-from typing import Any
 
 import msgspec
 
-from ashpath.config.rules import listed, named, receiver
-from ashpath.config.schema import Configuration, Limits, Rules, Track
-from ashpath.config.units import SIZES, TIMES, Duration, Size, written
+from ashpath.config.endpoints import endpoint_id, endpoints_of
+from ashpath.config.schema import Configuration, Rules, TrafficClass
+from ashpath.config.units import SIZES, TIMES, Duration, HttpTarget, Size, format_amount, parse_http_url
 from ashpath.core.interface import RetrySafety
-from ashpath.core.platform_settings import RETRY_SAFETY
+from ashpath.core.platform_settings import (
+    RATE_LIMIT_FIELD,
+    REMAINING_QUOTA_FIELD,
+    RETRY_SAFETY,
+    WHOLE_DESTINATION,
+    DestinationContract,
+    JsonObject,
+    LoadInfo,
+    PlatformLimits,
+    PlatformSettings,
+    RetrySafetyName,
+    Specifics,
+    TrafficClassRow,
+)
 from ashpath.core.time_units import milliseconds
 
-WIRE = {
+FILE_NAMES = {
     RetrySafety.IDEMPOTENT: "repeatable",
     RetrySafety.DEDUPLICATED: "tagged",
     RetrySafety.AT_MOST_ONCE: "once-only",
 }
-REPEAT = {ours: theirs for theirs, repeat in RETRY_SAFETY.items() for ours in [WIRE[repeat]]}
-SECOND = 1_000_000
-
-
-def told(plan: Configuration, seed: str) -> dict[str, Any]:
-    """What RELAY_CONFIG would hold, and beside it what only the sender's own file has (`own` limits)."""
-    names, zones = list(plan.kinds), zones_of(plan)
-    fees: dict[str, float] = {name: zone.fee for name, zone in plan.zones.items() if zone.fee}
-    settings = {
-        "rank": plan.sender.number,
-        "group-size": plan.sender.senders,
-        "classes": [track_row(name, track) for name, track in plan.tracks.items()],
-        "kinds": names,
-        "zones": zones,
-        "limits": allowed(plan),
-        "contract": contract(plan.rules),
-        "specifics": {
-            "slots": plan.rules.slots,
-            "kind-apart": [kind.apart for kind in plan.kinds.values()],
-            "loses-worth": plan.rules.decay,
-            "carriage": [fees.get(name, 0.0) for name in zones] if fees else [],
-        },
-        "weight-source": "rough" if plan.rules.rates else "none",
-    }
-    if plan.rules.reports:
-        settings["load-info"] = {"how": "answers", "fields": ["x0", "x1"]}
+PLATFORM_NAMES: dict[str, RetrySafetyName] = {
+    FILE_NAMES[retry_safety]: name for name, retry_safety in RETRY_SAFETY.items()
+}
+NOTIFICATION_PATH = "/v1/notices"  # of a platform
+SECOND = 1_000_000  # microseconds
+
+
+def platform_form(configuration: Configuration, seed: str) -> JsonObject:
+    """What a platform's file would hold, and beside it what only the sender's own file has (`own` limits)."""
     return {
         "seed": seed,
-        "settings": settings,
+        "settings": msgspec.to_builtins(platform_settings(configuration)),
         "limits": {
-            "sockets": plan.limits.descriptors,
-            "disk_mb": plan.limits.disk / 1e6,
-            "own": own(plan, plan.limits),
+            "sockets": configuration.limits.descriptors,
+            "disk_mb": configuration.limits.disk / 1e6,
+            "own": own_limits(configuration),
         },
-        "known": {"revision": 0, "complete": True, "members": members(plan)},
-        "discovery": plan.platform.directory if plan.platform else "",
-        "metrics": written_out(plan.metrics) if plan.metrics else {},
-        "peers": written_out(plan.peers) if plan.peers else {},
-    }
-
-
-def track_row(name: str, track: Track) -> dict[str, Any]:
-    return {
-        "name": name,
-        "deadline": milliseconds(track.cutoff),
-        "slo": None if track.promised is None else milliseconds(track.promised),
-        "repeat": REPEAT[track.repeat],
-        "window": milliseconds(track.window),
-        "importance": track.payoff,
-        "late-worth": track.late_share,
-        "group": "all" if track.whole_group else "zone",
-        "one-at-a-time": track.ordered,
-    }
-
-
-def allowed(plan: Configuration) -> dict[str, Any]:
-    rules = plan.rules
-    return {
-        "max-open": plan.limits.envelopes,
-        "max-attempts": rules.most_shots,
-        "cancelling": rules.may_withdraw,
-        "retry-after": rules.longest_wait > 0,
-        "max-retry-after": milliseconds(rules.longest_wait),
-        "connect-timeout": milliseconds(rules.connect_time),
-        "conn-idle": milliseconds(rules.idle_time),
-        "may-tell": plan.peers is not None,
-    }
-
-
-def contract(rules: Rules) -> dict[str, Any]:
-    return {
-        "drain-grace": milliseconds(rules.drain_grace),
-        "cold-from": rules.cold_share,
-        "ramp-time": milliseconds(rules.ramp_time),
-        "fall-multiple": rules.fall_multiple,
-        "fall": milliseconds(rules.fall_time),
-        "order-settle": milliseconds(rules.key_rest),
+        "known": {"revision": 0, "complete": True, "members": endpoint_list(configuration)},
+        "discovery": configuration.platform.directory if configuration.platform else "",
+        "metrics": file_document(configuration.metrics) if configuration.metrics else {},
+        "peers": file_document(configuration.peers) if configuration.peers else {},
     }
 
 
-def own(plan: Configuration, limits: Limits) -> dict[str, Any]:
-    """Limits of the process that the platform's form has no name for."""
-    told = {
+def platform_settings(configuration: Configuration) -> PlatformSettings:
+    """The settings."""
+    rules = configuration.rules
+    zones = zone_names(configuration)
+    costs = {str(name): zone.cost for name, zone in configuration.zones.items() if zone.cost}
+    has_reports = rules.has_load_reports
+    return PlatformSettings(
+        sender_index=configuration.sender.number,
+        sender_count=configuration.sender.senders,
+        traffic_classes=[traffic_class_row(name, row) for name, row in configuration.traffic_classes.items()],
+        destination_kinds=[str(name) for name in configuration.kinds],
+        zones=zones,
+        limits=platform_limits(configuration),
+        contract=destination_contract(rules),
+        specifics=Specifics(
+            max_in_flight=rules.max_in_flight,
+            limit_per_endpoint=[kind.limit_per_endpoint for kind in configuration.kinds.values()],
+            value_decay=rules.value_decay,
+            zone_costs=[costs.get(name, 0.0) for name in zones] if costs else [],
+        ),
+        rate_source="rough" if rules.has_listed_rates else "none",
+        load_info=LoadInfo("answers", [REMAINING_QUOTA_FIELD, RATE_LIMIT_FIELD]) if has_reports else None,
+    )
+
+
+def traffic_class_row(name: str, traffic_class: TrafficClass) -> TrafficClassRow:
+    """One traffic class."""
+    objective = traffic_class.latency_objective
+    return TrafficClassRow(
+        name=str(name),
+        deadline=milliseconds(traffic_class.deadline),
+        latency_objective=None if objective is None else milliseconds(objective),
+        retry_safety=PLATFORM_NAMES[traffic_class.retry_safety],
+        deduplication_window=milliseconds(traffic_class.deduplication_window),
+        value=traffic_class.value,
+        late_value_share=traffic_class.late_value_share,
+        deduplication_scope=WHOLE_DESTINATION if traffic_class.deduplicates_across_zones else "zone",
+        ordered=traffic_class.ordered,
+    )
+
+
+def platform_limits(configuration: Configuration) -> PlatformLimits:
+    """What the sender may do."""
+    rules = configuration.rules
+    return PlatformLimits(
+        queue_capacity=configuration.limits.queue_capacity,
+        max_attempts=rules.max_attempts,
+        may_cancel=rules.may_cancel,
+        clients_heed_retry_after=rules.max_retry_after > 0,
+        max_retry_after=milliseconds(rules.max_retry_after),
+        connect_timeout=milliseconds(rules.connect_timeout),
+        idle_timeout=milliseconds(rules.idle_timeout),
+        gossip_enabled=configuration.peers is not None,
+    )
+
+
+def destination_contract(rules: Rules) -> DestinationContract:
+    """What destinations bear."""
+    return DestinationContract(
+        drain_grace=milliseconds(rules.drain_grace),
+        initial_capacity_share=rules.initial_capacity_share,
+        warm_up_time=milliseconds(rules.warm_up_time),
+        overload_multiple=rules.overload_multiple,
+        overload_duration=milliseconds(rules.overload_duration),
+        settle_time=milliseconds(rules.settle_time),
+    )
+
+
+def own_limits(configuration: Configuration) -> dict[str, float]:
+    """Limits of the process that the platform's form has no name for, by the fields of ServerLimits."""
+    limits = configuration.limits
+    own = {
         "body_bytes": int(limits.body),
         "head_bytes": int(limits.head),
-        "request_s": limits.request / SECOND,
-        "client_idle_s": limits.quiet / SECOND,
-        "outcome_store_bytes": int(plan.ends.bytes),
-        "outcome_retention_s": plan.ends.kept_for / SECOND,
-        "notification_file_bytes": int(plan.notices.file_size),
-        "notification_files": plan.notices.files,
+        "request_s": limits.request_timeout / SECOND,
+        "client_idle_s": limits.client_idle_timeout / SECOND,
+        "outcome_store_bytes": int(configuration.outcomes.max_bytes),
+        "outcome_retention_s": configuration.outcomes.retention / SECOND,
+        "notification_file_bytes": int(configuration.notifications.max_file_size),
+        "notification_files": configuration.notifications.kept_files,
     }
-    if plan.platform is None:
-        told["forget_destination_s"] = (
-            0.0  # what the file lacks is not listed: no directory is late with a successor
-        )
-    return told | ({"idle_client_connections": limits.idle_clients} if limits.idle_clients else {})
+    if configuration.platform is None:
+        # What the file lacks is not listed: no service discovery is late with a successor.
+        own["forget_destination_s"] = 0.0
+    if limits.idle_client_connections:
+        own["idle_client_connections"] = limits.idle_client_connections
+    return own
 
 
-def zones_of(plan: Configuration) -> list[str]:
+def zone_names(configuration: Configuration) -> list[str]:
     """Every zone that the file names, each once, in its order."""
-    endpoints = chain.from_iterable(listed(one) for one in plan.destinations.values())
-    return list(dict.fromkeys([*map(str, plan.zones), *(one.zone for one in endpoints)])) or [""]
+    endpoints = chain.from_iterable(map(endpoints_of, configuration.destinations.values()))
+    names = [*map(str, configuration.zones), *(endpoint.zone for endpoint in endpoints)]
+    return list(dict.fromkeys(names)) or [""]
 
 
-def members(plan: Configuration) -> list[dict[str, Any]]:
-    """The directory's lines of what the file lists."""
-    first = next(iter(plan.kinds))
+def endpoint_list(configuration: Configuration) -> list[JsonObject]:
+    """What the file lists, as service discovery would."""
+    first_kind = next(iter(configuration.kinds))
     return [
         {
-            "id": named(number, endpoint),
+            "id": endpoint_id(number, endpoint),
             "host_port": str(endpoint.address),
             "locality": endpoint.zone,
-            "flavor": destination.kind or first,
+            "flavor": destination.kind or first_kind,
             "cell": number,
             "phase": "draining" if endpoint.draining else "up",
             "size": endpoint.rate or destination.rate,
         }
-        for number, destination in plan.destinations.items()
-        for endpoint in listed(destination)
+        for number, destination in configuration.destinations.items()
+        for endpoint in endpoints_of(destination)
     ]
 
 
-def notice_address(plan: Configuration) -> tuple[str, str] | None:
-    """Address and path of whoever takes notices by HTTP; None where it is a file or nobody."""
-    if plan.notices.address:
-        return receiver(plan.notices.address)
-    return (plan.platform.directory, "/v1/notices") if plan.platform and not plan.notices.file else None
+def notification_target(configuration: Configuration) -> HttpTarget | None:
+    """Where notifications go by HTTP; None where it is a file or nobody."""
+    notifications = configuration.notifications
+    if notifications.address:
+        return parse_http_url(notifications.address)
+    if configuration.platform and not notifications.file:
+        return HttpTarget(configuration.platform.directory, NOTIFICATION_PATH)
+    return None
 
 
-def document(plan: Configuration) -> dict[str, Any]:
-    """The plan as a file has it, defaults included, for whoever writes one."""
-    found: dict[str, Any] = written_out(plan)
-    return found
+def file_document(table: msgspec.Struct) -> JsonObject:
+    """A configuration, or a table of it, as a file has it, defaults included, for whoever writes one."""
+    rows = {field.encode_name: getattr(table, field.name) for field in msgspec.structs.fields(table)}
+    return {name: file_value(row) for name, row in rows.items() if row is not None}
 
 
-def written_out(value: Any) -> Any:
+def file_value(value: object) -> object:
+    """A value as TOML and JSON have it, with durations and sizes in their units."""
     if isinstance(value, msgspec.Struct):
-        rows = {name: getattr(value, name) for name in value.__struct_fields__}
-        return {name: written_out(row) for name, row in rows.items() if row is not None}
+        return file_document(value)
     if isinstance(value, dict):
-        return {str(name): written_out(row) for name, row in value.items()}
+        return {str(name): file_value(row) for name, row in value.items()}
     if isinstance(value, list):
-        return [written_out(row) for row in value]
+        return [file_value(row) for row in value]
     if isinstance(value, Duration):
-        return written(value, TIMES)
-    return written(value, SIZES) if isinstance(value, Size) else value
+        return format_amount(value, TIMES)
+    return format_amount(value, SIZES) if isinstance(value, Size) else value
 
 
-def below(base: Path, path: str) -> Path:
+def resolve(base: Path, path: str) -> Path:
     """A path of the file, counted from the file's folder."""
     return (base / path).absolute()
--- a/ashpath/config/positions.py
+++ b/ashpath/config/positions.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import re
-from typing import Any
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
-from ashpath.config.validation import Path
+from ashpath.config.faults import KeyPath
 
+if TYPE_CHECKING:
+    from tree_sitter import Node
 
-class Places:
+
+class KeyPositions:
     """Where the keys of one file are."""
 
     def __init__(self, data: bytes) -> None:
@@ -16,68 +20,72 @@
         import tree_sitter_toml
 
         parser = tree_sitter.Parser(tree_sitter.Language(tree_sitter_toml.language()))
-        self.lines: dict[Path, int] = {}
-        for path, line in keys(parser.parse(data).root_node):
+        self._lines: dict[KeyPath, int] = {}
+        for path, line in document_keys(parser.parse(data).root_node):
             for depth in range(len(path), 0, -1):  # a table without a head stands where its first part does
-                self.lines.setdefault(path[:depth], line)
+                self._lines.setdefault(path[:depth], line)
 
-    def line(self, path: Path) -> int:
+    def line(self, path: KeyPath) -> int:
         """The line of the key, or of the nearest table that should have it, from 1; 1 where none does."""
-        while path and path not in self.lines:
+        while path and path not in self._lines:
             path = path[:-1]
-        return self.lines.get(path, 1)
+        return self._lines.get(path, 1)
 
 
-def keys(root: Any) -> list[tuple[Path, int]]:
+def document_keys(root: Node) -> Iterator[tuple[KeyPath, int]]:
     """Every key and every item of a list with its path and line."""
-    found: list[tuple[Path, int]] = []
-    counts: dict[Path, int] = {}
+    table_counts: dict[KeyPath, int] = {}
     for node in root.children:
         if node.type == "pair":
-            pair(node, (), found)
+            yield from pair_keys(node, ())
         elif node.type in ("table", "table_array_element"):
-            head = next((parts(child) for child in node.children if "key" in child.type), ())
+            path = next((key_parts(child) for child in node.children if "key" in child.type), ())
             if node.type == "table_array_element":
-                counts[head] = counts.get(head, -1) + 1
-                head = (*head, counts[head])
-            found.append((head, node.start_point[0] + 1))
+                table_counts[path] = table_counts.get(path, -1) + 1
+                path = (*path, table_counts[path])
+            yield path, line_of(node)
             for child in node.children:
                 if child.type == "pair":
-                    pair(child, head, found)
-    return found
+                    yield from pair_keys(child, path)
 
 
-def pair(node: Any, above: Path, found: list[tuple[Path, int]]) -> None:
-    names = [child for child in node.children if "key" in child.type]
-    value = node.children[-1]
-    path = (*above, *(parts(names[0]) if names else ()))
-    found.append((path, node.start_point[0] + 1))
-    inside(value, path, found)
+def pair_keys(pair: Node, table: KeyPath) -> Iterator[tuple[KeyPath, int]]:
+    """The key of a pair, and those within its value."""
+    names = [child for child in pair.children if "key" in child.type]
+    path = (*table, *(key_parts(names[0]) if names else ()))
+    yield path, line_of(pair)
+    yield from value_keys(pair.children[-1], path)
 
 
-def inside(value: Any, path: Path, found: list[tuple[Path, int]]) -> None:
+def value_keys(value: Node, path: KeyPath) -> Iterator[tuple[KeyPath, int]]:
+    """The keys and items within a value."""
     if value.type == "inline_table":
         for child in value.children:
             if child.type == "pair":
-                pair(child, path, found)
+                yield from pair_keys(child, path)
     elif value.type == "array":
         items = [child for child in value.children if child.is_named and child.type != "comment"]
         for at, item in enumerate(items):
-            found.append(((*path, at), item.start_point[0] + 1))
-            inside(item, (*path, at), found)
+            yield (*path, at), line_of(item)
+            yield from value_keys(item, (*path, at))
 
 
-def parts(node: Any) -> Path:
+def key_parts(node: Node) -> KeyPath:
     """The names of a key, dotted or not, quoted or not."""
     if node.type == "dotted_key":
-        return tuple(name for child in node.children if "key" in child.type for name in parts(child))
-    text = node.text.decode("utf-8", "replace")
+        return tuple(name for child in node.children if "key" in child.type for name in key_parts(child))
+    text = (node.text or b"").decode("utf-8", "replace")
     if node.type == "quoted_key":
         text = re.sub(r"\\(.)", r"\1", text[1:-1]) if text[:1] == '"' else text[1:-1]
     return (text,)
 
 
-def suspect(text: str) -> int:
-    """The line that a parser most likely choked on where it does not say: the longest one."""
+def line_of(node: Node) -> int:
+    """From 1."""
+    return node.start_point[0] + 1
+
+
+def longest_line(text: str) -> int:
+    """The line that a parser most likely choked on where it does not say."""
     lines = text.split("\n")
     return max(range(len(lines)), key=lambda at: len(lines[at])) + 1
--- a/ashpath/config/reference.py
+++ b/ashpath/config/reference.py
@@ -1,16 +1,16 @@
-"""The reference of every key, for `ashpath explain` and docs/configuration.md: both are made of `shape`."""
+"""The reference of every key, for `ashpath explain` and docs/configuration.md: made of the schema."""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any, get_args, get_origin
+from typing import get_args, get_origin
 
 import msgspec
 
-from ashpath.config.rules import display
-from ashpath.config.schema import Configuration, Key, Secret
-from ashpath.config.validation import alternatives, expected, keys
+from ashpath.config.schema import Configuration, Secret
+from ashpath.config.schema_keys import TableKey, alternatives, expected, table_keys, table_type
+from ashpath.config.units import SIZES, TIMES, Duration, Size, format_amount
 
 HEAD = """# The sender's file
 
@@ -19,86 +19,134 @@
 The file is TOML. `ashpath check FILE` says all that is wrong with it at once, each with its line, and
 `ashpath serve FILE` starts a sender from it. Durations are written `250ms`, `4s`, `1.5h`, sizes `64KiB`,
 `3MB`. Unknown keys are errors. A secret never stands in the file: `{ env = "NAME" }` names a variable,
-`{ file = "PATH" }` a file whose text it is. *SIGHUP* says whether a reread takes a change, or the next start
+`{ file = "PATH" }` a file whose text it is. *SIGHUP* says whether a reload takes a change, or the next start
 does; the log names both by key.
 """
 
 
 @dataclass(frozen=True, slots=True)
-class Row:
+class ReferenceKey:
     """One key of the reference."""
 
     path: str
-    wants: str
-    default: str  # empty: it must be given
-    now: bool
+    expected: str
+    default: str
+    """Empty: it must be given."""
+    reloadable: bool
     doc: str
 
+    @property
+    def name(self) -> str:
+        """The last part of the path."""
+        return self.path.rsplit(".", 1)[-1]
 
-def rows(
-    shape: type = Configuration, above: str = "", now: bool = False
-) -> Iterator[tuple[str, str, list[Row]]]:
-    """Each table: its path, what it is for, and its keys."""
-    found, deeper = [], []
-    defaults = {row.name: row for row in msgspec.structs.fields(shape)}
-    for name, (hint, key) in keys(shape).items():
-        path = f"{above}.{name}" if above else name
-        inner = alternatives(hint)[0]
-        if get_origin(inner) is dict:
-            word = "NUMBER" if get_args(inner)[0] is int else "NAME"
-            deeper.append((get_args(inner)[1], f"{path}.{word}", now or key.now))
-        elif isinstance(inner, type) and issubclass(inner, msgspec.Struct) and inner is not Secret:
-            deeper.append((inner, path, now or key.now))
-        else:
-            found.append(row(path, hint, key, defaults[name], now))
-            if get_origin(inner) is list:
-                table = alternatives(get_args(inner)[0])[-1]
-                if issubclass(table, msgspec.Struct):
-                    deeper.append((table, f"{path}[]", now or key.now))
-    if found:
-        yield above, shape.__doc__ or "", found
-    for inner, path, taken in deeper:
-        yield from rows(inner, path, taken)
-
-
-def row(path: str, hint: Any, key: Key, default: Any, now: bool) -> Row:
-    if default.required:
-        text = ""
-    elif default.default_factory is not msgspec.NODEFAULT or default.default in (None, ""):
-        text = "none"
+
+@dataclass(frozen=True, slots=True)
+class ReferenceTable:
+    """One table of the reference."""
+
+    path: str
+    doc: str
+    keys: list[ReferenceKey]
+
+
+@dataclass(frozen=True, slots=True)
+class InnerTable:
+    """A table below another one."""
+
+    shape: type[msgspec.Struct]
+    path: str
+    reloadable: bool
+
+
+def reference_tables(
+    shape: type[msgspec.Struct] = Configuration, path: str = "", *, reloadable: bool = False
+) -> Iterator[ReferenceTable]:
+    """Each table of the file; one without keys of its own is left out, and its inner ones are not."""
+    keys: list[ReferenceKey] = []
+    inner_tables: list[InnerTable] = []
+    for name, row in table_keys(shape).items():
+        row_path = f"{path}.{name}" if path else name
+        inner = inner_table(row, row_path, reloadable=reloadable or row.key.reloadable)
+        if inner is not None:
+            inner_tables.append(inner)
+        if inner is None or inner.path.endswith("[]"):
+            keys.append(reference_key(row, row_path, reloadable=reloadable or row.key.reloadable))
+    if keys:
+        yield ReferenceTable(path, shape.__doc__ or "", keys)
+    for table in inner_tables:
+        yield from reference_tables(table.shape, table.path, reloadable=table.reloadable)
+
+
+def inner_table(row: TableKey, path: str, *, reloadable: bool) -> InnerTable | None:
+    """The table that a key holds, by name, in a list, or alone; None where it holds none."""
+    hint = alternatives(row.hint)[0]
+    if get_origin(hint) is dict:
+        name_hint, inner = get_args(hint)
+        path += ".NUMBER" if name_hint is int else ".NAME"
+    elif get_origin(hint) is list:
+        inner = alternatives(get_args(hint)[0])[-1]
+        path += "[]"
+    else:
+        inner = hint
+    shape = table_type(inner)
+    return None if shape is None or shape is Secret else InnerTable(shape, path, reloadable)
+
+
+def reference_key(row: TableKey, path: str, *, reloadable: bool) -> ReferenceKey:
+    """One key that is no table."""
+    if row.required:
+        default = ""
+    elif row.has_factory or row.default in (None, ""):
+        default = "none"
     else:
-        text = display(default.default)
-    return Row(path, expected(hint, key), text, now or key.now, key.doc)
+        default = format_value(row.default)
+    return ReferenceKey(path, expected(row.hint, row.key), default, reloadable, row.key.doc)
 
 
-def markdown() -> str:
+def format_value(value: object) -> str:
+    """A value as a file has it."""
+    if isinstance(value, Duration):
+        return f'"{format_amount(value, TIMES)}"'
+    if isinstance(value, Size):
+        return f'"{format_amount(value, SIZES)}"'
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, float):
+        return f"{value:g}"
+    return f'"{value}"' if isinstance(value, str) else str(value)
+
+
+def markdown_page() -> str:
     """The whole page."""
     text = HEAD
-    for path, doc, found in rows():
-        text += f"\n## `[{path}]`\n\n{' '.join(doc.split())}\n\n"
+    for table in reference_tables():
+        text += f"\n## `[{table.path}]`\n\n{' '.join(table.doc.split())}\n\n"
         text += "| key | wants | default | SIGHUP | what it is for |\n| --- | --- | --- | --- | --- |\n"
-        for one in found:
-            name, default = (
-                one.path.rsplit(".", 1)[-1],
-                f"`{one.default}`" if one.default else "must be given",
-            )
-            when = "taken" if one.now else "next start"
-            text += f"| `{name}` | {one.wants} | {default} | {when} | {one.doc} |\n"
+        for key in table.keys:
+            default = f"`{key.default}`" if key.default else "must be given"
+            when = "taken" if key.reloadable else "next start"
+            text += f"| `{key.name}` | {key.expected} | {default} | {when} | {key.doc} |\n"
     return text
 
 
-def plain(wanted: str | None) -> list[str]:
+def terminal_lines(wanted: str | None) -> list[str]:
     """Lines for a terminal; of one key, or of all below it. None found: no lines."""
     lines = []
-    for _, _, found in rows():
-        for one in found:
-            if wanted is None or one.path == wanted or one.path.startswith((f"{wanted}.", f"{wanted}[")):
-                default = f"default {one.default}" if one.default else "must be given"
-                when = "SIGHUP takes it" if one.now else "waits for the next start"
-                lines.append(f"{one.path}\n    {one.doc}\n    {one.wants}; {default}; {when}")
+    for key in reference_keys():
+        if wanted is None or key.path == wanted or key.path.startswith((f"{wanted}.", f"{wanted}[")):
+            default = f"default {key.default}" if key.default else "must be given"
+            when = "SIGHUP takes it" if key.reloadable else "waits for the next start"
+            lines.append(f"{key.path}\n    {key.doc}\n    {key.expected}; {default}; {when}")
     return lines
 
 
-def paths() -> list[str]:
+def key_paths() -> list[str]:
     """Every key's path."""
-    return [one.path for _, _, found in rows() for one in found]
+    return [key.path for key in reference_keys()]
+
+
+def reference_keys() -> Iterator[ReferenceKey]:
+    """Every key, table by table."""
+    for table in reference_tables():
+        yield from table.keys
--- /dev/null
+++ b/ashpath/config/schema_keys.py
@@ -0,0 +1,104 @@
+"""Reads the schema: which keys a table may have, of which type, and how that type is named to a user."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import cache
+from types import UnionType
+from typing import Annotated, Literal, Union, get_args, get_origin
+
+import msgspec
+
+from ashpath.config.schema import Key, Secret
+from ashpath.config.units import SIZES, TIMES, Address, Duration, Name, Size, format_amount
+
+TYPE_NAMES: dict[object, str] = {
+    Duration: 'a duration such as "250ms" or "4s"',
+    Size: 'a size such as "64KiB"',
+    Address: 'an IPv4 address or a name, with a port, such as "127.0.0.1:7070"',
+    Name: "1 to 64 printable characters without spaces, quotes or slashes",
+    Secret: '{ env = "NAME" } or { file = "PATH" }',
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+    str: "a text",
+}
+UNITS: dict[object, dict[str, int]] = {Duration: TIMES, Size: SIZES}
+
+
+@dataclass(frozen=True, slots=True)
+class TableKey:
+    """One key of a table."""
+
+    field: str
+    """The name inside the program; the key's own name is the file's."""
+    hint: object
+    """The type, with None where the key may be left out."""
+    key: Key
+    required: bool
+    default: object
+    """`msgspec.NODEFAULT` where there is none, or a factory makes it."""
+    has_factory: bool
+
+
+@cache
+def table_keys(shape: type[msgspec.Struct]) -> dict[str, TableKey]:
+    """The keys of a table by their names in the file, in the order of the schema."""
+    keys = {}
+    for field in msgspec.structs.fields(shape):
+        parts = get_args(field.type) if get_origin(field.type) is Annotated else (field.type, Key(""))
+        keys[field.encode_name] = TableKey(
+            field=field.name,
+            hint=parts[0],
+            key=next(part for part in parts[1:] if isinstance(part, Key)),
+            required=field.required,
+            default=field.default,
+            has_factory=field.default_factory is not msgspec.NODEFAULT,
+        )
+    return keys
+
+
+def alternatives(hint: object) -> tuple[object, ...]:
+    """The types that a key may have, without the one for being left out."""
+    if get_origin(hint) not in (Union, UnionType):
+        return (hint,)
+    return tuple(part for part in get_args(hint) if part is not type(None))
+
+
+def table_type(hint: object) -> type[msgspec.Struct] | None:
+    """The type as that of a table; None where it is another."""
+    return hint if isinstance(hint, type) and issubclass(hint, msgspec.Struct) else None
+
+
+def expected(hint: object, key: Key) -> str:
+    """What a key wants, for a user."""
+    hint = alternatives(hint)[0]
+    origin = get_origin(hint)
+    if origin is Literal:
+        return "one of " + ", ".join(f'"{choice}"' for choice in get_args(hint))
+    if origin is list:
+        return "a list"
+    if origin is dict or table_type(hint):
+        return TYPE_NAMES.get(hint, "a table")
+    return TYPE_NAMES[hint] + bounds(hint, key)
+
+
+def bounds(hint: object, key: Key) -> str:
+    """The bounds of a key as a user writes them; empty where it has none.
+
+    >>> bounds(Duration, Key("", 1000, 60_000_000)), bounds(int, Key("", 1)), bounds(str, Key("", 0, 16))
+    (', from 1ms to 1min', ', from 1', ', of 0 to 16 characters')
+    """
+    least = format_bound(hint, key.least)
+    most = format_bound(hint, key.most)
+    if hint is str and most:
+        return f", of {least} to {most} characters"
+    return (f", from {least}" if least else "") + (f" to {most}" if most else "")
+
+
+def format_bound(hint: object, bound: float | None) -> str | None:
+    """One bound in the unit of its type."""
+    if bound is None:
+        return None
+    units = UNITS.get(hint)
+    return format_amount(int(bound), units) if units else f"{bound:g}"
--- a/ashpath/config/units.py
+++ b/ashpath/config/units.py
@@ -1,6 +1,7 @@
-"""Durations, sizes and addresses as people write them.
+"""Durations, sizes, addresses, names and URLs as people write them.
 
-A number alone is refused: it would leave the unit to be guessed.
+A number alone is refused: it would leave the unit to be guessed. Validation turns what the parsers raise, all
+of it ValueError, into a fault of the key.
 """
 
 from __future__ import annotations
@@ -8,11 +9,20 @@
 import re
 from collections.abc import Callable
 from ipaddress import IPv4Address
+from typing import NamedTuple
+from urllib.parse import urlsplit
+
+from ashpath.config.errors import InvalidAddressError, InvalidAmountError, InvalidNameError
 
 TIMES = {"us": 1, "ms": 1000, "s": 1_000_000, "min": 60_000_000, "h": 3_600_000_000, "d": 86_400_000_000}
+"""Microseconds of each unit."""
 SIZES = {"B": 1, "KB": 10**3, "MB": 10**6, "GB": 10**9, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
+"""Bytes of each unit."""
 AMOUNT = re.compile(r"([0-9]{1,15}(?:\.[0-9]{1,6})?) ?([A-Za-z]+)", re.ASCII)
 HOST = re.compile(r"[A-Za-z0-9]([A-Za-z0-9.-]{0,251}[A-Za-z0-9])?", re.ASCII)
+NAME = re.compile(r"[!-~]{1,64}")
+NOT_IN_NAMES = frozenset("/\\\"'")
+MAX_PORT = 65535
 
 
 class Duration(int):
@@ -27,30 +37,39 @@
     """Host and port."""
 
 
-class Word(str):
+class Name(str):
     """Printable, without spaces: it goes into headers, log lines and paths."""
 
 
-def amount(text: object, units: dict[str, int]) -> int:
-    """The whole amount; ValueError where it is none.
+class HttpTarget(NamedTuple):
+    """Where requests go."""
+
+    address: str
+    path: str
+
+
+def parse_amount(text: object, units: dict[str, int]) -> int:
+    """The whole amount. Raises InvalidAmountError.
 
-    >>> amount("4s", TIMES), amount("1.5 ms", TIMES), amount("64KiB", SIZES)
+    >>> parse_amount("4s", TIMES), parse_amount("1.5 ms", TIMES), parse_amount("64KiB", SIZES)
     (4000000, 1500, 65536)
-    >>> amount("4", TIMES)
+    >>> parse_amount("4", TIMES)  # doctest: +ELLIPSIS
     Traceback (most recent call last):
-    ValueError: no amount with a unit
+    ashpath...InvalidAmountError: no amount with a unit
     """
     found = AMOUNT.fullmatch(text) if isinstance(text, str) else None
     if found is None or found[2] not in units:
-        raise ValueError("no amount with a unit")
+        raise InvalidAmountError
     return round(float(found[1]) * units[found[2]])
 
 
-def written(value: int, units: dict[str, int]) -> str:
-    """As `amount` reads it back: the largest unit that divides it.
+def format_amount(value: int, units: dict[str, int]) -> str:
+    """As `parse_amount` reads it back: the largest unit that divides it.
 
-    >>> written(4_000_000, TIMES), written(65536, SIZES), written(0, TIMES), written(2_400_000, TIMES)
-    ('4s', '64KiB', '0s', '2400ms')
+    >>> format_amount(4_000_000, TIMES), format_amount(65536, SIZES), format_amount(0, TIMES)
+    ('4s', '64KiB', '0s')
+    >>> format_amount(2_400_000, TIMES)
+    '2400ms'
     """
     if not value:
         return "0s" if units is TIMES else "0B"
@@ -58,34 +77,54 @@
     return f"{value // units[name]}{name}"
 
 
-def address(text: object) -> str:
-    """The text, if it is an IPv4 address or a name with a port; ValueError else.
+def parse_address(text: object) -> Address:
+    """The text, if it is an IPv4 address or a name with a port. Raises InvalidAddressError, or ValueError.
 
-    >>> address("127.0.0.1:7070")
+    >>> parse_address("127.0.0.1:7070")
     '127.0.0.1:7070'
-    >>> address("[::1]:7070")
+    >>> parse_address("[::1]:7070")  # doctest: +ELLIPSIS
     Traceback (most recent call last):
-    ValueError: no address
+    ashpath...InvalidAddressError: no address
     """
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    sound = port.isascii() and port.isdigit() and len(port) < 6 and 0 < int(port) < 65536
-    if not sound or not HOST.fullmatch(host):
-        raise ValueError("no address")
+    has_port = port.isascii() and port.isdigit() and len(port) < 6 and 0 < int(port) <= MAX_PORT
+    if not has_port or not HOST.fullmatch(host):
+        raise InvalidAddressError
     if re.fullmatch(r"[0-9.]+", host):
         IPv4Address(host)
-    return str(text)
+    return Address(text)
 
 
-def word(text: object) -> str:
-    """The text, if it can stand in a header, a log line and a path; ValueError else."""
-    if not isinstance(text, str) or not re.fullmatch(r"[!-~]{1,64}", text) or set(text) & set("/\\\"'"):
-        raise ValueError("no word")
-    return text
+def parse_name(text: object) -> Name:
+    """The text, if it can stand in a header, a log line and a path. Raises InvalidNameError."""
+    if not isinstance(text, str) or not NAME.fullmatch(text) or set(text) & NOT_IN_NAMES:
+        raise InvalidNameError
+    return Name(text)
+
+
+def parse_http_url(url: str) -> HttpTarget | None:
+    """Address and path of a plain HTTP URL; None where the text is none.
+
+    >>> parse_http_url("http://127.0.0.1:9100/ends")
+    HttpTarget(address='127.0.0.1:9100', path='/ends')
+    >>> parse_http_url("https://127.0.0.1/"), parse_http_url("http://h:1/a b")
+    (None, None)
+    """
+    try:
+        parts = urlsplit(url)
+        address = parse_address(parts.netloc)
+    except ValueError:
+        return None
+    is_plain_text = url.isascii() and url.isprintable() and " " not in url
+    if not is_plain_text or parts.scheme != "http" or parts.query or parts.fragment:
+        return None
+    return HttpTarget(address, parts.path or "/")
 
 
 READERS: dict[object, Callable[[object], object]] = {
-    Duration: lambda value: Duration(amount(value, TIMES)),
-    Size: lambda value: Size(amount(value, SIZES)),
-    Address: lambda value: Address(address(value)),
-    Word: lambda value: Word(word(value)),
+    Duration: lambda value: Duration(parse_amount(value, TIMES)),
+    Size: lambda value: Size(parse_amount(value, SIZES)),
+    Address: parse_address,
+    Name: parse_name,
 }
+"""How a value of the file becomes one of these types; other types are msgspec's to convert."""
--- a/ashpath/core/platform_settings.py
+++ b/ashpath/core/platform_settings.py
@@ -18,7 +18,8 @@
 JsonObject = dict[str, Any]
 Number = int | float | None
 
-RETRY_SAFETY = {
+RetrySafetyName = Literal["retryable", "dedup", "fragile"]
+RETRY_SAFETY: dict[RetrySafetyName, RetrySafety] = {
     "retryable": RetrySafety.IDEMPOTENT,
     "dedup": RetrySafety.DEDUPLICATED,
     "fragile": RetrySafety.AT_MOST_ONCE,
@@ -43,7 +44,7 @@
     name: str | None = None
     deadline: int | float
     latency_objective: Number = field(default=None, name="slo")
-    retry_safety: Literal["retryable", "dedup", "fragile"] = field(name="repeat")
+    retry_safety: RetrySafetyName = field(name="repeat")
     deduplication_window: Number = field(default=None, name="window")
     value: Number = field(default=None, name="importance")
     late_value_share: Number = field(default=None, name="late-worth")
--- a/ashpath/emulator/loopback.py
+++ b/ashpath/emulator/loopback.py
@@ -20,7 +20,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from ashpath.config.platform_form import document
+from ashpath.config.platform_form import file_document
 from ashpath.core.interface import AttemptOutcome, EndpointRecord, EndpointStatus, RetrySafety
 from ashpath.emulator.clients import PATIENCE, quiet
 from ashpath.emulator.demo import free_port
@@ -180,7 +180,7 @@
         place.mkdir(exist_ok=True)
         plan = as_plan(self.day)
         plan.sender.number, plan.sender.senders = number, self.senders
-        told = document(plan)
+        told = file_document(plan)
         listen = f"127.0.0.1:{self.addresses[number][1]}"
         told["sender"] |= {"name": f"n{number}", "listen": listen, "seed": f"{number + 1:x}"}
         told["platform"] = {"directory": f"127.0.0.1:{self.directories[number].server.server_port}"}
--- a/ashpath/emulator/scenario.py
+++ b/ashpath/emulator/scenario.py
@@ -7,25 +7,25 @@
 
 from msgspec import Struct, field
 
+from ashpath.config.constraints import time_conflicts
+from ashpath.config.faults import ConfigurationFault
 from ashpath.config.loading import read_as
-from ashpath.config.platform_form import told
-from ashpath.config.rules import times
+from ashpath.config.platform_form import platform_form
 from ashpath.config.schema import (
     MIN,
     MS,
     Configuration,
     D,
+    DestinationKind,
     H,
     Key,
-    Kind,
     Limits,
     Rules,
     S,
     Sender,
-    Track,
+    TrafficClass,
 )
-from ashpath.config.units import Duration, Word
-from ashpath.config.validation import ConfigurationFault
+from ashpath.config.units import Duration, Name
 from ashpath.core.interface import PolicySettings
 from ashpath.core.policy_settings import policy_settings
 from ashpath.emulator.destination_model import Nature
@@ -134,7 +134,7 @@
 class Clients(Struct):
     """Who hands in."""
 
-    mix: Annotated[dict[Word, float], Key("share of each track", 1, 64)]
+    mix: Annotated[dict[Name, float], Key("share of each track", 1, 64)]
     clump: Annotated[int, Key("envelopes that come at once, for one destination", 1, 10_000)] = 1
     retries: Annotated[int, Key("times an envelope is handed in anew after a bounce", 0, 100)] = 1
     backoff: Annotated[Duration, Key("before that, where nothing is told; doubled each time", MS, H)] = (
@@ -181,8 +181,8 @@
     """The whole file."""
 
     day: About
-    tracks: Annotated[dict[Word, Track], Key("as in a sender's file", 1, 64)]
-    partners: Annotated[dict[Word, Partners], Key("kinds of destinations", 1, 64)]
+    tracks: Annotated[dict[Name, TrafficClass], Key("as in a sender's file", 1, 64)]
+    partners: Annotated[dict[Name, Partners], Key("kinds of destinations", 1, 64)]
     clients: Clients
     spans: Annotated[list[Span], Key("the day from its beginning to its end", 1, 10_000)]
     fleet: Fleet = field(default_factory=Fleet)
@@ -213,7 +213,7 @@
 
 def unfit(day: Scenario) -> list[ConfigurationFault]:
     """What each key alone allows and together cannot be."""
-    found = list(times(as_plan(day)))
+    found = list(time_conflicts(as_plan(day)))
     known = set(day.partners) | {
         f"{kind}/{n}" for kind, row in day.partners.items() for n in range(row.count)
     }
@@ -255,18 +255,17 @@
 
 
 def read_scenario(path: Path) -> Scenario:
-    """The day of a file; raises plan.read.Unusable."""
-    found: Scenario = read_as(path, Scenario, unfit)
-    return found
+    """The day of a file; raises InvalidConfigurationError."""
+    return read_as(path, Scenario, unfit)
 
 
 def as_plan(day: Scenario) -> Configuration:
     """What the senders of the day would be started with, less their destinations."""
-    kinds = {Word(name): Kind(apart=row.apart) for name, row in day.partners.items()}
-    limits = Limits(envelopes=day.fleet.room or 10_000_000)
+    kinds = {Name(name): DestinationKind(limit_per_endpoint=row.apart) for name, row in day.partners.items()}
+    limits = Limits(queue_capacity=day.fleet.room or 10_000_000)
     rules = day.rules
-    tracks: dict[Word, Track] = {Word(name): track for name, track in day.tracks.items()}
-    return Configuration(Sender(Word("day")), tracks, kinds=kinds, rules=rules, limits=limits)
+    tracks: dict[Name, TrafficClass] = {Name(name): track for name, track in day.tracks.items()}
+    return Configuration(Sender(Name("day")), tracks, kinds=kinds, rules=rules, limits=limits)
 
 
 def day_terms(day: Scenario, seed: int, number: int) -> PolicySettings:
@@ -274,18 +273,18 @@
     plan = as_plan(day)
     plan.sender.number, plan.sender.senders = number, day.fleet.senders
     return replace(
-        policy_settings(seed, told(plan, "0")["settings"]), reports_full_connection_table=True
+        policy_settings(seed, platform_form(plan, "0")["settings"]), reports_full_connection_table=True
     )  # as on sockets
 
 
 def nature(row: Partners, folder: Path) -> Nature:
     """The model's nature of a kind of partner. ValueError or OSError: its samples cannot be read."""
-    from ashpath.config.units import TIMES, amount
+    from ashpath.config.units import TIMES, parse_amount
 
     samples: tuple[int, ...] = ()
     if row.samples:
         lines = (folder / row.samples).read_text().split()
-        samples = tuple(amount(line, TIMES) for line in lines)
+        samples = tuple(parse_amount(line, TIMES) for line in lines)
     names = Nature.__dataclass_fields__
     same = {name: getattr(row, name) for name in names if hasattr(row, name)}
     told_: dict[str, Any] = {n: int(v) if isinstance(v, Duration) else v for n, v in same.items()}
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -21,8 +21,8 @@
 import orjson
 import psutil
 
-from ashpath.config.loading import read
-from ashpath.config.platform_form import told
+from ashpath.config.loading import read_configuration
+from ashpath.config.platform_form import platform_form
 from benchmarks.kept import ROOT, keep
 
 TEXT = """[sender]
@@ -91,7 +91,7 @@
             words = [sys.executable, "-m", "ashpath.cli", "serve", str(place / "sender.toml")]
             found[name] = once(words, ROOT, number, {})
             continue
-        form = told(read(place / "sender.toml"), "8c1f") | {"discovery": "127.0.0.1:1"}
+        form = platform_form(read_configuration(place / "sender.toml"), "8c1f") | {"discovery": "127.0.0.1:1"}
         form["limits"].pop("own")
         (place / "config.json").write_bytes(orjson.dumps(form))
         environment = {
--- /dev/null
+++ b/tests/config/test_loading.py
@@ -0,0 +1,121 @@
+"""Reading a file, whatever stands in it."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from support.configuration import EXAMPLE, TEXT, fault_lines, write_file
+
+from ashpath.config.errors import InvalidConfigurationError
+from ashpath.config.loading import read_configuration
+from ashpath.config.platform_form import platform_form
+from ashpath.core.policy_settings import sender_settings
+
+HOSTILE = [
+    b"",
+    b"\xff\xfe",
+    b"a = " + b"9" * 5000,
+    b"a = " + b"[" * 50_000,
+    b"\0",
+    b'a = "',
+    b"sender = 1",
+    b"[tracks]",
+    b"[[sender]]\n[[sender]]",
+    TEXT.encode().replace(b"[sender]", b"\xef\xbb\xbf[sender]"),
+    TEXT.encode() + b'[destinations."7"]\n',
+    TEXT.encode() * 2,
+]
+
+
+@pytest.mark.parametrize("data", HOSTILE, ids=range(len(HOSTILE)))
+def test_hostile_files(tmp_path: Path, data: bytes) -> None:
+    lines = fault_lines(tmp_path, data)
+    assert lines
+    assert all(re.match(r":[0-9]+: ", line) for line in lines), lines
+
+
+def test_a_long_value_is_cut(tmp_path: Path) -> None:
+    assert fault_lines(tmp_path, TEXT.replace("8", "9" * 300, 1))[0].count("9") < 60
+
+
+@pytest.mark.parametrize("place", [".", "none", "/dev/null/x"])
+def test_a_path_that_is_no_file(tmp_path: Path, place: str) -> None:
+    with pytest.raises(InvalidConfigurationError):
+        read_configuration(tmp_path / place)
+
+
+PIECES = st.sampled_from(
+    [
+        b"=",
+        b"[",
+        b"]",
+        b"{",
+        b"}",
+        b'"',
+        b"\n",
+        b"#",
+        b"'",
+        b",",
+        b".",
+        b"-1",
+        b"1e999",
+        b"nan",
+        b"true",
+        b"\xc3",
+        b"\x00",
+        b"1979-05-27",
+        b'"4s"',
+        b"[[sender]]",
+        b"x = 1",
+    ]
+)
+CHANGES = st.lists(
+    st.tuples(st.sampled_from(["cut", "put", "double", "drop"]), st.integers(0, 10_000), PIECES),
+    min_size=1,
+    max_size=4,
+)
+
+
+def mutated(data: bytes, steps: list[tuple[str, int, bytes]]) -> bytes:
+    for how, where, piece in steps:
+        at = where % (len(data) + 1)
+        line = data.rfind(b"\n", 0, at) + 1
+        end = (data.find(b"\n", at) + 1) or len(data)
+        if how == "cut":
+            data = data[:at] + data[at + 1 + where % 7 :]
+        elif how == "put":
+            data = data[:at] + piece + data[at:]
+        elif how == "double":
+            data = data[:end] + data[line:end] + data[end:]
+        else:
+            data = data[:line] + data[end:]
+    return data
+
+
+@settings(
+    max_examples=2000,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.function_scoped_fixture, HealthCheck.too_slow],
+)
+@given(CHANGES)
+def test_mutated_files(tmp_path: Path, steps: list[tuple[str, int, bytes]]) -> None:
+    """Whatever becomes of a file: it is sound, or each line names the file and a line of it. No traceback."""
+    path = write_file(tmp_path, mutated(EXAMPLE.read_bytes(), steps))
+    try:
+        found = read_configuration(path)
+    except InvalidConfigurationError as error:
+        for line in error.lines:
+            assert re.match(rf"{re.escape(str(path))}:[1-9][0-9]*: .", line), line
+            assert "\n" not in line
+    else:
+        sender_settings(1, platform_form(found, "1")["settings"])  # what is sound makes a sender's settings
+
+
+def test_example_is_sound() -> None:
+    assert list(read_configuration(EXAMPLE).traffic_classes) == ["check-status", "check-result"]
--- a/tests/emulator/test_loopback.py
+++ b/tests/emulator/test_loopback.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from ashpath.config.loading import read
-from ashpath.config.platform_form import document
+from ashpath.config.loading import read_configuration
+from ashpath.config.platform_form import file_document
 from ashpath.core.interface import AttemptOutcome
 from ashpath.emulator.loopback import Loopback
 from ashpath.emulator.scenario import read_scenario
@@ -35,8 +35,8 @@
     assert ours.result["handed_in"] == virtual.result["handed_in"]
     assert sum(ours.result["ends"].values()) == ours.result["handed_in"]
     assert abs(ours.result["g"] - virtual.result["g"]) <= near, (ours.result["g"], virtual.result["g"])
-    written = read(tmp_path / "sender-0" / "sender.toml")
-    assert document(written)["tracks"]["check-result"]["window"] == "5s"
+    written = read_configuration(tmp_path / "sender-0" / "sender.toml")
+    assert file_document(written)["tracks"]["check-result"]["window"] == "5s"
 
 
 def test_what_sockets_cannot_play(tmp_path: Path) -> None:
--- a/tests/emulator/test_rehearsal.py
+++ b/tests/emulator/test_rehearsal.py
@@ -13,7 +13,7 @@
 from support.standalone import Alone
 
 from ashpath.cli.check import command as check
-from ashpath.config.loading import InvalidConfigurationError
+from ashpath.config.errors import InvalidConfigurationError
 from ashpath.core.interface import AttemptOutcome, RetrySafety, TrafficClassSettings
 from ashpath.core.messages import Message
 from ashpath.emulator.baselines import POLICIES
