--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -58,7 +58,7 @@
         self.file = given
         state = resolve(path.parent, given.plan.sender.state_directory)
         super().__init__(given, given.plan.sender.listen, state, log, self.reread)
-        self.attempt_runner.credentials = given.passes
+        self.attempt_runner.use_credentials(given.passes)
 
     def create_status_api(self) -> StatusApi:
         names = [row["name"] for row in self.file.settings["classes"]]
@@ -106,14 +106,14 @@
         self.form.use(given.plan.logging.level, given.plan.logging.form)
         self.log.info("configuration read", taken=short(taken), needs_restart=short(later))
         self.inquiry.traffic_classes = [row["name"] for row in self.configuration.settings["classes"]]
-        self.attempt_runner.credentials = given.passes
+        self.attempt_runner.use_credentials(given.passes)
         self.titles.clear()
         self.titles.update(titles(given.plan))
         if self.discovery is not None and given.platform_address is not None:
             self.discovery.move(given.platform_address)
         moved = any(path.startswith("destinations") for path in taken)
         if moved and self.discovery is None and given.platform_address is None:
-            self.registry.receive_members(given.known_endpoints["members"], True)
+            self.membership.receive_members(given.known_endpoints["members"], whole=True)
         receiver = notification_target(given.plan)
         if isinstance(self.notifier, HttpNotifier) and receiver is not None:
             self.notifier.move(notification_receiver(receiver, given.notice_pass))
--- a/ashpath/server/delivery/endpoint_registry.py
+++ b/ashpath/server/delivery/endpoint_registry.py
@@ -1,95 +1,142 @@
-"""The stage that knows where endpoints are, and puts the directory's lines into the module's words."""
+"""Knows where endpoints are, and turns members of the endpoint list into records of the policy's interface.
+
+Discovery hands in members as they came (JSON); what a listing changed comes back as a `MembershipChange`,
+which `EndpointMembership` passes on to the policy.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from time import monotonic
 from typing import Any
 
 from ashpath.core.interface import EndpointRecord, EndpointStatus
 from ashpath.server import wire_names
 from ashpath.server.delivery.connection_pool import Address, ConnectionPool
+from ashpath.server.delivery.errors import InvalidAddressError
+from ashpath.server.logs import Logger
+
+EndpointMember = Mapping[str, Any]
+"""One member of the endpoint list, as the JSON of the directory or of a configuration has it."""
+
+LARGEST_PORT = 65535
+PORT_DIGITS = 5
+NO_ADDRESS: Address = ("", 0)
 
 
 def parse_address(text: str) -> Address:
-    """Host and port.
+    """Host and port. Raises InvalidAddressError.
 
     >>> parse_address("10.1.0.18:7070")
     ('10.1.0.18', 7070)
     """
     host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or len(port) > 5 or int(port) > 65535:
-        raise ValueError(f"{text!r} is no address with a port")
+    is_number = port.isascii() and port.isdigit() and len(port) <= PORT_DIGITS
+    if not host or not is_number or int(port) > LARGEST_PORT:
+        raise InvalidAddressError(f"{text!r} is no address with a port")
     return host, int(port)
 
 
+@dataclass(frozen=True, slots=True)
+class MembershipChange:
+    """What a listing changed."""
+
+    records: list[EndpointRecord]
+    """Members that could be read, in the order of the listing."""
+    whole: bool
+    """They take the place of all that was listed before."""
+    unreadable: int
+    """Members that could not be read, each logged."""
+
+
 class EndpointRegistry:
-    """`addresses` has the listed endpoints: one leaves as it drains, is removed, or a whole list lacks it.
-    `served` has their destinations, and when each was last seen listed: it leaves some time after that."""
+    """The endpoints as last listed. `kinds` and `zones` are the names of the settings, in their order."""
 
-    def __init__(self, kinds: list[str], zones: list[str], pool: ConnectionPool, log: Any) -> None:
-        self.kinds, self.zones, self.pool, self.log = kinds, zones, pool, log
+    def __init__(self, kinds: list[str], zones: list[str], pool: ConnectionPool, logger: Logger) -> None:
+        self.kinds = kinds
+        self.zones = zones
+        self.pool = pool
+        self.logger = logger
         self.addresses: dict[str, Address] = {}
-        self.listed: dict[str, int] = {}  # the destination of each of them
+        """Of listed endpoints: one leaves as it drains, is removed, or a whole list lacks it."""
+        self.listed: dict[str, int] = {}
+        """The destination of each of them."""
         self.served_destinations: dict[int, float] = {}
-        self.records: dict[
-            str, EndpointRecord
-        ] = {}  # every endpoint of the listing as last told, any presence
-        self.on_update: Callable[[list[EndpointRecord], bool], None] = lambda rows, whole: None
-
-    def receive_members(self, members: list[dict[str, Any]], whole: bool) -> bool:
-        """Whether every line could be read."""
-        rows = self.apply_members(members, whole)
-        self.on_update(rows, whole)
-        return len(rows) == len(members)
-
-    def apply_members(self, members: list[dict[str, Any]], whole: bool) -> list[EndpointRecord]:
+        """When each destination last had a listed endpoint, in seconds of the monotonic clock."""
+        self.records: dict[str, EndpointRecord] = {}
+        """Every endpoint as last listed, of any status."""
+
+    def configure(self, kinds: list[str], zones: list[str]) -> None:
+        """New names, for listings from now on."""
+        self.kinds = kinds
+        self.zones = zones
+
+    def serves(self, destination: int) -> bool:
+        """Whether the destination has a listed endpoint, or had one a short while ago."""
+        return destination in self.served_destinations
+
+    def apply_members(self, members: Sequence[EndpointMember], *, whole: bool) -> MembershipChange:
+        """Takes a listing: the whole one, or changes. Idle connections to addresses that are gone close."""
+        read = self._read(members)
+        addresses_before = dict(self.addresses)
+        if whole:
+            self.addresses = {}
+            self.listed = {}
+            self.records = {}
+        for record, address in read:
+            self.records[record.endpoint_id] = record
+            self.addresses.pop(record.endpoint_id, None)
+            self.listed.pop(record.endpoint_id, None)
+            if record.status is EndpointStatus.ACTIVE:
+                self.addresses[record.endpoint_id] = address
+                self.listed[record.endpoint_id] = record.destination
+        self._update_served_destinations()
+        for endpoint_id, address in addresses_before.items():
+            if self.addresses.get(endpoint_id) != address:
+                self.pool.close_idle(endpoint_id)
+        records = [record for record, _ in read]
+        return MembershipChange(records, whole, unreadable=len(members) - len(records))
+
+    def _read(self, members: Sequence[EndpointMember]) -> list[tuple[EndpointRecord, Address]]:
+        """The members that can be read: a bad one must not hide the others."""
         found = []
         for member in members:
             try:
-                row = self.parse_member(member)
-                # Of one that goes the address is no matter: the drain counts however its line is spoilt.
-                where = parse_address(member["host_port"]) if row.status is EndpointStatus.ACTIVE else ("", 0)
-                found.append((row, where))
-            except (KeyError, TypeError, ValueError) as error:  # one bad line must not hide the others
-                self.log.error("endpoint record not read", line=str(member), error=repr(error))
-        before = dict(self.addresses)
-        if whole:
-            self.addresses, self.listed, self.records = {}, {}, {}
-        for row, where in found:
-            self.records[row.endpoint_id] = row
-            self.addresses.pop(row.endpoint_id, None)
-            self.listed.pop(row.endpoint_id, None)
-            if row.status is EndpointStatus.ACTIVE:
-                self.addresses[row.endpoint_id], self.listed[row.endpoint_id] = where, row.destination
-        # Some time, as an endpoint's successor may be listed only after the endpoint has gone.
-        now, still = monotonic(), dict.fromkeys(self.listed.values(), monotonic())
-        self.served_destinations = {
-            d: at
-            for d, at in self.served_destinations.items()
-            if now - at < self.pool.limits.forget_destination_s
-        } | still
-        for endpoint, where in before.items():
-            if self.addresses.get(endpoint) != where:
-                self.pool.close_idle(endpoint)
-        return [row for row, _ in found]
+                record = self.parse_member(member)
+                # Of one that leaves the address is no matter: a drain counts however its member is spoilt.
+                active = record.status is EndpointStatus.ACTIVE
+                address = parse_address(member["host_port"]) if active else NO_ADDRESS
+                found.append((record, address))
+            except (KeyError, TypeError, ValueError) as error:
+                self.logger.error("endpoint record not read", line=str(member), error=repr(error))
+        return found
 
-    def serves(self, destination: int) -> bool:
-        return destination in self.served_destinations
+    def _update_served_destinations(self) -> None:
+        """A destination is kept for some time, as an endpoint's successor may be listed only after it."""
+        now = monotonic()
+        kept = {
+            destination: listed_at
+            for destination, listed_at in self.served_destinations.items()
+            if now - listed_at < self.pool.limits.forget_destination_s
+        }
+        self.served_destinations = kept | dict.fromkeys(self.listed.values(), now)
 
-    def parse_member(self, member: dict[str, Any]) -> EndpointRecord:
-        if not isinstance(member["id"], str):
-            raise TypeError(f"an id that is no text: {member['id']!r:.60}")
+    def parse_member(self, member: EndpointMember) -> EndpointRecord:
+        """Raises KeyError, TypeError or ValueError where it cannot be read."""
+        endpoint_id = member["id"]
+        if not isinstance(endpoint_id, str):
+            raise TypeError(f"an id that is no text: {endpoint_id!r:.60}")
         return EndpointRecord(
-            endpoint_id=member["id"],
+            endpoint_id=endpoint_id,
             destination=int(member["cell"]),
-            kind=self.index(self.kinds, member.get("flavor")),
-            zone=self.index(self.zones, member.get("locality")),
+            kind=self._index(self.kinds, member.get("flavor")),
+            zone=self._index(self.zones, member.get("locality")),
             status=wire_names.ENDPOINT_STATUSES[member["phase"]],
             listed_rate=max(0.0, float(member.get("size") or 0)),
         )
 
     @staticmethod
-    def index(known: list[str], name: Any) -> int:
+    def _index(known: list[str], name: object) -> int:
         """Lists and settings name kinds and zones alike; a name not in the settings counts as the first."""
-        return known.index(name) if name in known else 0
+        return known.index(name) if name in known else 0  # type: ignore[arg-type]  # `in` has checked it
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -1,82 +1,156 @@
-"""The stage that keeps the books: outcomes and ends go to the ledger, and from there to the platform."""
+"""Writes outcomes to the write-ahead log, and says who learns of a message's final state.
+
+| final state | the client still waits (within `submission`) | it does not |
+| --- | --- | --- |
+| rejected, failed | the result of the submission | the outcome store and the notifier |
+| delivered, cancelled | cannot be: the batch of a submission sends only after it | the outcome store |
+"""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from ashpath.core.interface import AttemptOutcome
+from ashpath.policy.tuning import NEVER_RAN
 from ashpath.server import wire_names
-from ashpath.server.delivery.notifier import encode_notification
+from ashpath.server.delivery.attempts import AttemptResult
+from ashpath.server.delivery.notifier import Notifier, encode_notification
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
+MILLISECOND = 1000  # microseconds
+
+
+class SubmitDecision(Enum):
+    """What became of a message in the batch of its submission."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitResult:
+    """The policy's decision on a submitted message, for the client that waits for it."""
+
+    decision: SubmitDecision
+    retry_after: int = 0
+    """REJECTED: microseconds until it is harmless to submit it again."""
+
+
+ACCEPTED = SubmitResult(SubmitDecision.ACCEPTED)
+
+
+class Submission:
+    """A message whose client waits for the result, within `with`: it is final once the batch is over."""
 
-class Teller(Protocol):
-    """Who tells of ends after the 202: from then on it owes the ledger an `ended`."""
+    def __init__(self, recorder: OutcomeRecorder, message: StoredMessage) -> None:
+        self.recorder = recorder
+        self.message = message
+        self.result = ACCEPTED
 
-    def add(self, entry: StoredMessage) -> None: ...
+    def __enter__(self) -> Submission:
+        self.recorder.current_submission = self
+        return self
 
+    def __exit__(self, *error: object) -> None:
+        self.recorder.current_submission = None
 
-class Keeper(Protocol):
-    """Who keeps ends for clients that ask."""
 
-    def add(self, trace: str, state: str, come_back: int = 0) -> None: ...
+class FinalStates(Protocol):
+    """Who keeps final states for clients that ask."""
 
+    def add(self, trace: str, state: str, come_back: int = 0) -> None:
+        """Keeps one, with microseconds of a Retry-After."""
 
-class Meter(Protocol):
+
+class DeliveryMetrics(Protocol):
     """Who counts what happens, where somebody reads it."""
 
-    def message_accepted(self, track: int) -> None: ...
+    def message_accepted(self, track: int) -> None:
+        """A message of that traffic class was accepted."""
 
-    def message_finished(self, track: int, state: str) -> None: ...
+    def message_finished(self, track: int, state: str) -> None:
+        """A message of that traffic class has its final state."""
 
-    def attempt_finished(self, ending: AttemptOutcome, took: int) -> None: ...
+    def attempt_finished(self, ending: AttemptOutcome, took: int) -> None:
+        """An attempt ended after so many microseconds."""
 
 
 class OutcomeRecorder:
-    def __init__(self, ledger: WriteAheadLog, notices: Teller, ends: Keeper | None = None) -> None:
-        self.write_ahead_log, self.notifier, self.outcome_store = ledger, notices, ends
-        self.submitting: StoredMessage | None = None  # its client still waits, and has the answer of the turn
-        self.metrics: Meter | None = None
-        self.submit_result: int | None = None  # when to come back, below 0 for an abort; None: taken on
-
-    def attempt_finished(
-        self, entry: StoredMessage, may_have_run: bool, over: bool, completed: bool = False
+    """Records outcomes of attempts and final states of messages, in the order they come about."""
+
+    def __init__(
+        self,
+        write_ahead_log: WriteAheadLog,
+        notifier: Notifier,
+        outcome_store: FinalStates | None = None,
     ) -> None:
-        if over:
-            self.store(entry, wire_names.DELIVERED_STATE if completed else wire_names.CANCELLED_STATE)
-            self.write_ahead_log.record_finished(entry)
+        self.write_ahead_log = write_ahead_log
+        self.notifier = notifier
+        self.outcome_store = outcome_store
+        self.metrics: DeliveryMetrics | None = None
+        self.current_submission: Submission | None = None
+        """Whose client waits for its result at this moment."""
+
+    def use_metrics(self, metrics: DeliveryMetrics | None) -> None:
+        """Counts there from now on; None: nobody reads counts."""
+        self.metrics = metrics
+
+    def submission(self, message: StoredMessage) -> Submission:
+        """Opened around the batch of a submission: a final state within it is the submission's result."""
+        if self.metrics is not None:
+            self.metrics.message_accepted(message.traffic_class)
+        return Submission(self, message)
+
+    def record_attempt(self, message: StoredMessage, result: AttemptResult) -> None:
+        """An attempt ended: its outcome, and the end of the message where it is final."""
+        if result.final:
+            delivered = result.outcome is AttemptOutcome.DELIVERED
+            state = wire_names.DELIVERED_STATE if delivered else wire_names.CANCELLED_STATE
+            self._store_final_state(message, state)
+            self.write_ahead_log.record_finished(message)
         else:
-            self.write_ahead_log.record_outcome(entry, may_have_run=may_have_run)
-
-    def rejected(self, entry: StoredMessage, come_back: int) -> None:
-        self.finish(
-            entry, come_back, encode_notification(entry, wire_names.REJECTED_STATUS, come_back // 1000)
-        )
-
-    def failed(self, entry: StoredMessage) -> None:
-        self.finish(entry, -1, encode_notification(entry, wire_names.FAILED_STATUS))
+            self.write_ahead_log.record_outcome(message, may_have_run=result.outcome not in NEVER_RAN)
 
-    def store(self, entry: StoredMessage, state: str, come_back: int = 0) -> None:
-        """Before the ledger lets go of it: a kill in between leaves both."""
-        if self.outcome_store is not None:
-            self.outcome_store.add(entry.trace_id, state, come_back)
+    def count_attempt(self, outcome: AttemptOutcome, duration: int) -> None:
+        """An attempt ended after so many microseconds, for the metrics alone."""
         if self.metrics is not None:
-            self.metrics.message_finished(entry.traffic_class, state)
-
-    def finish(self, entry: StoredMessage, answer: int, line: str) -> None:
-        """Told to the client that still waits, else by a notice."""
-        if entry is self.submitting:
-            self.submit_result = answer
+            self.metrics.attempt_finished(outcome, duration)
+
+    def record_rejected(self, message: StoredMessage, retry_after: int) -> None:
+        """Final: harmless to submit again after `retry_after` microseconds."""
+        result = SubmitResult(SubmitDecision.REJECTED, retry_after)
+        line = encode_notification(message, wire_names.REJECTED_STATUS, retry_after // MILLISECOND)
+        self._finish(message, result, wire_names.REJECTED_STATUS, line)
+
+    def record_failed(self, message: StoredMessage) -> None:
+        """Final: not delivered, as far as is known."""
+        line = encode_notification(message, wire_names.FAILED_STATUS)
+        self._finish(message, SubmitResult(SubmitDecision.FAILED), wire_names.FAILED_STATUS, line)
+
+    def record_cancelled(self, message: StoredMessage) -> None:
+        """Its client has left before it was told that the message was accepted."""
+        self._store_final_state(message, wire_names.CANCELLED_STATE)
+
+    def _finish(self, message: StoredMessage, result: SubmitResult, state: str, line: str) -> None:
+        """Reported to the client that still waits, else by a notification."""
+        submission = self.current_submission
+        if submission is not None and message is submission.message:
+            submission.result = result
             if self.metrics is not None:
-                self.metrics.message_finished(
-                    entry.traffic_class,
-                    wire_names.FAILED_STATUS if answer < 0 else wire_names.REJECTED_STATUS,
-                )
-            self.write_ahead_log.record_finished(entry)
+                self.metrics.message_finished(message.traffic_class, state)
+            self.write_ahead_log.record_finished(message)
         else:
-            self.store(
-                entry, wire_names.FAILED_STATUS if answer < 0 else wire_names.REJECTED_STATUS, max(0, answer)
-            )
-            self.write_ahead_log.record_finished(entry, line)
-            self.notifier.add(entry)
+            self._store_final_state(message, state, result.retry_after)
+            self.write_ahead_log.record_finished(message, line)
+            self.notifier.add(message)
+
+    def _store_final_state(self, message: StoredMessage, state: str, retry_after: int = 0) -> None:
+        """Before the write-ahead log forgets the message: a kill in between leaves both."""
+        if self.outcome_store is not None:
+            self.outcome_store.add(message.trace_id, state, retry_after)
+        if self.metrics is not None:
+            self.metrics.message_finished(message.traffic_class, state)
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -1,93 +1,112 @@
-"""The stage that puts what came back, or did not, into the module's words."""
+"""Turns what came back from an endpoint, or did not, into an outcome of the policy's interface.
 
-from __future__ import annotations
+It has no state and does nothing else: the same attempt has the same result each time.
 
-from collections.abc import Callable
+| what came back | outcome |
+| --- | --- |
+| a response | by its status, `STATUS_OUTCOMES`; any other status: ERROR |
+| 503 with `x-egress-full: 1` | NOT_SENT: it was not passed on |
+| 503 that closes its connection after the first request on it | CONNECTION_TABLE_FULL |
+| nothing | by the type of the failure, `FAILURE_OUTCOMES` |
+"""
 
-from gevent import Timeout
+from __future__ import annotations
 
 from ashpath.core.interface import AttemptOutcome, LoadReport
-from ashpath.policy.tuning import NEVER_RAN
 from ashpath.server import wire_names
-from ashpath.server.delivery.attempts import Attempt, AttemptCancelledError, NotSentError
-from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.delivery.attempts import Attempt, AttemptResult
+from ashpath.server.delivery.errors import (
+    AttemptCancelledError,
+    AttemptError,
+    NotSentError,
+    RequestNotWrittenError,
+    ResponseError,
+    ResponseTimeoutError,
+)
 from ashpath.server.http.messages import HttpResponse
 
-# A status that the protocol does not name says nothing of whether the call ran: an error.
-ENDINGS = {
+# A status that the protocol does not name says nothing of whether the request ran: an error.
+STATUS_OUTCOMES = {
     200: AttemptOutcome.DELIVERED,
     410: AttemptOutcome.NOT_SENT,
     429: AttemptOutcome.OVERLOADED,
     503: AttemptOutcome.OVERLOADED,
     504: AttemptOutcome.NOT_SENT,
 }
+FAILURE_OUTCOMES: tuple[tuple[type[AttemptError], AttemptOutcome], ...] = (
+    (AttemptCancelledError, AttemptOutcome.CANCELLED),
+    (NotSentError, AttemptOutcome.NOT_SENT),
+    (RequestNotWrittenError, AttemptOutcome.CONNECT_FAILED),
+    (ResponseTimeoutError, AttemptOutcome.TIMED_OUT),
+    (ResponseError, AttemptOutcome.CONNECTION_RESET),
+)
+FINAL_STATUSES = (200, 410)
+SERVICE_UNAVAILABLE = 503
+REMAINING_QUOTA_FIELD = b"x0"
+RATE_LIMIT_FIELD = b"x1"
+MICROSECONDS = 1e6
+LARGEST_NUMBER = 1e6  # a header with more than that cannot be meant
 
 
-def number(text: bytes | None) -> float | None:
-    """A number of a header or a report; none where there is none, or one that cannot be meant.
+def parse_number(text: bytes | None) -> float | None:
+    """A number of a header or a load report; none where there is none, or one that cannot be meant.
 
-    >>> number(b"0.25"), number(b"soon"), number(None), number(b"nan"), number(b"-1")
-    (0.25, None, None, None, None)
+    >>> [parse_number(text) for text in (b"0.25", b"soon", None, b"nan", b"-1")]
+    [0.25, None, None, None, None]
     """
     try:
         value = float(text or b"")
     except ValueError:
         return None
-    return value if 0 <= value < 1e6 else None
+    return value if 0 <= value < LARGEST_NUMBER else None
 
 
 class ResponseClassifier:
-    def __init__(self, book: OutcomeRecorder, reports: bool) -> None:
-        self.recorder, self.has_load_reports = book, reports
-        self.on_outcome: Callable[[Attempt, AttemptOutcome, int, bool, LoadReport | None], None] = (
-            lambda *_: None
-        )
+    """`has_load_reports`: responses may report the rate limit of their destination."""
+
+    def __init__(self, *, has_load_reports: bool) -> None:
+        self.has_load_reports = has_load_reports
+
+    def classify(self, attempt: Attempt) -> AttemptResult:
+        """The result of an attempt that has ended. A response counts before a failure."""
+        response = attempt.response
+        if response is None:
+            return AttemptResult(self._failure_outcome(attempt.failure))
+        outcome = self._response_outcome(response, new_connection=attempt.new_connection)
+        retry_after = 0
+        if outcome is AttemptOutcome.OVERLOADED:
+            seconds = parse_number(response.headers.get(wire_names.RETRY_AFTER_HEADER)) or 0.0
+            retry_after = round(seconds * MICROSECONDS)
+        final = response.status in FINAL_STATUSES
+        return AttemptResult(outcome, retry_after, final, self.load_report(response))
 
-    def __call__(self, flight: Attempt) -> None:
-        ending, wait, closed, told = self.outcome(flight)
-        completed = ending is AttemptOutcome.DELIVERED
-        self.recorder.attempt_finished(flight.message, ending not in NEVER_RAN, closed, completed)
-        self.on_outcome(flight, ending, wait, closed, told)
+    @staticmethod
+    def _failure_outcome(failure: AttemptError | None) -> AttemptOutcome:
+        for error_type, outcome in FAILURE_OUTCOMES:
+            if isinstance(failure, error_type):
+                return outcome
+        raise TypeError(f"no outcome of {failure!r}")
 
-    def outcome(self, flight: Attempt) -> tuple[AttemptOutcome, int, bool, LoadReport | None]:
-        """The ending, a wait that was told, whether the envelope is over, and what was told of the limit."""
-        answer, failure = flight.response, flight.failure
-        if answer is None:
-            if isinstance(failure, AttemptCancelledError):
-                return AttemptOutcome.CANCELLED, 0, False, None
-            if isinstance(failure, NotSentError):
-                return AttemptOutcome.NOT_SENT, 0, False, None
-            if not flight.written:
-                return AttemptOutcome.CONNECT_FAILED, 0, False, None
-            return (
-                AttemptOutcome.TIMED_OUT if isinstance(failure, Timeout) else AttemptOutcome.CONNECTION_RESET,
-                0,
-                False,
-                None,
-            )
-        status, headers = answer.status, answer.headers
-        ending = ENDINGS.get(status, AttemptOutcome.ERROR)
-        if status == 503 and headers.get(wire_names.EGRESS_FULL_HEADER, b"") == b"1":
-            ending = AttemptOutcome.NOT_SENT
-        elif status == 503 and flight.new_connection and not answer.keep_alive:
-            # Guards against a full table of connections taken for a limit or a shut destination: the first
-            # call on a connection is turned away with it.
-            ending = AttemptOutcome.CONNECTION_TABLE_FULL
-        wait = (
-            round((number(headers.get(wire_names.RETRY_AFTER_HEADER)) or 0.0) * 1e6)
-            if ending is AttemptOutcome.OVERLOADED
-            else 0
-        )
-        return ending, wait, status in (200, 410), self.load_report(answer)
+    @staticmethod
+    def _response_outcome(response: HttpResponse, *, new_connection: bool) -> AttemptOutcome:
+        if response.status == SERVICE_UNAVAILABLE:
+            if response.headers.get(wire_names.EGRESS_FULL_HEADER, b"") == b"1":
+                return AttemptOutcome.NOT_SENT
+            if new_connection and not response.keep_alive:
+                # Guards against a full connection table taken for a concurrency limit or for a destination
+                # that is down: the first request on a connection is rejected together with it.
+                return AttemptOutcome.CONNECTION_TABLE_FULL
+        return STATUS_OUTCOMES.get(response.status, AttemptOutcome.ERROR)
 
-    def load_report(self, answer: HttpResponse) -> LoadReport | None:
-        """What `TEXT x0=0.4, x1=25` tells of the limit; a rate of 0 stands for none."""
-        report = answer.headers.get(wire_names.LOAD_REPORT_HEADER)
+    def load_report(self, response: HttpResponse) -> LoadReport | None:
+        """The rate limit that `TEXT x0=0.4, x1=25` reports; a rate of 0 stands for none."""
+        report = response.headers.get(wire_names.LOAD_REPORT_HEADER)
         if not self.has_load_reports or report is None:
             return None
-        pairs = (word.strip(b", ").partition(b"=") for word in report.replace(b",", b" ").split())
-        values = {name: number(value) for name, _, value in pairs}
-        left, rate = values.get(b"x0"), values.get(b"x1")
-        if left is None or not rate:
-            return None  # half a report tells nothing: a share of 0 would stop all calls
-        return LoadReport(min(left, 1.0), rate)
+        pairs = (field.strip(b", ").partition(b"=") for field in report.replace(b",", b" ").split())
+        values = {name: parse_number(value) for name, _, value in pairs}
+        remaining_quota = values.get(REMAINING_QUOTA_FIELD)
+        rate_limit = values.get(RATE_LIMIT_FIELD)
+        if remaining_quota is None or not rate_limit:
+            return None  # half a report tells nothing: a quota of 0 would stop all attempts
+        return LoadReport(min(remaining_quota, 1.0), rate_limit)
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -23,7 +23,7 @@
 from ashpath.server.agent_client import AgentConnection
 from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.connection_pool import Address
-from ashpath.server.delivery.response_classifier import number
+from ashpath.server.delivery.response_classifier import parse_number
 from ashpath.server.discovery.errors import DiscoveryError
 from ashpath.server.discovery.pause import InterruptiblePause
 from ashpath.server.discovery.snapshot import MembershipListener, parse_response
@@ -135,7 +135,7 @@
     def pause_length(self, state: DiscoveryState, response: HttpResponse | None) -> float:
         """Seconds to the next poll."""
         if state is DiscoveryState.REJECTING and response is not None:
-            retry_after_s = number(response.headers.get(wire_names.RETRY_AFTER_HEADER))
+            retry_after_s = parse_number(response.headers.get(wire_names.RETRY_AFTER_HEADER))
             return self.rejected_backoff.next_pause(retry_after_s)
         return self.silent_backoff.next_pause()
 
--- /dev/null
+++ b/ashpath/server/endpoint_membership.py
@@ -0,0 +1,21 @@
+"""Takes what service discovery lists: the registry learns the addresses, then the policy the endpoints."""
+
+from __future__ import annotations
+
+from ashpath.server.delivery.endpoint_registry import EndpointRegistry
+from ashpath.server.discovery.snapshot import EndpointRow
+from ashpath.server.policy_runner import PolicyRunner
+
+
+class EndpointMembership:
+    """Implements `MembershipListener` of the discovery client."""
+
+    def __init__(self, registry: EndpointRegistry, policy_runner: PolicyRunner) -> None:
+        self.registry = registry
+        self.policy_runner = policy_runner
+
+    def receive_members(self, members: list[EndpointRow], whole: bool) -> bool:
+        """Applies a listing; whether every member could be read."""
+        change = self.registry.apply_members(members, whole=whole)
+        self.policy_runner.update_endpoints(change.records, whole=change.whole)
+        return not change.unreadable
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -10,10 +10,11 @@
 from ashpath.core.interface import PolicySettings
 from ashpath.policy.tuning import DEFAULT_RETRY_AFTER
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
-from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.delivery.outcome_recorder import SubmitDecision, SubmitResult
 from ashpath.server.http.request_parser import RequestParser
 from ashpath.server.logs import Logger
 from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
 class MessageReceiver(Protocol):
@@ -23,8 +24,8 @@
     def messages(self) -> Sized:
         """What is accepted and not over."""
 
-    def submit(self, message: StoredMessage, /) -> None:
-        """Accepts a message, in a batch of its own."""
+    def submit(self, message: StoredMessage, /) -> SubmitResult:
+        """Submits a message, in a batch of its own, and what came of that."""
 
     def client_disconnected(self, message: StoredMessage, /) -> None:
         """The client of a message left before its response was out."""
@@ -42,7 +43,10 @@
 ACCEPTED = AdmissionResult(HTTPStatus.ACCEPTED)
 DUPLICATE = AdmissionResult(HTTPStatus.CONFLICT)
 OVER_CAPACITY = AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE)
-FAILED = AdmissionResult(HTTPStatus.INTERNAL_SERVER_ERROR)
+DECISION_STATUSES = {
+    SubmitDecision.REJECTED: HTTPStatus.SERVICE_UNAVAILABLE,
+    SubmitDecision.FAILED: HTTPStatus.INTERNAL_SERVER_ERROR,
+}
 
 
 class Admission:
@@ -54,15 +58,14 @@
         traffic_class_ids: dict[str, int],
         registry: EndpointRegistry,
         receiver: MessageReceiver,
-        recorder: OutcomeRecorder,
+        write_ahead_log: WriteAheadLog,
         logger: Logger,
     ) -> None:
         self.settings = settings
         self.parser = RequestParser(settings, traffic_class_ids)
         self.registry = registry
         self.receiver = receiver
-        self.recorder = recorder
-        self.write_ahead_log = recorder.write_ahead_log
+        self.write_ahead_log = write_ahead_log
         self.logger = logger
         self.log_full = False  # the last message found no space in the write-ahead log
         self.refusing = False  # after SIGTERM, for good: nothing is accepted any more
@@ -83,16 +86,10 @@
         self.note_log_space(recorded)
         if not recorded:
             return OVER_CAPACITY
-        self.recorder.submitting = message
-        self.recorder.submit_result = None
-        try:
-            self.receiver.submit(message)
-        finally:
-            self.recorder.submitting = None
-        retry_after = self.recorder.submit_result
-        if retry_after is None:
+        result = self.receiver.submit(message)
+        if result.decision is SubmitDecision.ACCEPTED:
             return ACCEPTED
-        return FAILED if retry_after < 0 else AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE, retry_after)
+        return AdmissionResult(DECISION_STATUSES[result.decision], result.retry_after)
 
     def rejection(self, message: StoredMessage) -> AdmissionResult | None:
         """Why a message is rejected before anything is recorded; none where it is not."""
--- /dev/null
+++ b/ashpath/server/policy_batch.py
@@ -0,0 +1,135 @@
+"""One batch of the policy: events that came together, what the other process published, and the actions.
+
+    with batch as policy:
+        policy.submit(...)
+
+A batch opens with the time, takes the events of its body, then what another process of a hot upgrade has
+published since the last batch, and closes: the policy re-evaluates and queues its actions, which are
+performed at once. Between opening and closing no greenlet switches, so no batch sees another's half. An
+exception in the body leaves the batch without closing it.
+
+What the other process published is read as the batch opens and taken after the body, which may list the very
+endpoints, and before the close, which sends.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Protocol
+
+from ashpath.core.interface import EndpointRecord
+from ashpath.policy.delivery_policy import DeliveryPolicy
+from ashpath.server.delivery.endpoint_registry import EndpointRegistry
+from ashpath.server.policy_actions import QueuedActions
+from ashpath.server.storage.shared_memory import SharedMemory
+from ashpath.server.timers import now, wall
+
+
+class DetachedEndpoints(Protocol):
+    """Where operators' detached endpoints are kept, for all processes of a sender."""
+
+    def read(self) -> set[str]:
+        """Their ids by now."""
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAfter:
+    """A wait that an endpoint named to the other process."""
+
+    destination: int
+    endpoint_id: str
+    until: int
+    """Microseconds of this process's monotonic clock."""
+
+
+@dataclass(frozen=True, slots=True)
+class Detachment:
+    """An endpoint that an operator detached or attached at the other process."""
+
+    endpoint_id: str
+    detached: bool
+    record: EndpointRecord | None
+    """As last listed here."""
+
+
+@dataclass(frozen=True, slots=True)
+class SharedUpdates:
+    """What another process published since the last batch."""
+
+    retry_afters: tuple[RetryAfter, ...] = ()
+    detachments: tuple[Detachment, ...] = ()
+
+    def apply(self, policy: DeliveryPolicy) -> None:
+        """Reports all of it to the policy, within a batch."""
+        for retry_after in self.retry_afters:
+            policy.retry_after_received(retry_after.destination, retry_after.endpoint_id, retry_after.until)
+        for detachment in self.detachments:
+            policy.set_detached(detachment.endpoint_id, detachment.detached, detachment.record)
+
+
+NO_UPDATES = SharedUpdates()
+
+
+class SharedUpdateReader:
+    """Reads what the other process of a hot upgrade publishes."""
+
+    def __init__(
+        self,
+        shared_memory: SharedMemory,
+        detached_endpoints: DetachedEndpoints,
+        registry: EndpointRegistry,
+    ) -> None:
+        self.shared_memory = shared_memory
+        self.detached_endpoints = detached_endpoints
+        self.registry = registry
+
+    def pending(self) -> bool:
+        """Whether something was published since the last `read`."""
+        return self.shared_memory.changed()
+
+    def read(self, detached: set[str]) -> SharedUpdates:
+        """What was published since the last call. `detached`: the endpoints that are detached here."""
+        if not self.pending():
+            return NO_UPDATES
+        monotonic_time = now()
+        wall_time = wall()
+        published, detachments_changed = self.shared_memory.updates(wall_time)
+        retry_afters = tuple(
+            RetryAfter(destination, endpoint_id, monotonic_time + end - wall_time)
+            for destination, endpoint_id, end in published
+        )
+        return SharedUpdates(retry_afters, self._detachments(detached) if detachments_changed else ())
+
+    def _detachments(self, detached_here: set[str]) -> tuple[Detachment, ...]:
+        detached = self.detached_endpoints.read()
+        return tuple(
+            Detachment(endpoint_id, endpoint_id in detached, self.registry.records.get(endpoint_id))
+            for endpoint_id in sorted(detached ^ detached_here)
+        )
+
+
+class PolicyBatch:
+    """The context manager of each batch; one serves all, as batches never overlap."""
+
+    def __init__(self, policy: DeliveryPolicy, actions: QueuedActions, shared: SharedUpdateReader) -> None:
+        self.policy = policy
+        self.actions = actions
+        self.shared = shared
+        self._updates = NO_UPDATES
+
+    def __enter__(self) -> DeliveryPolicy:
+        self.policy.begin_batch(now())
+        self._updates = self.shared.read(self.policy.detached)
+        return self.policy
+
+    def __exit__(
+        self, error_type: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        if error_type is not None:
+            return
+        updates = self._updates
+        self._updates = NO_UPDATES
+        updates.apply(self.policy)
+        self.policy.end_batch()
+        self.actions.perform()
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -1,218 +1,223 @@
-"""Owns the sender and its turns. No greenlet switches within a turn: the answers only queue work."""
+"""Runs the policy on sockets: reports events to it, one batch each, and owns the attempts it starts.
+
+The path of a message, each step a call that can be followed from here:
+
+| step | call |
+| --- | --- |
+| a request was read and stored | `Admission.admit` -> `PolicyRunner.submit` |
+| the policy decides | `PolicyBatch` -> `DeliveryPolicy.submit`, `end_batch` |
+| it starts an attempt | `QueuedActions.start_attempt` -> `PolicyRunner.begin_attempt` |
+| the attempt runs | `AttemptRunner.start`, which asks `PolicyRunner.still_valid` before the first byte |
+| it ends | `ResponseClassifier.classify` -> `PolicyRunner.attempt_finished` -> `OutcomeRecorder` |
+| the policy decides again | `QueuedActions.start_attempt`, or `reject`, `fail` -> `OutcomeRecorder` |
+
+The policy's actions are performed after the batch that asked for them, see `policy_actions`.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Iterable, Sequence
 
 import gevent
 
-from ashpath.core.interface import (
-    AttemptOutcome,
-    EndpointRecord,
-    LoadReport,
-    PolicySettings,
-    PreviousAttempts,
-)
+from ashpath.core.interface import AttemptOutcome, EndpointRecord, PolicySettings
 from ashpath.policy.delivery_policy import DeliveryPolicy
-from ashpath.server import wire_names
-from ashpath.server.delivery.attempts import Attempt, AttemptRunner
-from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.delivery.attempt_runner import AttemptRunner
+from ashpath.server.delivery.attempts import Attempt, AttemptResult
+from ashpath.server.delivery.outcome_recorder import OutcomeRecorder, SubmitResult
+from ashpath.server.gossip_link import GossipPublisher
+from ashpath.server.logs import Logger
+from ashpath.server.message_restoration import MessageRestorer
+from ashpath.server.policy_actions import QueuedActions
+from ashpath.server.policy_batch import DetachedEndpoints, PolicyBatch, SharedUpdateReader
 from ashpath.server.storage.outage_store import OutageStore
 from ashpath.server.storage.shared_memory import SharedMemory
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import Timers, now, wall
 
-News = tuple[Callable[..., None], tuple[Any, ...]]
+NOT_SENT = AttemptResult(AttemptOutcome.NOT_SENT)
 
 
 class PolicyRunner:
-    """What the module asks for goes from here to the stages, in the order of its answers."""
+    """Owns the policy, the messages it has not finished, and its attempts in flight."""
 
     def __init__(
         self,
-        terms: PolicySettings,
-        ledger: WriteAheadLog,
-        book: OutcomeRecorder,
-        send: AttemptRunner,
-        log: Any,
-        board: SharedMemory,
-        outages: OutageStore,
+        settings: PolicySettings,
+        write_ahead_log: WriteAheadLog,
+        recorder: OutcomeRecorder,
+        attempt_runner: AttemptRunner,
+        shared_memory: SharedMemory,
+        detached_endpoints: DetachedEndpoints,
+        outage_store: OutageStore,
+        gossip: GossipPublisher,
+        logger: Logger,
     ) -> None:
-        self.write_ahead_log, self.recorder, self.attempt_runner, self.logger = ledger, book, send, log
-        self.messages: dict[int, StoredMessage] = {}  # what the sender owes an end; emptied as they have it
-        self.attempts: dict[int, Attempt] = {}  # calls out, by envelope; emptied by their outcomes
-        self.abandoned: set[int] = set()  # their clients left with a call out; emptied by its outcome
-        self.queue: list[News] = []  # emptied after each turn
+        self.write_ahead_log = write_ahead_log
+        self.recorder = recorder
+        self.attempt_runner = attempt_runner
+        self.shared_memory = shared_memory
+        self.outage_store = outage_store
+        self.logger = logger
+        self.messages: dict[int, StoredMessage] = {}
+        """Accepted and not finished, by message id; each leaves with its final state."""
+        self.attempts: dict[int, Attempt] = {}
+        """In flight, by message id; each leaves with its outcome."""
+        self.abandoned: set[int] = set()
+        """Ids of messages whose client left while an attempt was in flight; each leaves with its outcome."""
+        self.stopped = False
+        """No attempt is started any more: what is left is for the next incarnation."""
         self.timers = Timers(self.timers_fired)
-        self.ending = False  # no shot is begun any more: what is held is the next life's
-        self.policy = DeliveryPolicy(terms, self)
-        self.outage_store = outages  # what a further life has to know of destinations that are out
-        self.shared_memory = board  # what binds the other process of a hot upgrade at once, and the other way
-        self.peers: Callable[[bytes], None] = lambda note: None  # carries notes to other senders
-        self.holds: Callable[[], list[News]] = list  # what the file of holds says that is not done here yet
-
-    def run_batch(self, *news: News) -> None:
-        self.policy.begin_batch(now())
-        for call, arguments in (*news, *self.shared_events()):
-            call(*arguments)
-        self.policy.end_batch()
-        while self.queue:
-            work, self.queue = self.queue, []
-            for act, arguments in work:
-                act(*arguments)
-
-    def shared_events(self) -> list[News]:
-        """What another process of this sender was told since the last look. It comes after a turn's own news,
-        which may list the endpoints, and before its close, which sends."""
-        if not self.shared_memory.changed():
-            return []
-        moment, clock = now(), wall()
-        told, holds = self.shared_memory.updates(clock)
-        news: list[News] = [
-            (self.policy.retry_after_received, (n, id_, moment + end - clock)) for n, id_, end in told
-        ]
-        return news + (self.holds() if holds else [])
-
-    # News of the stages.
-
-    def restore(self, rows: list[EndpointRecord], held: list[str] | None = None) -> None:
-        """The operators' holds, the directory as last held, the outages that an earlier life was told of,
-        then what it left, in the order taken."""
-        news: list[News] = [(self.policy.set_detached, (endpoint, True)) for endpoint in held or []]
-        news.append((self.policy.update_endpoints, (rows, True)))
-        news += [(self.policy.restore_outage, told) for told in self.outage_store.active()]
-        self.adopt(list(self.write_ahead_log.live.values()), news)
-
-    def set_detached(self, endpoint: str, out: bool, row: EndpointRecord | None) -> None:
-        self.run_batch((self.policy.set_detached, (endpoint, out, row)))
-
-    def adopt(self, entries: list[StoredMessage], news: list[News] | None = None) -> None:
-        """What an earlier life or a process gone in a hot upgrade left, in the order taken, in one turn."""
-        news = news or []
-        for entry in entries:
-            if entry.finished:
-                self.recorder.notifier.add(entry)
-                continue
-            unheard = entry.in_flight_since is not None
-            if unheard:
-                self.write_ahead_log.record_outcome(entry, may_have_run=True)
-            self.messages[entry.message_id] = entry
-            ran_at = None if entry.first_run_at is None else now() - (wall() - entry.first_run_at)
-            past = PreviousAttempts(entry.attempts, ran_at, entry.first_run_endpoint, unheard)
-            left = entry.deadline - wall()
-            facts = (entry.message_id, entry.destination, entry.traffic_class, entry.ordering_key, left, past)
-            news.append((self.policy.restore, facts))
-        self.run_batch(*news)
-
-    def update_endpoints(self, rows: list[EndpointRecord], whole: bool) -> None:
-        self.run_batch((self.policy.update_endpoints, (rows, whole)))
-
-    def apply_settings(self, terms: PolicySettings, rows: list[EndpointRecord]) -> None:
-        """The list again, as kinds may have other routes now."""
-        self.run_batch((self.policy.apply_settings, (terms,)), (self.policy.update_endpoints, (rows, True)))
-
-    def receive_gossip(self, note: bytes) -> None:
-        self.run_batch((self.policy.receive_gossip, (note,)))
-
-    def submit(self, entry: StoredMessage) -> None:
-        self.messages[entry.message_id] = entry
-        left = entry.deadline - wall()
-        if self.recorder.metrics is not None:
-            self.recorder.metrics.message_accepted(entry.traffic_class)
-        self.run_batch(
-            (
-                self.policy.submit,
-                (entry.message_id, entry.destination, entry.traffic_class, entry.ordering_key, left),
-            )
+        pool = attempt_runner.pool
+        self.actions = QueuedActions(
+            settings,
+            self.messages,
+            self.attempts,
+            self,
+            recorder,
+            pool,
+            outage_store,
+            gossip,
+            self.timers,
+            logger,
         )
-
-    def attempt_finished(
-        self, flight: Attempt, ending: AttemptOutcome, wait: int, closed: bool, told: LoadReport | None
-    ) -> None:
-        number = flight.message.message_id
-        self.attempts.pop(number, None)
-        if self.recorder.metrics is not None:
-            self.recorder.metrics.attempt_finished(ending, now() - flight.deadline + flight.timeout)
-        if wait:
-            self.shared_memory.publish_retry_after(
-                flight.message.destination, flight.endpoint_id, wall() + wait
+        self.policy = DeliveryPolicy(settings, self.actions)
+        self._shared = SharedUpdateReader(shared_memory, detached_endpoints, attempt_runner.registry)
+        self._batch = PolicyBatch(self.policy, self.actions, self._shared)
+        self._restorer = MessageRestorer(write_ahead_log, recorder.notifier)
+
+    # Events: each is one batch.
+
+    def restore(self, records: list[EndpointRecord], detached: Iterable[str] = ()) -> None:
+        """A start: operators' detached endpoints, the endpoint list as last known, outages of the previous
+        incarnation, then the messages it left, in the order accepted."""
+        outages = self.outage_store.active()
+        restored = self._restorer.restore(list(self.write_ahead_log.live.values()), self.messages)
+        with self._batch as policy:
+            for endpoint_id in detached:
+                policy.set_detached(endpoint_id, True)
+            policy.update_endpoints(records, True)
+            for destination, endpoint_id, rate in outages:
+                policy.restore_outage(destination, endpoint_id, rate)
+            for message in restored:
+                message.report(policy)
+
+    def adopt(self, messages: Sequence[StoredMessage]) -> None:
+        """Messages of a process that is gone, after a hot upgrade, in the order accepted."""
+        restored = self._restorer.restore(messages, self.messages)
+        with self._batch as policy:
+            for message in restored:
+                message.report(policy)
+
+    def set_detached(self, endpoint_id: str, *, detached: bool, record: EndpointRecord | None) -> None:
+        """An operator detached the endpoint, or attached it again as in `record`."""
+        with self._batch as policy:
+            policy.set_detached(endpoint_id, detached, record)
+
+    def update_endpoints(self, records: list[EndpointRecord], *, whole: bool) -> None:
+        """The endpoint list changed; `whole`: the records take the place of all."""
+        with self._batch as policy:
+            policy.update_endpoints(records, whole)
+
+    def apply_settings(self, settings: PolicySettings, records: list[EndpointRecord]) -> None:
+        """New settings, and the endpoint list again, as kinds may have other routes now."""
+        with self._batch as policy:
+            self.actions.use_settings(settings)
+            policy.apply_settings(settings)
+            policy.update_endpoints(records, True)
+
+    def receive_gossip(self, message: bytes) -> None:
+        """Another sender published it."""
+        with self._batch as policy:
+            policy.receive_gossip(message)
+
+    def submit(self, message: StoredMessage) -> SubmitResult:
+        """A client's message, which the write-ahead log has by now: what to answer that client."""
+        self.messages[message.message_id] = message
+        time_left = message.deadline - wall()
+        with self.recorder.submission(message) as submission, self._batch as policy:
+            policy.submit(
+                message.message_id,
+                message.destination,
+                message.traffic_class,
+                message.ordering_key,
+                time_left,
             )
-        if closed:
-            self.messages.pop(number, None)
-        elif number in self.abandoned:
-            self.write_ahead_log.record_finished(flight.message)
-        self.abandoned.discard(number)
-        self.run_batch((self.policy.attempt_finished, (number, ending, wait, closed, told)))
-
-    def client_disconnected(self, entry: StoredMessage) -> None:
-        if self.messages.pop(entry.message_id, None):
-            self.recorder.store(entry, wire_names.CANCELLED_STATE)
-            if entry.message_id in self.attempts:
-                # The call may run yet: while it is out, the same message is not taken on beside it, and a
-                # further life knows of it, for the order of its key.
-                self.abandoned.add(entry.message_id)
-            else:
-                self.write_ahead_log.record_finished(entry)
-            self.run_batch((self.policy.client_disconnected, (entry.message_id,)))
-
-    def timers_fired(self, tokens: list[str]) -> None:
-        self.run_batch(*((self.policy.timer_fired, (token,)) for token in tokens))
-
-    def still_valid(self, entry: StoredMessage) -> bool:
-        if self.shared_memory.changed():  # guards waits and holds told to the other process a moment ago
-            self.run_batch()
-        return self.policy.still_valid(entry.message_id, now())
-
-    # Answers of the module.
+        return submission.result
 
-    def start_attempt(self, envelope: int, endpoint: str, timeout: int) -> None:
-        self.queue.append((self.begin_attempt, (self.messages[envelope], endpoint, timeout)))
-
-    def reject(self, envelope: int, come_back: int) -> None:
-        self.queue.append((self.recorder.rejected, (self.messages.pop(envelope), come_back)))
-
-    def fail(self, envelope: int) -> None:
-        self.queue.append((self.recorder.failed, (self.messages.pop(envelope),)))
-
-    def cancel_attempt(self, envelope: int, shot: int) -> None:
-        flight = self.attempts.get(envelope)
-        if flight is not None:
-            self.queue.append((flight.cancel, ()))
-
-    def close_idle_connections(self, endpoint: str) -> None:
-        self.queue.append((self.attempt_runner.pool.close_idle, (endpoint,)))
-
-    def poll_endpoints(self) -> None:
-        """The directory's stage asks by itself."""
+    def client_disconnected(self, message: StoredMessage) -> None:
+        """Its client left before the response that it was accepted was out: the message is cancelled."""
+        message_id = message.message_id
+        if self.messages.pop(message_id, None) is None:
+            return
+        self.recorder.record_cancelled(message)
+        if message_id in self.attempts:
+            # The attempt may run yet. While it is in flight the same message is not accepted beside it, and a
+            # further incarnation knows of it, for the order of its key.
+            self.abandoned.add(message_id)
+        else:
+            self.write_ahead_log.record_finished(message)
+        with self._batch as policy:
+            policy.client_disconnected(message_id)
 
-    def publish(self, note: bytes) -> None:
-        self.queue.append((self.peers, (note,)))
+    def timers_fired(self, tokens: list[str]) -> None:
+        """Timers that the policy scheduled are due."""
+        with self._batch as policy:
+            for token in tokens:
+                policy.timer_fired(token)
 
-    def schedule_timer(self, at: int, token: str) -> None:
-        self.timers.add(at, token)
+    # Attempts.
 
-    def mode_changed(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
-        self.logger.info("mode changed", change=text)
-        ramp = self.policy.settings.warm_up_time
-        self.queue.append((self.outage_store.mode_changed, (destination, endpoint, out, rate, ramp)))
+    def stop_attempts(self) -> None:
+        """From now on none is started; those in flight go on."""
+        self.stopped = True
 
-    def begin_attempt(self, entry: StoredMessage, endpoint: str, timeout: int) -> None:
-        if self.ending:
+    def begin_attempt(self, message: StoredMessage, endpoint_id: str, timeout: int) -> None:
+        """Records the attempt, then starts it: unrecorded, it could run twice after a restart."""
+        if self.stopped:
             return
-        ordered = (
-            entry.ordering_key is not None
-            and self.policy.traffic_classes[entry.traffic_class].settings.ordered
-        )
-        flight = Attempt(entry, endpoint, now() + timeout, timeout, ordered=ordered)
-        self.attempts[entry.message_id] = flight
+        traffic_class = self.policy.traffic_classes[message.traffic_class]
+        ordered = message.ordering_key is not None and traffic_class.settings.ordered
+        attempt = Attempt(message, endpoint_id, now() + timeout, timeout, ordered=ordered)
+        self.attempts[message.message_id] = attempt
         try:
-            self.write_ahead_log.record_attempt(entry, wall(), endpoint)
-        except OSError as error:  # unrecorded, it could run twice after a restart
+            self.write_ahead_log.record_attempt(message, wall(), endpoint_id)
+        except OSError as error:
             self.logger.error("attempt not recorded", error=str(error))
-            # Not in this turn: the module would send it again at once, until it had no try left.
+            # Not in this batch: the policy would start it again at once, until it had no attempt left.
             pause = self.attempt_runner.pool.limits.retry_s
-            gevent.spawn_later(pause, self.attempt_finished, flight, AttemptOutcome.NOT_SENT, 0, False, None)
+            gevent.spawn_later(pause, self._report_result, attempt, NOT_SENT)
             return
-        self.attempt_runner.start(flight)
+        self.attempt_runner.start(attempt, self)
+
+    def still_valid(self, message: StoredMessage) -> bool:
+        """See `AttemptOwner`. Guards a Retry-After and a detached endpoint that the other process published a
+        moment ago."""
+        if self._shared.pending():
+            with self._batch:
+                pass  # a batch takes what was published
+        return self.policy.still_valid(message.message_id, now())
+
+    def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
+        """See `AttemptOwner`."""
+        self.recorder.record_attempt(attempt.message, result)
+        self._report_result(attempt, result)
+
+    def _report_result(self, attempt: Attempt, result: AttemptResult) -> None:
+        message_id = attempt.message.message_id
+        self.attempts.pop(message_id, None)
+        started_at = attempt.deadline - attempt.timeout
+        self.recorder.count_attempt(result.outcome, now() - started_at)
+        if result.retry_after:
+            until = wall() + result.retry_after
+            self.shared_memory.publish_retry_after(attempt.message.destination, attempt.endpoint_id, until)
+        if result.final:
+            self.messages.pop(message_id, None)
+        elif message_id in self.abandoned:
+            self.write_ahead_log.record_finished(attempt.message)
+        self.abandoned.discard(message_id)
+        with self._batch as policy:
+            policy.attempt_finished(
+                message_id, result.outcome, result.retry_after, result.final, result.load_report
+            )
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -27,7 +27,7 @@
 from ashpath.server.backoff import Backoff
 from ashpath.server.control.commands import CommandResult, EndpointCommand, OperatorCommand, Verb
 from ashpath.server.control.listener import ControlListener
-from ashpath.server.delivery.attempts import AttemptRunner
+from ashpath.server.delivery.attempt_runner import AttemptRunner
 from ashpath.server.delivery.connection_pool import Address, ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry, parse_address
 from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
@@ -35,12 +35,14 @@
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.discovery.client import DiscoveryClient
+from ashpath.server.endpoint_membership import EndpointMembership
+from ashpath.server.gossip_link import GossipLink
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.http.request_handler import RequestResponder
 from ashpath.server.limits import ServerLimits
 from ashpath.server.logs import LogFormat, LogWriter, create_logger
-from ashpath.server.policy_runner import News, PolicyRunner
+from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage import detached_endpoints as holds
 from ashpath.server.storage import outage_store as outages
 from ashpath.server.storage import traffic_class_ids as numbers
@@ -121,6 +123,14 @@
         )  # what is behind them is measured, held or on its way: no number is reused
 
 
+class StoredDetachments:
+    def __init__(self, state: Path, log: Any) -> None:
+        self.state, self.log = state, log
+
+    def read(self) -> set[str]:
+        return holds.read(self.state, self.log)
+
+
 class SenderProcess:
     """One sender on sockets: who owns what is decided here, once. `read` reads anew what it was given."""
 
@@ -151,28 +161,23 @@
         self.pool = ConnectionPool(limits)
         self.registry = EndpointRegistry(given.kinds, given.zones, self.pool, log)
         book = OutcomeRecorder(self.write_ahead_log, self.notifier, ends)
-        relay = ResponseClassifier(book, load_report_fields(given.settings) is not None)
-        self.attempt_runner = AttemptRunner(self.pool, self.registry, relay)
+        classifier = ResponseClassifier(has_load_reports=load_report_fields(given.settings) is not None)
+        self.attempt_runner = AttemptRunner(self.pool, self.registry, classifier, self.notifier, log)
+        self.gossip_link = GossipLink()
         self.policy_runner = PolicyRunner(
             terms,
             self.write_ahead_log,
             book,
             self.attempt_runner,
-            log,
             board,
+            StoredDetachments(state, log),
             outages.OutageStore(state, log),
+            self.gossip_link,
+            log,
         )
-        self.policy_runner.holds = self.unapplied_detachments
-        self.registry.on_update, relay.on_outcome = (
-            self.policy_runner.update_endpoints,
-            self.policy_runner.attempt_finished,
-        )
-        self.attempt_runner.still_valid, self.attempt_runner.pending_notification = (
-            self.policy_runner.still_valid,
-            self.notifier.next_acknowledgement,
-        )
+        self.membership = EndpointMembership(self.registry, self.policy_runner)
         self.admission = Admission(
-            terms, given.traffic_class_ids, self.registry, self.policy_runner, book, log
+            terms, given.traffic_class_ids, self.registry, self.policy_runner, self.write_ahead_log, log
         )
         self.listener = ClientListener(
             parse_address(listen), limits, self.admission, log, self.create_status_api()
@@ -189,7 +194,7 @@
             given.platform_address,
             limits,
             revision,
-            self.registry,
+            self.membership,
             Random(seed + "/d"),
             log,
             turn if inherited is None else 0.0,
@@ -296,7 +301,7 @@
             self.pool.limits = replace(
                 self.limits, connect_s=given.limits.connect_s, endpoint_idle_s=given.limits.endpoint_idle_s
             )
-            self.registry.kinds, self.registry.zones = given.kinds, given.zones
+            self.registry.configure(given.kinds, given.zones)
             self.admission.apply_settings(terms, given.traffic_class_ids)
             self.policy_runner.apply_settings(terms, list(self.registry.records.values()))
             self.log.info(
@@ -333,7 +338,7 @@
             from ashpath.server.gossip import Gossip
 
             self.gossip = Gossip(self.policy_runner.receive_gossip, self.log)
-            self.policy_runner.peers = self.gossip.publish
+            self.gossip_link.connect(self.gossip)
         if self.gossip is not None:
             try:
                 self.gossip.move(given.gossip_listen, given.gossip_peers)
@@ -349,7 +354,7 @@
             self.metrics = Metrics(self)
         if self.metrics is not None:
             self.metrics.move(where)
-            self.policy_runner.recorder.metrics = self.metrics if where else None
+            self.policy_runner.recorder.use_metrics(self.metrics if where else None)
 
     def retry_metrics(self) -> None:
         """Tries until the address is free, or the configuration names another."""
@@ -367,15 +372,6 @@
                 self.log.info("write-ahead log adopted", messages=len(adopted))
                 self.policy_runner.adopt(adopted)
 
-    def unapplied_detachments(self) -> list[News]:
-        """Holds that the other process of a hot upgrade was told."""
-        held, here = holds.read(self.state, self.log), self.policy_runner.policy.detached
-        changed = [(endpoint, endpoint in held) for endpoint in sorted(held ^ here)]
-        return [
-            (self.policy_runner.policy.set_detached, (id_, out, self.registry.records.get(id_)))
-            for id_, out in changed
-        ]
-
     def handle(self, command: OperatorCommand) -> CommandResult:
         """Carries out an operator's command at the control address."""
         if isinstance(command, EndpointCommand):
@@ -400,7 +396,8 @@
                 reason = f"hold not kept: {error.strerror or error}"
                 return CommandResult(succeeded=False, message=reason)
             self.policy_runner.shared_memory.publish_detached_change()
-            self.policy_runner.set_detached(endpoint_id, detached, self.registry.records.get(endpoint_id))
+            record = self.registry.records.get(endpoint_id)
+            self.policy_runner.set_detached(endpoint_id, detached=detached, record=record)
         return CommandResult(
             succeeded=True, message=f"{endpoint_id} {'draining' if detached else 'back, cold'}"
         )
@@ -434,7 +431,7 @@
             self.listener.close_idle()  # those that still come are accepted to the end, and get an answer
         while monotonic() < began + limits.attempts_after_term_s and self.has_work():
             gevent.sleep(0.02)
-        self.policy_runner.ending = True
+        self.policy_runner.stop_attempts()
         self.listener.close_idle()
         while monotonic() < began + limits.end_after_term_s and self.has_unfinishable_work():
             gevent.sleep(0.02)
--- a/tests/server/delivery/test_attempts.py
+++ b/tests/server/delivery/test_attempts.py
@@ -9,12 +9,11 @@
 import gevent
 import pytest
 from gevent import Timeout, socket
-from support.server import LOG
 from support.stages import Outward
 from support.world import LIMITS, World, until
 
 from ashpath.core.interface import AttemptOutcome
-from ashpath.server.delivery.attempts import AttemptCancelledError
+from ashpath.server.delivery.errors import AttemptCancelledError
 from ashpath.server.http.connection import HttpConnection
 
 OK, FULL = b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 429 Full\r\nContent-Length: 2\r\n"
@@ -91,7 +90,7 @@
     outward = Outward(world)
     outward.begin("a", b"200")
     until(lambda: outward.endings == [AttemptOutcome.DELIVERED])
-    outward.send.still_valid = lambda entry: entry.trace_id != "b"
+    outward.invalid.add("b")
     outward.begin("b", b"200")
     until(lambda: outward.endings == [AttemptOutcome.DELIVERED, AttemptOutcome.NOT_SENT])
     outward.begin("c", b"200")
@@ -196,7 +195,6 @@
 def test_dials_that_fail(world: World, fault: Exception) -> None:
     """Guards slots and endpoints: whatever a dial raises, the call has one end, and the right one."""
     outward = Outward(world)
-    outward.route.log = LOG
 
     def connect(_: object) -> HttpConnection:
         raise fault
--- a/tests/server/delivery/test_endpoint_registry.py
+++ b/tests/server/delivery/test_endpoint_registry.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+from support.server import LOG
 from support.stages import Outward
-from support.world import World, until
+from support.world import LIMITS, World, until
 
 from ashpath.core.interface import AttemptOutcome
+from ashpath.server.delivery.connection_pool import ConnectionPool
+from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 
 
 def test_successor_at_an_address(world: World) -> None:
@@ -16,10 +21,32 @@
     until(lambda: outward.endings == [AttemptOutcome.DELIVERED] and slow.written and outward.pool.idle)
     old = outward.pool.idle["e1"][0][1]
     outward.route.apply_members(
-        [{**world.members[1], "phase": "removed"}, {**world.members[1], "id": "new"}], False
+        [{**world.members[1], "phase": "removed"}, {**world.members[1], "id": "new"}], whole=False
     )
     assert old.unusable and not outward.pool.idle
     until(lambda: len(outward.endings) == 2 and not outward.pool.open)  # nor the one that was out
     outward.begin("c", b"200", "new")
     until(lambda: outward.endings[2:] == [AttemptOutcome.DELIVERED])
     assert list(outward.pool.idle) == ["new"]
+
+
+def test_a_drain_counts_however_its_member_is_spoilt(world: World) -> None:
+    """The address of an endpoint that leaves is no matter: nothing more is sent there."""
+    registry = Outward(world).route
+    draining = {"id": "e1", "cell": 1, "phase": "draining", "host_port": None}
+    assert not registry.apply_members([draining], whole=False).unreadable
+    listed_again = {**draining, "phase": "up", "host_port": "127.0.0.1:70000"}
+    assert "e1" not in registry.addresses
+    assert registry.apply_members([listed_again], whole=False).unreadable == 1
+
+
+def test_destinations_served() -> None:
+    """A destination between an endpoint and its successor is served; one long without any is forgotten."""
+    registry = EndpointRegistry(["plain"], ["here"], ConnectionPool(LIMITS), LOG)
+    row = {"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}
+    registry.apply_members([row], whole=True)
+    registry.apply_members([], whole=True)
+    assert registry.serves(1) and not registry.serves(2)
+    registry.pool.limits = replace(LIMITS, forget_destination_s=0.0)
+    registry.apply_members([{**row, "cell": 2}], whole=True)
+    assert registry.serves(2) and not registry.serves(1)
--- a/tests/server/delivery/test_response_classifier.py
+++ b/tests/server/delivery/test_response_classifier.py
@@ -8,7 +8,6 @@
 
 from ashpath.core.interface import AttemptOutcome, LoadReport
 from ashpath.server.delivery.attempts import Attempt
-from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.http.messages import HttpResponse
 from ashpath.server.storage.stored_message import StoredMessage
@@ -63,7 +62,7 @@
 
 def test_reports() -> None:
     """A report that cannot be read tells nothing, not that nothing is left."""
-    relay, answer = ResponseClassifier(OutcomeRecorder(None, None), reports=True), HttpResponse()
+    relay, answer = ResponseClassifier(has_load_reports=True), HttpResponse()
     for text, told in (
         (b"TEXT x0=0.5, x1=20", LoadReport(0.5, 20.0)),
         (b"TEXT x0=?, x1=20", None),
@@ -79,7 +78,7 @@
 def test_a_full_table_of_connections_is_no_limit(fresh: bool, closes: bool, status: int) -> None:
     """Guards a fleet whose idle connections fill the tables of endpoints: they answer the first call of a new
     connection 503 and close it. Taken for a limit, paces fell and gates opened, and nobody gave one back."""
-    relay, answer = ResponseClassifier(OutcomeRecorder(None, None), reports=True), HttpResponse()
+    relay, answer = ResponseClassifier(has_load_reports=True), HttpResponse()
     answer.status, answer.keep_alive = status, not closes
     entry = StoredMessage(1, "t", 0, 1, None, None, 0, b"")
     flight = Attempt(entry, "e1", 0, 0, written=True, new_connection=fresh, response=answer)
@@ -89,4 +88,4 @@
         if full_table
         else {500: AttemptOutcome.ERROR}.get(status, AttemptOutcome.OVERLOADED)
     )
-    assert relay.outcome(flight)[0] is told
+    assert relay.classify(flight).outcome is told
--- a/tests/server/discovery/test_client.py
+++ b/tests/server/discovery/test_client.py
@@ -20,6 +20,7 @@
 
 from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.discovery.snapshot import EndpointRow
 from ashpath.server.http.connection import HttpConnection, open_connection
@@ -48,6 +49,16 @@
         return True
 
 
+class RegistryListener:
+    """Applies what is reported to a registry, and to nothing else."""
+
+    def __init__(self, registry: EndpointRegistry) -> None:
+        self.registry = registry
+
+    def receive_members(self, members: list[EndpointRow], whole: bool) -> bool:
+        return not self.registry.apply_members(members, whole=whole).unreadable
+
+
 class ScriptedAgent:
     """An agent that answers each poll as told, and notes the queries.
 
@@ -154,26 +165,15 @@
     """Guards changes against being skipped: what an answer did not say is polled for again."""
     answers, next_query = NEXT_QUERIES[name]
     agent = ScriptedAgent(world, [*answers, "hold"])
-    registry = Outward(world).route
-    registry.log = LOG
+    listener = RegistryListener(Outward(world).route)
     limits = replace(LIMITS, watch_s=0.01, retry_s=0.01, discovery_rejected_backoff_s=0.01)
-    client = DiscoveryClient(agent.address, limits, 5, registry, Random(1), LOG)
+    client = DiscoveryClient(agent.address, limits, 5, listener, Random(1), LOG)
     running = gevent.spawn(client.run)
     until(lambda: len(agent.queries) == 2)
     assert agent.queries == [b"index=5", next_query]
     running.kill()
 
 
-def test_a_drain_whose_address_cannot_be_read(world: World) -> None:
-    """The address of an endpoint that goes is no matter: nothing more is sent there."""
-    registry = Outward(world).route
-    registry.log = LOG
-    draining = {"id": "e1", "cell": 1, "phase": "draining", "host_port": None}
-    assert registry.receive_members([draining], whole=False)
-    assert "e1" not in registry.addresses
-    assert not registry.receive_members([{**ROW, "host_port": "127.0.0.1:70000"}], whole=False)
-
-
 def test_an_agent_that_moves_while_it_is_dialled(world: World, monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards changes: what the old agent still answers is not read, and its revisions are no other's."""
     old = ScriptedAgent(world, [{"revision": 41, "members": [{**ROW, "id": "stale"}]}, "hold"])
--- a/tests/server/http/test_admission.py
+++ b/tests/server/http/test_admission.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import os
-from dataclasses import replace
 from http import HTTPStatus
 from pathlib import Path
 
 import pytest
 from support.stages import client_listener, read_request
-from support.world import LIMITS, TERMS, request
+from support.world import TERMS, request
 
-from ashpath.server.delivery.connection_pool import ConnectionPool
-from ashpath.server.delivery.endpoint_registry import EndpointRegistry
+from ashpath.server.delivery.outcome_recorder import SubmitDecision, SubmitResult
 from ashpath.server.http.admission import Admission, AdmissionResult
 from ashpath.server.storage.log_directory import BLOCK_BYTES
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
@@ -38,16 +36,23 @@
     assert not write_ahead_log.by_trace_id
 
 
-def test_destinations_served(tmp_path: Path) -> None:
-    """A destination between an endpoint and its successor is served; one long without any is forgotten."""
-    route = EndpointRegistry(["plain"], ["here"], ConnectionPool(LIMITS), None)
-    row = {"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}
-    route.apply_members([row], whole=True)
-    route.apply_members([], whole=True)
-    assert route.serves(1) and not route.serves(2)
-    route.pool.limits = replace(LIMITS, forget_destination_s=0.0)
-    route.apply_members([{**row, "cell": 2}], whole=True)
-    assert route.serves(2) and not route.serves(1)
+REJECTIONS = {
+    SubmitResult(SubmitDecision.REJECTED, 2_500_000): AdmissionResult(
+        HTTPStatus.SERVICE_UNAVAILABLE, 2_500_000
+    ),
+    SubmitResult(SubmitDecision.REJECTED): AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE),
+    SubmitResult(SubmitDecision.FAILED): AdmissionResult(HTTPStatus.INTERNAL_SERVER_ERROR),
+}
+
+
+@pytest.mark.parametrize("result", REJECTIONS, ids=repr)
+def test_the_policy_does_not_accept(tmp_path: Path, result: SubmitResult) -> None:
+    """What the policy decides in the batch of the submission is what the client reads."""
+    listener, receiver, _ = client_listener(tmp_path)
+    receiver.submit_result = result
+    admission = listener.handler.admission
+    message = admission.parser.parse(read_request(request("r", "free", "200", 1)))
+    assert admission.admit(message) == REJECTIONS[result]
 
 
 def test_ledger_full(tmp_path: Path) -> None:
--- a/tests/support/stages.py
+++ b/tests/support/stages.py
@@ -12,12 +12,14 @@
 import structlog
 from gevent import socket
 
+from ashpath.core.interface import AttemptOutcome
 from ashpath.server.backoff import Backoff
-from ashpath.server.delivery.attempts import Attempt, AttemptRunner
+from ashpath.server.delivery.attempt_runner import AttemptRunner
+from ashpath.server.delivery.attempts import Attempt, AttemptResult
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
-from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.delivery.outcome_recorder import ACCEPTED, OutcomeRecorder, SubmitResult
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.connection import HttpConnection
@@ -43,11 +45,13 @@
         self.messages: dict[int, StoredMessage | None] = {}
         self.events: list[str] = []
         self.on_submit: Callable[[], None] | None = None  # called within a submission
+        self.submit_result = ACCEPTED
 
-    def submit(self, message: StoredMessage) -> None:
+    def submit(self, message: StoredMessage) -> SubmitResult:
         self.events.append(f"submitted {message.trace_id}")
         if self.on_submit is not None:
             self.on_submit()
+        return self.submit_result
 
     def client_disconnected(self, message: StoredMessage) -> None:
         self.events.append(f"disconnected {message.trace_id}")
@@ -67,11 +71,10 @@
     log = WriteAheadLog(folder, max_bytes)
     receiver = RecordingReceiver()
     logger = structlog.get_logger()
-    recorder = OutcomeRecorder(log, unreachable_notifier(log))
     registry = EndpointRegistry(["plain"], ["here"], ConnectionPool(used), logger)
     registry.apply_members([{"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}], whole=True)
     class_ids = {name: number for number, name in enumerate(TRACKS)}
-    admission = Admission(TERMS, class_ids, registry, receiver, recorder, logger)
+    admission = Admission(TERMS, class_ids, registry, receiver, log, logger)
     return ListenerStages(ClientListener(("127.0.0.1", 1), used, admission, logger), receiver, log)
 
 
@@ -92,22 +95,30 @@
 
 
 class Outward:
-    """The stages from the route to the relay, and the endings that would reach the module."""
+    """The stages that carry attempts, which this owns in place of the policy runner, and their outcomes."""
 
     def __init__(self, world: World) -> None:
-        self.pool, self.endings, ledger = (
-            ConnectionPool(LIMITS),
-            [],
-            WriteAheadLog(world.folder, LIMITS.disk_bytes),
-        )
-        self.route = EndpointRegistry(["plain"], ["here"], self.pool, None)
+        self.pool = ConnectionPool(LIMITS)
+        self.endings: list[AttemptOutcome] = []
+        ledger = WriteAheadLog(world.folder, LIMITS.disk_bytes)
+        self.route = EndpointRegistry(["plain"], ["here"], self.pool, structlog.get_logger())
         self.route.apply_members(world.members, whole=True)
-        relay = ResponseClassifier(OutcomeRecorder(ledger, unreachable_notifier(ledger)), reports=True)
-        relay.on_outcome = lambda flight, ending, *_: self.endings.append(ending)
-        self.send = AttemptRunner(self.pool, self.route, relay)
+        notifier = unreachable_notifier(ledger)
+        self.recorder = OutcomeRecorder(ledger, notifier)
+        classifier = ResponseClassifier(has_load_reports=True)
+        self.send = AttemptRunner(self.pool, self.route, classifier, notifier, structlog.get_logger())
+        self.invalid: set[str] = set()
+        """Trace ids whose attempts are not valid any more once their connection is up."""
+
+    def still_valid(self, message: StoredMessage) -> bool:
+        return message.trace_id not in self.invalid
+
+    def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
+        self.recorder.record_attempt(attempt.message, result)
+        self.endings.append(result.outcome)
 
     def begin(self, trace: str, body: bytes, endpoint: str = "e1", time: int = 5_000_000) -> Attempt:
         entry = StoredMessage(1, trace, 0, 1, None, None, 0, body)
         flight = Attempt(entry, endpoint, now() + time, time)
-        self.send.start(flight)
+        self.send.start(flight, self)
         return flight
