Metrics in the standard terms, a module each for counters, gauges and server; gossip typed

Cause: metrics read the whole SenderProcess (an import circle) through Any, and their names spoke of envelopes, shots and tracks. Gossip took a bare callback.

Change: package server/metrics: counters, collector, exposition, sources (a MetricsSource Protocol of the parts that are read), metrics. Gossip reports to a GossipListener.

--- a/ashpath/server/gossip.py
+++ b/ashpath/server/gossip.py
@@ -1,75 +1,108 @@
-"""The stage that carries notes between senders: datagrams, which may be lost. Imported only where the
-configuration names other senders.
+"""Gossip between senders: datagrams, which may be lost. Imported only where the configuration names other
+senders.
 
-A note counts only if it comes from the address of a sender that the configuration names: others are dropped
-and counted. Nothing is sent twice, and nothing waits: a note that cannot leave at once is lost.
+A message counts only if it comes from the address of a sender that the configuration names: others are
+dropped and counted. Nothing is sent twice, and nothing waits: a message that cannot leave at once is lost.
+What a message says is the policy's business.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
+from typing import Protocol
 
 import gevent
 from gevent import socket
 
 from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.logs import Logger
 
-LONGEST = 256  # bytes of a note
+MAX_MESSAGE_BYTES = 256
+RECEIVE_RETRY_S = 0.01  # after a receive that failed
+
+
+class GossipListener(Protocol):
+    """Who is to know what other senders say."""
+
+    def receive_gossip(self, message: bytes) -> None:
+        """One message of another sender."""
+        ...
 
 
 class Gossip:
-    """`move` takes a new address and other senders while it runs; no address: nothing is heard or told."""
-
-    def __init__(self, hear: Callable[[bytes], None], log: Any) -> None:
-        self.on_message, self.log = hear, log
-        self.sent = self.received = self.dropped = 0  # notes
-        self.socket: Any = None
-        self.reader: Any = None
-        self.listen: Address | None = None
+    """Sends to and receives from peers. Without an address nothing is received or sent: see `move`."""
+
+    def __init__(self, listener: GossipListener, logger: Logger) -> None:
+        self.listener = listener
+        self.logger = logger
+        self.sent = 0  # messages, each peer's copy counted
+        self.received = 0
+        self.dropped = 0
+        self.address: Address | None = None
+        self.socket: socket.socket | None = None
+        self.reader: gevent.Greenlet[..., None] | None = None
         self.peers: frozenset[Address] = frozenset()
 
-    def move(self, listen: Address | None, others: frozenset[Address]) -> None:
-        """Raises OSError where the address cannot be had; what was there before then serves on."""
-        if listen != self.listen:
-            fresh = None
-            if listen is not None:
-                fresh = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-                try:
-                    fresh.bind(listen)
-                except OSError:
-                    fresh.close()
-                    raise
-            old, self.socket, self.listen = self.socket, fresh, listen
-            if old is not None:
+    def move(self, address: Address | None, peers: frozenset[Address]) -> None:
+        """Takes a new address and other peers while it runs.
+
+        Raises OSError where the address cannot be had; what was there before then goes on."""
+        if address != self.address:
+            bound = None if address is None else bind(address)
+            self.address = address
+            self.replace_socket(bound)
+        self.peers = peers - ({address} if address else set())
+
+    def replace_socket(self, bound: socket.socket | None) -> None:
+        """Ends the socket that was there, and reads from `bound`."""
+        previous = self.socket
+        self.socket = bound
+        if previous is not None:
+            if self.reader is not None:
                 self.reader.kill()  # first: a socket that is waited on holds its address past its close
-                old.close()
-            if fresh is not None:
-                self.reader = gevent.spawn(self.run, fresh)
-        self.peers = others - ({listen} if listen else set())
+            previous.close()
+        if bound is not None:
+            self.reader = gevent.spawn(self.run, bound)
 
-    def publish(self, note: bytes) -> None:
-        for other in self.peers if self.socket is not None and len(note) <= LONGEST else ():
+    def publish(self, message: bytes) -> None:
+        """Sends to all peers what can leave at once; one that is too long is not sent."""
+        if self.socket is None or len(message) > MAX_MESSAGE_BYTES:
+            return
+        for peer in self.peers:
             try:
-                self.socket.sendto(note, other)
-                self.sent += 1
+                self.socket.sendto(message, peer)
             except OSError:
                 continue  # as good as lost on its way
+            self.sent += 1
 
-    def run(self, own: Any) -> None:
-        while own is self.socket:
+    def run(self, bound: socket.socket) -> None:
+        """Receives for as long as `bound` is the socket in use."""
+        while bound is self.socket:
             try:
-                note, sender = own.recvfrom(LONGEST + 1)
+                message, peer = bound.recvfrom(MAX_MESSAGE_BYTES + 1)
             except OSError:
-                if own is self.socket:
-                    gevent.sleep(0.01)  # a refusal of an earlier datagram comes back here
-                continue
-            if sender in self.peers and 0 < len(note) <= LONGEST:
-                self.received += 1
-                self.on_message(note)
+                if bound is self.socket:
+                    gevent.sleep(RECEIVE_RETRY_S)  # a refusal of an earlier datagram comes back here
                 continue
-            self.dropped += 1
-            if self.dropped & (self.dropped - 1) == 0:  # the 1st, 2nd, 4th: strangers cannot fill the log
-                self.log.info(
-                    "gossip message dropped", sender=f"{sender[0]}:{sender[1]}", dropped=self.dropped
-                )
+            self.datagram_received(message, peer)
+
+    def datagram_received(self, message: bytes, peer: Address) -> None:
+        """Passes it on, or drops it. The 1st, 2nd, 4th, ... is logged: strangers cannot fill the log."""
+        if peer in self.peers and 0 < len(message) <= MAX_MESSAGE_BYTES:
+            self.received += 1
+            self.listener.receive_gossip(message)
+            return
+        self.dropped += 1
+        if self.dropped & (self.dropped - 1) == 0:
+            sender = f"{peer[0]}:{peer[1]}"
+            self.logger.info("gossip message dropped", sender=sender, dropped=self.dropped)
+
+
+def bind(address: Address) -> socket.socket:
+    """A datagram socket. Raises OSError."""
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        bound.bind(address)
+    except OSError:
+        bound.close()
+        raise
+    return bound
--- /dev/null
+++ b/ashpath/server/metrics/collector.py
@@ -0,0 +1,146 @@
+"""Reads how things stand off a sender's parts, whenever somebody scrapes.
+
+Of destinations only `MAX_ROWS` have rows of their own, those with the most messages first, and of a
+destination's routes as many as are left: so the text is bounded however many there are. Destinations are
+looked at in steps, with a switch of greenlets between two, so that no batch waits for a walk over all of
+them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from heapq import nlargest
+from time import monotonic
+
+import gevent
+from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+from ashpath.core.destination_state import DestinationState
+from ashpath.core.snapshots import GateSnapshot
+from ashpath.server.metrics.sources import MetricsSource
+
+MAX_ROWS = 100  # destinations, or routes, with rows of their own
+DESTINATIONS_A_STEP = 500  # looked at between two switches of greenlets
+
+
+@dataclass(frozen=True, slots=True)
+class GateGauge:
+    """One gauge of a gate: of a destination, or of each route where routes have limits of their own."""
+
+    name: str  # behind `ashpath_destination_`
+    help_text: str
+    read: Callable[[GateSnapshot], float]
+
+
+GATE_GAUGES = (
+    GateGauge(
+        "limit",
+        "Attempts that its gate allows at once; 0: its breaker is not closed.",
+        lambda gate: gate.concurrency_limit,
+    ),
+    GateGauge("in_flight", "Attempts in flight.", lambda gate: gate.in_flight),
+    GateGauge("breaker", "0 closed, 1 open, 2 half-open.", lambda gate: gate.breaker.value),
+    GateGauge(
+        "rate_limit",
+        "Attempts a second that its gate allows; 0: no rate limit.",
+        lambda gate: gate.rate_limit,
+    ),
+    GateGauge("down", "1 from a run of failures to the first success.", lambda gate: gate.down),
+)
+
+
+class GaugeCollector:
+    """A custom collector, as prometheus_client calls it."""
+
+    def __init__(self, source: MetricsSource) -> None:
+        self.source = source
+
+    def collect(self) -> Iterator[Metric]:
+        """All gauges, and the counts that the gossip keeps itself."""
+        yield from self.sender_gauges()
+        yield from self.discovery_gauges()
+        yield from self.gossip_counters()
+        yield from self.destination_gauges()
+
+    def sender_gauges(self) -> Iterator[Metric]:
+        """The sender as a whole."""
+        runner = self.source.policy_runner
+        settings = runner.policy.settings
+        log = self.source.write_ahead_log
+        yield gauge(
+            "messages", "Messages without a final outcome, queued or in flight.", len(runner.messages)
+        )
+        yield gauge(
+            "queue_capacity", "Messages that may be so at once; 0: no bound.", settings.queue_capacity
+        )
+        yield gauge("attempts_in_flight", "Attempts without an outcome.", len(runner.attempts))
+        yield gauge("max_in_flight", "Attempts that may be in flight at once.", settings.max_in_flight)
+        yield gauge(
+            "write_ahead_log_bytes",
+            "Bytes that the write-ahead log may need for its messages.",
+            log.reserved_bytes,
+        )
+        yield gauge("write_ahead_log_max_bytes", "Bytes that the write-ahead log may have.", log.max_bytes)
+        yield gauge("destinations", "Destinations that are known.", len(runner.policy.destinations))
+        yield gauge("client_connections", "Connections of clients.", self.source.listener.connection_count)
+
+    def discovery_gauges(self) -> Iterator[Metric]:
+        """Where the platform's agent is configured."""
+        discovery = self.source.discovery
+        if discovery is not None:
+            age_s = monotonic() - discovery.last_response_at
+            yield gauge(
+                "endpoint_list_age_seconds", "Since a poll for the endpoint list last succeeded.", age_s
+            )
+
+    def gossip_counters(self) -> Iterator[Metric]:
+        """Where other senders are configured."""
+        gossip = self.source.gossip
+        if gossip is not None:
+            family = CounterMetricFamily(
+                "ashpath_gossip_messages", "Gossip messages between senders.", labels=["event"]
+            )
+            family.add_metric(["sent"], gossip.sent)
+            family.add_metric(["received"], gossip.received)
+            family.add_metric(["dropped"], gossip.dropped)
+            yield family
+
+    def destination_gauges(self) -> Iterator[Metric]:
+        """The busiest destinations and their gates."""
+        messages = GaugeMetricFamily(
+            "ashpath_destination_messages", "Messages, queued or in flight.", labels=["destination"]
+        )
+        families = [
+            GaugeMetricFamily(
+                f"ashpath_destination_{each.name}", each.help_text, labels=["destination", "route"]
+            )
+            for each in GATE_GAUGES
+        ]
+        rows_left = MAX_ROWS
+        for destination in self.busiest_destinations():
+            snapshot = destination.snapshot(max_gates=rows_left)  # it may have thousands of routes
+            rows_left -= len(snapshot.gates)
+            number = str(snapshot.number)
+            messages.add_metric([number], snapshot.unfinished_messages)
+            for gate in snapshot.gates:
+                for family, each in zip(families, GATE_GAUGES, strict=True):
+                    family.add_metric([number, gate.route], each.read(gate))
+        yield from (messages, *families)
+
+    def busiest_destinations(self) -> list[DestinationState]:
+        """At most `MAX_ROWS`, those with the most messages first. Switches greenlets."""
+        busiest: list[DestinationState] = []
+        all_destinations = list(self.source.policy_runner.policy.destinations.values())
+        for begin in range(0, len(all_destinations), DESTINATIONS_A_STEP):
+            step = all_destinations[begin : begin + DESTINATIONS_A_STEP]
+            busiest = nlargest(
+                MAX_ROWS, [*busiest, *step], key=lambda one: (one.unfinished_messages, -one.number)
+            )
+            gevent.sleep(0)
+        return busiest
+
+
+def gauge(name: str, help_text: str, value: float) -> Metric:
+    """A gauge without labels."""
+    return GaugeMetricFamily(f"ashpath_{name}", help_text, value=value)
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -52,7 +52,7 @@
 
 if TYPE_CHECKING:
     from ashpath.server.gossip import Gossip
-    from ashpath.server.metrics import Metrics
+    from ashpath.server.metrics.metrics import Metrics
 
 UNUSABLE = (OSError, ValueError, KeyError, TypeError, AttributeError)
 
@@ -337,7 +337,7 @@
         if self.gossip is None and given.gossip_listen is not None:
             from ashpath.server.gossip import Gossip
 
-            self.gossip = Gossip(self.policy_runner.receive_gossip, self.log)
+            self.gossip = Gossip(self.policy_runner, self.log)
             self.gossip_link.connect(self.gossip)
         if self.gossip is not None:
             try:
@@ -349,16 +349,21 @@
         """Counts and gauges, where the configuration names an address. Raises OSError."""
         self.read_at = where
         if self.metrics is None and where is not None:
-            from ashpath.server.metrics import Metrics
+            from ashpath.server.metrics.metrics import Metrics
 
             self.metrics = Metrics(self)
         if self.metrics is not None:
             self.metrics.move(where)
-            self.policy_runner.recorder.use_metrics(self.metrics if where else None)
+            self.policy_runner.recorder.use_metrics(self.metrics.counters if where else None)
+
+    def traffic_class_name(self, traffic_class: int) -> str:
+        """As the running settings name it; empty where they have no such number."""
+        rows = self.configuration.settings["classes"]
+        return str(rows[traffic_class]["name"]) if traffic_class < len(rows) else ""
 
     def retry_metrics(self) -> None:
         """Tries until the address is free, or the configuration names another."""
-        while self.metrics is not None and self.metrics.listen != self.read_at:
+        while self.metrics is not None and self.metrics.address != self.read_at:
             with suppress(OSError):
                 return self.configure_metrics(self.read_at)
             gevent.sleep(self.limits.adoption_interval_s)
--- /dev/null
+++ b/tests/server/metrics/test_metrics.py
@@ -0,0 +1,139 @@
+"""What Prometheus reads of a running sender, scrapers that say nothing, and an address that moves."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from time import monotonic
+
+import gevent
+import pytest
+from gevent import socket
+from prometheus_client.parser import text_string_to_metric_families
+from support.server import reload_configuration
+from support.standalone import Alone
+from support.world import LIMITS, SETTINGS, World, free, until
+
+from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.http.connection import open_connection
+from ashpath.server.http.encoding import encode_message, host_header
+from ashpath.server.metrics.exposition import MAX_SCRAPERS, SCRAPE_TIMEOUT_S
+
+DELIVERED = ("messages_finished_total", "completed", "free")
+SUBMITTED = [  # id, traffic class, destination, and what its attempts meet
+    ("a", "free", 0, "200"),
+    ("b", "free", 1, "500 200"),
+    ("c", "once", 2, "500"),
+    ("d", "tag", 3, "hang"),
+    ("e", "free", 6, "200"),
+]
+
+
+def scrape(address: Address) -> dict[tuple[str, ...], float]:
+    """Each sample by its name and the values of its labels, in the order of their names."""
+    connection = open_connection(address, LIMITS)
+    headers = [host_header(address), (b"Connection", b"close")]
+    connection.write(encode_message(b"GET /metrics HTTP/1.1", headers, b""))
+    response = connection.read_response()
+    families = text_string_to_metric_families(connection.finish_response().body.decode())
+    connection.close()
+    assert response.status == 200
+    samples = (sample for family in families for sample in family.samples)
+    return {(one.name.removeprefix("ashpath_"), *one.labels.values()): one.value for one in samples}
+
+
+def is_listening(address: Address) -> bool:
+    with socket.socket() as probe:
+        return bool(probe.connect_ex(address) == 0)
+
+
+def move_metrics(world: World, event: str, address: Address | None) -> None:
+    """Counts begin as it listens, shortly behind the log line."""
+    listen = address and {"listen": f"{address[0]}:{address[1]}"}
+    reload_configuration(world, event, metrics=listen)
+    until(lambda: address is None or is_listening(address))
+
+
+def test_counts_and_gauges(world: World) -> None:
+    """Guards batches, and other scrapers, against those that connect and stay, or do not read, too."""
+    address = free()
+    world.members[6]["host_port"] = "127.0.0.1:1"
+    world.configure()
+    world.start()
+    move_metrics(world, "configuration read", address)
+    for trace_id, traffic_class, destination, body in SUBMITTED:
+        assert world.hand_in(trace_id, traffic_class, body, destination) == 202
+    assert world.hand_in("f", "free", "200", 6, left=300) == 202
+    until(lambda: world.told("c") and world.told("f") and scrape(address).get(DELIVERED) == 2)
+    found = scrape(address)
+    specifics = SETTINGS["specifics"]
+    assert isinstance(specifics, dict)
+    expected = {
+        ("messages_accepted_total", "free"): 4,
+        ("messages_finished_total", "undeliverable", "once"): 1,
+        ("messages_finished_total", "deferred", "free"): 1,
+        ("attempts_total", "completed"): 2,
+        ("attempt_seconds_count", "completed"): 2,
+        ("attempts_total", "error"): 2,
+        ("messages",): 2,
+        ("attempts_in_flight",): 1,
+        ("max_in_flight",): specifics["slots"],
+        ("destination_messages", "6"): 1,
+        ("destination_in_flight", "3", ""): 1,
+        ("destination_limit", "6", ""): 0,
+    }
+    assert {key: found[key] for key in expected} == expected
+    assert found["attempts_total", "no connection"] >= 1
+    assert found["endpoint_list_age_seconds",] < 10
+    assert 0 < found["write_ahead_log_bytes",] < found["write_ahead_log_max_bytes",]
+    assert found["destination_breaker", "6", ""] in (1, 2)
+    assert found["destination_limit", "0", ""] > 0
+    silent = [socket.create_connection(address) for _ in range(MAX_SCRAPERS + 2)]
+    silent[0].sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    began = monotonic()
+    assert [world.hand_in(f"a{n}", "free", "200", 0) for n in range(20)] == [202] * 20
+    assert monotonic() - began < 1.0
+    with gevent.Timeout(3 * SCRAPE_TIMEOUT_S + 2):
+        assert scrape(address)["messages_accepted_total", "free"] == 24
+
+
+def test_an_address_that_moves(pair: tuple[World, World]) -> None:
+    """To one in use: one line, and the old one serves on. To none: nobody is served. Counts are kept. In a
+    hot upgrade the new process starts beside the one that has it, and takes it once that ends."""
+    old, new = pair
+    first, second, taken = free(), free(), socket.socket()
+    taken.bind(("127.0.0.1", 0))
+    taken.listen(1)
+    move_metrics(old, "configuration read", first)
+    assert old.hand_in("a", "free", "200", 0) == 202
+    until(lambda: scrape(first).get(DELIVERED) == 1)
+    move_metrics(old, "metrics address not changed", taken.getsockname())
+    assert scrape(first)[DELIVERED] == 1
+    for before, after in ((first, second), (second, None)):
+        move_metrics(old, "configuration read", after)
+        assert after is None or scrape(after)[DELIVERED] == 1
+        with pytest.raises(ConnectionError):
+            scrape(before)
+    move_metrics(old, "configuration read", first)
+    assert old.hand_in("b", "free", "200", 0) == 202
+    until(lambda: scrape(first)[DELIVERED] == 2)
+    new.start()
+    assert scrape(first)[DELIVERED] == 2
+    assert old.kill() == -9
+    until(lambda: is_listening(first))
+    assert DELIVERED not in scrape(first)
+
+
+def test_an_address_in_the_own_file(tmp_path: Path) -> None:
+    """Taken at SIGHUP; an address in use at the start is one line that names file and key."""
+    alone, address = Alone(tmp_path), free()
+    alone.start()
+    alone.rest += f'[metrics]\nlisten = "127.0.0.1:{address[1]}"\n'
+    alone.write()
+    assert "metrics.listen" in alone.reread()
+    assert scrape(address)["max_in_flight",]
+    (tmp_path / "second").mkdir()
+    second = Alone(tmp_path / "second", rest=alone.rest)
+    said = f"ashpath: {second.file}: metrics.listen: 127.0.0.1:{address[1]}: Address already in use\n"
+    done = second.run("serve", str(second.file))
+    assert (done.returncode, done.stderr) == (2, said)
+    alone.stop()
--- a/tests/support/server.py
+++ b/tests/support/server.py
@@ -46,6 +46,17 @@
         return socket.socket(fileno=accepted.detach()), far
 
 
+def reload_configuration(world: World, event: str, **changes: object) -> None:
+    """Changes the configuration's file and sends SIGHUP; returns as the log has the event once more."""
+    log = world.folder / "log"
+    before = log.read_text().count(event)
+    world.config |= changes
+    world.configure()
+    assert world.process is not None
+    world.process.send_signal(signal.SIGHUP)
+    until(lambda: log.read_text().count(event) > before)
+
+
 def receive_all(far: socket.socket) -> bytes:
     """All bytes up to an end in order; raises ConnectionResetError where it was none."""
     data = b""
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -5,14 +5,12 @@
 import signal
 import sys
 from itertools import product
-from unittest.mock import Mock
 
 import pytest
 from gevent import socket, subprocess
 from support.server import live
-from support.world import SETTINGS, World, free, until
+from support.world import SETTINGS, World, until
 
-from ashpath.server.gossip import Gossip
 from ashpath.server.storage import traffic_class_ids as numbers
 
 # A platform that is moved to: other tracks, routes apart with fees, rates listed, notes, no reports.
@@ -98,29 +96,6 @@
     until(lambda: world.count("x") == 1)
 
 
-def test_notes_between_senders() -> None:
-    """From those named only; garbage and strangers are dropped; a switch off and on again goes on."""
-    one, two, heard, log = free(), free(), [], Mock()
-    ours, theirs = Gossip(heard.append, log), Gossip(heard.append, log)
-    ours.move(one, frozenset({one, two}))
-    theirs.move(two, frozenset({one}))
-    theirs.publish(b"first")
-    until(lambda: heard == [b"first"])
-    theirs.publish(b"x" * 300)
-    stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    assert [stranger.sendto(b"back 7 x1", one) for _ in range(5)] == [9] * 5
-    until(lambda: ours.dropped == 5)
-    assert heard == [b"first"] and log.info.call_count == 3  # the first, second and fourth
-    ours.move(None, frozenset())
-    theirs.publish(b"lost")  # and no fault
-    ours.move(one, frozenset({two}))
-    with pytest.raises(OSError):
-        ours.move(two, frozenset())
-    theirs.publish(b"still heard")
-    until(lambda: heard == [b"first", b"still heard"])
-    assert all(one.move(None, frozenset()) is None for one in (ours, theirs))
-
-
 def test_the_file_says_who_else_hears(world: World) -> None:
     """What a sender learns of a return it tells, once it has the address that another had at its start."""
     other, taken = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(2))
