Start, reload, shutdown, adoption and operators' commands in a module each

Cause: server/runtime.py had seven jobs in one class, which the standalone sender subclassed to override six of its methods; metrics read the whole of it, an import circle.

Change: configuration.py (parsing), sender.py (parts put together), runtime.py (start, supervision, signals), reload.py (SIGHUP), shutdown.py (a state machine, its table first), adoption.py, operator_commands.py, optional_services.py (gossip and metrics, imported as they are switched on), platform_deployment.py (RELAY_*), errors.py. What differs between the two ways of starting is the Deployment protocol, composed in place of inherited; the one of a sender's own file is cli/standalone_deployment.py. Metrics read a MetricsSource. Sequence and timings of start, SIGHUP, SIGTERM and adoption are as they were.

tests/server/test_runtime.py: supervision is a function now and is tested alone, with the same assertion. tests/cli/test_sender.py: the test of imports looks at the module that `python -m ashpath` starts from, which imports the one that it looked at before.

--- a/ashpath/__main__.py
+++ b/ashpath/__main__.py
@@ -1,12 +1,15 @@
-"""Starts the sender on sockets. SIGHUP is noted from the first line on: by default it would end a process
-whose parts are still loaded, and one that comes after the file was read must not be forgotten."""
+"""Starts a sender under the platform's agent: `python -m ashpath`.
+
+SIGHUP is noted from the first line on: by default it would end a process whose modules are still loaded, and
+one that comes after the file was read must not be forgotten.
+"""
 
 import signal
 import sys
 
-hangups: list[int] = []
-signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
+pending_hangups: list[int] = []
+signal.signal(signal.SIGHUP, lambda number, _: pending_hangups.append(number))
 
-from ashpath.server.runtime import main  # noqa: E402
+from ashpath.server.platform_deployment import main  # noqa: E402 - the handler comes first
 
-sys.exit(main(hangups))
+sys.exit(main(pending_hangups))
--- /dev/null
+++ b/ashpath/cli/standalone_deployment.py
@@ -0,0 +1,201 @@
+"""A sender with a configuration file of its own: what it has beside, or in place of, the platform's.
+
+The file is converted to the platform's form, and the sender put together as there (`server/sender.py`). Here
+stand the differences: notifications go to an address of the file's choice, to a file, or nowhere; final
+outcomes are kept for clients that ask; traffic class ids are stored with the state directory's imprint.
+"""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from ashpath.config.changes import find_changes
+from ashpath.config.loading import Credentials, read_configuration, read_credentials
+from ashpath.config.platform_form import notification_target, platform_form, resolve
+from ashpath.config.schema import Configuration
+from ashpath.core.platform_settings import JsonObject
+from ashpath.server.backoff import Backoff
+from ashpath.server.configuration import SenderConfiguration
+from ashpath.server.delivery.endpoint_registry import parse_address
+from ashpath.server.delivery.file_notifier import FileNotifier
+from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
+from ashpath.server.delivery.notifier import Notifier, NullNotifier
+from ashpath.server.delivery.rotating_file import RotatingFile
+from ashpath.server.errors import UNUSABLE_CONFIGURATION_ERRORS, ConfigurationError, error_text
+from ashpath.server.http.status_api import StatusApi
+from ashpath.server.limits import ServerLimits
+from ashpath.server.logs import LogFormat, Logger
+from ashpath.server.policy_runner import PolicyRunner
+from ashpath.server.sender import Sender
+from ashpath.server.storage.errors import StateDirectoryError
+from ashpath.server.storage.outcome_store import OutcomeStore
+from ashpath.server.storage.state_directory import StateDirectory
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
+from ashpath.server.wire_names import CREDENTIAL_HEADER
+
+MAX_LOGGED_KEYS = 20  # of those that a reload changed, in one log line
+
+
+@dataclass(frozen=True, slots=True)
+class FileConfiguration:
+    """What a sender's own file says."""
+
+    path: Path
+    file: Configuration
+    sender: SenderConfiguration
+    """The same in the platform's form."""
+    credentials: Credentials
+
+    @classmethod
+    def read(cls, path: Path) -> FileConfiguration:
+        """Raises `InvalidConfigurationError`."""
+        file = read_configuration(path)
+        credentials = read_credentials(path, file)
+        document = platform_form(file, file.sender.seed or secrets.token_hex(8))
+        return cls(path, file, SenderConfiguration.parse(document), credentials)
+
+    def with_traffic_class_ids(
+        self, known: list[JsonObject], *, has_live_messages: bool
+    ) -> FileConfiguration:
+        """See `SenderConfiguration.with_traffic_class_ids`."""
+        sender = self.sender.with_traffic_class_ids(known, has_live_messages=has_live_messages)
+        return replace(self, sender=sender)
+
+    @property
+    def state(self) -> Path:
+        """The state directory, counted from the file's folder."""
+        return resolve(self.path.parent, self.file.sender.state_directory)
+
+    def destination_names(self) -> dict[int, str]:
+        """Of the destinations that have one."""
+        return {number: one.name for number, one in self.file.destinations.items() if one.name}
+
+    def notification_receiver(self) -> NotificationReceiver | None:
+        """Where notifications go by HTTP; None where they go to a file, or nowhere."""
+        target = notification_target(self.file)
+        if target is None:
+            return None
+        credential = self.credentials.notifications
+        headers = [(CREDENTIAL_HEADER, credential)] if credential else []
+        return NotificationReceiver(parse_address(target.address), target.path.encode(), headers)
+
+
+class StandaloneDeployment:
+    """Outcomes are kept for clients that ask; a `Deployment`."""
+
+    def __init__(self, configuration: FileConfiguration, state_directory: StateDirectory) -> None:
+        self.configuration = configuration
+        self.state_directory = state_directory
+
+    def create_outcome_store(self, limits: ServerLimits, log: Logger) -> OutcomeStore:
+        """In the state directory."""
+        retention_us = round(limits.outcome_retention_s * 1e6)
+        return OutcomeStore(self.configuration.state, limits.outcome_store_bytes, retention_us, log)
+
+    def create_notifier(
+        self, limits: ServerLimits, write_ahead_log: WriteAheadLog, backoff: Backoff, log: Logger
+    ) -> Notifier:
+        """Raises `StateDirectoryError` where the file of notifications cannot be opened."""
+        receiver = self.configuration.notification_receiver()
+        if receiver is not None:
+            return HttpNotifier(receiver, limits, write_ahead_log, log, backoff)
+        if self.configuration.file.notifications.file:
+            lines = self.open_notification_file(limits)
+            return FileNotifier(lines, limits, write_ahead_log, log)
+        return NullNotifier(write_ahead_log)
+
+    def open_notification_file(self, limits: ServerLimits) -> RotatingFile:
+        """Its path is counted from the configuration file's folder."""
+        path = resolve(self.configuration.path.parent, self.configuration.file.notifications.file)
+        try:
+            return RotatingFile(path, limits.notification_file_bytes, limits.notification_files)
+        except OSError as error:
+            raise StateDirectoryError(
+                f"{self.configuration.path}: notices.file: {path}: {error.strerror}"
+            ) from error
+
+    def create_status_api(
+        self, policy_runner: PolicyRunner, outcome_store: OutcomeStore | None, names: list[str]
+    ) -> StatusApi | None:
+        """See `Deployment`."""
+        if outcome_store is None:
+            return None
+        return StatusApi(policy_runner, outcome_store, names, self.configuration.destination_names())
+
+    def restore_traffic_class_ids(
+        self, configuration: SenderConfiguration, *, has_live_messages: bool
+    ) -> SenderConfiguration:
+        """Unchanged: done before the write-ahead log was opened, by the state directory's imprint."""
+        return configuration
+
+    def store_traffic_class_ids(self, configuration: SenderConfiguration) -> None:
+        """Raises OSError."""
+        try:
+            self.state_directory.write(configuration.settings.document["classes"])
+        except StateDirectoryError as error:
+            raise OSError(str(error)) from error
+
+
+class StandaloneReloader:
+    """Applies what a running sender can take of its file: see `config.changes`. The rest waits for the
+    next start, and is named in the log."""
+
+    def __init__(self, configuration: FileConfiguration, sender: Sender, log_format: LogFormat) -> None:
+        self.path = configuration.path
+        self.started = configuration.file  # what the process started with
+        self.latest = configuration.file  # what was read last
+        self.sender = sender
+        self.log_format = log_format
+
+    def reload(self) -> None:
+        """See `Reloader`."""
+        try:
+            configuration = FileConfiguration.read(self.path)
+        except UNUSABLE_CONFIGURATION_ERRORS as error:
+            raise ConfigurationError(error_text(error)) from error
+        # First: it may not be possible, and then nothing else is applied.
+        self.sender.settings_switch.apply(configuration.sender)
+        applied = find_changes(self.latest, configuration.file).applied
+        waiting = find_changes(self.started, configuration.file).at_next_start
+        self.latest = configuration.file
+        self.log_format.use(configuration.file.logging.level, configuration.file.logging.form)
+        self.sender.log.info("configuration read", taken=shortened(applied), needs_restart=shortened(waiting))
+        self.update_names(configuration)
+        self.sender.delivery.attempt_runner.use_credentials(configuration.credentials.destinations)
+        self.move_discovery(configuration, applied)
+        self.move_notifier(configuration)
+
+    def update_names(self, configuration: FileConfiguration) -> None:
+        """The names in responses to clients that ask."""
+        status_api = self.sender.clients.status_api
+        if status_api is not None:
+            running = self.sender.running.current.settings
+            status_api.traffic_classes = running.traffic_class_names()
+            status_api.destination_names = configuration.destination_names()
+
+    def move_discovery(self, configuration: FileConfiguration, applied: list[str]) -> None:
+        """To another address; without service discovery, the file's own endpoint list is applied."""
+        discovery = self.sender.discovery
+        address = configuration.sender.platform_address
+        if discovery is not None and address is not None:
+            discovery.move(address)
+        changed = any(path.startswith("destinations") for path in applied)
+        if changed and discovery is None and address is None:
+            members = configuration.sender.known_endpoints["members"]
+            self.sender.delivery.membership.receive_members(members, whole=True)
+
+    def move_notifier(self, configuration: FileConfiguration) -> None:
+        """To another address, where notifications go to one."""
+        notifier = self.sender.delivery.notifier
+        receiver = configuration.notification_receiver()
+        if isinstance(notifier, HttpNotifier) and receiver is not None:
+            notifier.move(receiver)
+
+
+def shortened(paths: list[str]) -> list[str]:
+    """As many as a log line has room for."""
+    if len(paths) <= MAX_LOGGED_KEYS:
+        return paths
+    return [*paths[:MAX_LOGGED_KEYS], f"and {len(paths) - MAX_LOGGED_KEYS} more"]
--- /dev/null
+++ b/ashpath/server/adoption.py
@@ -0,0 +1,36 @@
+"""Hot upgrade: what the process beside this one leaves behind, and what it does meanwhile.
+
+Theory of operation: the platform hands the clients' listening socket to a second process of the same sender,
+and then sends SIGTERM to the first. Each process writes a log of its own; the log of one that is gone is an
+orphan. `OrphanAdopter` looks for orphans as long as the process runs, which covers a process that was killed
+as well. A process that binds the address by itself is alone, and adopts nothing.
+"""
+
+from __future__ import annotations
+
+import gevent
+
+from ashpath.server.logs import Logger
+from ashpath.server.policy_runner import PolicyRunner
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
+
+
+class OrphanAdopter:
+    """Takes over the live messages of orphaned logs, every `interval_s` seconds."""
+
+    def __init__(
+        self, write_ahead_log: WriteAheadLog, policy_runner: PolicyRunner, interval_s: float, log: Logger
+    ) -> None:
+        self.write_ahead_log = write_ahead_log
+        self.policy_runner = policy_runner
+        self.interval_s = interval_s
+        self.log = log
+
+    def run(self) -> None:
+        """Never returns."""
+        while True:
+            gevent.sleep(self.interval_s)
+            adopted = self.write_ahead_log.adopt()
+            if adopted:
+                self.log.info("write-ahead log adopted", messages=len(adopted))
+                self.policy_runner.adopt(adopted)
--- /dev/null
+++ b/ashpath/server/configuration.py
@@ -0,0 +1,159 @@
+"""The configuration of a sender, in the form of the platform's file (`RELAY_CONFIG`).
+
+Theory of operation: `SenderConfiguration.parse` takes the decoded JSON document, at the start and again at
+each SIGHUP. A sender's own TOML file is converted to the same form first (`config.platform_form`), so that
+each rule stands once. Parsed values never change: what depends on an earlier configuration (`aligned_with`)
+or on the write-ahead log (`with_traffic_class_ids`) is a new value.
+
+The write-ahead log, the endpoint list and the policy know traffic classes, kinds and zones by number.
+`SenderConfiguration.settings` has the numbers of this incarnation, `raw_settings` the document as read.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+
+from ashpath.core.interface import PolicySettings
+from ashpath.core.platform_settings import JsonObject
+from ashpath.core.policy_settings import sender_settings
+from ashpath.core.settings_alignment import align_order
+from ashpath.core.traffic_class_ids import number_traffic_classes
+from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.delivery.endpoint_registry import parse_address
+from ashpath.server.errors import StartupError
+from ashpath.server.limits import ServerLimits
+
+
+@dataclass(frozen=True, slots=True)
+class SenderSettings:
+    """The operators' settings, and what the parts of a sender need of them."""
+
+    document: JsonObject
+    """The `settings` table; its `classes` are in the order of the traffic class ids."""
+    policy_settings: PolicySettings
+    kinds: list[str]
+    """Kinds of destinations, by number."""
+    zones: list[str]
+    """Zones of endpoints, by number."""
+    discovery_pushes: bool
+    """Whether what the platform's agent has counts as reported before it is asked for."""
+    traffic_class_ids: dict[str, int]
+    """Ids of the traffic classes that accept messages, by name."""
+
+    @classmethod
+    def parse(cls, seed: int, document: JsonObject, closed_ids: Sequence[int] = ()) -> SenderSettings:
+        """`closed_ids`: traffic classes that accept nothing new, as the settings lack or changed them.
+
+        Raises `InvalidSettingError`, which names the key, and KeyError, TypeError or AttributeError for a
+        document of another shape.
+        """
+        return cls(
+            document=document,
+            policy_settings=sender_settings(seed, document),
+            kinds=list(document.get("kinds") or []),
+            zones=list(document.get("zones") or []),
+            discovery_pushes=document.get("membership-mode") != "ask",
+            traffic_class_ids={
+                row["name"]: class_id
+                for class_id, row in enumerate(document["classes"])
+                if class_id not in closed_ids
+            },
+        )
+
+    def traffic_class_names(self) -> list[str]:
+        """Names by traffic class id."""
+        return [row["name"] for row in self.document["classes"]]
+
+
+@dataclass(frozen=True, slots=True)
+class SenderConfiguration:
+    """All that a sender is configured with at its start, and anew at each SIGHUP."""
+
+    seed: int
+    raw_settings: JsonObject
+    """The `settings` table as read, to compare with that of another reading."""
+    settings: SenderSettings
+    limits: ServerLimits
+    known_endpoints: JsonObject
+    """The endpoint list when the configuration was written: `members` and `revision`."""
+    discovery: str
+    """The address of the discovery service as written; empty where there is none."""
+    platform_address: Address | None
+    """The same address, parsed."""
+    control: str
+    """The operators' address; empty where there is none. Parsed at the start alone."""
+    gossip_listen: Address | None
+    """Where gossip messages of other senders are received."""
+    gossip_peers: frozenset[Address]
+    """Where the other senders receive theirs."""
+    metrics_listen: Address | None
+    """Where Prometheus reads the metrics."""
+
+    @classmethod
+    def parse(cls, document: JsonObject, default_discovery: str = "") -> SenderConfiguration:
+        """`default_discovery`: the environment's address. The file's comes first, as a restart has the same
+        environment, and the file may have changed since.
+
+        Raises `StartupError` and `InvalidSettingError`, and one of `UNUSABLE_CONFIGURATION_ERRORS` for a
+        document of another shape.
+        """
+        seed = int(str(document["seed"]), 16)
+        settings = SenderSettings.parse(seed, document["settings"])
+        limits = ServerLimits.of(document.get("limits") or {}, settings.policy_settings)
+        known_endpoints = document.get("known") or {"members": [], "revision": 0}
+        discovery = document.get("discovery") or default_discovery
+        platform_address = parse_address(discovery) if discovery else None
+        gossip = document.get("peers") or {}
+        return cls(
+            seed=seed,
+            raw_settings=document["settings"],
+            settings=settings,
+            limits=limits,
+            known_endpoints=known_endpoints,
+            discovery=discovery,
+            platform_address=platform_address,
+            control=str(document.get("control") or ""),
+            gossip_listen=parse_listen_address(document, "peers"),
+            metrics_listen=parse_listen_address(document, "metrics"),
+            gossip_peers=frozenset(parse_address(str(peer)) for peer in (gossip.get("senders") or ())),
+        )
+
+    @property
+    def policy_settings(self) -> PolicySettings:
+        """The settings of the policy."""
+        return self.settings.policy_settings
+
+    def with_traffic_class_ids(
+        self, known: list[JsonObject], *, has_live_messages: bool
+    ) -> SenderConfiguration:
+        """The traffic classes under the ids that `known` has for them: see `number_traffic_classes`."""
+        rows, closed_ids = number_traffic_classes(
+            self.settings.document["classes"], known, live_messages=has_live_messages
+        )
+        document = {**self.settings.document, "classes": rows}
+        return replace(self, settings=SenderSettings.parse(self.seed, document, closed_ids))
+
+    def aligned_with(self, running: SenderConfiguration) -> SenderConfiguration:
+        """This configuration for a sender that runs by another: traffic classes, kinds and zones keep their
+        numbers. No number is reused, as messages and measurements behind it live on."""
+        document = align_order(self.settings.document, running.settings.document)
+        aligned = replace(self, settings=replace(self.settings, document=document))
+        return aligned.with_traffic_class_ids(running.settings.document["classes"], has_live_messages=True)
+
+
+def parse_listen_address(document: JsonObject, table: str) -> Address | None:
+    """The address under `TABLE.listen`; None where there is no such table. Raises `StartupError`."""
+    try:
+        return parse_address(str(document[table]["listen"])) if document.get(table) else None
+    except (ValueError, KeyError, TypeError) as error:
+        raise StartupError(
+            f"{table}.listen: found {document[table]!r:.60}, expected an address with a port"
+        ) from error
+
+
+@dataclass(slots=True)
+class RunningConfiguration:
+    """The configuration whose settings the sender runs by, for those who always need the latest."""
+
+    current: SenderConfiguration
--- /dev/null
+++ b/ashpath/server/optional_services.py
@@ -0,0 +1,74 @@
+"""Services that a configuration may switch on, and off again, while the sender runs: gossip and metrics.
+
+Each module is imported as its service is first switched on: what is not configured costs no memory.
+"""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import gevent
+
+from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.gossip_link import GossipLink
+from ashpath.server.logs import Logger
+from ashpath.server.policy_runner import PolicyRunner
+
+if TYPE_CHECKING:
+    from ashpath.server.gossip import Gossip
+    from ashpath.server.metrics.metrics import Metrics
+    from ashpath.server.metrics.sources import MetricsSource
+
+
+class GossipService:
+    """Messages between the senders of a fleet, where the configuration names others."""
+
+    def __init__(self, policy_runner: PolicyRunner, link: GossipLink, log: Logger) -> None:
+        self.policy_runner = policy_runner
+        self.link = link
+        self.log = log
+        self.gossip: Gossip | None = None  # from the first address on
+
+    def configure(self, listen: Address | None, peers: frozenset[Address]) -> None:
+        """Moves to an address, or to none. Where it is in use, which is logged, the one before serves on."""
+        if self.gossip is None and listen is not None:
+            from ashpath.server.gossip import Gossip
+
+            self.gossip = Gossip(self.policy_runner, self.log)
+            self.link.connect(self.gossip)
+        if self.gossip is not None:
+            try:
+                self.gossip.move(listen, peers)
+            except OSError as error:
+                self.log.error("gossip not received", error=str(error))
+
+
+class MetricsService:
+    """Metrics for Prometheus, where the configuration names an address. They are read off `source`."""
+
+    def __init__(self, source: MetricsSource, recorder: OutcomeRecorder, retry_interval_s: float) -> None:
+        self.source = source
+        self.recorder = recorder
+        self.retry_interval_s = retry_interval_s
+        self.metrics: Metrics | None = None  # from the first address on
+        self.configured: Address | None = None
+
+    def configure(self, listen: Address | None) -> None:
+        """Moves to an address, or to none. Raises OSError where it is in use: the one before serves on."""
+        self.configured = listen
+        if self.metrics is None and listen is not None:
+            from ashpath.server.metrics.metrics import Metrics
+
+            self.metrics = Metrics(self.source)
+        if self.metrics is not None:
+            self.metrics.move(listen)
+            self.recorder.use_metrics(self.metrics.counters if listen else None)
+
+    def retry(self) -> None:
+        """Tries until the address is free, or the configuration names another."""
+        while self.metrics is not None and self.metrics.address != self.configured:
+            with suppress(OSError):
+                return self.configure(self.configured)
+            gevent.sleep(self.retry_interval_s)
--- /dev/null
+++ b/ashpath/server/platform_deployment.py
@@ -0,0 +1,181 @@
+"""A sender under the platform's agent: `python -m ashpath`.
+
+The environment has RELAY_NAME, RELAY_LISTEN, RELAY_DISCOVERY, RELAY_STATE and RELAY_CONFIG, and may have
+RELAY_CONTROL and, in a hot upgrade, RELAY_ACCEPT_FD, the descriptor of the clients' listening socket. Exit
+codes: 0 after a graceful shutdown, 1 where an address cannot be listened on, 2 where the environment or the
+configuration cannot be used.
+"""
+
+from __future__ import annotations
+
+import os
+import stat
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import gevent
+import orjson
+
+from ashpath.server.backoff import Backoff
+from ashpath.server.configuration import SenderConfiguration
+from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.delivery.endpoint_registry import parse_address
+from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
+from ashpath.server.delivery.notifier import Notifier
+from ashpath.server.errors import UNUSABLE_CONFIGURATION_ERRORS, StartupError, error_text
+from ashpath.server.limits import ServerLimits
+from ashpath.server.logs import LogFormat, Logger, LogWriter, create_logger
+from ashpath.server.policy_runner import PolicyRunner
+from ashpath.server.reload import PlatformReloader
+from ashpath.server.runtime import SenderRuntime
+from ashpath.server.sender import SenderPlace, create_sender
+from ashpath.server.storage import traffic_class_ids
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
+
+if TYPE_CHECKING:
+    from ashpath.server.storage.outcome_store import OutcomeStore
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformEnvironment:
+    """What the platform's agent starts a sender with."""
+
+    name: str
+    discovery: str
+    """The address of the discovery service; the file's comes first."""
+    configuration_file: Path
+    place: SenderPlace
+
+    @classmethod
+    def read(cls) -> PlatformEnvironment:
+        """Raises `StartupError`."""
+        name = environment_variable("RELAY_NAME")
+        listen = environment_variable("RELAY_LISTEN")
+        discovery = environment_variable("RELAY_DISCOVERY")
+        state = Path(environment_variable("RELAY_STATE"))
+        configuration_file = Path(environment_variable("RELAY_CONFIG"))
+        inherited_socket = inherited_descriptor()
+        place = SenderPlace(listen, state, control_address(), inherited_socket)
+        return cls(name, discovery, configuration_file, place)
+
+    def read_configuration(self) -> SenderConfiguration:
+        """Raises `StartupError`, or one of `UNUSABLE_CONFIGURATION_ERRORS`."""
+        document = orjson.loads(self.configuration_file.read_bytes())
+        return SenderConfiguration.parse(document, self.discovery)
+
+
+def environment_variable(name: str) -> str:
+    """Raises `StartupError` where it is missing or empty."""
+    value = os.environ.get(name)
+    if not value:
+        raise StartupError(f"{name} is not set")
+    return value
+
+
+def inherited_descriptor() -> int | None:
+    """The clients' listening socket, where the platform hands one down. Raises `StartupError`."""
+    text = os.environ.get("RELAY_ACCEPT_FD") or None
+    if text is None:
+        return None
+    if not (text.isdigit() and is_open_socket(int(text))):
+        raise StartupError(f"RELAY_ACCEPT_FD is no open socket: {text!r}")
+    return int(text)
+
+
+def is_open_socket(descriptor: int) -> bool:
+    """False also where it is not open."""
+    try:
+        return stat.S_ISSOCK(os.fstat(descriptor).st_mode)
+    except OSError:
+        return False
+
+
+def control_address() -> str:
+    """The operators' address; empty where the environment has none. Raises `StartupError`."""
+    text = os.environ.get("RELAY_CONTROL", "")
+    if text:
+        try:
+            parse_address(text)
+        except ValueError as error:
+            raise StartupError(f"RELAY_CONTROL: {error}") from error
+    return text
+
+
+class PlatformDeployment:
+    """The platform's agent is notified of final outcomes, and nobody asks for them; a `Deployment`."""
+
+    def __init__(self, state: Path, agent: Address) -> None:
+        self.state = state
+        self.agent = agent
+
+    def create_outcome_store(self, limits: ServerLimits, log: Logger) -> None:
+        """None: see `Deployment`."""
+
+    def create_notifier(
+        self, limits: ServerLimits, write_ahead_log: WriteAheadLog, backoff: Backoff, log: Logger
+    ) -> Notifier:
+        """To the agent's address."""
+        return HttpNotifier(NotificationReceiver(self.agent), limits, write_ahead_log, log, backoff)
+
+    def create_status_api(
+        self, policy_runner: PolicyRunner, outcome_store: OutcomeStore | None, names: list[str]
+    ) -> None:
+        """None: see `Deployment`."""
+
+    def restore_traffic_class_ids(
+        self, configuration: SenderConfiguration, *, has_live_messages: bool
+    ) -> SenderConfiguration:
+        """The ids are stored from the first settings switch on, and forgotten once no message is left."""
+        known = traffic_class_ids.read(self.state)
+        restored = configuration.with_traffic_class_ids(
+            known, has_live_messages=has_live_messages and bool(known)
+        )
+        if known and not has_live_messages:
+            traffic_class_ids.forget(self.state)
+        return restored
+
+    def store_traffic_class_ids(self, configuration: SenderConfiguration) -> None:
+        """Raises OSError."""
+        traffic_class_ids.write(self.state, configuration.settings.document["classes"])
+
+
+def create_runtime() -> tuple[SenderRuntime, LogWriter]:
+    """Of the environment. Raises `StartupError`."""
+    environment = PlatformEnvironment.read()
+    log, log_writer = create_logger(environment.name, LogFormat())
+    try:
+        configuration = environment.read_configuration()
+        assert configuration.platform_address is not None  # RELAY_DISCOVERY is set
+        deployment = PlatformDeployment(environment.place.state, configuration.platform_address)
+        sender = create_sender(environment.place, configuration, deployment, log)
+    except UNUSABLE_CONFIGURATION_ERRORS as error:
+        raise StartupError(
+            f"cannot start from {environment.configuration_file}: {error_text(error)}"
+        ) from error
+    reloader = PlatformReloader(
+        environment.read_configuration,
+        sender.settings_switch,
+        sender.discovery,
+        sender.delivery.notifier,
+        log,
+    )
+    return SenderRuntime(sender, reloader), log_writer
+
+
+def main(pending_hangups: Sequence[int] = ()) -> int:
+    """The exit code. `pending_hangups`: SIGHUPs that came while modules were loaded."""
+    try:
+        runtime, log_writer = create_runtime()
+    except StartupError as error:
+        print(f"ashpath: {error}", file=sys.stderr)
+        return 2
+    gevent.spawn(log_writer.run, runtime.log)
+    try:
+        runtime.run(pending_hangups)
+    except OSError as error:
+        print(f"ashpath: {error}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/cli/test_sender.py
+++ b/tests/cli/test_sender.py
@@ -439,7 +439,7 @@
     off = "'click', 'rich', 'tree_sitter', 'prometheus_client', 'gevent.pywsgi'"
     forbidden = f"{{{off}, 'tomllib', 'ashpath.config', 'ashpath.server.storage.outcome_store'}}"
     own = "{'tomllib', 'ashpath.config', 'ashpath.server.storage.outcome_store'}"
-    for module, allowed in (("ashpath.server.runtime", "set()"), ("ashpath.cli.standalone", own)):
+    for module, allowed in (("ashpath.server.platform_deployment", "set()"), ("ashpath.cli.standalone", own)):
         code = f"import sys, {module}; sys.exit(str(({forbidden} - {allowed}) & set(sys.modules) or ''))"
         run = subprocess.run([sys.executable, "-c", code], stderr=subprocess.PIPE, cwd=ROOT)
         assert run.stderr.strip() == b"", run.stderr
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -14,7 +14,7 @@
 from ashpath.server.http.admission import AdmissionResult
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.messages import HttpRequest
-from ashpath.server.runtime import create_sender
+from ashpath.server.platform_deployment import create_runtime
 from ashpath.server.storage.stored_message import StoredMessage
 
 
@@ -23,26 +23,26 @@
     kill neither, as the ledger knows of the call until it has its outcome."""
     for name, value in world.environment().items():
         monkeypatch.setenv(name, value)
-    sender, _ = create_sender()
-    sender.policy_runner.restore(list(sender.registry.records.values()))
+    sender = create_runtime()[0].sender
+    sender.delivery.policy_runner.restore(list(sender.delivery.registry.records.values()))
     data = request("a", "once", "slow 200", 1)
-    entry = sender.admission.parser.parse(read_request(data))
-    assert sender.admission.admit(entry) == AdmissionResult(HTTPStatus.ACCEPTED)
+    entry = sender.clients.admission.parser.parse(read_request(data))
+    assert sender.clients.admission.admit(entry) == AdmissionResult(HTTPStatus.ACCEPTED)
     until(lambda: world.count("a") == 1)
-    sender.policy_runner.client_disconnected(entry)
-    assert sender.admission.admit(sender.admission.parser.parse(read_request(data))) == AdmissionResult(
-        HTTPStatus.CONFLICT
-    )
+    sender.delivery.policy_runner.client_disconnected(entry)
+    assert sender.clients.admission.admit(
+        sender.clients.admission.parser.parse(read_request(data))
+    ) == AdmissionResult(HTTPStatus.CONFLICT)
     assert (
-        sender.write_ahead_log.live[entry.message_id].in_flight_since is not None
-        and not sender.policy_runner.messages
-    )
-    until(lambda: not sender.policy_runner.attempts)
-    assert not sender.write_ahead_log.live and not sender.policy_runner.abandoned
-    assert sender.admission.admit(sender.admission.parser.parse(read_request(data))) == AdmissionResult(
-        HTTPStatus.ACCEPTED
+        sender.delivery.write_ahead_log.live[entry.message_id].in_flight_since is not None
+        and not sender.delivery.policy_runner.messages
     )
-    until(lambda: world.count("a") == 2 and not sender.policy_runner.attempts)
+    until(lambda: not sender.delivery.policy_runner.attempts)
+    assert not sender.delivery.write_ahead_log.live and not sender.delivery.policy_runner.abandoned
+    assert sender.clients.admission.admit(
+        sender.clients.admission.parser.parse(read_request(data))
+    ) == AdmissionResult(HTTPStatus.ACCEPTED)
+    until(lambda: world.count("a") == 2 and not sender.delivery.policy_runner.attempts)
 
 
 def test_the_next_of_a_key_waits_for_the_notice_of_the_one_before(world: World) -> None:
@@ -76,9 +76,9 @@
     """Guards what was taken on: no call is made unrecorded, and no try is spent within the same turn."""
     for name, value in world.environment().items():
         monkeypatch.setenv(name, value)
-    sender, _ = create_sender()
-    sender.policy_runner.restore(list(sender.registry.records.values()))
-    record, refused = sender.write_ahead_log.record_attempt, []
+    sender = create_runtime()[0].sender
+    sender.delivery.policy_runner.restore(list(sender.delivery.registry.records.values()))
+    record, refused = sender.delivery.write_ahead_log.record_attempt, []
 
     def shot(entry: StoredMessage, at: int, endpoint: str) -> None:
         if len(refused) < 3:
@@ -86,9 +86,9 @@
             raise OSError(errno.ENOSPC, "no space")
         record(entry, at, endpoint)
 
-    monkeypatch.setattr(sender.write_ahead_log, "record_attempt", shot)
-    entry = sender.admission.parser.parse(read_request(request("a", "once", "200", 1)))
+    monkeypatch.setattr(sender.delivery.write_ahead_log, "record_attempt", shot)
+    entry = sender.clients.admission.parser.parse(read_request(request("a", "once", "200", 1)))
     gevent.get_hub().loop.update_now()  # the start took a while, and its timers count from before
-    assert sender.admission.admit(entry) == AdmissionResult(HTTPStatus.ACCEPTED) and len(refused) == 1
-    until(lambda: world.count("a") == 1 and not sender.write_ahead_log.live)
+    assert sender.clients.admission.admit(entry) == AdmissionResult(HTTPStatus.ACCEPTED) and len(refused) == 1
+    until(lambda: world.count("a") == 1 and not sender.delivery.write_ahead_log.live)
     assert len(refused) == 3 and refused[2] - refused[0] > 1.5 * LIMITS.retry_s
--- a/tests/server/test_runtime.py
+++ b/tests/server/test_runtime.py
@@ -9,24 +9,20 @@
 from gevent import subprocess
 from support.world import World
 
-from ashpath.server.runtime import StartupError, create_sender
+from ashpath.server.errors import StartupError
+from ashpath.server.runtime import supervise
 
 
-def test_fault_of_a_part(world: World) -> None:
-    """A part that fails is begun anew."""
-    told = [StartupError("x"), None]
-    with pytest.MonkeyPatch.context() as patch:
-        for name, value in world.environment().items():
-            patch.setenv(name, value)
-        sender, _ = create_sender()
-    sender.log = structlog.get_logger()
+def test_a_service_that_fails_begins_again() -> None:
+    failures: list[Exception | None] = [StartupError("x"), None]
 
-    def run() -> None:
-        if (fault := told.pop(0)) is not None:
-            raise fault
+    def service() -> None:
+        failure = failures.pop(0)
+        if failure is not None:
+            raise failure
 
-    sender.supervise(run)
-    assert not told
+    supervise(service, 0.01, structlog.get_logger())
+    assert not failures
 
 
 def test_bad_starts(world: World) -> None:
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from ashpath.cli.standalone import FileConfiguration
+from ashpath.cli.standalone_deployment import FileConfiguration
 from ashpath.server.storage import detached_endpoints as holds
 from ashpath.server.storage import traffic_class_ids as numbers
 from ashpath.server.storage.errors import StateDirectoryError
@@ -199,7 +199,10 @@
     """The tracks that it names are those of the sender's file: no number changes its meaning."""
     folder = StateDirectory(copy_of("standalone", tmp_path), "relay-1")
     folder.close()
-    assert folder.traffic_classes == FileConfiguration(STORED / "sender.toml").settings["classes"]
+    assert (
+        folder.traffic_classes
+        == FileConfiguration.read(STORED / "sender.toml").sender.settings.document["classes"]
+    )
     assert [(row["name"], row["repeat"], row["deadline"]) for row in folder.traffic_classes] == [
         ("free", "retryable", 30000.0),
         ("tag", "dedup", 30000.0),
--- a/tests/test_stored_data_written.py
+++ b/tests/test_stored_data_written.py
@@ -12,7 +12,7 @@
 import pytest
 from test_stored_data import DISK, FAR, STORED, THEN, NoErrors
 
-from ashpath.cli.standalone import FileConfiguration
+from ashpath.cli.standalone_deployment import FileConfiguration
 from ashpath.server.storage import detached_endpoints as holds
 from ashpath.server.storage import outage_store as outages
 from ashpath.server.storage import outcome_store as ends
@@ -96,7 +96,7 @@
 
 def test_imprint_and_lock(tmp_path: Path) -> None:
     folder = StateDirectory(tmp_path, "relay-1")
-    folder.write(FileConfiguration(STORED / "sender.toml").settings["classes"])
+    folder.write(FileConfiguration.read(STORED / "sender.toml").sender.settings.document["classes"])
     folder.close()
     assert (tmp_path / "imprint").read_bytes() == (STANDALONE / "imprint").read_bytes()
     assert (tmp_path / "lock").read_bytes() == b"%d\n" % os.getpid()
