--- a/ashpath/server/operator_commands.py
+++ b/ashpath/server/operator_commands.py
@@ -6,14 +6,11 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 from ashpath.server.control.commands import CommandResult, EndpointCommand, OperatorCommand, Verb
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.http.listener import ClientListener
-from ashpath.server.logs import Logger
 from ashpath.server.policy_runner import PolicyRunner
-from ashpath.server.storage import detached_endpoints
+from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 
 
 class OperatorCommands:
@@ -24,14 +21,12 @@
         policy_runner: PolicyRunner,
         registry: EndpointRegistry,
         listener: ClientListener,
-        state: Path,
-        log: Logger,
+        detached_endpoints: DetachedEndpoints,
     ) -> None:
         self.policy_runner = policy_runner
         self.registry = registry
         self.listener = listener
-        self.state = state
-        self.log = log
+        self.detached_endpoints = detached_endpoints
 
     def handle(self, command: OperatorCommand) -> CommandResult:
         """Carries out one command; never raises for what an operator may ask."""
@@ -52,22 +47,10 @@
             return CommandResult(succeeded=False, message=f"unknown endpoint {endpoint}")
         if detached != (endpoint in known):
             try:
-                detached_endpoints.change(self.state, endpoint, detached, self.log)
+                self.detached_endpoints.change(endpoint, detached=detached)
             except OSError as error:
                 return CommandResult(succeeded=False, message=f"hold not kept: {error.strerror or error}")
             self.policy_runner.shared_memory.publish_detached_change()
             record = self.registry.records.get(endpoint)
             self.policy_runner.set_detached(endpoint, detached=detached, record=record)
         return CommandResult(succeeded=True, message=f"{endpoint} {'draining' if detached else 'back, cold'}")
-
-
-class StoredDetachments:
-    """The endpoints that operators detached, as stored: by this process, or the other of a hot upgrade."""
-
-    def __init__(self, state: Path, log: Logger) -> None:
-        self.state = state
-        self.log = log
-
-    def read(self) -> set[str]:
-        """Ids of endpoints."""
-        return detached_endpoints.read(self.state, self.log)
--- a/ashpath/server/platform_deployment.py
+++ b/ashpath/server/platform_deployment.py
@@ -32,7 +32,7 @@
 from ashpath.server.reload import PlatformReloader
 from ashpath.server.runtime import SenderRuntime
 from ashpath.server.sender import SenderPlace, create_sender
-from ashpath.server.storage import traffic_class_ids
+from ashpath.server.storage.traffic_class_ids import TrafficClassIds
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 if TYPE_CHECKING:
@@ -108,7 +108,7 @@
     """The platform's agent is notified of final outcomes, and nobody asks for them; a `Deployment`."""
 
     def __init__(self, state: Path, agent: Address) -> None:
-        self.state = state
+        self.traffic_class_ids = TrafficClassIds(state)
         self.agent = agent
 
     def create_outcome_store(self, limits: ServerLimits, log: Logger) -> None:
@@ -129,17 +129,17 @@
         self, configuration: SenderConfiguration, *, has_live_messages: bool
     ) -> SenderConfiguration:
         """The ids are stored from the first settings switch on, and forgotten once no message is left."""
-        known = traffic_class_ids.read(self.state)
+        known = self.traffic_class_ids.read()
         restored = configuration.with_traffic_class_ids(
             known, has_live_messages=has_live_messages and bool(known)
         )
         if known and not has_live_messages:
-            traffic_class_ids.forget(self.state)
+            self.traffic_class_ids.remove()
         return restored
 
     def store_traffic_class_ids(self, configuration: SenderConfiguration) -> None:
         """Raises OSError."""
-        traffic_class_ids.write(self.state, configuration.settings.document["classes"])
+        self.traffic_class_ids.write(configuration.settings.document["classes"])
 
 
 def create_runtime() -> tuple[SenderRuntime, LogWriter]:
--- a/ashpath/server/policy_actions.py
+++ b/ashpath/server/policy_actions.py
@@ -113,5 +113,7 @@
         self.logger.info("mode changed", change=text)
         warm_up_time = self.settings.warm_up_time
         self._queue.append(
-            partial(self.outage_store.mode_changed, destination, endpoint_id, down, rate, warm_up_time)
+            partial(self.outage_store.outage_began, destination, endpoint_id, rate)
+            if down
+            else partial(self.outage_store.outage_ended, destination, endpoint_id, rate, warm_up_time)
         )
--- a/ashpath/server/policy_batch.py
+++ b/ashpath/server/policy_batch.py
@@ -94,12 +94,12 @@
             return NO_UPDATES
         monotonic_time = now()
         wall_time = wall()
-        published, detachments_changed = self.shared_memory.updates(wall_time)
+        published = self.shared_memory.updates(wall_time)
         retry_afters = tuple(
-            RetryAfter(destination, endpoint_id, monotonic_time + end - wall_time)
-            for destination, endpoint_id, end in published
+            RetryAfter(notice.destination, notice.endpoint, monotonic_time + notice.end - wall_time)
+            for notice in published.notices
         )
-        return SharedUpdates(retry_afters, self._detachments(detached) if detachments_changed else ())
+        return SharedUpdates(retry_afters, self._detachments(detached) if published.detached_changed else ())
 
     def _detachments(self, detached_here: set[str]) -> tuple[Detachment, ...]:
         detached = self.detached_endpoints.read()
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -98,8 +98,8 @@
             for endpoint_id in detached:
                 policy.set_detached(endpoint_id, True)
             policy.update_endpoints(records, True)
-            for destination, endpoint_id, rate in outages:
-                policy.restore_outage(destination, endpoint_id, rate)
+            for outage in outages:
+                policy.restore_outage(outage.destination, outage.endpoint, outage.rate)
             for message in restored:
                 message.report(policy)
 
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -23,7 +23,6 @@
 from ashpath.server.logs import Logger
 from ashpath.server.reload import Reloader, ReloadService
 from ashpath.server.sender import Sender
-from ashpath.server.storage import detached_endpoints
 
 
 class SenderRuntime:
@@ -68,7 +67,7 @@
     def restore(self) -> set[str]:
         """Gives the policy what the previous incarnation left; the ids of detached endpoints."""
         sender = self.sender
-        detached = detached_endpoints.read(sender.place.state, sender.log)
+        detached = sender.delivery.detached_endpoints.read()
         if sender.discovery is not None and sender.running.current.settings.discovery_pushes:
             sender.discovery.initial_snapshot()
         endpoints = list(sender.delivery.registry.records.values())
--- a/ashpath/server/sender.py
+++ b/ashpath/server/sender.py
@@ -31,14 +31,16 @@
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.limits import ServerLimits
 from ashpath.server.logs import Logger
-from ashpath.server.operator_commands import OperatorCommands, StoredDetachments
+from ashpath.server.operator_commands import OperatorCommands
 from ashpath.server.optional_services import GossipService, MetricsService
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.reload import SettingsSwitch
 from ashpath.server.shutdown import GracefulShutdown
 from ashpath.server.storage import outage_store
+from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.outage_store import OutageStore
-from ashpath.server.storage.shared_memory import PLACES, SIZE, SharedMemory
+from ashpath.server.storage.shared_memory import MAX_PROCESSES, SharedMemory
+from ashpath.server.storage.shared_memory_layout import FILE_BYTES
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 if TYPE_CHECKING:
@@ -75,6 +77,7 @@
     policy_runner: PolicyRunner
     membership: EndpointMembership
     gossip_link: GossipLink
+    detached_endpoints: DetachedEndpoints
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,12 +191,12 @@
 def open_write_ahead_log(place: SenderPlace, limits: ServerLimits) -> WriteAheadLog:
     """Its bytes are what the other files of the state directory leave of `disk_bytes`."""
     files = shared_memory_files(place)
-    return WriteAheadLog(place.state, limits.disk_bytes - files * SIZE - outage_store.SPACE)
+    return WriteAheadLog(place.state, limits.disk_bytes - files * FILE_BYTES - outage_store.MAX_DISK_BYTES)
 
 
 def shared_memory_files(place: SenderPlace) -> int:
     """A process that binds the address by itself is alone."""
-    return 1 if place.inherited_socket is None else PLACES
+    return 1 if place.inherited_socket is None else MAX_PROCESSES
 
 
 def create_delivery_path(
@@ -220,13 +223,14 @@
     classifier = ResponseClassifier(has_load_reports=has_load_reports)
     attempt_runner = AttemptRunner(pool, registry, classifier, notifier, log)
     gossip_link = GossipLink()
+    detached_endpoints = DetachedEndpoints(place.state, log)
     policy_runner = PolicyRunner(
         settings.policy_settings,
         write_ahead_log,
         recorder,
         attempt_runner,
         shared_memory,
-        StoredDetachments(place.state, log),
+        detached_endpoints,
         OutageStore(place.state, log),
         gossip_link,
         log,
@@ -242,6 +246,7 @@
         policy_runner=policy_runner,
         membership=EndpointMembership(registry, policy_runner),
         gossip_link=gossip_link,
+        detached_endpoints=detached_endpoints,
     )
 
 
@@ -284,7 +289,9 @@
     address = place.control or configuration.control
     if not address:
         return None
-    commands = OperatorCommands(delivery.policy_runner, delivery.registry, listener, place.state, log)
+    commands = OperatorCommands(
+        delivery.policy_runner, delivery.registry, listener, delivery.detached_endpoints
+    )
     return ControlListener(parse_address(address), configuration.limits, commands, log)
 
 
--- a/ashpath/server/storage/detached_endpoints.py
+++ b/ashpath/server/storage/detached_endpoints.py
@@ -1,66 +1,92 @@
-"""The operators' holds on endpoints, kept in the state folder so that they outlive a hot upgrade and a kill.
+"""The endpoints that operators have detached, kept so that they outlive a hot upgrade and a kill.
 
-One file, `held-endpoints`: JSON, `{"version": 1, "held": [ids]}`. Written whole beside itself under a name
-of this process (`held-endpoints.PID`) and renamed over: a reader sees the old file or the new, never a torn
-one, and two processes never write the same file. What cannot be read is taken for no holds, with one line
-in the log. The decision of what a hold does is the module's (`Sender.hold`); this only keeps the ids.
+One file, `held-endpoints`: JSON, `{"version": 1, "held": [endpoint ids]}`. It is changed under a lock, as
+the other process of a hot upgrade may change it at the same time, and replaced as a whole. A file that
+cannot be read counts as no endpoint detached, with one line in the log. What being detached means is the
+policy's (`set_detached`); this only keeps the ids.
 """
 
 from __future__ import annotations
 
 import fcntl
-import os
 import time
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from pathlib import Path
-from typing import Any
 
-import orjson
+from ashpath.server.logs import Logger
+from ashpath.server.storage.atomic_file import replace_shared_file
+from ashpath.server.storage.errors import DetachedEndpointsError
+from ashpath.server.storage.file_lock import FileLock
+from ashpath.server.storage.versioned_file import UNREADABLE, VersionedFile
 
-NAME = "held-endpoints"
+FILE_NAME = "held-endpoints"
 VERSION = 1
-MOST = 4096  # ids kept
-TRIES = 50  # at the lock, a millisecond apart
-
-
-def read(folder: Path, log: Any) -> set[str]:
-    """The ids held when the file was last written; an empty set where there is none or it is unreadable."""
-    path = folder / NAME
-    try:
-        told = orjson.loads(path.read_bytes())
-        if told["version"] != VERSION or not all(isinstance(one, str) for one in told["held"]):
-            raise ValueError("not a file of holds of this version")
-        return set(told["held"][:MOST])
-    except FileNotFoundError:
-        return set()
-    except (OSError, ValueError, KeyError, TypeError) as error:
-        log.error("detached endpoints not read, none are detached", file=str(path), error=str(error))
-        return set()
-
-
-def change(folder: Path, endpoint: str, out: bool, log: Any) -> None:
-    """One more hold, or one fewer, in what the file says by now: the other process of a hot upgrade may have
-    written it. Raises OSError where it cannot be: the caller answers ERR, and the hold is not made."""
-    lock = os.open(folder / f"{NAME}.lock", os.O_RDWR | os.O_CREAT, 0o600)
-    try:
-        for tried in range(TRIES):
-            with suppress(BlockingIOError):
-                fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-                held = read(folder, log)
-                if out and len(held) >= MOST:
-                    raise OSError(f"{MOST} endpoints are held already")
-                return write(folder, held | {endpoint} if out else held - {endpoint})
-            time.sleep(0.001 * (tried < TRIES - 1))  # the other has it for one small write
-        raise OSError("another process is writing it")
-    finally:
-        os.close(lock)
-
-
-def write(folder: Path, held: set[str]) -> None:
-    """Raises OSError."""
-    fresh = folder / f"{NAME}.{os.getpid()}"
-    try:
-        fresh.write_bytes(orjson.dumps({"version": VERSION, "held": sorted(held)}))
-        os.replace(fresh, folder / NAME)
-    finally:
-        fresh.unlink(missing_ok=True)
+MAX_ENDPOINTS = 4096
+LOCK_ATTEMPTS = 50
+LOCK_PAUSE_S = 0.001  # between attempts: the other process has the lock for one small write
+
+
+class DetachedEndpoints:
+    """The file in one state directory. Holds nothing in memory: another process may have changed it."""
+
+    def __init__(self, directory: Path, logger: Logger) -> None:
+        self._file = VersionedFile(
+            directory / FILE_NAME, version=VERSION, rows_name="held", contents="detached endpoints"
+        )
+        self._lock_path = directory / f"{FILE_NAME}.lock"
+        self._logger = logger
+
+    def read(self) -> set[str]:
+        """The ids when the file was last written; none where there is no file or it cannot be read."""
+        try:
+            rows = self._file.read_rows()
+            self._check(rows)
+            return set(rows[:MAX_ENDPOINTS])
+        except FileNotFoundError:
+            return set()
+        except UNREADABLE as error:
+            event = "detached endpoints not read, none are detached"
+            self._logger.error(event, file=str(self._file.path), error=str(error))
+            return set()
+
+    def _check(self, rows: list[object]) -> None:
+        if not all(isinstance(endpoint_id, str) for endpoint_id in rows):
+            raise self._file.foreign()
+
+    def change(self, endpoint_id: str, *, detached: bool) -> None:
+        """One endpoint more or fewer, in what the file says by now.
+
+        Raises OSError, DetachedEndpointsError among them, where it cannot be stored: nothing is changed then.
+        """
+        with self._locked():
+            endpoint_ids = self.read()
+            if not detached:
+                self._write(endpoint_ids - {endpoint_id})
+                return
+            if len(endpoint_ids) >= MAX_ENDPOINTS:
+                raise DetachedEndpointsError.too_many(MAX_ENDPOINTS)
+            self._write(endpoint_ids | {endpoint_id})
+
+    def _write(self, endpoint_ids: set[str]) -> None:
+        replace_shared_file(self._file.path, self._file.encode(sorted(endpoint_ids)))
+
+    @contextmanager
+    def _locked(self) -> Iterator[None]:
+        lock = FileLock(self._lock_path)
+        try:
+            _acquire(lock)
+            yield
+        finally:
+            lock.release()
+
+
+def _acquire(lock: FileLock) -> None:
+    """Raises OSError; DetachedEndpointsError where another process keeps the lock."""
+    for attempt in range(LOCK_ATTEMPTS):
+        with suppress(BlockingIOError):
+            fcntl.flock(lock.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            return
+        if attempt < LOCK_ATTEMPTS - 1:
+            time.sleep(LOCK_PAUSE_S)
+    raise DetachedEndpointsError.locked()
--- a/ashpath/server/storage/errors.py
+++ b/ashpath/server/storage/errors.py
@@ -69,3 +69,13 @@
 
 class DetachedEndpointsError(OSError):
     """A change of the detached endpoints cannot be stored."""
+
+    @classmethod
+    def too_many(cls, most: int) -> DetachedEndpointsError:
+        """No endpoint more can be detached."""
+        return cls(f"{most} endpoints are held already")
+
+    @classmethod
+    def locked(cls) -> DetachedEndpointsError:
+        """Another process keeps the lock."""
+        return cls("another process is writing it")
--- a/ashpath/server/storage/outage_store.py
+++ b/ashpath/server/storage/outage_store.py
@@ -1,79 +1,120 @@
-"""Destinations that are out, to this sender, kept in the state folder for a further life.
-
-A sender that was told of an outage goes carefully at the return, and a restart must not make it forget: a
-fleet that restarts while a destination is out would send all that it held at once, to one that has just come
-back cold. One file, `outages`: JSON, `{"version": 1, "out": [[destination, endpoint, rate, until], ...]}`; an
-empty endpoint stands for the whole destination, `rate` is the calls a second that the sender had there
-before, `until` the wall's clock in microseconds at which it is warm again, or null while it is out. Written
-whole beside itself under a name of this process and renamed over, at a change of mode alone. What cannot be
-read is taken for none. What follows from an outage is the module's (`Sender.outage`); this only keeps it.
+"""Destinations and endpoints in outage, to this sender, kept for its next incarnation.
+
+A sender that saw an outage sends carefully at the return, and a restart must not make it forget: a fleet that
+restarts during an outage would send all that it held at once, to a destination that has just come back.
+
+One file, `outages`: JSON, `{"version": 1, "out": [[destination, endpoint, rate, warm at], ...]}`, replaced
+as a whole at each change of mode. An empty endpoint stands for the whole destination. A file that cannot be
+read counts as no outage, with one line in the log. What follows from an outage is the policy's
+(`restore_outage`); this only keeps it.
+
+| mode | stored as | until |
+| --- | --- | --- |
+| in outage | `warm at` null | it ends |
+| in slow start after one | `warm at` its end, microseconds of the wall clock | that time |
 """
 
 from __future__ import annotations
 
-import os
+from collections.abc import Iterable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-import orjson
-
+from ashpath.server.logs import Logger
+from ashpath.server.storage.atomic_file import replace_shared_file
+from ashpath.server.storage.versioned_file import UNREADABLE, VersionedFile
 from ashpath.server.timers import wall
 
-NAME = "outages"
+FILE_NAME = "outages"
 VERSION = 1
-MOST = 128  # rows kept, the latest
-LONGEST = 64  # characters of an endpoint's id; a longer one is not kept
-SPACE = 2 * 16 << 10  # bytes on disk, the old and the new file together
+MAX_OUTAGES = 128  # the latest are kept
+MAX_ENDPOINT_CHARACTERS = 64  # an endpoint with a longer id is not kept
+MAX_DISK_BYTES = 2 * 16 << 10  # the old and the new file together
+
 
-Row = tuple[float, int | None]
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """One outage, or the slow start after it."""
+
+    destination: int
+    endpoint: str
+    """Empty: the whole destination."""
+    rate: float
+    """Attempts a second that the sender had there before."""
+    warm_at: int | None
+    """End of the slow start, microseconds of the wall clock; None while the outage lasts."""
 
 
 class OutageStore:
-    def __init__(self, folder: Path, log: Any) -> None:
-        self.path, self.log, self.failing = folder / NAME, log, False
-        self.rows: dict[tuple[int, str], Row] = {}
+    """The outages of one state directory. A change that cannot be written counts in this process alone."""
+
+    def __init__(self, directory: Path, logger: Logger) -> None:
+        self._file = VersionedFile(
+            directory / FILE_NAME, version=VERSION, rows_name="out", contents="outages"
+        )
+        self._logger = logger
+        self._failing = False  # the last write failed: said once
+        self.outages: dict[tuple[int, str], Outage] = {}
+        """By destination and endpoint, the oldest change first; those that are over go at the next change."""
         try:
-            told = orjson.loads(self.path.read_bytes())
-            if told["version"] != VERSION:
-                raise ValueError("not a file of outages of this version")
-            for destination, endpoint, rate, until in told["out"][-MOST:]:
-                row = (float(rate), None if until is None else int(until))
-                self.rows[int(destination), str(endpoint)] = row
+            for row in self._file.read_rows()[-MAX_OUTAGES:]:
+                self._add(_outage(row))
         except FileNotFoundError:
             pass
-        except (OSError, ValueError, KeyError, TypeError) as error:
-            self.rows.clear()
-            log.error("outages not read, none are known", file=str(self.path), error=str(error))
-
-    def active(self) -> list[tuple[int, str, float]]:
-        """Those of an earlier life that last, or from which a destination is not warm yet."""
-        now = wall()
-        kept = [(*place, rate) for place, (rate, until) in self.rows.items() if until is None or until > now]
-        return [(destination, endpoint, rate) for destination, endpoint, rate in kept]
-
-    def mode_changed(self, destination: int, endpoint: str, out: bool, rate: float, ramp: int) -> None:
-        """A change of mode: it is out, or, where it was, back and warm after `ramp`."""
-        place, before = (destination, endpoint), self.rows.get((destination, endpoint))
-        known = before is not None and before[1] is None
-        if out == known or (not out and before is None) or len(endpoint) > LONGEST:
+        except UNREADABLE as error:
+            self.outages.clear()
+            logger.error("outages not read, none are known", file=str(self._file.path), error=str(error))
+
+    def active(self) -> list[Outage]:
+        """Those that last, or after which the destination is still in slow start."""
+        return _active(self.outages.values(), wall())
+
+    def outage_began(self, destination: int, endpoint: str, rate: float) -> None:
+        """Stored, if it was not in outage before."""
+        if not self._in_outage(destination, endpoint):
+            self._store(Outage(destination, endpoint, rate, None), wall())
+
+    def outage_ended(self, destination: int, endpoint: str, rate: float, ramp: int) -> None:
+        """It is in slow start, for `ramp` microseconds from now; nothing, if it was not in outage."""
+        if self._in_outage(destination, endpoint):
+            now = wall()
+            self._store(Outage(destination, endpoint, rate, now + ramp), now)
+
+    def _in_outage(self, destination: int, endpoint: str) -> bool:
+        known = self.outages.get((destination, endpoint))
+        return known is not None and known.warm_at is None
+
+    def _add(self, outage: Outage) -> None:
+        self.outages[outage.destination, outage.endpoint] = outage
+
+    def _store(self, outage: Outage, now: int) -> None:
+        if len(outage.endpoint) > MAX_ENDPOINT_CHARACTERS:
             return
-        now = wall()
-        self.rows = {p: row for p, row in self.rows.items() if row[1] is None or row[1] > now}
-        self.rows.pop(place, None)
-        self.rows[place] = (rate, None if out else now + ramp)
-        while len(self.rows) > MOST:
-            del self.rows[next(iter(self.rows))]
-        self.write()
-
-    def write(self) -> None:
-        told = [[*place, *row] for place, row in self.rows.items()]
-        fresh = self.path.with_name(f"{NAME}.{os.getpid()}")
+        active = _active(self.outages.values(), now)
+        self.outages = {(one.destination, one.endpoint): one for one in active}
+        self.outages.pop((outage.destination, outage.endpoint), None)  # it goes to the end
+        self._add(outage)
+        while len(self.outages) > MAX_OUTAGES:
+            del self.outages[next(iter(self.outages))]
+        self._write()
+
+    def _write(self) -> None:
+        rows = [[one.destination, one.endpoint, one.rate, one.warm_at] for one in self.outages.values()]
         try:
-            fresh.write_bytes(orjson.dumps({"version": VERSION, "out": told}))
-            os.replace(fresh, self.path)
-            self.failing = False
+            replace_shared_file(self._file.path, self._file.encode(rows))
+            self._failing = False
         except OSError as error:
-            fresh.unlink(missing_ok=True)
-            if not self.failing:
-                self.log.error("outages not written", error=str(error))
-            self.failing = True
+            if not self._failing:
+                self._logger.error("outages not written", error=str(error))
+            self._failing = True
+
+
+def _outage(row: list[Any]) -> Outage:
+    """Of one row of the file. Raises ValueError, TypeError."""
+    destination, endpoint, rate, warm_at = row
+    return Outage(int(destination), str(endpoint), float(rate), None if warm_at is None else int(warm_at))
+
+
+def _active(outages: Iterable[Outage], now: int) -> list[Outage]:
+    return [outage for outage in outages if outage.warm_at is None or outage.warm_at > now]
--- a/ashpath/server/storage/shared_memory.py
+++ b/ashpath/server/storage/shared_memory.py
@@ -1,145 +1,157 @@
-"""What one process of a sender was told that binds the others at once: waits, and that holds have changed.
-
-To the rules the two processes of a hot upgrade are one sender. Each holds one of PLACES files in the state
-folder, `board-0` and so on, locked for as long as it lives and mapped to write; it maps the others to read.
-A wait told is a record stored in memory that the kernel shares: it binds the others from their next look,
-which each turn and each shot takes before its first byte, and it outlives its writer however that ends. A
-look compares two counters in memory, so that nothing is walked or read in a day without an upgrade.
-
-Layout: MAGIC, the counter of waits, the counter of holds; then WAITS records of checksum, end on the wall's
-clock (microseconds), destination, and the endpoint's id. A record is whole before its counter moves; one
-that is not sound binds nobody. Room for a file is taken as it is made, since a store into a mapped hole on a
-full disk would end the process. Past WAITS running waits the one that ends first gives way.
+"""What binds every process of a sender at once: Retry-After notices, and changes of detached endpoints.
+
+Theory of operation. To the rules, the two processes of a hot upgrade are one sender. Each holds one of
+MAX_PROCESSES files of the state directory, `board-0` and so on: locked for as long as it lives, and mapped
+to write. It maps the others to read. A notice is a record stored in memory that the kernel shares: it binds
+the other processes from their next look, which each batch of the policy takes, and each attempt before its
+first byte; and it outlives its writer however that ends. A look compares two counters in memory, so nothing
+is read on a day without a hot upgrade.
+
+A record is whole before its counter moves (`shared_memory_layout.py`). The disk for a file is taken when it
+is made, since a store into a mapped hole on a full disk would end the process. Where MAX_NOTICES are
+running, the one that ends first gives way.
 """
 
 from __future__ import annotations
 
-import fcntl
 import mmap
 import os
 from contextlib import suppress
+from dataclasses import dataclass
 from pathlib import Path
-from struct import Struct
-from zlib import crc32
 
-PLACES = 3  # an old process, a new one, and one more that was killed and is not gone yet
-WAITS = 255
-MAGIC = b"ashbrd01"
-HEAD = Struct("<8sQQ40x")
-RECORD = Struct("<IqqB43s")
-LONGEST = 43  # bytes of an id; a longer one is left out, and the wait binds its whole destination
-SIZE = HEAD.size + WAITS * RECORD.size
-COUNTERS = slice(8, 24)
-
-Told = tuple[int, str, int]  # destination, endpoint, end on the wall's clock in microseconds
+from ashpath.server.storage.file_lock import try_lock
+from ashpath.server.storage.shared_memory_layout import (
+    COUNTERS,
+    DETACHED_COUNTER,
+    FILE_BYTES,
+    HEADER,
+    MAX_NOTICES,
+    Counters,
+    RetryAfterNotice,
+    encode_header,
+    encode_notice,
+    is_ours,
+    read_counters,
+    read_notices,
+    record_slice,
+)
+
+MAX_PROCESSES = 3  # an old process, a new one, and one more that was killed and is not gone yet
+NOTHING_SEEN = bytes(COUNTERS.stop - COUNTERS.start)
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedUpdates:
+    """What other processes have published since the last look."""
+
+    notices: list[RetryAfterNotice]
+    """Those that still run."""
+    detached_changed: bool
+    """The file of detached endpoints may have changed."""
 
 
 class SharedMemory:
-    def __init__(self, folder: Path, places: int = PLACES) -> None:
-        """`places`: 1 where no other process can serve beside this one. Without a free place, or without
-        disk for it, `own` stays empty: this process reads the others', and they do not hear of it."""
+    """This process's memory and the view of the others'."""
+
+    def __init__(self, directory: Path, max_processes: int = MAX_PROCESSES) -> None:
+        """`max_processes`: 1 where no other process can serve beside this one.
+
+        Without a free file, or without disk for it, `own` stays None: this process reads what the others
+        publish, and they do not receive what it does.
+        """
         self.own: mmap.mmap | None = None
-        self.others: list[mmap.mmap] = []
-        self.lock = -1
-        for path in (folder / f"board-{place}" for place in range(places)):
-            with suppress(OSError):  # no disk: that place is not to be had
-                self.open(path)
-        self.seen = [bytes(16) for _ in self.others]  # the others' counters at the last look
-        self.wait_ends = [0] * WAITS  # of the own records; 0: never used
-        self.keys: dict[tuple[int, str], int] = {}  # of the own records, to their place
-        self.wait_count = self.detached_count = 0
-        self.recovered = read(self.own)  # what the place held: an earlier life's, or one's that is just gone
+        self.counters = Counters(0, 0)  # of the own memory
+        self._others: list[mmap.mmap] = []
+        self._lock = -1  # a descriptor of the own file, which keeps its lock
+        self._ends = [0] * MAX_NOTICES  # of the own records; 0: never used
+        self._indexes: dict[tuple[int, str], int] = {}  # of the own records, by destination and endpoint
+        for number in range(max_processes):
+            with suppress(OSError):  # no disk: that file is not to be had
+                self._open(directory / f"board-{number}")
+        self._seen = [NOTHING_SEEN for _ in self._others]  # the others' counters at the last look
+        self._recovered: list[RetryAfterNotice] = []
         if self.own is not None:
-            if self.own[:8] == MAGIC:
-                _, self.wait_count, self.detached_count = HEAD.unpack_from(self.own)
-            else:
-                self.own[:] = bytes(SIZE)
-            self.own[: HEAD.size] = HEAD.pack(MAGIC, self.wait_count, self.detached_count)
-            for place, end, (destination, endpoint, _) in self.recovered:
-                self.wait_ends[place], self.keys[destination, endpoint] = end, place
+            self._recover(self.own)
 
-    def open(self, path: Path) -> None:
+    def _open(self, path: Path) -> None:
         file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
         try:
-            if os.fstat(file).st_size < SIZE:
-                os.posix_fallocate(file, 0, SIZE)
-            if self.own is None and free(file):
-                self.own, self.lock = mmap.mmap(file, SIZE), os.dup(file)
+            if os.fstat(file).st_size < FILE_BYTES:
+                os.posix_fallocate(file, 0, FILE_BYTES)
+            if self.own is None and try_lock(file):
+                self.own = mmap.mmap(file, FILE_BYTES)
+                self._lock = os.dup(file)
             else:
-                self.others.append(mmap.mmap(file, SIZE, access=mmap.ACCESS_READ))
+                self._others.append(mmap.mmap(file, FILE_BYTES, access=mmap.ACCESS_READ))
         finally:
             os.close(file)
 
+    def _recover(self, own: mmap.mmap) -> None:
+        """What the memory's last owner published, an earlier incarnation or a process that is just gone, is
+        received by this one and goes on to bind the others."""
+        notices = read_notices(own)
+        self._recovered = list(notices.values())
+        if is_ours(own):
+            self.counters = read_counters(own)
+        else:
+            own[:] = bytes(FILE_BYTES)
+        own[: HEADER.size] = encode_header(self.counters)
+        for index, notice in notices.items():
+            self._ends[index] = notice.end
+            self._indexes[notice.destination, notice.endpoint] = index
+
     def publish_retry_after(self, destination: int, endpoint: str, end: int) -> None:
-        """A wait told to this process, until `end` on the wall's clock in microseconds."""
+        """A notice that this process received; `end` in microseconds of the wall clock.
+
+        Nothing where one with the same or a later end stands for the same endpoint.
+        """
         if self.own is None:
             return
-        place = self.keys.get((destination, endpoint))
-        if place is None:
-            place = self.wait_ends.index(min(self.wait_ends))
-            self.keys = {key: at for key, at in self.keys.items() if at != place}
-            self.keys[destination, endpoint] = place
-        elif end <= self.wait_ends[place]:
+        index = self._indexes.get((destination, endpoint))
+        if index is None:
+            index = self._ends.index(min(self._ends))
+            self._indexes = {key: used for key, used in self._indexes.items() if used != index}
+            self._indexes[destination, endpoint] = index
+        elif end <= self._ends[index]:
             return
-        self.wait_ends[place] = end
-        id_ = endpoint.encode()
-        id_ = id_ if len(id_) <= LONGEST else b""
-        data = RECORD.pack(0, end, destination, len(id_), id_)[4:]
-        at = HEAD.size + place * RECORD.size
-        self.own[at : at + RECORD.size] = crc32(data).to_bytes(4, "little") + data
-        self.wait_count += 1
-        self.count()
+        self._ends[index] = end
+        self.own[record_slice(index)] = encode_notice(RetryAfterNotice(destination, endpoint, end))
+        self._publish(Counters(self.counters.notices + 1, self.counters.detached_changes))
 
     def publish_detached_change(self) -> None:
-        """The file of holds was written by this process."""
-        self.detached_count += 1
-        self.count()
+        """This process has written the file of detached endpoints."""
+        self._publish(Counters(self.counters.notices, self.counters.detached_changes + 1))
 
-    def count(self) -> None:
+    def _publish(self, counters: Counters) -> None:
+        self.counters = counters
         if self.own is not None:
-            self.own[: HEAD.size] = HEAD.pack(MAGIC, self.wait_count, self.detached_count)
+            self.own[: HEADER.size] = encode_header(counters)
 
     def changed(self) -> bool:
-        """Whether another process was told anything since the last `news`."""
-        return bool(self.recovered) or any(
-            other[COUNTERS] != seen for other, seen in zip(self.others, self.seen, strict=True)
+        """Whether another process has published anything since the last `updates`."""
+        return bool(self._recovered) or any(
+            other[COUNTERS] != seen for other, seen in zip(self._others, self._seen, strict=True)
         )
 
-    def updates(self, now: int) -> tuple[list[Told], bool]:
-        """Waits running that others were told since the last look, and whether holds may have changed."""
-        records, self.recovered, holds = self.recovered, [], False
-        for number, other in enumerate(self.others):
+    def updates(self, now: int) -> PublishedUpdates:
+        """What others have published since the last look; `now` in microseconds of the wall clock."""
+        notices = self._recovered
+        self._recovered = []
+        detached_changed = False
+        for number, other in enumerate(self._others):
+            seen = self._seen[number]
             counters = other[COUNTERS]  # before the records: one that comes meanwhile is seen the next time
-            if counters != self.seen[number]:
-                holds = holds or counters[8:] != self.seen[number][8:]
-                self.seen[number] = counters
-                records = records + read(other)
-        return [told for _, end, told in records if end > now], holds
+            if counters != seen:
+                detached_changed = detached_changed or counters[DETACHED_COUNTER] != seen[DETACHED_COUNTER]
+                self._seen[number] = counters
+                notices = [*notices, *read_notices(other).values()]
+        return PublishedUpdates([notice for notice in notices if notice.end > now], detached_changed)
 
     def close(self) -> None:
-        for held in (self.own, *self.others):
-            if held is not None:
-                held.close()
-        if self.lock >= 0:
-            os.close(self.lock)
-
-
-def free(file: int) -> bool:
-    """Whether no living process holds the place; it is this one's then. A copy of the descriptor keeps it."""
-    try:
-        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError:
-        return False
-    return True
-
-
-def read(board: mmap.mmap | None) -> list[tuple[int, int, Told]]:
-    """The sound records of a board: place, end, and what was told. Nothing of a foreign one."""
-    if board is None or board[:8] != MAGIC:
-        return []
-    found = []
-    rows = RECORD.iter_unpack(board[HEAD.size : SIZE])
-    for place, (check, end, destination, length, id_) in enumerate(rows):
-        if end and check == crc32(RECORD.pack(0, end, destination, length, id_)[4:]):
-            found.append((place, end, (destination, id_[:length].decode("utf-8", "replace"), end)))
-    return found
+        """Another process may have the own file. What is published in it goes on to bind."""
+        for memory in (self.own, *self._others):
+            if memory is not None:
+                memory.close()
+        if self._lock >= 0:
+            os.close(self._lock)
--- /dev/null
+++ b/ashpath/server/storage/shared_memory_layout.py
@@ -0,0 +1,100 @@
+"""Layout of the memory that processes of a hot upgrade share: a header, and records of Retry-After notices.
+
+| bytes | header |
+| --- | --- |
+| 0-7 | MAGIC; memory without it is foreign, and has no records |
+| 8-15 | how many notices were published, little endian |
+| 16-23 | how often this process changed the detached endpoints |
+| 24-63 | unused |
+
+| bytes of a record | |
+| --- | --- |
+| 0-3 | CRC-32 of the rest; a record that fails it binds nobody, so a torn one does no harm |
+| 4-11 | end of the notice, microseconds of the wall clock; 0: the record was never used |
+| 12-19 | destination |
+| 20 | bytes of the endpoint's id |
+| 21-63 | the id in UTF-8; empty: the notice binds the whole destination |
+
+The layout is stored data: processes of two releases read each other's in a hot upgrade.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from mmap import mmap
+from struct import Struct
+from typing import NamedTuple
+from zlib import crc32
+
+MAGIC = b"ashbrd01"
+HEADER = Struct("<8sQQ40x")
+RECORD = Struct("<IqqB43s")
+CHECKSUM_BYTES = 4
+MAX_NOTICES = 255
+MAX_ENDPOINT_BYTES = 43
+FILE_BYTES = HEADER.size + MAX_NOTICES * RECORD.size
+COUNTERS = slice(8, 24)
+DETACHED_COUNTER = slice(8, 16)  # within the counters
+
+
+@dataclass(frozen=True, slots=True)
+class RetryAfterNotice:
+    """An endpoint, or a whole destination, asked for no attempts until a time."""
+
+    destination: int
+    endpoint: str
+    """Empty: the whole destination."""
+    end: int
+    """Microseconds of the wall clock."""
+
+
+class Counters(NamedTuple):
+    """What another process compares to see that something was published."""
+
+    notices: int
+    detached_changes: int
+
+
+def record_slice(index: int) -> slice:
+    """Where the record stands in the memory."""
+    start = HEADER.size + index * RECORD.size
+    return slice(start, start + RECORD.size)
+
+
+def encode_header(counters: Counters) -> bytes:
+    """The first bytes of the memory."""
+    return HEADER.pack(MAGIC, counters.notices, counters.detached_changes)
+
+
+def encode_notice(notice: RetryAfterNotice) -> bytes:
+    """One record. An endpoint whose id is too long is left out: its whole destination is bound."""
+    endpoint = notice.endpoint.encode()
+    if len(endpoint) > MAX_ENDPOINT_BYTES:
+        endpoint = b""
+    fields = RECORD.pack(0, notice.end, notice.destination, len(endpoint), endpoint)[CHECKSUM_BYTES:]
+    return crc32(fields).to_bytes(CHECKSUM_BYTES, "little") + fields
+
+
+def is_ours(memory: mmap) -> bool:
+    """Whether a process has used it before."""
+    return memory[: len(MAGIC)] == MAGIC
+
+
+def read_counters(memory: mmap) -> Counters:
+    """Of memory that is ours."""
+    _, notices, detached_changes = HEADER.unpack_from(memory)
+    return Counters(notices, detached_changes)
+
+
+def read_notices(memory: mmap) -> dict[int, RetryAfterNotice]:
+    """The sound records by index; none of foreign memory."""
+    if not is_ours(memory):
+        return {}
+    found = {}
+    rows = RECORD.iter_unpack(memory[HEADER.size : FILE_BYTES])
+    for index, (checksum, end, destination, length, endpoint) in enumerate(rows):
+        fields = RECORD.pack(0, end, destination, length, endpoint)[CHECKSUM_BYTES:]
+        if end and checksum == crc32(fields):
+            endpoint_id = endpoint[:length].decode("utf-8", "replace")
+            found[index] = RetryAfterNotice(destination, endpoint_id, end)
+    return found
--- a/tests/server/storage/test_detached_endpoints.py
+++ b/tests/server/storage/test_detached_endpoints.py
@@ -5,18 +5,26 @@
 from pathlib import Path
 
 import pytest
+from support.loggers import RecordingLogger
 
-from ashpath.server.storage import detached_endpoints as holds
+from ashpath.server.storage.detached_endpoints import FILE_NAME, DetachedEndpoints
 
+UNREADABLE = [b'{"version": 1, "held": ["e1"', b'{"version": 9, "held": []}', b"\xff", b"[1]"]
 
-@pytest.mark.parametrize(
-    "spoilt", [b'{"version": 1, "held": ["e1"', b'{"version": 9, "held": []}', b"\xff", b"[1]"]
-)
-def test_holds_outlive_the_process_and_torn_files_are_nothing(tmp_path: Path, spoilt: bytes) -> None:
-    lines: list[str] = []
-    log = type("Log", (), {"error": lambda self, event, **_: lines.append(event)})()
-    holds.write(tmp_path, {"e1", "e2"})
-    assert holds.read(tmp_path, log) == {"e1", "e2"} and not lines
-    assert [path.name for path in tmp_path.iterdir()] == [holds.NAME]  # nothing of the process left beside
-    (tmp_path / holds.NAME).write_bytes(spoilt)
-    assert holds.read(tmp_path, log) == set() and lines == ["detached endpoints not read, none are detached"]
+
+def test_detached_endpoints_outlive_the_process(tmp_path: Path) -> None:
+    log = RecordingLogger()
+    for endpoint_id in ("e1", "e2"):
+        DetachedEndpoints(tmp_path, log.logger).change(endpoint_id, detached=True)
+    assert DetachedEndpoints(tmp_path, log.logger).read() == {"e1", "e2"}
+    assert not log.events
+    # Nothing of the process is left beside the file and its lock.
+    assert sorted(path.name for path in tmp_path.iterdir()) == [FILE_NAME, f"{FILE_NAME}.lock"]
+
+
+@pytest.mark.parametrize("content", UNREADABLE)
+def test_a_file_that_cannot_be_read_detaches_nothing(tmp_path: Path, content: bytes) -> None:
+    log = RecordingLogger()
+    (tmp_path / FILE_NAME).write_bytes(content)
+    assert DetachedEndpoints(tmp_path, log.logger).read() == set()
+    assert log.events == ["detached endpoints not read, none are detached"]
--- a/tests/server/storage/test_outage_store.py
+++ b/tests/server/storage/test_outage_store.py
@@ -3,57 +3,71 @@
 from __future__ import annotations
 
 import errno
+import os
 from pathlib import Path
 
 import pytest
+from support.loggers import RecordingLogger
 
-from ashpath.server.storage import outage_store as outages
-from ashpath.server.storage.outage_store import OutageStore
+from ashpath.server.storage.outage_store import (
+    MAX_DISK_BYTES,
+    MAX_ENDPOINT_CHARACTERS,
+    MAX_OUTAGES,
+    OutageStore,
+)
 
+MINUTE_US = 60_000_000
+UNREADABLE = [b"", b'{"version": 1, "out": [[7]]}', b'{"version": 2, "out": []}', b"[]", b'{"version":1}']
 
-class Lines:
-    """In place of the log: the events."""
 
-    def __init__(self) -> None:
-        self.seen: list[str] = []
-
-    def error(self, event: str, **_: object) -> None:
-        self.seen.append(event)
+def active(store: OutageStore) -> list[tuple[int, str, float]]:
+    return [(outage.destination, outage.endpoint, outage.rate) for outage in store.active()]
 
 
 def test_outages_outlive_the_process(tmp_path: Path) -> None:
-    """Kept at each change of mode: while it is out, then until it is warm; the rate it had goes with it."""
-    log = Lines()
-    one = OutageStore(tmp_path, log)
-    one.mode_changed(7, "", True, 1.5, 60_000_000)
-    one.mode_changed(7, "", True, 9.0, 60_000_000)  # its breaker opened again: no change
-    one.mode_changed(8, "e8", True, 0.5, 60_000_000)
-    one.mode_changed(9, "", False, 0.5, 60_000_000)  # never out
-    assert OutageStore(tmp_path, log).active() == [(7, "", 1.5), (8, "e8", 0.5)]
-    one.mode_changed(7, "", False, 1.5, 60_000_000)
-    one.mode_changed(8, "e8", False, 0.5, -1)  # warm at once
-    assert OutageStore(tmp_path, log).active() == [(7, "", 1.5)] and not log.seen
-
-
-def test_outages_that_cannot_be_kept(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    """A torn or foreign file is none, and said; a full disk is said once; no file grows with destinations."""
-    log = Lines()
-    for text in (b"", b'{"version": 1, "out": [[7]]}', b'{"version": 2, "out": []}', b"[]", b'{"version":1}'):
-        (tmp_path / "outages").write_bytes(text)
-        assert OutageStore(tmp_path, log).active() == []
-    assert log.seen == ["outages not read, none are known"] * 5
-    one = OutageStore(tmp_path, log)
+    """Kept at each change of mode: during the outage, then in slow start; the rate before it goes with it."""
+    log = RecordingLogger()
+    store = OutageStore(tmp_path, log.logger)
+    store.outage_began(7, "", 1.5)
+    store.outage_began(7, "", 9.0)  # its breaker opened again: no change
+    store.outage_began(8, "e8", 0.5)
+    store.outage_ended(9, "", 0.5, MINUTE_US)  # never in outage
+    assert active(OutageStore(tmp_path, log.logger)) == [(7, "", 1.5), (8, "e8", 0.5)]
+    store.outage_ended(7, "", 1.5, MINUTE_US)
+    store.outage_ended(8, "e8", 0.5, -1)  # warm at once
+    assert active(OutageStore(tmp_path, log.logger)) == [(7, "", 1.5)]
+    assert not log.events
+
+
+@pytest.mark.parametrize("content", UNREADABLE)
+def test_a_file_that_cannot_be_read_is_no_outage(tmp_path: Path, content: bytes) -> None:
+    """A torn or foreign file, and said."""
+    log = RecordingLogger()
+    (tmp_path / "outages").write_bytes(content)
+    assert active(OutageStore(tmp_path, log.logger)) == []
+    assert log.events == ["outages not read, none are known"]
+
+
+def test_the_file_does_not_grow_with_destinations(tmp_path: Path) -> None:
+    store = OutageStore(tmp_path, RecordingLogger().logger)
     for number in range(500):
-        one.mode_changed(number, "e" * outages.LONGEST, True, 1.0, 1)
-    one.mode_changed(999, "e" * 4096, True, 1.0, 1)
-    assert 2 * (tmp_path / "outages").stat().st_size < outages.SPACE
-    assert len(one.active()) == outages.MOST and one.active()[-1][0] == 499
-    log.seen.clear()
+        store.outage_began(number, "e" * MAX_ENDPOINT_CHARACTERS, 1.0)
+    store.outage_began(999, "e" * 4096, 1.0)
+    assert 2 * (tmp_path / "outages").stat().st_size < MAX_DISK_BYTES
+    assert len(store.active()) == MAX_OUTAGES
+    assert store.active()[-1].destination == 499
+
+
+def test_a_full_disk_is_said_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    log = RecordingLogger()
+    store = OutageStore(tmp_path, log.logger)
+    store.outage_began(1, "", 1.0)
 
     def full(*_: object) -> None:
         raise OSError(errno.ENOSPC, "no space")
 
-    monkeypatch.setattr(outages.os, "replace", full)
+    monkeypatch.setattr(os, "replace", full)
     for number in (600, 601):
-        one.mode_changed(number, "", True, 1.0, 1)
-    assert log.seen == ["outages not written"] and [path.name for path in tmp_path.iterdir()] == ["outages"]
+        store.outage_began(number, "", 1.0)
+    assert log.events == ["outages not written"]
+    assert [path.name for path in tmp_path.iterdir()] == ["outages"]
--- a/tests/server/storage/test_shared_memory.py
+++ b/tests/server/storage/test_shared_memory.py
@@ -3,51 +3,129 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
-from ashpath.server.storage.shared_memory import HEAD, WAITS, SharedMemory
-
-
-def test_the_board_binds_the_other_process_from_its_next_look(tmp_path: Path) -> None:
-    """Guards waits heard by one process of a hot upgrade: the other is bound at once, whoever ends how."""
-    old, new, late = SharedMemory(tmp_path), SharedMemory(tmp_path), SharedMemory(tmp_path)
-    assert not new.changed() and new.own is not None and new.own is not old.own
-    old.publish_retry_after(7, "x1", 5_000_000)
-    assert new.changed() and new.updates(1_000_000) == ([(7, "x1", 5_000_000)], False)
-    assert not new.changed() and not old.changed()
-    old.publish_retry_after(7, "x1", 4_000_000)  # shorter than the one told: nothing new
-    assert not new.changed()
-    old.publish_retry_after(
-        8, "e" * 200, 6_000_000
-    )  # an id too long for a record: its whole destination waits
-    assert (8, "", 6_000_000) in new.updates(5_500_000)[0] and late.updates(5_500_000)[0] == [
-        (8, "", 6_000_000)
-    ]
-    old.publish_detached_change()
-    assert new.updates(0)[1] and not new.updates(0)[1]
-    for number in range(WAITS + 5):  # a full board: those that end first have given way
-        old.publish_retry_after(number, "y", 10_000_000 + number)
-    told = new.updates(0)[0]
-    assert len(told) == WAITS and {end - 10_000_000 for _, _, end in told} == set(range(5, WAITS + 5))
-    assert old.own is not None
-    old.own[HEAD.size + 8] ^= 1  # torn: binds nobody
-    old.count()
-    old.publish_detached_change()
-    assert len(new.updates(0)[0]) == WAITS - 1
-    old.close()  # as a SIGKILL would: nothing is written at the end
-    again = SharedMemory(tmp_path)  # takes the place over, and with it what stood there
-    assert len(again.updates(0)[0]) == WAITS - 1 and len(late.updates(0)[0]) == WAITS - 1
+from ashpath.server.storage.shared_memory import PublishedUpdates, SharedMemory
+from ashpath.server.storage.shared_memory_layout import HEADER, MAX_NOTICES, RetryAfterNotice
+
+NONE = PublishedUpdates([], detached_changed=False)
+
+
+class Processes:
+    """The memories of two processes, and of one that starts late."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.old = SharedMemory(directory)
+        self.new = SharedMemory(directory)
+        self.late = SharedMemory(directory)
+
+    def close(self) -> None:
+        self.new.close()
+        self.late.close()
+
+
+@pytest.fixture
+def processes(tmp_path: Path) -> Iterator[Processes]:
+    """`old` is closed by the test, or never."""
+    made = Processes(tmp_path)
+    yield made
+    made.close()
+
+
+def test_each_process_has_memory_of_its_own(processes: Processes) -> None:
+    assert processes.new.own is not None
+    assert processes.new.own is not processes.old.own
+    assert not processes.new.changed()
+
+
+def test_a_notice_binds_the_other_process_at_its_next_look(processes: Processes) -> None:
+    """Guards Retry-After received by one process of a hot upgrade: the other is bound at once."""
+    processes.old.publish_retry_after(7, "x1", 5_000_000)
+    assert processes.new.changed()
+    notice = RetryAfterNotice(7, "x1", 5_000_000)
+    assert processes.new.updates(1_000_000) == PublishedUpdates([notice], detached_changed=False)
+    assert not processes.new.changed()
+    assert not processes.old.changed()
+
+
+def test_a_shorter_notice_is_nothing_new(processes: Processes) -> None:
+    processes.old.publish_retry_after(7, "x1", 5_000_000)
+    processes.new.updates(1_000_000)
+    processes.old.publish_retry_after(7, "x1", 4_000_000)
+    assert not processes.new.changed()
+
+
+def test_an_endpoint_id_too_long_for_a_record_binds_its_destination(processes: Processes) -> None:
+    processes.old.publish_retry_after(7, "x1", 5_000_000)
+    processes.old.publish_retry_after(8, "e" * 200, 6_000_000)
+    notice = RetryAfterNotice(8, "", 6_000_000)
+    assert notice in processes.new.updates(5_500_000).notices
+    assert processes.late.updates(5_500_000).notices == [notice]  # the other one is over
+
+
+def test_a_change_of_detached_endpoints_is_seen_once(processes: Processes) -> None:
+    processes.old.publish_detached_change()
+    assert processes.new.updates(0).detached_changed
+    assert not processes.new.updates(0).detached_changed
+
+
+def fill(memory: SharedMemory) -> None:
+    for number in range(MAX_NOTICES + 5):
+        memory.publish_retry_after(number, "y", 10_000_000 + number)
+
+
+def test_full_memory_drops_the_notices_that_end_first(processes: Processes) -> None:
+    processes.old.publish_retry_after(7, "x1", 5_000_000)
+    fill(processes.old)
+    notices = processes.new.updates(0).notices
+    assert len(notices) == MAX_NOTICES
+    assert {notice.end - 10_000_000 for notice in notices} == set(range(5, MAX_NOTICES + 5))
+
+
+def tear_first_record(memory: SharedMemory) -> None:
+    assert memory.own is not None
+    memory.own[HEADER.size + 8] ^= 1
+    memory.publish_detached_change()
+
+
+def test_a_torn_record_binds_nobody(processes: Processes) -> None:
+    fill(processes.old)
+    tear_first_record(processes.old)
+    assert len(processes.new.updates(0).notices) == MAX_NOTICES - 1
+
+
+def test_a_process_takes_over_memory_and_what_it_has(processes: Processes) -> None:
+    """As after a SIGKILL: nothing is written at the end."""
+    fill(processes.old)
+    tear_first_record(processes.old)
+    processes.old.close()
+    again = SharedMemory(processes.directory)
+    assert len(again.updates(0).notices) == MAX_NOTICES - 1
+    assert len(processes.late.updates(0).notices) == MAX_NOTICES - 1
     again.publish_retry_after(1, "z", 20_000_000)
-    assert (1, "z", 20_000_000) in new.updates(0)[0]
-    for board in (new, late, again):
-        board.close()
+    assert RetryAfterNotice(1, "z", 20_000_000) in processes.new.updates(0).notices
+    again.close()
+
+
+def test_foreign_memory_has_no_notices(tmp_path: Path) -> None:
     (tmp_path / "board-0").write_bytes(b"foreign" * 5000)
-    assert SharedMemory(tmp_path, 1).updates(0) == ([], False)
-    with pytest.MonkeyPatch.context() as patch:  # a full disk: no place, no crash, and it still looks
-        patch.setattr(os, "posix_fallocate", lambda *_: (_ for _ in ()).throw(OSError(28, "no space")))
-        (tmp_path / "fresh").mkdir()
-        none = SharedMemory(tmp_path / "fresh")
-        none.publish_retry_after(1, "a", 9)
-        assert none.own is None and none.updates(0) == ([], False)
+    assert SharedMemory(tmp_path, 1).updates(0) == NONE
+
+
+def test_a_full_disk_leaves_a_process_without_memory_of_its_own(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """No crash, and it still looks."""
+
+    def full(*_: object) -> None:
+        raise OSError(28, "no space")
+
+    monkeypatch.setattr(os, "posix_fallocate", full)
+    memory = SharedMemory(tmp_path)
+    memory.publish_retry_after(1, "a", 9)
+    assert memory.own is None
+    assert memory.updates(0) == NONE
--- a/tests/test_stored_data.py
+++ b/tests/server/storage/test_stored_data.py
@@ -1,52 +1,31 @@
-"""Reads data that the code of 2026-12-02 stored on disk, with the code as it stands today.
-
-`fixtures/stored_data/platform` is the state directory of a sender on the platform, and of a process that is
-gone after a hot upgrade; `standalone` that of a sender with its own file, `sender.toml`; `torn` a journal
-whose last record was cut off. Every test works on a copy. The data must not be written anew: what a former
-release left on disk is read by the next one.
-"""
+"""Reads data that the code of 2026-12-02 stored on disk, with the code as it stands today."""
 
 from __future__ import annotations
 
-import shutil
 from pathlib import Path
 from typing import Any
 
 import pytest
+from support.loggers import no_errors
+from support.stored_data import DISK, FAR, STORED, THEN, copy_of
 
 from ashpath.cli.standalone_deployment import FileConfiguration
-from ashpath.server.storage import detached_endpoints as holds
-from ashpath.server.storage import traffic_class_ids as numbers
+from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.errors import StateDirectoryError
-from ashpath.server.storage.outage_store import OutageStore
+from ashpath.server.storage.outage_store import Outage, OutageStore
 from ashpath.server.storage.outcome_store import FinalOutcome, OutcomeStore
 from ashpath.server.storage.record_codec import RecordReader
-from ashpath.server.storage.shared_memory import PLACES, SharedMemory
+from ashpath.server.storage.shared_memory import MAX_PROCESSES, SharedMemory
+from ashpath.server.storage.shared_memory_layout import RetryAfterNotice
 from ashpath.server.storage.state_directory import StateDirectory
 from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.traffic_class_ids import TrafficClassIds
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
-STORED = Path(__file__).parent / "fixtures" / "stored_data"
-DISK = 1 << 20  # bytes that a journal may take
-FAR = 4_102_444_800_000_000  # 2100-01-01T00:00:00Z in microseconds: deadlines and ends of waits
-THEN = 1_577_836_800_000_000  # 2020-01-01T00:00:00Z: attempts that were made
 ALL_BYTES = bytes(range(256))
 LARGEST = (1 << 48) - 1  # of an order key
 
 
-class NoErrors:
-    """In place of the log: stored data that cannot be read is logged as an error."""
-
-    def error(self, event: str, **details: object) -> None:
-        raise AssertionError((event, details))
-
-
-def copy_of(name: str, folder: Path) -> Path:
-    copied = folder / name
-    shutil.copytree(STORED / name, copied)
-    return copied
-
-
 def journal_of(name: str, folder: Path) -> list[StoredMessage]:
     """The live entries, in their order, as a process finds them at its start."""
     ledger = WriteAheadLog(copy_of(name, folder), DISK)
@@ -77,7 +56,7 @@
 LIVE = (None, False)
 OWED = '{"id":"p-owed","status":"undeliverable"}'
 DEFERRED = '{"id":"p-deferred","status":"deferred","again_ms":500}'
-MESSAGES = {
+MESSAGES: dict[str, list[tuple[Any, ...]]] = {
     "platform": [
         ((1, "p-waiting", 0, 1, None, None), (FAR + 1, b"200", 0), NEVER, LIVE),
         ((2, "p-tried", 1, 2, 7, "tag-2"), (FAR + 2, b"200", 2), (THEN + 30, "e2-b", None, ""), LIVE),
@@ -150,17 +129,17 @@
 
 def test_outages_that_last(tmp_path: Path) -> None:
     """The one that ended, with its destination warm again, is not among them."""
-    outages = OutageStore(copy_of("platform", tmp_path), NoErrors())
-    assert outages.active() == [(20, "", 12.5), (21, "e21-é", 0.1)]
+    outages = OutageStore(copy_of("platform", tmp_path), no_errors())
+    assert outages.active() == [Outage(20, "", 12.5, None), Outage(21, "e21-é", 0.1, FAR)]
 
 
 def test_ends_of_outages(tmp_path: Path) -> None:
-    outages = OutageStore(copy_of("platform", tmp_path), NoErrors())
-    assert [until for _, until in outages.rows.values()] == [None, FAR, THEN + 1]
+    outages = OutageStore(copy_of("platform", tmp_path), no_errors())
+    assert [outage.warm_at for outage in outages.outages.values()] == [None, FAR, THEN + 1]
 
 
 def test_endpoints_held_by_operators(tmp_path: Path) -> None:
-    assert holds.read(copy_of("platform", tmp_path), NoErrors()) == {"e3", "e-ü", "gone"}
+    assert DetachedEndpoints(copy_of("platform", tmp_path), no_errors()).read() == {"e3", "e-ü", "gone"}
 
 
 def test_tracks_by_number_after_a_switch(tmp_path: Path) -> None:
@@ -168,31 +147,31 @@
     free = {"name": "free", "deadline": 30000.0, "repeat": "retryable", "one-at-a-time": False, **common}
     tag = {"name": "tag", "deadline": 30000.0, "repeat": "dedup", "one-at-a-time": True, **common}
     once = {"name": "once", "deadline": 30000.0, "repeat": "fragile", "one-at-a-time": False, **common}
-    tracks = numbers.read(copy_of("platform", tmp_path))
+    tracks = TrafficClassIds(copy_of("platform", tmp_path)).read()
     assert tracks == [free, tag, once, {**tag, "deadline": 45000.5}]
 
 
-WAITS = [
-    (30, "", FAR + 1),
-    (31, "e31", FAR + 2),  # told twice: the later end
-    (32, "é" * 21 + "x", FAR + 3),  # 43 bytes, the longest id
-    (33, "", FAR + 4),  # a longer id: its whole destination waits
-    (35, "e35", FAR + 5),  # the other process was told of it
+NOTICES = [
+    RetryAfterNotice(30, "", FAR + 1),
+    RetryAfterNotice(31, "e31", FAR + 2),  # published twice: the later end
+    RetryAfterNotice(32, "é" * 21 + "x", FAR + 3),  # 43 bytes, the longest id
+    RetryAfterNotice(33, "", FAR + 4),  # a longer id: its whole destination waits
+    RetryAfterNotice(35, "e35", FAR + 5),  # published by the other process
 ]
 
 
-def test_waits_on_the_board(tmp_path: Path) -> None:
-    board = SharedMemory(copy_of("platform", tmp_path), PLACES)
-    told, _ = board.updates(THEN + 1)
-    board.close()
-    assert told == WAITS
+def test_notices_in_shared_memory(tmp_path: Path) -> None:
+    memory = SharedMemory(copy_of("platform", tmp_path), MAX_PROCESSES)
+    updates = memory.updates(THEN + 1)
+    memory.close()
+    assert updates.notices == NOTICES
 
 
-def test_counters_of_the_board(tmp_path: Path) -> None:
-    """Six waits were told to the process that had the first place, and one hold was made."""
-    board = SharedMemory(copy_of("platform", tmp_path), 1)
-    board.close()
-    assert (board.wait_count, board.detached_count) == (6, 1)
+def test_counters_of_shared_memory(tmp_path: Path) -> None:
+    """The process that had the first file published six notices, and detached one endpoint."""
+    memory = SharedMemory(copy_of("platform", tmp_path), 1)
+    memory.close()
+    assert (memory.counters.notices, memory.counters.detached_changes) == (6, 1)
 
 
 def test_the_imprint_is_accepted(tmp_path: Path) -> None:
@@ -233,7 +212,7 @@
 
 
 def test_ends_of_messages(tmp_path: Path) -> None:
-    ends = OutcomeStore(copy_of("standalone", tmp_path), DISK, 60_000_000, NoErrors())
+    ends = OutcomeStore(copy_of("standalone", tmp_path), DISK, 60_000_000, no_errors())
     ends.close()
     assert {trace: ends.get(trace) for trace in ends.outcomes} == ENDS
     assert list(ends.outcomes) == list(ENDS)
--- a/tests/test_stored_data_at_start.py
+++ b/tests/server/storage/test_stored_data_at_start.py
@@ -6,12 +6,12 @@
 from pathlib import Path
 
 from support.standalone import Alone
+from support.stored_data import STORED
 from support.world import World, until
 
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
-STORED = Path(__file__).parent / "fixtures" / "stored_data"
 ENDS = {
     "s-first": "completed",
     "s-second": "undeliverable",
--- a/tests/test_stored_data_written.py
+++ b/tests/server/storage/test_stored_data_written.py
@@ -10,16 +10,17 @@
 
 import orjson
 import pytest
-from test_stored_data import DISK, FAR, STORED, THEN, NoErrors
+from support.loggers import no_errors
+from support.stored_data import DISK, FAR, STORED, THEN
 
 from ashpath.cli.standalone_deployment import FileConfiguration
-from ashpath.server.storage import detached_endpoints as holds
 from ashpath.server.storage import outage_store as outages
 from ashpath.server.storage import outcome_store as ends
-from ashpath.server.storage import traffic_class_ids as numbers
+from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.shared_memory import SharedMemory
 from ashpath.server.storage.state_directory import StateDirectory
 from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.traffic_class_ids import TrafficClassIds
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 PLATFORM, STANDALONE = STORED / "platform", STORED / "standalone"
@@ -75,22 +76,22 @@
 
 def test_outages(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(outages, "wall", lambda: THEN)
-    written = outages.OutageStore(tmp_path, NoErrors())
-    written.mode_changed(20, "", True, 12.5, 0)
+    written = outages.OutageStore(tmp_path, no_errors())
+    written.outage_began(20, "", 12.5)
     for endpoint, destination, rate, ramp in (("e21-é", 21, 0.1, FAR - THEN), ("e22", 22, 3.0, 1)):
-        written.mode_changed(destination, endpoint, True, rate, 0)
-        written.mode_changed(destination, endpoint, False, rate, ramp)
+        written.outage_began(destination, endpoint, rate)
+        written.outage_ended(destination, endpoint, rate, ramp)
     assert (tmp_path / "outages").read_bytes() == (PLATFORM / "outages").read_bytes()
 
 
 def test_endpoints_held_by_operators(tmp_path: Path) -> None:
     for endpoint in ("e3", "e-ü", "gone"):
-        holds.change(tmp_path, endpoint, True, NoErrors())
+        DetachedEndpoints(tmp_path, no_errors()).change(endpoint, detached=True)
     assert (tmp_path / "held-endpoints").read_bytes() == (PLATFORM / "held-endpoints").read_bytes()
 
 
 def test_track_numbers(tmp_path: Path) -> None:
-    numbers.write(tmp_path, numbers.read(PLATFORM))
+    TrafficClassIds(tmp_path).write(TrafficClassIds(PLATFORM).read())
     assert (tmp_path / "track-numbers").read_bytes() == (PLATFORM / "track-numbers").read_bytes()
 
 
@@ -106,7 +107,7 @@
     """The same lines, in one file, as the stored two have between those that were cut off."""
     stored = (STANDALONE / "ends.old").read_bytes() + (STANDALONE / "ends").read_bytes()
     lines = [line for line in stored.splitlines(keepends=True) if line.endswith(b"]\n")]
-    written = ends.OutcomeStore(tmp_path, DISK, 60_000_000, NoErrors())
+    written = ends.OutcomeStore(tmp_path, DISK, 60_000_000, no_errors())
     for trace, state, at, come_back in map(orjson.loads, lines):
         monkeypatch.setattr(ends, "wall", lambda at=at: at)
         written.add(trace, state, come_back)
--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -5,11 +5,12 @@
 import signal
 
 import gevent
+from support.loggers import no_errors
 from support.server import READY, gone
 from support.world import World, request, until
 
 from ashpath.server.http.connection import HttpConnection
-from ashpath.server.storage import detached_endpoints as holds
+from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 
 
 def test_hand_over_on_an_inherited_socket(pair: tuple[World, World]) -> None:
@@ -68,7 +69,7 @@
     new.start()
     assert new.call(b"DETACH e5\n").startswith(b"OK") and old.call(b"DETACH e6\n").startswith(b"OK")
     gone(old)
-    assert holds.read(old.folder / "state", None) == {"e5", "e6"}
+    assert DetachedEndpoints(old.folder / "state", no_errors()).read() == {"e5", "e6"}
     assert new.hand_in("b5", "free", "200", 5, left=2500) == 202
     assert new.hand_in("b6", "free", "200", 6, left=2500) == 202
     until(lambda: new.told("b5") and new.told("b6"))
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -11,7 +11,7 @@
 from support.server import live
 from support.world import SETTINGS, World, until
 
-from ashpath.server.storage import traffic_class_ids as numbers
+from ashpath.server.storage.traffic_class_ids import TrafficClassIds
 
 # A platform that is moved to: other tracks, routes apart with fees, rates listed, notes, no reports.
 TRACK = {"deadline": 20000.0, "slo": 1000.0, "importance": 3.0, "window": 12000.0}
@@ -86,13 +86,13 @@
     assert world.hand_in("l", "label", "hang 200", 3) == 202
     until(lambda: world.count("l"))
     world.kill()
-    assert [row["name"] for row in numbers.read(state)] == ["free", "tag", "once", "label", "once"]
+    assert [row["name"] for row in TrafficClassIds(state).read()] == ["free", "tag", "once", "label", "once"]
     world.start()
     until(lambda: world.told("o") and world.count("f") == world.count("l") == 2 and not live(world))
     assert world.told("o") == ["undeliverable"] and world.count("o") == 1 and len(world.notices) == 1
     world.kill(signal.SIGTERM)
     world.start()  # nothing held: numbers begin anew
-    assert not numbers.read(state) and world.hand_in("x", "label", "200", 3) == 202
+    assert not TrafficClassIds(state).read() and world.hand_in("x", "label", "200", 3) == 202
     until(lambda: world.count("x") == 1)
 
 
