Command line: parse, call and print in each command; reading of a log moves to storage

Cause: cli/ledger.py read and reported a log beside its options, submit.py held its HTTP conversation, simulate.py the choice of runs, a progress bar and a report in one function of 90 lines; exit codes and errors stood in the group of commands.

Change: server/storage/log_report.py reads a log and reports it; submission.py, simulation_runs.py, simulation_report.py, progress_bar.py, output.py (rows.py before), options.py, exit_codes.py and errors.py have one job each. Failure is CommandError with BadInputError and SenderUnreachableError, Client StatusClient with a typed response.

Ruled out: a change of any output. 104 calls of all commands, by the tree before the renames and by this one, over the stored logs of the fixtures, two seeds of six policies, and bad input: the same lines, exit codes and outcome file, but for the help texts.

--- a/ashpath/cli/__init__.py
+++ b/ashpath/cli/__init__.py
@@ -1,7 +1,8 @@
 """The command line: a module for each sub-command, each of which parses, calls and prints, and no more.
 
-A module is imported as its command is called, so that `ashpath serve` pays for no other. Errors are one line
-on standard error; exit codes are on docs/command-line.md.
+Called by the console script `ashpath` and by `python -m ashpath.cli`. A command's module is imported as it is
+called, so that `ashpath serve` pays for no other. Errors are one line on standard error, and the exit codes
+stand on docs/command-line.md; nothing here decides on a message or changes stored data by itself.
 """
 
 from __future__ import annotations
@@ -10,12 +11,15 @@
 
 
 def main() -> int:
-    """Runs the command of the arguments; its exit code. Plain `serve FILE` goes past the command library: a
-    sender that runs for weeks has no use for it."""
-    if sys.argv[1:2] == ["serve"] and len(sys.argv) == 3 and not sys.argv[2].startswith("-"):
+    """Runs the command of the arguments; its exit code.
+
+    Plain `serve FILE` goes past the command library: a sender that runs for weeks has no use for it.
+    """
+    arguments = sys.argv[1:]
+    if len(arguments) == 2 and arguments[0] == "serve" and not arguments[1].startswith("-"):
         from ashpath.cli.standalone import serve
 
-        return serve(sys.argv[2])
+        return serve(arguments[1])
     from ashpath.cli.group import run
 
     return run()
--- a/ashpath/cli/completion.py
+++ b/ashpath/cli/completion.py
@@ -5,14 +5,15 @@
 import click
 from click.shell_completion import get_completion_class
 
-from ashpath.cli.group import OK, ashpath
+from ashpath.cli.exit_codes import ExitCode
+from ashpath.cli.group import ashpath
 
 
 @click.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def command(shell: str) -> int:
     """Print the completion script of SHELL: `eval "$(ashpath completion bash)"`."""
-    found = get_completion_class(shell)
-    assert found is not None
-    print(found(ashpath, {}, "ashpath", "_ASHPATH_COMPLETE").source())
-    return OK
+    completion = get_completion_class(shell)
+    assert completion is not None  # each of the choices has one
+    print(completion(ashpath, {}, "ashpath", "_ASHPATH_COMPLETE").source())
+    return ExitCode.OK
--- a/ashpath/cli/demo.py
+++ b/ashpath/cli/demo.py
@@ -4,15 +4,18 @@
 
 import sys
 import tempfile
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
-from typing import Any
 
 import click
 
-from ashpath.cli.group import FAILED, OK, Failure
-from ashpath.cli.rows import text
+from ashpath.cli.errors import CommandError
+from ashpath.cli.exit_codes import ExitCode
+from ashpath.cli.output import Row, format_cell
+
+ShowRows = Callable[[float, Sequence[Row]], None]
+"""Called with the seconds that passed, and a row for each destination."""
 
 
 @click.command()
@@ -20,28 +23,23 @@
     "--seconds", type=click.FloatRange(2, 600), default=20.0, show_default=True, help="Of arrivals."
 )
 @click.option(
-    "--seed", type=click.IntRange(0), default=1, show_default=True, help="Of arrivals and partners."
+    "--seed", type=click.IntRange(0), default=1, show_default=True, help="Of arrivals and destinations."
 )
 @click.option("--kill", is_flag=True, help="Kill the sender half-way, and start it again.")
 @click.option("--keep", type=click.Path(path_type=Path), help="Write file, state and log to this new folder.")
 def command(seconds: float, seed: int, kill: bool, keep: Path | None) -> int:
-    """Watch a sender among stand-in partners: a bank with a limit, a slow letting office, and a landlord app
-    that goes silent and comes back cold. Ends with an account of every envelope; exit code 1 if one has no
-    end or was doubled. All on loopback."""
+    """Watch a sender among stand-in destinations: a bank with a limit, a slow letting office, and a landlord
+    app that has an outage and warms up. Ends with an account of every message; exit code 1 if one has no
+    outcome or was delivered twice. All on loopback."""
     from ashpath.emulator.demo import Show
 
-    with tempfile.TemporaryDirectory(prefix="ashpath-demo-") as made:
-        folder = keep or Path(made)
-        try:
-            folder.mkdir(exist_ok=keep is None)
-        except OSError as error:
-            raise Failure(f"--keep {folder}: {error.strerror}") from None
-        show = Show(folder, seconds, seed, kill=kill)
+    with demo_directory(keep) as directory:
+        show = Show(directory, seconds, seed, kill=kill)
         try:
-            with screen() as shown:
-                summary = show.run(shown)
+            with display() as show_rows:
+                summary = show.run(show_rows)
         except RuntimeError as error:
-            raise Failure(str(error)) from None
+            raise CommandError(error) from error
         finally:
             show.stop()
     ends = summary.ends
@@ -51,35 +49,50 @@
         f" + aborted {ends['aborted']}{withdrawn}; shots {summary.shots}, doubles {summary.doubles},"
         f" unaccounted for {len(summary.unaccounted)}"
     )
-    for trace in summary.unaccounted:
-        print(f"no end: {trace}")
-    return OK if summary.sound else FAILED
+    for trace_id in summary.unaccounted:
+        print(f"no end: {trace_id}")
+    return ExitCode.OK if summary.sound else ExitCode.FAILED
 
 
-def plain(passed: float, rows: list[dict[str, Any]]) -> None:
-    """A line for each destination, without a terminal."""
-    for row in rows:
-        print(
-            f"{passed:5.1f}s " + " ".join(f"{name}={text(value)}" for name, value in row.items()), flush=True
-        )
+@contextmanager
+def demo_directory(keep: Path | None) -> Iterator[Path]:
+    """A new directory, that stays where one to keep is named. Raises CommandError."""
+    if keep is None:
+        with tempfile.TemporaryDirectory(prefix="ashpath-demo-") as directory_name:
+            yield Path(directory_name)
+        return
+    try:
+        keep.mkdir()
+    except OSError as error:
+        option = f"--keep {keep}"
+        raise CommandError(option, error.strerror) from error
+    yield keep
 
 
 @contextmanager
-def screen() -> Iterator[Callable[[float, list[dict[str, Any]]], None]]:
+def display() -> Iterator[ShowRows]:
     """A table that is drawn anew in place, or plain lines where there is no terminal."""
     if not sys.stdout.isatty():
-        yield plain
+        yield print_lines
         return
     from rich.box import SIMPLE_HEAD
     from rich.live import Live
     from rich.table import Table
 
-    def shown(passed: float, rows: list[dict[str, Any]]) -> None:
-        title = f"ashpath demo, {passed:.0f} s"
-        table = Table(*rows[0], title=title, box=SIMPLE_HEAD, pad_edge=False, collapse_padding=True)
-        for row in rows:
-            table.add_row(*(text(value) for value in row.values()))
-        live.update(table, refresh=True)
-
     with Live(auto_refresh=False) as live:
-        yield shown
+
+        def draw(passed: float, rows: Sequence[Row]) -> None:
+            title = f"ashpath demo, {passed:.0f} s"
+            table = Table(*rows[0], title=title, box=SIMPLE_HEAD, pad_edge=False, collapse_padding=True)
+            for row in rows:
+                table.add_row(*map(format_cell, row.values()))
+            live.update(table, refresh=True)
+
+        yield draw
+
+
+def print_lines(passed: float, rows: Sequence[Row]) -> None:
+    """A line for each destination."""
+    for row in rows:
+        cells = " ".join(f"{name}={format_cell(value)}" for name, value in row.items())
+        print(f"{passed:5.1f}s {cells}", flush=True)
--- a/ashpath/cli/destinations.py
+++ b/ashpath/cli/destinations.py
@@ -4,15 +4,17 @@
 
 import click
 
-from ashpath.cli.group import OK
-from ashpath.cli.rows import show
-from ashpath.cli.status_client import Client
+from ashpath.cli.exit_codes import ExitCode
+from ashpath.cli.options import rows_as_json, url_argument
+from ashpath.cli.output import print_rows
+from ashpath.cli.status_client import StatusClient
 
 
 @click.command()
-@click.argument("url", envvar="ASHPATH_URL")
-@click.option("--json", "as_json", is_flag=True, help="A line of JSON for each.")
+@url_argument
+@rows_as_json
 def command(url: str, as_json: bool) -> int:
-    """List the destinations of the standalone sender at URL: gates, limits, breakers, what is held."""
-    show(Client(url).destinations(), as_json)
-    return OK
+    """List the destinations of the standalone sender at URL: concurrency limits, circuit breakers, messages
+    that are queued and in flight."""
+    print_rows(StatusClient(url).destinations(), as_json=as_json)
+    return ExitCode.OK
--- a/ashpath/cli/explain.py
+++ b/ashpath/cli/explain.py
@@ -6,21 +6,22 @@
 
 import click
 
-from ashpath.cli.group import BAD_INPUT, OK, Failure
+from ashpath.cli.errors import BadInputError
+from ashpath.cli.exit_codes import ExitCode
 from ashpath.config.reference import key_paths, markdown_page, terminal_lines
 
 
 @click.command()
 @click.argument("key", required=False)
-@click.option("--markdown", "page", is_flag=True, help="The page docs/configuration.md.")
-def command(key: str | None, page: bool) -> int:
+@click.option("--markdown", is_flag=True, help="The page docs/configuration.md.")
+def command(key: str | None, markdown: bool) -> int:
     """The reference of every key of the file, of KEY, or of all below it."""
-    if page:
+    if markdown:
         print(markdown_page(), end="")
-        return OK
+        return ExitCode.OK
     lines = terminal_lines(key)
     if not lines:
         near = get_close_matches(key or "", key_paths(), 1, 0.4)
-        raise Failure(f"no key {key!r}" + (f"; is it {near[0]!r}?" if near else ""), BAD_INPUT)
+        raise BadInputError(f"no key {key!r}" + (f"; is it {near[0]!r}?" if near else ""))
     print("\n".join(lines))
-    return OK
+    return ExitCode.OK
--- a/ashpath/cli/held.py
+++ b/ashpath/cli/held.py
@@ -4,15 +4,16 @@
 
 import click
 
-from ashpath.cli.group import OK
-from ashpath.cli.rows import show
-from ashpath.cli.status_client import Client
+from ashpath.cli.exit_codes import ExitCode
+from ashpath.cli.options import rows_as_json, url_argument
+from ashpath.cli.output import print_rows
+from ashpath.cli.status_client import StatusClient
 
 
 @click.command()
-@click.argument("url", envvar="ASHPATH_URL")
-@click.option("--json", "as_json", is_flag=True, help="A line of JSON for each.")
+@url_argument
+@rows_as_json
 def command(url: str, as_json: bool) -> int:
-    """List what the standalone sender at URL holds, in the order taken on."""
-    show(Client(url).held(), as_json)
-    return OK
+    """List the live messages of the standalone sender at URL, in the order in which they were accepted."""
+    print_rows(StatusClient(url).live_messages(), as_json=as_json)
+    return ExitCode.OK
--- /dev/null
+++ b/ashpath/cli/options.py
@@ -0,0 +1,51 @@
+"""Options and arguments that several commands have."""
+
+from __future__ import annotations
+
+import re
+
+import click
+
+from ashpath.config.units import TIMES, parse_amount
+
+DEFAULT_URL = "http://127.0.0.1:7070"
+
+rows_as_json = click.option("--json", "as_json", is_flag=True, help="A line of JSON for each.")
+url_argument = click.argument("url", envvar="ASHPATH_URL")
+url_option = click.option("--url", default=DEFAULT_URL, envvar="ASHPATH_URL", show_default=True)
+SEEDS = re.compile(r"([0-9]{1,9})(?:\.\.([0-9]{1,9}))?")
+
+
+class DurationType(click.ParamType[int]):
+    """A duration as the sender's file has it; microseconds."""
+
+    name = "duration"
+
+    def convert(self, value: object, param: click.Parameter | None, ctx: click.Context | None) -> int:
+        """Fails where the text is no duration."""
+        if isinstance(value, int):
+            return value
+        try:
+            return parse_amount(value, TIMES)
+        except ValueError:
+            self.fail(f'found {value!r}, expected a duration such as "16s"', param, ctx)
+
+
+class SeedsType(click.ParamType[list[int]]):
+    """One seed, or a range of them."""
+
+    name = "seeds"
+    max_seeds = 1000
+
+    def convert(self, value: object, param: click.Parameter | None, ctx: click.Context | None) -> list[int]:
+        """Fails where the text is no number and no range, or the range is empty or too long."""
+        if isinstance(value, list):
+            return value
+        found = SEEDS.fullmatch(value) if isinstance(value, str) else None
+        if found is None:
+            self.fail(f"found {value!r}, expected a number or FROM..TO", param, ctx)
+        first = int(found[1])
+        last = int(found[2] or found[1])
+        if not first <= last < first + self.max_seeds:
+            self.fail(f"found {value!r}, expected FROM..TO of {self.max_seeds} at most", param, ctx)
+        return list(range(first, last + 1))
--- /dev/null
+++ b/ashpath/cli/simulation_runs.py
@@ -0,0 +1,102 @@
+"""Which runs a user asks of `ashpath simulate`, and how they are played."""
+
+from __future__ import annotations
+
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+
+from ashpath.cli.errors import BadInputError
+from ashpath.cli.progress_bar import progress_bar
+from ashpath.emulator.baselines import POLICIES
+from ashpath.emulator.simulate import DAYS, Run, find, play, play_all, play_on_sockets
+
+ALL_POLICIES = "all"
+DEFAULT_SEED = 1
+BOTH_SEED_OPTIONS = "--seed and --seeds"
+
+
+@dataclass(frozen=True, slots=True)
+class SimulationRequest:
+    """Every seed under every policy."""
+
+    path: Path
+    """Of the scenario."""
+    seeds: list[int]
+    policies: list[str]
+    jobs: int
+    """Processes."""
+    trace_id: str
+    """The message whose history is kept; empty: of none."""
+
+    @property
+    def run_count(self) -> int:
+        """Of all runs."""
+        return len(self.seeds) * len(self.policies)
+
+
+def find_scenario(name: str) -> Path:
+    """The file of a scenario. Raises BadInputError where the library has none of that name."""
+    path = find(name)
+    if not path.exists() and not name.endswith(".toml"):
+        known = ", ".join(sorted(one.stem for one in DAYS.glob("*.toml")))
+        problem = f"no day {name!r}; the library has {known}"
+        raise BadInputError(problem)
+    return path
+
+
+def choose_policies(names: tuple[str, ...]) -> list[str]:
+    """Each once, in order. Raises BadInputError where there is none of a name."""
+    chosen = list(POLICIES) if ALL_POLICIES in names else list(dict.fromkeys(names))
+    for name in chosen:
+        if name not in POLICIES:
+            known = ", ".join(POLICIES)
+            problem = f"found {name!r}, expected all or one of {known}"
+            raise BadInputError("--policy", problem)
+    return chosen
+
+
+def choose_seeds(seed: int | None, seeds: list[int] | None) -> list[int]:
+    """Raises BadInputError where both are given."""
+    if seed is not None and seeds is not None:
+        problem = "found both, expected one of them"
+        raise BadInputError(BOTH_SEED_OPTIONS, problem)
+    return seeds or [DEFAULT_SEED if seed is None else seed]
+
+
+def run_in_virtual_time(request: SimulationRequest) -> list[Run]:
+    """All runs, by policy and seed. Raises InvalidConfigurationError, OSError, ValueError or RuntimeError."""
+    with progress_bar(request.path.stem, request.run_count) as report_progress:
+        if request.run_count == 1:
+            seed = request.seeds[0]
+            policy = request.policies[0]
+            return [play(request.path, seed, policy, request.trace_id, report_progress)]
+        runs: list[Run] = []
+        for run in play_all(request.path, request.seeds, request.policies, request.jobs):
+            runs.append(run)
+            report_progress(len(runs))
+        return runs
+
+
+def run_on_sockets(request: SimulationRequest, keep: Path | None) -> list[Run]:
+    """A run for each seed, never beside one another: they would slow each other down. Raises as above."""
+    runs: list[Run] = []
+    with progress_bar(request.path.stem, request.run_count) as report_progress:
+        for seed in request.seeds:
+            with run_directory(seed, keep) as directory:
+                runs.append(play_on_sockets(request.path, seed, directory, request.trace_id, report_progress))
+    return runs
+
+
+@contextmanager
+def run_directory(seed: int, keep: Path | None) -> Iterator[Path]:
+    """A new directory for files and logs of one run, that stays where one to keep is named."""
+    if keep is not None:
+        directory = keep / f"seed-{seed}"
+        directory.mkdir(parents=True)
+        yield directory
+        return
+    with tempfile.TemporaryDirectory(prefix="ashpath-simulate-") as directory_name:
+        yield Path(directory_name)
--- a/ashpath/cli/status_client.py
+++ b/ashpath/cli/status_client.py
@@ -2,89 +2,119 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from http.client import HTTPConnection, HTTPException
 from typing import Any
 from urllib.parse import quote, urlsplit
 
-import click
 import orjson
 
-from ashpath.cli.group import BAD_INPUT, Failure
-from ashpath.server.wire_names import DESTINATIONS_PATH, MESSAGE_PATH_PREFIX, MESSAGES_PATH, SUBMIT_PATH
+from ashpath.cli.errors import BadInputError, CommandError, SenderUnreachableError
+from ashpath.server.wire_names import (
+    DESTINATIONS_PATH,
+    MESSAGE_PATH_PREFIX,
+    MESSAGES_PATH,
+    RETRY_AFTER_HEADER,
+    SUBMIT_PATH,
+)
 
-PATIENCE = 5.0  # seconds for an answer
-url = click.option("--url", default="http://127.0.0.1:7070", envvar="ASHPATH_URL", show_default=True)
+TIMEOUT_S = 5.0  # for a response
+DEFAULT_PORT = 80
+NO_LISTS = "a sender of a platform does not list what it holds"
+INVALID_URL = "found no address of a sender, expected http://HOST:PORT"
 
+JsonObject = dict[str, Any]
 
-class Unreachable(Failure):
-    """No answer: whether what was asked was done is not known."""
 
+@dataclass(frozen=True, slots=True)
+class StatusResponse:
+    """A response of a sender."""
 
-class Client:
-    def __init__(self, where: str) -> None:
+    status: int
+    headers: dict[str, str]
+    """By their names in lower case."""
+    body: bytes
+
+    @property
+    def retry_after_s(self) -> float | None:
+        """Seconds after which to submit again; None where the response has none."""
         try:
-            parts = urlsplit(where if "://" in where else f"http://{where}")
-            host, port = parts.hostname, parts.port or 80
-        except ValueError:
-            host, port = None, 0
+            return float(self.headers[RETRY_AFTER_HEADER.decode()])
+        except (KeyError, ValueError):
+            return None
+
+
+class StatusClient:
+    """The sender at one URL."""
+
+    def __init__(self, url: str) -> None:
+        """Raises BadInputError where the URL is none of a sender."""
+        try:
+            parts = urlsplit(url if "://" in url else f"http://{url}")
+            host = parts.hostname
+            port = parts.port or DEFAULT_PORT
+        except ValueError as error:
+            raise BadInputError(url, INVALID_URL) from error
         if host is None or parts.scheme != "http" or parts.path not in ("", "/"):
-            raise Failure(f"{where}: found no address of a sender, expected http://HOST:PORT", BAD_INPUT)
-        self.where, self.host, self.port = where, host, port
+            raise BadInputError(url, INVALID_URL)
+        self.url = url
+        self.host = host
+        self.port = port
 
-    def ask(
+    def request(
         self, method: str, path: str, body: bytes | None = None, headers: dict[str, str] | None = None
-    ) -> tuple[int, dict[str, str], bytes]:
-        """Status, headers in lower case, body."""
-        connection = HTTPConnection(self.host, self.port, timeout=PATIENCE)
+    ) -> StatusResponse:
+        """Raises SenderUnreachableError."""
+        connection = HTTPConnection(self.host, self.port, timeout=TIMEOUT_S)
         try:
             connection.request(method, path, body, headers or {})
-            answer = connection.getresponse()
-            told = {name.lower(): value for name, value in answer.getheaders()}
-            return answer.status, told, answer.read()
+            response = connection.getresponse()
+            names = {name.lower(): value for name, value in response.getheaders()}
+            return StatusResponse(response.status, names, response.read())
         except (OSError, HTTPException) as error:
-            words = getattr(error, "strerror", None) or str(error) or type(error).__name__
-            raise Unreachable(f"{self.where}: {words}") from None
+            reason = getattr(error, "strerror", None) or str(error) or type(error).__name__
+            raise SenderUnreachableError(self.url, reason) from error
         finally:
             connection.close()
 
-    def hand_in(self, headers: dict[str, str], body: bytes) -> tuple[int, float | None]:
-        """The status, and after how many seconds to come back, if that is told."""
-        status, told, _ = self.ask("POST", SUBMIT_PATH.decode(), body, headers)
-        try:
-            return status, float(told["retry-after"])
-        except (KeyError, ValueError):
-            return status, None
+    def submit(self, headers: dict[str, str], body: bytes) -> StatusResponse:
+        """Submits a message. Raises SenderUnreachableError."""
+        return self.request("POST", SUBMIT_PATH.decode(), body, headers)
 
-    def envelope(self, id_: str) -> dict[str, Any] | None:
-        """How it stands; None where the sender does not know it."""
-        status, _, body = self.ask("GET", MESSAGE_PATH_PREFIX.decode() + quote(id_, safe=""))
-        return self.read(status, body, (200, 404)) if status == 200 else None
+    def message(self, trace_id: str) -> JsonObject | None:
+        """The message's state; None where the sender does not know it. Raises CommandError."""
+        response = self.request("GET", MESSAGE_PATH_PREFIX.decode() + quote(trace_id, safe=""))
+        return self.decode(response) if response.status == 200 else None
 
-    def pages(self, path: bytes, rows: str) -> list[dict[str, Any]]:
-        """All rows of a list, page after page."""
-        found: list[dict[str, Any]] = []
-        after = -1
-        while True:
-            status, _, body = self.ask("GET", f"{path.decode()}?after={after}")
-            told = self.read(status, body, (200,))
-            found += told[rows]
-            if "next" not in told:
-                return found
-            after = told["next"]
-
-    def held(self) -> list[dict[str, Any]]:
+    def live_messages(self) -> list[JsonObject]:
+        """In the order in which they were accepted. Raises CommandError."""
         return self.pages(MESSAGES_PATH, "envelopes")
 
-    def destinations(self) -> list[dict[str, Any]]:
+    def destinations(self) -> list[JsonObject]:
+        """Raises CommandError."""
         return self.pages(DESTINATIONS_PATH, "destinations")
 
-    def read(self, status: int, body: bytes, good: tuple[int, ...]) -> dict[str, Any]:
-        if status == 404 and 404 not in good:
-            raise Failure(f"{self.where}: a sender of a platform does not list what it holds")
+    def pages(self, path: bytes, rows_key: str) -> list[JsonObject]:
+        """All rows of a list, page after page."""
+        rows: list[JsonObject] = []
+        after = -1
+        while True:
+            page = self.decode(self.request("GET", f"{path.decode()}?after={after}"))
+            rows += page[rows_key]
+            if "next" not in page:
+                return rows
+            after = page["next"]
+
+    def decode(self, response: StatusResponse) -> JsonObject:
+        """The JSON of a response. Raises CommandError where there is none, or the status is not 200."""
+        if response.status == 404:
+            raise CommandError(self.url, NO_LISTS)
         try:
-            told: dict[str, Any] = orjson.loads(body)
-        except ValueError:
-            raise Failure(f"{self.where}: status {status}, and an answer that is no JSON") from None
-        if status not in good:
-            raise Failure(f"{self.where}: status {status}: {told.get('error', '')}")
-        return told
+            document: JsonObject = orjson.loads(response.body)
+        except ValueError as error:
+            problem = f"status {response.status}, and an answer that is no JSON"
+            raise CommandError(self.url, problem) from error
+        if response.status != 200:
+            status = f"status {response.status}"
+            raise CommandError(self.url, status, document.get("error", ""))
+        return document
--- /dev/null
+++ b/ashpath/server/storage/log_report.py
@@ -0,0 +1,165 @@
+"""Reads a write-ahead log offline and reports what is in it, for `ashpath ledger`. It changes nothing.
+
+The log may belong to a sender that runs: its last record may then be torn, as it is being written.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import suppress
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from ashpath.server.storage.errors import ForeignRecordError
+from ashpath.server.storage.live_messages import LiveMessages
+from ashpath.server.storage.record_codec import RecordReader
+from ashpath.server.storage.stored_message import StoredMessage
+
+LOG_FILE = "journal"
+IMPRINT_FILE = "imprint"
+MAX_DESTINATIONS = 20  # of the statistics
+
+JsonObject = dict[str, Any]
+
+
+@dataclass
+class LogContents:
+    """What a log says, up to the first record that is not whole."""
+
+    path: Path
+    traffic_class_names: list[str]
+    """By number; empty where they are not known."""
+    size: int
+    """Bytes of the file."""
+    messages: LiveMessages = field(default_factory=LiveMessages)
+    records: Counter[str] = field(default_factory=Counter)
+    """How many there are of each kind, by its name on disk."""
+    sound_bytes: int = 0
+    """The offset at which the whole records end."""
+    fault: str = ""
+    """What stands there; empty at the end of the file."""
+
+    def traffic_class(self, number: int) -> str:
+        """Its name, or else its number."""
+        names = self.traffic_class_names
+        return names[number] if number < len(names) else str(number)
+
+    def live_messages(self) -> list[StoredMessage]:
+        """In the order in which they were accepted."""
+        return list(self.messages.live.values())
+
+
+def log_path(path: Path) -> Path:
+    """The log in a state directory, or the path itself where it is none."""
+    return path / LOG_FILE if path.is_dir() else path
+
+
+def read_log(path: Path) -> LogContents:
+    """What a log says. Raises OSError where it cannot be opened."""
+    with path.open("rb") as file:
+        contents = LogContents(path, read_traffic_class_names(path.parent), file.seek(0, 2))
+        file.seek(0)
+        reader = RecordReader(file)
+        with suppress(ForeignRecordError):  # the reader has it as its fault
+            for record, size in reader:
+                contents.records[record.disk_name] += 1
+                contents.messages.apply(record, size)
+    contents.sound_bytes = reader.sound_bytes
+    contents.fault = reader.fault
+    return contents
+
+
+def read_traffic_class_names(directory: Path) -> list[str]:
+    """By number, where the directory has a standalone sender's imprint."""
+    try:
+        rows = orjson.loads((directory / IMPRINT_FILE).read_bytes())["tracks"]
+        return [str(row["name"]) for row in rows]
+    except (OSError, ValueError, KeyError, TypeError):
+        return []
+
+
+def verdict(contents: LogContents) -> str:
+    """Whether every record is whole, in one line."""
+    count = sum(contents.records.values())
+    if not contents.fault:
+        live = len(contents.messages.live)
+        return f"{contents.path}: sound: {count} records, {contents.sound_bytes} bytes, {live} live"
+    rest = contents.size - contents.sound_bytes
+    return (
+        f"{contents.path}: byte {contents.sound_bytes}: {contents.fault}; "
+        f"the {count} records before it count, {rest} bytes from there do not"
+    )
+
+
+def verification(contents: LogContents) -> JsonObject:
+    """The same for programs."""
+    return {
+        "sound": not contents.fault,
+        "byte": contents.sound_bytes,
+        "size": contents.size,
+        "fault": contents.fault,
+    }
+
+
+def message_rows(contents: LogContents) -> Iterator[JsonObject]:
+    """A row for each live message."""
+    for message in contents.live_messages():
+        yield {
+            "number": message.message_id,
+            "id": message.trace_id,
+            "state": message_state(message),
+            "track": contents.traffic_class(message.traffic_class),
+            "destination": message.destination,
+            "cutoff": format_time(message.deadline),
+            "shots": message.attempts,
+            "ran_from": format_time(message.first_run_at),
+            "ran_to": message.first_run_endpoint or None,
+            "out_to": message.in_flight_endpoint or None,
+            "bytes": len(message.body),
+            "notice": message.notice,
+        }
+
+
+def message_state(message: StoredMessage) -> str:
+    """As the command has always named it."""
+    if message.finished:
+        return "told"
+    return "held" if message.in_flight_since is None else "out"
+
+
+def format_time(at_us: int | None) -> str | None:
+    """ISO 8601 in UTC; the number itself where it is no time of a calendar.
+
+    >>> format_time(1_700_000_000_000_000), format_time(10**18), format_time(None)
+    ('2023-11-14T22:13:20.000+00:00', '1000000000000000000', None)
+    """
+    if at_us is None:
+        return None
+    try:
+        return datetime.fromtimestamp(at_us / 1e6, UTC).isoformat(timespec="milliseconds")
+    except (ValueError, OverflowError, OSError):
+        return str(at_us)
+
+
+def statistics(contents: LogContents) -> JsonObject:
+    """Counts of the records and of the live messages."""
+    messages = contents.live_messages()
+    classes = Counter(contents.traffic_class(message.traffic_class) for message in messages)
+    destinations = Counter(message.destination for message in messages)
+    return {
+        "bytes": contents.size,
+        "records": dict(contents.records),
+        "live": len(messages),
+        "live_bytes": contents.messages.reserved_bytes,
+        "last_number": contents.messages.last_id,
+        "out": sum(message.in_flight_since is not None for message in messages),
+        "may_have_run": sum(message.first_run_at is not None for message in messages),
+        "awaiting_notice": sum(message.finished for message in messages),
+        "by_track": dict(classes.most_common()),
+        "by_destination": {str(n): count for n, count in destinations.most_common(MAX_DESTINATIONS)},
+    }
--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -13,7 +13,7 @@
 from random import Random
 from statistics import median
 
-from ashpath.cli.ledger import account
+from ashpath.server.storage.log_report import log_path, read_log
 from ashpath.server.storage.record_codec import (
     AttemptFinished,
     AttemptStarted,
@@ -49,10 +49,10 @@
             cut = chance.randrange(size)
             journal.write_bytes(data[:cut])
             began = time.perf_counter()
-            found = account(Path(made))
+            found = read_log(log_path(Path(made)))
             times.append(time.perf_counter() - began)
             whole = ends[bisect_right(ends, cut) - 1]
-            wrong += found.sound != whole or bool(found.fault) != (cut != whole)
+            wrong += found.sound_bytes != whole or bool(found.fault) != (cut != whole)
     figures = {"records": len(parts), "bytes": size, "cuts": cuts, "wrong": wrong}
     figures |= {"median_ms": round(1000 * median(times)), "most_ms": round(1000 * max(times))}
     keep("ledger", f"python -m benchmarks.ledger {records} {cuts}", figures)
