Linter: nothing is ignored in ashpath/cli

Cause: the last ignored rule was that of a message in a raise of the two modules that start a standalone sender. Change: those errors are made by the constructors that StateDirectoryError has for them; the texts are the same.

--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -69,9 +69,9 @@
     try:
         sender = create_sender(place, configuration.sender, deployment, log)
     except StartupError as error:
-        raise StateDirectoryError(f"{configuration.path}: {error}") from error
+        raise StateDirectoryError.of_file(configuration.path, error) from error
     except (OSError, ValueError) as error:
-        raise StateDirectoryError(f"state folder {state_directory.path}: {error}") from error
+        raise StateDirectoryError.of_directory(state_directory.path, str(error)) from error
     sender.delivery.attempt_runner.use_credentials(configuration.credentials.destinations)
     return sender
 
--- a/ashpath/cli/standalone_deployment.py
+++ b/ashpath/cli/standalone_deployment.py
@@ -112,9 +112,8 @@
         try:
             return RotatingFile(path, limits.notification_file_bytes, limits.notification_files)
         except OSError as error:
-            raise StateDirectoryError(
-                f"{self.configuration.path}: notices.file: {path}: {error.strerror}"
-            ) from error
+            problem = f"notices.file: {path}: {error.strerror}"
+            raise StateDirectoryError.of_file(self.configuration.path, problem) from error
 
     def create_status_api(
         self, policy_runner: PolicyRunner, outcome_store: OutcomeStore | None, names: list[str]
