The log writer apart from the log's forms, both typed

Cause: logs.py did two jobs, through Any.

Change: log_writer.py has LogWriter over a NonBlockingOutput; logs.py the forms (a table of renderers) and create_logger. Lines, forms and bounds are as before.

--- a/ashpath/server/platform_deployment.py
+++ b/ashpath/server/platform_deployment.py
@@ -27,7 +27,8 @@
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.errors import UNUSABLE_CONFIGURATION_ERRORS, StartupError, error_text
 from ashpath.server.limits import ServerLimits
-from ashpath.server.logs import LogFormat, Logger, LogWriter, create_logger
+from ashpath.server.log_writer import LogWriter
+from ashpath.server.logs import LogFormat, Logger, create_logger
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.reload import PlatformReloader
 from ashpath.server.runtime import SenderRuntime
