Tests of the command line: a file a command, one behaviour a test; older names of commands

Cause: tests/cli/test_commands.py had one test for five commands; nothing tested that `hand-in` and `rehearse` are `submit` and `simulate` under their older names.

--- /dev/null
+++ b/tests/cli/conftest.py
@@ -0,0 +1,23 @@
+"""Fixtures of the tests of commands."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from support.standalone import Alone
+
+
+@pytest.fixture
+def alone(tmp_path: Path) -> Iterator[Alone]:
+    """A standalone sender that a test starts, among stand-ins that run."""
+    sender = Alone(tmp_path)
+    yield sender
+    sender.stop()
+
+
+@pytest.fixture
+def url(alone: Alone) -> str:
+    """Where the sender listens once it is started."""
+    return f"http://127.0.0.1:{alone.where[1]}"
--- /dev/null
+++ b/tests/cli/test_group.py
@@ -0,0 +1,68 @@
+"""The group of commands: help, version, completion, and older names of commands."""
+
+from __future__ import annotations
+
+import pytest
+from support.standalone import Alone
+
+
+def test_version(alone: Alone) -> None:
+    assert alone.run("--version").stdout.startswith("ashpath ")
+
+
+def test_help_lists_the_commands(alone: Alone) -> None:
+    listed = alone.run("-h").stdout
+    assert "submit" in listed
+    assert "hand-in" not in listed
+
+
+def test_help_of_a_command(alone: Alone) -> None:
+    assert "--kill" in alone.run("demo", "-h").stdout
+
+
+def test_completion(alone: Alone) -> None:
+    assert "_ASHPATH_COMPLETE" in alone.run("completion", "bash").stdout
+
+
+@pytest.mark.parametrize(
+    ("body", "exit_code"),
+    [("200", 0), ("500", 4)],
+)
+def test_hand_in_is_submit(alone: Alone, url: str, body: str, exit_code: int) -> None:
+    """The same output and exit code for two messages that are alike."""
+    alone.start()
+    outputs = []
+    for number, name in enumerate(("submit", "hand-in")):
+        arguments = [
+            "--url",
+            url,
+            "--to",
+            str(number),
+            "--track",
+            "once",
+            "--id",
+            name,
+            "--wait",
+            "--body",
+            "-",
+        ]
+        run = alone.run(name, *arguments, input=body)
+        assert run.returncode == exit_code, run
+        outputs.append(run.stdout.replace(name, "ID"))
+    assert outputs[0]
+    assert outputs[0] == outputs[1]
+
+
+def test_rehearse_is_simulate(alone: Alone) -> None:
+    simulated = alone.run("simulate", "calm", "--seed", "2", "--modes")
+    rehearsed = alone.run("rehearse", "calm", "--seed", "2", "--modes")
+    assert simulated.returncode == 0
+    assert simulated.stdout.startswith("calm: ")
+    assert (rehearsed.returncode, rehearsed.stdout) == (simulated.returncode, simulated.stdout)
+
+
+def test_rehearse_refuses_as_simulate_does(alone: Alone) -> None:
+    simulated = alone.run("simulate", "no-such-day")
+    rehearsed = alone.run("rehearse", "no-such-day")
+    assert simulated.returncode == 2
+    assert (rehearsed.returncode, rehearsed.stderr) == (simulated.returncode, simulated.stderr)
