--- a/ashpath/server/storage/detached_endpoints.py
+++ b/ashpath/server/storage/detached_endpoints.py
@@ -46,8 +46,9 @@
         except FileNotFoundError:
             return set()
         except UNREADABLE as error:
-            event = "detached endpoints not read, none are detached"
-            self._logger.error(event, file=str(self._file.path), error=str(error))
+            self._logger.error(
+                "detached endpoints not read, none are detached", file=str(self._file.path), error=str(error)
+            )
             return set()
 
     def _check(self, rows: list[object]) -> None:
