--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -93,17 +93,11 @@
         self._finish(attempt, address, owner)
 
     def _deliver(self, attempt: Attempt, address: Address | None, owner: AttemptOwner) -> None:
-        """All stages up to the response. Fills in `response` or `failure`, and raises nothing."""
+        """All stages up to the response, within the attempt's time. Fills in `response` or `failure`, and
+        raises nothing."""
         try:
             with Timeout(max(0.0, (attempt.deadline - now()) / SECOND)):
-                if attempt.ordered:
-                    self._await_notifications(attempt)
-                if address is None:
-                    raise EndpointNotListedError
-                connection = attempt.connection = self._acquire_connection(attempt, address)
-                self._check_valid(attempt, address, owner)
-                self._write_request(attempt, address, connection)
-                self._read_response(attempt, connection)
+                self._run_stages(attempt, address, owner)
         except Timeout as timeout:
             attempt.failure = self._timeout_error(attempt)
             attempt.failure.__cause__ = timeout
@@ -118,6 +112,17 @@
             attempt.failure = ResponseError() if attempt.written else RequestNotWrittenError()
             attempt.failure.__cause__ = error
 
+    def _run_stages(self, attempt: Attempt, address: Address | None, owner: AttemptOwner) -> None:
+        """Raises an AttemptError where it cannot go on."""
+        if attempt.ordered:
+            self._await_notifications(attempt)
+        if address is None:
+            raise EndpointNotListedError
+        connection = attempt.connection = self._acquire_connection(attempt, address)
+        self._check_valid(attempt, address, owner)
+        self._write_request(attempt, address, connection)
+        self._read_response(attempt, connection)
+
     def _await_notifications(self, attempt: Attempt) -> None:
         """Waits for pending notifications of its ordering key, for half of the attempt's time. Guards the
         order: for those who learn of a final state by notification, an earlier message is not over before."""
--- a/ashpath/server/delivery/endpoint_registry.py
+++ b/ashpath/server/delivery/endpoint_registry.py
@@ -34,7 +34,7 @@
     host, _, port = text.rpartition(":")
     is_number = port.isascii() and port.isdigit() and len(port) <= PORT_DIGITS
     if not host or not is_number or int(port) > LARGEST_PORT:
-        raise InvalidAddressError(f"{text!r} is no address with a port")
+        raise InvalidAddressError(text)
     return host, int(port)
 
 
@@ -109,9 +109,12 @@
                 address = parse_address(member["host_port"]) if active else NO_ADDRESS
                 found.append((record, address))
             except (KeyError, TypeError, ValueError) as error:
-                self.logger.error("endpoint record not read", line=str(member), error=repr(error))
+                self._log_unreadable(member, error)
         return found
 
+    def _log_unreadable(self, member: EndpointMember, error: Exception) -> None:
+        self.logger.error("endpoint record not read", line=str(member), error=repr(error))
+
     def _update_served_destinations(self) -> None:
         """A destination is kept for some time, as an endpoint's successor may be listed only after it."""
         now = monotonic()
@@ -126,7 +129,8 @@
         """Raises KeyError, TypeError or ValueError where it cannot be read."""
         endpoint_id = member["id"]
         if not isinstance(endpoint_id, str):
-            raise TypeError(f"an id that is no text: {endpoint_id!r:.60}")
+            reason = f"an id that is no text: {endpoint_id!r:.60}"
+            raise TypeError(reason)
         return EndpointRecord(
             endpoint_id=endpoint_id,
             destination=int(member["cell"]),
--- a/ashpath/server/delivery/errors.py
+++ b/ashpath/server/delivery/errors.py
@@ -80,6 +80,9 @@
 class InvalidAddressError(DeliveryError, ValueError):
     """A text that is no host with a port."""
 
+    def __init__(self, text: str) -> None:
+        super().__init__(f"{text!r} is no address with a port")
+
 
 class PartialWriteError(OSError):
     """The disk took only a part of what was to be written."""
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -69,13 +69,13 @@
 class DeliveryMetrics(Protocol):
     """Who counts what happens, where somebody reads it."""
 
-    def message_accepted(self, track: int) -> None:
+    def message_accepted(self, traffic_class: int) -> None:
         """A message of that traffic class was accepted."""
 
-    def message_finished(self, track: int, state: str) -> None:
+    def message_finished(self, traffic_class: int, state: str) -> None:
         """A message of that traffic class has its final state."""
 
-    def attempt_finished(self, ending: AttemptOutcome, took: int) -> None:
+    def attempt_finished(self, outcome: AttemptOutcome, took_us: int) -> None:
         """An attempt ended after so many microseconds."""
 
 
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -85,7 +85,8 @@
         for error_type, outcome in FAILURE_OUTCOMES:
             if isinstance(failure, error_type):
                 return outcome
-        raise TypeError(f"no outcome of {failure!r}")
+        reason = f"no outcome of {failure!r}"
+        raise TypeError(reason)
 
     @staticmethod
     def _response_outcome(response: HttpResponse, *, new_connection: bool) -> AttemptOutcome:
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -184,12 +184,16 @@
         try:
             self.write_ahead_log.record_attempt(message, wall(), endpoint_id)
         except OSError as error:
-            self.logger.error("attempt not recorded", error=str(error))
-            # Not in this batch: the policy would start it again at once, until it had no attempt left.
-            pause = self.attempt_runner.pool.limits.retry_s
-            gevent.spawn_later(pause, self._report_result, attempt, NOT_SENT)
-            return
-        self.attempt_runner.start(attempt, self)
+            self._report_unrecorded(attempt, error)
+        else:
+            self.attempt_runner.start(attempt, self)
+
+    def _report_unrecorded(self, attempt: Attempt, error: OSError) -> None:
+        """Reports it as not sent, but not in this batch: the policy would start it again at once, until it
+        had no attempt left."""
+        self.logger.error("attempt not recorded", error=str(error))
+        pause_s = self.attempt_runner.pool.limits.retry_s
+        gevent.spawn_later(pause_s, self._report_result, attempt, NOT_SENT)
 
     def still_valid(self, message: StoredMessage) -> bool:
         """See `AttemptOwner`. Guards a Retry-After and a detached endpoint that the other process published a
