Scenarios of the policy in the standard terms, their checker typed, tests beside their package

Cause: the language of the scenarios and their checker read in terms of their own, and mypy passed over them.

Change: settings, traffic classes, outcomes and expectations have the names of core/interface.py; the checker of the six rules (tests/support/policy_harness.py) is apart from the language (tests/support/scenario.py); files are named after what they show. Tests moved to tests/policy and tests/bench_adapter, each case kept; the examples of all modules of core run.

--- /dev/null
+++ b/tests/bench_adapter/test_adapter.py
@@ -0,0 +1,71 @@
+"""The bench adapter as a process, on its standard streams."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+
+import pytest
+
+CLASS = {"deadline": 9000.0, "importance": 1.0, "repeat": "retryable", "slo": 2000.0}
+FACTS = {"classes": [CLASS], "specifics": {"slots": 4, "per-call": None}, "something-new": {"x": 1}}
+ROWS = [{"endpoint": f"e{i}:1", "cell": i % 2, "hw": 0, "availability": "IN", "heft": 1} for i in range(4)]
+
+
+def batches(numbers: list[int]) -> list[bytes]:
+    def batch(clock: float, *items: Mapping[str, object]) -> bytes:
+        groups = [{"sender-id": n, "items": list(items)} for n in numbers]
+        return json.dumps({"wall": clock, "senders": groups}).encode() + b"\n"
+
+    hello = {"Hello": {"init-seed": 5, "facts": FACTS}}
+    listed = {"BackendsChanged": {"sheet": 0, "index": 1, "kind": "cached"}}
+    job = {"priority": 0, "key": None, "ttl": 9000.0}
+    jobs = [{"JobIn": {**job, "rid": i, "addressee-no": i % 2}} for i in range(6)]
+    end = {"go": 0, "outcome": "Ok", "remark-ms": None, "delay-seen": 7.25, "complete": True, "stats": None}
+    done = [{"Returned": {**end, "rid": i, "endpoint": f"e{i}:1"}} for i in range(2)]
+    sheet, shorter = ({"Register": {"sheet": 0, "rows-in": rows}} for rows in (ROWS, ROWS[:2]))
+    return [
+        batch(1.5, hello, sheet, listed, *jobs),
+        batch(8.75, *done, {"Gone": {"rid": 77}}, {"Wake": {"ref": "r"}}),
+        batch(9.0, {"PowerOff": {}}, hello, shorter, listed, *jobs[:1]),
+    ]
+
+
+def piped(lines: list[bytes], seed: str = "0") -> tuple[int, list[dict[str, object]], str]:
+    command = [sys.executable, "-m", "ashpath.bench_adapter"]
+    root = Path(__file__).parents[2]
+    run = subprocess.run(
+        command, input=b"".join(lines), capture_output=True, cwd=root, env={"PYTHONHASHSEED": seed}
+    )
+    return run.returncode, [json.loads(line) for line in run.stdout.splitlines()], run.stderr.decode()
+
+
+def test_piped_runs_agree() -> None:
+    code, replies, _ = piped(batches([1, 2]))
+    assert code == 0
+    assert len(replies) == 3
+    assert "CallOut" in str(replies[0])
+    assert "BailOut" not in str(replies)
+    assert piped(batches([1, 2]), "77")[1] == replies
+    apart = [piped(batches([n]))[1] for n in (1, 2)]
+    for reply, one, two in zip(replies, *apart, strict=True):
+        assert reply["senders"] == [*one["senders"], *two["senders"]]
+
+
+BAD = {
+    "not JSON": b"{nonsense\n",
+    "no clock": b'{"senders":[]}\n',
+    "never started": b'{"wall":1,"senders":[{"sender-id":3,"items":[{"Wake":{"ref":"x"}}]}]}\n',
+    "unknown name": batches([1])[0][:-5] + b',{"Odd":{}}]}]}\n',
+}
+
+
+@pytest.mark.parametrize("words", BAD)
+def test_bad_input_is_named(words: str) -> None:
+    code, _, errors = piped([BAD[words]])
+    assert code != 0
+    assert words in errors
+    assert len(errors.splitlines()) == 1
--- a/tests/policy/test_order_of_events.py
+++ b/tests/policy/test_order_of_events.py
@@ -5,79 +5,84 @@
 from collections.abc import Callable
 from dataclasses import replace
 from itertools import permutations
-from typing import Any
 
 import pytest
-from support import scenario
+from support.policy_harness import PolicyEvent, TrackedMessage, attempt_finished, timer_fired
+from support.scenario import Scenario
 
 from ashpath.core.interface import AttemptOutcome, EndpointStatus
 from ashpath.core.statistics import SECOND
 from ashpath.policy.delivery_policy import DeliveryPolicy
 
-WAIT, GRACE = 2 * SECOND, SECOND // 2
+RETRY_AFTER = 2 * SECOND
 
-
-# News that fall into one turn, by name; `a` is out at x1 and its wait, deadline or grace ends just then.
-NEWS: dict[str, Callable[[scenario.Scene], tuple[Any, ...]]] = {
-    "outcome": lambda one: ("attempt_finished", one.ids["a"], AttemptOutcome.TIMED_OUT, 0, False, None),
-    "refused": lambda one: ("attempt_finished", one.ids["a"], AttemptOutcome.OVERLOADED, WAIT, False, None),
-    "wake": lambda one: ("timer_fired", f"e{one.ids['b']}"),
-    "look": lambda one: ("timer_fired", "d7"),
-    "drain": lambda one: (
-        "update_endpoints",
-        [replace(one.rows["x1"], status=EndpointStatus.DRAINING)],
-        False,
+# Events that fall into one batch; `a` is in flight to x1, and its wait, deadline or grace ends just then.
+EVENTS: dict[str, Callable[[Scenario], PolicyEvent]] = {
+    "timed out": lambda played: attempt_finished(played.ids["a"], AttemptOutcome.TIMED_OUT, 0, False, None),
+    "overloaded": lambda played: attempt_finished(
+        played.ids["a"], AttemptOutcome.OVERLOADED, RETRY_AFTER, False, None
+    ),
+    "message timer": lambda played: timer_fired(f"e{played.ids['b']}"),
+    "destination timer": lambda played: timer_fired("d7"),
+    "drain": lambda played: lambda policy: policy.update_endpoints(
+        [replace(played.endpoints["x1"], status=EndpointStatus.DRAINING)], whole=False
+    ),
+    "remove": lambda played: lambda policy: policy.update_endpoints([played.endpoints["x2"]], whole=True),
+    "list": lambda played: played.whole_list(),
+    "detach": lambda played: lambda policy: policy.set_detached("x1", detached=True),
+    "retry after": lambda played: lambda policy: policy.retry_after_received(
+        7, "x1", played.now + RETRY_AFTER
     ),
-    "gone": lambda one: ("update_endpoints", [one.rows["x2"]], True),
-    "back": lambda one: ("update_endpoints", list(one.rows.values()), True),
-    "held": lambda one: ("set_detached", "x1", True),
-    "wait": lambda one: ("retry_after_received", 7, "x1", one.now + WAIT),
-    "withdrawn": lambda one: ("client_disconnected", one.ids["b"]),
+    "disconnect": lambda played: lambda policy: policy.client_disconnected(played.ids["b"]),
 }
 
 
-@pytest.mark.parametrize("kind", ["plain", "apart"])
-@pytest.mark.parametrize("track", ["repeatable", "tagged window=1s ordered", "once-only"])
-def test_news_of_one_turn_in_each_order(kind: str, track: str) -> None:
-    """Whatever order a turn's news have, the rules hold to the end: the checker of scenarios looks on."""
-    for names in permutations(NEWS, 3):
-        if {"outcome", "refused"} <= set(names):
+@pytest.mark.parametrize("kind", ["kind", "kind per_endpoint"])
+@pytest.mark.parametrize("traffic_class", ["idempotent", "deduplicated window=1s ordered", "at_most_once"])
+def test_events_of_one_batch_in_each_order(kind: str, traffic_class: str) -> None:
+    """Whatever order a batch's events have, the rules hold to the end: the checker of scenarios looks on."""
+    for names in permutations(EVENTS, 3):
+        if {"timed out", "overloaded"} <= set(names):
             continue  # a call has one outcome
-        one = scenario.Scene(DeliveryPolicy)
+        played = Scenario(DeliveryPolicy)
         for line in (
-            f"track s {track} promise=1s cutoff=4s",
-            f"kind {kind}",
-            "at x1 x2 : 7",
-            "0s take a b c d s 7 key=1",
+            f"class s {traffic_class} objective=1s deadline=4s",
+            kind,
+            "endpoints x1 x2 : 7",
+            "0s submit a b c d s 7 key=1",
             "+1s pass",
         ):
-            one.step(line.split())
-        a = one.held[one.ids["a"]]
-        if a.out is None:
-            continue
-        one.sender.begin_batch(one.now)
-        for at, name in enumerate(names):
-            if name == "withdrawn" and one.held[one.ids["b"]].over:
-                continue  # it has its end by now: its client cannot leave any more
-            known(one, a, name)
-            if name == "back" and "held" not in names[:at]:
-                one.dropped_at.pop("x1", None)
-            what, *told = NEWS[name](one)
-            getattr(one.sender, what)(*told)
-        one.sender.end_batch()
-        if {"refused", "wait"} & set(names):
-            one.waits[one.route("x1")] = one.now + WAIT
-        one.run_to(one.now + 6 * SECOND)
+            played.step(line.split())
+        if played.messages[played.ids["a"]].endpoint_id is not None:
+            play_batch(played, names)
+
+
+def play_batch(played: Scenario, names: tuple[str, ...]) -> None:
+    a = played.messages[played.ids["a"]]
+    b = played.messages[played.ids["b"]]
+    played.policy.begin_batch(played.now)
+    for at, name in enumerate(names):
+        if name == "disconnect" and b.finished:
+            continue  # it has its answer by now: its client cannot leave any more
+        tell_checker(played, a, name)
+        if name == "list" and "detach" not in names[:at]:
+            played.draining_since.pop("x1", None)
+        EVENTS[name](played)(played.policy)
+    played.policy.end_batch()
+    if {"overloaded", "retry after"} & set(names):
+        played.retry_after[played.route("x1")] = played.now + RETRY_AFTER
+    played.run_to(played.now + 6 * SECOND)
 
 
-def known(one: scenario.Scene, a: scenario.Held, name: str) -> None:
-    """What the checker has to know of a piece of news."""
-    if name in ("outcome", "refused"):
-        if name == "outcome" and a.risk_from is None:
-            a.risk_from, a.risk_at = a.sent_at, str(a.out)
-            one.rests[1] = (one.now + one.terms.settle_time, one.ids["a"])
-        a.out = None
-    elif name in ("drain", "gone", "held"):
-        one.dropped_at["x1"] = one.now
-    elif name == "withdrawn":
-        one.held[one.ids["b"]].over = True
+def tell_checker(played: Scenario, a: TrackedMessage, name: str) -> None:
+    """What the checker has to know of an event."""
+    if name in ("timed out", "overloaded"):
+        if name == "timed out" and a.first_run_at is None:
+            a.first_run_at = a.started_at
+            a.first_run_endpoint = str(a.endpoint_id)
+            played.settling[1] = (played.now + played.settings.settle_time, played.ids["a"])
+        a.endpoint_id = None
+    elif name in ("drain", "remove", "detach"):
+        played.draining_since["x1"] = played.now
+    elif name == "disconnect":
+        played.messages[played.ids["b"]].finished = True
--- /dev/null
+++ b/tests/policy/test_scenarios.py
@@ -0,0 +1,120 @@
+"""Every scenario keeps the six rules; and the checker can fail."""
+
+from __future__ import annotations
+
+import doctest
+import importlib
+import pkgutil
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import cast
+
+import pytest
+from support import scenario
+from support.scenario import Scenario
+
+import ashpath.core
+from ashpath.core.interface import PolicyActions, PolicySettings
+from ashpath.policy.delivery_policy import DeliveryPolicy
+from benchmarks import tap
+
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_scenario(path: Path) -> None:
+    Scenario(DeliveryPolicy).play(path.read_text())
+
+
+def test_examples() -> None:
+    names = [module.name for module in pkgutil.iter_modules(ashpath.core.__path__, "ashpath.core.")]
+    modules = [scenario, tap, *map(importlib.import_module, names)]
+    assert "ashpath.core.platform_settings" in names
+    assert all(doctest.testmod(module).failed == 0 for module in modules)
+
+
+def test_a_retry_after_of_an_endpoint_not_known_here_binds_all_routes() -> None:
+    """Guards routes in a hot upgrade: an id too long for the shared memory is published without it."""
+    played = Scenario(DeliveryPolicy)
+    for line in ("kind per_endpoint", "endpoints x1 x2 : 7", "0s pass"):
+        played.step(line.split())
+    played.run_batch(lambda policy: policy.retry_after_received(7, "", 500_000))
+    played.step(["1ms", "submit", "a", "s", "7"])
+    played.expect("queued a")
+    played.run_to(600_000)
+    played.expect("attempt a")
+
+
+def test_word_of_a_return_starts_the_recovery_at_random() -> None:
+    """Guards a returning destination against all that learn of it at once, with buckets filled meanwhile."""
+    played = Scenario(DeliveryPolicy)
+    head = "settings gossip_enabled=1 sender_count=40"
+    for line in (head, "2s submit a s 7", "+10ms connect_failed a"):
+        played.step(line.split())
+    outage = played.gate(7).outage
+    assert outage.down
+    outage.recovery_bucket.tokens = 1.0
+    played.run_batch(lambda policy: policy.receive_gossip(b"back 7 x1"))
+    assert not outage.down
+    assert outage.recovery_bucket.tokens < 1.0
+    played.expect("queued a")
+
+
+class Reckless:
+    """Sends at once and again after each outcome, or never."""
+
+    def __init__(self, actions: PolicyActions, *, sends: bool) -> None:
+        self.actions = actions
+        self.sends = sends
+
+    def __getattr__(self, event: str) -> Callable[..., None]:
+        return lambda *_, **__: None
+
+    def submit(self, message_id: int, *_: object) -> None:
+        if self.sends:
+            self.actions.start_attempt(message_id, "x1", 5_000_000)
+
+    def attempt_finished(self, message_id: int, *_: object) -> None:
+        self.submit(message_id)
+
+
+HEAD = """settings sender_count=1
+class t at_most_once
+class k deduplicated window=1s ordered
+kind
+endpoints x1 : 7
+"""
+BROKEN = {
+    "got no answer in time": (False, "0s submit a t 7"),
+    "may run twice": (True, "0s submit a t 7\n+1s error a"),
+    "within a Retry-After": (True, "0s submit a t 7\n+1s overloaded a retry_after=400ms\n+1ms submit b t 7"),
+    "out of order": (True, "0s submit a k 7 key=3\n+1ms submit b k 7 key=3"),
+    "out of its window": (True, "0s submit a k 7\n+2s timed_out a"),
+    "after its grace": (True, "0s drain x1\n+1s submit a t 7"),
+    "after its end": (True, "0s submit a t 7\n+1s delivered a"),
+}
+
+
+@pytest.mark.parametrize("rule", BROKEN)
+def test_the_checker_can_fail(rule: str) -> None:
+    sends, text = BROKEN[rule]
+
+    def make(_: PolicySettings, actions: PolicyActions) -> DeliveryPolicy:
+        return cast(DeliveryPolicy, Reckless(actions, sends=sends))
+
+    with pytest.raises(AssertionError, match=rule):
+        Scenario(make).play(HEAD + text)
+
+
+def test_replaced_endpoints_are_forgotten() -> None:
+    """Successors under new ids all day: only those listed, and those removed of late, are known."""
+    played = Scenario(DeliveryPolicy)
+    for line in ("endpoints x0 : 7", "0s submit a s 7", "+1s delivered a"):
+        played.step(line.split())
+    for number in range(1, 40):
+        played.endpoints[f"x{number}"] = replace(played.endpoints["x0"], endpoint_id=f"x{number}")
+        for line in (f"+1s list x{number}", f"+0s remove x{number - 1}", f"+0s submit b{number} s 7"):
+            played.step(line.split())
+        played.step(f"+1s delivered b{number}".split())
+    assert len(played.policy.destinations[7].known) < 15
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -1,7 +1,7 @@
-"""Many senders at one destination that goes out and comes back cold, in virtual time; the module alone.
+"""Many senders at one destination that goes down and comes back, in virtual time, with the policy alone.
 
-What the destination may be sent is what the operators' rule says: N, so many times of what it can do at that
-moment over the time in which it falls, and 2 x root of N + 2 for chance.
+What the destination may be sent is what the operators' rule says: N, so many times its capacity at that
+moment over the time in which it is overloaded, and 2 x root of N + 2 for chance. Times are microseconds.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field, replace
 from math import sqrt
 from random import Random
-from typing import Any
+from typing import cast
 
 from ashpath.core.interface import (
     AttemptOutcome,
@@ -24,200 +24,257 @@
     RetrySafety,
     TrafficClassSettings,
 )
+from ashpath.core.statistics import SECOND
 from ashpath.policy.delivery_policy import DeliveryPolicy
 
-SECOND = 1_000_000
-TOOK = 200_000  # microseconds from a call to its answer
-NUMBER = 7  # the destination that goes out
+RESPONSE_TIME = 200_000  # from a call to its response
+REFUSAL_TIME = 1_000
+RESTART_TIME = 600_000  # from a kill to the next incarnation
+TIME_LEFT = 20 * SECOND  # of a message, as it is submitted
+NUMBER = 7  # the destination that goes down
+
+PolicyEvent = Callable[[DeliveryPolicy], None]
 
 
 @dataclass
 class Fleet:
-    """`capacity`: calls a second that the destination can do when warm. `offered`: of that, what is asked of
-    it by all senders together, and of each of the `others` - 1 beside it, which stay well."""
+    """All senders, and the destinations that they share."""
 
-    terms: PolicySettings
-    senders: int
+    settings: PolicySettings
+    sender_count: int
     capacity: float
-    offered: float = 0.7
+    """Calls a second that each destination can do when warm."""
+    offered_load: float = 0.7
+    """The part of the capacity that is submitted for each destination, by all senders together."""
     uneven: bool = True
-    silent: bool = False  # out: takes calls and says nothing; else it refuses them
-    out: tuple[int, int] = (30 * SECOND, 50 * SECOND)
-    end: int = 62 * SECOND
-    restarts: tuple[int, ...] = ()  # when all senders are killed and come back, 600 ms later
+    """Each sender has less of the load than the one before."""
+    silent: bool = False
+    """Down, it accepts calls and never responds; else it refuses them."""
+    outage: tuple[int, int] = (30 * SECOND, 50 * SECOND)
+    ends_at: int = 62 * SECOND
+    restarts: tuple[int, ...] = ()
+    """When all senders are killed and come back."""
     seed: int = 1
-    others: int = 3
-    calls: list[int] = field(default_factory=list)  # arrivals at the destination, from its return on
-    during: int = 0  # and while it was out
+    destinations: int = 3
+    """The one that goes down, and others that stay well."""
+    calls: list[int] = field(default_factory=list)
+    """Arrivals at the destination, from its return on."""
+    calls_in_outage: int = 0
     delivered: int = 0
 
     def __post_init__(self) -> None:
-        self.now, self.chance = 0, Random(self.seed)
-        self.events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.count = 0
-        self.fronts = [Front(self, number) for number in range(self.senders)]
+        self.now = 0
+        self.random = Random(self.seed)
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.event_count = 0
+        self.senders = [FleetSender(self, number) for number in range(self.sender_count)]
 
-    def at(self, when: int, act: Callable[..., None], *told: Any) -> None:
-        self.count += 1
-        heapq.heappush(self.events, (max(when, self.now), self.count, act, told))
+    def schedule(self, when: int, act: Callable[[], None]) -> None:
+        self.event_count += 1
+        heapq.heappush(self.events, (max(when, self.now), self.event_count, act))
 
     def play(self) -> Fleet:
-        weights = [1 / (n + 1) if self.uneven else 1.0 for n in range(self.senders)]
-        for front, weight in zip(self.fronts, weights, strict=True):
-            front.start(())
+        weights = [1 / (n + 1) if self.uneven else 1.0 for n in range(self.sender_count)]
+        for sender, weight in zip(self.senders, weights, strict=True):
+            sender.start(())
             share = weight / sum(weights)
-            for destination in range(NUMBER, NUMBER + self.others):
-                rate = self.offered * self.capacity * share
-                self.at(self.gap(rate), self.asks, front, destination, rate)
+            for destination in range(NUMBER, NUMBER + self.destinations):
+                rate = self.offered_load * self.capacity * share
+                self.schedule_submission(sender, destination, rate)
         for when in self.restarts:
-            for front in self.fronts:
-                self.at(when, front.kill)
-        while self.events and self.events[0][0] <= self.end:
-            self.now, _, act, told = heapq.heappop(self.events)
-            act(*told)
+            for sender in self.senders:
+                self.schedule(when, sender.kill)
+        while self.events and self.events[0][0] <= self.ends_at:
+            self.now, _, act = heapq.heappop(self.events)
+            act()
         return self
 
-    def gap(self, rate: float) -> int:
-        return self.now + int(self.chance.expovariate(rate) * SECOND)
+    def schedule_submission(self, sender: FleetSender, destination: int, rate: float) -> None:
+        gap = int(self.random.expovariate(rate) * SECOND)
+        self.schedule(self.now + gap, lambda: self.submit(sender, destination, rate))
 
-    def asks(self, front: Front, destination: int, rate: float) -> None:
-        self.at(self.gap(rate), self.asks, front, destination, rate)
-        front.take(destination)
+    def submit(self, sender: FleetSender, destination: int, rate: float) -> None:
+        self.schedule_submission(sender, destination, rate)
+        sender.submit(destination)
 
-    def answers(self, destination: int) -> tuple[AttemptOutcome, int] | None:
+    def respond(self, destination: int) -> tuple[AttemptOutcome, int] | None:
         """What a call that arrives now ends as, and when; None: silence."""
-        out, back = self.out
-        if destination != NUMBER or self.now < out:
-            return AttemptOutcome.DELIVERED, TOOK
-        if self.now >= back:
+        down_at, back_at = self.outage
+        if destination != NUMBER or self.now < down_at:
+            return AttemptOutcome.DELIVERED, RESPONSE_TIME
+        if self.now >= back_at:
             self.calls.append(self.now)
-            return AttemptOutcome.DELIVERED, TOOK
-        self.during += 1
-        return None if self.silent else (AttemptOutcome.CONNECT_FAILED, 1000)
+            return AttemptOutcome.DELIVERED, RESPONSE_TIME
+        self.calls_in_outage += 1
+        return None if self.silent else (AttemptOutcome.CONNECT_FAILED, REFUSAL_TIME)
 
-    def allowed(self, when: int) -> float:
-        terms = self.terms
-        warm = min(1.0, (when - self.out[1]) / terms.warm_up_time)
-        able = self.capacity * (terms.initial_capacity_share + (1 - terms.initial_capacity_share) * warm)
-        return terms.overload_multiple * able * terms.overload_duration / SECOND
+    def allowed_calls(self, when: int) -> float:
+        settings = self.settings
+        warm = min(1.0, (when - self.outage[1]) / settings.warm_up_time)
+        initial = settings.initial_capacity_share
+        capacity = self.capacity * (initial + (1 - initial) * warm)
+        return settings.overload_multiple * capacity * settings.overload_duration / SECOND
 
     def worst(self) -> tuple[float, float]:
-        """The window that comes nearest to a fall, or goes furthest past it: calls in it, and what it may
-        have with chance. The destination can do as much as at the window's end."""
+        """The window that comes nearest to an overload, or goes furthest past it: calls in it, and what it
+        may have with chance. The destination can do as much as at the window's end."""
         found = (0.0, 1.0)
         for last, when in enumerate(self.calls):
-            if when > self.out[1] + self.terms.warm_up_time:
+            if when > self.outage[1] + self.settings.warm_up_time:
                 break
-            count = sum(at > when - self.terms.overload_duration for at in self.calls[: last + 1])
-            budget = self.allowed(when)
+            window_start = when - self.settings.overload_duration
+            count = sum(at > window_start for at in self.calls[: last + 1])
+            budget = self.allowed_calls(when)
             most = budget + 2 * sqrt(budget) + 2
             if count / most > found[0] / found[1]:
                 found = (count, most)
         return found
 
 
-class Front:
-    """One sender's front: carries out its answers, and keeps what it took over a kill."""
+@dataclass
+class AcceptedMessage:
+    """What a sender keeps of a message over a kill."""
+
+    destination: int
+    deadline_at: int
+    attempts: int = 0
+    in_flight_since: int | None = None
+
+
+class FleetSender:
+    """One sender: carries out the actions of its policy, and keeps what it accepted over a kill."""
 
     def __init__(self, fleet: Fleet, number: int) -> None:
-        self.fleet, self.number, self.life, self.last = fleet, number, 0, number << 32
-        self.owed: dict[int, list[Any]] = {}  # destination, end, attempts, when the one out began
-        self.outages: dict[int, tuple[float, int | None]] = {}  # kept over a kill, too
+        self.fleet = fleet
+        self.number = number
+        self.incarnation = 0
+        self.last_id = number << 32
+        self.messages: dict[int, AcceptedMessage] = {}
+        self.outages: dict[int, tuple[float, int | None]] = {}
+        """By destination, the rate before and until when it warms up; kept over a kill, too."""
         self.alive = False
 
     def start(self, kept: tuple[int, ...]) -> None:
         fleet = self.fleet
-        self.life, self.alive = self.life + 1, True
-        seed = f"{fleet.seed}/{self.number}/{self.life}"
-        terms: Any = replace(fleet.terms, sender_index=self.number, sender_count=fleet.senders, seed=seed)
-        self.sender = DeliveryPolicy(terms, self)
+        self.incarnation += 1
+        self.alive = True
+        seed = cast(int, f"{fleet.seed}/{self.number}/{self.incarnation}")  # any seed of random.Random
+        self.policy = DeliveryPolicy(
+            replace(fleet.settings, sender_index=self.number, sender_count=fleet.sender_count, seed=seed),
+            self,
+        )
         rows = [
             EndpointRecord(f"x{n}", n, 0, 0, EndpointStatus.ACTIVE, fleet.capacity)
-            for n in range(NUMBER, NUMBER + fleet.others)
+            for n in range(NUMBER, NUMBER + fleet.destinations)
         ]
-        restored: list[tuple[Any, ...]] = [
-            ("restore_outage", destination, "", rate)
+        outages = [
+            restore_outage(destination, rate)
             for destination, (rate, until) in self.outages.items()
             if until is None or until > fleet.now
         ]
-        for id_ in kept:
-            destination, end, attempts, out_at = self.owed[id_]
-            past = PreviousAttempts(
-                attempts, out_at, f"x{destination}" if out_at is not None else "", out_at is not None
-            )
-            restored.append(("restore", id_, destination, 0, None, end - fleet.now, past))
-            self.owed[id_][3] = None
-        self.turn(("update_endpoints", rows, True), *restored)
+        restored = [self.restore(message_id) for message_id in kept]
+        self.run_batch(lambda policy: policy.update_endpoints(rows, whole=True), *outages, *restored)
+
+    def restore(self, message_id: int) -> PolicyEvent:
+        message = self.messages[message_id]
+        since = message.in_flight_since
+        endpoint_id = "" if since is None else f"x{message.destination}"
+        past = PreviousAttempts(message.attempts, since, endpoint_id, since is not None)
+        left = message.deadline_at - self.fleet.now
+        message.in_flight_since = None
+        return lambda policy: policy.restore(message_id, message.destination, 0, None, left, past)
 
     def kill(self) -> None:
-        self.alive, self.life = False, self.life + 1
-        self.fleet.at(self.fleet.now + 600_000, lambda: self.start(tuple(self.owed)))
+        self.alive = False
+        self.incarnation += 1
+        self.fleet.schedule(self.fleet.now + RESTART_TIME, lambda: self.start(tuple(self.messages)))
 
-    def turn(self, *news: tuple[Any, ...]) -> None:
-        self.sender.begin_batch(self.fleet.now)
-        for name, *told in news:
-            getattr(self.sender, name)(*told)
-        self.sender.end_batch()
+    def run_batch(self, *events: PolicyEvent) -> None:
+        self.policy.begin_batch(self.fleet.now)
+        for event in events:
+            event(self.policy)
+        self.policy.end_batch()
 
-    def take(self, destination: int) -> None:
+    def submit(self, destination: int) -> None:
         if not self.alive:
             return
-        self.last += 1
-        self.owed[self.last] = [destination, self.fleet.now + 20 * SECOND, 0, None]
-        self.turn(("submit", self.last, destination, 0, None, 20 * SECOND))
-
-    def start_attempt(self, message: int, endpoint: str, timeout: int) -> None:
-        one, life = self.owed[message], self.life
-        one[2], one[3] = one[2] + 1, self.fleet.now
-        self.fleet.at(self.fleet.now, self.arrive, life, message, timeout)
-
-    def arrive(self, life: int, message: int, timeout: int) -> None:
-        if life == self.life:
-            ending, took = self.fleet.answers(self.owed[message][0]) or (AttemptOutcome.TIMED_OUT, timeout)
-            self.fleet.at(self.fleet.now + min(took, timeout), self.back, life, message, ending)
-
-    def back(self, life: int, message: int, ending: AttemptOutcome) -> None:
-        if life != self.life:
+        self.last_id += 1
+        message_id = self.last_id
+        self.messages[message_id] = AcceptedMessage(destination, self.fleet.now + TIME_LEFT)
+        self.run_batch(lambda policy: policy.submit(message_id, destination, 0, None, TIME_LEFT))
+
+    def start_attempt(self, message_id: int, endpoint_id: str, timeout: int) -> None:
+        message = self.messages[message_id]
+        message.attempts += 1
+        message.in_flight_since = self.fleet.now
+        incarnation = self.incarnation
+        self.fleet.schedule(self.fleet.now, lambda: self.arrive(incarnation, message_id, timeout))
+
+    def arrive(self, incarnation: int, message_id: int, timeout: int) -> None:
+        if incarnation != self.incarnation:
             return
-        done = ending is AttemptOutcome.DELIVERED
-        if message in self.owed:
-            self.owed[message][3] = None
-            if done:
-                del self.owed[message]
-        self.fleet.delivered += done
-        told = LoadReport(0.7, self.fleet.capacity) if done and self.fleet.terms.has_load_reports else None
-        self.turn(("attempt_finished", message, ending, 0, done, told))
+        response = self.fleet.respond(self.messages[message_id].destination)
+        outcome, duration = response or (AttemptOutcome.TIMED_OUT, timeout)
+        ends_at = self.fleet.now + min(duration, timeout)
+        self.fleet.schedule(ends_at, lambda: self.finish_attempt(incarnation, message_id, outcome))
 
-    def reject(self, message: int, come_back: int) -> None:
-        del self.owed[message]
-
-    def fail(self, message: int) -> None:
-        del self.owed[message]
+    def finish_attempt(self, incarnation: int, message_id: int, outcome: AttemptOutcome) -> None:
+        if incarnation != self.incarnation:
+            return
+        delivered = outcome is AttemptOutcome.DELIVERED
+        if message_id in self.messages:
+            self.messages[message_id].in_flight_since = None
+            if delivered:
+                del self.messages[message_id]
+        self.fleet.delivered += delivered
+        reports = delivered and self.fleet.settings.has_load_reports
+        report = LoadReport(0.7, self.fleet.capacity) if reports else None
+        self.run_batch(lambda policy: policy.attempt_finished(message_id, outcome, 0, delivered, report))
+
+    def reject(self, message_id: int, retry_after: int) -> None:
+        del self.messages[message_id]
+
+    def fail(self, message_id: int) -> None:
+        del self.messages[message_id]
 
     def schedule_timer(self, at: int, token: str) -> None:
-        self.fleet.at(max(at, self.fleet.now + 1), self.woken, self.life, token)
+        incarnation = self.incarnation
+        self.fleet.schedule(max(at, self.fleet.now + 1), lambda: self.timer_fired(incarnation, token))
 
-    def woken(self, life: int, token: str) -> None:
-        if life == self.life and self.alive:
-            self.turn(("timer_fired", token))
+    def timer_fired(self, incarnation: int, token: str) -> None:
+        if incarnation == self.incarnation and self.alive:
+            self.run_batch(lambda policy: policy.timer_fired(token))
 
-    def cancel_attempt(self, message: int, attempt: int) -> None: ...
+    def cancel_attempt(self, message_id: int, attempt: int) -> None: ...
 
-    def close_idle_connections(self, endpoint: str) -> None: ...
+    def close_idle_connections(self, endpoint_id: str) -> None: ...
 
     def poll_endpoints(self) -> None: ...
 
-    def publish(self, note: bytes) -> None: ...
+    def publish(self, message: bytes) -> None: ...
 
-    def mode_changed(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
-        if out:
+    def mode_changed(self, text: str, destination: int, endpoint_id: str, down: bool, rate: float) -> None:
+        if down:
             self.outages[destination] = (rate, None)
         elif destination in self.outages and self.outages[destination][1] is None:
-            self.outages[destination] = (rate, self.fleet.now + self.fleet.terms.warm_up_time)
+            self.outages[destination] = (rate, self.fleet.now + self.fleet.settings.warm_up_time)
+
 
+def restore_outage(destination: int, rate: float) -> PolicyEvent:
+    return lambda policy: policy.restore_outage(destination, "", rate)
 
-TRACK = TrafficClassSettings(1.0, 3 * SECOND, 20 * SECOND, RetrySafety.IDEMPOTENT, 0, True, 0.3, False)
-PLAIN = PolicySettings(
+
+TRAFFIC_CLASS = TrafficClassSettings(
+    value=1.0,
+    latency_objective=3 * SECOND,
+    deadline=TIME_LEFT,
+    retry_safety=RetrySafety.IDEMPOTENT,
+    deduplication_window=0,
+    deduplicates_across_zones=True,
+    late_value_share=0.3,
+    ordered=False,
+)
+REPORTED = PolicySettings(
     seed=1,
     sender_index=0,
     sender_count=1,
@@ -229,8 +286,8 @@
     connect_timeout=SECOND,
     idle_timeout=5 * SECOND,
     reports_full_connection_table=True,
-    traffic_classes=(TRACK,),
-    destination_kinds=(DestinationKindSettings(False, 1),),
+    traffic_classes=(TRAFFIC_CLASS,),
+    destination_kinds=(DestinationKindSettings(limit_per_endpoint=False, max_batch_size=1),),
     value_halves=True,
     drain_grace=SECOND,
     initial_capacity_share=0.2,
@@ -244,11 +301,11 @@
     gossip_enabled=False,
     zone_costs=(),
 )
-# Two customers: one whose answers tell of limits, and one where nothing does and the rates listed are rough.
+# Two customers: one whose responses report limits, and one where none do and the listed rates are rough.
 CUSTOMERS = {
-    "told": PLAIN,
-    "blind": replace(
-        PLAIN,
+    "load reports": REPORTED,
+    "no load reports": replace(
+        REPORTED,
         has_load_reports=False,
         initial_capacity_share=0.18,
         warm_up_time=12 * SECOND,
