--- a/ashpath/server/delivery/notifier.py
+++ b/ashpath/server/delivery/notifier.py
@@ -1,5 +1,4 @@
-"""Who is notified of a message that was accepted and will not be delivered: the interface, and what is
-pending.
+"""Notifications of messages that were accepted and will not be delivered: the interface, what is pending.
 
 A message that ends after its 202, rejected or failed, is owed a notification. It stays in the write-ahead log
 until its receiver has the notification, so that a kill repeats it and never loses it. Three notifiers differ
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -1,10 +1,10 @@
-"""Follows the endpoint list of the platform's agent: one poll at a time, renewed at once, through any
-failure.
+"""Follows the endpoint list of the platform's agent: one poll at a time, through any failure.
 
 A poll with a revision is a watch: the agent answers as soon as its list is another, or after `watch_s`. A
 poll without one is answered at once by a snapshot. What a poll comes to, and when the next one follows, is
 the table of `state`. Whatever became of a poll, the next is on its way before 6 s are over: a change counts
-as received by then, once the agent had it and could be reached (see docs/architecture.md, "Lists").
+as received by then, once the agent had it and could be reached: docs/architecture.md, "The way of a watch
+event", has the reasons.
 
 Two backoffs, as two kinds of failure have opposite needs. Silence and refused connections are an outage,
 whose end is to be seen soon: short pauses. An agent that rejects has more polls than it can answer: a try
--- a/ashpath/server/discovery/snapshot.py
+++ b/ashpath/server/discovery/snapshot.py
@@ -26,7 +26,7 @@
 class MembershipListener(Protocol):
     """Receives every snapshot and update."""
 
-    def receive_members(self, members: list[EndpointRow], whole: bool) -> bool:
+    def receive_members(self, members: list[EndpointRow], *, whole: bool) -> bool:
         """Applies a snapshot (`whole`) or an update; whether every row could be read."""
         ...
 
--- a/ashpath/server/endpoint_membership.py
+++ b/ashpath/server/endpoint_membership.py
@@ -14,7 +14,7 @@
         self.registry = registry
         self.policy_runner = policy_runner
 
-    def receive_members(self, members: list[EndpointRow], whole: bool) -> bool:
+    def receive_members(self, members: list[EndpointRow], *, whole: bool) -> bool:
         """Applies a listing; whether every member could be read."""
         change = self.registry.apply_members(members, whole=whole)
         self.policy_runner.update_endpoints(change.records, whole=change.whole)
--- /dev/null
+++ b/tests/server/control/test_connection_table.py
@@ -0,0 +1,57 @@
+"""Which connection gives way at the operators' address."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from gevent import socket
+
+from ashpath.server.control.connection_table import ControlConnectionTable
+
+Pair = tuple[socket.socket, socket.socket]
+
+
+@pytest.fixture
+def pairs() -> Iterator[list[Pair]]:
+    """Connections: our end, and the operator's."""
+    made = [socket.socketpair() for _ in range(3)]
+    yield made
+    for ours, operators in made:
+        ours.close()
+        operators.close()
+
+
+@pytest.fixture
+def table(pairs: list[Pair]) -> ControlConnectionTable:
+    """Full."""
+    made = ControlConnectionTable(capacity=3)
+    for ours, _ in pairs:
+        assert not made.full
+        made.add(ours)
+    return made
+
+
+def test_the_longest_silent_one_gives_way(table: ControlConnectionTable, pairs: list[Pair]) -> None:
+    assert table.full
+    table.mark_active(pairs[0][0])
+    assert table.evict_silent()
+    assert not table.full
+    assert pairs[1][1].recv(100) == b"ERR busy: said nothing for the longest\n"
+    assert pairs[1][1].recv(100) == b""
+
+
+def test_one_whose_bytes_wait_does_not_give_way(table: ControlConnectionTable, pairs: list[Pair]) -> None:
+    pairs[0][1].sendall(b"PI")
+    assert table.evict_silent()
+    assert pairs[1][0] not in table.connections
+    for _, operators in (pairs[0], pairs[2]):
+        operators.sendall(b"PI")
+    assert not table.evict_silent()
+    assert pairs[0][0].recv(100) == b"PIPI"  # nothing of it was taken
+
+
+def test_one_that_ended_needs_no_place(table: ControlConnectionTable, pairs: list[Pair]) -> None:
+    table.remove(pairs[0][0])
+    table.remove(pairs[0][0])  # as it may have given way before
+    assert not table.full
--- /dev/null
+++ b/tests/server/delivery/test_file_notifier.py
@@ -0,0 +1,54 @@
+"""Notifications to a file."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+from unittest.mock import Mock, call
+
+import gevent
+import pytest
+from support.notifications import ended_message
+from support.world import LIMITS, until
+
+from ashpath.server.delivery.file_notifier import FileNotifier
+from ashpath.server.delivery.rotating_file import RotatingFile
+
+
+def test_notifications_are_lines_of_the_file(tmp_path: Path) -> None:
+    limits = replace(LIMITS, notification_batch=2)
+    notifier = FileNotifier(RotatingFile(tmp_path / "n", 1000, 1), limits, Mock(), Mock())
+    for trace_id in "abc":
+        notifier.add(ended_message(trace_id))
+    running = gevent.spawn(notifier.run)
+    until(lambda: not notifier.has_pending)
+    running.kill()
+    lines = (tmp_path / "n").read_text().splitlines()
+    assert lines == [f'{{"id":"{trace_id}","status":"undeliverable"}}' for trace_id in "abc"]
+
+
+def test_what_cannot_be_written_stays_pending(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is logged once, tried again, and logged once more as it is written."""
+    logger, log = Mock(), Mock()
+    file = RotatingFile(tmp_path / "n", 1000, 1)
+    append = file.append
+    failures = [OSError("full"), OSError("full")]
+
+    def fail_first(data: bytes) -> None:
+        if failures:
+            raise failures.pop()
+        append(data)
+
+    monkeypatch.setattr(file, "append", fail_first)
+    notifier = FileNotifier(file, replace(LIMITS, retry_s=0.001), log, logger)
+    message = ended_message("a")
+    notifier.add(message)
+    running = gevent.spawn(notifier.run)
+    until(lambda: not notifier.has_pending)
+    running.kill()
+    log.record_finished.assert_called_once_with(message)
+    assert (tmp_path / "n").read_text() == '{"id":"a","status":"undeliverable"}\n'
+    assert logger.mock_calls == [
+        call.error("notifications not written", error="full", pending=1),
+        call.info("notifications written again", pending=1),
+    ]
--- /dev/null
+++ b/tests/server/delivery/test_http_notifier.py
@@ -0,0 +1,94 @@
+"""Notifications by HTTP, against a receiver that answers by a script."""
+
+from __future__ import annotations
+
+from random import Random
+from unittest.mock import Mock
+
+import gevent
+import pytest
+from support.notifications import ended_message
+from support.world import LIMITS, until
+
+from ashpath.server.agent_client import Headers
+from ashpath.server.backoff import Backoff
+from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
+from ashpath.server.http.messages import HttpResponse
+
+RECEIVER = NotificationReceiver(("127.0.0.1", 1), b"/ends", [(b"authorization", b"Bearer x")])
+
+
+class ScriptedReceiver:
+    """Answers each call with the next status, 0 for silence; the last one for good. Keeps the ids it got."""
+
+    def __init__(self, statuses: list[int]) -> None:
+        self.statuses = statuses
+        self.batches: list[list[str]] = []
+        self.request_lines: set[bytes] = set()
+        self.headers: list[Headers] = []
+
+    def call(
+        self, request_line: bytes, body: bytes, timeout_s: float, headers: Headers
+    ) -> HttpResponse | None:
+        gevent.sleep(0)
+        self.request_lines.add(request_line)
+        self.headers.append(headers)
+        self.batches.append([line.split('"')[3] for line in body.decode().splitlines()])
+        status = self.statuses.pop(0) if len(self.statuses) > 1 else self.statuses[0]
+        if not status:
+            return None
+        response = HttpResponse()
+        response.status = status
+        return response
+
+
+def notify(monkeypatch: pytest.MonkeyPatch, statuses: list[int], logger: Mock) -> ScriptedReceiver:
+    """Notifies of the messages a, b, c, until all are acknowledged."""
+    receiver = ScriptedReceiver(statuses)
+    backoff = Backoff(Random(0), min_s=0.001, max_s=0.002)
+    notifier = HttpNotifier(RECEIVER, LIMITS, Mock(), logger, backoff)
+    monkeypatch.setattr(notifier.connection, "call", receiver.call)
+    for trace_id in "abc":
+        notifier.add(ended_message(trace_id))
+    running = gevent.spawn(notifier.run)
+    until(lambda: not notifier.has_pending)
+    running.kill()
+    return receiver
+
+
+@pytest.mark.parametrize("status", [204, 200])
+def test_an_acknowledged_batch_is_sent_once(monkeypatch: pytest.MonkeyPatch, status: int) -> None:
+    receiver = notify(monkeypatch, [status], Mock())
+    assert receiver.batches == [["a", "b", "c"]]
+    assert receiver.request_lines == {b"POST /ends HTTP/1.1"}
+    assert receiver.headers == [RECEIVER.headers]
+
+
+@pytest.mark.parametrize("status", [0, 503, 500, 404])
+def test_a_batch_is_sent_until_it_is_acknowledged(monkeypatch: pytest.MonkeyPatch, status: int) -> None:
+    receiver = notify(monkeypatch, [status, status, 204], Mock())
+    assert receiver.batches == [["a", "b", "c"]] * 3
+
+
+def test_a_line_that_cannot_be_read_holds_up_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each goes alone then; the one is logged and dropped, and the rest goes as a batch again."""
+    logger = Mock()
+    receiver = notify(monkeypatch, [400, 400, 204], logger)
+    assert receiver.batches == [["a", "b", "c"], ["a"], ["b", "c"]]
+    logger.error.assert_called_once_with(
+        "notification not accepted", line='{"id":"a","status":"undeliverable"}'
+    )
+
+
+def test_a_move_changes_the_path_and_the_headers(monkeypatch: pytest.MonkeyPatch) -> None:
+    receiver = ScriptedReceiver([204])
+    notifier = HttpNotifier(RECEIVER, LIMITS, Mock(), Mock(), Backoff(Random(0), 0.1, 0.2))
+    monkeypatch.setattr(notifier.connection, "call", receiver.call)
+    notifier.move(NotificationReceiver(("127.0.0.1", 2), b"/moved"))
+    notifier.add(ended_message("a"))
+    running = gevent.spawn(notifier.run)
+    until(lambda: not notifier.has_pending)
+    running.kill()
+    assert receiver.request_lines == {b"POST /moved HTTP/1.1"}
+    assert receiver.headers == [()]
+    assert notifier.connection.address == ("127.0.0.1", 2)
--- a/tests/server/discovery/test_client.py
+++ b/tests/server/discovery/test_client.py
@@ -43,7 +43,7 @@
         self.reports: list[tuple[int, bool]] = []  # how many rows, and whether it was a snapshot
         self.rows: list[EndpointRow] = []
 
-    def receive_members(self, members: list[EndpointRow], whole: bool) -> bool:
+    def receive_members(self, members: list[EndpointRow], *, whole: bool) -> bool:
         self.reports.append((len(members), whole))
         self.rows += members
         return True
@@ -55,7 +55,7 @@
     def __init__(self, registry: EndpointRegistry) -> None:
         self.registry = registry
 
-    def receive_members(self, members: list[EndpointRow], whole: bool) -> bool:
+    def receive_members(self, members: list[EndpointRow], *, whole: bool) -> bool:
         return not self.registry.apply_members(members, whole=whole).unreadable
 
 
