The configuration's schema apart from the types that it is written with

Change: Key, Secret and the units of bounds are in config/schema_types.py. Checks: make lint; tests/config, tests/core, tests/test_stored_data, test_stored_data_written pass.

--- a/ashpath/config/changes.py
+++ b/ashpath/config/changes.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from ashpath.config.schema import Configuration, Secret
+from ashpath.config.schema import Configuration
 from ashpath.config.schema_keys import table_keys
+from ashpath.config.schema_types import Secret
 
 
 @dataclass(frozen=True, slots=True)
--- a/ashpath/config/loading.py
+++ b/ashpath/config/loading.py
@@ -15,7 +15,8 @@
 from ashpath.config.constraints import find_conflicts
 from ashpath.config.errors import InvalidConfigurationError, InvalidDocumentError
 from ashpath.config.faults import ConfigurationFault, format_path, shorten
-from ashpath.config.schema import Configuration, Secret
+from ashpath.config.schema import Configuration
+from ashpath.config.schema_types import Secret
 from ashpath.config.validation import validate
 
 MAX_FILE_BYTES = 64 << 20
--- a/ashpath/config/reference.py
+++ b/ashpath/config/reference.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
-from ashpath.config.schema import Configuration, Secret
+from ashpath.config.schema import Configuration
 from ashpath.config.schema_keys import TableKey, alternatives, expected, table_keys, table_type
+from ashpath.config.schema_types import Secret
 from ashpath.config.units import SIZES, TIMES, Duration, Size, format_amount
 
 HEAD = """# The sender's file
--- a/ashpath/config/schema.py
+++ b/ashpath/config/schema.py
@@ -5,41 +5,13 @@
 is another one. Validation, the reference page and the reload all read these rows; nothing else knows a key.
 """
 
-from dataclasses import dataclass
 from typing import Annotated, Literal
 
 from msgspec import Struct, field
 
+from ashpath.config.schema_types import GIB, KIB, MIB, MIN, MS, D, H, Key, S, Secret
 from ashpath.config.units import Address, Duration, Name, Size
 
-US = 1
-MS = 1000
-S = 10**6
-MIN = 60 * S
-H = 60 * MIN
-D = 24 * H
-KIB = 1 << 10
-MIB = 1 << 20
-GIB = 1 << 30
-
-
-@dataclass(frozen=True, slots=True)
-class Key:
-    """What stands beside the type of a key. Bounds are in its unit: microseconds, bytes, counts."""
-
-    doc: str
-    least: float | None = None
-    most: float | None = None
-    reloadable: bool = False
-    """A reload (SIGHUP) applies a change; else it waits for the next start."""
-
-
-class Secret(Struct, forbid_unknown_fields=True):
-    """Where a secret is: never in the file itself."""
-
-    env: str = ""
-    file: str = ""
-
 
 class Sender(Struct):
     """This sender."""
--- a/ashpath/config/schema_keys.py
+++ b/ashpath/config/schema_keys.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ashpath.config.schema import Key, Secret
+from ashpath.config.schema_types import Key, Secret
 from ashpath.config.units import SIZES, TIMES, Address, Duration, Name, Size, format_amount
 
 TYPE_NAMES: dict[object, str] = {
--- a/ashpath/config/validation.py
+++ b/ashpath/config/validation.py
@@ -14,8 +14,8 @@
 
 from ashpath.config.errors import InvalidDocumentError
 from ashpath.config.faults import ConfigurationFault, KeyPath, describe
-from ashpath.config.schema import Key, Secret
 from ashpath.config.schema_keys import TYPE_NAMES, TableKey, alternatives, expected, table_keys, table_type
+from ashpath.config.schema_types import Key, Secret
 from ashpath.config.units import READERS, Duration, Size
 
 NUMBER = re.compile(r"0|[1-9][0-9]{0,11}", re.ASCII)
--- a/ashpath/emulator/scenario.py
+++ b/ashpath/emulator/scenario.py
@@ -11,20 +11,8 @@
 from ashpath.config.faults import ConfigurationFault
 from ashpath.config.loading import read_as
 from ashpath.config.platform_form import platform_form
-from ashpath.config.schema import (
-    MIN,
-    MS,
-    Configuration,
-    D,
-    DestinationKind,
-    H,
-    Key,
-    Limits,
-    Rules,
-    S,
-    Sender,
-    TrafficClass,
-)
+from ashpath.config.schema import Configuration, DestinationKind, Limits, Rules, Sender, TrafficClass
+from ashpath.config.schema_types import MIN, MS, D, H, Key, S
 from ashpath.config.units import Duration, Name
 from ashpath.core.interface import PolicySettings
 from ashpath.core.policy_settings import policy_settings
