Outcome store: final states as an enumeration, the files a module of their own

Cause: the store kept its table, two files and their faults in one class, and final states were strings from three places.

Change: FinalState names the four states once, with the strings of the wire; the outcome recorder and its protocols use it. outcome_file rotates and appends, outcome_store keeps the table. FinalOutcome.come_back is retry_after. A state that is none of the four is still read from disk as it stands.

--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -14,9 +14,9 @@
 
 from ashpath.core.interface import AttemptOutcome
 from ashpath.policy.tuning import NEVER_RAN
-from ashpath.server import wire_names
 from ashpath.server.delivery.attempts import AttemptResult
 from ashpath.server.delivery.notifier import Notifier, encode_notification
+from ashpath.server.storage.final_state import FinalState
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
@@ -62,7 +62,7 @@
 class FinalStates(Protocol):
     """Who keeps final states for clients that ask."""
 
-    def add(self, trace: str, state: str, come_back: int = 0) -> None:
+    def add(self, trace_id: str, state: FinalState, retry_after: int = 0) -> None:
         """Keeps one, with microseconds of a Retry-After."""
 
 
@@ -72,7 +72,7 @@
     def message_accepted(self, traffic_class: int) -> None:
         """A message of that traffic class was accepted."""
 
-    def message_finished(self, traffic_class: int, state: str) -> None:
+    def message_finished(self, traffic_class: int, state: FinalState) -> None:
         """A message of that traffic class has its final state."""
 
     def attempt_finished(self, outcome: AttemptOutcome, took_us: int) -> None:
@@ -109,7 +109,7 @@
         """An attempt ended: its outcome, and the end of the message where it is final."""
         if result.final:
             delivered = result.outcome is AttemptOutcome.DELIVERED
-            state = wire_names.DELIVERED_STATE if delivered else wire_names.CANCELLED_STATE
+            state = FinalState.DELIVERED if delivered else FinalState.CANCELLED
             self._store_final_state(message, state)
             self.write_ahead_log.record_finished(message)
         else:
@@ -123,19 +123,19 @@
     def record_rejected(self, message: StoredMessage, retry_after: int) -> None:
         """Final: harmless to submit again after `retry_after` microseconds."""
         result = SubmitResult(SubmitDecision.REJECTED, retry_after)
-        line = encode_notification(message, wire_names.REJECTED_STATUS, retry_after // MILLISECOND)
-        self._finish(message, result, wire_names.REJECTED_STATUS, line)
+        line = encode_notification(message, FinalState.REJECTED, retry_after // MILLISECOND)
+        self._finish(message, result, FinalState.REJECTED, line)
 
     def record_failed(self, message: StoredMessage) -> None:
         """Final: not delivered, as far as is known."""
-        line = encode_notification(message, wire_names.FAILED_STATUS)
-        self._finish(message, SubmitResult(SubmitDecision.FAILED), wire_names.FAILED_STATUS, line)
+        line = encode_notification(message, FinalState.FAILED)
+        self._finish(message, SubmitResult(SubmitDecision.FAILED), FinalState.FAILED, line)
 
     def record_cancelled(self, message: StoredMessage) -> None:
         """Its client has left before it was told that the message was accepted."""
-        self._store_final_state(message, wire_names.CANCELLED_STATE)
+        self._store_final_state(message, FinalState.CANCELLED)
 
-    def _finish(self, message: StoredMessage, result: SubmitResult, state: str, line: str) -> None:
+    def _finish(self, message: StoredMessage, result: SubmitResult, state: FinalState, line: str) -> None:
         """Reported to the client that still waits, else by a notification."""
         submission = self.current_submission
         if submission is not None and message is submission.message:
@@ -148,7 +148,7 @@
             self.write_ahead_log.record_finished(message, line)
             self.notifier.add(message)
 
-    def _store_final_state(self, message: StoredMessage, state: str, retry_after: int = 0) -> None:
+    def _store_final_state(self, message: StoredMessage, state: FinalState, retry_after: int = 0) -> None:
         """Before the write-ahead log forgets the message: a kill in between leaves both."""
         if self.outcome_store is not None:
             self.outcome_store.add(message.trace_id, state, retry_after)
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -151,8 +151,8 @@
         if outcome is None:
             return json_reply(HTTPStatus.NOT_FOUND, {"error": "never seen, or forgotten"})
         row: OutcomeRow = {"id": trace_id, "state": outcome.state, "at": outcome.at / 1e6}
-        if outcome.come_back:
-            row["again_ms"] = milliseconds(outcome.come_back)
+        if outcome.retry_after:
+            row["again_ms"] = milliseconds(outcome.retry_after)
         return json_reply(HTTPStatus.OK, row)
 
     def message_row(self, message: StoredMessage) -> MessageRow:
--- a/ashpath/server/storage/outcome_store.py
+++ b/ashpath/server/storage/outcome_store.py
@@ -1,111 +1,114 @@
-"""How envelopes ended, for clients that ask where no platform tells them: for a stated time, in stated bytes.
+"""Final states of messages, for clients that ask where no platform notifies them: for a stated time and size.
 
-Two files in the state folder, `ends` and `ends.old`, each of half the bytes at most, a line of JSON for each
-end. An end is written here before the ledger lets go of its envelope, so that a kill leaves at least one of
-them that knows; where both do, what is held counts.
+A final state is stored here before the write-ahead log forgets its message, so that a kill leaves at least
+one of them that knows; where both do, the live message counts. The store is a table in memory, emptied by
+age and size from the oldest on, and a line of JSON on disk for each state, `[trace id, state, time,
+Retry-After]` (`outcome_file.py`), from which the next incarnation makes the table again. A line that cannot
+be written is kept in memory alone, and said once.
 """
 
 from __future__ import annotations
 
-import os
 from collections import OrderedDict
 from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 import orjson
 
+from ashpath.server.logs import Logger
+from ashpath.server.storage.final_state import FinalState
+from ashpath.server.storage.outcome_file import OutcomeFile
 from ashpath.server.timers import wall
 
-SPARE = 200  # bytes of memory that an end takes beside its line
+MEMORY_OVERHEAD_BYTES = 200  # what an outcome takes in memory beside its line
 
 
 @dataclass(frozen=True, slots=True)
 class FinalOutcome:
-    """`state` is completed, deferred, undeliverable or withdrawn; times are whole microseconds."""
+    """How one message ended; times are whole microseconds."""
 
     state: str
-    at: int  # on the wall's clock
-    come_back: int  # deferred: when to hand it in again, from then; 0: not told
+    """A FinalState, or what another version wrote."""
+    at: int
+    """By the wall clock."""
+    retry_after: int
+    """Rejected: when to submit it again, from then; 0: not said."""
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredOutcome:
+    outcome: FinalOutcome
+    size: int
+    """Bytes that it takes in memory."""
 
 
 class OutcomeStore:
-    """`known` is emptied by age and by size, the oldest first. `most` is bytes on disk, and of memory."""
-
-    def __init__(self, folder: Path, most: int, life: int, log: Any) -> None:
-        self.path, self.previous_path = folder / "ends", folder / "ends.old"
-        self.max_bytes, self.retention, self.log = most, life, log
-        self.outcomes: OrderedDict[str, tuple[FinalOutcome, int]] = OrderedDict()
-        self.size = 0  # of what is known
-        self.failing = False
-        for path in (self.previous_path, self.path):
-            self.read(path)
-        self.file, self.written = self.open()
-        if self.written and os.pread(self.file, 1, self.written - 1) != b"\n":
-            self.write(b"\n")  # a torn last line must not swallow the next one
-
-    def open(self) -> tuple[int, int]:
-        """The file's descriptor, and the bytes in it."""
-        file = os.open(self.path, os.O_RDWR | os.O_APPEND | os.O_CREAT, 0o600)
-        return file, os.fstat(file).st_size
-
-    def read(self, path: Path) -> None:
-        """What an earlier life wrote. A line that cannot be read, a torn last one say, is passed over."""
-        with suppress(FileNotFoundError), path.open("rb") as file:
-            for line in file:
-                with suppress(ValueError, TypeError, KeyError):
-                    trace, state, at, come_back = orjson.loads(line)
-                    self.remember(str(trace), FinalOutcome(str(state), int(at), int(come_back)), len(line))
-
-    def add(self, trace: str, state: str, come_back: int = 0) -> None:
-        end = FinalOutcome(state, wall(), come_back)
-        line = orjson.dumps([trace, state, end.at, come_back]) + b"\n"
-        self.remember(trace, end, len(line))
+    """The final states of one sender, by trace id."""
+
+    def __init__(self, directory: Path, max_bytes: int, retention: int, logger: Logger) -> None:
+        """`max_bytes`: on disk, and as many of memory. `retention`: microseconds. Raises OSError."""
+        self.max_bytes = max_bytes
+        self.retention = retention
+        self.size = 0  # bytes of memory
+        self.file = OutcomeFile(directory, max_bytes)
+        self._logger = logger
+        self._failing = False  # the last write failed: said once
+        self._outcomes: OrderedDict[str, _StoredOutcome] = OrderedDict()
+        for line in self.file.lines():
+            self._read(line)
+        self.file.open()
+
+    def _read(self, line: bytes) -> None:
+        """One that cannot be read is passed over: a torn last one, say."""
+        with suppress(ValueError, TypeError, KeyError):
+            trace_id, state, at, retry_after = orjson.loads(line)
+            self._remember(str(trace_id), FinalOutcome(str(state), int(at), int(retry_after)), len(line))
+
+    def add(self, trace_id: str, state: FinalState, retry_after: int = 0) -> None:
+        """Stores a final state as of now; `retry_after` in microseconds."""
+        outcome = FinalOutcome(state, wall(), retry_after)
+        line = orjson.dumps([trace_id, state, outcome.at, retry_after]) + b"\n"
+        self._remember(trace_id, outcome, len(line))
         try:
-            self.write(line)
-        except OSError as error:  # the answer is still here until the process ends
-            if not self.failing:
-                self.log.error("outcomes not written", error=str(error))
-            self.failing = True
+            self.file.append(line)
+        except OSError as error:
+            if not self._failing:
+                self._logger.error("outcomes not written", error=str(error))
+            self._failing = True
         else:
-            if self.failing:
-                self.log.info("outcomes written again")
-            self.failing = False
-
-    def write(self, line: bytes) -> None:
-        if self.written + len(line) > self.max_bytes // 2:
-            with suppress(FileNotFoundError):  # moved already, and no new one could be made
-                os.replace(self.path, self.previous_path)
-            full = self.file
-            self.file, self.written = self.open()
-            os.close(full)
-        count = os.write(self.file, line)
-        if count < len(line):
-            os.ftruncate(self.file, self.written)
-            raise OSError(f"only {count} of {len(line)} bytes written")
-        self.written += count
-
-    def remember(self, trace: str, end: FinalOutcome, length: int) -> None:
-        self.drop(trace)
-        self.outcomes[trace] = (end, length + SPARE)
-        self.size += length + SPARE
+            if self._failing:
+                self._logger.info("outcomes written again")
+            self._failing = False
+
+    def _remember(self, trace_id: str, outcome: FinalOutcome, line_bytes: int) -> None:
+        self._forget(trace_id)
+        stored = _StoredOutcome(outcome, line_bytes + MEMORY_OVERHEAD_BYTES)
+        self._outcomes[trace_id] = stored
+        self.size += stored.size
         oldest = wall() - self.retention
-        while self.outcomes:
-            first, (end, _) = next(iter(self.outcomes.items()))
-            if self.size <= self.max_bytes and end.at >= oldest:
+        while self._outcomes:
+            first, stored = next(iter(self._outcomes.items()))
+            if self.size <= self.max_bytes and stored.outcome.at >= oldest:
                 break
-            self.drop(first)
+            self._forget(first)
+
+    def _forget(self, trace_id: str) -> None:
+        stored = self._outcomes.pop(trace_id, None)
+        if stored is not None:
+            self.size -= stored.size
 
-    def drop(self, trace: str) -> None:
-        found = self.outcomes.pop(trace, None)
-        if found is not None:
-            self.size -= found[1]
+    def get(self, trace_id: str) -> FinalOutcome | None:
+        """None where it is not known, or no more."""
+        stored = self._outcomes.get(trace_id)
+        if stored is None or wall() - stored.outcome.at > self.retention:
+            return None
+        return stored.outcome
 
-    def get(self, trace: str) -> FinalOutcome | None:
-        """The end, or None where it is not known, or no more."""
-        found = self.outcomes.get(trace)
-        return found[0] if found is not None and wall() - found[0].at <= self.retention else None
+    def trace_ids(self) -> list[str]:
+        """Those that are stored, the oldest first."""
+        return list(self._outcomes)
 
     def close(self) -> None:
-        os.close(self.file)
+        """The files are whole at any time."""
+        self.file.close()
--- a/tests/cli/test_sender.py
+++ b/tests/cli/test_sender.py
@@ -7,7 +7,6 @@
 import os
 import re
 import resource
-import shutil
 import signal
 import sys
 from collections.abc import Iterator
@@ -17,14 +16,12 @@
 import pytest
 from gevent import subprocess
 from support.standalone import RULES, TRACKS, Alone
-from support.world import LIMITS, ROOT, until
+from support.world import ROOT, until
 
-from ashpath.server.storage.errors import ForeignRecordError, StateDirectoryError
-from ashpath.server.storage.outcome_store import OutcomeStore
+from ashpath.server.storage.errors import StateDirectoryError
 from ashpath.server.storage.record_codec import MessageSubmitted, RecordReader, encode_fields
 from ashpath.server.storage.state_directory import StateDirectory
 from ashpath.server.storage.stored_message import StoredMessage
-from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import wall
 
 
@@ -211,52 +208,6 @@
     until(alone.ends("kept", "undeliverable"))
 
 
-def test_a_crash_at_each_write_of_a_start(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    """A counter says at which change of the folder the start ends; what is held is there after each."""
-    rows, first = [{"name": "a"}, {"name": "b"}], tmp_path / "0"
-    folder = StateDirectory(first, "n0")
-    folder.write(rows[:1])
-    ledger = WriteAheadLog(first, 1 << 20)
-    assert ledger.record_submitted(StoredMessage(1, "x", 0, 1, None, None, wall() + 10**9, b"body"))
-    ledger.close()
-    folder.close()
-    calls = {f"os.{call.__name__}": call for call in (os.replace, os.pwrite, os.truncate)}
-    calls["pathlib.Path.write_bytes"] = Path.write_bytes
-    crashed = 0
-    for at in range(1, 9):
-        count, place = 0, tmp_path / str(at)
-        shutil.copytree(first, place)
-
-        def spoil(name: str, at: int = at) -> object:
-            def call(*arguments: object) -> object:
-                nonlocal count
-                count += 1
-                if count == at:
-                    raise KeyboardInterrupt
-                return calls[name](*arguments)  # type: ignore[operator]
-
-            return call
-
-        with monkeypatch.context() as patch:
-            for name in calls:
-                patch.setattr(name, spoil(name))
-            try:
-                once = StateDirectory(place, "n0")
-                once.write(rows)
-                WriteAheadLog(place, 1 << 20).close()
-            except KeyboardInterrupt:
-                crashed += 1
-            finally:
-                once.close()
-        again = StateDirectory(place, "n0")
-        assert again.live_messages() == 1 and [row["name"] for row in again.traffic_classes] in (
-            ["a"],
-            ["a", "b"],
-        )
-        again.close()
-    assert crashed == 5
-
-
 def test_a_reader_that_does_not_read(alone: Alone) -> None:
     """Standard output is full, then closed: service goes on, and the lines that were lost are counted."""
     out, into = os.pipe()
@@ -341,68 +292,6 @@
 NAMED = {"admission.py": ["write-ahead log full", "write-ahead log has space"]}
 
 
-def test_ends_are_bounded_and_outlive_faults(tmp_path: Path) -> None:
-    said: list[str] = []
-
-    class Log:
-        def error(self, event: str, **_: object) -> None:
-            said.append(event)
-
-        info = error
-
-    ends = OutcomeStore(tmp_path, 4096, 10**12, Log())
-    for number in range(500):
-        ends.add(f"e{number}", "completed")
-        assert ends.size <= 4096 and sum(path.stat().st_size for path in tmp_path.iterdir()) <= 4096
-    assert ends.get("e499") and not ends.get("e0")
-    with (tmp_path / "ends").open("ab") as file:
-        file.write(b'["torn","comp')
-    ends.close()
-    ends = OutcomeStore(tmp_path, 4096, 10**12, Log())
-    ends.add("next", "deferred", 500)
-    ends.close()
-    ends = OutcomeStore(tmp_path, 4096, 10**12, Log())
-    assert ends.get("next") and ends.get("e499") and not ends.get("torn")
-    os.close(ends.file)
-    real, ends.file = ends.file, os.open("/dev/full", os.O_WRONLY)
-    ends.add("unwritten", "completed")
-    ends.add("unwritten2", "completed")
-    assert ends.get("unwritten") and said == ["outcomes not written"] and real
-    ends.retention = -1
-    assert not ends.get("next")
-
-
-def test_ledger_says_where_it_is_torn(tmp_path: Path) -> None:
-    """Cut at each of many bytes: the whole records count, and the first torn one's byte is named."""
-    sizes, data = [0], b""
-    for number in range(40):
-        data += MessageSubmitted(
-            StoredMessage(number, f"t{number}", 0, 1, None, None, 1, b"x" * (number % 7))
-        ).encode()
-        sizes.append(len(data))
-    for cut in range(len(data)):
-        (tmp_path / "journal").write_bytes(data[:cut])
-        with (tmp_path / "journal").open("rb") as file:
-            reader = RecordReader(file)
-            count = len(list(reader))
-        whole = max(at for at in sizes if at <= cut)
-        assert (
-            reader.sound_bytes == whole
-            and count == sizes.index(whole)
-            and bool(reader.fault) == (cut != whole)
-        )
-    for at, byte in ((3, b"\xff"), (6, b"\x00"), (12, b"~")):
-        spoilt = data[: sizes[9] + at] + byte + data[sizes[9] + at + 1 :]
-        (tmp_path / "journal").write_bytes(spoilt)
-        with (tmp_path / "journal").open("rb") as file:
-            reader = RecordReader(file)
-            assert len(list(reader)) == 9 and reader.sound_bytes == sizes[9] and reader.fault
-    (tmp_path / "journal").write_bytes(data + encode_fields(["of another version", 1, 2]))
-    with pytest.raises(ForeignRecordError):
-        WriteAheadLog(tmp_path, 1 << 20)
-    assert (tmp_path / "journal").read_bytes().startswith(data)
-
-
 def test_a_sender_imports_what_it_needs() -> None:
     """Guards the platform's small machines: what a sender does not switch on it does not load."""
     off = "'click', 'rich', 'tree_sitter', 'prometheus_client', 'gevent.pywsgi'"
@@ -412,13 +301,3 @@
         code = f"import sys, {module}; sys.exit(str(({forbidden} - {allowed}) & set(sys.modules) or ''))"
         run = subprocess.run([sys.executable, "-c", code], stderr=subprocess.PIPE, cwd=ROOT)
         assert run.stderr.strip() == b"", run.stderr
-
-
-def test_two_senders_at_once(tmp_path: Path) -> None:
-    first = StateDirectory(tmp_path, "n0")
-    first.write([])
-    with pytest.raises(StateDirectoryError, match=f"process {os.getpid()}"):
-        StateDirectory(tmp_path, "n0")
-    first.close()
-    StateDirectory(tmp_path, "n0").close()
-    assert LIMITS.disk_bytes and sys.executable
--- /dev/null
+++ b/tests/server/storage/test_record_codec.py
@@ -0,0 +1,56 @@
+"""Records that are not whole: each is found, and nothing behind it counts."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ashpath.server.storage.errors import ForeignRecordError
+from ashpath.server.storage.record_codec import MessageSubmitted, RecordReader, encode_fields
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
+
+RECORDS = [
+    MessageSubmitted(StoredMessage(n, f"t{n}", 0, 1, None, None, 1, b"x" * (n % 7))).encode()
+    for n in range(40)
+]
+DATA = b"".join(RECORDS)
+ENDS = [sum(map(len, RECORDS[:n])) for n in range(len(RECORDS) + 1)]  # offsets between records
+
+
+def read(path: Path) -> tuple[int, RecordReader]:
+    """How many records are whole, and the reader."""
+    with path.open("rb") as file:
+        reader = RecordReader(file)
+        return len(list(reader)), reader
+
+
+def test_a_log_that_is_cut_counts_up_to_its_last_whole_record(tmp_path: Path) -> None:
+    """Cut at each byte: the first torn record's offset is named."""
+    path = tmp_path / "journal"
+    for cut in range(len(DATA)):
+        path.write_bytes(DATA[:cut])
+        count, reader = read(path)
+        whole = max(end for end in ENDS if end <= cut)
+        assert reader.sound_bytes == whole
+        assert count == ENDS.index(whole)
+        assert bool(reader.fault) == (cut != whole)
+
+
+@pytest.mark.parametrize(("offset", "byte"), [(3, b"\xff"), (6, b"\x00"), (12, b"~")])
+def test_a_spoilt_byte_is_named(tmp_path: Path, offset: int, byte: bytes) -> None:
+    """In the length, the checksum and the line of JSON."""
+    at = ENDS[9] + offset
+    (tmp_path / "journal").write_bytes(DATA[:at] + byte + DATA[at + 1 :])
+    count, reader = read(tmp_path / "journal")
+    assert count == 9
+    assert reader.sound_bytes == ENDS[9]
+    assert reader.fault
+
+
+def test_a_log_of_another_version_is_refused_and_kept(tmp_path: Path) -> None:
+    (tmp_path / "journal").write_bytes(DATA + encode_fields(["of another version", 1, 2]))
+    with pytest.raises(ForeignRecordError):
+        WriteAheadLog(tmp_path, 1 << 20)
+    assert (tmp_path / "journal").read_bytes().startswith(DATA)
--- /dev/null
+++ b/tests/server/storage/test_state_directory.py
@@ -0,0 +1,93 @@
+"""The state directory of a standalone sender: whose it is, and a crash at each of its writes."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ashpath.server.storage.errors import StateDirectoryError
+from ashpath.server.storage.state_directory import StateDirectory
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
+from ashpath.server.timers import wall
+
+CLASSES: list[dict[str, Any]] = [{"name": "a"}, {"name": "b"}]
+WRITES: dict[str, Callable[..., object]] = {
+    "os.replace": os.replace,
+    "os.pwrite": os.pwrite,
+    "os.truncate": os.truncate,
+    "pathlib.Path.write_bytes": Path.write_bytes,
+}
+WRITES_OF_A_START = 5
+
+
+class CrashingWrites:
+    """Ends the process at one of its writes, as a kill would."""
+
+    def __init__(self, crash_at: int) -> None:
+        self.crash_at = crash_at
+        self.count = 0
+
+    def wrapped(self, write: Callable[..., object]) -> Callable[..., object]:
+        def call(*arguments: object) -> object:
+            self.count += 1
+            if self.count == self.crash_at:
+                raise KeyboardInterrupt
+            return write(*arguments)
+
+        return call
+
+
+def left_by_a_sender(path: Path) -> None:
+    """One traffic class, and a message in the log."""
+    directory = StateDirectory(path, "n0")
+    directory.write(CLASSES[:1])
+    log = WriteAheadLog(path, 1 << 20)
+    assert log.record_submitted(StoredMessage(1, "x", 0, 1, None, None, wall() + 10**9, b"body"))
+    log.close()
+    directory.close()
+
+
+def start(path: Path) -> None:
+    """As far as the state directory goes, with a traffic class more."""
+    directory = StateDirectory(path, "n0")
+    try:
+        directory.write(CLASSES)
+        WriteAheadLog(path, 1 << 20).close()
+    finally:
+        directory.close()
+
+
+@pytest.mark.parametrize("crash_at", range(1, WRITES_OF_A_START + 4))
+def test_a_crash_at_each_write_of_a_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, crash_at: int
+) -> None:
+    """The message is there after each, and the imprint is the old one or the new."""
+    left_by_a_sender(tmp_path)
+    writes = CrashingWrites(crash_at)
+    crashed = False
+    with monkeypatch.context() as patch:
+        for name, write in WRITES.items():
+            patch.setattr(name, writes.wrapped(write))
+        try:
+            start(tmp_path)
+        except KeyboardInterrupt:
+            crashed = True
+    assert crashed == (crash_at <= WRITES_OF_A_START)
+    again = StateDirectory(tmp_path, "n0")
+    assert again.live_messages() == 1
+    assert [row["name"] for row in again.traffic_classes] in (["a"], ["a", "b"])
+    again.close()
+
+
+def test_two_senders_at_once(tmp_path: Path) -> None:
+    first = StateDirectory(tmp_path, "n0")
+    first.write([])
+    with pytest.raises(StateDirectoryError, match=f"process {os.getpid()}"):
+        StateDirectory(tmp_path, "n0")
+    first.close()
+    StateDirectory(tmp_path, "n0").close()
--- a/tests/server/storage/test_stored_data.py
+++ b/tests/server/storage/test_stored_data.py
@@ -214,5 +214,5 @@
 def test_ends_of_messages(tmp_path: Path) -> None:
     ends = OutcomeStore(copy_of("standalone", tmp_path), DISK, 60_000_000, no_errors())
     ends.close()
-    assert {trace: ends.get(trace) for trace in ends.outcomes} == ENDS
-    assert list(ends.outcomes) == list(ENDS)
+    assert {trace_id: ends.get(trace_id) for trace_id in ends.trace_ids()} == ENDS
+    assert ends.trace_ids() == list(ENDS)
--- a/tests/server/storage/test_stored_data_written.py
+++ b/tests/server/storage/test_stored_data_written.py
@@ -17,6 +17,7 @@
 from ashpath.server.storage import outage_store as outages
 from ashpath.server.storage import outcome_store as ends
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
+from ashpath.server.storage.final_state import FinalState
 from ashpath.server.storage.shared_memory import SharedMemory
 from ashpath.server.storage.state_directory import StateDirectory
 from ashpath.server.storage.stored_message import StoredMessage
@@ -110,6 +111,6 @@
     written = ends.OutcomeStore(tmp_path, DISK, 60_000_000, no_errors())
     for trace, state, at, come_back in map(orjson.loads, lines):
         monkeypatch.setattr(ends, "wall", lambda at=at: at)
-        written.add(trace, state, come_back)
+        written.add(trace, FinalState(state), come_back)
     written.close()
     assert (tmp_path / "ends").read_bytes() == b"".join(lines)
