Addresses in a module of their own; an address that cannot be read is reported in the known line again

Cause: Address stood in the connection pool and parse_address in the endpoint registry, so that the operators' listener, gossip and metrics imported the delivery package for a pair of host and port. And since the line of a failed start named the new type (InvalidAddressError) where operators know `ValueError`.

--- a/ashpath/cli/standalone_deployment.py
+++ b/ashpath/cli/standalone_deployment.py
@@ -16,9 +16,9 @@
 from ashpath.config.platform_form import notification_target, platform_form, resolve
 from ashpath.config.schema import Configuration
 from ashpath.core.platform_settings import JsonObject
+from ashpath.server.addresses import parse_address
 from ashpath.server.backoff import Backoff
 from ashpath.server.configuration import SenderConfiguration
-from ashpath.server.delivery.endpoint_registry import parse_address
 from ashpath.server.delivery.file_notifier import FileNotifier
 from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
 from ashpath.server.delivery.notifier import Notifier, NullNotifier
--- a/ashpath/server/agent_client.py
+++ b/ashpath/server/agent_client.py
@@ -10,7 +10,7 @@
 
 from gevent import Timeout
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.http.connection import HttpConnection, open_connection
 from ashpath.server.http.encoding import encode_message, host_header
 from ashpath.server.http.errors import ConnectionClosedError, ProtocolError, UnreadableResponseError
--- a/ashpath/server/configuration.py
+++ b/ashpath/server/configuration.py
@@ -19,8 +19,7 @@
 from ashpath.core.policy_settings import sender_settings
 from ashpath.core.settings_alignment import align_order
 from ashpath.core.traffic_class_ids import number_traffic_classes
-from ashpath.server.delivery.connection_pool import Address
-from ashpath.server.delivery.endpoint_registry import parse_address
+from ashpath.server.addresses import Address, parse_address
 from ashpath.server.errors import StartupError
 from ashpath.server.limits import ServerLimits
 
--- a/ashpath/server/control/listener.py
+++ b/ashpath/server/control/listener.py
@@ -11,10 +11,10 @@
 import gevent
 from gevent import socket
 
+from ashpath.server.addresses import Address
 from ashpath.server.control.commands import CommandHandler
 from ashpath.server.control.connection import ControlConnection
 from ashpath.server.control.connection_table import ControlConnectionTable
-from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.limits import ServerLimits
 from ashpath.server.logs import Logger
 
--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -25,8 +25,9 @@
 from gevent import Timeout
 
 from ashpath.server import wire_names
+from ashpath.server.addresses import Address
 from ashpath.server.delivery.attempts import Attempt, AttemptOwner
-from ashpath.server.delivery.connection_pool import Address, ConnectionPool
+from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.errors import (
     AttemptCancelledError,
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -21,13 +21,11 @@
 
 import gevent
 
+from ashpath.server.addresses import Address
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.http.connection import HttpConnection, open_connection
 from ashpath.server.limits import ServerLimits
 
-Address = tuple[str, int]
-"""Host and port."""
-
 DISTRUST_SHARE = 0.8  # of an idle time that ended in a reset: so long is trusted from then on
 
 
--- a/ashpath/server/delivery/endpoint_registry.py
+++ b/ashpath/server/delivery/endpoint_registry.py
@@ -13,31 +13,16 @@
 
 from ashpath.core.interface import EndpointRecord, EndpointStatus
 from ashpath.server import wire_names
-from ashpath.server.delivery.connection_pool import Address, ConnectionPool
-from ashpath.server.delivery.errors import InvalidAddressError
+from ashpath.server.addresses import Address, parse_address
+from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.logs import Logger
 
 EndpointMember = Mapping[str, Any]
 """One member of the endpoint list, as the JSON of the directory or of a configuration has it."""
 
-LARGEST_PORT = 65535
-PORT_DIGITS = 5
 NO_ADDRESS: Address = ("", 0)
 
 
-def parse_address(text: str) -> Address:
-    """Host and port. Raises InvalidAddressError.
-
-    >>> parse_address("10.1.0.18:7070")
-    ('10.1.0.18', 7070)
-    """
-    host, _, port = text.rpartition(":")
-    is_number = port.isascii() and port.isdigit() and len(port) <= PORT_DIGITS
-    if not host or not is_number or int(port) > LARGEST_PORT:
-        raise InvalidAddressError(text)
-    return host, int(port)
-
-
 @dataclass(frozen=True, slots=True)
 class MembershipChange:
     """What a listing changed."""
@@ -141,6 +126,6 @@
         )
 
     @staticmethod
-    def _index(known: list[str], name: object) -> int:
+    def _index(known: Sequence[object], name: object) -> int:
         """Lists and settings name kinds and zones alike; a name not in the settings counts as the first."""
-        return known.index(name) if name in known else 0  # type: ignore[arg-type]  # `in` has checked it
+        return known.index(name) if name in known else 0
--- a/ashpath/server/delivery/errors.py
+++ b/ashpath/server/delivery/errors.py
@@ -1,4 +1,4 @@
-"""Why an attempt has no response, which input is no address, and a disk that is full: one type a cause.
+"""Why an attempt has no response, and a disk that is full: one type a cause.
 
 Each `AttemptError` is stored in `Attempt.failure`; the classifier maps its direct subclasses to outcomes.
 What this package raises to its callers derives from `DeliveryError`.
@@ -77,13 +77,6 @@
     """What came back is no response that HTTP allows."""
 
 
-class InvalidAddressError(DeliveryError, ValueError):
-    """A text that is no host with a port."""
-
-    def __init__(self, text: str) -> None:
-        super().__init__(f"{text!r} is no address with a port")
-
-
 class PartialWriteError(OSError):
     """The disk took only a part of what was to be written."""
 
--- a/ashpath/server/delivery/http_notifier.py
+++ b/ashpath/server/delivery/http_notifier.py
@@ -19,9 +19,9 @@
 import gevent
 
 from ashpath.server import wire_names
+from ashpath.server.addresses import Address
 from ashpath.server.agent_client import AgentConnection, Headers
 from ashpath.server.backoff import Backoff
-from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.delivery.notifier import PendingNotifications, encode_batch
 from ashpath.server.http.messages import HttpResponse
 from ashpath.server.limits import ServerLimits
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -20,9 +20,9 @@
 import gevent
 
 from ashpath.server import wire_names
+from ashpath.server.addresses import Address
 from ashpath.server.agent_client import AgentConnection
 from ashpath.server.backoff import Backoff
-from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.delivery.response_classifier import parse_number
 from ashpath.server.discovery.errors import DiscoveryError
 from ashpath.server.discovery.pause import InterruptiblePause
--- a/ashpath/server/gossip.py
+++ b/ashpath/server/gossip.py
@@ -13,7 +13,7 @@
 import gevent
 from gevent import socket
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.logs import Logger
 
 MAX_MESSAGE_BYTES = 256
--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -8,7 +8,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.availability import Availability
 from ashpath.server.http.client_connection import ClientConnection
--- a/ashpath/server/metrics/exposition.py
+++ b/ashpath/server/metrics/exposition.py
@@ -15,7 +15,7 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client.exposition import make_wsgi_app
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 
 MAX_SCRAPERS = 4  # at once; further ones wait in the listening queue
 SCRAPE_TIMEOUT_S = 2.0  # of a scraper, from its connection to its end
--- a/ashpath/server/metrics/metrics.py
+++ b/ashpath/server/metrics/metrics.py
@@ -4,7 +4,7 @@
 
 from prometheus_client import CollectorRegistry
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.metrics.collector import GaugeCollector
 from ashpath.server.metrics.counters import MetricsCounters
 from ashpath.server.metrics.exposition import MetricsServer
--- a/ashpath/server/optional_services.py
+++ b/ashpath/server/optional_services.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.gossip_link import GossipLink
 from ashpath.server.logs import Logger
--- a/ashpath/server/platform_deployment.py
+++ b/ashpath/server/platform_deployment.py
@@ -19,10 +19,9 @@
 import gevent
 import orjson
 
+from ashpath.server.addresses import Address, parse_address
 from ashpath.server.backoff import Backoff
 from ashpath.server.configuration import SenderConfiguration
-from ashpath.server.delivery.connection_pool import Address
-from ashpath.server.delivery.endpoint_registry import parse_address
 from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.errors import UNUSABLE_CONFIGURATION_ERRORS, StartupError, error_text
--- a/ashpath/server/sender.py
+++ b/ashpath/server/sender.py
@@ -13,12 +13,13 @@
 import gevent
 
 from ashpath.core.platform_settings import load_report_fields
+from ashpath.server.addresses import parse_address
 from ashpath.server.backoff import Backoff
 from ashpath.server.configuration import RunningConfiguration, SenderConfiguration
 from ashpath.server.control.listener import ControlListener
 from ashpath.server.delivery.attempt_runner import AttemptRunner
 from ashpath.server.delivery.connection_pool import ConnectionPool
-from ashpath.server.delivery.endpoint_registry import EndpointRegistry, parse_address
+from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_classifier import ResponseClassifier
--- a/tests/server/delivery/test_attempt_runner.py
+++ b/tests/server/delivery/test_attempt_runner.py
@@ -12,7 +12,7 @@
 from support.world import LIMITS, World, until
 
 from ashpath.core.interface import AttemptOutcome
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.delivery.errors import AttemptCancelledError
 from ashpath.server.http.connection import HttpConnection
 
--- a/tests/server/delivery/test_connection_pool.py
+++ b/tests/server/delivery/test_connection_pool.py
@@ -8,7 +8,8 @@
 from support.world import LIMITS, World, abandon, request, until
 
 from ashpath.core.interface import AttemptOutcome
-from ashpath.server.delivery.connection_pool import Address, ConnectionPool, IdleConnection, IdleLimit
+from ashpath.server.addresses import Address
+from ashpath.server.delivery.connection_pool import ConnectionPool, IdleConnection, IdleLimit
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.http.connection import HttpConnection
 
--- a/tests/server/discovery/test_client.py
+++ b/tests/server/discovery/test_client.py
@@ -18,8 +18,8 @@
 from support.stages import DeliveryStages
 from support.world import LIMITS, World, abandon, until
 
+from ashpath.server.addresses import Address
 from ashpath.server.backoff import Backoff
-from ashpath.server.delivery.connection_pool import Address
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.discovery.snapshot import EndpointRow
--- a/tests/server/metrics/test_metrics.py
+++ b/tests/server/metrics/test_metrics.py
@@ -13,7 +13,7 @@
 from support.standalone import Alone
 from support.world import LIMITS, SETTINGS, World, free, until
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.http.connection import open_connection
 from ashpath.server.http.encoding import encode_message, host_header
 from ashpath.server.metrics.exposition import MAX_SCRAPERS, SCRAPE_TIMEOUT_S
--- a/tests/server/test_agent_client.py
+++ b/tests/server/test_agent_client.py
@@ -7,8 +7,8 @@
 from support.server import address_of
 from support.world import LIMITS, World
 
+from ashpath.server.addresses import Address
 from ashpath.server.agent_client import AgentConnection
-from ashpath.server.delivery.connection_pool import Address
 
 POLL = b"GET /registry/instances HTTP/1.1"
 CHUNKED = b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
--- a/tests/server/test_gossip.py
+++ b/tests/server/test_gossip.py
@@ -9,7 +9,7 @@
 from gevent import socket
 from support.world import free, until
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.gossip import MAX_MESSAGE_BYTES, Gossip
 
 
--- a/tests/server/test_runtime.py
+++ b/tests/server/test_runtime.py
@@ -51,3 +51,16 @@
     told = {**world.environment(), name: value}
     done = subprocess.run([sys.executable, "-m", "ashpath"], env=told, capture_output=True, timeout=60)
     assert done.returncode == 2 and done.stderr.decode().splitlines() == [f"ashpath: {words}"]
+
+
+def test_an_address_that_cannot_be_read_is_reported_as_ever(world: World) -> None:
+    """Operators know the line: its text names no type of this program."""
+    config = world.folder / "config.json"
+    line = f"ashpath: cannot start from {config}: ValueError 'x' is no address with a port"
+    for name in ("RELAY_LISTEN", "RELAY_DISCOVERY"):
+        environment = {**world.environment(), name: "x"}
+        done = subprocess.run(
+            [sys.executable, "-m", "ashpath"], env=environment, capture_output=True, timeout=60
+        )
+        assert done.returncode == 2
+        assert done.stderr.decode().splitlines() == [line]
--- a/tests/support/server.py
+++ b/tests/support/server.py
@@ -10,7 +10,7 @@
 from gevent import Timeout, socket
 from gevent.server import StreamServer
 
-from ashpath.server.delivery.connection_pool import Address
+from ashpath.server.addresses import Address
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message
 from ashpath.server.http.listener import ClientListener
