Bench adapter: wire names, recorded actions, instance and errors in a module each

Cause: one module read lines, named the wire, ran the instances and judged faults, with rows of untyped names.

Change: wire_names.py has every name of the wire, errors.py a type for each cause, recorded_actions.py the policy's actions as rows, policy_instance.py one instance.

--- a/ashpath/bench_adapter/adapter.py
+++ b/ashpath/bench_adapter/adapter.py
@@ -1,175 +1,96 @@
-"""Reads batches of the bench's wire, calls the instances' senders, writes replies from their answers."""
+"""Reads batches of the bench's wire, hands their events to the instances, writes the actions back."""
 
 from __future__ import annotations
 
 import sys
-from typing import Any, BinaryIO
+from typing import BinaryIO
 
 import orjson
 
-from ashpath.bench_adapter.wire_names import OUTCOMES, endpoint_record
-from ashpath.core.interface import EndpointRecord, LoadReport
-from ashpath.core.platform_settings import load_report_fields
-from ashpath.core.policy_settings import policy_settings
-from ashpath.core.time_units import microseconds, milliseconds
-from ashpath.policy.delivery_policy import DeliveryPolicy
+from ashpath.bench_adapter.errors import (
+    BenchProtocolError,
+    InvalidJsonError,
+    MissingClockError,
+    UnknownInstanceError,
+)
+from ashpath.bench_adapter.policy_instance import EndpointLists, PolicyInstance
+from ashpath.bench_adapter.wire_names import EventName, Row, endpoint_record
+from ashpath.core.time_units import microseconds
 
-Row = dict[str, Any]
-
-
-class BadInput(Exception):
-    """What came in is not the wire's."""
-
-
-class PolicyInstance:
-    """One instance: its sender, and the answers the sender gave in this batch."""
-
-    def __init__(self, seed: int, facts: Row) -> None:
-        self.output: list[Row] = []
-        self.broken = False
-        self.report_fields = load_report_fields(facts)
-        self.policy = DeliveryPolicy(policy_settings(seed, facts), self)
-
-    def start_attempt(self, envelope: int, endpoint: str, timeout: int) -> None:
-        shot = {"rid": envelope, "endpoint": endpoint, "allow-for": milliseconds(timeout)}
-        self.output.append({"CallOut": shot})
-
-    def reject(self, envelope: int, come_back: int) -> None:
-        self.output.append({"TurnAway": {"rid": envelope, "retry-in": milliseconds(come_back)}})
-
-    def fail(self, envelope: int) -> None:
-        self.output.append({"Fail": {"rid": envelope}})
-
-    def cancel_attempt(self, envelope: int, shot: int) -> None:
-        self.output.append({"Withdraw": {"rid": envelope, "go": shot}})
-
-    def close_idle_connections(self, endpoint: str) -> None:
-        self.output.append({"Release": {"endpoint": endpoint}})
-
-    def schedule_timer(self, at: int, token: str) -> None:
-        self.output.append({"Timer": {"due-at": milliseconds(at), "ref": token}})
-
-    def poll_endpoints(self) -> None:
-        self.output.append({"Observe": {"active": True}})
-
-    def publish(self, note: bytes) -> None:
-        self.output.append({"Notify": {"neighbour-id": -1, "contents": note.hex()}})
-
-    def mode_changed(self, text: str, destination: int, endpoint: str, out: bool, rate: float) -> None:
-        self.output.append({"WriteLog": {"what": text}})
-
-    def dispatch(self, name: str, body: Row, sheets: dict[int, list[EndpointRecord]]) -> None:
-        sender = self.policy
-        if name == "JobIn":
-            key, left = body.get("key"), microseconds(body["ttl"])
-            sender.submit(body["rid"], body["addressee-no"], body["priority"], key, left)
-        elif name == "Returned":
-            wait = microseconds(body.get("remark-ms")) if body["outcome"] == "QueueFull" else 0
-            stats, told = body.get("stats"), None
-            if (
-                stats and self.report_fields and stats[self.report_fields[1]]
-            ):  # a rate of 0 stands for no limit
-                told = LoadReport(*(stats[i] for i in self.report_fields))
-            sender.attempt_finished(
-                body["rid"], OUTCOMES[body["outcome"]], wait, bool(body.get("complete")), told
-            )
-        elif name == "Wake":
-            sender.timer_fired(body["ref"])
-        elif name == "Gone":
-            sender.client_disconnected(body["rid"])
-        elif name == "BackendsChanged":
-            if body["kind"] == "failed":
-                sender.endpoint_poll_failed()
-            else:
-                sender.update_endpoints(sheets[body["sheet"]], whole=body["kind"] != "delta")
-        elif name == "Memo":
-            sender.receive_gossip(bytes.fromhex(body["contents"]))
-        elif name not in ("Established", "Sampled"):
-            raise BadInput(f"event of unknown name {name!r}")
+EXIT_BAD_INPUT = 2
 
 
 class BenchAdapter:
-    """All instances of one process; they share nothing but the numbered lists that the wire hands to all."""
+    """All instances of one process; they share nothing but the endpoint lists, which the wire numbers."""
 
     def __init__(self) -> None:
         self.instances: dict[int, PolicyInstance] = {}
-        self.sheets: dict[int, list[EndpointRecord]] = {}
+        self.endpoint_lists: EndpointLists = {}
 
     def reply(self, line: bytes) -> bytes:
-        try:
-            batch = orjson.loads(line)
-        except orjson.JSONDecodeError as error:
-            raise BadInput(f"a line is not JSON: {error}") from None
-        if not isinstance(batch, dict) or not isinstance(batch.get("wall"), int | float):
-            raise BadInput("a batch has no clock ('wall')")
+        """The line of actions to a line of events. Raises BenchProtocolError, or as a wrong type has it."""
+        batch = parse_batch(line)
         now = microseconds(batch["wall"])
         replies = []
         for group in batch.get("senders") or ():
             number = group["sender-id"]
-            output = self.play(number, now, group.get("items") or [])
+            output = self.run_batch(number, now, group.get("items") or [])
             if output:
                 replies.append({"sender-id": number, "output": output})
         return orjson.dumps({"senders": replies}, option=orjson.OPT_APPEND_NEWLINE)
 
-    def play(self, number: int, now: int, items: list[Row]) -> list[Row]:
-        instance = None
+    def run_batch(self, number: int, now: int, items: list[Row]) -> list[Row]:
+        """The actions of one instance on its events, at that time in microseconds."""
+        instance: PolicyInstance | None = None
         for item in items:
             ((name, body),) = item.items()
-            if name == "Register":
-                self.sheets[body["sheet"]] = [endpoint_record(row) for row in body["rows-in"]]
-                continue
-            if name == "PowerOff":
+            if name == EventName.LIST_REGISTERED:
+                self.endpoint_lists[body["sheet"]] = [endpoint_record(row) for row in body["rows-in"]]
+            elif name == EventName.INSTANCE_STOPPED:
                 self.instances.pop(number, None)
                 instance = None
-                continue
-            if name == "Hello":
-                instance = self.instances[number] = PolicyInstance(body["init-seed"], body.get("facts") or {})
-                self.guarded(instance, instance.policy.begin_batch, now)
-                continue
-            if instance is None:
-                instance = self.instances.get(number)
-                if instance is None:
-                    raise BadInput(f"instance {number} got {name!r} but was never started")
-                instance.output = []
-                self.guarded(instance, instance.policy.begin_batch, now)
-            self.guarded(instance, instance.dispatch, name, body, self.sheets)
+            elif name == EventName.INSTANCE_STARTED:
+                settings = body.get("facts") or {}
+                instance = PolicyInstance(body["init-seed"], settings, self.endpoint_lists)
+                self.instances[number] = instance
+                instance.begin_batch(now)
+            else:
+                instance = instance or self._resume(number, now, name)
+                instance.handle(name, body)
+        return instance.end_batch() if instance is not None else []
+
+    def _resume(self, number: int, now: int, name: str) -> PolicyInstance:
+        instance = self.instances.get(number)
         if instance is None:
-            return []
-        self.guarded(instance, instance.policy.end_batch)
-        return instance.output
+            raise UnknownInstanceError(number, name)
+        instance.begin_batch(now)
+        return instance
 
-    def guarded(self, instance: PolicyInstance, call: Any, *arguments: Any) -> None:
-        """An exception inside the module is the wire's fault action; what is not the wire's is bad input."""
-        if instance.broken:
-            return
-        try:
-            call(*arguments)
-        except BadInput:
-            raise
-        except Exception as error:
-            instance.broken = True
-            trace = error.__traceback__
-            while trace and trace.tb_next:
-                trace = trace.tb_next
-            if trace and trace.tb_frame.f_globals.get("__name__") == __name__:
-                raise BadInput(f"malformed event: {type(error).__name__} {error}") from None
-            where = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}" if trace else "?"
-            instance.output.append({"BailOut": {"what": f"{type(error).__name__}: {error} in {where}"}})
+
+def parse_batch(line: bytes) -> Row:
+    """A batch with a clock. Raises MalformedBatchError."""
+    try:
+        batch = orjson.loads(line)
+    except orjson.JSONDecodeError as error:
+        raise InvalidJsonError(str(error)) from error
+    if not isinstance(batch, dict) or not isinstance(batch.get("wall"), int | float):
+        raise MissingClockError
+    return batch
 
 
 def run(source: BinaryIO, sink: BinaryIO) -> int:
-    """Serves batches until the input ends."""
-    host = BenchAdapter()
+    """Serves batches until the input ends; returns the exit code."""
+    adapter = BenchAdapter()
     for line in source:
         if not line.strip():
             continue
         try:
-            sink.write(host.reply(line))
-        except BadInput as error:
+            sink.write(adapter.reply(line))
+        except BenchProtocolError as error:
             print(f"ashpath.bench_adapter: {error}", file=sys.stderr)
-            return 2
+            return EXIT_BAD_INPUT
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             print(f"ashpath.bench_adapter: malformed batch: {type(error).__name__} {error}", file=sys.stderr)
-            return 2
+            return EXIT_BAD_INPUT
         sink.flush()
     return 0
--- /dev/null
+++ b/ashpath/bench_adapter/policy_instance.py
@@ -0,0 +1,112 @@
+"""One instance of a sender on the bench: its policy, and the events that the bench has for it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ashpath.bench_adapter.errors import BenchProtocolError, MalformedBatchError, UnknownEventError
+from ashpath.bench_adapter.recorded_actions import RecordedActions
+from ashpath.bench_adapter.wire_names import (
+    IGNORED_EVENTS,
+    LIST_CHANGED,
+    OUTCOMES,
+    OVERLOADED,
+    POLL_FAILED,
+    AttemptFinishedBody,
+    EndpointsChangedBody,
+    EventName,
+    Row,
+    SubmittedBody,
+)
+from ashpath.core.interface import EndpointRecord, LoadReport
+from ashpath.core.platform_settings import load_report_fields
+from ashpath.core.policy_settings import policy_settings
+from ashpath.core.time_units import microseconds
+from ashpath.policy.delivery_policy import DeliveryPolicy
+
+EndpointLists = dict[int, list[EndpointRecord]]
+"""By number: the bench hands each list over once, for all instances."""
+
+
+class PolicyInstance:
+    """One instance; after a fault of its policy it does nothing any more."""
+
+    def __init__(self, seed: int, settings: Row, endpoint_lists: EndpointLists) -> None:
+        self.actions = RecordedActions()
+        self.endpoint_lists = endpoint_lists
+        self.faulty = False
+        self.report_fields = load_report_fields(settings)
+        self.policy = DeliveryPolicy(policy_settings(seed, settings), self.actions)
+
+    def begin_batch(self, now: int) -> None:
+        """The time of all events until `end_batch`, in microseconds."""
+        self._guard(lambda: self.policy.begin_batch(now))
+
+    def handle(self, name: str, body: Row) -> None:
+        """One event. Raises BenchProtocolError where it is not the wire's."""
+        self._guard(lambda: self._dispatch(name, body))
+
+    def end_batch(self) -> list[Row]:
+        """The actions of the batch."""
+        self._guard(self.policy.end_batch)
+        return self.actions.take()
+
+    def _guard(self, call: Callable[[], None]) -> None:
+        # An exception inside the policy is an action of the wire; what this package raises is bad input.
+        if self.faulty:
+            return
+        try:
+            call()
+        except BenchProtocolError:
+            raise
+        except Exception as error:
+            self.faulty = True
+            trace = error.__traceback__
+            while trace and trace.tb_next:
+                trace = trace.tb_next
+            if trace and trace.tb_frame.f_globals.get("__name__") == __name__:
+                text = f"malformed event: {type(error).__name__} {error}"
+                raise MalformedBatchError(text) from error
+            where = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}" if trace else "?"
+            self.actions.report_fault(f"{type(error).__name__}: {error} in {where}")
+
+    def _dispatch(self, name: str, body: Row) -> None:
+        if name == EventName.SUBMITTED:
+            self._submitted(body)  # type: ignore[arg-type]  # a missing field is a KeyError, see `_guard`
+        elif name == EventName.ATTEMPT_FINISHED:
+            self._attempt_finished(body)  # type: ignore[arg-type]  # as above
+        elif name == EventName.TIMER_FIRED:
+            self.policy.timer_fired(body["ref"])
+        elif name == EventName.CLIENT_DISCONNECTED:
+            self.policy.client_disconnected(body["rid"])
+        elif name == EventName.ENDPOINTS_CHANGED:
+            self._endpoints_changed(body)  # type: ignore[arg-type]  # as above
+        elif name == EventName.GOSSIP_RECEIVED:
+            self.policy.receive_gossip(bytes.fromhex(body["contents"]))
+        elif name not in IGNORED_EVENTS:
+            raise UnknownEventError(name)
+
+    def _submitted(self, body: SubmittedBody) -> None:
+        left = microseconds(body["ttl"])
+        self.policy.submit(body["rid"], body["addressee-no"], body["priority"], body.get("key"), left)
+
+    def _attempt_finished(self, body: AttemptFinishedBody) -> None:
+        retry_after = microseconds(body.get("remark-ms")) if body["outcome"] == OVERLOADED else 0
+        report = self._load_report(body.get("stats"))
+        finished = bool(body.get("complete"))
+        self.policy.attempt_finished(body["rid"], OUTCOMES[body["outcome"]], retry_after, finished, report)
+
+    def _load_report(self, values: list[float] | None) -> LoadReport | None:
+        if not values or not self.report_fields:
+            return None
+        quota_field, rate_field = self.report_fields
+        if not values[rate_field]:  # a rate of 0 stands for no limit
+            return None
+        return LoadReport(remaining_quota=values[quota_field], rate_limit=values[rate_field])
+
+    def _endpoints_changed(self, body: EndpointsChangedBody) -> None:
+        if body["kind"] == POLL_FAILED:
+            self.policy.endpoint_poll_failed()
+        else:
+            rows = self.endpoint_lists[body["sheet"]]
+            self.policy.update_endpoints(rows, whole=body["kind"] != LIST_CHANGED)
