Wiring apart from the sender's parts, typed start errors, documented limits and timers

Cause: messages of start errors stood where they were raised; sender.py held the parts and their making; limits were one row with two comments a line; timers took a bare callback.

Change: wiring.py makes what sender.py names; errors.py has a type for each cause, texts as before; ServerLimits by concern, each field with its unit and reason, constants of its rules named; Timers call a TimerListener; the metrics' first address is MetricsService.start.

--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -19,9 +19,10 @@
 from ashpath.server.errors import StartupError
 from ashpath.server.logs import LogFormat, Logger, create_logger
 from ashpath.server.runtime import SenderRuntime
-from ashpath.server.sender import Sender, SenderPlace, create_sender
+from ashpath.server.sender import Sender, SenderPlace
 from ashpath.server.storage.errors import StateDirectoryError
 from ashpath.server.storage.state_directory import StateDirectory
+from ashpath.server.wiring import create_sender
 
 STANDARD_STREAMS = (0, 1, 2)
 
--- a/ashpath/server/configuration.py
+++ b/ashpath/server/configuration.py
@@ -20,7 +20,7 @@
 from ashpath.core.settings_alignment import align_order
 from ashpath.core.traffic_class_ids import number_traffic_classes
 from ashpath.server.addresses import Address, parse_address
-from ashpath.server.errors import StartupError
+from ashpath.server.errors import ListenAddressError
 from ashpath.server.limits import ServerLimits
 
 
@@ -142,13 +142,11 @@
 
 
 def parse_listen_address(document: JsonObject, table: str) -> Address | None:
-    """The address under `TABLE.listen`; None where there is no such table. Raises `StartupError`."""
+    """The address under `TABLE.listen`; None where there is no such table. Raises `ListenAddressError`."""
     try:
         return parse_address(str(document[table]["listen"])) if document.get(table) else None
     except (ValueError, KeyError, TypeError) as error:
-        raise StartupError(
-            f"{table}.listen: found {document[table]!r:.60}, expected an address with a port"
-        ) from error
+        raise ListenAddressError(table, document[table]) from error
 
 
 @dataclass(slots=True)
--- a/ashpath/server/limits.py
+++ b/ashpath/server/limits.py
@@ -1,4 +1,9 @@
-"""Every size, count and time of the sockets, in one type, filled at the start and handed down."""
+"""Every size, count and time of the sender on sockets, in one type, filled at the start and handed down.
+
+Of the platform's file `limits` has descriptors (`sockets`) and megabytes of disk (`disk_mb`); a sender's own
+file adds, under `own`, fields by their names here. Everything else is fixed, for the reason beside it. Names
+end in their unit where they have one: `_s` for seconds, `_bytes`; the others are counts.
+"""
 
 from __future__ import annotations
 
@@ -7,87 +12,155 @@
 
 from ashpath.core.interface import PolicySettings
 
-SPARE = 48  # descriptors for the listener, the ledger, the directory, notices, logs and the event loop
+RESERVED_DESCRIPTORS = 48
+"""For the listener, the write-ahead log, discovery, notifications, the log and the event loop."""
+
+# What counts where the platform's file does not say: taken for small.
+DEFAULT_DESCRIPTORS = 1024
+DEFAULT_DISK_MB = 1
+DEFAULT_IDLE_TIMEOUT_US = 5_000_000
+DEFAULT_CONNECT_TIMEOUT_US = 1_000_000
+
+MIN_DESCRIPTORS = 64
+MIN_ENDPOINT_CONNECTIONS = 64
+CONNECTIONS_PER_ATTEMPT = 2  # a connection in use, and an idle one
+MAX_ENDPOINT_SHARE = (3, 4)  # of the free descriptors: the rest is for clients
+IDLE_CLIENT_SHARE = (
+    6  # one in so many descriptors: half of what clients may hold, or they could open no other
+)
+DISK_BYTES_PER_MB = 970_000  # a megabyte may be a million bytes, and a file system has overhead
+IDLE_MARGIN_S = 0.2  # an idle connection is closed so long before the far end does
+MICROSECONDS = 1e6  # in a second
 
 
 @dataclass(frozen=True, slots=True)
 class ServerLimits:
-    """Counts, bytes, and seconds."""
-
-    client_connections: int  # connections of clients
-    idle_client_connections: (
-        int  # of them without a request: half of what clients may hold, or they could open no other
-    )
-    endpoint_connections: int  # connections to endpoints, idle ones counted
-    disk_bytes: int  # bytes of the ledger, old and new file together
-    endpoint_idle_s: (
-        float  # an own idle connection to an endpoint is closed after this: before the far end does
-    )
-    connect_s: float  # a connection not up by then has failed
-    min_endpoint_idle_s: float = 0.1  # no reset makes a shorter life of idle connections
-    idle_distrust_s: float = 10.0  # for so long after a reset an endpoint's idle connections live shorter
-    head_bytes: int = 16 << 10  # of a message, in bytes
-    body_bytes: int = 64 << 10  # a longer answer ends its connection
-    interim_responses: int = 20  # 1xx answers before one that counts
-    response_rest_s: float = 0.5  # from an answer's first line to its end, where that end matters
-    buffer_bytes: int = 4 << 10  # a connection's buffer to begin with, and again once it is empty
-    request_s: float = 2.4  # from a request's first byte to its last, from connecting for the first one
-    client_idle_s: float = 2.2  # a client's connection without a request for so long is closed
-    silent_eviction_s: float = 0.3  # one that has not said a word for so long may make room
-    eviction_candidates: int = (
-        16  # connections looked at for one that makes room: the first may just have a request
-    )
-    stalled_request_s: float = (
-        0.5  # a client this long within a request has left: its connection may make room
-    )
-    response_write_s: float = 2.0  # for a client to take its answer
-    drain_bytes: int = 256 << 10  # bytes read on behind a refusal, so that it can be read before the close
-    forget_destination_s: float = 60.0  # a destination without endpoints for so long is unknown
-    watch_s: float = 2.0  # a watch of the directory waits so long
-    watch_grace_s: float = 1.0  # and is given up so much later
-    retry_s: float = 0.1  # between tries at the directory and at notices that failed, the first time
-    discovery_backoff_s: float = 1.0  # the longest pause between tries at a directory that is silent
-    # At one that turns calls away: with the call itself under the 6 s in which a change counts as told.
+    """Counts, bytes and seconds, by concern."""
+
+    # Descriptors and disk, shared out at the start.
+    client_connections: int
+    """Connections of clients."""
+    idle_client_connections: int
+    """Of them without a request."""
+    endpoint_connections: int
+    """Connections to endpoints, idle ones counted."""
+    disk_bytes: int
+    """The write-ahead log, its old and its new file together."""
+
+    # Connections to endpoints.
+    endpoint_idle_s: float
+    """An idle connection is closed after this, before the far end closes it under a request."""
+    connect_s: float
+    """A connection that is not up by then has failed."""
+    min_endpoint_idle_s: float = 0.1
+    """Resets make the life of idle connections no shorter than this."""
+    idle_distrust_s: float = 10.0
+    """For so long after a reset an endpoint's idle connections live shorter."""
+    pool_sweep_s: float = 0.25
+    """Between two looks at idle connections."""
+    forget_destination_s: float = 60.0
+    """A destination without endpoints for so long is unknown: a successor may be listed late."""
+
+    # HTTP messages, of clients and of endpoints.
+    head_bytes: int = 16 << 10
+    """The first line and the headers."""
+    body_bytes: int = 64 << 10
+    """A request with more is rejected; a response with more ends its connection."""
+    interim_responses: int = 20
+    """1xx responses before one that counts."""
+    response_rest_s: float = 0.5
+    """From a response's first line to its end, where that end matters."""
+    buffer_bytes: int = 4 << 10
+    """A connection's receive buffer at first, and again once it is empty."""
+
+    # Connections of clients.
+    request_s: float = 2.4
+    """From a request's first byte to its last; for the first request, from connecting."""
+    client_idle_s: float = 2.2
+    """A connection without a request for so long is closed."""
+    silent_eviction_s: float = 0.3
+    """A connection that has sent nothing for so long may be evicted for another."""
+    eviction_candidates: int = 16
+    """Connections looked at for one to evict, as a request may just have come on the first."""
+    stalled_request_s: float = 0.5
+    """A connection that is stuck within a request for so long may be evicted."""
+    response_write_s: float = 2.0
+    """For a client to take its response."""
+    drain_bytes: int = 256 << 10
+    """Read on behind a refusal, as closing on unread bytes would take the refusal back."""
+    drain_clients_s: float = 1.5
+    """Clients that are drained may send one more request on an idle connection for so long."""
+
+    # Service discovery.
+    watch_s: float = 2.0
+    """The service holds a watch open for so long."""
+    watch_grace_s: float = 1.0
+    """A watch is given up so much later."""
+    retry_s: float = 0.1
+    """The first pause after a failure, of discovery, of notifications and of a service of the sender."""
+    discovery_backoff_s: float = 1.0
+    """The longest pause between polls of a service that is silent."""
     discovery_rejected_backoff_s: float = 4.5
-    discovery_jitter: float = 2 / 3  # the part of such a pause that is drawn
-    first_poll_spacing_s: float = (
-        0.05  # senders of a fleet ask first so far apart, by number, but all within a watch
-    )
-    initial_snapshot_s: float = (
-        0.25  # for the directory's answer before anything is sent, where lists are pushed
-    )
-    notification_backoff_s: float = 0.3  # and at notices
-    notification_s: float = 0.5  # for the answer to a notice
-    notification_batch: int = 200  # lines of one call
-    pool_sweep_s: float = 0.25  # how often idle connections are looked at
-    accept_after_term_s: float = 0.4  # connections still come for so long after SIGTERM
-    attempts_after_term_s: float = 3.0  # no shot is begun later than this after SIGTERM
-    requests_after_term_s: float = 3.2  # a request that is not whole by then is answered 503
-    end_after_term_s: float = 3.5  # all is over by then
-    drain_clients_s: float = 1.5  # clients sent away may ask once more on an idle connection for so long
-    adoption_interval_s: float = 0.5  # how often journals of processes gone in a hot upgrade are looked for
-    control_timeout_s: float = 5.0  # a caller of the control address has so long to send its line
-    control_connections: int = (
-        16  # callers of the control address at once; for a further one another gives way
-    )
-    outcome_store_bytes: int = 0  # bytes of ends kept for clients that ask, on disk, and as much memory
-    outcome_retention_s: float = 0.0  # and for how long
-    notification_file_bytes: int = 0  # bytes of one file of notices
-    notification_files: int = 0  # older ones kept beside it
+    """The same where it rejects polls: with the poll itself below the 6 s in which a change counts as
+    reported."""
+    discovery_jitter: float = 2 / 3
+    """The share of such a pause that is random."""
+    first_poll_spacing_s: float = 0.05
+    """Between the first polls of a fleet's senders, by their number; all are within a watch."""
+    initial_snapshot_s: float = 0.25
+    """For the service's response before anything is sent, where lists are pushed."""
+
+    # Notifications.
+    notification_backoff_s: float = 0.3
+    """The longest pause after a failure."""
+    notification_s: float = 0.5
+    """For the response."""
+    notification_batch: int = 200
+    """Lines of one call."""
+    notification_file_bytes: int = 0
+    """One file of notifications; a sender's own file sets it."""
+    notification_files: int = 0
+    """Older ones kept beside it; a sender's own file sets it."""
+
+    # Final outcomes kept for clients that ask: a sender's own file sets them.
+    outcome_store_bytes: int = 0
+    """On disk, and as much memory."""
+    outcome_retention_s: float = 0.0
+    """And for how long."""
+
+    # Graceful shutdown: all are counted from SIGTERM.
+    accept_after_term_s: float = 0.4
+    """Connections and messages are still accepted for so long, as clients learn of it late."""
+    attempts_after_term_s: float = 3.0
+    """No attempt begins later."""
+    requests_after_term_s: float = 3.2
+    """A request that is not whole by then is answered 503."""
+    end_after_term_s: float = 3.5
+    """All is over by then."""
+
+    # Hot upgrade, and the operators' address.
+    adoption_interval_s: float = 0.5
+    """Between two looks for write-ahead logs of processes that are gone."""
+    control_timeout_s: float = 5.0
+    """For an operator to send a command whole."""
+    control_connections: int = 16
+    """Of operators at once; for a further one another is evicted."""
 
     @classmethod
-    def of(cls, given: dict[str, Any], terms: PolicySettings) -> ServerLimits:
-        """From the deployment's `limits` and the terms; a limit that is not told is taken for small."""
-        sockets = max(64, int(given.get("sockets") or 1024))
-        free = sockets - SPARE
-        outward = min(max(64, 2 * terms.max_in_flight), free * 3 // 4)
-        idle = (terms.idle_timeout or 5_000_000) / 1e6
-        told = cls(
-            client_connections=free - outward,
-            idle_client_connections=sockets // 6,
-            endpoint_connections=outward,
-            disk_bytes=int(float(given.get("disk_mb") or 1) * 970_000),  # a megabyte may be a million bytes
-            endpoint_idle_s=max(idle - 0.2, idle / 2),
-            connect_s=(terms.connect_timeout or 1_000_000) / 1e6,
+    def of(cls, configured: dict[str, Any], settings: PolicySettings) -> ServerLimits:
+        """From the `limits` of the platform's file, and from the settings of the policy."""
+        descriptors = max(MIN_DESCRIPTORS, int(configured.get("sockets") or DEFAULT_DESCRIPTORS))
+        free = descriptors - RESERVED_DESCRIPTORS
+        numerator, denominator = MAX_ENDPOINT_SHARE
+        wanted = max(MIN_ENDPOINT_CONNECTIONS, CONNECTIONS_PER_ATTEMPT * settings.max_in_flight)
+        endpoint_connections = min(wanted, free * numerator // denominator)
+        idle_timeout_s = (settings.idle_timeout or DEFAULT_IDLE_TIMEOUT_US) / MICROSECONDS
+        limits = cls(
+            client_connections=free - endpoint_connections,
+            idle_client_connections=descriptors // IDLE_CLIENT_SHARE,
+            endpoint_connections=endpoint_connections,
+            disk_bytes=int(float(configured.get("disk_mb") or DEFAULT_DISK_MB) * DISK_BYTES_PER_MB),
+            endpoint_idle_s=max(idle_timeout_s - IDLE_MARGIN_S, idle_timeout_s / 2),
+            connect_s=(settings.connect_timeout or DEFAULT_CONNECT_TIMEOUT_US) / MICROSECONDS,
         )
-        return replace(told, **(given.get("own") or {}))
+        return replace(limits, **(configured.get("own") or {}))
--- a/ashpath/server/optional_services.py
+++ b/ashpath/server/optional_services.py
@@ -6,15 +6,21 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import gevent
 
 from ashpath.server.addresses import Address
+from ashpath.server.configuration import RunningConfiguration
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.discovery.client import DiscoveryClient
+from ashpath.server.errors import MetricsAddressError
 from ashpath.server.gossip_link import GossipLink
+from ashpath.server.http.listener import ClientListener
 from ashpath.server.logs import Logger
 from ashpath.server.policy_runner import PolicyRunner
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 if TYPE_CHECKING:
     from ashpath.server.gossip import Gossip
@@ -42,7 +48,29 @@
             try:
                 self.gossip.move(listen, peers)
             except OSError as error:
-                self.log.error("gossip not received", error=str(error))
+                self.log.error("gossip not received", error=str(error))  # noqa: TRY400 - one line is enough
+
+
+@dataclass(frozen=True, slots=True)
+class SenderMetricsSource:
+    """What metrics are read off; a `MetricsSource`."""
+
+    running: RunningConfiguration
+    policy_runner: PolicyRunner
+    write_ahead_log: WriteAheadLog
+    listener: ClientListener
+    discovery: DiscoveryClient | None
+    gossip_service: GossipService
+
+    @property
+    def gossip(self) -> Gossip | None:
+        """None until it is first switched on."""
+        return self.gossip_service.gossip
+
+    def traffic_class_name(self, traffic_class: int) -> str:
+        """As the running settings name it; empty where they have no such number."""
+        rows = self.running.current.settings.document["classes"]
+        return str(rows[traffic_class]["name"]) if traffic_class < len(rows) else ""
 
 
 class MetricsService:
@@ -66,9 +94,20 @@
             self.metrics.move(listen)
             self.recorder.use_metrics(self.metrics.counters if listen else None)
 
+    def start(self, listen: Address | None, *, other_process: bool) -> None:
+        """The first address. Raises `MetricsAddressError` where it is in use, except where the other process
+        of a hot upgrade has it: then it is tried again until that ends."""
+        try:
+            self.configure(listen)
+        except OSError as error:
+            if not other_process:
+                raise MetricsAddressError(listen, error) from error
+            gevent.spawn(self.retry)
+
     def retry(self) -> None:
         """Tries until the address is free, or the configuration names another."""
         while self.metrics is not None and self.metrics.address != self.configured:
             with suppress(OSError):
-                return self.configure(self.configured)
+                self.configure(self.configured)
+                return
             gevent.sleep(self.retry_interval_s)
--- a/ashpath/server/platform_deployment.py
+++ b/ashpath/server/platform_deployment.py
@@ -24,16 +24,24 @@
 from ashpath.server.configuration import SenderConfiguration
 from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
 from ashpath.server.delivery.notifier import Notifier
-from ashpath.server.errors import UNUSABLE_CONFIGURATION_ERRORS, StartupError, error_text
+from ashpath.server.errors import (
+    UNUSABLE_CONFIGURATION_ERRORS,
+    ControlAddressError,
+    InheritedSocketError,
+    MissingVariableError,
+    StartupError,
+    UnusableConfigurationError,
+)
 from ashpath.server.limits import ServerLimits
 from ashpath.server.log_writer import LogWriter
 from ashpath.server.logs import LogFormat, Logger, create_logger
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.reload import PlatformReloader
 from ashpath.server.runtime import SenderRuntime
-from ashpath.server.sender import SenderPlace, create_sender
+from ashpath.server.sender import SenderPlace
 from ashpath.server.storage.traffic_class_ids import TrafficClassIds
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
+from ashpath.server.wiring import create_sender
 
 if TYPE_CHECKING:
     from ashpath.server.storage.outcome_store import OutcomeStore
@@ -71,7 +79,7 @@
     """Raises `StartupError` where it is missing or empty."""
     value = os.environ.get(name)
     if not value:
-        raise StartupError(f"{name} is not set")
+        raise MissingVariableError(name)
     return value
 
 
@@ -81,7 +89,7 @@
     if text is None:
         return None
     if not (text.isdigit() and is_open_socket(int(text))):
-        raise StartupError(f"RELAY_ACCEPT_FD is no open socket: {text!r}")
+        raise InheritedSocketError(text)
     return int(text)
 
 
@@ -100,7 +108,7 @@
         try:
             parse_address(text)
         except ValueError as error:
-            raise StartupError(f"RELAY_CONTROL: {error}") from error
+            raise ControlAddressError(error) from error
     return text
 
 
@@ -152,9 +160,7 @@
         deployment = PlatformDeployment(environment.place.state, configuration.platform_address)
         sender = create_sender(environment.place, configuration, deployment, log)
     except UNUSABLE_CONFIGURATION_ERRORS as error:
-        raise StartupError(
-            f"cannot start from {environment.configuration_file}: {error_text(error)}"
-        ) from error
+        raise UnusableConfigurationError(environment.configuration_file, error) from error
     reloader = PlatformReloader(
         environment.read_configuration,
         sender.settings_switch,
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -69,7 +69,7 @@
         """Ids of messages whose client left while an attempt was in flight; each leaves with its outcome."""
         self.stopped = False
         """No attempt is started any more: what is left is for the next incarnation."""
-        self.timers = Timers(self.timers_fired)
+        self.timers = Timers(self)
         pool = attempt_runner.pool
         self.actions = QueuedActions(
             settings,
--- a/ashpath/server/reload.py
+++ b/ashpath/server/reload.py
@@ -16,7 +16,7 @@
 from gevent.event import Event
 
 from ashpath.server.configuration import RunningConfiguration, SenderConfiguration
-from ashpath.server.delivery.attempt_runner import AttemptRunner
+from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.http_notifier import HttpNotifier, NotificationReceiver
 from ashpath.server.delivery.notifier import Notifier
@@ -54,9 +54,9 @@
             try:
                 self.reloader.reload()
             except ConfigurationError as error:  # half written, say
-                self.log.error("configuration not read", error=str(error))
+                self.log.error("configuration not read", error=str(error))  # noqa: TRY400 - one line is enough
             except OSError as error:
-                self.log.error("configuration not applied", error=str(error))
+                self.log.error("configuration not applied", error=str(error))  # noqa: TRY400 - as above
 
 
 class SettingsSwitch:
@@ -67,7 +67,7 @@
         running: RunningConfiguration,
         deployment: Deployment,
         registry: EndpointRegistry,
-        attempt_runner: AttemptRunner,
+        pool: ConnectionPool,
         admission: Admission,
         policy_runner: PolicyRunner,
         gossip: GossipService,
@@ -78,7 +78,7 @@
         self.limits = running.current.limits  # of the process, up to its end
         self.deployment = deployment
         self.registry = registry
-        self.attempt_runner = attempt_runner
+        self.pool = pool
         self.admission = admission
         self.policy_runner = policy_runner
         self.gossip = gossip
@@ -94,7 +94,8 @@
         try:
             self.metrics.configure(configuration.metrics_listen)
         except OSError as error:  # the one before serves on
-            self.log.error("metrics address not changed", error=str(error.strerror or error))
+            reason = str(error.strerror or error)
+            self.log.error("metrics address not changed", error=reason)  # noqa: TRY400 - one line is enough
         # Also where nothing changed: an address that was in use may be free by now.
         self.gossip.configure(configuration.gossip_listen, configuration.gossip_peers)
 
@@ -109,7 +110,7 @@
             settings.policy_settings,
             max_in_flight=min(settings.policy_settings.max_in_flight, self.limits.endpoint_connections),
         )
-        self.attempt_runner.pool.limits = replace(
+        self.pool.limits = replace(
             self.limits,
             connect_s=configuration.limits.connect_s,
             endpoint_idle_s=configuration.limits.endpoint_idle_s,
--- a/ashpath/server/sender.py
+++ b/ashpath/server/sender.py
@@ -1,51 +1,33 @@
-"""Puts the parts of a sender together: who owns what is decided here, once, for both deployments.
-
-Nothing runs yet when `create_sender` returns, and nothing listens but the metrics; `runtime.py` starts it.
-"""
+"""What a sender consists of: its parts by concern, put together by `wiring.py` and run by `runtime.py`."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from pathlib import Path
-from random import Random
 from typing import TYPE_CHECKING
 
-import gevent
-
-from ashpath.core.platform_settings import load_report_fields
-from ashpath.server.addresses import parse_address
-from ashpath.server.backoff import Backoff
-from ashpath.server.configuration import RunningConfiguration, SenderConfiguration
+from ashpath.server.configuration import RunningConfiguration
 from ashpath.server.control.listener import ControlListener
 from ashpath.server.delivery.attempt_runner import AttemptRunner
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
-from ashpath.server.delivery.response_classifier import ResponseClassifier
-from ashpath.server.deployment import Deployment
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.endpoint_membership import EndpointMembership
-from ashpath.server.errors import StartupError
 from ashpath.server.gossip_link import GossipLink
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.limits import ServerLimits
 from ashpath.server.logs import Logger
-from ashpath.server.operator_commands import OperatorCommands
 from ashpath.server.optional_services import GossipService, MetricsService
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.reload import SettingsSwitch
 from ashpath.server.shutdown import GracefulShutdown
-from ashpath.server.storage import outage_store
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
-from ashpath.server.storage.outage_store import OutageStore
-from ashpath.server.storage.shared_memory import MAX_PROCESSES, SharedMemory
-from ashpath.server.storage.shared_memory_layout import FILE_BYTES
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 if TYPE_CHECKING:
-    from ashpath.server.gossip import Gossip
     from ashpath.server.http.status_api import StatusApi
     from ashpath.server.storage.outcome_store import OutcomeStore
 
@@ -90,28 +72,6 @@
     status_api: StatusApi | None
 
 
-@dataclass(frozen=True, slots=True)
-class SenderMetricsSource:
-    """What metrics are read off; a `MetricsSource`."""
-
-    running: RunningConfiguration
-    policy_runner: PolicyRunner
-    write_ahead_log: WriteAheadLog
-    listener: ClientListener
-    discovery: DiscoveryClient | None
-    gossip_service: GossipService
-
-    @property
-    def gossip(self) -> Gossip | None:
-        """None until it is first switched on."""
-        return self.gossip_service.gossip
-
-    def traffic_class_name(self, traffic_class: int) -> str:
-        """As the running settings name it; empty where they have no such number."""
-        rows = self.running.current.settings.document["classes"]
-        return str(rows[traffic_class]["name"]) if traffic_class < len(rows) else ""
-
-
 @dataclass(frozen=True, slots=True)
 class Sender:
     """The parts of one sender."""
@@ -129,205 +89,3 @@
     metrics: MetricsService
     settings_switch: SettingsSwitch
     shutdown: GracefulShutdown
-
-
-def create_sender(
-    place: SenderPlace, configuration: SenderConfiguration, deployment: Deployment, log: Logger
-) -> Sender:
-    """Raises `StartupError`, and one of `UNUSABLE_CONFIGURATION_ERRORS` where the state directory, an address
-    or a list in the configuration cannot be used."""
-    write_ahead_log = open_write_ahead_log(place, configuration.limits)
-    configuration = deployment.restore_traffic_class_ids(
-        configuration,
-        has_live_messages=bool(write_ahead_log.live) or place.inherited_socket is not None,
-    )
-    running = RunningConfiguration(configuration)
-    delivery = create_delivery_path(place, configuration, deployment, write_ahead_log, log)
-    clients = create_client_side(place, configuration, deployment, delivery, log)
-    delivery.registry.apply_members(configuration.known_endpoints["members"], whole=True)
-    control = create_control_listener(place, configuration, delivery, clients.listener, log)
-    discovery = create_discovery_client(place, configuration, delivery.membership, log)
-    gossip = GossipService(delivery.policy_runner, delivery.gossip_link, log)
-    metrics = MetricsService(
-        SenderMetricsSource(
-            running, delivery.policy_runner, write_ahead_log, clients.listener, discovery, gossip
-        ),
-        delivery.recorder,
-        retry_interval_s=configuration.limits.adoption_interval_s,
-    )
-    start_metrics(metrics, configuration, place)
-    return Sender(
-        place=place,
-        running=running,
-        limits=configuration.limits,
-        log=log,
-        delivery=delivery,
-        clients=clients,
-        control=control,
-        discovery=discovery,
-        gossip=gossip,
-        metrics=metrics,
-        settings_switch=SettingsSwitch(
-            running,
-            deployment,
-            delivery.registry,
-            delivery.attempt_runner,
-            clients.admission,
-            delivery.policy_runner,
-            gossip,
-            metrics,
-            log,
-        ),
-        shutdown=GracefulShutdown(
-            clients.listener,
-            clients.admission,
-            delivery.policy_runner,
-            delivery.notifier,
-            configuration.limits,
-            log,
-        ),
-    )
-
-
-def open_write_ahead_log(place: SenderPlace, limits: ServerLimits) -> WriteAheadLog:
-    """Its bytes are what the other files of the state directory leave of `disk_bytes`."""
-    files = shared_memory_files(place)
-    return WriteAheadLog(place.state, limits.disk_bytes - files * FILE_BYTES - outage_store.MAX_DISK_BYTES)
-
-
-def shared_memory_files(place: SenderPlace) -> int:
-    """A process that binds the address by itself is alone."""
-    return 1 if place.inherited_socket is None else MAX_PROCESSES
-
-
-def create_delivery_path(
-    place: SenderPlace,
-    configuration: SenderConfiguration,
-    deployment: Deployment,
-    write_ahead_log: WriteAheadLog,
-    log: Logger,
-) -> DeliveryPath:
-    """Opens the other files of the state directory, too."""
-    limits = configuration.limits
-    settings = configuration.settings
-    shared_memory = SharedMemory(place.state, shared_memory_files(place))
-    if shared_memory.own is None:
-        log.error("no shared memory: Retry-After and detached endpoints of this process bind no other")
-    outcome_store = deployment.create_outcome_store(limits, log)
-    chance = Random(f"{random_seed(place, configuration)}/n")
-    backoff = Backoff(chance, limits.retry_s, limits.notification_backoff_s)
-    notifier = deployment.create_notifier(limits, write_ahead_log, backoff, log)
-    pool = ConnectionPool(limits)
-    registry = EndpointRegistry(settings.kinds, settings.zones, pool, log)
-    recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store)
-    has_load_reports = load_report_fields(settings.document) is not None
-    classifier = ResponseClassifier(has_load_reports=has_load_reports)
-    attempt_runner = AttemptRunner(pool, registry, classifier, notifier, log)
-    gossip_link = GossipLink()
-    detached_endpoints = DetachedEndpoints(place.state, log)
-    policy_runner = PolicyRunner(
-        settings.policy_settings,
-        write_ahead_log,
-        recorder,
-        attempt_runner,
-        shared_memory,
-        detached_endpoints,
-        OutageStore(place.state, log),
-        gossip_link,
-        log,
-    )
-    return DeliveryPath(
-        write_ahead_log=write_ahead_log,
-        outcome_store=outcome_store,
-        notifier=notifier,
-        pool=pool,
-        registry=registry,
-        recorder=recorder,
-        attempt_runner=attempt_runner,
-        policy_runner=policy_runner,
-        membership=EndpointMembership(registry, policy_runner),
-        gossip_link=gossip_link,
-        detached_endpoints=detached_endpoints,
-    )
-
-
-def random_seed(place: SenderPlace, configuration: SenderConfiguration) -> str:
-    """Senders of one fleet differ by their address."""
-    return f"{configuration.policy_settings.seed}/{place.listen}"
-
-
-def create_client_side(
-    place: SenderPlace,
-    configuration: SenderConfiguration,
-    deployment: Deployment,
-    delivery: DeliveryPath,
-    log: Logger,
-) -> ClientSide:
-    """It does not listen yet."""
-    admission = Admission(
-        configuration.policy_settings,
-        configuration.settings.traffic_class_ids,
-        delivery.registry,
-        delivery.policy_runner,
-        delivery.write_ahead_log,
-        log,
-    )
-    status_api = deployment.create_status_api(
-        delivery.policy_runner, delivery.outcome_store, configuration.settings.traffic_class_names()
-    )
-    listener = ClientListener(parse_address(place.listen), configuration.limits, admission, log, status_api)
-    return ClientSide(admission, listener, status_api)
-
-
-def create_control_listener(
-    place: SenderPlace,
-    configuration: SenderConfiguration,
-    delivery: DeliveryPath,
-    listener: ClientListener,
-    log: Logger,
-) -> ControlListener | None:
-    """The operators' address, where there is one; the environment's comes first."""
-    address = place.control or configuration.control
-    if not address:
-        return None
-    commands = OperatorCommands(
-        delivery.policy_runner, delivery.registry, listener, delivery.detached_endpoints
-    )
-    return ControlListener(parse_address(address), configuration.limits, commands, log)
-
-
-def create_discovery_client(
-    place: SenderPlace, configuration: SenderConfiguration, membership: EndpointMembership, log: Logger
-) -> DiscoveryClient | None:
-    """The client of the discovery service, where there is one.
-
-    Its first poll guards the service against a fleet that starts at once: senders begin one after another, by
-    their number, all within the time of one watch. In a hot upgrade a sender starts alone, and polls at once.
-    """
-    if configuration.platform_address is None:
-        return None
-    limits = configuration.limits
-    policy_settings = configuration.policy_settings
-    spacing_s = min(limits.first_poll_spacing_s, limits.watch_s / policy_settings.sender_count)
-    first_poll_delay_s = policy_settings.sender_index * spacing_s
-    return DiscoveryClient(
-        configuration.platform_address,
-        limits,
-        int(configuration.known_endpoints.get("revision") or 0),
-        membership,
-        Random(f"{random_seed(place, configuration)}/d"),
-        log,
-        first_poll_delay_s if place.inherited_socket is None else 0.0,
-    )
-
-
-def start_metrics(metrics: MetricsService, configuration: SenderConfiguration, place: SenderPlace) -> None:
-    """Raises `StartupError` where the address is in use. In a hot upgrade the other process has it until it
-    ends, so it is tried again until then."""
-    try:
-        metrics.configure(configuration.metrics_listen)
-    except OSError as error:
-        if place.inherited_socket is None:
-            address = ":".join(map(str, configuration.metrics_listen or ()))
-            raise StartupError(f"metrics.listen: {address}: {error.strerror or error}") from error
-        gevent.spawn(metrics.retry)
--- a/ashpath/server/storage/detached_endpoints.py
+++ b/ashpath/server/storage/detached_endpoints.py
@@ -46,7 +46,7 @@
         except FileNotFoundError:
             return set()
         except UNREADABLE as error:
-            self._logger.error(
+            self._logger.error(  # noqa: TRY400 - one line is enough
                 "detached endpoints not read, none are detached", file=str(self._file.path), error=str(error)
             )
             return set()
--- a/ashpath/server/storage/outage_store.py
+++ b/ashpath/server/storage/outage_store.py
@@ -64,7 +64,7 @@
             pass
         except UNREADABLE as error:
             self.outages.clear()
-            logger.error("outages not read, none are known", file=str(self._file.path), error=str(error))
+            logger.error("outages not read, none are known", file=str(self._file.path), error=str(error))  # noqa: TRY400 - one line is enough
 
     def active(self) -> list[Outage]:
         """Those that last, or after which the destination is still in slow start."""
@@ -106,7 +106,7 @@
             self._failing = False
         except OSError as error:
             if not self._failing:
-                self._logger.error("outages not written", error=str(error))
+                self._logger.error("outages not written", error=str(error))  # noqa: TRY400 - one line is enough
             self._failing = True
 
 
--- a/ashpath/server/storage/outcome_store.py
+++ b/ashpath/server/storage/outcome_store.py
@@ -74,7 +74,7 @@
             self.file.append(line)
         except OSError as error:
             if not self._failing:
-                self._logger.error("outcomes not written", error=str(error))
+                self._logger.error("outcomes not written", error=str(error))  # noqa: TRY400 - one line is enough
             self._failing = True
         else:
             if self._failing:
--- a/ashpath/server/timers.py
+++ b/ashpath/server/timers.py
@@ -1,46 +1,84 @@
-"""The clocks, and the wakes that the module asked for."""
+"""The sender's two clocks, and the timers that its policy schedules.
+
+The policy has no clock: it is handed the time, and asks for timers by a token of its own choice. All that are
+due fire together, in the order of their times, those of one time in the order in which they were scheduled.
+"""
 
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
 from heapq import heappop, heappush
+from typing import NamedTuple, Protocol
 
 import gevent
 from gevent.event import Event
 
+MICROSECONDS = 1_000_000  # in a second
+
 
 def now() -> int:
-    """Whole microseconds of a clock that only goes forward."""
+    """Whole microseconds of the monotonic clock, which only goes forward."""
     return time.monotonic_ns() // 1000
 
 
 def wall() -> int:
-    """Whole microseconds of the clock on the wall: the only one that outlives the process."""
+    """Whole microseconds of the wall clock, the only one that outlives the process."""
     return time.time_ns() // 1000
 
 
+class TimerListener(Protocol):
+    """Who is called as timers fall due."""
+
+    def timers_fired(self, tokens: list[str]) -> None:
+        """At least one. It may schedule further timers, which fire in a later call."""
+        ...
+
+
+class Timer(NamedTuple):
+    """One timer; as tuples they are in the order in which they fire."""
+
+    due_at: int
+    """Microseconds of the monotonic clock."""
+    sequence: int
+    """How many were scheduled up to this one."""
+    token: str
+
+
 class Timers:
-    """Wakes in order of their time; each leaves as it falls due."""
+    """Timers that are not due yet. Each fires once and is forgotten; none is cancelled."""
 
-    def __init__(self, due: Callable[[list[str]], None]) -> None:
-        self.due, self.heap, self.earlier = due, list[tuple[int, int, str]](), Event()
-        self.count = 0  # keeps wakes of one moment in their order
+    def __init__(self, listener: TimerListener) -> None:
+        self.listener = listener
+        self.heap: list[Timer] = []  # the earliest first
+        self.scheduled = 0  # how many there have been
+        self.earlier_scheduled = Event()  # one that is due before all that were waited for
 
-    def add(self, at: int, token: str) -> None:
-        self.count += 1
-        heappush(self.heap, (at, self.count, token))
-        if self.heap[0][1] == self.count:
-            self.earlier.set()
+    def add(self, due_at: int, token: str) -> None:
+        """`due_at`: microseconds of the monotonic clock; one that has passed fires as soon as `run` does."""
+        self.scheduled += 1
+        heappush(self.heap, Timer(due_at, self.scheduled, token))
+        if self.heap[0].sequence == self.scheduled:
+            self.earlier_scheduled.set()
 
     def run(self) -> None:
+        """Never returns."""
         while True:
-            self.earlier.clear()
-            tokens, moment = [], now()
-            while self.heap and self.heap[0][0] <= moment:
-                tokens.append(heappop(self.heap)[2])
+            self.earlier_scheduled.clear()
+            started_at = now()
+            tokens = self.take_due(started_at)
             if tokens:
-                self.due(tokens)
-                gevent.sleep(0)  # guards the rest against wakes that follow on one another
-                continue
-            self.earlier.wait((self.heap[0][0] - moment) / 1e6 if self.heap else None)
+                self.listener.timers_fired(tokens)
+                gevent.sleep(0)  # guards the other greenlets against timers that follow on one another
+            else:
+                self.earlier_scheduled.wait(self.seconds_to_next(started_at))
+
+    def take_due(self, moment: int) -> list[str]:
+        """The tokens of all that are due, which leave."""
+        tokens = []
+        while self.heap and self.heap[0].due_at <= moment:
+            tokens.append(heappop(self.heap).token)
+        return tokens
+
+    def seconds_to_next(self, moment: int) -> float | None:
+        """Until the earliest one; None where there is none."""
+        return (self.heap[0].due_at - moment) / MICROSECONDS if self.heap else None
--- a/tests/server/test_policy_actions.py
+++ b/tests/server/test_policy_actions.py
@@ -41,7 +41,7 @@
             ConnectionPool(LIMITS),
             OutageStore(folder, logger),
             gossip,
-            Timers(self.done.append),
+            Timers(self),
             logger,
         )
 
@@ -51,6 +51,9 @@
     def publish(self, message: bytes) -> None:
         self.done.append(message)
 
+    def timers_fired(self, tokens: list[str]) -> None:
+        self.done.append(tokens)
+
 
 @pytest.fixture
 def stages(tmp_path: Path) -> Stages:
