--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -123,32 +123,37 @@
         read, and what else is thrown from then on is dropped for it.
         """
         for _ in range(self.limits.interim_responses):
-            response = HttpResponse()
-            self.unusable = True  # until it is known where the response ends
-            self.status_line_read = False
-            parser = httptools.HttpResponseParser(response)
-            response.status = self._read_status()
-            self.status_line_read = True
-            try:
-                # Guards the call's place against a far end that holds back, or never ends, what it has begun.
-                with Timeout(self.limits.response_rest_s, IncompleteResponseError()):
-                    self._read_head(response, parser, "answer")
-                    if response.is_interim:
-                        continue
-                    framing = 0 if response.complete else body_framing(response, self.limits.body_bytes)
-                    self.pending_body = PendingBody(response, parser, framing)
-                    if response.status != HTTPStatus.OK:
-                        self.finish_response()
-            except (Exception, Timeout):  # cancelled or out of time, too: a 200 that is here counts
-                if response.status != HTTPStatus.OK:
-                    raise
+            response = self._read_one_response()
+            if not response.is_interim:
                 return response
-            response.well_formed = True
-            response.keep_alive = self._is_bounded(framing) and response.wants_keep_alive(parser)
-            self.unusable = not response.keep_alive
-            return response
         raise TooManyInterimResponsesError
 
+    def _read_one_response(self) -> HttpResponse:
+        response = HttpResponse()
+        self.unusable = True  # until it is known where the response ends
+        self.status_line_read = False
+        parser = httptools.HttpResponseParser(response)
+        response.status = self._read_status()
+        self.status_line_read = True
+        try:
+            # Guards the call's place against a far end that holds back, or never ends, what it has begun.
+            with Timeout(self.limits.response_rest_s, IncompleteResponseError()):
+                self._read_head(response, parser, "answer")
+                if response.is_interim:
+                    return response
+                framing = 0 if response.complete else body_framing(response, self.limits.body_bytes)
+                self.pending_body = PendingBody(response, parser, framing)
+                if response.status != HTTPStatus.OK:
+                    self.finish_response()
+        except (Exception, Timeout):  # cancelled or out of time, too: a 200 that is here counts
+            if response.status != HTTPStatus.OK:
+                raise
+            return response
+        response.well_formed = True
+        response.keep_alive = self._is_bounded(framing) and response.wants_keep_alive(parser)
+        self.unusable = not response.keep_alive
+        return response
+
     def late_success(self) -> HttpResponse | None:
         """Of a response that is given up on: a 200, if its first line is here by now. Does not wait, and does
         not look for one in the body of another response."""
