--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -20,4 +20,4 @@
 @pytest.fixture
 def url(alone: Alone) -> str:
     """Where the sender listens once it is started."""
-    return f"http://127.0.0.1:{alone.where[1]}"
+    return f"http://127.0.0.1:{alone.address[1]}"
--- a/tests/cli/test_sender.py
+++ b/tests/cli/test_sender.py
@@ -44,8 +44,8 @@
         ("lost", "once", "500", 2),
         ("gone", "once", "410", 3),
     ):
-        assert alone.hand_in(trace, track, body, to) == 202
-    assert alone.hand_in("late", "free", "200", 6, left=400) == 202
+        assert alone.submit(trace, track, body, to) == 202
+    assert alone.submit("late", "free", "200", 6, time_left_ms=400) == 202
     for trace, state in (
         ("done", "completed"),
         ("hangs", "out"),
@@ -55,7 +55,7 @@
     ):
         until(alone.ends(trace, state))
     assert alone.get("/envelopes/late")["again_ms"] >= 1000
-    assert alone.get("/envelopes/never") == 404 and alone.hand_in("hangs", "tag", "200", 1) == 409
+    assert alone.get("/envelopes/never") == 404 and alone.submit("hangs", "tag", "200", 1) == 409
     held = alone.get("/envelopes")["envelopes"]
     assert [(row["id"], row["state"], row["track"]) for row in held] == [("hangs", "out", "tag")]
     alone.kill()
@@ -82,9 +82,9 @@
     alone.write()
     alone.start()
     for number in range(198):
-        assert alone.hand_in(f"w{number}", ("free", "tag", "once")[number % 3], "200", 5) == 202
-    assert alone.hand_in("out", "once", "slow", 1) == alone.hand_in("out2", "free", "slow", 1) == 202
-    until(lambda: alone.count("out") and alone.count("out2"))
+        assert alone.submit(f"w{number}", ("free", "tag", "once")[number % 3], "200", 5) == 202
+    assert alone.submit("out", "once", "slow", 1) == alone.submit("out2", "free", "slow", 1) == 202
+    until(lambda: alone.attempt_count("out") and alone.attempt_count("out2"))
     before = alone.file.read_text()
     alone.file.write_text(before[:200])  # half written
     assert "configuration not read" in alone.reread() and "sender.toml:" in alone.reread()
@@ -97,13 +97,16 @@
     taken, later = line.split("needs_restart=")
     assert "destinations.5.endpoints" in taken and "destinations.1.endpoints" in taken
     assert "limits.disk" in later and "tracks.free.repeat" in taken and "tracks" not in later
-    assert alone.hand_in("too late", "other", "200", 1) == 503  # not listed any more
-    assert alone.hand_in("new", "other", "200", 2) == 202
-    assert alone.hand_in("old", "free", "200", 2) == 400  # what was taken on under it keeps its terms
-    until(lambda: all(alone.count(f"w{number}") == 1 for number in range(198)))
+    assert alone.submit("too late", "other", "200", 1) == 503  # not listed any more
+    assert alone.submit("new", "other", "200", 2) == 202
+    assert alone.submit("old", "free", "200", 2) == 400  # what was taken on under it keeps its terms
+    until(lambda: all(alone.attempt_count(f"w{number}") == 1 for number in range(198)))
     until(alone.ends("out", "completed"))
     until(alone.ends("out2", "completed"))
-    assert alone.count("out") == alone.count("out2") == 1 and not alone.get("/envelopes")["envelopes"]
+    assert (
+        alone.attempt_count("out") == alone.attempt_count("out2") == 1
+        and not alone.get("/envelopes")["envelopes"]
+    )
     alone.rest += "[kinds.plain]\napart = true\n"
     alone.write()
     assert "kinds.plain.apart" in alone.reread()  # two gates at once, though no list comes anew
@@ -116,9 +119,9 @@
     alone.write()
     alone.start()
     for to, (trace, track) in enumerate((("f", "free"), ("t", "tag"), ("o", "once"))):
-        alone.hand_in(trace, track, "hang 200", to, key="k" if track == "tag" else "")
-        alone.hand_in(f"{trace}-waits", track, "200", 5)
-    until(lambda: all(alone.count(trace) for trace in "fto"))
+        alone.submit(trace, track, "hang 200", to, ordering_key="k" if track == "tag" else "")
+        alone.submit(f"{trace}-waits", track, "200", 5)
+    until(lambda: all(alone.attempt_count(trace) for trace in "fto"))
     alone.kill()
     rest = TRACKS.split("[tracks.tag]")[1]
     alone.tracks = "[tracks.tag]" + rest.replace('"once-only"', '"repeatable"')  # free gone, once changed
@@ -129,8 +132,8 @@
     until(alone.ends("t", "completed"))
     until(alone.ends("o", "undeliverable"))  # as it was once-only when it was taken on
     until(lambda: all(alone.state(f"{trace}-waits") == "completed" for trace in "fto"))
-    assert alone.count("o") == 1 and alone.hand_in("x", "free", "200", 1) == 400
-    assert alone.hand_in("y", "once", "500 200", 1) == 202
+    assert alone.attempt_count("o") == 1 and alone.submit("x", "free", "200", 1) == 400
+    assert alone.submit("y", "once", "500 200", 1) == 202
     until(alone.ends("y", "completed"))
     alone.kill(signal.SIGTERM)
     alone.start()
@@ -183,8 +186,8 @@
 def test_full_disk_and_no_rights(alone: Alone, tmp_path: Path) -> None:
     """At the start: one line, and what is held stays. Later: no shot unrecorded, and nothing new taken on."""
     alone.start()
-    assert alone.hand_in("kept", "once", "hang", 1) == 202
-    until(lambda: alone.count("kept"))
+    assert alone.submit("kept", "once", "hang", 1) == 202
+    until(lambda: alone.attempt_count("kept"))
     alone.kill()
     held = StateDirectory(tmp_path / "state", "n0")
     assert held.live_messages() == 1
@@ -215,15 +218,15 @@
     os.write(into, b"x" * 4096)
     alone.start(stdout=into)
     for number in range(60):
-        assert alone.hand_in(f"b{number}", "once", "200", 1) == 202
-    until(lambda: all(alone.count(f"b{number}") == 1 for number in range(60)))
+        assert alone.submit(f"b{number}", "once", "200", 1) == 202
+    until(lambda: all(alone.attempt_count(f"b{number}") == 1 for number in range(60)))
     read = b""
     while b"event=ready" not in read:
         read += os.read(out, 4096)
     os.close(out)
     assert alone.process is not None
     alone.process.send_signal(signal.SIGHUP)  # a line that nobody can read any more
-    assert alone.hand_in("after", "once", "200", 1) == 202
+    assert alone.submit("after", "once", "200", 1) == 202
     until(alone.ends("after", "completed"))
     os.close(into)
     assert alone.process.poll() is None
@@ -232,7 +235,7 @@
 def test_closed_streams(alone: Alone) -> None:
     """Started with standard output closed: no file of the sender's may get its number."""
     alone.start(stdout=None, preexec_fn=lambda: os.closerange(0, 3))
-    assert alone.hand_in("c", "once", "200", 1) == 202
+    assert alone.submit("c", "once", "200", 1) == 202
     until(alone.ends("c", "completed"))
     assert alone.process is not None
     assert os.readlink(f"/proc/{alone.process.pid}/fd/1") == "/dev/null"
@@ -254,9 +257,9 @@
     assert run.stderr.count("\n") == 1
     environment = os.environ | {"ASHPATH_TEST_PASS": "Bearer of-calls"}
     alone.start(env=environment)
-    assert alone.hand_in("s", "once", "500 secret-body", 1) == 202
-    until(lambda: alone.told("s") == ["undeliverable"])
-    assert alone.calls["s"][0].headers[b"authorization"] == b"Bearer of-calls"
+    assert alone.submit("s", "once", "500 secret-body", 1) == 202
+    until(lambda: alone.notified("s") == ["undeliverable"])
+    assert alone.attempts["s"][0].headers[b"authorization"] == b"Bearer of-calls"
     log = (alone.folder / "log").read_text()
     assert "of-calls" not in log and "of-notices" not in log and "secret-body" not in log
     assert all(orjson.loads(line)["event"] for line in log.splitlines())
--- a/tests/cli/test_status_commands.py
+++ b/tests/cli/test_status_commands.py
@@ -14,7 +14,7 @@
     alone.start()
     arguments = ["--to", "1", "--track", "tag", "--body", "-", "--id", "h"]
     assert alone.run("submit", "--url", url, *arguments, input="hang").returncode == 0
-    until(lambda: alone.count("h"))
+    until(lambda: alone.attempt_count("h"))
     return alone
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 
 import pytest
 from gevent import socket
-from support.world import World, free
+from support.world import World, free_address
 
 
 @pytest.fixture
@@ -26,7 +26,7 @@
     old = World(tmp_path, inherited=listener)
     new = World.__new__(World)
     new.__dict__.update(old.__dict__)
-    new.control, new.process = free(), None
+    new.control_address, new.process = free_address(), None
     try:
         old.start()
         yield old, new
--- a/tests/server/control/test_operator_commands.py
+++ b/tests/server/control/test_operator_commands.py
@@ -26,54 +26,54 @@
 
 def test_commands_are_answered_beside_operators_that_say_nothing(started: World) -> None:
     with (
-        socket.create_connection(started.control) as half,
-        socket.create_connection(started.control) as silent,
+        socket.create_connection(started.control_address) as half,
+        socket.create_connection(started.control_address) as silent,
     ):
         half.sendall(b"DETA")  # half a command, and it stays
         for command, answer in ANSWERS:
-            assert started.call(command).startswith(answer)
-        assert started.ask(READY) == 200
+            assert started.operator_command(command).startswith(answer)
+        assert started.response_status(READY) == 200
         assert half.recv(100).startswith(b"ERR no whole line")  # after its own time limit
         assert silent.recv(100).startswith(b"ERR no whole line")
 
 
 def test_a_lame_duck_is_not_ready_and_serves_what_comes(started: World) -> None:
-    assert started.ask(READY) == 200
+    assert started.response_status(READY) == 200
     idle = started.connect()
     assert idle is not None
-    assert started.call(b"LAMEDUCK\n").startswith(b"OK")
-    until(lambda: started.ask(READY) == 503)
+    assert started.operator_command(b"LAMEDUCK\n").startswith(b"OK")
+    until(lambda: started.response_status(READY) == 503)
     assert idle.receive() is False or not len(idle.buffer)  # closed by the sender, not left idle
-    assert started.hand_in("l1", "free", "200", 4) == 202
-    until(lambda: started.count("l1") == 1)
-    assert started.call(b"REJOIN\n").startswith(b"OK")
-    until(lambda: started.ask(READY) == 200)
+    assert started.submit("l1", "free", "200", 4) == 202
+    until(lambda: started.attempt_count("l1") == 1)
+    assert started.operator_command(b"REJOIN\n").startswith(b"OK")
+    until(lambda: started.response_status(READY) == 200)
 
 
 def test_operators_that_say_nothing_keep_nobody_out(started: World) -> None:
     """Of very many the longest silent ones give way."""
-    crowd = [socket.create_connection(started.control) for _ in range(500)]
+    crowd = [socket.create_connection(started.control_address) for _ in range(500)]
     crowd[0].sendall(b"PI")
     for _ in range(10):
-        assert started.call(b"PING\n") == b"OK\n"
-        crowd += [socket.create_connection(started.control) for _ in range(20)]
-    assert started.ask(READY) == 200
+        assert started.operator_command(b"PING\n") == b"OK\n"
+        crowd += [socket.create_connection(started.control_address) for _ in range(20)]
+    assert started.response_status(READY) == 200
     for connection in crowd:
         connection.close()
 
 
 def test_an_endpoint_stays_detached_over_a_listing_and_a_restart(started: World) -> None:
     for _ in range(2):  # two DETACH need one ATTACH
-        assert started.call(b"DETACH e5\n").startswith(b"OK")
-    assert started.hand_in("h1", "free", "200", 5, left=3000) == 202
+        assert started.operator_command(b"DETACH e5\n").startswith(b"OK")
+    assert started.submit("h1", "free", "200", 5, time_left_ms=3000) == 202
     # Discovery lists it as active anew meanwhile.
     started.config["known"] = {"revision": 2, "complete": True, "members": started.members}
     started.kill(signal.SIGKILL)
     started.start()
-    assert started.hand_in("h2", "free", "200", 5, left=30000) == 202
-    until(lambda: started.told("h1") != [])
-    assert started.count("h1") == 0
-    assert started.count("h2") == 0
-    assert started.call(b"ATTACH e5\n").startswith(b"OK")
-    until(lambda: started.count("h2") == 1)
-    assert started.call(b"ATTACH e5\n").startswith(b"OK")
+    assert started.submit("h2", "free", "200", 5, time_left_ms=30000) == 202
+    until(lambda: started.notified("h1") != [])
+    assert started.attempt_count("h1") == 0
+    assert started.attempt_count("h2") == 0
+    assert started.operator_command(b"ATTACH e5\n").startswith(b"OK")
+    until(lambda: started.attempt_count("h2") == 1)
+    assert started.operator_command(b"ATTACH e5\n").startswith(b"OK")
--- a/tests/server/delivery/test_attempt_runner.py
+++ b/tests/server/delivery/test_attempt_runner.py
@@ -92,7 +92,7 @@
     until(lambda: stages.outcomes == [AttemptOutcome.DELIVERED, AttemptOutcome.NOT_SENT])
     stages.start("c", b"200")
     until(lambda: stages.outcomes[2:] == [AttemptOutcome.DELIVERED])
-    assert not world.count("b")
+    assert not world.attempt_count("b")
     assert stages.pool.idle
     stages.registry.apply_members([{**row, "phase": "draining"} for row in world.members], whole=False)
     assert not stages.pool.idle
@@ -107,10 +107,10 @@
     stages.start("a", b"hang").cancel()
     until(lambda: stages.outcomes == [AttemptOutcome.CANCELLED])
     attempt = stages.start("b", b"hang")
-    until(lambda: world.count("b") > 0)
+    until(lambda: world.attempt_count("b") > 0)
     attempt.cancel()
     until(lambda: stages.outcomes == [AttemptOutcome.CANCELLED] * 2)
-    assert not world.count("a")
+    assert not world.attempt_count("a")
     assert stages.pool.open == 0
     attempt = stages.start("c", b"200")
     until(lambda: stages.outcomes[2:] == [AttemptOutcome.DELIVERED])
@@ -186,7 +186,7 @@
     stages.start("a", b"200")
     until(lambda: bool(stages.outcomes))
     assert stages.outcomes == [AttemptOutcome.NOT_SENT]
-    assert not world.count("a")
+    assert not world.attempt_count("a")
 
 
 # What connecting may meet, and the outcome: what is the sender's own says nothing of the endpoint.
@@ -231,4 +231,4 @@
     stages.start("a", b"200")
     until(lambda: bool(stages.outcomes))
     assert stages.outcomes == [AttemptOutcome.NOT_SENT]
-    assert not world.count("a")
+    assert not world.attempt_count("a")
--- a/tests/server/delivery/test_connection_pool.py
+++ b/tests/server/delivery/test_connection_pool.py
@@ -5,7 +5,7 @@
 import pytest
 from gevent import socket
 from support.stages import DeliveryStages
-from support.world import LIMITS, World, abandon, request, until
+from support.world import LIMITS, World, request, reset_connection, until
 
 from ashpath.core.interface import AttemptOutcome
 from ashpath.server.addresses import Address
@@ -71,7 +71,7 @@
 
     def drop(sock: socket.socket, _: object) -> None:
         HttpConnection(sock, LIMITS).read_request()
-        abandon(sock)
+        reset_connection(sock)
 
     old, young = (pool.connect(address) for _ in range(2))
     for connection, age in ((old, 1.0), (young, 0.2)):
--- a/tests/server/delivery/test_response_classifier.py
+++ b/tests/server/delivery/test_response_classifier.py
@@ -83,20 +83,20 @@
     world.start()
     for number, row in enumerate(ROWS):
         time_left = 30000 if "200" in row.meets or row.meets == "slow" else 1500
-        assert world.hand_in(f"r{number}", row.traffic_class, row.meets, number, time_left) == 202
+        assert world.submit(f"r{number}", row.traffic_class, row.meets, number, time_left) == 202
     for number, row in enumerate(ROWS):
         trace_id = f"r{number}"
-        until(lambda trace_id=trace_id, row=row: world.count(trace_id) >= row.attempts)  # type: ignore[misc]
+        until(lambda trace_id=trace_id, row=row: world.attempt_count(trace_id) >= row.attempts)  # type: ignore[misc]
         if row.notification is not None:
             expected = [row.notification]
-            until(lambda trace_id=trace_id, expected=expected: world.told(trace_id) == expected)  # type: ignore[misc]
-        assert world.count(trace_id) == row.attempts, row
-        for call in world.calls.get(trace_id, ()):
+            until(lambda trace_id=trace_id, expected=expected: world.notified(trace_id) == expected)  # type: ignore[misc]
+        assert world.attempt_count(trace_id) == row.attempts, row
+        for call in world.attempts.get(trace_id, ()):
             assert call.headers[b"idempotency-key"] == b"tag-r%d" % number
             assert call.path == b"/hook"
             assert 0 < int(call.headers[b"x-expires-in-ms"]) <= 30000
     until(lambda: not live(world))
-    assert len(world.notices) == sum(row.notification is not None for row in ROWS)
+    assert len(world.notifications) == sum(row.notification is not None for row in ROWS)
 
 
 @pytest.mark.parametrize(
--- a/tests/server/discovery/test_client.py
+++ b/tests/server/discovery/test_client.py
@@ -16,7 +16,7 @@
 from gevent.server import StreamServer
 from support.server import LOG, address_of
 from support.stages import DeliveryStages
-from support.world import LIMITS, World, abandon, until
+from support.world import LIMITS, World, reset_connection, until
 
 from ashpath.server.addresses import Address
 from ashpath.server.backoff import Backoff
@@ -77,7 +77,7 @@
                 self.queries.append(request.url.partition(b"?")[2].partition(b"&")[0])
                 answer = self.answers.pop(0) if self.answers else None
                 if answer is None:
-                    abandon(sock)
+                    reset_connection(sock)
                     return
                 if answer == "hold":
                     gevent.sleep(60)
@@ -131,7 +131,7 @@
 
     def fall_silent(sock: socket.socket, _: object) -> None:
         world.config["known"] = {"revision": 2, "complete": False, "members": [{"phase": "draining"}]}
-        world.servers[1].set_handle(world.platform)
+        world.servers[1].set_handle(world.serve_platform)
         gevent.sleep(30)
 
     world.servers[1].set_handle(fall_silent)
@@ -254,7 +254,7 @@
     world.config["known"] = {"revision": 1, "complete": True, "members": [old]}
     world.configure()
     world.start()
-    until(lambda: world.count("a") == 1)
+    until(lambda: world.attempt_count("a") == 1)
     assert not connections
     removed.stop()
 
--- a/tests/server/http/test_admission.py
+++ b/tests/server/http/test_admission.py
@@ -8,7 +8,7 @@
 
 import pytest
 from support.stages import client_listener, read_request
-from support.world import TERMS, request
+from support.world import POLICY_SETTINGS, request
 
 from ashpath.server.delivery.outcome_recorder import SubmitDecision, SubmitResult
 from ashpath.server.http.admission import Admission, AdmissionResult
@@ -93,7 +93,7 @@
 def test_queue_capacity(tmp_path: Path) -> None:
     listener, receiver, write_ahead_log = client_listener(tmp_path)
     admission = listener.handler.admission
-    receiver.messages = dict.fromkeys(range(TERMS.queue_capacity))
+    receiver.messages = dict.fromkeys(range(POLICY_SETTINGS.queue_capacity))
     message = admission.parser.parse(read_request(request("r", "free", "200", 1)))
     assert admission.admit(message) == AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE)
     assert not write_ahead_log.live
--- a/tests/server/http/test_client_connection.py
+++ b/tests/server/http/test_client_connection.py
@@ -10,7 +10,7 @@
 from gevent import Timeout, socket
 from support.server import receive_all, serve, tcp_pair
 from support.stages import SocketPairConnection, client_listener
-from support.world import abandon, request, until
+from support.world import request, reset_connection, until
 
 from ashpath.server.http.connection_table import ConnectionState
 from ashpath.server.http.errors import ConnectionClosedError
@@ -115,6 +115,6 @@
     listener.connection_count = 1
     served = serve(listener, near)
     far.sendall(request("a", "free", "200", 1) * 400)
-    abandon(far)
+    reset_connection(far)
     served.join(20)
     assert served.dead and receiver.events == [] and listener.connection_count == 0
--- a/tests/server/http/test_listener.py
+++ b/tests/server/http/test_listener.py
@@ -9,7 +9,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 from support.server import address_of
-from support.world import LIMITS, World, abandon, request, until
+from support.world import LIMITS, World, request, reset_connection, until
 
 CHUNKED = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n"
 
@@ -57,9 +57,9 @@
         assert wire is not None
         wire.write(b"POST /api HTTP/1.1\r\n")
     for data, status in ASKED.items():
-        assert world.ask(data) == status, data[:60]
-    until(lambda: world.count("big") == 1)
-    assert not world.count("x") and not world.count("hidden")
+        assert world.response_status(data) == status, data[:60]
+    until(lambda: world.attempt_count("big") == 1)
+    assert not world.attempt_count("x") and not world.attempt_count("hidden")
     assert world.process is not None and world.process.poll() is None
     for wire in stalled:
         assert wire is not None
@@ -72,7 +72,7 @@
 
     def hold(sock: socket.socket, address: object) -> None:
         held.append(sock)
-        world.platform(sock, address)
+        world.serve_platform(sock, address)
 
     world.servers[1].set_handle(hold)
     world.start()
@@ -82,24 +82,26 @@
     _, port = address_of(platform)
     platform.stop(timeout=0)
     for sock in held:
-        abandon(sock)
+        reset_connection(sock)
     clients = [world.connect() for _ in range(LIMITS.client_connections + 40)]
     for wire in clients[::2]:
         assert wire is not None
         wire.sock.sendall(b"GET /health/ready HTTP/1.1\r\n\r\n")
-    assert world.hand_in("owed", "once", "hang", 1, left=300) == 202  # its notice has nowhere to go yet
-    assert world.call(b"PING\n") == b"OK\n"
+    assert (
+        world.submit("owed", "once", "hang", 1, time_left_ms=300) == 202
+    )  # its notice has nowhere to go yet
+    assert world.operator_command(b"PING\n") == b"OK\n"
     until(lambda: "event=discovery now=silent" in (world.folder / "log").read_text())
     descriptors = len(os.listdir(f"/proc/{world.process.pid}/fd"))
     assert descriptors <= 256
     before = world.watches.get(port, 0)
-    world.servers[1] = StreamServer(("127.0.0.1", port), world.platform)
+    world.servers[1] = StreamServer(("127.0.0.1", port), world.serve_platform)
     world.servers[1].start()
     began = monotonic()
-    until(lambda: world.watches.get(port, 0) > before and world.told("owed"))
+    until(lambda: world.watches.get(port, 0) > before and world.notified("owed"))
     assert monotonic() - began < 6
-    assert world.call(b"PING\n") == b"OK\n" and world.hand_in("new", "free", "200", 2) == 202
-    until(lambda: world.count("new"))
+    assert world.operator_command(b"PING\n") == b"OK\n" and world.submit("new", "free", "200", 2) == 202
+    until(lambda: world.attempt_count("new"))
     log = (world.folder / "log").read_text()
     assert "unexpected error" not in log and "Too many open files" not in log and world.process.poll() is None
     for wire in clients:
--- a/tests/server/metrics/test_metrics.py
+++ b/tests/server/metrics/test_metrics.py
@@ -11,7 +11,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 from support.server import reload_configuration
 from support.standalone import Alone
-from support.world import LIMITS, SETTINGS, World, free, until
+from support.world import LIMITS, SETTINGS, World, free_address, until
 
 from ashpath.server.addresses import Address
 from ashpath.server.http.connection import open_connection
@@ -55,15 +55,15 @@
 
 def test_counts_and_gauges(world: World) -> None:
     """Guards batches, and other scrapers, against those that connect and stay, or do not read, too."""
-    address = free()
+    address = free_address()
     world.members[6]["host_port"] = "127.0.0.1:1"
     world.configure()
     world.start()
     move_metrics(world, "configuration read", address)
     for trace_id, traffic_class, destination, body in SUBMITTED:
-        assert world.hand_in(trace_id, traffic_class, body, destination) == 202
-    assert world.hand_in("f", "free", "200", 6, left=300) == 202
-    until(lambda: world.told("c") and world.told("f") and scrape(address).get(DELIVERED) == 2)
+        assert world.submit(trace_id, traffic_class, body, destination) == 202
+    assert world.submit("f", "free", "200", 6, time_left_ms=300) == 202
+    until(lambda: world.notified("c") and world.notified("f") and scrape(address).get(DELIVERED) == 2)
     found = scrape(address)
     specifics = SETTINGS["specifics"]
     assert isinstance(specifics, dict)
@@ -90,7 +90,7 @@
     silent = [socket.create_connection(address) for _ in range(MAX_SCRAPERS + 2)]
     silent[0].sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
     began = monotonic()
-    assert [world.hand_in(f"a{n}", "free", "200", 0) for n in range(20)] == [202] * 20
+    assert [world.submit(f"a{n}", "free", "200", 0) for n in range(20)] == [202] * 20
     assert monotonic() - began < 1.0
     with gevent.Timeout(3 * SCRAPE_TIMEOUT_S + 2):
         assert scrape(address)["messages_accepted_total", "free"] == 24
@@ -100,11 +100,11 @@
     """To one in use: one line, and the old one serves on. To none: nobody is served. Counts are kept. In a
     hot upgrade the new process starts beside the one that has it, and takes it once that ends."""
     old, new = pair
-    first, second, taken = free(), free(), socket.socket()
+    first, second, taken = free_address(), free_address(), socket.socket()
     taken.bind(("127.0.0.1", 0))
     taken.listen(1)
     move_metrics(old, "configuration read", first)
-    assert old.hand_in("a", "free", "200", 0) == 202
+    assert old.submit("a", "free", "200", 0) == 202
     until(lambda: scrape(first).get(DELIVERED) == 1)
     move_metrics(old, "metrics address not changed", taken.getsockname())
     assert scrape(first)[DELIVERED] == 1
@@ -114,7 +114,7 @@
         with pytest.raises(ConnectionError):
             scrape(before)
     move_metrics(old, "configuration read", first)
-    assert old.hand_in("b", "free", "200", 0) == 202
+    assert old.submit("b", "free", "200", 0) == 202
     until(lambda: scrape(first)[DELIVERED] == 2)
     new.start()
     assert scrape(first)[DELIVERED] == 2
@@ -125,7 +125,7 @@
 
 def test_an_address_in_the_own_file(tmp_path: Path) -> None:
     """Taken at SIGHUP; an address in use at the start is one line that names file and key."""
-    alone, address = Alone(tmp_path), free()
+    alone, address = Alone(tmp_path), free_address()
     alone.start()
     alone.rest += f'[metrics]\nlisten = "127.0.0.1:{address[1]}"\n'
     alone.write()
--- a/tests/server/storage/test_stored_data_at_start.py
+++ b/tests/server/storage/test_stored_data_at_start.py
@@ -27,11 +27,11 @@
     """A process that starts on the state directory ends each message as its track allows."""
     shutil.copytree(STORED / "platform", world.folder / "state", dirs_exist_ok=True)
     world.start()
-    until(lambda: len(world.notices) >= 5 and len(world.calls) >= 3)
-    told = {line["id"]: (line["status"], line.get("again_ms")) for line in world.notices}
+    until(lambda: len(world.notifications) >= 5 and len(world.attempts) >= 3)
+    told = {line["id"]: (line["status"], line.get("again_ms")) for line in world.notifications}
     lost = dict.fromkeys(["p-owed", "p-tried", "p-out", "p-orphan-out"], ("undeliverable", None))
     assert told == {**lost, "p-deferred": ("deferred", 500)}
-    assert set(world.calls) == {"p-waiting", "p-ran", "p-ran-and-out"}
+    assert set(world.attempts) == {"p-waiting", "p-ran", "p-ran-and-out"}
     waiting = ["p-bytes", "p-empty", "p-orphan-waiting"]  # for the endpoint that an operator holds
     until(lambda: [entry.trace_id for entry in live_entries(world)] == waiting)
 
@@ -50,7 +50,7 @@
     sender = Alone(tmp_path)
     shutil.copytree(STORED / "standalone", tmp_path / "standalone")
     configuration = (STORED / "sender.toml").read_text()
-    sender.file.write_text(configuration.replace("127.0.0.1:8080", f"127.0.0.1:{sender.where[1]}"))
+    sender.file.write_text(configuration.replace("127.0.0.1:8080", f"127.0.0.1:{sender.address[1]}"))
     try:
         sender.start()
         assert {message: sender.state(message) for message in ENDS} == ENDS
--- a/tests/server/test_agent_client.py
+++ b/tests/server/test_agent_client.py
@@ -26,7 +26,7 @@
     world.servers[1].set_handle(lambda *_: gevent.sleep(9))
     assert agent.call(POLL, b"", 0.05) is None
     assert agent.connection is None
-    world.servers[1].set_handle(world.platform)
+    world.servers[1].set_handle(world.serve_platform)
     response = agent.call(POLL, b"", 9)
     assert response is not None
     assert response.status == 200
--- a/tests/server/test_gossip.py
+++ b/tests/server/test_gossip.py
@@ -7,7 +7,7 @@
 
 import pytest
 from gevent import socket
-from support.world import free, until
+from support.world import free_address, until
 
 from ashpath.server.addresses import Address
 from ashpath.server.gossip import MAX_MESSAGE_BYTES, Gossip
@@ -17,7 +17,7 @@
     """A sender's gossip at an address of its own, and what it received."""
 
     def __init__(self) -> None:
-        self.address: Address = free()
+        self.address: Address = free_address()
         self.received: list[bytes] = []
         self.logger = Mock()
         self.gossip = Gossip(self, self.logger)
--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -17,13 +17,13 @@
     old, new = pair
     live = old.connect()  # a client with its connection open across the upgrade
     assert live is not None
-    assert old.hand_in("u1", "free", "hang", 3, left=6000) == 202  # still out when the old one ends
+    assert old.submit("u1", "free", "hang", 3, time_left_ms=6000) == 202  # still out when the old one ends
     new.start()  # no second bind: both take from one queue
     gone(old)
-    assert new.hand_in("u2", "free", "200", 4) == 202
-    until(lambda: new.count("u2") == 1)
+    assert new.submit("u2", "free", "200", 4) == 202
+    until(lambda: new.attempt_count("u2") == 1)
     assert live.receive() is False or not len(live.buffer)  # the old one closed it: its client moves on
-    assert new.told("u1") == ["deferred"]  # one end, told once, by whichever process had it
+    assert new.notified("u1") == ["deferred"]  # one end, told once, by whichever process had it
 
 
 def accepted(old: World, silent: bytes = b"") -> HttpConnection:
@@ -59,18 +59,20 @@
     assert [(answer.status, answer.keep_alive) for answer in asked] == [(202, False)] * 5
     assert kept[3].receive() is False  # idle all along: closed in time
     until(lambda: old.process is not None and old.process.poll() is not None)
-    until(lambda: all(new.count(trace) == 1 for trace in ("d0", "d1", "d2", "d3", "d-slow")))
-    assert not any(new.told(trace) for trace in ("d0", "d1", "d2", "d3", "d-slow"))
+    until(lambda: all(new.attempt_count(trace) == 1 for trace in ("d0", "d1", "d2", "d3", "d-slow")))
+    assert not any(new.notified(trace) for trace in ("d0", "d1", "d2", "d3", "d-slow"))
 
 
 def test_what_one_process_is_told_binds_the_other(pair: tuple[World, World]) -> None:
     """Guards the rules on waits and drains in an overlap: to them both processes are one sender."""
     old, new = pair
     new.start()
-    assert new.call(b"DETACH e5\n").startswith(b"OK") and old.call(b"DETACH e6\n").startswith(b"OK")
+    assert new.operator_command(b"DETACH e5\n").startswith(b"OK") and old.operator_command(
+        b"DETACH e6\n"
+    ).startswith(b"OK")
     gone(old)
     assert DetachedEndpoints(old.folder / "state", no_errors()).read() == {"e5", "e6"}
-    assert new.hand_in("b5", "free", "200", 5, left=2500) == 202
-    assert new.hand_in("b6", "free", "200", 6, left=2500) == 202
-    until(lambda: new.told("b5") and new.told("b6"))
-    assert new.count("b5") == new.count("b6") == 0
+    assert new.submit("b5", "free", "200", 5, time_left_ms=2500) == 202
+    assert new.submit("b6", "free", "200", 6, time_left_ms=2500) == 202
+    until(lambda: new.notified("b5") and new.notified("b6"))
+    assert new.attempt_count("b5") == new.attempt_count("b6") == 0
--- a/tests/server/test_policy_actions.py
+++ b/tests/server/test_policy_actions.py
@@ -7,7 +7,7 @@
 import pytest
 import structlog
 from support.stages import unreachable_notifier
-from support.world import LIMITS, TERMS
+from support.world import LIMITS, POLICY_SETTINGS
 
 from ashpath.server.delivery.attempts import Attempt
 from ashpath.server.delivery.connection_pool import ConnectionPool
@@ -33,7 +33,7 @@
         gossip = GossipLink()
         gossip.connect(self)
         self.actions = QueuedActions(
-            TERMS,
+            POLICY_SETTINGS,
             self.messages,
             self.attempts,
             self,
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -44,7 +44,7 @@
     data = request("a", "once", "slow 200", 1)
     message, result = submit(sender, data)
     assert result.status is HTTPStatus.ACCEPTED
-    until(lambda: world.count("a") == 1)
+    until(lambda: world.attempt_count("a") == 1)
     runner.client_disconnected(message)
     assert submit(sender, data)[1] == AdmissionResult(HTTPStatus.CONFLICT)
     assert live[message.message_id].in_flight_since is not None
@@ -53,7 +53,7 @@
     assert not live
     assert not runner.abandoned
     assert submit(sender, data)[1] == AdmissionResult(HTTPStatus.ACCEPTED)
-    until(lambda: world.count("a") == 2 and not runner.attempts)
+    until(lambda: world.attempt_count("a") == 2 and not runner.attempts)
 
 
 @pytest.mark.parametrize("retry_after", [None, 0, 1_500_000])
@@ -110,26 +110,26 @@
     """Guards the order of a key: a message given up is over once the platform has its notification, and no
     sooner, also where a restart finds it pending."""
     seen: list[tuple[str, bool]] = []
-    answer = world.answer
+    answer = world.respond
 
     def record(connection: HttpConnection, call: HttpRequest) -> bool:
-        seen.append((call.headers[b"x-trace-id"].decode(), bool(world.told("one"))))
+        seen.append((call.headers[b"x-trace-id"].decode(), bool(world.notified("one"))))
         return answer(connection, call)
 
-    monkeypatch.setattr(world, "answer", record)
-    world.deaf = 10**6
+    monkeypatch.setattr(world, "respond", record)
+    world.notifications_to_reject = 10**6
     world.start()
-    assert world.hand_in("one", "tag", "hang", 1, left=700, key="k") == 202
-    assert world.hand_in("two", "tag", "200", 1, key="k") == 202
-    assert world.hand_in("other", "tag", "200", 2, key="j") == 202
-    until(lambda: world.deaf < 10**6 - 2)  # its notification is pending, and was rejected
-    until(lambda: world.count("other") > 0)
+    assert world.submit("one", "tag", "hang", 1, time_left_ms=700, ordering_key="k") == 202
+    assert world.submit("two", "tag", "200", 1, ordering_key="k") == 202
+    assert world.submit("other", "tag", "200", 2, ordering_key="j") == 202
+    until(lambda: world.notifications_to_reject < 10**6 - 2)  # its notification is pending, and was rejected
+    until(lambda: world.attempt_count("other") > 0)
     world.kill()
     world.start()
-    until(lambda: world.deaf < 10**6 - 6)
-    assert not world.count("two")
-    world.deaf = 0
-    until(lambda: world.count("two") > 0)
+    until(lambda: world.notifications_to_reject < 10**6 - 6)
+    assert not world.attempt_count("two")
+    world.notifications_to_reject = 0
+    until(lambda: world.attempt_count("two") > 0)
     assert ("two", True) in seen
     assert ("two", False) not in seen
 
@@ -152,6 +152,6 @@
     gevent.get_hub().loop.update_now()  # the start took a while, and its timers count from before
     assert submit(sender, request("a", "once", "200", 1))[1].status is HTTPStatus.ACCEPTED
     assert len(refused) == 1
-    until(lambda: world.count("a") == 1 and not write_ahead_log.live)
+    until(lambda: world.attempt_count("a") == 1 and not write_ahead_log.live)
     assert len(refused) == 3
     assert refused[2] - refused[0] > 1.5 * LIMITS.retry_s
--- a/tests/server/test_reload.py
+++ b/tests/server/test_reload.py
@@ -33,13 +33,13 @@
     assert "settings applied" not in log.read_text()
     old.stop(timeout=0)
     until(lambda: world.watches.get(new.server_port, 0) > 1)  # so the first list has been read
-    assert world.hand_in("h0", "once", "200", 7, 1500) == 202 and world.hand_in("h1", "free", "200", 1) == 202
-    until(lambda: world.told("h0") and world.count("h1"))
-    assert world.process.poll() is None and not world.count("h0")
+    assert world.submit("h0", "once", "200", 7, 1500) == 202 and world.submit("h1", "free", "200", 1) == 202
+    until(lambda: world.notified("h0") and world.attempt_count("h1"))
+    assert world.process.poll() is None and not world.attempt_count("h0")
     world.kill()
     world.start()  # the environment still names the old address
-    assert world.hand_in("h2", "once", "200", 7, 1500) == 202
-    until(lambda: world.told("h2"))
+    assert world.submit("h2", "once", "200", 7, 1500) == 202
+    until(lambda: world.notified("h2"))
 
 
 # The process.
--- a/tests/server/test_restart.py
+++ b/tests/server/test_restart.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.server import StreamServer
 from support.server import live
-from support.world import LIMITS, World, free, until
+from support.world import LIMITS, World, free_address, until
 
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
@@ -18,24 +18,30 @@
     """Each kind of track with a shot out, one that was never sent, and two of one key."""
     world.start()
     for number, track in enumerate(("free", "tag", "once")):
-        world.hand_in(f"k{number}", track, "hang 200", number)
-        until(lambda n=number: world.count(f"k{n}") == 1)
-    world.hand_in("late", "tag", "hang", 5, left=100)
+        world.submit(f"k{number}", track, "hang 200", number)
+        until(lambda n=number: world.attempt_count(f"k{n}") == 1)
+    world.submit("late", "tag", "hang", 5, time_left_ms=100)
     world.members[6]["host_port"] = "127.0.0.1:1"
-    world.hand_in("first", "tag", "hang slow", 7, key="a")
-    until(lambda: world.count("first") == 1)
-    assert world.hand_in("second", "tag", "200", 7, key="a") == 202
+    world.submit("first", "tag", "hang slow", 7, ordering_key="a")
+    until(lambda: world.attempt_count("first") == 1)
+    assert world.submit("second", "tag", "200", 7, ordering_key="a") == 202
     # Its notice is off the ledger: one whose 204 a kill cuts off is told again, and causes no harm.
-    until(lambda: world.told("late") and "late" not in [entry.trace_id for entry in live(world).values()])
+    until(lambda: world.notified("late") and "late" not in [entry.trace_id for entry in live(world).values()])
     assert world.kill() == -signal.SIGKILL
     world.start()
-    until(lambda: world.told("k2"))
-    assert world.told("k2") == ["undeliverable"] and world.count("k2") == 1
-    until(lambda: world.count("k0") == world.count("k1") == 2 and world.count("second") == 1)
-    assert world.calls["k1"][0].body == world.calls["k1"][1].body
-    assert list(world.calls).index("second") > list(world.calls).index("first") and world.count("first") == 2
+    until(lambda: world.notified("k2"))
+    assert world.notified("k2") == ["undeliverable"] and world.attempt_count("k2") == 1
+    until(
+        lambda: world.attempt_count("k0") == world.attempt_count("k1") == 2
+        and world.attempt_count("second") == 1
+    )
+    assert world.attempts["k1"][0].body == world.attempts["k1"][1].body
+    assert (
+        list(world.attempts).index("second") > list(world.attempts).index("first")
+        and world.attempt_count("first") == 2
+    )
     until(lambda: not live(world))
-    assert [line["id"] for line in world.notices] == ["late", "k2"]
+    assert [line["id"] for line in world.notifications] == ["late", "k2"]
 
 
 def test_kills_amid_many(world: World) -> None:
@@ -44,7 +50,7 @@
     taken = {}
     for number in range(36):
         track = ("free", "tag", "once")[number % 3]
-        if world.hand_in(f"m{number}", track, "slow 200" if number % 4 else "200", number) == 202:
+        if world.submit(f"m{number}", track, "slow 200" if number % 4 else "200", number) == 202:
             taken[f"m{number}"] = track
         if number in (14, 29):
             world.kill()
@@ -52,10 +58,14 @@
     assert len(taken) == 36
     until(lambda: not live(world))
     for trace, track in taken.items():
-        ends = world.told(trace)
+        ends = world.notified(trace)
         assert ends == (["undeliverable"] if track == "once" and ends else []), (trace, ends)
-        assert world.count(trace) <= (1 if track == "once" else 3) and (world.count(trace) or ends)
-    assert any(world.told(trace) for trace in taken) and any(world.count(trace) > 1 for trace in taken)
+        assert world.attempt_count(trace) <= (1 if track == "once" else 3) and (
+            world.attempt_count(trace) or ends
+        )
+    assert any(world.notified(trace) for trace in taken) and any(
+        world.attempt_count(trace) > 1 for trace in taken
+    )
 
 
 def test_overdue_after_a_kill(world: World) -> None:
@@ -70,34 +80,34 @@
             ledger.record_attempt(entry, old, "e1")
     ledger.record_finished(entry, '{"id":"o3","status":"deferred","again_ms":5}')
     ledger.close()
-    world.deaf = 2
+    world.notifications_to_reject = 2
     world.start()
-    until(lambda: len(world.notices) == 4)
-    ends = {line["id"]: line["status"] for line in world.notices}
+    until(lambda: len(world.notifications) == 4)
+    ends = {line["id"]: line["status"] for line in world.notifications}
     assert ends == {"o0": "undeliverable", "o1": "deferred", "o2": "undeliverable", "o3": "deferred"}
-    assert not world.calls
+    assert not world.attempts
 
 
 def test_a_destination_that_was_out_as_the_process_was_killed(world: World) -> None:
     """Guards a return against all who restarted within the outage: what they held goes by the guard."""
-    where = free()  # nobody listens there yet
+    where = free_address()  # nobody listens there yet
     world.members[3]["host_port"] = f"127.0.0.1:{where[1]}"
     rule = {"cold-from": 0.9, "ramp-time": 10000.0, "fall-multiple": 2.0, "fall": 3000.0}
     settings = world.config["settings"]
     world.config["settings"] = settings | {"contract": settings["contract"] | rule}
     world.configure()
     world.start()
-    assert world.hand_in("well", "free", "200", 2) == 202
-    until(lambda: world.count("well"))
+    assert world.submit("well", "free", "200", 2) == 202
+    until(lambda: world.attempt_count("well"))
     gevent.sleep(1.6)  # an outage is one where nothing has succeeded for so long
     for number in range(5):
-        assert world.hand_in(f"h{number}", "free", "200", 3) == 202
+        assert world.submit(f"h{number}", "free", "200", 3) == 202
     until(lambda: "destination 3 ailing" in (world.folder / "log").read_text())
     world.kill()
-    back = StreamServer(where, world.endpoint)
+    back = StreamServer(where, world.serve_endpoint)
     back.start()
     world.start()
-    until(lambda: any(world.count(f"h{number}") for number in range(5)))
+    until(lambda: any(world.attempt_count(f"h{number}") for number in range(5)))
     gevent.sleep(0.2)
-    assert sum(world.count(f"h{number}") for number in range(5)) == 1  # of five that were held
+    assert sum(world.attempt_count(f"h{number}") for number in range(5)) == 1  # of five that were held
     back.stop()
--- a/tests/server/test_shutdown.py
+++ b/tests/server/test_shutdown.py
@@ -10,7 +10,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 from support.server import live
-from support.world import LIMITS, SETTINGS, World, abandon, request, until
+from support.world import LIMITS, SETTINGS, World, request, reset_connection, until
 
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message
@@ -23,22 +23,22 @@
     kept.write(request("t0", "once", "slow", 0))
     assert kept.read_response().status == 202
     kept.finish_response()
-    world.hand_in("t1", "tag", "hang 200", 1)
-    until(lambda: world.count("t0") and world.count("t1"))
+    world.submit("t1", "tag", "hang 200", 1)
+    until(lambda: world.attempt_count("t0") and world.attempt_count("t1"))
     world.process.send_signal(signal.SIGTERM)
-    until(lambda: world.ask(encode_message(b"GET /health/ready HTTP/1.1", [], b"")) == 503)
+    until(lambda: world.response_status(encode_message(b"GET /health/ready HTTP/1.1", [], b"")) == 503)
     kept.write(request("t2", "free", "200", 2))  # in the time in which connections still come
     answer = kept.read_response()
     assert answer.status == 202 and not answer.keep_alive and answer.headers[b"connection"] == b"close"
     assert not idle.receive()  # closed as that time is over
-    assert world.hand_in("t3", "free", "200", 3) == 503
+    assert world.submit("t3", "free", "200", 3) == 503
     until(lambda: world.process is None or world.process.poll() is not None)
-    assert world.process.returncode == 0 and world.count("t2") == 1 and not world.count("t3")
+    assert world.process.returncode == 0 and world.attempt_count("t2") == 1 and not world.attempt_count("t3")
     assert [entry.trace_id for entry in live(world).values()] == ["t1"]
     world.start()
-    until(lambda: world.count("t1") == 2)
+    until(lambda: world.attempt_count("t1") == 2)
     until(lambda: not live(world))
-    assert world.count("t0") == 1 and not world.notices
+    assert world.attempt_count("t0") == 1 and not world.notifications
 
 
 def test_a_second_sigterm(world: World) -> None:
@@ -46,8 +46,8 @@
     world.start()
     assert world.process is not None
     hold = request("out", "once", "hang", 1)
-    assert world.ask(hold) == 202
-    until(lambda: world.count("out"))
+    assert world.response_status(hold) == 202
+    until(lambda: world.attempt_count("out"))
     began = monotonic()
     world.process.send_signal(signal.SIGTERM)
     gevent.sleep(1.2)
@@ -69,7 +69,7 @@
     def hang(sock: socket.socket, _: object) -> None:
         drained.append(HttpConnection(sock, LIMITS).read_request())
         told.wait()
-        abandon(sock)
+        reset_connection(sock)
 
     old = StreamServer(("127.0.0.1", 0), hang)
     old.start()
@@ -80,10 +80,10 @@
     world.start()
     assert world.process is not None
     for trace in ("first", "second"):
-        assert world.hand_in(trace, "tag", "200", 1, key="k") == 202
+        assert world.submit(trace, "tag", "200", 1, ordering_key="k") == 202
     until(lambda: drained)  # the first hangs there; the second waits behind it
-    world.deaf = 10**6
-    assert world.hand_in("given-up", "once", "hang", 2, left=300) == 202
+    world.notifications_to_reject = 10**6
+    assert world.submit("given-up", "once", "hang", 2, time_left_ms=300) == 202
     world.process.send_signal(signal.SIGTERM)
     successor = {**world.members[1], "id": "e1", "host_port": world.members[2]["host_port"]}
     rows = [*world.members, {**world.members[1], "phase": "draining"}, successor]
@@ -93,9 +93,9 @@
     told.set()  # its call ends, and may be made again
     until(lambda: world.process is None or world.process.poll() is not None)
     assert len(drained) == 1
-    world.deaf = 0
+    world.notifications_to_reject = 0
     world.configure()
     world.start()
-    until(lambda: world.count("second") == 1 and world.told("given-up"))
+    until(lambda: world.attempt_count("second") == 1 and world.notified("given-up"))
     assert len(drained) == 1
     old.stop(timeout=0)
--- a/tests/support/server.py
+++ b/tests/support/server.py
@@ -66,7 +66,7 @@
     return data
 
 
-def serve(listener: ClientListener, near: socket.socket) -> gevent.Greenlet:
+def serve(listener: ClientListener, near: socket.socket) -> gevent.Greenlet[[HttpConnection], None]:
     """Serves one connection in a greenlet of its own."""
     return gevent.spawn(listener.serve, HttpConnection(near, LIMITS))
 
--- a/tests/support/stages.py
+++ b/tests/support/stages.py
@@ -28,7 +28,7 @@
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import now
-from support.world import LIMITS, TERMS, TRACKS, World
+from support.world import LIMITS, POLICY_SETTINGS, TRAFFIC_CLASSES, World
 
 
 def unreachable_notifier(write_ahead_log: WriteAheadLog) -> HttpNotifier:
@@ -73,8 +73,8 @@
     logger = structlog.get_logger()
     registry = EndpointRegistry(["plain"], ["here"], ConnectionPool(used), logger)
     registry.apply_members([{"id": "e1", "cell": 1, "phase": "up", "host_port": "127.0.0.1:1"}], whole=True)
-    class_ids = {name: number for number, name in enumerate(TRACKS)}
-    admission = Admission(TERMS, class_ids, registry, receiver, log, logger)
+    class_ids = {name: number for number, name in enumerate(TRAFFIC_CLASSES)}
+    admission = Admission(POLICY_SETTINGS, class_ids, registry, receiver, log, logger)
     return ListenerStages(ClientListener(("127.0.0.1", 1), used, admission, logger), receiver, log)
 
 
--- a/tests/support/standalone.py
+++ b/tests/support/standalone.py
@@ -55,7 +55,7 @@
         self.write()
 
     def write(self) -> None:
-        listen = f'listen = "127.0.0.1:{self.where[1]}"'
+        listen = f'listen = "127.0.0.1:{self.address[1]}"'
         head = f'[sender]\nname = "n0"\n{listen}\nstate = "state"\nseed = "8c1f"\n'
         listed = "".join(f"\n[destinations.{n}]\n{text}\n" for n, text in self.destinations.items())
         self.file.write_text(head + self.tracks + self.rest + listed)
@@ -67,7 +67,7 @@
         with (self.folder / "log").open("ab") as log:
             given = {"stdout": log, "stderr": log, "stdin": subprocess.DEVNULL, "cwd": ROOT} | more
             self.process = subprocess.Popen(self.command("serve", str(self.file)), **given)
-        until(lambda: self.ask(encode_message(b"GET /health/ready HTTP/1.1", [], b"")) == 200)
+        until(lambda: self.response_status(encode_message(b"GET /health/ready HTTP/1.1", [], b"")) == 200)
 
     def run(self, *words: str, **more: Any) -> subprocess.CompletedProcess[str]:
         """To its end, while the stand-ins go on."""
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -8,12 +8,14 @@
 import sys
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import gevent
 from gevent import Timeout, socket, subprocess
 from gevent.server import StreamServer
 
 from ashpath.core.policy_settings import sender_settings
+from ashpath.server.addresses import Address
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message
 from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
@@ -21,19 +23,22 @@
 from ashpath.server.limits import ServerLimits
 
 ROOT = Path(__file__).parent.parent.parent
-TRACKS = {"free": "retryable", "tag": "dedup", "once": "fragile"}
-SETTINGS = {
+TRAFFIC_CLASSES = {"free": "retryable", "tag": "dedup", "once": "fragile"}
+ENDPOINTS, PLATFORM, OTHER_PLATFORM = range(3)  # places in `World.servers`
+STATUSES = {"slow": b"200", "stray": b"200", "egress": b"503"}
+HEADERS = {"429": [(b"Retry-After", b"0.05")], "egress": [(b"X-Egress-Full", b"1")]}
+SETTINGS: dict[str, Any] = {
     "classes": [
         {
-            "name": n,
+            "name": name,
             "deadline": 30000.0,
             "slo": 2000.0,
-            "repeat": r,
+            "repeat": retry_safety,
             "window": 20000.0,
             "importance": 1.0,
-            "one-at-a-time": n == "tag",
+            "one-at-a-time": name == "tag",
         }
-        for n, r in TRACKS.items()
+        for name, retry_safety in TRAFFIC_CLASSES.items()
     ],
     "kinds": ["plain"],
     "zones": ["here"],
@@ -54,176 +59,243 @@
 }
 
 
-def until(true: Callable[[], object]) -> None:
+def until(condition: Callable[[], object]) -> None:
     """Waits as long as it takes, within reason."""
     with Timeout(20):
-        while not true():
+        while not condition():
             gevent.sleep(0.01)
 
 
-def free() -> tuple[str, int]:
+def free_address() -> Address:
     """An address on loopback that nobody listens on."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()  # type: ignore[no-any-return]
+        address: Address = probe.getsockname()
+        return address
 
 
-def abandon(sock: socket.socket) -> None:
+def reset_connection(sock: socket.socket) -> None:
     """Ends a connection with a reset."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     sock.close()
 
 
+def request(
+    trace: str, traffic_class: str, body: str, to: int, time_left_ms: int = 30000, ordering_key: str = ""
+) -> bytes:
+    """A request that submits a message to a destination."""
+    headers = [
+        (b"X-Trace-Id", trace.encode()),
+        (b"X-Qos", traffic_class.encode()),
+        (b"X-Expires-In-Ms", b"%d" % time_left_ms),
+        (b"X-Route-To", b"dest=%d" % to),
+        (b"Idempotency-Key", f"tag-{trace}".encode()),
+    ]
+    if ordering_key:
+        headers.append((b"Cookie", f"about={ordering_key}".encode()))
+    return encode_message(b"POST /api HTTP/1.1", headers, body.encode())
+
+
 class World:
-    """All that a sender meets. The words of a body say what its calls meet, one after the other."""
+    """All that a sender meets. The words of a body say what its attempts meet, one after the other.
+
+    A sender runs in a process of its own, if at all; endpoints and the platform's agent are servers here.
+    """
 
     def __init__(self, folder: Path, known: int = 40, inherited: socket.socket | None = None) -> None:
-        self.folder, self.calls, self.notices, self.inherited = folder, {}, [], inherited
-        self.watches: dict[int, int] = {}  # asked for at each port
-        self.deaf = 0  # notices to be answered 503 first
+        self.folder = folder
+        self.inherited = inherited  # the listening socket that the sender is handed
+        self.attempts: dict[str, list[HttpRequest]] = {}  # that came to endpoints, by trace id
+        self.notifications: list[dict[str, Any]] = []
+        self.notifications_to_reject = 0  # requests with notifications to be answered 503 first
+        self.watches: dict[int, int] = {}  # requests for the endpoint list, by the port of the agent
         self.process: subprocess.Popen[bytes] | None = None
-        serving = (self.endpoint, self.platform, self.platform)
-        self.servers = [StreamServer(("127.0.0.1", 0), serve) for serve in serving]
+        handlers = (self.serve_endpoint, self.serve_platform, self.serve_platform)
+        self.servers = [StreamServer(("127.0.0.1", 0), handler) for handler in handlers]
         for server in self.servers:
             server.start()
-        port = self.servers[0].server_port
-        same = {"host_port": f"127.0.0.1:{port}", "locality": "here", "flavor": "plain", "phase": "up"}
-        self.members = [{"id": f"e{i}", "cell": i, "size": 1.0, **same} for i in range(known)]
-        self.where = inherited.getsockname() if inherited else free()
-        self.control = free()
+        self.members = [self.member(number) for number in range(known)]
+        self.address: Address = inherited.getsockname() if inherited else free_address()
+        self.control_address = free_address()
         (folder / "state").mkdir()
-        known_list = {"revision": 1, "complete": True, "members": self.members}
-        limits = {"sockets": 256, "disk_mb": 1}
-        self.config = {"seed": "8c1f", "settings": SETTINGS, "limits": limits, "known": known_list}
+        self.config: dict[str, Any] = {
+            "seed": "8c1f",
+            "settings": SETTINGS,
+            "limits": {"sockets": 256, "disk_mb": 1},
+            "known": {"revision": 1, "complete": True, "members": self.members},
+        }
         self.configure()
 
+    def member(self, number: int) -> dict[str, Any]:
+        """The row of an endpoint, one for each destination."""
+        return {
+            "id": f"e{number}",
+            "cell": number,
+            "size": 1.0,
+            "host_port": f"127.0.0.1:{self.servers[ENDPOINTS].server_port}",
+            "locality": "here",
+            "flavor": "plain",
+            "phase": "up",
+        }
+
+    # The sender's process.
+
     def configure(self) -> None:
+        """Writes the file that the sender reads at its start and at SIGHUP."""
         (self.folder / "config.json").write_text(json.dumps(self.config))
 
     def environment(self) -> dict[str, str]:
-        return {
+        """The variables that the sender is started with."""
+        environment = {
             "PYTHONPATH": str(ROOT),
             "RELAY_NAME": "n0",
-            "RELAY_LISTEN": f"127.0.0.1:{self.where[1]}",
-            "RELAY_DISCOVERY": f"127.0.0.1:{self.servers[1].server_port}",
+            "RELAY_LISTEN": f"127.0.0.1:{self.address[1]}",
+            "RELAY_DISCOVERY": f"127.0.0.1:{self.servers[PLATFORM].server_port}",
             "RELAY_STATE": str(self.folder / "state"),
             "RELAY_CONFIG": str(self.folder / "config.json"),
-            "RELAY_CONTROL": f"127.0.0.1:{self.control[1]}",
-        } | ({"RELAY_ACCEPT_FD": str(self.inherited.fileno())} if self.inherited else {})
+            "RELAY_CONTROL": f"127.0.0.1:{self.control_address[1]}",
+        }
+        if self.inherited:
+            environment["RELAY_ACCEPT_FD"] = str(self.inherited.fileno())
+        return environment
 
     def start(self) -> None:
+        """Starts the sender, and waits until it serves."""
         command = [sys.executable, "-m", "ashpath"]
-        fds = (self.inherited.fileno(),) if self.inherited else ()
+        descriptors = (self.inherited.fileno(),) if self.inherited else ()
         with (self.folder / "log").open("ab") as log:
-            told = self.environment()
-            self.process = subprocess.Popen(command, env=told, stdout=log, stderr=log, pass_fds=fds)
-        until(lambda: self.call(b"PING\n") == b"OK\n")  # this process, not another on the same socket
-
-    def call(self, line: bytes) -> bytes:
-        """The answer's line at the control address; b"" if there is none."""
-        try:
-            with socket.create_connection(self.control, timeout=3) as sock:
-                sock.sendall(line)
-                return sock.makefile("rb").readline()
-        except OSError:
-            return b""
-
-    def kill(self, how: int = signal.SIGKILL) -> int:
+            self.process = subprocess.Popen(
+                command, env=self.environment(), stdout=log, stderr=log, pass_fds=descriptors
+            )
+        # This process, not another on the same socket.
+        until(lambda: self.operator_command(b"PING\n") == b"OK\n")
+
+    def kill(self, signal_number: int = signal.SIGKILL) -> int:
+        """Ends the sender with a signal; its exit code."""
         assert self.process is not None
-        self.process.send_signal(how)
+        self.process.send_signal(signal_number)
         until(lambda: self.process is None or self.process.poll() is not None)
-        code, self.process = self.process.returncode, None
+        code: int = self.process.returncode
+        self.process = None
         return code
 
     def stop(self) -> None:
+        """Ends all that runs."""
         if self.process is not None:
             self.kill()
         for server in self.servers:
             server.stop(timeout=0)
 
+    # Operators and clients.
+
+    def operator_command(self, line: bytes) -> bytes:
+        """The answer's line at the control address; b"" if there is none."""
+        try:
+            with socket.create_connection(self.control_address, timeout=3) as sock:
+                sock.sendall(line)
+                answer: bytes = sock.makefile("rb").readline()
+                return answer
+        except OSError:
+            return b""
+
     def connect(self) -> HttpConnection | None:
+        """A client's connection; none where it is refused."""
         try:
-            return HttpConnection(socket.create_connection(self.where), LIMITS)
+            return HttpConnection(socket.create_connection(self.address), LIMITS)
         except OSError:
             return None
 
-    def ask(self, data: bytes) -> int:
-        """The status of the answer; 0 if there is none."""
-        wire = self.connect()
-        if wire is None:
+    def response_status(self, data: bytes) -> int:
+        """The status of the response to a request; 0 if there is none."""
+        connection = self.connect()
+        if connection is None:
             return 0
         try:
-            wire.write(data)
-            return wire.read_response().status
+            connection.write(data)
+            return connection.read_response().status
         except (OSError, ConnectionClosedError):
             return 0
         finally:
-            wire.close()
-
-    def hand_in(self, trace: str, track: str, body: str, to: int, left: int = 30000, key: str = "") -> int:
-        return self.ask(request(trace, track, body, to, left, key))
-
-    def endpoint(self, sock: socket.socket, _: object) -> None:
-        wire = HttpConnection(sock, LIMITS)
+            connection.close()
+
+    def submit(
+        self,
+        trace: str,
+        traffic_class: str,
+        body: str,
+        to: int,
+        time_left_ms: int = 30000,
+        ordering_key: str = "",
+    ) -> int:
+        """Submits a message; the status of the response."""
+        return self.response_status(request(trace, traffic_class, body, to, time_left_ms, ordering_key))
+
+    # Endpoints and the platform's agent.
+
+    def serve_endpoint(self, sock: socket.socket, _: object) -> None:
+        """Serves a connection of the sender to any endpoint."""
+        connection = HttpConnection(sock, LIMITS)
         try:
-            while self.answer(wire, wire.read_request()):
+            while self.respond(connection, connection.read_request()):
                 pass
         except (OSError, ConnectionClosedError, ProtocolError):
             pass
-        wire.close()
-
-    def answer(self, wire: HttpConnection, call: HttpRequest) -> bool:
-        calls = self.calls.setdefault(call.headers[b"x-trace-id"].decode(), [])
-        calls.append(call)
-        words = call.body.decode().split()
-        word = words[min(len(calls), len(words)) - 1]
+        connection.close()
+
+    def respond(self, connection: HttpConnection, attempt: HttpRequest) -> bool:
+        """Does with an attempt as the word of its body says; whether the connection goes on."""
+        attempts = self.attempts.setdefault(attempt.headers[b"x-trace-id"].decode(), [])
+        attempts.append(attempt)
+        words = attempt.body.decode().split()
+        word = words[min(len(attempts), len(words)) - 1]
         if word == "hang":
-            wire.receive()
+            connection.receive()
         elif word == "reset":
-            abandon(wire.sock)
+            reset_connection(connection.sock)
         elif word == "line":
-            wire.write(b"HTTP/1.1 200 OK\r\n")
+            connection.write(b"HTTP/1.1 200 OK\r\n")
         else:
             gevent.sleep(0.5 if word == "slow" else 0)
-            status = {"slow": b"200", "stray": b"200", "egress": b"503"}.get(word, word.encode())
-            extra = {"429": [(b"Retry-After", b"0.05")], "egress": [(b"X-Egress-Full", b"1")]}.get(word, [])
-            wire.write(encode_message(b"HTTP/1.1 %s X" % status, extra, b"ok") + b"?" * (word == "stray"))
+            status_line = b"HTTP/1.1 %s X" % STATUSES.get(word, word.encode())
+            response = encode_message(status_line, HEADERS.get(word, []), b"ok")
+            connection.write(response + b"?" * (word == "stray"))
             return True
         return False
 
-    def platform(self, sock: socket.socket, _: object) -> None:
-        wire = HttpConnection(sock, LIMITS)
+    def serve_platform(self, sock: socket.socket, _: object) -> None:
+        """Serves a connection of the sender to the agent: notifications, and the endpoint list."""
+        connection = HttpConnection(sock, LIMITS)
         try:
-            while call := wire.read_request():
-                if call.method == b"POST" and self.deaf:
-                    self.deaf -= 1
-                    wire.write(encode_message(b"HTTP/1.1 503 X", [], b""))
-                elif call.method == b"POST":
-                    self.notices += [json.loads(line) for line in call.body.splitlines()]
-                    wire.write(b"HTTP/1.1 204 X\r\n\r\n")
+            while call := connection.read_request():
+                if call.method == b"POST":
+                    connection.write(self.take_notifications(call))
                 else:
                     port = sock.getsockname()[1]
                     self.watches[port] = self.watches.get(port, 0) + 1
                     gevent.sleep(0.2)
-                    wire.write(
-                        encode_message(b"HTTP/1.1 200 X", [], json.dumps(self.config["known"]).encode())
-                    )
+                    body = json.dumps(self.config["known"]).encode()
+                    connection.write(encode_message(b"HTTP/1.1 200 X", [], body))
         except (OSError, ConnectionClosedError):
-            wire.close()
+            connection.close()
 
-    def told(self, trace: str) -> list[str]:
-        return [line["status"] for line in self.notices if line["id"] == trace]
+    def take_notifications(self, call: HttpRequest) -> bytes:
+        """The response to a request with notifications."""
+        if self.notifications_to_reject:
+            self.notifications_to_reject -= 1
+            return encode_message(b"HTTP/1.1 503 X", [], b"")
+        self.notifications += [json.loads(line) for line in call.body.splitlines()]
+        return b"HTTP/1.1 204 X\r\n\r\n"
 
-    def count(self, trace: str) -> int:
-        return len(self.calls.get(trace, ()))
+    # What came of a message.
 
+    def notified(self, trace: str) -> list[str]:
+        """The statuses that the platform was notified of."""
+        return [line["status"] for line in self.notifications if line["id"] == trace]
 
-def request(trace: str, track: str, body: str, to: int, left: int = 30000, key: str = "") -> bytes:
-    names = (b"X-Trace-Id", b"X-Qos", b"X-Expires-In-Ms", b"X-Route-To", b"Idempotency-Key", b"Cookie")
-    values = (trace, track, str(left), f"dest={to}", f"tag-{trace}", f"about={key}")
-    headers = [(name, value.encode()) for name, value in zip(names, values, strict=True)]
-    return encode_message(b"POST /api HTTP/1.1", headers if key else headers[:-1], body.encode())
+    def attempt_count(self, trace: str) -> int:
+        """Attempts that came to endpoints."""
+        return len(self.attempts.get(trace, ()))
 
 
-TERMS = sender_settings(1, SETTINGS)
-LIMITS = ServerLimits.of({"sockets": 256, "disk_mb": 1}, TERMS)
+POLICY_SETTINGS = sender_settings(1, SETTINGS)
+LIMITS = ServerLimits.of({"sockets": 256, "disk_mb": 1}, POLICY_SETTINGS)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -135,17 +135,19 @@
     for number, row in enumerate(site["class"]):
         key = "k" if row.get("in_order") else ""
         for trace, body, to in (("good", "200", 1), ("bad", "500 200", 2), ("next", "200", 2)):
-            assert world.hand_in(f"{trace}{number}", row["name"], body, 10 * number + to, key=key) == 202
+            assert (
+                world.submit(f"{trace}{number}", row["name"], body, 10 * number + to, ordering_key=key) == 202
+            )
     for number, row in enumerate(site["class"]):
         at_most_once = row["effect"] == "unsafe"
         failing = f"bad{number}"
         until(partial(called, world, 1, f"good{number}", f"next{number}"))
         if at_most_once:
-            until(partial(world.told, failing))
+            until(partial(world.notified, failing))
         else:
             until(partial(called, world, 2, failing))
-        assert world.count(failing) == (1 if at_most_once else 2)
-    unknown = world.hand_in("x", "no-such-class", "200", 1)
+        assert world.attempt_count(failing) == (1 if at_most_once else 2)
+    unknown = world.submit("x", "no-such-class", "200", 1)
     assert unknown == 400
     assert world.process is not None
     assert world.process.poll() is None
@@ -153,7 +155,7 @@
 
 def called(world: World, times: int, *traces: str) -> bool:
     """Whether an endpoint was called so many times for each message."""
-    return all(world.count(trace) == times for trace in traces)
+    return all(world.attempt_count(trace) == times for trace in traces)
 
 
 def test_nothing_of_a_customer_in_the_program() -> None:
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -59,41 +59,49 @@
     for way, settings in enumerate((MOVED, SETTINGS, MOVED, SETTINGS)):
         before, new = ("free tag once", "label") if settings is MOVED else ("label once", "free")
         for n, (track, (state, body, to, count)) in enumerate(product(before.split(), STATES)):
-            assert world.hand_in(f"{way}{state}{track}", track, body, to + n * (state != "held")) == 202
+            assert world.submit(f"{way}{state}{track}", track, body, to + n * (state != "held")) == 202
             calls[f"{way}{state}{track}"] = count
-        until(lambda out=[name for name in calls if "out" in name]: all(map(world.count, out)))
+        until(lambda out=[name for name in calls if "out" in name]: all(map(world.attempt_count, out)))
         reread(world, "settings applied", settings=settings)
-        assert world.hand_in(f"{way}new", new, "200", 1) == 202
-        assert world.hand_in("old", before.split()[0], "200", 1) == 400
+        assert world.submit(f"{way}new", new, "200", 1) == 202
+        assert world.submit("old", before.split()[0], "200", 1) == 400
         calls[f"{way}new"] = 1
     assert "max_in_flight=64 " in (world.folder / "log").read_text(), "as many as there are connections"
     listed_anew(world, 6)
-    until(lambda: all(world.count(name) for name in calls) and not live(world))
-    assert not world.notices and {name: world.count(name) for name in calls} == calls
+    until(lambda: all(world.attempt_count(name) for name in calls) and not live(world))
+    assert not world.notifications and {name: world.attempt_count(name) for name in calls} == calls
 
 
 def test_a_kill_behind_a_switch(world: World) -> None:
     """The next life reads numbers of tracks as the switched one gave them; unwritten, nothing is switched."""
     world.start()
-    assert world.hand_in("f", "free", "hang 200", 1) == world.hand_in("o", "once", "hang", 2) == 202
-    until(lambda: world.count("f") and world.count("o"))
+    assert world.submit("f", "free", "hang 200", 1) == world.submit("o", "once", "hang", 2) == 202
+    until(lambda: world.attempt_count("f") and world.attempt_count("o"))
     state = world.folder / "state"
     (state / "track-numbers.new").mkdir()
     reread(world, "configuration not applied", settings=MOVED)
-    assert world.hand_in("l", "label", "200", 3) == 400
+    assert world.submit("l", "label", "200", 3) == 400
     (state / "track-numbers.new").rmdir()
     reread(world, "settings applied")
-    assert world.hand_in("l", "label", "hang 200", 3) == 202
-    until(lambda: world.count("l"))
+    assert world.submit("l", "label", "hang 200", 3) == 202
+    until(lambda: world.attempt_count("l"))
     world.kill()
     assert [row["name"] for row in TrafficClassIds(state).read()] == ["free", "tag", "once", "label", "once"]
     world.start()
-    until(lambda: world.told("o") and world.count("f") == world.count("l") == 2 and not live(world))
-    assert world.told("o") == ["undeliverable"] and world.count("o") == 1 and len(world.notices) == 1
+    until(
+        lambda: world.notified("o")
+        and world.attempt_count("f") == world.attempt_count("l") == 2
+        and not live(world)
+    )
+    assert (
+        world.notified("o") == ["undeliverable"]
+        and world.attempt_count("o") == 1
+        and len(world.notifications) == 1
+    )
     world.kill(signal.SIGTERM)
     world.start()  # nothing held: numbers begin anew
-    assert not TrafficClassIds(state).read() and world.hand_in("x", "label", "200", 3) == 202
-    until(lambda: world.count("x") == 1)
+    assert not TrafficClassIds(state).read() and world.submit("x", "label", "200", 3) == 202
+    until(lambda: world.attempt_count("x") == 1)
 
 
 def test_the_file_says_who_else_hears(world: World) -> None:
@@ -106,14 +114,14 @@
     world.config |= {"peers": {"listen": own, "senders": [port]}, "settings": {**SETTINGS, "limits": LIMITS}}
     world.configure()
     world.start()
-    assert world.hand_in("a", "free", "200", 3) == 202
+    assert world.submit("a", "free", "200", 3) == 202
     until(
         lambda: all(said in (world.folder / "log").read_text() for said in ("ailing", "gossip not received"))
     )
     taken.close()
     listed_anew(world, 3)
     other.settimeout(15)
-    assert other.recvfrom(300)[0] == b"back 3 e3" and world.count("a") == 1
+    assert other.recvfrom(300)[0] == b"back 3 e3" and world.attempt_count("a") == 1
 
 
 NO_ADDRESS = "metrics.listen: found {}, expected an address with a port"
@@ -140,7 +148,7 @@
     told = world.config if table == "metrics" else world.config["settings"]
     told[table] = {**SETTINGS[table], key: value} if key else value
     reread(world, words)
-    assert world.hand_in("a", "free", "200", 1) == 202
+    assert world.submit("a", "free", "200", 1) == 202
     world.kill()
     run = subprocess.run([sys.executable, "-m", "ashpath"], env=world.environment(), capture_output=True)
     said = f"ashpath: cannot start from {world.folder}/config.json: {words}"
