Benchmarks: a job a function, typed, under the linter's rules; write_ahead_log and simulation.md by their names

Cause: the benchmarks had exceptions from docstrings, Any and strict types; benchmarks.restarts named constants of the tests' support that had gone, which its exemption from mypy hid; ledger and rehearsal are older names.

Change: benchmarks/ledger.py is write_ahead_log.py, docs/rehearsal.md is simulation.md; upgrade.py has its surroundings in a module; restarts.py runs again.

Checks: ruff, mypy strict: clean. Doctests of benchmarks.tap as before.

--- a/benchmarks/kept.py
+++ b/benchmarks/kept.py
@@ -5,8 +5,8 @@
 import os
 import platform
 import subprocess
+from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
 
 import orjson
 
@@ -16,14 +16,14 @@
 
 def commit() -> str:
     """The commit that was measured; a + behind it where the work tree differs."""
-    words = ["git", "-C", str(ROOT), "describe", "--always", "--dirty=+", "--exclude=*"]
-    return subprocess.run(words, capture_output=True, text=True, check=True).stdout.strip()
+    command = ["git", "-C", str(ROOT), "describe", "--always", "--dirty=+", "--exclude=*"]
+    return subprocess.run(command, capture_output=True, text=True, check=True).stdout.strip()
 
 
-def keep(name: str, command: str, figures: dict[str, Any]) -> None:
-    """Prints the figures and writes them beside the others."""
+def keep(name: str, command: str, figures: Mapping[str, object]) -> None:
+    """Prints the figures and writes them beside the others, with what was run where."""
     machine = f"{os.cpu_count()} cores, Python {platform.python_version()}"
-    told = {"command": command, "commit": commit(), "machine": machine, **figures}
-    text = orjson.dumps(told, option=orjson.OPT_INDENT_2).decode()
+    row = {"command": command, "commit": commit(), "machine": machine, **figures}
+    text = orjson.dumps(row, option=orjson.OPT_INDENT_2).decode()
     (FIGURES / f"{name}.json").write_text(text + "\n")
     print(text)
--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -1,14 +1,17 @@
-"""What a fleet that restarts near the end of an outage sends to the destination as it comes back.
+"""What a fleet that restarts near the end of an outage sends to the destination as it recovers, over what
+it may be sent (`tests/support/fleet.py`).
 
     .venv/bin/python -m benchmarks.restarts [silence]
 
-Over what it may be sent (`tests/support/fleet.py`), in virtual time: a line a setting that goes over, then
-how many did. With `silence` only outages in which nothing responds.
+In simulated time: a line for each setting that goes over, then how many did. With `silence` only outages in
+which the destination accepts calls and never responds, and every setting restarts.
 """
 
 from __future__ import annotations
 
 import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
 from itertools import product
 from pathlib import Path
 
@@ -19,42 +22,69 @@
 from ashpath.core.statistics import SECOND
 
 CAPACITIES = (3.0, 6.0, 12.0)
-RESTARTS = (45.0, 48.0, 49.3, 49.7)  # seconds; it comes back at 50
-RESTARTS_IN_SILENCE = (46.0, 48.0, 49.0, 49.3, 49.7)
-
-
-def main(*, silence: bool) -> None:
-    moments: list[tuple[float, ...]] = [(at,) for at in (RESTARTS_IN_SILENCE if silence else RESTARTS)]
-    moments = moments if silence else [(), *moments]
-    kinds = (True,) if silence else (False, True)
-    senders, seeds = ((20, 30), range(1, 7)) if silence else ((1, 3, 20, 30), range(1, 5))
-    settings = plays = over_settings = over_plays = 0
-    for customer, count, capacity, silent, restarts in product(
-        CUSTOMERS, senders, CAPACITIES, kinds, moments
-    ):
-        found = [play(customer, count, capacity, restarts, seed, silent=silent) for seed in seeds]
-        settings += 1
-        plays += len(found)
-        over_settings += max(found) > 1
-        over_plays += sum(one > 1 for one in found)
-        if max(found) > 1:
-            kind = "silent" if silent else "refuses"
-            print(f"{customer} {count} senders, {capacity:g}/s {kind}, restarts {restarts}: {max(found):.2f}")
-    print(f"over it: {over_settings} of {settings} settings, {over_plays} of {plays} plays")
-
-
-def play(
-    customer: str, senders: int, capacity: float, restarts: tuple[float, ...], seed: int, *, silent: bool
-) -> float:
-    """The calls in the worst window, over those allowed."""
-    moments = tuple(round(at * SECOND) for at in restarts)
-    uneven = bool(seed % 2)
-    fleet = Fleet(
-        CUSTOMERS[customer], senders, capacity, uneven=uneven, silent=silent, restarts=moments, seed=seed
-    )
-    calls, most = fleet.play().worst()
-    return calls / most
+RESTARTS_S = (45.0, 48.0, 49.3, 49.7)  # the destination recovers at 50
+RESTARTS_IN_SILENCE_S = (46.0, 48.0, 49.0, 49.3, 49.7)
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One fleet at one outage, with the times of its restarts in seconds."""
+
+    customer: str
+    senders: int
+    capacity: float
+    silent: bool
+    restarts_s: tuple[float, ...]
+
+    def load(self, seed: int) -> float:
+        """Calls in the worst window, over those that the destination may have."""
+        fleet = Fleet(
+            CUSTOMERS[self.customer],
+            self.senders,
+            self.capacity,
+            uneven=bool(seed % 2),
+            silent=self.silent,
+            restarts=tuple(round(at * SECOND) for at in self.restarts_s),
+            seed=seed,
+        )
+        calls, most = fleet.play().worst()
+        return calls / most
+
+    def __str__(self) -> str:
+        kind = "silent" if self.silent else "refuses"
+        fleet = f"{self.customer} {self.senders} senders, {self.capacity:g}/s {kind}"
+        return f"{fleet}, restarts {self.restarts_s}"
+
+
+def settings(*, silence: bool) -> Iterator[Setting]:
+    """All that are played."""
+    if silence:
+        senders: tuple[int, ...] = (20, 30)
+        restarts: list[tuple[float, ...]] = [(at,) for at in RESTARTS_IN_SILENCE_S]
+        kinds: tuple[bool, ...] = (True,)
+    else:
+        senders = (1, 3, 20, 30)
+        restarts = [(), *((at,) for at in RESTARTS_S)]
+        kinds = (False, True)
+    for row in product(CUSTOMERS, senders, CAPACITIES, kinds, restarts):
+        yield Setting(*row)
+
+
+def main() -> None:
+    """Plays all settings and prints those that go over."""
+    silence = "silence" in sys.argv[1:]
+    seeds = range(1, 7) if silence else range(1, 5)
+    played: list[list[float]] = []
+    for setting in settings(silence=silence):
+        loads = [setting.load(seed) for seed in seeds]
+        played.append(loads)
+        if max(loads) > 1:
+            print(f"{setting}: {max(loads):.2f}")
+    over = [load for loads in played for load in loads if load > 1]
+    settings_over = sum(max(loads) > 1 for loads in played)
+    plays = sum(len(loads) for loads in played)
+    print(f"over it: {settings_over} of {len(played)} settings, {len(over)} of {plays} plays")
 
 
 if __name__ == "__main__":
-    main(silence="silence" in sys.argv[1:])
+    main()
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -1,9 +1,10 @@
-"""How long a sender takes to be ready, and how much memory it has then: `ashpath serve` beside `python -m
-ashpath`, with the same destinations, and the latter beside its form at an older commit.
+"""How long a sender takes to be ready, and how much memory it has then.
 
     .venv/bin/python -m benchmarks.start [RUNS] [BASE]
 
-Runs alternate, so that a slow spell of the machine meets all of them. Ratios are of medians.
+`ashpath serve` beside `python -m ashpath`, with the same destinations, and the latter beside its form at an
+older commit, BASE. Runs alternate, so that a slow spell of the machine meets all of them. Ratios are of
+medians.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 import sys
 import tempfile
 import time
+from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from statistics import median
@@ -25,7 +27,10 @@
 from ashpath.config.platform_form import platform_form
 from benchmarks.kept import ROOT, keep
 
-TEXT = """[sender]
+RUNS = 5
+MOST_START_S = 30
+READINESS_POLL_S = 0.002
+SENDER = """[sender]
 name = "n0"
 listen = "127.0.0.1:{port}"
 state = "state"
@@ -37,18 +42,65 @@
 window = "5s"
 cutoff = "20s"
 """
+DESTINATION = '[destinations.{number}]\nendpoints = ["127.0.0.1:{port}"]\n'
 DESTINATIONS = 26
-
-
-def port() -> int:
+FIRST_ENDPOINT_PORT = 9000
+UNREACHABLE = "127.0.0.1:1"
+SEED = "8c1f"
+PLATFORM = "platform"
+PLATFORM_AT_BASE = "platform at base"
+SERVE = "serve"
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """One start: seconds until the sender was ready, and MiB that it had then."""
+
+    seconds: float
+    mib: float
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """One way to start a sender: its command, and what is added to its environment."""
+
+    command: list[str]
+    directory: Path
+    port: int
+    environment: dict[str, str] = field(default_factory=dict)
+
+    def start(self) -> Start:
+        """Starts it, and kills it once it is ready."""
+        began = time.perf_counter()
+        # Byte code is kept, as it is wherever a sender is installed: all variants start from it.
+        kept = {name: value for name, value in os.environ.items() if name != "PYTHONDONTWRITEBYTECODE"}
+        process = subprocess.Popen(
+            self.command, cwd=self.directory, env=kept | self.environment, stdout=subprocess.DEVNULL
+        )
+        try:
+            while not is_ready(self.port):
+                if process.poll() is not None or time.perf_counter() - began > MOST_START_S:
+                    failure = f"not started: {self.command}"
+                    raise SystemExit(failure)
+                time.sleep(READINESS_POLL_S)
+            took = time.perf_counter() - began
+            return Start(took, psutil.Process(process.pid).memory_info().rss / (1 << 20))
+        finally:
+            process.kill()
+            process.wait()
+
+
+def free_port() -> int:
+    """A port that nobody listens on just now."""
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
         found: int = probe.getsockname()[1]
         return found
 
 
-def ready(number: int) -> bool:
-    connection = HTTPConnection("127.0.0.1", number, timeout=1)
+def is_ready(port: int) -> bool:
+    """Whether the sender there accepts messages."""
+    connection = HTTPConnection("127.0.0.1", port, timeout=1)
     try:
         connection.request("GET", "/health/ready")
         return connection.getresponse().status == 200
@@ -58,86 +110,103 @@
         connection.close()
 
 
-def once(words: list[str], where: Path, number: int, environment: dict[str, str]) -> tuple[float, float]:
-    """Seconds to ready, MiB then."""
-    began = time.perf_counter()
-    # Byte code is kept, as it is wherever a sender is installed: all variants start from it.
-    kept = {name: value for name, value in os.environ.items() if name != "PYTHONDONTWRITEBYTECODE"}
-    process = subprocess.Popen(words, cwd=where, env=kept | environment, stdout=subprocess.DEVNULL)
-    try:
-        while not ready(number):
-            if process.poll() is not None or time.perf_counter() - began > 30:
-                raise SystemExit(f"not started: {words}")
-            time.sleep(0.002)
-        took = time.perf_counter() - began
-        return took, psutil.Process(process.pid).memory_info().rss / (1 << 20)
-    finally:
-        process.kill()
-        process.wait()
+def write_sender_file(folder: Path, port: int) -> Path:
+    """The file of a sender that listens there."""
+    text = SENDER.format(port=port)
+    for number in range(DESTINATIONS):
+        text += DESTINATION.format(number=number, port=FIRST_ENDPOINT_PORT + number)
+    file = folder / "sender.toml"
+    file.write_text(text)
+    return file
+
+
+def serve_variant(folder: Path) -> Variant:
+    """`ashpath serve FILE`."""
+    port = free_port()
+    file = write_sender_file(folder, port)
+    return Variant([sys.executable, "-m", "ashpath.cli", "serve", str(file)], ROOT, port)
+
+
+def platform_variant(folder: Path, tree: Path) -> Variant:
+    """`python -m ashpath`, of a tree."""
+    port = free_port()
+    configuration = read_configuration(write_sender_file(folder, port))
+    form = platform_form(configuration, SEED) | {"discovery": UNREACHABLE}
+    form["limits"].pop("own")
+    (folder / "config.json").write_bytes(orjson.dumps(form))
+    environment = {
+        "RELAY_NAME": "n0",
+        "RELAY_LISTEN": f"127.0.0.1:{port}",
+        "RELAY_DISCOVERY": UNREACHABLE,
+        "RELAY_STATE": str(folder / "state"),
+        "RELAY_CONFIG": str(folder / "config.json"),
+        "PYTHONPATH": str(tree),
+    }
+    return Variant([sys.executable, "-m", "ashpath"], tree, port, environment)
 
 
-def variants(folder: Path, base: Path | None, run: int) -> dict[str, tuple[float, float]]:
-    """One start of each, in folders of their own."""
-    found = {}
-    for name, tree in (("serve", ROOT), ("platform", ROOT), *([("platform at base", base)] if base else [])):
-        place = folder / f"{name.replace(' ', '-')}-{run}"
+def start_each(folder: Path, base: Path | None) -> dict[str, Start]:
+    """One start of each variant, in folders of their own below the folder."""
+    names = [SERVE, PLATFORM, *([PLATFORM_AT_BASE] if base else [])]
+    found: dict[str, Start] = {}
+    for name in names:
+        place = folder / name.replace(" ", "-")
         (place / "state").mkdir(parents=True)
-        number = port()
-        text = TEXT.format(port=number)
-        for destination in range(DESTINATIONS):
-            text += f'[destinations.{destination}]\nendpoints = ["127.0.0.1:{9000 + destination}"]\n'
-        (place / "sender.toml").write_text(text)
-        if name == "serve":
-            words = [sys.executable, "-m", "ashpath.cli", "serve", str(place / "sender.toml")]
-            found[name] = once(words, ROOT, number, {})
-            continue
-        form = platform_form(read_configuration(place / "sender.toml"), "8c1f") | {"discovery": "127.0.0.1:1"}
-        form["limits"].pop("own")
-        (place / "config.json").write_bytes(orjson.dumps(form))
-        environment = {
-            "RELAY_NAME": "n0",
-            "RELAY_LISTEN": f"127.0.0.1:{number}",
-            "RELAY_DISCOVERY": "127.0.0.1:1",
-            "RELAY_STATE": str(place / "state"),
-            "RELAY_CONFIG": str(place / "config.json"),
-            "PYTHONPATH": str(tree),
-        }
-        found[name] = once([sys.executable, "-m", "ashpath"], tree or ROOT, number, environment)
+        if name == SERVE:
+            variant = serve_variant(place)
+        else:
+            tree = base if base is not None and name == PLATFORM_AT_BASE else ROOT
+            variant = platform_variant(place, tree)
+        found[name] = variant.start()
     return found
 
 
-def main() -> None:
-    runs = int(sys.argv[1]) if len(sys.argv) > 1 else 5
-    with tempfile.TemporaryDirectory() as made:
-        folder, base = Path(made), None
-        if len(sys.argv) > 2:
-            base = folder / "base"
-            words = ["git", "-C", str(ROOT), "archive", sys.argv[2]]
-            archive = subprocess.run(words, capture_output=True, check=True)
-            base.mkdir()
-            subprocess.run(["tar", "-x", "-C", str(base)], input=archive.stdout, check=True)
-        variants(folder, base, -1)  # byte code is written, files are read: not counted
-        rows = [variants(folder, base, run) for run in range(runs)]
-    figures = {
-        name: {
-            "seconds": [round(row[name][0], 4) for row in rows],
-            "mib": [round(row[name][1], 2) for row in rows],
-            "median_seconds": round(median(row[name][0] for row in rows), 4),
-            "median_mib": round(median(row[name][1] for row in rows), 2),
-        }
-        for name in rows[0]
+def extract(commit: str, folder: Path) -> None:
+    """The tree of a commit."""
+    command = ["git", "-C", str(ROOT), "archive", commit]
+    archive = subprocess.run(command, capture_output=True, check=True)
+    folder.mkdir()
+    subprocess.run(["tar", "-x", "-C", str(folder)], input=archive.stdout, check=True)
+
+
+def figures_of(starts: list[Start]) -> dict[str, object]:
+    """The figures of one variant."""
+    return {
+        "seconds": [round(one.seconds, 4) for one in starts],
+        "mib": [round(one.mib, 2) for one in starts],
+        "median_seconds": round(median(one.seconds for one in starts), 4),
+        "median_mib": round(median(one.mib for one in starts), 2),
     }
-    platform = figures["platform"]
-    told_ratios = {
+
+
+def ratios(rows: list[dict[str, Start]]) -> dict[str, dict[str, float]]:
+    """Each variant beside `python -m ashpath`, by the medians as they are printed."""
+    seconds = {name: round(median(row[name].seconds for row in rows), 4) for name in rows[0]}
+    mib = {name: round(median(row[name].mib for row in rows), 2) for name in rows[0]}
+    return {
         f"{name} to platform": {
-            "time": round(figures[name]["median_seconds"] / platform["median_seconds"], 3),
-            "mib_more": round(figures[name]["median_mib"] - platform["median_mib"], 2),
+            "time": round(seconds[name] / seconds[PLATFORM], 3),
+            "mib_more": round(mib[name] - mib[PLATFORM], 2),
         }
-        for name in figures
-        if name != "platform"
+        for name in rows[0]
+        if name != PLATFORM
     }
+
+
+def main() -> None:
+    """Measures and keeps the figures."""
+    runs = int(sys.argv[1]) if len(sys.argv) > 1 else RUNS
+    with tempfile.TemporaryDirectory() as made:
+        folder = Path(made)
+        base: Path | None = None
+        if len(sys.argv) > 2:
+            base = folder / "base"
+            extract(sys.argv[2], base)
+        start_each(folder / "first", base)  # byte code is written, files are read: not counted
+        rows = [start_each(folder / f"run-{run}", base) for run in range(runs)]
+    figures = {name: figures_of([row[name] for row in rows]) for name in rows[0]}
     command = f"python -m benchmarks.start {' '.join(sys.argv[1:])}".strip()
-    keep("start", command, figures | {"ratios": told_ratios})
+    keep("start", command, figures | {"ratios": ratios(rows)})
 
 
 if __name__ == "__main__":
--- a/benchmarks/tap.py
+++ b/benchmarks/tap.py
@@ -2,45 +2,88 @@
 
     .venv/bin/python -m benchmarks.tap FILE [DESTINATION]
 
-By kind of destination: calls by how they ended, envelopes a call, and how each call came by its connection:
+By kind of destination: calls by how they ended, messages a call, and how each call came by its connection:
 kept, or new because there was none yet, because it had been given back, or because it had idled too long.
-By 2.5 s: how many slots calls held in the mean, those of calls called off beside it, and how envelopes that
-were given up ended. Last, aborted envelopes by their number of shots and how the first one ended. A call is
-what one sender sent to one endpoint in one round, as the wire has it. All figures are of simulated servers.
-With the number of a destination: all that was sent there, by whom, how it ended, and what was logged of it.
+By 2.5 s: how many slots calls held in the mean, those of cancelled calls beside it, and how messages that
+were given up ended. Last, failed messages by their number of attempts and how the first one ended. A call
+is what one sender sent to one endpoint in one round, as the wire has it. All figures are of simulated
+servers. With the number of a destination: all that was sent there, by whom, how it ended, and what was
+logged of it.
+
+The names of events, actions and fields are those of the bench's wire; the words printed are older than the
+standard terms, so that reports can be compared with those that were kept.
 """
 
 from __future__ import annotations
 
 import sys
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator
-from typing import Any
+from collections.abc import Callable, Iterable, Iterator
+from pathlib import Path
+from typing import Any, NamedTuple
 
 import orjson
 
-SPAN = 2_500.0  # milliseconds of a row
+ROW_MS = 2_500.0
+MOST_FAILED_ROWS = 10
+KEEPS_CONNECTION = ("Ok", "Failed", "QueueFull")
+CANCELLED = "Canceled"
+ANSWERED_SLOTS = "answered"
+CANCELLED_SLOTS = "called off"
+
+
+class Item(NamedTuple):
+    """One event or action of a sender."""
+
+    clock_ms: float | None
+    """None: an action that answers the event before it."""
+    sender: int
+    name: str
+    body: dict[str, Any]
+
+
+class Call(NamedTuple):
+    """What one sender sent to one endpoint in one round."""
+
+    sender: int
+    endpoint: str
+    at_ms: float
 
 
-def rounds(lines: Iterable[bytes]) -> Iterator[tuple[float | None, int, str, dict[str, Any]]]:
-    """The clock (none: an answer of the module), the sender, and one event or action."""
+class AttemptKey(NamedTuple):
+    """An attempt in flight."""
+
+    sender: int
+    message: int
+
+
+class Place(NamedTuple):
+    """Where connections are held: of one sender to one endpoint."""
+
+    sender: int
+    endpoint: str
+
+
+def read_items(lines: Iterable[bytes]) -> Iterator[Item]:
+    """The items of all senders, in the order written."""
     for line in lines:
         if not line.startswith(b"{"):
             continue
-        told = orjson.loads(line)
-        for group in told.get("senders") or ():
+        row = orjson.loads(line)
+        for group in row.get("senders") or ():
             for item in group.get("items") or group.get("output") or ():
                 ((name, body),) = item.items()
-                yield told.get("wall"), group["sender-id"], name, body
+                yield Item(row.get("wall"), group["sender-id"], name, body)
 
 
 class Tap:
-    """
+    """The figures of one file; all items are added, then they are reported.
+
     >>> tap, kinds = Tap(), {"endpoint": "x", "hw": 0}
     >>> facts = {"specifics": {"per-call": [5]}, "limits": {"conn-idle": 9000.0}}
     >>> ended = {"endpoint": "x", "outcome": "Ok", "delay-seen": 3000.0}
-    >>> tap.take(0.0, 1, "Hello", {"facts": facts}), tap.take(0.0, 1, "Register", {"rows-in": [kinds]})
-    (None, None)
+    >>> tap.add(Item(0.0, 1, "Hello", {"facts": facts}))
+    >>> tap.add(Item(0.0, 1, "Register", {"rows-in": [kinds]}))
     >>> for at, name, body in [
     ...     (None, "CallOut", {"rid": 1, "endpoint": "x"}), (None, "CallOut", {"rid": 2, "endpoint": "x"}),
     ...     (3000.0, "Returned", ended | {"rid": 1}), (3000.0, "Returned", ended | {"rid": 2}),
@@ -48,7 +91,7 @@
     ...     (4000.0, "Returned", ended | {"rid": 3, "outcome": "Canceled", "delay-seen": 1000.0}),
     ...     (None, "Fail", {"rid": 3}), (None, "CallOut", {"rid": 4, "endpoint": "x"}),
     ... ]:
-    ...     tap.take(at, 1, name, body)
+    ...     tap.add(Item(at, 1, name, body))
     >>> print("\\n".join(tap.report()))
     kind 0: 3 calls, 1.33 envelopes a call
       shots {'Ok': 2, 'Canceled': 1}
@@ -59,142 +102,186 @@
     """
 
     def __init__(self) -> None:
-        self.kinds: dict[str, int] = {}
-        self.per_call: list[int] = []
-        self.idle_life = self.clock = 0.0
-        self.began: float | None = None
-        self.ends: dict[int, Counter[str]] = defaultdict(Counter)
-        self.envelopes: Counter[int] = Counter()  # by kind, as the calls and their connections are
-        self.calls: Counter[int] = Counter()
-        self.connections: dict[int, Counter[str]] = defaultdict(Counter)
-        self.slots: Counter[tuple[int, str]] = Counter()
-        self.given_up: dict[int, Counter[str]] = defaultdict(Counter)
-        self.aborted: Counter[tuple[int, str]] = Counter()
-        self.out: dict[tuple[int, int], tuple[int, str, float]] = {}  # the call of each shot out
-        self.left: Counter[tuple[int, str, float]] = Counter()  # shots of each call still out
-        self.idle: dict[tuple[int, str], list[float]] = {}  # since when
-        self.released: set[tuple[int, str]] = set()
-        self.shots: dict[tuple[int, int], list[str]] = defaultdict(list)
+        self._kinds: dict[str, int] = {}  # by endpoint
+        self._messages_per_call: list[int] = []  # by kind
+        self._idle_timeout_ms = 0.0
+        self._clock_ms = 0.0
+        self._began_ms: float | None = None
+        self._outcomes: dict[int, Counter[str]] = defaultdict(Counter)  # by kind, as the next three
+        self._messages: Counter[int] = Counter()
+        self._calls: Counter[int] = Counter()
+        self._connections: dict[int, Counter[str]] = defaultdict(Counter)
+        self._slots: defaultdict[tuple[int, str], float] = defaultdict(float)  # milliseconds, by row and kind
+        self._given_up: dict[int, Counter[str]] = defaultdict(Counter)  # by row
+        self._failed: Counter[tuple[int, str]] = Counter()  # by number of attempts and the first outcome
+        self._in_flight: dict[AttemptKey, Call] = {}
+        self._attempts_left: Counter[Call] = Counter()
+        self._idle_since: dict[Place, list[float]] = {}
+        self._released: set[Place] = set()
+        self._attempts: dict[AttemptKey, list[str]] = defaultdict(list)  # outcomes, by message
+        self._handlers: dict[str, Callable[[int, dict[str, Any]], None]] = {
+            "Hello": self._hello,
+            "Register": self._register,
+            "CallOut": self._call_started,
+            "Returned": self._call_returned,
+            "Release": self._released_connections,
+            "TurnAway": self._rejected,
+            "Fail": self._message_failed,
+        }
+
+    def add(self, item: Item) -> None:
+        """Counts one item."""
+        if item.clock_ms is not None:
+            self._clock_ms = item.clock_ms
+            if self._began_ms is None:
+                self._began_ms = item.clock_ms
+        handler = self._handlers.get(item.name)
+        if handler is not None:
+            handler(item.sender, item.body)
 
     @property
-    def row(self) -> int:
-        return int((self.clock - (self.began or 0.0)) / SPAN)
+    def _row(self) -> int:
+        return int((self._clock_ms - (self._began_ms or 0.0)) / ROW_MS)
 
-    def take(self, clock: float | None, sender: int, name: str, body: dict[str, Any]) -> None:
-        if clock is not None:
-            self.clock, self.began = clock, clock if self.began is None else self.began
-        act = getattr(self, name.lower(), None)
-        if act is not None:
-            act(sender, body)
+    def _hello(self, _: int, body: dict[str, Any]) -> None:
+        self._messages_per_call = body["facts"]["specifics"]["per-call"]
+        self._idle_timeout_ms = body["facts"]["limits"]["conn-idle"]
 
-    def hello(self, sender: int, body: dict[str, Any]) -> None:
-        facts = body["facts"]
-        self.per_call, self.idle_life = facts["specifics"]["per-call"], facts["limits"]["conn-idle"]
+    def _register(self, _: int, body: dict[str, Any]) -> None:
+        self._kinds.update((row["endpoint"], row["hw"]) for row in body["rows-in"])
+
+    def _call_started(self, sender: int, body: dict[str, Any]) -> None:
+        endpoint = body["endpoint"]
+        kind = self._kinds[endpoint]
+        call = Call(sender, endpoint, self._clock_ms)
+        self._in_flight[AttemptKey(sender, body["rid"])] = call
+        self._messages[kind] += 1
+        joins_another = self._messages_per_call[kind] > 1 and self._attempts_left[call] > 0
+        self._attempts_left[call] += 1
+        if not joins_another:
+            self._calls[kind] += 1
+            self._connections[kind][self._take_connection(Place(sender, endpoint))] += 1
 
-    def register(self, sender: int, body: dict[str, Any]) -> None:
-        self.kinds.update((row["endpoint"], row["hw"]) for row in body["rows-in"])
+    def _take_connection(self, place: Place) -> str:
+        """How a call came by its connection."""
+        idle = self._idle_since.get(place, [])
+        usable = [since for since in idle if self._clock_ms - since < self._idle_timeout_ms]
+        self._idle_since[place] = usable[:-1]
+        if usable:
+            return "kept"
+        if idle:
+            return "idled"
+        return "given back" if place in self._released else "first"
 
-    def callout(self, sender: int, body: dict[str, Any]) -> None:
+    def _call_returned(self, sender: int, body: dict[str, Any]) -> None:
         endpoint = body["endpoint"]
-        kind, call = self.kinds[endpoint], (sender, endpoint, self.clock)
-        self.out[sender, body["rid"]] = call
-        self.envelopes[kind] += 1
-        together = self.per_call[kind] > 1 and self.left[call] > 0
-        self.left[call] += 1
-        if together:
-            return
-        self.calls[kind] += 1
-        place = (sender, endpoint)
-        kept = self.idle.get(place, [])
-        fit = [since for since in kept if self.clock - since < self.idle_life]
-        self.idle[place] = fit[:-1]
-        why = "kept" if fit else "idled" if kept else "given back" if place in self.released else "first"
-        self.connections[kind][why] += 1
-
-    def returned(self, sender: int, body: dict[str, Any]) -> None:
-        endpoint, ending = body["endpoint"], body["outcome"]
-        self.ends[self.kinds[endpoint]][ending] += 1
-        self.shots[sender, body["rid"]].append(ending)
-        call = self.out.pop((sender, body["rid"]), None)
+        outcome = body["outcome"]
+        key = AttemptKey(sender, body["rid"])
+        self._outcomes[self._kinds[endpoint]][outcome] += 1
+        self._attempts[key].append(outcome)
+        call = self._in_flight.pop(key, None)
         if call is None:
             return
-        self.left[call] -= 1
-        if not self.left[call]:
-            del self.left[call]
-            self.hold(self.clock - body["delay-seen"], "called off" if ending == "Canceled" else "answered")
-            if ending in ("Ok", "Failed", "QueueFull"):
-                self.idle.setdefault((sender, endpoint), []).append(self.clock)
-
-    def hold(self, since: float, what: str) -> None:
+        self._attempts_left[call] -= 1
+        if not self._attempts_left[call]:
+            del self._attempts_left[call]
+            kind = CANCELLED_SLOTS if outcome == CANCELLED else ANSWERED_SLOTS
+            self._add_slot_time(self._clock_ms - body["delay-seen"], kind)
+            if outcome in KEEPS_CONNECTION:
+                self._idle_since.setdefault(Place(sender, endpoint), []).append(self._clock_ms)
+
+    def _add_slot_time(self, since_ms: float, kind: str) -> None:
         """The time of a call that ends now, shared out to the rows it lay in."""
-        row, start = self.row, (self.began or 0.0) + self.row * SPAN
-        while row >= 0 and since < start + SPAN:
-            self.slots[row, what] += min(self.clock, start + SPAN) - max(since, start)
-            row, start = row - 1, start - SPAN
+        row = self._row
+        start = (self._began_ms or 0.0) + row * ROW_MS
+        while row >= 0 and since_ms < start + ROW_MS:
+            self._slots[row, kind] += min(self._clock_ms, start + ROW_MS) - max(since_ms, start)
+            row -= 1
+            start -= ROW_MS
 
-    def release(self, sender: int, body: dict[str, Any]) -> None:
-        self.idle.pop((sender, body["endpoint"]), None)
-        self.released.add((sender, body["endpoint"]))
+    def _released_connections(self, sender: int, body: dict[str, Any]) -> None:
+        place = Place(sender, body["endpoint"])
+        self._idle_since.pop(place, None)
+        self._released.add(place)
 
-    def turnaway(self, sender: int, body: dict[str, Any]) -> None:
-        self.given_up[self.row]["bounced"] += 1
+    def _rejected(self, _: int, __: dict[str, Any]) -> None:
+        self._given_up[self._row]["bounced"] += 1
 
-    def fail(self, sender: int, body: dict[str, Any]) -> None:
-        self.given_up[self.row]["aborted"] += 1
-        shots = self.shots.get((sender, body["rid"]), [])
-        self.aborted[len(shots), shots[0] if shots else "never sent"] += 1
+    def _message_failed(self, sender: int, body: dict[str, Any]) -> None:
+        self._given_up[self._row]["aborted"] += 1
+        outcomes = self._attempts.get(AttemptKey(sender, body["rid"]), [])
+        self._failed[len(outcomes), outcomes[0] if outcomes else "never sent"] += 1
 
     def report(self) -> list[str]:
-        lines = []
-        for kind in sorted(self.ends):
-            each = self.envelopes[kind] / max(1, self.calls[kind])
-            lines.append(f"kind {kind}: {self.calls[kind]} calls, {each:.2f} envelopes a call")
-            lines.append(f"  shots {dict(self.ends[kind].most_common())}")
-            lines.append(f"  connections {dict(self.connections[kind].most_common())}")
-        for row in sorted({row for row, _ in self.slots} | set(self.given_up)):
-            off = self.slots[row, "called off"]
-            held = (self.slots[row, "answered"] + off) / SPAN
-            ends = dict(self.given_up[row])
-            lines.append(f"{row * SPAN / 1000:6.1f} s  slots {held:.1f}, called off {off / SPAN:.1f}  {ends}")
-        rows = [f"{n} shots, first {first}: {count}" for (n, first), count in self.aborted.most_common(10)]
-        return [*lines, f"aborted {self.aborted.total()}: " + "; ".join(rows)]
-
-
-def story(told: Iterable[tuple[float | None, int, str, dict[str, Any]]], destination: int) -> Iterator[str]:
-    """
+        """All figures, a line each."""
+        lines: list[str] = []
+        for kind in sorted(self._outcomes):
+            each = self._messages[kind] / max(1, self._calls[kind])
+            lines.append(f"kind {kind}: {self._calls[kind]} calls, {each:.2f} envelopes a call")
+            lines.append(f"  shots {dict(self._outcomes[kind].most_common())}")
+            lines.append(f"  connections {dict(self._connections[kind].most_common())}")
+        for row in sorted({row for row, _ in self._slots} | set(self._given_up)):
+            cancelled = self._slots[row, CANCELLED_SLOTS]
+            held = (self._slots[row, ANSWERED_SLOTS] + cancelled) / ROW_MS
+            ends = dict(self._given_up[row])
+            at = f"{row * ROW_MS / 1000:6.1f} s"
+            lines.append(f"{at}  slots {held:.1f}, called off {cancelled / ROW_MS:.1f}  {ends}")
+        failed = [
+            f"{number} shots, first {first}: {count}"
+            for (number, first), count in self._failed.most_common(MOST_FAILED_ROWS)
+        ]
+        return [*lines, f"aborted {self._failed.total()}: " + "; ".join(failed)]
+
+
+def history(items: Iterable[Item], destination: int) -> Iterator[str]:
+    """What happened at one destination.
+
     >>> rows = [{"endpoint": "x", "cell": 7}]
-    >>> lines = [(9.0, 3, "Register", {"rows-in": rows}), (None, 3, "CallOut", {"endpoint": "x"}),
-    ...          (2009.0, 3, "Returned", {"endpoint": "x", "outcome": "QueueFull", "remark-ms": 5}),
-    ...          (None, 3, "WriteLog", {"what": "route x ailing"}), (None, 3, "CallOut", {"endpoint": "y"})]
-    >>> print(*story(lines, 7), sep=chr(10))
+    >>> items = [Item(9.0, 3, "Register", {"rows-in": rows}), Item(None, 3, "CallOut", {"endpoint": "x"}),
+    ...          Item(2009.0, 3, "Returned", {"endpoint": "x", "outcome": "QueueFull", "remark-ms": 5}),
+    ...          Item(None, 3, "WriteLog", {"what": "route x ailing"}),
+    ...          Item(None, 3, "CallOut", {"endpoint": "y"})]
+    >>> print(*history(items, 7), sep=chr(10))
     0.000 s sender 3 CallOut x
     2.000 s sender 3 QueueFull x, told 5 ms
     2.000 s sender 3 route x ailing
     """
-    first, clock, there = None, 0.0, set[str]()
-    for wall, sender, name, body in told:
-        clock = clock if wall is None else wall
-        first = clock if first is None else first
-        for row in body.get("rows-in") or ():
+    began_ms: float | None = None
+    clock_ms = 0.0
+    endpoints: set[str] = set()
+    for item in items:
+        clock_ms = clock_ms if item.clock_ms is None else item.clock_ms
+        began_ms = clock_ms if began_ms is None else began_ms
+        for row in item.body.get("rows-in") or ():
             if row["cell"] == destination:
-                there.add(row["endpoint"])
-        words, endpoint = str(body.get("what") or ""), str(body.get("endpoint") or "")
-        if name in ("CallOut", "Returned") and endpoint in there:
-            wait = f", told {body['remark-ms']} ms" if body.get("remark-ms") else ""
-            words = f"{body.get('outcome', name)} {endpoint}{wait}"
-        elif words.split(" ")[1:2] != [str(destination)] and not there & set(words.split(" ")):
-            continue
-        if words:
-            yield f"{(clock - first) / 1000:.3f} s sender {sender} {words}"
+                endpoints.add(row["endpoint"])
+        text = _text_of(item, destination, endpoints)
+        if text:
+            yield f"{(clock_ms - began_ms) / 1000:.3f} s sender {item.sender} {text}"
+
+
+def _text_of(item: Item, destination: int, endpoints: set[str]) -> str:
+    """What an item says of the destination; empty where it says nothing of it."""
+    body = item.body
+    endpoint = str(body.get("endpoint") or "")
+    if item.name in ("CallOut", "Returned") and endpoint in endpoints:
+        retry_after = f", told {body['remark-ms']} ms" if body.get("remark-ms") else ""
+        return f"{body.get('outcome', item.name)} {endpoint}{retry_after}"
+    logged = str(body.get("what") or "")
+    words = logged.split(" ")
+    is_of_destination = words[1:2] == [str(destination)] or endpoints & set(words)
+    return logged if is_of_destination else ""
 
 
 def main() -> None:
-    with open(sys.argv[1], "rb") as file:
+    """The command."""
+    with Path(sys.argv[1]).open("rb") as file:
         if len(sys.argv) > 2:
-            return print("\n".join(story(rounds(file), int(sys.argv[2]))))
+            print("\n".join(history(read_items(file), int(sys.argv[2]))))
+            return
         tap = Tap()
-        for told in rounds(file):
-            tap.take(*told)
+        for item in read_items(file):
+            tap.add(item)
     print("\n".join(tap.report()))
 
 
--- /dev/null
+++ b/benchmarks/upgrade_surroundings.py
@@ -0,0 +1,243 @@
+"""The destinations, the agent and the clients of `benchmarks.upgrade`, and what they see."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections import Counter
+from random import Random
+from typing import Any
+
+import gevent
+import orjson
+from gevent import socket
+from gevent.server import StreamServer
+
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.limits import ServerLimits
+
+NUMBER_OF_DESTINATIONS = 6
+CLIENT_PAUSE_S = 0.02  # between two requests of a client
+DEDUPLICATION_WINDOW_S = 5.0
+RETRY_AFTER_S = 0.5
+RETRY_AFTER_SHARE = 0.03  # of calls
+RETRY_AFTER_SLACK_S = 0.1
+DEDUPLICATED_CLASS = "result"
+IDEMPOTENT_CLASS = "status"
+FIRST_PIECE = 60  # bytes of a request that comes in two
+LIMITS = {"sockets": 512, "disk_mb": 3}
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {
+            "name": name,
+            "deadline": 12000.0,
+            "slo": 3000.0,
+            "repeat": repeat,
+            "window": DEDUPLICATION_WINDOW_S * 1000,
+            "importance": 1.0,
+        }
+        for name, repeat in ((IDEMPOTENT_CLASS, "retryable"), (DEDUPLICATED_CLASS, "dedup"))
+    ],
+    "kinds": ["plain"],
+    "zones": ["here"],
+    "group-size": 1,
+    "rank": 0,
+    "limits": {
+        "max-open": 400,
+        "max-attempts": 12,
+        "retry-after": True,
+        "max-retry-after": 3000.0,
+        "conn-idle": 5000.0,
+        "connect-timeout": 1000.0,
+        "cancelling": True,
+    },
+    "specifics": {"slots": 64},
+    "contract": {"drain-grace": 1000.0},
+}
+
+
+class Observations:
+    """What destinations, agent and clients saw."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.submitted = 0
+        self.accepted: dict[str, str] = {}  # ids that were answered 202, to their traffic class
+        self.first_run_at: dict[str, float] = {}  # by id
+        self.noticed: set[str] = set()
+        self.longest_gap_s = 0.0
+        self.signal = signal.SIGTERM  # that ended, or will end, the latest process
+        self._latest_answer_at = time.monotonic()
+
+    def answered(self, message_id: str, traffic_class: str, status: int) -> None:
+        """A client has an answer."""
+        now = time.monotonic()
+        self.longest_gap_s = max(self.longest_gap_s, now - self._latest_answer_at)
+        self._latest_answer_at = now
+        self.counts[f"answered {status}"] += 1
+        if status == 202:
+            self.accepted[message_id] = traffic_class
+
+    def ran(self, message_id: str) -> None:
+        """A message had its effect at a destination."""
+        now = time.monotonic()
+        first = self.first_run_at.setdefault(message_id, now)
+        deduplicated = self.accepted.get(message_id) == DEDUPLICATED_CLASS
+        if now > first + DEDUPLICATION_WINDOW_S and deduplicated:
+            self.counts["doubled"] += 1
+
+    def lost(self) -> set[str]:
+        """Accepted messages that neither ran nor were reported."""
+        return self.accepted.keys() - self.first_run_at.keys() - self.noticed
+
+
+class DestinationServer:
+    """One destination, with one endpoint; it sends Retry-After now and then."""
+
+    def __init__(self, number: int, limits: ServerLimits, random: Random, observations: Observations) -> None:
+        self.number = number
+        self._limits = limits
+        self._random = random
+        self._observations = observations
+        self._retry_after_sent_at = 0.0
+        self._retry_after_until = 0.0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    def member(self) -> dict[str, Any]:
+        """Its row of the endpoint list."""
+        return {
+            "id": f"e{self.number}",
+            "host_port": f"127.0.0.1:{self._server.server_port}",
+            "locality": "here",
+            "flavor": "plain",
+            "cell": self.number,
+            "phase": "up",
+            "size": 1.0,
+        }
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        connection = HttpConnection(sock, self._limits)
+        try:
+            while True:
+                call = connection.read_request()
+                connection.write(self._answer(call.headers[b"x-trace-id"].decode()))
+        except (OSError, ConnectionClosedError, ProtocolError):
+            connection.close()
+
+    def _answer(self, message_id: str) -> bytes:
+        now = time.monotonic()
+        if self._retry_after_sent_at + RETRY_AFTER_SLACK_S < now < self._retry_after_until:
+            self._observations.counts["waits broken"] += 1
+        if now >= self._retry_after_until and self._random.random() < RETRY_AFTER_SHARE:
+            self._retry_after_sent_at = now
+            self._retry_after_until = now + RETRY_AFTER_S
+            return encode_message(b"HTTP/1.1 429 Full", [(b"Retry-After", b"%g" % RETRY_AFTER_S)], b"")
+        if now < self._retry_after_until:
+            return encode_message(b"HTTP/1.1 503 Full", [], b"")
+        gevent.sleep(self._random.uniform(0.01, 0.12))
+        self._observations.ran(message_id)
+        return encode_message(b"HTTP/1.1 200 OK", [], b"ok")
+
+
+class Agent:
+    """The platform's agent: serves the endpoint list, and takes notices."""
+
+    def __init__(
+        self, endpoint_list: dict[str, Any], limits: ServerLimits, observations: Observations
+    ) -> None:
+        self._endpoint_list = endpoint_list
+        self._limits = limits
+        self._observations = observations
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        connection = HttpConnection(sock, self._limits)
+        try:
+            while True:
+                call = connection.read_request()
+                if call.method == b"POST":
+                    lines = call.body.splitlines()
+                    self._observations.noticed.update(orjson.loads(line)["id"] for line in lines)
+                    connection.write(b"HTTP/1.1 204 X\r\n\r\n")
+                else:
+                    gevent.sleep(1.0)
+                    body = orjson.dumps(self._endpoint_list)
+                    connection.write(encode_message(b"HTTP/1.1 200 X", [], body))
+        except (OSError, ConnectionClosedError, ProtocolError):
+            connection.close()
+
+
+class Client:
+    """Submits one message after another, until its greenlet is killed."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        limits: ServerLimits,
+        random: Random,
+        observations: Observations,
+        *,
+        in_two_pieces: bool,
+    ) -> None:
+        self._address = address
+        self._limits = limits
+        self._random = random
+        self._observations = observations
+        self._in_two_pieces = in_two_pieces  # each request, on a new connection
+        self._connection: HttpConnection | None = None
+
+    def run(self) -> None:
+        """Goes on for ever."""
+        while True:
+            gevent.sleep(CLIENT_PAUSE_S * self._random.uniform(0.5, 1.5))
+            self._observations.submitted += 1
+            number = self._observations.submitted
+            traffic_class = IDEMPOTENT_CLASS if number % 2 else DEDUPLICATED_CLASS
+            self._submit(f"t{number}", traffic_class)
+
+    def _submit(self, message_id: str, traffic_class: str) -> None:
+        destination = self._random.randrange(NUMBER_OF_DESTINATIONS)
+        headers = [
+            (b"X-Trace-Id", message_id.encode()),
+            (b"X-Qos", traffic_class.encode()),
+            (b"X-Expires-In-Ms", b"12000"),
+            (b"Idempotency-Key", message_id.encode()),
+            (b"X-Route-To", b"dest=%d" % destination),
+        ]
+        try:
+            connection = self._connect()
+            self._write(connection, encode_message(b"POST /api HTTP/1.1", headers, b"x" * 200))
+            answer = connection.read_response()
+            connection.finish_response()
+        except (OSError, ConnectionClosedError, ProtocolError):
+            self._observations.counts[f"at the door, {self._observations.signal.name}"] += 1
+            self._connection = None
+            return
+        self._observations.answered(message_id, traffic_class, answer.status)
+        if not answer.keep_alive:
+            connection.close()
+            self._connection = None
+
+    def _connect(self) -> HttpConnection:
+        """The connection that is kept, if it was not closed meanwhile; else a new one."""
+        kept = self._connection
+        if kept is not None and not self._in_two_pieces and kept.is_quiet():
+            return kept
+        if kept is not None:
+            kept.close()
+        self._connection = HttpConnection(socket.create_connection(self._address), self._limits)
+        return self._connection
+
+    def _write(self, connection: HttpConnection, data: bytes) -> None:
+        if not self._in_two_pieces:
+            connection.write(data)
+            return
+        gevent.sleep(self._random.uniform(0, 0.8))
+        connection.write(data[:FIRST_PIECE])
+        gevent.sleep(self._random.uniform(0, 0.4))
+        connection.write(data[FIRST_PIECE:])
--- /dev/null
+++ b/benchmarks/write_ahead_log.py
@@ -0,0 +1,97 @@
+"""Whether `ashpath ledger verify` names the right byte, over a write-ahead log of many records cut anywhere.
+
+    .venv/bin/python -m benchmarks.write_ahead_log [RECORDS] [CUTS]
+
+Counts the cuts whose report was wrong, and times each report.
+"""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+import time
+from bisect import bisect_right
+from dataclasses import dataclass
+from itertools import accumulate
+from pathlib import Path
+from random import Random
+from statistics import median
+
+from ashpath.server.storage.log_report import log_path, read_log
+from ashpath.server.storage.record_codec import (
+    AttemptFinished,
+    AttemptStarted,
+    MessageFinished,
+    MessageSubmitted,
+    Record,
+)
+from ashpath.server.storage.stored_message import StoredMessage
+from benchmarks.kept import keep
+
+RECORDS = 100_000
+CUTS = 200
+RECORDS_OF_A_MESSAGE = 4
+LONGEST_BODY = 90
+DESTINATIONS = 50
+FAR_AHEAD = 10**18  # microseconds
+
+
+@dataclass(frozen=True, slots=True)
+class CutReport:
+    """What was reported of one cut log."""
+
+    is_right: bool
+    seconds: float
+
+
+def encoded_records(count: int, random: Random) -> list[bytes]:
+    """The records of so many messages that were submitted, sent and finished."""
+    encoded: list[bytes] = []
+    for number in range(count // RECORDS_OF_A_MESSAGE):
+        body = random.randbytes(number % LONGEST_BODY)
+        message = StoredMessage(number, f"t{number:x}", 0, number % DESTINATIONS, None, None, FAR_AHEAD, body)
+        records: tuple[Record, ...] = (
+            MessageSubmitted(message),
+            AttemptStarted(number, 10**15, "e1"),
+            AttemptFinished(number, may_have_run=True),
+            MessageFinished(number, None),
+        )
+        encoded += [record.encode() for record in records]
+    return encoded
+
+
+def report_of_cut(folder: Path, data: bytes, ends: list[int], cut: int) -> CutReport:
+    """Reads the log cut at a byte; `ends` are those of its records, from 0 on."""
+    (folder / "journal").write_bytes(data[:cut])
+    began = time.perf_counter()
+    found = read_log(log_path(folder))
+    took = time.perf_counter() - began
+    whole = ends[bisect_right(ends, cut) - 1]
+    is_right = found.sound_bytes == whole and bool(found.fault) == (cut != whole)
+    return CutReport(is_right, took)
+
+
+def main() -> None:
+    """Measures and keeps the figures."""
+    records = int(sys.argv[1]) if len(sys.argv) > 1 else RECORDS
+    cuts = int(sys.argv[2]) if len(sys.argv) > 2 else CUTS
+    random = Random(1)
+    encoded = encoded_records(records, random)
+    data = b"".join(encoded)
+    ends = [0, *accumulate(len(record) for record in encoded)]
+    with tempfile.TemporaryDirectory() as made:
+        folder = Path(made)
+        reports = [report_of_cut(folder, data, ends, random.randrange(len(data))) for _ in range(cuts)]
+    figures = {
+        "records": len(encoded),
+        "bytes": len(data),
+        "cuts": cuts,
+        "wrong": sum(not report.is_right for report in reports),
+        "median_ms": round(1000 * median(report.seconds for report in reports)),
+        "most_ms": round(1000 * max(report.seconds for report in reports)),
+    }
+    keep("ledger", f"python -m benchmarks.write_ahead_log {records} {cuts}", figures)
+
+
+if __name__ == "__main__":
+    main()
