Policy: the last themed names, weights of failures named, facts of outcomes with the interface

Cause: names such as excused, crowded, patience and shut said too little; two weights stood in the code.

Change: standard names; NEVER_RAN, which outcome recorder and policy share, stands in core/interface.py.

--- a/ashpath/core/interface.py
+++ b/ashpath/core/interface.py
@@ -41,6 +41,15 @@
     NOT_SENT = "unsent"
 
 
+NEVER_RAN = (
+    AttemptOutcome.OVERLOADED,
+    AttemptOutcome.CONNECT_FAILED,
+    AttemptOutcome.CONNECTION_TABLE_FULL,
+    AttemptOutcome.NOT_SENT,
+)
+"""Outcomes that prove that the attempt had no effect."""
+
+
 @dataclass(frozen=True, slots=True)
 class TrafficClassSettings:
     """One class of messages, as its operator wants it."""
--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -26,7 +26,7 @@
         """A destination that was not known before."""
 
     @abstractmethod
-    def make_room(self) -> None:
+    def enforce_queue_capacity(self) -> None:
         """A message was submitted: another may have to give way."""
 
     @abstractmethod
@@ -47,31 +47,39 @@
 
     # Messages.
 
-    def submit(self, message_id: int, number: int, traffic_class: int, key: int | None, left: int) -> None:
-        """A message that has `left` microseconds to its deadline; `key` is its ordering key."""
+    def submit(
+        self, message_id: int, number: int, traffic_class: int, key: int | None, time_left: int
+    ) -> None:
+        """A message that has `time_left` microseconds to its deadline; `key` is its ordering key."""
         destination = self.destination(number)
         self.submissions.add(self.now)
         gates = destination.gates()
         for gate in gates:
             gate.outage.submissions.add(self.now, 1 / len(gates))
-        message = self._new_message(message_id, destination, traffic_class, left)
-        self.make_room()
+        message = self._new_message(message_id, destination, traffic_class, time_left)
+        self.enforce_queue_capacity()
         self._enqueue_new(message, key)
 
     def restore(
-        self, id_: int, number: int, traffic_class: int, key: int | None, left: int, past: PreviousAttempts
+        self,
+        message_id: int,
+        number: int,
+        traffic_class: int,
+        key: int | None,
+        time_left: int,
+        previous: PreviousAttempts,
     ) -> None:
         """A message of the previous incarnation. What may have run counts; waits and statistics are gone."""
         destination = self.destination(number)
         self.submissions.add(self.now, 0.0)
-        message = self._new_message(id_, destination, traffic_class, left)
+        message = self._new_message(message_id, destination, traffic_class, time_left)
         self._enqueue_new(message, key)
-        message.attempts = past.attempts
-        message.restored_untried = not past.attempts
-        if past.first_run_at is not None:
-            endpoint = destination.known.get(past.first_run_endpoint)
-            message.first_run = FirstRun(past.first_run_at, endpoint.zone if endpoint else -1)
-        if message.ordered_queue and past.unresolved:
+        message.attempts = previous.attempts
+        message.restored_untried = not previous.attempts
+        if previous.first_run_at is not None:
+            endpoint = destination.known.get(previous.first_run_endpoint)
+            message.first_run = FirstRun(previous.first_run_at, endpoint.zone if endpoint else -1)
+        if message.ordered_queue and previous.unresolved:
             message.ordered_queue.settles_at = self.now + self.settings.settle_time
         self.re_evaluate(message)
 
@@ -86,10 +94,10 @@
             self.finish(message)
 
     def _new_message(
-        self, message_id: int, destination: DestinationState, traffic_class: int, left: int
+        self, message_id: int, destination: DestinationState, traffic_class: int, time_left: int
     ) -> Message:
         row = self.traffic_classes[traffic_class]
-        deadline_at = self.now + left
+        deadline_at = self.now + time_left
         message = Message(
             message_id=message_id,
             destination=destination,
@@ -158,6 +166,7 @@
 
     def update_endpoints(self, rows: list[EndpointRecord], whole: bool) -> None:
         """The whole endpoint list, or changes of it."""
+        self.failed_polls = 0
         for destination in self.destinations.values() if whole else ():
             destination.endpoints = []
             self.needs_ranking[destination] = None
--- a/ashpath/core/sender_state.py
+++ b/ashpath/core/sender_state.py
@@ -50,6 +50,8 @@
         """Oldest first; emptied by their outcomes."""
         self.destinations: dict[int, DestinationState] = {}
         """Emptied as they lose endpoints and messages."""
+        self.failed_polls = 0
+        """Of the endpoint list, in a row."""
         self.detached: set[str] = set()
         """Endpoints that an operator took out: draining here, whatever is listed."""
         self.late_messages: OrderedDict[Message, None] = OrderedDict()
--- a/ashpath/policy/delivery_policy.py
+++ b/ashpath/policy/delivery_policy.py
@@ -4,7 +4,13 @@
 
 from itertools import islice
 
-from ashpath.core.interface import AttemptOutcome, EndpointRecord, LoadReport, PolicyActions, PolicySettings
+from ashpath.core.interface import (
+    NEVER_RAN,
+    AttemptOutcome,
+    LoadReport,
+    PolicyActions,
+    PolicySettings,
+)
 from ashpath.core.lifecycle import MessageState, transition
 from ashpath.core.messages import Attempt, Endpoint, FirstRun, Message, TrafficClass
 from ashpath.core.policy_engine import PolicyEngine
@@ -28,7 +34,6 @@
         )
         self.idle_endpoints: list[Endpoint] = []  # whose connections may be closed; emptied each batch
         self.polling = False  # the endpoint list is not pushed
-        self.failed_polls = 0  # in a row
         actions.schedule_timer(0, RANKING_TIMER)
         self.apply_settings(settings)
 
@@ -62,7 +67,7 @@
             self.actions.close_idle_connections(endpoint.endpoint_id)
         self.idle_endpoints.clear()
 
-    def make_room(self) -> None:
+    def enforce_queue_capacity(self) -> None:
         """Guards the rest against queues that fill up: of those longest late, the least gives way."""
         if self.late_messages and len(self.messages) > tuning.FULL_QUEUE * self.settings.queue_capacity > 0:
             longest_late = islice(self.late_messages, tuning.LATE_CONSIDERED)
@@ -71,15 +76,15 @@
     def still_valid(self, message_id: int, now: int) -> bool:
         """Whether an attempt may still go once its connection is up: listed, and no Retry-After meanwhile."""
         message = self.messages[message_id]
-        endpoint = message.attempt.endpoint if message.attempt else None
-        listed = endpoint is not None and endpoint in message.destination.endpoints
-        return endpoint is not None and listed and now >= endpoint.gate.retry_after_until
+        if message.attempt is None or message.attempt.endpoint not in message.destination.endpoints:
+            return False
+        return now >= message.attempt.endpoint.gate.retry_after_until
 
     def attempt_finished(
-        self, id_: int, outcome: AttemptOutcome, wait: int, closed: bool, report: LoadReport | None
+        self, message_id: int, outcome: AttemptOutcome, wait: int, closed: bool, report: LoadReport | None
     ) -> None:
         """An attempt's outcome; `wait`: its Retry-After; `closed`: the message needs nothing more."""
-        message = self.messages.get(id_)
+        message = self.messages.get(message_id)
         if message is None or message.attempt is None:
             return
         attempt = message.attempt
@@ -91,7 +96,7 @@
         self._record_outcome(message, attempt, outcome, wait)
         if message.ordered_queue and outcome in tuning.MAY_STILL_RUN:
             message.ordered_queue.settles_at = self.now + self.settings.settle_time
-        if message.first_run is None and outcome not in tuning.NEVER_RAN:
+        if message.first_run is None and outcome not in NEVER_RAN:
             message.first_run = FirstRun(attempt.started_at, attempt.endpoint.zone)
         delivered = outcome is AttemptOutcome.DELIVERED
         if closed or delivered or message.state is MessageState.ABANDONED:
@@ -127,7 +132,7 @@
         share = self.full_table_shares[kind]
         share += tuning.GAIN / 2 * (table_full - share)
         self.full_table_shares[kind] = share
-        if 2 * endpoint.call_interval > self.settings.idle_timeout or share > tuning.CROWDED:
+        if 2 * endpoint.call_interval > self.settings.idle_timeout or share > tuning.MAX_FULL_TABLE_SHARE:
             self.idle_endpoints.append(endpoint)
 
     def finish_undelivered(self, message: Message) -> None:
@@ -148,11 +153,6 @@
         else:
             self.enqueue(message)
 
-    def update_endpoints(self, rows: list[EndpointRecord], whole: bool) -> None:
-        """The whole endpoint list, or changes of it."""
-        self.failed_polls = 0
-        super().update_endpoints(rows, whole)
-
     def endpoint_poll_failed(self) -> None:
         """Polls again at a random time, ever later."""
         self.failed_polls += 1
--- a/ashpath/policy/destination.py
+++ b/ashpath/policy/destination.py
@@ -85,8 +85,8 @@
             message = self._next_message(endpoint)
         classes = [m.traffic_class for m in attempt.messages]
         attempt.upper_bound = max(map(self.queues.upper_bound, classes))
-        patience = max(tuning.PATIENCE[c.settings.retry_safety] for c in classes)
-        attempt.timeout = patience * max(tuning.MIN_TIMEOUT, attempt.upper_bound)
+        factor = max(tuning.TIMEOUT_FACTOR[c.settings.retry_safety] for c in classes)
+        attempt.timeout = factor * max(tuning.MIN_TIMEOUT, attempt.upper_bound)
         attempt.unresolved = len(attempt.messages)
         for message in attempt.messages:
             message.attempt = attempt
--- a/ashpath/policy/gate.py
+++ b/ashpath/policy/gate.py
@@ -22,7 +22,7 @@
 from ashpath.core.snapshots import BreakerState
 from ashpath.core.statistics import SECOND
 from ashpath.policy import tuning
-from ashpath.policy.judgement import is_excused
+from ashpath.policy.judgement import is_unrelated_to_load
 from ashpath.policy.outage import Outage
 from ashpath.policy.rate_pacing import RateLimit
 
@@ -64,19 +64,19 @@
         """The outcome table of ADR 0122, and its table of trial requests."""
         if outcome is AttemptOutcome.DELIVERED:
             self._delivered(attempt, duration)
-        elif outcome in tuning.LOAD_SIGNS:
+        elif outcome not in tuning.NO_LOAD_SIGN:
             self._failed(attempt, outcome, duration)
         elif attempt.is_trial:
             self.breaker = BreakerState.OPEN
 
     def _failed(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
         attempt.endpoint.failure_share += tuning.GAIN * (1 - attempt.endpoint.failure_share)
-        excused = is_excused(self, attempt, outcome, duration)
+        unrelated = is_unrelated_to_load(self, attempt, outcome, duration)
         in_burst = attempt.started_at < self.decreased_at
         if attempt.is_trial:
             self.reopened += 1
             self._open(outcome)
-        elif self.breaker is BreakerState.CLOSED and not in_burst and not excused:
+        elif self.breaker is BreakerState.CLOSED and not in_burst and not unrelated:
             self.limit //= 2
             self.fast_successes = 0
             self.never_failed = False
--- a/ashpath/policy/judgement.py
+++ b/ashpath/policy/judgement.py
@@ -14,10 +14,9 @@
 
 def is_table_full(settings: PolicySettings, outcome: AttemptOutcome, duration: int) -> bool:
     """Full of connections, or down where a full table is not reported."""
-    unclear = outcome is AttemptOutcome.CONNECT_FAILED and not settings.reports_full_connection_table
-    return outcome is AttemptOutcome.CONNECTION_TABLE_FULL or (
-        unclear and 2 * duration < settings.connect_timeout
-    )
+    if outcome is AttemptOutcome.CONNECT_FAILED and not settings.reports_full_connection_table:
+        return 2 * duration < settings.connect_timeout
+    return outcome is AttemptOutcome.CONNECTION_TABLE_FULL
 
 
 def was_overtaken(attempt: Attempt) -> bool:
@@ -25,25 +24,27 @@
     return attempt.endpoint.fast_successes > attempt.successes_mark + tuning.OVERTAKEN
 
 
-def is_excused(gate: Gate, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> bool:
+def is_unrelated_to_load(gate: Gate, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> bool:
     """Whether a failure says nothing of load, though the table takes it for a sign; notices outages, too."""
     settings = gate.state.settings
     outage = gate.outage
     if outcome is AttemptOutcome.OVERLOADED and not settings.has_load_reports:
         gate.rate_limit.refused_without_report(outage.completions.rate())
     limited = outcome is AttemptOutcome.OVERLOADED and gate.rate_limit.reported > 0
-    ambiguous = outcome in (AttemptOutcome.OVERLOADED, AttemptOutcome.TIMED_OUT) or is_table_full(
-        settings, outcome, duration
-    )
+    table_full = is_table_full(settings, outcome, duration)
+    ambiguous = table_full or outcome in (AttemptOutcome.OVERLOADED, AttemptOutcome.TIMED_OUT)
     ample = gate.rate_limit.remaining_quota >= tuning.AMPLE_QUOTA or not settings.has_load_reports
-    outage.failures += 0.25 * ample if limited else 0.5 if ambiguous else 1
+    if limited:
+        outage.failures += tuning.LIMITED_FAILURE * ample
+    else:
+        outage.failures += tuning.AMBIGUOUS_FAILURE if ambiguous else 1
     run = outage.is_failure_run(ambiguous=ambiguous, least=_least_run(gate, outcome) if ambiguous else 1.0)
-    # So long a wait with much of the limit left is no limit's: it is shut, and all are told the same end.
-    shut = ample and gate.retry_after_until - gate.state.now > tuning.SHUT_AFTER
-    if shut or (run and not outage.down):
+    # So long a wait with ample quota is no limit's: an outage is announced, and all are told the same end.
+    announced = ample and gate.retry_after_until - gate.state.now > tuning.OUTAGE_SILENCE
+    if announced or (run and not outage.down):
         outage.begin(max(gate.state.now, gate.retry_after_until))
         gate.log(f"ailing: {outage.failures:.1f} failures, last {outcome.value}")
-    if limited and not run and not shut:  # the rate explains it
+    if limited and not run and not announced:  # the rate explains it
         gate.rate_limit.cut(attempt.started_at, outage.succeeded_at)
         return True
     if outcome in (AttemptOutcome.ERROR, AttemptOutcome.CONNECTION_RESET):
@@ -53,5 +54,6 @@
 
 def _least_run(gate: Gate, outcome: AttemptOutcome) -> float:
     # Who calls seldom sees a second failure too late: of many such, each one's retry is a push.
-    crowded = max(gate.state.full_table_shares) > tuning.CROWDED
-    return 0.5 if outcome is AttemptOutcome.CONNECT_FAILED or not crowded else 1.0
+    tables_full = max(gate.state.full_table_shares) > tuning.MAX_FULL_TABLE_SHARE
+    clear = tables_full and outcome is not AttemptOutcome.CONNECT_FAILED
+    return 1.0 if clear else tuning.AMBIGUOUS_FAILURE
--- a/ashpath/policy/outage.py
+++ b/ashpath/policy/outage.py
@@ -29,7 +29,7 @@
         """Whether the failures in a row make an outage, for one who calls as often as this sender does."""
         rate = self.completions.cautious_rate() if ambiguous else self.completions.rate()
         enough = min(tuning.FAILURE_RUN, max(least, tuning.FAILURE_RUN * rate))
-        return self.failures >= enough and self.state.now - self.succeeded_at > tuning.SHUT_AFTER
+        return self.failures >= enough and self.state.now - self.succeeded_at > tuning.OUTAGE_SILENCE
 
     def allowance(self, now: int, even_split: float) -> float:
         """Calls a second for a destination that is just back, or about to be."""
--- a/ashpath/policy/queues.py
+++ b/ashpath/policy/queues.py
@@ -22,9 +22,9 @@
         """Until when a call waits to be fuller, a part of the latency objective; None: it may go now."""
         if self.count_in_time() >= max_batch_size or any(self.late):
             return None
-        rest = 1 - tuning.BATCHING
+        share_left = 1 - tuning.BATCHING
         oldest = [next(iter(queue)) for queue in self.in_time if queue]
-        ends = (m.objective_at - int(rest * m.traffic_class.settings.latency_objective) for m in oldest)
+        ends = (m.objective_at - int(share_left * m.traffic_class.settings.latency_objective) for m in oldest)
         deadline = min(ends, default=0)
         return None if deadline <= self.state.now else deadline
 
--- a/ashpath/policy/tuning.py
+++ b/ashpath/policy/tuning.py
@@ -4,25 +4,25 @@
 from ashpath.core.statistics import SECOND
 
 # The gate.
-RESERVATION = (
-    5 * SECOND
-)  # a timed-out call keeps its place: longer spares the destination, shorter uses it sooner
+RESERVATION = 5 * SECOND  # of a timed-out call: longer spares the destination, shorter uses it sooner
 COOLDOWN = 1 * SECOND  # first pause of an open breaker, then twice that: longer finds a return later
 CAP_PARTS = 3  # that a destination has of the calls in flight, for one left to others; more starves these
 GAIN = 0.1  # weight of a new measurement: more follows a change sooner, less is steadier
 OVERTAKEN = 3  # fast later successes that excuse a time-out
 MOSTLY_ERRORS = 0.5  # errors and resets below this share of the answers leave the limit alone
-CROWDED = 0.02  # above this share connections are not kept; less spends new ones, more leaves others none
+MAX_FULL_TABLE_SHARE = 0.02  # past it connections are not kept; less spends new ones, more leaves none
 
 # Timeouts: an early one loses most where a retry is not free; waiting for the deadline would fill the limit.
 DEVIATIONS = 8  # over the mean that a call is given; less frees places sooner, loses slow answers
 TRUSTED_COUNT = 5  # deliveries before durations are trusted
-PATIENCE = {RetrySafety.IDEMPOTENT: 1, RetrySafety.DEDUPLICATED: 2, RetrySafety.AT_MOST_ONCE: 4}
+TIMEOUT_FACTOR = {RetrySafety.IDEMPOTENT: 1, RetrySafety.DEDUPLICATED: 2, RetrySafety.AT_MOST_ONCE: 4}
 MIN_TIMEOUT = 2 * SECOND  # below this, a pause at the far end or a new connection looks like a time-out
 
 # Outages and slow start.
-FAILURE_RUN = 4  # so many in a row, fewer below a call a second, and no success for SHUT_AFTER: an outage
-SHUT_AFTER = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
+FAILURE_RUN = 4  # so many in a row, fewer below a call a second, and no success for OUTAGE_SILENCE: an outage
+LIMITED_FAILURE = 0.25  # what a refusal at a known limit counts, with ample quota; without any, nothing
+AMBIGUOUS_FAILURE = 0.5  # what a failure counts that may have other causes than an outage
+OUTAGE_SILENCE = 3 * SECOND // 2  # so long without a success, no limit explains failures and refusals
 RATE_WINDOW = 10 * SECOND  # over which events are counted; longer is steadier, later to follow
 MIN_EXPECTED_RATE = 0.2  # or the mean of all if less, where less is known; more probes more
 SUBMITTED_SHARE = 0.5  # of the messages submitted in an outage, so many do not come again after a rejection
@@ -30,7 +30,9 @@
 CAUTION = 0.9  # share used of what the rule on recovering destinations allows
 
 # The rate limit.
-INITIAL_RATE, MIN_INITIAL_RATE, MAX_INITIAL_RATE = 0.4, 0.01, 1.0  # more wastes limits
+INITIAL_RATE = 0.4  # where none is known yet; more wastes limits, as with its bounds
+MIN_INITIAL_RATE = 0.01
+MAX_INITIAL_RATE = 1.0
 INITIAL_CUT = 0.6  # what a refusal leaves of the initial rate
 INITIAL_GROWTH = 1.08  # by a success
 RATE_CUT = 0.8  # what a burst of refusals leaves of the rate; lower wastes more of the limit
@@ -41,7 +43,7 @@
 MIN_SPLIT = 0.5  # of an even split: no lower, as the others cannot take it all for long
 REPORT_WINDOW = 2 * SECOND  # how long a report holds against the next; longer is steadier, later to follow
 BURST = 0.3  # seconds of the limit, as far as it is left, that may go at once; more overruns it
-AMPLE_QUOTA = 0.5  # refused with so much of the limit left: a shut destination, not the limit
+AMPLE_QUOTA = 0.5  # refused with so much of the limit left: an outage, not the limit
 
 # Queues.
 RANKING_INTERVAL = 1 * SECOND  # how often endpoints are ranked anew
@@ -50,11 +52,6 @@
 LATE_CONSIDERED = 8  # of those longest late, one of which gives way
 DEFAULT_RETRY_AFTER = 1 * SECOND  # of a rejection where nothing better is known
 
-NEVER_RAN = (
-    AttemptOutcome.OVERLOADED,
-    AttemptOutcome.CONNECT_FAILED,
-    AttemptOutcome.CONNECTION_TABLE_FULL,
-    AttemptOutcome.NOT_SENT,
-)
+# What outcomes mean.
 MAY_STILL_RUN = (AttemptOutcome.TIMED_OUT, AttemptOutcome.CONNECTION_RESET, AttemptOutcome.CANCELLED)
-LOAD_SIGNS = (*NEVER_RAN[:3], AttemptOutcome.ERROR, AttemptOutcome.TIMED_OUT, AttemptOutcome.CONNECTION_RESET)
+NO_LOAD_SIGN = (AttemptOutcome.DELIVERED, AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT)
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -12,8 +12,7 @@
 from enum import Enum
 from typing import Protocol
 
-from ashpath.core.interface import AttemptOutcome
-from ashpath.policy.tuning import NEVER_RAN
+from ashpath.core.interface import NEVER_RAN, AttemptOutcome
 from ashpath.server.delivery.attempts import AttemptResult
 from ashpath.server.delivery.notifier import Notifier, encode_notification
 from ashpath.server.storage.final_state import FinalState
