One way to append to a file, constants of file names once, slow start in outage rows

Cause: three files cut themselves back after a failed append, each in its own lines; the names of the log and the imprint stood in two modules; `warm at` is no term of the vocabulary.

Change: append_whole in server/storage/append.py, used by the log, the outcome file and the file of notifications; PartialWriteError moves to the errors of storage. Outage has slow_start_end.

--- a/ashpath/server/delivery/errors.py
+++ b/ashpath/server/delivery/errors.py
@@ -1,4 +1,4 @@
-"""Why an attempt has no response, and a disk that is full: one type a cause.
+"""Why an attempt has no response: one type a cause.
 
 Each `AttemptError` is stored in `Attempt.failure`; the classifier maps its direct subclasses to outcomes.
 What this package raises to its callers derives from `DeliveryError`.
@@ -75,10 +75,3 @@
 
 class InvalidResponseError(ResponseError):
     """What came back is no response that HTTP allows."""
-
-
-class PartialWriteError(OSError):
-    """The disk took only a part of what was to be written."""
-
-    def __init__(self, written: int, expected: int) -> None:
-        super().__init__(f"only {written} of {expected} bytes written")
--- a/ashpath/server/delivery/rotating_file.py
+++ b/ashpath/server/delivery/rotating_file.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from ashpath.server.delivery.errors import PartialWriteError
+from ashpath.server.storage.append import append_whole
 
 FILE_MODE = 0o640
 
@@ -35,19 +35,9 @@
         """Raises OSError, and then nothing of `data` is in the file."""
         if self.size and self.size + len(data) > self.max_bytes:
             self.rotate()
-        try:
-            self.write_whole(data)
-        except OSError:
-            os.ftruncate(self.descriptor, self.size)
-            raise
+        append_whole(self.descriptor, data, self.size)
         self.size += len(data)
 
-    def write_whole(self, data: bytes) -> None:
-        """Raises OSError; a part may have been written then."""
-        written = os.write(self.descriptor, data)
-        if written < len(data):
-            raise PartialWriteError(written, len(data))
-
     def rotate(self) -> None:
         """Sets the full file aside and begins another. Raises OSError."""
         self.rename_files()
--- a/ashpath/server/storage/errors.py
+++ b/ashpath/server/storage/errors.py
@@ -60,11 +60,11 @@
         super().__init__(f"not a file of {contents} of this version")
 
 
-class ShortWriteError(OSError):
-    """Only a part of the data was written; the file was cut back to what it held before."""
+class PartialWriteError(OSError):
+    """The disk took only a part of what was to be written."""
 
-    def __init__(self, written: int, wanted: int) -> None:
-        super().__init__(f"only {written} of {wanted} bytes written")
+    def __init__(self, written: int, expected: int) -> None:
+        super().__init__(f"only {written} of {expected} bytes written")
 
 
 class DetachedEndpointsError(OSError):
--- a/ashpath/server/storage/log_file.py
+++ b/ashpath/server/storage/log_file.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from ashpath.server.storage.errors import ShortWriteError
+from ashpath.server.storage.append import append_whole
 
 TEMPORARY_SUFFIX = ".new"
 
@@ -33,13 +33,7 @@
 
     def append(self, data: bytes) -> None:
         """All of it or nothing. Raises OSError."""
-        try:
-            count = os.write(self.descriptor, data)
-            if count < len(data):
-                raise ShortWriteError(count, len(data))
-        except OSError:
-            os.ftruncate(self.descriptor, self.written)
-            raise
+        append_whole(self.descriptor, data, self.written)
         self.written += len(data)
 
     def rewrite(self, records: Iterable[bytes]) -> None:
--- a/ashpath/server/storage/log_report.py
+++ b/ashpath/server/storage/log_report.py
@@ -17,11 +17,11 @@
 
 from ashpath.server.storage.errors import ForeignRecordError
 from ashpath.server.storage.live_messages import LiveMessages
+from ashpath.server.storage.log_directory import FIRST_LOG
 from ashpath.server.storage.record_codec import RecordReader
+from ashpath.server.storage.state_directory import IMPRINT_FILE
 from ashpath.server.storage.stored_message import StoredMessage
 
-LOG_FILE = "journal"
-IMPRINT_FILE = "imprint"
 MAX_DESTINATIONS = 20  # of the statistics
 
 JsonObject = dict[str, Any]
@@ -56,7 +56,7 @@
 
 def log_path(path: Path) -> Path:
     """The log in a state directory, or the path itself where it is none."""
-    return path / LOG_FILE if path.is_dir() else path
+    return path / FIRST_LOG if path.is_dir() else path
 
 
 def read_log(path: Path) -> LogContents:
--- a/ashpath/server/storage/outage_store.py
+++ b/ashpath/server/storage/outage_store.py
@@ -3,15 +3,15 @@
 A sender that saw an outage sends carefully at the return, and a restart must not make it forget: a fleet that
 restarts during an outage would send all that it held at once, to a destination that has just come back.
 
-One file, `outages`: JSON, `{"version": 1, "out": [[destination, endpoint, rate, warm at], ...]}`, replaced
+One file, `outages`: JSON, `{"version": 1, "out": [[destination, endpoint, rate, end], ...]}`, replaced
 as a whole at each change of mode. An empty endpoint stands for the whole destination. A file that cannot be
 read counts as no outage, with one line in the log. What follows from an outage is the policy's
 (`restore_outage`); this only keeps it.
 
 | mode | stored as | until |
 | --- | --- | --- |
-| in outage | `warm at` null | it ends |
-| in slow start after one | `warm at` its end, microseconds of the wall clock | that time |
+| in outage | end null | it ends |
+| in slow start after one | end in microseconds of the wall clock | that time |
 """
 
 from __future__ import annotations
@@ -42,9 +42,19 @@
     """Empty: the whole destination."""
     rate: float
     """Attempts a second that the sender had there before."""
-    warm_at: int | None
+    slow_start_end: int | None
     """End of the slow start, microseconds of the wall clock; None while the outage lasts."""
 
+    @classmethod
+    def of_row(cls, row: list[Any]) -> Outage:
+        """As the file has it. Raises ValueError, TypeError."""
+        destination, endpoint, rate, end = row
+        return cls(int(destination), str(endpoint), float(rate), None if end is None else int(end))
+
+    def row(self) -> list[Any]:
+        """For the file."""
+        return [self.destination, self.endpoint, self.rate, self.slow_start_end]
+
 
 class OutageStore:
     """The outages of one state directory. A change that cannot be written counts in this process alone."""
@@ -59,7 +69,7 @@
         """By destination and endpoint, the oldest change first; those that are over go at the next change."""
         try:
             for row in self._file.read_rows()[-MAX_OUTAGES:]:
-                self._add(_outage(row))
+                self._add(Outage.of_row(row))
         except FileNotFoundError:
             pass
         except UNREADABLE as error:
@@ -83,7 +93,7 @@
 
     def _in_outage(self, destination: int, endpoint: str) -> bool:
         known = self.outages.get((destination, endpoint))
-        return known is not None and known.warm_at is None
+        return known is not None and known.slow_start_end is None
 
     def _add(self, outage: Outage) -> None:
         self.outages[outage.destination, outage.endpoint] = outage
@@ -100,7 +110,7 @@
         self._write()
 
     def _write(self) -> None:
-        rows = [[one.destination, one.endpoint, one.rate, one.warm_at] for one in self.outages.values()]
+        rows = [outage.row() for outage in self.outages.values()]
         try:
             replace_shared_file(self._file.path, self._file.encode(rows))
             self._failing = False
@@ -110,11 +120,5 @@
             self._failing = True
 
 
-def _outage(row: list[Any]) -> Outage:
-    """Of one row of the file. Raises ValueError, TypeError."""
-    destination, endpoint, rate, warm_at = row
-    return Outage(int(destination), str(endpoint), float(rate), None if warm_at is None else int(warm_at))
-
-
 def _active(outages: Iterable[Outage], now: int) -> list[Outage]:
-    return [outage for outage in outages if outage.warm_at is None or outage.warm_at > now]
+    return [outage for outage in outages if outage.slow_start_end is None or outage.slow_start_end > now]
--- a/ashpath/server/storage/outcome_file.py
+++ b/ashpath/server/storage/outcome_file.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from ashpath.server.storage.errors import ShortWriteError
+from ashpath.server.storage.append import append_whole
 
 
 class OutcomeFile:
@@ -45,10 +45,7 @@
         """All of it or nothing. Raises OSError."""
         if self.written + len(line) > self.max_bytes // 2:
             self._rotate()
-        count = os.write(self.descriptor, line)
-        if count < len(line):
-            os.ftruncate(self.descriptor, self.written)
-            raise ShortWriteError(count, len(line))
+        append_whole(self.descriptor, line, self.written)
         self.written += len(line)
 
     def _rotate(self) -> None:
--- a/ashpath/server/storage/state_directory.py
+++ b/ashpath/server/storage/state_directory.py
@@ -18,8 +18,10 @@
 from ashpath.server.storage.errors import ForeignRecordError, StateDirectoryError
 from ashpath.server.storage.file_lock import FileLock
 from ashpath.server.storage.live_messages import LiveMessages
+from ashpath.server.storage.log_directory import FIRST_LOG
 from ashpath.server.storage.record_codec import RecordReader
 
+IMPRINT_FILE = "imprint"
 VERSION = 1
 MAX_PROCESS_ID_BYTES = 20
 
@@ -31,7 +33,7 @@
         """`sender`: the name that the imprint must have."""
         self.path = path
         self.sender = sender
-        self.imprint = path / "imprint"
+        self.imprint = path / IMPRINT_FILE
         try:
             path.mkdir(parents=True, exist_ok=True)
             self._lock = FileLock(path / "lock")
@@ -74,7 +76,7 @@
 
     def live_messages(self) -> int:
         """How many messages the log holds. Raises StateDirectoryError."""
-        log = self.path / "journal"
+        log = self.path / FIRST_LOG
         messages = LiveMessages()
         try:
             with log.open("rb") as file:
@@ -92,7 +94,7 @@
             os.truncate(self._lock.descriptor, 0)
             os.pwrite(self._lock.descriptor, b"%d\n" % os.getpid(), 0)
             if traffic_classes != self.traffic_classes or not self.imprint.exists():
-                replace_file(self.imprint, orjson.dumps(content), self.imprint.with_name("imprint.new"))
+                replace_file(self.imprint, orjson.dumps(content), self.path / f"{IMPRINT_FILE}.new")
         except OSError as error:
             raise StateDirectoryError.of_directory(self.path, error.strerror) from error
 
--- a/tests/server/delivery/test_rotating_file.py
+++ b/tests/server/delivery/test_rotating_file.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from ashpath.server.delivery.errors import PartialWriteError
 from ashpath.server.delivery.rotating_file import RotatingFile
+from ashpath.server.storage.errors import PartialWriteError
 
 
 def test_a_full_file_is_set_aside_and_the_last_one_dropped(tmp_path: Path) -> None:
--- a/tests/server/storage/test_stored_data.py
+++ b/tests/server/storage/test_stored_data.py
@@ -135,7 +135,7 @@
 
 def test_ends_of_outages(tmp_path: Path) -> None:
     outages = OutageStore(copy_of("platform", tmp_path), no_errors())
-    assert [outage.warm_at for outage in outages.outages.values()] == [None, FAR, THEN + 1]
+    assert [outage.slow_start_end for outage in outages.outages.values()] == [None, FAR, THEN + 1]
 
 
 def test_endpoints_held_by_operators(tmp_path: Path) -> None:
