--- a/ashpath/core/__init__.py
+++ b/ashpath/core/__init__.py
@@ -1,3 +1,6 @@
-"""What every other package imports: the policy's interface, settings, message lifecycle and statistics.
+"""What every other package imports: the policy's interface and settings, message lifecycle, statistics.
 
-It imports nothing above itself, opens no file or socket and reads no clock."""
+The policy extends its states and books, which decide nothing; adapters speak through `interface.py`, and
+convert the operators' settings here. It imports nothing above itself, opens no file or socket, reads no
+clock, and has no tuned value of its own.
+"""
--- a/tests/bench_adapter/test_adapter.py
+++ b/tests/bench_adapter/test_adapter.py
@@ -63,9 +63,32 @@
 }
 
 
+def started(item: Mapping[str, object]) -> bytes:
+    """A batch that starts an instance, and one event in the next."""
+    event = {"wall": 2, "senders": [{"sender-id": 1, "items": [item]}]}
+    return batches([1])[0] + json.dumps(event).encode() + b"\n"
+
+
+BAD |= {
+    "malformed event: KeyError 'ttl'": started({"JobIn": {"rid": 1}}),
+    "malformed event: KeyError 'Nope'": started({"Returned": {"rid": 1, "outcome": "Nope"}}),
+    "malformed event: ValueError": started({"Memo": {"contents": "zz"}}),
+    "malformed batch: KeyError 'endpoint'": started({"Register": {"sheet": 1, "rows-in": [{}]}}),
+}
+
+
 @pytest.mark.parametrize("words", BAD)
 def test_bad_input_is_named(words: str) -> None:
     code, _, errors = piped([BAD[words]])
     assert code != 0
     assert words in errors
     assert len(errors.splitlines()) == 1
+
+
+def test_a_fault_of_the_policy_is_an_action() -> None:
+    """Guards the other instances: the one whose policy raised does nothing any more."""
+    job = {"rid": 1, "addressee-no": 0, "priority": 9, "key": None, "ttl": 5}
+    code, replies, _ = piped([started({"JobIn": job}), *batches([2])[:1]])
+    assert code == 0
+    assert "BailOut" in str(replies[1])
+    assert "CallOut" in str(replies[2])
--- /dev/null
+++ b/tests/core/test_statistics.py
@@ -0,0 +1,40 @@
+"""Running figures: their mean from the first value on, and rates that follow."""
+
+from __future__ import annotations
+
+import pytest
+
+from ashpath.core.statistics import SECOND, EventRate, RunningStatistics
+
+
+def test_the_first_values_have_their_plain_mean() -> None:
+    durations = RunningStatistics(min_gain=0.1)
+    for value in (10, 20, 30):
+        durations.add(value)
+    assert durations.mean == pytest.approx(20)
+    assert durations.count == 3
+
+
+def test_later_values_weigh_the_least_gain() -> None:
+    durations = RunningStatistics(min_gain=0.5)
+    for value in (0, 0, 0, 8):
+        durations.add(value)
+    assert durations.mean == pytest.approx(4)
+
+
+@pytest.mark.parametrize("seconds", [5, 10, 60])
+def test_a_steady_rate_is_unbiased_from_early_on(seconds: int) -> None:
+    rate = EventRate(window_us=10 * SECOND, started_at=0)
+    for tenth in range(1, 10 * seconds + 1):
+        rate.add(tenth * SECOND // 10)
+    assert rate.rate() == pytest.approx(10, rel=0.02)
+    assert rate.cautious_rate() <= rate.rate()
+
+
+def test_a_skipped_pause_leaves_the_rate() -> None:
+    rate = EventRate(window_us=10 * SECOND, started_at=0)
+    for second in range(1, 6):
+        rate.add(second * SECOND)
+    before = rate.rate()
+    rate.skip(50 * SECOND)
+    assert rate.rate() == pytest.approx(before)
