A simulation's runs and its report by one value

Change: simulation_runs.play_scenario plays and raises the command's errors; the report prints a PlayedScenario. Ruled out: a change of output.

--- a/ashpath/cli/simulate.py
+++ b/ashpath/cli/simulate.py
@@ -7,7 +7,7 @@
 
 import click
 
-from ashpath.cli.errors import BadInputError, CommandError
+from ashpath.cli.errors import CommandError
 from ashpath.cli.exit_codes import ExitCode
 from ashpath.cli.options import SeedsType
 from ashpath.config.errors import InvalidConfigurationError
@@ -42,8 +42,6 @@
     policy breaks a rule. All figures are simulated."""
     from ashpath.cli import simulation_report as report
     from ashpath.cli import simulation_runs
-    from ashpath.emulator.runs import outcome_file
-    from ashpath.emulator.scenario.loading import read_scenario
 
     request = simulation_runs.SimulationRequest(
         path=simulation_runs.find_scenario(name),
@@ -53,29 +51,20 @@
         trace_id=story or "",
     )
     try:
-        scenario = read_scenario(request.path)
-        if sockets:
-            runs = simulation_runs.run_on_sockets(request, keep)
-        else:
-            runs = simulation_runs.run_in_virtual_time(request)
+        played = simulation_runs.play_scenario(request, sockets=sockets, keep=keep)
     except InvalidConfigurationError as error:
         for line in error.lines:
             print(f"ashpath: {line}", file=sys.stderr)
         return ExitCode.BAD_INPUT
-    except (OSError, ValueError) as error:
-        raise BadInputError(request.path, error) from error
-    except RuntimeError as error:
-        raise CommandError(error) from error
-    print(f"{request.path.stem}: {scenario.day.lesson} (simulated)")
-    report.print_tables(runs, windows=windows)
+    report.print_tables(played, windows=windows)
     if modes:
-        report.print_modes(runs[0])
-    report.print_violations(runs)
+        report.print_modes(played.runs[0])
+    report.print_violations(played)
     if story:
-        report.print_history(runs[0], story)
+        report.print_history(played.runs[0], story)
     if file is not None:
-        write_outcome(file, outcome_file(scenario, request.path.stem, runs))
-    return ExitCode.FAILED if report.policy_broke_rules(runs) else ExitCode.OK
+        write_outcome(file, played.outcome())
+    return ExitCode.FAILED if report.policy_broke_rules(played) else ExitCode.OK
 
 
 def write_outcome(file: Path, data: bytes) -> None:
--- a/ashpath/cli/simulation_report.py
+++ b/ashpath/cli/simulation_report.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-
 from ashpath.cli.output import print_rows
+from ashpath.cli.simulation_runs import PlayedScenario
 from ashpath.emulator.runs import Run, policy_table
 
 POLICY_UNDER_TEST = "module"  # also the first word of its name on sockets
@@ -12,12 +11,16 @@
 MAX_VIOLATIONS = 5  # of each run
 
 
-def print_tables(runs: Sequence[Run], *, windows: bool) -> None:
-    """A row for each policy; before it, the windows where there is one run, behind it, its losses."""
-    first = runs[0]
-    if windows and len(runs) == 1:
+def print_tables(played: PlayedScenario, *, windows: bool) -> None:
+    """What the scenario teaches, and a row for each policy.
+
+    Before the row stand the windows, where there is one run; behind it the losses of the first run.
+    """
+    print(f"{played.name}: {played.scenario.day.lesson} (simulated)")
+    first = played.runs[0]
+    if windows and len(played.runs) == 1:
         print_rows(first.result["windows"], as_json=False)
-    print_rows(policy_table(list(runs)), as_json=False)
+    print_rows(policy_table(played.runs), as_json=False)
     for name, count in list(first.result["causes"].items())[:MAX_CAUSES]:
         print(f"lost in seed {first.seed}: {count} {name}")
 
@@ -28,9 +31,9 @@
         print(f"{seconds(at)} sender {sender}: {text}")
 
 
-def print_violations(runs: Sequence[Run]) -> None:
+def print_violations(played: PlayedScenario) -> None:
     """The rules that were broken, and how each came about."""
-    for run in runs:
+    for run in played.runs:
         for violation in run.broken[:MAX_VIOLATIONS]:
             print(
                 f"{run.policy}, seed {run.seed}, {violation.at / 1e6:.3f}s: "
@@ -48,9 +51,9 @@
         print(f"no envelope {trace_id!r} was taken on in seed {run.seed}")
 
 
-def policy_broke_rules(runs: Sequence[Run]) -> bool:
+def policy_broke_rules(played: PlayedScenario) -> bool:
     """Whether a run of the policy did; baselines may."""
-    return any(run.result["rules"] for run in runs if run.policy.startswith(POLICY_UNDER_TEST))
+    return any(run.result["rules"] for run in played.runs if run.policy.startswith(POLICY_UNDER_TEST))
 
 
 def seconds(at: int) -> str:
--- a/ashpath/cli/simulation_runs.py
+++ b/ashpath/cli/simulation_runs.py
@@ -8,17 +8,21 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from ashpath.cli.errors import BadInputError
+from ashpath.cli.errors import BadInputError, CommandError
 from ashpath.cli.progress_bar import progress_bar
+from ashpath.config.errors import InvalidConfigurationError
 from ashpath.emulator.policies import POLICIES
 from ashpath.emulator.runs import (
     SCENARIO_LIBRARY,
     Run,
+    outcome_file,
     run_on_loopback,
     scenario_path,
     simulate,
     simulate_all,
 )
+from ashpath.emulator.scenario.loading import read_scenario
+from ashpath.emulator.scenario.schema import Scenario
 
 ALL_POLICIES = "all"
 DEFAULT_SEED = 1
@@ -44,6 +48,19 @@
         return len(self.seeds) * len(self.policies)
 
 
+@dataclass(frozen=True, slots=True)
+class PlayedScenario:
+    """A scenario and its runs."""
+
+    name: str
+    scenario: Scenario
+    runs: list[Run]
+
+    def outcome(self) -> bytes:
+        """As the outcome file has it."""
+        return outcome_file(self.scenario, self.name, self.runs)
+
+
 def find_scenario(name: str) -> Path:
     """The file of a scenario. Raises BadInputError where the library has none of that name."""
     path = scenario_path(name)
@@ -73,8 +90,22 @@
     return seeds or [DEFAULT_SEED if seed is None else seed]
 
 
+def play_scenario(request: SimulationRequest, *, sockets: bool, keep: Path | None) -> PlayedScenario:
+    """All runs. Raises InvalidConfigurationError where the scenario's file is not sound, or CommandError."""
+    try:
+        scenario = read_scenario(request.path)
+        runs = run_on_sockets(request, keep) if sockets else run_in_virtual_time(request)
+    except InvalidConfigurationError:
+        raise
+    except (OSError, ValueError) as error:
+        raise BadInputError(request.path, error) from error
+    except RuntimeError as error:
+        raise CommandError(error) from error
+    return PlayedScenario(request.path.stem, scenario, runs)
+
+
 def run_in_virtual_time(request: SimulationRequest) -> list[Run]:
-    """All runs, by policy and seed. Raises InvalidConfigurationError, OSError, ValueError or RuntimeError."""
+    """All runs, by policy and seed."""
     with progress_bar(request.path.stem, request.run_count) as report_progress:
         if request.run_count == 1:
             seed = request.seeds[0]
@@ -88,7 +119,7 @@
 
 
 def run_on_sockets(request: SimulationRequest, keep: Path | None) -> list[Run]:
-    """A run for each seed, never beside one another: they would slow each other down. Raises as above."""
+    """A run for each seed, never beside one another: they would slow each other down."""
     runs: list[Run] = []
     with progress_bar(request.path.stem, request.run_count) as report_progress:
         for seed in request.seeds:
