--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -45,6 +45,8 @@
 class Submission:
     """A message whose client waits for the result, within `with`: it is final once the batch is over."""
 
+    __slots__ = ("message", "recorder", "result")
+
     def __init__(self, recorder: OutcomeRecorder, message: StoredMessage) -> None:
         self.recorder = recorder
         self.message = message
--- a/ashpath/server/policy_batch.py
+++ b/ashpath/server/policy_batch.py
@@ -50,8 +50,8 @@
 class SharedUpdates:
     """What another process published since the last batch."""
 
-    retry_afters: tuple[RetryAfter, ...] = ()
-    detachments: tuple[Detachment, ...] = ()
+    retry_afters: tuple[RetryAfter, ...]
+    detachments: tuple[Detachment, ...]
 
     def apply(self, policy: DeliveryPolicy) -> None:
         """Reports all of it to the policy, within a batch."""
@@ -61,9 +61,6 @@
             policy.set_detached(detachment.endpoint_id, detachment.detached, detachment.record)
 
 
-NO_UPDATES = SharedUpdates()
-
-
 class SharedUpdateReader:
     """Reads what the other process of a hot upgrade publishes."""
 
@@ -83,8 +80,6 @@
 
     def read(self, detached: set[str]) -> SharedUpdates:
         """What was published since the last call. `detached`: the endpoints that are detached here."""
-        if not self.pending():
-            return NO_UPDATES
         monotonic_time = now()
         wall_time = wall()
         published = self.shared_memory.updates(wall_time)
@@ -109,20 +104,22 @@
         self.policy = policy
         self.actions = actions
         self.shared = shared
-        self._updates = NO_UPDATES
+        self._updates: SharedUpdates | None = None
 
     def __enter__(self) -> DeliveryPolicy:
         self.policy.begin_batch(now())
-        self._updates = self.shared.read(self.policy.detached)
+        if self.shared.pending():
+            self._updates = self.shared.read(self.policy.detached)
         return self.policy
 
     def __exit__(
         self, error_type: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
+        updates = self._updates
+        self._updates = None
         if error_type is not None:
             return
-        updates = self._updates
-        self._updates = NO_UPDATES
-        updates.apply(self.policy)
+        if updates is not None:
+            updates.apply(self.policy)
         self.policy.end_batch()
         self.actions.perform()
