--- a/ashpath/server/delivery/http_notifier.py
+++ b/ashpath/server/delivery/http_notifier.py
@@ -2,14 +2,14 @@
 
 Each call carries a batch of lines, the oldest ones first, over one kept connection.
 
-| the receiver's answer         | what is done                                                       |
-| ----------------------------- | ------------------------------------------------------------------ |
-| 204 or 200                    | the batch is acknowledged                                          |
-| 400 to a batch of several     | each line goes alone, until one is acknowledged: one that cannot   |
-|                               | be read must not hold up the rest                                  |
-| 400 to a line that goes alone | it is logged, and dropped as if it were acknowledged               |
-| anything else, or none        | the batch is sent again after a backoff, which is short, as            |
-|                               | notifications are due within a time                                |
+| the receiver's answer         | what is done                                                         |
+| ----------------------------- | -------------------------------------------------------------------- |
+| 204 or 200                    | the batch is acknowledged                                            |
+| 400 to a batch of several     | each line goes alone, until one is acknowledged: one that cannot be  |
+|                               | read must not hold up the rest                                       |
+| 400 to a line that goes alone | it is logged, and dropped as if it were acknowledged                 |
+| anything else, or none        | the batch is sent again after a backoff, a short one: a notification |
+|                               | is due within a time                                                 |
 """
 
 from __future__ import annotations
