Hot upgrades to and from an older commit, under load, as a benchmark

The change: benchmarks.upgrade takes an older commit, whose processes and those of this tree take turns.

--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -1,6 +1,9 @@
 """Hot upgrades under open clients, the old process ended by SIGTERM and by SIGKILL in turn.
 
-    .venv/bin/python -m benchmarks.upgrade [UPGRADES] [CLIENTS]
+    .venv/bin/python -m benchmarks.upgrade [UPGRADES] [CLIENTS] [BASE]
+
+With BASE, an older commit, its processes and those of this tree take turns: each upgrade is to the other
+version, forth and back, over the same stored data.
 
 One sender on a listening socket of this process; clients on kept connections that look whether theirs was
 closed before they submit, every fourth on a new connection whose request comes in two pieces. Destinations
@@ -20,6 +23,8 @@
 import sys
 import tempfile
 import time
+from collections.abc import Sequence
+from itertools import cycle
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -31,6 +36,7 @@
 from ashpath.core.policy_settings import sender_settings
 from ashpath.server.limits import ServerLimits
 from benchmarks.kept import ROOT, keep
+from benchmarks.start import extract
 from benchmarks.upgrade_surroundings import (
     LIMITS,
     NUMBER_OF_DESTINATIONS,
@@ -52,8 +58,11 @@
 class Senders:
     """Starts the processes, one after another on the same listening socket and state directory."""
 
-    def __init__(self, folder: Path, agent: Agent, endpoint_list: dict[str, Any]) -> None:
+    def __init__(
+        self, folder: Path, trees: Sequence[Path], agent: Agent, endpoint_list: dict[str, Any]
+    ) -> None:
         self._folder = folder
+        self._trees = cycle(trees)
         self._agent = agent
         configuration = {"seed": "7", "settings": SETTINGS, "limits": LIMITS, "known": endpoint_list}
         (folder / "config.json").write_bytes(orjson.dumps(configuration))
@@ -69,8 +78,9 @@
         with socket.socket() as probe:
             probe.bind(("127.0.0.1", 0))
             control: tuple[str, int] = probe.getsockname()
+        tree = next(self._trees)
         environment = {
-            "PYTHONPATH": str(ROOT),
+            "PYTHONPATH": str(tree),
             "RELAY_NAME": "n0",
             "RELAY_STATE": str(self._folder / "state"),
             "RELAY_LISTEN": f"127.0.0.1:{self.address[1]}",
@@ -82,6 +92,7 @@
         with (self._folder / "log").open("ab") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", "ashpath"],
+                cwd=tree,
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -149,6 +160,7 @@
     """Measures and keeps the figures."""
     count = int(sys.argv[1]) if len(sys.argv) > 1 else DEFAULT_UPGRADES
     clients = int(sys.argv[2]) if len(sys.argv) > 2 else DEFAULT_CLIENTS
+    base = sys.argv[3] if len(sys.argv) > 3 else None
     random = Random(7)
     limits = ServerLimits.of(LIMITS, sender_settings(1, SETTINGS))
     observations = Observations()
@@ -160,7 +172,11 @@
         members = [destination.member() for destination in destinations]
         endpoint_list = {"revision": 1, "complete": True, "members": members}
         agent = Agent(endpoint_list, limits, observations)
-        senders = Senders(Path(made), agent, endpoint_list)
+        trees = [ROOT]
+        if base is not None:
+            trees.insert(0, Path(made) / "base")
+            extract(base, trees[0])
+        senders = Senders(Path(made), trees, agent, endpoint_list)
         greenlets = start_clients(clients, senders, limits, random, observations)
         upgrades = Upgrades(senders, observations)
         for number in range(count):
@@ -171,7 +187,11 @@
         lost = upgrades.finish()
     command = " ".join(["python -m benchmarks.upgrade", *sys.argv[1:]])
     run = {"upgrades": count, "clients": clients}
-    keep("upgrade", command, run | figures_of(observations, upgrades, lost))
+    keep(
+        "upgrade" if base is None else "upgrade-from-base",
+        command,
+        run | figures_of(observations, upgrades, lost),
+    )
 
 
 def figures_of(observations: Observations, upgrades: Upgrades, lost: set[str]) -> dict[str, Any]:
