--- a/ashpath/core/timers.py
+++ b/ashpath/core/timers.py
@@ -43,20 +43,28 @@
 
 KINDS = {kind.value: kind for kind in TimerKind}
 
+# Plain strings: these are made for each event.
 RANKING_TIMER = TimerKind.RANKING.value
 POLL_TIMER = TimerKind.POLL.value
+DESTINATION_PREFIX = TimerKind.DESTINATION.value
+ORDERED_QUEUE_PREFIX = TimerKind.ORDERED_QUEUE.value
+MESSAGE_PREFIX = TimerKind.MESSAGE.value
 
 
 def destination_timer(number: int) -> str:
-    """Dispatch to a destination."""
-    return f"d{number}"
+    """Dispatch to a destination.
+
+    >>> destination_timer(7), Timer.decode(destination_timer(7)) == Timer(TimerKind.DESTINATION, 7)
+    ('d7', True)
+    """
+    return f"{DESTINATION_PREFIX}{number}"
 
 
 def ordered_queue_timer(key: int) -> str:
     """Advance an ordered queue."""
-    return f"k{key}"
+    return f"{ORDERED_QUEUE_PREFIX}{key}"
 
 
 def message_timer(message_id: int) -> str:
     """Re-evaluate a message."""
-    return f"e{message_id}"
+    return f"{MESSAGE_PREFIX}{message_id}"
