--- a/ashpath/cli/standalone_deployment.py
+++ b/ashpath/cli/standalone_deployment.py
@@ -15,7 +15,7 @@
 from ashpath.config.loading import Credentials, read_configuration, read_credentials
 from ashpath.config.platform_form import notification_target, platform_form, resolve
 from ashpath.config.schema import Configuration
-from ashpath.core.platform_settings import JsonObject
+from ashpath.core.json_types import JsonObject
 from ashpath.server.addresses import parse_address
 from ashpath.server.backoff import Backoff
 from ashpath.server.configuration import SenderConfiguration
--- a/ashpath/cli/status_client.py
+++ b/ashpath/cli/status_client.py
@@ -4,12 +4,12 @@
 
 from dataclasses import dataclass
 from http.client import HTTPConnection, HTTPException
-from typing import Any
 from urllib.parse import quote, urlsplit
 
 import orjson
 
 from ashpath.cli.errors import BadInputError, CommandError, SenderUnreachableError
+from ashpath.core.json_types import JsonObject
 from ashpath.server.wire_names import (
     DESTINATIONS_PATH,
     MESSAGE_PATH_PREFIX,
@@ -23,8 +23,6 @@
 NO_LISTS = "a sender of a platform does not list what it holds"
 INVALID_URL = "found no address of a sender, expected http://HOST:PORT"
 
-JsonObject = dict[str, Any]
-
 
 @dataclass(frozen=True, slots=True)
 class StatusResponse:
--- a/ashpath/cli/submission.py
+++ b/ashpath/cli/submission.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 
 from ashpath.cli.errors import CommandError, SenderUnreachableError
-from ashpath.cli.status_client import JsonObject, StatusClient
+from ashpath.cli.status_client import StatusClient
+from ashpath.core.json_types import JsonObject
 
 FIRST_POLL_S = 0.05  # until the first look at the message's state; doubled up to
 MAX_POLL_S = 0.5
--- a/ashpath/cli/submit.py
+++ b/ashpath/cli/submit.py
@@ -11,9 +11,10 @@
 from ashpath.cli.exit_codes import ExitCode
 from ashpath.cli.options import DurationType, url_option
 from ashpath.cli.output import print_json
-from ashpath.cli.status_client import JsonObject, StatusClient
+from ashpath.cli.status_client import StatusClient
 from ashpath.cli.submission import Submission, submit_message
 from ashpath.config.units import parse_name
+from ashpath.core.json_types import JsonObject
 
 EXIT_CODES = {
     "bounced": ExitCode.REJECTED,
--- a/ashpath/config/platform_form.py
+++ b/ashpath/config/platform_form.py
@@ -15,13 +15,13 @@
 from ashpath.config.schema import Configuration, Rules, TrafficClass
 from ashpath.config.units import SIZES, TIMES, Duration, HttpTarget, Size, format_amount, parse_http_url
 from ashpath.core.interface import RetrySafety
+from ashpath.core.json_types import JsonObject
 from ashpath.core.platform_settings import (
     RATE_LIMIT_FIELD,
     REMAINING_QUOTA_FIELD,
     RETRY_SAFETY,
     WHOLE_DESTINATION,
     DestinationContract,
-    JsonObject,
     LoadInfo,
     PlatformLimits,
     PlatformSettings,
--- a/ashpath/core/platform_settings.py
+++ b/ashpath/core/platform_settings.py
@@ -8,14 +8,14 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, NamedTuple
+from typing import Literal, NamedTuple
 
 from msgspec import Struct, ValidationError, convert, field
 
 from ashpath.core.errors import InvalidSettingError
 from ashpath.core.interface import RetrySafety
+from ashpath.core.json_types import JsonObject
 
-JsonObject = dict[str, Any]
 Number = int | float | None
 
 RetrySafetyName = Literal["retryable", "dedup", "fragile"]
--- a/ashpath/core/policy_settings.py
+++ b/ashpath/core/policy_settings.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 
 from ashpath.core.interface import DestinationKindSettings, PolicySettings, TrafficClassSettings
+from ashpath.core.json_types import JsonObject
 from ashpath.core.platform_settings import (
     APPROXIMATE_RATE_SOURCES,
     HALVING_DECAY,
@@ -15,7 +16,6 @@
     RETRY_SAFETY,
     WHOLE_DESTINATION,
     DestinationContract,
-    JsonObject,
     PlatformLimits,
     PlatformSettings,
     Specifics,
--- a/ashpath/core/settings_alignment.py
+++ b/ashpath/core/settings_alignment.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ashpath.core.platform_settings import COLUMNS, JsonObject
+from ashpath.core.json_types import JsonObject
+from ashpath.core.platform_settings import COLUMNS
 
 
 def align_order(settings: JsonObject, previous: JsonObject) -> JsonObject:
--- a/ashpath/core/traffic_class_ids.py
+++ b/ashpath/core/traffic_class_ids.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from ashpath.core.platform_settings import JsonObject
+from ashpath.core.json_types import JsonObject
 
 
 class NumberedTrafficClasses(NamedTuple):
--- a/ashpath/server/configuration.py
+++ b/ashpath/server/configuration.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, replace
 
 from ashpath.core.interface import PolicySettings
-from ashpath.core.platform_settings import JsonObject
+from ashpath.core.json_types import JsonObject
 from ashpath.core.policy_settings import sender_settings
 from ashpath.core.settings_alignment import align_order
 from ashpath.core.traffic_class_ids import number_traffic_classes
--- a/ashpath/server/storage/log_report.py
+++ b/ashpath/server/storage/log_report.py
@@ -11,10 +11,10 @@
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Any
 
 import orjson
 
+from ashpath.core.json_types import JsonObject
 from ashpath.server.storage.errors import ForeignRecordError
 from ashpath.server.storage.live_messages import LiveMessages
 from ashpath.server.storage.log_directory import FIRST_LOG
@@ -24,8 +24,6 @@
 
 MAX_DESTINATIONS = 20  # of the statistics
 
-JsonObject = dict[str, Any]
-
 
 @dataclass
 class LogContents:
--- a/tests/core/test_traffic_class_ids.py
+++ b/tests/core/test_traffic_class_ids.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ashpath.core.platform_settings import JsonObject
+from ashpath.core.json_types import JsonObject
 from ashpath.core.traffic_class_ids import number_traffic_classes
 
 A = {"name": "a", "deadline": 1}
