--- /dev/null
+++ b/tests/server/test_endpoint_membership.py
@@ -0,0 +1,35 @@
+"""Listings of service discovery: the registry first, then the policy."""
+
+from __future__ import annotations
+
+from unittest.mock import create_autospec
+
+import pytest
+import structlog
+from support.world import LIMITS
+
+from ashpath.core.interface import EndpointRecord
+from ashpath.server.delivery.connection_pool import ConnectionPool
+from ashpath.server.delivery.endpoint_registry import EndpointRegistry
+from ashpath.server.endpoint_membership import EndpointMembership
+from ashpath.server.policy_runner import PolicyRunner
+
+GOOD = {"id": "e1", "cell": 7, "phase": "up", "host_port": "127.0.0.1:1"}
+UNREADABLE = {"id": "e2", "cell": 7, "phase": "up", "host_port": "nowhere"}
+
+
+@pytest.mark.parametrize("whole", [True, False])
+@pytest.mark.parametrize("members", [[GOOD], [GOOD, UNREADABLE]], ids=len)
+def test_a_listing_reaches_registry_and_policy(members: list[dict[str, object]], whole: bool) -> None:
+    """What cannot be read hides no other member, and is reported."""
+    registry = EndpointRegistry(["plain"], ["here"], ConnectionPool(LIMITS), structlog.get_logger())
+    policy_runner = create_autospec(PolicyRunner, instance=True)
+    seen: list[tuple[list[str], bool, bool]] = []
+
+    def update(records: list[EndpointRecord], *, whole: bool) -> None:
+        seen.append(([record.endpoint_id for record in records], whole, "e1" in registry.addresses))
+
+    policy_runner.update_endpoints.side_effect = update
+    readable = EndpointMembership(registry, policy_runner).receive_members(members, whole=whole)
+    assert readable is (len(members) == 1)
+    assert seen == [(["e1"], whole, True)]
--- /dev/null
+++ b/tests/server/test_message_restoration.py
@@ -0,0 +1,66 @@
+"""Messages that a previous incarnation left: which of them the policy has to finish, and what it learns."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from support.stages import unreachable_notifier
+from support.world import LIMITS
+
+from ashpath.core.interface import PreviousAttempts
+from ashpath.server.message_restoration import MessageRestorer
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
+from ashpath.server.timers import now, wall
+
+SECOND = 1_000_000
+
+
+@pytest.fixture
+def write_ahead_log(tmp_path: Path) -> WriteAheadLog:
+    return WriteAheadLog(tmp_path, LIMITS.disk_bytes)
+
+
+def stored(write_ahead_log: WriteAheadLog, message_id: int, time_left: int = SECOND) -> StoredMessage:
+    """A message as the previous incarnation accepted it."""
+    deadline = wall() + time_left
+    message = StoredMessage(message_id, f"t{message_id}", 0, 1, None, None, deadline, b"")
+    assert write_ahead_log.record_submitted(message)
+    return message
+
+
+def test_in_the_order_accepted(write_ahead_log: WriteAheadLog) -> None:
+    notifier = unreachable_notifier(write_ahead_log)
+    messages: dict[int, StoredMessage] = {}
+    left = [stored(write_ahead_log, 1), stored(write_ahead_log, 2, time_left=-SECOND)]
+    restored = MessageRestorer(write_ahead_log, notifier).restore(left, messages)
+    assert [one.message for one in restored] == left
+    assert list(messages) == [1, 2]
+    assert 0 < restored[0].time_left <= SECOND
+    assert restored[1].time_left <= -SECOND
+    assert restored[0].previous == PreviousAttempts(0, None, "", unresolved=False)
+
+
+def test_a_finished_message_is_only_notified_of(write_ahead_log: WriteAheadLog) -> None:
+    notifier = unreachable_notifier(write_ahead_log)
+    messages: dict[int, StoredMessage] = {}
+    message = stored(write_ahead_log, 1)
+    write_ahead_log.record_finished(message, "{}")
+    assert MessageRestorer(write_ahead_log, notifier).restore([message], messages) == []
+    assert not messages
+    assert list(notifier.pending) == [message]
+
+
+def test_an_attempt_that_was_in_flight_may_have_run(write_ahead_log: WriteAheadLog) -> None:
+    """It is recorded so, and its time and endpoint bind the retries that follow."""
+    message = stored(write_ahead_log, 1)
+    write_ahead_log.record_attempt(message, wall() - 2 * SECOND, "e1")
+    restorer = MessageRestorer(write_ahead_log, unreachable_notifier(write_ahead_log))
+    previous = restorer.restore([message], {})[0].previous
+    assert previous.unresolved
+    assert previous.attempts == 1
+    assert previous.first_run_endpoint == "e1"
+    assert previous.first_run_at is not None
+    assert 2 * SECOND <= now() - previous.first_run_at < 3 * SECOND
+    assert message.in_flight_since is None
--- /dev/null
+++ b/tests/server/test_policy_batch.py
@@ -0,0 +1,104 @@
+"""A batch: its time, its events, what another process published, its close, and then the actions."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from unittest.mock import Mock, create_autospec
+
+import pytest
+import structlog
+from support.world import LIMITS
+
+from ashpath.policy.delivery_policy import DeliveryPolicy
+from ashpath.server.delivery.connection_pool import ConnectionPool
+from ashpath.server.delivery.endpoint_registry import EndpointRegistry
+from ashpath.server.policy_actions import QueuedActions
+from ashpath.server.policy_batch import PolicyBatch, SharedUpdateReader
+from ashpath.server.storage.detached_endpoints import DetachedEndpoints
+from ashpath.server.storage.shared_memory import SharedMemory
+from ashpath.server.timers import now, wall
+
+LISTED = {"id": "e1", "cell": 7, "phase": "up", "host_port": "127.0.0.1:1"}
+
+
+class Stages:
+    """A batch of this process, the other process's shared memory, and all calls in their order."""
+
+    def __init__(self, directory: Path) -> None:
+        logger = structlog.get_logger()
+        self.detached_endpoints = DetachedEndpoints(directory, logger)
+        registry = EndpointRegistry(["plain"], ["here"], ConnectionPool(LIMITS), logger)
+        registry.apply_members([LISTED], whole=True)
+        self.calls = Mock()
+        policy = create_autospec(DeliveryPolicy, instance=True)
+        policy.detached = set()
+        actions = create_autospec(QueuedActions, instance=True)
+        self.calls.attach_mock(policy, "policy")
+        self.calls.attach_mock(actions, "actions")
+        shared_memory = SharedMemory(directory)
+        self.other_process = SharedMemory(directory)
+        shared_memory.updates(wall())  # nothing is news from here on
+        shared = SharedUpdateReader(shared_memory, self.detached_endpoints, registry)
+        self.batch = PolicyBatch(policy, actions, shared)
+        self.records = registry.records
+
+    def names(self) -> list[str]:
+        """The calls so far."""
+        return [call[0] for call in self.calls.mock_calls]
+
+
+@pytest.fixture
+def stages(tmp_path: Path) -> Stages:
+    return Stages(tmp_path)
+
+
+def test_actions_are_performed_once_the_batch_is_closed(stages: Stages) -> None:
+    with stages.batch as policy:
+        policy.timer_fired("r")
+        assert "actions.perform" not in stages.names()
+    assert stages.names() == [
+        "policy.begin_batch",
+        "policy.timer_fired",
+        "policy.end_batch",
+        "actions.perform",
+    ]
+
+
+def test_what_the_other_process_published_comes_behind_the_events(stages: Stages) -> None:
+    """They may list the very endpoints; the close, which sends, comes after it. It comes once."""
+    until = wall() + 3_000_000
+    stages.other_process.publish_retry_after(7, "e1", until)
+    stages.detached_endpoints.change("e1", detached=True)
+    stages.other_process.publish_detached_change()
+    for _ in range(2):
+        with stages.batch as policy:
+            policy.timer_fired("r")
+    assert stages.names() == [
+        "policy.begin_batch",
+        "policy.timer_fired",
+        "policy.retry_after_received",
+        "policy.set_detached",
+        "policy.end_batch",
+        "actions.perform",
+        "policy.begin_batch",
+        "policy.timer_fired",
+        "policy.end_batch",
+        "actions.perform",
+    ]
+    destination, endpoint_id, at = stages.calls.policy.retry_after_received.call_args.args
+    assert (destination, endpoint_id) == (7, "e1")
+    assert 2_000_000 < at - now() <= 3_000_000
+    assert stages.calls.policy.set_detached.call_args.args == ("e1", True, stages.records["e1"])
+
+
+def test_an_error_leaves_the_batch_open(stages: Stages) -> None:
+    """Nothing is sent on half of the events; the next batch takes what is published after it."""
+    stages.other_process.publish_retry_after(7, "e1", wall() + 3_000_000)
+    with pytest.raises(ZeroDivisionError), stages.batch:
+        raise ZeroDivisionError
+    assert stages.names() == ["policy.begin_batch"]
+    stages.other_process.publish_retry_after(7, "e2", wall() + 3_000_000)
+    with stages.batch:
+        pass
+    assert stages.names()[-2:] == ["policy.end_batch", "actions.perform"]
+    assert "policy.retry_after_received" in stages.names()
