Tests of start, reload and the standalone sender by module, under strict types

Cause: tests/cli/test_sender.py and tests/test_switch.py were named after no module, and were exempt from the type checker, as were the tests of reload and restart.

--- a/tests/cli/test_sender.py
+++ b/tests/cli/test_standalone.py
@@ -1,22 +1,17 @@
-"""A sender from its own file: its answers, its folder, a file that changes under it, and its log."""
+"""A sender from its own file: what clients may ask, its state directory, its file that changes, its log."""
 
 from __future__ import annotations
 
-import ast
 import fcntl
 import os
-import re
 import resource
 import signal
-import sys
-from collections.abc import Iterator
 from pathlib import Path
 
 import orjson
 import pytest
-from gevent import subprocess
 from support.standalone import RULES, TRACKS, Alone
-from support.world import ROOT, until
+from support.world import until
 
 from ashpath.server.storage.errors import StateDirectoryError
 from ashpath.server.storage.record_codec import MessageSubmitted, RecordReader, encode_fields
@@ -25,15 +20,8 @@
 from ashpath.server.timers import wall
 
 
-@pytest.fixture
-def alone(tmp_path: Path) -> Iterator[Alone]:
-    made = Alone(tmp_path)
-    yield made
-    made.stop()
-
-
-def test_ends_that_clients_ask_for(alone: Alone) -> None:
-    """Each state, over a kill too; what was never seen is not known."""
+def test_clients_ask_for_final_outcomes(alone: Alone) -> None:
+    """In each state, over a kill too; a message that was never submitted is not known."""
     alone.rest += '[notices]\nfile = "notices.jsonl"\n'
     alone.destinations[6] = 'endpoints = ["127.0.0.1:1"]'
     alone.write()
@@ -75,8 +63,8 @@
         assert alone.get(path) == status
 
 
-def test_a_file_that_changes_under_held_ones(alone: Alone) -> None:
-    """200 held: endpoints replaced, a destination removed with calls out, a track removed that is in use."""
+def test_reload_under_live_messages(alone: Alone) -> None:
+    """Of 200: endpoints replaced; a destination with attempts and a traffic class in use removed."""
     alone.destinations[5] = 'endpoints = ["127.0.0.1:1"]'  # nothing there: what is for it waits
     alone.destinations[4] = 'endpoints = ["127.0.0.1:1", "127.0.0.1:2"]'
     alone.write()
@@ -97,9 +85,9 @@
     taken, later = line.split("needs_restart=")
     assert "destinations.5.endpoints" in taken and "destinations.1.endpoints" in taken
     assert "limits.disk" in later and "tracks.free.repeat" in taken and "tracks" not in later
-    assert alone.submit("too late", "other", "200", 1) == 503  # not listed any more
+    assert alone.submit("too late", "other", "200", 1) == 503  # no longer listed
     assert alone.submit("new", "other", "200", 2) == 202
-    assert alone.submit("old", "free", "200", 2) == 400  # what was taken on under it keeps its terms
+    assert alone.submit("old", "free", "200", 2) == 400  # its messages keep its settings
     until(lambda: all(alone.attempt_count(f"w{number}") == 1 for number in range(198)))
     until(alone.ends("out", "completed"))
     until(alone.ends("out2", "completed"))
@@ -113,8 +101,8 @@
     assert {row["number"]: row["limit"] for row in alone.get("/destinations")["destinations"]}[4] == 2
 
 
-def test_a_track_that_is_gone_at_the_next_start(alone: Alone) -> None:
-    """Held ones keep the terms they were taken on under, whatever became of their track since."""
+def test_a_traffic_class_that_is_gone_at_the_next_start(alone: Alone) -> None:
+    """Live messages keep the settings they were accepted under, whatever became of their traffic class."""
     alone.destinations[5] = 'endpoints = ["127.0.0.1:1"]'
     alone.write()
     alone.start()
@@ -141,8 +129,8 @@
     assert names == ["tag", "once"], "numbers begin anew once nothing is held"
 
 
-def test_folders_of_others(alone: Alone, tmp_path: Path) -> None:
-    """Each is one line and exit code 2, and nothing in the folder changes."""
+def test_state_directories_of_others_are_refused_unchanged(alone: Alone, tmp_path: Path) -> None:
+    """Each is one line and exit code 2, and nothing in the directory changes."""
     alone.start()
     alone.destinations[0] = "endpoints = []"
     alone.write()
@@ -173,18 +161,20 @@
 
 
 def contents(folder: Path) -> dict[str, bytes]:
+    """The files of a directory."""
     return {path.name: path.read_bytes() for path in folder.iterdir()}
 
 
 def refused(alone: Alone, words: str) -> None:
+    """Asserts that the sender does not start, says why, and leaves the state directory as it is."""
     before = contents(alone.folder / "state")
     run = alone.run("serve", str(alone.file))
     assert run.returncode == 2 and run.stderr.count("\n") == 1 and words in run.stderr, run.stderr
     assert contents(alone.folder / "state") == before
 
 
-def test_full_disk_and_no_rights(alone: Alone, tmp_path: Path) -> None:
-    """At the start: one line, and what is held stays. Later: no shot unrecorded, and nothing new taken on."""
+def test_a_full_disk_and_no_rights_at_the_start(alone: Alone, tmp_path: Path) -> None:
+    """Each is one line, and live messages stay."""
     alone.start()
     assert alone.submit("kept", "once", "hang", 1) == 202
     until(lambda: alone.attempt_count("kept"))
@@ -211,8 +201,8 @@
     until(alone.ends("kept", "undeliverable"))
 
 
-def test_a_reader_that_does_not_read(alone: Alone) -> None:
-    """Standard output is full, then closed: service goes on, and the lines that were lost are counted."""
+def test_a_log_that_nobody_reads_holds_up_nothing(alone: Alone) -> None:
+    """Standard output is full, then closed: the sender serves on."""
     out, into = os.pipe()
     fcntl.fcntl(into, fcntl.F_SETPIPE_SZ, 4096)
     os.write(into, b"x" * 4096)
@@ -232,8 +222,8 @@
     assert alone.process.poll() is None
 
 
-def test_closed_streams(alone: Alone) -> None:
-    """Started with standard output closed: no file of the sender's may get its number."""
+def test_closed_standard_streams_are_opened_on_nothing(alone: Alone) -> None:
+    """No file of the sender may get the number of standard output."""
     alone.start(stdout=None, preexec_fn=lambda: os.closerange(0, 3))
     assert alone.submit("c", "once", "200", 1) == 202
     until(alone.ends("c", "completed"))
@@ -244,8 +234,8 @@
         assert list(reader) and not reader.fault
 
 
-def test_secrets_stay_out_of_lines(alone: Alone) -> None:
-    """A secret goes with calls and notices, never into a line; one that is missing is named, not shown."""
+def test_secrets_stay_out_of_the_log(alone: Alone) -> None:
+    """A secret goes with attempts and notifications, never into a line; a missing one is named, not shown."""
     alone.destinations[1] += '\nauthorization = { env = "ASHPATH_TEST_PASS" }'
     receiver = f"http://127.0.0.1:{alone.servers[1].server_port}/v1/notices"
     alone.rest += f'[notices]\naddress = "{receiver}"\nauthorization = {{ file = "pass" }}\n'
@@ -263,44 +253,3 @@
     log = (alone.folder / "log").read_text()
     assert "of-calls" not in log and "of-notices" not in log and "secret-body" not in log
     assert all(orjson.loads(line)["event"] for line in log.splitlines())
-
-
-def test_log_lines_page() -> None:
-    """Every event of the code is on the page with its fields, and no other is."""
-    page = (ROOT / "docs" / "log-lines.md").read_text()
-    table = {
-        name: set(re.findall(r"`(\w+)`", fields))
-        for name, _, fields in re.findall(r"^\| `([^`]+)` \| (\w+) \| ([^|]*) \|", page, re.M)
-    }
-    found: dict[str, set[str]] = {}
-    for path in [*(ROOT / "ashpath" / "server").rglob("*.py"), *(ROOT / "ashpath" / "cli").rglob("*.py")]:
-        for node in ast.walk(ast.parse(path.read_text())):
-            if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
-                continue
-            if node.func.attr not in ("debug", "info", "warning", "error", "exception") or not node.args:
-                continue
-            owner = ast.unparse(node.func.value)
-            if not owner.endswith(("log", "logger")):
-                continue
-            words = [node.args[0].value] if isinstance(node.args[0], ast.Constant) else NAMED[path.name]
-            fields = {keyword.arg or "" for keyword in node.keywords}
-            fields |= {"exception"} if node.func.attr == "exception" else set()
-            for word in words:
-                assert isinstance(word, str)
-                found[word] = found.get(word, set()) | fields
-    assert found == table
-
-
-# Events that are chosen as they are logged.
-NAMED = {"admission.py": ["write-ahead log full", "write-ahead log has space"]}
-
-
-def test_a_sender_imports_what_it_needs() -> None:
-    """Guards the platform's small machines: what a sender does not switch on it does not load."""
-    off = "'click', 'rich', 'tree_sitter', 'prometheus_client', 'gevent.pywsgi'"
-    forbidden = f"{{{off}, 'tomllib', 'ashpath.config', 'ashpath.server.storage.outcome_store'}}"
-    own = "{'tomllib', 'ashpath.config', 'ashpath.server.storage.outcome_store'}"
-    for module, allowed in (("ashpath.server.platform_deployment", "set()"), ("ashpath.cli.standalone", own)):
-        code = f"import sys, {module}; sys.exit(str(({forbidden} - {allowed}) & set(sys.modules) or ''))"
-        run = subprocess.run([sys.executable, "-c", code], stderr=subprocess.PIPE, cwd=ROOT)
-        assert run.stderr.strip() == b"", run.stderr
--- /dev/null
+++ b/tests/server/test_platform_deployment.py
@@ -0,0 +1,57 @@
+"""Starts under the platform's agent that its environment or its file does not allow."""
+
+from __future__ import annotations
+
+import sys
+
+import pytest
+from gevent import subprocess
+from support.world import World
+
+
+def test_a_start_that_fails_is_one_line(world: World) -> None:
+    variables = [
+        ("RELAY_STATE", ""),
+        ("RELAY_CONFIG", ""),
+        ("RELAY_CONFIG", "/nowhere"),
+        ("RELAY_LISTEN", "x"),
+    ]
+    for name, value in [*variables, ("", "{"), ("", "[]"), ("", '{"seed": "x"}')]:
+        environment = world.environment()
+        environment.pop(name, None)
+        if name and value:
+            environment[name] = value
+        elif value:
+            (world.folder / "config.json").write_text(value)
+        run = subprocess.run([sys.executable, "-m", "ashpath"], env=environment, capture_output=True)
+        errors = run.stderr.decode()
+        assert run.returncode != 0 and len(errors.splitlines()) == 1 and errors[:9] == "ashpath: ", errors
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "problem"),
+    [
+        ("RELAY_ACCEPT_FD", "seven", "RELAY_ACCEPT_FD is no open socket: 'seven'"),
+        ("RELAY_ACCEPT_FD", "250", "RELAY_ACCEPT_FD is no open socket: '250'"),  # not open
+        ("RELAY_CONTROL", "nowhere", "RELAY_CONTROL: 'nowhere' is no address with a port"),
+    ],
+)
+def test_an_invalid_variable_is_one_line_and_exit_2(
+    world: World, name: str, value: str, problem: str
+) -> None:
+    environment = {**world.environment(), name: value}
+    done = subprocess.run([sys.executable, "-m", "ashpath"], env=environment, capture_output=True, timeout=60)
+    assert done.returncode == 2 and done.stderr.decode().splitlines() == [f"ashpath: {problem}"]
+
+
+def test_an_address_that_cannot_be_read_is_reported_as_ever(world: World) -> None:
+    """Operators know the line: its text names no type of this program."""
+    config = world.folder / "config.json"
+    line = f"ashpath: cannot start from {config}: ValueError 'x' is no address with a port"
+    for name in ("RELAY_LISTEN", "RELAY_DISCOVERY"):
+        environment = {**world.environment(), name: "x"}
+        done = subprocess.run(
+            [sys.executable, "-m", "ashpath"], env=environment, capture_output=True, timeout=60
+        )
+        assert done.returncode == 2
+        assert done.stderr.decode().splitlines() == [line]
--- a/tests/server/test_reload.py
+++ b/tests/server/test_reload.py
@@ -1,4 +1,4 @@
-"""SIGHUP: the file is read again."""
+"""SIGHUP: the configuration is read again."""
 
 from __future__ import annotations
 
@@ -6,33 +6,46 @@
 import os
 import signal
 import sys
+from functools import partial
+from pathlib import Path
 
 import gevent
 from gevent import subprocess
+from support.server import address_of
 from support.world import World, until
 
 
-def test_sighup(world: World) -> None:
-    """The agent moves under load: watch and notices follow. What cannot be read changes nothing."""
+def said_again(log: Path, event: str, before: int) -> bool:
+    """Whether the log has the event more often than before."""
+    return log.read_text().count(event) > before
+
+
+def test_a_reload_moves_to_another_agent(world: World) -> None:
+    """Under load: watch and notifications follow. What cannot be read changes nothing."""
     world.start()
     assert world.process is not None
     log = world.folder / "log"
-    tracks = ({}, {"classes": [{"name": "x"}]}, {"classes": [{"name": "x", "deadline": 9, "repeat": "y"}]})
-    bad = [json.dumps(world.config | {"settings": settings}) for settings in tracks]
+    incomplete: list[dict[str, object]] = [
+        {},
+        {"classes": [{"name": "x"}]},
+        {"classes": [{"name": "x", "deadline": 9, "repeat": "y"}]},
+    ]
+    bad = [json.dumps(world.config | {"settings": settings}) for settings in incomplete]
     for text in ("{", "", '{"discovery": "nowhere"}', *bad):
         before = log.read_text().count("configuration not read")
         (world.folder / "config.json").write_text(text)
         world.process.send_signal(signal.SIGHUP)
-        until(lambda before=before: log.read_text().count("configuration not read") > before)
-    old, new = world.servers[1], world.servers[2]
-    world.config["discovery"] = f"127.0.0.1:{new.server_port}"
+        until(partial(said_again, log, "configuration not read", before))
+    old = world.servers[1]
+    new_agent = address_of(world.servers[2])
+    world.config["discovery"] = f"127.0.0.1:{new_agent[1]}"
     world.members[7]["host_port"] = "127.0.0.1:1"  # told by the new agent only, under a revision of the old
     world.configure()
     world.process.send_signal(signal.SIGHUP)
     until(lambda: log.read_text().count("configuration read") == 1)
     assert "settings applied" not in log.read_text()
     old.stop(timeout=0)
-    until(lambda: world.watches.get(new.server_port, 0) > 1)  # so the first list has been read
+    until(lambda: world.watches.get(new_agent[1], 0) > 1)  # so the first list has been read
     assert world.submit("h0", "once", "200", 7, 1500) == 202 and world.submit("h1", "free", "200", 1) == 202
     until(lambda: world.notified("h0") and world.attempt_count("h1"))
     assert world.process.poll() is None and not world.attempt_count("h0")
@@ -42,10 +55,7 @@
     until(lambda: world.notified("h2"))
 
 
-# The process.
-
-
-def test_a_hangup_before_the_sender_runs(world: World) -> None:
+def test_sighup_before_the_sender_runs(world: World) -> None:
     """Guards a start: SIGHUP would end a process that is put together, and the file may be new behind it."""
     path = world.folder / "config.json"
     text = path.read_text()
--- a/tests/server/test_restart.py
+++ b/tests/server/test_restart.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from functools import partial
 
 import gevent
 from gevent.server import StreamServer
@@ -14,12 +15,17 @@
 from ashpath.server.timers import wall
 
 
+def attempted(world: World, trace: str) -> bool:
+    """Whether a message has had its first attempt."""
+    return world.attempt_count(trace) == 1
+
+
 def test_over_a_kill(world: World) -> None:
     """Each kind of track with a shot out, one that was never sent, and two of one key."""
     world.start()
     for number, track in enumerate(("free", "tag", "once")):
         world.submit(f"k{number}", track, "hang 200", number)
-        until(lambda n=number: world.attempt_count(f"k{n}") == 1)
+        until(partial(attempted, world, f"k{number}"))
     world.submit("late", "tag", "hang", 5, time_left_ms=100)
     world.members[6]["host_port"] = "127.0.0.1:1"
     world.submit("first", "tag", "hang slow", 7, ordering_key="a")
--- /dev/null
+++ b/tests/server/test_settings_switch.py
@@ -0,0 +1,146 @@
+"""A switch of settings in a sender that runs, and what becomes of the messages that it has."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from functools import partial
+from itertools import product
+
+import pytest
+from gevent import subprocess
+from support.server import live, reload_configuration
+from support.world import SETTINGS, World, until
+
+from ashpath.server.storage.traffic_class_ids import TrafficClassIds
+
+# To switch to: other traffic classes, kinds and zones, zone costs, listed rates, gossip, no load reports.
+TRACK = {"deadline": 20000.0, "slo": 1000.0, "importance": 3.0, "window": 12000.0}
+LIMITS = {**SETTINGS["limits"], "max-open": 90, "may-tell": True}
+SWITCHED = {
+    **SETTINGS,
+    "limits": LIMITS,
+    "group-size": 3,
+    "rank": 1,
+    "classes": [
+        {"name": "label", "repeat": "dedup", "group": "all", **TRACK},
+        {"name": "once", "repeat": "fragile", **TRACK},
+    ],
+    "kinds": ["carrier", "plain"],
+    "zones": ["there", "here"],
+    "membership-mode": "ask",
+    "load-info": {"how": "none", "fields": []},
+    "weight-source": "rough",
+    "specifics": {"slots": 500, "kind-apart": [True, True], "carriage": [0.01, 0.04], "loses-worth": "line"},
+    "contract": {"drain-grace": 500.0, "ask-every": 10000.0, "cold-from": 0.2, "ramp-time": 9000.0},
+}
+# What a message is in as settings are switched: its name, body, first destination, and attempts in the end.
+STATES = (("queued", "200", 6, 1), ("in flight", "slow", 8, 1), ("retry", "503 200", 20, 2))
+
+
+def list_elsewhere(world: World, endpoint: int) -> None:
+    """Another agent lists an endpoint, of which nothing answered, at an address that answers."""
+    world.members[endpoint]["host_port"] = world.members[5]["host_port"]
+    reload_configuration(world, "configuration read", discovery=address_text(world, 2))
+
+
+def address_text(world: World, server: int) -> str:
+    """The address of one of the world's servers."""
+    return f"127.0.0.1:{world.servers[server].server_port}"
+
+
+def all_attempted(world: World, traces: list[str]) -> bool:
+    """Whether each has had an attempt."""
+    return all(world.attempt_count(trace) for trace in traces)
+
+
+def test_settings_switch_both_ways_with_messages_in_every_state(world: World) -> None:
+    """Queued, in flight, and waiting for a retry, twice each way: each is delivered as often as it may be."""
+    world.members[6]["host_port"] = "127.0.0.1:1"
+    world.configure()
+    world.start()
+    attempts: dict[str, int] = {}
+    for way, settings in enumerate((SWITCHED, SETTINGS, SWITCHED, SETTINGS)):
+        before, new = (
+            (["free", "tag", "once"], "label") if settings is SWITCHED else (["label", "once"], "free")
+        )
+        for number, (name, (state, body, to, count)) in enumerate(product(before, STATES)):
+            destination = to if state == "queued" else to + number
+            assert world.submit(f"{way}{state}{name}", name, body, destination) == 202
+            attempts[f"{way}{state}{name}"] = count
+        in_flight = [trace for trace in attempts if "in flight" in trace]
+        until(partial(all_attempted, world, in_flight))
+        reload_configuration(world, "settings applied", settings=settings)
+        assert world.submit(f"{way}new", new, "200", 1) == 202
+        assert world.submit("old", before[0], "200", 1) == 400
+        attempts[f"{way}new"] = 1
+    assert "max_in_flight=64 " in (world.folder / "log").read_text(), "as many as there are connections"
+    list_elsewhere(world, 6)
+    until(lambda: all(world.attempt_count(name) for name in attempts) and not live(world))
+    assert not world.notifications
+    assert {name: world.attempt_count(name) for name in attempts} == attempts
+
+
+def test_traffic_class_ids_of_a_switch_outlive_a_kill(world: World) -> None:
+    """The next incarnation reads them as the killed one gave them; where unwritten, nothing is switched."""
+    world.start()
+    assert world.submit("f", "free", "hang 200", 1) == world.submit("o", "once", "hang", 2) == 202
+    until(lambda: world.attempt_count("f") and world.attempt_count("o"))
+    state = world.folder / "state"
+    (state / "track-numbers.new").mkdir()
+    reload_configuration(world, "configuration not applied", settings=SWITCHED)
+    assert world.submit("l", "label", "200", 3) == 400
+    (state / "track-numbers.new").rmdir()
+    reload_configuration(world, "settings applied")
+    assert world.submit("l", "label", "hang 200", 3) == 202
+    until(lambda: world.attempt_count("l"))
+    world.kill()
+    assert [row["name"] for row in TrafficClassIds(state).read()] == ["free", "tag", "once", "label", "once"]
+    world.start()
+    until(
+        lambda: world.notified("o")
+        and world.attempt_count("f") == world.attempt_count("l") == 2
+        and not live(world)
+    )
+    assert world.notified("o") == ["undeliverable"]
+    assert world.attempt_count("o") == 1
+    assert len(world.notifications) == 1
+    world.kill(signal.SIGTERM)
+    world.start()  # no message is live: ids begin anew
+    assert not TrafficClassIds(state).read()
+    assert world.submit("x", "label", "200", 3) == 202
+    until(lambda: world.attempt_count("x") == 1)
+
+
+NO_ADDRESS = "metrics.listen: found {}, expected an address with a port"
+
+
+@pytest.mark.parametrize(
+    ("place", "value", "problem"),
+    [
+        ("metrics", {"listen": "nowhere"}, NO_ADDRESS.format({"listen": "nowhere"})),
+        ("metrics", "far", NO_ADDRESS.format("'far'")),
+        ("metrics", {"port": 9}, NO_ADDRESS.format({"port": 9})),
+        ("limits.max-open", "many", "settings.limits.max-open: expected `int | float | null`, got `str`"),
+        ("specifics.kind-apart", [7], "settings.specifics.kind-apart[0]: expected `bool | null`, got `int`"),
+        ("contract", [], "settings.contract: expected `object | null`, got `array`"),
+        ("classes", [{"deadline": 9}], "settings.classes[0]: object missing required field `repeat`"),
+        ("classes", [{"deadline": 9, "repeat": "x"}], "settings.classes[0].repeat: invalid enum value 'x'"),
+    ],
+)
+def test_invalid_settings_are_one_line_at_reload_and_at_start(
+    world: World, place: str, value: object, problem: str
+) -> None:
+    """It names the key, and at the start the file; at a reload the previous settings serve on."""
+    world.start()
+    table, _, key = place.partition(".")
+    world.config["settings"] = dict(SETTINGS)
+    changed = world.config if table == "metrics" else world.config["settings"]
+    changed[table] = {**SETTINGS[table], key: value} if key else value
+    reload_configuration(world, problem)
+    assert world.submit("a", "free", "200", 1) == 202
+    world.kill()
+    run = subprocess.run([sys.executable, "-m", "ashpath"], env=world.environment(), capture_output=True)
+    line = f"ashpath: cannot start from {world.folder}/config.json: {problem}"
+    assert run.returncode == 2
+    assert run.stderr.decode().splitlines() == [line]
--- a/tests/support/standalone.py
+++ b/tests/support/standalone.py
@@ -1,11 +1,11 @@
-"""A sender from its own file, among the stand-ins of `world`."""
+"""A sender from its own file, among the endpoints of `world`."""
 
 from __future__ import annotations
 
 import json
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from subprocess import PIPE
 from typing import Any
@@ -44,38 +44,67 @@
 """
 
 
+LOG_FILE = -100  # no descriptor: standard output goes to the log's file
+
+
 class Alone(World):
-    """`destinations` are the file's tables, each with the stand-in's address until a test changes them."""
+    """`destinations` are the file's tables, each with the endpoints' address until a test changes them."""
 
     def __init__(self, folder: Path, tracks: str = TRACKS, rest: str = RULES) -> None:
         super().__init__(folder)
-        self.file, self.tracks, self.rest = folder / "sender.toml", tracks, rest
+        self.file = folder / "sender.toml"
+        self.tracks = tracks
+        self.rest = rest
         self.endpoint_at = f"127.0.0.1:{self.servers[0].server_port}"
         self.destinations: dict[int, str] = dict.fromkeys(range(8), f'endpoints = ["{self.endpoint_at}"]')
         self.write()
 
     def write(self) -> None:
+        """Writes the file that the sender reads at its start and at SIGHUP."""
         listen = f'listen = "127.0.0.1:{self.address[1]}"'
         head = f'[sender]\nname = "n0"\n{listen}\nstate = "state"\nseed = "8c1f"\n'
         listed = "".join(f"\n[destinations.{n}]\n{text}\n" for n, text in self.destinations.items())
         self.file.write_text(head + self.tracks + self.rest + listed)
 
     def command(self, *words: str) -> list[str]:
+        """The command line of `ashpath`."""
         return [sys.executable, "-m", "ashpath.cli", *words]
 
-    def start(self, **more: Any) -> None:
+    def start(
+        self,
+        stdout: int | None = LOG_FILE,
+        env: Mapping[str, str] | None = None,
+        preexec_fn: Callable[[], object] | None = None,
+    ) -> None:
+        """Starts the sender, and waits until it serves. `stdout`: a descriptor; None: this process' own."""
         with (self.folder / "log").open("ab") as log:
-            given = {"stdout": log, "stderr": log, "stdin": subprocess.DEVNULL, "cwd": ROOT} | more
-            self.process = subprocess.Popen(self.command("serve", str(self.file)), **given)
+            self.process = subprocess.Popen(
+                self.command("serve", str(self.file)),
+                stdin=subprocess.DEVNULL,
+                stdout=log.fileno() if stdout == LOG_FILE else stdout,
+                stderr=log,
+                cwd=ROOT,
+                env=env,
+                preexec_fn=preexec_fn,
+            )
         until(lambda: self.response_status(encode_message(b"GET /health/ready HTTP/1.1", [], b"")) == 200)
 
-    def run(self, *words: str, **more: Any) -> subprocess.CompletedProcess[str]:
-        """To its end, while the stand-ins go on."""
-        pipes = {"stdout": PIPE, "stderr": PIPE, "text": True, "cwd": ROOT}
-        return subprocess.run(self.command(*words), **pipes, **more)
+    def run(
+        self, *words: str, input: str | None = None, preexec_fn: Callable[[], object] | None = None
+    ) -> subprocess.CompletedProcess[str]:
+        """Runs a command to its end, while the endpoints go on."""
+        return subprocess.run(
+            self.command(*words),
+            input=input,
+            stdout=PIPE,
+            stderr=PIPE,
+            text=True,
+            cwd=ROOT,
+            preexec_fn=preexec_fn,
+        )
 
     def reread(self) -> str:
-        """The line that says what was taken."""
+        """Sends SIGHUP; the line of the log that says what was applied, or why nothing was."""
         before = self.lines("configuration ")
         assert self.process is not None
         self.process.send_signal(signal.SIGHUP)
@@ -83,20 +112,24 @@
         return self.lines("configuration ")[-1]
 
     def lines(self, words: str) -> list[str]:
+        """Those of the log that have the words."""
         return [line for line in (self.folder / "log").read_text().splitlines() if words in line]
 
     def get(self, path: str) -> Any:
-        wire = self.connect()
-        assert wire is not None
-        wire.write(encode_message(b"GET %s HTTP/1.1" % path.encode(), [], b""))
-        answer = wire.read_response()
-        body = wire.finish_response().body if answer.status == 200 else answer.body
-        wire.close()
-        return json.loads(body) if answer.status == 200 else answer.status
+        """The decoded body of a 200; of another response its status."""
+        connection = self.connect()
+        assert connection is not None
+        connection.write(encode_message(b"GET %s HTTP/1.1" % path.encode(), [], b""))
+        response = connection.read_response()
+        body = connection.finish_response().body if response.status == 200 else response.body
+        connection.close()
+        return json.loads(body) if response.status == 200 else response.status
 
     def state(self, trace: str) -> str:
+        """The state of a message, as clients are told it."""
         found = self.get(f"/envelopes/{trace}")
-        return "unknown" if isinstance(found, int) else found["state"]
+        return "unknown" if isinstance(found, int) else str(found["state"])
 
     def ends(self, trace: str, state: str) -> Callable[[], bool]:
+        """A condition to wait for: that the message is in the state."""
         return lambda: self.state(trace) == state
