--- a/tests/server/storage/test_stored_data.py
+++ b/tests/server/storage/test_stored_data.py
@@ -26,31 +26,37 @@
 LARGEST = (1 << 48) - 1  # of an order key
 
 
-def journal_of(name: str, folder: Path) -> list[StoredMessage]:
-    """The live entries, in their order, as a process finds them at its start."""
-    ledger = WriteAheadLog(copy_of(name, folder), DISK)
-    ledger.close()
-    return list(ledger.messages.live.values())
+def messages_of(name: str, directory: Path) -> list[StoredMessage]:
+    """The live messages, in their order, as a process finds them at its start."""
+    log = WriteAheadLog(copy_of(name, directory), DISK)
+    log.close()
+    return list(log.messages.live.values())
 
 
-def fields(entry: StoredMessage) -> tuple[Any, ...]:
+def fields(message: StoredMessage) -> tuple[Any, ...]:
     return (
         (
-            entry.message_id,
-            entry.trace_id,
-            entry.traffic_class,
-            entry.destination,
-            entry.ordering_key,
-            entry.idempotency_key,
+            message.message_id,
+            message.trace_id,
+            message.traffic_class,
+            message.destination,
+            message.ordering_key,
+            message.idempotency_key,
         ),
-        (entry.deadline, entry.body, entry.attempts),
-        (entry.first_run_at, entry.first_run_endpoint, entry.in_flight_since, entry.in_flight_endpoint),
-        (entry.notice, entry.finished),
+        (message.deadline, message.body, message.attempts),
+        (
+            message.first_run_at,
+            message.first_run_endpoint,
+            message.in_flight_since,
+            message.in_flight_endpoint,
+        ),
+        (message.notice, message.finished),
     )
 
 
-# Of each message: number, id, track, destination, order key, tag; deadline, body, attempts; when and where
-# the first attempt that may have run began, and the one in flight; the notice owed, and whether it ended.
+# Of each message: id, trace id, traffic class, destination, ordering key, idempotency key; deadline, body,
+# attempts; start and endpoint of the first attempt that may have run, and of the one in flight; the notice
+# that is owed, and whether it is finished.
 NEVER = (None, "", None, "")
 BOTH = (THEN + 5, "e6", THEN + 6, "e6-ü")
 LIVE = (None, False)
@@ -67,7 +73,7 @@
         ((8, "p-bytes", 1, 3, 0, 'tag "quoted" \\'), (FAR + 8, ALL_BYTES, 0), NEVER, LIVE),
         ((9, "p-empty", 1, 3, 0, None), (FAR + 9, b"", 0), NEVER, LIVE),
         ((10, "p-deferred", 0, 1, None, None), (FAR + 10, b"200", 0), NEVER, (DEFERRED, True)),
-        # Adopted from the process that is gone; the numbers are those of this process, behind its own.
+        # Adopted from the process that is gone; the ids are those of this process, behind its own.
         ((12, "p-orphan-waiting", 1, 3, LARGEST, "tag-orphan"), (FAR + 1, "hé".encode(), 0), NEVER, LIVE),
         ((13, "p-orphan-out", 2, 10, None, None), (FAR + 2, b"200", 1), (None, "", THEN + 20, "e10"), LIVE),
     ],
@@ -82,33 +88,37 @@
         ((3, "t-3", 0, 3, None, None), (FAR, b"body 3", 0), NEVER, LIVE),
     ],
 }
-PLACES_OF_MESSAGES = [(name, place) for name, messages in MESSAGES.items() for place in range(len(messages))]
+INDEXES = [(name, index) for name, messages in MESSAGES.items() for index in range(len(messages))]
 
 
-@pytest.mark.parametrize(("name", "place"), PLACES_OF_MESSAGES)
-def test_every_field_of_a_message(tmp_path: Path, name: str, place: int) -> None:
-    assert fields(journal_of(name, tmp_path)[place]) == MESSAGES[name][place]
+@pytest.mark.parametrize(("name", "index"), INDEXES)
+def test_every_field_of_a_message(tmp_path: Path, name: str, index: int) -> None:
+    assert fields(messages_of(name, tmp_path)[index]) == MESSAGES[name][index]
 
 
 @pytest.mark.parametrize("name", MESSAGES)
 def test_messages_in_the_order_they_were_accepted(tmp_path: Path, name: str) -> None:
     """Those that were delivered, and the second copy of one held twice, are not among them."""
-    assert [entry.trace_id for entry in journal_of(name, tmp_path)] == [row[0][1] for row in MESSAGES[name]]
+    assert [message.trace_id for message in messages_of(name, tmp_path)] == [
+        row[0][1] for row in MESSAGES[name]
+    ]
 
 
 @pytest.mark.parametrize("name", MESSAGES)
-def test_the_same_messages_from_the_journal_written_anew(tmp_path: Path, name: str) -> None:
-    before = journal_of(name, tmp_path)
+def test_the_same_messages_from_the_rewritten_log(tmp_path: Path, name: str) -> None:
+    before = messages_of(name, tmp_path)
     again = WriteAheadLog(tmp_path / name, DISK)
     again.close()
-    assert [fields(entry) for entry in again.messages.live.values()] == [fields(entry) for entry in before]
+    assert [fields(message) for message in again.messages.live.values()] == [
+        fields(message) for message in before
+    ]
 
 
-def test_an_adopted_journal_is_removed(tmp_path: Path) -> None:
-    folder = copy_of("platform", tmp_path)
-    assert len(list(folder.glob("journal-*"))) == 2  # the journal of the process that is gone, and its lock
-    WriteAheadLog(folder, DISK).close()
-    assert sorted(path.name for path in folder.glob("journal*")) == ["journal", "journal.lock"]
+def test_an_adopted_log_is_removed(tmp_path: Path) -> None:
+    directory = copy_of("platform", tmp_path)
+    assert len(list(directory.glob("journal-*"))) == 2  # the log of the process that is gone, and its lock
+    WriteAheadLog(directory, DISK).close()
+    assert sorted(path.name for path in directory.glob("journal*")) == ["journal", "journal.lock"]
 
 
 AFTER_TWO_ATTEMPTS = ["ended", "shot", "outcome", "ended", "shot"]
@@ -138,17 +148,17 @@
     assert [outage.slow_start_end for outage in outages.outages.values()] == [None, FAR, THEN + 1]
 
 
-def test_endpoints_held_by_operators(tmp_path: Path) -> None:
+def test_endpoints_detached_by_operators(tmp_path: Path) -> None:
     assert DetachedEndpoints(copy_of("platform", tmp_path), no_errors()).read() == {"e3", "e-ü", "gone"}
 
 
-def test_tracks_by_number_after_a_switch(tmp_path: Path) -> None:
+def test_traffic_classes_by_id_after_a_switch(tmp_path: Path) -> None:
     common = {"slo": 2000.0, "window": 20000.0, "importance": 1.0}
     free = {"name": "free", "deadline": 30000.0, "repeat": "retryable", "one-at-a-time": False, **common}
     tag = {"name": "tag", "deadline": 30000.0, "repeat": "dedup", "one-at-a-time": True, **common}
     once = {"name": "once", "deadline": 30000.0, "repeat": "fragile", "one-at-a-time": False, **common}
-    tracks = TrafficClassIds(copy_of("platform", tmp_path)).read()
-    assert tracks == [free, tag, once, {**tag, "deadline": 45000.5}]
+    traffic_classes = TrafficClassIds(copy_of("platform", tmp_path)).read()
+    assert traffic_classes == [free, tag, once, {**tag, "deadline": 45000.5}]
 
 
 NOTICES = [
@@ -175,14 +185,14 @@
 
 
 def test_the_imprint_is_accepted(tmp_path: Path) -> None:
-    """The tracks that it names are those of the sender's file: no number changes its meaning."""
-    folder = StateDirectory(copy_of("standalone", tmp_path), "relay-1")
-    folder.close()
+    """The traffic classes that it names are those of the sender's file: no id changes its meaning."""
+    directory = StateDirectory(copy_of("standalone", tmp_path), "relay-1")
+    directory.close()
     assert (
-        folder.traffic_classes
+        directory.traffic_classes
         == FileConfiguration.read(STORED / "sender.toml").sender.settings.document["classes"]
     )
-    assert [(row["name"], row["repeat"], row["deadline"]) for row in folder.traffic_classes] == [
+    assert [(row["name"], row["repeat"], row["deadline"]) for row in directory.traffic_classes] == [
         ("free", "retryable", 30000.0),
         ("tag", "dedup", 30000.0),
         ("once", "fragile", 45000.0),
@@ -190,9 +200,9 @@
 
 
 def test_messages_held_beside_the_imprint(tmp_path: Path) -> None:
-    folder = StateDirectory(copy_of("standalone", tmp_path), "relay-1")
-    folder.close()
-    assert folder.live_messages() == len(MESSAGES["standalone"])
+    directory = StateDirectory(copy_of("standalone", tmp_path), "relay-1")
+    directory.close()
+    assert directory.live_messages() == len(MESSAGES["standalone"])
 
 
 def test_the_imprint_of_another_sender_is_refused(tmp_path: Path) -> None:
@@ -200,7 +210,7 @@
         StateDirectory(copy_of("standalone", tmp_path), "relay-2")
 
 
-ENDS = {
+OUTCOMES = {
     "s-first": FinalOutcome("completed", FAR, 0),
     "s-second": FinalOutcome("undeliverable", FAR + 2, 0),  # stands behind a line that was cut off
     "s-third": FinalOutcome("withdrawn", FAR + 3, 0),
@@ -211,8 +221,8 @@
 }
 
 
-def test_ends_of_messages(tmp_path: Path) -> None:
-    ends = OutcomeStore(copy_of("standalone", tmp_path), DISK, 60_000_000, no_errors())
-    ends.close()
-    assert {trace_id: ends.get(trace_id) for trace_id in ends.trace_ids()} == ENDS
-    assert ends.trace_ids() == list(ENDS)
+def test_final_outcomes_of_messages(tmp_path: Path) -> None:
+    store = OutcomeStore(copy_of("standalone", tmp_path), DISK, 60_000_000, no_errors())
+    store.close()
+    assert {trace_id: store.get(trace_id) for trace_id in store.trace_ids()} == OUTCOMES
+    assert store.trace_ids() == list(OUTCOMES)
--- a/tests/server/storage/test_stored_data_at_start.py
+++ b/tests/server/storage/test_stored_data_at_start.py
@@ -33,17 +33,17 @@
     assert told == {**lost, "p-deferred": ("deferred", 500)}
     assert set(world.attempts) == {"p-waiting", "p-ran", "p-ran-and-out"}
     waiting = ["p-bytes", "p-empty", "p-orphan-waiting"]  # for the endpoint that an operator holds
-    until(lambda: [entry.trace_id for entry in live_entries(world)] == waiting)
+    until(lambda: [message.trace_id for message in live_messages(world)] == waiting)
 
 
-def live_entries(world: World) -> list[StoredMessage]:
+def live_messages(world: World) -> list[StoredMessage]:
     """What the running sender's journal holds, read from a copy."""
     copied = world.folder / f"copy-{len(list(world.folder.iterdir()))}"
     copied.mkdir()
     shutil.copy(world.folder / "state" / "journal", copied)
-    ledger = WriteAheadLog(copied, 1 << 20)
-    ledger.close()
-    return list(ledger.messages.live.values())
+    log = WriteAheadLog(copied, 1 << 20)
+    log.close()
+    return list(log.messages.live.values())
 
 
 def test_a_standalone_sender_answers_for_the_ends(tmp_path: Path) -> None:
--- a/tests/server/storage/test_stored_data_written.py
+++ b/tests/server/storage/test_stored_data_written.py
@@ -14,8 +14,7 @@
 from support.stored_data import DISK, FAR, STORED, THEN
 
 from ashpath.cli.standalone_deployment import FileConfiguration
-from ashpath.server.storage import outage_store as outages
-from ashpath.server.storage import outcome_store as ends
+from ashpath.server.storage import outage_store, outcome_store
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.final_state import FinalState
 from ashpath.server.storage.shared_memory import SharedMemory
@@ -27,31 +26,31 @@
 PLATFORM, STANDALONE = STORED / "platform", STORED / "standalone"
 
 
-def test_journal(tmp_path: Path) -> None:
+def test_log(tmp_path: Path) -> None:
     """The stored one lacks the last five bytes."""
-    ledger = WriteAheadLog(tmp_path, DISK)
-    entries = [StoredMessage(n, f"t-{n}", 0, n, None, None, FAR, b"body %d" % n) for n in (1, 2, 3)]
-    for entry in entries:
-        ledger.record_submitted(entry)
-    ledger.record_attempt(entries[1], THEN, "e2")
-    ledger.record_outcome(entries[1], may_have_run=True)
-    ledger.close()
+    log = WriteAheadLog(tmp_path, DISK)
+    messages = [StoredMessage(n, f"t-{n}", 0, n, None, None, FAR, b"body %d" % n) for n in (1, 2, 3)]
+    for message in messages:
+        log.record_submitted(message)
+    log.record_attempt(messages[1], THEN, "e2")
+    log.record_outcome(messages[1], may_have_run=True)
+    log.close()
     assert (tmp_path / "journal").read_bytes()[:-5] == (STORED / "torn" / "journal").read_bytes()
 
 
-def test_journal_of_a_message_that_is_over(tmp_path: Path) -> None:
-    ledger = WriteAheadLog(tmp_path, DISK)
-    entry = StoredMessage(11, "p-told", 0, 1, None, None, FAR + 11, b"200")
-    ledger.record_submitted(entry)
-    ledger.record_finished(entry, '{"id":"p-told","status":"undeliverable"}')
-    ledger.record_finished(entry)
-    ledger.close()
+def test_log_of_a_message_that_is_finished(tmp_path: Path) -> None:
+    log = WriteAheadLog(tmp_path, DISK)
+    message = StoredMessage(11, "p-told", 0, 1, None, None, FAR + 11, b"200")
+    log.record_submitted(message)
+    log.record_finished(message, '{"id":"p-told","status":"undeliverable"}')
+    log.record_finished(message)
+    log.close()
     written = (tmp_path / "journal").read_bytes()
     assert (PLATFORM / "journal").read_bytes().endswith(written)
 
 
-def test_journal_written_anew(tmp_path: Path) -> None:
-    """The stored one was written anew once, then its process appended to it."""
+def test_rewritten_log(tmp_path: Path) -> None:
+    """The stored one was rewritten once, then its process appended to it."""
     path = tmp_path / "journal"
     path.write_bytes((PLATFORM / "journal").read_bytes())
     WriteAheadLog(tmp_path, DISK).close()
@@ -62,22 +61,22 @@
     assert (PLATFORM / "journal").read_bytes()[:unchanged] == first[:unchanged]
 
 
-def test_board(tmp_path: Path) -> None:
-    board = SharedMemory(tmp_path, 1)
-    board.publish_retry_after(30, "", FAR + 1)
-    board.publish_retry_after(31, "e31", FAR)
-    board.publish_retry_after(31, "e31", FAR + 2)
-    board.publish_retry_after(32, "é" * 21 + "x", FAR + 3)
-    board.publish_retry_after(33, "e" * 44, FAR + 4)
-    board.publish_retry_after(34, "ended", THEN)
-    board.publish_detached_change()
-    board.close()
+def test_shared_memory(tmp_path: Path) -> None:
+    memory = SharedMemory(tmp_path, 1)
+    memory.publish_retry_after(30, "", FAR + 1)
+    memory.publish_retry_after(31, "e31", FAR)
+    memory.publish_retry_after(31, "e31", FAR + 2)
+    memory.publish_retry_after(32, "é" * 21 + "x", FAR + 3)
+    memory.publish_retry_after(33, "e" * 44, FAR + 4)
+    memory.publish_retry_after(34, "ended", THEN)
+    memory.publish_detached_change()
+    memory.close()
     assert (tmp_path / "board-0").read_bytes() == (PLATFORM / "board-0").read_bytes()
 
 
 def test_outages(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(outages, "wall", lambda: THEN)
-    written = outages.OutageStore(tmp_path, no_errors())
+    monkeypatch.setattr(outage_store, "wall", lambda: THEN)
+    written = outage_store.OutageStore(tmp_path, no_errors())
     written.outage_began(20, "", 12.5)
     for endpoint, destination, rate, ramp in (("e21-é", 21, 0.1, FAR - THEN), ("e22", 22, 3.0, 1)):
         written.outage_began(destination, endpoint, rate)
@@ -85,13 +84,13 @@
     assert (tmp_path / "outages").read_bytes() == (PLATFORM / "outages").read_bytes()
 
 
-def test_endpoints_held_by_operators(tmp_path: Path) -> None:
+def test_endpoints_detached_by_operators(tmp_path: Path) -> None:
     for endpoint in ("e3", "e-ü", "gone"):
         DetachedEndpoints(tmp_path, no_errors()).change(endpoint, detached=True)
     assert (tmp_path / "held-endpoints").read_bytes() == (PLATFORM / "held-endpoints").read_bytes()
 
 
-def test_track_numbers(tmp_path: Path) -> None:
+def test_traffic_class_ids(tmp_path: Path) -> None:
     TrafficClassIds(tmp_path).write(TrafficClassIds(PLATFORM).read())
     assert (tmp_path / "track-numbers").read_bytes() == (PLATFORM / "track-numbers").read_bytes()
 
@@ -104,13 +103,13 @@
     assert (tmp_path / "lock").read_bytes() == b"%d\n" % os.getpid()
 
 
-def test_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_final_outcomes(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """The same lines, in one file, as the stored two have between those that were cut off."""
     stored = (STANDALONE / "ends.old").read_bytes() + (STANDALONE / "ends").read_bytes()
     lines = [line for line in stored.splitlines(keepends=True) if line.endswith(b"]\n")]
-    written = ends.OutcomeStore(tmp_path, DISK, 60_000_000, no_errors())
-    for trace, state, at, come_back in map(orjson.loads, lines):
-        monkeypatch.setattr(ends, "wall", lambda at=at: at)
-        written.add(trace, FinalState(state), come_back)
+    written = outcome_store.OutcomeStore(tmp_path, DISK, 60_000_000, no_errors())
+    for trace_id, state, at, retry_after in map(orjson.loads, lines):
+        monkeypatch.setattr(outcome_store, "wall", lambda at=at: at)
+        written.add(trace_id, FinalState(state), retry_after)
     written.close()
     assert (tmp_path / "ends").read_bytes() == b"".join(lines)
