--- a/ashpath/cli/simulation_report.py
+++ b/ashpath/cli/simulation_report.py
@@ -16,7 +16,7 @@
 
     Before the row stand the windows, where there is one run; behind it the losses of the first run.
     """
-    print(f"{played.name}: {played.scenario.day.lesson} (simulated)")
+    print(f"{played.name}: {played.scenario.about.lesson} (simulated)")
     first = played.runs[0]
     if windows and len(played.runs) == 1:
         print_rows(first.result["windows"], as_json=False)
--- a/ashpath/emulator/arrivals.py
+++ b/ashpath/emulator/arrivals.py
@@ -38,17 +38,17 @@
         """Of the traffic; changed by faults."""
         self._shares = shares
         self._random = Random(f"{seed} clients")
-        self._clump_size = scenario.clients.clump
-        self._ordering_keys = scenario.clients.keys
+        self._clump_size = scenario.clients.clump_size
+        self._ordering_keys = scenario.clients.ordering_keys
         self._spans: list[TimedSpan] = []
         begins = 0
         for span in scenario.spans:
             ends = begins + simulated_span_length(span)
             self._spans.append(TimedSpan(begins, ends, span))
             begins = ends
-        names = list(scenario.tracks)
-        self._traffic_classes = [names.index(name) for name in scenario.clients.mix]
-        self._mix = list(accumulate(scenario.clients.mix.values()))
+        names = list(scenario.traffic_classes)
+        self._traffic_classes = [names.index(name) for name in scenario.clients.traffic_class_shares]
+        self._mix = list(accumulate(scenario.clients.traffic_class_shares.values()))
 
     def span(self, now: int) -> int:
         """The index of the present span."""
@@ -57,7 +57,7 @@
     def rate(self, now: int) -> float:
         """Requests a second."""
         begins, ends, span = self._spans[self.span(now)]
-        to = span.rate if span.to < 0 else span.to
+        to = span.rate if span.end_rate < 0 else span.end_rate
         return (span.rate + (to - span.rate) * (now - begins) / (ends - begins)) * self.factor
 
     def gap(self, now: int) -> int | None:
--- a/ashpath/emulator/baselines/limits.py
+++ b/ashpath/emulator/baselines/limits.py
@@ -16,8 +16,8 @@
 MOST_DOUBLINGS = 10
 BREAKER_FAILURES = 5  # in a row, until the circuit breaker opens
 BREAKER_COOLDOWN = 5 * SECOND
-GRADIENT_SMOOTHING = 0.02  # of the usual time
-GRADIENT_TOLERANCE = 1.5  # times the usual time that is not yet slow
+GRADIENT_SMOOTHING = 0.02  # of the long-run time
+GRADIENT_TOLERANCE = 1.5  # times the long-run time that is not yet slow
 LEAST_GRADIENT = 0.5
 LIMIT_SMOOTHING = 0.2
 FAILURE_FACTOR = 0.9  # of the limit, after a failure
@@ -70,7 +70,7 @@
 class Gradient(Baseline):
     """A concurrency limit that follows the gradient of response times, after Netflix's description.
 
-    The usual time over the present one, from a half to one, times the limit, plus a queue of its root.
+    The long-run time over the present one, from a half to one, times the limit, plus a queue of its root.
     """
 
     def admits(self, destination: DestinationState) -> bool:
@@ -82,11 +82,13 @@
         if outcome is not AttemptOutcome.DELIVERED:
             destination.limit = max(1.0, FAILURE_FACTOR * destination.limit)
             return
-        usual = destination.usual_time
-        destination.usual_time = took if not usual else usual + GRADIENT_SMOOTHING * (took - usual)
+        long_run = destination.long_run_time
+        destination.long_run_time = (
+            took if not long_run else long_run + GRADIENT_SMOOTHING * (took - long_run)
+        )
         if 2 * destination.in_flight < destination.limit:
             return  # the limit was not what held it
-        gradient = GRADIENT_TOLERANCE * destination.usual_time / max(1, took)
+        gradient = GRADIENT_TOLERANCE * destination.long_run_time / max(1, took)
         gradient = max(LEAST_GRADIENT, min(1.0, gradient))
         wanted = destination.limit * gradient + max(1.0, destination.limit**0.5)
         most = 3 * self.settings.max_in_flight / 4
--- a/ashpath/emulator/baselines/oracle.py
+++ b/ashpath/emulator/baselines/oracle.py
@@ -54,12 +54,14 @@
         mine = self.sent_in_batch.get(number, 0)
         on_the_way = self.view.calls_on_the_way(number) + mine
         speed = model.speed(self.now)
-        endpoints = 1 if properties.shared else max(1, len(model.endpoints))
+        endpoints = 1 if properties.shares_workers else max(1, len(model.endpoints))
         workers = properties.workers * endpoints * min(1.0, SLOW_START_FACTOR * speed)
         if self.view.calls_in_flight(number) + mine >= max(1.0, workers) + endpoints:
             return False
         if speed < 1:
-            allowed = properties.fall_multiple * model.capacity * speed * properties.fall_time / SECOND
+            allowed = (
+                properties.overload_multiple * model.capacity * speed * properties.overload_duration / SECOND
+            )
             recent = self.view.recent_recovery_calls(number) + on_the_way
             if recent >= COLLAPSE_SHARE * allowed:
                 return False
--- a/ashpath/emulator/baselines/state.py
+++ b/ashpath/emulator/baselines/state.py
@@ -62,5 +62,5 @@
         self.paused_until = 0  # by the policy itself: a backoff, an open circuit breaker
         self.failures = 0  # in a row
         self.limit = 1.0
-        self.usual_time = 0.0  # microseconds of a call, over the long run
+        self.long_run_time = 0.0  # microseconds of a call, over the long run
         self.next_check = 0
--- a/ashpath/emulator/demo/clients.py
+++ b/ashpath/emulator/demo/clients.py
@@ -20,7 +20,7 @@
 from ashpath.server.limits import ServerLimits
 
 CLIENT_CONNECTIONS = 20
-PATIENCE_S = 2.0  # for an answer
+RESPONSE_TIMEOUT_S = 2.0  # for an answer
 IDEMPOTENT_CLASS = "check-status"
 DEDUPLICATED_CLASS = "check-result"
 DEADLINES_MS = {IDEMPOTENT_CLASS: b"8000", DEDUPLICATED_CLASS: b"10000"}
@@ -46,7 +46,7 @@
         self._random = random
         self._rate = rate  # messages a second
         self._accepted: set[str] = set()
-        self._client = HttpClient(address, limits, PATIENCE_S, CLIENT_CONNECTIONS)
+        self._client = HttpClient(address, limits, RESPONSE_TIMEOUT_S, CLIENT_CONNECTIONS)
         self._receiver = NoticeReceiver(self, limits)
         self.notice_address = self._receiver.address
 
--- a/ashpath/emulator/demo/destinations.py
+++ b/ashpath/emulator/demo/destinations.py
@@ -41,11 +41,16 @@
 def plan_destinations(seconds: float) -> list[DestinationPlan]:
     """A bank with a rate limit, a slow letting office, and a landlord app that recovers slowly."""
     limited = DestinationProperties(
-        workers=16, shared=True, service=(60_000,), rate=14.0, wait=SECOND // 5, reports=True
+        workers=16,
+        shares_workers=True,
+        service_times=(60_000,),
+        rate_limit=14.0,
+        retry_after=SECOND // 5,
+        sends_load_reports=True,
     )
-    slow = DestinationProperties(workers=5, service=(400_000,), spread=0.5)
+    slow = DestinationProperties(workers=5, service_times=(400_000,), service_time_sigma=0.5)
     cold = DestinationProperties(
-        workers=4, service=(80_000,), ramp=round(seconds * SECOND * SLOW_START_SHARE)
+        workers=4, service_times=(80_000,), slow_start_time=round(seconds * SECOND * SLOW_START_SHARE)
     )
     return [
         DestinationPlan("bank", 0.45, 2, limited),
--- a/ashpath/emulator/demo/run.py
+++ b/ashpath/emulator/demo/run.py
@@ -23,8 +23,8 @@
 RATE = 40.0  # messages a second
 TAIL_S = 14.0  # after the last message, by which each must have its end: over the longest deadline
 DESCRIPTORS = 4096
-STAND_IN_PATIENCE_S = 60.0
-START_PATIENCE_S = 15.0
+REQUEST_TIMEOUT_S = 60.0
+START_TIMEOUT_S = 15.0
 OUTAGE_BEGINS = 3 / 10  # of the time of arrivals
 OUTAGE_ENDS = 11 / 20
 TABLE_INTERVAL_S = 0.5
@@ -64,7 +64,7 @@
         self.restarts = 0
         self._kill = kill
         self._clock = RunClock()
-        limits = stand_in_limits(DESCRIPTORS, STAND_IN_PATIENCE_S)
+        limits = stand_in_limits(DESCRIPTORS, REQUEST_TIMEOUT_S)
         random = Random(seed)
         self.destinations: list[DemoDestination] = [
             start_destination(number, plan, random, limits, self._clock)
@@ -105,7 +105,7 @@
 
     def _start_sender(self) -> None:
         self._sender.start()
-        self._sender.wait_until_ready(START_PATIENCE_S)
+        self._sender.wait_until_ready(START_TIMEOUT_S)
 
     def _restart_sender(self) -> None:
         """Killed without a graceful shutdown, and started again on its write-ahead log."""
--- a/ashpath/emulator/destination/model.py
+++ b/ashpath/emulator/destination/model.py
@@ -59,23 +59,25 @@
             self.add_endpoint(endpoint)
         self.keys: OrderedDict[str, int] = OrderedDict()  # until when each is remembered
         self.tallies: dict[str, RequestTally] = {}
-        self.faults = ActiveFaults(properties.errors, properties.errors_after)
+        self.faults = ActiveFaults(properties.error_share, properties.error_after_effect_share)
         self.rate_limit = DestinationRateLimit(properties, self.faults, random)
         self.recovered_at = -NEVER  # when the latest outage ended
         self.collapsed_until = -NEVER
         self.collapses = 0
         self._recovery_calls: deque[int] = deque()  # arrivals over the latest fall_time, in slow start
-        mean = sum(properties.service) / len(properties.service)
-        self.capacity = properties.workers * SECOND / mean * (1 if properties.shared else len(endpoints))
-        if properties.rate:
-            self.capacity = min(self.capacity, properties.rate)
+        mean = sum(properties.service_times) / len(properties.service_times)
+        self.capacity = (
+            properties.workers * SECOND / mean * (1 if properties.shares_workers else len(endpoints))
+        )
+        if properties.rate_limit:
+            self.capacity = min(self.capacity, properties.rate_limit)
 
     # Endpoints come and go.
 
     def add_endpoint(self, endpoint: str) -> None:
         """A new endpoint, with workers of its own unless they are shared."""
         properties = self.properties
-        workers = self._shared_workers if properties.shared else [0] * properties.workers
+        workers = self._shared_workers if properties.shares_workers else [0] * properties.workers
         self.endpoints[endpoint] = EndpointState(workers)
 
     def remove_endpoint(self, endpoint: str) -> None:
@@ -108,9 +110,12 @@
         """Its present share of its full speed, as of the recovery ramp."""
         since = now - self.recovered_at
         properties = self.properties
-        if since >= properties.ramp:
+        if since >= properties.slow_start_time:
             return 1.0
-        return properties.cold_share + (1 - properties.cold_share) * max(0, since) / properties.ramp
+        return (
+            properties.slow_start_share
+            + (1 - properties.slow_start_share) * max(0, since) / properties.slow_start_time
+        )
 
     # Calls.
 
@@ -122,9 +127,9 @@
         if state is None or self.faults.down:
             return DestinationCall(CallResult.REFUSED)
         call = DestinationCall(CallResult.NO_RESPONSE, NEVER, tally=self._count(request), idempotency_key=key)
-        in_slow_start = now < self.recovered_at + self.properties.ramp
+        in_slow_start = now < self.recovered_at + self.properties.slow_start_time
         if in_slow_start and self._causes_collapse(now):
-            self.collapsed_until = now + self.properties.fall_down
+            self.collapsed_until = now + self.properties.collapse_time
             self.recovered_at = self.collapsed_until
             self.collapses += 1
         if self.faults.silent or now < self.collapsed_until:
@@ -143,7 +148,7 @@
         if in_slow_start:
             service_time /= self.speed(now)
         if new_connection:
-            service_time += self.properties.connect_work
+            service_time += self.properties.connection_setup_time
         self._run(now, state, call, service_time)
         if self.faults.any_share:
             self._fail_after_start(draw - self.faults.error_share, call)
@@ -155,7 +160,7 @@
         if tally is None:
             return
         tally.in_flight -= 1
-        if not self.properties.runs_on and call.starts_at > now:
+        if not self.properties.completes_abandoned_calls and call.starts_at > now:
             self._undo_effect(call)
         if not self.keeps_tallies and not tally.in_flight:
             self.tallies.pop(request, None)
@@ -172,13 +177,13 @@
     def _is_rejected(self, now: int, state: EndpointState, call: DestinationCall) -> bool:
         """Whether the call is above the rate limit or finds the queue full; then it has its answer."""
         rejecting = self.faults.rejecting
-        if rejecting or (self.properties.rate and not self.rate_limit.admit(now)):
+        if rejecting or (self.properties.rate_limit and not self.rate_limit.admit(now)):
             call.retry_after = 0 if rejecting else self.rate_limit.retry_after(now)
         else:
             queued = state.queued_starts
             while queued and queued[0] <= now:
                 queued.popleft()
-            if len(queued) < self.properties.queue or state.workers_free_at[0] <= now:
+            if len(queued) < self.properties.queue_capacity or state.workers_free_at[0] <= now:
                 return False
         call.result = CallResult.OVERLOADED
         call.responds_after = 0
@@ -187,7 +192,7 @@
     def _run(self, now: int, state: EndpointState, call: DestinationCall, service_time: float) -> None:
         """The worker that is free first takes the call."""
         start = max(now, state.workers_free_at[0])
-        if self.properties.pause_every:
+        if self.properties.pause_interval:
             start = self._after_pause(start)
         end = start + max(1, int(service_time))
         heapreplace(state.workers_free_at, end)
@@ -216,17 +221,19 @@
         properties = self.properties
         if properties.samples:
             return self.random.choice(properties.samples)
-        median = properties.service[min(traffic_class, len(properties.service) - 1)]
+        median = properties.service_times[min(traffic_class, len(properties.service_times) - 1)]
         took = (
-            median * self.random.lognormvariate(0, properties.spread) if properties.spread else float(median)
+            median * self.random.lognormvariate(0, properties.service_time_sigma)
+            if properties.service_time_sigma
+            else float(median)
         )
-        in_tail = properties.tail and self.random.random() < properties.tail
+        in_tail = properties.tail_share and self.random.random() < properties.tail_share
         return took * properties.tail_factor if in_tail else took
 
     def _after_pause(self, at: int) -> int:
         properties = self.properties
-        into = at % properties.pause_every
-        return at + properties.pause_for - into if into < properties.pause_for else at
+        into = at % properties.pause_interval
+        return at + properties.pause_time - into if into < properties.pause_time else at
 
     def _with_report(self, call: DestinationCall) -> DestinationCall:
         report = self.rate_limit.report()
@@ -239,12 +246,12 @@
         properties = self.properties
         calls = self._recovery_calls
         calls.append(now)
-        while calls[0] <= now - properties.fall_time:
+        while calls[0] <= now - properties.overload_duration:
             calls.popleft()
-        if now - self.recovered_at < properties.fall_time or now < self.collapsed_until:
+        if now - self.recovered_at < properties.overload_duration or now < self.collapsed_until:
             return False
-        load = properties.fall_multiple * self.capacity * self.speed(now)
-        return len(calls) > load * properties.fall_time / SECOND
+        load = properties.overload_multiple * self.capacity * self.speed(now)
+        return len(calls) > load * properties.overload_duration / SECOND
 
     def _take_effect(self, now: int, call: DestinationCall) -> None:
         """It runs, whether or not anybody waits for the response, unless its key is still known."""
@@ -256,7 +263,7 @@
         if call.has_effect and call.tally is not None:
             call.tally.effects += 1
             if key is not None:
-                keys[key] = now + self.properties.window
+                keys[key] = now + self.properties.deduplication_window
                 call.key_is_new = True
 
     def _undo_effect(self, call: DestinationCall) -> None:
--- a/ashpath/emulator/destination/rate_limit.py
+++ b/ashpath/emulator/destination/rate_limit.py
@@ -20,7 +20,7 @@
         self.properties = properties
         self.faults = faults
         self.random = random
-        self.tokens = max(1.0, properties.burst * properties.rate)
+        self.tokens = max(1.0, properties.burst_s * properties.rate_limit)
         self.refilled_at = 0
         self.window_began = 0
         self.counted: deque[int] = deque()  # when the calls of the present window came
@@ -29,34 +29,34 @@
     @property
     def present_rate(self) -> float:
         """Calls a second, with the faults that are on."""
-        return self.properties.rate * self.faults.rate_limit_factor
+        return self.properties.rate_limit * self.faults.rate_limit_factor
 
     def admit(self, now: int) -> bool:
         """Whether one more call is within the limit; it is counted."""
-        return self._admit_in_window(now) if self.properties.span else self._admit_by_token(now)
+        return self._admit_in_window(now) if self.properties.rate_window else self._admit_by_token(now)
 
     def _admit_by_token(self, now: int) -> bool:
         rate = self.present_rate
-        most = max(1.0, self.properties.burst * rate)
+        most = max(1.0, self.properties.burst_s * rate)
         self.tokens = min(most, self.tokens + (now - self.refilled_at) * rate / SECOND)
         self.refilled_at = now
         admitted = self.tokens >= 1
-        if admitted or self.properties.refused_count:
+        if admitted or self.properties.counts_rejected_calls:
             self.tokens = max(-most, self.tokens - 1)
         self._record_quota(now, max(0.0, self.tokens / most))
         return admitted
 
     def _admit_in_window(self, now: int) -> bool:
         properties = self.properties
-        most = max(1.0, self.present_rate * properties.span / SECOND)
-        if properties.sliding:
-            while self.counted and self.counted[0] <= now - properties.span:
+        most = max(1.0, self.present_rate * properties.rate_window / SECOND)
+        if properties.rate_window_slides:
+            while self.counted and self.counted[0] <= now - properties.rate_window:
                 self.counted.popleft()
-        elif now >= self.window_began + properties.span:
-            self.window_began = now - now % properties.span
+        elif now >= self.window_began + properties.rate_window:
+            self.window_began = now - now % properties.rate_window
             self.counted.clear()
         admitted = len(self.counted) < most
-        if admitted or properties.refused_count:
+        if admitted or properties.counts_rejected_calls:
             self.counted.append(now)
         self._record_quota(now, max(0.0, 1 - len(self.counted) / most))
         return admitted
@@ -65,37 +65,37 @@
         """Calls that would be admitted now. Counts nothing; only the oracle may look."""
         properties = self.properties
         rate = self.present_rate
-        if not properties.rate:
+        if not properties.rate_limit:
             return float("inf")
-        if not properties.span:
+        if not properties.rate_window:
             refilled = self.tokens + (now - self.refilled_at) * rate / SECOND
-            return min(max(1.0, properties.burst * rate), refilled)
-        most = max(1.0, rate * properties.span / SECOND)
-        if properties.sliding:
-            return most - sum(1 for at in self.counted if at > now - properties.span)
-        return most - (0 if now >= self.window_began + properties.span else len(self.counted))
+            return min(max(1.0, properties.burst_s * rate), refilled)
+        most = max(1.0, rate * properties.rate_window / SECOND)
+        if properties.rate_window_slides:
+            return most - sum(1 for at in self.counted if at > now - properties.rate_window)
+        return most - (0 if now >= self.window_began + properties.rate_window else len(self.counted))
 
     def retry_after(self, now: int) -> int:
         """Retry-After of a call above the limit in microseconds, 0 for none."""
         properties = self.properties
-        if properties.tells < 1 and self.random.random() >= properties.tells:
+        if properties.retry_after_share < 1 and self.random.random() >= properties.retry_after_share:
             return 0
-        if not (properties.to_room and properties.span and self.counted):
-            return properties.wait
-        oldest = self.counted[0] if properties.sliding else self.window_began
-        return max(0, oldest + properties.span - now)
+        if not (properties.retry_after_until_quota and properties.rate_window and self.counted):
+            return properties.retry_after
+        oldest = self.counted[0] if properties.rate_window_slides else self.window_began
+        return max(0, oldest + properties.rate_window - now)
 
     def _record_quota(self, now: int, remaining: float) -> None:
-        if self.properties.reports:
+        if self.properties.sends_load_reports:
             self.history.append((now, remaining))
-            while len(self.history) > 1 and self.history[1][0] <= now - self.properties.late:
+            while len(self.history) > 1 and self.history[1][0] <= now - self.properties.report_age:
                 self.history.popleft()
 
     def report(self) -> tuple[float, float] | None:
         """Remaining quota, a share of one, and the rate, both with noise; None where nothing is reported."""
         properties = self.properties
-        if not (properties.reports and properties.rate and self.history):
+        if not (properties.sends_load_reports and properties.rate_limit and self.history):
             return None
-        noise = self.random.gauss(1, properties.noise) if properties.noise else 1.0
+        noise = self.random.gauss(1, properties.report_noise) if properties.report_noise else 1.0
         remaining = min(1.0, max(0.0, self.history[0][1] * noise))
         return remaining, max(0.001, self.present_rate * (2 - noise))
--- a/ashpath/emulator/destination/server.py
+++ b/ashpath/emulator/destination/server.py
@@ -100,7 +100,7 @@
             connection.close()
 
     def _serve(self, sock: socket.socket, _: object) -> None:
-        most = self._model.properties.connections
+        most = self._model.properties.max_connections
         if self._model.faults.down or (most and len(self._open) >= most):
             _reset(sock)
             return
--- a/ashpath/emulator/http_client.py
+++ b/ashpath/emulator/http_client.py
@@ -21,23 +21,23 @@
     """`_idle` has connections that carry no request, `most_idle` at most."""
 
     def __init__(
-        self, address: tuple[str, int], limits: ServerLimits, patience_s: float, most_idle: int | None = None
+        self, address: tuple[str, int], limits: ServerLimits, timeout_s: float, most_idle: int | None = None
     ) -> None:
         self.address = address
         self._limits = limits
-        self._patience_s = patience_s
+        self._timeout_s = timeout_s
         self._most_idle = most_idle
         self._idle: list[HttpConnection] = []
 
     def request(self, first_line: bytes, headers: Headers = (), body: bytes = b"") -> HttpResponse:
         """The answer, with its body where the status is 200.
 
-        Raises NotSentError where no connection was opened, else UnansweredError, both also where `patience_s`
+        Raises NotSentError where no connection was opened, else UnansweredError, both also where `timeout_s`
         is over.
         """
         connection: HttpConnection | None = None
         try:
-            with gevent.Timeout(self._patience_s):
+            with gevent.Timeout(self._timeout_s):
                 connection = self._take_idle() or open_connection(self.address, self._limits)
                 message = encode_message(first_line, [host_header(self.address), *headers], body)
                 connection.write(message)
--- a/ashpath/emulator/loopback/client_process.py
+++ b/ashpath/emulator/loopback/client_process.py
@@ -34,8 +34,8 @@
 from ashpath.server.http.messages import HttpResponse
 
 DESCRIPTORS = 8192
-STAND_IN_PATIENCE_S = 600.0
-PATIENCE_S = 2.0  # for an answer
+REQUEST_TIMEOUT_S = 600.0
+RESPONSE_TIMEOUT_S = 2.0  # for an answer
 RETRY_S = 0.1  # a client whose sender does not answer tries another after this
 LEAST_TIME_LEFT = 1000  # microseconds before its deadline, for another submission
 FOREVER_S = 1e9
@@ -79,11 +79,11 @@
     """`_open` has the messages that may still be rejected, and is emptied as they end."""
 
     def __init__(self, job: ClientsJob) -> None:
-        limits = stand_in_limits(DESCRIPTORS, STAND_IN_PATIENCE_S)
+        limits = stand_in_limits(DESCRIPTORS, REQUEST_TIMEOUT_S)
         self._job = job
         self._clock = RunClock(job.began)
         self._random = Random(f"{job.seed} clients' choices")
-        self._senders = [HttpClient(address, limits, PATIENCE_S) for address in job.senders]
+        self._senders = [HttpClient(address, limits, RESPONSE_TIMEOUT_S) for address in job.senders]
         self._open: dict[str, Submission] = {}
         self._receiver = NoticeReceiver(self, limits, job.notice_port)
 
--- a/ashpath/emulator/loopback/clients_runner.py
+++ b/ashpath/emulator/loopback/clients_runner.py
@@ -26,34 +26,19 @@
     """Every request of the run, for the clients and by its id; `deadlines` are by traffic class."""
     planned: list[PlannedRequest] = []
     requests: dict[str, ClientRequest] = {}
-    names = list(scenario.tracks)
+    names = list(scenario.traffic_classes)
     now = 0
     while now < arrivals.end:
-        arrivals.factor = _traffic_factor(scenario.troubles, now, arrivals.end)
+        arrivals.factor = _traffic_factor(scenario.faults, now, arrivals.end)
         gap = arrivals.gap(now)
         for arrival in arrivals.clump() if gap is not None else ():
-            traffic_class = arrival.traffic_class
-            id_ = f"{traffic_class}-{len(planned) + 1}"
-            deadline = deadlines[traffic_class]
+            id_ = f"{arrival.traffic_class}-{len(planned) + 1}"
+            deadline = deadlines[arrival.traffic_class]
             requests[id_] = ClientRequest(
-                id_,
-                traffic_class,
-                arrival.destination,
-                arrival.ordering_key,
-                now,
-                now + deadline,
-                arrivals.span(now),
+                id_, *arrival, created_at=now, deadline_at=now + deadline, span=arrivals.span(now)
             )
-            row = PlannedRequest(
-                now,
-                id_,
-                names[traffic_class],
-                traffic_class,
-                arrival.destination,
-                arrival.ordering_key,
-                deadline,
-            )
-            planned.append(row)
+            name = names[arrival.traffic_class]
+            planned.append(PlannedRequest(now, id_, name, *arrival, deadline=deadline))
         now += QUIET_SPAN_STEP if gap is None else gap
     return planned, requests
 
@@ -63,7 +48,7 @@
     for fault in faults:
         if fault.kind == "traffic":
             begins = int(fault.at or 0)
-            if begins <= now < begins + (int(fault.lasts) or end):
+            if begins <= now < begins + (int(fault.duration) or end):
                 factor *= fault.amount
     return factor
 
--- a/ashpath/emulator/loopback/faults.py
+++ b/ashpath/emulator/loopback/faults.py
@@ -25,9 +25,9 @@
 
 def check_supported(scenario: Scenario) -> None:
     """Raises UnsupportedFaultError where only the simulation can play the script."""
-    for fault in scenario.troubles:
-        if fault.kind in SIMULATION_ONLY or fault.when:
-            raise UnsupportedFaultError(fault.when or fault.kind)
+    for fault in scenario.faults:
+        if fault.kind in SIMULATION_ONLY or fault.condition:
+            raise UnsupportedFaultError(fault.condition or fault.kind)
 
 
 class LoopbackFaults:
@@ -62,7 +62,7 @@
 
     def schedule_all(self) -> None:
         """The run has begun."""
-        for fault in self._scenario.troubles:
+        for fault in self._scenario.faults:
             if fault.kind != TRAFFIC:
                 begins = int(fault.at or 0)
                 gevent.spawn_later((begins - self._clock.now()) / SECOND, self._begin, fault)
@@ -71,7 +71,7 @@
         self._scoreboard.fault_began(int(fault.at or 0), fault.kind)
         if fault.kind == "replace":
             for number in self._topology.destinations_of(fault, self._random):
-                self._replace(number, fault.endpoints)
+                self._replace(number, fault.endpoint_count)
         elif fault.kind in DESTINATION_FAULTS:
             for number in self._topology.destinations_of(fault, self._random):
                 self._add_fault(number, Fault(fault.kind), fault)
@@ -79,7 +79,7 @@
             for number in self._topology.senders_of(fault, self._scenario.fleet.senders, self._random):
                 self._log.add(SenderKilled(self._clock.now(), number))
                 self._senders.kill(number)
-                gevent.spawn_later(int(fault.lasts) / SECOND, self._senders.start, number)
+                gevent.spawn_later(int(fault.duration) / SECOND, self._senders.start, number)
 
     def _add_fault(self, number: int, fault: Fault, scripted: ScriptedFault) -> None:
         destination = self._topology.destinations[number]
@@ -89,8 +89,8 @@
         if fault is Fault.DOWN:
             for endpoint in destination.endpoints:
                 self._servers[endpoint].reset_connections()
-        if scripted.lasts:
-            lasts_s = int(scripted.lasts) / SECOND
+        if scripted.duration:
+            lasts_s = int(scripted.duration) / SECOND
             gevent.spawn_later(lasts_s, self._remove_fault, number, fault, scripted.amount)
 
     def _remove_fault(self, number: int, fault: Fault, amount: float) -> None:
--- a/ashpath/emulator/loopback/replay.py
+++ b/ashpath/emulator/loopback/replay.py
@@ -25,7 +25,7 @@
 
 SLACK = 50_000  # microseconds by which the checker is milder on sockets: clocks and the way of a call
 DEADLINE_SLACK = 6 * SLACK
-SUBMISSION_PATIENCE = 2 * SECOND  # of clients, for the answer to a submission
+SUBMISSION_TIMEOUT = 2 * SECOND  # of clients, for the answer to a submission
 CHECK_AFTER_END = 60 * SECOND
 
 
@@ -199,7 +199,7 @@
             if any(-SLACK < kill - delivered_at < SLACK for kill in kills):
                 return True
         return any(
-            -SLACK < kill - submission.at < SUBMISSION_PATIENCE
+            -SLACK < kill - submission.at < SUBMISSION_TIMEOUT
             for submission in self._unanswered.get(message_id, ())
             for kill in self._kills.get(submission.sender, ())
         )
--- a/ashpath/emulator/loopback/run.py
+++ b/ashpath/emulator/loopback/run.py
@@ -17,7 +17,7 @@
 from ashpath.core.interface import EndpointRecord
 from ashpath.emulator.arrivals import Arrivals
 from ashpath.emulator.destination.server import DestinationServer
-from ashpath.emulator.loopback.clients_job import ClientsJob
+from ashpath.emulator.loopback.clients_job import ClientsJob, PlannedRequest
 from ashpath.emulator.loopback.clients_runner import ClientsRunner, plan_requests
 from ashpath.emulator.loopback.discovery_server import DiscoveryServer
 from ashpath.emulator.loopback.faults import LoopbackFaults, check_supported
@@ -33,7 +33,7 @@
 from ashpath.emulator.units import SECOND
 
 DESCRIPTORS = 8192
-STAND_IN_PATIENCE_S = 600.0
+REQUEST_TIMEOUT_S = 600.0
 MOST_AFTER_DEADLINE = 5 * SECOND  # a run goes on so long past the last deadline at most
 WATCHES_OPEN_S = 0.3
 LAST_REPORTS_S = 0.3
@@ -62,14 +62,14 @@
         self._clock = RunClock()
         self._log = ObservationLog()
         self._topology = Topology(scenario, scenario_folder, seed)
-        self._limits = stand_in_limits(DESCRIPTORS, STAND_IN_PATIENCE_S)
+        self._limits = stand_in_limits(DESCRIPTORS, REQUEST_TIMEOUT_S)
         self._random = Random(f"{seed} world")
         self._servers = {
             record.endpoint_id: self._destination_server(record) for record in self._topology.endpoints
         }
         self._addresses = {name: server.address for name, server in self._servers.items()}
         self._agents = [self._agent(number) for number in range(scenario.fleet.senders)]
-        self._agent_delays = [draw_discovery_delay(scenario.directory, self._random) for _ in self._agents]
+        self._agent_delays = [draw_discovery_delay(scenario.discovery, self._random) for _ in self._agents]
         self._notice_port = free_port()
         agent_addresses = [agent.address for agent in self._agents]
         self._senders = LoopbackSenders(scenario, folder, agent_addresses, self._notice_port, self._limits)
@@ -90,7 +90,7 @@
 
     def _agent(self, sender: int) -> DiscoveryServer:
         observer = ReportedEndpoints(sender, self._clock, self._log)
-        kinds = list(self._scenario.partners)
+        kinds = list(self._scenario.destinations)
         return DiscoveryServer(kinds, self._addresses, self._topology.endpoints, observer, self._limits)
 
     def run(self, progress: Callable[[float], None] | None = None) -> None:
@@ -104,20 +104,7 @@
             self._log.move_to_beginning()
             planned, requests = plan_requests(self._scenario, arrivals, deadlines)
             self._log.open_requests.update(requests)
-            clients = self._clients = ClientsRunner(
-                self._folder,
-                ClientsJob(
-                    self._clock.began,
-                    self._seed,
-                    self._senders.addresses,
-                    self._notice_port,
-                    planned,
-                    self._scenario.clients.retries,
-                    int(self._scenario.clients.backoff),
-                    self._scenario.clients.heeds,
-                ),
-                self._log,
-            )
+            clients = self._clients = ClientsRunner(self._folder, self._clients_job(planned), self._log)
             self._play(clients, arrivals.end, max(deadlines), progress)
         finally:
             self._stop()
@@ -127,6 +114,19 @@
         replay = Replay(self._settings, value, self._topology, requests, self._scoreboard, self.checker)
         replay.run(self._log.in_order_of_time(), self._clock.now())
 
+    def _clients_job(self, planned: list[PlannedRequest]) -> ClientsJob:
+        clients = self._scenario.clients
+        return ClientsJob(
+            self._clock.began,
+            self._seed,
+            self._senders.addresses,
+            self._notice_port,
+            planned,
+            clients.max_resubmissions,
+            int(clients.backoff),
+            clients.retry_after_share,
+        )
+
     def _play(
         self, clients: ClientsRunner, end: int, longest: int, progress: Callable[[float], None] | None
     ) -> None:
--- a/ashpath/emulator/loopback/senders.py
+++ b/ashpath/emulator/loopback/senders.py
@@ -17,7 +17,7 @@
 from ashpath.emulator.stand_ins import LOOPBACK, free_port
 from ashpath.server.limits import ServerLimits
 
-START_PATIENCE_S = 20.0
+START_TIMEOUT_S = 20.0
 
 
 class LoopbackSenders:
@@ -58,7 +58,7 @@
         """Raises FleetStartError where one is not ready in time."""
         for process in self._processes:
             process.start()
-        until = monotonic() + START_PATIENCE_S
+        until = monotonic() + START_TIMEOUT_S
         while not all(process.is_ready() for process in self._processes):
             if monotonic() > until:
                 raise FleetStartError(self._folder)
--- a/ashpath/emulator/runs.py
+++ b/ashpath/emulator/runs.py
@@ -56,7 +56,7 @@
     Raises InvalidConfigurationError, OSError, ValueError or SimulationStalledError.
     """
     scenario = read_scenario(path)
-    scoreboard = Scoreboard(list(scenario.tracks), keeps_mode_changes=True)
+    scoreboard = Scoreboard(list(scenario.traffic_classes), keeps_mode_changes=True)
     simulation = Simulation(scenario, path.parent, seed, POLICIES[policy], scoreboard, watched)
     simulation.run(progress)
     checker = simulation.checker
@@ -73,7 +73,7 @@
     from ashpath.emulator.loopback.run import LoopbackRun  # gevent, and a sender's modules
 
     scenario = read_scenario(path)
-    scoreboard = Scoreboard(list(scenario.tracks))
+    scoreboard = Scoreboard(list(scenario.traffic_classes))
     run = LoopbackRun(scenario, path.parent, folder, seed, scoreboard, watched)
     run.run(progress)
     checker = run.checker
@@ -93,7 +93,7 @@
 
 def outcome_file(scenario: Scenario, name: str, runs: list[Run]) -> bytes:
     """A line for the scenario, and one for each run, the same to the byte each time."""
-    head = {"day": name, "lesson": scenario.day.lesson, "runs": len(runs)}
+    head = {"day": name, "lesson": scenario.about.lesson, "runs": len(runs)}
     lines = [head, *(run.row() for run in runs)]
     return b"".join(orjson.dumps(line, option=orjson.OPT_SORT_KEYS) + b"\n" for line in lines)
 
--- a/ashpath/emulator/scenario/conditions.py
+++ b/ashpath/emulator/scenario/conditions.py
@@ -14,8 +14,8 @@
     above: bool
     threshold: float
 
-    def holds(self, value: float) -> bool:
-        """Whether the signal's value fulfils it."""
+    def is_met(self, value: float) -> bool:
+        """Whether the signal's value meets it."""
         return value > self.threshold if self.above else value < self.threshold
 
 
--- a/ashpath/emulator/scenario/loading.py
+++ b/ashpath/emulator/scenario/loading.py
@@ -28,43 +28,45 @@
         *(
             ConfigurationFault(("spans", at, "played"), "more than lasts", "at most lasts")
             for at, span in enumerate(scenario.spans)
-            if span.played > span.lasts
+            if span.simulated_length > span.length
         ),
     ]
 
 
 def _traffic_faults(scenario: Scenario) -> Iterator[ConfigurationFault]:
-    mix = scenario.clients.mix
+    mix = scenario.clients.traffic_class_shares
     for track in mix:
-        if track not in scenario.tracks:
-            expected = "one of " + ", ".join(scenario.tracks)
+        if track not in scenario.traffic_classes:
+            expected = "one of " + ", ".join(scenario.traffic_classes)
             yield ConfigurationFault(("clients", "mix", track), "a track", expected)
     if sum(mix.values()) <= 0 or min(mix.values()) < 0:
         yield ConfigurationFault(("clients", "mix"), "shares", "none below 0, and one above it")
-    if sum(group.share for group in scenario.partners.values()) <= 0:
+    if sum(group.traffic_share for group in scenario.destinations.values()) <= 0:
         expected = "one kind with a share of the traffic"
         yield ConfigurationFault(("partners",), "no share above 0", expected)
 
 
 def _script_faults(scenario: Scenario) -> Iterator[ConfigurationFault]:
-    groups = {f"{kind}/{rank}" for kind, group in scenario.partners.items() for rank in range(group.count)}
-    destinations = set(scenario.partners) | groups
+    groups = {
+        f"{kind}/{rank}" for kind, group in scenario.destinations.items() for rank in range(group.count)
+    }
+    destinations = set(scenario.destinations) | groups
     senders = {f"sender/{number}" for number in range(scenario.fleet.senders)}
-    for at, fault in enumerate(scenario.troubles):
+    for at, fault in enumerate(scenario.faults):
         yield from _start_faults(at, fault)
         allowed = destinations if fault.kind in DESTINATION_FAULTS else senders | destinations
-        for name in fault.to:
+        for name in fault.targets:
             if name not in allowed:
                 expected = "a kind, kind/RANK below count, or sender/N"
                 yield ConfigurationFault(("troubles", at, "to"), repr(name), expected)
 
 
 def _start_faults(at: int, fault: ScriptedFault) -> Iterator[ConfigurationFault]:
-    if (fault.at is None) == (not fault.when):
+    if (fault.at is None) == (not fault.condition):
         yield ConfigurationFault(("troubles", at, "at"), "both or neither of at and when", "one of them")
-    if fault.when and parse_condition(fault.when) is None:
+    if fault.condition and parse_condition(fault.condition) is None:
         expected = f"SIGNAL > N or < N; signals: {', '.join(SIGNALS)}"
-        yield ConfigurationFault(("troubles", at, "when"), repr(fault.when), expected)
+        yield ConfigurationFault(("troubles", at, "when"), repr(fault.condition), expected)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,5 +80,5 @@
 
 def scenario_size(scenario: Scenario) -> ScenarioSize:
     """How large a scenario is, as played."""
-    destinations = sum(group.count for group in scenario.partners.values())
+    destinations = sum(group.count for group in scenario.destinations.values())
     return ScenarioSize(scenario.fleet.senders, destinations, simulated_length(scenario) / SECOND)
--- a/ashpath/emulator/scenario/schema.py
+++ b/ashpath/emulator/scenario/schema.py
@@ -1,6 +1,6 @@
 """The form of a scenario's file: the fleet, destinations, clients, network, and a script of faults.
 
-The attributes bear the names of the file's keys, which users write; the rest of the emulator uses its own.
+An attribute has the standard term, and `field(name=...)` the key that users write, where that is another one.
 `ashpath check` knows these files; the library's stand in `ashpath/emulator/scenarios`.
 """
 
@@ -46,62 +46,114 @@
     """The senders."""
 
     senders: Annotated[int, Key("how many", 1, 1000)] = 3
-    busiest: Annotated[float, Key("their traffic falls by rank to this power; 0: all the same", 0, 3)] = 0.0
-    room: Annotated[int, Key("envelopes that each holds at once; 0: any number", 0, 1_000_000)] = 400
-    front: Annotated[
+    rank_exponent: Annotated[
+        float, Key("their traffic falls by rank to this power; 0: all the same", 0, 3)
+    ] = field(name="busiest", default=0.0)
+    queue_capacity: Annotated[int, Key("envelopes that each holds at once; 0: any number", 0, 1_000_000)] = (
+        field(name="room", default=400)
+    )
+    removal_delay: Annotated[
         Duration, Key("so long after a sender died its clients are still sent to it", 0, MIN)
-    ] = Duration(1 * S)
+    ] = field(name="front", default=Duration(1 * S))
 
 
 class DestinationGroup(Struct):
     """Destinations of one kind."""
 
     count: Annotated[int, Key("how many destinations", 1, 100_000)]
-    share: Annotated[
+    traffic_share: Annotated[
         float, Key("the part of the traffic that goes to all of them, beside other kinds", 0, 1e6)
-    ]
+    ] = field(name="share")
     endpoints: Annotated[int, Key("of each destination", 1, 100)] = 1
-    busiest: Annotated[float, Key("their traffic falls by rank to this power; 0: all the same", 0, 3)] = 0.0
-    apart: Annotated[bool, Key("endpoints are separate routes")] = False
+    rank_exponent: Annotated[
+        float, Key("their traffic falls by rank to this power; 0: all the same", 0, 3)
+    ] = field(name="busiest", default=0.0)
+    limit_per_endpoint: Annotated[bool, Key("endpoints are separate routes")] = field(
+        name="apart", default=False
+    )
     workers: Annotated[int, Key("calls at work at once, of each endpoint or of all", 1, 10_000)] = 4
-    shared: Annotated[bool, Key("endpoints share the workers")] = False
-    service: Annotated[
+    shares_workers: Annotated[bool, Key("endpoints share the workers")] = field(name="shared", default=False)
+    service_times: Annotated[
         list[Duration], Key("median time of a call, by track; the last for the rest", 1, 16)
-    ] = field(default_factory=lambda: [Duration(50 * MS)])
-    spread: Annotated[float, Key("sigma of its logarithm", 0, 3)] = 0.3
-    tail: Annotated[float, Key("share of calls that take much longer", 0, 1)] = 0.0
+    ] = field(name="service", default_factory=lambda: [Duration(50 * MS)])
+    service_time_sigma: Annotated[float, Key("sigma of its logarithm", 0, 3)] = field(
+        name="spread", default=0.3
+    )
+    tail_share: Annotated[float, Key("share of calls that take much longer", 0, 1)] = field(
+        name="tail", default=0.0
+    )
     tail_factor: Annotated[float, Key("how many times as long", 1, 1000)] = 10.0
     samples: Annotated[
         str, Key("a file with a duration on each line: times are drawn from these", 0, 400)
     ] = ""
-    queue: Annotated[int, Key("calls that wait at an endpoint", 0, 100_000)] = 8
-    rate: Annotated[float, Key("calls a second that its limit allows; 0: none", 0, 1e6)] = 0.0
-    span: Annotated[Duration, Key("the limit counts in spans of this; 0s: tokens that flow", 0, H)] = (
-        Duration(0)
-    )
-    sliding: Annotated[bool, Key("the span is always the latest one")] = False
-    refused_count: Annotated[bool, Key("refused calls use the limit up")] = False
-    wait: Annotated[Duration, Key("told with an answer above the limit; 0s: none", 0, MIN)] = Duration(0)
-    to_room: Annotated[bool, Key("told instead: until the limit of a span has room again")] = False
-    tells: Annotated[float, Key("share of answers above the limit that tell a wait", 0, 1)] = 1.0
-    reports: Annotated[bool, Key("answers tell of the limit")] = False
-    noise: Annotated[float, Key("sigma of what they tell", 0, 1)] = 0.0
-    late: Annotated[Duration, Key("what they tell is so old", 0, MIN)] = Duration(0)
-    connections: Annotated[int, Key("that an endpoint holds; 0: any number", 0, 1_000_000)] = 0
-    connect_work: Annotated[Duration, Key("that a new connection adds to its first call", 0, MIN)] = Duration(
-        0
-    )
-    cold_share: Annotated[float, Key("of its speed after an outage", 0.01, 1)] = 0.2
-    ramp: Annotated[Duration, Key("until it has all of it", 0, H)] = Duration(10 * S)
-    fall_multiple: Annotated[float, Key("more than so many times what it can handle", 1, 1000)] = 2.0
-    fall_time: Annotated[Duration, Key("for so long pushes it over", MS, H)] = Duration(3 * S)
-    fall_down: Annotated[Duration, Key("and it stays silent for this", 0, D)] = Duration(15 * S)
-    pause_every: Annotated[Duration, Key("it stands still so often; 0s: never", 0, D)] = Duration(0)
-    pause_for: Annotated[Duration, Key("for this long", 0, H)] = Duration(0)
-    window: Annotated[Duration, Key("a key is remembered so long", 0, D)] = Duration(5 * S)
-    runs_on: Annotated[bool, Key("it works on calls whose caller has gone")] = True
-    errors: Annotated[float, Key("share of calls that fail before an effect", 0, 1)] = 0.0
-    errors_after: Annotated[float, Key("and after it", 0, 1)] = 0.0
+    queue_capacity: Annotated[int, Key("calls that wait at an endpoint", 0, 100_000)] = field(
+        name="queue", default=8
+    )
+    rate_limit: Annotated[float, Key("calls a second that its limit allows; 0: none", 0, 1e6)] = field(
+        name="rate", default=0.0
+    )
+    rate_window: Annotated[Duration, Key("the limit counts in spans of this; 0s: tokens that flow", 0, H)] = (
+        field(name="span", default=Duration(0))
+    )
+    rate_window_slides: Annotated[bool, Key("the span is always the latest one")] = field(
+        name="sliding", default=False
+    )
+    counts_rejected_calls: Annotated[bool, Key("refused calls use the limit up")] = field(
+        name="refused_count", default=False
+    )
+    retry_after: Annotated[Duration, Key("told with an answer above the limit; 0s: none", 0, MIN)] = field(
+        name="wait", default=Duration(0)
+    )
+    retry_after_until_quota: Annotated[
+        bool, Key("told instead: until the limit of a span has room again")
+    ] = field(name="to_room", default=False)
+    retry_after_share: Annotated[float, Key("share of answers above the limit that tell a wait", 0, 1)] = (
+        field(name="tells", default=1.0)
+    )
+    sends_load_reports: Annotated[bool, Key("answers tell of the limit")] = field(
+        name="reports", default=False
+    )
+    report_noise: Annotated[float, Key("sigma of what they tell", 0, 1)] = field(name="noise", default=0.0)
+    report_age: Annotated[Duration, Key("what they tell is so old", 0, MIN)] = field(
+        name="late", default=Duration(0)
+    )
+    max_connections: Annotated[int, Key("that an endpoint holds; 0: any number", 0, 1_000_000)] = field(
+        name="connections", default=0
+    )
+    connection_setup_time: Annotated[
+        Duration, Key("that a new connection adds to its first call", 0, MIN)
+    ] = field(name="connect_work", default=Duration(0))
+    slow_start_share: Annotated[float, Key("of its speed after an outage", 0.01, 1)] = field(
+        name="cold_share", default=0.2
+    )
+    slow_start_time: Annotated[Duration, Key("until it has all of it", 0, H)] = field(
+        name="ramp", default=Duration(10 * S)
+    )
+    overload_multiple: Annotated[float, Key("more than so many times what it can handle", 1, 1000)] = field(
+        name="fall_multiple", default=2.0
+    )
+    overload_duration: Annotated[Duration, Key("for so long pushes it over", MS, H)] = field(
+        name="fall_time", default=Duration(3 * S)
+    )
+    collapse_time: Annotated[Duration, Key("and it stays silent for this", 0, D)] = field(
+        name="fall_down", default=Duration(15 * S)
+    )
+    pause_interval: Annotated[Duration, Key("it stands still so often; 0s: never", 0, D)] = field(
+        name="pause_every", default=Duration(0)
+    )
+    pause_time: Annotated[Duration, Key("for this long", 0, H)] = field(name="pause_for", default=Duration(0))
+    deduplication_window: Annotated[Duration, Key("a key is remembered so long", 0, D)] = field(
+        name="window", default=Duration(5 * S)
+    )
+    completes_abandoned_calls: Annotated[bool, Key("it works on calls whose caller has gone")] = field(
+        name="runs_on", default=True
+    )
+    error_share: Annotated[float, Key("share of calls that fail before an effect", 0, 1)] = field(
+        name="errors", default=0.0
+    )
+    error_after_effect_share: Annotated[float, Key("and after it", 0, 1)] = field(
+        name="errors_after", default=0.0
+    )
 
 
 class Span(Struct):
@@ -110,24 +162,36 @@
     A quiet one may be thinned: played for less than it lasts, and weighted more.
     """
 
-    lasts: Annotated[Duration, Key("how long it is", MS, 400 * D)]
+    length: Annotated[Duration, Key("how long it is", MS, 400 * D)] = field(name="lasts")
     rate: Annotated[float, Key("envelopes a second as it begins, over the whole fleet", 0, 1e6)]
-    to: Annotated[float, Key("and as it ends; below 0: the same", -1, 1e6)] = -1.0
-    played: Annotated[Duration, Key("how much of it is played; 0s: all", 0, 400 * D)] = Duration(0)
+    end_rate: Annotated[float, Key("and as it ends; below 0: the same", -1, 1e6)] = field(
+        name="to", default=-1.0
+    )
+    simulated_length: Annotated[Duration, Key("how much of it is played; 0s: all", 0, 400 * D)] = field(
+        name="played", default=Duration(0)
+    )
     name: Annotated[str, Key("for the table, `tue 17h` say", 0, 40)] = ""
 
 
 class Clients(Struct):
     """Who submits requests."""
 
-    mix: Annotated[dict[Name, float], Key("share of each track", 1, 64)]
-    clump: Annotated[int, Key("envelopes that come at once, for one destination", 1, 10_000)] = 1
-    retries: Annotated[int, Key("times an envelope is handed in anew after a bounce", 0, 100)] = 1
+    traffic_class_shares: Annotated[dict[Name, float], Key("share of each track", 1, 64)] = field(name="mix")
+    clump_size: Annotated[int, Key("envelopes that come at once, for one destination", 1, 10_000)] = field(
+        name="clump", default=1
+    )
+    max_resubmissions: Annotated[int, Key("times an envelope is handed in anew after a bounce", 0, 100)] = (
+        field(name="retries", default=1)
+    )
     backoff: Annotated[Duration, Key("before that, where nothing is told; doubled each time", MS, H)] = (
         Duration(800 * MS)
     )
-    heeds: Annotated[float, Key("share of clients that wait as long as they are told", 0, 1)] = 0.7
-    keys: Annotated[int, Key("order keys in use; 0: a new one each time", 0, 10_000_000)] = 0
+    retry_after_share: Annotated[float, Key("share of clients that wait as long as they are told", 0, 1)] = (
+        field(name="heeds", default=0.7)
+    )
+    ordering_keys: Annotated[int, Key("order keys in use; 0: a new one each time", 0, 10_000_000)] = field(
+        name="keys", default=0
+    )
 
 
 class Network(Struct):
@@ -149,30 +213,40 @@
 
     kind: Annotated[Literal[FAULT_KINDS], Key("what happens")]  # type: ignore[valid-type]
     at: Annotated[Duration | None, Key("when, of the time that is played", 0, 400 * D)] = None
-    when: Annotated[
+    condition: Annotated[
         str, Key("or as soon as a condition holds, `completed > 500` say; see the page", 0, 80)
-    ] = ""
-    lasts: Annotated[
+    ] = field(name="when", default="")
+    duration: Annotated[
         Duration, Key("for how long; 0s: to the end, or at once where there is no while", 0, 400 * D)
-    ] = Duration(0)
-    to: Annotated[
+    ] = field(name="lasts", default=Duration(0))
+    targets: Annotated[
         list[str], Key("kinds, `kind/RANK` for one of them, or `sender/N`; empty: all", 0, 1000)
-    ] = field(default_factory=list)
-    share: Annotated[float, Key("of those named, drawn by lot", 0, 1)] = 1.0
+    ] = field(name="to", default_factory=list)
+    target_share: Annotated[float, Key("of those named, drawn by lot", 0, 1)] = field(
+        name="share", default=1.0
+    )
     amount: Annotated[float, Key("how much: a factor, a share, milliseconds; see the page", -1e9, 1e9)] = 1.0
-    endpoints: Annotated[int, Key("replace: how many of each destination; 0: all", 0, 100)] = 0
+    endpoint_count: Annotated[int, Key("replace: how many of each destination; 0: all", 0, 100)] = field(
+        name="endpoints", default=0
+    )
 
 
 class Scenario(Struct):
     """The whole file."""
 
-    day: About
-    tracks: Annotated[dict[Name, TrafficClass], Key("as in a sender's file", 1, 64)]
-    partners: Annotated[dict[Name, DestinationGroup], Key("kinds of destinations", 1, 64)]
+    about: About = field(name="day")
+    traffic_classes: Annotated[dict[Name, TrafficClass], Key("as in a sender's file", 1, 64)] = field(
+        name="tracks"
+    )
+    destinations: Annotated[dict[Name, DestinationGroup], Key("kinds of destinations", 1, 64)] = field(
+        name="partners"
+    )
     clients: Clients
     spans: Annotated[list[Span], Key("the day from its beginning to its end", 1, 10_000)]
     fleet: Fleet = field(default_factory=Fleet)
     rules: Rules = field(default_factory=Rules)
     network: Network = field(default_factory=Network)
-    directory: Directory = field(default_factory=Directory)
-    troubles: Annotated[list[ScriptedFault], Key("the script", 0, 10_000)] = field(default_factory=list)
+    discovery: Directory = field(name="directory", default_factory=Directory)
+    faults: Annotated[list[ScriptedFault], Key("the script", 0, 10_000)] = field(
+        name="troubles", default_factory=list
+    )
--- a/ashpath/emulator/scenario/settings.py
+++ b/ashpath/emulator/scenario/settings.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from ashpath.config.platform_form import platform_form
-from ashpath.config.schema import Configuration, DestinationKind, Limits, Sender, TrafficClass
+from ashpath.config.schema import Configuration, DestinationKind, Limits, Sender
 from ashpath.config.units import TIMES, Duration, Name, parse_amount
 from ashpath.core.interface import PolicySettings
 from ashpath.core.policy_settings import policy_settings
@@ -18,18 +18,19 @@
 PROPERTY_KEYS = [
     one.name for one in fields(DestinationProperties) if one.name in DestinationGroup.__struct_fields__
 ]
-"""The keys of a destination group that are properties of its destinations as they stand."""
+"""Attributes of a destination group that are properties of its destinations as they stand."""
 
 
 def sender_configuration(scenario: Scenario) -> Configuration:
     """What the senders of the scenario would be started with, less their destinations."""
     kinds = {
-        Name(name): DestinationKind(limit_per_endpoint=group.apart)
-        for name, group in scenario.partners.items()
+        Name(name): DestinationKind(limit_per_endpoint=group.limit_per_endpoint)
+        for name, group in scenario.destinations.items()
     }
-    limits = Limits(queue_capacity=scenario.fleet.room or ANY_NUMBER_OF_MESSAGES)
-    tracks: dict[Name, TrafficClass] = {Name(name): track for name, track in scenario.tracks.items()}
-    return Configuration(Sender(Name("day")), tracks, kinds=kinds, rules=scenario.rules, limits=limits)
+    limits = Limits(queue_capacity=scenario.fleet.queue_capacity or ANY_NUMBER_OF_MESSAGES)
+    traffic_classes = {Name(name): settings for name, settings in scenario.traffic_classes.items()}
+    sender = Sender(Name("day"))
+    return Configuration(sender, traffic_classes, kinds=kinds, rules=scenario.rules, limits=limits)
 
 
 def sender_settings(scenario: Scenario, seed: int, number: int) -> PolicySettings:
@@ -50,23 +51,23 @@
     if group.samples:
         lines = (folder / group.samples).read_text().split()
         samples = tuple(parse_amount(line, TIMES) for line in lines)
-    named: dict[str, Any] = {}  # keys of the file, each of the type of the property with its name
+    named: dict[str, Any] = {}  # each of the type of the property with its name
     for key in PROPERTY_KEYS:
         value = getattr(group, key)
         named[key] = int(value) if isinstance(value, Duration) else value
-    named["service"] = tuple(int(median) for median in group.service)
+    named["service_times"] = tuple(int(median) for median in group.service_times)
     named["samples"] = samples
     return DestinationProperties(**named)
 
 
 def simulated_span_length(span: Span) -> int:
     """Microseconds that are played of it."""
-    return int(span.played or span.lasts)
+    return int(span.simulated_length or span.length)
 
 
 def span_weight(span: Span) -> float:
     """What each request of it counts: more than 1 where the span is thinned."""
-    return span.lasts / simulated_span_length(span)
+    return span.length / simulated_span_length(span)
 
 
 def simulated_length(scenario: Scenario) -> int:
--- a/ashpath/emulator/sender_process.py
+++ b/ashpath/emulator/sender_process.py
@@ -14,7 +14,7 @@
 from ashpath.server import wire_names
 from ashpath.server.limits import ServerLimits
 
-READINESS_PATIENCE_S = 1.0
+READINESS_TIMEOUT_S = 1.0
 READINESS_POLL_S = 0.05
 SHUTDOWN_S = 6.0
 
@@ -27,7 +27,7 @@
     ) -> None:
         self.configuration = configuration
         self.log = log
-        self._client = HttpClient(address, limits, READINESS_PATIENCE_S, most_idle=0)
+        self._client = HttpClient(address, limits, READINESS_TIMEOUT_S, most_idle=0)
         self._process: subprocess.Popen[bytes] | None = None
 
     def start(self) -> None:
@@ -44,9 +44,9 @@
             return False
         return answer.status == 200
 
-    def wait_until_ready(self, patience_s: float) -> None:
+    def wait_until_ready(self, timeout_s: float) -> None:
         """Raises SenderStartError where it ends, or is not ready in time."""
-        until = monotonic() + patience_s
+        until = monotonic() + timeout_s
         while not self.is_ready():
             if monotonic() > until or not self.is_running():
                 raise SenderStartError(self.log)
--- a/ashpath/emulator/simulation/clients.py
+++ b/ashpath/emulator/simulation/clients.py
@@ -94,13 +94,13 @@
         """The message was rejected or failed; rejected, the request may be submitted again, as a new
         message."""
         properties = self._properties
-        if outcome is FinalOutcome.FAILED or request.resubmissions >= properties.retries:
+        if outcome is FinalOutcome.FAILED or request.resubmissions >= properties.max_resubmissions:
             self._give_up(request, outcome)
             return
         request.resubmissions += 1
         self._scoreboard.resubmitted()
         wait = int(properties.backoff) << (request.resubmissions - 1)
-        if retry_after and self._random.random() < properties.heeds:
+        if retry_after and self._random.random() < properties.retry_after_share:
             wait = retry_after
         wait = int(wait * self._random.uniform(0.8, 1.2))
         if self._events.now + wait >= request.deadline_at:
--- a/ashpath/emulator/simulation/faults.py
+++ b/ashpath/emulator/simulation/faults.py
@@ -61,8 +61,8 @@
 
     def schedule(self, fault: ScriptedFault) -> None:
         """Before the run: the fault begins at its time, or as soon as its condition holds."""
-        if fault.when:
-            condition = parse_condition(fault.when)
+        if fault.condition:
+            condition = parse_condition(fault.condition)
             assert condition is not None
             self._events.schedule(CONDITION_POLL, self._check, fault, condition)
         else:
@@ -70,7 +70,7 @@
             self._events.schedule(int(fault.at), self._begin, fault)
 
     def _check(self, fault: ScriptedFault, condition: FaultCondition) -> None:
-        if condition.holds(self._signal(condition.signal)):
+        if condition.is_met(self._signal(condition.signal)):
             self._begin(fault)
         elif self._events.now < self._arrivals.end:
             self._events.schedule(self._events.now + CONDITION_POLL, self._check, fault, condition)
@@ -87,14 +87,14 @@
         self._scoreboard.fault_began(self._events.now, fault.kind)
         if fault.kind == "replace":
             for number in self._topology.destinations_of(fault, self._random):
-                self._discovery.replace(number, fault.endpoints)
+                self._discovery.replace(number, fault.endpoint_count)
         elif fault.kind in DESTINATION_FAULTS:
             undo = self._begin_at_destinations(fault)
         else:
             senders = self._topology.senders_of(fault, len(self._fleet.senders), self._random)
             undo = self._senders_faults[fault.kind](fault, senders)
-        if undo is not None and fault.lasts:
-            self._events.schedule(self._events.now + int(fault.lasts), undo)
+        if undo is not None and fault.duration:
+            self._events.schedule(self._events.now + int(fault.duration), undo)
 
     # Faults of destinations.
 
--- a/ashpath/emulator/simulation/fleet.py
+++ b/ashpath/emulator/simulation/fleet.py
@@ -17,8 +17,8 @@
     def __init__(self, events: EventQueue, properties: FleetProperties) -> None:
         self.senders: list[SimulatedSender] = []
         self._events = events
-        self._rank_exponent = properties.busiest
-        self._removal_delay = int(properties.front)
+        self._rank_exponent = properties.rank_exponent
+        self._removal_delay = int(properties.removal_delay)
         self._routed = list(range(properties.senders))
         self._weights: list[float] = []  # of `_routed`, added up; made anew as those change
 
--- a/ashpath/emulator/simulation/network.py
+++ b/ashpath/emulator/simulation/network.py
@@ -149,7 +149,7 @@
         model = address.model
         took = 2 * self._one_way()
         listener = self.listener(call.endpoint)
-        most = model.properties.connections
+        most = model.properties.max_connections
         if listener is None or model.faults.down:
             return self._fail_at(now + took, call, AttemptOutcome.CONNECT_FAILED)
         if most and model.endpoints[listener].connections >= most:
--- a/ashpath/emulator/simulation/recovery.py
+++ b/ashpath/emulator/simulation/recovery.py
@@ -37,7 +37,7 @@
             return
         recent = self._calls.setdefault(destination, deque())
         recent.append((self._events.now, sender))
-        while recent[0][0] <= self._events.now - self._destinations[destination].properties.fall_time:
+        while recent[0][0] <= self._events.now - self._destinations[destination].properties.overload_duration:
             recent.popleft()
 
     def collapsed(self, destination: int) -> None:
@@ -50,11 +50,11 @@
 
     def schedule_check(self, destination: int, recovers_at: int) -> None:
         """Looks whether it has recovered, once slow start that begins then is over."""
-        ramp = self._destinations[destination].properties.ramp
+        ramp = self._destinations[destination].properties.slow_start_time
         self._events.schedule(recovers_at + ramp + 1, self._check, destination)
 
     def _check(self, destination: int) -> None:
         model = self._destinations[destination]
-        if not model.in_outage() and self._events.now > model.recovered_at + model.properties.ramp:
+        if not model.in_outage() and self._events.now > model.recovered_at + model.properties.slow_start_time:
             self._checker.recovered(destination)
             self._calls.pop(destination, None)
--- a/ashpath/emulator/simulation/run.py
+++ b/ashpath/emulator/simulation/run.py
@@ -42,60 +42,53 @@
         scoreboard: Scoreboard,
         watched: str = "",
     ) -> None:
-        settings = sender_settings(scenario, 0, 0)
-        random = Random(f"{seed} world")
         self.scoreboard = scoreboard
-        self.checker = InvariantChecker(settings.drain_grace, settings.settle_time, watched)
-        self._traffic_classes = settings.traffic_classes
+        self._scenario = scenario
+        self._seed = seed
+        self._settings = sender_settings(scenario, 0, 0)
+        self.checker = InvariantChecker(self._settings.drain_grace, self._settings.settle_time, watched)
         self._events = EventQueue()
         self._topology = Topology(scenario, scenario_folder, seed)
         self._arrivals = Arrivals(scenario, self._topology.shares, seed)
-        self.network = Network(
+        self.network = self._make_network()
+        self._fleet = Fleet(self._events, scenario.fleet)
+        self._clients = self._make_clients()
+        random = Random(f"{seed} world")  # discovery delays first, then the faults as they begin
+        delays = [draw_discovery_delay(scenario.discovery, random) for _ in range(scenario.fleet.senders)]
+        self._start_senders(policy_factory)
+        self._schedule_faults(SimulatedDiscovery(self._events, self.network, self._fleet, delays), random)
+
+    def _make_network(self) -> Network:
+        return Network(
             self._events,
-            scenario.network,
-            Random(f"{seed} network"),
+            self._scenario.network,
+            Random(f"{self._seed} network"),
             self._topology,
-            self._traffic_classes,
-            settings.connect_timeout,
+            self._settings.traffic_classes,
+            self._settings.connect_timeout,
             self.checker,
-            scoreboard,
+            self.scoreboard,
         )
-        self._fleet = Fleet(self._events, scenario.fleet)
-        value = DeliveryValue(self._traffic_classes, settings.value_halves, scenario.spans)
-        self._clients = SimulatedClients(
+
+    def _make_clients(self) -> SimulatedClients:
+        settings = self._settings
+        value = DeliveryValue(settings.traffic_classes, settings.value_halves, self._scenario.spans)
+        return SimulatedClients(
             self._events,
-            scenario.clients,
+            self._scenario.clients,
             self._arrivals,
-            self._traffic_classes,
+            settings.traffic_classes,
             value,
             self._fleet,
-            scoreboard,
-            seed,
-        )
-        senders = range(scenario.fleet.senders)
-        delays = [draw_discovery_delay(scenario.directory, random) for _ in senders]
-        self._start_senders(scenario, seed, settings.idle_timeout, policy_factory)
-        script = FaultScript(
-            self._events,
-            self._topology,
-            random,
-            self.network,
-            self._fleet,
-            SimulatedDiscovery(self._events, self.network, self._fleet, delays),
-            self._arrivals,
-            self.checker,
-            scoreboard,
+            self.scoreboard,
+            self._seed,
         )
-        for fault in scenario.troubles:
-            script.schedule(fault)
 
-    def _start_senders(
-        self, scenario: Scenario, seed: int, idle_timeout: int, policy_factory: PolicyFactory
-    ) -> None:
+    def _start_senders(self, policy_factory: PolicyFactory) -> None:
         context = SenderContext(
-            scenario,
-            seed,
-            idle_timeout,
+            self._scenario,
+            self._seed,
+            self._settings.idle_timeout,
             policy_factory,
             self._events,
             self.network,
@@ -103,24 +96,41 @@
             self.checker,
             self.scoreboard,
         )
-        for number in range(scenario.fleet.senders):
+        for number in range(self._scenario.fleet.senders):
             self._fleet.add(SimulatedSender(context, number))
         for sender in self._fleet.senders:
             sender.start_with_endpoints(self._topology.endpoints)
 
+    def _schedule_faults(self, discovery: SimulatedDiscovery, random: Random) -> None:
+        script = FaultScript(
+            self._events,
+            self._topology,
+            random,
+            self.network,
+            self._fleet,
+            discovery,
+            self._arrivals,
+            self.checker,
+            self.scoreboard,
+        )
+        for fault in self._scenario.faults:
+            script.schedule(fault)
+
     def run(self, progress: Progress | None = None) -> None:
         """To the end of the arrivals, and on until all requests have their ends.
 
         Raises SimulationStalledError.
         """
         end = self._arrivals.end
-        longest = max(traffic_class.deadline for traffic_class in self._traffic_classes)
+        longest = max(traffic_class.deadline for traffic_class in self._settings.traffic_classes)
         last = end + longest + MOST_AFTER_DEADLINE
         with _frozen_objects():
             self._clients.start()
             self._events.run(end, last, self.scoreboard.has_open_requests, progress)
         self.checker.run_ended(self._events.now)
-        check_effects(self.checker, self._events.now, self._topology.destinations, self._traffic_classes)
+        check_effects(
+            self.checker, self._events.now, self._topology.destinations, self._settings.traffic_classes
+        )
         self.scoreboard.close(self.checker)
 
 
--- a/ashpath/emulator/stand_ins.py
+++ b/ashpath/emulator/stand_ins.py
@@ -11,10 +11,10 @@
 IDLE_CONNECTIONS_MS = 60_000.0
 
 
-def stand_in_limits(descriptors: int, patience_s: float) -> ServerLimits:
+def stand_in_limits(descriptors: int, timeout_s: float) -> ServerLimits:
     """Limits of stand-ins: they wait for a request, idle or half sent, as long as this."""
     settings = policy_settings(0, {"classes": [], "limits": {"conn-idle": IDLE_CONNECTIONS_MS}})
-    own = {"client_idle_s": patience_s, "request_s": patience_s}
+    own = {"client_idle_s": timeout_s, "request_s": timeout_s}
     return ServerLimits.of({"sockets": descriptors, "own": own}, settings)
 
 
--- a/ashpath/emulator/topology.py
+++ b/ashpath/emulator/topology.py
@@ -23,10 +23,10 @@
         self.endpoints: list[EndpointRecord] = []
         self._separate_routes: list[bool] = []  # by destination
         shares: list[float] = []
-        for kind_index, (kind, group) in enumerate(scenario.partners.items()):
+        for kind_index, (kind, group) in enumerate(scenario.destinations.items()):
             self.kinds[kind] = []
             properties = destination_properties(group, folder)
-            ranks = [(rank + 1) ** -group.busiest for rank in range(group.count)]
+            ranks = [(rank + 1) ** -group.rank_exponent for rank in range(group.count)]
             for rank in range(group.count):
                 number = len(self.destinations)
                 names = [f"{kind}-{rank}-{at}" for at in range(group.endpoints)]
@@ -36,8 +36,8 @@
                     EndpointRecord(name, number, kind_index, 0, EndpointStatus.ACTIVE) for name in names
                 ]
                 self.kinds[kind].append(number)
-                self._separate_routes.append(group.apart)
-                shares.append(group.share * ranks[rank] / sum(ranks))
+                self._separate_routes.append(group.limit_per_endpoint)
+                shares.append(group.traffic_share * ranks[rank] / sum(ranks))
         self.shares = list(accumulate(shares))
         """Of the traffic, by destination, added up."""
 
@@ -53,7 +53,7 @@
     def destinations_of(self, fault: ScriptedFault, random: Random) -> list[int]:
         """The destinations that a fault is for, as named and drawn."""
         found: list[int] = []
-        names = [name for name in fault.to if not name.startswith(SENDER_PREFIX)]
+        names = [name for name in fault.targets if not name.startswith(SENDER_PREFIX)]
         for name in names:
             kind, _, rank = name.partition("/")
             numbers = self.kinds[kind]
@@ -63,7 +63,7 @@
     @staticmethod
     def senders_of(fault: ScriptedFault, senders: int, random: Random) -> list[int]:
         """The senders that a fault is for, as named and drawn."""
-        named = [int(name[len(SENDER_PREFIX) :]) for name in fault.to if name.startswith(SENDER_PREFIX)]
+        named = [int(name[len(SENDER_PREFIX) :]) for name in fault.targets if name.startswith(SENDER_PREFIX)]
         return _drawn(fault, named or list(range(senders)), random)
 
 
@@ -73,6 +73,6 @@
 
 
 def _drawn(fault: ScriptedFault, numbers: list[int], random: Random) -> list[int]:
-    if fault.share < 1:
-        return sorted(random.sample(numbers, max(1, round(fault.share * len(numbers)))))
+    if fault.target_share < 1:
+        return sorted(random.sample(numbers, max(1, round(fault.target_share * len(numbers)))))
     return numbers
--- a/benchmarks/simulate.py
+++ b/benchmarks/simulate.py
@@ -42,17 +42,18 @@
     scenario = read_scenario(scenario_path("wide-calm"))
     scenario.fleet.senders = senders
     scenario.spans[0].rate = RATE * senders
-    scenario.spans[0].lasts = Duration(max(10, 6000 // senders) * SECOND)
-    for group in scenario.partners.values():
+    scenario.spans[0].length = Duration(max(10, 6000 // senders) * SECOND)
+    for group in scenario.destinations.values():
         group.count = max(1, group.count * senders // SENDERS_OF_SCENARIO)
-    scoreboard = Scoreboard(list(scenario.tracks))
+    scoreboard = Scoreboard(list(scenario.traffic_classes))
     return Simulation(scenario, SCENARIO_LIBRARY, 1, POLICIES[DELIVERY_POLICY], scoreboard)
 
 
 def measure_speed() -> None:
     """Measures and keeps the figures of `speed`."""
     rows = {str(senders): _timed_run(senders) for senders in SENDERS_MEASURED}
-    most, least = str(max(SENDERS_MEASURED)), str(min(SENDERS_MEASURED))
+    most = str(max(SENDERS_MEASURED))
+    least = str(min(SENDERS_MEASURED))
     ratio = round(rows[most]["us_an_envelope"] / rows[least]["us_an_envelope"], 2)
     figures = {"senders": rows, "cost_at_300_to_30": ratio, "share_of_time_by_file": _time_by_file()}
     keep("rehearse-speed", "python -m benchmarks.simulate speed", figures)
--- a/benchmarks/simulation_figures.py
+++ b/benchmarks/simulation_figures.py
@@ -40,7 +40,7 @@
     scenario, _, seed = name.partition(" seed ")
     path = scenario_path(scenario)
     read = read_scenario(path)
-    scoreboard = Scoreboard(list(read.tracks), keeps_mode_changes=True)
+    scoreboard = Scoreboard(list(read.traffic_classes), keeps_mode_changes=True)
     Simulation(read, path.parent, int(seed), POLICIES[DELIVERY_POLICY], scoreboard).run()
     return {
         **scoreboard.result(),
--- a/tests/emulator/destination/test_destination_model.py
+++ b/tests/emulator/destination/test_destination_model.py
@@ -12,7 +12,9 @@
 from ashpath.emulator.destination.properties import DestinationProperties
 from ashpath.emulator.units import NEVER, SECOND
 
-PLAIN = DestinationProperties(workers=2, service=(SECOND,), spread=0, queue=1, ramp=10 * SECOND)
+PLAIN = DestinationProperties(
+    workers=2, service_times=(SECOND,), service_time_sigma=0, queue_capacity=1, slow_start_time=10 * SECOND
+)
 
 
 def model_of(properties: DestinationProperties) -> DestinationModel:
@@ -59,7 +61,11 @@
 
 
 def test_call_whose_caller_has_gone_leaves_the_queue() -> None:
-    model = model_of(DestinationProperties(workers=1, service=(SECOND,), spread=0, runs_on=False))
+    model = model_of(
+        DestinationProperties(
+            workers=1, service_times=(SECOND,), service_time_sigma=0, completes_abandoned_calls=False
+        )
+    )
     arrive(model, 0, "a")
     call = arrive(model, 0, "b")
     model.call_ended(SECOND // 2, call, "b")
@@ -68,18 +74,26 @@
 
 def test_pause_delays_a_call() -> None:
     model = model_of(
-        DestinationProperties(service=(1000,), spread=0, pause_every=SECOND, pause_for=SECOND // 5)
+        DestinationProperties(
+            service_times=(1000,), service_time_sigma=0, pause_interval=SECOND, pause_time=SECOND // 5
+        )
     )
     assert arrive(model, 5 * SECOND + 100, "p").responds_after == SECOND // 5 - 100 + 1000
 
 
 # Properties of a rate limit, and how many of 40 calls, one each 50 ms, are admitted over two seconds.
 RATE_LIMITS = [
-    (DestinationProperties(rate=4.0), 8, 10),
-    (DestinationProperties(rate=4.0, span=SECOND), 8, 8),
-    (DestinationProperties(rate=4.0, span=SECOND, sliding=True), 8, 8),
-    (DestinationProperties(rate=4.0, refused_count=True), 1, 4),
-    (DestinationProperties(rate=4.0, span=SECOND, sliding=True, refused_count=True), 4, 4),
+    (DestinationProperties(rate_limit=4.0), 8, 10),
+    (DestinationProperties(rate_limit=4.0, rate_window=SECOND), 8, 8),
+    (DestinationProperties(rate_limit=4.0, rate_window=SECOND, rate_window_slides=True), 8, 8),
+    (DestinationProperties(rate_limit=4.0, counts_rejected_calls=True), 1, 4),
+    (
+        DestinationProperties(
+            rate_limit=4.0, rate_window=SECOND, rate_window_slides=True, counts_rejected_calls=True
+        ),
+        4,
+        4,
+    ),
 ]
 
 
@@ -88,13 +102,13 @@
     model = model_of(
         DestinationProperties(
             workers=50,
-            service=(1000,),
-            reports=True,
-            wait=7,
-            rate=limit.rate,
-            span=limit.span,
-            sliding=limit.sliding,
-            refused_count=limit.refused_count,
+            service_times=(1000,),
+            sends_load_reports=True,
+            retry_after=7,
+            rate_limit=limit.rate_limit,
+            rate_window=limit.rate_window,
+            rate_window_slides=limit.rate_window_slides,
+            counts_rejected_calls=limit.counts_rejected_calls,
         )
     )
     calls = [arrive(model, n * SECOND // 20, f"w{n}") for n in range(40)]
--- a/tests/emulator/loopback/test_replay.py
+++ b/tests/emulator/loopback/test_replay.py
@@ -57,6 +57,6 @@
         log.add(observation(row, id_, topology.endpoints[0].endpoint_id))
     value = DeliveryValue(settings.traffic_classes, settings.value_halves, scenario.spans)
     checker = checker_for_sockets(settings, "")
-    scoreboard = Scoreboard(list(scenario.tracks))
+    scoreboard = Scoreboard(list(scenario.traffic_classes))
     Replay(settings, value, topology, {id_: request}, scoreboard, checker).run(log.in_order_of_time(), 0)
     assert checker.counts["lost"] == int(lost), checker.broken
--- a/tests/emulator/simulation/test_simulation_run.py
+++ b/tests/emulator/simulation/test_simulation_run.py
@@ -39,7 +39,7 @@
 
     path = scenario_path(name)
     scenario = read_scenario(path)
-    scoreboard = Scoreboard(list(scenario.tracks), keeps_mode_changes=True)
+    scoreboard = Scoreboard(list(scenario.traffic_classes), keeps_mode_changes=True)
     simulation = Simulation(scenario, path.parent, 1, factory, scoreboard)
     simulation.run()
     return simulation
--- a/tests/emulator/test_runs.py
+++ b/tests/emulator/test_runs.py
@@ -50,14 +50,14 @@
         path
         for path in found
         if (scenario := read_scenario(path)).fleet.senders >= 200
-        and sum(group.count * group.endpoints for group in scenario.partners.values()) >= 200
+        and sum(group.count * group.endpoints for group in scenario.destinations.values()) >= 200
     ]
     assert len(found) >= 15
     assert len(wide) >= 3
     assert all(check.main([str(path)], standalone_mode=False) == 0 for path in found)
     assert "sound: a day of 3 senders" in capsys.readouterr().out
     for path in found:
-        incident = read_scenario(path).day.incident
+        incident = read_scenario(path).about.incident
         assert not incident or (SCENARIO_LIBRARY.parents[2] / "docs" / "incidents" / incident).exists()
 
 
