Runtime: loggers and the state directory by their full names, the shutdown's table within the line

Cause: the word log stood for the log, the logger and the write-ahead log; the table of the shutdown needed an exception of the linter.

--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -44,15 +44,15 @@
     file = configuration.file
     open_standard_streams()
     raise_descriptor_limit(path, file.limits.descriptors)
-    state_directory = StateDirectory(configuration.state, file.sender.name)
+    state_directory = StateDirectory(configuration.state_directory, file.sender.name)
     configuration = configuration.with_traffic_class_ids(
         state_directory.traffic_classes, has_live_messages=state_directory.live_messages() > 0
     )
     state_directory.write(configuration.sender.settings.document["classes"])
     log_format = LogFormat(file.logging.level, file.logging.form)
-    log, log_writer = create_logger(file.sender.name, log_format)
-    sender = create_standalone_sender(configuration, state_directory, log)
-    gevent.spawn(log_writer.run, log)
+    logger, log_writer = create_logger(file.sender.name, log_format)
+    sender = create_standalone_sender(configuration, state_directory, logger)
+    gevent.spawn(log_writer.run, logger)
     try:
         SenderRuntime(sender, StandaloneReloader(configuration, sender, log_format)).run(pending_hangups)
     except OSError as error:
@@ -62,13 +62,13 @@
 
 
 def create_standalone_sender(
-    configuration: FileConfiguration, state_directory: StateDirectory, log: Logger
+    configuration: FileConfiguration, state_directory: StateDirectory, logger: Logger
 ) -> Sender:
     """Raises `StateDirectoryError`."""
-    place = SenderPlace(configuration.file.sender.listen, configuration.state)
+    place = SenderPlace(configuration.file.sender.listen, configuration.state_directory)
     deployment = StandaloneDeployment(configuration, state_directory)
     try:
-        sender = create_sender(place, configuration.sender, deployment, log)
+        sender = create_sender(place, configuration.sender, deployment, logger)
     except StartupError as error:
         raise StateDirectoryError.of_file(configuration.path, error) from error
     except (OSError, ValueError) as error:
--- a/ashpath/cli/standalone_deployment.py
+++ b/ashpath/cli/standalone_deployment.py
@@ -1,6 +1,6 @@
 """A sender with a configuration file of its own: what it has beside, or in place of, the platform's.
 
-The file is converted to the platform's form, and the sender put together as there (`server/sender.py`). Here
+The file is converted to the platform's form, and the sender put together as there (`server/wiring.py`). Here
 stand the differences: notifications go to an address of the file's choice, to a file, or nowhere; final
 outcomes are kept for clients that ask; traffic class ids are stored with the state directory's imprint.
 """
@@ -64,8 +64,8 @@
         return replace(self, sender=sender)
 
     @property
-    def state(self) -> Path:
-        """The state directory, counted from the file's folder."""
+    def state_directory(self) -> Path:
+        """Counted from the file's folder."""
         return resolve(self.path.parent, self.file.sender.state_directory)
 
     def destination_names(self) -> dict[int, str]:
@@ -89,21 +89,23 @@
         self.configuration = configuration
         self.state_directory = state_directory
 
-    def create_outcome_store(self, limits: ServerLimits, log: Logger) -> OutcomeStore:
+    def create_outcome_store(self, limits: ServerLimits, logger: Logger) -> OutcomeStore:
         """In the state directory."""
         retention_us = round(limits.outcome_retention_s * 1e6)
-        return OutcomeStore(self.configuration.state, limits.outcome_store_bytes, retention_us, log)
+        return OutcomeStore(
+            self.configuration.state_directory, limits.outcome_store_bytes, retention_us, logger
+        )
 
     def create_notifier(
-        self, limits: ServerLimits, write_ahead_log: WriteAheadLog, backoff: Backoff, log: Logger
+        self, limits: ServerLimits, write_ahead_log: WriteAheadLog, backoff: Backoff, logger: Logger
     ) -> Notifier:
         """Raises `StateDirectoryError` where the file of notifications cannot be opened."""
         receiver = self.configuration.notification_receiver()
         if receiver is not None:
-            return HttpNotifier(receiver, limits, write_ahead_log, log, backoff)
+            return HttpNotifier(receiver, limits, write_ahead_log, logger, backoff)
         if self.configuration.file.notifications.file:
             lines = self.open_notification_file(limits)
-            return FileNotifier(lines, limits, write_ahead_log, log)
+            return FileNotifier(lines, limits, write_ahead_log, logger)
         return NullNotifier(write_ahead_log)
 
     def open_notification_file(self, limits: ServerLimits) -> RotatingFile:
@@ -160,7 +162,9 @@
         waiting = find_changes(self.started, configuration.file).at_next_start
         self.latest = configuration.file
         self.log_format.use(configuration.file.logging.level, configuration.file.logging.form)
-        self.sender.log.info("configuration read", taken=shortened(applied), needs_restart=shortened(waiting))
+        self.sender.logger.info(
+            "configuration read", taken=shortened(applied), needs_restart=shortened(waiting)
+        )
         self.update_names(configuration)
         self.sender.delivery.attempt_runner.use_credentials(configuration.credentials.destinations)
         self.move_discovery(configuration, applied)
--- a/ashpath/server/adoption.py
+++ b/ashpath/server/adoption.py
@@ -19,12 +19,12 @@
     """Takes over the live messages of orphaned logs, every `interval_s` seconds."""
 
     def __init__(
-        self, write_ahead_log: WriteAheadLog, policy_runner: PolicyRunner, interval_s: float, log: Logger
+        self, write_ahead_log: WriteAheadLog, policy_runner: PolicyRunner, interval_s: float, logger: Logger
     ) -> None:
         self.write_ahead_log = write_ahead_log
         self.policy_runner = policy_runner
         self.interval_s = interval_s
-        self.log = log
+        self.logger = logger
 
     def run(self) -> None:
         """Never returns."""
@@ -32,5 +32,5 @@
             gevent.sleep(self.interval_s)
             adopted = self.write_ahead_log.adopt()
             if adopted:
-                self.log.info("write-ahead log adopted", messages=len(adopted))
+                self.logger.info("write-ahead log adopted", messages=len(adopted))
                 self.policy_runner.adopt(adopted)
--- a/ashpath/server/deployment.py
+++ b/ashpath/server/deployment.py
@@ -1,6 +1,6 @@
 """What differs between the two ways of deploying a sender: under the platform's agent, or from its own file.
 
-Everything else is put together once, in `sender.py`. `platform_deployment.py` and the command line's
+Everything else is put together once, in `wiring.py`. `platform_deployment.py` and the command line's
 `standalone_deployment.py` implement this, each with what it alone needs: neither imports the other.
 """
 
@@ -24,12 +24,12 @@
 class Deployment(Protocol):
     """Who is notified, who keeps outcomes, and where traffic class ids are stored."""
 
-    def create_outcome_store(self, limits: ServerLimits, log: Logger) -> OutcomeStore | None:
+    def create_outcome_store(self, limits: ServerLimits, logger: Logger) -> OutcomeStore | None:
         """Where clients may ask for final outcomes; None where nobody does."""
         ...
 
     def create_notifier(
-        self, limits: ServerLimits, write_ahead_log: WriteAheadLog, backoff: Backoff, log: Logger
+        self, limits: ServerLimits, write_ahead_log: WriteAheadLog, backoff: Backoff, logger: Logger
     ) -> Notifier:
         """`backoff`: the pauses after failed notifications, where they go over a network."""
         ...
--- a/ashpath/server/optional_services.py
+++ b/ashpath/server/optional_services.py
@@ -31,10 +31,10 @@
 class GossipService:
     """Messages between the senders of a fleet, where the configuration names others."""
 
-    def __init__(self, policy_runner: PolicyRunner, link: GossipLink, log: Logger) -> None:
+    def __init__(self, policy_runner: PolicyRunner, link: GossipLink, logger: Logger) -> None:
         self.policy_runner = policy_runner
         self.link = link
-        self.log = log
+        self.logger = logger
         self.gossip: Gossip | None = None  # from the first address on
 
     def configure(self, listen: Address | None, peers: frozenset[Address]) -> None:
@@ -42,13 +42,13 @@
         if self.gossip is None and listen is not None:
             from ashpath.server.gossip import Gossip
 
-            self.gossip = Gossip(self.policy_runner, self.log)
+            self.gossip = Gossip(self.policy_runner, self.logger)
             self.link.connect(self.gossip)
         if self.gossip is not None:
             try:
                 self.gossip.move(listen, peers)
             except OSError as error:
-                self.log.error("gossip not received", error=str(error))  # noqa: TRY400 - one line is enough
+                self.logger.error("gossip not received", error=str(error))  # noqa: TRY400 - one line is enough
 
 
 @dataclass(frozen=True, slots=True)
--- a/ashpath/server/platform_deployment.py
+++ b/ashpath/server/platform_deployment.py
@@ -119,14 +119,14 @@
         self.traffic_class_ids = TrafficClassIds(state)
         self.agent = agent
 
-    def create_outcome_store(self, limits: ServerLimits, log: Logger) -> None:
+    def create_outcome_store(self, limits: ServerLimits, logger: Logger) -> None:
         """None: see `Deployment`."""
 
     def create_notifier(
-        self, limits: ServerLimits, write_ahead_log: WriteAheadLog, backoff: Backoff, log: Logger
+        self, limits: ServerLimits, write_ahead_log: WriteAheadLog, backoff: Backoff, logger: Logger
     ) -> Notifier:
         """To the agent's address."""
-        return HttpNotifier(NotificationReceiver(self.agent), limits, write_ahead_log, log, backoff)
+        return HttpNotifier(NotificationReceiver(self.agent), limits, write_ahead_log, logger, backoff)
 
     def create_status_api(
         self, policy_runner: PolicyRunner, outcome_store: OutcomeStore | None, names: list[str]
@@ -153,12 +153,12 @@
 def create_runtime() -> tuple[SenderRuntime, LogWriter]:
     """Of the environment. Raises `StartupError`."""
     environment = PlatformEnvironment.read()
-    log, log_writer = create_logger(environment.name, LogFormat())
+    logger, log_writer = create_logger(environment.name, LogFormat())
     try:
         configuration = environment.read_configuration()
         assert configuration.platform_address is not None  # RELAY_DISCOVERY is set
-        deployment = PlatformDeployment(environment.place.state, configuration.platform_address)
-        sender = create_sender(environment.place, configuration, deployment, log)
+        deployment = PlatformDeployment(environment.place.state_directory, configuration.platform_address)
+        sender = create_sender(environment.place, configuration, deployment, logger)
     except UNUSABLE_CONFIGURATION_ERRORS as error:
         raise UnusableConfigurationError(environment.configuration_file, error) from error
     reloader = PlatformReloader(
@@ -166,7 +166,7 @@
         sender.settings_switch,
         sender.discovery,
         sender.delivery.notifier,
-        log,
+        logger,
     )
     return SenderRuntime(sender, reloader), log_writer
 
@@ -178,7 +178,7 @@
     except StartupError as error:
         print(f"ashpath: {error}", file=sys.stderr)
         return 2
-    gevent.spawn(log_writer.run, runtime.log)
+    gevent.spawn(log_writer.run, runtime.logger)
     try:
         runtime.run(pending_hangups)
     except OSError as error:
--- a/ashpath/server/reload.py
+++ b/ashpath/server/reload.py
@@ -41,9 +41,9 @@
 class ReloadService:
     """Reloads as often as it is requested."""
 
-    def __init__(self, reloader: Reloader, log: Logger) -> None:
+    def __init__(self, reloader: Reloader, logger: Logger) -> None:
         self.reloader = reloader
-        self.log = log
+        self.logger = logger
         self.requested = Event()
 
     def run(self) -> None:
@@ -54,9 +54,9 @@
             try:
                 self.reloader.reload()
             except ConfigurationError as error:  # half written, say
-                self.log.error("configuration not read", error=str(error))  # noqa: TRY400 - one line is enough
+                self.logger.error("configuration not read", error=str(error))  # noqa: TRY400 - one line is enough
             except OSError as error:
-                self.log.error("configuration not applied", error=str(error))  # noqa: TRY400 - as above
+                self.logger.error("configuration not applied", error=str(error))  # noqa: TRY400 - as above
 
 
 class SettingsSwitch:
@@ -72,7 +72,7 @@
         policy_runner: PolicyRunner,
         gossip: GossipService,
         metrics: MetricsService,
-        log: Logger,
+        logger: Logger,
     ) -> None:
         self.running = running
         self.limits = running.current.limits  # of the process, up to its end
@@ -83,7 +83,7 @@
         self.policy_runner = policy_runner
         self.gossip = gossip
         self.metrics = metrics
-        self.log = log
+        self.logger = logger
 
     def apply(self, configuration: SenderConfiguration) -> None:
         """New settings for what is accepted from now on; the way back is the same step. Raises OSError where
@@ -95,7 +95,7 @@
             self.metrics.configure(configuration.metrics_listen)
         except OSError as error:  # the one before serves on
             reason = str(error.strerror or error)
-            self.log.error("metrics address not changed", error=reason)  # noqa: TRY400 - one line is enough
+            self.logger.error("metrics address not changed", error=reason)  # noqa: TRY400 - one line is enough
         # Also where nothing changed: an address that was in use may be free by now.
         self.gossip.configure(configuration.gossip_listen, configuration.gossip_peers)
 
@@ -118,7 +118,7 @@
         self.registry.configure(settings.kinds, settings.zones)
         self.admission.apply_settings(policy_settings, settings.traffic_class_ids)
         self.policy_runner.apply_settings(policy_settings, list(self.registry.records.values()))
-        self.log.info(
+        self.logger.info(
             "settings applied",
             traffic_classes=len(settings.traffic_class_ids),
             max_in_flight=policy_settings.max_in_flight,
@@ -139,13 +139,13 @@
         switch: SettingsSwitch,
         discovery: DiscoveryClient | None,
         notifier: Notifier,
-        log: Logger,
+        logger: Logger,
     ) -> None:
         self.read_configuration = read_configuration
         self.switch = switch
         self.discovery = discovery
         self.notifier = notifier
-        self.log = log
+        self.logger = logger
 
     def reload(self) -> None:
         """See `Reloader`."""
@@ -153,7 +153,7 @@
             configuration = self.read_configuration()
         except UNUSABLE_CONFIGURATION_ERRORS as error:
             raise ConfigurationError(error_text(error)) from error
-        self.log.info(
+        self.logger.info(
             "configuration read",
             discovery=configuration.discovery,
             needs_restart=configuration.limits != self.switch.limits,
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -30,8 +30,8 @@
 
     def __init__(self, sender: Sender, reloader: Reloader) -> None:
         self.sender = sender
-        self.log = sender.log
-        self.reload_service = ReloadService(reloader, sender.log)
+        self.logger = sender.logger
+        self.reload_service = ReloadService(reloader, sender.logger)
         self.greenlets = Group()
 
     def run(self, pending_hangups: Sequence[int] = ()) -> None:
@@ -51,10 +51,10 @@
         configuration = sender.running.current
         sender.gossip.configure(configuration.gossip_listen, configuration.gossip_peers)
         for service in self.services():
-            self.greenlets.spawn(supervise, service, sender.limits.retry_s, sender.log)
+            self.greenlets.spawn(supervise, service, sender.limits.retry_s, sender.logger)
         gc.collect()
         gc.freeze()
-        self.log.info(
+        self.logger.info(
             "ready",
             messages=len(sender.delivery.policy_runner.messages),
             endpoints=len(sender.delivery.registry.addresses),
@@ -93,7 +93,7 @@
                     delivery.write_ahead_log,
                     delivery.policy_runner,
                     sender.limits.adoption_interval_s,
-                    sender.log,
+                    sender.logger,
                 ).run
             )
         if sender.control is not None:
@@ -101,12 +101,12 @@
         return services
 
 
-def supervise(service: Callable[[], None], pause_s: float, log: Logger) -> None:
+def supervise(service: Callable[[], None], pause_s: float, logger: Logger) -> None:
     """Begins a service again after a fault, which would end one part of the sender for good. Returns as the
     service does."""
     while True:
         try:
             return service()
         except Exception:
-            log.exception("unexpected error")
+            logger.exception("unexpected error")
             gevent.sleep(pause_s)
--- a/ashpath/server/sender.py
+++ b/ashpath/server/sender.py
@@ -38,8 +38,7 @@
 
     listen: str
     """Address and port for clients. Part of the seed of random pauses, as senders of a fleet differ by it."""
-    state: Path
-    """The state directory."""
+    state_directory: Path
     control: str = ""
     """The operators' address; empty: the configuration's, if it has one."""
     inherited_socket: int | None = None
@@ -80,7 +79,7 @@
     running: RunningConfiguration
     limits: ServerLimits
     """Of the process: those of a later configuration wait for the next start."""
-    log: Logger
+    logger: Logger
     delivery: DeliveryPath
     clients: ClientSide
     control: ControlListener | None
--- a/ashpath/server/shutdown.py
+++ b/ashpath/server/shutdown.py
@@ -1,18 +1,24 @@
 """Graceful shutdown after SIGTERM: what can be finished is, the rest stays in the write-ahead log.
 
-| state | entered | meanwhile | left |
-| --- | --- | --- | --- |
-| RUNNING | at the start | messages are accepted | SIGTERM |
-| ACCEPTING | the process bound the address itself | accepts connections and messages; each response closes its connection | after `accept_after_term_s` |
-| REJECTING | after ACCEPTING | idle connections are closed, new requests get 503, attempts still begin | with no work, or `attempts_after_term_s` after SIGTERM |
-| HANDING_OVER | the listening socket is inherited | the other process accepts; clients here are drained, attempts still begin | as REJECTING |
-| FINISHING | after either | no attempt begins; attempts in flight, notifications and requests within a connection go on | with none of them, or `end_after_term_s` after SIGTERM |
-| ENDED | after FINISHING | the listening socket is closed first, so that connecting is refused rather than reset, then the connections | the process exits |
+| state | entered | left |
+| --- | --- | --- |
+| RUNNING | at the start | at SIGTERM |
+| ACCEPTING | from RUNNING, where this process bound the address itself | after `accept_after_term_s` |
+| REJECTING | from ACCEPTING | without work, or `attempts_after_term_s` after SIGTERM |
+| HANDING_OVER | from RUNNING, where the listening socket is inherited | as REJECTING |
+| FINISHING | from REJECTING and HANDING_OVER | without unfinishable work, or `end_after_term_s` after it |
+| ENDED | from FINISHING | the process exits |
+
+ACCEPTING: connections and messages are still accepted, and each response ends its connection. REJECTING:
+idle connections are closed, new requests get 503, attempts still begin. HANDING_OVER: the other process
+accepts, clients here are drained, attempts still begin. FINISHING: no attempt begins; attempts in flight,
+notifications and requests within a connection go on. ENDED: the listening socket is closed first, so that who
+connects is refused, in place of a reset; then the connections.
 
 A request that is not whole `requests_after_term_s` after SIGTERM is answered 503. A second SIGTERM changes
-nothing: it would put off responses that the first one still owes. What is queued at the end is restored by the
-next incarnation, or adopted by the other process of a hot upgrade.
-"""  # noqa: E501 - a table's row is one line
+nothing: it would put off responses that the first one still owes. What is queued at the end is restored by
+the next incarnation, or adopted by the other process of a hot upgrade.
+"""
 
 from __future__ import annotations
 
@@ -54,14 +60,14 @@
         policy_runner: PolicyRunner,
         notifier: Notifier,
         limits: ServerLimits,
-        log: Logger,
+        logger: Logger,
     ) -> None:
         self.listener = listener
         self.admission = admission
         self.policy_runner = policy_runner
         self.notifier = notifier
         self.limits = limits
-        self.log = log
+        self.logger = logger
         self.state = ShutdownState.RUNNING
         self.ended = Event()
 
@@ -70,7 +76,7 @@
         if self.state is not ShutdownState.RUNNING:
             return
         began = monotonic()
-        self.log.info(
+        self.logger.info(
             "shutdown started",
             messages=len(self.policy_runner.messages),
             in_flight=len(self.policy_runner.attempts),
@@ -110,7 +116,7 @@
         self.state = ShutdownState.ENDED
         self.listener.stop()
         self.listener.close_all()
-        self.log.info(
+        self.logger.info(
             "shutdown finished",
             messages=len(self.policy_runner.messages),
             in_flight=len(self.policy_runner.attempts),
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -10,7 +10,7 @@
 from ashpath.core.platform_settings import load_report_fields
 from ashpath.server.addresses import parse_address
 from ashpath.server.backoff import Backoff
-from ashpath.server.configuration import RunningConfiguration, SenderConfiguration
+from ashpath.server.configuration import RunningConfiguration, SenderConfiguration, SenderSettings
 from ashpath.server.control.listener import ControlListener
 from ashpath.server.delivery.attempt_runner import AttemptRunner
 from ashpath.server.delivery.connection_pool import ConnectionPool
@@ -40,7 +40,7 @@
 
 
 def create_sender(
-    place: SenderPlace, configuration: SenderConfiguration, deployment: Deployment, log: Logger
+    place: SenderPlace, configuration: SenderConfiguration, deployment: Deployment, logger: Logger
 ) -> Sender:
     """A sender that is not started yet, though metrics can be read already.
 
@@ -53,34 +53,38 @@
         has_live_messages=bool(write_ahead_log.messages.live) or place.inherited_socket is not None,
     )
     running = RunningConfiguration(configuration)
-    delivery = create_delivery_path(place, configuration, deployment, write_ahead_log, log)
-    clients = create_client_side(place, configuration, deployment, delivery, log)
+    delivery = create_delivery_path(place, configuration, deployment, write_ahead_log, logger)
+    clients = create_client_side(place, configuration, deployment, delivery, logger)
     delivery.registry.apply_members(configuration.known_endpoints["members"], whole=True)
-    control = create_control_listener(place, configuration, delivery, clients.listener, log)
-    discovery = create_discovery_client(place, configuration, delivery.membership, log)
-    gossip = GossipService(delivery.policy_runner, delivery.gossip_link, log)
+    control = create_control_listener(place, configuration, delivery, clients.listener, logger)
+    discovery = create_discovery_client(place, configuration, delivery.membership, logger)
+    gossip = GossipService(delivery.policy_runner, delivery.gossip_link, logger)
     metrics = create_metrics_service(running, delivery, clients, discovery, gossip)
     metrics.start(configuration.metrics_listen, other_process=place.inherited_socket is not None)
     return Sender(
         place=place,
         running=running,
         limits=configuration.limits,
-        log=log,
+        logger=logger,
         delivery=delivery,
         clients=clients,
         control=control,
         discovery=discovery,
         gossip=gossip,
         metrics=metrics,
-        settings_switch=create_settings_switch(running, deployment, delivery, clients, gossip, metrics, log),
-        shutdown=create_shutdown(configuration.limits, delivery, clients, log),
+        settings_switch=create_settings_switch(
+            running, deployment, delivery, clients, gossip, metrics, logger
+        ),
+        shutdown=create_shutdown(configuration.limits, delivery, clients, logger),
     )
 
 
 def open_write_ahead_log(place: SenderPlace, limits: ServerLimits) -> WriteAheadLog:
     """Its bytes are what the other files of the state directory leave of `disk_bytes`."""
     files = shared_memory_files(place)
-    return WriteAheadLog(place.state, limits.disk_bytes - files * FILE_BYTES - outage_store.MAX_DISK_BYTES)
+    return WriteAheadLog(
+        place.state_directory, limits.disk_bytes - files * FILE_BYTES - outage_store.MAX_DISK_BYTES
+    )
 
 
 def shared_memory_files(place: SenderPlace) -> int:
@@ -93,23 +97,21 @@
     configuration: SenderConfiguration,
     deployment: Deployment,
     write_ahead_log: WriteAheadLog,
-    log: Logger,
+    logger: Logger,
 ) -> DeliveryPath:
     """Opens the other files of the state directory, too."""
     limits = configuration.limits
     settings = configuration.settings
-    shared_memory = open_shared_memory(place, log)
-    outcome_store = deployment.create_outcome_store(limits, log)
+    shared_memory = open_shared_memory(place, logger)
+    outcome_store = deployment.create_outcome_store(limits, logger)
     backoff = create_notifier_backoff(place, configuration)
-    notifier = deployment.create_notifier(limits, write_ahead_log, backoff, log)
+    notifier = deployment.create_notifier(limits, write_ahead_log, backoff, logger)
     pool = ConnectionPool(limits)
-    registry = EndpointRegistry(settings.kinds, settings.zones, pool, log)
+    registry = EndpointRegistry(settings.kinds, settings.zones, pool, logger)
     recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store)
-    has_load_reports = load_report_fields(settings.document) is not None
-    classifier = ResponseClassifier(has_load_reports=has_load_reports)
-    attempt_runner = AttemptRunner(pool, registry, classifier, notifier, log)
+    attempt_runner = AttemptRunner(pool, registry, create_classifier(settings), notifier, logger)
     gossip_link = GossipLink()
-    detached_endpoints = DetachedEndpoints(place.state, log)
+    detached_endpoints = DetachedEndpoints(place.state_directory, logger)
     policy_runner = PolicyRunner(
         settings.policy_settings,
         write_ahead_log,
@@ -117,9 +119,9 @@
         attempt_runner,
         shared_memory,
         detached_endpoints,
-        OutageStore(place.state, log),
+        OutageStore(place.state_directory, logger),
         gossip_link,
-        log,
+        logger,
     )
     return DeliveryPath(
         write_ahead_log=write_ahead_log,
@@ -136,11 +138,16 @@
     )
 
 
-def open_shared_memory(place: SenderPlace, log: Logger) -> SharedMemory:
+def create_classifier(settings: SenderSettings) -> ResponseClassifier:
+    """Load reports count where the settings of the start say that responses have them."""
+    return ResponseClassifier(has_load_reports=load_report_fields(settings.document) is not None)
+
+
+def open_shared_memory(place: SenderPlace, logger: Logger) -> SharedMemory:
     """Without a place for this process it still reads what the other one of a hot upgrade writes."""
-    shared_memory = SharedMemory(place.state, shared_memory_files(place))
+    shared_memory = SharedMemory(place.state_directory, shared_memory_files(place))
     if shared_memory.own is None:
-        log.error("no shared memory: Retry-After and detached endpoints of this process bind no other")
+        logger.error("no shared memory: Retry-After and detached endpoints of this process bind no other")
     return shared_memory
 
 
@@ -161,7 +168,7 @@
     configuration: SenderConfiguration,
     deployment: Deployment,
     delivery: DeliveryPath,
-    log: Logger,
+    logger: Logger,
 ) -> ClientSide:
     """It does not listen yet."""
     admission = Admission(
@@ -170,12 +177,14 @@
         delivery.registry,
         delivery.policy_runner,
         delivery.write_ahead_log,
-        log,
+        logger,
     )
     status_api = deployment.create_status_api(
         delivery.policy_runner, delivery.outcome_store, configuration.settings.traffic_class_names()
     )
-    listener = ClientListener(parse_address(place.listen), configuration.limits, admission, log, status_api)
+    listener = ClientListener(
+        parse_address(place.listen), configuration.limits, admission, logger, status_api
+    )
     return ClientSide(admission, listener, status_api)
 
 
@@ -184,7 +193,7 @@
     configuration: SenderConfiguration,
     delivery: DeliveryPath,
     listener: ClientListener,
-    log: Logger,
+    logger: Logger,
 ) -> ControlListener | None:
     """The operators' address, where there is one; the environment's comes first."""
     address = place.control or configuration.control
@@ -193,11 +202,11 @@
     commands = OperatorCommands(
         delivery.policy_runner, delivery.registry, listener, delivery.detached_endpoints
     )
-    return ControlListener(parse_address(address), configuration.limits, commands, log)
+    return ControlListener(parse_address(address), configuration.limits, commands, logger)
 
 
 def create_discovery_client(
-    place: SenderPlace, configuration: SenderConfiguration, membership: EndpointMembership, log: Logger
+    place: SenderPlace, configuration: SenderConfiguration, membership: EndpointMembership, logger: Logger
 ) -> DiscoveryClient | None:
     """The client of the discovery service, where there is one.
 
@@ -216,7 +225,7 @@
         int(configuration.known_endpoints.get("revision") or 0),
         membership,
         Random(f"{random_seed(place, configuration)}/d"),
-        log,
+        logger,
         first_poll_delay_s if place.inherited_socket is None else 0.0,
     )
 
@@ -247,7 +256,7 @@
     clients: ClientSide,
     gossip: GossipService,
     metrics: MetricsService,
-    log: Logger,
+    logger: Logger,
 ) -> SettingsSwitch:
     """For the parts that have a copy of the settings."""
     return SettingsSwitch(
@@ -259,12 +268,12 @@
         policy_runner=delivery.policy_runner,
         gossip=gossip,
         metrics=metrics,
-        log=log,
+        logger=logger,
     )
 
 
 def create_shutdown(
-    limits: ServerLimits, delivery: DeliveryPath, clients: ClientSide, log: Logger
+    limits: ServerLimits, delivery: DeliveryPath, clients: ClientSide, logger: Logger
 ) -> GracefulShutdown:
     """For the parts that have work to finish."""
     return GracefulShutdown(
@@ -273,5 +282,5 @@
         policy_runner=delivery.policy_runner,
         notifier=delivery.notifier,
         limits=limits,
-        log=log,
+        logger=logger,
     )
