Bench adapter and submission: fewer calls an event

Change: a table of handlers for events, a guard without a closure, rows appended at once; the queue's capacity is looked at only while messages are late.

--- a/ashpath/bench_adapter/policy_instance.py
+++ b/ashpath/bench_adapter/policy_instance.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any
 
-from ashpath.bench_adapter.errors import BenchProtocolError, MalformedBatchError, UnknownEventError
+from ashpath.bench_adapter.errors import MalformedBatchError, UnknownEventError
 from ashpath.bench_adapter.recorded_actions import RecordedActions
 from ashpath.bench_adapter.wire_names import (
     IGNORED_EVENTS,
@@ -13,10 +14,13 @@
     OVERLOADED,
     POLL_FAILED,
     AttemptFinishedBody,
+    ClientDisconnectedBody,
     EndpointsChangedBody,
     EventName,
+    GossipReceivedBody,
     Row,
     SubmittedBody,
+    TimerFiredBody,
 )
 from ashpath.core.interface import EndpointRecord, LoadReport
 from ashpath.core.platform_settings import load_report_fields
@@ -37,54 +41,58 @@
         self.faulty = False
         self.report_fields = load_report_fields(settings)
         self.policy = DeliveryPolicy(policy_settings(seed, settings), self.actions)
+        self.handlers: dict[str, Callable[[Any], None]] = {  # a field that is missing is a KeyError
+            EventName.SUBMITTED: self._submitted,
+            EventName.ATTEMPT_FINISHED: self._attempt_finished,
+            EventName.TIMER_FIRED: self._timer_fired,
+            EventName.CLIENT_DISCONNECTED: self._client_disconnected,
+            EventName.ENDPOINTS_CHANGED: self._endpoints_changed,
+            EventName.GOSSIP_RECEIVED: self._gossip_received,
+        }
 
     def begin_batch(self, now: int) -> None:
         """The time of all events until `end_batch`, in microseconds."""
-        self._guard(lambda: self.policy.begin_batch(now))
+        if self.faulty:
+            return
+        try:
+            self.policy.begin_batch(now)
+        except Exception as error:
+            self._judge(error)
 
     def handle(self, name: str, body: Row) -> None:
         """One event. Raises BenchProtocolError where it is not the wire's."""
-        self._guard(lambda: self._dispatch(name, body))
+        if self.faulty:
+            return
+        handler = self.handlers.get(name)
+        if handler is None:
+            if name not in IGNORED_EVENTS:
+                raise UnknownEventError(name)
+            return
+        try:
+            handler(body)
+        except Exception as error:
+            self._judge(error)
 
     def end_batch(self) -> list[Row]:
         """The actions of the batch."""
-        self._guard(self.policy.end_batch)
+        if not self.faulty:
+            try:
+                self.policy.end_batch()
+            except Exception as error:
+                self._judge(error)
         return self.actions.take()
 
-    def _guard(self, call: Callable[[], None]) -> None:
-        # An exception inside the policy is an action of the wire; what this package raises is bad input.
-        if self.faulty:
-            return
-        try:
-            call()
-        except BenchProtocolError:
-            raise
-        except Exception as error:
-            self.faulty = True
-            trace = error.__traceback__
-            while trace and trace.tb_next:
-                trace = trace.tb_next
-            if trace and trace.tb_frame.f_globals.get("__name__") == __name__:
-                text = f"malformed event: {type(error).__name__} {error}"
-                raise MalformedBatchError(text) from error
-            where = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}" if trace else "?"
-            self.actions.report_fault(f"{type(error).__name__}: {error} in {where}")
-
-    def _dispatch(self, name: str, body: Row) -> None:
-        if name == EventName.SUBMITTED:
-            self._submitted(body)  # type: ignore[arg-type]  # a missing field is a KeyError, see `_guard`
-        elif name == EventName.ATTEMPT_FINISHED:
-            self._attempt_finished(body)  # type: ignore[arg-type]  # as above
-        elif name == EventName.TIMER_FIRED:
-            self.policy.timer_fired(body["ref"])
-        elif name == EventName.CLIENT_DISCONNECTED:
-            self.policy.client_disconnected(body["rid"])
-        elif name == EventName.ENDPOINTS_CHANGED:
-            self._endpoints_changed(body)  # type: ignore[arg-type]  # as above
-        elif name == EventName.GOSSIP_RECEIVED:
-            self.policy.receive_gossip(bytes.fromhex(body["contents"]))
-        elif name not in IGNORED_EVENTS:
-            raise UnknownEventError(name)
+    def _judge(self, error: Exception) -> None:
+        # An exception inside the policy is an action of the wire; what this module raises is bad input.
+        self.faulty = True
+        trace = error.__traceback__
+        while trace and trace.tb_next:
+            trace = trace.tb_next
+        if trace and trace.tb_frame.f_globals.get("__name__") == __name__:
+            text = f"malformed event: {type(error).__name__} {error}"
+            raise MalformedBatchError(text) from error
+        where = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}" if trace else "?"
+        self.actions.report_fault(f"{type(error).__name__}: {error} in {where}")
 
     def _submitted(self, body: SubmittedBody) -> None:
         left = microseconds(body["ttl"])
@@ -92,18 +100,28 @@
 
     def _attempt_finished(self, body: AttemptFinishedBody) -> None:
         retry_after = microseconds(body.get("remark-ms")) if body["outcome"] == OVERLOADED else 0
-        report = self._load_report(body.get("stats"))
+        stats = body.get("stats")
+        report = self._load_report(stats) if stats else None
         finished = bool(body.get("complete"))
         self.policy.attempt_finished(body["rid"], OUTCOMES[body["outcome"]], retry_after, finished, report)
 
-    def _load_report(self, values: list[float] | None) -> LoadReport | None:
-        if not values or not self.report_fields:
+    def _load_report(self, values: list[float]) -> LoadReport | None:
+        if not self.report_fields:
             return None
         quota_field, rate_field = self.report_fields
         if not values[rate_field]:  # a rate of 0 stands for no limit
             return None
         return LoadReport(remaining_quota=values[quota_field], rate_limit=values[rate_field])
 
+    def _timer_fired(self, body: TimerFiredBody) -> None:
+        self.policy.timer_fired(body["ref"])
+
+    def _client_disconnected(self, body: ClientDisconnectedBody) -> None:
+        self.policy.client_disconnected(body["rid"])
+
+    def _gossip_received(self, body: GossipReceivedBody) -> None:
+        self.policy.receive_gossip(bytes.fromhex(body["contents"]))
+
     def _endpoints_changed(self, body: EndpointsChangedBody) -> None:
         if body["kind"] == POLL_FAILED:
             self.policy.endpoint_poll_failed()
--- a/ashpath/bench_adapter/recorded_actions.py
+++ b/ashpath/bench_adapter/recorded_actions.py
@@ -18,46 +18,43 @@
         self.rows = []
         return rows
 
-    def _record(self, name: str, body: Row) -> None:
-        self.rows.append({name: body})
-
     def start_attempt(self, message_id: int, endpoint_id: str, timeout: int) -> None:
         """Sends a message to an endpoint."""
         body = {"rid": message_id, "endpoint": endpoint_id, "allow-for": milliseconds(timeout)}
-        self._record(ActionName.START_ATTEMPT, body)
+        self.rows.append({ActionName.START_ATTEMPT: body})
 
     def reject(self, message_id: int, retry_after: int) -> None:
         """Final: harmless to submit again."""
-        self._record(ActionName.REJECT, {"rid": message_id, "retry-in": milliseconds(retry_after)})
+        self.rows.append({ActionName.REJECT: {"rid": message_id, "retry-in": milliseconds(retry_after)}})
 
     def fail(self, message_id: int) -> None:
         """Final: not to be submitted again."""
-        self._record(ActionName.FAIL, {"rid": message_id})
+        self.rows.append({ActionName.FAIL: {"rid": message_id}})
 
     def cancel_attempt(self, message_id: int, attempt: int) -> None:
         """Cancels an attempt, by its number from 0."""
-        self._record(ActionName.CANCEL_ATTEMPT, {"rid": message_id, "go": attempt})
+        self.rows.append({ActionName.CANCEL_ATTEMPT: {"rid": message_id, "go": attempt}})
 
     def close_idle_connections(self, endpoint_id: str) -> None:
         """Closes connections that carry no call."""
-        self._record(ActionName.CLOSE_IDLE_CONNECTIONS, {"endpoint": endpoint_id})
+        self.rows.append({ActionName.CLOSE_IDLE_CONNECTIONS: {"endpoint": endpoint_id}})
 
     def schedule_timer(self, at: int, token: str) -> None:
         """The token comes back then."""
-        self._record(ActionName.SCHEDULE_TIMER, {"due-at": milliseconds(at), "ref": token})
+        self.rows.append({ActionName.SCHEDULE_TIMER: {"due-at": milliseconds(at), "ref": token}})
 
     def poll_endpoints(self) -> None:
         """Asks for the endpoint list."""
-        self._record(ActionName.POLL_ENDPOINTS, {"active": True})
+        self.rows.append({ActionName.POLL_ENDPOINTS: {"active": True}})
 
     def publish(self, message: bytes) -> None:
         """Gossips to all other senders."""
-        self._record(ActionName.PUBLISH, {"neighbour-id": ALL_SENDERS, "contents": message.hex()})
+        self.rows.append({ActionName.PUBLISH: {"neighbour-id": ALL_SENDERS, "contents": message.hex()}})
 
     def mode_changed(self, text: str, destination: int, endpoint_id: str, down: bool, rate: float) -> None:
         """A change of mode, for the bench's log; nothing outlives a restart there."""
-        self._record(ActionName.LOG, {"what": text})
+        self.rows.append({ActionName.LOG: {"what": text}})
 
     def report_fault(self, text: str) -> None:
         """The policy raised an exception: this instance does nothing any more."""
-        self._record(ActionName.FAULT, {"what": text})
+        self.rows.append({ActionName.FAULT: {"what": text}})
--- a/ashpath/bench_adapter/wire_names.py
+++ b/ashpath/bench_adapter/wire_names.py
@@ -75,6 +75,24 @@
 """`remark-ms` is a Retry-After where the outcome is OVERLOADED; `stats` the fields of a load report."""
 
 
+class TimerFiredBody(TypedDict):
+    """The token that the policy gave the timer."""
+
+    ref: str
+
+
+class ClientDisconnectedBody(TypedDict):
+    """The message that nobody wants any more."""
+
+    rid: int
+
+
+class GossipReceivedBody(TypedDict):
+    """Hexadecimal digits."""
+
+    contents: str
+
+
 class EndpointsChangedBody(TypedDict):
     """`sheet` is the number of a registered list."""
 
--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -27,7 +27,7 @@
 
     @abstractmethod
     def enforce_queue_capacity(self) -> None:
-        """A message was submitted: another may have to give way."""
+        """A message was submitted, and some are late: one of these may have to give way."""
 
     @abstractmethod
     def re_evaluate(self, message: Message) -> None:
@@ -57,7 +57,8 @@
         for gate in gates:
             gate.outage.submissions.add(self.now, 1 / len(gates))
         message = self._new_message(message_id, destination, traffic_class, time_left)
-        self.enforce_queue_capacity()
+        if self.late_messages:
+            self.enforce_queue_capacity()
         self._enqueue_new(message, key)
 
     def restore(
--- a/ashpath/policy/delivery_policy.py
+++ b/ashpath/policy/delivery_policy.py
@@ -24,6 +24,8 @@
 class DeliveryPolicy(PolicyEngine):
     """All decisions of one sender. Times are microseconds of one clock that only goes forward."""
 
+    check_time = retries.check_time
+
     def __init__(self, settings: PolicySettings, actions: PolicyActions) -> None:
         super().__init__(
             settings,
@@ -69,7 +71,7 @@
 
     def enforce_queue_capacity(self) -> None:
         """Guards the rest against queues that fill up: of those longest late, the least gives way."""
-        if self.late_messages and len(self.messages) > tuning.FULL_QUEUE * self.settings.queue_capacity > 0:
+        if len(self.messages) > tuning.FULL_QUEUE * self.settings.queue_capacity > 0:
             longest_late = islice(self.late_messages, tuning.LATE_CONSIDERED)
             self.finish_undelivered(min(longest_late, key=lambda late: late.value_at(self.now)))
 
@@ -140,10 +142,6 @@
         self.finish(message)
         retries.answer_undelivered(self, message)
 
-    def check_time(self, message: Message) -> int:
-        """When to re-evaluate a message that waits."""
-        return retries.check_time(self, message)
-
     def re_evaluate(self, message: Message) -> None:
         """Answers a message for which it is too late, or queues it by what it can still make."""
         if not retries.may_be_sent(self, message):
