What client connections share in one object, enumeration members bound once on the hot path

Change: ConnectionState hashes by identity; a connection's place in the table is kept beside it; members and statuses that each message needs are bound once; ClientServices holds what all connections of a listener share.

--- a/ashpath/server/http/client_connection.py
+++ b/ashpath/server/http/client_connection.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from dataclasses import dataclass
 from time import monotonic
 
 from gevent import Timeout
@@ -26,25 +27,33 @@
 from ashpath.server.limits import ServerLimits
 from ashpath.server.logs import Logger
 
+# Bound once: an access to an enumeration's member costs as much as the move that it is for.
+AWAITING_FIRST_REQUEST = ConnectionState.AWAITING_FIRST_REQUEST
+IDLE = ConnectionState.IDLE
+READING = ConnectionState.READING
+RESPONDING = ConnectionState.RESPONDING
+REJECTING = ConnectionState.REJECTING
+
+
+@dataclass(frozen=True, slots=True)
+class ClientServices:
+    """What all connections of a listener share: one object, as there may be thousands of them."""
+
+    table: ConnectionTable
+    handler: RequestHandler
+    availability: Availability
+    limits: ServerLimits
+    logger: Logger
+
 
 class ClientConnection:
     """Serves a connection until either side ends it."""
 
-    def __init__(
-        self,
-        connection: HttpConnection,
-        table: ConnectionTable,
-        handler: RequestHandler,
-        availability: Availability,
-        limits: ServerLimits,
-        logger: Logger,
-    ) -> None:
+    __slots__ = ("connection", "draining", "first", "services")
+
+    def __init__(self, connection: HttpConnection, services: ClientServices) -> None:
         self.connection = connection
-        self.table = table
-        self.handler = handler
-        self.availability = availability
-        self.limits = limits
-        self.logger = logger
+        self.services = services
         self.first = True  # no request has been read yet
         self.draining = False  # what came after this side's end has been read, or is being read
 
@@ -56,7 +65,7 @@
         except (OSError, ConnectionClosedError):
             pass
         except Exception:
-            self.logger.exception("unexpected error")
+            self.services.logger.exception("unexpected error")
             self.reject(500)
         else:
             self.end()
@@ -66,7 +75,7 @@
         waiting_since = self.await_bytes()
         if not len(self.connection.buffer) or self.connection.unusable:
             return False  # closed, or silent for too long, or drained: what came after that is not read
-        self.table.enter(self.connection, ConnectionState.READING)
+        self.services.table.enter(self.connection, READING)
         try:
             request = self.read_request(waiting_since)
         except ConnectionResetError:
@@ -81,10 +90,13 @@
     def await_bytes(self) -> float:
         """Waits for a request to begin, for so long as a client may be silent; when the wait began."""
         connection = self.connection
-        state = ConnectionState.AWAITING_FIRST_REQUEST if self.first else ConnectionState.IDLE
-        since = self.table.enter(connection, state)
-        self.table.limit_idle()
-        with suppress(Timeout), Timeout(self.limits.request_s if self.first else self.limits.client_idle_s):
+        state = AWAITING_FIRST_REQUEST if self.first else IDLE
+        since = self.services.table.enter(connection, state)
+        self.services.table.limit_idle()
+        with (
+            suppress(Timeout),
+            Timeout(self.services.limits.request_s if self.first else self.services.limits.client_idle_s),
+        ):
             connection.receive()
         if not len(connection.buffer) and connection.peek_byte():
             connection.receive()  # it came as the time ended: closing on it would leave it unread
@@ -93,41 +105,41 @@
     def read_request(self, waiting_since: float) -> HttpRequest:
         """The request, whole and in time. Raises ProtocolError, ConnectionClosedError, OSError."""
         # A first request counts from the connection's start: guards against bytes that drip.
-        time_left = self.limits.request_s - (monotonic() - waiting_since if self.first else 0.0)
-        time_left = min(time_left, self.availability.respond_by - monotonic())
+        time_left = self.services.limits.request_s - (monotonic() - waiting_since if self.first else 0.0)
+        time_left = min(time_left, self.services.availability.respond_by - monotonic())
         try:
             with Timeout(max(0.0, time_left)):
                 request = self.connection.read_request()
                 if len(self.connection.buffer) or self.connection.peek_byte():
                     raise TrailingBytesError
         except Timeout as timeout:
-            if monotonic() >= self.availability.respond_by:  # its client goes to another process
+            if monotonic() >= self.services.availability.respond_by:  # its client goes to another process
                 raise LateRequestError from timeout
             raise RequestTimeoutError from timeout
         return request
 
     def respond(self, request: HttpRequest) -> bool:
         """Handles a request and writes its response; whether the connection goes on."""
-        keep_alive = request.keep_alive and not self.connection.unusable and self.availability.ready
-        self.table.enter(self.connection, ConnectionState.RESPONDING)
-        reply = self.handler.handle(request, self.connection)
+        keep_alive = request.keep_alive and not self.connection.unusable and self.services.availability.ready
+        self.services.table.enter(self.connection, RESPONDING)
+        reply = self.services.handler.handle(request, self.connection)
         data = encode_response(
             reply.status, keep_alive=keep_alive, retry_after=reply.retry_after, body=reply.body
         )
         if not self.write(data):
-            self.handler.response_lost(reply)
+            self.services.handler.response_lost(reply)
         return keep_alive
 
     def reject(self, status: int) -> None:
         """A response, then the rest is read: closing on unread bytes would take the response back."""
-        self.table.enter(self.connection, ConnectionState.REJECTING)
+        self.services.table.enter(self.connection, REJECTING)
         if self.write(encode_response(status, keep_alive=False)):
             self.end()
 
     def write(self, data: bytes) -> bool:
         """False: the client had left, or did not take its response in time."""
         try:
-            with Timeout(self.limits.response_write_s):
+            with Timeout(self.services.limits.response_write_s):
                 self.connection.write(data)
         except (OSError, Timeout):
             self.connection.unusable = True
@@ -140,6 +152,6 @@
         if self.connection.eof_received or self.draining:
             return
         self.draining = True
-        self.table.half_close(self.connection)
-        with suppress(OSError, Timeout), Timeout(self.limits.response_write_s):
-            self.connection.drain(self.limits.drain_bytes)
+        self.services.table.half_close(self.connection)
+        with suppress(OSError, Timeout), Timeout(self.services.limits.response_write_s):
+            self.connection.drain(self.services.limits.drain_bytes)
--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -31,7 +31,6 @@
 import re
 from contextlib import suppress
 from dataclasses import dataclass
-from http import HTTPStatus
 
 import httptools
 from gevent import Timeout, socket
@@ -54,14 +53,14 @@
     UpgradeError,
 )
 from ashpath.server.http.framing import BodyFraming, body_framing, known_end
-from ashpath.server.http.messages import HttpMessage, HttpRequest, HttpResponse, Parser
+from ashpath.server.http.messages import OK, HttpMessage, HttpRequest, HttpResponse, Parser
 from ashpath.server.http.receive_buffer import ReceiveBuffer
 from ashpath.server.http.transport import BufferedSocket
 from ashpath.server.limits import ServerLimits
 
 END_OF_HEAD = b"\r\n\r\n"
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9][0-9])( [^\r\n]*)?\r?\n")
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 @dataclass(slots=True)
@@ -111,7 +110,7 @@
         if isinstance(framing, int) and framing > self.limits.body_bytes:
             raise BodyTooLongError
         if request.headers.get(b"expect", b"").lower() == b"100-continue":
-            self.write(CONTINUE)
+            self.write(CONTINUE_RESPONSE)
         self._read_body(request, parser, framing)
         return request
 
@@ -143,10 +142,10 @@
                     return response
                 framing = 0 if response.complete else body_framing(response, self.limits.body_bytes)
                 self.pending_body = PendingBody(response, parser, framing)
-                if response.status != HTTPStatus.OK:
+                if response.status != OK:
                     self.finish_response()
         except (Exception, Timeout):  # cancelled or out of time, too: a 200 that is here counts
-            if response.status != HTTPStatus.OK:
+            if response.status != OK:
                 raise
             return response
         response.well_formed = True
@@ -162,7 +161,7 @@
         with suppress(OSError, ConnectionClosedError, ProtocolError):
             self.sock.settimeout(0)
             response.status = 0 if self.status_line_read else self._read_status()
-        return response if response.status == HTTPStatus.OK else None
+        return response if response.status == OK else None
 
     def body_received(self) -> bool:
         """Whether `finish_response` would return without waiting."""
--- a/ashpath/server/http/connection_table.py
+++ b/ashpath/server/http/connection_table.py
@@ -48,30 +48,36 @@
     REJECTING = auto()
     HALF_CLOSED = auto()
 
+    __hash__ = object.__hash__  # by identity: Enum's own is many times slower, and asked for on each request
+
+
+Entries = OrderedDict[HttpConnection, float]
+
 
 class ConnectionTable:
     """Client connections in their states, each in the order in which they came to it."""
 
     def __init__(self, limits: ServerLimits) -> None:
         self.limits = limits
-        self.states: dict[HttpConnection, ConnectionState] = {}
         # By state, with the moment at which each came to it, in seconds of the monotonic clock.
-        self.entered: dict[ConnectionState, OrderedDict[HttpConnection, float]] = {
-            state: OrderedDict() for state in ConnectionState
-        }
+        self.entered: dict[ConnectionState, Entries] = {state: OrderedDict() for state in ConnectionState}
+        self.idle = self.entered[ConnectionState.IDLE]
+        # Which of them has a connection: several moves a request, so no state is looked up to leave it.
+        self.places: dict[HttpConnection, Entries] = {}
 
     def enter(self, connection: HttpConnection, state: ConnectionState) -> float:
         """Moves a connection, or puts a new one here; the moment of it."""
         self.remove(connection)
-        self.states[connection] = state
-        moment = self.entered[state][connection] = monotonic()
+        place = self.entered[state]
+        self.places[connection] = place
+        moment = place[connection] = monotonic()
         return moment
 
     def remove(self, connection: HttpConnection) -> None:
         """A connection that is closed; one that is not here is no error."""
-        state = self.states.pop(connection, None)
-        if state is not None:
-            del self.entered[state][connection]
+        place = self.places.pop(connection, None)
+        if place is not None:
+            del place[connection]
 
     def count(self, *states: ConnectionState) -> int:
         """Connections that are in any of the states."""
@@ -83,7 +89,7 @@
 
     def half_close(self, connection: HttpConnection) -> None:
         """Ends this side of a connection; what it came to that state with stays the same if it is there."""
-        if self.states.get(connection) is not ConnectionState.HALF_CLOSED:
+        if connection not in self.entered[ConnectionState.HALF_CLOSED]:
             self.enter(connection, ConnectionState.HALF_CLOSED)
         connection.half_close()
 
@@ -110,8 +116,7 @@
     def limit_idle(self) -> None:
         """Guards clients against each other: those that ask once and stay would leave the rest no
         connection."""
-        idle = self.entered[ConnectionState.IDLE]
-        while len(idle) > self.limits.idle_client_connections and self.evict(ConnectionState.IDLE):
+        while len(self.idle) > self.limits.idle_client_connections and self.evict(ConnectionState.IDLE):
             pass
 
     def make_room(self) -> bool:
--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -11,7 +11,7 @@
 from ashpath.server.addresses import Address
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.availability import Availability
-from ashpath.server.http.client_connection import ClientConnection
+from ashpath.server.http.client_connection import ClientConnection, ClientServices
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.connection_table import ConnectionState, ConnectionTable
 from ashpath.server.http.request_handler import RequestHandler, RequestResponder
@@ -39,10 +39,10 @@
     ) -> None:
         self.address = address
         self.limits = limits
-        self.logger = logger
         self.availability = Availability()
         self.handler = RequestHandler(admission, self.availability, status_api)
         self.table = ConnectionTable(limits)
+        self.services = ClientServices(self.table, self.handler, self.availability, limits, logger)
         self.connection_count = 0
         self.connection_closed = Event()
         self.inherited = False  # the listening socket is the platform's: another process may accept on it
@@ -79,11 +79,8 @@
 
     def serve(self, connection: HttpConnection) -> None:
         """Serves a connection, which counts already, to its end."""
-        client = ClientConnection(
-            connection, self.table, self.handler, self.availability, self.limits, self.logger
-        )
         try:
-            client.serve()
+            ClientConnection(connection, self.services).serve()
         finally:
             self.table.remove(connection)
             connection.close()
--- a/ashpath/server/http/messages.py
+++ b/ashpath/server/http/messages.py
@@ -6,6 +6,10 @@
 
 import httptools
 
+# Bound once: an access to an enumeration's member costs more than all else that is done with it here.
+CONTINUE = HTTPStatus.CONTINUE.value
+OK = HTTPStatus.OK.value
+
 Parser = httptools.HttpRequestParser | httptools.HttpResponseParser
 
 
@@ -86,4 +90,4 @@
     @property
     def is_interim(self) -> bool:
         """The response that counts follows (RFC 9110, 15.2)."""
-        return HTTPStatus.CONTINUE <= self.status < HTTPStatus.OK
+        return CONTINUE <= self.status < OK
