--- /dev/null
+++ b/tests/server/http/test_connection.py
@@ -0,0 +1,107 @@
+"""The states of a connection as a client: which responses leave it ready, and which unusable."""
+
+from __future__ import annotations
+
+import pytest
+from gevent import socket
+from support.stages import SocketPairConnection
+
+from ashpath.server.http.errors import (
+    BodyTooLongError,
+    ConnectionClosedError,
+    HeadTooLongError,
+    ParserError,
+    ProtocolError,
+    ResponseTooLongError,
+    StatusLineError,
+    StatusLineTooLongError,
+    TooManyInterimResponsesError,
+    TruncatedMessageError,
+    UnknownLengthError,
+    UpgradeError,
+)
+
+OK = b"HTTP/1.1 200 OK\r\n"
+ERROR = b"HTTP/1.1 500 X\r\n"
+POST = b"POST / HTTP/1.1\r\n"
+
+
+def receiving(data: bytes) -> SocketPairConnection:
+    """A connection whose far end has sent these bytes, and closed its side."""
+    near, far = socket.socketpair()
+    far.sendall(data)
+    far.shutdown(socket.SHUT_WR)
+    return SocketPairConnection(near)
+
+
+def test_a_body_is_pending_behind_the_head_of_a_200() -> None:
+    connection = receiving(OK + b"Content-Length: 2\r\n\r\nok")
+    response = connection.read_response()
+    assert response.well_formed and response.keep_alive and not connection.unusable
+    assert not response.complete and response.body == b"" and connection.body_received()
+    assert connection.finish_response() is response and response.body == b"ok"
+    with pytest.raises(ConnectionClosedError):
+        connection.read_response()
+
+
+@pytest.mark.parametrize("rest", [b"", b"no colon\r\n\r\n", b"Content-Length: 3000000000\r\n\r\n"])
+def test_a_200_counts_whatever_follows(rest: bytes) -> None:
+    connection = receiving(OK + rest)
+    response = connection.read_response()
+    assert response.status == 200 and not response.keep_alive and connection.unusable
+
+
+def test_late_success() -> None:
+    connection = receiving(OK)
+    success = connection.late_success()
+    assert success is not None and success.status == 200 and connection.unusable
+    assert receiving(ERROR).late_success() is None
+    assert receiving(OK[:12]).late_success() is None
+
+
+def test_interim_responses_are_passed_over() -> None:
+    interim = b"HTTP/1.1 103 X\r\nA: b\r\n\r\n"
+    response = receiving(interim + ERROR + b"Content-Length: 0\r\n\r\n").read_response()
+    assert response.status == 500 and response.headers == {b"content-length": b"0"}
+
+
+RESPONSE_ERRORS: dict[bytes, type[Exception]] = {
+    b"": ConnectionClosedError,
+    b"HTTP/1.1 5": TruncatedMessageError,
+    b"nonsense\r\n": StatusLineError,
+    b"x" * 20_000: StatusLineTooLongError,
+    ERROR: TruncatedMessageError,
+    ERROR + b"X: " + b"y" * 20_000: HeadTooLongError,
+    ERROR + b"Content-Length: 3\r\n\r\nno": TruncatedMessageError,
+    ERROR + b"Content-Length: 3000000000\r\n\r\n": ResponseTooLongError,
+    ERROR + b"\r\n" + b"x" * 70_000: BodyTooLongError,
+    ERROR + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nno": ProtocolError,
+    b"HTTP/1.1 103 X\r\n\r\n" * 50: TooManyInterimResponsesError,
+}
+
+
+@pytest.mark.parametrize("data", RESPONSE_ERRORS, ids=lambda data: str(data[:40]))
+def test_response_errors(data: bytes) -> None:
+    connection = receiving(data)
+    with pytest.raises(RESPONSE_ERRORS[data]):
+        connection.read_response()
+    assert connection.unusable
+
+
+REQUEST_ERRORS: dict[bytes, tuple[type[ProtocolError], int]] = {
+    POST + b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n": (ProtocolError, 400),
+    POST + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc": (ProtocolError, 400),
+    POST + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n": (ParserError, 400),
+    POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n": (UnknownLengthError, 400),
+    POST + b"Content-Length: 62914560\r\n\r\n": (BodyTooLongError, 413),
+    POST + b"X: " + b"y" * 20_000: (HeadTooLongError, 431),
+    b"CONNECT a:1 HTTP/1.1\r\n\r\n": (UpgradeError, 400),
+}
+
+
+@pytest.mark.parametrize("data", REQUEST_ERRORS, ids=lambda data: str(data[:60]))
+def test_request_errors(data: bytes) -> None:
+    error, status = REQUEST_ERRORS[data]
+    with pytest.raises(error) as raised:
+        receiving(data).read_request()
+    assert raised.value.status == status
--- /dev/null
+++ b/tests/server/http/test_request_parser.py
@@ -0,0 +1,58 @@
+"""The message of a request, header by header."""
+
+from __future__ import annotations
+
+import pytest
+from support.stages import read_request
+from support.world import POLICY_SETTINGS, TRAFFIC_CLASSES, request
+
+from ashpath.server.http.errors import InvalidRequestError
+from ashpath.server.http.request_parser import RequestParser, ordering_key
+from ashpath.server.timers import wall
+
+VALID = request("t1", "tag", "200", 7, time_left_ms=1500, ordering_key="k")
+# What is replaced by what, and the message of the error.
+INVALID = {
+    (b"X-Qos: tag", b"X-Qos: none"): "not an envelope: 'none'",
+    (b"X-Qos: tag", b"X-Other: tag"): "not an envelope: b'x-qos'",
+    (b"1500", b"soon"): "not an envelope: b'soon' is no whole number",
+    (b"1500", b"1" * 13): f"not an envelope: {b'1' * 13!r} is no whole number",
+    (b"dest=7", b"zone=7"): "not an envelope: ",
+    (b"dest=7", b"dest=-7"): "not an envelope: b'-7' is no whole number",
+    (b"X-Trace-Id: t1", b"X-Trace-Id: \xc3\xa9"): "not an envelope: not a printable word",
+    (b"X-Trace-Id: t1", b"X-Trace-Id: " + b"t" * 257): "not an envelope: not a printable word",
+    (b"Idempotency-Key", b"Other-Key"): "not an envelope: b'idempotency-key'",
+    (b"X-Qos: tag", b"X-Qos: tag\r\nX-Qos: tag"): "not an envelope: told twice",
+}
+
+
+@pytest.fixture
+def parser() -> RequestParser:
+    return RequestParser(POLICY_SETTINGS, {name: number for number, name in enumerate(TRAFFIC_CLASSES)})
+
+
+def test_valid_request(parser: RequestParser) -> None:
+    before = wall()
+    message = parser.parse(read_request(VALID))
+    assert (message.message_id, message.trace_id, message.traffic_class) == (0, "t1", 1)
+    assert (message.destination, message.idempotency_key, message.body) == (7, "tag-t1", b"200")
+    assert before + 1_500_000 <= message.deadline <= wall() + 1_500_000
+
+
+def test_time_left_is_bounded_by_the_traffic_class(parser: RequestParser) -> None:
+    message = parser.parse(read_request(VALID.replace(b"1500", b"999999999999")))
+    assert message.deadline <= wall() + POLICY_SETTINGS.traffic_classes[1].deadline
+
+
+def test_ordering_key_is_the_same_in_every_incarnation(parser: RequestParser) -> None:
+    assert parser.parse(read_request(VALID)).ordering_key == ordering_key(b"other=1; about=k")
+    assert ordering_key(b"about=k") == 65308162470944
+    assert ordering_key(b"about=") is None
+
+
+@pytest.mark.parametrize(("replaced", "message"), INVALID.items())
+def test_invalid_request(parser: RequestParser, replaced: tuple[bytes, bytes], message: str) -> None:
+    invalid = read_request(VALID.replace(*replaced))
+    with pytest.raises(InvalidRequestError) as raised:
+        parser.parse(invalid)
+    assert str(raised.value) == message and raised.value.status == 400
