--- a/ashpath/server/storage/detached_endpoints.py
+++ b/ashpath/server/storage/detached_endpoints.py
@@ -83,7 +83,10 @@
 
 
 def _acquire(lock: FileLock) -> None:
-    """Raises OSError; DetachedEndpointsError where another process keeps the lock."""
+    """Raises DetachedEndpointsError where another process keeps the lock, and any other OSError as it is.
+
+    `FileLock.acquire` would take the latter for a lock that is held, and an operator reads the reason.
+    """
     for attempt in range(LOCK_ATTEMPTS):
         with suppress(BlockingIOError):
             fcntl.flock(lock.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
--- a/ashpath/server/storage/record_codec.py
+++ b/ashpath/server/storage/record_codec.py
@@ -31,7 +31,7 @@
 MAX_RECORD_BYTES = 16 << 20  # guards memory against a length that was never written
 
 
-# Not frozen: one is made for each record that is written, and a frozen one takes several times as long.
+# Not frozen: one is made for each record that is written, and a frozen one takes twice as long to make.
 @dataclass(slots=True)
 class MessageSubmitted:
     """A message was accepted; or, in a log that was rewritten, it is live and stood so at that time."""
