Hot upgrades between the release before the renames and this tree, tested forth and back

Cause: both processes of an upgrade share the listening socket and the state directory, and one of them may be the release before.

The change: that release's package as a fixture, started beside this tree in both orders: under load with SIGTERM and SIGKILL, with endpoints detached at either, and with a Retry-After that only the process before received.

--- /dev/null
+++ b/tests/server/test_upgrade_between_releases.py
@@ -0,0 +1,109 @@
+"""Hot upgrades between the release before the packages were renamed and this tree, forth and back.
+
+The earlier release runs out of `fixtures/releases`. Both processes share the listening socket and the state
+directory: no message may be lost or doubled, and what one is told binds the other.
+"""
+
+from __future__ import annotations
+
+import signal
+from pathlib import Path
+from time import monotonic
+
+import gevent
+import pytest
+from gevent.pool import Group
+from support.server import gone
+from support.world import ROOT, World, until
+
+EARLIER = ROOT / "tests" / "fixtures" / "releases" / "ashpath-3949f73.zip"
+RELEASES = [(EARLIER, ROOT), (ROOT, EARLIER)]
+NAMES = ["to this tree", "back to the earlier release"]
+
+
+class Load:
+    """Clients that submit one message after another, until they are stopped."""
+
+    def __init__(self, world: World, clients: int = 4) -> None:
+        self.accepted: list[str] = []
+        self._world = world
+        self._running = True
+        self._clients = Group()
+        for client in range(clients):
+            self._clients.spawn(self._submit, client)
+
+    def _submit(self, client: int) -> None:
+        number = 0
+        while self._running:
+            number += 1
+            trace = f"load-{client}-{number}"
+            if self._world.submit(trace, "free", "200", 10 + client) == 202:
+                self.accepted.append(trace)
+            gevent.sleep(0.01)
+
+    def stop(self) -> list[str]:
+        """The ids of what was accepted."""
+        self._running = False
+        self._clients.join()
+        return self.accepted
+
+
+@pytest.mark.parametrize("by", [signal.SIGTERM, signal.SIGKILL], ids=["SIGTERM", "SIGKILL"])
+@pytest.mark.parametrize(("first", "second"), RELEASES, ids=NAMES)
+def test_no_message_is_lost_or_doubled(
+    pair: tuple[World, World], first: Path, second: Path, by: signal.Signals
+) -> None:
+    """Under load, with messages queued and in flight at the process that ends."""
+    old, new = restart(pair, first, second)
+    load = Load(old)
+    until(lambda: len(load.accepted) > 20)
+    assert old.submit("in-flight", "once", "hang", 1, time_left_ms=8000) == 202
+    until(lambda: old.attempt_count("in-flight") == 1)
+    new.start()
+    assert old.kill(by) == (0 if by is signal.SIGTERM else -signal.SIGKILL)
+    before = len(load.accepted)
+    until(lambda: len(load.accepted) > before + 20)
+    accepted = load.stop()
+    until(lambda: all(new.attempt_count(trace) for trace in accepted))
+    assert [trace for trace in accepted if new.attempt_count(trace) != 1] == []
+    until(lambda: new.notified("in-flight"))
+    assert new.notified("in-flight") == ["undeliverable"]
+    assert new.attempt_count("in-flight") == 1
+
+
+@pytest.mark.parametrize(("first", "second"), RELEASES, ids=NAMES)
+def test_a_detached_endpoint_binds_both(pair: tuple[World, World], first: Path, second: Path) -> None:
+    """Endpoints that an operator detaches at either."""
+    old, new = restart(pair, first, second)
+    new.start()
+    assert new.operator_command(b"DETACH e5\n").startswith(b"OK")
+    assert old.operator_command(b"DETACH e6\n").startswith(b"OK")
+    gone(old)
+    for destination in (5, 6):
+        assert new.submit(f"detached-{destination}", "free", "200", destination, time_left_ms=2500) == 202
+    until(lambda: new.notified("detached-5") and new.notified("detached-6"))
+    assert new.attempt_count("detached-5") == new.attempt_count("detached-6") == 0
+
+
+@pytest.mark.parametrize(("first", "second"), RELEASES, ids=NAMES)
+def test_a_retry_after_binds_both(pair: tuple[World, World], first: Path, second: Path) -> None:
+    """Received by the process before: its successor sends nothing to that destination until it is over."""
+    old, new = restart(pair, first, second)
+    new.start()
+    assert old.submit("rejected", "free", "wait 200", 7) == 202
+    until(lambda: old.attempt_count("rejected") == 1)
+    received = monotonic()
+    gone(old)
+    assert new.submit("next", "free", "200", 7) == 202
+    until(lambda: new.attempt_count("next") == 1)
+    assert monotonic() - received > 1.8
+
+
+def restart(pair: tuple[World, World], first: Path, second: Path) -> tuple[World, World]:
+    """The pair, its first process of one release and its second, not started yet, of the other."""
+    old, new = pair
+    gone(old)
+    old.release = first
+    new.release = second
+    old.start()
+    return old, new
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -25,8 +25,12 @@
 ROOT = Path(__file__).parent.parent.parent
 TRAFFIC_CLASSES = {"free": "retryable", "tag": "dedup", "once": "fragile"}
 ENDPOINTS, PLATFORM, OTHER_PLATFORM = range(3)  # places in `World.servers`
-STATUSES = {"slow": b"200", "stray": b"200", "egress": b"503"}
-HEADERS = {"429": [(b"Retry-After", b"0.05")], "egress": [(b"X-Egress-Full", b"1")]}
+STATUSES = {"slow": b"200", "stray": b"200", "egress": b"503", "wait": b"429"}
+HEADERS = {
+    "429": [(b"Retry-After", b"0.05")],
+    "egress": [(b"X-Egress-Full", b"1")],
+    "wait": [(b"Retry-After", b"2.0")],
+}
 SETTINGS: dict[str, Any] = {
     "classes": [
         {
@@ -105,6 +109,7 @@
     def __init__(self, folder: Path, known: int = 40, inherited: socket.socket | None = None) -> None:
         self.folder = folder
         self.inherited = inherited  # the listening socket that the sender is handed
+        self.release = ROOT  # where the sender's package is: this tree, or an earlier release
         self.attempts: dict[str, list[HttpRequest]] = {}  # that came to endpoints, by trace id
         self.notifications: list[dict[str, Any]] = []
         self.notifications_to_reject = 0  # requests with notifications to be answered 503 first
@@ -147,7 +152,7 @@
     def environment(self) -> dict[str, str]:
         """The variables that the sender is started with."""
         environment = {
-            "PYTHONPATH": str(ROOT),
+            "PYTHONPATH": str(self.release),
             "RELAY_NAME": "n0",
             "RELAY_LISTEN": f"127.0.0.1:{self.address[1]}",
             "RELAY_DISCOVERY": f"127.0.0.1:{self.servers[PLATFORM].server_port}",
@@ -165,7 +170,12 @@
         descriptors = (self.inherited.fileno(),) if self.inherited else ()
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                command, env=self.environment(), stdout=log, stderr=log, pass_fds=descriptors
+                command,
+                cwd=self.folder,  # the working directory comes before PYTHONPATH
+                env=self.environment(),
+                stdout=log,
+                stderr=log,
+                pass_fds=descriptors,
             )
         # This process, not another on the same socket.
         until(lambda: self.operator_command(b"PING\n") == b"OK\n")
