Services' greenlets in a list: gevent.pool brought fourteen modules to each start

Cause: the group that owned the greenlets of the services imported gevent.pool, and with it gevent.queue, gevent.lock and gevent.monkey, into senders that switch nothing on.

Change: a list owns them.

--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable, Sequence
 
 import gevent
-from gevent.pool import Group
+from gevent import Greenlet
 
 from ashpath.server.adoption import OrphanAdopter
 from ashpath.server.logs import Logger
@@ -32,7 +32,8 @@
         self.sender = sender
         self.logger = sender.logger
         self.reload_service = ReloadService(reloader, sender.logger)
-        self.greenlets = Group()
+        # A list, as gevent.pool would bring a dozen modules that no sender needs otherwise.
+        self.greenlets: list[Greenlet[..., None]] = []  # of the services, begun in `run`; they end with it
 
     def run(self, pending_hangups: Sequence[int] = ()) -> None:
         """Returns after the graceful shutdown. `pending_hangups`: SIGHUPs that came before this.
@@ -51,7 +52,8 @@
         configuration = sender.running.current
         sender.gossip.configure(configuration.gossip_listen, configuration.gossip_peers)
         for service in self.services():
-            self.greenlets.spawn(supervise, service, sender.limits.retry_s, sender.logger)
+            greenlet = gevent.spawn(supervise, service, sender.limits.retry_s, sender.logger)
+            self.greenlets.append(greenlet)
         gc.collect()
         gc.freeze()
         self.logger.info(
