Emulator: JSON objects under one name; what scenario keys mean in the standard terms

Cause: dict[str, Any] stood in six modules where ashpath.core.json_types has a name; the explanations beside scenario keys spoke of envelopes, bounces and tokens that flow.

--- a/ashpath/emulator/demo/clients.py
+++ b/ashpath/emulator/demo/clients.py
@@ -6,11 +6,11 @@
 from collections.abc import Sequence
 from random import Random
 from time import monotonic
-from typing import Any
 
 import gevent
 import orjson
 
+from ashpath.core.json_types import JsonObject
 from ashpath.emulator.demo.destinations import DemoDestination
 from ashpath.emulator.errors import RequestError
 from ashpath.emulator.final_outcomes import FinalOutcome
@@ -110,7 +110,7 @@
             elif status == 200 and orjson.loads(body)["state"] in ENDED_STATES:
                 self._end(message_id, orjson.loads(body)["state"])
 
-    def destination_states(self) -> dict[int, dict[str, Any]]:
+    def destination_states(self) -> dict[int, JsonObject]:
         """The sender's own view of each destination, by number; none while it does not answer."""
         status, body = self._get(wire_names.DESTINATIONS_PATH)
         rows = orjson.loads(body)["destinations"] if status == 200 else []
--- a/ashpath/emulator/demo/run.py
+++ b/ashpath/emulator/demo/run.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 from random import Random
 from time import monotonic
-from typing import Any, Protocol
+from typing import Protocol
 
 import gevent
 
+from ashpath.core.json_types import JsonObject
 from ashpath.emulator.demo.clients import DemoClients
 from ashpath.emulator.demo.destinations import DemoDestination, plan_destinations, start_destination
 from ashpath.emulator.demo.sender_file import sender_file
@@ -50,7 +51,7 @@
 class TableDisplay(Protocol):
     """Whoever shows the table."""
 
-    def __call__(self, passed_s: float, rows: list[dict[str, Any]], /) -> None:
+    def __call__(self, passed_s: float, rows: list[JsonObject], /) -> None:
         """The state after so many seconds: a row for each destination."""
 
 
@@ -120,14 +121,14 @@
         gevent.spawn_later(self.seconds * OUTAGE_BEGINS, model.add_fault, Fault.SILENT, 1.0)
         gevent.spawn_later(self.seconds * OUTAGE_ENDS, model.remove_fault, Fault.SILENT, 1.0, recovers_at)
 
-    def table(self) -> list[dict[str, Any]]:
+    def table(self) -> list[JsonObject]:
         """A row for each destination, as it stands; the keys are the table's headings."""
         states = self.clients.destination_states()
         return [
             self._row(destination, states.get(destination.number, {})) for destination in self.destinations
         ]
 
-    def _row(self, destination: DemoDestination, state: dict[str, Any]) -> dict[str, Any]:
+    def _row(self, destination: DemoDestination, state: JsonObject) -> JsonObject:
         model = destination.model
         now = self._clock.now()
         return {
--- a/ashpath/emulator/loopback/discovery_server.py
+++ b/ashpath/emulator/loopback/discovery_server.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from typing import Any, Protocol
+from typing import Protocol
 
 import orjson
 from gevent import socket
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 
 from ashpath.core.interface import EndpointRecord
+from ashpath.core.json_types import JsonObject
 from ashpath.emulator.stand_ins import LOOPBACK
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message
@@ -83,7 +84,7 @@
     def _is_current(self, url: bytes) -> bool:
         return b"index=%d&" % self._revision in url
 
-    def _member(self, record: EndpointRecord) -> dict[str, Any]:
+    def _member(self, record: EndpointRecord) -> JsonObject:
         return {
             "id": record.endpoint_id,
             "host_port": self._addresses[record.endpoint_id],
--- a/ashpath/emulator/notice_receiver.py
+++ b/ashpath/emulator/notice_receiver.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Protocol
 
 import orjson
 from gevent import socket
 from gevent.server import StreamServer
 
+from ashpath.core.json_types import JsonObject
 from ashpath.emulator.final_outcomes import FinalOutcome
 from ashpath.emulator.stand_ins import LOOPBACK
 from ashpath.server import wire_names
@@ -62,7 +63,7 @@
         self._server.stop(timeout=0)
 
 
-def _notice(row: dict[str, Any]) -> Notice:
+def _notice(row: JsonObject) -> Notice:
     rejected = row["status"] == wire_names.REJECTED_STATUS
     outcome = FinalOutcome.REJECTED if rejected else FinalOutcome.FAILED
     return Notice(row["id"], outcome, row.get("again_ms", 0) / 1000)
--- a/ashpath/emulator/runs.py
+++ b/ashpath/emulator/runs.py
@@ -9,10 +9,10 @@
 from multiprocessing import get_context
 from pathlib import Path
 from statistics import mean
-from typing import Any
 
 import orjson
 
+from ashpath.core.json_types import JsonObject
 from ashpath.emulator.invariant_records import BrokenRule, StoryLine
 from ashpath.emulator.policies import POLICIES
 from ashpath.emulator.scenario.loading import read_scenario
@@ -31,12 +31,12 @@
 
     seed: int
     policy: str
-    result: dict[str, Any]
+    result: JsonObject
     broken: list[BrokenRule]
     stories: list[StoryLine]
     mode_changes: list[ModeChange]
 
-    def row(self) -> dict[str, Any]:
+    def row(self) -> JsonObject:
         """As outcome files have it."""
         broken = [
             {"rule": one.rule, "at": one.at, "what": one.what, "id": one.message_id} for one in self.broken
@@ -98,7 +98,7 @@
     return b"".join(orjson.dumps(line, option=orjson.OPT_SORT_KEYS) + b"\n" for line in lines)
 
 
-def policy_table(runs: list[Run]) -> list[dict[str, Any]]:
+def policy_table(runs: list[Run]) -> list[JsonObject]:
     """A row for each policy over its seeds."""
     return [
         _policy_row(policy, [run.result for run in runs if run.policy == policy])
@@ -106,7 +106,7 @@
     ]
 
 
-def _policy_row(policy: str, results: list[dict[str, Any]]) -> dict[str, Any]:
+def _policy_row(policy: str, results: list[JsonObject]) -> JsonObject:
     return {
         "policy": policy,
         "seeds": len(results),
--- a/ashpath/emulator/scenario/schema.py
+++ b/ashpath/emulator/scenario/schema.py
@@ -49,11 +49,11 @@
     rank_exponent: Annotated[
         float, Key("their traffic falls by rank to this power; 0: all the same", 0, 3)
     ] = field(name="busiest", default=0.0)
-    queue_capacity: Annotated[int, Key("envelopes that each holds at once; 0: any number", 0, 1_000_000)] = (
-        field(name="room", default=400)
-    )
+    queue_capacity: Annotated[
+        int, Key("messages that each may hold at once; 0: any number", 0, 1_000_000)
+    ] = field(name="room", default=400)
     removal_delay: Annotated[
-        Duration, Key("so long after a sender died its clients are still sent to it", 0, MIN)
+        Duration, Key("so long after a sender was killed its clients are still sent to it", 0, MIN)
     ] = field(name="front", default=Duration(1 * S))
 
 
@@ -71,10 +71,10 @@
     limit_per_endpoint: Annotated[bool, Key("endpoints are separate routes")] = field(
         name="apart", default=False
     )
-    workers: Annotated[int, Key("calls at work at once, of each endpoint or of all", 1, 10_000)] = 4
+    workers: Annotated[int, Key("calls that run at once, at each endpoint or at all together", 1, 10_000)] = 4
     shares_workers: Annotated[bool, Key("endpoints share the workers")] = field(name="shared", default=False)
     service_times: Annotated[
-        list[Duration], Key("median time of a call, by track; the last for the rest", 1, 16)
+        list[Duration], Key("median time of a call, by traffic class; the last for the rest", 1, 16)
     ] = field(name="service", default_factory=lambda: [Duration(50 * MS)])
     service_time_sigma: Annotated[float, Key("sigma of its logarithm", 0, 3)] = field(
         name="spread", default=0.3
@@ -89,32 +89,32 @@
     queue_capacity: Annotated[int, Key("calls that wait at an endpoint", 0, 100_000)] = field(
         name="queue", default=8
     )
-    rate_limit: Annotated[float, Key("calls a second that its limit allows; 0: none", 0, 1e6)] = field(
-        name="rate", default=0.0
-    )
-    rate_window: Annotated[Duration, Key("the limit counts in spans of this; 0s: tokens that flow", 0, H)] = (
-        field(name="span", default=Duration(0))
+    rate_limit: Annotated[float, Key("calls a second that its rate limit admits; 0: no limit", 0, 1e6)] = (
+        field(name="rate", default=0.0)
     )
-    rate_window_slides: Annotated[bool, Key("the span is always the latest one")] = field(
+    rate_window: Annotated[
+        Duration, Key("the rate limit counts in windows of this; 0s: a token bucket", 0, H)
+    ] = field(name="span", default=Duration(0))
+    rate_window_slides: Annotated[bool, Key("the window is always the latest one")] = field(
         name="sliding", default=False
     )
-    counts_rejected_calls: Annotated[bool, Key("refused calls use the limit up")] = field(
+    counts_rejected_calls: Annotated[bool, Key("rejected calls use the rate limit up")] = field(
         name="refused_count", default=False
     )
-    retry_after: Annotated[Duration, Key("told with an answer above the limit; 0s: none", 0, MIN)] = field(
-        name="wait", default=Duration(0)
+    retry_after: Annotated[Duration, Key("Retry-After of a call above the rate limit; 0s: none", 0, MIN)] = (
+        field(name="wait", default=Duration(0))
     )
     retry_after_until_quota: Annotated[
-        bool, Key("told instead: until the limit of a span has room again")
+        bool, Key("Retry-After is instead the time until the window has quota again")
     ] = field(name="to_room", default=False)
-    retry_after_share: Annotated[float, Key("share of answers above the limit that tell a wait", 0, 1)] = (
-        field(name="tells", default=1.0)
-    )
-    sends_load_reports: Annotated[bool, Key("answers tell of the limit")] = field(
+    retry_after_share: Annotated[
+        float, Key("share of rejections above the rate limit with Retry-After", 0, 1)
+    ] = field(name="tells", default=1.0)
+    sends_load_reports: Annotated[bool, Key("responses carry limit reports")] = field(
         name="reports", default=False
     )
-    report_noise: Annotated[float, Key("sigma of what they tell", 0, 1)] = field(name="noise", default=0.0)
-    report_age: Annotated[Duration, Key("what they tell is so old", 0, MIN)] = field(
+    report_noise: Annotated[float, Key("sigma of what they report", 0, 1)] = field(name="noise", default=0.0)
+    report_age: Annotated[Duration, Key("what they report is so old", 0, MIN)] = field(
         name="late", default=Duration(0)
     )
     max_connections: Annotated[int, Key("that an endpoint holds; 0: any number", 0, 1_000_000)] = field(
@@ -129,16 +129,16 @@
     slow_start_time: Annotated[Duration, Key("until it has all of it", 0, H)] = field(
         name="ramp", default=Duration(10 * S)
     )
-    overload_multiple: Annotated[float, Key("more than so many times what it can handle", 1, 1000)] = field(
-        name="fall_multiple", default=2.0
-    )
-    overload_duration: Annotated[Duration, Key("for so long pushes it over", MS, H)] = field(
+    overload_multiple: Annotated[
+        float, Key("in slow start, more calls than so many times its capacity", 1, 1000)
+    ] = field(name="fall_multiple", default=2.0)
+    overload_duration: Annotated[Duration, Key("for so long make it collapse", MS, H)] = field(
         name="fall_time", default=Duration(3 * S)
     )
     collapse_time: Annotated[Duration, Key("and it stays silent for this", 0, D)] = field(
         name="fall_down", default=Duration(15 * S)
     )
-    pause_interval: Annotated[Duration, Key("it stands still so often; 0s: never", 0, D)] = field(
+    pause_interval: Annotated[Duration, Key("it pauses so often; 0s: never", 0, D)] = field(
         name="pause_every", default=Duration(0)
     )
     pause_time: Annotated[Duration, Key("for this long", 0, H)] = field(name="pause_for", default=Duration(0))
@@ -163,7 +163,7 @@
     """
 
     length: Annotated[Duration, Key("how long it is", MS, 400 * D)] = field(name="lasts")
-    rate: Annotated[float, Key("envelopes a second as it begins, over the whole fleet", 0, 1e6)]
+    rate: Annotated[float, Key("requests a second as it begins, over the whole fleet", 0, 1e6)]
     end_rate: Annotated[float, Key("and as it ends; below 0: the same", -1, 1e6)] = field(
         name="to", default=-1.0
     )
@@ -176,20 +176,22 @@
 class Clients(Struct):
     """Who submits requests."""
 
-    traffic_class_shares: Annotated[dict[Name, float], Key("share of each track", 1, 64)] = field(name="mix")
-    clump_size: Annotated[int, Key("envelopes that come at once, for one destination", 1, 10_000)] = field(
+    traffic_class_shares: Annotated[dict[Name, float], Key("share of each traffic class", 1, 64)] = field(
+        name="mix"
+    )
+    clump_size: Annotated[int, Key("requests that come at once, for one destination", 1, 10_000)] = field(
         name="clump", default=1
     )
-    max_resubmissions: Annotated[int, Key("times an envelope is handed in anew after a bounce", 0, 100)] = (
+    max_resubmissions: Annotated[int, Key("times a request is submitted again after a rejection", 0, 100)] = (
         field(name="retries", default=1)
     )
-    backoff: Annotated[Duration, Key("before that, where nothing is told; doubled each time", MS, H)] = (
-        Duration(800 * MS)
-    )
-    retry_after_share: Annotated[float, Key("share of clients that wait as long as they are told", 0, 1)] = (
-        field(name="heeds", default=0.7)
+    backoff: Annotated[
+        Duration, Key("before that, where there is no Retry-After; doubled each time", MS, H)
+    ] = Duration(800 * MS)
+    retry_after_share: Annotated[float, Key("share of clients that heed Retry-After", 0, 1)] = field(
+        name="heeds", default=0.7
     )
-    ordering_keys: Annotated[int, Key("order keys in use; 0: a new one each time", 0, 10_000_000)] = field(
+    ordering_keys: Annotated[int, Key("ordering keys in use; 0: none", 0, 10_000_000)] = field(
         name="keys", default=0
     )
 
@@ -222,7 +224,7 @@
     targets: Annotated[
         list[str], Key("kinds, `kind/RANK` for one of them, or `sender/N`; empty: all", 0, 1000)
     ] = field(name="to", default_factory=list)
-    target_share: Annotated[float, Key("of those named, drawn by lot", 0, 1)] = field(
+    target_share: Annotated[float, Key("of those named, drawn at random", 0, 1)] = field(
         name="share", default=1.0
     )
     amount: Annotated[float, Key("how much: a factor, a share, milliseconds; see the page", -1e9, 1e9)] = 1.0
--- a/ashpath/emulator/scoreboard.py
+++ b/ashpath/emulator/scoreboard.py
@@ -10,9 +10,10 @@
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from ashpath.core.interface import AttemptOutcome, TrafficClassSettings
+from ashpath.core.json_types import JsonObject
 from ashpath.emulator.client_request import ClientRequest
 from ashpath.emulator.final_outcomes import FinalOutcome
 from ashpath.emulator.invariant_checker import InvariantChecker
@@ -90,7 +91,7 @@
         self.breakers_opened = 0
         self.failures: Counter[str] = Counter()  # of attempts, by outcome
 
-    def row(self, number: int) -> dict[str, Any]:
+    def row(self, number: int) -> JsonObject:
         """As outcome files have it."""
         return {
             "from": number * 10,
@@ -218,7 +219,7 @@
 
     # What it comes to.
 
-    def result(self) -> dict[str, Any]:
+    def result(self) -> JsonObject:
         """The outcome, the same to the byte for the same scenario, seed and policy."""
         windows = sorted(self._windows.items())
         scored = [
