--- /dev/null
+++ b/tests/server/test_configuration.py
@@ -0,0 +1,71 @@
+"""Parsing of a sender's configuration, and the numbers that it gives to names."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from ashpath.server.configuration import SenderConfiguration, parse_listen_address
+from ashpath.server.errors import ListenAddressError
+
+
+def document(*traffic_classes: str, **more: object) -> dict[str, Any]:
+    """A platform's file with these traffic classes."""
+    classes = [{"name": name, "deadline": 9000.0, "repeat": "retryable"} for name in traffic_classes]
+    return {"seed": "8c1f", "settings": {"classes": classes}} | more
+
+
+def test_what_is_missing_has_its_default() -> None:
+    configuration = SenderConfiguration.parse(document("a"))
+    assert configuration.seed == 0x8C1F
+    assert configuration.known_endpoints == {"members": [], "revision": 0}
+    assert configuration.platform_address is None
+    assert configuration.control == ""
+    assert configuration.gossip_listen is None
+    assert configuration.metrics_listen is None
+    assert configuration.gossip_peers == frozenset()
+
+
+def test_the_file_names_discovery_before_the_environment() -> None:
+    environment = "10.0.0.1:70"
+    assert SenderConfiguration.parse(document("a"), environment).platform_address == ("10.0.0.1", 70)
+    configuration = SenderConfiguration.parse(document("a", discovery="10.0.0.2:71"), environment)
+    assert configuration.platform_address == ("10.0.0.2", 71)
+    assert configuration.discovery == "10.0.0.2:71"
+
+
+def test_traffic_classes_keep_their_ids_in_another_order() -> None:
+    """While messages are live: a class that is gone keeps its id and accepts nothing."""
+    running = SenderConfiguration.parse(document("a", "b"))
+    configuration = SenderConfiguration.parse(document("c", "b")).aligned_with(running)
+    assert configuration.settings.traffic_class_names() == ["a", "b", "c"]
+    assert configuration.settings.traffic_class_ids == {"b": 1, "c": 2}
+
+
+def test_traffic_class_ids_begin_anew_without_live_messages() -> None:
+    known = SenderConfiguration.parse(document("a", "b")).settings.document["classes"]
+    configuration = SenderConfiguration.parse(document("b")).with_traffic_class_ids(
+        known, has_live_messages=False
+    )
+    assert configuration.settings.traffic_class_ids == {"b": 0}
+
+
+def test_an_aligned_configuration_remembers_the_settings_as_read() -> None:
+    """They are what the next reload is compared with."""
+    running = SenderConfiguration.parse(document("a", "b"))
+    read = SenderConfiguration.parse(document("b"))
+    aligned = read.aligned_with(running)
+    assert aligned.raw_settings == read.raw_settings
+    assert aligned.settings.document != read.settings.document
+
+
+@pytest.mark.parametrize("table", [{"listen": "nowhere"}, {"port": 9}, "far", {"listen": 7}])
+def test_an_address_that_is_none_is_named(table: object) -> None:
+    with pytest.raises(ListenAddressError, match=r"metrics\.listen: found .*, expected an address"):
+        parse_listen_address({"metrics": table}, "metrics")
+
+
+@pytest.mark.parametrize("table", [None, {}, ""])
+def test_an_empty_table_is_no_address(table: object) -> None:
+    assert parse_listen_address({"metrics": table}, "metrics") is None
