--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -48,7 +48,9 @@
     StatusLineError,
     StatusLineTooLongError,
     TooManyInterimResponsesError,
-    TruncatedMessageError,
+    TruncatedBodyError,
+    TruncatedHeadError,
+    TruncatedStatusLineError,
     UnknownLengthError,
     UpgradeError,
 )
@@ -192,7 +194,7 @@
                 raise StatusLineTooLongError
             if not self.receive():
                 if searched:
-                    raise TruncatedMessageError("the first line")
+                    raise TruncatedStatusLineError
                 raise ConnectionClosedError
         match = STATUS_LINE.fullmatch(self.buffer.peek(0, end + 1))
         if match is None:
@@ -214,7 +216,7 @@
                     raise HeadTooLongError(kind)
             if not self.receive():
                 if fed:
-                    raise TruncatedMessageError(f"the head of the {kind}")
+                    raise TruncatedHeadError(kind)
                 raise ConnectionClosedError
         if not message.head_complete or fed > self.limits.head_bytes:
             raise HeadError(kind)
@@ -235,7 +237,7 @@
                     raise BodyTooLongError
             elif not self.receive():
                 if framing is not None or b"transfer-encoding" in message.headers:
-                    raise TruncatedMessageError("a body")
+                    raise TruncatedBodyError
                 message.complete = True  # a response that gave no length ends with its connection
 
 
--- a/ashpath/server/http/errors.py
+++ b/ashpath/server/http/errors.py
@@ -99,6 +99,13 @@
         super().__init__(f"not an envelope: {reason}")
 
 
+class RepeatedHeaderError(InvalidRequestError):
+    """A header of a request to deliver came more than once."""
+
+    def __init__(self) -> None:
+        super().__init__("told twice")
+
+
 class InvalidNumberError(ValueError):
     """A field that is no whole number in plain digits."""
 
@@ -184,8 +191,26 @@
 class TruncatedMessageError(ConnectionResetError):
     """The far end closed within a message."""
 
-    def __init__(self, part: str) -> None:
-        super().__init__(f"ended within {part}")
+
+class TruncatedStatusLineError(TruncatedMessageError):
+    """The far end closed within the first line of a response."""
+
+    def __init__(self) -> None:
+        super().__init__("ended within the first line")
+
+
+class TruncatedHeadError(TruncatedMessageError):
+    """The far end closed within a head."""
+
+    def __init__(self, kind: str) -> None:
+        super().__init__(f"ended within the head of the {kind}")
+
+
+class TruncatedBodyError(TruncatedMessageError):
+    """The far end closed within a body."""
+
+    def __init__(self) -> None:
+        super().__init__("ended within a body")
 
 
 class ConnectionClosedError(Exception):
--- a/ashpath/server/http/request_parser.py
+++ b/ashpath/server/http/request_parser.py
@@ -6,7 +6,12 @@
 
 from ashpath.core.interface import PolicySettings, RetrySafety
 from ashpath.server import wire_names
-from ashpath.server.http.errors import InvalidNumberError, InvalidRequestError, InvalidTokenError
+from ashpath.server.http.errors import (
+    InvalidNumberError,
+    InvalidRequestError,
+    InvalidTokenError,
+    RepeatedHeaderError,
+)
 from ashpath.server.http.messages import HttpRequest
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.timers import wall
@@ -96,7 +101,7 @@
         not as it should be."""
         headers = request.headers
         if request.repeated_headers & UNREPEATABLE_HEADERS:
-            raise InvalidRequestError("told twice")
+            raise RepeatedHeaderError
         try:
             traffic_class = self.traffic_class_ids[headers[wire_names.TRAFFIC_CLASS_HEADER].decode()]
             time_left_ms = parse_number(headers[wire_names.TIME_LEFT_HEADER])
--- a/tests/server/http/test_admission.py
+++ b/tests/server/http/test_admission.py
@@ -31,7 +31,8 @@
     first, second = (read_request(data) for data in SAME_ID)
     assert admission.admit(admission.parser.parse(first)) == AdmissionResult(HTTPStatus.ACCEPTED)
     assert admission.admit(admission.parser.parse(second)) == AdmissionResult(HTTPStatus.CONFLICT)
-    assert len(write_ahead_log.messages.live) == 1 and receiver.events == ["submitted i"]
+    assert len(write_ahead_log.messages.live) == 1
+    assert receiver.events == ["submitted i"]
     write_ahead_log.record_finished(next(iter(write_ahead_log.messages.live.values())))
     assert not write_ahead_log.messages.by_trace_id
 
@@ -77,20 +78,21 @@
                 ledger.record_attempt(entry, 1, "e1")
                 ledger.record_outcome(entry, may_have_run=True)
                 ledger.record_attempt(entry, 2, "e1")
-        assert statuses.count(503) > 20 and statuses.count(202) == len(ledger.messages.live) > 5
+        assert statuses.count(503) > 20
+        assert statuses.count(202) == len(ledger.messages.live) > 5
         for _ in range(300):
             ledger.record_outcome(entry := next(iter(ledger.messages.live.values())), may_have_run=True)
             ledger.record_attempt(entry, 3, "e1")
-    assert sizes and max(sizes) <= most
+    assert sizes
+    assert max(sizes) <= most
     ledger.close()
     again = WriteAheadLog(tmp_path, most)
-    assert (
-        again.messages.live.keys() == ledger.messages.live.keys()
-        and next(iter(again.messages.live.values())).attempts == 302
-    )
+    assert again.messages.live.keys() == ledger.messages.live.keys()
+    assert next(iter(again.messages.live.values())).attempts == 302
     for entry in list(again.messages.live.values()):
         again.record_finished(entry)
-    assert not again.messages.live and again.messages.reserved_bytes == 0
+    assert not again.messages.live
+    assert again.messages.reserved_bytes == 0
 
 
 def test_queue_capacity(tmp_path: Path) -> None:
--- a/tests/server/http/test_client_connection.py
+++ b/tests/server/http/test_client_connection.py
@@ -23,7 +23,8 @@
     far.sendall(request("g0", "free", "200", 1))
     far.close()
     listener.serve(SocketPairConnection(near))
-    assert receiver.events == [] and not write_ahead_log.messages.live
+    assert receiver.events == []
+    assert not write_ahead_log.messages.live
     near, far = socket.socketpair()
     receiver.on_submit = far.close
     far.sendall(request("g1", "free", "200", 1))
@@ -65,7 +66,8 @@
     far.sendall(request("a", "free", "200", 1))
     serve(listener, near)
     data = receive_all(far)
-    assert data.startswith(b"HTTP/1.1 202 ") and data.count(b"HTTP/1.1") == 1
+    assert data.startswith(b"HTTP/1.1 202 ")
+    assert data.count(b"HTTP/1.1") == 1
     assert receiver.events == ["submitted a"]
     far.close()
     until(lambda: not listener.table.count(ConnectionState.HALF_CLOSED))
@@ -87,12 +89,14 @@
         until(lambda: listener.table.count(ConnectionState.AWAITING_FIRST_REQUEST))
     listener.close_idle()
     far.sendall(request("b", "free", "2" * size, 1))  # no switch between the two
-    assert receive_all(far) == b"" and receiver.events == ["submitted a"] * (not first)
+    assert receive_all(far) == b""
+    assert receiver.events == ["submitted a"] * (not first)
     gevent.sleep(0.05)
     assert not far.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)  # no reset behind the end
     far.close()
     served.join(20)
-    assert served.dead and not listener.table.count(*ConnectionState)
+    assert served.dead
+    assert not listener.table.count(*ConnectionState)
 
 
 def test_a_request_cut_within(tmp_path: Path) -> None:
@@ -117,4 +121,6 @@
     far.sendall(request("a", "free", "200", 1) * 400)
     reset_connection(far)
     served.join(20)
-    assert served.dead and receiver.events == [] and listener.connection_count == 0
+    assert served.dead
+    assert receiver.events == []
+    assert listener.connection_count == 0
--- a/tests/server/http/test_connection.py
+++ b/tests/server/http/test_connection.py
@@ -37,9 +37,14 @@
 def test_a_body_is_pending_behind_the_head_of_a_200() -> None:
     connection = receiving(OK + b"Content-Length: 2\r\n\r\nok")
     response = connection.read_response()
-    assert response.well_formed and response.keep_alive and not connection.unusable
-    assert not response.complete and response.body == b"" and connection.body_received()
-    assert connection.finish_response() is response and response.body == b"ok"
+    assert response.well_formed
+    assert response.keep_alive
+    assert not connection.unusable
+    assert not response.complete
+    assert response.body == b""
+    assert connection.body_received()
+    assert connection.finish_response() is response
+    assert response.body == b"ok"
     with pytest.raises(ConnectionClosedError):
         connection.read_response()
 
@@ -48,13 +53,17 @@
 def test_a_200_counts_whatever_follows(rest: bytes) -> None:
     connection = receiving(OK + rest)
     response = connection.read_response()
-    assert response.status == 200 and not response.keep_alive and connection.unusable
+    assert response.status == 200
+    assert not response.keep_alive
+    assert connection.unusable
 
 
 def test_late_success() -> None:
     connection = receiving(OK)
     success = connection.late_success()
-    assert success is not None and success.status == 200 and connection.unusable
+    assert success is not None
+    assert success.status == 200
+    assert connection.unusable
     assert receiving(ERROR).late_success() is None
     assert receiving(OK[:12]).late_success() is None
 
@@ -62,7 +71,8 @@
 def test_interim_responses_are_passed_over() -> None:
     interim = b"HTTP/1.1 103 X\r\nA: b\r\n\r\n"
     response = receiving(interim + ERROR + b"Content-Length: 0\r\n\r\n").read_response()
-    assert response.status == 500 and response.headers == {b"content-length": b"0"}
+    assert response.status == 500
+    assert response.headers == {b"content-length": b"0"}
 
 
 RESPONSE_ERRORS: dict[bytes, type[Exception]] = {
--- a/tests/server/http/test_connection_table.py
+++ b/tests/server/http/test_connection_table.py
@@ -40,9 +40,11 @@
     asking = serve(listener, other)
     asks.sendall(b"POST /api HTTP/1.1\r\n")
     until(lambda: listener.table.count(ConnectionState.READING))
-    assert listener.table.count(ConnectionState.HALF_CLOSED) and listener.table.make_room()
+    assert listener.table.count(ConnectionState.HALF_CLOSED)
+    assert listener.table.make_room()
     until(lambda: staying.dead)
-    assert not asking.dead and listener.table.count(ConnectionState.READING)
+    assert not asking.dead
+    assert listener.table.count(ConnectionState.READING)
     assert not listener.table.count(ConnectionState.HALF_CLOSED)
     for end in (far, asks):
         end.close()
@@ -60,7 +62,8 @@
     until(lambda: listener.table.count(ConnectionState.READING) == 2)
     far.sendall(data[40:])
     assert listener.table.evict(ConnectionState.READING)
-    assert far.recv(999).startswith(b"HTTP/1.1 202 ") and receiver.events == ["submitted a"]
+    assert far.recv(999).startswith(b"HTTP/1.1 202 ")
+    assert receiver.events == ["submitted a"]
     until(lambda: evicted.dead)
     far.close()
     until(lambda: served.dead)
@@ -76,5 +79,6 @@
     connection = listener.table.connections(ConnectionState.AWAITING_FIRST_REQUEST)[0]
     listener.close_all()
     connection.sock.close()  # as the exit does, with no greenlet run in between
-    assert receive_all(far) == b"" and not receiver.events
+    assert receive_all(far) == b""
+    assert not receiver.events
     served.join(20)
--- a/tests/server/http/test_listener.py
+++ b/tests/server/http/test_listener.py
@@ -59,8 +59,10 @@
     for data, status in ASKED.items():
         assert world.response_status(data) == status, data[:60]
     until(lambda: world.attempt_count("big") == 1)
-    assert not world.attempt_count("x") and not world.attempt_count("hidden")
-    assert world.process is not None and world.process.poll() is None
+    assert not world.attempt_count("x")
+    assert not world.attempt_count("hidden")
+    assert world.process is not None
+    assert world.process.poll() is None
     for wire in stalled:
         assert wire is not None
         wire.close()
@@ -100,10 +102,13 @@
     began = monotonic()
     until(lambda: world.watches.get(port, 0) > before and world.notified("owed"))
     assert monotonic() - began < 6
-    assert world.operator_command(b"PING\n") == b"OK\n" and world.submit("new", "free", "200", 2) == 202
+    assert world.operator_command(b"PING\n") == b"OK\n"
+    assert world.submit("new", "free", "200", 2) == 202
     until(lambda: world.attempt_count("new"))
     log = (world.folder / "log").read_text()
-    assert "unexpected error" not in log and "Too many open files" not in log and world.process.poll() is None
+    assert "unexpected error" not in log
+    assert "Too many open files" not in log
+    assert world.process.poll() is None
     for wire in clients:
         assert wire is not None
         wire.close()
--- a/tests/server/http/test_request_parser.py
+++ b/tests/server/http/test_request_parser.py
@@ -55,4 +55,5 @@
     invalid = read_request(VALID.replace(*replaced))
     with pytest.raises(InvalidRequestError) as raised:
         parser.parse(invalid)
-    assert str(raised.value) == message and raised.value.status == 400
+    assert str(raised.value) == message
+    assert raised.value.status == 400
