--- a/ashpath/core/waiting_queues.py
+++ b/ashpath/core/waiting_queues.py
@@ -41,7 +41,7 @@
         """Microseconds that a call takes here in the mean; 0: not known."""
         return int(self.durations[traffic_class.index].mean)
 
-    def add(self, message: Message, first: bool) -> None:
+    def add(self, message: Message, *, first: bool) -> None:
         """Queues a message, or queues it anew; the first or the last of its queue."""
         self.remove(message)
         delivered_at = self.state.now + self.expected_duration(message.traffic_class)
--- a/ashpath/policy/delivery_policy.py
+++ b/ashpath/policy/delivery_policy.py
@@ -24,7 +24,7 @@
 class DeliveryPolicy(PolicyEngine):
     """All decisions of one sender. Times are microseconds of one clock that only goes forward."""
 
-    check_time = retries.check_time
+    check_time = retries.check_time  # of a message that waits
 
     def __init__(self, settings: PolicySettings, actions: PolicyActions) -> None:
         super().__init__(
@@ -154,8 +154,9 @@
     def endpoint_poll_failed(self) -> None:
         """Polls again at a random time, ever later."""
         self.failed_polls += 1
-        pause = min(self.settings.poll_interval, SECOND << min(self.failed_polls, 10))
-        self.actions.schedule_timer(self.now + int(pause * self.random.uniform(0.5, 1)), POLL_TIMER)
+        pause = min(self.settings.poll_interval, SECOND << min(self.failed_polls, tuning.MAX_POLL_DOUBLINGS))
+        delay = int(pause * self.random.uniform(tuning.MIN_POLL_DELAY, 1))
+        self.actions.schedule_timer(self.now + delay, POLL_TIMER)
 
     def poll(self) -> None:
         """Polls the endpoint list, if it is not pushed."""
--- a/ashpath/policy/gate.py
+++ b/ashpath/policy/gate.py
@@ -34,8 +34,7 @@
     outage: Outage
 
     def __init__(self, state: SenderState, destination: int, route: str = "") -> None:
-        outage = Outage(state, tuning.RATE_WINDOW)
-        super().__init__(state, destination, route, RateLimit(state), outage)
+        super().__init__(state, destination, route, RateLimit(state), Outage(state, tuning.RATE_WINDOW))
 
     def opens_at(self, now: int) -> int | None:
         """None if a call may go now, else the time to check again (0: an outcome will tell)."""
--- a/ashpath/policy/tuning.py
+++ b/ashpath/policy/tuning.py
@@ -46,12 +46,13 @@
 AMPLE_QUOTA = 0.5  # refused with so much of the limit left: an outage, not the limit
 
 # Queues.
+MAX_POLL_DOUBLINGS = 10  # of a second, between polls of the endpoint list that fail
+MIN_POLL_DELAY = 0.5  # of that pause, at random from there to all of it
 RANKING_INTERVAL = 1 * SECOND  # how often endpoints are ranked anew
 BATCHING = 0.5  # of the latency objective that a call waits to be fuller; more saves calls, less time
 FULL_QUEUE = 0.9  # past this part of the capacity late messages give way; less drops more, more rejects new
 LATE_CONSIDERED = 8  # of those longest late, one of which gives way
 DEFAULT_RETRY_AFTER = 1 * SECOND  # of a rejection where nothing better is known
 
-# What outcomes mean.
 MAY_STILL_RUN = (AttemptOutcome.TIMED_OUT, AttemptOutcome.CONNECTION_RESET, AttemptOutcome.CANCELLED)
 NO_LOAD_SIGN = (AttemptOutcome.DELIVERED, AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT)
