--- a/ashpath/server/storage/log_directory.py
+++ b/ashpath/server/storage/log_directory.py
@@ -22,9 +22,7 @@
 FIRST_LOG = "journal"  # the log of a process that found no other alive
 LOG_NAME = re.compile(r"journal(-[0-9]+)?")
 BLOCK_BYTES = 4096  # what rounding up to whole blocks may add, a log and its rewritten copy together
-OTHER_LOG_FACTOR = (
-    2.2  # bytes of disk a byte of another log may need: rewritten beside itself, and grown a little
-)
+OTHER_LOG_FACTOR = 2.2  # disk per byte of another log: rewritten beside itself, and grown a little
 
 
 @dataclass(frozen=True, slots=True)
