--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -34,9 +34,9 @@
     return wire
 
 
-def test_no_client_is_left_at_the_door_of_an_upgrade(pair: tuple[World, World]) -> None:
-    """Guards requests on their way as a process is told to end: kept connections that ask once more, first
-    requests not yet begun, and ones that come in pieces. Each has its answer, which ends its connection."""
+def test_no_client_goes_without_a_response_in_an_upgrade(pair: tuple[World, World]) -> None:
+    """Guards requests on their way at SIGTERM: on kept connections, first requests not yet begun, and ones
+    that come in pieces. Each has its response, which ends its connection."""
     old, new = pair
     kept = [accepted(old, READY) for _ in range(4)]
     assert [wire.read_response().status for wire in kept] == [200] * 4
@@ -63,8 +63,8 @@
     assert not any(new.notified(trace) for trace in ("d0", "d1", "d2", "d3", "d-slow"))
 
 
-def test_what_one_process_is_told_binds_the_other(pair: tuple[World, World]) -> None:
-    """Guards the rules on waits and drains in an overlap: to them both processes are one sender."""
+def test_a_detached_endpoint_of_one_process_is_detached_in_the_other(pair: tuple[World, World]) -> None:
+    """To operators both processes of a hot upgrade are one sender."""
     old, new = pair
     new.start()
     assert new.operator_command(b"DETACH e5\n").startswith(b"OK") and old.operator_command(
--- a/tests/server/test_restart.py
+++ b/tests/server/test_restart.py
@@ -21,7 +21,8 @@
 
 
 def test_over_a_kill(world: World) -> None:
-    """Each kind of track with a shot out, one that was never sent, and two of one key."""
+    """Each kind of traffic class with an attempt in flight, a message that was never sent, and two of one
+    ordering key."""
     world.start()
     for number, track in enumerate(("free", "tag", "once")):
         world.submit(f"k{number}", track, "hang 200", number)
@@ -51,7 +52,7 @@
 
 
 def test_kills_amid_many(world: World) -> None:
-    """Killed twice with many in all stages: each has its one end, and none runs twice that must not."""
+    """Killed twice with many in all stages: each has one final outcome, and none runs twice that must not."""
     world.start()
     taken = {}
     for number in range(36):
@@ -75,7 +76,7 @@
 
 
 def test_overdue_after_a_kill(world: World) -> None:
-    """The window of a tagged envelope, the cut-off, and a notice that the platform had not heard."""
+    """A deduplication window, a deadline, and a notification that was not acknowledged."""
     ledger = WriteAheadLog(world.folder / "state", LIMITS.disk_bytes)
     old = wall() - 20_000_000
     past = [(1, 5_000_000, True), (0, -10, False), (1, -10, True), (0, 9, False)]
@@ -95,7 +96,7 @@
 
 
 def test_a_destination_that_was_out_as_the_process_was_killed(world: World) -> None:
-    """Guards a return against all who restarted within the outage: what they held goes by the guard."""
+    """Guards a destination that comes back against senders that restarted within its outage."""
     where = free_address()  # nobody listens there yet
     world.members[3]["host_port"] = f"127.0.0.1:{where[1]}"
     rule = {"cold-from": 0.9, "ramp-time": 10000.0, "fall-multiple": 2.0, "fall": 3000.0}
--- a/tests/server/test_shutdown.py
+++ b/tests/server/test_shutdown.py
@@ -42,7 +42,7 @@
 
 
 def test_a_second_sigterm(world: World) -> None:
-    """It puts nothing off: whoever is within a request has the answer that the first one owes."""
+    """It puts nothing off: a client within a request has the response that the first one owes."""
     world.start()
     assert world.process is not None
     hold = request("out", "once", "hang", 1)
@@ -61,8 +61,8 @@
 
 
 def test_an_endpoint_drains_within_the_shutdown(world: World) -> None:
-    """What is held as SIGTERM comes goes out still, and not to an endpoint that drains meanwhile; a notice
-    that the platform does not take is the next life's to tell."""
+    """What is queued as SIGTERM comes still has its attempt, and not at an endpoint that drains meanwhile; a
+    notification that the platform does not take is sent by the next incarnation."""
     drained: list[object] = []
     told = Event()
 
