--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -1,4 +1,4 @@
-"""Admission of a message: accepted and in the write-ahead log, or rejected, and what its client is told."""
+"""Admission of a message: accepted and in the write-ahead log, or rejected, with its client's response."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionResult:
-    """What became of a message, as its client is told."""
+    """What became of a message, for the response to its client."""
 
     status: HTTPStatus
     retry_after: int = 0
@@ -83,7 +83,7 @@
             return rejection
         message.message_id = self.write_ahead_log.messages.last_id + 1
         recorded = self.write_ahead_log.record_submitted(message)
-        self.note_log_space(recorded)
+        self.note_log_space(recorded=recorded)
         if not recorded:
             return OVER_CAPACITY
         result = self.receiver.submit(message)
@@ -102,7 +102,7 @@
             return AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE, retry_after)
         return None
 
-    def note_log_space(self, recorded: bool) -> None:
+    def note_log_space(self, *, recorded: bool) -> None:
         """Logs when the write-ahead log fills up, and when it has space again."""
         if recorded != self.log_full:
             return
--- a/ashpath/server/http/connection_table.py
+++ b/ashpath/server/http/connection_table.py
@@ -119,7 +119,7 @@
         while len(self.idle) > self.limits.idle_client_connections and self.evict(ConnectionState.IDLE):
             pass
 
-    def make_room(self) -> bool:
+    def evict_one(self) -> bool:
         """Closes the connection that is needed least; whether there was one."""
         limits = self.limits
         evicted = (
--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -74,7 +74,7 @@
             gevent.sleep(0)  # guards the rest against clients that connect without end
             while self.connection_count >= self.limits.client_connections:
                 self.connection_closed.clear()
-                if not self.table.make_room():
+                if not self.table.evict_one():
                     self.connection_closed.wait(EVICTION_RETRY_S)
 
     def serve(self, connection: HttpConnection) -> None:
--- a/tests/server/http/test_connection_table.py
+++ b/tests/server/http/test_connection_table.py
@@ -41,7 +41,7 @@
     asks.sendall(b"POST /api HTTP/1.1\r\n")
     until(lambda: listener.table.count(ConnectionState.READING))
     assert listener.table.count(ConnectionState.HALF_CLOSED)
-    assert listener.table.make_room()
+    assert listener.table.evict_one()
     until(lambda: staying.dead)
     assert not asking.dead
     assert listener.table.count(ConnectionState.READING)
--- /dev/null
+++ b/tests/server/http/test_framing.py
@@ -0,0 +1,62 @@
+"""Where bodies end: chunks that come in pieces, and those that are not as they should be."""
+
+from __future__ import annotations
+
+import pytest
+
+from ashpath.server.http.errors import (
+    BodyTooLongError,
+    ChunkEndError,
+    ChunkLineError,
+    ChunkOverheadError,
+    ChunkSizeError,
+    ProtocolError,
+)
+from ashpath.server.http.framing import ChunkedFraming
+from ashpath.server.http.receive_buffer import ReceiveBuffer
+
+MAX_BODY_BYTES = 2048
+BODY = b"2;a=b\r\nok\r\n0\r\nX: y\r\n\r\n"
+# What a body in chunks begins with, the error and its message.
+INVALID: dict[bytes, tuple[type[ProtocolError], str]] = {
+    b"zz\r\n": (ChunkSizeError, "a chunk without a proper size"),
+    b"-2\r\n": (ChunkSizeError, "a chunk without a proper size"),
+    b"ffffffff\r\nok": (BodyTooLongError, "body too long"),
+    b"3\r\nokay\r\n": (ChunkEndError, "a chunk longer than its size"),
+    b"2;" + b"a" * 2000: (ChunkLineError, "a line of chunks without end"),
+    b"2;" + b"a" * 2000 + b"\r\nok\r\n": (ChunkOverheadError, "chunks with too much beside them"),
+    b"1\r\nx\r\n" * 800: (ChunkOverheadError, "chunks with too much beside them"),
+}
+
+
+def receive(buffer: ReceiveBuffer, data: bytes) -> None:
+    """Puts bytes into a buffer as a socket does."""
+    with buffer.free_space(len(data)) as space:
+        space[: len(data)] = data
+    buffer.commit(len(data))
+
+
+def test_the_end_is_found_with_the_last_byte() -> None:
+    buffer, framing = ReceiveBuffer(64, 64), ChunkedFraming(MAX_BODY_BYTES)
+    ends = []
+    for position in range(len(BODY)):
+        receive(buffer, BODY[position : position + 1])
+        ends.append(framing.end(buffer))
+    assert ends == [None] * (len(BODY) - 1) + [len(BODY)]
+    assert buffer.consume(len(BODY)) == BODY
+
+
+def test_what_follows_is_not_part_of_it() -> None:
+    buffer = ReceiveBuffer(64, 64)
+    receive(buffer, BODY + b"HTTP/1.1 200 OK\r\n")
+    assert ChunkedFraming(MAX_BODY_BYTES).end(buffer) == len(BODY)
+
+
+@pytest.mark.parametrize("data", INVALID, ids=lambda data: str(data[:20]))
+def test_invalid_chunks(data: bytes) -> None:
+    error, message = INVALID[data]
+    buffer = ReceiveBuffer(64, 64)
+    receive(buffer, data)
+    with pytest.raises(ProtocolError, match=message) as raised:
+        ChunkedFraming(MAX_BODY_BYTES).end(buffer)
+    assert type(raised.value) is error
