The adoption of orphaned logs is put together in wiring.py with the rest

Cause: the runtime made one part by itself.

Checked: make lint; tests/server/test_hot_upgrade.py, test_runtime.py, test_reload.py, test_imports.py (7 passed).

--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -19,7 +19,6 @@
 import gevent
 from gevent import Greenlet
 
-from ashpath.server.adoption import OrphanAdopter
 from ashpath.server.logs import Logger
 from ashpath.server.reload import Reloader, ReloadService
 from ashpath.server.sender import Sender
@@ -89,15 +88,8 @@
             delivery.pool.run,
             sender.clients.listener.run,
         ]
-        if sender.place.inherited_socket is not None:
-            services.append(
-                OrphanAdopter(
-                    delivery.write_ahead_log,
-                    delivery.policy_runner,
-                    sender.limits.adoption_interval_s,
-                    sender.logger,
-                ).run
-            )
+        if sender.orphan_adopter is not None:
+            services.append(sender.orphan_adopter.run)
         if sender.control is not None:
             services.append(sender.control.run)
         return services
--- a/ashpath/server/sender.py
+++ b/ashpath/server/sender.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from ashpath.server.adoption import OrphanAdopter
 from ashpath.server.configuration import RunningConfiguration
 from ashpath.server.control.listener import ControlListener
 from ashpath.server.delivery.attempt_runner import AttemptRunner
@@ -84,6 +85,8 @@
     clients: ClientSide
     control: ControlListener | None
     discovery: DiscoveryClient | None
+    orphan_adopter: OrphanAdopter | None
+    """None in a process that binds the clients' address by itself: it is alone."""
     gossip: GossipService
     metrics: MetricsService
     settings_switch: SettingsSwitch
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -9,6 +9,7 @@
 
 from ashpath.core.platform_settings import load_report_fields
 from ashpath.server.addresses import parse_address
+from ashpath.server.adoption import OrphanAdopter
 from ashpath.server.backoff import Backoff
 from ashpath.server.configuration import RunningConfiguration, SenderConfiguration, SenderSettings
 from ashpath.server.control.listener import ControlListener
@@ -70,6 +71,7 @@
         clients=clients,
         control=control,
         discovery=discovery,
+        orphan_adopter=create_orphan_adopter(place, configuration.limits, delivery, logger),
         gossip=gossip,
         metrics=metrics,
         settings_switch=create_settings_switch(
@@ -230,6 +232,15 @@
     )
 
 
+def create_orphan_adopter(
+    place: SenderPlace, limits: ServerLimits, delivery: DeliveryPath, logger: Logger
+) -> OrphanAdopter | None:
+    """For a process that may be one of two."""
+    if place.inherited_socket is None:
+        return None
+    return OrphanAdopter(delivery.write_ahead_log, delivery.policy_runner, limits.adoption_interval_s, logger)
+
+
 def create_metrics_service(
     running: RunningConfiguration,
     delivery: DeliveryPath,
