--- a/ashpath/emulator/demo/run.py
+++ b/ashpath/emulator/demo/run.py
@@ -16,6 +16,7 @@
 from ashpath.emulator.demo.destinations import DemoDestination, plan_destinations, start_destination
 from ashpath.emulator.demo.sender_file import sender_file
 from ashpath.emulator.destination.faults import Fault
+from ashpath.emulator.final_outcomes import FinalOutcome
 from ashpath.emulator.run_clock import RunClock
 from ashpath.emulator.sender_process import SenderProcess
 from ashpath.emulator.stand_ins import LOOPBACK, free_port, stand_in_limits
@@ -138,9 +139,9 @@
             "out": state.get("out"),
             "limit": state.get("limit"),
             "breaker": state.get("breaker"),
-            "completed": destination.ends["completed"],
-            "bounced": destination.ends["bounced"],
-            "aborted": destination.ends["aborted"],
+            "completed": destination.ends[FinalOutcome.DELIVERED.value],
+            "bounced": destination.ends[FinalOutcome.REJECTED.value],
+            "aborted": destination.ends[FinalOutcome.FAILED.value],
             "shots": sum(tally.calls for tally in model.tallies.values()),
         }
 
--- a/ashpath/emulator/destination/model.py
+++ b/ashpath/emulator/destination/model.py
@@ -137,7 +137,7 @@
         if self.faults.hung:
             self._take_effect(now, call)  # it runs as the hang ends, and nobody receives the response
             return call
-        if self._is_rejected(now, state, call):
+        if self._rejects(now, state, call):
             return self._with_report(call)
         draw = self.random.random() if self.faults.any_share else 1.0
         if draw < self.faults.error_share:
@@ -174,8 +174,8 @@
         tally.in_flight += 1
         return tally
 
-    def _is_rejected(self, now: int, state: EndpointState, call: DestinationCall) -> bool:
-        """Whether the call is above the rate limit or finds the queue full; then it has its answer."""
+    def _rejects(self, now: int, state: EndpointState, call: DestinationCall) -> bool:
+        """Answers a call that is above the rate limit or finds the queue full; False: it is admitted."""
         rejecting = self.faults.rejecting
         if rejecting or (self.properties.rate_limit and not self.rate_limit.admit(now)):
             call.retry_after = 0 if rejecting else self.rate_limit.retry_after(now)
--- a/ashpath/emulator/http_client.py
+++ b/ashpath/emulator/http_client.py
@@ -1,5 +1,5 @@
-"""A client that keeps connections to one sender, and tells a request that was not sent from one that may have
-been read."""
+"""A client that keeps connections to one sender. Its errors distinguish a request that was not sent from
+one that may have been read."""
 
 from __future__ import annotations
 
--- a/ashpath/emulator/invariant_checker.py
+++ b/ashpath/emulator/invariant_checker.py
@@ -1,7 +1,9 @@
 """Watches a run and names each broken rule, in the terms of the rules' text alone.
 
 It shares nothing with the policy but the interface's types for traffic classes, and receives only what an
-onlooker with a clock would see. All times are microseconds of the run. The rules, as outcome files name them:
+onlooker with a clock would see. All times are microseconds of the run. What it writes of a rule or a
+message is printed and stored, in words older than the standard terms. The rules, as outcome files name
+them:
 
     lost        an accepted message has not one final answer by its deadline, or is sent after it
     doubled     an effect may happen, or did happen, twice
--- a/ashpath/emulator/loopback/replay.py
+++ b/ashpath/emulator/loopback/replay.py
@@ -184,7 +184,7 @@
             self._scoreboard.delivered(call.at, request, self._value(request, call.at))
 
     def _is_ambiguous(self, message_id: str, message: AcceptedMessage) -> bool:
-        """Whether which of two incarnations or senders sends the message cannot be told apart.
+        """Whether which of two incarnations or senders sends the message cannot be distinguished.
 
         A sender was killed as its answer to the client, or a destination's response, was on the way: its
         next incarnation may go on with what may be repeated, though the client has submitted it elsewhere,
--- a/ashpath/emulator/scenario/loading.py
+++ b/ashpath/emulator/scenario/loading.py
@@ -35,10 +35,10 @@
 
 def _traffic_faults(scenario: Scenario) -> Iterator[ConfigurationFault]:
     mix = scenario.clients.traffic_class_shares
-    for track in mix:
-        if track not in scenario.traffic_classes:
+    for name in mix:
+        if name not in scenario.traffic_classes:
             expected = "one of " + ", ".join(scenario.traffic_classes)
-            yield ConfigurationFault(("clients", "mix", track), "a track", expected)
+            yield ConfigurationFault(("clients", "mix", name), "a track", expected)
     if sum(mix.values()) <= 0 or min(mix.values()) < 0:
         yield ConfigurationFault(("clients", "mix"), "shares", "none below 0, and one above it")
     if sum(group.traffic_share for group in scenario.destinations.values()) <= 0:
--- a/ashpath/emulator/scenario/schema.py
+++ b/ashpath/emulator/scenario/schema.py
@@ -244,7 +244,7 @@
         name="partners"
     )
     clients: Clients
-    spans: Annotated[list[Span], Key("the day from its beginning to its end", 1, 10_000)]
+    spans: Annotated[list[Span], Key("the traffic from beginning to end", 1, 10_000)]
     fleet: Fleet = field(default_factory=Fleet)
     rules: Rules = field(default_factory=Rules)
     network: Network = field(default_factory=Network)
--- a/ashpath/emulator/scoreboard.py
+++ b/ashpath/emulator/scoreboard.py
@@ -66,7 +66,7 @@
 
 
 class Window:
-    """Ten seconds. Value stands where it was asked for, counts where they happened."""
+    """Ten seconds: value is counted when its request was created, all else when it happened."""
 
     __slots__ = (
         "attempts",
