Gate: every transition of the circuit breaker beside its table

Cause: two transitions of the breaker stood with the books in core, away from the table of states.

Change: ashpath/policy/gate.py makes all of them; the statistics of an endpoint and the decaying share of errors are core's, with the weights handed in.

--- a/ashpath/core/gate_state.py
+++ b/ashpath/core/gate_state.py
@@ -5,12 +5,13 @@
 from abc import ABC, abstractmethod
 from collections import deque
 
-from ashpath.core.interface import AttemptOutcome, LoadReport
+from ashpath.core.interface import AttemptOutcome
 from ashpath.core.messages import Attempt
 from ashpath.core.outage_state import OutageState
 from ashpath.core.rate_limit_state import RateLimitState
 from ashpath.core.sender_state import SenderState
 from ashpath.core.snapshots import BreakerState, GateSnapshot
+from ashpath.core.statistics import DecayingShare
 
 
 class GateState(ABC):
@@ -23,6 +24,7 @@
         route: str,
         rate_limit: RateLimitState,
         outage: OutageState,
+        errors: DecayingShare,
     ) -> None:
         self.state = state
         self.destination = destination
@@ -45,9 +47,8 @@
         self.open_until = 0
         self.retry_after_until = 0
         """The destination asked for nothing before."""
-        self.error_share = 0.0
+        self.errors = errors
         """Errors and resets, of late answers."""
-        self.error_at = state.now
 
     @abstractmethod
     def opens_at(self, now: int) -> int | None:
@@ -57,10 +58,6 @@
     def judge(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
         """Learns from a call's one outcome."""
 
-    @abstractmethod
-    def report_received(self, report: LoadReport) -> None:
-        """A response reported the rate limit."""
-
     @abstractmethod
     def rate_listed(self, rate: float) -> None:
         """The endpoint list has a rate; 0: none."""
@@ -69,10 +66,6 @@
     def return_reported(self) -> None:
         """Another sender delivered after an outage."""
 
-    @abstractmethod
-    def restore_outage(self, rate: float) -> None:
-        """The previous incarnation knew of an outage, and of that rate before it."""
-
     def attempt_started(self, attempt: Attempt) -> None:
         """Takes the call's place and tokens."""
         endpoint = attempt.endpoint
@@ -86,9 +79,6 @@
         recovery_bucket = self.outage.recovery_bucket
         recovery_bucket.tokens = max(0.0, recovery_bucket.tokens - 1)
         self.rate_limit.bucket.tokens -= 1
-        if self.breaker is BreakerState.OPEN:
-            self.breaker = BreakerState.HALF_OPEN
-            attempt.is_trial = True
 
     def attempt_over(self, attempt: Attempt) -> None:
         """Gives the call's place back."""
@@ -102,14 +92,6 @@
         while reservations and reservations[0] <= now:
             reservations.popleft()
 
-    def close_breaker(self) -> None:
-        """The limit is one, and nothing is remembered of the time before."""
-        self.breaker = BreakerState.CLOSED
-        self.limit = 1
-        self.fast_successes = 0
-        self.reopened = 0
-        self.log("breaker closed")
-
     def follow(self, other: GateState) -> None:
         """Takes over the waits and outage of the gate in whose place this one comes."""
         self.retry_after_until = max(self.retry_after_until, other.retry_after_until)
--- a/ashpath/core/messages.py
+++ b/ashpath/core/messages.py
@@ -68,6 +68,17 @@
     """Of its late calls."""
     fast_successes: int = 0
 
+    def delivered(self, duration: int, *, fast: bool, gain: float) -> None:
+        """A success, which weighs `gain` in the statistics."""
+        mean = self.mean_duration
+        self.mean_duration += gain * (duration - mean) if mean else duration
+        self.failure_share = (1 - gain) * self.failure_share
+        self.fast_successes += fast
+
+    def failed(self, *, gain: float) -> None:
+        """A failure, which weighs `gain` in the statistics."""
+        self.failure_share += gain * (1 - self.failure_share)
+
 
 @dataclass(eq=False, slots=True, kw_only=True)
 class Attempt:
--- a/ashpath/core/outage_state.py
+++ b/ashpath/core/outage_state.py
@@ -9,12 +9,14 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
+
 from ashpath.core.sender_state import SenderState
 from ashpath.core.statistics import EventRate
 from ashpath.core.token_bucket import TokenBucket
 
 
-class OutageState:
+class OutageState(ABC):
     """The outage of one gate, and the bucket that calls pass until the destination has warmed up."""
 
     __slots__ = (
@@ -41,6 +43,10 @@
         self.submissions = EventRate(rate_window_us, state.now, state.now)
         """Some of them again after a rejection."""
 
+    @abstractmethod
+    def restore(self, rate: float) -> None:
+        """Down since a previous incarnation, with that rate before."""
+
     def recover(self) -> None:
         """From now on it warms up."""
         self.down = False
--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -206,7 +206,7 @@
     def restore_outage(self, number: int, endpoint_id: str, rate: float) -> None:
         """The previous incarnation knew of an outage, and of that rate before it."""
         for gate in self._gates(number, endpoint_id):
-            gate.restore_outage(rate)
+            gate.outage.restore(rate)
 
     def _gates(self, number: int, endpoint_id: str) -> list[GateState]:
         # All routes where the endpoint is not known.
--- a/ashpath/core/rate_limit_state.py
+++ b/ashpath/core/rate_limit_state.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from abc import ABC, abstractmethod
+
+from ashpath.core.interface import LoadReport
 from ashpath.core.messages import LONG_AGO
 from ashpath.core.sender_state import SenderState
 from ashpath.core.token_bucket import TokenBucket
 
 
-class RateLimitState:
+class RateLimitState(ABC):
     """The rate limit of one gate, in calls a second, and what responses reported of the destination's."""
 
     __slots__ = (
@@ -34,6 +37,10 @@
         self.reported_at = 0
         self.remaining_quota = 1.0
 
+    @abstractmethod
+    def update(self, report: LoadReport) -> None:
+        """Follows what a response reported."""
+
     def reset(self) -> None:
         """Forgets what was reported: from now on it comes in another way."""
         self.rate = 0.0
--- a/ashpath/core/statistics.py
+++ b/ashpath/core/statistics.py
@@ -58,3 +58,25 @@
     def cautious_rate(self) -> float:
         """The same without the correction for a short life: too low at first."""
         return self.total * SECOND / self.window_us
+
+
+@dataclass(eq=False, slots=True)
+class DecayingShare:
+    """The share of late events that were counted; each second without one leaves a little less of it."""
+
+    gain: float
+    """Weight of one event; a second takes off half of it."""
+    updated_at: int
+    share: float = 0.0
+
+    def add(self, now: int) -> float:
+        """Counts an event; returns the share."""
+        elapsed = now - self.updated_at
+        decayed = self.share * (1 - self.gain / 2) ** (elapsed / SECOND)
+        self.share = decayed + self.gain * (1 - decayed)
+        self.updated_at = now
+        return self.share
+
+    def reduce(self) -> None:
+        """An event of the other kind."""
+        self.share -= self.gain * self.share
--- a/ashpath/policy/delivery_policy.py
+++ b/ashpath/policy/delivery_policy.py
@@ -94,7 +94,7 @@
         if attempt.cancelled and outcome is AttemptOutcome.CANCELLED:
             outcome = AttemptOutcome.TIMED_OUT
         if report:
-            attempt.endpoint.gate.report_received(report)
+            attempt.endpoint.gate.rate_limit.update(report)
         self._record_outcome(message, attempt, outcome, wait)
         if message.ordered_queue and outcome in tuning.MAY_STILL_RUN:
             message.ordered_queue.settles_at = self.now + self.settings.settle_time
--- a/ashpath/policy/gate.py
+++ b/ashpath/policy/gate.py
@@ -16,11 +16,11 @@
 
 from ashpath.core.gate_state import GateState
 from ashpath.core.gossip_messages import EndpointRecovered
-from ashpath.core.interface import AttemptOutcome, LoadReport
+from ashpath.core.interface import AttemptOutcome
 from ashpath.core.messages import Attempt
 from ashpath.core.sender_state import SenderState
 from ashpath.core.snapshots import BreakerState
-from ashpath.core.statistics import SECOND
+from ashpath.core.statistics import DecayingShare
 from ashpath.policy import tuning
 from ashpath.policy.judgement import is_unrelated_to_load
 from ashpath.policy.outage import Outage
@@ -34,7 +34,9 @@
     outage: Outage
 
     def __init__(self, state: SenderState, destination: int, route: str = "") -> None:
-        super().__init__(state, destination, route, RateLimit(state), Outage(state, tuning.RATE_WINDOW))
+        outage = Outage(state, tuning.RATE_WINDOW)
+        errors = DecayingShare(tuning.GAIN, state.now)
+        super().__init__(state, destination, route, RateLimit(state), outage, errors)
 
     def opens_at(self, now: int) -> int | None:
         """None if a call may go now, else the time to check again (0: an outcome will tell)."""
@@ -59,6 +61,13 @@
         """Calls a second if it is down or recovering."""
         return self.outage.allowance(now, self.rate_limit.even_split())
 
+    def attempt_started(self, attempt: Attempt) -> None:
+        """Takes the call's place; the first one past an open breaker is its trial request."""
+        super().attempt_started(attempt)
+        if self.breaker is BreakerState.OPEN:
+            self.breaker = BreakerState.HALF_OPEN
+            attempt.is_trial = True
+
     def judge(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
         """The outcome table of ADR 0122, and its table of trial requests."""
         if outcome is AttemptOutcome.DELIVERED:
@@ -69,7 +78,7 @@
             self.breaker = BreakerState.OPEN
 
     def _failed(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
-        attempt.endpoint.failure_share += tuning.GAIN * (1 - attempt.endpoint.failure_share)
+        attempt.endpoint.failed(gain=tuning.GAIN)
         unrelated = is_unrelated_to_load(self, attempt, outcome, duration)
         in_burst = attempt.started_at < self.decreased_at
         if attempt.is_trial:
@@ -86,17 +95,14 @@
     def _delivered(self, attempt: Attempt, duration: int) -> None:
         endpoint = attempt.endpoint
         fast = 2 * duration < attempt.timeout
-        mean = endpoint.mean_duration
-        endpoint.mean_duration += tuning.GAIN * (duration - mean) if mean else duration
-        endpoint.failure_share = (1 - tuning.GAIN) * endpoint.failure_share
-        endpoint.fast_successes += fast
+        endpoint.delivered(duration, fast=fast, gain=tuning.GAIN)
         self.outage.succeeded()
-        self.error_share -= tuning.GAIN * self.error_share
+        self.errors.reduce()
         self.rate_limit.grow()
         if self.outage.down:
             self._recovered(endpoint.endpoint_id)
         if attempt.is_trial:
-            self.close_breaker()
+            self._close()
         elif fast and self.breaker is BreakerState.CLOSED:
             self.fast_successes += 1
             grows = self.never_failed or self.fast_successes >= self.limit
@@ -122,17 +128,12 @@
         self.open_until = self.state.now + pause + pause * settings.sender_index // settings.sender_count
         self.log(f"breaker open {pause // 1000} ms: {outcome.value}, reopened {self.reopened}")
 
-    def count_error(self) -> float:
-        """Counts an error or reset; returns the share of these in late answers."""
-        elapsed = self.state.now - self.error_at
-        share = self.error_share * (1 - tuning.GAIN / 2) ** (elapsed / SECOND)
-        self.error_share = share + tuning.GAIN * (1 - share)
-        self.error_at = self.state.now
-        return self.error_share
-
-    def report_received(self, report: LoadReport) -> None:
-        """A response reported the rate limit."""
-        self.rate_limit.update(report)
+    def _close(self) -> None:
+        self.breaker = BreakerState.CLOSED
+        self.limit = 1
+        self.fast_successes = 0
+        self.reopened = 0
+        self.log("breaker closed")
 
     def rate_listed(self, rate: float) -> None:
         """The listed rate stands in where responses report none."""
@@ -146,8 +147,4 @@
             self.outage.begin(self.state.now)
             self.outage.recover()
             if self.breaker is BreakerState.OPEN:
-                self.close_breaker()
-
-    def restore_outage(self, rate: float) -> None:
-        """The previous incarnation knew of an outage, and of that rate before it."""
-        self.outage.restore(rate)
+                self._close()
--- a/ashpath/policy/judgement.py
+++ b/ashpath/policy/judgement.py
@@ -48,7 +48,9 @@
         gate.rate_limit.cut(attempt.started_at, outage.succeeded_at)
         return True
     if outcome in (AttemptOutcome.ERROR, AttemptOutcome.CONNECTION_RESET):
-        return gate.count_error() < tuning.MOSTLY_ERRORS and not run  # one among successes is no load
+        return (
+            gate.errors.add(gate.state.now) < tuning.MOSTLY_ERRORS and not run
+        )  # one among successes is no load
     return outcome is AttemptOutcome.TIMED_OUT and (duration < attempt.timeout or was_overtaken(attempt))
 
 
--- a/tests/core/test_statistics.py
+++ b/tests/core/test_statistics.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ashpath.core.statistics import SECOND, EventRate, RunningStatistics
+from ashpath.core.statistics import SECOND, DecayingShare, EventRate, RunningStatistics
 
 
 def test_the_first_values_have_their_plain_mean() -> None:
@@ -38,3 +38,12 @@
     before = rate.rate()
     rate.skip(50 * SECOND)
     assert rate.rate() == pytest.approx(before)
+
+
+def test_a_share_decays_by_the_second_and_by_other_events() -> None:
+    share = DecayingShare(gain=0.5, updated_at=0)
+    assert share.add(0) == 0.5
+    assert share.add(SECOND) == pytest.approx(0.375 + 0.5 * 0.625)
+    share.share = 0.5
+    share.reduce()
+    assert share.share == 0.25
