--- a/ashpath/emulator/scenario/schema.py
+++ b/ashpath/emulator/scenario/schema.py
@@ -4,7 +4,7 @@
 `ashpath check` knows these files; the library's stand in `ashpath/emulator/scenarios`.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Literal, get_args
 
 from msgspec import Struct, field
 
@@ -12,7 +12,7 @@
 from ashpath.config.schema_types import MIN, MS, D, H, Key, S
 from ashpath.config.units import Duration, Name
 
-FAULT_KINDS = (
+DestinationFaultKind = Literal[
     "silent",
     "hung",
     "down",
@@ -24,15 +24,10 @@
     "resets",
     "limit",
     "replace",
-    "directory",
-    "kill",
-    "network",
-    "split",
-    "clock",
-    "traffic",
-)
-DESTINATION_FAULTS = FAULT_KINDS[:11]
-"""Those that a destination has; the others are faults of senders, clients, discovery or network."""
+]
+SurroundingsFaultKind = Literal["directory", "kill", "network", "split", "clock", "traffic"]
+FaultKind = Literal[DestinationFaultKind, SurroundingsFaultKind]
+DESTINATION_FAULTS = get_args(DestinationFaultKind)
 
 
 class About(Struct):
@@ -213,7 +208,7 @@
 class ScriptedFault(Struct):
     """One fault of the script."""
 
-    kind: Annotated[Literal[FAULT_KINDS], Key("what happens")]  # type: ignore[valid-type]
+    kind: Annotated[FaultKind, Key("what happens")]
     at: Annotated[Duration | None, Key("when, of the time that is played", 0, 400 * D)] = None
     condition: Annotated[
         str, Key("or as soon as a condition holds, `completed > 500` say; see the page", 0, 80)
