--- a/ashpath/server/adoption.py
+++ b/ashpath/server/adoption.py
@@ -8,21 +8,31 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 import gevent
 
 from ashpath.server.logs import Logger
-from ashpath.server.policy_runner import PolicyRunner
+from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
+class MessageAdopter(Protocol):
+    """Who goes on with messages of another process."""
+
+    def adopt(self, messages: list[StoredMessage]) -> None:
+        """They are in this process' write-ahead log by now, in the order in which they were accepted."""
+        ...
+
+
 class OrphanAdopter:
     """Takes over the live messages of orphaned logs, every `interval_s` seconds."""
 
     def __init__(
-        self, write_ahead_log: WriteAheadLog, policy_runner: PolicyRunner, interval_s: float, logger: Logger
+        self, write_ahead_log: WriteAheadLog, adopter: MessageAdopter, interval_s: float, logger: Logger
     ) -> None:
         self.write_ahead_log = write_ahead_log
-        self.policy_runner = policy_runner
+        self.adopter = adopter
         self.interval_s = interval_s
         self.logger = logger
 
@@ -33,4 +43,4 @@
             adopted = self.write_ahead_log.adopt()
             if adopted:
                 self.logger.info("write-ahead log adopted", messages=len(adopted))
-                self.policy_runner.adopt(adopted)
+                self.adopter.adopt(adopted)
