--- a/ashpath/core/statistics.py
+++ b/ashpath/core/statistics.py
@@ -59,8 +59,7 @@
         return self.total * SECOND / self.window_us
 
 
-@dataclass(eq=False, slots=True)
-class DecayingShare:
+class DecayingShare(Struct, eq=False):
     """The share of late events that were counted; each second without one leaves a little less of it."""
 
     gain: float
