--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -6,7 +6,7 @@
 
 import gevent
 from support.loggers import no_errors
-from support.server import READY, gone
+from support.server import READY, terminate
 from support.world import World, request, until
 
 from ashpath.server.http.connection import HttpConnection
@@ -19,7 +19,7 @@
     assert live is not None
     assert old.submit("u1", "free", "hang", 3, time_left_ms=6000) == 202  # still out when the old one ends
     new.start()  # no second bind: both take from one queue
-    gone(old)
+    terminate(old)
     assert new.submit("u2", "free", "200", 4) == 202
     until(lambda: new.attempt_count("u2") == 1)
     assert live.receive() is False or not len(live.buffer)  # the old one closed it: its client moves on
@@ -70,7 +70,7 @@
     assert new.operator_command(b"DETACH e5\n").startswith(b"OK") and old.operator_command(
         b"DETACH e6\n"
     ).startswith(b"OK")
-    gone(old)
+    terminate(old)
     assert DetachedEndpoints(old.folder / "state", no_errors()).read() == {"e5", "e6"}
     assert new.submit("b5", "free", "200", 5, time_left_ms=2500) == 202
     assert new.submit("b6", "free", "200", 6, time_left_ms=2500) == 202
--- a/tests/server/test_upgrade_between_releases.py
+++ b/tests/server/test_upgrade_between_releases.py
@@ -13,7 +13,7 @@
 import gevent
 import pytest
 from gevent.pool import Group
-from support.server import gone
+from support.server import terminate
 from support.world import ROOT, World, until
 
 EARLIER = ROOT / "tests" / "fixtures" / "releases" / "ashpath-3949f73.zip"
@@ -78,7 +78,7 @@
     new.start()
     assert new.operator_command(b"DETACH e5\n").startswith(b"OK")
     assert old.operator_command(b"DETACH e6\n").startswith(b"OK")
-    gone(old)
+    terminate(old)
     for destination in (5, 6):
         assert new.submit(f"detached-{destination}", "free", "200", destination, time_left_ms=2500) == 202
     until(lambda: new.notified("detached-5") and new.notified("detached-6"))
@@ -93,7 +93,7 @@
     assert old.submit("rejected", "free", "wait 200", 7) == 202
     until(lambda: old.attempt_count("rejected") == 1)
     received = monotonic()
-    gone(old)
+    terminate(old)
     assert new.submit("next", "free", "200", 7) == 202
     until(lambda: new.attempt_count("next") == 1)
     assert monotonic() - received > 1.8
@@ -102,7 +102,7 @@
 def restart(pair: tuple[World, World], first: Path, second: Path) -> tuple[World, World]:
     """The pair, its first process of one release and its second, not started yet, of the other."""
     old, new = pair
-    gone(old)
+    terminate(old)
     old.release = first
     new.release = second
     old.start()
--- a/tests/support/server.py
+++ b/tests/support/server.py
@@ -74,8 +74,9 @@
 READY = encode_message(b"GET /health/ready HTTP/1.1", [], b"")
 
 
-def gone(one: World) -> None:
-    assert one.process is not None
-    one.process.send_signal(signal.SIGTERM)
-    until(lambda: one.process is not None and one.process.poll() is not None)
-    assert one.process.returncode == 0
+def terminate(world: World) -> None:
+    """Ends a sender by SIGTERM, and waits until its process is over, in order."""
+    assert world.process is not None
+    world.process.send_signal(signal.SIGTERM)
+    until(lambda: world.process is not None and world.process.poll() is not None)
+    assert world.process.returncode == 0
