--- /dev/null
+++ b/ashpath/emulator/fault_injection/call_faults.py
@@ -0,0 +1,141 @@
+"""Which system calls of a process fail, how, and when: a schedule that is read from JSON, free of I/O.
+
+| field of a fault | what it says |
+| --- | --- |
+| `call` | which call, see `FaultyCall` |
+| `error` | the errno's name, or `short` for a read or write of one byte less than half of what was asked |
+| `begin_s`, `end_s` | seconds from the process's start between which calls fail |
+| `skip`, `count` | of those calls, so many go through first, and so many fail; a count of 0 is all |
+
+A step of the wall clock is a `ClockStep`: from `begin_s` on it is `step_s` ahead of what it was.
+"""
+
+from __future__ import annotations
+
+import errno
+from enum import Enum
+from random import Random
+
+import msgspec
+from msgspec import Struct
+
+SHORT = "short"
+
+
+class FaultyCall(Enum):
+    """The calls that can be made to fail; the value stands in the schedule."""
+
+    ACCEPT = "accept"
+    SOCKET = "socket"
+    CONNECT = "connect"
+    RECEIVE = "receive"
+    SEND = "send"
+    WRITE = "write"
+    TRUNCATE = "truncate"
+    SYNC = "sync"
+    RENAME = "rename"
+    OPEN = "open"
+
+
+class CallFault(Struct, frozen=True):
+    """One run of failing calls."""
+
+    call: FaultyCall
+    error: str
+    begin_s: float = 0.0
+    end_s: float = 1e9
+    skip: int = 0
+    count: int = 0
+
+
+class ClockStep(Struct, frozen=True):
+    """The wall clock jumps."""
+
+    begin_s: float
+    step_s: float
+
+
+class ProcessFaults(Struct, frozen=True):
+    """All faults of one process."""
+
+    calls: tuple[CallFault, ...] = ()
+    clock: tuple[ClockStep, ...] = ()
+
+    def encode(self) -> bytes:
+        """As the launcher reads it."""
+        return msgspec.json.encode(self)
+
+    @classmethod
+    def decode(cls, data: bytes) -> ProcessFaults:
+        """Raises msgspec.ValidationError and msgspec.DecodeError."""
+        return msgspec.json.decode(data, type=cls)
+
+    def clock_offset_s(self, elapsed_s: float) -> float:
+        """How far the wall clock is ahead of the true one."""
+        return sum(step.step_s for step in self.clock if elapsed_s >= step.begin_s)
+
+
+class FaultCounter:
+    """Says of each call in turn whether it fails."""
+
+    def __init__(self, faults: ProcessFaults) -> None:
+        self.faults = faults
+        self.seen = [0] * len(faults.calls)  # calls within the time of each fault
+        self.injected: dict[str, int] = {}  # by call and error
+
+    def next_error(self, call: FaultyCall, elapsed_s: float) -> str | None:
+        """The name of the error that this call has; None if it goes through."""
+        for number, fault in enumerate(self.faults.calls):
+            if fault.call is not call or not fault.begin_s <= elapsed_s < fault.end_s:
+                continue
+            self.seen[number] += 1
+            failed_before = self.seen[number] - 1 - fault.skip
+            if failed_before < 0 or (fault.count and failed_before >= fault.count):
+                continue
+            key = f"{call.value} {fault.error}"
+            self.injected[key] = self.injected.get(key, 0) + 1
+            return fault.error
+        return None
+
+
+def os_error(name: str) -> OSError:
+    """The exception that a system call raises for an errno's name."""
+    number = getattr(errno, name)
+    return OSError(number, f"injected {name}")
+
+
+LOCAL_NETWORK_FAULTS = (
+    (FaultyCall.ACCEPT, ("ECONNABORTED", "ENFILE", "ENOBUFS", "EMFILE")),
+    (FaultyCall.SOCKET, ("ENFILE", "EMFILE", "ENOBUFS")),
+    (FaultyCall.CONNECT, ("ENOBUFS", "EADDRNOTAVAIL", "ENETUNREACH", "EAGAIN")),
+    (FaultyCall.RECEIVE, (SHORT, "ETIMEDOUT", "EHOSTUNREACH")),
+    (FaultyCall.SEND, (SHORT,)),
+)
+DISK_FAULTS = (
+    (FaultyCall.WRITE, ("ENOSPC", "EIO", SHORT)),
+    (FaultyCall.TRUNCATE, ("EIO",)),
+    (FaultyCall.RENAME, ("EIO",)),
+    (FaultyCall.OPEN, ("ENOSPC",)),
+)
+
+
+def draw_faults(random: Random, duration_s: float) -> ProcessFaults:
+    """A bad day for one process: a few bursts of calls that fail here, a disk that fails for a while, and
+    perhaps a step of the clock."""
+    calls = []
+    for call, errors in LOCAL_NETWORK_FAULTS:
+        if random.random() < 0.5:
+            begin_s = random.uniform(0.5, duration_s)
+            error = random.choice(errors)
+            calls.append(CallFault(call, error, begin_s, begin_s + random.uniform(0.1, 1.0), count=20))
+    if random.random() < 0.5:
+        begin_s = random.uniform(0.5, duration_s)
+        end_s = begin_s + random.uniform(0.2, 1.5)
+        for call, errors in DISK_FAULTS:
+            if random.random() < 0.7:
+                calls.append(CallFault(call, random.choice(errors), begin_s, end_s))
+    steps: tuple[ClockStep, ...] = ()
+    if random.random() < 0.5:
+        step_s = random.choice((-3600.0, -5.0, 5.0, 3600.0))
+        steps = (ClockStep(random.uniform(0.0, duration_s), step_s),)
+    return ProcessFaults(tuple(calls), steps)
--- /dev/null
+++ b/ashpath/emulator/fault_injection/discovery_agent.py
@@ -0,0 +1,167 @@
+"""An agent of service discovery that fails by a script, and keeps a record of each poll.
+
+| reply | what a poll meets |
+| --- | --- |
+| ANSWER | the protocol: a watch waits for a change, a poll without a revision is answered at once |
+| SILENT | the request is read, and nothing comes |
+| REJECT | 503 with the agent's Retry-After |
+| RESET | the connection is reset as the request has been read |
+| CLOSE | the connection ends in order |
+| UNREADABLE | 200, and half a list |
+
+Replies are taken from `script`, one a poll; without one left, `standing` holds. Notices are taken at any
+time, also while polls fail.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections import deque
+from enum import Enum
+from time import monotonic
+from urllib.parse import parse_qs
+
+import gevent
+import orjson
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+from msgspec import Struct
+
+from ashpath.core.json_types import JsonObject
+from ashpath.emulator.stand_ins import LOOPBACK
+from ashpath.server import wire_names
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.http.messages import HttpRequest
+from ashpath.server.limits import ServerLimits
+
+NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
+SILENCE_S = 60.0
+
+
+class AgentReply(Enum):
+    """See the table of the module."""
+
+    ANSWER = "answer"
+    SILENT = "silent"
+    REJECT = "reject"
+    RESET = "reset"
+    CLOSE = "close"
+    UNREADABLE = "unreadable"
+
+
+class PollRecord(Struct):
+    """One poll of a sender."""
+
+    at: float
+    """Seconds of the monotonic clock, as the request was read."""
+    index: int | None
+    """The revision that it had; None: it asked for a snapshot."""
+    reply: AgentReply
+    told_revision: int = 0
+    """Of the list that was written whole; 0: none was."""
+    told_at: float = 0.0
+
+
+class DiscoveryAgent:
+    """Listens from its making to `stop`."""
+
+    def __init__(
+        self, members: list[JsonObject], limits: ServerLimits, revision: int = 1, retry_after_s: float = 0.0
+    ) -> None:
+        self.members = members
+        self.revision = revision
+        self.retry_after_s = retry_after_s
+        self.script: deque[AgentReply] = deque()
+        self.standing = AgentReply.ANSWER
+        self.delay_s = 0.0  # before each answer
+        self.polls: list[PollRecord] = []
+        self.notices: list[JsonObject] = []
+        self._limits = limits
+        self._changed = Event()
+        self._silenced = 0  # how often open watches fell silent
+        self._server = StreamServer((LOOPBACK, 0), self._serve)
+        self._server.start()
+        self.address = f"{LOOPBACK}:{self._server.server_port}"
+
+    def change(self, members: list[JsonObject], revision: int | None = None) -> None:
+        """The list is another one from now on, with the next revision or the one given; watches end."""
+        self.members = members
+        self.revision = self.revision + 1 if revision is None else revision
+        self._changed.set()
+        self._changed = Event()
+
+    def silence_watches(self) -> None:
+        """The watches that are open now are never answered."""
+        self._silenced += 1
+
+    def stop(self) -> None:
+        """Closes the listening socket."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        connection = HttpConnection(sock, self._limits)
+        try:
+            while True:
+                request = connection.read_request()
+                if request.method == b"POST":
+                    self.notices += [orjson.loads(line) for line in request.body.splitlines()]
+                    connection.write(NO_CONTENT)
+                elif not self._reply(connection, request):
+                    return
+        except (OSError, ConnectionClosedError, ProtocolError):
+            pass
+        finally:
+            connection.close()
+
+    def _reply(self, connection: HttpConnection, request: HttpRequest) -> bool:
+        """Whether the connection goes on."""
+        query = parse_qs(request.url.partition(b"?")[2])
+        index = int(query[b"index"][0]) if b"index" in query else None
+        reply = self.script.popleft() if self.script else self.standing
+        record = PollRecord(monotonic(), index, reply)
+        self.polls.append(record)
+        if reply is AgentReply.ANSWER:
+            wait_s = int(query[b"wait"][0]) / 1000 if b"wait" in query else 0.0
+            return self._answer(connection, record, wait_s)
+        if reply is AgentReply.REJECT:
+            headers = [(wire_names.RETRY_AFTER_HEADER, b"%.1f" % self.retry_after_s)]
+            connection.write(encode_message(b"HTTP/1.1 503 X", headers if self.retry_after_s else [], b""))
+            return True
+        if reply is AgentReply.SILENT:
+            gevent.sleep(SILENCE_S)
+        elif reply is AgentReply.RESET:
+            reset(connection.sock)
+        elif reply is AgentReply.UNREADABLE:
+            connection.write(encode_message(b"HTTP/1.1 200 OK", [], b'{"members":['))
+            return True
+        return False
+
+    def _answer(self, connection: HttpConnection, record: PollRecord, wait_s: float) -> bool:
+        if record.index is not None and record.index >= self.revision:
+            silenced_before = self._silenced
+            self._changed.wait(wait_s)
+            if self._silenced != silenced_before:
+                record.reply = AgentReply.SILENT
+                gevent.sleep(SILENCE_S)
+                return False
+        gevent.sleep(self.delay_s)
+        unchanged = record.index == self.revision
+        body = {
+            "revision": self.revision,
+            "complete": not unchanged,
+            "members": [] if unchanged else self.members,
+        }
+        revision = self.revision
+        connection.write(encode_message(b"HTTP/1.1 200 OK", [], orjson.dumps(body)))
+        record.told_revision = revision
+        record.told_at = monotonic()
+        return True
+
+
+def reset(sock: socket.socket) -> None:
+    """Ends a connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
--- /dev/null
+++ b/ashpath/emulator/fault_injection/process_faults.py
@@ -0,0 +1,102 @@
+"""Makes the system calls of this process fail by a schedule: sockets of gevent, `os`, and the wall clock.
+
+Only what a sender uses is replaced, and only here: the names below are bound anew once, before any module of
+the sender is loaded. Each fault that was injected is counted, and the counts are written to a file whenever
+they change, so that a test sees that a fault has reached the sender.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+import orjson
+from gevent import socket
+
+from ashpath.emulator.fault_injection.call_faults import (
+    SHORT,
+    FaultCounter,
+    FaultyCall,
+    ProcessFaults,
+    os_error,
+)
+
+
+class ShortCall(Protocol):
+    """What a call does where it is to take or give less than it was asked for; its result."""
+
+    def __call__(self, *arguments: Any) -> Any:  # noqa: ANN401 - stands for calls of any shape
+        """Called with the arguments of the call."""
+
+
+class ProcessFaultInjector:
+    """The faults of this process, from its making on. `report`: the file that gets the counts."""
+
+    def __init__(self, faults: ProcessFaults, report: Path) -> None:
+        self.counter = FaultCounter(faults)
+        self.report = report
+        self.started_at = time.monotonic()
+        self._real_write = os.write
+        self._real_open = os.open
+        self._real_time_ns = time.time_ns
+
+    def install(self) -> None:
+        """From now on calls fail as scheduled."""
+        self._replace(socket.socket, "accept", FaultyCall.ACCEPT)
+        self._replace(socket.socket, "connect", FaultyCall.CONNECT)
+        self._replace(socket.socket, "recv_into", FaultyCall.RECEIVE, self._receive_short)
+        self._replace(socket.socket, "send", FaultyCall.SEND, self._send_short)
+        self._replace(socket.socket, "__init__", FaultyCall.SOCKET)
+        self._replace(os, "write", FaultyCall.WRITE, self._write_short)
+        self._replace(os, "ftruncate", FaultyCall.TRUNCATE)
+        self._replace(os, "fsync", FaultyCall.SYNC)
+        self._replace(os, "replace", FaultyCall.RENAME)
+        self._replace(os, "open", FaultyCall.OPEN)
+        time.time_ns = self._time_ns
+        time.time = lambda: self._time_ns() / 1e9
+
+    def _replace(
+        self,
+        owner: object,
+        name: str,
+        call: FaultyCall,
+        short: ShortCall | None = None,
+    ) -> None:
+        real = getattr(owner, name)
+
+        def faulty(*arguments: Any, **options: Any) -> Any:  # noqa: ANN401 - stands for the real call
+            if options.get("fileno") is not None:  # no socket is made: one that was accepted is wrapped
+                return real(*arguments, **options)
+            error = self.counter.next_error(call, time.monotonic() - self.started_at)
+            if error is None:
+                return real(*arguments, **options)
+            self._write_report()
+            if error != SHORT:
+                raise os_error(error)
+            return real(*arguments, **options) if short is None else short(real, *arguments)
+
+        setattr(owner, name, faulty)
+
+    def _time_ns(self) -> int:
+        elapsed_s = time.monotonic() - self.started_at
+        return self._real_time_ns() + int(self.counter.faults.clock_offset_s(elapsed_s) * 1e9)
+
+    def _write_report(self) -> None:
+        descriptor = self._real_open(self.report, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        self._real_write(descriptor, orjson.dumps(self.counter.injected))
+        os.close(descriptor)
+
+    @staticmethod
+    def _receive_short(real: Callable[..., int], sock: Any, buffer: memoryview, *rest: Any) -> int:  # noqa: ANN401 - as the real call
+        return real(sock, memoryview(buffer)[: max(1, len(buffer) // 2 - 1)], *rest)
+
+    @staticmethod
+    def _send_short(real: Callable[..., int], sock: Any, data: bytes, *rest: Any) -> int:  # noqa: ANN401 - as the real call
+        return real(sock, memoryview(data)[: max(1, len(data) // 2 - 1)], *rest)
+
+    @staticmethod
+    def _write_short(real: Callable[..., int], descriptor: int, data: bytes) -> int:
+        return real(descriptor, data[: len(data) // 2])
--- /dev/null
+++ b/ashpath/emulator/fault_injection/tcp_proxy.py
@@ -0,0 +1,135 @@
+"""A TCP proxy that does what networks do: it forwards each connection, or fails it by the mode of the moment.
+
+| mode | what a connection meets |
+| --- | --- |
+| FORWARD | the target |
+| LATE | the target, after `late_s` without a byte |
+| RESET | a reset as soon as it is accepted |
+| RESET_AFTER_BYTE | a reset behind the first bytes that the caller sent |
+| SILENT | nothing: what the caller sends is read and dropped |
+| HALF_RESPONSE | the first half of what the target answers first, and then nothing |
+
+A connection keeps the mode that it was accepted under. `forget` drops what is open without a word to the
+target: the caller's side is reset at its next byte. `FullBacklog` is an address at which no dial ends.
+"""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from enum import Enum
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from ashpath.emulator.fault_injection.discovery_agent import reset
+from ashpath.emulator.stand_ins import LOOPBACK
+
+PIECE_BYTES = 65536
+SILENCE_S = 60.0
+FILLING_CONNECTIONS = 4  # more than a backlog of 0 takes
+
+
+class ProxyMode(Enum):
+    """See the table of the module."""
+
+    FORWARD = "forward"
+    LATE = "late"
+    RESET = "reset"
+    RESET_AFTER_BYTE = "reset after a byte"
+    SILENT = "silent"
+    HALF_RESPONSE = "half a response"
+
+
+class FaultProxy:
+    """Listens from its making to `stop`."""
+
+    def __init__(self, target: tuple[str, int], late_s: float = 1.0) -> None:
+        self.target = target
+        self.late_s = late_s
+        self.mode = ProxyMode.FORWARD
+        self.accepted: dict[ProxyMode, int] = dict.fromkeys(ProxyMode, 0)
+        self._open: set[socket.socket] = set()  # the callers' ends
+        self._server = StreamServer((LOOPBACK, 0), self._serve)
+        self._server.start()
+        self.address = f"{LOOPBACK}:{self._server.server_port}"
+
+    def stop(self) -> None:
+        """Closes the listening socket, and resets what is open."""
+        self._server.stop(timeout=0)
+        self.forget()
+
+    def forget(self) -> None:
+        """Resets all open connections."""
+        for sock in list(self._open):
+            reset(sock)
+        self._open.clear()
+
+    def _serve(self, caller: socket.socket, _: object) -> None:
+        mode = self.mode
+        self.accepted[mode] += 1
+        self._open.add(caller)
+        try:
+            self._carry(caller, mode)
+        except OSError:
+            pass
+        finally:
+            self._open.discard(caller)
+            caller.close()
+
+    def _carry(self, caller: socket.socket, mode: ProxyMode) -> None:
+        if mode is ProxyMode.RESET:
+            reset(caller)
+        elif mode is ProxyMode.RESET_AFTER_BYTE:
+            caller.recv(1)
+            reset(caller)
+        elif mode is ProxyMode.SILENT:
+            while caller.recv(PIECE_BYTES):
+                pass
+        else:
+            if mode is ProxyMode.LATE:
+                gevent.sleep(self.late_s)
+            self._forward(caller, half=mode is ProxyMode.HALF_RESPONSE)
+
+    def _forward(self, caller: socket.socket, *, half: bool) -> None:
+        target = socket.create_connection(self.target)
+        requests = gevent.spawn(copy, caller, target)
+        try:
+            if half:
+                piece = target.recv(PIECE_BYTES)
+                caller.sendall(piece[: len(piece) // 2])
+                gevent.sleep(SILENCE_S)
+            copy(target, caller)
+        finally:
+            requests.kill()
+            target.close()
+
+
+def copy(source: socket.socket, sink: socket.socket) -> None:
+    """Carries bytes until either side ends."""
+    with suppress(OSError):
+        while piece := source.recv(PIECE_BYTES):
+            sink.sendall(piece)
+        sink.shutdown(socket.SHUT_WR)
+
+
+class FullBacklog:
+    """An address where dials neither succeed nor fail: its queue is full, and nobody accepts."""
+
+    def __init__(self) -> None:
+        self._socket = socket.socket()
+        self._socket.bind((LOOPBACK, 0))
+        self._socket.listen(0)
+        self.address: tuple[str, int] = self._socket.getsockname()
+        self._filling = []
+        for _ in range(FILLING_CONNECTIONS):
+            filler = socket.socket()
+            with suppress(OSError):
+                filler.settimeout(0.02)
+                filler.connect(self.address)
+            self._filling.append(filler)
+
+    def stop(self) -> None:
+        """Closes all of it."""
+        for sock in (*self._filling, self._socket):
+            sock.close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,19 @@
 
 import pytest
 from gevent import socket
+from support.known_failures import mark_known_failures, read_known_failures
 from support.world import World, free_address
 
 
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    mark_known_failures(items)
+
+
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    for failure in read_known_failures():
+        terminalreporter.write_line(f"known to fail: {failure.test}: {failure.cause} (issue {failure.issue})")
+
+
 @pytest.fixture
 def world(tmp_path: Path) -> Iterator[World]:
     made = World(tmp_path)
--- /dev/null
+++ b/tests/emulator/fault_injection/test_fault_injection.py
@@ -0,0 +1,153 @@
+"""Each fault that can be injected is seen to reach a real sender, or whoever dials the proxy."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from random import Random
+
+import gevent
+import pytest
+from gevent import socket, subprocess
+from gevent.server import StreamServer
+from support.server import address_of
+from support.world import World, until
+
+from ashpath.emulator.fault_injection.call_faults import (
+    SHORT,
+    CallFault,
+    ClockStep,
+    FaultCounter,
+    FaultyCall,
+    ProcessFaults,
+    draw_faults,
+)
+from ashpath.emulator.fault_injection.launcher import SCHEDULE_VARIABLE, report_path
+from ashpath.emulator.fault_injection.tcp_proxy import FaultProxy, FullBacklog, ProxyMode
+
+EACH_FAULT = [  # how many calls go through first
+    (FaultyCall.ACCEPT, "ECONNABORTED", 8),
+    (FaultyCall.CONNECT, "ENOBUFS", 1),
+    (FaultyCall.RECEIVE, SHORT, 8),
+    (FaultyCall.SEND, SHORT, 8),
+    (FaultyCall.WRITE, "ENOSPC", 8),
+    (FaultyCall.SOCKET, "ENFILE", 4),
+    (FaultyCall.RENAME, "EIO", 4),
+    (FaultyCall.OPEN, "ENOSPC", 8),
+]
+
+
+def test_each_faulty_call_reaches_a_sender_that_serves_on(world: World) -> None:
+    """One of each in one process: it starts, takes a message and delivers it all the same."""
+    faults = [CallFault(call, error, skip=skip, count=1) for call, error, skip in EACH_FAULT]
+    world.faults = ProcessFaults(tuple(faults))
+    world.start()
+    for number in range(24):
+        world.submit(f"m{number}", "free", "200", 1)
+    until(lambda: world.attempt_count("m23"))
+    injected = json.loads(report_path(world.folder / "faults").read_text())
+    reached = {key.partition(" ")[0] for key in injected}
+    assert {"accept", "connect", "receive", "send", "write"} <= reached
+
+
+def test_the_wall_clock_of_a_process_steps(tmp_path: Path) -> None:
+    schedule = tmp_path / "faults"
+    schedule.write_bytes(ProcessFaults(clock=(ClockStep(0.0, 3600.0),)).encode())
+    code = (
+        "import time; real = time.time()\n"
+        "from pathlib import Path\n"
+        "from ashpath.emulator.fault_injection.call_faults import ProcessFaults\n"
+        "from ashpath.emulator.fault_injection.process_faults import ProcessFaultInjector\n"
+        f"path = Path({str(schedule)!r})\n"
+        "ProcessFaultInjector(ProcessFaults.decode(path.read_bytes()), path).install()\n"
+        "print(round((time.time() - real) / 60))"
+    )
+    run = subprocess.run([sys.executable, "-c", code], stdout=subprocess.PIPE, cwd=Path.cwd())
+    assert run.stdout == b"60\n"
+
+
+def test_a_schedule_counts_the_calls_within_its_time() -> None:
+    fault = CallFault(FaultyCall.WRITE, "EIO", begin_s=1.0, end_s=2.0, skip=1, count=2)
+    counter = FaultCounter(ProcessFaults((fault,)))
+    at = [0.5, 1.0, 1.1, 1.2, 1.3, 2.0]
+    assert [counter.next_error(FaultyCall.WRITE, moment) for moment in at] == [
+        None,
+        None,
+        "EIO",
+        "EIO",
+        None,
+        None,
+    ]
+    assert counter.next_error(FaultyCall.ACCEPT, 1.5) is None
+    assert counter.injected == {"write EIO": 2}
+
+
+def test_a_drawn_schedule_is_the_same_for_the_same_seed() -> None:
+    drawn = [draw_faults(Random(seed), 10.0) for seed in (1, 1, 2)]
+    assert drawn[0] == drawn[1] != drawn[2]
+    assert ProcessFaults.decode(drawn[0].encode()) == drawn[0]
+    assert SCHEDULE_VARIABLE
+
+
+def answer(sock: socket.socket, _: object) -> None:
+    sock.recv(100)
+    sock.sendall(b"12345678")
+
+
+@pytest.mark.parametrize(
+    ("mode", "received"),
+    [
+        (ProxyMode.FORWARD, b"12345678"),
+        (ProxyMode.LATE, b"12345678"),
+        (ProxyMode.HALF_RESPONSE, b"1234"),
+        (ProxyMode.SILENT, None),
+        (ProxyMode.RESET, b""),
+        (ProxyMode.RESET_AFTER_BYTE, b""),
+    ],
+)
+def test_what_a_caller_meets_at_the_proxy(mode: ProxyMode, received: bytes | None) -> None:
+    """None: nothing comes."""
+    target = StreamServer(("127.0.0.1", 0), answer)
+    target.start()
+    proxy = FaultProxy(address_of(target), late_s=0.05)
+    proxy.mode = mode
+    host, _, port = proxy.address.partition(":")
+    caller = socket.create_connection((host, int(port)))
+    caller.settimeout(0.3)
+    try:
+        caller.sendall(b"call")
+        found: bytes | None = caller.recv(100)
+    except TimeoutError:
+        found = None
+    except ConnectionResetError:
+        found = b""
+    assert found == received
+    assert proxy.accepted[mode] == 1
+    caller.close()
+    proxy.stop()
+    target.stop()
+
+
+def test_open_connections_are_forgotten() -> None:
+    target = StreamServer(("127.0.0.1", 0), lambda *_: gevent.sleep(9))
+    target.start()
+    proxy = FaultProxy(address_of(target))
+    host, _, port = proxy.address.partition(":")
+    caller = socket.create_connection((host, int(port)))
+    until(lambda: proxy.accepted[ProxyMode.FORWARD])
+    proxy.forget()
+    with pytest.raises(ConnectionResetError):
+        caller.recv(1)
+    proxy.stop()
+    target.stop()
+
+
+def test_a_dial_to_a_full_backlog_does_not_end() -> None:
+    backlog = FullBacklog()
+    caller = socket.socket()
+    caller.settimeout(0.3)
+    with pytest.raises(TimeoutError):
+        caller.connect(backlog.address)
+    caller.close()
+    backlog.stop()
--- /dev/null
+++ b/tests/server/discovery/test_endpoint_list_lease.py
@@ -0,0 +1,144 @@
+"""Calls to endpoints that drained while service discovery failed: real senders, agents that fail by a script.
+
+Seen: a sender under injected faults went on calling an endpoint after its drain and the grace were over.
+How it came about: the watch fell silent as an endpoint drained, or SIGHUP moved discovery, and the polls that
+followed met one fault after the other: silence, a rejection with Retry-After, a dial that did not end.
+Cause: each failure had a limit of its own, and nothing counted from the last list that was read, so that
+limits added up past the time in which a change counts as received. A list of any revision replaced all.
+Proof: the rows below, each a single order of faults; all senders' watches of the recorded runs ended so three
+times in a row.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from time import monotonic
+
+import gevent
+from support.drain_play import DrainPlay, Scenario
+from support.world import until
+
+from ashpath.emulator.fault_injection.discovery_agent import AgentReply
+from ashpath.emulator.fault_injection.tcp_proxy import FullBacklog
+
+SILENCE_ALLOWED_S = 6.0  # from the moment in which a watch fell silent
+MOVE_ALLOWED_S = 4.0  # from SIGHUP
+GRACE_S = 0.25 + 0.05  # of the settings, and what a call may take to begin
+CALLS_AFTER_S = 1.5  # calls are watched for so long past the end of the grace
+
+SILENT = AgentReply.SILENT
+REJECT = AgentReply.REJECT
+RESET = AgentReply.RESET
+CLOSE = AgentReply.CLOSE
+UNREADABLE = AgentReply.UNREADABLE
+
+
+def after_silence(*replies: AgentReply, delay_s: float = 0.0) -> Scenario:
+    """The watch falls silent as the endpoint drains, and the polls that follow meet these replies."""
+
+    def play(drain: DrainPlay) -> float:
+        drain.start()
+        drain.watched()
+        agent = drain.agents[0]
+        agent.retry_after_s = 5.0
+        agent.silence_watches()
+        agent.script.extend(replies)
+        agent.delay_s = delay_s
+        began = monotonic()
+        drain.drain()
+        return began + SILENCE_ALLOWED_S
+
+    return play
+
+
+def after_moves(*replies: AgentReply, moves: int = 1, through_full_backlog: bool = False) -> Scenario:
+    """SIGHUP moves discovery, and the polls of the last agent meet these replies first."""
+
+    def play(drain: DrainPlay) -> float:
+        drain.start()
+        drain.watched()
+        last = drain.agents[-1]
+        last.retry_after_s = 5.0
+        last.script.extend(replies)
+        drain.drain(agent=len(drain.agents) - 1)
+        backlog = FullBacklog() if through_full_backlog else None
+        if backlog is not None:
+            drain.move(f"{backlog.address[0]}:{backlog.address[1]}")
+            gevent.sleep(0.1)  # the dial is on its way
+        for _ in range(moves):
+            drain.move(last.address)
+        return monotonic() + MOVE_ALLOWED_S
+
+    return play
+
+
+def start_with(*replies: AgentReply) -> Scenario:
+    """The agent has the drain before the sender starts, the file does not, and the first polls fail."""
+
+    def play(drain: DrainPlay) -> float:
+        drain.drain()
+        drain.agents[0].script.extend(replies)
+        drain.start()
+        return monotonic()
+
+    return play
+
+
+def older_list(*, other_agent: bool) -> Scenario:
+    """The drain has been read, and then a whole list of an earlier revision comes that has it up."""
+
+    def play(drain: DrainPlay) -> float:
+        drain.start()
+        drain.watched()
+        drain.drain()
+        until(lambda: drain.agents[0].polls[-1].index == 5)
+        told = monotonic()
+        if other_agent:
+            drain.move(drain.agents[1].address)
+        else:
+            drain.agents[0].script.append(CLOSE)
+            drain.agents[0].change(drain.members("up"), revision=3)
+        return told
+
+    return play
+
+
+SCENARIOS: dict[str, tuple[Scenario, int]] = {
+    "silent, silent, rejected": (after_silence(SILENT, REJECT), 1),
+    "silent, rejected, rejected": (after_silence(REJECT, REJECT), 1),
+    "silent, reset, unreadable, rejected": (after_silence(RESET, UNREADABLE, REJECT), 1),
+    "silent, closed, silent": (after_silence(CLOSE, SILENT), 1),
+    "silent, then slow": (after_silence(delay_s=1.2), 1),
+    "moved, silent, rejected": (after_moves(SILENT, REJECT), 2),
+    "moved, rejected, rejected": (after_moves(REJECT, REJECT), 2),
+    "moved four times, silent": (after_moves(SILENT, moves=4), 2),
+    "moved while a dial does not end": (after_moves(SILENT, through_full_backlog=True), 2),
+    "started with a reset": (start_with(RESET), 1),
+    "started with a rejection": (start_with(REJECT), 1),
+    "an older list of the same agent": (older_list(other_agent=False), 1),
+    "an older list of another agent": (older_list(other_agent=True), 2),
+}
+
+
+def late_calls(drain: DrainPlay, play: Scenario) -> str:
+    """What was wrong with one play: empty, or how late the last call was."""
+    try:
+        received_by = play(drain)
+        gevent.sleep(max(0.0, received_by - monotonic()) + GRACE_S + CALLS_AFTER_S)
+        if len(drain.stays.calls) < 2:
+            return "no calls at all"
+        late_s = drain.last_call() - received_by - GRACE_S
+        return f"called {late_s:.2f} s too late" if late_s > 0 else ""
+    finally:
+        drain.stop()
+
+
+def test_no_call_to_a_draining_endpoint_whatever_polls_meet(tmp_path: Path) -> None:
+    """Each row a sender of its own, all at once: the faults of one poll after the other."""
+    plays: dict[str, Callable[[], str]] = {}
+    for number, (name, (scenario, agents)) in enumerate(SCENARIOS.items()):
+        drain = DrainPlay(tmp_path / str(number), agents)
+        plays[name] = gevent.spawn(late_calls, drain, scenario).get
+    faults = {name: fault for name, get in plays.items() if (fault := get())}
+    assert faults == {}
--- /dev/null
+++ b/tests/support/drain_play.py
@@ -0,0 +1,131 @@
+"""A real sender, two destinations with an endpoint each, and discovery that fails as one of them drains."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from time import monotonic
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from ashpath.core.json_types import JsonObject
+from ashpath.emulator.fault_injection.discovery_agent import DiscoveryAgent
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from support.world import LIMITS, SETTINGS, World, until
+
+STAYING, LEAVING = 1, 2  # destinations, each with one endpoint
+SUBMISSION_PAUSE_S = 0.03
+CONFIGURATION_READ = "configuration read"
+
+
+class CountingEndpoint:
+    """Delivers all that it gets, and keeps the times of the calls."""
+
+    def __init__(self, endpoint_id: str, destination: int) -> None:
+        self.endpoint_id = endpoint_id
+        self.destination = destination
+        self.calls: list[float] = []  # seconds of the monotonic clock
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    def member(self, phase: str = "up", up_since_ms: int = 0) -> JsonObject:
+        """Its row in the endpoint list."""
+        return {
+            "id": self.endpoint_id,
+            "cell": self.destination,
+            "host_port": f"127.0.0.1:{self._server.server_port}",
+            "locality": "here",
+            "flavor": "plain",
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": up_since_ms,
+        }
+
+    def _serve(self, sock: socket.socket, _: object) -> None:
+        connection = HttpConnection(sock, LIMITS)
+        try:
+            while connection.read_request():
+                self.calls.append(monotonic())
+                connection.write(encode_message(b"HTTP/1.1 200 OK", [], b""))
+        except (OSError, ConnectionClosedError, ProtocolError):
+            connection.close()
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0)
+
+
+class DrainPlay:
+    """Runs from `start` to `stop`. `agents`: the first one is where the sender begins."""
+
+    def __init__(self, folder: Path, agents: int = 1) -> None:
+        folder.mkdir()
+        self.stays = CountingEndpoint("stays", STAYING)
+        self.leaves = CountingEndpoint("leaves", LEAVING)
+        self.agents = [DiscoveryAgent(self.members("up"), LIMITS) for _ in range(agents)]
+        self.world = World(folder)
+        # One of many senders, whose first polls are spread; and dials that take long to fail.
+        limits = {**SETTINGS["limits"], "connect-timeout": 5000.0}
+        self.world.config["settings"] = {**SETTINGS, "group-size": 40, "rank": 39, "limits": limits}
+        self.world.config["known"] = {"revision": 1, "complete": True, "members": self.members("up")}
+        self.world.config["discovery"] = self.agents[0].address
+        self.world.configure()
+        self.clients: gevent.Greenlet[[], None] | None = None
+
+    def members(self, phase: str, up_since_ms: int = 0) -> list[JsonObject]:
+        """The list with `leaves` in this phase."""
+        return [self.stays.member(), self.leaves.member(phase, up_since_ms)]
+
+    def start(self) -> None:
+        """Returns as the sender is ready, with clients that submit from before that on."""
+        self.clients = gevent.spawn(self._submit)
+        self.world.start()
+
+    def watched(self) -> None:
+        """Returns as a watch of the first agent is open."""
+        until(lambda: self.agents[0].polls and self.agents[0].polls[-1].index is not None)
+        until(lambda: self.leaves.calls and self.stays.calls)
+
+    def drain(self, agent: int = 0) -> None:
+        """An agent has the drain from now on."""
+        self.agents[agent].change(self.members("draining"), revision=5)
+
+    def move(self, address: str) -> None:
+        """SIGHUP: discovery is at the address from now on."""
+        self.world.config["discovery"] = address
+        self.world.configure()
+        assert self.world.process is not None
+        log = self.world.folder / "log"
+        before = log.read_text().count(CONFIGURATION_READ)
+        self.world.process.send_signal(signal.SIGHUP)
+        until(lambda: log.read_text().count(CONFIGURATION_READ) > before)
+
+    def last_call(self) -> float:
+        """When the draining endpoint was last called."""
+        return self.leaves.calls[-1] if self.leaves.calls else 0.0
+
+    def _submit(self) -> None:
+        number = 0
+        while True:
+            number += 1
+            destination = (STAYING, LEAVING)[number % 2]
+            gevent.spawn(self.world.submit, f"m{number}", "free", "200", destination)
+            gevent.sleep(SUBMISSION_PAUSE_S)
+
+    def stop(self) -> None:
+        """Ends all of it."""
+        if self.clients is not None:
+            self.clients.kill()
+        self.world.stop()
+        for agent in self.agents:
+            agent.stop()
+        self.stays.stop()
+        self.leaves.stop()
+
+
+Scenario = Callable[[DrainPlay], float]
+"""Brings the faults about; returns when the drain counts as received, in seconds of the monotonic clock."""
