A lease on the endpoint list: one deadline over all polls that fail in a row

Cause: limits for each failed poll (3 s of a call, pauses to 1 and 4.5 s) added up past the 6 s, or 4 s after SIGHUP, after which a change counts as received; a list of any revision replaced all; a move could not end a dial; an interrupted pause threw into the next poll; the start had one poll and then a pause by number. Ruled out: a shorter watch alone (two silent polls in a row still pass the limit). The watch's grace is 0.6 s (1.0), silent pauses 0.5 s at most (1.0).

--- a/ashpath/server/agent_client.py
+++ b/ashpath/server/agent_client.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Sequence
 
-from gevent import Timeout
+from gevent import Timeout, socket
 
 from ashpath.server.addresses import Address
-from ashpath.server.http.connection import HttpConnection, open_connection
+from ashpath.server.http.connection import HttpConnection, dial
 from ashpath.server.http.encoding import encode_message, host_header
 from ashpath.server.http.errors import ConnectionClosedError, ProtocolError, UnreadableResponseError
 from ashpath.server.http.messages import HttpResponse
@@ -28,12 +28,15 @@
         self.limits = limits
         self.connection: HttpConnection | None = None
         self.connected_address = address  # where the connection leads, or is being dialled to
+        self.dialling: socket.socket | None = None  # while it is dialled
 
     def move(self, address: Address) -> None:
         """The agent is at `address` from now on: a call that is in flight fails."""
         self.address = address
         if self.connection is not None:
             self.connection.close()
+        if self.dialling is not None:
+            self.dialling.close()  # whose waiter is woken with an OSError
 
     def call(
         self, request_line: bytes, body: bytes, timeout_s: float, headers: Headers = ()
@@ -67,7 +70,11 @@
             return kept
         self.close()
         self.connected_address = self.address  # before the dial, as `move` may come while it waits
-        self.connection = open_connection(self.connected_address, self.limits)
+        self.dialling = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self.connection = dial(self.dialling, self.connected_address, self.limits)
+        finally:
+            self.dialling = None
         return self.connection
 
     def close(self) -> None:
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -1,15 +1,15 @@
 """Follows the endpoint list of the platform's agent: one poll at a time, through any failure.
 
 A poll with a revision is a watch: the agent answers as soon as its list is another, or after `watch_s`. A
-poll without one is answered at once by a snapshot. What a poll comes to, and when the next one follows, is
-the table of `state`. Whatever became of a poll, the next is on its way before 6 s are over: a change counts
-as received by then, once the agent had it and could be reached: docs/architecture.md, "The way of a watch
-event", has the reasons.
+poll without one is answered at once by a snapshot, and is given up sooner. What a poll comes to, and when the
+next one follows, is the table of `state`. Whatever became of polls, the list is read anew within one lease
+(`lease`): a change counts as received by then, once the agent had it and could be reached:
+docs/architecture.md, "The way of a watch event", has the reasons.
 
 Two backoffs, as two kinds of failure have opposite needs. Silence and refused connections are an outage,
 whose end is to be seen soon: short pauses. An agent that rejects has more polls than it can answer: a try
 sooner than it takes to reject one is the next such poll, so pauses are long. Both guard it against a fleet
-that failed together and would come back together.
+that failed together and would come back together. Both give way to the lease.
 """
 
 from __future__ import annotations
@@ -24,9 +24,16 @@
 from ashpath.server.agent_client import AgentConnection
 from ashpath.server.backoff import Backoff
 from ashpath.server.delivery.response_classifier import parse_number
+from ashpath.server.discovery.departures import Departures
 from ashpath.server.discovery.errors import DiscoveryError
+from ashpath.server.discovery.lease import ListLease
 from ashpath.server.discovery.pause import InterruptiblePause
-from ashpath.server.discovery.snapshot import MembershipListener, parse_response
+from ashpath.server.discovery.snapshot import (
+    EndpointListResponse,
+    EndpointRow,
+    MembershipListener,
+    parse_response,
+)
 from ashpath.server.discovery.state import DiscoveryState, DiscoveryStateLog
 from ashpath.server.http.messages import HttpResponse
 from ashpath.server.limits import ServerLimits
@@ -34,6 +41,8 @@
 
 OK_STATUS = 200
 REJECTING_STATUSES = frozenset({429, 503})
+POLL_SHARE = 0.5  # of the lease, for one poll: another has to fit behind it
+LOGGED_IDS = 8  # of endpoints, in one line
 
 
 class DiscoveryClient:
@@ -59,6 +68,12 @@
         self.first_poll_delay_s = first_poll_delay_s
         self.last_response_at = monotonic()  # when a list was last read; before that, the start
         self.pause = InterruptiblePause()
+        self.lease = ListLease(monotonic(), limits.list_lease_s)
+        self.departures = Departures()
+        self.moves = 0  # how often the agent moved
+        self.stale_records = 0  # of lists that were older than one read before
+        self.random = random
+        self.logger = logger
         self.state_log = DiscoveryStateLog(logger)
         self.silent_backoff = Backoff(random, limits.retry_s, limits.discovery_backoff_s)
         self.rejected_backoff = Backoff(
@@ -75,45 +90,80 @@
         It may count revisions anew, and have missed or reported what the old one had not: a snapshot is
         polled for. What the old one still answers is not read, and no pause that it caused is sat out."""
         self.revision = None
+        self.moves += 1
+        self.departures.agent_moved()
+        self.lease.shorten(monotonic(), self.limits.moved_list_lease_s)
         if address != self.connection.address:
             self.silent_backoff.reset()
             self.rejected_backoff.reset()
-            self.pause.interrupt()
+        self.pause.interrupt()
         self.connection.move(address)
 
     def initial_snapshot(self) -> None:
-        """Polls once, before anything is sent: what the agent has by now counts as received from the first
-        moment of the process, and the configuration's list may be old. Where no answer comes at once, that
-        list serves."""
+        """Polls before anything is sent: what the agent has by now counts as received from the first moment
+        of the process, and the configuration's list may be old. A poll that fails at once is tried again, as
+        an agent that resets or rejects is there; one that is silent has the list from nobody, and the
+        configuration's serves."""
         self.revision = None
-        response = self.poll(self.limits.initial_snapshot_s)
-        if self.apply_if_list(response):
-            self.first_poll_delay_s = 0.0
+        self.first_poll_delay_s = 0.0  # the configuration's list serves unconfirmed: the next poll is at once
+        give_up_at = monotonic() + self.limits.initial_snapshots_s
+        silent_s = 0.0
+        while silent_s < self.limits.initial_silence_s:
+            began = monotonic()
+            if self.apply_if_list(self.poll(self.limits.initial_snapshot_s)):
+                self.list_read()
+                return
+            ended = monotonic()
+            if ended - began >= self.limits.initial_snapshot_s:
+                silent_s += ended - began
+            if ended >= give_up_at:
+                break
+            gevent.sleep(self.limits.retry_s * self.random.random())
+        self.logger.warning("endpoint list not confirmed", silent_s=round(silent_s, 2))
 
     def run(self) -> None:
         """Polls until the process ends."""
         gevent.sleep(self.first_poll_delay_s)
+        self.first_poll_delay_s = 0.0  # where a fault begins this service anew
         while True:
             self.poll_and_pause()
 
     def poll_and_pause(self) -> None:
         """One poll, its state, and the pause behind it."""
-        polled_address = self.connection.address
-        response = self.poll(self.limits.watch_s + self.limits.watch_grace_s)
-        if polled_address != self.connection.address:
+        moves_before = self.moves
+        response = self.poll(self.poll_timeout())
+        if moves_before != self.moves:
             return  # moved meanwhile
         state = self.next_state(response)
         if state is DiscoveryState.ANSWERING:
-            self.last_response_at = monotonic()
-            self.silent_backoff.reset()
-            self.rejected_backoff.reset()
+            self.list_read()
         elif state is DiscoveryState.SILENT:
             self.revision = None  # whoever answers next may have begun anew, and count its revisions anew
         status = 0 if response is None else response.status
-        self.state_log.poll_ended(state, status, self.revision or 0)
+        self.state_log.poll_ended(state, status, self.revision or 0, self.list_age())
         if state is not DiscoveryState.ANSWERING:
             self.pause.sleep(self.pause_length(state, response))
 
+    def list_read(self) -> None:
+        """A list was read just now."""
+        self.last_response_at = monotonic()
+        self.lease.renew(self.last_response_at)
+        self.silent_backoff.reset()
+        self.rejected_backoff.reset()
+
+    def list_age(self) -> float:
+        """Seconds since a list was read."""
+        return monotonic() - self.last_response_at
+
+    def poll_timeout(self) -> float:
+        """Seconds. A snapshot comes at once where all is well, and has longer where the lease has time: the
+        agent may be slow."""
+        watch_s = self.limits.watch_s + self.limits.watch_grace_s
+        if self.revision is not None:
+            return watch_s
+        share_s = self.lease.left(monotonic()) * POLL_SHARE
+        return min(watch_s, max(self.limits.snapshot_s, share_s))
+
     def poll(self, timeout_s: float) -> HttpResponse | None:
         """The response, or None where none came in time."""
         query = b""
@@ -133,11 +183,14 @@
         return DiscoveryState.UNREADABLE
 
     def pause_length(self, state: DiscoveryState, response: HttpResponse | None) -> float:
-        """Seconds to the next poll."""
+        """Seconds to the next poll: what the backoff draws, as far as the lease allows."""
+        now = monotonic()
         if state is DiscoveryState.REJECTING and response is not None:
             retry_after_s = parse_number(response.headers.get(wire_names.RETRY_AFTER_HEADER))
-            return self.rejected_backoff.next_pause(retry_after_s)
-        return self.silent_backoff.next_pause()
+            drawn_s = self.rejected_backoff.next_pause(retry_after_s)
+            share = 1 - self.limits.discovery_jitter * self.random.random()
+            return self.lease.rejected_pause(now, drawn_s, share)
+        return self.lease.silent_pause(now, self.silent_backoff.next_pause())
 
     def apply_if_list(self, response: HttpResponse | None) -> bool:
         """Whether the response was a list that could be read; it has been applied then."""
@@ -158,8 +211,29 @@
         self.revision = None  # also where the listener fails
         every_row_read = True
         if response.rows:
-            every_row_read = self.listener.receive_members(response.rows, whole=response.complete)
+            rows = self.without_stale(response)
+            every_row_read = self.listener.receive_members(rows, whole=response.complete)
         in_sequence = previous_revision is None or response.revision >= previous_revision
         if response.complete or (every_row_read and in_sequence):
             self.revision = response.revision
         return True
+
+    def without_stale(self, response: EndpointListResponse) -> list[EndpointRow]:
+        """The rows of a list, those of endpoints that stay out as draining; logs who leaves and who stays."""
+        filtered = self.departures.filter(response, monotonic())
+        if filtered.left:
+            self.logger.info(
+                "endpoints left",
+                endpoints=",".join(filtered.left[:LOGGED_IDS]),
+                count=len(filtered.left),
+                revision=response.revision,
+            )
+        if filtered.stale:
+            self.stale_records += len(filtered.stale)
+            self.logger.warning(
+                "older endpoint list",
+                endpoints=",".join(filtered.stale[:LOGGED_IDS]),
+                count=len(filtered.stale),
+                revision=response.revision,
+            )
+        return filtered.rows
--- /dev/null
+++ b/ashpath/server/discovery/departures.py
@@ -0,0 +1,131 @@
+"""Endpoints that left, so that an older list does not bring them back.
+
+An agent that restarts, or another one after a move, may be behind the list that was read already, and it may
+count its revisions anew. Of such a list all is taken but one thing: an endpoint whose drain or removal was
+read stays out until something newer says that it is back.
+
+| an endpoint that left is listed as up | it is |
+| --- | --- |
+| by a revision later than that of its departure | back |
+| with a later start than the one it left with | back: it was restarted |
+| by an agent that had it leave too, after a move, and later in that agent's own count | back |
+| longer after its departure than `FORGET_S` | back: agents are not behind for so long |
+| otherwise | still draining, and counted as stale |
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from msgspec import Struct
+
+from ashpath.core.interface import EndpointStatus
+from ashpath.server import wire_names
+from ashpath.server.discovery.snapshot import EndpointListResponse, EndpointRow
+
+FORGET_S = 600.0
+MAX_DEPARTURES = 8192  # the latest are kept: endpoints that left within `FORGET_S`
+
+UP_PHASE = next(
+    name for name, status in wire_names.ENDPOINT_STATUSES.items() if status is EndpointStatus.ACTIVE
+)
+DRAINING_PHASE = next(
+    name for name, status in wire_names.ENDPOINT_STATUSES.items() if status is EndpointStatus.DRAINING
+)
+
+
+class Departure(Struct, frozen=True):
+    """How an endpoint left."""
+
+    revision: int
+    up_since_ms: float
+    """The start that it left with, as far as it was listed."""
+    at: float
+    """Seconds of the monotonic clock."""
+    agent: int
+    """Which of the agents said so, by the number of moves before it."""
+
+
+class FilteredList(Struct, frozen=True):
+    """A list without what is older than the one read before."""
+
+    rows: list[EndpointRow]
+    left: list[str]
+    """Endpoints that leave with this list."""
+    stale: list[str]
+    """Endpoints that it has up, and that stay out."""
+
+
+class Departures:
+    """What was read of endpoints that leave; bounded by `MAX_DEPARTURES` and `FORGET_S`."""
+
+    def __init__(self) -> None:
+        self.departures: dict[str, Departure] = {}  # by endpoint id, the oldest first
+        self.listed: dict[str, float] = {}  # endpoints that are up, and the start that each was listed with
+        self.agent = 0
+
+    def agent_moved(self) -> None:
+        """Revisions are another agent's from now on, and may be counted anew."""
+        self.agent += 1
+
+    def filter(self, response: EndpointListResponse, now: float) -> FilteredList:
+        """What may be taken of a list, in its order. `now`: seconds of the monotonic clock."""
+        self._forget(now)
+        rows: list[EndpointRow] = []
+        left: list[str] = []
+        stale: list[str] = []
+        absent = set(self.listed) if response.complete else set()
+        for row in response.rows:
+            endpoint_id = _text(row, "id")
+            if endpoint_id is None:
+                rows.append(row)
+                continue
+            absent.discard(endpoint_id)
+            if row.get("phase") != UP_PHASE:
+                if endpoint_id in self.listed:
+                    left.append(endpoint_id)
+                self._leave(endpoint_id, response.revision, _number(row, "up_since_ms"), now)
+            elif self._is_stale(endpoint_id, row, response.revision):
+                stale.append(endpoint_id)
+                row = {**row, "phase": DRAINING_PHASE}
+            else:
+                self.departures.pop(endpoint_id, None)
+                self.listed[endpoint_id] = _number(row, "up_since_ms")
+            rows.append(row)
+        for endpoint_id in absent:
+            left.append(endpoint_id)
+            self._leave(endpoint_id, response.revision, 0.0, now)
+        return FilteredList(rows, left, stale)
+
+    def _leave(self, endpoint_id: str, revision: int, up_since_ms: float, now: float) -> None:
+        known = self.departures.pop(endpoint_id, None)
+        up_since_ms = max(up_since_ms, self.listed.pop(endpoint_id, 0.0))
+        if known is not None:
+            up_since_ms = max(up_since_ms, known.up_since_ms)
+            if known.agent == self.agent:
+                revision = max(revision, known.revision)
+        self.departures[endpoint_id] = Departure(revision, up_since_ms, now, self.agent)
+
+    def _is_stale(self, endpoint_id: str, row: EndpointRow, revision: int) -> bool:
+        departure = self.departures.get(endpoint_id)
+        if departure is None:
+            return False
+        return revision <= departure.revision and _number(row, "up_since_ms") <= departure.up_since_ms
+
+    def _forget(self, now: float) -> None:
+        while self.departures:
+            oldest = next(iter(self.departures))
+            recent = now - self.departures[oldest].at < FORGET_S
+            if recent and len(self.departures) <= MAX_DEPARTURES:
+                return
+            del self.departures[oldest]
+
+
+def _text(row: Any, name: str) -> str | None:  # noqa: ANN401 - JSON not yet checked
+    value = row.get(name) if isinstance(row, dict) else None
+    return value if isinstance(value, str) else None
+
+
+def _number(row: EndpointRow, name: str) -> float:
+    value = row.get(name)
+    return float(value) if isinstance(value, int | float) else 0.0
--- a/ashpath/server/discovery/pause.py
+++ b/ashpath/server/discovery/pause.py
@@ -2,33 +2,25 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
-
-import gevent
-from greenlet import greenlet
-
-from ashpath.server.discovery.errors import AgentMovedError
+from gevent.event import Event
 
 
 class InterruptiblePause:
     """Used by one greenlet at a time."""
 
     def __init__(self) -> None:
-        self.sleeper: greenlet | None = None  # the greenlet within the pause
-
-    @property
-    def active(self) -> bool:
-        """Whether a greenlet is within the pause."""
-        return self.sleeper is not None
+        self.active = False  # a greenlet is within the pause
+        # An event and no exception thrown into the sleeper: one thrown in the moment in which the pause ends
+        # would come out of whatever the sleeper does next.
+        self._interrupted = Event()
 
     def sleep(self, seconds: float) -> None:
         """Returns after `seconds`, or after `interrupt`."""
-        self.sleeper = gevent.getcurrent()
-        with suppress(AgentMovedError):
-            gevent.sleep(seconds)
-        self.sleeper = None
+        self._interrupted.clear()
+        self.active = True
+        self._interrupted.wait(seconds)
+        self.active = False
 
     def interrupt(self) -> None:
         """Ends the pause, if there is one, at the sleeper's next switch."""
-        if self.sleeper is not None:
-            gevent.kill(self.sleeper, AgentMovedError)
+        self._interrupted.set()
--- a/ashpath/server/discovery/state.py
+++ b/ashpath/server/discovery/state.py
@@ -8,7 +8,8 @@
 | no connection, or nothing in time   | SILENT     | a snapshot         | after the short backoff     |
 | the agent moved meanwhile           | as before  | a snapshot         | at once, at the new address |
 
-A list whose rows could not all be read, or that skips changes, is followed by a poll for a snapshot as well.
+Each pause ends early enough for the lease of `lease.py`. A list whose rows could not all be read, or that
+skips changes, is followed by a poll for a snapshot as well.
 Each state is reached from each.
 """
 
@@ -35,12 +36,22 @@
         self.logger = logger
         self.state = DiscoveryState.ANSWERING
         self.polls = 0  # since the last change of state
+        self.counts = dict.fromkeys(DiscoveryState, 0)  # of all polls, for the metrics
 
-    def poll_ended(self, state: DiscoveryState, status: int, revision: int) -> None:
-        """`status`: of the response, 0 where none came. `revision`: polled for next, 0 for a snapshot."""
+    def poll_ended(self, state: DiscoveryState, status: int, revision: int, age_s: float) -> None:
+        """`status`: of the response, 0 where none came. `revision`: polled for next, 0 for a snapshot.
+        `age_s`: seconds since a list was read."""
         self.polls += 1
+        self.counts[state] += 1
         if state is self.state:
             return
-        self.logger.info("discovery", now=state.value, status=status, tries=self.polls, revision=revision)
+        self.logger.info(
+            "discovery",
+            now=state.value,
+            status=status,
+            tries=self.polls,
+            revision=revision,
+            list_age_s=round(age_s, 2),
+        )
         self.state = state
         self.polls = 0
--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -75,7 +75,11 @@
 
 def open_connection(address: tuple[str, int], limits: ServerLimits) -> HttpConnection:
     """A new connection; a failure or a time-out on the way leaves nothing open. Raises OSError."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    return dial(socket.socket(socket.AF_INET, socket.SOCK_STREAM), address, limits)
+
+
+def dial(sock: socket.socket, address: tuple[str, int], limits: ServerLimits) -> HttpConnection:
+    """The same on a socket of the caller's, who may close it to end a dial that is still on its way."""
     try:
         sock.settimeout(limits.connect_s)
         sock.connect(address)
--- a/ashpath/server/limits.py
+++ b/ashpath/server/limits.py
@@ -95,21 +95,31 @@
     # Service discovery.
     watch_s: float = 2.0
     """The service holds a watch open for so long."""
-    watch_grace_s: float = 1.0
+    watch_grace_s: float = 0.6
     """A watch is given up so much later."""
     retry_s: float = 0.1
     """The first pause after a failure, of discovery, of notifications and of a service of the sender."""
-    discovery_backoff_s: float = 1.0
+    snapshot_s: float = 1.0
+    """A poll for a snapshot, which is answered at once, has at least so long."""
+    list_lease_s: float = 5.4
+    """The list is read anew within so long of the last time: with what a poll takes, below the 6 s in which a
+    change counts as reported."""
+    moved_list_lease_s: float = 3.4
+    """The same once the service moved: below 4 s."""
+    discovery_backoff_s: float = 0.5
     """The longest pause between polls of a service that is silent."""
     discovery_rejected_backoff_s: float = 4.5
-    """The same where it rejects polls: with the poll itself below the 6 s in which a change counts as
-    reported."""
+    """The same where it rejects polls, past the end of a lease."""
     discovery_jitter: float = 2 / 3
     """The share of such a pause that is random."""
     first_poll_spacing_s: float = 0.05
     """Between the first polls of a fleet's senders, by their number; all are within a watch."""
     initial_snapshot_s: float = 0.25
     """For the service's response before anything is sent, where lists are pushed."""
+    initial_silence_s: float = 0.7
+    """A service that is silent for so long then has no list to give; the configuration's serves."""
+    initial_snapshots_s: float = 3.0
+    """And one that fails otherwise is polled for so long: well below the 10 s in which to be ready."""
 
     # Notifications.
     notification_backoff_s: float = 0.3
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -92,6 +92,17 @@
             yield gauge(
                 "endpoint_list_age_seconds", "Since a poll for the endpoint list last succeeded.", age_s
             )
+            yield counter(
+                "discovery_stale_records",
+                "Endpoints that an older list has up, and that stay out.",
+                discovery.stale_records,
+            )
+            polls = CounterMetricFamily(
+                "ashpath_discovery_polls", "Polls for the endpoint list, by their end.", labels=["outcome"]
+            )
+            for state, count in discovery.state_log.counts.items():
+                polls.add_metric([state.name.lower()], count)
+            yield polls
 
     def gossip_counters(self) -> Iterator[Metric]:
         """Where other senders are configured."""
@@ -143,3 +154,8 @@
 def gauge(name: str, help_text: str, value: float) -> Metric:
     """A gauge without labels."""
     return GaugeMetricFamily(f"ashpath_{name}", help_text, value=value)
+
+
+def counter(name: str, help_text: str, value: float) -> Metric:
+    """A counter without labels, kept by the part that it is read off."""
+    return CounterMetricFamily(f"ashpath_{name}", help_text, value=value)
