--- /dev/null
+++ b/tests/server/storage/test_failing_disk.py
@@ -0,0 +1,127 @@
+"""The write-ahead log under a disk that fails for a while, at each call in turn, and a kill after it.
+
+Seen in the code: a torn record stays in the log where it cannot be cut off, and all behind it was unreadable;
+records of outcomes that failed were never written later; a start failed where the log could not be rewritten;
+an orphan whose adoption failed stayed locked.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ashpath.server.storage.live_messages import LiveMessages
+from ashpath.server.storage.record_codec import RecordReader
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
+
+DISK = 1 << 20  # bytes
+CALLS = 12  # of one kind, each of which is the first to fail in turn
+
+
+class FailingDisk:
+    """Makes calls of `os` fail from the `first`-th one of its kind on, `count` times."""
+
+    def __init__(self, name: str, error: str, first: int, count: int) -> None:
+        self.name = name
+        self.error = error
+        self.left_before = first
+        self.left_to_fail = count
+
+    def wrap(self, real: Callable[[Any, Any], object]) -> Callable[[Any, Any], object]:
+        def call(target: int | Path, argument: bytes | int | Path) -> object:
+            if self.left_before:
+                self.left_before -= 1
+                return real(target, argument)
+            if not self.left_to_fail:
+                return real(target, argument)
+            self.left_to_fail -= 1
+            if self.error == "short" and isinstance(argument, bytes):
+                return real(target, argument[: len(argument) // 2])
+            raise OSError(getattr(errno, self.error), "injected")
+
+        return call
+
+
+@contextmanager
+def failing(*disks: FailingDisk) -> Iterator[None]:
+    with pytest.MonkeyPatch.context() as patch:
+        for disk in disks:
+            patch.setattr(os, disk.name, disk.wrap(getattr(os, disk.name)))
+        yield
+
+
+def message(number: int) -> StoredMessage:
+    return StoredMessage(number, f"t{number}", 0, 1, None, None, 2**60, b"body \x00 %d" % number)
+
+
+def work(log: WriteAheadLog) -> tuple[set[str], set[str]]:
+    """Submits, starts attempts and finishes messages; who was accepted, and who is finished."""
+    accepted: set[str] = set()
+    finished: set[str] = set()
+    for number in range(1, 9):
+        submitted = message(number)
+        if not log.record_submitted(submitted):
+            continue
+        accepted.add(submitted.trace_id)
+        with suppress(OSError):
+            log.record_attempt(submitted, 77, "e1")
+            log.record_outcome(submitted, may_have_run=number % 2 == 0)
+        if number % 3 == 0:
+            log.record_finished(submitted)
+            finished.add(submitted.trace_id)
+    return accepted, finished
+
+
+def owed(log: WriteAheadLog, folder: Path) -> dict[str, tuple[int, bool]]:
+    """What the next incarnation would find after a kill in this moment: attempts, and whether it may have
+    run."""
+    copy = folder / "copy"
+    copy.write_bytes(log.file.path.read_bytes())
+    left = LiveMessages()
+    with copy.open("rb") as file:
+        left.read(RecordReader(file))
+    return {one.trace_id: (one.attempts, one.first_run_at is not None) for one in left.live.values()}
+
+
+FAULTS: dict[str, list[tuple[str, str]]] = {
+    "write": [("write", "ENOSPC")],
+    "write, input or output": [("write", "EIO")],
+    "short write": [("write", "short")],
+    "short write, not cut off": [("write", "short"), ("ftruncate", "EIO")],
+    "short write, nothing else either": [("write", "short"), ("ftruncate", "EIO"), ("replace", "EIO")],
+}
+
+
+def faults_of(name: str, first: int, count: int, folder: Path) -> str:
+    """What was wrong with one order of failing calls."""
+    folder.mkdir()
+    disks = [FailingDisk(call, error, first if call == "write" else 0, count) for call, error in FAULTS[name]]
+    log = WriteAheadLog(folder, DISK)
+    with failing(*disks):
+        accepted, finished = work(log)
+        lost = accepted - finished - set(owed(log, folder))
+    log.repair()  # the disk takes writes again
+    after = set(owed(log, folder))
+    log.close()
+    if lost:
+        return f"lost: {sorted(lost)}"
+    return "" if after == accepted - finished else f"after repair: {sorted(after)}"
+
+
+def test_what_was_accepted_is_owed_whatever_fails(tmp_path: Path) -> None:
+    """Each kind of fault, beginning at each call in turn, for one call, three, and until the repair."""
+    faults = {}
+    for name in FAULTS:
+        for first in range(CALLS):
+            for count in (1, 3, 1000):
+                fault = faults_of(name, first, count, tmp_path / f"{name}-{first}-{count}")
+                if fault:
+                    faults[name, first, count] = fault
+    assert faults == {}
--- /dev/null
+++ b/tests/server/test_clock_steps.py
@@ -0,0 +1,51 @@
+"""Deadlines and windows are spans of real time, also over a restart.
+
+Seen: a sender that was killed under load, and started again with the wall clock an hour ahead, gave up
+messages that had most of their time left; with the clock an hour back, deadlines moved away by the hour.
+Cause: what outlives the process was stored as times of the wall clock, and compared with it at the restart.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import gevent
+from gevent import Timeout
+from support.world import World, until
+
+from ashpath.emulator.fault_injection.call_faults import ClockStep, ProcessFaults
+
+HOUR_S = 3600.0
+LONG_MS, SHORT_MS = 20_000, 2_500
+NOTICE_DUE_S = 3.5  # from the restart: of the short message
+
+
+def play(folder: Path, step_s: float) -> str:
+    """What was wrong with one sender that is killed with two messages, and restarted with a stepped clock."""
+    folder.mkdir()
+    world = World(folder)
+    try:
+        world.start()
+        world.submit("long", "free", "hang 200", 1, time_left_ms=LONG_MS)
+        world.submit("short", "free", "hang hang hang hang", 2, time_left_ms=SHORT_MS)
+        until(lambda: world.attempt_count("long") and world.attempt_count("short"))
+        world.kill()
+        world.faults = ProcessFaults(clock=(ClockStep(0.0, step_s),))
+        world.start()
+        with Timeout(NOTICE_DUE_S, False):
+            until(lambda: world.attempt_count("long") == 2 and world.notified("short"))
+        given_up = bool(world.notified("long")) or world.attempt_count("long") < 2
+        late = not world.notified("short")
+        return f"long given up: {given_up}, short late: {late}" if given_up or late else ""
+    finally:
+        world.stop()
+
+
+def test_a_restart_with_a_stepped_clock_keeps_deadlines(tmp_path: Path) -> None:
+    """Steps by seconds and by an hour, each with a sender of its own, side by side."""
+    results: dict[float, Callable[[], str]] = {
+        step_s: gevent.spawn(play, tmp_path / str(step_s), step_s).get
+        for step_s in (-HOUR_S, -30.0, 0.0, 30.0, HOUR_S)
+    }
+    assert {step_s: fault for step_s, get in results.items() if (fault := get())} == {}
