Faults of this machine are no evidence against a destination, and are tried again soon

Cause: at connect only EMFILE and ENFILE were told apart from an outage of the far end; and what was not sent for want of a connection was begun again in the same batch, until its message had no attempt left. Ruled out: a pause of the whole sender (idle connections serve on); a pause to 0.4 s (messages of 4 s missed). Change: local_errors.py tells errnos apart, the outcome LOCAL_FAULT pauses one gate for 25 to 200 ms and uses up no attempt; no route counts as local until another dial comes up.

--- a/ashpath/core/gate_state.py
+++ b/ashpath/core/gate_state.py
@@ -47,6 +47,10 @@
         self.open_until = 0
         self.retry_after_until = 0
         """The destination asked for nothing before."""
+        self.local_faults = 0
+        """Faults of this machine, in a row."""
+        self.local_pause_until = 0
+        """No call goes through before, as this machine has something too little of."""
         self.errors = errors
         """Errors and resets, of late answers."""
 
--- a/ashpath/core/interface.py
+++ b/ashpath/core/interface.py
@@ -40,6 +40,7 @@
     CONNECTION_RESET = "reset"
     CANCELLED = "withdrawn"
     NOT_SENT = "unsent"
+    LOCAL_FAULT = "local fault"  # this machine had no descriptor, buffer, address or route for it
 
 
 NEVER_RAN = (
@@ -47,6 +48,7 @@
     AttemptOutcome.CONNECT_FAILED,
     AttemptOutcome.CONNECTION_TABLE_FULL,
     AttemptOutcome.NOT_SENT,
+    AttemptOutcome.LOCAL_FAULT,
 )
 """Outcomes that prove that the attempt had no effect."""
 
--- a/ashpath/policy/delivery_policy.py
+++ b/ashpath/policy/delivery_policy.py
@@ -96,6 +96,8 @@
         if report:
             attempt.endpoint.gate.rate_limit.update(report)
         self._record_outcome(message, attempt, outcome, wait)
+        if outcome is AttemptOutcome.LOCAL_FAULT:
+            message.attempts -= 1  # nobody has seen it: its attempts are not used up
         if message.ordered_queue and outcome in tuning.MAY_STILL_RUN:
             message.ordered_queue.settles_at = self.now + self.settings.settle_time
         if message.first_run is None and outcome not in NEVER_RAN:
--- a/ashpath/policy/gate.py
+++ b/ashpath/policy/gate.py
@@ -41,8 +41,9 @@
     def opens_at(self, now: int) -> int | None:
         """None if a call may go now, else the time to check again (0: an outcome will tell)."""
         self.drop_reservations(now)
-        if now < self.retry_after_until:
-            return self.retry_after_until
+        waits_until = max(self.retry_after_until, self.local_pause_until)
+        if now < waits_until:
+            return waits_until
         if self.breaker is BreakerState.HALF_OPEN:
             return 0
         if self.breaker is BreakerState.OPEN:
@@ -70,6 +71,10 @@
 
     def judge(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
         """The outcome table of ADR 0122, and its table of trial requests."""
+        if outcome is AttemptOutcome.LOCAL_FAULT:
+            self._pause_locally()
+        else:
+            self.local_faults = 0
         if outcome is AttemptOutcome.DELIVERED:
             self._delivered(attempt, duration)
         elif outcome not in tuning.NO_LOAD_SIGN:
@@ -77,6 +82,14 @@
         elif attempt.is_trial:
             self.breaker = BreakerState.OPEN
 
+    def _pause_locally(self) -> None:
+        """This machine is to blame: no evidence against the destination, and no reason to hammer a table."""
+        pause = tuning.LOCAL_PAUSE << min(self.local_faults, tuning.MAX_LOCAL_DOUBLINGS)
+        self.local_pause_until = self.state.now + int(pause * (0.5 + 0.5 * self.state.random.random()))
+        self.local_faults += 1
+        if self.local_faults == 1:
+            self.log("local fault: calls pause")
+
     def _failed(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
         attempt.endpoint.failed(gain=tuning.GAIN)
         unrelated = is_unrelated_to_load(self, attempt, outcome, duration)
--- a/ashpath/policy/tuning.py
+++ b/ashpath/policy/tuning.py
@@ -29,6 +29,10 @@
 LISTED_SHARE = 2 / 3  # of a listed rate, which may be half too high; more overloads, less is slower back
 CAUTION = 0.9  # share used of what the rule on recovering destinations allows
 
+# Faults of this machine: its tables may be full, and calls through one gate are tried again ever later.
+LOCAL_PAUSE = SECOND // 20  # the first pause; shorter hammers a full table, longer delays messages
+MAX_LOCAL_DOUBLINGS = 2  # of it, with each further fault in a row
+
 # The rate limit.
 INITIAL_RATE = 0.4  # where none is known yet; more wastes limits, as with its bounds
 MIN_INITIAL_RATE = 0.01
@@ -55,4 +59,9 @@
 DEFAULT_RETRY_AFTER = 1 * SECOND  # of a rejection where nothing better is known
 
 MAY_STILL_RUN = (AttemptOutcome.TIMED_OUT, AttemptOutcome.CONNECTION_RESET, AttemptOutcome.CANCELLED)
-NO_LOAD_SIGN = (AttemptOutcome.DELIVERED, AttemptOutcome.CANCELLED, AttemptOutcome.NOT_SENT)
+NO_LOAD_SIGN = (
+    AttemptOutcome.DELIVERED,
+    AttemptOutcome.CANCELLED,
+    AttemptOutcome.NOT_SENT,
+    AttemptOutcome.LOCAL_FAULT,
+)
--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -6,7 +6,7 @@
 | --- | --- |
 | wait for notifications of earlier messages of its ordering key | `PendingNotificationError` |
 | find the address of its endpoint | `EndpointNotListedError` |
-| acquire a connection, idle or new | `ConnectionPoolFullError`, `OutOfDescriptorsError`, |
+| acquire a connection, idle or new | `ConnectionPoolFullError`, `LocalResourceError`, |
 | | `ConnectError`, `ConnectTimeError` |
 | check that it is still valid | `EndpointNotListedError`, `AttemptNotValidError` |
 | write the request | `WriteError`, `WriteTimeoutError` |
@@ -19,7 +19,6 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from errno import EMFILE, ENFILE
 
 import gevent
 from gevent import Timeout
@@ -38,7 +37,7 @@
     ConnectTimeError,
     EndpointNotListedError,
     InvalidResponseError,
-    OutOfDescriptorsError,
+    LocalResourceError,
     PendingNotificationError,
     RequestNotWrittenError,
     ResponseError,
@@ -48,13 +47,14 @@
 )
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.delivery.response_classifier import ResponseClassifier
+from ashpath.server.delivery.unreachable_networks import UnreachableNetworks
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message, host_header
 from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.local_errors import is_local_fault, is_without_route
 from ashpath.server.logs import Logger
 from ashpath.server.timers import now
 
-OUT_OF_DESCRIPTORS = (EMFILE, ENFILE)
 NOTIFICATION_SHARE = 0.5  # of an attempt's time, for notifications of earlier messages
 SECOND = 1e6  # microseconds
 
@@ -75,6 +75,7 @@
         self.classifier = classifier
         self.notifier = notifier
         self.logger = logger
+        self.networks = UnreachableNetworks()
         self.credentials: Mapping[int, bytes] = {}
         """Values of the credential header, by destinations that ask for one."""
 
@@ -134,11 +135,16 @@
 
     def _acquire_connection(self, attempt: Attempt, address: Address) -> HttpConnection:
         try:
-            return self.pool.acquire(attempt.endpoint_id, address)
+            connection = self.pool.acquire(attempt.endpoint_id, address)
         except OSError as error:
-            if error.errno in OUT_OF_DESCRIPTORS:
-                raise OutOfDescriptorsError(str(error)) from error
+            # A fault of this machine taken for an outage of the far end would stop calls to one that is well.
+            no_route = is_without_route(error) and self.networks.is_local(address)
+            if no_route or is_local_fault(error):
+                raise LocalResourceError(str(error)) from error
             raise ConnectError(str(error)) from error
+        if not connection.idle_before_use_s:
+            self.networks.dial_came_up(address)
+        return connection
 
     def _check_valid(self, attempt: Attempt, address: Address, owner: AttemptOwner) -> None:
         """Guards drains and Retry-After: the connection may have come up long after either was received. Nor
--- a/ashpath/server/delivery/errors.py
+++ b/ashpath/server/delivery/errors.py
@@ -33,16 +33,20 @@
     """Half of the attempt's time went by without notification of an earlier message of its ordering key."""
 
 
-class ConnectionPoolFullError(NotSentError):
-    """All connections to endpoints that the process may have are in use."""
+class ConnectTimeError(NotSentError):
+    """The attempt's time ran out before a connect timeout did: that proves nothing of the endpoint."""
 
 
-class OutOfDescriptorsError(NotSentError):
-    """The process or the machine has no file descriptor left for a connection."""
+class LocalFaultError(AttemptError):
+    """Nothing was written, as something of this machine ran out for a moment: nobody is to blame."""
 
 
-class ConnectTimeError(NotSentError):
-    """The attempt's time ran out before a connect timeout did: that proves nothing of the endpoint."""
+class ConnectionPoolFullError(LocalFaultError):
+    """All connections to endpoints that the process may have are in use."""
+
+
+class LocalResourceError(LocalFaultError):
+    """The machine has no descriptor, buffer, local address or route left for a connection."""
 
 
 class RequestNotWrittenError(AttemptError):
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -18,6 +18,7 @@
 from ashpath.server.delivery.errors import (
     AttemptCancelledError,
     AttemptError,
+    LocalFaultError,
     NotSentError,
     RequestNotWrittenError,
     ResponseError,
@@ -36,6 +37,7 @@
 FAILURE_OUTCOMES: tuple[tuple[type[AttemptError], AttemptOutcome], ...] = (
     (AttemptCancelledError, AttemptOutcome.CANCELLED),
     (NotSentError, AttemptOutcome.NOT_SENT),
+    (LocalFaultError, AttemptOutcome.LOCAL_FAULT),
     (RequestNotWrittenError, AttemptOutcome.CONNECT_FAILED),
     (ResponseTimeoutError, AttemptOutcome.TIMED_OUT),
     (ResponseError, AttemptOutcome.CONNECTION_RESET),
