Times that outlive the process are spans of real time

Cause: deadlines, first attempts, outages, Retry-After and outcomes were stored as times of the wall clock. Change: storage/stored_clock.py settles one offset to the monotonic clock for each boot, in the file clock; on another boot time left is bounded by the class's span, and what would lie in the future is long ago.

--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -73,6 +73,8 @@
         """A message of the previous incarnation. What may have run counts; waits and statistics are gone."""
         destination = self.destination(number)
         self.submissions.add(self.now, 0.0)
+        # It never has more time than when it was accepted, whatever clock told the time meanwhile.
+        time_left = min(time_left, self.traffic_classes[traffic_class].settings.deadline)
         message = self._new_message(message_id, destination, traffic_class, time_left)
         self._enqueue_new(message, key)
         message.attempts = previous.attempts
--- a/ashpath/emulator/scoreboard.py
+++ b/ashpath/emulator/scoreboard.py
@@ -24,7 +24,8 @@
 WINDOW = 10 * SECOND
 MOST_MODE_CHANGES = 400  # that are kept; the rest is counted
 LEAST_REQUESTS = 20  # that a window must have to be the worst one
-FAILURES = tuple(outcome.value for outcome in AttemptOutcome if outcome is not AttemptOutcome.DELIVERED)
+NO_FAILURES = (AttemptOutcome.DELIVERED, AttemptOutcome.LOCAL_FAULT)  # the latter no simulation has
+FAILURES = tuple(outcome.value for outcome in AttemptOutcome if outcome not in NO_FAILURES)
 
 
 class DeliveryValue:
--- a/ashpath/server/http/request_parser.py
+++ b/ashpath/server/http/request_parser.py
@@ -14,7 +14,7 @@
 )
 from ashpath.server.http.messages import HttpRequest
 from ashpath.server.storage.stored_message import StoredMessage
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 UNREPEATABLE_HEADERS = {
     wire_names.TRACE_ID_HEADER,
@@ -117,7 +117,8 @@
             destination=destination,
             ordering_key=ordering_key(headers.get(wire_names.COOKIE_HEADER, b"")),
             idempotency_key=idempotency_key,
-            deadline=wall() + min(time_left_ms * 1000, self.settings.traffic_classes[traffic_class].deadline),
+            deadline=stored_time()
+            + min(time_left_ms * 1000, self.settings.traffic_classes[traffic_class].deadline),
             body=request.body,
         )
 
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -23,7 +23,7 @@
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.outcome_store import OutcomeStore
 from ashpath.server.storage.stored_message import StoredMessage
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 MAX_PAGE_ROWS = 500
 BEFORE_THE_FIRST = -1
@@ -165,7 +165,7 @@
             "destination": message.destination,
             "shots": message.attempts,
             "may_have_run": message.first_run_at is not None or in_flight,
-            "left_ms": round(milliseconds(message.deadline - wall())),
+            "left_ms": round(milliseconds(message.deadline - stored_time())),
             "bytes": len(message.body),
         }
 
--- a/ashpath/server/message_restoration.py
+++ b/ashpath/server/message_restoration.py
@@ -11,7 +11,9 @@
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
-from ashpath.server.timers import now, wall
+from ashpath.server.timers import now, stored_time
+
+LONG_AGO_US = 10**15  # past any window
 
 
 class RestoredMessage(Struct, frozen=True):
@@ -53,7 +55,7 @@
                 continue
             previous = self._previous_attempts(message)
             messages[message.message_id] = message
-            restored.append(RestoredMessage(message, message.deadline - wall(), previous))
+            restored.append(RestoredMessage(message, message.deadline - stored_time(), previous))
         return restored
 
     def _previous_attempts(self, message: StoredMessage) -> PreviousAttempts:
@@ -63,5 +65,8 @@
             self.write_ahead_log.record_outcome(message, may_have_run=True)
         first_run_at = None
         if message.first_run_at is not None:
-            first_run_at = now() - (wall() - message.first_run_at)
+            elapsed = stored_time() - message.first_run_at
+            # In the future only on a boot with an earlier wall clock: how long ago it was nobody knows, and a
+            # window that may be over is.
+            first_run_at = now() - (elapsed if elapsed >= 0 else LONG_AGO_US)
         return PreviousAttempts(message.attempts, first_run_at, message.first_run_endpoint, unresolved)
--- a/ashpath/server/policy_batch.py
+++ b/ashpath/server/policy_batch.py
@@ -24,7 +24,7 @@
 from ashpath.server.policy_actions import QueuedActions
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.shared_memory import SharedMemory
-from ashpath.server.timers import now, wall
+from ashpath.server.timers import now, stored_time
 
 
 class RetryAfter(Struct, frozen=True):
@@ -79,7 +79,7 @@
     def read(self, detached: set[str]) -> SharedUpdates:
         """What was published since the last call. `detached`: the endpoints that are detached here."""
         monotonic_time = now()
-        wall_time = wall()
+        wall_time = stored_time()
         published = self.shared_memory.updates(wall_time)
         retry_afters = tuple(
             RetryAfter(notice.destination, notice.endpoint, monotonic_time + notice.end - wall_time)
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -35,7 +35,7 @@
 from ashpath.server.storage.shared_memory import SharedMemory
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
-from ashpath.server.timers import Timers, now, wall
+from ashpath.server.timers import Timers, now, stored_time
 
 NOT_SENT = AttemptResult(AttemptOutcome.NOT_SENT)
 
@@ -136,7 +136,7 @@
     def submit(self, message: StoredMessage) -> SubmitResult:
         """A client's message, which the write-ahead log has by now: what to answer that client."""
         self.messages[message.message_id] = message
-        time_left = message.deadline - wall()
+        time_left = message.deadline - stored_time()
         with self.recorder.submission(message) as submission, self._batch as policy:
             policy.submit(
                 message.message_id,
@@ -183,7 +183,7 @@
         attempt = Attempt(message, endpoint_id, now() + timeout, timeout, ordered=ordered)
         self.attempts[message.message_id] = attempt
         try:
-            self.write_ahead_log.record_attempt(message, wall(), endpoint_id)
+            self.write_ahead_log.record_attempt(message, stored_time(), endpoint_id)
         except OSError as error:
             self._report_unrecorded(attempt, error)
         else:
@@ -215,7 +215,7 @@
         started_at = attempt.deadline - attempt.timeout
         self.recorder.count_attempt(result.outcome, now() - started_at)
         if result.retry_after:
-            until = wall() + result.retry_after
+            until = stored_time() + result.retry_after
             self.shared_memory.publish_retry_after(attempt.message.destination, attempt.endpoint_id, until)
         if result.final:
             self.messages.pop(message_id, None)
--- a/ashpath/server/storage/outage_store.py
+++ b/ashpath/server/storage/outage_store.py
@@ -11,7 +11,7 @@
 | mode | stored as | until |
 | --- | --- | --- |
 | in outage | end null | it ends |
-| in slow start after one | end in microseconds of the wall clock | that time |
+| in slow start after one | end in microseconds of the stored clock | that time |
 """
 
 from __future__ import annotations
@@ -25,7 +25,7 @@
 from ashpath.server.logs import Logger
 from ashpath.server.storage.atomic_file import replace_shared_file
 from ashpath.server.storage.versioned_file import UNREADABLE, VersionedFile
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 FILE_NAME = "outages"
 VERSION = 1
@@ -43,7 +43,7 @@
     rate: float
     """Attempts a second that the sender had there before."""
     slow_start_end: int | None
-    """End of the slow start, microseconds of the wall clock; None while the outage lasts."""
+    """End of the slow start, microseconds of the stored clock; None while the outage lasts."""
 
     @classmethod
     def of_row(cls, row: list[Any]) -> Outage:
@@ -78,17 +78,17 @@
 
     def active(self) -> list[Outage]:
         """Those that last, or after which the destination is still in slow start."""
-        return _active(self.outages.values(), wall())
+        return _active(self.outages.values(), stored_time())
 
     def outage_began(self, destination: int, endpoint: str, rate: float) -> None:
         """Stored, if it was not in outage before."""
         if not self._in_outage(destination, endpoint):
-            self._store(Outage(destination, endpoint, rate, None), wall())
+            self._store(Outage(destination, endpoint, rate, None), stored_time())
 
     def outage_ended(self, destination: int, endpoint: str, rate: float, ramp: int) -> None:
         """It is in slow start, for `ramp` microseconds from now; nothing, if it was not in outage."""
         if self._in_outage(destination, endpoint):
-            now = wall()
+            now = stored_time()
             self._store(Outage(destination, endpoint, rate, now + ramp), now)
 
     def _in_outage(self, destination: int, endpoint: str) -> bool:
--- a/ashpath/server/storage/outcome_store.py
+++ b/ashpath/server/storage/outcome_store.py
@@ -19,7 +19,7 @@
 from ashpath.server.logs import Logger
 from ashpath.server.storage.final_state import FinalState
 from ashpath.server.storage.outcome_file import OutcomeFile
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 MEMORY_OVERHEAD_BYTES = 200  # what an outcome takes in memory beside its line
 
@@ -30,7 +30,7 @@
     state: str
     """A FinalState, or what another version wrote."""
     at: int
-    """By the wall clock."""
+    """By the stored clock."""
     retry_after: int
     """Rejected: when to submit it again, from then; 0: not said."""
 
@@ -65,7 +65,7 @@
 
     def add(self, trace_id: str, state: FinalState, retry_after: int = 0) -> None:
         """Stores a final state as of now; `retry_after` in microseconds."""
-        outcome = FinalOutcome(state, wall(), retry_after)
+        outcome = FinalOutcome(state, stored_time(), retry_after)
         line = orjson.dumps([trace_id, state, outcome.at, retry_after]) + b"\n"
         self._remember(trace_id, outcome, len(line))
         try:
@@ -84,7 +84,7 @@
         stored = _StoredOutcome(outcome, line_bytes + MEMORY_OVERHEAD_BYTES)
         self._outcomes[trace_id] = stored
         self.size += stored.size
-        oldest = wall() - self.retention
+        oldest = stored_time() - self.retention
         while self._outcomes:
             first, stored = next(iter(self._outcomes.items()))
             if self.size <= self.max_bytes and stored.outcome.at >= oldest:
@@ -99,7 +99,7 @@
     def get(self, trace_id: str) -> FinalOutcome | None:
         """None where it is not known, or no more."""
         stored = self._outcomes.get(trace_id)
-        if stored is None or wall() - stored.outcome.at > self.retention:
+        if stored is None or stored_time() - stored.outcome.at > self.retention:
             return None
         return stored.outcome
 
--- a/ashpath/server/storage/record_codec.py
+++ b/ashpath/server/storage/record_codec.py
@@ -6,7 +6,7 @@
 | type | name on disk | further fields |
 | --- | --- | --- |
 | `MessageSubmitted` | `taken` | all fields of the message but its body, see `_submitted_fields` |
-| `AttemptStarted` | `shot` | message id, start in microseconds of the wall clock, endpoint |
+| `AttemptStarted` | `shot` | message id, start in microseconds of the stored clock, endpoint |
 | `AttemptFinished` | `outcome` | message id, whether it may have run |
 | `MessageFinished` | `ended` | message id, the notice that is still owed or null |
 
@@ -56,7 +56,7 @@
 
     message_id: int
     at: int
-    """Microseconds of the wall clock."""
+    """Microseconds of the stored clock."""
     endpoint: str
 
     def encode(self) -> bytes:
--- a/ashpath/server/storage/shared_memory.py
+++ b/ashpath/server/storage/shared_memory.py
@@ -102,7 +102,7 @@
             self._indexes[notice.destination, notice.endpoint] = index
 
     def publish_retry_after(self, destination: int, endpoint: str, end: int) -> None:
-        """A notice that this process received; `end` in microseconds of the wall clock.
+        """A notice that this process received; `end` in microseconds of the stored clock.
 
         Nothing where one with the same or a later end stands for the same endpoint.
         """
@@ -135,7 +135,7 @@
         )
 
     def updates(self, now: int) -> PublishedUpdates:
-        """What others have published since the last look; `now` in microseconds of the wall clock."""
+        """What others have published since the last look; `now` in microseconds of the stored clock."""
         notices = self._recovered
         self._recovered = []
         detached_changed = False
@@ -155,3 +155,10 @@
                 memory.close()
         if self._lock >= 0:
             os.close(self._lock)
+
+
+def remove_files(directory: Path, count: int) -> None:
+    """What processes of an earlier boot published binds nobody."""
+    for number in range(count):
+        with suppress(OSError):
+            (directory / f"board-{number}").unlink()
--- a/ashpath/server/storage/shared_memory_layout.py
+++ b/ashpath/server/storage/shared_memory_layout.py
@@ -10,7 +10,7 @@
 | bytes of a record | |
 | --- | --- |
 | 0-3 | CRC-32 of the rest; a record that fails it binds nobody, so a torn one does no harm |
-| 4-11 | end of the notice, microseconds of the wall clock; 0: the record was never used |
+| 4-11 | end of the notice, microseconds of the stored clock; 0: the record was never used |
 | 12-19 | destination |
 | 20 | bytes of the endpoint's id |
 | 21-63 | the id in UTF-8; empty: the notice binds the whole destination |
@@ -45,7 +45,7 @@
     endpoint: str
     """Empty: the whole destination."""
     end: int
-    """Microseconds of the wall clock."""
+    """Microseconds of the stored clock."""
 
 
 class Counters(NamedTuple):
--- a/ashpath/server/storage/stored_message.py
+++ b/ashpath/server/storage/stored_message.py
@@ -8,8 +8,9 @@
 class StoredMessage(Struct, eq=False):
     """One accepted message, from the log's first record of it until its last.
 
-    All times are microseconds of the wall clock, since they have to outlive the process. The fields before
-    `attempts` never change, but for the id of a message that is adopted from another process's log.
+    All times are microseconds of the stored clock (`stored_clock.py`), since they have to outlive the
+    process. The fields before `attempts` never change, but for the id of a message that is adopted from
+    another process's log.
     """
 
     message_id: int
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -105,7 +105,7 @@
         return True
 
     def record_attempt(self, message: StoredMessage, at: int, endpoint: str) -> None:
-        """Before it is sent, at `at` by the wall clock in microseconds. Raises OSError."""
+        """Before it is sent, at `at` by the stored clock in microseconds. Raises OSError."""
         record = AttemptStarted(message.message_id, at, endpoint)
         self._append(record.encode())
         self.messages.apply(record)
--- a/ashpath/server/timers.py
+++ b/ashpath/server/timers.py
@@ -1,4 +1,4 @@
-"""The sender's two clocks, and the timers that its policy schedules.
+"""The sender's clocks, and the timers that its policy schedules.
 
 The policy has no clock: it is handed the time, and asks for timers by a token of its own choice. All that are
 due fire together, in the order of their times, those of one time in the order in which they were scheduled.
@@ -21,11 +21,25 @@
     return time.monotonic_ns() // 1000
 
 
-def wall() -> int:
-    """Whole microseconds of the wall clock, the only one that outlives the process."""
+def wall_clock() -> int:
+    """Whole microseconds of the wall clock, which may be stepped: read once, as the offset is settled."""
     return time.time_ns() // 1000
 
 
+_offset = wall_clock() - now()  # microseconds to stored times; `storage.stored_clock` settles it at the start
+
+
+def settle_offset(offset_us: int) -> None:
+    """What stored times are counted by from now on. Called once, before any is read."""
+    global _offset
+    _offset = offset_us
+
+
+def stored_time() -> int:
+    """Whole microseconds of the clock of all times that outlive the process: see `storage.stored_clock`."""
+    return now() + _offset
+
+
 class TimerListener(Protocol):
     """Who is called as timers fall due."""
 
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -32,11 +32,12 @@
 from ashpath.server.reload import SettingsSwitch
 from ashpath.server.sender import ClientSide, DeliveryPath, Sender, SenderPlace
 from ashpath.server.shutdown import GracefulShutdown
-from ashpath.server.storage import outage_store
+from ashpath.server.storage import outage_store, shared_memory
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.outage_store import OutageStore
 from ashpath.server.storage.shared_memory import MAX_PROCESSES, SharedMemory
 from ashpath.server.storage.shared_memory_layout import FILE_BYTES
+from ashpath.server.storage.stored_clock import ClockOrigin, settle_stored_clock
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
@@ -48,6 +49,9 @@
     Raises `StartupError`, and one of `UNUSABLE_CONFIGURATION_ERRORS` where the state directory, an address
     or a list in the configuration cannot be used.
     """
+    clock_origin = settle_stored_clock(place.state_directory, logger)
+    if clock_origin is ClockOrigin.OTHER_BOOT:
+        shared_memory.remove_files(place.state_directory, MAX_PROCESSES)  # a Retry-After ends with a restart
     write_ahead_log = open_write_ahead_log(place, configuration.limits)
     configuration = deployment.restore_traffic_class_ids(
         configuration,
@@ -104,7 +108,7 @@
     """Opens the other files of the state directory, too."""
     limits = configuration.limits
     settings = configuration.settings
-    shared_memory = open_shared_memory(place, logger)
+    memory = open_shared_memory(place, logger)
     outcome_store = deployment.create_outcome_store(limits, logger)
     backoff = create_notifier_backoff(place, configuration)
     notifier = deployment.create_notifier(limits, write_ahead_log, backoff, logger)
@@ -119,7 +123,7 @@
         write_ahead_log,
         recorder,
         attempt_runner,
-        shared_memory,
+        memory,
         detached_endpoints,
         OutageStore(place.state_directory, logger),
         gossip_link,
@@ -147,10 +151,10 @@
 
 def open_shared_memory(place: SenderPlace, logger: Logger) -> SharedMemory:
     """Without a place for this process it still reads what the other one of a hot upgrade writes."""
-    shared_memory = SharedMemory(place.state_directory, shared_memory_files(place))
-    if shared_memory.own is None:
+    memory = SharedMemory(place.state_directory, shared_memory_files(place))
+    if memory.own is None:
         logger.error("no shared memory: Retry-After and detached endpoints of this process bind no other")
-    return shared_memory
+    return memory
 
 
 def create_notifier_backoff(place: SenderPlace, configuration: SenderConfiguration) -> Backoff:
--- a/tests/cli/test_standalone.py
+++ b/tests/cli/test_standalone.py
@@ -17,7 +17,7 @@
 from ashpath.server.storage.record_codec import MessageSubmitted, RecordReader, encode_fields
 from ashpath.server.storage.state_directory import StateDirectory
 from ashpath.server.storage.stored_message import StoredMessage
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 
 def test_clients_ask_for_final_outcomes(alone: Alone) -> None:
@@ -153,7 +153,7 @@
         imprint.write_bytes(good.replace(old, new, 1))
         refused(alone, "imprint")
     imprint.write_bytes(good)
-    entry = StoredMessage(1, "a", 0, 1, None, None, wall() + 10**9, b"")
+    entry = StoredMessage(1, "a", 0, 1, None, None, stored_time() + 10**9, b"")
     (state / "journal").write_bytes(encode_fields(["renamed", 1]))
     refused(alone, "not a record of this version")
     imprint.unlink()
--- a/tests/server/discovery/test_client.py
+++ b/tests/server/discovery/test_client.py
@@ -30,7 +30,7 @@
 from ashpath.server.limits import ServerLimits
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 NOWHERE: Address = ("127.0.0.1", 1)
 ROW = {"id": "e1", "host_port": "127.0.0.1:1", "cell": 1, "phase": "up"}
@@ -244,7 +244,7 @@
     """Guards drains over a restart: the configuration's list may be old, and what the agent has had since
     counts before the first attempt. What was accepted goes to the successor."""
     log = WriteAheadLog(world.folder / "state", LIMITS.disk_bytes)
-    assert log.record_submitted(StoredMessage(1, "a", 0, 1, None, None, wall() + 20_000_000, b"200"))
+    assert log.record_submitted(StoredMessage(1, "a", 0, 1, None, None, stored_time() + 20_000_000, b"200"))
     log.close()
     connections: list[object] = []
     removed = StreamServer(("127.0.0.1", 0), lambda sock, _: connections.append(sock))
--- a/tests/server/http/test_request_parser.py
+++ b/tests/server/http/test_request_parser.py
@@ -8,7 +8,7 @@
 
 from ashpath.server.http.errors import InvalidRequestError
 from ashpath.server.http.request_parser import RequestParser, ordering_key
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 VALID = request("t1", "tag", "200", 7, time_left_ms=1500, ordering_key="k")
 # What is replaced by what, and the message of the error.
@@ -32,16 +32,16 @@
 
 
 def test_valid_request(parser: RequestParser) -> None:
-    before = wall()
+    before = stored_time()
     message = parser.parse(read_request(VALID))
     assert (message.message_id, message.trace_id, message.traffic_class) == (0, "t1", 1)
     assert (message.destination, message.idempotency_key, message.body) == (7, "tag-t1", b"200")
-    assert before + 1_500_000 <= message.deadline <= wall() + 1_500_000
+    assert before + 1_500_000 <= message.deadline <= stored_time() + 1_500_000
 
 
 def test_time_left_is_bounded_by_the_traffic_class(parser: RequestParser) -> None:
     message = parser.parse(read_request(VALID.replace(b"1500", b"999999999999")))
-    assert message.deadline <= wall() + POLICY_SETTINGS.traffic_classes[1].deadline
+    assert message.deadline <= stored_time() + POLICY_SETTINGS.traffic_classes[1].deadline
 
 
 def test_ordering_key_is_the_same_in_every_incarnation(parser: RequestParser) -> None:
--- a/tests/server/storage/test_state_directory.py
+++ b/tests/server/storage/test_state_directory.py
@@ -13,7 +13,7 @@
 from ashpath.server.storage.state_directory import StateDirectory
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 CLASSES: list[dict[str, Any]] = [{"name": "a"}, {"name": "b"}]
 WRITES: dict[str, Callable[..., object]] = {
@@ -47,7 +47,7 @@
     directory = StateDirectory(path, "n0")
     directory.write(CLASSES[:1])
     log = WriteAheadLog(path, 1 << 20)
-    assert log.record_submitted(StoredMessage(1, "x", 0, 1, None, None, wall() + 10**9, b"body"))
+    assert log.record_submitted(StoredMessage(1, "x", 0, 1, None, None, stored_time() + 10**9, b"body"))
     log.close()
     directory.close()
 
--- a/tests/server/storage/test_stored_data_written.py
+++ b/tests/server/storage/test_stored_data_written.py
@@ -75,7 +75,7 @@
 
 
 def test_outages(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(outage_store, "wall", lambda: THEN)
+    monkeypatch.setattr(outage_store, "stored_time", lambda: THEN)
     written = outage_store.OutageStore(tmp_path, no_errors())
     written.outage_began(20, "", 12.5)
     for endpoint, destination, rate, ramp in (("e21-é", 21, 0.1, FAR - THEN), ("e22", 22, 3.0, 1)):
@@ -109,7 +109,7 @@
     lines = [line for line in stored.splitlines(keepends=True) if line.endswith(b"]\n")]
     written = outcome_store.OutcomeStore(tmp_path, DISK, 60_000_000, no_errors())
     for trace_id, state, at, retry_after in map(orjson.loads, lines):
-        monkeypatch.setattr(outcome_store, "wall", lambda at=at: at)
+        monkeypatch.setattr(outcome_store, "stored_time", lambda at=at: at)
         written.add(trace_id, FinalState(state), retry_after)
     written.close()
     assert (tmp_path / "ends").read_bytes() == b"".join(lines)
--- a/tests/server/test_adoption.py
+++ b/tests/server/test_adoption.py
@@ -11,7 +11,7 @@
 from ashpath.server.adoption import OrphanAdopter
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 MAX_BYTES = 1 << 20
 INTERVAL_S = 0.01
@@ -33,7 +33,7 @@
     theirs = WriteAheadLog(tmp_path, MAX_BYTES)
     ours = WriteAheadLog(tmp_path, MAX_BYTES)
     for number in (1, 2):
-        message = StoredMessage(number, f"t{number}", 0, 1, None, None, wall() + HOUR_US, b"body")
+        message = StoredMessage(number, f"t{number}", 0, 1, None, None, stored_time() + HOUR_US, b"body")
         assert theirs.record_submitted(message)
     assert ours.adopt() == []  # their process still lives
     adopter = RecordingAdopter()
--- a/tests/server/test_message_restoration.py
+++ b/tests/server/test_message_restoration.py
@@ -12,7 +12,7 @@
 from ashpath.server.message_restoration import MessageRestorer
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
-from ashpath.server.timers import now, wall
+from ashpath.server.timers import now, stored_time
 
 SECOND = 1_000_000
 
@@ -24,7 +24,7 @@
 
 def stored(write_ahead_log: WriteAheadLog, message_id: int, time_left: int = SECOND) -> StoredMessage:
     """A message as the previous incarnation accepted it."""
-    deadline = wall() + time_left
+    deadline = stored_time() + time_left
     message = StoredMessage(message_id, f"t{message_id}", 0, 1, None, None, deadline, b"")
     assert write_ahead_log.record_submitted(message)
     return message
@@ -55,7 +55,7 @@
 def test_an_attempt_that_was_in_flight_may_have_run(write_ahead_log: WriteAheadLog) -> None:
     """It is recorded so, and its time and endpoint bind the retries that follow."""
     message = stored(write_ahead_log, 1)
-    write_ahead_log.record_attempt(message, wall() - 2 * SECOND, "e1")
+    write_ahead_log.record_attempt(message, stored_time() - 2 * SECOND, "e1")
     restorer = MessageRestorer(write_ahead_log, unreachable_notifier(write_ahead_log))
     previous = restorer.restore([message], {})[0].previous
     assert previous.unresolved
--- a/tests/server/test_policy_batch.py
+++ b/tests/server/test_policy_batch.py
@@ -16,7 +16,7 @@
 from ashpath.server.policy_batch import PolicyBatch, SharedUpdateReader
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.shared_memory import SharedMemory
-from ashpath.server.timers import now, wall
+from ashpath.server.timers import now, stored_time
 
 LISTED = {"id": "e1", "cell": 7, "phase": "up", "host_port": "127.0.0.1:1"}
 
@@ -37,7 +37,7 @@
         self.calls.attach_mock(actions, "actions")
         shared_memory = SharedMemory(directory)
         self.other_process = SharedMemory(directory)
-        shared_memory.updates(wall())  # nothing is news from here on
+        shared_memory.updates(stored_time())  # nothing is news from here on
         shared = SharedUpdateReader(shared_memory, self.detached_endpoints, registry)
         self.batch = PolicyBatch(policy, actions, shared)
         self.records = registry.records
@@ -66,7 +66,7 @@
 
 def test_what_the_other_process_published_comes_behind_the_events(stages: Stages) -> None:
     """They may list the very endpoints; the close, which sends, comes after it. It comes once."""
-    until = wall() + 3_000_000
+    until = stored_time() + 3_000_000
     stages.other_process.publish_retry_after(7, "e1", until)
     stages.detached_endpoints.change("e1", detached=True)
     stages.other_process.publish_detached_change()
@@ -93,11 +93,11 @@
 
 def test_an_error_leaves_the_batch_open(stages: Stages) -> None:
     """Nothing is sent on half of the events; the next batch takes what is published after it."""
-    stages.other_process.publish_retry_after(7, "e1", wall() + 3_000_000)
+    stages.other_process.publish_retry_after(7, "e1", stored_time() + 3_000_000)
     with pytest.raises(ZeroDivisionError), stages.batch:
         raise ZeroDivisionError
     assert stages.names() == ["policy.begin_batch"]
-    stages.other_process.publish_retry_after(7, "e2", wall() + 3_000_000)
+    stages.other_process.publish_retry_after(7, "e2", stored_time() + 3_000_000)
     with stages.batch:
         pass
     assert stages.names()[-2:] == ["policy.end_batch", "actions.perform"]
--- a/tests/server/test_restart.py
+++ b/tests/server/test_restart.py
@@ -12,7 +12,7 @@
 
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
-from ashpath.server.timers import wall
+from ashpath.server.timers import stored_time
 
 
 def attempted(world: World, trace: str) -> bool:
@@ -75,10 +75,10 @@
 def test_overdue_after_a_kill(world: World) -> None:
     """A deduplication window, a deadline, and a notification that was not acknowledged."""
     ledger = WriteAheadLog(world.folder / "state", LIMITS.disk_bytes)
-    old = wall() - 20_000_000
+    old = stored_time() - 20_000_000
     past = [(1, 5_000_000, True), (0, -10, False), (1, -10, True), (0, 9, False)]
     for number, (track, left, ran) in enumerate(past):
-        entry = StoredMessage(number + 1, f"o{number}", track, 1, None, None, wall() + left, b"200")
+        entry = StoredMessage(number + 1, f"o{number}", track, 1, None, None, stored_time() + left, b"200")
         assert ledger.record_submitted(entry)
         if ran:
             ledger.record_attempt(entry, old, "e1")
