The write-ahead log under a disk that fails for a while: nothing accepted is lost

Cause: a torn record stayed where it could not be cut off, and hid all behind it; records of outcomes that failed were never written; a rewrite could leave appends on an unlinked file; a start failed where the log could not be rewritten; a failed adoption kept the orphan's lock and its messages from being taken later.

--- a/ashpath/server/limits.py
+++ b/ashpath/server/limits.py
@@ -121,6 +121,10 @@
     initial_snapshots_s: float = 3.0
     """And one that fails otherwise is polled for so long: well below the 10 s in which to be ready."""
 
+    # The write-ahead log.
+    log_repair_s: float = 0.25
+    """Between two looks whether it lacks records that the disk did not take."""
+
     # Notifications.
     notification_backoff_s: float = 0.3
     """The longest pause after a failure."""
--- a/ashpath/server/local_errors.py
+++ b/ashpath/server/local_errors.py
@@ -44,4 +44,4 @@
 
 def is_closed(error: OSError) -> bool:
     """The descriptor will not serve again: a call on it that is tried again fails for good."""
-    return error.errno in CLOSED_ERRNOS
+    return isinstance(error, BrokenPipeError) or error.errno in CLOSED_ERRNOS
--- a/ashpath/server/log_writer.py
+++ b/ashpath/server/log_writer.py
@@ -18,6 +18,8 @@
 import gevent
 from gevent.event import Event
 
+from ashpath.server.local_errors import is_closed
+
 if TYPE_CHECKING:
     from ashpath.server.logs import Logger  # which imports this module
 
@@ -87,8 +89,10 @@
             data = self.pending[0]
             try:
                 written = self.output.write(data[:PIECE_BYTES])
-            except OSError:  # closed: nobody reads, now or later
-                self.output = None
+            except OSError as error:
+                if not is_closed(error):
+                    return False  # a full disk, say: it is tried again
+                self.output = None  # nobody reads, now or later
                 self.pending.clear()
                 return True
             if not written:
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -81,6 +81,9 @@
             log.messages.reserved_bytes,
         )
         yield gauge("write_ahead_log_max_bytes", "Bytes that the write-ahead log may have.", log.max_bytes)
+        yield gauge(
+            "write_ahead_log_behind", "1 while it lacks records that the disk did not take.", log.needs_repair
+        )
         yield gauge("destinations", "Destinations that are known.", len(runner.policy.destinations))
         yield gauge("client_connections", "Connections of clients.", self.source.listener.connection_count)
 
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -19,6 +19,7 @@
 import gevent
 from gevent import Greenlet
 
+from ashpath.server.log_repair import LogRepairer
 from ashpath.server.logs import Logger
 from ashpath.server.reload import Reloader, ReloadService
 from ashpath.server.sender import Sender
@@ -87,6 +88,7 @@
             delivery.notifier.run,
             delivery.policy_runner.timers.run,
             delivery.pool.run,
+            LogRepairer(delivery.write_ahead_log, sender.limits.log_repair_s, self.logger).run,
             sender.clients.listener.run,
         ]
         if sender.orphan_adopter is not None:
--- a/ashpath/server/storage/errors.py
+++ b/ashpath/server/storage/errors.py
@@ -67,6 +67,20 @@
         super().__init__(f"only {written} of {expected} bytes written")
 
 
+class LogNotOpenError(OSError):
+    """The disk has taken no log of this process yet."""
+
+    def __init__(self, path: Path) -> None:
+        super().__init__(f"{path}: not open yet")
+
+
+class LogIncompleteError(OSError):
+    """Records that failed before have to be written first, and the disk does not take them."""
+
+    def __init__(self, path: Path) -> None:
+        super().__init__(f"{path}: records that failed are not written yet")
+
+
 class DetachedEndpointsError(OSError):
     """A change of the detached endpoints cannot be stored."""
 
--- a/ashpath/server/storage/live_messages.py
+++ b/ashpath/server/storage/live_messages.py
@@ -80,9 +80,13 @@
         message.finished = True
         message.notice = record.notice
         if record.notice is None:
-            del self.live[message.message_id]
-            self.by_trace_id.pop(message.trace_id, None)
-            self.reserved_bytes -= message.reserved_bytes
+            self.discard(message)
+
+    def discard(self, message: StoredMessage) -> None:
+        """It is not live any more."""
+        del self.live[message.message_id]
+        self.by_trace_id.pop(message.trace_id, None)
+        self.reserved_bytes -= message.reserved_bytes
 
 
 def _finish_attempt(message: StoredMessage, record: AttemptFinished) -> None:
--- a/ashpath/server/storage/log_file.py
+++ b/ashpath/server/storage/log_file.py
@@ -4,17 +4,27 @@
 fails half way is cut off again, since a torn record would hide all that follow it. A rewrite goes to a file
 beside it, `NAME.new`, which is renamed over: at any moment one of the two is whole, and a kill leaves the
 old one.
+
+| a call fails | the file |
+| --- | --- |
+| the write of an append | as it was, or torn where it cannot be cut back |
+| any of a rewrite | as it was: the descriptor in use changes only once the new file has its name |
+
+While it is torn nothing is appended: each append cuts it back first, and fails where it cannot.
 """
 
 from __future__ import annotations
 
 import os
 from collections.abc import Iterable
+from contextlib import suppress
 from pathlib import Path
 
 from ashpath.server.storage.append import append_whole
+from ashpath.server.storage.errors import LogNotOpenError, PartialWriteError
 
 TEMPORARY_SUFFIX = ".new"
+PIECE_BYTES = 256 << 10  # of a rewrite, at once
 
 
 def temporary_path(path: Path) -> Path:
@@ -29,24 +39,64 @@
         self.path = path
         self.temporary = temporary_path(path)
         self.descriptor = -1  # not open yet
-        self.written = 0  # bytes in the file
+        self.written = 0  # bytes of whole records in the file
+        self.torn = False  # there may be more bytes behind them
 
     def append(self, data: bytes) -> None:
         """All of it or nothing. Raises OSError."""
-        append_whole(self.descriptor, data, self.written)
+        if self.descriptor < 0:
+            raise LogNotOpenError(self.path)
+        if self.torn:
+            os.ftruncate(self.descriptor, self.written)
+            self.torn = False
+        try:
+            append_whole(self.descriptor, data, self.written)
+        except OSError:
+            self.torn = True
+            with suppress(OSError):
+                self.torn = os.fstat(self.descriptor).st_size != self.written
+            raise
         self.written += len(data)
 
     def rewrite(self, records: Iterable[bytes]) -> None:
         """These records in place of all that it had. Raises OSError; the file is then as it was."""
-        with self.temporary.open("wb") as file:
-            for record in records:
-                file.write(record)
-        os.replace(self.temporary, self.path)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND
+        descriptor = os.open(self.temporary, flags, 0o666)
+        try:
+            written = write_all(descriptor, records)
+            os.replace(self.temporary, self.path)
+        except OSError:
+            os.close(descriptor)
+            raise
         if self.descriptor >= 0:
             os.close(self.descriptor)
-        self.descriptor = os.open(self.path, os.O_WRONLY | os.O_APPEND)
-        self.written = os.fstat(self.descriptor).st_size
+        self.descriptor = descriptor
+        self.written = written
+        self.torn = False
 
     def close(self) -> None:
         """Nothing is left to be written: each record was, as it came."""
-        os.close(self.descriptor)
+        if self.descriptor >= 0:
+            os.close(self.descriptor)
+
+
+def write_all(descriptor: int, records: Iterable[bytes]) -> int:
+    """Bytes written. Raises OSError, PartialWriteError among them."""
+    written = 0
+    piece = bytearray()
+    for record in records:
+        piece += record
+        if len(piece) >= PIECE_BYTES:
+            written += write_piece(descriptor, bytes(piece))
+            piece.clear()
+    return written + write_piece(descriptor, bytes(piece))
+
+
+def write_piece(descriptor: int, piece: bytes) -> int:
+    """Bytes written. Raises OSError, PartialWriteError among them."""
+    if not piece:
+        return 0
+    written = os.write(descriptor, piece)
+    if written < len(piece):
+        raise PartialWriteError(written, len(piece))
+    return written
--- a/ashpath/server/storage/log_report.py
+++ b/ashpath/server/storage/log_report.py
@@ -37,6 +37,7 @@
     records: Counter[str] = field(default_factory=Counter)
     """How many there are of each kind, by its name on disk."""
     sound_bytes: int = 0
+    skipped_bytes: int = 0
     """The offset at which the whole records end."""
     fault: str = ""
     """What stands there; empty at the end of the file."""
@@ -68,6 +69,7 @@
                 contents.messages.apply(record, size)
     contents.sound_bytes = reader.sound_bytes
     contents.fault = reader.fault
+    contents.skipped_bytes = reader.skipped_bytes
     return contents
 
 
@@ -86,6 +88,11 @@
     if not contents.fault:
         live = len(contents.messages.live)
         return f"{contents.path}: sound: {count} records, {contents.sound_bytes} bytes, {live} live"
+    if contents.skipped_bytes:
+        return (
+            f"{contents.path}: byte {contents.sound_bytes}: {contents.fault}; "
+            f"{contents.skipped_bytes} bytes are passed over, {count} records count"
+        )
     rest = contents.size - contents.sound_bytes
     return (
         f"{contents.path}: byte {contents.sound_bytes}: {contents.fault}; "
--- a/ashpath/server/storage/record_codec.py
+++ b/ashpath/server/storage/record_codec.py
@@ -10,7 +10,8 @@
 | `AttemptFinished` | `outcome` | message id, whether it may have run |
 | `MessageFinished` | `ended` | message id, the notice that is still owed or null |
 
-Reading stops at the first record that is not whole (a torn write) or whose checksum is wrong. A record that
+A record that is not whole (a torn write) or whose checksum is wrong is passed over, with all up to the next
+one that is whole; at the end of a log there is none. A record that
 is whole and not one of these was written by another version: it is refused, as a log that is rewritten
 without it would lose it.
 """
@@ -28,6 +29,7 @@
 from ashpath.server.storage.stored_message import StoredMessage
 
 HEADER_BYTES = 8  # length and checksum
+RECORD_START = b'["'  # of a payload: its line is a list that begins with a name
 MAX_RECORD_BYTES = 16 << 20  # guards memory against a length that was never written
 
 
@@ -154,45 +156,97 @@
 
 
 class RecordReader:
-    """All whole records of a log with the bytes that each takes, in order, up to the first one that is not.
+    """All whole records of a log with the bytes that each takes, in order.
 
-    Raises ForeignRecordError. Once iterated, `sound_bytes` is the offset at which the whole records end, and
-    `fault` says what stands there: nothing, where that is the end of the file.
+    Raises ForeignRecordError. Once iterated, `fault` says what was wrong with the first record that is not
+    whole, `sound_bytes` is the offset at which it stands (the end of the file, where there is none), and
+    `skipped_bytes` counts what was passed over between records that are whole.
     """
 
     def __init__(self, file: BinaryIO) -> None:
         self.file = file
+        self.offset = 0  # of the record that is read
         self.sound_bytes = 0
+        self.skipped_bytes = 0
         self.fault = ""
 
     def __iter__(self) -> Iterator[tuple[Record, int]]:
         while header := self.file.read(HEADER_BYTES):
             payload = self._read_payload(header)
             if payload is None:
-                return
+                if not self._pass_over():
+                    return
+                continue
             line, body = payload.split(b"\n", 1)
             record = _decode(line, body)
             if record is None:
-                self.fault = "foreign: not a record of this version"
-                raise ForeignRecordError(self.sound_bytes, self.fault)
+                self._note_fault("foreign: not a record of this version")
+                raise ForeignRecordError(self.offset, self.fault)
             size = HEADER_BYTES + len(payload)
             yield record, size
-            self.sound_bytes += size
+            self.offset += size
+            if not self.fault:
+                self.sound_bytes = self.offset
 
     def _read_payload(self, header: bytes) -> bytes | None:
         """None, and `fault` says why, where the record is not whole."""
         if len(header) < HEADER_BYTES:
-            self.fault = f"torn: {len(header)} of {HEADER_BYTES} bytes"
+            self._note_fault(f"torn: {len(header)} of {HEADER_BYTES} bytes")
             return None
         size = int.from_bytes(header[:4], "big")
         if size > MAX_RECORD_BYTES:
-            self.fault = f"false: a record of {size} bytes"
+            self._note_fault(f"false: a record of {size} bytes")
             return None
         payload = self.file.read(size)
         if len(payload) < size:
-            self.fault = f"torn: {HEADER_BYTES + len(payload)} of {HEADER_BYTES + size} bytes"
+            self._note_fault(f"torn: {HEADER_BYTES + len(payload)} of {HEADER_BYTES + size} bytes")
             return None
         if crc32(payload) != int.from_bytes(header[4:], "big") or b"\n" not in payload:
-            self.fault = "false: its checksum is not that of its bytes"
+            self._note_fault("false: its checksum is not that of its bytes")
             return None
         return payload
+
+    def _note_fault(self, fault: str) -> None:
+        self.fault = self.fault or fault
+
+    def _pass_over(self) -> bool:
+        """Goes on to the next whole record behind the one that is not; False where there is none."""
+        self.file.seek(self.offset)
+        rest = self.file.read()
+        found = find_record(rest)
+        if not found:
+            return False
+        self.skipped_bytes += found
+        self.offset += found
+        self.file.seek(self.offset)
+        return True
+
+
+def find_record(data: bytes) -> int:
+    """Where the first whole record stands behind a torn one at the start; 0 where there is none.
+
+    A body may hold the bytes of a record. One from which whole records follow up to the end comes first.
+    """
+    first = 0
+    at = data.find(RECORD_START, HEADER_BYTES + 1)
+    while at >= 0:
+        offset = at - HEADER_BYTES
+        end = whole_records_end(data, offset)
+        if end == len(data):
+            return offset
+        if end > offset:
+            first = first or offset
+        at = data.find(RECORD_START, at + 1)
+    return first
+
+
+def whole_records_end(data: bytes, offset: int) -> int:
+    """The end of the last whole record of those that begin at the offset."""
+    while offset < len(data):
+        size = int.from_bytes(data[offset : offset + 4], "big")
+        payload = data[offset + HEADER_BYTES : offset + HEADER_BYTES + size]
+        checksum = int.from_bytes(data[offset + 4 : offset + HEADER_BYTES], "big")
+        if len(payload) < max(size, 1) or crc32(payload) != checksum:
+            return offset
+        offset += HEADER_BYTES + size
+    return offset
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -10,7 +10,12 @@
 | --- | --- |
 | `record_submitted` | the message is not accepted |
 | `record_attempt` | raised: an attempt without a record could run twice after a restart |
-| `record_outcome`, `record_finished` | counts in this incarnation; to the next, the attempt may have run |
+| `record_outcome`, `record_finished` | counts in this incarnation, and the log is incomplete |
+| the rewrite at the start | the log is incomplete: what is live in it is kept as it stands |
+
+An incomplete log is rewritten before anything else is appended, and by `repair` as soon as the disk takes it:
+an attempt recorded behind a missing outcome would hide that the one before it may have run. A kill until then
+leaves an attempt that may have run, or a notice that is sent once more.
 
 Logs of other processes that are gone are adopted (`log_directory.py`): their live messages get new ids, are
 written into this log, and only then is the other one emptied. A kill in between leaves a message in both,
@@ -22,7 +27,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from ashpath.server.storage.errors import ForeignRecordError
+from ashpath.server.storage.errors import ForeignRecordError, LogIncompleteError
 from ashpath.server.storage.live_messages import LiveMessages, reserved_bytes
 from ashpath.server.storage.log_directory import BLOCK_BYTES, LogDirectory, clear_adopted
 from ashpath.server.storage.log_file import LogFile
@@ -54,12 +59,25 @@
         claimed = self._directory.claim()
         self._lock = claimed.lock
         self.file = LogFile(claimed.path)
+        self.incomplete = False  # the file lacks records that count here
+        self.skipped_bytes = (
+            0  # of the log that this process took over: torn records, with others behind them
+        )
+        self._copied: set[Path] = set()  # orphans that could not be emptied once this log had their messages
         if claimed.path.exists():
-            with claimed.path.open("rb") as file:
-                self.messages.read(RecordReader(file))
-        self.file.temporary.unlink(missing_ok=True)
-        self._rewrite()
-        self.adopt()
+            self._read(claimed.path)
+        with suppress(OSError):
+            self.file.temporary.unlink(missing_ok=True)
+        self.incomplete = True  # until the rewrite has succeeded
+        self.repair()
+        with suppress(OSError):
+            self.adopt()
+
+    def _read(self, path: Path) -> None:
+        with path.open("rb") as file:
+            reader = RecordReader(file)
+            self.messages.read(reader)
+            self.skipped_bytes = reader.skipped_bytes
 
     def adopt(self) -> list[StoredMessage]:
         """The live messages of logs whose process is gone, now this one's, with new ids. Raises OSError.
@@ -68,20 +86,36 @@
         """
         adopted: list[StoredMessage] = []
         for orphan in self._directory.orphans(self.file.path):
-            left = LiveMessages()
             try:
-                with orphan.path.open("rb") as file:
-                    left.read(RecordReader(file))
-            except (OSError, ForeignRecordError):
+                adopted += self._adopt_log(orphan.path)
+            finally:
                 orphan.lock.release()
-                continue
-            adopted += self._adopt_messages(left)
-            self._rewrite()
-            clear_adopted(orphan.path)
-            orphan.lock.release()
         self.other_logs_bytes = self._directory.other_logs_bytes(self.file.path)
         return adopted
 
+    def _adopt_log(self, path: Path) -> list[StoredMessage]:
+        """Of one orphan, whose lock is held; none where it cannot be read, or this log not be written: then
+        it is tried again."""
+        left = LiveMessages()
+        try:
+            if path not in self._copied:
+                with path.open("rb") as file:
+                    left.read(RecordReader(file))
+        except (OSError, ForeignRecordError):
+            return []
+        adopted = self._adopt_messages(left)
+        try:
+            self._rewrite()
+        except OSError:
+            for message in adopted:
+                self.messages.discard(message)
+            return []
+        self._copied.add(path)  # it must not be adopted again once they are finished here
+        with suppress(OSError):
+            clear_adopted(path)
+            self._copied.discard(path)
+        return adopted
+
     def _adopt_messages(self, left: LiveMessages) -> list[StoredMessage]:
         adopted = []
         for message in left.live.values():
@@ -120,17 +154,35 @@
 
     def _record_if_live(self, record: AttemptFinished | MessageFinished) -> None:
         if record.message_id in self.messages.live:
-            with suppress(OSError):
+            try:
                 self._append(record.encode())
+            except OSError:
+                self.incomplete = True
             self.messages.apply(record)
 
+    @property
+    def needs_repair(self) -> bool:
+        """Something that failed is still to be written, or cut off."""
+        return self.incomplete or self.file.torn
+
+    def repair(self) -> bool:
+        """Writes what failed, with all that is live; False where the disk does not take it yet."""
+        try:
+            self._rewrite()
+        except OSError:
+            return False
+        return True
+
     def _append(self, data: bytes) -> None:
+        if self.incomplete and not self.repair():
+            raise LogIncompleteError(self.file.path)
         if self.file.written + len(data) + self.messages.reserved_bytes + BLOCK_BYTES > self.max_bytes:
             self._rewrite()
         self.file.append(data)
 
     def _rewrite(self) -> None:
         self.file.rewrite(MessageSubmitted(message).encode() for message in self.messages.live.values())
+        self.incomplete = False
 
     def close(self) -> None:
         """Lets go of the log: from now on another process may take or adopt it."""
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -53,6 +53,8 @@
     if clock_origin is ClockOrigin.OTHER_BOOT:
         shared_memory.remove_files(place.state_directory, MAX_PROCESSES)  # a Retry-After ends with a restart
     write_ahead_log = open_write_ahead_log(place, configuration.limits)
+    if write_ahead_log.skipped_bytes:
+        logger.error("write-ahead log damaged", skipped_bytes=write_ahead_log.skipped_bytes)
     configuration = deployment.restore_traffic_class_ids(
         configuration,
         has_live_messages=bool(write_ahead_log.messages.live) or place.inherited_socket is not None,
--- a/tests/server/metrics/test_metrics.py
+++ b/tests/server/metrics/test_metrics.py
@@ -84,6 +84,7 @@
     assert found["attempts_total", "no connection"] >= 1
     assert found["endpoint_list_age_seconds",] < 10
     assert found["discovery_stale_records_total",] == 0
+    assert found["write_ahead_log_behind",] == 0
     assert found["discovery_polls_total", "answering"] >= 0
     assert 0 < found["write_ahead_log_bytes",] < found["write_ahead_log_max_bytes",]
     assert found["destination_breaker", "6", ""] in (1, 2)
--- a/tests/server/storage/test_failing_disk.py
+++ b/tests/server/storage/test_failing_disk.py
@@ -13,9 +13,11 @@
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 
+from ashpath.server.log_repair import LogRepairer
 from ashpath.server.storage.live_messages import LiveMessages
 from ashpath.server.storage.record_codec import RecordReader
 from ashpath.server.storage.stored_message import StoredMessage
@@ -125,3 +127,69 @@
                 if fault:
                     faults[name, first, count] = fault
     assert faults == {}
+
+
+def test_a_start_on_a_disk_that_takes_nothing_keeps_what_is_owed(tmp_path: Path) -> None:
+    """It runs on, accepts nothing, and is whole once the disk takes writes again."""
+    log = WriteAheadLog(tmp_path, DISK)
+    accepted, finished = work(log)
+    log.close()
+    with failing(FailingDisk("replace", "ENOSPC", 0, 1000)):
+        log = WriteAheadLog(tmp_path, DISK)
+        assert set(log.messages.by_trace_id) == accepted - finished
+        assert log.needs_repair
+        assert not log.record_submitted(message(20))
+        with pytest.raises(OSError, match="not written yet"):
+            log.record_attempt(log.messages.live[1], 77, "e1")
+    assert log.repair()
+    assert not log.needs_repair
+    assert log.record_submitted(message(20))
+    log.close()
+
+
+def test_an_orphan_whose_adoption_fails_is_adopted_later(tmp_path: Path) -> None:
+    """Its lock is free meanwhile, nothing of it is lost, and it is adopted once."""
+    old = WriteAheadLog(tmp_path, DISK)
+    new = WriteAheadLog(tmp_path, DISK)
+    accepted, finished = work(old)
+    old.close()
+    with failing(FailingDisk("replace", "EIO", 0, 1)):
+        assert new.adopt() == []
+    assert not new.messages.live
+    assert {one.trace_id for one in new.adopt()} == accepted - finished
+    assert new.adopt() == []
+    new.close()
+
+
+def test_an_orphan_that_cannot_be_emptied_is_adopted_once(tmp_path: Path) -> None:
+    """Also where its messages are finished before it is empty."""
+    old = WriteAheadLog(tmp_path, DISK)
+    new = WriteAheadLog(tmp_path, DISK)
+    assert old.record_submitted(message(1))
+    old.close()
+    with failing(FailingDisk("replace", "EIO", 1, 1)):  # the second renames the emptied one
+        (adopted,) = new.adopt()
+        new.record_finished(adopted)
+    assert new.adopt() == []
+    assert (tmp_path / "journal").read_bytes() == b""
+    new.close()
+
+
+def test_the_repairer_says_once_that_the_log_is_behind(tmp_path: Path) -> None:
+    log = WriteAheadLog(tmp_path, DISK)
+    assert log.record_submitted(message(1))
+    assert log.record_submitted(message(2))
+    logger = Mock()
+    repairer = LogRepairer(log, 0.25, logger)
+    with failing(FailingDisk("write", "EIO", 0, 1000)):
+        log.record_finished(log.messages.live[1])
+        repairer.look()
+        repairer.look()
+    repairer.look()
+    repairer.look()
+    assert [call.args[0] for call in logger.method_calls] == [
+        "write-ahead log behind",
+        "write-ahead log whole again",
+    ]
+    assert set(owed(log, tmp_path)) == {"t2"}
+    log.close()
