--- a/ashpath/emulator/fault_injection/discovery_agent.py
+++ b/ashpath/emulator/fault_injection/discovery_agent.py
@@ -78,7 +78,7 @@
         self.standing = AgentReply.ANSWER
         self.delay_s = 0.0  # before each answer
         self.polls: list[PollRecord] = []
-        self.notices: list[JsonObject] = []
+        self.notices: list[tuple[JsonObject, float]] = []  # each line, and when it came
         self._limits = limits
         self._changed = Event()
         self._silenced = 0  # how often open watches fell silent
@@ -107,7 +107,7 @@
             while True:
                 request = connection.read_request()
                 if request.method == b"POST":
-                    self.notices += [orjson.loads(line) for line in request.body.splitlines()]
+                    self.notices += [(orjson.loads(line), monotonic()) for line in request.body.splitlines()]
                     connection.write(NO_CONTENT)
                 elif not self._reply(connection, request):
                     return
--- a/ashpath/emulator/fault_injection/process_faults.py
+++ b/ashpath/emulator/fault_injection/process_faults.py
@@ -38,6 +38,7 @@
     def __init__(self, faults: ProcessFaults, report: Path) -> None:
         self.counter = FaultCounter(faults)
         self.report = report
+        self.listening_port = int(os.environ.get("RELAY_LISTEN", ":0").rpartition(":")[2])
         self.started_at = time.monotonic()
         self._real_write = os.write
         self._real_open = os.open
@@ -70,6 +71,8 @@
         def faulty(*arguments: Any, **options: Any) -> Any:  # noqa: ANN401 - stands for the real call
             if options.get("fileno") is not None:  # no socket is made: one that was accepted is wrapped
                 return real(*arguments, **options)
+            if call is FaultyCall.RECEIVE and self._is_of_client(arguments[0]):
+                return real(*arguments, **options)  # a client's broken connection owes it nothing
             error = self.counter.next_error(call, time.monotonic() - self.started_at)
             if error is None:
                 return real(*arguments, **options)
@@ -80,6 +83,13 @@
 
         setattr(owner, name, faulty)
 
+    def _is_of_client(self, sock: socket.socket) -> bool:
+        """Whether it was accepted: it has the port that the sender listens on."""
+        try:
+            return int(sock.getsockname()[1]) == self.listening_port
+        except (OSError, IndexError):
+            return False
+
     def _time_ns(self) -> int:
         elapsed_s = time.monotonic() - self.started_at
         return self._real_time_ns() + int(self.counter.faults.clock_offset_s(elapsed_s) * 1e9)
--- a/ashpath/emulator/fault_injection/tcp_proxy.py
+++ b/ashpath/emulator/fault_injection/tcp_proxy.py
@@ -9,8 +9,8 @@
 | SILENT | nothing: what the caller sends is read and dropped |
 | HALF_RESPONSE | the first half of what the target answers first, and then nothing |
 
-A connection keeps the mode that it was accepted under. `forget` drops what is open without a word to the
-target: the caller's side is reset at its next byte. `FullBacklog` is an address at which no dial ends.
+A connection keeps the mode that it was accepted under. `forget` ends what is open: the caller's side is
+reset, and the target's is closed. `FullBacklog` is an address at which no dial ends.
 """
 
 from __future__ import annotations
@@ -49,7 +49,7 @@
         self.late_s = late_s
         self.mode = ProxyMode.FORWARD
         self.accepted: dict[ProxyMode, int] = dict.fromkeys(ProxyMode, 0)
-        self._open: set[socket.socket] = set()  # the callers' ends
+        self._open: dict[socket.socket, socket.socket | None] = {}  # by the caller's end, the target's
         self._server = StreamServer((LOOPBACK, 0), self._serve)
         self._server.start()
         self.address = f"{LOOPBACK}:{self._server.server_port}"
@@ -61,20 +61,23 @@
 
     def forget(self) -> None:
         """Resets all open connections."""
-        for sock in list(self._open):
-            reset(sock)
+        for caller, target in list(self._open.items()):
+            with suppress(OSError):  # it has just been closed
+                reset(caller)
+            if target is not None:
+                target.close()
         self._open.clear()
 
     def _serve(self, caller: socket.socket, _: object) -> None:
         mode = self.mode
         self.accepted[mode] += 1
-        self._open.add(caller)
+        self._open[caller] = None
         try:
             self._carry(caller, mode)
         except OSError:
             pass
         finally:
-            self._open.discard(caller)
+            self._open.pop(caller, None)
             caller.close()
 
     def _carry(self, caller: socket.socket, mode: ProxyMode) -> None:
@@ -93,6 +96,7 @@
 
     def _forward(self, caller: socket.socket, *, half: bool) -> None:
         target = socket.create_connection(self.target)
+        self._open[caller] = target
         requests = gevent.spawn(copy, caller, target)
         try:
             if half:
--- /dev/null
+++ b/ashpath/emulator/soak/clients.py
@@ -0,0 +1,121 @@
+"""Clients of a day: requests at a steady rate over kept connections, used until the process ends."""
+
+from __future__ import annotations
+
+from random import Random
+from time import monotonic
+
+import gevent
+
+from ashpath.emulator.soak.records import DayRecords, Effect, Submission
+from ashpath.server import wire_names
+from ashpath.server.http.connection import HttpConnection, open_connection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.limits import ServerLimits
+
+PATIENCE_S = 0.4
+MOST_IDLE = 6
+DEADLINES_S = (1.0, 2.5, 6.0)
+KEYS = ("", "", "a", "b")
+
+
+class SoakClients:
+    """The clients of one sender, from `run` on until their greenlet is killed."""
+
+    def __init__(
+        self,
+        sender: int,
+        address: tuple[str, int],
+        rate: float,
+        destinations: int,
+        records: DayRecords,
+        random: Random,
+        limits: ServerLimits,
+    ) -> None:
+        self.sender = sender
+        self.address = address
+        self.rate = rate
+        self.destinations = destinations
+        self._records = records
+        self._random = random
+        self._limits = limits
+        self._idle: list[HttpConnection] = []
+        self._resting: list[HttpConnection] = []
+        self._number = 0
+
+    def run(self) -> None:
+        """Never returns."""
+        while True:
+            gevent.sleep(self._random.expovariate(self.rate))
+            gevent.spawn(self._submit, self._draw())
+
+    def rest(self, count: int) -> None:
+        """So many clients connect and ask for nothing."""
+        for _ in range(count):
+            try:
+                self._resting.append(open_connection(self.address, self._limits))
+            except OSError:
+                return
+
+    def _draw(self) -> Submission:
+        self._number += 1
+        effect = self._random.choice(tuple(Effect))
+        now = monotonic()
+        return Submission(
+            message_id=f"s{self.sender}-{self._number}",
+            sender=self.sender,
+            effect=effect,
+            destination=self._random.randrange(self.destinations),
+            ordering_key=self._random.choice(KEYS) if effect is Effect.DEDUPLICATED else "",
+            sent_at=now,
+            deadline_at=now + self._random.choice(DEADLINES_S),
+        )
+
+    def _submit(self, submission: Submission) -> None:
+        connection = self._take_idle()
+        submission.connection_is_new = connection is None
+        try:
+            with gevent.Timeout(PATIENCE_S):
+                if connection is None:
+                    connection = open_connection(self.address, self._limits)
+                submission.sent_at = monotonic()
+                self._records.submissions[submission.message_id] = submission
+                connection.write(self._request(submission))
+                submission.written = True
+                response = connection.read_response()
+                submission.status = response.status
+                if response.status == 200:
+                    connection.finish_response()
+        except (ConnectionClosedError, ProtocolError, OSError) as error:
+            submission.closed_unanswered = not isinstance(error, TimeoutError)
+        except gevent.Timeout:
+            pass
+        submission.answered_at = monotonic()
+        if connection is not None and submission.status and not connection.unusable and response.keep_alive:
+            self._idle.append(connection)
+        elif connection is not None:
+            connection.close()
+
+    def _take_idle(self) -> HttpConnection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_quiet() and len(self._idle) < MOST_IDLE:
+                return connection
+            connection.close()
+        return None
+
+    @staticmethod
+    def _request(submission: Submission) -> bytes:
+        left_ms = int((submission.deadline_at - submission.sent_at) * 1000)
+        headers = [
+            (wire_names.TRACE_ID_HEADER, submission.message_id.encode()),
+            (wire_names.TRAFFIC_CLASS_HEADER, submission.effect.value.encode()),
+            (wire_names.TIME_LEFT_HEADER, b"%d" % left_ms),
+            (wire_names.DESTINATION_HEADER, b"dest=%d" % submission.destination),
+            (wire_names.IDEMPOTENCY_KEY_HEADER, submission.message_id.encode()),
+        ]
+        if submission.ordering_key:
+            headers.append((b"cookie", f"about={submission.ordering_key}".encode()))
+        body = submission.message_id.encode()
+        return encode_message(b"POST %s HTTP/1.1" % wire_names.SUBMIT_PATH, headers, body)
--- /dev/null
+++ b/ashpath/emulator/soak/day.py
@@ -0,0 +1,252 @@
+"""Plays one drawn day with real processes on loopback, and returns what everybody saw of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from time import monotonic
+
+import gevent
+from gevent import Greenlet
+
+from ashpath.core.json_types import JsonObject
+from ashpath.emulator.fault_injection.call_faults import FaultyCall
+from ashpath.emulator.fault_injection.discovery_agent import DiscoveryAgent
+from ashpath.emulator.fault_injection.tcp_proxy import ProxyMode
+from ashpath.emulator.soak.clients import SoakClients
+from ashpath.emulator.soak.endpoints import SoakEndpoint
+from ashpath.emulator.soak.judge import JudgeSettings
+from ashpath.emulator.soak.plan import (
+    DESTINATIONS,
+    SENDERS,
+    DrainEvent,
+    OutageEvent,
+    ProxyEvent,
+    Restart,
+    RestartEvent,
+    SoakPlan,
+)
+from ashpath.emulator.soak.records import DayRecords, Departure, Effect, NetworkFault, Outage
+from ashpath.emulator.soak.sender import SoakSender
+from ashpath.emulator.stand_ins import free_port, stand_in_limits
+
+NETWORK_CALLS = (FaultyCall.SOCKET, FaultyCall.CONNECT, FaultyCall.RECEIVE)
+AGENTS = 2  # of each sender: SIGHUP moves it to the second and back
+MOVE_PAUSE_S = 0.3
+SILENCE_ALLOWED_S = 6.0
+MOVE_ALLOWED_S = 4.0
+WINDOW_MS = 5000.0
+GRACE_MS = 250.0
+COLD_SHARE = 0.3
+OVERLOAD_MULTIPLE = 3.0
+OVERLOAD_MS = 1000.0
+END_S = 9.0  # behind the last request: the longest deadline, and a restart
+START_S = 15.0  # for all senders to be ready
+
+
+def day_settings() -> JsonObject:
+    """Settings of the day, as the platform writes them."""
+    classes = [
+        {
+            "name": effect.value,
+            "deadline": 8000.0,
+            "slo": 1000.0,
+            "repeat": repeat,
+            "window": WINDOW_MS,
+            "importance": 1.0,
+            "one-at-a-time": effect is Effect.DEDUPLICATED,
+        }
+        for effect, repeat in zip(Effect, ("retryable", "dedup", "fragile"), strict=True)
+    ]
+    return {
+        "classes": classes,
+        "kinds": ["plain"],
+        "zones": ["here"],
+        "group-size": SENDERS,
+        "limits": {
+            "max-open": 200,
+            "max-attempts": 6,
+            "retry-after": True,
+            "max-retry-after": 3000.0,
+            "conn-idle": 2000.0,
+            "connect-timeout": 500.0,
+            "cancelling": True,
+        },
+        "specifics": {"slots": 48},
+        "contract": {
+            "drain-grace": GRACE_MS,
+            "order-settle": 200.0,
+            "cold-from": COLD_SHARE,
+            "fall": OVERLOAD_MS,
+            "fall-multiple": OVERLOAD_MULTIPLE,
+            "ramp-time": 3000.0,
+        },
+    }
+
+
+def judge_settings(plan: SoakPlan) -> JudgeSettings:
+    """What the settings come to for the judge."""
+    capacity = plan.rate * SENDERS / DESTINATIONS
+    return JudgeSettings(
+        grace_s=GRACE_MS / 1000,
+        window_s=WINDOW_MS / 1000,
+        overload_s=OVERLOAD_MS / 1000,
+        cold_rate=COLD_SHARE * capacity,
+        overload_multiple=OVERLOAD_MULTIPLE,
+    )
+
+
+class SoakDay:
+    """One day in one folder, which has the senders' logs and state afterwards."""
+
+    def __init__(self, plan: SoakPlan, folder: Path) -> None:
+        self.plan = plan
+        self.records = DayRecords()
+        limits = stand_in_limits(descriptors=4096, timeout_s=60.0)
+        random = Random(f"day {plan.seed}")
+        self.endpoints = [
+            SoakEndpoint(f"e{number}", number % DESTINATIONS, SENDERS, self.records, random, limits)
+            for number in range(2 * DESTINATIONS)
+        ]
+        self.draining: set[str] = set()
+        self.senders = []
+        self.clients = []
+        for number in range(SENDERS):
+            agents = [DiscoveryAgent(self.members(number), limits) for _ in range(AGENTS)]
+            for agent in agents:
+                agent.retry_after_s = 2.0
+            faults = plan.process_faults[number]
+            sender = SoakSender(
+                number,
+                free_port(),
+                folder / f"n{number}",
+                day_settings(),
+                agents,
+                faults,
+                self.records,
+                limits,
+            )
+            self.senders.append(sender)
+            self.clients.append(
+                SoakClients(number, sender.address, plan.rate, DESTINATIONS, self.records, random, limits)
+            )
+        self._greenlets: list[Greenlet[..., None]] = []
+
+    def members(self, sender: int) -> list[JsonObject]:
+        """The list as it stands, with the addresses of one sender."""
+        return [
+            endpoint.member(sender, "draining" if endpoint.endpoint_id in self.draining else "up")
+            for endpoint in self.endpoints
+        ]
+
+    def play(self) -> DayRecords:
+        """Returns what was seen, once all that was accepted is due."""
+        try:
+            for sender in self.senders:
+                sender.start()
+            self._await_start()
+            began = monotonic()
+            self._schedule(began)
+            gevent.sleep(self.plan.duration_s)
+            for greenlet in self._greenlets[: len(self.clients)]:
+                greenlet.kill()
+            gevent.sleep(END_S)
+            return self._collect()
+        finally:
+            self.stop()
+
+    def _await_start(self) -> None:
+        until = monotonic() + START_S
+        while monotonic() < until and not all(life.ready_at for life in self.records.incarnations):
+            gevent.sleep(0.02)
+
+    def _schedule(self, began: float) -> None:
+        plan = self.plan
+        self._greenlets = [gevent.spawn(clients.run) for clients in self.clients]
+        self.clients[0].rest(plan.idle_clients)
+        events: list[tuple[float, Callable[[], None]]] = []
+        events += [(event.at, lambda event=event: self._restart(event)) for event in plan.restarts]  # type: ignore[misc]  # bound in the loop
+        events += [(event.at, lambda event=event: self._drain(event)) for event in plan.drains]  # type: ignore[misc]  # bound in the loop
+        events += [(event.at, lambda event=event: self._fail_connections(event)) for event in plan.proxies]  # type: ignore[misc]  # bound in the loop
+        events += [(event.at, lambda event=event: self._outage(event)) for event in plan.outages]  # type: ignore[misc]  # bound in the loop
+        for at, action in events:
+            self._greenlets.append(gevent.spawn_later(began + at - monotonic(), action))
+
+    def _restart(self, event: RestartEvent) -> None:
+        sender = self.senders[event.sender]
+        if event.how is Restart.TERMINATE:
+            sender.terminate()
+        else:
+            sender.kill()
+        sender.start()
+
+    def _drain(self, event: DrainEvent) -> None:
+        """An endpoint drains at all agents, whose open watches fall silent just then."""
+        endpoint = next(one for one in self.endpoints if one.destination == event.destination)
+        self.draining.add(endpoint.endpoint_id)
+        for sender in self.senders:
+            for agent in sender.agents:
+                agent.silence_watches()
+                agent.script.extend(event.replies)
+                agent.change(self.members(sender.number), revision=5)
+        received_by = monotonic() + SILENCE_ALLOWED_S
+        for move in range(event.moves):
+            gevent.sleep(MOVE_PAUSE_S)
+            for sender in self.senders:
+                sender.reload(sender.agents[(move + 1) % AGENTS])
+        if event.moves:
+            received_by = max(received_by, monotonic() + MOVE_ALLOWED_S)
+        for sender in self.senders:
+            self.records.departures.append(Departure(sender.number, endpoint.endpoint_id, received_by))
+
+    def _fail_connections(self, event: ProxyEvent) -> None:
+        endpoints = [one for one in self.endpoints if one.destination == event.destination]
+        proxies = [proxy for endpoint in endpoints for proxy in endpoint.proxies]
+        for endpoint in endpoints:
+            endpoint.tells_waits = False
+        for proxy in proxies:
+            proxy.mode = event.mode
+            proxy.forget()
+        gevent.sleep(event.until - event.at)
+        for proxy in proxies:
+            proxy.mode = ProxyMode.FORWARD
+            proxy.forget()
+        for endpoint in endpoints:
+            endpoint.tells_waits = True
+
+    def _outage(self, event: OutageEvent) -> None:
+        endpoints = [one for one in self.endpoints if one.destination == event.destination]
+        began_at = monotonic()
+        for endpoint in endpoints:
+            endpoint.down = True
+        gevent.sleep(event.until - event.at)
+        for endpoint in endpoints:
+            endpoint.down = False
+        self.records.outages.append(Outage(event.destination, began_at, monotonic()))
+
+    def _collect(self) -> DayRecords:
+        records = self.records
+        records.ended_at = monotonic()
+        for life in records.incarnations:
+            for fault in self.plan.process_faults[life.sender].calls:
+                if fault.call in NETWORK_CALLS:
+                    began_at = life.started_at + fault.begin_s
+                    ended_at = life.started_at + fault.end_s
+                    records.network_faults.append(NetworkFault(life.sender, began_at, ended_at))
+        for sender in self.senders:
+            for agent in sender.agents:
+                for notice, at in agent.notices:
+                    records.notices.setdefault(str(notice["id"]), at)
+        return records
+
+    def stop(self) -> None:
+        """Ends all that runs."""
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+        for sender in self.senders:
+            sender.kill()
+            for agent in sender.agents:
+                agent.stop()
+        for endpoint in self.endpoints:
+            endpoint.stop()
--- /dev/null
+++ b/ashpath/emulator/soak/endpoints.py
@@ -0,0 +1,135 @@
+"""Endpoints of a day: one server for each sender and endpoint, so that every call tells who made it."""
+
+from __future__ import annotations
+
+from random import Random
+from time import monotonic
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from ashpath.core.json_types import JsonObject
+from ashpath.emulator.fault_injection.discovery_agent import reset
+from ashpath.emulator.fault_injection.tcp_proxy import FaultProxy
+from ashpath.emulator.soak.records import Call, DayRecords, Reply
+from ashpath.emulator.stand_ins import LOOPBACK
+from ashpath.server import wire_names
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.limits import ServerLimits
+
+RETRY_AFTER_S = 0.6
+HANG_S = 30.0
+UNHEARD_S = 0.2  # a connection that ends so soon behind an answer has lost it
+WORK_S = (0.002, 0.06)
+FAULT_SHARE = 0.06  # of the calls of a destination that is up
+FAULTS = (Reply.OVERLOADED, Reply.REFUSED, Reply.RESET, Reply.HUNG)
+STATUS_LINES = {
+    Reply.DELIVERED: b"HTTP/1.1 200 OK",
+    Reply.OVERLOADED: b"HTTP/1.1 429 X",
+    Reply.REFUSED: b"HTTP/1.1 503 X",
+}
+
+
+class SoakEndpoint:
+    """One endpoint, as each of the senders reaches it: through a proxy of its own."""
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        destination: int,
+        senders: int,
+        records: DayRecords,
+        random: Random,
+        limits: ServerLimits,
+    ) -> None:
+        self.endpoint_id = endpoint_id
+        self.destination = destination
+        self.down = False
+        self.tells_waits = (
+            True  # not while answers may be lost on their way: who did not hear one owes nothing
+        )
+        self._records = records
+        self._random = random
+        self._limits = limits
+        self._servers = [self._listen(sender) for sender in range(senders)]
+        self.proxies = [FaultProxy((LOOPBACK, int(server.server_port or 0))) for server in self._servers]
+
+    def _listen(self, sender: int) -> StreamServer:
+        server = StreamServer((LOOPBACK, 0), lambda sock, _: self._serve(sock, sender))
+        server.start()
+        return server
+
+    def member(self, sender: int, phase: str = "up") -> JsonObject:
+        """Its row in the list of one sender."""
+        return {
+            "id": self.endpoint_id,
+            "cell": self.destination,
+            "host_port": self.proxies[sender].address,
+            "locality": "here",
+            "flavor": "plain",
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
+
+    def stop(self) -> None:
+        """Closes all of it."""
+        for proxy in self.proxies:
+            proxy.stop()
+        for server in self._servers:
+            server.stop(timeout=0)
+
+    def _serve(self, sock: socket.socket, sender: int) -> None:
+        connection = HttpConnection(sock, self._limits)
+        calls: list[Call] = []  # the last one of the connection
+        try:
+            while self._respond(connection, sender, calls):
+                pass
+        except (OSError, ConnectionClosedError, ProtocolError):
+            pass
+        finally:
+            connection.close()
+            if calls and monotonic() - calls[-1].ended_at < UNHEARD_S:
+                calls[-1].retry_after_s = 0.0  # the sender ended it in place of reading the answer
+
+    def _respond(self, connection: HttpConnection, sender: int, calls: list[Call]) -> bool:
+        """Whether the connection goes on."""
+        request = connection.read_request()
+        message_id = request.headers[wire_names.TRACE_ID_HEADER].decode()
+        call = Call(message_id, sender, self.endpoint_id, self.destination, monotonic())
+        call.reply = self._draw_reply()
+        self._records.calls.append(call)
+        calls[:] = [call]
+        try:
+            return self._carry_out(connection, call)
+        finally:
+            call.ended_at = call.ended_at or monotonic()
+
+    def _draw_reply(self) -> Reply:
+        if self.down:
+            return Reply.RESET
+        if self._random.random() >= FAULT_SHARE:
+            return Reply.DELIVERED
+        reply = self._random.choice(FAULTS)
+        return Reply.REFUSED if reply is Reply.OVERLOADED and not self.tells_waits else reply
+
+    def _carry_out(self, connection: HttpConnection, call: Call) -> bool:
+        if call.reply is Reply.HUNG:
+            with gevent.Timeout(HANG_S, False):  # type: ignore[arg-type]  # False: the block just ends
+                connection.receive()  # until the sender gives up
+            return False
+        if call.reply is Reply.RESET:
+            reset(connection.sock)
+            return False
+        gevent.sleep(self._random.uniform(*WORK_S))
+        headers = []
+        if call.reply is Reply.OVERLOADED:
+            call.retry_after_s = RETRY_AFTER_S
+            headers = [(wire_names.RETRY_AFTER_HEADER, b"%.2f" % RETRY_AFTER_S)]
+        response = encode_message(STATUS_LINES[call.reply], headers, b"")
+        call.ended_at = monotonic()
+        connection.write(response)
+        return True
--- /dev/null
+++ b/ashpath/emulator/soak/plan.py
@@ -0,0 +1,114 @@
+"""Draws a day from its seed: every time, fault and number is settled before the day begins."""
+
+from __future__ import annotations
+
+from enum import Enum
+from random import Random
+
+from msgspec import Struct
+
+from ashpath.emulator.fault_injection.call_faults import ProcessFaults, draw_faults
+from ashpath.emulator.fault_injection.discovery_agent import AgentReply
+from ashpath.emulator.fault_injection.tcp_proxy import ProxyMode
+
+SENDERS = 3
+DESTINATIONS = 3
+SETTLED_S = 1.5  # from the start of the day to its first fault
+FAILING_REPLIES = (
+    AgentReply.SILENT,
+    AgentReply.REJECT,
+    AgentReply.RESET,
+    AgentReply.CLOSE,
+    AgentReply.UNREADABLE,
+)
+PROXY_MODES = (ProxyMode.LATE, ProxyMode.RESET, ProxyMode.RESET_AFTER_BYTE, ProxyMode.HALF_RESPONSE)
+
+
+class Restart(Enum):
+    """How a sender ends before it is started again."""
+
+    TERMINATE = "SIGTERM, and SIGKILL 3.7 s later"
+    KILL = "SIGKILL"
+
+
+class RestartEvent(Struct, frozen=True):
+    """One sender, once."""
+
+    at: float
+    sender: int
+    how: Restart
+
+
+class DrainEvent(Struct, frozen=True):
+    """An endpoint leaves, as its agents fail by a script; `moves` SIGHUPs move them while it is told."""
+
+    at: float
+    destination: int
+    replies: tuple[AgentReply, ...]
+    moves: int
+
+
+class ProxyEvent(Struct, frozen=True):
+    """Connections of all senders to a destination fail in one way for a while."""
+
+    at: float
+    until: float
+    destination: int
+    mode: ProxyMode
+
+
+class OutageEvent(Struct, frozen=True):
+    """A destination is down, and resets all that it gets."""
+
+    at: float
+    until: float
+    destination: int
+
+
+class SoakPlan(Struct, frozen=True):
+    """One day. Times are seconds from its start."""
+
+    seed: int
+    duration_s: float
+    rate: float
+    """Requests a second at each sender."""
+    idle_clients: int
+    restarts: tuple[RestartEvent, ...]
+    drains: tuple[DrainEvent, ...]
+    proxies: tuple[ProxyEvent, ...]
+    outages: tuple[OutageEvent, ...]
+    process_faults: tuple[ProcessFaults, ...]
+    """By sender, of each of its processes."""
+
+
+def draw_plan(seed: int, duration_s: float = 12.0) -> SoakPlan:
+    """The same for the same seed."""
+    random = Random(f"soak {seed}")
+    last = duration_s - 5.0
+    drain_at = random.uniform(SETTLED_S, last / 2)
+    replies = tuple(random.choice(FAILING_REPLIES) for _ in range(random.randrange(3)))
+    drain = DrainEvent(drain_at, 0, replies, random.choice((0, 0, 1, 4)))
+    restarts = [
+        RestartEvent(random.uniform(SETTLED_S, last), sender, random.choice(tuple(Restart)))
+        for sender in range(SENDERS)
+        if random.random() < 0.6
+    ]
+    proxies = []
+    if random.random() < 0.7:
+        at = random.uniform(SETTLED_S, last)
+        proxies = [ProxyEvent(at, at + random.uniform(0.5, 2.0), 1, random.choice(PROXY_MODES))]
+    outages = []
+    if random.random() < 0.5:
+        at = random.uniform(SETTLED_S, last / 2)
+        outages = [OutageEvent(at, at + random.uniform(2.5, 4.0), 2)]
+    return SoakPlan(
+        seed=seed,
+        duration_s=duration_s,
+        rate=random.uniform(8.0, 25.0),
+        idle_clients=random.choice((0, 0, 150)),
+        restarts=tuple(sorted(restarts, key=lambda event: event.at)),
+        drains=(drain,),
+        proxies=tuple(proxies),
+        outages=tuple(outages),
+        process_faults=tuple(draw_faults(random, duration_s) for _ in range(SENDERS)),
+    )
--- /dev/null
+++ b/ashpath/emulator/soak/sender.py
@@ -0,0 +1,144 @@
+"""One sender of a day: its folder, its processes one after the other, its agents, and the signals it gets."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+from time import monotonic
+
+import gevent
+import orjson
+from gevent import subprocess
+
+from ashpath.core.json_types import JsonObject
+from ashpath.emulator.errors import RequestError
+from ashpath.emulator.fault_injection.call_faults import ProcessFaults
+from ashpath.emulator.fault_injection.discovery_agent import DiscoveryAgent
+from ashpath.emulator.fault_injection.launcher import SCHEDULE_VARIABLE
+from ashpath.emulator.http_client import HttpClient
+from ashpath.emulator.soak.records import DayRecords, Incarnation
+from ashpath.emulator.stand_ins import LOOPBACK
+from ashpath.server import wire_names
+from ashpath.server.limits import ServerLimits
+
+LAUNCHER = "ashpath.emulator.fault_injection.launcher"
+READY_POLL_S = 0.02
+READY_TIMEOUT_S = 0.5
+KILL_AFTER_TERM_S = 3.7
+DOWN_S = 0.6
+
+
+class SoakSender:
+    """`agents`: where it finds discovery, the first one at its start."""
+
+    def __init__(
+        self,
+        number: int,
+        port: int,
+        folder: Path,
+        settings: JsonObject,
+        agents: list[DiscoveryAgent],
+        faults: ProcessFaults,
+        records: DayRecords,
+        limits: ServerLimits,
+    ) -> None:
+        self.number = number
+        self.address = (LOOPBACK, port)
+        self.agents = agents
+        self._folder = folder
+        self._settings = settings
+        self._records = records
+        self._process: subprocess.Popen[bytes] | None = None
+        self._ready_client = HttpClient(self.address, limits, READY_TIMEOUT_S, most_idle=0)
+        folder.mkdir(parents=True)
+        (folder / "state").mkdir()
+        (folder / "faults").write_bytes(faults.encode())
+        self.configure(agents[0])
+
+    def configure(self, agent: DiscoveryAgent) -> None:
+        """Writes its file, with this agent's address and list."""
+        document = {
+            "seed": f"{self.number + 1:x}",
+            "settings": self._settings | {"rank": self.number},
+            "limits": {"sockets": 256, "disk_mb": 1},
+            "known": {"revision": agent.revision, "complete": True, "members": agent.members},
+            "discovery": agent.address,
+        }
+        temporary = self._folder / "config.json.new"
+        temporary.write_bytes(orjson.dumps(document))
+        os.replace(temporary, self._folder / "config.json")
+
+    def start(self) -> None:
+        """Starts a process, and has it watched until it is ready."""
+        environment = os.environ | {
+            "RELAY_NAME": f"n{self.number}",
+            "RELAY_LISTEN": f"{LOOPBACK}:{self.address[1]}",
+            "RELAY_DISCOVERY": self.agents[0].address,
+            "RELAY_STATE": str(self._folder / "state"),
+            "RELAY_CONFIG": str(self._folder / "config.json"),
+            SCHEDULE_VARIABLE: str(self._folder / "faults"),
+        }
+        with (self._folder / "log").open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", LAUNCHER], env=environment, stdout=log, stderr=log
+            )
+        life = Incarnation(self.number, monotonic())
+        self._records.incarnations.append(life)
+        gevent.spawn(self._watch, self._process, life)
+
+    def _watch(self, process: subprocess.Popen[bytes], life: Incarnation) -> None:
+        """Notes when it is ready, and whether it ends by itself."""
+        while process.poll() is None:
+            if not life.ready_at and self._is_ready():
+                life.ready_at = monotonic()
+            gevent.sleep(READY_POLL_S)
+        if life.ending_at > monotonic():
+            code = process.returncode
+            self._records.crashes.append(f"sender {self.number} ended by itself with exit code {code}")
+
+    def _is_ready(self) -> bool:
+        try:
+            return self._ready_client.request(b"GET %s HTTP/1.1" % wire_names.READINESS_PATH).status == 200
+        except RequestError:
+            return False
+
+    def reload(self, agent: DiscoveryAgent) -> None:
+        """SIGHUP: discovery is at another agent."""
+        self.configure(agent)
+        process = self._process
+        # One that is not ready may not have its handler yet: the interpreter's own start takes a while.
+        is_ready = self._records.incarnations[self._life_index()].ready_at > 0
+        if process is not None and process.poll() is None and is_ready:
+            process.send_signal(signal.SIGHUP)
+
+    def terminate(self) -> None:
+        """SIGTERM, and the page's earliest SIGKILL behind it; then it is down for a moment."""
+        process = self._process
+        if process is not None:
+            self._records.incarnations[self._life_index()].ending_at = monotonic()
+            process.terminate()
+            gevent.sleep(KILL_AFTER_TERM_S)
+            self.kill()
+
+    def kill(self) -> None:
+        """SIGKILL; then it is down for a moment."""
+        process = self._process
+        if process is not None:
+            life = self._records.incarnations[self._life_index()]
+            now = monotonic()
+            life.ending_at = min(life.ending_at, now)
+            life.killed_at = min(life.killed_at, now)
+            if process.poll() is None:
+                process.kill()
+                process.wait()
+            gevent.sleep(DOWN_S)
+
+    def _life_index(self) -> int:
+        numbers = [n for n, life in enumerate(self._records.incarnations) if life.sender == self.number]
+        return numbers[-1]
+
+    def is_running(self) -> bool:
+        """Whether a process of it is there."""
+        return self._process is not None and self._process.poll() is None
--- a/ashpath/server/limits.py
+++ b/ashpath/server/limits.py
@@ -126,7 +126,7 @@
     """Between two looks whether it lacks records that the disk did not take."""
 
     # Notifications.
-    notification_backoff_s: float = 0.3
+    notification_backoff_s: float = 0.15
     """The longest pause after a failure."""
     notification_s: float = 0.5
     """For the response."""
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -68,6 +68,7 @@
         self.abandoned: set[int] = set()
         """Ids of messages whose client left while an attempt was in flight; each leaves with its outcome."""
         self.stopped = False
+        self.recording_fails = False  # the last attempt was not recorded: said once
         """No attempt is started any more: what is left is for the next incarnation."""
         self.timers = Timers(self)
         pool = attempt_runner.pool
@@ -187,12 +188,15 @@
         except OSError as error:
             self._report_unrecorded(attempt, error)
         else:
+            self.recording_fails = False
             self.attempt_runner.start(attempt, self)
 
     def _report_unrecorded(self, attempt: Attempt, error: OSError) -> None:
         """Reports it as not sent, but not in this batch: the policy would start it again at once, until it
         had no attempt left."""
-        self.logger.error("attempt not recorded", error=str(error))
+        if not self.recording_fails:
+            self.logger.error("attempt not recorded", error=str(error))
+        self.recording_fails = True
         pause_s = self.attempt_runner.pool.limits.retry_s
         gevent.spawn_later(pause_s, self._report_result, attempt, NOT_SENT)
 
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,81 @@
+"""Short days of real senders under faults of all kinds at once, a day a seed, judged by the six rules.
+
+    .venv/bin/python -m benchmarks.soak --seeds 1..50 [--side-by-side 4] [--keep FOLDER]
+
+A line a seed; one seed plays the same schedule again by its number. Where a seed breaks a rule its logs,
+states and records are kept. Endpoints, clients and agents are simulated, the senders are real. Exit code 1
+where a rule was broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+
+import gevent
+import msgspec
+from gevent.pool import Pool
+from rich.progress import Progress
+
+from ashpath.emulator.soak.day import SoakDay, judge_settings
+from ashpath.emulator.soak.judge import BrokenRule, Judge
+from ashpath.emulator.soak.plan import draw_plan
+
+SHOWN = 4  # findings of one seed that are printed
+
+
+def play_seed(seed: int, folder: Path) -> list[BrokenRule]:
+    """The rules that one day broke; its records are in the folder then."""
+    plan = draw_plan(seed)
+    day_folder = folder / f"seed-{seed}"
+    records = SoakDay(plan, day_folder).play()
+    broken = Judge(records, judge_settings(plan)).broken_rules()
+    if broken:
+        (day_folder / "plan.json").write_bytes(msgspec.json.encode(plan))
+        (day_folder / "records.json").write_bytes(msgspec.json.encode(records))
+    else:
+        shutil.rmtree(day_folder)
+    accepted = sum(one.status in (200, 202) for one in records.submissions.values())
+    line = (
+        f"seed {seed}: {len(records.submissions)} requests, {accepted} accepted, {len(records.calls)} calls"
+    )
+    print(line, *map(str, broken[:SHOWN]), sep="\n  ")
+    return broken
+
+
+def seeds_of(text: str) -> list[int]:
+    """`3` or `1..50`. Raises ValueError."""
+    first, _, last = text.partition("..")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("--seeds", type=seeds_of, default=seeds_of("1..50"))
+    parser.add_argument("--side-by-side", type=int, default=4)
+    parser.add_argument("--keep", type=Path, default=None)
+    options = parser.parse_args()
+    folder = options.keep or Path(tempfile.mkdtemp(prefix="soak-"))
+    failed: list[int] = []
+
+    def play(seed: int) -> None:
+        if play_seed(seed, folder):
+            failed.append(seed)
+
+    pool = Pool(options.side_by_side)
+    with Progress(disable=not sys.stderr.isatty()) as progress:
+        task = progress.add_task("days", total=len(options.seeds))
+        for seed in options.seeds:
+            pool.spawn(play, seed).link(lambda _: progress.advance(task))
+            gevent.sleep(0.5)  # starts take processor time: one after the other
+        pool.join(raise_error=True)
+    failing = f", broken: {sorted(failed)}, see {folder}" if failed else ""
+    print(f"{len(options.seeds)} days, {len(failed)} broke a rule{failing}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/emulator/soak/test_day.py
@@ -0,0 +1,30 @@
+"""Days of real senders under faults of all kinds at once: a few seeds, and each is the same again."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import gevent
+
+from ashpath.emulator.soak.day import SoakDay, judge_settings
+from ashpath.emulator.soak.judge import Judge
+from ashpath.emulator.soak.plan import draw_plan
+
+SEEDS = (1, 2, 15, 23)
+
+
+def test_a_seed_draws_one_plan() -> None:
+    assert draw_plan(7) == draw_plan(7) != draw_plan(8)
+
+
+def broken_rules(seed: int, folder: Path) -> list[str]:
+    plan = draw_plan(seed)
+    records = SoakDay(plan, folder / str(seed)).play()
+    assert len(records.calls) > 50
+    return [str(broken) for broken in Judge(records, judge_settings(plan)).broken_rules()]
+
+
+def test_no_day_breaks_a_rule(tmp_path: Path) -> None:
+    """Side by side: each is a few processes that mostly wait."""
+    plays = {seed: gevent.spawn(broken_rules, seed, tmp_path) for seed in SEEDS}
+    assert {seed: found for seed, play in plays.items() if (found := play.get())} == {}
