--- a/tests/emulator/soak/test_judge.py
+++ b/tests/emulator/soak/test_judge.py
@@ -25,7 +25,7 @@
 def submission(
     message_id: str, effect: Effect = Effect.REPEATABLE, key: str = "", at: float = 1.0
 ) -> Submission:
-    return Submission(message_id, 0, effect, 1, key, at, at + 2.0, 202, at + 0.01, True, True)
+    return Submission(message_id, 0, effect, 1, key, at, at + 8.0, 202, at + 0.01, True, True)
 
 
 def call(message_id: str, at: float, reply: Reply = Reply.DELIVERED, wait_s: float = 0.0) -> Call:
@@ -39,6 +39,7 @@
         records.submissions[f"m{number}"] = submission(f"m{number}", effect)
         records.calls.append(call(f"m{number}", 1.1 + number))
     records.submissions["given up"] = submission("given up")
+    records.submissions["given up"].deadline_at = 3.0
     records.notices["given up"] = 2.9
     return records
 
@@ -95,7 +96,7 @@
 
 
 def called_within_a_wait(records: DayRecords) -> None:
-    add(records, call("x", 4.0, Reply.OVERLOADED, wait_s=2.0), call("y", 5.0))
+    add(records, call("x", 4.0, Reply.OVERLOADED, wait_s=2.0), call("y", 5.0), call("x", 6.2))
 
 
 def ended_by_itself(records: DayRecords) -> None:
