A listening socket that will never serve again is opened anew; slow start with 8 senders, too

Cause: accept treated each errno alike; on a dead descriptor the loop went on for ever without serving. Checks: EINVAL from accept, three times, on a real sender; the sum of 8 senders in virtual time. Change: local_errors.is_closed, ClientListener.listen_again, one log line.

--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -16,6 +16,7 @@
 from ashpath.server.http.connection_table import ConnectionState, ConnectionTable
 from ashpath.server.http.request_handler import RequestHandler, RequestResponder
 from ashpath.server.limits import ServerLimits
+from ashpath.server.local_errors import is_closed
 from ashpath.server.logs import Logger
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
@@ -66,8 +67,10 @@
         while self.accepting:
             try:
                 connection = HttpConnection(self.socket.accept()[0], self.limits)
-            except OSError:
-                gevent.sleep(ACCEPT_RETRY_S)  # out of descriptors, or a client that left again
+            except OSError as error:  # out of descriptors, or a client that left again
+                if is_closed(error) and self.accepting:
+                    self.listen_again(error)
+                gevent.sleep(ACCEPT_RETRY_S)
                 continue
             self.connection_count += 1
             gevent.spawn(self.serve, connection)
@@ -77,6 +80,16 @@
                 if not self.table.evict_one():
                     self.connection_closed.wait(EVICTION_RETRY_S)
 
+    def listen_again(self, error: OSError) -> None:
+        """The listening socket will accept nothing any more: without another the process would serve nobody.
+        One that the platform handed down cannot be had again."""
+        self.services.logger.error("listening socket lost", error=str(error), inherited=self.inherited)
+        if not self.inherited:
+            with suppress(OSError):
+                self.socket.close()
+            with suppress(OSError):  # it is tried again with the next accept
+                self.listen()
+
     def serve(self, connection: HttpConnection) -> None:
         """Serves a connection, which counts already, to its end."""
         try:
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -15,7 +15,7 @@
 
 @pytest.mark.parametrize("restarts", RESTARTS)
 @pytest.mark.parametrize("capacity", [3.0, 12.0])
-@pytest.mark.parametrize("senders", [1, 3, 20, 30])
+@pytest.mark.parametrize("senders", [1, 3, 8, 20, 30])
 @pytest.mark.parametrize("customer", CUSTOMERS)
 def test_the_sum_of_all_senders_overloads_nothing(
     customer: str, senders: int, capacity: float, restarts: str
--- a/tests/server/http/test_listener.py
+++ b/tests/server/http/test_listener.py
@@ -11,6 +11,8 @@
 from support.server import address_of
 from support.world import LIMITS, World, request, reset_connection, until
 
+from ashpath.emulator.fault_injection.call_faults import CallFault, FaultyCall, ProcessFaults
+
 CHUNKED = b"POST /api HTTP/1.1\r\nTransfer-Encoding: chunked\r\n%s\r\n"
 
 
@@ -112,3 +114,13 @@
     for wire in clients:
         assert wire is not None
         wire.close()
+
+
+def test_a_listening_socket_that_is_lost_is_opened_anew(world: World) -> None:
+    """Guards clients: accepting on a descriptor that will never serve again would serve nobody."""
+    world.faults = ProcessFaults((CallFault(FaultyCall.ACCEPT, "EINVAL", skip=3, count=3),))
+    world.start()
+    statuses = [world.submit(f"m{number}", "free", "200", 1) for number in range(8)]
+    until(lambda: "listening socket lost" in (world.folder / "log").read_text())
+    assert world.submit("later", "free", "200", 1) == 202
+    assert statuses.count(202) >= 5  # those within the socket's queue are reset, and come again
