--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -42,7 +42,7 @@
     line = (
         f"seed {seed}: {len(records.submissions)} requests, {accepted} accepted, {len(records.calls)} calls"
     )
-    print(line, *map(str, broken[:SHOWN]), sep="\n  ")
+    print(line, *map(str, broken[:SHOWN]), sep="\n  ", flush=True)
     return broken
 
 
