--- a/ashpath/cli/standalone_deployment.py
+++ b/ashpath/cli/standalone_deployment.py
@@ -176,8 +176,7 @@
         status_api = self.sender.clients.status_api
         if status_api is not None:
             running = self.sender.running.current.settings
-            status_api.traffic_classes = running.traffic_class_names()
-            status_api.destination_names = configuration.destination_names()
+            status_api.apply_names(running.traffic_class_names(), configuration.destination_names())
 
     def move_discovery(self, configuration: FileConfiguration, applied: list[str]) -> None:
         """To another address; without service discovery, the file's own endpoint list is applied."""
--- a/ashpath/server/control/listener.py
+++ b/ashpath/server/control/listener.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import gevent
 from gevent import socket
 
@@ -16,6 +18,7 @@
 from ashpath.server.control.connection import ControlConnection
 from ashpath.server.control.connection_table import ControlConnectionTable
 from ashpath.server.limits import ServerLimits
+from ashpath.server.local_errors import is_closed
 from ashpath.server.logs import Logger
 
 BACKLOG = 1024  # connections not yet accepted; one that finds this full comes again a second late
@@ -52,8 +55,10 @@
         while True:
             try:
                 accepted = self.listening_socket.accept()[0]
-            except OSError:
-                gevent.sleep(ACCEPT_RETRY_S)  # out of descriptors, or an operator that left again
+            except OSError as error:  # out of descriptors, or an operator that left again
+                if is_closed(error):
+                    self.listen_again(error)
+                gevent.sleep(ACCEPT_RETRY_S)
                 continue
             while self.table.full:
                 if not self.table.evict_silent():
@@ -62,3 +67,11 @@
             connection = ControlConnection(accepted, self.table, self.limits, self.handler, self.logger)
             gevent.spawn(connection.serve)
             gevent.sleep(0)
+
+    def listen_again(self, error: OSError) -> None:
+        """The listening socket will accept nothing any more: operators would reach nobody."""
+        self.logger.error("listening socket lost", error=str(error), inherited=False)
+        with suppress(OSError):
+            self.listening_socket.close()
+        with suppress(OSError):  # it is tried again with the next accept
+            self.listen()
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -57,6 +57,10 @@
         self.idle_limits: dict[str, IdleLimit] = {}
         """Of endpoints that closed idle connections early; emptied by the sweep."""
 
+    def apply_limits(self, limits: ServerLimits) -> None:
+        """Other limits from now on; connections that are open stay."""
+        self.limits = limits
+
     def acquire(self, endpoint_id: str, address: Address) -> HttpConnection:
         """A connection fit for a request: an idle one, else a new one to the address.
 
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -122,6 +122,11 @@
         self.traffic_classes = traffic_classes
         self.destination_names = destination_names
 
+    def apply_names(self, traffic_classes: list[str], destination_names: dict[int, str]) -> None:
+        """The names in responses from now on."""
+        self.traffic_classes = traffic_classes
+        self.destination_names = destination_names
+
     def respond(self, request: HttpRequest) -> Reply | None:
         """The response; None where the path is not one of these."""
         path, _, query = request.url.partition(b"?")
--- a/ashpath/server/log_repair.py
+++ b/ashpath/server/log_repair.py
@@ -1,20 +1,42 @@
-"""Writes what the write-ahead log could not take, as soon as the disk takes it again."""
+"""Writes what the files of the state directory could not take, as soon as the disk takes it again."""
 
 from __future__ import annotations
 
+from typing import Protocol
+
 import gevent
 
 from ashpath.server.logs import Logger
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
+class Repairable(Protocol):
+    """A file whose writes may have failed."""
+
+    @property
+    def needs_repair(self) -> bool:
+        """Something is still to be written."""
+
+    def repair(self) -> bool:
+        """Writes it; False where the disk does not take it yet."""
+
+
 class LogRepairer:
-    """Looks every `interval_s` seconds; logs once that the log is behind, and once that it is whole again."""
+    """Looks every `interval_s` seconds; logs once that the log is behind, and once that it is whole again.
+
+    `outcome_store` comes first: the log forgets a message only after its final state was stored there."""
 
-    def __init__(self, write_ahead_log: WriteAheadLog, interval_s: float, logger: Logger) -> None:
+    def __init__(
+        self,
+        write_ahead_log: WriteAheadLog,
+        interval_s: float,
+        logger: Logger,
+        outcome_store: Repairable | None = None,
+    ) -> None:
         self.write_ahead_log = write_ahead_log
         self.interval_s = interval_s
         self.logger = logger
+        self.outcome_store = outcome_store
         self.behind = False
 
     def run(self) -> None:
@@ -24,7 +46,10 @@
             self.look()
 
     def look(self) -> None:
-        """Repairs the log where it is behind."""
+        """Repairs what is behind."""
+        store = self.outcome_store
+        if store is not None and store.needs_repair and not store.repair():
+            return
         log = self.write_ahead_log
         behind = log.needs_repair and not log.repair()
         if behind != self.behind:
--- a/ashpath/server/reload.py
+++ b/ashpath/server/reload.py
@@ -110,10 +110,12 @@
             settings.policy_settings,
             max_in_flight=min(settings.policy_settings.max_in_flight, self.limits.endpoint_connections),
         )
-        self.pool.limits = replace(
-            self.limits,
-            connect_s=configuration.limits.connect_s,
-            endpoint_idle_s=configuration.limits.endpoint_idle_s,
+        self.pool.apply_limits(
+            replace(
+                self.limits,
+                connect_s=configuration.limits.connect_s,
+                endpoint_idle_s=configuration.limits.endpoint_idle_s,
+            )
         )
         self.registry.configure(settings.kinds, settings.zones)
         self.admission.apply_settings(policy_settings, settings.traffic_class_ids)
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -88,7 +88,9 @@
             delivery.notifier.run,
             delivery.policy_runner.timers.run,
             delivery.pool.run,
-            LogRepairer(delivery.write_ahead_log, sender.limits.log_repair_s, self.logger).run,
+            LogRepairer(
+                delivery.write_ahead_log, sender.limits.log_repair_s, self.logger, delivery.outcome_store
+            ).run,
             sender.clients.listener.run,
         ]
         if sender.orphan_adopter is not None:
--- /dev/null
+++ b/ashpath/server/state_files.py
@@ -0,0 +1,47 @@
+"""Opens the files of a state directory that the whole sender shares, in the order in which they need each
+other: the clock comes first, as every other one has times. What cannot be read whole is said in the log.
+"""
+
+from __future__ import annotations
+
+from ashpath.server.limits import ServerLimits
+from ashpath.server.logs import Logger
+from ashpath.server.sender import SenderPlace
+from ashpath.server.storage import outage_store, shared_memory
+from ashpath.server.storage.shared_memory import MAX_PROCESSES, SharedMemory
+from ashpath.server.storage.shared_memory_layout import FILE_BYTES
+from ashpath.server.storage.stored_clock import ClockOrigin, settle_stored_clock
+from ashpath.server.storage.write_ahead_log import WriteAheadLog
+
+
+def open_write_ahead_log(place: SenderPlace, limits: ServerLimits, logger: Logger) -> WriteAheadLog:
+    """Its bytes are what the other files of the state directory leave of `disk_bytes`.
+
+    Raises OSError, LogLockedError and ForeignRecordError."""
+    settle_clock(place, logger)
+    files = shared_memory_files(place)
+    write_ahead_log = WriteAheadLog(
+        place.state_directory, limits.disk_bytes - files * FILE_BYTES - outage_store.MAX_DISK_BYTES
+    )
+    if write_ahead_log.skipped_bytes:
+        logger.error("write-ahead log damaged", skipped_bytes=write_ahead_log.skipped_bytes)
+    return write_ahead_log
+
+
+def settle_clock(place: SenderPlace, logger: Logger) -> None:
+    """Before any stored time is read. After a boot no Retry-After binds that a process before it was told."""
+    if settle_stored_clock(place.state_directory, logger) is ClockOrigin.OTHER_BOOT:
+        shared_memory.remove_files(place.state_directory, MAX_PROCESSES)
+
+
+def open_shared_memory(place: SenderPlace, logger: Logger) -> SharedMemory:
+    """Without a place for this process it still reads what the other one of a hot upgrade writes."""
+    memory = SharedMemory(place.state_directory, shared_memory_files(place))
+    if memory.own is None:
+        logger.error("no shared memory: Retry-After and detached endpoints of this process bind no other")
+    return memory
+
+
+def shared_memory_files(place: SenderPlace) -> int:
+    """A process that binds the address by itself is alone."""
+    return 1 if place.inherited_socket is None else MAX_PROCESSES
--- a/ashpath/server/storage/outcome_store.py
+++ b/ashpath/server/storage/outcome_store.py
@@ -4,12 +4,12 @@
 one of them that knows; where both do, the live message counts. The store is a table in memory, emptied by
 age and size from the oldest on, and a line of JSON on disk for each state, `[trace id, state, time,
 Retry-After]` (`outcome_file.py`), from which the next incarnation makes the table again. A line that cannot
-be written is kept in memory alone, and said once.
+be written is kept in memory until it can, and said once; of very many the oldest stay there alone.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from contextlib import suppress
 from pathlib import Path
 
@@ -21,6 +21,7 @@
 from ashpath.server.storage.outcome_file import OutcomeFile
 from ashpath.server.timers import stored_time
 
+MAX_UNWRITTEN = 4096  # lines that wait for the disk
 MEMORY_OVERHEAD_BYTES = 200  # what an outcome takes in memory beside its line
 
 
@@ -52,6 +53,7 @@
         self.file = OutcomeFile(directory, max_bytes)
         self._logger = logger
         self._failing = False  # the last write failed: said once
+        self._unwritten: deque[bytes] = deque(maxlen=MAX_UNWRITTEN)  # lines that failed, the oldest first
         self._outcomes: OrderedDict[str, _StoredOutcome] = OrderedDict()
         for line in self.file.lines():
             self._read(line)
@@ -68,16 +70,29 @@
         outcome = FinalOutcome(state, stored_time(), retry_after)
         line = orjson.dumps([trace_id, state, outcome.at, retry_after]) + b"\n"
         self._remember(trace_id, outcome, len(line))
+        self._unwritten.append(line)
+        self.repair()
+
+    @property
+    def needs_repair(self) -> bool:
+        """Lines that failed are still to be written."""
+        return bool(self._unwritten)
+
+    def repair(self) -> bool:
+        """Writes the lines that failed, in their order; False where the disk does not take them yet."""
         try:
-            self.file.append(line)
+            while self._unwritten:
+                self.file.append(self._unwritten[0])
+                self._unwritten.popleft()
         except OSError as error:
             if not self._failing:
                 self._logger.error("outcomes not written", error=str(error))  # noqa: TRY400 - one line is enough
             self._failing = True
-        else:
-            if self._failing:
-                self._logger.info("outcomes written again")
-            self._failing = False
+            return False
+        if self._failing:
+            self._logger.info("outcomes written again")
+        self._failing = False
+        return True
 
     def _remember(self, trace_id: str, outcome: FinalOutcome, line_bytes: int) -> None:
         self._forget(trace_id)
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -40,6 +40,7 @@
 )
 from ashpath.server.storage.stored_message import StoredMessage
 
+NO_EFFECT = MessageFinished(0, None).encode()  # no message has this id
 REWRITE_FACTOR = 2.1  # the old and the new file fit beside each other, and a twentieth is left to append to
 
 
@@ -69,7 +70,8 @@
         with suppress(OSError):
             self.file.temporary.unlink(missing_ok=True)
         self.incomplete = True  # until the rewrite has succeeded
-        self.repair()
+        with suppress(OSError):
+            self._rewrite()
         with suppress(OSError):
             self.adopt()
 
@@ -166,11 +168,16 @@
         return self.incomplete or self.file.torn
 
     def repair(self) -> bool:
-        """Writes what failed, with all that is live; False where the disk does not take it yet."""
+        """Writes what failed, with all that is live; False where the disk does not take it yet.
+
+        A record without effect goes along: a full disk takes a log without any, and would forget a message
+        whose final state it has not taken elsewhere."""
+        live = [MessageSubmitted(message).encode() for message in self.messages.live.values()]
         try:
-            self._rewrite()
+            self.file.rewrite([*live, NO_EFFECT])
         except OSError:
             return False
+        self.incomplete = False
         return True
 
     def _append(self, data: bytes) -> None:
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from ashpath.core.platform_settings import load_report_fields
+from ashpath.server import state_files
 from ashpath.server.addresses import parse_address
 from ashpath.server.adoption import OrphanAdopter
 from ashpath.server.backoff import Backoff
@@ -32,12 +33,8 @@
 from ashpath.server.reload import SettingsSwitch
 from ashpath.server.sender import ClientSide, DeliveryPath, Sender, SenderPlace
 from ashpath.server.shutdown import GracefulShutdown
-from ashpath.server.storage import outage_store, shared_memory
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.outage_store import OutageStore
-from ashpath.server.storage.shared_memory import MAX_PROCESSES, SharedMemory
-from ashpath.server.storage.shared_memory_layout import FILE_BYTES
-from ashpath.server.storage.stored_clock import ClockOrigin, settle_stored_clock
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
@@ -49,12 +46,7 @@
     Raises `StartupError`, and one of `UNUSABLE_CONFIGURATION_ERRORS` where the state directory, an address
     or a list in the configuration cannot be used.
     """
-    clock_origin = settle_stored_clock(place.state_directory, logger)
-    if clock_origin is ClockOrigin.OTHER_BOOT:
-        shared_memory.remove_files(place.state_directory, MAX_PROCESSES)  # a Retry-After ends with a restart
-    write_ahead_log = open_write_ahead_log(place, configuration.limits)
-    if write_ahead_log.skipped_bytes:
-        logger.error("write-ahead log damaged", skipped_bytes=write_ahead_log.skipped_bytes)
+    write_ahead_log = state_files.open_write_ahead_log(place, configuration.limits, logger)
     configuration = deployment.restore_traffic_class_ids(
         configuration,
         has_live_messages=bool(write_ahead_log.messages.live) or place.inherited_socket is not None,
@@ -87,19 +79,6 @@
     )
 
 
-def open_write_ahead_log(place: SenderPlace, limits: ServerLimits) -> WriteAheadLog:
-    """Its bytes are what the other files of the state directory leave of `disk_bytes`."""
-    files = shared_memory_files(place)
-    return WriteAheadLog(
-        place.state_directory, limits.disk_bytes - files * FILE_BYTES - outage_store.MAX_DISK_BYTES
-    )
-
-
-def shared_memory_files(place: SenderPlace) -> int:
-    """A process that binds the address by itself is alone."""
-    return 1 if place.inherited_socket is None else MAX_PROCESSES
-
-
 def create_delivery_path(
     place: SenderPlace,
     configuration: SenderConfiguration,
@@ -110,7 +89,7 @@
     """Opens the other files of the state directory, too."""
     limits = configuration.limits
     settings = configuration.settings
-    memory = open_shared_memory(place, logger)
+    shared_memory = state_files.open_shared_memory(place, logger)
     outcome_store = deployment.create_outcome_store(limits, logger)
     backoff = create_notifier_backoff(place, configuration)
     notifier = deployment.create_notifier(limits, write_ahead_log, backoff, logger)
@@ -125,7 +104,7 @@
         write_ahead_log,
         recorder,
         attempt_runner,
-        memory,
+        shared_memory,
         detached_endpoints,
         OutageStore(place.state_directory, logger),
         gossip_link,
@@ -151,14 +130,6 @@
     return ResponseClassifier(has_load_reports=load_report_fields(settings.document) is not None)
 
 
-def open_shared_memory(place: SenderPlace, logger: Logger) -> SharedMemory:
-    """Without a place for this process it still reads what the other one of a hot upgrade writes."""
-    memory = SharedMemory(place.state_directory, shared_memory_files(place))
-    if memory.own is None:
-        logger.error("no shared memory: Retry-After and detached endpoints of this process bind no other")
-    return memory
-
-
 def create_notifier_backoff(place: SenderPlace, configuration: SenderConfiguration) -> Backoff:
     """The pauses after failed notifications."""
     limits = configuration.limits
