--- a/tests/server/storage/test_outcome_store.py
+++ b/tests/server/storage/test_outcome_store.py
@@ -49,7 +49,7 @@
     assert not store.get("torn")
 
 
-def test_a_full_disk_is_said_once_and_the_process_still_knows(
+def test_a_full_disk_is_said_once_and_its_lines_are_written_later(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     log = RecordingLogger()
@@ -60,6 +60,14 @@
     store.add("unwritten2", FinalState.DELIVERED)
     assert store.get("unwritten")
     assert log.events == ["outcomes not written"]
+    assert store.needs_repair
+    assert not store.repair()
+    monkeypatch.undo()  # the disk takes writes again
+    assert store.repair()
+    assert log.events == ["outcomes not written", "outcomes written again"]
+    store.close()
+    again = open_store(tmp_path)
+    assert again.trace_ids() == ["unwritten", "unwritten2"]
 
 
 def test_a_final_state_is_forgotten_after_its_time(tmp_path: Path) -> None:
