--- a/tests/server/discovery/test_endpoint_list_lease.py
+++ b/tests/server/discovery/test_endpoint_list_lease.py
@@ -52,7 +52,9 @@
     return play
 
 
-def after_moves(*replies: AgentReply, moves: int = 1, through_full_backlog: bool = False) -> Scenario:
+def after_moves(
+    *replies: AgentReply, moves: int = 1, through_full_backlog: bool = False, delay_s: float = 0.0
+) -> Scenario:
     """SIGHUP moves discovery, and the polls of the last agent meet these replies first."""
 
     def play(drain: DrainPlay) -> float:
@@ -61,6 +63,7 @@
         last = drain.agents[-1]
         last.retry_after_s = 5.0
         last.script.extend(replies)
+        last.delay_s = delay_s
         drain.drain(agent=len(drain.agents) - 1)
         backlog = FullBacklog() if through_full_backlog else None
         if backlog is not None:
@@ -110,6 +113,8 @@
     "silent, reset, unreadable, rejected": (after_silence(RESET, UNREADABLE, REJECT), 1),
     "silent, closed, silent": (after_silence(CLOSE, SILENT), 1),
     "silent, then slow": (after_silence(delay_s=1.2), 1),
+    "silent, then slower than a poll waits": (after_silence(delay_s=2.4), 1),
+    "moved to a slow one": (after_moves(delay_s=2.4), 2),
     "moved, silent, rejected": (after_moves(SILENT, REJECT), 2),
     "moved, rejected, rejected": (after_moves(REJECT, REJECT), 2),
     "moved four times, silent": (after_moves(SILENT, moves=4), 2),
