A poll that is slower than its time is heard on, beside the next ones

Ruled out: a longer time for each poll (two silent ones in a row then pass the lease). Change: a poll is a greenlet of its own; it is heard up to 4 s, two late ones at the most, and its list counts unless another was read since it began.

--- a/ashpath/server/agent_client.py
+++ b/ashpath/server/agent_client.py
@@ -33,6 +33,10 @@
     def move(self, address: Address) -> None:
         """The agent is at `address` from now on: a call that is in flight fails."""
         self.address = address
+        self.abort()
+
+    def abort(self) -> None:
+        """A call that is in flight fails; the next one is on another connection."""
         if self.connection is not None:
             self.connection.close()
         if self.dialling is not None:
--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -6,6 +6,10 @@
 (`lease`): a change counts as received by then, once the agent had it and could be reached:
 docs/architecture.md, "The way of a watch event", has the reasons.
 
+A poll that is not answered in its time goes on beside the next one, for `late_poll_s` from its start: an
+agent that is slow would else be given up each time just before it answers. A late list counts, unless another
+one was read since the poll began.
+
 Two backoffs, as two kinds of failure have opposite needs. Silence and refused connections are an outage,
 whose end is to be seen soon: short pauses. An agent that rejects has more polls than it can answer: a try
 sooner than it takes to reject one is the next such poll, so pauses are long. Both guard it against a fleet
@@ -18,6 +22,7 @@
 from time import monotonic
 
 import gevent
+from gevent.event import Event
 
 from ashpath.server import wire_names
 from ashpath.server.addresses import Address
@@ -42,9 +47,22 @@
 OK_STATUS = 200
 REJECTING_STATUSES = frozenset({429, 503})
 POLL_SHARE = 0.5  # of the lease, for one poll: another has to fit behind it
+MAX_LATE_POLLS = 2  # beside the one that is waited for
 LOGGED_IDS = 8  # of endpoints, in one line
 
 
+class Poll:
+    """One poll on its way, in a greenlet of its own."""
+
+    def __init__(self, connection: AgentConnection, moves: int, lists_read: int) -> None:
+        self.connection = connection
+        self.moves = moves  # of the agent, before it began
+        self.lists_read = lists_read  # the same
+        self.response: HttpResponse | None = None
+        self.ended = Event()
+        self.late = False  # nobody waits for it any more
+
+
 class DiscoveryClient:
     """Polls one agent and reports to `listener`.
 
@@ -71,6 +89,8 @@
         self.lease = ListLease(monotonic(), limits.list_lease_s)
         self.departures = Departures()
         self.moves = 0  # how often the agent moved
+        self.lists_read = 0
+        self.late_polls: list[Poll] = []  # the oldest first
         self.stale_records = 0  # of lists that were older than one read before
         self.random = random
         self.logger = logger
@@ -98,6 +118,8 @@
             self.rejected_backoff.reset()
         self.pause.interrupt()
         self.connection.move(address)
+        for poll in self.late_polls:
+            poll.connection.abort()
 
     def initial_snapshot(self) -> None:
         """Polls before anything is sent: what the agent has by now counts as received from the first moment
@@ -112,6 +134,7 @@
             began = monotonic()
             if self.apply_if_list(self.poll(self.limits.initial_snapshot_s)):
                 self.list_read()
+            if self.lists_read:  # by an earlier poll, perhaps
                 return
             ended = monotonic()
             if ended - began >= self.limits.initial_snapshot_s:
@@ -146,6 +169,7 @@
 
     def list_read(self) -> None:
         """A list was read just now."""
+        self.lists_read += 1
         self.last_response_at = monotonic()
         self.lease.renew(self.last_response_at)
         self.silent_backoff.reset()
@@ -170,7 +194,35 @@
         if self.revision is not None:
             query = b"?index=%d&wait=%d" % (self.revision, int(self.limits.watch_s * 1000))
         request_line = b"GET %s%s HTTP/1.1" % (wire_names.ENDPOINT_LIST_PATH, query)
-        return self.connection.call(request_line, b"", timeout_s)
+        poll = Poll(self.connection, self.moves, self.lists_read)
+        gevent.spawn(self.carry, poll, request_line)
+        if poll.ended.wait(timeout_s):
+            return poll.response
+        poll.late = True
+        self.late_polls.append(poll)
+        if len(self.late_polls) > MAX_LATE_POLLS:
+            self.late_polls[0].connection.abort()
+        self.connection = AgentConnection(self.connection.address, self.limits)
+        return None
+
+    def carry(self, poll: Poll, request_line: bytes) -> None:
+        """Calls the agent, and takes what comes late."""
+        poll.response = poll.connection.call(request_line, b"", self.limits.late_poll_s)
+        poll.ended.set()
+        if poll.late:
+            self.late_polls.remove(poll)
+            poll.connection.close()
+            self.take_late(poll)
+
+    def take_late(self, poll: Poll) -> None:
+        """Applies the list of a poll that nobody waited for any more, if none was read since it began."""
+        if poll.moves != self.moves or poll.lists_read != self.lists_read:
+            return
+        if poll.response is not None and self.apply_if_list(poll.response):
+            self.list_read()
+            status = poll.response.status
+            self.state_log.poll_ended(DiscoveryState.ANSWERING, status, self.revision or 0, self.list_age())
+            self.pause.interrupt()
 
     def next_state(self, response: HttpResponse | None) -> DiscoveryState:
         """What a poll came to; a list that can be read has been applied then."""
--- a/ashpath/server/limits.py
+++ b/ashpath/server/limits.py
@@ -101,6 +101,8 @@
     """The first pause after a failure, of discovery, of notifications and of a service of the sender."""
     snapshot_s: float = 1.0
     """A poll for a snapshot, which is answered at once, has at least so long."""
+    late_poll_s: float = 4.0
+    """A poll that is not waited for any more is still heard for so long from its start."""
     list_lease_s: float = 5.4
     """The list is read anew within so long of the last time: with what a poll takes, below the 6 s in which a
     change counts as reported."""
