--- a/ashpath/emulator/fault_injection/discovery_agent.py
+++ b/ashpath/emulator/fault_injection/discovery_agent.py
@@ -60,9 +60,9 @@
     index: int | None
     """The revision that it had; None: it asked for a snapshot."""
     reply: AgentReply
-    told_revision: int = 0
+    sent_revision: int = 0
     """Of the list that was written whole; 0: none was."""
-    told_at: float = 0.0
+    sent_at: float = 0.0
 
 
 class DiscoveryAgent:
@@ -156,8 +156,8 @@
         }
         revision = self.revision
         connection.write(encode_message(b"HTTP/1.1 200 OK", [], orjson.dumps(body)))
-        record.told_revision = revision
-        record.told_at = monotonic()
+        record.sent_revision = revision
+        record.sent_at = monotonic()
         return True
 
 
--- a/ashpath/emulator/fault_injection/process_faults.py
+++ b/ashpath/emulator/fault_injection/process_faults.py
@@ -100,12 +100,12 @@
         os.close(descriptor)
 
     @staticmethod
-    def _receive_short(real: Callable[..., int], sock: Any, buffer: memoryview, *rest: Any) -> int:  # noqa: ANN401 - as the real call
-        return real(sock, memoryview(buffer)[: max(1, len(buffer) // 2 - 1)], *rest)
+    def _receive_short(real: Callable[..., int], sock: Any, buffer: memoryview, *flags: Any) -> int:  # noqa: ANN401 - as the real call
+        return real(sock, memoryview(buffer)[: max(1, len(buffer) // 2 - 1)], *flags)
 
     @staticmethod
-    def _send_short(real: Callable[..., int], sock: Any, data: bytes, *rest: Any) -> int:  # noqa: ANN401 - as the real call
-        return real(sock, memoryview(data)[: max(1, len(data) // 2 - 1)], *rest)
+    def _send_short(real: Callable[..., int], sock: Any, data: bytes, *flags: Any) -> int:  # noqa: ANN401 - as the real call
+        return real(sock, memoryview(data)[: max(1, len(data) // 2 - 1)], *flags)
 
     @staticmethod
     def _write_short(real: Callable[..., int], descriptor: int, data: bytes) -> int:
--- a/ashpath/emulator/soak/clients.py
+++ b/ashpath/emulator/soak/clients.py
@@ -14,7 +14,7 @@
 from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
 from ashpath.server.limits import ServerLimits
 
-PATIENCE_S = 0.4
+ANSWER_TIMEOUT_S = 0.4
 MOST_IDLE = 6
 DEADLINES_S = (1.0, 2.5, 6.0)
 KEYS = ("", "", "a", "b")
@@ -41,7 +41,7 @@
         self._random = random
         self._limits = limits
         self._idle: list[HttpConnection] = []
-        self._resting: list[HttpConnection] = []
+        self._idle_clients: list[HttpConnection] = []
         self._number = 0
 
     def run(self) -> None:
@@ -50,11 +50,11 @@
             gevent.sleep(self._random.expovariate(self.rate))
             gevent.spawn(self._submit, self._draw())
 
-    def rest(self, count: int) -> None:
+    def connect_idle(self, count: int) -> None:
         """So many clients connect and ask for nothing."""
         for _ in range(count):
             try:
-                self._resting.append(open_connection(self.address, self._limits))
+                self._idle_clients.append(open_connection(self.address, self._limits))
             except OSError:
                 return
 
@@ -76,7 +76,7 @@
         connection = self._take_idle()
         submission.connection_is_new = connection is None
         try:
-            with gevent.Timeout(PATIENCE_S):
+            with gevent.Timeout(ANSWER_TIMEOUT_S):
                 if connection is None:
                     connection = open_connection(self.address, self._limits)
                 submission.sent_at = monotonic()
--- a/ashpath/emulator/soak/day.py
+++ b/ashpath/emulator/soak/day.py
@@ -158,13 +158,15 @@
 
     def _await_start(self) -> None:
         until = monotonic() + START_S
-        while monotonic() < until and not all(life.ready_at for life in self.records.incarnations):
+        while monotonic() < until and not all(
+            incarnation.ready_at for incarnation in self.records.incarnations
+        ):
             gevent.sleep(0.02)
 
     def _schedule(self, began: float) -> None:
         plan = self.plan
         self._greenlets = [gevent.spawn(clients.run) for clients in self.clients]
-        self.clients[0].rest(plan.idle_clients)
+        self.clients[0].connect_idle(plan.idle_clients)
         events: list[tuple[float, Callable[[], None]]] = []
         events += [(event.at, lambda event=event: self._restart(event)) for event in plan.restarts]  # type: ignore[misc]  # bound in the loop
         events += [(event.at, lambda event=event: self._drain(event)) for event in plan.drains]  # type: ignore[misc]  # bound in the loop
@@ -204,7 +206,7 @@
         endpoints = [one for one in self.endpoints if one.destination == event.destination]
         proxies = [proxy for endpoint in endpoints for proxy in endpoint.proxies]
         for endpoint in endpoints:
-            endpoint.tells_waits = False
+            endpoint.sends_retry_after = False
         for proxy in proxies:
             proxy.mode = event.mode
             proxy.forget()
@@ -213,7 +215,7 @@
             proxy.mode = ProxyMode.FORWARD
             proxy.forget()
         for endpoint in endpoints:
-            endpoint.tells_waits = True
+            endpoint.sends_retry_after = True
 
     def _outage(self, event: OutageEvent) -> None:
         endpoints = [one for one in self.endpoints if one.destination == event.destination]
@@ -228,12 +230,12 @@
     def _collect(self) -> DayRecords:
         records = self.records
         records.ended_at = monotonic()
-        for life in records.incarnations:
-            for fault in self.plan.process_faults[life.sender].calls:
+        for incarnation in records.incarnations:
+            for fault in self.plan.process_faults[incarnation.sender].calls:
                 if fault.call in NETWORK_CALLS:
-                    began_at = life.started_at + fault.begin_s
-                    ended_at = life.started_at + fault.end_s
-                    records.network_faults.append(NetworkFault(life.sender, began_at, ended_at))
+                    began_at = incarnation.started_at + fault.begin_s
+                    ended_at = incarnation.started_at + fault.end_s
+                    records.network_faults.append(NetworkFault(incarnation.sender, began_at, ended_at))
         for sender in self.senders:
             for agent in sender.agents:
                 for notice, at in agent.notices:
--- a/ashpath/emulator/soak/endpoints.py
+++ b/ashpath/emulator/soak/endpoints.py
@@ -22,7 +22,7 @@
 
 RETRY_AFTER_S = 0.6
 HANG_S = 30.0
-UNHEARD_S = 0.2  # a connection that ends so soon behind an answer has lost it
+LOST_ANSWER_S = 0.2  # a connection that ends so soon behind an answer has lost it
 WORK_S = (0.002, 0.06)
 FAULT_SHARE = 0.06  # of the calls of a destination that is up
 FAULTS = (Reply.OVERLOADED, Reply.REFUSED, Reply.RESET, Reply.HUNG)
@@ -48,7 +48,7 @@
         self.endpoint_id = endpoint_id
         self.destination = destination
         self.down = False
-        self.tells_waits = (
+        self.sends_retry_after = (
             True  # not while answers may be lost on their way: who did not hear one owes nothing
         )
         self._records = records
@@ -92,7 +92,7 @@
             pass
         finally:
             connection.close()
-            if calls and monotonic() - calls[-1].ended_at < UNHEARD_S:
+            if calls and monotonic() - calls[-1].ended_at < LOST_ANSWER_S:
                 calls[-1].retry_after_s = 0.0  # the sender ended it in place of reading the answer
 
     def _respond(self, connection: HttpConnection, sender: int, calls: list[Call]) -> bool:
@@ -114,7 +114,7 @@
         if self._random.random() >= FAULT_SHARE:
             return Reply.DELIVERED
         reply = self._random.choice(FAULTS)
-        return Reply.REFUSED if reply is Reply.OVERLOADED and not self.tells_waits else reply
+        return Reply.REFUSED if reply is Reply.OVERLOADED and not self.sends_retry_after else reply
 
     def _carry_out(self, connection: HttpConnection, call: Call) -> bool:
         if call.reply is Reply.HUNG:
--- a/ashpath/emulator/soak/judge.py
+++ b/ashpath/emulator/soak/judge.py
@@ -7,7 +7,7 @@
 | drain | a call to an endpoint later than the grace after its departure counts as received |
 | returning | more calls at a destination just back than its budget |
 | order | a call for a key while an earlier message of that key, accepted before, has no end |
-| wait | a call at a destination before the Retry-After that the sender was told there is over |
+| wait | a call at a destination before the Retry-After that the sender received there is over |
 | crash | a process that ended by itself, or was not ready in time |
 
 Nothing is overdue from the end of an incarnation until 1.5 s after the next one is ready.
@@ -84,10 +84,10 @@
         """Processes that ended by themselves or came up late."""
         for crash in self.records.crashes:
             yield BrokenRule("crash", crash)
-        for life in self.records.incarnations:
-            late = not life.ready_at or life.ready_at - life.started_at > READY_S
-            if late and life.ending_at - life.started_at > READY_S:
-                yield BrokenRule("crash", f"sender {life.sender} not ready in {READY_S:.0f} s")
+        for incarnation in self.records.incarnations:
+            late = not incarnation.ready_at or incarnation.ready_at - incarnation.started_at > READY_S
+            if late and incarnation.end_began_at - incarnation.started_at > READY_S:
+                yield BrokenRule("crash", f"sender {incarnation.sender} not ready in {READY_S:.0f} s")
 
     def lost_messages(self) -> Iterator[BrokenRule]:
         """Accepted, and without an end when one was due."""
@@ -105,8 +105,8 @@
     def due_at(self, one: Submission) -> float:
         """When its end is overdue."""
         due = one.deadline_at + END_SLACK_S
-        for life, following in self.lives(one.sender):
-            if life.ending_at <= due:
+        for incarnation, following in self.incarnations(one.sender):
+            if incarnation.end_began_at <= due:
                 ready_at = following.ready_at if following is not None else 0.0
                 due = max(due, (ready_at or 1e18) + RESTART_SLACK_S + END_SLACK_S)
         for fault in sorted(self.records.network_faults, key=lambda fault: fault.began_at):
@@ -115,11 +115,13 @@
                 due = fault.ended_at + NOTICE_RETRY_S
         return due
 
-    def lives(self, sender: int) -> Iterator[tuple[Incarnation, Incarnation | None]]:
+    def incarnations(self, sender: int) -> Iterator[tuple[Incarnation, Incarnation | None]]:
         """Each incarnation of a sender, and the one that followed it."""
-        lives = [life for life in self.records.incarnations if life.sender == sender]
-        for number, life in enumerate(lives):
-            yield life, lives[number + 1] if number + 1 < len(lives) else None
+        incarnations = [
+            incarnation for incarnation in self.records.incarnations if incarnation.sender == sender
+        ]
+        for number, incarnation in enumerate(incarnations):
+            yield incarnation, incarnations[number + 1] if number + 1 < len(incarnations) else None
 
     def end_of(self, one: Submission) -> float | None:
         """When it was delivered, or its end notified."""
@@ -139,11 +141,11 @@
     def crosses_an_end(self, one: Submission) -> bool:
         """Whether a process ended, or was not there, as the request was out."""
         return not any(
-            life.sender == one.sender
-            and life.ready_at
-            and life.ready_at <= one.sent_at
-            and one.answered_at < life.ending_at - REQUEST_CROSSING_S
-            for life in self.records.incarnations
+            incarnation.sender == one.sender
+            and incarnation.ready_at
+            and incarnation.ready_at <= one.sent_at
+            and one.answered_at < incarnation.end_began_at - REQUEST_CROSSING_S
+            for incarnation in self.records.incarnations
         )
 
     def doubled_calls(self) -> Iterator[BrokenRule]:
@@ -168,8 +170,9 @@
     def ended_between(self, earlier: Call, later: Call) -> bool:
         """Whether the sender's process ended, and its connections with it."""
         return any(
-            life.sender == earlier.sender and earlier.begun_at <= life.killed_at <= later.begun_at
-            for life in self.records.incarnations
+            incarnation.sender == earlier.sender
+            and earlier.begun_at <= incarnation.killed_at <= later.begun_at
+            for incarnation in self.records.incarnations
         )
 
     def calls_to_departed(self) -> Iterator[BrokenRule]:
@@ -227,12 +230,12 @@
 
     def calls_before_retry_after(self) -> Iterator[BrokenRule]:
         """By sender and destination; a restart ends the wait."""
-        for told in self.records.calls:
-            if not told.retry_after_s:
+        for refused in self.records.calls:
+            if not refused.retry_after_s:
                 continue
-            until = told.ended_at + told.retry_after_s
+            until = refused.ended_at + refused.retry_after_s
             for call in self.records.calls:
-                same = call.sender == told.sender and call.destination == told.destination
-                early = told.ended_at + RETRY_AFTER_SLACK_S < call.begun_at < until - RETRY_AFTER_SLACK_S
-                if same and early and not self.ended_between(told, call):
+                same = call.sender == refused.sender and call.destination == refused.destination
+                early = refused.ended_at + RETRY_AFTER_SLACK_S < call.begun_at < until - RETRY_AFTER_SLACK_S
+                if same and early and not self.ended_between(refused, call):
                     yield BrokenRule("wait", f"sender {call.sender} at destination {call.destination}")
--- a/ashpath/emulator/soak/plan.py
+++ b/ashpath/emulator/soak/plan.py
@@ -40,7 +40,7 @@
 
 
 class DrainEvent(Struct, frozen=True):
-    """An endpoint leaves, as its agents fail by a script; `moves` SIGHUPs move them while it is told."""
+    """An endpoint leaves, as its agents fail by a script; `moves` SIGHUPs move them meanwhile."""
 
     at: float
     destination: int
--- a/ashpath/emulator/soak/records.py
+++ b/ashpath/emulator/soak/records.py
@@ -74,19 +74,19 @@
 
 
 class Incarnation(Struct):
-    """One life of a sender's process."""
+    """One incarnation of a sender's process."""
 
     sender: int
     started_at: float
     ready_at: float = 0.0
     """0: it never was."""
-    ending_at: float = 1e18
+    end_began_at: float = 1e18
     """SIGTERM, or SIGKILL where that came alone."""
     killed_at: float = 1e18
 
 
 class NetworkFault(Struct, frozen=True):
-    """A time in which a sender's process cannot dial, or loses what it is told."""
+    """A time in which a sender's process cannot dial, or loses what it is sent."""
 
     sender: int
     began_at: float
--- a/ashpath/emulator/soak/sender.py
+++ b/ashpath/emulator/soak/sender.py
@@ -84,17 +84,17 @@
             self._process = subprocess.Popen(
                 [sys.executable, "-m", LAUNCHER], env=environment, stdout=log, stderr=log
             )
-        life = Incarnation(self.number, monotonic())
-        self._records.incarnations.append(life)
-        gevent.spawn(self._watch, self._process, life)
+        incarnation = Incarnation(self.number, monotonic())
+        self._records.incarnations.append(incarnation)
+        gevent.spawn(self._watch, self._process, incarnation)
 
-    def _watch(self, process: subprocess.Popen[bytes], life: Incarnation) -> None:
+    def _watch(self, process: subprocess.Popen[bytes], incarnation: Incarnation) -> None:
         """Notes when it is ready, and whether it ends by itself."""
         while process.poll() is None:
-            if not life.ready_at and self._is_ready():
-                life.ready_at = monotonic()
+            if not incarnation.ready_at and self._is_ready():
+                incarnation.ready_at = monotonic()
             gevent.sleep(READY_POLL_S)
-        if life.ending_at > monotonic():
+        if incarnation.end_began_at > monotonic():
             code = process.returncode
             self._records.crashes.append(f"sender {self.number} ended by itself with exit code {code}")
 
@@ -109,7 +109,7 @@
         self.configure(agent)
         process = self._process
         # One that is not ready may not have its handler yet: the interpreter's own start takes a while.
-        is_ready = self._records.incarnations[self._life_index()].ready_at > 0
+        is_ready = self._records.incarnations[self._incarnation_index()].ready_at > 0
         if process is not None and process.poll() is None and is_ready:
             process.send_signal(signal.SIGHUP)
 
@@ -117,7 +117,7 @@
         """SIGTERM, and the page's earliest SIGKILL behind it; then it is down for a moment."""
         process = self._process
         if process is not None:
-            self._records.incarnations[self._life_index()].ending_at = monotonic()
+            self._records.incarnations[self._incarnation_index()].end_began_at = monotonic()
             process.terminate()
             gevent.sleep(KILL_AFTER_TERM_S)
             self.kill()
@@ -126,17 +126,19 @@
         """SIGKILL; then it is down for a moment."""
         process = self._process
         if process is not None:
-            life = self._records.incarnations[self._life_index()]
+            incarnation = self._records.incarnations[self._incarnation_index()]
             now = monotonic()
-            life.ending_at = min(life.ending_at, now)
-            life.killed_at = min(life.killed_at, now)
+            incarnation.end_began_at = min(incarnation.end_began_at, now)
+            incarnation.killed_at = min(incarnation.killed_at, now)
             if process.poll() is None:
                 process.kill()
                 process.wait()
             gevent.sleep(DOWN_S)
 
-    def _life_index(self) -> int:
-        numbers = [n for n, life in enumerate(self._records.incarnations) if life.sender == self.number]
+    def _incarnation_index(self) -> int:
+        numbers = [
+            n for n, incarnation in enumerate(self._records.incarnations) if incarnation.sender == self.number
+        ]
         return numbers[-1]
 
     def is_running(self) -> bool:
