A start waits for descriptors that are out for a moment

Cause: ENFILE, ENOBUFS and the like for the listening sockets ended the start with exit code 1. Checks: five sockets in a row that fail at the start; the test fails without the retry (the sender is not there). Change: retry_local_faults, for 3 s at most; LogRepairer's method says what it does.

--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -48,6 +48,7 @@
         self.connection_closed = Event()
         self.inherited = False  # the listening socket is the platform's: another process may accept on it
         self.accepting = False
+        self.listening = False
 
     def listen(self, inherited: int | None = None) -> None:
         """On the descriptor that the platform hands down if there is one: it is never bound a second time.
@@ -55,11 +56,13 @@
         if inherited is not None:
             self.socket = socket.socket(fileno=inherited)
             self.inherited = True
+            self.listening = True
             return
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind(self.address)
         self.socket.listen(BACKLOG)
+        self.listening = True
 
     def run(self) -> None:
         """Accepts until `stop`."""
--- a/ashpath/server/limits.py
+++ b/ashpath/server/limits.py
@@ -145,6 +145,10 @@
     outcome_retention_s: float = 0.0
     """And for how long."""
 
+    # The start.
+    start_retries_s: float = 3.0
+    """For a listening socket, while this machine has no descriptor or buffer for it."""
+
     # Graceful shutdown: all are counted from SIGTERM.
     accept_after_term_s: float = 0.4
     """Connections and messages are still accepted for so long, as clients learn of it late."""
--- a/ashpath/server/local_errors.py
+++ b/ashpath/server/local_errors.py
@@ -12,6 +12,14 @@
 from __future__ import annotations
 
 import errno
+from collections.abc import Callable
+from time import monotonic
+from typing import TypeVar
+
+import gevent
+
+RETRY_PAUSE_S = 0.05
+Result = TypeVar("Result")
 
 LOCAL_ERRNOS = frozenset(
     {
@@ -45,3 +53,18 @@
 def is_closed(error: OSError) -> bool:
     """The descriptor will not serve again: a call on it that is tried again fails for good."""
     return isinstance(error, BrokenPipeError) or error.errno in CLOSED_ERRNOS
+
+
+def retry_local_faults(call: Callable[[], Result], for_s: float) -> Result:
+    """What the call returns; it is made again while this machine lacks something, for so many seconds.
+
+    A start must not fail for a table that is full for a moment. Raises the call's errors.
+    """
+    give_up_at = monotonic() + for_s
+    while True:
+        try:
+            return call()
+        except OSError as error:
+            if not is_local_fault(error) or monotonic() >= give_up_at:
+                raise
+        gevent.sleep(RETRY_PAUSE_S)
--- a/ashpath/server/log_repair.py
+++ b/ashpath/server/log_repair.py
@@ -22,7 +22,7 @@
 
 
 class LogRepairer:
-    """Looks every `interval_s` seconds; logs once that the log is behind, and once that it is whole again.
+    """Checks every `interval_s` seconds; logs once that the log is behind, and once that it is whole again.
 
     `outcome_store` comes first: the log forgets a message only after its final state was stored there."""
 
@@ -43,9 +43,9 @@
         """Never returns."""
         while True:
             gevent.sleep(self.interval_s)
-            self.look()
+            self.repair_if_behind()
 
-    def look(self) -> None:
+    def repair_if_behind(self) -> None:
         """Repairs what is behind."""
         store = self.outcome_store
         if store is not None and store.needs_repair and not store.repair():
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -19,6 +19,7 @@
 import gevent
 from gevent import Greenlet
 
+from ashpath.server.local_errors import retry_local_faults
 from ashpath.server.log_repair import LogRepairer
 from ashpath.server.logs import Logger
 from ashpath.server.reload import Reloader, ReloadService
@@ -46,9 +47,7 @@
         if pending_hangups:
             self.reload_service.requested.set()  # the file may be another than the one that was read
         detached = self.restore()
-        sender.clients.listener.listen(sender.place.inherited_socket)
-        if sender.control is not None:
-            sender.control.listen()
+        retry_local_faults(self.listen, sender.limits.start_retries_s)
         configuration = sender.running.current
         sender.gossip.configure(configuration.gossip_listen, configuration.gossip_peers)
         for service in self.services():
@@ -67,6 +66,14 @@
         sender.shutdown.ended.wait()
         sender.delivery.write_ahead_log.close()
 
+    def listen(self) -> None:
+        """Clients and operators can connect from now on. Raises OSError."""
+        sender = self.sender
+        if not sender.clients.listener.listening:
+            sender.clients.listener.listen(sender.place.inherited_socket)
+        if sender.control is not None:
+            sender.control.listen()
+
     def restore(self) -> set[str]:
         """Gives the policy what the previous incarnation left; the ids of detached endpoints."""
         sender = self.sender
--- a/tests/server/storage/test_failing_disk.py
+++ b/tests/server/storage/test_failing_disk.py
@@ -183,10 +183,10 @@
     repairer = LogRepairer(log, 0.25, logger)
     with failing(FailingDisk("write", "EIO", 0, 1000)):
         log.record_finished(log.messages.live[1])
-        repairer.look()
-        repairer.look()
-    repairer.look()
-    repairer.look()
+        repairer.repair_if_behind()
+        repairer.repair_if_behind()
+    repairer.repair_if_behind()
+    repairer.repair_if_behind()
     assert [call.args[0] for call in logger.method_calls] == [
         "write-ahead log behind",
         "write-ahead log whole again",
--- a/tests/server/test_restart.py
+++ b/tests/server/test_restart.py
@@ -10,6 +10,7 @@
 from support.server import live
 from support.world import LIMITS, World, free_address, until
 
+from ashpath.emulator.fault_injection.call_faults import CallFault, FaultyCall, ProcessFaults
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import stored_time
@@ -115,3 +116,11 @@
     gevent.sleep(0.2)
     assert sum(world.attempt_count(f"h{number}") for number in range(5)) == 1  # of five that were held
     back.stop()
+
+
+def test_a_start_waits_for_descriptors_that_are_out_for_a_moment(world: World) -> None:
+    """Guards the start: the first socket is that of the first poll, then come the listening ones."""
+    world.faults = ProcessFaults((CallFault(FaultyCall.SOCKET, "ENFILE", skip=1, count=5),))
+    world.start()
+    assert world.submit("a", "free", "200", 1) == 202
+    until(lambda: world.attempt_count("a") == 1)
