--- a/tests/server/test_upgrade_between_releases.py
+++ b/tests/server/test_upgrade_between_releases.py
@@ -22,7 +22,10 @@
 
 
 class Load:
-    """Clients that submit one message after another, until they are stopped."""
+    """Clients that submit one message after another, until they are stopped.
+
+    None of the messages may run twice: one that may is called again where its call was out as the process was
+    killed, as it should be."""
 
     def __init__(self, world: World, clients: int = 4) -> None:
         self.accepted: list[str] = []
@@ -37,7 +40,7 @@
         while self._running:
             number += 1
             trace = f"load-{client}-{number}"
-            if self._world.submit(trace, "free", "200", 10 + client) == 202:
+            if self._world.submit(trace, "once", "200", 10 + client) == 202:
                 self.accepted.append(trace)
             gevent.sleep(0.01)
 
