Failing row: discovery comes back from a silence with a drain, which counts at once

Cause: the poll that is out as discovery comes back hangs up to its time (1 to 2.7 s), then a pause follows.

--- a/tests/server/discovery/test_endpoint_list_lease.py
+++ b/tests/server/discovery/test_endpoint_list_lease.py
@@ -25,6 +25,8 @@
 SILENCE_ALLOWED_S = 6.0  # from the moment in which a watch fell silent
 MOVE_ALLOWED_S = 4.0  # from SIGHUP
 GRACE_S = 0.25 + 0.05  # of the settings, and what a call may take to begin
+ONE_SECOND_GRACE_S = 1.0
+OUTAGE_S = 5.3
 CALLS_AFTER_S = 1.5  # calls are watched for so long past the end of the grace
 
 SILENT = AgentReply.SILENT
@@ -52,6 +54,20 @@
     return play
 
 
+def after_outage(drain: DrainPlay) -> float:
+    """Discovery is silent for a while, and comes back with the drain, which counts as received at once: the
+    grace of a second is all there is."""
+    drain.start()
+    drain.watched()
+    agent = drain.agents[0]
+    agent.standing = SILENT
+    agent.silence_watches()
+    gevent.sleep(OUTAGE_S)
+    agent.standing = AgentReply.ANSWER
+    drain.drain()
+    return monotonic() + ONE_SECOND_GRACE_S - GRACE_S
+
+
 def after_moves(
     *replies: AgentReply, moves: int = 1, through_full_backlog: bool = False, delay_s: float = 0.0
 ) -> Scenario:
@@ -114,6 +130,7 @@
     "silent, closed, silent": (after_silence(CLOSE, SILENT), 1),
     "silent, then slow": (after_silence(delay_s=1.2), 1),
     "silent, then slower than a poll waits": (after_silence(delay_s=2.4), 1),
+    "silent for long, then back with the drain": (after_outage, 1),
     "moved to a slow one": (after_moves(delay_s=2.4), 2),
     "moved, silent, rejected": (after_moves(SILENT, REJECT), 2),
     "moved, rejected, rejected": (after_moves(REJECT, REJECT), 2),
