Polls of a silent agent follow at once where lists are pushed: its return counts at once

Cause: what an agent that was down has as it comes back counts at once, with the grace of a second. Ruled out: the lease (it counts from the last list, which was read 8 s before). Change: a poll is waited for 0.2 s and paused for 0.1 s at the most there; of late polls the oldest are kept.

--- a/ashpath/server/discovery/client.py
+++ b/ashpath/server/discovery/client.py
@@ -66,6 +66,7 @@
 class DiscoveryClient:
     """Polls one agent and reports to `listener`.
 
+    `pushed`: the agent has the list without asking for it, and answers at no cost.
     `revision`: of the list that the configuration brought. `first_poll_delay_s`: seconds to wait with the
     first poll, while that list serves."""
 
@@ -78,6 +79,8 @@
         random: Random,
         logger: Logger,
         first_poll_delay_s: float = 0.0,
+        *,
+        pushed: bool = False,
     ) -> None:
         self.connection = AgentConnection(address, limits)
         self.limits = limits
@@ -91,6 +94,7 @@
         self.moves = 0  # how often the agent moved
         self.lists_read = 0
         self.late_polls: list[Poll] = []  # the oldest first
+        self.pushed = pushed
         self.stale_records = 0  # of lists that were older than one read before
         self.random = random
         self.logger = logger
@@ -185,6 +189,8 @@
         watch_s = self.limits.watch_s + self.limits.watch_grace_s
         if self.revision is not None:
             return watch_s
+        if self.pushed:
+            return self.limits.pushed_snapshot_s
         share_s = self.lease.left(monotonic()) * POLL_SHARE
         return min(watch_s, max(self.limits.snapshot_s, share_s))
 
@@ -198,10 +204,11 @@
         gevent.spawn(self.carry, poll, request_line)
         if poll.ended.wait(timeout_s):
             return poll.response
-        poll.late = True
-        self.late_polls.append(poll)
-        if len(self.late_polls) > MAX_LATE_POLLS:
-            self.late_polls[0].connection.abort()
+        if len(self.late_polls) < MAX_LATE_POLLS:
+            poll.late = True
+            self.late_polls.append(poll)
+        else:
+            poll.connection.abort()
         self.connection = AgentConnection(self.connection.address, self.limits)
         return None
 
@@ -242,7 +249,10 @@
             drawn_s = self.rejected_backoff.next_pause(retry_after_s)
             share = 1 - self.limits.discovery_jitter * self.random.random()
             return self.lease.rejected_pause(now, drawn_s, share)
-        return self.lease.silent_pause(now, self.silent_backoff.next_pause())
+        drawn_s = self.silent_backoff.next_pause()
+        if self.pushed:
+            drawn_s = min(drawn_s, self.limits.pushed_pause_s)
+        return self.lease.silent_pause(now, drawn_s)
 
     def apply_if_list(self, response: HttpResponse | None) -> bool:
         """Whether the response was a list that could be read; it has been applied then."""
--- a/ashpath/server/limits.py
+++ b/ashpath/server/limits.py
@@ -101,6 +101,11 @@
     """The first pause after a failure, of discovery, of notifications and of a service of the sender."""
     snapshot_s: float = 1.0
     """A poll for a snapshot, which is answered at once, has at least so long."""
+    pushed_snapshot_s: float = 0.2
+    """The same where the agent pushes lists: it answers at once and at no cost, or it is down. What it has as
+    it comes back counts at once, and a poll that was out by then is not answered: the next must be soon."""
+    pushed_pause_s: float = 0.1
+    """The longest pause there after silence."""
     late_poll_s: float = 4.0
     """A poll that is not waited for any more is still heard for so long from its start."""
     list_lease_s: float = 5.4
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -206,6 +206,7 @@
         Random(f"{random_seed(place, configuration)}/d"),
         logger,
         first_poll_delay_s if place.inherited_socket is None else 0.0,
+        pushed=configuration.settings.discovery_pushes,
     )
 
 
