--- a/tests/server/discovery/test_endpoint_list_lease.py
+++ b/tests/server/discovery/test_endpoint_list_lease.py
@@ -1,6 +1,6 @@
 """Calls to endpoints that drained while service discovery failed: real senders, agents that fail by a script.
 
-Seen: a sender under injected faults called an endpoint 1.09 s after its drain counted, with a grace of a second.
+Seen: a sender under injected faults called an endpoint 1.09 s after its drain counted, the grace being 1 s.
 How it came about: service discovery was silent from the first watch on, and came back with the drain, which
 counts at once where lists are pushed; the list was read 1.1 to 1.3 s later.
 Cause: the poll that was out as discovery came back is never answered, and was waited for up to its time; more
