--- a/tests/server/test_upgrade_between_releases.py
+++ b/tests/server/test_upgrade_between_releases.py
@@ -70,8 +70,8 @@
     before = len(load.accepted)
     until(lambda: len(load.accepted) > before + 20)
     accepted = load.stop()
-    # An attempt is recorded before it is sent: one that the kill kept from being sent may have run, to who reads
-    # the record, and ends by its notice.
+    # An attempt is recorded before it is sent: one that the kill kept from being sent may have run, as far as
+    # the record says, and ends by its notice.
     until(lambda: all(new.attempt_count(trace) or new.notified(trace) for trace in accepted))
     assert [trace for trace in accepted if new.attempt_count(trace) > 1] == []
     untried = [trace for trace in accepted if not new.attempt_count(trace)]
