--- a/ashpath/emulator/stand_ins.py
+++ b/ashpath/emulator/stand_ins.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+from random import Random
+
 from gevent import socket
 
 from ashpath.core.policy_settings import policy_settings
 from ashpath.server.limits import ServerLimits
 
 LOOPBACK = "127.0.0.1"
+PORTS = (10_000, 32_000)
+RANDOM = Random()  # runs side by side share the ports
 IDLE_CONNECTIONS_MS = 60_000.0
 
 
@@ -19,8 +24,9 @@
 
 
 def free_port() -> int:
-    """A port that nobody listens on just now."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        port: int = probe.getsockname()[1]
-        return port
+    """A port that nobody listens on just now, below those that the kernel gives to other connections."""
+    while True:
+        port = RANDOM.randrange(*PORTS)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((LOOPBACK, port))
+            return port
