--- a/ashpath/emulator/fault_injection/discovery_agent.py
+++ b/ashpath/emulator/fault_injection/discovery_agent.py
@@ -10,7 +10,7 @@
 | UNREADABLE | 200 with a truncated list |
 
 Each poll takes the next reply from `script`, or `default_reply` once the script is empty. Notices are
-accepted at any time, also while polls fail.
+accepted at any time, also while polls fail, but for one batch in `reject_notices_every`.
 """
 
 from __future__ import annotations
@@ -38,6 +38,8 @@
 from ashpath.server.limits.http import HttpLimits
 
 NO_CONTENT = b"HTTP/1.1 204 No Content\r\n\r\n"
+NOTICE_REJECTED = b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"
+NOTICE_REJECTED_AFTER_S = 0.1
 SILENCE_S = 60.0
 
 
@@ -76,6 +78,8 @@
         self.delay_s = 0.0  # before each list is written
         self.polls: list[PollRecord] = []
         self.notices: list[tuple[JsonObject, float]] = []  # each line with its time of arrival
+        self.reject_notices_every = 0  # 0: no batch of notices is rejected
+        self.batches = 0  # of notices
         self._limits = limits
         self._changed = Event()
         self._silence_count = 0  # calls of `silence_watches`
@@ -104,8 +108,7 @@
             while True:
                 request = connection.read_request()
                 if request.method == b"POST":
-                    self.notices += [(orjson.loads(line), monotonic()) for line in request.body.splitlines()]
-                    connection.write(NO_CONTENT)
+                    self._serve_notices(connection, request)
                 elif not self._reply(connection, request):
                     return
         except (OSError, ConnectionClosedError, ProtocolError):
@@ -113,6 +116,15 @@
         finally:
             connection.close()
 
+    def _serve_notices(self, connection: HttpConnection, request: HttpRequest) -> None:
+        self.batches += 1
+        if self.reject_notices_every and self.batches % self.reject_notices_every == 0:
+            gevent.sleep(NOTICE_REJECTED_AFTER_S)
+            connection.write(NOTICE_REJECTED)
+            return
+        self.notices += [(orjson.loads(line), monotonic()) for line in request.body.splitlines()]
+        connection.write(NO_CONTENT)
+
     def _reply(self, connection: HttpConnection, request: HttpRequest) -> bool:
         """Serves one poll, and returns whether the connection stays open."""
         query = parse_qs(request.url.partition(b"?")[2])
--- a/ashpath/emulator/fault_injection/tcp_proxy.py
+++ b/ashpath/emulator/fault_injection/tcp_proxy.py
@@ -13,6 +13,10 @@
 caller's side is reset, and the target's side is closed. A reset by the target is passed on to the caller.
 With a `first_byte`, only connections fail whose caller sends that byte first; all others are forwarded, and
 not reset. `FullBacklog` is an address at which connection attempts neither succeed nor fail.
+
+`response_faults` change what the target sends (`stream_faults`), `spared_response_faults` what it sends to
+callers with another first byte. `request_faults` send each affected request once more, each time on a new
+connection to the target, whose response nobody reads.
 """
 
 from __future__ import annotations
@@ -25,10 +29,12 @@
 from gevent.server import StreamServer
 
 from ashpath.emulator.fault_injection.discovery_agent import reset_connection
+from ashpath.emulator.fault_injection.stream_faults import StreamFaultInjector
 from ashpath.emulator.stand_ins import LOOPBACK
 
 CHUNK_BYTES = 65536
 SILENCE_S = 60.0
+RESPONSE_TIMEOUT_S = 1.0
 FILLING_CONNECTIONS = 4  # more than a backlog of 0 accepts
 
 
@@ -51,6 +57,9 @@
         self.late_s = late_s
         self.first_byte = first_byte
         self.mode = ProxyMode.FORWARD
+        self.response_faults: StreamFaultInjector | None = None
+        self.spared_response_faults: StreamFaultInjector | None = None
+        self.request_faults: StreamFaultInjector | None = None
         self.accepted: dict[ProxyMode, int] = dict.fromkeys(ProxyMode, 0)
         self._open: dict[socket.socket, socket.socket | None] = {}  # the target's socket by the caller's
         self._spared: set[socket.socket] = set()  # callers whose first byte is another one
@@ -115,18 +124,72 @@
             target.close()
             return
         self._open[caller] = target
-        requests = gevent.spawn(copy, caller, target)
+        requests = gevent.spawn(self._copy_requests, caller, target)
         try:
             if half:
                 chunk = target.recv(CHUNK_BYTES)
                 caller.sendall(chunk[: len(chunk) // 2])
                 gevent.sleep(SILENCE_S)
-            if copy(target, caller):
+            if self._copy_responses(target, caller):
                 reset_connection(caller)
         finally:
             requests.kill()
             target.close()
 
+    def _copy_responses(self, target: socket.socket, caller: socket.socket) -> bool:
+        """Copies responses, with faults. Returns whether the connection was reset."""
+        faults = self.spared_response_faults if caller in self._spared else self.response_faults
+        return copy(target, caller) if faults is None else copy_with_faults(target, caller, faults)
+
+    def _copy_requests(self, caller: socket.socket, target: socket.socket) -> bool:
+        """Copies requests, and repeats some. Returns whether the connection was reset."""
+        faults = self.request_faults
+        if faults is None:
+            return copy(caller, target)
+        try:
+            while request := caller.recv(CHUNK_BYTES):
+                target.sendall(request)
+                for repetition in faults.writes(request, b"")[1:]:
+                    gevent.spawn_later(repetition.delay_s, self._send_alone, repetition.data)
+            target.shutdown(socket.SHUT_WR)
+        except ConnectionResetError:
+            return True
+        except OSError:
+            pass
+        return False
+
+    def _send_alone(self, request: bytes) -> None:
+        """Sends a request on a connection of its own, and reads the response without using it."""
+        with suppress(OSError), socket.create_connection(self.target) as connection:
+            connection.sendall(request)
+            connection.settimeout(RESPONSE_TIMEOUT_S)
+            connection.recv(CHUNK_BYTES)
+
+
+def copy_with_faults(source: socket.socket, sink: socket.socket, faults: StreamFaultInjector) -> bool:
+    """Copies messages as the injector says. Returns whether a connection was reset."""
+    previous = b""
+    try:
+        while message := source.recv(CHUNK_BYTES):
+            for write in faults.writes(message, previous):
+                if write.delay_s:
+                    gevent.spawn_later(write.delay_s, write_if_open, sink, write.data)
+                else:
+                    sink.sendall(write.data)
+            previous = message
+        sink.shutdown(socket.SHUT_WR)
+    except ConnectionResetError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
+def write_if_open(sink: socket.socket, data: bytes) -> None:
+    """Writes to a connection that may have ended since."""
+    with suppress(OSError):
+        sink.sendall(data)
+
 
 def copy(source: socket.socket, sink: socket.socket) -> bool:
     """Copies bytes until either side closes its connection. Returns whether a connection was reset."""
--- a/ashpath/emulator/soak/endpoints.py
+++ b/ashpath/emulator/soak/endpoints.py
@@ -12,6 +12,7 @@
 from ashpath.core.json_types import JsonObject
 from ashpath.emulator.fault_injection.discovery_agent import reset_connection
 from ashpath.emulator.fault_injection.tcp_proxy import FaultProxy
+from ashpath.emulator.soak.plan import EndpointBehaviour
 from ashpath.emulator.soak.records import Call, Reply, SoakRecords
 from ashpath.emulator.stand_ins import LOOPBACK
 from ashpath.server import wire_names
@@ -23,9 +24,6 @@
 RETRY_AFTER_S = 0.6
 HANG_S = 30.0
 LOST_RESPONSE_S = 0.2  # a response counts as lost if its connection ends within this time
-PROCESSING_TIME_RANGE_S = (0.002, 0.06)
-FAULT_SHARE = 0.06  # share of the calls to a destination that is up
-FAULT_REPLIES = (Reply.OVERLOADED, Reply.REFUSED, Reply.RESET, Reply.HUNG)
 STATUS_LINES = {
     Reply.DELIVERED: b"HTTP/1.1 200 OK",
     Reply.OVERLOADED: b"HTTP/1.1 429 X",
@@ -44,6 +42,7 @@
         records: SoakRecords,
         random: Random,
         limits: HttpLimits,
+        behaviour: EndpointBehaviour,
     ) -> None:
         self.endpoint_id = endpoint_id
         self.destination = destination
@@ -53,6 +52,7 @@
         self._records = records
         self._random = random
         self._limits = limits
+        self._behaviour = behaviour
         self._servers = [self._listen(sender) for sender in range(senders)]
         self.proxies = [FaultProxy((LOOPBACK, int(server.server_port or 0))) for server in self._servers]
 
@@ -110,9 +110,9 @@
     def _draw_reply(self) -> Reply:
         if self.down:
             return Reply.RESET
-        if self._random.random() >= FAULT_SHARE:
+        if self._random.random() >= self._behaviour.fault_share:
             return Reply.DELIVERED
-        reply = self._random.choice(FAULT_REPLIES)
+        reply = self._random.choice(self._behaviour.fault_replies)
         return Reply.REFUSED if reply is Reply.OVERLOADED and not self.sends_retry_after else reply
 
     def _send_reply(self, connection: HttpConnection, call: Call) -> bool:
@@ -123,7 +123,9 @@
         if call.reply is Reply.RESET:
             reset_connection(connection.sock)
             return False
-        gevent.sleep(self._random.uniform(*PROCESSING_TIME_RANGE_S))
+        if self._sender_gives_up(connection, self._random.uniform(*self._behaviour.processing_s)):
+            call.reply = Reply.ABANDONED
+            return False
         headers = []
         if call.reply is Reply.OVERLOADED:
             call.retry_after_s = RETRY_AFTER_S
@@ -132,3 +134,15 @@
         call.ended_at = monotonic()
         connection.write(response)
         return True
+
+    @staticmethod
+    def _sender_gives_up(connection: HttpConnection, within_s: float) -> bool:
+        """Waits `within_s` seconds. Returns True at once if the sender ends its side of the connection.
+
+        Bytes of a further request stay buffered: they end neither the call nor the wait."""
+        until = monotonic() + within_s
+        while (left_s := until - monotonic()) > 0:
+            with gevent.Timeout(left_s, False):  # type: ignore[arg-type]  # False: the block just ends
+                if not connection.receive():
+                    return True
+        return False
--- a/ashpath/emulator/soak/judge.py
+++ b/ashpath/emulator/soak/judge.py
@@ -28,6 +28,7 @@
 READY_TIMEOUT_S = 10.0
 LATE_DRAIN_SLACK_S = 0.2  # covers delays between the sender's clock reading, its write and the network
 RETRY_AFTER_SLACK_S = 0.15
+CONCURRENT_SLACK_S = 0.05  # by which the documented rules extend each time limit
 
 
 class RuleCheckerSettings(Struct, frozen=True):
@@ -133,7 +134,7 @@
                 yield BrokenRule("doubled", f"call of {message_id}, which no client submitted")
                 continue
             for earlier, later in pairwise(calls):
-                is_in_flight = not earlier.ended_at or earlier.ended_at > later.begun_at + LATE_DRAIN_SLACK_S
+                is_in_flight = not earlier.ended_at or earlier.ended_at > later.begun_at + CONCURRENT_SLACK_S
                 if is_in_flight and not self.history.was_killed_between(earlier, later):
                     yield BrokenRule("doubled", f"two concurrent calls of {message_id}")
             first_run = next((call for call in calls if call.reply.may_have_run), None)
--- a/ashpath/emulator/soak/paths.py
+++ b/ashpath/emulator/soak/paths.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from ashpath.emulator.fault_injection.stream_faults import StreamFaultInjector, StreamFaults
 from ashpath.emulator.fault_injection.tcp_proxy import FaultProxy, ProxyMode
 from ashpath.emulator.soak.records import ClientFault, NoticeFault, SoakRecords
 from ashpath.server.addresses import Address, parse_address
@@ -17,6 +18,11 @@
 CLOSING_MODES = frozenset({ProxyMode.RESET, ProxyMode.RESET_AFTER_BYTE})
 
 
+def create_injector(faults: StreamFaults | None, seed: str) -> StreamFaultInjector | None:
+    """Returns an injector of the faults, or None without faults."""
+    return None if faults is None else StreamFaultInjector(faults, seed)
+
+
 class ClientPath:
     """The path from the clients of one sender to its listener at `target`."""
 
--- a/ashpath/emulator/soak/plan.py
+++ b/ashpath/emulator/soak/plan.py
@@ -9,7 +9,9 @@
 
 from ashpath.emulator.fault_injection.call_faults import ProcessFaults, draw_faults
 from ashpath.emulator.fault_injection.discovery_agent import AgentReply
+from ashpath.emulator.fault_injection.stream_faults import StreamFaults
 from ashpath.emulator.fault_injection.tcp_proxy import ProxyMode
+from ashpath.emulator.soak.records import Reply
 
 SENDERS = 3
 DESTINATIONS = 3
@@ -117,6 +119,27 @@
     destination: int
 
 
+class MessageFaults(Struct, frozen=True):
+    """Messages that come twice or late on the paths of all senders, throughout the run; None: no fault."""
+
+    endpoint_responses: StreamFaults | None = None
+    notice_responses: StreamFaults | None = None
+    reject_notices_every: int = 0
+    """Of the batches of notices, the discovery agents answer one in so many 503, after a pause; 0: none."""
+    poll_responses: StreamFaults | None = None
+    client_requests: StreamFaults | None = None
+
+
+class EndpointBehaviour(Struct, frozen=True):
+    """How endpoints serve calls while their destination is up."""
+
+    processing_s: tuple[float, float] = (0.002, 0.06)
+    """Range of the time to a reply."""
+    fault_share: float = 0.06
+    """Share of the calls that get one of `fault_replies`."""
+    fault_replies: tuple[Reply, ...] = (Reply.OVERLOADED, Reply.REFUSED, Reply.RESET, Reply.HUNG)
+
+
 class SoakPlan(Struct, frozen=True):
     """The plan of one run. Times are seconds from the start of the run."""
 
@@ -136,6 +159,8 @@
     descriptor_limits: tuple[DescriptorLimit, ...]
     upgrades: tuple[UpgradeEvent, ...]
     """Of senders without a restart."""
+    message_faults: MessageFaults = MessageFaults()
+    endpoint_behaviour: EndpointBehaviour = EndpointBehaviour()
 
 
 def draw_plan(seed: int, duration_s: float = 12.0, *, with_upgrades: bool = False) -> SoakPlan:
--- a/ashpath/emulator/soak/records.py
+++ b/ashpath/emulator/soak/records.py
@@ -43,6 +43,8 @@
     REFUSED = "503"
     RESET = "reset"
     HUNG = "hung"
+    ABANDONED = "abandoned"
+    """The sender ended the connection before the reply."""
 
     @property
     def may_have_run(self) -> bool:
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -17,12 +17,13 @@
 from ashpath.emulator.fault_injection.tcp_proxy import ProxyMode
 from ashpath.emulator.soak.clients import SoakClients
 from ashpath.emulator.soak.endpoints import SoakEndpoint
-from ashpath.emulator.soak.paths import ClientPath, NoticePath
+from ashpath.emulator.soak.paths import ClientPath, NoticePath, create_injector
 from ashpath.emulator.soak.plan import (
     DESTINATIONS,
     SENDERS,
     ClientFaultEvent,
     DrainEvent,
+    MessageFaults,
     NoticeFaultEvent,
     OutageEvent,
     ProxyEvent,
@@ -55,7 +56,15 @@
         limits = STAND_IN_LIMITS
         random = Random(f"day {plan.seed}")
         self.endpoints = [
-            SoakEndpoint(f"e{number}", number % DESTINATIONS, SENDERS, self.records, random, limits)
+            SoakEndpoint(
+                f"e{number}",
+                number % DESTINATIONS,
+                SENDERS,
+                self.records,
+                random,
+                limits,
+                plan.endpoint_behaviour,
+            )
             for number in range(2 * DESTINATIONS)
         ]
         self.draining: set[str] = set()
@@ -87,6 +96,33 @@
                 SoakClients(number, path.address, plan.rate, DESTINATIONS, self.records, random, limits)
             )
         self._greenlets: list[Greenlet[..., None]] = []
+        self._inject_message_faults(plan.message_faults)
+
+    def _inject_message_faults(self, faults: MessageFaults) -> None:
+        for endpoint in self.endpoints:
+            for number, proxy in enumerate(endpoint.proxies):
+                seed = f"{self.plan.seed} {endpoint.endpoint_id} {number}"
+                proxy.response_faults = create_injector(faults.endpoint_responses, seed)
+        for sender, path, client_path in zip(self.senders, self.notice_paths, self.client_paths, strict=True):
+            seed = f"{self.plan.seed} {sender.number}"
+            client_path.proxy.request_faults = create_injector(faults.client_requests, seed)
+            for proxy in path.proxies:
+                proxy.response_faults = create_injector(faults.notice_responses, seed)
+                proxy.spared_response_faults = create_injector(faults.poll_responses, seed)
+            for agent in sender.agents:
+                agent.reject_notices_every = faults.reject_notices_every
+
+    def injected_message_faults(self) -> int:
+        """Returns how many messages have been affected by the plan's message faults so far."""
+        proxies = [proxy for endpoint in self.endpoints for proxy in endpoint.proxies]
+        proxies += [path.proxy for path in self.client_paths]
+        proxies += [proxy for path in self.notice_paths for proxy in path.proxies]
+        injectors = (
+            injector
+            for proxy in proxies
+            for injector in (proxy.response_faults, proxy.spared_response_faults, proxy.request_faults)
+        )
+        return sum(injector.injected for injector in injectors if injector is not None)
 
     def _sender_options(self, sender: int) -> SenderOptions:
         limits = {limit.sender: limit.descriptors for limit in self.plan.descriptor_limits}
--- a/tests/server/test_agent_client.py
+++ b/tests/server/test_agent_client.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import gevent
 import pytest
+from gevent import socket
+from gevent.server import StreamServer
 from support.sender_harness import LIMITS, SenderHarness
 from support.server import address_of
 
 from ashpath.server.addresses import Address
 from ashpath.server.agent_client import AgentConnection
 from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
+from ashpath.server.http.errors import ConnectionClosedError
 
 POLL = b"GET /registry/instances HTTP/1.1"
 CHUNKED = b"HTTP/1.1 200 X\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
@@ -62,3 +68,27 @@
         agent.call(POLL, b"", 9)
     assert agent.connection is None
     assert opened[0].unusable
+
+
+# A repeated 204 acknowledged the next batch of notices too: the platform refused it, and it was lost.
+def test_repeated_response_is_not_taken_for_that_of_the_next_call() -> None:
+    statuses = iter((b"204", b"503"))
+
+    def serve(sock: socket.socket, _: object) -> None:
+        connection = HttpConnection(sock, LIMITS.http)
+        with suppress(OSError, ConnectionClosedError):
+            while connection.read_request():
+                response = encode_message(b"HTTP/1.1 %s X" % next(statuses), [], b"")
+                if b"503" in response:
+                    gevent.sleep(0.05)
+                else:
+                    gevent.spawn_later(0.005, connection.sock.sendall, response)
+                connection.write(response)
+        connection.close()
+
+    server = StreamServer(("127.0.0.1", 0), serve)
+    server.start()
+    agent = AgentConnection(address_of(server), LIMITS.http)
+    responses = [agent.call(b"POST /v1/notices HTTP/1.1", b"{}", 1.0) for _ in range(2)]
+    server.stop(timeout=0)
+    assert [response and response.status for response in responses] == [204, 503]
