Delivery: a response counts only where it cannot be another request's

Cause: a response belongs to a request by its place on the connection alone, and a connection carried its next request within a millisecond of the last response. One that came a second time counted for the next request, and shifted all that followed: a stray 503 was taken for 'never ran', a stray 200 for 'delivered'.

Change: the policy (policy/response_trust.py) keeps a connection idle for 60 ms before its next request; a result is provisional where the response before it came less than a second ago: a refusal is withheld for as long as the true response may take, a delivery stays in the write-ahead log for a second and is ended by a notice if one response too many comes; after an extra response all connections carry one request, for a minute or more. Idle connections are watched, so that extra bytes are seen at once. Log lines for extra bytes, doubts, and an attempt each (attempt_log, TRACE, ATTEMPTS).

--- a/ashpath/emulator/soak/sender.py
+++ b/ashpath/emulator/soak/sender.py
@@ -118,6 +118,7 @@
             "limits": {"sockets": self._options.descriptor_limit or DESCRIPTORS, "disk_mb": 1},
             "known": {"revision": agent.revision, "complete": True, "members": agent.members},
             "discovery": self._agent_addresses[agent_number],
+            "attempt_log": True,
         }
         temporary = self._folder / "config.json.new"
         temporary.write_bytes(orjson.dumps(document))
--- a/ashpath/policy/tuning.py
+++ b/ashpath/policy/tuning.py
@@ -4,7 +4,7 @@
 """
 
 from ashpath.core.interface import AttemptOutcome, RetrySafety
-from ashpath.core.time_units import SECOND
+from ashpath.core.time_units import MILLISECOND, SECOND
 
 # Gates.
 
@@ -94,6 +94,23 @@
 # Doublings of the pause, one for each further fault in a row. More delay messages after the fault has ended.
 MAX_LOCAL_PAUSE_DOUBLINGS = 2
 
+# Responses that come twice or late, see `response_trust`.
+
+# Time for which a connection is idle before it carries its next request. A shorter one takes extra responses
+# for those of the next request; a longer one delays attempts and opens more connections.
+QUIET_TIME = 60 * MILLISECOND
+# Time by which an extra response may follow the true one. A longer one makes more results provisional.
+RESPONSE_LATENESS = 1 * SECOND
+# Time for which a provisional delivery may still be put in doubt. A longer one keeps messages longer in the
+# write-ahead log, which sends them again after a kill.
+DELIVERY_DOUBT_TIME = 1 * SECOND
+# Longest time for which a provisional refusal or error is withheld. A longer one delays retries.
+MAX_HOLD_TIME = 250 * MILLISECOND
+# Time for which each connection carries a single request after an extra response, and its upper bound, which
+# is reached by doubling. A longer one costs connections; a shorter one trusts a faulty network again.
+INITIAL_DISTRUST_TIME = 60 * SECOND
+MAX_DISTRUST_TIME = 600 * SECOND
+
 # Rate limits. The even split of a destination's limit is the limit divided by the number of senders.
 
 # Rate at which a gate starts once its rate limit is known, unless the even split is higher; without load
--- a/ashpath/server/configuration.py
+++ b/ashpath/server/configuration.py
@@ -90,6 +90,8 @@
     """The addresses at which the other senders receive gossip messages."""
     metrics_listen: Address | None
     """The address at which Prometheus reads the metrics."""
+    attempt_log: bool
+    """Whether each attempt gets a line in the log."""
 
     @classmethod
     def parse(cls, document: JsonObject, default_discovery: str = "") -> SenderConfiguration:
@@ -117,6 +119,7 @@
             control=str(document.get("control") or ""),
             gossip_listen=parse_listen_address(document, "peers"),
             metrics_listen=parse_listen_address(document, "metrics"),
+            attempt_log=document.get("attempt_log") is True,
             gossip_peers=frozenset(parse_address(str(peer)) for peer in (gossip.get("senders") or ())),
         )
 
--- a/ashpath/server/control/commands.py
+++ b/ashpath/server/control/commands.py
@@ -16,6 +16,8 @@
     ATTACH = "ATTACH"  # undo DETACH
     LAMEDUCK = "LAMEDUCK"  # report not ready and drain clients, but go on serving
     REJOIN = "REJOIN"  # undo LAMEDUCK
+    TRACE = "TRACE"  # log each attempt for a minute
+    ATTEMPTS = "ATTEMPTS"  # log the latest attempts, once
 
 
 ENDPOINT_VERBS = frozenset({Verb.DETACH, Verb.ATTACH})  # take an endpoint id as their one argument
--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -11,6 +11,7 @@
 | check that the attempt is still valid | `EndpointNotListedError`, `AttemptNotValidError` |
 | write the request | `WriteError`, `WriteTimeoutError` |
 | read the response | `ConnectionLostError`, `InvalidResponseError`, `ResponseTimeoutError`, or a response |
+| check that it belongs to the request | `ResponseInDoubtError` |
 | return the connection to the pool, or close it | |
 
 The policy may cancel an attempt at any stage (`AttemptCancelledError`).
@@ -19,15 +20,20 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from contextlib import suppress
 
 import gevent
 from gevent import Timeout
+from msgspec.structs import replace
 
+from ashpath.core.interface import AttemptOutcome
 from ashpath.core.time_units import SECOND
 from ashpath.server import wire_names
 from ashpath.server.addresses import Address
+from ashpath.server.delivery.attempt_log import AttemptLog
 from ashpath.server.delivery.attempts import Attempt, AttemptOwner
 from ashpath.server.delivery.connection_pool import ConnectionPool
+from ashpath.server.delivery.endpoint_connection import CloseReason, EndpointConnection
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.errors import (
     AttemptCancelledError,
@@ -42,6 +48,7 @@
     PendingNotificationError,
     RequestNotWrittenError,
     ResponseError,
+    ResponseInDoubtError,
     ResponseTimeoutError,
     WriteError,
     WriteTimeoutError,
@@ -49,9 +56,9 @@
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.delivery.unreachable_networks import UnreachableNetworks
-from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message, host_header
 from ashpath.server.http.errors import ConnectionClosedError, ProtocolError
+from ashpath.server.http.messages import OK, HttpResponse
 from ashpath.server.local_errors import is_local_fault, is_without_route
 from ashpath.server.logs import Logger
 from ashpath.server.timers import now
@@ -68,12 +75,14 @@
         registry: EndpointRegistry,
         classifier: ResponseClassifier,
         notifier: Notifier,
+        attempt_log: AttemptLog,
         logger: Logger,
     ) -> None:
         self.pool = pool
         self.registry = registry
         self.classifier = classifier
         self.notifier = notifier
+        self.attempt_log = attempt_log
         self.logger = logger
         self.networks = UnreachableNetworks()
         self.credentials: Mapping[int, bytes] = {}
@@ -138,7 +147,7 @@
             while acknowledged := self.notifier.next_acknowledgement(attempt.message):
                 acknowledged.wait()
 
-    def _acquire_connection(self, attempt: Attempt, address: Address) -> HttpConnection:
+    def _acquire_connection(self, attempt: Attempt, address: Address) -> EndpointConnection:
         try:
             connection = self.pool.acquire(attempt.endpoint_id, address)
         except OSError as error:
@@ -148,7 +157,7 @@
             if no_route or is_local_fault(error):
                 raise LocalResourceError(str(error)) from error
             raise ConnectError(str(error)) from error
-        if not connection.idle_before_use_s:
+        if not connection.requests:
             self.networks.connection_established(address)
         return connection
 
@@ -163,23 +172,50 @@
         if not owner.still_valid(attempt.message):
             raise AttemptNotValidError
 
-    def _write_request(self, attempt: Attempt, address: Address, connection: HttpConnection) -> None:
-        attempt.new_connection = not connection.idle_before_use_s
+    def _write_request(self, attempt: Attempt, address: Address, connection: EndpointConnection) -> None:
+        attempt.new_connection = not connection.requests
+        idle_before = None if attempt.new_connection else round(connection.idle_before_use_s * SECOND)
+        attempt.provisional = self.pool.attribution.trust.is_provisional(idle_before)
         request = self._encode_request(attempt, address)
         try:
             connection.write(request)
         except OSError as error:
             raise WriteError(str(error)) from error
         attempt.written = True
+        connection.request_written(attempt.message.trace_id)
 
-    @staticmethod
-    def _read_response(attempt: Attempt, connection: HttpConnection) -> None:
+    def _read_response(self, attempt: Attempt, connection: EndpointConnection) -> None:
+        written_at = now()
         try:
-            attempt.response = connection.read_response()
+            response = connection.read_response()
         except (OSError, ConnectionClosedError) as error:
             raise ConnectionLostError(str(error)) from error
         except ProtocolError as error:
             raise InvalidResponseError(str(error)) from error
+        response_time = now() - written_at
+        if connection.is_reused:
+            self._check_attribution(attempt, connection, response, response_time)
+        self.pool.attribution.trust.response_received(response_time)
+        attempt.response = response
+
+    def _check_attribution(
+        self, attempt: Attempt, connection: EndpointConnection, response: HttpResponse, response_time: int
+    ) -> None:
+        """Raises ResponseInDoubtError if more than one response has come for the request.
+
+        A provisional refusal or error is withheld for a while, as a retry would run beside the request if its
+        true response is still to come."""
+        hold = 0
+        if attempt.provisional and response.status != OK:
+            time_left = attempt.deadline - now()
+            hold = min(self.pool.attribution.trust.hold_time(response_time), time_left // 2)
+        if response.status == OK and response.well_formed and connection.body_received():
+            with suppress(ProtocolError):  # `_finish_response` closes the connection
+                connection.finish_response()
+        if response.status != OK or response.complete:
+            connection.wait_for_bytes(max(0, hold) / SECOND)
+            if self.pool.attribution.check_extra_bytes(attempt.endpoint_id, connection):
+                raise ResponseInDoubtError
 
     @staticmethod
     def _timeout_error(attempt: Attempt) -> AttemptError:
@@ -203,7 +239,8 @@
             self.pool.connection_dropped(attempt.endpoint_id, connection)
         if attempt.response is None or not attempt.response.keep_alive:
             # A late response on a reused connection would be taken for the response to the next request.
-            self.pool.close(connection)
+            reason = CloseReason.ATTEMPT_FAILED if attempt.response is None else CloseReason.NOT_KEPT_ALIVE
+            self.pool.close(connection, reason)
             self._report(attempt, owner)
         elif connection.body_received():
             # Releases the connection before the report, as attempts of the policy's batch may use it.
@@ -214,9 +251,18 @@
             self._finish_response(attempt.endpoint_id, address, connection)
 
     def _report(self, attempt: Attempt, owner: AttemptOwner) -> None:
-        owner.attempt_finished(attempt, self.classifier.classify(attempt))
+        result = self.classifier.classify(attempt)
+        started_at = attempt.deadline - attempt.timeout
+        self.attempt_log.add(attempt, result.outcome, now() - started_at)
+        connection = attempt.connection
+        if attempt.provisional and result.outcome is AttemptOutcome.DELIVERED and connection is not None:
+            result = replace(result, provisional=True)
+            self.pool.attribution.add_delivery(connection, attempt.message, owner)
+        owner.attempt_finished(attempt, result)
 
-    def _finish_response(self, endpoint_id: str, address: Address | None, connection: HttpConnection) -> None:
+    def _finish_response(
+        self, endpoint_id: str, address: Address | None, connection: EndpointConnection
+    ) -> None:
         """Reads the rest of a response, then releases the connection."""
         try:
             with Timeout(connection.limits.response_write_s):
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -13,8 +13,9 @@
 from msgspec import Struct
 
 from ashpath.core.interface import AttemptOutcome, LoadReport
+from ashpath.server.delivery.endpoint_connection import EndpointConnection
 from ashpath.server.delivery.errors import AttemptCancelledError, AttemptError
-from ashpath.server.http.connection import HttpConnection
+from ashpath.server.delivery.response_attribution import DeliveryOwner
 from ashpath.server.http.messages import HttpResponse
 from ashpath.server.storage.stored_message import StoredMessage
 
@@ -32,9 +33,11 @@
     """The request was written to its last byte, so the endpoint may have run it."""
     new_connection: bool = False
     """The request is the first one on its connection."""
+    provisional: bool = False
+    """The response may be that of the request before this one on the connection."""
     ordered: bool = False
     """Messages with the ordering key of this message are sent one at a time."""
-    connection: HttpConnection | None = None
+    connection: EndpointConnection | None = None
     """The connection of the attempt; the runner returns it to the pool or closes it."""
     response: HttpResponse | None = None
     failure: AttemptError | None = None
@@ -60,9 +63,11 @@
     final: bool = False
     """This attempt is the last one of its message."""
     load_report: LoadReport | None = None
+    provisional: bool = False
+    """The delivery is to be confirmed, or to be put in doubt; see `DeliveryOwner`."""
 
 
-class AttemptOwner(Protocol):
+class AttemptOwner(DeliveryOwner, Protocol):
     """The starter of an attempt: confirms the attempt before its first byte, and receives the result."""
 
     def still_valid(self, message: StoredMessage) -> bool:
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -5,9 +5,13 @@
 | state | entered by | left by |
 | --- | --- | --- |
 | in use | `acquire`: an idle connection, or a new one | `release`, `close` |
-| idle | `release`, if it can carry a further request | `acquire`, `sweep`, `close_idle`, `make_room` |
+| idle | `release`, if it can carry a further request | `acquire`, `sweep`, `close_idle`, `make_room`, and |
+| | | as soon as bytes or its end arrive |
 | closed | `close`, and `release` if it cannot carry a further request | |
 
+A connection carries its next request only after a quiet time, as a response that comes twice would count for
+that request (`policy/response_trust.py`). If none is quiet yet, the caller waits for the next one to be.
+
 The caller of `acquire` owns the connection, and calls either `release` or `close`, exactly once. `open`
 counts connections in use and idle ones. Idle connections are stored by endpoint, not by address: a new
 endpoint may take the address of one that is gone, and the old connections do not lead to it.
@@ -20,12 +24,17 @@
 from typing import NamedTuple
 
 import gevent
+from gevent import socket
 
+from ashpath.core.time_units import SECOND
 from ashpath.server.addresses import Address
+from ashpath.server.delivery.endpoint_connection import CloseReason, EndpointConnection
 from ashpath.server.delivery.errors import ConnectionPoolFullError
-from ashpath.server.http.connection import HttpConnection, open_connection
+from ashpath.server.delivery.response_attribution import ResponseAttribution
+from ashpath.server.http.connection import connect_socket
 from ashpath.server.limits.endpoint_connections import EndpointConnectionLimits
 from ashpath.server.limits.http import HttpLimits
+from ashpath.server.timers import now
 
 # The new idle limit of an endpoint, as a fraction of the idle time after which it dropped a connection.
 TRUSTED_IDLE_FRACTION = 0.8
@@ -36,7 +45,7 @@
 
     since: float
     """Seconds of the monotonic clock."""
-    connection: HttpConnection
+    connection: EndpointConnection
 
 
 class IdleLimit(NamedTuple):
@@ -51,12 +60,22 @@
 class ConnectionPool:
     """Idle connections by endpoint, longest idle first; an endpoint without idle connections has no entry."""
 
-    def __init__(self, limits: EndpointConnectionLimits, http_limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        limits: EndpointConnectionLimits,
+        http_limits: HttpLimits,
+        attribution: ResponseAttribution,
+    ) -> None:
         self.limits = limits
         self.http_limits = http_limits
+        self.attribution = attribution
         self.idle: dict[str, deque[IdleConnection]] = {}
         self.open = 0
         """Number of connections in use and idle."""
+        self.opened = 0
+        """Number of connections opened since the start."""
+        self.closed: dict[CloseReason, int] = dict.fromkeys(CloseReason, 0)
+        """Number of connections closed since the start."""
         self.idle_limits: dict[str, IdleLimit] = {}
         """By endpoint that dropped idle connections early; the sweep removes expired limits."""
 
@@ -65,66 +84,136 @@
         self.limits = limits
         self.http_limits = http_limits
 
-    def acquire(self, endpoint_id: str, address: Address) -> HttpConnection:
-        """Returns a usable idle connection, else a new one to the address.
+    def acquire(self, endpoint_id: str, address: Address) -> EndpointConnection:
+        """Returns a usable idle connection, else a new one to the address. May wait for an idle connection to
+        become quiet.
 
         Raises ConnectionPoolFullError, and OSError if the connection fails."""
-        connection = self.acquire_idle(endpoint_id)
+        connection = self.acquire_idle(endpoint_id) or self._await_quiet(endpoint_id)
         if connection is not None:
             return connection
         if not self.make_room():
             raise ConnectionPoolFullError
         return self.connect(address)
 
-    def acquire_idle(self, endpoint_id: str) -> HttpConnection | None:
-        """Returns a usable idle connection, or None; closes the unusable ones that precede it.
+    def acquire_idle(self, endpoint_id: str) -> EndpointConnection | None:
+        """Returns a usable idle connection that is quiet, or None; closes the unusable ones that precede it.
 
         The longest idle connection comes first, as it would be the next to be closed. If the endpoint drops
-        idle connections early, the most recently used one comes first."""
-        idle = self.idle.get(endpoint_id)
-        while idle:
-            since, connection = idle.pop() if endpoint_id in self.idle_limits else idle.popleft()
-            if not idle:
-                del self.idle[endpoint_id]
-            connection.idle_before_use_s = monotonic() - since
-            if connection.idle_before_use_s < self.idle_limit(endpoint_id) and connection.is_idle():
+        idle connections early, the most recently used quiet one comes first."""
+        while (taken := self._take_quiet(endpoint_id)) is not None:
+            connection = taken.connection
+            connection.idle_before_use_s = monotonic() - taken.since
+            if connection.idle_before_use_s >= self.idle_limit(endpoint_id):
+                self.close(connection, CloseReason.IDLE_LIMIT)
+            elif self._is_usable(endpoint_id, connection):
                 return connection
-            self.close(connection)
         return None
 
-    def connect(self, address: Address) -> HttpConnection:
+    def _take_quiet(self, endpoint_id: str) -> IdleConnection | None:
+        """Removes and returns the idle connection to use next, or None if none is quiet."""
+        idle = self.idle.get(endpoint_id, ())
+        quiet = [one for one in idle if self._wait_before_reuse(one) == 0]
+        if not quiet:
+            return None
+        return self._remove(endpoint_id, quiet[-1] if endpoint_id in self.idle_limits else quiet[0])
+
+    def _wait_before_reuse(self, idle: IdleConnection) -> int | None:
+        """Returns microseconds; None if the connection must not carry a further request."""
+        idle_for = round((monotonic() - idle.since) * SECOND)
+        return self.attribution.trust.wait_before_reuse(now(), idle_for)
+
+    def _await_quiet(self, endpoint_id: str) -> EndpointConnection | None:
+        """Reserves the idle connection that will be quiet next, waits for that and returns it.
+
+        Returns None if there is none, or if it turns out to be unusable."""
+        if endpoint_id not in self.idle:
+            return None
+        first = self.idle[endpoint_id][0]
+        wait = self._wait_before_reuse(first)
+        if wait is None:
+            return None
+        connection = self._remove(endpoint_id, first).connection
+        try:
+            gevent.sleep(wait / SECOND)
+        except BaseException:
+            self.close(connection, CloseReason.ATTEMPT_FAILED)
+            raise
+        connection.idle_before_use_s = monotonic() - first.since
+        if self.attribution.trust.is_distrusted(now()):
+            self.close(connection, CloseReason.DISTRUST)
+            return None
+        return connection if self._is_usable(endpoint_id, connection) else None
+
+    def _is_usable(self, endpoint_id: str, connection: EndpointConnection) -> bool:
+        """Whether a connection that was idle can carry a request; closes it if it cannot."""
+        if connection.is_idle():
+            return True
+        self._close_readable(endpoint_id, connection)
+        return False
+
+    def _close_readable(self, endpoint_id: str, connection: EndpointConnection) -> None:
+        """Closes a connection without a request out that the endpoint has closed or written to."""
+        has_bytes = bool(connection.unread_bytes())
+        self.attribution.check_extra_bytes(endpoint_id, connection)
+        self.close(connection, CloseReason.EXTRA_BYTES if has_bytes else CloseReason.CLOSED_BY_ENDPOINT)
+
+    def _remove(self, endpoint_id: str, idle: IdleConnection) -> IdleConnection:
+        """Removes a connection from the idle ones."""
+        idle.connection.stop_watching()
+        others = self.idle[endpoint_id]
+        others.remove(idle)
+        if not others:
+            del self.idle[endpoint_id]
+        return idle
+
+    def connect(self, address: Address) -> EndpointConnection:
         """Returns a new connection, in use. Raises OSError if the connection fails."""
         self.open += 1
         try:
-            return open_connection(address, self.http_limits)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            connect_socket(sock, address, self.http_limits)
+            self.opened += 1
+            return EndpointConnection(sock, self.http_limits, self.opened)
         except BaseException:
             self.open -= 1
             raise
 
-    def release(self, endpoint_id: str, connection: HttpConnection) -> None:
+    def release(self, endpoint_id: str, connection: EndpointConnection) -> None:
         """Makes a connection idle, or closes it if it cannot carry a further request."""
-        if connection.unusable or len(connection.buffer):
-            self.close(connection)
+        if len(connection.buffer):
+            self._close_readable(endpoint_id, connection)
+        elif connection.unusable:
+            self.close(connection, CloseReason.UNFINISHED_RESPONSE)
+        elif self.attribution.trust.is_distrusted(now()) and not connection.is_reused:
+            self.close(connection, CloseReason.DISTRUST)
         else:
             self.idle.setdefault(endpoint_id, deque()).append(IdleConnection(monotonic(), connection))
+            connection.watch(lambda: self._idle_readable(endpoint_id, connection))
+
+    def _idle_readable(self, endpoint_id: str, connection: EndpointConnection) -> None:
+        """Closes an idle connection as soon as the endpoint has closed or written to it."""
+        for idle in list(self.idle.get(endpoint_id, ())):
+            if idle.connection is connection:
+                self._close_readable(endpoint_id, self._remove(endpoint_id, idle).connection)
 
-    def close(self, connection: HttpConnection) -> None:
+    def close(self, connection: EndpointConnection, reason: CloseReason) -> None:
         """Closes a connection that is in use or has just been removed from the idle ones."""
         connection.close()
         self.open -= 1
+        self.closed[reason] += 1
 
-    def close_idle(self, endpoint_id: str) -> None:
+    def close_idle(self, endpoint_id: str, reason: CloseReason = CloseReason.ENDPOINT_LEFT) -> None:
         """Closes all idle connections of an endpoint."""
-        for idle in self.idle.pop(endpoint_id, ()):
-            self.close(idle.connection)
+        for idle in list(self.idle.get(endpoint_id, ())):
+            self.close(self._remove(endpoint_id, idle).connection, reason)
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; at the limit, closes the longest idle one first."""
         if self.open >= self.limits.endpoint_connections and self.idle:
             endpoint_id = min(self.idle, key=lambda endpoint_id: self.idle[endpoint_id][0].since)
-            self.close(self.idle[endpoint_id].popleft().connection)
-            if not self.idle[endpoint_id]:
-                del self.idle[endpoint_id]
+            longest_idle = self._remove(endpoint_id, self.idle[endpoint_id][0])
+            self.close(longest_idle.connection, CloseReason.POOL_FULL)
         return self.open < self.limits.endpoint_connections
 
     def idle_limit(self, endpoint_id: str) -> float:
@@ -132,7 +221,7 @@
         limit = self.idle_limits.get(endpoint_id)
         return self.limits.endpoint_idle_s if limit is None else limit.longest_idle
 
-    def connection_dropped(self, endpoint_id: str, connection: HttpConnection) -> None:
+    def connection_dropped(self, endpoint_id: str, connection: EndpointConnection) -> None:
         """Shortens the endpoint's idle limit after a connection was lost without a byte of a response.
 
         Some endpoints drop idle connections early and without a FIN; the next request on such a connection is
@@ -145,23 +234,23 @@
 
     def sweep(self) -> None:
         """Closes idle connections past their limit, and those that the endpoint has closed or written to."""
-        now = monotonic()
+        time = monotonic()
         self.idle_limits = {
-            endpoint_id: limit for endpoint_id, limit in self.idle_limits.items() if limit.until > now
+            endpoint_id: limit for endpoint_id, limit in self.idle_limits.items() if limit.until > time
         }
         for endpoint_id in list(self.idle):
-            kept = deque[IdleConnection]()
             # Connections that would exceed their limit before the next sweep are closed now, unless they have
             # been idle for less than `min_endpoint_idle_s`.
-            oldest = now - self.idle_limit(endpoint_id) + self.limits.pool_sweep_s
-            for idle in self.idle.pop(endpoint_id):
-                young = idle.since > min(oldest, now - self.limits.min_endpoint_idle_s)
-                if young and idle.connection.is_idle():
-                    kept.append(idle)
-                else:
-                    self.close(idle.connection)
-            if kept:
-                self.idle[endpoint_id] = kept
+            oldest = time - self.idle_limit(endpoint_id) + self.limits.pool_sweep_s
+            for idle in list(self.idle[endpoint_id]):
+                self._sweep_connection(endpoint_id, idle, min(oldest, time - self.limits.min_endpoint_idle_s))
+
+    def _sweep_connection(self, endpoint_id: str, idle: IdleConnection, oldest: float) -> None:
+        """Closes an idle connection that is idle since `oldest` or longer, or that cannot be used."""
+        if idle.since <= oldest:
+            self.close(self._remove(endpoint_id, idle).connection, CloseReason.IDLE_LIMIT)
+        elif not idle.connection.is_idle():
+            self._close_readable(endpoint_id, self._remove(endpoint_id, idle).connection)
 
     def run(self) -> None:
         """Sweeps every `pool_sweep_s` until its greenlet is killed."""
--- /dev/null
+++ b/ashpath/server/delivery/endpoint_connection.py
@@ -0,0 +1,94 @@
+"""A connection to an endpoint, with what is recorded of its use."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import suppress
+from enum import Enum
+from time import monotonic
+
+from gevent import get_hub, socket
+
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.limits.http import HttpLimits
+
+READ = 1  # the event of libev's io watchers
+MAX_LOGGED_BYTES = 64  # of what an endpoint sent without a request
+
+
+class CloseReason(Enum):
+    """The reason for which the sender closed a connection to an endpoint."""
+
+    CLOSED_BY_ENDPOINT = "closed by endpoint"
+    EXTRA_BYTES = "extra bytes"
+    DISTRUST = "distrust"
+    IDLE_LIMIT = "idle limit"
+    ENDPOINT_LEFT = "endpoint left"
+    POOL_FULL = "pool full"
+    ATTEMPT_FAILED = "attempt failed"
+    NOT_KEPT_ALIVE = "not kept alive"
+    UNFINISHED_RESPONSE = "unfinished response"
+
+
+class EndpointConnection(HttpConnection):
+    """A connection to an endpoint; the pool creates and closes it."""
+
+    def __init__(self, sock: socket.socket, limits: HttpLimits, number: int) -> None:
+        super().__init__(sock, limits)
+        self.number = number
+        """In the order in which this process opened its connections, from 1."""
+        self.requests = 0
+        """Number of requests that were written."""
+        self.last_trace_id = ""
+        """Trace id of the last request that was written."""
+        self.idle_before_use_s: float = 0.0
+        """Seconds for which the connection was idle before its last request; 0 if that is its first one."""
+        self.written_at = 0.0
+        """Time of the last request, in seconds of the monotonic clock."""
+        self._watcher = get_hub().loop.io(sock.fileno(), READ)
+
+    @property
+    def is_reused(self) -> bool:
+        """Whether the last request is not the first one."""
+        return self.requests > 1
+
+    def request_written(self, trace_id: str) -> None:
+        """Records a request."""
+        self.requests += 1
+        self.last_trace_id = trace_id
+        self.written_at = monotonic()
+
+    def watch(self, readable: Callable[[], None]) -> None:
+        """Calls `readable` once bytes, or the end of the connection, have arrived. It must not switch."""
+        self._watcher.start(readable)
+
+    def stop_watching(self) -> None:
+        """Undoes `watch`."""
+        self._watcher.stop()
+
+    def close(self) -> None:
+        """Closes the socket, and stops watching it."""
+        self._watcher.stop()
+        self._watcher.close()
+        super().close()
+
+    def unread_bytes(self) -> bytes:
+        """Returns the first bytes that are received and not consumed, without waiting or consuming any."""
+        buffered = len(self.buffer)
+        if buffered:
+            return self.buffer.peek(0, min(buffered, MAX_LOGGED_BYTES))
+        received = b""
+        with suppress(OSError):
+            self.sock.settimeout(0)
+            received = self.sock.recv(MAX_LOGGED_BYTES, socket.MSG_PEEK)
+        with suppress(OSError):
+            self.sock.settimeout(None)
+        return received
+
+    def wait_for_bytes(self, timeout_s: float) -> bytes:
+        """Waits until bytes or the end of the connection arrive, for `timeout_s` at most, and returns the
+        first bytes, which are not consumed; b"" if there are none."""
+        if not self.unread_bytes():
+            with suppress(socket.timeout):
+                socket.wait_read(self.sock.fileno(), timeout=timeout_s)
+        return self.unread_bytes()
--- a/ashpath/server/delivery/errors.py
+++ b/ashpath/server/delivery/errors.py
@@ -79,3 +79,7 @@
 
 class InvalidResponseError(ResponseError):
     """The endpoint sent bytes that are not a valid HTTP response."""
+
+
+class ResponseInDoubtError(ResponseError):
+    """The response may belong to another request: one response too many came on the connection."""
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -108,12 +108,15 @@
         return Submission(self, message)
 
     def record_attempt(self, message: StoredMessage, result: AttemptResult) -> None:
-        """Records the outcome of an attempt, and the final state of the message if the result is final."""
+        """Records the outcome of an attempt, and the final state of the message if the result is final.
+
+        A provisional delivery is not recorded in the write-ahead log yet: see `DeliveryOwner`."""
         if result.final:
             delivered = result.outcome is AttemptOutcome.DELIVERED
             state = FinalState.DELIVERED if delivered else FinalState.CANCELLED
             self._store_final_state(message, state)
-            self.write_ahead_log.record_finished(message)
+            if not result.provisional:
+                self.write_ahead_log.record_finished(message)
         else:
             self.write_ahead_log.record_outcome(message, may_have_run=result.outcome not in NEVER_RAN)
 
--- /dev/null
+++ b/ashpath/server/delivery/response_attribution.py
@@ -0,0 +1,110 @@
+"""Acts on extra responses: doubts the provisional results of their connection, and distrusts all connections.
+
+The policy decides what is provisional and how long connections are distrusted (`policy/response_trust.py`).
+A provisional delivery ends its message for the policy and for clients that ask, but the message stays in the
+write-ahead log until its result is confirmed: DELIVERY_DOUBT_TIME later, or at the end of the process. A kill
+before that leaves an attempt that may have run.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+import gevent
+from msgspec import Struct
+
+from ashpath.policy.response_trust import ResponseTrust, may_be_response
+from ashpath.policy.tuning import DELIVERY_DOUBT_TIME
+from ashpath.server.delivery.endpoint_connection import EndpointConnection
+from ashpath.server.logs import Logger
+from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.timers import now
+
+CONFIRMATION_INTERVAL_S = 0.25
+
+
+class DeliveryOwner(Protocol):
+    """Receives the final result of each provisional delivery: exactly one of the two calls."""
+
+    def delivery_confirmed(self, message: StoredMessage) -> None:
+        """The message was delivered."""
+
+    def delivery_in_doubt(self, message: StoredMessage) -> None:
+        """The message may have been delivered, or not: its response may belong to another request."""
+
+
+class ProvisionalDelivery(Struct, frozen=True, eq=False):
+    """A delivery whose connection may still show that the response belonged to another request."""
+
+    connection: EndpointConnection
+    message: StoredMessage
+    owner: DeliveryOwner
+    confirmed_at: int
+    """Microseconds of the monotonic clock."""
+
+
+class ResponseAttribution:
+    """The provisional deliveries of one sender, and its reaction to extra responses."""
+
+    def __init__(self, trust: ResponseTrust, logger: Logger) -> None:
+        self.trust = trust
+        self.logger = logger
+        self.extra_responses = 0
+        """Number of times that an endpoint sent what may be a response without a request."""
+        self.deliveries_in_doubt = 0
+        self._deliveries: deque[ProvisionalDelivery] = deque()  # the earliest confirmation first
+
+    def add_delivery(
+        self, connection: EndpointConnection, message: StoredMessage, owner: DeliveryOwner
+    ) -> None:
+        """Adds a provisional delivery."""
+        confirmed_at = now() + DELIVERY_DOUBT_TIME
+        self._deliveries.append(ProvisionalDelivery(connection, message, owner, confirmed_at))
+
+    def check_extra_bytes(self, endpoint_id: str, connection: EndpointConnection) -> bool:
+        """Logs unread bytes of a connection that has no request out, which the caller closes.
+
+        Returns True, and doubts what is provisional, if the bytes may be a response."""
+        data = connection.unread_bytes()
+        if not data:
+            return False
+        is_response = may_be_response(data)
+        self.logger.warning(
+            "extra bytes",
+            endpoint=endpoint_id,
+            connection=connection.number,
+            requests=connection.requests,
+            trace_id=connection.last_trace_id,
+            first_bytes=repr(data),
+            is_response=is_response,
+        )
+        if is_response:
+            self.extra_responses += 1
+            self.trust.extra_response_received(now())
+            self._doubt(connection)
+        return is_response
+
+    def _doubt(self, connection: EndpointConnection) -> None:
+        doubtful = [delivery for delivery in self._deliveries if delivery.connection is connection]
+        for delivery in doubtful:
+            self._deliveries.remove(delivery)
+            self.deliveries_in_doubt += 1
+            self.logger.warning("delivery in doubt", trace_id=delivery.message.trace_id)
+            delivery.owner.delivery_in_doubt(delivery.message)
+
+    def confirm_until(self, time: int) -> None:
+        """Confirms the deliveries that are due by a time, in microseconds of the monotonic clock."""
+        while self._deliveries and self._deliveries[0].confirmed_at <= time:
+            delivery = self._deliveries.popleft()
+            delivery.owner.delivery_confirmed(delivery.message)
+
+    def confirm_all(self) -> None:
+        """Confirms all deliveries, at the end of the process."""
+        self.confirm_until(now() + DELIVERY_DOUBT_TIME)
+
+    def run(self) -> None:
+        """Confirms deliveries as they become due, until its greenlet is killed."""
+        while True:
+            gevent.sleep(CONFIRMATION_INTERVAL_S)
+            self.confirm_until(now())
--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -80,6 +80,12 @@
 
 def dial(sock: socket.socket, address: tuple[str, int], limits: HttpLimits) -> HttpConnection:
     """Connects the caller's socket like `open_connection`; the caller may close it to abort the connect."""
+    connect_socket(sock, address, limits)
+    return HttpConnection(sock, limits)
+
+
+def connect_socket(sock: socket.socket, address: tuple[str, int], limits: HttpLimits) -> None:
+    """Connects a socket. Raises OSError on a failure or time-out, and closes the socket then."""
     try:
         sock.settimeout(limits.connect_s)
         sock.connect(address)
@@ -87,7 +93,6 @@
     except BaseException:
         sock.close()
         raise
-    return HttpConnection(sock, limits)
 
 
 class HttpConnection(BufferedSocket):
@@ -99,7 +104,6 @@
         super().__init__(sock, ReceiveBuffer(limits.buffer_bytes, limits.body_bytes))
         self.limits = limits
         self.status_line_read = False  # of the response that is being read
-        self.idle_before_use_s = 0.0  # seconds idle in the pool before the current call; 0 if new
 
     def read_request(self) -> HttpRequest:
         """Returns the next request with its body. Raises ProtocolError, ConnectionClosedError, OSError."""
--- a/ashpath/server/operator_commands.py
+++ b/ashpath/server/operator_commands.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from ashpath.server.control.commands import CommandResult, EndpointCommand, OperatorCommand, Verb
+from ashpath.server.delivery.attempt_log import TRACE_S
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.policy_runner import PolicyRunner
@@ -40,8 +41,18 @@
         if command.verb is Verb.REJOIN:
             self.listener.set_lame_duck(enabled=False)
             return CommandResult(succeeded=True, message="ending" if self.listener.closing else "ready")
+        if command.verb in (Verb.TRACE, Verb.ATTEMPTS):
+            return self.log_attempts(command.verb)
         return CommandResult(succeeded=True)  # PING: the address listens only after the log is restored
 
+    def log_attempts(self, verb: Verb) -> CommandResult:
+        """Logs each attempt for a while, or the latest ones."""
+        attempt_log = self.policy_runner.attempt_runner.attempt_log
+        if verb is Verb.TRACE:
+            attempt_log.trace()
+            return CommandResult(succeeded=True, message=f"each attempt is logged for {TRACE_S:.0f} s")
+        return CommandResult(succeeded=True, message=f"{attempt_log.write_latest()} attempts logged")
+
     def set_detached(self, endpoint: str, *, detached: bool) -> CommandResult:
         """Detaches an endpoint, or attaches it again. Succeeds without a change if the endpoint is already in
         that state."""
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -247,6 +247,14 @@
         self.recorder.record_attempt(attempt.message, result)
         self._report_result(attempt, result)
 
+    def delivery_confirmed(self, message: StoredMessage) -> None:
+        """See `DeliveryOwner`."""
+        self.write_ahead_log.record_finished(message)
+
+    def delivery_in_doubt(self, message: StoredMessage) -> None:
+        """See `DeliveryOwner`. The message has ended for the policy; a notice ends it for its client."""
+        self.recorder.record_failed(message)
+
     def _report_result(self, attempt: Attempt, result: AttemptResult) -> None:
         message_id = attempt.message.message_id
         self.attempts.pop(message_id, None)
--- a/ashpath/server/reload.py
+++ b/ashpath/server/reload.py
@@ -93,6 +93,7 @@
         running = self.running.current
         if configuration.raw_settings != running.raw_settings:
             self.switch(configuration.aligned_with(running))
+        self.policy_runner.attempt_runner.attempt_log.always = configuration.attempt_log
         try:
             self.metrics.configure(configuration.metrics_listen)
         except OSError as error:  # the previous address stays in use
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -64,6 +64,7 @@
             inherited=sender.process_options.inherited_socket is not None,
         )
         sender.shutdown.ended.wait()
+        sender.delivery.pool.attribution.confirm_all()
         sender.delivery.write_ahead_log.close()
 
     def listen(self) -> None:
@@ -105,6 +106,7 @@
             delivery.notifier.run,
             delivery.policy_runner.timers.run,
             delivery.pool.run,
+            delivery.pool.attribution.run,
             LogRepairer(
                 delivery.write_ahead_log, sender.limits.log_repair_s, self.logger, delivery.outcome_store
             ).run,
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -9,17 +9,20 @@
 from random import Random
 
 from ashpath.core.platform_settings import load_report_fields
+from ashpath.policy.response_trust import ResponseTrust
 from ashpath.server import state_files
 from ashpath.server.addresses import parse_address
 from ashpath.server.adoption import OrphanAdopter
 from ashpath.server.backoff import Backoff
 from ashpath.server.configuration import RunningConfiguration, SenderConfiguration, SenderSettings
 from ashpath.server.control.listener import ControlListener
+from ashpath.server.delivery.attempt_log import AttemptLog
 from ashpath.server.delivery.attempt_runner import AttemptRunner
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.delivery.response_attribution import ResponseAttribution
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.deployment import Deployment
 from ashpath.server.discovery.client import DiscoveryClient
@@ -144,9 +147,12 @@
 ) -> AttemptRunner:
     """Creates the runner of attempts, with the connections and the registry of endpoints."""
     settings = configuration.settings
-    pool = ConnectionPool(configuration.limits.endpoints, configuration.limits.http)
+    attribution = ResponseAttribution(ResponseTrust(), logger)
+    pool = ConnectionPool(configuration.limits.endpoints, configuration.limits.http, attribution)
     registry = EndpointRegistry(settings.kinds, settings.zones, pool, logger)
-    return AttemptRunner(pool, registry, create_classifier(settings), notifier, logger)
+    attempt_log = AttemptLog(logger)
+    attempt_log.always = configuration.attempt_log
+    return AttemptRunner(pool, registry, create_classifier(settings), notifier, attempt_log, logger)
 
 
 def open_policy_files(
--- a/tests/server/delivery/test_attempt_runner.py
+++ b/tests/server/delivery/test_attempt_runner.py
@@ -12,6 +12,7 @@
 from support.sender_parts import DeliverySetup
 
 from ashpath.core.interface import AttemptOutcome
+from ashpath.policy.response_trust import ResponseTrust
 from ashpath.server.addresses import Address
 from ashpath.server.delivery.errors import AttemptCancelledError
 from ashpath.server.http.connection import HttpConnection
@@ -77,6 +78,7 @@
     delivery_setup = DeliverySetup(harness)
     delivery_setup.pool.http_limits = limits_with(response_rest_s=0.05).http
     for count, (data, (outcome, kept)) in enumerate(RESPONSES.items(), 1):
+        delivery_setup.pool.attribution.trust = ResponseTrust()  # no row affects the next one
         delivery_setup.start("s", b"")
         wait_until(lambda count=count: len(delivery_setup.outcomes) == count)  # type: ignore[misc]  # bound in the loop
         assert delivery_setup.outcomes[-1] is outcome, data
--- a/tests/server/delivery/test_connection_pool.py
+++ b/tests/server/delivery/test_connection_pool.py
@@ -9,11 +9,17 @@
 from support.sender_parts import DeliverySetup
 
 from ashpath.core.interface import AttemptOutcome
+from ashpath.core.time_units import SECOND
+from ashpath.policy.response_trust import ResponseTrust
+from ashpath.policy.tuning import QUIET_TIME
 from ashpath.server.addresses import Address
 from ashpath.server.delivery.connection_pool import ConnectionPool, IdleConnection, IdleLimit
+from ashpath.server.delivery.endpoint_connection import CloseReason
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.http.connection import HttpConnection
 
+QUIET_S = 1.2 * QUIET_TIME / SECOND  # after which a connection may carry its next request
+
 
 def endpoint_address(harness: SenderHarness) -> Address:
     """The address at which all endpoints of the harness listen."""
@@ -29,8 +35,8 @@
 
 
 def test_unusable_idle_connections_are_closed(harness: SenderHarness) -> None:
-    """Connections that are closed by the far end, hold unexpected bytes or were idle for too long are closed,
-    both on reuse and by the sweep."""
+    """Connections that are closed by the far end or hold unexpected bytes are closed at once, those that were
+    idle for too long by the sweep. An unexpected response makes the pool distrust the others too."""
     pool = connection_pool()
     good, closed, unusable, old = (pool.connect(endpoint_address(harness)) for _ in range(4))
     for connection in (closed, unusable, good, old):
@@ -38,8 +44,12 @@
     closed.write(b"nonsense\r\n\r\n")  # the far end closes the connection in response
     unusable.write(request("s", "free", "200", 1))  # leaves a response that nobody reads
     wait_until(lambda: not closed.is_idle() and not unusable.is_idle())
+    wait_until(lambda: pool.open == 2)
+    assert pool.closed[CloseReason.CLOSED_BY_ENDPOINT] == pool.closed[CloseReason.EXTRA_BYTES] == 1
+    backdate_idle_connection(pool, 0, QUIET_S)
+    assert pool.acquire_idle("e1") is None
+    pool.attribution.trust = ResponseTrust()
     assert pool.acquire_idle("e1") is good
-    assert pool.open == 2
     backdate_idle_connection(pool, 0, LIMITS.endpoints.endpoint_idle_s)
     pool.release("e1", good)
     pool.sweep()
@@ -89,6 +99,7 @@
     assert pool.idle_limit("e2") == LIMITS.endpoints.endpoint_idle_s
     last = pool.connect(address)
     pool.release("e1", last)
+    backdate_idle_connection(pool, -1, QUIET_S)
     assert pool.acquire_idle("e1") is last
     pool.release("e1", last)
     delivery_setup.start("b", b"reset")  # uses the last connection, which was hardly idle: the limit stays
--- a/tests/support/limits.py
+++ b/tests/support/limits.py
@@ -5,10 +5,13 @@
 from random import Random
 from typing import Any
 
+import structlog
 from msgspec.structs import asdict
 
+from ashpath.policy.response_trust import ResponseTrust
 from ashpath.server.addresses import Address
 from ashpath.server.delivery.connection_pool import ConnectionPool
+from ashpath.server.delivery.response_attribution import ResponseAttribution
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.discovery.snapshot import MembershipListener
 from ashpath.server.limits.server_limits import ServerLimits
@@ -29,7 +32,8 @@
 
 def connection_pool(limits: ServerLimits = LIMITS) -> ConnectionPool:
     """Returns an empty pool."""
-    return ConnectionPool(limits.endpoints, limits.http)
+    attribution = ResponseAttribution(ResponseTrust(), structlog.get_logger())
+    return ConnectionPool(limits.endpoints, limits.http, attribution)
 
 
 def discovery_client(
--- a/tests/support/sender_parts.py
+++ b/tests/support/sender_parts.py
@@ -15,6 +15,7 @@
 
 from ashpath.core.interface import AttemptOutcome
 from ashpath.server.backoff import Backoff
+from ashpath.server.delivery.attempt_log import AttemptLog
 from ashpath.server.delivery.attempt_runner import AttemptRunner
 from ashpath.server.delivery.attempts import Attempt, AttemptResult
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
@@ -112,8 +113,12 @@
         self.registry.apply_members(harness.members, complete=True)
         self.recorder = OutcomeRecorder(write_ahead_log, notifier)
         classifier = ResponseClassifier(has_load_reports=True)
-        self.runner = AttemptRunner(self.pool, self.registry, classifier, notifier, logger)
+        self.runner = AttemptRunner(
+            self.pool, self.registry, classifier, notifier, AttemptLog(logger), logger
+        )
         self.outcomes: list[AttemptOutcome] = []
+        self.confirmed: list[str] = []  # trace ids of provisional deliveries
+        self.doubtful: list[str] = []
         self.invalid: set[str] = set()  # trace ids of messages for which `still_valid` returns False
 
     def still_valid(self, message: StoredMessage) -> bool:
@@ -123,6 +128,12 @@
         self.recorder.record_attempt(attempt.message, result)
         self.outcomes.append(result.outcome)
 
+    def delivery_confirmed(self, message: StoredMessage) -> None:
+        self.confirmed.append(message.trace_id)
+
+    def delivery_in_doubt(self, message: StoredMessage) -> None:
+        self.doubtful.append(message.trace_id)
+
     def start(self, trace_id: str, body: bytes, endpoint_id: str = "e1", timeout: int = 5_000_000) -> Attempt:
         """Starts an attempt at an endpoint with a time-out in microseconds."""
         message = StoredMessage(1, trace_id, 0, 1, None, None, 0, body)
