Delivery: extra bytes are seen on a connection that is reserved or closed

Cause: (1) an attempt that waited for a connection to become quiet closed it unread when all were distrusted meanwhile, and the extra response with it; (2) the next message of a key began while the delivery of the one before it was provisional, and a notice ended that one later.

Evidence: the attempt lines of the lost messages (second place on their connection, 61 ms idle before) and no extra bytes behind them.

Change: such a connection is idle again; every close of a connection without a request looks for extra bytes; a message of a key waits until nearly every true response would have come for the one before it.

--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -4,7 +4,7 @@
 
 | stage | errors that end the attempt in this stage |
 | --- | --- |
-| wait for notifications of earlier messages with the same ordering key | `PendingNotificationError` |
+| wait until earlier messages with the same ordering key have ended for certain | `PendingNotificationError` |
 | look up the address of the endpoint | `EndpointNotListedError` |
 | acquire a connection, idle or new | `ConnectionPoolFullError`, `LocalResourceError`, |
 | | `ConnectError`, `DeadlineBeforeConnectError` |
@@ -128,6 +128,7 @@
     def _run_stages(self, attempt: Attempt, address: Address | None, owner: AttemptOwner) -> None:
         """Runs the stages in order. Raises the AttemptError of the stage that fails."""
         if attempt.ordered:
+            self._await_predecessors(attempt)
             self._await_notifications(attempt)
         if address is None:
             raise EndpointNotListedError
@@ -136,6 +137,14 @@
         self._write_request(attempt, address, connection)
         self._read_response(attempt, connection)
 
+    def _await_predecessors(self, attempt: Attempt) -> None:
+        """Waits until the delivery of the earlier messages of the ordering key is certain, for half of the
+        attempt's time at most."""
+        time_left = max(0.0, (attempt.deadline - now()) * NOTIFICATION_SHARE)
+        wait = self.pool.attribution.wait_before_next(attempt.message)
+        if wait > 0:
+            gevent.sleep(min(wait, time_left) / SECOND)
+
     def _await_notifications(self, attempt: Attempt) -> None:
         """Waits until no notification of the message's ordering key is pending.
 
@@ -192,14 +201,14 @@
             raise ConnectionLostError(str(error)) from error
         except ProtocolError as error:
             raise InvalidResponseError(str(error)) from error
-        response_time = now() - written_at
+        attempt.response_time = now() - written_at
         if connection.is_reused:
-            self._check_attribution(attempt, connection, response, response_time)
-        self.pool.attribution.trust.response_received(response_time)
+            self._check_attribution(attempt, connection, response)
+        self.pool.attribution.trust.response_received(attempt.response_time)
         attempt.response = response
 
     def _check_attribution(
-        self, attempt: Attempt, connection: EndpointConnection, response: HttpResponse, response_time: int
+        self, attempt: Attempt, connection: EndpointConnection, response: HttpResponse
     ) -> None:
         """Raises ResponseInDoubtError if more than one response has come for the request.
 
@@ -208,7 +217,7 @@
         hold = 0
         if attempt.provisional and response.status != OK:
             time_left = attempt.deadline - now()
-            hold = min(self.pool.attribution.trust.hold_time(response_time), time_left // 2)
+            hold = min(self.pool.attribution.trust.hold_time(attempt.response_time), time_left // 2)
         if response.status == OK and response.well_formed and connection.body_received():
             with suppress(ProtocolError):  # `_finish_response` closes the connection
                 connection.finish_response()
@@ -257,7 +266,7 @@
         connection = attempt.connection
         if attempt.provisional and result.outcome is AttemptOutcome.DELIVERED and connection is not None:
             result = replace(result, provisional=True)
-            self.pool.attribution.add_delivery(connection, attempt.message, owner)
+            self.pool.attribution.add_delivery(connection, attempt.message, owner, attempt.response_time)
         owner.attempt_finished(attempt, result)
 
     def _finish_response(
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -33,6 +33,8 @@
     """The request was written to its last byte, so the endpoint may have run it."""
     new_connection: bool = False
     """The request is the first one on its connection."""
+    response_time: int = 0
+    """Microseconds from the request to the response."""
     provisional: bool = False
     """The response may be that of the request before this one on the connection."""
     ordered: bool = False
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -105,7 +105,7 @@
             connection = taken.connection
             connection.idle_before_use_s = monotonic() - taken.since
             if connection.idle_before_use_s >= self.idle_limit(endpoint_id):
-                self.close(connection, CloseReason.IDLE_LIMIT)
+                self._retire(endpoint_id, connection, CloseReason.IDLE_LIMIT)
             elif self._is_usable(endpoint_id, connection):
                 return connection
         return None
@@ -126,7 +126,8 @@
     def _await_quiet(self, endpoint_id: str) -> EndpointConnection | None:
         """Reserves the idle connection that will be quiet next, waits for that and returns it.
 
-        Returns None if there is none, or if it turns out to be unusable."""
+        Returns None if there is none, or if it turns out to be unusable. If all connections are distrusted
+        meanwhile, this one is idle again: it may still show that a provisional result is wrong."""
         if endpoint_id not in self.idle:
             return None
         first = self.idle[endpoint_id][0]
@@ -141,7 +142,7 @@
             raise
         connection.idle_before_use_s = monotonic() - first.since
         if self.attribution.trust.is_distrusted(now()):
-            self.close(connection, CloseReason.DISTRUST)
+            self._make_idle(endpoint_id, IdleConnection(first.since, connection))
             return None
         return connection if self._is_usable(endpoint_id, connection) else None
 
@@ -154,9 +155,13 @@
 
     def _close_readable(self, endpoint_id: str, connection: EndpointConnection) -> None:
         """Closes a connection without a request out that the endpoint has closed or written to."""
+        self._retire(endpoint_id, connection, CloseReason.CLOSED_BY_ENDPOINT)
+
+    def _retire(self, endpoint_id: str, connection: EndpointConnection, reason: CloseReason) -> None:
+        """Closes a connection without a request out; extra bytes on it are the reason, if there are any."""
         has_bytes = bool(connection.unread_bytes())
         self.attribution.check_extra_bytes(endpoint_id, connection)
-        self.close(connection, CloseReason.EXTRA_BYTES if has_bytes else CloseReason.CLOSED_BY_ENDPOINT)
+        self.close(connection, CloseReason.EXTRA_BYTES if has_bytes else reason)
 
     def _remove(self, endpoint_id: str, idle: IdleConnection) -> IdleConnection:
         """Removes a connection from the idle ones."""
@@ -188,8 +193,11 @@
         elif self.attribution.trust.is_distrusted(now()) and not connection.is_reused:
             self.close(connection, CloseReason.DISTRUST)
         else:
-            self.idle.setdefault(endpoint_id, deque()).append(IdleConnection(monotonic(), connection))
-            connection.watch(lambda: self._idle_readable(endpoint_id, connection))
+            self._make_idle(endpoint_id, IdleConnection(monotonic(), connection))
+
+    def _make_idle(self, endpoint_id: str, idle: IdleConnection) -> None:
+        self.idle.setdefault(endpoint_id, deque()).append(idle)
+        idle.connection.watch(lambda: self._idle_readable(endpoint_id, idle.connection))
 
     def _idle_readable(self, endpoint_id: str, connection: EndpointConnection) -> None:
         """Closes an idle connection as soon as the endpoint has closed or written to it."""
@@ -206,14 +214,14 @@
     def close_idle(self, endpoint_id: str, reason: CloseReason = CloseReason.ENDPOINT_LEFT) -> None:
         """Closes all idle connections of an endpoint."""
         for idle in list(self.idle.get(endpoint_id, ())):
-            self.close(self._remove(endpoint_id, idle).connection, reason)
+            self._retire(endpoint_id, self._remove(endpoint_id, idle).connection, reason)
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; at the limit, closes the longest idle one first."""
         if self.open >= self.limits.endpoint_connections and self.idle:
             endpoint_id = min(self.idle, key=lambda endpoint_id: self.idle[endpoint_id][0].since)
             longest_idle = self._remove(endpoint_id, self.idle[endpoint_id][0])
-            self.close(longest_idle.connection, CloseReason.POOL_FULL)
+            self._retire(endpoint_id, longest_idle.connection, CloseReason.POOL_FULL)
         return self.open < self.limits.endpoint_connections
 
     def idle_limit(self, endpoint_id: str) -> float:
@@ -248,7 +256,7 @@
     def _sweep_connection(self, endpoint_id: str, idle: IdleConnection, oldest: float) -> None:
         """Closes an idle connection that is idle since `oldest` or longer, or that cannot be used."""
         if idle.since <= oldest:
-            self.close(self._remove(endpoint_id, idle).connection, CloseReason.IDLE_LIMIT)
+            self._retire(endpoint_id, self._remove(endpoint_id, idle).connection, CloseReason.IDLE_LIMIT)
         elif not idle.connection.is_idle():
             self._close_readable(endpoint_id, self._remove(endpoint_id, idle).connection)
 
--- a/ashpath/server/delivery/response_attribution.py
+++ b/ashpath/server/delivery/response_attribution.py
@@ -40,6 +40,8 @@
     connection: EndpointConnection
     message: StoredMessage
     owner: DeliveryOwner
+    certain_at: int
+    """From then on the next message of the same ordering key may be sent: microseconds, as `confirmed_at`."""
     confirmed_at: int
     """Microseconds of the monotonic clock."""
 
@@ -56,11 +58,24 @@
         self._deliveries: deque[ProvisionalDelivery] = deque()  # the earliest confirmation first
 
     def add_delivery(
-        self, connection: EndpointConnection, message: StoredMessage, owner: DeliveryOwner
+        self,
+        connection: EndpointConnection,
+        message: StoredMessage,
+        owner: DeliveryOwner,
+        response_time: int,
     ) -> None:
-        """Adds a provisional delivery."""
-        confirmed_at = now() + DELIVERY_DOUBT_TIME
-        self._deliveries.append(ProvisionalDelivery(connection, message, owner, confirmed_at))
+        """Adds a provisional delivery, whose response came `response_time` microseconds after its request."""
+        time = now()
+        certain_at = time + self.trust.hold_time(response_time)
+        confirmed_at = time + DELIVERY_DOUBT_TIME
+        self._deliveries.append(ProvisionalDelivery(connection, message, owner, certain_at, confirmed_at))
+
+    def wait_before_next(self, message: StoredMessage) -> int:
+        """Returns the microseconds until no earlier message of the same ordering key is likely to be put in
+        doubt: a notice would end it after the begin of this one, out of order."""
+        time = now()
+        earlier = (one for one in self._deliveries if one.message.ordering_key == message.ordering_key)
+        return max((delivery.certain_at - time for delivery in earlier), default=0)
 
     def check_extra_bytes(self, endpoint_id: str, connection: EndpointConnection) -> bool:
         """Logs unread bytes of a connection that has no request out, which the caller closes.
