Agent: each notice and each poll has a connection of its own

What callers saw: messages without a notice, where the platform repeats its 204 and then refuses the next batch on that connection.

Cause: the persistent connection of AgentConnection attributed a response to a call by its place, as the delivery did: a repeated 204 acknowledged the next batch, a repeated list ended the next poll.

Change: a connection a call; the agent is on the same machine. A response can only be that of the one call on its connection.

--- a/ashpath/server/agent_client.py
+++ b/ashpath/server/agent_client.py
@@ -1,7 +1,10 @@
-"""Short calls to the platform's agent over one persistent connection: polls of discovery, and notifications.
+"""Short calls to the platform's agent: polls of discovery, and notifications.
 
-A failed call closes the connection. Calls are not retried in this module; the caller decides when to try
-again.
+Each call has a connection of its own. A response belongs to a call by its connection alone, so one that comes
+twice, or late, can never acknowledge the notifications of another call, or end another poll. The agent is on
+the same machine, where a connection costs little.
+
+Calls are not retried in this module; the caller decides when to try again.
 """
 
 from __future__ import annotations
@@ -21,13 +24,12 @@
 
 
 class AgentConnection:
-    """A persistent connection for one call at a time."""
+    """Calls the agent, one call at a time."""
 
     def __init__(self, address: Address, limits: HttpLimits) -> None:
         self.address = address
         self.limits = limits
-        self.connection: HttpConnection | None = None
-        self.connected_address = address  # of the connection, or of the one being dialed
+        self.connection: HttpConnection | None = None  # of the call in flight
         self.dialing: socket.socket | None = None  # the socket that is being dialed
 
     def change_address(self, address: Address) -> None:
@@ -36,7 +38,7 @@
         self.abort()
 
     def abort(self) -> None:
-        """Makes a call in flight fail. The next call uses another connection."""
+        """Makes a call in flight fail."""
         if self.connection is not None:
             self.connection.close()
         if self.dialing is not None:
@@ -47,25 +49,21 @@
     ) -> HttpResponse | None:
         """Returns the response, or None if no readable response arrived within `timeout_s` seconds.
 
-        Closes the connection after every failure, also if an unexpected error is raised."""
+        Closes the connection in any case, also if an unexpected error is raised."""
         try:
             with Timeout(timeout_s):
-                response = self.exchange(request_line, body, headers)
+                return self.exchange(request_line, body, headers)
         except (OSError, ConnectionClosedError, ProtocolError, Timeout):
-            self.close()
             return None
-        except BaseException:
-            self.close()  # a response may be partly read
-            raise
-        if not response.keep_alive:
+        finally:
             self.close()
-        return response
 
     def exchange(self, request_line: bytes, body: bytes, headers: Headers) -> HttpResponse:
         """Sends one request and returns the response. Raises OSError, ConnectionClosedError or
         ProtocolError."""
-        connection = self.connect()
-        all_headers = [host_header(self.connected_address), *headers]
+        address = self.address
+        connection = self.connect(address)
+        all_headers = [host_header(address), *headers]
         connection.write(encode_message(request_line, all_headers, body))
         response = connection.read_response()
         if not response.well_formed:
@@ -73,23 +71,17 @@
         connection.finish_response()
         return response
 
-    def connect(self) -> HttpConnection:
-        """Returns the persistent connection if it is still usable, otherwise a new one. Raises OSError if
-        dialing fails."""
-        kept = self.connection
-        if kept is not None and self.connected_address == self.address and kept.is_idle():
-            return kept
-        self.close()
-        self.connected_address = self.address  # before the dial, as `change_address` may be called meanwhile
+    def connect(self, address: Address) -> HttpConnection:
+        """Returns a new connection. Raises OSError if dialing fails."""
         self.dialing = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            self.connection = dial(self.dialing, self.connected_address, self.limits)
+            self.connection = dial(self.dialing, address, self.limits)
         finally:
             self.dialing = None
         return self.connection
 
     def close(self) -> None:
-        """Closes the persistent connection, if any."""
+        """Closes the connection, if there is one."""
         if self.connection is not None:
             self.connection.close()
             self.connection = None
--- a/ashpath/server/delivery/http_notifier.py
+++ b/ashpath/server/delivery/http_notifier.py
@@ -1,6 +1,6 @@
 """Sends notifications by POST to the platform's agent or to a configured address, until acknowledged.
 
-Each call carries a batch of lines, the oldest first, over one persistent connection.
+Each call carries a batch of lines, the oldest first, over a connection of its own (`agent_client`).
 
 | response of the receiver    | action of the notifier                                                    |
 | --------------------------- | ------------------------------------------------------------------------- |
