Delivery: the Retry-After of a withheld response binds at once

Cause: a provisional 429 is withheld for up to 250 ms, in which other calls went to its destination.

Change: AttemptOwner.retry_after_received applies and publishes the wait before the response is withheld.

--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -135,7 +135,7 @@
         connection = attempt.connection = self._acquire_connection(attempt, address)
         self._check_valid(attempt, address, owner)
         self._write_request(attempt, address, connection)
-        self._read_response(attempt, connection)
+        self._read_response(attempt, connection, owner)
 
     def _await_predecessors(self, attempt: Attempt) -> None:
         """Waits until the delivery of the earlier messages of the ordering key is certain, for half of the
@@ -193,7 +193,7 @@
         attempt.written = True
         connection.request_written(attempt.message.trace_id)
 
-    def _read_response(self, attempt: Attempt, connection: EndpointConnection) -> None:
+    def _read_response(self, attempt: Attempt, connection: EndpointConnection, owner: AttemptOwner) -> None:
         written_at = now()
         try:
             response = connection.read_response()
@@ -203,6 +203,8 @@
             raise InvalidResponseError(str(error)) from error
         attempt.response_time = now() - written_at
         if connection.is_reused:
+            if attempt.provisional and (retry_after := self.classifier.retry_after(response)):
+                owner.retry_after_received(attempt, retry_after)
             self._check_attribution(attempt, connection, response)
         self.pool.attribution.trust.response_received(attempt.response_time)
         attempt.response = response
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -75,5 +75,9 @@
     def still_valid(self, message: StoredMessage) -> bool:
         """Whether the attempt may still be written, now that its connection is established."""
 
+    def retry_after_received(self, attempt: Attempt, retry_after: int) -> None:
+        """Receives the Retry-After of a provisional response, in microseconds, before its result: it binds at
+        once."""
+
     def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
         """Receives the result; called exactly once for each attempt, in the attempt's own greenlet."""
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -75,13 +75,18 @@
         if response is None:
             return AttemptResult(self._failure_outcome(attempt.failure))
         outcome = self._response_outcome(response, new_connection=attempt.new_connection)
-        retry_after = 0
-        if outcome is AttemptOutcome.OVERLOADED:
-            seconds = parse_number(response.headers.get(wire_names.RETRY_AFTER_HEADER)) or 0.0
-            retry_after = round(seconds * SECOND)
+        retry_after = self.retry_after(response) if outcome is AttemptOutcome.OVERLOADED else 0
         final = response.status in FINAL_STATUSES
         return AttemptResult(outcome, retry_after, final, self.load_report(response))
 
+    @staticmethod
+    def retry_after(response: HttpResponse) -> int:
+        """Returns the Retry-After of a 429 or 503 in microseconds; 0 if there is none, or another status."""
+        if STATUS_OUTCOMES.get(response.status) is not AttemptOutcome.OVERLOADED:
+            return 0
+        seconds = parse_number(response.headers.get(wire_names.RETRY_AFTER_HEADER)) or 0.0
+        return round(seconds * SECOND)
+
     @staticmethod
     def _failure_outcome(failure: AttemptError | None) -> AttemptOutcome:
         for error_type, outcome in FAILURE_OUTCOMES:
--- a/tests/support/sender_parts.py
+++ b/tests/support/sender_parts.py
@@ -119,6 +119,7 @@
         self.outcomes: list[AttemptOutcome] = []
         self.confirmed: list[str] = []  # trace ids of provisional deliveries
         self.doubtful: list[str] = []
+        self.early_retry_afters: list[int] = []  # of provisional responses
         self.invalid: set[str] = set()  # trace ids of messages for which `still_valid` returns False
 
     def still_valid(self, message: StoredMessage) -> bool:
@@ -128,6 +129,9 @@
         self.recorder.record_attempt(attempt.message, result)
         self.outcomes.append(result.outcome)
 
+    def retry_after_received(self, attempt: Attempt, retry_after: int) -> None:
+        self.early_retry_afters.append(retry_after)
+
     def delivery_confirmed(self, message: StoredMessage) -> None:
         self.confirmed.append(message.trace_id)
 
