Admission: a request that comes again after its message has ended is recognized

What callers saw: a copy of a request 0.7 or 1.5 s later, on another connection, was accepted and its message delivered again, fragile ones too.

Cause: a trace id was known only as long as its message was live.

A copy of one that may not simply be repeated gets 409, as a copy of a live one does. The Retry-After of a withheld response counts from its arrival.

One test resets sockets of the agent that may have ended with their call.

--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -224,7 +224,9 @@
             with suppress(ProtocolError):  # `_finish_response` closes the connection
                 connection.finish_response()
         if response.status != OK or response.complete:
+            withheld_at = now()
             connection.wait_for_bytes(max(0, hold) / SECOND)
+            attempt.withheld_time = now() - withheld_at
             if self.pool.attribution.check_extra_bytes(attempt.endpoint_id, connection):
                 raise ResponseInDoubtError
 
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -35,6 +35,8 @@
     """The request is the first one on its connection."""
     response_time: int = 0
     """Microseconds from the request to the response."""
+    withheld_time: int = 0
+    """Microseconds for which a provisional response was withheld."""
     provisional: bool = False
     """The response may be that of the request before this one on the connection."""
     ordered: bool = False
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -75,7 +75,9 @@
         if response is None:
             return AttemptResult(self._failure_outcome(attempt.failure))
         outcome = self._response_outcome(response, new_connection=attempt.new_connection)
-        retry_after = self.retry_after(response) if outcome is AttemptOutcome.OVERLOADED else 0
+        retry_after = 0
+        if outcome is AttemptOutcome.OVERLOADED:
+            retry_after = max(0, self.retry_after(response) - attempt.withheld_time)
         final = response.status in FINAL_STATUSES
         return AttemptResult(outcome, retry_after, final, self.load_report(response))
 
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from ashpath.core.interface import PolicySettings
+from ashpath.core.interface import PolicySettings, RetrySafety
 from ashpath.policy.tuning import DEFAULT_RETRY_AFTER
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.outcome_recorder import SubmitDecision, SubmitResult
@@ -96,6 +96,12 @@
         """Returns the rejection of a message that is not to be recorded, or None if it may be accepted."""
         if message.trace_id in self.write_ahead_log.messages.by_trace_id:
             return DUPLICATE  # a second copy would be delivered beside the unfinished one
+        retry_safety = self.settings.traffic_classes[message.traffic_class].retry_safety
+        if (
+            retry_safety is not RetrySafety.IDEMPOTENT
+            and message.trace_id in self.write_ahead_log.messages.ended
+        ):
+            return DUPLICATE  # a copy of a request whose message has ended, and may have run
         if len(self.receiver.messages) >= self.settings.queue_capacity > 0:
             return OVER_CAPACITY  # the platform rejects messages beyond the sender's queue capacity
         if not self.registry.serves(message.destination):  # not listed, but may be soon
--- a/ashpath/server/storage/live_messages.py
+++ b/ashpath/server/storage/live_messages.py
@@ -6,7 +6,7 @@
 | `AttemptStarted` | counts the attempt, which is in flight from `at` at `endpoint` | none |
 | `AttemptFinished` | ends the attempt in flight; the first that may have run is remembered | none |
 | `MessageFinished` with a notice | the message is finished, and its notice is pending | none |
-| `MessageFinished` without | the message is removed | none |
+| `MessageFinished` without | the message is removed, and stays in `ended` for a while | none |
 
 `apply` makes every change, both as events happen and as the next incarnation reads the log, so both yield
 the same table.
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from ashpath.server.storage.ended_messages import EndedMessages
 from ashpath.server.storage.record_codec import (
     AttemptFinished,
     AttemptStarted,
@@ -45,6 +46,7 @@
         """Upper bound of the bytes that the live messages take in a rewritten log."""
         self.last_id = 0
         """The highest message id assigned so far; ids are never reused."""
+        self.ended = EndedMessages()
 
     def read(self, reader: RecordReader) -> None:
         """Applies all valid records of a log.
@@ -76,6 +78,7 @@
         message.reserved_bytes = reserved_bytes(message, size)
         self.live[message.message_id] = message
         self.by_trace_id[message.trace_id] = message
+        self.ended.discard(message.trace_id)
         self.reserved_bytes += message.reserved_bytes
         self.last_id = max(self.last_id, message.message_id)
 
@@ -84,6 +87,7 @@
         message.notice = record.notice
         if record.notice is None:
             self.discard(message)
+            self.ended.add(message.trace_id, message.deadline)
 
     def discard(self, message: StoredMessage) -> None:
         """Removes a message that is no longer live."""
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -29,6 +29,9 @@
 The logs of processes that have ended are adopted (`log_directory.py`): their live messages get new ids and
 are written to this log, and only then is the other log emptied. A kill in between leaves a message in both
 logs, so a message whose trace id is live already is not adopted again.
+
+A rewrite also has the messages that ended recently (`ended_messages.py`), as far as there is room beside the
+live ones and the old file.
 """
 
 from __future__ import annotations
@@ -59,6 +62,7 @@
 from ashpath.server.storage.stored_message import StoredMessage
 
 NO_OP_RECORD = MessageFinished(0, None).encode()  # no message has this id
+ENDED_MESSAGES_SHARE = 1 / 8  # of the limit of the log
 REWRITE_FACTOR = 2.1  # room for the old file, the new file, and a twentieth of them for further records
 
 
@@ -150,6 +154,7 @@
             return []
         adopted = self._adopt_messages(orphaned)
         try:
+            self.messages.ended.update(orphaned.ended)
             self._rewrite()
         except OSError:
             for message in adopted:
@@ -280,10 +285,17 @@
         self.rewrite_failing = True
         if self._lock is None:
             self._claim_unused()
-        self.file.rewrite(chain(live, further_records))
+        ended = self.messages.ended.records(self._room_for_ended_messages())
+        self.file.rewrite(chain(live, ended, further_records))
         self.rewrite_failing = False
         self._unwritten.clear()
 
+    def _room_for_ended_messages(self) -> int:
+        """Returns the bytes that a rewrite leaves beside the old file and the live messages, up to a share of
+        the limit."""
+        used = self.file.written + self.messages.reserved_bytes + self.other_logs_bytes + BLOCK_BYTES
+        return max(0, min(int(self.max_bytes * ENDED_MESSAGES_SHARE), self.max_bytes - used))
+
     def _claim_unused(self) -> None:
         self._use(self._directory.claim(unused=True))
         with suppress(OSError):
--- a/tests/server/http/test_listener.py
+++ b/tests/server/http/test_listener.py
@@ -5,6 +5,7 @@
 import errno
 import os
 import resource
+from contextlib import suppress
 from time import monotonic
 from unittest.mock import Mock
 
@@ -91,7 +92,8 @@
     _, port = address_of(platform)
     platform.stop(timeout=0)
     for sock in held:
-        reset_connection(sock)
+        with suppress(OSError):  # the connection of a call that has ended
+            reset_connection(sock)
     clients = [harness.connect() for _ in range(LIMITS.clients.client_connections + 40)]
     for connection in clients[::2]:
         assert connection is not None
