Delivery: a provisional refusal is reported at once, and its retry waits

Change: the policy gets the result at once. The next attempt of the message waits until nearly every true response would have come, and ends as one that may have run if the connection shows one response too many; a rejection before that is a failure. The write-ahead log has it as one that may have run.

--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -4,6 +4,7 @@
 
 | stage | errors that end the attempt in this stage |
 | --- | --- |
+| wait until the response to the attempt before is certain | `EarlierResponseInDoubtError` |
 | wait until earlier messages with the same ordering key have ended for certain | `PendingNotificationError` |
 | look up the address of the endpoint | `EndpointNotListedError` |
 | acquire a connection, idle or new | `ConnectionPoolFullError`, `LocalResourceError`, |
@@ -24,14 +25,12 @@
 
 import gevent
 from gevent import Timeout
-from msgspec.structs import replace
 
-from ashpath.core.interface import AttemptOutcome
 from ashpath.core.time_units import SECOND
 from ashpath.server import wire_names
 from ashpath.server.addresses import Address
 from ashpath.server.delivery.attempt_log import AttemptLog
-from ashpath.server.delivery.attempts import Attempt, AttemptOwner
+from ashpath.server.delivery.attempts import Attempt, AttemptOwner, AttemptResult
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.endpoint_connection import CloseReason, EndpointConnection
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
@@ -42,6 +41,7 @@
     ConnectError,
     ConnectionLostError,
     DeadlineBeforeConnectError,
+    EarlierResponseInDoubtError,
     EndpointNotListedError,
     InvalidResponseError,
     LocalResourceError,
@@ -127,6 +127,7 @@
 
     def _run_stages(self, attempt: Attempt, address: Address | None, owner: AttemptOwner) -> None:
         """Runs the stages in order. Raises the AttemptError of the stage that fails."""
+        self._await_earlier_response(attempt)
         if attempt.ordered:
             self._await_predecessors(attempt)
             self._await_notifications(attempt)
@@ -135,7 +136,19 @@
         connection = attempt.connection = self._acquire_connection(attempt, address)
         self._check_valid(attempt, address, owner)
         self._write_request(attempt, address, connection)
-        self._read_response(attempt, connection, owner)
+        self._read_response(attempt, connection)
+
+    def _await_earlier_response(self, attempt: Attempt) -> None:
+        """Waits until the refusal or error of the attempt before this one is certain.
+
+        The retry would otherwise run beside it if that response was another request's. Raises
+        EarlierResponseInDoubtError if it turns out to be in doubt."""
+        attribution = self.pool.attribution
+        wait = attribution.wait_before_retry(attempt.message)
+        if wait > 0:
+            gevent.sleep(wait / SECOND)
+        if attribution.take_doubt(attempt.message):
+            raise EarlierResponseInDoubtError
 
     def _await_predecessors(self, attempt: Attempt) -> None:
         """Waits until the delivery of the earlier messages of the ordering key is certain, for half of the
@@ -193,7 +206,7 @@
         attempt.written = True
         connection.request_written(attempt.message.trace_id)
 
-    def _read_response(self, attempt: Attempt, connection: EndpointConnection, owner: AttemptOwner) -> None:
+    def _read_response(self, attempt: Attempt, connection: EndpointConnection) -> None:
         written_at = now()
         try:
             response = connection.read_response()
@@ -203,8 +216,6 @@
             raise InvalidResponseError(str(error)) from error
         attempt.response_time = now() - written_at
         if connection.is_reused:
-            if attempt.provisional and (retry_after := self.classifier.retry_after(response)):
-                owner.retry_after_received(attempt, retry_after)
             self._check_attribution(attempt, connection, response)
         self.pool.attribution.trust.response_received(attempt.response_time)
         attempt.response = response
@@ -212,23 +223,13 @@
     def _check_attribution(
         self, attempt: Attempt, connection: EndpointConnection, response: HttpResponse
     ) -> None:
-        """Raises ResponseInDoubtError if more than one response has come for the request.
-
-        A provisional refusal or error is withheld for a while, as a retry would run beside the request if its
-        true response is still to come."""
-        hold = 0
-        if attempt.provisional and response.status != OK:
-            time_left = attempt.deadline - now()
-            hold = min(self.pool.attribution.trust.hold_time(attempt.response_time), time_left // 2)
+        """Raises ResponseInDoubtError if more than one response has come for the request."""
         if response.status == OK and response.well_formed and connection.body_received():
             with suppress(ProtocolError):  # `_finish_response` closes the connection
                 connection.finish_response()
-        if response.status != OK or response.complete:
-            withheld_at = now()
-            connection.wait_for_bytes(max(0, hold) / SECOND)
-            attempt.withheld_time = now() - withheld_at
-            if self.pool.attribution.check_extra_bytes(attempt.endpoint_id, connection):
-                raise ResponseInDoubtError
+        is_complete = response.status != OK or response.complete
+        if is_complete and self.pool.attribution.check_extra_bytes(attempt.endpoint_id, connection):
+            raise ResponseInDoubtError
 
     @staticmethod
     def _timeout_error(attempt: Attempt) -> AttemptError:
@@ -267,11 +268,17 @@
         result = self.classifier.classify(attempt)
         started_at = attempt.deadline - attempt.timeout
         self.attempt_log.add(attempt, result.outcome, now() - started_at)
+        if result.provisional:
+            self._add_provisional(attempt, result, owner)
+        owner.attempt_finished(attempt, result)
+
+    def _add_provisional(self, attempt: Attempt, result: AttemptResult, owner: AttemptOwner) -> None:
         connection = attempt.connection
-        if attempt.provisional and result.outcome is AttemptOutcome.DELIVERED and connection is not None:
-            result = replace(result, provisional=True)
+        assert connection is not None  # there is a response
+        if result.final:
             self.pool.attribution.add_delivery(connection, attempt.message, owner, attempt.response_time)
-        owner.attempt_finished(attempt, result)
+        else:
+            self.pool.attribution.add_refusal(connection, attempt.message, attempt.response_time)
 
     def _finish_response(
         self, endpoint_id: str, address: Address | None, connection: EndpointConnection
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -35,8 +35,6 @@
     """The request is the first one on its connection."""
     response_time: int = 0
     """Microseconds from the request to the response."""
-    withheld_time: int = 0
-    """Microseconds for which a provisional response was withheld."""
     provisional: bool = False
     """The response may be that of the request before this one on the connection."""
     ordered: bool = False
@@ -68,7 +66,8 @@
     """This attempt is the last one of its message."""
     load_report: LoadReport | None = None
     provisional: bool = False
-    """The delivery is to be confirmed, or to be put in doubt; see `DeliveryOwner`."""
+    """The response may be another request's: a final result is to be confirmed, or to be put in doubt; after
+    any other the request may have run until a retry begins."""
 
 
 class AttemptOwner(DeliveryOwner, Protocol):
@@ -77,9 +76,5 @@
     def still_valid(self, message: StoredMessage) -> bool:
         """Whether the attempt may still be written, now that its connection is established."""
 
-    def retry_after_received(self, attempt: Attempt, retry_after: int) -> None:
-        """Receives the Retry-After of a provisional response, in microseconds, before its result: it binds at
-        once."""
-
     def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
         """Receives the result; called exactly once for each attempt, in the attempt's own greenlet."""
--- a/ashpath/server/delivery/errors.py
+++ b/ashpath/server/delivery/errors.py
@@ -81,5 +81,9 @@
     """The endpoint sent bytes that are not a valid HTTP response."""
 
 
+class EarlierResponseInDoubtError(ResponseError):
+    """Nothing was written: the message's earlier attempt may have run, as its response may be another's."""
+
+
 class ResponseInDoubtError(ResponseError):
     """The response may belong to another request: one response too many came on the connection."""
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -79,6 +79,13 @@
         """Counts an attempt that took `took_us` microseconds."""
 
 
+class UncertainMessages(Protocol):
+    """The messages whose last response may be another request's."""
+
+    def take_uncertain(self, message: StoredMessage) -> bool:
+        """Returns whether the message is one of them, and forgets it."""
+
+
 class OutcomeRecorder:
     """Records outcomes of attempts and final states of messages, in the order in which they occur."""
 
@@ -87,10 +94,12 @@
         write_ahead_log: WriteAheadLog,
         notifier: Notifier,
         outcome_store: FinalStateStore | None = None,
+        uncertain_messages: UncertainMessages | None = None,
     ) -> None:
         self.write_ahead_log = write_ahead_log
         self.notifier = notifier
         self.outcome_store = outcome_store
+        self.uncertain_messages = uncertain_messages
         self.metrics: DeliveryMetrics | None = None
         self.current_submission: Submission | None = None
         """The submission whose client waits for its result now."""
@@ -118,7 +127,8 @@
             if not result.provisional:
                 self.write_ahead_log.record_finished(message)
         else:
-            self.write_ahead_log.record_outcome(message, may_have_run=result.outcome not in NEVER_RAN)
+            may_have_run = result.provisional or result.outcome not in NEVER_RAN
+            self.write_ahead_log.record_outcome(message, may_have_run=may_have_run)
 
     def count_attempt(self, outcome: AttemptOutcome, duration: int) -> None:
         """Counts an attempt in the metrics; `duration` in microseconds."""
@@ -126,7 +136,12 @@
             self.metrics.attempt_finished(outcome, duration)
 
     def record_rejected(self, message: StoredMessage, retry_after: int) -> None:
-        """Records the final state REJECTED; clients may submit again after `retry_after` microseconds."""
+        """Records the final state REJECTED; clients may submit again after `retry_after` microseconds.
+
+        A message whose last refusal may be another request's has FAILED: it may have run."""
+        if self.uncertain_messages is not None and self.uncertain_messages.take_uncertain(message):
+            self.record_failed(message)
+            return
         result = SubmitResult(SubmitDecision.REJECTED, retry_after)
         line = encode_notification(message, FinalState.REJECTED, retry_after // MILLISECOND)
         self._finish(message, result, FinalState.REJECTED, line)
--- a/ashpath/server/delivery/response_attribution.py
+++ b/ashpath/server/delivery/response_attribution.py
@@ -46,15 +46,25 @@
     """Microseconds of the monotonic clock."""
 
 
+class ProvisionalRefusal(Struct):
+    """A refusal or an error whose connection may still show that it was the response to another request."""
+
+    connection: EndpointConnection
+    certain_at: int
+    """Microseconds of the monotonic clock."""
+    in_doubt: bool = False
+
+
 class ResponseAttribution:
-    """The provisional deliveries of one sender, and its reaction to extra responses."""
+    """The provisional results of one sender, and its reaction to extra responses."""
 
     def __init__(self, trust: ResponseTrust, logger: Logger) -> None:
         self.trust = trust
         self.logger = logger
         self.extra_responses = 0
         """Number of times that an endpoint sent what may be a response without a request."""
-        self.deliveries_in_doubt = 0
+        self.results_in_doubt = 0
+        self._refusals: dict[StoredMessage, ProvisionalRefusal] = {}
         self._deliveries: deque[ProvisionalDelivery] = deque()  # the earliest confirmation first
 
     def add_delivery(
@@ -70,6 +80,26 @@
         confirmed_at = time + DELIVERY_DOUBT_TIME
         self._deliveries.append(ProvisionalDelivery(connection, message, owner, certain_at, confirmed_at))
 
+    def add_refusal(self, connection: EndpointConnection, message: StoredMessage, response_time: int) -> None:
+        """Adds a provisional refusal or error; its message may be sent again once that is certain."""
+        certain_at = now() + self.trust.hold_time(response_time)
+        self._refusals[message] = ProvisionalRefusal(connection, certain_at)
+
+    def wait_before_retry(self, message: StoredMessage) -> int:
+        """Returns the microseconds until the refusal of the message is certain, or known to be in doubt."""
+        refusal = self._refusals.get(message)
+        return 0 if refusal is None or refusal.in_doubt else max(0, refusal.certain_at - now())
+
+    def take_doubt(self, message: StoredMessage) -> bool:
+        """Returns whether the refusal of the message is in doubt, and forgets it."""
+        refusal = self._refusals.pop(message, None)
+        return refusal is not None and refusal.in_doubt
+
+    def take_uncertain(self, message: StoredMessage) -> bool:
+        """Returns whether the refusal of the message is in doubt or not certain yet, and forgets it."""
+        refusal = self._refusals.pop(message, None)
+        return refusal is not None and (refusal.in_doubt or now() < refusal.certain_at)
+
     def wait_before_next(self, message: StoredMessage) -> int:
         """Returns the microseconds until no earlier message of the same ordering key is likely to be put in
         doubt: a notice would end it after the begin of this one, out of order."""
@@ -101,10 +131,15 @@
         return is_response
 
     def _doubt(self, connection: EndpointConnection) -> None:
+        for message, refusal in self._refusals.items():
+            if refusal.connection is connection:
+                refusal.in_doubt = True
+                self.results_in_doubt += 1
+                self.logger.warning("refusal in doubt", trace_id=message.trace_id)
         doubtful = [delivery for delivery in self._deliveries if delivery.connection is connection]
         for delivery in doubtful:
             self._deliveries.remove(delivery)
-            self.deliveries_in_doubt += 1
+            self.results_in_doubt += 1
             self.logger.warning("delivery in doubt", trace_id=delivery.message.trace_id)
             delivery.owner.delivery_in_doubt(delivery.message)
 
@@ -114,6 +149,15 @@
             delivery = self._deliveries.popleft()
             delivery.owner.delivery_confirmed(delivery.message)
 
+    def forget_certain_refusals(self) -> None:
+        """Forgets the refusals that are certain by now."""
+        time = now()
+        self._refusals = {
+            message: refusal
+            for message, refusal in self._refusals.items()
+            if refusal.in_doubt or refusal.certain_at > time
+        }
+
     def confirm_all(self) -> None:
         """Confirms all deliveries, at the end of the process."""
         self.confirm_until(now() + DELIVERY_DOUBT_TIME)
@@ -123,3 +167,4 @@
         while True:
             gevent.sleep(CONFIRMATION_INTERVAL_S)
             self.confirm_until(now())
+            self.forget_certain_refusals()
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -77,17 +77,10 @@
         outcome = self._response_outcome(response, new_connection=attempt.new_connection)
         retry_after = 0
         if outcome is AttemptOutcome.OVERLOADED:
-            retry_after = max(0, self.retry_after(response) - attempt.withheld_time)
+            seconds = parse_number(response.headers.get(wire_names.RETRY_AFTER_HEADER)) or 0.0
+            retry_after = round(seconds * SECOND)
         final = response.status in FINAL_STATUSES
-        return AttemptResult(outcome, retry_after, final, self.load_report(response))
-
-    @staticmethod
-    def retry_after(response: HttpResponse) -> int:
-        """Returns the Retry-After of a 429 or 503 in microseconds; 0 if there is none, or another status."""
-        if STATUS_OUTCOMES.get(response.status) is not AttemptOutcome.OVERLOADED:
-            return 0
-        seconds = parse_number(response.headers.get(wire_names.RETRY_AFTER_HEADER)) or 0.0
-        return round(seconds * SECOND)
+        return AttemptResult(outcome, retry_after, final, self.load_report(response), attempt.provisional)
 
     @staticmethod
     def _failure_outcome(failure: AttemptError | None) -> AttemptOutcome:
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -247,16 +247,6 @@
         self.recorder.record_attempt(attempt.message, result)
         self._report_result(attempt, result)
 
-    def retry_after_received(self, attempt: Attempt, retry_after: int) -> None:
-        """See `AttemptOwner`."""
-        self._publish_retry_after(attempt, retry_after)
-        with self._batch as policy:
-            policy.retry_after_received(attempt.message.destination, attempt.endpoint_id, now() + retry_after)
-
-    def _publish_retry_after(self, attempt: Attempt, retry_after: int) -> None:
-        until = stored_time() + retry_after
-        self.shared_memory.publish_retry_after(attempt.message.destination, attempt.endpoint_id, until)
-
     def delivery_confirmed(self, message: StoredMessage) -> None:
         """See `DeliveryOwner`."""
         self.write_ahead_log.record_finished(message)
@@ -271,7 +261,8 @@
         started_at = attempt.deadline - attempt.timeout
         self.recorder.count_attempt(result.outcome, now() - started_at)
         if result.retry_after:
-            self._publish_retry_after(attempt, result.retry_after)
+            until = stored_time() + result.retry_after
+            self.shared_memory.publish_retry_after(attempt.message.destination, attempt.endpoint_id, until)
         if result.final:
             self.messages.pop(message_id, None)
         elif message_id in self.abandoned:
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -123,7 +123,8 @@
     outcome_store = deployment.create_outcome_store(configuration.limits.storage, logger)
     notifier = create_notifier(process_options, configuration, deployment, write_ahead_log, logger)
     attempt_runner = create_attempt_runner(configuration, notifier, logger)
-    recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store)
+    attribution = attempt_runner.pool.attribution
+    recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store, attribution)
     gossip_link = GossipLink()
     files = open_policy_files(process_options, write_ahead_log, shared_memory, logger)
     policy_runner = create_policy_runner(configuration, files, recorder, attempt_runner, gossip_link, logger)
