Self-checks, metrics of connections and doubts; what never ran may come again

Change: checks of the sender's own books (two attempts out, a second end, an outcome without its attempt, a second release), counted and logged with the latest attempts; counters of connections opened, closed by reason, extra responses, results in doubt, evicted ids. Only messages that may have run are recognized. The status API lists what the policy still has, not provisional deliveries. A provisional refusal stays in flight in the write-ahead log.

--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -34,6 +34,7 @@
 from ashpath.server.http.connection import connect_socket
 from ashpath.server.limits.endpoint_connections import EndpointConnectionLimits
 from ashpath.server.limits.http import HttpLimits
+from ashpath.server.self_checks import Check, SelfChecks
 from ashpath.server.timers import now
 
 # The new idle limit of an endpoint, as a fraction of the idle time after which it dropped a connection.
@@ -65,10 +66,12 @@
         limits: EndpointConnectionLimits,
         http_limits: HttpLimits,
         attribution: ResponseAttribution,
+        checks: SelfChecks,
     ) -> None:
         self.limits = limits
         self.http_limits = http_limits
         self.attribution = attribution
+        self.checks = checks
         self.idle: dict[str, deque[IdleConnection]] = {}
         self.open = 0
         """Number of connections in use and idle."""
@@ -166,6 +169,7 @@
     def _remove(self, endpoint_id: str, idle: IdleConnection) -> IdleConnection:
         """Removes a connection from the idle ones."""
         idle.connection.stop_watching()
+        idle.connection.in_use = True
         others = self.idle[endpoint_id]
         others.remove(idle)
         if not others:
@@ -186,6 +190,7 @@
 
     def release(self, endpoint_id: str, connection: EndpointConnection) -> None:
         """Makes a connection idle, or closes it if it cannot carry a further request."""
+        self.checks.expect(Check.ONE_RELEASE, holds=connection.in_use, subject=endpoint_id)
         if len(connection.buffer):
             self._close_readable(endpoint_id, connection)
         elif connection.unusable:
@@ -196,6 +201,7 @@
             self._make_idle(endpoint_id, IdleConnection(monotonic(), connection))
 
     def _make_idle(self, endpoint_id: str, idle: IdleConnection) -> None:
+        idle.connection.in_use = False
         self.idle.setdefault(endpoint_id, deque()).append(idle)
         idle.connection.watch(lambda: self._idle_readable(endpoint_id, idle.connection))
 
@@ -207,6 +213,8 @@
 
     def close(self, connection: EndpointConnection, reason: CloseReason) -> None:
         """Closes a connection that is in use or has just been removed from the idle ones."""
+        self.checks.expect(Check.ONE_RELEASE, holds=connection.in_use, subject=connection.last_trace_id)
+        connection.in_use = False
         connection.close()
         self.open -= 1
         self.closed[reason] += 1
--- a/ashpath/server/delivery/endpoint_connection.py
+++ b/ashpath/server/delivery/endpoint_connection.py
@@ -37,6 +37,8 @@
         super().__init__(sock, limits)
         self.number = number
         """In the order in which this process opened its connections, from 1."""
+        self.in_use = True
+        """False while the connection is idle or closed."""
         self.requests = 0
         """Number of requests that were written."""
         self.last_trace_id = ""
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -17,6 +17,7 @@
 from ashpath.core.time_units import MILLISECOND
 from ashpath.server.delivery.attempts import AttemptResult
 from ashpath.server.delivery.notifier import Notifier, encode_notification
+from ashpath.server.self_checks import Check, SelfChecks
 from ashpath.server.storage.final_state import FinalState
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
@@ -95,11 +96,13 @@
         notifier: Notifier,
         outcome_store: FinalStateStore | None = None,
         uncertain_messages: UncertainMessages | None = None,
+        checks: SelfChecks | None = None,
     ) -> None:
         self.write_ahead_log = write_ahead_log
         self.notifier = notifier
         self.outcome_store = outcome_store
         self.uncertain_messages = uncertain_messages
+        self.checks = checks
         self.metrics: DeliveryMetrics | None = None
         self.current_submission: Submission | None = None
         """The submission whose client waits for its result now."""
@@ -119,16 +122,16 @@
     def record_attempt(self, message: StoredMessage, result: AttemptResult) -> None:
         """Records the outcome of an attempt, and the final state of the message if the result is final.
 
-        A provisional delivery is not recorded in the write-ahead log yet: see `DeliveryOwner`."""
+        A provisional result is not recorded in the write-ahead log yet, where the attempt stays in flight:
+        after a kill it may have run."""
         if result.final:
             delivered = result.outcome is AttemptOutcome.DELIVERED
             state = FinalState.DELIVERED if delivered else FinalState.CANCELLED
             self._store_final_state(message, state)
             if not result.provisional:
                 self.write_ahead_log.record_finished(message)
-        else:
-            may_have_run = result.provisional or result.outcome not in NEVER_RAN
-            self.write_ahead_log.record_outcome(message, may_have_run=may_have_run)
+        elif not result.provisional:
+            self.write_ahead_log.record_outcome(message, may_have_run=result.outcome not in NEVER_RAN)
 
     def count_attempt(self, outcome: AttemptOutcome, duration: int) -> None:
         """Counts an attempt in the metrics; `duration` in microseconds."""
@@ -142,6 +145,8 @@
         if self.uncertain_messages is not None and self.uncertain_messages.take_uncertain(message):
             self.record_failed(message)
             return
+        if message.in_flight_since is not None:  # its provisional refusal is certain by now
+            self.write_ahead_log.record_outcome(message, may_have_run=False)
         result = SubmitResult(SubmitDecision.REJECTED, retry_after)
         line = encode_notification(message, FinalState.REJECTED, retry_after // MILLISECOND)
         self._finish(message, result, FinalState.REJECTED, line)
@@ -157,6 +162,8 @@
 
     def _finish(self, message: StoredMessage, result: SubmitResult, state: FinalState, line: str) -> None:
         """Reports a final state to the waiting client, else to the outcome store and by a notification."""
+        if self.checks is not None:
+            self.checks.expect(Check.ONE_END, holds=not message.finished, subject=message.trace_id)
         submission = self.current_submission
         if submission is not None and message is submission.message:
             submission.result = result
--- a/ashpath/server/http/status_api.py
+++ b/ashpath/server/http/status_api.py
@@ -150,7 +150,7 @@
     def message_status(self, trace_id: str) -> Reply:
         """Returns the response with the state or the final outcome of a message."""
         message = self.policy_runner.write_ahead_log.messages.by_trace_id.get(trace_id)
-        if message is not None and not message.finished:
+        if message is not None and self._is_unfinished(message):
             return json_reply(HTTPStatus.OK, self.message_row(message))
         outcome = self.outcome_store.get(trace_id)
         if outcome is None:
@@ -160,6 +160,10 @@
             row["again_ms"] = milliseconds(outcome.retry_after)
         return json_reply(HTTPStatus.OK, row)
 
+    def _is_unfinished(self, message: StoredMessage) -> bool:
+        """Whether the policy still has the message. A provisional delivery is in the log only."""
+        return message.message_id in self.policy_runner.messages
+
     def message_row(self, message: StoredMessage) -> MessageRow:
         """Returns the row of a message without a final outcome."""
         in_flight = message.in_flight_since is not None
@@ -180,7 +184,9 @@
 
         The write-ahead log keeps its live messages in that order."""
         live = self.policy_runner.write_ahead_log.messages.live.values()
-        unfinished = (message for message in live if not message.finished and message.message_id > page.after)
+        unfinished = (
+            message for message in live if self._is_unfinished(message) and message.message_id > page.after
+        )
         found = list(islice(unfinished, page.limit + 1))
         rows = [self.message_row(message) for message in found[: page.limit]]
         listing: MessagePage = {"held": len(self.policy_runner.messages), "envelopes": rows}
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -57,6 +57,7 @@
     def collect(self) -> Iterator[Metric]:
         """Yields all gauges, and the counters that discovery and gossip keep themselves."""
         yield from self.sender_gauges()
+        yield from self.attribution_counters()
         yield from self.discovery_gauges()
         yield from self.gossip_counters()
         yield from self.destination_gauges()
@@ -86,6 +87,37 @@
         yield gauge("destinations", "Destinations that are known.", len(runner.policy.destinations))
         yield gauge("client_connections", "Connections of clients.", self.source.listener.connection_count)
 
+    def attribution_counters(self) -> Iterator[Metric]:
+        """Yields the counters of connections to endpoints, of extra responses, and of self-checks."""
+        pool = self.source.policy_runner.attempt_runner.pool
+        attribution = pool.attribution
+        yield counter("endpoint_connections_opened", "Connections to endpoints, opened.", pool.opened)
+        closed = CounterMetricFamily(
+            "ashpath_endpoint_connections_closed",
+            "Connections to endpoints that were closed.",
+            labels=["reason"],
+        )
+        for reason, count in pool.closed.items():
+            closed.add_metric([reason.value], count)
+        yield closed
+        yield counter(
+            "extra_responses", "Responses without a request of their own.", attribution.extra_responses
+        )
+        yield counter(
+            "results_in_doubt", "Results that may be another request's.", attribution.results_in_doubt
+        )
+        yield counter(
+            "ended_messages_evicted",
+            "Messages that ended, and whose copies are no longer recognized.",
+            self.source.write_ahead_log.messages.ended.evicted,
+        )
+        failures = CounterMetricFamily(
+            "ashpath_self_check_failures", "Failed checks of the sender's own books.", labels=["check"]
+        )
+        for check, count in pool.checks.failures.items():
+            failures.add_metric([check.name.lower()], count)
+        yield failures
+
     def discovery_gauges(self) -> Iterator[Metric]:
         """Yields the gauge and counters of service discovery, if the platform's agent is configured."""
         discovery = self.source.discovery
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -33,6 +33,7 @@
 from ashpath.server.message_restoration import MessageRestorer
 from ashpath.server.policy_actions import QueuedActions
 from ashpath.server.policy_batch import PolicyBatch, SharedUpdateReader
+from ashpath.server.self_checks import Check
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
 from ashpath.server.storage.outage_store import OutageStore
 from ashpath.server.storage.shared_memory import SharedMemory
@@ -80,6 +81,7 @@
         self.write_ahead_log = files.write_ahead_log
         self.recorder = recorder
         self.attempt_runner = attempt_runner
+        self.checks = attempt_runner.pool.checks
         self.shared_memory = files.shared_memory
         self.outage_store = files.outage_store
         self.limits = limits
@@ -216,6 +218,8 @@
         traffic_class = self.policy.traffic_classes[message.traffic_class]
         ordered = message.ordering_key is not None and traffic_class.settings.ordered
         attempt = Attempt(message, endpoint_id, now() + timeout, timeout, ordered=ordered)
+        is_only_attempt = message.message_id not in self.attempts
+        self.checks.expect(Check.ONE_ATTEMPT, holds=is_only_attempt, subject=message.trace_id)
         self.attempts[message.message_id] = attempt
         try:
             self.write_ahead_log.record_attempt(message, stored_time(), endpoint_id)
@@ -257,7 +261,8 @@
 
     def _report_result(self, attempt: Attempt, result: AttemptResult) -> None:
         message_id = attempt.message.message_id
-        self.attempts.pop(message_id, None)
+        is_out = self.attempts.pop(message_id, None) is attempt
+        self.checks.expect(Check.ATTEMPT_IS_OUT, holds=is_out, subject=attempt.message.trace_id)
         started_at = attempt.deadline - attempt.timeout
         self.recorder.count_attempt(result.outcome, now() - started_at)
         if result.retry_after:
--- a/ashpath/server/storage/ended_messages.py
+++ b/ashpath/server/storage/ended_messages.py
@@ -1,4 +1,4 @@
-"""Messages that have ended, by trace id, so that a copy of a request that comes late is recognized.
+"""Messages that may have run and have ended, by trace id: a copy of a request that comes late is recognized.
 
 A network may deliver a request a second time, long after the first. The table keeps each message until
 `RETENTION` after its deadline: by then a copy is out of time by any clock. Beyond MAX_ENTRIES the oldest are
@@ -76,5 +76,5 @@
 
 def ended_message_record(trace_id: str, deadline: int) -> bytes:
     """Returns the bytes of a message that is submitted and finished at once."""
-    message = StoredMessage(ENDED_MESSAGE_ID, trace_id, 0, 0, None, None, deadline, b"")
+    message = StoredMessage(ENDED_MESSAGE_ID, trace_id, 0, 0, None, None, deadline, b"", first_run_at=0)
     return MessageSubmitted(message).encode() + MessageFinished(ENDED_MESSAGE_ID, None).encode()
--- a/ashpath/server/storage/live_messages.py
+++ b/ashpath/server/storage/live_messages.py
@@ -6,7 +6,7 @@
 | `AttemptStarted` | counts the attempt, which is in flight from `at` at `endpoint` | none |
 | `AttemptFinished` | ends the attempt in flight; the first that may have run is remembered | none |
 | `MessageFinished` with a notice | the message is finished, and its notice is pending | none |
-| `MessageFinished` without | the message is removed, and stays in `ended` for a while | none |
+| `MessageFinished` without | the message is removed; if it may have run, `ended` has it for a while | none |
 
 `apply` makes every change, both as events happen and as the next incarnation reads the log, so both yield
 the same table.
@@ -87,7 +87,8 @@
         message.notice = record.notice
         if record.notice is None:
             self.discard(message)
-            self.ended.add(message.trace_id, message.deadline)
+            if may_have_run(message):
+                self.ended.add(message.trace_id, message.deadline)
 
     def discard(self, message: StoredMessage) -> None:
         """Removes a message that is no longer live."""
@@ -96,6 +97,11 @@
         self.reserved_bytes -= message.reserved_bytes
 
 
+def may_have_run(message: StoredMessage) -> bool:
+    """Returns whether an attempt may have run. One that delivers its message has no record of its outcome."""
+    return message.first_run_at is not None or message.in_flight_since is not None
+
+
 def _finish_attempt(message: StoredMessage, record: AttemptFinished) -> None:
     if record.may_have_run and message.first_run_at is None:
         message.first_run_at = message.in_flight_since
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -36,6 +36,7 @@
 from ashpath.server.optional_services import GossipService, MetricsService, SenderMetricsSource
 from ashpath.server.policy_runner import PolicyRunner, StateFiles
 from ashpath.server.reload import SettingsSwitch
+from ashpath.server.self_checks import SelfChecks
 from ashpath.server.sender import ClientSide, DeliveryPath, ProcessOptions, Sender
 from ashpath.server.shutdown import GracefulShutdown
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
@@ -123,8 +124,8 @@
     outcome_store = deployment.create_outcome_store(configuration.limits.storage, logger)
     notifier = create_notifier(process_options, configuration, deployment, write_ahead_log, logger)
     attempt_runner = create_attempt_runner(configuration, notifier, logger)
-    attribution = attempt_runner.pool.attribution
-    recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store, attribution)
+    pool = attempt_runner.pool
+    recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store, pool.attribution, pool.checks)
     gossip_link = GossipLink()
     files = open_policy_files(process_options, write_ahead_log, shared_memory, logger)
     policy_runner = create_policy_runner(configuration, files, recorder, attempt_runner, gossip_link, logger)
@@ -132,7 +133,7 @@
         write_ahead_log=write_ahead_log,
         outcome_store=outcome_store,
         notifier=notifier,
-        pool=attempt_runner.pool,
+        pool=pool,
         registry=attempt_runner.registry,
         recorder=recorder,
         attempt_runner=attempt_runner,
@@ -149,10 +150,15 @@
     """Creates the runner of attempts, with the connections and the registry of endpoints."""
     settings = configuration.settings
     attribution = ResponseAttribution(ResponseTrust(), logger)
-    pool = ConnectionPool(configuration.limits.endpoints, configuration.limits.http, attribution)
-    registry = EndpointRegistry(settings.kinds, settings.zones, pool, logger)
     attempt_log = AttemptLog(logger)
     attempt_log.always = configuration.attempt_log
+    pool = ConnectionPool(
+        configuration.limits.endpoints,
+        configuration.limits.http,
+        attribution,
+        SelfChecks(attempt_log, logger),
+    )
+    registry = EndpointRegistry(settings.kinds, settings.zones, pool, logger)
     return AttemptRunner(pool, registry, create_classifier(settings), notifier, attempt_log, logger)
 
 
--- a/tests/server/delivery/test_connection_pool.py
+++ b/tests/server/delivery/test_connection_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from time import monotonic
+
 import pytest
 from gevent import socket
 from support.limits import connection_pool
@@ -17,6 +19,8 @@
 from ashpath.server.delivery.endpoint_connection import CloseReason
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.http.connection import HttpConnection
+from ashpath.server.self_checks import Check
+from ashpath.server.timers import now
 
 QUIET_S = 1.2 * QUIET_TIME / SECOND  # after which a connection may carry its next request
 
@@ -115,3 +119,28 @@
     pool.sweep()
     assert not pool.idle_limits
     assert pool.idle_limit("e1") == LIMITS.endpoints.endpoint_idle_s
+
+
+def test_second_release_of_a_connection_is_counted(harness: SenderHarness) -> None:
+    pool = connection_pool()
+    connection = pool.connect(endpoint_address(harness))
+    pool.release("e1", connection)
+    assert not any(pool.checks.failures.values())
+    pool.release("e1", connection)
+    assert pool.checks.failures[Check.ONE_RELEASE] == 1
+    pool.attribution.trust.extra_response_received(now())
+    assert pool.acquire_idle("e1") is None
+
+
+def test_request_waits_until_connection_is_quiet(harness: SenderHarness) -> None:
+    """A response that comes twice would arrive within the quiet time."""
+    pool = connection_pool()
+    address = endpoint_address(harness)
+    connection = pool.connect(address)
+    pool.release("e1", connection)
+    began_at = monotonic()
+    assert pool.acquire("e1", address) is connection
+    assert monotonic() - began_at > 0.9 * QUIET_TIME / SECOND
+    other = pool.acquire("e1", address)
+    assert other is not connection
+    assert pool.opened == 2
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -55,8 +55,9 @@
     wait_until(lambda: not runner.attempts)
     assert not live
     assert not runner.abandoned
-    assert submit(sender, data)[1] == AdmissionResult(HTTPStatus.ACCEPTED)
-    wait_until(lambda: harness.attempt_count("a") == 2 and not runner.attempts)
+    assert submit(sender, data)[1] == AdmissionResult(HTTPStatus.CONFLICT)  # it ran, and must not run twice
+    assert not runner.attempts
+    assert harness.attempt_count("a") == 1
 
 
 @pytest.mark.parametrize("retry_after", [None, 0, 1_500_000])
--- a/tests/server/test_repeated_requests.py
+++ b/tests/server/test_repeated_requests.py
@@ -39,3 +39,12 @@
     assert harness.submit("a", "free", "200", 1) == 202  # may be repeated, and is delivered once more
     wait_until(lambda: harness.attempt_count("a") == 2)
     assert [harness.attempt_count(trace_id) for trace_id in "bc"] == [1, 1]
+
+
+def test_message_that_never_ran_is_accepted_again(harness: SenderHarness) -> None:
+    """A notice `deferred` tells the client to come again, which it may do under the same id."""
+    harness.start()
+    assert harness.submit("a", "once", "wait 200", 1, time_left_ms=400) == 202
+    wait_until(lambda: harness.notified("a") == ["deferred"])
+    wait_until(lambda: harness.submit("a", "once", "wait 200", 1) == 202)
+    wait_until(lambda: harness.attempt_count("a") == 2)
--- a/tests/support/limits.py
+++ b/tests/support/limits.py
@@ -10,12 +10,14 @@
 
 from ashpath.policy.response_trust import ResponseTrust
 from ashpath.server.addresses import Address
+from ashpath.server.delivery.attempt_log import AttemptLog
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.response_attribution import ResponseAttribution
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.discovery.snapshot import MembershipListener
 from ashpath.server.limits.server_limits import ServerLimits
 from ashpath.server.logs import Logger
+from ashpath.server.self_checks import SelfChecks
 from support.sender_harness import LIMITS
 
 
@@ -32,8 +34,9 @@
 
 def connection_pool(limits: ServerLimits = LIMITS) -> ConnectionPool:
     """Returns an empty pool."""
-    attribution = ResponseAttribution(ResponseTrust(), structlog.get_logger())
-    return ConnectionPool(limits.endpoints, limits.http, attribution)
+    logger = structlog.get_logger()
+    checks = SelfChecks(AttemptLog(logger), logger)
+    return ConnectionPool(limits.endpoints, limits.http, ResponseAttribution(ResponseTrust(), logger), checks)
 
 
 def discovery_client(
