Soak: messages that come twice or late, signals in series; refusals confirmed

Cause: the soak had no fault of this class, and one signal a shutdown. A provisional refusal stayed in flight in the write-ahead log until a retry, so that a kill made an attempt that may have run of it.

Change: draw_plan(with_message_faults) draws faults on endpoints, notices, polls and clients; SIGHUP, SIGTERM and SIGHUP follow a SIGTERM. A refusal is recorded as one that never ran as soon as it is certain. Extra bytes that are there as a request's last byte goes out put its response in doubt.

--- a/ashpath/emulator/soak/plan.py
+++ b/ashpath/emulator/soak/plan.py
@@ -6,10 +6,11 @@
 from random import Random
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from ashpath.emulator.fault_injection.call_faults import ProcessFaults, draw_faults
 from ashpath.emulator.fault_injection.discovery_agent import AgentReply
-from ashpath.emulator.fault_injection.stream_faults import StreamFaults
+from ashpath.emulator.fault_injection.stream_faults import StreamFault, StreamFaults
 from ashpath.emulator.fault_injection.tcp_proxy import ProxyMode
 from ashpath.emulator.soak.records import Reply
 
@@ -41,6 +42,10 @@
 PROXY_MODES = (ProxyMode.LATE, ProxyMode.RESET, ProxyMode.RESET_AFTER_BYTE, ProxyMode.HALF_RESPONSE)
 
 
+MESSAGE_DELAYS_S = (0.0, 0.003, 0.012, 0.04, 0.12, 0.4, 0.9)
+INVENTED_DATA = (b"\x15\x03\x03\x00\x02\x01\x00", b"GET / HTTP/1.1\r\n\r\n", b"HTTP/1.1 103 X\r\n\r\n")
+
+
 class StopMethod(Enum):
     """How a sender is stopped before it is started again."""
 
@@ -163,10 +168,13 @@
     endpoint_behaviour: EndpointBehaviour = EndpointBehaviour()
 
 
-def draw_plan(seed: int, duration_s: float = 12.0, *, with_upgrades: bool = False) -> SoakPlan:
+def draw_plan(
+    seed: int, duration_s: float = 12.0, *, with_upgrades: bool = False, with_message_faults: bool = False
+) -> SoakPlan:
     """Returns the plan for a seed; the same seed gives the same plan.
 
-    `with_upgrades`: whether some seeds have a hot upgrade. All other events of a seed are the same then."""
+    `with_upgrades`, `with_message_faults`: whether some seeds have a hot upgrade, or messages that come twice
+    or late. All other events of a seed are the same then."""
     random = Random(f"soak {seed}")
     last = duration_s - 5.0
     drain_at = random.uniform(FIRST_FAULT_S, last / 2)
@@ -203,7 +211,26 @@
         notice_faults=draw_notice_faults(random, duration_s),
         descriptor_limits=draw_descriptor_limits(random),
         upgrades=draw_upgrades(random, last, {event.sender for event in restarts}) if with_upgrades else (),
+        message_faults=draw_message_faults(seed) if with_message_faults else MessageFaults(),
+    )
+
+
+def draw_message_faults(seed: int) -> MessageFaults:
+    """Draws faults of the messages on each kind of path, each on three seeds in four."""
+    random = Random(f"messages {seed}")
+    fault = random.choice(tuple(StreamFault))
+    delay_s = random.choice(MESSAGE_DELAYS_S)
+    data = random.choice(INVENTED_DATA)
+    share = random.choice((0.02, 0.1, 0.3))
+    drawn = MessageFaults(
+        endpoint_responses=StreamFaults(fault, share, (delay_s,), random.choice((0.0, 4.0)), data),
+        notice_responses=StreamFaults(StreamFault.REPEAT, 0.5, (random.choice(MESSAGE_DELAYS_S),)),
+        poll_responses=StreamFaults(StreamFault.REPEAT, 0.5, (random.choice(MESSAGE_DELAYS_S),)),
+        client_requests=StreamFaults(StreamFault.REPEAT, 0.1, (random.choice(MESSAGE_DELAYS_S),)),
     )
+    left_out = {name: None for name in drawn.__struct_fields__ if random.random() < 0.25}
+    left_out.pop("reject_notices_every", None)
+    return replace(drawn, **left_out)
 
 
 def draw_client_faults(random: Random, last: float) -> tuple[ClientFaultEvent, ...]:
--- a/ashpath/emulator/soak/sender.py
+++ b/ashpath/emulator/soak/sender.py
@@ -33,6 +33,8 @@
 PING_ANSWER = b"OK\n"
 BACKLOG = 1024
 KILL_AFTER_TERM_S = 3.7  # the earliest SIGKILL after SIGTERM
+SIGNALS_AFTER_TERM = (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP)
+SIGNAL_INTERVAL_S = 0.3
 DOWNTIME_S = 0.6  # between the end of a process and the next start
 DESCRIPTORS = 256  # in the configuration of a sender without a descriptor limit
 
@@ -185,12 +187,18 @@
             current.process.send_signal(signal.SIGHUP)
 
     def terminate(self) -> None:
-        """Sends SIGTERM, then SIGKILL after `KILL_AFTER_TERM_S`, and waits for `DOWNTIME_S`."""
+        """Sends SIGTERM with further signals behind it, then SIGKILL `KILL_AFTER_TERM_S` after the first, and
+        waits for `DOWNTIME_S`."""
         current = self._current
         if current is not None:
             current.incarnation.end_began_at = monotonic()
+            killed_at = monotonic() + KILL_AFTER_TERM_S
             current.process.terminate()
-            gevent.sleep(KILL_AFTER_TERM_S)
+            for signal_number in SIGNALS_AFTER_TERM:
+                gevent.sleep(SIGNAL_INTERVAL_S)
+                if current.process.poll() is None:
+                    current.process.send_signal(signal_number)
+            gevent.sleep(killed_at - monotonic())
             self.kill()
 
     def kill(self) -> None:
--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -10,7 +10,7 @@
 | acquire a connection, idle or new | `ConnectionPoolFullError`, `LocalResourceError`, |
 | | `ConnectError`, `DeadlineBeforeConnectError` |
 | check that the attempt is still valid | `EndpointNotListedError`, `AttemptNotValidError` |
-| write the request | `WriteError`, `WriteTimeoutError` |
+| write the request | `WriteError`, `WriteTimeoutError`, `ResponseInDoubtError` |
 | read the response | `ConnectionLostError`, `InvalidResponseError`, `ResponseTimeoutError`, or a response |
 | check that it belongs to the request | `ResponseInDoubtError` |
 | return the connection to the pool, or close it | |
@@ -26,6 +26,7 @@
 import gevent
 from gevent import Timeout
 
+from ashpath.core.interface import NEVER_RAN
 from ashpath.core.time_units import SECOND
 from ashpath.server import wire_names
 from ashpath.server.addresses import Address
@@ -205,6 +206,8 @@
             raise WriteError(str(error)) from error
         attempt.written = True
         connection.request_written(attempt.message.trace_id)
+        if connection.is_reused and self.pool.attribution.check_extra_bytes(attempt.endpoint_id, connection):
+            raise ResponseInDoubtError  # no endpoint answers before it has the last byte
 
     def _read_response(self, attempt: Attempt, connection: EndpointConnection) -> None:
         written_at = now()
@@ -278,7 +281,13 @@
         if result.final:
             self.pool.attribution.add_delivery(connection, attempt.message, owner, attempt.response_time)
         else:
-            self.pool.attribution.add_refusal(connection, attempt.message, attempt.response_time)
+            self.pool.attribution.add_refusal(
+                connection,
+                attempt.message,
+                owner,
+                attempt.response_time,
+                may_have_run=result.outcome not in NEVER_RAN,
+            )
 
     def _finish_response(
         self, endpoint_id: str, address: Address | None, connection: EndpointConnection
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -15,7 +15,7 @@
 from ashpath.core.interface import AttemptOutcome, LoadReport
 from ashpath.server.delivery.endpoint_connection import EndpointConnection
 from ashpath.server.delivery.errors import AttemptCancelledError, AttemptError
-from ashpath.server.delivery.response_attribution import DeliveryOwner
+from ashpath.server.delivery.response_attribution import ResultOwner
 from ashpath.server.http.messages import HttpResponse
 from ashpath.server.storage.stored_message import StoredMessage
 
@@ -70,7 +70,7 @@
     any other the request may have run until a retry begins."""
 
 
-class AttemptOwner(DeliveryOwner, Protocol):
+class AttemptOwner(ResultOwner, Protocol):
     """The starter of an attempt: confirms the attempt before its first byte, and receives the result."""
 
     def still_valid(self, message: StoredMessage) -> bool:
--- a/ashpath/server/delivery/response_attribution.py
+++ b/ashpath/server/delivery/response_attribution.py
@@ -24,8 +24,8 @@
 CONFIRMATION_INTERVAL_S = 0.25
 
 
-class DeliveryOwner(Protocol):
-    """Receives the final result of each provisional delivery: exactly one of the two calls."""
+class ResultOwner(Protocol):
+    """Receives what becomes of provisional results. For each delivery, exactly one of the first two calls."""
 
     def delivery_confirmed(self, message: StoredMessage) -> None:
         """The message was delivered."""
@@ -33,13 +33,16 @@
     def delivery_in_doubt(self, message: StoredMessage) -> None:
         """The message may have been delivered, or not: its response may belong to another request."""
 
+    def refusal_confirmed(self, message: StoredMessage) -> None:
+        """The message did not run. Not called if a retry began, or if the message ended, before."""
+
 
 class ProvisionalDelivery(Struct, frozen=True, eq=False):
     """A delivery whose connection may still show that the response belonged to another request."""
 
     connection: EndpointConnection
     message: StoredMessage
-    owner: DeliveryOwner
+    owner: ResultOwner
     certain_at: int
     """From then on the next message of the same ordering key may be sent: microseconds, as `confirmed_at`."""
     confirmed_at: int
@@ -50,8 +53,11 @@
     """A refusal or an error whose connection may still show that it was the response to another request."""
 
     connection: EndpointConnection
+    owner: ResultOwner
     certain_at: int
     """Microseconds of the monotonic clock."""
+    may_have_run: bool
+    """Whether the response says so: an error, in place of a refusal."""
     in_doubt: bool = False
 
 
@@ -71,7 +77,7 @@
         self,
         connection: EndpointConnection,
         message: StoredMessage,
-        owner: DeliveryOwner,
+        owner: ResultOwner,
         response_time: int,
     ) -> None:
         """Adds a provisional delivery, whose response came `response_time` microseconds after its request."""
@@ -80,10 +86,18 @@
         confirmed_at = time + DELIVERY_DOUBT_TIME
         self._deliveries.append(ProvisionalDelivery(connection, message, owner, certain_at, confirmed_at))
 
-    def add_refusal(self, connection: EndpointConnection, message: StoredMessage, response_time: int) -> None:
+    def add_refusal(
+        self,
+        connection: EndpointConnection,
+        message: StoredMessage,
+        owner: ResultOwner,
+        response_time: int,
+        *,
+        may_have_run: bool,
+    ) -> None:
         """Adds a provisional refusal or error; its message may be sent again once that is certain."""
         certain_at = now() + self.trust.hold_time(response_time)
-        self._refusals[message] = ProvisionalRefusal(connection, certain_at)
+        self._refusals[message] = ProvisionalRefusal(connection, owner, certain_at, may_have_run)
 
     def wait_before_retry(self, message: StoredMessage) -> int:
         """Returns the microseconds until the refusal of the message is certain, or known to be in doubt."""
@@ -152,14 +166,15 @@
     def forget_certain_refusals(self) -> None:
         """Forgets the refusals that are certain by now."""
         time = now()
-        self._refusals = {
-            message: refusal
-            for message, refusal in self._refusals.items()
-            if refusal.in_doubt or refusal.certain_at > time
-        }
+        for message, refusal in list(self._refusals.items()):
+            if not refusal.in_doubt and refusal.certain_at <= time:
+                del self._refusals[message]
+                if not refusal.may_have_run:
+                    refusal.owner.refusal_confirmed(message)
 
     def confirm_all(self) -> None:
-        """Confirms all deliveries, at the end of the process."""
+        """Confirms all deliveries, and the refusals that are certain, at the end of the process."""
+        self.forget_certain_refusals()
         self.confirm_until(now() + DELIVERY_DOUBT_TIME)
 
     def run(self) -> None:
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -252,13 +252,18 @@
         self._report_result(attempt, result)
 
     def delivery_confirmed(self, message: StoredMessage) -> None:
-        """See `DeliveryOwner`."""
+        """See `ResultOwner`."""
         self.write_ahead_log.record_finished(message)
 
     def delivery_in_doubt(self, message: StoredMessage) -> None:
-        """See `DeliveryOwner`. The message has ended for the policy; a notice ends it for its client."""
+        """See `ResultOwner`. The message has ended for the policy; a notice ends it for its client."""
         self.recorder.record_failed(message)
 
+    def refusal_confirmed(self, message: StoredMessage) -> None:
+        """See `ResultOwner`."""
+        if message.message_id in self.messages and message.message_id not in self.attempts:
+            self.write_ahead_log.record_outcome(message, may_have_run=False)
+
     def _report_result(self, attempt: Attempt, result: AttemptResult) -> None:
         message_id = attempt.message.message_id
         is_out = self.attempts.pop(message_id, None) is attempt
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -29,7 +29,7 @@
 
 def run_seed(seed: int, folder: Path) -> list[BrokenRule]:
     """Runs one seed. Returns the broken rules; if there are any, the run's records are in the folder."""
-    plan = draw_plan(seed, with_upgrades=True)
+    plan = draw_plan(seed, with_upgrades=True, with_message_faults=True)
     run_folder = folder / f"seed-{seed}"
     records = SoakRun(plan, run_folder).play()
     broken = RuleChecker(records, rule_checker_settings(plan)).broken_rules()
--- a/tests/emulator/soak/test_soak_run.py
+++ b/tests/emulator/soak/test_soak_run.py
@@ -7,12 +7,14 @@
 import gevent
 from msgspec.structs import replace
 
+from ashpath.emulator.fault_injection.stream_faults import StreamFault
 from ashpath.emulator.soak.judge import RuleChecker
-from ashpath.emulator.soak.plan import StopMethod, draw_plan
+from ashpath.emulator.soak.plan import MessageFaults, StopMethod, draw_plan
 from ashpath.emulator.soak.run import SoakRun
 from ashpath.emulator.soak.settings import rule_checker_settings
 
 SEEDS = (1, 2, 15, 23)
+SEEDS_WITH_MESSAGE_FAULTS = (6, 7)
 
 
 def test_same_seed_draws_same_plan() -> None:
@@ -27,8 +29,17 @@
     ]
 
 
+def test_message_faults_change_no_other_event_of_a_seed() -> None:
+    with_faults = [draw_plan(seed, with_message_faults=True) for seed in range(1, 31)]
+    drawn = {plan.message_faults.endpoint_responses for plan in with_faults}
+    assert {faults.fault for faults in drawn if faults is not None} == set(StreamFault)
+    assert [replace(plan, message_faults=MessageFaults()) for plan in with_faults] == [
+        draw_plan(seed) for seed in range(1, 31)
+    ]
+
+
 def broken_rules(seed: int, folder: Path) -> list[str]:
-    plan = draw_plan(seed)
+    plan = draw_plan(seed, with_message_faults=seed in SEEDS_WITH_MESSAGE_FAULTS)
     records = SoakRun(plan, folder / str(seed)).play()
     assert len(records.calls) > 50
     return [str(broken) for broken in RuleChecker(records, rule_checker_settings(plan)).broken_rules()]
@@ -36,5 +47,5 @@
 
 def test_soak_runs_break_no_rule(tmp_path: Path) -> None:
     """The seeds run concurrently: each run is a few processes that are mostly idle."""
-    plays = {seed: gevent.spawn(broken_rules, seed, tmp_path) for seed in SEEDS}
+    plays = {seed: gevent.spawn(broken_rules, seed, tmp_path) for seed in SEEDS + SEEDS_WITH_MESSAGE_FAULTS}
     assert {seed: found for seed, play in plays.items() if (found := play.get())} == {}
--- a/tests/server/delivery/test_response_attribution.py
+++ b/tests/server/delivery/test_response_attribution.py
@@ -99,6 +99,9 @@
     return delivery_setup
 
 
+CONFIRMED = {AttemptOutcome.DELIVERED: ["b"], AttemptOutcome.OVERLOADED: ["b refused"]}
+
+
 # A late copy of the response before counted for the request that was out; the true response came behind it.
 @pytest.mark.parametrize(
     ("second", "outcome", "is_in_doubt"),
@@ -125,7 +128,7 @@
     assert attribution.results_in_doubt == int(is_in_doubt)
     is_delivered = outcome is AttemptOutcome.DELIVERED
     assert delivery_setup.doubtful == (["b"] if is_delivered and is_in_doubt else [])
-    assert delivery_setup.confirmed == (["b"] if is_delivered and not is_in_doubt else [])
+    assert delivery_setup.confirmed == ([] if is_in_doubt else CONFIRMED.get(outcome, []))
 
 
 # A refusal that was another request's let the message be sent again beside itself, or end as 'never ran'.
--- a/tests/support/sender_parts.py
+++ b/tests/support/sender_parts.py
@@ -131,6 +131,9 @@
     def delivery_confirmed(self, message: StoredMessage) -> None:
         self.confirmed.append(message.trace_id)
 
+    def refusal_confirmed(self, message: StoredMessage) -> None:
+        self.confirmed.append(f"{message.trace_id} refused")
+
     def delivery_in_doubt(self, message: StoredMessage) -> None:
         self.doubtful.append(message.trace_id)
 
