Hot upgrade: the two processes know each other's messages

Cause: each process knew its own log alone.

Change: each process reads on in the other's log (storage/other_logs.py). A copy of a message that is live there, or ended there and may have run, gets 409. A message waits for those of its key that the other process had as it was accepted; adopted ones go ahead of those that wait for them.

The soak prints how long its stand-ins were held up.

--- a/ashpath/core/messages.py
+++ b/ashpath/core/messages.py
@@ -38,6 +38,14 @@
     settles_at: int = 0
     """No message of the key is sent before this time, as an unresolved attempt may still run."""
 
+    def add(self, message: Message) -> None:
+        """Adds a message behind all others, or ahead of those that it precedes."""
+        if not message.precedes_queued:
+            self.messages.append(message)
+            return
+        ahead = sum(other.precedes_queued for other in self.messages)
+        self.messages.insert(ahead, message)
+
 
 class FirstRun(Struct, frozen=True):
     """The first attempt of a message that may have run."""
@@ -111,6 +119,8 @@
     queue: OrderedDict[Message, None] | None = None
     """The queue in which the message waits for a call, or None."""
     ordered_queue: OrderedQueue | None = None
+    precedes_queued: bool = False
+    """Another process of the sender accepted the message before those of its key that were queued here."""
     attempts: int = 0
     attempt: Attempt | None = None
     """The attempt in flight."""
--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -70,13 +70,18 @@
         key: int | None,
         time_left: int,
         previous: PreviousAttempts,
+        *,
+        precedes_queued: bool = False,
     ) -> None:
-        """Restores a message of the previous incarnation with its attempts; waits and statistics are lost."""
+        """Restores a message of the previous incarnation with its attempts; waits and statistics are lost.
+
+        `precedes_queued`: another process accepted it before those that its ordering key has queued here."""
         destination = self.destination(number)
         self.submissions.add(self.now, 0.0)
         # The message never has more time than when it was accepted, whatever clock measured the restart.
         time_left = min(time_left, self.traffic_classes[traffic_class].settings.deadline)
         message = self._new_message(message_id, destination, traffic_class, time_left)
+        message.precedes_queued = precedes_queued
         self._enqueue_new(message, key)
         message.attempts = previous.attempts
         message.restored_untried = not previous.attempts
@@ -117,7 +122,7 @@
         if message.traffic_class.settings.ordered and key is not None:
             ordered_queue = self.ordered_queues.setdefault(key, OrderedQueue(key))
             message.ordered_queue = ordered_queue
-            ordered_queue.messages.append(message)
+            ordered_queue.add(message)
             self.schedule_re_evaluation(message)
             self.advance(ordered_queue)
         else:
--- a/ashpath/emulator/soak/records.py
+++ b/ashpath/emulator/soak/records.py
@@ -149,6 +149,8 @@
     notice_faults: list[NoticeFault] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
     ended_at: float = 0.0
+    longest_pause_s: float = 0.0
+    """For how long the process with clients, endpoints and agents was held up at the longest."""
 
     def record_notice(self, sender: int, message_id: str, at: float) -> None:
         """Records a notification, after all faults: one whose acknowledgement was cut is to be sent again."""
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -44,6 +44,7 @@
 SILENT_WATCH_TIMEOUT_S = 6.0  # by then a sender has an endpoint list that its open watch did not deliver
 RELOAD_TIMEOUT_S = 4.0  # by then a sender has the list of the agent that SIGHUP switched it to
 FINAL_WAIT_S = 9.0  # after the last request: covers the longest deadline and a restart
+PAUSE_PROBE_S = 0.01
 START_TIMEOUT_S = 15.0  # until all senders are ready
 
 
@@ -162,6 +163,7 @@
     def _schedule(self, began: float) -> None:
         plan = self.plan
         self._greenlets = [gevent.spawn(clients.run) for clients in self.clients]
+        self._greenlets.append(gevent.spawn(self._measure_pauses))
         self.clients[0].connect_idle(plan.idle_clients)
         for limit in plan.descriptor_limits:
             self._greenlets.append(gevent.spawn(self.clients[limit.sender].crowd, limit.idle_clients))
@@ -176,6 +178,13 @@
         for at, action in events:
             self._greenlets.append(gevent.spawn_later(began + at - monotonic(), action))
 
+    def _measure_pauses(self) -> None:
+        """Records how late this process wakes up. Never returns."""
+        while True:
+            due = monotonic() + PAUSE_PROBE_S
+            gevent.sleep(PAUSE_PROBE_S)
+            self.records.longest_pause_s = max(self.records.longest_pause_s, monotonic() - due)
+
     def _restart(self, event: RestartEvent) -> None:
         sender = self.senders[event.sender]
         if event.how is StopMethod.TERMINATE:
--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -22,6 +22,7 @@
 
 from collections.abc import Mapping
 from contextlib import suppress
+from typing import Protocol
 
 import gevent
 from gevent import Timeout
@@ -62,11 +63,20 @@
 from ashpath.server.http.messages import OK, HttpResponse
 from ashpath.server.local_errors import is_local_fault, is_without_route
 from ashpath.server.logs import Logger
+from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.timers import now
 
+PREDECESSOR_POLL_S = 0.02
 NOTIFICATION_SHARE = 0.5  # share of an attempt's time for the wait for notifications
 
 
+class PredecessorSource(Protocol):
+    """Knows which messages the other process of a hot upgrade has: the write-ahead log."""
+
+    def has_unfinished_predecessor(self, message: StoredMessage) -> bool:
+        """Whether an earlier message of the same ordering key has not ended."""
+
+
 class AttemptRunner:
     """Runs attempts. Each attempt ends in exactly one call to its owner, also after an unexpected error."""
 
@@ -76,6 +86,7 @@
         registry: EndpointRegistry,
         classifier: ResponseClassifier,
         notifier: Notifier,
+        predecessors: PredecessorSource,
         attempt_log: AttemptLog,
         logger: Logger,
     ) -> None:
@@ -83,6 +94,7 @@
         self.registry = registry
         self.classifier = classifier
         self.notifier = notifier
+        self.predecessors = predecessors
         self.attempt_log = attempt_log
         self.logger = logger
         self.networks = UnreachableNetworks()
@@ -152,12 +164,17 @@
             raise EarlierResponseInDoubtError
 
     def _await_predecessors(self, attempt: Attempt) -> None:
-        """Waits until the delivery of the earlier messages of the ordering key is certain, for half of the
-        attempt's time at most."""
+        """Waits until the delivery of the earlier messages of the ordering key is certain, and until the
+        other process of a hot upgrade has ended those that it accepted before.
+
+        Raises PendingNotificationError after half of the attempt's time."""
         time_left = max(0.0, (attempt.deadline - now()) * NOTIFICATION_SHARE)
         wait = self.pool.attribution.wait_before_next(attempt.message)
         if wait > 0:
             gevent.sleep(min(wait, time_left) / SECOND)
+        with Timeout(time_left / SECOND, PendingNotificationError()):
+            while self.predecessors.has_unfinished_predecessor(attempt.message):
+                gevent.sleep(PREDECESSOR_POLL_S)
 
     def _await_notifications(self, attempt: Attempt) -> None:
         """Waits until no notification of the message's ordering key is pending.
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -83,6 +83,8 @@
         if rejection is not None:
             return rejection
         message.message_id = self.write_ahead_log.messages.last_id + 1
+        if message.ordering_key is not None:
+            message.predecessors = self.write_ahead_log.other_logs.live_of_key(message.ordering_key)
         recorded = self.write_ahead_log.record_submitted(message)
         self.report_log_space(recorded=recorded)
         if not recorded:
@@ -94,14 +96,8 @@
 
     def rejection(self, message: StoredMessage) -> AdmissionResult | None:
         """Returns the rejection of a message that is not to be recorded, or None if it may be accepted."""
-        if message.trace_id in self.write_ahead_log.messages.by_trace_id:
-            return DUPLICATE  # a second copy would be delivered beside the unfinished one
-        retry_safety = self.settings.traffic_classes[message.traffic_class].retry_safety
-        if (
-            retry_safety is not RetrySafety.IDEMPOTENT
-            and message.trace_id in self.write_ahead_log.messages.ended
-        ):
-            return DUPLICATE  # a copy of a request whose message has ended, and may have run
+        if self.is_duplicate(message):
+            return DUPLICATE
         if len(self.receiver.messages) >= self.settings.queue_capacity > 0:
             return OVER_CAPACITY  # the platform rejects messages beyond the sender's queue capacity
         if not self.registry.serves(message.destination):  # not listed, but may be soon
@@ -109,6 +105,16 @@
             return AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE, retry_after)
         return None
 
+    def is_duplicate(self, message: StoredMessage) -> bool:
+        """Whether the message is unfinished, where a copy would be delivered beside it, or has ended and must
+        not run twice; in this process or in the other one of a hot upgrade."""
+        log = self.write_ahead_log
+        if message.trace_id in log.messages.by_trace_id or log.other_logs.is_live(message.trace_id):
+            return True
+        if self.settings.traffic_classes[message.traffic_class].retry_safety is RetrySafety.IDEMPOTENT:
+            return False
+        return message.trace_id in log.messages.ended or log.other_logs.has_ended(message.trace_id)
+
     def report_log_space(self, *, recorded: bool) -> None:
         """Logs when the write-ahead log fills up, and when it has space again."""
         if recorded != self.log_full:
--- a/ashpath/server/message_restoration.py
+++ b/ashpath/server/message_restoration.py
@@ -24,6 +24,8 @@
     time_left: int
     """Microseconds to the message's deadline; negative after the deadline."""
     previous: PreviousAttempts
+    precedes_queued: bool = False
+    """The message was accepted before others of its ordering key that this process has."""
 
     def report(self, policy: DeliveryPolicy) -> None:
         """Reports the message to the policy, within a batch."""
@@ -35,6 +37,7 @@
             message.ordering_key,
             self.time_left,
             self.previous,
+            precedes_queued=self.precedes_queued,
         )
 
 
@@ -53,13 +56,18 @@
 
         Finished messages go to the notifier."""
         restored = []
+        preceding = {trace_id for message in messages.values() for trace_id in message.predecessors}
         for message in stored:
             if message.finished:
                 self.notifier.add(message)
                 continue
             previous = self._previous_attempts(message)
             messages[message.message_id] = message
-            restored.append(RestoredMessage(message, message.deadline - stored_time(), previous))
+            restored.append(
+                RestoredMessage(
+                    message, message.deadline - stored_time(), previous, message.trace_id in preceding
+                )
+            )
         return restored
 
     def _previous_attempts(self, message: StoredMessage) -> PreviousAttempts:
--- a/ashpath/server/storage/log_directory.py
+++ b/ashpath/server/storage/log_directory.py
@@ -74,11 +74,18 @@
         The caller releases each lock before it asks for the next log. A log whose lock file cannot be opened
         is left out, so that it does not keep the others from being adopted.
         """
-        for path in sorted(self.path.iterdir()):
-            if path.name != own.name and LOG_NAME.fullmatch(path.name):
-                lock = _try_lock(path)
-                if lock is not None:
-                    yield LockedLog(path, lock)
+        for path in self.other_logs(own):
+            lock = _try_lock(path)
+            if lock is not None:
+                yield LockedLog(path, lock)
+
+    def other_logs(self, own: Path) -> list[Path]:
+        """Returns the paths of the logs of other processes. Raises OSError."""
+        return [
+            path
+            for path in sorted(self.path.iterdir())
+            if path.name != own.name and LOG_NAME.fullmatch(path.name)
+        ]
 
     def other_logs_bytes(self, own: Path) -> int:
         """Returns the bytes of disk that logs of living processes and logs not yet adopted may need.
--- a/ashpath/server/storage/stored_message.py
+++ b/ashpath/server/storage/stored_message.py
@@ -58,5 +58,9 @@
     finished: bool = False
     """Whether the message has its final state, and stays in the log only for its notice."""
 
+    predecessors: tuple[str, ...] = ()
+    """Trace ids of the messages of the same ordering key that another process of this sender had as this one
+    was accepted, and has not ended. Not stored."""
+
     reserved_bytes: int = 0
     """Upper bound of the bytes that the message takes in a rewritten log. Not stored."""
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -52,6 +52,7 @@
 )
 from ashpath.server.storage.log_file import LogFile
 from ashpath.server.storage.orphaned_logs import OrphanedLogs
+from ashpath.server.storage.other_logs import OtherLogs
 from ashpath.server.storage.record_codec import (
     AttemptFinished,
     AttemptStarted,
@@ -90,6 +91,7 @@
         self.skipped_bytes = (
             0  # bytes of torn records that were skipped as the claimed log was read, before valid records
         )
+        self.other_logs = OtherLogs(self._directory)
         self._orphaned_logs = OrphanedLogs()
         try:
             claimed = self._directory.claim()
@@ -141,6 +143,7 @@
             finally:
                 orphan.lock.release()
         with suppress(OSError):  # the caller still has to receive the adopted messages
+            self.other_logs.find(self.file.path)
             self.other_logs_bytes = self._directory.other_logs_bytes(self.file.path)
             self.may_have_orphans = self.other_logs_bytes > 0
         return adopted
@@ -172,6 +175,15 @@
                 adopted.append(message)
         return adopted
 
+    def has_unfinished_predecessor(self, message: StoredMessage) -> bool:
+        """Whether a message that another process had accepted before has not ended yet, here or there."""
+        message.predecessors = tuple(
+            trace_id
+            for trace_id in message.predecessors
+            if trace_id in self.messages.by_trace_id or self.other_logs.is_live(trace_id)
+        )
+        return bool(message.predecessors)
+
     def record_submitted(self, message: StoredMessage) -> bool:
         """Records an accepted message; returns False if the log has no room for it or the write fails."""
         data = MessageSubmitted(message).encode()
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -123,7 +123,7 @@
     shared_memory = state_files.open_shared_memory(process_options, logger)
     outcome_store = deployment.create_outcome_store(configuration.limits.storage, logger)
     notifier = create_notifier(process_options, configuration, deployment, write_ahead_log, logger)
-    attempt_runner = create_attempt_runner(configuration, notifier, logger)
+    attempt_runner = create_attempt_runner(configuration, notifier, write_ahead_log, logger)
     pool = attempt_runner.pool
     recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store, pool.attribution, pool.checks)
     gossip_link = GossipLink()
@@ -145,7 +145,7 @@
 
 
 def create_attempt_runner(
-    configuration: SenderConfiguration, notifier: Notifier, logger: Logger
+    configuration: SenderConfiguration, notifier: Notifier, write_ahead_log: WriteAheadLog, logger: Logger
 ) -> AttemptRunner:
     """Creates the runner of attempts, with the connections and the registry of endpoints."""
     settings = configuration.settings
@@ -159,7 +159,9 @@
         SelfChecks(attempt_log, logger),
     )
     registry = EndpointRegistry(settings.kinds, settings.zones, pool, logger)
-    return AttemptRunner(pool, registry, create_classifier(settings), notifier, attempt_log, logger)
+    return AttemptRunner(
+        pool, registry, create_classifier(settings), notifier, write_ahead_log, attempt_log, logger
+    )
 
 
 def open_policy_files(
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -40,7 +40,8 @@
         shutil.rmtree(run_folder)
     accepted = sum(one.status in (200, 202) for one in records.submissions.values())
     line = (
-        f"seed {seed}: {len(records.submissions)} requests, {accepted} accepted, {len(records.calls)} calls"
+        f"seed {seed}: {len(records.submissions)} requests, {accepted} accepted, {len(records.calls)} calls, "
+        f"longest pause of the stand-ins {records.longest_pause_s:.2f} s"
     )
     print(line, *map(str, broken[:MAX_FINDINGS_SHOWN]), sep="\n  ", flush=True)
     return broken
--- a/tests/server/delivery/test_response_attribution.py
+++ b/tests/server/delivery/test_response_attribution.py
@@ -171,3 +171,15 @@
     assert delivery_setup.pool.opened == 3
     assert delivery_setup.pool.closed[CloseReason.DISTRUST] == 2
     assert delivery_setup.pool.attribution.extra_responses == 1
+
+
+def test_late_copy_is_not_the_response_of_a_request_that_hangs(harness: SenderHarness) -> None:
+    """The true response never comes, so that the connection never shows one response too many."""
+    ScriptedEndpoint(harness, [(0.0, DELIVERED)], [(0.1, DELIVERED)])
+    delivery_setup = DeliverySetup(harness)
+    delivery_setup.start("a", b"")
+    wait_until(lambda: len(delivery_setup.outcomes) == 1)
+    gevent.sleep(0.07)
+    delivery_setup.start("b", b"", timeout=500_000)
+    wait_until(lambda: len(delivery_setup.outcomes) == 2)
+    assert delivery_setup.outcomes[1] is not AttemptOutcome.DELIVERED
--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -113,6 +113,23 @@
     recovered_endpoint.stop()
 
 
+# A copy of a request that reached the other process was delivered a second time (soak seeds 3 and 46).
+def test_copy_that_reaches_the_other_process_is_recognized(
+    pair: tuple[SenderHarness, SenderHarness],
+) -> None:
+    old, new = pair
+    assert old.submit("done", "once", "200", 1) == 202
+    assert old.submit("out", "free", "hang", 2, time_left_ms=3000) == 202
+    wait_until(lambda: old.attempt_count("done") and old.attempt_count("out"))
+    new.start()
+    assert old.process is not None
+    old.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+    assert new.submit("done", "once", "200", 1) == 409
+    assert new.submit("out", "free", "200", 2) == 409
+    assert new.attempt_count("done") == new.attempt_count("out") == 1
+
+
 def test_message_waits_for_predecessor_of_its_key_in_old_process(
     pair: tuple[SenderHarness, SenderHarness],
 ) -> None:
