Fault injection: schedules count from the start of the process, resets pass

(2) The proxy did not pass a caller's reset on to the target: a 429 that a killed process had not read counted as received.

Change: the schedule counts from the time that the run notes; a reset by either side reaches the other. No tolerance changed.

--- a/ashpath/emulator/fault_injection/launcher.py
+++ b/ashpath/emulator/fault_injection/launcher.py
@@ -3,8 +3,10 @@
     python -m ashpath.emulator.fault_injection.launcher
 
 `ASHPATH_FAULTS` names the file of the schedule (`call_faults.ProcessFaults`). The counts of injected faults
-are written to a file beside it with the suffix `.injected`. `ASHPATH_DESCRIPTORS`, if it is set, is the soft
-limit of the process's descriptors. All other environment variables are the sender's.
+are written to a file beside it with the suffix `.injected`. `ASHPATH_STARTED_AT`, if it is set, is the time
+from which the schedule counts, in seconds of the monotonic clock, as the interpreter takes a while to start.
+`ASHPATH_DESCRIPTORS`, if it is set, is the soft limit of the process's descriptors. All other environment
+variables are the sender's.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 
 SCHEDULE_VARIABLE = "ASHPATH_FAULTS"
 DESCRIPTORS_VARIABLE = "ASHPATH_DESCRIPTORS"
+STARTED_AT_VARIABLE = "ASHPATH_STARTED_AT"
 
 
 def report_path(schedule: Path) -> Path:
@@ -34,7 +37,9 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (int(descriptors), hard_limit))
     schedule = Path(os.environ[SCHEDULE_VARIABLE])
     faults = ProcessFaults.decode(schedule.read_bytes())
-    ProcessFaultInjector(faults, report_path(schedule)).install()
+    injector = ProcessFaultInjector(faults, report_path(schedule))
+    injector.started_at = float(os.environ.get(STARTED_AT_VARIABLE, injector.started_at))
+    injector.install()
     sys.argv = ["ashpath"]
     runpy.run_module("ashpath", run_name="__main__")
 
--- a/ashpath/emulator/fault_injection/tcp_proxy.py
+++ b/ashpath/emulator/fault_injection/tcp_proxy.py
@@ -10,7 +10,7 @@
 | HALF_RESPONSE | the first half of the bytes that the target sends first, and no further byte |
 
 A connection keeps the mode under which it was accepted. `reset_connections` ends the open connections: the
-caller's side is reset, and the target's side is closed. A reset by the target is passed on to the caller.
+caller's side is reset, and the target's side is closed. A reset by one side is passed on to the other.
 With a `first_byte`, only connections fail whose caller sends that byte first; all others are forwarded, and
 not reset. `FullBacklog` is an address at which connection attempts neither succeed nor fail.
 
@@ -124,7 +124,7 @@
             target.close()
             return
         self._open[caller] = target
-        requests = gevent.spawn(self._copy_requests, caller, target)
+        requests = gevent.spawn(self._forward_requests, caller, target)
         try:
             if half:
                 chunk = target.recv(CHUNK_BYTES)
@@ -141,6 +141,11 @@
         faults = self.spared_response_faults if caller in self._spared else self.response_faults
         return copy(target, caller) if faults is None else copy_with_faults(target, caller, faults)
 
+    def _forward_requests(self, caller: socket.socket, target: socket.socket) -> None:
+        if self._copy_requests(caller, target):
+            with suppress(OSError):  # the target may have just ended the connection
+                reset_connection(target)
+
     def _copy_requests(self, caller: socket.socket, target: socket.socket) -> bool:
         """Copies requests, and repeats some. Returns whether the connection was reset."""
         faults = self.request_faults
--- a/ashpath/emulator/soak/sender.py
+++ b/ashpath/emulator/soak/sender.py
@@ -18,7 +18,11 @@
 from ashpath.emulator.errors import RequestError
 from ashpath.emulator.fault_injection.call_faults import ProcessFaults
 from ashpath.emulator.fault_injection.discovery_agent import DiscoveryAgent
-from ashpath.emulator.fault_injection.launcher import DESCRIPTORS_VARIABLE, SCHEDULE_VARIABLE
+from ashpath.emulator.fault_injection.launcher import (
+    DESCRIPTORS_VARIABLE,
+    SCHEDULE_VARIABLE,
+    STARTED_AT_VARIABLE,
+)
 from ashpath.emulator.http_client import HttpClient
 from ashpath.emulator.soak.plan import StopMethod
 from ashpath.emulator.soak.records import Incarnation, SoakRecords
@@ -130,15 +134,16 @@
         """Starts a process, and a greenlet that records when it becomes ready or exits."""
         control = (LOOPBACK, free_port())
         inherited = () if self._listener is None else (self._listener.fileno(),)
+        started_at = monotonic()
         with (self._folder / "log").open("ab") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", LAUNCHER],
-                env=self._environment(control),
+                env=self._environment(control) | {STARTED_AT_VARIABLE: str(started_at)},
                 stdout=log,
                 stderr=log,
                 pass_fds=inherited,
             )
-        self._current = SenderProcess(process, Incarnation(self.number, monotonic()), control)
+        self._current = SenderProcess(process, Incarnation(self.number, started_at), control)
         self._records.incarnations.append(self._current.incarnation)
         gevent.spawn(self._watch, self._current)
 
--- a/benchmarks/response_attribution.py
+++ b/benchmarks/response_attribution.py
@@ -10,6 +10,7 @@
 
 import argparse
 import os
+import resource
 import subprocess
 import sys
 import tempfile
@@ -33,6 +34,7 @@
     plan = message_fault_plan(case, seed, rate, duration_s)
     run = SoakRun(plan, folder)
     records = run.play()
+    usage = resource.getrusage(resource.RUSAGE_CHILDREN)  # of the senders, which have ended
     broken = RuleChecker(records, rule_checker_settings(plan)).broken_rules()
     accepted = sum(one.status in (200, 202) for one in records.submissions.values())
     connections = sum(sum(proxy.accepted.values()) for one in run.endpoints for proxy in one.proxies)
@@ -40,7 +42,9 @@
     rules = dict(Counter(one.rule for one in broken))
     print(
         f"{case}, seed {seed}: {accepted} accepted, {len(records.calls)} calls, "
-        f"{connections} connections, {injected} injected, broken {len(broken)} {rules or ''}",
+        f"{connections} connections, {injected} injected, "
+        f"{1000 * (usage.ru_utime + usage.ru_stime) / max(1, len(records.calls)):.2f} ms CPU a call, "
+        f"broken {len(broken)} {rules or ''}",
         *map(str, broken[:SHOWN]),
         sep="\n    ",
         flush=True,
--- a/tests/emulator/fault_injection/test_stream_faults.py
+++ b/tests/emulator/fault_injection/test_stream_faults.py
@@ -9,6 +9,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from ashpath.emulator.fault_injection.discovery_agent import reset_connection
 from ashpath.emulator.fault_injection.stream_faults import StreamFault, StreamFaultInjector, StreamFaults
 from ashpath.emulator.fault_injection.tcp_proxy import FaultProxy
 from ashpath.server.addresses import parse_address
@@ -35,15 +36,19 @@
     def __init__(self) -> None:
         self.requests = 0
         self.connections = 0
+        self.resets = 0
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
         self.server.start()
         self.proxy = FaultProxy(("127.0.0.1", int(self.server.server_port or 0)))
 
     def serve(self, sock: socket.socket, _: object) -> None:
         self.connections += 1
-        while sock.recv(99):
-            self.requests += 1
-            sock.sendall(RESPONSE)
+        try:
+            while sock.recv(99):
+                self.requests += 1
+                sock.sendall(RESPONSE)
+        except ConnectionResetError:
+            self.resets += 1
 
 
 @pytest.fixture
@@ -96,3 +101,13 @@
     assert set(drawn[0]) == {1, 2}
     quiet = StreamFaultInjector(StreamFaults(StreamFault.REPEAT, 1.0, quiet_s=60.0), "seed")
     assert len(quiet.writes(b"m", b"")) == 1
+
+
+def test_reset_by_caller_reaches_target(target: CountingTarget) -> None:
+    """A process that is killed with an unread response resets its connection: the response was lost."""
+    connection = socket.create_connection(parse_address(target.proxy.address))
+    connection.sendall(b"request")
+    assert received(connection, 0.05) == RESPONSE
+    reset_connection(connection)
+    gevent.sleep(0.05)
+    assert target.resets == 1
