Delivery: a provisional delivery is recorded at once

Cause: a provisional delivery stayed in flight in the write-ahead log for a second, so that a kill made an attempt that may have run of it, and the message was sent again.

Change: the end is recorded at once; a message put in doubt is recorded again, and its notice ends it.

--- a/ashpath/emulator/soak/endpoints.py
+++ b/ashpath/emulator/soak/endpoints.py
@@ -47,7 +47,8 @@
         self.endpoint_id = endpoint_id
         self.destination = destination
         self.down = False
-        # False while responses may be lost in transit: the rules don't bind a sender to a lost Retry-After.
+        # False while responses may be lost or late: the rules don't bind a sender to a Retry-After that
+        # it has not received.
         self.sends_retry_after = True
         self._records = records
         self._random = random
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -14,6 +14,7 @@
 from ashpath.core.json_types import JsonObject
 from ashpath.emulator.fault_injection.call_faults import FaultyCall
 from ashpath.emulator.fault_injection.discovery_agent import DiscoveryAgent
+from ashpath.emulator.fault_injection.stream_faults import StreamFault
 from ashpath.emulator.fault_injection.tcp_proxy import ProxyMode
 from ashpath.emulator.soak.clients import SoakClients
 from ashpath.emulator.soak.endpoints import SoakEndpoint
@@ -100,7 +101,10 @@
         self._inject_message_faults(plan.message_faults)
 
     def _inject_message_faults(self, faults: MessageFaults) -> None:
+        responses = faults.endpoint_responses
+        self._responses_are_in_time = responses is None or responses.fault is not StreamFault.DELAY
         for endpoint in self.endpoints:
+            endpoint.sends_retry_after = self._responses_are_in_time
             for number, proxy in enumerate(endpoint.proxies):
                 seed = f"{self.plan.seed} {endpoint.endpoint_id} {number}"
                 proxy.response_faults = create_injector(faults.endpoint_responses, seed)
@@ -228,7 +232,7 @@
             proxy.mode = ProxyMode.FORWARD
             proxy.reset_connections()
         for endpoint in endpoints:
-            endpoint.sends_retry_after = True
+            endpoint.sends_retry_after = self._responses_are_in_time
 
     def _fail_client_path(self, event: ClientFaultEvent) -> None:
         self.client_paths[event.sender].fail(event.mode, event.until - event.at)
--- a/ashpath/policy/tuning.py
+++ b/ashpath/policy/tuning.py
@@ -101,8 +101,7 @@
 QUIET_TIME = 60 * MILLISECOND
 # Time by which an extra response may follow the true one. A longer one makes more results provisional.
 RESPONSE_LATENESS = 1 * SECOND
-# Time for which a provisional delivery may still be put in doubt. A longer one keeps messages longer in the
-# write-ahead log, which sends them again after a kill.
+# Time for which a provisional delivery may still be put in doubt. A longer one keeps more messages in memory.
 DELIVERY_DOUBT_TIME = 1 * SECOND
 # Longest time for which a provisional refusal or error is withheld. A longer one delays retries.
 MAX_HOLD_TIME = 250 * MILLISECOND
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -66,8 +66,7 @@
     """This attempt is the last one of its message."""
     load_report: LoadReport | None = None
     provisional: bool = False
-    """The response may be another request's: a final result is to be confirmed, or to be put in doubt; after
-    any other the request may have run until a retry begins."""
+    """The response may be another request's: the result may still be put in doubt."""
 
 
 class AttemptOwner(ResultOwner, Protocol):
--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -122,14 +122,13 @@
     def record_attempt(self, message: StoredMessage, result: AttemptResult) -> None:
         """Records the outcome of an attempt, and the final state of the message if the result is final.
 
-        A provisional result is not recorded in the write-ahead log yet, where the attempt stays in flight:
+        A provisional refusal is not recorded in the write-ahead log yet, where the attempt stays in flight:
         after a kill it may have run."""
         if result.final:
             delivered = result.outcome is AttemptOutcome.DELIVERED
             state = FinalState.DELIVERED if delivered else FinalState.CANCELLED
             self._store_final_state(message, state)
-            if not result.provisional:
-                self.write_ahead_log.record_finished(message)
+            self.write_ahead_log.record_finished(message)
         elif not result.provisional:
             self.write_ahead_log.record_outcome(message, may_have_run=result.outcome not in NEVER_RAN)
 
--- a/ashpath/server/delivery/response_attribution.py
+++ b/ashpath/server/delivery/response_attribution.py
@@ -1,9 +1,9 @@
 """Acts on extra responses: doubts the provisional results of their connection, and distrusts all connections.
 
 The policy decides what is provisional and how long connections are distrusted (`policy/response_trust.py`).
-A provisional delivery ends its message for the policy and for clients that ask, but the message stays in the
-write-ahead log until its result is confirmed: DELIVERY_DOUBT_TIME later, or at the end of the process. A kill
-before that leaves an attempt that may have run.
+A provisional delivery ends its message like any other. For DELIVERY_DOUBT_TIME an extra response on its
+connection still puts it in doubt, and a notice then tells that the message may not have been delivered. The
+message stays in memory for that time; a kill within it leaves the message delivered.
 """
 
 from __future__ import annotations
@@ -21,14 +21,11 @@
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.timers import now
 
-CONFIRMATION_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 0.25
 
 
 class ResultOwner(Protocol):
-    """Receives what becomes of provisional results. For each delivery, exactly one of the first two calls."""
-
-    def delivery_confirmed(self, message: StoredMessage) -> None:
-        """The message was delivered."""
+    """Receives what becomes of provisional results."""
 
     def delivery_in_doubt(self, message: StoredMessage) -> None:
         """The message may have been delivered, or not: its response may belong to another request."""
@@ -44,8 +41,8 @@
     message: StoredMessage
     owner: ResultOwner
     certain_at: int
-    """From then on the next message of the same ordering key may be sent: microseconds, as `confirmed_at`."""
-    confirmed_at: int
+    """From then on the next message of the same ordering key may be sent."""
+    doubtful_until: int
     """Microseconds of the monotonic clock."""
 
 
@@ -71,7 +68,7 @@
         """Number of times that an endpoint sent what may be a response without a request."""
         self.results_in_doubt = 0
         self._refusals: dict[StoredMessage, ProvisionalRefusal] = {}
-        self._deliveries: deque[ProvisionalDelivery] = deque()  # the earliest confirmation first
+        self._deliveries: deque[ProvisionalDelivery] = deque()  # the earliest end of the doubt first
 
     def add_delivery(
         self,
@@ -83,8 +80,8 @@
         """Adds a provisional delivery, whose response came `response_time` microseconds after its request."""
         time = now()
         certain_at = time + self.trust.hold_time(response_time)
-        confirmed_at = time + DELIVERY_DOUBT_TIME
-        self._deliveries.append(ProvisionalDelivery(connection, message, owner, certain_at, confirmed_at))
+        until = time + DELIVERY_DOUBT_TIME
+        self._deliveries.append(ProvisionalDelivery(connection, message, owner, certain_at, until))
 
     def add_refusal(
         self,
@@ -157,11 +154,11 @@
             self.logger.warning("delivery in doubt", trace_id=delivery.message.trace_id)
             delivery.owner.delivery_in_doubt(delivery.message)
 
-    def confirm_until(self, time: int) -> None:
-        """Confirms the deliveries that are due by a time, in microseconds of the monotonic clock."""
-        while self._deliveries and self._deliveries[0].confirmed_at <= time:
-            delivery = self._deliveries.popleft()
-            delivery.owner.delivery_confirmed(delivery.message)
+    def forget_certain_deliveries(self) -> None:
+        """Forgets the deliveries that can no longer be put in doubt."""
+        time = now()
+        while self._deliveries and self._deliveries[0].doubtful_until <= time:
+            self._deliveries.popleft()
 
     def forget_certain_refusals(self) -> None:
         """Forgets the refusals that are certain by now."""
@@ -172,14 +169,9 @@
                 if not refusal.may_have_run:
                     refusal.owner.refusal_confirmed(message)
 
-    def confirm_all(self) -> None:
-        """Confirms all deliveries, and the refusals that are certain, at the end of the process."""
-        self.forget_certain_refusals()
-        self.confirm_until(now() + DELIVERY_DOUBT_TIME)
-
     def run(self) -> None:
-        """Confirms deliveries as they become due, until its greenlet is killed."""
+        """Forgets results as they become certain, until its greenlet is killed."""
         while True:
-            gevent.sleep(CONFIRMATION_INTERVAL_S)
-            self.confirm_until(now())
+            gevent.sleep(CHECK_INTERVAL_S)
+            self.forget_certain_deliveries()
             self.forget_certain_refusals()
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -251,12 +251,10 @@
         self.recorder.record_attempt(attempt.message, result)
         self._report_result(attempt, result)
 
-    def delivery_confirmed(self, message: StoredMessage) -> None:
-        """See `ResultOwner`."""
-        self.write_ahead_log.record_finished(message)
-
     def delivery_in_doubt(self, message: StoredMessage) -> None:
-        """See `ResultOwner`. The message has ended for the policy; a notice ends it for its client."""
+        """See `ResultOwner`. The message is owed again until its notice is acknowledged."""
+        message.finished = False
+        self.write_ahead_log.record_submitted(message)
         self.recorder.record_failed(message)
 
     def refusal_confirmed(self, message: StoredMessage) -> None:
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -64,7 +64,7 @@
             inherited=sender.process_options.inherited_socket is not None,
         )
         sender.shutdown.ended.wait()
-        sender.delivery.pool.attribution.confirm_all()
+        sender.delivery.pool.attribution.forget_certain_refusals()
         sender.delivery.write_ahead_log.close()
 
     def listen(self) -> None:
