Attempts are recorded just before their first byte

Cause: an attempt was recorded before its greenlet waited for a connection to become quiet, so that a kill in those 60 ms made an attempt that may have run of it.

Change: it is recorded when its connection is ready, right before the first byte. One that cannot be recorded pauses as before.

--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -10,6 +10,7 @@
 | acquire a connection, idle or new | `ConnectionPoolFullError`, `LocalResourceError`, |
 | | `ConnectError`, `DeadlineBeforeConnectError` |
 | check that the attempt is still valid | `EndpointNotListedError`, `AttemptNotValidError` |
+| record it in the write-ahead log | `AttemptNotRecordedError` |
 | write the request | `WriteError`, `WriteTimeoutError`, `ResponseInDoubtError` |
 | read the response | `ConnectionLostError`, `InvalidResponseError`, `ResponseTimeoutError`, or a response |
 | check that it belongs to the request | `ResponseInDoubtError` |
@@ -39,6 +40,7 @@
 from ashpath.server.delivery.errors import (
     AttemptCancelledError,
     AttemptError,
+    AttemptNotRecordedError,
     AttemptNotValidError,
     ConnectError,
     ConnectionLostError,
@@ -67,6 +69,7 @@
 from ashpath.server.timers import now
 
 PREDECESSOR_POLL_S = 0.02
+NOT_RECORDED_PAUSE_S = 0.1
 NOTIFICATION_SHARE = 0.5  # share of an attempt's time for the wait for notifications
 
 
@@ -202,7 +205,7 @@
         return connection
 
     def _check_valid(self, attempt: Attempt, address: Address, owner: AttemptOwner) -> None:
-        """Raises an error if the attempt may not be written any more.
+        """Raises an error if the attempt may not be written any more, or cannot be recorded.
 
         Connecting may take long. A drain or a Retry-After received in the meantime makes the attempt invalid
         (AttemptNotValidError). If the endpoint has left its address, another endpoint may have taken the
@@ -211,6 +214,8 @@
             raise EndpointNotListedError
         if not owner.still_valid(attempt.message):
             raise AttemptNotValidError
+        if not owner.record_attempt(attempt):
+            raise AttemptNotRecordedError
 
     def _write_request(self, attempt: Attempt, address: Address, connection: EndpointConnection) -> None:
         attempt.new_connection = not connection.requests
@@ -269,6 +274,9 @@
         if connection is None:
             self._report(attempt, owner)
             return
+        if isinstance(attempt.failure, AttemptNotRecordedError):
+            # The policy starts the next attempt at once, until the message has no attempt left.
+            gevent.sleep(NOT_RECORDED_PAUSE_S)
         if isinstance(attempt.failure, WriteError | ConnectionLostError) and not len(connection.buffer):
             self.pool.connection_dropped(attempt.endpoint_id, connection)
         if attempt.response is None or not attempt.response.keep_alive:
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -75,5 +75,8 @@
     def still_valid(self, message: StoredMessage) -> bool:
         """Whether the attempt may still be written, now that its connection is established."""
 
+    def record_attempt(self, attempt: Attempt) -> bool:
+        """Records the attempt just before its first byte; returns False if that fails."""
+
     def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
         """Receives the result; called exactly once for each attempt, in the attempt's own greenlet."""
--- a/ashpath/server/delivery/errors.py
+++ b/ashpath/server/delivery/errors.py
@@ -29,6 +29,10 @@
     """A drain or a Retry-After made the attempt invalid before its first byte was written."""
 
 
+class AttemptNotRecordedError(NotSentError):
+    """The write-ahead log did not take the attempt: unrecorded, it could run twice after a restart."""
+
+
 class PendingNotificationError(NotSentError):
     """A notification for the same ordering key was still pending after half of the attempt's time."""
 
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -19,10 +19,9 @@
 
 from collections.abc import Iterable, Sequence
 
-import gevent
 from msgspec import Struct
 
-from ashpath.core.interface import AttemptOutcome, EndpointRecord, PolicySettings
+from ashpath.core.interface import EndpointRecord, PolicySettings
 from ashpath.policy.delivery_policy import DeliveryPolicy
 from ashpath.server.delivery.attempt_runner import AttemptRunner
 from ashpath.server.delivery.attempts import Attempt, AttemptResult
@@ -41,8 +40,6 @@
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import Timers, now, stored_time
 
-NOT_SENT = AttemptResult(AttemptOutcome.NOT_SENT)
-
 
 class StateFiles(Struct, frozen=True):
     """The files of the state directory that the policy runner reads and writes."""
@@ -212,7 +209,7 @@
         self.stopped = True
 
     def begin_attempt(self, message: StoredMessage, endpoint_id: str, timeout: int) -> None:
-        """Records the attempt, then starts it. An unrecorded attempt could run twice after a restart."""
+        """Starts an attempt, which is recorded just before its first byte."""
         if self.stopped:
             return
         traffic_class = self.policy.traffic_classes[message.traffic_class]
@@ -221,22 +218,19 @@
         is_only_attempt = message.message_id not in self.attempts
         self.checks.expect(Check.ONE_ATTEMPT, holds=is_only_attempt, subject=message.trace_id)
         self.attempts[message.message_id] = attempt
+        self.attempt_runner.start(attempt, self)
+
+    def record_attempt(self, attempt: Attempt) -> bool:
+        """See `AttemptOwner`. An unrecorded attempt could run twice after a restart."""
         try:
-            self.write_ahead_log.record_attempt(message, stored_time(), endpoint_id)
+            self.write_ahead_log.record_attempt(attempt.message, stored_time(), attempt.endpoint_id)
         except OSError as error:
-            self._report_unrecorded(attempt, error)
-        else:
-            self.recording_failed = False
-            self.attempt_runner.start(attempt, self)
-
-    def _report_unrecorded(self, attempt: Attempt, error: OSError) -> None:
-        """Reports the attempt as not sent after a pause of `retry_s`. If it were reported at once, the policy
-        would start the next attempt immediately, until the message had no attempt left."""
-        if not self.recording_failed:
-            self.logger.error("attempt not recorded", error=str(error))
-        self.recording_failed = True
-        pause_s = self.limits.retry_s
-        gevent.spawn_later(pause_s, self._report_result, attempt, NOT_SENT)
+            if not self.recording_failed:
+                self.logger.error("attempt not recorded", error=str(error))  # noqa: TRY400 - one line is enough
+            self.recording_failed = True
+            return False
+        self.recording_failed = False
+        return True
 
     def still_valid(self, message: StoredMessage) -> bool:
         """See `AttemptOwner`. Takes into account a Retry-After or a detached endpoint that the other process
--- a/tests/support/sender_parts.py
+++ b/tests/support/sender_parts.py
@@ -124,6 +124,9 @@
     def still_valid(self, message: StoredMessage) -> bool:
         return message.trace_id not in self.invalid
 
+    def record_attempt(self, attempt: Attempt) -> bool:
+        return True
+
     def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
         self.recorder.record_attempt(attempt.message, result)
         self.outcomes.append(result.outcome)
