Delivery: the Retry-After of a response binds as its head is read

Cause: the Retry-After reached the policy only as a field of the outcome of a response that counts. Change: each head of a final response that an endpoint connection reads is passed to ResponseNotices before anything is decided on the request; the policy takes the wait as an input of its own (policy/retry_after.py), which lengthens the wait in force, frees no slot and judges no message. It binds for 300 s at most unless its response counts. A log line and a metric for each wait heard, with the way on which it came. Why it works: the connection gives the endpoint and its destination, whatever becomes of the request. Rules: no attempt starts by a notice, limit, breaker and rate stay with outcomes, a wait that announces an outage keeps its slow start.

--- a/ashpath/core/gate_state.py
+++ b/ashpath/core/gate_state.py
@@ -64,6 +64,12 @@
     def apply_outcome(self, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> None:
         """Updates the gate with the outcome of a call, once per call. `duration` is in microseconds."""
 
+    @abstractmethod
+    def lengthen_retry_after(self, until: int, *, outcome_follows: bool) -> None:
+        """Applies a Retry-After that arrived apart from an outcome; the latest end of all is in force.
+
+        `outcome_follows`: the outcome of the attempt that the response ended is applied next."""
+
     @abstractmethod
     def apply_listed_rate(self, rate: float) -> None:
         """Applies the listed rate, in calls per second; 0: the endpoint list has none."""
--- a/ashpath/policy/delivery_policy.py
+++ b/ashpath/policy/delivery_policy.py
@@ -17,7 +17,7 @@
 from ashpath.core.statistics import EventRate, RunningStatistics
 from ashpath.core.time_units import SECOND
 from ashpath.core.timers import POLL_TIMER, RANKING_TIMER
-from ashpath.policy import retries, tuning
+from ashpath.policy import retries, retry_after, tuning
 from ashpath.policy.destination import Destination, cancel_overdue_attempt
 from ashpath.policy.failure_classification import is_connection_table_full, was_overtaken
 
@@ -93,6 +93,18 @@
             return False
         return now >= message.attempt.endpoint.gate.retry_after_until
 
+    def retry_after_noticed(
+        self, number: int, endpoint_id: str, duration: int, *, outcome_follows: bool
+    ) -> int:
+        """Applies a Retry-After of `duration` that an endpoint wrote, whatever becomes of the request.
+
+        Returns for how long it binds. Needs no batch, as it starts nothing. `outcome_follows`: the outcome of
+        the attempt that the response ended is reported next."""
+        binds = retry_after.binding_time(duration)
+        for gate in self._gates(number, endpoint_id):
+            gate.lengthen_retry_after(self.now + binds, outcome_follows=outcome_follows)
+        return binds
+
     def attempt_finished(
         self,
         message_id: int,
--- a/ashpath/policy/failure_classification.py
+++ b/ashpath/policy/failure_classification.py
@@ -34,6 +34,19 @@
     return attempt.endpoint.fast_successes > attempt.expected_fast_successes + tuning.OVERTAKING_SUCCESSES
 
 
+def has_ample_quota(gate: Gate) -> bool:
+    """Returns whether the rate limit of the gate does not explain a rejection."""
+    return gate.rate_limit.remaining_quota >= tuning.AMPLE_QUOTA or not gate.state.settings.has_load_reports
+
+
+def announces_outage(gate: Gate) -> bool:
+    """Returns whether the Retry-After in force announces an outage, with the same end for all senders.
+
+    A rate limit with ample quota does not explain so long a wait.
+    """
+    return has_ample_quota(gate) and gate.retry_after_until - gate.state.now > tuning.OUTAGE_DETECTION_TIME
+
+
 def record_failure(gate: Gate, attempt: Attempt, outcome: AttemptOutcome, duration: int) -> bool:
     """Counts a failure, detects outages, and returns whether the failure is unrelated to load.
 
@@ -46,17 +59,14 @@
     rate_limited = outcome is AttemptOutcome.OVERLOADED and gate.rate_limit.reported_limit > 0
     found_full_table = is_connection_table_full(settings, outcome, duration)
     ambiguous = found_full_table or outcome in (AttemptOutcome.OVERLOADED, AttemptOutcome.TIMED_OUT)
-    ample_quota = gate.rate_limit.remaining_quota >= tuning.AMPLE_QUOTA or not settings.has_load_reports
     if rate_limited:
-        outage.failures += tuning.RATE_LIMITED_FAILURE_WEIGHT * ample_quota
+        outage.failures += tuning.RATE_LIMITED_FAILURE_WEIGHT * has_ample_quota(gate)
     else:
         outage.failures += tuning.AMBIGUOUS_FAILURE_WEIGHT if ambiguous else 1
     failure_run = outage.is_failure_run(
         ambiguous=ambiguous, min_failures=_min_failure_run(gate, outcome) if ambiguous else 1.0
     )
-    # A rate limit with ample quota does not explain so long a Retry-After: the destination announces an
-    # outage, with the same end for all senders.
-    outage_announced = ample_quota and gate.retry_after_until - gate.state.now > tuning.OUTAGE_DETECTION_TIME
+    outage_announced = announces_outage(gate)
     if outage_announced or (failure_run and not outage.down):
         outage.begin(max(gate.state.now, gate.retry_after_until))
         gate.report_mode_change(f"ailing: {outage.failures:.1f} failures, last {outcome.value}")
--- a/ashpath/policy/gate.py
+++ b/ashpath/policy/gate.py
@@ -21,7 +21,7 @@
 from ashpath.core.sender_state import SenderState
 from ashpath.core.snapshots import BreakerState
 from ashpath.core.statistics import DecayingShare
-from ashpath.policy import tuning
+from ashpath.policy import retry_after, tuning
 from ashpath.policy.failure_classification import record_failure
 from ashpath.policy.outage import Outage
 from ashpath.policy.rate_pacing import RateLimit
@@ -60,6 +60,10 @@
                 return recovers_at
         return self.rate_limit.available_at(now)
 
+    def lengthen_retry_after(self, until: int, *, outcome_follows: bool) -> None:
+        """See `GateState`."""
+        retry_after.lengthen(self, until, outcome_follows=outcome_follows)
+
     def allowance(self, now: int) -> float:
         """Returns the calls per second that a destination may get while it is down or recovering."""
         return self.outage.allowance(now, self.rate_limit.even_split())
--- a/ashpath/policy/tuning.py
+++ b/ashpath/policy/tuning.py
@@ -110,6 +110,10 @@
 INITIAL_DISTRUST_TIME = 60 * SECOND
 MAX_DISTRUST_TIME = 600 * SECOND
 
+# Longest time for which a Retry-After binds whose response has no outcome. A longer one lets broken bytes
+# keep a destination closed; a shorter one cuts long waits.
+MAX_UNCONFIRMED_RETRY_AFTER = 300 * SECOND
+
 # Rate limits. The even split of a destination's limit is the limit divided by the number of senders.
 
 # Rate at which a gate starts once its rate limit is known, unless the even split is higher; without load
--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -200,6 +200,7 @@
             if no_route or is_local_fault(error):
                 raise LocalResourceError(str(error)) from error
             raise ConnectError(str(error)) from error
+        connection.use_for(attempt.endpoint_id, attempt.message.destination)
         if not connection.requests:
             self.networks.connection_established(address)
         return connection
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -31,6 +31,7 @@
 from ashpath.server.delivery.endpoint_connection import CloseReason, EndpointConnection
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.delivery.response_attribution import ResponseAttribution
+from ashpath.server.delivery.response_notices import ResponseNotices
 from ashpath.server.http.connection import connect_socket
 from ashpath.server.limits.endpoint_connections import EndpointConnectionLimits
 from ashpath.server.limits.http import HttpLimits
@@ -66,11 +67,13 @@
         limits: EndpointConnectionLimits,
         http_limits: HttpLimits,
         attribution: ResponseAttribution,
+        notices: ResponseNotices,
         checks: SelfChecks,
     ) -> None:
         self.limits = limits
         self.http_limits = http_limits
         self.attribution = attribution
+        self.notices = notices
         self.checks = checks
         self.idle: dict[str, deque[IdleConnection]] = {}
         self.open = 0
@@ -183,7 +186,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             connect_socket(sock, address, self.http_limits)
             self.opened += 1
-            return EndpointConnection(sock, self.http_limits, self.opened)
+            return EndpointConnection(sock, self.http_limits, self.opened, self.notices)
         except BaseException:
             self.open -= 1
             raise
--- a/ashpath/server/delivery/endpoint_connection.py
+++ b/ashpath/server/delivery/endpoint_connection.py
@@ -9,7 +9,9 @@
 
 from gevent import get_hub, socket
 
+from ashpath.server.delivery.response_notices import NoticeSource, ResponseNotices
 from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.messages import HttpResponse
 from ashpath.server.limits.http import HttpLimits
 
 READ = 1  # the event of libev's io watchers
@@ -34,8 +36,15 @@
 class EndpointConnection(HttpConnection):
     """A connection to an endpoint; the pool creates and closes it."""
 
-    def __init__(self, sock: socket.socket, limits: HttpLimits, number: int) -> None:
+    def __init__(
+        self, sock: socket.socket, limits: HttpLimits, number: int, notices: ResponseNotices
+    ) -> None:
         super().__init__(sock, limits)
+        self.notices = notices
+        self.endpoint_id = ""
+        """The endpoint at the other end; empty until an attempt has the connection."""
+        self.destination = 0
+        """The destination of that endpoint."""
         self.number = number
         """In the order in which this process opened its connections, from 1."""
         self.in_use = True
@@ -50,6 +59,15 @@
         """Time of the last request, in seconds of the monotonic clock."""
         self._watcher = get_hub().loop.io(sock.fileno(), READ)
 
+    def use_for(self, endpoint_id: str, destination: int) -> None:
+        """Records to which endpoint the connection leads."""
+        self.endpoint_id = endpoint_id
+        self.destination = destination
+
+    def head_received(self, response: HttpResponse) -> None:
+        """Passes on what the response says of its destination."""
+        self.notices.head_received(self, response, NoticeSource.RESPONSE)
+
     @property
     def is_reused(self) -> bool:
         """Whether the last request is not the first one."""
--- a/ashpath/server/delivery/response_classifier.py
+++ b/ashpath/server/delivery/response_classifier.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 from ashpath.core.interface import AttemptOutcome, LoadReport
-from ashpath.core.time_units import SECOND
 from ashpath.server import wire_names
 from ashpath.server.delivery.attempts import Attempt, AttemptResult
 from ashpath.server.delivery.errors import (
@@ -25,6 +24,7 @@
     ResponseError,
     ResponseTimeoutError,
 )
+from ashpath.server.delivery.retry_after import retry_after
 from ashpath.server.http.messages import HttpResponse
 
 # A status that the protocol does not define does not tell whether the request ran, and counts as ERROR.
@@ -75,12 +75,9 @@
         if response is None:
             return AttemptResult(self._failure_outcome(attempt.failure))
         outcome = self._response_outcome(response, new_connection=attempt.new_connection)
-        retry_after = 0
-        if outcome is AttemptOutcome.OVERLOADED:
-            seconds = parse_number(response.headers.get(wire_names.RETRY_AFTER_HEADER)) or 0.0
-            retry_after = round(seconds * SECOND)
+        wait = retry_after(response) if outcome is AttemptOutcome.OVERLOADED else 0
         final = response.status in FINAL_STATUSES
-        return AttemptResult(outcome, retry_after, final, self.load_report(response), attempt.provisional)
+        return AttemptResult(outcome, wait, final, self.load_report(response), attempt.provisional)
 
     @staticmethod
     def _failure_outcome(failure: AttemptError | None) -> AttemptOutcome:
--- /dev/null
+++ b/ashpath/server/delivery/response_notices.py
@@ -0,0 +1,96 @@
+"""Passes on what a response says of its destination, whatever becomes of the request.
+
+A response says two things: what became of one request, which depends on whether the response belongs to it,
+and how its destination fares, which does not: the connection gives the endpoint, and the endpoint its
+destination. This module takes the second from each head that was read whole, on whichever way it came, before
+anything is decided on the request. The policy decides what is done with it (`policy/retry_after.py`).
+
+Of what a response says, the Retry-After is passed on. Load reports come with the outcome of the attempt only.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+from msgspec import Struct
+
+from ashpath.core.time_units import SECOND
+from ashpath.server.delivery.retry_after import retry_after
+from ashpath.server.http.messages import HttpResponse
+from ashpath.server.logs import Logger
+
+
+class NoticeSource(Enum):
+    """Where the head of a response was read."""
+
+    RESPONSE = "response"
+    """To the request that was out: an outcome of its attempt follows."""
+    EXTRA = "extra"
+    """On a connection without a request out."""
+    GIVEN_UP = "given up"
+    """On a connection whose request was given up."""
+
+
+class NoticeOrigin(Protocol):
+    """The connection on which a response came."""
+
+    endpoint_id: str
+    destination: int
+    number: int
+    requests: int
+    last_trace_id: str
+
+
+class RetryAfterNotice(Struct, frozen=True):
+    """A destination asks not to be called."""
+
+    destination: int
+    endpoint_id: str
+    retry_after: int
+    """Microseconds from now."""
+    outcome_follows: bool
+    """The outcome of an attempt, which this response ended, is reported next."""
+
+
+class NoticeReceiver(Protocol):
+    """Receives the notices: the runner of the policy."""
+
+    def retry_after_noticed(self, notice: RetryAfterNotice) -> int:
+        """Returns for how many microseconds the notice binds. Does not switch greenlets."""
+
+
+class ResponseNotices:
+    """Reads, counts and logs the notices of all connections of one sender."""
+
+    def __init__(self, logger: Logger) -> None:
+        self.logger = logger
+        self.receiver: NoticeReceiver | None = None
+        self.heard: dict[NoticeSource, int] = dict.fromkeys(NoticeSource, 0)
+        """Number of responses with a Retry-After."""
+
+    def subscribe(self, receiver: NoticeReceiver) -> None:
+        """Passes the notices to `receiver` from now on."""
+        self.receiver = receiver
+
+    def head_received(self, origin: NoticeOrigin, response: HttpResponse, source: NoticeSource) -> None:
+        """Takes the head of a final response, before anything else is done with it."""
+        wait = retry_after(response)
+        if not wait or self.receiver is None:
+            return
+        self.heard[source] += 1
+        notice = RetryAfterNotice(
+            origin.destination, origin.endpoint_id, wait, outcome_follows=source is NoticeSource.RESPONSE
+        )
+        binds = self.receiver.retry_after_noticed(notice)
+        self.logger.info(
+            "retry-after received",
+            endpoint=origin.endpoint_id,
+            destination=origin.destination,
+            seconds=wait / SECOND,
+            binds_s=binds / SECOND,
+            source=source.value,
+            connection=origin.number,
+            requests=origin.requests,
+            trace_id=origin.last_trace_id,
+        )
--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -149,6 +149,7 @@
                 self._read_head(response, parser, "response")
                 if response.is_interim:
                     return response
+                self.head_received(response)
                 framing = 0 if response.complete else body_framing(response, self.limits.body_bytes)
                 self.pending_body = PendingBody(response, parser, framing)
                 if response.status != OK:
@@ -162,6 +163,9 @@
         self.unusable = not response.keep_alive
         return response
 
+    def head_received(self, response: HttpResponse) -> None:
+        """Called with each final response once its head has been read, before its body."""
+
     def late_success(self) -> HttpResponse | None:
         """Returns a 200 whose status line has arrived by now, else None; the caller gives up on the response.
 
--- a/ashpath/server/http/framing.py
+++ b/ashpath/server/http/framing.py
@@ -90,7 +90,7 @@
 def body_framing(message: HttpMessage, max_body_bytes: int) -> BodyFraming:
     """Returns the framing of the body of a message whose head is complete. Raises ProtocolError."""
     headers = message.headers
-    if message.repeated_headers & LENGTH_HEADERS or headers.keys() >= LENGTH_HEADERS:
+    if message.repeated_headers.keys() & LENGTH_HEADERS or headers.keys() >= LENGTH_HEADERS:
         raise AmbiguousLengthError
     coding = headers.get(b"transfer-encoding")
     if coding is not None:
--- a/ashpath/server/http/messages.py
+++ b/ashpath/server/http/messages.py
@@ -22,7 +22,7 @@
 
     def __init__(self) -> None:
         self.headers: dict[bytes, bytes] = {}  # by name in lower case; the last value of a repeated header
-        self.repeated_headers: set[bytes] = set()  # names of headers that occur more than once
+        self.repeated_headers: dict[bytes, list[bytes]] = {}  # earlier values of those that occur repeatedly
         self.body_parts: list[bytes] = []
         self.head_complete = False
         self.complete = False
@@ -33,9 +33,14 @@
         if not self.head_complete:
             name = name.lower()
             if name in self.headers:
-                self.repeated_headers.add(name)
+                self.repeated_headers.setdefault(name, []).append(self.headers[name])
             self.headers[name] = value.strip()
 
+    def values(self, name: bytes) -> list[bytes]:
+        """Returns all values of a header, whose name is in lower case, in their order."""
+        last = [self.headers[name]] if name in self.headers else []
+        return self.repeated_headers.get(name, []) + last
+
     def on_headers_complete(self) -> None:
         """Marks the head as complete."""
         self.head_complete = True
--- a/ashpath/server/http/request_parser.py
+++ b/ashpath/server/http/request_parser.py
@@ -103,7 +103,7 @@
 
         Raises InvalidRequestError if a header is missing, repeated or invalid."""
         headers = request.headers
-        if request.repeated_headers & UNREPEATABLE_HEADERS:
+        if request.repeated_headers.keys() & UNREPEATABLE_HEADERS:
             raise RepeatedHeaderError
         try:
             traffic_class = self.traffic_class_ids[headers[wire_names.TRAFFIC_CLASS_HEADER].decode()]
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -106,6 +106,12 @@
         yield counter(
             "results_in_doubt", "Results that may be another request's.", attribution.results_in_doubt
         )
+        retry_afters = CounterMetricFamily(
+            "ashpath_retry_afters", "Responses with a Retry-After, by where they came.", labels=["source"]
+        )
+        for source, count in pool.notices.heard.items():
+            retry_afters.add_metric([source.value], count)
+        yield retry_afters
         yield counter(
             "ended_messages_evicted",
             "Messages that ended, and whose copies are no longer recognized.",
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -26,6 +26,7 @@
 from ashpath.server.delivery.attempt_runner import AttemptRunner
 from ashpath.server.delivery.attempts import Attempt, AttemptResult
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder, SubmitResult
+from ashpath.server.delivery.response_notices import RetryAfterNotice
 from ashpath.server.gossip_link import GossipPublisher
 from ashpath.server.limits.services import ServiceLimits
 from ashpath.server.logs import Logger
@@ -96,6 +97,7 @@
         )
         self._batch = PolicyBatch(self.policy, self.actions, self._shared)
         self._restorer = MessageRestorer(files.write_ahead_log, recorder.notifier)
+        attempt_runner.pool.notices.subscribe(self)
 
     def _create_actions(self, settings: PolicySettings, gossip: GossipPublisher) -> QueuedActions:
         return QueuedActions(
@@ -197,6 +199,19 @@
             for token in tokens:
                 policy.timer_fired(token)
 
+    def retry_after_noticed(self, notice: RetryAfterNotice) -> int:
+        """See `NoticeReceiver`. In force at once, also for the other process of a hot upgrade."""
+        self.policy.begin_batch(now())
+        binds = self.policy.retry_after_noticed(
+            notice.destination,
+            notice.endpoint_id,
+            notice.retry_after,
+            outcome_follows=notice.outcome_follows,
+        )
+        until = stored_time() + binds
+        self.shared_memory.publish_retry_after(notice.destination, notice.endpoint_id, until)
+        return binds
+
     # Attempts.
 
     def hand_over(self) -> None:
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -24,6 +24,7 @@
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
 from ashpath.server.delivery.response_attribution import ResponseAttribution
 from ashpath.server.delivery.response_classifier import ResponseClassifier
+from ashpath.server.delivery.response_notices import ResponseNotices
 from ashpath.server.deployment import Deployment
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.endpoint_membership import EndpointMembership
@@ -156,6 +157,7 @@
         configuration.limits.endpoints,
         configuration.limits.http,
         attribution,
+        ResponseNotices(logger),
         SelfChecks(attempt_log, logger),
     )
     registry = EndpointRegistry(settings.kinds, settings.zones, pool, logger)
--- a/tests/support/limits.py
+++ b/tests/support/limits.py
@@ -13,6 +13,7 @@
 from ashpath.server.delivery.attempt_log import AttemptLog
 from ashpath.server.delivery.connection_pool import ConnectionPool
 from ashpath.server.delivery.response_attribution import ResponseAttribution
+from ashpath.server.delivery.response_notices import ResponseNotices
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.discovery.snapshot import MembershipListener
 from ashpath.server.limits.server_limits import ServerLimits
@@ -36,7 +37,8 @@
     """Returns an empty pool."""
     logger = structlog.get_logger()
     checks = SelfChecks(AttemptLog(logger), logger)
-    return ConnectionPool(limits.endpoints, limits.http, ResponseAttribution(ResponseTrust(), logger), checks)
+    attribution = ResponseAttribution(ResponseTrust(), logger)
+    return ConnectionPool(limits.endpoints, limits.http, attribution, ResponseNotices(logger), checks)
 
 
 def discovery_client(
