Tests: a port is handed out once by a process

Cause, likely and not proved: a port is probed, released and bound later by a process that is being started; two of 14 senders that start together may draw the same one. Change: drawn ports are not drawn again by the same process; the test harness and the emulator share the function. Checks: ruff, mypy.

--- a/tests/support/sender_harness.py
+++ b/tests/support/sender_harness.py
@@ -9,9 +9,7 @@
 import struct
 import sys
 from collections.abc import Callable
-from contextlib import suppress
 from pathlib import Path
-from random import Random
 from typing import Any
 
 import gevent
@@ -21,6 +19,7 @@
 from ashpath.core.policy_settings import sender_settings
 from ashpath.emulator.fault_injection.call_faults import ProcessFaults
 from ashpath.emulator.fault_injection.launcher import SCHEDULE_VARIABLE
+from ashpath.emulator.stand_ins import LOOPBACK, free_port
 from ashpath.server.addresses import Address
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.encoding import encode_message
@@ -28,8 +27,6 @@
 from ashpath.server.http.messages import HttpRequest
 from ashpath.server.limits.server_limits import ServerLimits
 
-PORTS = (10_000, 32_000)
-RANDOM = Random()  # not seeded: concurrent test runs must not draw the same ports
 LAUNCHER = "ashpath.emulator.fault_injection.launcher"
 ROOT = Path(__file__).parent.parent.parent
 TRAFFIC_CLASSES = {"free": "retryable", "tag": "dedup", "once": "fragile"}
@@ -83,11 +80,7 @@
     """Returns a loopback address without a listener. Its port is below the ephemeral range, so the kernel
     assigns it to no connection or server of another test in the meantime.
     """
-    while True:
-        address = ("127.0.0.1", RANDOM.randrange(*PORTS))
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind(address)
-            return address
+    return LOOPBACK, free_port()
 
 
 def reset_connection(sock: socket.socket) -> None:
