Delivery: what a closed connection has received is searched for a Retry-After

Cause: two responses to one request are both discarded, as nothing tells which of them belongs to it; the second one was only looked at in its first 64 bytes, and closed unread. Change: ConnectionPool.close hands a connection to ClosingConnections, which reads all that has arrived and passes each whole head of a response on (ResponseScanner, wherever a status line begins; bounded in bytes). Heads that are cut are counted and logged. Why it works: what a head says of its destination is used, whichever request it belongs to.

--- a/ashpath/policy/response_trust.py
+++ b/ashpath/policy/response_trust.py
@@ -56,6 +56,16 @@
         between for `idle_before`; None: there was none."""
         return idle_before is not None and idle_before < tuning.RESPONSE_LATENESS
 
+    @staticmethod
+    def listening_time(answered_for: int | None) -> int:
+        """Returns for how long to listen to a connection that carries no further request.
+
+        `answered_for`: the time since the response to its last request, None if that has none yet. What comes
+        is no outcome, but it may say how long the destination asks not to be called."""
+        if answered_for is None:
+            return tuning.RESERVATION_TIME  # the call may run for as long
+        return max(0, tuning.RESPONSE_LATENESS - answered_for)
+
     def hold_time(self, response_time: int) -> int:
         """Returns for how long a provisional result other than a delivery is withheld.
 
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -7,7 +7,7 @@
 | in use | `acquire`: an idle connection, or a new one | `release`, `close` |
 | idle | `release`, if it can carry a further request | `acquire`, `sweep`, `close_idle`, `make_room`, and |
 | | | as soon as bytes or its end arrive |
-| closed | `close`, and `release` if it cannot carry a further request | |
+| closing | `close`, and `release` if it cannot carry a further request | `closing_connections` |
 
 A connection carries its next request only after a quiet time, as a response that comes twice would count for
 that request (`policy/response_trust.py`). If none is quiet yet, the caller waits for the next one to be.
@@ -28,6 +28,7 @@
 
 from ashpath.core.time_units import SECOND
 from ashpath.server.addresses import Address
+from ashpath.server.delivery.closing_connections import ClosingConnections
 from ashpath.server.delivery.endpoint_connection import CloseReason, EndpointConnection
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.delivery.response_attribution import ResponseAttribution
@@ -74,6 +75,7 @@
         self.http_limits = http_limits
         self.attribution = attribution
         self.notices = notices
+        self.closing = ClosingConnections(notices)
         self.checks = checks
         self.idle: dict[str, deque[IdleConnection]] = {}
         self.open = 0
@@ -215,12 +217,22 @@
                 self._close_readable(endpoint_id, self._remove(endpoint_id, idle).connection)
 
     def close(self, connection: EndpointConnection, reason: CloseReason) -> None:
-        """Closes a connection that is in use or has just been removed from the idle ones."""
+        """Closes a connection that is in use or has just been removed from the idle ones.
+
+        What it has received is read before. While more may come, it is listened to."""
         self.checks.expect(Check.ONE_RELEASE, holds=connection.in_use, subject=connection.last_trace_id)
         connection.in_use = False
-        connection.close()
         self.open -= 1
         self.closed[reason] += 1
+        self.closing.close(connection, 0.0, 0)
+
+    def _listening_time(self, connection: EndpointConnection) -> float:
+        """Returns the seconds for which to listen to a connection that is closed."""
+        if not connection.requests:
+            return 0.0
+        answered_for = round((monotonic() - connection.answered_at) * SECOND)
+        trust = self.attribution.trust
+        return trust.listening_time(None if connection.awaits_response else answered_for) / SECOND
 
     def close_idle(self, endpoint_id: str, reason: CloseReason = CloseReason.ENDPOINT_LEFT) -> None:
         """Closes all idle connections of an endpoint."""
@@ -228,7 +240,11 @@
             self._retire(endpoint_id, self._remove(endpoint_id, idle).connection, reason)
 
     def make_room(self) -> bool:
-        """Whether one more connection may be opened; at the limit, closes the longest idle one first."""
+        """Whether one more connection may be opened; at the limit, closes one that is listened to, else the
+        longest idle one."""
+        while self.open + len(self.closing) >= self.limits.endpoint_connections:
+            if not self.closing.close_oldest():
+                break
         if self.open >= self.limits.endpoint_connections and self.idle:
             endpoint_id = min(self.idle, key=lambda endpoint_id: self.idle[endpoint_id][0].since)
             longest_idle = self._remove(endpoint_id, self.idle[endpoint_id][0])
@@ -252,7 +268,9 @@
             self.idle_limits[endpoint_id] = IdleLimit(max(shortest, trusted), until)
 
     def sweep(self) -> None:
-        """Closes idle connections past their limit, and those that the endpoint has closed or written to."""
+        """Closes idle connections past their limit, those that the endpoint has closed or written to, and
+        those that were listened to for long enough."""
+        self.closing.sweep()
         time = monotonic()
         self.idle_limits = {
             endpoint_id: limit for endpoint_id, limit in self.idle_limits.items() if limit.until > time
--- a/ashpath/server/delivery/endpoint_connection.py
+++ b/ashpath/server/delivery/endpoint_connection.py
@@ -57,6 +57,10 @@
         """Seconds for which the connection was idle before its last request; 0 if that is its first one."""
         self.written_at = 0.0
         """Time of the last request, in seconds of the monotonic clock."""
+        self.answered_at = 0.0
+        """Time of the last response to a request, in seconds of the monotonic clock."""
+        self.awaits_response = False
+        """Whether a request is out: no head of a response to it has been read."""
         self._watcher = get_hub().loop.io(sock.fileno(), READ)
 
     def use_for(self, endpoint_id: str, destination: int) -> None:
@@ -66,6 +70,8 @@
 
     def head_received(self, response: HttpResponse) -> None:
         """Passes on what the response says of its destination."""
+        self.awaits_response = False
+        self.answered_at = monotonic()
         self.notices.head_received(self, response, NoticeSource.RESPONSE)
 
     @property
@@ -78,6 +84,7 @@
         self.requests += 1
         self.last_trace_id = trace_id
         self.written_at = monotonic()
+        self.awaits_response = True
 
     def watch(self, readable: Callable[[], None]) -> None:
         """Calls `readable` once bytes, or the end of the connection, have arrived. It must not switch."""
@@ -93,6 +100,21 @@
         self._watcher.close()
         super().close()
 
+    def take_received(self, max_bytes: int) -> bytes:
+        """Returns what has arrived, without waiting, and sets `eof_received` at the end of the connection."""
+        received = self.buffer.consume(len(self.buffer))[:max_bytes] if len(self.buffer) else b""
+        try:
+            self.sock.settimeout(0)
+            while len(received) < max_bytes and not self.eof_received:
+                part = self.sock.recv(max_bytes - len(received))
+                self.eof_received = not part
+                received += part
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.eof_received = True
+        return received
+
     def unread_bytes(self) -> bytes:
         """Returns the first bytes that are received and not consumed, without waiting or consuming any."""
         buffered = len(self.buffer)
--- a/ashpath/server/delivery/response_notices.py
+++ b/ashpath/server/delivery/response_notices.py
@@ -68,6 +68,8 @@
         self.receiver: NoticeReceiver | None = None
         self.heard: dict[NoticeSource, int] = dict.fromkeys(NoticeSource, 0)
         """Number of responses with a Retry-After."""
+        self.dropped = 0
+        """Number of connections that were closed within the head of a response."""
 
     def subscribe(self, receiver: NoticeReceiver) -> None:
         """Passes the notices to `receiver` from now on."""
@@ -94,3 +96,15 @@
             requests=origin.requests,
             trace_id=origin.last_trace_id,
         )
+
+    def head_dropped(self, origin: NoticeOrigin) -> None:
+        """Records that a connection was closed within what may be the head of a response."""
+        self.dropped += 1
+        self.logger.info(
+            "response head dropped",
+            endpoint=origin.endpoint_id,
+            destination=origin.destination,
+            connection=origin.number,
+            requests=origin.requests,
+            trace_id=origin.last_trace_id,
+        )
--- a/ashpath/server/limits/endpoint_connections.py
+++ b/ashpath/server/limits/endpoint_connections.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+CLOSING_DIVISOR = 4  # connections that may be listened to, as a part of all to endpoints
+
 
 class EndpointConnectionLimits(Struct, frozen=True):
     """Number of connections to endpoints, and how long they and their destinations are kept."""
@@ -21,3 +23,8 @@
     forget_destination_s: float = 60.0
     """Time for which a destination without endpoints is still known, as a replacement endpoint may be listed
     late."""
+
+    @property
+    def closing_connections(self) -> int:
+        """Connections that are closed on this side only, and listened to."""
+        return self.endpoint_connections // CLOSING_DIVISOR
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -112,6 +112,12 @@
         for source, count in pool.notices.heard.items():
             retry_afters.add_metric([source.value], count)
         yield retry_afters
+        yield counter(
+            "response_heads_dropped", "Connections closed within a response's head.", pool.notices.dropped
+        )
+        yield gauge(
+            "endpoint_connections_closing", "Connections closed on this side, and read.", len(pool.closing)
+        )
         yield counter(
             "ended_messages_evicted",
             "Messages that ended, and whose copies are no longer recognized.",
