Delivery: the sender listens to connections that it has given up

Change: a connection is given up by the end of its sending side, which the protocol allows, and read until the endpoint ends it, for 5 s at most after a request without a response (for which a timed-out call keeps its slot), else until 1 s after the last response. A quarter of the connections to endpoints may be in that state; they are the first to be closed where room is needed. Why it works: an endpoint that reads the end closes its side at once, one that does not is heard.

--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -224,7 +224,7 @@
         connection.in_use = False
         self.open -= 1
         self.closed[reason] += 1
-        self.closing.close(connection, 0.0, 0)
+        self.closing.close(connection, self._listening_time(connection), self.limits.closing_connections)
 
     def _listening_time(self, connection: EndpointConnection) -> float:
         """Returns the seconds for which to listen to a connection that is closed."""
