Policy: a wait outlasts a destination without endpoints

What callers would see: a destination that lost its last endpoint, or whose first endpoint was not listed yet, forgot its Retry-After and was called during it as soon as an endpoint was listed. Cause: DeliveryPolicy.rank deleted a destination without known endpoints and messages whatever its gate knew; a destination of routes without any had no gate that could take the wait. Change: such a destination is kept until its wait is over; its own gate takes waits of unknown endpoints, and routes that come later inherit them. Waits of the other process of a hot upgrade take the same way as those heard here.

--- a/ashpath/core/destination_state.py
+++ b/ashpath/core/destination_state.py
@@ -84,9 +84,16 @@
         gate = self.new_gate(row.endpoint_id) if self.limit_per_endpoint else self.gate
         if before is not None:
             gate.inherit_from(before.gate)
+        # The destination's gate has the waits that arrived before any of its routes was known.
+        gate.retry_after_until = max(gate.retry_after_until, self.gate.retry_after_until)
         draw = self.state.random.random()
         return Endpoint(endpoint_id=row.endpoint_id, zone=row.zone, gate=gate, tie_break=draw)
 
+    def is_unused(self) -> bool:
+        """Returns whether nothing is lost if this state is deleted: endpoints, messages or a Retry-After."""
+        waits = self.gate.retry_after_until > self.state.now
+        return not (self.known_endpoints or self.unfinished_messages or waits)
+
     def forget_endpoints(self, unused_us: int) -> None:
         """Deletes inactive endpoints without a call for `unused_us` microseconds whose Retry-After is over.
 
--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -209,7 +209,7 @@
     def retry_after_received(self, number: int, endpoint_id: str, until: int) -> None:
         """Applies a Retry-After that the other process of this sender received."""
         for gate in self._gates(number, endpoint_id):
-            gate.retry_after_until = max(gate.retry_after_until, until)
+            gate.lengthen_retry_after(until, outcome_follows=True)  # the other process decides on outages
 
     def restore_outage(self, number: int, endpoint_id: str, rate: float) -> None:
         """Restores an outage of the previous incarnation; `rate`: deliveries per second before the outage."""
@@ -221,7 +221,7 @@
         destination = self.destination(number)
         self.destination_changed(destination)
         known = destination.known_endpoints.get(endpoint_id)
-        return destination.gates() if known is None else [known.gate]
+        return (destination.gates() or [destination.gate]) if known is None else [known.gate]
 
     # Time.
 
--- a/ashpath/policy/delivery_policy.py
+++ b/ashpath/policy/delivery_policy.py
@@ -217,13 +217,13 @@
     def rank(self) -> None:
         """Ranks the endpoints of destinations that had events, and starts polling if the settings require it.
 
-        Drops destinations that have neither known endpoints nor unfinished messages.
+        Drops destinations that are not used any more.
         """
         changed = self.needs_ranking
         self.needs_ranking = {}
         for destination in changed:
             destination.forget_endpoints(tuning.RATE_WINDOW)
-            if not (destination.known_endpoints or destination.unfinished_messages):
+            if destination.is_unused():
                 del self.destinations[destination.number]
             elif destination.endpoints:
                 destination.rank()
