Delivery: validity is checked again after a slow record, and waits at the first byte

What callers would see: a call during a wait that arrived while the disk took the record of its attempt. Cause: the record lies between the check and the first byte, and nothing is read while the disk is slow. Change: an attempt whose record took more than 20 ms lets the process read for 2 ms, and is checked again; it is then recorded as not sent. Checks: test_attempt_whose_record_took_long_is_checked_again failed before, test_call_during_known_wait_fails_self_check; tests/server/test_policy_runner.py: 9 passed.

--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -70,6 +70,9 @@
 
 PREDECESSOR_POLL_S = 0.02
 NOT_RECORDED_PAUSE_S = 0.1
+HELD_UP_US = 20_000
+"""Microseconds for a record from which on responses may have arrived meanwhile."""
+READ_PAUSE_S = 0.002  # in which what has arrived is read
 NOTIFICATION_SHARE = 0.5  # share of an attempt's time for the wait for notifications
 
 
@@ -151,7 +154,7 @@
             raise EndpointNotListedError
         connection = attempt.connection = self._acquire_connection(attempt, address)
         self._check_valid(attempt, address, owner)
-        self._write_request(attempt, address, connection)
+        self._write_request(attempt, address, connection, owner)
         self._read_response(attempt, connection)
 
     def _await_earlier_response(self, attempt: Attempt) -> None:
@@ -211,18 +214,29 @@
         Connecting may take long. A drain or a Retry-After received in the meantime makes the attempt invalid
         (AttemptNotValidError). If the endpoint has left its address, another endpoint may have taken the
         address over (EndpointNotListedError)."""
+        self._check_may_be_written(attempt, address, owner)
+        checked_at = now()
+        if not owner.record_attempt(attempt):
+            raise AttemptNotRecordedError
+        if now() - checked_at > HELD_UP_US:
+            # Nothing was read while the disk took the record.
+            gevent.sleep(READ_PAUSE_S)
+            self._check_may_be_written(attempt, address, owner)
+
+    def _check_may_be_written(self, attempt: Attempt, address: Address, owner: AttemptOwner) -> None:
         if self.registry.addresses.get(attempt.endpoint_id) != address:
             raise EndpointNotListedError
         if not owner.still_valid(attempt.message):
             raise AttemptNotValidError
-        if not owner.record_attempt(attempt):
-            raise AttemptNotRecordedError
 
-    def _write_request(self, attempt: Attempt, address: Address, connection: EndpointConnection) -> None:
+    def _write_request(
+        self, attempt: Attempt, address: Address, connection: EndpointConnection, owner: AttemptOwner
+    ) -> None:
         attempt.new_connection = not connection.requests
         idle_before = None if attempt.new_connection else round(connection.idle_before_use_s * SECOND)
         attempt.provisional = self.pool.attribution.trust.is_provisional(idle_before)
         request = self._encode_request(attempt, address)
+        owner.before_first_byte(attempt)
         try:
             connection.write(request)
         except OSError as error:
--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -78,5 +78,8 @@
     def record_attempt(self, attempt: Attempt) -> bool:
         """Records the attempt just before its first byte; returns False if that fails."""
 
+    def before_first_byte(self, attempt: Attempt) -> None:
+        """Checks the sender's own books; changes nothing, and does not switch greenlets."""
+
     def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
         """Receives the result; called exactly once for each attempt, in the attempt's own greenlet."""
--- a/ashpath/server/delivery/response_notices.py
+++ b/ashpath/server/delivery/response_notices.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from time import monotonic
 from typing import Protocol
 
 from msgspec import Struct
@@ -60,12 +61,35 @@
         """Returns for how many microseconds the notice binds. Does not switch greenlets."""
 
 
+class HeardWaits:
+    """The waits that this process has heard and that are in force, for a check of the policy's gates."""
+
+    def __init__(self) -> None:
+        self._until: dict[tuple[int, str], float] = {}  # by destination and endpoint; monotonic seconds
+
+    def add(self, destination: int, endpoint_id: str, wait_s: float) -> None:
+        """Adds a wait that begins now, and forgets those that are over."""
+        time = monotonic()
+        self._until = {key: until for key, until in self._until.items() if until > time}
+        key = destination, endpoint_id
+        self._until[key] = max(time + wait_s, self._until.get(key, 0.0))
+
+    def is_in_force(self, destination: int, route: str | None) -> bool:
+        """Returns whether a wait of the destination is in force, or of one endpoint if that is a `route`."""
+        time = monotonic()
+        return any(
+            until > time and of_destination == destination and route in {None, endpoint_id}
+            for (of_destination, endpoint_id), until in self._until.items()
+        )
+
+
 class ResponseNotices:
     """Reads, counts and logs the notices of all connections of one sender."""
 
     def __init__(self, logger: Logger) -> None:
         self.logger = logger
         self.receiver: NoticeReceiver | None = None
+        self.waits = HeardWaits()
         self.heard: dict[NoticeSource, int] = dict.fromkeys(NoticeSource, 0)
         """Number of responses with a Retry-After."""
         self.dropped = 0
@@ -85,6 +109,7 @@
             origin.destination, origin.endpoint_id, wait, outcome_follows=source is NoticeSource.RESPONSE
         )
         binds = self.receiver.retry_after_noticed(notice)
+        self.waits.add(origin.destination, origin.endpoint_id, binds / SECOND)
         self.logger.info(
             "retry-after received",
             endpoint=origin.endpoint_id,
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -255,6 +255,16 @@
                 pass  # every batch applies what the other process published
         return self.policy.still_valid(message.message_id, now())
 
+    def before_first_byte(self, attempt: Attempt) -> None:
+        """See `AttemptOwner`. Compares the policy's gates with the waits that were heard."""
+        message = attempt.message
+        destination = self.policy.destinations.get(message.destination)
+        is_route = destination is not None and destination.limit_per_endpoint
+        route = attempt.endpoint_id if is_route else None
+        waits = self.attempt_runner.pool.notices.waits
+        holds = not waits.is_in_force(message.destination, route)
+        self.checks.expect(Check.NO_RETRY_AFTER, holds=holds, subject=message.trace_id)
+
     def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
         """See `AttemptOwner`."""
         self.recorder.record_attempt(attempt.message, result)
--- a/ashpath/server/self_checks.py
+++ b/ashpath/server/self_checks.py
@@ -21,6 +21,7 @@
     ONE_ATTEMPT = "a message has one attempt out"
     ONE_END = "a message ends once"
     ATTEMPT_IS_OUT = "an outcome is that of an attempt that is out"
+    NO_RETRY_AFTER = "no Retry-After of its destination is in force at the first byte of an attempt"
     ONE_RELEASE = "a connection is released once"
 
 
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -4,17 +4,20 @@
 
 import errno
 from http import HTTPStatus
-from time import monotonic
+from time import monotonic, sleep
 
 import gevent
 import pytest
 from support.sender_harness import LIMITS, SenderHarness, request, wait_until
 from support.sender_parts import read_request
 
+from ashpath.server.delivery.attempts import Attempt
+from ashpath.server.delivery.response_notices import RetryAfterNotice
 from ashpath.server.http.admission import AdmissionResult
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.messages import HttpRequest
 from ashpath.server.platform_deployment import create_runtime
+from ashpath.server.self_checks import Check
 from ashpath.server.sender import Sender
 from ashpath.server.storage.stored_message import StoredMessage
 
@@ -165,3 +168,34 @@
     wait_until(lambda: harness.attempt_count("a") == 1 and not write_ahead_log.messages.live)
     assert len(failure_times) == 3
     assert failure_times[2] - failure_times[0] > 1.5 * LIMITS.services.retry_s
+
+
+# A wait that arrived while the disk took the record of an attempt did not bind that attempt.
+def test_attempt_whose_record_took_long_is_checked_again(
+    harness: SenderHarness, sender: Sender, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    runner = sender.delivery.policy_runner
+    record = runner.record_attempt
+
+    def record_slowly(attempt: Attempt) -> bool:
+        monkeypatch.setattr(runner, "record_attempt", record)
+        sleep(0.1)  # the whole process is held up
+        gevent.spawn(runner.retry_after_noticed, RetryAfterNotice(1, "e1", 600_000, outcome_follows=False))
+        return record(attempt)
+
+    monkeypatch.setattr(runner, "record_attempt", record_slowly)
+    message, _ = submit(sender, request("a", "once", "200", 1))
+    wait_until(lambda: not runner.attempts)
+    assert not harness.attempts
+    assert message.in_flight_since is None  # recorded as not sent
+
+
+# The recordings of report 55d9f2 did not say whether the sender knew of the wait in which it called.
+def test_call_during_known_wait_fails_self_check(harness: SenderHarness, sender: Sender) -> None:
+    runner = sender.delivery.policy_runner
+    checks = runner.checks
+    runner.attempt_runner.pool.notices.waits.add(1, "another endpoint", 0.2)
+    for number, failures in ((1, 1), (2, 1)):  # of destination 1, and of another one
+        submit(sender, request(f"m{number}", "once", "200", number))
+        wait_until(lambda number=number: harness.attempt_count(f"m{number}"))  # type: ignore[misc]  # bound in the loop
+        assert checks.failures[Check.NO_RETRY_AFTER] == failures
--- a/tests/support/sender_parts.py
+++ b/tests/support/sender_parts.py
@@ -127,6 +127,9 @@
     def record_attempt(self, attempt: Attempt) -> bool:
         return True
 
+    def before_first_byte(self, attempt: Attempt) -> None:
+        pass
+
     def attempt_finished(self, attempt: Attempt, result: AttemptResult) -> None:
         self.recorder.record_attempt(attempt.message, result)
         self.outcomes.append(result.outcome)
