Fault injection and soak: waits that endpoints ask for in responses that do not count

Change: four stream faults (in one write, in halves, behind other bytes, cut and ended); a proxy tells an observer what it writes, from which the soak records each Retry-After as its head is complete, whether an endpoint or a fault wrote it. The judge has the rule on waits from these records, for all calls of the sender to the destination. Checks changed: a wait counted only where the endpoint's own response was in time and no proxy failed; it now counts wherever its bytes were written to the sender, but for connections that a proxy resets within 0.2 s and periods in which the sender's receives fail. The tolerance is as before: 100 ms of the protocol's rule and the 50 ms by which it extends each limit. Seeds keep their other events.

--- a/ashpath/emulator/fault_injection/stream_faults.py
+++ b/ashpath/emulator/fault_injection/stream_faults.py
@@ -10,6 +10,10 @@
 | OTHER_STATUS | the message, and after each delay a copy that says 503 in place of 200, or the reverse |
 | PRECEDE | the message before this one on the connection once more, and right behind it the message |
 | INVENT | the message, and `data` after each delay |
+| REPEAT_JOINED | the message and a copy of it in one write |
+| INVENT_IN_HALVES | as INVENT, the second half of `data` `HALF_GAP_S` after the first |
+| PRECEDE_DATA | `data`, and after the first delay the message; with no delay both in one write |
+| REPLACE_AND_END | `data` in place of the message, and the end of the connection |
 | DELAY | the message, after the first delay |
 """
 
@@ -18,6 +22,7 @@
 from enum import Enum
 from random import Random
 from time import monotonic
+from typing import Protocol
 
 from msgspec import Struct
 
@@ -34,9 +39,24 @@
     OTHER_STATUS = "other status"
     PRECEDE = "precede"
     INVENT = "invent"
+    REPEAT_JOINED = "repeat in one write"
+    INVENT_IN_HALVES = "invent in halves"
+    PRECEDE_DATA = "precede by data"
+    REPLACE_AND_END = "replace and end"
     DELAY = "delay"
 
 
+REPLACING = frozenset(
+    {
+        StreamFault.DELAY,
+        StreamFault.REPEAT_JOINED,
+        StreamFault.PRECEDE_DATA,
+        StreamFault.REPLACE_AND_END,
+    }
+)
+"""Faults that change the write of the message itself."""
+
+
 class StreamFaults(Struct, frozen=True):
     """Which messages of a stream are affected, and how."""
 
@@ -48,7 +68,7 @@
     quiet_s: float = 0.0
     """Seconds from the creation of the injector in which no message is affected."""
     data: bytes = b""
-    """The bytes of INVENT."""
+    """The bytes of the faults that have some of their own."""
 
 
 class DelayedWrite(Struct, frozen=True):
@@ -56,6 +76,19 @@
 
     delay_s: float
     data: bytes
+    ends: bool = False
+    """The writing side of the connection ends behind them."""
+
+
+class MessageFaultInjector(Protocol):
+    """Decides what is written for each message of a stream."""
+
+    @property
+    def injected(self) -> int:
+        """Number of messages affected so far."""
+
+    def writes(self, message: bytes, previous: bytes) -> list[DelayedWrite]:
+        """Returns what is to be written for a message; `previous` is the one before it, or empty."""
 
 
 class StreamFaultInjector:
@@ -79,25 +112,62 @@
         self.injected += 1
         if faults.fault is StreamFault.PRECEDE:
             return [DelayedWrite(0.0, previous + message)]
-        if faults.fault is StreamFault.DELAY:
-            return [DelayedWrite(faults.delays_s[0], message)]
+        if faults.fault in REPLACING:
+            return self._replacing_writes(message)
         extra = [write for delay_s in faults.delays_s for write in self._extra_writes(delay_s, message)]
         return unchanged + extra
 
+    def _replacing_writes(self, message: bytes) -> list[DelayedWrite]:
+        faults = self.faults
+        delay_s = faults.delays_s[0]
+        if faults.fault is StreamFault.DELAY:
+            return [DelayedWrite(delay_s, message)]
+        if faults.fault is StreamFault.REPEAT_JOINED:
+            return [DelayedWrite(0.0, message + message)]
+        if faults.fault is StreamFault.REPLACE_AND_END:
+            return [DelayedWrite(0.0, faults.data, ends=True)]
+        if not delay_s:
+            return [DelayedWrite(0.0, faults.data + message)]
+        return [DelayedWrite(0.0, faults.data), DelayedWrite(delay_s, message)]
+
     def _extra_writes(self, delay_s: float, message: bytes) -> list[DelayedWrite]:
         if self.faults.fault is StreamFault.INVENT:
             return [DelayedWrite(delay_s, self.faults.data)]
         if self.faults.fault is StreamFault.OTHER_STATUS:
             return [DelayedWrite(delay_s, with_other_status(message))]
+        if self.faults.fault is StreamFault.INVENT_IN_HALVES:
+            return in_halves(delay_s, self.faults.data)
         if self.faults.fault is StreamFault.REPEAT_IN_HALVES:
-            half = len(message) // 2
-            return [
-                DelayedWrite(delay_s, message[:half]),
-                DelayedWrite(delay_s + HALF_GAP_S, message[half:]),
-            ]
+            return in_halves(delay_s, message)
         return [DelayedWrite(delay_s, message)]
 
 
+class PreferringInjector:
+    """Two injectors on one stream: messages that the first leaves alone are left to the second."""
+
+    def __init__(self, first: MessageFaultInjector, second: MessageFaultInjector) -> None:
+        self.first = first
+        self.second = second
+
+    @property
+    def injected(self) -> int:
+        """Number of messages affected so far."""
+        return self.first.injected + self.second.injected
+
+    def writes(self, message: bytes, previous: bytes) -> list[DelayedWrite]:
+        """See `MessageFaultInjector`. Both draw for each message, so that each keeps its schedule."""
+        injected = self.first.injected
+        by_first = self.first.writes(message, previous)
+        by_second = self.second.writes(message, previous)
+        return by_first if self.first.injected > injected else by_second
+
+
+def in_halves(delay_s: float, data: bytes) -> list[DelayedWrite]:
+    """Returns the writes of the two halves."""
+    half = len(data) // 2
+    return [DelayedWrite(delay_s, data[:half]), DelayedWrite(delay_s + HALF_GAP_S, data[half:])]
+
+
 def with_other_status(response: bytes) -> bytes:
     """Returns the response with 503 in place of 200, or with 200 in place of any other status.
 
--- a/ashpath/emulator/fault_injection/tcp_proxy.py
+++ b/ashpath/emulator/fault_injection/tcp_proxy.py
@@ -23,13 +23,14 @@
 
 from contextlib import suppress
 from enum import Enum
+from typing import Protocol
 
 import gevent
 from gevent import socket
 from gevent.server import StreamServer
 
 from ashpath.emulator.fault_injection.discovery_agent import reset_connection
-from ashpath.emulator.fault_injection.stream_faults import StreamFaultInjector
+from ashpath.emulator.fault_injection.stream_faults import DelayedWrite, MessageFaultInjector
 from ashpath.emulator.stand_ins import LOOPBACK
 
 CHUNK_BYTES = 65536
@@ -49,6 +50,16 @@
     HALF_RESPONSE = "half a response"
 
 
+class ResponseObserver(Protocol):
+    """Observes what a proxy writes to its callers."""
+
+    def response_written(self, caller: socket.socket, data: bytes) -> None:
+        """Called as bytes of the target, or invented ones, are written."""
+
+    def connection_reset(self, caller: socket.socket) -> None:
+        """Called as the proxy resets a connection, which may lose what was written last."""
+
+
 class FaultProxy:
     """Listens from construction until `stop`."""
 
@@ -57,9 +68,10 @@
         self.late_s = late_s
         self.first_byte = first_byte
         self.mode = ProxyMode.FORWARD
-        self.response_faults: StreamFaultInjector | None = None
-        self.spared_response_faults: StreamFaultInjector | None = None
-        self.request_faults: StreamFaultInjector | None = None
+        self.response_faults: MessageFaultInjector | None = None
+        self.spared_response_faults: MessageFaultInjector | None = None
+        self.request_faults: MessageFaultInjector | None = None
+        self.observer: ResponseObserver | None = None
         self.accepted: dict[ProxyMode, int] = dict.fromkeys(ProxyMode, 0)
         self._open: dict[socket.socket, socket.socket | None] = {}  # the target's socket by the caller's
         self._spared: set[socket.socket] = set()  # callers whose first byte is another one
@@ -80,7 +92,7 @@
                 continue
             del self._open[caller]
             with suppress(OSError):  # the socket may have just been closed
-                reset_connection(caller)
+                self._reset(caller)
             if target is not None:
                 target.close()
 
@@ -131,7 +143,7 @@
                 caller.sendall(chunk[: len(chunk) // 2])
                 gevent.sleep(SILENCE_S)
             if self._copy_responses(target, caller):
-                reset_connection(caller)
+                self._reset(caller)
         finally:
             requests.kill()
             target.close()
@@ -139,7 +151,14 @@
     def _copy_responses(self, target: socket.socket, caller: socket.socket) -> bool:
         """Copies responses, with faults. Returns whether the connection was reset."""
         faults = self.spared_response_faults if caller in self._spared else self.response_faults
-        return copy(target, caller) if faults is None else copy_with_faults(target, caller, faults)
+        if faults is None and self.observer is None:
+            return copy(target, caller)
+        return copy_with_faults(target, caller, faults, self.observer)
+
+    def _reset(self, caller: socket.socket) -> None:
+        if self.observer is not None:
+            self.observer.connection_reset(caller)
+        reset_connection(caller)
 
     def _forward_requests(self, caller: socket.socket, target: socket.socket) -> None:
         if self._copy_requests(caller, target):
@@ -171,16 +190,22 @@
             connection.recv(CHUNK_BYTES)
 
 
-def copy_with_faults(source: socket.socket, sink: socket.socket, faults: StreamFaultInjector) -> bool:
+def copy_with_faults(
+    source: socket.socket,
+    sink: socket.socket,
+    faults: MessageFaultInjector | None,
+    observer: ResponseObserver | None,
+) -> bool:
     """Copies messages as the injector says. Returns whether a connection was reset."""
     previous = b""
     try:
         while message := source.recv(CHUNK_BYTES):
-            for write in faults.writes(message, previous):
+            writes = [DelayedWrite(0.0, message)] if faults is None else faults.writes(message, previous)
+            for write in writes:
                 if write.delay_s:
-                    gevent.spawn_later(write.delay_s, write_if_open, sink, write.data)
+                    gevent.spawn_later(write.delay_s, write_if_open, sink, write, observer)
                 else:
-                    sink.sendall(write.data)
+                    write_observed(sink, write, observer)
             previous = message
         sink.shutdown(socket.SHUT_WR)
     except ConnectionResetError:
@@ -190,10 +215,19 @@
     return False
 
 
-def write_if_open(sink: socket.socket, data: bytes) -> None:
+def write_observed(sink: socket.socket, write: DelayedWrite, observer: ResponseObserver | None) -> None:
+    """Writes to a connection. Raises OSError."""
+    sink.sendall(write.data)
+    if observer is not None:
+        observer.response_written(sink, write.data)
+    if write.ends:
+        sink.shutdown(socket.SHUT_WR)
+
+
+def write_if_open(sink: socket.socket, write: DelayedWrite, observer: ResponseObserver | None) -> None:
     """Writes to a connection that may have ended since."""
     with suppress(OSError):
-        sink.sendall(data)
+        write_observed(sink, write, observer)
 
 
 def copy(source: socket.socket, sink: socket.socket) -> bool:
--- a/ashpath/emulator/soak/endpoints.py
+++ b/ashpath/emulator/soak/endpoints.py
@@ -14,6 +14,7 @@
 from ashpath.emulator.fault_injection.tcp_proxy import FaultProxy
 from ashpath.emulator.soak.plan import EndpointBehaviour
 from ashpath.emulator.soak.records import Call, Reply, SoakRecords
+from ashpath.emulator.soak.retry_after_recorder import RetryAfterRecorder
 from ashpath.emulator.stand_ins import LOOPBACK
 from ashpath.server import wire_names
 from ashpath.server.http.connection import HttpConnection
@@ -23,7 +24,6 @@
 
 RETRY_AFTER_S = 0.6
 HANG_S = 30.0
-LOST_RESPONSE_S = 0.2  # a response counts as lost if its connection ends within this time
 STATUS_LINES = {
     Reply.DELIVERED: b"HTTP/1.1 200 OK",
     Reply.OVERLOADED: b"HTTP/1.1 429 X",
@@ -47,15 +47,14 @@
         self.endpoint_id = endpoint_id
         self.destination = destination
         self.down = False
-        # False while responses may be lost or late: the rules don't bind a sender to a Retry-After that
-        # it has not received.
-        self.sends_retry_after = True
         self._records = records
         self._random = random
         self._limits = limits
         self._behaviour = behaviour
         self._servers = [self._listen(sender) for sender in range(senders)]
         self.proxies = [FaultProxy((LOOPBACK, int(server.server_port or 0))) for server in self._servers]
+        for sender, proxy in enumerate(self.proxies):
+            proxy.observer = RetryAfterRecorder(sender, endpoint_id, destination, records)
 
     def _listen(self, sender: int) -> StreamServer:
         server = StreamServer((LOOPBACK, 0), lambda sock, _: self._serve(sock, sender))
@@ -84,25 +83,21 @@
 
     def _serve(self, sock: socket.socket, sender: int) -> None:
         connection = HttpConnection(sock, self._limits)
-        calls: list[Call] = []  # at most one: the last call on the connection
         try:
-            while self._respond(connection, sender, calls):
+            while self._respond(connection, sender):
                 pass
         except (OSError, ConnectionClosedError, ProtocolError):
             pass
         finally:
             connection.close()
-            if calls and monotonic() - calls[-1].ended_at < LOST_RESPONSE_S:
-                calls[-1].retry_after_s = 0.0  # the sender closed the connection without reading the response
 
-    def _respond(self, connection: HttpConnection, sender: int, calls: list[Call]) -> bool:
+    def _respond(self, connection: HttpConnection, sender: int) -> bool:
         """Serves one request, and returns whether the connection stays open."""
         request = connection.read_request()
         message_id = request.headers[wire_names.TRACE_ID_HEADER].decode()
         call = Call(message_id, sender, self.endpoint_id, self.destination, monotonic())
         call.reply = self._draw_reply()
         self._records.calls.append(call)
-        calls[:] = [call]
         try:
             return self._send_reply(connection, call)
         finally:
@@ -113,8 +108,7 @@
             return Reply.RESET
         if self._random.random() >= self._behaviour.fault_share:
             return Reply.DELIVERED
-        reply = self._random.choice(self._behaviour.fault_replies)
-        return Reply.REFUSED if reply is Reply.OVERLOADED and not self.sends_retry_after else reply
+        return self._random.choice(self._behaviour.fault_replies)
 
     def _send_reply(self, connection: HttpConnection, call: Call) -> bool:
         if call.reply is Reply.HUNG:
@@ -129,7 +123,6 @@
             return False
         headers = []
         if call.reply is Reply.OVERLOADED:
-            call.retry_after_s = RETRY_AFTER_S
             headers = [(wire_names.RETRY_AFTER_HEADER, b"%.2f" % RETRY_AFTER_S)]
         response = encode_message(STATUS_LINES[call.reply], headers, b"")
         call.ended_at = monotonic()
--- a/ashpath/emulator/soak/judge.py
+++ b/ashpath/emulator/soak/judge.py
@@ -206,17 +206,20 @@
                     )
 
     def calls_before_retry_after(self) -> Iterator[BrokenRule]:
-        """Yields calls before the Retry-After of the same sender and destination.
+        """Yields calls during a wait that an endpoint of their destination asked the same sender for.
 
         A restart ends the wait, a hot upgrade does not."""
-        for refused in self.records.calls:
-            if not refused.retry_after_s:
+        for asked in self.records.retry_afters:
+            if asked.lost or self.history.may_have_lost_data(asked.sender, asked.written_at):
                 continue
-            until = refused.ended_at + refused.retry_after_s
+            until = asked.written_at + asked.wait_s
             for call in self.records.calls:
-                same = call.sender == refused.sender and call.destination == refused.destination
-                early = refused.ended_at + RETRY_AFTER_SLACK_S < call.begun_at < until - RETRY_AFTER_SLACK_S
-                if same and early and not self.history.was_restarted_between(refused, call):
+                same = call.sender == asked.sender and call.destination == asked.destination
+                early = asked.written_at + RETRY_AFTER_SLACK_S < call.begun_at < until - RETRY_AFTER_SLACK_S
+                if same and early and not self.history.was_restarted_within(asked.written_at, call):
                     yield BrokenRule(
-                        "wait", f"sender {call.sender} called destination {call.destination} too early"
+                        "wait",
+                        f"sender {call.sender} called {call.endpoint_id} of destination {call.destination} "
+                        f"with {call.message_id} {call.begun_at - asked.written_at:.2f} s into the wait of "
+                        f"{asked.wait_s:.2f} s that {asked.endpoint_id} asked for",
                     )
--- a/ashpath/emulator/soak/message_fault_cases.py
+++ b/ashpath/emulator/soak/message_fault_cases.py
@@ -8,11 +8,21 @@
 
 from ashpath.emulator.fault_injection.call_faults import ProcessFaults
 from ashpath.emulator.fault_injection.stream_faults import StreamFault, StreamFaults
-from ashpath.emulator.soak.plan import SENDERS, EndpointBehaviour, MessageFaults, SoakPlan
+from ashpath.emulator.soak.plan import (
+    CUT_REFUSAL,
+    RANDOM_BYTES,
+    REFUSAL,
+    SENDERS,
+    EndpointBehaviour,
+    MessageFaults,
+    SoakPlan,
+)
 from ashpath.emulator.soak.records import Reply
 
 SHARE = 0.3
+REFUSAL_SHARE = 0.05
 REFUSING = EndpointBehaviour(processing_s=(0.04, 0.2), fault_share=0.06, fault_replies=(Reply.REFUSED,))
+ASKING = EndpointBehaviour(processing_s=(0.04, 0.2), fault_share=0.06, fault_replies=(Reply.OVERLOADED,))
 RESETTING = EndpointBehaviour(processing_s=(0.04, 0.2), fault_share=0.15, fault_replies=(Reply.RESET,))
 TLS_ALERT = b"\x15\x03\x03\x00\x02\x01\x00"
 HTTP2_SETTINGS = b"\x00\x00\x00\x04\x00\x00\x00\x00\x00"
@@ -30,6 +40,11 @@
     return MessageFaults(StreamFaults(fault, SHARE, (delay_s,), data=data))
 
 
+def refusals(fault: StreamFault, delay_s: float = 0.0, data: bytes = REFUSAL) -> MessageFaults:
+    """Endpoints ask for a wait in responses that do not count for their request."""
+    return MessageFaults(retry_after_responses=StreamFaults(fault, REFUSAL_SHARE, (delay_s,), data=data))
+
+
 CASES: dict[str, MessageFaults] = {
     "no fault": MessageFaults(),
     "repeated at once": repeated(0.0),
@@ -64,9 +79,28 @@
     "requests repeated after 1500 ms": MessageFaults(
         client_requests=StreamFaults(StreamFault.REPEAT, SHARE, (1.5,))
     ),
+    "Retry-After twice in one write": MessageFaults(
+        StreamFaults(StreamFault.REPEAT_JOINED, 1.0, data=REFUSAL)
+    ),
+    "Retry-After right behind the last response": MessageFaults(StreamFaults(StreamFault.PRECEDE, 1.0)),
+    "Retry-After at once without a request": refusals(StreamFault.INVENT, 0.0),
+    "Retry-After after 3 ms without a request": refusals(StreamFault.INVENT, 0.003),
+    "Retry-After after 60 ms without a request": refusals(StreamFault.INVENT, 0.06),
+    "Retry-After after 400 ms without a request": refusals(StreamFault.INVENT, 0.4),
+    "Retry-After in halves after 20 ms": refusals(StreamFault.INVENT_IN_HALVES, 0.02),
+    "Retry-After behind random bytes": refusals(StreamFault.PRECEDE_DATA, 0.0, RANDOM_BYTES + REFUSAL),
+    "Retry-After 5 ms behind random bytes": refusals(StreamFault.INVENT, 0.005, RANDOM_BYTES + REFUSAL),
+    "Retry-After with a cut body": refusals(StreamFault.REPLACE_AND_END, 0.0, CUT_REFUSAL),
 }
 
 
+def behaviour(case: str) -> EndpointBehaviour:
+    """Returns how the endpoints of a case serve calls."""
+    if CASES[case].notice_responses:
+        return RESETTING
+    return ASKING if case.startswith("Retry-After") else REFUSING
+
+
 def message_fault_plan(case: str, seed: int, rate: float, duration_s: float) -> SoakPlan:
     """Returns the plan of a case; `rate` in requests per second to each sender."""
     faults = CASES[case]
@@ -85,5 +119,5 @@
         descriptor_limits=(),
         upgrades=(),
         message_faults=faults,
-        endpoint_behaviour=RESETTING if faults.notice_responses else REFUSING,
+        endpoint_behaviour=behaviour(case),
     )
--- a/ashpath/emulator/soak/paths.py
+++ b/ashpath/emulator/soak/paths.py
@@ -7,7 +7,12 @@
 
 import gevent
 
-from ashpath.emulator.fault_injection.stream_faults import StreamFaultInjector, StreamFaults
+from ashpath.emulator.fault_injection.stream_faults import (
+    MessageFaultInjector,
+    PreferringInjector,
+    StreamFaultInjector,
+    StreamFaults,
+)
 from ashpath.emulator.fault_injection.tcp_proxy import FaultProxy, ProxyMode
 from ashpath.emulator.soak.records import ClientFault, NoticeFault, SoakRecords
 from ashpath.server.addresses import Address, parse_address
@@ -18,9 +23,16 @@
 CLOSING_MODES = frozenset({ProxyMode.RESET, ProxyMode.RESET_AFTER_BYTE})
 
 
-def create_injector(faults: StreamFaults | None, seed: str) -> StreamFaultInjector | None:
-    """Returns an injector of the faults, or None without faults."""
-    return None if faults is None else StreamFaultInjector(faults, seed)
+def create_injector(
+    faults: StreamFaults | None, seed: str, preferred: StreamFaults | None = None
+) -> MessageFaultInjector | None:
+    """Returns an injector of the faults, or None without faults. A message that the `preferred` faults
+    affect has no other ones."""
+    injector = None if faults is None else StreamFaultInjector(faults, seed)
+    if preferred is None:
+        return injector
+    first = StreamFaultInjector(preferred, f"preferred {seed}")
+    return first if injector is None else PreferringInjector(first, injector)
 
 
 class ClientPath:
--- a/ashpath/emulator/soak/plan.py
+++ b/ashpath/emulator/soak/plan.py
@@ -43,6 +43,26 @@
 
 
 MESSAGE_DELAYS_S = (0.0, 0.003, 0.012, 0.04, 0.12, 0.4, 0.9)
+RETRY_AFTER_FAULTS = (
+    StreamFault.INVENT,
+    StreamFault.INVENT_IN_HALVES,
+    StreamFault.PRECEDE_DATA,
+    StreamFault.REPLACE_AND_END,
+    StreamFault.REPEAT_JOINED,
+)
+REFUSAL = b"HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.8\r\nContent-Length: 0\r\n\r\n"
+CUT_REFUSAL = b"HTTP/1.1 429 Too Many Requests\r\nRetry-After: 0.8\r\nContent-Length: 50\r\n\r\n0123456789"
+RANDOM_BYTES = bytes(range(0x80, 0x90))
+DRAWN_STREAM_FAULTS = (
+    StreamFault.REPEAT,
+    StreamFault.REPEAT_IN_HALVES,
+    StreamFault.OTHER_STATUS,
+    StreamFault.PRECEDE,
+    StreamFault.INVENT,
+    StreamFault.DELAY,
+)
+"""Faults of responses, in this order, so that a seed keeps its fault."""
+DRAWN_FIELDS = 5  # of `MessageFaults`, in their order, so that a seed keeps what is left out
 INVENTED_DATA = (b"\x15\x03\x03\x00\x02\x01\x00", b"GET / HTTP/1.1\r\n\r\n", b"HTTP/1.1 103 X\r\n\r\n")
 
 
@@ -133,6 +153,8 @@
     """Of the batches of notices, the discovery agents answer one in so many 503, after a pause; 0: none."""
     poll_responses: StreamFaults | None = None
     client_requests: StreamFaults | None = None
+    retry_after_responses: StreamFaults | None = None
+    """Of endpoints, instead of `endpoint_responses` where both affect a response."""
 
 
 class EndpointBehaviour(Struct, frozen=True):
@@ -218,7 +240,7 @@
 def draw_message_faults(seed: int) -> MessageFaults:
     """Draws faults of the messages on each kind of path, each on three seeds in four."""
     random = Random(f"messages {seed}")
-    fault = random.choice(tuple(StreamFault))
+    fault = random.choice(DRAWN_STREAM_FAULTS)
     delay_s = random.choice(MESSAGE_DELAYS_S)
     data = random.choice(INVENTED_DATA)
     share = random.choice((0.02, 0.1, 0.3))
@@ -228,9 +250,23 @@
         poll_responses=StreamFaults(StreamFault.REPEAT, 0.5, (random.choice(MESSAGE_DELAYS_S),)),
         client_requests=StreamFaults(StreamFault.REPEAT, 0.1, (random.choice(MESSAGE_DELAYS_S),)),
     )
-    left_out = {name: None for name in drawn.__struct_fields__ if random.random() < 0.25}
+    left_out = {name: None for name in drawn.__struct_fields__[:DRAWN_FIELDS] if random.random() < 0.25}
     left_out.pop("reject_notices_every", None)
-    return replace(drawn, **left_out)
+    return replace(drawn, **left_out, retry_after_responses=draw_retry_after_faults(seed))
+
+
+def draw_retry_after_faults(seed: int) -> StreamFaults | None:
+    """Draws how endpoints ask for a wait in responses that do not count, on two seeds in three."""
+    random = Random(f"retry-after {seed}")
+    fault = random.choice(RETRY_AFTER_FAULTS)
+    delay_s = random.choice(MESSAGE_DELAYS_S)
+    share = random.choice((0.01, 0.03, 0.1))
+    data = {
+        StreamFault.REPLACE_AND_END: CUT_REFUSAL,
+        StreamFault.PRECEDE_DATA: RANDOM_BYTES + REFUSAL,
+    }.get(fault, REFUSAL)
+    drawn = StreamFaults(fault, share, (delay_s,), random.choice((0.0, 4.0)), data)
+    return drawn if random.random() < 2 / 3 else None
 
 
 def draw_client_faults(random: Random, last: float) -> tuple[ClientFaultEvent, ...]:
--- a/ashpath/emulator/soak/records.py
+++ b/ashpath/emulator/soak/records.py
@@ -63,7 +63,19 @@
     reply: Reply = Reply.HUNG
     ended_at: float = 0.0
     """When the reply was written or the connection ended; 0 if neither happened."""
-    retry_after_s: float = 0.0
+
+
+class RetryAfterRecord(Struct):
+    """A response with a Retry-After that was written to a sender, by its endpoint or by a fault."""
+
+    sender: int
+    endpoint_id: str
+    destination: int
+    written_at: float
+    """When its head was complete."""
+    wait_s: float
+    lost: bool = False
+    """Whether a fault of the network may have lost it."""
 
 
 class Departure(Struct, frozen=True):
@@ -97,6 +109,8 @@
     sender: int
     began_at: float
     ended_at: float
+    loses_data: bool = False
+    """Whether calls that receive fail."""
 
 
 class DiskFault(Struct, frozen=True):
@@ -140,6 +154,7 @@
     calls: list[Call] = field(default_factory=list)
     notices: dict[str, float] = field(default_factory=dict)
     """Time of the first acknowledged notification of each message's final outcome, by message id."""
+    retry_afters: list[RetryAfterRecord] = field(default_factory=list)
     departures: list[Departure] = field(default_factory=list)
     incarnations: list[Incarnation] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -14,7 +14,6 @@
 from ashpath.core.json_types import JsonObject
 from ashpath.emulator.fault_injection.call_faults import FaultyCall
 from ashpath.emulator.fault_injection.discovery_agent import DiscoveryAgent
-from ashpath.emulator.fault_injection.stream_faults import StreamFault
 from ashpath.emulator.fault_injection.tcp_proxy import ProxyMode
 from ashpath.emulator.soak.clients import SoakClients
 from ashpath.emulator.soak.endpoints import SoakEndpoint
@@ -101,13 +100,12 @@
         self._inject_message_faults(plan.message_faults)
 
     def _inject_message_faults(self, faults: MessageFaults) -> None:
-        responses = faults.endpoint_responses
-        self._responses_are_in_time = responses is None or responses.fault is not StreamFault.DELAY
         for endpoint in self.endpoints:
-            endpoint.sends_retry_after = self._responses_are_in_time
             for number, proxy in enumerate(endpoint.proxies):
                 seed = f"{self.plan.seed} {endpoint.endpoint_id} {number}"
-                proxy.response_faults = create_injector(faults.endpoint_responses, seed)
+                proxy.response_faults = create_injector(
+                    faults.endpoint_responses, seed, faults.retry_after_responses
+                )
         for sender, path, client_path in zip(self.senders, self.notice_paths, self.client_paths, strict=True):
             seed = f"{self.plan.seed} {sender.number}"
             client_path.proxy.request_faults = create_injector(faults.client_requests, seed)
@@ -222,8 +220,6 @@
     def _fail_connections(self, event: ProxyEvent) -> None:
         endpoints = [endpoint for endpoint in self.endpoints if endpoint.destination == event.destination]
         proxies = [proxy for endpoint in endpoints for proxy in endpoint.proxies]
-        for endpoint in endpoints:
-            endpoint.sends_retry_after = False
         for proxy in proxies:
             proxy.mode = event.mode
             proxy.reset_connections()
@@ -231,8 +227,6 @@
         for proxy in proxies:
             proxy.mode = ProxyMode.FORWARD
             proxy.reset_connections()
-        for endpoint in endpoints:
-            endpoint.sends_retry_after = self._responses_are_in_time
 
     def _fail_client_path(self, event: ClientFaultEvent) -> None:
         self.client_paths[event.sender].fail(event.mode, event.until - event.at)
@@ -267,7 +261,8 @@
             began_at = incarnation.started_at + fault.begin_s
             ended_at = incarnation.started_at + fault.end_s
             if fault.call in NETWORK_CALLS:
-                self.records.network_faults.append(NetworkFault(sender, began_at, ended_at))
+                loses_data = fault.call is FaultyCall.RECEIVE
+                self.records.network_faults.append(NetworkFault(sender, began_at, ended_at, loses_data))
             elif fault.call in DISK_CALLS and began_at < incarnation.exited_at:
                 ended_at = min(ended_at, incarnation.exited_at)
                 self.records.disk_faults.append(DiskFault(sender, began_at, ended_at))
--- a/ashpath/emulator/soak/sender_history.py
+++ b/ashpath/emulator/soak/sender_history.py
@@ -30,6 +30,7 @@
 NOTICE_RETRY_S = 0.4
 SHUTDOWN_MARGIN_S = 0.5  # connections may be reset within this time before an incarnation ends
 CLIENT_FAULT_SLACK_S = 0.1  # until a client observes the reset that ends a fault of its path
+RECEIVE_MARGIN_S = 0.2  # until data is received
 ADOPTION_S = 0.5  # until the messages of a process that handed over are adopted
 
 
@@ -126,11 +127,20 @@
             for incarnation in self.records.incarnations
         )
 
-    def was_restarted_between(self, earlier: Call, later: Call) -> bool:
-        """Whether the sender was killed between two calls without another process that kept its state."""
+    def was_restarted_within(self, began_at: float, call: Call) -> bool:
+        """Whether the sender was killed since `began_at`, without another process that kept its state."""
         return any(
-            incarnation.sender == earlier.sender
+            incarnation.sender == call.sender
             and not incarnation.hands_over
-            and earlier.begun_at <= incarnation.killed_at <= later.begun_at
+            and began_at <= incarnation.killed_at <= call.begun_at
             for incarnation in self.records.incarnations
         )
+
+    def may_have_lost_data(self, sender: int, written_at: float) -> bool:
+        """Whether calls that receive failed in the sender's process as, or just after, data was written."""
+        return any(
+            fault.sender == sender
+            and fault.loses_data
+            and fault.began_at - RECEIVE_MARGIN_S <= written_at <= fault.ended_at
+            for fault in self.records.network_faults
+        )
--- a/tests/emulator/fault_injection/test_stream_faults.py
+++ b/tests/emulator/fault_injection/test_stream_faults.py
@@ -10,7 +10,12 @@
 from gevent.server import StreamServer
 
 from ashpath.emulator.fault_injection.discovery_agent import reset_connection
-from ashpath.emulator.fault_injection.stream_faults import StreamFault, StreamFaultInjector, StreamFaults
+from ashpath.emulator.fault_injection.stream_faults import (
+    PreferringInjector,
+    StreamFault,
+    StreamFaultInjector,
+    StreamFaults,
+)
 from ashpath.emulator.fault_injection.tcp_proxy import FaultProxy
 from ashpath.server.addresses import parse_address
 
@@ -27,6 +32,18 @@
     StreamFault.PRECEDE: (RESPONSE, RESPONSE * 2),
     StreamFault.INVENT: (RESPONSE + b"invented", RESPONSE + b"invented"),
     StreamFault.DELAY: (RESPONSE, RESPONSE),
+    StreamFault.REPEAT_JOINED: (RESPONSE * 2, RESPONSE * 2),
+    StreamFault.INVENT_IN_HALVES: (RESPONSE + b"invented", RESPONSE + b"invented"),
+    StreamFault.PRECEDE_DATA: (b"invented" + RESPONSE, b"invented" + RESPONSE),
+    StreamFault.REPLACE_AND_END: (b"invented", b""),
+}
+# The part of them that comes at once.
+EARLY = {
+    StreamFault.DELAY: (b"", b""),
+    StreamFault.PRECEDE: (RESPONSE, RESPONSE * 2),
+    StreamFault.REPEAT_JOINED: (RESPONSE * 2, RESPONSE * 2),
+    StreamFault.PRECEDE_DATA: (b"invented", b"invented"),
+    StreamFault.REPLACE_AND_END: (b"invented", b""),
 }
 
 
@@ -72,12 +89,10 @@
     faults = StreamFaults(fault, 1.0, (DELAY_S,), data=b"invented")
     target.proxy.response_faults = StreamFaultInjector(faults, "seed")
     connection = socket.create_connection(parse_address(target.proxy.address))
-    for expected in EXPECTED[fault]:
+    for expected, at_once in zip(EXPECTED[fault], EARLY.get(fault, (RESPONSE, RESPONSE)), strict=True):
         connection.sendall(b"request")
         early = received(connection, DELAY_S / 2)
-        assert early == (
-            b"" if fault is StreamFault.DELAY else expected if fault is StreamFault.PRECEDE else RESPONSE
-        )
+        assert early == at_once
         assert early + received(connection, SETTLED_S) == expected
     connection.close()
 
@@ -111,3 +126,43 @@
     reset_connection(connection)
     gevent.sleep(0.05)
     assert target.resets == 1
+
+
+class RecordingObserver:
+    """Records what a proxy writes to its callers."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.resets = 0
+
+    def response_written(self, caller: socket.socket, data: bytes) -> None:
+        self.written += data
+
+    def connection_reset(self, caller: socket.socket) -> None:
+        self.resets += 1
+
+
+def test_observer_sees_what_is_written_and_reset(target: CountingTarget) -> None:
+    observer = target.proxy.observer = RecordingObserver()
+    faults = StreamFaults(StreamFault.INVENT, 1.0, (DELAY_S,), data=b"invented")
+    target.proxy.response_faults = StreamFaultInjector(faults, "seed")
+    connection = socket.create_connection(parse_address(target.proxy.address))
+    connection.sendall(b"request")
+    assert received(connection, SETTLED_S) == observer.written == RESPONSE + b"invented"
+    target.proxy.reset_connections()
+    assert observer.resets == 1
+
+
+def test_preferred_faults_leave_schedule_of_others_unchanged() -> None:
+    others = StreamFaults(StreamFault.REPEAT, 0.3)
+    preferred = StreamFaults(StreamFault.REPLACE_AND_END, 0.3, data=b"preferred")
+    alone = StreamFaultInjector(others, "seed")
+    both = PreferringInjector(StreamFaultInjector(preferred, "first"), StreamFaultInjector(others, "seed"))
+    seen = set()
+    for _ in range(100):
+        expected = alone.writes(b"m", b"")
+        found = both.writes(b"m", b"")
+        is_preferred = found[0].data == b"preferred"
+        assert is_preferred or found == expected
+        seen.add((is_preferred, len(expected)))
+    assert seen == {(False, 1), (False, 2), (True, 1), (True, 2)}
--- a/tests/emulator/soak/test_judge.py
+++ b/tests/emulator/soak/test_judge.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ashpath.emulator.soak.judge import RuleChecker, RuleCheckerSettings
+from ashpath.emulator.soak.judge import RETRY_AFTER_SLACK_S, RuleChecker, RuleCheckerSettings
 from ashpath.emulator.soak.records import (
     Call,
     ClientFault,
@@ -18,6 +18,7 @@
     NoticeFault,
     Outage,
     Reply,
+    RetryAfterRecord,
     SoakRecords,
     Submission,
 )
@@ -33,8 +34,14 @@
     return Submission(message_id, 0, effect, 1, key, at, at + 8.0, 202, at + 0.01, True, True)
 
 
-def call(message_id: str, at: float, reply: Reply = Reply.DELIVERED, wait_s: float = 0.0) -> Call:
-    return Call(message_id, 0, "e1", 1, at, reply, at + 0.05, wait_s)
+def call(message_id: str, at: float, reply: Reply = Reply.DELIVERED) -> Call:
+    return Call(message_id, 0, "e1", 1, at, reply, at + 0.05)
+
+
+def ask_for_wait(records: SoakRecords, at: float, endpoint: str = "e1") -> None:
+    """An endpoint refuses a call and asks for a wait of two seconds; others are called again after it."""
+    add(records, call("x", at, Reply.OVERLOADED), call("x", at + 3.4))
+    records.retry_afters.append(RetryAfterRecord(0, endpoint, 1, at + 0.05, 2.0))
 
 
 def valid_records() -> SoakRecords:
@@ -210,7 +217,8 @@
 
 def called_before_retry_after_of_killed_upgraded_process(records: SoakRecords) -> None:
     upgraded(records)
-    add(records, call("x", 2.8, Reply.OVERLOADED, wait_s=2.0), call("y", 3.9), call("x", 6.2))
+    ask_for_wait(records, 2.8)
+    add(records, call("y", 3.9))
 
 
 def run_twice(records: SoakRecords) -> None:
@@ -246,7 +254,24 @@
 
 
 def called_before_retry_after(records: SoakRecords) -> None:
-    add(records, call("x", 4.0, Reply.OVERLOADED, wait_s=2.0), call("y", 5.0), call("x", 6.2))
+    ask_for_wait(records, 4.0)
+    add(records, call("y", 5.0))
+
+
+def called_during_wait_that_another_endpoint_asked_for(records: SoakRecords) -> None:
+    ask_for_wait(records, 4.0, "e2")
+    add(records, call("y", 5.0))
+
+
+def called_just_after_slack_of_retry_after(records: SoakRecords) -> None:
+    ask_for_wait(records, 4.0)
+    add(records, call("y", 4.05 + RETRY_AFTER_SLACK_S + 0.01))
+
+
+def called_during_wait_outside_receive_fault(records: SoakRecords) -> None:
+    called_before_retry_after(records)
+    records.network_faults.append(NetworkFault(0, 4.3, 4.5, loses_data=True))
+    records.network_faults.append(NetworkFault(0, 4.0, 4.5))  # of connects
 
 
 def ended_unexpectedly(records: SoakRecords) -> None:
@@ -293,7 +318,13 @@
     "drain": (called_after_drain_grace,),
     "returning": (overloaded_after_outage,),
     "order": (called_out_of_order,),
-    "wait": (called_before_retry_after, called_before_retry_after_of_killed_upgraded_process),
+    "wait": (
+        called_before_retry_after,
+        called_before_retry_after_of_killed_upgraded_process,
+        called_during_wait_that_another_endpoint_asked_for,
+        called_just_after_slack_of_retry_after,
+        called_during_wait_outside_receive_fault,
+    ),
     "crash": (ended_unexpectedly, never_ready),
 }
 
@@ -385,12 +416,31 @@
 
 def called_before_retry_after_from_before_restart(records: SoakRecords) -> None:
     records.incarnations = [Incarnation(0, 0.0, 0.3, 3.0, 3.0), Incarnation(0, 3.6, 3.8)]
-    add(records, call("x", 2.8, Reply.OVERLOADED, wait_s=2.0), call("y", 3.9), call("x", 6.2))
+    ask_for_wait(records, 2.8)
+    add(records, call("y", 3.9))
+
+
+def called_during_wait_that_was_reset(records: SoakRecords) -> None:
+    called_before_retry_after(records)
+    records.retry_afters[0].lost = True
+
+
+def called_during_wait_that_could_not_be_received(records: SoakRecords) -> None:
+    called_before_retry_after(records)
+    records.network_faults.append(NetworkFault(0, 4.2, 4.5, loses_data=True))
+
+
+def called_within_slack_of_retry_after(records: SoakRecords) -> None:
+    ask_for_wait(records, 4.0)
+    add(records, call("y", 4.05 + RETRY_AFTER_SLACK_S - 0.01), call("z", 6.05 - RETRY_AFTER_SLACK_S + 0.01))
 
 
 @pytest.mark.parametrize(
     "allowed",
     [
+        called_during_wait_that_was_reset,
+        called_during_wait_that_could_not_be_received,
+        called_within_slack_of_retry_after,
         late_outcome_during_restart,
         late_outcome_during_network_fault,
         repeated_within_deduplication_window,
--- a/tests/emulator/soak/test_soak_run.py
+++ b/tests/emulator/soak/test_soak_run.py
@@ -32,6 +32,7 @@
 def test_message_faults_change_no_other_event_of_a_seed() -> None:
     with_faults = [draw_plan(seed, with_message_faults=True) for seed in range(1, 31)]
     drawn = {plan.message_faults.endpoint_responses for plan in with_faults}
+    drawn |= {plan.message_faults.retry_after_responses for plan in with_faults}
     assert {faults.fault for faults in drawn if faults is not None} == set(StreamFault)
     assert [replace(plan, message_faults=MessageFaults()) for plan in with_faults] == [
         draw_plan(seed) for seed in range(1, 31)
