--- a/ashpath/server/delivery/response_notices.py
+++ b/ashpath/server/delivery/response_notices.py
@@ -65,22 +65,20 @@
     """The waits that this process has heard and that are in force, for a check of the policy's gates."""
 
     def __init__(self) -> None:
-        self._until: dict[tuple[int, str], float] = {}  # by destination and endpoint; monotonic seconds
+        self._until: dict[int, dict[str, float]] = {}  # by destination and endpoint; monotonic seconds
 
     def add(self, destination: int, endpoint_id: str, wait_s: float) -> None:
-        """Adds a wait that begins now, and forgets those that are over."""
+        """Adds a wait that begins now, and forgets destinations whose waits are over."""
         time = monotonic()
-        self._until = {key: until for key, until in self._until.items() if until > time}
-        key = destination, endpoint_id
-        self._until[key] = max(time + wait_s, self._until.get(key, 0.0))
+        self._until = {number: waits for number, waits in self._until.items() if max(waits.values()) > time}
+        waits = self._until.setdefault(destination, {})
+        waits[endpoint_id] = max(time + wait_s, waits.get(endpoint_id, 0.0))
 
     def is_in_force(self, destination: int, route: str | None) -> bool:
         """Returns whether a wait of the destination is in force, or of one endpoint if that is a `route`."""
         time = monotonic()
-        return any(
-            until > time and of_destination == destination and route in {None, endpoint_id}
-            for (of_destination, endpoint_id), until in self._until.items()
-        )
+        waits = self._until.get(destination, {})
+        return any(until > time and route in {None, endpoint_id} for endpoint_id, until in waits.items())
 
 
 class ResponseNotices:
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -19,7 +19,9 @@
 from ashpath.server.platform_deployment import create_runtime
 from ashpath.server.self_checks import Check
 from ashpath.server.sender import Sender
+from ashpath.server.storage.shared_memory_layout import read_notices
 from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.timers import stored_time
 
 
 @pytest.fixture
@@ -199,3 +201,13 @@
         submit(sender, request(f"m{number}", "once", "200", number))
         wait_until(lambda number=number: harness.attempt_count(f"m{number}"))  # type: ignore[misc]  # bound in the loop
         assert checks.failures[Check.NO_RETRY_AFTER] == failures
+
+
+# A wait that one process of a hot upgrade hears in a response that does not count binds the other one too.
+def test_wait_without_outcome_is_published_for_the_other_process(sender: Sender) -> None:
+    runner = sender.delivery.policy_runner
+    runner.retry_after_noticed(RetryAfterNotice(1, "e1", 600_000, outcome_follows=False))
+    assert runner.shared_memory.own is not None
+    (published,) = read_notices(runner.shared_memory.own).values()
+    assert (published.destination, published.endpoint) == (1, "e1")
+    assert 0 < published.end - stored_time() <= 600_000
