--- a/ashpath/emulator/soak/judge.py
+++ b/ashpath/emulator/soak/judge.py
@@ -215,7 +215,10 @@
             until = asked.written_at + asked.wait_s
             for call in self.records.calls:
                 same = call.sender == asked.sender and call.destination == asked.destination
-                early = asked.written_at + RETRY_AFTER_SLACK_S < call.begun_at < until - RETRY_AFTER_SLACK_S
+                early = (
+                    asked.written_at + RETRY_AFTER_SLACK_S < self.history.sent_by(call)
+                    and call.begun_at < until - RETRY_AFTER_SLACK_S
+                )
                 if same and early and not self.history.was_restarted_within(asked.written_at, call):
                     yield BrokenRule(
                         "wait",
--- a/ashpath/emulator/soak/records.py
+++ b/ashpath/emulator/soak/records.py
@@ -78,6 +78,15 @@
     """Whether a fault of the network may have lost it."""
 
 
+class LatePath(Struct, frozen=True):
+    """A period in which new connections to a destination forward nothing for `late_s` after their accept."""
+
+    destination: int
+    began_at: float
+    ended_at: float
+    late_s: float
+
+
 class Departure(Struct, frozen=True):
     """An endpoint that a sender's discovery agent reported as draining or removed."""
 
@@ -155,6 +164,7 @@
     notices: dict[str, float] = field(default_factory=dict)
     """Time of the first acknowledged notification of each message's final outcome, by message id."""
     retry_afters: list[RetryAfterRecord] = field(default_factory=list)
+    late_paths: list[LatePath] = field(default_factory=list)
     departures: list[Departure] = field(default_factory=list)
     incarnations: list[Incarnation] = field(default_factory=list)
     outages: list[Outage] = field(default_factory=list)
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -32,7 +32,15 @@
     StopMethod,
     UpgradeEvent,
 )
-from ashpath.emulator.soak.records import Departure, DiskFault, Incarnation, NetworkFault, Outage, SoakRecords
+from ashpath.emulator.soak.records import (
+    Departure,
+    DiskFault,
+    Incarnation,
+    LatePath,
+    NetworkFault,
+    Outage,
+    SoakRecords,
+)
 from ashpath.emulator.soak.sender import SenderOptions, SoakSender
 from ashpath.emulator.soak.settings import soak_settings
 from ashpath.emulator.stand_ins import STAND_IN_LIMITS, free_port
@@ -223,10 +231,14 @@
         for proxy in proxies:
             proxy.mode = event.mode
             proxy.reset_connections()
+        began_at = monotonic()
         gevent.sleep(event.until - event.at)
         for proxy in proxies:
             proxy.mode = ProxyMode.FORWARD
             proxy.reset_connections()
+        if event.mode is ProxyMode.LATE:
+            late_s = max(proxy.late_s for proxy in proxies)
+            self.records.late_paths.append(LatePath(event.destination, began_at, monotonic(), late_s))
 
     def _fail_client_path(self, event: ClientFaultEvent) -> None:
         self.client_paths[event.sender].fail(event.mode, event.until - event.at)
--- a/ashpath/emulator/soak/sender_history.py
+++ b/ashpath/emulator/soak/sender_history.py
@@ -136,6 +136,17 @@
             for incarnation in self.records.incarnations
         )
 
+    def sent_by(self, call: Call) -> float:
+        """Returns the earliest time at which the sender may have sent the call: a proxy that held its
+        connection back forwards it late."""
+        late_s = (
+            path.late_s
+            for path in self.records.late_paths
+            if path.destination == call.destination
+            and path.began_at <= call.begun_at - path.late_s <= path.ended_at
+        )
+        return call.begun_at - max(late_s, default=0.0)
+
     def may_have_lost_data(self, sender: int, written_at: float) -> bool:
         """Whether calls that receive failed in the sender's process as, or just after, data was written."""
         return any(
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -4,26 +4,28 @@
 
 Prints a line per seed. The same seed gives the same schedule. If a run breaks a rule, its logs, states and
 records are kept, and the exit code is 1. Endpoints, clients and agents are simulated, the senders are real.
+Each seed has a process of its own: stand-ins that share one are late where another run keeps it busy.
 """
 
 from __future__ import annotations
 
 import argparse
 import shutil
+import subprocess
 import sys
 import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-import gevent
 import msgspec
-from gevent.pool import Pool
-from rich.progress import Progress
 
 from ashpath.emulator.soak.judge import BrokenRule, RuleChecker
 from ashpath.emulator.soak.plan import draw_plan
 from ashpath.emulator.soak.run import SoakRun
 from ashpath.emulator.soak.settings import rule_checker_settings
 
+START_INTERVAL_S = 0.5  # staggers the starts, as they take processor time
 MAX_FINDINGS_SHOWN = 4  # findings printed for one seed
 
 
@@ -60,23 +62,26 @@
     parser.add_argument("--keep", type=Path, default=None)
     options = parser.parse_args()
     folder = options.keep or Path(tempfile.mkdtemp(prefix="soak-"))
-    failed: list[int] = []
-
-    def play(seed: int) -> None:
-        if run_seed(seed, folder):
-            failed.append(seed)
-
-    pool = Pool(options.side_by_side)
-    with Progress(disable=not sys.stderr.isatty()) as progress:
-        task = progress.add_task("days", total=len(options.seeds))
-        for seed in options.seeds:
-            pool.spawn(play, seed).link(lambda _: progress.advance(task))
-            gevent.sleep(0.5)  # staggers the starts, as they take processor time
-        pool.join(raise_error=True)
-    failing = f", broken: {sorted(failed)}, see {folder}" if failed else ""
+    if len(options.seeds) == 1:
+        return 1 if run_seed(options.seeds[0], folder) else 0
+    failed = run_in_processes(options.seeds, folder, options.side_by_side)
+    failing = f", broken: {failed}, see {folder}" if failed else ""
     print(f"{len(options.seeds)} days, {len(failed)} broke a rule{failing}")
     return 1 if failed else 0
 
 
+def run_in_processes(seeds: list[int], folder: Path, side_by_side: int) -> list[int]:
+    """Runs each seed in its own process. Returns the seeds that broke a rule, or whose process failed."""
+
+    def run_in_process(number: int, seed: int) -> int:
+        time.sleep(START_INTERVAL_S * (number % side_by_side))
+        command = [sys.executable, "-m", "benchmarks.soak", "--seeds", str(seed), "--keep", str(folder)]
+        return subprocess.run(command, check=False).returncode
+
+    with ThreadPoolExecutor(side_by_side) as pool:
+        codes = list(pool.map(run_in_process, range(len(seeds)), seeds))
+    return [seed for seed, code in zip(seeds, codes, strict=True) if code]
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/emulator/soak/test_judge.py
+++ b/tests/emulator/soak/test_judge.py
@@ -14,6 +14,7 @@
     DiskFault,
     Effect,
     Incarnation,
+    LatePath,
     NetworkFault,
     NoticeFault,
     Outage,
@@ -268,6 +269,11 @@
     add(records, call("y", 4.05 + RETRY_AFTER_SLACK_S + 0.01))
 
 
+def called_during_wait_outside_late_path(records: SoakRecords) -> None:
+    called_before_retry_after(records)  # the wait begins at 4.05, the call at 5.0
+    records.late_paths += [LatePath(1, 3.0, 4.0, 0.9), LatePath(1, 3.0, 4.9, 0.5), LatePath(2, 3.0, 4.9, 0.9)]
+
+
 def called_during_wait_outside_receive_fault(records: SoakRecords) -> None:
     called_before_retry_after(records)
     records.network_faults.append(NetworkFault(0, 4.3, 4.5, loses_data=True))
@@ -324,6 +330,7 @@
         called_during_wait_that_another_endpoint_asked_for,
         called_just_after_slack_of_retry_after,
         called_during_wait_outside_receive_fault,
+        called_during_wait_outside_late_path,
     ),
     "crash": (ended_unexpectedly, never_ready),
 }
@@ -425,6 +432,11 @@
     records.retry_afters[0].lost = True
 
 
+def called_before_wait_on_late_path(records: SoakRecords) -> None:
+    called_before_retry_after(records)
+    records.late_paths.append(LatePath(1, 3.0, 4.2, 0.9))
+
+
 def called_during_wait_that_could_not_be_received(records: SoakRecords) -> None:
     called_before_retry_after(records)
     records.network_faults.append(NetworkFault(0, 4.2, 4.5, loses_data=True))
@@ -439,6 +451,7 @@
     "allowed",
     [
         called_during_wait_that_was_reset,
+        called_before_wait_on_late_path,
         called_during_wait_that_could_not_be_received,
         called_within_slack_of_retry_after,
         late_outcome_during_restart,
