--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -23,7 +23,6 @@
 
 from collections.abc import Mapping
 from contextlib import suppress
-from typing import Protocol
 
 import gevent
 from gevent import Timeout
@@ -35,6 +34,7 @@
 from ashpath.server.delivery.attempt_log import AttemptLog
 from ashpath.server.delivery.attempts import Attempt, AttemptOwner, AttemptResult
 from ashpath.server.delivery.connection_pool import ConnectionPool
+from ashpath.server.delivery.earlier_messages import EarlierMessages, PredecessorSource
 from ashpath.server.delivery.endpoint_connection import CloseReason, EndpointConnection
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.errors import (
@@ -45,11 +45,9 @@
     ConnectError,
     ConnectionLostError,
     DeadlineBeforeConnectError,
-    EarlierResponseInDoubtError,
     EndpointNotListedError,
     InvalidResponseError,
     LocalResourceError,
-    PendingNotificationError,
     RequestNotWrittenError,
     ResponseError,
     ResponseInDoubtError,
@@ -65,22 +63,12 @@
 from ashpath.server.http.messages import OK, HttpResponse
 from ashpath.server.local_errors import is_local_fault, is_without_route
 from ashpath.server.logs import Logger
-from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.timers import now
 
-PREDECESSOR_POLL_S = 0.02
 NOT_RECORDED_PAUSE_S = 0.1
 HELD_UP_US = 20_000
 """Microseconds for a record from which on responses may have arrived meanwhile."""
 READ_PAUSE_S = 0.002  # in which what has arrived is read
-NOTIFICATION_SHARE = 0.5  # share of an attempt's time for the wait for notifications
-
-
-class PredecessorSource(Protocol):
-    """Knows which messages the other process of a hot upgrade has: the write-ahead log."""
-
-    def has_unfinished_predecessor(self, message: StoredMessage) -> bool:
-        """Whether an earlier message of the same ordering key has not ended."""
 
 
 class AttemptRunner:
@@ -99,8 +87,7 @@
         self.pool = pool
         self.registry = registry
         self.classifier = classifier
-        self.notifier = notifier
-        self.predecessors = predecessors
+        self.earlier_messages = EarlierMessages(pool.attribution, predecessors, notifier)
         self.attempt_log = attempt_log
         self.logger = logger
         self.networks = UnreachableNetworks()
@@ -146,10 +133,7 @@
 
     def _run_stages(self, attempt: Attempt, address: Address | None, owner: AttemptOwner) -> None:
         """Runs the stages in order. Raises the AttemptError of the stage that fails."""
-        self._await_earlier_response(attempt)
-        if attempt.ordered:
-            self._await_predecessors(attempt)
-            self._await_notifications(attempt)
+        self.earlier_messages.wait(attempt)
         if address is None:
             raise EndpointNotListedError
         connection = attempt.connection = self._acquire_connection(attempt, address)
@@ -157,42 +141,6 @@
         self._write_request(attempt, address, connection, owner)
         self._read_response(attempt, connection)
 
-    def _await_earlier_response(self, attempt: Attempt) -> None:
-        """Waits until the refusal or error of the attempt before this one is certain.
-
-        The retry would otherwise run beside it if that response was another request's. Raises
-        EarlierResponseInDoubtError if it turns out to be in doubt."""
-        attribution = self.pool.attribution
-        wait = attribution.wait_before_retry(attempt.message)
-        if wait > 0:
-            gevent.sleep(wait / SECOND)
-        if attribution.take_doubt(attempt.message):
-            raise EarlierResponseInDoubtError
-
-    def _await_predecessors(self, attempt: Attempt) -> None:
-        """Waits until the delivery of the earlier messages of the ordering key is certain, and until the
-        other process of a hot upgrade has ended those that it accepted before.
-
-        Raises PendingNotificationError after half of the attempt's time."""
-        time_left = max(0.0, (attempt.deadline - now()) * NOTIFICATION_SHARE)
-        wait = self.pool.attribution.wait_before_next(attempt.message)
-        if wait > 0:
-            gevent.sleep(min(wait, time_left) / SECOND)
-        with Timeout(time_left / SECOND, PendingNotificationError()):
-            while self.predecessors.has_unfinished_predecessor(attempt.message):
-                gevent.sleep(PREDECESSOR_POLL_S)
-
-    def _await_notifications(self, attempt: Attempt) -> None:
-        """Waits until no notification of the message's ordering key is pending.
-
-        A client that learns of final states by notification regards an earlier message as unfinished until
-        its notification arrives; to send a later message before that would break the order. Raises
-        PendingNotificationError after half of the attempt's time."""
-        time_left = max(0.0, (attempt.deadline - now()) * NOTIFICATION_SHARE / SECOND)
-        with Timeout(time_left, PendingNotificationError()):
-            while acknowledged := self.notifier.next_acknowledgement(attempt.message):
-                acknowledged.wait()
-
     def _acquire_connection(self, attempt: Attempt, address: Address) -> EndpointConnection:
         try:
             connection = self.pool.acquire(attempt.endpoint_id, address)
