--- a/tests/emulator/soak/test_message_fault_cases.py
+++ b/tests/emulator/soak/test_message_fault_cases.py
@@ -20,6 +20,10 @@
     "the previous response right before",
     "acknowledgement repeated after 5 ms",
     "requests repeated after 700 ms",
+    # Those of report 55d9f2.
+    "Retry-After after 3 ms without a request",
+    "Retry-After behind random bytes",
+    "Retry-After with a cut body",
 )
 SEED = 5
 RATE = 12.0  # requests per second to each of three senders
@@ -35,7 +39,8 @@
 
 
 def test_repeated_or_invented_messages_break_no_rule(tmp_path: Path) -> None:
-    """Guards against responses, acknowledgements and requests that are attributed to another one."""
+    """Guards against responses, acknowledgements and requests that are attributed to another one, and
+    against a Retry-After that is thrown away with a response that counts for none."""
     assert set(PLAYED) < set(CASES)
     plays = {case: gevent.spawn(broken_rules, case, tmp_path) for case in PLAYED}
     assert {case: found for case, play in plays.items() if (found := play.get())} == {}
