Delivery: messages of a busy ordering key take connections with certain results

Cause: each result on a connection that was used within the last second is provisional, and holds the next message of its key for up to 0.25 s, which is longer than the service. Change: while further messages of its key wait (DeliveryPolicy.has_followers), an attempt takes a connection that was idle for a second, or a new one in place of the longest idle one of its endpoint. Why it works: the first result on a connection cannot be another request's. Rules that it could cost: order and attribution: results are more certain than before; connection tables: one in, one out; descriptors: the replaced connection is read for a second, within the quarter for those.

--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -102,6 +102,11 @@
         elif message.state is MessageState.QUEUED:
             self.finish(message)
 
+    def has_followers(self, message_id: int) -> bool:
+        """Returns whether further messages of its ordering key wait until this message has ended."""
+        ordered_queue = self.messages[message_id].ordered_queue
+        return ordered_queue is not None and len(ordered_queue.messages) > 1
+
     def _new_message(
         self, message_id: int, destination: DestinationState, traffic_class: int, time_left: int
     ) -> Message:
--- a/ashpath/policy/response_trust.py
+++ b/ashpath/policy/response_trust.py
@@ -56,6 +56,12 @@
         between for `idle_before`; None: there was none."""
         return idle_before is not None and idle_before < tuning.RESPONSE_LATENESS
 
+    @staticmethod
+    def is_certain(idle: int) -> bool:
+        """Returns whether a connection that was idle for so long may carry a request whose result must not be
+        provisional. A new connection may always."""
+        return idle >= tuning.RESPONSE_LATENESS
+
     @staticmethod
     def listening_time(answered_for: int | None) -> int:
         """Returns for how long to listen to a connection that carries no further request.
--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -143,7 +143,7 @@
 
     def _acquire_connection(self, attempt: Attempt, address: Address) -> EndpointConnection:
         try:
-            connection = self.pool.acquire(attempt.endpoint_id, address)
+            connection = self.pool.acquire(attempt.endpoint_id, address, certain=attempt.needs_certainty)
         except OSError as error:
             # If a fault of this machine counted as an outage of the endpoint, calls to a healthy
             # endpoint would stop.
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -92,18 +92,34 @@
         self.limits = limits
         self.http_limits = http_limits
 
-    def acquire(self, endpoint_id: str, address: Address) -> EndpointConnection:
+    def acquire(self, endpoint_id: str, address: Address, *, certain: bool = False) -> EndpointConnection:
         """Returns a usable idle connection, else a new one to the address. May wait for an idle connection to
-        become quiet.
+        become quiet. `certain`: the result of the request must not be provisional.
 
         Raises ConnectionPoolFullError, and OSError if the connection fails."""
-        connection = self.acquire_idle(endpoint_id) or self._await_quiet(endpoint_id)
+        if certain:
+            connection = self._acquire_certain(endpoint_id)
+        else:
+            connection = self.acquire_idle(endpoint_id) or self._await_quiet(endpoint_id)
         if connection is not None:
             return connection
         if not self.make_room():
             raise ConnectionPoolFullError
         return self.connect(address)
 
+    def _acquire_certain(self, endpoint_id: str) -> EndpointConnection | None:
+        """Returns an idle connection that is quiet for long enough. Else closes the longest idle one, so that
+        the new connection takes its place at the endpoint, and returns None."""
+        longest_idle = next(iter(self.idle.get(endpoint_id, ())), None)
+        if longest_idle is None:
+            return None
+        idle_for = round((monotonic() - longest_idle.since) * SECOND)
+        if self.attribution.trust.is_certain(idle_for):
+            return self.acquire_idle(endpoint_id)
+        connection = self._remove(endpoint_id, longest_idle).connection
+        self._retire(endpoint_id, connection, CloseReason.REPLACED)
+        return None
+
     def acquire_idle(self, endpoint_id: str) -> EndpointConnection | None:
         """Returns a usable idle connection that is quiet, or None; closes the unusable ones that precede it.
 
--- a/ashpath/server/delivery/endpoint_connection.py
+++ b/ashpath/server/delivery/endpoint_connection.py
@@ -28,6 +28,7 @@
     ENDPOINT_LEFT = "endpoint left"
     RARELY_USED = "rarely used"
     POOL_FULL = "pool full"
+    REPLACED = "replaced"
     ATTEMPT_FAILED = "attempt failed"
     NOT_KEPT_ALIVE = "not kept alive"
     UNFINISHED_RESPONSE = "unfinished response"
--- a/tests/server/delivery/test_connection_pool.py
+++ b/tests/server/delivery/test_connection_pool.py
@@ -13,7 +13,7 @@
 from ashpath.core.interface import AttemptOutcome
 from ashpath.core.time_units import SECOND
 from ashpath.policy.response_trust import ResponseTrust
-from ashpath.policy.tuning import QUIET_TIME
+from ashpath.policy.tuning import QUIET_TIME, RESPONSE_LATENESS
 from ashpath.server.addresses import Address
 from ashpath.server.delivery.connection_pool import ConnectionPool, IdleConnection, IdleLimit
 from ashpath.server.delivery.endpoint_connection import CloseReason
@@ -144,3 +144,24 @@
     other = pool.acquire("e1", address)
     assert other is not connection
     assert pool.opened == 2
+
+
+# The next message of a key waited up to 0.25 s for each provisional result: ordered messages missed their
+# deadlines while endpoints were idle.
+def test_request_that_must_be_certain_replaces_connection_that_was_used_lately(
+    harness: SenderHarness,
+) -> None:
+    pool = connection_pool()
+    address = endpoint_address(harness)
+    used_lately = pool.connect(address)
+    pool.release("e1", used_lately)
+    began_at = monotonic()
+    new = pool.acquire("e1", address, certain=True)
+    assert monotonic() - began_at < 0.5 * QUIET_TIME / SECOND
+    assert new is not used_lately
+    assert used_lately.unusable
+    assert pool.closed[CloseReason.REPLACED] == pool.open == 1
+    pool.release("e1", new)
+    backdate_idle_connection(pool, 0, 1.01 * RESPONSE_LATENESS / SECOND)
+    assert pool.acquire("e1", address, certain=True) is new
+    assert pool.opened == 2
