Outcomes: a delivery in doubt is notified while the log takes no records

Cause: a delivery that is put in doubt is recorded as submitted again; while the disk fails the log does not take it, and then does not set its notice either. The sender sent the line 'None'. Change: the recorder sets the notice itself. Why it works: the notifier sends what the message has, whether or not the log has it. Checks: test_delivery_in_doubt_is_notified_while_the_log_takes_no_records failed before with b'None\n'; 32 passed with the tests of the recorder and the notifier.

--- a/ashpath/server/delivery/outcome_recorder.py
+++ b/ashpath/server/delivery/outcome_recorder.py
@@ -172,6 +172,7 @@
         else:
             self._store_final_state(message, state, result.retry_after)
             self.write_ahead_log.record_finished(message, line)
+            message.notice = line  # the log sets it only for messages that it has
             self.notifier.add(message)
 
     def _store_final_state(self, message: StoredMessage, state: FinalState, retry_after: int = 0) -> None:
--- a/tests/server/test_policy_runner.py
+++ b/tests/server/test_policy_runner.py
@@ -12,6 +12,7 @@
 from support.sender_parts import read_request
 
 from ashpath.server.delivery.attempts import Attempt
+from ashpath.server.delivery.notifier import encode_batch
 from ashpath.server.delivery.response_notices import RetryAfterNotice
 from ashpath.server.http.admission import AdmissionResult
 from ashpath.server.http.connection import HttpConnection
@@ -211,3 +212,15 @@
     (published,) = read_notices(runner.shared_memory.own).values()
     assert (published.destination, published.endpoint) == (1, "e1")
     assert 0 < published.end - stored_time() <= 600_000
+
+
+# A delivery that was put in doubt while the disk took no records was notified by the line "None", which no
+# receiver accepts: its notice, and with some receivers all behind it, never arrived.
+def test_delivery_in_doubt_is_notified_while_the_log_takes_no_records(
+    sender: Sender, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    runner = sender.delivery.policy_runner
+    monkeypatch.setattr(sender.delivery.write_ahead_log, "record_submitted", lambda _: False)
+    message = StoredMessage(99, "in-doubt", 0, 1, None, None, 0, b"", finished=True)
+    runner.delivery_in_doubt(message)
+    assert encode_batch([message]) == b'{"id":"in-doubt","status":"undeliverable"}\n'
