--- a/review/3/case.py
+++ b/review/3/case.py
@@ -33,7 +33,7 @@
 HANGING_S = 60.0
 BEFORE_S = 6.0
 AFTER_S = 12.0
-START_BYTES = 300_000  # the upgrade starts when the folder holds less: soon after the log was rewritten
+START_BYTES = range(450_000, 550_000)  # the upgrade starts when the folder holds so many
 CUT_OFF_MS = 16000
 LOOK_S = 0.005
 LOOKS_A_LINE = 100
@@ -154,7 +154,7 @@
         clients = asyncio.create_task(hand_in_all(client, until, record))
         await asyncio.sleep(BEFORE_S)
         if trouble:
-            while held(sender.state) > START_BYTES:
+            while held(sender.state) not in START_BYTES:
                 await asyncio.sleep(LOOK_S)
             if not await sender.upgrade():
                 return 2
--- a/review/lab.py
+++ b/review/lab.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -439,6 +440,7 @@
 
 def run_case(case: Case, folder: Path, limit_s: float) -> int:
     """Runs a case in a temporary folder; returns its exit code, 2 if it could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the case then ends what it started
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("case", folder=folder.name, trouble=int(trouble))
