--- a/review/3/case.py
+++ b/review/3/case.py
@@ -105,8 +105,8 @@
     while True:
         size = held(sender.state)
         if len(sizes) % LOOKS_A_LINE == 0 or (size > limit and size > max(sizes)):
-            files = {entry.name: entry.stat().st_size for entry in os.scandir(sender.state)}
-            record.add("folder", bytes=size, logs={name: files[name] for name in files if "journal" in name})
+            files = {path.name: path.stat().st_size for path in sender.state.iterdir() if path.exists()}
+            record.add("folder", bytes=size, over=size > limit, files=files)
         sizes.append(size)
         await asyncio.sleep(LOOK_S)
 
@@ -144,6 +144,7 @@
     sender.hold_listener()
     sizes: list[int] = []
     limit = DISK_MB << 20
+    record.add("rule", disk_mb=DISK_MB, limit=limit, text="every file counts in whole 512 bytes")
     try:
         sender.configure(settings(), disk_mb=DISK_MB)
         if not await sender.start():
--- a/review/lab.py
+++ b/review/lab.py
@@ -141,6 +141,9 @@
                 if answer is None:
                     break
                 status, headers = answer
+                if reader.at_eof():
+                    self.record.add("given-up", endpoint=self.name, trace=call.trace)  # no answer is written
+                    break
                 self.record.add("answer", endpoint=self.name, trace=call.trace, status=status)
                 writer.write(encode(f"HTTP/1.1 {status} Answer", headers))
                 await writer.drain()
@@ -195,7 +198,10 @@
                 self.members[member["id"]] = member
         self.changed.set()
         self.changed = asyncio.Event()
-        told = ",".join(f"{member['id']}:{member['phase']}" for member in members[:MEMBERS_TOLD])
+        told = ",".join(
+            f"{member['id']}:{member['phase']}:cell-{member['cell']}:at-{member['host_port']}"
+            for member in members[:MEMBERS_TOLD]
+        )
         return self.record.add(
             "discovery-has", revision=self.revision, changed=len(members), first=told, whole=len(self.members)
         )
@@ -277,8 +283,8 @@
         beside = self.configuration.with_suffix(".new")
         beside.write_text(json.dumps(document), encoding="utf-8")
         beside.replace(self.configuration)
-        names = ",".join(row["name"] for row in settings["classes"])
-        self.record.add("configuration", sender=self.name, classes=names)
+        names = ",".join(f"{row['name']}:{row['repeat']}" for row in settings["classes"])
+        self.record.add("configuration", sender=self.name, classes=names, limits=document["limits"])
 
     async def start(self, limit_s: float = READY_LIMIT_S) -> bool:
         """Starts the process; returns whether it was ready within the limit."""
