--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sized
+from enum import StrEnum
 from http import HTTPStatus
 from typing import Protocol
 
@@ -32,6 +34,17 @@
         """Handles a client that disconnected before the response about its message was written."""
 
 
+class RefusalCause(StrEnum):
+    """Why a message was not accepted, as metrics name it."""
+
+    DUPLICATE = "duplicate"
+    QUEUE_FULL = "queue full"
+    DESTINATION_NOT_LISTED = "destination not listed"
+    LOG_FULL = "log full"
+    """The write-ahead log has no room, or cannot be written."""
+    POLICY = "policy"
+
+
 class AdmissionResult(Struct, frozen=True):
     """Status and Retry-After of the response to the client of a message."""
 
@@ -68,6 +81,7 @@
         self.write_ahead_log = write_ahead_log
         self.logger = logger
         self.log_full = False  # the write-ahead log had no space for the last message
+        self.refusals: Counter[RefusalCause] = Counter()
         self.rejecting_all = False  # set once, during the shutdown: every message is rejected
 
     def apply_settings(self, settings: PolicySettings, traffic_class_ids: dict[str, int]) -> None:
@@ -88,21 +102,29 @@
         recorded = self.write_ahead_log.record_submitted(message)
         self.report_log_space(recorded=recorded)
         if not recorded:
-            return OVER_CAPACITY
+            return self.refuse(RefusalCause.LOG_FULL, OVER_CAPACITY)
         result = self.receiver.submit(message)
         if result.decision is SubmitDecision.ACCEPTED:
             return ACCEPTED
-        return AdmissionResult(DECISION_STATUSES[result.decision], result.retry_after)
+        refusal = AdmissionResult(DECISION_STATUSES[result.decision], result.retry_after)
+        return self.refuse(RefusalCause.POLICY, refusal)
+
+    def refuse(self, cause: RefusalCause, result: AdmissionResult) -> AdmissionResult:
+        """Counts a refused message, and returns the result for its response."""
+        self.refusals[cause] += 1
+        return result
 
     def rejection(self, message: StoredMessage) -> AdmissionResult | None:
         """Returns the rejection of a message that is not to be recorded, or None if it may be accepted."""
         if self.is_duplicate(message):
-            return DUPLICATE
+            return self.refuse(RefusalCause.DUPLICATE, DUPLICATE)
         if len(self.receiver.messages) >= self.settings.queue_capacity > 0:
-            return OVER_CAPACITY  # the platform rejects messages beyond the sender's queue capacity
+            # The platform rejects messages beyond the sender's queue capacity.
+            return self.refuse(RefusalCause.QUEUE_FULL, OVER_CAPACITY)
         if not self.registry.serves(message.destination):  # not listed, but may be soon
             retry_after = min(self.settings.max_retry_after, DEFAULT_RETRY_AFTER)
-            return AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE, retry_after)
+            not_listed = AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE, retry_after)
+            return self.refuse(RefusalCause.DESTINATION_NOT_LISTED, not_listed)
         return None
 
     def is_duplicate(self, message: StoredMessage) -> bool:
@@ -126,4 +148,5 @@
             messages=len(log.messages.live),
             reserved=log.messages.reserved_bytes,
             max_bytes=log.max_bytes,
+            other_logs=log.other_logs_bytes,
         )
--- a/ashpath/server/limits/services.py
+++ b/ashpath/server/limits/services.py
@@ -15,5 +15,7 @@
     buffer."""
     log_repair_s: float = 0.25
     """Interval between checks for records that could not be written to disk."""
+    disk_usage_interval_s: float = 0.25
+    """Interval between measurements of the state directory's disk space."""
     adoption_interval_s: float = 0.5
     """Interval between checks for write-ahead logs of processes that have ended."""
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -84,9 +84,30 @@
         yield gauge(
             "write_ahead_log_behind", "1 while it lacks records that the disk did not take.", log.needs_repair
         )
+        yield from self.directory_gauges()
         yield gauge("destinations", "Destinations that are known.", len(runner.policy.destinations))
         yield gauge("client_connections", "Connections of clients.", self.source.listener.connection_count)
 
+    def directory_gauges(self) -> Iterator[Metric]:
+        """Yields the use of the state directory's disk space, and the messages that were refused."""
+        monitor = self.source.directory_monitor
+        yield gauge(
+            "state_directory_bytes", "Bytes of all files of the state directory, in blocks.", monitor.bytes
+        )
+        yield gauge("state_directory_peak_bytes", "The most bytes that were measured.", monitor.peak_bytes)
+        yield gauge("state_directory_max_bytes", "Bytes that they may have.", monitor.max_bytes)
+        yield gauge(
+            "other_logs_bytes",
+            "Bytes of write-ahead logs of other processes of this sender.",
+            self.source.write_ahead_log.other_logs_bytes,
+        )
+        refusals = CounterMetricFamily(
+            "ashpath_messages_refused", "Messages that were not accepted.", labels=["cause"]
+        )
+        for cause, count in self.source.admission.refusals.items():
+            refusals.add_metric([cause.value], count)
+        yield refusals
+
     def attribution_counters(self) -> Iterator[Metric]:
         """Yields the counters of connections to endpoints, of extra responses, and of self-checks."""
         pool = self.source.policy_runner.attempt_runner.pool
--- a/ashpath/server/metrics/sources.py
+++ b/ashpath/server/metrics/sources.py
@@ -4,8 +4,10 @@
 
 from typing import Protocol
 
+from ashpath.server.directory_monitor import DirectoryMonitor
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.gossip import Gossip
+from ashpath.server.http.admission import Admission
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
@@ -24,6 +26,16 @@
         """Source of the write-ahead log's size and size limit."""
         ...
 
+    @property
+    def directory_monitor(self) -> DirectoryMonitor:
+        """Source of the state directory's size."""
+        ...
+
+    @property
+    def admission(self) -> Admission:
+        """Source of the number of refused messages."""
+        ...
+
     @property
     def listener(self) -> ClientListener:
         """Source of the number of client connections."""
--- a/ashpath/server/optional_services.py
+++ b/ashpath/server/optional_services.py
@@ -15,9 +15,11 @@
 from ashpath.server.addresses import Address
 from ashpath.server.configuration import RunningConfiguration
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.directory_monitor import DirectoryMonitor
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.errors import MetricsAddressError
 from ashpath.server.gossip_link import GossipLink
+from ashpath.server.http.admission import Admission
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.logs import Logger
 from ashpath.server.policy_runner import PolicyRunner
@@ -59,6 +61,8 @@
     running: RunningConfiguration
     policy_runner: PolicyRunner
     write_ahead_log: WriteAheadLog
+    directory_monitor: DirectoryMonitor
+    admission: Admission
     listener: ClientListener
     discovery: DiscoveryClient | None
     gossip_service: GossipService
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -110,6 +110,7 @@
             LogRepairer(
                 delivery.write_ahead_log, sender.limits.log_repair_s, self.logger, delivery.outcome_store
             ).run,
+            sender.directory_monitor.run,
             sender.clients.listener.run,
         ]
         if sender.orphan_adopter is not None:
--- a/ashpath/server/sender.py
+++ b/ashpath/server/sender.py
@@ -15,6 +15,7 @@
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.directory_monitor import DirectoryMonitor
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.endpoint_membership import EndpointMembership
 from ashpath.server.gossip_link import GossipLink
@@ -82,6 +83,7 @@
     logger: Logger
     delivery: DeliveryPath
     clients: ClientSide
+    directory_monitor: DirectoryMonitor
     control: ControlListener | None
     discovery: DiscoveryClient | None
     orphan_adopter: OrphanAdopter | None
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -26,6 +26,7 @@
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.delivery.response_notices import ResponseNotices
 from ashpath.server.deployment import Deployment
+from ashpath.server.directory_monitor import DirectoryMonitor
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.endpoint_membership import EndpointMembership
 from ashpath.server.gossip_link import GossipLink
@@ -94,7 +95,8 @@
     control = create_control_listener(process_options, configuration, delivery, clients, logger)
     discovery = create_discovery_client(process_options, configuration, delivery.membership, logger)
     gossip = GossipService(delivery.policy_runner, delivery.gossip_link, logger)
-    metrics = create_metrics_service(running, delivery, clients, discovery, gossip)
+    monitor = create_directory_monitor(process_options, configuration, logger)
+    metrics = create_metrics_service(running, delivery, clients, monitor, discovery, gossip)
     switch = create_settings_switch(running, deployment, delivery, clients, gossip, metrics, logger)
     return Sender(
         process_options=process_options,
@@ -103,6 +105,7 @@
         logger=logger,
         delivery=delivery,
         clients=clients,
+        directory_monitor=monitor,
         control=control,
         discovery=discovery,
         orphan_adopter=create_orphan_adopter(process_options, configuration, delivery, logger),
@@ -329,10 +332,21 @@
     return OrphanAdopter(delivery.write_ahead_log, delivery.policy_runner, interval_s, logger)
 
 
+def create_directory_monitor(
+    process_options: ProcessOptions, configuration: SenderConfiguration, logger: Logger
+) -> DirectoryMonitor:
+    """Creates the monitor of the state directory, whose limit includes the final outcomes."""
+    limits = configuration.limits
+    max_bytes = limits.storage.disk_bytes + limits.storage.outcome_store_bytes
+    interval_s = limits.services.disk_usage_interval_s
+    return DirectoryMonitor(process_options.state_directory, max_bytes, interval_s, logger)
+
+
 def create_metrics_service(
     running: RunningConfiguration,
     delivery: DeliveryPath,
     clients: ClientSide,
+    monitor: DirectoryMonitor,
     discovery: DiscoveryClient | None,
     gossip: GossipService,
 ) -> MetricsService:
@@ -341,6 +355,8 @@
         running=running,
         policy_runner=delivery.policy_runner,
         write_ahead_log=delivery.write_ahead_log,
+        directory_monitor=monitor,
+        admission=clients.admission,
         listener=clients.listener,
         discovery=discovery,
         gossip_service=gossip,
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -62,12 +62,17 @@
     """Starts the sender's processes, all on the same listening socket and state directory."""
 
     def __init__(
-        self, folder: Path, trees: Sequence[Path], agent: Agent, endpoint_list: dict[str, Any]
+        self,
+        folder: Path,
+        trees: Sequence[Path],
+        agent: Agent,
+        endpoint_list: dict[str, Any],
+        limits: dict[str, int],
     ) -> None:
         self._folder = folder
         self._trees = cycle(trees)
         self._agent = agent
-        configuration = {"seed": "7", "settings": SETTINGS, "limits": LIMITS, "known": endpoint_list}
+        configuration = {"seed": "7", "settings": SETTINGS, "limits": limits, "known": endpoint_list}
         (folder / "config.json").write_bytes(orjson.dumps(configuration))
         (folder / "state").mkdir()
         self._listener = socket.socket()
@@ -179,7 +184,7 @@
         if base is not None:
             trees.insert(0, Path(folder_name) / "base")
             extract(base, trees[0])
-        senders = Senders(Path(folder_name), trees, agent, endpoint_list)
+        senders = Senders(Path(folder_name), trees, agent, endpoint_list, LIMITS)
         greenlets = start_clients(clients, senders, limits, random, observations)
         upgrades = Upgrades(senders, observations)
         for number in range(count):
