Write-ahead logs of all processes share one account of the disk limit

Cause: _make_room compared the file and its copy with the whole limit; only record_submitted left room for the other log, by its size as of the last look for orphans (0.5 s). Records of accepted messages were appended over the limit while rewrites failed, and copies of killed processes were counted late. Change: each process has a slot in a mapped file, raised before a write under the lock of the directory; a write that would take the sum of all slots over the limit is refused. Room for one copy, the largest, serves all processes, as one at a time rewrites. While rewrites fail, records of accepted messages take half of a copy's room, then attempts are not begun and ends wait in memory. Adoption appends where a rewrite has no room.

The line 'write-ahead log over its limit' cannot occur any more.

--- a/ashpath/server/log_repair.py
+++ b/ashpath/server/log_repair.py
@@ -23,7 +23,7 @@
 
 class LogRepairer:
     """Repairs the write-ahead log every `interval_s` seconds. Logs once when the log falls behind or cannot
-    be rewritten, once when its file exceeds its limit for that reason, and once when each is over.
+    be rewritten, and once when each is over.
 
     `outcome_store` is repaired first, as the log may drop a message only after its final state was stored
     there."""
@@ -41,7 +41,6 @@
         self.outcome_store = outcome_store
         self.behind = False
         self.not_rewritten = False
-        self.over_limit = False
 
     def run(self) -> None:
         """Checks at each interval. Never returns."""
@@ -59,7 +58,6 @@
             log.repair()
         self._report_behind(behind=log.needs_repair)
         self._report_rewrites(not_rewritten=log.rewrite_failing and not log.needs_repair)
-        self._report_limit(over_limit=log.file.written > log.max_bytes)
 
     def _report_behind(self, *, behind: bool) -> None:
         if behind == self.behind:
@@ -82,11 +80,3 @@
             )
         elif not log.rewrite_failing:
             self.logger.info("write-ahead log rewritten again", bytes=log.file.written)
-
-    def _report_limit(self, *, over_limit: bool) -> None:
-        if over_limit and not self.over_limit:
-            log = self.write_ahead_log
-            self.logger.error(
-                "write-ahead log over its limit", bytes=log.file.written, max_bytes=log.max_bytes
-            )
-        self.over_limit = over_limit
--- a/ashpath/server/storage/errors.py
+++ b/ashpath/server/storage/errors.py
@@ -84,6 +84,20 @@
         super().__init__(f"{path}: earlier records whose write failed are not written yet")
 
 
+class DiskLimitError(OSError):
+    """A write would take the state directory over the limit of the disk."""
+
+    def __init__(self, max_bytes: int) -> None:
+        super().__init__(f"no room within the {max_bytes} bytes of the write-ahead logs")
+
+
+class DirectoryBusyError(OSError):
+    """Another process holds the lock of the state directory's disk space for too long."""
+
+    def __init__(self, path: Path) -> None:
+        super().__init__(f"{path}: locked by another process")
+
+
 class DetachedEndpointsError(OSError):
     """A change of the detached endpoints cannot be stored."""
 
--- a/ashpath/server/storage/log_directory.py
+++ b/ashpath/server/storage/log_directory.py
@@ -24,8 +24,6 @@
 FIRST_LOG = "journal"  # claimed by a process that starts while no living process holds it
 LOG_NAME = re.compile(r"journal(-[0-9]+)?")
 DISK_ERRORS = (errno.ENOSPC, errno.EDQUOT, errno.EIO)  # the disk, not the configuration, may be at fault
-BLOCK_BYTES = 4096  # bytes that rounding up to whole blocks may add to a log and its rewritten copy together
-OTHER_LOG_FACTOR = 2.2  # bytes of disk per byte of another log: the log, its rewritten copy, and some growth
 
 
 class LockedLog(Struct, frozen=True):
@@ -88,20 +86,42 @@
         ]
 
     def other_logs_bytes(self, own: Path) -> int:
-        """Returns the bytes of disk that logs of living processes and logs not yet adopted may need.
+        """Returns the bytes of the logs of living processes and of logs not yet adopted, with their copies.
 
-        Each such log may be rewritten to a second file beside it, and its live messages grow with later
-        records: each counts 2.2 times its size and one block.
+        Raises OSError if the directory cannot be listed.
         """
         total = 0
-        count = 0
         for path in self.path.iterdir():
             if path.name != own.name and LOG_NAME.fullmatch(path.name.removesuffix(TEMPORARY_SUFFIX)):
                 with suppress(OSError):
-                    size = path.stat().st_size
-                    total += size
-                    count += size > 0
-        return int(OTHER_LOG_FACTOR * total) + BLOCK_BYTES * count
+                    total += path.stat().st_size
+        return total
+
+    def is_unlocked(self, log: Path) -> bool:
+        """Whether no living process has a log of this name."""
+        lock = _try_lock(log) if _lock_path(log).exists() else None
+        if lock is None:
+            return not _lock_path(log).exists()
+        lock.release()
+        return True
+
+
+def log_number(log: Path) -> int:
+    """Returns the number of a log's name: 1 for the first log, else the process id plus 1.
+
+    >>> log_number(Path("journal")), log_number(Path("journal-41"))
+    (1, 42)
+    """
+    return 1 + int(log.name.removeprefix(FIRST_LOG).removeprefix("-") or 0)
+
+
+def log_name(number: int) -> str:
+    """Returns the name of a log from its number.
+
+    >>> log_name(1), log_name(42)
+    ('journal', 'journal-41')
+    """
+    return FIRST_LOG if number == 1 else f"{FIRST_LOG}-{number - 1}"
 
 
 def clear_adopted(path: Path) -> None:
--- a/ashpath/server/storage/log_file.py
+++ b/ashpath/server/storage/log_file.py
@@ -16,7 +16,7 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from pathlib import Path
 
@@ -67,12 +67,15 @@
             raise
         self.use(descriptor, valid_bytes + len(first_record))
 
-    def rewrite(self, records: Iterable[bytes]) -> None:
-        """Replaces the content with `records`. Raises OSError, in which case the file is unchanged."""
+    def rewrite(self, records: Iterable[bytes], claim: Callable[[int], None]) -> None:
+        """Replaces the content with `records`. `claim` is called with the size of the copy before each write.
+
+        Raises OSError, also one of `claim`: the file is unchanged then.
+        """
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND
         descriptor = os.open(self.temporary, flags, 0o666)
         try:
-            written = write_all(descriptor, records)
+            written = write_all(descriptor, records, claim)
             os.replace(self.temporary, self.path)
         except OSError:
             os.close(descriptor)
@@ -82,19 +85,26 @@
         self.use(descriptor, written)
 
 
-def write_all(descriptor: int, records: Iterable[bytes]) -> int:
-    """Writes the records and returns the bytes written.
+def write_all(descriptor: int, records: Iterable[bytes], claim: Callable[[int], None]) -> int:
+    """Writes the records and returns the bytes written; calls `claim` with their sum before each write.
 
-    Raises PartialWriteError if a write is short, and any other OSError of a write.
+    Raises PartialWriteError if a write is short, and any other OSError of a write or of `claim`.
     """
     written = 0
+    for chunk in chunks(records):
+        claim(written + len(chunk))
+        write_whole(descriptor, chunk)
+        written += len(chunk)
+    return written
+
+
+def chunks(records: Iterable[bytes]) -> Iterator[bytes]:
+    """Yields the records joined to chunks of at least CHUNK_BYTES, but for the last one."""
     chunk = bytearray()
     for record in records:
         chunk += record
         if len(chunk) >= CHUNK_BYTES:
-            write_whole(descriptor, bytes(chunk))
-            written += len(chunk)
+            yield bytes(chunk)
             chunk.clear()
     if chunk:
-        write_whole(descriptor, bytes(chunk))
-    return written + len(chunk)
+        yield bytes(chunk)
--- a/ashpath/server/storage/orphaned_logs.py
+++ b/ashpath/server/storage/orphaned_logs.py
@@ -39,8 +39,8 @@
                 raise
         return messages
 
-    def clear(self, path: Path) -> None:
-        """Empties or removes a log whose messages are copied.
+    def clear(self, path: Path) -> bool:
+        """Empties or removes a log whose messages are copied; returns whether that succeeded.
 
         If that fails, the next call repeats it: the messages must not be copied again once they are finished.
         """
@@ -48,3 +48,4 @@
         with suppress(OSError):
             clear_adopted(path)
             self._copied.discard(path)
+        return path not in self._copied
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -3,8 +3,9 @@
 Theory of operation. The log is the table of live messages (`live_messages.py`) and a file of records
 (`log_file.py`, `record_codec.py`) from which the next incarnation rebuilds the table. A record is first
 written and then applied to the table. When the file and a copy of the live messages would no longer fit into
-`max_bytes`, the file is rewritten with the live messages alone. A message is accepted only while a rewrite
-would fit at any later time, so a rewrite never exceeds the limit of the disk.
+the limit of the disk, the file is rewritten with the live messages alone. A message is accepted only while a
+rewrite would fit at any later time. Other logs count too, and no write goes over the limit
+(`disk_account.py`).
 
 | failed write | effect |
 | --- | --- |
@@ -19,8 +20,8 @@
 killed before that, the next incarnation finds an attempt that may have run, or sends a notice a second time.
 
 While rewrites fail, no message is accepted that would need one. Attempts and outcomes of accepted messages
-are still appended, beyond `max_bytes` if need be: delivery goes on, and the number of accepted messages
-bounds the growth. `LogRepairer` logs both and repeats the rewrite.
+are still appended, in the room that a rewrite would need. Once half of that is used up, no attempt is sent,
+and records of outcomes wait in memory. `LogRepairer` logs both and repeats the rewrite.
 
 A new directory on a failing disk may take no lock file. The constructor leaves the log unclaimed then:
 nothing is accepted, no file is touched, and each rewrite tries to claim the log first. It claims an unused
@@ -28,7 +29,8 @@
 
 The logs of processes that have ended are adopted (`log_directory.py`): their live messages get new ids and
 are written to this log, and only then is the other log emptied. A kill in between leaves a message in both
-logs, so a message whose trace id is live already is not adopted again.
+logs, so a message whose trace id is live already is not adopted again. They are written by a rewrite, or
+appended where a rewrite has no room beside the other log.
 
 A rewrite also has the messages that ended recently (`ended_messages.py`), as far as there is room beside the
 live ones and the old file.
@@ -36,15 +38,16 @@
 
 from __future__ import annotations
 
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from itertools import chain
 from pathlib import Path
 
-from ashpath.server.storage.errors import ForeignRecordError, LogIncompleteError
+from ashpath.server.storage.disk_account import DiskAccount, size_of
+from ashpath.server.storage.errors import DiskLimitError, ForeignRecordError, LogIncompleteError
 from ashpath.server.storage.file_lock import FileLock
 from ashpath.server.storage.live_messages import LiveMessages, reserved_bytes
 from ashpath.server.storage.log_directory import (
-    BLOCK_BYTES,
     DISK_ERRORS,
     FIRST_LOG,
     LockedLog,
@@ -64,7 +67,8 @@
 
 NO_OP_RECORD = MessageFinished(0, None).encode()  # no message has this id
 ENDED_MESSAGES_SHARE = 1 / 8  # of the limit of the log
-REWRITE_FACTOR = 2.1  # room for the old file, the new file, and a twentieth of them for further records
+LEAST_OBSOLETE_BYTES = 512  # a rewrite that makes less room is not worth it
+LEAST_OBSOLETE_SHARE = 1 / 32  # of the log, likewise
 
 
 class WriteAheadLog:
@@ -76,16 +80,19 @@
     """
 
     def __init__(self, directory: Path, max_bytes: int) -> None:
-        """`max_bytes`: the disk limit for this log, its copy during a rewrite, and other processes' logs."""
+        """`max_bytes`: the disk limit for the logs of all processes, and their copies during a rewrite."""
         self.max_bytes = max_bytes
         self.messages = LiveMessages()
         """Read-only for other classes: only this class changes the table, together with the log."""
-        self.other_logs_bytes = 0  # bytes that other processes' logs may need, as of the last `adopt`
+        self.other_logs_bytes = 0  # bytes of other processes' logs, as of the last `adopt`
         self.may_have_orphans = True  # False if no other log had records after the last `adopt`
         self._directory = LogDirectory(directory)
+        self._disk = DiskAccount(self._directory, max_bytes)
         self._lock: FileLock | None = None  # None: unclaimed, and `file` must not be touched
         self.file = LogFile(directory / FIRST_LOG)
         self.rewrite_failing = True  # until a rewrite succeeds, and again from a failed one on
+        self._ended_bytes = 0  # of messages that have ended, in the file as it was last rewritten
+        self._rewritten_surplus = 0  # bytes of the file, less the live messages' bound, as it was rewritten
         self._valid_bytes = 0  # of the file as it was read, up to the end of its last valid record
         self._unwritten: list[bytes] = []  # records that are applied to `messages` and missing in the file
         self.skipped_bytes = (
@@ -146,6 +153,7 @@
             self.other_logs.find(self.file.path)
             self.other_logs_bytes = self._directory.other_logs_bytes(self.file.path)
             self.may_have_orphans = self.other_logs_bytes > 0
+            self._disk.find_unregistered(self.file.path)
         return adopted
 
     def _adopt_log(self, path: Path) -> list[StoredMessage]:
@@ -153,19 +161,49 @@
         read or this log cannot be written. The next `adopt` tries again then."""
         try:
             orphaned = self._orphaned_logs.read(path)
+            self.messages.ended.update(orphaned.ended)
+            with self._locked():
+                adopted = self._write_adopted(orphaned)
+                if self._orphaned_logs.clear(path):
+                    self._disk.forget(path)
         except (OSError, ForeignRecordError):
             return []
+        return adopted
+
+    def _write_adopted(self, orphaned: LiveMessages) -> list[StoredMessage]:
+        """Adds the messages of an orphan to the table and to the file. Raises OSError, and adds none then."""
         adopted = self._adopt_messages(orphaned)
         try:
-            self.messages.ended.update(orphaned.ended)
             self._rewrite()
+        except DiskLimitError:
+            self._discard(adopted)
         except OSError:
-            for message in adopted:
-                self.messages.discard(message)
-            return []
-        self._orphaned_logs.clear(path)
+            self._discard(adopted)
+            raise
+        else:
+            return adopted
+        with suppress(OSError):
+            self._rewrite()  # of its own messages alone: less of the file may be left
+        return self._append_adopted(orphaned)
+
+    def _append_adopted(self, orphaned: LiveMessages) -> list[StoredMessage]:
+        """Does what `_write_adopted` does by an append, which takes less room than a rewrite."""
+        adopted = self._adopt_messages(orphaned)
+        records = [MessageSubmitted(message).encode() for message in adopted]
+        try:
+            self._complete()
+            self._append_to_file(
+                b"".join(chain(records, orphaned.ended.records(self._ended_messages_room())))
+            )
+        except OSError:
+            self._discard(adopted)
+            raise
         return adopted
 
+    def _discard(self, messages: list[StoredMessage]) -> None:
+        for message in messages:
+            self.messages.discard(message)
+
     def _adopt_messages(self, orphaned: LiveMessages) -> list[StoredMessage]:
         adopted = []
         for message in orphaned.live.values():
@@ -188,18 +226,37 @@
         """Records an accepted message; returns False if the log has no room for it or the write fails."""
         data = MessageSubmitted(message).encode()
         needed = self.messages.reserved_bytes + reserved_bytes(message, len(data))
-        if REWRITE_FACTOR * needed > self.max_bytes - BLOCK_BYTES - self.other_logs_bytes:
-            return False
         try:
-            self._complete()
-            if not self._make_room(len(data)):
-                return False
-            self.file.append(data)
+            with self._locked():
+                self._complete()
+                if not self._disk.may_owe(needed):
+                    return False
+                self._disk.set_owed(needed)
+                if not self._make_room(len(data)):
+                    return False
+                self._append_to_file(data)
         except OSError:
             return False
         self.messages.add(message, len(data))
         return True
 
+    @contextmanager
+    def _locked(self) -> Iterator[None]:
+        """Holds the lock of the directory, which each write needs, with this log registered in the account.
+
+        Raises OSError.
+        """
+        with self._disk.locked():
+            if self._lock is not None:
+                self._register()
+            yield
+
+    def _register(self) -> None:
+        if self._disk.is_registered:
+            self._disk.set_owed(self.messages.reserved_bytes)
+        else:
+            self._disk.register(self.file.path, self.messages.reserved_bytes)
+
     def record_attempt(self, message: StoredMessage, at: int, endpoint: str) -> None:
         """Records an attempt before it is sent; `at` in microseconds of the stored clock.
 
@@ -254,8 +311,9 @@
 
     def _append_unwritten(self) -> bool:
         try:
-            self._open_existing()
-            self.file.append(b"".join(self._unwritten))
+            with self._locked():
+                self._open_existing()
+                self._append_owed(b"".join(self._unwritten))
         except OSError:
             return False
         self._unwritten.clear()
@@ -264,12 +322,32 @@
     def _open_existing(self) -> None:
         """Opens the file that was read at the start and that no rewrite could replace, unless it is open."""
         if self._lock is not None and not self.file.is_open:
+            self._disk.grow_log(max(size_of(self.file.path), self._valid_bytes + len(NO_OP_RECORD)))
             self.file.open_existing(self._valid_bytes, NO_OP_RECORD)
 
     def _append(self, data: bytes) -> None:
-        """Appends a record of an accepted message, even if the log has no room and cannot be rewritten."""
-        self._complete()
-        self._make_room(len(data))
+        """Rewrites the log if it has no room, and appends a record of an accepted message. Raises OSError."""
+        with self._locked():
+            self._complete()
+            self._make_room(len(data))
+            self._append_owed(data)
+
+    def _append_owed(self, data: bytes) -> None:
+        """Appends records of accepted messages, in the room of a copy if the log cannot be rewritten.
+
+        Raises DiskLimitError if half of that room is used up, and any other OSError of the write.
+        """
+        if self.file.is_open and not self._disk.has_room_for_owed(self.file.written + len(data)):
+            raise DiskLimitError(self.max_bytes)
+        self._append_to_file(data)
+
+    def _append_to_file(self, data: bytes) -> None:
+        """Appends to the open file. Raises DiskLimitError, or another OSError of the write."""
+        size = self.file.written + len(data)
+        if self.file.torn:
+            size = max(size, size_of(self.file.path))
+        if self.file.is_open:
+            self._disk.grow_log(size)
         self.file.append(data)
 
     def _complete(self) -> None:
@@ -281,32 +359,50 @@
 
     def _make_room(self, size: int) -> bool:
         """Rewrites the log if it has no room for `size` bytes and a copy of the live messages.
+        Returns whether it has room.
 
-        Returns False if that fails, and also without a try if the last rewrite failed: `repair` repeats it,
-        as a rewrite for each record would hold up the sender.
+        Does not try if the last rewrite failed: `repair` repeats it, as a rewrite for each record would hold
+        up the sender.
         """
-        if self.file.written + size + self.messages.reserved_bytes + BLOCK_BYTES <= self.max_bytes:
-            return True
-        if not self.rewrite_failing:
-            with suppress(OSError):
-                self._rewrite()
-        return not self.rewrite_failing
+        has_room = self._disk.has_room(self.file.written + size)
+        if self.rewrite_failing or has_room:
+            return has_room
+        least = max(LEAST_OBSOLETE_BYTES, LEAST_OBSOLETE_SHARE * self.file.written)
+        if self._obsolete_bytes() + self._ended_bytes < least:
+            return False
+        with suppress(OSError):
+            self._rewrite()
+        return self._disk.has_room(self.file.written + size)
+
+    def _obsolete_bytes(self) -> int:
+        """Returns the bytes that have become obsolete since the last rewrite."""
+        return self.file.written - self.messages.reserved_bytes - self._rewritten_surplus
 
     def _rewrite(self, *further_records: bytes) -> None:
+        """Replaces the file by a copy of the live messages, and of ended ones as far as there is room.
+
+        Raises OSError, in which case the file is unchanged."""
         live = (MessageSubmitted(message).encode() for message in self.messages.live.values())
         self.rewrite_failing = True
         if self._lock is None:
             self._claim_unused()
-        ended = self.messages.ended.records(self._room_for_ended_messages())
-        self.file.rewrite(chain(live, ended, further_records))
+        with self._locked():
+            ended = b"".join(self.messages.ended.records(self._ended_messages_room()))
+            try:
+                self.file.rewrite(chain(live, (ended,), further_records), self._disk.grow_copy)
+            except OSError:
+                if not self.file.temporary.exists():
+                    self._disk.copy_removed()
+                raise
+            self._disk.replaced(self.file.written)
         self.rewrite_failing = False
+        self._ended_bytes = len(ended)
+        self._rewritten_surplus = self.file.written - self.messages.reserved_bytes
         self._unwritten.clear()
 
-    def _room_for_ended_messages(self) -> int:
-        """Returns the bytes that a rewrite leaves beside the old file and the live messages, up to a share of
-        the limit."""
-        used = self.file.written + self.messages.reserved_bytes + self.other_logs_bytes + BLOCK_BYTES
-        return max(0, min(int(self.max_bytes * ENDED_MESSAGES_SHARE), self.max_bytes - used))
+    def _ended_messages_room(self) -> int:
+        """Returns the bytes for ended messages: what the logs leave, up to a share of the limit."""
+        return min(int(self.max_bytes * ENDED_MESSAGES_SHARE), self._disk.room_beside_copy())
 
     def _claim_unused(self) -> None:
         self._use(self._directory.claim(unused=True))
@@ -316,5 +412,6 @@
     def close(self) -> None:
         """Closes and unlocks the log, which another process may then claim or adopt."""
         self.file.close()
+        self._disk.close()
         if self._lock is not None:
             self._lock.release()
--- a/tests/server/http/test_admission.py
+++ b/tests/server/http/test_admission.py
@@ -12,7 +12,7 @@
 
 from ashpath.server.delivery.outcome_recorder import SubmitDecision, SubmitResult
 from ashpath.server.http.admission import Admission, AdmissionResult
-from ashpath.server.storage.log_directory import BLOCK_BYTES
+from ashpath.server.storage.disk_account import RESERVE_BYTES
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 SAME_TRACE_ID = (request("i", "free", "200", 1), request("i", "once", "500", 1))
@@ -59,7 +59,7 @@
 def test_full_write_ahead_log_rejects_messages_and_loses_none(tmp_path: Path) -> None:
     """Guards against a log that outgrows its share of the disk while its old and its new file exist together:
     messages that do not fit are answered 503, and no accepted message is lost."""
-    max_bytes = 8 * BLOCK_BYTES
+    max_bytes = 8 * RESERVE_BYTES
     admission, write_ahead_log = admission_and_log(tmp_path, max_bytes)
     statuses: list[int] = []
     sizes: list[int] = []
