A log beside another one is rewritten once most of it is obsolete: upgrades refuse nothing new

Callers saw: 503 to nearly all that is new from the new process's yes to the old one's end. Cause: the old log stays as large as it was, though little of it is live, and the new process left 2.2 times its whole size to it.

Checks: test_new_process_has_room_that_obsolete_records_of_old_one_took failed on the tree before.

--- a/ashpath/server/log_repair.py
+++ b/ashpath/server/log_repair.py
@@ -23,7 +23,7 @@
 
 class LogRepairer:
     """Repairs the write-ahead log every `interval_s` seconds. Logs once when the log falls behind or cannot
-    be rewritten, and once when each is over.
+    be rewritten, and once when each is over. Beside another process's log, also rewrites it to leave room.
 
     `outcome_store` is repaired first, as the log may drop a message only after its final state was stored
     there."""
@@ -56,6 +56,8 @@
         log = self.write_ahead_log
         if log.needs_repair or log.rewrite_failing:
             log.repair()
+        else:
+            log.leave_room_for_others()
         self._report_behind(behind=log.needs_repair)
         self._report_rewrites(not_rewritten=log.rewrite_failing and not log.needs_repair)
 
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -5,7 +5,8 @@
 written and then applied to the table. When the file and a copy of the live messages would no longer fit into
 the limit of the disk, the file is rewritten with the live messages alone. A message is accepted only while a
 rewrite would fit at any later time. Other logs count too, and no write goes over the limit
-(`disk_account.py`).
+(`disk_account.py`). Beside another log, a log is rewritten as soon as most of it is obsolete, so that what
+it does not need is room for the other one.
 
 | failed write | effect |
 | --- | --- |
@@ -67,6 +68,7 @@
 
 NO_OP_RECORD = MessageFinished(0, None).encode()  # no message has this id
 ENDED_MESSAGES_SHARE = 1 / 8  # of the limit of the log
+SHARED_OBSOLETE_BYTES = 64 << 10  # beside another log, a log with less is not rewritten
 LEAST_OBSOLETE_BYTES = 512  # a rewrite that makes less room is not worth it
 LEAST_OBSOLETE_SHARE = 1 / 32  # of the log, likewise
 
@@ -357,23 +359,35 @@
         if self.rewrite_failing or not self.repair():
             raise LogIncompleteError(self.file.path)
 
+    def leave_room_for_others(self) -> None:
+        """Rewrites the log if there is another one and most of this one is obsolete; see `_is_wasteful`."""
+        if self._disk.has_other_logs():
+            with suppress(OSError), self._locked():
+                self._make_room(0)
+
     def _make_room(self, size: int) -> bool:
-        """Rewrites the log if it has no room for `size` bytes and a copy of the live messages.
-        Returns whether it has room.
+        """Rewrites the log if it has no room for `size` bytes and a copy of the live messages, or is
+        wasteful. Returns whether it has room.
 
         Does not try if the last rewrite failed: `repair` repeats it, as a rewrite for each record would hold
         up the sender.
         """
         has_room = self._disk.has_room(self.file.written + size)
-        if self.rewrite_failing or has_room:
+        if self.rewrite_failing or (has_room and not self._is_wasteful()):
             return has_room
         least = max(LEAST_OBSOLETE_BYTES, LEAST_OBSOLETE_SHARE * self.file.written)
-        if self._obsolete_bytes() + self._ended_bytes < least:
+        if not has_room and self._obsolete_bytes() + self._ended_bytes < least:
             return False
         with suppress(OSError):
             self._rewrite()
         return self._disk.has_room(self.file.written + size)
 
+    def _is_wasteful(self) -> bool:
+        """Whether another log may need the room of what is obsolete in this one."""
+        obsolete = self._obsolete_bytes()
+        needed = max(SHARED_OBSOLETE_BYTES, self.messages.reserved_bytes)
+        return obsolete > needed and self._disk.has_other_logs()
+
     def _obsolete_bytes(self) -> int:
         """Returns the bytes that have become obsolete since the last rewrite."""
         return self.file.written - self.messages.reserved_bytes - self._rewritten_surplus
--- a/tests/server/storage/test_disk_limit.py
+++ b/tests/server/storage/test_disk_limit.py
@@ -119,6 +119,7 @@
         else:
             log = self.random.choice(self.logs)
             log.adopt()
+            log.leave_room_for_others()
 
     def live(self) -> set[str]:
         """Returns the trace ids that the next process finds, from a copy of the directory."""
@@ -209,6 +210,20 @@
     new.close()
 
 
+def test_new_process_has_room_that_obsolete_records_of_old_one_took(tmp_path: Path) -> None:
+    """Guards against an upgrade that refuses what is new as the old log is large, though little is owed."""
+    old = WriteAheadLog(tmp_path, MAX_BYTES)
+    alone = submit_until_full(old, "o", 1000)
+    for message in list(old.messages.live.values()):
+        old.record_finished(message)
+    assert old.file.written > MAX_BYTES // 3
+    new = WriteAheadLog(tmp_path, MAX_BYTES)
+    old.leave_room_for_others()  # as the sender does at intervals, and with each record
+    assert submit_until_full(new, "n", 1000) >= alone - 1
+    old.close()
+    new.close()
+
+
 def test_slot_of_killed_process_is_freed(tmp_path: Path) -> None:
     """The slots are limited in number; kills at any moment must not use them up."""
     for number in range(40):
