Replaced files of the state directory: one temporary at a time, and bounded

Cause: outages, clock and detached endpoints had a temporary file for each process, two at once in a hot upgrade and one left for good by each kill in between; the ids of 128 outages could take more than the 16 KiB that are kept for them, and up to 4,096 detached endpoints were not counted at all. Now they are replaced under the lock of the directory by one temporary file, those of killed processes of earlier releases are removed at the start, outages have at most 16 KiB, and detached endpoints a 64th of the limit (one clear error beyond it).

--- a/ashpath/server/limits/storage.py
+++ b/ashpath/server/limits/storage.py
@@ -9,8 +9,8 @@
     """Disk space, and final outcomes that are kept for queries of clients."""
 
     disk_bytes: int
-    """Disk space of the write-ahead log, its old and its new file together, with the shared memory and the
-    outages."""
+    """Disk space of the state directory, both processes of a hot upgrade together, without the final
+    outcomes."""
     outcome_store_bytes: int = 0
     """The size of the final outcomes on disk, and as much in memory. A sender's own file sets it."""
     outcome_retention_s: float = 0.0
--- a/ashpath/server/state_files.py
+++ b/ashpath/server/state_files.py
@@ -7,30 +7,43 @@
 from ashpath.server.limits.storage import StorageLimits
 from ashpath.server.logs import Logger
 from ashpath.server.sender import ProcessOptions
-from ashpath.server.storage import outage_store, shared_memory
+from ashpath.server.storage import detached_endpoints, outage_store, shared_memory
+from ashpath.server.storage.atomic_file import remove_earlier_temporaries
 from ashpath.server.storage.shared_memory import MAX_PROCESSES, SharedMemory
 from ashpath.server.storage.shared_memory_layout import FILE_BYTES
 from ashpath.server.storage.stored_clock import ClockOrigin, initialize_stored_clock
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
+DETACHED_ENDPOINTS_SHARE = 64  # the file has at most one part in so many of the disk limit
+
 
 def open_write_ahead_log(
     process_options: ProcessOptions, limits: StorageLimits, logger: Logger
 ) -> WriteAheadLog:
-    """Opens the write-ahead log, whose maximum size is `disk_bytes` without the shared memory and the
-    outages.
+    """Opens the write-ahead log, whose maximum size is `disk_bytes` without the other files.
 
     Raises OSError, LogLockedError or ForeignRecordError."""
+    remove_earlier_temporaries(process_options.state_directory)
     initialize_clock(process_options, logger)
-    files = shared_memory_files(process_options)
-    write_ahead_log = WriteAheadLog(
-        process_options.state_directory, limits.disk_bytes - files * FILE_BYTES - outage_store.MAX_DISK_BYTES
-    )
+    other_files = shared_memory_files(process_options) * FILE_BYTES + replaced_files_bytes(limits)
+    write_ahead_log = WriteAheadLog(process_options.state_directory, limits.disk_bytes - other_files)
     if write_ahead_log.skipped_bytes:
         logger.error("write-ahead log damaged", skipped_bytes=write_ahead_log.skipped_bytes)
     return write_ahead_log
 
 
+def replaced_files_bytes(limits: StorageLimits) -> int:
+    """Returns the most bytes of the files that are replaced as a whole: at any moment one of them has a
+    temporary file beside it."""
+    detached = detached_endpoints_bytes(limits)
+    return outage_store.MAX_FILE_BYTES + detached + max(outage_store.MAX_FILE_BYTES, detached)
+
+
+def detached_endpoints_bytes(limits: StorageLimits) -> int:
+    """Returns the most bytes of the file of detached endpoints."""
+    return min(detached_endpoints.MAX_FILE_BYTES, limits.disk_bytes // DETACHED_ENDPOINTS_SHARE)
+
+
 def initialize_clock(process_options: ProcessOptions, logger: Logger) -> None:
     """Sets the clock of stored times; called before any stored time is read. After a boot of the machine,
     removes the shared memory, so that a Retry-After from before the boot no longer applies."""
--- a/ashpath/server/storage/detached_endpoints.py
+++ b/ashpath/server/storage/detached_endpoints.py
@@ -23,6 +23,7 @@
 FILE_NAME = "held-endpoints"
 VERSION = 1
 MAX_ENDPOINTS = 4096
+MAX_FILE_BYTES = 16 << 10  # some 1,200 endpoints with ids of ten characters
 LOCK_ATTEMPTS = 50
 LOCK_PAUSE_S = 0.001  # between two attempts; the other process holds the lock for one small write
 
@@ -30,12 +31,13 @@
 class DetachedEndpoints:
     """The file in one state directory. Nothing is cached in memory: another process may change the file."""
 
-    def __init__(self, directory: Path, logger: Logger) -> None:
+    def __init__(self, directory: Path, logger: Logger, max_file_bytes: int = MAX_FILE_BYTES) -> None:
         self._file = VersionedFile(
             directory / FILE_NAME, version=VERSION, rows_name="held", contents="detached endpoints"
         )
         self._lock_path = directory / f"{FILE_NAME}.lock"
         self._logger = logger
+        self._max_file_bytes = max_file_bytes
 
     def read(self) -> set[str]:
         """Returns the stored ids; an empty set if the file does not exist or cannot be read."""
@@ -71,7 +73,10 @@
             self._write(endpoint_ids | {endpoint_id})
 
     def _write(self, endpoint_ids: set[str]) -> None:
-        replace_shared_file(self._file.path, self._file.encode(sorted(endpoint_ids)))
+        content = self._file.encode(sorted(endpoint_ids))
+        if len(content) > self._max_file_bytes:
+            raise DetachedEndpointsError.too_large(self._max_file_bytes)
+        replace_shared_file(self._file.path, content)
 
     @contextmanager
     def _locked(self) -> Iterator[None]:
--- a/ashpath/server/storage/errors.py
+++ b/ashpath/server/storage/errors.py
@@ -106,6 +106,11 @@
         """The file has the maximum number of endpoints."""
         return cls(f"{most} endpoints are detached already")
 
+    @classmethod
+    def too_large(cls, most: int) -> DetachedEndpointsError:
+        """The file would have more than the maximum number of bytes."""
+        return cls(f"the ids of the detached endpoints take more than {most} bytes")
+
     @classmethod
     def locked(cls) -> DetachedEndpointsError:
         """Another process holds the lock."""
--- a/ashpath/server/storage/outage_store.py
+++ b/ashpath/server/storage/outage_store.py
@@ -32,7 +32,7 @@
 VERSION = 1
 MAX_OUTAGES = 128  # the most recently changed are kept
 MAX_ENDPOINT_CHARACTERS = 64  # the outage of an endpoint with a longer id is not stored
-MAX_DISK_BYTES = 2 * 16 << 10  # of the old and the new file together
+MAX_FILE_BYTES = 16 << 10  # more of the most recently changed outages are not stored
 
 
 class Outage(Struct, frozen=True):
@@ -110,10 +110,18 @@
             del self.outages[next(iter(self.outages))]
         self._write()
 
-    def _write(self) -> None:
+    def _content(self) -> bytes:
+        """Returns the file's content; without the oldest outages if their ids take too many bytes."""
         rows = [outage.row() for outage in self.outages.values()]
+        content = self._file.encode(rows)
+        while len(content) > MAX_FILE_BYTES:
+            del rows[0]
+            content = self._file.encode(rows)
+        return content
+
+    def _write(self) -> None:
         try:
-            replace_shared_file(self._file.path, self._file.encode(rows))
+            replace_shared_file(self._file.path, self._content())
             self._failing = False
         except OSError as error:
             if not self._failing:
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -131,7 +131,7 @@
     pool = attempt_runner.pool
     recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store, pool.attribution, pool.checks)
     gossip_link = GossipLink()
-    files = open_policy_files(process_options, write_ahead_log, shared_memory, logger)
+    files = open_policy_files(process_options, configuration, write_ahead_log, shared_memory, logger)
     policy_runner = create_policy_runner(configuration, files, recorder, attempt_runner, gossip_link, logger)
     return DeliveryPath(
         write_ahead_log=write_ahead_log,
@@ -171,16 +171,18 @@
 
 def open_policy_files(
     process_options: ProcessOptions,
+    configuration: SenderConfiguration,
     write_ahead_log: WriteAheadLog,
     shared_memory: SharedMemory,
     logger: Logger,
 ) -> StateFiles:
     """Opens the remaining files of the policy runner. Files that cannot be read are logged."""
     directory = process_options.state_directory
+    detached_bytes = state_files.detached_endpoints_bytes(configuration.limits.storage)
     return StateFiles(
         write_ahead_log=write_ahead_log,
         shared_memory=shared_memory,
-        detached_endpoints=DetachedEndpoints(directory, logger),
+        detached_endpoints=DetachedEndpoints(directory, logger, detached_bytes),
         outage_store=OutageStore(directory, logger),
     )
 
--- a/tests/server/storage/test_outage_store.py
+++ b/tests/server/storage/test_outage_store.py
@@ -9,9 +9,10 @@
 import pytest
 from support.loggers import RecordingLogger
 
+from ashpath.server.storage.directory_lock import LOCK_FILE
 from ashpath.server.storage.outage_store import (
-    MAX_DISK_BYTES,
     MAX_ENDPOINT_CHARACTERS,
+    MAX_FILE_BYTES,
     MAX_OUTAGES,
     OutageStore,
 )
@@ -48,12 +49,15 @@
     assert log.events == ["outages not read, none are known"]
 
 
-def test_outage_file_size_is_bounded_for_many_destinations(tmp_path: Path) -> None:
+@pytest.mark.parametrize("character", ["e", "é", "\x01"])
+def test_outage_file_size_is_bounded_for_many_destinations(tmp_path: Path, character: str) -> None:
+    """Guards also against ids whose characters take several bytes each."""
     store = OutageStore(tmp_path, RecordingLogger().logger)
     for number in range(500):
-        store.outage_began(number, "e" * MAX_ENDPOINT_CHARACTERS, 1.0)
+        store.outage_began(number, character * MAX_ENDPOINT_CHARACTERS, 1.0)
     store.outage_began(999, "e" * 4096, 1.0)
-    assert 2 * (tmp_path / "outages").stat().st_size < MAX_DISK_BYTES
+    assert (tmp_path / "outages").stat().st_size <= MAX_FILE_BYTES
+    assert OutageStore(tmp_path, RecordingLogger().logger).active()[-1].destination == 499
     assert len(store.active()) == MAX_OUTAGES
     assert store.active()[-1].destination == 499
 
@@ -70,4 +74,5 @@
     for number in (600, 601):
         store.outage_began(number, "", 1.0)
     assert log.events == ["outages not written"]
-    assert [path.name for path in tmp_path.iterdir()] == ["outages"]
+    # No temporary file is left beside the file and the lock of the directory.
+    assert sorted(path.name for path in tmp_path.iterdir()) == [LOCK_FILE, "outages"]
--- a/tests/server/test_limits.py
+++ b/tests/server/test_limits.py
@@ -57,6 +57,7 @@
     "initial_silence_s": 0.7,
     "initial_snapshots_s": 3.0,
     "log_repair_s": 0.25,
+    "disk_usage_interval_s": 0.25,
     "notification_backoff_s": 0.15,
     "notification_s": 0.5,
     "notification_batch": 200,
