A stopped process that holds the directory's lock holds up one write of the other, not each

Each write waited up to 0.2 s for the lock; a sender whose other process is stopped would wait at each record. After a wait in vain the lock is tried without patience for a second. Checks: the test failed before; storage tests pass.

--- a/ashpath/server/storage/directory_lock.py
+++ b/ashpath/server/storage/directory_lock.py
@@ -18,6 +18,7 @@
 LOCK_FILE = "disk.lock"
 PATIENCE_S = 0.2  # a sender may be held up for 0.15 s between two of its steps
 PAUSE_S = 0.0005  # between two attempts to lock
+BUSY_S = 1.0  # after the lock was not to be had, for so long it is tried without patience
 
 
 class DirectoryLock:
@@ -27,13 +28,14 @@
         self._path = directory / LOCK_FILE
         self._file: FileLock | None = None  # opened by the first use
         self._depth = 0
+        self._impatient_until = 0.0  # of the monotonic clock
 
     @contextmanager
     def locked(self) -> Iterator[None]:
         """Holds the lock within the context.
 
-        Raises DirectoryBusyError if another process holds the lock for longer than PATIENCE_S, and any other
-        OSError if the lock file cannot be opened or locked.
+        Raises DirectoryBusyError if another process, perhaps a stopped one, holds the lock for longer than
+        PATIENCE_S, and any other OSError if the lock file cannot be opened or locked.
         """
         if not self._depth:
             self._acquire()
@@ -49,12 +51,14 @@
         if self._file is None:
             self._path.parent.mkdir(parents=True, exist_ok=True)
             self._file = FileLock(self._path)
-        until = time.monotonic() + PATIENCE_S
+        began = time.monotonic()
+        until = began + (0.0 if began < self._impatient_until else PATIENCE_S)
         while True:
             try:
                 fcntl.flock(self._file.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
             except BlockingIOError as error:
-                if time.monotonic() > until:
+                if time.monotonic() >= until:
+                    self._impatient_until = time.monotonic() + BUSY_S
                     raise DirectoryBusyError(self._path) from error
                 time.sleep(PAUSE_S)
             else:
--- a/tests/server/storage/test_disk_limit.py
+++ b/tests/server/storage/test_disk_limit.py
@@ -8,6 +8,7 @@
 
 import os
 import shutil
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
@@ -16,6 +17,7 @@
 import pytest
 from support.failing_disk import KILL, FailingDisk, KilledError, failing_calls
 
+from ashpath.server.storage.directory_lock import PATIENCE_S, DirectoryLock
 from ashpath.server.storage.directory_usage import directory_usage
 from ashpath.server.storage.disk_usage_layout import FILE_BYTES
 from ashpath.server.storage.stored_message import StoredMessage
@@ -238,3 +240,18 @@
     assert not log.other_logs_bytes
     assert (tmp_path / "disk-usage").stat().st_size == FILE_BYTES
     log.close()
+
+
+def test_lock_that_a_stopped_process_holds_holds_up_one_write_alone(tmp_path: Path) -> None:
+    """Guards against a sender that waits at each record while the other process of an upgrade is stopped."""
+    log = WriteAheadLog(tmp_path, MAX_BYTES)
+    other = DirectoryLock(tmp_path)
+    message = StoredMessage(1, "a", 0, 1, None, None, FAR_DEADLINE, b"")
+    with other.locked():
+        assert not log.record_submitted(message)
+        began = time.monotonic()
+        assert not any(log.record_submitted(message) for _ in range(20))
+        assert time.monotonic() - began < PATIENCE_S
+    other.close()
+    assert log.record_submitted(message)
+    log.close()
