--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -148,7 +148,10 @@
             return adopted
         for orphan in self._directory.orphans(self.file.path):
             try:
-                adopted += self._adopt_log(orphan.path)
+                if orphan.path.name == FIRST_LOG and not size_of(orphan.path):
+                    self._forget_slot(orphan.path)  # it stays, and has nothing to adopt
+                else:
+                    adopted += self._adopt_log(orphan.path)
             finally:
                 orphan.lock.release()
         with suppress(OSError):  # the caller still has to receive the adopted messages
@@ -172,8 +175,14 @@
             return []
         return adopted
 
+    def _forget_slot(self, path: Path) -> None:
+        with suppress(OSError):
+            self._disk.forget(path)
+
     def _write_adopted(self, orphaned: LiveMessages) -> list[StoredMessage]:
         """Adds the messages of an orphan to the table and to the file. Raises OSError, and adds none then."""
+        if not orphaned.live and not orphaned.ended:
+            return []
         adopted = self._adopt_messages(orphaned)
         try:
             self._rewrite()
--- a/tests/server/storage/test_disk_limit.py
+++ b/tests/server/storage/test_disk_limit.py
@@ -242,6 +242,19 @@
     log.close()
 
 
+def test_empty_first_log_is_not_adopted_again_and_again(tmp_path: Path) -> None:
+    """Guards against a rewrite of the whole log at each look for orphans, for good after an upgrade."""
+    old = WriteAheadLog(tmp_path, MAX_BYTES)
+    new = WriteAheadLog(tmp_path, MAX_BYTES)
+    assert submit_until_full(new, "n", 1000)
+    old.close()
+    assert new.adopt() == []
+    inode = new.file.path.stat().st_ino
+    assert new.adopt() == []
+    assert new.file.path.stat().st_ino == inode
+    new.close()
+
+
 def test_lock_that_a_stopped_process_holds_holds_up_one_write_alone(tmp_path: Path) -> None:
     """Guards against a sender that waits at each record while the other process of an upgrade is stopped."""
     log = WriteAheadLog(tmp_path, MAX_BYTES)
