Traffic classes are stored at each start: stored messages keep their class under another file

Cause: records have the class's place in the file, and a platform's sender stored the rows by place only at SIGHUP. Change: each start writes the rows before a message is accepted; while that fails, messages are refused and the write repeated. Rows stay while stored messages, orphans or another living process may refer to them. Tests changed: a start without live messages wrote no rows, and its test asked for none; it now asks for the file's.

--- a/ashpath/cli/standalone_deployment.py
+++ b/ashpath/cli/standalone_deployment.py
@@ -147,6 +147,11 @@
         """
         return configuration
 
+    @property
+    def unwritten_traffic_class_ids(self) -> None:
+        """See `Deployment`. `run_sender` has written the imprint."""
+        return None
+
     def store_traffic_class_ids(self, configuration: SenderConfiguration) -> None:
         """Writes the traffic classes to the state directory's imprint. Raises OSError."""
         try:
--- a/ashpath/server/deployment.py
+++ b/ashpath/server/deployment.py
@@ -15,6 +15,7 @@
 from ashpath.server.limits.server_limits import ServerLimits
 from ashpath.server.limits.storage import StorageLimits
 from ashpath.server.logs import Logger
+from ashpath.server.storage.repairable import Repairable
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 if TYPE_CHECKING:
@@ -53,6 +54,12 @@
         keep them."""
         ...
 
+    @property
+    def unwritten_traffic_class_ids(self) -> Repairable | None:
+        """The file of the traffic class ids, which must be written before a message is accepted; None if the
+        start has written it."""
+        ...
+
     def store_traffic_class_ids(self, configuration: SenderConfiguration) -> None:
         """Stores the traffic class ids for the next incarnation, as the write-ahead log contains no names.
 
--- a/ashpath/server/log_repair.py
+++ b/ashpath/server/log_repair.py
@@ -2,25 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 import gevent
 
 from ashpath.server.logs import Logger
+from ashpath.server.storage.repairable import Repairable
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
-class Repairable(Protocol):
-    """A file whose writes may have failed."""
-
-    @property
-    def needs_repair(self) -> bool:
-        """Whether data is still to be written."""
-
-    def repair(self) -> bool:
-        """Writes the outstanding data. Returns False if the disk does not accept it yet."""
-
-
 class LogRepairer:
     """Repairs the write-ahead log every `interval_s` seconds. Logs once when the log falls behind or cannot
     be rewritten, and once when each is over. Beside another process's log, also rewrites it to leave room.
--- a/ashpath/server/platform_deployment.py
+++ b/ashpath/server/platform_deployment.py
@@ -141,16 +141,21 @@
     def restore_traffic_class_ids(
         self, configuration: SenderConfiguration, *, has_live_messages: bool
     ) -> SenderConfiguration:
-        """See `Deployment`. The ids are stored from the first settings switch on, and deleted at a start
-        without live messages."""
+        """See `Deployment`. The ids are stored at each start, before a message is accepted under them."""
         known = self.traffic_class_ids.read()
         restored = configuration.with_traffic_class_ids(
             known, has_live_messages=has_live_messages and bool(known)
         )
-        if known and not has_live_messages:
-            self.traffic_class_ids.remove()
+        rows = restored.settings.document["classes"]
+        if rows != known:
+            self.traffic_class_ids.keep(rows)
         return restored
 
+    @property
+    def unwritten_traffic_class_ids(self) -> TrafficClassIds:
+        """See `Deployment`."""
+        return self.traffic_class_ids
+
     def store_traffic_class_ids(self, configuration: SenderConfiguration) -> None:
         """See `Deployment`."""
         self.traffic_class_ids.write(configuration.settings.document["classes"])
--- a/ashpath/server/storage/errors.py
+++ b/ashpath/server/storage/errors.py
@@ -56,6 +56,18 @@
         super().__init__(f"{path}: {reason}")
 
 
+class UnknownTrafficClassError(StorageError, ValueError):
+    """A message of a log has a traffic class that neither the state directory nor the configuration names."""
+
+    reported_as = "ValueError"
+
+    def __init__(self, log: Path, trace_id: str, traffic_class: int) -> None:
+        super().__init__(
+            f"{log}: message {trace_id} has traffic class {traffic_class}, which the configuration does not "
+            "have; start with the configuration under which it was accepted"
+        )
+
+
 class ForeignFileError(ValueError):
     """A file of the state directory is complete JSON in a format that this version does not read."""
 
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -45,7 +45,12 @@
 from pathlib import Path
 
 from ashpath.server.storage.disk_account import DiskAccount, size_of
-from ashpath.server.storage.errors import DiskLimitError, ForeignRecordError, LogIncompleteError
+from ashpath.server.storage.errors import (
+    DiskLimitError,
+    ForeignRecordError,
+    LogIncompleteError,
+    UnknownTrafficClassError,
+)
 from ashpath.server.storage.file_lock import FileLock
 from ashpath.server.storage.live_messages import LiveMessages, reserved_bytes
 from ashpath.server.storage.log_directory import (
@@ -64,6 +69,7 @@
     MessageSubmitted,
     RecordReader,
 )
+from ashpath.server.storage.repairable import Repairable
 from ashpath.server.storage.stored_message import StoredMessage
 
 NO_OP_RECORD = MessageFinished(0, None).encode()  # no message has this id
@@ -101,6 +107,8 @@
             0  # bytes of torn records that were skipped as the claimed log was read, before valid records
         )
         self.other_logs = OtherLogs(self._directory)
+        self.prerequisite: Repairable | None = None
+        """A file that has to be written before a message is accepted."""
         self._orphaned_logs = OrphanedLogs()
         try:
             claimed = self._directory.claim()
@@ -224,6 +232,20 @@
                 adopted.append(message)
         return adopted
 
+    def has_other_process(self) -> bool:
+        """Whether another living process may have a log in the directory."""
+        try:
+            logs = self._directory.other_logs(self.file.path)
+        except OSError:
+            return True
+        return not all(self._directory.is_unlocked(path) for path in logs)
+
+    def check_traffic_classes(self, count: int) -> None:
+        """Raises UnknownTrafficClassError if a live message has a traffic class of `count` or more."""
+        for message in self.messages.live.values():
+            if message.traffic_class >= count:
+                raise UnknownTrafficClassError(self.file.path, message.trace_id, message.traffic_class)
+
     def has_unfinished_predecessor(self, message: StoredMessage) -> bool:
         """Whether a message that another process had accepted before has not ended yet, here or there."""
         message.predecessors = tuple(
@@ -235,6 +257,12 @@
 
     def record_submitted(self, message: StoredMessage) -> bool:
         """Records an accepted message; returns False if the log has no room for it or the write fails."""
+        if (
+            self.prerequisite is not None
+            and self.prerequisite.needs_repair
+            and not self.prerequisite.repair()
+        ):
+            return False
         data = MessageSubmitted(message).encode()
         needed = self.messages.reserved_bytes + reserved_bytes(message, len(data))
         try:
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -77,9 +77,16 @@
     write_ahead_log: WriteAheadLog,
 ) -> SenderConfiguration:
     """Returns the configuration with the traffic class ids of the messages in the write-ahead log, and of
-    those that another process of a hot upgrade may have."""
-    has_live_messages = bool(write_ahead_log.messages.live) or process_options.inherited_socket is not None
-    return deployment.restore_traffic_class_ids(configuration, has_live_messages=has_live_messages)
+    those that another process of a hot upgrade may have.
+
+    Raises UnknownTrafficClassError if a message has a traffic class that no stored row names."""
+    log = write_ahead_log
+    has_other_process = process_options.inherited_socket is not None and log.has_other_process()
+    has_live_messages = bool(log.messages.live) or log.may_have_orphans or has_other_process
+    restored = deployment.restore_traffic_class_ids(configuration, has_live_messages=has_live_messages)
+    log.prerequisite = deployment.unwritten_traffic_class_ids
+    log.check_traffic_classes(len(restored.settings.document["classes"]))
+    return restored
 
 
 def create_services(
--- a/tests/server/test_settings_switch.py
+++ b/tests/server/test_settings_switch.py
@@ -112,7 +112,7 @@
     assert len(harness.notifications) == 1
     harness.kill(signal.SIGTERM)
     harness.start()  # without live messages, ids are assigned anew
-    assert not TrafficClassIds(state).read()
+    assert TrafficClassIds(state).read() == SWITCHED["classes"]
     assert harness.submit("x", "label", "200", 3) == 202
     wait_until(lambda: harness.attempt_count("x") == 1)
 
