--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -60,6 +60,7 @@
     LogDirectory,
 )
 from ashpath.server.storage.log_file import LogFile
+from ashpath.server.storage.obsolete_bytes import ObsoleteBytes
 from ashpath.server.storage.orphaned_logs import OrphanedLogs
 from ashpath.server.storage.other_logs import OtherLogs
 from ashpath.server.storage.record_codec import (
@@ -74,9 +75,6 @@
 
 NO_OP_RECORD = MessageFinished(0, None).encode()  # no message has this id
 ENDED_MESSAGES_SHARE = 1 / 8  # of the limit of the log
-SHARED_OBSOLETE_BYTES = 64 << 10  # beside another log, a log with less is not rewritten
-LEAST_OBSOLETE_BYTES = 512  # a rewrite that makes less room is not worth it
-LEAST_OBSOLETE_SHARE = 1 / 32  # of the log, likewise
 
 
 class WriteAheadLog:
@@ -99,8 +97,7 @@
         self._lock: FileLock | None = None  # None: unclaimed, and `file` must not be touched
         self.file = LogFile(directory / FIRST_LOG)
         self.rewrite_failing = True  # until a rewrite succeeds, and again from a failed one on
-        self._ended_bytes = 0  # of messages that have ended, in the file as it was last rewritten
-        self._rewritten_surplus = 0  # bytes of the file, less the live messages' bound, as it was rewritten
+        self._obsolete = ObsoleteBytes()
         self._valid_bytes = 0  # of the file as it was read, up to the end of its last valid record
         self._unwritten: list[bytes] = []  # records that are applied to `messages` and missing in the file
         self.skipped_bytes = (
@@ -397,7 +394,7 @@
             raise LogIncompleteError(self.file.path)
 
     def leave_room_for_others(self) -> None:
-        """Rewrites the log if there is another one and most of this one is obsolete; see `_is_wasteful`."""
+        """Rewrites the log if there is another one and most of this one is obsolete; see `ObsoleteBytes`."""
         if self._disk.has_other_logs():
             with suppress(OSError), self._locked():
                 self._make_room(0)
@@ -410,24 +407,18 @@
         up the sender.
         """
         has_room = self._disk.has_room(self.file.written + size)
-        if self.rewrite_failing or (has_room and not self._is_wasteful()):
+        if self.rewrite_failing or not self._is_rewrite_due(has_room=has_room):
             return has_room
-        least = max(LEAST_OBSOLETE_BYTES, LEAST_OBSOLETE_SHARE * self.file.written)
-        if not has_room and self._obsolete_bytes() + self._ended_bytes < least:
-            return False
         with suppress(OSError):
             self._rewrite()
         return self._disk.has_room(self.file.written + size)
 
-    def _is_wasteful(self) -> bool:
-        """Whether another log may need the room of what is obsolete in this one."""
-        obsolete = self._obsolete_bytes()
-        needed = max(SHARED_OBSOLETE_BYTES, self.messages.reserved_bytes)
-        return obsolete > needed and self._disk.has_other_logs()
-
-    def _obsolete_bytes(self) -> int:
-        """Returns the bytes that have become obsolete since the last rewrite."""
-        return self.file.written - self.messages.reserved_bytes - self._rewritten_surplus
+    def _is_rewrite_due(self, *, has_room: bool) -> bool:
+        written = self.file.written
+        owed = self.messages.reserved_bytes
+        if has_room:
+            return self._disk.has_other_logs() and self._obsolete.is_wasteful(written, owed)
+        return self._obsolete.is_worth_rewrite(written, owed)
 
     def _rewrite(self, *further_records: bytes) -> None:
         """Replaces the file by a copy of the live messages, and of ended ones as far as there is room.
@@ -447,8 +438,7 @@
                 raise
             self._disk.replaced(self.file.written)
         self.rewrite_failing = False
-        self._ended_bytes = len(ended)
-        self._rewritten_surplus = self.file.written - self.messages.reserved_bytes
+        self._obsolete.rewritten(self.file.written, self.messages.reserved_bytes, len(ended))
         self._unwritten.clear()
 
     def _ended_messages_room(self) -> int:
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -10,9 +10,8 @@
 
 from ashpath.core.platform_settings import load_report_fields
 from ashpath.policy.response_trust import ResponseTrust
-from ashpath.server import state_files
+from ashpath.server import state_files, storage_wiring
 from ashpath.server.addresses import parse_address
-from ashpath.server.adoption import OrphanAdopter
 from ashpath.server.backoff import Backoff
 from ashpath.server.configuration import RunningConfiguration, SenderConfiguration, SenderSettings
 from ashpath.server.control.listener import ControlListener
@@ -41,9 +40,6 @@
 from ashpath.server.self_checks import SelfChecks
 from ashpath.server.sender import ClientSide, DeliveryPath, ProcessOptions, Sender
 from ashpath.server.shutdown import GracefulShutdown
-from ashpath.server.storage.detached_endpoints import DetachedEndpoints
-from ashpath.server.storage.outage_store import OutageStore
-from ashpath.server.storage.shared_memory import SharedMemory
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
 
@@ -60,7 +56,9 @@
     """
     limits = configuration.limits
     write_ahead_log = state_files.open_write_ahead_log(process_options, limits.storage, logger)
-    configuration = restore_traffic_class_ids(process_options, configuration, deployment, write_ahead_log)
+    configuration = storage_wiring.restore_traffic_class_ids(
+        process_options, configuration, deployment, write_ahead_log
+    )
     delivery = create_delivery_path(process_options, configuration, deployment, write_ahead_log, logger)
     clients = create_client_side(process_options, configuration, deployment, delivery, logger)
     delivery.registry.apply_members(configuration.known_endpoints["members"], complete=True)
@@ -70,25 +68,6 @@
     return sender
 
 
-def restore_traffic_class_ids(
-    process_options: ProcessOptions,
-    configuration: SenderConfiguration,
-    deployment: Deployment,
-    write_ahead_log: WriteAheadLog,
-) -> SenderConfiguration:
-    """Returns the configuration with the traffic class ids of the messages in the write-ahead log, and of
-    those that another process of a hot upgrade may have.
-
-    Raises UnknownTrafficClassError if a message has a traffic class that no stored row names."""
-    log = write_ahead_log
-    has_other_process = process_options.inherited_socket is not None and log.has_other_process()
-    has_live_messages = bool(log.messages.live) or log.may_have_orphans or has_other_process
-    restored = deployment.restore_traffic_class_ids(configuration, has_live_messages=has_live_messages)
-    log.prerequisite = deployment.unwritten_traffic_class_ids
-    log.check_traffic_classes(len(restored.settings.document["classes"]))
-    return restored
-
-
 def create_services(
     process_options: ProcessOptions,
     configuration: SenderConfiguration,
@@ -102,7 +81,7 @@
     control = create_control_listener(process_options, configuration, delivery, clients, logger)
     discovery = create_discovery_client(process_options, configuration, delivery.membership, logger)
     gossip = GossipService(delivery.policy_runner, delivery.gossip_link, logger)
-    monitor = create_directory_monitor(process_options, configuration, logger)
+    monitor = storage_wiring.create_directory_monitor(process_options, configuration, logger)
     metrics = create_metrics_service(running, delivery, clients, monitor, discovery, gossip)
     switch = create_settings_switch(running, deployment, delivery, clients, gossip, metrics, logger)
     return Sender(
@@ -115,7 +94,7 @@
         directory_monitor=monitor,
         control=control,
         discovery=discovery,
-        orphan_adopter=create_orphan_adopter(process_options, configuration, delivery, logger),
+        orphan_adopter=storage_wiring.create_orphan_adopter(process_options, configuration, delivery, logger),
         gossip=gossip,
         metrics=metrics,
         settings_switch=switch,
@@ -138,7 +117,9 @@
     pool = attempt_runner.pool
     recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store, pool.attribution, pool.checks)
     gossip_link = GossipLink()
-    files = open_policy_files(process_options, configuration, write_ahead_log, shared_memory, logger)
+    files = storage_wiring.open_policy_files(
+        process_options, configuration, write_ahead_log, shared_memory, logger
+    )
     policy_runner = create_policy_runner(configuration, files, recorder, attempt_runner, gossip_link, logger)
     return DeliveryPath(
         write_ahead_log=write_ahead_log,
@@ -176,24 +157,6 @@
     )
 
 
-def open_policy_files(
-    process_options: ProcessOptions,
-    configuration: SenderConfiguration,
-    write_ahead_log: WriteAheadLog,
-    shared_memory: SharedMemory,
-    logger: Logger,
-) -> StateFiles:
-    """Opens the remaining files of the policy runner. Files that cannot be read are logged."""
-    directory = process_options.state_directory
-    detached_bytes = state_files.detached_endpoints_bytes(configuration.limits.storage)
-    return StateFiles(
-        write_ahead_log=write_ahead_log,
-        shared_memory=shared_memory,
-        detached_endpoints=DetachedEndpoints(directory, logger, detached_bytes),
-        outage_store=OutageStore(directory, logger),
-    )
-
-
 def create_policy_runner(
     configuration: SenderConfiguration,
     files: StateFiles,
@@ -324,33 +287,6 @@
     )
 
 
-def create_orphan_adopter(
-    process_options: ProcessOptions,
-    configuration: SenderConfiguration,
-    delivery: DeliveryPath,
-    logger: Logger,
-) -> OrphanAdopter | None:
-    """Creates the adopter of orphaned logs, or returns None if there are none and never will be any.
-
-    A process that binds the address itself has no other process beside it; orphans of earlier processes are
-    left if the disk failed as the write-ahead log was opened.
-    """
-    if process_options.inherited_socket is None and not delivery.write_ahead_log.may_have_orphans:
-        return None
-    interval_s = configuration.limits.services.adoption_interval_s
-    return OrphanAdopter(delivery.write_ahead_log, delivery.policy_runner, interval_s, logger)
-
-
-def create_directory_monitor(
-    process_options: ProcessOptions, configuration: SenderConfiguration, logger: Logger
-) -> DirectoryMonitor:
-    """Creates the monitor of the state directory, whose limit includes the final outcomes."""
-    limits = configuration.limits
-    max_bytes = limits.storage.disk_bytes + limits.storage.outcome_store_bytes
-    interval_s = limits.services.disk_usage_interval_s
-    return DirectoryMonitor(process_options.state_directory, max_bytes, interval_s, logger)
-
-
 def create_metrics_service(
     running: RunningConfiguration,
     delivery: DeliveryPath,
