--- a/ashpath/server/storage/atomic_file.py
+++ b/ashpath/server/storage/atomic_file.py
@@ -38,7 +38,7 @@
     lock = DirectoryLock(path.parent)
     temporary = path.with_name(TEMPORARY_FILE)
     try:
-        with lock.locked():
+        with lock:
             try:
                 replace_file(path, content, temporary)
             finally:
--- a/ashpath/server/storage/directory_lock.py
+++ b/ashpath/server/storage/directory_lock.py
@@ -8,9 +8,9 @@
 
 import fcntl
 import time
-from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import suppress
 from pathlib import Path
+from types import TracebackType
 
 from ashpath.server.storage.errors import DirectoryBusyError
 from ashpath.server.storage.file_lock import FileLock
@@ -30,9 +30,8 @@
         self._depth = 0
         self._impatient_until = 0.0  # of the monotonic clock
 
-    @contextmanager
-    def locked(self) -> Iterator[None]:
-        """Holds the lock within the context.
+    def __enter__(self) -> DirectoryLock:
+        """Locks the directory.
 
         Raises DirectoryBusyError if another process, perhaps a stopped one, holds the lock for longer than
         PATIENCE_S, and any other OSError if the lock file cannot be opened or locked.
@@ -40,29 +39,34 @@
         if not self._depth:
             self._acquire()
         self._depth += 1
-        try:
-            yield
-        finally:
-            self._depth -= 1
-            if not self._depth:
-                self._unlock()
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self._depth -= 1
+        if not self._depth:
+            self._unlock()
 
     def _acquire(self) -> None:
         if self._file is None:
             self._path.parent.mkdir(parents=True, exist_ok=True)
             self._file = FileLock(self._path)
+        try:
+            fcntl.flock(self._file.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError as error:
+            self._wait(self._file, error)
+
+    def _wait(self, file: FileLock, busy: BlockingIOError) -> None:
         began = time.monotonic()
         until = began + (0.0 if began < self._impatient_until else PATIENCE_S)
-        while True:
-            try:
-                fcntl.flock(self._file.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            except BlockingIOError as error:
-                if time.monotonic() >= until:
-                    self._impatient_until = time.monotonic() + BUSY_S
-                    raise DirectoryBusyError(self._path) from error
-                time.sleep(PAUSE_S)
-            else:
+        while time.monotonic() < until:
+            time.sleep(PAUSE_S)
+            with suppress(BlockingIOError):
+                fcntl.flock(file.descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
                 return
+        self._impatient_until = time.monotonic() + BUSY_S
+        raise DirectoryBusyError(self._path) from busy
 
     def _unlock(self) -> None:
         """Unlocks the file, or closes it if that fails: what was written under the lock has succeeded."""
--- a/ashpath/server/storage/disk_account.py
+++ b/ashpath/server/storage/disk_account.py
@@ -2,7 +2,7 @@
 
 To the limit of the disk, both processes of a hot upgrade are one sender, and so are logs of processes that
 have ended, until they are adopted. Each process has a slot in a file that all of them map
-(`disk_usage_layout.py`). It raises its slot before it writes and lowers it after a file has become smaller,
+(`disk_usage_table.py`). It raises its slot before it writes and lowers it after a file has become smaller,
 both under the lock of the directory, so at any instant the slots are no less than what is on disk, also after
 a kill.
 
@@ -16,56 +16,65 @@
 One process at a time has a copy, so the room of the largest one serves all. A log without a slot, or larger
 than its slot, is of an earlier release: it counts 2.2 times its size, for its records, their growth and its
 copy.
+
+All methods but `close` are called within the context of the account, where the slots of the others do not
+change.
 """
 
 from __future__ import annotations
 
-import mmap
-import os
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 from pathlib import Path
+from types import TracebackType
 
 from ashpath.server.storage.directory_lock import DirectoryLock
 from ashpath.server.storage.directory_usage import BLOCK_BYTES, whole_blocks
-from ashpath.server.storage.disk_usage_layout import (
-    FILE_BYTES,
-    HEADER_BYTES,
-    MAGIC,
-    SLOT,
-    TABLE,
-    LogUsage,
-    slot_offset,
-)
+from ashpath.server.storage.disk_usage_layout import LogUsage
+from ashpath.server.storage.disk_usage_table import DiskUsageTable, OtherUsage
 from ashpath.server.storage.errors import DiskLimitError
 from ashpath.server.storage.log_directory import LogDirectory, log_name, log_number
 from ashpath.server.storage.log_file import temporary_path
 
-USAGE_FILE = "disk-usage"
 RESERVE_BYTES = 4096  # for the records that follow a rewrite at the limit
 OWED_FACTOR = 2.1  # a log of all live messages, its copy, and a twentieth of them for further records
 UNREGISTERED_FACTOR = 1.1  # a log of an earlier release and some growth; its copy counts as much again
+NO_USAGE = LogUsage(0, 0, 0)
 
 
 class DiskAccount:
-    """One process's view of the account. Each method raises OSError if the account cannot be opened."""
+    """One process's view of the account, and the context in which the process holds the directory's lock.
+
+    Entering the context raises DirectoryBusyError, or another OSError if a file cannot be opened.
+    """
 
     def __init__(self, directory: LogDirectory, max_bytes: int) -> None:
         """`max_bytes`: the limit of all logs and copies together."""
         self.max_bytes = max_bytes
         self._directory = directory
         self._lock = DirectoryLock(directory.path)
-        self._table: mmap.mmap | None = None
+        self._table: DiskUsageTable | None = None
         self._slot = -1  # of this process's log; -1: not registered yet
+        self._number = 0  # of this process's log
+        self._own = NO_USAGE
+        self._others = OtherUsage()
         self._unregistered = 0  # bytes that logs without a slot may take, without their copies
 
-    @contextmanager
-    def locked(self) -> Iterator[None]:
-        """Holds the lock of the directory within the context. Raises DirectoryBusyError."""
-        with self._lock.locked():
+    def __enter__(self) -> DiskAccount:
+        self._lock.__enter__()
+        try:
             if self._table is None:
-                self._table = open_table(self._directory.path / USAGE_FILE)
-            yield
+                self._table = DiskUsageTable(self._directory.path)
+            if self._slot >= 0:
+                self._others = self._table.others(self._slot)
+        except OSError:
+            self._lock.__exit__(None, None, None)
+            raise
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self._lock.__exit__(kind, error, trace)
 
     @property
     def is_registered(self) -> bool:
@@ -74,89 +83,79 @@
 
     def register(self, log: Path, owed: int) -> None:
         """Takes a slot for this process's log, whose lock the process holds, with what is on disk of it."""
-        with self.locked():
-            self._correct_ended()
-            numbers = [usage[0] for usage in self._slots()]
-            number = log_number(log)
-            if number not in numbers and 0 not in numbers:
-                raise DiskLimitError(self.max_bytes)
-            self._slot = numbers.index(number if number in numbers else 0)
-            self._write(self._slot, number, usage_on_disk(log, owed))
-            self.find_unregistered(log)
+        table = self._opened_table()
+        self._correct_ended(table)
+        numbers = [number for number, _ in table.slots()]
+        self._number = log_number(log)
+        if self._number not in numbers and 0 not in numbers:
+            raise DiskLimitError(self.max_bytes)
+        self._slot = numbers.index(self._number if self._number in numbers else 0)
+        self._write_own(usage_on_disk(log, owed))
+        self._others = table.others(self._slot)
+        self.find_unregistered(log)
 
     def find_unregistered(self, own: Path) -> None:
         """Looks for logs of earlier releases."""
-        with self.locked():
-            slots = {number: log + copy for number, log, copy, _ in self._slots()}
-            total = 0
-            for path in self._directory.other_logs(own):
-                size = size_of(path) + size_of(temporary_path(path))
-                if size > slots.get(log_number(path), 0):
-                    total += whole_blocks(int(UNREGISTERED_FACTOR * size)) + BLOCK_BYTES
-            self._unregistered = total
+        slots = {number: usage.log + usage.copy for number, usage in self._opened_table().slots()}
+        total = 0
+        for path in self._directory.other_logs(own):
+            size = size_of(path) + size_of(temporary_path(path))
+            if size > slots.get(log_number(path), 0):
+                total += whole_blocks(int(UNREGISTERED_FACTOR * size)) + BLOCK_BYTES
+        self._unregistered = total
 
     def grow_log(self, size: int) -> None:
         """Claims a size of this process's log before it is written. Raises DiskLimitError."""
-        usage = self._own()
-        self._claim(LogUsage(whole_blocks(size), usage.copy, usage.owed))
+        self._claim(LogUsage(whole_blocks(size), self._own.copy, self._own.owed))
 
     def grow_copy(self, size: int) -> None:
         """Claims a size of this process's copy before it is written. Raises DiskLimitError."""
-        usage = self._own()
-        self._claim(LogUsage(usage.log, whole_blocks(size), usage.owed))
+        self._claim(LogUsage(self._own.log, whole_blocks(size), self._own.owed))
 
     def replaced(self, size: int) -> None:
         """The copy, of `size` bytes, has become the log."""
-        self._write_own(LogUsage(whole_blocks(size), 0, self._own().owed))
+        self._write_own(LogUsage(whole_blocks(size), 0, self._own.owed))
 
     def copy_removed(self) -> None:
         """The copy is gone."""
-        usage = self._own()
-        self._write_own(LogUsage(usage.log, 0, usage.owed))
+        self._write_own(LogUsage(self._own.log, 0, self._own.owed))
 
     def set_owed(self, owed: int) -> None:
         """Notes the most bytes that a copy of this process's live messages takes."""
-        usage = self._own()
-        if owed != usage.owed:
-            self._write_own(LogUsage(usage.log, usage.copy, owed))
+        if owed != self._own.owed:
+            self._write_own(LogUsage(self._own.log, self._own.copy, owed))
 
     def forget(self, log: Path) -> None:
         """Frees the slot of an adopted log, which is empty or removed. The caller holds its lock."""
-        with self.locked():
-            for slot, usage in enumerate(self._slots()):
-                if usage[0] == log_number(log):
-                    self._write(slot, 0, LogUsage(0, 0, 0))
+        table = self._opened_table()
+        for slot, (number, _) in enumerate(table.slots()):
+            if number == log_number(log):
+                table.write(slot, 0, NO_USAGE)
+        self._others = table.others(self._slot)
 
     def has_room(self, size: int) -> bool:
         """Whether the log may have `size` bytes while a later rewrite of any log still fits."""
-        usage = self._own()
-        used = self._total() - usage.log + whole_blocks(size)
-        return used + self._largest_copy() + RESERVE_BYTES <= self.max_bytes
+        return self._used_with(size) + self._largest_copy() + RESERVE_BYTES <= self.max_bytes
 
     def has_room_for_owed(self, size: int) -> bool:
         """Whether the log may have `size` bytes by records of accepted messages, although it cannot be
         rewritten: half of the room of a copy is left, so that a later rewrite fits once half of the messages
         have ended."""
-        used = self._total() - self._own().log + whole_blocks(size)
-        return used + self._largest_copy() // 2 + RESERVE_BYTES <= self.max_bytes
+        return self._used_with(size) + self._largest_copy() // 2 + RESERVE_BYTES <= self.max_bytes
 
     def may_owe(self, owed: int) -> bool:
         """Whether this process's live messages may take `owed` bytes, beside those of the other logs."""
-        table = self._table_values()
-        all_owed = sum(table[3::4]) - self._own().owed + owed
+        all_owed = self._others.all_owed + owed
         return OWED_FACTOR * all_owed <= self.max_bytes - RESERVE_BYTES - 2 * self._unregistered
 
     def room_beside_copy(self) -> int:
         """Returns the bytes that a rewrite leaves beside the logs and the largest copy of live messages."""
-        return max(0, self.max_bytes - self._total() - self._largest_copy() - RESERVE_BYTES)
+        used = self._used_with(self._own.log) + self._largest_copy()
+        return max(0, self.max_bytes - used - RESERVE_BYTES)
 
     def has_other_logs(self) -> bool:
-        """Whether another log has a slot: that of a living process, or one to be adopted."""
-        if self._table is None:
-            return False
-        return bool(self._unregistered) or any(
-            number for slot, number in enumerate(self._table_values()[::4]) if slot != self._slot
-        )
+        """Whether there is another log: that of a living process, or one to be adopted."""
+        return self._others.exists or bool(self._unregistered)
 
     def close(self) -> None:
         """Closes the files. The slot stays, as the log does."""
@@ -166,62 +165,36 @@
             self._table = None
             self._slot = -1
 
+    def _used_with(self, log_size: int) -> int:
+        return self._others.used + self._unregistered + self._own.copy + whole_blocks(log_size)
+
+    def _largest_copy(self) -> int:
+        return max(self._own.owed, self._others.largest_owed, self._unregistered)
+
     def _claim(self, usage: LogUsage) -> None:
-        current = self._own()
-        growth = usage.log + usage.copy - current.log - current.copy
-        if growth > 0 and self._total() + growth > self.max_bytes:
+        used = self._others.used + self._unregistered + usage.log + usage.copy
+        grows = usage.log + usage.copy > self._own.log + self._own.copy
+        if grows and used > self.max_bytes:
             raise DiskLimitError(self.max_bytes)
         self._write_own(usage)
 
-    def _correct_ended(self) -> None:
+    def _write_own(self, usage: LogUsage) -> None:
+        self._own = usage
+        self._opened_table().write(self._slot, self._number, usage)
+
+    def _correct_ended(self, table: DiskUsageTable) -> None:
         """Gives slots of logs whose process has ended the sizes on disk, and frees those without a log."""
-        for slot, (number, _, _, owed) in enumerate(self._slots()):
+        for slot, (number, usage) in enumerate(table.slots()):
             if not number:
                 continue
             path = self._directory.path / log_name(number)
             if self._directory.is_unlocked(path):
-                usage = usage_on_disk(path, min(owed, self.max_bytes))
-                self._write(slot, number if usage.log + usage.copy else 0, usage)
+                on_disk = usage_on_disk(path, min(usage.owed, self.max_bytes))
+                table.write(slot, number if on_disk.log + on_disk.copy else 0, on_disk)
 
-    def _slots(self) -> list[tuple[int, int, int, int]]:
-        """Returns the log's number, and bytes of log, copy and live messages, of each slot."""
-        return list(SLOT.iter_unpack(TABLE.pack(*self._table_values())))
-
-    def _table_values(self) -> tuple[int, ...]:
-        assert self._table is not None  # the caller holds the lock, or has opened the table
-        return TABLE.unpack_from(self._table, HEADER_BYTES)
-
-    def _total(self) -> int:
-        table = self._table_values()
-        return sum(table[1::4]) + sum(table[2::4]) + self._unregistered
-
-    def _largest_copy(self) -> int:
-        return max(*self._table_values()[3::4], self._unregistered)
-
-    def _own(self) -> LogUsage:
-        table = self._table_values()
-        return LogUsage(*table[4 * self._slot + 1 : 4 * self._slot + 4])
-
-    def _write_own(self, usage: LogUsage) -> None:
-        self._write(self._slot, self._table_values()[4 * self._slot], usage)
-
-    def _write(self, slot: int, number: int, usage: LogUsage) -> None:
-        assert self._table is not None
-        SLOT.pack_into(self._table, slot_offset(slot), number, usage.log, usage.copy, usage.owed)
-
-
-def open_table(path: Path) -> mmap.mmap:
-    """Maps the file of the slots, and writes it anew if it has another layout. Raises OSError."""
-    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-    try:
-        if os.fstat(descriptor).st_size < FILE_BYTES:
-            os.posix_fallocate(descriptor, 0, FILE_BYTES)
-        table = mmap.mmap(descriptor, FILE_BYTES)
-    finally:
-        os.close(descriptor)
-    if table[: len(MAGIC)] != MAGIC:
-        table[:] = MAGIC + bytes(FILE_BYTES - len(MAGIC))
-    return table
+    def _opened_table(self) -> DiskUsageTable:
+        assert self._table is not None  # within the context
+        return self._table
 
 
 def usage_on_disk(log: Path, owed: int) -> LogUsage:
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -39,8 +39,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 from itertools import chain
 from pathlib import Path
 
@@ -163,7 +162,8 @@
             self.other_logs.find(self.file.path)
             self.other_logs_bytes = self._directory.other_logs_bytes(self.file.path)
             self.may_have_orphans = self.other_logs_bytes > 0
-            self._disk.find_unregistered(self.file.path)
+            with self._disk:
+                self._disk.find_unregistered(self.file.path)
         return adopted
 
     def _adopt_log(self, path: Path) -> list[StoredMessage]:
@@ -172,7 +172,8 @@
         try:
             orphaned = self._orphaned_logs.read(path)
             self.messages.ended.update(orphaned.ended)
-            with self._locked():
+            with self._disk:
+                self._register()
                 adopted = self._write_adopted(orphaned)
                 if self._orphaned_logs.clear(path):
                     self._disk.forget(path)
@@ -181,7 +182,7 @@
         return adopted
 
     def _forget_slot(self, path: Path) -> None:
-        with suppress(OSError):
+        with suppress(OSError), self._disk:
             self._disk.forget(path)
 
     def _write_adopted(self, orphaned: LiveMessages) -> list[StoredMessage]:
@@ -263,7 +264,8 @@
         data = MessageSubmitted(message).encode()
         needed = self.messages.reserved_bytes + reserved_bytes(message, len(data))
         try:
-            with self._locked():
+            with self._disk:
+                self._register()
                 self._complete()
                 if not self._disk.may_owe(needed):
                     return False
@@ -276,18 +278,10 @@
         self.messages.add(message, len(data))
         return True
 
-    @contextmanager
-    def _locked(self) -> Iterator[None]:
-        """Holds the lock of the directory, which each write needs, with this log registered in the account.
-
-        Raises OSError.
-        """
-        with self._disk.locked():
-            if self._lock is not None:
-                self._register()
-            yield
-
     def _register(self) -> None:
+        """Tells the account of this log, within its context and before each write. Raises OSError."""
+        if self._lock is None:
+            return
         if self._disk.is_registered:
             self._disk.set_owed(self.messages.reserved_bytes)
         else:
@@ -347,7 +341,8 @@
 
     def _append_unwritten(self) -> bool:
         try:
-            with self._locked():
+            with self._disk:
+                self._register()
                 self._open_existing()
                 self._append_owed(b"".join(self._unwritten))
         except OSError:
@@ -363,7 +358,8 @@
 
     def _append(self, data: bytes) -> None:
         """Rewrites the log if it has no room, and appends a record of an accepted message. Raises OSError."""
-        with self._locked():
+        with self._disk:
+            self._register()
             self._complete()
             self._make_room(len(data))
             self._append_owed(data)
@@ -395,8 +391,9 @@
 
     def leave_room_for_others(self) -> None:
         """Rewrites the log if there is another one and most of this one is obsolete; see `ObsoleteBytes`."""
-        if self._disk.has_other_logs():
-            with suppress(OSError), self._locked():
+        with suppress(OSError), self._disk:
+            self._register()
+            if self._disk.has_other_logs():
                 self._make_room(0)
 
     def _make_room(self, size: int) -> bool:
@@ -428,7 +425,8 @@
         self.rewrite_failing = True
         if self._lock is None:
             self._claim_unused()
-        with self._locked():
+        with self._disk:
+            self._register()
             ended = b"".join(self.messages.ended.records(self._ended_messages_room()))
             try:
                 self.file.rewrite(chain(live, (ended,), further_records), self._disk.grow_copy)
--- a/tests/server/storage/test_disk_limit.py
+++ b/tests/server/storage/test_disk_limit.py
@@ -260,7 +260,7 @@
     log = WriteAheadLog(tmp_path, MAX_BYTES)
     other = DirectoryLock(tmp_path)
     message = StoredMessage(1, "a", 0, 1, None, None, FAR_DEADLINE, b"")
-    with other.locked():
+    with other:
         assert not log.record_submitted(message)
         began = time.monotonic()
         assert not any(log.record_submitted(message) for _ in range(20))
