--- a/tests/server/storage/test_disk_limit.py
+++ b/tests/server/storage/test_disk_limit.py
@@ -20,6 +20,7 @@
 from ashpath.server.storage.directory_lock import PATIENCE_S, DirectoryLock
 from ashpath.server.storage.directory_usage import directory_usage
 from ashpath.server.storage.disk_usage_layout import FILE_BYTES
+from ashpath.server.storage.file_lock import FileLock
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
@@ -268,3 +269,65 @@
     other.close()
     assert log.record_submitted(message)
     log.close()
+
+
+def churn(log: WriteAheadLog, count: int, body_bytes: int) -> None:
+    """Submits messages and finishes each at once."""
+    for number in range(count):
+        message_id = log.messages.last_id + 1
+        body = b"x" * body_bytes
+        message = StoredMessage(message_id, f"c{number}", 0, 1, None, None, FAR_DEADLINE, body)
+        if log.record_submitted(message):
+            log.record_finished(message)
+
+
+def submit(log: WriteAheadLog, prefix: str, count: int, body_bytes: int) -> None:
+    """Submits messages, each of which has to be accepted."""
+    for number in range(count):
+        message_id = log.messages.last_id + 1
+        body = b"x" * body_bytes
+        message = StoredMessage(message_id, f"{prefix}{number}", 0, 1, None, None, FAR_DEADLINE, body)
+        assert log.record_submitted(message)
+
+
+def test_log_of_earlier_release_counts(tmp_path: Path) -> None:
+    """A living process of an earlier release has a log and no slot."""
+    lock = FileLock(tmp_path / "journal-1.lock")
+    assert lock.acquire()
+    (tmp_path / "journal-1").write_bytes(b"x" * (MAX_BYTES // 4))
+    watch = SizeWatch(tmp_path)
+    with watch.watching():
+        log = WriteAheadLog(tmp_path, MAX_BYTES)
+        churn(log, 200, 3000)
+    assert watch.most <= MAX_BYTES
+    lock.release()
+    log.close()
+
+
+def test_orphan_is_appended_where_a_rewrite_has_no_room(tmp_path: Path) -> None:
+    """The log of a killed process, most of it obsolete, and the live messages leave no room for a copy."""
+    watch = SizeWatch(tmp_path)
+    with watch.watching():
+        old = WriteAheadLog(tmp_path, MAX_BYTES)
+        submit(old, "o", 1, 30_000)
+        churn(old, 40, 3000)
+        new = WriteAheadLog(tmp_path, MAX_BYTES)
+        submit(new, "n", 11, 4000)
+        old.close()
+        assert [message.trace_id for message in new.adopt()] == ["o0"]
+    assert watch.most <= MAX_BYTES
+    new.close()
+
+
+def test_either_log_can_be_rewritten_at_any_time(tmp_path: Path) -> None:
+    """The room of the largest copy is kept free by the other process too."""
+    old = WriteAheadLog(tmp_path, MAX_BYTES)
+    submit(old, "o", 22, 4000)
+    new = WriteAheadLog(tmp_path, MAX_BYTES)
+    submit(new, "n", 5, 4000)
+    for _ in range(60):
+        churn(new, 1, 1500)
+        assert old.repair()
+        assert not old.rewrite_failing
+    old.close()
+    new.close()
