--- a/benchmarks/upgrade_disk.py
+++ b/benchmarks/upgrade_disk.py
@@ -2,10 +2,10 @@
 
     .venv/bin/python -m benchmarks.upgrade_disk [PLAYS] [BASE]
 
-It needs `make dev`. With BASE, an older commit, each play runs on that commit too, before it runs on this tree. Real processes of
-the sender share a listening socket; their endpoints and clients are simulated by this process. One of twenty
-destinations never responds. The new process starts as the old one's log has the size of the row, and the old
-one gets SIGTERM once the new one answers PING. A play counts:
+It needs `make dev`. With BASE, an older commit, each play runs on that commit too, before it runs on this
+tree. Real processes of the sender share a listening socket; their endpoints and clients are simulated by
+this process. One of twenty destinations never responds. The new process starts as the old one's log has the
+size of the row, and the old one gets SIGTERM once the new one answers PING. A play counts:
 
 - refused: messages answered 503 from then until the old process has ended, and the seconds that this took;
 - most bytes: the most that all files of the state directory took, each in blocks of 512 bytes.
