The write-ahead log is unlocked by the end of the process, after its attempts have ended

Cause: SenderRuntime.run closed the log, and with it its lock, before the interpreter shut down and the kernel closed the connections of attempts in flight.

Change: the log is not closed any more; the kernel releases its lock as the process ends. Right before, the sending side of the connection of each attempt in flight is closed, by which a call is given up.

--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -223,6 +223,13 @@
         """Starts no further attempt; attempts in flight continue."""
         self.stopped = True
 
+    def give_up_attempts(self) -> None:
+        """Ends the sending side of the connections of all attempts in flight, as the process is about to end:
+        an endpoint must not run an attempt while another process adopts its message. Does not switch."""
+        for attempt in self.attempts.values():
+            if attempt.connection is not None:
+                attempt.connection.half_close()
+
     def begin_attempt(self, message: StoredMessage, endpoint_id: str, timeout: int) -> None:
         """Starts an attempt, which is recorded just before its first byte."""
         if self.stopped:
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -42,7 +42,8 @@
         self.greenlets: list[Greenlet[..., None]] = []  # of the services
 
     def run(self, pending_hangups: Sequence[int] = ()) -> None:
-        """Runs the sender, and returns after the graceful shutdown.
+        """Runs the sender, and returns after the graceful shutdown. The process has to end then without a
+        further switch of greenlets: its end unlocks the write-ahead log, which another process then adopts.
 
         `pending_hangups`: SIGHUPs that arrived before this call. Raises OSError if an address cannot be
         listened on.
@@ -65,7 +66,7 @@
         )
         sender.shutdown.ended.wait()
         sender.delivery.pool.attribution.forget_certain_refusals()
-        sender.delivery.write_ahead_log.close()
+        sender.delivery.policy_runner.give_up_attempts()
 
     def listen(self) -> None:
         """Listens for clients and operators. Raises OSError if an address cannot be listened on."""
--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import os
 import signal
 
 import gevent
+import pytest
+from gevent import socket
 from gevent.server import StreamServer
 from support.loggers import error_raising_logger
 from support.sender_harness import SenderHarness, free_address, request, wait_until
 from support.server import READINESS_REQUEST, terminate
 
 from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.encoding import encode_message
 from ashpath.server.storage.detached_endpoints import DetachedEndpoints
+from ashpath.server.storage.file_lock import try_lock
+
+UNLOCK_CHECK_INTERVAL_S = 0.0002
 
 
 def test_new_process_takes_over_on_inherited_socket(pair: tuple[SenderHarness, SenderHarness]) -> None:
@@ -113,6 +120,44 @@
     recovered_endpoint.stop()
 
 
+# The log was unlocked some 10 ms before the process ended: the other process adopted and delivered a message
+# while the attempt of this one was out.
+@pytest.mark.parametrize("with_inherited_socket", [True, False], ids=["hot upgrade", "restart"])
+def test_log_is_unlocked_after_attempts_have_ended(
+    pair: tuple[SenderHarness, SenderHarness], *, with_inherited_socket: bool
+) -> None:
+    old, _ = pair
+    old.kill()
+    if not with_inherited_socket:
+        old.inherited, old.address = None, free_address()
+    connections: list[socket.socket] = []
+
+    def respond_late_then_hang(connection: socket.socket, _: object) -> None:
+        while connection.recv(1 << 16):
+            connections.append(connection)
+            gevent.sleep(1.8 if len(connections) == 1 else 60.0)  # 60 s: until after the process's end
+            connection.sendall(encode_message(b"HTTP/1.1 200 OK", [], b""))
+
+    endpoint = StreamServer(("127.0.0.1", 0), respond_late_then_hang)
+    endpoint.start()
+    old.members[3]["host_port"] = f"127.0.0.1:{endpoint.server_port}"
+    old.configure()
+    old.start()
+    assert old.submit("first", "tag", "", 3, ordering_key="k") == 202
+    assert old.submit("out", "tag", "", 3, ordering_key="k") == 202
+    wait_until(lambda: connections)
+    log_lock = os.open(old.folder / "state" / "journal.lock", os.O_RDWR)
+    assert old.process is not None
+    old.process.send_signal(signal.SIGTERM)
+    while not try_lock(log_lock):
+        gevent.sleep(UNLOCK_CHECK_INTERVAL_S)
+    assert len(connections) == 2
+    connections[1].settimeout(0)
+    assert connections[1].recv(1, socket.MSG_PEEK) == b""  # raises BlockingIOError while the attempt is out
+    os.close(log_lock)
+    endpoint.stop()
+
+
 # A copy of a request that reached the other process was delivered a second time (soak seeds 3 and 46).
 def test_copy_that_reaches_the_other_process_is_recognized(
     pair: tuple[SenderHarness, SenderHarness],
