Fault injection: the report of injected faults is truncated once

Cause: the injector, which runs in the sender's process, opened its report with O_TRUNC at each fault. ext4 allocates and flushes a truncated file as it is closed, and the next truncation waits for that.

Change: only the first write of a process truncates the report; its JSON never becomes shorter after that.

Checks: test_report_is_truncated_once_per_process, which failed before.

--- a/ashpath/emulator/fault_injection/process_faults.py
+++ b/ashpath/emulator/fault_injection/process_faults.py
@@ -40,6 +40,7 @@
         self.report = report
         self.listening_port = int(os.environ.get("RELAY_LISTEN", ":0").rpartition(":")[2])
         self.started_at = time.monotonic()
+        self._report_flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC  # of the next write of the report
         self._real_write = os.write
         self._real_open = os.open
         self._real_time_ns = time.time_ns
@@ -95,7 +96,12 @@
         return self._real_time_ns() + int(self.counter.faults.clock_offset_s(elapsed_s) * 1e9)
 
     def _write_report(self) -> None:
-        descriptor = self._real_open(self.report, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        """Overwrites the report, which never becomes shorter.
+
+        Only the first write truncates the file: the close of a truncated file waits for the disk, on ext4 up
+        to 0.07 s, and would hold up the sender at each fault."""
+        descriptor = self._real_open(self.report, self._report_flags, 0o600)
+        self._report_flags &= ~os.O_TRUNC
         self._real_write(descriptor, orjson.dumps(self.counter.injected))
         os.close(descriptor)
 
--- a/tests/emulator/fault_injection/test_fault_injection.py
+++ b/tests/emulator/fault_injection/test_fault_injection.py
@@ -51,6 +51,34 @@
     assert {"accept", "connect", "receive", "send", "write"} <= reached
 
 
+# The report was truncated at each fault, which waits for the disk: a sender notified 0.5 s late (seed 15).
+def test_report_is_truncated_once_per_process(tmp_path: Path) -> None:
+    schedule = tmp_path / "faults"
+    schedule.write_bytes(ProcessFaults((CallFault(FaultyCall.WRITE, "EIO", count=3),)).encode())
+    code = (
+        "import os, sys\n"
+        "from pathlib import Path\n"
+        "from ashpath.emulator.fault_injection.call_faults import ProcessFaults\n"
+        "from ashpath.emulator.fault_injection.process_faults import ProcessFaultInjector\n"
+        "real_open = os.open\n"
+        "flags = []\n"
+        "os.open = lambda *arguments: flags.append(arguments[1]) or real_open(*arguments)\n"
+        "faults = ProcessFaults.decode(Path(sys.argv[1]).read_bytes())\n"
+        "ProcessFaultInjector(faults, Path(sys.argv[2])).install()\n"
+        "for _ in range(3):\n"
+        "    try:\n"
+        "        os.write(1, b'')\n"
+        "    except OSError:\n"
+        "        pass\n"
+        "print([bool(one & os.O_TRUNC) for one in flags])\n"
+    )
+    report = report_path(schedule)
+    report.write_text("the counts of an earlier process, which are longer")
+    command = [sys.executable, "-c", code, str(schedule), str(report)]
+    assert subprocess.check_output(command, text=True) == "[True, False, False]\n"
+    assert json.loads(report.read_text()) == {"write EIO": 3}
+
+
 def test_clock_step_shifts_wall_clock_of_process(tmp_path: Path) -> None:
     schedule = tmp_path / "faults"
     schedule.write_bytes(ProcessFaults(clock=(ClockStep(0.0, 3600.0),)).encode())
