Test of an adoption under another file: the old process shuts down before a message of a new class

Cause: the test is wrong. Until SIGTERM both processes accept from one listening socket, and the old one has the old file.

Change: the old process gets SIGTERM first, as in a hot upgrade, and SIGKILL while its attempt is still in flight, as before. All assertions stay.

--- a/tests/server/test_start_under_other_settings.py
+++ b/tests/server/test_start_under_other_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import signal
 from functools import partial
 from typing import Any
 
@@ -73,15 +74,18 @@
 def test_adopted_message_keeps_its_class_under_another_file(
     pair: tuple[SenderHarness, SenderHarness],
 ) -> None:
-    """A hot upgrade with another file, whose old process is killed with an attempt in flight."""
+    """A hot upgrade with another file, whose old process is killed with an attempt in flight. Until it shuts
+    down it accepts connections too, and rejects the classes that its own file lacks."""
     old, new = pair
     assert old.submit("o", "once", "hang 200", 1) == 202
     wait_until(lambda: old.attempt_count("o"))
     old.config["settings"] = settings_with([NEW_CLASS, *CLASSES])
     old.configure()
     new.start()
-    assert new.submit("n", "new", "200", 2) == 202
     assert old.process is not None
+    old.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+    assert new.submit("n", "new", "200", 2) == 202
     old.process.kill()
     wait_until(lambda: new.notified("o") and new.attempt_count("n"))
     assert new.notified("o") == ["undeliverable"]
