The log's files are closed before the process ends, its lock with it

A flush of the log at the kernel's close of its descriptor would come behind the release of the lock.

--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -67,6 +67,7 @@
         sender.shutdown.ended.wait()
         sender.delivery.pool.attribution.forget_certain_refusals()
         sender.delivery.policy_runner.give_up_attempts()
+        sender.delivery.write_ahead_log.close_files()
 
     def listen(self) -> None:
         """Listens for clients and operators. Raises OSError if an address cannot be listened on."""
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -450,7 +450,11 @@
 
     def close(self) -> None:
         """Closes and unlocks the log, which another process may then claim or adopt."""
-        self.file.close()
-        self._disk.close()
+        self.close_files()
         if self._lock is not None:
             self._lock.release()
+
+    def close_files(self) -> None:
+        """Closes the files. The log stays locked until the end of the process."""
+        self.file.close()
+        self._disk.close()
