Soak: the bytes of each state directory are judged against the disk limit

It measures the folder of each sender every 10 ms now, all files in whole blocks, and judges the most by disk_mb (1).

--- a/ashpath/emulator/soak/clients.py
+++ b/ashpath/emulator/soak/clients.py
@@ -19,6 +19,7 @@
 DEADLINES_S = (1.0, 2.5, 6.0)
 CROWD_INTERVAL_S = 1.0  # between two replacements of idle connections that the sender closed
 ORDERING_KEYS = ("", "", "a", "b")
+BODY_BYTES = 4000  # logs of busy runs reach the disk limit, and are rewritten
 
 
 class SoakClients:
@@ -131,5 +132,5 @@
         ]
         if submission.ordering_key:
             headers.append((b"cookie", f"about={submission.ordering_key}".encode()))
-        body = submission.message_id.encode()
+        body = submission.message_id.encode().ljust(BODY_BYTES)
         return encode_message(b"POST %s HTTP/1.1" % wire_names.SUBMIT_PATH, headers, body)
--- a/ashpath/emulator/soak/judge.py
+++ b/ashpath/emulator/soak/judge.py
@@ -9,6 +9,7 @@
 | order | a call for a key while a message of that key that was accepted earlier has no final outcome |
 | wait | a call to a destination before the Retry-After that the sender received from it has passed |
 | crash | a process that ended unexpectedly, or was not ready in time |
+| disk | a state directory over the disk limit, at any time |
 
 `sender_history` has the tolerances for what happened to a sender's processes and paths.
 """
@@ -40,6 +41,8 @@
     cold_rate: float
     """The call rate that a destination sustains directly after an outage."""
     overload_multiple: float
+    disk_bytes: int
+    """The disk limit of each sender."""
 
 
 class BrokenRule(Struct, frozen=True):
@@ -67,6 +70,7 @@
         """Returns all violations."""
         checks = (
             self.crashes,
+            self.directories_over_limit,
             self.lost_messages,
             self.unanswered_requests,
             self.doubled_calls,
@@ -86,6 +90,14 @@
             if late and incarnation.end_began_at - incarnation.started_at > READY_TIMEOUT_S:
                 yield BrokenRule("crash", f"sender {incarnation.sender} not ready in {READY_TIMEOUT_S:.0f} s")
 
+    def directories_over_limit(self) -> Iterator[BrokenRule]:
+        """Yields senders, of one process or two, whose files took more than the disk limit."""
+        for sender, most_bytes in self.records.most_disk_bytes.items():
+            if most_bytes > self.settings.disk_bytes:
+                yield BrokenRule(
+                    "disk", f"sender {sender} held {most_bytes} bytes, {self.settings.disk_bytes} allowed"
+                )
+
     def lost_messages(self) -> Iterator[BrokenRule]:
         """Yields accepted messages without a final outcome at the due time."""
         for submission in self.records.submissions.values():
--- a/ashpath/emulator/soak/plan.py
+++ b/ashpath/emulator/soak/plan.py
@@ -14,6 +14,7 @@
 from ashpath.emulator.fault_injection.tcp_proxy import ProxyMode
 from ashpath.emulator.soak.records import Reply
 
+DISK_MB = 1  # the disk limit of each sender, in MiB
 SENDERS = 3
 DESTINATIONS = 3
 FEW_DESCRIPTORS = 150
--- a/ashpath/emulator/soak/records.py
+++ b/ashpath/emulator/soak/records.py
@@ -173,6 +173,8 @@
     client_faults: list[ClientFault] = field(default_factory=list)
     notice_faults: list[NoticeFault] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
+    most_disk_bytes: dict[int, int] = field(default_factory=dict)
+    """By sender, the most that all files of its state directory took, each in whole blocks."""
     ended_at: float = 0.0
     longest_pause_s: float = 0.0
     """For how long the process with clients, endpoints and agents was held up at the longest."""
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -53,6 +53,7 @@
 RELOAD_TIMEOUT_S = 4.0  # by then a sender has the list of the agent that SIGHUP switched it to
 FINAL_WAIT_S = 9.0  # after the last request: covers the longest deadline and a restart
 PAUSE_PROBE_S = 0.01
+DISK_PROBE_S = 0.01
 START_TIMEOUT_S = 15.0  # until all senders are ready
 
 
@@ -174,6 +175,7 @@
         plan = self.plan
         self._greenlets = [gevent.spawn(clients.run) for clients in self.clients]
         self._greenlets.append(gevent.spawn(self._measure_pauses))
+        self._greenlets.append(gevent.spawn(self._measure_disk))
         self.clients[0].connect_idle(plan.idle_clients)
         for limit in plan.descriptor_limits:
             self._greenlets.append(gevent.spawn(self.clients[limit.sender].crowd, limit.idle_clients))
@@ -195,6 +197,14 @@
             gevent.sleep(PAUSE_PROBE_S)
             self.records.longest_pause_s = max(self.records.longest_pause_s, monotonic() - due)
 
+    def _measure_disk(self) -> None:
+        """Records the most bytes of each state directory. Never returns."""
+        most = self.records.most_disk_bytes
+        while True:
+            for sender in self.senders:
+                most[sender.number] = max(most.get(sender.number, 0), sender.disk_bytes())
+            gevent.sleep(DISK_PROBE_S)
+
     def _restart(self, event: RestartEvent) -> None:
         sender = self.senders[event.sender]
         if event.how is StopMethod.TERMINATE:
--- a/ashpath/emulator/soak/sender.py
+++ b/ashpath/emulator/soak/sender.py
@@ -24,12 +24,13 @@
     STARTED_AT_VARIABLE,
 )
 from ashpath.emulator.http_client import HttpClient
-from ashpath.emulator.soak.plan import StopMethod
+from ashpath.emulator.soak.plan import DISK_MB, StopMethod
 from ashpath.emulator.soak.records import Incarnation, SoakRecords
 from ashpath.emulator.stand_ins import LOOPBACK, free_port
 from ashpath.server import wire_names
 from ashpath.server.addresses import Address
 from ashpath.server.limits.http import HttpLimits
+from ashpath.server.storage.directory_usage import directory_usage
 
 LAUNCHER = "ashpath.emulator.fault_injection.launcher"
 READY_POLL_S = 0.02
@@ -108,6 +109,10 @@
         (folder / "faults").write_bytes(options.faults.encode())
         self.configure(0)
 
+    def disk_bytes(self) -> int:
+        """Returns what all files of the state directory take, each in whole blocks."""
+        return sum(directory_usage(self._folder / "state").values())
+
     def _listen(self) -> socket.socket:
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -121,7 +126,7 @@
         document = {
             "seed": f"{self.number + 1:x}",
             "settings": self._settings | {"rank": self.number},
-            "limits": {"sockets": self._options.descriptor_limit or DESCRIPTORS, "disk_mb": 1},
+            "limits": {"sockets": self._options.descriptor_limit or DESCRIPTORS, "disk_mb": DISK_MB},
             "known": {"revision": agent.revision, "complete": True, "members": agent.members},
             "discovery": self._agent_addresses[agent_number],
             "attempt_log": True,
--- a/ashpath/emulator/soak/settings.py
+++ b/ashpath/emulator/soak/settings.py
@@ -4,7 +4,7 @@
 
 from ashpath.core.json_types import JsonObject
 from ashpath.emulator.soak.judge import RuleCheckerSettings
-from ashpath.emulator.soak.plan import DESTINATIONS, SENDERS, SoakPlan
+from ashpath.emulator.soak.plan import DESTINATIONS, DISK_MB, SENDERS, SoakPlan
 from ashpath.emulator.soak.records import Effect
 
 DEDUPLICATION_WINDOW_MS = 5000.0
@@ -63,4 +63,5 @@
         overload_s=OVERLOAD_MS / 1000,
         cold_rate=COLD_SHARE * capacity,
         overload_multiple=OVERLOAD_MULTIPLE,
+        disk_bytes=DISK_MB << 20,
     )
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -43,7 +43,8 @@
     accepted = sum(one.status in (200, 202) for one in records.submissions.values())
     line = (
         f"seed {seed}: {len(records.submissions)} requests, {accepted} accepted, {len(records.calls)} calls, "
-        f"longest pause of the stand-ins {records.longest_pause_s:.2f} s"
+        f"longest pause of the stand-ins {records.longest_pause_s:.2f} s, "
+        f"most bytes on disk {max(records.most_disk_bytes.values(), default=0)}"
     )
     print(line, *map(str, broken[:MAX_FINDINGS_SHOWN]), sep="\n  ", flush=True)
     return broken
--- a/tests/emulator/soak/test_judge.py
+++ b/tests/emulator/soak/test_judge.py
@@ -25,7 +25,7 @@
 )
 
 SETTINGS = RuleCheckerSettings(
-    grace_s=0.25, window_s=5.0, overload_s=1.0, cold_rate=2.0, overload_multiple=2.0
+    grace_s=0.25, window_s=5.0, overload_s=1.0, cold_rate=2.0, overload_multiple=2.0, disk_bytes=1 << 20
 )
 
 
@@ -48,6 +48,7 @@
 def valid_records() -> SoakRecords:
     """One message per traffic class is delivered; one is given up and notified."""
     records = SoakRecords(ended_at=60.0, incarnations=[Incarnation(0, 0.0, 0.3)])
+    records.most_disk_bytes = {0: SETTINGS.disk_bytes}
     for number, effect in enumerate(Effect):
         records.submissions[f"m{number}"] = submission(f"m{number}", effect)
         records.calls.append(call(f"m{number}", 1.1 + number))
@@ -122,6 +123,10 @@
     records.notice_faults.append(NoticeFault(0, 3.32, 4.0, False))
 
 
+def directory_over_limit(records: SoakRecords) -> None:
+    records.most_disk_bytes = {0: SETTINGS.disk_bytes + 512}
+
+
 def never_acknowledged(records: SoakRecords) -> None:
     del records.notices["given up"]
     records.notice_faults.append(NoticeFault(0, 2.8, 3.3, True))
@@ -333,6 +338,7 @@
         called_during_wait_outside_late_path,
     ),
     "crash": (ended_unexpectedly, never_ready),
+    "disk": (directory_over_limit,),
 }
 
 
