--- a/ashpath/emulator/soak/sender.py
+++ b/ashpath/emulator/soak/sender.py
@@ -11,7 +11,7 @@
 
 import gevent
 import orjson
-from gevent import socket, subprocess
+from gevent import get_hub, socket, subprocess
 from msgspec import Struct
 
 from ashpath.core.json_types import JsonObject
@@ -190,7 +190,8 @@
 
     def reload(self, agent_number: int) -> None:
         """Configures another agent, and sends SIGHUP if the process is ready."""
-        self.configure(agent_number)
+        # A replaced file waits for the disk. On this thread, the stand-ins of all runs would wait with it.
+        get_hub().threadpool.apply(self.configure, (agent_number,))
         current = self._current
         # Before readiness the interpreter may still be starting, with no SIGHUP handler installed.
         if current is not None and current.process.poll() is None and current.incarnation.ready_at:
