Resident size, ends of client connections and rejections are logged and counted

Change: memory_mb is read (192 without the key); the line 'memory in use' at shares of it, with client connections by state and their buffers; 'client connections closed' once a second at most, with reasons and rejected requests; 'sender failed' before an unexpected error ends the process; gauges and counters of the same. Nothing is refused or closed for it yet.

--- a/ashpath/server/http/client_connection.py
+++ b/ashpath/server/http/client_connection.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from ashpath.server.http.availability import Availability
+from ashpath.server.http.close_reason import ClientCloseReason
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.connection_table import ConnectionState, ConnectionTable
 from ashpath.server.http.encoding import encode_response
@@ -48,12 +49,13 @@
 class ClientConnection:
     """Serves a client connection until either side ends it."""
 
-    __slots__ = ("before_first_request", "connection", "draining", "services")
+    __slots__ = ("before_first_request", "close_reason", "connection", "draining", "services")
 
     def __init__(self, connection: HttpConnection, services: ClientServices) -> None:
         self.connection = connection
         self.services = services
         self.before_first_request = True  # no request has been read yet
+        self.close_reason = ClientCloseReason.CLIENT_LEFT  # until another one is known
         self.draining = False  # the input after this side's half-close is being drained, or has been
 
     def serve(self) -> None:
@@ -65,6 +67,7 @@
             pass
         except Exception:
             self.services.logger.exception("unexpected error")
+            self.close_reason = ClientCloseReason.ERROR
             self.reject(500)
         else:
             self.half_close_and_drain()
@@ -73,7 +76,8 @@
         """Reads one request and responds to it; returns whether the connection is kept."""
         waiting_since = self.await_bytes()
         if not len(self.connection.buffer) or self.connection.unusable:
-            return False  # closed by the client, idle for too long, or half-closed by this side
+            self.note_end_between_requests()
+            return False
         self.services.table.enter(self.connection, READING)
         try:
             request = self.read_request(waiting_since)
@@ -82,10 +86,19 @@
                 self.write(encode_response(400, keep_alive=False))
             return False
         except ProtocolError as error:
+            self.close_reason = ClientCloseReason.REJECTED
+            self.services.table.rejections[type(error).__name__] += 1
             self.reject(error.status)
             return False
         return self.respond(request)
 
+    def note_end_between_requests(self) -> None:
+        """Records why no further request is read."""
+        if self.connection.unusable:
+            self.close_reason = ClientCloseReason.HALF_CLOSED
+        elif not self.connection.eof_received:
+            self.close_reason = ClientCloseReason.IDLE_LIMIT
+
     def await_bytes(self) -> float:
         """Waits for the first bytes of a request, for at most the time that a client may be idle.
 
@@ -135,6 +148,7 @@
         data = encode_response(
             reply.status, keep_alive=keep_alive, retry_after=reply.retry_after, body=reply.body
         )
+        self.close_reason = ClientCloseReason.CLIENT_LEFT if keep_alive else ClientCloseReason.ANSWERED
         if not self.write(data):
             self.services.handler.response_lost(reply)
         return keep_alive
@@ -152,8 +166,13 @@
         try:
             with Timeout(self.connection.limits.response_write_s):
                 self.connection.write(data)
-        except (OSError, Timeout):
+        except OSError:
+            self.connection.unusable = True
+            self.close_reason = ClientCloseReason.CLIENT_LEFT
+            return False
+        except Timeout:
             self.connection.unusable = True
+            self.close_reason = ClientCloseReason.UNREAD_RESPONSE
             return False
         return True
 
--- a/ashpath/server/http/connection_table.py
+++ b/ashpath/server/http/connection_table.py
@@ -27,7 +27,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterator
 from contextlib import suppress
 from enum import Enum, auto
@@ -36,6 +36,7 @@
 
 import gevent
 
+from ashpath.server.http.close_reason import ClientCloseReason
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.limits.client_connections import ClientConnectionLimits
 
@@ -54,6 +55,12 @@
 
 
 Entries = OrderedDict[HttpConnection, float]
+EVICTION_REASONS = {
+    ConnectionState.HALF_CLOSED: ClientCloseReason.EVICTED_HALF_CLOSED,
+    ConnectionState.AWAITING_FIRST_REQUEST: ClientCloseReason.EVICTED_SILENT,
+    ConnectionState.IDLE: ClientCloseReason.EVICTED_IDLE,
+    ConnectionState.READING: ClientCloseReason.EVICTED_STALLED,
+}
 
 
 class ConnectionTable:
@@ -68,6 +75,11 @@
         self.idle = self.entries_by_state[ConnectionState.IDLE]
         # The entries that contain each connection: several transitions per request need no search by state.
         self.entries_by_connection: dict[HttpConnection, Entries] = {}
+        self.closed: Counter[ClientCloseReason] = Counter()
+        """Connections that have ended, by reason."""
+        self.rejections: Counter[str] = Counter()
+        """Requests that were answered with an error before they were handled, by the type of the error."""
+        self._evicted: set[HttpConnection] = set()  # until `ended` is called for them
 
     def enter(self, connection: HttpConnection, state: ConnectionState) -> float:
         """Moves a connection to a state, or adds a new one; returns the time in monotonic seconds."""
@@ -83,6 +95,24 @@
         if entries is not None:
             del entries[connection]
 
+    def ended(self, connection: HttpConnection, reason: ClientCloseReason) -> None:
+        """Removes a connection whose greenlet has ended, and counts its end; `reason` does not hold for an
+        evicted one, which was counted before."""
+        self.remove(connection)
+        if connection in self._evicted:
+            self._evicted.remove(connection)
+        else:
+            self.closed[reason] += 1
+
+    def counts_text(self) -> str:
+        """Returns the number of connections by state, such as `idle:3,reading:1`."""
+        counts = ((state.name.lower(), len(entries)) for state, entries in self.entries_by_state.items())
+        return ",".join(f"{name}:{count}" for name, count in counts if count)
+
+    def buffered_bytes(self) -> int:
+        """Returns the bytes of the receive buffers of all connections."""
+        return sum(connection.buffer.allocated_bytes for connection in self.entries_by_connection)
+
     def count(self, *states: ConnectionState) -> int:
         """Returns the number of connections in any of the states."""
         return sum(len(self.entries_by_state[state]) for state in states)
@@ -146,6 +176,8 @@
         for connection in self.oldest(state, min_age_s):
             if self.is_evictable(connection, state):
                 self.remove(connection)
+                self._evicted.add(connection)
+                self.closed[EVICTION_REASONS[state]] += 1
                 connection.close()
                 return True
         return False
--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -97,10 +97,11 @@
 
     def serve(self, connection: HttpConnection) -> None:
         """Serves a connection until it ends; `connection_count` includes it already."""
+        client = ClientConnection(connection, self.services)
         try:
-            ClientConnection(connection, self.services).serve()
+            client.serve()
         finally:
-            self.table.remove(connection)
+            self.table.ended(connection, client.close_reason)
             connection.close()
             self.connection_count -= 1
             self.connection_closed.set()
--- a/ashpath/server/http/receive_buffer.py
+++ b/ashpath/server/http/receive_buffer.py
@@ -31,6 +31,11 @@
     def __len__(self) -> int:
         return self.end - self.begin
 
+    @property
+    def allocated_bytes(self) -> int:
+        """Memory that the buffer has."""
+        return len(self.data)
+
     def free_space(self, at_least: int = 1) -> memoryview:
         """Returns the free space at the end, for a read of at least `at_least` bytes.
 
--- a/ashpath/server/limits/server_limits.py
+++ b/ashpath/server/limits/server_limits.py
@@ -1,8 +1,8 @@
 """All limits of the sender on sockets, in one structure that is created at the start.
 
-In the platform's file, the table `limits` has the number of descriptors (`sockets`) and megabytes of disk
-(`disk_mb`). A sender's own file can also set the fields of all structures by name, under `own`. All other
-values are fixed.
+In the platform's file, the table `limits` has the number of descriptors (`sockets`) and megabytes of memory
+(`memory_mb`) and of disk (`disk_mb`). A sender's own file can also set the fields of all structures by name,
+under `own`. All other values are fixed.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 from ashpath.server.limits.endpoint_connections import EndpointConnectionLimits
 from ashpath.server.limits.errors import UnknownLimitError
 from ashpath.server.limits.http import HttpLimits
+from ashpath.server.limits.memory import MemoryLimits
 from ashpath.server.limits.notifications import NotificationLimits
 from ashpath.server.limits.services import ServiceLimits
 from ashpath.server.limits.shutdown import ShutdownLimits
@@ -32,6 +33,7 @@
 # Defaults for values that the platform's file lacks. They are small, as the machine may be.
 DEFAULT_DESCRIPTORS = 1024
 DEFAULT_DISK_MB = 1
+DEFAULT_MEMORY_MB = 192
 DEFAULT_IDLE_TIMEOUT_US = 5_000_000
 DEFAULT_CONNECT_TIMEOUT_US = 1_000_000
 
@@ -42,6 +44,7 @@
 # One descriptor in six may be held by an idle client connection. That is about half of the client
 # connections, so that clients can always open others.
 IDLE_CLIENT_SHARE = 6
+MEMORY_BYTES_PER_MB = 1_000_000  # a megabyte may mean a million bytes
 DISK_BYTES_PER_MB = 970_000  # a megabyte may mean a million bytes, and a file system has overhead
 IDLE_MARGIN_S = 0.2  # how long before the far end the sender closes an idle connection
 
@@ -53,6 +56,7 @@
     endpoints: EndpointConnectionLimits
     http: HttpLimits
     storage: StorageLimits
+    memory: MemoryLimits
     discovery: DiscoveryLimits = field(default_factory=DiscoveryLimits)
     notifications: NotificationLimits = field(default_factory=NotificationLimits)
     services: ServiceLimits = field(default_factory=ServiceLimits)
@@ -68,6 +72,7 @@
         idle_timeout_s = (settings.idle_timeout or DEFAULT_IDLE_TIMEOUT_US) / SECOND
         connect_timeout_us = settings.connect_timeout or DEFAULT_CONNECT_TIMEOUT_US
         disk_mb = float(configured.get("disk_mb") or DEFAULT_DISK_MB)
+        memory_mb = float(configured.get("memory_mb") or DEFAULT_MEMORY_MB)
         limits = cls(
             clients=ClientConnectionLimits(
                 client_connections=descriptors - RESERVED_DESCRIPTORS - connections,
@@ -79,6 +84,7 @@
             ),
             http=HttpLimits(connect_s=connect_timeout_us / SECOND),
             storage=StorageLimits(disk_bytes=int(disk_mb * DISK_BYTES_PER_MB)),
+            memory=MemoryLimits(memory_bytes=int(memory_mb * MEMORY_BYTES_PER_MB)),
         )
         own = configured.get("own") or {}
         # `replace` raises the error for a value that is not a table.
--- a/ashpath/server/limits/services.py
+++ b/ashpath/server/limits/services.py
@@ -17,5 +17,7 @@
     """Interval between checks for records that could not be written to disk."""
     disk_usage_interval_s: float = 0.25
     """Interval between measurements of the state directory's disk space."""
+    memory_interval_s: float = 0.1
+    """Interval between measurements of the resident size of the process."""
     adoption_interval_s: float = 0.5
     """Interval between checks for write-ahead logs of processes that have ended."""
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -57,6 +57,8 @@
     def collect(self) -> Iterator[Metric]:
         """Yields all gauges, and the counters that discovery and gossip keep themselves."""
         yield from self.sender_gauges()
+        yield from self.memory_gauges()
+        yield from self.client_counters()
         yield from self.attribution_counters()
         yield from self.discovery_gauges()
         yield from self.gossip_counters()
@@ -88,6 +90,34 @@
         yield gauge("destinations", "Destinations that are known.", len(runner.policy.destinations))
         yield gauge("client_connections", "Connections of clients.", self.source.listener.connection_count)
 
+    def memory_gauges(self) -> Iterator[Metric]:
+        """Yields the resident size, and what client connections hold of it."""
+        monitor = self.source.memory_monitor
+        yield gauge("resident_bytes", "Resident size as last measured.", monitor.bytes)
+        yield gauge("resident_peak_bytes", "The largest resident size since the start.", monitor.peak_bytes)
+        yield gauge("memory_max_bytes", "Memory that the sender may have.", monitor.max_bytes)
+        yield gauge(
+            "client_buffer_bytes",
+            "Receive buffers of client connections.",
+            self.source.listener.table.buffered_bytes(),
+        )
+
+    def client_counters(self) -> Iterator[Metric]:
+        """Yields the ends of client connections by reason, and the rejected requests by error."""
+        table = self.source.listener.table
+        closed = CounterMetricFamily(
+            "ashpath_client_connections_closed", "Client connections that ended.", labels=["reason"]
+        )
+        for reason, count in table.closed.items():
+            closed.add_metric([reason.value], count)
+        yield closed
+        rejected = CounterMetricFamily(
+            "ashpath_requests_rejected", "Requests that are not valid or incomplete.", labels=["error"]
+        )
+        for error, count in table.rejections.items():
+            rejected.add_metric([error], count)
+        yield rejected
+
     def directory_gauges(self) -> Iterator[Metric]:
         """Yields the use of the state directory's disk space, and the messages that were refused."""
         monitor = self.source.directory_monitor
--- a/ashpath/server/metrics/sources.py
+++ b/ashpath/server/metrics/sources.py
@@ -9,6 +9,7 @@
 from ashpath.server.gossip import Gossip
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.listener import ClientListener
+from ashpath.server.memory_monitor import MemoryMonitor
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
@@ -31,6 +32,11 @@
         """Source of the state directory's size."""
         ...
 
+    @property
+    def memory_monitor(self) -> MemoryMonitor:
+        """Source of the resident size."""
+        ...
+
     @property
     def admission(self) -> Admission:
         """Source of the number of refused messages."""
--- a/ashpath/server/optional_services.py
+++ b/ashpath/server/optional_services.py
@@ -22,6 +22,7 @@
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.logs import Logger
+from ashpath.server.memory_monitor import MemoryMonitor
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 
@@ -62,6 +63,7 @@
     policy_runner: PolicyRunner
     write_ahead_log: WriteAheadLog
     directory_monitor: DirectoryMonitor
+    memory_monitor: MemoryMonitor
     admission: Admission
     listener: ClientListener
     discovery: DiscoveryClient | None
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -24,6 +24,7 @@
 import gevent
 from gevent import Greenlet
 
+from ashpath.server.http.client_monitor import ClientMonitor
 from ashpath.server.local_errors import retry_local_faults
 from ashpath.server.log_repair import LogRepairer
 from ashpath.server.logs import Logger
@@ -46,8 +47,19 @@
         further switch of greenlets: its end unlocks the write-ahead log, which another process then adopts.
 
         `pending_hangups`: SIGHUPs that arrived before this call. Raises OSError if an address cannot be
-        listened on.
+        listened on. Any other error, which ends the process, is logged first.
         """
+        try:
+            self._start(pending_hangups)
+            self._finish()
+        except OSError:
+            raise
+        except Exception:
+            self.logger.exception("sender failed")
+            raise
+
+    def _start(self, pending_hangups: Sequence[int]) -> None:
+        """Takes all steps of a start."""
         sender = self.sender
         gevent.signal_handler(signal.SIGHUP, self.reload_service.requested.set)
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, sender.shutdown.run)
@@ -64,6 +76,10 @@
             detached=len(detached),
             inherited=sender.process_options.inherited_socket is not None,
         )
+
+    def _finish(self) -> None:
+        """Waits for the end of the shutdown, and closes the files."""
+        sender = self.sender
         sender.shutdown.ended.wait()
         sender.delivery.pool.attribution.forget_certain_refusals()
         sender.delivery.policy_runner.give_up_attempts()
@@ -113,6 +129,8 @@
                 delivery.write_ahead_log, sender.limits.log_repair_s, self.logger, delivery.outcome_store
             ).run,
             sender.directory_monitor.run,
+            sender.memory_monitor.run,
+            ClientMonitor(sender.clients.listener.table, self.logger).run,
             sender.clients.listener.run,
         ]
         if sender.orphan_adopter is not None:
--- a/ashpath/server/sender.py
+++ b/ashpath/server/sender.py
@@ -23,6 +23,7 @@
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.limits.services import ServiceLimits
 from ashpath.server.logs import Logger
+from ashpath.server.memory_monitor import MemoryMonitor
 from ashpath.server.optional_services import GossipService, MetricsService
 from ashpath.server.policy_runner import PolicyRunner
 from ashpath.server.reload import SettingsSwitch
@@ -84,6 +85,7 @@
     delivery: DeliveryPath
     clients: ClientSide
     directory_monitor: DirectoryMonitor
+    memory_monitor: MemoryMonitor
     control: ControlListener | None
     discovery: DiscoveryClient | None
     orphan_adopter: OrphanAdopter | None
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -33,6 +33,7 @@
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.limits.shutdown import ShutdownLimits
 from ashpath.server.logs import Logger
+from ashpath.server.memory_monitor import MemoryMonitor, MemoryUse
 from ashpath.server.operator_commands import OperatorCommands
 from ashpath.server.optional_services import GossipService, MetricsService, SenderMetricsSource
 from ashpath.server.policy_runner import PolicyRunner, StateFiles
@@ -82,7 +83,8 @@
     discovery = create_discovery_client(process_options, configuration, delivery.membership, logger)
     gossip = GossipService(delivery.policy_runner, delivery.gossip_link, logger)
     monitor = storage_wiring.create_directory_monitor(process_options, configuration, logger)
-    metrics = create_metrics_service(running, delivery, clients, monitor, discovery, gossip)
+    memory_monitor = create_memory_monitor(configuration, delivery, clients, logger)
+    metrics = create_metrics_service(running, delivery, clients, monitor, memory_monitor, discovery, gossip)
     switch = create_settings_switch(running, deployment, delivery, clients, gossip, metrics, logger)
     return Sender(
         process_options=process_options,
@@ -92,6 +94,7 @@
         delivery=delivery,
         clients=clients,
         directory_monitor=monitor,
+        memory_monitor=memory_monitor,
         control=control,
         discovery=discovery,
         orphan_adopter=storage_wiring.create_orphan_adopter(process_options, configuration, delivery, logger),
@@ -287,11 +290,30 @@
     )
 
 
+def create_memory_monitor(
+    configuration: SenderConfiguration, delivery: DeliveryPath, clients: ClientSide, logger: Logger
+) -> MemoryMonitor:
+    """Creates the monitor of the resident size."""
+    table = clients.listener.table
+
+    def memory_use() -> MemoryUse:
+        return MemoryUse(
+            connections=table.counts_text(),
+            buffered_bytes=table.buffered_bytes(),
+            messages=len(delivery.policy_runner.messages),
+            message_bytes=delivery.write_ahead_log.messages.reserved_bytes,
+        )
+
+    limits = configuration.limits
+    return MemoryMonitor(limits.memory.memory_bytes, limits.services.memory_interval_s, memory_use, logger)
+
+
 def create_metrics_service(
     running: RunningConfiguration,
     delivery: DeliveryPath,
     clients: ClientSide,
     monitor: DirectoryMonitor,
+    memory_monitor: MemoryMonitor,
     discovery: DiscoveryClient | None,
     gossip: GossipService,
 ) -> MetricsService:
@@ -301,6 +323,7 @@
         policy_runner=delivery.policy_runner,
         write_ahead_log=delivery.write_ahead_log,
         directory_monitor=monitor,
+        memory_monitor=memory_monitor,
         admission=clients.admission,
         listener=clients.listener,
         discovery=discovery,
