--- /dev/null
+++ b/tests/server/test_memory_limit.py
@@ -0,0 +1,57 @@
+"""A real sender under crowds of clients, at a small memory limit and 1,024 descriptors."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from ashpath.emulator.crowd.measured_client import TIMED_OUT
+from ashpath.emulator.crowd.play import CrowdResult, play
+from ashpath.emulator.crowd.rig import CrowdRig
+from ashpath.emulator.crowd.shapes import CrowdShape
+
+MEMORY_MB = 64
+MEMORY_BYTES = MEMORY_MB * 1_000_000
+DESCRIPTORS = 1024
+CLIENTS = 500
+CROWD_S = 2.5
+CLIENT_OWED_S = 3.0  # by the platform: until an error or a close
+SLACK_S = 0.05  # by the protocol: every time limit is longer by this
+
+
+def crowd_result(folder: Path, shape: CrowdShape, clients: int = CLIENTS) -> CrowdResult:
+    rig = CrowdRig(folder / "n0", MEMORY_MB, DESCRIPTORS)
+    return play(rig, shape, clients, CROWD_S, return_s=0.0)
+
+
+@pytest.mark.parametrize(
+    "shape",
+    [
+        CrowdShape.MANY_FIELDS_HALF_BODY,
+        CrowdShape.MANY_FIELDS_HALF_HEAD,
+        CrowdShape.HALF_BODY,
+        CrowdShape.SLOW_BODY,
+        CrowdShape.HALF_CHUNKED_BODY,
+        CrowdShape.CHUNK_EXTENSIONS,
+        CrowdShape.ENDLESS_HEAD,
+    ],
+)
+def test_crowd_does_not_take_sender_over_its_memory_limit(tmp_path: Path, shape: CrowdShape) -> None:
+    """Guards against report 8f57f7: a process passes its memory limit under a crowd, and is killed."""
+    result = crowd_result(tmp_path, shape)
+    assert not result.ended
+    assert result.peak_bytes <= MEMORY_BYTES
+
+
+@pytest.mark.parametrize(
+    "shape",
+    [CrowdShape.ONE_BYTE_CHUNKS, CrowdShape.PIPELINED, CrowdShape.NEW_NAMES],
+)
+def test_flood_keeps_no_client_from_its_answer(tmp_path: Path, shape: CrowdShape) -> None:
+    """Guards against a few clients at full speed that hold the event loop: others time out, and the flooding
+    clients get neither an answer nor a close in the time that they are owed one."""
+    result = crowd_result(tmp_path, shape, clients=60)
+    assert result.beside.outcomes[TIMED_OUT] == 0
+    assert result.crowd.unanswered == 0
+    assert result.crowd.longest_wait_s <= CLIENT_OWED_S + SLACK_S
