Headers that nobody reads are not kept, and a request has at most 100 of them

Cause: HttpMessage.on_header kept every field. A head of 16 KB with 2,650 fields took some 260 KB in a dictionary of bytes objects, on each of up to 464 connections.

Change: only the 14 headers that the sender reads are kept; a request with more than 100 headers gets 431 as soon as there are too many. Responses have no such bound, since a Retry-After behind very many fields has to be heeded; their head stays bounded by 16 KiB, and nothing of the rest is kept.

Unit tests for 99, 100 and 101 headers and for responses.

--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -35,6 +35,7 @@
 from gevent import Timeout, socket
 from msgspec import Struct
 
+from ashpath.server import wire_names
 from ashpath.server.http.errors import (
     BodyEndError,
     BodyTooLongError,
@@ -47,6 +48,7 @@
     ResponseTooLongError,
     StatusLineError,
     StatusLineTooLongError,
+    TooManyHeadersError,
     TooManyInterimResponsesError,
     TruncatedBodyError,
     TruncatedHeadError,
@@ -118,7 +120,7 @@
             raise UnknownLengthError
         if isinstance(framing, int) and framing > self.limits.body_bytes:
             raise BodyTooLongError
-        if request.headers.get(b"expect", b"").lower() == b"100-continue":
+        if request.headers.get(wire_names.EXPECT_HEADER, b"").lower() == b"100-continue":
             self.write(CONTINUE_RESPONSE)
         self._read_body(request, parser, framing)
         return request
@@ -224,6 +226,8 @@
                 stop = available if end < 0 else end + len(END_OF_HEAD)
                 feed(parser, self.buffer.peek(fed, stop))
                 fed = stop
+                if isinstance(message, HttpRequest) and message.header_count > self.limits.request_headers:
+                    raise TooManyHeadersError
                 if end >= 0:
                     break
                 if fed > self.limits.head_bytes:
@@ -251,7 +255,7 @@
                 if size > 2 * self.limits.body_bytes or len(message.body) > self.limits.body_bytes:
                     raise BodyTooLongError
             elif not self.receive():
-                if framing is not None or b"transfer-encoding" in message.headers:
+                if framing is not None or wire_names.TRANSFER_ENCODING_HEADER in message.headers:
                     raise TruncatedBodyError
                 message.complete = True  # a response without a length ends with its connection
 
--- a/ashpath/server/http/errors.py
+++ b/ashpath/server/http/errors.py
@@ -186,6 +186,13 @@
         super().__init__(f"{kind} head too long")
 
 
+class TooManyHeadersError(ProtocolError):
+    """A request has more headers than the limit."""
+
+    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    message = "too many headers"
+
+
 class StatusLineTooLongError(ProtocolError):
     """The first line of a response exceeds the size limit of a head."""
 
--- a/ashpath/server/http/framing.py
+++ b/ashpath/server/http/framing.py
@@ -18,8 +18,9 @@
 )
 from ashpath.server.http.messages import HttpMessage, HttpRequest
 from ashpath.server.http.receive_buffer import ReceiveBuffer
+from ashpath.server.wire_names import CONTENT_LENGTH_HEADER, TRANSFER_ENCODING_HEADER
 
-LENGTH_HEADERS = {b"content-length", b"transfer-encoding"}
+LENGTH_HEADERS = {CONTENT_LENGTH_HEADER, TRANSFER_ENCODING_HEADER}
 MAX_CONTENT_LENGTH_DIGITS = 15
 CHUNK_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(;[^\x00-\x08\x0a-\x1f]*)?")
 MAX_CHUNK_LINE_BYTES = 1024  # of a chunk's size with its extensions, or of a trailer line
@@ -92,10 +93,10 @@
     headers = message.headers
     if message.repeated_headers.keys() & LENGTH_HEADERS or headers.keys() >= LENGTH_HEADERS:
         raise AmbiguousLengthError
-    coding = headers.get(b"transfer-encoding")
+    coding = headers.get(TRANSFER_ENCODING_HEADER)
     if coding is not None:
         return ChunkedFraming(max_body_bytes) if coding.lower() == b"chunked" else None
-    length = headers.get(b"content-length")
+    length = headers.get(CONTENT_LENGTH_HEADER)
     if length is None:
         return 0 if isinstance(message, HttpRequest) or message.complete else None
     if not length.isdigit() or len(length) > MAX_CONTENT_LENGTH_DIGITS:
--- a/ashpath/server/http/messages.py
+++ b/ashpath/server/http/messages.py
@@ -6,6 +6,8 @@
 
 import httptools
 
+from ashpath.server.wire_names import CONNECTION_HEADER, READ_HEADERS
+
 # Bound once: the access to an enumeration's member costs more than the comparisons that use it.
 CONTINUE = HTTPStatus.CONTINUE.value
 OK = HTTPStatus.OK.value
@@ -21,7 +23,10 @@
     """
 
     def __init__(self) -> None:
-        self.headers: dict[bytes, bytes] = {}  # by name in lower case; the last value of a repeated header
+        self.headers: dict[
+            bytes, bytes
+        ] = {}  # of `READ_HEADERS`, by name; the last value of a repeated header
+        self.header_count = 0  # all headers, with those that are not kept
         self.repeated_headers: dict[bytes, list[bytes]] = {}  # earlier values of those that occur repeatedly
         self.body_parts: list[bytes] = []
         self.head_complete = False
@@ -29,9 +34,12 @@
         self.keep_alive = False  # the peer allows another message on the connection
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores one header, with its name in lower case."""
-        if not self.head_complete:
-            name = name.lower()
+        """Counts one header, and stores it if it is among `READ_HEADERS`."""
+        if self.head_complete:
+            return
+        self.header_count += 1
+        name = name.lower()
+        if name in READ_HEADERS:
             if name in self.headers:
                 self.repeated_headers.setdefault(name, []).append(self.headers[name])
             self.headers[name] = value.strip()
@@ -61,7 +69,7 @@
 
     def wants_keep_alive(self, parser: Parser) -> bool:
         """Whether the peer keeps the connection; the parser's own value changes once the message ends."""
-        options = self.headers.get(b"connection", b"").lower().replace(b" ", b"").split(b",")
+        options = self.headers.get(CONNECTION_HEADER, b"").lower().replace(b" ", b"").split(b",")
         return b"close" not in options and (parser.get_http_version() == "1.1" or b"keep-alive" in options)
 
 
--- a/ashpath/server/limits/http.py
+++ b/ashpath/server/limits/http.py
@@ -12,6 +12,9 @@
     """Timeout for establishing a connection."""
     head_bytes: int = 16 << 10
     """The largest size of the first line and the headers together."""
+    request_headers: int = 100
+    """The largest number of headers of a request. A response may have more, as a Retry-After among them has
+    to be heeded."""
     body_bytes: int = 64 << 10
     """The largest size of a body. A request with a larger body is rejected; a response with a larger one ends
     its connection."""
--- a/ashpath/server/wire_names.py
+++ b/ashpath/server/wire_names.py
@@ -21,6 +21,33 @@
 RETRY_AFTER_HEADER = b"retry-after"  # seconds, with decimals
 CREDENTIAL_HEADER = b"authorization"
 
+# Headers of HTTP itself that the sender reads.
+CONTENT_LENGTH_HEADER = b"content-length"
+TRANSFER_ENCODING_HEADER = b"transfer-encoding"
+CONNECTION_HEADER = b"connection"
+EXPECT_HEADER = b"expect"
+
+READ_HEADERS = frozenset(
+    {
+        TRACE_ID_HEADER,
+        TRAFFIC_CLASS_HEADER,
+        TIME_LEFT_HEADER,
+        DESTINATION_HEADER,
+        IDEMPOTENCY_KEY_HEADER,
+        COOKIE_HEADER,
+        EGRESS_FULL_HEADER,
+        LOAD_REPORT_HEADER,
+        RETRY_AFTER_HEADER,
+        CREDENTIAL_HEADER,
+        CONTENT_LENGTH_HEADER,
+        TRANSFER_ENCODING_HEADER,
+        CONNECTION_HEADER,
+        EXPECT_HEADER,
+    }
+)
+"""The headers that are kept of a received message. Any other is dropped as it is parsed: names and values of
+thousands of short ones take many times the bytes of the head."""
+
 ORDERING_KEY_COOKIE = b"about"
 
 # Paths that a sender serves.
--- a/benchmarks/crowd.py
+++ b/benchmarks/crowd.py
@@ -1,7 +1,7 @@
 """Resident size and service of a real sender under crowds of clients, a row a shape.
 
     .venv/bin/python -m benchmarks.crowd [--memory-mb 64,96] [--descriptors 1024] [--clients 500] \
-        [--seconds 8] [--return-seconds 10] [--shapes "half body,silent"] [--source TREE]
+        [--seconds 8] [--return-seconds 10] [--shapes "half body;silent"] [--source TREE]
 
 `--source` runs the sender from another tree, such as a `git worktree` of an earlier release. Clients,
 endpoint and agent are simulated, the sender is real. Sizes are in megabytes of a million bytes.
@@ -58,7 +58,7 @@
 
 
 def shapes(text: str) -> list[CrowdShape]:
-    return [CrowdShape(part) for part in text.split(",")]
+    return [CrowdShape(part) for part in text.split(";")]
 
 
 def main() -> None:
--- a/tests/server/http/test_connection.py
+++ b/tests/server/http/test_connection.py
@@ -15,6 +15,7 @@
     ResponseTooLongError,
     StatusLineError,
     StatusLineTooLongError,
+    TooManyHeadersError,
     TooManyInterimResponsesError,
     TruncatedMessageError,
     UnknownLengthError,
@@ -105,6 +106,8 @@
     POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n": (UnknownLengthError, 400),
     POST + b"Content-Length: 62914560\r\n\r\n": (BodyTooLongError, 413),
     POST + b"X: " + b"y" * 20_000: (HeadTooLongError, 431),
+    POST + b"a:\r\n" * 101 + b"\r\n": (TooManyHeadersError, 431),
+    POST + b"b:\r\n" * 102: (TooManyHeadersError, 431),  # before the head is complete
     b"CONNECT a:1 HTTP/1.1\r\n\r\n": (UpgradeError, 400),
 }
 
@@ -115,3 +118,16 @@
     with pytest.raises(error) as raised:
         receiving(data).read_request()
     assert raised.value.status == status
+
+
+def test_request_with_as_many_headers_as_allowed_is_read() -> None:
+    data = POST + b"a:\r\n" * 99 + b"X-Trace-Id: t\r\n\r\n"
+    assert receiving(data).read_request().headers == {b"x-trace-id": b"t"}
+
+
+def test_headers_that_nobody_reads_are_not_kept() -> None:
+    """Guards against thousands of short headers that take many times the memory of their head."""
+    fields = b"".join(b"%x:\r\n" % number for number in range(2500))
+    response = receiving(ERROR + fields + b"Retry-After: 1\r\nContent-Length: 0\r\n\r\n").read_response()
+    assert response.headers == {b"retry-after": b"1", b"content-length": b"0"}
+    assert response.header_count == 2502
--- a/tests/server/test_limits.py
+++ b/tests/server/test_limits.py
@@ -29,6 +29,7 @@
     "pool_sweep_s": 0.25,
     "forget_destination_s": 60.0,
     "head_bytes": 16_384,
+    "request_headers": 100,
     "body_bytes": 65_536,
     "interim_responses": 20,
     "response_rest_s": 0.5,
