Chunk framing is bounded by a share of the body, and examined in steps

Cause: framing could be as long as the largest body (128 KB in all), and was examined in one go, a Python step for each chunk, some 90 ms a body.

Change: framing may have 2 KiB and an eighth of the body; the rest is 413. 256 chunks are examined between two switches of greenlets. Responses have the same bound: their bodies mean nothing, and the status and the Retry-After of one that is refused were read before.

--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -31,6 +31,7 @@
 import re
 from contextlib import suppress
 
+import gevent
 import httptools
 from gevent import Timeout, socket
 from msgspec import Struct
@@ -56,7 +57,7 @@
     UnknownLengthError,
     UpgradeError,
 )
-from ashpath.server.http.framing import BodyFraming, body_framing, known_end
+from ashpath.server.http.framing import BodyFraming, ChunkedFraming, body_framing, known_end
 from ashpath.server.http.messages import OK, HttpMessage, HttpRequest, HttpResponse, Parser
 from ashpath.server.http.receive_buffer import ReceiveBuffer
 from ashpath.server.http.transport import BufferedSocket
@@ -254,6 +255,8 @@
                     raise BodyEndError
                 if size > 2 * self.limits.body_bytes or len(message.body) > self.limits.body_bytes:
                     raise BodyTooLongError
+            elif isinstance(framing, ChunkedFraming) and framing.has_more:
+                gevent.sleep(0)  # other greenlets run even while a body of many chunks is examined
             elif not self.receive():
                 if framing is not None or wire_names.TRANSFER_ENCODING_HEADER in message.headers:
                     raise TruncatedBodyError
--- a/ashpath/server/http/framing.py
+++ b/ashpath/server/http/framing.py
@@ -25,12 +25,17 @@
 CHUNK_SIZE_LINE = re.compile(rb"([0-9a-fA-F]{1,8})[ \t]*(;[^\x00-\x08\x0a-\x1f]*)?")
 MAX_CHUNK_LINE_BYTES = 1024  # of a chunk's size with its extensions, or of a trailer line
 LINE_END = b"\r\n"
+MIN_OVERHEAD_BYTES = 2 << 10  # of chunk framing, whatever the size of the body
+OVERHEAD_DIVISOR = 8  # further framing may be this part of the body
+MAX_CHUNKS_PER_STEP = 256  # examined without a switch of greenlets
 
 
 class ChunkedFraming:
     """Finds the end of a chunked body as it arrives, and consumes nothing.
 
-    A body with its chunk framing may be twice as long as a body without.
+    The framing may have `MIN_OVERHEAD_BYTES`, and more in proportion to the body: each chunk costs work,
+    however small it is. `end` examines at most `MAX_CHUNKS_PER_STEP` chunks, and sets `has_more` if there are
+    others in the buffer.
 
     >>> buffer, framing = ReceiveBuffer(64, 64), ChunkedFraming(64)
     >>> def received(data):
@@ -44,14 +49,20 @@
 
     def __init__(self, max_body_bytes: int) -> None:
         self.max_bytes = 2 * max_body_bytes
+        self.body_bytes = 0  # of the chunks up to `position`, without framing
+        self.has_more = False  # chunks behind `position` may be examined without a further byte
         self.position = 0  # of the first line that is not checked yet
         self.in_trailer = False  # the last chunk has been found
 
     def end(self, buffer: ReceiveBuffer) -> int | None:
-        """Returns the body's length with its framing in bytes, or None until its end is in the buffer.
+        """Returns the body's length with its framing in bytes, or None until its end is found.
 
         Raises ProtocolError."""
-        while (line_end := buffer.find(LINE_END, self.position)) >= 0:
+        self.has_more = False
+        for _ in range(MAX_CHUNKS_PER_STEP):
+            line_end = buffer.find(LINE_END, self.position)
+            if line_end < 0:
+                break
             line = buffer.peek(self.position, line_end)
             next_line = line_end + len(LINE_END)
             if self.in_trailer and not line:
@@ -66,13 +77,21 @@
                         raise ChunkEndError
                     next_line += len(LINE_END)
                 self.in_trailer = not size
-            if len(line) > MAX_CHUNK_LINE_BYTES or next_line > self.max_bytes:
+                self.body_bytes += size
+            if len(line) > MAX_CHUNK_LINE_BYTES or next_line - self.body_bytes > self.max_overhead():
                 raise ChunkOverheadError
             self.position = next_line
+        else:
+            self.has_more = True
+            return None
         if len(buffer) - self.position > MAX_CHUNK_LINE_BYTES:
             raise ChunkLineError
         return None
 
+    def max_overhead(self) -> int:
+        """Returns how many bytes of framing the body may have so far."""
+        return MIN_OVERHEAD_BYTES + self.body_bytes // OVERHEAD_DIVISOR
+
     def chunk_size(self, line: bytes) -> int:
         """Returns the size in bytes of the chunk after this line. Raises ProtocolError."""
         match = CHUNK_SIZE_LINE.fullmatch(line)
--- a/tests/server/http/test_framing.py
+++ b/tests/server/http/test_framing.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from ashpath.server.http.errors import (
     BodyTooLongError,
@@ -12,7 +16,7 @@
     ChunkSizeError,
     ProtocolError,
 )
-from ashpath.server.http.framing import ChunkedFraming
+from ashpath.server.http.framing import MAX_CHUNKS_PER_STEP, ChunkedFraming
 from ashpath.server.http.receive_buffer import ReceiveBuffer
 
 MAX_BODY_BYTES = 2048
@@ -36,6 +40,14 @@
     buffer.commit(len(data))
 
 
+def end_in(buffer: ReceiveBuffer, framing: ChunkedFraming) -> int | None:
+    """Examines all that is in the buffer, step by step."""
+    end = framing.end(buffer)
+    while framing.has_more:
+        end = framing.end(buffer)
+    return end
+
+
 def test_body_end_is_found_with_its_last_byte() -> None:
     buffer, framing = ReceiveBuffer(64, 64), ChunkedFraming(MAX_BODY_BYTES)
     ends = []
@@ -58,5 +70,64 @@
     buffer = ReceiveBuffer(64, 64)
     receive(buffer, data)
     with pytest.raises(ProtocolError, match=message) as raised:
-        ChunkedFraming(MAX_BODY_BYTES).end(buffer)
+        end_in(buffer, ChunkedFraming(MAX_BODY_BYTES))
     assert type(raised.value) is error
+
+
+@pytest.mark.parametrize(("chunk", "is_allowed"), [(1, False), (16, False), (64, True), (4096, True)])
+def test_framing_is_bounded_by_share_of_body(chunk: int, is_allowed: bool) -> None:
+    """Guards against bodies whose chunks cost much work and bring few bytes."""
+    buffer, framing = ReceiveBuffer(64, 64), ChunkedFraming(64 << 10)
+    receive(buffer, (b"%x\r\n" % chunk + b"x" * chunk + b"\r\n") * (60_000 // chunk) + b"0\r\n\r\n")
+    if is_allowed:
+        assert end_in(buffer, framing) == len(buffer)
+    else:
+        with pytest.raises(ChunkOverheadError):
+            end_in(buffer, framing)
+        assert framing.position - framing.body_bytes < 2048 + 60_000 // 8
+
+
+def test_step_examines_bounded_number_of_chunks() -> None:
+    """Guards against one body that holds the event loop for long."""
+    buffer, framing = ReceiveBuffer(64, 64), ChunkedFraming(64 << 10)
+    receive(buffer, b"1\r\nx\r\n" * 300)
+    assert framing.end(buffer) is None
+    assert framing.body_bytes == MAX_CHUNKS_PER_STEP
+    assert framing.has_more
+    assert framing.end(buffer) is None
+    assert framing.body_bytes == 300
+    assert not framing.has_more
+
+
+CHUNKED_BYTES = st.lists(
+    st.one_of(
+        st.sampled_from(
+            [b"1\r\nx\r\n", b"3;x=y\r\nabc\r\n", b"0\r\n", b"t: 1\r\n", b"\r\n", b"zz\r\n", b"\r"]
+        ),
+        st.binary(max_size=20),
+    ),
+    max_size=400,
+).map(b"".join)
+
+
+def verdict(pieces: list[bytes]) -> str:
+    """Returns the end, the error or `incomplete` for a body that arrives in these pieces."""
+    buffer, framing = ReceiveBuffer(64, 64), ChunkedFraming(MAX_BODY_BYTES)
+    for piece in pieces:
+        receive(buffer, piece)
+        try:
+            end = end_in(buffer, framing)
+        except ProtocolError as error:
+            return type(error).__name__
+        if end is not None:
+            return str(end)
+    return "incomplete"
+
+
+@settings(max_examples=300, deadline=None)
+@given(data=CHUNKED_BYTES, cuts=st.lists(st.integers(0, 2000), max_size=6))
+def test_any_split_of_body_has_verdict_of_whole(data: bytes, cuts: list[int]) -> None:
+    """A body is judged by its bytes, not by how they arrive."""
+    places = sorted({min(cut, len(data)) for cut in cuts} | {0, len(data)})
+    pieces = [data[begin:end] for begin, end in pairwise(places)]
+    assert verdict(pieces) == verdict([data])
