Connections, requests, responses and messages share the memory of the process

Cause: each size was bounded for one connection, and nothing bounded the sum: 464 connections times a body of 64 KiB, 128 KiB with chunk framing. memory_mb was not read.

Change: what memory_mb leaves over the resident size at the start is divided (policy/memory_budget.py): client connections, requests in progress, endpoints' responses, accepted messages. A buffer is reserved before it grows, a body by its declared length before any byte of it is read; without room the request gets 503 with Retry-After. Requests that have stalled for 0.5 s give way first, those with the least progress in front, clients with an accepted message last; they get 503 and no bare close. A message is refused (cause 'memory') where accepted ones have their share. Both processes of an upgrade have half each. Idle connections hold no buffer; freed buffers go back to the system (mallopt); the kernel's receive buffers are bounded. Connections are evicted in an order in which idle clients with an accepted message go last. A limit below what the process has to itself is one clear error.

--- a/ashpath/cli/standalone.py
+++ b/ashpath/cli/standalone.py
@@ -18,6 +18,7 @@
 from ashpath.config.errors import InvalidConfigurationError
 from ashpath.server.errors import StartupError
 from ashpath.server.logs import LogFormat, Logger, create_logger
+from ashpath.server.process_memory import give_back_freed_memory
 from ashpath.server.runtime import SenderRuntime
 from ashpath.server.sender import ProcessOptions, Sender
 from ashpath.server.storage.errors import StateDirectoryError
@@ -43,6 +44,7 @@
     """
     pending_hangups: list[int] = []  # received before the sender runs: by default, SIGHUP ends the process
     signal.signal(signal.SIGHUP, lambda number, _: pending_hangups.append(number))
+    give_back_freed_memory()
     configuration = FileConfiguration.read(path)
     file = configuration.file
     open_standard_streams()
--- a/ashpath/config/platform_document.py
+++ b/ashpath/config/platform_document.py
@@ -53,6 +53,7 @@
         "settings": msgspec.to_builtins(platform_settings(configuration)),
         "limits": {
             "sockets": configuration.limits.descriptors,
+            "memory_mb": configuration.limits.memory / 1e6,
             "disk_mb": configuration.limits.disk / 1e6,
             "own": own_limits(configuration),
         },
--- a/ashpath/config/schema.py
+++ b/ashpath/config/schema.py
@@ -293,6 +293,12 @@
     descriptors: Annotated[
         int, Key("number of file descriptors that the process may use", 128, 1_000_000)
     ] = 1024
+    memory: Annotated[
+        Size,
+        Key(
+            "memory that the process may use; connections, requests and messages share it", 32 * MIB, 64 * GIB
+        ),
+    ] = Size(256 * MIB)
     queue_capacity: Annotated[
         int, Key("largest number of accepted messages that are queued or in flight", 1, 10_000_000)
     ] = field(default=10_000, name="envelopes")
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -33,6 +33,7 @@
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.delivery.response_attribution import ResponseAttribution
 from ashpath.server.delivery.response_notices import ResponseNotices
+from ashpath.server.http.buffer_memory import ResponseMemory
 from ashpath.server.http.connection import connect_socket
 from ashpath.server.limits.endpoint_connections import EndpointConnectionLimits
 from ashpath.server.limits.http import HttpLimits
@@ -77,6 +78,7 @@
         self.notices = notices
         self.closing = ClosingConnections(notices)
         self.checks = checks
+        self.memory = ResponseMemory()
         self.idle: dict[str, deque[IdleConnection]] = {}
         self.open = 0
         """Number of connections in use and idle."""
@@ -204,7 +206,7 @@
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             connect_socket(sock, address, self.http_limits)
             self.opened += 1
-            return EndpointConnection(sock, self.http_limits, self.opened, self.notices)
+            return EndpointConnection(sock, self.http_limits, self.opened, self.notices, self.memory)
         except BaseException:
             self.open -= 1
             raise
--- a/ashpath/server/delivery/endpoint_connection.py
+++ b/ashpath/server/delivery/endpoint_connection.py
@@ -10,6 +10,7 @@
 from gevent import get_hub, socket
 
 from ashpath.server.delivery.response_notices import NoticeSource, ResponseNotices
+from ashpath.server.http.buffer_memory import AccountedBuffer, ResponseMemory
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.messages import HttpResponse
 from ashpath.server.limits.http import HttpLimits
@@ -38,9 +39,17 @@
     """A connection to an endpoint; the pool creates and closes it."""
 
     def __init__(
-        self, sock: socket.socket, limits: HttpLimits, number: int, notices: ResponseNotices
+        self,
+        sock: socket.socket,
+        limits: HttpLimits,
+        number: int,
+        notices: ResponseNotices,
+        memory: ResponseMemory,
     ) -> None:
         super().__init__(sock, limits)
+        self.buffer = AccountedBuffer(
+            limits.buffer_bytes, limits.body_bytes, memory.reserve_for, memory.release
+        )
         self.notices = notices
         self.endpoint_id = ""
         """The endpoint at the other end; empty until an attempt has the connection."""
@@ -96,10 +105,11 @@
         self._watcher.stop()
 
     def close(self) -> None:
-        """Closes the socket, and stops watching it."""
+        """Closes the socket, stops watching it, and frees its buffer."""
         self._watcher.stop()
         self._watcher.close()
         super().close()
+        self.buffer.clear()
 
     def take_received(self, max_bytes: int) -> bytes:
         """Returns what has arrived, without waiting, and sets `eof_received` at the end of the connection."""
--- a/ashpath/server/errors.py
+++ b/ashpath/server/errors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -53,6 +54,14 @@
         super().__init__(f"metrics.listen: {text}: {reason.strerror or reason}")
 
 
+class MemoryLimitError(StartupError):
+    """The memory limit is too small for a sender."""
+
+    def __init__(self, limit_bytes: int, least_bytes: int) -> None:
+        found, least = limit_bytes / 1e6, ceil(least_bytes / 1e6)
+        super().__init__(f"memory limit of {found:g} MB is too small, a sender needs at least {least} MB")
+
+
 class UnusableConfigurationError(StartupError):
     """A sender cannot be created from the configuration file, or from its state directory."""
 
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -11,6 +11,8 @@
 from msgspec import Struct
 
 from ashpath.core.interface import PolicySettings, RetrySafety
+from ashpath.policy import memory_budget
+from ashpath.policy.memory_budget import UNLIMITED
 from ashpath.policy.tuning import DEFAULT_RETRY_AFTER
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.outcome_recorder import SubmitDecision, SubmitResult
@@ -40,6 +42,8 @@
     DUPLICATE = "duplicate"
     QUEUE_FULL = "queue full"
     DESTINATION_NOT_LISTED = "destination not listed"
+    MEMORY = "memory"
+    """Accepted messages have the memory that they may have."""
     LOG_FULL = "log full"
     """The write-ahead log has no room, or cannot be written."""
     POLICY = "policy"
@@ -82,6 +86,7 @@
         self.logger = logger
         self.log_full = False  # the write-ahead log had no space for the last message
         self.refusals: Counter[RefusalCause] = Counter()
+        self.memory_shares = UNLIMITED
         self.rejecting_all = False  # set once, during the shutdown: every message is rejected
 
     def apply_settings(self, settings: PolicySettings, traffic_class_ids: dict[str, int]) -> None:
@@ -121,12 +126,21 @@
         if len(self.receiver.messages) >= self.settings.queue_capacity > 0:
             # The platform rejects messages beyond the sender's queue capacity.
             return self.refuse(RefusalCause.QUEUE_FULL, OVER_CAPACITY)
+        if not self.has_memory_for(message):
+            return self.refuse(RefusalCause.MEMORY, OVER_CAPACITY)
         if not self.registry.serves(message.destination):  # not listed, but may be soon
             retry_after = min(self.settings.max_retry_after, DEFAULT_RETRY_AFTER)
             not_listed = AdmissionResult(HTTPStatus.SERVICE_UNAVAILABLE, retry_after)
             return self.refuse(RefusalCause.DESTINATION_NOT_LISTED, not_listed)
         return None
 
+    def has_memory_for(self, message: StoredMessage) -> bool:
+        """Whether the share of accepted messages has room for another one."""
+        live = self.write_ahead_log.messages
+        record_bytes = live.reserved_bytes + len(message.body)
+        cost = memory_budget.message_cost(len(live.live) + 1, record_bytes)
+        return cost <= self.memory_shares.message_bytes
+
     def is_duplicate(self, message: StoredMessage) -> bool:
         """Whether the message is unfinished, where a copy would be delivered beside it, or has ended and must
         not run twice; in this process or in the other one of a hot upgrade."""
--- a/ashpath/server/http/client_connection.py
+++ b/ashpath/server/http/client_connection.py
@@ -6,14 +6,15 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from http import HTTPStatus
 from time import monotonic
 
 from gevent import Timeout
 from msgspec import Struct
 
 from ashpath.server.http.availability import Availability
+from ashpath.server.http.client_socket import ClientSocket
 from ashpath.server.http.close_reason import ClientCloseReason
-from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.connection_table import ConnectionState, ConnectionTable
 from ashpath.server.http.encoding import encode_response
 from ashpath.server.http.errors import (
@@ -51,7 +52,7 @@
 
     __slots__ = ("before_first_request", "close_reason", "connection", "draining", "services")
 
-    def __init__(self, connection: HttpConnection, services: ClientServices) -> None:
+    def __init__(self, connection: ClientSocket, services: ClientServices) -> None:
         self.connection = connection
         self.services = services
         self.before_first_request = True  # no request has been read yet
@@ -67,6 +68,7 @@
             pass
         except Exception:
             self.services.logger.exception("unexpected error")
+            self.connection.buffer.clear()
             self.close_reason = ClientCloseReason.ERROR
             self.reject(500)
         else:
@@ -88,6 +90,7 @@
         except ProtocolError as error:
             self.close_reason = ClientCloseReason.REJECTED
             self.services.table.rejections[type(error).__name__] += 1
+            self.connection.buffer.clear()
             self.reject(error.status)
             return False
         return self.respond(request)
@@ -142,9 +145,12 @@
 
     def respond(self, request: HttpRequest) -> bool:
         """Handles a request and writes its response; returns whether the connection is kept."""
-        keep_alive = request.keep_alive and not self.connection.unusable and self.services.availability.ready
         self.services.table.enter(self.connection, RESPONDING)
         reply = self.services.handler.handle(request, self.connection)
+        if reply.accepted is not None:
+            self.connection.has_accepted_messages = True
+        keep_alive = request.keep_alive and not self.connection.unusable and self.services.availability.ready
+        request.body_parts.clear()  # the write may wait for a client that does not read
         data = encode_response(
             reply.status, keep_alive=keep_alive, retry_after=reply.retry_after, body=reply.body
         )
@@ -158,7 +164,8 @@
 
         A close with unread bytes would reset the connection, and the client could lose the response."""
         self.services.table.enter(self.connection, REJECTING)
-        if self.write(encode_response(status, keep_alive=False)):
+        retry_after = self.services.handler.retry_after if status == HTTPStatus.SERVICE_UNAVAILABLE else 0
+        if self.write(encode_response(status, keep_alive=False, retry_after=retry_after)):
             self.half_close_and_drain()
 
     def write(self, data: bytes) -> bool:
--- /dev/null
+++ b/ashpath/server/http/client_socket.py
@@ -0,0 +1,120 @@
+"""A client's connection as a socket with a bounded buffer, whose wait for bytes another greenlet can end."""
+
+from __future__ import annotations
+
+import errno
+
+from gevent import get_hub, socket
+
+from ashpath.server.http.buffer_memory import AccountedBuffer, RequestMemory
+from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.errors import ProtocolError
+from ashpath.server.limits.http import HttpLimits
+
+READ = 1  # the event of libev's io watchers
+DISCARDED = bytearray(64 << 10)  # receives bytes that nobody reads, of all connections
+CLOSED_TEXT = "connection closed"
+NO_WAIT = 0.0  # the timeout of a socket that does not wait
+
+
+class ClientSocket(HttpConnection):
+    """The server's end of a client connection.
+
+    Memory for received bytes is allocated once they have arrived, so a connection that waits holds none.
+    Each read waits for a turn of the event loop: a client that writes continuously gets a turn among the
+    others.
+    """
+
+    def __init__(self, sock: socket.socket, limits: HttpLimits, memory: RequestMemory) -> None:
+        super().__init__(sock, limits)
+        self.has_accepted_messages = False
+        """Whether a message of this client was accepted on this connection."""
+        self._memory = memory
+        self.request_buffer = AccountedBuffer(
+            limits.buffer_bytes, limits.body_bytes, self._reserve, memory.release
+        )
+        self.buffer = self.request_buffer
+        self._cancellation: ProtocolError | None = None
+        self._closed = False
+        self._readable = get_hub().loop.io(sock.fileno(), READ)
+
+    def _reserve(self, size: int) -> None:
+        self._memory.reserve_for(size, has_accepted_messages=self.has_accepted_messages)
+
+    def receive(self) -> bool:
+        """See `BufferedSocket`. Raises the error of `cancel`."""
+        if self.sock.gettimeout() == NO_WAIT:
+            return super().receive()
+        self._wait_for_turn()
+        while not self._read_available():
+            self._wait_for_turn()
+        return not self.eof_received
+
+    def _wait_for_turn(self) -> None:
+        if self._closed:
+            raise OSError(errno.EBADF, CLOSED_TEXT)
+        self._raise_cancellation()
+        socket.wait(self._readable)
+        self._raise_cancellation()
+
+    def _read_available(self) -> bool:
+        """Reads what has arrived; returns False if nothing has. The buffer may be cleared while no read is in
+        progress, so none may wait."""
+        self.sock.settimeout(NO_WAIT)
+        try:
+            self.read_into_buffer()
+        except BlockingIOError:
+            return False
+        finally:
+            self.sock.settimeout(None)
+        return True
+
+    def drain(self, max_bytes: int) -> None:
+        """See `BufferedSocket`."""
+        waits = self.sock.gettimeout() != NO_WAIT
+        drained = len(self.buffer)
+        self.buffer.clear()
+        while drained < max_bytes and not self.eof_received:
+            if waits:
+                self._wait_for_turn()
+            drained += self._discard_available(waits=waits)
+
+    def _discard_available(self, *, waits: bool) -> int:
+        """Reads and discards what has arrived; returns how much."""
+        self.sock.settimeout(NO_WAIT)
+        try:
+            count: int = self.sock.recv_into(DISCARDED)
+        except BlockingIOError:
+            if not waits:
+                raise
+            return 0
+        finally:
+            if waits:
+                self.sock.settimeout(None)
+        self.eof_received = not count
+        return count
+
+    def cancel(self, error: ProtocolError) -> None:
+        """Makes the read of the request in progress fail with an error, and frees its buffer. Does not
+        wait."""
+        self._cancellation = error
+        self.buffer.clear()
+        get_hub().cancel_wait(self._readable, error)
+
+    def _raise_cancellation(self) -> None:
+        if self._cancellation is not None:
+            error = self._cancellation
+            self._cancellation = None
+            raise error
+
+    def expect_body(self, size: int) -> None:
+        """Reserves memory for a body of a declared length. Raises MemoryBudgetError."""
+        self.buffer.make_room_for(size)
+
+    def close(self) -> None:
+        """See `BufferedSocket`. A read that waits fails, and the buffer is freed."""
+        if not self._closed:
+            self._closed = True
+            get_hub().cancel_wait(self._readable, OSError(errno.EBADF, CLOSED_TEXT), True)
+        super().close()
+        self.buffer.clear()
--- a/ashpath/server/http/close_reason.py
+++ b/ashpath/server/http/close_reason.py
@@ -22,8 +22,6 @@
     """Evicted before its first request."""
     EVICTED_IDLE = "evicted idle"
     """Evicted between two requests."""
-    EVICTED_STALLED = "evicted stalled"
-    """Evicted within a request."""
     EVICTED_HALF_CLOSED = "evicted half-closed"
     """Evicted after this side had closed its half."""
     UNREAD_RESPONSE = "unread response"
--- a/ashpath/server/http/connection.py
+++ b/ashpath/server/http/connection.py
@@ -60,7 +60,7 @@
 from ashpath.server.http.framing import BodyFraming, ChunkedFraming, body_framing, known_end
 from ashpath.server.http.messages import OK, HttpMessage, HttpRequest, HttpResponse, Parser
 from ashpath.server.http.receive_buffer import ReceiveBuffer
-from ashpath.server.http.transport import BufferedSocket
+from ashpath.server.http.transport import BufferedSocket, bound_receive_buffer
 from ashpath.server.limits.http import HttpLimits
 
 END_OF_HEAD = b"\r\n\r\n"
@@ -90,6 +90,7 @@
 def connect_socket(sock: socket.socket, address: tuple[str, int], limits: HttpLimits) -> None:
     """Connects a socket. Raises OSError on a failure or time-out, and closes the socket then."""
     try:
+        bound_receive_buffer(sock)
         sock.settimeout(limits.connect_s)
         sock.connect(address)
         sock.settimeout(None)
@@ -121,11 +122,16 @@
             raise UnknownLengthError
         if isinstance(framing, int) and framing > self.limits.body_bytes:
             raise BodyTooLongError
+        if isinstance(framing, int):
+            self.expect_body(framing)
         if request.headers.get(wire_names.EXPECT_HEADER, b"").lower() == b"100-continue":
             self.write(CONTINUE_RESPONSE)
         self._read_body(request, parser, framing)
         return request
 
+    def expect_body(self, size: int) -> None:
+        """Called with the declared length of a request's body, before any byte of it is read."""
+
     def read_response(self) -> HttpResponse:
         """Returns the final response: a 200 without its body, any other status with its body.
 
--- a/ashpath/server/http/errors.py
+++ b/ashpath/server/http/errors.py
@@ -186,6 +186,20 @@
         super().__init__(f"{kind} head too long")
 
 
+class MemoryBudgetError(ProtocolError):
+    """The process has no memory for a request; the client may send it again later."""
+
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    message = "no memory for the request"
+
+
+class StalledRequestError(ProtocolError):
+    """A request made so little progress that its connection, or its memory, is given to another one."""
+
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    message = "request stalled"
+
+
 class TooManyHeadersError(ProtocolError):
     """A request has more headers than the limit."""
 
--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from time import monotonic
 
 import gevent
 from gevent import socket
@@ -11,10 +12,12 @@
 from ashpath.server.addresses import Address
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.availability import Availability
+from ashpath.server.http.buffer_memory import RequestMemory
 from ashpath.server.http.client_connection import ClientConnection, ClientServices
-from ashpath.server.http.connection import HttpConnection
+from ashpath.server.http.client_socket import ClientSocket
 from ashpath.server.http.connection_table import ConnectionState, ConnectionTable
 from ashpath.server.http.request_handler import RequestHandler, RequestResponder
+from ashpath.server.http.transport import bound_receive_buffer
 from ashpath.server.limits.client_connections import ClientConnectionLimits
 from ashpath.server.limits.http import HttpLimits
 from ashpath.server.local_errors import is_closed
@@ -45,7 +48,8 @@
         self.http_limits = http_limits
         self.availability = Availability()
         self.handler = RequestHandler(admission, self.availability, status_api)
-        self.table = ConnectionTable(limits)
+        self.memory = RequestMemory()
+        self.table = ConnectionTable(limits, self.memory)
         self.services = ClientServices(self.table, self.handler, self.availability, limits, logger)
         self.connection_count = 0
         self.connection_closed = Event()
@@ -58,6 +62,7 @@
         bind, or on a new socket at the configured address. Raises OSError."""
         if inherited is not None:
             self.socket = socket.socket(fileno=inherited)
+            bound_receive_buffer(self.socket)
             self.inherited = True
             self.listening = True
             return
@@ -69,7 +74,7 @@
         self.accepting = True
         while self.accepting:
             try:
-                connection = HttpConnection(self.socket.accept()[0], self.http_limits)
+                connection = self.connection_of(self.socket.accept()[0])
             except OSError as error:  # no descriptor free, or the client has left
                 if is_closed(error) and self.accepting:
                     self.listen_again(error)
@@ -78,10 +83,24 @@
             self.connection_count += 1
             gevent.spawn(self.serve, connection)
             gevent.sleep(0)  # other greenlets run even while clients connect continuously
-            while self.connection_count >= self.limits.client_connections:
-                self.connection_closed.clear()
-                if not self.table.evict_one():
-                    self.connection_closed.wait(EVICTION_RETRY_S)
+            self.make_room()
+
+    def make_room(self) -> None:
+        """Waits until another connection may be accepted, and evicts others meanwhile."""
+        began = monotonic()
+        while self.connection_count >= self.max_connections:
+            self.connection_closed.clear()
+            if not self.table.evict_one(monotonic() - began):
+                self.connection_closed.wait(EVICTION_RETRY_S)
+
+    @property
+    def max_connections(self) -> int:
+        """Number of client connections that descriptors and memory allow."""
+        return min(self.limits.client_connections, self.memory.shares.client_connections)
+
+    def connection_of(self, accepted: socket.socket) -> ClientSocket:
+        """Returns an accepted connection. Raises OSError if the client has left."""
+        return ClientSocket(accepted, self.http_limits, self.memory)
 
     def listen_again(self, error: OSError) -> None:
         """Logs the loss of the listening socket, which can accept no further connection, and replaces it.
@@ -95,7 +114,7 @@
             with suppress(OSError):
                 lost.close()
 
-    def serve(self, connection: HttpConnection) -> None:
+    def serve(self, connection: ClientSocket) -> None:
         """Serves a connection until it ends; `connection_count` includes it already."""
         client = ClientConnection(connection, self.services)
         try:
@@ -166,6 +185,7 @@
         opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         if shared:
             opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        bound_receive_buffer(opened)
         opened.bind(address)
         opened.listen(BACKLOG)
     except OSError:
--- a/ashpath/server/http/receive_buffer.py
+++ b/ashpath/server/http/receive_buffer.py
@@ -6,8 +6,8 @@
 class ReceiveBuffer:
     """Received bytes that are not consumed yet.
 
-    The buffer doubles from `initial_size` up to `doubling_limit`, and grows in steps of `initial_size` above
-    that; once it is empty, it shrinks to `initial_size`. Positions count from the first unconsumed byte.
+    The buffer has no memory while it is empty. It begins with `initial_size`, doubles up to `doubling_limit`,
+    and grows in steps of `initial_size` above that. Positions count from the first unconsumed byte.
 
     >>> buffer = ReceiveBuffer(4, 16)
     >>> for part in (b"abc", b"defgh"):
@@ -15,16 +15,16 @@
     ...     space[:len(part)] = part
     ...     space.release()
     ...     buffer.commit(len(part))
-    >>> buffer.consume(2), buffer.find(b"gh"), len(buffer), len(buffer.data)
+    >>> buffer.consume(2), buffer.find(b"gh"), len(buffer), buffer.allocated_bytes
     (b'ab', 4, 6, 8)
-    >>> buffer.consume(6), len(buffer.data)
-    (b'cdefgh', 4)
+    >>> buffer.consume(6), buffer.allocated_bytes
+    (b'cdefgh', 0)
     """
 
     def __init__(self, initial_size: int, doubling_limit: int) -> None:
         self.initial_size = initial_size
         self.doubling_limit = doubling_limit
-        self.data = bytearray(initial_size)
+        self.data = bytearray()
         self.begin = 0  # index in `data` of the first unconsumed byte
         self.end = 0  # index in `data` after the last received byte
 
@@ -36,18 +36,39 @@
         """Memory that the buffer has."""
         return len(self.data)
 
+    def resize(self, size: int) -> None:
+        """Changes the memory of the buffer; bytes from `size` on are lost."""
+        if not size:
+            self.data = bytearray()  # a read in progress may still have a view of the old memory
+        elif size > len(self.data):
+            self.data.extend(bytes(size - len(self.data)))
+        else:
+            del self.data[size:]
+
     def free_space(self, at_least: int = 1) -> memoryview:
         """Returns the free space at the end, for a read of at least `at_least` bytes.
 
         The caller releases the view before any other call."""
-        if len(self.data) - self.end < at_least and self.begin:
+        self.compact(at_least)
+        size = len(self.data)
+        while size - self.end < at_least:
+            size += max(self.initial_size, min(size, self.doubling_limit - size))
+        if size > len(self.data):
+            self.resize(size)
+        return memoryview(self.data)[self.end :]
+
+    def make_room_for(self, size: int) -> None:
+        """Gives the buffer room for `size` unconsumed bytes at once, and for no more than needed."""
+        self.compact(size - len(self))
+        if self.begin + size > len(self.data):
+            self.resize(max(self.initial_size, self.begin + size))
+
+    def compact(self, wanted: int) -> None:
+        """Moves the unconsumed bytes to the start if `wanted` further bytes have no room otherwise."""
+        if len(self.data) - self.end < wanted and self.begin:
             self.data[: len(self)] = self.data[self.begin : self.end]
             self.end = len(self)
             self.begin = 0
-        while len(self.data) - self.end < at_least:
-            doubled = min(len(self.data), self.doubling_limit - len(self.data))
-            self.data.extend(bytes(max(self.initial_size, doubled)))
-        return memoryview(self.data)[self.end :]
 
     def commit(self, count: int) -> None:
         """Appends `count` bytes, which the caller has written to the free space."""
@@ -66,7 +87,11 @@
         consumed = self.peek(0, count)
         self.begin += count
         if self.begin == self.end:
-            self.begin = 0
-            self.end = 0
-            del self.data[self.initial_size :]  # an idle connection keeps no memory of a large message
+            self.clear()
         return consumed
+
+    def clear(self) -> None:
+        """Removes all bytes, and gives the memory back."""
+        self.begin = 0
+        self.end = 0
+        self.resize(0)
--- a/ashpath/server/http/request_handler.py
+++ b/ashpath/server/http/request_handler.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from ashpath.policy.tuning import DEFAULT_RETRY_AFTER
 from ashpath.server import wire_names
 from ashpath.server.http.admission import ACCEPTED, Admission
 from ashpath.server.http.availability import Availability
@@ -42,6 +43,11 @@
         self.availability = availability
         self.status_api = status_api
 
+    @property
+    def retry_after(self) -> int:
+        """Microseconds after which a client may come back that was refused for want of a resource."""
+        return min(self.admission.settings.max_retry_after, DEFAULT_RETRY_AFTER)
+
     def handle(self, request: HttpRequest, connection: HttpConnection) -> Reply:
         """Returns the response to a request. Does not wait."""
         if request.path == wire_names.SUBMIT_PATH:
--- a/ashpath/server/http/transport.py
+++ b/ashpath/server/http/transport.py
@@ -9,6 +9,15 @@
 
 from ashpath.server.http.receive_buffer import ReceiveBuffer
 
+RECEIVE_BYTES = 64 << 10  # of the kernel's buffer of received bytes, which otherwise grows to megabytes
+
+
+def bound_receive_buffer(sock: socket.socket) -> None:
+    """Bounds the kernel's memory for bytes that are not read yet. Connections that a listening socket accepts
+    have its bound."""
+    with suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+
 
 class BufferedSocket:
     """Owner of a connected TCP socket and of the received bytes that are not consumed yet."""
@@ -31,6 +40,12 @@
 
     def receive(self) -> bool:
         """Waits for bytes and buffers them; returns False if the peer has closed. Raises OSError."""
+        if self.read_into_buffer():
+            gevent.sleep(0)  # other greenlets run even while a peer sends continuously
+        return not self.eof_received
+
+    def read_into_buffer(self) -> bool:
+        """Reads once; returns whether the free space of the buffer is used up. Raises OSError."""
         space = self.buffer.free_space()
         size = len(space)
         try:
@@ -39,9 +54,7 @@
             space.release()
         self.buffer.commit(count)
         self.eof_received = not count
-        if count == size:
-            gevent.sleep(0)  # other greenlets run even while a peer sends continuously
-        return count > 0
+        return count == size
 
     def half_close(self) -> None:
         """Closes the writing side; the caller discards further input with `drain`."""
--- a/ashpath/server/limits/client_connections.py
+++ b/ashpath/server/limits/client_connections.py
@@ -18,6 +18,11 @@
     """Time without a request after which a connection is closed."""
     silent_eviction_s: float = 0.3
     """Time after which a connection that has sent nothing may be evicted in favor of another."""
+    idle_eviction_s: float = 1.0
+    """Time without a request after which a connection may be evicted in favor of another."""
+    eviction_patience_s: float = 0.25
+    """Time for which a new connection waits for another one to make room before an idle one is evicted that
+    was used just now."""
     eviction_candidates: int = 16
     """Connections that are considered for eviction, as a request may just have arrived on the first ones."""
     stalled_request_s: float = 0.5
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -102,6 +102,14 @@
             self.source.listener.table.buffered_bytes(),
         )
 
+        memory = self.source.listener.memory
+        yield gauge("request_memory_bytes", "Large requests in progress.", memory.reserved_bytes)
+        yield gauge("request_memory_peak_bytes", "The most that these had.", memory.peak_bytes)
+        yield gauge("request_memory_max_bytes", "What these may have.", memory.shares.request_bytes)
+        yield gauge("message_memory_max_bytes", "What messages may have.", memory.shares.message_bytes)
+        yield gauge("client_connections_max", "Client connections.", self.source.listener.max_connections)
+        yield counter("requests_without_memory", "Requests refused for want of memory.", memory.refused)
+
     def client_counters(self) -> Iterator[Metric]:
         """Yields the ends of client connections by reason, and the rejected requests by error."""
         table = self.source.listener.table
--- a/ashpath/server/platform_deployment.py
+++ b/ashpath/server/platform_deployment.py
@@ -37,6 +37,7 @@
 from ashpath.server.log_writer import LogWriter
 from ashpath.server.logs import LogFormat, Logger, create_logger
 from ashpath.server.policy_runner import PolicyRunner
+from ashpath.server.process_memory import give_back_freed_memory
 from ashpath.server.reload import PlatformReloader
 from ashpath.server.runtime import SenderRuntime
 from ashpath.server.sender import ProcessOptions
@@ -187,6 +188,7 @@
 def main(pending_hangups: Sequence[int] = ()) -> int:
     """Runs a sender and returns the exit code. `pending_hangups`: SIGHUPs that arrived while modules were
     imported."""
+    give_back_freed_memory()
     try:
         runtime, log_writer = create_runtime()
     except StartupError as error:
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -34,6 +34,7 @@
 from ashpath.server.limits.shutdown import ShutdownLimits
 from ashpath.server.logs import Logger
 from ashpath.server.memory_monitor import MemoryMonitor, MemoryUse
+from ashpath.server.memory_wiring import share_out_memory
 from ashpath.server.operator_commands import OperatorCommands
 from ashpath.server.optional_services import GossipService, MetricsService, SenderMetricsSource
 from ashpath.server.policy_runner import PolicyRunner, StateFiles
@@ -62,6 +63,8 @@
     )
     delivery = create_delivery_path(process_options, configuration, deployment, write_ahead_log, logger)
     clients = create_client_side(process_options, configuration, deployment, delivery, logger)
+    processes = 1 if process_options.inherited_socket is None else 2  # in a hot upgrade
+    share_out_memory(limits.memory, clients, delivery.pool, logger, processes=processes)
     delivery.registry.apply_members(configuration.known_endpoints["members"], complete=True)
     sender = create_services(process_options, configuration, deployment, delivery, clients, logger)
     has_other_process = process_options.inherited_socket is not None
--- a/tests/server/test_limits.py
+++ b/tests/server/test_limits.py
@@ -37,6 +37,8 @@
     "request_s": 2.4,
     "client_idle_s": 2.2,
     "silent_eviction_s": 0.3,
+    "idle_eviction_s": 1.0,
+    "eviction_patience_s": 0.25,
     "eviction_candidates": 16,
     "stalled_request_s": 0.5,
     "response_write_s": 2.0,
@@ -78,6 +80,7 @@
     "control_connections": 16,
 }
 OWN_FILE = {
+    "memory_bytes": 268_435_456,
     "forget_destination_s": 0.0,
     "request_s": 10.0,
     "client_idle_s": 30.0,
