Clients without an accepted message share turns of the event loop

Cause: every readable connection was served once in each iteration of the event loop, however many there were; gevent runs callbacks of 'sleep(0)' up to fifty times before it looks at other events. Connections that always have a next request pending were never idle, so none was evicted for a new one.

Change: connections on which no message was accepted get turns of 2 ms together in an iteration, in their order (http/turn_queue.py); all others are served in each. While a new connection waits for a place, a response on a connection without an accepted message ends it.

--- a/ashpath/server/http/client_connection.py
+++ b/ashpath/server/http/client_connection.py
@@ -149,7 +149,7 @@
         reply = self.services.handler.handle(request, self.connection)
         if reply.accepted is not None:
             self.connection.has_accepted_messages = True
-        keep_alive = request.keep_alive and not self.connection.unusable and self.services.availability.ready
+        keep_alive = request.keep_alive and self.may_be_kept()
         request.body_parts.clear()  # the write may wait for a client that does not read
         data = encode_response(
             reply.status, keep_alive=keep_alive, retry_after=reply.retry_after, body=reply.body
@@ -159,6 +159,12 @@
             self.services.handler.response_lost(reply)
         return keep_alive
 
+    def may_be_kept(self) -> bool:
+        """Whether the sender wants another request on the connection."""
+        if self.connection.unusable or not self.services.availability.ready:
+            return False
+        return self.connection.has_accepted_messages or not self.services.table.needs_room
+
     def reject(self, status: int) -> None:
         """Writes an error response, half-closes the connection and drains its input.
 
--- a/ashpath/server/http/client_socket.py
+++ b/ashpath/server/http/client_socket.py
@@ -9,6 +9,7 @@
 from ashpath.server.http.buffer_memory import AccountedBuffer, RequestMemory
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.errors import ProtocolError
+from ashpath.server.http.turn_queue import TurnQueue
 from ashpath.server.limits.http import HttpLimits
 
 READ = 1  # the event of libev's io watchers
@@ -22,13 +23,16 @@
 
     Memory for received bytes is allocated once they have arrived, so a connection that waits holds none.
     Each read waits for a turn of the event loop: a client that writes continuously gets a turn among the
-    others.
+    others. Until a message of it has been accepted, a client shares its turns with all such clients.
     """
 
-    def __init__(self, sock: socket.socket, limits: HttpLimits, memory: RequestMemory) -> None:
+    def __init__(
+        self, sock: socket.socket, limits: HttpLimits, memory: RequestMemory, turns: TurnQueue
+    ) -> None:
         super().__init__(sock, limits)
         self.has_accepted_messages = False
         """Whether a message of this client was accepted on this connection."""
+        self._turns = turns
         self._memory = memory
         self.request_buffer = AccountedBuffer(
             limits.buffer_bytes, limits.body_bytes, self._reserve, memory.release
@@ -55,6 +59,8 @@
             raise OSError(errno.EBADF, CLOSED_TEXT)
         self._raise_cancellation()
         socket.wait(self._readable)
+        if not self.has_accepted_messages:
+            self._turns.wait()
         self._raise_cancellation()
 
     def _read_available(self) -> bool:
--- a/ashpath/server/http/connection_table.py
+++ b/ashpath/server/http/connection_table.py
@@ -25,6 +25,7 @@
 idle for some time; requests that have stalled, which are answered 503. An idle connection that was used just
 now has served its client, and is evicted only where no other one will make room soon. A connection in
 RESPONDING or REJECTING is never evicted, nor is one whose next request, or a further part of it, waits to be
+read. While room is needed, a response on a connection without an accepted message ends it.
 """
 
 from __future__ import annotations
@@ -93,6 +94,7 @@
         """Connections that have ended, by reason."""
         self.rejections: Counter[str] = Counter()
         """Requests that were answered with an error before they were handled, by the type of the error."""
+        self.needs_room = False  # a new connection waits for its place
         self._evicted: set[ClientSocket] = set()  # until `ended` is called for them
 
     def enter(self, connection: ClientSocket, state: ConnectionState) -> float:
--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -18,6 +18,7 @@
 from ashpath.server.http.connection_table import ConnectionState, ConnectionTable
 from ashpath.server.http.request_handler import RequestHandler, RequestResponder
 from ashpath.server.http.transport import bound_receive_buffer
+from ashpath.server.http.turn_queue import TurnQueue
 from ashpath.server.limits.client_connections import ClientConnectionLimits
 from ashpath.server.limits.http import HttpLimits
 from ashpath.server.local_errors import is_closed
@@ -49,6 +50,7 @@
         self.availability = Availability()
         self.handler = RequestHandler(admission, self.availability, status_api)
         self.memory = RequestMemory()
+        self.turns = TurnQueue(limits.turn_s)
         self.table = ConnectionTable(limits, self.memory)
         self.services = ClientServices(self.table, self.handler, self.availability, limits, logger)
         self.connection_count = 0
@@ -89,9 +91,11 @@
         """Waits until another connection may be accepted, and evicts others meanwhile."""
         began = monotonic()
         while self.connection_count >= self.max_connections:
+            self.table.needs_room = True
             self.connection_closed.clear()
             if not self.table.evict_one(monotonic() - began):
                 self.connection_closed.wait(EVICTION_RETRY_S)
+        self.table.needs_room = False
 
     @property
     def max_connections(self) -> int:
@@ -100,7 +104,7 @@
 
     def connection_of(self, accepted: socket.socket) -> ClientSocket:
         """Returns an accepted connection. Raises OSError if the client has left."""
-        return ClientSocket(accepted, self.http_limits, self.memory)
+        return ClientSocket(accepted, self.http_limits, self.memory, self.turns)
 
     def listen_again(self, error: OSError) -> None:
         """Logs the loss of the listening socket, which can accept no further connection, and replaces it.
--- a/ashpath/server/limits/client_connections.py
+++ b/ashpath/server/limits/client_connections.py
@@ -12,6 +12,9 @@
     """Client connections."""
     idle_client_connections: int
     """Client connections without a request."""
+    turn_s: float = 0.002
+    """Time for which clients without an accepted message are served, all together, between two looks at
+    everything else."""
     request_s: float = 2.4
     """Timeout from a request's first byte to its last; for the first request, from the connection's start."""
     client_idle_s: float = 2.2
--- a/ashpath/server/metrics/collector.py
+++ b/ashpath/server/metrics/collector.py
@@ -108,6 +108,11 @@
         yield gauge("request_memory_max_bytes", "What these may have.", memory.shares.request_bytes)
         yield gauge("message_memory_max_bytes", "What messages may have.", memory.shares.message_bytes)
         yield gauge("client_connections_max", "Client connections.", self.source.listener.max_connections)
+        yield gauge(
+            "client_turns_longest_seconds",
+            "The longest time for which requests of clients without an accepted message held the event loop.",
+            self.source.listener.turns.longest_slice_s,
+        )
         yield counter("requests_without_memory", "Requests refused for want of memory.", memory.refused)
 
     def client_counters(self) -> Iterator[Metric]:
--- a/tests/server/test_limits.py
+++ b/tests/server/test_limits.py
@@ -34,6 +34,7 @@
     "interim_responses": 20,
     "response_rest_s": 0.5,
     "buffer_bytes": 4_096,
+    "turn_s": 0.002,
     "request_s": 2.4,
     "client_idle_s": 2.2,
     "silent_eviction_s": 0.3,
--- a/tests/support/sender_parts.py
+++ b/tests/support/sender_parts.py
@@ -27,6 +27,7 @@
 from ashpath.server.http.client_socket import ClientSocket
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.http.messages import HttpRequest
+from ashpath.server.http.turn_queue import TurnQueue
 from ashpath.server.storage.stored_message import StoredMessage
 from ashpath.server.storage.write_ahead_log import WriteAheadLog
 from ashpath.server.timers import now
@@ -92,7 +93,7 @@
     def __init__(self, sock: socket.socket) -> None:
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(socket.socket, "setsockopt", lambda *_: None)
-            super().__init__(sock, LIMITS.http, RequestMemory())
+            super().__init__(sock, LIMITS.http, RequestMemory(), TurnQueue(LIMITS.clients.turn_s))
 
 
 def read_request(data: bytes) -> HttpRequest:
