The log of a process that has just started is known to the other one at once

Cause: a process looked for other logs each 0.5 s. A new process accepts some 0.3 s after it has made its log; what it accepted until the next look was unknown to the old one, which accepts too until SIGTERM, and ran again there.

Change: before a message is looked up in other logs, the time of the directory's last change tells whether to look for them anew; looks go on until one is 20 ms after the first that has seen this change, as the kernel's time of changes has steps.

Rule it guards: no effect twice. Still open: two copies at both processes within the same millisecond.

--- a/ashpath/server/storage/other_logs.py
+++ b/ashpath/server/storage/other_logs.py
@@ -2,19 +2,26 @@
 
 The two processes of a hot upgrade are one sender. Each appends to a log of its own, and reads on in the other
 one: a copy of a request may reach the other process, and a message waits for the earlier ones of its ordering
-key that the other process has. A log is read from its begin again after it was rewritten.
+key that the other process has. A log is read from its begin again after it was rewritten. The log of a
+process that has just started is found as soon as it exists: the directory's time of its last change tells
+whether files were made since the last look.
 """
 
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from pathlib import Path
+from time import monotonic
 
 from ashpath.server.storage.errors import ForeignRecordError
 from ashpath.server.storage.live_messages import LiveMessages
 from ashpath.server.storage.log_directory import LogDirectory
 from ashpath.server.storage.record_codec import RecordReader
 
+CHANGE_TIME_STEP_S = 0.02
+"""Changes within this time may leave a directory with the same time of its last change."""
+
 
 class OtherLog:
     """One log of another process, as far as it has been read."""
@@ -56,13 +63,33 @@
     def __init__(self, directory: LogDirectory) -> None:
         self._directory = directory
         self._logs: dict[Path, OtherLog] = {}
+        self._own: Path | None = None  # as of the last look
+        self._changed_at_ns = 0  # the directory's last change, as of the first look that has seen it
+        self._seen_at = 0.0  # that look, in seconds of the monotonic clock
+        self._settled = False  # a later look has seen all that this change comprises
 
     def find(self, own: Path) -> None:
         """Looks for logs of other processes beside this process's `own`. Raises OSError."""
+        changed_at_ns = self._directory.path.stat().st_mtime_ns
+        if changed_at_ns != self._changed_at_ns:
+            self._changed_at_ns = changed_at_ns
+            self._seen_at = monotonic()
+        self._settled = monotonic() - self._seen_at > CHANGE_TIME_STEP_S
         paths = self._directory.other_logs(own)
+        self._own = own
         self._logs = {path: self._logs.get(path) or OtherLog(path) for path in paths}
 
+    def _find_new(self) -> None:
+        """Looks again if files may have been made or renamed since the last look."""
+        if self._own is None:
+            return
+        with suppress(OSError):  # the logs that are known stay so
+            changed_at_ns = self._directory.path.stat().st_mtime_ns
+            if not self._settled or changed_at_ns != self._changed_at_ns:
+                self.find(self._own)
+
     def _messages(self) -> list[LiveMessages]:
+        self._find_new()
         for log in self._logs.values():
             log.read_on()
         return [log.messages for log in self._logs.values()]
--- a/tests/server/storage/test_other_logs.py
+++ b/tests/server/storage/test_other_logs.py
@@ -50,6 +50,20 @@
     assert new.other_logs.has_ended("a")
 
 
+def test_process_that_has_just_started_is_known_to_the_other_one(tmp_path: Path) -> None:
+    """Guards against an id that runs twice: at the new process of an upgrade, and again at the old one, which
+    had not looked for other logs since."""
+    old = WriteAheadLog(tmp_path, MAX_BYTES)
+    assert not old.other_logs.is_live("a")
+    new = WriteAheadLog(tmp_path, MAX_BYTES)
+    message = message_of_key(new, "a", 7)
+    assert old.other_logs.is_live("a")
+    assert old.other_logs.live_of_key(7) == ("a",)
+    new.record_attempt(message, 1, "e1")
+    new.record_finished(message)
+    assert old.other_logs.has_ended("a")
+
+
 def test_other_log_is_read_from_its_begin_after_it_was_rewritten(
     logs: tuple[WriteAheadLog, WriteAheadLog],
 ) -> None:
