An endpoint whose address has one that started later is gone

Cause: the registry keeps endpoints by id. A list or a change that has the successor at an address, and the endpoint that is gone not yet removed, left both active; calls for the old one reached the new one, of another destination.

Change: of endpoints at one address the one with the latest up_since_ms serves; the others count as removed, whatever the list says of them, until they are listed at another address or with a later start. Endpoints that share an address and a start are called as before. Line 'endpoint replaced'.

Rules it could cost: none, it sends less; a list with a wrong start would take an endpoint out of service until the next list.

Checks: both cases of the new test failed before and pass. A process that comes up before any list names it cannot be told from the old one: no byte of the protocol names an endpoint.

--- a/ashpath/server/delivery/endpoint_registry.py
+++ b/ashpath/server/delivery/endpoint_registry.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
+from math import isfinite
 from time import monotonic
 from typing import Any
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from ashpath.core.interface import EndpointRecord, EndpointStatus
 from ashpath.server import wire_names
@@ -52,6 +54,9 @@
         """When each destination last had an active endpoint, in seconds of the monotonic clock."""
         self.records: dict[str, EndpointRecord] = {}
         """Record by endpoint as last listed, of any status."""
+        self.started_ms: dict[str, float] = {}
+        """Time of the last start by endpoint, as Unix time in milliseconds, for the endpoints of `addresses`;
+        0: long ago, or not listed."""
 
     def configure(self, kinds: list[str], zones: list[str]) -> None:
         """Replaces the names for lists that are applied later."""
@@ -63,26 +68,65 @@
         return destination in self.served_destinations
 
     def apply_members(self, members: Sequence[EndpointMember], *, complete: bool) -> MembershipChange:
-        """Applies a complete endpoint list or an update; closes idle connections to addresses that left."""
+        """Applies a complete endpoint list or an update; closes idle connections to addresses that left.
+
+        An endpoint whose address has one that started later is gone, even if the list has it up."""
         read = self._read(members)
         addresses_before = dict(self.addresses)
         if complete:
             self.addresses = {}
             self.listed = {}
             self.records = {}
+            self.started_ms = {}
         for record, address in read:
             self.records[record.endpoint_id] = record
             self.addresses.pop(record.endpoint_id, None)
             self.listed.pop(record.endpoint_id, None)
+            self.started_ms.pop(record.endpoint_id, None)
             if record.status is EndpointStatus.ACTIVE:
                 self.addresses[record.endpoint_id] = address
                 self.listed[record.endpoint_id] = record.destination
+        self._update_starts(members)
+        replaced = self._remove_replaced()
         self._update_served_destinations()
         for endpoint_id, address in addresses_before.items():
             if self.addresses.get(endpoint_id) != address:
                 self.pool.close_idle(endpoint_id)
-        records = [record for record, _ in read]
-        return MembershipChange(records, complete, unreadable=len(members) - len(records))
+        unreadable = len(members) - len(read)
+        records = [record for record, _ in read if record.endpoint_id not in replaced]
+        return MembershipChange([*records, *replaced.values()], complete, unreadable)
+
+    def _update_starts(self, members: Sequence[EndpointMember]) -> None:
+        for member in members:
+            if not isinstance(member, Mapping):  # an unreadable one, which is logged
+                continue
+            endpoint_id, started_ms = member.get("id"), member.get("up_since_ms")
+            if not isinstance(started_ms, int | float) or not isfinite(started_ms):
+                continue
+            if isinstance(endpoint_id, str) and endpoint_id in self.addresses:
+                self.started_ms[endpoint_id] = started_ms
+
+    def _remove_replaced(self) -> dict[str, EndpointRecord]:
+        """Removes the endpoints whose address has one that started later. Returns their records, as removed
+        ones, by endpoint."""
+        latest_ms: dict[Address, float] = {}
+        for endpoint_id, started_ms in self.started_ms.items():
+            address = self.addresses[endpoint_id]
+            latest_ms[address] = max(started_ms, latest_ms.get(address, 0.0))
+        replaced = {}
+        for endpoint_id, address in list(self.addresses.items()):
+            if self.started_ms.get(endpoint_id, 0.0) < latest_ms.get(address, 0.0):
+                replaced[endpoint_id] = self._remove(endpoint_id)
+                self.logger.info("endpoint replaced", endpoint=endpoint_id, address=address)
+        return replaced
+
+    def _remove(self, endpoint_id: str) -> EndpointRecord:
+        del self.addresses[endpoint_id]
+        del self.listed[endpoint_id]
+        self.started_ms.pop(endpoint_id, None)
+        record = replace(self.records[endpoint_id], status=EndpointStatus.REMOVED)
+        self.records[endpoint_id] = record
+        return record
 
     def _read(self, members: Sequence[EndpointMember]) -> list[tuple[EndpointRecord, Address]]:
         """Returns the members that can be read; logs and skips the others."""
--- a/tests/server/delivery/test_endpoint_registry.py
+++ b/tests/server/delivery/test_endpoint_registry.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
 from support.limits import connection_pool, limits_with
 from support.sender_harness import SenderHarness, wait_until
 from support.sender_parts import DeliverySetup
 from support.server import LOG
 
-from ashpath.core.interface import AttemptOutcome
-from ashpath.server.delivery.endpoint_registry import EndpointRegistry
+from ashpath.core.interface import AttemptOutcome, EndpointStatus
+from ashpath.server.delivery.endpoint_registry import EndpointMember, EndpointRegistry
 
 
 def test_successor_at_same_address_gets_no_old_connection(harness: SenderHarness) -> None:
@@ -36,6 +37,39 @@
     assert list(delivery_setup.pool.idle) == ["new"]
 
 
+def row(endpoint_id: str, destination: int, started_ms: int, port: int = 7001) -> EndpointMember:
+    return {
+        "id": endpoint_id,
+        "cell": destination,
+        "phase": "up",
+        "host_port": f"127.0.0.1:{port}",
+        "up_since_ms": started_ms,
+    }
+
+
+@pytest.mark.parametrize("complete", [False, True])
+def test_process_that_started_later_at_an_address_replaces_the_earlier_one(*, complete: bool) -> None:
+    """Guards against calls that reach the endpoint of another destination: the list has the successor at the
+    address already, and the one that is gone still up."""
+    registry = EndpointRegistry(["plain"], ["here"], connection_pool(), LOG)
+    registry.apply_members([row("old", 1, 0), row("other", 3, 0, port=7002)], complete=True)
+    kept = [row("old", 1, 0), row("other", 3, 0, port=7002)] if complete else []
+    change = registry.apply_members([*kept, row("new", 2, 5000)], complete=complete)
+    assert registry.addresses.keys() == {"other", "new"}
+    statuses = {record.endpoint_id: record.status for record in change.records}
+    assert statuses["old"] is EndpointStatus.REMOVED
+    assert statuses["new"] is EndpointStatus.ACTIVE
+    again = registry.apply_members([row("old", 1, 9000, port=7003)], complete=False)
+    assert registry.addresses.keys() == {"other", "new", "old"}
+    assert [record.status for record in again.records] == [EndpointStatus.ACTIVE]
+
+
+def test_endpoints_that_share_an_address_and_a_start_are_all_called() -> None:
+    registry = EndpointRegistry(["plain"], ["here"], connection_pool(), LOG)
+    registry.apply_members([row("a", 1, 7), row("b", 2, 7)], complete=True)
+    assert registry.addresses.keys() == {"a", "b"}
+
+
 def test_drain_applies_despite_unreadable_address(harness: SenderHarness) -> None:
     """A drain without a readable address applies, as nothing more is sent there. An endpoint that is up
     needs a readable address."""
