Soak: crowds of clients, kills in series, and the memory limit as a rule

Change: benchmarks.soak draws on two seeds in three a crowd (shape, number, time) against one sender, in a process of its own, and a sender that is killed again 1.1 to 2.3 s after a kill; senders have memory_mb 64 (128 where two processes share it), and the resident size of their processes together is judged against it. The other events of a seed are the same.

--- a/ashpath/emulator/crowd/rig.py
+++ b/ashpath/emulator/crowd/rig.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import sys
 from contextlib import suppress
 from pathlib import Path
@@ -18,6 +17,7 @@
 from ashpath.emulator.errors import RequestError, SenderStartError
 from ashpath.emulator.fault_injection.discovery_agent import DiscoveryAgent
 from ashpath.emulator.http_client import HttpClient
+from ashpath.emulator.process_size import process_resident_bytes
 from ashpath.emulator.stand_ins import LOOPBACK, STAND_IN_LIMITS, free_port
 from ashpath.server import wire_names
 from ashpath.server.http.connection import HttpConnection
@@ -26,7 +26,6 @@
 ROOT = Path(__file__).parents[3]
 START_TIMEOUT_S = 20.0
 READY_POLL_S = 0.05
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 DELIVERED = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 SETTINGS: JsonObject = {
     "classes": [
@@ -133,10 +132,7 @@
     def resident_bytes(self) -> int:
         """Returns the resident size of the sender; 0 once it has ended."""
         assert self.process is not None
-        try:
-            return int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1]) * PAGE_BYTES
-        except (OSError, IndexError):
-            return 0
+        return process_resident_bytes(self.process.pid)
 
     def serve_endpoint(self, sock: socket, _: object) -> None:
         """Answers each attempt with 200."""
--- a/ashpath/emulator/soak/judge.py
+++ b/ashpath/emulator/soak/judge.py
@@ -9,6 +9,7 @@
 | order | a call for a key while a message of that key that was accepted earlier has no final outcome |
 | wait | a call to a destination before the Retry-After that the sender received from it has passed |
 | crash | a process that ended unexpectedly, or was not ready in time |
+| memory | processes of a sender that are larger together than its memory limit, at any time |
 | disk | a state directory over the disk limit, at any time |
 
 `sender_history` has the tolerances for what happened to a sender's processes and paths.
@@ -70,6 +71,7 @@
         """Returns all violations."""
         checks = (
             self.crashes,
+            self.senders_over_memory_limit,
             self.directories_over_limit,
             self.lost_messages,
             self.unanswered_requests,
@@ -90,6 +92,13 @@
             if late and incarnation.end_began_at - incarnation.started_at > READY_TIMEOUT_S:
                 yield BrokenRule("crash", f"sender {incarnation.sender} not ready in {READY_TIMEOUT_S:.0f} s")
 
+    def senders_over_memory_limit(self) -> Iterator[BrokenRule]:
+        """Yields senders, of one process or two, that were larger than their memory limit."""
+        for sender, most_bytes in self.records.most_resident_bytes.items():
+            allowed = self.records.memory_bytes[sender]
+            if most_bytes > allowed:
+                yield BrokenRule("memory", f"sender {sender} had {most_bytes} bytes, {allowed} allowed")
+
     def directories_over_limit(self) -> Iterator[BrokenRule]:
         """Yields senders, of one process or two, whose files took more than the disk limit."""
         for sender, most_bytes in self.records.most_disk_bytes.items():
--- a/ashpath/emulator/soak/plan.py
+++ b/ashpath/emulator/soak/plan.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
+from ashpath.emulator.crowd.shapes import CrowdShape
 from ashpath.emulator.fault_injection.call_faults import ProcessFaults, draw_faults
 from ashpath.emulator.fault_injection.discovery_agent import AgentReply
 from ashpath.emulator.fault_injection.stream_faults import StreamFault, StreamFaults
@@ -15,10 +16,13 @@
 from ashpath.emulator.soak.records import Reply
 
 DISK_MB = 1  # the disk limit of each sender, in MiB
+MEMORY_MB = 64  # the memory limit of each sender
+UPGRADE_MEMORY_MB = 128  # of a sender with hot upgrades, whose two processes share the limit
 SENDERS = 3
 DESTINATIONS = 3
 FEW_DESCRIPTORS = 150
 CROWDING_CLIENTS = 40  # more than the client connections of a sender with few descriptors
+MIN_SERIES_S, MAX_SERIES_S = 1.1, 2.3  # between two kills of a series: the start takes 0.6 s and more
 FIRST_FAULT_S = 1.5  # earliest time of a fault after the start of the run
 FAILING_REPLIES = (
     AgentReply.SILENT,
@@ -137,6 +141,16 @@
     idle_clients: int
 
 
+class CrowdEvent(Struct, frozen=True):
+    """A crowd of clients plays one shape against a sender, past the proxy of its other clients."""
+
+    at: float
+    duration_s: float
+    sender: int
+    shape: CrowdShape
+    clients: int
+
+
 class OutageEvent(Struct, frozen=True):
     """A destination is down, and resets every connection that sends a call."""
 
@@ -189,15 +203,22 @@
     """Of senders without a restart."""
     message_faults: MessageFaults = MessageFaults()
     endpoint_behaviour: EndpointBehaviour = EndpointBehaviour()
+    crowds: tuple[CrowdEvent, ...] = ()
 
 
 def draw_plan(
-    seed: int, duration_s: float = 12.0, *, with_upgrades: bool = False, with_message_faults: bool = False
+    seed: int,
+    duration_s: float = 12.0,
+    *,
+    with_upgrades: bool = False,
+    with_message_faults: bool = False,
+    with_crowds: bool = False,
 ) -> SoakPlan:
     """Returns the plan for a seed; the same seed gives the same plan.
 
     `with_upgrades`, `with_message_faults`: whether some seeds have a hot upgrade, or messages that come twice
-    or late. All other events of a seed are the same then."""
+    or late. All other events of a seed are the same then. `with_crowds`: whether some seeds have a crowd, and
+    some a sender that is killed again soon after its start; restarts of other senders are the same."""
     random = Random(f"soak {seed}")
     last = duration_s - 5.0
     drain_at = random.uniform(FIRST_FAULT_S, last / 2)
@@ -220,6 +241,13 @@
     rate = random.uniform(8.0, 25.0)
     idle_clients = random.choice((0, 0, 150))
     process_faults = tuple(draw_faults(random, duration_s) for _ in range(SENDERS))
+    client_faults = draw_client_faults(random, last)
+    notice_faults = draw_notice_faults(random, duration_s)
+    descriptor_limits = draw_descriptor_limits(random)
+    upgrades = draw_upgrades(random, last, {event.sender for event in restarts}) if with_upgrades else ()
+    if with_crowds:
+        busy = {event.sender for event in restarts} | {event.sender for event in upgrades}
+        restarts += draw_kills_in_series(seed, last, busy)
     return SoakPlan(
         seed=seed,
         duration_s=duration_s,
@@ -230,12 +258,38 @@
         proxies=tuple(proxies),
         outages=tuple(outages),
         process_faults=process_faults,
-        client_faults=draw_client_faults(random, last),
-        notice_faults=draw_notice_faults(random, duration_s),
-        descriptor_limits=draw_descriptor_limits(random),
-        upgrades=draw_upgrades(random, last, {event.sender for event in restarts}) if with_upgrades else (),
+        client_faults=client_faults,
+        notice_faults=notice_faults,
+        descriptor_limits=descriptor_limits,
+        upgrades=upgrades,
         message_faults=draw_message_faults(seed) if with_message_faults else MessageFaults(),
+        crowds=draw_crowds(seed, duration_s) if with_crowds else (),
+    )
+
+
+def draw_crowds(seed: int, duration_s: float) -> tuple[CrowdEvent, ...]:
+    """Draws a crowd on two seeds in three."""
+    random = Random(f"crowd {seed}")
+    event = CrowdEvent(
+        at=random.uniform(FIRST_FAULT_S, duration_s / 2),
+        duration_s=random.uniform(2.0, 5.0),
+        sender=random.randrange(SENDERS),
+        shape=random.choice(tuple(CrowdShape)),
+        clients=random.choice((20, 100, 300)),
     )
+    return (event,) if random.random() < 2 / 3 else ()
+
+
+def draw_kills_in_series(seed: int, last: float, busy: set[int]) -> list[RestartEvent]:
+    """Draws two kills of one sender that is not among the `busy` ones, the second soon after its start."""
+    random = Random(f"series {seed}")
+    idle = [sender for sender in range(SENDERS) if sender not in busy]
+    if not idle or last <= FIRST_FAULT_S + MAX_SERIES_S:
+        return []
+    sender = random.choice(idle)
+    first = random.uniform(FIRST_FAULT_S, last - MAX_SERIES_S)
+    second = first + random.uniform(MIN_SERIES_S, MAX_SERIES_S)
+    return [RestartEvent(at, sender, StopMethod.KILL) for at in (first, second)]
 
 
 def draw_message_faults(seed: int) -> MessageFaults:
--- a/ashpath/emulator/soak/records.py
+++ b/ashpath/emulator/soak/records.py
@@ -173,6 +173,10 @@
     client_faults: list[ClientFault] = field(default_factory=list)
     notice_faults: list[NoticeFault] = field(default_factory=list)
     crashes: list[str] = field(default_factory=list)
+    most_resident_bytes: dict[int, int] = field(default_factory=dict)
+    """By sender: the largest resident size of its processes together."""
+    memory_bytes: dict[int, int] = field(default_factory=dict)
+    """By sender: its memory limit."""
     most_disk_bytes: dict[int, int] = field(default_factory=dict)
     """By sender, the most that all files of its state directory took, each in whole blocks."""
     ended_at: float = 0.0
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import sys
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -9,7 +11,7 @@
 from time import monotonic
 
 import gevent
-from gevent import Greenlet
+from gevent import Greenlet, subprocess
 
 from ashpath.core.json_types import JsonObject
 from ashpath.emulator.fault_injection.call_faults import FaultyCall
@@ -22,6 +24,7 @@
     DESTINATIONS,
     SENDERS,
     ClientFaultEvent,
+    CrowdEvent,
     DrainEvent,
     MessageFaults,
     NoticeFaultEvent,
@@ -54,6 +57,8 @@
 FINAL_WAIT_S = 9.0  # after the last request: covers the longest deadline and a restart
 PAUSE_PROBE_S = 0.01
 DISK_PROBE_S = 0.01
+MEMORY_PROBE_S = 0.02
+BYTES_PER_MB = 1_000_000
 FILLING_BODY_BYTES = 4000  # with it, logs of busy runs come near the disk limit, and are rewritten
 START_TIMEOUT_S = 15.0  # until all senders are ready
 
@@ -120,6 +125,7 @@
                 )
             )
         self._greenlets: list[Greenlet[..., None]] = []
+        self._crowds: list[subprocess.Popen[bytes]] = []
         self._inject_message_faults(plan.message_faults)
 
     def _inject_message_faults(self, faults: MessageFaults) -> None:
@@ -191,6 +197,7 @@
         self._greenlets.append(gevent.spawn(self._measure_pauses))
         if self.fills_disk:
             self._greenlets.append(gevent.spawn(self._measure_disk))
+        self._greenlets.append(gevent.spawn(self._measure_memory))
         self.clients[0].connect_idle(plan.idle_clients)
         for limit in plan.descriptor_limits:
             self._greenlets.append(gevent.spawn(self.clients[limit.sender].crowd, limit.idle_clients))
@@ -202,6 +209,7 @@
         events += [(event.at, partial(self._fail_client_path, event)) for event in plan.client_faults]
         events += [(event.at, partial(self._fail_notices, event)) for event in plan.notice_faults]
         events += [(event.at, partial(self._upgrade, event)) for event in plan.upgrades]
+        events += [(event.at, partial(self._crowd, event)) for event in plan.crowds]
         for at, action in events:
             self._greenlets.append(gevent.spawn_later(began + at - monotonic(), action))
 
@@ -212,6 +220,23 @@
             gevent.sleep(PAUSE_PROBE_S)
             self.records.longest_pause_s = max(self.records.longest_pause_s, monotonic() - due)
 
+    def _measure_memory(self) -> None:
+        """Records the largest resident size of each sender. Never returns."""
+        most = self.records.most_resident_bytes
+        while True:
+            for sender in self.senders:
+                self.records.memory_bytes[sender.number] = sender.memory_mb * BYTES_PER_MB
+                most[sender.number] = max(most.get(sender.number, 0), sender.resident_bytes())
+            gevent.sleep(MEMORY_PROBE_S)
+
+    def _crowd(self, event: CrowdEvent) -> None:
+        """Plays a crowd in a process of its own, past the proxy of the clients."""
+        port = str(self.senders[event.sender].address[1])
+        arguments = [port, event.shape.value, str(event.clients), str(event.duration_s)]
+        with Path(os.devnull).open("wb") as output:
+            command = [sys.executable, "-m", "ashpath.emulator.crowd.process", *arguments]
+            self._crowds.append(subprocess.Popen(command, stdout=output))
+
     def _measure_disk(self) -> None:
         """Records the most bytes of each state directory. Never returns."""
         most = self.records.most_disk_bytes
@@ -305,7 +330,10 @@
                 self.records.disk_faults.append(DiskFault(sender, began_at, ended_at))
 
     def stop(self) -> None:
-        """Kills the senders and their agents, clients and endpoints."""
+        """Kills the senders and their agents, clients, crowds and endpoints."""
+        for crowd in self._crowds:
+            crowd.kill()
+            crowd.wait()
         for greenlet in self._greenlets:
             greenlet.kill(block=False)
         for sender in self.senders:
--- a/ashpath/emulator/soak/sender.py
+++ b/ashpath/emulator/soak/sender.py
@@ -24,7 +24,8 @@
     STARTED_AT_VARIABLE,
 )
 from ashpath.emulator.http_client import HttpClient
-from ashpath.emulator.soak.plan import DISK_MB, StopMethod
+from ashpath.emulator.process_size import process_resident_bytes
+from ashpath.emulator.soak.plan import DISK_MB, MEMORY_MB, UPGRADE_MEMORY_MB, StopMethod
 from ashpath.emulator.soak.records import Incarnation, SoakRecords
 from ashpath.emulator.stand_ins import LOOPBACK, free_port
 from ashpath.server import wire_names
@@ -109,6 +110,16 @@
         (folder / "faults").write_bytes(options.faults.encode())
         self.configure(0)
 
+    @property
+    def memory_mb(self) -> int:
+        """The memory limit of all processes together, in megabytes."""
+        return UPGRADE_MEMORY_MB if self._options.inherits_socket else MEMORY_MB
+
+    def resident_bytes(self) -> int:
+        """Returns the resident size of all processes together."""
+        running = (self._current, self._predecessor)
+        return sum(process_resident_bytes(one.process.pid) for one in running if one is not None)
+
     def disk_bytes(self) -> int:
         """Returns what all files of the state directory take, each in whole blocks."""
         return sum(directory_usage(self._folder / "state").values())
@@ -126,7 +137,11 @@
         document = {
             "seed": f"{self.number + 1:x}",
             "settings": self._settings | {"rank": self.number},
-            "limits": {"sockets": self._options.descriptor_limit or DESCRIPTORS, "disk_mb": DISK_MB},
+            "limits": {
+                "sockets": self._options.descriptor_limit or DESCRIPTORS,
+                "memory_mb": self.memory_mb,
+                "disk_mb": DISK_MB,
+            },
             "known": {"revision": agent.revision, "complete": True, "members": agent.members},
             "discovery": self._agent_addresses[agent_number],
             "attempt_log": True,
--- a/tests/emulator/soak/test_judge.py
+++ b/tests/emulator/soak/test_judge.py
@@ -49,6 +49,7 @@
     """One message per traffic class is delivered; one is given up and notified."""
     records = SoakRecords(ended_at=60.0, incarnations=[Incarnation(0, 0.0, 0.3)])
     records.most_disk_bytes = {0: SETTINGS.disk_bytes}
+    records.most_resident_bytes = records.memory_bytes = {0: 64_000_000}
     for number, effect in enumerate(Effect):
         records.submissions[f"m{number}"] = submission(f"m{number}", effect)
         records.calls.append(call(f"m{number}", 1.1 + number))
@@ -123,6 +124,10 @@
     records.notice_faults.append(NoticeFault(0, 3.32, 4.0, False))
 
 
+def processes_over_limit(records: SoakRecords) -> None:
+    records.most_resident_bytes = {0: records.memory_bytes[0] + 1}
+
+
 def directory_over_limit(records: SoakRecords) -> None:
     records.most_disk_bytes = {0: SETTINGS.disk_bytes + 512}
 
@@ -338,6 +343,7 @@
         called_during_wait_outside_late_path,
     ),
     "crash": (ended_unexpectedly, never_ready),
+    "memory": (processes_over_limit,),
     "disk": (directory_over_limit,),
 }
 
--- a/tests/emulator/soak/test_soak_run.py
+++ b/tests/emulator/soak/test_soak_run.py
@@ -7,6 +7,7 @@
 import gevent
 from msgspec.structs import replace
 
+from ashpath.emulator.crowd.shapes import CrowdShape
 from ashpath.emulator.fault_injection.stream_faults import StreamFault
 from ashpath.emulator.soak.judge import RuleChecker
 from ashpath.emulator.soak.plan import MessageFaults, StopMethod, draw_plan
@@ -39,6 +40,21 @@
     ]
 
 
+def test_crowds_and_series_change_no_other_event_of_a_seed() -> None:
+    with_crowds = [draw_plan(seed, with_upgrades=True, with_crowds=True) for seed in range(1, 61)]
+    without = [draw_plan(seed, with_upgrades=True) for seed in range(1, 61)]
+    shapes = {event.shape for plan in with_crowds for event in plan.crowds}
+    assert len(shapes) > len(CrowdShape) / 2
+    assert any(
+        len(plan.restarts) - len(other.restarts) == 2
+        for plan, other in zip(with_crowds, without, strict=True)
+    )
+    assert [
+        replace(plan, crowds=(), restarts=tuple(event for event in plan.restarts if event in other.restarts))
+        for plan, other in zip(with_crowds, without, strict=True)
+    ] == without
+
+
 def broken_rules(seed: int, folder: Path) -> list[str]:
     with_all = seed in SEEDS_WITH_ALL_FAULTS
     plan = draw_plan(seed, with_upgrades=with_all, with_message_faults=with_all)
