--- a/tests/server/test_memory_limit.py
+++ b/tests/server/test_memory_limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
 
 import pytest
@@ -10,6 +11,7 @@
 from ashpath.emulator.crowd.play import CrowdResult, play
 from ashpath.emulator.crowd.rig import CrowdRig
 from ashpath.emulator.crowd.shapes import CrowdShape
+from ashpath.emulator.errors import SenderStartError
 
 MEMORY_MB = 64
 MEMORY_BYTES = MEMORY_MB * 1_000_000
@@ -25,6 +27,23 @@
     return play(rig, shape, clients, CROWD_S, return_s=0.0)
 
 
+def test_limit_below_a_sender_is_one_clear_error(tmp_path: Path) -> None:
+    """Guards against a start that the platform kills at once, without a word."""
+    rig = CrowdRig(tmp_path / "n0", memory_mb=8, descriptors=DESCRIPTORS)
+    try:
+        with pytest.raises(SenderStartError):
+            rig.start()
+        assert rig.process is not None
+        assert rig.process.wait() == 2
+    finally:
+        rig.stop()
+    line = (tmp_path / "n0" / "log").read_text().strip()
+    assert re.fullmatch(
+        r"ashpath: cannot start from \S+: memory limit of 8 MB is too small, a sender needs at least \d+ MB",
+        line,
+    )
+
+
 @pytest.mark.parametrize(
     "shape",
     [
