--- a/ashpath/server/http/receive_buffer.py
+++ b/ashpath/server/http/receive_buffer.py
@@ -40,6 +40,8 @@
         """Changes the memory of the buffer; bytes from `size` on are lost."""
         if not size:
             self.data = bytearray()  # a read in progress may still have a view of the old memory
+        elif not self.data:
+            self.data = bytearray(size)
         elif size > len(self.data):
             self.data.extend(bytes(size - len(self.data)))
         else:
