A request that is given up ends its read alone, and not the drain behind it

What callers saw: nothing; 'unexpected error' in the log for each request that was given up, and a drain that did not take place, so that a client still writing could lose its 503 to a reset.

Cause: the error that ended the read was raised once more at the next wait, that of the drain. Class: a one-shot signal that its delivery does not consume.

Change: it is consumed wherever it is raised. The read behind a turn does not switch the socket's timeout to and fro any more.

--- a/ashpath/server/http/client_socket.py
+++ b/ashpath/server/http/client_socket.py
@@ -50,30 +50,22 @@
         if self.sock.gettimeout() == NO_WAIT:
             return super().receive()
         self._wait_for_turn()
-        while not self._read_available():
-            self._wait_for_turn()
+        self.read_into_buffer()
         return not self.eof_received
 
     def _wait_for_turn(self) -> None:
         if self._closed:
             raise OSError(errno.EBADF, CLOSED_TEXT)
-        self._raise_cancellation()
-        socket.wait(self._readable)
-        if not self.has_accepted_messages:
-            self._turns.wait()
-        self._raise_cancellation()
-
-    def _read_available(self) -> bool:
-        """Reads what has arrived; returns False if nothing has. The buffer may be cleared while no read is in
-        progress, so none may wait."""
-        self.sock.settimeout(NO_WAIT)
         try:
-            self.read_into_buffer()
-        except BlockingIOError:
-            return False
-        finally:
-            self.sock.settimeout(None)
-        return True
+            if self._cancellation is None:
+                socket.wait(self._readable)
+                if not self.has_accepted_messages:
+                    self._turns.wait()
+            if self._cancellation is not None:
+                raise self._cancellation
+        except ProtocolError:
+            self._cancellation = None  # it ends one read, and not the drain behind it
+            raise
 
     def drain(self, max_bytes: int) -> None:
         """See `BufferedSocket`."""
@@ -83,22 +75,9 @@
         while drained < max_bytes and not self.eof_received:
             if waits:
                 self._wait_for_turn()
-            drained += self._discard_available(waits=waits)
-
-    def _discard_available(self, *, waits: bool) -> int:
-        """Reads and discards what has arrived; returns how much."""
-        self.sock.settimeout(NO_WAIT)
-        try:
-            count: int = self.sock.recv_into(DISCARDED)
-        except BlockingIOError:
-            if not waits:
-                raise
-            return 0
-        finally:
-            if waits:
-                self.sock.settimeout(None)
-        self.eof_received = not count
-        return count
+            count = self.sock.recv_into(DISCARDED)
+            self.eof_received = not count
+            drained += count
 
     def cancel(self, error: ProtocolError) -> None:
         """Makes the read of the request in progress fail with an error, and frees its buffer. Does not
@@ -107,12 +86,6 @@
         self.buffer.clear()
         get_hub().cancel_wait(self._readable, error)
 
-    def _raise_cancellation(self) -> None:
-        if self._cancellation is not None:
-            error = self._cancellation
-            self._cancellation = None
-            raise error
-
     def expect_body(self, size: int) -> None:
         """Reserves memory for a body of a declared length. Raises MemoryBudgetError."""
         self.buffer.make_room_for(size)
--- a/tests/server/http/test_buffer_memory.py
+++ b/tests/server/http/test_buffer_memory.py
@@ -12,6 +12,7 @@
 
 from ashpath.policy.memory_budget import MemoryShares
 from ashpath.server.http.buffer_memory import AccountedBuffer, BufferMemory, ResponseMemory
+from ashpath.server.http.close_reason import ClientCloseReason
 from ashpath.server.http.connection_table import ConnectionState
 from ashpath.server.http.errors import MemoryBudgetError
 
@@ -94,7 +95,12 @@
     serve(setup.listener, near)
     far.sendall(request("b", "free", BODY, 1))
     assert far.recv(999).startswith(b"HTTP/1.1 202 ")
-    assert receive_all(stalled).startswith(b"HTTP/1.1 503 ")
+    answer = receive_all(stalled)
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert answer.count(b"HTTP/1.1") == 1
+    stalled.close()
+    wait_until(lambda: setup.listener.table.closed)
+    assert setup.listener.table.closed == {ClientCloseReason.REJECTED: 1}  # no error in the drain behind it
     assert setup.receiver.events == ["submitted b"]
     assert setup.listener.memory.reserved_bytes == 0
 
--- a/tests/server/http/test_connection_table.py
+++ b/tests/server/http/test_connection_table.py
@@ -68,6 +68,7 @@
     assert receiver.events == ["submitted a"]
     answer = receive_all(stalled)
     assert answer.startswith(b"HTTP/1.1 503 ")
+    assert answer.count(b"HTTP/1.1") == 1
     assert b"retry-after: 1.000" in answer
     stalled.close()
     wait_until(lambda: evicted.dead)
