Messages that are delivered and not certain yet count against the memory of messages

Cause: a delivered message stays for a second, until its delivery is certain, with its body, and the request of an attempt is a copy of its message; the log counts neither.

Change: both are counted, and a message is refused (503, 'memory') where the share is used up. The body stays as it is: a delivery in doubt is written to the log once more.

--- a/ashpath/emulator/crowd/shapes.py
+++ b/ashpath/emulator/crowd/shapes.py
@@ -18,6 +18,7 @@
 CHUNKED_BYTES = 128 << 10  # of a chunked body with its framing
 EXTENSION_BYTES = 1000  # of a chunk's extension
 REQUESTS_PER_WRITE = 50  # of a client that does not wait for responses
+MESSAGES_PER_CLIENT = 100_000_000  # numbers of messages that one client may use
 SHORT_FIELD = b"%x:\r\n"
 
 
@@ -48,6 +49,8 @@
     """Bytes that are not HTTP, as fast as possible."""
     NEW_NAMES = "new names"
     """Invalid requests under ever new names of everything, each after the response to the one before."""
+    LARGE_MESSAGES = "large messages"
+    """Messages with a large body that are accepted, each after the response to the one before."""
     SMALL_REQUESTS = "small requests"
     """Valid requests that submit nothing, each after the response to the one before, at full speed."""
 
@@ -175,6 +178,13 @@
     return Script(requests(), awaits_responses=True)
 
 
+def large_messages(number: int) -> Script:
+    """See `CrowdShape`."""
+    body = b"\r\n" + b"b" * BODY_BYTES
+    requests = (large_body_head(number * MESSAGES_PER_CLIENT + each) + body for each in count())
+    return Script(requests, awaits_responses=True)
+
+
 def small_requests(_: int) -> Script:
     """See `CrowdShape`."""
     return Script(repeat(b"GET /nowhere HTTP/1.1\r\n\r\n"), awaits_responses=True)
@@ -193,5 +203,6 @@
     CrowdShape.PIPELINED: pipelined,
     CrowdShape.NONSENSE: nonsense,
     CrowdShape.NEW_NAMES: new_names,
+    CrowdShape.LARGE_MESSAGES: large_messages,
     CrowdShape.SMALL_REQUESTS: small_requests,
 }
--- a/ashpath/policy/memory_budget.py
+++ b/ashpath/policy/memory_budget.py
@@ -25,6 +25,7 @@
 CONNECTION_BYTES = 20 << 10
 """Of a client connection: its greenlet, socket and first buffer."""
 MIN_CLIENT_CONNECTIONS = 16
+COPIES_OF_MESSAGE = 2
 MESSAGE_BYTES = 2 << 10
 """Of an accepted message, beside its record."""
 UNKNOWN_CLIENT_SHARE = Fraction(3, 4)
@@ -104,8 +105,10 @@
 
 
 def message_cost(message_count: int, record_bytes: int) -> int:
-    """Returns the memory of accepted messages, whose records have `record_bytes` in all."""
-    return message_count * MESSAGE_BYTES + record_bytes
+    """Returns the memory of accepted messages, whose records have `record_bytes` in all.
+
+    The request of an attempt is a copy of its message."""
+    return message_count * MESSAGE_BYTES + COPIES_OF_MESSAGE * record_bytes
 
 
 def reclaimed(
--- a/ashpath/server/delivery/response_attribution.py
+++ b/ashpath/server/delivery/response_attribution.py
@@ -14,6 +14,7 @@
 import gevent
 from msgspec import Struct
 
+from ashpath.policy.memory_budget import message_cost
 from ashpath.policy.response_trust import ResponseTrust, may_be_response
 from ashpath.policy.tuning import DELIVERY_DOUBT_TIME
 from ashpath.server.delivery.endpoint_connection import EndpointConnection
@@ -68,6 +69,8 @@
         """Number of times that an endpoint sent what may be a response without a request."""
         self.results_in_doubt = 0
         self._refusals: dict[StoredMessage, ProvisionalRefusal] = {}
+        self.held_bytes = 0
+        """Memory of messages that are delivered, and stay until their delivery is certain."""
         self._deliveries: deque[ProvisionalDelivery] = deque()  # the earliest end of the doubt first
 
     def add_delivery(
@@ -82,6 +85,7 @@
         certain_at = time + self.trust.hold_time(response_time)
         until = time + DELIVERY_DOUBT_TIME
         self._deliveries.append(ProvisionalDelivery(connection, message, owner, certain_at, until))
+        self.held_bytes += held_bytes(message)
 
     def add_refusal(
         self,
@@ -150,6 +154,7 @@
         doubtful = [delivery for delivery in self._deliveries if delivery.connection is connection]
         for delivery in doubtful:
             self._deliveries.remove(delivery)
+            self.held_bytes -= held_bytes(delivery.message)
             self.results_in_doubt += 1
             self.logger.warning("delivery in doubt", trace_id=delivery.message.trace_id)
             delivery.owner.delivery_in_doubt(delivery.message)
@@ -158,7 +163,7 @@
         """Forgets the deliveries that can no longer be put in doubt."""
         time = now()
         while self._deliveries and self._deliveries[0].doubtful_until <= time:
-            self._deliveries.popleft()
+            self.held_bytes -= held_bytes(self._deliveries.popleft().message)
 
     def forget_certain_refusals(self) -> None:
         """Forgets the refusals that are certain by now."""
@@ -175,3 +180,8 @@
             gevent.sleep(CHECK_INTERVAL_S)
             self.forget_certain_deliveries()
             self.forget_certain_refusals()
+
+
+def held_bytes(message: StoredMessage) -> int:
+    """Returns the memory of a message that no log counts any more."""
+    return message_cost(1, len(message.body))
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -139,7 +139,7 @@
         live = self.write_ahead_log.messages
         record_bytes = live.reserved_bytes + len(message.body)
         cost = memory_budget.message_cost(len(live.live) + 1, record_bytes)
-        return cost <= self.memory_shares.message_bytes
+        return cost + self.registry.pool.attribution.held_bytes <= self.memory_shares.message_bytes
 
     def is_duplicate(self, message: StoredMessage) -> bool:
         """Whether the message is unfinished, where a copy would be delivered beside it, or has ended and must
