Soak: the messages of a crowd are of a class that no sender has

Change: the crowd's process takes the class of its messages; in the soak it is one that no sender has. The judge is as it was.

--- a/ashpath/emulator/crowd/clients.py
+++ b/ashpath/emulator/crowd/clients.py
@@ -9,7 +9,7 @@
 from gevent import Timeout, socket
 from msgspec import Struct
 
-from ashpath.emulator.crowd.shapes import SCRIPTS, CrowdShape, Script
+from ashpath.emulator.crowd.shapes import SCRIPTS, ClientIdentity, CrowdShape, Script
 
 CONNECT_TIMEOUT_S = 3.0
 PATIENCE_S = 5.0  # a connection that has seen neither a byte nor its end by then counts as unanswered
@@ -41,8 +41,10 @@
 class CrowdClient:
     """One client, which connects again whenever its connection has ended."""
 
-    def __init__(self, number: int, address: tuple[str, int], shape: CrowdShape, record: CrowdRecord) -> None:
-        self.number = number
+    def __init__(
+        self, identity: ClientIdentity, address: tuple[str, int], shape: CrowdShape, record: CrowdRecord
+    ) -> None:
+        self.identity = identity
         self.address = address
         self.script = SCRIPTS[shape]
         self.record = record
@@ -56,7 +58,7 @@
                 self.record.refused += 1
             else:
                 sock.settimeout(None)
-                self.play(sock, self.script(self.number), until)
+                self.play(sock, self.script(self.identity), until)
                 sock.close()
             gevent.sleep(RECONNECT_PAUSE_S)
 
@@ -119,12 +121,17 @@
         return b""
 
 
-def play_crowd(address: tuple[str, int], shape: CrowdShape, count: int, duration_s: float) -> CrowdRecord:
-    """Plays `count` clients of one shape for `duration_s` seconds, and returns what they observed."""
+def play_crowd(
+    address: tuple[str, int], shape: CrowdShape, count: int, duration_s: float, traffic_class: bytes
+) -> CrowdRecord:
+    """Plays `count` clients of one shape for `duration_s` seconds, and returns what they observed.
+
+    `traffic_class`: of their messages."""
     record = CrowdRecord()
     until = monotonic() + duration_s
     greenlets = [
-        gevent.spawn(CrowdClient(number, address, shape, record).run, until) for number in range(count)
+        gevent.spawn(CrowdClient(ClientIdentity(number, traffic_class), address, shape, record).run, until)
+        for number in range(count)
     ]
     gevent.joinall(greenlets, timeout=duration_s + PATIENCE_S)
     gevent.killall(greenlets)
--- a/ashpath/emulator/crowd/play.py
+++ b/ashpath/emulator/crowd/play.py
@@ -19,6 +19,7 @@
 REST_S = 0.5  # before the crowd comes
 RETURN_S = 10.0  # after the crowd has left, until the resident size is read again
 PROBE_S = 0.01
+TRAFFIC_CLASS = "free"  # of the rig
 
 
 class CrowdResult(Struct, frozen=True):
@@ -64,7 +65,9 @@
         probing = gevent.spawn(probe.run)
         port = str(rig.address[1])
         command = [sys.executable, "-m", "ashpath.emulator.crowd.process", port, shape.value]
-        crowd = subprocess.Popen([*command, str(count), str(duration_s)], stdout=subprocess.PIPE)
+        crowd = subprocess.Popen(
+            [*command, str(count), str(duration_s), TRAFFIC_CLASS], stdout=subprocess.PIPE
+        )
         beside = MeasuredClient(rig.address, STAND_IN_LIMITS).run(monotonic() + duration_s)
         output, _ = crowd.communicate()
         gevent.sleep(return_s)
--- a/ashpath/emulator/crowd/process.py
+++ b/ashpath/emulator/crowd/process.py
@@ -1,4 +1,5 @@
-"""A process that plays a crowd: `python -m ashpath.emulator.crowd.process PORT SHAPE COUNT SECONDS`.
+"""A process that plays a crowd:
+`python -m ashpath.emulator.crowd.process PORT SHAPE COUNT SECONDS CLASS`.
 
 Prints the `CrowdRecord` as JSON. A process of its own keeps the crowd from delaying the measured client.
 """
@@ -16,8 +17,10 @@
 
 def main() -> None:
     """Plays the crowd that the arguments describe."""
-    port, shape, count, duration_s = sys.argv[1:]
-    record = play_crowd((LOOPBACK, int(port)), CrowdShape(shape), int(count), float(duration_s))
+    port, shape, count, duration_s, traffic_class = sys.argv[1:]
+    record = play_crowd(
+        (LOOPBACK, int(port)), CrowdShape(shape), int(count), float(duration_s), traffic_class.encode()
+    )
     print(msgspec.json.encode(record).decode())
 
 
--- a/ashpath/emulator/crowd/shapes.py
+++ b/ashpath/emulator/crowd/shapes.py
@@ -67,22 +67,32 @@
     until the sender ends the connection."""
 
 
-def submit_head(number: int, length_fields: bytes) -> bytes:
+class ClientIdentity(Struct, frozen=True):
+    """What tells the messages of one client from those of others."""
+
+    number: int
+    traffic_class: bytes = b"free"
+    """Of its messages; those of a class that the sender does not have are rejected."""
+
+
+def submit_head(number: int, length_fields: bytes, traffic_class: bytes = b"free") -> bytes:
     """Returns the head of a request that submits a message, without the empty line."""
-    return b"POST %s HTTP/1.1\r\nHost: x\r\n%s: crowd-%d\r\n%s: free\r\n%s: 5000\r\n%s: dest=1\r\n%s\r\n" % (
+    return b"POST %s HTTP/1.1\r\nHost: x\r\n%s: crowd-%d\r\n%s: %s\r\n%s: 5000\r\n%s: dest=1\r\n%s\r\n" % (
         wire_names.SUBMIT_PATH,
         wire_names.TRACE_ID_HEADER,
         number,
         wire_names.TRAFFIC_CLASS_HEADER,
+        traffic_class,
         wire_names.TIME_LEFT_HEADER,
         wire_names.DESTINATION_HEADER,
         length_fields,
     )
 
 
-def large_body_head(number: int) -> bytes:
+def large_body_head(client: ClientIdentity, each: int = 0) -> bytes:
     """Returns the head of a request with a large body, without the empty line."""
-    return submit_head(number, b"Content-Length: %d" % BODY_BYTES)
+    number = client.number * MESSAGES_PER_CLIENT + each
+    return submit_head(number, b"Content-Length: %d" % BODY_BYTES, client.traffic_class)
 
 
 def with_many_fields(head: bytes) -> bytes:
@@ -98,78 +108,81 @@
     raise AssertionError  # `count` does not end
 
 
-def many_fields_half_body(number: int) -> Script:
+def many_fields_half_body(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
-    return Script(iter([with_many_fields(large_body_head(number)) + b"\r\n" + b"b" * SENT_BODY_BYTES]))
+    return Script(iter([with_many_fields(large_body_head(client)) + b"\r\n" + b"b" * SENT_BODY_BYTES]))
 
 
-def many_fields_half_head(number: int) -> Script:
+def many_fields_half_head(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
-    return Script(iter([with_many_fields(large_body_head(number))]))
+    return Script(iter([with_many_fields(large_body_head(client))]))
 
 
-def half_body(number: int) -> Script:
+def half_body(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
-    return Script(iter([large_body_head(number) + b"\r\n" + b"b" * SENT_BODY_BYTES]))
+    return Script(iter([large_body_head(client) + b"\r\n" + b"b" * SENT_BODY_BYTES]))
 
 
-def slow_body(number: int) -> Script:
+def slow_body(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
-    pieces = [large_body_head(number) + b"\r\n"] + [b"b" * PIECE_BYTES] * (BODY_BYTES // PIECE_BYTES)
+    pieces = [large_body_head(client) + b"\r\n"] + [b"b" * PIECE_BYTES] * (BODY_BYTES // PIECE_BYTES)
     return Script(iter(pieces), interval_s=PIECE_INTERVAL_S)
 
 
-def chunked(number: int, chunk: bytes, size: int) -> bytes:
+def chunked(client: ClientIdentity, chunk: bytes, size: int) -> bytes:
     """Returns a chunked request without its last chunk."""
-    head = submit_head(number, b"Transfer-Encoding: chunked")
+    head = submit_head(client.number, b"Transfer-Encoding: chunked", client.traffic_class)
     return head + b"\r\n" + chunk * (size // len(chunk))
 
 
-def half_chunked_body(number: int) -> Script:
+def half_chunked_body(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
-    return Script(iter([chunked(number, b"400\r\n" + b"b" * 1024 + b"\r\n", SENT_BODY_BYTES)]))
+    return Script(iter([chunked(client, b"400\r\n" + b"b" * 1024 + b"\r\n", SENT_BODY_BYTES)]))
 
 
-def one_byte_chunks(number: int) -> Script:
+def one_byte_chunks(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
-    return Script(iter([chunked(number, b"1\r\nb\r\n", CHUNKED_BYTES)]))
+    return Script(iter([chunked(client, b"1\r\nb\r\n", CHUNKED_BYTES)]))
 
 
-def chunk_extensions(number: int) -> Script:
+def chunk_extensions(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
-    return Script(iter([chunked(number, b"1;x=" + b"e" * EXTENSION_BYTES + b"\r\nb\r\n", CHUNKED_BYTES)]))
+    return Script(iter([chunked(client, b"1;x=" + b"e" * EXTENSION_BYTES + b"\r\nb\r\n", CHUNKED_BYTES)]))
 
 
-def endless_head(number: int) -> Script:
+def endless_head(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
-    return Script(iter([with_many_fields(large_body_head(number)), *([SHORT_FIELD % number * 1000] * 50)]))
+    return Script(
+        iter([with_many_fields(large_body_head(client)), *([SHORT_FIELD % client.number * 1000] * 50)])
+    )
 
 
-def silent(_: int) -> Script:
+def silent(_: ClientIdentity) -> Script:
     """See `CrowdShape`."""
     return Script(iter(()))
 
 
-def pipelined(number: int) -> Script:
+def pipelined(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
     requests = b"".join(
-        submit_head(number * REQUESTS_PER_WRITE + each, b"Content-Length: 1") + b"\r\nb"
+        submit_head(client.number * REQUESTS_PER_WRITE + each, b"Content-Length: 1", client.traffic_class)
+        + b"\r\nb"
         for each in range(REQUESTS_PER_WRITE)
     )
     return Script(repeat(requests, 20))
 
 
-def nonsense(_: int) -> Script:
+def nonsense(_: ClientIdentity) -> Script:
     """See `CrowdShape`."""
     return Script(repeat(b"\x00\x01nonsense\r\n\r\n" * 500, 20))
 
 
-def new_names(number: int) -> Script:
+def new_names(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
 
     def requests() -> Iterator[bytes]:
         for each in count():
-            name = b"%d-%d" % (number, each)
+            name = b"%d-%d" % (client.number, each)
             yield (
                 b"POST /api HTTP/1.1\r\nX-Trace-Id: %s\r\nX-Qos: class-%s\r\nX-Expires-In-Ms: 5000\r\n"
                 b"X-Route-To: dest=%d\r\nX-%s: 1\r\nCookie: about=%s\r\nContent-Length: 1\r\n\r\nb"
@@ -178,19 +191,19 @@
     return Script(requests(), awaits_responses=True)
 
 
-def large_messages(number: int) -> Script:
+def large_messages(client: ClientIdentity) -> Script:
     """See `CrowdShape`."""
     body = b"\r\n" + b"b" * BODY_BYTES
-    requests = (large_body_head(number * MESSAGES_PER_CLIENT + each) + body for each in count())
+    requests = (large_body_head(client, each) + body for each in count())
     return Script(requests, awaits_responses=True)
 
 
-def small_requests(_: int) -> Script:
+def small_requests(_: ClientIdentity) -> Script:
     """See `CrowdShape`."""
     return Script(repeat(b"GET /nowhere HTTP/1.1\r\n\r\n"), awaits_responses=True)
 
 
-SCRIPTS: dict[CrowdShape, Callable[[int], Script]] = {
+SCRIPTS: dict[CrowdShape, Callable[[ClientIdentity], Script]] = {
     CrowdShape.MANY_FIELDS_HALF_BODY: many_fields_half_body,
     CrowdShape.MANY_FIELDS_HALF_HEAD: many_fields_half_head,
     CrowdShape.HALF_BODY: half_body,
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -59,6 +59,7 @@
 DISK_PROBE_S = 0.01
 MEMORY_PROBE_S = 0.02
 BYTES_PER_MB = 1_000_000
+UNKNOWN_CLASS = "crowd"  # no sender has it: the records know the messages of the run's own clients alone
 FILLING_BODY_BYTES = 4000  # with it, logs of busy runs come near the disk limit, and are rewritten
 START_TIMEOUT_S = 15.0  # until all senders are ready
 
@@ -232,7 +233,7 @@
     def _crowd(self, event: CrowdEvent) -> None:
         """Plays a crowd in a process of its own, past the proxy of the clients."""
         port = str(self.senders[event.sender].address[1])
-        arguments = [port, event.shape.value, str(event.clients), str(event.duration_s)]
+        arguments = [port, event.shape.value, str(event.clients), str(event.duration_s), UNKNOWN_CLASS]
         with Path(os.devnull).open("wb") as output:
             command = [sys.executable, "-m", "ashpath.emulator.crowd.process", *arguments]
             self._crowds.append(subprocess.Popen(command, stdout=output))
