Two processes that share a memory limit count the pages of files once

Cause: with a socket that is handed down, half of memory_mb less the whole resident size is below zero at 64 MB: a sender had 29 client connections, though pages of files are common to both. Change: each further process adds what it has to itself; 48 client connections at least.

--- a/ashpath/policy/memory_budget.py
+++ b/ashpath/policy/memory_budget.py
@@ -24,7 +24,7 @@
 RESPONSE_SHARE = Fraction(1, 10)
 CONNECTION_BYTES = 20 << 10
 """Of a client connection: its greenlet, socket and first buffer."""
-MIN_CLIENT_CONNECTIONS = 16
+MIN_CLIENT_CONNECTIONS = 48
 COPIES_OF_MESSAGE = 2
 MESSAGE_BYTES = 2 << 10
 """Of an accepted message, beside its record."""
@@ -75,17 +75,18 @@
     return resident_bytes + MIN_FREE_BYTES
 
 
-def divide(limit_bytes: int, resident_bytes: int, processes: int) -> MemoryShares:
-    """Divides what is left of the limit. `resident_bytes`: of one process at its start; each of the
-    `processes` of a sender has as much, and an equal part of the rest.
+def divide(limit_bytes: int, resident_bytes: int, private_bytes: int, processes: int) -> MemoryShares:
+    """Divides what is left of the limit. `resident_bytes`: of one process at its start; each further one of
+    the `processes` of a sender adds its `private_bytes`. They have equal parts of the rest.
 
-    >>> shares = divide(96_000_000, 36_000_000, 1)
+    >>> shares = divide(96_000_000, 36_000_000, 22_000_000, 1)
     >>> shares.client_connections, shares.request_bytes, shares.response_bytes, shares.message_bytes
     (878, 9000000, 4500000, 13500000)
-    >>> divide(64_000_000, 36_000_000, 2).request_bytes
-    300000
+    >>> divide(64_000_000, 36_000_000, 22_000_000, 2).request_bytes
+    450000
     """
-    free_bytes = max(MIN_FREE_BYTES, limit_bytes // processes - resident_bytes)
+    held_bytes = resident_bytes + (processes - 1) * private_bytes
+    free_bytes = max(MIN_FREE_BYTES, (limit_bytes - held_bytes) // processes)
     shared_bytes = free_bytes * FREE_SHARE
     return MemoryShares(
         client_connections=max(
--- a/ashpath/server/memory_wiring.py
+++ b/ashpath/server/memory_wiring.py
@@ -19,11 +19,12 @@
     `processes`: of a sender, which share the limit. Raises MemoryLimitError if the memory that this process
     has to itself leaves too little, however the platform counts what processes have in common.
     """
-    least = memory_budget.least_memory(private_bytes())
+    private = private_bytes()
+    least = memory_budget.least_memory(private)
     if limits.memory_bytes < least:
         raise MemoryLimitError(limits.memory_bytes, least)
     resident = resident_bytes()
-    shares = memory_budget.divide(limits.memory_bytes, resident, processes)
+    shares = memory_budget.divide(limits.memory_bytes, resident, private, processes)
     clients.listener.memory.shares = shares
     pool.memory.shares = shares
     clients.admission.memory_shares = shares
