A start survives a platform on which ctypes cannot be imported

Cause: ctypes makes a callback as it is imported, which needs executable memory; where a platform's filter refuses that, the import raises MemoryError and would end the process. Found by reading. Change: it is imported where it is used, and any such failure leaves the allocator as it is.

--- a/ashpath/server/process_memory.py
+++ b/ashpath/server/process_memory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ctypes
 import os
 import resource
 from contextlib import suppress
@@ -45,8 +44,11 @@
 
 def give_back_freed_memory() -> None:
     """Makes the allocator return large buffers to the system as they are freed. Without it, what a burst of
-    requests took stays with the process. Does nothing where the C library has no mallopt(3)."""
-    with suppress(OSError, AttributeError):
+    requests took stays with the process. Does nothing where the C library has no mallopt(3),
+    or where ctypes cannot be used."""
+    with suppress(ImportError, OSError, AttributeError, MemoryError):
+        import ctypes  # where executable memory is refused, the import fails
+
         mallopt = ctypes.CDLL(None).mallopt
         mallopt(M_MMAP_THRESHOLD, MMAP_BYTES)
         mallopt(M_TRIM_THRESHOLD, TRIM_BYTES)
