A start outlasts a disk that fails for a moment

Cause: a start opened the log, and read the file of traffic class ids, once; only a new directory was excused.

Class: a fault of this machine that lasts a moment ends the process, as those of sockets did before retry_local_faults.

Change: both are tried again for up to 8 s while the disk says ENOSPC, EDQUOT or EIO; a disk that fails for longer ends the start as before.

--- a/ashpath/server/limits/storage.py
+++ b/ashpath/server/limits/storage.py
@@ -11,6 +11,8 @@
     disk_bytes: int
     """Disk space of the state directory, both processes of a hot upgrade together, without the final
     outcomes."""
+    open_retries_s: float = 8.0
+    """Time during which a start retries to open files on a disk that fails for a while."""
     outcome_store_bytes: int = 0
     """The size of the final outcomes on disk, and as much in memory. A sender's own file sets it."""
     outcome_retention_s: float = 0.0
--- a/ashpath/server/local_errors.py
+++ b/ashpath/server/local_errors.py
@@ -29,6 +29,7 @@
 import gevent
 
 RETRY_PAUSE_S = 0.05
+DISK_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EIO})
 Result = TypeVar("Result")
 
 LOCAL_ERRNOS = frozenset(
@@ -122,11 +123,23 @@
 
     A start must not fail because a table of this machine is full for a moment. Raises the errors of `call`.
     """
+    return _retry(call, is_local_fault, max_duration_s)
+
+
+def retry_disk_faults(call: Callable[[], Result], max_duration_s: float) -> Result:
+    """Returns the result of `call`, which is retried for up to `max_duration_s` seconds while the disk fails.
+
+    A start must not end because the disk is full or fails for a moment: what is stored would stay unanswered
+    until the next start. Raises the errors of `call`."""
+    return _retry(call, lambda error: error.errno in DISK_ERRNOS, max_duration_s)
+
+
+def _retry(call: Callable[[], Result], passes: Callable[[OSError], bool], max_duration_s: float) -> Result:
     give_up_at = monotonic() + max_duration_s
     while True:
         try:
             return call()
         except OSError as error:
-            if not is_local_fault(error) or monotonic() >= give_up_at:
+            if not passes(error) or monotonic() >= give_up_at:
                 raise
         gevent.sleep(RETRY_PAUSE_S)
--- a/ashpath/server/state_files.py
+++ b/ashpath/server/state_files.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 from ashpath.server.limits.storage import StorageLimits
+from ashpath.server.local_errors import retry_disk_faults
 from ashpath.server.logs import Logger
 from ashpath.server.sender import ProcessOptions
 from ashpath.server.storage import detached_endpoints, outage_store, shared_memory
@@ -22,11 +23,15 @@
 ) -> WriteAheadLog:
     """Opens the write-ahead log, whose maximum size is `disk_bytes` without the other files.
 
-    Raises OSError, LogLockedError or ForeignRecordError."""
+    A disk that fails is tried again for `open_retries_s`. Raises OSError, LogLockedError or
+    ForeignRecordError."""
     remove_earlier_temporaries(process_options.state_directory)
     initialize_clock(process_options, logger)
     other_files = shared_memory_files(process_options) * FILE_BYTES + replaced_files_bytes(limits)
-    write_ahead_log = WriteAheadLog(process_options.state_directory, limits.disk_bytes - other_files)
+    log_bytes = limits.disk_bytes - other_files
+    write_ahead_log = retry_disk_faults(
+        lambda: WriteAheadLog(process_options.state_directory, log_bytes), limits.open_retries_s
+    )
     if write_ahead_log.skipped_bytes:
         logger.error("write-ahead log damaged", skipped_bytes=write_ahead_log.skipped_bytes)
     return write_ahead_log
--- a/ashpath/server/storage_wiring.py
+++ b/ashpath/server/storage_wiring.py
@@ -7,6 +7,7 @@
 from ashpath.server.configuration import SenderConfiguration
 from ashpath.server.deployment import Deployment
 from ashpath.server.directory_monitor import DirectoryMonitor
+from ashpath.server.local_errors import retry_disk_faults
 from ashpath.server.logs import Logger
 from ashpath.server.policy_runner import StateFiles
 from ashpath.server.sender import DeliveryPath, ProcessOptions
@@ -29,7 +30,10 @@
     log = write_ahead_log
     has_other_process = process_options.inherited_socket is not None and log.has_other_process()
     has_live_messages = bool(log.messages.live) or log.may_have_orphans or has_other_process
-    restored = deployment.restore_traffic_class_ids(configuration, has_live_messages=has_live_messages)
+    restored = retry_disk_faults(
+        lambda: deployment.restore_traffic_class_ids(configuration, has_live_messages=has_live_messages),
+        configuration.limits.storage.open_retries_s,
+    )
     log.prerequisite = deployment.unwritten_traffic_class_ids
     log.check_traffic_classes(len(restored.settings.document["classes"]))
     return restored
--- a/tests/server/test_limits.py
+++ b/tests/server/test_limits.py
@@ -21,6 +21,7 @@
     "idle_client_connections": 170,
     "endpoint_connections": 64,
     "disk_bytes": 970_000,
+    "open_retries_s": 8.0,
     "memory_bytes": 192_000_000,
     "endpoint_idle_s": 4.8,
     "connect_s": 1.0,
--- a/tests/server/test_restart.py
+++ b/tests/server/test_restart.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 import gevent
+import pytest
 from gevent.server import StreamServer
 from support.sender_harness import LIMITS, SenderHarness, free_address, wait_until
 from support.server import live_messages
@@ -204,3 +205,18 @@
     harness.start()
     assert harness.submit("a", "free", "200", 1) == 202
     wait_until(lambda: harness.attempt_count("a") == 1)
+
+
+@pytest.mark.parametrize("error", ["ENOSPC", "EIO"])
+def test_start_outlasts_disk_that_fails_for_a_while(harness: SenderHarness, error: str) -> None:
+    """Guards against a process that ends by itself: a start whose disk opens no file for a second and a half
+    ended with exit code 2, and what it had accepted before stayed unanswered."""
+    harness.start()
+    assert harness.submit("kept", "once", "wait 200", 1) == 202
+    wait_until(lambda: harness.attempt_count("kept") == 1)
+    harness.kill()
+    harness.faults = ProcessFaults((CallFault(FaultyCall.OPEN, error, end_s=1.5),))
+    harness.start()
+    wait_until(lambda: harness.attempt_count("kept") == 2)
+    assert harness.submit("later", "once", "200", 1) == 202
+    wait_until(lambda: harness.attempt_count("later") == 1)
