--- a/tests/server/http/test_client_standing.py
+++ b/tests/server/http/test_client_standing.py
@@ -6,11 +6,16 @@
 
 import pytest
 from gevent import socket
-from support.sender_harness import request, wait_until
+from support.limits import connection_pool
+from support.sender_harness import LIMITS, request, wait_until
 from support.sender_parts import ListenerSetup, client_listener
 from support.server import receive_all, serve, tcp_pair
 
+from ashpath.policy.memory_budget import MemoryShares
+from ashpath.server.delivery.endpoint_connection import EndpointConnection
+from ashpath.server.http.admission import RefusalCause
 from ashpath.server.http.connection_table import ConnectionState
+from ashpath.server.http.errors import MemoryBudgetError
 
 UNKNOWN_PATH = b"GET /nowhere HTTP/1.1\r\n\r\n"
 
@@ -75,3 +80,44 @@
     client.sendall(request("b", "free", "200", 1))
     assert client.recv(999).startswith(b"HTTP/1.1 202 ")
     assert len(waits) == 1
+
+
+def test_idle_client_is_evicted_once_new_connection_has_waited(tmp_path: Path) -> None:
+    """Guards against requests in progress that keep a new client out for as long as they last."""
+    setup = client_listener(tmp_path, stalled_request_s=60.0, idle_eviction_s=60.0, eviction_patience_s=0.2)
+    client = answered(setup, request("a", "free", "200", 1), b"202")
+    near, reading = tcp_pair()
+    serve(setup.listener, near)
+    reading.sendall(b"POST /api HTTP/1.1\r\n")
+    wait_until(lambda: setup.listener.table.count(ConnectionState.READING))
+    assert not setup.listener.table.evict_one(waited_s=0.1)
+    assert setup.listener.table.evict_one(waited_s=0.2)
+    assert receive_all(client) == b""
+    reading.close()
+
+
+@pytest.mark.parametrize(("share", "held"), [(0, 0), (1 << 20, 1 << 20)])
+def test_message_without_memory_is_refused(tmp_path: Path, share: int, held: int) -> None:
+    """Guards against accepted messages, and delivered ones that are not certain yet, beyond their share."""
+    setup = client_listener(tmp_path)
+    admission = setup.listener.handler.admission
+    admission.memory_shares = MemoryShares(1, 0, 0, message_bytes=share)
+    admission.registry.pool.attribution.held_bytes = held
+    answered(setup, request("a", "free", "200", 1), b"503")
+    assert admission.refusals == {RefusalCause.MEMORY: 1}
+    assert not setup.receiver.events
+
+
+def test_response_buffer_of_endpoint_is_reserved() -> None:
+    """Guards against endpoints whose large responses no account counts."""
+    near, far = tcp_pair()
+    pool = connection_pool()
+    pool.memory.shares = MemoryShares(1, 0, response_bytes=20_000, message_bytes=0)
+    connection = EndpointConnection(near, LIMITS.http, 1, pool.notices, pool.memory)
+    connection.buffer.free_space(10_000).release()
+    assert pool.memory.reserved_bytes > 0
+    with pytest.raises(MemoryBudgetError):
+        connection.buffer.free_space(40_000)
+    connection.close()
+    assert pool.memory.reserved_bytes == 0
+    far.close()
