A buffer that is freed while it grows keeps the account of memory right

What callers would see: a sender that admits more than its share, by a little more each time, and in the end passes its memory limit.

Cause: a stalled request that needs more memory may itself be the one that is given up; its buffer was cleared within its own reservation, and what it had held was given back twice.

Change: the reservation is added to what the buffer holds now. Checks: the new test failed before and passes; tests of buffers and of clients pass.

--- a/ashpath/server/http/buffer_memory.py
+++ b/ashpath/server/http/buffer_memory.py
@@ -86,10 +86,10 @@
 
     def resize(self, size: int) -> None:
         """Reserves the growth first. Raises MemoryBudgetError, and leaves the buffer as it is then."""
-        needed = max(0, size - self.initial_size)
-        if needed > self.reserved_bytes:
-            self._reserve(needed - self.reserved_bytes)
-        elif needed < self.reserved_bytes:
-            self._release(self.reserved_bytes - needed)
-        self.reserved_bytes = needed
+        growth = max(0, size - self.initial_size) - self.reserved_bytes
+        if growth > 0:
+            self._reserve(growth)
+        elif growth < 0:
+            self._release(-growth)
+        self.reserved_bytes += growth  # `_reserve` may have cleared this buffer to make room
         super().resize(size)
--- a/tests/server/http/test_buffer_memory.py
+++ b/tests/server/http/test_buffer_memory.py
@@ -125,3 +125,21 @@
     connection.close()
     wait_until(lambda: setup.listener.memory.reserved_bytes == 0)
     stalled.close()
+
+
+def test_buffer_that_is_freed_while_it_grows_keeps_the_account_right() -> None:
+    """Guards against an account that falls below what is held: a stalled request that needs more memory may
+    itself be the one that is given up."""
+    memory = BufferMemory()
+
+    def reserve(size: int) -> None:
+        if memory.reserved_bytes:
+            buffer.clear()
+        memory.reserve(size, 1000)
+
+    buffer = AccountedBuffer(4, 64, reserve, memory.release)
+    buffer.free_space(30).release()
+    buffer.commit(30)
+    buffer.free_space(60).release()
+    buffer.clear()
+    assert memory.reserved_bytes == 0
