--- a/review/lab2.py
+++ b/review/lab2.py
@@ -25,6 +25,7 @@
 HOST = "127.0.0.1"
 CLIENT_WAIT_S = 0.4  # a client's patience for the answer of a sender
 MAX_RUN_S = 110.0
+YES_WITHIN_S = 6.0  # of the start of a second process
 REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 429: "Too Many Requests"}
 
 
@@ -69,6 +70,7 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started = time.monotonic()
         self.broken: list[str] = []
+        self.quiet = False  # no line for each message and each call
         self.senders: list[Sender] = []
         self._record = record.open("w")
 
@@ -81,6 +83,11 @@
         self._record.write(f"{self.now():8.3f} {text}\n")
         self._record.flush()
 
+    def note_each(self, text: str) -> None:
+        """Writes a line on one message or call, unless the case has too many of them."""
+        if not self.quiet:
+            self.note(text)
+
     def expect(self, *, holds: bool, text: str) -> None:
         """Notes what the rule asks, and whether it held."""
         self.note(f"{'held' if holds else 'BROKEN'}: {text}")
@@ -156,17 +163,17 @@
             while (message := await read_message(reader)) is not None:
                 call = Call(self.lab.now(), message[1], message[2])
                 self.calls.append(call)
-                self.lab.note(f"{self.name} (cell {self.cell}) got {call.trace_id}")
+                self.lab.note_each(f"{self.name} (cell {self.cell}) got {call.trace_id}")
                 answer = await self.behaviour(call)
                 if answer is None:
                     await reader.read()  # silent until the caller gives the call up
                     self.given_up[call.trace_id] = self.lab.now()
-                    self.lab.note(f"{self.name}: {call.trace_id} is given up")
+                    self.lab.note_each(f"{self.name}: {call.trace_id} is given up")
                     break
                 writer.write(answer)
                 await writer.drain()
                 first = answer.split(b"\r\n", 1)[0].decode()
-                self.lab.note(f"{self.name} answered {call.trace_id} with {first}")
+                self.lab.note_each(f"{self.name} answered {call.trace_id} with {first}")
         except OSError:
             pass
         finally:
@@ -267,7 +274,7 @@
         for line in body.decode().splitlines():
             notice = json.loads(line)
             self.notices.setdefault(notice["id"], (self.lab.now(), notice["status"]))
-            self.lab.note(f"{self.name} got notice {line}")
+            self.lab.note_each(f"{self.name} got notice {line}")
         return http_answer(204)
 
 
@@ -397,6 +404,18 @@
             await asyncio.sleep(0.02)
         return False
 
+    async def upgrade(self, old: Process) -> None:
+        """Starts a second process, and sends SIGTERM to the old one at its yes."""
+        new = await self.start()
+        until = time.monotonic() + YES_WITHIN_S
+        while not (await self.command(new, "PING")).startswith("OK"):
+            if time.monotonic() > until:
+                reason = f"no yes of the new process of {self.name}"
+                raise CannotRunError(reason)
+            await asyncio.sleep(0.02)
+        old.send(signal.SIGTERM)
+        self.lab.note("the new process says yes; SIGTERM to the old one")
+
     async def is_ready(self) -> bool:
         """Returns whether GET /health/ready is answered with 200."""
         return await self.status_of(b"GET /health/ready HTTP/1.1\r\nHost: backend.local\r\n\r\n") == 200
@@ -480,7 +499,7 @@
                 message.status = await asyncio.wait_for(self._exchange(data), CLIENT_WAIT_S)
             if message.status or is_last or not was_kept:
                 break
-        self.lab.note(f"client: {name} ({track}, cell {cell}, {time_s:g} s) answered {message.status}")
+        self.lab.note_each(f"client: {name} ({track}, cell {cell}, {time_s:g} s) answered {message.status}")
         return message
 
     async def _exchange(self, data: bytes) -> int:
@@ -574,5 +593,5 @@
     finally:
         lab.note(f"exit {code}")
         lab.close()
-    print(f"exit {code}", *lab.broken, sep="\n")
-    sys.exit(code)
+    print(f"exit {code}", *lab.broken, sep="\n", flush=True)
+    os._exit(code)  # streams that are still open would complain of the loop that has ended
