Review case 8: both processes of an upgrade hold more sockets than the sender may

A script of one upgrade beside silent clients and endpoints that hang, which counts the sockets of all processes.

--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,67 +1,136 @@
-"""SIGTERM reaches a sender that is still starting, while discovery turns callers away."""
+"""The two processes of an upgrade hold more sockets than the limit of the sender."""
 
 import asyncio
+import os
 import signal
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from lab2 import Agent, Call, Client, Endpoint, Lab, Sender, http_answer, run_case, settings, track
+from lab2 import (
+    HOST,
+    Agent,
+    Call,
+    CannotRunError,
+    Client,
+    Endpoint,
+    Lab,
+    Sender,
+    deliver,
+    run_case,
+    settings,
+    track,
+)
 
-CELL = 1
-TIME_S = 15.0
-TERM_AFTER_S = 1.0  # after the start
-END_WITHIN_S = 15.0  # of SIGTERM; the platform would send SIGKILL from 3.7 s on
-READY_SLACK_S = 1.5  # no notice is overdue until so long after the sender is ready again
+SOCKETS = 256
+SLOTS = 51
+DESTINATIONS = 100  # with an endpoint each; every second one hangs
+USUAL_CLIENTS = 60  # connections; a third of the descriptors are 85
+MESSAGES_PER_S = 100
+SILENT_CLIENTS = 100
+TIME_S = 8.0
+LOOK_S = 0.05
+
+
+def open_sockets(processes: list[int]) -> set[str]:
+    """Returns the sockets that the processes hold; one that both hold counts once."""
+    found = set()
+    for process in processes:
+        with suppress(OSError):
+            for name in os.listdir(f"/proc/{process}/fd"):
+                with suppress(OSError):
+                    found.add(os.readlink(f"/proc/{process}/fd/{name}"))
+    return {target for target in found if target.startswith("socket:")}
+
+
+class Crowd:
+    """The usual clients, the silent ones, and the count of sockets."""
+
+    def __init__(self, lab: Lab, sender: Sender) -> None:
+        self.lab = lab
+        self.sender = sender
+        self.most = 0
+        self.over = False
+        self.answers: dict[int, int] = {}
+
+    async def usual(self, number: int) -> None:
+        """Hands in a message after the other on one connection."""
+        client = Client(self.lab, self.sender)
+        count = 0
+        while not self.over:
+            count += 1
+            cell = (number + count * USUAL_CLIENTS) % DESTINATIONS
+            message = await client.hand_in(f"m{number}-{count}", "check-result", cell, TIME_S)
+            self.answers[message.status] = self.answers.get(message.status, 0) + 1
+            await asyncio.sleep(USUAL_CLIENTS / MESSAGES_PER_S)
+
+    async def silent(self) -> None:
+        """Opens a connection and says nothing, again and again."""
+        while not self.over:
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection(HOST, self.sender.port)
+                try:
+                    await reader.read()
+                finally:
+                    writer.close()
+            await asyncio.sleep(0.1)
+
+    async def count(self) -> None:
+        """Counts the sockets of all processes of the sender, and notes each new maximum."""
+        while not self.over:
+            running = [one.popen.pid for one in self.sender.processes if not one.has_ended]
+            found = len(open_sockets(running))
+            if found > self.most:
+                self.most = found
+                each = [len(open_sockets([one])) for one in running]
+                self.lab.note(f"{found} sockets of {SOCKETS}; by process: {each}")
+            await asyncio.sleep(LOOK_S)
 
 
 async def play(lab: Lab) -> None:
-    """Takes a message on, restarts the sender by SIGKILL, and ends the new process as it starts."""
-    silent = True
+    """Upgrades a sender beside clients and endpoints that say nothing."""
 
-    async def behave(_: Call) -> bytes | None:
-        return None if silent else http_answer(200)
+    async def hang(_: Call) -> None:
+        return None
 
-    endpoint = Endpoint(lab, "endpoint", CELL, behave)
-    await endpoint.start()
-    agent = Agent(lab, [endpoint.row()])
+    lab.quiet = True
+    endpoints = [
+        Endpoint(lab, f"e{cell}", cell, hang if cell % 2 else deliver) for cell in range(DESTINATIONS)
+    ]
+    for endpoint in endpoints:
+        await endpoint.start()
+    agent = Agent(lab, [endpoint.row() for endpoint in endpoints])
     await agent.start()
-    sender = Sender(lab, agent, settings(track("check-status", "retryable", 16_000.0)))
-    process = await sender.start_ready()
-    message = await Client(lab, sender).hand_in("m", "check-status", CELL, TIME_S)
-    await asyncio.sleep(0.3)
-    process.send(signal.SIGKILL)
-    await process.wait(2.0)
-    silent = False
-    await asyncio.sleep(0.6)
-    agent.rejects_lists = True
-    process = await sender.start()
-    await asyncio.sleep(TERM_AFTER_S)
-    if lab.trouble:
-        process.send(signal.SIGTERM)
-        lab.note("SIGTERM")
-    await asyncio.sleep(1.0)
-    agent.rejects_lists = False
-    lab.note("discovery answers again")
+    named = settings(track("check-result", "fragile", 20_000.0))
+    named["specifics"]["slots"] = SLOTS
+    sender = Sender(lab, agent, named, hands_down_socket=True)
+    sender.document["limits"]["sockets"] = SOCKETS
+    sender.configure()
+    old = await sender.start_ready()
+    crowd = Crowd(lab, sender)
+    jobs = [crowd.usual(number) for number in range(USUAL_CLIENTS)]
+    jobs += [crowd.silent() for _ in range(SILENT_CLIENTS)]
+    tasks = [asyncio.create_task(job) for job in [*jobs, crowd.count()]]
+    await asyncio.sleep(8.0)
+    before = crowd.most
+    lab.note(f"one process: {before} sockets at the most")
     if lab.trouble:
-        ended = await process.wait(END_WITHIN_S)
-        ready = await sender.is_ready()
-        answer = await sender.command(process, "PING")
-        lab.note(f"ended: {ended}, ready: {ready}, answer to PING: {answer!r}")
-        text = f"the process ends, or serves, within {END_WITHIN_S:.0f} s of SIGTERM"
-        lab.expect(holds=ended or ready, text=text)
-        if not ended:
-            process.send(signal.SIGTERM)
-            lab.note(f"a second SIGTERM: ended {await process.wait(5.0)}")
-        else:
-            await asyncio.sleep(0.6)
-            await sender.start_ready()
-    else:
-        lab.expect(holds=await sender.await_ready(process, 10.0), text="the sender becomes ready")
-    until = max(message.sent_at + TIME_S + 0.35, lab.now() + READY_SLACK_S)
-    await asyncio.sleep(until - lab.now())
-    was_answered = bool([call for call in endpoint.calls[1:] if call.trace_id == "m"]) or "m" in agent.notices
-    lab.expect(holds=was_answered, text="the message that was taken on is delivered or ended by a notice")
+        await sender.upgrade(old)
+        ended = await old.wait(3.7)
+        lab.note(f"the old process has ended: {ended}")
+        old.send(signal.SIGKILL)
+    await asyncio.sleep(5.0)
+    crowd.over = True
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks, timeout=2.0)
+    lab.note(f"answers to messages by status: {crowd.answers}")
+    if before > SOCKETS:
+        reason = f"{before} sockets before the upgrade"
+        raise CannotRunError(reason)
+    text = f"all processes together hold {SOCKETS} sockets at the most: {crowd.most}"
+    lab.expect(holds=crowd.most <= SOCKETS, text=text)
 
 
 if __name__ == "__main__":
