--- a/review/9/play.py
+++ b/review/9/play.py
@@ -10,7 +10,6 @@
 from lab2 import (
     Agent,
     Call,
-    CannotRunError,
     Client,
     Endpoint,
     Lab,
@@ -23,7 +22,7 @@
 
 CELL = 1
 PLAY_S = 10.0  # from the third message on
-TRACK = "loan-events"
+TRACK = "trip-charge"
 
 
 async def play(lab: Lab) -> None:
@@ -44,22 +43,17 @@
     await endpoint.start()
     agent = Agent(lab, [endpoint.row()])
     await agent.start()
-    in_turn = {"one-at-a-time": True}
-    named = settings(track(TRACK, "dedup", 20_000.0, window=12_000.0, **in_turn), **{"order-settle": 100.0})
+    row = track(TRACK, "dedup", 24_000.0, window=6000.0, slo=2500.0, **{"one-at-a-time": True})
+    named = settings(row, **{"order-settle": 100.0})
+    named["membership-mode"] = "ask"
+    named["limits"]["max-attempts"] = 6
     sender = Sender(lab, agent, named, hands_down_socket=True)
     old = await sender.start_ready()
     before = Client(lab, sender)
     await before.hand_in("other-key", TRACK, CELL, 10.0, order_key="b")
     after = before
     if lab.trouble:
-        new = await sender.start()
-        while not (await sender.command(new, "PING")).startswith("OK"):
-            if lab.now() > 20:
-                reason = "the new process is not ready"
-                raise CannotRunError(reason)
-            await asyncio.sleep(0.02)
-        old.send(signal.SIGTERM)
-        lab.note("the new process says yes; SIGTERM to the old one")
+        await sender.upgrade(old)
         after = Client(lab, sender)
     for number in range(4):  # the new process learns that the destination is well
         await after.hand_in(f"warm-{number}", TRACK, CELL, 10.0)
