--- a/review/lab2.py
+++ b/review/lab2.py
@@ -501,7 +501,10 @@
                 message.status = await asyncio.wait_for(self._exchange(data), CLIENT_WAIT_S)
             if message.status or is_last or not was_kept:
                 break
-        self.lab.note_each(f"client: {name} ({track}, cell {cell}, {time_s:g} s) answered {message.status}")
+        key = f", key {order_key}" if order_key else ""
+        self.lab.note_each(
+            f"client: {name} ({track}, cell {cell}, {time_s:g} s{key}) answered {message.status}"
+        )
         return message
 
     async def _exchange(self, data: bytes) -> int:
