--- a/review/8/play.py
+++ b/review/8/play.py
@@ -31,6 +31,10 @@
 SILENT_CLIENTS = 100
 TIME_S = 8.0
 LOOK_S = 0.05
+RULE = (
+    "rule: all processes of a sender together hold 256 sockets at the most; "
+    "both processes of an upgrade are one sender, and a socket that both hold counts once"
+)
 
 
 def open_sockets(process: int) -> set[str]:
@@ -97,10 +101,6 @@
         return None
 
     lab.quiet = True
-    lab.note(
-        f"rule: all processes of a sender together hold {SOCKETS} sockets at the most; both processes of an upgrade "
-        "are one sender, and a socket that both hold counts once"
-    )
     endpoints = [
         Endpoint(lab, f"e{cell}", cell, hang if cell % 10 < 4 else deliver) for cell in range(DESTINATIONS)
     ]
@@ -140,4 +140,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(__file__, play, RULE)
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -24,15 +24,15 @@
 SLACK_S = 0.05
 PLAY_S = 10.0  # from the third message on
 TRACK = "trip-charge"
+RULE = (
+    "rule: messages of one key go one at a time, in the order in which the sender took them; "
+    "both processes of an upgrade are one sender. Nothing is sent for one while an earlier one "
+    "is not over (delivered, or ended by a notice). Slack: 0.05 s"
+)
 
 
 async def play(lab: Lab) -> None:
     """Upgrades a sender, and hands in three messages of one key to its two processes."""
-    lab.note(
-        "rule: messages of one key go one at a time, in the order in which the sender took them; both processes "
-        "of an upgrade are one sender. Nothing is sent for one while an earlier one is not over (delivered, or "
-        f"ended by a notice). Slack: {SLACK_S} s"
-    )
     begun: dict[str, float] = {}  # by message: when its first call came
     over: dict[str, float] = {}  # by message: when it was delivered
 
@@ -85,4 +85,4 @@
 
 
 if __name__ == "__main__":
-    run_case(__file__, play)
+    run_case(__file__, play, RULE)
--- a/review/lab2.py
+++ b/review/lab2.py
@@ -584,12 +584,13 @@
     }
 
 
-def run_case(path: str, play: Callable[[Lab], Awaitable[None]]) -> None:
+def run_case(path: str, play: Callable[[Lab], Awaitable[None]], rule: str) -> None:
     """Plays a case. The exit code is 1 if the rule was broken, 0 if it held, and 2 if it could not run."""
     lab = Lab(Path(path).resolve().parent / "record.txt")
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = 2
     try:
+        lab.note(rule)
         lab.note(f"disruption: {'on' if lab.trouble else 'off'}")
         asyncio.run(lab.play(play))
         code = 1 if lab.broken else 0
