All processes of a hot upgrade together keep to the limit of descriptors

Cause: `ServerLimits.from_configuration` divides `sockets` for one process, and the listener and the connection pool kept to those shares by counts of their own process alone. Nothing told one process what the other one held.

Change: a process takes a lease before it opens or accepts a connection, from a mapped file `descriptors` with a slot for each process. It raises its slot under a lock held for microseconds and before the open, and lowers it once the event loop has closed the socket, so the slots are never less than what is open, also after a kill; the slot of a dead process is freed once the system has released its lock. `policy/descriptor_budget.py` decides who gives way: a serving process keeps its even share, a draining one keeps nothing that another one wants. A third process opens nothing before the others have made room for its services. An operator's connection that is evicted is closed before the next is accepted.

--- a/ashpath/server/control/listener.py
+++ b/ashpath/server/control/listener.py
@@ -24,6 +24,7 @@
 
 BACKLOG = 1024  # connections not yet accepted; a connect to a full backlog is retried after a second
 ACCEPT_RETRY_S = 0.01  # after a failed accept
+CLOSE_PAUSE_S = 0.001  # for an iteration of the event loop, which closes sockets at its end
 
 
 class ControlListener:
@@ -64,8 +65,8 @@
                 gevent.sleep(ACCEPT_RETRY_S)
                 continue
             while self.table.full:
-                if not self.table.evict_silent():
-                    gevent.sleep(0)  # all have unread input, and are served now
+                # 0: all have unread input, and are served now. Else the loop closes the evicted connection.
+                gevent.sleep(CLOSE_PAUSE_S if self.table.evict_silent() else 0)
             self.table.add(accepted)
             connection = ControlConnection(
                 accepted, self.table, self.limits, self.write_timeout_s, self.handler, self.logger
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -27,12 +27,14 @@
 from gevent import socket
 
 from ashpath.core.time_units import SECOND
+from ashpath.policy.descriptor_budget import ENDPOINT_WAIT_US, DescriptorKind
 from ashpath.server.addresses import Address
 from ashpath.server.delivery.closing_connections import ClosingConnections
 from ashpath.server.delivery.endpoint_connection import CloseReason, EndpointConnection
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.delivery.response_attribution import ResponseAttribution
 from ashpath.server.delivery.response_notices import ResponseNotices
+from ashpath.server.descriptors import UNSHARED, DescriptorLeases, Lease
 from ashpath.server.http.buffer_memory import ResponseMemory
 from ashpath.server.http.connection import connect_socket
 from ashpath.server.limits.endpoint_connections import EndpointConnectionLimits
@@ -42,6 +44,7 @@
 
 # The new idle limit of an endpoint, as a fraction of the idle time after which it dropped a connection.
 TRUSTED_IDLE_FRACTION = 0.8
+DESCRIPTOR_CHECK_INTERVAL_S = 0.005  # while another process is to give one back
 
 
 class IdleConnection(NamedTuple):
@@ -71,8 +74,10 @@
         attribution: ResponseAttribution,
         notices: ResponseNotices,
         checks: SelfChecks,
+        descriptors: DescriptorLeases = UNSHARED,
     ) -> None:
         self.limits = limits
+        self.descriptors = descriptors
         self.http_limits = http_limits
         self.attribution = attribution
         self.notices = notices
@@ -86,6 +91,7 @@
         """Number of connections opened since the start."""
         self.closed: dict[CloseReason, int] = dict.fromkeys(CloseReason, 0)
         """Number of connections closed since the start."""
+        self._waiting_for_descriptors = 0  # attempts in `_take_descriptor`
         self.idle_limits: dict[str, IdleLimit] = {}
         """By endpoint that dropped idle connections early; the sweep removes expired limits."""
 
@@ -199,16 +205,44 @@
             del self.idle[endpoint_id]
         return idle
 
+    def _take_descriptor(self) -> Lease:
+        """Returns a lease for a new connection. While other processes of a hot upgrade hold all, closes
+        connections without a request, and waits until one of those gives one back.
+
+        Raises ConnectionPoolFullError after `ENDPOINT_WAIT_US`."""
+        lease = self.descriptors.take(DescriptorKind.ENDPOINT)
+        if lease is not None:
+            return lease
+        until = monotonic() + ENDPOINT_WAIT_US / SECOND
+        self._waiting_for_descriptors += 1
+        try:
+            while lease is None and monotonic() < until:
+                self.descriptors.want(DescriptorKind.ENDPOINT, self._waiting_for_descriptors)
+                if not self._close_without_request():
+                    gevent.sleep(DESCRIPTOR_CHECK_INTERVAL_S)
+                gevent.sleep(0)
+                lease = self.descriptors.take(DescriptorKind.ENDPOINT)
+        finally:
+            self._waiting_for_descriptors -= 1
+            self.descriptors.want(DescriptorKind.ENDPOINT, self._waiting_for_descriptors)
+        if lease is None:
+            raise ConnectionPoolFullError
+        return lease
+
     def connect(self, address: Address) -> EndpointConnection:
-        """Returns a new connection, in use. Raises OSError if the connection fails."""
+        """Returns a new connection, in use.
+
+        Raises ConnectionPoolFullError without a descriptor, and OSError if the connection fails."""
+        lease = self._take_descriptor()
         self.open += 1
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             connect_socket(sock, address, self.http_limits)
             self.opened += 1
-            return EndpointConnection(sock, self.http_limits, self.opened, self.notices, self.memory)
+            return EndpointConnection(sock, self.http_limits, self.opened, self.notices, self.memory, lease)
         except BaseException:
             self.open -= 1
+            lease.release()
             raise
 
     def release(self, endpoint_id: str, connection: EndpointConnection) -> None:
@@ -263,12 +297,30 @@
         while self.open + len(self.closing) >= self.limits.endpoint_connections:
             if not self.closing.close_oldest():
                 break
-        if self.open >= self.limits.endpoint_connections and self.idle:
-            endpoint_id = min(self.idle, key=lambda endpoint_id: self.idle[endpoint_id][0].since)
-            longest_idle = self._remove(endpoint_id, self.idle[endpoint_id][0])
-            self._retire(endpoint_id, longest_idle.connection, CloseReason.POOL_FULL)
+        if self.open >= self.limits.endpoint_connections:
+            self._close_longest_idle(CloseReason.POOL_FULL)
         return self.open < self.limits.endpoint_connections
 
+    def give_way(self, count: int, waited_s: float) -> None:
+        """Closes up to `count` connections without a request: other processes of a hot upgrade want some."""
+        for _ in range(count):
+            if not self._close_without_request():
+                return
+
+    def _close_without_request(self) -> bool:
+        """Closes a connection that is listened to, else the longest idle one. Returns False if there is
+        none."""
+        return self.closing.close_oldest() or self._close_longest_idle(CloseReason.GIVEN_WAY)
+
+    def _close_longest_idle(self, reason: CloseReason) -> bool:
+        """Closes the longest idle connection; returns whether there was one."""
+        if not self.idle:
+            return False
+        endpoint_id = min(self.idle, key=lambda endpoint_id: self.idle[endpoint_id][0].since)
+        longest_idle = self._remove(endpoint_id, self.idle[endpoint_id][0])
+        self._retire(endpoint_id, longest_idle.connection, reason)
+        return True
+
     def idle_limit(self, endpoint_id: str) -> float:
         """Returns the seconds for which connections of the endpoint may be idle before they are closed."""
         limit = self.idle_limits.get(endpoint_id)
--- a/ashpath/server/delivery/endpoint_connection.py
+++ b/ashpath/server/delivery/endpoint_connection.py
@@ -10,6 +10,7 @@
 from gevent import get_hub, socket
 
 from ashpath.server.delivery.response_notices import NoticeSource, ResponseNotices
+from ashpath.server.descriptors import UNCOUNTED, Lease
 from ashpath.server.http.buffer_memory import AccountedBuffer, ResponseMemory
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.messages import HttpResponse
@@ -29,6 +30,7 @@
     ENDPOINT_LEFT = "endpoint left"
     RARELY_USED = "rarely used"
     POOL_FULL = "pool full"
+    GIVEN_WAY = "given way"
     REPLACED = "replaced"
     ATTEMPT_FAILED = "attempt failed"
     NOT_KEPT_ALIVE = "not kept alive"
@@ -45,8 +47,10 @@
         number: int,
         notices: ResponseNotices,
         memory: ResponseMemory,
+        lease: Lease = UNCOUNTED,
     ) -> None:
         super().__init__(sock, limits)
+        self._lease = lease
         self.buffer = AccountedBuffer(
             limits.buffer_bytes, limits.body_bytes, memory.reserve_for, memory.release
         )
@@ -109,6 +113,7 @@
         self._watcher.stop()
         self._watcher.close()
         super().close()
+        self._lease.release()
         self.buffer.clear()
 
     def take_received(self, max_bytes: int) -> bytes:
--- a/ashpath/server/http/client_socket.py
+++ b/ashpath/server/http/client_socket.py
@@ -6,6 +6,7 @@
 
 from gevent import get_hub, socket
 
+from ashpath.server.descriptors import UNCOUNTED, Lease
 from ashpath.server.http.buffer_memory import AccountedBuffer, RequestMemory
 from ashpath.server.http.connection import HttpConnection
 from ashpath.server.http.errors import ProtocolError
@@ -27,9 +28,15 @@
     """
 
     def __init__(
-        self, sock: socket.socket, limits: HttpLimits, memory: RequestMemory, turns: TurnQueue
+        self,
+        sock: socket.socket,
+        limits: HttpLimits,
+        memory: RequestMemory,
+        turns: TurnQueue,
+        lease: Lease = UNCOUNTED,
     ) -> None:
         super().__init__(sock, limits)
+        self._lease = lease
         self.has_accepted_messages = False
         """Whether a message of this client was accepted on this connection."""
         self._turns = turns
@@ -96,4 +103,5 @@
             self._closed = True
             get_hub().cancel_wait(self._readable, OSError(errno.EBADF, CLOSED_TEXT), True)
         super().close()
+        self._lease.release()
         self.buffer.clear()
--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import errno
 from contextlib import suppress
 from time import monotonic
+from typing import Any
 
 import gevent
-from gevent import socket
+from gevent import get_hub, socket
 from gevent.event import Event
 
+from ashpath.policy.descriptor_budget import CLIENTS_WANTED, DescriptorKind
 from ashpath.server.addresses import Address
+from ashpath.server.descriptors import UNCOUNTED, UNSHARED, DescriptorLeases, Lease
 from ashpath.server.http.admission import Admission
 from ashpath.server.http.availability import Availability
 from ashpath.server.http.buffer_memory import RequestMemory
@@ -27,6 +31,8 @@
 BACKLOG = 1024  # connections that the kernel queues until they are accepted
 ACCEPT_RETRY_S = 0.01  # after a failed accept
 EVICTION_RETRY_S = 0.05  # while no connection can be evicted
+SHARED_EVICTION_RETRY_S = 0.01  # the same, while other processes may close one
+READ = 1  # the event of libev's io watchers
 
 
 class ClientListener:
@@ -43,8 +49,10 @@
         admission: Admission,
         logger: Logger,
         status_api: RequestResponder | None = None,
+        descriptors: DescriptorLeases = UNSHARED,
     ) -> None:
         self.address = address
+        self.descriptors = descriptors
         self.limits = limits
         self.http_limits = http_limits
         self.availability = Availability()
@@ -58,6 +66,7 @@
         self.inherited = False  # the platform passed the listening socket: another process may accept on it
         self.accepting = False
         self.listening = False
+        self._readable: Any = None  # gevent's watcher of an inherited listening socket
 
     def listen(self, inherited: int | None = None) -> None:
         """Listens on `inherited`, the descriptor of a socket that the platform has bound, without a second
@@ -65,6 +74,8 @@
         if inherited is not None:
             self.socket = socket.socket(fileno=inherited)
             bound_receive_buffer(self.socket)
+            self.socket.settimeout(0)  # another process may accept the client that the socket shows
+            self._readable = get_hub().loop.io(inherited, READ)
             self.inherited = True
             self.listening = True
             return
@@ -76,7 +87,9 @@
         self.accepting = True
         while self.accepting:
             try:
-                connection = self.connection_of(self.socket.accept()[0])
+                connection = self.accept()
+            except BlockingIOError:  # another process has accepted the client
+                continue
             except OSError as error:  # no descriptor free, or the client has left
                 if is_closed(error) and self.accepting:
                     self.listen_again(error)
@@ -85,26 +98,71 @@
             self.connection_count += 1
             gevent.spawn(self.serve, connection)
             gevent.sleep(0)  # other greenlets run even while clients connect continuously
-            self.make_room()
 
-    def make_room(self) -> None:
-        """Waits until another connection may be accepted, and evicts others meanwhile."""
+    def accept(self) -> ClientSocket:
+        """Returns the next connection, once there is room for it. Raises OSError if it cannot be accepted."""
+        if self._readable is not None:
+            socket.wait(self._readable)  # room is made only for a client that waits
+        lease = self.make_room()
+        try:
+            return self.connection_of(self.socket.accept()[0], lease)
+        except BaseException:
+            lease.release()
+            raise
+
+    def make_room(self) -> Lease:
+        """Waits until another connection may be accepted, and evicts others meanwhile. Returns the lease of
+        its descriptor."""
         began = monotonic()
-        while self.connection_count >= self.max_connections:
+        while (lease := self.take_place()) is None:
             self.table.needs_room = True
             self.connection_closed.clear()
-            if not self.table.evict_one(monotonic() - began):
-                self.connection_closed.wait(EVICTION_RETRY_S)
+            waited_s = monotonic() - began
+            if self.others_make_room(waited_s) or not self.table.evict_one(waited_s):
+                self.connection_closed.wait(self.eviction_retry_s)
         self.table.needs_room = False
+        self.descriptors.want(DescriptorKind.CLIENT, 0)
+        return lease
+
+    def take_place(self) -> Lease | None:
+        """Returns the lease of a further connection, or None if there is no room for it."""
+        if self.connection_count >= self.max_connections:
+            return None
+        lease = self.descriptors.take(DescriptorKind.CLIENT)
+        if lease is None:
+            self.descriptors.want(DescriptorKind.CLIENT, CLIENTS_WANTED if self.accepting else 0)
+        return lease
+
+    def others_make_room(self, waited_s: float) -> bool:
+        """Whether a client waits for other processes to give connections back, and evicts none of this one
+        yet."""
+        return (
+            self.connection_count < self.max_connections
+            and waited_s < self.limits.eviction_patience_s
+            and self.descriptors.is_below_share(DescriptorKind.CLIENT)
+        )
+
+    @property
+    def eviction_retry_s(self) -> float:
+        """Seconds between two looks for room."""
+        return SHARED_EVICTION_RETRY_S if self.descriptors.is_shared else EVICTION_RETRY_S
+
+    def give_way(self, count: int, waited_s: float) -> None:
+        """Evicts up to `count` connections, as another process of a hot upgrade has clients that wait for
+        `waited_s` seconds."""
+        self.table.needs_room = True
+        for _ in range(count):
+            if not self.table.evict_one(waited_s):
+                return
 
     @property
     def max_connections(self) -> int:
         """Number of client connections that descriptors and memory allow."""
         return min(self.limits.client_connections, self.memory.shares.client_connections)
 
-    def connection_of(self, accepted: socket.socket) -> ClientSocket:
+    def connection_of(self, accepted: socket.socket, lease: Lease = UNCOUNTED) -> ClientSocket:
         """Returns an accepted connection. Raises OSError if the client has left."""
-        return ClientSocket(accepted, self.http_limits, self.memory, self.turns)
+        return ClientSocket(accepted, self.http_limits, self.memory, self.turns, lease)
 
     def listen_again(self, error: OSError) -> None:
         """Logs the loss of the listening socket, which can accept no further connection, and replaces it.
@@ -132,6 +190,9 @@
     def stop(self) -> None:
         """Stops accepting; the process that shares the socket accepts the connections still queued."""
         self.accepting = False
+        if self._readable is not None:
+            get_hub().cancel_wait(self._readable, OSError(errno.EBADF, "stopped"), True)
+            self._readable = None
         with suppress(OSError):
             self.socket.close()
 
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -133,6 +133,8 @@
             ClientMonitor(sender.clients.listener.table, self.logger).run,
             sender.clients.listener.run,
         ]
+        if sender.descriptor_sharing is not None:
+            services.append(sender.descriptor_sharing.run)
         if sender.orphan_adopter is not None:
             services.append(sender.orphan_adopter.run)
         if sender.control is not None:
--- a/ashpath/server/sender.py
+++ b/ashpath/server/sender.py
@@ -15,6 +15,7 @@
 from ashpath.server.delivery.endpoint_registry import EndpointRegistry
 from ashpath.server.delivery.notifier import Notifier
 from ashpath.server.delivery.outcome_recorder import OutcomeRecorder
+from ashpath.server.descriptor_sharing import DescriptorSharing
 from ashpath.server.directory_monitor import DirectoryMonitor
 from ashpath.server.discovery.client import DiscoveryClient
 from ashpath.server.endpoint_membership import EndpointMembership
@@ -94,3 +95,5 @@
     metrics: MetricsService
     settings_switch: SettingsSwitch
     shutdown: GracefulShutdown
+    descriptor_sharing: DescriptorSharing | None
+    """None if no other process of the sender can exist."""
--- a/ashpath/server/shutdown.py
+++ b/ashpath/server/shutdown.py
@@ -97,6 +97,7 @@
         this one."""
         self.state = ShutdownState.HANDING_OVER
         self.listener.stop()
+        self.listener.descriptors.begin_draining()
         self.policy_runner.hand_over()
         gevent.spawn(self.listener.drain_clients, self.listener.limits.drain_clients_s)
 
--- a/ashpath/server/storage/errors.py
+++ b/ashpath/server/storage/errors.py
@@ -47,6 +47,15 @@
         super().__init__(f"{directory}: another process has locked the journal of process {process_id}")
 
 
+class NoDescriptorSlotError(StorageError, OSError):
+    """Other processes have all slots of the table of descriptors."""
+
+    reported_as = "OSError"
+
+    def __init__(self, directory: Path) -> None:
+        super().__init__(f"{directory}: other processes have all slots of the table of descriptors")
+
+
 class TrafficClassIdsError(StorageError, ValueError):
     """The file of traffic class ids cannot be read."""
 
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -24,6 +24,9 @@
 from ashpath.server.delivery.response_classifier import ResponseClassifier
 from ashpath.server.delivery.response_notices import ResponseNotices
 from ashpath.server.deployment import Deployment
+from ashpath.server.descriptor_sharing import DescriptorSharing
+from ashpath.server.descriptor_wiring import open_descriptor_leases
+from ashpath.server.descriptors import DescriptorLeases, SharedDescriptorLeases
 from ashpath.server.endpoint_membership import EndpointMembership
 from ashpath.server.gossip_link import GossipLink
 from ashpath.server.http.admission import Admission
@@ -63,12 +66,16 @@
     configuration = storage_wiring.restore_traffic_class_ids(
         process_options, configuration, deployment, write_ahead_log
     )
-    delivery = create_delivery_path(process_options, configuration, deployment, write_ahead_log, logger)
+    running = RunningConfiguration(configuration)
+    descriptors = open_descriptor_leases(process_options, running, limits, logger)
+    delivery = create_delivery_path(
+        process_options, configuration, deployment, write_ahead_log, descriptors, logger
+    )
     clients = create_client_side(process_options, configuration, deployment, delivery, logger)
     processes = 1 if process_options.inherited_socket is None else 2  # in a hot upgrade
     share_out_memory(limits.memory, clients, delivery.pool, logger, processes=processes)
     delivery.registry.apply_members(configuration.known_endpoints["members"], complete=True)
-    sender = create_services(process_options, configuration, deployment, delivery, clients, logger)
+    sender = create_services(process_options, running, deployment, delivery, clients, logger)
     has_other_process = process_options.inherited_socket is not None
     sender.metrics.start(configuration.metrics_listen, other_process=has_other_process)
     return sender
@@ -76,14 +83,14 @@
 
 def create_services(
     process_options: ProcessOptions,
-    configuration: SenderConfiguration,
+    running: RunningConfiguration,
     deployment: Deployment,
     delivery: DeliveryPath,
     clients: ClientSide,
     logger: Logger,
 ) -> Sender:
     """Creates the parts that work beside the path of a message, and returns the sender with all parts."""
-    running = RunningConfiguration(configuration)
+    configuration = running.current
     control = create_control_listener(process_options, configuration, delivery, clients, logger)
     discovery = create_discovery_client(process_options, configuration, delivery.membership, logger)
     gossip = GossipService(delivery.policy_runner, delivery.gossip_link, logger)
@@ -107,6 +114,7 @@
         metrics=metrics,
         settings_switch=switch,
         shutdown=create_shutdown(configuration.limits.shutdown, delivery, clients, logger),
+        descriptor_sharing=create_descriptor_sharing(delivery, clients),
     )
 
 
@@ -115,13 +123,14 @@
     configuration: SenderConfiguration,
     deployment: Deployment,
     write_ahead_log: WriteAheadLog,
+    descriptors: DescriptorLeases,
     logger: Logger,
 ) -> DeliveryPath:
     """Creates the parts that deliver messages. Also opens the remaining files of the state directory."""
     shared_memory = state_files.open_shared_memory(process_options, logger)
     outcome_store = deployment.create_outcome_store(configuration.limits.storage, logger)
     notifier = create_notifier(process_options, configuration, deployment, write_ahead_log, logger)
-    attempt_runner = create_attempt_runner(configuration, notifier, write_ahead_log, logger)
+    attempt_runner = create_attempt_runner(configuration, notifier, write_ahead_log, descriptors, logger)
     pool = attempt_runner.pool
     recorder = OutcomeRecorder(write_ahead_log, notifier, outcome_store, pool.attribution, pool.checks)
     gossip_link = GossipLink()
@@ -145,7 +154,11 @@
 
 
 def create_attempt_runner(
-    configuration: SenderConfiguration, notifier: Notifier, write_ahead_log: WriteAheadLog, logger: Logger
+    configuration: SenderConfiguration,
+    notifier: Notifier,
+    write_ahead_log: WriteAheadLog,
+    descriptors: DescriptorLeases,
+    logger: Logger,
 ) -> AttemptRunner:
     """Creates the runner of attempts, with the connections and the registry of endpoints."""
     settings = configuration.settings
@@ -158,6 +171,7 @@
         attribution,
         ResponseNotices(logger),
         SelfChecks(attempt_log, logger),
+        descriptors,
     )
     registry = EndpointRegistry(settings.kinds, settings.zones, pool, logger)
     return AttemptRunner(
@@ -231,6 +245,7 @@
         admission,
         logger,
         status_api,
+        delivery.pool.descriptors,
     )
     return ClientSide(admission, listener, status_api)
 
@@ -258,6 +273,14 @@
     )
 
 
+def create_descriptor_sharing(delivery: DeliveryPath, clients: ClientSide) -> DescriptorSharing | None:
+    """Creates the service that gives connections back, or returns None if there is no other process."""
+    leases = delivery.pool.descriptors
+    if not isinstance(leases, SharedDescriptorLeases):
+        return None
+    return DescriptorSharing(leases, clients.listener, delivery.pool)
+
+
 def create_shutdown(
     limits: ShutdownLimits, delivery: DeliveryPath, clients: ClientSide, logger: Logger
 ) -> GracefulShutdown:
