Messages of a key go in the order in which the sender accepted them

Cause: the sender had no order of acceptance. Each log numbered its messages from 1, an adopted message got a number behind all others, and any message of the adopter that named it as a predecessor put it in front of the whole queue, also of a message that was accepted before it and was out.

Change: message ids grow over all processes and starts. The highest one is in `disk-usage`; an id is chosen and its record written under the lock of the directory, so a later id finds the earlier record. Adopted messages keep their ids. Restored and adopted messages are sorted by id; a message waits for lower ids of its key that other processes have, and an adopted one goes directly ahead of the first later one that is not out. A predecessor counts as ended only when a second look finds it in no log, as an adoption may have moved it between two reads. The format of the log is unchanged, so the release before can adopt it.

--- a/ashpath/core/messages.py
+++ b/ashpath/core/messages.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 from msgspec import Struct, field
@@ -38,13 +39,13 @@
     settles_at: int = 0
     """No message of the key is sent before this time, as an unresolved attempt may still run."""
 
-    def add(self, message: Message) -> None:
-        """Adds a message behind all others, or ahead of those that it precedes."""
-        if not message.precedes_queued:
-            self.messages.append(message)
-            return
-        ahead = sum(other.precedes_queued for other in self.messages)
-        self.messages.insert(ahead, message)
+    def add(self, message: Message, followers: Collection[int] = ()) -> None:
+        """Adds a message ahead of the first one whose id is in `followers`, or behind all others."""
+        for position, other in enumerate(self.messages if followers else ()):
+            if other.message_id in followers:
+                self.messages.insert(position, message)
+                return
+        self.messages.append(message)
 
 
 class FirstRun(Struct, frozen=True):
@@ -119,8 +120,6 @@
     queue: OrderedDict[Message, None] | None = None
     """The queue in which the message waits for a call, or None."""
     ordered_queue: OrderedQueue | None = None
-    precedes_queued: bool = False
-    """Another process of the sender accepted the message before those of its key that were queued here."""
     attempts: int = 0
     attempt: Attempt | None = None
     """The attempt in flight."""
--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Collection
 
 from ashpath.core.destination_state import DestinationState
 from ashpath.core.gate_state import GateState
@@ -71,18 +72,18 @@
         time_left: int,
         previous: PreviousAttempts,
         *,
-        precedes_queued: bool = False,
+        followers: Collection[int] = (),
     ) -> None:
         """Restores a message of the previous incarnation with its attempts; waits and statistics are lost.
 
-        `precedes_queued`: another process accepted it before those that its ordering key has queued here."""
+        `followers`: ids of the messages of its ordering key that were submitted or restored here before, and
+        that the sender accepted later."""
         destination = self.destination(number)
         self.submissions.add(self.now, 0.0)
         # The message never has more time than when it was accepted, whatever clock measured the restart.
         time_left = min(time_left, self.traffic_classes[traffic_class].settings.deadline)
         message = self._new_message(message_id, destination, traffic_class, time_left)
-        message.precedes_queued = precedes_queued
-        self._enqueue_new(message, key)
+        self._enqueue_new(message, key, followers)
         message.attempts = previous.attempts
         message.restored_untried = not previous.attempts
         if previous.first_run_at is not None:
@@ -122,12 +123,12 @@
         self.messages[message_id] = message
         return message
 
-    def _enqueue_new(self, message: Message, key: int | None) -> None:
+    def _enqueue_new(self, message: Message, key: int | None, followers: Collection[int] = ()) -> None:
         message.destination.unfinished_messages += 1
         if message.traffic_class.settings.ordered and key is not None:
             ordered_queue = self.ordered_queues.setdefault(key, OrderedQueue(key))
             message.ordered_queue = ordered_queue
-            ordered_queue.add(message)
+            ordered_queue.add(message, followers)
             self.schedule_re_evaluation(message)
             self.advance(ordered_queue)
         else:
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -101,13 +101,11 @@
         rejection = self.rejection(message)
         if rejection is not None:
             return rejection
-        message.message_id = self.write_ahead_log.messages.last_id + 1
-        if message.ordering_key is not None:
-            message.predecessors = self.write_ahead_log.other_logs.live_of_key(message.ordering_key)
         recorded = self.write_ahead_log.record_submitted(message)
         self.report_log_space(recorded=recorded)
         if not recorded:
             return self.refuse(RefusalCause.LOG_FULL, OVER_CAPACITY)
+        self.write_ahead_log.find_predecessors([message])
         result = self.receiver.submit(message)
         if result.decision is SubmitDecision.ACCEPTED:
             return ACCEPTED
--- a/ashpath/server/message_restoration.py
+++ b/ashpath/server/message_restoration.py
@@ -3,7 +3,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
 
 from msgspec import Struct
 
@@ -24,8 +25,8 @@
     time_left: int
     """Microseconds to the message's deadline; negative after the deadline."""
     previous: PreviousAttempts
-    precedes_queued: bool = False
-    """The message was accepted before others of its ordering key that this process has."""
+    followers: frozenset[int]
+    """Ids of the messages of its ordering key that were accepted later and that this process had before."""
 
     def report(self, policy: DeliveryPolicy) -> None:
         """Reports the message to the policy, within a batch."""
@@ -37,7 +38,7 @@
             message.ordering_key,
             self.time_left,
             self.previous,
-            precedes_queued=self.precedes_queued,
+            followers=self.followers,
         )
 
 
@@ -56,18 +57,17 @@
 
         Finished messages go to the notifier."""
         restored = []
-        preceding = {trace_id for message in messages.values() for trace_id in message.predecessors}
+        by_key = messages_by_key(messages.values())
         for message in stored:
             if message.finished:
                 self.notifier.add(message)
                 continue
             previous = self._previous_attempts(message)
             messages[message.message_id] = message
-            restored.append(
-                RestoredMessage(
-                    message, message.deadline - stored_time(), previous, message.trace_id in preceding
-                )
-            )
+            others = by_key.get(message.ordering_key, ())
+            followers = frozenset(other.message_id for other in others if follows(other, message))
+            time_left = message.deadline - stored_time()
+            restored.append(RestoredMessage(message, time_left, previous, followers))
         return restored
 
     def _previous_attempts(self, message: StoredMessage) -> PreviousAttempts:
@@ -85,3 +85,22 @@
             # that run is unknown then, and its deduplication window counts as over, as it may be.
             first_run_at = now() - (elapsed if elapsed >= 0 else LONG_AGO_US)
         return PreviousAttempts(message.attempts, first_run_at, message.first_run_endpoint, unresolved)
+
+
+def messages_by_key(messages: Iterable[StoredMessage]) -> dict[int | None, list[StoredMessage]]:
+    """Returns the messages that have an ordering key, by key."""
+    by_key: dict[int | None, list[StoredMessage]] = defaultdict(list)
+    for message in messages:
+        if message.ordering_key is not None:
+            by_key[message.ordering_key].append(message)
+    return by_key
+
+
+def follows(later: StoredMessage, message: StoredMessage) -> bool:
+    """Whether `later`, which this process has, waits for a message that it adopts.
+
+    An attempt that is out cannot wait: the adopted message then goes behind its message. So it is only where
+    an earlier release accepted one of the two, whose ids do not tell the order."""
+    if message.trace_id in later.predecessors:
+        return True
+    return later.message_id > message.message_id and later.in_flight_since is None
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -120,7 +120,7 @@
         endpoint list, the outages of the previous incarnation, and its unfinished messages in the order of
         acceptance."""
         outages = self.outage_store.active()
-        restored = self._restorer.restore(list(self.write_ahead_log.messages.live.values()), self.messages)
+        restored = self._restorer.restore(self.write_ahead_log.messages.in_order(), self.messages)
         with self._batch as policy:
             for endpoint_id in detached:
                 policy.set_detached(endpoint_id, detached=True)
--- a/ashpath/server/storage/disk_account.py
+++ b/ashpath/server/storage/disk_account.py
@@ -153,6 +153,13 @@
         used = self._used_with(self._own.log) + self._largest_copy()
         return max(0, self.max_bytes - used - RESERVE_BYTES)
 
+    def assign_message_id(self, highest_known: int) -> int:
+        """Returns an id above `highest_known` and above all that any process of the sender has assigned."""
+        table = self._opened_table()
+        message_id = max(table.last_message_id, highest_known) + 1
+        table.last_message_id = message_id
+        return message_id
+
     def has_other_logs(self) -> bool:
         """Whether there is another log: that of a living process, or one to be adopted."""
         return self._others.exists or bool(self._unregistered)
--- a/ashpath/server/storage/disk_usage_layout.py
+++ b/ashpath/server/storage/disk_usage_layout.py
@@ -1,9 +1,11 @@
-"""Layout of the file `disk-usage`: what each process of a sender uses of the state directory's disk limit.
+"""Layout of the file `disk-usage`: what each process of a sender uses of the state directory's disk limit,
+and the highest message id of all.
 
 | bytes | content |
 | --- | --- |
 | 0-7 | MAGIC; a file without it is written anew |
-| 8-31 | unused |
+| 8-15 | the highest message id that a process has assigned, little endian; 0 from an earlier release |
+| 16-31 | unused |
 | 32-511 | 15 slots of 32 bytes, each of four unsigned integers, little endian |
 
 | integer of a slot | content |
@@ -24,6 +26,8 @@
 
 MAGIC = b"ashdsk01"
 HEADER_BYTES = 32
+LAST_MESSAGE_ID = struct.Struct("<Q")
+LAST_MESSAGE_ID_OFFSET = len(MAGIC)
 SLOTS = 15
 SLOT = struct.Struct("<QQQQ")
 TABLE = struct.Struct(f"<{4 * SLOTS}Q")
--- a/ashpath/server/storage/disk_usage_table.py
+++ b/ashpath/server/storage/disk_usage_table.py
@@ -11,6 +11,8 @@
 from ashpath.server.storage.disk_usage_layout import (
     FILE_BYTES,
     HEADER_BYTES,
+    LAST_MESSAGE_ID,
+    LAST_MESSAGE_ID_OFFSET,
     MAGIC,
     SLOT,
     LogUsage,
@@ -58,6 +60,16 @@
         """Replaces one slot."""
         SLOT.pack_into(self._memory, slot_offset(slot), number, usage.log, usage.copy, usage.owed)
 
+    @property
+    def last_message_id(self) -> int:
+        """The highest message id that a process of the sender has assigned."""
+        last_id: int = LAST_MESSAGE_ID.unpack_from(self._memory, LAST_MESSAGE_ID_OFFSET)[0]
+        return last_id
+
+    @last_message_id.setter
+    def last_message_id(self, message_id: int) -> None:
+        LAST_MESSAGE_ID.pack_into(self._memory, LAST_MESSAGE_ID_OFFSET, message_id)
+
     def others(self, own_slot: int) -> OtherUsage:
         """Returns what all slots but one have."""
         own = slot_offset(own_slot)
--- a/ashpath/server/storage/live_messages.py
+++ b/ashpath/server/storage/live_messages.py
@@ -23,7 +23,7 @@
     Record,
     RecordReader,
 )
-from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage, acceptance_order
 
 GROWTH_BYTES = (
     240  # what later records may add to a message: two times, two endpoints, and a notice without its id
@@ -39,15 +39,19 @@
 
     def __init__(self) -> None:
         self.live: dict[int, StoredMessage] = {}
-        """Live messages by message id, in the order in which they were submitted or adopted."""
+        """Live messages by message id, in the order of their records."""
         self.by_trace_id: dict[str, StoredMessage] = {}
         """The same messages by trace id."""
         self.reserved_bytes = 0
         """Upper bound of the bytes that the live messages take in a rewritten log."""
         self.last_id = 0
-        """The highest message id assigned so far; ids are never reused."""
+        """The highest message id in the records so far."""
         self.ended = EndedMessages()
 
+    def in_order(self) -> list[StoredMessage]:
+        """Returns the live messages in the order of acceptance."""
+        return sorted(self.live.values(), key=acceptance_order)
+
     def read(self, reader: RecordReader) -> None:
         """Applies all valid records of a log.
 
--- a/ashpath/server/storage/other_logs.py
+++ b/ashpath/server/storage/other_logs.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Set
 from contextlib import suppress
 from pathlib import Path
 from time import monotonic
@@ -18,6 +19,7 @@
 from ashpath.server.storage.live_messages import LiveMessages
 from ashpath.server.storage.log_directory import LogDirectory
 from ashpath.server.storage.record_codec import RecordReader
+from ashpath.server.storage.stored_message import StoredMessage
 
 CHANGE_TIME_STEP_S = 0.02
 """Changes within this time may leave a directory with the same time of its last change."""
@@ -102,11 +104,18 @@
         """Whether another process ended the message, which may have run."""
         return any(trace_id in messages.ended for messages in self._messages())
 
-    def live_of_key(self, ordering_key: int) -> tuple[str, ...]:
-        """Returns the trace ids of the messages of an ordering key that other processes have not ended."""
-        return tuple(
-            message.trace_id
+    @property
+    def last_id(self) -> int:
+        """The highest message id in the logs, as far as they have been read."""
+        return max((log.messages.last_id for log in self._logs.values()), default=0)
+
+    def live_of_keys(self, ordering_keys: Set[int | None]) -> list[StoredMessage]:
+        """Returns the messages of these ordering keys that other processes have not ended."""
+        if not ordering_keys:
+            return []
+        return [
+            message
             for messages in self._messages()
             for message in messages.live.values()
-            if message.ordering_key == ordering_key
-        )
+            if message.ordering_key in ordering_keys
+        ]
--- a/ashpath/server/storage/own_log.py
+++ b/ashpath/server/storage/own_log.py
@@ -25,11 +25,12 @@
 from ashpath.server.storage.ended_messages import EndedMessages
 from ashpath.server.storage.errors import DiskLimitError, LogIncompleteError
 from ashpath.server.storage.file_lock import FileLock
-from ashpath.server.storage.live_messages import LiveMessages
+from ashpath.server.storage.live_messages import LiveMessages, reserved_bytes
 from ashpath.server.storage.log_directory import FIRST_LOG, LogDirectory
 from ashpath.server.storage.log_file import LogFile
 from ashpath.server.storage.obsolete_bytes import ObsoleteBytes
 from ashpath.server.storage.record_codec import MessageFinished, MessageSubmitted, RecordReader
+from ashpath.server.storage.stored_message import StoredMessage
 
 NO_OP_RECORD = MessageFinished(0, None).encode()  # no message has this id
 ENDED_MESSAGES_SHARE = 1 / 8  # of the limit of the log
@@ -98,21 +99,25 @@
 
     # Appends
 
-    def append_submitted(self, data: bytes, reserved: int) -> bool:
-        """Appends the record of a new message, whose records take `reserved` bytes at the most.
+    def append_submitted(self, message: StoredMessage, highest_id: int) -> int:
+        """Appends the record of a message, and returns its bytes; 0 if there is no room for it.
 
-        Returns False if there is no room for it. Raises OSError if the write fails."""
-        needed = self._messages.reserved_bytes + reserved
+        A message without an id gets one above `highest_id` and above those of all processes. No other process
+        writes a record between the choice of the id and the write. Raises OSError if the write fails."""
         with self.disk:
             self.register()
             self._complete()
+            if not message.message_id:
+                message.message_id = self.disk.assign_message_id(highest_id)
+            data = MessageSubmitted(message).encode()
+            needed = self._messages.reserved_bytes + reserved_bytes(message, len(data))
             if not self.disk.may_owe(needed):
-                return False
+                return 0
             self.disk.set_owed(needed)
             if not self._make_room(len(data)):
-                return False
+                return 0
             self._append_to_file(data)
-        return True
+        return len(data)
 
     def append(self, data: bytes) -> None:
         """Rewrites the log if it has no room, and appends a record of an accepted message. Raises OSError."""
--- a/ashpath/server/storage/stored_message.py
+++ b/ashpath/server/storage/stored_message.py
@@ -9,12 +9,13 @@
     """One accepted message, from its first record in the log until its last.
 
     All times are microseconds of the stored clock (`stored_clock.py`), since they have to outlive the
-    process. The fields before `attempts` never change, except for the id of a message that is adopted from
-    another process's log.
+    process. The fields before `attempts` never change, except for the id of a message that an earlier
+    release accepted, when it is adopted.
     """
 
     message_id: int
-    """Id of the message in this log and in calls to the policy; 0 until the message is submitted."""
+    """Id of the message in the log and in calls to the policy; 0 until the message is submitted. Ids grow in
+    the order of acceptance, over all processes of the sender and over its starts."""
 
     trace_id: str
     """The client's id of the message; at most one message with this id is live."""
@@ -64,3 +65,8 @@
 
     reserved_bytes: int = 0
     """Upper bound of the bytes that the message takes in a rewritten log. Not stored."""
+
+
+def acceptance_order(message: StoredMessage) -> int:
+    """Returns the key by which messages are sorted in the order of acceptance."""
+    return message.message_id
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -18,14 +18,20 @@
 nothing is accepted, no file is touched, and each rewrite tries to claim the log first. It claims an unused
 log only, as the messages of a used log have to be restored at a start or by an adoption.
 
-The logs of processes that have ended are adopted (`log_directory.py`): their live messages get new ids and
-are written to this log, and only then is the other log emptied. A kill in between leaves a message in both
-logs, so a message whose trace id is live already is not adopted again. They are written by a rewrite, or
-appended where a rewrite has no room beside the other log.
+The logs of processes that have ended are adopted (`log_directory.py`): their live messages are written to
+this log, and only then is the other log emptied. A kill in between leaves a message in both logs, so a
+message whose trace id is live already is not adopted again. They are written by a rewrite, or appended where
+a rewrite has no room beside the other log.
+
+Message ids grow over all processes of a sender and over its starts (`disk_usage_layout.py`), so their order
+is that of acceptance, in whichever log a message is and wherever it stands there. An id is chosen, and the
+record with it written, while no other process can do the same: a process that gets a later id finds the
+earlier record.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
 
@@ -35,7 +41,7 @@
     ForeignRecordError,
     UnknownTrafficClassError,
 )
-from ashpath.server.storage.live_messages import LiveMessages, reserved_bytes
+from ashpath.server.storage.live_messages import LiveMessages
 from ashpath.server.storage.log_directory import DISK_ERRORS, FIRST_LOG, LogDirectory
 from ashpath.server.storage.log_file import LogFile
 from ashpath.server.storage.orphaned_logs import OrphanedLogs
@@ -48,7 +54,10 @@
     MessageSubmitted,
 )
 from ashpath.server.storage.repairable import Repairable
-from ashpath.server.storage.stored_message import StoredMessage
+from ashpath.server.storage.stored_message import StoredMessage, acceptance_order
+
+LOOKS_FOR_PREDECESSORS = 2
+"""A process that adopts a message moves it from a log to another one, perhaps between the reads of both."""
 
 
 class WriteAheadLog:
@@ -125,7 +134,7 @@
         self._own.leave_room_for_others()
 
     def adopt(self) -> list[StoredMessage]:
-        """Adopts the live messages of logs whose process has ended, and returns them with their new ids.
+        """Adopts the live messages of logs whose process has ended; returns them in the order of acceptance.
 
         A log that cannot be read is left unchanged, for inspection by `ashpath ledger`. Raises OSError if the
         state directory cannot be listed, and adopts nothing then, as while this log is unclaimed.
@@ -146,6 +155,8 @@
             self.other_logs_bytes = self._directory.other_logs_bytes(self.file.path)
             self.may_have_orphans = self.other_logs_bytes > 0
             self._own.find_unregistered()
+        adopted.sort(key=acceptance_order)
+        self.find_predecessors(adopted)
         return adopted
 
     def _adopt_log(self, path: Path) -> list[StoredMessage]:
@@ -201,10 +212,14 @@
             self.messages.discard(message)
 
     def _adopt_messages(self, orphaned: LiveMessages) -> list[StoredMessage]:
+        """Adds the messages of an orphan to the table, in the order of acceptance.
+
+        They keep their ids, but for those of an earlier release that messages of this log have."""
         adopted = []
-        for message in orphaned.live.values():
+        for message in orphaned.in_order():
             if message.trace_id not in self.messages.by_trace_id:
-                message.message_id = self.messages.last_id + 1
+                if message.message_id in self.messages.live:
+                    message.message_id = self._own.disk.assign_message_id(self.messages.last_id)
                 self.messages.add(message, len(MessageSubmitted(message).encode()))
                 adopted.append(message)
         return adopted
@@ -223,31 +238,51 @@
             if message.traffic_class >= count:
                 raise UnknownTrafficClassError(self.file.path, message.trace_id, message.traffic_class)
 
+    def find_predecessors(self, messages: Sequence[StoredMessage]) -> None:
+        """Notes for each message those of its ordering key that other processes accepted before, and have."""
+        keys = {message.ordering_key for message in messages if message.ordering_key is not None}
+        earlier = [
+            other
+            for other in self.other_logs.live_of_keys(keys)
+            if other.trace_id not in self.messages.by_trace_id
+        ]
+        for message in messages:
+            message.predecessors = tuple(
+                other.trace_id
+                for other in earlier
+                if other.ordering_key == message.ordering_key and other.message_id < message.message_id
+            )
+
     def has_unfinished_predecessor(self, message: StoredMessage) -> bool:
         """Whether a message that another process had accepted before has not ended yet, here or there."""
-        message.predecessors = tuple(
-            trace_id
-            for trace_id in message.predecessors
-            if trace_id in self.messages.by_trace_id or self.other_logs.is_live(trace_id)
-        )
+        for _ in range(LOOKS_FOR_PREDECESSORS):
+            unfinished = tuple(trace_id for trace_id in message.predecessors if self._is_live(trace_id))
+            if unfinished == message.predecessors:
+                break
+        message.predecessors = unfinished
         return bool(message.predecessors)
 
+    def _is_live(self, trace_id: str) -> bool:
+        return trace_id in self.messages.by_trace_id or self.other_logs.is_live(trace_id)
+
     def record_submitted(self, message: StoredMessage) -> bool:
-        """Records an accepted message; returns False if the log has no room for it or the write fails."""
+        """Records an accepted message; returns False if the log has no room for it or the write fails.
+
+        The message gets its id, unless it has one."""
         if (
             self.prerequisite is not None
             and self.prerequisite.needs_repair
             and not self.prerequisite.repair()
         ):
             return False
-        data = MessageSubmitted(message).encode()
+        highest_id = max(self.messages.last_id, self.other_logs.last_id)
         try:
-            if not self._own.append_submitted(data, reserved_bytes(message, len(data))):
-                return False
+            size = self._own.append_submitted(message, highest_id)
         except OSError:
             return False
-        self.messages.add(message, len(data))
-        return True
+        if size:
+            self.messages.add(message, size)
+        return size > 0
 
     def record_attempt(self, message: StoredMessage, at: int, endpoint: str) -> None:
         """Records an attempt before it is sent; `at` in microseconds of the stored clock.
--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+from functools import partial
 
 import gevent
 import pytest
@@ -190,3 +191,33 @@
     assert new.submit("o2", "tag", "200", 3, ordering_key="k") == 202
     wait_until(lambda: new.attempt_count("o2"))
     assert new.notified("o1")
+
+
+# The old process's message went out beside the earlier one of its key, whose endpoint hung at the new process
+# (review/9).
+def test_adopted_message_waits_for_the_earlier_one_of_its_key_that_is_in_flight(
+    pair: tuple[SenderHarness, SenderHarness],
+) -> None:
+    old, new = pair
+    client_of_old = open_accepted_connection(old, READINESS_REQUEST)
+    client_of_old.read_response()
+    client_of_old.finish_response()
+    new.start()
+    assert old.process is not None
+    old.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+    for number in range(3):  # the new process learns that the destination is well
+        assert new.submit(f"warm-{number}", "tag", "200", 3) == 202
+        wait_until(partial(new.attempt_count, f"warm-{number}"))
+    assert new.submit("first", "tag", "hang", 3, time_left_ms=5500, ordering_key="k") == 202
+    wait_until(lambda: new.attempt_count("first"))
+    client_of_old.write(request("second", "tag", "200", 3, ordering_key="k"))
+    assert client_of_old.read_response().status == 202
+    assert new.submit("third", "tag", "200", 3, ordering_key="k") == 202
+    wait_until(lambda: 'event="write-ahead log adopted" messages=1' in (old.folder / "log").read_text())
+    while not new.notified("first"):
+        assert not new.attempt_count("second")
+        assert not new.attempt_count("third")
+        gevent.sleep(0.01)
+    wait_until(lambda: new.attempt_count("third"))
+    assert list(new.attempts)[-3:] == ["first", "second", "third"]
--- a/tests/server/test_message_restoration.py
+++ b/tests/server/test_message_restoration.py
@@ -64,3 +64,33 @@
     assert previous.first_run_at is not None
     assert 2 * SECOND <= now() - previous.first_run_at < 3 * SECOND
     assert message.in_flight_since is None
+
+
+@pytest.mark.parametrize(
+    ("own_id", "predecessors", "in_flight_since", "follows"),
+    [
+        (9, (), None, True),
+        (4, (), None, False),
+        (9, ("t5",), 1, True),  # its attempt waits for the adopted message
+        (9, (), 1, False),  # its attempt is out
+        (4, ("t5",), None, True),  # an earlier release accepted the adopted message, and its id is too high
+    ],
+)
+def test_adopted_message_goes_ahead_of_later_ones_that_wait(
+    write_ahead_log: WriteAheadLog,
+    own_id: int,
+    predecessors: tuple[str, ...],
+    in_flight_since: int | None,
+    *,
+    follows: bool,
+) -> None:
+    deadline = stored_time() + SECOND
+    own, other_key, adopted = (
+        StoredMessage(message_id, f"t{message_id}", 0, 1, key, None, deadline, b"")
+        for message_id, key in ((own_id, 7), (10, 8), (5, 7))
+    )
+    own.predecessors = predecessors
+    own.in_flight_since = in_flight_since
+    restorer = MessageRestorer(write_ahead_log, unreachable_notifier(write_ahead_log))
+    restored = restorer.restore([adopted], {own_id: own, 10: other_key})
+    assert restored[0].followers == ({own_id} if follows else set())
