A key rests after a call that the other process of a hot upgrade gave up

Cause: the rest of a key is kept by the policy of the process whose call it was (`OrderedQueue.settles_at`).

Change: who reads the other process's log notes the key of an attempt that may have run, at the time of the read, which is no earlier than the end. An attempt of another message of the key waits for the settle time from there on.

--- a/ashpath/server/delivery/attempts.py
+++ b/ashpath/server/delivery/attempts.py
@@ -39,6 +39,8 @@
     """The response may be that of the request before this one on the connection."""
     ordered: bool = False
     """Messages with the ordering key of this message are sent one at a time."""
+    settle_time: int = 0
+    """Microseconds for which the key rests after an attempt of another message that may still run."""
     needs_certainty: bool = False
     """Other messages wait for the result, and would wait longer for one that is provisional."""
     connection: EndpointConnection | None = None
--- a/ashpath/server/delivery/earlier_messages.py
+++ b/ashpath/server/delivery/earlier_messages.py
@@ -31,6 +31,9 @@
     def has_unfinished_predecessor(self, message: StoredMessage) -> bool:
         """Whether an earlier message of the same ordering key has not ended."""
 
+    def rest_left(self, message: StoredMessage, settle_s: float) -> float:
+        """Returns the seconds for which the key rests after an attempt of the other process."""
+
 
 class EarlierMessages:
     """Waits, in the attempt's own greenlet."""
@@ -61,8 +64,9 @@
             raise EarlierResponseInDoubtError
 
     def _await_predecessors(self, attempt: Attempt) -> None:
-        """Waits until the delivery of the earlier messages of the ordering key is certain, and until the
-        other process of a hot upgrade has ended those that it accepted before.
+        """Waits until the delivery of the earlier messages of the ordering key is certain, until the other
+        process of a hot upgrade has ended those that it accepted before, and until the key has settled
+        after its last attempt there.
 
         Raises PendingNotificationError after half of the attempt's time."""
         time_left = max(0.0, (attempt.deadline - now()) * NOTIFICATION_SHARE)
@@ -72,6 +76,7 @@
         with Timeout(time_left / SECOND, PendingNotificationError()):
             while self.predecessors.has_unfinished_predecessor(attempt.message):
                 gevent.sleep(PREDECESSOR_POLL_S)
+            gevent.sleep(self.predecessors.rest_left(attempt.message, attempt.settle_time / SECOND))
 
     def _await_notifications(self, attempt: Attempt) -> None:
         """Waits until no notification of the message's ordering key is pending.
--- a/ashpath/server/policy_runner.py
+++ b/ashpath/server/policy_runner.py
@@ -237,6 +237,7 @@
         traffic_class = self.policy.traffic_classes[message.traffic_class]
         ordered = message.ordering_key is not None and traffic_class.settings.ordered
         attempt = Attempt(message, endpoint_id, now() + timeout, timeout, ordered=ordered)
+        attempt.settle_time = self.policy.settings.settle_time
         attempt.needs_certainty = ordered and self.policy.has_followers(message.message_id)
         is_only_attempt = message.message_id not in self.attempts
         self.checks.expect(Check.ONE_ATTEMPT, holds=is_only_attempt, subject=message.trace_id)
--- a/ashpath/server/storage/other_logs.py
+++ b/ashpath/server/storage/other_logs.py
@@ -16,9 +16,10 @@
 from time import monotonic
 
 from ashpath.server.storage.errors import ForeignRecordError
+from ashpath.server.storage.key_rests import KeyRests
 from ashpath.server.storage.live_messages import LiveMessages
 from ashpath.server.storage.log_directory import LogDirectory
-from ashpath.server.storage.record_codec import RecordReader
+from ashpath.server.storage.record_codec import AttemptFinished, MessageFinished, Record, RecordReader
 from ashpath.server.storage.stored_message import StoredMessage
 
 CHANGE_TIME_STEP_S = 0.02
@@ -28,8 +29,9 @@
 class OtherLog:
     """One log of another process, as far as it has been read."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, rests: KeyRests) -> None:
         self.path = path
+        self.rests = rests
         self.messages = LiveMessages()
         self._inode = 0
         self._offset = 0
@@ -55,15 +57,33 @@
             file.seek(self._offset, os.SEEK_SET)
             reader = RecordReader(file)
             reader.offset = self._offset
-            self.messages.read(reader)
+            for record, size in reader:
+                self._note_uncertain_end(record)
+                self.messages.apply(record, size)
             self._offset = reader.offset
 
+    def _note_uncertain_end(self, record: Record) -> None:
+        """Notes the end of an attempt that may still run; `record` is not applied yet."""
+        message = self.messages.live.get(record.message_id)
+        if message is None or message.ordering_key is None:
+            return
+        if isinstance(record, AttemptFinished):
+            is_uncertain = record.may_have_run
+        elif isinstance(record, MessageFinished):
+            is_uncertain = message.in_flight_since is not None and record.notice is not None
+        else:
+            is_uncertain = False
+        if is_uncertain:
+            self.rests.attempt_ended(message.ordering_key, message.trace_id)
+
 
 class OtherLogs:
     """The logs of the other living processes; without a hot upgrade there are none."""
 
     def __init__(self, directory: LogDirectory) -> None:
         self._directory = directory
+        self.rests = KeyRests()
+        """Keys that rest after an attempt of another process, which may have ended since."""
         self._logs: dict[Path, OtherLog] = {}
         self._own: Path | None = None  # as of the last look
         self._changed_at_ns = 0  # the directory's last change, as of the first look that has seen it
@@ -79,7 +99,7 @@
         self._settled = monotonic() - self._seen_at > CHANGE_TIME_STEP_S
         paths = self._directory.other_logs(own)
         self._own = own
-        self._logs = {path: self._logs.get(path) or OtherLog(path) for path in paths}
+        self._logs = {path: self._logs.get(path) or OtherLog(path, self.rests) for path in paths}
 
     def _find_new(self) -> None:
         """Looks again if files may have been made or renamed since the last look."""
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -262,6 +262,12 @@
         message.predecessors = unfinished
         return bool(message.predecessors)
 
+    def rest_left(self, message: StoredMessage, settle_s: float) -> float:
+        """Returns the seconds for which the key of a message rests after an attempt of another process."""
+        if message.ordering_key is None:
+            return 0.0
+        return self.other_logs.rests.time_left(message.ordering_key, message.trace_id, settle_s)
+
     def _is_live(self, trace_id: str) -> bool:
         return trace_id in self.messages.by_trace_id or self.other_logs.is_live(trace_id)
 
--- a/tests/server/storage/test_other_logs.py
+++ b/tests/server/storage/test_other_logs.py
@@ -194,3 +194,25 @@
         log.close()
     ids.append(message_of_key(WriteAheadLog(tmp_path, MAX_BYTES), "last", 7).message_id)
     assert ids == sorted(set(ids))
+
+
+@pytest.mark.parametrize(("may_have_run", "rests"), [(True, True), (False, False)])
+def test_key_rests_after_an_attempt_of_another_process_that_may_still_run(
+    logs: tuple[WriteAheadLog, WriteAheadLog], *, may_have_run: bool, rests: bool
+) -> None:
+    old, new = logs
+    earlier = message_of_key(old, "a", 7)
+    later = message_of_key(new, "b", 7)
+    other_key = message_of_key(new, "c", 8)
+    old.record_attempt(earlier, 1, "e1")
+    old.record_outcome(earlier, may_have_run=may_have_run)
+    old.record_finished(earlier, "{}")
+    old.record_finished(earlier)
+    assert not new.has_unfinished_predecessor(later)
+    assert (new.rest_left(later, 5.0) > 4.0) is rests
+    assert new.rest_left(later, 0.0) == 0.0
+    assert new.rest_left(other_key, 5.0) == 0.0
+    assert new.rest_left(earlier, 5.0) == 0.0  # its own retry
+    old.close()
+    new.adopt()
+    assert (new.rest_left(later, 5.0) > 4.0) is rests  # also once the log is gone
--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -5,6 +5,7 @@
 import os
 import signal
 from functools import partial
+from time import monotonic
 
 import gevent
 import pytest
@@ -20,6 +21,7 @@
 from ashpath.server.storage.file_lock import try_lock
 
 UNLOCK_CHECK_INTERVAL_S = 0.0002
+TIME_SLACK_S = 0.05  # of each limit of time (PROTOCOL)
 
 
 def test_new_process_takes_over_on_inherited_socket(pair: tuple[SenderHarness, SenderHarness]) -> None:
@@ -221,3 +223,22 @@
         gevent.sleep(0.01)
     wait_until(lambda: new.attempt_count("third"))
     assert list(new.attempts)[-3:] == ["first", "second", "third"]
+
+
+# The next message of a key went out 3 to 25 ms after the other process gave up its call (review/10).
+def test_key_rests_after_a_call_that_the_other_process_gave_up(
+    pair: tuple[SenderHarness, SenderHarness],
+) -> None:
+    old, new = pair
+    settle_s = old.config["settings"]["contract"]["order-settle"] / 1000
+    assert old.submit("given-up", "tag", "hang", 3, time_left_ms=2000, ordering_key="k") == 202
+    wait_until(lambda: old.attempt_count("given-up"))
+    new.start()
+    assert old.process is not None
+    old.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+    assert new.submit("next", "tag", "200", 3, ordering_key="k") == 202
+    wait_until(lambda: new.notified("given-up"))  # some ms after the call was given up
+    given_up_at = monotonic()
+    wait_until(lambda: new.attempt_count("next"))
+    assert monotonic() - given_up_at >= settle_s - TIME_SLACK_S
