A listener that stops makes no more room for clients

A process that gets SIGTERM while it waits for a place for a client went on evicting its own clients, for a connection that it would not accept. Seen by reading; make_room now ends with the stop, and no longer asks other processes for descriptors.

--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -33,6 +33,7 @@
 EVICTION_RETRY_S = 0.05  # while no connection can be evicted
 SHARED_EVICTION_RETRY_S = 0.01  # the same, while other processes may close one
 READ = 1  # the event of libev's io watchers
+STOPPED_TEXT = "listener stopped"
 
 
 class ClientListener:
@@ -112,9 +113,11 @@
 
     def make_room(self) -> Lease:
         """Waits until another connection may be accepted, and evicts others meanwhile. Returns the lease of
-        its descriptor."""
+        its descriptor. Raises OSError once `stop` has been called."""
         began = monotonic()
         while (lease := self.take_place()) is None:
+            if not self.accepting:
+                raise OSError(errno.EBADF, STOPPED_TEXT)
             self.table.needs_room = True
             self.connection_closed.clear()
             waited_s = monotonic() - began
@@ -130,7 +133,7 @@
             return None
         lease = self.descriptors.take(DescriptorKind.CLIENT)
         if lease is None:
-            self.descriptors.want(DescriptorKind.CLIENT, CLIENTS_WANTED if self.accepting else 0)
+            self.descriptors.want(DescriptorKind.CLIENT, CLIENTS_WANTED)
         return lease
 
     def others_make_room(self, waited_s: float) -> bool:
@@ -190,8 +193,9 @@
     def stop(self) -> None:
         """Stops accepting; the process that shares the socket accepts the connections still queued."""
         self.accepting = False
+        self.descriptors.want(DescriptorKind.CLIENT, 0)
         if self._readable is not None:
-            get_hub().cancel_wait(self._readable, OSError(errno.EBADF, "stopped"), True)
+            get_hub().cancel_wait(self._readable, OSError(errno.EBADF, STOPPED_TEXT), True)
             self._readable = None
         with suppress(OSError):
             self.socket.close()
