Soak: two upgrades in a row, signals in series in an upgrade, sockets judged

benchmarks.soak draws a second hot upgrade of the same sender 1 to 3 s after two in three of the upgrades, so that three processes overlap, and sends SIGHUP and SIGTERM behind the SIGTERM of an upgrade, as at a restart. The sockets of all processes of a sender are counted from /proc all the time and judged against its limit. Events of each seed stay as they were but for the added upgrades.

The count in /proc is one module, which the regression test of the limit uses too.

--- a/ashpath/emulator/soak/judge.py
+++ b/ashpath/emulator/soak/judge.py
@@ -10,6 +10,7 @@
 | wait | a call to a destination before the Retry-After that the sender received from it has passed |
 | crash | a process that ended unexpectedly, or was not ready in time |
 | memory | processes of a sender that are larger together than its memory limit, at any time |
+| sockets | processes of a sender that hold more sockets together than its limit, at any time |
 | disk | a state directory over the disk limit, at any time |
 
 `sender_history` has the tolerances for what happened to a sender's processes and paths.
@@ -72,6 +73,7 @@
         checks = (
             self.crashes,
             self.senders_over_memory_limit,
+            self.senders_over_socket_limit,
             self.directories_over_limit,
             self.lost_messages,
             self.unanswered_requests,
@@ -99,6 +101,13 @@
             if most_bytes > allowed:
                 yield BrokenRule("memory", f"sender {sender} had {most_bytes} bytes, {allowed} allowed")
 
+    def senders_over_socket_limit(self) -> Iterator[BrokenRule]:
+        """Yields senders whose processes held more sockets together than the limit."""
+        for sender, most in self.records.most_sockets.items():
+            allowed = self.records.max_sockets[sender]
+            if most > allowed:
+                yield BrokenRule("sockets", f"sender {sender} held {most} sockets, {allowed} allowed")
+
     def directories_over_limit(self) -> Iterator[BrokenRule]:
         """Yields senders, of one process or two, whose files took more than the disk limit."""
         for sender, most_bytes in self.records.most_disk_bytes.items():
--- a/ashpath/emulator/soak/plan.py
+++ b/ashpath/emulator/soak/plan.py
@@ -16,13 +16,13 @@
 from ashpath.emulator.soak.records import Reply
 
 DISK_MB = 1  # the disk limit of each sender, in MiB
-MEMORY_MB = 64  # the memory limit of each sender
-UPGRADE_MEMORY_MB = 128  # of a sender with hot upgrades, whose two processes share the limit
+MEMORY_MB_BY_UPGRADES = (64, 128, 192)  # the memory limit of a sender, by the number of its hot upgrades
 SENDERS = 3
 DESTINATIONS = 3
 FEW_DESCRIPTORS = 150
 CROWDING_CLIENTS = 40  # more than the client connections of a sender with few descriptors
 MIN_SERIES_S, MAX_SERIES_S = 1.1, 2.3  # between two kills of a series: the start takes 0.6 s and more
+MIN_UPGRADES_S, MAX_UPGRADES_S = 1.0, 3.0  # between two upgrades; a process drains for up to 3.7 s
 FIRST_FAULT_S = 1.5  # earliest time of a fault after the start of the run
 FAILING_REPLIES = (
     AgentReply.SILENT,
@@ -213,12 +213,15 @@
     with_upgrades: bool = False,
     with_message_faults: bool = False,
     with_crowds: bool = False,
+    with_second_upgrades: bool = False,
 ) -> SoakPlan:
     """Returns the plan for a seed; the same seed gives the same plan.
 
     `with_upgrades`, `with_message_faults`: whether some seeds have a hot upgrade, or messages that come twice
     or late. All other events of a seed are the same then. `with_crowds`: whether some seeds have a crowd, and
-    some a sender that is killed again soon after its start; restarts of other senders are the same."""
+    some a sender that is killed again soon after its start; restarts of other senders are the same.
+    `with_second_upgrades`: whether some hot upgrades are followed by another one while the first process may
+    still drain."""
     random = Random(f"soak {seed}")
     last = duration_s - 5.0
     drain_at = random.uniform(FIRST_FAULT_S, last / 2)
@@ -245,6 +248,8 @@
     notice_faults = draw_notice_faults(random, duration_s)
     descriptor_limits = draw_descriptor_limits(random)
     upgrades = draw_upgrades(random, last, {event.sender for event in restarts}) if with_upgrades else ()
+    if with_second_upgrades:
+        upgrades += draw_second_upgrades(seed, upgrades)
     if with_crowds:
         busy = {event.sender for event in restarts} | {event.sender for event in upgrades}
         restarts += draw_kills_in_series(seed, last, busy)
@@ -292,6 +297,20 @@
     return [RestartEvent(at, sender, StopMethod.KILL) for at in (first, second)]
 
 
+def draw_second_upgrades(seed: int, upgrades: tuple[UpgradeEvent, ...]) -> tuple[UpgradeEvent, ...]:
+    """Draws a further upgrade of the same sender soon after two in three of the upgrades."""
+    random = Random(f"upgrades {seed}")
+    return tuple(
+        UpgradeEvent(
+            event.at + random.uniform(MIN_UPGRADES_S, MAX_UPGRADES_S),
+            event.sender,
+            random.choice(tuple(StopMethod)),
+        )
+        for event in upgrades
+        if random.random() < 2 / 3
+    )
+
+
 def draw_message_faults(seed: int) -> MessageFaults:
     """Draws faults of the messages on each kind of path, each on three seeds in four."""
     random = Random(f"messages {seed}")
--- a/ashpath/emulator/soak/records.py
+++ b/ashpath/emulator/soak/records.py
@@ -177,6 +177,10 @@
     """By sender: the largest resident size of its processes together."""
     memory_bytes: dict[int, int] = field(default_factory=dict)
     """By sender: its memory limit."""
+    most_sockets: dict[int, int] = field(default_factory=dict)
+    """By sender: the most sockets that its processes held together."""
+    max_sockets: dict[int, int] = field(default_factory=dict)
+    """By sender: its limit of sockets."""
     most_disk_bytes: dict[int, int] = field(default_factory=dict)
     """By sender, the most that all files of its state directory took, each in whole blocks."""
     ended_at: float = 0.0
--- a/ashpath/emulator/soak/run.py
+++ b/ashpath/emulator/soak/run.py
@@ -58,6 +58,7 @@
 PAUSE_PROBE_S = 0.01
 DISK_PROBE_S = 0.01
 MEMORY_PROBE_S = 0.02
+SOCKETS_PROBE_S = 0.05
 BYTES_PER_MB = 1_000_000
 UNKNOWN_CLASS = "crowd"  # no sender has it: the records know the messages of the run's own clients alone
 FILLING_BODY_BYTES = 4000  # with it, logs of busy runs come near the disk limit, and are rewritten
@@ -159,8 +160,8 @@
 
     def _sender_options(self, sender: int) -> SenderOptions:
         limits = {limit.sender: limit.descriptors for limit in self.plan.descriptor_limits}
-        upgraded = {event.sender for event in self.plan.upgrades}
-        return SenderOptions(self.plan.process_faults[sender], limits.get(sender), sender in upgraded)
+        upgrades = sum(event.sender == sender for event in self.plan.upgrades)
+        return SenderOptions(self.plan.process_faults[sender], limits.get(sender), upgrades)
 
     def members(self, sender: int) -> list[JsonObject]:
         """Returns the current endpoint list, with the addresses that the sender uses."""
@@ -199,6 +200,7 @@
         if self.fills_disk:
             self._greenlets.append(gevent.spawn(self._measure_disk))
         self._greenlets.append(gevent.spawn(self._measure_memory))
+        self._greenlets.append(gevent.spawn(self._measure_sockets))
         self.clients[0].connect_idle(plan.idle_clients)
         for limit in plan.descriptor_limits:
             self._greenlets.append(gevent.spawn(self.clients[limit.sender].crowd, limit.idle_clients))
@@ -230,6 +232,15 @@
                 most[sender.number] = max(most.get(sender.number, 0), sender.resident_bytes())
             gevent.sleep(MEMORY_PROBE_S)
 
+    def _measure_sockets(self) -> None:
+        """Records the most sockets of each sender. Never returns."""
+        most = self.records.most_sockets
+        while True:
+            for sender in self.senders:
+                self.records.max_sockets[sender.number] = sender.max_sockets
+                most[sender.number] = max(most.get(sender.number, 0), sender.sockets())
+            gevent.sleep(SOCKETS_PROBE_S)
+
     def _crowd(self, event: CrowdEvent) -> None:
         """Plays a crowd in a process of its own, past the proxy of the clients."""
         port = str(self.senders[event.sender].address[1])
--- a/ashpath/emulator/soak/sender.py
+++ b/ashpath/emulator/soak/sender.py
@@ -25,7 +25,8 @@
 )
 from ashpath.emulator.http_client import HttpClient
 from ashpath.emulator.process_size import process_resident_bytes
-from ashpath.emulator.soak.plan import DISK_MB, MEMORY_MB, UPGRADE_MEMORY_MB, StopMethod
+from ashpath.emulator.process_sockets import open_sockets
+from ashpath.emulator.soak.plan import DISK_MB, MEMORY_MB_BY_UPGRADES, StopMethod
 from ashpath.emulator.soak.records import Incarnation, SoakRecords
 from ashpath.emulator.stand_ins import LOOPBACK, free_port
 from ashpath.server import wire_names
@@ -51,8 +52,8 @@
     faults: ProcessFaults
     descriptor_limit: int | None = None
     """The soft limit of each process, and the descriptors in its configuration."""
-    inherits_socket: bool = False
-    """Whether its processes inherit their listening socket, as hot upgrades require."""
+    upgrades: int = 0
+    """Number of its hot upgrades, for which its processes inherit their listening socket."""
 
 
 class SenderProcess(Struct, frozen=True, eq=False):
@@ -102,8 +103,8 @@
         self._settings = settings
         self._records = records
         self._current: SenderProcess | None = None
-        self._predecessor: SenderProcess | None = None  # of the current process in a hot upgrade
-        self._listener = self._listen() if options.inherits_socket else None
+        self._predecessors: list[SenderProcess] = []  # of the current process, in hot upgrades
+        self._listener = self._listen() if options.upgrades else None
         self._ready_client = HttpClient(self.address, limits, READY_TIMEOUT_S, max_idle=0)
         folder.mkdir(parents=True)
         (folder / "state").mkdir()
@@ -113,12 +114,24 @@
     @property
     def memory_mb(self) -> int:
         """The memory limit of all processes together, in megabytes."""
-        return UPGRADE_MEMORY_MB if self._options.inherits_socket else MEMORY_MB
+        return MEMORY_MB_BY_UPGRADES[self._options.upgrades]
+
+    @property
+    def max_sockets(self) -> int:
+        """The limit of sockets of all processes together."""
+        return self._options.descriptor_limit or DESCRIPTORS
+
+    def _running(self) -> list[SenderProcess]:
+        current = [] if self._current is None else [self._current]
+        return [one for one in (*self._predecessors, *current) if one.process.poll() is None]
 
     def resident_bytes(self) -> int:
         """Returns the resident size of all processes together."""
-        running = (self._current, self._predecessor)
-        return sum(process_resident_bytes(one.process.pid) for one in running if one is not None)
+        return sum(process_resident_bytes(one.process.pid) for one in self._running())
+
+    def sockets(self) -> int:
+        """Returns the sockets that all processes hold together; one that several of them hold counts once."""
+        return len(open_sockets([one.process.pid for one in self._running()]))
 
     def disk_bytes(self) -> int:
         """Returns what all files of the state directory take, each in whole blocks."""
@@ -138,7 +151,7 @@
             "seed": f"{self.number + 1:x}",
             "settings": self._settings | {"rank": self.number},
             "limits": {
-                "sockets": self._options.descriptor_limit or DESCRIPTORS,
+                "sockets": self.max_sockets,
                 "memory_mb": self.memory_mb,
                 "disk_mb": DISK_MB,
             },
@@ -219,18 +232,23 @@
         if current is not None:
             current.incarnation.end_began_at = monotonic()
             killed_at = monotonic() + KILL_AFTER_TERM_S
-            current.process.terminate()
-            for signal_number in SIGNALS_AFTER_TERM:
-                gevent.sleep(SIGNAL_INTERVAL_S)
-                if current.process.poll() is None:
-                    current.process.send_signal(signal_number)
+            self._send_term_in_series(current)
             gevent.sleep(killed_at - monotonic())
             self.kill()
 
+    @staticmethod
+    def _send_term_in_series(running: SenderProcess) -> None:
+        """Sends SIGTERM, and further signals behind it."""
+        running.process.terminate()
+        for signal_number in SIGNALS_AFTER_TERM:
+            gevent.sleep(SIGNAL_INTERVAL_S)
+            if running.process.poll() is None:
+                running.process.send_signal(signal_number)
+
     def kill(self) -> None:
         """Sends SIGKILL, and waits for `DOWNTIME_S`."""
-        if self._predecessor is not None:
-            self._predecessor.kill()
+        for predecessor in self._predecessors:
+            predecessor.kill()
         current = self._current
         if current is not None:
             now = monotonic()
@@ -240,19 +258,22 @@
             gevent.sleep(DOWNTIME_S)
 
     def upgrade(self, how: StopMethod) -> None:
-        """Starts a second process, and ends the first one once the second is ready."""
+        """Starts a further process, and ends the current one once that is ready, with signals in series."""
+        if not self._await_ready():
+            return
         old = self._current
         assert old is not None
-        self._predecessor = old
+        self._predecessors = [*self._running()]
         self.start()
         if not self._await_ready():
             return  # the rule checker reports it
         old.incarnation.hands_over = True
         old.incarnation.end_began_at = monotonic()
         if how is StopMethod.TERMINATE:
-            old.process.terminate()
+            killed_at = monotonic() + KILL_AFTER_TERM_S
+            self._send_term_in_series(old)
             with suppress(subprocess.TimeoutExpired):
-                old.process.wait(KILL_AFTER_TERM_S)
+                old.process.wait(max(0.0, killed_at - monotonic()))
         if old.process.poll() is None:
             old.incarnation.killed_at = monotonic()
             old.kill()
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -31,7 +31,9 @@
 
 def run_seed(seed: int, folder: Path) -> list[BrokenRule]:
     """Runs one seed. Returns the broken rules; if there are any, the run's records are in the folder."""
-    plan = draw_plan(seed, with_upgrades=True, with_message_faults=True, with_crowds=True)
+    plan = draw_plan(
+        seed, with_upgrades=True, with_message_faults=True, with_crowds=True, with_second_upgrades=True
+    )
     run_folder = folder / f"seed-{seed}"
     records = SoakRun(plan, run_folder, fills_disk=True).play()
     broken = RuleChecker(records, rule_checker_settings(plan)).broken_rules()
@@ -46,6 +48,7 @@
         f"longest pause of the stand-ins {records.longest_pause_s:.2f} s, "
         f"most bytes on disk {max(records.most_disk_bytes.values(), default=0)}, "
         f"resident {max(records.most_resident_bytes.values(), default=0)}, "
+        f"sockets {max(records.most_sockets.values(), default=0)}, upgrades {len(plan.upgrades)}, "
         f"crowds {[f'{event.clients} {event.shape.value}' for event in plan.crowds]}"
     )
     print(line, *map(str, broken[:MAX_FINDINGS_SHOWN]), sep="\n  ", flush=True)
--- a/tests/emulator/fault_injection/test_sender_options.py
+++ b/tests/emulator/fault_injection/test_sender_options.py
@@ -58,7 +58,7 @@
 
 @pytest.fixture
 def upgraded_sender(tmp_path: Path, records: SoakRecords) -> Iterator[SoakSender]:
-    with started_sender(tmp_path, SenderOptions(ProcessFaults(), inherits_socket=True), records) as sender:
+    with started_sender(tmp_path, SenderOptions(ProcessFaults(), upgrades=1), records) as sender:
         yield sender
 
 
--- a/tests/emulator/soak/test_soak_run.py
+++ b/tests/emulator/soak/test_soak_run.py
@@ -55,6 +55,15 @@
     ] == without
 
 
+def test_second_upgrades_change_no_other_event_of_a_seed() -> None:
+    with_second = [
+        draw_plan(seed, with_upgrades=True, with_second_upgrades=True).upgrades for seed in range(1, 31)
+    ]
+    without = [draw_plan(seed, with_upgrades=True).upgrades for seed in range(1, 31)]
+    assert [upgrades[:1] for upgrades in with_second] == without
+    assert {len(upgrades) for upgrades in with_second} == {0, 1, 2}
+
+
 def broken_rules(seed: int, folder: Path) -> list[str]:
     with_all = seed in SEEDS_WITH_ALL_FAULTS
     plan = draw_plan(seed, with_upgrades=with_all, with_message_faults=with_all)
--- a/tests/server/test_upgrade_descriptors.py
+++ b/tests/server/test_upgrade_descriptors.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import copy
-import os
 import resource
 import signal
 from collections import Counter
@@ -16,6 +15,8 @@
 from gevent import socket
 from support.sender_harness import SenderHarness, free_address, wait_until
 
+from ashpath.emulator.process_sockets import open_sockets
+
 HANGING_DESTINATIONS = range(16)  # of 40
 SLOTS = 51
 MAX_OPEN = 1000  # messages; more than wait for the endpoints that hang
@@ -29,16 +30,6 @@
 TIME_LEFT_MS = 4000
 
 
-def open_sockets(process_id: int) -> set[str]:
-    """Returns the sockets that a process holds."""
-    found = set()
-    with suppress(OSError):  # it has ended
-        for name in os.listdir(f"/proc/{process_id}/fd"):
-            with suppress(OSError):  # it is closed
-                found.add(os.readlink(f"/proc/{process_id}/fd/{name}"))
-    return {target for target in found if target.startswith("socket:")}
-
-
 class Play:
     """Usual clients, silent ones, and a count of the sockets of all processes."""
 
@@ -54,13 +45,10 @@
         ]
 
     def count(self) -> None:
-        """Counts at each interval; a socket that two looks in a row find was open at once with the others."""
+        """Counts at each interval, until it is killed."""
         while True:
             ids = [process.process.pid for process in self.processes if process.process is not None]
-            first = [open_sockets(process_id) for process_id in ids]
-            second = [open_sockets(process_id) for process_id in ids]
-            both = [before & after for before, after in zip(first, second, strict=True)]
-            self.most = max(self.most, len(set().union(*both)))
+            self.most = max(self.most, len(open_sockets(ids)))
             gevent.sleep(WATCH_INTERVAL_S)
 
     def submit_often(self, client: int) -> None:
