SIGTERM in a start ends it

Cause: the shutdown closed a listening socket that the start had not opened yet. The AttributeError ended its greenlet before `ended` was set, and the start went on with a stopped policy runner.

Change: a start takes no further step once the shutdown has begun, and logs `start given up`; `ClientListener.stop` does nothing before `listen`.

Checks: the shutdown begun in each step of the start in turn (tests/server/ test_runtime.py).

--- a/ashpath/server/http/listener.py
+++ b/ashpath/server/http/listener.py
@@ -191,7 +191,11 @@
             self.connection_closed.set()
 
     def stop(self) -> None:
-        """Stops accepting; the process that shares the socket accepts the connections still queued."""
+        """Stops accepting; the process that shares the socket accepts the connections still queued.
+
+        Does nothing before `listen`."""
+        if not self.listening:
+            return
         self.accepting = False
         self.descriptors.want(DescriptorKind.CLIENT, 0)
         if self._readable is not None:
--- a/ashpath/server/runtime.py
+++ b/ashpath/server/runtime.py
@@ -8,7 +8,7 @@
 the line `ready`.
 
 SIGHUP requests a reload. SIGTERM starts the graceful shutdown, at whose end `SenderRuntime.run` returns; the
-greenlets end with the process.
+greenlets end with the process. A start takes no further step once the shutdown has begun.
 
 Both signals arrive as callbacks of the event loop, between greenlets: the handlers only set an event or spawn
 a greenlet. Until the handlers are installed, the entry points (`ashpath/__main__.py`, `cli/standalone.py`)
@@ -65,15 +65,17 @@
         gevent.signal_handler(signal.SIGTERM, gevent.spawn, sender.shutdown.run)
         if pending_hangups:
             self.reload_service.requested.set()  # the file may have changed since it was read
-        detached = self.restore()
-        retry_local_faults(self.listen, sender.limits.start_retries_s)
-        self.start_services()
+        for step in (self.restore, self.listen_with_retries, self.start_services):
+            if sender.shutdown.has_begun:  # SIGTERM: what is stored is left to the next start
+                self.logger.info("start given up")
+                return
+            step()
         enable_garbage_collector()
         self.logger.info(
             "ready",
             messages=len(sender.delivery.policy_runner.messages),
             endpoints=len(sender.delivery.registry.addresses),
-            detached=len(detached),
+            detached=len(sender.delivery.policy_runner.policy.detached),
             inherited=sender.process_options.inherited_socket is not None,
         )
 
@@ -85,6 +87,10 @@
         sender.delivery.policy_runner.give_up_attempts()
         sender.delivery.write_ahead_log.close_files()
 
+    def listen_with_retries(self) -> None:
+        """Listens, and tries again while this machine lacks a descriptor or buffer. Raises OSError."""
+        retry_local_faults(self.listen, self.sender.limits.start_retries_s)
+
     def listen(self) -> None:
         """Listens for clients and operators. Raises OSError if an address cannot be listened on."""
         sender = self.sender
@@ -93,15 +99,16 @@
         if sender.control is not None:
             sender.control.listen()
 
-    def restore(self) -> set[str]:
-        """Restores the previous incarnation's state to the policy. Returns the ids of detached endpoints."""
+    def restore(self) -> None:
+        """Restores the previous incarnation's state to the policy."""
         sender = self.sender
         detached = sender.delivery.detached_endpoints.read()
         if sender.discovery is not None and sender.running.current.settings.discovery_pushes:
             sender.discovery.initial_snapshot()
         endpoints = list(sender.delivery.registry.records.values())
+        if sender.shutdown.has_begun:  # while discovery was asked
+            return
         sender.delivery.policy_runner.restore(endpoints, sorted(detached))
-        return detached
 
     def start_services(self) -> None:
         """Opens the addresses for gossip, if any, and spawns the services."""
--- a/ashpath/server/shutdown.py
+++ b/ashpath/server/shutdown.py
@@ -72,10 +72,15 @@
         self.state = ShutdownState.RUNNING
         self.ended = Event()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether `run` has been called."""
+        return self.state is not ShutdownState.RUNNING
+
     def run(self) -> None:
         """Shuts the sender down, and returns at the end. Returns at once if a shutdown is already in
         progress."""
-        if self.state is not ShutdownState.RUNNING:
+        if self.has_begun:
             return
         began = monotonic()
         self.logger.info(
--- a/tests/server/test_runtime.py
+++ b/tests/server/test_runtime.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
+from unittest.mock import Mock
 
 import gevent
 import pytest
 import structlog
-from support.sender_harness import SenderHarness, wait_until
+from support.sender_harness import LIMITS, SenderHarness, wait_until
 
 from ashpath.server.errors import StartupError
+from ashpath.server.http.listener import ClientListener
 from ashpath.server.platform_deployment import create_runtime
 from ashpath.server.runtime import supervise
 from ashpath.server.storage.file_lock import try_lock
@@ -59,3 +62,40 @@
     runtime.sender.clients.listener.stop()
     monkeypatch.setattr(log, "close_files", lambda: None)
     log.close()
+
+
+# A sender that got SIGTERM while it waited for discovery neither ended nor served (review/7).
+@pytest.mark.parametrize("step", ["restore", "listen_with_retries", "listen", "start_services"])
+def test_shutdown_that_begins_in_a_step_of_the_start_ends(
+    harness: SenderHarness, monkeypatch: pytest.MonkeyPatch, step: str
+) -> None:
+    for name, value in harness.environment().items():
+        monkeypatch.setenv(name, value)
+    monkeypatch.setattr("ashpath.server.runtime.gevent.signal_handler", lambda *_: None)
+    monkeypatch.setattr("ashpath.server.runtime.enable_garbage_collector", lambda: None)
+    runtime = create_runtime()[0]
+    sender = runtime.sender
+    take_step: Callable[[], object] = getattr(runtime, step)
+
+    def take_step_after_sigterm() -> object:
+        gevent.spawn(sender.shutdown.run)
+        gevent.sleep(sender.shutdown.limits.accept_after_term_s / 2)
+        return take_step()
+
+    monkeypatch.setattr(runtime, step, take_step_after_sigterm)
+    with gevent.Timeout(sender.shutdown.limits.end_after_term_s):
+        runtime.run()
+    assert sender.shutdown.ended.is_set()
+    for greenlet in runtime.greenlets:
+        greenlet.kill(block=False)
+    sender.clients.listener.stop()
+    log = sender.delivery.write_ahead_log
+    monkeypatch.setattr(log, "close_files", lambda: None)  # they are closed
+    log.close()
+
+
+def test_listener_that_does_not_listen_yet_can_be_stopped(harness: SenderHarness) -> None:
+    listener = ClientListener(harness.address, LIMITS.clients, LIMITS.http, Mock(), Mock())
+    listener.stop()
+    listener.listen()
+    listener.stop()
