Zones that are named later hold for the endpoints that were listed before

Cause: a zone that the settings do not name counted as the first one; a new configuration held for later lists alone; and the policy's endpoint kept the zone of its first row.

Change: the registry keeps the names of the list and numbers them anew with each configuration, kinds too; an unnamed zone has a number of its own, from its name; the policy takes the zone of each row.

--- a/ashpath/core/destination_state.py
+++ b/ashpath/core/destination_state.py
@@ -74,6 +74,7 @@
         if before is None or (before.gate is self.gate) == self.limit_per_endpoint:  # new, or kind changed
             self.known_endpoints[row.endpoint_id] = self._new_endpoint(row, before)
         endpoint = self.known_endpoints[row.endpoint_id]
+        endpoint.zone = row.zone
         endpoint.gate.apply_listed_rate(row.listed_rate)
         others = [e for e in self.endpoints if e.endpoint_id != row.endpoint_id]
         serves = row.status is EndpointStatus.ACTIVE and row.endpoint_id not in state.detached
--- a/ashpath/server/delivery/endpoint_registry.py
+++ b/ashpath/server/delivery/endpoint_registry.py
@@ -9,7 +9,8 @@
 from collections.abc import Mapping, Sequence
 from math import isfinite
 from time import monotonic
-from typing import Any
+from typing import Any, NamedTuple
+from zlib import crc32
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -24,6 +25,8 @@
 """One member of the endpoint list: a decoded JSON object of service discovery or of a configuration."""
 
 NO_ADDRESS: Address = ("", 0)
+FIRST_UNNAMED_ZONE = 1 << 20
+"""Numbers of zones that the settings do not name begin here, above the indices of those that they name."""
 
 
 class MembershipChange(Struct, frozen=True):
@@ -37,6 +40,21 @@
     """Number of members that could not be read; each is logged."""
 
 
+class ListedNames(NamedTuple):
+    """What the list says of an endpoint by names, as it was read."""
+
+    kind: object
+    zone: object
+
+
+class ReadMember(NamedTuple):
+    """A member of a list that could be read."""
+
+    record: EndpointRecord
+    address: Address
+    names: ListedNames
+
+
 class EndpointRegistry:
     """The endpoints as last listed. `kinds` and `zones` are the names in the settings, in their order."""
 
@@ -54,14 +72,21 @@
         """When each destination last had an active endpoint, in seconds of the monotonic clock."""
         self.records: dict[str, EndpointRecord] = {}
         """Record by endpoint as last listed, of any status."""
+        self.names: dict[str, ListedNames] = {}
+        """Names by endpoint, for the endpoints of `records`: other settings may number them otherwise."""
         self.started_ms: dict[str, float] = {}
         """Time of the last start by endpoint, as Unix time in milliseconds, for the endpoints of `addresses`;
         0: long ago, or not listed."""
 
     def configure(self, kinds: list[str], zones: list[str]) -> None:
-        """Replaces the names for lists that are applied later."""
+        """Replaces the names, for lists that are applied later and for the endpoints that are listed."""
         self.kinds = kinds
         self.zones = zones
+        for endpoint_id, names in self.names.items():
+            record = self.records[endpoint_id]
+            self.records[endpoint_id] = replace(
+                record, kind=self._kind_of(names.kind), zone=self._zone_of(names.zone)
+            )
 
     def serves(self, destination: int) -> bool:
         """Whether the destination has an active endpoint, or had one within `forget_destination_s`."""
@@ -77,9 +102,11 @@
             self.addresses = {}
             self.listed = {}
             self.records = {}
+            self.names = {}
             self.started_ms = {}
-        for record, address in read:
+        for record, address, names in read:
             self.records[record.endpoint_id] = record
+            self.names[record.endpoint_id] = names
             self.addresses.pop(record.endpoint_id, None)
             self.listed.pop(record.endpoint_id, None)
             self.started_ms.pop(record.endpoint_id, None)
@@ -93,7 +120,7 @@
             if self.addresses.get(endpoint_id) != address:
                 self.pool.close_idle(endpoint_id)
         unreadable = len(members) - len(read)
-        records = [record for record, _ in read if record.endpoint_id not in replaced]
+        records = [record for record, *_ in read if record.endpoint_id not in replaced]
         return MembershipChange([*records, *replaced.values()], complete, unreadable)
 
     def _update_starts(self, members: Sequence[EndpointMember]) -> None:
@@ -128,7 +155,7 @@
         self.records[endpoint_id] = record
         return record
 
-    def _read(self, members: Sequence[EndpointMember]) -> list[tuple[EndpointRecord, Address]]:
+    def _read(self, members: Sequence[EndpointMember]) -> list[ReadMember]:
         """Returns the members that can be read; logs and skips the others."""
         found = []
         for member in members:
@@ -137,7 +164,8 @@
                 # An endpoint that leaves needs no address: a drain applies even if the address is unreadable.
                 active = record.status is EndpointStatus.ACTIVE
                 address = parse_address(member["host_port"]) if active else NO_ADDRESS
-                found.append((record, address))
+                names = ListedNames(member.get("flavor"), member.get("locality"))
+                found.append(ReadMember(record, address, names))
             except (KeyError, TypeError, ValueError) as error:
                 self._log_unreadable(member, error)
         return found
@@ -166,13 +194,20 @@
         return EndpointRecord(
             endpoint_id=endpoint_id,
             destination=int(member["cell"]),
-            kind=self._index_or_first(self.kinds, member.get("flavor")),
-            zone=self._index_or_first(self.zones, member.get("locality")),
+            kind=self._kind_of(member.get("flavor")),
+            zone=self._zone_of(member.get("locality")),
             status=wire_names.ENDPOINT_STATUSES[member["phase"]],
             listed_rate=max(0.0, float(member.get("size") or 0)),
         )
 
-    @staticmethod
-    def _index_or_first(known: Sequence[object], name: object) -> int:
-        """Returns the index of a kind or zone in the settings; an unknown name counts as the first."""
-        return known.index(name) if name in known else 0
+    def _kind_of(self, name: object) -> int:
+        """Returns the number of a kind: its index in the settings; one that they do not name counts as the
+        first."""
+        return self.kinds.index(name) if isinstance(name, str) and name in self.kinds else 0
+
+    def _zone_of(self, name: object) -> int:
+        """Returns the number of a zone: its index in the settings; an endpoint without a zone is in the first
+        one. A zone that the settings do not name has a number of its own, and no cost."""
+        if not isinstance(name, str):
+            return 0
+        return self.zones.index(name) if name in self.zones else FIRST_UNNAMED_ZONE + crc32(name.encode())
--- a/tests/server/delivery/test_endpoint_registry.py
+++ b/tests/server/delivery/test_endpoint_registry.py
@@ -94,3 +94,28 @@
     registry.apply_members([{**row, "cell": 2}], complete=True)
     assert registry.serves(2)
     assert not registry.serves(1)
+
+
+# Endpoints in two zones that the settings did not name yet counted as one zone, also once they were named: a
+# message ran in both (review/6).
+def test_zones_and_kinds_that_are_named_later_hold_for_listed_endpoints() -> None:
+    registry = EndpointRegistry(["plain"], ["a"], connection_pool(), LOG)
+    members = [
+        {**row(zone, 1, 0, port), "locality": zone, "flavor": "grand" if zone == "b" else "plain"}
+        for port, zone in enumerate(("a", "b", "c"), 7001)
+    ]
+    registry.apply_members(members, complete=True)
+    unnamed = [registry.records[zone].zone for zone in "abc"]
+    assert len(set(unnamed)) == 3
+    assert unnamed[0] == 0
+    registry.configure(["plain", "grand"], ["a", "b", "c"])
+    assert [registry.records[zone].zone for zone in "abc"] == [0, 1, 2]
+    assert [registry.records[zone].kind for zone in "abc"] == [0, 1, 0]
+    registry.apply_members([{**members[1], "phase": "draining"}], complete=False)
+    assert registry.records["b"].zone == 1
+
+
+def test_endpoint_without_a_zone_is_in_the_first_one() -> None:
+    registry = EndpointRegistry(["plain"], ["a", "b"], connection_pool(), LOG)
+    registry.apply_members([row("x", 1, 0)], complete=True)
+    assert registry.records["x"].zone == 0
