--- a/ashpath/server/adoption.py
+++ b/ashpath/server/adoption.py
@@ -28,20 +28,28 @@
 
 
 class OrphanAdopter:
-    """Adopts the live messages of orphaned logs. Checks for such logs every `interval_s` seconds."""
+    """Adopts the live messages of orphaned logs. Checks for such logs every `interval_s` seconds, and every
+    `upgrade_interval_s` while another process of the sender runs."""
 
     def __init__(
-        self, write_ahead_log: WriteAheadLog, adopter: MessageAdopter, interval_s: float, logger: Logger
+        self,
+        write_ahead_log: WriteAheadLog,
+        adopter: MessageAdopter,
+        interval_s: float,
+        upgrade_interval_s: float,
+        logger: Logger,
     ) -> None:
         self.write_ahead_log = write_ahead_log
         self.adopter = adopter
         self.interval_s = interval_s
+        self.upgrade_interval_s = upgrade_interval_s
         self.logger = logger
 
     def run(self) -> None:
         """Checks for orphaned logs at each interval. Never returns."""
         while True:
-            gevent.sleep(self.interval_s)
+            is_upgrade = self.write_ahead_log.has_living_others
+            gevent.sleep(self.upgrade_interval_s if is_upgrade else self.interval_s)
             adopted = self.write_ahead_log.adopt()
             if adopted:
                 self.logger.info("write-ahead log adopted", messages=len(adopted))
--- a/ashpath/server/limits/services.py
+++ b/ashpath/server/limits/services.py
@@ -21,3 +21,6 @@
     """Interval between measurements of the resident size of the process."""
     adoption_interval_s: float = 0.5
     """Interval between checks for write-ahead logs of processes that have ended."""
+    upgrade_adoption_interval_s: float = 0.03
+    """The same while another process of the sender runs. Nobody ends the messages of a process between its
+    end and the next check."""
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -75,6 +75,7 @@
         """Read-only for other classes: only this class changes the table, together with the log."""
         self.other_logs_bytes = 0  # bytes of other processes' logs, as of the last `adopt`
         self.may_have_orphans = True  # False if no other log had records after the last `adopt`
+        self.has_living_others = False  # whether another process had a log as of the last `adopt`
         self._directory = LogDirectory(directory)
         self._own = OwnLog(self._directory, max_bytes, self.messages)
         self.skipped_bytes = (
@@ -142,7 +143,9 @@
         adopted: list[StoredMessage] = []
         if not self._own.is_claimed:
             return adopted
+        others = len(self._directory.other_logs(self.file.path))
         for orphan in self._directory.orphans(self.file.path):
+            others -= 1
             try:
                 if orphan.path.name == FIRST_LOG and not size_of(orphan.path):
                     self._forget_slot(orphan.path)  # it stays, and has nothing to adopt
@@ -150,6 +153,7 @@
                     adopted += self._adopt_log(orphan.path)
             finally:
                 orphan.lock.release()
+        self.has_living_others = others > 0
         with suppress(OSError):  # the caller still has to receive the adopted messages
             self.other_logs.find(self.file.path)
             self.other_logs_bytes = self._directory.other_logs_bytes(self.file.path)
--- a/ashpath/server/storage_wiring.py
+++ b/ashpath/server/storage_wiring.py
@@ -70,8 +70,14 @@
     """
     if process_options.inherited_socket is None and not delivery.write_ahead_log.may_have_orphans:
         return None
-    interval_s = configuration.limits.services.adoption_interval_s
-    return OrphanAdopter(delivery.write_ahead_log, delivery.policy_runner, interval_s, logger)
+    limits = configuration.limits.services
+    return OrphanAdopter(
+        delivery.write_ahead_log,
+        delivery.policy_runner,
+        limits.adoption_interval_s,
+        limits.upgrade_adoption_interval_s,
+        logger,
+    )
 
 
 def create_directory_monitor(
--- a/tests/server/test_adoption.py
+++ b/tests/server/test_adoption.py
@@ -37,7 +37,9 @@
         assert other_log.record_submitted(message)
     assert own_log.adopt() == []  # the other process still runs
     adopter = RecordingAdopter()
-    greenlet = gevent.spawn(OrphanAdopter(own_log, adopter, INTERVAL_S, structlog.get_logger()).run)
+    greenlet = gevent.spawn(
+        OrphanAdopter(own_log, adopter, INTERVAL_S, INTERVAL_S, structlog.get_logger()).run
+    )
     try:
         other_log.close()
         wait_until(lambda: adopter.calls)
@@ -45,3 +47,22 @@
         greenlet.kill()
         own_log.close()
     assert [[message.trace_id for message in messages] for messages in adopter.calls] == [["t1", "t2"]]
+
+
+# A message whose time ended just after its process was notified up to 0.5 s late (issue 81; REPORT-2).
+def test_log_of_process_that_ends_in_an_upgrade_is_adopted_at_the_short_interval(tmp_path: Path) -> None:
+    other_log = WriteAheadLog(tmp_path, MAX_BYTES)
+    own_log = WriteAheadLog(tmp_path, MAX_BYTES)
+    message = StoredMessage(0, "t1", 0, 1, None, None, stored_time() + HOUR_US, b"body")
+    assert other_log.record_submitted(message)
+    adopter = RecordingAdopter()
+    greenlet = gevent.spawn(OrphanAdopter(own_log, adopter, 3600.0, INTERVAL_S, structlog.get_logger()).run)
+    try:
+        gevent.sleep(5 * INTERVAL_S)
+        assert not adopter.calls
+        other_log.close()
+        wait_until(lambda: adopter.calls)
+    finally:
+        greenlet.kill()
+        own_log.close()
+    assert not own_log.has_living_others
--- a/tests/server/test_limits.py
+++ b/tests/server/test_limits.py
@@ -78,6 +78,7 @@
     "requests_after_term_s": 3.2,
     "end_after_term_s": 3.5,
     "adoption_interval_s": 0.5,
+    "upgrade_adoption_interval_s": 0.03,
     "control_timeout_s": 5.0,
     "control_connections": 16,
 }
