Predecessors and idle limits have modules of their own

What a message waits for at other processes moves from the write-ahead log to storage/predecessors.py, the shortened idle limits of endpoints from the pool to delivery/idle_limits.py. No behaviour changes; the test of an expired limit sets it by idle_distrust_s = 0 in place of a row of the table.

--- a/ashpath/server/delivery/attempt_runner.py
+++ b/ashpath/server/delivery/attempt_runner.py
@@ -239,7 +239,7 @@
             # The policy starts the next attempt at once, until the message has no attempt left.
             gevent.sleep(NOT_RECORDED_PAUSE_S)
         if isinstance(attempt.failure, WriteError | ConnectionLostError) and not len(connection.buffer):
-            self.pool.connection_dropped(attempt.endpoint_id, connection)
+            self.pool.idle_limits.connection_dropped(attempt.endpoint_id, connection.idle_before_use_s)
         if attempt.response is None or not attempt.response.keep_alive:
             # A late response on a reused connection would be taken for the response to the next request.
             reason = CloseReason.ATTEMPT_FAILED if attempt.response is None else CloseReason.NOT_KEPT_ALIVE
--- a/ashpath/server/delivery/connection_pool.py
+++ b/ashpath/server/delivery/connection_pool.py
@@ -32,6 +32,7 @@
 from ashpath.server.delivery.closing_connections import ClosingConnections
 from ashpath.server.delivery.endpoint_connection import CloseReason, EndpointConnection
 from ashpath.server.delivery.errors import ConnectionPoolFullError
+from ashpath.server.delivery.idle_limits import IdleLimits
 from ashpath.server.delivery.response_attribution import ResponseAttribution
 from ashpath.server.delivery.response_notices import ResponseNotices
 from ashpath.server.descriptors import UNSHARED, DescriptorLeases, Lease
@@ -42,8 +43,6 @@
 from ashpath.server.self_checks import Check, SelfChecks
 from ashpath.server.timers import now
 
-# The new idle limit of an endpoint, as a fraction of the idle time after which it dropped a connection.
-TRUSTED_IDLE_FRACTION = 0.8
 DESCRIPTOR_CHECK_INTERVAL_S = 0.005  # while another process is to give one back
 
 
@@ -55,15 +54,6 @@
     connection: EndpointConnection
 
 
-class IdleLimit(NamedTuple):
-    """The shorter idle limit of an endpoint that drops idle connections before the configured limit."""
-
-    longest_idle: float
-    """Seconds."""
-    until: float
-    """Seconds of the monotonic clock at which this limit expires."""
-
-
 class ConnectionPool:
     """Idle connections by endpoint, longest idle first; an endpoint without idle connections has no entry."""
 
@@ -92,8 +82,7 @@
         self.closed: dict[CloseReason, int] = dict.fromkeys(CloseReason, 0)
         """Number of connections closed since the start."""
         self._waiting_for_descriptors = 0  # attempts in `_take_descriptor`
-        self.idle_limits: dict[str, IdleLimit] = {}
-        """By endpoint that dropped idle connections early; the sweep removes expired limits."""
+        self.idle_limits = IdleLimits(lambda: self.limits)
 
     def apply_limits(self, limits: EndpointConnectionLimits, http_limits: HttpLimits) -> None:
         """Replaces the limits; open connections stay open."""
@@ -136,7 +125,7 @@
         while (taken := self._take_quiet(endpoint_id)) is not None:
             connection = taken.connection
             connection.idle_before_use_s = monotonic() - taken.since
-            if connection.idle_before_use_s >= self.idle_limit(endpoint_id):
+            if connection.idle_before_use_s >= self.idle_limits.longest_idle(endpoint_id):
                 self._retire(endpoint_id, connection, CloseReason.IDLE_LIMIT)
             elif self._is_usable(endpoint_id, connection):
                 return connection
@@ -148,7 +137,9 @@
         quiet = [one for one in idle if self._wait_before_reuse(one) == 0]
         if not quiet:
             return None
-        return self._remove(endpoint_id, quiet[-1] if endpoint_id in self.idle_limits else quiet[0])
+        return self._remove(
+            endpoint_id, quiet[-1] if self.idle_limits.is_shortened(endpoint_id) else quiet[0]
+        )
 
     def _wait_before_reuse(self, idle: IdleConnection) -> int | None:
         """Returns microseconds; None if the connection must not carry a further request."""
@@ -321,34 +312,16 @@
         self._retire(endpoint_id, longest_idle.connection, reason)
         return True
 
-    def idle_limit(self, endpoint_id: str) -> float:
-        """Returns the seconds for which connections of the endpoint may be idle before they are closed."""
-        limit = self.idle_limits.get(endpoint_id)
-        return self.limits.endpoint_idle_s if limit is None else limit.longest_idle
-
-    def connection_dropped(self, endpoint_id: str, connection: EndpointConnection) -> None:
-        """Shortens the endpoint's idle limit after a connection was lost without a byte of a response.
-
-        Some endpoints drop idle connections early and without a FIN; the next request on such a connection is
-        lost. For `idle_distrust_s`, connections of the endpoint are closed after a shorter idle time."""
-        shortest = self.limits.min_endpoint_idle_s
-        if connection.idle_before_use_s > shortest:
-            trusted = min(self.idle_limit(endpoint_id), TRUSTED_IDLE_FRACTION * connection.idle_before_use_s)
-            until = monotonic() + self.limits.idle_distrust_s
-            self.idle_limits[endpoint_id] = IdleLimit(max(shortest, trusted), until)
-
     def sweep(self) -> None:
         """Closes idle connections past their limit, those that the endpoint has closed or written to, and
         those that were listened to for long enough."""
         self.closing.sweep()
         time = monotonic()
-        self.idle_limits = {
-            endpoint_id: limit for endpoint_id, limit in self.idle_limits.items() if limit.until > time
-        }
+        self.idle_limits.expire()
         for endpoint_id in list(self.idle):
             # Connections that would exceed their limit before the next sweep are closed now, unless they have
             # been idle for less than `min_endpoint_idle_s`.
-            oldest = time - self.idle_limit(endpoint_id) + self.limits.pool_sweep_s
+            oldest = time - self.idle_limits.longest_idle(endpoint_id) + self.limits.pool_sweep_s
             for idle in list(self.idle[endpoint_id]):
                 self._sweep_connection(endpoint_id, idle, min(oldest, time - self.limits.min_endpoint_idle_s))
 
--- a/ashpath/server/delivery/earlier_messages.py
+++ b/ashpath/server/delivery/earlier_messages.py
@@ -26,9 +26,9 @@
 
 
 class PredecessorSource(Protocol):
-    """Knows which messages the other process of a hot upgrade has: the write-ahead log."""
+    """Knows which messages the other process of a hot upgrade has: `storage/predecessors.py`."""
 
-    def has_unfinished_predecessor(self, message: StoredMessage) -> bool:
+    def has_unfinished(self, message: StoredMessage) -> bool:
         """Whether an earlier message of the same ordering key has not ended."""
 
     def rest_left(self, message: StoredMessage, settle_s: float) -> float:
@@ -74,7 +74,7 @@
         if wait > 0:
             gevent.sleep(min(wait, time_left) / SECOND)
         with Timeout(time_left / SECOND, PendingNotificationError()):
-            while self.predecessors.has_unfinished_predecessor(attempt.message):
+            while self.predecessors.has_unfinished(attempt.message):
                 gevent.sleep(PREDECESSOR_POLL_S)
             gevent.sleep(self.predecessors.rest_left(attempt.message, attempt.settle_time / SECOND))
 
--- a/ashpath/server/http/admission.py
+++ b/ashpath/server/http/admission.py
@@ -105,7 +105,7 @@
         self.report_log_space(recorded=recorded)
         if not recorded:
             return self.refuse(RefusalCause.LOG_FULL, OVER_CAPACITY)
-        self.write_ahead_log.find_predecessors([message])
+        self.write_ahead_log.predecessors.find([message])
         result = self.receiver.submit(message)
         if result.decision is SubmitDecision.ACCEPTED:
             return ACCEPTED
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -31,7 +31,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
 
@@ -47,6 +46,7 @@
 from ashpath.server.storage.orphaned_logs import OrphanedLogs
 from ashpath.server.storage.other_logs import OtherLogs
 from ashpath.server.storage.own_log import OwnLog
+from ashpath.server.storage.predecessors import Predecessors
 from ashpath.server.storage.record_codec import (
     AttemptFinished,
     AttemptStarted,
@@ -56,9 +56,6 @@
 from ashpath.server.storage.repairable import Repairable
 from ashpath.server.storage.stored_message import StoredMessage, acceptance_order
 
-LOOKS_FOR_PREDECESSORS = 2
-"""A process that adopts a message moves it from a log to another one, perhaps between the reads of both."""
-
 
 class WriteAheadLog:
     """The log of one process, and its live messages: its own, and those adopted from orphaned logs.
@@ -82,6 +79,7 @@
             0  # bytes of torn records that were skipped as the claimed log was read, before valid records
         )
         self.other_logs = OtherLogs(self._directory)
+        self.predecessors = Predecessors(self.messages, self.other_logs)
         self.prerequisite: Repairable | None = None
         """A file that has to be written before a message is accepted."""
         self._orphaned_logs = OrphanedLogs()
@@ -160,7 +158,7 @@
             self.may_have_orphans = self.other_logs_bytes > 0
             self._own.find_unregistered()
         adopted.sort(key=acceptance_order)
-        self.find_predecessors(adopted)
+        self.predecessors.find(adopted)
         return adopted
 
     def _adopt_log(self, path: Path) -> list[StoredMessage]:
@@ -242,39 +240,6 @@
             if message.traffic_class >= count:
                 raise UnknownTrafficClassError(self.file.path, message.trace_id, message.traffic_class)
 
-    def find_predecessors(self, messages: Sequence[StoredMessage]) -> None:
-        """Notes for each message those of its ordering key that other processes accepted before, and have."""
-        keys = {message.ordering_key for message in messages if message.ordering_key is not None}
-        earlier = [
-            other
-            for other in self.other_logs.live_of_keys(keys)
-            if other.trace_id not in self.messages.by_trace_id
-        ]
-        for message in messages:
-            message.predecessors = tuple(
-                other.trace_id
-                for other in earlier
-                if other.ordering_key == message.ordering_key and other.message_id < message.message_id
-            )
-
-    def has_unfinished_predecessor(self, message: StoredMessage) -> bool:
-        """Whether a message that another process had accepted before has not ended yet, here or there."""
-        for _ in range(LOOKS_FOR_PREDECESSORS):
-            unfinished = tuple(trace_id for trace_id in message.predecessors if self._is_live(trace_id))
-            if unfinished == message.predecessors:
-                break
-        message.predecessors = unfinished
-        return bool(message.predecessors)
-
-    def rest_left(self, message: StoredMessage, settle_s: float) -> float:
-        """Returns the seconds for which the key of a message rests after an attempt of another process."""
-        if message.ordering_key is None:
-            return 0.0
-        return self.other_logs.rests.time_left(message.ordering_key, message.trace_id, settle_s)
-
-    def _is_live(self, trace_id: str) -> bool:
-        return trace_id in self.messages.by_trace_id or self.other_logs.is_live(trace_id)
-
     def record_submitted(self, message: StoredMessage) -> bool:
         """Records an accepted message; returns False if the log has no room for it or the write fails.
 
--- a/ashpath/server/wiring.py
+++ b/ashpath/server/wiring.py
@@ -175,7 +175,13 @@
     )
     registry = EndpointRegistry(settings.kinds, settings.zones, pool, logger)
     return AttemptRunner(
-        pool, registry, create_classifier(settings), notifier, write_ahead_log, attempt_log, logger
+        pool,
+        registry,
+        create_classifier(settings),
+        notifier,
+        write_ahead_log.predecessors,
+        attempt_log,
+        logger,
     )
 
 
--- a/tests/server/delivery/test_connection_pool.py
+++ b/tests/server/delivery/test_connection_pool.py
@@ -6,6 +6,7 @@
 
 import pytest
 from gevent import socket
+from msgspec.structs import replace
 from support.limits import connection_pool
 from support.sender_harness import LIMITS, SenderHarness, request, reset_connection, wait_until
 from support.sender_parts import DeliverySetup
@@ -15,7 +16,7 @@
 from ashpath.policy.response_trust import ResponseTrust
 from ashpath.policy.tuning import QUIET_TIME, RESPONSE_LATENESS
 from ashpath.server.addresses import Address
-from ashpath.server.delivery.connection_pool import ConnectionPool, IdleConnection, IdleLimit
+from ashpath.server.delivery.connection_pool import ConnectionPool, IdleConnection
 from ashpath.server.delivery.endpoint_connection import CloseReason
 from ashpath.server.delivery.errors import ConnectionPoolFullError
 from ashpath.server.http.connection import HttpConnection
@@ -99,8 +100,8 @@
     harness.servers[0].set_handle(reset_after_request)
     delivery_setup.start("a", b"reset")  # uses the young connection, now the longest idle
     wait_until(lambda: delivery_setup.outcomes == [AttemptOutcome.CONNECTION_RESET])
-    assert 0.1 < pool.idle_limit("e1") < 0.2
-    assert pool.idle_limit("e2") == LIMITS.endpoints.endpoint_idle_s
+    assert 0.1 < pool.idle_limits.longest_idle("e1") < 0.2
+    assert pool.idle_limits.longest_idle("e2") == LIMITS.endpoints.endpoint_idle_s
     last = pool.connect(address)
     pool.release("e1", last)
     backdate_idle_connection(pool, -1, QUIET_S)
@@ -108,17 +109,19 @@
     pool.release("e1", last)
     delivery_setup.start("b", b"reset")  # uses the last connection, which was hardly idle: the limit stays
     wait_until(lambda: len(delivery_setup.outcomes) == 2)
-    assert pool.idle_limit("e1") > 0.1
+    assert pool.idle_limits.longest_idle("e1") > 0.1
     pool.close_idle("e1")
     third = pool.connect(address)
     pool.release("e1", third)
     backdate_idle_connection(pool, 0, 1.0)
     assert pool.acquire_idle("e1") is None
     assert third.unusable
-    pool.idle_limits["e1"] = IdleLimit(longest_idle=0.5, until=0.0)
+    pool.apply_limits(replace(pool.limits, idle_distrust_s=0.0), pool.http_limits)
+    pool.idle_limits.connection_dropped("e1", 0.5)  # expires at once
+    assert pool.idle_limits.is_shortened("e1")
     pool.sweep()
-    assert not pool.idle_limits
-    assert pool.idle_limit("e1") == LIMITS.endpoints.endpoint_idle_s
+    assert not pool.idle_limits.is_shortened("e1")
+    assert pool.idle_limits.longest_idle("e1") == LIMITS.endpoints.endpoint_idle_s
 
 
 def test_second_release_of_a_connection_is_counted(harness: SenderHarness) -> None:
--- a/tests/server/storage/test_other_logs.py
+++ b/tests/server/storage/test_other_logs.py
@@ -22,7 +22,7 @@
     deadline = stored_time() + TIME_LEFT
     message = StoredMessage(0, trace_id, 0, 1, key, None, deadline, b"")
     assert log.record_submitted(message)
-    log.find_predecessors([message])
+    log.predecessors.find([message])
     return message
 
 
@@ -48,10 +48,10 @@
     assert new.other_logs.is_live("a")
     assert not new.other_logs.has_ended("a")
     later = message_of_key(new, "b", 7)
-    assert new.has_unfinished_predecessor(later)
+    assert new.predecessors.has_unfinished(later)
     old.record_attempt(message, 1, "e1")
     old.record_finished(message)
-    assert not new.has_unfinished_predecessor(later)
+    assert not new.predecessors.has_unfinished(later)
     assert not new.other_logs.is_live("a")
     assert new.other_logs.has_ended("a")
 
@@ -91,9 +91,9 @@
     old.close()
     assert [message.trace_id for message in new.adopt()] == ["a"]
     assert live_of_key(new, 7) == []
-    assert new.has_unfinished_predecessor(later)
+    assert new.predecessors.has_unfinished(later)
     new.record_finished(new.messages.by_trace_id["a"])
-    assert not new.has_unfinished_predecessor(later)
+    assert not new.predecessors.has_unfinished(later)
 
 
 @pytest.mark.parametrize(
@@ -122,7 +122,7 @@
     ended, waiting = (other_process_log(tmp_path, number) for number in (1, 2))
     message_of_key(ended, "a", 7)
     later = message_of_key(waiting, "b", 7)
-    assert waiting.has_unfinished_predecessor(later)
+    assert waiting.predecessors.has_unfinished(later)
     ended.close()
     first_log = next(iter(waiting.other_logs._logs.values()))  # noqa: SLF001 - the moment of the move
     read_on = first_log.read_on
@@ -133,7 +133,7 @@
         adopter.adopt()
 
     first_log.read_on = read_then_adopt  # type: ignore[method-assign]
-    assert waiting.has_unfinished_predecessor(later)
+    assert waiting.predecessors.has_unfinished(later)
 
 
 def test_process_does_not_wait_for_messages_that_were_accepted_later(
@@ -143,9 +143,9 @@
     old, new = logs
     first = message_of_key(old, "a", 7)
     second = message_of_key(new, "b", 7)
-    old.find_predecessors([first])
-    assert not old.has_unfinished_predecessor(first)
-    assert new.has_unfinished_predecessor(second)
+    old.predecessors.find([first])
+    assert not old.predecessors.has_unfinished(first)
+    assert new.predecessors.has_unfinished(second)
 
 
 def other_process_log(directory: Path, process_id: int) -> WriteAheadLog:
@@ -208,11 +208,11 @@
     old.record_outcome(earlier, may_have_run=may_have_run)
     old.record_finished(earlier, "{}")
     old.record_finished(earlier)
-    assert not new.has_unfinished_predecessor(later)
-    assert (new.rest_left(later, 5.0) > 4.0) is rests
-    assert new.rest_left(later, 0.0) == 0.0
-    assert new.rest_left(other_key, 5.0) == 0.0
-    assert new.rest_left(earlier, 5.0) == 0.0  # its own retry
+    assert not new.predecessors.has_unfinished(later)
+    assert (new.predecessors.rest_left(later, 5.0) > 4.0) is rests
+    assert new.predecessors.rest_left(later, 0.0) == 0.0
+    assert new.predecessors.rest_left(other_key, 5.0) == 0.0
+    assert new.predecessors.rest_left(earlier, 5.0) == 0.0  # its own retry
     old.close()
     new.adopt()
-    assert (new.rest_left(later, 5.0) > 4.0) is rests  # also once the log is gone
+    assert (new.predecessors.rest_left(later, 5.0) > 4.0) is rests  # also once the log is gone
--- a/tests/support/sender_parts.py
+++ b/tests/support/sender_parts.py
@@ -116,7 +116,13 @@
         self.recorder = OutcomeRecorder(write_ahead_log, notifier, uncertain_messages=self.pool.attribution)
         classifier = ResponseClassifier(has_load_reports=True)
         self.runner = AttemptRunner(
-            self.pool, self.registry, classifier, notifier, write_ahead_log, AttemptLog(logger), logger
+            self.pool,
+            self.registry,
+            classifier,
+            notifier,
+            write_ahead_log.predecessors,
+            AttemptLog(logger),
+            logger,
         )
         self.outcomes: list[AttemptOutcome] = []
         self.confirmed: list[str] = []  # trace ids of provisional deliveries
