A key rests after a call that the end of its process gave up

Cause: the adopter's own message waits for one that was in flight at the ended process. The adopted one is ended at its deadline, and the rest that the policy sets holds for what it starts, not for the attempt that was waiting already.

Change: an adoption notes the keys of attempts that were in flight, and reads the last records of the other log before it is emptied.

Checks: the test of both cases fails before (0.0 s left) and passes.

--- a/ashpath/server/storage/other_logs.py
+++ b/ashpath/server/storage/other_logs.py
@@ -116,6 +116,14 @@
             log.read_on()
         return [log.messages for log in self._logs.values()]
 
+    def note_rests(self, orphaned: LiveMessages) -> None:
+        """Notes the keys that rest as a process has ended whose log is about to be adopted: those of its last
+        records, and those of attempts that were in flight."""
+        self._messages()
+        for message in orphaned.live.values():
+            if message.ordering_key is not None and message.in_flight_since is not None:
+                self.rests.attempt_ended(message.ordering_key, message.trace_id)
+
     def is_live(self, trace_id: str) -> bool:
         """Whether another process has the message, and has not ended it."""
         return any(trace_id in messages.by_trace_id for messages in self._messages())
--- a/ashpath/server/storage/write_ahead_log.py
+++ b/ashpath/server/storage/write_ahead_log.py
@@ -166,6 +166,7 @@
         read or this log cannot be written. The next `adopt` tries again then."""
         try:
             orphaned = self._orphaned_logs.read(path)
+            self.other_logs.note_rests(orphaned)
             self.messages.ended.update(orphaned.ended)
             with self._own.disk:
                 self._own.register()
--- a/tests/server/storage/test_other_logs.py
+++ b/tests/server/storage/test_other_logs.py
@@ -216,3 +216,21 @@
     old.close()
     new.adopt()
     assert (new.predecessors.rest_left(later, 5.0) > 4.0) is rests  # also once the log is gone
+
+
+# The next message of a key went out 18 ms after a call that was given up by the end of the other process.
+@pytest.mark.parametrize("recorded", [True, False], ids=["outcome recorded", "in flight"])
+def test_key_rests_after_an_attempt_that_the_end_of_its_process_gave_up(
+    logs: tuple[WriteAheadLog, WriteAheadLog], *, recorded: bool
+) -> None:
+    old, new = logs
+    earlier = message_of_key(old, "a", 7)
+    later = message_of_key(new, "b", 7)
+    assert new.predecessors.has_unfinished(later)
+    old.record_attempt(earlier, 1, "e1")
+    if recorded:
+        old.record_outcome(earlier, may_have_run=True)
+        old.record_finished(earlier, "{}")
+    old.close()
+    new.adopt()
+    assert new.predecessors.rest_left(later, 5.0) > 4.0
