An attempt that waited for an adopted message keeps to the order and the rest

Change: `still_valid` asks whether another message of the key precedes, or the key rests after another one's attempt; a message that must wait is not queued again before its turn. Within one process the first message of a key is the one in flight, and a message's own retry does not wait, so nothing changes there.

--- a/ashpath/core/messages.py
+++ b/ashpath/core/messages.py
@@ -38,6 +38,18 @@
     messages: deque[Message] = field(default_factory=deque)
     settles_at: int = 0
     """No message of the key is sent before this time, as an unresolved attempt may still run."""
+    settles_after: int = 0
+    """Id of the message of that attempt, whose own retry need not wait."""
+
+    def rest(self, message_id: int, until: int) -> None:
+        """Notes that an attempt ended unresolved; other messages than its own wait until a time."""
+        self.settles_at = until
+        self.settles_after = message_id
+
+    def must_wait(self, message: Message, now: int) -> bool:
+        """Whether a message of the key may not be sent now: another one precedes it, or the key rests."""
+        rests = self.settles_at > now and self.settles_after != message.message_id
+        return rests or self.messages[0] is not message
 
     def add(self, message: Message, followers: Collection[int] = ()) -> None:
         """Adds a message ahead of the first one whose id is in `followers`, or behind all others."""
--- a/ashpath/core/policy_engine.py
+++ b/ashpath/core/policy_engine.py
@@ -90,7 +90,7 @@
             endpoint = destination.known_endpoints.get(previous.first_run_endpoint)
             message.first_run = FirstRun(previous.first_run_at, endpoint.zone if endpoint else -1)
         if message.ordered_queue and previous.unresolved:
-            message.ordered_queue.settles_at = self.now + self.settings.settle_time
+            message.ordered_queue.rest(message_id, self.now + self.settings.settle_time)
         self.re_evaluate(message)
 
     def client_disconnected(self, message_id: int) -> None:
--- a/ashpath/policy/delivery_policy.py
+++ b/ashpath/policy/delivery_policy.py
@@ -86,9 +86,12 @@
     def still_valid(self, message_id: int, now: int) -> bool:
         """Returns whether an attempt may still be sent once its connection is established.
 
-        The endpoint must still be listed, and no Retry-After of its destination or route may be in force.
+        The endpoint must still be listed, no Retry-After of its destination or route may be in force, and no
+        message that was adopted meanwhile may precede it in its ordering key.
         """
         message = self.messages[message_id]
+        if message.ordered_queue is not None and message.ordered_queue.must_wait(message, now):
+            return False
         if message.attempt is None or message.attempt.endpoint not in message.destination.endpoints:
             return False
         return now >= message.attempt.endpoint.gate.retry_after_until
@@ -130,7 +133,7 @@
         if outcome is AttemptOutcome.LOCAL_FAULT:
             message.attempts -= 1  # the attempt never left this machine and does not count
         if message.ordered_queue and outcome in tuning.MAY_STILL_RUN:
-            message.ordered_queue.settles_at = self.now + self.settings.settle_time
+            message.ordered_queue.rest(message_id, self.now + self.settings.settle_time)
         if message.first_run is None and outcome not in NEVER_RAN:
             message.first_run = FirstRun(attempt.started_at, attempt.endpoint.zone)
         delivered = outcome is AttemptOutcome.DELIVERED
@@ -138,10 +141,18 @@
             self.finish(message)
         elif retries.may_be_sent(self, message):
             transition(message, MessageState.QUEUED)
-            self.enqueue(message, first=True)
+            self._queue_again(message)
         else:
             self.finish_undelivered(message)
 
+    def _queue_again(self, message: Message) -> None:
+        ordered_queue = message.ordered_queue
+        if ordered_queue is None or not ordered_queue.must_wait(message, self.now):
+            self.enqueue(message, first=True)
+            return
+        self.schedule_re_evaluation(message)
+        self.advance(ordered_queue)
+
     def _record_outcome(
         self, message: Message, attempt: Attempt, outcome: AttemptOutcome, retry_after: int
     ) -> None:
