--- a/tests/server/test_hot_upgrade.py
+++ b/tests/server/test_hot_upgrade.py
@@ -37,6 +37,13 @@
     assert new.notified("u1") == ["deferred"]  # one notification, from either process
 
 
+def begin_shutdown(old: SenderHarness) -> None:
+    """Sends SIGTERM, and waits until the shutdown has begun."""
+    assert old.process is not None
+    old.process.send_signal(signal.SIGTERM)
+    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+
+
 def open_accepted_connection(old: SenderHarness, data: bytes = b"") -> HttpConnection:
     """Opens a connection to the old process and writes `data`, which may be part of a request."""
     connection = old.connect()
@@ -170,9 +177,7 @@
     assert old.submit("out", "free", "hang", 2, time_left_ms=3000) == 202
     wait_until(lambda: old.attempt_count("done") and old.attempt_count("out"))
     new.start()
-    assert old.process is not None
-    old.process.send_signal(signal.SIGTERM)
-    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+    begin_shutdown(old)
     assert new.submit("done", "once", "200", 1) == 409
     assert new.submit("out", "free", "200", 2) == 409
     assert new.attempt_count("done") == new.attempt_count("out") == 1
@@ -187,9 +192,7 @@
     assert old.submit("o1", "tag", "hang", 3, time_left_ms=3000, ordering_key="k") == 202
     wait_until(lambda: old.attempt_count("o1"))
     new.start()
-    assert old.process is not None
-    old.process.send_signal(signal.SIGTERM)
-    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+    begin_shutdown(old)
     assert new.submit("o2", "tag", "200", 3, ordering_key="k") == 202
     wait_until(lambda: new.attempt_count("o2"))
     assert new.notified("o1")
@@ -205,9 +208,7 @@
     client_of_old.read_response()
     client_of_old.finish_response()
     new.start()
-    assert old.process is not None
-    old.process.send_signal(signal.SIGTERM)
-    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+    begin_shutdown(old)
     for number in range(3):  # the new process learns that the destination is well
         assert new.submit(f"warm-{number}", "tag", "200", 3) == 202
         wait_until(partial(new.attempt_count, f"warm-{number}"))
@@ -234,9 +235,7 @@
     assert old.submit("given-up", "tag", "hang", 3, time_left_ms=2000, ordering_key="k") == 202
     wait_until(lambda: old.attempt_count("given-up"))
     new.start()
-    assert old.process is not None
-    old.process.send_signal(signal.SIGTERM)
-    wait_until(lambda: 'event="shutdown started"' in (old.folder / "log").read_text())
+    begin_shutdown(old)
     assert new.submit("next", "tag", "200", 3, ordering_key="k") == 202
     wait_until(lambda: new.notified("given-up"))  # some ms after the call was given up
     given_up_at = monotonic()
--- a/tests/server/test_runtime.py
+++ b/tests/server/test_runtime.py
@@ -14,7 +14,7 @@
 from ashpath.server.errors import StartupError
 from ashpath.server.http.listener import ClientListener
 from ashpath.server.platform_deployment import create_runtime
-from ashpath.server.runtime import supervise
+from ashpath.server.runtime import SenderRuntime, supervise
 from ashpath.server.storage.file_lock import try_lock
 
 
@@ -30,15 +30,20 @@
     assert not failures
 
 
-# A process that adopts the log calls its messages: the log was unlocked while an attempt was out.
-def test_run_ends_with_log_locked_and_attempts_given_up(
-    harness: SenderHarness, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def runtime_in_this_process(harness: SenderHarness, monkeypatch: pytest.MonkeyPatch) -> SenderRuntime:
+    """Returns a runtime that is not started yet, and that leaves signals and garbage as they are."""
     for name, value in harness.environment().items():
         monkeypatch.setenv(name, value)
     monkeypatch.setattr("ashpath.server.runtime.gevent.signal_handler", lambda *_: None)
     monkeypatch.setattr("ashpath.server.runtime.enable_garbage_collector", lambda: None)
-    runtime = create_runtime()[0]
+    return create_runtime()[0]
+
+
+# A process that adopts the log calls its messages: the log was unlocked while an attempt was out.
+def test_run_ends_with_log_locked_and_attempts_given_up(
+    harness: SenderHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    runtime = runtime_in_this_process(harness, monkeypatch)
     log = runtime.sender.delivery.write_ahead_log
     running = gevent.spawn(runtime.run)
     wait_until(lambda: harness.submit("out", "free", "hang", 1) == 202)
@@ -69,11 +74,7 @@
 def test_shutdown_that_begins_in_a_step_of_the_start_ends(
     harness: SenderHarness, monkeypatch: pytest.MonkeyPatch, step: str
 ) -> None:
-    for name, value in harness.environment().items():
-        monkeypatch.setenv(name, value)
-    monkeypatch.setattr("ashpath.server.runtime.gevent.signal_handler", lambda *_: None)
-    monkeypatch.setattr("ashpath.server.runtime.enable_garbage_collector", lambda: None)
-    runtime = create_runtime()[0]
+    runtime = runtime_in_this_process(harness, monkeypatch)
     sender = runtime.sender
     take_step: Callable[[], object] = getattr(runtime, step)
 
